The whole path, thin, as separate processes

Cause: there was no program. A request has to be served from end to end before anything about it can be proved or measured.

Change: one binary with entry, control, dev, standin, load, check, apply, status, drain and version. A ticket goes to the pool's owner, the entry that holds the caller dispatches under a grant, at most once, and gives the slot back. Control keeps configuration and claims in a write-ahead log, as a single replica so far. The naive round robin is a policy of its own.

Ruled out: net/http's own retries (a request with an Idempotency-Key header is sent again on a broken kept-alive connection), so requests leave with a body that the transport can't make anew.

Not yet: replication, takeover, joins of a second submission, fair share.

--- /dev/null
+++ b/cmd/azurelane/main.go
@@ -0,0 +1,82 @@
+// Command azurelane schedules requests to model engines and plain services.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	// Scheduling policies register themselves.
+	_ "azurelane/core/late"
+	_ "azurelane/core/robin"
+)
+
+// Exit codes.
+const (
+	exitOK     = 0
+	exitFailed = 1 // The command ran and failed.
+	exitUsage  = 2 // The command line or a settings file is wrong.
+)
+
+const usageMain = `azurelane schedules requests to model engines and plain services.
+
+Start with "azurelane dev", which runs a whole small system in this process.
+
+Exit codes: 0 done, 1 failed, 2 wrong command line or settings.`
+
+// cli lists the commands; each has its file.
+type cli struct {
+	Entry   entryCmd   `cmd:"" help:"Serve callers and schedule pools."`
+	Control controlCmd `cmd:"" help:"Run one replica of the durable state."`
+	Dev     devCmd     `cmd:"" help:"Run a whole small system in this process."`
+	Standin standinCmd `cmd:"" help:"Run a stand-in engine or service."`
+	Load    loadCmd    `cmd:"" help:"Send open-loop load and report what came back."`
+	Check   checkCmd   `cmd:"" help:"Check settings and configuration offline."`
+	Apply   applyCmd   `cmd:"" help:"Put a changed configuration in force."`
+	Status  statusCmd  `cmd:"" help:"Show what is in force where."`
+	Drain   drainCmd   `cmd:"" help:"Take an entry out of service."`
+	Version versionCmd `cmd:"" help:"Print the version."`
+}
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+func run(args []string) int {
+	var c cli
+	parser, err := kong.New(&c, kong.Name("azurelane"), kong.Description(usageMain), kong.UsageOnError())
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "azurelane: "+err.Error())
+		return exitUsage
+	}
+	k, err := parser.Parse(args)
+	if err != nil {
+		parser.Errorf("%s", err)
+		return exitUsage
+	}
+	ctx, stop := signals()
+	defer stop()
+	k.BindTo(ctx, (*context.Context)(nil))
+	if err := k.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "azurelane: "+err.Error())
+		return exitFailed
+	}
+	return exitOK
+}
+
+// signals returns a context that ends with the first SIGTERM or interrupt. A
+// second signal ends the process at once.
+func signals() (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(context.Background())
+	ch := make(chan os.Signal, 2)
+	signal.Notify(ch, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-ch
+		cancel()
+		<-ch
+		os.Exit(exitFailed)
+	}()
+	return ctx, cancel
+}
--- /dev/null
+++ b/cmd/azurelane/standin.go
@@ -0,0 +1,58 @@
+package main
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/thejerf/suture/v4"
+
+	"azurelane/io/engine"
+	"azurelane/io/hello"
+	"azurelane/io/httpd"
+	"azurelane/io/logs"
+)
+
+const usageStandin = `Run a stand-in for a model engine or a plain service. It announces itself to
+the entries, answers in OpenAI's published form or echoes a plain call, and
+lists what ran under /journal.`
+
+type standinCmd struct {
+	Name    string           `required:"" help:"Name of the upstream."`
+	Listen  netip.AddrPort   `required:"" help:"Address of its HTTP server."`
+	Entries []netip.AddrPort `required:"" help:"Upstream addresses of the entries."`
+	Pools   []string         `required:"" help:"Pools that it serves."`
+	Models  []string         `help:"Models that it serves."`
+	Slots   int              `default:"8" help:"Requests that run at once."`
+	Prefill float64          `default:"20000" help:"Prompt tokens a second."`
+	Step    time.Duration    `default:"5ms" help:"Time of one decoding step of one request."`
+	Crowd   float64          `default:"0.05" help:"Part of a step that each further request adds."`
+}
+
+// Help is the command's manual.
+func (standinCmd) Help() string { return usageStandin }
+
+// Run serves until a signal, then tells the entries that it leaves.
+func (c *standinCmd) Run(ctx context.Context) error {
+	log, err := logs.New(os.Stderr, "text", 0)
+	if err != nil {
+		return err
+	}
+	ln, err := net.Listen("tcp", c.Listen.String())
+	if err != nil {
+		return err
+	}
+	eng := &engine.Engine{Name: c.Name, Slots: c.Slots, Prefill: c.Prefill, Step: c.Step, Crowd: c.Crowd, CacheLimit: 64}
+	h := &hello.Hello{
+		Upstream: c.Name, Address: c.Listen, Incarnation: uuid.NewString()[:8], Pools: c.Pools, Models: c.Models,
+		MaxRunning: c.Slots, Entries: c.Entries, Load: eng.Load, Log: log.WithName("hello"),
+	}
+	sup := suture.NewSimple("standin")
+	sup.Add(h)
+	sup.Add(&httpd.Httpd{Listen: ln, Handler: &engine.Server{Engine: eng}})
+	_ = sup.Serve(ctx)
+	return h.Announce(context.WithoutCancel(ctx), true)
+}
--- /dev/null
+++ b/core/acct/acct.go
@@ -0,0 +1,42 @@
+// Package acct describes a client account.
+package acct
+
+// Account holds what operators configure for one client account. Only a hash
+// of its key is kept.
+type Account struct {
+	KeySHA256      string   `json:"key-sha256"`               // Hex SHA-256 of the bearer key.
+	Weight         float64  `json:"weight,omitzero"`          // Share of work units against other accounts; 0 counts as 1.
+	MaxWaiting     int      `json:"max-waiting,omitzero"`     // Requests that may wait in one pool; 0 takes the default.
+	MaxConnections int      `json:"max-connections,omitzero"` // Requests that may be open at one entry; 0 takes the default.
+	MaxBody        int64    `json:"max-body,omitzero"`        // Bytes of one request's body; 0 takes the default.
+	MaxBodies      int64    `json:"max-bodies,omitzero"`      // Bytes of all its bodies at one entry; 0 takes the default.
+	Tiers          []string `json:"tiers,omitempty"`          // Tiers it may use; empty for all.
+}
+
+// Defaults for the limits that an account leaves at zero.
+const (
+	DefaultMaxWaiting     = 1000
+	DefaultMaxConnections = 512
+	DefaultMaxBody        = 4 << 20
+	DefaultMaxBodies      = 64 << 20
+)
+
+// WithDefaults returns the account with every limit set.
+func (a Account) WithDefaults() Account {
+	if a.Weight == 0 {
+		a.Weight = 1
+	}
+	if a.MaxWaiting == 0 {
+		a.MaxWaiting = DefaultMaxWaiting
+	}
+	if a.MaxConnections == 0 {
+		a.MaxConnections = DefaultMaxConnections
+	}
+	if a.MaxBody == 0 {
+		a.MaxBody = DefaultMaxBody
+	}
+	if a.MaxBodies == 0 {
+		a.MaxBodies = DefaultMaxBodies
+	}
+	return a
+}
--- /dev/null
+++ b/core/conf/conf.go
@@ -0,0 +1,63 @@
+// Package conf holds the configuration of one site, as it is in force there.
+package conf
+
+import (
+	"fmt"
+	"time"
+
+	"azurelane/core/acct"
+	"azurelane/core/codec"
+	"azurelane/core/pool"
+	"azurelane/core/tier"
+)
+
+// Config is the merged configuration of one site: client accounts, priority
+// tiers and pools of upstreams, by name.
+type Config struct {
+	Accounts  map[string]acct.Account `json:"client-accounts"`
+	Tiers     map[string]tier.Tier    `json:"tiers"`
+	Pools     map[string]pool.Pool    `json:"pools"`
+	ClaimKeep time.Duration           `json:"claim-keep,omitzero"` // How long a finished claim is remembered; 0 takes the default.
+}
+
+// DefaultClaimKeep is how long a finished claim is remembered when the
+// configuration names no time.
+const DefaultClaimKeep = 24 * time.Hour
+
+// Parse reads one merged document. Unknown keys, wrong types and wrong units
+// are refused; the error names the key path.
+func Parse(doc []byte) (*Config, error) {
+	var cfg Config
+	if err := codec.Read(doc, &cfg); err != nil {
+		return nil, fmt.Errorf("conf: parse: %w", err)
+	}
+	if err := cfg.Check(); err != nil {
+		return nil, err
+	}
+	if cfg.ClaimKeep == 0 {
+		cfg.ClaimKeep = DefaultClaimKeep
+	}
+	return &cfg, nil
+}
+
+// PoolOfModel returns the name of the pool that serves a model.
+func (c *Config) PoolOfModel(model string) (string, bool) {
+	for name, p := range c.Pools {
+		for _, m := range p.Models {
+			if m == model {
+				return name, true
+			}
+		}
+	}
+	return "", false
+}
+
+// PoolOfService returns the name of the pool behind /svc/NAME/.
+func (c *Config) PoolOfService(service string) (string, bool) {
+	for name, p := range c.Pools {
+		if p.Service == service {
+			return name, true
+		}
+	}
+	return "", false
+}
--- /dev/null
+++ b/core/life/life.go
@@ -0,0 +1,77 @@
+// Package life is the life cycle of one request at its entry.
+package life
+
+import (
+	"fmt"
+
+	"github.com/pkg/errors"
+)
+
+// State is a step of a request's life. The zero value is Waiting.
+type State int
+
+// The states. Answered, Failed, Refused and Unknown are final.
+const (
+	Waiting    State = iota // Queued; nothing has run anywhere.
+	Claimed                 // Its key is reserved; nothing has run yet.
+	Dispatched              // Bytes may have reached an upstream.
+	Answered                // The caller has the whole answer.
+	Failed                  // It ran and the upstream said no.
+	Refused                 // It did not run and never will.
+	Unknown                 // It may have run; no one can say.
+)
+
+// ErrStep marks a step that the life cycle does not allow.
+var ErrStep = errors.New("life: step not allowed")
+
+// next lists the allowed steps. No row leads from Dispatched back to Waiting:
+// a request whose bytes may have left is never placed again, so it can't run
+// twice however the answer was lost.
+var next = [...][]State{
+	Waiting:    {Claimed, Dispatched, Refused, Unknown, Answered, Failed},
+	Claimed:    {Dispatched, Refused, Waiting}, // Waiting: its grant expired unused and the key is free again.
+	Dispatched: {Answered, Failed, Unknown},
+	Unknown:    {},
+	Refused:    {},
+	Failed:     {},
+	Answered:   {},
+}
+
+// To moves to the next state or returns ErrStep. Waiting goes straight to
+// Answered, Failed or Unknown only for a second submission, which takes the
+// result of the run that it joined.
+func (s *State) To(to State) error {
+	for _, n := range next[*s] {
+		if n == to {
+			*s = to
+			return nil
+		}
+	}
+	return fmt.Errorf("%w: from %s to %s", ErrStep, *s, to)
+}
+
+// Final reports whether no further step exists.
+func (s State) Final() bool { return len(next[s]) == 0 }
+
+// Outcome is the value of the azurelane-outcome header for a final state.
+func (s State) Outcome() string {
+	switch s {
+	case Answered:
+		return "whole"
+	case Failed:
+		return "failed"
+	case Refused:
+		return "not-run"
+	default:
+		return "unknown"
+	}
+}
+
+// String names the state.
+func (s State) String() string {
+	names := [...]string{"waiting", "claimed", "dispatched", "answered", "failed", "refused", "unknown"}
+	if s < 0 || int(s) >= len(names) {
+		return "invalid"
+	}
+	return names[s]
+}
--- /dev/null
+++ b/core/life/life_test.go
@@ -0,0 +1,50 @@
+package life_test
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"azurelane/core/life"
+)
+
+var all = []life.State{life.Waiting, life.Claimed, life.Dispatched, life.Answered, life.Failed, life.Refused, life.Unknown}
+
+// An upstream breaks off after bytes were sent. If any path led from
+// Dispatched back to a state that can be dispatched, the request could run a
+// second time, so every path from it is walked.
+func TestDispatchedNeverRunsAgain(t *testing.T) {
+	seen := map[life.State]bool{}
+	var walk func(life.State)
+	walk = func(from life.State) {
+		for _, to := range all {
+			s := from
+			if s.To(to) != nil || seen[to] {
+				continue
+			}
+			seen[to] = true
+			walk(to)
+		}
+	}
+	walk(life.Dispatched)
+	must.MapLen(t, 3, seen)
+	for _, s := range []life.State{life.Answered, life.Failed, life.Unknown} {
+		must.True(t, seen[s])
+		must.True(t, s.Final())
+	}
+}
+
+func TestOutcome(t *testing.T) {
+	for _, tc := range []struct {
+		state life.State
+		want  string
+	}{
+		{life.Answered, "whole"},
+		{life.Failed, "failed"},
+		{life.Refused, "not-run"},
+		{life.Unknown, "unknown"},
+		{life.Dispatched, "unknown"},
+	} {
+		must.Eq(t, tc.want, tc.state.Outcome(), must.Sprint(tc.state))
+	}
+}
--- /dev/null
+++ b/core/pool/pool.go
@@ -0,0 +1,54 @@
+// Package pool describes a pool of upstreams.
+package pool
+
+import "time"
+
+// Pool holds what operators configure for one pool. Its upstreams are not
+// listed: they announce themselves.
+type Pool struct {
+	Models     []string      `json:"models,omitempty"`     // Models that the pool serves, for model engines.
+	Service    string        `json:"service,omitzero"`     // Name under /svc/, for plain services.
+	Scheduler  string        `json:"scheduler,omitzero"`   // Registered scheduling policy; empty for "late".
+	Preset     string        `json:"preset,omitzero"`      // "goodput" (default) or "prefill": which measure weighs more.
+	MaxWaiting int           `json:"max-waiting,omitzero"` // Tickets that may wait in all; 0 takes the default.
+	MaxRun     time.Duration `json:"max-run,omitzero"`     // Longest run of one request; 0 takes the default.
+	Silence    time.Duration `json:"silence,omitzero"`     // Longest gap between two reads of an answer; 0 takes the default.
+	GrantTTL   time.Duration `json:"grant-ttl,omitzero"`   // How long a grant may be used; 0 takes the default.
+	Abroad     []string      `json:"abroad,omitempty"`     // Data centres to try when this one has no live upstream.
+	Repeatable *bool         `json:"repeatable,omitempty"` // Whether calls may be repeated; nil for true.
+}
+
+// Defaults for what a pool leaves at zero.
+const (
+	DefaultScheduler  = "late"
+	DefaultMaxWaiting = 10000
+	DefaultMaxRun     = 30 * time.Minute
+	DefaultSilence    = 60 * time.Second
+	DefaultGrantTTL   = time.Second
+)
+
+// WithDefaults returns the pool with every limit set.
+func (p Pool) WithDefaults() Pool {
+	if p.Scheduler == "" {
+		p.Scheduler = DefaultScheduler
+	}
+	if p.Preset == "" {
+		p.Preset = "goodput"
+	}
+	if p.MaxWaiting == 0 {
+		p.MaxWaiting = DefaultMaxWaiting
+	}
+	if p.MaxRun == 0 {
+		p.MaxRun = DefaultMaxRun
+	}
+	if p.Silence == 0 {
+		p.Silence = DefaultSilence
+	}
+	if p.GrantTTL == 0 {
+		p.GrantTTL = DefaultGrantTTL
+	}
+	return p
+}
+
+// MayRepeat reports whether calls of the pool may be repeated.
+func (p Pool) MayRepeat() bool { return p.Repeatable == nil || *p.Repeatable }
--- /dev/null
+++ b/core/sites/sites.go
@@ -0,0 +1,66 @@
+// Package sites merges one base document with the overlay of each site.
+package sites
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	jsonpatch "github.com/evanphx/json-patch/v5"
+	"github.com/go-json-experiment/json/jsontext"
+
+	"azurelane/core/codec"
+	"azurelane/core/conf"
+)
+
+// Set is the whole configuration: one base and one overlay a site. An overlay
+// is a JSON merge patch (RFC 7386) on the base.
+type Set struct {
+	Base     jsontext.Value            `json:"base"`
+	Overlays map[string]jsontext.Value `json:"overlays"`
+}
+
+// Parse reads a set and checks every site's merged result, so that a change
+// that would break one site is refused for all.
+func Parse(doc []byte) (*Set, error) {
+	var s Set
+	if err := codec.Read(doc, &s); err != nil {
+		return nil, fmt.Errorf("sites: parse: %w", err)
+	}
+	for _, site := range append([]string{""}, s.Sites()...) {
+		if _, err := s.For(site); err != nil {
+			return nil, err
+		}
+	}
+	return &s, nil
+}
+
+// Sites lists the sites that have an overlay, sorted.
+func (s *Set) Sites() []string { return slices.Sorted(maps.Keys(s.Overlays)) }
+
+// For returns what is in force at a site. A site without an overlay, and the
+// empty name, get the base.
+func (s *Set) For(site string) (*conf.Config, error) {
+	doc := []byte(s.Base)
+	if over, ok := s.Overlays[site]; ok {
+		merged, err := jsonpatch.MergePatch(doc, over)
+		if err != nil {
+			return nil, fmt.Errorf("sites: merge overlay of %s: %w", site, err)
+		}
+		doc = merged
+	}
+	cfg, err := conf.Parse(doc)
+	if err != nil {
+		return nil, fmt.Errorf("sites: site %q: %w", site, err)
+	}
+	return cfg, nil
+}
+
+// Bytes writes the set as one document.
+func (s *Set) Bytes() ([]byte, error) {
+	doc, err := codec.Write(s)
+	if err != nil {
+		return nil, fmt.Errorf("sites: write: %w", err)
+	}
+	return doc, nil
+}
--- /dev/null
+++ b/core/state/state.go
@@ -0,0 +1,166 @@
+// Package state is the replicated state machine: the configuration in force,
+// the claims of idempotency keys and the fencing numbers.
+package state
+
+import (
+	"fmt"
+
+	"google.golang.org/protobuf/proto"
+
+	"azurelane/core/sites"
+	"azurelane/core/wire"
+)
+
+// Result codes of commands.
+const (
+	OK       = "ok"       // Done; a claim is the caller's.
+	Running  = "running"  // The claim is held and its run is not finished.
+	Finished = "finished" // The claim's run has finished.
+	Mismatch = "mismatch" // The key was claimed with another body.
+	Conflict = "conflict" // Another change holds the version.
+	Invalid  = "invalid"  // The document can't be put in force.
+	Gone     = "gone"     // No such claim, or held by another.
+)
+
+// MaxChanges is how many change ids are remembered, so that a change sent
+// again gets the answer of the first time.
+const MaxChanges = 4096
+
+type (
+	// State is the machine. Equal commands in equal order make equal states; it
+	// reads no clock. The zero value is empty and ready.
+	State struct {
+		version  uint64
+		change   string
+		document []byte
+		claims   map[claimKey]*wire.ClaimState
+		fences   map[string]uint64
+		results  map[string]*wire.Result
+		order    []string // Change ids, oldest first.
+	}
+
+	claimKey struct{ account, key string }
+)
+
+// Apply runs one command.
+func (s *State) Apply(c *wire.Command) *wire.Result {
+	switch k := c.GetKind().(type) {
+	case *wire.Command_Claim:
+		return s.claim(k.Claim)
+	case *wire.Command_Finish:
+		return s.finish(k.Finish)
+	case *wire.Command_Expire:
+		return s.expire(k.Expire)
+	case *wire.Command_Change:
+		return s.changed(c.GetId(), k.Change)
+	case *wire.Command_Fence:
+		return s.fence(k.Fence)
+	}
+	return &wire.Result{Code: Invalid, Text: fmt.Sprintf("state: no such command %T", c.GetKind())}
+}
+
+// Version is the number of the configuration in force, zero before the first.
+func (s *State) Version() uint64 { return s.version }
+
+// Change is the id of the change in force.
+func (s *State) Change() string { return s.change }
+
+// Document is the set in force. The caller must not change it.
+func (s *State) Document() []byte { return s.document }
+
+// Claims is the number of claims remembered.
+func (s *State) Claims() int { return len(s.claims) }
+
+func (s *State) claim(c *wire.Claim) *wire.Result {
+	k := claimKey{c.GetAccount(), c.GetKey()}
+	old, ok := s.claims[k]
+	if !ok {
+		if s.claims == nil {
+			s.claims = map[claimKey]*wire.ClaimState{}
+		}
+		s.claims[k] = &wire.ClaimState{
+			Account: c.GetAccount(), Key: c.GetKey(), BodyHash: c.GetBodyHash(), Holder: c.GetHolder(),
+			Address: c.GetAddress(), KeepUs: c.GetKeepUs(), Request: c.GetRequest(),
+		}
+		return &wire.Result{Code: OK, Holder: c.GetHolder()}
+	}
+	if old.GetBodyHash() != c.GetBodyHash() {
+		return &wire.Result{Code: Mismatch, Text: "the key was used with another body"}
+	}
+	// The same holder and request again is a claim whose answer was lost: it
+	// gets the answer of the first time, or the entry would join itself.
+	if old.GetHolder() == c.GetHolder() && old.GetRequest() == c.GetRequest() && old.GetOutcome() == "" {
+		return &wire.Result{Code: OK, Holder: c.GetHolder()}
+	}
+	code := Running
+	if old.GetOutcome() != "" {
+		code = Finished
+	}
+	return &wire.Result{Code: code, Holder: old.GetHolder(), Address: old.GetAddress(), Outcome: old.GetOutcome()}
+}
+
+func (s *State) finish(f *wire.Finish) *wire.Result {
+	k := claimKey{f.GetAccount(), f.GetKey()}
+	c, ok := s.claims[k]
+	if !ok || c.GetHolder() != f.GetHolder() {
+		return &wire.Result{Code: Gone}
+	}
+	if f.GetOutcome() == "not-run" {
+		// Nothing ran, so the key is free again: the caller was told that it
+		// may send the request a second time.
+		delete(s.claims, k)
+		return &wire.Result{Code: OK}
+	}
+	c.Outcome = f.GetOutcome()
+	c.ExpiresUs = f.GetNowUs() + c.GetKeepUs()
+	return &wire.Result{Code: OK}
+}
+
+func (s *State) expire(e *wire.Expire) *wire.Result {
+	for k, c := range s.claims {
+		if c.GetOutcome() != "" && c.GetExpiresUs() <= e.GetNowUs() {
+			delete(s.claims, k)
+		}
+	}
+	return &wire.Result{Code: OK}
+}
+
+// changed puts a new document in force if its base is still the version in
+// force. Two operators who start from the same version can't both win.
+func (s *State) changed(id string, c *wire.Change) *wire.Result {
+	if r, ok := s.results[id]; ok {
+		return proto.CloneOf(r)
+	}
+	r := s.decide(id, c)
+	if s.results == nil {
+		s.results = map[string]*wire.Result{}
+	}
+	s.results[id] = r
+	s.order = append(s.order, id)
+	if len(s.order) > MaxChanges {
+		delete(s.results, s.order[0])
+		s.order = s.order[1:]
+	}
+	return proto.CloneOf(r)
+}
+
+func (s *State) decide(id string, c *wire.Change) *wire.Result {
+	if c.GetBase() != s.version {
+		return &wire.Result{Code: Conflict, Version: s.version, Winner: s.change, Text: "made from another version"}
+	}
+	if _, err := sites.Parse(c.GetDocument()); err != nil {
+		return &wire.Result{Code: Invalid, Version: s.version, Text: err.Error()}
+	}
+	s.version++
+	s.change = id
+	s.document = c.GetDocument()
+	return &wire.Result{Code: OK, Version: s.version, Winner: id}
+}
+
+func (s *State) fence(f *wire.Fence) *wire.Result {
+	if s.fences == nil {
+		s.fences = map[string]uint64{}
+	}
+	s.fences[f.GetUpstream()]++
+	return &wire.Result{Code: OK, Version: s.fences[f.GetUpstream()]}
+}
--- /dev/null
+++ b/core/table/table.go
@@ -0,0 +1,71 @@
+// Package table keeps the announced upstreams of one pool.
+package table
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"azurelane/core/upstr"
+	"azurelane/core/wire"
+)
+
+// Table holds upstreams by name. The zero value is empty and ready.
+type Table struct {
+	ups  map[string]*upstr.Upstream
+	list []*upstr.Upstream // Sorted by name, so that the same input gives the same decisions.
+}
+
+// Put takes an announcement and returns the upstream. An announcement that
+// overtook a newer one of the same incarnation is dropped, so that a delayed
+// "serving" can't undo a "leaving".
+func (t *Table) Put(now time.Time, a *wire.Announce) *upstr.Upstream {
+	u := t.ups[a.GetUpstream()]
+	if u == nil {
+		if t.ups == nil {
+			t.ups = map[string]*upstr.Upstream{}
+		}
+		u = &upstr.Upstream{}
+		t.ups[a.GetUpstream()] = u
+		u.Announce = a
+		t.list = append(t.list, u)
+		slices.SortFunc(t.list, func(a, b *upstr.Upstream) int { return cmp.Compare(a.GetUpstream(), b.GetUpstream()) })
+	} else if u.GetIncarnation() == a.GetIncarnation() && a.GetSeq() < u.GetSeq() {
+		return u
+	}
+	u.Announce = a
+	u.Expires = now.Add(time.Duration(a.GetLeaseUs()) * time.Microsecond)
+	return u
+}
+
+// Get returns the upstream of that name, or nil.
+func (t *Table) Get(name string) *upstr.Upstream { return t.ups[name] }
+
+// All returns every known upstream, sorted by name. The slice is the table's own.
+func (t *Table) All() []*upstr.Upstream { return t.list }
+
+// Live returns the upstreams that may be granted new work.
+func (t *Table) Live(now time.Time) []*upstr.Upstream {
+	var live []*upstr.Upstream
+	for _, u := range t.list {
+		if u.Live(now) {
+			live = append(live, u)
+		}
+	}
+	return live
+}
+
+// Expire forgets upstreams whose lease ended longer than grace ago and on
+// which nothing runs. It returns the forgotten ones.
+func (t *Table) Expire(now time.Time, grace time.Duration) []*upstr.Upstream {
+	var gone []*upstr.Upstream
+	t.list = slices.DeleteFunc(t.list, func(u *upstr.Upstream) bool {
+		if u.Running > 0 || now.Before(u.Expires.Add(grace)) {
+			return false
+		}
+		delete(t.ups, u.GetUpstream())
+		gone = append(gone, u)
+		return true
+	})
+	return gone
+}
--- /dev/null
+++ b/io/entry/entry.go
@@ -0,0 +1,214 @@
+// Package entry is the process that holds the callers' connections: callers'
+// and upstreams' HTTP, the schedulers of the pools that it owns, and a follower
+// of the configuration.
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/google/uuid"
+	"github.com/thejerf/suture/v4"
+
+	"azurelane/core/conf"
+	"azurelane/core/kernel"
+	"azurelane/core/wire"
+	"azurelane/io/admin"
+	"azurelane/io/client"
+	"azurelane/io/follow"
+	"azurelane/io/front"
+	"azurelane/io/grant"
+	"azurelane/io/httpd"
+	"azurelane/io/leader"
+	"azurelane/io/lease"
+	"azurelane/io/member"
+	"azurelane/io/mesh"
+	"azurelane/io/sched"
+	"azurelane/io/setup"
+	"azurelane/io/stats"
+)
+
+// DrainLimit bounds the wait for requests in flight when the entry stops. It
+// is longer than the longest run that a pool allows by default.
+const DrainLimit = 40 * time.Minute
+
+// Entry is one entry process. Open makes it.
+type Entry struct {
+	set    *setup.Setup
+	log    logr.Logger
+	mesh   *mesh.Mesh
+	front  *front.Front
+	sched  *sched.Sched
+	member *member.Member
+	follow *follow.Follow
+	stats  *stats.Stats
+	client *client.Client
+	sup    *suture.Supervisor
+	drain  context.CancelFunc
+	asked  context.Context // Ends when an operator asks to drain.
+}
+
+// Open binds the entry's addresses.
+func Open(set *setup.Setup, log logr.Logger) (*Entry, error) {
+	e := &Entry{set: set, log: log, stats: stats.New(), client: &client.Client{}}
+	e.asked, e.drain = context.WithCancel(context.Background())
+	incarnation := uuid.NewString()[:8]
+	var lns []net.Listener
+	for _, a := range []netip.AddrPort{set.Peers, set.Callers, set.Upstreams, set.Operator} {
+		ln, err := net.Listen("tcp", a.String())
+		if err != nil {
+			for _, l := range lns {
+				_ = l.Close()
+			}
+			return nil, fmt.Errorf("entry: listen: %w", err)
+		}
+		lns = append(lns, ln)
+	}
+	e.build(incarnation, lns)
+	return e, nil
+}
+
+func (e *Entry) build(incarnation string, lns []net.Listener) {
+	set, log := e.set, e.log
+	e.mesh = &mesh.Mesh{Listen: lns[0], Self: set.Peers, Handle: e.handle, Log: log.WithName("mesh")}
+	e.sched = &sched.Sched{Incarnation: incarnation, Log: log.WithName("sched")}
+	e.member = &member.Member{
+		Self: &wire.Member{
+			Node: set.Node, Incarnation: incarnation, Address: set.Peers.String(), DataCentre: set.DataCentre,
+		},
+		Seeds: set.Seeds, Sender: e.mesh, Lost: e.sched.Forget, Log: log.WithName("member"),
+	}
+	control := &leader.Leader{Replicas: set.Control, Caller: e.mesh}
+	e.follow = &follow.Follow{
+		Site: set.DataCentre, Beat: e.beat, Asker: &leader.Leader{Replicas: set.Control, Caller: e.mesh},
+		Install: func(_ uint64, cfg *conf.Config) { e.sched.Install(cfg) }, Log: log.WithName("follow"),
+	}
+	granter := &grant.Grant{Self: set.Node, Local: e.sched, Members: e, Mesh: e.mesh, Log: log.WithName("grant")}
+	e.front = &front.Front{
+		Node: set.Node, Incarnation: incarnation, Address: set.Peers.String(), Config: e.follow.Config,
+		Granter: granter, Proposer: control, Sender: e.client, Stats: e.stats, Log: log.WithName("front"),
+	}
+	ops := &admin.Admin{Stats: e.stats, Ready: e.ready, Drain: e.drain, Info: e.info}
+	e.sup = suture.New("entry", suture.Spec{EventHook: func(ev suture.Event) { log.Info("Part stopped.", "event", ev.String()) }})
+	for _, s := range []suture.Service{
+		e.mesh, e.sched, e.member, e.follow,
+		&httpd.Httpd{Listen: lns[1], Handler: e.front},
+		&httpd.Httpd{Listen: lns[2], Handler: &lease.Lease{Take: e.announce}},
+		&httpd.Httpd{Listen: lns[3], Handler: ops.Handler()},
+	} {
+		e.sup.Add(s)
+	}
+}
+
+// Serve runs until ctx ends or an operator drains the entry. It then takes no
+// new work, hands its pools to the other members, waits for the requests in
+// flight and stops all parts together.
+func (e *Entry) Serve(ctx context.Context) error {
+	parts, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	done := e.sup.ServeBackground(parts)
+	e.log.Info("Entry serves.", "node", e.set.Node, "callers", e.set.Callers.String())
+	select {
+	case <-ctx.Done():
+	case <-e.asked.Done():
+	case err := <-done:
+		return fmt.Errorf("entry: %w", err)
+	}
+	e.log.Info("Entry drains.")
+	dctx, dcancel := context.WithTimeout(parts, DrainLimit)
+	defer dcancel()
+	e.member.Leave(dctx)
+	e.front.Stop(dctx)
+	cancel()
+	<-done //nolint:errcheck // The parts ended because they were told to.
+	e.client.Close()
+	e.log.Info("Entry stopped.")
+	return nil
+}
+
+// Owner returns the member that schedules a pool; for a local policy it is
+// this entry.
+func (e *Entry) Owner(pool string) *wire.Member {
+	if e.local(pool) {
+		return e.member.Self
+	}
+	return e.member.Owner(pool)
+}
+
+func (e *Entry) local(pool string) bool {
+	cfg := e.follow.Config()
+	return cfg != nil && kernel.Local(cfg.Pools[pool].WithDefaults().Scheduler)
+}
+
+// announce passes an upstream's lease to the owner of each of its pools.
+func (e *Entry) announce(ctx context.Context, a *wire.Announce) error {
+	targets := map[string]bool{}
+	for _, p := range a.GetPools() {
+		if !e.local(p) {
+			targets[e.member.Owner(p).GetAddress()] = true
+			continue
+		}
+		for _, m := range e.member.Alive() {
+			targets[m.GetAddress()] = true
+		}
+	}
+	for t := range targets {
+		addr, err := netip.ParseAddrPort(t)
+		if err != nil {
+			return fmt.Errorf("entry: announce: %w", err)
+		}
+		if err := e.mesh.Send(ctx, addr, &wire.Frame{Body: &wire.Frame_Announce{Announce: a}}); err != nil {
+			return fmt.Errorf("entry: announce: %w", err)
+		}
+	}
+	return nil
+}
+
+func (e *Entry) handle(ctx context.Context, f *wire.Frame) (*wire.Frame, error) {
+	switch b := f.GetBody().(type) {
+	case *wire.Frame_Ticket:
+		d := e.sched.Submit(ctx, b.Ticket)
+		return &wire.Frame{Body: &wire.Frame_Decision{Decision: d}}, nil
+	case *wire.Frame_Release:
+		e.sched.Release(b.Release)
+	case *wire.Frame_Withdraw:
+		e.sched.Withdraw(b.Withdraw)
+	case *wire.Frame_Announce:
+		e.sched.Announce(b.Announce)
+	case *wire.Frame_Held:
+		e.sched.Hold(b.Held)
+	case *wire.Frame_Gossip:
+		e.member.Heard(b.Gossip)
+	default:
+		return nil, &wire.Fault{Code: "unsupported", Text: fmt.Sprintf("entry: %T", b)}
+	}
+	return nil, nil //nolint:nilnil // An empty reply is an acknowledgement.
+}
+
+func (e *Entry) beat() *wire.Beat {
+	return &wire.Beat{
+		Node: e.set.Node, Incarnation: e.member.Self.GetIncarnation(), DataCentre: e.set.DataCentre, Role: "entry",
+		Address: e.set.Peers.String(), Draining: e.asked.Err() != nil,
+	}
+}
+
+func (e *Entry) ready() bool { return e.follow.Config() != nil && e.asked.Err() == nil }
+
+type info struct {
+	Node        string   `json:"node"`
+	Incarnation string   `json:"incarnation"`
+	Version     uint64   `json:"version"`
+	Members     []string `json:"members"`
+}
+
+func (e *Entry) info() any {
+	i := info{Node: e.set.Node, Incarnation: e.member.Self.GetIncarnation(), Version: e.follow.Version()}
+	for _, m := range e.member.Alive() {
+		i.Members = append(i.Members, m.GetNode())
+	}
+	return i
+}
--- /dev/null
+++ b/io/logs/logs.go
@@ -0,0 +1,70 @@
+// Package logs makes the program's logger: logr over log/slog.
+package logs
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+
+	"github.com/go-logr/logr"
+)
+
+// New returns a logger that writes to w in the given format, "text" or "json".
+// Level 0 shows what operators need, 1 adds detail. A part of the program
+// takes its own logger by WithName; the name stands in front of each message.
+func New(w io.Writer, format string, level int) (logr.Logger, error) {
+	opts := &slog.HandlerOptions{Level: slog.Level(-level)}
+	switch format {
+	case "", "text":
+		return logr.FromSlogHandler(prefixer{Handler: slog.NewTextHandler(w, opts)}), nil
+	case "json":
+		return logr.FromSlogHandler(prefixer{Handler: slog.NewJSONHandler(w, opts)}), nil
+	}
+	return logr.Logger{}, fmt.Errorf("logs: format %q: expected text or json", format)
+}
+
+// prefixer puts the name of the part in front of the message.
+type prefixer struct {
+	slog.Handler
+	part string
+}
+
+// Handle writes the record with its prefix.
+func (p prefixer) Handle(ctx context.Context, r slog.Record) error {
+	out := slog.NewRecord(r.Time, r.Level, r.Message, r.PC)
+	part := p.part
+	r.Attrs(func(a slog.Attr) bool {
+		if a.Key == "logger" {
+			part = a.Value.String()
+			return true
+		}
+		out.AddAttrs(a)
+		return true
+	})
+	if part != "" {
+		out.Message = part + ": " + r.Message
+	}
+	return p.Handler.Handle(ctx, out)
+}
+
+// WithAttrs keeps the prefixer around the handler. The logger's name comes in
+// here as an attribute.
+func (p prefixer) WithAttrs(attrs []slog.Attr) slog.Handler {
+	rest := attrs[:0:0]
+	for _, a := range attrs {
+		if a.Key == "logger" {
+			p.part = a.Value.String()
+			continue
+		}
+		rest = append(rest, a)
+	}
+	p.Handler = p.Handler.WithAttrs(rest)
+	return p
+}
+
+// WithGroup keeps the prefixer around the handler.
+func (p prefixer) WithGroup(name string) slog.Handler {
+	p.Handler = p.Handler.WithGroup(name)
+	return p
+}
--- /dev/null
+++ b/io/sched/sched.go
@@ -0,0 +1,211 @@
+// Package sched runs the scheduling policies of the pools that an entry owns.
+package sched
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"azurelane/core/conf"
+	"azurelane/core/kernel"
+	"azurelane/core/wire"
+)
+
+// TickEvery is how often deadlines, leases and grants are looked at.
+const TickEvery = 20 * time.Millisecond
+
+type (
+	// Sched holds one scheduler a pool and the calls that wait for a decision.
+	// Its exported fields are set before use.
+	Sched struct {
+		Incarnation string
+		Log         logr.Logger
+
+		mu    sync.RWMutex
+		pools map[string]*runner
+	}
+
+	runner struct {
+		mu      sync.Mutex
+		name    string // Of the policy.
+		policy  kernel.Scheduler
+		waiting map[waitKey]chan *wire.Decision
+	}
+
+	waitKey struct {
+		incarnation string
+		ticket      uint64
+	}
+)
+
+// Install puts a configuration in force. Pools that are gone refuse their
+// waiting tickets.
+func (s *Sched) Install(cfg *conf.Config) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.pools == nil {
+		s.pools = map[string]*runner{}
+	}
+	for name, p := range cfg.Pools {
+		policy := p.WithDefaults().Scheduler
+		r := s.pools[name]
+		if r == nil || r.name != policy {
+			sch, err := kernel.New(policy)
+			if err != nil {
+				s.Log.Error(err, "Pool left as it was.", "pool", name)
+				continue
+			}
+			r.refuseAll()
+			r = &runner{name: policy, policy: sch, waiting: map[waitKey]chan *wire.Decision{}}
+			s.pools[name] = r
+		}
+		r.do(s.Incarnation, func(now time.Time) []*wire.Decision { return r.policy.Configure(now, name, cfg) })
+	}
+	for name, r := range s.pools {
+		if _, ok := cfg.Pools[name]; !ok {
+			r.refuseAll()
+			delete(s.pools, name)
+		}
+	}
+}
+
+// Submit waits for the decision on a ticket. When ctx ends first, the ticket
+// is withdrawn.
+func (s *Sched) Submit(ctx context.Context, t *wire.Ticket) *wire.Decision {
+	r := s.pool(t.GetPool())
+	if r == nil {
+		return refuse(t, "no-upstream")
+	}
+	k := waitKey{t.GetIncarnation(), t.GetId()}
+	ch := make(chan *wire.Decision, 1)
+	r.mu.Lock()
+	r.waiting[k] = ch
+	r.mu.Unlock()
+	r.do(s.Incarnation, func(now time.Time) []*wire.Decision { return r.policy.Submit(now, t) })
+	select {
+	case d := <-ch:
+		return d
+	case <-ctx.Done():
+		s.Withdraw(&wire.Withdraw{Ticket: t.GetId(), Entry: t.GetEntry(), Incarnation: t.GetIncarnation(), Pool: t.GetPool()})
+		return refuse(t, "withdrawn")
+	}
+}
+
+// Withdraw drops a ticket. If it was granted in the same moment, the slot is
+// freed: the entry that withdraws has given up and will not dispatch.
+func (s *Sched) Withdraw(w *wire.Withdraw) {
+	r := s.pool(w.GetPool())
+	if r == nil {
+		return
+	}
+	r.mu.Lock()
+	delete(r.waiting, waitKey{w.GetIncarnation(), w.GetTicket()})
+	r.mu.Unlock()
+	r.do(s.Incarnation, func(now time.Time) []*wire.Decision {
+		r.policy.Withdraw(now, w)
+		return r.policy.Tick(now)
+	})
+}
+
+// Release gives a slot back.
+func (s *Sched) Release(rel *wire.Release) {
+	if rel.GetOwner() == s.Incarnation {
+		rel.Owner = "" // The policy's own slots carry no owner.
+	}
+	if r := s.pool(rel.GetPool()); r != nil {
+		r.do(s.Incarnation, func(now time.Time) []*wire.Decision { return r.policy.Release(now, rel) })
+	}
+}
+
+// Announce hands an upstream's lease to the pools that it names.
+func (s *Sched) Announce(a *wire.Announce) {
+	for _, name := range a.GetPools() {
+		if r := s.pool(name); r != nil {
+			r.do(s.Incarnation, func(now time.Time) []*wire.Decision { return r.policy.Announce(now, a) })
+		}
+	}
+}
+
+// Hold takes over the slots that an entry holds from a former owner.
+func (s *Sched) Hold(h *wire.Held) {
+	for _, r := range s.all() {
+		r.do(s.Incarnation, func(now time.Time) []*wire.Decision { r.policy.Hold(now, h); return nil })
+	}
+}
+
+// Forget drops what a dead entry held and waited for.
+func (s *Sched) Forget(incarnation string) {
+	for _, r := range s.all() {
+		r.do(s.Incarnation, func(now time.Time) []*wire.Decision { return r.policy.Forget(now, incarnation) })
+	}
+}
+
+// Serve ticks the policies until ctx ends.
+func (s *Sched) Serve(ctx context.Context) error {
+	tick := time.NewTicker(TickEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+		}
+		for _, r := range s.all() {
+			r.do(s.Incarnation, r.policy.Tick)
+		}
+	}
+}
+
+func (s *Sched) pool(name string) *runner {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.pools[name]
+}
+
+func (s *Sched) all() []*runner {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	list := make([]*runner, 0, len(s.pools))
+	for _, r := range s.pools {
+		list = append(list, r)
+	}
+	return list
+}
+
+// do runs one step of the policy and hands its decisions to the calls that
+// wait for them.
+func (r *runner) do(owner string, step func(time.Time) []*wire.Decision) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, d := range step(time.Now()) {
+		if g := d.GetGrant(); g != nil {
+			g.Owner = owner
+		}
+		k := waitKey{d.GetIncarnation(), d.GetTicket()}
+		if ch, ok := r.waiting[k]; ok {
+			delete(r.waiting, k)
+			ch <- d
+		}
+	}
+}
+
+func (r *runner) refuseAll() {
+	if r == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for k, ch := range r.waiting {
+		delete(r.waiting, k)
+		ch <- refuse(&wire.Ticket{Id: k.ticket, Incarnation: k.incarnation}, "not-found")
+	}
+}
+
+func refuse(t *wire.Ticket, code string) *wire.Decision {
+	return &wire.Decision{
+		Ticket: t.GetId(), Entry: t.GetEntry(), Incarnation: t.GetIncarnation(),
+		Kind: &wire.Decision_Refusal{Refusal: &wire.Refusal{Code: code, RetryAfterUs: time.Second.Microseconds()}},
+	}
+}
