Failure detector after SWIM in place of the full-mesh gossip

Cause: each entry told every other all it knew every 300 ms, so bytes grew with the square of the members, and each one alone decided who was dead. Change: core/member probes one member a period in a shuffled round, asks others to probe before it suspects, and takes a suspect for dead when three observers found it silent; io/member is an adapter. A new incarnation frees the old one at once; one taken for dead wrongly comes back by its own version and rests. Ruled out: a single observer with indirect probes; it was no faster.

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -121,7 +121,7 @@
 	e.log.Info("Entry drains.")
 	dctx, dcancel := context.WithTimeout(parts, DrainLimit)
 	defer dcancel()
-	e.member.Leave(dctx)
+	e.member.Drain(dctx)
 	e.front.Stop(dctx)
 	cancel()
 	<-done //nolint:errcheck // The parts ended because they were told to.
@@ -181,8 +181,8 @@
 		e.sched.Announce(b.Announce)
 	case *wire.Frame_Held:
 		e.sched.Hold(b.Held)
-	case *wire.Frame_Gossip:
-		e.member.Heard(b.Gossip)
+	case *wire.Frame_Probe:
+		e.member.Heard(ctx, b.Probe)
 	default:
 		return nil, &wire.Fault{Code: "unsupported", Text: fmt.Sprintf("entry: %T", b)}
 	}
--- a/io/member/member.go
+++ b/io/member/member.go
@@ -1,44 +1,52 @@
-// Package member tracks which entries of a data centre are alive.
+// Package member runs the failure detector of core/member over the links of
+// this process and tells which entry owns a pool.
 package member
 
 import (
 	"context"
 	"net/netip"
-	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
 
+	"azurelane/core/member"
 	"azurelane/core/owner"
 	"azurelane/core/wire"
 )
 
 const (
-	// GossipEvery is the interval of the messages between members.
-	GossipEvery = 300 * time.Millisecond
-	// SilenceLimit is how long a member may be silent and still count as alive.
-	SilenceLimit = 2 * time.Second
+	tickEvery = 50 * time.Millisecond
+	sendLimit = 500 * time.Millisecond // One message; a later one replaces it.
+	maxSends  = 128                    // At once; what is over is dropped like any lost message.
 )
 
 type (
 	// Member is this process among the members of its data centre. Its exported
 	// fields are set before use.
 	Member struct {
-		Self   *wire.Member
-		Seeds  []netip.AddrPort
-		Sender sender
-		Lost   func(incarnation string) // Called once for each incarnation that is gone.
-		Log    logr.Logger
-
-		mu     sync.Mutex
-		peers  map[string]*peer // By node.
-		leaves bool
+		Self    *wire.Member
+		Seeds   []netip.AddrPort
+		Sender  sender
+		Lost    func(incarnation string) // Called once for each incarnation that is gone.
+		Changed func()                   // Called when an owner may have changed.
+		Log     logr.Logger
+
+		mu    sync.Mutex
+		det   member.Detector
+		view  atomic.Pointer[view]
+		sends atomic.Int32
+		wg    sync.WaitGroup
 	}
 
-	peer struct {
-		*wire.Member
-		heard time.Time
+	// view is what the detector sees, made anew with each change, so that a
+	// request finds its owner without a lock.
+	view struct {
+		version uint64 // Of this member.
+		alive   []*wire.Member
+		owners  map[string]*wire.Member
+		names   []string
 	}
 
 	sender interface {
@@ -46,13 +54,13 @@
 	}
 )
 
-// Serve gossips until ctx ends.
+// Serve probes until ctx ends, and waits for what it still sends.
 func (m *Member) Serve(ctx context.Context) error {
-	tick := time.NewTicker(GossipEvery)
+	defer m.wg.Wait()
+	tick := time.NewTicker(tickEvery)
 	defer tick.Stop()
 	for {
-		m.gossip(ctx)
-		m.expire(time.Now())
+		m.step(ctx, func(now time.Time) []*wire.Probe { return m.det.Tick(now) })
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -61,129 +69,111 @@
 	}
 }
 
-// Heard takes a gossip of another member.
-func (m *Member) Heard(g *wire.Gossip) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	from := g.GetFrom()
-	if from.GetNode() == m.Self.GetNode() || from.GetDataCentre() != m.Self.GetDataCentre() {
-		return
-	}
-	if m.peers == nil {
-		m.peers = map[string]*peer{}
-	}
-	old := m.peers[from.GetNode()]
-	if old != nil && old.GetIncarnation() != from.GetIncarnation() {
-		m.lose(old)
-	}
-	m.peers[from.GetNode()] = &peer{from, time.Now()}
-	for _, other := range g.GetMembers() {
-		if _, ok := m.peers[other.GetNode()]; !ok && other.GetNode() != m.Self.GetNode() && other.GetState() == wire.Member_STATE_ALIVE {
-			m.peers[other.GetNode()] = &peer{other, time.Now()}
-		}
-	}
+// Heard takes a message of another member.
+func (m *Member) Heard(ctx context.Context, p *wire.Probe) {
+	m.step(context.WithoutCancel(ctx), func(now time.Time) []*wire.Probe { return m.det.Take(now, p) })
 }
 
 // Owner returns the member that schedules a pool.
 func (m *Member) Owner(pool string) *wire.Member {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	alive := m.alive()
-	names := make([]string, 0, len(alive))
-	for name := range alive {
-		names = append(names, name)
-	}
-	return alive[owner.Pick(pool, names)]
+	v := m.now()
+	return v.owners[owner.Pick(pool, v.names)]
 }
 
+// Mine reports whether this process schedules a pool.
+func (m *Member) Mine(pool string) bool { return m.Owner(pool).GetNode() == m.Self.GetNode() }
+
 // Alive lists the live members, this process among them, sorted by node.
-func (m *Member) Alive() []*wire.Member {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var list []*wire.Member
-	for _, p := range m.alive() {
-		list = append(list, p)
-	}
-	slices.SortFunc(list, func(a, b *wire.Member) int {
-		if a.GetNode() < b.GetNode() {
-			return -1
-		}
-		return 1
-	})
-	return list
+func (m *Member) Alive() []*wire.Member { return m.now().alive }
+
+// Drain tells the others that this process owns nothing from now on.
+func (m *Member) Drain(ctx context.Context) {
+	m.step(ctx, func(now time.Time) []*wire.Probe { return m.det.Drain(now) })
 }
 
-// Leave tells the others that this process owns nothing from now on.
+// Leave is this process's last word to the others.
 func (m *Member) Leave(ctx context.Context) {
-	m.mu.Lock()
-	m.leaves = true
-	m.mu.Unlock()
-	m.gossip(ctx)
+	m.step(ctx, func(now time.Time) []*wire.Probe { return m.det.Leave(now) })
+	m.wg.Wait()
 }
 
-// alive maps node names to members. The process itself counts unless it is
-// leaving and there is another.
-func (m *Member) alive() map[string]*wire.Member {
-	alive := map[string]*wire.Member{}
-	for name, p := range m.peers {
-		if p.GetState() == wire.Member_STATE_ALIVE {
-			alive[name] = p.Member
-		}
-	}
-	if !m.leaves || len(alive) == 0 {
-		alive[m.Self.GetNode()] = m.Self
+func (m *Member) now() *view {
+	if v := m.view.Load(); v != nil {
+		return v
 	}
-	return alive
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.init()
+	return m.view.Load()
 }
 
-func (m *Member) gossip(ctx context.Context) {
-	m.mu.Lock()
-	self := &wire.Member{
-		Node: m.Self.GetNode(), Incarnation: m.Self.GetIncarnation(), Address: m.Self.GetAddress(), DataCentre: m.Self.GetDataCentre(),
+func (m *Member) init() {
+	if m.det.Self != nil {
+		return
 	}
-	if m.leaves {
-		self.State = wire.Member_STATE_LEFT
+	// The detector raises the version of its own copy.
+	m.det.Self = &wire.Member{
+		Node: m.Self.GetNode(), Incarnation: m.Self.GetIncarnation(), Address: m.Self.GetAddress(),
+		DataCentre: m.Self.GetDataCentre(), BornUs: uint64(time.Now().UnixMicro()), //nolint:gosec // After 1970.
 	}
-	g := &wire.Gossip{From: self}
-	targets := map[netip.AddrPort]bool{}
 	for _, s := range m.Seeds {
-		targets[s] = true
+		m.det.Seeds = append(m.det.Seeds, s.String())
 	}
-	for _, p := range m.peers {
-		g.Members = append(g.Members, p.Member)
-		if a, err := netip.ParseAddrPort(p.GetAddress()); err == nil {
-			targets[a] = true
-		}
+	m.det.Seed = m.det.Self.GetBornUs()
+	m.look()
+}
+
+// step runs the detector once and does what it says.
+func (m *Member) step(ctx context.Context, do func(time.Time) []*wire.Probe) {
+	m.mu.Lock()
+	m.init()
+	out := do(time.Now())
+	changes := m.det.Changes()
+	changed := len(changes) > 0 || m.view.Load().version != m.det.Self.GetVersion()
+	if changed {
+		m.look()
 	}
 	m.mu.Unlock()
-	for a := range targets {
-		if a.String() == m.Self.GetAddress() {
-			continue
+	for _, c := range changes {
+		m.Log.Info("Member changed.", "node", c.GetNode(), "incarnation", c.GetIncarnation(), "state", c.GetState().String(), "resting", c.GetResting())
+		if m.Lost != nil && (c.GetState() == wire.Member_STATE_DEAD || c.GetState() == wire.Member_STATE_LEFT) {
+			m.wg.Go(func() { m.Lost(c.GetIncarnation()) })
 		}
-		go func() {
-			ctx, cancel := context.WithTimeout(ctx, GossipEvery)
-			defer cancel()
-			if err := m.Sender.Send(ctx, a, &wire.Frame{Body: &wire.Frame_Gossip{Gossip: g}}); err != nil {
-				m.Log.V(1).Info("Gossip not sent.", "peer", a.String(), "err", err.Error())
-			}
-		}()
+	}
+	if changed && m.Changed != nil {
+		m.wg.Go(m.Changed)
+	}
+	for _, p := range out {
+		m.send(ctx, p)
 	}
 }
 
-func (m *Member) expire(now time.Time) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for name, p := range m.peers {
-		if now.Sub(p.heard) > SilenceLimit {
-			delete(m.peers, name)
-			m.lose(p)
-		}
+func (m *Member) look() {
+	v := &view{version: m.det.Self.GetVersion(), alive: m.det.Members(), owners: map[string]*wire.Member{}}
+	for _, o := range m.det.Owners() {
+		v.owners[o.GetNode()] = o
+		v.names = append(v.names, o.GetNode())
 	}
+	m.view.Store(v)
 }
 
-func (m *Member) lose(p *peer) {
-	m.Log.Info("Member lost.", "node", p.GetNode())
-	if m.Lost != nil {
-		go m.Lost(p.GetIncarnation())
+// send runs in a goroutine of its own: a peer that takes nothing must not
+// delay the probes of the others.
+func (m *Member) send(ctx context.Context, p *wire.Probe) {
+	to, err := netip.ParseAddrPort(p.GetTo())
+	if err != nil {
+		return
+	}
+	if m.sends.Add(1) > maxSends {
+		m.sends.Add(-1)
+		return
 	}
+	m.wg.Go(func() {
+		defer m.sends.Add(-1)
+		ctx, cancel := context.WithTimeout(ctx, sendLimit)
+		defer cancel()
+		if err := m.Sender.Send(ctx, to, &wire.Frame{Body: &wire.Frame_Probe{Probe: p}}); err != nil {
+			m.Log.V(1).Info("Probe not sent.", "peer", to.String(), "err", err.Error())
+		}
+	})
 }
