Replicated log: leader, quorum and term in core/raft

Ruled out: reads under a lease that lasts until check-quorum steps the leader down (stale once its clock runs slower than the followers'), and a promise that a restart or a clock jump ends early.

--- /dev/null
+++ b/core/raft/guard_test.go
@@ -0,0 +1,299 @@
+package raft
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"azurelane/core/wire"
+)
+
+// elected starts n replicas and waits for a leader that has committed.
+func elected(seed uint64, n int) (*sim, *node) {
+	s := newSim(seed, n)
+	s.leased = true
+	s.run(5 * time.Second)
+	l := s.leader()
+	s.propose(l, "first")
+	s.run(time.Second)
+	return s, l
+}
+
+// A follower is cut off silently for two minutes while the others go on, and
+// comes back. Callers notice nothing: it asked for votes all the time, but
+// neither its term nor its vote requests disturb the leader.
+func TestLongSilentCutDeposesNobody(t *testing.T) {
+	s, l := elected(3, 3)
+	term := l.Term()
+	back := s.nodes[s.others(l.id)[0]]
+	s.isolate(back.id)
+	for range 120 {
+		s.propose(l, "on")
+		s.run(time.Second)
+	}
+	s.join()
+	s.run(5 * time.Second)
+	must.True(t, l.Leads())
+	must.Eq(t, term, l.Term())
+	must.Eq(t, l.index, back.index)
+	must.Eq(t, "", s.problems())
+}
+
+// One link of three is cut, both ways, between the leader and a follower. That
+// follower hears no leader and asks the third replica for its vote again and
+// again; the third hears the leader and refuses, so the leader stays.
+func TestOneBadLinkDeposesNobody(t *testing.T) {
+	s, l := elected(4, 3)
+	term, o := l.Term(), s.others(l.id)[0]
+	s.cut[[2]string{l.id, o}], s.cut[[2]string{o, l.id}] = true, true
+	s.run(time.Minute)
+	must.True(t, l.Leads())
+	must.Eq(t, term, l.Term())
+	must.Eq(t, "", s.problems())
+}
+
+// A leader is cut off from both followers. Its callers must learn soon that it
+// can commit nothing: it steps down by itself, without hearing of the next.
+func TestLeaderCutOffStepsDown(t *testing.T) {
+	s, l := elected(5, 3)
+	s.isolate(l.id)
+	s.run(2 * Election)
+	must.False(t, l.Leads())
+	must.False(t, s.propose(l, "lost"))
+}
+
+// The leader's clock runs at little more than half the speed of the others'.
+// It is cut off and still believes that it leads when the others, whose promise
+// has run out, elect another and acknowledge a newer entry. It must not answer
+// reads from its own state then: its lease ended before.
+func TestLeaseEndsBeforeTheNextLeader(t *testing.T) {
+	for seed := range uint64(20) {
+		s, l := elected(seed, 3)
+		l.retime(s, 0.55)
+		s.run(3 * time.Second)
+		s.isolate(l.id)
+		s.newerElsewhere(t, l)
+	}
+}
+
+// retime changes the speed of a clock without a step.
+func (n *node) retime(s *sim, rate float64) {
+	at := n.clock(s)
+	n.rate = rate
+	n.offset += at.Sub(n.clock(s))
+}
+
+// newerElsewhere runs until another leader has acknowledged more than l knows.
+func (s *sim) newerElsewhere(t *testing.T, l *node) {
+	t.Helper()
+	for range 400 {
+		s.step()
+		for _, id := range s.others(l.id) {
+			if n := s.nodes[id]; n.Leads() {
+				s.propose(n, "newer")
+			}
+		}
+	}
+	must.Greater(t, l.index, s.acked)
+	must.Eq(t, "", s.problems())
+}
+
+// While the leader is cut off, the clocks of both followers jump ahead by
+// seconds, or its own is set back. A follower can't know how much of its
+// promise passed and starts it anew; a leader counts no answer from before. So
+// the leader that was cut off answers no reads once there is another.
+func TestClockJumps(t *testing.T) {
+	for _, tt := range []struct {
+		name         string
+		own, foreign time.Duration
+	}{
+		{"followers ahead", 0, 4 * time.Second},
+		{"leader back", -4 * time.Second, 0},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			for seed := range uint64(20) {
+				s, l := elected(seed, 3)
+				s.isolate(l.id)
+				l.offset += tt.own
+				for i, o := range s.others(l.id) {
+					s.nodes[o].offset += tt.foreign / time.Duration(1+2*i) // Unlike, or they split the votes.
+				}
+				s.newerElsewhere(t, l)
+			}
+		})
+	}
+}
+
+// A leader that stops on purpose has told another to start, and nothing reaches
+// it from then on. The other wins at once, for nobody's promise binds it, and
+// acknowledges a newer entry: the old leader must read no more by its lease.
+func TestTransferEndsTheLease(t *testing.T) {
+	s, l := elected(11, 3)
+	s.perform(l, l.Transfer(l.clock(s)))
+	for _, o := range s.others(l.id) {
+		s.cut[[2]string{o, l.id}] = true
+	}
+	s.newerElsewhere(t, l)
+}
+
+// A replica votes and restarts. In the same term another candidate asks for
+// its vote: it must remember that it gave it away, or the term gets two leaders.
+func TestVoteOutlivesRestart(t *testing.T) {
+	s := newSim(12, 3)
+	n := s.nodes["r0"]
+	ask := func(from string) bool {
+		s.t += 2 * Election
+		s.perform(n, n.Tick(n.clock(s)))
+		e := n.Step(n.clock(s), &wire.Raft{
+			From: from, To: n.id, Group: "g", Term: 5, Kind: wire.Raft_KIND_VOTE, LastIndex: 9, LastTerm: 4, Transfer: true,
+		})
+		s.perform(n, e)
+		return e.Messages[0].GetGranted()
+	}
+	must.True(t, ask("r1"))
+	s.start(n)
+	must.False(t, ask("r2"))
+}
+
+// A snapshot that comes late covers less than the follower has acknowledged
+// since. The entries after it must stay, for the leader counts on them.
+func TestLateSnapshotKeepsAcknowledgedEntries(t *testing.T) {
+	s := newSim(13, 3)
+	n := s.nodes["r0"]
+	var ents []*wire.LogEntry
+	for i := range uint64(99) {
+		ents = append(ents, &wire.LogEntry{Index: 2 + i, Term: 2})
+	}
+	m := &wire.Raft{From: "r1", To: n.id, Group: "g", Term: 2, LastIndex: 1, LastTerm: 1, Commit: 40, Entries: ents, Kind: wire.Raft_KIND_APPEND}
+	must.True(t, n.Step(n.clock(s), m).Messages[0].GetGranted())
+	n.Step(n.clock(s), &wire.Raft{
+		From: "r1", To: n.id, Group: "g", Term: 2, Kind: wire.Raft_KIND_SNAPSHOT, Snapshot: &wire.Snapshot{Index: 50, Term: 2},
+	})
+	must.Eq(t, 100, n.log.last())
+	must.Eq(t, 50, n.Commit())
+}
+
+// Both followers crash and restart while the leader's lease runs, then the
+// leader is cut off. They have forgotten that they heard it; without a promise
+// from their start on they could elect another at once, and the old leader
+// would answer from its lease what is no longer true.
+func TestRestartedReplicaPromises(t *testing.T) {
+	s, l := elected(6, 3)
+	at := s.t
+	for _, o := range s.others(l.id) {
+		s.start(s.nodes[o])
+	}
+	s.isolate(l.id)
+	asker := s.nodes[s.others(l.id)[0]]
+	s.perform(asker, asker.campaignNow())
+	for s.t < at+Lease {
+		s.step()
+		must.Eq(t, l, s.leader())
+	}
+}
+
+func (n *node) campaignNow() Effects {
+	n.campaign(preCandidate, false)
+	return n.flush()
+}
+
+// A leader of term 2 copied an entry to a quorum, but before it could commit
+// it another was elected that had a different entry at that place, crashed,
+// and the first leads again in term 4. The old entry is on a quorum now, yet
+// the other could still win with its newer term and replace it: it must not be
+// called committed until an entry of term 4 is.
+func TestFormerTermIsNotCommittedByCount(t *testing.T) {
+	s := newSim(7, 5)
+	a := s.nodes["r0"]
+	old := &wire.Record{Kind: &wire.Record_Entry{Entry: &wire.LogEntry{Index: 2, Term: 2, Command: []byte("old")}}}
+	a.recs = []*wire.Record{{Kind: &wire.Record_Hard{Hard: &wire.HardState{Term: 3}}}, old}
+	s.start(a)
+	a.term, a.vote, a.role = 4, a.id, candidate
+	a.takeOver()
+	a.flush()
+	for _, id := range []string{"r1", "r2"} {
+		a.Step(a.clock(s), &wire.Raft{
+			From: id, To: a.id, Group: "g", Term: 4, Kind: wire.Raft_KIND_APPEND_REPLY, Granted: true, LastIndex: 2,
+		})
+	}
+	must.Eq(t, 1, a.Commit())
+	for _, id := range []string{"r1", "r2"} {
+		a.Step(a.clock(s), &wire.Raft{
+			From: id, To: a.id, Group: "g", Term: 4, Kind: wire.Raft_KIND_APPEND_REPLY, Granted: true, LastIndex: 3,
+		})
+	}
+	must.Eq(t, 3, a.Commit())
+}
+
+// An entry is acknowledged on two of three replicas, while the third is cut
+// off. One of the two loses its disk and starts anew with the same settings;
+// then the other dies. The third and the empty one must not form a quorum, or
+// the entry would be lost: the empty one is another replica.
+func TestEmptyDiskIsAnotherReplica(t *testing.T) {
+	s, l := elected(8, 3)
+	lost, behind := s.nodes[s.others(l.id)[0]], s.nodes[s.others(l.id)[1]]
+	s.isolate(behind.id)
+	s.propose(l, "acknowledged")
+	s.run(time.Second)
+	must.Greater(t, behind.index, s.acked)
+	s.loseDisk(lost)
+	l.down = true
+	s.join()
+	s.run(20 * time.Second)
+	must.Nil(t, s.leader())
+	must.Eq(t, "", s.problems())
+}
+
+// loseDisk restarts a replica with nothing, as a new data folder would: under
+// a new identity.
+func (s *sim) loseDisk(n *node) {
+	n.snap, n.recs, n.down = nil, nil, true
+	s.add(n.id + "-new")
+}
+
+// A replica is repaired: its successor joins as a learner, catches up, and
+// takes its place. Right after that a second replica is lost for good. What
+// was acknowledged before and during the repair is still there, and the group
+// goes on with the successor and the one that is left.
+func TestSecondLossAfterRepair(t *testing.T) {
+	s, l := elected(9, 3)
+	dead, second := s.nodes[s.others(l.id)[0]], s.nodes[s.others(l.id)[1]]
+	dead.down = true
+	s.add("new")
+	must.NoError(t, s.change(l, "new", wire.Membership_ROLE_LEARNER))
+	s.isolate("new")
+	for range 30 {
+		s.propose(l, "during")
+		s.run(100 * time.Millisecond)
+	}
+	l.peers["new"].heard = l.now // It answers, but holds nothing.
+	must.ErrorIs(t, s.change(l, "new", wire.Membership_ROLE_VOTER), ErrRefused)
+	s.join()
+	s.run(time.Second)
+	must.NoError(t, s.change(l, dead.id, wire.Membership_ROLE_NONE))
+	s.run(time.Second)
+	must.NoError(t, s.change(l, "new", wire.Membership_ROLE_VOTER))
+	s.run(time.Second)
+	s.propose(l, "after")
+	s.run(time.Second)
+	acked := s.acked
+	second.down = true
+	s.run(5 * time.Second)
+	must.True(t, s.propose(s.leader(), "on"))
+	s.run(time.Second)
+	must.Greater(t, acked, s.acked)
+	must.Eq(t, "", s.problems())
+}
+
+// Messages of another group reach a replica, because an address changed hands.
+// It takes none of them, whatever their term.
+func TestOtherGroupIsNotHeard(t *testing.T) {
+	s, l := elected(10, 3)
+	term := l.Term()
+	e := l.Step(l.clock(s), &wire.Raft{
+		From: "x", To: l.id, Group: "other", Term: term + 5, Kind: wire.Raft_KIND_APPEND, Commit: 9,
+	})
+	must.Eq(t, Effects{}, e)
+	must.Eq(t, term, l.Term())
+}
--- /dev/null
+++ b/core/raft/lead.go
@@ -0,0 +1,240 @@
+package raft
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"azurelane/core/wire"
+)
+
+// Lease is how long after it was sent a round that a quorum answered lets the
+// leader read locally. Followers keep their promise for Election on their own
+// clocks, counted from a later moment. So reads are never stale as long as no
+// clock runs at less than half the speed of another, or stands still unseen
+// (a paused VM) for more than Election/4: the rest covers jumps of followers'
+// clocks too short to be seen as gaps.
+const Lease = Election / 2
+
+// snapshotRetry is when a snapshot without an answer is sent again.
+const snapshotRetry = 10 * Election
+
+// progress is what a leader knows of another replica.
+type progress struct {
+	match    uint64
+	next     uint64
+	probing  bool // One message at a time until an answer shows where the logs meet.
+	waiting  bool // While probing: a message is out.
+	inflight []uint64
+	pending  uint64 // Index of the snapshot that is under way; zero for none.
+	snapAt   time.Time
+	heard    time.Time
+	round    time.Time // When the newest round that it answered was sent.
+}
+
+// Leased reports whether the leader may read locally at this time: its lease
+// runs and it has committed an entry of its own term, below which all that was
+// ever acknowledged is applied.
+func (r *Raft) Leased(now time.Time) bool {
+	r.advance(now)
+	if r.role != leader || r.sent {
+		return false
+	}
+	if t, _ := r.log.term(r.commit); t != r.term {
+		return false
+	}
+	return r.now.Sub(r.quorumRound()) < Lease
+}
+
+// quorumRound is when the newest round was sent that a quorum answered.
+func (r *Raft) quorumRound() time.Time {
+	var rounds []time.Time
+	for _, p := range r.Replicas() {
+		if !p.GetVoter() {
+			continue
+		}
+		at := time.Time{}
+		if p.GetId() == r.ID {
+			at = r.now
+		} else if pr := r.peers[p.GetId()]; pr != nil && !pr.round.Before(r.since) {
+			at = pr.round
+		}
+		rounds = append(rounds, at)
+	}
+	slices.SortFunc(rounds, func(a, b time.Time) int { return b.Compare(a) })
+	if len(rounds) < r.quorum() {
+		return time.Time{}
+	}
+	return rounds[r.quorum()-1]
+}
+
+// lead does the leader's work of a tick.
+func (r *Raft) lead() {
+	// A leader cut off from a quorum would go on to take proposals that can
+	// never be committed, while its callers wait and learn of no other leader.
+	// It steps down once a whole election timeout has passed without a quorum.
+	if r.now.Sub(r.since) >= Election && r.now.Sub(r.quorumRound()) >= Election {
+		r.stepDown()
+		return
+	}
+	if r.transfer != "" && !r.now.Before(r.leaveAt) {
+		r.stepDown()
+		return
+	}
+	if !r.now.Before(r.beatAt) {
+		r.beatAt = r.now.Add(Heartbeat)
+		r.spread(true)
+	}
+}
+
+func (r *Raft) appendOwn(e *wire.LogEntry) {
+	e.Index, e.Term = r.log.last()+1, r.term
+	r.log.entries = append(r.log.entries, e)
+	r.record(&wire.Record{Kind: &wire.Record_Entry{Entry: e}})
+	r.noteConf(e)
+	r.tryCommit()
+}
+
+// spread sends each replica what it lacks; with beat, at least a heartbeat.
+func (r *Raft) spread(beat bool) {
+	for _, p := range r.Replicas() {
+		if pr := r.peers[p.GetId()]; pr != nil {
+			r.feed(p.GetId(), pr, beat)
+		}
+	}
+}
+
+func (r *Raft) feed(id string, p *progress, beat bool) {
+	if p.pending > 0 && r.now.Sub(p.snapAt) < snapshotRetry {
+		if beat {
+			r.sendAppend(id, p.pending, nil)
+		}
+		return
+	}
+	if p.next <= r.log.base {
+		r.sendSnapshot(id, p)
+		return
+	}
+	for {
+		room := len(p.inflight) < MaxInflight && (!p.probing || !p.waiting || beat)
+		var ents []*wire.LogEntry
+		if room {
+			ents = r.log.from(p.next)
+		}
+		if len(ents) == 0 && !beat {
+			return
+		}
+		r.sendAppend(id, p.next-1, ents)
+		beat = false
+		if p.probing {
+			p.waiting = true
+			return
+		}
+		if len(ents) > 0 {
+			p.next += uint64(len(ents))
+			p.inflight = append(p.inflight, p.next-1)
+		}
+	}
+}
+
+func (r *Raft) sendAppend(id string, prev uint64, ents []*wire.LogEntry) {
+	term, _ := r.log.term(prev)
+	r.send(&wire.Raft{
+		To: id, Kind: wire.Raft_KIND_APPEND, LastIndex: prev, LastTerm: term, Entries: ents, Commit: r.commit, Round: r.round(),
+	})
+}
+
+func (r *Raft) sendSnapshot(id string, p *progress) {
+	p.pending, p.snapAt = r.log.snap.GetIndex(), r.now
+	r.send(&wire.Raft{To: id, Kind: wire.Raft_KIND_SNAPSHOT, Snapshot: r.log.snap, Round: r.round()})
+}
+
+// round writes the time of now into a message; the reply echoes it.
+func (r *Raft) round() uint64 {
+	return uint64(max(r.now.Sub(r.start), 0)) //nolint:gosec // Not negative.
+}
+
+func (r *Raft) appendGot(m *wire.Raft) {
+	if m.GetTerm() > r.term {
+		r.adopt(m)
+		return
+	}
+	p := r.peers[m.GetFrom()]
+	if r.role != leader || m.GetTerm() < r.term || p == nil {
+		return
+	}
+	p.heard = r.now
+	if at := r.start.Add(time.Duration(m.GetRound())); at.After(p.round) { //nolint:gosec // Our own number.
+		p.round = at
+	}
+	if m.GetGranted() {
+		r.advanced(p, m.GetLastIndex())
+	} else {
+		p.refused(m)
+	}
+	r.tryCommit()
+	r.handOver()
+	if r.role == leader {
+		r.feed(m.GetFrom(), p, false)
+	}
+}
+
+// advanced notes that a replica holds the leader's entries up to index i.
+func (r *Raft) advanced(p *progress, i uint64) {
+	if p.pending > 0 && i >= p.pending {
+		p.pending = 0
+	}
+	if i < p.match {
+		return
+	}
+	p.match = i
+	p.next = max(p.next, i+1)
+	if p.pending == 0 && p.next > r.log.base {
+		if p.probing {
+			p.next = i + 1
+		}
+		p.probing, p.waiting = false, false
+	}
+	for len(p.inflight) > 0 && p.inflight[0] <= i {
+		p.inflight = p.inflight[1:]
+	}
+}
+
+// refused goes back to where the logs may meet. Late refusals are passed over.
+func (p *progress) refused(m *wire.Raft) {
+	if p.pending > 0 || m.GetLastIndex() <= p.match || (p.probing && m.GetLastIndex() != p.next-1) {
+		return
+	}
+	p.next = max(p.match+1, min(m.GetHint()+1, m.GetLastIndex()))
+	p.probing, p.waiting, p.inflight = true, false, nil
+}
+
+// tryCommit moves the commit index to the newest entry of this term that a
+// quorum holds. An entry of a former term is never counted by itself: a later
+// leader could still replace it, though a quorum held it.
+func (r *Raft) tryCommit() {
+	if r.role != leader {
+		return
+	}
+	var match []uint64
+	for _, p := range r.Replicas() {
+		if !p.GetVoter() {
+			continue
+		}
+		if p.GetId() == r.ID {
+			match = append(match, r.log.last())
+		} else if pr := r.peers[p.GetId()]; pr != nil {
+			match = append(match, pr.match)
+		}
+	}
+	slices.SortFunc(match, func(a, b uint64) int { return cmp.Compare(b, a) })
+	if len(match) < r.quorum() {
+		return
+	}
+	n := match[r.quorum()-1]
+	if t, ok := r.log.term(n); !ok || t != r.term || n <= r.commit {
+		return
+	}
+	r.commit = n
+	r.leaveIfRemoved()
+}
--- /dev/null
+++ b/core/raft/raft.go
@@ -0,0 +1,296 @@
+// Package raft is the replicated log: a pure state machine that elects a
+// leader and agrees on one sequence of entries.
+//
+// It reads no clock, socket or file. Each call takes the time and returns
+// Effects, which the caller carries out in order: records are synced before
+// messages go out and before entries are applied.
+package raft
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"azurelane/core/wire"
+)
+
+var (
+	// ErrNotLeader is returned for proposals to a replica that doesn't lead.
+	ErrNotLeader = errors.New("raft: not the leader")
+	// ErrBusy is returned when too many entries wait to be committed or
+	// another membership change does.
+	ErrBusy = errors.New("raft: busy")
+	// ErrRefused is returned for a membership change that would be unsafe.
+	ErrRefused = errors.New("raft: membership change refused")
+	// ErrDiverged marks a message that contradicts a committed entry. The
+	// replica must stop: either its disk or another replica's lost entries.
+	ErrDiverged = errors.New("raft: log contradicts a committed entry")
+)
+
+// Default times and bounds.
+const (
+	Heartbeat   = 100 * time.Millisecond // Between two rounds of the leader.
+	Election    = time.Second            // Shortest silence before an election; the longest is twice that.
+	MaxBatch    = 1 << 20                // Bytes of entries in one message.
+	MaxInflight = 16                     // Unanswered messages with entries to one replica.
+	MaxPending  = 4096                   // Entries of the leader that wait to be committed.
+	KeepEntries = 500                    // Entries kept behind a snapshot for replicas that lag a little.
+)
+
+type role int
+
+const (
+	follower role = iota
+	preCandidate
+	candidate
+	leader
+)
+
+type (
+	// Raft is one replica. Its exported fields are set before Start is called.
+	Raft struct {
+		ID   string     // Identity of the data folder.
+		Rand *rand.Rand // Spreads election timeouts.
+
+		group   string
+		term    uint64
+		vote    string
+		role    role
+		leader  string
+		log     journal
+		confs   []conf // Memberships by the index that brought them, oldest first.
+		commit  uint64
+		applied uint64 // Last entry given out in Effects.
+
+		now     time.Time
+		skew    time.Duration // Sum of the steps that the clock took back.
+		start   time.Time
+		heard   time.Time // When the promise to a leader began; see promised.
+		electAt time.Time
+		beatAt  time.Time
+
+		votes    map[string]bool
+		peers    map[string]*progress // Leader only: the other replicas.
+		since    time.Time            // Leader only: start of the term, or of the time after a gap.
+		transfer string               // Leader only: replica that is to lead next.
+		sent     bool                 // Leader only: told the next one to start, so the lease is given up.
+		leaveAt  time.Time            // Leader only: when a transfer is given up.
+
+		out Effects
+	}
+
+	// Effects is what the caller must do after a call, in the order of the fields.
+	Effects struct {
+		Install   *wire.Snapshot // Replaces the state machine, and on disk, with Tail, the whole log.
+		Records   []*wire.Record // To append and sync; part of Tail when Install is set.
+		Messages  []*wire.Raft   // To send; losing some is harmless.
+		Committed []*wire.LogEntry
+		Err       error // The replica must stop at once and do nothing else.
+	}
+)
+
+// Start makes the replica of what its disk held: the newest snapshot, or nil,
+// and the records after it, oldest first.
+func (r *Raft) Start(now time.Time, snap *wire.Snapshot, recs []*wire.Record) {
+	r.now, r.start = now, now
+	// A replica that restarts has forgotten when it last heard a leader, whose
+	// lease may still count on its promise not to vote. The symptom would be a
+	// stale read at the old leader; a whole promise from now on covers it.
+	r.heard = now
+	if snap != nil {
+		r.group = snap.GetGroup()
+		r.log.reset(snap)
+		r.commit, r.applied = snap.GetIndex(), snap.GetIndex()
+		r.term = snap.GetTerm()
+	}
+	r.confs = []conf{{r.commit, snap.GetReplicas()}}
+	for _, rec := range recs {
+		r.load(rec)
+	}
+	r.resetTimer()
+	if r.alone() {
+		r.electAt = now // No other replica could object.
+	}
+}
+
+func (r *Raft) load(rec *wire.Record) {
+	switch k := rec.GetKind().(type) {
+	case *wire.Record_Hard:
+		r.term, r.vote = k.Hard.GetTerm(), k.Hard.GetVote()
+		if k.Hard.GetGroup() != "" {
+			r.group = k.Hard.GetGroup()
+		}
+	case *wire.Record_TruncateFrom:
+		r.cut(k.TruncateFrom)
+	case *wire.Record_Entry:
+		r.log.load(k.Entry)
+		if k.Entry.GetIndex() > r.commit {
+			r.noteConf(k.Entry)
+		}
+	}
+}
+
+// Found returns the snapshot that starts a new group. The caller must be sure
+// that no replica in the list belongs to a group already.
+func Found(group string, replicas []*wire.Replica, data []byte) *wire.Snapshot {
+	return &wire.Snapshot{Index: 1, Term: 1, Data: data, Replicas: replicas, Group: group}
+}
+
+// Tick lets time pass. It is called several times a heartbeat.
+func (r *Raft) Tick(now time.Time) Effects {
+	r.advance(now)
+	switch {
+	case r.role == leader:
+		r.lead()
+	case !r.now.Before(r.electAt):
+		r.campaign(preCandidate, false)
+	}
+	return r.flush()
+}
+
+// Step takes a message of another replica.
+func (r *Raft) Step(now time.Time, m *wire.Raft) Effects {
+	r.advance(now)
+	// A message for another identity or group comes from a replica whose settings
+	// point at an address that changed hands. Taking it would mix two logs.
+	if m.GetTo() != r.ID || (r.group != "" && m.GetGroup() != r.group) {
+		return r.flush()
+	}
+	switch m.GetKind() {
+	case wire.Raft_KIND_VOTE:
+		r.voteAsked(m)
+	case wire.Raft_KIND_VOTE_REPLY:
+		r.voteGot(m)
+	case wire.Raft_KIND_APPEND:
+		r.appendAsked(m)
+	case wire.Raft_KIND_SNAPSHOT:
+		r.snapshotAsked(m)
+	case wire.Raft_KIND_APPEND_REPLY, wire.Raft_KIND_SNAPSHOT_REPLY:
+		r.appendGot(m)
+	case wire.Raft_KIND_TIMEOUT_NOW:
+		if m.GetTerm() == r.term && r.role == follower {
+			r.campaign(candidate, true)
+		}
+	}
+	return r.flush()
+}
+
+// Propose appends commands to the log and returns the index of the first. Once
+// it is committed the entry comes back in Effects, unless the leader changes.
+func (r *Raft) Propose(now time.Time, commands ...[]byte) (uint64, Effects, error) {
+	r.advance(now)
+	if r.role != leader || r.transfer != "" {
+		return 0, r.flush(), ErrNotLeader
+	}
+	if r.log.last()+uint64(len(commands)) > r.commit+MaxPending {
+		return 0, r.flush(), ErrBusy
+	}
+	first := r.log.last() + 1
+	for _, c := range commands {
+		r.appendOwn(&wire.LogEntry{Command: c})
+	}
+	r.spread(false)
+	return first, r.flush(), nil
+}
+
+// Compact makes data, the state machine after the last entry given out, the
+// newest snapshot. It returns what the disk must hold in place of the log.
+func (r *Raft) Compact(data []byte) *wire.Snapshot {
+	term, _ := r.log.term(r.applied)
+	r.log.snap = &wire.Snapshot{
+		Index: r.applied, Term: term, Data: data, Replicas: r.confAt(r.applied).replicas, Group: r.group,
+	}
+	if r.applied > KeepEntries {
+		r.log.dropTo(r.applied - KeepEntries)
+	}
+	for len(r.confs) > 1 && r.confs[1].index <= r.applied {
+		r.confs = r.confs[1:]
+	}
+	return r.log.snap
+}
+
+// Tail returns the records that follow the newest snapshot on disk.
+func (r *Raft) Tail() []*wire.Record {
+	recs := []*wire.Record{r.hard()}
+	for _, e := range r.log.entries {
+		recs = append(recs, &wire.Record{Kind: &wire.Record_Entry{Entry: e}})
+	}
+	return recs
+}
+
+// Group is the identity of the group, empty for a replica without one.
+func (r *Raft) Group() string { return r.group }
+
+// Term is the newest term that the replica knows.
+func (r *Raft) Term() uint64 { return r.term }
+
+// Commit is the index of the last committed entry known here.
+func (r *Raft) Commit() uint64 { return r.commit }
+
+// Leads reports whether this replica is the leader, as far as it knows.
+func (r *Raft) Leads() bool { return r.role == leader }
+
+// Leader is the identity of the leader, empty when none is known.
+func (r *Raft) Leader() string { return r.leader }
+
+// Silence is for how long no leader was heard; for the leader itself, for how
+// long no quorum answered. The second result is false where none ever was.
+func (r *Raft) Silence(now time.Time) (time.Duration, bool) {
+	r.advance(now)
+	at := r.heard
+	if r.role == leader {
+		at = r.quorumRound()
+	}
+	return r.now.Sub(at), r.leader != "" && !at.IsZero()
+}
+
+func (r *Raft) flush() Effects {
+	for r.applied < r.commit {
+		r.applied++
+		if e := r.log.at(r.applied); e != nil {
+			r.out.Committed = append(r.out.Committed, e)
+		}
+	}
+	out := r.out
+	r.out = Effects{}
+	return out
+}
+
+// advance moves the replica's time, which never goes back.
+func (r *Raft) advance(now time.Time) {
+	now = now.Add(r.skew)
+	gap := now.Sub(r.now)
+	if gap == 0 {
+		return
+	}
+	if gap < 0 {
+		// A clock that was set back would stop every timer until it is where it
+		// was, and stretch a lease. The replica's own time goes on instead.
+		r.skew += -gap + 1
+		now = r.now.Add(1)
+	}
+	r.now = now
+	if gap > Election/4 || gap < 0 {
+		// The process was frozen or its clock jumped. A follower can't tell how
+		// much of its promise to the leader really passed, so it starts anew;
+		// else a jump would let it vote while that leader still reads locally.
+		// A leader counts only answers to what it sends from now on.
+		r.heard, r.since = now, now
+		r.resetTimer()
+	}
+}
+
+func (r *Raft) hard() *wire.Record {
+	return &wire.Record{Kind: &wire.Record_Hard{Hard: &wire.HardState{Term: r.term, Vote: r.vote, Group: r.group}}}
+}
+
+func (r *Raft) record(rec *wire.Record) { r.out.Records = append(r.out.Records, rec) }
+
+func (r *Raft) send(m *wire.Raft) {
+	m.From, m.Group = r.ID, r.group
+	if m.GetTerm() == 0 {
+		m.Term = r.term
+	}
+	r.out.Messages = append(r.out.Messages, m)
+}
--- /dev/null
+++ b/core/raft/sim_test.go
@@ -0,0 +1,275 @@
+package raft
+
+import (
+	"encoding/binary"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"azurelane/core/wire"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "1") // The same runs each time.
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+const simStep = 10 * time.Millisecond
+
+type (
+	// sim is a group of replicas on a network in memory. Faults come from rnd.
+	sim struct {
+		rnd   *rand.Rand
+		t     time.Duration // True time.
+		nodes map[string]*node
+		names []string // In order of creation.
+		net   []flight
+		cut   map[[2]string]bool // One way.
+		loss  float64
+		dup   float64
+		delay time.Duration
+
+		leaders   map[uint64]string         // By term.
+		committed map[uint64]*wire.LogEntry // By index, as first applied anywhere.
+		acked     uint64                    // Highest index that a leader applied, so that a caller may know it.
+		leased    bool                      // Check that reads under a lease are fresh.
+		reads     int
+		broken    []string
+	}
+
+	node struct {
+		*Raft
+		id     string
+		snap   *wire.Snapshot // Disk, as synced.
+		recs   []*wire.Record
+		crash  int // Point of the next effects at which it crashes; 0 for none.
+		down   bool
+		frozen time.Duration // Until this true time.
+		rate   float64
+		offset time.Duration
+		index  uint64 // Applied.
+		sum    uint64 // Of what was applied.
+	}
+
+	flight struct {
+		at time.Duration
+		m  *wire.Raft
+	}
+)
+
+func newSim(seed uint64, n int) *sim {
+	s := &sim{
+		rnd: rand.New(rand.NewPCG(seed, 1)), nodes: map[string]*node{}, cut: map[[2]string]bool{}, delay: simStep,
+		leaders: map[uint64]string{}, committed: map[uint64]*wire.LogEntry{},
+	}
+	var list []*wire.Replica
+	for i := range n {
+		list = append(list, &wire.Replica{Id: fmt.Sprintf("r%d", i), Voter: true})
+	}
+	for _, p := range list {
+		s.add(p.GetId()).snap = Found("g", list, make([]byte, 8))
+		s.start(s.nodes[p.GetId()])
+	}
+	return s
+}
+
+// add makes a replica with an empty disk.
+func (s *sim) add(id string) *node {
+	n := &node{id: id, rate: 1}
+	s.nodes[id] = n
+	s.names = append(s.names, id)
+	s.start(n)
+	return n
+}
+
+func (s *sim) start(n *node) {
+	n.down, n.crash = false, 0
+	n.Raft = &Raft{ID: n.id, Rand: rand.New(rand.NewPCG(s.rnd.Uint64(), 2))}
+	n.Start(n.clock(s), n.snap, n.recs)
+	n.install(n.snap)
+}
+
+func (n *node) install(snap *wire.Snapshot) {
+	n.index, n.sum = snap.GetIndex(), 0
+	if len(snap.GetData()) == 8 {
+		n.sum = binary.LittleEndian.Uint64(snap.GetData())
+	}
+}
+
+func (n *node) clock(s *sim) time.Time {
+	return time.Unix(1000, 0).Add(n.offset + time.Duration(float64(s.t)*n.rate))
+}
+
+func (n *node) runs(s *sim) bool { return !n.down && n.frozen <= s.t }
+
+func (s *sim) fail(format string, args ...any) {
+	s.broken = append(s.broken, fmt.Sprintf("%v: ", s.t)+fmt.Sprintf(format, args...))
+}
+
+// perform carries effects out, up to the point of a crash.
+func (s *sim) perform(n *node, e Effects) {
+	if e.Err != nil {
+		s.fail("%s: %v", n.id, e.Err)
+		return
+	}
+	if n.crash == 1 && len(e.Records) > 0 { // Before the sync: a part was written.
+		if e.Install == nil {
+			n.recs = append(n.recs, e.Records[:s.rnd.IntN(len(e.Records))]...)
+		}
+		n.down = true
+		return
+	}
+	if e.Install != nil {
+		n.snap, n.recs = e.Install, n.Tail()
+		n.install(e.Install)
+	} else {
+		n.recs = append(n.recs, e.Records...)
+	}
+	if n.crash == 2 && len(e.Records) > 0 { // After the sync.
+		n.down = true
+		return
+	}
+	for _, m := range e.Messages {
+		s.post(m)
+	}
+	for _, c := range e.Committed {
+		s.apply(n, c)
+	}
+	if n.index >= n.snap.GetIndex()+40 {
+		n.snap = n.Compact(binary.LittleEndian.AppendUint64(nil, n.sum))
+		n.recs = n.Tail()
+	}
+	if n.Leads() {
+		s.checkLeader(n)
+	}
+}
+
+func (s *sim) apply(n *node, e *wire.LogEntry) {
+	if e.GetIndex() != n.index+1 {
+		s.fail("%s applies %d after %d", n.id, e.GetIndex(), n.index)
+	}
+	old := s.committed[e.GetIndex()]
+	if old == nil {
+		s.committed[e.GetIndex()] = e
+	} else if !proto.Equal(old, e) {
+		s.fail("%s applies another entry %d", n.id, e.GetIndex())
+	}
+	n.index = e.GetIndex()
+	n.sum = n.sum*31 + e.GetTerm()
+	if n.Leads() {
+		s.acked = max(s.acked, n.index)
+	}
+}
+
+// checkLeader holds that a term has one leader, who has all that is committed.
+func (s *sim) checkLeader(n *node) {
+	if old, ok := s.leaders[n.Term()]; ok {
+		if old != n.id {
+			s.fail("term %d is led by %s and %s", n.Term(), old, n.id)
+		}
+		return
+	}
+	s.leaders[n.Term()] = n.id
+	for i, e := range s.committed {
+		if t, ok := n.log.term(i); i > n.log.base && (!ok || t != e.GetTerm()) {
+			s.fail("leader %s of term %d lacks entry %d", n.id, n.Term(), i)
+		}
+	}
+}
+
+func (s *sim) post(m *wire.Raft) {
+	n := 1
+	if s.rnd.Float64() < s.dup {
+		n = 2
+	}
+	for range n {
+		if s.rnd.Float64() >= s.loss {
+			s.net = append(s.net, flight{s.t + time.Duration(s.rnd.Int64N(int64(s.delay))), proto.CloneOf(m)})
+		}
+	}
+}
+
+// step lets one tick of true time pass.
+func (s *sim) step() {
+	s.t += simStep
+	due := s.net
+	s.net = nil
+	for _, f := range due {
+		n := s.nodes[f.m.GetTo()]
+		switch {
+		case n == nil || n.down || s.cut[[2]string{f.m.GetFrom(), f.m.GetTo()}]:
+		case f.at > s.t || n.frozen > s.t:
+			s.net = append(s.net, f)
+		default:
+			s.perform(n, n.Step(n.clock(s), f.m))
+		}
+	}
+	for _, id := range s.names {
+		if n := s.nodes[id]; n.runs(s) {
+			s.perform(n, n.Tick(n.clock(s)))
+			s.read(n)
+		}
+	}
+}
+
+func (s *sim) run(d time.Duration) {
+	for end := s.t + d; s.t < end; {
+		s.step()
+	}
+}
+
+// read holds that a leader under its lease knows all that was acknowledged.
+func (s *sim) read(n *node) {
+	if !n.down && s.leased && n.Leased(n.clock(s)) {
+		s.reads++
+		if n.index < s.acked {
+			s.fail("stale read at %s: %d before %d", n.id, n.index, s.acked)
+		}
+	}
+}
+
+func (s *sim) leader() *node {
+	var best *node
+	for _, id := range s.names {
+		if n := s.nodes[id]; n.runs(s) && n.Leads() && (best == nil || n.Term() > best.Term()) {
+			best = n
+		}
+	}
+	return best
+}
+
+func (s *sim) propose(n *node, text string) bool {
+	_, e, err := n.Propose(n.clock(s), []byte(text))
+	s.perform(n, e)
+	return err == nil
+}
+
+func (s *sim) change(n *node, id string, role wire.Membership_Role) error {
+	_, e, err := n.Change(n.clock(s), &wire.Membership{Replica: id, Role: role})
+	s.perform(n, e)
+	return err
+}
+
+// isolate cuts a replica off both ways; join undoes all cuts.
+func (s *sim) isolate(id string) {
+	for _, o := range s.names {
+		s.cut[[2]string{id, o}], s.cut[[2]string{o, id}] = true, true
+	}
+}
+
+func (s *sim) join() { s.cut = map[[2]string]bool{} }
+
+func (s *sim) others(id string) []string {
+	return slices.DeleteFunc(slices.Clone(s.names), func(o string) bool { return o == id })
+}
+
+func (s *sim) problems() string { return strings.Join(s.broken, "\n") }
