Control replicas run the replicated log

Cause: control was one replica; its VM or disk lost meant configuration and claims lost, and an empty disk started a new history under the old address.

io/ctrl runs core/raft in one loop: messages and proposals that wait share one sync, then messages go out, then entries are applied and answered. A failed write ends the process. One replica, told so once, founds a group, and only when all others answer that they are empty; any other empty folder waits to be added. Claims end by the log's own clock. A leader that stops hands over.

Ruled out: founding by whoever is first (an empty disk would found a second group) and wall clocks in commands (a jump drops claims early).

--- a/cmd/azurelane/dev.go
+++ b/cmd/azurelane/dev.go
@@ -79,6 +79,7 @@
 	control := []netip.AddrPort{c.addr(1)}
 	q, err := quorum.Open(&setup.Setup{
 		Node: "control-1", DataCentre: "dev", Peers: c.addr(1), Operator: c.addr(2), Control: control, DataFolder: c.DataFolder,
+		Bootstrap: true,
 	}, log)
 	if err != nil {
 		return err
--- a/cmd/azurelane/process_test.go
+++ b/cmd/azurelane/process_test.go
@@ -78,7 +78,7 @@
 func newCluster(t *testing.T, entries int) *cluster {
 	t.Helper()
 	c := &cluster{t: t, dir: t.TempDir(), control: []netip.AddrPort{freeAddr(t)}}
-	c.start("control", c.settings(&setup.Setup{
+	c.start("control", "--bootstrap", c.settings(&setup.Setup{
 		Node: "control-1", DataCentre: "dev", Peers: c.control[0], Operator: freeAddr(t), Control: c.control,
 		DataFolder: filepath.Join(c.dir, "data"),
 	}))
--- a/core/raft/elect.go
+++ b/core/raft/elect.go
@@ -81,7 +81,7 @@
 }
 
 func (r *Raft) voteAsked(m *wire.Raft) {
-	reply := &wire.Raft{To: m.GetFrom(), Kind: wire.Raft_KIND_VOTE_REPLY, PreVote: m.GetPreVote()}
+	reply := &wire.Raft{To: m.GetFrom(), Kind: wire.Raft_KIND_VOTE_REPLY, PreVote: m.GetPreVote(), Group: m.GetGroup()}
 	switch {
 	case m.GetTerm() < r.term, r.promised() && !m.GetTransfer():
 		r.send(reply)
--- a/core/raft/member.go
+++ b/core/raft/member.go
@@ -181,3 +181,6 @@
 	}
 	return nil
 }
+
+// Transferring reports whether a transfer of leadership is under way.
+func (r *Raft) Transferring() bool { return r.transfer != "" }
--- a/core/raft/raft.go
+++ b/core/raft/raft.go
@@ -288,7 +288,10 @@
 func (r *Raft) record(rec *wire.Record) { r.out.Records = append(r.out.Records, rec) }
 
 func (r *Raft) send(m *wire.Raft) {
-	m.From, m.Group = r.ID, r.group
+	m.From = r.ID
+	if m.GetGroup() == "" {
+		m.Group = r.group
+	}
 	if m.GetTerm() == 0 {
 		m.Term = r.term
 	}
--- /dev/null
+++ b/io/ctrl/apply.go
@@ -0,0 +1,134 @@
+package ctrl
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"azurelane/core/raft"
+	"azurelane/core/state"
+	"azurelane/core/wire"
+	"azurelane/io/leader"
+)
+
+const (
+	expireEvery = time.Second      // Between two looks for expired claims.
+	clockEvery  = 10 * time.Minute // The log's clock is at most so far behind after a change of leader.
+)
+
+// Fault codes of a replica.
+const (
+	busy    = "busy"    // Too much waits to be committed.
+	refused = "refused" // The membership change would be unsafe.
+	stopped = "stopped"
+)
+
+var errStopped = &wire.Fault{Code: stopped, Text: "the replica stops"}
+
+// clock is the log's own time, in microseconds: it goes on from the highest
+// stamp in the state, by the monotonic clock of the leader. Wall clocks differ
+// and jump, and a claim dropped early lets a request run twice; this clock can
+// only lag, and a claim is then kept longer.
+type clock struct {
+	base int64
+	at   time.Time
+}
+
+func (k *clock) read(s *state.State, now time.Time) int64 {
+	if us := k.base + now.Sub(k.at).Microseconds(); !k.at.IsZero() && us >= s.Clock() {
+		return us
+	}
+	k.base, k.at = s.Clock(), now
+	return k.base
+}
+
+// stamp sets the leader's clock in the commands that need the time.
+func (c *Ctrl) stamp(cmd *wire.Command, now time.Time) {
+	if !c.raft.Leads() {
+		c.clock = clock{}
+		return
+	}
+	us := c.clock.read(&c.state, now)
+	switch k := cmd.GetKind().(type) {
+	case *wire.Command_Claim:
+		k.Claim.NowUs = us
+	case *wire.Command_Finish:
+		k.Finish.NowUs = us
+	case *wire.Command_Expire:
+		k.Expire.NowUs = us
+	}
+}
+
+func (c *Ctrl) apply(e *wire.LogEntry) error {
+	r := &wire.Result{Code: state.OK}
+	if len(e.GetCommand()) > 0 {
+		var cmd wire.Command
+		if err := proto.Unmarshal(e.GetCommand(), &cmd); err != nil {
+			return fmt.Errorf("ctrl: entry %d: %w", e.GetIndex(), err)
+		}
+		r = c.state.Apply(&cmd)
+	}
+	if m := e.GetMembership(); m != nil {
+		c.Log.Info("Membership changed.", "replica", m.GetReplica(), "address", m.GetAddress(), "role", m.GetRole().String())
+	}
+	c.applied = e.GetIndex()
+	p := c.waiting[e.GetIndex()]
+	if p == nil {
+		return nil
+	}
+	delete(c.waiting, e.GetIndex())
+	if p.term != e.GetTerm() {
+		// Another leader's entry took the place: this command was not applied here.
+		p.done <- answer{err: c.notLeader()}
+		return nil
+	}
+	r.Index = e.GetIndex()
+	p.done <- answer{result: r}
+	return nil
+}
+
+func (c *Ctrl) compact() error {
+	data, err := c.state.Save()
+	if err != nil {
+		return fmt.Errorf("ctrl: %w", err)
+	}
+	if err := c.store.Compact(c.raft.Compact(data), c.raft.Tail()...); err != nil {
+		return err
+	}
+	c.snapped = c.applied
+	return nil
+}
+
+// install replaces log and state by a leader's snapshot.
+func (c *Ctrl) install(snap *wire.Snapshot) error {
+	if err := c.store.Compact(snap, c.raft.Tail()...); err != nil {
+		return err
+	}
+	c.Log.Info("Snapshot installed.", "index", snap.GetIndex())
+	return c.load(snap)
+}
+
+func (c *Ctrl) notLeader() *wire.Fault {
+	return &wire.Fault{Code: leader.NotLeader, Text: "this replica is not the leader", Leader: c.addressOf(c.raft.Leader())}
+}
+
+func (c *Ctrl) addressOf(id string) string {
+	for _, r := range c.raft.Replicas() {
+		if r.GetId() == id {
+			return r.GetAddress()
+		}
+	}
+	return ""
+}
+
+func (c *Ctrl) fault(err error) error {
+	switch {
+	case errors.Is(err, raft.ErrNotLeader):
+		return c.notLeader()
+	case errors.Is(err, raft.ErrBusy):
+		return &wire.Fault{Code: busy, Text: err.Error()}
+	}
+	return &wire.Fault{Code: refused, Text: err.Error()}
+}
--- /dev/null
+++ b/io/ctrl/batch.go
@@ -0,0 +1,180 @@
+package ctrl
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"azurelane/core/raft"
+	"azurelane/core/wire"
+)
+
+type (
+	// batch gathers the effects of several messages and proposals, so that one
+	// sync serves them all.
+	batch struct {
+		ctrl  *Ctrl
+		eff   raft.Effects
+		props []*proposal
+		n     int
+		err   error
+	}
+
+	// proposal is a command that waits for its result.
+	proposal struct {
+		cmd    *wire.Command
+		member *wire.Membership // Instead of cmd.
+		term   uint64
+		done   chan answer // Takes one answer without a reader.
+	}
+
+	answer struct {
+		result *wire.Result
+		err    error
+	}
+)
+
+func (b *batch) add(e raft.Effects) {
+	b.eff.Records = append(b.eff.Records, e.Records...)
+	b.eff.Messages = append(b.eff.Messages, e.Messages...)
+	b.eff.Committed = append(b.eff.Committed, e.Committed...)
+	if b.eff.Err == nil {
+		b.eff.Err = e.Err
+	}
+}
+
+// step takes a message. A snapshot replaces the state, so what came before it
+// is carried out first.
+func (b *batch) step(m *wire.Raft) {
+	c := b.ctrl
+	b.n++
+	if m.GetKind() == wire.Raft_KIND_SNAPSHOT {
+		b.err = b.perform(context.Background())
+		if b.err != nil {
+			return
+		}
+	}
+	c.peers.note(m)
+	e := c.raft.Step(time.Now(), m)
+	if e.Install != nil {
+		b.err = c.install(e.Install)
+		e.Records = nil // They are part of what install wrote.
+	}
+	b.add(e)
+}
+
+// drain takes what else is there already.
+func (b *batch) drain() {
+	for b.n+len(b.props) < batchMax && b.err == nil {
+		select {
+		case m := <-b.ctrl.in:
+			b.step(m)
+		case p := <-b.ctrl.props:
+			b.props = append(b.props, p)
+		default:
+			return
+		}
+	}
+}
+
+// finish proposes what was gathered and carries all of it out.
+func (b *batch) finish(ctx context.Context) error {
+	if b.err != nil {
+		return b.err
+	}
+	b.propose()
+	if err := b.perform(ctx); err != nil {
+		return err
+	}
+	c := b.ctrl
+	if !c.raft.Leads() {
+		// Whether these are applied is the next leader's matter. Their senders
+		// ask it with the same ids.
+		for i, p := range c.waiting {
+			delete(c.waiting, i)
+			p.done <- answer{err: c.notLeader()}
+		}
+	}
+	if c.applied >= c.snapped+CompactAfter {
+		if err := c.compact(); err != nil {
+			return err
+		}
+	}
+	c.publish(time.Now())
+	return nil
+}
+
+func (b *batch) propose() {
+	c, now := b.ctrl, time.Now()
+	var cmds [][]byte
+	var props []*proposal
+	for _, p := range b.props {
+		if p.member != nil {
+			first, e, err := c.raft.Change(now, p.member)
+			b.proposed(first, e, err, p)
+			continue
+		}
+		c.stamp(p.cmd, now)
+		data, err := proto.Marshal(p.cmd)
+		if err != nil {
+			p.done <- answer{err: fmt.Errorf("ctrl: marshal command: %w", err)}
+			continue
+		}
+		cmds, props = append(cmds, data), append(props, p)
+	}
+	if len(cmds) > 0 {
+		first, e, err := c.raft.Propose(now, cmds...)
+		b.proposed(first, e, err, props...)
+	}
+}
+
+func (b *batch) proposed(first uint64, e raft.Effects, err error, props ...*proposal) {
+	b.add(e)
+	for i, p := range props {
+		if err != nil {
+			p.done <- answer{err: b.ctrl.fault(err)}
+			continue
+		}
+		p.term = b.ctrl.raft.Term()
+		b.ctrl.waiting[first+uint64(i)] = p //nolint:gosec // Not negative.
+	}
+}
+
+// perform carries the effects out: first the sync, then the messages that
+// count on it, then the entries and their answers.
+func (b *batch) perform(ctx context.Context) error {
+	e, c := b.eff, b.ctrl
+	b.eff = raft.Effects{}
+	if e.Err != nil {
+		return e.Err
+	}
+	if len(e.Records) > 0 {
+		if err := c.store.Append(e.Records...); err != nil {
+			return err
+		}
+	}
+	for _, m := range e.Messages {
+		c.peers.send(ctx, c, m)
+	}
+	for _, entry := range e.Committed {
+		if err := c.apply(entry); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (b *batch) expire() {
+	c, now := b.ctrl, time.Now()
+	if !c.raft.Leads() || now.Before(c.expire) {
+		return
+	}
+	c.expire = now.Add(expireEvery)
+	if us := c.clock.read(&c.state, now); c.state.Due(us) || us-c.state.Clock() > clockEvery.Microseconds() {
+		b.props = append(b.props, &proposal{
+			cmd: &wire.Command{Kind: &wire.Command_Expire{Expire: &wire.Expire{}}}, done: make(chan answer, 1),
+		})
+	}
+}
--- a/io/ctrl/ctrl.go
+++ b/io/ctrl/ctrl.go
@@ -1,167 +1,222 @@
-// Package ctrl is a control replica: it keeps the replicated state and
-// answers the entries' beats with the configuration in force.
+// Package ctrl is a control replica: it runs the replicated log over a disk,
+// applies what is committed and answers the entries' beats.
 package ctrl
 
 import (
 	"context"
 	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
-	"google.golang.org/protobuf/proto"
+	"github.com/thejerf/suture/v4"
 
+	"azurelane/core/raft"
 	"azurelane/core/state"
 	"azurelane/core/wire"
 	"azurelane/io/disk"
 )
 
-// CompactAfter is the number of log entries after which a snapshot replaces
-// them, so that a restart reads at most that many.
-const CompactAfter = 1000
-
-// Ctrl is one control replica. Open makes it.
-type Ctrl struct {
-	Name string
-	Log  logr.Logger
-
-	mu    sync.Mutex
-	log   *disk.Log
-	state state.State
-	index uint64
-	since int // Entries since the snapshot.
-	beats map[string]heard
-}
+const (
+	// CompactAfter is the number of log entries after which a snapshot replaces
+	// them, so that a restart reads few more than that.
+	CompactAfter = 1000
+	// StaleAfter is how long a replica may hear no leader before it tells the
+	// entries to ask another.
+	StaleAfter = 3 * time.Second
 
-type heard struct {
-	*wire.Beat
-	at time.Time
-}
+	tickEvery = 20 * time.Millisecond
+	batchMax  = 256 // Messages and proposals taken between two syncs.
+	queueMax  = 1024
 
-// Open reads the data folder and brings the state up to its last entry.
-func Open(name, dir string, log logr.Logger) (*Ctrl, error) {
-	l, snap, recs, err := disk.Open(dir)
-	if err != nil {
-		return nil, fmt.Errorf("ctrl: %w", err)
-	}
-	c := &Ctrl{Name: name, Log: log, log: l, beats: map[string]heard{}}
-	if snap != nil {
-		if err := c.state.Load(snap.GetData()); err != nil {
-			return nil, fmt.Errorf("ctrl: %w", err)
-		}
-		c.index = snap.GetIndex()
-	}
-	for _, r := range recs {
-		e := r.GetEntry()
-		if e.GetIndex() <= c.index {
-			continue
-		}
-		if err := c.apply(e, nil); err != nil {
-			return nil, err
-		}
+	leaveLimit = 2 * time.Second // For the next leader to take over.
+)
+
+type (
+	// Ctrl is one control replica. Its exported fields are set before Open is
+	// called, and Sender before Serve.
+	Ctrl struct {
+		Name      string // Node name.
+		Address   netip.AddrPort
+		Control   []netip.AddrPort // Peer addresses of all replicas.
+		Bootstrap bool             // Found a group if all other replicas are empty too.
+		After     uint64           // With Bootstrap: the configuration version to go on from.
+		Sender    sender
+		Log       logr.Logger
+
+		store   store
+		id      string
+		raft    *raft.Raft
+		state   state.State
+		snapped uint64 // Index of the newest snapshot.
+		applied uint64
+		waiting map[uint64]*proposal // By log index.
+		clock   clock
+		expire  time.Time // When expired claims are next looked for.
+
+		in    chan *wire.Raft
+		props chan *proposal
+		calls chan func(now time.Time) raft.Effects
+		leave chan struct{}
+		left  time.Time // When it was told to leave.
+		once  sync.Once
+		done  chan struct{}
+
+		view  atomic.Pointer[view]
+		beats beats
+		peers peers
 	}
-	return c, nil
-}
 
-// Handle answers one frame of a peer.
-func (c *Ctrl) Handle(_ context.Context, f *wire.Frame) (*wire.Frame, error) {
-	switch b := f.GetBody().(type) {
-	case *wire.Frame_Command:
-		r, err := c.Propose(b.Command)
-		if err != nil {
-			return nil, err
-		}
-		return &wire.Frame{Body: &wire.Frame_Result{Result: r}}, nil
-	case *wire.Frame_Beat:
-		return &wire.Frame{Body: &wire.Frame_BeatReply{BeatReply: c.beat(b.Beat)}}, nil
-	case *wire.Frame_StatusQuery:
-		return &wire.Frame{Body: &wire.Frame_Status{Status: c.status()}}, nil
+	// sender is the mesh.
+	sender interface {
+		Call(ctx context.Context, to netip.AddrPort, f *wire.Frame) (*wire.Frame, error)
+		Send(ctx context.Context, to netip.AddrPort, f *wire.Frame) error
 	}
-	return nil, &wire.Fault{Code: "unsupported", Text: fmt.Sprintf("ctrl: %T", f.GetBody())}
-}
 
-// Propose appends a command to the log and returns the state machine's result.
-func (c *Ctrl) Propose(cmd *wire.Command) (*wire.Result, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	now := time.Now().UnixMicro()
-	if f := cmd.GetFinish(); f != nil {
-		f.NowUs = now
+	// store is the disk.
+	store interface {
+		Append(recs ...*wire.Record) error
+		Compact(snap *wire.Snapshot, recs ...*wire.Record) error
+		Close() error
 	}
-	data, err := proto.Marshal(cmd)
+)
+
+// Open reads the data folder and brings the state up to its snapshot. What
+// follows in the log is applied once a leader says that it is committed.
+func (c *Ctrl) Open(dir string) error {
+	l, snap, recs, err := disk.Open(dir)
 	if err != nil {
-		return nil, fmt.Errorf("ctrl: marshal command: %w", err)
-	}
-	e := &wire.LogEntry{Index: c.index + 1, Command: data}
-	if err := c.log.Append(&wire.Record{Kind: &wire.Record_Entry{Entry: e}}); err != nil {
-		return nil, fmt.Errorf("ctrl: %w", err)
-	}
-	var r wire.Result
-	if err := c.apply(e, &r); err != nil {
-		return nil, err
-	}
-	if c.since >= CompactAfter {
-		if err := c.compact(); err != nil {
-			return nil, err
-		}
+		return fmt.Errorf("ctrl: %w", err)
 	}
-	return &r, nil
+	return c.open(l, l.Identity, snap, recs)
 }
 
-func (c *Ctrl) apply(e *wire.LogEntry, out *wire.Result) error {
-	var cmd wire.Command
-	if err := proto.Unmarshal(e.GetCommand(), &cmd); err != nil {
-		return fmt.Errorf("ctrl: entry %d: %w", e.GetIndex(), err)
-	}
-	r := c.state.Apply(&cmd)
-	c.index = e.GetIndex()
-	c.since++
-	if out != nil {
-		proto.Merge(out, r)
-		out.Index = e.GetIndex()
-	}
+func (c *Ctrl) open(s store, id string, snap *wire.Snapshot, recs []*wire.Record) error {
+	c.store, c.id = s, id
+	c.in = make(chan *wire.Raft, queueMax)
+	c.props = make(chan *proposal, queueMax)
+	c.calls = make(chan func(time.Time) raft.Effects)
+	c.leave, c.done = make(chan struct{}), make(chan struct{})
+	c.waiting = map[uint64]*proposal{}
+	if err := c.load(snap); err != nil {
+		return err
+	}
+	c.start(time.Now(), snap, recs)
 	return nil
 }
 
-func (c *Ctrl) compact() error {
-	data, err := c.state.Save()
-	if err != nil {
-		return fmt.Errorf("ctrl: %w", err)
+func (c *Ctrl) start(now time.Time, snap *wire.Snapshot, recs []*wire.Record) {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(c.id))
+	c.raft = &raft.Raft{ID: c.id, Rand: rand.New(rand.NewPCG(h.Sum64(), uint64(now.UnixNano())))} //nolint:gosec // It spreads timeouts; no secret.
+	c.raft.Start(now, snap, recs)
+	c.publish(now)
+}
+
+func (c *Ctrl) load(snap *wire.Snapshot) error {
+	if snap == nil {
+		return nil
 	}
-	if err := c.log.Compact(&wire.Snapshot{Index: c.index, Data: data}); err != nil {
+	if err := c.state.Load(snap.GetData()); err != nil {
 		return fmt.Errorf("ctrl: %w", err)
 	}
-	c.since = 0
+	c.applied, c.snapped = snap.GetIndex(), snap.GetIndex()
 	return nil
 }
 
-func (c *Ctrl) beat(b *wire.Beat) *wire.BeatReply {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.beats[b.GetNode()] = heard{b, time.Now()}
-	r := &wire.BeatReply{Version: c.state.Version()}
-	if r.GetVersion() > b.GetVersion() {
-		r.Document = c.state.Document()
+// Serve runs the replica until ctx ends or Leave was called. Any failure of the
+// disk ends the process: what reached it is unknown then, and a replica that
+// went on could acknowledge what it does not hold.
+func (c *Ctrl) Serve(ctx context.Context) error {
+	defer close(c.done)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if c.Bootstrap && c.raft.Group() == "" {
+		go c.found(ctx)
+	}
+	err := c.loop(ctx)
+	if cerr := c.store.Close(); err == nil {
+		err = cerr
 	}
-	return r
+	if err != nil {
+		c.Log.Error(err, "Replica stops.")
+		return fmt.Errorf("%w: ctrl: %w", suture.ErrTerminateSupervisorTree, err)
+	}
+	return suture.ErrDoNotRestart
 }
 
-func (c *Ctrl) status() *wire.Status {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	s := &wire.Status{
-		Replica: c.Name, Leader: c.Name, Commit: c.index, Version: c.state.Version(), Change: c.state.Change(),
-		Document: c.state.Document(), Voters: []string{c.Name}, Claims: uint64(c.state.Claims()),
+// Leave hands leadership over, if this replica has it, and waits until Serve
+// has ended.
+func (c *Ctrl) Leave(ctx context.Context) {
+	c.once.Do(func() { close(c.leave) })
+	select {
+	case <-c.done:
+	case <-ctx.Done():
 	}
-	for _, h := range c.beats {
-		s.Nodes = append(s.Nodes, &wire.NodeStatus{Beat: h.Beat, AgeUs: time.Since(h.at).Microseconds()})
+}
+
+func (c *Ctrl) loop(ctx context.Context) error {
+	tick := time.NewTicker(tickEvery)
+	defer tick.Stop()
+	leave, leaving := c.leave, false
+	for {
+		b := batch{ctrl: c}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-leave:
+			leave, leaving, c.left = nil, true, time.Now()
+			b.add(c.raft.Transfer(time.Now()))
+		case m := <-c.in:
+			b.step(m)
+		case p := <-c.props:
+			b.props = append(b.props, p)
+		case f := <-c.calls:
+			b.add(f(time.Now()))
+		case <-tick.C:
+			b.add(c.raft.Tick(time.Now()))
+			b.expire()
+		}
+		b.drain()
+		if err := b.finish(ctx); err != nil {
+			return err
+		}
+		if leaving && c.mayGo() {
+			return nil
+		}
 	}
-	return s
 }
 
-// Close closes the log.
-func (c *Ctrl) Close() error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.log.Close()
+// mayGo reports whether a replica that leaves is no longer needed: another
+// leads, for whose election its own vote may have been the last one missing,
+// or none takes over.
+func (c *Ctrl) mayGo() bool {
+	switch {
+	case time.Since(c.left) > leaveLimit:
+		return true
+	case c.raft.Leads():
+		return !c.raft.Transferring()
+	}
+	return c.raft.Leader() != "" || c.raft.Group() == ""
+}
+
+// do runs f in the loop.
+func (c *Ctrl) do(ctx context.Context, f func(now time.Time) raft.Effects) error {
+	ran := make(chan struct{})
+	select {
+	case c.calls <- func(now time.Time) raft.Effects {
+		defer close(ran)
+		return f(now)
+	}:
+		<-ran
+		return nil
+	case <-c.done:
+		return errStopped
+	case <-ctx.Done():
+		return fmt.Errorf("ctrl: %w", ctx.Err())
+	}
 }
--- /dev/null
+++ b/io/ctrl/ctrl_test.go
@@ -0,0 +1,355 @@
+package ctrl
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/pkg/errors"
+	"github.com/shoenig/test/must"
+	"github.com/thejerf/suture/v4"
+
+	"azurelane/core/state"
+	"azurelane/core/wire"
+	"azurelane/io/leader"
+)
+
+const doc = `{"base":{"client-accounts":{},"tiers":{},"pools":{}},"overlays":{}}`
+
+func change(id string, base uint64) *wire.Command {
+	return &wire.Command{Id: id, Kind: &wire.Command_Change{Change: &wire.Change{Base: base, Document: []byte(doc)}}}
+}
+
+func (n *network) client() *leader.Leader {
+	return &leader.Leader{Replicas: n.addrs, Caller: &caller{net: n}}
+}
+
+// An operator's change is accepted, but the leader dies before its answer
+// comes. The operator sends the same change to the next leader, then once more
+// after all replicas restarted, and gets the same answer each time.
+func TestChangeSentAgainAfterTheLeaderDied(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(t, 3)
+		l := n.leader(nil)
+		first, err := l.Propose(context.Background(), change("c1", 0))
+		must.NoError(t, err)
+		must.Eq(t, state.OK, first.GetCode())
+		l.stop()
+		again, err := n.client().Propose(context.Background(), change("c1", 0))
+		must.NoError(t, err)
+		must.Eq(t, 1, again.GetVersion())
+		must.Eq(t, state.OK, again.GetCode())
+		n.start(int(l.Address.Port()-1000), l.store, false)
+		for i, a := range n.addrs {
+			r := n.at(a)
+			r.stop()
+			n.start(i, r.store, false)
+		}
+		again, err = n.client().Propose(context.Background(), change("c1", 0))
+		must.NoError(t, err)
+		must.Eq(t, state.OK, again.GetCode())
+		other, err := n.client().Propose(context.Background(), change("c2", 0))
+		must.NoError(t, err)
+		must.Eq(t, state.Conflict, other.GetCode())
+		must.Eq(t, "c1", other.GetWinner())
+	})
+}
+
+type (
+	regIn struct {
+		id   string // Empty for a read.
+		base uint64
+	}
+	regOut struct {
+		code    string
+		version uint64
+		winner  string
+		unknown bool
+	}
+	regState struct {
+		version uint64
+		change  string
+	}
+)
+
+// register is the configuration as one caller after the other would see it.
+var register = (&porcupine.NondeterministicModel{
+	Init: func() []any { return []any{regState{}} },
+	Step: func(s, in, out any) []any {
+		st, i, o := s.(regState), in.(regIn), out.(regOut)
+		after, want := st, regOut{code: state.OK, version: st.version, winner: st.change}
+		if i.id != "" {
+			if i.base == st.version {
+				after = regState{st.version + 1, i.id}
+				want = regOut{code: state.OK, version: after.version, winner: i.id}
+			} else {
+				want.code = state.Conflict
+			}
+		}
+		switch {
+		case o.unknown:
+			return []any{st, after}
+		case o == want:
+			return []any{after}
+		}
+		return nil
+	},
+	Equal: func(a, b any) bool { return a == b },
+}).ToModel()
+
+// Operators change the configuration from the version that they read, all at
+// once, and read it, while leaders are killed, cut off and restarted. Every
+// answer must fit one order of all changes and reads: no change is lost, two
+// never win the same number, and no read goes back.
+func TestHistoryIsLinearizable(t *testing.T) {
+	for seed := range uint64(5) {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { history(t, seed) })
+		})
+	}
+}
+
+func history(t *testing.T, seed uint64) {
+	n := newNetwork(t, 3)
+	n.leader(nil)
+	var (
+		count atomic.Int64
+		mu    sync.Mutex
+		ops   []porcupine.Operation
+		wg    sync.WaitGroup
+	)
+	end := time.Now().Add(40 * time.Second)
+	for c := range 4 {
+		wg.Go(func() {
+			cl := n.client()
+			rnd := rand.New(rand.NewPCG(seed, uint64(c)))
+			known := uint64(0)
+			for k := 0; time.Now().Before(end); k++ {
+				time.Sleep(time.Duration(rnd.IntN(400)) * time.Millisecond)
+				in := regIn{}
+				if rnd.IntN(2) == 0 {
+					in = regIn{fmt.Sprintf("c%d-%d", c, k), known}
+				}
+				at := count.Add(1)
+				out := ask(cl, in)
+				back := count.Add(1)
+				if out.unknown {
+					back = 1 << 40
+				} else {
+					known = out.version
+				}
+				mu.Lock()
+				ops = append(ops, porcupine.Operation{ClientId: c, Input: in, Call: at, Output: out, Return: back})
+				mu.Unlock()
+			}
+		})
+	}
+	rnd := rand.New(rand.NewPCG(seed, 99))
+	for time.Now().Before(end) {
+		time.Sleep(time.Duration(rnd.IntN(3000)) * time.Millisecond)
+		a := n.addrs[rnd.IntN(3)]
+		switch r := n.at(a); rnd.IntN(4) {
+		case 0:
+			n.isolate(a, true)
+		case 1:
+			r.stop()
+			n.start(int(a.Port()-1000), r.store, false)
+		default:
+			for _, b := range n.addrs {
+				n.isolate(b, false)
+			}
+		}
+	}
+	wg.Wait()
+	must.Greater(t, 100, len(ops))
+	must.Eq(t, porcupine.Ok, porcupine.CheckOperationsTimeout(register, ops, time.Minute))
+}
+
+// ask changes or reads once. A read that no leader answers is tried again: it
+// changes nothing.
+func ask(cl *leader.Leader, in regIn) regOut {
+	if in.id != "" {
+		r, err := cl.Propose(context.Background(), change(in.id, in.base))
+		return regOut{r.GetCode(), r.GetVersion(), r.GetWinner(), err != nil}
+	}
+	for {
+		f, err := cl.Ask(context.Background(), func() *wire.Frame {
+			return &wire.Frame{Body: &wire.Frame_StatusQuery{StatusQuery: &wire.StatusQuery{Fresh: true}}}
+		})
+		if err == nil {
+			return regOut{state.OK, f.GetStatus().GetVersion(), f.GetStatus().GetChange(), false}
+		}
+	}
+}
+
+// The disk of the leader fails in the middle of a claim. The caller gets no
+// answer from it; the replica stops for good and its supervisor must not start
+// it again; the others go on, and the claim sent again is the caller's.
+func TestFailedSyncStopsTheReplica(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(t, 3)
+		l := n.leader(nil)
+		l.store.mu.Lock()
+		l.store.fail = errors.New("input/output error")
+		l.store.mu.Unlock()
+		claim := &wire.Command{Kind: &wire.Command_Claim{Claim: &wire.Claim{Account: "a", Key: "k", Holder: "e", Request: 1}}}
+		_, err := l.Propose(context.Background(), claim)
+		must.Error(t, err)
+		must.ErrorIs(t, <-l.ended, suture.ErrTerminateSupervisorTree)
+		r, err := n.client().Propose(context.Background(), claim)
+		must.NoError(t, err)
+		must.Eq(t, state.OK, r.GetCode())
+	})
+}
+
+// A replica's disk is replaced while its start command still says --bootstrap.
+// Had it founded a new group, entries would find an empty configuration and
+// free claims there. It founds none, neither while the others are away nor when
+// one of them answers; an operator adds it, and it catches up and votes.
+func TestEmptyDiskFoundsNoSecondGroup(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(t, 3)
+		l := n.leader(nil)
+		_, err := l.Propose(context.Background(), change("c1", 0))
+		must.NoError(t, err)
+		var lost *replica
+		for _, a := range n.addrs {
+			if a != l.Address {
+				lost = n.at(a)
+			}
+		}
+		lost.stop()
+		n.isolate(lost.Address, true)
+		fresh := n.start(int(lost.Address.Port()-1000), &memStore{id: "new"}, true)
+		time.Sleep(time.Minute)
+		must.Eq(t, "", fresh.view.Load().GetGroup())
+		n.isolate(lost.Address, false)
+		time.Sleep(time.Minute)
+		must.Eq(t, "", fresh.view.Load().GetGroup())
+		must.True(t, fresh.reply(0).GetStale())
+		for _, m := range []*wire.Membership{
+			{Replica: "new", Address: fresh.Address.String(), Role: wire.Membership_ROLE_LEARNER},
+			{Replica: lost.id, Role: wire.Membership_ROLE_NONE},
+			{Replica: "new", Address: fresh.Address.String(), Role: wire.Membership_ROLE_VOTER},
+		} {
+			_, err = n.client().Propose(context.Background(), &wire.Command{Kind: &wire.Command_Membership{Membership: m}})
+			must.NoError(t, err)
+			time.Sleep(time.Second)
+		}
+		must.Eq(t, 1, fresh.view.Load().GetVersion())
+		l.stop()
+		n.leader(nil)
+	})
+}
+
+// An entry beats at a replica that is cut off: within seconds it is told to ask
+// another. While the replica is away the version rises; when it is back, or
+// restarted, it never hands out the version from before.
+func TestLaggingReplicaBringsNothingBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(t, 3)
+		l := n.leader(nil)
+		_, err := l.Propose(context.Background(), change("c1", 0))
+		must.NoError(t, err)
+		time.Sleep(time.Second)
+		var lag *replica
+		for _, a := range n.addrs {
+			if a != l.Address {
+				lag = n.at(a)
+			}
+		}
+		must.False(t, lag.beat(&wire.Beat{Node: "entry-1", Version: 1}).GetStale())
+		n.isolate(lag.Address, true)
+		time.Sleep(StaleAfter + time.Second)
+		_, err = n.leader(lag).Propose(context.Background(), change("c2", 1))
+		must.NoError(t, err)
+		r := lag.beat(&wire.Beat{Node: "entry-1", Version: 2})
+		must.True(t, r.GetStale())
+		must.Eq(t, 0, len(r.GetDocument()))
+		lag.stop()
+		lag = n.start(int(lag.Address.Port()-1000), lag.store, false)
+		must.True(t, lag.beat(&wire.Beat{Node: "entry-1", Version: 2}).GetStale())
+		n.isolate(lag.Address, false)
+		time.Sleep(5 * time.Second)
+		r = lag.beat(&wire.Beat{Node: "entry-2", Version: 1})
+		must.Eq(t, 2, r.GetVersion())
+		must.False(t, r.GetStale())
+	})
+}
+
+// Hundreds of claims come at once. They share few syncs, and each of them is
+// answered.
+func TestGroupCommit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(t, 1)
+		l := n.leader(nil)
+		before := l.store.syncs
+		var wg sync.WaitGroup
+		for i := range 500 {
+			wg.Go(func() {
+				r, err := l.Propose(context.Background(), &wire.Command{Kind: &wire.Command_Claim{
+					Claim: &wire.Claim{Account: "a", Key: strconv.Itoa(i), Holder: "e"},
+				}})
+				must.NoError(t, err)
+				must.Eq(t, state.OK, r.GetCode())
+			})
+		}
+		wg.Wait()
+		must.Less(t, 500, l.store.syncs-before)
+	})
+}
+
+// A leader is told to stop. It hands over first: the next leader answers long
+// before an election timeout would have shown that the old one is gone.
+func TestLeaveHandsOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(t, 3)
+		l := n.leader(nil)
+		at := time.Now()
+		l.Leave(context.Background())
+		n.leader(l)
+		must.Less(t, 500*time.Millisecond, time.Since(at))
+	})
+}
+
+// Claims end by the log's own clock, which only a leader moves. A leader dies,
+// then all replicas are down for an hour, so no caller could ask again: the
+// claim is still there, is kept for the rest of its time, and then dropped.
+func TestClaimsEndByTheLogsClock(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(t, 3)
+		l := n.leader(nil)
+		for _, c := range []*wire.Command{
+			{Kind: &wire.Command_Claim{Claim: &wire.Claim{Account: "a", Key: "k", Holder: "e", KeepUs: (2 * time.Minute).Microseconds()}}},
+			{Kind: &wire.Command_Finish{Finish: &wire.Finish{Account: "a", Key: "k", Holder: "e", Outcome: "whole"}}},
+		} {
+			_, err := n.client().Propose(context.Background(), c)
+			must.NoError(t, err)
+		}
+		time.Sleep(time.Minute)
+		l.stop()
+		n.start(int(l.Address.Port()-1000), l.store, false)
+		n.leader(nil)
+		stores := []*memStore{}
+		for _, a := range n.addrs {
+			stores = append(stores, n.at(a).store)
+			n.at(a).stop()
+		}
+		time.Sleep(time.Hour)
+		for i, s := range stores {
+			n.start(i, s, false)
+		}
+		next := n.leader(nil)
+		time.Sleep(50 * time.Second)
+		must.Eq(t, 1, next.view.Load().GetClaims())
+		time.Sleep(3 * time.Minute)
+		must.Eq(t, 0, next.view.Load().GetClaims())
+	})
+}
--- /dev/null
+++ b/io/ctrl/fake_test.go
@@ -0,0 +1,195 @@
+package ctrl
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+	"github.com/shoenig/test/must"
+	"google.golang.org/protobuf/proto"
+
+	"azurelane/core/wire"
+)
+
+type (
+	// network connects replicas in memory. Links can be cut one way.
+	network struct {
+		t     *testing.T
+		mu    sync.Mutex
+		nodes map[netip.AddrPort]*replica
+		addrs []netip.AddrPort
+		cut   map[[2]netip.AddrPort]bool
+	}
+
+	replica struct {
+		*Ctrl
+		net    *network
+		store  *memStore
+		cancel context.CancelFunc
+		ended  chan error
+	}
+
+	// caller is the network as one process sees it.
+	caller struct {
+		net  *network
+		from netip.AddrPort
+	}
+
+	// memStore keeps what was appended; a restart finds it again.
+	memStore struct {
+		mu    sync.Mutex
+		id    string
+		snap  *wire.Snapshot
+		recs  []*wire.Record
+		syncs int
+		fail  error
+	}
+)
+
+func addr(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(1000+i))
+}
+
+func newNetwork(t *testing.T, n int) *network {
+	net := &network{t: t, nodes: map[netip.AddrPort]*replica{}, cut: map[[2]netip.AddrPort]bool{}}
+	for i := range n {
+		net.addrs = append(net.addrs, addr(i))
+	}
+	for i := range n {
+		net.start(i, &memStore{id: fmt.Sprintf("id-%d", i)}, i == n-1)
+	}
+	t.Cleanup(net.stopAll)
+	return net
+}
+
+func (n *network) start(i int, s *memStore, bootstrap bool) *replica {
+	r := &replica{net: n, store: s, ended: make(chan error, 1)}
+	r.Ctrl = &Ctrl{
+		Name: fmt.Sprintf("control-%d", i), Address: addr(i), Control: n.addrs, Bootstrap: bootstrap,
+		Sender: &caller{n, addr(i)}, Log: logr.Discard(),
+	}
+	must.NoError(n.t, r.open(s, s.id, s.snap, s.recs))
+	var ctx context.Context
+	ctx, r.cancel = context.WithCancel(context.Background())
+	n.mu.Lock()
+	n.nodes[addr(i)] = r
+	n.mu.Unlock()
+	go func() { r.ended <- r.Serve(ctx) }()
+	return r
+}
+
+// stop ends a replica without a word, as a kill would.
+func (r *replica) stop() {
+	r.net.mu.Lock()
+	delete(r.net.nodes, r.Address)
+	r.net.mu.Unlock()
+	r.cancel()
+	<-r.done
+}
+
+func (n *network) stopAll() {
+	for _, a := range n.addrs {
+		if r := n.at(a); r != nil {
+			r.stop()
+		}
+	}
+}
+
+func (n *network) at(a netip.AddrPort) *replica {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.nodes[a]
+}
+
+func (n *network) isolate(a netip.AddrPort, yes bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, b := range n.addrs {
+		n.cut[[2]netip.AddrPort{a, b}], n.cut[[2]netip.AddrPort{b, a}] = yes, yes
+	}
+}
+
+// leader waits until a replica other than not leads and answers for sure.
+func (n *network) leader(not *replica) *replica {
+	n.t.Helper()
+	for range 3000 {
+		for _, a := range n.addrs {
+			if r := n.at(a); r != nil && r != not {
+				if _, err := r.status(context.Background(), true); err == nil {
+					return r
+				}
+			}
+		}
+		time.Sleep(tickEvery)
+	}
+	n.t.Fatal("no leader")
+	return nil
+}
+
+var errCut = errors.New("cut")
+
+func (c *caller) to(a netip.AddrPort) (*replica, error) {
+	r := c.net.at(a)
+	c.net.mu.Lock()
+	defer c.net.mu.Unlock()
+	if r == nil || c.net.cut[[2]netip.AddrPort{c.from, a}] {
+		return nil, errCut
+	}
+	return r, nil
+}
+
+func (c *caller) Send(ctx context.Context, to netip.AddrPort, f *wire.Frame) error {
+	r, err := c.to(to)
+	if err != nil {
+		return err
+	}
+	_, err = r.Handle(ctx, proto.CloneOf(f))
+	return err
+}
+
+func (c *caller) Call(ctx context.Context, to netip.AddrPort, f *wire.Frame) (*wire.Frame, error) {
+	r, err := c.to(to)
+	if err != nil {
+		return nil, err
+	}
+	out, err := r.Handle(ctx, proto.CloneOf(f))
+	if err == nil {
+		_, err = (&caller{c.net, to}).to(c.from)
+		if !c.from.IsValid() {
+			err = nil
+		}
+	}
+	if err != nil {
+		return nil, err
+	}
+	return proto.CloneOf(out), nil
+}
+
+func (s *memStore) Append(recs ...*wire.Record) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.fail != nil {
+		return s.fail
+	}
+	s.syncs++
+	s.recs = append(s.recs, recs...)
+	return nil
+}
+
+func (s *memStore) Compact(snap *wire.Snapshot, recs ...*wire.Record) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.fail != nil {
+		return s.fail
+	}
+	s.syncs++
+	s.snap, s.recs = snap, recs
+	return nil
+}
+
+func (*memStore) Close() error { return nil }
--- /dev/null
+++ b/io/ctrl/handle.go
@@ -0,0 +1,88 @@
+package ctrl
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"azurelane/core/raft"
+	"azurelane/core/wire"
+)
+
+// Handle answers one frame of a peer.
+func (c *Ctrl) Handle(ctx context.Context, f *wire.Frame) (*wire.Frame, error) {
+	switch b := f.GetBody().(type) {
+	case *wire.Frame_Raft:
+		select {
+		case c.in <- b.Raft:
+		default: // Full: the log bears the loss, and the link must not block.
+		}
+		return nil, nil //nolint:nilnil // One-way.
+	case *wire.Frame_Command:
+		r, err := c.Propose(ctx, b.Command)
+		if err != nil {
+			return nil, err
+		}
+		return &wire.Frame{Body: &wire.Frame_Result{Result: r}}, nil
+	case *wire.Frame_Beat:
+		return &wire.Frame{Body: &wire.Frame_BeatReply{BeatReply: c.beat(b.Beat)}}, nil
+	case *wire.Frame_ConfigQuery:
+		return &wire.Frame{Body: &wire.Frame_BeatReply{BeatReply: c.reply(b.ConfigQuery.GetVersion())}}, nil
+	case *wire.Frame_StatusQuery:
+		s, err := c.status(ctx, b.StatusQuery.GetFresh())
+		if err != nil {
+			return nil, err
+		}
+		return &wire.Frame{Body: &wire.Frame_Status{Status: s}}, nil
+	}
+	return nil, &wire.Fault{Code: "unsupported", Text: fmt.Sprintf("ctrl: %T", f.GetBody())}
+}
+
+// Propose puts a command into the log and returns the state machine's result
+// once it is applied here. After an error the command may still be applied:
+// only the same command may be sent again.
+func (c *Ctrl) Propose(ctx context.Context, cmd *wire.Command) (*wire.Result, error) {
+	p := &proposal{cmd: cmd, member: cmd.GetMembership(), done: make(chan answer, 1)}
+	if cmd.GetExpire() != nil {
+		return nil, &wire.Fault{Code: refused, Text: "ctrl: only the leader expires claims"}
+	}
+	select {
+	case c.props <- p:
+	case <-c.done:
+		return nil, errStopped
+	case <-ctx.Done():
+		return nil, fmt.Errorf("ctrl: %w", ctx.Err())
+	}
+	select {
+	case a := <-p.done:
+		return a.result, a.err
+	case <-c.done:
+		return nil, errStopped
+	case <-ctx.Done():
+		return nil, fmt.Errorf("ctrl: %w", ctx.Err())
+	}
+}
+
+// status is this replica's view. A fresh one comes from a leader under its
+// lease alone, so it shows all that was acknowledged before it was asked for.
+func (c *Ctrl) status(ctx context.Context, fresh bool) (*wire.Status, error) {
+	if !fresh {
+		return c.statusOf(c.view.Load()), nil
+	}
+	var fault error
+	err := c.do(ctx, func(now time.Time) raft.Effects {
+		if !c.raft.Leased(now) {
+			fault = c.notLeader()
+			return raft.Effects{}
+		}
+		c.publish(now)
+		return raft.Effects{}
+	})
+	if err == nil {
+		err = fault
+	}
+	if err != nil {
+		return nil, err
+	}
+	return c.statusOf(c.view.Load()), nil
+}
--- /dev/null
+++ b/io/ctrl/peers.go
@@ -0,0 +1,79 @@
+package ctrl
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"azurelane/core/wire"
+)
+
+const (
+	sendQueue = 256
+	sendLimit = 2 * time.Second
+)
+
+// peers sends messages to the other replicas, each by a goroutine of its own,
+// so that a peer that can't be reached holds up no other. The zero value is
+// ready.
+type peers struct {
+	mu      sync.Mutex
+	queues  map[string]chan *wire.Raft // By address.
+	learned map[string]string          // Addresses of senders, by identity.
+}
+
+// note remembers where a message came from: a replica with an empty disk knows
+// no membership yet and must answer all the same.
+func (p *peers) note(m *wire.Raft) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.learned == nil {
+		p.learned = map[string]string{}
+	}
+	p.learned[m.GetFrom()] = m.GetAddress()
+}
+
+func (p *peers) send(ctx context.Context, c *Ctrl, m *wire.Raft) {
+	m.Address = c.Address.String()
+	addr := c.addressOf(m.GetTo())
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if addr == "" {
+		addr = p.learned[m.GetTo()]
+	}
+	q := p.queues[addr]
+	if q == nil {
+		to, err := netip.ParseAddrPort(addr)
+		if err != nil {
+			return
+		}
+		if p.queues == nil {
+			p.queues = map[string]chan *wire.Raft{}
+		}
+		q = make(chan *wire.Raft, sendQueue)
+		p.queues[addr] = q
+		go c.feed(ctx, to, q)
+	}
+	select {
+	case q <- m:
+	default: // The peer takes nothing: the log sends again later.
+	}
+}
+
+func (c *Ctrl) feed(ctx context.Context, to netip.AddrPort, q chan *wire.Raft) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.done:
+			return
+		case m := <-q:
+			sctx, cancel := context.WithTimeout(ctx, sendLimit)
+			if err := c.Sender.Send(sctx, to, &wire.Frame{Body: &wire.Frame_Raft{Raft: m}}); err != nil {
+				c.Log.V(1).Info("Message not sent.", "to", to.String(), "err", err.Error())
+			}
+			cancel()
+		}
+	}
+}
--- a/io/quorum/quorum.go
+++ b/io/quorum/quorum.go
@@ -6,8 +6,10 @@
 	"context"
 	"fmt"
 	"net"
+	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
 	"github.com/thejerf/suture/v4"
 
 	"azurelane/io/admin"
@@ -18,6 +20,9 @@
 	"azurelane/io/stats"
 )
 
+// leaveLimit bounds the wait for the next leader when the process stops.
+const leaveLimit = 5 * time.Second
+
 // Quorum is one control process. Open makes it.
 type Quorum struct {
 	set  *setup.Setup
@@ -28,10 +33,6 @@
 
 // Open reads the data folder and binds the addresses.
 func Open(set *setup.Setup, log logr.Logger) (*Quorum, error) {
-	c, err := ctrl.Open(set.Node, set.DataFolder, log.WithName("ctrl"))
-	if err != nil {
-		return nil, fmt.Errorf("quorum: %w", err)
-	}
 	peers, err := net.Listen("tcp", set.Peers.String())
 	if err != nil {
 		return nil, fmt.Errorf("quorum: listen: %w", err)
@@ -41,23 +42,45 @@
 		_ = peers.Close()
 		return nil, fmt.Errorf("quorum: listen: %w", err)
 	}
+	c := &ctrl.Ctrl{
+		Name: set.Node, Address: set.Peers, Control: set.Control, Bootstrap: set.Bootstrap, After: set.After,
+		Log: log.WithName("ctrl"),
+	}
+	if err := c.Open(set.DataFolder); err != nil {
+		_ = peers.Close()
+		_ = ops.Close()
+		return nil, fmt.Errorf("quorum: %w", err)
+	}
+	m := &mesh.Mesh{Listen: peers, Self: set.Peers, Handle: c.Handle, Log: log.WithName("mesh")}
+	c.Sender = m
 	q := &Quorum{set: set, log: log, ctrl: c}
 	q.sup = suture.New("control", suture.Spec{EventHook: func(ev suture.Event) { log.Info("Part stopped.", "event", ev.String()) }})
-	q.sup.Add(&mesh.Mesh{Listen: peers, Self: set.Peers, Handle: c.Handle, Log: log.WithName("mesh")})
-	q.sup.Add(&httpd.Httpd{Listen: ops, Handler: (&admin.Admin{Stats: stats.New()}).Handler()})
+	q.sup.Add(c)
+	q.sup.Add(m)
+	q.sup.Add(&httpd.Httpd{Listen: ops, Handler: (&admin.Admin{Stats: stats.New(), Ready: c.Ready}).Handler()})
 	return q, nil
 }
 
-// Serve runs until ctx ends.
+// Serve runs until ctx ends; a leader then hands over first. When the replica
+// fails, all parts end and the process with them: nothing restarts it in place.
 func (q *Quorum) Serve(ctx context.Context) error {
+	parts, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
 	q.log.Info("Control serves.", "node", q.set.Node, "peers", q.set.Peers.String())
-	err := q.sup.Serve(ctx)
-	if cerr := q.ctrl.Close(); cerr != nil {
-		return cerr
-	}
-	if ctx.Err() == nil {
+	done := q.sup.ServeBackground(parts)
+	select {
+	case err := <-done:
+		if !errors.Is(err, suture.ErrTerminateSupervisorTree) {
+			err = fmt.Errorf("%w: %w", suture.ErrTerminateSupervisorTree, err)
+		}
 		return fmt.Errorf("quorum: %w", err)
+	case <-ctx.Done():
 	}
+	lctx, lcancel := context.WithTimeout(parts, leaveLimit)
+	defer lcancel()
+	q.ctrl.Leave(lctx)
+	cancel()
+	<-done //nolint:errcheck // The parts ended because they were told to.
 	q.log.Info("Control stopped.")
 	return nil
 }
--- a/io/setup/setup.go
+++ b/io/setup/setup.go
@@ -30,6 +30,9 @@
 	LogFormat  string           `json:"log-format,omitzero"`  // text or json.
 	LogLevel   int              `json:"log-level,omitzero"`   // 0, or 1 for detail.
 	Trace      trace.Trace      `json:"trace,omitzero"`       // Where spans go.
+
+	Bootstrap bool   `json:"-"` // Control, by a flag: found a group if all replicas are empty.
+	After     uint64 `json:"-"` // Control, by a flag: configuration version that a new group goes on from.
 }
 
 // Load reads a settings file. Errors name the file, the key and what was
