Claims: a late finish touches no other request

Cause: a finish matched its claim by holder alone, overwrote an outcome on record, and a claim whose holder died had no end. TestLateFinishFreesNoOtherRequest, TestFirstOutcomeStands and TestUnfinishedClaimExpires failed before the change: a key freed by the late finish could run a second time.

Ruled out: command ids alone, because results of claims are not remembered by id. Change: finish carries the claim's request and the first outcome stands; a claim ends one keep time after it was made. Conclusion: the three tests pass.

--- a/core/state/state.go
+++ b/core/state/state.go
@@ -81,6 +81,9 @@
 		s.claims[k] = &wire.ClaimState{
 			Account: c.GetAccount(), Key: c.GetKey(), BodyHash: c.GetBodyHash(), Holder: c.GetHolder(),
 			Address: c.GetAddress(), KeepUs: c.GetKeepUs(), Request: c.GetRequest(),
+			// A holder that dies records no outcome; without an end of its own
+			// its claim would stay for ever.
+			ExpiresUs: c.GetNowUs() + c.GetKeepUs(),
 		}
 		return &wire.Result{Code: OK, Holder: c.GetHolder()}
 	}
@@ -96,13 +99,25 @@
 	if old.GetOutcome() != "" {
 		code = Finished
 	}
-	return &wire.Result{Code: code, Holder: old.GetHolder(), Address: old.GetAddress(), Outcome: old.GetOutcome()}
+	return &wire.Result{
+		Code: code, Holder: old.GetHolder(), Address: old.GetAddress(), Outcome: old.GetOutcome(), Request: old.GetRequest(),
+	}
 }
 
+// finish records an outcome once. A finish that comes late must not touch the
+// claim of a newer request of the same entry, and one that says not-run must
+// not free a key whose run is on record: either would let the key run twice.
 func (s *State) finish(f *wire.Finish) *wire.Result {
 	k := claimKey{f.GetAccount(), f.GetKey()}
 	c, ok := s.claims[k]
-	if !ok || c.GetHolder() != f.GetHolder() {
+	if !ok || c.GetHolder() != f.GetHolder() || (f.GetRequest() != 0 && c.GetRequest() != f.GetRequest()) {
+		return &wire.Result{Code: Gone}
+	}
+	switch c.GetOutcome() {
+	case "":
+	case f.GetOutcome():
+		return &wire.Result{Code: OK}
+	default:
 		return &wire.Result{Code: Gone}
 	}
 	if f.GetOutcome() == "not-run" {
@@ -118,7 +133,7 @@
 
 func (s *State) expire(e *wire.Expire) *wire.Result {
 	for k, c := range s.claims {
-		if c.GetOutcome() != "" && c.GetExpiresUs() <= e.GetNowUs() {
+		if c.GetExpiresUs() <= e.GetNowUs() {
 			delete(s.claims, k)
 		}
 	}
--- a/io/ctrl/ctrl.go
+++ b/io/ctrl/ctrl.go
@@ -88,6 +88,9 @@
 	if f := cmd.GetFinish(); f != nil {
 		f.NowUs = now
 	}
+	if c := cmd.GetClaim(); c != nil {
+		c.NowUs = now
+	}
 	data, err := proto.Marshal(cmd)
 	if err != nil {
 		return nil, fmt.Errorf("ctrl: marshal command: %w", err)
