--- a/cmd/azurelane/dev.go
+++ b/cmd/azurelane/dev.go
@@ -20,6 +20,7 @@
 	"azurelane/io/logs"
 	"azurelane/io/quorum"
 	"azurelane/io/setup"
+	"azurelane/io/stand"
 )
 
 const usageDev = `Run a whole small system in this process, on loopback: one control replica
@@ -113,7 +114,7 @@
 	if err != nil {
 		return fmt.Errorf("dev: listen: %w", err)
 	}
-	sup.Add(&httpd.Httpd{Listen: ln, Handler: &engine.Server{Engine: eng}})
+	sup.Add(&httpd.Httpd{Listen: ln, Handler: &stand.Stand{Engine: eng}})
 	sup.Add(&hello.Hello{
 		Upstream: eng.Name, Address: addr, Incarnation: "dev", Pools: []string{pool}, Models: models,
 		MaxRunning: eng.Slots, Entries: []netip.AddrPort{c.addr(3)}, Load: eng.Load, Log: log.WithName("hello"),
--- a/cmd/azurelane/standin.go
+++ b/cmd/azurelane/standin.go
@@ -14,6 +14,7 @@
 	"azurelane/io/hello"
 	"azurelane/io/httpd"
 	"azurelane/io/logs"
+	"azurelane/io/stand"
 )
 
 const usageStandin = `Run a stand-in for a model engine or a plain service. It announces itself to
@@ -52,7 +53,7 @@
 	}
 	sup := suture.NewSimple("standin")
 	sup.Add(h)
-	sup.Add(&httpd.Httpd{Listen: ln, Handler: &engine.Server{Engine: eng}})
+	sup.Add(&httpd.Httpd{Listen: ln, Handler: &stand.Stand{Engine: eng}})
 	_ = sup.Serve(ctx)
 	return h.Announce(context.WithoutCancel(ctx), true)
 }
--- a/io/engine/http.go
+++ b/io/stand/stand.go
@@ -1,7 +1,8 @@
-package engine
+// Package stand serves a stand-in over HTTP: chat completions in OpenAI's
+// published form, plain calls on every other path, and a journal of what ran.
+package stand
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -12,6 +13,9 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-json-experiment/json"
+
+	"azurelane/io/engine"
+	"azurelane/io/record"
 )
 
 const (
@@ -24,21 +28,14 @@
 )
 
 type (
-	// Server serves an engine over HTTP in OpenAI's published form, plain calls
-	// on every other path, and a journal of what ran.
-	Server struct {
-		*Engine
-
-		jmu     sync.Mutex
-		journal []Entry
-	}
+	// Stand is the HTTP handler of one stand-in. Its exported fields are set
+	// before use.
+	Stand struct {
+		*engine.Engine
+		Chunk int64 // Tokens in one event of a stream, and in one wait; 0 counts as 1.
 
-	// Entry is one run in the journal.
-	Entry struct {
-		Request  string `json:"request"`
-		Key      string `json:"key,omitzero"`
-		Path     string `json:"path"`
-		Finished bool   `json:"finished"`
+		mu      sync.Mutex
+		journal []record.Record
 	}
 
 	chat struct {
@@ -75,7 +72,7 @@
 )
 
 // ServeHTTP runs one request.
-func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (s *Stand) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == journalPath {
 		s.serveJournal(w)
 		return
@@ -89,28 +86,27 @@
 	if id := r.Header.Get(headerRequest); id != "" {
 		w.Header().Set(headerRequest, id)
 	}
-	if !s.enter(r.Context().Done()) {
+	if !s.Enter(r.Context()) {
 		return
 	}
-	defer s.leave()
-	s.count(func(c *Stats) { c.Started++ })
-	var ok bool
+	ok := false
+	// Deferred, so that a request that panics in the handler frees its place.
+	defer func() {
+		if ok {
+			s.finish(n)
+		}
+		s.Leave(ok)
+	}()
 	if strings.HasSuffix(r.URL.Path, "/chat/completions") {
 		ok = s.chat(w, r, body)
 	} else {
 		ok = s.plain(w, r, body)
 	}
-	if ok {
-		s.finish(n)
-		s.count(func(c *Stats) { c.Finished++ })
-		return
-	}
-	s.count(func(c *Stats) { c.Cancelled++ })
 }
 
 // plain answers a plain service's call with what it was sent.
-func (s *Server) plain(w http.ResponseWriter, r *http.Request, body []byte) bool {
-	if !pause(r.Context(), s.Step) {
+func (s *Stand) plain(w http.ResponseWriter, r *http.Request, body []byte) bool {
+	if !s.Decode(r.Context(), 1) {
 		return false
 	}
 	w.Header().Set("Content-Type", "application/json")
@@ -118,7 +114,7 @@
 	return err == nil
 }
 
-func (s *Server) chat(w http.ResponseWriter, r *http.Request, body []byte) bool {
+func (s *Stand) chat(w http.ResponseWriter, r *http.Request, body []byte) bool {
 	var c chat
 	if err := json.Unmarshal(body, &c); err != nil {
 		http.Error(w, "engine: "+err.Error(), http.StatusBadRequest)
@@ -128,34 +124,31 @@
 		c.MaxTokens = defaultTokens
 	}
 	prompt := int64(len(body)/bytesPerToken) + 1
-	took, work := s.prefill(xxhash.Sum64(body[:min(prefixBytes, len(body))]), prompt)
-	if !pause(r.Context(), took) {
-		s.count(func(n *Stats) { n.Prompt += work; n.Wasted += work })
+	work, ok := s.Read(r.Context(), xxhash.Sum64(body[:min(prefixBytes, len(body))]), prompt)
+	if !ok {
 		return false
 	}
-	s.count(func(n *Stats) { n.Prompt += work })
 	out := completion{ID: r.Header.Get(headerRequest), Object: "chat.completion", Model: c.Model}
-	var ok bool
 	if c.Stream {
 		ok = s.stream(w, r, c, out)
 	} else {
 		ok = s.whole(w, r, c, out, prompt)
 	}
 	if !ok {
-		s.count(func(n *Stats) { n.Wasted += work })
+		s.Waste(work)
 	}
 	return ok
 }
 
-func (s *Server) whole(w http.ResponseWriter, r *http.Request, c chat, out completion, prompt int64) bool {
+func (s *Stand) whole(w http.ResponseWriter, r *http.Request, c chat, out completion, prompt int64) bool {
 	var text strings.Builder
-	for i := range c.MaxTokens {
-		if !pause(r.Context(), s.stepTime()) {
+	for i := int64(0); i < c.MaxTokens; i += s.chunk() {
+		n := min(s.chunk(), c.MaxTokens-i)
+		if !s.Decode(r.Context(), n) {
 			return false
 		}
-		text.WriteString(token(i))
+		text.WriteString(tokens(i, n))
 	}
-	s.count(func(n *Stats) { n.Generated += c.MaxTokens })
 	out.Choices = []choice{{Message: &message{"assistant", text.String()}, FinishReason: "length"}}
 	out.Usage = &usage{prompt, c.MaxTokens}
 	data, err := json.Marshal(out)
@@ -168,15 +161,16 @@
 	return err == nil
 }
 
-func (s *Server) stream(w http.ResponseWriter, r *http.Request, c chat, out completion) bool {
+func (s *Stand) stream(w http.ResponseWriter, r *http.Request, c chat, out completion) bool {
 	w.Header().Set("Content-Type", "text/event-stream")
 	out.Object = "chat.completion.chunk"
 	flush := http.NewResponseController(w)
-	for i := range c.MaxTokens {
-		if !pause(r.Context(), s.stepTime()) {
+	for i := int64(0); i < c.MaxTokens; i += s.chunk() {
+		n := min(s.chunk(), c.MaxTokens-i)
+		if !s.Decode(r.Context(), n) {
 			return false
 		}
-		out.Choices = []choice{{Delta: &message{"assistant", token(i)}}}
+		out.Choices = []choice{{Delta: &message{"assistant", tokens(i, n)}}}
 		data, err := json.Marshal(out)
 		if err != nil {
 			return false
@@ -187,50 +181,43 @@
 		if err := flush.Flush(); err != nil {
 			return false
 		}
-		s.count(func(n *Stats) { n.Generated++ })
 	}
 	_, err := io.WriteString(w, "data: [DONE]\n\n")
 	return err == nil
 }
 
-func (s *Server) note(r *http.Request) int {
-	s.jmu.Lock()
-	defer s.jmu.Unlock()
-	s.journal = append(s.journal, Entry{Request: r.Header.Get(headerRequest), Key: r.Header.Get(headerKey), Path: r.URL.Path})
+func (s *Stand) note(r *http.Request) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.journal = append(s.journal, record.Record{Request: r.Header.Get(headerRequest), Key: r.Header.Get(headerKey), Path: r.URL.Path, Arrived: time.Now()})
 	return len(s.journal) - 1
 }
 
-func (s *Server) finish(n int) {
-	s.jmu.Lock()
-	defer s.jmu.Unlock()
+func (s *Stand) finish(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.journal[n].Finished = true
 }
 
 // Journal lists every run, in order of arrival.
-func (s *Server) Journal() []Entry {
-	s.jmu.Lock()
-	defer s.jmu.Unlock()
-	return append([]Entry(nil), s.journal...)
+func (s *Stand) Journal() []record.Record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]record.Record(nil), s.journal...)
 }
 
-func (s *Server) serveJournal(w http.ResponseWriter) {
+func (s *Stand) serveJournal(w http.ResponseWriter) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.MarshalWrite(w, s.Journal())
 }
 
-func token(i int64) string { return "t" + strconv.FormatInt(i, 10) + " " }
+func (s *Stand) chunk() int64 { return max(s.Chunk, 1) }
 
-// pause waits and reports whether the caller is still there.
-func pause(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
+// tokens writes n tokens from the i-th on.
+func tokens(i, n int64) string {
+	var b strings.Builder
+	for k := i; k < i+n; k++ {
+		b.WriteString("t" + strconv.FormatInt(k, 10) + " ")
 	}
+	return b.String()
 }
