Slots that can't leak; queue, limits and placement in parts

Cause: a grant that met a withdrawal, a broken link or a lost release kept its slot for ever, and the upstream lost a place each time. A ticket sent again was counted twice. A fresh owner refused everything before it had heard one announcement, and slots on upstreams that it did not know were not counted.

Change: a ticket has one slot at most, keyed by entry incarnation and ticket; a withdrawal or the same ticket again frees it. An entry's list of held slots is the truth: listed ones are adopted, also for upstreams not announced yet, those older than 5 s and not listed are freed, and one that was released can't come back by an older list. A slot without any end is freed after the pool's longest run. A fresh owner waits 3 s for announcements.

Ruled out: a lease on each slot renewed by its own message, which costs a message for each slot and second where one list for each entry does.

--- a/cmd/azurelane/main.go
+++ b/cmd/azurelane/main.go
@@ -12,6 +12,7 @@
 
 	// Scheduling policies register themselves.
 	_ "azurelane/core/late"
+	_ "azurelane/core/least"
 	_ "azurelane/core/robin"
 )
 
--- a/core/kernel/kernel.go
+++ b/core/kernel/kernel.go
@@ -21,13 +21,17 @@
 	Configure(now time.Time, pool string, cfg *conf.Config) []*wire.Decision
 	// Announce takes an upstream's lease and load report.
 	Announce(now time.Time, a *wire.Announce) []*wire.Decision
-	// Submit queues a ticket. A refusal comes back at once.
+	// Submit queues a ticket. A refusal comes back at once. A ticket that is
+	// submitted again takes the place of its former self.
 	Submit(now time.Time, t *wire.Ticket) []*wire.Decision
 	// Release frees a slot and learns from the run.
 	Release(now time.Time, r *wire.Release) []*wire.Decision
-	// Withdraw drops a waiting ticket whose caller has gone.
+	// Withdraw drops a waiting ticket whose caller has gone, and frees the slot
+	// of one that was granted in the same moment.
 	Withdraw(now time.Time, w *wire.Withdraw)
-	// Hold takes over slots that a former owner had granted.
+	// Hold takes the list of all slots that an entry holds. It is sent to an
+	// owner that has just taken over, and again every few seconds: what it lists
+	// is adopted, and an older slot that it does not list was lost and is freed.
 	Hold(now time.Time, h *wire.Held)
 	// Forget frees what a dead entry held and drops its tickets.
 	Forget(now time.Time, incarnation string) []*wire.Decision
--- a/core/late/late.go
+++ b/core/late/late.go
@@ -6,9 +6,14 @@
 import (
 	"time"
 
+	"azurelane/core/blame"
 	"azurelane/core/conf"
+	"azurelane/core/item"
 	"azurelane/core/kernel"
+	"azurelane/core/place"
 	"azurelane/core/pool"
+	"azurelane/core/queue"
+	"azurelane/core/refuse"
 	"azurelane/core/slots"
 	"azurelane/core/table"
 	"azurelane/core/tier"
@@ -21,152 +26,186 @@
 
 func init() { kernel.Register(Name, false, func() kernel.Scheduler { return &Late{} }) }
 
-type (
-	// Late is the policy's state for one pool.
-	Late struct {
-		table   table.Table
-		slots   slots.Slots
-		pool    pool.Pool
-		waiting [tier.Levels][]*waiter
-		n       int
-	}
+// Late is the policy's state for one pool.
+type Late struct {
+	name  string
+	pool  pool.Pool
+	table table.Table
+	slots slots.Slots
+	queue queue.Queue
+	place place.Place
+	blame blame.Blame
+	usual usual
+
+	started time.Time // First call; the table fills within startGrace after it.
+	swept   time.Time
+	live    int     // Live upstreams at the last sweep.
+	rate    float64 // Work units a second of the whole pool; zero while unknown.
+	open    []*upstr.Upstream
+}
 
-	waiter struct {
-		*wire.Ticket
-		deadline time.Time // Zero for none.
-	}
+const (
+	// startGrace is how long a fresh owner waits for announcements before it
+	// says that there is no upstream. Upstreams announce themselves each second.
+	startGrace  = 3 * time.Second
+	forgetAfter = time.Minute            // An upstream without a lease stays known.
+	sweepEvery  = 200 * time.Millisecond // Looks at all slots and upstreams.
+	runGrace    = 10 * time.Second       // Over the longest run, before a slot without an end is freed.
+	// bulkShare is the part of the work that waiting bulk work gets when the
+	// configuration names none, so that it moves under any load.
+	bulkShare = 0.03
+	// burst is how much work an account may be ahead of its share, as time of
+	// the whole pool.
+	burst = time.Second
 )
 
-// retryAfter is what a refused caller is told to wait.
-const retryAfter = time.Second
-
-// forgetAfter is how long an upstream without a lease stays known.
-const forgetAfter = time.Minute
-
-// Configure installs the pool's limits.
+// Configure installs the pool's limits and weights.
 func (l *Late) Configure(now time.Time, name string, cfg *conf.Config) []*wire.Decision {
+	l.begin(now)
+	l.name = name
 	l.pool = cfg.Pools[name].WithDefaults()
+	if p, err := place.Preset(l.pool.Preset); err == nil {
+		l.place = p
+	}
+	l.queue.Accounts = cfg.Accounts
+	l.queue.MaxWaiting = l.pool.MaxWaiting
+	l.queue.Shares = [tier.Levels]float64{tier.Levels - 1: bulkShare}
+	for _, t := range cfg.Tiers {
+		if t.Share > 0 {
+			l.queue.Shares[t.Wire()] = t.Share
+		}
+	}
+	l.sweep(now)
 	return l.assign(now)
 }
 
+func (l *Late) begin(now time.Time) {
+	if l.started.IsZero() {
+		l.started = now
+	}
+}
+
 // Announce takes an upstream's lease and grants what now fits.
 func (l *Late) Announce(now time.Time, a *wire.Announce) []*wire.Decision {
+	l.begin(now)
 	l.table.Put(now, a)
 	return l.assign(now)
 }
 
-// Submit queues a ticket, or refuses it when the pool is full.
+// Submit queues a ticket, grants it, or refuses it at once. A ticket sent
+// again replaces its former self: the link broke before the decision arrived,
+// so a waiting one would be granted twice and a granted one never dispatched.
 func (l *Late) Submit(now time.Time, t *wire.Ticket) []*wire.Decision {
-	if len(l.table.Live(now)) == 0 {
-		return []*wire.Decision{refuse(t, "no-upstream")}
+	l.begin(now)
+	l.queue.Remove(t.GetIncarnation(), t.GetId())
+	l.cancel(now, t.GetIncarnation(), t.GetId())
+	if !l.served(now, t) && now.Sub(l.started) >= startGrace {
+		return []*wire.Decision{refusal(t, refuse.NoUpstream, startGrace)}
 	}
-	if l.n >= l.pool.MaxWaiting {
-		return []*wire.Decision{refuse(t, "overloaded")}
+	i := l.item(now, t)
+	if code, after := l.hopeless(now, i); code != "" {
+		return []*wire.Decision{refusal(t, code, after)}
 	}
-	w := &waiter{Ticket: t}
-	if t.GetDeadlineUs() > 0 {
-		w.deadline = now.Add(time.Duration(t.GetDeadlineUs()) * time.Microsecond)
+	l.queue.Push(i)
+	out := l.assign(now)
+	for v := l.queue.OverAccount(t.GetAccount()); v != nil; v = l.queue.OverAccount(t.GetAccount()) {
+		out = append(out, refusal(v.Ticket, refuse.AccountLimit, l.drain(v)))
 	}
-	level := min(max(int(t.GetTier()), 0), tier.Levels-1)
-	l.waiting[level] = append(l.waiting[level], w)
-	l.n++
-	return l.assign(now)
+	for v := l.queue.OverPool(); v != nil; v = l.queue.OverPool() {
+		out = append(out, refusal(v.Ticket, refuse.Overloaded, l.drain(v)))
+	}
+	return out
 }
 
-// Release frees a slot and grants what now fits.
-func (l *Late) Release(now time.Time, r *wire.Release) []*wire.Decision {
-	l.slots.Free(r.GetOwner(), r.GetSlot())
-	return l.assign(now)
+// Withdraw drops a waiting ticket, or frees the slot that it was granted in
+// the same moment: the entry that withdraws has given up and won't dispatch.
+func (l *Late) Withdraw(now time.Time, w *wire.Withdraw) {
+	l.queue.Remove(w.GetIncarnation(), w.GetTicket())
+	l.cancel(now, w.GetIncarnation(), w.GetTicket())
 }
 
-// Withdraw drops a waiting ticket.
-func (l *Late) Withdraw(_ time.Time, w *wire.Withdraw) {
-	l.drop(func(t *waiter) bool {
-		return t.GetId() == w.GetTicket() && t.GetIncarnation() == w.GetIncarnation()
-	})
+// cancel frees a slot whose ticket won't be dispatched under it.
+func (l *Late) cancel(now time.Time, incarnation string, ticket uint64) {
+	if s := l.slots.Cancel(now, incarnation, ticket); s != nil {
+		l.queue.Correct(s.Ticket.GetAccount(), -s.Work)
+	}
 }
 
-// Hold takes over slots granted by a former owner.
+// Hold takes an entry's list of the slots that it holds, sent when this owner
+// takes over and again every few seconds. See slots.Hold.
 func (l *Late) Hold(now time.Time, h *wire.Held) {
+	l.begin(now)
+	var list []*wire.HeldSlot
 	for _, s := range h.GetSlots() {
-		if u := l.table.Get(s.GetGrant().GetUpstream()); u != nil {
-			l.slots.Adopt(now, u, s)
+		if s.GetTicket().GetPool() == l.name {
+			list = append(list, s)
 		}
 	}
+	l.slots.Hold(now, h.GetIncarnation(), list, l.table.Named)
 }
 
 // Forget drops a dead entry's tickets and slots.
 func (l *Late) Forget(now time.Time, incarnation string) []*wire.Decision {
 	l.slots.Forget(incarnation)
-	l.drop(func(t *waiter) bool { return t.GetIncarnation() == incarnation })
+	l.queue.Drop(func(i *item.Item) bool { return i.GetIncarnation() == incarnation })
 	return l.assign(now)
 }
 
-// Tick refuses what is past its deadline and grants what now fits.
+// Tick refuses what can't be done in time any more and grants what now fits.
 func (l *Late) Tick(now time.Time) []*wire.Decision {
-	l.table.Expire(now, forgetAfter)
+	l.begin(now)
 	var out []*wire.Decision
-	l.drop(func(t *waiter) bool {
-		if t.deadline.IsZero() || now.Before(t.deadline) {
-			return false
-		}
-		out = append(out, refuse(t.Ticket, "deadline"))
-		return true
-	})
-	return append(out, l.assign(now)...)
-}
-
-func (l *Late) drop(gone func(*waiter) bool) {
-	for i, q := range l.waiting {
-		kept := q[:0]
-		for _, t := range q {
-			if gone(t) {
-				l.n--
-				continue
-			}
-			kept = append(kept, t)
-		}
-		clear(q[len(kept):])
-		l.waiting[i] = kept
+	for i := l.queue.Expired(now); i != nil; i = l.queue.Expired(now) {
+		out = append(out, refusal(i.Ticket, refuse.Deadline, l.drain(i)))
 	}
+	if now.Sub(l.swept) >= sweepEvery {
+		out = append(out, l.sweep(now)...)
+	}
+	return append(out, l.assign(now)...)
 }
 
-// assign grants free slots to the first tickets of the most urgent tier.
+// assign grants free slots to the tickets that are next.
 func (l *Late) assign(now time.Time) []*wire.Decision {
+	if l.queue.Len() == 0 {
+		return nil
+	}
 	var out []*wire.Decision
-	for i := range l.waiting {
-		for len(l.waiting[i]) > 0 {
-			u := l.idlest(now)
-			if u == nil {
-				return out
-			}
-			t := l.waiting[i][0]
-			l.waiting[i] = l.waiting[i][1:]
-			l.n--
-			out = append(out, l.slots.Grant(now, u, t.Ticket, l.pool.GrantTTL))
+	l.queue.Round()
+	for l.open = place.Open(now, l.table.All(), l.open); len(l.open) > 0; l.open = place.Open(now, l.table.All(), l.open) {
+		var granted *wire.Decision
+		l.queue.Next(func(i *item.Item) (bool, bool) {
+			var full bool
+			granted, full = l.grant(now, i)
+			return granted != nil, full
+		})
+		if granted == nil {
+			return out
 		}
+		out = append(out, granted)
 	}
 	return out
 }
 
-// idlest returns the live upstream with the smallest filled part, or nil when
-// all are full.
-func (l *Late) idlest(now time.Time) *upstr.Upstream {
-	var best *upstr.Upstream
-	for _, u := range l.table.All() {
-		if !u.Live(now) || u.Running >= u.Limit() {
-			continue
-		}
-		if best == nil || u.Running*best.Limit() < best.Running*u.Limit() {
-			best = u
-		}
+// grant places one ticket. It returns nil and whether all tickets like it
+// would find no place.
+func (l *Late) grant(now time.Time, i *item.Item) (*wire.Decision, bool) {
+	only, confined := l.blame.Confined(now, i.GetAccount())
+	if confined && l.slots.Account(i.GetAccount()) > 0 {
+		return nil, false
+	}
+	s, full := l.place.Pick(now, l.open, i, l.usual.short(now), only)
+	if s == nil {
+		return nil, full
+	}
+	if h := i.GetPrefixHash(); h != 0 {
+		s.Up.Cache.Sent(now, h)
 	}
-	return best
+	return l.slots.Grant(now, s, l.pool.GrantTTL), false
 }
 
-func refuse(t *wire.Ticket, code string) *wire.Decision {
+func refusal(t *wire.Ticket, code string, after time.Duration) *wire.Decision {
 	return &wire.Decision{
 		Ticket: t.GetId(), Entry: t.GetEntry(), Incarnation: t.GetIncarnation(),
-		Kind: &wire.Decision_Refusal{Refusal: &wire.Refusal{Code: code, RetryAfterUs: retryAfter.Microseconds()}},
+		Kind: &wire.Decision_Refusal{Refusal: &wire.Refusal{Code: code, RetryAfterUs: after.Microseconds()}},
 	}
 }
--- /dev/null
+++ b/core/limit/limit.go
@@ -0,0 +1,190 @@
+// Package limit learns from an upstream's own runs how fast it is, how much it
+// takes at once, and whether it may be trusted with work.
+//
+// Only what came back is believed. Load reports are late, may be lost, and may
+// be wrong.
+package limit
+
+import (
+	"math"
+	"time"
+
+	"azurelane/core/slope"
+)
+
+// Limit is what is learnt of one upstream. The zero value knows nothing and
+// trusts the announced limit.
+type Limit struct {
+	first slope.Slope // Seconds to the first token, by prompt tokens.
+	rest  slope.Slope // Seconds from the first to the last token, by answer tokens.
+	miss  float64     // Mean part by which the expectation was missed.
+	unit  float64     // Least seconds to the first token for each prompt token.
+	wait  float64     // Part of a run that is spent in the upstream's own queue.
+	most  float64     // Requests at once; zero for as many as announced.
+	calm  int         // Runs since most was last lowered.
+
+	good   time.Time // Last success.
+	fails  int       // Failures in a row.
+	who    string    // Client account of the last failure.
+	others bool      // Several client accounts are among the failures in a row.
+	until  time.Time // Out of service until then; zero when in service.
+	pause  time.Duration
+	trial  int // Slots allowed while it comes back; zero when in service.
+}
+
+const (
+	gain        = 0.1 // Of running means.
+	firstOffset = 64  // Tokens added to each prompt for what every request costs.
+	cachedPart  = 0.1 // Of a prompt that is worked off when its prefix is cached.
+
+	// An upstream with more than longWait of each run in its own queue is given
+	// less, one with less than shortWait more.
+	longWait  = 0.5
+	shortWait = 0.25
+	lower     = 0.9
+
+	failsSeveral = 3 // Failures in a row of several accounts that take an upstream out.
+	failsOne     = 6 // Failures in a row of one account that do.
+	firstPause   = time.Second
+	longestPause = 30 * time.Second
+)
+
+// Cost is a run's size in work units: answer tokens, and prompt tokens at the
+// part of an answer token's time that batching engines need for them.
+func Cost(prompt, answer int64) float64 { return 1 + float64(prompt)/16 + float64(answer) }
+
+// Known reports whether a run has come back.
+func (l *Limit) Known() bool { return l.rest.Known() }
+
+// Expect is the time that a run takes from dispatch to its end, at the batch
+// sizes of late. It is zero while nothing is known.
+func (l *Limit) Expect(prompt, answer int64, cached bool) time.Duration {
+	return time.Duration((l.first.At(worked(prompt, cached)) + l.rest.At(float64(answer))) * float64(time.Second))
+}
+
+// Miss is the mean part by which Expect was missed, at most 1.
+func (l *Limit) Miss() float64 { return min(l.miss, 1) }
+
+func worked(prompt int64, cached bool) float64 {
+	if cached {
+		return float64(prompt) * cachedPart
+	}
+	return float64(prompt)
+}
+
+// Done learns from a whole run that took first to its first token and total to
+// its last one, and brings an upstream on trial back by doubling what it gets.
+// First is zero when it isn't known, and total for an answer in one piece.
+func (l *Limit) Done(now time.Time, prompt, answer int64, cached bool, first, total time.Duration, running, announced int) {
+	if want := l.Expect(prompt, answer, cached).Seconds(); want > 0 {
+		l.miss += gain * (math.Abs(total.Seconds()/want-1) - l.miss)
+	}
+	x := worked(prompt, cached)
+	if first > 0 && first < total*9/10 {
+		l.first.Add(x, first.Seconds())
+		l.rest.Add(float64(answer), (total - first).Seconds())
+		l.crowd(x, first, total, running, announced)
+	} else {
+		l.rest.Add(float64(answer), max(total.Seconds()-l.first.At(x), 0))
+	}
+	l.good = now
+	l.fails, l.others, l.until, l.pause = 0, false, time.Time{}, 0
+	if l.trial > 0 {
+		// Doubling, so that a pool's whole backlog doesn't fall on an upstream
+		// in the moment of its return and breaks it again.
+		l.trial *= 2
+		if l.trial >= l.max(announced) {
+			l.trial = 0
+		}
+	}
+}
+
+// crowd lowers the limit of an upstream that queues by itself, because it
+// announced more than it runs, and raises it again when its queue is gone. In
+// its own queue urgent work can't overtake, so work is better kept here.
+func (l *Limit) crowd(prompt float64, first, total time.Duration, running, announced int) {
+	per := first.Seconds() / (prompt + firstOffset)
+	if l.unit == 0 || per < l.unit {
+		l.unit = per
+	}
+	l.unit *= 1.001 // Forgets slowly, or an upstream that got slower for good would seem crowded.
+	queued := max(first.Seconds()-l.unit*(prompt+firstOffset), 0) / total.Seconds()
+	l.wait += gain * (queued - l.wait)
+	l.calm++
+	most := l.max(announced)
+	switch {
+	case l.wait > longWait && running >= most && l.calm > most:
+		l.most = max(float64(most)*lower, 1)
+		l.calm = 0
+	case l.wait < shortWait && l.most > 0 && running >= most:
+		l.most += 1 / l.most
+	}
+	if int(l.most) >= announced {
+		l.most = 0
+	}
+}
+
+func (l *Limit) max(announced int) int {
+	if l.most == 0 {
+		return announced
+	}
+	return max(int(l.most), 1)
+}
+
+// Most is how many requests the upstream may be given at once: none while it
+// is out of service, few while it comes back.
+func (l *Limit) Most(now time.Time, announced int) int {
+	if l.trial > 0 {
+		if now.Before(l.until) {
+			return 0
+		}
+		return min(l.trial, l.max(announced))
+	}
+	return l.max(announced)
+}
+
+// Trial reports whether the upstream is out of service or on its way back.
+func (l *Limit) Trial() bool { return l.trial > 0 }
+
+// Blameless reports whether the failures in a row all come from one client
+// account and another run succeeded shortly before them. Then the account, and
+// not the upstream, is the likely cause.
+func (l *Limit) Blameless(now time.Time) bool {
+	return !l.others && !l.good.IsZero() && now.Sub(l.good) < 5*time.Second
+}
+
+// Good is the time of the last success.
+func (l *Limit) Good() time.Time { return l.good }
+
+// Fail counts a run that failed. One account's failures weigh less than those
+// of several, so that an account whose requests break engines doesn't take
+// them from the others. The empty account stands for a failed connect, which
+// is no account's fault.
+func (l *Limit) Fail(now time.Time, account string) {
+	if account == "" || (l.fails > 0 && account != l.who) {
+		l.others = true
+	}
+	l.who = account
+	l.fails++
+	if l.trial > 0 || (l.others && l.fails >= failsSeveral) || l.fails >= failsOne {
+		l.Out(now)
+	}
+}
+
+// Out takes the upstream out of service for a while that doubles each time.
+// Then one run at a time tries it. An outage that is under way isn't made
+// longer by the failures of what was dispatched before it.
+func (l *Limit) Out(now time.Time) {
+	if l.trial > 0 && now.Before(l.until) {
+		return
+	}
+	l.pause = min(max(2*l.pause, firstPause), longestPause)
+	l.until = now.Add(l.pause)
+	l.trial = 1
+}
+
+// Return ends an outage early, for an upstream that was started anew. It is
+// still given one run at first.
+func (l *Limit) Return() {
+	l.fails, l.others, l.until = 0, false, time.Time{}
+}
--- /dev/null
+++ b/core/queue/queue.go
@@ -0,0 +1,265 @@
+// Package queue holds the waiting tickets of one pool and says which of them
+// is next: by tier, then by weighted fair share between client accounts, then
+// by deadline.
+package queue
+
+import (
+	"container/heap"
+	"time"
+
+	"azurelane/core/acct"
+	"azurelane/core/item"
+	"azurelane/core/tier"
+)
+
+type (
+	// Queue is the queue of one pool. The zero value is empty and ready; its
+	// exported fields may be changed at any time.
+	Queue struct {
+		Accounts   map[string]acct.Account
+		MaxWaiting int                  // Tickets in all; zero for no limit.
+		Shares     [tier.Levels]float64 // Least part of the work that a waiting tier gets.
+		Burst      float64              // Work units that an account may be ahead of its share.
+
+		accounts map[string]*account
+		active   []*account // With waiting tickets.
+		tickets  map[ticketKey]*node
+		latest   latestHeap
+		seq      uint64
+		round    uint64
+		classes  map[class]uint64 // The last round in which the class found no place.
+		clock    float64          // Virtual time: work granted for each weight that waits.
+		weights  float64          // Of the active accounts.
+		work     [tier.Levels]float64
+		waiting  [tier.Levels]int
+		saved    [tier.Levels]float64 // Work that a tier with a share may claim.
+		longest  [tier.Levels]float64 // Largest ticket seen.
+	}
+
+	// account is one client account's part of the queue.
+	account struct {
+		name    string
+		at      int     // In active; -1 when it has no waiting ticket.
+		weight  float64 // As it was added to the active weights.
+		used    float64 // Virtual time of the work that it was granted.
+		urgent  float64 // The same for urgent work alone.
+		flows   []*flow // Not empty.
+		newest  [tier.Levels]*node
+		waiting [tier.Levels]int
+		work    [tier.Levels]float64
+		n       int
+	}
+
+	// flow holds an account's tickets of one tier that fit the same places.
+	flow struct {
+		class
+		level int
+		items flowHeap
+		aside uint64 // The round in which its first ticket found no place.
+	}
+
+	// class groups tickets that fit the same places: when one of them finds
+	// none, no other one would.
+	class struct {
+		model string
+		long  bool // And not urgent.
+	}
+
+	node struct {
+		*item.Item
+		seq          uint64
+		flow         *flow
+		account      *account
+		at, expires  int // In the flow and in the heap of latest times; -1 for none.
+		older, newer *node
+	}
+
+	ticketKey struct {
+		incarnation string
+		id          uint64
+	}
+)
+
+// lag bounds how far an account's virtual time may stay behind, in bursts. What
+// it has not used for longer is lost to it, so that it can't take the whole
+// pool for minutes.
+const lag = 16
+
+// Push adds a ticket. A limit may be exceeded until OverAccount and OverPool
+// are asked.
+func (q *Queue) Push(i *item.Item) {
+	if q.tickets == nil {
+		q.accounts, q.tickets, q.classes = map[string]*account{}, map[ticketKey]*node{}, map[class]uint64{}
+	}
+	a := q.accounts[i.GetAccount()]
+	if a == nil {
+		a = &account{name: i.GetAccount(), at: -1}
+		q.accounts[a.name] = a
+	}
+	q.seq++
+	n := &node{Item: i, seq: q.seq, account: a, expires: -1}
+	q.tickets[ticketKey{i.GetIncarnation(), i.GetId()}] = n
+	q.link(n)
+	if a.at < 0 {
+		q.activate(a)
+	}
+	n.flow = a.flow(class{i.GetModel(), i.Long && i.Level() > 0}, i.Level())
+	heap.Push(&n.flow.items, n)
+	if !i.Latest.IsZero() {
+		heap.Push(&q.latest, n)
+	}
+}
+
+func (q *Queue) link(n *node) {
+	a, l := n.account, n.Level()
+	n.older = a.newest[l]
+	if n.older != nil {
+		n.older.newer = n
+	}
+	a.newest[l] = n
+	a.n++
+	a.waiting[l]++
+	a.work[l] += n.Work
+	q.waiting[l]++
+	q.work[l] += n.Work
+	q.longest[l] = max(q.longest[l], n.Work)
+}
+
+// activate enters an account that has begun to wait. It can't claim the time
+// in which it did not wait, but what it is ahead of its share stays counted.
+func (q *Queue) activate(a *account) {
+	a.at = len(q.active)
+	q.active = append(q.active, a)
+	a.weight = q.account(a.name).Weight
+	q.weights += a.weight
+	a.used = max(a.used, q.clock)
+}
+
+func (q *Queue) account(name string) acct.Account { return q.Accounts[name].WithDefaults() }
+
+func (a *account) flow(c class, level int) *flow {
+	for _, f := range a.flows {
+		if f.class == c && f.level == level {
+			return f
+		}
+	}
+	f := &flow{class: c, level: level}
+	a.flows = append(a.flows, f)
+	return f
+}
+
+// Remove takes a ticket out and returns it, or nil when it does not wait.
+func (q *Queue) Remove(incarnation string, id uint64) *item.Item {
+	n := q.tickets[ticketKey{incarnation, id}]
+	if n == nil {
+		return nil
+	}
+	q.remove(n)
+	return n.Item
+}
+
+func (q *Queue) remove(n *node) {
+	a, l, f := n.account, n.Level(), n.flow
+	delete(q.tickets, ticketKey{n.GetIncarnation(), n.GetId()})
+	heap.Remove(&f.items, n.at)
+	if n.expires >= 0 {
+		heap.Remove(&q.latest, n.expires)
+	}
+	if n.newer != nil {
+		n.newer.older = n.older
+	} else {
+		a.newest[l] = n.older
+	}
+	if n.older != nil {
+		n.older.newer = n.newer
+	}
+	a.n--
+	a.waiting[l]--
+	a.work[l] -= n.Work
+	q.waiting[l]--
+	q.work[l] -= n.Work
+	if q.waiting[l] == 0 {
+		q.work[l], q.saved[l] = 0, 0 // Rounding must not add up.
+	}
+	if a.waiting[l] == 0 {
+		a.work[l] = 0
+	}
+	if len(f.items) == 0 {
+		a.dropFlow(f)
+	}
+	if a.n == 0 {
+		q.rest(a)
+	}
+}
+
+func (a *account) dropFlow(f *flow) {
+	for i, g := range a.flows {
+		if g == f {
+			last := len(a.flows) - 1
+			a.flows[i] = a.flows[last]
+			a.flows[last] = nil
+			a.flows = a.flows[:last]
+			return
+		}
+	}
+}
+
+// rest takes an account out that has stopped waiting.
+func (q *Queue) rest(a *account) {
+	last := len(q.active) - 1
+	q.active[a.at] = q.active[last]
+	q.active[a.at].at = a.at
+	q.active[last] = nil
+	q.active = q.active[:last]
+	a.at = -1
+	q.weights -= a.weight
+	if len(q.active) == 0 {
+		q.weights = 0
+	}
+}
+
+// Expired takes out one ticket that can't be dispatched in time any more, or
+// returns nil.
+func (q *Queue) Expired(now time.Time) *item.Item {
+	if len(q.latest) == 0 || now.Before(q.latest[0].Latest) {
+		return nil
+	}
+	n := q.latest[0]
+	q.remove(n)
+	return n.Item
+}
+
+// Drop takes out all tickets for which gone returns true, oldest first. It
+// looks at every ticket, so it is for rare events.
+func (q *Queue) Drop(gone func(*item.Item) bool) []*item.Item {
+	var list []*node
+	for _, n := range q.tickets {
+		if gone(n.Item) {
+			list = append(list, n)
+		}
+	}
+	sortNodes(list)
+	items := make([]*item.Item, 0, len(list))
+	for _, n := range list {
+		q.remove(n)
+		items = append(items, n.Item)
+	}
+	return items
+}
+
+// Len is the number of waiting tickets.
+func (q *Queue) Len() int { return len(q.tickets) }
+
+// Lower reports whether the account has waiting work of a lower tier.
+func (q *Queue) Lower(name string, level int) bool {
+	a := q.accounts[name]
+	if a == nil {
+		return false
+	}
+	for l := level + 1; l < tier.Levels; l++ {
+		if a.waiting[l] > 0 {
+			return true
+		}
+	}
+	return false
+}
--- a/core/slots/slots.go
+++ b/core/slots/slots.go
@@ -4,85 +4,179 @@
 import (
 	"time"
 
+	"azurelane/core/slot"
 	"azurelane/core/upstr"
 	"azurelane/core/wire"
 )
 
-// Slots holds the grants of one pool that have not been released. The zero
-// value is empty and ready.
-type Slots struct {
-	last uint64
-	held map[key]*slot
-}
-
 type (
-	// key names a slot. Owners number their slots by themselves, so a slot
-	// taken over from a former owner keeps that owner's name.
-	key struct {
-		owner string
-		slot  uint64
+	// Slots holds the grants of one pool that have not been released: at most
+	// one a ticket. The zero value is empty and ready.
+	Slots struct {
+		last     uint64
+		held     map[string]map[uint64]*slot.Slot // By entry incarnation and ticket.
+		accounts map[string]int
+		n        int
+		released map[key]time.Time
 	}
 
-	slot struct {
-		up     *upstr.Upstream
-		ticket *wire.Ticket
-		since  time.Time
+	// key names a slot for good. Owners number their slots by themselves.
+	key struct {
+		incarnation, owner string
+		ticket, number     uint64
 	}
 )
 
-// Grant takes a slot on an upstream for a ticket.
-func (s *Slots) Grant(now time.Time, u *upstr.Upstream, t *wire.Ticket, ttl time.Duration) *wire.Decision {
+const (
+	// HeldGrace is how old a slot must be before its absence from the list of
+	// its entry frees it. A grant is on its way to the entry for less than that.
+	HeldGrace = 5 * time.Second
+	// releasedKeep is how long a released slot can't be adopted again. Lists
+	// of held slots are not underway for longer.
+	releasedKeep = 10 * time.Second
+)
+
+// Grant takes a slot for s.Ticket on s.Up, numbers it and returns the decision.
+func (s *Slots) Grant(now time.Time, g *slot.Slot, ttl time.Duration) *wire.Decision {
 	s.last++
-	s.put(key{"", s.last}, &slot{u, t, now})
+	g.Number, g.Since, g.Owner = s.last, now, ""
+	s.put(g)
+	t := g.Ticket
 	return &wire.Decision{
 		Ticket: t.GetId(), Entry: t.GetEntry(), Incarnation: t.GetIncarnation(),
 		Kind: &wire.Decision_Grant{Grant: &wire.Grant{
-			Slot: s.last, Upstream: u.GetUpstream(), Address: u.GetAddress(), ExpiresUs: ttl.Microseconds(),
+			Slot: g.Number, Upstream: g.Up.GetUpstream(), Address: g.Up.GetAddress(), ExpiresUs: ttl.Microseconds(),
 		}},
 	}
 }
 
-// Adopt records a slot that another owner granted. It reports false when the
-// slot is known already, so that a list sent twice counts once.
-func (s *Slots) Adopt(now time.Time, u *upstr.Upstream, h *wire.HeldSlot) bool {
-	k := key{h.GetGrant().GetOwner(), h.GetGrant().GetSlot()}
-	if _, ok := s.held[k]; ok {
-		return false
+// Hold reconciles the slots of an entry with the list that it sent. The list
+// is the truth, since only the entry knows what it dispatched:
+//
+//   - A listed slot that isn't known is adopted. A former owner granted it, or
+//     this one took the entry for dead and it wasn't.
+//   - A known slot that isn't listed is freed once it is older than HeldGrace.
+//     Its grant or its release was lost on a link. Without this rule it would
+//     stay taken for ever and the upstream would lose a place with each loss.
+//
+// A list that was overtaken by a release must not bring the slot back, so
+// released slots are remembered for a while. Up finds an upstream by name.
+func (s *Slots) Hold(now time.Time, incarnation string, list []*wire.HeldSlot, up func(string) *upstr.Upstream) {
+	listed := make(map[uint64]bool, len(list))
+	for _, h := range list {
+		t, g := h.GetTicket(), h.GetGrant()
+		listed[t.GetId()] = true
+		k := key{incarnation, g.GetOwner(), t.GetId(), g.GetSlot()}
+		if _, gone := s.released[k]; gone || s.Has(incarnation, t.GetId()) {
+			continue
+		}
+		s.put(&slot.Slot{Up: up(g.GetUpstream()), Ticket: t, Owner: g.GetOwner(), Number: g.GetSlot(), Since: now})
 	}
-	s.put(k, &slot{u, h.GetTicket(), now})
-	return true
+	for id, v := range s.held[incarnation] {
+		if !listed[id] && now.Sub(v.Since) > HeldGrace {
+			s.drop(v)
+		}
+	}
+}
+
+// Has reports whether the ticket has a slot.
+func (s *Slots) Has(incarnation string, ticket uint64) bool {
+	return s.held[incarnation][ticket] != nil
 }
 
-func (s *Slots) put(k key, v *slot) {
+func (s *Slots) put(v *slot.Slot) {
 	if s.held == nil {
-		s.held = map[key]*slot{}
+		s.held = map[string]map[uint64]*slot.Slot{}
+		s.accounts = map[string]int{}
+		s.released = map[key]time.Time{}
+	}
+	inc := v.Ticket.GetIncarnation()
+	if s.held[inc] == nil {
+		s.held[inc] = map[uint64]*slot.Slot{}
+	}
+	s.held[inc][v.Ticket.GetId()] = v
+	s.n++
+	s.accounts[v.Ticket.GetAccount()]++
+	v.Up.Running++
+	v.Up.Tokens += v.Tokens()
+	if v.Long {
+		v.Up.Long++
+	}
+}
+
+func (s *Slots) drop(v *slot.Slot) {
+	inc := v.Ticket.GetIncarnation()
+	delete(s.held[inc], v.Ticket.GetId())
+	if len(s.held[inc]) == 0 {
+		delete(s.held, inc)
+	}
+	s.n--
+	if a := v.Ticket.GetAccount(); s.accounts[a] > 1 {
+		s.accounts[a]--
+	} else {
+		delete(s.accounts, a)
+	}
+	v.Up.Running--
+	v.Up.Tokens -= v.Tokens()
+	if v.Long {
+		v.Up.Long--
+	}
+}
+
+// Free gives back the slot that a release names, or returns nil when it was
+// given back before. A late release of a ticket's former slot does not free the
+// slot that the ticket has now.
+func (s *Slots) Free(now time.Time, r *wire.Release) *slot.Slot {
+	v := s.held[r.GetIncarnation()][r.GetTicket()]
+	if v == nil || v.Owner != r.GetOwner() || v.Number != r.GetSlot() {
+		return nil
 	}
-	s.held[k] = v
-	v.up.Running++
+	s.drop(v)
+	s.released[key{r.GetIncarnation(), v.Owner, r.GetTicket(), v.Number}] = now
+	return v
 }
 
-// Free gives back the slot that a release names. It returns the upstream and
-// the ticket, or false when the slot was freed before.
-func (s *Slots) Free(owner string, n uint64) (*upstr.Upstream, *wire.Ticket, bool) {
-	k := key{owner, n}
-	v, ok := s.held[k]
-	if !ok {
-		return nil, nil, false
-	}
-	delete(s.held, k)
-	v.up.Running--
-	return v.up, v.ticket, true
+// Cancel frees the slot of a ticket that will not be dispatched under it, or
+// returns nil when it has none. The entry has withdrawn the ticket or sent it
+// again, so the grant never reached it or it has given up on it.
+func (s *Slots) Cancel(now time.Time, incarnation string, ticket uint64) *slot.Slot {
+	v := s.held[incarnation][ticket]
+	if v == nil {
+		return nil
+	}
+	s.drop(v)
+	s.released[key{incarnation, v.Owner, ticket, v.Number}] = now
+	return v
 }
 
 // Forget frees every slot that an entry's incarnation held.
 func (s *Slots) Forget(incarnation string) {
-	for k, v := range s.held {
-		if v.ticket.GetIncarnation() == incarnation {
-			delete(s.held, k)
-			v.up.Running--
+	for _, v := range s.held[incarnation] {
+		s.drop(v)
+	}
+}
+
+// Sweep frees slots older than limit, the longest run that an entry allows,
+// and calls look for all others.
+func (s *Slots) Sweep(now time.Time, limit time.Duration, look func(*slot.Slot)) {
+	for _, tickets := range s.held {
+		for _, v := range tickets {
+			if now.Sub(v.Since) > limit {
+				s.drop(v)
+				continue
+			}
+			look(v)
+		}
+	}
+	for k, at := range s.released {
+		if now.Sub(at) > releasedKeep {
+			delete(s.released, k)
 		}
 	}
 }
 
+// Account is the number of slots that a client account holds.
+func (s *Slots) Account(name string) int { return s.accounts[name] }
+
 // Len is the number of slots held.
-func (s *Slots) Len() int { return len(s.held) }
+func (s *Slots) Len() int { return s.n }
--- a/core/table/table.go
+++ b/core/table/table.go
@@ -20,21 +20,33 @@
 // overtook a newer one of the same incarnation is dropped, so that a delayed
 // "serving" can't undo a "leaving".
 func (t *Table) Put(now time.Time, a *wire.Announce) *upstr.Upstream {
-	u := t.ups[a.GetUpstream()]
-	if u == nil {
-		if t.ups == nil {
-			t.ups = map[string]*upstr.Upstream{}
-		}
-		u = &upstr.Upstream{}
-		t.ups[a.GetUpstream()] = u
-		u.Announce = a
-		t.list = append(t.list, u)
-		slices.SortFunc(t.list, func(a, b *upstr.Upstream) int { return cmp.Compare(a.GetUpstream(), b.GetUpstream()) })
-	} else if u.GetIncarnation() == a.GetIncarnation() && a.GetSeq() < u.GetSeq() {
+	u := t.Named(a.GetUpstream())
+	if u.GetIncarnation() == a.GetIncarnation() && a.GetSeq() < u.GetSeq() {
 		return u
 	}
+	if u.GetIncarnation() != "" && u.GetIncarnation() != a.GetIncarnation() {
+		u.Learnt.Return()
+	}
 	u.Announce = a
 	u.Expires = now.Add(time.Duration(a.GetLeaseUs()) * time.Microsecond)
+	u.Cache.Told(now, a.GetCachedPrefixes())
+	return u
+}
+
+// Named returns the upstream of that name. One that has not announced itself
+// yet is entered without a lease, so that slots taken over from a former owner
+// are counted before its first announcement arrives here.
+func (t *Table) Named(name string) *upstr.Upstream {
+	if u := t.ups[name]; u != nil {
+		return u
+	}
+	if t.ups == nil {
+		t.ups = map[string]*upstr.Upstream{}
+	}
+	u := upstr.New(name)
+	t.ups[name] = u
+	t.list = append(t.list, u)
+	slices.SortFunc(t.list, func(a, b *upstr.Upstream) int { return cmp.Compare(a.GetUpstream(), b.GetUpstream()) })
 	return u
 }
 
--- a/core/upstr/upstr.go
+++ b/core/upstr/upstr.go
@@ -2,8 +2,13 @@
 package upstr
 
 import (
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
+	"azurelane/core/limit"
+	"azurelane/core/prefix"
 	"azurelane/core/wire"
 )
 
@@ -12,13 +17,24 @@
 // one that grants on it.
 type Upstream struct {
 	*wire.Announce
-	Expires time.Time // End of the lease.
-	Running int       // Slots granted and not yet released.
+	Expires time.Time     // End of the lease.
+	Running int           // Slots granted and not yet released.
+	Long    int           // Of these, slots of long work.
+	Tokens  int64         // Tokens of the requests in these slots.
+	Learnt  limit.Limit   // From its own runs.
+	Cache   prefix.Prefix // What it has probably cached.
+	hash    uint64
 }
 
 // DefaultMaxRunning bounds an upstream that does not say how much it runs at once.
 const DefaultMaxRunning = 8
 
+// New returns an upstream that is known by name alone: it isn't live until it
+// announces itself.
+func New(name string) *Upstream {
+	return &Upstream{Announce: &wire.Announce{Upstream: name}, hash: xxhash.Sum64String(name)}
+}
+
 // Live reports whether the upstream may be granted new work: its lease runs
 // and it is not leaving.
 func (u *Upstream) Live(now time.Time) bool {
@@ -32,3 +48,32 @@
 	}
 	return DefaultMaxRunning
 }
+
+// Most is the number of requests that it may be given at once, by what was
+// learnt of it.
+func (u *Upstream) Most(now time.Time) int { return u.Learnt.Most(now, u.Limit()) }
+
+// HasModel reports whether the upstream serves the model. One that names no
+// models serves all, and a plain service's ticket names none.
+func (u *Upstream) HasModel(model string) bool {
+	return model == "" || len(u.GetModels()) == 0 || slices.Contains(u.GetModels(), model)
+}
+
+// Serves reports whether the upstream has the ticket's model and the request
+// has not failed to reach it before.
+func (u *Upstream) Serves(t *wire.Ticket) bool {
+	return u.HasModel(t.GetModel()) && !slices.Contains(t.GetAvoid(), u.GetUpstream())
+}
+
+// Weight is the upstream's rendezvous weight for a prefix: the upstream with
+// the highest one is the prefix's home.
+func (u *Upstream) Weight(prefix uint64) uint64 {
+	// The finalizer of MurmurHash3 over both hashes: as even as hashing the
+	// names again, at a tenth of the time.
+	h := u.hash ^ prefix
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	h ^= h >> 33
+	h *= 0xc4ceb9fe1a85ec53
+	return h ^ h>>33
+}
--- a/io/sched/sched.go
+++ b/io/sched/sched.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"google.golang.org/protobuf/proto"
 
 	"azurelane/core/conf"
 	"azurelane/core/kernel"
@@ -14,7 +15,7 @@
 )
 
 // TickEvery is how often deadlines, leases and grants are looked at.
-const TickEvery = 20 * time.Millisecond
+const TickEvery = 5 * time.Millisecond
 
 type (
 	// Sched holds one scheduler a pool and the calls that wait for a decision.
@@ -32,6 +33,7 @@
 		name    string // Of the policy.
 		policy  kernel.Scheduler
 		waiting map[waitKey]chan *wire.Decision
+		gone    map[waitKey]time.Time // Withdrawn of late.
 	}
 
 	waitKey struct {
@@ -58,7 +60,7 @@
 				continue
 			}
 			r.refuseAll()
-			r = &runner{name: policy, policy: sch, waiting: map[waitKey]chan *wire.Decision{}}
+			r = &runner{name: policy, policy: sch, waiting: map[waitKey]chan *wire.Decision{}, gone: map[waitKey]time.Time{}}
 			s.pools[name] = r
 		}
 		r.do(s.Incarnation, func(now time.Time) []*wire.Decision { return r.policy.Configure(now, name, cfg) })
@@ -72,7 +74,9 @@
 }
 
 // Submit waits for the decision on a ticket. When ctx ends first, the ticket
-// is withdrawn.
+// is withdrawn. A ticket sent again, because the link broke before the decision
+// arrived, takes the place of its former call; that one's end then withdraws
+// nothing.
 func (s *Sched) Submit(ctx context.Context, t *wire.Ticket) *wire.Decision {
 	r := s.pool(t.GetPool())
 	if r == nil {
@@ -80,17 +84,61 @@
 	}
 	k := waitKey{t.GetIncarnation(), t.GetId()}
 	ch := make(chan *wire.Decision, 1)
-	r.mu.Lock()
-	r.waiting[k] = ch
-	r.mu.Unlock()
+	if !r.enter(k, ch) {
+		return refuse(t, "withdrawn")
+	}
 	r.do(s.Incarnation, func(now time.Time) []*wire.Decision { return r.policy.Submit(now, t) })
 	select {
 	case d := <-ch:
 		return d
 	case <-ctx.Done():
-		s.Withdraw(&wire.Withdraw{Ticket: t.GetId(), Entry: t.GetEntry(), Incarnation: t.GetIncarnation(), Pool: t.GetPool()})
-		return refuse(t, "withdrawn")
 	}
+	r.do(s.Incarnation, func(now time.Time) []*wire.Decision { return r.abandon(now, k, ch, t) })
+	return refuse(t, "withdrawn")
+}
+
+// enter notes a call that waits. It reports false for a ticket whose
+// withdrawal has overtaken it.
+func (r *runner) enter(k waitKey, ch chan *wire.Decision) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, gone := r.gone[k]; gone {
+		return false
+	}
+	r.end(k)
+	r.waiting[k] = ch
+	return true
+}
+
+// end lets a call return whose ticket needs no decision any more. Its caller
+// has gone, but without this its goroutine would wait as long as the link lives.
+func (r *runner) end(k waitKey) {
+	if ch, ok := r.waiting[k]; ok {
+		delete(r.waiting, k)
+		ch <- refuse(&wire.Ticket{Id: k.ticket, Incarnation: k.incarnation}, "withdrawn")
+	}
+}
+
+// abandon gives up the ticket of a call whose context has ended, unless a
+// later call has taken the ticket over. A grant that came in the same moment is
+// released by its number, so that no other slot can be meant.
+func (r *runner) abandon(now time.Time, k waitKey, ch chan *wire.Decision, t *wire.Ticket) []*wire.Decision {
+	if r.waiting[k] == ch {
+		delete(r.waiting, k)
+		r.policy.Withdraw(now, &wire.Withdraw{Ticket: t.GetId(), Entry: t.GetEntry(), Incarnation: t.GetIncarnation(), Pool: t.GetPool()})
+		return r.policy.Tick(now)
+	}
+	select {
+	case d := <-ch:
+		if g := d.GetGrant(); g != nil {
+			return r.policy.Release(now, &wire.Release{
+				Ticket: t.GetId(), Entry: t.GetEntry(), Incarnation: t.GetIncarnation(), Pool: t.GetPool(),
+				Upstream: g.GetUpstream(), Slot: g.GetSlot(), Account: t.GetAccount(),
+			})
+		}
+	default:
+	}
+	return nil
 }
 
 // Withdraw drops a ticket. If it was granted in the same moment, the slot is
@@ -100,10 +148,10 @@
 	if r == nil {
 		return
 	}
-	r.mu.Lock()
-	delete(r.waiting, waitKey{w.GetIncarnation(), w.GetTicket()})
-	r.mu.Unlock()
 	r.do(s.Incarnation, func(now time.Time) []*wire.Decision {
+		k := waitKey{w.GetIncarnation(), w.GetTicket()}
+		r.end(k)
+		r.gone[k] = now
 		r.policy.Withdraw(now, w)
 		return r.policy.Tick(now)
 	})
@@ -128,10 +176,20 @@
 	}
 }
 
-// Hold takes over the slots that an entry holds from a former owner.
+// Hold takes the list of slots that an entry holds: to take them over from a
+// former owner, and as the truth about the grants of this one.
 func (s *Sched) Hold(h *wire.Held) {
+	h = proto.CloneOf(h) // An entry in this process goes on using its own list.
+	for _, slot := range h.GetSlots() {
+		if g := slot.GetGrant(); g.GetOwner() == s.Incarnation {
+			g.Owner = "" // The policy's own slots carry no owner.
+		}
+	}
 	for _, r := range s.all() {
-		r.do(s.Incarnation, func(now time.Time) []*wire.Decision { r.policy.Hold(now, h); return nil })
+		r.do(s.Incarnation, func(now time.Time) []*wire.Decision {
+			r.policy.Hold(now, h)
+			return r.policy.Tick(now)
+		})
 	}
 }
 
@@ -153,9 +211,22 @@
 		case <-tick.C:
 		}
 		for _, r := range s.all() {
-			r.do(s.Incarnation, r.policy.Tick)
+			r.do(s.Incarnation, r.tick)
+		}
+	}
+}
+
+// goneKeep is how long a withdrawal is remembered for a ticket that it has
+// overtaken on the link.
+const goneKeep = 5 * time.Second
+
+func (r *runner) tick(now time.Time) []*wire.Decision {
+	for k, at := range r.gone {
+		if now.Sub(at) > goneKeep {
+			delete(r.gone, k)
 		}
 	}
+	return r.policy.Tick(now)
 }
 
 func (s *Sched) pool(name string) *runner {
--- /dev/null
+++ b/io/sched/sched_test.go
@@ -0,0 +1,118 @@
+package sched_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/shoenig/test/must"
+
+	"azurelane/core/conf"
+	_ "azurelane/core/late"
+	"azurelane/core/pool"
+	"azurelane/core/wire"
+	"azurelane/io/sched"
+)
+
+func newSched() *sched.Sched {
+	s := &sched.Sched{Incarnation: "owner", Log: logr.Discard()}
+	s.Install(&conf.Config{Pools: map[string]pool.Pool{"p": {}}})
+	s.Announce(&wire.Announce{Upstream: "up", Address: "127.0.0.1:1", Pools: []string{"p"}, MaxRunning: 1, LeaseUs: time.Hour.Microseconds()})
+	return s
+}
+
+func ticket(id uint64) *wire.Ticket {
+	return &wire.Ticket{Id: id, Entry: "e", Incarnation: "i", Account: "a", Pool: "p", Tier: wire.Tier_TIER_NORMAL}
+}
+
+func release(d *wire.Decision) *wire.Release {
+	return &wire.Release{Ticket: d.GetTicket(), Incarnation: "i", Pool: "p", Slot: d.GetGrant().GetSlot(), Owner: d.GetGrant().GetOwner()}
+}
+
+// An entry's link breaks while its ticket waits, and it sends the ticket again
+// over a new link. Only then the owner notices the end of the old link. The old
+// call's end must not withdraw the new one: the caller would wait in vain.
+func TestOldLinkEndsLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSched()
+		busy := s.Submit(t.Context(), ticket(1))
+		must.NotNil(t, busy.GetGrant())
+		old, end := context.WithCancel(t.Context())
+		first, second := make(chan *wire.Decision, 1), make(chan *wire.Decision, 1)
+		go func() { first <- s.Submit(old, ticket(2)) }()
+		synctest.Wait()
+		go func() { second <- s.Submit(t.Context(), ticket(2)) }()
+		synctest.Wait()
+		end()
+		synctest.Wait()
+		must.NotNil(t, (<-first).GetRefusal())
+		s.Release(release(busy))
+		must.NotNil(t, (<-second).GetGrant())
+	})
+}
+
+// A caller goes away while its ticket is on the way to the owner, and the
+// withdrawal overtakes the ticket. The ticket must not be granted a slot that
+// nobody will use.
+func TestWithdrawalOvertakes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSched()
+		s.Withdraw(&wire.Withdraw{Ticket: 1, Entry: "e", Incarnation: "i", Pool: "p"})
+		must.NotNil(t, s.Submit(t.Context(), ticket(1)).GetRefusal())
+		must.NotNil(t, s.Submit(t.Context(), ticket(2)).GetGrant())
+	})
+}
+
+// A withdrawn ticket's call returns, or each caller that goes away would leave
+// a goroutine at the owner.
+func TestWithdrawnCallReturns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSched()
+		must.NotNil(t, s.Submit(t.Context(), ticket(1)).GetGrant())
+		done := make(chan *wire.Decision, 1)
+		go func() { done <- s.Submit(context.WithoutCancel(t.Context()), ticket(2)) }()
+		synctest.Wait()
+		s.Withdraw(&wire.Withdraw{Ticket: 2, Entry: "e", Incarnation: "i", Pool: "p"})
+		must.NotNil(t, (<-done).GetRefusal())
+	})
+}
+
+// The owner takes the entry in its own process for dead, and the entry then
+// lists the slot that it still holds. The list names the owner; the slot must
+// be taken as the owner's own, or its release would not free it.
+func TestOwnSlotsListed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSched()
+		d := s.Submit(t.Context(), ticket(1))
+		h := &wire.Held{Entry: "e", Incarnation: "i", Slots: []*wire.HeldSlot{{Ticket: ticket(1), Grant: d.GetGrant()}}}
+		s.Forget("i")
+		s.Hold(h)
+		must.Eq(t, "owner", h.GetSlots()[0].GetGrant().GetOwner(), must.Sprint("the entry's list is its own"))
+		next := make(chan *wire.Decision, 1)
+		go func() { next <- s.Submit(t.Context(), ticket(2)) }()
+		synctest.Wait()
+		must.Eq(t, 0, len(next), must.Sprint("the upstream is full"))
+		s.Release(release(d))
+		must.NotNil(t, (<-next).GetGrant())
+	})
+}
+
+// A caller goes away in the moment of its grant. Whether the call returns the
+// grant or gives it up, no slot may be lost.
+func TestGoneInTheMomentOfTheGrant(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSched()
+		gone, cancel := context.WithCancel(t.Context())
+		cancel()
+		for i := range uint64(32) {
+			if d := s.Submit(gone, ticket(2*i)); d.GetGrant() != nil {
+				s.Release(release(d))
+			}
+			d := s.Submit(t.Context(), ticket(2*i+1))
+			must.NotNil(t, d.GetGrant())
+			s.Release(release(d))
+		}
+	})
+}
