--- /dev/null
+++ b/examples/run.sh
@@ -0,0 +1,86 @@
+#!/usr/bin/env bash
+# Starts, stops or lists the processes of an example deployment.
+#
+#   examples/run.sh NAME start|stop|status [FOLDER]
+#
+# NAME is solwatch or huber. FOLDER takes the program, the data folders, one
+# log and one pid file a process; data/NAME when left out. Processes are only
+# ever ended by their own pid file.
+set -euo pipefail
+root=$(cd "$(dirname "$0")/.." && pwd)
+usage() { sed -n '2,8p' "$0" | cut -c3-; exit 2; }
+[ $# -ge 2 ] || usage
+name=$1 action=$2 folder=${3:-$root/data/$1}
+set_dir=$root/examples/$name
+[ -d "$set_dir" ] || usage
+stop_seconds=30
+
+control=$(sed -n 's/.*"peers": "\(.*\)",/\1/p' "$set_dir"/control-*.json | paste -sd,)
+
+alive() { [ -f "$1" ] && kill -0 "$(cat "$1")" 2>/dev/null; }
+
+# launch NAME ARGUMENTS... runs one process unless its pid file names a live one.
+launch() {
+  local part=$1 pid_file=$folder/pid/$1.pid
+  shift
+  if alive "$pid_file"; then
+    echo "$part already runs"
+    return
+  fi
+  (cd "$folder" && exec ./azurelane "$@" >>"log/$part.log" 2>&1) &
+  echo $! >"$pid_file"
+}
+
+start() {
+  mkdir -p "$folder/pid" "$folder/log"
+  (cd "$root" && go build -o "$folder/azurelane" ./cmd/azurelane)
+  for f in "$set_dir"/control-*.json; do launch "$(basename "$f" .json)" control "$f"; done
+  local tries=20
+  until "$folder/azurelane" apply "$set_dir/configuration.json" --control "$control" --base 0 --change "example-$name"; do
+    tries=$((tries - 1))
+    [ $tries -gt 0 ] || { echo 'no configuration could be put in force' >&2; exit 1; }
+    sleep 1
+  done
+  for f in "$set_dir"/entry-*.json; do launch "$(basename "$f" .json)" entry "$f"; done
+  while read -r -a args; do launch "${args[1]}" standin "${args[@]}"; done <"$set_dir/standins.txt"
+}
+
+# stop ends upstreams first, then entries, then control, so that each part
+# can still tell the others that it leaves.
+stop() {
+  local kind f
+  while read -r -a args; do end "${args[1]}"; done <"$set_dir/standins.txt"
+  for kind in entry control; do
+    for f in "$set_dir/$kind"-*.json; do end "$(basename "$f" .json)"; done
+  done
+}
+
+end() {
+  local pid_file=$folder/pid/$1.pid i
+  if alive "$pid_file"; then
+    kill -TERM "$(cat "$pid_file")"
+    for ((i = 0; i < stop_seconds * 10; i++)); do
+      alive "$pid_file" || break
+      sleep 0.1
+    done
+    if alive "$pid_file"; then
+      echo "$1 still runs as $(cat "$pid_file")" >&2
+      return 1
+    fi
+  fi
+  rm -f "$pid_file"
+}
+
+status() {
+  local f
+  for f in "$folder"/pid/*.pid; do
+    [ -e "$f" ] || break
+    if alive "$f"; then echo "$(basename "$f" .pid) runs as $(cat "$f")"; else echo "$(basename "$f" .pid) has ended"; fi
+  done
+  "$folder/azurelane" status --control "$control"
+}
+
+case $action in
+  start | stop | status) "$action" ;;
+  *) usage ;;
+esac
