--- a/core/state/ends.go
+++ b/core/state/ends.go
@@ -1,7 +1,9 @@
 package state
 
+import "container/heap"
+
 type (
-	// ends orders finished claims by when they expire, soonest first, so that an
+	// ends orders claims by when they expire, soonest first, so that an
 	// expiry costs what it drops and not a walk over all claims.
 	ends []end
 
@@ -24,3 +26,11 @@
 	*e = (*e)[:len(*e)-1]
 	return last
 }
+
+// endsAt notes when a claim ends; zero is never. An older note of the same key
+// stays and is passed over when its time comes.
+func (s *State) endsAt(k claimKey, at int64) {
+	if at > 0 {
+		heap.Push(&s.ends, end{at, k})
+	}
+}
--- a/core/state/image.go
+++ b/core/state/image.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"fmt"
 	"maps"
 	"slices"
@@ -48,9 +47,7 @@
 	for _, c := range img.GetClaims() {
 		k := claimKey{c.GetAccount(), c.GetKey()}
 		s.claims[k] = c
-		if c.GetOutcome() != "" {
-			heap.Push(&s.ends, end{c.GetExpiresUs(), k})
-		}
+		s.endsAt(k, c.GetExpiresUs())
 	}
 	for _, f := range img.GetFences() {
 		s.fences[f.GetUpstream()] = f.GetNumber()
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -105,7 +105,9 @@
 		s.claims[k] = &wire.ClaimState{
 			Account: c.GetAccount(), Key: c.GetKey(), BodyHash: c.GetBodyHash(), Holder: c.GetHolder(),
 			Address: c.GetAddress(), KeepUs: c.GetKeepUs(), Request: c.GetRequest(),
+			ExpiresUs: claimEnd(c),
 		}
+		s.endsAt(k, claimEnd(c))
 		return &wire.Result{Code: OK, Holder: c.GetHolder()}
 	}
 	if old.GetBodyHash() != c.GetBodyHash() {
@@ -120,24 +122,37 @@
 	if old.GetOutcome() != "" {
 		code = Finished
 	}
-	return &wire.Result{Code: code, Holder: old.GetHolder(), Address: old.GetAddress(), Outcome: old.GetOutcome()}
+	return &wire.Result{
+		Code: code, Holder: old.GetHolder(), Address: old.GetAddress(), Outcome: old.GetOutcome(), Request: old.GetRequest(),
+	}
 }
 
+// claimEnd is when a claim ends whose holder never records an outcome, because
+// it died; without one such claims would pile up for ever. A claim that its
+// leader gave no time never ends: ended too early, its key could run twice.
+func claimEnd(c *wire.Claim) int64 {
+	if c.GetNowUs() == 0 {
+		return 0
+	}
+	return c.GetNowUs() + c.GetKeepUs()
+}
+
+// finish records an outcome once. A finish that comes late must not touch the
+// claim of a newer request of the same entry, and one that says not-run must
+// not free a key whose run is on record: either would let the key run twice.
 func (s *State) finish(f *wire.Finish) *wire.Result {
 	k := claimKey{f.GetAccount(), f.GetKey()}
 	c, ok := s.claims[k]
-	if !ok || c.GetHolder() != f.GetHolder() {
+	if !ok || c.GetHolder() != f.GetHolder() || (f.GetRequest() != 0 && c.GetRequest() != f.GetRequest()) {
 		return &wire.Result{Code: Gone}
 	}
-	if f.GetRequest() != 0 && f.GetRequest() != c.GetRequest() {
-		// A late copy of a finish: the holder has claimed the key for another
-		// request since, which it must not free.
+	switch c.GetOutcome() {
+	case "":
+	case f.GetOutcome():
+		return &wire.Result{Code: OK}
+	default:
 		return &wire.Result{Code: Gone}
 	}
-	if c.GetOutcome() != "" {
-		// Sent again after its answer was lost: the first word stands.
-		return &wire.Result{Code: OK, Outcome: c.GetOutcome()}
-	}
 	c.Outcome = f.GetOutcome()
 	c.ExpiresUs = s.clock + c.GetKeepUs()
 	if c.GetOutcome() == NotRun {
@@ -145,14 +160,14 @@
 		// may send the request a second time.
 		c.ExpiresUs = s.clock + freedKeep
 	}
-	heap.Push(&s.ends, end{c.GetExpiresUs(), k})
+	s.endsAt(k, c.GetExpiresUs())
 	return &wire.Result{Code: OK}
 }
 
 func (s *State) expire() *wire.Result {
 	for s.Due(s.clock) {
 		k := heap.Pop(&s.ends).(end).key
-		if c := s.claims[k]; c.GetOutcome() != "" && c.GetExpiresUs() <= s.clock {
+		if c := s.claims[k]; c.GetExpiresUs() > 0 && c.GetExpiresUs() <= s.clock {
 			delete(s.claims, k)
 		}
 	}
--- a/core/state/state_test.go
+++ b/core/state/state_test.go
@@ -76,7 +76,7 @@
 		{"a clock behind", []*wire.Command{
 			claim("e0", 1), expire(1000), finish("e0", 1, "whole", 3), expire(999 + time.Hour.Microseconds()), claim("e2", 1),
 		}, Finished},
-		{"running never expires", []*wire.Command{claim("e1", 1), expire(1 << 60), claim("e2", 1)}, Running},
+		{"no time, no end", []*wire.Command{claim("e1", 1), expire(1 << 60), claim("e2", 1)}, Running},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			var s State
--- a/io/ctrl/apply.go
+++ b/io/ctrl/apply.go
@@ -40,7 +40,7 @@
 	if us := k.base + now.Sub(k.at).Microseconds(); !k.at.IsZero() && us >= s.Clock() {
 		return us
 	}
-	k.base, k.at = s.Clock(), now
+	k.base, k.at = max(s.Clock(), 1), now // Zero would be no time at all.
 	return k.base
 }
 
