--- a/core/late/late_test.go
+++ b/core/late/late_test.go
@@ -1,9 +1,7 @@
 package late_test
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
@@ -15,11 +13,6 @@
 	"azurelane/core/wire"
 )
 
-func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "1")
-	os.Exit(m.Run())
-}
-
 var start = time.Unix(1000, 0)
 
 // newLate returns the policy with upstreams that run as many requests at once
--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -9,6 +9,7 @@
 	"math"
 	"time"
 
+	"azurelane/core/plane"
 	"azurelane/core/slope"
 )
 
@@ -17,6 +18,7 @@
 type Limit struct {
 	first slope.Slope // Seconds to the first token, by prompt tokens.
 	rest  slope.Slope // Seconds from the first to the last token, by answer tokens.
+	whole plane.Plane // Seconds of answers in one piece, which don't show the two apart.
 	miss  float64     // Mean part by which the expectation was missed.
 	unit  float64     // Least seconds to the first token for each prompt token.
 	wait  float64     // Part of a run that is spent in the upstream's own queue.
@@ -35,6 +37,7 @@
 const (
 	gain        = 0.1 // Of running means.
 	firstOffset = 64  // Tokens added to each prompt for what every request costs.
+	wholeOffset = 8   // The same for answers in one piece, whose fit takes no offset of its own.
 	cachedPart  = 0.1 // Of a prompt that is worked off when its prefix is cached.
 
 	// An upstream with more than longWait of each run in its own queue is given
@@ -54,12 +57,17 @@
 func Cost(prompt, answer int64) float64 { return 1 + float64(prompt)/16 + float64(answer) }
 
 // Known reports whether a run has come back.
-func (l *Limit) Known() bool { return l.rest.Known() }
+func (l *Limit) Known() bool { return l.first.Known() || l.whole.Known() }
 
 // Expect is the time that a run takes from dispatch to its end, at the batch
 // sizes of late. It is zero while nothing is known.
 func (l *Limit) Expect(prompt, answer int64, cached bool) time.Duration {
-	return time.Duration((l.first.At(worked(prompt, cached)) + l.rest.At(float64(answer))) * float64(time.Second))
+	x, y := worked(prompt, cached), float64(answer)
+	s := l.first.At(x) + l.rest.At(y)
+	if !l.first.Known() {
+		s = l.whole.At(x+wholeOffset, y)
+	}
+	return time.Duration(s * float64(time.Second))
 }
 
 // Miss is the mean part by which Expect was missed, at most 1.
@@ -85,7 +93,10 @@
 		l.rest.Add(float64(answer), (total - first).Seconds())
 		l.crowd(x, first, total, running, announced)
 	} else {
-		l.rest.Add(float64(answer), max(total.Seconds()-l.first.At(x), 0))
+		l.whole.Add(x+wholeOffset, float64(answer), total.Seconds())
+		if l.first.Known() {
+			l.rest.Add(float64(answer), max(total.Seconds()-l.first.At(x), 0))
+		}
 	}
 	l.good = now
 	l.fails, l.others, l.until, l.pause = 0, false, time.Time{}, 0
--- a/core/slots/slots_test.go
+++ b/core/slots/slots_test.go
@@ -18,6 +18,7 @@
 
 func TestMain(m *testing.M) {
 	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
 	os.Exit(m.Run())
 }
 
