--- a/core/late/admit.go
+++ b/core/late/admit.go
@@ -1,11 +1,13 @@
 package late
 
 import (
+	"slices"
 	"time"
 
 	"azurelane/core/item"
 	"azurelane/core/limit"
 	"azurelane/core/refuse"
+	"azurelane/core/upstr"
 	"azurelane/core/wire"
 )
 
@@ -14,25 +16,31 @@
 	longestRetry  = time.Minute
 )
 
-// item weighs a ticket against what is known of the upstreams.
+// item makes a ticket ready for the queue.
 func (l *Late) item(now time.Time, t *wire.Ticket) *item.Item {
 	i := &item.Item{Ticket: t, Work: limit.Cost(t.GetPromptTokens(), t.GetAnswerTokens()), Long: l.usual.add(now, t)}
 	if t.GetDeadlineUs() > 0 {
-		i.Deadline = now.Add(time.Duration(t.GetDeadlineUs()) * time.Microsecond)
+		i.Deadline = now.Add(micros(t.GetDeadlineUs()))
 		i.Latest = i.Deadline.Add(-l.fastest(now, i))
 	}
 	return i
 }
 
 // fastest is the expected time of the item's run on the fastest upstream that
-// serves it, zero while one of them is unknown.
+// serves it, zero while one of them is unknown. Most often the one that is
+// fastest for usual runs is fast enough, and the others need no look.
 func (l *Late) fastest(now time.Time, i *item.Item) time.Duration {
+	if u := l.quick; u != nil && u.Live(now) && u.Serves(i.Ticket) {
+		if e := l.place.Safe(u, i.Ticket); !now.Add(e).After(i.Deadline) {
+			return e
+		}
+	}
 	best := time.Duration(-1)
 	for _, u := range l.table.All() {
 		if !u.Live(now) || !u.Serves(i.Ticket) {
 			continue
 		}
-		if e := l.place.Safe(u, i); best < 0 || e < best {
+		if e := l.place.Safe(u, i.Ticket); best < 0 || e < best {
 			best = e
 		}
 	}
@@ -83,22 +91,18 @@
 
 // served reports whether a live upstream may run the ticket.
 func (l *Late) served(now time.Time, t *wire.Ticket) bool {
-	for _, u := range l.table.All() {
-		if u.Live(now) && u.Serves(t) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(l.table.All(), func(u *upstr.Upstream) bool { return u.Live(now) && u.Serves(t) })
 }
 
 // sweep looks at all slots and upstreams, which is too much for each call.
 func (l *Late) sweep(now time.Time) []*wire.Decision {
-	l.swept = now
+	l.swept, l.stale = now, true
 	l.table.Expire(now, forgetAfter)
 	l.slots.Sweep(now, l.pool.MaxRun+runGrace, l.overdue(now))
 	live := 0
 	l.place.Alone = true
-	l.rate, l.place.Usual = 0, 0
+	l.rate, l.place.Usual, l.quick = 0, 0, nil
+	var quickest time.Duration
 	prompt, answer := int64(l.usual.prompt), int64(l.usual.answer)
 	for _, u := range l.table.All() {
 		if !u.Live(now) {
@@ -109,6 +113,9 @@
 		if e := u.Learnt.Expect(prompt, answer, false); e > 0 {
 			l.rate += float64(u.Most(now)) * limit.Cost(prompt, answer) / e.Seconds()
 			l.place.Usual = max(l.place.Usual, e)
+			if l.quick == nil || e < quickest {
+				l.quick, quickest = u, e
+			}
 		}
 	}
 	l.queue.Burst = l.rate * burst.Seconds()
--- a/core/late/late.go
+++ b/core/late/late.go
@@ -4,6 +4,7 @@
 package late
 
 import (
+	"slices"
 	"time"
 
 	"azurelane/core/blame"
@@ -39,9 +40,11 @@
 
 	started time.Time // First call; the table fills within startGrace after it.
 	swept   time.Time
-	live    int     // Live upstreams at the last sweep.
-	rate    float64 // Work units a second of the whole pool; zero while unknown.
-	open    []*upstr.Upstream
+	live    int               // Live upstreams at the last sweep.
+	rate    float64           // Work units a second of the whole pool; zero while unknown.
+	quick   *upstr.Upstream   // The fastest one for a usual run at the last sweep.
+	open    []*upstr.Upstream // All with room, and some without.
+	stale   bool              // Others than those in open may have room.
 }
 
 const (
@@ -75,8 +78,7 @@
 			l.queue.Shares[t.Wire()] = t.Share
 		}
 	}
-	l.sweep(now)
-	return l.assign(now)
+	return append(l.sweep(now), l.assign(now)...)
 }
 
 func (l *Late) begin(now time.Time) {
@@ -89,6 +91,7 @@
 func (l *Late) Announce(now time.Time, a *wire.Announce) []*wire.Decision {
 	l.begin(now)
 	l.table.Put(now, a)
+	l.stale = true
 	return l.assign(now)
 }
 
@@ -127,6 +130,7 @@
 // cancel frees a slot whose ticket won't be dispatched under it.
 func (l *Late) cancel(now time.Time, incarnation string, ticket uint64) {
 	if s := l.slots.Cancel(now, incarnation, ticket); s != nil {
+		l.stale = true
 		l.queue.Correct(s.Ticket.GetAccount(), -s.Work)
 	}
 }
@@ -142,11 +146,13 @@
 		}
 	}
 	l.slots.Hold(now, h.GetIncarnation(), list, l.table.Named)
+	l.stale = true
 }
 
 // Forget drops a dead entry's tickets and slots.
 func (l *Late) Forget(now time.Time, incarnation string) []*wire.Decision {
 	l.slots.Forget(incarnation)
+	l.stale = true
 	l.queue.Drop(func(i *item.Item) bool { return i.GetIncarnation() == incarnation })
 	return l.assign(now)
 }
@@ -171,7 +177,8 @@
 	}
 	var out []*wire.Decision
 	l.queue.Round()
-	for l.open = place.Open(now, l.table.All(), l.open); len(l.open) > 0; l.open = place.Open(now, l.table.All(), l.open) {
+	l.refresh(now)
+	for len(l.open) > 0 {
 		var granted *wire.Decision
 		l.queue.Next(func(i *item.Item) (bool, bool) {
 			var full bool
@@ -186,6 +193,16 @@
 	return out
 }
 
+// refresh leaves just the upstreams with room in open. A release adds its own
+// upstream, so that the many grants that follow a release look at no other one.
+func (l *Late) refresh(now time.Time) {
+	all := l.open
+	if l.stale {
+		all, l.stale = l.table.All(), false
+	}
+	l.open = place.Open(now, all, l.open)
+}
+
 // grant places one ticket. It returns nil and whether all tickets like it
 // would find no place.
 func (l *Late) grant(now time.Time, i *item.Item) (*wire.Decision, bool) {
@@ -200,7 +217,11 @@
 	if h := i.GetPrefixHash(); h != 0 {
 		s.Up.Cache.Sent(now, h)
 	}
-	return l.slots.Grant(now, s, l.pool.GrantTTL), false
+	d := l.slots.Grant(now, s, l.pool.GrantTTL)
+	if !s.Up.Room(now) {
+		l.open = slices.DeleteFunc(l.open, func(u *upstr.Upstream) bool { return u == s.Up })
+	}
+	return d, false
 }
 
 func refusal(t *wire.Ticket, code string, after time.Duration) *wire.Decision {
--- a/core/late/learn.go
+++ b/core/late/learn.go
@@ -1,6 +1,7 @@
 package late
 
 import (
+	"slices"
 	"time"
 
 	"azurelane/core/limit"
@@ -27,6 +28,9 @@
 		return nil
 	}
 	l.learn(now, s, r)
+	if !slices.Contains(l.open, s.Up) {
+		l.open = append(l.open, s.Up)
+	}
 	return l.assign(now)
 }
 
--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -16,13 +16,15 @@
 // Limit is what is learnt of one upstream. The zero value knows nothing and
 // trusts the announced limit.
 type Limit struct {
+	trial int     // Slots allowed while it comes back; zero when in service.
+	most  float64 // Requests at once; zero for as many as announced.
+
 	first slope.Slope // Seconds to the first token, by prompt tokens.
 	rest  slope.Slope // Seconds from the first to the last token, by answer tokens.
 	whole plane.Plane // Seconds of answers in one piece, which don't show the two apart.
 	miss  float64     // Mean part by which the expectation was missed.
 	unit  float64     // Least seconds to the first token for each prompt token.
 	wait  float64     // Part of a run that is spent in the upstream's own queue.
-	most  float64     // Requests at once; zero for as many as announced.
 	calm  int         // Runs since most was last lowered.
 
 	good   time.Time // Last success.
@@ -31,7 +33,6 @@
 	others bool      // Several client accounts are among the failures in a row.
 	until  time.Time // Out of service until then; zero when in service.
 	pause  time.Duration
-	trial  int // Slots allowed while it comes back; zero when in service.
 }
 
 const (
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -9,6 +9,7 @@
 	"azurelane/core/item"
 	"azurelane/core/slot"
 	"azurelane/core/upstr"
+	"azurelane/core/wire"
 )
 
 // Place holds the weights of one preset. The zero value prefers no cache.
@@ -44,7 +45,7 @@
 func Open(now time.Time, all, into []*upstr.Upstream) []*upstr.Upstream {
 	into = into[:0]
 	for _, u := range all {
-		if u.Live(now) && u.Running < u.Most(now) {
+		if u.Room(now) {
 			into = append(into, u)
 		}
 	}
@@ -126,15 +127,15 @@
 	if i.Deadline.IsZero() || !u.Learnt.Known() {
 		return c
 	}
-	c.late = now.Add(p.Safe(u, i)).After(i.Deadline)
+	c.late = now.Add(p.Safe(u, i.Ticket)).After(i.Deadline)
 	return c
 }
 
-// Safe is the time that the item's run surely takes on the upstream, for the
+// Safe is the time that the ticket's run surely takes on the upstream, for the
 // judgement of deadlines: without the belief in a cache, which may be wrong,
 // and with the preset's margin. It is zero while nothing is known.
-func (p Place) Safe(u *upstr.Upstream, i *item.Item) time.Duration {
-	run := u.Learnt.Expect(i.GetPromptTokens(), i.GetAnswerTokens(), false)
+func (p Place) Safe(u *upstr.Upstream, t *wire.Ticket) time.Duration {
+	run := u.Learnt.Expect(t.GetPromptTokens(), t.GetAnswerTokens(), false)
 	return time.Duration(float64(run) * (1 + p.Margin*u.Learnt.Miss()))
 }
 
--- a/core/queue/heap.go
+++ b/core/queue/heap.go
@@ -36,15 +36,10 @@
 }
 
 func sooner(a, b *node) bool {
-	switch {
-	case a.Deadline.Equal(b.Deadline):
-		return a.seq < b.seq
-	case a.Deadline.IsZero():
-		return false
-	case b.Deadline.IsZero():
-		return true
+	if a.end != b.end {
+		return a.end < b.end
 	}
-	return a.Deadline.Before(b.Deadline)
+	return a.seq < b.seq
 }
 
 func (h latestHeap) Len() int { return len(h) }
--- a/core/queue/next.go
+++ b/core/queue/next.go
@@ -29,7 +29,7 @@
 			q.charge(a, n.Level(), n.Work)
 			return n.Item
 		case full:
-			q.classes[f.class] = q.round
+			f.full = q.round
 		default:
 			f.aside = q.round
 		}
@@ -103,12 +103,22 @@
 // own returns the account's first flow: the most urgent one, then the one with
 // the earliest deadline.
 func (q *Queue) own(a *account, level int) *flow {
+	if a.top == nil {
+		a.top = a.find(func(*flow) bool { return true })
+	}
+	if level < 0 && q.offers(a.top) {
+		return a.top
+	}
+	return a.find(func(f *flow) bool { return (level < 0 || f.level == level) && q.offers(f) })
+}
+
+// offers reports whether the flow's tickets may still find a place in this round.
+func (q *Queue) offers(f *flow) bool { return f.aside != q.round && f.full != q.round }
+
+func (a *account) find(ok func(*flow) bool) *flow {
 	var best *flow
 	for _, f := range a.flows {
-		if (level >= 0 && f.level != level) || f.aside == q.round || q.classes[f.class] == q.round {
-			continue
-		}
-		if best == nil || f.level < best.level || (f.level == best.level && sooner(f.items[0], best.items[0])) {
+		if ok(f) && (best == nil || f.level < best.level || (f.level == best.level && sooner(f.items[0], best.items[0]))) {
 			best = f
 		}
 	}
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -5,6 +5,7 @@
 
 import (
 	"container/heap"
+	"math"
 	"time"
 
 	"azurelane/core/acct"
@@ -27,9 +28,9 @@
 		latest   latestHeap
 		seq      uint64
 		round    uint64
-		classes  map[class]uint64 // The last round in which the class found no place.
-		clock    float64          // Virtual time: work granted for each weight that waits.
-		weights  float64          // Of the active accounts.
+		classes  map[classKey]*class // One value for each, shared by its flows.
+		clock    float64             // Virtual time: work granted for each weight that waits.
+		weights  float64             // Of the active accounts.
 		work     [tier.Levels]float64
 		waiting  [tier.Levels]int
 		saved    [tier.Levels]float64 // Work that a tier with a share may claim.
@@ -44,6 +45,7 @@
 		used    float64 // Virtual time of the work that it was granted.
 		urgent  float64 // The same for urgent work alone.
 		flows   []*flow // Not empty.
+		top     *flow   // The first of them; nil when it has to be found anew.
 		newest  [tier.Levels]*node
 		waiting [tier.Levels]int
 		work    [tier.Levels]float64
@@ -52,7 +54,7 @@
 
 	// flow holds an account's tickets of one tier that fit the same places.
 	flow struct {
-		class
+		*class
 		level int
 		items flowHeap
 		aside uint64 // The round in which its first ticket found no place.
@@ -61,6 +63,11 @@
 	// class groups tickets that fit the same places: when one of them finds
 	// none, no other one would.
 	class struct {
+		classKey
+		full uint64 // The last round in which it found no place.
+	}
+
+	classKey struct {
 		model string
 		long  bool // And not urgent.
 	}
@@ -68,6 +75,7 @@
 	node struct {
 		*item.Item
 		seq          uint64
+		end          int64 // Deadline, for quick comparison; the largest for none.
 		flow         *flow
 		account      *account
 		at, expires  int // In the flow and in the heap of latest times; -1 for none.
@@ -89,7 +97,7 @@
 // are asked.
 func (q *Queue) Push(i *item.Item) {
 	if q.tickets == nil {
-		q.accounts, q.tickets, q.classes = map[string]*account{}, map[ticketKey]*node{}, map[class]uint64{}
+		q.accounts, q.tickets, q.classes = map[string]*account{}, map[ticketKey]*node{}, map[classKey]*class{}
 	}
 	a := q.accounts[i.GetAccount()]
 	if a == nil {
@@ -97,14 +105,18 @@
 		q.accounts[a.name] = a
 	}
 	q.seq++
-	n := &node{Item: i, seq: q.seq, account: a, expires: -1}
+	n := &node{Item: i, seq: q.seq, end: math.MaxInt64, account: a, expires: -1}
+	if !i.Deadline.IsZero() {
+		n.end = i.Deadline.UnixNano()
+	}
 	q.tickets[ticketKey{i.GetIncarnation(), i.GetId()}] = n
 	q.link(n)
 	if a.at < 0 {
 		q.activate(a)
 	}
-	n.flow = a.flow(class{i.GetModel(), i.Long && i.Level() > 0}, i.Level())
+	n.flow = a.flow(q.class(i), i.Level())
 	heap.Push(&n.flow.items, n)
+	a.top = nil
 	if !i.Latest.IsZero() {
 		heap.Push(&q.latest, n)
 	}
@@ -137,7 +149,17 @@
 
 func (q *Queue) account(name string) acct.Account { return q.Accounts[name].WithDefaults() }
 
-func (a *account) flow(c class, level int) *flow {
+func (q *Queue) class(i *item.Item) *class {
+	k := classKey{i.GetModel(), i.Long && i.Level() > 0}
+	c := q.classes[k]
+	if c == nil {
+		c = &class{classKey: k}
+		q.classes[k] = c
+	}
+	return c
+}
+
+func (a *account) flow(c *class, level int) *flow {
 	for _, f := range a.flows {
 		if f.class == c && f.level == level {
 			return f
@@ -162,6 +184,7 @@
 	a, l, f := n.account, n.Level(), n.flow
 	delete(q.tickets, ticketKey{n.GetIncarnation(), n.GetId()})
 	heap.Remove(&f.items, n.at)
+	a.top = nil
 	if n.expires >= 0 {
 		heap.Remove(&q.latest, n.expires)
 	}
--- a/core/table/table.go
+++ b/core/table/table.go
@@ -24,12 +24,7 @@
 	if u.GetIncarnation() == a.GetIncarnation() && a.GetSeq() < u.GetSeq() {
 		return u
 	}
-	if u.GetIncarnation() != "" && u.GetIncarnation() != a.GetIncarnation() {
-		u.Learnt.Return()
-	}
-	u.Announce = a
-	u.Expires = now.Add(time.Duration(a.GetLeaseUs()) * time.Microsecond)
-	u.Cache.Told(now, a.GetCachedPrefixes())
+	u.Heard(now, a)
 	return u
 }
 
--- a/core/upstr/upstr.go
+++ b/core/upstr/upstr.go
@@ -16,14 +16,16 @@
 // its announcement is late; Running is exact, because its scheduler is the only
 // one that grants on it.
 type Upstream struct {
+	Running int       // Slots granted and not yet released.
+	limit   int       // As announced.
+	leaving bool      // As announced.
+	Expires time.Time // End of the lease.
 	*wire.Announce
-	Expires time.Time     // End of the lease.
-	Running int           // Slots granted and not yet released.
-	Long    int           // Of these, slots of long work.
-	Tokens  int64         // Tokens of the requests in these slots.
-	Learnt  limit.Limit   // From its own runs.
-	Cache   prefix.Prefix // What it has probably cached.
-	hash    uint64
+	Long   int           // Of these, slots of long work.
+	Tokens int64         // Tokens of the requests in these slots.
+	Learnt limit.Limit   // From its own runs.
+	Cache  prefix.Prefix // What it has probably cached.
+	hash   uint64
 }
 
 // DefaultMaxRunning bounds an upstream that does not say how much it runs at once.
@@ -32,23 +34,39 @@
 // New returns an upstream that is known by name alone: it isn't live until it
 // announces itself.
 func New(name string) *Upstream {
-	return &Upstream{Announce: &wire.Announce{Upstream: name}, hash: xxhash.Sum64String(name)}
+	return &Upstream{Announce: &wire.Announce{Upstream: name}, limit: DefaultMaxRunning, hash: xxhash.Sum64String(name)}
+}
+
+// Heard takes an announcement. What a decision needs of it is kept beside the
+// upstream's slots: a decision looks at every upstream.
+func (u *Upstream) Heard(now time.Time, a *wire.Announce) {
+	if u.GetIncarnation() != "" && u.GetIncarnation() != a.GetIncarnation() {
+		u.Learnt.Return()
+	}
+	u.Announce = a
+	u.Expires = now.Add(time.Duration(a.GetLeaseUs()) * time.Microsecond)
+	u.leaving = a.GetLeaving()
+	u.limit = DefaultMaxRunning
+	if n := a.GetMaxRunning(); n > 0 {
+		u.limit = int(n)
+	}
+	u.Cache.Told(now, a.GetCachedPrefixes())
 }
 
 // Live reports whether the upstream may be granted new work: its lease runs
 // and it is not leaving.
 func (u *Upstream) Live(now time.Time) bool {
-	return !u.GetLeaving() && now.Before(u.Expires)
+	return !u.leaving && now.Before(u.Expires)
 }
 
-// Limit is the number of requests that the upstream says it runs at once.
-func (u *Upstream) Limit() int {
-	if n := u.GetMaxRunning(); n > 0 {
-		return int(n)
-	}
-	return DefaultMaxRunning
+// Room reports whether it may be granted one more request now.
+func (u *Upstream) Room(now time.Time) bool {
+	return u.Running < u.Most(now) && u.Live(now)
 }
 
+// Limit is the number of requests that the upstream says it runs at once.
+func (u *Upstream) Limit() int { return u.limit }
+
 // Most is the number of requests that it may be given at once, by what was
 // learnt of it.
 func (u *Upstream) Most(now time.Time) int { return u.Learnt.Most(now, u.Limit()) }
