--- a/io/engine/http.go
+++ b/io/engine/http.go
@@ -21,6 +21,8 @@
 	bytesPerToken = 4
 	defaultTokens = 32
 	prefixBytes   = 1024
+	echoBytes     = 64      // Of a plain call, sent back.
+	echoMark      = "echo " // A prompt that begins so is the first token of its answer.
 )
 
 type (
@@ -114,7 +116,8 @@
 		return false
 	}
 	w.Header().Set("Content-Type", "application/json")
-	_, err := fmt.Fprintf(w, "{\"service\":%q,\"path\":%q,\"bytes\":%d,\"request\":%q}\n", s.Name, r.URL.Path, len(body), r.Header.Get(headerRequest))
+	_, err := fmt.Fprintf(w, "{\"service\":%q,\"path\":%q,\"bytes\":%d,\"request\":%q,\"echo\":%q}\n",
+		s.Name, r.URL.Path, len(body), r.Header.Get(headerRequest), body[:min(echoBytes, len(body))])
 	return err == nil
 }
 
@@ -153,7 +156,7 @@
 		if !pause(r.Context(), s.stepTime()) {
 			return false
 		}
-		text.WriteString(token(i))
+		text.WriteString(c.token(i))
 	}
 	s.count(func(n *Stats) { n.Generated += c.MaxTokens })
 	out.Choices = []choice{{Message: &message{"assistant", text.String()}, FinishReason: "length"}}
@@ -176,7 +179,7 @@
 		if !pause(r.Context(), s.stepTime()) {
 			return false
 		}
-		out.Choices = []choice{{Delta: &message{"assistant", token(i)}}}
+		out.Choices = []choice{{Delta: &message{"assistant", c.token(i)}}}
 		data, err := json.Marshal(out)
 		if err != nil {
 			return false
@@ -218,6 +221,15 @@
 	_ = json.MarshalWrite(w, s.Journal())
 }
 
+// token is the i-th token of the answer. A prompt that begins with the echo
+// mark is its own first token, so that a caller can tell its answer from others.
+func (c *chat) token(i int64) string {
+	if n := len(c.Messages); i == 0 && n > 0 && strings.HasPrefix(c.Messages[n-1].Content, echoMark) {
+		return strings.TrimPrefix(c.Messages[n-1].Content, echoMark) + " "
+	}
+	return token(i)
+}
+
 func token(i int64) string { return "t" + strconv.FormatInt(i, 10) + " " }
 
 // pause waits and reports whether the caller is still there.
