--- a/core/state/state.go
+++ b/core/state/state.go
@@ -81,6 +81,7 @@
 		s.claims[k] = &wire.ClaimState{
 			Account: c.GetAccount(), Key: c.GetKey(), BodyHash: c.GetBodyHash(), Holder: c.GetHolder(),
 			Address: c.GetAddress(), KeepUs: c.GetKeepUs(), Request: c.GetRequest(),
+			ExpiresUs: claimEnd(c),
 		}
 		return &wire.Result{Code: OK, Holder: c.GetHolder()}
 	}
@@ -96,13 +97,35 @@
 	if old.GetOutcome() != "" {
 		code = Finished
 	}
-	return &wire.Result{Code: code, Holder: old.GetHolder(), Address: old.GetAddress(), Outcome: old.GetOutcome()}
+	return &wire.Result{
+		Code: code, Holder: old.GetHolder(), Address: old.GetAddress(), Outcome: old.GetOutcome(), Request: old.GetRequest(),
+	}
+}
+
+// claimEnd is when a claim ends whose holder never records an outcome, because
+// it died; without one such claims would pile up for ever. A claim that its
+// leader gave no time never ends: ended too early, its key could run twice.
+func claimEnd(c *wire.Claim) int64 {
+	if c.GetNowUs() == 0 {
+		return 0
+	}
+	return c.GetNowUs() + c.GetKeepUs()
 }
 
+// finish records an outcome once. A finish that comes late must not touch the
+// claim of a newer request of the same entry, and one that says not-run must
+// not free a key whose run is on record: either would let the key run twice.
 func (s *State) finish(f *wire.Finish) *wire.Result {
 	k := claimKey{f.GetAccount(), f.GetKey()}
 	c, ok := s.claims[k]
-	if !ok || c.GetHolder() != f.GetHolder() {
+	if !ok || c.GetHolder() != f.GetHolder() || (f.GetRequest() != 0 && c.GetRequest() != f.GetRequest()) {
+		return &wire.Result{Code: Gone}
+	}
+	switch c.GetOutcome() {
+	case "":
+	case f.GetOutcome():
+		return &wire.Result{Code: OK}
+	default:
 		return &wire.Result{Code: Gone}
 	}
 	if f.GetOutcome() == "not-run" {
@@ -118,7 +141,7 @@
 
 func (s *State) expire(e *wire.Expire) *wire.Result {
 	for k, c := range s.claims {
-		if c.GetOutcome() != "" && c.GetExpiresUs() <= e.GetNowUs() {
+		if c.GetExpiresUs() > 0 && c.GetExpiresUs() <= e.GetNowUs() {
 			delete(s.claims, k)
 		}
 	}
