Settings: one list of keys for checks and the operators' reference

Errors named neither the key nor what was expected when a document did not parse, addresses could be unspecified or double, and nothing held the reference and the checks together. io/setup/rules.go lists each key with what is expected, its default, its text and its check; docs/OPERATING.md's tables are written from the lists and a test compares them, for the configuration's keys too. Two client accounts with one key hash are refused: which of them a caller was depended on the order of a map.

--- a/cmd/azurelane/control.go
+++ b/cmd/azurelane/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 
 	"azurelane/io/logs"
@@ -25,6 +26,9 @@
 	if err != nil {
 		return err
 	}
+	if err := set.For(setup.Control); err != nil {
+		return fmt.Errorf("control: %s: %w", c.Settings, err)
+	}
 	log, err := logs.New(os.Stderr, set.LogFormat, set.LogLevel)
 	if err != nil {
 		return err
--- a/cmd/azurelane/entry.go
+++ b/cmd/azurelane/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 
 	"azurelane/io/entry"
@@ -28,6 +29,9 @@
 	if err != nil {
 		return err
 	}
+	if err := set.For(setup.Entry); err != nil {
+		return fmt.Errorf("entry: %s: %w", c.Settings, err)
+	}
 	log, err := logs.New(os.Stderr, set.LogFormat, set.LogLevel)
 	if err != nil {
 		return err
--- a/cmd/azurelane/main.go
+++ b/cmd/azurelane/main.go
@@ -9,11 +9,14 @@
 	"syscall"
 
 	"github.com/alecthomas/kong"
+	"github.com/pkg/errors"
 
+	"azurelane/core/conf"
 	// Scheduling policies register themselves.
 	_ "azurelane/core/late"
 	_ "azurelane/core/least"
 	_ "azurelane/core/robin"
+	"azurelane/io/setup"
 )
 
 // Exit codes.
@@ -62,11 +65,18 @@
 	k.BindTo(ctx, (*context.Context)(nil))
 	if err := k.Run(); err != nil {
 		fmt.Fprintln(os.Stderr, "azurelane: "+err.Error())
-		return exitFailed
+		return exitCode(err)
 	}
 	return exitOK
 }
 
+func exitCode(err error) int {
+	if errors.Is(err, setup.ErrInvalid) || errors.Is(err, conf.ErrInvalid) {
+		return exitUsage
+	}
+	return exitFailed
+}
+
 // signals returns a context that ends with the first SIGTERM or interrupt. A
 // second signal ends the process at once.
 func signals() (context.Context, context.CancelFunc) {
--- a/core/conf/check.go
+++ b/core/conf/check.go
@@ -3,6 +3,9 @@
 import (
 	"encoding/hex"
 	"fmt"
+	"maps"
+	"slices"
+	"strings"
 
 	"github.com/pkg/errors"
 
@@ -15,23 +18,19 @@
 // Check reports the first rule that the configuration breaks, with the key
 // path and what was expected.
 func (c *Config) Check() error {
-	for name, a := range c.Accounts {
-		if raw, err := hex.DecodeString(a.KeySHA256); err != nil || len(raw) != 32 {
-			return invalid("/client-accounts/"+name+"/key-sha256", "64 hex digits")
-		}
-		if a.Weight < 0 {
-			return invalid("/client-accounts/"+name+"/weight", "a number of 0 or more")
-		}
-		for _, t := range a.Tiers {
-			if _, ok := c.Tiers[t]; !ok {
-				return invalid("/client-accounts/"+name+"/tiers", "names of tiers, not "+t)
-			}
-		}
+	if err := c.checkAccounts(); err != nil {
+		return err
+	}
+	if c.ClaimKeep < 0 || c.AnswerKeep < 0 || c.AnswerBytes < 0 {
+		return invalid("/claim-keep, /answer-keep, /answer-bytes", "0 or more")
 	}
 	for name, t := range c.Tiers {
 		if t.Level < 0 || t.Level >= tier.Levels {
 			return invalid("/tiers/"+name+"/level", "0, 1 or 2")
 		}
+		if t.Deadline < 0 {
+			return invalid("/tiers/"+name+"/deadline", "a span of 0 or more")
+		}
 		if t.Share < 0 || t.Share > 1 {
 			return invalid("/tiers/"+name+"/share", "a number from 0 to 1")
 		}
@@ -39,6 +38,32 @@
 	return c.checkPools()
 }
 
+func (c *Config) checkAccounts() error {
+	hashes := map[string]string{}
+	for _, name := range slices.Sorted(maps.Keys(c.Accounts)) {
+		a, at := c.Accounts[name], "/client-accounts/"+name
+		if raw, err := hex.DecodeString(a.KeySHA256); err != nil || len(raw) != 32 {
+			return invalid(at+"/key-sha256", "64 hex digits")
+		}
+		// Two accounts with one key could not be told apart: either would pay
+		// for the other's load and see its answers.
+		hash := strings.ToLower(a.KeySHA256)
+		if other, ok := hashes[hash]; ok {
+			return invalid(at+"/key-sha256", "a key of its own, not that of "+other)
+		}
+		hashes[hash] = name
+		if a.Weight < 0 || a.MaxWaiting < 0 || a.MaxConnections < 0 || a.MaxBody < 0 || a.MaxBodies < 0 {
+			return invalid(at, "a weight and limits of 0 or more")
+		}
+		for _, t := range a.Tiers {
+			if _, ok := c.Tiers[t]; !ok {
+				return invalid(at+"/tiers", "names of tiers, not "+t)
+			}
+		}
+	}
+	return nil
+}
+
 func (c *Config) checkPools() error {
 	models, services := map[string]string{}, map[string]string{}
 	for name, p := range c.Pools {
--- a/core/conf/conf.go
+++ b/core/conf/conf.go
@@ -7,6 +7,7 @@
 
 	"azurelane/core/acct"
 	"azurelane/core/codec"
+	"azurelane/core/keys"
 	"azurelane/core/pool"
 	"azurelane/core/tier"
 )
@@ -37,6 +38,9 @@
 func Parse(doc []byte) (*Config, error) {
 	var cfg Config
 	if err := codec.Read(doc, &cfg); err != nil {
+		if text, ok := keys.Explain(Keys(), err); ok {
+			return nil, fmt.Errorf("%w: %s", ErrInvalid, text)
+		}
 		return nil, fmt.Errorf("conf: parse: %w", err)
 	}
 	if err := cfg.Check(); err != nil {
--- /dev/null
+++ b/io/certs/certs.go
@@ -0,0 +1,91 @@
+// Package certs makes TLS settings from certificate files, for links between
+// azurelane processes and for operators.
+package certs
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"fmt"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// ErrNoAuthority is returned when the file of the authority holds no certificate.
+var ErrNoAuthority = errors.New("certs: no certificate of an authority")
+
+// Certs names the files of one process. The zero value means no TLS.
+type Certs struct {
+	Cert string `json:"cert,omitzero"` // PEM: certificate, with its chain.
+	Key  string `json:"key,omitzero"`  // PEM: private key.
+	CA   string `json:"ca,omitzero"`   // PEM: authorities that sign the deployment's certificates.
+}
+
+// On reports whether TLS is wanted.
+func (c Certs) On() bool { return c != Certs{} }
+
+// Whole reports whether all files are named, or none.
+func (c Certs) Whole() bool { return !c.On() || c.Cert != "" && c.Key != "" && c.CA != "" }
+
+// Config returns the settings for both ends of a link, or nil without TLS. Both
+// ends must show a certificate that the authority signed; the accepting end's
+// certificate must also name the IP address that was dialled.
+//
+// A renewed certificate is used from the next handshake on. A new authority
+// needs a restart.
+func (c Certs) Config() (*tls.Config, error) {
+	if !c.On() {
+		return nil, nil //nolint:nilnil // No TLS is a setting, not an error.
+	}
+	pem, err := os.ReadFile(c.CA)
+	if err != nil {
+		return nil, fmt.Errorf("certs: authority: %w", err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, fmt.Errorf("%w in %s", ErrNoAuthority, c.CA)
+	}
+	p := &pair{Certs: c}
+	if _, err := p.get(); err != nil {
+		return nil, err
+	}
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13, RootCAs: pool, ClientCAs: pool, ClientAuth: tls.RequireAndVerifyClientCert,
+		GetCertificate:       func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return p.get() },
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return p.get() },
+	}, nil
+}
+
+// pair is a certificate with its key, read anew when the file has changed.
+type pair struct {
+	Certs
+
+	mu   sync.Mutex
+	read time.Time // Modification time of the file that was read.
+	cert *tls.Certificate
+}
+
+// get returns the certificate. When a renewed one can't be read, the former one
+// stays in use: its files may just be halfway replaced, and refusing every
+// handshake meanwhile would cut the process off.
+func (p *pair) get() (*tls.Certificate, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	info, err := os.Stat(p.Cert)
+	if err == nil && p.cert != nil && info.ModTime().Equal(p.read) {
+		return p.cert, nil
+	}
+	if err == nil {
+		var cert tls.Certificate
+		if cert, err = tls.LoadX509KeyPair(p.Cert, p.Key); err == nil {
+			p.cert, p.read = &cert, info.ModTime()
+			return p.cert, nil
+		}
+	}
+	if p.cert != nil {
+		return p.cert, nil
+	}
+	return nil, fmt.Errorf("certs: %w", err)
+}
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"net"
 	"net/netip"
-	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/google/uuid"
@@ -32,10 +31,6 @@
 	"azurelane/io/stats"
 )
 
-// DrainLimit bounds the wait for requests in flight when the entry stops. It
-// is longer than the longest run that a pool allows by default.
-const DrainLimit = 40 * time.Minute
-
 // Entry is one entry process. Open makes it.
 type Entry struct {
 	set    *setup.Setup
@@ -54,7 +49,8 @@
 
 // Open binds the entry's addresses.
 func Open(set *setup.Setup, log logr.Logger) (*Entry, error) {
-	e := &Entry{set: set, log: log, stats: stats.New(), client: &client.Client{}}
+	full := set.WithDefaults()
+	e := &Entry{set: &full, log: log, stats: stats.New(), client: &client.Client{}}
 	e.asked, e.drain = context.WithCancel(context.Background())
 	incarnation := uuid.NewString()[:8]
 	var lns []net.Listener
@@ -119,7 +115,7 @@
 		return fmt.Errorf("entry: %w", err)
 	}
 	e.log.Info("Entry drains.")
-	dctx, dcancel := context.WithTimeout(parts, DrainLimit)
+	dctx, dcancel := context.WithTimeout(parts, e.set.DrainLimit)
 	defer dcancel()
 	e.member.Leave(dctx)
 	e.front.Stop(dctx)
--- a/io/setup/setup.go
+++ b/io/setup/setup.go
@@ -5,31 +5,44 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"time"
 
 	"github.com/pkg/errors"
 
 	"azurelane/core/codec"
+	"azurelane/core/keys"
+	"azurelane/io/certs"
 	"azurelane/io/trace"
 )
 
 // ErrInvalid marks settings that parse but can't be used.
 var ErrInvalid = errors.New("setup: invalid")
 
+// Roles of processes.
+const (
+	Entry   = "entry"
+	Control = "control"
+)
+
 // Setup holds where a process stands and whom it talks to. What it serves
-// stands in the configuration that control keeps.
+// stands in the configuration that control keeps. The keys' meanings stand in
+// the rules.
 type Setup struct {
-	Node       string           `json:"node"`                 // Name of the VM, unique in the deployment.
-	DataCentre string           `json:"data-centre"`          // The site whose overlay applies.
-	Callers    netip.AddrPort   `json:"callers,omitzero"`     // Entry: HTTP for callers.
-	Upstreams  netip.AddrPort   `json:"upstreams,omitzero"`   // Entry: HTTP for upstreams that announce themselves.
-	Peers      netip.AddrPort   `json:"peers"`                // Links between azurelane processes.
-	Operator   netip.AddrPort   `json:"operator"`             // HTTP for operators: metrics, health, status.
-	Control    []netip.AddrPort `json:"control"`              // Peer addresses of the control replicas.
-	Seeds      []netip.AddrPort `json:"seeds,omitempty"`      // Entry: peer addresses of entries in its data centre.
-	DataFolder string           `json:"data-folder,omitzero"` // Control: folder of the log.
-	LogFormat  string           `json:"log-format,omitzero"`  // text or json.
-	LogLevel   int              `json:"log-level,omitzero"`   // 0, or 1 for detail.
-	Trace      trace.Trace      `json:"trace,omitzero"`       // Where spans go.
+	Node          string           `json:"node"`
+	DataCentre    string           `json:"data-centre"`
+	Callers       netip.AddrPort   `json:"callers,omitzero"`
+	Upstreams     netip.AddrPort   `json:"upstreams,omitzero"`
+	Peers         netip.AddrPort   `json:"peers"`
+	Operator      netip.AddrPort   `json:"operator"`
+	Control       []netip.AddrPort `json:"control"`
+	Seeds         []netip.AddrPort `json:"seeds,omitempty"`
+	DataFolder    string           `json:"data-folder,omitzero"`
+	DrainLimit    time.Duration    `json:"drain-limit,omitzero"`
+	LogFormat     string           `json:"log-format,omitzero"`
+	LogLevel      int              `json:"log-level"`
+	Trace         trace.Trace      `json:"trace,omitzero"`
+	TLS           certs.Certs      `json:"tls,omitzero"`
+	OperatorToken string           `json:"operator-token-sha256,omitzero"`
 }
 
 // Load reads a settings file. Errors name the file, the key and what was
@@ -41,34 +54,52 @@
 	}
 	var s Setup
 	if err := codec.Read(data, &s); err != nil {
-		return nil, fmt.Errorf("setup: %s: %w", path, err)
+		return nil, fmt.Errorf("setup: %s: %w", path, explain(err))
 	}
+	s = s.WithDefaults()
 	if err := s.Check(); err != nil {
 		return nil, fmt.Errorf("setup: %s: %w", path, err)
 	}
 	return &s, nil
 }
 
+// explain says at which key a document could not be read and what was expected there.
+func explain(err error) error {
+	if text, ok := keys.Explain(Keys(), err); ok {
+		return fmt.Errorf("%w: %s", ErrInvalid, text)
+	}
+	return err
+}
+
+// Role is what the settings are for.
+func (s *Setup) Role() string {
+	if s.Callers.IsValid() || s.Upstreams.IsValid() {
+		return Entry
+	}
+	return Control
+}
+
+// For reports an error unless the settings are for that role.
+func (s *Setup) For(role string) error {
+	if s.Role() != role {
+		return fmt.Errorf("%w: these are settings of %s, not of %s", ErrInvalid, s.Role(), role)
+	}
+	return nil
+}
+
 // Check reports the first rule that the settings break.
 func (s *Setup) Check() error {
-	switch {
-	case s.Node == "":
-		return fmt.Errorf("%w: /node: expected a name", ErrInvalid)
-	case s.DataCentre == "":
-		return fmt.Errorf("%w: /data-centre: expected a name", ErrInvalid)
-	case !s.Peers.IsValid():
-		return fmt.Errorf("%w: /peers: expected an IP address with a port", ErrInvalid)
-	case len(s.Control) == 0:
-		return fmt.Errorf("%w: /control: expected at least one address", ErrInvalid)
-	case s.LogFormat != "" && s.LogFormat != "text" && s.LogFormat != "json":
-		return fmt.Errorf("%w: /log-format: expected text or json", ErrInvalid)
+	for _, r := range rules {
+		if !r.ok(s) {
+			return fmt.Errorf("%w: %s: expected %s", ErrInvalid, r.Path, r.Want)
+		}
 	}
 	return nil
 }
 
-// Print writes the settings in full.
+// Print writes the settings in full, defaults among them.
 func (s *Setup) Print() (string, error) {
-	data, err := codec.Print(s)
+	data, err := codec.Print(s.WithDefaults())
 	if err != nil {
 		return "", fmt.Errorf("setup: print: %w", err)
 	}
