Telemetry: one trace through entry and owner, listed metrics, log prefixes

A trace ended at the entry: the owner's decision on another entry had no span, and the time to the first byte could not be told from the rest of the answer. Root loggers had no prefix and detail read as DEBUG+3; queue depth, owned pools, claims and memory could not be seen. The ticket carries a traceparent when its trace is sampled, the owner opens a decision span under it, and first-byte and answer spans are written once an answer has ended, so that nothing is added to the copying. Metrics stand in one list that docs/OPERATING.md is written from and tests compare.

--- a/cmd/azurelane/dev.go
+++ b/cmd/azurelane/dev.go
@@ -49,7 +49,7 @@
 	if err != nil {
 		return err
 	}
-	sup := suture.New("dev", suture.Spec{EventHook: func(ev suture.Event) { log.V(1).Info("Part stopped.", "event", ev.String()) }})
+	sup := suture.New("dev", suture.Spec{EventHook: func(ev suture.Event) { log.WithName("dev").V(1).Info("Part stopped.", "event", ev.String()) }})
 	if err := c.build(sup, log); err != nil {
 		return err
 	}
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -70,6 +70,7 @@
 
 func (e *Entry) build(incarnation string, lns []net.Listener) {
 	set, log := e.set, e.log
+	e.log = log.WithName("entry")
 	e.mesh = &mesh.Mesh{Listen: lns[0], Self: set.Peers, Handle: e.handle, Log: log.WithName("mesh")}
 	e.sched = &sched.Sched{Incarnation: incarnation, Log: log.WithName("sched")}
 	e.member = &member.Member{
@@ -88,8 +89,9 @@
 		Node: set.Node, Incarnation: incarnation, Address: set.Peers.String(), Config: e.follow.Config,
 		Granter: granter, Proposer: control, Sender: e.client, Peers: e.mesh, Stats: e.stats, Log: log.WithName("front"),
 	}
+	e.gauges()
 	ops := &admin.Admin{Stats: e.stats, Ready: e.ready, Drain: e.drain, Info: e.info}
-	e.sup = suture.New("entry", suture.Spec{EventHook: func(ev suture.Event) { log.Info("Part stopped.", "event", ev.String()) }})
+	e.sup = suture.New("entry", suture.Spec{EventHook: func(ev suture.Event) { e.log.Info("Part stopped.", "event", ev.String()) }})
 	for _, s := range []suture.Service{
 		e.mesh, e.sched, e.member, e.follow,
 		&httpd.Httpd{Listen: lns[1], Handler: e.front},
--- a/io/front/request.go
+++ b/io/front/request.go
@@ -22,6 +22,7 @@
 	"azurelane/core/life"
 	"azurelane/core/refuse"
 	"azurelane/core/wire"
+	tracing "azurelane/io/trace"
 )
 
 var errStopping = refuse.New(refuse.ShuttingDown, "ask another entry", time.Second)
@@ -186,6 +187,7 @@
 	if !q.deadline.IsZero() {
 		q.ticket.DeadlineUs = max(time.Until(q.deadline).Microseconds(), 1)
 	}
+	q.ticket.Traceparent = tracing.Parent(sctx)
 	start := time.Now()
 	g, err := q.front.Granter.Grant(sctx, &q.ticket)
 	q.front.Stats.Time("queue-time-us", time.Since(start))
--- a/io/front/send.go
+++ b/io/front/send.go
@@ -57,6 +57,7 @@
 	if err == nil {
 		err = q.answer(resp, rel, to, p, sent, cancel)
 		_ = resp.Body.Close()
+		answerSpans(ctx, sent, rel)
 	}
 	if err == nil {
 		return done, nil
--- a/io/logs/logs.go
+++ b/io/logs/logs.go
@@ -14,7 +14,7 @@
 // Level 0 shows what operators need, 1 adds detail. A part of the program
 // takes its own logger by WithName; the name stands in front of each message.
 func New(w io.Writer, format string, level int) (logr.Logger, error) {
-	opts := &slog.HandlerOptions{Level: slog.Level(-level)}
+	opts := &slog.HandlerOptions{Level: slog.Level(-level), ReplaceAttr: detail}
 	switch format {
 	case "", "text":
 		return logr.FromSlogHandler(prefixer{Handler: slog.NewTextHandler(w, opts)}), nil
@@ -24,6 +24,15 @@
 	return logr.Logger{}, fmt.Errorf("logs: format %q: expected text or json", format)
 }
 
+// detail names logr's levels of detail as slog names its own: level 1 would
+// otherwise read "DEBUG+3".
+func detail(_ []string, a slog.Attr) slog.Attr {
+	if l, ok := a.Value.Any().(slog.Level); ok && a.Key == slog.LevelKey && l < slog.LevelInfo {
+		a.Value = slog.StringValue(slog.LevelDebug.String())
+	}
+	return a
+}
+
 // prefixer puts the name of the part in front of the message.
 type prefixer struct {
 	slog.Handler
--- a/io/quorum/quorum.go
+++ b/io/quorum/quorum.go
@@ -41,10 +41,12 @@
 		_ = peers.Close()
 		return nil, fmt.Errorf("quorum: listen: %w", err)
 	}
-	q := &Quorum{set: set, log: log, ctrl: c}
-	q.sup = suture.New("control", suture.Spec{EventHook: func(ev suture.Event) { log.Info("Part stopped.", "event", ev.String()) }})
+	q := &Quorum{set: set, log: log.WithName("control"), ctrl: c}
+	metrics := stats.New()
+	q.gauges(metrics)
+	q.sup = suture.New("control", suture.Spec{EventHook: func(ev suture.Event) { q.log.Info("Part stopped.", "event", ev.String()) }})
 	q.sup.Add(&mesh.Mesh{Listen: peers, Self: set.Peers, Handle: c.Handle, Log: log.WithName("mesh")})
-	q.sup.Add(&httpd.Httpd{Listen: ops, Handler: (&admin.Admin{Stats: stats.New()}).Handler()})
+	q.sup.Add(&httpd.Httpd{Listen: ops, Handler: (&admin.Admin{Stats: metrics}).Handler()})
 	return q, nil
 }
 
--- a/io/sched/sched.go
+++ b/io/sched/sched.go
@@ -7,13 +7,17 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"go.opentelemetry.io/otel"
 	"google.golang.org/protobuf/proto"
 
 	"azurelane/core/conf"
 	"azurelane/core/kernel"
 	"azurelane/core/wire"
+	"azurelane/io/trace"
 )
 
+var tracer = otel.Tracer("azurelane/io/sched")
+
 // TickEvery is how often deadlines, leases and grants are looked at.
 const TickEvery = 5 * time.Millisecond
 
@@ -82,6 +86,8 @@
 	if r == nil {
 		return refuse(t, "no-upstream")
 	}
+	_, span := tracer.Start(trace.With(ctx, t.GetTraceparent()), "decision")
+	defer span.End()
 	k := waitKey{t.GetIncarnation(), t.GetId()}
 	ch := make(chan *wire.Decision, 1)
 	if !r.enter(k, ch) {
@@ -235,6 +241,17 @@
 	return s.pools[name]
 }
 
+// Waiting is the number of tickets that wait for a decision.
+func (s *Sched) Waiting() int {
+	n := 0
+	for _, r := range s.all() {
+		r.mu.Lock()
+		n += len(r.waiting)
+		r.mu.Unlock()
+	}
+	return n
+}
+
 func (s *Sched) all() []*runner {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
--- /dev/null
+++ b/io/stats/names.go
@@ -0,0 +1,63 @@
+package stats
+
+import (
+	"fmt"
+	"strings"
+)
+
+const (
+	counter   = "counter"
+	gauge     = "gauge"
+	histogram = "histogram"
+
+	entry   = "entry"
+	control = "control"
+	both    = "both"
+)
+
+// names lists every metric for operators. A name that ends in "*" stands for
+// all names that begin so. Tests hold it against what processes serve.
+var names = []struct{ name, kind, where, text string }{
+	{"request-time-us", histogram, entry, "Microseconds from a request's arrival to the end of its answer."},
+	{"queue-time-us", histogram, entry, "Microseconds that a ticket waited for its decision."},
+	{"claim-time-us", histogram, entry, "Microseconds that the claim of a key took."},
+	{"outcome-*", counter, entry, "Requests by outcome: whole, not-run, unknown, failed."},
+	{"refused-*", counter, entry, "Refusals by code; docs/API.md lists the codes."},
+	{"wasted-prefill-tokens", counter, entry, "Prompt tokens, as estimated, of requests that were sent and have no whole answer."},
+	{"placed-again", counter, entry, "Placements after the first; nothing had been sent before."},
+	{"finish-not-recorded", counter, entry, "Keyed runs whose end could not be written to control."},
+	{"claims-freed", counter, entry, "Claims taken back because nothing was sent."},
+	{"tickets-waiting", gauge, entry, "Tickets of all entries that wait at this one for a decision."},
+	{"pools-owned", gauge, entry, "Pools that this entry schedules."},
+	{"members-alive", gauge, entry, "Entries of the data centre that count as alive, itself among them."},
+	{"config-version", gauge, both, "Version of the configuration: in force here, or newest accepted at a control replica."},
+	{"log-index", gauge, control, "Newest committed entry of the replicated log."},
+	{"log-term", gauge, control, "Term of the replicated log."},
+	{"log-leader", gauge, control, "1 where this replica leads, else 0."},
+	{"claims", gauge, control, "Keys that are remembered."},
+	{"nodes-heard", gauge, control, "Entries whose beats this replica has heard."},
+	{"goroutines", gauge, both, "Goroutines."},
+	{"memory-heap-bytes", gauge, both, "Bytes of live and unswept objects."},
+	{"memory-total-bytes", gauge, both, "Bytes that the runtime holds from the system."},
+	{"gc-cycles", gauge, both, "Garbage collections so far."},
+}
+
+// Listed reports whether the reference names the metric.
+func Listed(name string) bool {
+	for _, n := range names {
+		if prefix, ok := strings.CutSuffix(n.name, "*"); n.name == name || ok && strings.HasPrefix(name, prefix) {
+			return true
+		}
+	}
+	return false
+}
+
+// Table writes the reference of the metrics in Markdown.
+func Table() string {
+	var b strings.Builder
+	b.WriteString("| metric | kind | served by | meaning |\n|---|---|---|---|\n")
+	for _, n := range names {
+		fmt.Fprintf(&b, "| `%s` | %s | %s | %s |\n", n.name, n.kind, n.where, n.text)
+	}
+	return b.String()
+}
--- a/io/stats/stats.go
+++ b/io/stats/stats.go
@@ -2,7 +2,10 @@
 package stats
 
 import (
+	"math"
 	"net/http"
+	"runtime"
+	rtm "runtime/metrics"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -38,6 +41,32 @@
 	metrics.GetOrRegisterGauge(name, s.reg).Update(n)
 }
 
+// Pull sets up a gauge that is read when the metrics are.
+func (s *Stats) Pull(name string, read func() int64) {
+	if s == nil || s.reg == nil {
+		return
+	}
+	_ = s.reg.Register(name, metrics.NewFunctionalGauge(read)) // Fails only for a name already there.
+}
+
+// Runtime sets up the gauges of the process itself.
+func (s *Stats) Runtime() {
+	s.Pull("goroutines", func() int64 { return int64(runtime.NumGoroutine()) })
+	s.Pull("memory-heap-bytes", func() int64 { return sample("/memory/classes/heap/objects:bytes") })
+	s.Pull("memory-total-bytes", func() int64 { return sample("/memory/classes/total:bytes") })
+	s.Pull("gc-cycles", func() int64 { return sample("/gc/cycles/total:gc-cycles") })
+}
+
+// sample reads one figure of the runtime.
+func sample(name string) int64 {
+	list := []rtm.Sample{{Name: name}}
+	rtm.Read(list)
+	if list[0].Value.Kind() != rtm.KindUint64 {
+		return 0
+	}
+	return int64(min(list[0].Value.Uint64(), math.MaxInt64)) //nolint:gosec // Bounded.
+}
+
 // Time adds a duration, in microseconds, to a histogram.
 func (s *Stats) Time(name string, d time.Duration) {
 	if s == nil || s.reg == nil {
@@ -54,5 +83,9 @@
 // ServeHTTP writes all metrics as JSON.
 func (s *Stats) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
+	if s == nil || s.reg == nil {
+		_, _ = w.Write([]byte("{}\n"))
+		return
+	}
 	metrics.WriteJSONOnce(s.reg, w)
 }
--- /dev/null
+++ b/io/stats/stats_test.go
@@ -0,0 +1,71 @@
+package stats
+
+import (
+	"encoding/json"
+	"flag"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+func TestServe(t *testing.T) {
+	s := New()
+	s.Count("outcome-whole", 2)
+	s.Gauge("config-version", 3)
+	s.Pull("claims", func() int64 { return 4 })
+	s.Time("queue-time-us", 5*time.Millisecond)
+	s.Runtime()
+	w := httptest.NewRecorder()
+	s.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", http.NoBody))
+	var got map[string]map[string]float64
+	must.NoError(t, json.Unmarshal(w.Body.Bytes(), &got))
+	for _, tc := range []struct {
+		name, field string
+		want        float64
+	}{
+		{"outcome-whole", "count", 2},
+		{"config-version", "value", 3},
+		{"claims", "value", 4},
+		{"queue-time-us", "99%", 5000},
+	} {
+		must.Eq(t, tc.want, got[tc.name][tc.field], must.Sprint(tc.name))
+	}
+	must.Positive(t, got["memory-total-bytes"]["value"])
+	for name := range got {
+		must.True(t, Listed(name), must.Sprint(name))
+	}
+}
+
+// A process without metrics drops what it is given.
+func TestZero(t *testing.T) {
+	var s *Stats
+	s.Count("a", 1)
+	s.Gauge("a", 1)
+	s.Time("a", 1)
+	s.Runtime()
+	w := httptest.NewRecorder()
+	s.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", http.NoBody))
+	must.Eq(t, "{}\n", w.Body.String())
+}
+
+var update = flag.Bool("update", false, "write the reference of metrics into docs/OPERATING.md")
+
+func TestReference(t *testing.T) {
+	const page, begin, end = "../../docs/OPERATING.md", "<!-- metrics -->\n", "<!-- end of metrics -->"
+	data, err := os.ReadFile(page)
+	must.NoError(t, err)
+	head, rest, ok := strings.Cut(string(data), begin)
+	must.True(t, ok)
+	table, tail, ok := strings.Cut(rest, end)
+	must.True(t, ok)
+	if *update {
+		must.NoError(t, os.WriteFile(page, []byte(head+begin+Table()+end+tail), 0o600))
+		return
+	}
+	must.Eq(t, Table(), table)
+}
--- a/io/trace/trace.go
+++ b/io/trace/trace.go
@@ -14,6 +14,7 @@
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/sdk/resource"
 	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/trace"
 )
 
 // Trace says where spans go. The zero value exports none.
@@ -52,6 +53,27 @@
 	}, nil
 }
 
+const parentHeader = "traceparent"
+
+// Parent returns the W3C trace context of ctx, or nothing when its trace is
+// not sampled.
+func Parent(ctx context.Context) string {
+	if !trace.SpanContextFromContext(ctx).IsSampled() {
+		return ""
+	}
+	c := propagation.MapCarrier{}
+	propagation.TraceContext{}.Inject(ctx, c)
+	return c[parentHeader]
+}
+
+// With returns ctx inside the trace that Parent wrote elsewhere.
+func With(ctx context.Context, parent string) context.Context {
+	if parent == "" {
+		return ctx
+	}
+	return propagation.TraceContext{}.Extract(ctx, propagation.MapCarrier{parentHeader: parent})
+}
+
 func (t Trace) exporter(ctx context.Context) (sdktrace.SpanExporter, io.Closer, error) {
 	if t.OTLP != "" {
 		exp, err := otlptracehttp.New(ctx, otlptracehttp.WithEndpointURL(t.OTLP))
