--- a/cmd/azurelane/control.go
+++ b/cmd/azurelane/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 
 	"azurelane/io/logs"
@@ -35,6 +36,9 @@
 	if err != nil {
 		return err
 	}
+	if err := set.For(setup.Control); err != nil {
+		return fmt.Errorf("control: %s: %w", c.Settings, err)
+	}
 	set.Bootstrap, set.After = c.Bootstrap, c.AfterVersion
 	log, err := logs.New(os.Stderr, set.LogFormat, set.LogLevel)
 	if err != nil {
--- a/io/quorum/quorum.go
+++ b/io/quorum/quorum.go
@@ -53,11 +53,13 @@
 	}
 	m := &mesh.Mesh{Listen: peers, Self: set.Peers, Handle: c.Handle, Log: log.WithName("mesh")}
 	c.Sender = m
-	q := &Quorum{set: set, log: log, ctrl: c}
-	q.sup = suture.New("control", suture.Spec{EventHook: func(ev suture.Event) { log.Info("Part stopped.", "event", ev.String()) }})
+	q := &Quorum{set: set, log: log.WithName("control"), ctrl: c}
+	metrics := stats.New()
+	q.gauges(metrics)
+	q.sup = suture.New("control", suture.Spec{EventHook: func(ev suture.Event) { q.log.Info("Part stopped.", "event", ev.String()) }})
 	q.sup.Add(c)
 	q.sup.Add(m)
-	q.sup.Add(&httpd.Httpd{Listen: ops, Handler: (&admin.Admin{Stats: stats.New(), Ready: c.Ready}).Handler()})
+	q.sup.Add(&httpd.Httpd{Listen: ops, Handler: (&admin.Admin{Stats: metrics, Ready: c.Ready}).Handler()})
 	return q, nil
 }
 
