Takeover of a pool: tickets asked again, held slots and announcements passed on

Cause: a ticket sent again had its wait taken off its deadline anew each time and was the same object that a former owner in this process still held; an owner that lost a pool went on granting in it; a lost release was never mended. Change: io/owner lets go of calls when the pool moves and answers not-owner; io/grant asks again with pauses that double and are random, at most 20 times; core/held and a list every 2 s are the truth on slots; io/notice passes on the last announcements with what is left of their lease; a member that an entry can't reach itself is reached through another. Ruled out: a common retry budget; each waiting ticket of a lost owner has to be sent once more, which is a burst by nature, so it is spread in time instead.

--- /dev/null
+++ b/core/held/held.go
@@ -0,0 +1,88 @@
+// Package held keeps the slots that an entry holds, the truth about which only
+// the entry has.
+package held
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"azurelane/core/wire"
+)
+
+// Linger is how long a pool is listed after its last slot was given back. An
+// empty list frees what a lost release left taken.
+const Linger = 10 * time.Second
+
+// Settled is the age from which a slot stands in a periodic list. An owner
+// leaves younger absent ones alone, so listing them would only cost bytes:
+// most runs of short requests are over before.
+const Settled = 2 * time.Second
+
+type (
+	// Held holds the slots by ticket. The zero value is empty and ready.
+	Held struct {
+		slots map[uint64]*held
+		pools map[string]time.Time // Last use of each pool.
+	}
+
+	held struct {
+		*wire.HeldSlot
+		since time.Time
+	}
+)
+
+// Put notes a grant.
+func (h *Held) Put(now time.Time, t *wire.Ticket, g *wire.Grant) {
+	if h.slots == nil {
+		h.slots, h.pools = map[uint64]*held{}, map[string]time.Time{}
+	}
+	h.slots[t.GetId()] = &held{&wire.HeldSlot{
+		Ticket: &wire.Ticket{
+			Id: t.GetId(), Incarnation: t.GetIncarnation(), Account: t.GetAccount(), Pool: t.GetPool(), Model: t.GetModel(),
+			Tier: t.GetTier(), PromptTokens: t.GetPromptTokens(), AnswerTokens: t.GetAnswerTokens(), PrefixHash: t.GetPrefixHash(),
+		},
+		Grant: &wire.Grant{Slot: g.GetSlot(), Owner: g.GetOwner(), Upstream: g.GetUpstream()},
+	}, now}
+	h.pools[t.GetPool()] = now
+}
+
+// Drop notes that the slot of a ticket was given back.
+func (h *Held) Drop(now time.Time, pool string, ticket uint64) {
+	if h.slots[ticket] != nil {
+		delete(h.slots, ticket)
+		h.pools[pool] = now
+	}
+}
+
+// Pools lists the pools whose owners want a list, sorted.
+func (h *Held) Pools(now time.Time) []string {
+	for _, s := range h.slots {
+		h.pools[s.GetTicket().GetPool()] = now
+	}
+	var list []string
+	for p, used := range h.pools {
+		if now.Sub(used) > Linger {
+			delete(h.pools, p)
+			continue
+		}
+		list = append(list, p)
+	}
+	slices.Sort(list)
+	return list
+}
+
+// List returns the slots of some pools that are at least so old, by ticket.
+func (h *Held) List(now time.Time, pools []string, age time.Duration) []*wire.HeldSlot {
+	var list []*wire.HeldSlot
+	for _, s := range h.slots {
+		if now.Sub(s.since) >= age && slices.Contains(pools, s.GetTicket().GetPool()) {
+			list = append(list, s.HeldSlot)
+		}
+	}
+	slices.SortFunc(list, func(a, b *wire.HeldSlot) int { return cmp.Compare(a.GetTicket().GetId(), b.GetTicket().GetId()) })
+	return list
+}
+
+// Len is the number of slots held.
+func (h *Held) Len() int { return len(h.slots) }
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -26,6 +26,8 @@
 	"azurelane/io/lease"
 	"azurelane/io/member"
 	"azurelane/io/mesh"
+	"azurelane/io/notice"
+	"azurelane/io/owner"
 	"azurelane/io/sched"
 	"azurelane/io/setup"
 	"azurelane/io/stats"
@@ -39,6 +41,9 @@
 	front  *front.Front
 	sched  *sched.Sched
 	member *member.Member
+	owner  *owner.Owner
+	notice *notice.Notice
+	grant  *grant.Grant
 	follow *follow.Follow
 	stats  *stats.Stats
 	client *client.Client
@@ -73,29 +78,35 @@
 	e.log = log.WithName("entry")
 	e.mesh = &mesh.Mesh{Listen: lns[0], Self: set.Peers, Handle: e.handle, Log: log.WithName("mesh")}
 	e.sched = &sched.Sched{Incarnation: incarnation, Log: log.WithName("sched")}
+	e.owner = &owner.Owner{Mine: e.mine, Sched: e.sched}
 	e.member = &member.Member{
 		Self: &wire.Member{
 			Node: set.Node, Incarnation: incarnation, Address: set.Peers.String(), DataCentre: set.DataCentre,
 		},
-		Seeds: set.Seeds, Sender: e.mesh, Lost: e.sched.Forget, Log: log.WithName("member"),
+		Seeds: set.Seeds, Sender: e.mesh, Lost: e.owner.Forget, Changed: e.changed, Log: log.WithName("member"),
 	}
 	control := &leader.Leader{Replicas: set.Control, Caller: e.mesh}
 	e.follow = &follow.Follow{
 		Site: set.DataCentre, Beat: e.beat, Asker: &leader.Leader{Replicas: set.Control, Caller: e.mesh},
 		Install: func(_ uint64, cfg *conf.Config) { e.sched.Install(cfg) }, Log: log.WithName("follow"),
 	}
-	granter := &grant.Grant{Self: set.Node, Local: e.sched, Members: e, Mesh: e.mesh, Log: log.WithName("grant")}
+	e.grant = &grant.Grant{
+		Self: set.Node, Incarnation: incarnation, Local: desk{e.owner, e.sched}, Members: e, Mesh: e.mesh, Log: log.WithName("grant"),
+	}
+	e.notice = &notice.Notice{
+		Owners: e.owners, Alive: e.member.Alive, Mesh: e.mesh, Take: e.sched.Announce, Log: log.WithName("notice"),
+	}
 	e.front = &front.Front{
 		Node: set.Node, Incarnation: incarnation, Address: set.Peers.String(), Config: e.follow.Config,
-		Granter: granter, Proposer: control, Sender: e.client, Peers: e.mesh, Stats: e.stats, Log: log.WithName("front"),
+		Granter: e.grant, Proposer: control, Sender: e.client, Peers: e.mesh, Stats: e.stats, Log: log.WithName("front"),
 	}
 	e.gauges()
 	ops := &admin.Admin{Stats: e.stats, Ready: e.ready, Drain: e.drain, Info: e.info}
 	e.sup = suture.New("entry", suture.Spec{EventHook: func(ev suture.Event) { e.log.Info("Part stopped.", "event", ev.String()) }})
 	for _, s := range []suture.Service{
-		e.mesh, e.sched, e.member, e.follow,
+		e.mesh, e.sched, e.member, e.grant, e.follow,
 		&httpd.Httpd{Listen: lns[1], Handler: e.front},
-		&httpd.Httpd{Listen: lns[2], Handler: &lease.Lease{Take: e.announce}},
+		&httpd.Httpd{Listen: lns[2], Handler: &lease.Lease{Take: e.notice.Forward}},
 		&httpd.Httpd{Listen: lns[3], Handler: ops.Handler()},
 	} {
 		e.sup.Add(s)
@@ -142,53 +153,6 @@
 	return cfg != nil && kernel.Local(cfg.Pools[pool].WithDefaults().Scheduler)
 }
 
-// announce passes an upstream's lease to the owner of each of its pools.
-func (e *Entry) announce(ctx context.Context, a *wire.Announce) error {
-	targets := map[string]bool{}
-	for _, p := range a.GetPools() {
-		if !e.local(p) {
-			targets[e.member.Owner(p).GetAddress()] = true
-			continue
-		}
-		for _, m := range e.member.Alive() {
-			targets[m.GetAddress()] = true
-		}
-	}
-	for t := range targets {
-		addr, err := netip.ParseAddrPort(t)
-		if err != nil {
-			return fmt.Errorf("entry: announce: %w", err)
-		}
-		if err := e.mesh.Send(ctx, addr, &wire.Frame{Body: &wire.Frame_Announce{Announce: a}}); err != nil {
-			return fmt.Errorf("entry: announce: %w", err)
-		}
-	}
-	return nil
-}
-
-func (e *Entry) handle(ctx context.Context, f *wire.Frame) (*wire.Frame, error) {
-	switch b := f.GetBody().(type) {
-	case *wire.Frame_Ticket:
-		d := e.sched.Submit(ctx, b.Ticket)
-		return &wire.Frame{Body: &wire.Frame_Decision{Decision: d}}, nil
-	case *wire.Frame_Release:
-		e.sched.Release(b.Release)
-	case *wire.Frame_Withdraw:
-		e.sched.Withdraw(b.Withdraw)
-	case *wire.Frame_Announce:
-		e.sched.Announce(b.Announce)
-	case *wire.Frame_Held:
-		e.sched.Hold(b.Held)
-	case *wire.Frame_Probe:
-		e.member.Heard(ctx, b.Probe)
-	case *wire.Frame_JoinQuery:
-		return &wire.Frame{Body: &wire.Frame_JoinReply{JoinReply: e.front.Join(ctx, b.JoinQuery)}}, nil
-	default:
-		return nil, &wire.Fault{Code: "unsupported", Text: fmt.Sprintf("entry: %T", b)}
-	}
-	return nil, nil //nolint:nilnil // An empty reply is an acknowledgement.
-}
-
 func (e *Entry) beat() *wire.Beat {
 	return &wire.Beat{
 		Node: e.set.Node, Incarnation: e.member.Self.GetIncarnation(), DataCentre: e.set.DataCentre, Role: "entry",
