History check with three control replicas; examples found their group

Cause: control replicas now found a group only when told so, and the history check still ran one replica that never served (it failed: no leader). Ruled out: founding a group without being told, which a replica with a lost disk would do as well.

--- a/cmd/azurelane/process_test.go
+++ b/cmd/azurelane/process_test.go
@@ -108,12 +108,21 @@
 	return path
 }
 
+// replicas lists the control replicas as the commands take them.
+func (c *cluster) replicas() string {
+	var list []string
+	for _, a := range c.control {
+		list = append(list, a.String())
+	}
+	return strings.Join(list, ",")
+}
+
 func (c *cluster) apply(base int) {
 	c.t.Helper()
 	path := filepath.Join(c.dir, "config.json")
 	must.NoError(c.t, os.WriteFile(path, devConfig, 0o600))
 	c.until("configuration accepted", func() bool {
-		return c.start("apply", path, "--control", c.control[0].String(), "--base", strconv.Itoa(base), "--change", "first").Wait() == nil
+		return c.start("apply", path, "--control", c.replicas(), "--base", strconv.Itoa(base), "--change", "first").Wait() == nil
 	})
 }
 
--- a/examples/run.sh
+++ b/examples/run.sh
@@ -34,7 +34,7 @@
 start() {
   mkdir -p "$folder/pid" "$folder/log"
   (cd "$root" && go build -o "$folder/azurelane" ./cmd/azurelane)
-  for f in "$set_dir"/control-*.json; do launch "$(basename "$f" .json)" control "$f"; done
+  for f in "$set_dir"/control-*.json; do launch "$(basename "$f" .json)" control --bootstrap "$f"; done
   local tries=20
   until "$folder/azurelane" apply "$set_dir/configuration.json" --control "$control" --base 0 --change "example-$name"; do
     tries=$((tries - 1))
