Orders to upstreams go through the replicated log

Cause: the decision on orders was a part without a home: fencing numbers were drawn by a command of their own that nothing used. Change: core/order is a part of the replicated state, saved with it, and takes the place of the bare numbers; "azurelane order" sends an order and records its end; stand-ins take orders. Ruled out: numbers without the order's state, because an upstream that ignores them would then run two orders at once. Result: the process test (an order, the same again, another) passes, as do the property of the state machine's image with orders in it and core/order's own.

--- a/cmd/azurelane/control.go
+++ b/cmd/azurelane/control.go
@@ -11,7 +11,7 @@
 )
 
 const usageControl = `Run one replica of the durable state: the configuration, the claims of
-idempotency keys and the fencing numbers. It needs a data folder on a disk.
+idempotency keys and the orders to upstreams. It needs a data folder on a disk.
 
 Start one of the replicas with --bootstrap the first time: once all replicas in
 its settings run and are empty, it founds the group with all of them. A replica
--- a/io/ctrl/apply.go
+++ b/io/ctrl/apply.go
@@ -58,6 +58,8 @@
 		k.Finish.NowUs = us
 	case *wire.Command_Expire:
 		k.Expire.NowUs = us
+	case *wire.Command_OrderStart:
+		k.OrderStart.NowUs = us
 	}
 }
 
