--- /dev/null
+++ b/io/front/fake_test.go
@@ -0,0 +1,327 @@
+package front_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-json-experiment/json"
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+	"github.com/shoenig/test/must"
+
+	"azurelane/core/acct"
+	"azurelane/core/conf"
+	"azurelane/core/pool"
+	"azurelane/core/state"
+	"azurelane/core/wire"
+	"azurelane/io/client"
+	"azurelane/io/engine"
+	"azurelane/io/fault"
+	"azurelane/io/front"
+	"azurelane/io/stats"
+)
+
+// Property tests draw the same cases in each run.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.checks", "60")
+	os.Exit(m.Run())
+}
+
+var errDown = errors.New("fake: down")
+
+type (
+	// control applies commands to one state machine. A hook may lose a command
+	// before or its result after it was applied.
+	control struct {
+		mu    sync.Mutex
+		state state.State
+		hook  func(c *wire.Command) (before, after error)
+	}
+
+	// granter gives slots on one upstream after the other and counts those that
+	// are out.
+	granter struct {
+		mu      sync.Mutex
+		ups     []string // Addresses.
+		next    int
+		out     int
+		asked   int
+		expires time.Duration
+		before  func(ctx context.Context, t *wire.Ticket) error
+	}
+
+	// mesh reaches the entries that live.
+	mesh struct {
+		mu      sync.Mutex
+		entries map[netip.AddrPort]*front.Front
+	}
+
+	// site is a few entries before one stand-in upstream.
+	site struct {
+		t       testing.TB
+		cfg     *conf.Config
+		control *control
+		granter *granter
+		mesh    *mesh
+		client  *client.Client
+		engine  *engine.Server
+		up      *httptest.Server
+		entries []*entry
+	}
+
+	entry struct {
+		*front.Front
+		*httptest.Server
+	}
+
+	reply struct {
+		status  int
+		outcome string
+		code    string
+		retry   string
+		body    string
+		header  http.Header
+		err     error  // The answer broke off.
+		key     string // That was asked with.
+	}
+)
+
+func (c *control) Propose(ctx context.Context, cmd *wire.Command) (*wire.Result, error) {
+	c.mu.Lock()
+	hook := c.hook
+	c.mu.Unlock()
+	var after error
+	if hook != nil {
+		before, lost := hook(cmd)
+		if before != nil {
+			return nil, before
+		}
+		after = lost
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if k := cmd.GetClaim(); k != nil {
+		k.NowUs = 1
+	}
+	r := c.state.Apply(cmd)
+	if after != nil {
+		return nil, after
+	}
+	return r, ctx.Err()
+}
+
+func (c *control) setHook(hook func(*wire.Command) (error, error)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.hook = hook
+}
+
+func (g *granter) Grant(ctx context.Context, t *wire.Ticket) (*wire.Grant, error) {
+	g.mu.Lock()
+	before := g.before
+	g.asked++
+	g.mu.Unlock()
+	if before != nil {
+		if err := before(ctx, t); err != nil {
+			return nil, err
+		}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.out++
+	up := g.ups[g.next%len(g.ups)]
+	g.next++
+	return &wire.Grant{Slot: uint64(g.next), Upstream: up, Address: up, ExpiresUs: g.expires.Microseconds()}, nil
+}
+
+func (g *granter) Release(*wire.Release) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.out--
+}
+
+func (m *mesh) Call(ctx context.Context, to netip.AddrPort, f *wire.Frame) (*wire.Frame, error) {
+	m.mu.Lock()
+	e := m.entries[to]
+	m.mu.Unlock()
+	if e == nil {
+		return nil, errDown
+	}
+	r := e.Join(ctx, f.GetJoinQuery())
+	return &wire.Frame{Body: &wire.Frame_JoinReply{JoinReply: r}}, nil
+}
+
+func (m *mesh) set(n int, f *front.Front) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.entries[peer(n)] = f
+}
+
+func peer(n int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(n+1))
+}
+
+func account(key string) acct.Account {
+	sum := sha256.Sum256([]byte(key))
+	return acct.Account{KeySHA256: hex.EncodeToString(sum[:])}
+}
+
+// newSite starts n entries with two client accounts, a pool of engines and one
+// of plain services, all served by one stand-in.
+func newSite(t testing.TB, n int) *site {
+	s := &site{
+		t: t, control: &control{}, mesh: &mesh{entries: map[netip.AddrPort]*front.Front{}}, client: &client.Client{},
+		cfg: &conf.Config{
+			Accounts:  map[string]acct.Account{"one": account("key-one"), "two": account("key-two")},
+			Pools:     map[string]pool.Pool{"engines": {Models: []string{"m"}}, "notes": {Service: "notes"}},
+			ClaimKeep: time.Hour,
+		},
+		engine: &engine.Server{Engine: &engine.Engine{Name: "standin", Slots: 10000, CacheLimit: 8}},
+	}
+	s.up = httptest.NewServer(&fault.Fault{Handler: s.engine})
+	s.granter = &granter{ups: []string{s.up.Listener.Addr().String()}, expires: time.Minute}
+	for i := range n {
+		s.start(i)
+	}
+	t.Cleanup(func() {
+		for _, e := range s.entries {
+			e.CloseClientConnections()
+			e.Close()
+		}
+		s.client.Close()
+		s.up.CloseClientConnections()
+		s.up.Close()
+	})
+	return s
+}
+
+// start adds an entry, or puts a new incarnation in the place of a dead one.
+func (s *site) start(i int) *entry {
+	f := &front.Front{
+		Node: fmt.Sprintf("entry-%d", i), Incarnation: fmt.Sprintf("inc-%d-%d", i, len(s.entries)), Address: peer(i).String(),
+		Config: func() *conf.Config { return s.cfg }, Granter: s.granter, Proposer: s.control, Sender: s.client,
+		Peers: s.mesh, Stats: stats.New(), Log: logr.Discard(),
+	}
+	s.mesh.set(i, f)
+	e := &entry{f, httptest.NewServer(f)}
+	s.entries = append(s.entries, e)
+	return e
+}
+
+type ask struct {
+	path, account, key, fault, body, deadline string
+	stream                                    bool
+	header                                    http.Header
+}
+
+const chatPath = "/v1/chat/completions"
+
+func (a ask) request(ctx context.Context, url string) *http.Request {
+	if a.path == "" {
+		a.path = chatPath
+	}
+	if a.body == "" && a.path == chatPath {
+		a.body = fmt.Sprintf(`{"model":"m","stream":%v,"max_tokens":3,"messages":[{"role":"user","content":"x"}]}`, a.stream)
+	}
+	r, _ := http.NewRequestWithContext(ctx, http.MethodPost, url+a.path, strings.NewReader(a.body))
+	for name, values := range a.header {
+		r.Header[name] = values
+	}
+	for name, v := range map[string]string{
+		"Authorization": "Bearer key-" + orElse(a.account, "one"), front.HeaderKey: a.key, fault.Header: a.fault, front.HeaderDeadline: a.deadline,
+	} {
+		if v != "" && r.Header.Get(name) == "" {
+			r.Header.Set(name, v)
+		}
+	}
+	return r
+}
+
+func orElse(s, other string) string {
+	if s == "" {
+		return other
+	}
+	return s
+}
+
+func (e *entry) ask(a ask) reply { return e.askCtx(context.Background(), a) }
+
+func (e *entry) askCtx(ctx context.Context, a ask) reply {
+	ctx, cancel := context.WithTimeout(ctx, 15*time.Second)
+	defer cancel()
+	resp, err := http.DefaultClient.Do(a.request(ctx, e.URL))
+	if err != nil {
+		return reply{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	out := reply{
+		status: resp.StatusCode, outcome: resp.Header.Get(front.HeaderOutcome), retry: resp.Header.Get("Retry-After"),
+		body: string(data), header: resp.Header, err: err,
+	}
+	if t := resp.Trailer.Get(front.HeaderOutcome); t != "" {
+		out.outcome = t
+	}
+	var doc struct {
+		Error struct {
+			Code string `json:"code"`
+		} `json:"error"`
+	}
+	if json.Unmarshal(data, &doc) == nil {
+		out.code = doc.Error.Code
+	}
+	return out
+}
+
+// free checks that every slot was given back.
+func (s *site) free() {
+	s.t.Helper()
+	s.eventually("slots given back", func() bool {
+		s.granter.mu.Lock()
+		defer s.granter.mu.Unlock()
+		return s.granter.out == 0
+	})
+}
+
+func (s *site) eventually(what string, ok func() bool) {
+	s.t.Helper()
+	for range 2000 {
+		if ok() {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	s.t.Fatalf("not within 10 s: %s", what)
+}
+
+// runs counts the runs of a key at the stand-in.
+func (s *site) runs(key string) int {
+	n := 0
+	for _, e := range s.engine.Journal() {
+		if e.Key == key {
+			n++
+		}
+	}
+	return n
+}
+
+func deadAddress(t testing.TB) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer func() { _ = ln.Close() }()
+	return ln.Addr().String()
+}
--- /dev/null
+++ b/io/front/kill_test.go
@@ -0,0 +1,292 @@
+package front_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"regexp"
+	"sync"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"azurelane/core/refuse"
+	"azurelane/core/wire"
+	"azurelane/io/fault"
+	"azurelane/io/front"
+)
+
+// mortal stands between an entry and the rest of the world. At one step of a
+// request's life the entry dies: nothing that it does from then on has any
+// effect, and its peers can't reach it.
+type mortal struct {
+	*site
+	at   string
+	once sync.Once
+	dead chan struct{} // Closed when it dies.
+	end  chan struct{} // Closed at the end of the test.
+}
+
+func (m *mortal) step(name string) error {
+	if name == m.at {
+		m.once.Do(func() {
+			m.mesh.set(0, nil)
+			close(m.dead)
+		})
+	}
+	select {
+	case <-m.dead:
+		<-m.end
+		return errDown
+	default:
+		return nil
+	}
+}
+
+func (m *mortal) Grant(ctx context.Context, t *wire.Ticket) (*wire.Grant, error) {
+	if err := m.step("grant"); err != nil {
+		return nil, err
+	}
+	g, err := m.granter.Grant(ctx, t)
+	if down := m.step("granted"); down != nil {
+		return nil, down
+	}
+	return g, err
+}
+
+func (m *mortal) Release(r *wire.Release) {
+	if m.step("release") == nil {
+		m.granter.Release(r)
+	}
+}
+
+func (m *mortal) Propose(ctx context.Context, c *wire.Command) (*wire.Result, error) {
+	name := "finish"
+	if c.GetClaim() != nil {
+		name = "claim"
+	}
+	if err := m.step(name); err != nil {
+		return nil, err
+	}
+	r, err := m.control.Propose(ctx, c)
+	if down := m.step(name + "-applied"); down != nil {
+		return nil, down
+	}
+	return r, err
+}
+
+func (m *mortal) Send(ctx context.Context, r *http.Request) (*http.Response, bool, error) {
+	if err := m.step("send"); err != nil {
+		return nil, true, err
+	}
+	resp, sent, err := m.client.Send(ctx, r)
+	if down := m.step("sent"); down != nil {
+		if resp != nil {
+			_ = resp.Body.Close()
+		}
+		return nil, true, down
+	}
+	return resp, sent, err
+}
+
+// An entry is killed at each step of a keyed request's life. Its caller sees a
+// broken connection and sends again, to another entry and to the new process
+// in the old one's place. Until the claim was made, the second submission runs.
+// From then on no one can say whether the dead entry had sent it, so the honest
+// answer is unknown, and the key never runs again.
+func TestHolderDiesAtEachStep(t *testing.T) {
+	for _, tc := range []struct {
+		at   string
+		want string // Outcome of the second submission.
+		code string
+		runs int
+	}{
+		{"grant", "whole", "", 1},
+		{"granted", "whole", "", 1},
+		{"claim", "whole", "", 1},
+		{"claim-applied", "unknown", refuse.HolderLost, 0},
+		{"send", "unknown", refuse.HolderLost, 0},
+		{"sent", "unknown", refuse.HolderLost, 1},
+		{"release", "unknown", refuse.HolderLost, 1},
+		{"finish", "unknown", refuse.HolderLost, 1},
+		{"finish-applied", "unknown", refuse.AnswerGone, 1},
+	} {
+		t.Run(tc.at, func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t, 2)
+			m := &mortal{site: s, at: tc.at, dead: make(chan struct{}), end: make(chan struct{})}
+			t.Cleanup(func() { close(m.end) })
+			first := s.entries[0]
+			first.Granter, first.Proposer, first.Sender = m, m, m
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			go first.askCtx(ctx, ask{key: "k"})
+			<-m.dead
+			cancel()
+			for _, e := range []*entry{s.entries[1], s.start(0)} {
+				got := e.ask(ask{key: "k"})
+				must.Eq(t, tc.want, got.outcome)
+				must.Eq(t, tc.code, got.code)
+				must.Eq(t, tc.runs, s.runs("k"))
+			}
+			must.Eq(t, "whole", s.entries[1].ask(ask{key: "other"}).outcome)
+		})
+	}
+}
+
+// Control loses commands or their results, or is away, at each step of a keyed
+// request. The entry lives, so it knows what it did: the first caller gets an
+// honest answer, and when control is back the key is whole or free to run.
+func TestControlFailsAtEachStep(t *testing.T) {
+	isClaim := func(c *wire.Command) bool { return c.GetClaim() != nil }
+	isFinish := func(c *wire.Command) bool { return c.GetFinish() != nil }
+	for _, tc := range []struct {
+		name   string
+		hits   func(*wire.Command) bool
+		after  bool   // The command is applied and its result lost.
+		first  string // Outcome of the first submission.
+		second string // Of one at another entry when control is back.
+		runs   int
+	}{
+		{"claim lost", isClaim, false, "not-run", "whole", 1},
+		{"claim applied, result lost", isClaim, true, "not-run", "whole", 1},
+		{"finish lost", isFinish, false, "whole", "whole", 1},
+		{"finish applied, result lost", isFinish, true, "whole", "whole", 1},
+	} {
+		for _, healed := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s/first finish works=%v", tc.name, healed), func(t *testing.T) {
+				t.Parallel()
+				s := newSite(t, 2)
+				s.control.setHook(func(c *wire.Command) (error, error) {
+					switch {
+					case !tc.hits(c) && (healed || !isFinish(c)):
+						return nil, nil
+					case tc.after:
+						return nil, errDown
+					}
+					return errDown, nil
+				})
+				must.Eq(t, tc.first, s.entries[0].ask(ask{key: "k"}).outcome)
+				if tc.first == "not-run" {
+					must.Eq(t, 0, s.runs("k"))
+				}
+				s.control.setHook(nil)
+				for _, e := range []*entry{s.entries[1], s.entries[0]} {
+					must.Eq(t, tc.second, e.ask(ask{key: "k"}).outcome)
+				}
+				must.Eq(t, tc.runs, s.runs("k"))
+				s.free()
+			})
+		}
+	}
+}
+
+// Duplicates of a few keys come at two entries in any order, among faults of
+// the upstream, lost commands and lost results of control, expired grants,
+// callers that leave, and entries that die and come back. Whatever happens: no
+// key runs twice, nothing called not-run has run, and a whole answer is the one
+// of the request's own run.
+func TestNoInterleavingRunsTwice(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		s := newSite(t, 2)
+		dead := deadAddress(t)
+		live := s.granter.ups[0]
+		var mu sync.Mutex
+		var all []reply
+		var wg sync.WaitGroup
+		current := []*entry{s.entries[0], s.entries[1]}
+		for range rapid.IntRange(3, 25).Draw(rt, "steps") {
+			switch rapid.SampledFrom([]string{"ask", "ask", "ask", "ask", "wait", "control", "upstream", "restart"}).Draw(rt, "step") {
+			case "ask":
+				a := ask{
+					key:    rapid.SampledFrom([]string{"", "k1", "k2"}).Draw(rt, "key"),
+					fault:  rapid.SampledFrom([]string{"", "", "", fault.Lost, fault.Cut, fault.Foreign, fault.Double}).Draw(rt, "fault"),
+					stream: rapid.Bool().Draw(rt, "stream"),
+				}
+				leaves := rapid.IntRange(0, 5).Draw(rt, "leaves") == 0
+				e := current[rapid.IntRange(0, 1).Draw(rt, "entry")]
+				wg.Go(func() {
+					ctx, cancel := context.WithCancel(context.Background())
+					defer cancel()
+					if leaves {
+						go cancel()
+					}
+					got := e.askCtx(ctx, a)
+					got.key = a.key
+					mu.Lock()
+					defer mu.Unlock()
+					all = append(all, got)
+				})
+			case "wait":
+				wg.Wait()
+			case "control":
+				before := rapid.Bool().Draw(rt, "lost before")
+				n := rapid.IntRange(0, 3).Draw(rt, "losses")
+				var hmu sync.Mutex
+				s.control.setHook(func(*wire.Command) (error, error) {
+					hmu.Lock()
+					defer hmu.Unlock()
+					if n--; n < 0 {
+						return nil, nil
+					}
+					if before {
+						return errDown, nil
+					}
+					return nil, errDown
+				})
+			case "upstream":
+				s.granter.mu.Lock()
+				s.granter.ups = rapid.SampledFrom([][]string{{live}, {dead, live}, {dead}}).Draw(rt, "upstreams")
+				s.granter.mu.Unlock()
+			case "restart":
+				i := rapid.IntRange(0, 1).Draw(rt, "entry")
+				current[i].CloseClientConnections()
+				current[i] = s.start(i)
+			}
+		}
+		wg.Wait()
+		check(rt, s, all)
+	})
+}
+
+func check(t must.T, s *site, all []reply) {
+	ran := map[string]string{} // Keys by request id.
+	runs := map[string]int{}
+	for _, e := range s.engine.Journal() {
+		ran[e.Request] = e.Key
+		if e.Key != "" {
+			runs[e.Key]++
+		}
+	}
+	for key, n := range runs {
+		must.Eq(t, 1, n, must.Sprint("runs of ", key))
+	}
+	for _, r := range all {
+		if r.header == nil {
+			continue
+		}
+		id := r.header.Get(front.HeaderRequest)
+		_, has := ran[id]
+		if r.outcome == "not-run" {
+			must.False(t, has, must.Sprint(id, " was called not-run and ran"))
+		}
+		if r.outcome != "whole" {
+			continue
+		}
+		must.NoError(t, r.err)
+		must.StrContains(t, r.body, "t2 ")
+		// Its body names the run that it came from: its own or, for a joiner, one
+		// of the same key.
+		from := bodyID.FindStringSubmatch(r.body)
+		must.SliceLen(t, 2, from)
+		key, known := ran[from[1]]
+		must.True(t, known)
+		must.Eq(t, r.key, key, must.Sprint(id, " got the answer of ", from[1]))
+		if key == "" {
+			must.Eq(t, id, from[1])
+		}
+	}
+}
+
+var bodyID = regexp.MustCompile(`"id":"([^"]+)"`)
--- /dev/null
+++ b/io/front/share_test.go
@@ -0,0 +1,133 @@
+package front_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"azurelane/core/refuse"
+	"azurelane/core/wire"
+)
+
+// The same key and body come many times, at two entries, while the first run
+// goes on, and once more after its end. All get the same whole answer of one
+// run, and only one slot is out at a time for each entry.
+func TestSecondSubmissionsJoin(t *testing.T) {
+	for _, stream := range []bool{false, true} {
+		s := newSite(t, 2)
+		s.engine.Step = 20 * time.Millisecond
+		a := ask{key: "k", stream: stream}
+		got := make([]reply, 12)
+		var wg sync.WaitGroup
+		for i := range got {
+			wg.Go(func() { got[i] = s.entries[i%2].ask(a) })
+		}
+		wg.Wait()
+		got = append(got, s.entries[0].ask(a), s.entries[1].ask(a))
+		for _, r := range got {
+			must.NoError(t, r.err)
+			must.Eq(t, "whole", r.outcome)
+			must.Eq(t, got[0].body, r.body)
+		}
+		must.Eq(t, 1, s.runs("k"))
+		s.free()
+	}
+}
+
+// A failed answer is the upstream's own: a second submission gets the same one
+// and doesn't run.
+func TestFailedAnswerIsKept(t *testing.T) {
+	s := newSite(t, 2)
+	for range 2 {
+		for _, e := range s.entries {
+			got := e.ask(ask{key: "k", body: `{"model":"m","max_tokens":3,"messages":3}`})
+			must.Eq(t, "failed", got.outcome)
+			must.Eq(t, 400, got.status)
+		}
+	}
+	must.Eq(t, 1, s.runs("k"))
+}
+
+// The key is used with another body, path or method: refused clearly, at the
+// entry that holds it and at another one. Two accounts may use equal keys and
+// never meet.
+func TestKeyMismatch(t *testing.T) {
+	s := newSite(t, 2)
+	must.Eq(t, "whole", s.entries[0].ask(ask{key: "k"}).outcome)
+	for _, e := range s.entries {
+		for _, a := range []ask{{stream: true}, {path: "/svc/notes/x"}, {path: "/svc/notes/x?y"}} {
+			a.key = "k"
+			got := e.ask(a)
+			must.Eq(t, refuse.KeyMismatch, got.code)
+			must.Eq(t, "not-run", got.outcome)
+			must.Eq(t, 422, got.status)
+		}
+	}
+	must.Eq(t, 1, s.runs("k"))
+	for _, e := range s.entries {
+		must.Eq(t, "whole", e.ask(ask{key: "k", account: "two"}).outcome)
+	}
+	must.Eq(t, 2, s.runs("k"))
+	s.free()
+}
+
+// The caller's connection breaks while its request waits for a slot, and it
+// sends again: the first one is withdrawn, the second runs, once.
+func TestGoneBeforeDispatch(t *testing.T) {
+	s := newSite(t, 1)
+	waits := make(chan struct{}, 1)
+	s.granter.before = func(ctx context.Context, _ *wire.Ticket) error {
+		waits <- struct{}{}
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { defer close(done); s.entries[0].askCtx(ctx, ask{key: "k"}) }()
+	<-waits
+	cancel()
+	<-done
+	s.granter.mu.Lock()
+	s.granter.before = nil
+	s.granter.mu.Unlock()
+	must.Eq(t, "whole", s.entries[0].ask(ask{key: "k"}).outcome)
+	must.Eq(t, 1, s.runs("k"))
+	s.free()
+}
+
+// An entry stops while a keyed run has lost its caller. Stop waits until the
+// run's end is on record, or a second submission elsewhere would find a holder
+// that is gone.
+func TestStopWaitsForRecord(t *testing.T) {
+	s := newSite(t, 2)
+	var held sync.WaitGroup
+	held.Add(1)
+	release := make(chan struct{})
+	s.control.setHook(func(c *wire.Command) (error, error) {
+		if c.GetFinish() != nil {
+			held.Done()
+			<-release
+		}
+		return nil, nil
+	})
+	must.Eq(t, "whole", s.entries[0].ask(ask{key: "k"}).outcome, must.Sprint("the caller doesn't wait for the record"))
+	held.Wait()
+	s.control.setHook(nil)
+	stopped := make(chan struct{})
+	go func() { s.entries[0].Stop(context.Background()); close(stopped) }()
+	select {
+	case <-stopped:
+		t.Fatal("stopped before the outcome was on record")
+	default:
+	}
+	close(release)
+	<-stopped
+	s.mesh.set(0, nil)
+	got := s.entries[1].ask(ask{key: "k"})
+	must.Eq(t, refuse.AnswerGone, got.code)
+	must.Eq(t, "unknown", got.outcome)
+	must.Eq(t, 1, s.runs("k"))
+}
