Configuration: in force everywhere, and honest about who has not shown it

Cause: an entry stayed with a replica that answered but lagged, one that started while control was away stayed empty, and status asked one replica only. Documents were judged by every replica by itself, so replicas of unlike program versions could come to unlike states.

Entries leave a stale, lagging or silent replica within the same beat and ask neighbours while none is up to date; only higher versions are installed.

Ruled out: pushes from control to each entry, which would need control to dial every entry; a beat a second brings a change in about one.

--- a/cmd/azurelane/apply.go
+++ b/cmd/azurelane/apply.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"strings"
+	"time"
 
 	"github.com/google/uuid"
 
@@ -16,14 +18,25 @@
 const usageApply = `Put a changed configuration in force at every site. The change names the
 version that it was made from; if another change came in between, it is
 refused and the winner is named. Sending the same --change id again is safe:
-it gets the answer of the first time.`
+it gets the answer of the first time.
+
+With --wait the command ends once every entry that control knows of has the
+version in force. Entries that are not heard, and replicas that do not answer,
+are named and make the exit code 1: the change is accepted then, but not shown
+to be in force everywhere.`
+
+// pollEvery is the pause between two looks at what is in force.
+const pollEvery = 200 * time.Millisecond
 
 type applyCmd struct {
 	File    string           `arg:"" type:"existingfile" help:"The whole set: base and overlays, in JSON."`
 	Control []netip.AddrPort `required:"" help:"Peer addresses of the control replicas."`
-	Base    uint64           `required:"" help:"Version that the change was made from; 0 for the first."`
+	Base    *uint64          `required:"" xor:"base" help:"Version that the change was made from; 0 for the first."`
+	Latest  bool             `required:"" xor:"base" help:"Replace the version of now, whatever it holds."`
 	Change  string           `help:"Id of the change; a new one when left out."`
 	Author  string           `help:"Who made it."`
+	Wait    bool             `help:"Wait until it is in force everywhere."`
+	Limit   time.Duration    `default:"8s" help:"With --wait: how long."`
 }
 
 // Help is the command's manual.
@@ -46,17 +59,78 @@
 		return fmt.Errorf("apply: %w", err)
 	}
 	defer op.close()
-	r, err := op.apply(ctx, c.Change, c.Base, doc, c.Author)
+	base, err := c.base(ctx, op)
+	if err != nil {
+		return err
+	}
+	r, err := op.apply(ctx, c.Change, base, doc, c.Author)
 	if err != nil {
+		return fmt.Errorf("%w; to learn its fate send it again with --change %s --base %d", err, c.Change, base)
+	}
+	if err := c.report(r); err != nil || !c.Wait {
 		return err
 	}
-	return c.report(r)
+	return c.wait(ctx, op, r.GetVersion())
+}
+
+func (c *applyCmd) base(ctx context.Context, op *operator) (uint64, error) {
+	if c.Base != nil {
+		return *c.Base, nil
+	}
+	s, err := op.status(ctx)
+	if err != nil {
+		return 0, fmt.Errorf("apply: read the version of now: %w", err)
+	}
+	return s.GetVersion(), nil
 }
 
 func (c *applyCmd) report(r *wire.Result) error {
 	if r.GetCode() != state.OK {
-		return fmt.Errorf("apply: change %s: %s: %s (version %d by change %s)", c.Change, r.GetCode(), r.GetText(), r.GetVersion(), r.GetWinner())
+		return fmt.Errorf("apply: change %s: %s: %s (version %d by change %s)", c.Change, r.GetCode(), r.GetText(), r.GetVersion(), orNone(r.GetWinner()))
 	}
 	fmt.Printf("change %s is version %d\n", c.Change, r.GetVersion())
 	return nil
 }
+
+// wait polls all replicas until the version is in force everywhere or the time
+// is over, and says who is missing.
+func (c *applyCmd) wait(ctx context.Context, op *operator, version uint64) error {
+	start := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, c.Limit)
+	defer cancel()
+	var f fleet
+	for {
+		f = merge(op.statusAll(ctx))
+		if f.certain(version) {
+			fmt.Printf("version %d is in force at %d entries after %s\n", version, len(f.nodes), time.Since(start).Round(10*time.Millisecond))
+			return nil
+		}
+		select {
+		case <-time.After(pollEvery):
+			continue
+		case <-ctx.Done():
+		}
+		break
+	}
+	return fmt.Errorf("apply: version %d is accepted, but after %s not shown to be in force everywhere: %s", version, c.Limit, f.missing(version))
+}
+
+// missing names who has not shown a version.
+func (f fleet) missing(version uint64) string {
+	var parts []string
+	for _, s := range f.sites(version) {
+		if len(s.behind) > 0 {
+			parts = append(parts, fmt.Sprintf("behind in %s: %s", s.name, strings.Join(s.behind, " ")))
+		}
+		if len(s.quiet) > 0 {
+			parts = append(parts, fmt.Sprintf("not heard in %s: %s", s.name, strings.Join(s.quiet, " ")))
+		}
+	}
+	for _, a := range f.silent {
+		parts = append(parts, fmt.Sprintf("replica %s did not answer", a))
+	}
+	if len(f.nodes) == 0 {
+		parts = append(parts, "no entry is known")
+	}
+	return strings.Join(parts, "; ")
+}
--- a/cmd/azurelane/main.go
+++ b/cmd/azurelane/main.go
@@ -39,6 +39,7 @@
 	Check   checkCmd   `cmd:"" help:"Check settings and configuration offline."`
 	Apply   applyCmd   `cmd:"" help:"Put a changed configuration in force."`
 	Status  statusCmd  `cmd:"" help:"Show what is in force where."`
+	Replica replicaCmd `cmd:"" help:"Change which control replicas form the group."`
 	Drain   drainCmd   `cmd:"" help:"Take an entry out of service."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 }
--- a/cmd/azurelane/operator.go
+++ b/cmd/azurelane/operator.go
@@ -4,17 +4,31 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"sync"
+	"time"
 
 	"azurelane/core/wire"
 	"azurelane/io/leader"
 	"azurelane/io/mesh"
 )
 
-// operator talks to the control replicas for the operator's commands.
-type operator struct {
-	mesh   *mesh.Mesh
-	leader *leader.Leader
-}
+// askLimit is how long one replica may take to answer an operator.
+const askLimit = 2 * time.Second
+
+type (
+	// operator talks to the control replicas for the operator's commands.
+	operator struct {
+		mesh     *mesh.Mesh
+		leader   *leader.Leader
+		replicas []netip.AddrPort
+	}
+
+	// heard is one replica's answer; status is nil when it gave none.
+	heard struct {
+		address netip.AddrPort
+		status  *wire.Status
+	}
+)
 
 func newOperator(replicas []netip.AddrPort) (*operator, error) {
 	if len(replicas) == 0 {
@@ -23,21 +37,42 @@
 	m := &mesh.Mesh{Handle: func(context.Context, *wire.Frame) (*wire.Frame, error) {
 		return nil, &wire.Fault{Code: "unsupported"}
 	}}
-	return &operator{mesh: m, leader: &leader.Leader{Replicas: replicas, Caller: m}}, nil
+	return &operator{mesh: m, leader: &leader.Leader{Replicas: replicas, Caller: m}, replicas: replicas}, nil
 }
 
 func (o *operator) close() { o.mesh.Close() }
 
+// status asks the leader, so that it shows all that was acknowledged before.
 func (o *operator) status(ctx context.Context) (*wire.Status, error) {
-	r, err := o.leader.Ask(ctx, func() *wire.Frame {
-		return &wire.Frame{Body: &wire.Frame_StatusQuery{StatusQuery: &wire.StatusQuery{}}}
-	})
+	r, err := o.leader.Ask(ctx, func() *wire.Frame { return statusQuery(true) })
 	if err != nil {
 		return nil, fmt.Errorf("status: %w", err)
 	}
 	return r.GetStatus(), nil
 }
 
+// statusAll asks every replica at once: each knows the entries that beat there.
+func (o *operator) statusAll(ctx context.Context) []heard {
+	ctx, cancel := context.WithTimeout(ctx, askLimit)
+	defer cancel()
+	all := make([]heard, len(o.replicas))
+	var wg sync.WaitGroup
+	for i, a := range o.replicas {
+		all[i].address = a
+		wg.Go(func() {
+			if r, err := o.mesh.Call(ctx, a, statusQuery(false)); err == nil {
+				all[i].status = r.GetStatus()
+			}
+		})
+	}
+	wg.Wait()
+	return all
+}
+
+func statusQuery(fresh bool) *wire.Frame {
+	return &wire.Frame{Body: &wire.Frame_StatusQuery{StatusQuery: &wire.StatusQuery{Fresh: fresh}}}
+}
+
 func (o *operator) apply(ctx context.Context, id string, base uint64, doc []byte, author string) (*wire.Result, error) {
 	r, err := o.leader.Propose(ctx, &wire.Command{Id: id, Kind: &wire.Command_Change{
 		Change: &wire.Change{Base: base, Document: doc, Author: author},
--- a/cmd/azurelane/status.go
+++ b/cmd/azurelane/status.go
@@ -1,20 +1,22 @@
 package main
 
 import (
-	"cmp"
 	"context"
 	"fmt"
+	"io"
 	"net/netip"
 	"os"
-	"slices"
+	"strings"
 	"text/tabwriter"
 	"time"
 
 	"azurelane/core/wire"
 )
 
-const usageStatus = `Show which configuration control holds, and for each entry what is in force
-there and when it was last heard.`
+const usageStatus = `Show which configuration control holds, what each replica knows, and for each
+site what is in force and which entries were not heard. All replicas are asked;
+those that give no answer are named, for entries that beat only there are not
+known then. Exit code 1 when no replica hears a leader.`
 
 type statusCmd struct {
 	Control []netip.AddrPort `required:"" help:"Peer addresses of the control replicas."`
@@ -23,24 +25,124 @@
 // Help is the command's manual.
 func (statusCmd) Help() string { return usageStatus }
 
-// Run prints the table.
+// Run prints the tables.
 func (c *statusCmd) Run(ctx context.Context) error {
 	op, err := newOperator(c.Control)
 	if err != nil {
 		return fmt.Errorf("status: %w", err)
 	}
 	defer op.close()
-	st, err := op.status(ctx)
-	if err != nil {
+	all := op.statusAll(ctx)
+	best := newest(all)
+	if best == nil {
+		return fmt.Errorf("status: no control replica answered")
+	}
+	fmt.Printf("version %d, change %s, leader %s, log index %d, claims %d\n",
+		best.GetVersion(), orNone(best.GetChange()), orNone(best.GetLeader()), best.GetCommit(), best.GetClaims())
+	if err := printReplicas(os.Stdout, all); err != nil {
 		return err
 	}
-	fmt.Printf("version %d, change %s, leader %s, log index %d, claims %d\n", st.GetVersion(), st.GetChange(), st.GetLeader(), st.GetCommit(), st.GetClaims())
-	slices.SortFunc(st.GetNodes(), func(a, b *wire.NodeStatus) int { return cmp.Compare(a.GetBeat().GetNode(), b.GetBeat().GetNode()) })
-	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(w, "node\tdata centre\tversion\theard")
-	for _, n := range st.GetNodes() {
-		age := time.Duration(n.GetAgeUs()) * time.Microsecond
-		_, _ = fmt.Fprintf(w, "%s\t%s\t%d\t%s ago\n", n.GetBeat().GetNode(), n.GetBeat().GetDataCentre(), n.GetBeat().GetVersion(), age.Round(100*time.Millisecond))
+	f := merge(all)
+	if err := printSites(os.Stdout, f, best.GetVersion()); err != nil {
+		return err
+	}
+	if err := printNodes(os.Stdout, f); err != nil {
+		return err
+	}
+	if best.GetStale() {
+		return fmt.Errorf("status: no replica hears a leader: the version may be old, and nothing can be changed")
+	}
+	return nil
+}
+
+// newest is the answer of a replica that hears a leader, or else the one with
+// the highest version.
+func newest(all []heard) *wire.Status {
+	var best *wire.Status
+	for _, h := range all {
+		s := h.status
+		if s == nil {
+			continue
+		}
+		fresher := best.GetStale() && !s.GetStale()
+		if best == nil || fresher || (best.GetStale() == s.GetStale() && s.GetCommit() > best.GetCommit()) {
+			best = s
+		}
+	}
+	return best
+}
+
+func orNone(s string) string {
+	if s == "" {
+		return "none"
+	}
+	return s
+}
+
+func printReplicas(out io.Writer, all []heard) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, "\nreplica\taddress\tidentity\tversion\tlog index\tstate")
+	for _, h := range all {
+		s := h.status
+		if s == nil {
+			_, _ = fmt.Fprintf(w, "?\t%s\t?\t?\t?\tno answer\n", h.address)
+			continue
+		}
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%s\n",
+			s.GetReplica(), h.address, s.GetIdentity(), s.GetVersion(), s.GetCommit(), replicaState(s))
+	}
+	if err := w.Flush(); err != nil {
+		return fmt.Errorf("status: %w", err)
+	}
+	return nil
+}
+
+func replicaState(s *wire.Status) string {
+	role := "not a member: add it with azurelane replica add"
+	for _, r := range s.GetReplicas() {
+		if r.GetId() == s.GetIdentity() {
+			role = "learner"
+			if r.GetVoter() {
+				role = "voter"
+			}
+		}
+	}
+	switch {
+	case s.GetGroup() == "":
+		return "waits: in no group"
+	case s.GetStale():
+		return role + ", hears no leader"
+	case s.GetLeader() == s.GetAddress():
+		return role + ", leads"
+	}
+	return role
+}
+
+func printSites(out io.Writer, f fleet, version uint64) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintf(w, "\ndata centre\tversion %d in force\tbehind\tnot heard\n", version)
+	for _, s := range f.sites(version) {
+		_, _ = fmt.Fprintf(w, "%s\t%d of %d\t%s\t%s\n", s.name, len(s.inForce), len(s.inForce)+len(s.behind)+len(s.quiet),
+			orNone(strings.Join(s.behind, " ")), orNone(strings.Join(s.quiet, " ")))
+	}
+	if err := w.Flush(); err != nil {
+		return fmt.Errorf("status: %w", err)
+	}
+	for _, a := range f.silent {
+		_, _ = fmt.Fprintf(out, "replica %s did not answer: entries that beat only there are missing here\n", a)
+	}
+	return nil
+}
+
+func printNodes(out io.Writer, f fleet) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, "\nentry\tdata centre\tversion\theard")
+	for _, n := range f.nodes {
+		left := ""
+		if n.GetDraining() {
+			left = ", draining"
+		}
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%d\t%s ago%s\n", n.GetNode(), n.GetDataCentre(), n.GetVersion(), n.age.Round(100*time.Millisecond), left)
 	}
 	if err := w.Flush(); err != nil {
 		return fmt.Errorf("status: %w", err)
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -71,6 +71,19 @@
 	return &wire.Result{Code: Invalid, Text: fmt.Sprintf("state: no such command %T", c.GetKind())}
 }
 
+// Judge checks the document of a change and writes the verdict into the
+// command. The leader does it once, before the command enters the log: replicas
+// of unlike program versions may judge a document differently, and their states
+// would part if each judged for itself.
+func Judge(c *wire.Command) {
+	if k := c.GetChange(); k != nil {
+		k.Invalid = ""
+		if _, err := sites.Parse(k.GetDocument()); err != nil {
+			k.Invalid = err.Error()
+		}
+	}
+}
+
 // Version is the number of the configuration in force, zero before the first.
 func (s *State) Version() uint64 { return s.version }
 
@@ -197,8 +210,8 @@
 	if c.GetBase() != s.version {
 		return &wire.Result{Code: Conflict, Version: s.version, Winner: s.change, Text: "made from another version"}
 	}
-	if _, err := sites.Parse(c.GetDocument()); err != nil {
-		return &wire.Result{Code: Invalid, Version: s.version, Text: err.Error()}
+	if c.GetInvalid() != "" {
+		return &wire.Result{Code: Invalid, Version: s.version, Text: c.GetInvalid()}
 	}
 	s.version++
 	s.change = id
--- a/core/state/state_test.go
+++ b/core/state/state_test.go
@@ -113,7 +113,9 @@
 // A change that fits the base but breaks one site's overlay is refused for all.
 func TestOverlayOfOneSiteIsChecked(t *testing.T) {
 	var s State
-	r := s.Apply(change("x", 0, `{"base":{"client-accounts":{},"tiers":{},"pools":{}},"overlays":{"south":{"tiers":{"t":{"level":9}}}}}`))
+	c := change("x", 0, `{"base":{"client-accounts":{},"tiers":{},"pools":{}},"overlays":{"south":{"tiers":{"t":{"level":9}}}}}`)
+	Judge(c)
+	r := s.Apply(c)
 	must.Eq(t, Invalid, r.GetCode())
 	must.StrContains(t, r.GetText(), "south")
 	must.StrContains(t, r.GetText(), "/tiers/t/level: expected 0, 1 or 2")
--- a/examples/run.sh
+++ b/examples/run.sh
@@ -34,7 +34,12 @@
 start() {
   mkdir -p "$folder/pid" "$folder/log"
   (cd "$root" && go build -o "$folder/azurelane" ./cmd/azurelane)
-  for f in "$set_dir"/control-*.json; do launch "$(basename "$f" .json)" control "$f"; done
+  # The first replica founds the group, the first time that all of them start.
+  local first=--bootstrap
+  for f in "$set_dir"/control-*.json; do
+    launch "$(basename "$f" .json)" control $first "$f"
+    first=
+  done
   local tries=20
   until "$folder/azurelane" apply "$set_dir/configuration.json" --control "$control" --base 0 --change "example-$name"; do
     tries=$((tries - 1))
--- a/io/ctrl/apply.go
+++ b/io/ctrl/apply.go
@@ -20,8 +20,7 @@
 
 // Fault codes of a replica.
 const (
-	busy    = "busy"    // Too much waits to be committed.
-	refused = "refused" // The membership change would be unsafe.
+	busy    = "busy" // Too much waits to be committed, or a membership change is under way.
 	stopped = "stopped"
 )
 
@@ -130,5 +129,5 @@
 	case errors.Is(err, raft.ErrBusy):
 		return &wire.Fault{Code: busy, Text: err.Error()}
 	}
-	return &wire.Fault{Code: refused, Text: err.Error()}
+	return &wire.Fault{Code: leader.Refused, Text: err.Error()}
 }
--- a/io/ctrl/handle.go
+++ b/io/ctrl/handle.go
@@ -6,7 +6,9 @@
 	"time"
 
 	"azurelane/core/raft"
+	"azurelane/core/state"
 	"azurelane/core/wire"
+	"azurelane/io/leader"
 )
 
 // Handle answers one frame of a peer.
@@ -44,8 +46,9 @@
 func (c *Ctrl) Propose(ctx context.Context, cmd *wire.Command) (*wire.Result, error) {
 	p := &proposal{cmd: cmd, member: cmd.GetMembership(), done: make(chan answer, 1)}
 	if cmd.GetExpire() != nil {
-		return nil, &wire.Fault{Code: refused, Text: "ctrl: only the leader expires claims"}
+		return nil, &wire.Fault{Code: leader.Refused, Text: "ctrl: only the leader expires claims"}
 	}
+	state.Judge(cmd)
 	select {
 	case c.props <- p:
 	case <-c.done:
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -84,7 +84,7 @@
 	}
 	control := &leader.Leader{Replicas: set.Control, Caller: e.mesh}
 	e.follow = &follow.Follow{
-		Site: set.DataCentre, Beat: e.beat, Asker: &leader.Leader{Replicas: set.Control, Caller: e.mesh},
+		Site: set.DataCentre, Beat: e.beat, Replicas: set.Control, Neighbours: e.neighbours, Caller: e.mesh,
 		Install: func(_ uint64, cfg *conf.Config) { e.sched.Install(cfg) }, Log: log.WithName("follow"),
 	}
 	granter := &grant.Grant{Self: set.Node, Local: e.sched, Members: e, Mesh: e.mesh, Log: log.WithName("grant")}
@@ -185,6 +185,8 @@
 		return &wire.Frame{Body: &wire.Frame_JoinReply{JoinReply: e.front.Join(ctx, b.JoinQuery)}}, nil
 	case *wire.Frame_Gossip:
 		e.member.Heard(b.Gossip)
+	case *wire.Frame_ConfigQuery:
+		return &wire.Frame{Body: &wire.Frame_BeatReply{BeatReply: e.follow.Answer(b.ConfigQuery)}}, nil
 	default:
 		return nil, &wire.Fault{Code: "unsupported", Text: fmt.Sprintf("entry: %T", b)}
 	}
@@ -198,6 +200,17 @@
 	}
 }
 
+// neighbours lists the other live entries of the data centre.
+func (e *Entry) neighbours() []netip.AddrPort {
+	var list []netip.AddrPort
+	for _, m := range e.member.Alive() {
+		if a, err := netip.ParseAddrPort(m.GetAddress()); err == nil && a != e.set.Peers {
+			list = append(list, a)
+		}
+	}
+	return list
+}
+
 func (e *Entry) ready() bool { return e.follow.Config() != nil && e.asked.Err() == nil }
 
 type info struct {
--- a/io/follow/follow.go
+++ b/io/follow/follow.go
@@ -4,52 +4,72 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
 
 	"azurelane/core/conf"
 	"azurelane/core/sites"
 	"azurelane/core/wire"
 )
 
-// BeatEvery is the interval at which an entry asks for a newer configuration.
-// With it a change is in force about a second after it was accepted.
-const BeatEvery = time.Second
+const (
+	// BeatEvery is the interval at which an entry asks for a newer configuration.
+	// With it a change is in force about a second after it was accepted.
+	BeatEvery = time.Second
+	// AnswerLimit is how long one replica may take. A silent one costs a beat
+	// no more than that before the next is asked.
+	AnswerLimit = 700 * time.Millisecond
+)
+
+// errStale is a replica's word that it may be behind, or the sign of it.
+var errStale = errors.New("follow: replica may be behind")
 
 type (
-	// Follow beats at control and installs only higher versions, so that an
-	// answer from a replica that lags can never bring an old one back. Its
+	// Follow beats at one control replica as long as that one is up to date, and
+	// else at the next. It installs only higher versions, so that no answer,
+	// whoever gives it, can bring an old one back. While no replica is up to date
+	// it asks neighbours, so that an entry that is cut off from control, or has
+	// just started, still learns what another entry of its data centre has. Its
 	// exported fields are set before Serve is called.
 	Follow struct {
-		Site    string
-		Beat    func() *wire.Beat
-		Asker   asker
-		Install func(version uint64, cfg *conf.Config)
-		Log     logr.Logger
+		Site       string
+		Beat       func() *wire.Beat
+		Replicas   []netip.AddrPort
+		Neighbours func() []netip.AddrPort // Peer addresses of other entries; nil for none.
+		Caller     caller
+		Install    func(version uint64, cfg *conf.Config)
+		Log        logr.Logger
 
-		now atomic.Pointer[inForce]
+		now  atomic.Pointer[inForce]
+		next int // Replica to beat at.
+		ask  int // Neighbour to ask.
+		lost bool
 	}
 
-	asker interface {
-		Ask(ctx context.Context, build func() *wire.Frame) (*wire.Frame, error)
+	caller interface {
+		Call(ctx context.Context, to netip.AddrPort, f *wire.Frame) (*wire.Frame, error)
 	}
 
 	inForce struct {
 		version uint64
+		doc     []byte
 		cfg     *conf.Config
 	}
 )
 
 // Serve beats until ctx ends.
 func (f *Follow) Serve(ctx context.Context) error {
+	// Each entry starts with another replica, so that all carry their part.
+	f.next = rand.IntN(max(len(f.Replicas), 1)) //nolint:gosec // It spreads load; no secret.
 	tick := time.NewTicker(BeatEvery)
 	defer tick.Stop()
 	for {
-		if err := f.once(ctx); err != nil && ctx.Err() == nil {
-			f.Log.Info("No answer from control.", "err", err.Error())
-		}
+		f.once(ctx)
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -74,16 +94,82 @@
 	return 0
 }
 
-func (f *Follow) once(ctx context.Context) error {
-	r, err := f.Asker.Ask(ctx, func() *wire.Frame {
-		b := f.Beat()
-		b.Version = f.Version()
-		return &wire.Frame{Body: &wire.Frame_Beat{Beat: b}}
-	})
+// Answer tells a neighbour what is in force here, if that is newer.
+func (f *Follow) Answer(q *wire.ConfigQuery) *wire.BeatReply {
+	r := &wire.BeatReply{Version: f.Version()}
+	if now := f.now.Load(); now != nil && now.version > q.GetVersion() {
+		r.Document = now.doc
+	}
+	return r
+}
+
+// once beats at one replica after the other until one is up to date.
+func (f *Follow) once(ctx context.Context) {
+	var err error
+	for range f.Replicas {
+		if err = f.beat(ctx, f.Replicas[f.next]); err == nil {
+			f.note(nil)
+			return
+		}
+		f.next = (f.next + 1) % len(f.Replicas)
+		if ctx.Err() != nil {
+			return
+		}
+	}
+	f.note(err)
+	f.askNeighbour(ctx)
+}
+
+func (f *Follow) beat(ctx context.Context, to netip.AddrPort) error {
+	b := f.Beat()
+	b.Version = f.Version()
+	r, err := f.call(ctx, to, &wire.Frame{Body: &wire.Frame_Beat{Beat: b}})
 	if err != nil {
 		return err
 	}
-	return f.take(r.GetBeatReply())
+	if r.GetStale() || r.GetVersion() < b.GetVersion() {
+		return fmt.Errorf("%w: %s", errStale, to)
+	}
+	return nil
+}
+
+// askNeighbour asks one neighbour a beat, in turn.
+func (f *Follow) askNeighbour(ctx context.Context) {
+	if f.Neighbours == nil {
+		return
+	}
+	list := f.Neighbours()
+	if len(list) == 0 {
+		return
+	}
+	f.ask++
+	q := &wire.Frame{Body: &wire.Frame_ConfigQuery{ConfigQuery: &wire.ConfigQuery{Version: f.Version()}}}
+	if _, err := f.call(ctx, list[f.ask%len(list)], q); err != nil {
+		f.Log.V(1).Info("No answer from a neighbour.", "err", err.Error())
+	}
+}
+
+// call asks a peer and takes a newer document from its answer, be it stale.
+func (f *Follow) call(ctx context.Context, to netip.AddrPort, q *wire.Frame) (*wire.BeatReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, AnswerLimit)
+	defer cancel()
+	r, err := f.Caller.Call(ctx, to, q)
+	if err != nil {
+		return nil, fmt.Errorf("follow: ask %s: %w", to, err)
+	}
+	return r.GetBeatReply(), f.take(r.GetBeatReply())
+}
+
+// note logs when control is lost and found again, and not each beat.
+func (f *Follow) note(err error) {
+	if lost := err != nil; lost != f.lost {
+		f.lost = lost
+		if lost {
+			f.Log.Info("No control replica is up to date; the configuration stays.", "version", f.Version(), "err", err.Error())
+		} else {
+			f.Log.Info("A control replica is up to date.", "version", f.Version())
+		}
+	}
 }
 
 func (f *Follow) take(r *wire.BeatReply) error {
@@ -98,7 +184,7 @@
 	if err != nil {
 		return fmt.Errorf("follow: version %d: %w", r.GetVersion(), err)
 	}
-	f.now.Store(&inForce{r.GetVersion(), cfg})
+	f.now.Store(&inForce{r.GetVersion(), r.GetDocument(), cfg})
 	f.Install(r.GetVersion(), cfg)
 	f.Log.Info("Configuration in force.", "version", r.GetVersion())
 	return nil
--- a/io/leader/leader.go
+++ b/io/leader/leader.go
@@ -17,8 +17,11 @@
 // command may or may not have been applied: only the same id may be sent again.
 var ErrNone = errors.New("leader: no control replica answered")
 
-// NotLeader is the fault code of a replica that is not the leader.
-const NotLeader = "not-leader"
+// Fault codes of control replicas.
+const (
+	NotLeader = "not-leader" // Another replica is to be asked.
+	Refused   = "refused"    // Final: the leader will never do it.
+)
 
 const (
 	tryLimit  = 2 * time.Second       // One replica's time to answer.
@@ -68,6 +71,10 @@
 			if ctx.Err() != nil {
 				return nil, fmt.Errorf("%w: %w", ErrNone, err)
 			}
+			var fault *wire.Fault
+			if errors.As(err, &fault) && fault.GetCode() == Refused {
+				return nil, fault
+			}
 			last = err
 		}
 		select {
