--- a/io/stand/stand.go
+++ b/io/stand/stand.go
@@ -25,6 +25,8 @@
 	bytesPerToken = 4
 	defaultTokens = 32
 	prefixBytes   = 1024
+	echoBytes     = 64      // Of a plain call, sent back.
+	echoMark      = "echo " // A prompt that begins so is the first token of its answer.
 )
 
 type (
@@ -110,7 +112,8 @@
 		return false
 	}
 	w.Header().Set("Content-Type", "application/json")
-	_, err := fmt.Fprintf(w, "{\"service\":%q,\"path\":%q,\"bytes\":%d,\"request\":%q}\n", s.Name, r.URL.Path, len(body), r.Header.Get(headerRequest))
+	_, err := fmt.Fprintf(w, "{\"service\":%q,\"path\":%q,\"bytes\":%d,\"request\":%q,\"echo\":%q}\n",
+		s.Name, r.URL.Path, len(body), r.Header.Get(headerRequest), body[:min(echoBytes, len(body))])
 	return err == nil
 }
 
@@ -147,7 +150,7 @@
 		if !s.Decode(r.Context(), n) {
 			return false
 		}
-		text.WriteString(tokens(i, n))
+		text.WriteString(c.part(i, n))
 	}
 	out.Choices = []choice{{Message: &message{"assistant", text.String()}, FinishReason: "length"}}
 	out.Usage = &usage{prompt, c.MaxTokens}
@@ -170,7 +173,7 @@
 		if !s.Decode(r.Context(), n) {
 			return false
 		}
-		out.Choices = []choice{{Delta: &message{"assistant", tokens(i, n)}}}
+		out.Choices = []choice{{Delta: &message{"assistant", c.part(i, n)}}}
 		data, err := json.Marshal(out)
 		if err != nil {
 			return false
@@ -213,6 +216,23 @@
 
 func (s *Stand) chunk() int64 { return max(s.Chunk, 1) }
 
+// echo is what the answer begins with in place of its first token, so that a
+// caller can tell its answer from others; nothing without the echo mark.
+func (c *chat) echo() (string, bool) {
+	if len(c.Messages) == 0 {
+		return "", false
+	}
+	return strings.CutPrefix(c.Messages[len(c.Messages)-1].Content, echoMark)
+}
+
+// part is n tokens of the answer, from the i-th on.
+func (c *chat) part(i, n int64) string {
+	if word, ok := c.echo(); ok && i == 0 {
+		return word + " " + tokens(1, n-1)
+	}
+	return tokens(i, n)
+}
+
 // tokens writes n tokens from the i-th on.
 func tokens(i, n int64) string {
 	var b strings.Builder
