--- a/cmd/azurelane/history_test.go
+++ b/cmd/azurelane/history_test.go
@@ -89,7 +89,7 @@
 		path := c.settings(&setup.Setup{
 			Node: name, DataCentre: "dev", Peers: addr, Operator: freeAddr(t), Control: c.control, DataFolder: filepath.Join(c.dir, name),
 		})
-		h.chaos.controls = append(h.chaos.controls, newProc(t, c.dir, name, "control", path))
+		h.chaos.controls = append(h.chaos.controls, newProc(t, c.dir, name, "control", "--bootstrap", path))
 	}
 	c.apply(0)
 	var seeds, callers []netip.AddrPort
--- a/cmd/azurelane/trace_test.go
+++ b/cmd/azurelane/trace_test.go
@@ -131,7 +131,7 @@
 // their callers trace.
 func newTraced(t *testing.T, url string) (*cluster, []*proc) {
 	c := &cluster{t: t, dir: t.TempDir(), control: []netip.AddrPort{freeAddr(t)}}
-	newProc(t, c.dir, "control-1", "control", c.settings(&setup.Setup{
+	newProc(t, c.dir, "control-1", "control", "--bootstrap", c.settings(&setup.Setup{
 		Node: "control-1", DataCentre: "dev", Peers: c.control[0], Operator: freeAddr(t), Control: c.control, DataFolder: filepath.Join(c.dir, "control-1"),
 	}))
 	c.apply(0)
--- a/io/quorum/gauges.go
+++ b/io/quorum/gauges.go
@@ -23,7 +23,7 @@
 }
 
 func leads(st *wire.Status) uint64 {
-	if st.GetLeader() != "" && st.GetLeader() == st.GetReplica() {
+	if st.GetLeader() != "" && st.GetLeader() == st.GetAddress() {
 		return 1
 	}
 	return 0
