--- a/cmd/azurelane/main.go
+++ b/cmd/azurelane/main.go
@@ -43,6 +43,7 @@
 	Apply   applyCmd   `cmd:"" help:"Put a changed configuration in force."`
 	Status  statusCmd  `cmd:"" help:"Show what is in force where."`
 	Order   orderCmd   `cmd:"" help:"Order an upstream to load a model or adapter, or to change role."`
+	Replica replicaCmd `cmd:"" help:"Change which control replicas form the group."`
 	Drain   drainCmd   `cmd:"" help:"Take an entry out of service."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 }
