Mutual TLS between processes, guarded operators' port, certificates

Whoever reached the peers port of a control replica could change the configuration, and whoever reached the operators' port could drain an entry. io/certs makes one tls.Config from the settings for both ends of a link; a renewed certificate is read at the next handshake. Information and draining need a certificate or the operators' token; with neither set up they answer callers on the same VM only. azurelane certs issues certificates. Chosen over checking the authority alone: the accepting end's certificate must name the dialled address, so that one process can't stand in for another.

--- a/cmd/azurelane/apply.go
+++ b/cmd/azurelane/apply.go
@@ -19,11 +19,12 @@
 it gets the answer of the first time.`
 
 type applyCmd struct {
-	File    string           `arg:"" type:"existingfile" help:"The whole set: base and overlays, in JSON."`
-	Control []netip.AddrPort `required:"" help:"Peer addresses of the control replicas."`
-	Base    uint64           `required:"" help:"Version that the change was made from; 0 for the first."`
-	Change  string           `help:"Id of the change; a new one when left out."`
-	Author  string           `help:"Who made it."`
+	File     string           `arg:"" type:"existingfile" help:"The whole set: base and overlays, in JSON."`
+	Control  []netip.AddrPort `required:"" help:"Peer addresses of the control replicas."`
+	Base     uint64           `required:"" help:"Version that the change was made from; 0 for the first."`
+	Change   string           `help:"Id of the change; a new one when left out."`
+	Author   string           `help:"Who made it."`
+	tlsFlags `embed:""`
 }
 
 // Help is the command's manual.
@@ -41,7 +42,7 @@
 	if c.Change == "" {
 		c.Change = uuid.NewString()
 	}
-	op, err := newOperator(c.Control)
+	op, err := newOperator(c.Control, c.tlsFlags)
 	if err != nil {
 		return fmt.Errorf("apply: %w", err)
 	}
--- a/cmd/azurelane/dev.go
+++ b/cmd/azurelane/dev.go
@@ -125,7 +125,7 @@
 // firstConfig puts the example configuration in force, unless the data folder
 // brought one.
 func (c *devCmd) firstConfig(ctx context.Context) error {
-	op, err := newOperator([]netip.AddrPort{c.addr(1)})
+	op, err := newOperator([]netip.AddrPort{c.addr(1)}, tlsFlags{})
 	if err != nil {
 		return err
 	}
--- a/cmd/azurelane/drain.go
+++ b/cmd/azurelane/drain.go
@@ -8,10 +8,15 @@
 )
 
 const usageDrain = `Take an entry out of service: it takes no new work, hands its pools to the
-others, lets requests in flight finish, and ends.`
+others, lets requests in flight finish, and ends.
+
+An entry lets in operators who show a certificate of the deployment or the
+operators' token. One that has neither set up lets in commands on its own VM.`
 
 type drainCmd struct {
 	Operator netip.AddrPort `arg:"" help:"Operators' address of the entry."`
+	Token    string         `env:"AZURELANE_TOKEN" help:"Operators' token; better given in the environment, where other users can't see it."`
+	tlsFlags `embed:""`
 }
 
 // Help is the command's manual.
@@ -19,11 +24,23 @@
 
 // Run asks the entry to drain.
 func (c *drainCmd) Run(ctx context.Context) error {
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.Operator.String()+"/v1/drain", http.NoBody)
+	cfg, err := c.tls()
+	if err != nil {
+		return fmt.Errorf("drain: %w", err)
+	}
+	url := "http://" + c.Operator.String() + "/v1/drain"
+	if cfg != nil {
+		url = "https://" + c.Operator.String() + "/v1/drain"
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, http.NoBody)
 	if err != nil {
 		return fmt.Errorf("drain: %w", err)
 	}
-	resp, err := http.DefaultClient.Do(r)
+	if c.Token != "" {
+		r.Header.Set("Authorization", "Bearer "+c.Token)
+	}
+	client := &http.Client{Transport: &http.Transport{TLSClientConfig: cfg}}
+	resp, err := client.Do(r)
 	if err != nil {
 		return fmt.Errorf("drain: %w", err)
 	}
--- a/cmd/azurelane/history_test.go
+++ b/cmd/azurelane/history_test.go
@@ -161,7 +161,7 @@
 // change puts one configuration after the other in force. An answer that got
 // lost is asked for again under the same id.
 func (h *history) change(ctx context.Context) {
-	op, err := newOperator(h.cluster.control)
+	op, err := newOperator(h.cluster.control, tlsFlags{})
 	must.NoError(h.t, err)
 	defer op.close()
 	for n := 1; ctx.Err() == nil; n++ {
--- a/cmd/azurelane/main.go
+++ b/cmd/azurelane/main.go
@@ -43,6 +43,7 @@
 	Apply   applyCmd   `cmd:"" help:"Put a changed configuration in force."`
 	Status  statusCmd  `cmd:"" help:"Show what is in force where."`
 	Drain   drainCmd   `cmd:"" help:"Take an entry out of service."`
+	Certs   certsCmd   `cmd:"" help:"Issue a certificate for a process or an operator."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 }
 
--- a/cmd/azurelane/operator.go
+++ b/cmd/azurelane/operator.go
@@ -16,11 +16,15 @@
 	leader *leader.Leader
 }
 
-func newOperator(replicas []netip.AddrPort) (*operator, error) {
+func newOperator(replicas []netip.AddrPort, files tlsFlags) (*operator, error) {
 	if len(replicas) == 0 {
 		return nil, fmt.Errorf("no control replicas named")
 	}
-	m := &mesh.Mesh{Handle: func(context.Context, *wire.Frame) (*wire.Frame, error) {
+	cfg, err := files.tls()
+	if err != nil {
+		return nil, err
+	}
+	m := &mesh.Mesh{TLS: cfg, Handle: func(context.Context, *wire.Frame) (*wire.Frame, error) {
 		return nil, &wire.Fault{Code: "unsupported"}
 	}}
 	return &operator{mesh: m, leader: &leader.Leader{Replicas: replicas, Caller: m}}, nil
--- a/cmd/azurelane/status.go
+++ b/cmd/azurelane/status.go
@@ -17,7 +17,8 @@
 there and when it was last heard.`
 
 type statusCmd struct {
-	Control []netip.AddrPort `required:"" help:"Peer addresses of the control replicas."`
+	Control  []netip.AddrPort `required:"" help:"Peer addresses of the control replicas."`
+	tlsFlags `embed:""`
 }
 
 // Help is the command's manual.
@@ -25,7 +26,7 @@
 
 // Run prints the table.
 func (c *statusCmd) Run(ctx context.Context) error {
-	op, err := newOperator(c.Control)
+	op, err := newOperator(c.Control, c.tlsFlags)
 	if err != nil {
 		return fmt.Errorf("status: %w", err)
 	}
--- a/io/admin/admin.go
+++ b/io/admin/admin.go
@@ -15,16 +15,19 @@
 	Ready func() bool
 	Info  func() any // What stands under /v1/info.
 	Drain func()     // Called once by POST /v1/drain; nil where draining makes no sense.
+	Token string     // Hex SHA-256 of the operators' token; empty for none.
 }
 
-// Handler returns the routes.
+// Handler returns the routes. Metrics and readiness are open to all who reach
+// the port; the rest is for operators.
 func (a *Admin) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", a.Stats)
 	mux.HandleFunc("GET /ready", a.ready)
-	mux.HandleFunc("GET /v1/info", a.info)
-	mux.HandleFunc("POST /v1/drain", a.drain)
-	return mux
+	mux.Handle("GET /v1/info", a.guard(a.info))
+	mux.Handle("POST /v1/drain", a.guard(a.drain))
+	// A page in a browser on this VM must not be able to drain it.
+	return http.NewCrossOriginProtection().Handler(mux)
 }
 
 func (a *Admin) ready(w http.ResponseWriter, _ *http.Request) {
--- a/io/certs/certs.go
+++ b/io/certs/certs.go
@@ -6,6 +6,7 @@
 	"crypto/tls"
 	"crypto/x509"
 	"fmt"
+	"net"
 	"os"
 	"sync"
 	"time"
@@ -58,6 +59,26 @@
 	}, nil
 }
 
+// Operators returns the settings for the operators' port, or nil without TLS:
+// it is encrypted too, but health checks need no certificate. What is for
+// operators alone is guarded behind it.
+func Operators(links *tls.Config) *tls.Config {
+	if links == nil {
+		return nil
+	}
+	cfg := links.Clone()
+	cfg.ClientAuth = tls.VerifyClientCertIfGiven
+	return cfg
+}
+
+// Wrap puts TLS around what a listener accepts, or nothing where cfg is nil.
+func Wrap(ln net.Listener, cfg *tls.Config) net.Listener {
+	if cfg == nil {
+		return ln
+	}
+	return tls.NewListener(ln, cfg)
+}
+
 // pair is a certificate with its key, read anew when the file has changed.
 type pair struct {
 	Certs
--- /dev/null
+++ b/io/certs/certs_test.go
@@ -0,0 +1,143 @@
+package certs
+
+import (
+	"crypto/tls"
+	"net"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"azurelane/io/mint"
+)
+
+// issue makes a certificate in a folder and returns its files.
+func issue(t *testing.T, dir, name, addr string) Certs {
+	t.Helper()
+	must.NoError(t, mint.Mint{Folder: dir}.Issue(name, []netip.Addr{netip.MustParseAddr(addr)}, time.Hour))
+	return Certs{Cert: filepath.Join(dir, name+".pem"), Key: filepath.Join(dir, name+"-key.pem"), CA: filepath.Join(dir, "ca.pem")}
+}
+
+func config(t *testing.T, c Certs) *tls.Config {
+	t.Helper()
+	cfg, err := c.Config()
+	must.NoError(t, err)
+	return cfg
+}
+
+// handshake connects over loopback and returns what each end says. A client
+// learns of a refusal of its certificate only when it reads.
+func handshake(t *testing.T, server, client *tls.Config) (string, error, error) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer func() { _ = ln.Close() }()
+	served := make(chan error, 1)
+	name := ""
+	go func() {
+		conn, err := ln.Accept()
+		if err != nil {
+			served <- err
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		s := tls.Server(conn, server)
+		err = s.Handshake()
+		if err == nil {
+			name = s.ConnectionState().PeerCertificates[0].Subject.CommonName
+			_, err = s.Write([]byte("x"))
+		}
+		served <- err
+	}()
+	conn, err := tls.Dial("tcp", ln.Addr().String(), client)
+	if err == nil {
+		_, err = conn.Read(make([]byte, 1))
+		_ = conn.Close()
+	}
+	return name, <-served, err
+}
+
+// Someone who can reach the port of a process, but has no certificate of the
+// deployment, must get nothing. The same goes for a process that is reached at
+// an address which its certificate does not name.
+func TestHandshake(t *testing.T) {
+	dir, other := t.TempDir(), t.TempDir()
+	server := config(t, issue(t, dir, "entry-1", "127.0.0.1"))
+	moved := config(t, issue(t, dir, "entry-2", "10.0.0.2"))
+	peer := config(t, issue(t, dir, "entry-3", "10.0.0.3"))
+	stranger := config(t, issue(t, other, "entry-3", "10.0.0.3"))
+	bare := peer.Clone()
+	bare.GetClientCertificate = nil
+	for _, tc := range []struct {
+		name           string
+		server, client *tls.Config
+		ok             bool
+	}{
+		{"both certificates", server, peer, true},
+		{"no certificate", server, bare, false},
+		{"another authority", server, stranger, false},
+		{"another address", moved, peer, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			name, served, dialled := handshake(t, tc.server, tc.client)
+			if tc.ok {
+				must.NoError(t, served)
+				must.NoError(t, dialled)
+				must.Eq(t, "entry-3", name)
+				return
+			}
+			must.Error(t, served)
+			must.Error(t, dialled)
+		})
+	}
+}
+
+// A certificate is renewed while the process runs. New handshakes show the new
+// one; while the files are halfway replaced, the former one stays in use.
+func TestRenewed(t *testing.T) {
+	dir := t.TempDir()
+	server := config(t, issue(t, dir, "entry-1", "127.0.0.1"))
+	files := issue(t, dir, "old", "10.0.0.3")
+	client := config(t, files)
+	name, _, err := handshake(t, server, client)
+	must.NoError(t, err)
+	must.Eq(t, "old", name)
+
+	next := issue(t, dir, "new", "10.0.0.3")
+	must.NoError(t, os.WriteFile(files.Key, []byte("half"), 0o600))
+	must.NoError(t, os.Chtimes(files.Cert, time.Time{}, time.Now().Add(time.Minute)))
+	name, _, err = handshake(t, server, client)
+	must.NoError(t, err)
+	must.Eq(t, "old", name)
+
+	must.NoError(t, os.Rename(next.Key, files.Key))
+	must.NoError(t, os.Rename(next.Cert, files.Cert))
+	name, _, err = handshake(t, server, client)
+	must.NoError(t, err)
+	must.Eq(t, "new", name)
+}
+
+func TestConfigRefuses(t *testing.T) {
+	dir := t.TempDir()
+	good := issue(t, dir, "entry-1", "127.0.0.1")
+	empty := filepath.Join(dir, "empty.pem")
+	must.NoError(t, os.WriteFile(empty, nil, 0o600))
+	for _, tc := range []struct {
+		name string
+		c    Certs
+	}{
+		{"no authority", Certs{Cert: good.Cert, Key: good.Key, CA: "none.pem"}},
+		{"empty authority", Certs{Cert: good.Cert, Key: good.Key, CA: empty}},
+		{"no certificate", Certs{Cert: "none.pem", Key: good.Key, CA: good.CA}},
+		{"another's key", Certs{Cert: good.Cert, Key: filepath.Join(dir, "ca-key.pem"), CA: good.CA}},
+	} {
+		_, err := tc.c.Config()
+		must.Error(t, err, must.Sprint(tc.name))
+	}
+	cfg, err := Certs{}.Config()
+	must.NoError(t, err)
+	must.Nil(t, cfg)
+}
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"net"
 	"net/netip"
@@ -17,6 +18,7 @@
 	"azurelane/core/kernel"
 	"azurelane/core/wire"
 	"azurelane/io/admin"
+	"azurelane/io/certs"
 	"azurelane/io/client"
 	"azurelane/io/follow"
 	"azurelane/io/front"
@@ -53,6 +55,10 @@
 	e := &Entry{set: &full, log: log, stats: stats.New(), client: &client.Client{}}
 	e.asked, e.drain = context.WithCancel(context.Background())
 	incarnation := uuid.NewString()[:8]
+	links, err := set.TLS.Config()
+	if err != nil {
+		return nil, fmt.Errorf("entry: %w", err)
+	}
 	var lns []net.Listener
 	for _, a := range []netip.AddrPort{set.Peers, set.Callers, set.Upstreams, set.Operator} {
 		ln, err := net.Listen("tcp", a.String())
@@ -64,14 +70,15 @@
 		}
 		lns = append(lns, ln)
 	}
-	e.build(incarnation, lns)
+	lns[3] = certs.Wrap(lns[3], certs.Operators(links))
+	e.build(incarnation, lns, links)
 	return e, nil
 }
 
-func (e *Entry) build(incarnation string, lns []net.Listener) {
+func (e *Entry) build(incarnation string, lns []net.Listener, links *tls.Config) {
 	set, log := e.set, e.log
 	e.log = log.WithName("entry")
-	e.mesh = &mesh.Mesh{Listen: lns[0], Self: set.Peers, Handle: e.handle, Log: log.WithName("mesh")}
+	e.mesh = &mesh.Mesh{Listen: certs.Wrap(lns[0], links), TLS: links, Self: set.Peers, Handle: e.handle, Log: log.WithName("mesh")}
 	e.sched = &sched.Sched{Incarnation: incarnation, Log: log.WithName("sched")}
 	e.member = &member.Member{
 		Self: &wire.Member{
@@ -90,7 +97,7 @@
 		Granter: granter, Proposer: control, Sender: e.client, Peers: e.mesh, Stats: e.stats, Log: log.WithName("front"),
 	}
 	e.gauges()
-	ops := &admin.Admin{Stats: e.stats, Ready: e.ready, Drain: e.drain, Info: e.info}
+	ops := &admin.Admin{Stats: e.stats, Ready: e.ready, Drain: e.drain, Info: e.info, Token: set.OperatorToken}
 	e.sup = suture.New("entry", suture.Spec{EventHook: func(ev suture.Event) { e.log.Info("Part stopped.", "event", ev.String()) }})
 	for _, s := range []suture.Service{
 		e.mesh, e.sched, e.member, e.follow,
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
 	"fmt"
 	"io"
 	"net"
@@ -55,10 +56,10 @@
 }
 
 // Dial connects to a peer. Frames that the peer sends on its own go to handle:
-// calls in a goroutine each, one-way frames in order.
-func Dial(ctx context.Context, addr netip.AddrPort, handle func(context.Context, *wire.Frame) (*wire.Frame, error)) (*Link, error) {
-	var d net.Dialer
-	conn, err := d.DialContext(ctx, "tcp", addr.String())
+// calls in a goroutine each, one-way frames in order. With cfg the link is
+// encrypted and both ends have shown their certificates.
+func Dial(ctx context.Context, addr netip.AddrPort, cfg *tls.Config, handle func(context.Context, *wire.Frame) (*wire.Frame, error)) (*Link, error) {
+	conn, err := connect(ctx, addr, cfg)
 	if err != nil {
 		return nil, fmt.Errorf("link: dial: %w", err)
 	}
@@ -75,6 +76,15 @@
 	return start(sess, stream, handle), nil
 }
 
+func connect(ctx context.Context, addr netip.AddrPort, cfg *tls.Config) (net.Conn, error) {
+	if cfg != nil {
+		d := tls.Dialer{Config: cfg}
+		return d.DialContext(ctx, "tcp", addr.String())
+	}
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", addr.String())
+}
+
 // Accept serves a connection that a peer dialled.
 func Accept(conn net.Conn, handle func(context.Context, *wire.Frame) (*wire.Frame, error)) (*Link, error) {
 	sess, err := yamux.Server(conn, config())
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"net"
 	"net/netip"
@@ -25,6 +26,7 @@
 		Listen net.Listener
 		Self   netip.AddrPort // Calls to it stay in the process.
 		Handle func(ctx context.Context, f *wire.Frame) (*wire.Frame, error)
+		TLS    *tls.Config // For both directions; nil for plain TCP. Listen must already ask for certificates.
 		Log    logr.Logger
 
 		mu    sync.Mutex
@@ -111,7 +113,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, DialLimit)
 	defer cancel()
-	l, err := link.Dial(ctx, addr, m.Handle)
+	l, err := link.Dial(ctx, addr, m.TLS, m.Handle)
 	if err != nil {
 		return nil, fmt.Errorf("mesh: %w", err)
 	}
--- a/io/quorum/quorum.go
+++ b/io/quorum/quorum.go
@@ -11,6 +11,7 @@
 	"github.com/thejerf/suture/v4"
 
 	"azurelane/io/admin"
+	"azurelane/io/certs"
 	"azurelane/io/ctrl"
 	"azurelane/io/httpd"
 	"azurelane/io/mesh"
@@ -28,6 +29,10 @@
 
 // Open reads the data folder and binds the addresses.
 func Open(set *setup.Setup, log logr.Logger) (*Quorum, error) {
+	links, err := set.TLS.Config()
+	if err != nil {
+		return nil, fmt.Errorf("quorum: %w", err)
+	}
 	c, err := ctrl.Open(set.Node, set.DataFolder, log.WithName("ctrl"))
 	if err != nil {
 		return nil, fmt.Errorf("quorum: %w", err)
@@ -45,8 +50,8 @@
 	metrics := stats.New()
 	q.gauges(metrics)
 	q.sup = suture.New("control", suture.Spec{EventHook: func(ev suture.Event) { q.log.Info("Part stopped.", "event", ev.String()) }})
-	q.sup.Add(&mesh.Mesh{Listen: peers, Self: set.Peers, Handle: c.Handle, Log: log.WithName("mesh")})
-	q.sup.Add(&httpd.Httpd{Listen: ops, Handler: (&admin.Admin{Stats: metrics}).Handler()})
+	q.sup.Add(&mesh.Mesh{Listen: certs.Wrap(peers, links), TLS: links, Self: set.Peers, Handle: c.Handle, Log: log.WithName("mesh")})
+	q.sup.Add(&httpd.Httpd{Listen: certs.Wrap(ops, certs.Operators(links)), Handler: (&admin.Admin{Stats: metrics, Token: set.OperatorToken}).Handler()})
 	return q, nil
 }
 
