--- a/cmd/azurelane/tls_test.go
+++ b/cmd/azurelane/tls_test.go
@@ -37,7 +37,7 @@
 		return certs.Certs{Cert: filepath.Join(c.dir, name+".pem"), Key: filepath.Join(c.dir, name+"-key.pem"), CA: filepath.Join(c.dir, "ca.pem")}
 	}}
 	sum := sha256.Sum256([]byte("secret"))
-	newProc(t, c.dir, "control-1", "control", c.settings(&setup.Setup{
+	newProc(t, c.dir, "control-1", "control", "--bootstrap", c.settings(&setup.Setup{
 		Node: "control-1", DataCentre: "dev", Peers: c.control[0], Operator: freeAddr(t), Control: c.control,
 		DataFolder: filepath.Join(c.dir, "data"), TLS: s.files("control-1"),
 	}))
--- a/io/setup/setup.go
+++ b/io/setup/setup.go
@@ -43,6 +43,9 @@
 	Trace         trace.Trace      `json:"trace,omitzero"`
 	TLS           certs.Certs      `json:"tls,omitzero"`
 	OperatorToken string           `json:"operator-token-sha256,omitzero"`
+
+	Bootstrap bool   `json:"-"` // Control, by a flag: found a group if all replicas are empty.
+	After     uint64 `json:"-"` // Control, by a flag: configuration version that a new group goes on from.
 }
 
 // Load reads a settings file. Errors name the file, the key and what was
