--- a/cmd/azurelane/order.go
+++ b/cmd/azurelane/order.go
@@ -30,6 +30,7 @@
 	ChecksFence bool             `help:"The upstream refuses an order with an old number."`
 	Limit       time.Duration    `default:"10m" help:"Longest time that the order can take."`
 	WeightLimit int              `default:"2" help:"Orders that may read from the weight store at once."`
+	tlsFlags    `embed:""`
 }
 
 // Help is the command's manual.
@@ -37,7 +38,7 @@
 
 // Run sends the order and waits for its end.
 func (c *orderCmd) Run(ctx context.Context) error {
-	op, err := newOperator(c.Control)
+	op, err := newOperator(c.Control, c.tlsFlags)
 	if err != nil {
 		return fmt.Errorf("order: %w", err)
 	}
