--- a/cmd/azurelane/main.go
+++ b/cmd/azurelane/main.go
@@ -42,7 +42,10 @@
 	Check   checkCmd   `cmd:"" help:"Check settings and configuration offline."`
 	Apply   applyCmd   `cmd:"" help:"Put a changed configuration in force."`
 	Status  statusCmd  `cmd:"" help:"Show what is in force where."`
+	Order   orderCmd   `cmd:"" help:"Order an upstream to load a model or adapter, or to change role."`
+	Replica replicaCmd `cmd:"" help:"Change which control replicas form the group."`
 	Drain   drainCmd   `cmd:"" help:"Take an entry out of service."`
+	Certs   certsCmd   `cmd:"" help:"Issue a certificate for a process or an operator."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 }
 
--- /dev/null
+++ b/cmd/azurelane/order_test.go
@@ -0,0 +1,22 @@
+package main
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// An operator orders an engine to load a model, loses the answer and sends the
+// same order again: it is told that the order is over and nothing runs twice.
+// Another order gets the next number.
+func TestOrder(t *testing.T) {
+	c := newCluster(t, 1)
+	addr := c.upstream("engine-1", "demo", "demo")
+	order := func(id string) error {
+		return c.start("order", "load-model", "demo-2", "--upstream", "engine-1", "--address", addr.String(),
+			"--control", c.replicas(), "--id", id, "--limit", "5s").Wait()
+	}
+	c.until("first order done", func() bool { return order("o1") == nil })
+	must.Error(t, order("o1"))
+	must.NoError(t, order("o2"))
+}
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -1,5 +1,5 @@
 // Package state is the replicated state machine: the configuration in force,
-// the claims of idempotency keys and the fencing numbers.
+// the claims of idempotency keys and the orders to upstreams.
 package state
 
 import (
@@ -9,6 +9,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"azurelane/core/order"
 	"azurelane/core/sites"
 	"azurelane/core/wire"
 )
@@ -43,10 +44,10 @@
 		change   string
 		document []byte
 		claims   map[claimKey]*wire.ClaimState
-		fences   map[string]uint64
 		results  map[string]*wire.Result
-		order    []string // Change ids, oldest first.
-		clock    int64    // Highest leader's clock seen, in microseconds.
+		ids      []string // Change ids, oldest first.
+		orders   order.Order
+		clock    int64 // Highest leader's clock seen, in microseconds.
 		ends     ends
 	}
 
@@ -55,7 +56,7 @@
 
 // Apply runs one command.
 func (s *State) Apply(c *wire.Command) *wire.Result {
-	s.clock = max(s.clock, c.GetClaim().GetNowUs(), c.GetFinish().GetNowUs(), c.GetExpire().GetNowUs())
+	s.clock = max(s.clock, c.GetClaim().GetNowUs(), c.GetFinish().GetNowUs(), c.GetExpire().GetNowUs(), c.GetOrderStart().GetNowUs())
 	switch k := c.GetKind().(type) {
 	case *wire.Command_Claim:
 		return s.claim(k.Claim)
@@ -65,12 +66,27 @@
 		return s.expire()
 	case *wire.Command_Change:
 		return s.changed(c.GetId(), k.Change)
-	case *wire.Command_Fence:
-		return s.fence(k.Fence)
+	case *wire.Command_OrderStart:
+		return s.orders.Start(c.GetId(), k.OrderStart)
+	case *wire.Command_OrderEnd:
+		return s.orders.End(k.OrderEnd)
 	}
 	return &wire.Result{Code: Invalid, Text: fmt.Sprintf("state: no such command %T", c.GetKind())}
 }
 
+// Judge checks the document of a change and writes the verdict into the
+// command. The leader does it once, before the command enters the log: replicas
+// of unlike program versions may judge a document differently, and their states
+// would part if each judged for itself.
+func Judge(c *wire.Command) {
+	if k := c.GetChange(); k != nil {
+		k.Invalid = ""
+		if _, err := sites.Parse(k.GetDocument()); err != nil {
+			k.Invalid = err.Error()
+		}
+	}
+}
+
 // Version is the number of the configuration in force, zero before the first.
 func (s *State) Version() uint64 { return s.version }
 
@@ -185,10 +201,10 @@
 		s.results = map[string]*wire.Result{}
 	}
 	s.results[id] = r
-	s.order = append(s.order, id)
-	if len(s.order) > MaxChanges {
-		delete(s.results, s.order[0])
-		s.order = s.order[1:]
+	s.ids = append(s.ids, id)
+	if len(s.ids) > MaxChanges {
+		delete(s.results, s.ids[0])
+		s.ids = s.ids[1:]
 	}
 	return proto.CloneOf(r)
 }
@@ -197,19 +213,11 @@
 	if c.GetBase() != s.version {
 		return &wire.Result{Code: Conflict, Version: s.version, Winner: s.change, Text: "made from another version"}
 	}
-	if _, err := sites.Parse(c.GetDocument()); err != nil {
-		return &wire.Result{Code: Invalid, Version: s.version, Text: err.Error()}
+	if c.GetInvalid() != "" {
+		return &wire.Result{Code: Invalid, Version: s.version, Text: c.GetInvalid()}
 	}
 	s.version++
 	s.change = id
 	s.document = c.GetDocument()
 	return &wire.Result{Code: OK, Version: s.version, Winner: id}
 }
-
-func (s *State) fence(f *wire.Fence) *wire.Result {
-	if s.fences == nil {
-		s.fences = map[string]uint64{}
-	}
-	s.fences[f.GetUpstream()]++
-	return &wire.Result{Code: OK, Version: s.fences[f.GetUpstream()]}
-}
--- a/core/state/state_test.go
+++ b/core/state/state_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"flag"
 	"os"
+	"strconv"
 	"testing"
 	"time"
 
@@ -113,7 +114,9 @@
 // A change that fits the base but breaks one site's overlay is refused for all.
 func TestOverlayOfOneSiteIsChecked(t *testing.T) {
 	var s State
-	r := s.Apply(change("x", 0, `{"base":{"client-accounts":{},"tiers":{},"pools":{}},"overlays":{"south":{"tiers":{"t":{"level":9}}}}}`))
+	c := change("x", 0, `{"base":{"client-accounts":{},"tiers":{},"pools":{}},"overlays":{"south":{"tiers":{"t":{"level":9}}}}}`)
+	Judge(c)
+	r := s.Apply(c)
 	must.Eq(t, Invalid, r.GetCode())
 	must.StrContains(t, r.GetText(), "south")
 	must.StrContains(t, r.GetText(), "/tiers/t/level: expected 0, 1 or 2")
@@ -133,7 +136,8 @@
 			c := rapid.SampledFrom([]*wire.Command{
 				claim(holder, request), finish(holder, request, "whole", now), finish(holder, request, NotRun, now), expire(now),
 				change(holder, request, doc),
-				{Kind: &wire.Command_Fence{Fence: &wire.Fence{Upstream: holder}}},
+				{Id: "order-" + strconv.FormatUint(request, 10), Kind: &wire.Command_OrderStart{OrderStart: &wire.OrderStart{Upstream: holder, NowUs: now}}},
+				{Kind: &wire.Command_OrderEnd{OrderEnd: &wire.OrderEnd{Upstream: holder, Fence: request, Outcome: "done"}}},
 			}).Draw(t, "command")
 			if a, b := whole.Apply(c), cut.Apply(c); !equal(a, b) {
 				t.Fatalf("%v and %v", a, b)
--- a/io/entry/handle.go
+++ b/io/entry/handle.go
@@ -76,6 +76,8 @@
 		return e.relay(ctx, b.Relay)
 	case *wire.Frame_JoinQuery:
 		return &wire.Frame{Body: &wire.Frame_JoinReply{JoinReply: e.front.Join(ctx, b.JoinQuery)}}, nil
+	case *wire.Frame_ConfigQuery:
+		return &wire.Frame{Body: &wire.Frame_BeatReply{BeatReply: e.follow.Answer(b.ConfigQuery)}}, nil
 	default:
 		return nil, &wire.Fault{Code: "unsupported", Text: fmt.Sprintf("entry: %T", b)}
 	}
