Links: heartbeats only while needed, large frames aside, no writer held

Cause: one-way frames ran in the read loop, so a handler that called its peer back stopped the link; writers waited in the stream for a slow reader without limit; every caller of a peer waited for its dial, up to 2 s and one after the other; a large frame stood before all others. Change: a writer and a worker goroutine a link, each with a bounded queue; frames of 32 KB and more go on streams of their own; fast beats only while either end waits; dials are shared, failed ones back off from 25 ms to 500 ms; a closed mesh leaves no goroutine. Shown: with the handler back in the read loop TestHandlerMayCallBack fails, and without the silence limit TestBlackHole fails in all three directions.

--- a/io/link/link.go
+++ b/io/link/link.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"crypto/tls"
 	"fmt"
@@ -22,19 +23,24 @@
 )
 
 // ErrDown is returned for calls on a link that has ended. The peer may or may
-// not have seen the frame.
+// not have seen the frame; nothing is sent again by the link.
 var ErrDown = errors.New("link: down")
 
+// ErrTooLarge is returned for a frame over MaxFrame, which was not sent.
+var ErrTooLarge = errors.New("link: frame too large")
+
 const (
-	// PingEvery is the interval of the heartbeat that both ends send.
-	PingEvery = 500 * time.Millisecond
-	// SilenceLimit ends a link that brought nothing for so long. TCP may hold a
-	// connection open for many minutes after a middlebox has lost track of it;
-	// the symptom is calls that never return. Both ends send a heartbeat, so a
-	// link silent for six intervals is dead whatever TCP thinks.
-	SilenceLimit = 3 * time.Second
 	// MaxFrame bounds the bytes of one frame.
 	MaxFrame = 64 << 20
+	// BulkSize is from where on a frame gets a stream of its own. On the common
+	// stream a snapshot of tens of MB would stand before every small frame, the
+	// heartbeat included, and the peer would take the link for dead.
+	BulkSize = 32 << 10
+
+	bulkLimit  = 30 * time.Second // For one such frame, either way.
+	bulkAtOnce = 4                // Of such frames read at a time, for the sake of memory.
+	queueLen   = 1024             // Frames that wait to be written, or one-way ones to be handled.
+	bufSize    = 32 << 10
 )
 
 // Link is one open connection. It is made by Dial or Accept.
@@ -42,27 +48,38 @@
 	sess   *yamux.Session
 	stream net.Conn
 	handle func(context.Context, *wire.Frame) (*wire.Frame, error)
-	heard  atomic.Int64 // Time of the last frame, in nanoseconds.
 	ctx    context.Context
 	cancel context.CancelFunc
 	done   chan struct{}
+	wg     sync.WaitGroup
 
-	wmu sync.Mutex
-	w   *bufio.Writer
+	out    chan []byte      // Small frames to write.
+	oneWay chan *wire.Frame // Read, in order.
+	bulk   chan struct{}    // Bounds the bulk frames being read.
+	pulse  pulse
 
 	mu    sync.Mutex
 	calls map[uint64]chan *wire.Frame
 	last  uint64
+
+	serving atomic.Int64 // Calls of the peer being answered.
+	dropped atomic.Int64
 }
 
 // Dial connects to a peer. Frames that the peer sends on its own go to handle:
-// calls in a goroutine each, one-way frames in order. With cfg the link is
-// encrypted and both ends have shown their certificates.
+// calls in a goroutine each, one-way frames one after the other, in order but
+// for bulk frames. With cfg the link is encrypted and both ends have shown their
+// certificates.
 func Dial(ctx context.Context, addr netip.AddrPort, cfg *tls.Config, handle func(context.Context, *wire.Frame) (*wire.Frame, error)) (*Link, error) {
 	conn, err := connect(ctx, addr, cfg)
 	if err != nil {
 		return nil, fmt.Errorf("link: dial: %w", err)
 	}
+	return Open(conn, handle)
+}
+
+// Open starts the dialling end of a link on a connection.
+func Open(conn net.Conn, handle func(context.Context, *wire.Frame) (*wire.Frame, error)) (*Link, error) {
 	sess, err := yamux.Client(conn, config())
 	if err != nil {
 		_ = conn.Close()
@@ -112,13 +129,14 @@
 
 func start(sess *yamux.Session, stream net.Conn, handle func(context.Context, *wire.Frame) (*wire.Frame, error)) *Link {
 	l := &Link{
-		sess: sess, stream: stream, handle: handle, w: bufio.NewWriter(stream),
-		done: make(chan struct{}), calls: map[uint64]chan *wire.Frame{},
+		sess: sess, stream: stream, handle: handle, done: make(chan struct{}), calls: map[uint64]chan *wire.Frame{},
+		out: make(chan []byte, queueLen), oneWay: make(chan *wire.Frame, queueLen), bulk: make(chan struct{}, bulkAtOnce),
 	}
 	l.ctx, l.cancel = context.WithCancel(context.Background())
-	l.heard.Store(time.Now().UnixNano())
-	go l.read()
-	go l.beat()
+	l.pulse.start(time.Now())
+	for _, part := range []func(){l.read, l.write, l.work, l.accept, l.beat} {
+		l.wg.Go(part)
+	}
 	return l
 }
 
@@ -128,15 +146,15 @@
 	ch := make(chan *wire.Frame, 1)
 	l.mu.Lock()
 	l.last++
-	f.Id = l.last
-	l.calls[f.GetId()] = ch
+	id := l.last
+	l.calls[id] = ch
 	l.mu.Unlock()
 	defer func() {
 		l.mu.Lock()
-		delete(l.calls, f.GetId())
+		delete(l.calls, id)
 		l.mu.Unlock()
 	}()
-	if err := l.write(f); err != nil {
+	if err := l.put(ctx, &wire.Frame{Id: id, Body: f.GetBody()}); err != nil {
 		return nil, err
 	}
 	select {
@@ -152,15 +170,18 @@
 	}
 }
 
-// Send sends a one-way frame.
-func (l *Link) Send(f *wire.Frame) error {
-	f.Id = 0
-	return l.write(f)
+// Send sends a one-way frame. It returns once the frame is queued, so nil says
+// nothing about its arrival.
+func (l *Link) Send(ctx context.Context, f *wire.Frame) error {
+	return l.put(ctx, &wire.Frame{Body: f.GetBody()})
 }
 
 // Done is closed when the link has ended.
 func (l *Link) Done() <-chan struct{} { return l.done }
 
+// Dropped is the number of one-way frames that the handler was too slow for.
+func (l *Link) Dropped() int64 { return l.dropped.Load() }
+
 // Close ends the link. Calls that wait return ErrDown.
 func (l *Link) Close() error {
 	l.cancel()
@@ -170,81 +191,77 @@
 	return nil
 }
 
-func (l *Link) write(f *wire.Frame) error {
-	l.wmu.Lock()
-	defer l.wmu.Unlock()
-	_, err := protodelim.MarshalTo(l.w, f)
-	if err == nil {
-		err = l.w.Flush()
+// Wait returns when the link has ended and its goroutines too, but for handlers
+// of calls, whose context has ended.
+func (l *Link) Wait() { l.wg.Wait() }
+
+// put queues a frame for the writer. The writer alone touches the stream, so a
+// peer that reads slowly can't hold a caller past its own deadline.
+func (l *Link) put(ctx context.Context, f *wire.Frame) error {
+	var buf bytes.Buffer
+	if _, err := protodelim.MarshalTo(&buf, f); err != nil {
+		return fmt.Errorf("link: marshal: %w", err)
 	}
-	if err != nil {
-		_ = l.Close()
-		return fmt.Errorf("%w: write: %w", ErrDown, err)
+	if buf.Len() > MaxFrame {
+		return fmt.Errorf("%w: %d bytes", ErrTooLarge, buf.Len())
 	}
-	return nil
-}
-
-func (l *Link) read() {
-	defer close(l.done)
-	defer func() { _ = l.Close() }()
-	r := bufio.NewReader(l.stream)
-	for {
-		f := &wire.Frame{}
-		if err := (protodelim.UnmarshalOptions{MaxSize: MaxFrame}).UnmarshalFrom(r, f); err != nil {
-			return
-		}
-		l.heard.Store(time.Now().UnixNano())
-		l.take(f)
+	if f.GetPing() == nil && f.GetProbe() == nil {
+		l.pulse.busy(time.Now())
 	}
-}
-
-func (l *Link) take(f *wire.Frame) {
-	switch {
-	case f.GetPing() != nil:
-	case f.GetReply():
-		l.mu.Lock()
-		ch := l.calls[f.GetId()]
-		l.mu.Unlock()
-		if ch != nil {
-			ch <- f
-		}
-	case f.GetId() == 0:
-		_, _ = l.handle(l.ctx, f)
-	default:
-		go l.answer(f)
+	if buf.Len() >= BulkSize {
+		return l.putBulk(ctx, buf.Bytes())
+	}
+	select {
+	case l.out <- buf.Bytes():
+		return nil
+	case <-l.ctx.Done():
+		return ErrDown
+	case <-ctx.Done():
+		return fmt.Errorf("link: send: %w", ctx.Err())
 	}
 }
 
-func (l *Link) answer(f *wire.Frame) {
-	r, err := l.handle(l.ctx, f)
+// putBulk writes a large frame on a stream of its own.
+func (l *Link) putBulk(ctx context.Context, data []byte) error {
+	s, err := l.sess.OpenStream()
 	if err != nil {
-		var fault *wire.Fault
-		if !errors.As(err, &fault) {
-			fault = &wire.Fault{Code: "error", Text: err.Error()}
-		}
-		r = &wire.Frame{Body: &wire.Frame_Fault{Fault: fault}}
+		return fmt.Errorf("%w: open stream: %w", ErrDown, err)
+	}
+	defer func() { _ = s.Close() }()
+	end := time.Now().Add(bulkLimit)
+	if d, ok := ctx.Deadline(); ok && d.Before(end) {
+		end = d
 	}
-	if r == nil {
-		r = &wire.Frame{Body: &wire.Frame_Ack{Ack: &wire.Ack{}}}
+	_ = s.SetWriteDeadline(end)
+	stop := context.AfterFunc(ctx, func() { _ = s.SetWriteDeadline(time.Unix(1, 0)) })
+	defer stop()
+	if _, err := s.Write(data); err != nil {
+		if ctx.Err() != nil {
+			return fmt.Errorf("link: send: %w", ctx.Err())
+		}
+		return fmt.Errorf("%w: write: %w", ErrDown, err)
 	}
-	r.Id, r.Reply = f.GetId(), true
-	_ = l.write(r)
+	return nil
 }
 
-func (l *Link) beat() {
-	tick := time.NewTicker(PingEvery)
-	defer tick.Stop()
-	for seq := uint64(0); ; seq++ {
+// write empties the queue. Frames that wait together go out together. A peer
+// that takes nothing for SilenceLimit ends the link, else its window stays full
+// and every later frame waits behind the one that doesn't move.
+func (l *Link) write() {
+	defer func() { _ = l.Close() }()
+	w := bufio.NewWriterSize(l.stream, bufSize)
+	for {
 		select {
-		case <-l.done:
-			return
-		case <-tick.C:
-		}
-		if time.Since(time.Unix(0, l.heard.Load())) > SilenceLimit {
-			_ = l.Close()
-			return
-		}
-		if l.Send(&wire.Frame{Body: &wire.Frame_Ping{Ping: &wire.Ping{Seq: seq}}}) != nil {
+		case data := <-l.out:
+			_ = l.stream.SetWriteDeadline(time.Now().Add(SilenceLimit))
+			_, err := w.Write(data)
+			if err == nil && len(l.out) == 0 {
+				err = w.Flush()
+			}
+			if err != nil {
+				return
+			}
+		case <-l.ctx.Done():
 			return
 		}
 	}
--- /dev/null
+++ b/io/link/link_test.go
@@ -0,0 +1,232 @@
+package link
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/shoenig/test/must"
+	"go.uber.org/goleak"
+
+	"azurelane/core/wire"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// limit ends a test that hangs; nothing is asserted about times.
+const limit = 20 * time.Second
+
+func query(n uint64) *wire.Frame {
+	return &wire.Frame{Body: &wire.Frame_ConfigQuery{ConfigQuery: &wire.ConfigQuery{Version: n}}}
+}
+
+func ack(context.Context, *wire.Frame) (*wire.Frame, error) {
+	return &wire.Frame{Body: &wire.Frame_Ack{Ack: &wire.Ack{}}}, nil
+}
+
+// serve accepts links until the test ends and returns where.
+func serve(t testing.TB, handle func(context.Context, *wire.Frame) (*wire.Frame, error)) netip.AddrPort {
+	return listen(t, func(conn net.Conn) {
+		l, err := Accept(conn, handle)
+		if err == nil {
+			t.Cleanup(func() { _ = l.Close(); l.Wait() })
+		}
+	})
+}
+
+func listen(t testing.TB, take func(net.Conn)) netip.AddrPort {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			take(conn)
+		}
+	}()
+	t.Cleanup(func() { _ = ln.Close(); <-done })
+	return netip.MustParseAddrPort(ln.Addr().String())
+}
+
+// hole forwards TCP and, when told, goes on reading but passes nothing on: what
+// a middlebox does that has lost track of a connection.
+type hole struct{ there, back atomic.Bool }
+
+func (h *hole) before(t testing.TB, to netip.AddrPort) netip.AddrPort {
+	return listen(t, func(conn net.Conn) {
+		up, err := net.Dial("tcp", to.String())
+		must.NoError(t, err)
+		for _, way := range []struct {
+			from, to net.Conn
+			drop     *atomic.Bool
+		}{{conn, up, &h.there}, {up, conn, &h.back}} {
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				defer func() { _ = way.to.Close() }()
+				buf := make([]byte, 4096)
+				for {
+					n, err := way.from.Read(buf)
+					if err != nil {
+						return
+					}
+					if !way.drop.Load() {
+						_, _ = way.to.Write(buf[:n])
+					}
+				}
+			}()
+			t.Cleanup(func() { _ = conn.Close(); _ = up.Close(); <-done })
+		}
+	})
+}
+
+func dial(t testing.TB, to netip.AddrPort, handle func(context.Context, *wire.Frame) (*wire.Frame, error)) *Link {
+	l, err := Dial(t.Context(), to, nil, handle)
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close(); l.Wait() })
+	return l
+}
+
+// A call is under way when something between the two ends loses the
+// connection, in one direction or both; TCP notices nothing. The caller gets
+// ErrDown within the limit instead of nothing for ever, the frame reached the
+// peer once at most, and a new connection works at once.
+func TestBlackHole(t *testing.T) {
+	for _, tc := range []struct {
+		name        string
+		there, back bool
+	}{
+		{"there", true, false},
+		{"back", false, true},
+		{"both", true, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			var ran atomic.Int64
+			to := serve(t, func(ctx context.Context, f *wire.Frame) (*wire.Frame, error) {
+				if f.GetConfigQuery().GetVersion() == 2 {
+					ran.Add(1)
+				}
+				return ack(ctx, f)
+			})
+			var h hole
+			l := dial(t, h.before(t, to), ack)
+			ctx, cancel := context.WithTimeout(t.Context(), limit)
+			defer cancel()
+			_, err := l.Call(ctx, query(1))
+			must.NoError(t, err)
+			h.there.Store(tc.there)
+			h.back.Store(tc.back)
+			_, err = l.Call(ctx, query(2))
+			must.ErrorIs(t, err, ErrDown)
+			must.LessEq(t, 1, ran.Load())
+			fresh := dial(t, to, ack)
+			_, err = fresh.Call(ctx, query(1))
+			must.NoError(t, err)
+		})
+	}
+}
+
+// The peer's process is frozen: its kernel still takes connections and bytes.
+// A call ends with ErrDown; senders that fill every buffer are held no longer
+// than their own context allows, and the link ends.
+func TestFrozenPeer(t *testing.T) {
+	t.Parallel()
+	to := listen(t, func(conn net.Conn) {
+		sess, err := yamux.Server(conn, config())
+		must.NoError(t, err)
+		_, err = sess.AcceptStream()
+		must.NoError(t, err)
+		t.Cleanup(func() { _ = sess.Close() })
+	})
+	l := dial(t, to, ack)
+	ctx, cancel := context.WithTimeout(t.Context(), limit)
+	defer cancel()
+	big := &wire.Frame{Body: &wire.Frame_Chunk{Chunk: &wire.Chunk{Data: make([]byte, BulkSize/2)}}}
+	for {
+		sctx, scancel := context.WithTimeout(ctx, 50*time.Millisecond)
+		err := l.Send(sctx, big)
+		scancel()
+		if err != nil {
+			must.ErrorIs(t, err, context.DeadlineExceeded)
+			break
+		}
+	}
+	_, err := l.Call(ctx, query(1))
+	must.ErrorIs(t, err, ErrDown)
+}
+
+// A handler of one-way frames calls the peer that sent them. When handlers ran
+// in the read loop, the reply was never read and both ends stood still.
+func TestHandlerMayCallBack(t *testing.T) {
+	t.Parallel()
+	var l *Link
+	ready, done := make(chan struct{}), make(chan error, 1)
+	back := listen(t, func(conn net.Conn) {
+		a, err := Accept(conn, func(ctx context.Context, f *wire.Frame) (*wire.Frame, error) {
+			if f.GetId() == 0 {
+				<-ready
+				_, err := l.Call(ctx, query(1))
+				done <- err
+			}
+			return ack(ctx, f)
+		})
+		must.NoError(t, err)
+		l = a
+		close(ready)
+		t.Cleanup(func() { _ = a.Close(); a.Wait() })
+	})
+	c := dial(t, back, ack)
+	must.NoError(t, c.Send(t.Context(), query(1)))
+	select {
+	case err := <-done:
+		must.NoError(t, err)
+	case <-time.After(limit):
+		t.Fatal("the handler's call never returned")
+	}
+}
+
+func TestLargeFrames(t *testing.T) {
+	t.Parallel()
+	to := serve(t, func(_ context.Context, f *wire.Frame) (*wire.Frame, error) {
+		return &wire.Frame{Body: f.GetBody()}, nil
+	})
+	l := dial(t, to, ack)
+	for _, n := range []int{0, BulkSize - 100, BulkSize + 100, 20 << 20} {
+		r, err := l.Call(t.Context(), &wire.Frame{Body: &wire.Frame_Chunk{Chunk: &wire.Chunk{Data: make([]byte, n)}}})
+		must.NoError(t, err)
+		must.Eq(t, n, len(r.GetChunk().GetData()))
+	}
+	_, err := l.Call(t.Context(), &wire.Frame{Body: &wire.Frame_Chunk{Chunk: &wire.Chunk{Data: make([]byte, MaxFrame)}}})
+	must.ErrorIs(t, err, ErrTooLarge)
+	_, err = l.Call(t.Context(), query(1)) // The link still works.
+	must.NoError(t, err)
+}
+
+// An idle link beats slowly, and must not be judged by the fast beat's limit in
+// the moment in which it wakes.
+func TestPulse(t *testing.T) {
+	var p pulse
+	now := time.Unix(1000, 0)
+	p.start(now)
+	at := func(d time.Duration) time.Time { return now.Add(d) }
+	for d := PingEvery; d <= 25*time.Second; d += PingEvery {
+		_, _, dead := p.look(at(d), false)
+		must.False(t, dead, must.Sprint(d))
+	}
+	_, awake, dead := p.look(at(26*time.Second), true)
+	must.True(t, awake)
+	must.False(t, dead)
+	_, _, dead = p.look(at(29*time.Second), true)
+	must.False(t, dead)
+	_, _, dead = p.look(at(29500*time.Millisecond), true)
+	must.True(t, dead)
+}
--- /dev/null
+++ b/io/link/read.go
@@ -0,0 +1,113 @@
+package link
+
+import (
+	"bufio"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	"azurelane/core/wire"
+)
+
+// read takes the frames of the common stream until the link ends.
+func (l *Link) read() {
+	defer close(l.done)
+	defer func() { _ = l.Close() }()
+	r := bufio.NewReaderSize(l.stream, bufSize)
+	for {
+		f := &wire.Frame{}
+		if err := (protodelim.UnmarshalOptions{MaxSize: MaxFrame}).UnmarshalFrom(r, f); err != nil {
+			return
+		}
+		l.take(f)
+	}
+}
+
+// accept takes the streams of bulk frames.
+func (l *Link) accept() {
+	for {
+		s, err := l.sess.Accept()
+		if err != nil {
+			return
+		}
+		l.wg.Go(func() { l.readBulk(s) })
+	}
+}
+
+func (l *Link) readBulk(s net.Conn) {
+	defer func() { _ = s.Close() }()
+	select {
+	case l.bulk <- struct{}{}:
+		defer func() { <-l.bulk }()
+	case <-l.ctx.Done():
+		return
+	}
+	_ = s.SetReadDeadline(time.Now().Add(bulkLimit))
+	f := &wire.Frame{}
+	if err := (protodelim.UnmarshalOptions{MaxSize: MaxFrame}).UnmarshalFrom(bufio.NewReaderSize(s, bufSize), f); err != nil {
+		return
+	}
+	l.take(f)
+}
+
+// take hands a frame on and never waits: were it to wait for a handler, a
+// handler that calls the same peer would wait for a reply that no one reads.
+func (l *Link) take(f *wire.Frame) {
+	l.pulse.heard(time.Now(), f.GetPing())
+	switch {
+	case f.GetPing() != nil:
+	case f.GetReply():
+		l.mu.Lock()
+		ch := l.calls[f.GetId()]
+		delete(l.calls, f.GetId())
+		l.mu.Unlock()
+		if ch != nil {
+			ch <- f
+		}
+	case f.GetId() != 0:
+		l.pulse.busy(time.Now())
+		l.serving.Add(1)
+		go l.answer(f)
+	default:
+		if f.GetProbe() == nil {
+			l.pulse.busy(time.Now())
+		}
+		select {
+		case l.oneWay <- f:
+		default:
+			// Whoever sends one-way frames bears their loss on a broken link
+			// anyway; a full queue is told from the heartbeat by it.
+			l.dropped.Add(1)
+		}
+	}
+}
+
+// work handles the one-way frames, in order.
+func (l *Link) work() {
+	for {
+		select {
+		case f := <-l.oneWay:
+			_, _ = l.handle(l.ctx, f)
+		case <-l.ctx.Done():
+			return
+		}
+	}
+}
+
+func (l *Link) answer(f *wire.Frame) {
+	defer l.serving.Add(-1)
+	r, err := l.handle(l.ctx, f)
+	if err != nil {
+		var fault *wire.Fault
+		if !errors.As(err, &fault) {
+			fault = &wire.Fault{Code: "error", Text: err.Error()}
+		}
+		r = &wire.Frame{Body: &wire.Frame_Fault{Fault: fault}}
+	}
+	if r == nil {
+		r = &wire.Frame{Body: &wire.Frame_Ack{Ack: &wire.Ack{}}}
+	}
+	_ = l.put(l.ctx, &wire.Frame{Id: f.GetId(), Reply: true, Body: r.GetBody()})
+}
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -11,38 +11,52 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
 
 	"azurelane/core/wire"
 	"azurelane/io/link"
 )
 
-// DialLimit bounds one attempt to connect to a peer.
-const DialLimit = 2 * time.Second
+const (
+	// DialLimit bounds one attempt to connect to a peer.
+	DialLimit = 2 * time.Second
 
-type (
-	// Mesh dials peers when they are first needed and serves those who dial
-	// this process. Its fields are set before Serve is called.
-	Mesh struct {
-		Listen net.Listener
-		Self   netip.AddrPort // Calls to it stay in the process.
-		Handle func(ctx context.Context, f *wire.Frame) (*wire.Frame, error)
-		TLS    *tls.Config // For both directions; nil for plain TCP. Listen must already ask for certificates.
-		Log    logr.Logger
-
-		mu    sync.Mutex
-		peers map[netip.AddrPort]*peer
-		in    map[*link.Link]struct{}
-	}
+	firstBackoff = 25 * time.Millisecond
+	mostBackoff  = 500 * time.Millisecond
+	acceptPause  = 50 * time.Millisecond
+)
 
-	// peer serialises the dialling of one address.
-	peer struct {
-		mu   sync.Mutex
-		link *link.Link
-	}
+var (
+	// ErrBackoff is returned without a new attempt shortly after one failed, so
+	// that a dead peer costs few dials however many callers want it. It wraps
+	// nothing that was sent.
+	ErrBackoff = errors.New("mesh: peer could not be reached a moment ago")
+	// ErrClosed is returned after Close.
+	ErrClosed = errors.New("mesh: closed")
 )
 
+// Mesh dials peers when they are first needed and serves those who dial this
+// process. Its exported fields are set before Serve is called.
+type Mesh struct {
+	Listen net.Listener
+	Self   netip.AddrPort // Calls to it stay in the process.
+	Handle func(ctx context.Context, f *wire.Frame) (*wire.Frame, error)
+	TLS    *tls.Config // For both directions; nil for plain TCP. Listen must already ask for certificates.
+	Log    logr.Logger
+
+	mu     sync.Mutex
+	closed bool
+	peers  map[netip.AddrPort]*peer
+	in     map[*link.Link]struct{}
+	conns  map[net.Conn]struct{} // Accepted, no link yet.
+	wg     sync.WaitGroup
+}
+
 // Serve accepts peers until ctx ends, then closes every link.
 func (m *Mesh) Serve(ctx context.Context) error {
+	m.mu.Lock()
+	m.closed = false
+	m.mu.Unlock()
 	stop := context.AfterFunc(ctx, func() { _ = m.Listen.Close() })
 	defer stop()
 	defer m.Close()
@@ -51,10 +65,17 @@
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return fmt.Errorf("mesh: accept: %w", err)
 		}
-		go m.accept(conn)
+		if err != nil {
+			// Mostly a lack of file descriptors, which passes. Ending here would
+			// close the links that work.
+			m.Log.Info("Peer not accepted.", "err", err.Error())
+			time.Sleep(acceptPause)
+			continue
+		}
+		m.wg.Go(func() { m.accept(conn) })
 	}
 }
 
@@ -84,74 +105,60 @@
 	if err != nil {
 		return err
 	}
-	if err := l.Send(f); err != nil {
+	if err := l.Send(ctx, f); err != nil {
 		return fmt.Errorf("mesh: send to %s: %w", to, err)
 	}
 	return nil
 }
 
-func (m *Mesh) to(ctx context.Context, addr netip.AddrPort) (*link.Link, error) {
+func (m *Mesh) accept(conn net.Conn) {
+	if !m.hold(conn) {
+		_ = conn.Close()
+		return
+	}
+	l, err := link.Accept(conn, m.Handle)
 	m.mu.Lock()
-	if m.peers == nil {
-		m.peers = map[netip.AddrPort]*peer{}
+	delete(m.conns, conn)
+	if err == nil && m.closed {
+		_ = l.Close()
 	}
-	p := m.peers[addr]
-	if p == nil {
-		p = &peer{}
-		m.peers[addr] = p
+	if err == nil {
+		m.in[l] = struct{}{}
 	}
 	m.mu.Unlock()
-
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.link != nil {
-		select {
-		case <-p.link.Done():
-		default:
-			return p.link, nil
-		}
-	}
-	ctx, cancel := context.WithTimeout(ctx, DialLimit)
-	defer cancel()
-	l, err := link.Dial(ctx, addr, m.TLS, m.Handle)
-	if err != nil {
-		return nil, fmt.Errorf("mesh: %w", err)
-	}
-	p.link = l
-	return l, nil
-}
-
-func (m *Mesh) accept(conn net.Conn) {
-	l, err := link.Accept(conn, m.Handle)
 	if err != nil {
 		m.Log.V(1).Info("Peer not accepted.", "peer", conn.RemoteAddr().String(), "err", err.Error())
 		return
 	}
-	m.mu.Lock()
-	if m.in == nil {
-		m.in = map[*link.Link]struct{}{}
-	}
-	m.in[l] = struct{}{}
-	m.mu.Unlock()
-	<-l.Done()
+	l.Wait()
 	m.mu.Lock()
 	delete(m.in, l)
 	m.mu.Unlock()
 }
 
-// Close ends every link.
-func (m *Mesh) Close() {
+func (m *Mesh) hold(conn net.Conn) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.in == nil {
+		m.in, m.conns = map[*link.Link]struct{}{}, map[net.Conn]struct{}{}
+	}
+	m.conns[conn] = struct{}{}
+	return !m.closed
+}
+
+// Close ends every link and waits for what runs on them.
+func (m *Mesh) Close() {
+	m.mu.Lock()
+	m.closed = true
+	for c := range m.conns {
+		_ = c.Close()
+	}
 	for l := range m.in {
 		_ = l.Close()
 	}
 	for _, p := range m.peers {
-		if p.mu.TryLock() {
-			if p.link != nil {
-				_ = p.link.Close()
-			}
-			p.mu.Unlock()
-		}
+		p.close()
 	}
+	m.mu.Unlock()
+	m.wg.Wait()
 }
