Tests take ports that no outgoing connection can take

Cause: TestEntryStartsFromNeighbour failed once with "address already in use": a port asked of the kernel and freed again lies in the range for outgoing connections, and one took it before the process that was to listen on it. Ruled out: a fault of the entry, which named the failure and ended. Change: the tests take ports below that range.

--- a/cmd/azurelane/process_test.go
+++ b/cmd/azurelane/process_test.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -65,12 +66,30 @@
 	return cmd
 }
 
+// lastPort is the port that freeAddr gave out last. Ports below the range that
+// the kernel takes for outgoing connections are used: one of that range may be
+// taken by any connection before the process that was meant to listen on it.
+var lastPort atomic.Uint32
+
+const (
+	firstPort = 10000
+	portSpan  = 20000
+)
+
 func freeAddr(t *testing.T) netip.AddrPort {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	defer func() { _ = ln.Close() }()
-	return netip.MustParseAddrPort(ln.Addr().String())
+	lastPort.CompareAndSwap(0, uint32(os.Getpid()*97%portSpan)+1)
+	for range portSpan {
+		port := firstPort + lastPort.Add(1)%portSpan
+		ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue
+		}
+		must.NoError(t, ln.Close())
+		return netip.MustParseAddrPort(ln.Addr().String())
+	}
+	t.Fatal("no free port")
+	return netip.AddrPort{}
 }
 
 // newCluster starts control and entries, in data centre "dev", and puts the
--- a/core/member/bench_test.go
+++ b/core/member/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -22,7 +23,7 @@
 				s := 0
 				for b.Loop() {
 					if churn && s%max(1, 3000/n) == 0 {
-						f.add(fmt.Sprintf("n%03d", 1+f.rng.IntN(n-1)), fmt.Sprint(s))
+						f.add(fmt.Sprintf("n%03d", 1+f.rng.IntN(n-1)), strconv.Itoa(s))
 					}
 					f.run(time.Second)
 					s++
