--- a/cmd/azurelane/dev.go
+++ b/cmd/azurelane/dev.go
@@ -20,6 +20,7 @@
 	"azurelane/io/logs"
 	"azurelane/io/quorum"
 	"azurelane/io/setup"
+	"azurelane/io/stand"
 )
 
 const usageDev = `Run a whole small system in this process, on loopback: one control replica
@@ -48,7 +49,7 @@
 	if err != nil {
 		return err
 	}
-	sup := suture.New("dev", suture.Spec{EventHook: func(ev suture.Event) { log.V(1).Info("Part stopped.", "event", ev.String()) }})
+	sup := suture.New("dev", suture.Spec{EventHook: func(ev suture.Event) { log.WithName("dev").V(1).Info("Part stopped.", "event", ev.String()) }})
 	if err := c.build(sup, log); err != nil {
 		return err
 	}
@@ -79,6 +80,7 @@
 	control := []netip.AddrPort{c.addr(1)}
 	q, err := quorum.Open(&setup.Setup{
 		Node: "control-1", DataCentre: "dev", Peers: c.addr(1), Operator: c.addr(2), Control: control, DataFolder: c.DataFolder,
+		Bootstrap: true,
 	}, log)
 	if err != nil {
 		return err
@@ -113,7 +115,7 @@
 	if err != nil {
 		return fmt.Errorf("dev: listen: %w", err)
 	}
-	sup.Add(&httpd.Httpd{Listen: ln, Handler: &engine.Server{Engine: eng}})
+	sup.Add(&httpd.Httpd{Listen: ln, Handler: &stand.Stand{Engine: eng}})
 	sup.Add(&hello.Hello{
 		Upstream: eng.Name, Address: addr, Incarnation: "dev", Pools: []string{pool}, Models: models,
 		MaxRunning: eng.Slots, Entries: []netip.AddrPort{c.addr(3)}, Load: eng.Load, Log: log.WithName("hello"),
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"net"
 	"net/netip"
-	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/google/uuid"
@@ -32,10 +31,6 @@
 	"azurelane/io/stats"
 )
 
-// DrainLimit bounds the wait for requests in flight when the entry stops. It
-// is longer than the longest run that a pool allows by default.
-const DrainLimit = 40 * time.Minute
-
 // Entry is one entry process. Open makes it.
 type Entry struct {
 	set    *setup.Setup
@@ -54,7 +49,8 @@
 
 // Open binds the entry's addresses.
 func Open(set *setup.Setup, log logr.Logger) (*Entry, error) {
-	e := &Entry{set: set, log: log, stats: stats.New(), client: &client.Client{}}
+	full := set.WithDefaults()
+	e := &Entry{set: &full, log: log, stats: stats.New(), client: &client.Client{}}
 	e.asked, e.drain = context.WithCancel(context.Background())
 	incarnation := uuid.NewString()[:8]
 	var lns []net.Listener
@@ -74,6 +70,7 @@
 
 func (e *Entry) build(incarnation string, lns []net.Listener) {
 	set, log := e.set, e.log
+	e.log = log.WithName("entry")
 	e.mesh = &mesh.Mesh{Listen: lns[0], Self: set.Peers, Handle: e.handle, Log: log.WithName("mesh")}
 	e.sched = &sched.Sched{Incarnation: incarnation, Log: log.WithName("sched")}
 	e.member = &member.Member{
@@ -84,7 +81,7 @@
 	}
 	control := &leader.Leader{Replicas: set.Control, Caller: e.mesh}
 	e.follow = &follow.Follow{
-		Site: set.DataCentre, Beat: e.beat, Asker: &leader.Leader{Replicas: set.Control, Caller: e.mesh},
+		Site: set.DataCentre, Beat: e.beat, Replicas: set.Control, Neighbours: e.neighbours, Caller: e.mesh,
 		Install: func(_ uint64, cfg *conf.Config) { e.sched.Install(cfg) }, Log: log.WithName("follow"),
 	}
 	granter := &grant.Grant{Self: set.Node, Local: e.sched, Members: e, Mesh: e.mesh, Log: log.WithName("grant")}
@@ -92,8 +89,9 @@
 		Node: set.Node, Incarnation: incarnation, Address: set.Peers.String(), Config: e.follow.Config,
 		Granter: granter, Proposer: control, Sender: e.client, Peers: e.mesh, Stats: e.stats, Log: log.WithName("front"),
 	}
+	e.gauges()
 	ops := &admin.Admin{Stats: e.stats, Ready: e.ready, Drain: e.drain, Info: e.info}
-	e.sup = suture.New("entry", suture.Spec{EventHook: func(ev suture.Event) { log.Info("Part stopped.", "event", ev.String()) }})
+	e.sup = suture.New("entry", suture.Spec{EventHook: func(ev suture.Event) { e.log.Info("Part stopped.", "event", ev.String()) }})
 	for _, s := range []suture.Service{
 		e.mesh, e.sched, e.member, e.follow,
 		&httpd.Httpd{Listen: lns[1], Handler: e.front},
@@ -119,9 +117,9 @@
 		return fmt.Errorf("entry: %w", err)
 	}
 	e.log.Info("Entry drains.")
-	dctx, dcancel := context.WithTimeout(parts, DrainLimit)
+	dctx, dcancel := context.WithTimeout(parts, e.set.DrainLimit)
 	defer dcancel()
-	e.member.Leave(dctx)
+	e.member.Drain(dctx)
 	e.front.Stop(dctx)
 	cancel()
 	<-done //nolint:errcheck // The parts ended because they were told to.
@@ -183,8 +181,10 @@
 		e.sched.Hold(b.Held)
 	case *wire.Frame_JoinQuery:
 		return &wire.Frame{Body: &wire.Frame_JoinReply{JoinReply: e.front.Join(ctx, b.JoinQuery)}}, nil
-	case *wire.Frame_Gossip:
-		e.member.Heard(b.Gossip)
+	case *wire.Frame_Probe:
+		e.member.Heard(ctx, b.Probe)
+	case *wire.Frame_ConfigQuery:
+		return &wire.Frame{Body: &wire.Frame_BeatReply{BeatReply: e.follow.Answer(b.ConfigQuery)}}, nil
 	default:
 		return nil, &wire.Fault{Code: "unsupported", Text: fmt.Sprintf("entry: %T", b)}
 	}
@@ -198,6 +198,17 @@
 	}
 }
 
+// neighbours lists the other live entries of the data centre.
+func (e *Entry) neighbours() []netip.AddrPort {
+	var list []netip.AddrPort
+	for _, m := range e.member.Alive() {
+		if a, err := netip.ParseAddrPort(m.GetAddress()); err == nil && a != e.set.Peers {
+			list = append(list, a)
+		}
+	}
+	return list
+}
+
 func (e *Entry) ready() bool { return e.follow.Config() != nil && e.asked.Err() == nil }
 
 type info struct {
--- a/io/front/fake_test.go
+++ b/io/front/fake_test.go
@@ -32,6 +32,7 @@
 	"azurelane/io/engine"
 	"azurelane/io/fault"
 	"azurelane/io/front"
+	"azurelane/io/stand"
 	"azurelane/io/stats"
 )
 
@@ -88,7 +89,7 @@
 		granter *granter
 		mesh    *mesh
 		client  *client.Client
-		engine  *engine.Server
+		engine  *stand.Stand
 		up      *httptest.Server
 		entries []*entry
 	}
@@ -214,7 +215,7 @@
 			Pools:     map[string]pool.Pool{"engines": {Models: []string{"m"}}, "notes": {Service: "notes"}},
 			ClaimKeep: time.Hour,
 		},
-		engine: &engine.Server{Engine: &engine.Engine{Name: "standin", Slots: 10000, CacheLimit: 8}},
+		engine: &stand.Stand{Engine: &engine.Engine{Name: "standin", Slots: 10000, CacheLimit: 8}},
 	}
 	s.up = httptest.NewServer(&fault.Fault{Handler: s.engine})
 	s.granter = &granter{ups: []string{s.up.Listener.Addr().String()}, expires: time.Minute}
--- a/io/front/refuse_test.go
+++ b/io/front/refuse_test.go
@@ -194,7 +194,7 @@
 		must.SliceLen(t, 1, s.engine.Journal())
 		if key == "" {
 			must.Eq(t, refuse.DeadlinePassed, got.code)
-			s.eventually("cancelled", func() bool { return s.engine.Stats().Cancelled == 1 })
+			s.eventually("cancelled", func() bool { return s.engine.Tally().Cancelled == 1 })
 			continue
 		}
 		must.Eq(t, refuse.StillRunning, got.code)
@@ -219,14 +219,14 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
 		go func() { defer close(done); s.entries[0].askCtx(ctx, ask{key: tc.key, stream: true}) }()
-		s.eventually("it runs", func() bool { return s.engine.Stats().Generated > 0 })
+		s.eventually("it runs", func() bool { return s.engine.Tally().Generated > 0 })
 		cancel()
 		<-done
 		s.eventually("end of the run", func() bool {
-			st := s.engine.Stats()
+			st := s.engine.Tally()
 			return st.Cancelled+st.Finished == 1
 		})
-		must.Eq(t, tc.cancel, s.engine.Stats().Cancelled == 1)
+		must.Eq(t, tc.cancel, s.engine.Tally().Cancelled == 1)
 		if !tc.cancel {
 			must.Eq(t, "whole", s.entries[0].ask(ask{key: tc.key, stream: true}).outcome)
 			must.Eq(t, 1, s.runs(tc.key))
