Draining cuts nothing; upstreams join by a key and leave for good

Cause: an entry said that it was ready until it was gone, an HTTP server cut what took longer than 5 s, an upstream said that it left only after its server had stopped, and any program that reached the port could announce itself. Ruled out: waiting for the grants of others before handing over; the slots move with the lists of what entries hold, so nothing is gained by it.

--- a/cmd/azurelane/dev.go
+++ b/cmd/azurelane/dev.go
@@ -88,6 +88,7 @@
 	sup.Add(q)
 	e, err := entry.Open(&setup.Setup{
 		Node: "entry-1", DataCentre: "dev", Callers: c.addr(0), Upstreams: c.addr(3), Peers: c.addr(4), Operator: c.addr(5), Control: control,
+		DrainLinger: new(time.Duration),
 	}, log)
 	if err != nil {
 		return err
@@ -115,11 +116,11 @@
 	if err != nil {
 		return fmt.Errorf("dev: listen: %w", err)
 	}
-	sup.Add(&httpd.Httpd{Listen: ln, Handler: &stand.Stand{Engine: eng}})
-	sup.Add(&hello.Hello{
+	h := &hello.Hello{
 		Upstream: eng.Name, Address: addr, Incarnation: "dev", Pools: []string{pool}, Models: models,
 		MaxRunning: eng.Slots, Entries: []netip.AddrPort{c.addr(3)}, Load: eng.Load, Log: log.WithName("hello"),
-	})
+	}
+	sup.Add(&upstream{hello: h, http: &httpd.Httpd{Listen: ln, Handler: &stand.Stand{Engine: eng}}})
 	return nil
 }
 
--- /dev/null
+++ b/cmd/azurelane/drain_test.go
@@ -0,0 +1,170 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"azurelane/core/owner"
+)
+
+// streamer sends streams to an entry until it is told to stop, one after the
+// other on each of its callers.
+type streamer struct {
+	c    *cluster
+	stop chan struct{}
+	wg   sync.WaitGroup
+
+	mu   sync.Mutex
+	seen map[string]int
+	bad  []string
+}
+
+func (s *streamer) run(entry, callers int) {
+	for range callers {
+		s.wg.Go(func() {
+			client := &http.Client{Transport: &http.Transport{}}
+			defer client.CloseIdleConnections()
+			for {
+				select {
+				case <-s.stop:
+					return
+				default:
+					s.note(entry, s.one(client, entry))
+				}
+			}
+		})
+	}
+}
+
+func (s *streamer) note(entry int, outcome string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.seen[fmt.Sprintf("entry-%d %s", entry+1, outcome)]++
+	switch outcome {
+	case "whole", "not-run", "not connected":
+	default:
+		s.bad = append(s.bad, fmt.Sprintf("entry-%d %s", entry+1, outcome))
+	}
+	if outcome != "whole" {
+		time.Sleep(10 * time.Millisecond) // Retry-After says more, but the test is short.
+	}
+}
+
+// one asks for a stream of 60 tokens and says how it ended.
+func (s *streamer) one(client *http.Client, entry int) string {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.c.entries[entry].Callers.String()+"/v1/chat/completions",
+		strings.NewReader(`{"model":"demo","stream":true,"max_tokens":60,"messages":[{"role":"user","content":"Hello"}]}`))
+	if err != nil {
+		return err.Error()
+	}
+	r.Header.Set("Authorization", "Bearer dev-key")
+	resp, err := client.Do(r)
+	if err != nil {
+		if strings.Contains(err.Error(), "connection refused") {
+			return "not connected" // The entry is gone; the balancer's part.
+		}
+		return err.Error()
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return "cut: " + err.Error()
+	}
+	if resp.StatusCode != http.StatusOK {
+		return resp.Header.Get("Azurelane-Outcome")
+	}
+	if !strings.Contains(string(body), "t59 ") || !strings.Contains(string(body), "data: [DONE]") {
+		return "fragment"
+	}
+	return resp.Trailer.Get("Azurelane-Outcome")
+}
+
+// Streams run at three entries when the owner of their pool is told to stop,
+// and later one of the two upstreams. Tickets that wait at the owner come back
+// to their entries and go to the next owner, what it holds is taken over, its
+// own streams finish. No caller sees a cut stream: each has the whole answer or
+// a refusal that says that nothing ran, and the processes end by themselves.
+func TestDrainUnderLoad(t *testing.T) {
+	c := newCluster(t, 3)
+	engines := map[string]*proc{}
+	for _, name := range []string{"engine-1", "engine-2"} {
+		args := []string{"standin", "--name", name, "--listen", freeAddr(t).String(), "--pools", "demo", "--models", "demo", "--step", "2ms", "--slots", "6"}
+		for _, e := range c.entries {
+			args = append(args, "--entries", e.Upstreams.String())
+		}
+		engines[name] = newProc(t, c.dir, name, args...)
+	}
+	s := &streamer{c: c, stop: make(chan struct{}), seen: map[string]int{}}
+	for i := range c.entries {
+		c.until("first stream", func() bool {
+			return s.one(http.DefaultClient, i) == "whole"
+		})
+	}
+	for i := range c.entries {
+		s.run(i, 6)
+	}
+	whole := func(entry int) int {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.seen[fmt.Sprintf("entry-%d whole", entry+1)]
+	}
+	c.until("load runs", func() bool { return whole(0) > 10 && whole(1) > 10 && whole(2) > 10 })
+
+	first := owner.Pick("demo", []string{"entry-1", "entry-2", "entry-3"})
+	gone := int(first[len(first)-1] - '1')
+	must.NoError(t, c.procs[first].Process.Signal(syscall.SIGTERM))
+	must.NoError(t, c.procs[first].Wait())
+	rest := (gone + 1) % 3
+	before := whole(rest)
+	c.until("the others go on", func() bool { return whole(rest) > before+20 })
+
+	must.NoError(t, engines["engine-1"].cmd.Process.Signal(syscall.SIGTERM))
+	must.NoError(t, engines["engine-1"].cmd.Wait())
+	before = whole(rest)
+	c.until("one upstream goes on", func() bool { return whole(rest) > before+20 })
+	close(s.stop)
+	s.wg.Wait()
+	t.Log(maps.Clone(s.seen))
+	must.SliceEmpty(t, s.bad)
+	must.Zero(t, s.seen[fmt.Sprintf("entry-%d not connected", rest+1)])
+}
+
+// A stream of minutes runs when the entry is told to stop, so it waits. A second
+// signal ends it at once all the same.
+func TestSecondSignalEndsAtOnce(t *testing.T) {
+	c := newCluster(t, 1)
+	c.upstream("engine-1", "demo", "demo")
+	s := &streamer{c: c}
+	c.until("first stream", func() bool { return s.one(http.DefaultClient, 0) == "whole" })
+	r, err := http.NewRequest(http.MethodPost, "http://"+c.entries[0].Callers.String()+"/v1/chat/completions",
+		strings.NewReader(`{"model":"demo","stream":true,"max_tokens":1000000,"messages":[]}`))
+	must.NoError(t, err)
+	r.Header.Set("Authorization", "Bearer dev-key")
+	resp, err := http.DefaultClient.Do(r)
+	must.NoError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	must.Eq(t, http.StatusOK, resp.StatusCode)
+	p := c.procs["entry-1"]
+	must.NoError(t, p.Process.Signal(syscall.SIGTERM))
+	c.until("not ready", func() bool {
+		return status(t, "http://"+c.entries[0].Operator.String()+"/ready") == http.StatusServiceUnavailable
+	})
+	buf := make([]byte, 1)
+	_, err = resp.Body.Read(buf)
+	must.NoError(t, err) // It still serves.
+	must.NoError(t, p.Process.Signal(os.Interrupt))
+	must.Error(t, p.Wait())
+}
--- a/cmd/azurelane/process_test.go
+++ b/cmd/azurelane/process_test.go
@@ -41,6 +41,7 @@
 	dir     string
 	control []netip.AddrPort
 	entries []*setup.Setup
+	procs   map[string]*exec.Cmd // Entries by node.
 }
 
 // start runs one command of the program and ends it with the test.
@@ -96,7 +97,7 @@
 // example configuration in force.
 func newCluster(t *testing.T, entries int) *cluster {
 	t.Helper()
-	c := &cluster{t: t, dir: t.TempDir(), control: []netip.AddrPort{freeAddr(t)}}
+	c := &cluster{t: t, procs: map[string]*exec.Cmd{}, dir: t.TempDir(), control: []netip.AddrPort{freeAddr(t)}}
 	c.start("control", "--bootstrap", c.settings(&setup.Setup{
 		Node: "control-1", DataCentre: "dev", Peers: c.control[0], Operator: freeAddr(t), Control: c.control,
 		DataFolder: filepath.Join(c.dir, "data"),
@@ -105,11 +106,11 @@
 	for i := range entries {
 		s := &setup.Setup{
 			Node: fmt.Sprintf("entry-%d", i+1), DataCentre: "dev", Callers: freeAddr(t), Upstreams: freeAddr(t), Peers: freeAddr(t),
-			Operator: freeAddr(t), Control: c.control, Seeds: seeds, LogLevel: 1,
+			Operator: freeAddr(t), Control: c.control, Seeds: seeds, LogLevel: 1, DrainLinger: new(time.Duration),
 		}
 		seeds = append(seeds, s.Peers)
 		c.entries = append(c.entries, s)
-		c.start("entry", c.settings(s))
+		c.procs[s.Node] = c.start("entry", c.settings(s))
 	}
 	c.apply(0)
 	for _, e := range c.entries {
--- a/cmd/azurelane/standin.go
+++ b/cmd/azurelane/standin.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"github.com/google/uuid"
-	"github.com/thejerf/suture/v4"
 
+	"azurelane/core/pool"
 	"azurelane/io/engine"
 	"azurelane/io/hello"
 	"azurelane/io/httpd"
@@ -29,6 +29,7 @@
 	Entries []netip.AddrPort `required:"" help:"Upstream addresses of the entries."`
 	Pools   []string         `required:"" help:"Pools that it serves."`
 	Models  []string         `help:"Models that it serves."`
+	Key     string           `help:"Bearer key with which it announces itself."`
 	Slots   int              `default:"8" help:"Requests that run at once."`
 	Prefill float64          `default:"20000" help:"Prompt tokens a second."`
 	Step    time.Duration    `default:"5ms" help:"Time of one decoding step of one request."`
@@ -54,14 +55,37 @@
 	eng := &engine.Engine{Name: c.Name, Slots: c.Slots, Prefill: c.Prefill, Step: c.Step, Crowd: c.Crowd, CacheLimit: 64}
 	h := &hello.Hello{
 		Upstream: c.Name, Address: c.Listen, Incarnation: uuid.NewString()[:8], Pools: c.Pools, Models: c.Models,
-		MaxRunning: c.Slots, Entries: c.Entries, Load: eng.Load, Log: log.WithName("hello"),
+		MaxRunning: c.Slots, Entries: c.Entries, Key: c.Key, Load: eng.Load, Log: log.WithName("hello"),
 	}
-	sup := suture.NewSimple("standin")
-	sup.Add(h)
 	mux := http.NewServeMux()
 	mux.Handle("/", &stand.Stand{Engine: eng})
 	mux.Handle("POST "+orderd.Path, &orderd.Orderd{ChecksFence: c.ChecksFence, Takes: c.OrderTime})
-	sup.Add(&httpd.Httpd{Listen: ln, Handler: mux})
-	_ = sup.Serve(ctx)
-	return h.Announce(context.WithoutCancel(ctx), true)
+	u := &upstream{hello: h, http: &httpd.Httpd{Listen: ln, Handler: mux, Drain: pool.DefaultMaxRun}}
+	if err := u.Serve(ctx); ctx.Err() == nil {
+		return err
+	}
+	return nil
+}
+
+// upstream is an HTTP server that announces itself.
+type upstream struct {
+	hello *hello.Hello
+	http  *httpd.Httpd
+}
+
+// Serve runs until ctx ends. Then it leaves first, and only when no entry
+// sends anything new are the requests in flight waited for and the server ends.
+func (u *upstream) Serve(ctx context.Context) error {
+	sctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	hctx, hcancel := context.WithCancel(ctx)
+	defer hcancel()
+	done := make(chan error, 1)
+	go func() {
+		done <- u.http.Serve(sctx)
+		hcancel()
+	}()
+	_ = u.hello.Serve(hctx)
+	cancel()
+	return <-done
 }
--- a/core/conf/check.go
+++ b/core/conf/check.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"azurelane/core/pool"
 	"azurelane/core/tier"
 )
 
@@ -82,16 +83,26 @@
 			}
 			services[p.Service] = name
 		}
-		if p.Preset != "" && p.Preset != "goodput" && p.Preset != "prefill" {
-			return invalid("/pools/"+name+"/preset", "goodput or prefill")
-		}
-		if p.MaxWaiting < 0 || p.MaxRun < 0 || p.Silence < 0 || p.GrantTTL < 0 || p.MaxAnswer < 0 {
-			return invalid("/pools/"+name, "limits of 0 or more")
+		if err := checkPool("/pools/"+name, p); err != nil {
+			return err
 		}
 	}
 	return nil
 }
 
+func checkPool(at string, p pool.Pool) error {
+	if raw, err := hex.DecodeString(p.AnnounceKey); err != nil || (len(raw) != 32 && len(raw) != 0) {
+		return invalid(at+"/announce-key-sha256", "64 hex digits")
+	}
+	if p.Preset != "" && p.Preset != "goodput" && p.Preset != "prefill" {
+		return invalid(at+"/preset", "goodput or prefill")
+	}
+	if p.MaxWaiting < 0 || p.MaxRun < 0 || p.Silence < 0 || p.GrantTTL < 0 || p.MaxAnswer < 0 {
+		return invalid(at, "limits of 0 or more")
+	}
+	return nil
+}
+
 func invalid(path, want string) error {
 	return fmt.Errorf("%w: %s: expected %s", ErrInvalid, path, want)
 }
--- a/core/conf/keys.go
+++ b/core/conf/keys.go
@@ -40,6 +40,7 @@
 		{Path: "/pools/*/repeatable", Want: boolWant, Default: "true", Text: "Whether calls may be repeated. When false, each call runs at most once and claims a key."},
 		{Path: "/pools/*/max-answer", Want: limitWant, Default: strconv.Itoa(pool.DefaultMaxAnswer), Text: "Bytes of an answer that is kept, or read whole before it is passed on."},
 		{Path: "/pools/*/run-on", Want: boolWant, Default: "true", Text: "Whether a keyed request runs to its end when its callers go away."},
+		{Path: "/pools/*/announce-key-sha256", Want: "64 hex digits", Text: "Hex SHA-256 of the bearer key with which upstreams announce themselves. Without it any can join: for development only."},
 		{Path: "/claim-keep", Want: spanWant, Default: DefaultClaimKeep.String(), Text: "How long a finished key is remembered."},
 		{Path: "/answer-keep", Want: spanWant, Default: DefaultAnswerKeep.String(), Text: "How long a keyed request's answer is kept for a second submission."},
 		{Path: "/answer-bytes", Want: limitWant, Default: strconv.Itoa(DefaultAnswerBytes), Text: "Bytes of all answers kept at one entry."},
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -6,18 +6,19 @@
 // Pool holds what operators configure for one pool. Its upstreams are not
 // listed: they announce themselves.
 type Pool struct {
-	Models     []string      `json:"models,omitempty"`     // Models that the pool serves, for model engines.
-	Service    string        `json:"service,omitzero"`     // Name under /svc/, for plain services.
-	Scheduler  string        `json:"scheduler,omitzero"`   // Registered scheduling policy; empty for "late".
-	Preset     string        `json:"preset,omitzero"`      // "goodput" (default) or "prefill": which measure weighs more.
-	MaxWaiting int           `json:"max-waiting,omitzero"` // Tickets that may wait in all; 0 takes the default.
-	MaxRun     time.Duration `json:"max-run,omitzero"`     // Longest run of one request; 0 takes the default.
-	Silence    time.Duration `json:"silence,omitzero"`     // Longest gap between two reads of an answer; 0 takes the default.
-	GrantTTL   time.Duration `json:"grant-ttl,omitzero"`   // How long a grant may be used; 0 takes the default.
-	Abroad     []string      `json:"abroad,omitempty"`     // Data centres to try when this one has no live upstream.
-	Repeatable *bool         `json:"repeatable,omitempty"` // Whether calls may be repeated; nil for true.
-	MaxAnswer  int64         `json:"max-answer,omitzero"`  // Bytes of an answer that is kept or read whole before it is passed on; 0 takes the default.
-	RunOn      *bool         `json:"run-on,omitempty"`     // Whether a keyed request runs to its end when its callers go away; nil for true.
+	Models      []string      `json:"models,omitempty"`             // Models that the pool serves, for model engines.
+	Service     string        `json:"service,omitzero"`             // Name under /svc/, for plain services.
+	Scheduler   string        `json:"scheduler,omitzero"`           // Registered scheduling policy; empty for "late".
+	Preset      string        `json:"preset,omitzero"`              // "goodput" (default) or "prefill": which measure weighs more.
+	MaxWaiting  int           `json:"max-waiting,omitzero"`         // Tickets that may wait in all; 0 takes the default.
+	MaxRun      time.Duration `json:"max-run,omitzero"`             // Longest run of one request; 0 takes the default.
+	Silence     time.Duration `json:"silence,omitzero"`             // Longest gap between two reads of an answer; 0 takes the default.
+	GrantTTL    time.Duration `json:"grant-ttl,omitzero"`           // How long a grant may be used; 0 takes the default.
+	Abroad      []string      `json:"abroad,omitempty"`             // Data centres to try when this one has no live upstream.
+	Repeatable  *bool         `json:"repeatable,omitempty"`         // Whether calls may be repeated; nil for true.
+	MaxAnswer   int64         `json:"max-answer,omitzero"`          // Bytes of an answer that is kept or read whole before it is passed on; 0 takes the default.
+	AnnounceKey string        `json:"announce-key-sha256,omitzero"` // Hex SHA-256 of the key with which its upstreams announce themselves; empty lets any join.
+	RunOn       *bool         `json:"run-on,omitempty"`             // Whether a keyed request runs to its end when its callers go away; nil for true.
 }
 
 // Defaults for what a pool leaves at zero.
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/google/uuid"
@@ -112,17 +113,18 @@
 	e.sup = suture.New("entry", suture.Spec{EventHook: func(ev suture.Event) { e.log.Info("Part stopped.", "event", ev.String()) }})
 	for _, s := range []suture.Service{
 		e.mesh, e.sched, e.member, e.grant, e.follow,
-		&httpd.Httpd{Listen: lns[1], Handler: e.front},
-		&httpd.Httpd{Listen: lns[2], Handler: &lease.Lease{Take: e.notice.Forward}},
+		&httpd.Httpd{Listen: lns[1], Handler: e.front, Drain: set.DrainLimit},
+		&httpd.Httpd{Listen: lns[2], Handler: &lease.Lease{Config: e.follow.Config, Take: e.notice.Forward}},
 		&httpd.Httpd{Listen: lns[3], Handler: ops.Handler()},
 	} {
 		e.sup.Add(s)
 	}
 }
 
-// Serve runs until ctx ends or an operator drains the entry. It then takes no
-// new work, hands its pools to the other members, waits for the requests in
-// flight and stops all parts together.
+// Serve runs until ctx ends or an operator drains the entry. It then says that
+// it is not ready, hands its pools to the other members, still serves for the
+// linger, takes no new work, waits for the requests in flight, says that it is
+// gone and stops all parts together.
 func (e *Entry) Serve(ctx context.Context) error {
 	parts, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
@@ -137,8 +139,14 @@
 	e.log.Info("Entry drains.")
 	dctx, dcancel := context.WithTimeout(parts, e.set.DrainLimit)
 	defer dcancel()
+	e.drain()
 	e.member.Drain(dctx)
+	select { // A balancer that has not looked yet still sends callers here.
+	case <-time.After(*e.set.DrainLinger):
+	case <-dctx.Done():
+	}
 	e.front.Stop(dctx)
+	e.member.Leave(parts)
 	cancel()
 	<-done //nolint:errcheck // The parts ended because they were told to.
 	e.client.Close()
--- a/io/hello/hello.go
+++ b/io/hello/hello.go
@@ -3,6 +3,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"net/http"
@@ -14,8 +15,15 @@
 	"azurelane/core/codec"
 )
 
-// Every is the interval between two announcements; a lease outlives two lost ones.
-const Every = time.Second
+const (
+	// Every is the interval between two announcements; a lease outlives two lost ones.
+	Every = time.Second
+	// DefaultLinger is longer than a grant of a pool may be used by default.
+	DefaultLinger = 1500 * time.Millisecond
+	// tryLimit is one entry's time to answer. Two that don't still leave time
+	// for a third within the lease.
+	tryLimit = 900 * time.Millisecond
+)
 
 type (
 	// Hello announces one upstream until its context ends, and then that it is
@@ -31,6 +39,8 @@
 		Hardware    string
 		CanResume   bool
 		Entries     []netip.AddrPort
+		Key         string                                        // Bearer key of its pools; empty for pools without one.
+		Linger      time.Duration                                 // From "leaving" to the return of Serve; zero takes the default.
 		Load        func() (running, queued int, cached []uint64) // Nil for none.
 		Log         logr.Logger
 
@@ -57,17 +67,27 @@
 	}
 )
 
-// Serve announces until ctx ends.
+// Serve announces until ctx ends. It then says that the upstream leaves, again
+// and again until the linger is over, and returns: grants given before are used
+// by then, so the server may be shut down without cutting one off.
 func (h *Hello) Serve(ctx context.Context) error {
+	h.repeat(ctx, false)
+	lctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), cmp.Or(h.Linger, DefaultLinger))
+	defer cancel()
+	h.repeat(lctx, true)
+	return ctx.Err()
+}
+
+func (h *Hello) repeat(ctx context.Context, leaving bool) {
 	tick := time.NewTicker(Every)
 	defer tick.Stop()
 	for {
-		if err := h.Announce(ctx, false); err != nil && ctx.Err() == nil {
+		if err := h.Announce(ctx, leaving); err != nil && ctx.Err() == nil {
 			h.Log.V(1).Info("Not announced.", "err", err.Error())
 		}
 		select {
 		case <-ctx.Done():
-			return ctx.Err()
+			return
 		case <-tick.C:
 		}
 	}
@@ -98,12 +118,15 @@
 }
 
 func (h *Hello) post(ctx context.Context, to netip.AddrPort, body []byte) error {
-	ctx, cancel := context.WithTimeout(ctx, Every)
+	ctx, cancel := context.WithTimeout(ctx, tryLimit)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+to.String()+"/v1/announce", bytes.NewReader(body))
 	if err != nil {
 		return fmt.Errorf("hello: %w", err)
 	}
+	if h.Key != "" {
+		r.Header.Set("Authorization", "Bearer "+h.Key)
+	}
 	resp, err := http.DefaultClient.Do(r)
 	if err != nil {
 		return fmt.Errorf("hello: %w", err)
--- a/io/lease/lease.go
+++ b/io/lease/lease.go
@@ -3,12 +3,17 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
 	"fmt"
 	"net/http"
 	"net/netip"
+	"strings"
 	"time"
 
 	"azurelane/core/codec"
+	"azurelane/core/conf"
 	"azurelane/core/wire"
 )
 
@@ -24,7 +29,8 @@
 type (
 	// Lease is the HTTP handler. Its exported fields are set before use.
 	Lease struct {
-		Take func(ctx context.Context, a *wire.Announce) error
+		Config func() *conf.Config // Nil before the first configuration.
+		Take   func(ctx context.Context, a *wire.Announce) error
 	}
 
 	// announcement is the JSON form of wire.Announce.
@@ -54,6 +60,12 @@
 		http.Error(w, "lease: expected POST", http.StatusMethodNotAllowed)
 		return
 	}
+	cfg := l.Config()
+	if cfg == nil {
+		w.Header().Set("Retry-After", "1")
+		http.Error(w, "lease: this entry has no configuration yet", http.StatusServiceUnavailable)
+		return
+	}
 	var a announcement
 	err := codec.ReadLoose(http.MaxBytesReader(w, r.Body, maxBody), &a)
 	if err == nil {
@@ -63,6 +75,10 @@
 		http.Error(w, "lease: "+err.Error(), http.StatusBadRequest)
 		return
 	}
+	if status, err := a.allowed(cfg, r); err != nil {
+		http.Error(w, "lease: "+err.Error(), status)
+		return
+	}
 	if err := l.Take(r.Context(), a.wire()); err != nil {
 		http.Error(w, "lease: "+err.Error(), http.StatusServiceUnavailable)
 		return
@@ -70,12 +86,40 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
+// allowed reports whether the sender may announce an upstream for the pools.
+// Without the key of each one, anyone who reaches this port could have callers'
+// requests, with all that stands in them, sent to a server of its own. For a pool
+// without a key the least is asked: that it announces the address it speaks from.
+func (a *announcement) allowed(cfg *conf.Config, r *http.Request) (int, error) {
+	key, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	sum := sha256.Sum256([]byte(key))
+	for _, name := range a.Pools {
+		p, ok := cfg.Pools[name]
+		if !ok {
+			return http.StatusNotFound, fmt.Errorf("no pool %s", name)
+		}
+		if p.AnnounceKey == "" {
+			from, err := netip.ParseAddrPort(r.RemoteAddr)
+			if err != nil || from.Addr().Unmap() != netip.MustParseAddrPort(a.Address).Addr().Unmap() {
+				return http.StatusForbidden, fmt.Errorf("pool %s has no key, so the address must be the one that is spoken from", name)
+			}
+			continue
+		}
+		want, err := hex.DecodeString(p.AnnounceKey)
+		if err != nil || subtle.ConstantTimeCompare(want, sum[:]) != 1 {
+			return http.StatusUnauthorized, fmt.Errorf("pool %s: expected Authorization: Bearer with its announce key", name)
+		}
+	}
+	return 0, nil
+}
+
 func (a *announcement) check() error {
 	if a.Upstream == "" || len(a.Pools) == 0 {
 		return fmt.Errorf("expected upstream and pools")
 	}
-	if _, err := netip.ParseAddrPort(a.Address); err != nil {
-		return fmt.Errorf("address: expected an IP address with a port: %w", err)
+	to, err := netip.ParseAddrPort(a.Address)
+	if ip := to.Addr(); err != nil || to.Port() == 0 || ip.IsUnspecified() || ip.IsMulticast() || ip.Zone() != "" {
+		return fmt.Errorf("address: expected the IP address of one server, with a port")
 	}
 	if a.Lease == 0 {
 		a.Lease = defaultLease
--- a/io/member/member.go
+++ b/io/member/member.go
@@ -51,6 +51,7 @@
 
 	sender interface {
 		Send(ctx context.Context, to netip.AddrPort, f *wire.Frame) error
+		Call(ctx context.Context, to netip.AddrPort, f *wire.Frame) (*wire.Frame, error)
 	}
 )
 
@@ -91,10 +92,25 @@
 	m.step(ctx, func(now time.Time) []*wire.Probe { return m.det.Drain(now) })
 }
 
-// Leave is this process's last word to the others.
+// Leave is this process's last word to the others. It returns when those that
+// it was told to have it: the links close next, and a frame that is only queued
+// then would be lost.
 func (m *Member) Leave(ctx context.Context) {
-	m.step(ctx, func(now time.Time) []*wire.Probe { return m.det.Leave(now) })
-	m.wg.Wait()
+	ctx, cancel := context.WithTimeout(ctx, sendLimit)
+	defer cancel()
+	m.mu.Lock()
+	m.init()
+	out := m.det.Leave(time.Now())
+	m.mu.Unlock()
+	var wg sync.WaitGroup
+	for _, p := range out {
+		to, err := netip.ParseAddrPort(p.GetTo())
+		if err != nil {
+			continue
+		}
+		wg.Go(func() { _, _ = m.Sender.Call(ctx, to, &wire.Frame{Body: &wire.Frame_Probe{Probe: p}}) })
+	}
+	wg.Wait()
 }
 
 func (m *Member) now() *view {
--- a/io/setup/rules.go
+++ b/io/setup/rules.go
@@ -11,8 +11,9 @@
 
 // Defaults for what settings leave out.
 const (
-	DefaultDrainLimit = 40 * time.Minute // Longer than the longest run that a pool allows by default.
-	DefaultLogFormat  = "text"
+	DefaultDrainLinger = 3 * time.Second  // Longer than two checks of a usual balancer.
+	DefaultDrainLimit  = 40 * time.Minute // Longer than the longest run that a pool allows by default.
+	DefaultLogFormat   = "text"
 )
 
 // rule is one key with its check. The operators' reference is made from the
@@ -33,6 +34,7 @@
 	{keys.Key{Path: "/seeds", Want: "addresses that other VMs can dial, each once", Text: "Entry: peer addresses of some entries in its own data centre; two or three are enough."}, func(s *Setup) bool { return list(s.Seeds) }},
 	{keys.Key{Path: "/data-folder", Want: "a folder on a disk", Text: "Control: folder of the log; must be given. Its files belong to this one process."}, func(s *Setup) bool { return s.Role() == Entry || s.DataFolder != "" }},
 	{keys.Key{Path: "/drain-limit", Want: "a span such as \"40m\"", Default: "40m0s", Text: "Entry: longest wait for requests in flight when it stops."}, func(s *Setup) bool { return s.DrainLimit >= 0 }},
+	{keys.Key{Path: "/drain-linger", Want: "a span such as \"3s\", or \"0s\"", Default: "3s", Text: "Entry: how long it still serves after it has said that it is not ready, so that a balancer turns away."}, func(s *Setup) bool { return s.DrainLinger == nil || *s.DrainLinger >= 0 }},
 	{keys.Key{Path: "/log-format", Want: "text or json", Default: DefaultLogFormat, Text: "Form of the log on standard error."}, func(s *Setup) bool { return slices.Contains([]string{"", "text", "json"}, s.LogFormat) }},
 	{keys.Key{Path: "/log-level", Want: "0 or 1", Default: "0", Text: "0 for what operators need, 1 for detail."}, func(s *Setup) bool { return s.LogLevel == 0 || s.LogLevel == 1 }},
 	{keys.Key{Path: "/trace/otlp", Want: "a URL of a collector, or a file, not both", Text: "URL of an OTLP collector over HTTP, as in `http://10.0.0.9:4318/v1/traces`."}, func(s *Setup) bool { return s.Trace.OTLP == "" || s.Trace.File == "" }},
@@ -61,6 +63,10 @@
 	if s.DrainLimit == 0 {
 		s.DrainLimit = DefaultDrainLimit
 	}
+	if s.DrainLinger == nil {
+		linger := DefaultDrainLinger
+		s.DrainLinger = &linger
+	}
 	if s.LogFormat == "" {
 		s.LogFormat = DefaultLogFormat
 	}
--- a/io/setup/setup.go
+++ b/io/setup/setup.go
@@ -38,6 +38,7 @@
 	Seeds         []netip.AddrPort `json:"seeds,omitempty"`
 	DataFolder    string           `json:"data-folder,omitzero"`
 	DrainLimit    time.Duration    `json:"drain-limit,omitzero"`
+	DrainLinger   *time.Duration   `json:"drain-linger,omitempty"` // Nil takes the default, zero is none.
 	LogFormat     string           `json:"log-format,omitzero"`
 	LogLevel      int              `json:"log-level"`
 	Trace         trace.Trace      `json:"trace,omitzero"`
