Leader: follow a named leader that this process was not told of

Cause: a command given one replica's address was told the leader's and never asked it, so apply against a follower failed for good.

--- a/cmd/azurelane/operator.go
+++ b/cmd/azurelane/operator.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -51,13 +52,25 @@
 	return r.GetStatus(), nil
 }
 
-// statusAll asks every replica at once: each knows the entries that beat there.
+// statusAll asks every replica, also those that only the others name: each
+// knows the entries that beat there.
 func (o *operator) statusAll(ctx context.Context) []heard {
+	all := o.ask(ctx, o.replicas)
+	var more []netip.AddrPort
+	for _, r := range newest(all).GetReplicas() {
+		if a, err := netip.ParseAddrPort(r.GetAddress()); err == nil && !slices.Contains(o.replicas, a) {
+			more = append(more, a)
+		}
+	}
+	return append(all, o.ask(ctx, more)...)
+}
+
+func (o *operator) ask(ctx context.Context, replicas []netip.AddrPort) []heard {
 	ctx, cancel := context.WithTimeout(ctx, askLimit)
 	defer cancel()
-	all := make([]heard, len(o.replicas))
+	all := make([]heard, len(replicas))
 	var wg sync.WaitGroup
-	for i, a := range o.replicas {
+	for i, a := range replicas {
 		all[i].address = a
 		wg.Go(func() {
 			if r, err := o.mesh.Call(ctx, a, statusQuery(false)); err == nil {
--- a/io/leader/leader.go
+++ b/io/leader/leader.go
@@ -36,8 +36,9 @@
 		Replicas []netip.AddrPort
 		Caller   caller
 
-		mu   sync.Mutex
-		last int
+		mu    sync.Mutex
+		last  int
+		named netip.AddrPort // By a replica, as the leader; invalid for none.
 	}
 
 	caller interface {
@@ -87,33 +88,36 @@
 
 func (l *Leader) try(ctx context.Context, f *wire.Frame) (*wire.Frame, error) {
 	l.mu.Lock()
-	i := l.last
+	to := l.named
+	if !to.IsValid() {
+		to = l.Replicas[l.last]
+	}
 	l.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, tryLimit)
 	defer cancel()
-	r, err := l.Caller.Call(ctx, l.Replicas[i], f)
+	r, err := l.Caller.Call(ctx, to, f)
 	if err != nil {
-		l.move(i, err)
+		l.move(to, err)
 		return nil, err
 	}
 	return r, nil
 }
 
-// move turns to the leader that the fault names, or else to the next replica.
-func (l *Leader) move(from int, err error) {
+// move turns to the leader that the fault names, which need not be one of the
+// replicas that this process was told of, or else to the next replica.
+func (l *Leader) move(from netip.AddrPort, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.last != from {
-		return
+	if from != l.named && (l.named.IsValid() || from != l.Replicas[l.last]) {
+		return // Another call moved on already.
 	}
-	l.last = (from + 1) % len(l.Replicas)
 	var fault *wire.Fault
-	if !errors.As(err, &fault) {
-		return
-	}
-	for i, r := range l.Replicas {
-		if r.String() == fault.GetLeader() {
-			l.last = i
+	if errors.As(err, &fault) {
+		if a, perr := netip.ParseAddrPort(fault.GetLeader()); perr == nil && a != from {
+			l.named = a
+			return
 		}
 	}
+	l.named = netip.AddrPort{}
+	l.last = (l.last + 1) % len(l.Replicas)
 }
