Control: bounded claims, and compaction that keeps pace with them

Ruled out: fewer claims by forgetting the oldest, which would let their keys run twice.

A compaction now waits for as many entries as there are claims, and a claim beyond 400,000 is refused before it runs.

--- a/core/state/state.go
+++ b/core/state/state.go
@@ -22,6 +22,7 @@
 	Conflict = "conflict" // Another change holds the version.
 	Invalid  = "invalid"  // The document can't be put in force.
 	Gone     = "gone"     // No such claim, or held by another.
+	Full     = "full"     // No room for another claim.
 )
 
 // NotRun is the outcome that frees a claim.
@@ -31,6 +32,12 @@
 // than a copy of its claim or finish can be under way.
 const freedKeep = int64(time.Minute / time.Microsecond)
 
+// MaxClaims bounds the claims that are remembered. Without a bound a burst of
+// keys, kept for a day, would take the memory of every replica at once, and
+// with it every claim; with it the claims beyond are refused before they run.
+// At 300 bytes each they stay within 128 MB.
+const MaxClaims = 400000
+
 // MaxChanges is how many change ids are remembered, so that a change sent
 // again gets the answer of the first time.
 const MaxChanges = 4096
@@ -112,6 +119,9 @@
 		return &wire.Result{Code: Gone}
 	}
 	if !ok || old.GetOutcome() == NotRun {
+		if !ok && len(s.claims) >= MaxClaims {
+			return &wire.Result{Code: Full, Text: "too many keys are remembered; a shorter claim-keep would free them sooner"}
+		}
 		if s.claims == nil {
 			s.claims = map[claimKey]*wire.ClaimState{}
 		}
--- a/core/state/state_test.go
+++ b/core/state/state_test.go
@@ -150,3 +150,14 @@
 		}
 	})
 }
+
+// More keys come than control has room for. The one beyond is refused before
+// it runs; keys that are known are answered as before, and when claims end
+// there is room again.
+func TestClaimsAreBounded(t *testing.T) {
+	s := filled(MaxClaims)
+	must.Eq(t, Full, s.Apply(claim("e", 1)).GetCode())
+	must.Eq(t, MaxClaims, s.Claims())
+	s.Apply(expire(1<<40 + 1))
+	must.Eq(t, OK, s.Apply(claim("e", 1)).GetCode())
+}
--- a/io/ctrl/batch.go
+++ b/io/ctrl/batch.go
@@ -97,7 +97,7 @@
 			p.done <- answer{err: c.notLeader()}
 		}
 	}
-	if c.applied >= c.snapped+CompactAfter {
+	if c.applied >= c.snapped+uint64(max(CompactAfter, c.state.Claims())) { //nolint:gosec // Not negative.
 		if err := c.compact(); err != nil {
 			return err
 		}
--- /dev/null
+++ b/io/ctrl/bench_test.go
@@ -0,0 +1,163 @@
+package ctrl
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"runtime"
+	"strconv"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/shoenig/test/must"
+	"google.golang.org/protobuf/proto"
+
+	"azurelane/core/wire"
+	"azurelane/io/disk"
+	"azurelane/io/mesh"
+)
+
+// cpu is the processor time of this process so far.
+func cpu() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+func heap() uint64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// BenchmarkBeats lets entries beat over real links, both ends in this process.
+// One operation is one beat of every entry.
+func BenchmarkBeats(b *testing.B) {
+	for _, n := range []int{103, 205, 410, 820} {
+		b.Run(fmt.Sprintf("entries-%d", n), func(b *testing.B) {
+			c, to := served(b)
+			before := heap()
+			links := make([]*mesh.Mesh, n)
+			for i := range links {
+				links[i] = &mesh.Mesh{Handle: c.Handle, Log: logr.Discard()}
+				beatOnce(b, links[i], to, i)
+			}
+			memory := heap() - before
+			start := cpu()
+			for b.Loop() {
+				for i, m := range links {
+					beatOnce(b, m, to, i)
+				}
+			}
+			b.ReportMetric(float64((cpu()-start).Microseconds())/float64(b.N*n), "cpu-us/beat")
+			b.ReportMetric(float64(memory)/float64(n), "heap-bytes/entry")
+			b.ReportMetric(float64(proto.Size(beatFrame(1))), "bytes/beat")
+			for _, m := range links {
+				m.Close()
+			}
+		})
+	}
+}
+
+func served(b *testing.B) (*Ctrl, netip.AddrPort) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(b, err)
+	to := netip.MustParseAddrPort(ln.Addr().String())
+	c := &Ctrl{Name: "control-1", Address: to, Control: []netip.AddrPort{to}, Bootstrap: true, Log: logr.Discard()}
+	m := &mesh.Mesh{Listen: ln, Self: to, Handle: c.Handle, Log: logr.Discard()}
+	c.Sender = m
+	must.NoError(b, c.Open(b.TempDir()))
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { _ = m.Serve(ctx) }()
+	go func() { _ = c.Serve(ctx) }()
+	b.Cleanup(func() {
+		cancel()
+		<-c.done
+	})
+	for !c.Ready() {
+		time.Sleep(tickEvery)
+	}
+	return c, to
+}
+
+func beatFrame(i int) *wire.Frame {
+	return &wire.Frame{Body: &wire.Frame_Beat{Beat: &wire.Beat{
+		Node: "entry-" + strconv.Itoa(1000+i), Incarnation: "0123abcd", DataCentre: "data-centre-1", Role: "entry", Version: 1000,
+		Address: "10.0.0.1:7000",
+	}}}
+}
+
+func beatOnce(b *testing.B, m *mesh.Mesh, to netip.AddrPort, i int) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	_, err := m.Call(ctx, to, beatFrame(i))
+	must.NoError(b, err)
+}
+
+// BenchmarkClaims commits claims on real disks, with callers that each wait for
+// an answer before the next claim. Replicas talk in memory.
+func BenchmarkClaims(b *testing.B) {
+	for _, replicas := range []int{1, 3} {
+		for _, callers := range []int{1, 8, 64, 256} {
+			b.Run(fmt.Sprintf("replicas-%d/callers-%d", replicas, callers), func(b *testing.B) {
+				l, log := diskGroup(b, replicas)
+				size, start := log.Size(), cpu()
+				begin := time.Now()
+				var wg sync.WaitGroup
+				for c := range callers {
+					wg.Go(func() {
+						for i := c; i < b.N; i += callers {
+							_, err := l.Propose(context.Background(), &wire.Command{Kind: &wire.Command_Claim{Claim: &wire.Claim{
+								Account: "account-17", Key: fmt.Sprintf("order-%010d", i), Holder: "0123abcd", Address: "10.0.0.1:7000", BodyHash: 1 << 62,
+							}}})
+							must.NoError(b, err)
+						}
+					})
+				}
+				wg.Wait()
+				b.ReportMetric(float64(b.N)/time.Since(begin).Seconds(), "claims/s")
+				b.ReportMetric(float64((cpu()-start).Microseconds())/float64(b.N), "cpu-us/claim")
+				if b.N < CompactAfter {
+					b.ReportMetric(float64(log.Size()-size)/float64(b.N), "log-bytes/claim")
+				}
+			})
+		}
+	}
+}
+
+// diskGroup starts replicas over disks and returns the leader with its log.
+func diskGroup(b *testing.B, replicas int) (*replica, *disk.Log) {
+	n := &network{nodes: map[netip.AddrPort]*replica{}, cut: map[[2]netip.AddrPort]bool{}}
+	for i := range replicas {
+		n.addrs = append(n.addrs, addr(i))
+	}
+	logs := map[*replica]*disk.Log{}
+	for i := range replicas {
+		l, _, _, err := disk.Open(b.TempDir())
+		must.NoError(b, err)
+		r := &replica{net: n, ended: make(chan error, 1)}
+		r.Ctrl = &Ctrl{Address: addr(i), Control: n.addrs, Bootstrap: i == 0, Sender: &caller{n, addr(i)}, Log: logr.Discard()}
+		must.NoError(b, r.open(l, l.Identity, nil, nil))
+		var ctx context.Context
+		ctx, r.cancel = context.WithCancel(context.Background())
+		n.mu.Lock()
+		n.nodes[addr(i)] = r
+		n.mu.Unlock()
+		logs[r] = l
+		go func() { r.ended <- r.Serve(ctx) }()
+	}
+	b.Cleanup(n.stopAll)
+	for {
+		for r, l := range logs {
+			if _, err := r.status(context.Background(), true); err == nil {
+				return r, l
+			}
+		}
+		time.Sleep(tickEvery)
+	}
+}
--- a/io/ctrl/ctrl.go
+++ b/io/ctrl/ctrl.go
@@ -23,7 +23,9 @@
 
 const (
 	// CompactAfter is the number of log entries after which a snapshot replaces
-	// them, so that a restart reads few more than that.
+	// them, so that a restart reads few more than that. With more claims than
+	// that, it is their number: each entry then pays for about one claim of a
+	// snapshot, however many there are.
 	CompactAfter = 1000
 	// StaleAfter is how long a replica may hear no leader before it tells the
 	// entries to ask another.
