--- a/cmd/azurelane/history_test.go
+++ b/cmd/azurelane/history_test.go
@@ -26,7 +26,7 @@
 
 const (
 	historyEntries  = 3
-	historyControls = 1
+	historyControls = 3
 	historyCallers  = 12
 )
 
@@ -89,7 +89,11 @@
 		path := c.settings(&setup.Setup{
 			Node: name, DataCentre: "dev", Peers: addr, Operator: freeAddr(t), Control: c.control, DataFolder: filepath.Join(c.dir, name),
 		})
-		h.chaos.controls = append(h.chaos.controls, newProc(t, c.dir, name, "control", "--bootstrap", path))
+		args := []string{"control", path}
+		if i == 0 {
+			args = append(args, "--bootstrap")
+		}
+		h.chaos.controls = append(h.chaos.controls, newProc(t, c.dir, name, args...))
 	}
 	c.apply(0)
 	var seeds, callers []netip.AddrPort
@@ -161,7 +165,7 @@
 // change puts one configuration after the other in force. An answer that got
 // lost is asked for again under the same id.
 func (h *history) change(ctx context.Context) {
-	op, err := newOperator(h.cluster.control)
+	op, err := newOperator(h.cluster.control, tlsFlags{})
 	must.NoError(h.t, err)
 	defer op.close()
 	for n := 1; ctx.Err() == nil; n++ {
--- a/cmd/azurelane/replica.go
+++ b/cmd/azurelane/replica.go
@@ -31,14 +31,16 @@
 	}
 
 	replicaAddCmd struct {
-		Address netip.AddrPort   `arg:"" help:"Peer address of the new replica."`
-		Control []netip.AddrPort `required:"" help:"Peer addresses of the control replicas."`
-		Replace string           `help:"Identity of the replica whose place it takes."`
+		Address  netip.AddrPort   `arg:"" help:"Peer address of the new replica."`
+		Control  []netip.AddrPort `required:"" help:"Peer addresses of the control replicas."`
+		Replace  string           `help:"Identity of the replica whose place it takes."`
+		tlsFlags `embed:""`
 	}
 
 	replicaRemoveCmd struct {
 		Identity string           `arg:"" help:"Identity of the replica; status lists them."`
 		Control  []netip.AddrPort `required:"" help:"Peer addresses of the control replicas."`
+		tlsFlags `embed:""`
 	}
 )
 
@@ -47,7 +49,7 @@
 
 // Run adds the replica and waits until it votes.
 func (c *replicaAddCmd) Run(ctx context.Context) error {
-	op, err := newOperator(c.Control)
+	op, err := newOperator(c.Control, c.tlsFlags)
 	if err != nil {
 		return fmt.Errorf("replica: %w", err)
 	}
@@ -86,7 +88,7 @@
 
 // Run removes the replica.
 func (c *replicaRemoveCmd) Run(ctx context.Context) error {
-	op, err := newOperator(c.Control)
+	op, err := newOperator(c.Control, c.tlsFlags)
 	if err != nil {
 		return fmt.Errorf("replica: %w", err)
 	}
--- a/cmd/azurelane/standin.go
+++ b/cmd/azurelane/standin.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"net/netip"
 	"os"
 	"time"
@@ -14,6 +15,7 @@
 	"azurelane/io/hello"
 	"azurelane/io/httpd"
 	"azurelane/io/logs"
+	"azurelane/io/orderd"
 	"azurelane/io/stand"
 )
 
@@ -31,6 +33,9 @@
 	Prefill float64          `default:"20000" help:"Prompt tokens a second."`
 	Step    time.Duration    `default:"5ms" help:"Time of one decoding step of one request."`
 	Crowd   float64          `default:"0.05" help:"Part of a step that each further request adds."`
+
+	ChecksFence bool          `help:"Refuse orders with an old number."`
+	OrderTime   time.Duration `default:"1s" help:"Time that an order takes."`
 }
 
 // Help is the command's manual.
@@ -53,7 +58,10 @@
 	}
 	sup := suture.NewSimple("standin")
 	sup.Add(h)
-	sup.Add(&httpd.Httpd{Listen: ln, Handler: &stand.Stand{Engine: eng}})
+	mux := http.NewServeMux()
+	mux.Handle("/", &stand.Stand{Engine: eng})
+	mux.Handle("POST "+orderd.Path, &orderd.Orderd{ChecksFence: c.ChecksFence, Takes: c.OrderTime})
+	sup.Add(&httpd.Httpd{Listen: ln, Handler: mux})
 	_ = sup.Serve(ctx)
 	return h.Announce(context.WithoutCancel(ctx), true)
 }
--- a/cmd/azurelane/status.go
+++ b/cmd/azurelane/status.go
@@ -19,7 +19,8 @@
 known then. Exit code 1 when no replica hears a leader.`
 
 type statusCmd struct {
-	Control []netip.AddrPort `required:"" help:"Peer addresses of the control replicas."`
+	Control  []netip.AddrPort `required:"" help:"Peer addresses of the control replicas."`
+	tlsFlags `embed:""`
 }
 
 // Help is the command's manual.
@@ -27,7 +28,7 @@
 
 // Run prints the tables.
 func (c *statusCmd) Run(ctx context.Context) error {
-	op, err := newOperator(c.Control)
+	op, err := newOperator(c.Control, c.tlsFlags)
 	if err != nil {
 		return fmt.Errorf("status: %w", err)
 	}
--- a/core/state/image.go
+++ b/core/state/image.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"fmt"
-	"maps"
 	"slices"
 
 	"google.golang.org/protobuf/proto"
@@ -13,17 +12,14 @@
 
 // Save writes the state as an image. Equal states give equal bytes.
 func (s *State) Save() ([]byte, error) {
-	img := &wire.Image{Version: s.version, Change: s.change, Document: s.document, ClockUs: s.clock}
+	img := &wire.Image{Version: s.version, Change: s.change, Document: s.document, ClockUs: s.clock, Orders: s.orders.Save()}
 	for _, c := range s.claims {
 		img.Claims = append(img.Claims, c)
 	}
 	slices.SortFunc(img.GetClaims(), func(a, b *wire.ClaimState) int {
 		return cmp.Or(cmp.Compare(a.GetAccount(), b.GetAccount()), cmp.Compare(a.GetKey(), b.GetKey()))
 	})
-	for _, u := range slices.Sorted(maps.Keys(s.fences)) {
-		img.Fences = append(img.Fences, &wire.FenceState{Upstream: u, Number: s.fences[u]})
-	}
-	for _, id := range s.order {
+	for _, id := range s.ids {
 		img.Changes = append(img.Changes, &wire.ChangeState{Id: id, Result: s.results[id]})
 	}
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(img)
@@ -41,7 +37,7 @@
 	}
 	*s = State{
 		version: img.GetVersion(), change: img.GetChange(), document: img.GetDocument(),
-		claims: map[claimKey]*wire.ClaimState{}, fences: map[string]uint64{}, results: map[string]*wire.Result{},
+		claims: map[claimKey]*wire.ClaimState{}, results: map[string]*wire.Result{},
 		clock: img.GetClockUs(),
 	}
 	for _, c := range img.GetClaims() {
@@ -49,12 +45,10 @@
 		s.claims[k] = c
 		s.endsAt(k, c.GetExpiresUs())
 	}
-	for _, f := range img.GetFences() {
-		s.fences[f.GetUpstream()] = f.GetNumber()
-	}
+	s.orders.Load(img.GetOrders())
 	for _, c := range img.GetChanges() {
 		s.results[c.GetId()] = c.GetResult()
-		s.order = append(s.order, c.GetId())
+		s.ids = append(s.ids, c.GetId())
 	}
 	return nil
 }
--- a/core/state/state_test.go
+++ b/core/state/state_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"flag"
 	"os"
+	"strconv"
 	"testing"
 	"time"
 
@@ -135,7 +136,8 @@
 			c := rapid.SampledFrom([]*wire.Command{
 				claim(holder, request), finish(holder, request, "whole", now), finish(holder, request, NotRun, now), expire(now),
 				change(holder, request, doc),
-				{Kind: &wire.Command_Fence{Fence: &wire.Fence{Upstream: holder}}},
+				{Id: "order-" + strconv.FormatUint(request, 10), Kind: &wire.Command_OrderStart{OrderStart: &wire.OrderStart{Upstream: holder, NowUs: now}}},
+				{Kind: &wire.Command_OrderEnd{OrderEnd: &wire.OrderEnd{Upstream: holder, Fence: request, Outcome: "done"}}},
 			}).Draw(t, "command")
 			if a, b := whole.Apply(c), cut.Apply(c); !equal(a, b) {
 				t.Fatalf("%v and %v", a, b)
--- a/io/quorum/quorum.go
+++ b/io/quorum/quorum.go
@@ -13,6 +13,7 @@
 	"github.com/thejerf/suture/v4"
 
 	"azurelane/io/admin"
+	"azurelane/io/certs"
 	"azurelane/io/ctrl"
 	"azurelane/io/httpd"
 	"azurelane/io/mesh"
@@ -33,6 +34,10 @@
 
 // Open reads the data folder and binds the addresses.
 func Open(set *setup.Setup, log logr.Logger) (*Quorum, error) {
+	links, err := set.TLS.Config()
+	if err != nil {
+		return nil, fmt.Errorf("quorum: %w", err)
+	}
 	peers, err := net.Listen("tcp", set.Peers.String())
 	if err != nil {
 		return nil, fmt.Errorf("quorum: listen: %w", err)
@@ -51,7 +56,7 @@
 		_ = ops.Close()
 		return nil, fmt.Errorf("quorum: %w", err)
 	}
-	m := &mesh.Mesh{Listen: peers, Self: set.Peers, Handle: c.Handle, Log: log.WithName("mesh")}
+	m := &mesh.Mesh{Listen: certs.Wrap(peers, links), TLS: links, Self: set.Peers, Handle: c.Handle, Log: log.WithName("mesh")}
 	c.Sender = m
 	q := &Quorum{set: set, log: log.WithName("control"), ctrl: c}
 	metrics := stats.New()
@@ -59,7 +64,10 @@
 	q.sup = suture.New("control", suture.Spec{EventHook: func(ev suture.Event) { q.log.Info("Part stopped.", "event", ev.String()) }})
 	q.sup.Add(c)
 	q.sup.Add(m)
-	q.sup.Add(&httpd.Httpd{Listen: ops, Handler: (&admin.Admin{Stats: metrics, Ready: c.Ready}).Handler()})
+	q.sup.Add(&httpd.Httpd{
+		Listen:  certs.Wrap(ops, certs.Operators(links)),
+		Handler: (&admin.Admin{Stats: metrics, Ready: c.Ready, Token: set.OperatorToken}).Handler(),
+	})
 	return q, nil
 }
 
