--- a/cmd/azurelane/control_test.go
+++ b/cmd/azurelane/control_test.go
@@ -47,7 +47,7 @@
 		g.entries = append(g.entries, s)
 		g.start("entry", g.settings(s))
 	}
-	op, err := newOperator(g.control)
+	op, err := newOperator(g.control, tlsFlags{})
 	must.NoError(t, err)
 	t.Cleanup(op.close)
 	g.op = op
