--- a/core/conf/keys.go
+++ b/core/conf/keys.go
@@ -37,7 +37,7 @@
 		{Path: "/pools/*/silence", Want: spanWant, Default: pool.DefaultSilence.String(), Text: "Longest gap between two reads of an answer."},
 		{Path: "/pools/*/grant-ttl", Want: spanWant, Default: pool.DefaultGrantTTL.String(), Text: "How long a grant may be used."},
 		{Path: "/pools/*/abroad", Want: "names of data centres", Text: "Where to ask when this data centre has no live upstream of the pool."},
-		{Path: "/pools/*/repeatable", Want: boolWant, Default: "true", Text: "Whether calls may be repeated. When false, each call runs at most once and claims a key."},
+		{Path: "/pools/*/repeatable", Want: boolWant, Default: "true", Text: "Whether calls may be repeated; told to the scheduler. Every request is sent at most once, whatever this says; a call that its caller may send again needs a key."},
 		{Path: "/pools/*/max-answer", Want: limitWant, Default: strconv.Itoa(pool.DefaultMaxAnswer), Text: "Bytes of an answer that is kept, or read whole before it is passed on."},
 		{Path: "/pools/*/run-on", Want: boolWant, Default: "true", Text: "Whether a keyed request runs to its end when its callers go away."},
 		{Path: "/claim-keep", Want: spanWant, Default: DefaultClaimKeep.String(), Text: "How long a finished key is remembered."},
