Slow callers: limits that a test can set, and the test

Cause: the limits for a caller that stops in its body, or takes nothing of its stream, had no test. Change: BodyTime and TakeTime of Front, with the constants as defaults. Ruled out: synctest, because the limits are those of real connections. TestSlowCallers sees the refusal, the cancelled engine and the slot. Conclusion: both end within their time and hold nothing afterwards.

--- a/io/front/front.go
+++ b/io/front/front.go
@@ -37,6 +37,8 @@
 		Peers       peers
 		Stats       *stats.Stats
 		Log         logr.Logger
+		BodyTime    time.Duration // A caller's time to send its body; 0 takes the default.
+		TakeTime    time.Duration // A caller's time to take one part of its answer; 0 takes the default.
 
 		last     atomic.Uint64 // Request ids.
 		stopping atomic.Bool
@@ -77,6 +79,13 @@
 	}
 )
 
+// One who sends or takes nothing must not hold an upstream's slot, or a part of
+// its account's limits, for ever.
+const (
+	defaultBodyTime = 30 * time.Second
+	defaultTakeTime = 30 * time.Second
+)
+
 // Request and response headers.
 const (
 	HeaderKey        = "Idempotency-Key"
@@ -119,7 +128,7 @@
 // ServeHTTP handles one request from its arrival to its final answer.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	q := &request{front: f, r: r, start: time.Now(), id: f.last.Add(1)}
-	q.reply = reply{w: w, request: q.name(), stats: f.Stats}
+	q.reply = reply{w: w, request: q.name(), stats: f.Stats, takeTime: orDefault(f.TakeTime, defaultTakeTime)}
 	defer q.reply.close()
 	if !f.enter() {
 		w.Header().Set("Connection", "close") // So that the balancer's next request goes elsewhere.
--- a/io/front/read.go
+++ b/io/front/read.go
@@ -21,12 +21,11 @@
 const (
 	chatPath      = "/v1/chat/completions"
 	servicePrefix = "/svc/"
-	bodyTime      = 30 * time.Second // A caller's time to send its body.
-	bytesPerToken = 4                // Rough size of a token in English and German text.
-	defaultAnswer = 256              // Tokens, when the caller sets no limit.
-	prefixBytes   = 1024             // Of the prompt, for the prefix hash.
-	firstRoom     = 16 << 10         // For a body of unknown length.
-	maxKey        = 255              // Bytes of an idempotency key.
+	bytesPerToken = 4        // Rough size of a token in English and German text.
+	defaultAnswer = 256      // Tokens, when the caller sets no limit.
+	prefixBytes   = 1024     // Of the prompt, for the prefix hash.
+	firstRoom     = 16 << 10 // For a body of unknown length.
+	maxKey        = 255      // Bytes of an idempotency key.
 )
 
 // chat is what azurelane reads of a chat completion request.
@@ -128,10 +127,9 @@
 	if q.r.ContentLength > q.limits.MaxBody {
 		return q.tooLarge()
 	}
-	// A caller that sends its body slowly must not hold a connection and its
-	// account's share for ever.
+	limit := orDefault(q.front.BodyTime, defaultBodyTime)
 	ctl := http.NewResponseController(q.reply.w)
-	_ = ctl.SetReadDeadline(q.start.Add(bodyTime))
+	_ = ctl.SetReadDeadline(q.start.Add(limit))
 	err := q.fill(http.MaxBytesReader(q.reply.w, q.r.Body, q.limits.MaxBody))
 	var tooLarge *http.MaxBytesError
 	var refusal *refuse.Error
@@ -141,7 +139,7 @@
 	case errors.As(err, &refusal):
 		return refusal
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return refuse.New(refuse.BodyLate, fmt.Sprintf("not sent within %s", bodyTime), 0)
+		return refuse.New(refuse.BodyLate, fmt.Sprintf("not sent within %s", limit), 0)
 	case err != nil:
 		return refuse.New(refuse.BadRequest, "body not read", 0)
 	}
--- a/io/front/refuse_test.go
+++ b/io/front/refuse_test.go
@@ -102,6 +102,36 @@
 	s.eventually("account is free", func() bool { return e.ask(ask{}).outcome == "whole" })
 }
 
+// A caller stops in the middle of its body, and one takes nothing of its
+// stream; both keep their connections open. The first is refused, the second
+// broken off when its time is over, and the slot comes free for others.
+func TestSlowCallers(t *testing.T) {
+	s := newSite(t, 1)
+	e := s.entries[0]
+	e.BodyTime, e.TakeTime = 200*time.Millisecond, 200*time.Millisecond
+	send := func(length int, body string) net.Conn {
+		c, err := net.Dial("tcp", e.Listener.Addr().String())
+		must.NoError(t, err)
+		_, err = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer key-one\r\nContent-Length: %d\r\n\r\n%s", chatPath, length, body)
+		must.NoError(t, err)
+		return c
+	}
+	c := send(500, "{")
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	must.NoError(t, err)
+	must.Eq(t, http.StatusRequestTimeout, resp.StatusCode)
+	must.Eq(t, "not-run", resp.Header.Get(front.HeaderOutcome))
+	must.Eq(t, "1", resp.Header.Get("Retry-After"))
+	_ = resp.Body.Close()
+	_ = c.Close()
+
+	const long = `{"model":"m","stream":true,"max_tokens":10000000,"messages":[]}`
+	c = send(len(long), long)
+	defer func() { _ = c.Close() }()
+	s.eventually("the engine is told to stop", func() bool { return s.engine.Tally().Cancelled == 1 })
+	s.free()
+}
+
 // An account that holds all its connections waits for slots. Its next request
 // is refused at once, another account's is not.
 func TestConnectionsOfOneAccount(t *testing.T) {
--- a/io/front/reply.go
+++ b/io/front/reply.go
@@ -14,19 +14,16 @@
 	"azurelane/io/stats"
 )
 
-// takeLimit is a caller's time to take one part of its answer. One that reads
-// nothing more must not hold an upstream's slot.
-const takeLimit = 30 * time.Second
-
 type (
 	// reply writes one caller's answer.
 	reply struct {
-		w       http.ResponseWriter
-		request string // Id, as callers see it.
-		stats   *stats.Stats
-		head    *answer.Answer
-		body    []byte // Of an answer that is not streamed.
-		dead    bool   // The caller takes no more.
+		w        http.ResponseWriter
+		request  string // Id, as callers see it.
+		stats    *stats.Stats
+		takeTime time.Duration // For one part of the answer.
+		head     *answer.Answer
+		body     []byte // Of an answer that is not streamed.
+		dead     bool   // The caller takes no more.
 	}
 
 	// direct is the reply of a request that no one else follows.
@@ -72,7 +69,7 @@
 		p.body = append(p.body, data...)
 		return len(data), nil
 	}
-	_ = http.NewResponseController(p.w).SetWriteDeadline(time.Now().Add(takeLimit))
+	_ = http.NewResponseController(p.w).SetWriteDeadline(time.Now().Add(p.takeTime))
 	n, err := p.w.Write(data)
 	if err != nil {
 		p.dead = true
@@ -123,7 +120,7 @@
 	if h.Get("Content-Length") == "" {
 		h.Set("Content-Length", strconv.Itoa(len(p.body)))
 	}
-	_ = http.NewResponseController(p.w).SetWriteDeadline(time.Now().Add(takeLimit))
+	_ = http.NewResponseController(p.w).SetWriteDeadline(time.Now().Add(p.takeTime))
 	p.w.WriteHeader(p.head.Status)
 	_, _ = p.w.Write(p.body)
 }
@@ -150,7 +147,7 @@
 	if e.RetryAfter > 0 {
 		h.Set("Retry-After", strconv.Itoa(int((e.RetryAfter+time.Second-1)/time.Second)))
 	}
-	_ = http.NewResponseController(p.w).SetWriteDeadline(time.Now().Add(takeLimit))
+	_ = http.NewResponseController(p.w).SetWriteDeadline(time.Now().Add(p.takeTime))
 	p.w.WriteHeader(e.Status())
 	_, _ = p.w.Write(errorBody(e, outcome, p.request))
 }
