A refused second submission joins its key's run or is called unknown

Cause: a keyed request was refused as not-run because no slot was to be had, while an earlier submission of its key ran at an entry that had just died. TestJoinAcrossProcesses failed so: want unknown, got not-run. The caller would have done the work by other means, twice in all.

Ruled out: a claim for each refusal (two log entries, most of all under overload), and saying not-run of the submission alone. Change: the refusal is said after a read at the control leader under its lease; a held key is joined. With the look-up taken out TestRefusedAgain fails.

--- a/core/refuse/refuse.go
+++ b/core/refuse/refuse.go
@@ -37,16 +37,17 @@
 
 // Codes of final answers to a request that ran or may have run.
 const (
-	UpstreamLost   = "upstream-lost"    // The upstream broke off.
-	UpstreamMute   = "upstream-silent"  // The upstream went silent.
-	RunLimit       = "run-limit"        // It ran longer than the pool allows.
-	DeadlinePassed = "deadline-passed"  // The deadline came while it ran.
-	StillRunning   = "still-running"    // Another submission's run has not ended.
-	HolderLost     = "holder-lost"      // The entry that ran it can't be asked.
-	AnswerForeign  = "answer-foreign"   // The answer was for another request.
-	AnswerLarge    = "answer-too-large" // The answer is over the pool's limit.
-	AnswerGone     = "answer-gone"      // It ran; its answer is no longer kept.
-	CallerLeft     = "caller-left"      // Its last caller went away while it ran.
+	UpstreamLost   = "upstream-lost"      // The upstream broke off.
+	UpstreamMute   = "upstream-silent"    // The upstream went silent.
+	RunLimit       = "run-limit"          // It ran longer than the pool allows.
+	DeadlinePassed = "deadline-passed"    // The deadline came while it ran.
+	StillRunning   = "still-running"      // Another submission's run has not ended.
+	HolderLost     = "holder-lost"        // The entry that ran it can't be asked.
+	AnswerForeign  = "answer-foreign"     // The answer was for another request.
+	AnswerLarge    = "answer-too-large"   // The answer is over the pool's limit.
+	AnswerGone     = "answer-gone"        // It ran; its answer is no longer kept.
+	CallerLeft     = "caller-left"        // Its last caller went away while it ran.
+	Earlier        = "earlier-submission" // This one ran nowhere; an earlier one with its key may have.
 )
 
 // DefaultRetry is the Retry-After of refusals whose cause names no time of its
@@ -82,6 +83,7 @@
 	AnswerLarge:    {status: http.StatusBadGateway, ran: true},
 	AnswerGone:     {status: http.StatusGone, ran: true},
 	CallerLeft:     {status: http.StatusBadGateway, ran: true},
+	Earlier:        {status: http.StatusServiceUnavailable, again: true, ran: true},
 }
 
 func ruleOf(code string) rule {
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -134,6 +134,19 @@
 	if same && old.GetOutcome() == "" {
 		return &wire.Result{Code: OK, Holder: c.GetHolder()}
 	}
+	return held(old)
+}
+
+// Holder tells who holds a key, as a claim would be told; OK when no one does.
+func (s *State) Holder(account, key string) *wire.Result {
+	c, ok := s.claims[claimKey{account, key}]
+	if !ok {
+		return &wire.Result{Code: OK}
+	}
+	return held(c)
+}
+
+func held(old *wire.ClaimState) *wire.Result {
 	code := Running
 	if old.GetOutcome() != "" {
 		code = Finished
--- a/io/ctrl/handle.go
+++ b/io/ctrl/handle.go
@@ -30,6 +30,12 @@
 		return &wire.Frame{Body: &wire.Frame_BeatReply{BeatReply: c.beat(b.Beat)}}, nil
 	case *wire.Frame_ConfigQuery:
 		return &wire.Frame{Body: &wire.Frame_BeatReply{BeatReply: c.reply(b.ConfigQuery.GetVersion())}}, nil
+	case *wire.Frame_ClaimQuery:
+		r, err := c.holder(ctx, b.ClaimQuery)
+		if err != nil {
+			return nil, err
+		}
+		return &wire.Frame{Body: &wire.Frame_Result{Result: r}}, nil
 	case *wire.Frame_StatusQuery:
 		s, err := c.status(ctx, b.StatusQuery.GetFresh())
 		if err != nil {
@@ -66,6 +72,25 @@
 	}
 }
 
+// holder reads who holds a key. Only a leader under its lease answers: another
+// replica could miss a claim and call a key free that has run.
+func (c *Ctrl) holder(ctx context.Context, q *wire.ClaimQuery) (*wire.Result, error) {
+	var r *wire.Result
+	err := c.do(ctx, func(now time.Time) raft.Effects {
+		if c.raft.Leased(now) {
+			r = c.state.Holder(q.GetAccount(), q.GetKey())
+		}
+		return raft.Effects{}
+	})
+	if err == nil && r == nil {
+		err = c.notLeader()
+	}
+	if err != nil {
+		return nil, err
+	}
+	return r, nil
+}
+
 // status is this replica's view. A fresh one comes from a leader under its
 // lease alone, so it shows all that was acknowledged before it was asked for.
 func (c *Ctrl) status(ctx context.Context, fresh bool) (*wire.Status, error) {
--- a/io/front/fake_test.go
+++ b/io/front/fake_test.go
@@ -108,6 +108,7 @@
 		header  http.Header
 		err     error  // The answer broke off.
 		key     string // That was asked with.
+		began   time.Time
 	}
 )
 
@@ -134,6 +135,17 @@
 	return r, ctx.Err()
 }
 
+// Ask answers the look-up of a key. The hook gets no command then.
+func (c *control) Ask(_ context.Context, build func() *wire.Frame) (*wire.Frame, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.hook != nil && c.hook(nil) != nothingLost {
+		return nil, errDown
+	}
+	q := build().GetClaimQuery()
+	return &wire.Frame{Body: &wire.Frame_Result{Result: c.state.Holder(q.GetAccount(), q.GetKey())}}, nil
+}
+
 func (c *control) setHook(hook func(*wire.Command) loss) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -44,6 +44,7 @@
 		stopping atomic.Bool
 		lookup   atomic.Pointer[index.Index]
 		runs     sync.WaitGroup
+		looks    atomic.Int32 // Look-ups of keys under way.
 		keep     keep.Keep
 
 		mu     sync.Mutex
@@ -58,6 +59,7 @@
 
 	proposer interface {
 		Propose(ctx context.Context, c *wire.Command) (*wire.Result, error)
+		Ask(ctx context.Context, build func() *wire.Frame) (*wire.Frame, error)
 	}
 
 	sender interface {
@@ -132,7 +134,7 @@
 	defer q.reply.close()
 	if !f.enter() {
 		w.Header().Set("Connection", "close") // So that the balancer's next request goes elsewhere.
-		q.reply.refuse(errStopping)
+		q.reply.end(q.close(q.stopped()))
 		return
 	}
 	defer f.runs.Done()
--- a/io/front/kill_test.go
+++ b/io/front/kill_test.go
@@ -6,6 +6,7 @@
 	"regexp"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
@@ -75,6 +76,13 @@
 	return r, err
 }
 
+func (m *mortal) Ask(ctx context.Context, build func() *wire.Frame) (*wire.Frame, error) {
+	if err := m.step("look"); err != nil {
+		return nil, err
+	}
+	return m.control.Ask(ctx, build)
+}
+
 func (m *mortal) Send(ctx context.Context, r *http.Request) (*http.Response, bool, error) {
 	if err := m.step("send"); err != nil {
 		return nil, true, err
@@ -159,10 +167,13 @@
 			t.Parallel()
 			s := newSite(t, 2)
 			s.control.setHook(func(c *wire.Command) loss {
-				if c.GetClaim() != nil {
+				switch {
+				case c.GetClaim() != nil:
 					return tc.claim
+				case c.GetFinish() != nil:
+					return tc.finish
 				}
-				return tc.finish
+				return nothingLost
 			})
 			must.Eq(t, tc.first, s.entries[0].ask(ask{key: "k"}).outcome)
 			if tc.first == "not-run" {
@@ -212,8 +223,9 @@
 					if leaves {
 						go cancel()
 					}
+					began := time.Now()
 					got := e.askCtx(ctx, a)
-					got.key = a.key
+					got.key, got.began = a.key, began
 					mu.Lock()
 					defer mu.Unlock()
 					all = append(all, got)
@@ -250,10 +262,12 @@
 func check(t must.T, s *site, all []reply) {
 	ran := map[string]string{} // Keys by request id.
 	runs := map[string]int{}
+	arrived := map[string]time.Time{}
 	for _, e := range s.engine.Journal() {
 		ran[e.Request] = e.Key
 		if e.Key != "" {
 			runs[e.Key]++
+			arrived[e.Key] = e.Arrived
 		}
 	}
 	for key, n := range runs {
@@ -267,6 +281,9 @@
 		_, has := ran[id]
 		if r.outcome == "not-run" {
 			must.False(t, has, must.Sprint(id, " was called not-run and ran"))
+			at, before := arrived[r.key]
+			other := r.code == refuse.KeyMismatch // Said of another request, which hasn't run.
+			must.False(t, before && !other && at.Before(r.began), must.Sprint(id, " was called not-run and its key had run before"))
 		}
 		if r.outcome != "whole" {
 			continue
--- a/io/front/read.go
+++ b/io/front/read.go
@@ -61,6 +61,7 @@
 }
 
 func (q *request) authenticate() error {
+	q.key = q.r.Header.Get(HeaderKey)
 	key, ok := strings.CutPrefix(q.r.Header.Get("Authorization"), "Bearer ")
 	if !ok {
 		return refuse.New(refuse.BadKey, "expected Authorization: Bearer KEY", 0)
@@ -104,7 +105,6 @@
 	default:
 		return refuse.New(refuse.BadRequest, "azurelane-repeatable: expected yes or no", 0)
 	}
-	q.key = h.Get(HeaderKey)
 	if len(q.key) > maxKey {
 		return refuse.New(refuse.BadRequest, fmt.Sprintf("idempotency-key: expected at most %d bytes", maxKey), 0)
 	}
--- a/io/front/request.go
+++ b/io/front/request.go
@@ -85,7 +85,7 @@
 	err := q.read()
 	defer q.letGo()
 	if err != nil {
-		q.reply.end(q.close(err))
+		q.reply.end(q.close(q.earlier(ctx, err, nil)))
 		return
 	}
 	span.SetAttributes(attribute.String("account", q.account), attribute.String("pool", q.ticket.GetPool()))
--- a/io/front/share.go
+++ b/io/front/share.go
@@ -57,18 +57,22 @@
 		waitCtx, stop = context.WithDeadlineCause(ctx, q.deadline, errDeadline)
 		defer stop()
 	}
-	outcome, refusal := q.close(q.place(waitCtx, ctx, run))
-	claimed := q.asked
-	if !claimed || q.state == life.Refused {
+	err := q.place(waitCtx, ctx, run)
+	if err != nil && q.state == life.Waiting {
+		err = q.earlier(waitCtx, err, run)
+	}
+	ran := q.asked && q.state.MayHaveRun() // Under a claim of this entry, not as a joiner.
+	outcome, refusal := q.close(err)
+	if !ran {
 		q.front.keep.Drop(q.account, q.key)
 	}
 	run.End(outcome, refusal)
-	if !claimed {
+	if !q.asked {
 		return
 	}
 	q.front.runs.Add(1)
-	if q.state == life.Refused {
-		go q.record(outcome, nil)
+	if !ran {
+		go q.record(life.Refused.Outcome(), nil)
 		return
 	}
 	a, _ := run.Wait(context.Background()) // It has ended.
--- a/io/front/share_test.go
+++ b/io/front/share_test.go
@@ -134,3 +134,42 @@
 	must.Eq(t, "unknown", got.outcome)
 	must.Eq(t, 1, s.runs("k"))
 }
+
+// The caller of a keyed request loses its connection and sends again, where the
+// submission is refused: the pool is full, the entry stops, the account has too
+// much open. "Not-run" would make it do the work by other means, although the
+// first submission runs. A refusal that waits for nothing joins the run; the
+// others, and one that can't look the key up, say that the outcome is unknown.
+func TestRefusedAgain(t *testing.T) {
+	full := func(context.Context, *wire.Ticket) error { return refuse.New(refuse.Overloaded, "", 0) }
+	away := func(c *wire.Command) loss {
+		if c == nil {
+			return commandLost
+		}
+		return nothingLost
+	}
+	for _, tc := range []struct {
+		name    string
+		key     string
+		prepare func(s *site)
+		outcome string
+		code    string
+	}{
+		{"full", "k", func(s *site) { s.granter.before = full }, "whole", ""},
+		{"full, holder dead", "k", func(s *site) { s.granter.before = full; s.mesh.set(0, nil) }, "unknown", refuse.AnswerGone},
+		{"full, control away", "k", func(s *site) { s.granter.before = full; s.control.setHook(away) }, "unknown", refuse.Earlier},
+		{"stopping", "k", func(s *site) { s.entries[1].Stop(t.Context()) }, "unknown", refuse.Earlier},
+		{"full, never submitted", "other", func(s *site) { s.granter.before = full }, "not-run", refuse.Overloaded},
+		{"stopping, never submitted", "other", func(s *site) { s.entries[1].Stop(t.Context()) }, "not-run", refuse.ShuttingDown},
+	} {
+		s := newSite(t, 2)
+		must.Eq(t, "whole", s.entries[0].ask(ask{key: "k"}).outcome)
+		s.eventually("on record", func() bool { return s.control.outcome("k") == "whole" })
+		tc.prepare(s)
+		got := s.entries[1].ask(ask{key: tc.key})
+		must.Eq(t, tc.outcome, got.outcome, must.Sprint(tc.name))
+		must.Eq(t, tc.code, got.code, must.Sprint(tc.name))
+		must.Eq(t, tc.code != "" && tc.code != refuse.AnswerGone, got.retry != "", must.Sprint(tc.name))
+		must.SliceLen(t, 1, s.engine.Journal())
+	}
+}
