--- a/io/front/front.go
+++ b/io/front/front.go
@@ -37,11 +37,14 @@
 		Peers       peers
 		Stats       *stats.Stats
 		Log         logr.Logger
+		BodyTime    time.Duration // A caller's time to send its body; 0 takes the default.
+		TakeTime    time.Duration // A caller's time to take one part of its answer; 0 takes the default.
 
 		last     atomic.Uint64 // Request ids.
 		stopping atomic.Bool
 		lookup   atomic.Pointer[index.Index]
 		runs     sync.WaitGroup
+		looks    atomic.Int32 // Look-ups of keys under way.
 		keep     keep.Keep
 
 		mu     sync.Mutex
@@ -56,6 +59,7 @@
 
 	proposer interface {
 		Propose(ctx context.Context, c *wire.Command) (*wire.Result, error)
+		Ask(ctx context.Context, build func() *wire.Frame) (*wire.Frame, error)
 	}
 
 	sender interface {
@@ -77,6 +81,13 @@
 	}
 )
 
+// One who sends or takes nothing must not hold an upstream's slot, or a part of
+// its account's limits, for ever.
+const (
+	defaultBodyTime = 30 * time.Second
+	defaultTakeTime = 30 * time.Second
+)
+
 // Request and response headers.
 const (
 	HeaderKey        = "Idempotency-Key"
@@ -119,11 +130,11 @@
 // ServeHTTP handles one request from its arrival to its final answer.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	q := &request{front: f, r: r, start: time.Now(), id: f.last.Add(1)}
-	q.reply = reply{w: w, request: q.name(), stats: f.Stats}
+	q.reply = reply{w: w, request: q.name(), stats: f.Stats, takeTime: orDefault(f.TakeTime, defaultTakeTime)}
 	defer q.reply.close()
 	if !f.enter() {
 		w.Header().Set("Connection", "close") // So that the balancer's next request goes elsewhere.
-		q.reply.refuse(errStopping)
+		q.reply.end(q.close(q.stopped()))
 		return
 	}
 	defer f.runs.Done()
