--- a/cmd/azurelane/history_test.go
+++ b/cmd/azurelane/history_test.go
@@ -71,7 +71,7 @@
 		t.Error(why)
 	}
 	must.Len(t, 0, bad)
-	must.Len(t, 0, h.backward)
+	must.Eq(t, []string(nil), h.backward)
 	must.Positive(t, counts["whole"])
 	must.Positive(t, len(h.accepted))
 	must.Positive(t, len(h.chaos.done))
--- a/cmd/azurelane/proc_test.go
+++ b/cmd/azurelane/proc_test.go
@@ -33,7 +33,7 @@
 type span struct{ from, to time.Time }
 
 // newProc starts the program with the arguments. The process ends with the test.
-func newProc(t *testing.T, dir, name string, args ...string) *proc {
+func newProc(t testing.TB, dir, name string, args ...string) *proc {
 	t.Helper()
 	log, err := os.Create(filepath.Join(dir, name+".log"))
 	must.NoError(t, err)
--- a/cmd/azurelane/process_test.go
+++ b/cmd/azurelane/process_test.go
@@ -36,7 +36,7 @@
 
 // cluster is a deployment of processes on loopback.
 type cluster struct {
-	t       *testing.T
+	t       testing.TB
 	dir     string
 	control []netip.AddrPort
 	entries []*setup.Setup
@@ -65,7 +65,7 @@
 	return cmd
 }
 
-func freeAddr(t *testing.T) netip.AddrPort {
+func freeAddr(t testing.TB) netip.AddrPort {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
@@ -165,7 +165,7 @@
 	return answer{resp.StatusCode, outcome, string(data)}
 }
 
-func status(t *testing.T, url string) int {
+func status(t testing.TB, url string) int {
 	t.Helper()
 	resp, err := http.Get(url)
 	if err != nil {
