azurelane load: workload files, and policies measured side by side

Cause: nothing showed what the policies do under load. The load command sent one kind of request from one account and could not tell what engines did. Predictions count what will come before a ticket, other accounts up to their share, and waiting tickets are looked at again each second. The pool's rate is measured while work waits. Ruled out: predicting by what waits now alone.

--- a/core/late/admit.go
+++ b/core/late/admit.go
@@ -14,11 +14,16 @@
 const (
 	shortestRetry = 100 * time.Millisecond
 	longestRetry  = time.Minute
+
+	reviewMost  = 8   // Tickets of one account and tier that one review refuses.
+	reviewSlack = 0.2 // Part of the time left by which a ticket must be late.
+	reviewEvery = 5   // Sweeps between two reviews.
 )
 
 // item makes a ticket ready for the queue.
 func (l *Late) item(now time.Time, t *wire.Ticket) *item.Item {
 	i := &item.Item{Ticket: t, Work: limit.Cost(t.GetPromptTokens(), t.GetAnswerTokens()), Long: l.usual.add(now, t)}
+	l.queue.Arrived(i)
 	if t.GetDeadlineUs() > 0 {
 		i.Deadline = now.Add(micros(t.GetDeadlineUs()))
 		i.Latest = i.Deadline.Add(-l.fastest(now, i))
@@ -61,20 +66,49 @@
 	if l.rate == 0 || l.queue.Lower(i.GetAccount(), i.Level()) {
 		return "", 0
 	}
-	wait := seconds(l.queue.Ahead(i) / l.rate)
-	if late := now.Add(wait).Sub(i.Latest); late > 0 {
+	if late := l.late(now, i); late > 0 {
 		return refuse.Deadline, retry(i.Ticket, late)
 	}
 	return "", 0
 }
 
-// drain is when a ticket like the shed one may find room: when the work ahead
+// late is by how much the work ahead of an item makes it late, below zero when
+// it is in time.
+func (l *Late) late(now time.Time, i *item.Item) time.Duration {
+	left := i.Latest.Sub(now)
+	return seconds(l.queue.Ahead(i, left, l.rate)/l.rate) - left
+}
+
+// review refuses waiting tickets that are predicted to be late by now, the
+// newest first. They were accepted before more urgent work came, or before an
+// upstream became slow, and their callers should not learn of it at the last
+// moment. It is slower to say no than hopeless, as what passes soon is no reason.
+func (l *Late) review(now time.Time) []*wire.Decision {
+	if l.rate == 0 {
+		return nil
+	}
+	var out []*wire.Decision
+	for _, i := range l.queue.Newest() {
+		for n := 0; i != nil && n < reviewMost && !i.Latest.IsZero() && !l.queue.Lower(i.GetAccount(), i.Level()); n++ {
+			late := l.late(now, i)
+			if late <= time.Duration(reviewSlack*float64(i.Latest.Sub(now))) {
+				break
+			}
+			l.queue.Remove(i.GetIncarnation(), i.GetId())
+			out = append(out, refusal(i.Ticket, refuse.Deadline, retry(i.Ticket, late)))
+			i = l.queue.NewestOf(i.GetAccount(), i.Level())
+		}
+	}
+	return out
+}
+
+// later is when a ticket like the shed one may find room: when what waits ahead
 // of it is done.
-func (l *Late) drain(i *item.Item) time.Duration {
+func (l *Late) later(i *item.Item) time.Duration {
 	if l.rate == 0 {
 		return retry(i.Ticket, time.Second)
 	}
-	return retry(i.Ticket, seconds(l.queue.Ahead(i)/l.rate))
+	return retry(i.Ticket, seconds(l.queue.Ahead(i, 0, l.rate)/l.rate))
 }
 
 // retry spreads the return of callers that were refused together over half of
@@ -101,6 +135,7 @@
 	l.slots.Sweep(now, l.pool.MaxRun+runGrace, l.overdue(now))
 	live := 0
 	l.place.Alone = true
+	l.turn(now)
 	l.rate, l.place.Usual, l.quick = 0, 0, nil
 	var quickest time.Duration
 	prompt, answer := int64(l.usual.prompt), int64(l.usual.answer)
@@ -118,14 +153,18 @@
 			}
 		}
 	}
+	l.rate = l.drain.capacity(l.rate)
 	l.queue.Burst = l.rate * burst.Seconds()
 	fewer := live < l.live || live == 0
 	l.live = live
+	var out []*wire.Decision
+	if l.sweeps++; l.sweeps%reviewEvery == 0 {
+		out = l.review(now)
+	}
 	if !fewer || now.Sub(l.started) < startGrace {
-		return nil
+		return out
 	}
 	// What no live upstream serves any more is told so now, and not at its deadline.
-	var out []*wire.Decision
 	for _, i := range l.queue.Drop(func(i *item.Item) bool { return !l.served(now, i.Ticket) }) {
 		out = append(out, refusal(i.Ticket, refuse.NoUpstream, startGrace))
 	}
--- a/core/late/late.go
+++ b/core/late/late.go
@@ -37,9 +37,11 @@
 	place place.Place
 	blame blame.Blame
 	usual usual
+	drain drain
 
 	started time.Time // First call; the table fills within startGrace after it.
 	swept   time.Time
+	sweeps  int
 	live    int               // Live upstreams at the last sweep.
 	rate    float64           // Work units a second of the whole pool; zero while unknown.
 	quick   *upstr.Upstream   // The fastest one for a usual run at the last sweep.
@@ -112,10 +114,10 @@
 	l.queue.Push(i)
 	out := l.assign(now)
 	for v := l.queue.OverAccount(t.GetAccount()); v != nil; v = l.queue.OverAccount(t.GetAccount()) {
-		out = append(out, refusal(v.Ticket, refuse.AccountLimit, l.drain(v)))
+		out = append(out, refusal(v.Ticket, refuse.AccountLimit, l.later(v)))
 	}
 	for v := l.queue.OverPool(); v != nil; v = l.queue.OverPool() {
-		out = append(out, refusal(v.Ticket, refuse.Overloaded, l.drain(v)))
+		out = append(out, refusal(v.Ticket, refuse.Overloaded, l.later(v)))
 	}
 	return out
 }
@@ -162,7 +164,7 @@
 	l.begin(now)
 	var out []*wire.Decision
 	for i := l.queue.Expired(now); i != nil; i = l.queue.Expired(now) {
-		out = append(out, refusal(i.Ticket, refuse.Deadline, l.drain(i)))
+		out = append(out, refusal(i.Ticket, refuse.Deadline, l.later(i)))
 	}
 	if now.Sub(l.swept) >= sweepEvery {
 		out = append(out, l.sweep(now)...)
@@ -217,6 +219,7 @@
 	if h := i.GetPrefixHash(); h != 0 {
 		s.Up.Cache.Sent(now, h)
 	}
+	l.drain.granted += i.Work
 	d := l.slots.Grant(now, s, l.pool.GrantTTL)
 	if !s.Up.Room(now) {
 		l.open = slices.DeleteFunc(l.open, func(u *upstr.Upstream) bool { return u == s.Up })
--- a/core/queue/next.go
+++ b/core/queue/next.go
@@ -1,6 +1,8 @@
 package queue
 
 import (
+	"time"
+
 	"azurelane/core/item"
 	"azurelane/core/tier"
 )
@@ -217,29 +219,74 @@
 	return nil
 }
 
-// Ahead is the work in units that is granted before a new ticket of the
-// account, at the rate of the whole pool: its own work at its share, and the
-// more urgent work of all. It is never more than what waits at its tier and
-// above. Of the account's own tier counts what has an earlier deadline.
-func (q *Queue) Ahead(i *item.Item) float64 {
-	var higher, own float64
-	level := i.Level()
-	for l := range level {
-		higher += q.work[l]
-	}
-	total := higher + q.work[level]
-	weight := q.account(i.GetAccount()).Weight
-	share := weight / (q.weights + weight)
-	if a := q.accounts[i.GetAccount()]; a != nil {
-		if a.at >= 0 {
-			share = weight / q.weights
+// Arrived counts a ticket's work among what its account asks for. It must be
+// called before Push.
+func (q *Queue) Arrived(i *item.Item) {
+	a := q.of(i.GetAccount())
+	a.asked[i.Level()] += i.Work
+}
+
+// Turn closes a span of time in which Arrived counted, and adds it to the
+// running rates by the given gain.
+func (q *Queue) Turn(span time.Duration, gain float64) {
+	for _, a := range q.all {
+		for l := range a.asked {
+			a.arrives[l] += gain * (a.asked[l]/span.Seconds() - a.arrives[l])
+			a.asked[l] = 0
 		}
+	}
+}
+
+// Ahead is the work in units that the pool does before the ticket, if the
+// ticket is to wait for the given time at most and the pool does rate units a
+// second: what waits before it and, as rates of late go, what will come before
+// it. Of another account counts no more than that account's share of the time,
+// as work beyond the share stands behind this ticket.
+func (q *Queue) Ahead(i *item.Item, within time.Duration, rate float64) float64 {
+	own := q.of(i.GetAccount())
+	level, span := i.Level(), max(within.Seconds(), 0)
+	weights := q.weights
+	if own.at < 0 {
+		weights += q.account(own.name).Weight
+	}
+	var sum float64
+	for _, a := range q.all {
+		var before float64
 		for l := range level {
-			own += a.work[l]
+			before += a.work[l] + a.arrives[l]*span
+		}
+		if a == own {
+			sum += before + a.work[level]*a.earlier(i)
+			continue
+		}
+		before += a.work[level] + a.arrives[level]*span
+		if before > 0 {
+			sum += min(before, q.account(a.name).Weight/weights*rate*span)
 		}
-		own += a.work[level] * a.earlier(i)
 	}
-	return min(total, max(own/share, higher))
+	return sum
+}
+
+// Newest returns the newest waiting ticket of each account and tier, of which
+// a change of the pool's speed tells first that they will be late.
+func (q *Queue) Newest() []*item.Item {
+	var list []*item.Item
+	for _, a := range q.active {
+		for _, n := range a.newest {
+			if n != nil {
+				list = append(list, n.Item)
+			}
+		}
+	}
+	return list
+}
+
+// NewestOf returns the newest waiting ticket of one account and tier, or nil.
+func (q *Queue) NewestOf(name string, level int) *item.Item {
+	if a := q.accounts[name]; a != nil && a.newest[level] != nil {
+		return a.newest[level].Item
+	}
+	return nil
 }
 
 // earlier estimates the part of the account's waiting tickets of the same tier
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -23,6 +23,7 @@
 		Burst      float64              // Work units that an account may be ahead of its share.
 
 		accounts map[string]*account
+		all      []*account // By first arrival.
 		active   []*account // With waiting tickets.
 		tickets  map[ticketKey]*node
 		latest   latestHeap
@@ -50,6 +51,8 @@
 		waiting [tier.Levels]int
 		work    [tier.Levels]float64
 		n       int
+		arrives [tier.Levels]float64 // Work units a second of late.
+		asked   [tier.Levels]float64 // Work units since the last turn.
 	}
 
 	// flow holds an account's tickets of one tier that fit the same places.
@@ -96,14 +99,7 @@
 // Push adds a ticket. A limit may be exceeded until OverAccount and OverPool
 // are asked.
 func (q *Queue) Push(i *item.Item) {
-	if q.tickets == nil {
-		q.accounts, q.tickets, q.classes = map[string]*account{}, map[ticketKey]*node{}, map[classKey]*class{}
-	}
-	a := q.accounts[i.GetAccount()]
-	if a == nil {
-		a = &account{name: i.GetAccount(), at: -1}
-		q.accounts[a.name] = a
-	}
+	a := q.of(i.GetAccount())
 	q.seq++
 	n := &node{Item: i, seq: q.seq, end: math.MaxInt64, account: a, expires: -1}
 	if !i.Deadline.IsZero() {
@@ -122,6 +118,20 @@
 	}
 }
 
+// of returns the account's part of the queue.
+func (q *Queue) of(name string) *account {
+	if q.tickets == nil {
+		q.accounts, q.tickets, q.classes = map[string]*account{}, map[ticketKey]*node{}, map[classKey]*class{}
+	}
+	a := q.accounts[name]
+	if a == nil {
+		a = &account{name: name, at: -1}
+		q.accounts[name] = a
+		q.all = append(q.all, a)
+	}
+	return a
+}
+
 func (q *Queue) link(n *node) {
 	a, l := n.account, n.Level()
 	n.older = a.newest[l]
--- a/io/load/load.go
+++ b/io/load/load.go
@@ -5,101 +5,84 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"net/http"
 	"strings"
 	"sync"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
+	"azurelane/io/call"
+	"azurelane/io/result"
 )
 
-type (
-	// Load is one run. Its exported fields are set before use.
-	Load struct {
-		URL     string // Of an entry, as http://ADDRESS.
-		Key     string
-		Model   string
-		Rate    float64 // Requests a second.
-		Time    time.Duration
-		Seed    uint64
-		Tier    string
-		Prompt  int // Bytes.
-		Answer  int // Tokens.
-		Stream  bool
-		Timeout time.Duration
+// Load sends planned requests to entries. Its exported fields are set before use.
+type Load struct {
+	URLs  []string // Of the entries, as http://ADDRESS; requests go to them in turn.
+	Model string
+	// Spare is how long after its deadline a request still waits for an answer.
+	Spare time.Duration
 
-		mu       sync.Mutex
-		outcomes map[string]int
-		whole    *hdrhistogram.Histogram
-	}
-)
+	client *http.Client
+}
 
 const (
-	histMax    = int64(time.Hour / time.Microsecond)
-	histDigits = 3
+	bytesPerToken = 4
+	prefixBytes   = 1024 // Of a prompt, shared by all with the same prefix.
+	connections   = 4096
 )
 
-// Run sends the load and returns the report as text.
-func (l *Load) Run(ctx context.Context) (string, error) {
-	l.outcomes = map[string]int{}
-	l.whole = hdrhistogram.New(1, histMax, histDigits)
-	rng := rand.New(rand.NewPCG(l.Seed, l.Seed)) //nolint:gosec // A seeded run, no secret.
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1024}}
+// Run sends the calls at their times and returns how each ended, in the order
+// of the calls. When ctx ends, those that were not sent have no outcome.
+func (l *Load) Run(ctx context.Context, calls []call.Call) []result.Result {
+	l.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: connections}}
+	defer l.client.CloseIdleConnections()
+	results := make([]result.Result, len(calls))
+	order := byTime(calls)
 	var wg sync.WaitGroup
 	start := time.Now()
-	for at := time.Duration(0); at < l.Time; at += time.Duration(rng.ExpFloat64() / l.Rate * float64(time.Second)) {
+	for n, i := range order {
+		results[i] = result.Result{Call: calls[i], Outcome: "none"}
 		select {
 		case <-ctx.Done():
-			return "", ctx.Err()
-		case <-time.After(time.Until(start.Add(at))):
+			continue
+		case <-time.After(time.Until(start.Add(calls[i].At))):
 		}
-		due := start.Add(at)
-		wg.Go(func() { l.one(ctx, client, due) })
+		url := l.URLs[n%len(l.URLs)]
+		wg.Go(func() { l.one(ctx, url, start.Add(calls[i].At), &results[i]) })
 	}
 	wg.Wait()
-	return l.report(), nil
+	return results
 }
 
-func (l *Load) one(ctx context.Context, client *http.Client, due time.Time) {
-	body := fmt.Sprintf(`{"model":%q,"stream":%t,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`,
-		l.Model, l.Stream, l.Answer, strings.Repeat("x", l.Prompt))
-	ctx, cancel := context.WithTimeout(ctx, l.Timeout)
+func (l *Load) one(ctx context.Context, url string, due time.Time, res *result.Result) {
+	ctx, cancel := context.WithDeadline(ctx, due.Add(res.Deadline+l.Spare))
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, l.URL+"/v1/chat/completions", strings.NewReader(body))
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url+"/v1/chat/completions", strings.NewReader(l.body(&res.Call)))
 	if err != nil {
-		l.note("bad-request", due)
 		return
 	}
-	r.Header.Set("Authorization", "Bearer "+l.Key)
-	if l.Tier != "" {
-		r.Header.Set("Azurelane-Tier", l.Tier)
+	r.Header.Set("Authorization", "Bearer "+res.Account+"-key")
+	r.Header.Set("Azurelane-Tier", res.Tier)
+	r.Header.Set("Azurelane-Deadline", max(time.Until(due.Add(res.Deadline)), time.Millisecond).String())
+	if res.Key != "" {
+		r.Header.Set("Idempotency-Key", res.Key)
 	}
-	resp, err := client.Do(r)
-	if err != nil {
-		l.note("no-answer", due)
-		return
+	res.Sent = time.Now()
+	resp, err := l.client.Do(r)
+	if err == nil {
+		read(resp, due, res)
+		_ = resp.Body.Close()
 	}
-	defer func() { _ = resp.Body.Close() }()
-	l.note(outcome(resp), due)
+	res.Total = time.Since(due)
 }
 
-func (l *Load) note(outcome string, due time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.outcomes[outcome]++
-	if outcome == "whole" {
-		_ = l.whole.RecordValue(time.Since(due).Microseconds())
-	}
-}
-
-func (l *Load) report() string {
-	var b strings.Builder
-	for name, n := range l.outcomes {
-		fmt.Fprintf(&b, "%s %d\n", name, n)
-	}
-	for _, q := range []float64{50, 95, 99} {
-		fmt.Fprintf(&b, "whole p%.0f %s\n", q, time.Duration(l.whole.ValueAtQuantile(q))*time.Microsecond)
+// body makes a prompt of the wanted size. What differs between requests with
+// the same prefix stands behind the prefix.
+func (l *Load) body(c *call.Call) string {
+	n := int(c.Prompt) * bytesPerToken
+	prefix := strings.Repeat(fmt.Sprintf("%s %016x ", c.Kind, c.Prefix), prefixBytes/16)
+	prompt := prefix[:min(n, prefixBytes)]
+	if rest := n - len(prompt); rest > 0 {
+		prompt += strings.Repeat(fmt.Sprintf("%016x ", uint64(c.At)), rest/17+1)[:rest]
 	}
-	return b.String()
+	return fmt.Sprintf(`{"model":%q,"messages":[{"role":"user","content":%q}],"stream":true,"max_tokens":%d}`, l.Model, prompt, c.Answer)
 }
