Bench: ports that were taken meanwhile

Cause: load compare ended with 'address already in use' when an outgoing connection of a running system got the port that a starting one had just found free. Change: such a start is tried again with other ports, five times at most. Ruled out: one loopback address for each system, which not every platform has.

--- a/io/bench/bench.go
+++ b/io/bench/bench.go
@@ -15,9 +15,11 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
 	"github.com/thejerf/suture/v4"
 
 	"azurelane/core/acct"
@@ -64,6 +66,7 @@
 	entries    = 2
 	poolName   = "models"
 	maxWaiting = 150 // Of one account, so that overload meets the limit.
+	openTries  = 5
 	readyLimit = 20 * time.Second
 	readyPause = 20 * time.Millisecond
 	staleBy    = 5 * time.Second
@@ -95,8 +98,18 @@
 }
 
 // Open starts a system whose pool has the given policy and preset, and waits
-// until each entry serves.
+// until each entry serves. Its ports were free a moment before; when another
+// program has taken one meanwhile, it starts again with others.
 func Open(ctx context.Context, policy, preset string, d *demand.Demand) (*Bench, error) {
+	for n := 1; ; n++ {
+		b, err := open(ctx, policy, preset, d)
+		if err == nil || n == openTries || !errors.Is(err, syscall.EADDRINUSE) {
+			return b, err
+		}
+	}
+}
+
+func open(ctx context.Context, policy, preset string, d *demand.Demand) (*Bench, error) {
 	dir, err := os.MkdirTemp("", "azurelane-bench-")
 	if err != nil {
 		return nil, fmt.Errorf("bench: %w", err)
