--- a/cmd/azurelane/dev.go
+++ b/cmd/azurelane/dev.go
@@ -49,7 +49,7 @@
 	if err != nil {
 		return err
 	}
-	sup := suture.New("dev", suture.Spec{EventHook: func(ev suture.Event) { log.V(1).Info("Part stopped.", "event", ev.String()) }})
+	sup := suture.New("dev", suture.Spec{EventHook: func(ev suture.Event) { log.WithName("dev").V(1).Info("Part stopped.", "event", ev.String()) }})
 	if err := c.build(sup, log); err != nil {
 		return err
 	}
@@ -80,6 +80,7 @@
 	control := []netip.AddrPort{c.addr(1)}
 	q, err := quorum.Open(&setup.Setup{
 		Node: "control-1", DataCentre: "dev", Peers: c.addr(1), Operator: c.addr(2), Control: control, DataFolder: c.DataFolder,
+		Bootstrap: true,
 	}, log)
 	if err != nil {
 		return err
@@ -125,7 +126,7 @@
 // firstConfig puts the example configuration in force, unless the data folder
 // brought one.
 func (c *devCmd) firstConfig(ctx context.Context) error {
-	op, err := newOperator([]netip.AddrPort{c.addr(1)})
+	op, err := newOperator([]netip.AddrPort{c.addr(1)}, tlsFlags{})
 	if err != nil {
 		return err
 	}
--- a/cmd/azurelane/main.go
+++ b/cmd/azurelane/main.go
@@ -9,11 +9,14 @@
 	"syscall"
 
 	"github.com/alecthomas/kong"
+	"github.com/pkg/errors"
 
+	"azurelane/core/conf"
 	// Scheduling policies register themselves.
 	_ "azurelane/core/late"
 	_ "azurelane/core/least"
 	_ "azurelane/core/robin"
+	"azurelane/io/setup"
 )
 
 // Exit codes.
@@ -39,7 +42,10 @@
 	Check   checkCmd   `cmd:"" help:"Check settings and configuration offline."`
 	Apply   applyCmd   `cmd:"" help:"Put a changed configuration in force."`
 	Status  statusCmd  `cmd:"" help:"Show what is in force where."`
+	Order   orderCmd   `cmd:"" help:"Order an upstream to load a model or adapter, or to change role."`
+	Replica replicaCmd `cmd:"" help:"Change which control replicas form the group."`
 	Drain   drainCmd   `cmd:"" help:"Take an entry out of service."`
+	Certs   certsCmd   `cmd:"" help:"Issue a certificate for a process or an operator."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 }
 
@@ -62,11 +68,18 @@
 	k.BindTo(ctx, (*context.Context)(nil))
 	if err := k.Run(); err != nil {
 		fmt.Fprintln(os.Stderr, "azurelane: "+err.Error())
-		return exitFailed
+		return exitCode(err)
 	}
 	return exitOK
 }
 
+func exitCode(err error) int {
+	if errors.Is(err, setup.ErrInvalid) || errors.Is(err, conf.ErrInvalid) {
+		return exitUsage
+	}
+	return exitFailed
+}
+
 // signals returns a context that ends with the first SIGTERM or interrupt. A
 // second signal ends the process at once.
 func signals() (context.Context, context.CancelFunc) {
--- a/cmd/azurelane/process_test.go
+++ b/cmd/azurelane/process_test.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -65,12 +66,30 @@
 	return cmd
 }
 
+// lastPort is the port that freeAddr gave out last. Ports below the range that
+// the kernel takes for outgoing connections are used: one of that range may be
+// taken by any connection before the process that was meant to listen on it.
+var lastPort atomic.Uint32
+
+const (
+	firstPort = 10000
+	portSpan  = 20000
+)
+
 func freeAddr(t *testing.T) netip.AddrPort {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	defer func() { _ = ln.Close() }()
-	return netip.MustParseAddrPort(ln.Addr().String())
+	lastPort.CompareAndSwap(0, uint32(os.Getpid()*97%portSpan)+1)
+	for range portSpan {
+		port := firstPort + lastPort.Add(1)%portSpan
+		ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue
+		}
+		must.NoError(t, ln.Close())
+		return netip.MustParseAddrPort(ln.Addr().String())
+	}
+	t.Fatal("no free port")
+	return netip.AddrPort{}
 }
 
 // newCluster starts control and entries, in data centre "dev", and puts the
@@ -78,7 +97,7 @@
 func newCluster(t *testing.T, entries int) *cluster {
 	t.Helper()
 	c := &cluster{t: t, dir: t.TempDir(), control: []netip.AddrPort{freeAddr(t)}}
-	c.start("control", c.settings(&setup.Setup{
+	c.start("control", "--bootstrap", c.settings(&setup.Setup{
 		Node: "control-1", DataCentre: "dev", Peers: c.control[0], Operator: freeAddr(t), Control: c.control,
 		DataFolder: filepath.Join(c.dir, "data"),
 	}))
@@ -108,12 +127,21 @@
 	return path
 }
 
+// replicas lists the control replicas as the commands take them.
+func (c *cluster) replicas() string {
+	var list []string
+	for _, a := range c.control {
+		list = append(list, a.String())
+	}
+	return strings.Join(list, ",")
+}
+
 func (c *cluster) apply(base int) {
 	c.t.Helper()
 	path := filepath.Join(c.dir, "config.json")
 	must.NoError(c.t, os.WriteFile(path, devConfig, 0o600))
 	c.until("configuration accepted", func() bool {
-		return c.start("apply", path, "--control", c.control[0].String(), "--base", strconv.Itoa(base), "--change", "first").Wait() == nil
+		return c.start("apply", path, "--control", c.replicas(), "--base", strconv.Itoa(base), "--change", "first").Wait() == nil
 	})
 }
 
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -5,10 +5,10 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"net"
 	"net/netip"
-	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/google/uuid"
@@ -18,6 +18,7 @@
 	"azurelane/core/kernel"
 	"azurelane/core/wire"
 	"azurelane/io/admin"
+	"azurelane/io/certs"
 	"azurelane/io/client"
 	"azurelane/io/follow"
 	"azurelane/io/front"
@@ -32,10 +33,6 @@
 	"azurelane/io/stats"
 )
 
-// DrainLimit bounds the wait for requests in flight when the entry stops. It
-// is longer than the longest run that a pool allows by default.
-const DrainLimit = 40 * time.Minute
-
 // Entry is one entry process. Open makes it.
 type Entry struct {
 	set    *setup.Setup
@@ -54,9 +51,14 @@
 
 // Open binds the entry's addresses.
 func Open(set *setup.Setup, log logr.Logger) (*Entry, error) {
-	e := &Entry{set: set, log: log, stats: stats.New(), client: &client.Client{}}
+	full := set.WithDefaults()
+	e := &Entry{set: &full, log: log, stats: stats.New(), client: &client.Client{}}
 	e.asked, e.drain = context.WithCancel(context.Background())
 	incarnation := uuid.NewString()[:8]
+	links, err := set.TLS.Config()
+	if err != nil {
+		return nil, fmt.Errorf("entry: %w", err)
+	}
 	var lns []net.Listener
 	for _, a := range []netip.AddrPort{set.Peers, set.Callers, set.Upstreams, set.Operator} {
 		ln, err := net.Listen("tcp", a.String())
@@ -68,13 +70,15 @@
 		}
 		lns = append(lns, ln)
 	}
-	e.build(incarnation, lns)
+	lns[3] = certs.Wrap(lns[3], certs.Operators(links))
+	e.build(incarnation, lns, links)
 	return e, nil
 }
 
-func (e *Entry) build(incarnation string, lns []net.Listener) {
+func (e *Entry) build(incarnation string, lns []net.Listener, links *tls.Config) {
 	set, log := e.set, e.log
-	e.mesh = &mesh.Mesh{Listen: lns[0], Self: set.Peers, Handle: e.handle, Log: log.WithName("mesh")}
+	e.log = log.WithName("entry")
+	e.mesh = &mesh.Mesh{Listen: certs.Wrap(lns[0], links), TLS: links, Self: set.Peers, Handle: e.handle, Log: log.WithName("mesh")}
 	e.sched = &sched.Sched{Incarnation: incarnation, Log: log.WithName("sched")}
 	e.member = &member.Member{
 		Self: &wire.Member{
@@ -84,7 +88,7 @@
 	}
 	control := &leader.Leader{Replicas: set.Control, Caller: e.mesh}
 	e.follow = &follow.Follow{
-		Site: set.DataCentre, Beat: e.beat, Asker: &leader.Leader{Replicas: set.Control, Caller: e.mesh},
+		Site: set.DataCentre, Beat: e.beat, Replicas: set.Control, Neighbours: e.neighbours, Caller: e.mesh,
 		Install: func(_ uint64, cfg *conf.Config) { e.sched.Install(cfg) }, Log: log.WithName("follow"),
 	}
 	granter := &grant.Grant{Self: set.Node, Local: e.sched, Members: e, Mesh: e.mesh, Log: log.WithName("grant")}
@@ -92,8 +96,9 @@
 		Node: set.Node, Incarnation: incarnation, Address: set.Peers.String(), Config: e.follow.Config,
 		Granter: granter, Proposer: control, Sender: e.client, Peers: e.mesh, Stats: e.stats, Log: log.WithName("front"),
 	}
-	ops := &admin.Admin{Stats: e.stats, Ready: e.ready, Drain: e.drain, Info: e.info}
-	e.sup = suture.New("entry", suture.Spec{EventHook: func(ev suture.Event) { log.Info("Part stopped.", "event", ev.String()) }})
+	e.gauges()
+	ops := &admin.Admin{Stats: e.stats, Ready: e.ready, Drain: e.drain, Info: e.info, Token: set.OperatorToken}
+	e.sup = suture.New("entry", suture.Spec{EventHook: func(ev suture.Event) { e.log.Info("Part stopped.", "event", ev.String()) }})
 	for _, s := range []suture.Service{
 		e.mesh, e.sched, e.member, e.follow,
 		&httpd.Httpd{Listen: lns[1], Handler: e.front},
@@ -119,9 +124,9 @@
 		return fmt.Errorf("entry: %w", err)
 	}
 	e.log.Info("Entry drains.")
-	dctx, dcancel := context.WithTimeout(parts, DrainLimit)
+	dctx, dcancel := context.WithTimeout(parts, e.set.DrainLimit)
 	defer dcancel()
-	e.member.Leave(dctx)
+	e.member.Drain(dctx)
 	e.front.Stop(dctx)
 	cancel()
 	<-done //nolint:errcheck // The parts ended because they were told to.
@@ -183,8 +188,10 @@
 		e.sched.Hold(b.Held)
 	case *wire.Frame_JoinQuery:
 		return &wire.Frame{Body: &wire.Frame_JoinReply{JoinReply: e.front.Join(ctx, b.JoinQuery)}}, nil
-	case *wire.Frame_Gossip:
-		e.member.Heard(b.Gossip)
+	case *wire.Frame_Probe:
+		e.member.Heard(ctx, b.Probe)
+	case *wire.Frame_ConfigQuery:
+		return &wire.Frame{Body: &wire.Frame_BeatReply{BeatReply: e.follow.Answer(b.ConfigQuery)}}, nil
 	default:
 		return nil, &wire.Fault{Code: "unsupported", Text: fmt.Sprintf("entry: %T", b)}
 	}
@@ -198,6 +205,17 @@
 	}
 }
 
+// neighbours lists the other live entries of the data centre.
+func (e *Entry) neighbours() []netip.AddrPort {
+	var list []netip.AddrPort
+	for _, m := range e.member.Alive() {
+		if a, err := netip.ParseAddrPort(m.GetAddress()); err == nil && a != e.set.Peers {
+			list = append(list, a)
+		}
+	}
+	return list
+}
+
 func (e *Entry) ready() bool { return e.follow.Config() != nil && e.asked.Err() == nil }
 
 type info struct {
