--- a/core/late/admit.go
+++ b/core/late/admit.go
@@ -23,7 +23,6 @@
 // item makes a ticket ready for the queue.
 func (l *Late) item(now time.Time, t *wire.Ticket) *item.Item {
 	i := &item.Item{Ticket: t, Work: limit.Cost(t.GetPromptTokens(), t.GetAnswerTokens()), Long: l.usual.add(now, t)}
-	l.queue.Arrived(i)
 	if t.GetDeadlineUs() > 0 {
 		i.Deadline = now.Add(micros(t.GetDeadlineUs()))
 		i.Latest = i.Deadline.Add(-l.fastest(now, i))
--- a/core/late/late.go
+++ b/core/late/late.go
@@ -111,6 +111,7 @@
 	if code, after := l.hopeless(now, i); code != "" {
 		return []*wire.Decision{refusal(t, code, after)}
 	}
+	l.queue.Arrived(i)
 	l.queue.Push(i)
 	out := l.assign(now)
 	for v := l.queue.OverAccount(t.GetAccount()); v != nil; v = l.queue.OverAccount(t.GetAccount()) {
--- a/io/bench/bench.go
+++ b/io/bench/bench.go
@@ -150,7 +150,7 @@
 	}
 	q, err := quorum.Open(&setup.Setup{
 		Node: "control-1", DataCentre: "dc", Peers: control, Operator: netip.MustParseAddrPort("127.0.0.1:0"),
-		Control: []netip.AddrPort{control}, DataFolder: filepath.Join(b.dir, "control"),
+		Control: []netip.AddrPort{control}, DataFolder: filepath.Join(b.dir, "control"), Bootstrap: true,
 	}, logr.Discard())
 	if err != nil {
 		return fmt.Errorf("bench: %w", err)
--- a/io/score/score.go
+++ b/io/score/score.go
@@ -64,7 +64,7 @@
 	if others > 0 {
 		s.Others = float64(otherGood) / float64(others)
 	}
-	s.Wasted = wasted(results, runs, before, after)
+	s.Wasted = wasted(before, after)
 	s.Shed, s.Late = shed(results, runs)
 	return s
 }
@@ -72,7 +72,7 @@
 // wasted is the part of the prompt work that served no whole answer: what the
 // engines counted for requests that they did not finish. Answers that were
 // finished too late are cut off by the entry at the deadline and count here.
-func wasted(_ []result.Result, _ []record.Record, before, after []tally.Tally) float64 {
+func wasted(before, after []tally.Tally) float64 {
 	var prompt, waste int64
 	for i := range after {
 		prompt += after[i].Prompt - before[i].Prompt
