A fresh owner's grace counts from the takeover

Cause: every entry has a scheduler for every pool from the first configuration on, so an entry that took a pool over later had used up its grace and refused no-upstream at once. Seen by TestGraceEnds, which failed before this change. Change: an owner counts as fresh when it has not been asked for 5 s; only messages to owners count, ticks do not. Ruled out: counting from the last announcement alone, with which a pool whose upstreams are all dead would make each caller wait 3 s.

--- a/core/late/late.go
+++ b/core/late/late.go
@@ -39,7 +39,8 @@
 	usual usual
 	drain drain
 
-	started time.Time // First call; the table fills within startGrace after it.
+	started time.Time // When this owner began; the table fills within startGrace after it.
+	asked   time.Time // Last message that only an owner gets.
 	swept   time.Time
 	sweeps  int
 	live    int               // Live upstreams at the last sweep.
@@ -52,7 +53,11 @@
 const (
 	// startGrace is how long a fresh owner waits for announcements before it
 	// says that there is no upstream. Upstreams announce themselves each second.
-	startGrace  = 3 * time.Second
+	startGrace = 3 * time.Second
+	// ownerIdle is how long an owner hears nothing before it counts as a fresh
+	// one. Each entry has this policy for each pool, and hears of a pool only
+	// while it owns it.
+	ownerIdle   = 5 * time.Second
 	forgetAfter = time.Minute            // An upstream without a lease stays known.
 	sweepEvery  = 200 * time.Millisecond // Looks at all slots and upstreams.
 	runGrace    = 10 * time.Second       // Over the longest run, before a slot without an end is freed.
@@ -66,7 +71,6 @@
 
 // Configure installs the pool's limits and weights.
 func (l *Late) Configure(now time.Time, name string, cfg *conf.Config) []*wire.Decision {
-	l.begin(now)
 	l.name = name
 	l.pool = cfg.Pools[name].WithDefaults()
 	if p, err := place.Preset(l.pool.Preset); err == nil {
@@ -83,15 +87,17 @@
 	return append(l.sweep(now), l.assign(now)...)
 }
 
-func (l *Late) begin(now time.Time) {
-	if l.started.IsZero() {
+// owns notes that this entry is asked as the pool's owner.
+func (l *Late) owns(now time.Time) {
+	if now.Sub(l.asked) > ownerIdle {
 		l.started = now
 	}
+	l.asked = now
 }
 
 // Announce takes an upstream's lease and grants what now fits.
 func (l *Late) Announce(now time.Time, a *wire.Announce) []*wire.Decision {
-	l.begin(now)
+	l.owns(now)
 	l.table.Put(now, a)
 	l.stale = true
 	return l.assign(now)
@@ -101,7 +107,7 @@
 // again replaces its former self: the link broke before the decision arrived,
 // so a waiting one would be granted twice and a granted one never dispatched.
 func (l *Late) Submit(now time.Time, t *wire.Ticket) []*wire.Decision {
-	l.begin(now)
+	l.owns(now)
 	l.queue.Remove(t.GetIncarnation(), t.GetId())
 	l.cancel(now, t.GetIncarnation(), t.GetId())
 	if !l.served(now, t) && now.Sub(l.started) >= startGrace {
@@ -141,7 +147,7 @@
 // Hold takes an entry's list of the slots that it holds, sent when this owner
 // takes over and again every few seconds. See slots.Hold.
 func (l *Late) Hold(now time.Time, h *wire.Held) {
-	l.begin(now)
+	l.owns(now)
 	var list []*wire.HeldSlot
 	for _, s := range h.GetSlots() {
 		if s.GetTicket().GetPool() == l.name {
@@ -162,7 +168,6 @@
 
 // Tick refuses what can't be done in time any more and grants what now fits.
 func (l *Late) Tick(now time.Time) []*wire.Decision {
-	l.begin(now)
 	var out []*wire.Decision
 	for i := l.queue.Expired(now); i != nil; i = l.queue.Expired(now) {
 		out = append(out, refusal(i.Ticket, refuse.Deadline, l.later(i)))
--- a/core/late/late_test.go
+++ b/core/late/late_test.go
@@ -133,10 +133,20 @@
 	must.SliceEmpty(t, l.Announce(start.Add(time.Second), announce(0, 1)), must.Sprint("the held slot counts"))
 	r := &wire.Release{Ticket: 1, Entry: "e", Incarnation: "i", Pool: "p", Upstream: "up-0", Slot: 7, Owner: "former", Dispatched: true}
 	must.Eq(t, []uint64{2}, grants(l.Release(start.Add(time.Second), r)))
+}
 
-	l = newLate(nil)
-	must.SliceEmpty(t, l.Submit(start, ticket(1, wire.Tier_TIER_NORMAL)))
-	must.MapEmpty(t, refusals(l.Tick(start.Add(2*time.Second))))
-	must.Eq(t, map[uint64]string{1: "no-upstream"}, refusals(l.Tick(start.Add(4*time.Second))))
-	must.Eq(t, map[uint64]string{2: "no-upstream"}, refusals(l.Submit(start.Add(4*time.Second), ticket(2, wire.Tier_TIER_NORMAL))))
+// An entry has run for a minute without owning the pool and takes it over. The
+// grace counts from there; without announcements it ends in an honest refusal,
+// and requests that come later are refused at once.
+func TestGraceEnds(t *testing.T) {
+	l := newLate(nil)
+	now := start.Add(time.Minute)
+	l.Tick(now)
+	must.SliceEmpty(t, l.Submit(now, ticket(1, wire.Tier_TIER_NORMAL)))
+	must.MapEmpty(t, refusals(l.Tick(now.Add(2*time.Second))))
+	must.Eq(t, map[uint64]string{1: "no-upstream"}, refusals(l.Tick(now.Add(4*time.Second))))
+	for id := range uint64(5) {
+		now = now.Add(4 * time.Second)
+		must.Eq(t, map[uint64]string{2 + id: "no-upstream"}, refusals(l.Submit(now, ticket(2+id, wire.Tier_TIER_NORMAL))))
+	}
 }
