A withdrawn ticket may come back

Cause: a withdrawal was remembered for 5 s to catch a ticket that it overtook. When a pool moves away and back within that, the entry sends the withdrawn ticket again, and it was refused. Seen by TestWithdrawnAndBack, which failed before this change. Change: remembered only when no call of the ticket waited, and for 0.5 s. Ruled out: no memory at all, with which TestWithdrawalOvertakes fails. Result: go test -race ./io/sched passes.

--- a/io/sched/sched.go
+++ b/io/sched/sched.go
@@ -118,11 +118,14 @@
 
 // end lets a call return whose ticket needs no decision any more. Its caller
 // has gone, but without this its goroutine would wait as long as the link lives.
-func (r *runner) end(k waitKey) {
-	if ch, ok := r.waiting[k]; ok {
+// It reports whether there was one.
+func (r *runner) end(k waitKey) bool {
+	ch, ok := r.waiting[k]
+	if ok {
 		delete(r.waiting, k)
 		ch <- refuse(&wire.Ticket{Id: k.ticket, Incarnation: k.incarnation}, "withdrawn")
 	}
+	return ok
 }
 
 // abandon gives up the ticket of a call whose context has ended, unless a
@@ -156,8 +159,9 @@
 	}
 	r.do(s.Incarnation, func(now time.Time) []*wire.Decision {
 		k := waitKey{w.GetIncarnation(), w.GetTicket()}
-		r.end(k)
-		r.gone[k] = now
+		if !r.end(k) {
+			r.gone[k] = now
+		}
 		r.policy.Withdraw(now, w)
 		return r.policy.Tick(now)
 	})
@@ -223,8 +227,10 @@
 }
 
 // goneKeep is how long a withdrawal is remembered for a ticket that it has
-// overtaken on the link.
-const goneKeep = 5 * time.Second
+// overtaken. Frames of a link are read in order and handled at once, so that
+// they change places only by the moments that a goroutine takes to start. The
+// entry may send the ticket again later, when its pool has moved away and back.
+const goneKeep = 500 * time.Millisecond
 
 func (r *runner) tick(now time.Time) []*wire.Decision {
 	for k, at := range r.gone {
--- a/io/sched/sched_test.go
+++ b/io/sched/sched_test.go
@@ -116,3 +116,21 @@
 		}
 	})
 }
+
+// A pool moves to another owner and, moments later, back. The entry withdrew
+// its waiting ticket here when the pool went, and now sends it again: it must
+// wait as any other, not be taken for one that its withdrawal has overtaken.
+func TestWithdrawnAndBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSched()
+		busy := s.Submit(t.Context(), ticket(1))
+		go s.Submit(t.Context(), ticket(2))
+		synctest.Wait()
+		s.Withdraw(&wire.Withdraw{Ticket: 2, Entry: "e", Incarnation: "i", Pool: "p"})
+		back := make(chan *wire.Decision, 1)
+		go func() { back <- s.Submit(t.Context(), ticket(2)) }()
+		synctest.Wait()
+		s.Release(release(busy))
+		must.NotNil(t, (<-back).GetGrant())
+	})
+}
