Bars of goodput below each table

Cause: tables of thirteen columns are hard to take in at a glance. Change: load compare draws the goodput by tier and policy as bars. Ruled out: pictures, which a page in the tree can't be compared by.

--- a/io/trial/table.go
+++ b/io/trial/table.go
@@ -33,13 +33,26 @@
 			sum(r, func(s score.Score) int { return s.Late }), sum(r, func(s score.Score) int { return s.Lost }))
 		fmt.Fprintf(b, " %.1f, %.1f ms |\n", mean(r, func(s score.Score) float64 { return ms(s.SaidHalf) }), mean(r, func(s score.Score) float64 { return ms(s.Said) }))
 	}
-	b.WriteString("\n")
+	plot(b, rows)
 	for _, r := range rows {
 		fmt.Fprintf(b, "%s refused: %s\n", r.policy, reasons(r))
 	}
 	b.WriteString("\n")
 }
 
+// plot draws the goodput of each policy and tier as bars.
+func plot(b *strings.Builder, rows []row) {
+	const width = 50
+	b.WriteString("\n```\n")
+	for level, name := range []string{"urgent", "normal", "bulk"} {
+		for _, r := range rows {
+			p := mean(r, func(s score.Score) float64 { return percent(s.Good[level], s.Asked[level]) })
+			fmt.Fprintf(b, "%-7s %-13s |%-*s| %5.1f %%\n", name, r.policy, width, strings.Repeat("#", int(p*width/100)), p)
+		}
+	}
+	b.WriteString("```\n\n")
+}
+
 func cell(b *strings.Builder, r row, f func(score.Score) float64, format string) {
 	low, high := f(r.scores[0]), f(r.scores[0])
 	for _, s := range r.scores {
