--- a/core/late/late.go
+++ b/core/late/late.go
@@ -37,9 +37,12 @@
 	place place.Place
 	blame blame.Blame
 	usual usual
+	drain drain
 
-	started time.Time // First call; the table fills within startGrace after it.
+	started time.Time // When this owner began; the table fills within startGrace after it.
+	asked   time.Time // Last message that only an owner gets.
 	swept   time.Time
+	sweeps  int
 	live    int               // Live upstreams at the last sweep.
 	rate    float64           // Work units a second of the whole pool; zero while unknown.
 	quick   *upstr.Upstream   // The fastest one for a usual run at the last sweep.
@@ -50,7 +53,11 @@
 const (
 	// startGrace is how long a fresh owner waits for announcements before it
 	// says that there is no upstream. Upstreams announce themselves each second.
-	startGrace  = 3 * time.Second
+	startGrace = 3 * time.Second
+	// ownerIdle is how long an owner hears nothing before it counts as a fresh
+	// one. Each entry has this policy for each pool, and hears of a pool only
+	// while it owns it.
+	ownerIdle   = 5 * time.Second
 	forgetAfter = time.Minute            // An upstream without a lease stays known.
 	sweepEvery  = 200 * time.Millisecond // Looks at all slots and upstreams.
 	runGrace    = 10 * time.Second       // Over the longest run, before a slot without an end is freed.
@@ -64,7 +71,6 @@
 
 // Configure installs the pool's limits and weights.
 func (l *Late) Configure(now time.Time, name string, cfg *conf.Config) []*wire.Decision {
-	l.begin(now)
 	l.name = name
 	l.pool = cfg.Pools[name].WithDefaults()
 	if p, err := place.Preset(l.pool.Preset); err == nil {
@@ -81,15 +87,17 @@
 	return append(l.sweep(now), l.assign(now)...)
 }
 
-func (l *Late) begin(now time.Time) {
-	if l.started.IsZero() {
+// owns notes that this entry is asked as the pool's owner.
+func (l *Late) owns(now time.Time) {
+	if now.Sub(l.asked) > ownerIdle {
 		l.started = now
 	}
+	l.asked = now
 }
 
 // Announce takes an upstream's lease and grants what now fits.
 func (l *Late) Announce(now time.Time, a *wire.Announce) []*wire.Decision {
-	l.begin(now)
+	l.owns(now)
 	l.table.Put(now, a)
 	l.stale = true
 	return l.assign(now)
@@ -99,7 +107,7 @@
 // again replaces its former self: the link broke before the decision arrived,
 // so a waiting one would be granted twice and a granted one never dispatched.
 func (l *Late) Submit(now time.Time, t *wire.Ticket) []*wire.Decision {
-	l.begin(now)
+	l.owns(now)
 	l.queue.Remove(t.GetIncarnation(), t.GetId())
 	l.cancel(now, t.GetIncarnation(), t.GetId())
 	if !l.served(now, t) && now.Sub(l.started) >= startGrace {
@@ -109,13 +117,14 @@
 	if code, after := l.hopeless(now, i); code != "" {
 		return []*wire.Decision{refusal(t, code, after)}
 	}
+	l.queue.Arrived(i)
 	l.queue.Push(i)
 	out := l.assign(now)
 	for v := l.queue.OverAccount(t.GetAccount()); v != nil; v = l.queue.OverAccount(t.GetAccount()) {
-		out = append(out, refusal(v.Ticket, refuse.AccountLimit, l.drain(v)))
+		out = append(out, refusal(v.Ticket, refuse.AccountLimit, l.later(v)))
 	}
 	for v := l.queue.OverPool(); v != nil; v = l.queue.OverPool() {
-		out = append(out, refusal(v.Ticket, refuse.Overloaded, l.drain(v)))
+		out = append(out, refusal(v.Ticket, refuse.Overloaded, l.later(v)))
 	}
 	return out
 }
@@ -138,7 +147,7 @@
 // Hold takes an entry's list of the slots that it holds, sent when this owner
 // takes over and again every few seconds. See slots.Hold.
 func (l *Late) Hold(now time.Time, h *wire.Held) {
-	l.begin(now)
+	l.owns(now)
 	var list []*wire.HeldSlot
 	for _, s := range h.GetSlots() {
 		if s.GetTicket().GetPool() == l.name {
@@ -159,10 +168,9 @@
 
 // Tick refuses what can't be done in time any more and grants what now fits.
 func (l *Late) Tick(now time.Time) []*wire.Decision {
-	l.begin(now)
 	var out []*wire.Decision
 	for i := l.queue.Expired(now); i != nil; i = l.queue.Expired(now) {
-		out = append(out, refusal(i.Ticket, refuse.Deadline, l.drain(i)))
+		out = append(out, refusal(i.Ticket, refuse.Deadline, l.later(i)))
 	}
 	if now.Sub(l.swept) >= sweepEvery {
 		out = append(out, l.sweep(now)...)
@@ -217,6 +225,7 @@
 	if h := i.GetPrefixHash(); h != 0 {
 		s.Up.Cache.Sent(now, h)
 	}
+	l.drain.granted += i.Work
 	d := l.slots.Grant(now, s, l.pool.GrantTTL)
 	if !s.Up.Room(now) {
 		l.open = slices.DeleteFunc(l.open, func(u *upstr.Upstream) bool { return u == s.Up })
