dev: print the requests once they can be served

Cause: on a fresh clone the printed requests got not-ready for a second, before the entry had its first configuration. Ruled out: a shorter beat, which costs every deployment. Change: dev waits for the entry's /ready before it prints.

--- a/cmd/azurelane/dev.go
+++ b/cmd/azurelane/dev.go
@@ -5,6 +5,7 @@
 	_ "embed"
 	"fmt"
 	"net"
+	"net/http"
 	"net/netip"
 	"os"
 	"time"
@@ -57,6 +58,9 @@
 	if err := c.firstConfig(ctx); err != nil {
 		return err
 	}
+	if err := c.ready(ctx); err != nil {
+		return err
+	}
 	fmt.Printf(devHint, c.addr(0), c.addr(0))
 	if err := <-done; err != nil && ctx.Err() == nil {
 		return fmt.Errorf("dev: %w", err)
@@ -64,6 +68,28 @@
 	return nil
 }
 
+// ready waits until the entry has its configuration, so that the requests that
+// are printed next work as they are.
+func (c *devCmd) ready(ctx context.Context) error {
+	for {
+		r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.addr(5).String()+"/ready", http.NoBody)
+		if err != nil {
+			return fmt.Errorf("dev: %w", err)
+		}
+		if resp, err := http.DefaultClient.Do(r); err == nil {
+			_ = resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(100 * time.Millisecond):
+		}
+	}
+}
+
 const devHint = `azurelane serves. Try:
 
   curl -i http://%s/v1/chat/completions -H 'Authorization: Bearer dev-key' -d '{"model":"demo","messages":[{"role":"user","content":"Hello"}]}'
