Orders find the upstream by its announcement

Cause: an operator had to type an engine's address and whether it checks numbers; a wrong word there would let two orders run at once. Ruled out: a list of upstreams in the settings, which nothing may keep.

--- a/cmd/azurelane/operator.go
+++ b/cmd/azurelane/operator.go
@@ -99,3 +99,31 @@
 	}
 	return r, nil
 }
+
+// upstream asks the entries that control hears of for a live upstream.
+func (o *operator) upstream(ctx context.Context, name string) (*wire.Announce, error) {
+	asked := map[string]bool{}
+	for _, h := range o.statusAll(ctx) {
+		for _, n := range h.status.GetNodes() {
+			addr, err := netip.ParseAddrPort(n.GetBeat().GetAddress())
+			if err != nil || asked[addr.String()] {
+				continue
+			}
+			asked[addr.String()] = true
+			if a := o.known(ctx, addr, name); a != nil {
+				return a, nil
+			}
+		}
+	}
+	return nil, fmt.Errorf("no entry knows a live upstream %s; asked %d", name, len(asked))
+}
+
+func (o *operator) known(ctx context.Context, entry netip.AddrPort, upstream string) *wire.Announce {
+	ctx, cancel := context.WithTimeout(ctx, askLimit)
+	defer cancel()
+	f, err := o.mesh.Call(ctx, entry, &wire.Frame{Body: &wire.Frame_UpstreamQuery{UpstreamQuery: &wire.UpstreamQuery{Upstream: upstream}}})
+	if err != nil {
+		return nil
+	}
+	return f.GetAnnounce()
+}
--- a/cmd/azurelane/order.go
+++ b/cmd/azurelane/order.go
@@ -15,7 +15,8 @@
 is numbered by the replicated log and sent when no other order can still run
 at that upstream. One that checks the number refuses older orders by itself;
 at any other a second order waits until the first is known to be over or its
---limit is up.
+--limit is up. The entries that it announced itself to know its address and
+whether it checks.
 
 When the answer is lost, send the same order again with its --id.`
 
@@ -23,11 +24,9 @@
 	Kind        string           `arg:"" enum:"load-model,load-adapter,set-role" help:"load-model, load-adapter or set-role."`
 	Target      string           `arg:"" help:"Model, adapter or role."`
 	Upstream    string           `required:"" help:"Name of the upstream."`
-	Address     netip.AddrPort   `required:"" help:"Address of its HTTP server."`
 	Control     []netip.AddrPort `required:"" help:"Peer addresses of the control replicas."`
 	Version     string           `help:"Version of the model or adapter."`
 	ID          string           `help:"Id of the order; a new one when left out."`
-	ChecksFence bool             `help:"The upstream refuses an order with an old number."`
 	Limit       time.Duration    `default:"10m" help:"Longest time that the order can take."`
 	WeightLimit int              `default:"2" help:"Orders that may read from the weight store at once."`
 	tlsFlags    `embed:""`
@@ -46,9 +45,17 @@
 	if c.ID == "" {
 		c.ID = uuid.NewString()
 	}
+	a, err := op.upstream(ctx, c.Upstream)
+	if err != nil {
+		return err
+	}
+	addr, err := netip.ParseAddrPort(a.GetAddress())
+	if err != nil {
+		return fmt.Errorf("order: address of %s: %w", c.Upstream, err)
+	}
 	o := order.Order{
-		ID: c.ID, Upstream: c.Upstream, Address: c.Address, Kind: c.Kind, Target: c.Target, Version: c.Version,
-		ChecksFence: c.ChecksFence, Weights: c.Kind != "set-role", WeightLimit: c.WeightLimit, Limit: c.Limit, Proposer: op.leader,
+		ID: c.ID, Upstream: c.Upstream, Address: addr, Kind: c.Kind, Target: c.Target, Version: c.Version,
+		ChecksFence: a.GetChecksFence(), Weights: c.Kind != "set-role", WeightLimit: c.WeightLimit, Limit: c.Limit, Proposer: op.leader,
 	}
 	fence, err := o.Run(ctx)
 	if err != nil {
--- a/cmd/azurelane/order_test.go
+++ b/cmd/azurelane/order_test.go
@@ -11,9 +11,9 @@
 // Another order gets the next number.
 func TestOrder(t *testing.T) {
 	c := newCluster(t, 1)
-	addr := c.upstream("engine-1", "demo", "demo")
+	c.upstream("engine-1", "demo", "demo")
 	order := func(id string) error {
-		return c.start("order", "load-model", "demo-2", "--upstream", "engine-1", "--address", addr.String(),
+		return c.start("order", "load-model", "demo-2", "--upstream", "engine-1",
 			"--control", c.replicas(), "--id", id, "--limit", "5s").Wait()
 	}
 	c.until("first order done", func() bool { return order("o1") == nil })
--- a/cmd/azurelane/standin.go
+++ b/cmd/azurelane/standin.go
@@ -55,7 +55,7 @@
 	eng := &engine.Engine{Name: c.Name, Slots: c.Slots, Prefill: c.Prefill, Step: c.Step, Crowd: c.Crowd, CacheLimit: 64}
 	h := &hello.Hello{
 		Upstream: c.Name, Address: c.Listen, Incarnation: uuid.NewString()[:8], Pools: c.Pools, Models: c.Models,
-		MaxRunning: c.Slots, Entries: c.Entries, Key: c.Key, Load: eng.Load, Log: log.WithName("hello"),
+		MaxRunning: c.Slots, ChecksFence: c.ChecksFence, Entries: c.Entries, Key: c.Key, Load: eng.Load, Log: log.WithName("hello"),
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/", &stand.Stand{Engine: eng})
--- a/io/entry/handle.go
+++ b/io/entry/handle.go
@@ -78,6 +78,12 @@
 		return &wire.Frame{Body: &wire.Frame_JoinReply{JoinReply: e.front.Join(ctx, b.JoinQuery)}}, nil
 	case *wire.Frame_ConfigQuery:
 		return &wire.Frame{Body: &wire.Frame_BeatReply{BeatReply: e.follow.Answer(b.ConfigQuery)}}, nil
+	case *wire.Frame_UpstreamQuery:
+		a := e.notice.Find(b.UpstreamQuery.GetUpstream())
+		if a == nil {
+			return nil, &wire.Fault{Code: "not-found", Text: "no live upstream of that name spoke to this entry"}
+		}
+		return &wire.Frame{Body: &wire.Frame_Announce{Announce: a}}, nil
 	default:
 		return nil, &wire.Fault{Code: "unsupported", Text: fmt.Sprintf("entry: %T", b)}
 	}
--- a/io/hello/hello.go
+++ b/io/hello/hello.go
@@ -38,6 +38,7 @@
 		MaxTokens   int
 		Hardware    string
 		CanResume   bool
+		ChecksFence bool // It refuses an order with an old number.
 		Entries     []netip.AddrPort
 		Key         string                                        // Bearer key of its pools; empty for pools without one.
 		Linger      time.Duration                                 // From "leaving" to the return of Serve; zero takes the default.
@@ -59,6 +60,7 @@
 		MaxTokens      int            `json:"max-tokens,omitzero"`
 		Hardware       string         `json:"hardware,omitzero"`
 		CanResume      bool           `json:"can-resume,omitzero"`
+		ChecksFence    bool           `json:"checks-fence,omitzero"`
 		Leaving        bool           `json:"leaving,omitzero"`
 		Lease          time.Duration  `json:"lease"`
 		Running        int            `json:"running,omitzero"`
@@ -98,7 +100,7 @@
 	h.seq++
 	a := announcement{
 		Upstream: h.Upstream, Address: h.Address, Incarnation: h.Incarnation, Seq: h.seq, Pools: h.Pools, Models: h.Models,
-		MaxRunning: h.MaxRunning, MaxTokens: h.MaxTokens, Hardware: h.Hardware, CanResume: h.CanResume,
+		MaxRunning: h.MaxRunning, MaxTokens: h.MaxTokens, Hardware: h.Hardware, CanResume: h.CanResume, ChecksFence: h.ChecksFence,
 		Leaving: leaving, Lease: 3 * Every,
 	}
 	if h.Load != nil {
--- a/io/notice/notice.go
+++ b/io/notice/notice.go
@@ -69,6 +69,18 @@
 // Accept takes an announcement that this process should know as an owner.
 func (n *Notice) Accept(a *wire.Announce) { n.Take(n.stick(a)) }
 
+// Find returns the last announcement that an upstream made here, or nil when
+// there is none or its lease is over.
+func (n *Notice) Find(upstream string) *wire.Announce {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	s := n.last[upstream]
+	if s == nil || time.Since(s.at) > time.Duration(s.GetLeaseUs())*time.Microsecond {
+		return nil
+	}
+	return s.Announce
+}
+
 // Changed passes what is known on to owners that are new, so that they don't
 // wait for each upstream to speak again. A lease is passed on with what is left
 // of it: the age of the news must not lengthen it.
