--- a/core/member/probe.go
+++ b/core/member/probe.go
@@ -99,19 +99,23 @@
 
 // judge takes suspects for dead whose time is over.
 func (d *Detector) judge(now time.Time) {
-	for _, name := range slices.Sorted(maps.Keys(d.peers)) {
+	var due []string
+	for name, p := range d.peers {
+		if p.GetState() == wire.Member_STATE_SUSPECT || (!live(p.Member) && now.Sub(p.since) > forgetAfter) {
+			due = append(due, name)
+		}
+	}
+	slices.Sort(due) // The same input gives the same messages.
+	for _, name := range due {
 		p := d.peers[name]
 		age := now.Sub(p.since)
 		switch {
-		case p.GetState() == wire.Member_STATE_SUSPECT:
-			if age < d.Suspect || (age < d.Slow && !d.agreed(p)) {
-				continue
-			}
+		case !live(p.Member):
+			delete(d.peers, name)
+		case age >= d.Slow || (age >= d.Suspect && d.agreed(p)):
 			m := clone(p.Member)
 			m.State, m.Observers = wire.Member_STATE_DEAD, nil
 			d.apply(now, m)
-		case !live(p.Member) && age > forgetAfter:
-			delete(d.peers, name)
 		}
 	}
 }
--- /dev/null
+++ b/io/hello/hello_test.go
@@ -0,0 +1,76 @@
+package hello
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"azurelane/core/codec"
+)
+
+// entry notes what an upstream announced to it.
+type entry struct {
+	*httptest.Server
+	mu    sync.Mutex
+	got   []announcement
+	key   string
+	first chan struct{}
+	once  sync.Once
+	deaf  bool // It takes a request and never answers, as a frozen process does.
+}
+
+func newEntry(t *testing.T, deaf bool) *entry {
+	e := &entry{first: make(chan struct{}), deaf: deaf}
+	e.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if e.deaf {
+			_, _ = io.Copy(io.Discard, r.Body) // Only then does the server notice that its caller has gone.
+			<-r.Context().Done()
+			return
+		}
+		var a announcement
+		must.NoError(t, codec.ReadLoose(r.Body, &a))
+		e.mu.Lock()
+		e.got, e.key = append(e.got, a), r.Header.Get("Authorization")
+		e.mu.Unlock()
+		e.once.Do(func() { close(e.first) })
+		w.WriteHeader(http.StatusNoContent)
+	}))
+	t.Cleanup(e.Close)
+	return e
+}
+
+func (e *entry) addr() netip.AddrPort { return netip.MustParseAddrPort(e.Listener.Addr().String()) }
+
+// One entry is dead and the next is frozen. The third hears of the upstream in
+// the same announcement, within its lease of 3 s. When the upstream is told to
+// stop, it says so before Serve returns, and with a higher number than all before.
+func TestNextEntryAndLeaving(t *testing.T) {
+	dead := newEntry(t, false)
+	dead.Close()
+	live := newEntry(t, false)
+	h := &Hello{
+		Upstream: "u", Incarnation: "u1", Pools: []string{"p"}, Address: netip.MustParseAddrPort("127.0.0.1:9"),
+		Entries: []netip.AddrPort{dead.addr(), newEntry(t, true).addr(), live.addr()}, Key: "secret", Linger: time.Second,
+	}
+	must.Less(t, 3*Every, 2*tryLimit)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- h.Serve(ctx) }()
+	<-live.first
+	cancel()
+	must.ErrorIs(t, <-done, context.Canceled)
+	live.mu.Lock()
+	defer live.mu.Unlock()
+	must.Eq(t, "Bearer secret", live.key)
+	must.False(t, live.got[0].Leaving)
+	last := live.got[len(live.got)-1]
+	must.True(t, last.Leaving)
+	must.Greater(t, live.got[0].Seq, last.Seq)
+}
