--- a/cmd/azurelane/control_test.go
+++ b/cmd/azurelane/control_test.go
@@ -158,6 +158,7 @@
 		add = append(add, "--control", a.String())
 	}
 	must.NoError(t, g.start(add...).Wait())
+	must.NoError(t, g.start(add...).Wait(), must.Sprint("sent again"))
 	g.kill((lost + 1) % 3)
 	must.Error(t, g.change("c5", 2))
 	must.NoError(t, g.change("c4", 2))
--- a/cmd/azurelane/replica.go
+++ b/cmd/azurelane/replica.go
@@ -61,10 +61,6 @@
 		return fmt.Errorf("replica: ask the new one: %w", err)
 	}
 	id := f.GetStatus().GetIdentity()
-	steps := []*wire.Membership{{Replica: id, Address: c.Address.String(), Role: wire.Membership_ROLE_VOTER}}
-	if c.Replace != "" {
-		steps = append([]*wire.Membership{{Replica: c.Replace, Role: wire.Membership_ROLE_NONE}}, steps...)
-	}
 	s, err := op.status(ctx)
 	if err != nil {
 		return fmt.Errorf("replica: %w", err)
@@ -72,10 +68,7 @@
 	if g := f.GetStatus().GetGroup(); g != "" && g != s.GetGroup() {
 		return fmt.Errorf("replica: %s belongs to another group: give it an empty data folder", c.Address)
 	}
-	if role(s, id) == wire.Membership_ROLE_NONE {
-		steps = append([]*wire.Membership{{Replica: id, Address: c.Address.String(), Role: wire.Membership_ROLE_LEARNER}}, steps...)
-	}
-	for _, m := range steps {
+	for _, m := range c.steps(s, id) {
 		if err := op.caughtUp(ctx, c.Address, m); err != nil {
 			return err
 		}
@@ -86,6 +79,18 @@
 	return nil
 }
 
+// steps are the changes that are still missing.
+func (c *replicaAddCmd) steps(s *wire.Status, id string) []*wire.Membership {
+	var list []*wire.Membership
+	if role(s, id) == wire.Membership_ROLE_NONE {
+		list = append(list, &wire.Membership{Replica: id, Address: c.Address.String(), Role: wire.Membership_ROLE_LEARNER})
+	}
+	if c.Replace != "" && role(s, c.Replace) != wire.Membership_ROLE_NONE {
+		list = append(list, &wire.Membership{Replica: c.Replace, Role: wire.Membership_ROLE_NONE})
+	}
+	return append(list, &wire.Membership{Replica: id, Address: c.Address.String(), Role: wire.Membership_ROLE_VOTER})
+}
+
 // Run removes the replica.
 func (c *replicaRemoveCmd) Run(ctx context.Context) error {
 	op, err := newOperator(c.Control, c.tlsFlags)
@@ -93,6 +98,14 @@
 		return fmt.Errorf("replica: %w", err)
 	}
 	defer op.close()
+	s, err := op.status(ctx)
+	if err != nil {
+		return fmt.Errorf("replica: %w", err)
+	}
+	if role(s, c.Identity) == wire.Membership_ROLE_NONE {
+		fmt.Printf("replica %s: not a member\n", c.Identity)
+		return nil
+	}
 	return op.member(ctx, &wire.Membership{Replica: c.Identity, Role: wire.Membership_ROLE_NONE})
 }
 
--- a/core/sites/sites.go
+++ b/core/sites/sites.go
@@ -8,11 +8,19 @@
 
 	jsonpatch "github.com/evanphx/json-patch/v5"
 	"github.com/go-json-experiment/json/jsontext"
+	"github.com/pkg/errors"
 
 	"azurelane/core/codec"
 	"azurelane/core/conf"
 )
 
+// MaxBytes bounds a document. Every entry fetches each version, all within
+// about a second.
+const MaxBytes = 1 << 20
+
+// ErrTooLong marks a document over MaxBytes.
+var ErrTooLong = errors.New("sites: document too long")
+
 // Set is the whole configuration: one base and one overlay a site. An overlay
 // is a JSON merge patch (RFC 7386) on the base.
 type Set struct {
@@ -23,6 +31,9 @@
 // Parse reads a set and checks every site's merged result, so that a change
 // that would break one site is refused for all.
 func Parse(doc []byte) (*Set, error) {
+	if len(doc) > MaxBytes {
+		return nil, fmt.Errorf("%w: %d bytes: expected %d at most", ErrTooLong, len(doc), MaxBytes)
+	}
 	var s Set
 	if err := codec.Read(doc, &s); err != nil {
 		return nil, fmt.Errorf("sites: parse: %w", err)
--- a/io/ctrl/bench_test.go
+++ b/io/ctrl/bench_test.go
@@ -161,3 +161,25 @@
 		time.Sleep(tickEvery)
 	}
 }
+
+// BenchmarkCompact replaces the log by a snapshot of many claims on a real
+// disk. A leader does nothing else meanwhile.
+func BenchmarkCompact(b *testing.B) {
+	for _, n := range []int{10000, 50000, 100000, 400000} {
+		b.Run(fmt.Sprintf("claims-%d", n), func(b *testing.B) {
+			l, _ := diskGroup(b, 1)
+			l.stop()
+			for i := range n {
+				l.state.Apply(&wire.Command{Kind: &wire.Command_Claim{Claim: &wire.Claim{
+					Account: "account-17", Key: fmt.Sprintf("order-%010d", i), Holder: "0123abcd", Address: "10.0.0.1:7000", BodyHash: 1 << 62,
+				}}})
+			}
+			d, _, _, err := disk.Open(b.TempDir())
+			must.NoError(b, err)
+			l.Ctrl.store = d
+			for b.Loop() {
+				must.NoError(b, l.compact())
+			}
+		})
+	}
+}
--- a/io/ctrl/handle.go
+++ b/io/ctrl/handle.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"azurelane/core/raft"
 	"azurelane/core/state"
 	"azurelane/core/wire"
@@ -44,11 +46,14 @@
 // once it is applied here. After an error the command may still be applied:
 // only the same command may be sent again.
 func (c *Ctrl) Propose(ctx context.Context, cmd *wire.Command) (*wire.Result, error) {
+	// A caller that gave up may send the same message again while the first copy
+	// still waits here, so each proposal has its own.
+	cmd = proto.CloneOf(cmd)
+	state.Judge(cmd)
 	p := &proposal{cmd: cmd, member: cmd.GetMembership(), done: make(chan answer, 1)}
 	if cmd.GetExpire() != nil {
 		return nil, &wire.Fault{Code: leader.Refused, Text: "ctrl: only the leader expires claims"}
 	}
-	state.Judge(cmd)
 	select {
 	case c.props <- p:
 	case <-c.done:
