Broken streams go on at upstreams that can resume them

Cause: a stream whose connection was cut or went silent was broken off although the engine still had its run; its work was thrown away and asked for again.

Ruled out: sending the request again with an offset, because an upstream that doesn't know the header would run it twice; with the body sent along TestResumeThatFailsRunsNothing fails. Change: a request without a body asks for the rest, for upstreams that announce can-resume; io/resume is the stand-in's side. Conclusion: TestStreamResumes sees one whole stream of one run.

--- a/core/slots/slots.go
+++ b/core/slots/slots.go
@@ -46,6 +46,7 @@
 		Ticket: t.GetId(), Entry: t.GetEntry(), Incarnation: t.GetIncarnation(),
 		Kind: &wire.Decision_Grant{Grant: &wire.Grant{
 			Slot: g.Number, Upstream: g.Up.GetUpstream(), Address: g.Up.GetAddress(), ExpiresUs: ttl.Microseconds(),
+			CanResume: g.Up.GetCanResume(),
 		}},
 	}
 }
--- a/io/fault/fault.go
+++ b/io/fault/fault.go
@@ -46,10 +46,10 @@
 func (t *tape) Flush() {}
 
 // ServeHTTP runs the request and plays its answer with the fault that the
-// request names, or as it is.
+// request names, or as it is. What continues a stream goes well.
 func (f *Fault) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	kind := r.Header.Get(Header)
-	if kind == "" {
+	if kind == "" || r.Header.Get("Azurelane-Resume-From") != "" {
 		f.Handler.ServeHTTP(w, r)
 		return
 	}
--- a/io/front/fault_test.go
+++ b/io/front/fault_test.go
@@ -10,6 +10,7 @@
 	"azurelane/core/pool"
 	"azurelane/core/refuse"
 	"azurelane/io/fault"
+	"azurelane/io/resume"
 )
 
 // The upstream runs the request and then answers wrongly. The caller gets a
@@ -79,3 +80,39 @@
 		}
 	}
 }
+
+// The connection of a stream breaks in its middle, ends too soon or goes
+// silent. The engine still has the run, so the rest comes on a new connection,
+// and the caller sees one whole stream of one run.
+func TestStreamResumes(t *testing.T) {
+	for _, kind := range []string{fault.Cut, fault.Short, fault.Stall} {
+		for _, key := range []string{"", "k"} {
+			t.Run(kind+"/key="+key, func(t *testing.T) {
+				t.Parallel()
+				s := newSite(t, 1)
+				s.cfg.Pools["engines"] = pool.Pool{Models: []string{"m"}, Silence: 300 * time.Millisecond}
+				s.up.Config.Handler = &fault.Fault{Handler: &resume.Resume{Handler: s.engine, Grace: time.Minute}}
+				s.granter.canResume = true
+				got := s.entries[0].ask(ask{fault: kind, stream: true, key: key})
+				must.NoError(t, got.err)
+				must.Eq(t, "whole", got.outcome)
+				want := s.entries[0].ask(ask{stream: true})
+				must.Eq(t, plain(want.body), plain(got.body))
+				must.SliceLen(t, 2, s.engine.Journal())
+				s.free()
+			})
+		}
+	}
+}
+
+// An upstream says that it can resume and can't. It must not run the request a
+// second time, and the stream breaks visibly.
+func TestResumeThatFailsRunsNothing(t *testing.T) {
+	s := newSite(t, 1)
+	s.granter.canResume = true
+	got := s.entries[0].ask(ask{fault: fault.Cut, stream: true})
+	must.Error(t, got.err)
+	must.StrContains(t, got.body, "event: error")
+	must.Eq(t, 3, s.engine.Tally().Generated, must.Sprint("the tokens of one run"))
+	s.free()
+}
--- a/io/front/request.go
+++ b/io/front/request.go
@@ -29,7 +29,6 @@
 
 // Why a request's context ended.
 var (
-	errSilent   = errors.New("front: upstream silent")
 	errRunLimit = errors.New("front: run limit")
 	errDeadline = errors.New("front: deadline")
 	errCaller   = errors.New("front: caller gone")
--- /dev/null
+++ b/io/resume/resume.go
@@ -0,0 +1,184 @@
+// Package resume lets a stand-in continue a stream whose connection broke. It
+// is the engine's own feature: the run goes on in the engine, so continuing its
+// stream is no second run.
+package resume
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"azurelane/core/answer"
+	"azurelane/io/flight"
+)
+
+const (
+	// Header of a request without a body asks for the rest of the stream of the
+	// request id that it repeats, from that byte on. The answer repeats it.
+	Header = "Azurelane-Resume-From"
+
+	requestHeader = "Azurelane-Request"
+)
+
+type (
+	// Resume wraps a stand-in's handler. Its exported fields are set before use.
+	Resume struct {
+		http.Handler
+		Grace time.Duration // A run without a reader goes on for so long.
+
+		mu   sync.Mutex
+		runs map[string]*run // By request id.
+	}
+
+	run struct {
+		flight.Flight
+		readers int
+		cancel  context.CancelFunc
+	}
+
+	// writer is the handler's side of a run.
+	writer struct {
+		*run
+		header http.Header
+		begun  bool
+	}
+)
+
+// Header is the header of the answer.
+func (w *writer) Header() http.Header { return w.header }
+
+// WriteHeader begins the answer.
+func (w *writer) WriteHeader(status int) {
+	w.begun = true
+	_ = w.Head(&answer.Answer{Status: status, Header: w.header.Clone(), Streamed: true})
+}
+
+// Write takes a part of the answer.
+func (w *writer) Write(p []byte) (int, error) {
+	if !w.begun {
+		w.WriteHeader(http.StatusOK)
+	}
+	return w.run.Write(p) //nolint:wrapcheck // A plain writer.
+}
+
+// Flush has nothing to do.
+func (w *writer) Flush() {}
+
+// ServeHTTP runs a request, or continues one.
+func (s *Resume) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id, from := r.Header.Get(requestHeader), 0
+	if id == "" {
+		s.Handler.ServeHTTP(w, r)
+		return
+	}
+	var t *run
+	if h := r.Header.Get(Header); h != "" {
+		n, err := strconv.Atoi(h)
+		if t = s.find(id); t == nil || err != nil || n < 0 {
+			http.Error(w, "resume: no such run", http.StatusNotFound)
+			return
+		}
+		from = n
+		w.Header().Set(Header, h)
+	} else {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			http.Error(w, "resume: body not read", http.StatusBadRequest)
+			return
+		}
+		t = s.begin(id, r, body)
+	}
+	defer s.leave(id, t)
+	follow(w, r, t, from)
+}
+
+// begin starts a run that goes on when its connection breaks.
+func (s *Resume) begin(id string, r *http.Request, body []byte) *run {
+	ctx, cancel := context.WithCancel(context.WithoutCancel(r.Context()))
+	t := &run{readers: 1, cancel: cancel}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.runs == nil {
+		s.runs = map[string]*run{}
+	}
+	s.runs[id] = t
+	in := r.Clone(ctx)
+	in.Body = io.NopCloser(bytes.NewReader(body))
+	go func() {
+		defer cancel()
+		s.Handler.ServeHTTP(&writer{run: t, header: http.Header{}}, in)
+		outcome := "whole"
+		if ctx.Err() != nil {
+			outcome = "unknown"
+		}
+		t.End(outcome, nil)
+	}()
+	return t
+}
+
+func (s *Resume) find(id string) *run {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.runs[id]
+	if t != nil {
+		t.readers++
+	}
+	return t
+}
+
+// leave ends a run that has no reader for the time of Grace.
+func (s *Resume) leave(id string, t *run) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if t.readers--; t.readers > 0 {
+		return
+	}
+	time.AfterFunc(s.Grace, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if t.readers == 0 {
+			t.cancel()
+			delete(s.runs, id)
+		}
+	})
+}
+
+func follow(w http.ResponseWriter, r *http.Request, t *run, seen int) {
+	if a, err := t.Next(r.Context(), 0); err != nil || seen > len(a.Body) {
+		http.Error(w, "resume: not that far", http.StatusRequestedRangeNotSatisfiable)
+		return
+	}
+	for begun := false; ; begun = true {
+		a, err := t.Next(r.Context(), seen)
+		if err != nil {
+			return
+		}
+		if !begun {
+			head(w, a, seen)
+		}
+		seen += len(a.Body)
+		if _, err = w.Write(a.Body); err == nil {
+			err = http.NewResponseController(w).Flush()
+		}
+		if a.Ended() && a.Outcome != "whole" {
+			panic(http.ErrAbortHandler)
+		}
+		if err != nil || a.Ended() {
+			return
+		}
+	}
+}
+
+func head(w http.ResponseWriter, a answer.Answer, seen int) {
+	for name, values := range a.Header {
+		w.Header()[name] = values
+	}
+	if seen > 0 {
+		w.Header().Del("Content-Length") // That of the whole.
+	}
+	w.WriteHeader(max(a.Status, http.StatusOK))
+}
