Without control a keyed request holds no slot; a freed key counts as free

Change: a claim waits as long as its grant lasts, and for a second after one without an answer keyed requests take no slot.

--- a/core/state/claim_test.go
+++ b/core/state/claim_test.go
@@ -32,7 +32,9 @@
 func TestLateFinishFreesNoOtherRequest(t *testing.T) {
 	var s state.State
 	must.Eq(t, state.OK, s.Apply(claim("e", 1)).GetCode())
+	must.Eq(t, state.Running, s.Holder("a", "k").GetCode())
 	must.Eq(t, state.OK, s.Apply(finish("e", 1, "not-run")).GetCode())
+	must.Eq(t, state.OK, s.Holder("a", "k").GetCode())
 	must.Eq(t, state.OK, s.Apply(claim("e", 2)).GetCode())
 	must.Eq(t, state.Gone, s.Apply(finish("e", 1, "not-run")).GetCode())
 	r := s.Apply(claim("other", 9))
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -140,7 +140,7 @@
 // Holder tells who holds a key, as a claim would be told; OK when no one does.
 func (s *State) Holder(account, key string) *wire.Result {
 	c, ok := s.claims[claimKey{account, key}]
-	if !ok {
+	if !ok || c.GetOutcome() == NotRun {
 		return &wire.Result{Code: OK}
 	}
 	return held(c)
--- a/io/front/claim.go
+++ b/io/front/claim.go
@@ -25,18 +25,27 @@
 	recordMax   = 5 * time.Second
 )
 
+// awayFor is how long keyed requests are refused before they take a slot, once
+// a claim had no answer.
+const awayFor = time.Second
+
+var errAway = refuse.New(refuse.NoControl, "the key can't be claimed now", awayFor)
+
 // Codes of a holder's reply that no caller sees.
 const notHeld = "not-held"
 
 // claim reserves the key's one run. It returns the holder's claim when another
-// submission has it.
-func (q *request) claim(ctx context.Context) (*wire.Result, error) {
+// submission has it. It waits no longer than the grant lasts: without control
+// each claim would hold a slot that others could use.
+func (q *request) claim(ctx context.Context, expires time.Time) (*wire.Result, error) {
 	ctx, span := tracer.Start(ctx, "claim")
 	defer span.End()
 	start := time.Now()
 	digest := q.digest()
 	q.asked = true
-	r, err := q.front.Proposer.Propose(ctx, &wire.Command{
+	cctx, cancel := context.WithDeadline(ctx, expires)
+	defer cancel()
+	r, err := q.front.Proposer.Propose(cctx, &wire.Command{
 		Id: q.name(),
 		Kind: &wire.Command_Claim{Claim: &wire.Claim{
 			// Eight bytes of a SHA-256 are enough here: see docs/design/life.md.
@@ -50,7 +59,8 @@
 	}
 	if err != nil {
 		q.front.Log.V(1).Info("Key not claimed.", "request", q.name(), "err", err.Error())
-		return nil, refuse.New(refuse.NoControl, "the key can't be claimed now", time.Second)
+		q.front.away.Store(time.Now().Add(awayFor).UnixNano())
+		return nil, errAway
 	}
 	switch r.GetCode() {
 	case state.OK:
--- a/io/front/fake_test.go
+++ b/io/front/fake_test.go
@@ -40,6 +40,7 @@
 	nothingLost loss = iota
 	commandLost
 	resultLost
+	noAnswer // Until the caller gives up.
 )
 
 // Property tests draw the same cases in each run.
@@ -121,8 +122,13 @@
 	if hook != nil {
 		l = hook(cmd)
 	}
-	if l == commandLost {
+	switch l {
+	case nothingLost, resultLost:
+	case commandLost:
 		return nil, errDown
+	case noAnswer:
+		<-ctx.Done()
+		return nil, ctx.Err()
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -45,6 +45,7 @@
 		lookup   atomic.Pointer[index.Index]
 		runs     sync.WaitGroup
 		looks    atomic.Int32 // Look-ups of keys under way.
+		away     atomic.Int64 // Until when control counts as away, in nanoseconds since 1970.
 		keep     keep.Keep
 
 		mu     sync.Mutex
--- a/io/front/refuse_test.go
+++ b/io/front/refuse_test.go
@@ -200,10 +200,35 @@
 	}
 	must.SliceEmpty(t, s.engine.Journal())
 	s.granter.expires = time.Minute
-	must.Eq(t, "whole", s.entries[0].ask(ask{key: "k"}).outcome, must.Sprint("the key is free again"))
+	got := s.entries[0].ask(ask{key: "k"})
+	must.Eq(t, "whole", got.outcome, must.Sprint("the key is free again ", got.body))
 	s.free()
 }
 
+// Control is cut off and answers nothing. A keyed request must not hold its slot
+// for longer than its grant lasts, and the next ones must take none, or the
+// keyed requests of a cut-off data centre would starve all the others.
+func TestClaimWithoutControlHoldsNoSlot(t *testing.T) {
+	s := newSite(t, 1)
+	s.granter.expires = 100 * time.Millisecond
+	s.control.setHook(func(c *wire.Command) loss {
+		if c.GetClaim() != nil {
+			return noAnswer
+		}
+		return nothingLost
+	})
+	for i := range 3 {
+		got := s.entries[0].ask(ask{key: fmt.Sprintf("k%d", i), deadline: "10s"})
+		must.Eq(t, refuse.NoControl, got.code)
+		must.Eq(t, "not-run", got.outcome)
+		must.Eq(t, "1", got.retry)
+	}
+	must.Eq(t, 1, s.granter.asked)
+	s.free()
+	must.Eq(t, "whole", s.entries[0].ask(ask{}).outcome)
+	must.SliceLen(t, 1, s.engine.Journal())
+}
+
 // The deadline passes while the request waits, and while it runs. Waiting, it
 // has not run, and the caller may come again. Running, it may have; with a key
 // the run goes on, and a second submission gets its whole answer.
--- a/io/front/reply.go
+++ b/io/front/reply.go
@@ -66,7 +66,7 @@
 // Write passes a part of a stream on.
 func (p *reply) Write(data []byte) (int, error) {
 	if !p.head.Streamed {
-		p.body = append(p.body, data...)
+		p.body = data // All of it comes at once.
 		return len(data), nil
 	}
 	_ = http.NewResponseController(p.w).SetWriteDeadline(time.Now().Add(p.takeTime))
--- a/io/front/request.go
+++ b/io/front/request.go
@@ -147,6 +147,9 @@
 		if !q.front.mayPlace(n) {
 			break
 		}
+		if q.key != "" && q.state == life.Waiting && time.Now().UnixNano() < q.front.away.Load() {
+			return errAway
+		}
 		g, err := q.wait(ctx)
 		if err != nil {
 			return err
@@ -219,8 +222,11 @@
 		PromptTokens: q.ticket.GetPromptTokens(),
 	}
 	defer func() { q.front.Granter.Release(rel) }()
+	if time.Now().After(expires) {
+		return again, nil, nil
+	}
 	if q.key != "" && q.state == life.Waiting {
-		held, err := q.claim(ctx)
+		held, err := q.claim(ctx, expires)
 		if held != nil || err != nil {
 			return joinOr(held), held, err
 		}
