--- a/cmd/azurelane/standin.go
+++ b/cmd/azurelane/standin.go
@@ -16,6 +16,7 @@
 	"azurelane/io/httpd"
 	"azurelane/io/logs"
 	"azurelane/io/orderd"
+	"azurelane/io/resume"
 	"azurelane/io/stand"
 )
 
@@ -32,6 +33,7 @@
 	Key     string           `help:"Bearer key with which it announces itself."`
 	Slots   int              `default:"8" help:"Requests that run at once."`
 	Prefill float64          `default:"20000" help:"Prompt tokens a second."`
+	Resume  time.Duration    `help:"Continue broken streams; a run without a reader goes on for so long. Zero for not."`
 	Step    time.Duration    `default:"5ms" help:"Time of one decoding step of one request."`
 	Crowd   float64          `default:"0.05" help:"Part of a step that each further request adds."`
 
@@ -55,10 +57,14 @@
 	eng := &engine.Engine{Name: c.Name, Slots: c.Slots, Prefill: c.Prefill, Step: c.Step, Crowd: c.Crowd, CacheLimit: 64}
 	h := &hello.Hello{
 		Upstream: c.Name, Address: c.Listen, Incarnation: uuid.NewString()[:8], Pools: c.Pools, Models: c.Models,
-		MaxRunning: c.Slots, Entries: c.Entries, Key: c.Key, Load: eng.Load, Log: log.WithName("hello"),
+		MaxRunning: c.Slots, CanResume: c.Resume > 0, ChecksFence: c.ChecksFence, Entries: c.Entries, Key: c.Key, Load: eng.Load, Log: log.WithName("hello"),
 	}
 	mux := http.NewServeMux()
-	mux.Handle("/", &stand.Stand{Engine: eng})
+	var handler http.Handler = &stand.Stand{Engine: eng}
+	if c.Resume > 0 {
+		handler = &resume.Resume{Handler: handler, Grace: c.Resume}
+	}
+	mux.Handle("/", handler)
 	mux.Handle("POST "+orderd.Path, &orderd.Orderd{ChecksFence: c.ChecksFence, Takes: c.OrderTime})
 	u := &upstream{hello: h, http: &httpd.Httpd{Listen: ln, Handler: mux, Drain: pool.DefaultMaxRun}}
 	if err := u.Serve(ctx); ctx.Err() == nil {
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -150,7 +150,7 @@
 // Holder tells who holds a key, as a claim would be told; OK when no one does.
 func (s *State) Holder(account, key string) *wire.Result {
 	c, ok := s.claims[claimKey{account, key}]
-	if !ok {
+	if !ok || c.GetOutcome() == NotRun {
 		return &wire.Result{Code: OK}
 	}
 	return held(c)
@@ -192,6 +192,9 @@
 	default:
 		return &wire.Result{Code: Gone}
 	}
+	// An image that is being written may hold the old message.
+	c = proto.CloneOf(c)
+	s.claims[k] = c
 	c.Outcome = f.GetOutcome()
 	c.ExpiresUs = s.clock + c.GetKeepUs()
 	if c.GetOutcome() == NotRun {
