One way to build a scheduler's refusal

Cause: three packages built the same refusal decision by hand. Change: refuse.Ticket, used by the late policy, the local baselines and sched.

--- a/core/late/admit.go
+++ b/core/late/admit.go
@@ -94,7 +94,7 @@
 				break
 			}
 			l.queue.Remove(i.GetIncarnation(), i.GetId())
-			out = append(out, refusal(i.Ticket, refuse.Deadline, retry(i.Ticket, late)))
+			out = append(out, refuse.Ticket(i.Ticket, refuse.Deadline, retry(i.Ticket, late)))
 			i = l.queue.NewestOf(i.GetAccount(), i.Level())
 		}
 	}
@@ -165,7 +165,7 @@
 	}
 	// What no live upstream serves any more is told so now, and not at its deadline.
 	for _, i := range l.queue.Drop(func(i *item.Item) bool { return !l.served(now, i.Ticket) }) {
-		out = append(out, refusal(i.Ticket, refuse.NoUpstream, startGrace))
+		out = append(out, refuse.Ticket(i.Ticket, refuse.NoUpstream, startGrace))
 	}
 	return out
 }
--- a/core/late/late.go
+++ b/core/late/late.go
@@ -111,20 +111,20 @@
 	l.queue.Remove(t.GetIncarnation(), t.GetId())
 	l.cancel(now, t.GetIncarnation(), t.GetId())
 	if !l.served(now, t) && now.Sub(l.started) >= startGrace {
-		return []*wire.Decision{refusal(t, refuse.NoUpstream, startGrace)}
+		return []*wire.Decision{refuse.Ticket(t, refuse.NoUpstream, startGrace)}
 	}
 	i := l.item(now, t)
 	if code, after := l.hopeless(now, i); code != "" {
-		return []*wire.Decision{refusal(t, code, after)}
+		return []*wire.Decision{refuse.Ticket(t, code, after)}
 	}
 	l.queue.Arrived(i)
 	l.queue.Push(i)
 	out := l.assign(now)
 	for v := l.queue.OverAccount(t.GetAccount()); v != nil; v = l.queue.OverAccount(t.GetAccount()) {
-		out = append(out, refusal(v.Ticket, refuse.AccountLimit, l.later(v)))
+		out = append(out, refuse.Ticket(v.Ticket, refuse.AccountLimit, l.later(v)))
 	}
 	for v := l.queue.OverPool(); v != nil; v = l.queue.OverPool() {
-		out = append(out, refusal(v.Ticket, refuse.Overloaded, l.later(v)))
+		out = append(out, refuse.Ticket(v.Ticket, refuse.Overloaded, l.later(v)))
 	}
 	return out
 }
@@ -170,7 +170,7 @@
 func (l *Late) Tick(now time.Time) []*wire.Decision {
 	var out []*wire.Decision
 	for i := l.queue.Expired(now); i != nil; i = l.queue.Expired(now) {
-		out = append(out, refusal(i.Ticket, refuse.Deadline, l.later(i)))
+		out = append(out, refuse.Ticket(i.Ticket, refuse.Deadline, l.later(i)))
 	}
 	if now.Sub(l.swept) >= sweepEvery {
 		out = append(out, l.sweep(now)...)
@@ -232,10 +232,3 @@
 	}
 	return d, false
 }
-
-func refusal(t *wire.Ticket, code string, after time.Duration) *wire.Decision {
-	return &wire.Decision{
-		Ticket: t.GetId(), Entry: t.GetEntry(), Incarnation: t.GetIncarnation(),
-		Kind: &wire.Decision_Refusal{Refusal: &wire.Refusal{Code: code, RetryAfterUs: after.Microseconds()}},
-	}
-}
--- a/core/local/local.go
+++ b/core/local/local.go
@@ -7,6 +7,7 @@
 
 	"azurelane/core/conf"
 	"azurelane/core/pool"
+	"azurelane/core/refuse"
 	"azurelane/core/slot"
 	"azurelane/core/slots"
 	"azurelane/core/table"
@@ -50,10 +51,7 @@
 		}
 	}
 	if len(live) == 0 {
-		return []*wire.Decision{{
-			Ticket: t.GetId(), Entry: t.GetEntry(), Incarnation: t.GetIncarnation(),
-			Kind: &wire.Decision_Refusal{Refusal: &wire.Refusal{Code: "no-upstream", RetryAfterUs: retryAfter.Microseconds()}},
-		}}
+		return []*wire.Decision{refuse.Ticket(t, refuse.NoUpstream, retryAfter)}
 	}
 	return []*wire.Decision{l.slots.Grant(now, &slot.Slot{Up: pick(live), Ticket: t}, l.pool.GrantTTL)}
 }
--- a/io/sched/sched.go
+++ b/io/sched/sched.go
@@ -12,6 +12,7 @@
 
 	"azurelane/core/conf"
 	"azurelane/core/kernel"
+	"azurelane/core/refuse"
 	"azurelane/core/wire"
 	"azurelane/io/trace"
 )
@@ -21,6 +22,12 @@
 // TickEvery is how often deadlines, leases and grants are looked at.
 const TickEvery = 5 * time.Millisecond
 
+const (
+	// withdrawn is the code of a call whose caller has gone; nobody reads it.
+	withdrawn  = "withdrawn"
+	retryAfter = time.Second
+)
+
 type (
 	// Sched holds one scheduler a pool and the calls that wait for a decision.
 	// Its exported fields are set before use.
@@ -84,14 +91,14 @@
 func (s *Sched) Submit(ctx context.Context, t *wire.Ticket) *wire.Decision {
 	r := s.pool(t.GetPool())
 	if r == nil {
-		return refuse(t, "no-upstream")
+		return refuse.Ticket(t, refuse.NoUpstream, retryAfter)
 	}
 	_, span := tracer.Start(trace.With(ctx, t.GetTraceparent()), "decision")
 	defer span.End()
 	k := waitKey{t.GetIncarnation(), t.GetId()}
 	ch := make(chan *wire.Decision, 1)
 	if !r.enter(k, ch) {
-		return refuse(t, "withdrawn")
+		return refuse.Ticket(t, withdrawn, retryAfter)
 	}
 	r.do(s.Incarnation, func(now time.Time) []*wire.Decision { return r.policy.Submit(now, t) })
 	select {
@@ -100,7 +107,7 @@
 	case <-ctx.Done():
 	}
 	r.do(s.Incarnation, func(now time.Time) []*wire.Decision { return r.abandon(now, k, ch, t) })
-	return refuse(t, "withdrawn")
+	return refuse.Ticket(t, withdrawn, retryAfter)
 }
 
 // enter notes a call that waits. It reports false for a ticket whose
@@ -123,7 +130,7 @@
 	ch, ok := r.waiting[k]
 	if ok {
 		delete(r.waiting, k)
-		ch <- refuse(&wire.Ticket{Id: k.ticket, Incarnation: k.incarnation}, "withdrawn")
+		ch <- refuse.Ticket(&wire.Ticket{Id: k.ticket, Incarnation: k.incarnation}, withdrawn, retryAfter)
 	}
 	return ok
 }
@@ -293,13 +300,6 @@
 	defer r.mu.Unlock()
 	for k, ch := range r.waiting {
 		delete(r.waiting, k)
-		ch <- refuse(&wire.Ticket{Id: k.ticket, Incarnation: k.incarnation}, "not-found")
-	}
-}
-
-func refuse(t *wire.Ticket, code string) *wire.Decision {
-	return &wire.Decision{
-		Ticket: t.GetId(), Entry: t.GetEntry(), Incarnation: t.GetIncarnation(),
-		Kind: &wire.Decision_Refusal{Refusal: &wire.Refusal{Code: code, RetryAfterUs: time.Second.Microseconds()}},
+		ch <- refuse.Ticket(&wire.Ticket{Id: k.ticket, Incarnation: k.incarnation}, refuse.NotFound, retryAfter)
 	}
 }
