Stopping refuses on kept connections instead of closing them

Cause: TestDrainUnderLoad failed once in the whole check: a caller got EOF. A stream whose header had promised keep-alive ended, the server closed its idle connections at once, and the caller's next request met the closing. Ruled out: a cut stream (none was counted), and a lost ticket (the refusals say shutting-down). Change: from the start of the drain answers carry Connection: close, and the server goes on to refuse for a second or until no connection is open. TestGoneBeforeDispatch failed once too: its second submission could join the first before the server had seen the first caller go, and the fake granter never grants that one. It now waits for the withdrawal; its assertions are the same.

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -36,6 +36,10 @@
 	"azurelane/io/stats"
 )
 
+// farewell is how long callers that kept their connections are still answered,
+// with refusals, after the last request has ended.
+const farewell = time.Second
+
 // Entry is one entry process. Open makes it.
 type Entry struct {
 	set    *setup.Setup
@@ -113,7 +117,7 @@
 	e.sup = suture.New("entry", suture.Spec{EventHook: func(ev suture.Event) { e.log.Info("Part stopped.", "event", ev.String()) }})
 	for _, s := range []suture.Service{
 		e.mesh, e.sched, e.member, e.grant, e.follow,
-		&httpd.Httpd{Listen: lns[1], Handler: e.front, Drain: set.DrainLimit},
+		&httpd.Httpd{Listen: lns[1], Handler: e.front, Drain: set.DrainLimit, Farewell: farewell},
 		&httpd.Httpd{Listen: lns[2], Handler: &lease.Lease{Config: e.follow.Config, Take: e.notice.Forward}},
 		&httpd.Httpd{Listen: lns[3], Handler: ops.Handler()},
 	} {
@@ -140,6 +144,7 @@
 	dctx, dcancel := context.WithTimeout(parts, e.set.DrainLimit)
 	defer dcancel()
 	e.drain()
+	e.front.Drain()
 	e.member.Drain(dctx)
 	select { // A balancer that has not looked yet still sends callers here.
 	case <-time.After(*e.set.DrainLinger):
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -41,6 +41,7 @@
 		TakeTime    time.Duration // A caller's time to take one part of its answer; 0 takes the default.
 
 		last     atomic.Uint64 // Request ids.
+		draining atomic.Bool
 		stopping atomic.Bool
 		lookup   atomic.Pointer[index.Index]
 		runs     sync.WaitGroup
@@ -99,6 +100,10 @@
 	HeaderRequest    = "Azurelane-Request"
 )
 
+// Drain tells callers with each answer from now on to close their connections,
+// so that none is left idle when the entry stops.
+func (f *Front) Drain() { f.draining.Store(true) }
+
 // Stop refuses new requests and waits until those in flight have their answer
 // or ctx ends.
 func (f *Front) Stop(ctx context.Context) {
@@ -133,8 +138,10 @@
 	q := &request{front: f, r: r, start: time.Now(), id: f.last.Add(1)}
 	q.reply = reply{w: w, request: q.name(), stats: f.Stats, takeTime: orDefault(f.TakeTime, defaultTakeTime)}
 	defer q.reply.close()
+	if f.draining.Load() || f.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	if !f.enter() {
-		w.Header().Set("Connection", "close") // So that the balancer's next request goes elsewhere.
 		q.reply.end(q.close(q.stopped()))
 		return
 	}
--- a/io/front/share_test.go
+++ b/io/front/share_test.go
@@ -81,10 +81,11 @@
 // sends again: the first one is withdrawn, the second runs, once.
 func TestGoneBeforeDispatch(t *testing.T) {
 	s := newSite(t, 1)
-	waits := make(chan struct{}, 1)
+	waits, withdrawn := make(chan struct{}, 1), make(chan struct{}, 1)
 	s.granter.before = func(ctx context.Context, _ *wire.Ticket) error {
 		waits <- struct{}{}
 		<-ctx.Done()
+		withdrawn <- struct{}{}
 		return ctx.Err()
 	}
 	ctx, cancel := context.WithCancel(t.Context())
@@ -93,6 +94,7 @@
 	<-waits
 	cancel()
 	<-done
+	<-withdrawn // The server has seen it; else the second would join the first and wait with it.
 	s.granter.mu.Lock()
 	s.granter.before = nil
 	s.granter.mu.Unlock()
