Answers of client accounts stay out of the log

Cause: net/http writes the first bytes of an unsolicited answer to the standard logger, and with them one account's answer into the process's log. Ruled out: http.Server.ErrorLog, which the transport does not use. Change: the standard logger is discarded; the parts log by themselves.

--- a/cmd/azurelane/main.go
+++ b/cmd/azurelane/main.go
@@ -4,6 +4,8 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"log"
 	"os"
 	"os/signal"
 	"syscall"
@@ -63,6 +65,10 @@
 		parser.Errorf("%s", err)
 		return exitUsage
 	}
+	// net/http writes the first bytes of an answer that nobody asked for to the
+	// standard logger. They belong to some client account and to no log; the
+	// parts that speak HTTP log what matters by themselves.
+	log.SetOutput(io.Discard)
 	ctx, stop := signals()
 	defer stop()
 	k.BindTo(ctx, (*context.Context)(nil))
