follow: an old document that is pushed all the same is not installed

The check for higher versions at the entry had no test that failed without it, as the fakes never handed out an old document. A row of TestHighestVersionWins does now, and fails with the check taken out. Ruled out: leaving it to the replicas, for a neighbour of an older program version may answer too.

--- a/io/follow/follow_test.go
+++ b/io/follow/follow_test.go
@@ -30,6 +30,7 @@
 		version uint64
 		stale   bool
 		refuses bool
+		pushes  bool // Hands its document out whatever the other has.
 	}
 )
 
@@ -51,7 +52,7 @@
 	}
 	than := f.GetBeat().GetVersion() + f.GetConfigQuery().GetVersion()
 	r := &wire.BeatReply{Version: peer.version, Stale: peer.stale}
-	if peer.version > than {
+	if peer.version > than || peer.pushes {
 		r.Document = []byte(doc)
 	}
 	return &wire.Frame{Body: &wire.Frame_BeatReply{BeatReply: r}}, nil
@@ -104,6 +105,7 @@
 		{"all lag behind", map[netip.AddrPort]*fake{addr(1): {version: 1}, addr(2): {version: 2}, addr(3): {version: 3}}, 5},
 		{"cut off, a neighbour knows", map[netip.AddrPort]*fake{addr(8): {version: 5}, addr(9): {version: 7}}, 7},
 		{"cut off, neighbours lag", map[netip.AddrPort]*fake{addr(8): {version: 4}, addr(9): {version: 3}}, 5},
+		{"an old one is pushed", map[netip.AddrPort]*fake{addr(1): {version: 2, pushes: true}, addr(2): {version: 3, pushes: true}, addr(3): {version: 4, pushes: true}, addr(8): {version: 1, pushes: true}}, 5},
 		{"a stale one knows more", map[netip.AddrPort]*fake{addr(1): {version: 8, stale: true}, addr(2): {refuses: true}, addr(3): {refuses: true}}, 8},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
