--- a/core/raft/lead.go
+++ b/core/raft/lead.go
@@ -16,9 +16,14 @@
 // clocks too short to be seen as gaps.
 const Lease = Election / 2
 
-// snapshotRetry is when a snapshot is sent again to a replica that answers
-// nothing at all.
-const snapshotRetry = 10 * Election
+const (
+	// snapshotRetry is when a snapshot is sent again to a replica that answers
+	// nothing at all.
+	snapshotRetry = 30 * Election
+	// snapshotRate is the slowest link that a snapshot is expected to pass, in
+	// bytes a second.
+	snapshotRate = 4 << 20
+)
 
 // progress is what a leader knows of another replica.
 type progress struct {
@@ -29,6 +34,7 @@
 	inflight []uint64
 	pending  uint64 // Index of the snapshot that is under way; zero for none.
 	snapAt   time.Time
+	snapWait time.Duration // How long its way may take.
 	heard    time.Time
 	round    time.Time // When the newest round that it answered was sent.
 }
@@ -147,6 +153,7 @@
 
 func (r *Raft) sendSnapshot(id string, p *progress) {
 	p.pending, p.snapAt = r.log.snap.GetIndex(), r.now
+	p.snapWait = Election + time.Duration(len(r.log.snap.GetData()))*time.Second/snapshotRate
 	r.send(&wire.Raft{To: id, Kind: wire.Raft_KIND_SNAPSHOT, Snapshot: r.log.snap, Round: r.round()})
 }
 
@@ -203,11 +210,12 @@
 }
 
 // refused goes back to where the logs may meet. Late refusals are passed over.
-// One of a heartbeat that was sent after a snapshot tells that the snapshot was
-// lost, for instance while the replica was cut off: it is sent again at once.
+// One of a heartbeat that was sent well after a snapshot tells that the snapshot
+// was lost, for instance while the replica was cut off: it is sent again. A
+// heartbeat sent sooner may have overtaken it.
 func (p *progress) refused(m *wire.Raft, sent time.Time) {
 	if p.pending > 0 {
-		if sent.After(p.snapAt) {
+		if sent.After(p.snapAt.Add(p.snapWait)) {
 			p.pending = 0
 		}
 		return
--- a/core/raft/sim_test.go
+++ b/core/raft/sim_test.go
@@ -77,9 +77,12 @@
 		list = append(list, &wire.Replica{Id: fmt.Sprintf("r%d", i), Voter: true})
 	}
 	for _, p := range list {
-		s.add(p.GetId()).snap = Found("g", list, make([]byte, 8))
-		s.start(s.nodes[p.GetId()])
+		s.add(p.GetId())
 	}
+	// One founds the group; the others learn of it like any replica that lags.
+	first := s.nodes[list[0].GetId()]
+	first.snap = Found("g", list, make([]byte, 8))
+	s.start(first)
 	return s
 }
 
--- a/io/ctrl/bench_test.go
+++ b/io/ctrl/bench_test.go
@@ -56,7 +56,9 @@
 			}
 			b.ReportMetric(float64((cpu()-start).Microseconds())/float64(b.N*n), "cpu-us/beat")
 			b.ReportMetric(float64(memory)/float64(n), "heap-bytes/entry")
-			b.ReportMetric(float64(proto.Size(beatFrame(1))), "bytes/beat")
+			reply, err := c.Handle(context.Background(), beatFrame(1))
+			must.NoError(b, err)
+			b.ReportMetric(float64(proto.Size(beatFrame(1))+proto.Size(reply)), "bytes/beat")
 			for _, m := range links {
 				m.Close()
 			}
