--- a/core/member/bench_test.go
+++ b/core/member/bench_test.go
@@ -17,7 +17,7 @@
 		for _, churn := range []bool{false, true} {
 			b.Run(fmt.Sprintf("members=%d/churn=%t", n, churn), func(b *testing.B) {
 				f := newFake(1, n, nil)
-				f.run(20 * time.Second)
+				f.run(80 * time.Second) // The news of the start travels for a minute at 120 members.
 				f.bytes, f.sent = 0, 0
 				b.ResetTimer()
 				s := 0
--- a/io/member/bench_test.go
+++ b/io/member/bench_test.go
@@ -81,7 +81,7 @@
 				wg.Go(func() { _ = ms.Serve(ctx) })
 				wg.Go(func() { _ = m.Serve(ctx) })
 			}
-			time.Sleep(30 * time.Second) // Every two members have met.
+			time.Sleep(60 * time.Second) // Every two members have met, and the news of the start has stopped travelling.
 			bytes.Store(0)
 			before, start := cpu(), time.Now()
 			for b.Loop() {
