Two tests that passed without their safeguard now need it

Cause: with each safeguard taken out in turn, TestRestartWithClockBack still passed, since the fake clock stood so near zero that an hour less wrapped round to a huge birth; TestNoStorm counted sends but not the time that they are spread over. Change: the fake clock starts at 1e6 s; TestNoStorm also wants 3.5 s between the first send and the last.

--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -66,7 +66,7 @@
 
 func newFake(seed uint64, n int, build func(*member.Detector)) *fake {
 	f := &fake{
-		now: time.Unix(1000, 0), rng: rand.New(rand.NewPCG(seed, 1)), nodes: map[string]*node{},
+		now: time.Unix(1e6, 0), rng: rand.New(rand.NewPCG(seed, 1)), nodes: map[string]*node{},
 		build: build, loss: func(string, string) float64 { return 0 },
 	}
 	for i := range n {
--- a/io/grant/grant_test.go
+++ b/io/grant/grant_test.go
@@ -164,6 +164,7 @@
 			return nil, errLink
 		}
 		g := f.grant()
+		start := time.Now()
 		var wg sync.WaitGroup
 		for i := range 500 {
 			wg.Go(func() {
@@ -176,6 +177,7 @@
 		}
 		wg.Wait()
 		must.Eq(t, 500*maxSends, sends)
+		must.GreaterEq(t, 3500*time.Millisecond, time.Since(start)) // Spread; longer than a takeover takes.
 	})
 }
 
