Examples: stop each kind of process at once, say at once why control ended

Stopping waited for one process after the other, and a start over a data folder of an older form tried for 100 s although the control replicas had ended. run.sh signals all processes of a kind and then waits, and ends with the replica's own words. Tried: start, stop.

--- a/examples/run.sh
+++ b/examples/run.sh
@@ -40,6 +40,10 @@
   local tries=20
   until "$folder/azurelane" apply "$set_dir/configuration.json" --control "$control" --base 0 --change "example-$name"; do
     tries=$((tries - 1))
+    for f in "$set_dir"/control-*.json; do
+      f=$(basename "$f" .json)
+      alive "$folder/pid/$f.pid" || { echo "$f has ended:" >&2; tail -n 3 "$folder/log/$f.log" >&2; exit 1; }
+    done
     [ $tries -gt 0 ] || { echo 'no configuration could be put in force' >&2; exit 1; }
     sleep 1
   done
@@ -50,27 +54,34 @@
 # stop ends upstreams first, then entries, then control, so that each part
 # can still tell the others that it leaves.
 stop() {
-  local kind f
-  while read -r -a args; do end "${args[1]}"; done <"$set_dir/standins.txt"
+  local parts=() f
+  while read -r -a args; do parts+=("${args[1]}"); done <"$set_dir/standins.txt"
+  end "${parts[@]}"
   for kind in entry control; do
-    for f in "$set_dir/$kind"-*.json; do end "$(basename "$f" .json)"; done
+    parts=()
+    for f in "$set_dir/$kind"-*.json; do parts+=("$(basename "$f" .json)"); done
+    end "${parts[@]}"
   done
 }
 
+# end asks the named processes to stop, all at once, and waits for them.
 end() {
-  local pid_file=$folder/pid/$1.pid i
-  if alive "$pid_file"; then
-    kill -TERM "$(cat "$pid_file")"
+  local part pid_file i
+  for part in "$@"; do
+    if alive "$folder/pid/$part.pid"; then kill -TERM "$(cat "$folder/pid/$part.pid")"; fi
+  done
+  for part in "$@"; do
+    pid_file=$folder/pid/$part.pid
     for ((i = 0; i < stop_seconds * 10; i++)); do
       alive "$pid_file" || break
       sleep 0.1
     done
     if alive "$pid_file"; then
-      echo "$1 still runs as $(cat "$pid_file")" >&2
+      echo "$part still runs as $(cat "$pid_file")" >&2
       return 1
     fi
-  fi
-  rm -f "$pid_file"
+    rm -f "$pid_file"
+  done
 }
 
 status() {
