--- a/io/stats/stats_test.go
+++ b/io/stats/stats_test.go
@@ -69,3 +69,17 @@
 	}
 	must.Eq(t, Table(), table)
 }
+
+func BenchmarkCount(b *testing.B) {
+	s := New()
+	for b.Loop() {
+		s.Count("outcome-whole", 1)
+	}
+}
+
+func BenchmarkTime(b *testing.B) {
+	s := New()
+	for b.Loop() {
+		s.Time("request-time-us", time.Millisecond)
+	}
+}
