--- a/io/front/fake_test.go
+++ b/io/front/fake_test.go
@@ -40,6 +40,7 @@
 	nothingLost loss = iota
 	commandLost
 	resultLost
+	noAnswer // Until the caller gives up.
 )
 
 // Property tests draw the same cases in each run.
@@ -66,13 +67,14 @@
 	// granter gives slots on one upstream after the other and counts those that
 	// are out.
 	granter struct {
-		mu      sync.Mutex
-		ups     []string // Addresses.
-		next    int
-		out     int
-		asked   int
-		expires time.Duration
-		before  func(ctx context.Context, t *wire.Ticket) error
+		mu        sync.Mutex
+		ups       []string // Addresses.
+		next      int
+		out       int
+		asked     int
+		expires   time.Duration
+		canResume bool
+		before    func(ctx context.Context, t *wire.Ticket) error
 	}
 
 	// mesh reaches the entries that live.
@@ -120,8 +122,13 @@
 	if hook != nil {
 		l = hook(cmd)
 	}
-	if l == commandLost {
+	switch l {
+	case nothingLost, resultLost:
+	case commandLost:
 		return nil, errDown
+	case noAnswer:
+		<-ctx.Done()
+		return nil, ctx.Err()
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -182,7 +189,7 @@
 	g.out++
 	up := g.ups[g.next%len(g.ups)]
 	g.next++
-	return &wire.Grant{Slot: uint64(g.next), Upstream: up, Address: up, ExpiresUs: g.expires.Microseconds()}, nil
+	return &wire.Grant{Slot: uint64(g.next), Upstream: up, Address: up, ExpiresUs: g.expires.Microseconds(), CanResume: g.canResume}, nil
 }
 
 func (g *granter) Release(*wire.Release) {
