--- a/examples/run.sh
+++ b/examples/run.sh
@@ -49,6 +49,15 @@
   done
   for f in "$set_dir"/entry-*.json; do launch "$(basename "$f" .json)" entry "$f"; done
   while read -r -a args; do launch "${args[1]}" standin "${args[@]}"; done <"$set_dir/standins.txt"
+  sleep 1
+  local ended=0
+  for f in "$folder"/pid/*.pid; do
+    alive "$f" && continue
+    f=$(basename "$f" .pid)
+    echo "$f has ended: $(tail -n 1 "$folder/log/$f.log")" >&2
+    ended=1
+  done
+  return $ended
 }
 
 # stop ends upstreams first, then entries, then control, so that each part
