--- a/core/raft/guard_test.go
+++ b/core/raft/guard_test.go
@@ -297,3 +297,37 @@
 	must.Eq(t, Effects{}, e)
 	must.Eq(t, term, l.Term())
 }
+
+// A snapshot takes half a second to a new replica, and heartbeats overtake it on
+// streams of their own. The replica refuses them, for it has nothing yet. The
+// leader must not send the snapshot again for each; once it is overdue, it must.
+func TestSnapshotIsSentAgainOnlyWhenOverdue(t *testing.T) {
+	s, l := elected(14, 3)
+	for range 2 * KeepEntries {
+		s.propose(l, "x")
+		s.step()
+	}
+	s.add("new")
+	s.cut[[2]string{l.id, "new"}] = true
+	must.NoError(t, s.change(l, "new", wire.Membership_ROLE_LEARNER))
+	sent := 0
+	refuse := func(d time.Duration) {
+		for end := s.t + d; s.t < end; {
+			s.step()
+			e := l.Step(l.clock(s), &wire.Raft{
+				From: "new", To: l.id, Group: "g", Term: l.Term(), Kind: wire.Raft_KIND_APPEND_REPLY,
+				LastIndex: l.log.last(), Round: uint64(l.now.Sub(l.start)),
+			})
+			for _, m := range e.Messages {
+				if m.GetKind() == wire.Raft_KIND_SNAPSHOT {
+					sent++
+				}
+			}
+			s.perform(l, e)
+		}
+	}
+	refuse(Election - 2*simStep)
+	must.Eq(t, 1, sent)
+	refuse(Election)
+	must.Eq(t, 2, sent)
+}
