--- a/cmd/azurelane/operator.go
+++ b/cmd/azurelane/operator.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -55,13 +56,25 @@
 	return r.GetStatus(), nil
 }
 
-// statusAll asks every replica at once: each knows the entries that beat there.
+// statusAll asks every replica, also those that only the others name: each
+// knows the entries that beat there.
 func (o *operator) statusAll(ctx context.Context) []heard {
+	all := o.ask(ctx, o.replicas)
+	var more []netip.AddrPort
+	for _, r := range newest(all).GetReplicas() {
+		if a, err := netip.ParseAddrPort(r.GetAddress()); err == nil && !slices.Contains(o.replicas, a) {
+			more = append(more, a)
+		}
+	}
+	return append(all, o.ask(ctx, more)...)
+}
+
+func (o *operator) ask(ctx context.Context, replicas []netip.AddrPort) []heard {
 	ctx, cancel := context.WithTimeout(ctx, askLimit)
 	defer cancel()
-	all := make([]heard, len(o.replicas))
+	all := make([]heard, len(replicas))
 	var wg sync.WaitGroup
-	for i, a := range o.replicas {
+	for i, a := range replicas {
 		all[i].address = a
 		wg.Go(func() {
 			if r, err := o.mesh.Call(ctx, a, statusQuery(false)); err == nil {
@@ -86,3 +99,31 @@
 	}
 	return r, nil
 }
+
+// upstream asks the entries that control hears of for a live upstream.
+func (o *operator) upstream(ctx context.Context, name string) (*wire.Announce, error) {
+	asked := map[string]bool{}
+	for _, h := range o.statusAll(ctx) {
+		for _, n := range h.status.GetNodes() {
+			addr, err := netip.ParseAddrPort(n.GetBeat().GetAddress())
+			if err != nil || asked[addr.String()] {
+				continue
+			}
+			asked[addr.String()] = true
+			if a := o.known(ctx, addr, name); a != nil {
+				return a, nil
+			}
+		}
+	}
+	return nil, fmt.Errorf("no entry knows a live upstream %s; asked %d", name, len(asked))
+}
+
+func (o *operator) known(ctx context.Context, entry netip.AddrPort, upstream string) *wire.Announce {
+	ctx, cancel := context.WithTimeout(ctx, askLimit)
+	defer cancel()
+	f, err := o.mesh.Call(ctx, entry, &wire.Frame{Body: &wire.Frame_UpstreamQuery{UpstreamQuery: &wire.UpstreamQuery{Upstream: upstream}}})
+	if err != nil {
+		return nil
+	}
+	return f.GetAnnounce()
+}
--- a/cmd/azurelane/process_test.go
+++ b/cmd/azurelane/process_test.go
@@ -37,7 +37,7 @@
 
 // cluster is a deployment of processes on loopback.
 type cluster struct {
-	t       *testing.T
+	t       testing.TB
 	dir     string
 	control []netip.AddrPort
 	entries []*setup.Setup
@@ -77,7 +77,7 @@
 	portSpan  = 20000
 )
 
-func freeAddr(t *testing.T) netip.AddrPort {
+func freeAddr(t testing.TB) netip.AddrPort {
 	t.Helper()
 	lastPort.CompareAndSwap(0, uint32(os.Getpid()*97%portSpan)+1)
 	for range portSpan {
@@ -194,7 +194,7 @@
 	return answer{resp.StatusCode, outcome, string(data)}
 }
 
-func status(t *testing.T, url string) int {
+func status(t testing.TB, url string) int {
 	t.Helper()
 	resp, err := http.Get(url)
 	if err != nil {
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -23,6 +23,7 @@
 	Conflict = "conflict" // Another change holds the version.
 	Invalid  = "invalid"  // The document can't be put in force.
 	Gone     = "gone"     // No such claim, or held by another.
+	Full     = "full"     // No room for another claim.
 )
 
 // NotRun is the outcome that frees a claim.
@@ -32,6 +33,12 @@
 // than a copy of its claim or finish can be under way.
 const freedKeep = int64(time.Minute / time.Microsecond)
 
+// MaxClaims bounds the claims that are remembered. Without a bound a burst of
+// keys, kept for a day, would take the memory of every replica at once, and
+// with it every claim; with it the claims beyond are refused before they run.
+// At 300 bytes each they stay within 128 MB.
+const MaxClaims = 400000
+
 // MaxChanges is how many change ids are remembered, so that a change sent
 // again gets the answer of the first time.
 const MaxChanges = 4096
@@ -115,6 +122,9 @@
 		return &wire.Result{Code: Gone}
 	}
 	if !ok || old.GetOutcome() == NotRun {
+		if !ok && len(s.claims) >= MaxClaims {
+			return &wire.Result{Code: Full, Text: "too many keys are remembered; a shorter claim-keep would free them sooner"}
+		}
 		if s.claims == nil {
 			s.claims = map[claimKey]*wire.ClaimState{}
 		}
@@ -134,6 +144,19 @@
 	if same && old.GetOutcome() == "" {
 		return &wire.Result{Code: OK, Holder: c.GetHolder()}
 	}
+	return held(old)
+}
+
+// Holder tells who holds a key, as a claim would be told; OK when no one does.
+func (s *State) Holder(account, key string) *wire.Result {
+	c, ok := s.claims[claimKey{account, key}]
+	if !ok || c.GetOutcome() == NotRun {
+		return &wire.Result{Code: OK}
+	}
+	return held(c)
+}
+
+func held(old *wire.ClaimState) *wire.Result {
 	code := Running
 	if old.GetOutcome() != "" {
 		code = Finished
@@ -169,6 +192,9 @@
 	default:
 		return &wire.Result{Code: Gone}
 	}
+	// An image that is being written may hold the old message.
+	c = proto.CloneOf(c)
+	s.claims[k] = c
 	c.Outcome = f.GetOutcome()
 	c.ExpiresUs = s.clock + c.GetKeepUs()
 	if c.GetOutcome() == NotRun {
--- a/io/ctrl/ctrl.go
+++ b/io/ctrl/ctrl.go
@@ -23,7 +23,9 @@
 
 const (
 	// CompactAfter is the number of log entries after which a snapshot replaces
-	// them, so that a restart reads few more than that.
+	// them, so that a restart reads few more than that. With more claims than
+	// that, it is their number: each entry then pays for about one claim of a
+	// snapshot, however many there are.
 	CompactAfter = 1000
 	// StaleAfter is how long a replica may hear no leader before it tells the
 	// entries to ask another.
@@ -52,7 +54,8 @@
 		id      string
 		raft    *raft.Raft
 		state   state.State
-		snapped uint64 // Index of the newest snapshot.
+		snapped uint64     // Index of the newest snapshot.
+		saving  chan saved // Brings the snapshot that is being written; nil for none.
 		applied uint64
 		waiting map[uint64]*proposal // By log index.
 		clock   clock
@@ -81,6 +84,7 @@
 	store interface {
 		Append(recs ...*wire.Record) error
 		Compact(snap *wire.Snapshot, recs ...*wire.Record) error
+		Prepare(snap *wire.Snapshot) (put func(recs ...*wire.Record) error, err error)
 		Close() error
 	}
 )
@@ -139,6 +143,9 @@
 		go c.found(ctx)
 	}
 	err := c.loop(ctx)
+	if c.saving != nil {
+		<-c.saving // It writes into the data folder.
+	}
 	if cerr := c.store.Close(); err == nil {
 		err = cerr
 	}
@@ -177,6 +184,9 @@
 			b.props = append(b.props, p)
 		case f := <-c.calls:
 			b.add(f(time.Now()))
+		case s := <-c.saving:
+			c.saving = nil
+			b.err = c.saved(s)
 		case <-tick.C:
 			b.add(c.raft.Tick(time.Now()))
 			b.expire()
