Tickets to another data centre when a pool has no upstream here

Cause: abroad of a pool was read and did nothing, so a data centre that lost its upstreams refused all while another stood idle. Change: control names two live entries of each other data centre every 10 s, different ones to each asker; a ticket refused for want of upstreams goes to them, they pass it to their owner; its slot goes back the same way and is listed every 2 s; an owner frees the slots of a far entry silent for 15 s. Ruled out: a full mesh between data centres, and naming entries at each beat, which would cost several hundred bytes a second. Shown: with the forgetting, the way back, the bound on passing on, or the bound on relays taken out, its test fails. go test -race ./cmd/azurelane passed.

--- a/io/ctrl/view.go
+++ b/io/ctrl/view.go
@@ -30,7 +30,8 @@
 
 	heard struct {
 		*wire.Beat
-		at time.Time
+		at   time.Time
+		told time.Time // When it was last told of entries of other data centres.
 	}
 )
 
@@ -73,8 +74,11 @@
 
 // beat notes what an entry has in force and brings it the newer document.
 func (c *Ctrl) beat(b *wire.Beat) *wire.BeatReply {
-	c.beats.note(b, time.Now())
-	return c.reply(b.GetVersion())
+	now := time.Now()
+	c.beats.note(b, now)
+	r := c.reply(b.GetVersion())
+	r.Neighbours = c.beats.abroad(b, now)
+	return r
 }
 
 // reply carries a document only if it is newer than the entry's: a replica that
@@ -94,7 +98,7 @@
 	if b.nodes == nil {
 		b.nodes = map[string]heard{}
 	}
-	b.nodes[beat.GetNode()] = heard{beat, now}
+	b.nodes[beat.GetNode()] = heard{beat, now, b.nodes[beat.GetNode()].told}
 }
 
 func (b *beats) list(now time.Time) []*wire.NodeStatus {
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -18,6 +18,7 @@
 	"azurelane/core/conf"
 	"azurelane/core/kernel"
 	"azurelane/core/wire"
+	"azurelane/io/abroad"
 	"azurelane/io/admin"
 	"azurelane/io/certs"
 	"azurelane/io/client"
@@ -46,6 +47,7 @@
 	member *member.Member
 	owner  *owner.Owner
 	notice *notice.Notice
+	abroad abroad.Abroad
 	grant  *grant.Grant
 	follow *follow.Follow
 	stats  *stats.Stats
@@ -95,11 +97,11 @@
 	}
 	control := &leader.Leader{Replicas: set.Control, Caller: e.mesh}
 	e.follow = &follow.Follow{
-		Site: set.DataCentre, Beat: e.beat, Replicas: set.Control, Neighbours: e.neighbours, Caller: e.mesh,
+		Site: set.DataCentre, Beat: e.beat, Replicas: set.Control, Neighbours: e.neighbours, Met: e.abroad.Met, Caller: e.mesh,
 		Install: func(_ uint64, cfg *conf.Config) { e.sched.Install(cfg) }, Log: log.WithName("follow"),
 	}
 	e.grant = &grant.Grant{
-		Self: set.Node, Incarnation: incarnation, Local: desk{e.owner, e.sched}, Members: e, Mesh: e.mesh, Log: log.WithName("grant"),
+		Self: set.Node, Incarnation: incarnation, Local: desk{e.owner, e.sched}, Members: e, Mesh: e.mesh, Abroad: e.farEntries, Log: log.WithName("grant"),
 	}
 	e.notice = &notice.Notice{
 		Owners: e.owners, Alive: e.member.Alive, Mesh: e.mesh, Take: e.sched.Announce, Log: log.WithName("notice"),
@@ -112,7 +114,7 @@
 	ops := &admin.Admin{Stats: e.stats, Ready: e.ready, Drain: e.drain, Info: e.info, Token: set.OperatorToken}
 	e.sup = suture.New("entry", suture.Spec{EventHook: func(ev suture.Event) { e.log.Info("Part stopped.", "event", ev.String()) }})
 	for _, s := range []suture.Service{
-		e.mesh, e.sched, e.member, e.grant, e.follow,
+		e.mesh, e.sched, e.member, e.owner, e.grant, e.follow,
 		&httpd.Httpd{Listen: lns[1], Handler: e.front, Drain: set.DrainLimit},
 		&httpd.Httpd{Listen: lns[2], Handler: &lease.Lease{Config: e.follow.Config, Take: e.notice.Forward}},
 		&httpd.Httpd{Listen: lns[3], Handler: ops.Handler()},
--- a/io/entry/handle.go
+++ b/io/entry/handle.go
@@ -69,6 +69,7 @@
 	case *wire.Frame_Announce:
 		return nil, e.accept(b.Announce)
 	case *wire.Frame_Held:
+		e.owner.Heard(b.Held.GetIncarnation())
 		e.sched.Hold(b.Held)
 	case *wire.Frame_Probe:
 		e.member.Heard(ctx, b.Probe)
@@ -105,18 +106,42 @@
 	return &wire.Fault{Code: wire.CodeMoved, Text: "none of the upstream's pools is here"}
 }
 
-// relay passes a frame on for a member that can't reach the receiver. A relay
-// is not relayed again, so a frame can't go round.
+// farEntries lists the entries of other data centres that a pool's tickets may
+// go to when it has no upstream here.
+func (e *Entry) farEntries(pool string) []netip.AddrPort {
+	cfg := e.follow.Config()
+	if cfg == nil || e.local(pool) {
+		return nil
+	}
+	return e.abroad.Entries(cfg.Pools[pool].Abroad)
+}
+
+// relay passes a frame on for a member that can't reach the receiver, or for an
+// entry of another data centre that doesn't know the owner here. A relay is not
+// relayed again, so a frame can't go round.
 func (e *Entry) relay(ctx context.Context, r *wire.Relay) (*wire.Frame, error) {
-	to, err := netip.ParseAddrPort(r.GetTo())
 	inner := r.GetFrame()
+	to, err := netip.ParseAddrPort(r.GetTo())
+	if r.GetPool() != "" {
+		to, err = netip.ParseAddrPort(e.member.Owner(r.GetPool()).GetAddress())
+	}
 	if err != nil || inner.GetRelay() != nil {
 		return nil, &wire.Fault{Code: "bad-relay", Text: r.GetTo()}
 	}
-	if inner.GetTicket() == nil {
+	t := inner.GetTicket()
+	if t == nil {
 		return nil, e.mesh.Send(ctx, to, inner)
 	}
 	reply, err := e.mesh.Call(ctx, to, inner)
+	if err != nil && ctx.Err() != nil {
+		// The link to the asker has ended. The owner sees only the link to this
+		// entry, which is well: without a word it would grant a slot to no one.
+		wctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
+		defer cancel()
+		_ = e.mesh.Send(wctx, to, &wire.Frame{Body: &wire.Frame_Withdraw{Withdraw: &wire.Withdraw{
+			Ticket: t.GetId(), Entry: t.GetEntry(), Incarnation: t.GetIncarnation(), Pool: t.GetPool(),
+		}}})
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/io/follow/follow.go
+++ b/io/follow/follow.go
@@ -41,6 +41,7 @@
 		Beat       func() *wire.Beat
 		Replicas   []netip.AddrPort
 		Neighbours func() []netip.AddrPort // Peer addresses of other entries; nil for none.
+		Met        func([]*wire.Member)    // Takes the entries of other data centres that control names; nil for none.
 		Caller     caller
 		Install    func(version uint64, cfg *conf.Config)
 		Log        logr.Logger
@@ -127,6 +128,9 @@
 	if err != nil {
 		return err
 	}
+	if f.Met != nil {
+		f.Met(r.GetNeighbours())
+	}
 	if r.GetStale() || r.GetVersion() < b.GetVersion() {
 		return fmt.Errorf("%w: %s", errStale, to)
 	}
--- /dev/null
+++ b/io/grant/abroad_test.go
@@ -0,0 +1,86 @@
+package grant
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/shoenig/test/must"
+
+	"azurelane/core/refuse"
+	"azurelane/core/wire"
+)
+
+func refused(t *wire.Ticket, code string) *wire.Frame {
+	return &wire.Frame{Body: &wire.Frame_Decision{Decision: &wire.Decision{
+		Ticket: t.GetId(), Kind: &wire.Decision_Refusal{Refusal: &wire.Refusal{Code: code, RetryAfterUs: 1_000_000}},
+	}}}
+}
+
+// No upstream of the pool is left here. The ticket goes to the other data
+// centres in the order of the configuration, past an entry that is gone, and the
+// slot goes back by the way it came. Any other refusal at home or there is
+// final, and a ticket that came from abroad is not sent on: it would go round.
+func TestAbroad(t *testing.T) {
+	gone, far, third := netip.MustParseAddrPort("127.0.0.1:7"), netip.MustParseAddrPort("127.0.0.1:8"), netip.MustParseAddrPort("127.0.0.1:9")
+	for _, tc := range []struct {
+		name, home, far string
+		abroad          bool
+		want            string // Code of the refusal; empty for a grant.
+		asked           int
+	}{
+		{"granted", refuse.NoUpstream, "", false, "", 2},
+		{"none anywhere", refuse.NoUpstream, refuse.NoUpstream, false, refuse.NoUpstream, 3},
+		{"full there", refuse.NoUpstream, refuse.Overloaded, false, refuse.Overloaded, 2},
+		{"full here", refuse.Overloaded, "", false, refuse.Overloaded, 0},
+		{"came from abroad", refuse.NoUpstream, "", true, refuse.NoUpstream, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &fake{owner: bob}
+				asked := 0
+				f.call = func(_ context.Context, to netip.AddrPort, m *wire.Frame) (*wire.Frame, error) {
+					if r := m.GetRelay(); r != nil {
+						asked++
+						must.Eq(t, "p", r.GetPool())
+						must.True(t, r.GetFrame().GetTicket().GetAbroad())
+						if to == gone {
+							return nil, errLink
+						}
+						if tc.far != "" {
+							return refused(r.GetFrame().GetTicket(), tc.far), nil
+						}
+						return granted(r.GetFrame().GetTicket(), 5), nil
+					}
+					return refused(m.GetTicket(), tc.home), nil
+				}
+				g := f.grant()
+				g.Abroad = func(string) []netip.AddrPort { return []netip.AddrPort{gone, far, third} }
+				r, err := g.Grant(t.Context(), &wire.Ticket{Id: 1, Pool: "p", Abroad: tc.abroad})
+				must.Eq(t, tc.asked, asked)
+				if tc.want != "" {
+					var re *refuse.Error
+					must.True(t, errors.As(err, &re))
+					must.Eq(t, tc.want, re.Code)
+					return
+				}
+				must.NoError(t, err)
+				must.Eq(t, uint64(5), r.GetSlot())
+				g.tellFar()
+				synctest.Wait()
+				must.Len(t, 1, f.sends[0].GetRelay().GetFrame().GetHeld().GetSlots())
+				g.Release(&wire.Release{Ticket: 1, Pool: "p", Slot: 5})
+				must.NotNil(t, f.sends[1].GetRelay().GetFrame().GetRelease())
+				g.tellFar()
+				synctest.Wait()
+				must.SliceEmpty(t, f.sends[2].GetRelay().GetFrame().GetHeld().GetSlots())
+				time.Sleep(time.Minute)
+				g.tellFar()
+				must.Len(t, 3, f.sends) // Nothing more to say.
+			})
+		})
+	}
+}
--- a/io/grant/grant.go
+++ b/io/grant/grant.go
@@ -40,12 +40,15 @@
 		Local       local
 		Members     members
 		Mesh        caller
+		Abroad      func(pool string) []netip.AddrPort // Entries elsewhere to ask when no upstream is here; nil for none.
 		Log         logr.Logger
 
 		mu    sync.Mutex
 		waits map[*wait]struct{}
 		held  held.Held
 		told  map[string]string // Owner's incarnation that had the list of a pool last.
+		fars  map[netip.AddrPort]*far
+		where map[uint64]*far // By ticket.
 		wg    sync.WaitGroup
 	}
 
@@ -77,6 +80,15 @@
 // or the context's error when the caller went away.
 func (g *Grant) Grant(ctx context.Context, t *wire.Ticket) (*wire.Grant, error) {
 	start := time.Now()
+	r, err := g.home(ctx, t, start)
+	if g.Abroad != nil && !t.GetAbroad() && noUpstream(err) {
+		return g.abroad(ctx, t, start, err)
+	}
+	return r, err
+}
+
+// home asks in this data centre.
+func (g *Grant) home(ctx context.Context, t *wire.Ticket, start time.Time) (*wire.Grant, error) {
 	broken := map[string]int{} // Sends to an owner, by incarnation, whose link broke.
 	for n := range maxSends {
 		if err := pause(ctx, n); err != nil {
@@ -201,6 +213,9 @@
 // grant it ignores a slot that it does not know. A release that is lost is
 // covered by the next list of held slots.
 func (g *Grant) Release(r *wire.Release) {
+	if g.releaseFar(r) {
+		return
+	}
 	g.mu.Lock()
 	g.held.Drop(time.Now(), r.GetPool(), r.GetTicket())
 	g.mu.Unlock()
@@ -226,7 +241,7 @@
 
 func (g *Grant) decided(t *wire.Ticket, d *wire.Decision) (*wire.Grant, error) {
 	if r := d.GetRefusal(); r != nil {
-		return nil, refuse.New(r.GetCode(), "", time.Duration(r.GetRetryAfterUs())*time.Microsecond)
+		return nil, refusal(r)
 	}
 	if d.GetGrant() != nil {
 		g.mu.Lock()
@@ -236,6 +251,10 @@
 	return d.GetGrant(), nil
 }
 
+func refusal(r *wire.Refusal) *refuse.Error {
+	return refuse.New(r.GetCode(), "", time.Duration(r.GetRetryAfterUs())*time.Microsecond)
+}
+
 func (g *Grant) enter(w *wait) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/io/grant/held.go
+++ b/io/grant/held.go
@@ -27,6 +27,7 @@
 		case <-tick.C:
 		}
 		g.tell(false)
+		g.tellFar()
 	}
 }
 
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -21,6 +21,11 @@
 	// the tickets that arrive before the first announcement.
 	Settle = 1500 * time.Millisecond
 	retry  = 50 * time.Millisecond
+	// FarSilence is how long an entry of another data centre may send no list
+	// of the slots that it holds. No member here probes it, so nothing else would
+	// tell that it died or is cut off, and its slots would stay taken.
+	FarSilence = 15 * time.Second
+	lookEvery  = time.Second
 )
 
 var errMoved = errors.New("owner: the pool has moved")
@@ -35,6 +40,7 @@
 		mu    sync.Mutex
 		calls map[*call]struct{}
 		since map[string]time.Time // When a pool became this process's.
+		far   map[string]time.Time // Incarnations of other data centres, when last heard.
 	}
 
 	call struct {
@@ -109,9 +115,12 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.calls == nil {
-		o.calls, o.since = map[*call]struct{}{}, map[string]time.Time{}
+		o.calls, o.since, o.far = map[*call]struct{}{}, map[string]time.Time{}, map[string]time.Time{}
 	}
 	o.calls[c] = struct{}{}
+	if c.GetAbroad() {
+		o.far[c.GetIncarnation()] = time.Now()
+	}
 	since, ok := o.since[c.GetPool()]
 	if !ok {
 		since = time.Now()
--- a/io/owner/owner_test.go
+++ b/io/owner/owner_test.go
@@ -17,7 +17,7 @@
 // fake holds every ticket until its call ends, or refuses it.
 type fake struct {
 	code   string
-	forgot string
+	forgot atomic.Value
 }
 
 func (f *fake) Submit(ctx context.Context, t *wire.Ticket) *wire.Decision {
@@ -29,7 +29,7 @@
 	return &wire.Decision{Ticket: t.GetId(), Kind: &wire.Decision_Refusal{Refusal: &wire.Refusal{Code: code}}}
 }
 
-func (f *fake) Forget(incarnation string) { f.forgot = incarnation }
+func (f *fake) Forget(incarnation string) { f.forgot.Store(incarnation) }
 
 func isMoved(err error) bool {
 	var fault *wire.Fault
@@ -83,3 +83,27 @@
 		must.Eq(t, 0, ask()) // Settled: said at once.
 	})
 }
+
+// An entry of another data centre dies while it holds slots here. No member here
+// probes it; what tells is that its lists of held slots stop. One that still
+// sends them keeps its slots.
+func TestSilentFarEntryIsForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fake{code: refuse.Overloaded}
+		o := &Owner{Mine: func(string) bool { return true }, Sched: f}
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = o.Serve(ctx) }()
+		_, err := o.Submit(ctx, &wire.Ticket{Id: 1, Pool: "p", Incarnation: "far-1", Abroad: true})
+		must.NoError(t, err)
+		for range 20 {
+			time.Sleep(2 * time.Second)
+			o.Heard("far-1")
+		}
+		synctest.Wait()
+		must.Nil(t, f.forgot.Load())
+		time.Sleep(FarSilence + 2*lookEvery)
+		synctest.Wait()
+		must.Eq(t, any("far-1"), f.forgot.Load())
+		cancel()
+	})
+}
