Count false deaths before the lists are cleared

Ruled out: the detector itself, whose every loop over a map is sorted or doesn't depend on the order.

--- a/core/member/bench_test.go
+++ b/core/member/bench_test.go
@@ -120,10 +120,12 @@
 		f.run(5 * time.Second)
 	}
 	c := 0
-	for name, n := range f.nodes {
+	for name := range f.nodes {
 		if f.lostBy(name+"-1") > 0 {
 			c++
 		}
+	}
+	for _, n := range f.nodes {
 		n.lost = nil
 		clear(n.lostAt)
 	}
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -28,8 +28,8 @@
 
 var (
 	// ErrBackoff is returned without a new attempt shortly after one failed, so
-	// that a dead peer costs few dials however many callers want it. It wraps
-	// nothing that was sent.
+	// that a dead peer costs few dials however many callers want it. Nothing was
+	// sent, and the error of that attempt is wrapped beside it.
 	ErrBackoff = errors.New("mesh: peer could not be reached a moment ago")
 	// ErrClosed is returned after Close.
 	ErrClosed = errors.New("mesh: closed")
