A configuration that names an unknown policy is refused before it is accepted

Cause: policies are looked up only by the entries; a change with a misspelt policy was accepted, each entry logged the pool as left as it was, and the operator saw the version in force everywhere. The leader's judgement, apply and check now look the names up, once; entries still read what was accepted, so that an older program serves its other pools. TestServed names one misspelt policy at one site, and refuses it.

--- a/cmd/azurelane/apply.go
+++ b/cmd/azurelane/apply.go
@@ -49,7 +49,11 @@
 	if err != nil {
 		return err
 	}
-	if _, err := sites.Parse(doc); err != nil {
+	set, err := sites.Parse(doc)
+	if err == nil {
+		err = set.Served()
+	}
+	if err != nil {
 		return fmt.Errorf("apply: %s: %w", c.File, err)
 	}
 	if c.Change == "" {
--- a/cmd/azurelane/check.go
+++ b/cmd/azurelane/check.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 
+	"azurelane/core/codec"
 	"azurelane/core/sites"
 	"azurelane/io/setup"
 )
@@ -14,7 +15,7 @@
 type checkCmd struct {
 	Config   string   `type:"existingfile" help:"A configuration: base and overlays."`
 	Settings []string `arg:"" optional:"" type:"existingfile" help:"Settings of processes."`
-	Print    bool     `help:"Print the settings in full."`
+	Print    bool     `help:"Print the settings, and the configuration of each site, with all defaults."`
 }
 
 // Help is the command's manual.
@@ -28,10 +29,18 @@
 			return err
 		}
 		set, err := sites.Parse(doc)
+		if err == nil {
+			err = set.Served()
+		}
 		if err != nil {
 			return fmt.Errorf("check: %s: %w", c.Config, err)
 		}
 		fmt.Printf("%s: fit for %d sites\n", c.Config, len(set.Sites()))
+		if c.Print {
+			if err := printMerged(set); err != nil {
+				return fmt.Errorf("check: %w", err)
+			}
+		}
 	}
 	for _, path := range c.Settings {
 		s, err := setup.Load(path)
@@ -50,3 +59,19 @@
 	}
 	return nil
 }
+
+// printMerged writes what is in force at each site, with what it left out.
+func printMerged(set *sites.Set) error {
+	for _, site := range set.Sites() {
+		cfg, err := set.For(site)
+		if err != nil {
+			return err
+		}
+		text, err := codec.Print(cfg.WithDefaults())
+		if err != nil {
+			return err
+		}
+		fmt.Printf("%s: %s\n", site, text)
+	}
+	return nil
+}
--- a/core/conf/conf.go
+++ b/core/conf/conf.go
@@ -51,3 +51,17 @@
 	}
 	return &cfg, nil
 }
+
+// WithDefaults returns the configuration with every limit of its accounts and
+// pools set, as operators read it.
+func (c *Config) WithDefaults() *Config {
+	full := *c
+	full.Accounts, full.Pools = map[string]acct.Account{}, map[string]pool.Pool{}
+	for name, a := range c.Accounts {
+		full.Accounts[name] = a.WithDefaults()
+	}
+	for name, p := range c.Pools {
+		full.Pools[name] = p.WithDefaults()
+	}
+	return &full
+}
--- a/core/kernel/kernel.go
+++ b/core/kernel/kernel.go
@@ -71,3 +71,15 @@
 
 // Names lists the registered policies, sorted.
 func Names() []string { return slices.Sorted(maps.Keys(policies)) }
+
+// Check reports a pool whose configuration names a policy that the program does
+// not have. Such a document must not be accepted: no entry could put it in
+// force, and the pool would go on as it was without a word.
+func Check(cfg *conf.Config) error {
+	for name, p := range cfg.Pools {
+		if _, ok := policies[p.Scheduler]; p.Scheduler != "" && !ok {
+			return fmt.Errorf("%w: /pools/%s/scheduler: expected one of %v", conf.ErrInvalid, name, Names())
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/core/sites/served_test.go
@@ -0,0 +1,34 @@
+package sites
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"azurelane/core/conf"
+	_ "azurelane/core/robin" // The one policy that this test knows.
+)
+
+// An operator misspells a policy for one site. If the change were accepted, the
+// entries of that site could not run the pool and no one would hear of it.
+func TestServed(t *testing.T) {
+	for _, tc := range []struct {
+		name, overlay string
+		ok            bool
+	}{
+		{"known", `{"pools":{"p":{"scheduler":"robin"}}}`, true},
+		{"left out", `{}`, true},
+		{"misspelt", `{"pools":{"p":{"scheduler":"robbin"}}}`, false},
+	} {
+		set, err := Parse([]byte(`{"base":{"client-accounts":{},"tiers":{},"pools":{"p":{"models":["m"]}}},"overlays":{"dc-1":` + tc.overlay + `}}`))
+		must.NoError(t, err, must.Sprint(tc.name))
+		err = set.Served()
+		if tc.ok {
+			must.NoError(t, err, must.Sprint(tc.name))
+			continue
+		}
+		must.ErrorIs(t, err, conf.ErrInvalid)
+		must.StrContains(t, err.Error(), `site "dc-1"`)
+		must.StrContains(t, err.Error(), "/pools/p/scheduler: expected one of [robin]")
+	}
+}
--- a/core/sites/sites.go
+++ b/core/sites/sites.go
@@ -12,6 +12,7 @@
 
 	"azurelane/core/codec"
 	"azurelane/core/conf"
+	"azurelane/core/kernel"
 )
 
 // MaxBytes bounds a document. Every entry fetches each version, all within
@@ -46,6 +47,22 @@
 	return &s, nil
 }
 
+// Served reports a pool whose policy this program does not have, at any site.
+// It is asked before a change is accepted, and not when one is read: an entry of
+// an older program still serves its other pools.
+func (s *Set) Served() error {
+	for _, site := range append([]string{""}, s.Sites()...) {
+		cfg, err := s.For(site)
+		if err == nil {
+			err = kernel.Check(cfg)
+		}
+		if err != nil {
+			return fmt.Errorf("sites: site %q: %w", site, err)
+		}
+	}
+	return nil
+}
+
 // Sites lists the sites that have an overlay, sorted.
 func (s *Set) Sites() []string { return slices.Sorted(maps.Keys(s.Overlays)) }
 
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -88,7 +88,11 @@
 func Judge(c *wire.Command) {
 	if k := c.GetChange(); k != nil {
 		k.Invalid = ""
-		if _, err := sites.Parse(k.GetDocument()); err != nil {
+		set, err := sites.Parse(k.GetDocument())
+		if err == nil {
+			err = set.Served()
+		}
+		if err != nil {
 			k.Invalid = err.Error()
 		}
 	}
