--- a/cmd/azurelane/drain.go
+++ b/cmd/azurelane/drain.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"net/http"
 	"net/netip"
+
+	"azurelane/io/certs"
 )
 
 const usageDrain = `Take an entry out of service: it takes no new work, hands its pools to the
@@ -24,7 +27,7 @@
 
 // Run asks the entry to drain.
 func (c *drainCmd) Run(ctx context.Context) error {
-	cfg, err := c.tls()
+	cfg, err := c.trust()
 	if err != nil {
 		return fmt.Errorf("drain: %w", err)
 	}
@@ -51,3 +54,11 @@
 	fmt.Println("draining")
 	return nil
 }
+
+// trust needs no certificate of the operator's where a token is shown.
+func (c *drainCmd) trust() (*tls.Config, error) {
+	if c.Token != "" && c.Cert == "" && c.CA != "" {
+		return certs.Trust(c.CA)
+	}
+	return c.tls()
+}
--- a/cmd/azurelane/tls_test.go
+++ b/cmd/azurelane/tls_test.go
@@ -92,8 +92,10 @@
 	own, err := s.files("operator").Config()
 	must.NoError(t, err)
 	must.Eq(t, http.StatusOK, s.operatorStatus(http.MethodGet, "/v1/info", "", own))
-	cmd := s.start("drain", s.entry.Operator.String(), "--cert", filepath.Join(s.dir, "operator.pem"), "--key", filepath.Join(s.dir, "operator-key.pem"), "--ca", filepath.Join(s.dir, "ca.pem"))
-	must.NoError(t, cmd.Wait())
+	ca := filepath.Join(s.dir, "ca.pem")
+	must.Error(t, s.start("drain", s.entry.Operator.String(), "--ca", ca, "--token", "guess").Wait())
+	must.Error(t, s.start("drain", s.entry.Operator.String(), "--token", "secret").Wait())
+	must.NoError(t, s.start("drain", s.entry.Operator.String(), "--ca", ca, "--token", "secret").Wait())
 	must.NoError(t, s.proc.cmd.Wait())
 }
 
--- a/io/certs/certs.go
+++ b/io/certs/certs.go
@@ -40,13 +40,9 @@
 	if !c.On() {
 		return nil, nil //nolint:nilnil // No TLS is a setting, not an error.
 	}
-	pem, err := os.ReadFile(c.CA)
+	pool, err := authority(c.CA)
 	if err != nil {
-		return nil, fmt.Errorf("certs: authority: %w", err)
-	}
-	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(pem) {
-		return nil, fmt.Errorf("%w in %s", ErrNoAuthority, c.CA)
+		return nil, err
 	}
 	p := &pair{Certs: c}
 	if _, err := p.get(); err != nil {
@@ -59,6 +55,28 @@
 	}, nil
 }
 
+// Trust returns the settings of a client that knows the authority and shows no
+// certificate of its own.
+func Trust(ca string) (*tls.Config, error) {
+	pool, err := authority(ca)
+	if err != nil {
+		return nil, err
+	}
+	return &tls.Config{MinVersion: tls.VersionTLS13, RootCAs: pool}, nil
+}
+
+func authority(file string) (*x509.CertPool, error) {
+	pem, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fmt.Errorf("certs: authority: %w", err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, fmt.Errorf("%w in %s", ErrNoAuthority, file)
+	}
+	return pool, nil
+}
+
 // Operators returns the settings for the operators' port, or nil without TLS:
 // it is encrypted too, but health checks need no certificate. What is for
 // operators alone is guarded behind it.
