An account's limit at an entry sheds its lower tiers first

Cause: an entry counted all open requests of an account alike, so 512 waiting bulk requests made it refuse the account's alert and keep the bulk work. The owner's queue sheds by tier, but such an alert never got there. Change: core/quota counts a request against those as urgent as itself, and names the waiting lower one that goes for it; io/front refuses that one at once.

--- a/io/front/front.go
+++ b/io/front/front.go
@@ -17,6 +17,7 @@
 	"azurelane/core/budget"
 	"azurelane/core/conf"
 	"azurelane/core/index"
+	"azurelane/core/quota"
 	"azurelane/core/wire"
 	"azurelane/io/keep"
 	"azurelane/io/stats"
@@ -49,9 +50,10 @@
 		away     atomic.Int64 // Until when control counts as away, in nanoseconds since 1970.
 		keep     keep.Keep
 
-		mu     sync.Mutex
-		open   map[string]*usage // By client account.
-		budget budget.Budget     // Of second placements.
+		mu      sync.Mutex
+		open    quota.Quota
+		waiting map[uint64]context.CancelCauseFunc // By request id.
+		budget  budget.Budget                      // Of second placements.
 	}
 
 	granter interface {
--- a/io/front/read.go
+++ b/io/front/read.go
@@ -46,13 +46,13 @@
 	if err := q.authenticate(); err != nil {
 		return err
 	}
-	if err := q.front.take(q.account, q.limits); err != nil {
+	if err := q.headers(); err != nil {
 		return err
 	}
-	q.holds.Store(1)
-	if err := q.headers(); err != nil {
+	if err := q.front.take(q); err != nil {
 		return err
 	}
+	q.holds.Store(1)
 	if err := q.readBody(); err != nil {
 		return err
 	}
@@ -159,7 +159,7 @@
 		room = firstRoom
 	}
 	for {
-		if err := q.front.takeBytes(q.account, q.limits, room); err != nil {
+		if err := q.front.takeBytes(q, room); err != nil {
 			return err
 		}
 		q.room += room
--- a/io/front/request.go
+++ b/io/front/request.go
@@ -32,6 +32,7 @@
 	errRunLimit = errors.New("front: run limit")
 	errDeadline = errors.New("front: deadline")
 	errCaller   = errors.New("front: caller gone")
+	errShed     = errors.New("front: shed for more urgent work of the account")
 )
 
 // maxPlaces bounds how often one request is placed, when grants run out or
@@ -106,7 +107,7 @@
 // request any more: its caller and, with a key, its run.
 func (q *request) letGo() {
 	if q.account != "" && q.holds.Add(-1) == 0 {
-		q.front.give(q.account, q.room)
+		q.front.give(q)
 	}
 }
 
@@ -143,6 +144,8 @@
 func (q *request) place(ctx, runCtx context.Context, to taker) error {
 	q.ticket.Id, q.ticket.Entry, q.ticket.Incarnation = q.id, q.front.Node, q.front.Incarnation
 	q.ticket.Account = q.account
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	for n := range maxPlaces {
 		if !q.front.mayPlace(n) {
 			break
@@ -150,6 +153,7 @@
 		if q.key != "" && q.state == life.Waiting && time.Now().UnixNano() < q.front.away.Load() {
 			return errAway
 		}
+		q.front.waits(q, cancel)
 		g, err := q.wait(ctx)
 		if err != nil {
 			return err
@@ -157,6 +161,9 @@
 		next, held, err := q.use(ctx, runCtx, g, to)
 		if next == join {
 			// The slot is free again: waiting for another's run takes none.
+			if !q.front.keeps(q) {
+				return given(ctx)
+			}
 			next, err = q.join(ctx, held, to)
 		}
 		if next == done {
@@ -207,8 +214,11 @@
 
 // given is the refusal of a request that was given up before it was sent.
 func given(ctx context.Context) *refuse.Error {
-	if errors.Is(context.Cause(ctx), errDeadline) {
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, errDeadline):
 		return refuse.New(refuse.Deadline, "no slot before the deadline", time.Second)
+	case errors.Is(cause, errShed):
+		return refuse.New(refuse.AccountLimit, "its place went to more urgent work of the account", time.Second)
 	}
 	return refuse.New(refuse.CallerGone, "", 0)
 }
@@ -236,6 +246,9 @@
 	if time.Now().After(expires) {
 		return again, nil, nil
 	}
+	if !q.front.keeps(q) {
+		return done, nil, given(ctx)
+	}
 	next, err := q.dispatch(runCtx, g, rel, to)
 	if next == again {
 		q.ticket.Avoid = append(q.ticket.Avoid, g.GetUpstream())
--- a/io/front/usage.go
+++ b/io/front/usage.go
@@ -1,59 +1,71 @@
 package front
 
 import (
+	"context"
 	"time"
 
-	"azurelane/core/acct"
 	"azurelane/core/refuse"
 )
 
-// usage is what one client account has open at this entry.
-type usage struct {
-	requests int
-	bytes    int64
-}
-
-// take counts a request against its account's limits, so that one account
-// can't take the connections and memory of the others.
-func (f *Front) take(name string, a acct.Account) error {
+// take counts a request against its account's limits. See core/quota for who
+// goes when the account is over them.
+func (f *Front) take(q *request) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.open == nil {
-		f.open = map[string]*usage{}
-	}
-	u := f.open[name]
-	if u == nil {
-		u = &usage{}
-		f.open[name] = u
-	}
-	if u.requests >= a.MaxConnections {
+	shed, ok := f.open.Take(q.account, q.id, int(q.ticket.GetTier()), q.limits.MaxConnections)
+	f.shed(shed)
+	if !ok {
 		return refuse.New(refuse.AccountLimit, "too many open requests", time.Second)
 	}
-	u.requests++
 	return nil
 }
 
 // takeBytes counts a body against its account's limit, before it is read:
 // bodies that trickle in hold memory as much as those that are there.
-func (f *Front) takeBytes(name string, a acct.Account, n int64) error {
+func (f *Front) takeBytes(q *request, n int64) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	u := f.open[name]
-	if u.bytes+n > a.MaxBodies {
+	shed, ok := f.open.Grow(q.account, q.id, n, q.limits.MaxBodies)
+	f.shed(shed)
+	if !ok {
 		return refuse.New(refuse.AccountLimit, "too many bytes in open requests", time.Second)
 	}
-	u.bytes += n
 	return nil
 }
 
 // give takes back what a request counted.
-func (f *Front) give(name string, n int64) {
+func (f *Front) give(q *request) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.open.Give(q.account, q.id)
+	delete(f.waiting, q.id)
+}
+
+// waits notes that a request waits for a slot. While it does, more urgent work
+// of its account may take its place; cancel then ends the wait.
+func (f *Front) waits(q *request, cancel context.CancelCauseFunc) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	u := f.open[name]
-	u.requests--
-	u.bytes -= n
-	if u.requests == 0 {
-		delete(f.open, name)
+	if f.waiting == nil {
+		f.waiting = map[uint64]context.CancelCauseFunc{}
+	}
+	f.waiting[q.id] = cancel
+	f.open.Wait(q.account, q.id)
+}
+
+// keeps notes that a request waits no more. It reports false when the request
+// has lost its place a moment ago.
+func (f *Front) keeps(q *request) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.waiting, q.id)
+	return f.open.Keep(q.account, q.id)
+}
+
+func (f *Front) shed(ids []uint64) {
+	for _, id := range ids {
+		f.Stats.Count("shed-for-urgent", 1)
+		f.waiting[id](errShed)
+		delete(f.waiting, id)
 	}
 }
--- /dev/null
+++ b/io/front/usage_test.go
@@ -0,0 +1,85 @@
+package front_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"azurelane/core/refuse"
+	"azurelane/core/tier"
+	"azurelane/core/wire"
+	"azurelane/io/front"
+)
+
+// An account's bulk work fills its limit at an entry: first some of it waits
+// for slots, then all of it runs. An alert of the account comes. While bulk
+// work waits, the newest of it is refused and the alert runs; when all of it
+// runs already, the alert runs beside it. Nothing that runs is cut.
+func TestAlertAtTheAccountsLimit(t *testing.T) {
+	for _, tc := range []struct {
+		name, key string
+		runs      bool // The bulk work runs when the alert comes.
+	}{
+		{"bulk waits", "", false},
+		{"bulk with keys waits", "k", false},
+		{"bulk runs", "", true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := newSite(t, 1)
+			a := s.cfg.Accounts["one"]
+			a.MaxConnections = 2
+			s.cfg.Accounts["one"] = a
+			s.cfg.Tiers = map[string]tier.Tier{"alert": {Level: 0}, "bulk": {Level: 2}}
+			gate := make(chan struct{})
+			s.granter.before = func(ctx context.Context, t *wire.Ticket) error {
+				if t.GetTier() == wire.Tier_TIER_URGENT || tc.runs {
+					return nil
+				}
+				select {
+				case <-gate:
+					return nil
+				case <-ctx.Done():
+					return ctx.Err()
+				}
+			}
+			if tc.runs {
+				s.engine.Step = time.Millisecond
+			}
+			e := s.entries[0]
+			got := make(chan reply, 2)
+			for i := range 2 {
+				q := ask{header: http.Header{front.HeaderTier: {"bulk"}}}
+				if tc.key != "" {
+					q.key = tc.key + string(rune('a'+i))
+				}
+				if tc.runs {
+					q.body = `{"model":"m","stream":true,"max_tokens":300,"messages":[]}`
+				}
+				go func() { got <- e.ask(q) }()
+				s.eventually("it is there", func() bool {
+					s.granter.mu.Lock()
+					defer s.granter.mu.Unlock()
+					return s.granter.asked == i+1
+				})
+			}
+			alert := e.ask(ask{header: http.Header{front.HeaderTier: {"alert"}}})
+			must.Eq(t, "whole", alert.outcome)
+			want := 2
+			if !tc.runs {
+				shed := <-got
+				must.Eq(t, refuse.AccountLimit, shed.code)
+				must.Eq(t, "not-run", shed.outcome)
+				must.NotEq(t, "", shed.retry)
+				want = 1
+			}
+			close(gate)
+			for range want {
+				must.Eq(t, "whole", (<-got).outcome)
+			}
+			s.free()
+		})
+	}
+}
--- a/io/stats/names.go
+++ b/io/stats/names.go
@@ -24,6 +24,7 @@
 	{"outcome-*", counter, entry, "Requests by outcome: whole, not-run, unknown, failed."},
 	{"refused-*", counter, entry, "Refusals by code; docs/API.md lists the codes."},
 	{"wasted-prefill-tokens", counter, entry, "Prompt tokens, as estimated, of requests that were sent and have no whole answer."},
+	{"shed-for-urgent", counter, entry, "Waiting requests refused because more urgent work of their account needed the place."},
 	{"placed-again", counter, entry, "Placements after the first; nothing had been sent before."},
 	{"finish-not-recorded", counter, entry, "Keyed runs whose end could not be written to control."},
 	{"claims-freed", counter, entry, "Claims taken back because nothing was sent."},
