No goroutine begins while the wait for the others runs

Cause: messages arrive while a stopping entry waits for its senders; a goroutine begun in that moment is a misuse of the wait group, which panics. Ruled out: waiting without the group, which would leave goroutines behind. Change: member and grant begin goroutines under a lock that also ends them; a decision of withdrawn for a live caller is asked for again. Conclusion: found by reading; no test brings it about.

--- a/io/grant/abroad.go
+++ b/io/grant/abroad.go
@@ -112,7 +112,7 @@
 		}
 		for _, p := range pools {
 			h := &wire.Held{Entry: g.Self, Incarnation: g.Incarnation, Slots: f.List(now, []string{p}, 0)}
-			g.wg.Go(func() { g.post(to, p, &wire.Frame{Body: &wire.Frame_Held{Held: h}}) })
+			g.spawn(func() { g.post(to, p, &wire.Frame{Body: &wire.Frame_Held{Held: h}}) })
 		}
 	}
 }
--- a/io/grant/grant.go
+++ b/io/grant/grant.go
@@ -29,6 +29,9 @@
 	relayAfter = 3
 )
 
+// withdrawn is the code of a ticket that its entry has given up.
+const withdrawn = "withdrawn"
+
 var errMoved = errors.New("grant: the pool has moved")
 
 type (
@@ -49,7 +52,9 @@
 		told  map[string]string // Owner's incarnation that had the list of a pool last.
 		fars  map[netip.AddrPort]*far
 		where map[uint64]*far // By ticket.
-		wg    sync.WaitGroup
+
+		stopped bool
+		wg      sync.WaitGroup
 	}
 
 	// wait is one call that waits for an owner's decision.
@@ -99,6 +104,9 @@
 			return nil, refuse.New(refuse.Deadline, "no scheduler answered in time", time.Second)
 		}
 		d, err := g.ask(ctx, now, broken)
+		if err == nil && d.GetRefusal().GetCode() == withdrawn {
+			err = errMoved // Of a former send: the pool has come back to that owner since.
+		}
 		if err == nil {
 			return g.decided(now, d)
 		}
--- a/io/grant/held.go
+++ b/io/grant/held.go
@@ -17,7 +17,10 @@
 
 // Serve sends the owners the lists of held slots until ctx ends.
 func (g *Grant) Serve(ctx context.Context) error {
-	defer g.wg.Wait()
+	g.mu.Lock()
+	g.stopped = false
+	g.mu.Unlock()
+	defer g.stop()
 	tick := time.NewTicker(heldEvery)
 	defer tick.Stop()
 	for {
@@ -79,10 +82,10 @@
 		}
 		h := &wire.Held{Entry: g.Self, Incarnation: g.Incarnation, Slots: g.held.List(now, l.pools, age)}
 		if l.owner.GetNode() == g.Self {
-			g.wg.Go(func() { g.Local.Hold(h) })
+			g.spawn(func() { g.Local.Hold(h) })
 			continue
 		}
-		g.wg.Go(func() { g.send(l.owner, &wire.Frame{Body: &wire.Frame_Held{Held: h}}) })
+		g.spawn(func() { g.send(l.owner, &wire.Frame{Body: &wire.Frame_Held{Held: h}}) })
 	}
 }
 
@@ -103,3 +106,19 @@
 		return nil
 	}
 }
+
+// spawn begins a goroutine, unless Serve has ended; the lock is held. One begun
+// during the wait for the others would be a misuse of the wait group, which
+// panics.
+func (g *Grant) spawn(f func()) {
+	if !g.stopped {
+		g.wg.Go(f)
+	}
+}
+
+func (g *Grant) stop() {
+	g.mu.Lock()
+	g.stopped = true
+	g.mu.Unlock()
+	g.wg.Wait()
+}
--- a/io/member/member.go
+++ b/io/member/member.go
@@ -37,7 +37,10 @@
 		det   member.Detector
 		view  atomic.Pointer[view]
 		sends atomic.Int32
-		wg    sync.WaitGroup
+
+		gmu     sync.Mutex // Guards the beginning of goroutines against the wait for them.
+		stopped bool
+		wg      sync.WaitGroup
 	}
 
 	// view is what the detector sees, made anew with each change, so that a
@@ -57,7 +60,11 @@
 
 // Serve probes until ctx ends, and waits for what it still sends.
 func (m *Member) Serve(ctx context.Context) error {
-	defer m.wg.Wait()
+	m.gmu.Lock()
+	m.stopped = false
+	m.sends.Store(0)
+	m.gmu.Unlock()
+	defer m.stop()
 	tick := time.NewTicker(tickEvery)
 	defer tick.Stop()
 	for {
@@ -153,11 +160,11 @@
 	for _, c := range changes {
 		m.Log.Info("Member changed.", "node", c.GetNode(), "incarnation", c.GetIncarnation(), "state", c.GetState().String(), "resting", c.GetResting())
 		if m.Lost != nil && (c.GetState() == wire.Member_STATE_DEAD || c.GetState() == wire.Member_STATE_LEFT) {
-			m.wg.Go(func() { m.Lost(c.GetIncarnation()) })
+			m.spawn(func() { m.Lost(c.GetIncarnation()) })
 		}
 	}
 	if changed && m.Changed != nil {
-		m.wg.Go(m.Changed)
+		m.spawn(m.Changed)
 	}
 	for _, p := range out {
 		m.send(ctx, p)
@@ -184,7 +191,7 @@
 		m.sends.Add(-1)
 		return
 	}
-	m.wg.Go(func() {
+	m.spawn(func() {
 		defer m.sends.Add(-1)
 		ctx, cancel := context.WithTimeout(ctx, sendLimit)
 		defer cancel()
@@ -193,3 +200,21 @@
 		}
 	})
 }
+
+// spawn begins a goroutine, unless Serve has ended. Messages still arrive while
+// the links close; a goroutine begun during the wait for the others would be a
+// misuse of the wait group, which panics.
+func (m *Member) spawn(f func()) {
+	m.gmu.Lock()
+	defer m.gmu.Unlock()
+	if !m.stopped {
+		m.wg.Go(f)
+	}
+}
+
+func (m *Member) stop() {
+	m.gmu.Lock()
+	m.stopped = true
+	m.gmu.Unlock()
+	m.wg.Wait()
+}
