Releases say how many tokens a whole answer took

Cause: the scheduler corrects an account's share and an engine's speed by what came back, and the front never told it: the estimates stood. Ruled out: counting a stream's events, because some engines put several tokens into one, and a speed learnt by events would predict runs many times too long. Change: the usage in a whole answer goes into the release. Streams keep the estimate until they carry usage. Result: TestReleaseSaysWhatWasUsed failed before (0 tokens) and passes.

--- a/io/front/fake_test.go
+++ b/io/front/fake_test.go
@@ -75,6 +75,7 @@
 		expires   time.Duration
 		canResume bool
 		before    func(ctx context.Context, t *wire.Ticket) error
+		last      *wire.Release
 	}
 
 	// mesh reaches the entries that live.
@@ -192,10 +193,11 @@
 	return &wire.Grant{Slot: uint64(g.next), Upstream: up, Address: up, ExpiresUs: g.expires.Microseconds(), CanResume: g.canResume}, nil
 }
 
-func (g *granter) Release(*wire.Release) {
+func (g *granter) Release(r *wire.Release) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.out--
+	g.last = r
 }
 
 func (m *mesh) Call(ctx context.Context, to netip.AddrPort, f *wire.Frame) (*wire.Frame, error) {
--- a/io/front/send.go
+++ b/io/front/send.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"github.com/go-json-experiment/json"
 	"github.com/pkg/errors"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
@@ -164,6 +165,9 @@
 	if err != nil {
 		return fmt.Errorf("front: answer: %w", err)
 	}
+	if c.path == chatPath {
+		c.used(data)
+	}
 	if err := c.to.Head(head); err != nil {
 		return fmt.Errorf("%w: %w", pipe.ErrCaller, err)
 	}
@@ -173,6 +177,27 @@
 	return nil
 }
 
+// used reports to the scheduler how many tokens the run took. It had only an
+// estimate of the prompt and the caller's limit for the answer; without the
+// real figures an account that asks for much and gets little would be charged
+// for what it asked. An answer that doesn't say leaves the estimate, and so does
+// a stream: engines put one token into an event, or several.
+func (c *call) used(data []byte) {
+	var doc struct {
+		Usage struct {
+			Prompt int64 `json:"prompt_tokens"`
+			Answer int64 `json:"completion_tokens"`
+		} `json:"usage"`
+	}
+	if err := json.Unmarshal(data, &doc); err != nil {
+		return
+	}
+	c.rel.AnswerTokens = doc.Usage.Answer
+	if doc.Usage.Prompt > 0 {
+		c.rel.PromptTokens = doc.Usage.Prompt
+	}
+}
+
 // bounded reports whether the end of an answer can be told from a cut: it
 // names its length or comes in chunks. One that ends with its connection looks
 // the same whole and cut.
--- a/io/front/usage_test.go
+++ b/io/front/usage_test.go
@@ -83,3 +83,15 @@
 		})
 	}
 }
+
+// An answer names the tokens that it took. The scheduler hears of them, or an
+// account would be charged for what its callers allowed and not for what they got.
+func TestReleaseSaysWhatWasUsed(t *testing.T) {
+	s := newSite(t, 1)
+	must.Eq(t, "whole", s.entries[0].ask(ask{body: `{"model":"m","max_tokens":3,"messages":[{"role":"user","content":"Hello"}]}`}).outcome)
+	s.free()
+	s.granter.mu.Lock()
+	defer s.granter.mu.Unlock()
+	must.Eq(t, int64(3), s.granter.last.GetAnswerTokens())
+	must.Positive(t, s.granter.last.GetPromptTokens())
+}
