Capacity: idle entries measured after the news of their start has ended

Cause: the benchmark measured 2 s after a common start, while the news of it still travels; the rows showed bytes and processor time that grew with the entries, 285 to 371 B/s for each. It now waits 45 s.

--- a/cmd/azurelane/capacity_test.go
+++ b/cmd/azurelane/capacity_test.go
@@ -30,7 +30,7 @@
 const (
 	tickTime    = 10 * time.Millisecond // Of the kernel's counters of processor time.
 	measureTime = 4 * time.Second
-	settleTime  = 2 * time.Second
+	settleTime  = 45 * time.Second // The news of a common start travels for so long.
 )
 
 // labConfig has one pool, so that one entry owns all there is.
