An entry that starts takes no old version while a newer one is to be had

Cause: an entry with nothing in force installed the first answer it got, be it of a replica that said it may be behind; and a replica back from a cut did not say so once it heard the leader, before it had caught up. Either way a site could go back to an older configuration for a moment when an entry restarted. Ruled out: waiting for a quorum of answers, which an entry cut off can't get. Change: answers that may be stale are taken only when no replica is up to date, and then the highest of them and of a few neighbours; a replica compares its commit with the leader's word.

--- a/core/raft/follow.go
+++ b/core/raft/follow.go
@@ -13,6 +13,7 @@
 		return
 	}
 	r.follow(m)
+	r.told = max(r.told, m.GetCommit())
 	prev, ents := m.GetLastIndex(), m.GetEntries()
 	end := prev + uint64(len(ents))
 	if end < r.commit {
@@ -89,6 +90,7 @@
 	}
 	r.follow(m)
 	snap := m.GetSnapshot()
+	r.told = max(r.told, snap.GetIndex())
 	reply.Granted, reply.LastIndex = true, max(r.commit, snap.GetIndex())
 	switch t, ok := r.log.term(snap.GetIndex()); {
 	case snap.GetIndex() <= r.commit:
--- a/core/raft/guard_test.go
+++ b/core/raft/guard_test.go
@@ -331,3 +331,31 @@
 	refuse(Election)
 	must.Eq(t, 2, sent)
 }
+
+// A replica comes back from a cut during which the log went on. It hears the
+// leader at once and catches up only later. In between it must know that it
+// lags: an entry that starts would else be given its old configuration.
+func TestBackFromACutKnowsThatItLags(t *testing.T) {
+	s, l := elected(3, 3)
+	back := s.nodes[s.others(l.id)[0]]
+	s.isolate(back.id)
+	for range 20 {
+		s.propose(l, "on")
+		s.run(200 * time.Millisecond)
+	}
+	s.join()
+	lagged := 0
+	for range 300 {
+		s.step()
+		silence, heard := back.Silence(back.clock(s))
+		if heard && silence < Election && back.Commit() < l.Commit() {
+			must.True(t, back.Lags())
+			lagged++
+		}
+	}
+	must.Positive(t, lagged)
+	must.Eq(t, l.Commit(), back.Commit())
+	must.False(t, back.Lags())
+	must.False(t, l.Lags())
+	must.Eq(t, "", s.problems())
+}
--- a/core/raft/raft.go
+++ b/core/raft/raft.go
@@ -62,6 +62,7 @@
 		confs   []conf // Memberships by the index that brought them, oldest first.
 		commit  uint64
 		applied uint64 // Last entry given out in Effects.
+		told    uint64 // Highest commit index that a leader named.
 
 		now     time.Time
 		skew    time.Duration // Sum of the steps that the clock took back.
@@ -236,6 +237,10 @@
 // Commit is the index of the last committed entry known here.
 func (r *Raft) Commit() uint64 { return r.commit }
 
+// Lags reports whether a leader has named a later commit than this replica
+// knows: it hears the leader and still has the log of before its cut.
+func (r *Raft) Lags() bool { return r.commit < r.told }
+
 // Leads reports whether this replica is the leader, as far as it knows.
 func (r *Raft) Leads() bool { return r.role == leader }
 
--- a/io/ctrl/view.go
+++ b/io/ctrl/view.go
@@ -38,6 +38,9 @@
 func (c *Ctrl) publish(now time.Time) {
 	v := &view{at: now}
 	v.silence, v.heard = c.raft.Silence(now)
+	// A replica back from a cut hears the leader before it has caught up. Its
+	// old document must not be taken for the newest by an entry that starts.
+	v.heard = v.heard && !c.raft.Lags()
 	v.Replica, v.Address, v.Identity = c.Name, c.Address.String(), c.id
 	v.Leader, v.Term, v.Commit = c.addressOf(c.raft.Leader()), c.raft.Term(), c.applied
 	v.Version, v.Change, v.Document = c.state.Version(), c.state.Change(), c.state.Document()
--- a/io/follow/follow.go
+++ b/io/follow/follow.go
@@ -24,6 +24,8 @@
 	// AnswerLimit is how long one replica may take. A silent one costs a beat
 	// no more than that before the next is asked.
 	AnswerLimit = 700 * time.Millisecond
+	// firstNeighbours are asked by an entry that has nothing in force.
+	firstNeighbours = 3
 )
 
 // errStale is a replica's word that it may be behind, or the sign of it.
@@ -104,56 +106,83 @@
 	return r
 }
 
-// once beats at one replica after the other until one is up to date.
+// once beats at one replica after the other until one is up to date. What those
+// offer that may be behind is taken only when none is: an entry that has just
+// started would else serve an old version for a moment, and its site would have
+// gone back to it.
 func (f *Follow) once(ctx context.Context) {
 	var err error
+	var best *wire.BeatReply
 	for range f.Replicas {
-		if err = f.beat(ctx, f.Replicas[f.next]); err == nil {
-			f.note(nil)
+		var r *wire.BeatReply
+		if r, err = f.beat(ctx, f.Replicas[f.next]); err == nil {
+			f.note(f.take(r))
 			return
 		}
+		best = newer(best, r)
 		f.next = (f.next + 1) % len(f.Replicas)
 		if ctx.Err() != nil {
 			return
 		}
 	}
 	f.note(err)
-	f.askNeighbour(ctx)
+	best = newer(best, f.askNeighbours(ctx))
+	if err := f.take(best); err != nil {
+		f.Log.Info("Configuration not taken.", "err", err.Error())
+	}
+}
+
+// newer returns the answer with the higher version; either may be nil.
+func newer(a, b *wire.BeatReply) *wire.BeatReply {
+	if b.GetVersion() > a.GetVersion() {
+		return b
+	}
+	return a
 }
 
-func (f *Follow) beat(ctx context.Context, to netip.AddrPort) error {
+// beat returns errStale with the answer of a replica that may be behind.
+func (f *Follow) beat(ctx context.Context, to netip.AddrPort) (*wire.BeatReply, error) {
 	b := f.Beat()
 	b.Version = f.Version()
 	r, err := f.call(ctx, to, &wire.Frame{Body: &wire.Frame_Beat{Beat: b}})
 	if err != nil {
-		return err
+		return nil, err
 	}
 	if f.Met != nil {
 		f.Met(r.GetNeighbours())
 	}
 	if r.GetStale() || r.GetVersion() < b.GetVersion() {
-		return fmt.Errorf("%w: %s", errStale, to)
+		return r, fmt.Errorf("%w: %s", errStale, to)
 	}
-	return nil
+	return r, nil
 }
 
-// askNeighbour asks one neighbour a beat, in turn.
-func (f *Follow) askNeighbour(ctx context.Context) {
+// askNeighbours asks one neighbour a beat, in turn, and a few at once as long as
+// nothing is in force here. It returns the newest answer, or nil.
+func (f *Follow) askNeighbours(ctx context.Context) *wire.BeatReply {
 	if f.Neighbours == nil {
-		return
+		return nil
 	}
 	list := f.Neighbours()
-	if len(list) == 0 {
-		return
-	}
-	f.ask++
-	q := &wire.Frame{Body: &wire.Frame_ConfigQuery{ConfigQuery: &wire.ConfigQuery{Version: f.Version()}}}
-	if _, err := f.call(ctx, list[f.ask%len(list)], q); err != nil {
-		f.Log.V(1).Info("No answer from a neighbour.", "err", err.Error())
+	n := min(len(list), 1)
+	if f.Version() == 0 {
+		n = min(len(list), firstNeighbours)
+	}
+	var best *wire.BeatReply
+	for range n {
+		f.ask++
+		q := &wire.Frame{Body: &wire.Frame_ConfigQuery{ConfigQuery: &wire.ConfigQuery{Version: f.Version()}}}
+		r, err := f.call(ctx, list[f.ask%len(list)], q)
+		if err != nil {
+			f.Log.V(1).Info("No answer from a neighbour.", "err", err.Error())
+			continue
+		}
+		best = newer(best, r)
 	}
+	return best
 }
 
-// call asks a peer and takes a newer document from its answer, be it stale.
+// call asks a peer for a newer document.
 func (f *Follow) call(ctx context.Context, to netip.AddrPort, q *wire.Frame) (*wire.BeatReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, AnswerLimit)
 	defer cancel()
@@ -161,7 +190,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("follow: ask %s: %w", to, err)
 	}
-	return r.GetBeatReply(), f.take(r.GetBeatReply())
+	return r.GetBeatReply(), nil
 }
 
 // note logs when control is lost and found again, and not each beat.
--- a/io/follow/follow_test.go
+++ b/io/follow/follow_test.go
@@ -164,3 +164,29 @@
 		must.MapLen(t, 3, seen)
 	})
 }
+
+// An entry restarts with nothing in force. Control replicas that lag offer old
+// versions, and the entry must not serve one, even for a moment, while a newer
+// one is to be had: its site would go back to it. Only when nobody knows better
+// it takes the newest of what is offered.
+func TestFirstVersionIsTheNewest(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		peers map[netip.AddrPort]*fake
+		want  uint64
+	}{
+		{"one is up to date", map[netip.AddrPort]*fake{addr(1): {version: 3, stale: true}, addr(2): {version: 4, stale: true}, addr(3): {version: 5}}, 5},
+		{"a neighbour knows more", map[netip.AddrPort]*fake{addr(1): {version: 3, stale: true}, addr(8): {version: 4}, addr(9): {version: 5}}, 5},
+		{"all may be behind", map[netip.AddrPort]*fake{addr(1): {version: 3, stale: true}, addr(2): {version: 5, stale: true}, addr(3): {version: 4, stale: true}}, 5},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				for range 20 {
+					_, _, installed := follower(t, tt.peers)
+					time.Sleep(10 * time.Second)
+					must.Eq(t, []uint64{tt.want}, installed())
+				}
+			})
+		})
+	}
+}
