Periodic lists of held slots name tickets alone

Cause: each long run cost its entry 47 B/s in lists to the owner, so that about 17 long runs used up the 2 KB/s that a node may spend on control. Ruled out: longer intervals, which leave a lost release's slot taken for longer; a checksum of the list, which would need an answer when it differs. Change: an owner that has had the list gets the tickets' numbers every 2 s, and the whole list every 20 s, for the case that it took the entry for dead.

--- a/core/held/held.go
+++ b/core/held/held.go
@@ -84,5 +84,15 @@
 	return list
 }
 
+// Tickets returns the tickets of the slots that List returns: all that an owner
+// needs which has had the list before.
+func (h *Held) Tickets(now time.Time, pools []string, age time.Duration) []uint64 {
+	var list []uint64
+	for _, s := range h.List(now, pools, age) {
+		list = append(list, s.GetTicket().GetId())
+	}
+	return list
+}
+
 // Len is the number of slots held.
 func (h *Held) Len() int { return len(h.slots) }
--- a/core/held/held_test.go
+++ b/core/held/held_test.go
@@ -53,6 +53,7 @@
 				size = proto.Size(&wire.Held{Slots: h.List(now, []string{"alerts"}, 0)})
 			}
 			b.ReportMetric(float64(size)/float64(n), "B/slot")
+			b.ReportMetric(float64(proto.Size(&wire.Held{Tickets: h.Tickets(now, []string{"alerts"}, 0)}))/float64(n), "B/ticket")
 		})
 	}
 }
--- a/core/late/late.go
+++ b/core/late/late.go
@@ -154,7 +154,7 @@
 			list = append(list, s)
 		}
 	}
-	l.slots.Hold(now, h.GetIncarnation(), list, l.table.Named)
+	l.slots.Hold(now, h.GetIncarnation(), list, h.GetTickets(), l.table.Named)
 	l.stale = true
 }
 
--- a/core/slots/slots.go
+++ b/core/slots/slots.go
@@ -61,9 +61,14 @@
 //     stay taken for ever and the upstream would lose a place with each loss.
 //
 // A list that was overtaken by a release must not bring the slot back, so
-// released slots are remembered for a while. Up finds an upstream by name.
-func (s *Slots) Hold(now time.Time, incarnation string, list []*wire.HeldSlot, up func(string) *upstr.Upstream) {
-	listed := make(map[uint64]bool, len(list))
+// released slots are remembered for a while. Tickets names slots that stood in
+// a list before; one that isn't known is adopted when it stands in a list again.
+// Up finds an upstream by name.
+func (s *Slots) Hold(now time.Time, incarnation string, list []*wire.HeldSlot, tickets []uint64, up func(string) *upstr.Upstream) {
+	listed := make(map[uint64]bool, len(list)+len(tickets))
+	for _, id := range tickets {
+		listed[id] = true
+	}
 	for _, h := range list {
 		t, g := h.GetTicket(), h.GetGrant()
 		listed[t.GetId()] = true
--- a/io/grant/grant.go
+++ b/io/grant/grant.go
@@ -24,6 +24,10 @@
 	maxSends  = 20
 	sendLimit = time.Second     // For a frame that needs no answer.
 	heldEvery = 2 * time.Second // Between two lists of held slots.
+	// fullEvery is how many of these lists pass between two that describe the
+	// slots. An owner that had one knows them by their tickets; it forgets them
+	// only when it took this entry for dead, and that is mended by the next one.
+	fullEvery = 10
 	// relayAfter is the number of sends to one owner that broke before another
 	// member is asked to pass the ticket on.
 	relayAfter = 3
@@ -50,6 +54,7 @@
 		waits map[*wait]struct{}
 		held  held.Held
 		told  map[string]string // Owner's incarnation that had the list of a pool last.
+		lists int               // Periodic lists so far.
 		fars  map[netip.AddrPort]*far
 		where map[uint64]*far // By ticket.
 
--- a/io/grant/held.go
+++ b/io/grant/held.go
@@ -59,6 +59,10 @@
 	lists := map[string]*list{}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	full := g.lists%fullEvery == 0
+	if !onlyNew {
+		g.lists++
+	}
 	was := g.told
 	g.told = map[string]string{}
 	for _, p := range g.held.Pools(now) {
@@ -80,7 +84,12 @@
 		if l.fresh {
 			age = 0
 		}
-		h := &wire.Held{Entry: g.Self, Incarnation: g.Incarnation, Slots: g.held.List(now, l.pools, age)}
+		h := &wire.Held{Entry: g.Self, Incarnation: g.Incarnation}
+		if l.fresh || full {
+			h.Slots = g.held.List(now, l.pools, age)
+		} else {
+			h.Tickets = g.held.Tickets(now, l.pools, age)
+		}
 		if l.owner.GetNode() == g.Self {
 			g.spawn(func() { g.Local.Hold(h) })
 			continue
