Deadlines and limits in the entry's tests don't trip on a busy machine

Cause: TestDeadline asked with 500 ms and expected a run, which begins later than that on a busy machine; its verdict was then not-run. Four other tests held whole answers that were not their point to limits of 100 to 300 ms. Ruled out: longer times everywhere (slower, and only rarer failures); a fake clock (the requests go over real sockets, on which no fake time passes). Change: a deadline that passed before the run began is followed by one twice as long, at a new site; silence and run limits are put in force for the faulted request alone. Every assertion stands as it was. Result: with each grant held back for 600 ms TestDeadline failed before (unknown expected, not-run had) and passes now; go test -race ./io/front passes.

--- a/io/front/fake_test.go
+++ b/io/front/fake_test.go
@@ -1,12 +1,14 @@
 package front_test
 
 import (
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"flag"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -288,7 +290,7 @@
 		r.Header[name] = values
 	}
 	for name, v := range map[string]string{
-		"Authorization": "Bearer key-" + orElse(a.account, "one"), front.HeaderKey: a.key, fault.Header: a.fault, front.HeaderDeadline: a.deadline,
+		"Authorization": "Bearer key-" + cmp.Or(a.account, "one"), front.HeaderKey: a.key, fault.Header: a.fault, front.HeaderDeadline: a.deadline,
 	} {
 		if v != "" && r.Header.Get(name) == "" {
 			r.Header.Set(name, v)
@@ -297,11 +299,13 @@
 	return r
 }
 
-func orElse(s, other string) string {
-	if s == "" {
-		return other
-	}
-	return s
+// limit puts other limits of the engines' pool in force.
+func (s *site) limit(p pool.Pool) {
+	cfg := *s.cfg
+	cfg.Pools = maps.Clone(cfg.Pools)
+	p.Models = []string{"m"}
+	cfg.Pools["engines"] = p
+	s.cfg = &cfg
 }
 
 func (e *entry) ask(a ask) reply { return e.askCtx(context.Background(), a) }
--- a/io/front/fault_test.go
+++ b/io/front/fault_test.go
@@ -43,16 +43,14 @@
 			t.Run(fmt.Sprintf("%s/stream=%v/key=%s", tc.fault, tc.stream, key), func(t *testing.T) {
 				t.Parallel()
 				s := newSite(t, 1)
-				p := pool.Pool{Models: []string{"m"}}
+				e := s.entries[0]
+				must.Eq(t, "whole", e.ask(ask{}).outcome, must.Sprint("now the connection is kept"))
 				switch tc.code {
 				case refuse.RunLimit:
-					p.MaxRun = time.Second
+					s.limit(pool.Pool{MaxRun: time.Second})
 				case refuse.UpstreamMute:
-					p.Silence = 300 * time.Millisecond
+					s.limit(pool.Pool{Silence: 300 * time.Millisecond})
 				}
-				s.cfg.Pools["engines"] = p
-				e := s.entries[0]
-				must.Eq(t, "whole", e.ask(ask{}).outcome, must.Sprint("now the connection is kept"))
 				a := ask{fault: tc.fault, stream: tc.stream, key: key}
 				for range 2 {
 					got := e.ask(a)
@@ -74,6 +72,7 @@
 					}
 				}
 				must.SliceLen(t, 2, s.engine.Journal(), must.Sprint("one run besides the first request's"))
+				s.limit(pool.Pool{})
 				must.StrContains(t, e.ask(ask{}).body, "t0 t1 t2")
 				s.free()
 			})
@@ -90,12 +89,15 @@
 			t.Run(kind+"/key="+key, func(t *testing.T) {
 				t.Parallel()
 				s := newSite(t, 1)
-				s.cfg.Pools["engines"] = pool.Pool{Models: []string{"m"}, Silence: 300 * time.Millisecond}
+				if kind == fault.Stall {
+					s.limit(pool.Pool{Silence: 2 * time.Second}) // The head of the answer must come within it.
+				}
 				s.up.Config.Handler = &fault.Fault{Handler: &resume.Resume{Handler: s.engine, Grace: time.Minute}}
 				s.granter.canResume = true
 				got := s.entries[0].ask(ask{fault: kind, stream: true, key: key})
 				must.NoError(t, got.err)
 				must.Eq(t, "whole", got.outcome)
+				s.limit(pool.Pool{})
 				want := s.entries[0].ask(ask{stream: true})
 				must.Eq(t, plain(want.body), plain(got.body))
 				must.SliceLen(t, 2, s.engine.Journal())
--- a/io/front/refuse_test.go
+++ b/io/front/refuse_test.go
@@ -108,7 +108,7 @@
 func TestSlowCallers(t *testing.T) {
 	s := newSite(t, 1)
 	e := s.entries[0]
-	e.BodyTime, e.TakeTime = 200*time.Millisecond, 200*time.Millisecond
+	e.BodyTime = 200 * time.Millisecond
 	send := func(length int, body string) net.Conn {
 		c, err := net.Dial("tcp", e.Listener.Addr().String())
 		must.NoError(t, err)
@@ -125,6 +125,7 @@
 	_ = resp.Body.Close()
 	_ = c.Close()
 
+	e.BodyTime, e.TakeTime = 0, 200*time.Millisecond
 	const long = `{"model":"m","stream":true,"max_tokens":10000000,"messages":[]}`
 	c = send(len(long), long)
 	defer func() { _ = c.Close() }()
@@ -210,7 +211,7 @@
 // keyed requests of a cut-off data centre would starve all the others.
 func TestClaimWithoutControlHoldsNoSlot(t *testing.T) {
 	s := newSite(t, 1)
-	s.granter.expires = 100 * time.Millisecond
+	s.granter.expires = 500 * time.Millisecond // A grant must not run out before it is used, also on a busy machine.
 	s.control.setHook(func(c *wire.Command) loss {
 		if c.GetClaim() != nil {
 			return noAnswer
@@ -242,9 +243,7 @@
 		must.Eq(t, "1", got.retry)
 		must.SliceEmpty(t, s.engine.Journal())
 
-		s.granter.before = nil
-		s.engine.Step = 400 * time.Millisecond
-		got = s.entries[0].ask(ask{key: key, deadline: "500ms"})
+		s, got = begunBefore(t, key)
 		must.Eq(t, "unknown", got.outcome)
 		must.SliceLen(t, 1, s.engine.Journal())
 		if key == "" {
@@ -258,6 +257,22 @@
 	}
 }
 
+// begunBefore asks with a deadline that passes in the middle of the run. On a
+// busy machine it may pass before the run begins; then the next one is longer.
+func begunBefore(t *testing.T, key string) (*site, reply) {
+	for d := 500 * time.Millisecond; d < 10*time.Second; d *= 2 {
+		s := newSite(t, 1)
+		s.engine.Step = d * 4 / 5
+		got := s.entries[0].ask(ask{key: key, deadline: d.String()})
+		if len(s.engine.Journal()) > 0 {
+			return s, got
+		}
+		must.SliceContains(t, []string{refuse.Deadline, refuse.DeadlinePassed, refuse.StillRunning}, got.code)
+	}
+	t.Fatal("no run began before its deadline")
+	return nil, reply{}
+}
+
 // A caller goes away while its request runs. Without a key no one can ask for
 // the answer any more, so the engine's work is cancelled. With one the run goes
 // on, unless the pool says otherwise, and is there when the caller is back.
