--- a/core/life/life.go
+++ b/core/life/life.go
@@ -3,6 +3,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"github.com/pkg/errors"
 )
@@ -45,13 +46,11 @@
 // Answered, Failed or Unknown only for a second submission, which takes the
 // result of the run that it joined.
 func (s *State) To(to State) error {
-	for _, n := range next[*s] {
-		if n == to {
-			*s = to
-			return nil
-		}
+	if !slices.Contains(next[*s], to) {
+		return fmt.Errorf("%w: from %s to %s", ErrStep, *s, to)
 	}
-	return fmt.Errorf("%w: from %s to %s", ErrStep, *s, to)
+	*s = to
+	return nil
 }
 
 // Final reports whether no further step exists.
--- a/io/front/claim.go
+++ b/io/front/claim.go
@@ -7,8 +7,6 @@
 	"net/netip"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"azurelane/core/answer"
 	"azurelane/core/life"
 	"azurelane/core/refuse"
@@ -17,6 +15,12 @@
 )
 
 const (
+	notHeld = "not-held" // Code of a holder's reply that no caller sees.
+
+	// awayFor is how long keyed requests are refused before they take a slot,
+	// once a claim had no answer.
+	awayFor = time.Second
+
 	joinTries   = 3                      // Calls of a holder that can't be reached.
 	joinPause   = 100 * time.Millisecond // Between them.
 	joinWait    = 10 * time.Second       // Of one call for the run's end.
@@ -25,15 +29,8 @@
 	recordMax   = 5 * time.Second
 )
 
-// awayFor is how long keyed requests are refused before they take a slot, once
-// a claim had no answer.
-const awayFor = time.Second
-
 var errAway = refuse.New(refuse.NoControl, "the key can't be claimed now", awayFor)
 
-// Codes of a holder's reply that no caller sees.
-const notHeld = "not-held"
-
 // claim reserves the key's one run. It returns the holder's claim when another
 // submission has it. It waits no longer than the grant lasts: without control
 // each claim would hold a slot that others could use.
@@ -223,9 +220,6 @@
 		if followed {
 			run.Leave(errCaller)
 		}
-		if err != nil && !errors.Is(err, context.DeadlineExceeded) {
-			return &wire.JoinReply{Code: refuse.StillRunning, Text: err.Error()}
-		}
 		if err != nil {
 			return &wire.JoinReply{Code: refuse.StillRunning}
 		}
--- a/io/front/reply.go
+++ b/io/front/reply.go
@@ -109,7 +109,7 @@
 		}
 		panic(http.ErrAbortHandler)
 	default:
-		p.refuse(refusal)
+		p.refuse(outcome, refusal)
 	}
 }
 
@@ -134,11 +134,7 @@
 }
 
 // refuse gives a final answer that no upstream gave.
-func (p *reply) refuse(e *refuse.Error) {
-	outcome := "not-run"
-	if e.MayHaveRun() {
-		outcome = "unknown"
-	}
+func (p *reply) refuse(outcome string, e *refuse.Error) {
 	p.stats.Count("refused-"+e.Code, 1)
 	h := p.w.Header()
 	h.Set(HeaderRequest, p.request)
--- a/io/front/request.go
+++ b/io/front/request.go
@@ -93,16 +93,21 @@
 		q.share(ctx)
 		return
 	}
-	if !q.deadline.IsZero() {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadlineCause(ctx, q.deadline, errDeadline)
-		defer cancel()
-	}
+	ctx, cancel := q.untilDeadline(ctx)
+	defer cancel()
 	outcome, refusal := q.close(q.place(ctx, ctx, direct{&q.reply, ctx}))
 	span.SetAttributes(attribute.String("outcome", outcome))
 	q.reply.end(outcome, refusal)
 }
 
+// untilDeadline ends a context at the request's deadline, if it has one.
+func (q *request) untilDeadline(ctx context.Context) (context.Context, context.CancelFunc) {
+	if q.deadline.IsZero() {
+		return ctx, func() {}
+	}
+	return context.WithDeadlineCause(ctx, q.deadline, errDeadline)
+}
+
 // letGo takes back what was counted against the account when no one needs the
 // request any more: its caller and, with a key, its run.
 func (q *request) letGo() {
@@ -237,8 +242,11 @@
 	}
 	if q.key != "" && q.state == life.Waiting {
 		held, err := q.claim(ctx, expires)
-		if held != nil || err != nil {
-			return joinOr(held), held, err
+		if err != nil {
+			return done, nil, err
+		}
+		if held != nil {
+			return join, held, nil
 		}
 	}
 	// The owner may have given the slot to another by now, for instance when
@@ -256,13 +264,6 @@
 	return next, nil, err
 }
 
-func joinOr(held *wire.Result) step {
-	if held != nil {
-		return join
-	}
-	return done
-}
-
 // digest tells this request from another one with the same key. Method, path
 // and query belong to it as much as the body.
 func (q *request) digest() [32]byte {
--- a/io/front/send.go
+++ b/io/front/send.go
@@ -101,13 +101,11 @@
 	if err := q.state.To(before); err != nil {
 		return done, fmt.Errorf("front: send: %w", err)
 	}
-	rel.Failed = true
-	switch cause := context.Cause(ctx); {
-	case cause == nil, errors.Is(cause, errRunLimit):
-		return again, nil
+	if cause := context.Cause(ctx); cause != nil && !errors.Is(cause, errRunLimit) {
+		return done, given(ctx)
 	}
-	rel.Failed = false
-	return done, given(ctx)
+	rel.Failed = true
+	return again, nil
 }
 
 func (q *request) upstreamRequest(ctx context.Context, g *wire.Grant) (*http.Request, error) {
--- a/io/front/share.go
+++ b/io/front/share.go
@@ -12,6 +12,9 @@
 	"azurelane/io/flight"
 )
 
+// partLimit bounds the wait for the end of a run that was cancelled.
+const partLimit = 5 * time.Second
+
 // share serves a request with a key: as the run of that key, or as a follower
 // of the run that this entry has already. Followers take no slot.
 func (q *request) share(ctx context.Context) {
@@ -51,12 +54,8 @@
 	defer q.front.runs.Done()
 	defer q.letGo()
 	defer cancel(nil)
-	waitCtx := ctx
-	if !q.deadline.IsZero() {
-		var stop context.CancelFunc
-		waitCtx, stop = context.WithDeadlineCause(ctx, q.deadline, errDeadline)
-		defer stop()
-	}
+	waitCtx, stop := q.untilDeadline(ctx)
+	defer stop()
 	err := q.place(waitCtx, ctx, run)
 	if err != nil && q.state == life.Waiting {
 		err = q.earlier(waitCtx, err, run)
@@ -81,11 +80,8 @@
 
 // follow passes a run's answer on to this caller.
 func (q *request) follow(ctx context.Context, run *flight.Flight) {
-	if !q.deadline.IsZero() {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadlineCause(ctx, q.deadline, errDeadline)
-		defer cancel()
-	}
+	ctx, cancel := q.untilDeadline(ctx)
+	defer cancel()
 	seen := 0
 	for {
 		a, err := run.Next(ctx, seen)
@@ -135,6 +131,3 @@
 	}
 	q.reply.end(life.Unknown.Outcome(), refuse.New(refuse.StillRunning, "send again with the same key to join its run", 0))
 }
-
-// partLimit bounds the wait for the end of a run that was cancelled.
-const partLimit = 5 * time.Second
