Control's tests share their steps

Cause: kill and restart, a replica besides the leader, and a command that must be answered were spelt out in each test; the benchmarks repeated the start. Ruled out: one table of all tests; their steps differ in order, not in values. Change: restart, other, command, claims, run and order; no case or assertion left out. Claims and finishes now name their request, as an entry's do.

--- a/io/ctrl/bench_test.go
+++ b/io/ctrl/bench_test.go
@@ -101,6 +101,13 @@
 	must.NoError(b, err)
 }
 
+// order is a claim of an ordinary size.
+func order(i int) *wire.Command {
+	return &wire.Command{Kind: &wire.Command_Claim{Claim: &wire.Claim{
+		Account: "account-17", Key: fmt.Sprintf("order-%010d", i), Holder: "0123abcd", Address: "10.0.0.1:7000", BodyHash: 1 << 62,
+	}}}
+}
+
 // BenchmarkClaims commits claims on real disks, with callers that each wait for
 // an answer before the next claim. Replicas talk in memory.
 func BenchmarkClaims(b *testing.B) {
@@ -114,9 +121,7 @@
 				for c := range callers {
 					wg.Go(func() {
 						for i := c; i < b.N; i += callers {
-							_, err := l.Propose(context.Background(), &wire.Command{Kind: &wire.Command_Claim{Claim: &wire.Claim{
-								Account: "account-17", Key: fmt.Sprintf("order-%010d", i), Holder: "0123abcd", Address: "10.0.0.1:7000", BodyHash: 1 << 62,
-							}}})
+							_, err := l.Propose(context.Background(), order(i))
 							must.NoError(b, err)
 						}
 					})
@@ -145,13 +150,8 @@
 		r := &replica{net: n, ended: make(chan error, 1)}
 		r.Ctrl = &Ctrl{Address: addr(i), Control: n.addrs, Bootstrap: i == 0, Sender: &caller{n, addr(i)}, Log: logr.Discard()}
 		must.NoError(b, r.open(l, l.Identity, nil, nil))
-		var ctx context.Context
-		ctx, r.cancel = context.WithCancel(context.Background())
-		n.mu.Lock()
-		n.nodes[addr(i)] = r
-		n.mu.Unlock()
 		logs[r] = l
-		go func() { r.ended <- r.Serve(ctx) }()
+		r.run()
 	}
 	b.Cleanup(n.stopAll)
 	for {
@@ -172,9 +172,7 @@
 			l, _ := diskGroup(b, 1)
 			l.stop()
 			for i := range n {
-				l.state.Apply(&wire.Command{Kind: &wire.Command_Claim{Claim: &wire.Claim{
-					Account: "account-17", Key: fmt.Sprintf("order-%010d", i), Holder: "0123abcd", Address: "10.0.0.1:7000", BodyHash: 1 << 62,
-				}}})
+				l.state.Apply(order(i))
 			}
 			d, _, _, err := disk.Open(b.TempDir())
 			must.NoError(b, err)
--- a/io/ctrl/ctrl_test.go
+++ b/io/ctrl/ctrl_test.go
@@ -19,10 +19,6 @@
 
 const doc = `{"base":{"client-accounts":{},"tiers":{},"pools":{}},"overlays":{}}`
 
-func change(id string, base uint64) *wire.Command {
-	return &wire.Command{Id: id, Kind: &wire.Command_Change{Change: &wire.Change{Base: base, Document: []byte(doc)}}}
-}
-
 func (n *network) client() *leader.Leader {
 	return &leader.Leader{Replicas: n.addrs, Caller: &caller{net: n}}
 }
@@ -34,25 +30,17 @@
 	synctest.Test(t, func(t *testing.T) {
 		n := newNetwork(t, 3)
 		l := n.leader(nil)
-		first, err := l.Propose(context.Background(), change("c1", 0))
-		must.NoError(t, err)
-		must.Eq(t, state.OK, first.GetCode())
+		must.Eq(t, state.OK, command(t, l, change("c1", 0)).GetCode())
 		l.stop()
-		again, err := n.client().Propose(context.Background(), change("c1", 0))
-		must.NoError(t, err)
+		again := command(t, n.client(), change("c1", 0))
 		must.Eq(t, 1, again.GetVersion())
 		must.Eq(t, state.OK, again.GetCode())
-		n.start(int(l.Address.Port()-1000), l.store, false)
-		for i, a := range n.addrs {
-			r := n.at(a)
-			r.stop()
-			n.start(i, r.store, false)
+		l.restart()
+		for _, a := range n.addrs {
+			n.at(a).restart()
 		}
-		again, err = n.client().Propose(context.Background(), change("c1", 0))
-		must.NoError(t, err)
-		must.Eq(t, state.OK, again.GetCode())
-		other, err := n.client().Propose(context.Background(), change("c2", 0))
-		must.NoError(t, err)
+		must.Eq(t, state.OK, command(t, n.client(), change("c1", 0)).GetCode())
+		other := command(t, n.client(), change("c2", 0))
 		must.Eq(t, state.Conflict, other.GetCode())
 		must.Eq(t, "c1", other.GetWinner())
 	})
@@ -68,13 +56,10 @@
 		l.store.mu.Lock()
 		l.store.fail = errors.New("input/output error")
 		l.store.mu.Unlock()
-		claim := &wire.Command{Kind: &wire.Command_Claim{Claim: &wire.Claim{Account: "a", Key: "k", Holder: "e", Request: 1}}}
-		_, err := l.Propose(context.Background(), claim)
+		_, err := l.Propose(context.Background(), claim("k", 0))
 		must.Error(t, err)
 		must.ErrorIs(t, <-l.ended, suture.ErrTerminateSupervisorTree)
-		r, err := n.client().Propose(context.Background(), claim)
-		must.NoError(t, err)
-		must.Eq(t, state.OK, r.GetCode())
+		must.Eq(t, state.OK, command(t, n.client(), claim("k", 0)).GetCode())
 	})
 }
 
@@ -86,17 +71,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		n := newNetwork(t, 3)
 		l := n.leader(nil)
-		_, err := l.Propose(context.Background(), change("c1", 0))
-		must.NoError(t, err)
-		var lost *replica
-		for _, a := range n.addrs {
-			if a != l.Address {
-				lost = n.at(a)
-			}
-		}
+		command(t, l, change("c1", 0))
+		lost := n.other(l)
 		lost.stop()
 		n.isolate(lost.Address, true)
-		fresh := n.start(int(lost.Address.Port()-1000), &memStore{id: "new"}, true)
+		fresh := n.start(lost.place(), &memStore{id: "new"}, true)
 		time.Sleep(time.Minute)
 		must.Eq(t, "", fresh.view.Load().GetGroup())
 		n.isolate(lost.Address, false)
@@ -108,8 +87,7 @@
 			{Replica: lost.id, Role: wire.Membership_ROLE_NONE},
 			{Replica: "new", Address: fresh.Address.String(), Role: wire.Membership_ROLE_VOTER},
 		} {
-			_, err = n.client().Propose(context.Background(), &wire.Command{Kind: &wire.Command_Membership{Membership: m}})
-			must.NoError(t, err)
+			command(t, n.client(), &wire.Command{Kind: &wire.Command_Membership{Membership: m}})
 			time.Sleep(time.Second)
 		}
 		must.Eq(t, 1, fresh.view.Load().GetVersion())
@@ -125,25 +103,17 @@
 	synctest.Test(t, func(t *testing.T) {
 		n := newNetwork(t, 3)
 		l := n.leader(nil)
-		_, err := l.Propose(context.Background(), change("c1", 0))
-		must.NoError(t, err)
+		command(t, l, change("c1", 0))
 		time.Sleep(time.Second)
-		var lag *replica
-		for _, a := range n.addrs {
-			if a != l.Address {
-				lag = n.at(a)
-			}
-		}
+		lag := n.other(l)
 		must.False(t, lag.beat(&wire.Beat{Node: "entry-1", Version: 1}).GetStale())
 		n.isolate(lag.Address, true)
 		time.Sleep(StaleAfter + time.Second)
-		_, err = n.leader(lag).Propose(context.Background(), change("c2", 1))
-		must.NoError(t, err)
+		command(t, n.leader(lag), change("c2", 1))
 		r := lag.beat(&wire.Beat{Node: "entry-1", Version: 2})
 		must.True(t, r.GetStale())
 		must.Eq(t, 0, len(r.GetDocument()))
-		lag.stop()
-		lag = n.start(int(lag.Address.Port()-1000), lag.store, false)
+		lag = lag.restart()
 		must.True(t, lag.beat(&wire.Beat{Node: "entry-1", Version: 2}).GetStale())
 		n.isolate(lag.Address, false)
 		time.Sleep(5 * time.Second)
@@ -163,11 +133,7 @@
 		var wg sync.WaitGroup
 		for i := range 500 {
 			wg.Go(func() {
-				r, err := l.Propose(context.Background(), &wire.Command{Kind: &wire.Command_Claim{
-					Claim: &wire.Claim{Account: "a", Key: strconv.Itoa(i), Holder: "e"},
-				}})
-				must.NoError(t, err)
-				must.Eq(t, state.OK, r.GetCode())
+				must.Eq(t, state.OK, command(t, l, claim(strconv.Itoa(i), 0)).GetCode())
 			})
 		}
 		wg.Wait()
@@ -195,25 +161,19 @@
 	synctest.Test(t, func(t *testing.T) {
 		n := newNetwork(t, 3)
 		l := n.leader(nil)
-		for _, c := range []*wire.Command{
-			{Kind: &wire.Command_Claim{Claim: &wire.Claim{Account: "a", Key: "k", Holder: "e", KeepUs: (2 * time.Minute).Microseconds()}}},
-			{Kind: &wire.Command_Finish{Finish: &wire.Finish{Account: "a", Key: "k", Holder: "e", Outcome: "whole"}}},
-		} {
-			_, err := n.client().Propose(context.Background(), c)
-			must.NoError(t, err)
-		}
+		command(t, n.client(), claim("k", 2*time.Minute))
+		command(t, n.client(), finish("k"))
 		time.Sleep(time.Minute)
-		l.stop()
-		n.start(int(l.Address.Port()-1000), l.store, false)
+		l.restart()
 		n.leader(nil)
-		stores := []*memStore{}
+		var all []*replica
 		for _, a := range n.addrs {
-			stores = append(stores, n.at(a).store)
+			all = append(all, n.at(a))
 			n.at(a).stop()
 		}
 		time.Sleep(time.Hour)
-		for i, s := range stores {
-			n.start(i, s, false)
+		for _, r := range all {
+			r.restart()
 		}
 		next := n.leader(nil)
 		time.Sleep(50 * time.Second)
@@ -231,25 +191,15 @@
 	synctest.Test(t, func(t *testing.T) {
 		n := newNetwork(t, 3)
 		l := n.leader(nil)
-		var lag *replica
-		for _, a := range n.addrs {
-			if a != l.Address {
-				lag = n.at(a)
-			}
-		}
+		lag := n.other(l)
 		n.isolate(lag.Address, true)
 		const claims = 3 * CompactAfter
 		var wg sync.WaitGroup
 		for c := range 50 {
 			wg.Go(func() {
 				for i := c; i < claims; i += 50 {
-					k := &wire.Claim{Account: "a", Key: strconv.Itoa(i), Holder: "e", KeepUs: time.Hour.Microseconds()}
-					f := &wire.Finish{Account: "a", Key: k.GetKey(), Holder: "e", Outcome: "whole"}
-					for _, cmd := range []*wire.Command{{Kind: &wire.Command_Claim{Claim: k}}, {Kind: &wire.Command_Finish{Finish: f}}} {
-						r, err := l.Propose(context.Background(), cmd)
-						must.NoError(t, err)
-						must.Eq(t, state.OK, r.GetCode())
-					}
+					must.Eq(t, state.OK, command(t, l, claim(strconv.Itoa(i), time.Hour)).GetCode())
+					must.Eq(t, state.OK, command(t, l, finish(strconv.Itoa(i))).GetCode())
 				}
 			})
 		}
@@ -258,16 +208,12 @@
 		n.isolate(lag.Address, false)
 		time.Sleep(5 * time.Second)
 		must.Greater(t, 1, lag.store.snapped())
-		for i, a := range n.addrs {
-			r := n.at(a)
-			must.Eq(t, claims, r.view.Load().GetClaims())
-			r.stop()
-			n.start(i, r.store, false)
+		n.claims(claims)
+		for _, a := range n.addrs {
+			n.at(a).restart()
 		}
 		n.leader(nil)
 		time.Sleep(time.Second)
-		for _, a := range n.addrs {
-			must.Eq(t, claims, n.at(a).view.Load().GetClaims())
-		}
+		n.claims(claims)
 	})
 }
--- a/io/ctrl/fake_test.go
+++ b/io/ctrl/fake_test.go
@@ -51,6 +51,29 @@
 	}
 )
 
+func claim(key string, keep time.Duration) *wire.Command {
+	return &wire.Command{Kind: &wire.Command_Claim{Claim: &wire.Claim{Account: "a", Key: key, Holder: "e", Request: 1, KeepUs: keep.Microseconds()}}}
+}
+
+func finish(key string) *wire.Command {
+	return &wire.Command{Kind: &wire.Command_Finish{Finish: &wire.Finish{Account: "a", Key: key, Holder: "e", Request: 1, Outcome: "whole"}}}
+}
+
+func change(id string, base uint64) *wire.Command {
+	return &wire.Command{Id: id, Kind: &wire.Command_Change{Change: &wire.Change{Base: base, Document: []byte(doc)}}}
+}
+
+// command proposes and returns the result, which must come.
+func command(t *testing.T, to interface {
+	Propose(ctx context.Context, c *wire.Command) (*wire.Result, error)
+}, c *wire.Command,
+) *wire.Result {
+	t.Helper()
+	r, err := to.Propose(context.Background(), c)
+	must.NoError(t, err)
+	return r
+}
+
 func addr(i int) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(1000+i))
 }
@@ -74,13 +97,17 @@
 		Sender: &caller{n, addr(i)}, Log: logr.Discard(),
 	}
 	must.NoError(n.t, r.open(s, s.id, s.snap, s.recs))
+	r.run()
+	return r
+}
+
+func (r *replica) run() {
 	var ctx context.Context
 	ctx, r.cancel = context.WithCancel(context.Background())
-	n.mu.Lock()
-	n.nodes[addr(i)] = r
-	n.mu.Unlock()
+	r.net.mu.Lock()
+	r.net.nodes[r.Address] = r
+	r.net.mu.Unlock()
 	go func() { r.ended <- r.Serve(ctx) }()
-	return r
 }
 
 // stop ends a replica without a word, as a kill would.
@@ -92,6 +119,17 @@
 	<-r.done
 }
 
+// restart kills a replica, if it runs, and starts it with its disk.
+func (r *replica) restart() *replica {
+	if r.net.at(r.Address) == r {
+		r.stop()
+	}
+	return r.net.start(r.place(), r.store, false)
+}
+
+// place is a replica's number in the network.
+func (r *replica) place() int { return int(r.Address.Port() - 1000) }
+
 func (n *network) stopAll() {
 	for _, a := range n.addrs {
 		if r := n.at(a); r != nil {
@@ -114,6 +152,19 @@
 	}
 }
 
+// other returns a replica besides this one.
+func (n *network) other(than *replica) *replica {
+	return n.at(n.addrs[(than.place()+1)%len(n.addrs)])
+}
+
+// claims checks how many claims each replica has.
+func (n *network) claims(want uint64) {
+	n.t.Helper()
+	for _, a := range n.addrs {
+		must.Eq(n.t, want, n.at(a).view.Load().GetClaims())
+	}
+}
+
 // leader waits until a replica other than not leads and answers for sure.
 func (n *network) leader(not *replica) *replica {
 	n.t.Helper()
--- a/io/ctrl/history_test.go
+++ b/io/ctrl/history_test.go
@@ -116,8 +116,7 @@
 		case 0:
 			n.isolate(a, true)
 		case 1:
-			r.stop()
-			n.start(int(a.Port()-1000), r.store, false)
+			r.restart()
 		default:
 			for _, b := range n.addrs {
 				n.isolate(b, false)
