A follower that is asked for a key's holder races with its loop

Cause: holder makes its not-leader fault after it has left the loop, so it reads leader and membership while the loop changes them. Ruled out: the view, which the loop publishes whole; status, which makes its fault in the loop. Result: go test -race -run TestFollowerNamesTheLeader ./io/ctrl reports the race between Raft.follow and Raft.Leader.

--- a/io/ctrl/ctrl_test.go
+++ b/io/ctrl/ctrl_test.go
@@ -123,6 +123,22 @@
 	})
 }
 
+// A follower is asked who holds a key, again and again. It names its leader, from
+// the loop that changes it: read beside the loop, the name could be torn.
+func TestFollowerNamesTheLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(t, 3)
+		l := n.leader(nil)
+		for range 50 {
+			_, err := n.other(l).holder(context.Background(), &wire.ClaimQuery{Account: "a", Key: "k"})
+			var fault *wire.Fault
+			must.True(t, errors.As(err, &fault))
+			must.Eq(t, l.Address.String(), fault.GetLeader())
+			time.Sleep(50 * time.Millisecond)
+		}
+	})
+}
+
 // Hundreds of claims come at once. They share few syncs, and each of them is
 // answered.
 func TestGroupCommit(t *testing.T) {
