The not-leader fault is made in the replica's loop

Ruled out: a lock around the log's state; the loop is its only user by design. Change: leased runs a reading under the lease for both; resultFrame for the two frames that carry a result. Result: TestFollowerNamesTheLeader and go test -race ./io/ctrl pass.

--- a/io/ctrl/handle.go
+++ b/io/ctrl/handle.go
@@ -23,21 +23,13 @@
 		}
 		return nil, nil //nolint:nilnil // One-way.
 	case *wire.Frame_Command:
-		r, err := c.Propose(ctx, b.Command)
-		if err != nil {
-			return nil, err
-		}
-		return &wire.Frame{Body: &wire.Frame_Result{Result: r}}, nil
+		return resultFrame(c.Propose(ctx, b.Command))
 	case *wire.Frame_Beat:
 		return &wire.Frame{Body: &wire.Frame_BeatReply{BeatReply: c.beat(b.Beat)}}, nil
 	case *wire.Frame_ConfigQuery:
 		return &wire.Frame{Body: &wire.Frame_BeatReply{BeatReply: c.reply(b.ConfigQuery.GetVersion())}}, nil
 	case *wire.Frame_ClaimQuery:
-		r, err := c.holder(ctx, b.ClaimQuery)
-		if err != nil {
-			return nil, err
-		}
-		return &wire.Frame{Body: &wire.Frame_Result{Result: r}}, nil
+		return resultFrame(c.holder(ctx, b.ClaimQuery))
 	case *wire.Frame_StatusQuery:
 		s, err := c.status(ctx, b.StatusQuery.GetFresh())
 		if err != nil {
@@ -77,45 +69,47 @@
 	}
 }
 
-// holder reads who holds a key. Only a leader under its lease answers: another
-// replica could miss a claim and call a key free that has run.
-func (c *Ctrl) holder(ctx context.Context, q *wire.ClaimQuery) (*wire.Result, error) {
-	var r *wire.Result
+// leased runs f in the loop of a leader under its lease. Anywhere else it returns
+// a fault that names the leader; the loop makes it, because only there the
+// membership stands still.
+func (c *Ctrl) leased(ctx context.Context, f func(now time.Time)) error {
+	var fault error
 	err := c.do(ctx, func(now time.Time) raft.Effects {
 		if c.raft.Leased(now) {
-			r = c.state.Holder(q.GetAccount(), q.GetKey())
+			f(now)
+		} else {
+			fault = c.notLeader()
 		}
 		return raft.Effects{}
 	})
-	if err == nil && r == nil {
-		err = c.notLeader()
-	}
 	if err != nil {
-		return nil, err
+		return err
 	}
-	return r, nil
+	return fault
+}
+
+// holder reads who holds a key. Only a leader under its lease answers: another
+// replica could miss a claim and call a key free that has run.
+func (c *Ctrl) holder(ctx context.Context, q *wire.ClaimQuery) (*wire.Result, error) {
+	var r *wire.Result
+	err := c.leased(ctx, func(time.Time) { r = c.state.Holder(q.GetAccount(), q.GetKey()) })
+	return r, err
 }
 
 // status is this replica's view. A fresh one comes from a leader under its
 // lease alone, so it shows all that was acknowledged before it was asked for.
 func (c *Ctrl) status(ctx context.Context, fresh bool) (*wire.Status, error) {
-	if !fresh {
-		return c.statusOf(c.view.Load()), nil
-	}
-	var fault error
-	err := c.do(ctx, func(now time.Time) raft.Effects {
-		if !c.raft.Leased(now) {
-			fault = c.notLeader()
-			return raft.Effects{}
+	if fresh {
+		if err := c.leased(ctx, c.publish); err != nil {
+			return nil, err
 		}
-		c.publish(now)
-		return raft.Effects{}
-	})
-	if err == nil {
-		err = fault
 	}
+	return c.statusOf(c.view.Load()), nil
+}
+
+func resultFrame(r *wire.Result, err error) (*wire.Frame, error) {
 	if err != nil {
 		return nil, err
 	}
-	return c.statusOf(c.view.Load()), nil
+	return &wire.Frame{Body: &wire.Frame_Result{Result: r}}, nil
 }
