--- a/core/conf/check.go
+++ b/core/conf/check.go
@@ -1,6 +1,7 @@
 package conf
 
 import (
+	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
 	"maps"
@@ -43,8 +44,8 @@
 	hashes := map[string]string{}
 	for _, name := range slices.Sorted(maps.Keys(c.Accounts)) {
 		a, at := c.Accounts[name], "/client-accounts/"+name
-		if raw, err := hex.DecodeString(a.KeySHA256); err != nil || len(raw) != 32 {
-			return invalid(at+"/key-sha256", "64 hex digits")
+		if !isHash(a.KeySHA256) {
+			return invalid(at+"/key-sha256", hashWant)
 		}
 		// Two accounts with one key could not be told apart: either would pay
 		// for the other's load and see its answers.
@@ -91,8 +92,8 @@
 }
 
 func checkPool(at string, p pool.Pool) error {
-	if raw, err := hex.DecodeString(p.AnnounceKey); err != nil || (len(raw) != 32 && len(raw) != 0) {
-		return invalid(at+"/announce-key-sha256", "64 hex digits")
+	if p.AnnounceKey != "" && !isHash(p.AnnounceKey) {
+		return invalid(at+"/announce-key-sha256", hashWant)
 	}
 	if p.Preset != "" && p.Preset != "goodput" && p.Preset != "prefill" {
 		return invalid(at+"/preset", "goodput or prefill")
@@ -103,6 +104,11 @@
 	return nil
 }
 
+func isHash(s string) bool {
+	raw, err := hex.DecodeString(s)
+	return err == nil && len(raw) == sha256.Size
+}
+
 func invalid(path, want string) error {
 	return fmt.Errorf("%w: %s: expected %s", ErrInvalid, path, want)
 }
--- a/core/conf/keys.go
+++ b/core/conf/keys.go
@@ -9,6 +9,7 @@
 )
 
 const (
+	hashWant  = "64 hex digits"
 	limitWant = "a number of 0 or more"
 	spanWant  = "a span such as \"1.5s\""
 	boolWant  = "true or false"
@@ -18,7 +19,7 @@
 // reference.
 func Keys() []keys.Key {
 	return []keys.Key{
-		{Path: "/client-accounts/*/key-sha256", Want: "64 hex digits", Text: "Hex SHA-256 of the account's bearer key."},
+		{Path: "/client-accounts/*/key-sha256", Want: hashWant, Text: "Hex SHA-256 of the account's bearer key."},
 		{Path: "/client-accounts/*/weight", Want: limitWant, Default: "1", Text: "Share of work units against other accounts."},
 		{Path: "/client-accounts/*/max-waiting", Want: limitWant, Default: strconv.Itoa(acct.DefaultMaxWaiting), Text: "Requests that may wait in one pool."},
 		{Path: "/client-accounts/*/max-connections", Want: limitWant, Default: strconv.Itoa(acct.DefaultMaxConnections), Text: "Requests that may be open at one entry."},
@@ -40,7 +41,7 @@
 		{Path: "/pools/*/repeatable", Want: boolWant, Default: "true", Text: "Whether calls may be repeated; told to the scheduler. Every request is sent at most once, whatever this says; a call that its caller may send again needs a key."},
 		{Path: "/pools/*/max-answer", Want: limitWant, Default: strconv.Itoa(pool.DefaultMaxAnswer), Text: "Bytes of an answer that is kept, or read whole before it is passed on."},
 		{Path: "/pools/*/run-on", Want: boolWant, Default: "true", Text: "Whether a keyed request runs to its end when its callers go away."},
-		{Path: "/pools/*/announce-key-sha256", Want: "64 hex digits", Text: "Hex SHA-256 of the bearer key with which upstreams announce themselves. Without it any can join: for development only."},
+		{Path: "/pools/*/announce-key-sha256", Want: hashWant, Text: "Hex SHA-256 of the bearer key with which upstreams announce themselves. Without it any can join: for development only."},
 		{Path: "/claim-keep", Want: spanWant, Default: DefaultClaimKeep.String(), Text: "How long a finished key is remembered."},
 		{Path: "/answer-keep", Want: spanWant, Default: DefaultAnswerKeep.String(), Text: "How long a keyed request's answer is kept for a second submission."},
 		{Path: "/answer-bytes", Want: limitWant, Default: strconv.Itoa(DefaultAnswerBytes), Text: "Bytes of all answers kept at one entry."},
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -39,13 +39,7 @@
 		}
 		q.accounts[name] = a
 	}
-	for a.requestsTo(tier.Levels-1) >= most {
-		v, found := a.shed(level)
-		if !found {
-			break
-		}
-		shed = append(shed, v)
-	}
+	shed = a.shedWhile(level, func() bool { return a.requestsTo(tier.Levels-1) >= most })
 	if a.requestsTo(level) >= most {
 		q.tidy(name)
 		return shed, false
@@ -62,13 +56,7 @@
 		return nil, false
 	}
 	r := a.open[id]
-	for a.bytesTo(tier.Levels-1)+n > most {
-		v, found := a.shed(r.level)
-		if !found {
-			break
-		}
-		shed = append(shed, v)
-	}
+	shed = a.shedWhile(r.level, func() bool { return a.bytesTo(tier.Levels-1)+n > most })
 	if a.bytesTo(r.level)+n > most {
 		return shed, false
 	}
@@ -107,6 +95,19 @@
 	}
 }
 
+// shedWhile drops requests below the level as long as the account is over its
+// limit and one of them waits.
+func (a *account) shedWhile(level int, over func() bool) (ids []uint64) {
+	for over() {
+		id, found := a.shed(level)
+		if !found {
+			break
+		}
+		ids = append(ids, id)
+	}
+	return ids
+}
+
 // shed drops the newest waiting request of the least urgent level below the
 // given one. Only an account at its limit pays for the search.
 func (a *account) shed(level int) (uint64, bool) {
--- a/core/sites/sites.go
+++ b/core/sites/sites.go
@@ -39,7 +39,7 @@
 	if err := codec.Read(doc, &s); err != nil {
 		return nil, fmt.Errorf("sites: parse: %w", err)
 	}
-	for _, site := range append([]string{""}, s.Sites()...) {
+	for _, site := range s.all() {
 		if _, err := s.For(site); err != nil {
 			return nil, err
 		}
@@ -51,7 +51,7 @@
 // It is asked before a change is accepted, and not when one is read: an entry of
 // an older program still serves its other pools.
 func (s *Set) Served() error {
-	for _, site := range append([]string{""}, s.Sites()...) {
+	for _, site := range s.all() {
 		cfg, err := s.For(site)
 		if err == nil {
 			err = kernel.Check(cfg)
@@ -66,6 +66,9 @@
 // Sites lists the sites that have an overlay, sorted.
 func (s *Set) Sites() []string { return slices.Sorted(maps.Keys(s.Overlays)) }
 
+// all is every site with an overlay, after the empty name for those without.
+func (s *Set) all() []string { return append([]string{""}, s.Sites()...) }
+
 // For returns what is in force at a site. A site without an overlay, and the
 // empty name, get the base.
 func (s *Set) For(site string) (*conf.Config, error) {
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -86,15 +86,17 @@
 // of unlike program versions may judge a document differently, and their states
 // would part if each judged for itself.
 func Judge(c *wire.Command) {
-	if k := c.GetChange(); k != nil {
-		k.Invalid = ""
-		set, err := sites.Parse(k.GetDocument())
-		if err == nil {
-			err = set.Served()
-		}
-		if err != nil {
-			k.Invalid = err.Error()
-		}
+	k := c.GetChange()
+	if k == nil {
+		return
+	}
+	k.Invalid = ""
+	set, err := sites.Parse(k.GetDocument())
+	if err == nil {
+		err = set.Served()
+	}
+	if err != nil {
+		k.Invalid = err.Error()
 	}
 }
 
--- a/core/state/state_test.go
+++ b/core/state/state_test.go
@@ -80,16 +80,62 @@
 		{"no time, no end", []*wire.Command{claim("e1", 1), expire(1 << 60), claim("e2", 1)}, Running},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
-			var s State
-			var r *wire.Result
-			for _, c := range tt.run {
-				r = s.Apply(c)
-			}
-			must.Eq(t, tt.want, r.GetCode())
+			all := codes(&State{}, tt.run...)
+			must.Eq(t, tt.want, all[len(all)-1])
 		})
 	}
 }
 
+// codes applies commands and returns what became of each.
+func codes(s *State, cmds ...*wire.Command) (all []string) {
+	for _, c := range cmds {
+		all = append(all, s.Apply(c).GetCode())
+	}
+	return all
+}
+
+// An entry gives up request 1 before dispatch and frees its key. The caller
+// sends again, the same entry claims for request 2 and runs it. Then the first
+// "not-run" arrives a second time, because its answer had been lost. If it
+// freed the claim of request 2, a third submission would run the key again.
+func TestLateFinishFreesNoOtherRequest(t *testing.T) {
+	var s State
+	must.Eq(t, []string{OK}, codes(&s, claim("e", 1)))
+	must.Eq(t, Running, s.Holder("a", "k").GetCode())
+	must.Eq(t, []string{OK}, codes(&s, finish("e", 1, NotRun, 0)))
+	must.Eq(t, OK, s.Holder("a", "k").GetCode())
+	must.Eq(t, []string{OK, Gone}, codes(&s, claim("e", 2), finish("e", 1, NotRun, 0)))
+	r := s.Apply(claim("other", 9))
+	must.Eq(t, Running, r.GetCode())
+	must.Eq(t, uint64(2), r.GetRequest())
+}
+
+// A joiner asks the holder in the moment after its answer was dropped, hears
+// that nothing is held and frees the key as not run. The holder's "whole" was
+// recorded before: it must stand, also sent again, or the key would run twice.
+func TestFirstOutcomeStands(t *testing.T) {
+	var s State
+	must.Eq(t, []string{OK, OK, Gone, OK}, codes(&s,
+		claim("e", 1), finish("e", 1, "whole", 0), finish("e", 1, NotRun, 0), finish("e", 1, "whole", 0)))
+	r := s.Apply(claim("other", 9))
+	must.Eq(t, Finished, r.GetCode())
+	must.Eq(t, "whole", r.GetOutcome())
+}
+
+// The holder dies in mid-run and never records an outcome. Its claim must not
+// stay for ever: the log would grow with each death, and the key would be
+// stuck. It ends one keep time after it was made, which the entries set longer
+// than the longest run.
+func TestUnfinishedClaimExpires(t *testing.T) {
+	var s State
+	dead := claim("dead", 1)
+	dead.GetClaim().NowUs = 1000
+	end := 1000 + time.Hour.Microseconds()
+	must.Eq(t, []string{OK, OK, Running, OK}, codes(&s, dead, expire(end-1), claim("other", 9), expire(end)))
+	must.Eq(t, 0, s.Claims())
+	must.Eq(t, []string{OK}, codes(&s, claim("other", 9)))
+}
+
 // Two operators change version 1 at once. One wins; the other learns who did.
 // Each sends the change again, for it lost the answer, and gets the same.
 func TestChangesRace(t *testing.T) {
--- a/io/disk/disk.go
+++ b/io/disk/disk.go
@@ -171,10 +171,7 @@
 	if err != nil {
 		return err
 	}
-	if _, err = l.f.Write(data); err == nil {
-		err = l.f.Sync()
-	}
-	if err != nil {
+	if err := writeSynced(l.f, data); err != nil {
 		return l.stop(err)
 	}
 	l.seq++
@@ -208,10 +205,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("disk: open: %w", err)
 	}
-	if _, err = f.Write(data); err == nil {
-		err = f.Sync()
-	}
-	if err != nil {
+	if err := writeSynced(f, data); err != nil {
 		_ = f.Close()
 		return nil, fmt.Errorf("disk: write snapshot: %w", err)
 	}
@@ -229,10 +223,7 @@
 	if err != nil {
 		return err
 	}
-	if _, err = f.Write(data); err == nil {
-		err = f.Sync()
-	}
-	if err == nil {
+	if err = writeSynced(f, data); err == nil {
 		err = l.dir.rename(newName, logName)
 	}
 	if err == nil {
@@ -249,6 +240,14 @@
 	return nil
 }
 
+func writeSynced(f file, data []byte) error {
+	_, err := f.Write(data)
+	if err == nil {
+		err = f.Sync()
+	}
+	return err
+}
+
 // Size is the bytes of the log file.
 func (l *Log) Size() int64 { return l.size }
 
