The entry's tests share how they refuse, dial and limit

Cause: code, outcome and Retry-After of a refusal, an account's limits, a raw connection and the wait for grants were spelt out at each use. Ruled out: subtests for the rows of TestRefusedAtOnce; they share one entry. Change: refused, account, dial and asked. Some refusals are now held to their Retry-After, too, which only a part of them was before.

--- a/io/front/bench_test.go
+++ b/io/front/bench_test.go
@@ -15,6 +15,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/shoenig/test/must"
 
+	"azurelane/core/acct"
 	"azurelane/core/wire"
 )
 
@@ -125,9 +126,7 @@
 
 func waiting(b *testing.B, n int, key string) float64 {
 	s := newSite(b, 1)
-	a := s.cfg.Accounts["one"]
-	a.MaxConnections = n + 1
-	s.cfg.Accounts["one"] = a
+	s.account(func(a *acct.Account) { a.MaxConnections = n + 1 })
 	gate := make(chan struct{})
 	var held atomic.Int64
 	s.granter.before = func(context.Context, *wire.Ticket) error {
@@ -160,15 +159,11 @@
 	conns := make([]net.Conn, n)
 	const body = `{"model":"m","max_tokens":1,"messages":[]}`
 	for i := range conns {
-		c, err := net.Dial("tcp", s.entries[0].Listener.Addr().String())
-		must.NoError(b, err)
 		line := ""
 		if key != "" {
 			line = fmt.Sprintf("Idempotency-Key: %s%d\r\n", key, i)
 		}
-		_, err = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer key-one\r\n%sContent-Length: %d\r\n\r\n%s", chatPath, line, len(body), body)
-		must.NoError(b, err)
-		conns[i] = c
+		conns[i] = s.entries[0].dial(b, line, len(body), body)
 	}
 	return conns
 }
--- a/io/front/fake_test.go
+++ b/io/front/fake_test.go
@@ -337,6 +337,40 @@
 	return out
 }
 
+// refused checks a final answer that no upstream gave.
+func (r reply) refused(t must.T, code, outcome, retry string, notes ...must.Setting) {
+	t.Helper()
+	must.Eq(t, [3]string{code, outcome, retry}, [3]string{r.code, r.outcome, r.retry}, notes...)
+}
+
+// asked waits until that many grants were asked for.
+func (s *site) asked(n int) {
+	s.t.Helper()
+	s.eventually("grants asked for", func() bool {
+		s.granter.mu.Lock()
+		defer s.granter.mu.Unlock()
+		return s.granter.asked == n
+	})
+}
+
+// account changes the limits of account "one".
+func (s *site) account(set func(a *acct.Account)) {
+	a := s.cfg.Accounts["one"]
+	set(&a)
+	s.cfg.Accounts["one"] = a
+}
+
+// dial sends a chat request of account "one" on a connection of its own, as far
+// as the body goes.
+func (e *entry) dial(t testing.TB, header string, length int, body string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", e.Listener.Addr().String())
+	must.NoError(t, err)
+	_, err = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer key-one\r\n%sContent-Length: %d\r\n\r\n%s", chatPath, header, length, body)
+	must.NoError(t, err)
+	return c
+}
+
 // free checks that every slot was given back.
 func (s *site) free() {
 	s.t.Helper()
--- a/io/front/refuse_test.go
+++ b/io/front/refuse_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"azurelane/core/acct"
 	"azurelane/core/pool"
 	"azurelane/core/refuse"
 	"azurelane/core/tier"
@@ -25,9 +26,7 @@
 func TestRefusedAtOnce(t *testing.T) {
 	s := newSite(t, 1)
 	s.cfg.Tiers = map[string]tier.Tier{"urgent": {}, "bulk": {Level: 2}}
-	a := s.cfg.Accounts["one"]
-	a.Tiers, a.MaxBody = []string{"bulk"}, 200
-	s.cfg.Accounts["one"] = a
+	s.account(func(a *acct.Account) { a.Tiers, a.MaxBody = []string{"bulk"}, 200 })
 	large := `{"model":"m","pad":"` + strings.Repeat("x", 300) + `"}`
 	for _, tc := range []struct {
 		name   string
@@ -51,10 +50,8 @@
 		{"body too large", ask{body: large}, 413, refuse.TooLarge},
 	} {
 		got := s.entries[0].ask(tc.ask)
-		must.Eq(t, tc.code, got.code, must.Sprint(tc.name))
 		must.Eq(t, tc.status, got.status, must.Sprint(tc.name))
-		must.Eq(t, "not-run", got.outcome, must.Sprint(tc.name))
-		must.Eq(t, "", got.retry, must.Sprint(tc.name))
+		got.refused(t, tc.code, "not-run", "", must.Sprint(tc.name))
 	}
 	must.Eq(t, 0, s.granter.asked)
 
@@ -64,9 +61,7 @@
 		must.Eq(t, reply{status: 503, outcome: "not-run", code: refuse.Overloaded, retry: "3", body: got.body, header: got.header}, got)
 	}
 	s.entries[0].Stop(t.Context())
-	got := s.entries[0].ask(ask{})
-	must.Eq(t, refuse.ShuttingDown, got.code)
-	must.Eq(t, "1", got.retry)
+	s.entries[0].ask(ask{}).refused(t, refuse.ShuttingDown, "not-run", "1")
 	s.cfg = nil
 	must.Eq(t, refuse.NotReady, s.start(1).ask(ask{}).code)
 	must.SliceEmpty(t, s.engine.Journal())
@@ -77,16 +72,11 @@
 // served as ever, and when the half-open callers are gone, the first one too.
 func TestHalfOpenCallersHoldOnlyTheirOwn(t *testing.T) {
 	s := newSite(t, 1)
-	a := s.cfg.Accounts["one"]
-	a.MaxBodies = 1000
-	s.cfg.Accounts["one"] = a
+	s.account(func(a *acct.Account) { a.MaxBodies = 1000 })
 	e := s.entries[0]
 	var conns []net.Conn
 	for range 2 {
-		c, err := net.Dial("tcp", e.Listener.Addr().String())
-		must.NoError(t, err)
-		_, err = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer key-one\r\nExpect: 100-continue\r\nContent-Length: 500\r\n\r\n", chatPath)
-		must.NoError(t, err)
+		c := e.dial(t, "Expect: 100-continue\r\n", 500, "")
 		line, err := bufio.NewReader(c).ReadString('\n') // It comes when the entry begins to read the body.
 		must.NoError(t, err)
 		must.StrContains(t, line, "100")
@@ -109,14 +99,7 @@
 	s := newSite(t, 1)
 	e := s.entries[0]
 	e.BodyTime = 200 * time.Millisecond
-	send := func(length int, body string) net.Conn {
-		c, err := net.Dial("tcp", e.Listener.Addr().String())
-		must.NoError(t, err)
-		_, err = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer key-one\r\nContent-Length: %d\r\n\r\n%s", chatPath, length, body)
-		must.NoError(t, err)
-		return c
-	}
-	c := send(500, "{")
+	c := e.dial(t, "", 500, "{")
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 	must.NoError(t, err)
 	must.Eq(t, http.StatusRequestTimeout, resp.StatusCode)
@@ -127,7 +110,7 @@
 
 	e.BodyTime, e.TakeTime = 0, 200*time.Millisecond
 	const long = `{"model":"m","stream":true,"max_tokens":10000000,"messages":[]}`
-	c = send(len(long), long)
+	c = e.dial(t, "", len(long), long)
 	defer func() { _ = c.Close() }()
 	s.eventually("the engine is told to stop", func() bool { return s.engine.Tally().Cancelled == 1 })
 	s.free()
@@ -137,9 +120,7 @@
 // is refused at once, another account's is not.
 func TestConnectionsOfOneAccount(t *testing.T) {
 	s := newSite(t, 1)
-	a := s.cfg.Accounts["one"]
-	a.MaxConnections = 2
-	s.cfg.Accounts["one"] = a
+	s.account(func(a *acct.Account) { a.MaxConnections = 2 })
 	gate := make(chan struct{})
 	s.granter.before = func(_ context.Context, t *wire.Ticket) error {
 		if t.GetAccount() == "one" {
@@ -152,11 +133,7 @@
 	for range 2 {
 		go func() { got <- e.ask(ask{}) }()
 	}
-	s.eventually("both wait", func() bool {
-		s.granter.mu.Lock()
-		defer s.granter.mu.Unlock()
-		return s.granter.asked == 2
-	})
+	s.asked(2)
 	must.Eq(t, refuse.AccountLimit, e.ask(ask{}).code)
 	must.Eq(t, "whole", e.ask(ask{account: "two"}).outcome)
 	close(gate)
@@ -176,10 +153,7 @@
 	s.granter.ups = []string{dead}
 	s.granter.asked = 0
 	for _, key := range []string{"", "k2"} {
-		got := s.entries[0].ask(ask{key: key})
-		must.Eq(t, refuse.Unreachable, got.code)
-		must.Eq(t, "not-run", got.outcome)
-		must.Eq(t, "1", got.retry)
+		s.entries[0].ask(ask{key: key}).refused(t, refuse.Unreachable, "not-run", "1")
 	}
 	must.Eq(t, 6, s.granter.asked)
 	for range 100 {
@@ -196,8 +170,7 @@
 	s := newSite(t, 1)
 	s.granter.expires = -time.Second
 	for _, key := range []string{"", "k"} {
-		got := s.entries[0].ask(ask{key: key})
-		must.Eq(t, "not-run", got.outcome)
+		must.Eq(t, "not-run", s.entries[0].ask(ask{key: key}).outcome)
 	}
 	must.SliceEmpty(t, s.engine.Journal())
 	s.granter.expires = time.Minute
@@ -219,10 +192,7 @@
 		return nothingLost
 	})
 	for i := range 3 {
-		got := s.entries[0].ask(ask{key: fmt.Sprintf("k%d", i), deadline: "10s"})
-		must.Eq(t, refuse.NoControl, got.code)
-		must.Eq(t, "not-run", got.outcome)
-		must.Eq(t, "1", got.retry)
+		s.entries[0].ask(ask{key: fmt.Sprintf("k%d", i), deadline: "10s"}).refused(t, refuse.NoControl, "not-run", "1")
 	}
 	must.Eq(t, 1, s.granter.asked)
 	s.free()
@@ -237,13 +207,10 @@
 	for _, key := range []string{"", "k"} {
 		s := newSite(t, 1)
 		s.granter.before = func(ctx context.Context, _ *wire.Ticket) error { <-ctx.Done(); return ctx.Err() }
-		got := s.entries[0].ask(ask{key: key, deadline: "50ms"})
-		must.Eq(t, refuse.Deadline, got.code)
-		must.Eq(t, "not-run", got.outcome)
-		must.Eq(t, "1", got.retry)
+		s.entries[0].ask(ask{key: key, deadline: "50ms"}).refused(t, refuse.Deadline, "not-run", "1")
 		must.SliceEmpty(t, s.engine.Journal())
 
-		s, got = begunBefore(t, key)
+		s, got := begunBefore(t, key)
 		must.Eq(t, "unknown", got.outcome)
 		must.SliceLen(t, 1, s.engine.Journal())
 		if key == "" {
@@ -373,9 +340,7 @@
 	s := newSite(t, 1)
 	s.cfg.Pools["engines"] = pool.Pool{Models: []string{"m"}, MaxAnswer: 100}
 	for _, key := range []string{"", "k"} {
-		got := s.entries[0].ask(ask{key: key})
-		must.Eq(t, refuse.AnswerLarge, got.code)
-		must.Eq(t, "unknown", got.outcome)
+		s.entries[0].ask(ask{key: key}).refused(t, refuse.AnswerLarge, "unknown", "")
 	}
 	s.free()
 }
--- a/io/front/share_test.go
+++ b/io/front/share_test.go
@@ -64,8 +64,7 @@
 		} {
 			a.key = "k"
 			got := e.ask(a)
-			must.Eq(t, refuse.KeyMismatch, got.code)
-			must.Eq(t, "not-run", got.outcome)
+			got.refused(t, refuse.KeyMismatch, "not-run", "")
 			must.Eq(t, 422, got.status)
 		}
 	}
@@ -131,9 +130,7 @@
 	close(release)
 	<-stopped
 	s.mesh.set(0, nil)
-	got := s.entries[1].ask(ask{key: "k"})
-	must.Eq(t, refuse.AnswerGone, got.code)
-	must.Eq(t, "unknown", got.outcome)
+	s.entries[1].ask(ask{key: "k"}).refused(t, refuse.AnswerGone, "unknown", "")
 	must.Eq(t, 1, s.runs("k"))
 }
 
--- a/io/front/usage_test.go
+++ b/io/front/usage_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"azurelane/core/acct"
 	"azurelane/core/refuse"
 	"azurelane/core/tier"
 	"azurelane/core/wire"
@@ -29,9 +30,7 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			s := newSite(t, 1)
-			a := s.cfg.Accounts["one"]
-			a.MaxConnections = 2
-			s.cfg.Accounts["one"] = a
+			s.account(func(a *acct.Account) { a.MaxConnections = 2 })
 			s.cfg.Tiers = map[string]tier.Tier{"alert": {Level: 0}, "bulk": {Level: 2}}
 			gate := make(chan struct{})
 			s.granter.before = func(ctx context.Context, t *wire.Ticket) error {
@@ -59,20 +58,13 @@
 					q.body = `{"model":"m","stream":true,"max_tokens":300,"messages":[]}`
 				}
 				go func() { got <- e.ask(q) }()
-				s.eventually("it is there", func() bool {
-					s.granter.mu.Lock()
-					defer s.granter.mu.Unlock()
-					return s.granter.asked == i+1
-				})
+				s.asked(i + 1)
 			}
 			alert := e.ask(ask{header: http.Header{front.HeaderTier: {"alert"}}})
 			must.Eq(t, "whole", alert.outcome)
 			want := 2
 			if !tc.runs {
-				shed := <-got
-				must.Eq(t, refuse.AccountLimit, shed.code)
-				must.Eq(t, "not-run", shed.outcome)
-				must.NotEq(t, "", shed.retry)
+				(<-got).refused(t, refuse.AccountLimit, "not-run", "1")
 				want = 1
 			}
 			close(gate)
