--- a/core/raft/guard_test.go
+++ b/core/raft/guard_test.go
@@ -15,28 +15,48 @@
 	s.leased = true
 	s.run(5 * time.Second)
 	l := s.leader()
-	s.propose(l, "first")
-	s.run(time.Second)
+	s.commit(l, "first")
 	return s, l
 }
 
+// commit proposes and lets a second pass, and reports whether n took it.
+func (s *sim) commit(n *node, text string) bool {
+	ok := s.propose(n, text)
+	s.run(time.Second)
+	return ok
+}
+
+// alter changes the membership, which must be taken, and lets a second pass.
+func (s *sim) alter(t *testing.T, l *node, id string, role wire.Membership_Role) {
+	t.Helper()
+	must.NoError(t, s.change(l, id, role))
+	s.run(time.Second)
+}
+
 // A follower is cut off silently for two minutes while the others go on, and
 // comes back. Callers notice nothing: it asked for votes all the time, but
 // neither its term nor its vote requests disturb the leader.
 func TestLongSilentCutDeposesNobody(t *testing.T) {
 	s, l := elected(3, 3)
-	term := l.Term()
 	back := s.nodes[s.others(l.id)[0]]
-	s.isolate(back.id)
-	for range 120 {
-		s.propose(l, "on")
-		s.run(time.Second)
-	}
-	s.join()
-	s.run(5 * time.Second)
+	s.stays(t, l, func() {
+		s.isolate(back.id)
+		for range 120 {
+			s.commit(l, "on")
+		}
+		s.join()
+		s.run(5 * time.Second)
+	})
+	must.Eq(t, l.index, back.index)
+}
+
+// stays holds that the leader leads in its term throughout.
+func (s *sim) stays(t *testing.T, l *node, while func()) {
+	t.Helper()
+	term := l.Term()
+	while()
 	must.True(t, l.Leads())
 	must.Eq(t, term, l.Term())
-	must.Eq(t, l.index, back.index)
 	must.Eq(t, "", s.problems())
 }
 
@@ -45,12 +65,9 @@
 // again; the third hears the leader and refuses, so the leader stays.
 func TestOneBadLinkDeposesNobody(t *testing.T) {
 	s, l := elected(4, 3)
-	term, o := l.Term(), s.others(l.id)[0]
+	o := s.others(l.id)[0]
 	s.cut[[2]string{l.id, o}], s.cut[[2]string{o, l.id}] = true, true
-	s.run(time.Minute)
-	must.True(t, l.Leads())
-	must.Eq(t, term, l.Term())
-	must.Eq(t, "", s.problems())
+	s.stays(t, l, func() { s.run(time.Minute) })
 }
 
 // A leader is cut off from both followers. Its callers must learn soon that it
@@ -212,18 +229,14 @@
 	a.term, a.vote, a.role = 4, a.id, candidate
 	a.takeOver()
 	a.flush()
-	for _, id := range []string{"r1", "r2"} {
-		a.Step(a.clock(s), &wire.Raft{
-			From: id, To: a.id, Group: "g", Term: 4, Kind: wire.Raft_KIND_APPEND_REPLY, Granted: true, LastIndex: 2,
-		})
-	}
-	must.Eq(t, 1, a.Commit())
-	for _, id := range []string{"r1", "r2"} {
-		a.Step(a.clock(s), &wire.Raft{
-			From: id, To: a.id, Group: "g", Term: 4, Kind: wire.Raft_KIND_APPEND_REPLY, Granted: true, LastIndex: 3,
-		})
+	for _, tt := range []struct{ held, commit uint64 }{{2, 1}, {3, 3}} {
+		for _, id := range []string{"r1", "r2"} {
+			a.Step(a.clock(s), &wire.Raft{
+				From: id, To: a.id, Group: "g", Term: 4, Kind: wire.Raft_KIND_APPEND_REPLY, Granted: true, LastIndex: tt.held,
+			})
+		}
+		must.Eq(t, tt.commit, a.Commit())
 	}
-	must.Eq(t, 3, a.Commit())
 }
 
 // An entry is acknowledged on two of three replicas, while the third is cut
@@ -234,8 +247,7 @@
 	s, l := elected(8, 3)
 	lost, behind := s.nodes[s.others(l.id)[0]], s.nodes[s.others(l.id)[1]]
 	s.isolate(behind.id)
-	s.propose(l, "acknowledged")
-	s.run(time.Second)
+	s.commit(l, "acknowledged")
 	must.Greater(t, behind.index, s.acked)
 	s.loseDisk(lost)
 	l.down = true
@@ -271,17 +283,13 @@
 	must.ErrorIs(t, s.change(l, "new", wire.Membership_ROLE_VOTER), ErrRefused)
 	s.join()
 	s.run(time.Second)
-	must.NoError(t, s.change(l, dead.id, wire.Membership_ROLE_NONE))
-	s.run(time.Second)
-	must.NoError(t, s.change(l, "new", wire.Membership_ROLE_VOTER))
-	s.run(time.Second)
-	s.propose(l, "after")
-	s.run(time.Second)
+	s.alter(t, l, dead.id, wire.Membership_ROLE_NONE)
+	s.alter(t, l, "new", wire.Membership_ROLE_VOTER)
+	s.commit(l, "after")
 	acked := s.acked
 	second.down = true
 	s.run(5 * time.Second)
-	must.True(t, s.propose(s.leader(), "on"))
-	s.run(time.Second)
+	must.True(t, s.commit(s.leader(), "on"))
 	must.Greater(t, acked, s.acked)
 	must.Eq(t, "", s.problems())
 }
--- a/core/raft/lead.go
+++ b/core/raft/lead.go
@@ -55,24 +55,36 @@
 
 // quorumRound is when the newest round was sent that a quorum answered.
 func (r *Raft) quorumRound() time.Time {
-	var rounds []time.Time
+	return atQuorum(r, r.now, func(p *progress) time.Time {
+		if p.round.Before(r.since) {
+			return time.Time{}
+		}
+		return p.round
+	}, time.Time.Compare)
+}
+
+// atQuorum is the highest value that a quorum of voters has reached: the
+// leader's own, and of the others what the leader knows, or else zero.
+func atQuorum[T any](r *Raft, own T, of func(p *progress) T, compare func(a, b T) int) T {
+	var reached []T
 	for _, p := range r.Replicas() {
 		if !p.GetVoter() {
 			continue
 		}
-		at := time.Time{}
+		var v T
 		if p.GetId() == r.ID {
-			at = r.now
-		} else if pr := r.peers[p.GetId()]; pr != nil && !pr.round.Before(r.since) {
-			at = pr.round
+			v = own
+		} else if pr := r.peers[p.GetId()]; pr != nil {
+			v = of(pr)
 		}
-		rounds = append(rounds, at)
+		reached = append(reached, v)
 	}
-	slices.SortFunc(rounds, func(a, b time.Time) int { return b.Compare(a) })
-	if len(rounds) < r.quorum() {
-		return time.Time{}
+	slices.SortFunc(reached, func(a, b T) int { return compare(b, a) })
+	if len(reached) < r.quorum() {
+		var none T
+		return none
 	}
-	return rounds[r.quorum()-1]
+	return reached[r.quorum()-1]
 }
 
 // lead does the leader's work of a tick.
@@ -234,22 +246,7 @@
 	if r.role != leader {
 		return
 	}
-	var match []uint64
-	for _, p := range r.Replicas() {
-		if !p.GetVoter() {
-			continue
-		}
-		if p.GetId() == r.ID {
-			match = append(match, r.log.last())
-		} else if pr := r.peers[p.GetId()]; pr != nil {
-			match = append(match, pr.match)
-		}
-	}
-	slices.SortFunc(match, func(a, b uint64) int { return cmp.Compare(b, a) })
-	if len(match) < r.quorum() {
-		return
-	}
-	n := match[r.quorum()-1]
+	n := atQuorum(r, r.log.last(), func(p *progress) uint64 { return p.match }, cmp.Compare)
 	if t, ok := r.log.term(n); !ok || t != r.term || n <= r.commit {
 		return
 	}
--- a/core/refuse/refuse.go
+++ b/core/refuse/refuse.go
@@ -60,8 +60,8 @@
 	ran    bool // It may have run.
 }
 
-// rules has a line for each code. Codes of schedulers that stand nowhere here
-// are refusals of a request that was never dispatched.
+// rules has a line for each code that differs from all others, schedulers' own
+// included: those come with status 503, never ran and may be sent again.
 var rules = map[string]rule{
 	BadRequest:   {status: http.StatusBadRequest},
 	BadKey:       {status: http.StatusUnauthorized},
--- a/io/front/kill_test.go
+++ b/io/front/kill_test.go
@@ -44,15 +44,21 @@
 	}
 }
 
-func (m *mortal) Grant(ctx context.Context, t *wire.Ticket) (*wire.Grant, error) {
-	if err := m.step("grant"); err != nil {
-		return nil, err
+// between makes a call that the entry may die before or after.
+func between[T any](m *mortal, before, after string, call func() (T, error)) (T, error) {
+	var none T
+	if err := m.step(before); err != nil {
+		return none, err
 	}
-	g, err := m.granter.Grant(ctx, t)
-	if down := m.step("granted"); down != nil {
-		return nil, down
+	out, err := call()
+	if down := m.step(after); down != nil {
+		return none, down
 	}
-	return g, err
+	return out, err
+}
+
+func (m *mortal) Grant(ctx context.Context, t *wire.Ticket) (*wire.Grant, error) {
+	return between(m, "grant", "granted", func() (*wire.Grant, error) { return m.granter.Grant(ctx, t) })
 }
 
 func (m *mortal) Release(r *wire.Release) {
@@ -66,14 +72,7 @@
 	if c.GetClaim() != nil {
 		name = "claim"
 	}
-	if err := m.step(name); err != nil {
-		return nil, err
-	}
-	r, err := m.control.Propose(ctx, c)
-	if down := m.step(name + "-applied"); down != nil {
-		return nil, down
-	}
-	return r, err
+	return between(m, name, name+"-applied", func() (*wire.Result, error) { return m.control.Propose(ctx, c) })
 }
 
 func (m *mortal) Ask(ctx context.Context, build func() *wire.Frame) (*wire.Frame, error) {
