Tests of control, client and disk share their frames

Cause: each test of control opened its own bubble, network and leader, each test of the client made and closed one, each of the disk opened and checked. Change: group, the upstream's own client, opened; no assertion left out.

--- a/io/client/client_test.go
+++ b/io/client/client_test.go
@@ -24,6 +24,7 @@
 // closes the connection.
 type upstream struct {
 	net.Listener
+	client   client.Client
 	requests atomic.Int64
 	conns    atomic.Int64
 	wg       sync.WaitGroup
@@ -59,7 +60,7 @@
 			})
 		}
 	})
-	t.Cleanup(func() { _ = ln.Close(); u.wg.Wait() })
+	t.Cleanup(func() { u.client.Close(); _ = ln.Close(); u.wg.Wait() })
 	return u
 }
 
@@ -67,7 +68,7 @@
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nAzurelane-Request: %s\r\nContent-Length: %d\r\n\r\n%s", r.Header.Get(client.Header), len(body), body)
 }
 
-func (u *upstream) ask(c *client.Client, method, id, body string) (string, bool, error) {
+func (u *upstream) ask(method, id, body string) (string, bool, error) {
 	var in io.Reader
 	if body != "" {
 		in = strings.NewReader(body)
@@ -75,7 +76,7 @@
 	r, _ := http.NewRequest(method, "http://"+u.Addr().String()+"/", in)
 	r.Header.Set(client.Header, id)
 	r.Header.Set("Idempotency-Key", id)
-	resp, sent, err := c.Send(context.Background(), r)
+	resp, sent, err := u.client.Send(context.Background(), r)
 	if err != nil {
 		return "", sent, err
 	}
@@ -101,18 +102,16 @@
 			}
 			return ""
 		})
-		var c client.Client
 		for _, id := range []string{"1", "2"} { // The first shows that the upstream repeats ids.
-			got, _, err := u.ask(&c, tc.method, id, tc.body)
+			got, _, err := u.ask(tc.method, id, tc.body)
 			must.NoError(t, err)
 			must.Eq(t, "ok", got)
 		}
-		_, sent, err := u.ask(&c, tc.method, "3", tc.body)
+		_, sent, err := u.ask(tc.method, "3", tc.body)
 		must.Error(t, err)
 		must.True(t, sent, must.Sprint(tc))
 		must.Eq(t, 3, u.requests.Load(), must.Sprint(tc))
 		must.Eq(t, 2, u.conns.Load(), must.Sprint("the third went over the kept connection"))
-		c.Close()
 	}
 }
 
@@ -137,11 +136,10 @@
 				}
 				return out
 			})
-			var c client.Client
 			foreign := 0
 			for i := range 20 {
 				id := strconv.Itoa(i)
-				got, _, err := u.ask(&c, http.MethodPost, id, "x")
+				got, _, err := u.ask(http.MethodPost, id, "x")
 				if err != nil {
 					must.ErrorIs(t, err, client.ErrForeign)
 					foreign++
@@ -150,7 +148,6 @@
 				must.Eq(t, "for "+id, got)
 			}
 			must.Eq(t, tc.names, foreign > 0)
-			c.Close()
 		})
 	}
 }
@@ -171,15 +168,13 @@
 			}
 			return "HTTP/1.1 200 OK\r\n" + tc.second + "\r\nContent-Length: 2\r\n\r\nok"
 		})
-		var c client.Client
 		for range 2 {
-			_, _, err := u.ask(&c, http.MethodPost, "1", "x")
+			_, _, err := u.ask(http.MethodPost, "1", "x")
 			must.NoError(t, err)
 		}
-		_, sent, err := u.ask(&c, http.MethodPost, "2", "x")
+		_, sent, err := u.ask(http.MethodPost, "2", "x")
 		must.ErrorIs(t, err, tc.want, must.Sprint(tc.name))
 		must.True(t, sent)
-		c.Close()
 	}
 }
 
@@ -190,8 +185,7 @@
 	must.NoError(t, err)
 	u := &upstream{Listener: ln}
 	_ = ln.Close()
-	var c client.Client
-	_, left, err := u.ask(&c, http.MethodPost, "1", "x")
+	_, left, err := u.ask(http.MethodPost, "1", "x")
 	must.Error(t, err)
 	must.False(t, left)
 
@@ -200,7 +194,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	r, _ := http.NewRequestWithContext(ctx, http.MethodPost, srv.URL, strings.NewReader("x"))
-	resp, sent, err := c.Send(ctx, r)
+	resp, sent, err := u.client.Send(ctx, r)
 	if resp != nil {
 		_ = resp.Body.Close()
 	}
--- a/io/ctrl/ctrl_test.go
+++ b/io/ctrl/ctrl_test.go
@@ -5,7 +5,6 @@
 	"strconv"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/pkg/errors"
@@ -27,9 +26,7 @@
 // comes. The operator sends the same change to the next leader, then once more
 // after all replicas restarted, and gets the same answer each time.
 func TestChangeSentAgainAfterTheLeaderDied(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		n := newNetwork(t, 3)
-		l := n.leader(nil)
+	group(t, 3, func(t *testing.T, n *network, l *replica) {
 		must.Eq(t, state.OK, command(t, l, change("c1", 0)).GetCode())
 		l.stop()
 		again := command(t, n.client(), change("c1", 0))
@@ -50,9 +47,7 @@
 // answer from it; the replica stops for good and its supervisor must not start
 // it again; the others go on, and the claim sent again is the caller's.
 func TestFailedSyncStopsTheReplica(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		n := newNetwork(t, 3)
-		l := n.leader(nil)
+	group(t, 3, func(t *testing.T, n *network, l *replica) {
 		l.store.mu.Lock()
 		l.store.fail = errors.New("input/output error")
 		l.store.mu.Unlock()
@@ -68,9 +63,7 @@
 // free claims there. It founds none, neither while the others are away nor when
 // one of them answers; an operator adds it, and it catches up and votes.
 func TestEmptyDiskFoundsNoSecondGroup(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		n := newNetwork(t, 3)
-		l := n.leader(nil)
+	group(t, 3, func(t *testing.T, n *network, l *replica) {
 		command(t, l, change("c1", 0))
 		lost := n.other(l)
 		lost.stop()
@@ -100,9 +93,7 @@
 // another. While the replica is away the version rises; when it is back, or
 // restarted, it never hands out the version from before.
 func TestLaggingReplicaBringsNothingBack(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		n := newNetwork(t, 3)
-		l := n.leader(nil)
+	group(t, 3, func(t *testing.T, n *network, l *replica) {
 		command(t, l, change("c1", 0))
 		time.Sleep(time.Second)
 		lag := n.other(l)
@@ -126,9 +117,7 @@
 // A follower is asked who holds a key, again and again. It names its leader, from
 // the loop that changes it: read beside the loop, the name could be torn.
 func TestFollowerNamesTheLeader(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		n := newNetwork(t, 3)
-		l := n.leader(nil)
+	group(t, 3, func(t *testing.T, n *network, l *replica) {
 		for range 50 {
 			_, err := n.other(l).holder(context.Background(), &wire.ClaimQuery{Account: "a", Key: "k"})
 			var fault *wire.Fault
@@ -142,9 +131,7 @@
 // Hundreds of claims come at once. They share few syncs, and each of them is
 // answered.
 func TestGroupCommit(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		n := newNetwork(t, 1)
-		l := n.leader(nil)
+	group(t, 1, func(t *testing.T, _ *network, l *replica) {
 		before := l.store.syncs
 		var wg sync.WaitGroup
 		for i := range 500 {
@@ -160,9 +147,7 @@
 // A leader is told to stop. It hands over first: the next leader answers long
 // before an election timeout would have shown that the old one is gone.
 func TestLeaveHandsOver(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		n := newNetwork(t, 3)
-		l := n.leader(nil)
+	group(t, 3, func(t *testing.T, n *network, l *replica) {
 		at := time.Now()
 		l.Leave(context.Background())
 		n.leader(l)
@@ -174,9 +159,7 @@
 // then all replicas are down for an hour, so no caller could ask again: the
 // claim is still there, is kept for the rest of its time, and then dropped.
 func TestClaimsEndByTheLogsClock(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		n := newNetwork(t, 3)
-		l := n.leader(nil)
+	group(t, 3, func(t *testing.T, n *network, l *replica) {
 		command(t, n.client(), claim("k", 2*time.Minute))
 		command(t, n.client(), finish("k"))
 		time.Sleep(time.Minute)
@@ -204,9 +187,7 @@
 // snapshot and what follows it. Then all restart from their disks. Nothing is
 // lost or doubled on the way.
 func TestSnapshotsWhileCommandsGoOn(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		n := newNetwork(t, 3)
-		l := n.leader(nil)
+	group(t, 3, func(t *testing.T, n *network, l *replica) {
 		lag := n.other(l)
 		n.isolate(lag.Address, true)
 		const claims = 3 * CompactAfter
--- a/io/ctrl/fake_test.go
+++ b/io/ctrl/fake_test.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -78,6 +79,14 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(1000+i))
 }
 
+// group runs a test in a bubble of its own time, with a group that has a leader.
+func group(t *testing.T, size int, test func(t *testing.T, n *network, l *replica)) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(t, size)
+		test(t, n, n.leader(nil))
+	})
+}
+
 func newNetwork(t *testing.T, n int) *network {
 	net := &network{t: t, nodes: map[netip.AddrPort]*replica{}, cut: map[[2]netip.AddrPort]bool{}}
 	for i := range n {
--- a/io/ctrl/history_test.go
+++ b/io/ctrl/history_test.go
@@ -8,7 +8,6 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/anishathalye/porcupine"
@@ -68,14 +67,12 @@
 func TestHistoryIsLinearizable(t *testing.T) {
 	for seed := range uint64(5) {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { history(t, seed) })
+			group(t, 3, func(t *testing.T, n *network, _ *replica) { history(t, n, seed) })
 		})
 	}
 }
 
-func history(t *testing.T, seed uint64) {
-	n := newNetwork(t, 3)
-	n.leader(nil)
+func history(t *testing.T, n *network, seed uint64) {
 	var (
 		count atomic.Int64
 		mu    sync.Mutex
--- a/io/disk/disk_test.go
+++ b/io/disk/disk_test.go
@@ -31,8 +31,7 @@
 func filled(t *testing.T, n int) (*fakeDir, []int) {
 	t.Helper()
 	d := newFake(1)
-	l, _, _, err := open(d)
-	must.NoError(t, err)
+	l, _ := opened(t, d)
 	ends := []int{int(l.Size())}
 	for i := range n {
 		must.NoError(t, l.Append(entry(uint64(i+1), 40*i+3)))
@@ -41,6 +40,13 @@
 	return d, ends
 }
 
+func opened(t *testing.T, d *fakeDir, notes ...must.Setting) (*Log, []*wire.Record) {
+	t.Helper()
+	l, _, recs, err := open(d)
+	must.NoError(t, err, notes...)
+	return l, recs
+}
+
 func with(data []byte) *fakeDir {
 	d := newFake(1)
 	d.now[logName] = &inode{data: data}
@@ -55,8 +61,7 @@
 	data := d.now[logName].data
 	for k := ends[0]; k < len(data); k++ {
 		cut := with(append([]byte(nil), data[:k]...))
-		l, _, recs, err := open(cut)
-		must.NoError(t, err, must.Sprintf("cut at %d", k))
+		l, recs := opened(t, cut, must.Sprintf("cut at %d", k))
 		whole := 0
 		for _, e := range ends[1:] {
 			if e <= k {
@@ -65,8 +70,7 @@
 		}
 		must.Len(t, whole, recs)
 		must.NoError(t, l.Append(entry(99, 5)))
-		_, _, recs, err = open(cut)
-		must.NoError(t, err)
+		_, recs = opened(t, cut)
 		must.Len(t, whole+1, recs)
 	}
 }
@@ -103,13 +107,12 @@
 // it must not pass for unwritten sectors.
 func TestZerosOfThePayloadAreNoHole(t *testing.T) {
 	d, ends := filled(t, 1)
-	l, _, _, err := open(d)
-	must.NoError(t, err)
+	l, _ := opened(t, d)
 	rec := &wire.Record{Kind: &wire.Record_Entry{Entry: &wire.LogEntry{Index: 2, Command: make([]byte, 3*sector)}}}
 	must.NoError(t, l.Append(rec))
 	data := d.now[logName].data
 	data[ends[1]+headSize+5] ^= 4
-	_, _, _, err = open(with(data))
+	_, _, _, err := open(with(data))
 	must.ErrorIs(t, err, ErrDamaged)
 }
 
@@ -196,16 +199,14 @@
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			d := newFake(1)
-			l, _, _, err := open(d)
-			must.NoError(t, err)
+			l, _ := opened(t, d)
 			must.NoError(t, l.Append(entry(7, 5)))
 			tt.harm(d)
 			must.ErrorIs(t, tt.run(l), ErrStopped)
 			d.limit, d.badFS = 0, false
 			must.ErrorIs(t, l.Append(entry(2, 5)), ErrStopped)
 			must.ErrorIs(t, l.Compact(&wire.Snapshot{Index: 1}), ErrStopped)
-			_, _, recs, err := open(d.crash())
-			must.NoError(t, err)
+			_, recs := opened(t, d.crash())
 			must.Eq(t, 7, recs[0].GetEntry().GetIndex())
 		})
 	}
