The test of claims without control holds on a busy machine, too

Ruled out: a longer second, which is the product's own; fewer requests. Every assertion stands as it was.

--- a/io/front/refuse_test.go
+++ b/io/front/refuse_test.go
@@ -183,21 +183,30 @@
 // for longer than its grant lasts, and the next ones must take none, or the
 // keyed requests of a cut-off data centre would starve all the others.
 func TestClaimWithoutControlHoldsNoSlot(t *testing.T) {
-	s := newSite(t, 1)
-	s.granter.expires = 500 * time.Millisecond // A grant must not run out before it is used, also on a busy machine.
-	s.control.setHook(func(c *wire.Command) loss {
-		if c.GetClaim() != nil {
-			return noAnswer
+	const lasts = 500 * time.Millisecond // A grant must not run out before it is used, also on a busy machine.
+	for range 10 {
+		s := newSite(t, 1)
+		s.granter.expires = lasts
+		s.control.setHook(func(c *wire.Command) loss {
+			if c.GetClaim() != nil {
+				return noAnswer
+			}
+			return nothingLost
+		})
+		start := time.Now()
+		for i := range 3 {
+			s.entries[0].ask(ask{key: fmt.Sprintf("k%d", i), deadline: "10s"}).refused(t, refuse.NoControl, "not-run", "1")
 		}
-		return nothingLost
-	})
-	for i := range 3 {
-		s.entries[0].ask(ask{key: fmt.Sprintf("k%d", i), deadline: "10s"}).refused(t, refuse.NoControl, "not-run", "1")
+		if time.Since(start) >= lasts+time.Second {
+			continue // A busy machine: the entry may have tried control anew.
+		}
+		must.Eq(t, 1, s.granter.asked)
+		s.free()
+		must.Eq(t, "whole", s.entries[0].ask(ask{}).outcome)
+		must.SliceLen(t, 1, s.engine.Journal())
+		return
 	}
-	must.Eq(t, 1, s.granter.asked)
-	s.free()
-	must.Eq(t, "whole", s.entries[0].ask(ask{}).outcome)
-	must.SliceLen(t, 1, s.engine.Journal())
+	t.Fatal("never three refusals within the time that control counts as away")
 }
 
 // The deadline passes while the request waits, and while it runs. Waiting, it
