--- a/io/front/fake_test.go
+++ b/io/front/fake_test.go
@@ -1,12 +1,14 @@
 package front_test
 
 import (
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"flag"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -288,7 +290,7 @@
 		r.Header[name] = values
 	}
 	for name, v := range map[string]string{
-		"Authorization": "Bearer key-" + orElse(a.account, "one"), front.HeaderKey: a.key, fault.Header: a.fault, front.HeaderDeadline: a.deadline,
+		"Authorization": "Bearer key-" + cmp.Or(a.account, "one"), front.HeaderKey: a.key, fault.Header: a.fault, front.HeaderDeadline: a.deadline,
 	} {
 		if v != "" && r.Header.Get(name) == "" {
 			r.Header.Set(name, v)
@@ -297,11 +299,13 @@
 	return r
 }
 
-func orElse(s, other string) string {
-	if s == "" {
-		return other
-	}
-	return s
+// limit puts other limits of the engines' pool in force.
+func (s *site) limit(p pool.Pool) {
+	cfg := *s.cfg
+	cfg.Pools = maps.Clone(cfg.Pools)
+	p.Models = []string{"m"}
+	cfg.Pools["engines"] = p
+	s.cfg = &cfg
 }
 
 func (e *entry) ask(a ask) reply { return e.askCtx(context.Background(), a) }
@@ -333,6 +337,40 @@
 	return out
 }
 
+// refused checks a final answer that no upstream gave.
+func (r reply) refused(t must.T, code, outcome, retry string, notes ...must.Setting) {
+	t.Helper()
+	must.Eq(t, [3]string{code, outcome, retry}, [3]string{r.code, r.outcome, r.retry}, notes...)
+}
+
+// asked waits until that many grants were asked for.
+func (s *site) asked(n int) {
+	s.t.Helper()
+	s.eventually("grants asked for", func() bool {
+		s.granter.mu.Lock()
+		defer s.granter.mu.Unlock()
+		return s.granter.asked == n
+	})
+}
+
+// account changes the limits of account "one".
+func (s *site) account(set func(a *acct.Account)) {
+	a := s.cfg.Accounts["one"]
+	set(&a)
+	s.cfg.Accounts["one"] = a
+}
+
+// dial sends a chat request of account "one" on a connection of its own, as far
+// as the body goes.
+func (e *entry) dial(t testing.TB, header string, length int, body string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", e.Listener.Addr().String())
+	must.NoError(t, err)
+	_, err = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer key-one\r\n%sContent-Length: %d\r\n\r\n%s", chatPath, header, length, body)
+	must.NoError(t, err)
+	return c
+}
+
 // free checks that every slot was given back.
 func (s *site) free() {
 	s.t.Helper()
