A joined run's outcome goes before a code that isn't known

Cause: found by reading: an entry of an older version that joins a newer one's run took the refusal by its code alone, and an unknown code counts as not run. Ruled out: refusing joins between versions, which would lose whole answers. Change: when the holder says unknown, an unknown code becomes upstream-lost. Result: TestOutcomeOfTheHolderStands failed in its first row and passes; io/front passes.

--- a/core/answer/answer.go
+++ b/core/answer/answer.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"azurelane/core/life"
 	"azurelane/core/refuse"
 	"azurelane/core/wire"
 )
@@ -55,6 +56,11 @@
 	a := &Answer{Outcome: r.GetOutcome()}
 	if r.GetCode() != "" {
 		a.Refusal = refuse.New(r.GetCode(), r.GetText(), time.Duration(r.GetRetryAfterUs())*time.Microsecond)
+		// A newer entry may use a code that this one doesn't know. Taken by its
+		// code alone it would pass for not run; the holder's outcome goes first.
+		if a.Outcome == life.Unknown.Outcome() && !a.Refusal.MayHaveRun() {
+			a.Refusal = refuse.New(refuse.UpstreamLost, r.GetCode()+": "+r.GetText(), 0)
+		}
 		return a
 	}
 	a.Status, a.Body, a.Streamed = int(r.GetStatus()), r.GetBody(), r.GetStreamed()
