The queue's two heaps share what is the same in both

Cause: Len, Push and Pop stood twice in heap.go, word for word but for the index that a node keeps of itself; a loop that slices already has stood in two more places. Ruled out: one heap with functions for order and index, which would add a call through a pointer to each step of a decision. Change: both embed one list; the sort of Drop stands where it is used. Run: go test -race ./core/queue passes, TestLikeNaive unchanged.

--- a/core/queue/heap.go
+++ b/core/queue/heap.go
@@ -1,32 +1,23 @@
 package queue
 
-import (
-	"cmp"
-	"slices"
-)
-
 type (
-	flowHeap   []*node // By deadline, then by arrival; no deadline is the last one.
-	latestHeap []*node // By the latest time of dispatch.
-)
+	// nodes is what both heaps have in common.
+	nodes []*node
 
-func (h flowHeap) Len() int           { return len(h) }
-func (h flowHeap) Less(i, j int) bool { return sooner(h[i], h[j]) }
+	flowHeap   struct{ nodes } // By deadline, then by arrival; no deadline is the last one.
+	latestHeap struct{ nodes } // By the latest time of dispatch.
+)
 
-func (h flowHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].at, h[j].at = i, j
-}
+func (h nodes) Len() int { return len(h) }
 
-// Push is for container/heap.
-func (h *flowHeap) Push(x any) {
+func (h *nodes) add(x any) *node {
 	n, _ := x.(*node)
-	n.at = len(*h)
 	*h = append(*h, n)
+	return n
 }
 
 // Pop is for container/heap.
-func (h *flowHeap) Pop() any {
+func (h *nodes) Pop() any {
 	old := *h
 	last := len(old) - 1
 	n := old[last]
@@ -35,6 +26,16 @@
 	return n
 }
 
+func (h flowHeap) Less(i, j int) bool { return sooner(h.nodes[i], h.nodes[j]) }
+
+func (h flowHeap) Swap(i, j int) {
+	h.nodes[i], h.nodes[j] = h.nodes[j], h.nodes[i]
+	h.nodes[i].at, h.nodes[j].at = i, j
+}
+
+// Push is for container/heap.
+func (h *flowHeap) Push(x any) { h.add(x).at = h.Len() - 1 }
+
 func sooner(a, b *node) bool {
 	if a.end != b.end {
 		return a.end < b.end
@@ -42,37 +43,18 @@
 	return a.seq < b.seq
 }
 
-func (h latestHeap) Len() int { return len(h) }
-
 func (h latestHeap) Less(i, j int) bool {
-	if h[i].Latest.Equal(h[j].Latest) {
-		return h[i].seq < h[j].seq
+	a, b := h.nodes[i], h.nodes[j]
+	if a.Latest.Equal(b.Latest) {
+		return a.seq < b.seq
 	}
-	return h[i].Latest.Before(h[j].Latest)
+	return a.Latest.Before(b.Latest)
 }
 
 func (h latestHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].expires, h[j].expires = i, j
+	h.nodes[i], h.nodes[j] = h.nodes[j], h.nodes[i]
+	h.nodes[i].expires, h.nodes[j].expires = i, j
 }
 
 // Push is for container/heap.
-func (h *latestHeap) Push(x any) {
-	n, _ := x.(*node)
-	n.expires = len(*h)
-	*h = append(*h, n)
-}
-
-// Pop is for container/heap.
-func (h *latestHeap) Pop() any {
-	old := *h
-	last := len(old) - 1
-	n := old[last]
-	old[last] = nil
-	*h = old[:last]
-	return n
-}
-
-func sortNodes(list []*node) {
-	slices.SortFunc(list, func(a, b *node) int { return cmp.Compare(a.seq, b.seq) })
-}
+func (h *latestHeap) Push(x any) { h.add(x).expires = h.Len() - 1 }
--- a/core/queue/next.go
+++ b/core/queue/next.go
@@ -42,7 +42,7 @@
 // reason of its own, such as a deadline that a slow upstream can't meet, and
 // must not keep that upstream idle while the next one could use it.
 func (f *flow) offer(try func(*item.Item) (placed, full bool)) (*node, bool) {
-	for _, n := range f.items[:min(depth, len(f.items))] {
+	for _, n := range f.items.nodes[:min(depth, f.items.Len())] {
 		placed, full := try(n.Item)
 		if placed {
 			return n, false
@@ -120,7 +120,7 @@
 func (a *account) find(ok func(*flow) bool) *flow {
 	var best *flow
 	for _, f := range a.flows {
-		if ok(f) && (best == nil || f.level < best.level || (f.level == best.level && sooner(f.items[0], best.items[0]))) {
+		if ok(f) && (best == nil || f.level < best.level || (f.level == best.level && sooner(f.items.nodes[0], best.items.nodes[0]))) {
 			best = f
 		}
 	}
@@ -298,8 +298,8 @@
 	}
 	first := last
 	for _, f := range a.flows {
-		if f.level == i.Level() && sooner(f.items[0], first) {
-			first = f.items[0]
+		if f.level == i.Level() && sooner(f.items.nodes[0], first) {
+			first = f.items.nodes[0]
 		}
 	}
 	span := last.Deadline.Sub(first.Deadline)
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -4,8 +4,10 @@
 package queue
 
 import (
+	"cmp"
 	"container/heap"
 	"math"
+	"slices"
 	"time"
 
 	"azurelane/core/acct"
@@ -217,7 +219,7 @@
 	if a.waiting[l] == 0 {
 		a.work[l] = 0
 	}
-	if len(f.items) == 0 {
+	if f.items.Len() == 0 {
 		a.dropFlow(f)
 	}
 	if a.n == 0 {
@@ -226,15 +228,10 @@
 }
 
 func (a *account) dropFlow(f *flow) {
-	for i, g := range a.flows {
-		if g == f {
-			last := len(a.flows) - 1
-			a.flows[i] = a.flows[last]
-			a.flows[last] = nil
-			a.flows = a.flows[:last]
-			return
-		}
-	}
+	last := len(a.flows) - 1
+	a.flows[slices.Index(a.flows, f)] = a.flows[last]
+	a.flows[last] = nil
+	a.flows = a.flows[:last]
 }
 
 // rest takes an account out that has stopped waiting.
@@ -254,10 +251,13 @@
 // Expired takes out one ticket that can't be dispatched in time any more, or
 // returns nil.
 func (q *Queue) Expired(now time.Time) *item.Item {
-	if len(q.latest) == 0 || now.Before(q.latest[0].Latest) {
+	if q.latest.Len() == 0 {
+		return nil
+	}
+	n := q.latest.nodes[0]
+	if now.Before(n.Latest) {
 		return nil
 	}
-	n := q.latest[0]
 	q.remove(n)
 	return n.Item
 }
@@ -271,7 +271,7 @@
 			list = append(list, n)
 		}
 	}
-	sortNodes(list)
+	slices.SortFunc(list, func(a, b *node) int { return cmp.Compare(a.seq, b.seq) })
 	items := make([]*item.Item, 0, len(list))
 	for _, n := range list {
 		q.remove(n)
@@ -286,13 +286,5 @@
 // Lower reports whether the account has waiting work of a lower tier.
 func (q *Queue) Lower(name string, level int) bool {
 	a := q.accounts[name]
-	if a == nil {
-		return false
-	}
-	for l := level + 1; l < tier.Levels; l++ {
-		if a.waiting[l] > 0 {
-			return true
-		}
-	}
-	return false
+	return a != nil && slices.ContainsFunc(a.waiting[level+1:], func(n int) bool { return n > 0 })
 }
