Table, slots and order: no code without a caller, no step taken twice

Cause: table.Get and table.Live had no caller, nobody read what Put and Expire return, Has served only its own package, Free and Cancel ended in the same two lines, and Open sorted a list that Save has sorted already. Change: they are gone; both ends of a slot go by one function. Run: go test -race ./core/slots ./core/order passes.

--- a/core/order/order.go
+++ b/core/order/order.go
@@ -3,7 +3,6 @@
 package order
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -88,11 +87,7 @@
 
 // Open lists the orders that may still run, sorted by upstream.
 func (o *Order) Open() []*wire.OrderState {
-	list := slices.DeleteFunc(o.Save(), func(st *wire.OrderState) bool { return st.GetOutcome() != "" })
-	slices.SortFunc(list, func(a, b *wire.OrderState) int {
-		return cmp.Compare(a.GetStart().GetUpstream(), b.GetStart().GetUpstream())
-	})
-	return list
+	return slices.DeleteFunc(o.Save(), func(st *wire.OrderState) bool { return st.GetOutcome() != "" })
 }
 
 // blocks reports whether the old order keeps the new one from starting.
--- a/core/slots/slots.go
+++ b/core/slots/slots.go
@@ -68,7 +68,7 @@
 		t, g := h.GetTicket(), h.GetGrant()
 		listed[t.GetId()] = true
 		k := key{incarnation, g.GetOwner(), t.GetId(), g.GetSlot()}
-		if _, gone := s.released[k]; gone || s.Has(incarnation, t.GetId()) {
+		if _, gone := s.released[k]; gone || s.held[incarnation][t.GetId()] != nil {
 			continue
 		}
 		s.put(&slot.Slot{Up: up(g.GetUpstream()), Ticket: t, Owner: g.GetOwner(), Number: g.GetSlot(), Since: now})
@@ -80,11 +80,6 @@
 	}
 }
 
-// Has reports whether the ticket has a slot.
-func (s *Slots) Has(incarnation string, ticket uint64) bool {
-	return s.held[incarnation][ticket] != nil
-}
-
 func (s *Slots) put(v *slot.Slot) {
 	if s.held == nil {
 		s.held = map[string]map[uint64]*slot.Slot{}
@@ -132,9 +127,7 @@
 	if v == nil || v.Owner != r.GetOwner() || v.Number != r.GetSlot() {
 		return nil
 	}
-	s.drop(v)
-	s.released[key{r.GetIncarnation(), v.Owner, r.GetTicket(), v.Number}] = now
-	return v
+	return s.release(now, v)
 }
 
 // Cancel frees the slot of a ticket that will not be dispatched under it, or
@@ -145,8 +138,13 @@
 	if v == nil {
 		return nil
 	}
+	return s.release(now, v)
+}
+
+// release drops a slot and remembers it, so that no list brings it back.
+func (s *Slots) release(now time.Time, v *slot.Slot) *slot.Slot {
 	s.drop(v)
-	s.released[key{incarnation, v.Owner, ticket, v.Number}] = now
+	s.released[key{v.Ticket.GetIncarnation(), v.Owner, v.Ticket.GetId(), v.Number}] = now
 	return v
 }
 
--- a/core/table/table.go
+++ b/core/table/table.go
@@ -16,16 +16,13 @@
 	list []*upstr.Upstream // Sorted by name, so that the same input gives the same decisions.
 }
 
-// Put takes an announcement and returns the upstream. An announcement that
-// overtook a newer one of the same incarnation is dropped, so that a delayed
-// "serving" can't undo a "leaving".
-func (t *Table) Put(now time.Time, a *wire.Announce) *upstr.Upstream {
+// Put takes an announcement. One that a newer one of the same incarnation has
+// overtaken is dropped, so that a delayed "serving" can't undo a "leaving".
+func (t *Table) Put(now time.Time, a *wire.Announce) {
 	u := t.Named(a.GetUpstream())
-	if u.GetIncarnation() == a.GetIncarnation() && a.GetSeq() < u.GetSeq() {
-		return u
+	if u.GetIncarnation() != a.GetIncarnation() || a.GetSeq() >= u.GetSeq() {
+		u.Heard(now, a)
 	}
-	u.Heard(now, a)
-	return u
 }
 
 // Named returns the upstream of that name. One that has not announced itself
@@ -45,34 +42,17 @@
 	return u
 }
 
-// Get returns the upstream of that name, or nil.
-func (t *Table) Get(name string) *upstr.Upstream { return t.ups[name] }
-
 // All returns every known upstream, sorted by name. The slice is the table's own.
 func (t *Table) All() []*upstr.Upstream { return t.list }
 
-// Live returns the upstreams that may be granted new work.
-func (t *Table) Live(now time.Time) []*upstr.Upstream {
-	var live []*upstr.Upstream
-	for _, u := range t.list {
-		if u.Live(now) {
-			live = append(live, u)
-		}
-	}
-	return live
-}
-
 // Expire forgets upstreams whose lease ended longer than grace ago and on
-// which nothing runs. It returns the forgotten ones.
-func (t *Table) Expire(now time.Time, grace time.Duration) []*upstr.Upstream {
-	var gone []*upstr.Upstream
+// which nothing runs.
+func (t *Table) Expire(now time.Time, grace time.Duration) {
 	t.list = slices.DeleteFunc(t.list, func(u *upstr.Upstream) bool {
 		if u.Running > 0 || now.Before(u.Expires.Add(grace)) {
 			return false
 		}
 		delete(t.ups, u.GetUpstream())
-		gone = append(gone, u)
 		return true
 	})
-	return gone
 }
--- a/core/upstr/upstr.go
+++ b/core/upstr/upstr.go
@@ -21,8 +21,8 @@
 	leaving bool      // As announced.
 	Expires time.Time // End of the lease.
 	*wire.Announce
-	Long   int           // Of these, slots of long work.
-	Tokens int64         // Tokens of the requests in these slots.
+	Long   int           // Running slots of long work.
+	Tokens int64         // Tokens of the requests in the running slots.
 	Learnt limit.Limit   // From its own runs.
 	Cache  prefix.Prefix // What it has probably cached.
 	hash   uint64
