Sched: a pool's runner knows its owner, and one function ends a call

Cause: each of nine steps handed the same incarnation to the runner; a call was ended in two places by the same lines; the tests repeated the steps of a call in the background five times. Ruled out: a default incarnation or a setter, as it never changes after Install.

--- a/io/sched/sched.go
+++ b/io/sched/sched.go
@@ -3,6 +3,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -34,6 +36,11 @@
 	// withdrawn is the code of a call whose caller has gone; nobody reads it.
 	withdrawn  = "withdrawn"
 	retryAfter = time.Second
+	// goneKeep is how long a withdrawal is remembered for a ticket that it has
+	// overtaken. Frames of a link are read in order and handled at once, so that
+	// they change places only by the moments that a goroutine takes to start. The
+	// entry may send the ticket again later, when its pool has moved away and back.
+	goneKeep = 500 * time.Millisecond
 )
 
 type (
@@ -53,6 +60,7 @@
 
 	runner struct {
 		mu      sync.Mutex
+		owner   string // Incarnation that grants carry.
 		name    string // Of the policy.
 		policy  kernel.Scheduler
 		waiting map[waitKey]chan *wire.Decision
@@ -83,10 +91,13 @@
 				continue
 			}
 			r.refuseAll()
-			r = &runner{name: policy, policy: sch, waiting: map[waitKey]chan *wire.Decision{}, gone: map[waitKey]time.Time{}}
+			r = &runner{
+				owner: s.Incarnation, name: policy, policy: sch,
+				waiting: map[waitKey]chan *wire.Decision{}, gone: map[waitKey]time.Time{},
+			}
 			s.pools[name] = r
 		}
-		r.do(s.Incarnation, func(now time.Time) []*wire.Decision { return r.policy.Configure(now, name, cfg) })
+		r.do(func(now time.Time) []*wire.Decision { return r.policy.Configure(now, name, cfg) })
 	}
 	for name, r := range s.pools {
 		if _, ok := cfg.Pools[name]; !ok {
@@ -112,7 +123,7 @@
 	if !r.enter(k, ch) {
 		return refuse.Ticket(t, withdrawn, retryAfter)
 	}
-	r.do(s.Incarnation, func(now time.Time) []*wire.Decision { return r.policy.Submit(now, t) })
+	r.do(func(now time.Time) []*wire.Decision { return r.policy.Submit(now, t) })
 	if len(ch) == 0 && s.idle.CompareAndSwap(true, false) {
 		select {
 		case s.waker() <- struct{}{}:
@@ -124,7 +135,7 @@
 		return d
 	case <-ctx.Done():
 	}
-	r.do(s.Incarnation, func(now time.Time) []*wire.Decision { return r.abandon(now, k, ch, t) })
+	r.do(func(now time.Time) []*wire.Decision { return r.abandon(now, k, ch, t) })
 	return refuse.Ticket(t, withdrawn, retryAfter)
 }
 
@@ -136,19 +147,19 @@
 	if _, gone := r.gone[k]; gone {
 		return false
 	}
-	r.end(k)
+	r.end(k, withdrawn)
 	r.waiting[k] = ch
 	return true
 }
 
 // end lets a call return whose ticket needs no decision any more. Its caller
-// has gone, but without this its goroutine would wait as long as the link lives.
-// It reports whether there was one.
-func (r *runner) end(k waitKey) bool {
+// may have gone, but without this its goroutine would wait as long as the link
+// lives. It reports whether there was one.
+func (r *runner) end(k waitKey, code string) bool {
 	ch, ok := r.waiting[k]
 	if ok {
 		delete(r.waiting, k)
-		ch <- refuse.Ticket(&wire.Ticket{Id: k.ticket, Incarnation: k.incarnation}, withdrawn, retryAfter)
+		ch <- refuse.Ticket(&wire.Ticket{Id: k.ticket, Incarnation: k.incarnation}, code, retryAfter)
 	}
 	return ok
 }
@@ -182,9 +193,9 @@
 	if r == nil {
 		return
 	}
-	r.do(s.Incarnation, func(now time.Time) []*wire.Decision {
+	r.do(func(now time.Time) []*wire.Decision {
 		k := waitKey{w.GetIncarnation(), w.GetTicket()}
-		if !r.end(k) {
+		if !r.end(k, withdrawn) {
 			r.gone[k] = now
 		}
 		r.policy.Withdraw(now, w)
@@ -198,7 +209,7 @@
 		rel.Owner = "" // The policy's own slots carry no owner.
 	}
 	if r := s.pool(rel.GetPool()); r != nil {
-		r.do(s.Incarnation, func(now time.Time) []*wire.Decision { return r.policy.Release(now, rel) })
+		r.do(func(now time.Time) []*wire.Decision { return r.policy.Release(now, rel) })
 	}
 }
 
@@ -206,7 +217,7 @@
 func (s *Sched) Announce(a *wire.Announce) {
 	for _, name := range a.GetPools() {
 		if r := s.pool(name); r != nil {
-			r.do(s.Incarnation, func(now time.Time) []*wire.Decision { return r.policy.Announce(now, a) })
+			r.do(func(now time.Time) []*wire.Decision { return r.policy.Announce(now, a) })
 		}
 	}
 }
@@ -221,7 +232,7 @@
 		}
 	}
 	for _, r := range s.all() {
-		r.do(s.Incarnation, func(now time.Time) []*wire.Decision {
+		r.do(func(now time.Time) []*wire.Decision {
 			r.policy.Hold(now, h)
 			return r.policy.Tick(now)
 		})
@@ -231,7 +242,7 @@
 // Forget drops what a dead entry held and waited for.
 func (s *Sched) Forget(incarnation string) {
 	for _, r := range s.all() {
-		r.do(s.Incarnation, func(now time.Time) []*wire.Decision { return r.policy.Forget(now, incarnation) })
+		r.do(func(now time.Time) []*wire.Decision { return r.policy.Forget(now, incarnation) })
 	}
 }
 
@@ -250,7 +261,7 @@
 		// loop, and one that came before is seen.
 		s.idle.Store(true)
 		for _, r := range s.all() {
-			r.do(s.Incarnation, r.tick)
+			r.do(r.tick)
 		}
 		next := IdleEvery
 		if s.Waiting() > 0 {
@@ -267,18 +278,8 @@
 	return s.wake
 }
 
-// goneKeep is how long a withdrawal is remembered for a ticket that it has
-// overtaken. Frames of a link are read in order and handled at once, so that
-// they change places only by the moments that a goroutine takes to start. The
-// entry may send the ticket again later, when its pool has moved away and back.
-const goneKeep = 500 * time.Millisecond
-
 func (r *runner) tick(now time.Time) []*wire.Decision {
-	for k, at := range r.gone {
-		if now.Sub(at) > goneKeep {
-			delete(r.gone, k)
-		}
-	}
+	maps.DeleteFunc(r.gone, func(_ waitKey, at time.Time) bool { return now.Sub(at) > goneKeep })
 	return r.policy.Tick(now)
 }
 
@@ -302,21 +303,17 @@
 func (s *Sched) all() []*runner {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	list := make([]*runner, 0, len(s.pools))
-	for _, r := range s.pools {
-		list = append(list, r)
-	}
-	return list
+	return slices.AppendSeq(make([]*runner, 0, len(s.pools)), maps.Values(s.pools))
 }
 
 // do runs one step of the policy and hands its decisions to the calls that
 // wait for them.
-func (r *runner) do(owner string, step func(time.Time) []*wire.Decision) {
+func (r *runner) do(step func(time.Time) []*wire.Decision) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, d := range step(time.Now()) {
 		if g := d.GetGrant(); g != nil {
-			g.Owner = owner
+			g.Owner = r.owner
 		}
 		k := waitKey{d.GetIncarnation(), d.GetTicket()}
 		if ch, ok := r.waiting[k]; ok {
@@ -332,8 +329,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for k, ch := range r.waiting {
-		delete(r.waiting, k)
-		ch <- refuse.Ticket(&wire.Ticket{Id: k.ticket, Incarnation: k.incarnation}, refuse.NotFound, retryAfter)
+	for k := range r.waiting {
+		r.end(k, refuse.NotFound)
 	}
 }
--- a/io/sched/sched_test.go
+++ b/io/sched/sched_test.go
@@ -31,6 +31,19 @@
 	return &wire.Release{Ticket: d.GetTicket(), Incarnation: "i", Pool: "p", Slot: d.GetGrant().GetSlot(), Owner: d.GetGrant().GetOwner()}
 }
 
+// submit sends a ticket in the background and returns once the call waits or
+// is decided.
+func submit(ctx context.Context, s *sched.Sched, id uint64) <-chan *wire.Decision {
+	ch := make(chan *wire.Decision, 1)
+	go func() { ch <- s.Submit(ctx, ticket(id)) }()
+	synctest.Wait()
+	return ch
+}
+
+func withdraw(id uint64) *wire.Withdraw {
+	return &wire.Withdraw{Ticket: id, Entry: "e", Incarnation: "i", Pool: "p"}
+}
+
 // An entry's link breaks while its ticket waits, and it sends the ticket again
 // over a new link. Only then the owner notices the end of the old link. The old
 // call's end must not withdraw the new one: the caller would wait in vain.
@@ -40,11 +53,8 @@
 		busy := s.Submit(t.Context(), ticket(1))
 		must.NotNil(t, busy.GetGrant())
 		old, end := context.WithCancel(t.Context())
-		first, second := make(chan *wire.Decision, 1), make(chan *wire.Decision, 1)
-		go func() { first <- s.Submit(old, ticket(2)) }()
-		synctest.Wait()
-		go func() { second <- s.Submit(t.Context(), ticket(2)) }()
-		synctest.Wait()
+		first := submit(old, s, 2)
+		second := submit(t.Context(), s, 2)
 		end()
 		synctest.Wait()
 		must.NotNil(t, (<-first).GetRefusal())
@@ -59,7 +69,7 @@
 func TestWithdrawalOvertakes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSched()
-		s.Withdraw(&wire.Withdraw{Ticket: 1, Entry: "e", Incarnation: "i", Pool: "p"})
+		s.Withdraw(withdraw(1))
 		must.NotNil(t, s.Submit(t.Context(), ticket(1)).GetRefusal())
 		must.NotNil(t, s.Submit(t.Context(), ticket(2)).GetGrant())
 	})
@@ -71,10 +81,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := newSched()
 		must.NotNil(t, s.Submit(t.Context(), ticket(1)).GetGrant())
-		done := make(chan *wire.Decision, 1)
-		go func() { done <- s.Submit(context.WithoutCancel(t.Context()), ticket(2)) }()
-		synctest.Wait()
-		s.Withdraw(&wire.Withdraw{Ticket: 2, Entry: "e", Incarnation: "i", Pool: "p"})
+		done := submit(context.WithoutCancel(t.Context()), s, 2)
+		s.Withdraw(withdraw(2))
 		must.NotNil(t, (<-done).GetRefusal())
 	})
 }
@@ -90,9 +98,7 @@
 		s.Forget("i")
 		s.Hold(h)
 		must.Eq(t, "owner", h.GetSlots()[0].GetGrant().GetOwner(), must.Sprint("the entry's list is its own"))
-		next := make(chan *wire.Decision, 1)
-		go func() { next <- s.Submit(t.Context(), ticket(2)) }()
-		synctest.Wait()
+		next := submit(t.Context(), s, 2)
 		must.Eq(t, 0, len(next), must.Sprint("the upstream is full"))
 		s.Release(release(d))
 		must.NotNil(t, (<-next).GetGrant())
@@ -124,12 +130,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := newSched()
 		busy := s.Submit(t.Context(), ticket(1))
-		go s.Submit(t.Context(), ticket(2))
-		synctest.Wait()
-		s.Withdraw(&wire.Withdraw{Ticket: 2, Entry: "e", Incarnation: "i", Pool: "p"})
-		back := make(chan *wire.Decision, 1)
-		go func() { back <- s.Submit(t.Context(), ticket(2)) }()
-		synctest.Wait()
+		submit(t.Context(), s, 2)
+		s.Withdraw(withdraw(2))
+		back := submit(t.Context(), s, 2)
 		s.Release(release(busy))
 		must.NotNil(t, (<-back).GetGrant())
 	})
