Late's tests: the same steps stand once

Cause: twenty learnt runs, alerts with a deadline and the collecting of decisions were written out in each test that needs them. Ruled out: one table over the tests of refusals, which have different stories.

--- a/core/late/late_test.go
+++ b/core/late/late_test.go
@@ -38,6 +38,14 @@
 	return &wire.Ticket{Id: id, Entry: "e", Incarnation: "i", Account: "a", Pool: "p", Tier: tier, PromptTokens: 16, AnswerTokens: 8}
 }
 
+func normal(id uint64) *wire.Ticket { return ticket(id, wire.Tier_TIER_NORMAL) }
+
+func urgent(id uint64, deadline time.Duration) *wire.Ticket {
+	t := ticket(id, wire.Tier_TIER_URGENT)
+	t.DeadlineUs = deadline.Microseconds()
+	return t
+}
+
 func release(d *wire.Decision) *wire.Release {
 	g := d.GetGrant()
 	return &wire.Release{
@@ -87,15 +95,15 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			l := newLate(nil, 1)
-			ds := l.Submit(start, ticket(1, wire.Tier_TIER_NORMAL))
+			ds := l.Submit(start, normal(1))
 			must.Eq(t, []uint64{1}, grants(ds))
-			other := ticket(2, wire.Tier_TIER_NORMAL)
+			other := normal(2)
 			other.Incarnation = "other"
 			must.SliceEmpty(t, l.Submit(start, other))
 			after := append(c.lose(l), l.Tick(start.Add(c.at))...)
 			must.Eq(t, []uint64{2}, grants(after))
 			must.SliceEmpty(t, l.Release(start.Add(c.at), release(ds[0])), must.Sprint("a late release frees nothing"))
-			third := ticket(3, wire.Tier_TIER_NORMAL)
+			third := normal(3)
 			must.SliceEmpty(t, l.Submit(start.Add(c.at), third), must.Sprint("the slot is counted once"))
 		})
 	}
@@ -106,14 +114,14 @@
 // lost one. A waiting ticket sent again must not be granted twice.
 func TestSentAgain(t *testing.T) {
 	l := newLate(nil, 1)
-	first := l.Submit(start, ticket(1, wire.Tier_TIER_NORMAL))
+	first := l.Submit(start, normal(1))
 	must.Eq(t, []uint64{1}, grants(first))
-	again := l.Submit(start, ticket(1, wire.Tier_TIER_NORMAL))
+	again := l.Submit(start, normal(1))
 	must.Eq(t, []uint64{1}, grants(again))
-	must.SliceEmpty(t, l.Submit(start, ticket(2, wire.Tier_TIER_NORMAL)))
-	must.SliceEmpty(t, l.Submit(start, ticket(2, wire.Tier_TIER_NORMAL)))
+	must.SliceEmpty(t, l.Submit(start, normal(2)))
+	must.SliceEmpty(t, l.Submit(start, normal(2)))
 	must.SliceEmpty(t, l.Release(start, release(first[0])), must.Sprint("the former slot was freed before"))
-	must.SliceEmpty(t, l.Submit(start, ticket(3, wire.Tier_TIER_NORMAL)))
+	must.SliceEmpty(t, l.Submit(start, normal(3)))
 	second := l.Release(start, release(again[0]))
 	must.Eq(t, []uint64{2}, grants(second))
 	must.Eq(t, []uint64{3}, grants(l.Release(start, release(second[0]))), must.Sprint("ticket 2 waited once"))
@@ -125,11 +133,11 @@
 func TestTakeover(t *testing.T) {
 	l := newLate(nil)
 	held := &wire.Held{Entry: "e", Incarnation: "i", Slots: []*wire.HeldSlot{{
-		Ticket: ticket(1, wire.Tier_TIER_NORMAL), Grant: &wire.Grant{Slot: 7, Owner: "former", Upstream: "up-0"},
+		Ticket: normal(1), Grant: &wire.Grant{Slot: 7, Owner: "former", Upstream: "up-0"},
 	}}}
 	l.Hold(start, held)
 	l.Hold(start, held)
-	must.SliceEmpty(t, l.Submit(start, ticket(2, wire.Tier_TIER_NORMAL)), must.Sprint("waits for announcements"))
+	must.SliceEmpty(t, l.Submit(start, normal(2)), must.Sprint("waits for announcements"))
 	must.SliceEmpty(t, l.Announce(start.Add(time.Second), announce(0, 1)), must.Sprint("the held slot counts"))
 	r := &wire.Release{Ticket: 1, Entry: "e", Incarnation: "i", Pool: "p", Upstream: "up-0", Slot: 7, Owner: "former", Dispatched: true}
 	must.Eq(t, []uint64{2}, grants(l.Release(start.Add(time.Second), r)))
@@ -142,11 +150,11 @@
 	l := newLate(nil)
 	now := start.Add(time.Minute)
 	l.Tick(now)
-	must.SliceEmpty(t, l.Submit(now, ticket(1, wire.Tier_TIER_NORMAL)))
+	must.SliceEmpty(t, l.Submit(now, normal(1)))
 	must.MapEmpty(t, refusals(l.Tick(now.Add(2*time.Second))))
 	must.Eq(t, map[uint64]string{1: "no-upstream"}, refusals(l.Tick(now.Add(4*time.Second))))
 	for id := range uint64(5) {
 		now = now.Add(4 * time.Second)
-		must.Eq(t, map[uint64]string{2 + id: "no-upstream"}, refusals(l.Submit(now, ticket(2+id, wire.Tier_TIER_NORMAL))))
+		must.Eq(t, map[uint64]string{2 + id: "no-upstream"}, refusals(l.Submit(now, normal(2+id))))
 	}
 }
--- a/core/late/queue_test.go
+++ b/core/late/queue_test.go
@@ -27,34 +27,36 @@
 	return now
 }
 
+// learnt returns a policy with one upstream that has run 20 requests, each of
+// which took so long, and the time after them.
+func learnt(running int64, took time.Duration) (*late.Late, time.Time) {
+	l, now := newLate(nil, running), start
+	for id := range uint64(20) {
+		now = serve(l, now, normal(1000+id), took)
+	}
+	return l, now
+}
+
 // A request that can't be done in time is refused in the moment in which that
 // is known: when it is submitted, by the speed learnt or by the work ahead of
 // it, or when the last moment for its dispatch passes. Its caller learns how
 // long the work ahead takes.
 func TestRefusedAtOnce(t *testing.T) {
-	l := newLate(nil, 1)
-	now := start
-	for i := range uint64(20) {
-		now = serve(l, now, ticket(i+1, wire.Tier_TIER_NORMAL), 100*ms)
-	}
-	l.Tick(now.Add(time.Second)) // Sweeps, and so learns the pool's rate.
+	l, now := learnt(1, 100*ms)
 	now = now.Add(time.Second)
-	late := ticket(100, wire.Tier_TIER_URGENT)
-	late.DeadlineUs = (20 * ms).Microseconds()
-	must.Eq(t, map[uint64]string{100: "deadline"}, refusals(l.Submit(now, late)), must.Sprint("a run takes longer"))
-	must.Eq(t, []uint64{101}, grants(l.Submit(now, ticket(101, wire.Tier_TIER_NORMAL))))
+	l.Tick(now) // Sweeps, and so learns the pool's rate.
+	must.Eq(t, map[uint64]string{100: "deadline"}, refusals(l.Submit(now, urgent(100, 20*ms))), must.Sprint("a run takes longer"))
+	must.Eq(t, []uint64{101}, grants(l.Submit(now, normal(101))))
 	for id := range uint64(20) {
-		must.SliceEmpty(t, l.Submit(now, ticket(200+id, wire.Tier_TIER_NORMAL)))
+		must.SliceEmpty(t, l.Submit(now, normal(200+id)))
 	}
-	behind := ticket(102, wire.Tier_TIER_NORMAL)
+	behind := normal(102)
 	behind.DeadlineUs = time.Second.Microseconds()
 	ds := l.Submit(now, behind)
 	must.Eq(t, map[uint64]string{102: "deadline"}, refusals(ds), must.Sprint("two seconds of work are ahead"))
 	after := time.Duration(ds[0].GetRefusal().GetRetryAfterUs()) * time.Microsecond
 	must.Between(t, 500*ms, after, 3*time.Second)
-	alert := ticket(103, wire.Tier_TIER_URGENT)
-	alert.DeadlineUs = time.Second.Microseconds()
-	must.SliceEmpty(t, l.Submit(now, alert), must.Sprint("an alert is before that work"))
+	must.SliceEmpty(t, l.Submit(now, urgent(103, time.Second)), must.Sprint("an alert is before that work"))
 	must.MapEmpty(t, refusals(l.Tick(now.Add(500*ms))))
 	must.Eq(t, map[uint64]string{103: "deadline"}, refusals(l.Tick(now.Add(950*ms))), must.Sprint("it can't be in time any more"))
 }
@@ -63,22 +65,18 @@
 // bulk work waiting, the alert isn't refused on the prediction: nothing of a's
 // may be kept in its place. Account b has none, and is told at once.
 func TestNoAlertRefusedOnPrediction(t *testing.T) {
-	l := newLate(nil, 1)
-	now := start
-	for i := range uint64(20) {
-		now = serve(l, now, ticket(i+1, wire.Tier_TIER_NORMAL), 100*ms)
-	}
+	l, now := learnt(1, 100*ms)
 	now = now.Add(time.Second)
 	l.Tick(now)
 	for id := range uint64(60) {
-		tk := ticket(100+id, wire.Tier_TIER_URGENT)
+		tk := urgent(100+id, 0)
 		tk.Account = []string{"a", "b"}[id%2]
 		l.Submit(now, tk)
 	}
 	l.Submit(now, ticket(200, wire.Tier_TIER_BULK))
 	for i, account := range []string{"a", "b"} {
-		alert := ticket(300+uint64(i), wire.Tier_TIER_URGENT)
-		alert.Account, alert.DeadlineUs = account, time.Second.Microseconds()
+		alert := urgent(300+uint64(i), time.Second)
+		alert.Account = account
 		must.Eq(t, account == "b", len(refusals(l.Submit(now, alert))) == 1, must.Sprint(account))
 	}
 }
@@ -89,34 +87,27 @@
 	l := newLate(&conf.Config{
 		Accounts: map[string]acct.Account{"a": {MaxWaiting: 3}}, Pools: map[string]pool.Pool{"p": {}},
 	}, 1)
-	l.Submit(start, ticket(1, wire.Tier_TIER_NORMAL))
+	l.Submit(start, normal(1))
 	l.Submit(start, ticket(2, wire.Tier_TIER_BULK))
 	l.Submit(start, ticket(3, wire.Tier_TIER_BULK))
-	l.Submit(start, ticket(4, wire.Tier_TIER_NORMAL))
-	must.Eq(t, map[uint64]string{3: "account-limit"}, refusals(l.Submit(start, ticket(5, wire.Tier_TIER_URGENT))))
+	l.Submit(start, normal(4))
+	must.Eq(t, map[uint64]string{3: "account-limit"}, refusals(l.Submit(start, urgent(5, 0))))
 	must.Eq(t, map[uint64]string{6: "account-limit"}, refusals(l.Submit(start, ticket(6, wire.Tier_TIER_BULK))))
 }
 
 // Long work fills an upstream but for a part. An alert and short work still
 // find a place; without short work about, long work gets all of it.
 func TestShortFindsPlace(t *testing.T) {
-	l := newLate(nil, 8)
-	long := func(id uint64) *wire.Ticket {
-		t := ticket(id, wire.Tier_TIER_NORMAL)
-		t.AnswerTokens = 5000
-		return t
-	}
-	now := start
-	for id := range uint64(20) {
-		now = serve(l, now, ticket(1000+id, wire.Tier_TIER_NORMAL), 10*ms)
-	}
+	l, now := learnt(8, 10*ms)
 	granted := 0
 	for id := range uint64(12) {
-		granted += len(grants(l.Submit(now, long(id+1))))
+		long := normal(id + 1)
+		long.AnswerTokens = 5000
+		granted += len(grants(l.Submit(now, long)))
 	}
 	must.Eq(t, 7, granted)
-	must.Eq(t, []uint64{100}, grants(l.Submit(now, ticket(100, wire.Tier_TIER_NORMAL))))
-	must.SliceEmpty(t, grants(l.Submit(now, ticket(101, wire.Tier_TIER_NORMAL))), must.Sprint("now it is full"))
+	must.Eq(t, []uint64{100}, grants(l.Submit(now, normal(100))))
+	must.SliceEmpty(t, grants(l.Submit(now, normal(101))), must.Sprint("now it is full"))
 }
 
 // Upstream 0 breaks every connect. It gets no work after a few tries, although
@@ -125,7 +116,7 @@
 	l := newLate(nil, 4, 4)
 	bad, now := 0, start
 	for id := range uint64(100) {
-		ds := l.Submit(now, ticket(id+1, wire.Tier_TIER_NORMAL))
+		ds := l.Submit(now, normal(id+1))
 		r := release(ds[0])
 		if r.GetUpstream() == "up-0" {
 			r.Dispatched, r.Failed = false, true
@@ -151,7 +142,7 @@
 			r.Failed, r.TotalUs = true, (2 * time.Second).Microseconds()
 			l.Release(now, r)
 		}
-		tk := ticket(i+1, wire.Tier_TIER_NORMAL)
+		tk := normal(i + 1)
 		tk.DeadlineUs = (2 * time.Second).Microseconds()
 		for _, d := range l.Submit(now, tk) {
 			if i > 100 && d.GetGrant().GetUpstream() == "up-0" {
@@ -175,11 +166,10 @@
 	now := start
 	broke := map[string]int{}
 	for id := range uint64(200) {
-		good := ticket(2*id+1, wire.Tier_TIER_NORMAL)
-		for _, d := range l.Submit(now, good) {
+		for _, d := range l.Submit(now, normal(2*id+1)) {
 			l.Release(now, release(d))
 		}
-		evil := ticket(2*id+2, wire.Tier_TIER_NORMAL)
+		evil := normal(2*id + 2)
 		evil.Account, evil.PromptTokens, evil.PrefixHash = "b", 100, id*7919+1
 		for _, d := range l.Submit(now, evil) {
 			if d.GetGrant() == nil || d.GetTicket() != evil.GetId() {
@@ -208,24 +198,23 @@
 	run := func() []*wire.Decision {
 		l := newLate(nil, 3, 2, 4)
 		var out, running []*wire.Decision
+		take := func(ds []*wire.Decision) { out, running = append(out, ds...), append(running, ds...) }
 		now := start
 		for id := range uint64(300) {
 			tk := ticket(id+1, wire.Tier(id%3))
 			tk.Account = string(rune('a' + id%5))
 			tk.PrefixHash = id % 11
 			tk.DeadlineUs = int64(id%4) * 300_000
-			ds := l.Submit(now, tk)
-			out, running = append(out, ds...), append(running, ds...)
+			take(l.Submit(now, tk))
 			for len(running) > 6 {
-				ds = nil
-				if running[0].GetGrant() != nil {
-					ds = l.Release(now, release(running[0]))
+				first := running[0]
+				running = running[1:]
+				if first.GetGrant() != nil {
+					take(l.Release(now, release(first)))
 				}
-				out, running = append(out, ds...), append(running[1:], ds...)
 			}
 			now = now.Add(20 * ms)
-			ds = l.Tick(now)
-			out, running = append(out, ds...), append(running, ds...)
+			take(l.Tick(now))
 		}
 		return out
 	}
