Stand-ins: one loop makes the tokens of an answer

Cause: whole and streamed answers had the same loop over chunks; two copies of lists were made by appending to nil. Ruled out: an iterator, which a caller who leaves would need an extra flag for. Change: generate hands on each part; slices.Clone copies. Run: go test -race ./io/front, which is served by these stand-ins, passes.

--- a/io/orderd/orderd.go
+++ b/io/orderd/orderd.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -64,7 +65,7 @@
 func (o *Orderd) Done() []string {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return append([]string(nil), o.done...)
+	return slices.Clone(o.done)
 }
 
 // Most is the largest number of orders that ran at once.
--- a/io/stand/stand.go
+++ b/io/stand/stand.go
@@ -3,9 +3,11 @@
 package stand
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -145,12 +147,12 @@
 
 func (s *Stand) whole(w http.ResponseWriter, r *http.Request, c chat, out completion, prompt int64) bool {
 	var text strings.Builder
-	for i := int64(0); i < c.MaxTokens; i += s.chunk() {
-		n := min(s.chunk(), c.MaxTokens-i)
-		if !s.Decode(r.Context(), n) {
-			return false
-		}
-		text.WriteString(c.part(i, n))
+	ok := s.generate(r.Context(), c, func(part string) bool {
+		text.WriteString(part)
+		return true
+	})
+	if !ok {
+		return false
 	}
 	out.Choices = []choice{{Message: &message{"assistant", text.String()}, FinishReason: "length"}}
 	out.Usage = &usage{prompt, c.MaxTokens}
@@ -168,27 +170,35 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	out.Object = "chat.completion.chunk"
 	flush := http.NewResponseController(w)
-	for i := int64(0); i < c.MaxTokens; i += s.chunk() {
-		n := min(s.chunk(), c.MaxTokens-i)
-		if !s.Decode(r.Context(), n) {
-			return false
-		}
-		out.Choices = []choice{{Delta: &message{"assistant", c.part(i, n)}}}
+	ok := s.generate(r.Context(), c, func(part string) bool {
+		out.Choices = []choice{{Delta: &message{"assistant", part}}}
 		data, err := json.Marshal(out)
 		if err != nil {
 			return false
 		}
-		if _, err := fmt.Fprintf(w, "data: %s\n\n", data); err != nil {
-			return false
-		}
-		if err := flush.Flush(); err != nil {
-			return false
-		}
+		_, err = fmt.Fprintf(w, "data: %s\n\n", data)
+		return err == nil && flush.Flush() == nil
+	})
+	if !ok {
+		return false
 	}
 	_, err := io.WriteString(w, "data: [DONE]\n\n")
 	return err == nil
 }
 
+// generate decodes the answer and hands it on in parts, each when it is ready.
+// It returns false when the caller leaves or a part can't be taken.
+func (s *Stand) generate(ctx context.Context, c chat, take func(part string) bool) bool {
+	chunk := max(s.Chunk, 1)
+	for i := int64(0); i < c.MaxTokens; i += chunk {
+		n := min(chunk, c.MaxTokens-i)
+		if !s.Decode(ctx, n) || !take(c.part(i, n)) {
+			return false
+		}
+	}
+	return true
+}
+
 func (s *Stand) note(r *http.Request) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -206,7 +216,7 @@
 func (s *Stand) Journal() []record.Record {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return append([]record.Record(nil), s.journal...)
+	return slices.Clone(s.journal)
 }
 
 func (s *Stand) serveJournal(w http.ResponseWriter) {
@@ -214,8 +224,6 @@
 	_ = json.MarshalWrite(w, s.Journal())
 }
 
-func (s *Stand) chunk() int64 { return max(s.Chunk, 1) }
-
 // echo is what the answer begins with in place of its first token, so that a
 // caller can tell its answer from others; nothing without the echo mark.
 func (c *chat) echo() (string, bool) {
