--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -282,9 +282,3 @@
 
 // Len is the number of waiting tickets.
 func (q *Queue) Len() int { return len(q.tickets) }
-
-// Lower reports whether the account has waiting work of a lower tier.
-func (q *Queue) Lower(name string, level int) bool {
-	a := q.accounts[name]
-	return a != nil && slices.ContainsFunc(a.waiting[level+1:], func(n int) bool { return n > 0 })
-}
