Limit and pool: named constants, defaults without ladders, no dead method

Cause: a success's and a forgetting's measure stood as bare numbers, the default preset as a bare word; MayRepeat has no caller; the comment on until said that it is zero in service, which Return makes untrue; the one on Done read as if total may be missing. Ruled out: the same for acct.WithDefaults, which each grant calls for each account; whether cmp.Or costs more there was not measured. Change: constants, cmp.Or, comments. Run: go test -race ./core/limit passes; core/pool has no tests, go vet ./... does.

--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -27,12 +27,12 @@
 	wait  float64     // Part of a run that is spent in the upstream's own queue.
 	calm  int         // Runs since most was last lowered.
 
-	good   time.Time // Last success.
-	fails  int       // Failures in a row.
-	who    string    // Client account of the last failure.
-	others bool      // Several client accounts are among the failures in a row.
-	until  time.Time // Out of service until then; zero when in service.
-	pause  time.Duration
+	good   time.Time     // Last success.
+	fails  int           // Failures in a row.
+	who    string        // Client account of the last failure.
+	others bool          // Several client accounts are among the failures in a row.
+	until  time.Time     // Out of service until then.
+	pause  time.Duration // Length of the last outage.
 }
 
 const (
@@ -46,11 +46,16 @@
 	longWait  = 0.5
 	shortWait = 0.25
 	lower     = 0.9
+	// forget raises the least time per token with each run, or an upstream that
+	// got slower for good would seem crowded.
+	forget = 1.001
 
 	failsSeveral = 3 // Failures in a row of several accounts that take an upstream out.
 	failsOne     = 6 // Failures in a row of one account that do.
 	firstPause   = time.Second
 	longestPause = 30 * time.Second
+
+	goodKeep = 5 * time.Second // How long a success speaks for an upstream.
 )
 
 // Cost is a run's size in work units: answer tokens, and prompt tokens at the
@@ -83,7 +88,7 @@
 
 // Done learns from a whole run that took first to its first token and total to
 // its last one, and brings an upstream on trial back by doubling what it gets.
-// First is zero when it isn't known, and total for an answer in one piece.
+// First is zero when it isn't known, and equals total for an answer in one piece.
 func (l *Limit) Done(now time.Time, prompt, answer int64, cached bool, first, total time.Duration, running, announced int) {
 	if want := l.Expect(prompt, answer, cached).Seconds(); want > 0 {
 		l.miss += gain * (math.Abs(total.Seconds()/want-1) - l.miss)
@@ -119,7 +124,7 @@
 	if l.unit == 0 || per < l.unit {
 		l.unit = per
 	}
-	l.unit *= 1.001 // Forgets slowly, or an upstream that got slower for good would seem crowded.
+	l.unit *= forget
 	queued := max(first.Seconds()-l.unit*(prompt+firstOffset), 0) / total.Seconds()
 	l.wait += gain * (queued - l.wait)
 	l.calm++
@@ -162,7 +167,7 @@
 // account and another run succeeded shortly before them. Then the account, and
 // not the upstream, is the likely cause.
 func (l *Limit) Blameless(now time.Time) bool {
-	return !l.others && !l.good.IsZero() && now.Sub(l.good) < 5*time.Second
+	return !l.others && !l.good.IsZero() && now.Sub(l.good) < goodKeep
 }
 
 // Good is the time of the last success.
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -1,7 +1,10 @@
 // Package pool describes a pool of upstreams.
 package pool
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Pool holds what operators configure for one pool. Its upstreams are not
 // listed: they announce themselves.
@@ -24,6 +27,7 @@
 // Defaults for what a pool leaves at zero.
 const (
 	DefaultScheduler  = "late"
+	DefaultPreset     = "goodput"
 	DefaultMaxWaiting = 10000
 	DefaultMaxRun     = 30 * time.Minute
 	DefaultSilence    = 60 * time.Second
@@ -33,33 +37,16 @@
 
 // WithDefaults returns the pool with every limit set.
 func (p Pool) WithDefaults() Pool {
-	if p.Scheduler == "" {
-		p.Scheduler = DefaultScheduler
-	}
-	if p.Preset == "" {
-		p.Preset = "goodput"
-	}
-	if p.MaxWaiting == 0 {
-		p.MaxWaiting = DefaultMaxWaiting
-	}
-	if p.MaxRun == 0 {
-		p.MaxRun = DefaultMaxRun
-	}
-	if p.Silence == 0 {
-		p.Silence = DefaultSilence
-	}
-	if p.GrantTTL == 0 {
-		p.GrantTTL = DefaultGrantTTL
-	}
-	if p.MaxAnswer == 0 {
-		p.MaxAnswer = DefaultMaxAnswer
-	}
+	p.Scheduler = cmp.Or(p.Scheduler, DefaultScheduler)
+	p.Preset = cmp.Or(p.Preset, DefaultPreset)
+	p.MaxWaiting = cmp.Or(p.MaxWaiting, DefaultMaxWaiting)
+	p.MaxRun = cmp.Or(p.MaxRun, DefaultMaxRun)
+	p.Silence = cmp.Or(p.Silence, DefaultSilence)
+	p.GrantTTL = cmp.Or(p.GrantTTL, DefaultGrantTTL)
+	p.MaxAnswer = cmp.Or(p.MaxAnswer, DefaultMaxAnswer)
 	return p
 }
 
-// MayRepeat reports whether calls of the pool may be repeated.
-func (p Pool) MayRepeat() bool { return p.Repeatable == nil || *p.Repeatable }
-
 // RunsOn reports whether a keyed request of the pool runs to its end when its
 // callers go away.
 func (p Pool) RunsOn() bool { return p.RunOn == nil || *p.RunOn }
--- a/io/bench/bench.go
+++ b/io/bench/bench.go
@@ -5,8 +5,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"fmt"
 	"net"
 	"net/http"
@@ -14,7 +12,7 @@
 	"os"
 	"path/filepath"
 	"strings"
-	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -22,20 +20,9 @@
 	"github.com/pkg/errors"
 	"github.com/thejerf/suture/v4"
 
-	"azurelane/core/acct"
-	"azurelane/core/codec"
-	"azurelane/core/conf"
-	"azurelane/core/pool"
-	"azurelane/core/state"
-	"azurelane/core/tier"
-	"azurelane/core/wire"
 	"azurelane/io/demand"
-	"azurelane/io/engine"
 	"azurelane/io/entry"
 	"azurelane/io/hello"
-	"azurelane/io/httpd"
-	"azurelane/io/leader"
-	"azurelane/io/mesh"
 	"azurelane/io/quorum"
 	"azurelane/io/setup"
 	"azurelane/io/stand"
@@ -46,57 +33,21 @@
 	URLs   []string // Of the entries.
 	Stands []*stand.Stand
 
-	mu   sync.Mutex
-	late reports
-	sup  *suture.Supervisor
-	stop context.CancelFunc
-	done <-chan error
-	dir  string
+	stale atomic.Bool // Load reports tell the load of some seconds ago.
+	sup   *suture.Supervisor
+	stop  context.CancelFunc
+	done  <-chan error
+	dir   string
 }
 
-// reports says what becomes of load reports on their way.
-type reports int
-
-const (
-	fresh reports = iota
-	stale         // They tell the load of some seconds ago.
-)
-
 const (
 	entries    = 2
 	poolName   = "models"
-	maxWaiting = 150 // Of one account, so that overload meets the limit.
 	openTries  = 5
 	readyLimit = 20 * time.Second
 	readyPause = 20 * time.Millisecond
-	staleBy    = 5 * time.Second
-	chunk      = 8 // Tokens in one event.
 )
 
-// engines are small stand-ins of four generations, with short token times so
-// that seconds show what takes minutes on real ones.
-func engines() []*engine.Engine {
-	return []*engine.Engine{
-		{Name: "gen4-a", Slots: 8, Prefill: 60000, Step: 2 * time.Millisecond, Crowd: 0.03, CacheLimit: 24},
-		{Name: "gen3-a", Slots: 8, Prefill: 40000, Step: 3 * time.Millisecond, Crowd: 0.03, CacheLimit: 16},
-		{Name: "gen2-a", Slots: 8, Prefill: 25000, Step: 4 * time.Millisecond, Crowd: 0.04, CacheLimit: 12},
-		{Name: "gen2-b", Slots: 8, Prefill: 25000, Step: 4 * time.Millisecond, Crowd: 0.04, CacheLimit: 12},
-		{Name: "gen1-a", Slots: 4, Prefill: 12000, Step: 8 * time.Millisecond, Crowd: 0.06, CacheLimit: 8},
-	}
-}
-
-// Capacity is the number of requests a second of the workload that the engines
-// together can run, by their speeds, with nothing cached.
-func Capacity(d *demand.Demand) float64 {
-	prompt, answer := d.Mean()
-	var sum float64
-	for _, e := range engines() {
-		run := prompt/e.Prefill + answer*e.Step.Seconds()*(1+e.Crowd*float64(e.Slots-1))
-		sum += min(float64(e.Slots)/run, e.Prefill/prompt)
-	}
-	return sum
-}
-
 // Open starts a system whose pool has the given policy and preset, and waits
 // until each entry serves. Its ports were free a moment before; when another
 // program has taken one meanwhile, it starts again with others.
@@ -133,11 +84,7 @@
 }
 
 // Stale makes all load reports tell the load of some seconds ago from now on.
-func (b *Bench) Stale() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.late = stale
-}
+func (b *Bench) Stale() { b.stale.Store(true) }
 
 func (b *Bench) start(ctx context.Context, policy, preset string, d *demand.Demand) error {
 	control, err := free()
@@ -196,77 +143,6 @@
 	return sets, nil
 }
 
-func (b *Bench) engine(e *engine.Engine, model string, ups []netip.AddrPort) error {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return fmt.Errorf("bench: %w", err)
-	}
-	s := &stand.Stand{Engine: e, Chunk: chunk}
-	b.Stands = append(b.Stands, s)
-	b.sup.Add(&httpd.Httpd{Listen: ln, Handler: s})
-	b.sup.Add(&hello.Hello{
-		Upstream: e.Name, Address: netip.MustParseAddrPort(ln.Addr().String()), Incarnation: "bench", Pools: []string{poolName},
-		Models: []string{model}, MaxRunning: e.Slots, Entries: ups, Load: b.report(e), Log: logr.Discard(),
-	})
-	return nil
-}
-
-// report is the engine's load report, as late as the scenario wants it.
-func (b *Bench) report(e *engine.Engine) func() (int, int, []uint64) {
-	type load struct {
-		at              time.Time
-		running, queued int
-		cached          []uint64
-	}
-	var past []load
-	return func() (int, int, []uint64) {
-		b.mu.Lock()
-		defer b.mu.Unlock()
-		var l load
-		l.at = time.Now()
-		l.running, l.queued, l.cached = e.Load()
-		past = append(past, l)
-		if b.late == fresh {
-			return l.running, l.queued, l.cached
-		}
-		for len(past) > 1 && time.Since(past[1].at) > staleBy {
-			past = past[1:]
-		}
-		return past[0].running, past[0].queued, past[0].cached
-	}
-}
-
-func apply(ctx context.Context, control netip.AddrPort, policy, preset string, d *demand.Demand) error {
-	cfg := conf.Config{
-		Accounts: map[string]acct.Account{}, Tiers: map[string]tier.Tier{},
-		Pools: map[string]pool.Pool{poolName: {Models: []string{d.Model}, Scheduler: policy, Preset: preset}},
-	}
-	for _, a := range d.Accounts {
-		sum := sha256.Sum256([]byte(a.Name + "-key"))
-		cfg.Accounts[a.Name] = acct.Account{KeySHA256: hex.EncodeToString(sum[:]), MaxWaiting: maxWaiting, MaxConnections: 1 << 16, MaxBodies: 1 << 30}
-	}
-	for _, k := range d.Kinds {
-		cfg.Tiers[k.Tier] = tier.Tier{Level: k.Level}
-	}
-	base, err := codec.Write(cfg)
-	if err != nil {
-		return fmt.Errorf("bench: %w", err)
-	}
-	m := &mesh.Mesh{Handle: func(context.Context, *wire.Frame) (*wire.Frame, error) { return nil, &wire.Fault{Code: "unsupported"} }}
-	defer m.Close()
-	l := &leader.Leader{Replicas: []netip.AddrPort{control}, Caller: m}
-	r, err := l.Propose(ctx, &wire.Command{Id: "bench", Kind: &wire.Command_Change{Change: &wire.Change{
-		Document: fmt.Appendf(nil, `{"base":%s,"overlays":{}}`, base), Author: "bench",
-	}}})
-	if err != nil {
-		return fmt.Errorf("bench: apply: %w", err)
-	}
-	if r.GetCode() != state.OK {
-		return fmt.Errorf("bench: apply: %s: %s", r.GetCode(), r.GetText())
-	}
-	return nil
-}
-
 // ready asks each entry for a short answer until it gives one.
 func (b *Bench) ready(ctx context.Context, d *demand.Demand) error {
 	ctx, cancel := context.WithTimeout(ctx, readyLimit)
--- a/io/load/answer.go
+++ b/io/load/answer.go
@@ -4,12 +4,10 @@
 	"cmp"
 	"io"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/go-json-experiment/json"
 
-	"azurelane/io/call"
 	"azurelane/io/result"
 )
 
@@ -54,12 +52,3 @@
 		res.Code = no.Error.Code
 	}
 }
-
-func byTime(calls []call.Call) []int {
-	order := make([]int, len(calls))
-	for i := range order {
-		order[i] = i
-	}
-	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(calls[a].At, calls[b].At) })
-	return order
-}
--- a/io/load/load.go
+++ b/io/load/load.go
@@ -3,9 +3,11 @@
 package load
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -36,10 +38,9 @@
 	l.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: connections}}
 	defer l.client.CloseIdleConnections()
 	results := make([]result.Result, len(calls))
-	order := byTime(calls)
 	var wg sync.WaitGroup
 	start := time.Now()
-	for n, i := range order {
+	for n, i := range byTime(calls) {
 		results[i] = result.Result{Call: calls[i], Outcome: "none"}
 		select {
 		case <-ctx.Done():
@@ -53,6 +54,16 @@
 	return results
 }
 
+// byTime lists the places of the calls in the order of their times.
+func byTime(calls []call.Call) []int {
+	order := make([]int, len(calls))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(calls[a].At, calls[b].At) })
+	return order
+}
+
 func (l *Load) one(ctx context.Context, url string, due time.Time, res *result.Result) {
 	ctx, cancel := context.WithDeadline(ctx, due.Add(res.Deadline+l.Spare))
 	defer cancel()
--- a/io/trial/trial.go
+++ b/io/trial/trial.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"slices"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -117,16 +116,15 @@
 	rate := func(at time.Duration) float64 { return capacity * s.rate(at, t.Span) }
 	calls := t.Demand.Draw(seed, t.Span, capacity*s.peak, rate, extra, s.factor)
 	scores := make([]score.Score, len(t.Policies))
-	fails := make([]error, len(t.Policies))
-	var wg sync.WaitGroup
+	var wg errgroup.Group
 	for i, p := range t.Policies {
-		wg.Go(func() { scores[i], fails[i] = t.one(ctx, s, p, calls) })
+		wg.Go(func() (err error) {
+			scores[i], err = t.one(ctx, s, p, calls)
+			return err
+		})
 	}
-	wg.Wait()
-	for _, err := range fails {
-		if err != nil {
-			return nil, err
-		}
+	if err := wg.Wait(); err != nil {
+		return nil, err
 	}
 	return scores, nil
 }
