--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -12,6 +12,7 @@
 
 	"azurelane/core/item"
 	"azurelane/core/place"
+	"azurelane/core/slot"
 	"azurelane/core/upstr"
 	"azurelane/core/wire"
 )
@@ -56,6 +57,12 @@
 	return p
 }
 
+// pick returns the slot for an item that may go anywhere, or nil.
+func pick(p place.Place, now time.Time, ups []*upstr.Upstream, i *item.Item) *slot.Slot {
+	s, _ := p.Pick(now, ups, i, false, "")
+	return s
+}
+
 // Requests with the same beginning go to the same upstream before any cache
 // event tells of it, and the loss of one upstream moves only the prefixes that
 // had their home there.
@@ -68,16 +75,15 @@
 	homes := map[uint64]string{}
 	used := map[string]int{}
 	for prefix := uint64(1); prefix <= 400; prefix++ {
-		s, _ := p.Pick(start, ups, request(prefix*7919), false, "")
-		homes[prefix] = s.Up.GetUpstream()
+		homes[prefix] = pick(p, start, ups, request(prefix*7919)).Up.GetUpstream()
 		used[homes[prefix]]++
 	}
 	for name, n := range used {
 		must.Between(t, 20, n, 90, must.Sprint(name))
 	}
 	for prefix, home := range homes {
-		s, _ := p.Pick(start, ups[1:], request(prefix*7919), false, "")
-		must.True(t, home == "up-0" || home == s.Up.GetUpstream())
+		now := pick(p, start, ups[1:], request(prefix*7919)).Up.GetUpstream()
+		must.True(t, home == "up-0" || home == now)
 	}
 }
 
@@ -88,27 +94,21 @@
 	p := preset(t, place.Prefill)
 	a, b := newUp(0, 1, 4), newUp(1, 1.2, 4)
 	ups := []*upstr.Upstream{a, b}
-	pick := func() (string, bool) {
-		i := request(5)
-		i.PromptTokens = 100 // So few that the detour, and not the saving, decides.
-		s, _ := p.Pick(start, ups, i, false, "")
-		return s.Up.GetUpstream(), s.Cached
-	}
+	i := request(5)
+	i.PromptTokens = 100 // So few that the detour, and not the saving, decides.
 	hear(b, 5)
-	name, cached := pick()
-	must.Eq(t, "up-1", name)
-	must.True(t, cached)
+	s := pick(p, start, ups, i)
+	must.Eq(t, "up-1", s.Up.GetUpstream())
+	must.True(t, s.Cached)
 	b.Cache.Wrong(5)
-	_, cached = pick()
-	must.False(t, cached)
+	must.False(t, pick(p, start, ups, i).Cached)
 	b.Cache.Sent(start, 5)
 	hear(b) // An event with a gap.
-	name, cached = pick()
-	must.Eq(t, "up-1", name)
-	must.True(t, cached)
+	s = pick(p, start, ups, i)
+	must.Eq(t, "up-1", s.Up.GetUpstream())
+	must.True(t, s.Cached)
 	b.Running = 3
-	name, _ = pick()
-	must.Eq(t, "up-0", name, must.Sprint("too full against the mean"))
+	must.Eq(t, "up-0", pick(p, start, ups, i).Up.GetUpstream(), must.Sprint("too full against the mean"))
 }
 
 // Whatever is believed of caches, the upstream picked has room, serves the
@@ -159,16 +159,13 @@
 // An upstream on its way back isn't tried with an alert, unless there is no other.
 func TestTrial(t *testing.T) {
 	p := preset(t, place.Goodput)
-	a := newUp(0, 1, 4)
-	a.Learnt.Out(start)
+	ups := []*upstr.Upstream{newUp(0, 1, 4)}
+	ups[0].Learnt.Out(start)
 	now := start.Add(2 * time.Second)
 	alert := request(0)
 	alert.Tier = wire.Tier_TIER_URGENT
-	s, _ := p.Pick(now, []*upstr.Upstream{a}, alert, false, "")
-	must.Nil(t, s)
-	s, _ = p.Pick(now, []*upstr.Upstream{a}, request(0), false, "")
-	must.NotNil(t, s)
+	must.Nil(t, pick(p, now, ups, alert))
+	must.NotNil(t, pick(p, now, ups, request(0)))
 	p.Alone = true
-	s, _ = p.Pick(now, []*upstr.Upstream{a}, alert, false, "")
-	must.NotNil(t, s)
+	must.NotNil(t, pick(p, now, ups, alert))
 }
