Queue's plain model says in one place which account is ahead

Cause: the model found each account's first ticket through a map and compared accounts inside the loop that walked it again. Ruled out: sorting the list, as the order between accounts and within one differ. Change: one loop, and ahead beside before; all steps and assertions remain. Run: go test -race ./core/queue passes. Trials with a fault put into the queue - accounts in the wrong order, no lowering of an account ahead of its share, a tier's saved share asked twice - fail.

--- a/core/queue/queue_test.go
+++ b/core/queue/queue_test.go
@@ -1,6 +1,7 @@
 package queue_test
 
 import (
+	"cmp"
 	"flag"
 	"fmt"
 	"os"
@@ -90,6 +91,13 @@
 	return i.Level()
 }
 
+// ahead says which of two accounts' first items is granted first; of equals it
+// is the one by name.
+func (v *naive) ahead(a, b *item.Item) bool {
+	used := func(i *item.Item) float64 { return max(v.used[i.GetAccount()], v.clock-16*burst) }
+	return cmp.Or(cmp.Compare(v.standing(a), v.standing(b)), cmp.Compare(used(a), used(b))) < 0
+}
+
 func end(i *item.Item) time.Time {
 	if i.Deadline.IsZero() {
 		return epoch.Add(time.Hour)
@@ -99,10 +107,7 @@
 
 // before says which of two items of one account is first.
 func before(a, b *item.Item) bool {
-	if a.Level() != b.Level() {
-		return a.Level() < b.Level()
-	}
-	return end(a).Before(end(b))
+	return cmp.Or(cmp.Compare(a.Level(), b.Level()), end(a).Compare(end(b))) < 0
 }
 
 // next returns what is granted, of the items that ok allows.
@@ -113,22 +118,16 @@
 			level = l
 		}
 	}
-	firsts := map[string]*item.Item{}
-	for _, i := range v.list {
-		if f := firsts[i.GetAccount()]; ok(i) && (level < 0 || i.Level() == level) && (f == nil || before(i, f)) {
-			firsts[i.GetAccount()] = i
-		}
-	}
 	var best *item.Item
 	for _, name := range names {
-		i := firsts[name]
-		if i == nil {
-			continue
+		var first *item.Item
+		for _, i := range v.list {
+			if i.GetAccount() == name && ok(i) && (level < 0 || i.Level() == level) && (first == nil || before(i, first)) {
+				first = i
+			}
 		}
-		lag := v.clock - 16*burst
-		if best == nil || v.standing(i) < v.standing(best) ||
-			v.standing(i) == v.standing(best) && max(v.used[name], lag) < max(v.used[best.GetAccount()], lag) {
-			best = i
+		if first != nil && (best == nil || v.ahead(first, best)) {
+			best = first
 		}
 	}
 	if best != nil {
