Slots and prefix: old entries go by maps.DeleteFunc

Cause: two loops deleted from a map by age, one of them after another loop. Change: maps.DeleteFunc, as in sched. Run: go test -race ./core/slots ./core/late ./core/place passes; core/prefix has no tests of its own.

--- a/core/prefix/prefix.go
+++ b/core/prefix/prefix.go
@@ -1,7 +1,10 @@
 // Package prefix remembers which prompt prefixes an upstream has probably cached.
 package prefix
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // Prefix holds the prefixes of one upstream. Cache events come late and with
 // gaps: a prefix sent there a moment ago may be missing in them, and one that
@@ -22,11 +25,7 @@
 	for _, h := range list {
 		p.told[h] = struct{}{}
 	}
-	for h, at := range p.sent {
-		if now.Sub(at) > sentKeep {
-			delete(p.sent, h)
-		}
-	}
+	maps.DeleteFunc(p.sent, func(_ uint64, at time.Time) bool { return now.Sub(at) > sentKeep })
 }
 
 // Sent notes that a request with the prefix was granted there.
--- a/core/slots/slots.go
+++ b/core/slots/slots.go
@@ -2,6 +2,7 @@
 package slots
 
 import (
+	"maps"
 	"time"
 
 	"azurelane/core/slot"
@@ -167,11 +168,7 @@
 			look(v)
 		}
 	}
-	for k, at := range s.released {
-		if now.Sub(at) > releasedKeep {
-			delete(s.released, k)
-		}
-	}
+	maps.DeleteFunc(s.released, func(_ key, at time.Time) bool { return now.Sub(at) > releasedKeep })
 }
 
 // Account is the number of slots that a client account holds.
