Trial tables: goodput of a tier is named

Cause: the same function over scores stood in the table and in the plot. Ruled out: a field for it in the scores, which hold counts. Change: good.

--- a/io/trial/table.go
+++ b/io/trial/table.go
@@ -22,7 +22,7 @@
 	for _, r := range rows {
 		fmt.Fprintf(b, "| %s |", r.policy)
 		for level := range score.Levels {
-			cell(b, r, func(s score.Score) float64 { return percent(s.Good[level], s.Asked[level]) }, "%.1f")
+			cell(b, r, good(level), "%.1f")
 		}
 		cell(b, r, func(s score.Score) float64 { return ms(s.First) }, "%.0f ms")
 		cell(b, r, func(s score.Score) float64 { return ms(s.FirstNormal) }, "%.0f ms")
@@ -31,7 +31,8 @@
 		cell(b, r, func(s score.Score) float64 { return 100 * s.Others }, "%.1f")
 		fmt.Fprintf(b, " %d | %d | %d |", sum(r, func(s score.Score) int { return s.Shed }),
 			sum(r, func(s score.Score) int { return s.Late }), sum(r, func(s score.Score) int { return s.Lost }))
-		fmt.Fprintf(b, " %.1f, %.1f ms |\n", mean(r, func(s score.Score) float64 { return ms(s.SaidHalf) }), mean(r, func(s score.Score) float64 { return ms(s.Said) }))
+		fmt.Fprintf(b, " %.1f, %.1f ms |\n", mean(r, func(s score.Score) float64 { return ms(s.SaidHalf) }),
+			mean(r, func(s score.Score) float64 { return ms(s.Said) }))
 	}
 	plot(b, rows)
 	for _, r := range rows {
@@ -46,7 +47,7 @@
 	b.WriteString("\n```\n")
 	for level, name := range []string{"urgent", "normal", "bulk"} {
 		for _, r := range rows {
-			p := mean(r, func(s score.Score) float64 { return percent(s.Good[level], s.Asked[level]) })
+			p := mean(r, good(level))
 			fmt.Fprintf(b, "%-7s %-13s |%-*s| %5.1f %%\n", name, r.policy, width, strings.Repeat("#", int(p*width/100)), p)
 		}
 	}
@@ -60,7 +61,8 @@
 	}
 	text := fmt.Sprintf(format, mean(r, f))
 	if low != high {
-		text += fmt.Sprintf(" ("+strings.TrimSuffix(format, " ms")+"–"+strings.TrimSuffix(format, " ms")+")", low, high)
+		bare := strings.TrimSuffix(format, " ms")
+		text += fmt.Sprintf(" ("+bare+"–"+bare+")", low, high)
 	}
 	fmt.Fprintf(b, " %s |", text)
 }
@@ -96,6 +98,11 @@
 	return strings.Join(list, ", ")
 }
 
+// good is the goodput of one tier.
+func good(level int) func(score.Score) float64 {
+	return func(s score.Score) float64 { return percent(s.Good[level], s.Asked[level]) }
+}
+
 func percent(part, all int) float64 {
 	if all == 0 {
 		return 100
