The process tests share their steps and wait side by side

Ruled out: running the takeover, drain and history tests side by side too; they load the machine, and each would change what the other shows. No case and no check is left out; the comment that upstream waits for the entries was wrong and is gone.

--- a/cmd/azurelane/caller_test.go
+++ b/cmd/azurelane/caller_test.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
-	"strings"
 	"sync"
 	"time"
 )
@@ -108,17 +107,13 @@
 func (c *caller) exchange(ctx context.Context, a *attempt, tokens int) error {
 	path, body := "/svc/notes/"+a.Token, a.Token
 	if a.Kind != serviceCall {
-		path = "/v1/chat/completions"
+		path = chatPath
 		body = fmt.Sprintf(`{"model":"demo","stream":%t,"max_tokens":%d,"messages":[{"role":"user","content":"echo %s"}]}`, a.Kind == chatStream, tokens, a.Token)
 	}
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.entries[a.Entry].String()+path, strings.NewReader(body))
+	r, err := request(ctx, c.entries[a.Entry], path, a.Key, body)
 	if err != nil {
 		return err
 	}
-	r.Header.Set("Authorization", "Bearer dev-key")
-	if a.Key != "" {
-		r.Header.Set("Idempotency-Key", a.Key)
-	}
 	resp, err := c.client.Do(r)
 	if err != nil {
 		return err
@@ -130,9 +125,6 @@
 	if err != nil {
 		return err
 	}
-	a.Told = resp.Header.Get("Azurelane-Outcome")
-	if t := resp.Trailer.Get("Azurelane-Outcome"); t != "" {
-		a.Told = t
-	}
+	a.Told = outcome(resp)
 	return nil
 }
--- a/cmd/azurelane/capacity_test.go
+++ b/cmd/azurelane/capacity_test.go
@@ -7,9 +7,7 @@
 	"io"
 	"math"
 	"net/http"
-	"net/netip"
 	"os"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
@@ -46,6 +44,7 @@
 	b        *testing.B
 	entries  []*proc
 	controls []*proc
+	engines  int
 	client   *http.Client
 }
 
@@ -59,63 +58,35 @@
 func newLab(b *testing.B, entries, controls int, policy string) *lab {
 	c := &cluster{t: b, dir: b.TempDir()}
 	l := &lab{cluster: c, b: b, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4096}}}
-	for range controls {
-		c.control = append(c.control, freeAddr(b))
-	}
-	for i, addr := range c.control {
-		name := fmt.Sprintf("control-%d", i+1)
-		args := []string{"control", c.settings(&setup.Setup{
-			Node: name, DataCentre: "dev", Peers: addr, Operator: freeAddr(b), Control: c.control, DataFolder: filepath.Join(c.dir, name),
-		})}
-		if i == 0 {
-			args = append(args, "--bootstrap")
-		}
-		l.controls = append(l.controls, newProc(b, c.dir, name, args...))
-	}
-	path := filepath.Join(c.dir, "config.json")
-	must.NoError(b, os.WriteFile(path, fmt.Appendf(nil, labConfig, policy), 0o600))
-	c.until("configuration accepted", func() bool {
-		return c.start("apply", path, "--control", c.control[0].String(), "--base", "0", "--change", "first").Wait() == nil
-	})
-	var seeds []netip.AddrPort
-	for range entries {
-		seeds = append(seeds, freeAddr(b))
-	}
+	l.controls = c.controls(controls)
+	c.apply(fmt.Appendf(nil, labConfig, policy))
+	seeds := freeAddrs(b, entries)
 	for i, addr := range seeds {
-		s := &setup.Setup{
-			Node: fmt.Sprintf("entry-%d", i+1), DataCentre: "dev", Callers: freeAddr(b), Upstreams: freeAddr(b), Peers: addr,
-			Operator: freeAddr(b), Control: c.control, Seeds: seeds[:1],
-		}
+		s := c.entry(i+1, seeds[0])
+		s.Peers = addr
 		c.entries = append(c.entries, s)
 		l.entries = append(l.entries, newProc(b, c.dir, s.Node, "entry", c.settings(s)))
 	}
 	for _, e := range c.entries {
-		c.until(e.Node, func() bool { return status(b, "http://"+e.Operator.String()+"/ready") == http.StatusOK })
+		c.untilReady(e)
 	}
 	return l
 }
 
 // engine starts a stand-in and waits until a request reaches it.
 func (l *lab) engine(slots int, step time.Duration) {
-	addr := freeAddr(l.b)
-	args := []string{"standin", "--name", "engine-" + addr.String(), "--listen", addr.String(), "--pools", "demo", "--models", "demo", "--prefill", "0", "--crowd", "0", "--slots", strconv.Itoa(slots), "--step", step.String()}
-	for _, e := range l.cluster.entries {
-		args = append(args, "--entries", e.Upstreams.String())
-	}
-	newProc(l.b, l.dir, "standin-"+strconv.Itoa(int(addr.Port())), args...)
-	l.until("engine", func() bool { return l.ask(0, "/v1/chat/completions", "", chatBody).outcome == "whole" })
+	name := fmt.Sprintf("engine-%d", l.engines)
+	l.engines++
+	l.upstream(name, "demo", "demo", "--prefill", "0", "--crowd", "0", "--slots", strconv.Itoa(slots), "--step", step.String())
+	l.until("engine", func() bool { return l.ask(0, chatPath, "", chatBody).outcome == "whole" })
 }
 
 // post sends one request and reads its answer to the end.
 func (l *lab) post(ctx context.Context, entry int, key, body string) (int64, error) {
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+l.cluster.entries[entry].Callers.String()+"/v1/chat/completions", strings.NewReader(body))
+	r, err := request(ctx, l.cluster.entries[entry].Callers, chatPath, key, body)
 	if err != nil {
 		return 0, err
 	}
-	r.Header.Set("Authorization", "Bearer dev-key")
-	if key != "" {
-		r.Header.Set("Idempotency-Key", key)
-	}
 	resp, err := l.client.Do(r)
 	if err != nil {
 		return 0, err
--- a/cmd/azurelane/control_test.go
+++ b/cmd/azurelane/control_test.go
@@ -3,10 +3,7 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
-	"net/netip"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strconv"
 	"syscall"
@@ -15,35 +12,22 @@
 	"github.com/shoenig/test/must"
 
 	"azurelane/core/wire"
-	"azurelane/io/setup"
 )
 
 // group is three control replicas and two entries in two data centres.
 type group struct {
 	*cluster
-	set  []*setup.Setup
-	proc []*exec.Cmd
+	proc []*proc
 	op   *operator
 }
 
 func newGroup(t *testing.T) *group {
 	t.Helper()
-	g := &group{cluster: &cluster{t: t, dir: t.TempDir()}, proc: make([]*exec.Cmd, 3)}
-	for range 3 {
-		g.control = append(g.control, freeAddr(t))
-	}
-	for i := range 3 {
-		g.set = append(g.set, &setup.Setup{
-			Node: fmt.Sprintf("control-%d", i+1), DataCentre: "dev", Peers: g.control[i], Operator: freeAddr(t), Control: g.control,
-			DataFolder: filepath.Join(g.dir, fmt.Sprintf("data-%d", i+1)),
-		})
-		g.run(i, i == 0)
-	}
+	c := &cluster{t: t, dir: t.TempDir()}
+	g := &group{cluster: c, proc: c.controls(3)}
 	for i, dc := range []string{"north", "south"} {
-		s := &setup.Setup{
-			Node: fmt.Sprintf("entry-%d", i+1), DataCentre: dc, Callers: freeAddr(t), Upstreams: freeAddr(t), Peers: freeAddr(t),
-			Operator: freeAddr(t), Control: g.control,
-		}
+		s := g.entry(i + 1)
+		s.DataCentre = dc
 		g.entries = append(g.entries, s)
 		g.start("entry", g.settings(s))
 	}
@@ -54,28 +38,22 @@
 	return g
 }
 
-func (g *group) run(i int, bootstrap bool) {
-	args := []string{"control", g.settings(g.set[i])}
-	if bootstrap {
-		args = append(args, "--bootstrap")
-	}
-	g.proc[i] = g.start(args...)
+// run starts a replica that was killed.
+func (g *group) run(i int, flags ...string) {
+	p := g.proc[i]
+	p.args = append([]string{"control", filepath.Join(g.dir, p.name+".json")}, flags...)
+	must.NoError(g.t, p.start())
 }
 
 func (g *group) kill(i int) {
-	_ = g.proc[i].Process.Kill()
-	_ = g.proc[i].Wait()
+	_ = g.proc[i].cmd.Process.Kill()
+	_ = g.proc[i].cmd.Wait()
 }
 
-// change submits the example configuration and waits until it is in force.
-func (g *group) change(id string, base int, wait ...string) error {
-	path := filepath.Join(g.dir, "config.json")
-	must.NoError(g.t, os.WriteFile(path, devConfig, 0o600))
-	args := []string{"apply", path, "--base", strconv.Itoa(base), "--change", id}
-	for _, a := range g.control {
-		args = append(args, "--control", a.String())
-	}
-	return g.start(append(args, wait...)...).Wait()
+// change submits the example configuration.
+func (g *group) change(id string, base int, flags ...string) error {
+	args := []string{"apply", g.write("config.json", devConfig), "--control", g.replicas(), "--base", strconv.Itoa(base), "--change", id}
+	return g.start(append(args, flags...)...).Wait()
 }
 
 // at returns the number of the replica with an address.
@@ -129,14 +107,14 @@
 	must.NoError(t, g.change("c2", 1))
 	must.Error(t, g.change("c3", 1))
 	g.inForce(2)
-	g.run(first, false)
+	g.run(first)
 
 	frozen := (g.at(g.lead().GetLeader()) + 1) % 3
-	must.NoError(t, g.proc[frozen].Process.Signal(syscall.SIGSTOP))
+	must.NoError(t, g.proc[frozen].cmd.Process.Signal(syscall.SIGSTOP))
 	must.NoError(t, g.change("c4", 2))
 	term := g.lead().GetTerm()
 	g.inForce(3)
-	must.NoError(t, g.proc[frozen].Process.Signal(syscall.SIGCONT))
+	must.NoError(t, g.proc[frozen].cmd.Process.Signal(syscall.SIGCONT))
 	g.until("frozen replica is up to date", func() bool {
 		s := g.op.statusAll(context.Background())[frozen].status
 		return s.GetVersion() == 3 && !s.GetStale()
@@ -147,8 +125,8 @@
 	lost := frozen
 	old := g.op.statusAll(context.Background())[lost].status.GetIdentity()
 	g.kill(lost)
-	must.NoError(t, os.RemoveAll(g.set[lost].DataFolder))
-	g.run(lost, true)
+	must.NoError(t, os.RemoveAll(filepath.Join(g.dir, g.proc[lost].name)))
+	g.run(lost, "--bootstrap")
 	g.until("empty replica waits", func() bool {
 		s := g.op.statusAll(context.Background())[lost].status
 		return s != nil && s.GetGroup() == "" && s.GetIdentity() != old
@@ -176,17 +154,15 @@
 	for i := range g.proc {
 		g.kill(i)
 	}
-	s := &setup.Setup{
-		Node: "entry-9", DataCentre: "north", Callers: freeAddr(t), Upstreams: freeAddr(t), Peers: freeAddr(t),
-		Operator: freeAddr(t), Control: g.control, Seeds: []netip.AddrPort{g.entries[0].Peers},
-	}
+	s := g.entry(9, g.entries[0].Peers)
+	s.DataCentre = "north"
 	g.start("entry", g.settings(s))
 	g.entries = append(g.entries, s)
 	for _, e := range g.entries {
-		g.until(e.Node+" ready without control", func() bool { return status(t, "http://"+e.Operator.String()+"/ready") == http.StatusOK })
+		g.untilReady(e) // Without control.
 	}
 	for i := range g.proc {
-		g.run(i, false)
+		g.run(i)
 	}
 	g.lead()
 	must.NoError(t, g.change("c2", 1))
--- a/cmd/azurelane/drain_test.go
+++ b/cmd/azurelane/drain_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"maps"
 	"net/http"
 	"os"
 	"strings"
@@ -18,6 +17,54 @@
 	"azurelane/core/owner"
 )
 
+// newStreamer waits until streams run at each entry.
+func newStreamer(c *cluster) *streamer {
+	s := &streamer{c: c, stop: make(chan struct{}), seen: map[string]int{}}
+	for i := range c.entries {
+		c.until("first stream", func() bool { return s.one(http.DefaultClient, i) == "whole" })
+	}
+	return s
+}
+
+// whole counts the whole answers of an entry.
+func (s *streamer) whole(entry int) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.seen[fmt.Sprintf("entry-%d whole", entry+1)]
+}
+
+// untilMore waits until each of the entries has given more whole answers.
+func (s *streamer) untilMore(what string, more int, entries ...int) {
+	s.c.t.Helper()
+	var want []int
+	for _, e := range entries {
+		want = append(want, s.whole(e)+more)
+	}
+	s.c.until(what, func() bool {
+		for i, e := range entries {
+			if s.whole(e) <= want[i] {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// end stops the load and checks that no caller saw a cut stream.
+func (s *streamer) end() {
+	s.c.t.Helper()
+	close(s.stop)
+	s.wg.Wait()
+	s.c.t.Log(s.seen)
+	must.SliceEmpty(s.c.t, s.bad)
+}
+
+// ownerOf returns which of three entries schedules a pool while all live.
+func ownerOf(pool string) (string, int) {
+	name := owner.Pick(pool, []string{"entry-1", "entry-2", "entry-3"})
+	return name, int(name[len(name)-1] - '1')
+}
+
 // streamer sends streams to an entry until it is told to stop, one after the
 // other on each of its callers.
 type streamer struct {
@@ -65,12 +112,10 @@
 func (s *streamer) one(client *http.Client, entry int) string {
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.c.entries[entry].Callers.String()+"/v1/chat/completions",
-		strings.NewReader(`{"model":"demo","stream":true,"max_tokens":60,"messages":[{"role":"user","content":"Hello"}]}`))
+	r, err := request(ctx, s.c.entries[entry].Callers, chatPath, "", `{"model":"demo","stream":true,"max_tokens":60,"messages":[{"role":"user","content":"Hello"}]}`)
 	if err != nil {
 		return err.Error()
 	}
-	r.Header.Set("Authorization", "Bearer dev-key")
 	resp, err := client.Do(r)
 	if err != nil {
 		if strings.Contains(err.Error(), "connection refused") {
@@ -99,60 +144,36 @@
 // a refusal that says that nothing ran, and the processes end by themselves.
 func TestDrainUnderLoad(t *testing.T) {
 	c := newCluster(t, 3)
-	engines := map[string]*proc{}
-	for _, name := range []string{"engine-1", "engine-2"} {
-		args := []string{"standin", "--name", name, "--listen", freeAddr(t).String(), "--pools", "demo", "--models", "demo", "--step", "2ms", "--slots", "6"}
-		for _, e := range c.entries {
-			args = append(args, "--entries", e.Upstreams.String())
-		}
-		engines[name] = newProc(t, c.dir, name, args...)
-	}
-	s := &streamer{c: c, stop: make(chan struct{}), seen: map[string]int{}}
-	for i := range c.entries {
-		c.until("first stream", func() bool {
-			return s.one(http.DefaultClient, i) == "whole"
-		})
-	}
+	leaving := c.upstream("engine-1", "demo", "demo", "--step", "2ms", "--slots", "6")
+	c.upstream("engine-2", "demo", "demo", "--step", "2ms", "--slots", "6")
+	s := newStreamer(c)
 	for i := range c.entries {
 		s.run(i, 6)
 	}
-	whole := func(entry int) int {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		return s.seen[fmt.Sprintf("entry-%d whole", entry+1)]
-	}
-	c.until("load runs", func() bool { return whole(0) > 10 && whole(1) > 10 && whole(2) > 10 })
+	s.untilMore("load runs", 10, 0, 1, 2)
 
-	first := owner.Pick("demo", []string{"entry-1", "entry-2", "entry-3"})
-	gone := int(first[len(first)-1] - '1')
+	first, gone := ownerOf("demo")
 	must.NoError(t, c.procs[first].Process.Signal(syscall.SIGTERM))
 	must.NoError(t, c.procs[first].Wait())
 	rest := (gone + 1) % 3
-	before := whole(rest)
-	c.until("the others go on", func() bool { return whole(rest) > before+20 })
+	s.untilMore("the others go on", 20, rest)
 
-	must.NoError(t, engines["engine-1"].cmd.Process.Signal(syscall.SIGTERM))
-	must.NoError(t, engines["engine-1"].cmd.Wait())
-	before = whole(rest)
-	c.until("one upstream goes on", func() bool { return whole(rest) > before+20 })
-	close(s.stop)
-	s.wg.Wait()
-	t.Log(maps.Clone(s.seen))
-	must.SliceEmpty(t, s.bad)
+	must.NoError(t, leaving.cmd.Process.Signal(syscall.SIGTERM))
+	must.NoError(t, leaving.cmd.Wait())
+	s.untilMore("one upstream goes on", 20, rest)
+	s.end()
 	must.Zero(t, s.seen[fmt.Sprintf("entry-%d not connected", rest+1)])
 }
 
 // A stream of minutes runs when the entry is told to stop, so it waits. A second
 // signal ends it at once all the same.
 func TestSecondSignalEndsAtOnce(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, 1)
 	c.upstream("engine-1", "demo", "demo")
-	s := &streamer{c: c}
-	c.until("first stream", func() bool { return s.one(http.DefaultClient, 0) == "whole" })
-	r, err := http.NewRequest(http.MethodPost, "http://"+c.entries[0].Callers.String()+"/v1/chat/completions",
-		strings.NewReader(`{"model":"demo","stream":true,"max_tokens":1000000,"messages":[]}`))
+	newStreamer(c)
+	r, err := request(t.Context(), c.entries[0].Callers, chatPath, "", `{"model":"demo","stream":true,"max_tokens":1000000,"messages":[]}`)
 	must.NoError(t, err)
-	r.Header.Set("Authorization", "Bearer dev-key")
 	resp, err := http.DefaultClient.Do(r)
 	must.NoError(t, err)
 	defer func() { _ = resp.Body.Close() }()
--- a/cmd/azurelane/history_test.go
+++ b/cmd/azurelane/history_test.go
@@ -8,7 +8,6 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
-	"path/filepath"
 	"sync"
 	"testing"
 	"time"
@@ -16,7 +15,6 @@
 	"github.com/shoenig/test/must"
 
 	"azurelane/core/state"
-	"azurelane/io/setup"
 )
 
 var (
@@ -35,7 +33,6 @@
 	t        *testing.T
 	cluster  *cluster
 	chaos    *chaos
-	standins []netip.AddrPort
 	callers  []*caller
 	accepted map[uint64]string // Change ids by version.
 	backward []string          // Entries seen to go back to an older version.
@@ -81,30 +78,13 @@
 	c := &cluster{t: t, dir: t.TempDir()}
 	h := &history{t: t, cluster: c, accepted: map[uint64]string{}}
 	h.chaos = &chaos{rng: rand.New(rand.NewPCG(*historySeed, 0))}
-	for range historyControls {
-		c.control = append(c.control, freeAddr(t))
-	}
-	for i, addr := range c.control {
-		name := fmt.Sprintf("control-%d", i+1)
-		path := c.settings(&setup.Setup{
-			Node: name, DataCentre: "dev", Peers: addr, Operator: freeAddr(t), Control: c.control, DataFolder: filepath.Join(c.dir, name),
-		})
-		args := []string{"control", path}
-		if i == 0 {
-			args = append(args, "--bootstrap")
-		}
-		h.chaos.controls = append(h.chaos.controls, newProc(t, c.dir, name, args...))
-	}
-	c.apply(0)
-	var seeds, callers []netip.AddrPort
-	for range historyEntries {
-		seeds = append(seeds, freeAddr(t))
-	}
+	h.chaos.controls = c.controls(historyControls)
+	c.apply(devConfig)
+	seeds := freeAddrs(t, historyEntries)
+	var callers []netip.AddrPort
 	for i, addr := range seeds {
-		s := &setup.Setup{
-			Node: fmt.Sprintf("entry-%d", i+1), DataCentre: "dev", Callers: freeAddr(t), Upstreams: freeAddr(t), Peers: addr,
-			Operator: freeAddr(t), Control: c.control, Seeds: seeds, LogLevel: 1,
-		}
+		s := c.entry(i+1, seeds...)
+		s.Peers, s.LogLevel = addr, 1
 		c.entries = append(c.entries, s)
 		callers = append(callers, s.Callers)
 		p := newProc(t, c.dir, s.Node, "entry", c.settings(s))
@@ -112,7 +92,7 @@
 		h.chaos.entries = append(h.chaos.entries, p)
 	}
 	for _, s := range []struct{ name, pool, model string }{{"engine-1", "demo", "demo"}, {"engine-2", "demo", "demo"}, {"notes-1", "notes", ""}, {"notes-2", "notes", ""}} {
-		h.standin(s.name, s.pool, s.model)
+		h.chaos.standins = append(h.chaos.standins, c.upstream(s.name, s.pool, s.model))
 	}
 	for i := range historyCallers {
 		h.callers = append(h.callers, &caller{
@@ -124,19 +104,6 @@
 	return h
 }
 
-func (h *history) standin(name, pool, model string) {
-	addr := freeAddr(h.t)
-	args := []string{"standin", "--name", name, "--listen", addr.String(), "--pools", pool, "--step", "1ms"}
-	if model != "" {
-		args = append(args, "--models", model)
-	}
-	for _, e := range h.cluster.entries {
-		args = append(args, "--entries", e.Upstreams.String())
-	}
-	h.standins = append(h.standins, addr)
-	h.chaos.standins = append(h.chaos.standins, newProc(h.t, h.cluster.dir, name, args...))
-}
-
 // serving waits until every entry serves.
 func (h *history) serving() {
 	for _, e := range h.cluster.entries {
@@ -227,10 +194,8 @@
 
 func (h *history) journals() []ran {
 	var runs []ran
-	for _, addr := range h.standins {
-		var list []ran
-		must.True(h.t, fetch(h.t.Context(), "http://"+addr.String()+"/journal", &list))
-		runs = append(runs, list...)
+	for _, p := range h.chaos.standins {
+		runs = append(runs, h.cluster.journal(p.addr)...)
 	}
 	return runs
 }
--- a/cmd/azurelane/order_test.go
+++ b/cmd/azurelane/order_test.go
@@ -10,6 +10,7 @@
 // same order again: it is told that the order is over and nothing runs twice.
 // Another order gets the next number.
 func TestOrder(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, 1)
 	c.upstream("engine-1", "demo", "demo")
 	order := func(id string) error {
--- a/cmd/azurelane/process_test.go
+++ b/cmd/azurelane/process_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -10,7 +11,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -21,9 +21,15 @@
 	"github.com/shoenig/test/wait"
 
 	"azurelane/core/codec"
+	"azurelane/io/certs"
 	"azurelane/io/setup"
 )
 
+const (
+	chatPath = "/v1/chat/completions"
+	chatBody = `{"model":"demo","max_tokens":3,"messages":[{"role":"user","content":"Hello"}]}`
+)
+
 // selfEnv makes the test binary behave as the program itself, so that the
 // tests start real processes without a build of their own.
 const selfEnv = "AZURELANE_TEST_RUN"
@@ -41,30 +47,14 @@
 	dir     string
 	control []netip.AddrPort
 	entries []*setup.Setup
-	procs   map[string]*exec.Cmd // Entries by node.
+	procs   map[string]*exec.Cmd          // Entries by node.
+	files   func(name string) certs.Certs // Of a process; nil without TLS.
 }
 
 // start runs one command of the program and ends it with the test.
 func (c *cluster) start(args ...string) *exec.Cmd {
 	c.t.Helper()
-	exe, err := os.Executable()
-	must.NoError(c.t, err)
-	cmd := exec.Command(exe, args...)
-	cmd.Env = append(os.Environ(), selfEnv+"=1")
-	log, err := os.Create(filepath.Join(c.dir, fmt.Sprintf("%s-%d.log", args[0], time.Now().UnixNano())))
-	must.NoError(c.t, err)
-	cmd.Stderr = log
-	must.NoError(c.t, cmd.Start())
-	c.t.Cleanup(func() {
-		_ = cmd.Process.Kill()
-		_ = cmd.Wait()
-		if c.t.Failed() {
-			data, _ := os.ReadFile(log.Name())
-			c.t.Logf("%v:\n%s", args, data)
-		}
-		_ = log.Close()
-	})
-	return cmd
+	return newProc(c.t, c.dir, fmt.Sprintf("%s-%d", args[0], time.Now().UnixNano()), args...).cmd
 }
 
 // lastPort is the port that freeAddr gave out last. Ports below the range that
@@ -93,37 +83,76 @@
 	return netip.AddrPort{}
 }
 
+func freeAddrs(t testing.TB, n int) []netip.AddrPort {
+	t.Helper()
+	list := make([]netip.AddrPort, n)
+	for i := range list {
+		list[i] = freeAddr(t)
+	}
+	return list
+}
+
 // newCluster starts control and entries, in data centre "dev", and puts the
 // example configuration in force.
 func newCluster(t *testing.T, entries int) *cluster {
 	t.Helper()
-	c := &cluster{t: t, procs: map[string]*exec.Cmd{}, dir: t.TempDir(), control: []netip.AddrPort{freeAddr(t)}}
-	c.start("control", "--bootstrap", c.settings(&setup.Setup{
-		Node: "control-1", DataCentre: "dev", Peers: c.control[0], Operator: freeAddr(t), Control: c.control,
-		DataFolder: filepath.Join(c.dir, "data"),
-	}))
+	c := &cluster{t: t, procs: map[string]*exec.Cmd{}, dir: t.TempDir()}
+	c.controls(1)
 	var seeds []netip.AddrPort
 	for i := range entries {
-		s := &setup.Setup{
-			Node: fmt.Sprintf("entry-%d", i+1), DataCentre: "dev", Callers: freeAddr(t), Upstreams: freeAddr(t), Peers: freeAddr(t),
-			Operator: freeAddr(t), Control: c.control, Seeds: seeds, LogLevel: 1, DrainLinger: new(time.Duration),
-		}
+		s := c.entry(i+1, seeds...)
+		s.LogLevel, s.DrainLinger = 1, new(time.Duration)
 		seeds = append(seeds, s.Peers)
 		c.entries = append(c.entries, s)
 		c.procs[s.Node] = c.start("entry", c.settings(s))
 	}
-	c.apply(0)
+	c.apply(devConfig)
 	for _, e := range c.entries {
-		c.until("entry ready", func() bool { return status(t, "http://"+e.Operator.String()+"/ready") == http.StatusOK })
+		c.untilReady(e)
 	}
 	return c
 }
 
+// controls starts n control replicas, the first of which founds the group.
+func (c *cluster) controls(n int) []*proc {
+	c.t.Helper()
+	c.control = freeAddrs(c.t, n)
+	var list []*proc
+	for i, addr := range c.control {
+		s := &setup.Setup{Node: fmt.Sprintf("control-%d", i+1), DataCentre: "dev", Peers: addr, Operator: freeAddr(c.t), Control: c.control}
+		s.DataFolder = filepath.Join(c.dir, s.Node)
+		args := []string{"control", c.settings(s)}
+		if i == 0 {
+			args = append(args, "--bootstrap")
+		}
+		list = append(list, newProc(c.t, c.dir, s.Node, args...))
+	}
+	return list
+}
+
+// entry returns settings for entry number n of data centre "dev".
+func (c *cluster) entry(n int, seeds ...netip.AddrPort) *setup.Setup {
+	c.t.Helper()
+	return &setup.Setup{
+		Node: fmt.Sprintf("entry-%d", n), DataCentre: "dev", Callers: freeAddr(c.t), Upstreams: freeAddr(c.t), Peers: freeAddr(c.t),
+		Operator: freeAddr(c.t), Control: c.control, Seeds: seeds,
+	}
+}
+
+// settings writes the settings file of one process.
 func (c *cluster) settings(s *setup.Setup) string {
 	c.t.Helper()
+	if c.files != nil {
+		s.TLS = c.files(s.Node)
+	}
 	data, err := codec.Print(s)
 	must.NoError(c.t, err)
-	path := filepath.Join(c.dir, s.Node+".json")
+	return c.write(s.Node+".json", data)
+}
+
+func (c *cluster) write(name string, data []byte) string {
+	c.t.Helper()
+	path := filepath.Join(c.dir, name)
 	must.NoError(c.t, os.WriteFile(path, data, 0o600))
 	return path
 }
@@ -137,28 +166,33 @@
 	return strings.Join(list, ",")
 }
 
-func (c *cluster) apply(base int) {
+// apply puts the first configuration in force.
+func (c *cluster) apply(doc []byte) {
 	c.t.Helper()
-	path := filepath.Join(c.dir, "config.json")
-	must.NoError(c.t, os.WriteFile(path, devConfig, 0o600))
+	path := c.write("config.json", doc)
 	c.until("configuration accepted", func() bool {
-		return c.start("apply", path, "--control", c.replicas(), "--base", strconv.Itoa(base), "--change", "first").Wait() == nil
+		return c.start("apply", path, "--control", c.replicas(), "--base", "0", "--change", "first").Wait() == nil
 	})
 }
 
-// upstream starts a stand-in and waits until each entry reaches it.
-func (c *cluster) upstream(name, pool, model string) netip.AddrPort {
+// upstream starts a stand-in that announces itself to the entries. The flags
+// take the place of a step of 1 ms.
+func (c *cluster) upstream(name, pool, model string, flags ...string) *proc {
 	c.t.Helper()
 	addr := freeAddr(c.t)
-	args := []string{"standin", "--name", name, "--listen", addr.String(), "--pools", pool, "--step", "1ms"}
+	args := []string{"standin", "--name", name, "--listen", addr.String(), "--pools", pool}
 	if model != "" {
 		args = append(args, "--models", model)
 	}
 	for _, e := range c.entries {
 		args = append(args, "--entries", e.Upstreams.String())
 	}
-	c.start(args...)
-	return addr
+	if flags == nil {
+		flags = []string{"--step", "1ms"}
+	}
+	p := newProc(c.t, c.dir, name, append(args, flags...)...)
+	p.addr = addr
+	return p
 }
 
 func (c *cluster) until(what string, ok func() bool) {
@@ -166,6 +200,22 @@
 	must.Wait(c.t, wait.InitialSuccess(wait.BoolFunc(ok), wait.Timeout(20*time.Second), wait.Gap(50*time.Millisecond)), must.Sprint(what))
 }
 
+func (c *cluster) untilReady(e *setup.Setup) {
+	c.t.Helper()
+	c.until(e.Node+" ready", func() bool { return status(c.t, "http://"+e.Operator.String()+"/ready") == http.StatusOK })
+}
+
+// journal reads what ran at a stand-in.
+func (c *cluster) journal(addr netip.AddrPort) []ran {
+	c.t.Helper()
+	var list []ran
+	c.until("journal", func() bool {
+		list = nil
+		return fetch(c.t.Context(), "http://"+addr.String()+"/journal", &list)
+	})
+	return list
+}
+
 type answer struct {
 	status  int
 	outcome string
@@ -176,22 +226,34 @@
 	c.t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.entries[entry].Callers.String()+path, strings.NewReader(body))
+	r, err := request(ctx, c.entries[entry].Callers, path, key, body)
 	must.NoError(c.t, err)
-	r.Header.Set("Authorization", "Bearer dev-key")
-	if key != "" {
-		r.Header.Set("Idempotency-Key", key)
-	}
 	resp, err := http.DefaultClient.Do(r)
 	must.NoError(c.t, err)
 	defer func() { _ = resp.Body.Close() }()
 	data, err := io.ReadAll(resp.Body)
 	must.NoError(c.t, err)
-	outcome := resp.Header.Get("Azurelane-Outcome")
-	if t := resp.Trailer.Get("Azurelane-Outcome"); t != "" {
-		outcome = t
+	return answer{resp.StatusCode, outcome(resp), string(data)}
+}
+
+// request makes a request of the client account "dev"; an empty key is none.
+func request(ctx context.Context, entry netip.AddrPort, path, key, body string) (*http.Request, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry.String()+path, strings.NewReader(body))
+	if err != nil {
+		return nil, err
 	}
-	return answer{resp.StatusCode, outcome, string(data)}
+	r.Header.Set("Authorization", "Bearer dev-key")
+	if key != "" {
+		r.Header.Set("Idempotency-Key", key)
+	}
+	return r, nil
+}
+
+// outcome is what an answer says once its body is read: in its trailer, else in
+// its header.
+func outcome(resp *http.Response) string {
+	const name = "Azurelane-Outcome"
+	return cmp.Or(resp.Trailer.Get(name), resp.Header.Get(name))
 }
 
 func status(t testing.TB, url string) int {
@@ -209,30 +271,27 @@
 // pool, each caller gets its own whole answer. Then an entry is told to stop
 // and ends by itself.
 func TestWholePath(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, 2)
 	c.upstream("engine-1", "demo", "demo")
 	c.upstream("notes-1", "notes", "")
-	const chat = `{"model":"demo","max_tokens":3,"messages":[{"role":"user","content":"Hello"}]}`
 	for i := range c.entries {
-		c.until("first answer", func() bool { return c.ask(i, "/v1/chat/completions", "", chat).outcome == "whole" })
+		c.until("first answer", func() bool { return c.ask(i, chatPath, "", chatBody).outcome == "whole" })
 		c.until("service", func() bool { return c.ask(i, "/svc/notes/x", "", "text").outcome == "whole" })
 	}
 	for i := range c.entries {
-		a := c.ask(i, "/v1/chat/completions", "", chat)
+		a := c.ask(i, chatPath, "", chatBody)
 		must.Eq(t, "whole", a.outcome)
 		must.StrContains(t, a.body, "t0 t1 t2 ")
-		a = c.ask(i, "/v1/chat/completions", "", strings.Replace(chat, "{", `{"stream":true,`, 1))
+		a = c.ask(i, chatPath, "", strings.Replace(chatBody, "{", `{"stream":true,`, 1))
 		must.Eq(t, "whole", a.outcome)
 		must.StrContains(t, a.body, "data: [DONE]")
-		a = c.ask(i, "/v1/chat/completions", "", `{"model":"none"}`)
+		a = c.ask(i, chatPath, "", `{"model":"none"}`)
 		must.Eq(t, answer{http.StatusNotFound, "not-run", a.body}, a)
 	}
-	set := &setup.Setup{
-		Node: "entry-9", DataCentre: "dev", Callers: freeAddr(t), Upstreams: freeAddr(t), Peers: freeAddr(t),
-		Operator: freeAddr(t), Control: c.control, Seeds: []netip.AddrPort{c.entries[0].Peers},
-	}
+	set := c.entry(9, c.entries[0].Peers)
 	last := c.start("entry", c.settings(set))
-	c.until("last entry ready", func() bool { return status(t, "http://"+set.Operator.String()+"/ready") == http.StatusOK })
+	c.untilReady(set)
 	must.NoError(t, last.Process.Signal(syscall.SIGTERM))
 	must.NoError(t, last.Wait())
 }
--- a/cmd/azurelane/tls_test.go
+++ b/cmd/azurelane/tls_test.go
@@ -24,27 +24,21 @@
 // secured is a deployment whose processes and operator have certificates.
 type secured struct {
 	*cluster
-	files func(name string) certs.Certs
 	entry *setup.Setup
 	proc  *proc
 }
 
 func newSecured(t *testing.T) *secured {
-	c := &cluster{t: t, dir: t.TempDir(), control: []netip.AddrPort{freeAddr(t)}}
+	c := &cluster{t: t, dir: t.TempDir()}
 	local := []netip.Addr{netip.MustParseAddr("127.0.0.1")}
-	s := &secured{cluster: c, files: func(name string) certs.Certs {
+	c.files = func(name string) certs.Certs {
 		must.NoError(t, mint.Mint{Folder: c.dir}.Issue(name, local, time.Hour))
 		return certs.Certs{Cert: filepath.Join(c.dir, name+".pem"), Key: filepath.Join(c.dir, name+"-key.pem"), CA: filepath.Join(c.dir, "ca.pem")}
-	}}
-	sum := sha256.Sum256([]byte("secret"))
-	newProc(t, c.dir, "control-1", "control", "--bootstrap", c.settings(&setup.Setup{
-		Node: "control-1", DataCentre: "dev", Peers: c.control[0], Operator: freeAddr(t), Control: c.control,
-		DataFolder: filepath.Join(c.dir, "data"), TLS: s.files("control-1"),
-	}))
-	s.entry = &setup.Setup{
-		Node: "entry-1", DataCentre: "dev", Callers: freeAddr(t), Upstreams: freeAddr(t), Peers: freeAddr(t), Operator: freeAddr(t),
-		Control: c.control, TLS: s.files("entry-1"), OperatorToken: hex.EncodeToString(sum[:]),
 	}
+	c.controls(1)
+	s := &secured{cluster: c, entry: c.entry(1)}
+	sum := sha256.Sum256([]byte("secret"))
+	s.entry.OperatorToken = hex.EncodeToString(sum[:])
 	s.proc = newProc(t, c.dir, "entry-1", "entry", c.settings(s.entry))
 	return s
 }
@@ -54,6 +48,7 @@
 // configuration, and can't drain an entry. An operator with a certificate can;
 // the entry follows control over the same links.
 func TestTLS(t *testing.T) {
+	t.Parallel()
 	s := newSecured(t)
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 	defer cancel()
--- a/cmd/azurelane/trace_test.go
+++ b/cmd/azurelane/trace_test.go
@@ -7,9 +7,6 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
-	"net/netip"
-	"path/filepath"
-	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -18,7 +15,6 @@
 	collector "go.opentelemetry.io/proto/otlp/collector/trace/v1"
 	"google.golang.org/protobuf/proto"
 
-	"azurelane/io/setup"
 	"azurelane/io/stats"
 	"azurelane/io/trace"
 )
@@ -74,29 +70,28 @@
 // owner's decision on the other entry among them, below the caller's own span.
 // Every metric that the processes then serve stands in the reference.
 func TestTrace(t *testing.T) {
+	t.Parallel()
 	spans := &receiver{}
 	srv := httptest.NewServer(spans)
 	t.Cleanup(srv.Close)
 	c, procs := newTraced(t, srv.URL+"/v1/traces")
 	c.upstream("engine-1", "demo", "demo")
 	for i := range c.entries {
-		c.until("first answer", func() bool { return c.ask(i, "/v1/chat/completions", "", chatBody).outcome == "whole" })
+		c.until("first answer", func() bool { return c.ask(i, chatPath, "", chatBody).outcome == "whole" })
 	}
 	const caller = "00f067aa0ba902b7"
 	for i := range c.entries {
-		r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+c.entries[i].Callers.String()+"/v1/chat/completions", strings.NewReader(chatBody))
+		r, err := request(t.Context(), c.entries[i].Callers, chatPath, fmt.Sprintf("trace-%d", i), chatBody)
 		must.NoError(t, err)
-		r.Header.Set("Authorization", "Bearer dev-key")
-		r.Header.Set("Idempotency-Key", fmt.Sprintf("trace-%d", i))
 		r.Header.Set("Traceparent", "00-"+traceID(i)+"-"+caller+"-01")
 		resp, err := http.DefaultClient.Do(r)
 		must.NoError(t, err)
 		must.Eq(t, http.StatusOK, resp.StatusCode)
 		_ = resp.Body.Close()
 	}
-	for _, addr := range []netip.AddrPort{c.entries[0].Operator, c.entries[1].Operator} {
+	for _, e := range c.entries {
 		served := map[string]json.RawMessage{}
-		must.True(t, fetch(t.Context(), "http://"+addr.String()+"/metrics", &served))
+		c.until("metrics", func() bool { return fetch(t.Context(), "http://"+e.Operator.String()+"/metrics", &served) })
 		must.MapContainsKey(t, served, "request-time-us")
 		for name := range served {
 			must.True(t, stats.Listed(name), must.Sprintf("metric %s is not in the reference", name))
@@ -104,6 +99,8 @@
 	}
 	for _, p := range procs {
 		must.NoError(t, p.cmd.Process.Signal(syscall.SIGTERM))
+	}
+	for _, p := range procs {
 		_ = p.cmd.Wait() // Flushes the spans.
 	}
 	abroad := 0
@@ -123,25 +120,19 @@
 	must.Eq(t, 1, abroad, must.Sprint("decisions made at the other entry"))
 }
 
-const chatBody = `{"model":"demo","max_tokens":3,"messages":[{"role":"user","content":"Hello"}]}`
-
 func traceID(i int) string { return fmt.Sprintf("4bf92f3577b34da6a3ce929d0e0e47%02d", i) }
 
 // newTraced starts one control replica and two entries that trace only what
 // their callers trace.
 func newTraced(t *testing.T, url string) (*cluster, []*proc) {
-	c := &cluster{t: t, dir: t.TempDir(), control: []netip.AddrPort{freeAddr(t)}}
-	newProc(t, c.dir, "control-1", "control", "--bootstrap", c.settings(&setup.Setup{
-		Node: "control-1", DataCentre: "dev", Peers: c.control[0], Operator: freeAddr(t), Control: c.control, DataFolder: filepath.Join(c.dir, "control-1"),
-	}))
-	c.apply(0)
-	seeds := []netip.AddrPort{freeAddr(t), freeAddr(t)}
+	c := &cluster{t: t, dir: t.TempDir()}
+	c.controls(1)
+	c.apply(devConfig)
+	seeds := freeAddrs(t, 2)
 	var procs []*proc
 	for i, addr := range seeds {
-		s := &setup.Setup{
-			Node: fmt.Sprintf("entry-%d", i+1), DataCentre: "dev", Callers: freeAddr(t), Upstreams: freeAddr(t), Peers: addr,
-			Operator: freeAddr(t), Control: c.control, Seeds: seeds, Trace: trace.Trace{OTLP: url},
-		}
+		s := c.entry(i+1, seeds...)
+		s.Peers, s.Trace = addr, trace.Trace{OTLP: url}
 		c.entries = append(c.entries, s)
 		procs = append(procs, newProc(t, c.dir, s.Node, "entry", c.settings(s)))
 	}
