Commands: a configuration is read in one place

Cause: apply and check read and checked a configuration with the same ten lines, status worked out a replica's role a second time, fleet.missing stood in apply.go, and dev named its ports by bare offsets. Ruled out: moving the commands' shared parts into a package; only they use them.

--- a/cmd/azurelane/apply.go
+++ b/cmd/azurelane/apply.go
@@ -4,13 +4,10 @@
 	"context"
 	"fmt"
 	"net/netip"
-	"os"
-	"strings"
 	"time"
 
 	"github.com/google/uuid"
 
-	"azurelane/core/sites"
 	"azurelane/core/state"
 	"azurelane/core/wire"
 )
@@ -45,16 +42,9 @@
 
 // Run submits the change and prints the version.
 func (c *applyCmd) Run(ctx context.Context) error {
-	doc, err := os.ReadFile(c.File)
+	doc, _, err := readConfig(c.File)
 	if err != nil {
-		return err
-	}
-	set, err := sites.Parse(doc)
-	if err == nil {
-		err = set.Served()
-	}
-	if err != nil {
-		return fmt.Errorf("apply: %s: %w", c.File, err)
+		return fmt.Errorf("apply: %w", err)
 	}
 	if c.Change == "" {
 		c.Change = uuid.NewString()
@@ -103,39 +93,16 @@
 	start := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, c.Limit)
 	defer cancel()
-	var f fleet
 	for {
-		f = merge(op.statusAll(ctx))
+		f := merge(op.statusAll(ctx))
 		if f.certain(version) {
 			fmt.Printf("version %d is in force at %d entries after %s\n", version, len(f.nodes), time.Since(start).Round(10*time.Millisecond))
 			return nil
 		}
 		select {
 		case <-time.After(pollEvery):
-			continue
 		case <-ctx.Done():
+			return fmt.Errorf("apply: version %d is accepted, but after %s not shown to be in force everywhere: %s", version, c.Limit, f.missing(version))
 		}
-		break
-	}
-	return fmt.Errorf("apply: version %d is accepted, but after %s not shown to be in force everywhere: %s", version, c.Limit, f.missing(version))
-}
-
-// missing names who has not shown a version.
-func (f fleet) missing(version uint64) string {
-	var parts []string
-	for _, s := range f.sites(version) {
-		if len(s.behind) > 0 {
-			parts = append(parts, fmt.Sprintf("behind in %s: %s", s.name, strings.Join(s.behind, " ")))
-		}
-		if len(s.quiet) > 0 {
-			parts = append(parts, fmt.Sprintf("not heard in %s: %s", s.name, strings.Join(s.quiet, " ")))
-		}
-	}
-	for _, a := range f.silent {
-		parts = append(parts, fmt.Sprintf("replica %s did not answer", a))
-	}
-	if len(f.nodes) == 0 {
-		parts = append(parts, "no entry is known")
 	}
-	return strings.Join(parts, "; ")
 }
--- a/cmd/azurelane/check.go
+++ b/cmd/azurelane/check.go
@@ -24,16 +24,9 @@
 // Run reads every file and prints what it found.
 func (c *checkCmd) Run() error {
 	if c.Config != "" {
-		doc, err := os.ReadFile(c.Config)
+		_, set, err := readConfig(c.Config)
 		if err != nil {
-			return err
-		}
-		set, err := sites.Parse(doc)
-		if err == nil {
-			err = set.Served()
-		}
-		if err != nil {
-			return fmt.Errorf("check: %s: %w", c.Config, err)
+			return fmt.Errorf("check: %w", err)
 		}
 		fmt.Printf("%s: fit for %d sites\n", c.Config, len(set.Sites()))
 		if c.Print {
@@ -60,6 +53,22 @@
 	return nil
 }
 
+// readConfig reads a configuration that is fit to be served at every site.
+func readConfig(path string) ([]byte, *sites.Set, error) {
+	doc, err := os.ReadFile(path)
+	if err != nil {
+		return nil, nil, err
+	}
+	set, err := sites.Parse(doc)
+	if err == nil {
+		err = set.Served()
+	}
+	if err != nil {
+		return nil, nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return doc, set, nil
+}
+
 // printMerged writes what is in force at each site, with what it left out.
 func printMerged(set *sites.Set) error {
 	for _, site := range set.Sites() {
--- a/cmd/azurelane/dev.go
+++ b/cmd/azurelane/dev.go
@@ -26,11 +26,21 @@
 
 const usageDev = `Run a whole small system in this process, on loopback: one control replica
 with a data folder, one entry, three stand-in engines of unlike speed and one
-stand-in service. It prints a request to try.`
+stand-in service. It prints requests to try.`
 
 //go:embed dev.json
 var devConfig []byte
 
+// Offsets from the port for callers, which is 0.
+const (
+	devControl = iota + 1
+	devControlOperator
+	devUpstreams
+	devPeers
+	devOperator
+	devStandins // And the ports after it.
+)
+
 type devCmd struct {
 	DataFolder string `default:"data/dev" help:"Folder of the control replica."`
 	Port       uint16 `default:"8080" help:"Port for callers; the next ports serve the other parts."`
@@ -72,7 +82,7 @@
 // are printed next work as they are.
 func (c *devCmd) ready(ctx context.Context) error {
 	for {
-		r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.addr(5).String()+"/ready", http.NoBody)
+		r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.addr(devOperator).String()+"/ready", http.NoBody)
 		if err != nil {
 			return fmt.Errorf("dev: %w", err)
 		}
@@ -103,9 +113,9 @@
 }
 
 func (c *devCmd) build(sup *suture.Supervisor, log logr.Logger) error {
-	control := []netip.AddrPort{c.addr(1)}
+	control := []netip.AddrPort{c.addr(devControl)}
 	q, err := quorum.Open(&setup.Setup{
-		Node: "control-1", DataCentre: "dev", Peers: c.addr(1), Operator: c.addr(2), Control: control, DataFolder: c.DataFolder,
+		Node: "control-1", DataCentre: "dev", Peers: control[0], Operator: c.addr(devControlOperator), Control: control, DataFolder: c.DataFolder,
 		Bootstrap: true,
 	}, log)
 	if err != nil {
@@ -113,7 +123,7 @@
 	}
 	sup.Add(q)
 	e, err := entry.Open(&setup.Setup{
-		Node: "entry-1", DataCentre: "dev", Callers: c.addr(0), Upstreams: c.addr(3), Peers: c.addr(4), Operator: c.addr(5), Control: control,
+		Node: "entry-1", DataCentre: "dev", Callers: c.addr(0), Upstreams: c.addr(devUpstreams), Peers: c.addr(devPeers), Operator: c.addr(devOperator), Control: control,
 		DrainLinger: new(time.Duration),
 	}, log)
 	if err != nil {
@@ -130,7 +140,7 @@
 		if s.Prefill == 0 {
 			pool, models = "notes", nil
 		}
-		if err := c.upstream(sup, log, s, c.addr(6+uint16(i)), pool, models); err != nil { //nolint:gosec // Four at most.
+		if err := c.upstream(sup, log, s, c.addr(devStandins+uint16(i)), pool, models); err != nil { //nolint:gosec // Four at most.
 			return err
 		}
 	}
@@ -144,7 +154,7 @@
 	}
 	h := &hello.Hello{
 		Upstream: eng.Name, Address: addr, Incarnation: "dev", Pools: []string{pool}, Models: models,
-		MaxRunning: eng.Slots, Entries: []netip.AddrPort{c.addr(3)}, Load: eng.Load, Log: log.WithName("hello"),
+		MaxRunning: eng.Slots, Entries: []netip.AddrPort{c.addr(devUpstreams)}, Load: eng.Load, Log: log.WithName("hello"),
 	}
 	sup.Add(&upstream{hello: h, http: &httpd.Httpd{Listen: ln, Handler: &stand.Stand{Engine: eng}}})
 	return nil
@@ -153,7 +163,7 @@
 // firstConfig puts the example configuration in force, unless the data folder
 // brought one.
 func (c *devCmd) firstConfig(ctx context.Context) error {
-	op, err := newOperator([]netip.AddrPort{c.addr(1)}, tlsFlags{})
+	op, err := newOperator([]netip.AddrPort{c.addr(devControl)}, tlsFlags{})
 	if err != nil {
 		return err
 	}
--- a/cmd/azurelane/drain.go
+++ b/cmd/azurelane/drain.go
@@ -31,11 +31,11 @@
 	if err != nil {
 		return fmt.Errorf("drain: %w", err)
 	}
-	url := "http://" + c.Operator.String() + "/v1/drain"
+	scheme := "http"
 	if cfg != nil {
-		url = "https://" + c.Operator.String() + "/v1/drain"
+		scheme = "https"
 	}
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, http.NoBody)
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, scheme+"://"+c.Operator.String()+"/v1/drain", http.NoBody)
 	if err != nil {
 		return fmt.Errorf("drain: %w", err)
 	}
--- a/cmd/azurelane/fleet.go
+++ b/cmd/azurelane/fleet.go
@@ -2,8 +2,10 @@
 
 import (
 	"cmp"
+	"fmt"
 	"net/netip"
 	"slices"
+	"strings"
 	"time"
 
 	"azurelane/core/wire"
@@ -89,3 +91,23 @@
 	}
 	return len(f.silent) == 0 && len(f.nodes) > 0
 }
+
+// missing names who has not shown a version.
+func (f fleet) missing(version uint64) string {
+	var parts []string
+	for _, s := range f.sites(version) {
+		if len(s.behind) > 0 {
+			parts = append(parts, fmt.Sprintf("behind in %s: %s", s.name, strings.Join(s.behind, " ")))
+		}
+		if len(s.quiet) > 0 {
+			parts = append(parts, fmt.Sprintf("not heard in %s: %s", s.name, strings.Join(s.quiet, " ")))
+		}
+	}
+	for _, a := range f.silent {
+		parts = append(parts, fmt.Sprintf("replica %s did not answer", a))
+	}
+	if len(f.nodes) == 0 {
+		parts = append(parts, "no entry is known")
+	}
+	return strings.Join(parts, "; ")
+}
--- a/cmd/azurelane/operator.go
+++ b/cmd/azurelane/operator.go
@@ -102,14 +102,14 @@
 
 // upstream asks the entries that control hears of for a live upstream.
 func (o *operator) upstream(ctx context.Context, name string) (*wire.Announce, error) {
-	asked := map[string]bool{}
+	asked := map[netip.AddrPort]bool{}
 	for _, h := range o.statusAll(ctx) {
 		for _, n := range h.status.GetNodes() {
 			addr, err := netip.ParseAddrPort(n.GetBeat().GetAddress())
-			if err != nil || asked[addr.String()] {
+			if err != nil || asked[addr] {
 				continue
 			}
-			asked[addr.String()] = true
+			asked[addr] = true
 			if a := o.known(ctx, addr, name); a != nil {
 				return a, nil
 			}
--- a/cmd/azurelane/status.go
+++ b/cmd/azurelane/status.go
@@ -99,24 +99,23 @@
 }
 
 func replicaState(s *wire.Status) string {
-	role := "not a member: add it with azurelane replica add"
-	for _, r := range s.GetReplicas() {
-		if r.GetId() == s.GetIdentity() {
-			role = "learner"
-			if r.GetVoter() {
-				role = "voter"
-			}
-		}
+	state := "not a member: add it with azurelane replica add"
+	switch role(s, s.GetIdentity()) {
+	case wire.Membership_ROLE_VOTER:
+		state = "voter"
+	case wire.Membership_ROLE_LEARNER:
+		state = "learner"
+	default:
 	}
 	switch {
 	case s.GetGroup() == "":
 		return "waits: in no group"
 	case s.GetStale():
-		return role + ", hears no leader"
+		return state + ", hears no leader"
 	case s.GetLeader() == s.GetAddress():
-		return role + ", leads"
+		return state + ", leads"
 	}
-	return role
+	return state
 }
 
 func printSites(out io.Writer, f fleet, version uint64) error {
