Link, logs and stats without what no one uses

Cause: the link counted dropped frames, but nothing read the count, and its comment gave a reason that is none; one decoding stood twice. The logger's prefix was kept in two ways, of which logr uses one: it adds the name to each record. The check for a process without metrics stood five times. Ruled out: a metric of dropped frames; that would be new behaviour. Change: the counter and its method are gone, readFrame and off stand once, and the prefixer has no state.

--- a/io/link/link.go
+++ b/io/link/link.go
@@ -63,7 +63,6 @@
 	last  uint64
 
 	serving atomic.Int64 // Calls of the peer being answered.
-	dropped atomic.Int64
 }
 
 // Dial connects to a peer. Frames that the peer sends on its own go to handle:
@@ -179,9 +178,6 @@
 // Done is closed when the link has ended.
 func (l *Link) Done() <-chan struct{} { return l.done }
 
-// Dropped is the number of one-way frames that the handler was too slow for.
-func (l *Link) Dropped() int64 { return l.dropped.Load() }
-
 // Close ends the link. Calls that wait return ErrDown.
 func (l *Link) Close() error {
 	l.cancel()
--- a/io/link/read.go
+++ b/io/link/read.go
@@ -17,14 +17,19 @@
 	defer func() { _ = l.Close() }()
 	r := bufio.NewReaderSize(l.stream, bufSize)
 	for {
-		f := &wire.Frame{}
-		if err := (protodelim.UnmarshalOptions{MaxSize: MaxFrame}).UnmarshalFrom(r, f); err != nil {
+		f, err := readFrame(r)
+		if err != nil {
 			return
 		}
 		l.take(f)
 	}
 }
 
+func readFrame(r *bufio.Reader) (*wire.Frame, error) {
+	f := &wire.Frame{}
+	return f, protodelim.UnmarshalOptions{MaxSize: MaxFrame}.UnmarshalFrom(r, f)
+}
+
 // accept takes the streams of bulk frames.
 func (l *Link) accept() {
 	for {
@@ -45,8 +50,8 @@
 		return
 	}
 	_ = s.SetReadDeadline(time.Now().Add(bulkLimit))
-	f := &wire.Frame{}
-	if err := (protodelim.UnmarshalOptions{MaxSize: MaxFrame}).UnmarshalFrom(bufio.NewReaderSize(s, bufSize), f); err != nil {
+	f, err := readFrame(bufio.NewReaderSize(s, bufSize))
+	if err != nil {
 		return
 	}
 	l.take(f)
@@ -77,9 +82,8 @@
 		select {
 		case l.oneWay <- f:
 		default:
-			// Whoever sends one-way frames bears their loss on a broken link
-			// anyway; a full queue is told from the heartbeat by it.
-			l.dropped.Add(1)
+			// The frame is lost. Whoever sends one-way frames bears their loss
+			// on a broken link anyway.
 		}
 	}
 }
--- a/io/logs/logs.go
+++ b/io/logs/logs.go
@@ -17,9 +17,9 @@
 	opts := &slog.HandlerOptions{Level: slog.Level(-level), ReplaceAttr: detail}
 	switch format {
 	case "", "text":
-		return logr.FromSlogHandler(prefixer{Handler: slog.NewTextHandler(w, opts)}), nil
+		return logr.FromSlogHandler(prefixer{slog.NewTextHandler(w, opts)}), nil
 	case "json":
-		return logr.FromSlogHandler(prefixer{Handler: slog.NewJSONHandler(w, opts)}), nil
+		return logr.FromSlogHandler(prefixer{slog.NewJSONHandler(w, opts)}), nil
 	}
 	return logr.Logger{}, fmt.Errorf("logs: format %q: expected text or json", format)
 }
@@ -33,47 +33,30 @@
 	return a
 }
 
-// prefixer puts the name of the part in front of the message.
-type prefixer struct {
-	slog.Handler
-	part string
-}
+// prefixer puts the name of the part, which logr adds to each record, in front
+// of the message.
+type prefixer struct{ slog.Handler }
 
 // Handle writes the record with its prefix.
 func (p prefixer) Handle(ctx context.Context, r slog.Record) error {
 	out := slog.NewRecord(r.Time, r.Level, r.Message, r.PC)
-	part := p.part
 	r.Attrs(func(a slog.Attr) bool {
 		if a.Key == "logger" {
-			part = a.Value.String()
-			return true
+			out.Message = a.Value.String() + ": " + r.Message
+		} else {
+			out.AddAttrs(a)
 		}
-		out.AddAttrs(a)
 		return true
 	})
-	if part != "" {
-		out.Message = part + ": " + r.Message
-	}
 	return p.Handler.Handle(ctx, out)
 }
 
-// WithAttrs keeps the prefixer around the handler. The logger's name comes in
-// here as an attribute.
+// WithAttrs keeps the prefixer around the handler.
 func (p prefixer) WithAttrs(attrs []slog.Attr) slog.Handler {
-	rest := attrs[:0:0]
-	for _, a := range attrs {
-		if a.Key == "logger" {
-			p.part = a.Value.String()
-			continue
-		}
-		rest = append(rest, a)
-	}
-	p.Handler = p.Handler.WithAttrs(rest)
-	return p
+	return prefixer{p.Handler.WithAttrs(attrs)}
 }
 
 // WithGroup keeps the prefixer around the handler.
 func (p prefixer) WithGroup(name string) slog.Handler {
-	p.Handler = p.Handler.WithGroup(name)
-	return p
+	return prefixer{p.Handler.WithGroup(name)}
 }
--- a/io/stats/stats.go
+++ b/io/stats/stats.go
@@ -17,7 +17,7 @@
 )
 
 // Stats is a registry of counters, gauges and histograms by kebab-case names.
-// The zero value drops what it is given.
+// Nil and the zero value drop what they are given.
 type Stats struct {
 	reg metrics.Registry
 }
@@ -25,9 +25,11 @@
 // New returns an empty registry.
 func New() *Stats { return &Stats{reg: metrics.NewRegistry()} }
 
+func (s *Stats) off() bool { return s == nil || s.reg == nil }
+
 // Count adds to a counter.
 func (s *Stats) Count(name string, n int64) {
-	if s == nil || s.reg == nil {
+	if s.off() {
 		return
 	}
 	metrics.GetOrRegisterCounter(name, s.reg).Inc(n)
@@ -35,7 +37,7 @@
 
 // Gauge sets a gauge.
 func (s *Stats) Gauge(name string, n int64) {
-	if s == nil || s.reg == nil {
+	if s.off() {
 		return
 	}
 	metrics.GetOrRegisterGauge(name, s.reg).Update(n)
@@ -43,7 +45,7 @@
 
 // Pull sets up a gauge that is read when the metrics are.
 func (s *Stats) Pull(name string, read func() int64) {
-	if s == nil || s.reg == nil {
+	if s.off() {
 		return
 	}
 	_ = s.reg.Register(name, metrics.NewFunctionalGauge(read)) // Fails only for a name already there.
@@ -69,7 +71,7 @@
 
 // Time adds a duration, in microseconds, to a histogram.
 func (s *Stats) Time(name string, d time.Duration) {
-	if s == nil || s.reg == nil {
+	if s.off() {
 		return
 	}
 	h := s.reg.GetOrRegister(name, func() metrics.Histogram {
@@ -83,7 +85,7 @@
 // ServeHTTP writes all metrics as JSON.
 func (s *Stats) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
-	if s == nil || s.reg == nil {
+	if s.off() {
 		_, _ = w.Write([]byte("{}\n"))
 		return
 	}
