Commands entry and control begin in one place

Cause: both read settings, checked their role and made a logger with the same ten lines; two benchmarks noted the usage of all processes with the same three. Ruled out: doing it in io/setup, which would then depend on the logger. Change: begin and usages. Errors keep their text.

--- a/cmd/azurelane/capacity_test.go
+++ b/cmd/azurelane/capacity_test.go
@@ -122,6 +122,15 @@
 	return u
 }
 
+func usages(b *testing.B, procs map[string]*proc) map[string]usage {
+	b.Helper()
+	all := map[string]usage{}
+	for name, p := range procs {
+		all[name] = p.usage(b)
+	}
+	return all
+}
+
 // fit is a line through measured points, with the largest distance of a point
 // from it as a part of the point's value.
 type fit struct{ x, y []float64 }
@@ -224,10 +233,7 @@
 			parts[p.name], fits[p.name] = l.controls[i], &fit{}
 		}
 		for _, n := range []int{4, 8, 16, 32} {
-			before := map[string]usage{}
-			for name, p := range parts {
-				before[name] = p.usage(b)
-			}
+			before := usages(b, parts)
 			total := l.load(n, other, keyed, 20*time.Millisecond)
 			fmt.Printf("keyed %t, %d callers: %.0f requests/s\n", keyed, n, float64(total)/measureTime.Seconds())
 			for name, p := range parts {
@@ -266,10 +272,7 @@
 			for _, p := range l.controls {
 				procs[p.name] = p
 			}
-			before := map[string]usage{}
-			for name, p := range procs {
-				before[name] = p.usage(b)
-			}
+			before := usages(b, procs)
 			time.Sleep(measureTime)
 			for name, p := range procs {
 				u := p.usage(b)
--- a/cmd/azurelane/control.go
+++ b/cmd/azurelane/control.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"fmt"
-	"os"
 
-	"azurelane/io/logs"
 	"azurelane/io/quorum"
 	"azurelane/io/setup"
 )
@@ -32,18 +29,11 @@
 
 // Run serves until a signal.
 func (c *controlCmd) Run(ctx context.Context) error {
-	set, err := setup.Load(c.Settings)
+	set, log, err := begin(c.Settings, setup.Control)
 	if err != nil {
 		return err
 	}
-	if err := set.For(setup.Control); err != nil {
-		return fmt.Errorf("control: %s: %w", c.Settings, err)
-	}
 	set.Bootstrap, set.After = c.Bootstrap, c.AfterVersion
-	log, err := logs.New(os.Stderr, set.LogFormat, set.LogLevel)
-	if err != nil {
-		return err
-	}
 	r, err := quorum.Open(set, log)
 	if err != nil {
 		return err
--- a/cmd/azurelane/entry.go
+++ b/cmd/azurelane/entry.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"os"
 
+	"github.com/go-logr/logr"
+
 	"azurelane/io/entry"
 	"azurelane/io/logs"
 	"azurelane/io/setup"
@@ -25,14 +27,7 @@
 
 // Run serves until a signal.
 func (c *entryCmd) Run(ctx context.Context) error {
-	set, err := setup.Load(c.Settings)
-	if err != nil {
-		return err
-	}
-	if err := set.For(setup.Entry); err != nil {
-		return fmt.Errorf("entry: %s: %w", c.Settings, err)
-	}
-	log, err := logs.New(os.Stderr, set.LogFormat, set.LogLevel)
+	set, log, err := begin(c.Settings, setup.Entry)
 	if err != nil {
 		return err
 	}
@@ -47,3 +42,16 @@
 	}
 	return e.Serve(ctx)
 }
+
+// begin reads the settings of a process in a role and makes its logger.
+func begin(path, role string) (*setup.Setup, logr.Logger, error) {
+	set, err := setup.Load(path)
+	if err != nil {
+		return nil, logr.Logger{}, err
+	}
+	if err := set.For(role); err != nil {
+		return nil, logr.Logger{}, fmt.Errorf("%s: %s: %w", role, path, err)
+	}
+	log, err := logs.New(os.Stderr, set.LogFormat, set.LogLevel)
+	return set, log, err
+}
