Member and mesh tests without repeated loops and an unused listener

Cause: five tests of members looped over all nodes with the same checks, and a mesh test opened a listener with a counter that nothing dialled or read, under a comment that said otherwise. Ruled out: letting that dial really hang; it would last for DialLimit. Change: members, owners and cut stand once, and each failure now names its node; the test of the hanging dial says what it does. No case or check is left out.

--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -130,6 +130,32 @@
 	}
 }
 
+// members checks how many members each node sees.
+func (f *fake) members(t *testing.T, want int) {
+	t.Helper()
+	for _, n := range f.nodes {
+		must.Len(t, want, n.Members(), must.Sprint(n.addr))
+	}
+}
+
+// owners checks how many members each node sees that pools may fall to.
+func (f *fake) owners(t *testing.T, want int) {
+	t.Helper()
+	for _, n := range f.nodes {
+		must.Len(t, want, n.Owners(), must.Sprint(n.addr))
+	}
+}
+
+// cut loses all messages from one node to another.
+func (f *fake) cut(lost func(from, to string) bool) {
+	f.loss = func(from, to string) float64 {
+		if lost(from, to) {
+			return 1
+		}
+		return 0
+	}
+}
+
 // lostBy counts the nodes that took the incarnation for dead.
 func (f *fake) lostBy(incarnation string) int {
 	c := 0
@@ -183,9 +209,7 @@
 	n := f.add("n002", "2")
 	n.Self.BornUs -= uint64(time.Hour.Microseconds())
 	f.run(15 * time.Second)
-	for _, v := range f.nodes {
-		must.Eq(t, 5, len(v.Members()))
-	}
+	f.members(t, 5)
 	must.Eq(t, 4, f.lostBy("n002-1"))
 	must.Eq(t, 0, f.lostBy("n002-2"))
 }
@@ -197,12 +221,7 @@
 	for seed := range uint64(3) {
 		f := newFake(seed, 6, nil)
 		f.run(10 * time.Second)
-		f.loss = func(from, to string) float64 {
-			if from == "n001" && to == "n002" {
-				return 1
-			}
-			return 0
-		}
+		f.cut(func(from, to string) bool { return from == "n001" && to == "n002" })
 		f.run(60 * time.Second)
 		for _, n := range f.nodes {
 			must.SliceEmpty(t, n.lost, must.Sprint(seed, n.addr))
@@ -220,14 +239,10 @@
 	f.run(20 * time.Second)
 	must.Eq(t, 5, f.lostBy("n003-1"))
 	f.run(7 * time.Second)
-	for _, n := range f.nodes {
-		must.Eq(t, 6, len(n.Members()), must.Sprint(n.addr))
-		must.Eq(t, 5, len(n.Owners()), must.Sprint(n.addr))
-	}
+	f.members(t, 6)
+	f.owners(t, 5)
 	f.run(15 * time.Second)
-	for _, n := range f.nodes {
-		must.Eq(t, 6, len(n.Owners()), must.Sprint(n.addr))
-	}
+	f.owners(t, 6)
 }
 
 // Two halves are cut off from each other and each takes the other for dead.
@@ -236,21 +251,12 @@
 func TestPartitionHeals(t *testing.T) {
 	f := newFake(1, 8, nil)
 	f.run(10 * time.Second)
-	f.loss = func(from, to string) float64 {
-		if (from < "n004") != (to < "n004") {
-			return 1
-		}
-		return 0
-	}
+	f.cut(func(from, to string) bool { return (from < "n004") != (to < "n004") })
 	f.run(60 * time.Second)
-	for _, n := range f.nodes {
-		must.Eq(t, 4, len(n.Members()))
-	}
-	f.loss = func(string, string) float64 { return 0 }
+	f.members(t, 4)
+	f.cut(func(string, string) bool { return false })
 	f.run(60 * time.Second)
-	for _, n := range f.nodes {
-		must.Eq(t, 8, len(n.Members()), must.Sprint(n.addr))
-	}
+	f.members(t, 8)
 }
 
 func TestDrainAndLeave(t *testing.T) {
@@ -259,10 +265,8 @@
 	n := f.nodes["n004"]
 	f.send(n.Drain(f.now))
 	f.run(500 * time.Millisecond)
-	for _, v := range f.nodes {
-		must.Eq(t, 6, len(v.Owners()), must.Sprint(v.addr))
-		must.Eq(t, 7, len(v.Members()), must.Sprint(v.addr))
-	}
+	f.owners(t, 6)
+	f.members(t, 7)
 	f.send(n.Leave(f.now))
 	f.run(500 * time.Millisecond)
 	must.Eq(t, 6, f.lostBy("n004-1"))
--- a/io/mesh/mesh_test.go
+++ b/io/mesh/mesh_test.go
@@ -5,7 +5,6 @@
 	"net"
 	"net/netip"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -25,49 +24,6 @@
 	return &wire.Frame{Body: &wire.Frame_ConfigQuery{ConfigQuery: &wire.ConfigQuery{Version: 1}}}
 }
 
-// counted is a listener that counts and takes no connection further.
-type counted struct {
-	net.Listener
-	n    atomic.Int64
-	drop bool
-	mu   sync.Mutex
-	open []net.Conn
-}
-
-func newCounted(t *testing.T, drop bool) *counted {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	c := &counted{Listener: ln, drop: drop}
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		for {
-			conn, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			c.n.Add(1)
-			if drop {
-				_ = conn.Close()
-				continue
-			}
-			c.mu.Lock()
-			c.open = append(c.open, conn)
-			c.mu.Unlock()
-		}
-	}()
-	t.Cleanup(func() {
-		_ = ln.Close()
-		<-done
-		for _, conn := range c.open {
-			_ = conn.Close()
-		}
-	})
-	return c
-}
-
-func (c *counted) to() netip.AddrPort { return netip.MustParseAddrPort(c.Addr().String()) }
-
 // serve runs a mesh until the test ends.
 func serve(t *testing.T) *Mesh {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -101,18 +57,17 @@
 	must.Between(t, 1, m.peers[dead].fails, 20)
 }
 
-// A peer takes the connection and then says nothing, so that the dial hangs in
-// the handshake. A caller with a short deadline is not held by it.
+// A dial to a peer is under way and does not end, as in a handshake with one
+// that says nothing. A caller with a short deadline is not held by it.
 func TestCallerNotHeldByDial(t *testing.T) {
-	c := newCounted(t, false)
 	m := serve(t)
+	to := netip.MustParseAddrPort("127.0.0.1:9") // Never dialled: a dial seems to be under way.
 	m.mu.Lock()
-	p := &peer{dialing: make(chan struct{}), stop: func() {}}
-	m.peers = map[netip.AddrPort]*peer{c.to(): p} // A dial that never ends.
+	m.peers = map[netip.AddrPort]*peer{to: {dialing: make(chan struct{}), stop: func() {}}}
 	m.mu.Unlock()
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
 	defer cancel()
-	_, err := m.Call(ctx, c.to(), frame())
+	_, err := m.Call(ctx, to, frame())
 	must.ErrorIs(t, err, context.DeadlineExceeded)
 }
 
