Link and entry: one step each where there were two

Cause: link.Open was called by Dial alone, and the entry told its listeners apart by their index in a slice. Ruled out: a struct of listeners; four names in one line do. Change: Open is part of Dial; the listeners have names where they are used.

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -82,15 +82,15 @@
 		}
 		lns = append(lns, ln)
 	}
-	lns[3] = certs.Wrap(lns[3], certs.Operators(links))
 	e.build(incarnation, lns, links)
 	return e, nil
 }
 
 func (e *Entry) build(incarnation string, lns []net.Listener, links *tls.Config) {
 	set, log := e.set, e.log
+	peers, callers, upstreams, operator := lns[0], lns[1], lns[2], lns[3]
 	e.log = log.WithName("entry")
-	e.mesh = &mesh.Mesh{Listen: certs.Wrap(lns[0], links), TLS: links, Self: set.Peers, Handle: e.handle, Log: log.WithName("mesh")}
+	e.mesh = &mesh.Mesh{Listen: certs.Wrap(peers, links), TLS: links, Self: set.Peers, Handle: e.handle, Log: log.WithName("mesh")}
 	e.sched = &sched.Sched{Incarnation: incarnation, Log: log.WithName("sched")}
 	e.owner = &owner.Owner{Mine: e.mine, Sched: e.sched}
 	e.member = &member.Member{
@@ -119,9 +119,9 @@
 	e.sup = suture.New("entry", suture.Spec{EventHook: func(ev suture.Event) { e.log.Info("Part stopped.", "event", ev.String()) }})
 	for _, s := range []suture.Service{
 		e.mesh, e.sched, e.member, e.owner, e.grant, e.follow,
-		&httpd.Httpd{Listen: lns[1], Handler: e.front, Drain: set.DrainLimit, Farewell: farewell},
-		&httpd.Httpd{Listen: lns[2], Handler: &lease.Lease{Config: e.follow.Config, Take: e.notice.Forward}},
-		&httpd.Httpd{Listen: lns[3], Handler: ops.Handler()},
+		&httpd.Httpd{Listen: callers, Handler: e.front, Drain: set.DrainLimit, Farewell: farewell},
+		&httpd.Httpd{Listen: upstreams, Handler: &lease.Lease{Config: e.follow.Config, Take: e.notice.Forward}},
+		&httpd.Httpd{Listen: certs.Wrap(operator, certs.Operators(links)), Handler: ops.Handler()},
 	} {
 		e.sup.Add(s)
 	}
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -74,11 +74,6 @@
 	if err != nil {
 		return nil, fmt.Errorf("link: dial: %w", err)
 	}
-	return Open(conn, handle)
-}
-
-// Open starts the dialling end of a link on a connection.
-func Open(conn net.Conn, handle func(context.Context, *wire.Frame) (*wire.Frame, error)) (*Link, error) {
 	sess, err := yamux.Client(conn, config())
 	if err != nil {
 		_ = conn.Close()
