Members: fields say what they count, a comment what its function does

Cause: half of the detector's fields had names that need explaining, and the comment of stale told what updates does. Ruled out: splitting the detector; its parts share the members and the numbers. Change: comments only, and a sentence of the help of status in plainer words.

--- a/cmd/azurelane/status.go
+++ b/cmd/azurelane/status.go
@@ -15,8 +15,8 @@
 
 const usageStatus = `Show which configuration control holds, what each replica knows, and for each
 site what is in force and which entries were not heard. All replicas are asked;
-those that give no answer are named, for entries that beat only there are not
-known then. Exit code 1 when no replica hears a leader.`
+those that give no answer are named, since entries that beat only there are then
+unknown. Exit code 1 when no replica hears a leader.`
 
 type statusCmd struct {
 	Control  []netip.AddrPort `required:"" help:"Peer addresses of the control replicas."`
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -57,19 +57,19 @@
 		Seed      uint64        // Of the random order.
 
 		rng      *rand.Rand
-		peers    map[string]*peer
-		ring     []string
-		probes   map[uint64]*probe
+		peers    map[string]*peer  // By node, like the ring and the rumours.
+		ring     []string          // Still to be probed in this round.
+		probes   map[uint64]*probe // By number, like the relays.
 		relays   map[uint64]*relay
 		rumours  map[string]*rumour
-		changes  []*wire.Member
-		seq      uint64
-		health   int // Of this member itself: zero is good.
-		next     time.Time
-		sync     time.Time
+		changes  []*wire.Member // Since the last call of Changes.
+		seq      uint64         // Number of the last probe.
+		health   int            // Of this member itself: zero is good.
+		next     time.Time      // When the next probe is due.
+		sync     time.Time      // When the next comparison is due.
 		restEnds time.Time
-		calm     time.Time
-		flaps    int
+		calm     time.Time // After it a false death counts as the first again.
+		flaps    int       // False deaths that count.
 		draining bool
 	}
 
--- a/core/member/update.go
+++ b/core/member/update.go
@@ -65,8 +65,8 @@
 	}
 }
 
-// stale handles a record that is no news. A member that speaks while it is
-// taken for dead is told so, and refutes it; a suspicion gains observers.
+// stale takes from a record that is no news the observers that a known suspicion
+// lacks.
 func (d *Detector) stale(m *wire.Member, old *peer) {
 	if m.GetBornUs() != old.GetBornUs() || m.GetState() != wire.Member_STATE_SUSPECT || old.GetState() != wire.Member_STATE_SUSPECT || m.GetVersion() != old.GetVersion() {
 		return
