--- a/cmd/azurelane/capacity_test.go
+++ b/cmd/azurelane/capacity_test.go
@@ -42,7 +42,6 @@
 type lab struct {
 	*cluster
 	b        *testing.B
-	entries  []*proc
 	controls []*proc
 	engines  int
 	client   *http.Client
@@ -60,13 +59,7 @@
 	l := &lab{cluster: c, b: b, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4096}}}
 	l.controls = c.controls(controls)
 	c.apply(fmt.Appendf(nil, labConfig, policy))
-	seeds := freeAddrs(b, entries)
-	for i, addr := range seeds {
-		s := c.entry(i+1, seeds[0])
-		s.Peers = addr
-		c.entries = append(c.entries, s)
-		l.entries = append(l.entries, newProc(b, c.dir, s.Node, "entry", c.settings(s)))
-	}
+	c.join(entries, func(s *setup.Setup) { s.Seeds = s.Seeds[:1] })
 	for _, e := range c.entries {
 		c.untilReady(e)
 	}
@@ -83,7 +76,7 @@
 
 // post sends one request and reads its answer to the end.
 func (l *lab) post(ctx context.Context, entry int, key, body string) (int64, error) {
-	r, err := request(ctx, l.cluster.entries[entry].Callers, chatPath, key, body)
+	r, err := request(ctx, l.entries[entry].Callers, chatPath, key, body)
 	if err != nil {
 		return 0, err
 	}
@@ -189,7 +182,7 @@
 	var cpu, memory fit
 	for b.Loop() {
 		for _, n := range []int{50, 100, 200, 400} {
-			before := l.entries[0].usage(b)
+			before := l.procs[0].usage(b)
 			var peak usage
 			var wg sync.WaitGroup
 			start := time.Now()
@@ -201,9 +194,9 @@
 				})
 			}
 			time.Sleep(tokens * step / 2)
-			peak = l.entries[0].usage(b)
+			peak = l.procs[0].usage(b)
 			wg.Wait()
-			after := l.entries[0].usage(b)
+			after := l.procs[0].usage(b)
 			fmt.Printf("%d streams: %v of %v, resident %.1f MB, for each token %.2f us and %.0f bytes\n", n, after.cpu-before.cpu, time.Since(start).Round(time.Millisecond), peak.rss/1e6,
 				float64((after.cpu-before.cpu).Microseconds())/float64(n*tokens), (after.bytes-before.bytes)/float64(n*tokens))
 			cpu.add(float64(n*tokens), float64((after.cpu - before.cpu).Microseconds()))
@@ -222,12 +215,12 @@
 		l.engine(64, time.Millisecond)
 	}
 	owner, other := 0, 1
-	l.until("one owner", func() bool { return owned(b, l.cluster.entries[0])+owned(b, l.cluster.entries[1]) == 1 })
-	if owned(b, l.cluster.entries[1]) == 1 {
+	l.until("one owner", func() bool { return owned(b, l.entries[0])+owned(b, l.entries[1]) == 1 })
+	if owned(b, l.entries[1]) == 1 {
 		owner, other = 1, 0
 	}
 	for _, keyed := range []bool{false, true} {
-		parts := map[string]*proc{"entry": l.entries[other], "owner": l.entries[owner]}
+		parts := map[string]*proc{"entry": l.procs[other], "owner": l.procs[owner]}
 		fits := map[string]*fit{"entry": {}, "owner": {}}
 		for i, p := range l.controls {
 			parts[p.name], fits[p.name] = l.controls[i], &fit{}
@@ -268,7 +261,7 @@
 		b.Run(strconv.Itoa(n), func(b *testing.B) {
 			l := newLab(b, n, 3, "late")
 			time.Sleep(settleTime)
-			procs := map[string]*proc{"entry": l.entries[n-1]}
+			procs := map[string]*proc{"entry": l.procs[n-1]}
 			for _, p := range l.controls {
 				procs[p.name] = p
 			}
@@ -293,13 +286,13 @@
 	var cpu fit
 	for b.Loop() {
 		for _, n := range []int{50, 100, 200, 400} {
-			before := l.entries[0].usage(b)
+			before := l.procs[0].usage(b)
 			sent := 0
 			for end := time.Now().Add(measureTime); time.Now().Before(end); {
 				round := time.Now()
 				for i := range n {
 					doc := fmt.Sprintf(`{"upstream":"u-%d","address":"127.0.0.1:9","incarnation":"a","seq":%d,"pools":["demo"],"models":["demo"],"max-running":16,"lease":"3s","running":4}`, i, sent)
-					resp, err := l.client.Post("http://"+l.cluster.entries[0].Upstreams.String()+"/v1/announce", "application/json", strings.NewReader(doc))
+					resp, err := l.client.Post("http://"+l.entries[0].Upstreams.String()+"/v1/announce", "application/json", strings.NewReader(doc))
 					must.NoError(b, err)
 					_, _ = io.Copy(io.Discard, resp.Body)
 					_ = resp.Body.Close()
@@ -308,7 +301,7 @@
 				}
 				time.Sleep(time.Until(round.Add(time.Second)))
 			}
-			cpu.add(float64(sent), float64((l.entries[0].usage(b).cpu - before.cpu).Microseconds()))
+			cpu.add(float64(sent), float64((l.procs[0].usage(b).cpu - before.cpu).Microseconds()))
 		}
 	}
 	fmt.Printf("owner and receiving entry in one, us of processor an announcement: %v\n", &cpu)
--- a/cmd/azurelane/drain_test.go
+++ b/cmd/azurelane/drain_test.go
@@ -60,9 +60,9 @@
 }
 
 // ownerOf returns which of three entries schedules a pool while all live.
-func ownerOf(pool string) (string, int) {
+func ownerOf(pool string) int {
 	name := owner.Pick(pool, []string{"entry-1", "entry-2", "entry-3"})
-	return name, int(name[len(name)-1] - '1')
+	return int(name[len(name)-1] - '1')
 }
 
 // streamer sends streams to an entry until it is told to stop, one after the
@@ -152,9 +152,9 @@
 	}
 	s.untilMore("load runs", 10, 0, 1, 2)
 
-	first, gone := ownerOf("demo")
-	must.NoError(t, c.procs[first].Process.Signal(syscall.SIGTERM))
-	must.NoError(t, c.procs[first].Wait())
+	gone := ownerOf("demo")
+	must.NoError(t, c.procs[gone].cmd.Process.Signal(syscall.SIGTERM))
+	must.NoError(t, c.procs[gone].cmd.Wait())
 	rest := (gone + 1) % 3
 	s.untilMore("the others go on", 20, rest)
 
@@ -178,7 +178,7 @@
 	must.NoError(t, err)
 	defer func() { _ = resp.Body.Close() }()
 	must.Eq(t, http.StatusOK, resp.StatusCode)
-	p := c.procs["entry-1"]
+	p := c.procs[0].cmd
 	must.NoError(t, p.Process.Signal(syscall.SIGTERM))
 	c.until("not ready", func() bool {
 		return status(t, "http://"+c.entries[0].Operator.String()+"/ready") == http.StatusServiceUnavailable
--- a/cmd/azurelane/history_test.go
+++ b/cmd/azurelane/history_test.go
@@ -15,6 +15,7 @@
 	"github.com/shoenig/test/must"
 
 	"azurelane/core/state"
+	"azurelane/io/setup"
 )
 
 var (
@@ -80,16 +81,11 @@
 	h.chaos = &chaos{rng: rand.New(rand.NewPCG(*historySeed, 0))}
 	h.chaos.controls = c.controls(historyControls)
 	c.apply(devConfig)
-	seeds := freeAddrs(t, historyEntries)
+	c.join(historyEntries, func(s *setup.Setup) { s.LogLevel = 1 })
+	h.chaos.entries = c.procs
 	var callers []netip.AddrPort
-	for i, addr := range seeds {
-		s := c.entry(i+1, seeds...)
-		s.Peers, s.LogLevel = addr, 1
-		c.entries = append(c.entries, s)
+	for _, s := range c.entries {
 		callers = append(callers, s.Callers)
-		p := newProc(t, c.dir, s.Node, "entry", c.settings(s))
-		p.addr = s.Callers
-		h.chaos.entries = append(h.chaos.entries, p)
 	}
 	for _, s := range []struct{ name, pool, model string }{{"engine-1", "demo", "demo"}, {"engine-2", "demo", "demo"}, {"notes-1", "notes", ""}, {"notes-2", "notes", ""}} {
 		h.chaos.standins = append(h.chaos.standins, c.upstream(s.name, s.pool, s.model))
--- a/cmd/azurelane/process_test.go
+++ b/cmd/azurelane/process_test.go
@@ -47,7 +47,7 @@
 	dir     string
 	control []netip.AddrPort
 	entries []*setup.Setup
-	procs   map[string]*exec.Cmd          // Entries by node.
+	procs   []*proc                       // Of the entries that newCluster or join started.
 	files   func(name string) certs.Certs // Of a process; nil without TLS.
 }
 
@@ -96,16 +96,9 @@
 // example configuration in force.
 func newCluster(t *testing.T, entries int) *cluster {
 	t.Helper()
-	c := &cluster{t: t, procs: map[string]*exec.Cmd{}, dir: t.TempDir()}
+	c := &cluster{t: t, dir: t.TempDir()}
 	c.controls(1)
-	var seeds []netip.AddrPort
-	for i := range entries {
-		s := c.entry(i+1, seeds...)
-		s.LogLevel, s.DrainLinger = 1, new(time.Duration)
-		seeds = append(seeds, s.Peers)
-		c.entries = append(c.entries, s)
-		c.procs[s.Node] = c.start("entry", c.settings(s))
-	}
+	c.join(entries, func(s *setup.Setup) { s.LogLevel, s.DrainLinger = 1, new(time.Duration) })
 	c.apply(devConfig)
 	for _, e := range c.entries {
 		c.untilReady(e)
@@ -130,6 +123,20 @@
 	return list
 }
 
+// join starts n entries that know each other, with their settings changed.
+func (c *cluster) join(n int, change func(*setup.Setup)) {
+	c.t.Helper()
+	seeds := freeAddrs(c.t, n)
+	for i, addr := range seeds {
+		s := c.entry(i+1, seeds...)
+		s.Peers = addr
+		change(s)
+		p := newProc(c.t, c.dir, s.Node, "entry", c.settings(s))
+		p.addr = s.Callers
+		c.entries, c.procs = append(c.entries, s), append(c.procs, p)
+	}
+}
+
 // entry returns settings for entry number n of data centre "dev".
 func (c *cluster) entry(n int, seeds ...netip.AddrPort) *setup.Setup {
 	c.t.Helper()
--- a/cmd/azurelane/takeover_test.go
+++ b/cmd/azurelane/takeover_test.go
@@ -30,14 +30,14 @@
 				c.upstream(name, "demo", "demo")
 			}
 			s := newStreamer(c)
-			first, lost := ownerOf("demo")
+			lost := ownerOf("demo")
 			rest := []int{(lost + 1) % 3, (lost + 2) % 3}
 			for _, i := range rest {
 				s.run(i, 12)
 			}
 			s.untilMore("load runs", 20, rest...)
 
-			p := c.procs[first].Process
+			p := c.procs[lost].cmd.Process
 			must.NoError(t, p.Signal(tc.sig))
 			start := time.Now()
 			time.Sleep(200 * time.Millisecond) // What was granted before has ended.
--- a/cmd/azurelane/trace_test.go
+++ b/cmd/azurelane/trace_test.go
@@ -15,6 +15,7 @@
 	collector "go.opentelemetry.io/proto/otlp/collector/trace/v1"
 	"google.golang.org/protobuf/proto"
 
+	"azurelane/io/setup"
 	"azurelane/io/stats"
 	"azurelane/io/trace"
 )
@@ -74,7 +75,7 @@
 	spans := &receiver{}
 	srv := httptest.NewServer(spans)
 	t.Cleanup(srv.Close)
-	c, procs := newTraced(t, srv.URL+"/v1/traces")
+	c := newTraced(t, srv.URL+"/v1/traces")
 	c.upstream("engine-1", "demo", "demo")
 	for i := range c.entries {
 		c.until("first answer", func() bool { return c.ask(i, chatPath, "", chatBody).outcome == "whole" })
@@ -97,10 +98,10 @@
 			must.True(t, stats.Listed(name), must.Sprintf("metric %s is not in the reference", name))
 		}
 	}
-	for _, p := range procs {
+	for _, p := range c.procs {
 		must.NoError(t, p.cmd.Process.Signal(syscall.SIGTERM))
 	}
-	for _, p := range procs {
+	for _, p := range c.procs {
 		_ = p.cmd.Wait() // Flushes the spans.
 	}
 	abroad := 0
@@ -124,25 +125,18 @@
 
 // newTraced starts one control replica and two entries that trace only what
 // their callers trace.
-func newTraced(t *testing.T, url string) (*cluster, []*proc) {
+func newTraced(t *testing.T, url string) *cluster {
 	c := &cluster{t: t, dir: t.TempDir()}
 	c.controls(1)
 	c.apply(devConfig)
-	seeds := freeAddrs(t, 2)
-	var procs []*proc
-	for i, addr := range seeds {
-		s := c.entry(i+1, seeds...)
-		s.Peers, s.Trace = addr, trace.Trace{OTLP: url}
-		c.entries = append(c.entries, s)
-		procs = append(procs, newProc(t, c.dir, s.Node, "entry", c.settings(s)))
-	}
+	c.join(2, func(s *setup.Setup) { s.Trace = trace.Trace{OTLP: url} })
 	for _, e := range c.entries {
 		c.until(e.Node+" hears the other", func() bool {
 			var i struct {
 				Members []string `json:"members"`
 			}
-			return fetch(t.Context(), "http://"+e.Operator.String()+"/v1/info", &i) && len(i.Members) == len(seeds)
+			return fetch(t.Context(), "http://"+e.Operator.String()+"/v1/info", &i) && len(i.Members) == len(c.entries)
 		})
 	}
-	return c, procs
+	return c
 }
