--- a/cmd/azurelane/capacity_test.go
+++ b/cmd/azurelane/capacity_test.go
@@ -7,9 +7,7 @@
 	"io"
 	"math"
 	"net/http"
-	"net/netip"
 	"os"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
@@ -44,8 +42,8 @@
 type lab struct {
 	*cluster
 	b        *testing.B
-	entries  []*proc
 	controls []*proc
+	engines  int
 	client   *http.Client
 }
 
@@ -59,63 +57,29 @@
 func newLab(b *testing.B, entries, controls int, policy string) *lab {
 	c := &cluster{t: b, dir: b.TempDir()}
 	l := &lab{cluster: c, b: b, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4096}}}
-	for range controls {
-		c.control = append(c.control, freeAddr(b))
-	}
-	for i, addr := range c.control {
-		name := fmt.Sprintf("control-%d", i+1)
-		args := []string{"control", c.settings(&setup.Setup{
-			Node: name, DataCentre: "dev", Peers: addr, Operator: freeAddr(b), Control: c.control, DataFolder: filepath.Join(c.dir, name),
-		})}
-		if i == 0 {
-			args = append(args, "--bootstrap")
-		}
-		l.controls = append(l.controls, newProc(b, c.dir, name, args...))
-	}
-	path := filepath.Join(c.dir, "config.json")
-	must.NoError(b, os.WriteFile(path, fmt.Appendf(nil, labConfig, policy), 0o600))
-	c.until("configuration accepted", func() bool {
-		return c.start("apply", path, "--control", c.control[0].String(), "--base", "0", "--change", "first").Wait() == nil
-	})
-	var seeds []netip.AddrPort
-	for range entries {
-		seeds = append(seeds, freeAddr(b))
-	}
-	for i, addr := range seeds {
-		s := &setup.Setup{
-			Node: fmt.Sprintf("entry-%d", i+1), DataCentre: "dev", Callers: freeAddr(b), Upstreams: freeAddr(b), Peers: addr,
-			Operator: freeAddr(b), Control: c.control, Seeds: seeds[:1],
-		}
-		c.entries = append(c.entries, s)
-		l.entries = append(l.entries, newProc(b, c.dir, s.Node, "entry", c.settings(s)))
-	}
+	l.controls = c.controls(controls)
+	c.apply(fmt.Appendf(nil, labConfig, policy))
+	c.join(entries, func(s *setup.Setup) { s.Seeds = s.Seeds[:1] })
 	for _, e := range c.entries {
-		c.until(e.Node, func() bool { return status(b, "http://"+e.Operator.String()+"/ready") == http.StatusOK })
+		c.untilReady(e)
 	}
 	return l
 }
 
 // engine starts a stand-in and waits until a request reaches it.
 func (l *lab) engine(slots int, step time.Duration) {
-	addr := freeAddr(l.b)
-	args := []string{"standin", "--name", "engine-" + addr.String(), "--listen", addr.String(), "--pools", "demo", "--models", "demo", "--prefill", "0", "--crowd", "0", "--slots", strconv.Itoa(slots), "--step", step.String()}
-	for _, e := range l.cluster.entries {
-		args = append(args, "--entries", e.Upstreams.String())
-	}
-	newProc(l.b, l.dir, "standin-"+strconv.Itoa(int(addr.Port())), args...)
-	l.until("engine", func() bool { return l.ask(0, "/v1/chat/completions", "", chatBody).outcome == "whole" })
+	name := fmt.Sprintf("engine-%d", l.engines)
+	l.engines++
+	l.upstream(name, "demo", "demo", "--prefill", "0", "--crowd", "0", "--slots", strconv.Itoa(slots), "--step", step.String())
+	l.until("engine", func() bool { return l.ask(0, chatPath, "", chatBody).outcome == "whole" })
 }
 
 // post sends one request and reads its answer to the end.
 func (l *lab) post(ctx context.Context, entry int, key, body string) (int64, error) {
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+l.cluster.entries[entry].Callers.String()+"/v1/chat/completions", strings.NewReader(body))
+	r, err := request(ctx, l.entries[entry].Callers, chatPath, key, body)
 	if err != nil {
 		return 0, err
 	}
-	r.Header.Set("Authorization", "Bearer dev-key")
-	if key != "" {
-		r.Header.Set("Idempotency-Key", key)
-	}
 	resp, err := l.client.Do(r)
 	if err != nil {
 		return 0, err
@@ -151,6 +115,15 @@
 	return u
 }
 
+func usages(b *testing.B, procs map[string]*proc) map[string]usage {
+	b.Helper()
+	all := map[string]usage{}
+	for name, p := range procs {
+		all[name] = p.usage(b)
+	}
+	return all
+}
+
 // fit is a line through measured points, with the largest distance of a point
 // from it as a part of the point's value.
 type fit struct{ x, y []float64 }
@@ -209,7 +182,7 @@
 	var cpu, memory fit
 	for b.Loop() {
 		for _, n := range []int{50, 100, 200, 400} {
-			before := l.entries[0].usage(b)
+			before := l.procs[0].usage(b)
 			var peak usage
 			var wg sync.WaitGroup
 			start := time.Now()
@@ -221,9 +194,9 @@
 				})
 			}
 			time.Sleep(tokens * step / 2)
-			peak = l.entries[0].usage(b)
+			peak = l.procs[0].usage(b)
 			wg.Wait()
-			after := l.entries[0].usage(b)
+			after := l.procs[0].usage(b)
 			fmt.Printf("%d streams: %v of %v, resident %.1f MB, for each token %.2f us and %.0f bytes\n", n, after.cpu-before.cpu, time.Since(start).Round(time.Millisecond), peak.rss/1e6,
 				float64((after.cpu-before.cpu).Microseconds())/float64(n*tokens), (after.bytes-before.bytes)/float64(n*tokens))
 			cpu.add(float64(n*tokens), float64((after.cpu - before.cpu).Microseconds()))
@@ -242,21 +215,18 @@
 		l.engine(64, time.Millisecond)
 	}
 	owner, other := 0, 1
-	l.until("one owner", func() bool { return owned(b, l.cluster.entries[0])+owned(b, l.cluster.entries[1]) == 1 })
-	if owned(b, l.cluster.entries[1]) == 1 {
+	l.until("one owner", func() bool { return owned(b, l.entries[0])+owned(b, l.entries[1]) == 1 })
+	if owned(b, l.entries[1]) == 1 {
 		owner, other = 1, 0
 	}
 	for _, keyed := range []bool{false, true} {
-		parts := map[string]*proc{"entry": l.entries[other], "owner": l.entries[owner]}
+		parts := map[string]*proc{"entry": l.procs[other], "owner": l.procs[owner]}
 		fits := map[string]*fit{"entry": {}, "owner": {}}
 		for i, p := range l.controls {
 			parts[p.name], fits[p.name] = l.controls[i], &fit{}
 		}
 		for _, n := range []int{4, 8, 16, 32} {
-			before := map[string]usage{}
-			for name, p := range parts {
-				before[name] = p.usage(b)
-			}
+			before := usages(b, parts)
 			total := l.load(n, other, keyed, 20*time.Millisecond)
 			fmt.Printf("keyed %t, %d callers: %.0f requests/s\n", keyed, n, float64(total)/measureTime.Seconds())
 			for name, p := range parts {
@@ -291,14 +261,11 @@
 		b.Run(strconv.Itoa(n), func(b *testing.B) {
 			l := newLab(b, n, 3, "late")
 			time.Sleep(settleTime)
-			procs := map[string]*proc{"entry": l.entries[n-1]}
+			procs := map[string]*proc{"entry": l.procs[n-1]}
 			for _, p := range l.controls {
 				procs[p.name] = p
 			}
-			before := map[string]usage{}
-			for name, p := range procs {
-				before[name] = p.usage(b)
-			}
+			before := usages(b, procs)
 			time.Sleep(measureTime)
 			for name, p := range procs {
 				u := p.usage(b)
@@ -319,13 +286,13 @@
 	var cpu fit
 	for b.Loop() {
 		for _, n := range []int{50, 100, 200, 400} {
-			before := l.entries[0].usage(b)
+			before := l.procs[0].usage(b)
 			sent := 0
 			for end := time.Now().Add(measureTime); time.Now().Before(end); {
 				round := time.Now()
 				for i := range n {
 					doc := fmt.Sprintf(`{"upstream":"u-%d","address":"127.0.0.1:9","incarnation":"a","seq":%d,"pools":["demo"],"models":["demo"],"max-running":16,"lease":"3s","running":4}`, i, sent)
-					resp, err := l.client.Post("http://"+l.cluster.entries[0].Upstreams.String()+"/v1/announce", "application/json", strings.NewReader(doc))
+					resp, err := l.client.Post("http://"+l.entries[0].Upstreams.String()+"/v1/announce", "application/json", strings.NewReader(doc))
 					must.NoError(b, err)
 					_, _ = io.Copy(io.Discard, resp.Body)
 					_ = resp.Body.Close()
@@ -334,7 +301,7 @@
 				}
 				time.Sleep(time.Until(round.Add(time.Second)))
 			}
-			cpu.add(float64(sent), float64((l.entries[0].usage(b).cpu - before.cpu).Microseconds()))
+			cpu.add(float64(sent), float64((l.procs[0].usage(b).cpu - before.cpu).Microseconds()))
 		}
 	}
 	fmt.Printf("owner and receiving entry in one, us of processor an announcement: %v\n", &cpu)
--- a/cmd/azurelane/status.go
+++ b/cmd/azurelane/status.go
@@ -15,8 +15,8 @@
 
 const usageStatus = `Show which configuration control holds, what each replica knows, and for each
 site what is in force and which entries were not heard. All replicas are asked;
-those that give no answer are named, for entries that beat only there are not
-known then. Exit code 1 when no replica hears a leader.`
+those that give no answer are named, since entries that beat only there are then
+unknown. Exit code 1 when no replica hears a leader.`
 
 type statusCmd struct {
 	Control  []netip.AddrPort `required:"" help:"Peer addresses of the control replicas."`
@@ -99,24 +99,23 @@
 }
 
 func replicaState(s *wire.Status) string {
-	role := "not a member: add it with azurelane replica add"
-	for _, r := range s.GetReplicas() {
-		if r.GetId() == s.GetIdentity() {
-			role = "learner"
-			if r.GetVoter() {
-				role = "voter"
-			}
-		}
+	state := "not a member: add it with azurelane replica add"
+	switch role(s, s.GetIdentity()) {
+	case wire.Membership_ROLE_VOTER:
+		state = "voter"
+	case wire.Membership_ROLE_LEARNER:
+		state = "learner"
+	default:
 	}
 	switch {
 	case s.GetGroup() == "":
 		return "waits: in no group"
 	case s.GetStale():
-		return role + ", hears no leader"
+		return state + ", hears no leader"
 	case s.GetLeader() == s.GetAddress():
-		return role + ", leads"
+		return state + ", leads"
 	}
-	return role
+	return state
 }
 
 func printSites(out io.Writer, f fleet, version uint64) error {
