Only a leader under its lease answers an entry that has nothing in force

Ruled out: a shorter limit, which only makes the window smaller; an answer by a majority, whose members learn of a commit later than the leader; entries with a disk, which they need not have. Change: to a beat without a version every replica but a leader under its lease says that it may be behind, and the entry asks on. Only after 4 s without such a leader it takes the best of what replicas and neighbours have. TestFirstBeatIsForTheLeader fails without the change.

--- a/io/ctrl/ctrl_test.go
+++ b/io/ctrl/ctrl_test.go
@@ -214,3 +214,29 @@
 		n.claims(claims)
 	})
 }
+
+// A replica lags by a second only, which it can't tell: it heard the leader a
+// moment ago. An entry that had the newest version restarts with nothing and
+// asks it first. It must be sent on, or its site would go back to the old one.
+func TestFirstBeatIsForTheLeader(t *testing.T) {
+	group(t, 3, func(t *testing.T, n *network, l *replica) {
+		command(t, l, change("c1", 0))
+		time.Sleep(time.Second)
+		lag := n.other(l)
+		n.isolate(lag.Address, true)
+		command(t, l, change("c2", 1))
+		time.Sleep(time.Second)
+		beat := func(r *replica, version uint64) *wire.BeatReply {
+			f, err := r.Handle(context.Background(), &wire.Frame{Body: &wire.Frame_Beat{Beat: &wire.Beat{Node: "entry-1", Version: version}}})
+			must.NoError(t, err)
+			return f.GetBeatReply()
+		}
+		must.Eq(t, 1, beat(lag, 0).GetVersion())
+		must.True(t, beat(lag, 0).GetStale())
+		must.False(t, beat(lag, 1).GetStale(), must.Sprint("it can't tell"))
+		r := beat(l, 0)
+		must.False(t, r.GetStale())
+		must.Eq(t, 2, r.GetVersion())
+		must.NotNil(t, r.GetDocument())
+	})
+}
--- a/io/follow/follow.go
+++ b/io/follow/follow.go
@@ -26,6 +26,9 @@
 	AnswerLimit = 700 * time.Millisecond
 	// firstNeighbours are asked by an entry that has nothing in force.
 	firstNeighbours = 3
+	// firstWait is how long such an entry looks for a replica that is surely up
+	// to date, before it takes the best of what others have.
+	firstWait = 4 * time.Second
 )
 
 // errStale is a replica's word that it may be behind, or the sign of it.
@@ -48,10 +51,11 @@
 		Install    func(version uint64, cfg *conf.Config)
 		Log        logr.Logger
 
-		now  atomic.Pointer[inForce]
-		next int // Replica to beat at.
-		ask  int // Neighbour to ask.
-		lost bool
+		now   atomic.Pointer[inForce]
+		began time.Time
+		next  int // Replica to beat at.
+		ask   int // Neighbour to ask.
+		lost  bool
 	}
 
 	caller interface {
@@ -69,6 +73,7 @@
 func (f *Follow) Serve(ctx context.Context) error {
 	// Each entry starts with another replica, so that all carry their part.
 	f.next = rand.IntN(max(len(f.Replicas), 1)) //nolint:gosec // It spreads load; no secret.
+	f.began = time.Now()
 	tick := time.NewTicker(BeatEvery)
 	defer tick.Stop()
 	for {
@@ -127,6 +132,9 @@
 	}
 	f.note(err)
 	best = newer(best, f.askNeighbours(ctx))
+	if f.Version() == 0 && time.Since(f.began) < firstWait {
+		return // A leader may be about to be elected.
+	}
 	if err := f.take(best); err != nil {
 		f.Log.Info("Configuration not taken.", "err", err.Error())
 	}
