First-version test: a bubble for each entry

Cause: the whole check failed once with a SIGSEGV inside the race detector's runtime, on the system goroutine of a synctest bubble that held twenty entries and all their timers. Repeated under -race the test crashed in about 1 of 30. Ruled out: a fault of io/follow (no Go frame crashed, and 20 runs without -race pass), and the package's other tests (64 and 36 runs pass). Change: each of the same twenty starts has a bubble of its own; starts, sleeps and assertions are the same. Result: 336 runs under -race pass. The runtime's own fault is not understood.

--- a/io/follow/follow_test.go
+++ b/io/follow/follow_test.go
@@ -180,13 +180,13 @@
 		{"all may be behind", map[netip.AddrPort]*fake{addr(1): {version: 3, stale: true}, addr(2): {version: 5, stale: true}, addr(3): {version: 4, stale: true}}, 5},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				for range 20 {
+			for range 20 { // Each starts with a replica of its own choice.
+				synctest.Test(t, func(t *testing.T) {
 					_, _, installed := follower(t, tt.peers)
 					time.Sleep(10 * time.Second)
 					must.Eq(t, []uint64{tt.want}, installed())
-				}
-			})
+				})
+			}
 		})
 	}
 }
