An entry's first beat uses the published view, as a fresh status does

Cause: read again: the answer to an entry with nothing in force was written from the replica's loop into a message that the caller could already be sending when its context had ended, and it read the state a second way. Ruled out: a copy for the loop alone, as the view is there for this. Change: a leader under its lease publishes its view first, and the ordinary answer is made of it. Result: io/ctrl and io/follow pass with -race; without the mark that another replica may be behind TestFirstBeatIsForTheLeader fails as before.

--- a/io/ctrl/handle.go
+++ b/io/ctrl/handle.go
@@ -25,10 +25,13 @@
 	case *wire.Frame_Command:
 		return resultFrame(c.Propose(ctx, b.Command))
 	case *wire.Frame_Beat:
+		fresh := b.Beat.GetVersion() > 0 || c.leased(ctx, c.publish) == nil
 		r := c.beat(b.Beat)
-		if b.Beat.GetVersion() == 0 {
-			c.first(ctx, r)
-		}
+		// An entry that has nothing in force may have had the newest version
+		// before its restart. Any replica but a leader under its lease can lack
+		// that, if only for a moment, and the entry's site would go back. Every
+		// other replica says that it may be behind, and the entry asks on.
+		r.Stale = r.GetStale() || !fresh
 		return &wire.Frame{Body: &wire.Frame_BeatReply{BeatReply: r}}, nil
 	case *wire.Frame_ConfigQuery:
 		return &wire.Frame{Body: &wire.Frame_BeatReply{BeatReply: c.reply(b.ConfigQuery.GetVersion())}}, nil
@@ -73,15 +76,6 @@
 	}
 }
 
-// first makes the answer to an entry that has nothing in force. Before its
-// restart it may have had the newest version, and any replica but a leader under
-// its lease can lack that, if only for a moment: the entry's site would go back.
-// Every other replica says that it may be behind, and the entry asks on.
-func (c *Ctrl) first(ctx context.Context, r *wire.BeatReply) {
-	err := c.leased(ctx, func(time.Time) { r.Version, r.Document = c.state.Version(), c.state.Document() })
-	r.Stale = err != nil
-}
-
 // leased runs f in the loop of a leader under its lease. Anywhere else it returns
 // a fault that names the leader; the loop makes it, because only there the
 // membership stands still.
