--- a/cmd/azurelane/main.go
+++ b/cmd/azurelane/main.go
@@ -13,11 +13,13 @@
 	"github.com/alecthomas/kong"
 	"github.com/pkg/errors"
 
-	"azurelane/core/conf"
 	// Scheduling policies register themselves.
+	_ "azurelane/core/batch"
+	"azurelane/core/conf"
 	_ "azurelane/core/late"
 	_ "azurelane/core/least"
 	_ "azurelane/core/robin"
+	"azurelane/io/local"
 	"azurelane/io/setup"
 )
 
@@ -38,6 +40,8 @@
 type cli struct {
 	Entry   entryCmd   `cmd:"" help:"Serve callers and schedule pools."`
 	Control controlCmd `cmd:"" help:"Run one replica of the durable state."`
+	Gate    gateCmd    `cmd:"" help:"Serve callers of routes, in a deployment that forms itself."`
+	Hub     hubCmd     `cmd:"" help:"Run a control replica of a deployment that forms itself."`
 	Dev     devCmd     `cmd:"" help:"Run a whole small system in this process."`
 	Standin standinCmd `cmd:"" help:"Run a stand-in engine or service."`
 	Load    loadCmd    `cmd:"" help:"Send open-loop load and report what came back."`
@@ -80,7 +84,7 @@
 }
 
 func exitCode(err error) int {
-	if errors.Is(err, setup.ErrInvalid) || errors.Is(err, conf.ErrInvalid) {
+	if errors.Is(err, setup.ErrInvalid) || errors.Is(err, local.ErrInvalid) || errors.Is(err, conf.ErrInvalid) {
 		return exitUsage
 	}
 	return exitFailed
--- a/core/acct/acct.go
+++ b/core/acct/acct.go
@@ -4,13 +4,38 @@
 // Account holds what operators configure for one client account. Only a hash
 // of its key is kept.
 type Account struct {
-	KeySHA256      string   `json:"key-sha256"`               // Hex SHA-256 of the bearer key.
-	Weight         float64  `json:"weight,omitzero"`          // Share of work units against other accounts; 0 counts as 1.
-	MaxWaiting     int      `json:"max-waiting,omitzero"`     // Requests that may wait in one pool; 0 takes the default.
-	MaxConnections int      `json:"max-connections,omitzero"` // Requests that may be open at one entry; 0 takes the default.
-	MaxBody        int64    `json:"max-body,omitzero"`        // Bytes of one request's body; 0 takes the default.
-	MaxBodies      int64    `json:"max-bodies,omitzero"`      // Bytes of all its bodies at one entry; 0 takes the default.
-	Tiers          []string `json:"tiers,omitempty"`          // Tiers it may use; empty for all.
+	KeySHA256      string   `json:"key-sha256"`                 // Hex SHA-256 of the bearer key.
+	Weight         float64  `json:"weight,omitzero"`            // Share of work units against other accounts; 0 counts as 1.
+	MaxWaiting     int      `json:"max-waiting,omitzero"`       // Requests that may wait in one pool; 0 takes the default.
+	MaxConnections int      `json:"max-connections,omitzero"`   // Requests that may be open at one entry; 0 takes the default.
+	MaxBody        int64    `json:"max-body,omitzero"`          // Bytes of one request's body; 0 takes the default.
+	MaxBodies      int64    `json:"max-bodies,omitzero"`        // Bytes of all its bodies at one entry; 0 takes the default.
+	Tiers          []string `json:"tiers,omitempty"`            // Tiers it may use; empty for all.
+	MoreKeys       []string `json:"more-keys-sha256,omitempty"` // Hashes of further keys. With this list, empty or not, key-sha256 may be left out.
+	Priority       *int     `json:"priority,omitempty"`         // Goes before the priority of a route; nil for none.
+	Rate           float64  `json:"rate,omitzero"`              // Units a second over all entries; 0 for any.
+	Burst          float64  `json:"burst,omitzero"`             // Units that may come at once.
+	PlainUnits     int64    `json:"plain-units,omitzero"`       // Units of a request that names no tokens; 0 counts as 1.
+	ByRequest      bool     `json:"by-request,omitzero"`        // Each request is one unit, whatever its tokens.
+}
+
+// Units is what a request of so many tokens counts against the rate.
+func (a Account) Units(tokens int64) int64 {
+	switch {
+	case a.ByRequest:
+		return 1
+	case tokens > 0:
+		return tokens
+	}
+	return max(a.PlainUnits, 1)
+}
+
+// Keys lists the hashes of all keys.
+func (a Account) Keys() []string {
+	if a.KeySHA256 == "" {
+		return a.MoreKeys
+	}
+	return append([]string{a.KeySHA256}, a.MoreKeys...)
 }
 
 // Defaults for the limits that an account leaves at zero.
--- /dev/null
+++ b/core/allow/allow.go
@@ -0,0 +1,79 @@
+// Package allow counts what client accounts use against their rates.
+package allow
+
+import (
+	"time"
+
+	"azurelane/core/acct"
+)
+
+type (
+	// Allow holds one token bucket an account. The zero value allows everything.
+	Allow struct {
+		buckets map[string]*bucket
+	}
+
+	bucket struct {
+		rate  float64 // Units a second.
+		burst float64
+		left  float64 // May be below zero: some units are charged after they were used.
+		at    time.Time
+	}
+)
+
+// longestWait bounds the time that a refused account is told to wait.
+const longestWait = 5 * time.Second
+
+// Set puts the rates of the accounts in force, each times share. What accounts
+// have used stays counted, so that a change gives nobody a second burst.
+func (a *Allow) Set(now time.Time, accounts map[string]acct.Account, share float64) {
+	old := a.buckets
+	a.buckets = make(map[string]*bucket, len(accounts))
+	for name, c := range accounts {
+		if c.Rate <= 0 {
+			continue
+		}
+		b := &bucket{rate: c.Rate * share, burst: max(c.Burst, c.Rate) * share, at: now}
+		b.left = b.burst
+		if was := old[name]; was != nil {
+			was.fill(now)
+			b.left = min(b.burst, was.left+max(b.burst-was.burst, 0))
+		}
+		a.buckets[name] = b
+	}
+}
+
+// Take uses units of an account. Where they are not left it uses none and says
+// when they will be.
+func (a *Allow) Take(now time.Time, account string, units int64) (time.Duration, bool) {
+	b := a.buckets[account]
+	if b == nil {
+		return 0, true
+	}
+	b.fill(now)
+	want := min(float64(units), b.burst) // A request over the whole burst passes when the bucket is full.
+	if b.left >= want {
+		b.left -= float64(units)
+		return 0, true
+	}
+	wait := time.Duration((want - b.left) / b.rate * float64(time.Second))
+	return min(wait, longestWait), false
+}
+
+// Charge counts units that were used already, or gives them back when they are
+// below zero.
+func (a *Allow) Charge(now time.Time, account string, units int64) {
+	b := a.buckets[account]
+	if b == nil {
+		return
+	}
+	b.fill(now)
+	b.left = max(min(b.left-float64(units), b.burst), -b.burst)
+}
+
+func (b *bucket) fill(now time.Time) {
+	if d := now.Sub(b.at); d > 0 {
+		b.left = min(b.left+b.rate*d.Seconds(), b.burst)
+	}
+	b.at = now
+}
--- /dev/null
+++ b/core/batch/item.go
@@ -0,0 +1,83 @@
+package batch
+
+import (
+	"math"
+	"time"
+
+	"azurelane/core/wire"
+)
+
+const (
+	// priorityFactor is how much more a unit of work of one priority counts
+	// than of the next. The users' sheets pay 2.2 to 2.9 times as much.
+	priorityFactor = 2.6
+	// lateCredit is the part of an answer's worth that is left when it is late:
+	// 0.28 to 0.30 on the users' sheets.
+	lateCredit = 0.29
+	// answerWeight is the size of an answer token in prompt tokens, as the users
+	// count the worth of a generation.
+	answerWeight = 10
+	// lateWait is the part of its time, one in so many, that a request waits
+	// which comes too late to be on time.
+	lateWait = 4
+	// fixedWorth is the part of a request's worth that does not depend on its
+	// size, as the users count it.
+	fixedWorth = 0.3
+)
+
+type (
+	// item is a waiting ticket.
+	item struct {
+		*wire.Ticket
+		arrived time.Time
+		onTime  time.Time // The first piece is late after it; zero for never.
+		end     time.Time // Nothing is of use after it.
+		giveUp  time.Time // It is refused when it still waits then.
+		worth   float64
+	}
+
+	// kind is what was learnt of one route's requests.
+	kind struct {
+		size float64 // Mean.
+	}
+)
+
+func (k *kind) seen(size float64) {
+	const rate = 0.05
+	if k.size == 0 {
+		k.size = size
+		return
+	}
+	k.size += rate * (size - k.size)
+}
+
+func size(t *wire.Ticket) float64 {
+	return float64(t.GetPromptTokens() + answerWeight*t.GetAnswerTokens())
+}
+
+func newItem(now time.Time, t *wire.Ticket, k *kind) *item {
+	i := &item{Ticket: t, arrived: now}
+	if t.GetObjectiveUs() != 0 {
+		i.onTime = now.Add(time.Duration(t.GetObjectiveUs()) * time.Microsecond)
+	}
+	i.end = now.Add(time.Duration(t.GetDeadlineUs()) * time.Microsecond)
+	i.giveUp = i.end.Add(-firstToken)
+	switch left := i.onTime.Sub(now); {
+	case i.onTime.IsZero():
+	case left > firstToken:
+		i.giveUp = i.onTime.Add(-firstToken)
+	default:
+		// It came late, after a refusal or a run that broke off. Whatever it
+		// still earns is worth some of its time, but not most of it: a refusal
+		// after a long wait leaves the caller no time for anything else.
+		i.giveUp = now.Add(i.end.Sub(now) / lateWait)
+	}
+	k.seen(size(t))
+	i.worth = math.Pow(priorityFactor, -float64(t.GetPriority())) * (fixedWorth*k.size + (1-fixedWorth)*size(t))
+	return i
+}
+
+// late reports whether the first piece would come too late after d.
+func (i *item) late(now time.Time, d time.Duration) bool {
+	return !i.onTime.IsZero() && now.Add(d).After(i.onTime)
+}
--- /dev/null
+++ b/core/batch/pace.go
@@ -0,0 +1,113 @@
+package batch
+
+import (
+	"time"
+
+	"azurelane/core/upstr"
+	"azurelane/core/wire"
+)
+
+const (
+	// firstToken is a model engine's fixed time before its first token where
+	// nothing was learnt yet, and tokenTime the time of one token of an answer.
+	// Both are of the order that engines with one accelerator show.
+	firstToken = 60 * time.Millisecond
+	tokenTime  = 2500 * time.Microsecond
+	// promptRatio is the time of one prompt token in times of one answer token:
+	// engines read some 300 prompt tokens in the time of one step.
+	promptRatio = 1.0 / 300
+	learnRate   = 0.15            // Weight of one run in what is learnt.
+	firstOut    = time.Second     // How long an upstream is left out after a failure.
+	mostOut     = 8 * time.Second // The same after many failures in a row.
+	failsAllow  = 2               // Failures in a row that leave no upstream out when it answered, if badly.
+)
+
+// pace is what was learnt of one upstream.
+type pace struct {
+	token time.Duration // Of one answer token; zero while nothing ran.
+	first time.Duration // From the grant to the first piece, less reading the prompt.
+	free  time.Time     // When the prompts given to it will have been read.
+	fails int           // In a row.
+	out   time.Time     // Left out until then.
+	seq   uint64        // Of the last announcement when it was left out.
+	whole float64       // Share of its last runs that ended well.
+}
+
+func (p *pace) perToken() time.Duration {
+	if p.token == 0 {
+		return tokenTime
+	}
+	return p.token
+}
+
+func (p *pace) perPrompt() time.Duration {
+	return time.Duration(float64(p.perToken()) * promptRatio)
+}
+
+func (p *pace) base() time.Duration {
+	if p.first == 0 {
+		return firstToken
+	}
+	return p.first
+}
+
+// expect is the time from now to the first piece of a prompt.
+func (p *pace) expect(now time.Time, u *upstr.Upstream, prompt int64) time.Duration {
+	d := p.base() + time.Duration(prompt)*p.perPrompt()
+	if p.free.After(now) {
+		d += p.free.Sub(now)
+	}
+	if over := u.Running - u.Limit(); over >= 0 {
+		// It waits there until a place is free. Places of a batch become free
+		// evenly, about once in the time of an average run by the batch's size.
+		d += time.Duration(over+1) * usualRun * p.perToken() / time.Duration(max(u.Limit(), 1))
+	}
+	return d
+}
+
+// usualRun is the answer tokens of a usual run; it only has to be of the right
+// order, for the wait in an upstream's own queue.
+const usualRun = 200
+
+// given notes that a prompt was granted.
+func (p *pace) given(now time.Time, prompt int64) {
+	if p.free.Before(now) {
+		p.free = now
+	}
+	p.free = p.free.Add(time.Duration(prompt) * p.perPrompt())
+}
+
+// ran learns from a run that ended well.
+func (p *pace) ran(r *wire.Release, prompt, event int64) {
+	p.fails, p.out = 0, time.Time{}
+	p.whole += learnRate * (1 - p.whole)
+	first := time.Duration(r.GetFirstTokenUs()) * time.Microsecond
+	total := time.Duration(r.GetTotalUs()) * time.Microsecond
+	if first <= 0 || total < first {
+		return
+	}
+	if n := (r.GetPieces() - 1) * event; n > 0 {
+		p.token = blend(p.token, (total-first)/time.Duration(n))
+	}
+	if own := first - time.Duration(prompt)*p.perPrompt(); own > 0 {
+		p.first = blend(p.first, own)
+	}
+}
+
+// failed leaves the upstream out for a while: at once when it could not be
+// reached or broke off, after some failures in a row when it answered.
+func (p *pace) failed(now time.Time, answered bool, seq uint64) {
+	p.fails++
+	p.whole -= learnRate * p.whole
+	if answered && p.fails <= failsAllow {
+		return
+	}
+	p.out, p.seq = now.Add(min(firstOut<<min(p.fails-1, 5), mostOut)), seq
+}
+
+func blend(old, seen time.Duration) time.Duration {
+	if old == 0 {
+		return seen
+	}
+	return old + time.Duration(learnRate*float64(seen-old))
+}
--- a/core/conf/check.go
+++ b/core/conf/check.go
@@ -6,11 +6,14 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strconv"
 	"strings"
 
 	"github.com/pkg/errors"
 
+	"azurelane/core/acct"
 	"azurelane/core/pool"
+	"azurelane/core/route"
 	"azurelane/core/tier"
 )
 
@@ -37,23 +40,72 @@
 			return invalid("/tiers/"+name+"/share", "a number from 0 to 1")
 		}
 	}
-	return c.checkPools()
+	if err := c.checkPools(); err != nil {
+		return err
+	}
+	return c.checkRoutes()
+}
+
+func (c *Config) checkRoutes() error {
+	type place struct{ host, prefix string }
+	places := map[place]string{}
+	for i, r := range c.Routes {
+		at := "/routes/" + strconv.Itoa(i)
+		if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
+			return invalid(at+"/prefix", "a path that begins and ends with a slash")
+		}
+		p := place{r.Host, r.Prefix}
+		if other, ok := places[p]; ok {
+			return invalid(at+"/prefix", "a host and prefix of its own, not those of "+other)
+		}
+		places[p] = r.Name
+		if r.Timeout <= 0 {
+			return invalid(at+"/timeout", "a span over 0")
+		}
+		if r.Objective < 0 || r.Gap < 0 || r.Upstreams < 0 {
+			return invalid(at, "limits of 0 or more")
+		}
+		if err := c.checkSplit(at+"/split", r.Split); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *Config) checkSplit(at string, split []route.Share) error {
+	total := 0
+	for _, s := range split {
+		if _, ok := c.Pools[s.Pool]; !ok {
+			return invalid(at, "names of pools, not "+s.Pool)
+		}
+		if s.Weight < 0 {
+			return invalid(at, "weights of 0 or more")
+		}
+		total += s.Weight
+	}
+	if total == 0 {
+		return invalid(at, "weights that add up to more than 0")
+	}
+	return nil
+}
+
+// routed reports whether a route names the pool.
+func (c *Config) routed(pool string) bool {
+	return slices.ContainsFunc(c.Routes, func(r route.Route) bool {
+		return slices.ContainsFunc(r.Split, func(s route.Share) bool { return s.Pool == pool })
+	})
 }
 
 func (c *Config) checkAccounts() error {
-	hashes := map[string]string{}
+	owners := map[string]string{}
 	for _, name := range slices.Sorted(maps.Keys(c.Accounts)) {
 		a, at := c.Accounts[name], "/client-accounts/"+name
-		if !isHash(a.KeySHA256) {
-			return invalid(at+"/key-sha256", hashWant)
+		if err := checkKeys(name, a, owners); err != nil {
+			return err
 		}
-		// Two accounts with one key could not be told apart: either would pay
-		// for the other's load and see its answers.
-		hash := strings.ToLower(a.KeySHA256)
-		if other, ok := hashes[hash]; ok {
-			return invalid(at+"/key-sha256", "a key of its own, not that of "+other)
+		if a.Rate < 0 || a.Burst < 0 || a.PlainUnits < 0 {
+			return invalid(at, "a rate of 0 or more")
 		}
-		hashes[hash] = name
 		if a.Weight < 0 || a.MaxWaiting < 0 || a.MaxConnections < 0 || a.MaxBody < 0 || a.MaxBodies < 0 {
 			return invalid(at, "a weight and limits of 0 or more")
 		}
@@ -66,9 +118,32 @@
 	return nil
 }
 
+// checkKeys checks the keys of one account. Two accounts with one key could not
+// be told apart: either would pay for the other's load and see its answers.
+func checkKeys(name string, a acct.Account, owners map[string]string) error {
+	at := "/client-accounts/" + name + "/key-sha256"
+	if a.KeySHA256 == "" && a.MoreKeys == nil {
+		return invalid(at, hashWant)
+	}
+	for _, k := range a.Keys() {
+		if !isHash(k) {
+			return invalid(at, hashWant)
+		}
+		hash := strings.ToLower(k)
+		if other, ok := owners[hash]; ok && other != name {
+			return invalid(at, "a key of its own, not that of "+other)
+		}
+		owners[hash] = name
+	}
+	return nil
+}
+
 func (c *Config) checkPools() error {
 	models, services := map[string]string{}, map[string]string{}
 	for name, p := range c.Pools {
+		if len(p.Models) == 0 && p.Service == "" && (p.ByRoute || c.routed(name)) {
+			continue // Only routes lead to it.
+		}
 		if (len(p.Models) == 0) == (p.Service == "") {
 			return invalid("/pools/"+name, "either models or a service")
 		}
--- a/core/conf/conf.go
+++ b/core/conf/conf.go
@@ -9,6 +9,7 @@
 	"azurelane/core/codec"
 	"azurelane/core/keys"
 	"azurelane/core/pool"
+	"azurelane/core/route"
 	"azurelane/core/tier"
 )
 
@@ -18,11 +19,21 @@
 	Accounts    map[string]acct.Account `json:"client-accounts"`
 	Tiers       map[string]tier.Tier    `json:"tiers"`
 	Pools       map[string]pool.Pool    `json:"pools"`
+	Routes      []route.Route           `json:"routes,omitempty"`
+	Limits      Limits                  `json:"limits,omitzero"`
 	ClaimKeep   time.Duration           `json:"claim-keep,omitzero"`   // How long a finished claim is remembered; 0 takes the default.
 	AnswerKeep  time.Duration           `json:"answer-keep,omitzero"`  // How long a keyed request's answer is kept for a second submission; 0 takes the default.
 	AnswerBytes int64                   `json:"answer-bytes,omitzero"` // Bytes of all answers kept at one entry; 0 takes the default.
 }
 
+// Limits bound what callers of routes may send. Zero takes the default.
+type Limits struct {
+	HeaderBytes int           `json:"header-bytes,omitzero"`
+	BodyBytes   int64         `json:"body-bytes,omitzero"`
+	HeaderTime  time.Duration `json:"header-time,omitzero"` // For a request's header to come.
+	IdleTime    time.Duration `json:"idle-time,omitzero"`   // Of a kept-alive connection between requests.
+}
+
 // DefaultClaimKeep is how long a finished claim is remembered when the
 // configuration names no time.
 const DefaultClaimKeep = 24 * time.Hour
--- a/core/conf/keys.go
+++ b/core/conf/keys.go
@@ -13,6 +13,7 @@
 	limitWant = "a number of 0 or more"
 	spanWant  = "a span such as \"1.5s\""
 	boolWant  = "true or false"
+	off       = "false"
 )
 
 // Keys lists every key of a site's merged configuration, for the operators'
@@ -26,6 +27,12 @@
 		{Path: "/client-accounts/*/max-body", Want: limitWant, Default: strconv.Itoa(acct.DefaultMaxBody), Text: "Bytes of one request's body."},
 		{Path: "/client-accounts/*/max-bodies", Want: limitWant, Default: strconv.Itoa(acct.DefaultMaxBodies), Text: "Bytes of all its open bodies at one entry."},
 		{Path: "/client-accounts/*/tiers", Want: "names of tiers", Text: "Tiers that it may use; all when left out."},
+		{Path: "/client-accounts/*/more-keys-sha256", Want: "a list of 64 hex digits each", Text: "Hashes of further keys. With this list `key-sha256` may be left out."},
+		{Path: "/client-accounts/*/priority", Want: "a number", Text: "Goes before the priority of routes; 0 is the most urgent."},
+		{Path: "/client-accounts/*/rate", Want: limitWant, Default: "0", Text: "Units a second over all entries, on routes; 0 for any."},
+		{Path: "/client-accounts/*/burst", Want: limitWant, Default: "0", Text: "Units that may come at once."},
+		{Path: "/client-accounts/*/plain-units", Want: limitWant, Default: "1", Text: "Units of a request that names no tokens."},
+		{Path: "/client-accounts/*/by-request", Want: boolWant, Default: off, Text: "Each request is one unit, whatever its tokens."},
 		{Path: "/tiers/*/level", Want: "0, 1 or 2", Default: "0", Text: "0 urgent, 1 normal, 2 bulk."},
 		{Path: "/tiers/*/deadline", Want: spanWant, Text: "For requests that name none."},
 		{Path: "/tiers/*/share", Want: "a number from 0 to 1", Default: "0", Text: "Least part of the work units that it gets while it waits."},
@@ -42,6 +49,29 @@
 		{Path: "/pools/*/max-answer", Want: limitWant, Default: strconv.Itoa(pool.DefaultMaxAnswer), Text: "Bytes of an answer that is kept, or read whole before it is passed on."},
 		{Path: "/pools/*/run-on", Want: boolWant, Default: "true", Text: "Whether a keyed request runs to its end when its callers go away."},
 		{Path: "/pools/*/announce-key-sha256", Want: hashWant, Text: "Hex SHA-256 of the bearer key with which upstreams announce themselves. Without it any can join: for development only."},
+		{Path: "/pools/*/by-route", Want: boolWant, Default: off, Text: "Only routes lead to it; it needs neither models nor a service."},
+		{Path: "/pools/*/slots", Want: limitWant, Default: "0", Text: "Requests that a model engine runs at once; 0 for a plain service."},
+		{Path: "/pools/*/cache-tokens", Want: limitWant, Default: "0", Text: "Tokens that an engine's cache holds; 0 for unknown."},
+		{Path: "/pools/*/event-tokens", Want: limitWant, Default: "1", Text: "Tokens in one event of a stream."},
+		{Path: "/pools/*/connections", Want: limitWant, Default: "0", Text: "Connections that one upstream takes from all entries; 0 for any."},
+		{Path: "/routes/*/name", Want: "a name", Text: "Name of the route in logs and metrics."},
+		{Path: "/routes/*/host", Want: "a host name", Text: "Host of the requests, without a port."},
+		{Path: "/routes/*/prefix", Want: "a path that begins and ends with a slash", Text: "The longest prefix that begins the path wins."},
+		{Path: "/routes/*/split/*/pool", Want: "a name of a pool", Text: "Pool that gets a part of the route's requests."},
+		{Path: "/routes/*/split/*/weight", Want: limitWant, Text: "Its part against the others."},
+		{Path: "/routes/*/stream", Want: boolWant, Default: off, Text: "Answers are server-sent events with increasing ids."},
+		{Path: "/routes/*/idempotent", Want: boolWant, Default: off, Text: "Requests may run more than once."},
+		{Path: "/routes/*/resumable", Want: boolWant, Default: off, Text: "A stream may go on at another upstream."},
+		{Path: "/routes/*/public", Want: boolWant, Default: off, Text: "Requests need no key."},
+		{Path: "/routes/*/upstreams", Want: limitWant, Default: "1", Text: "Most upstreams that may run one request."},
+		{Path: "/routes/*/timeout", Want: spanWant, Text: "Longest time until the final answer."},
+		{Path: "/routes/*/objective", Want: spanWant, Default: "0s", Text: "Until an answer, of a stream its first event, is late."},
+		{Path: "/routes/*/gap", Want: spanWant, Default: "0s", Text: "Longest pause between two events that is on time."},
+		{Path: "/routes/*/priority", Want: "a number", Default: "0", Text: "0 is the most urgent."},
+		{Path: "/limits/header-bytes", Want: limitWant, Default: "32768", Text: "Bytes of a request's header, on routes."},
+		{Path: "/limits/body-bytes", Want: limitWant, Default: "4194304", Text: "Bytes of a request's body, on routes."},
+		{Path: "/limits/header-time", Want: spanWant, Default: "10s", Text: "For a request's header to come, on routes."},
+		{Path: "/limits/idle-time", Want: spanWant, Default: "2m0s", Text: "Of a kept-alive connection between requests, on routes."},
 		{Path: "/claim-keep", Want: spanWant, Default: DefaultClaimKeep.String(), Text: "How long a finished key is remembered."},
 		{Path: "/answer-keep", Want: spanWant, Default: DefaultAnswerKeep.String(), Text: "How long a keyed request's answer is kept for a second submission."},
 		{Path: "/answer-bytes", Want: limitWant, Default: strconv.Itoa(DefaultAnswerBytes), Text: "Bytes of all answers kept at one entry."},
--- /dev/null
+++ b/core/form/form.go
@@ -0,0 +1,135 @@
+// Package form decides how a control group repairs itself: which replica is
+// to be added, promoted or removed next.
+package form
+
+import (
+	"time"
+
+	"azurelane/core/raft"
+	"azurelane/core/wire"
+)
+
+// Form holds what the group is to tolerate. Its fields are set before use.
+type Form struct {
+	Losses  int           // Replicas that may be lost with their disks at once.
+	Centres int           // Data centres that have replicas.
+	Away    time.Duration // Silence after which a voter is replaced by a live learner.
+	Forget  time.Duration // Silence after which a learner is removed.
+}
+
+// present is the longest silence of a replica that may be promoted: some
+// heartbeats of the leader.
+const present = 500 * time.Millisecond
+
+// Voters is the number of voters that outlives the losses: a command is
+// acknowledged by more than half of them, so that one that has it remains, and
+// the remaining ones are still more than half.
+func (f Form) Voters() int { return 2*f.Losses + 1 }
+
+// perCentre bounds the voters in one data centre. With more the loss of that
+// data centre would take the quorum along.
+func (f Form) perCentre() int {
+	if most := max(f.Losses, 1); most*f.Centres >= f.Voters() {
+		return most
+	}
+	return f.Voters() // The data centres are too few to spread the voters.
+}
+
+// Next returns the change that a leader should propose now, or nil. Self is the
+// leader, others what it hears of the rest of the group.
+func (f Form) Next(self *wire.Replica, others []raft.Heard) *wire.Membership {
+	voters, centres := 1, map[string]int{self.GetDataCentre(): 1}
+	for _, o := range others {
+		if o.GetVoter() {
+			voters++
+			centres[o.GetDataCentre()]++
+		}
+	}
+	if voters > f.Voters() {
+		return remove(worst(others, true))
+	}
+	if c := f.candidate(others, centres, voters); c != nil {
+		return &wire.Membership{
+			Replica: c.GetId(), Address: c.GetAddress(), DataCentre: c.GetDataCentre(), Role: wire.Membership_ROLE_VOTER,
+		}
+	}
+	if w := worst(others, false); w != nil && (w.Silence > f.Forget || replaced(*w, others)) {
+		return remove(w)
+	}
+	return nil
+}
+
+// candidate is the learner to promote: to fill up the voters, or in the place
+// of one that stays away or whose disk was replaced. The group has one voter
+// too many until the next change removes that one. In this order a command is
+// always on as many disks as before.
+func (f Form) candidate(others []raft.Heard, centres map[string]int, voters int) *raft.Heard {
+	var away *raft.Heard
+	if voters >= f.Voters() {
+		away = f.away(others)
+		if away == nil {
+			return nil
+		}
+		centres[away.GetDataCentre()]--
+	}
+	var best *raft.Heard
+	for i, o := range others {
+		if o.GetVoter() || !o.Current || o.Silence > present || centres[o.GetDataCentre()] >= f.perCentre() {
+			continue
+		}
+		if best == nil || (away != nil && o.GetAddress() == away.GetAddress()) {
+			best = &others[i]
+		}
+	}
+	return best
+}
+
+// away is the voter to replace. One whose address has a learner with another
+// identity has lost its disk: it can't come back.
+func (f Form) away(others []raft.Heard) *raft.Heard {
+	w := worst(others, true)
+	for i, o := range others {
+		if o.GetVoter() && replaced(o, others) {
+			return &others[i]
+		}
+	}
+	if w == nil || w.Silence < f.Away {
+		return nil
+	}
+	return w
+}
+
+// replaced reports whether another replica speaks from the address of one that
+// is silent.
+func replaced(r raft.Heard, all []raft.Heard) bool {
+	for _, o := range all {
+		if o.GetId() != r.GetId() && o.GetAddress() == r.GetAddress() && o.Silence < r.Silence {
+			return true
+		}
+	}
+	return false
+}
+
+// worst is the longest silent voter or learner; one that was replaced goes first.
+func worst(others []raft.Heard, voter bool) *raft.Heard {
+	var w *raft.Heard
+	for i, o := range others {
+		if o.GetVoter() != voter {
+			continue
+		}
+		if replaced(o, others) {
+			return &others[i]
+		}
+		if w == nil || o.Silence > w.Silence {
+			w = &others[i]
+		}
+	}
+	return w
+}
+
+func remove(r *raft.Heard) *wire.Membership {
+	if r == nil {
+		return nil
+	}
+	return &wire.Membership{Replica: r.GetId(), Address: r.GetAddress(), Role: wire.Membership_ROLE_NONE}
+}
--- a/core/index/index.go
+++ b/core/index/index.go
@@ -8,6 +8,7 @@
 	"azurelane/core/acct"
 	"azurelane/core/conf"
 	"azurelane/core/pool"
+	"azurelane/core/route"
 )
 
 type (
@@ -18,6 +19,7 @@
 		models   map[string]string
 		services map[string]string
 		pools    map[string]pool.Pool
+		routes   *route.Table
 	}
 
 	account struct {
@@ -35,10 +37,13 @@
 	x := &Index{
 		cfg: cfg, accounts: make(map[Digest]account, len(cfg.Accounts)),
 		models: map[string]string{}, services: map[string]string{}, pools: make(map[string]pool.Pool, len(cfg.Pools)),
+		routes: route.NewTable(cfg.Routes),
 	}
 	for name, a := range cfg.Accounts {
-		if raw, err := hex.DecodeString(a.KeySHA256); err == nil && len(raw) == len(Digest{}) {
-			x.accounts[Digest(raw)] = account{name, a.WithDefaults()}
+		for _, k := range a.Keys() {
+			if raw, err := hex.DecodeString(k); err == nil && len(raw) == len(Digest{}) {
+				x.accounts[Digest(raw)] = account{name, a.WithDefaults()}
+			}
 		}
 	}
 	for name, p := range cfg.Pools {
@@ -74,5 +79,8 @@
 	return p, ok
 }
 
+// Route returns the route of a request, or nil.
+func (x *Index) Route(host, path string) *route.Route { return x.routes.Match(host, path) }
+
 // Pool returns a pool with every limit set.
 func (x *Index) Pool(name string) pool.Pool { return x.pools[name] }
--- a/core/keys/keys.go
+++ b/core/keys/keys.go
@@ -89,7 +89,7 @@
 	switch {
 	case t.Kind() == reflect.Pointer:
 		return paths(t.Elem(), at)
-	case t.Kind() == reflect.Map:
+	case t.Kind() == reflect.Map, t.Kind() == reflect.Slice && t.Elem().Kind() == reflect.Struct && !hasText(t.Elem()):
 		return paths(t.Elem(), at+"/*")
 	case t.Kind() != reflect.Struct || hasText(t):
 		return []string{at}
--- /dev/null
+++ b/core/meta/meta.go
@@ -0,0 +1,32 @@
+// Package meta describes a request of a route as its caller's header tells it.
+package meta
+
+import "time"
+
+// Meta is what the header of a request says, whatever its names there.
+type Meta struct {
+	ID        string        // Of this attempt of the caller; empty when it names none.
+	Deadline  time.Duration // How long the caller waits; zero for no limit.
+	Prompt    int64         // Tokens of the prompt; zero for a plain request.
+	Answer    int64         // Most tokens of the answer.
+	Expect    int64         // The caller's estimate of the answer's tokens; zero for none.
+	Model     string
+	Session   uint64 // Hash of the last part of the prompt, zero for none.
+	LastEvent string // The caller has the stream up to this event; empty for a new one.
+}
+
+// Tokens is the size of the answer to reckon with.
+func (m *Meta) Tokens() int64 {
+	if m.Expect > 0 && (m.Answer == 0 || m.Expect < m.Answer) {
+		return m.Expect
+	}
+	return m.Answer
+}
+
+// Hop is what one upstream is told about a request.
+type Hop struct {
+	Instance  string // Id of the upstream that is meant; any other one refuses.
+	Account   string // Client account; empty on a public route.
+	Left      time.Duration
+	LastEvent string // The stream goes on after this event; empty for a whole one.
+}
--- /dev/null
+++ b/core/peers/peers.go
@@ -0,0 +1,151 @@
+// Package peers chooses among upstreams by what one entry has seen of them
+// itself: for plain services, and for all while no scheduler answers.
+package peers
+
+import (
+	"time"
+
+	"azurelane/core/wire"
+)
+
+type (
+	// Peers holds what was seen of upstreams. The zero value is ready.
+	Peers struct {
+		seen map[string]*peer
+	}
+
+	peer struct {
+		running int
+		latency time.Duration // Of answers, smoothed.
+		errors  float64       // Part of the answers that were failures, smoothed.
+		fails   int           // In a row, without an answer.
+		out     time.Time     // Left out until then.
+		served  time.Time     // Last whole answer.
+		used    time.Time
+	}
+
+	// Choice says what is wanted of an upstream.
+	Choice struct {
+		Centre string // Data centre of this entry.
+		Avoid  []string
+		Silent map[string]bool // Upstreams that control does not hear.
+		Most   int             // Requests of this entry that may run on one; 0 for any.
+	}
+)
+
+const (
+	learnRate    = 0.1
+	firstLatency = 20 * time.Millisecond // Where nothing was seen yet.
+	// abroadCost is what an upstream of another data centre must be better by:
+	// the way there and back, and the price of the bytes between them.
+	abroadCost  = 4 * time.Millisecond
+	errorFactor = 6 // An upstream that fails always seems so many times slower, and once more.
+	firstOut    = 500 * time.Millisecond
+	mostOut     = 8 * time.Second
+	// trust is how long an answer shows that an upstream serves which control
+	// does not hear.
+	trust    = 2 * time.Second
+	forget   = time.Minute
+	sweepAt  = 1024 // Upstreams that are remembered before old ones are forgotten.
+	lastWays = time.Hour
+)
+
+func (p *Peers) of(id string) *peer {
+	if p.seen == nil {
+		p.seen = map[string]*peer{}
+	}
+	e := p.seen[id]
+	if e == nil {
+		e = &peer{}
+		p.seen[id] = e
+	}
+	return e
+}
+
+// Pick returns the upstream where a request is expected to end first, or nil.
+// Upstreams that fail or are silent are taken only when there is no other.
+func (p *Peers) Pick(now time.Time, list []*wire.Upstream, c Choice) *wire.Upstream {
+	var best *wire.Upstream
+	var least time.Duration
+	for _, u := range list {
+		e := p.of(u.GetId())
+		if contains(c.Avoid, u.GetId()) || (c.Most > 0 && e.running >= c.Most) {
+			continue
+		}
+		cost := e.cost(u.GetSlots())
+		if u.GetDataCentre() != c.Centre {
+			cost += abroadCost
+		}
+		if now.Before(e.out) || (c.Silent[u.GetId()] && now.Sub(e.served) > trust) {
+			cost += lastWays
+		}
+		if best == nil || cost < least {
+			best, least = u, cost
+		}
+	}
+	return best
+}
+
+func (e *peer) cost(slots int64) time.Duration {
+	l := e.latency
+	if l == 0 {
+		l = firstLatency
+	}
+	load := 1 + float64(e.running)/float64(max(slots, 1))*2
+	return time.Duration(float64(l) * load * (1 + errorFactor*e.errors))
+}
+
+// Begin notes that a request is sent.
+func (p *Peers) Begin(now time.Time, id string) {
+	e := p.of(id)
+	e.running++
+	e.used = now
+	if len(p.seen) > sweepAt {
+		p.sweep(now)
+	}
+}
+
+// End notes how a request ended: answered says that an answer came, good that
+// it was no failure.
+func (p *Peers) End(now time.Time, id string, took time.Duration, answered, good bool) {
+	e := p.of(id)
+	e.running = max(e.running-1, 0)
+	if !answered {
+		e.fails++
+		e.out = now.Add(min(firstOut<<min(e.fails-1, 5), mostOut))
+		return
+	}
+	e.fails, e.out = 0, time.Time{}
+	bad := 1.0
+	if good {
+		bad, e.served = 0, now
+	}
+	e.errors += learnRate * (bad - e.errors)
+	if e.latency == 0 {
+		e.latency = took
+	}
+	e.latency += time.Duration(learnRate * float64(took-e.latency))
+}
+
+// Drop notes that a request was not run after all, and tells nothing.
+func (p *Peers) Drop(id string) {
+	e := p.of(id)
+	e.running = max(e.running-1, 0)
+}
+
+func (p *Peers) sweep(now time.Time) {
+	for id, e := range p.seen {
+		if e.running == 0 && now.Sub(e.used) > forget {
+			delete(p.seen, id)
+		}
+	}
+}
+
+func contains(list []string, s string) bool {
+	for _, v := range list {
+		if v == s {
+			return true
+		}
+	}
+	return false
+}
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -21,6 +21,11 @@
 	Repeatable  *bool         `json:"repeatable,omitempty"`         // Whether calls may be repeated; nil for true.
 	MaxAnswer   int64         `json:"max-answer,omitzero"`          // Bytes of an answer that is kept or read whole before it is passed on; 0 takes the default.
 	AnnounceKey string        `json:"announce-key-sha256,omitzero"` // Hex SHA-256 of the key with which its upstreams announce themselves; empty lets any join.
+	ByRoute     bool          `json:"by-route,omitzero"`            // Only routes lead to it; it needs neither models nor a service.
+	Slots       int64         `json:"slots,omitzero"`               // Requests that a model engine runs at once; 0 for a plain service.
+	CacheTokens int64         `json:"cache-tokens,omitzero"`        // Tokens that an engine's cache holds; 0 for unknown.
+	EventTokens int64         `json:"event-tokens,omitzero"`        // Tokens in one event of a stream; 0 counts as 1.
+	Connections int           `json:"connections,omitzero"`         // Connections that one upstream takes from all entries; 0 for any.
 	RunOn       *bool         `json:"run-on,omitempty"`             // Whether a keyed request runs to its end when its callers go away; nil for true.
 }
 
--- a/core/raft/member.go
+++ b/core/raft/member.go
@@ -112,7 +112,9 @@
 	}
 	list := slices.DeleteFunc(slices.Clone(r.Replicas()), func(p *wire.Replica) bool { return p.GetId() == m.GetReplica() })
 	if m.GetRole() != wire.Membership_ROLE_NONE {
-		list = append(list, &wire.Replica{Id: m.GetReplica(), Address: m.GetAddress(), Voter: m.GetRole() == wire.Membership_ROLE_VOTER})
+		list = append(list, &wire.Replica{
+			Id: m.GetReplica(), Address: m.GetAddress(), Voter: m.GetRole() == wire.Membership_ROLE_VOTER, DataCentre: m.GetDataCentre(),
+		})
 	}
 	r.confs = append(r.confs, conf{e.GetIndex(), list})
 }
--- a/core/raft/raft.go
+++ b/core/raft/raft.go
@@ -247,6 +247,32 @@
 // Leader is the identity of the leader, empty when none is known.
 func (r *Raft) Leader() string { return r.leader }
 
+// Heard is what a leader knows of another replica of the group.
+type Heard struct {
+	*wire.Replica
+	Silence time.Duration // Since its last answer.
+	Current bool          // It holds all that is committed.
+}
+
+// Peers lists the other replicas as the leader hears them, none elsewhere.
+func (r *Raft) Peers(now time.Time) []Heard {
+	r.advance(now)
+	if r.role != leader {
+		return nil
+	}
+	var list []Heard
+	for _, p := range r.Replicas() {
+		if pr := r.peers[p.GetId()]; pr != nil {
+			since := pr.heard
+			if since.Before(r.since) {
+				since = r.since // A fresh leader has had no time to hear it.
+			}
+			list = append(list, Heard{Replica: p, Silence: r.now.Sub(since), Current: pr.match >= r.commit})
+		}
+	}
+	return list
+}
+
 // Silence is for how long no leader was heard; for the leader itself, for how
 // long no quorum answered. The second result is false where none ever was.
 func (r *Raft) Silence(now time.Time) (time.Duration, bool) {
--- /dev/null
+++ b/core/roster/roster.go
@@ -0,0 +1,104 @@
+// Package roster is the replicated list of upstreams: who exists, where, and
+// whether it leaves. It is part of the replicated state machine.
+package roster
+
+import (
+	"cmp"
+	"slices"
+
+	"azurelane/core/wire"
+)
+
+// keepGone is how many upstreams that are gone stay listed. A late announcement
+// of one of them must not bring it back, and those come seconds late; at a
+// release of all servers of a large deployment some hundred end in that time.
+const keepGone = 512
+
+// Roster holds upstreams by id. The zero value is empty and ready.
+type Roster struct {
+	ups      map[string]*wire.Upstream
+	gone     []string // Oldest first.
+	revision uint64   // Counts changes.
+	dropped  uint64   // Revision of the newest upstream that was dropped from gone.
+}
+
+// Enroll takes what is known of an upstream and reports whether that is new.
+// An upstream that leaves never serves again under its id, and one that is gone
+// never comes back, however late its announcements arrive.
+func (r *Roster) Enroll(u *wire.Upstream) bool {
+	old := r.ups[u.GetId()]
+	if u.GetId() == "" || old.GetState() > u.GetState() || Same(old, u) {
+		return false
+	}
+	if r.ups == nil {
+		r.ups = map[string]*wire.Upstream{}
+	}
+	r.revision++
+	r.ups[u.GetId()] = &wire.Upstream{
+		Id: u.GetId(), Address: cmp.Or(u.GetAddress(), old.GetAddress()), Pool: cmp.Or(u.GetPool(), old.GetPool()),
+		DataCentre: cmp.Or(u.GetDataCentre(), old.GetDataCentre()), Slots: cmp.Or(u.GetSlots(), old.GetSlots()),
+		State: u.GetState(), Revision: r.revision,
+	}
+	if u.GetState() == wire.Upstream_STATE_GONE {
+		r.gone = append(r.gone, u.GetId())
+		r.forget()
+	}
+	return true
+}
+
+// Same reports whether a tells nothing beyond what is known as b.
+func Same(b, a *wire.Upstream) bool {
+	return b != nil && b.GetState() == a.GetState() && (a.GetAddress() == "" || b.GetAddress() == a.GetAddress()) &&
+		(a.GetPool() == "" || b.GetPool() == a.GetPool()) && (a.GetSlots() == 0 || b.GetSlots() == a.GetSlots())
+}
+
+func (r *Roster) forget() {
+	for len(r.gone) > keepGone {
+		r.dropped = max(r.dropped, r.ups[r.gone[0]].GetRevision())
+		delete(r.ups, r.gone[0])
+		r.gone = r.gone[1:]
+	}
+}
+
+// Find returns an upstream, or nil.
+func (r *Roster) Find(id string) *wire.Upstream { return r.ups[id] }
+
+// Revision grows with each change.
+func (r *Roster) Revision() uint64 { return r.revision }
+
+// Since lists what has changed after a revision, in the order of the changes.
+// Whole is set when the list has all upstreams that are not gone instead,
+// because the roster no longer knows all that has ended since.
+func (r *Roster) Since(revision uint64) (list []*wire.Upstream, whole bool) {
+	whole = revision == 0 || revision < r.dropped || revision > r.revision
+	for _, u := range r.ups {
+		if (whole && u.GetState() != wire.Upstream_STATE_GONE) || (!whole && u.GetRevision() > revision) {
+			list = append(list, u)
+		}
+	}
+	slices.SortFunc(list, func(a, b *wire.Upstream) int { return cmp.Compare(a.GetRevision(), b.GetRevision()) })
+	return list, whole
+}
+
+// Save lists all that Load needs.
+func (r *Roster) Save() []*wire.Upstream {
+	list := make([]*wire.Upstream, 0, len(r.ups))
+	for _, u := range r.ups {
+		list = append(list, u)
+	}
+	slices.SortFunc(list, func(a, b *wire.Upstream) int { return cmp.Compare(a.GetRevision(), b.GetRevision()) })
+	return list
+}
+
+// Load replaces the roster by a saved one. Revisions are numbers of the log, so
+// they go on from the highest one.
+func (r *Roster) Load(list []*wire.Upstream) {
+	*r = Roster{ups: make(map[string]*wire.Upstream, len(list))}
+	for _, u := range list {
+		r.ups[u.GetId()] = u
+		r.revision = max(r.revision, u.GetRevision())
+		if u.GetState() == wire.Upstream_STATE_GONE {
+			r.gone = append(r.gone, u.GetId())
+		}
+	}
+}
--- a/core/state/image.go
+++ b/core/state/image.go
@@ -14,6 +14,7 @@
 // changes. It costs a walk over the claims; Encode does the rest.
 func (s *State) Image() *wire.Image {
 	img := &wire.Image{Version: s.version, Change: s.change, Document: s.document, ClockUs: s.clock, Orders: s.orders.Save()}
+	img.Published, img.Publication, img.Roster = s.published, s.publication, s.roster.Save()
 	for _, c := range s.claims {
 		img.Claims = append(img.Claims, c)
 	}
@@ -47,8 +48,9 @@
 	*s = State{
 		version: img.GetVersion(), change: img.GetChange(), document: img.GetDocument(),
 		claims: map[claimKey]*wire.ClaimState{}, results: map[string]*wire.Result{},
-		clock: img.GetClockUs(),
+		clock: img.GetClockUs(), published: img.GetPublished(), publication: img.GetPublication(),
 	}
+	s.roster.Load(img.GetRoster())
 	for _, c := range img.GetClaims() {
 		k := claimKey{c.GetAccount(), c.GetKey()}
 		s.claims[k] = c
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"azurelane/core/order"
+	"azurelane/core/roster"
 	"azurelane/core/sites"
 	"azurelane/core/wire"
 )
@@ -56,6 +57,10 @@
 		orders   order.Order
 		clock    int64 // Highest leader's clock seen, in microseconds.
 		ends     ends
+
+		published   uint64 // Version of the publication.
+		publication []byte
+		roster      roster.Roster
 	}
 
 	claimKey struct{ account, key string }
@@ -77,6 +82,13 @@
 		return s.orders.Start(c.GetId(), k.OrderStart)
 	case *wire.Command_OrderEnd:
 		return s.orders.End(k.OrderEnd)
+	case *wire.Command_Publish:
+		return s.publish(k.Publish)
+	case *wire.Command_Enroll:
+		s.roster.Enroll(k.Enroll.GetUpstream())
+		return &wire.Result{Code: OK}
+	case *wire.Command_Barrier:
+		return &wire.Result{Code: OK}
 	}
 	return &wire.Result{Code: Invalid, Text: fmt.Sprintf("state: no such command %T", c.GetKind())}
 }
@@ -118,6 +130,22 @@
 // Claims is the number of claims remembered.
 func (s *State) Claims() int { return len(s.claims) }
 
+// Publication is the published document of the highest version and its version,
+// zero before the first. The caller must not change it.
+func (s *State) Publication() (uint64, []byte) { return s.published, s.publication }
+
+// Roster lists the upstreams. The caller must not change it.
+func (s *State) Roster() *roster.Roster { return &s.roster }
+
+// publish keeps the document of the highest version. The result names the
+// version in force, which tells the sender of an older one that it was overtaken.
+func (s *State) publish(p *wire.Publish) *wire.Result {
+	if p.GetVersion() > s.published {
+		s.published, s.publication = p.GetVersion(), p.GetDocument()
+	}
+	return &wire.Result{Code: OK, Version: s.published}
+}
+
 func (s *State) claim(c *wire.Claim) *wire.Result {
 	k := claimKey{c.GetAccount(), c.GetKey()}
 	old, ok := s.claims[k]
--- a/io/client/client.go
+++ b/io/client/client.go
@@ -2,6 +2,7 @@
 package client
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -31,6 +32,11 @@
 
 // Client dispatches to upstreams. The zero value is ready.
 type Client struct {
+	// Echo is the header that carries a request's id and that upstreams repeat;
+	// empty for Header.
+	Echo string
+	Idle time.Duration // How long an unused connection is kept; zero for 30 s.
+
 	transport atomic.Pointer[http.Transport]
 	echoes    sync.Map // Hosts whose last answer repeated the request's id.
 }
@@ -72,7 +78,8 @@
 // answer. A repeated id shows it. An answer without an id is safe only on a
 // connection that never carried another request.
 func (c *Client) own(r *http.Request, resp *http.Response, reused bool) error {
-	want, id := r.Header.Get(Header), resp.Header.Get(Header)
+	echo := cmp.Or(c.Echo, Header)
+	want, id := r.Header.Get(echo), resp.Header.Get(echo)
 	if want != "" && id == want {
 		c.echoes.Store(r.URL.Host, nil)
 		return nil
@@ -114,7 +121,7 @@
 			}
 			return &conn{Conn: nc}, nil
 		},
-		MaxIdleConnsPerHost: idlePerHost, IdleConnTimeout: idleLimit, MaxResponseHeaderBytes: headerLimit,
+		MaxIdleConnsPerHost: idlePerHost, IdleConnTimeout: cmp.Or(c.Idle, idleLimit), MaxResponseHeaderBytes: headerLimit,
 		DisableCompression: true, WriteBufferSize: 16 << 10, ReadBufferSize: 16 << 10,
 	}
 	if c.transport.CompareAndSwap(nil, t) {
--- a/io/ctrl/apply.go
+++ b/io/ctrl/apply.go
@@ -76,7 +76,7 @@
 		if err := proto.Unmarshal(e.GetCommand(), &cmd); err != nil {
 			return fmt.Errorf("ctrl: entry %d: %w", e.GetIndex(), err)
 		}
-		r = c.state.Apply(&cmd)
+		r = c.news.apply(&c.state, &cmd)
 	}
 	if m := e.GetMembership(); m != nil {
 		c.Log.Info("Membership changed.", "replica", m.GetReplica(), "address", m.GetAddress(), "role", m.GetRole().String())
@@ -121,7 +121,7 @@
 	if !c.raft.Compact(s.snap) {
 		return nil // The leader sent a newer one.
 	}
-	c.snapped = s.snap.GetIndex()
+	c.snapped, c.snapSize = s.snap.GetIndex(), int64(len(s.snap.GetData()))
 	return s.put(c.raft.Tail()...)
 }
 
--- a/io/ctrl/batch.go
+++ b/io/ctrl/batch.go
@@ -97,13 +97,21 @@
 			p.done <- answer{err: c.notLeader()}
 		}
 	}
-	if c.saving == nil && c.applied >= c.snapped+uint64(max(CompactAfter, c.state.Claims())) { //nolint:gosec // Not negative.
+	if c.saving == nil && c.full() {
 		c.compact()
 	}
 	c.publish(time.Now())
 	return nil
 }
 
+// full reports whether the log is due to be replaced by a snapshot.
+func (c *Ctrl) full() bool {
+	if c.applied >= c.snapped+uint64(max(CompactAfter, c.state.Claims())) { //nolint:gosec // Not negative.
+		return true
+	}
+	return c.store.Size() > max(CompactSize, 2*c.snapSize) && c.applied > c.snapped
+}
+
 func (b *batch) propose() {
 	c, now := b.ctrl, time.Now()
 	var cmds [][]byte
--- a/io/ctrl/ctrl.go
+++ b/io/ctrl/ctrl.go
@@ -27,6 +27,10 @@
 	// that, it is their number: each entry then pays for about one claim of a
 	// snapshot, however many there are.
 	CompactAfter = 1000
+	// CompactSize is the bytes of the log file beyond which it is compacted, too.
+	// Documents of hundreds of routes would else fill a disk of 128 MB within a
+	// thousand changes; this leaves room for sixteen logs.
+	CompactSize = 8 << 20
 	// StaleAfter is how long a replica may hear no leader before it tells the
 	// entries to ask another.
 	StaleAfter = 3 * time.Second
@@ -44,22 +48,24 @@
 	Ctrl struct {
 		Name      string // Node name.
 		Address   netip.AddrPort
-		Control   []netip.AddrPort // Peer addresses of all replicas.
+		Control   []netip.AddrPort // Peer addresses of all replicas, or of those that found the group.
+		Centre    string           // Data centre, where the group forms itself.
 		Bootstrap bool             // Found a group if all other replicas are empty too.
 		After     uint64           // With Bootstrap: the configuration version to go on from.
 		Sender    sender
 		Log       logr.Logger
 
-		store   store
-		id      string
-		raft    *raft.Raft
-		state   state.State
-		snapped uint64     // Index of the newest snapshot.
-		saving  chan saved // Brings the snapshot that is being written; nil for none.
-		applied uint64
-		waiting map[uint64]*proposal // By log index.
-		clock   clock
-		expire  time.Time // When expired claims are next looked for.
+		store    store
+		id       string
+		raft     *raft.Raft
+		state    state.State
+		snapped  uint64     // Index of the newest snapshot.
+		snapSize int64      // Bytes of the newest snapshot's data.
+		saving   chan saved // Brings the snapshot that is being written; nil for none.
+		applied  uint64
+		waiting  map[uint64]*proposal // By log index.
+		clock    clock
+		expire   time.Time // When expired claims are next looked for.
 
 		in    chan *wire.Raft
 		props chan *proposal
@@ -69,6 +75,7 @@
 		once  sync.Once
 		done  chan struct{}
 
+		news  news
 		view  atomic.Pointer[view]
 		beats beats
 		peers peers
@@ -85,6 +92,7 @@
 		Append(recs ...*wire.Record) error
 		Compact(snap *wire.Snapshot, recs ...*wire.Record) error
 		Prepare(snap *wire.Snapshot) (put func(recs ...*wire.Record) error, err error)
+		Size() int64
 		Close() error
 	}
 )
@@ -125,10 +133,13 @@
 	if snap == nil {
 		return nil
 	}
+	c.news.mu.Lock()
+	defer c.news.mu.Unlock()
 	if err := c.state.Load(snap.GetData()); err != nil {
 		return fmt.Errorf("ctrl: %w", err)
 	}
 	c.applied, c.snapped = snap.GetIndex(), snap.GetIndex()
+	c.news.tell()
 	return nil
 }
 
--- a/io/ctrl/ctrl_test.go
+++ b/io/ctrl/ctrl_test.go
@@ -11,6 +11,7 @@
 	"github.com/shoenig/test/must"
 	"github.com/thejerf/suture/v4"
 
+	"azurelane/core/raft"
 	"azurelane/core/state"
 	"azurelane/core/wire"
 	"azurelane/io/leader"
@@ -215,7 +216,7 @@
 	})
 }
 
-// A replica lags by a second only, which it can't tell: it heard the leader a
+// A replica lags by half a second only, which it can't tell: it heard the leader a
 // moment ago. An entry that had the newest version restarts with nothing and
 // asks it first. It must be sent on, or its site would go back to the old one.
 func TestFirstBeatIsForTheLeader(t *testing.T) {
@@ -225,7 +226,9 @@
 		lag := n.other(l)
 		n.isolate(lag.Address, true)
 		command(t, l, change("c2", 1))
-		time.Sleep(time.Second)
+		// Shorter than the least election timeout, which counts from the last
+		// heartbeat: a replica that campaigns follows no leader and can tell.
+		time.Sleep(raft.Election / 2)
 		beat := func(r *replica, version uint64) *wire.BeatReply {
 			f, err := r.Handle(context.Background(), &wire.Frame{Body: &wire.Frame_Beat{Beat: &wire.Beat{Node: "entry-1", Version: version}}})
 			must.NoError(t, err)
--- a/io/ctrl/fake_test.go
+++ b/io/ctrl/fake_test.go
@@ -263,4 +263,7 @@
 	return s.snap.GetIndex()
 }
 
+// Size is of no matter: the tests compact by the number of entries.
+func (*memStore) Size() int64 { return 0 }
+
 func (*memStore) Close() error { return nil }
--- a/io/ctrl/found.go
+++ b/io/ctrl/found.go
@@ -55,7 +55,7 @@
 }
 
 func (c *Ctrl) askOthers(ctx context.Context) ([]*wire.Replica, error) {
-	list := []*wire.Replica{{Id: c.id, Address: c.Address.String(), Voter: true}}
+	list := []*wire.Replica{{Id: c.id, Address: c.Address.String(), Voter: true, DataCentre: c.Centre}}
 	for _, to := range c.Control {
 		if to == c.Address {
 			continue
@@ -70,7 +70,7 @@
 		if s.GetBootstrap() && to.Compare(c.Address) < 0 {
 			return nil, fmt.Errorf("ctrl: %s is to found it", to)
 		}
-		list = append(list, &wire.Replica{Id: s.GetIdentity(), Address: to.String(), Voter: true})
+		list = append(list, &wire.Replica{Id: s.GetIdentity(), Address: to.String(), Voter: true, DataCentre: s.GetDataCentre()})
 	}
 	return list, nil
 }
--- a/io/ctrl/view.go
+++ b/io/ctrl/view.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"azurelane/core/raft"
 	"azurelane/core/wire"
 )
 
@@ -20,6 +21,8 @@
 		at          time.Time
 		silence     time.Duration // For how long no leader was heard, at that time.
 		heard       bool          // A leader was ever heard.
+		leads       bool
+		peers       []raft.Heard // Of a leader.
 	}
 
 	// beats holds the last beat of each entry. The zero value is ready.
@@ -41,11 +44,15 @@
 	// A replica back from a cut hears the leader before it has caught up. Its
 	// old document must not be taken for the newest by an entry that starts.
 	v.heard = v.heard && !c.raft.Lags()
-	v.Replica, v.Address, v.Identity = c.Name, c.Address.String(), c.id
+	v.Replica, v.Address, v.Identity, v.DataCentre = c.Name, c.Address.String(), c.id, c.Centre
 	v.Leader, v.Term, v.Commit = c.addressOf(c.raft.Leader()), c.raft.Term(), c.applied
 	v.Version, v.Change, v.Document = c.state.Version(), c.state.Change(), c.state.Document()
 	v.Claims, v.Group, v.Bootstrap = uint64(c.state.Claims()), c.raft.Group(), c.Bootstrap //nolint:gosec // Not negative.
-	v.Replicas = c.raft.Replicas()
+	v.Replicas, v.peers = c.raft.Replicas(), c.raft.Peers(now)
+	v.leads = c.raft.Leads()
+	if was := c.view.Load(); was != nil && was.leads != v.leads {
+		defer c.news.tell()
+	}
 	for _, r := range v.GetReplicas() {
 		if r.GetVoter() {
 			v.Voters = append(v.Voters, r.GetAddress())
@@ -65,7 +72,7 @@
 func (c *Ctrl) statusOf(v *view) *wire.Status {
 	now := time.Now()
 	return &wire.Status{
-		Replica: v.GetReplica(), Address: v.GetAddress(), Identity: v.GetIdentity(), Leader: v.GetLeader(), Term: v.GetTerm(),
+		Replica: v.GetReplica(), Address: v.GetAddress(), Identity: v.GetIdentity(), DataCentre: v.GetDataCentre(), Leader: v.GetLeader(), Term: v.GetTerm(),
 		Commit: v.GetCommit(), Version: v.GetVersion(), Change: v.GetChange(), Document: v.GetDocument(), Claims: v.GetClaims(),
 		Group: v.GetGroup(), Bootstrap: v.GetBootstrap(), Voters: v.GetVoters(), Learners: v.GetLearners(),
 		Replicas: v.GetReplicas(), Stale: v.stale(now), Nodes: c.beats.list(now),
--- /dev/null
+++ b/io/gate/gate.go
@@ -0,0 +1,173 @@
+// Package gate serves the callers of routes: it finds the route and the client
+// account of a request, gets a place for it at an upstream, and passes the
+// answer on.
+package gate
+
+import (
+	"context"
+	"crypto/sha256"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"azurelane/core/allow"
+	"azurelane/core/budget"
+	"azurelane/core/index"
+	"azurelane/core/meta"
+	"azurelane/core/peers"
+	"azurelane/core/refuse"
+	"azurelane/core/wire"
+	"azurelane/io/stats"
+	"azurelane/io/watch"
+)
+
+type (
+	// Gate is the handler of callers' requests. Its exported fields are set
+	// before use.
+	Gate struct {
+		Node        string
+		Incarnation string
+		Centre      string
+		News        news
+		Granter     granter
+		Sender      sender
+		Dialect     dialect
+		Ratio       float64 // Part of the requests that may be sent a second time.
+		Slack       float64 // Second sends beyond that, over all entries.
+		Stats       *stats.Stats
+		Log         logr.Logger
+
+		draining atomic.Bool
+		last     atomic.Uint64 // Ticket number.
+
+		mu      sync.Mutex // Of what follows.
+		peers   peers.Peers
+		budgets map[string]*budget.Budget // By pool.
+		usage   map[string]int64          // Units by account, not reported yet.
+		own     allow.Allow               // Used while no scheduler answers.
+		ownOf   *index.Index              // What own was made from.
+		longest map[string]time.Duration  // Longest deadline seen, by route.
+	}
+
+	// news is what the entry knows of the deployment.
+	news interface {
+		View() *watch.View
+		Doubt(ctx context.Context)
+		Replaced(id string)
+	}
+
+	granter interface {
+		Grant(ctx context.Context, t *wire.Ticket) (*wire.Grant, error)
+		Release(r *wire.Release)
+	}
+
+	// sender does one round trip; see client.Client.
+	sender interface {
+		Send(ctx context.Context, r *http.Request) (*http.Response, bool, error)
+	}
+
+	// dialect knows how headers are spoken here.
+	dialect interface {
+		// Read returns what the caller's header says.
+		Read(h http.Header) (meta.Meta, error)
+		// Forward returns the header for an upstream: without what concerns one
+		// connection, the caller's key, and what only this system may say.
+		Forward(h http.Header) http.Header
+		// Stamp adds what one upstream is told.
+		Stamp(h http.Header, hop meta.Hop)
+		// NotRun reports whether an upstream says that it did not run the request.
+		NotRun(r *http.Response) bool
+		// Other reports whether another upstream than the one meant has answered.
+		Other(r *http.Response) bool
+		// Genuine reports whether an answer shows that an upstream made it.
+		Genuine(r *http.Response) bool
+		// Refuse adds to the header of a refusal when the caller may come back.
+		Refuse(h http.Header, after time.Duration)
+	}
+)
+
+const (
+	bodyLimit = 4 << 20 // Bytes of a body where the configuration sets no limit.
+	// notReadyRetry is what callers are told while no configuration is known.
+	notReadyRetry = 500 * time.Millisecond
+)
+
+// Drain makes callers close their connections: each answer asks them to.
+func (g *Gate) Drain() { g.draining.Store(true) }
+
+// Ready reports whether callers should be sent here.
+func (g *Gate) Ready() bool { return !g.draining.Load() && g.News.View().Index != nil }
+
+// ServeHTTP serves one request.
+func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	q := &request{gate: g, w: w, r: r, start: time.Now(), view: g.News.View()}
+	if g.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	if err := q.open(); err != nil {
+		q.refuse(err)
+		return
+	}
+	q.serve()
+}
+
+// open finds out what the request is about and reads its body.
+func (q *request) open() *refuse.Error {
+	if q.view.Index == nil {
+		return refuse.New(refuse.NotReady, "no configuration yet", notReadyRetry)
+	}
+	q.route = q.view.Index.Route(q.r.Host, q.r.URL.Path)
+	if q.route == nil {
+		return refuse.New(refuse.NotFound, "no route for that host and path", 0)
+	}
+	if err := q.identify(); err != nil {
+		return err
+	}
+	m, err := q.gate.Dialect.Read(q.r.Header)
+	if err != nil {
+		return refuse.New(refuse.BadRequest, err.Error(), 0)
+	}
+	q.meta = m
+	q.pool = q.route.Pool()
+	return q.readBody()
+}
+
+// identify finds the client account by its key.
+func (q *request) identify() *refuse.Error {
+	if q.route.Public || len(q.view.Index.Config().Accounts) == 0 {
+		return nil
+	}
+	key, ok := strings.CutPrefix(q.r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return refuse.New(refuse.BadKey, "no key", 0)
+	}
+	q.account, q.limits, ok = q.view.Index.Account(sha256.Sum256([]byte(key)))
+	if !ok {
+		return refuse.New(refuse.BadKey, "no account has that key", 0)
+	}
+	return nil
+}
+
+func (q *request) readBody() *refuse.Error {
+	limit := q.view.Index.Config().Limits.BodyBytes
+	if limit <= 0 {
+		limit = bodyLimit
+	}
+	if q.r.ContentLength > limit {
+		return refuse.New(refuse.TooLarge, "", 0)
+	}
+	data, err := readAll(http.MaxBytesReader(q.w, q.r.Body, limit), q.r.ContentLength)
+	var large *http.MaxBytesError
+	switch {
+	case err == nil:
+		q.body = data
+		return nil
+	case asError(err, &large):
+		return refuse.New(refuse.TooLarge, "", 0)
+	}
+	return refuse.New(refuse.BadRequest, "the body did not come whole", 0)
+}
--- /dev/null
+++ b/io/gate/place.go
@@ -0,0 +1,198 @@
+package gate
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"azurelane/core/allow"
+	"azurelane/core/budget"
+	"azurelane/core/peers"
+	"azurelane/core/refuse"
+	"azurelane/core/wire"
+	"azurelane/io/grant"
+)
+
+const (
+	// doubtAfter is how long a ticket waits before the scheduler is asked whether
+	// it lives. Most tickets are decided within milliseconds.
+	doubtAfter = 200 * time.Millisecond
+	// aloneShare is by how much the entries may together give an engine more
+	// than its batch while each of them places requests by itself.
+	aloneShare = 1.5
+	// budgetPart is the part of the deployment's bound on second sends that
+	// entries use, so that uneven shares stay within it.
+	budgetPart = 0.7
+	// leastBurst is what an entry may always send again at once.
+	leastBurst = 2
+	aloneRetry = 700 * time.Millisecond // What callers are told while entries place requests by themselves.
+)
+
+// place is leave to send a request to one upstream.
+type place struct {
+	q      *request
+	up     *wire.Upstream
+	ticket *wire.Ticket
+	grant  *wire.Grant // Nil when this entry chose by itself.
+}
+
+// place finds an upstream for the request.
+func (q *request) place(ctx context.Context) (*place, error) {
+	q.view = q.gate.News.View()
+	pool := q.view.Index.Pool(q.pool)
+	if pool.Slots > 0 && q.view.Owner != nil {
+		p, err := q.granted(ctx)
+		if !errors.Is(err, grant.ErrNoOwner) {
+			return p, err
+		}
+		q.view = q.gate.News.View()
+	}
+	return q.choose(ctx, pool.Slots)
+}
+
+// granted asks the scheduler.
+func (q *request) granted(ctx context.Context) (*place, error) {
+	t := q.ticket()
+	var doubt *time.Timer
+	doubt = time.AfterFunc(doubtAfter, func() {
+		q.gate.News.Doubt(ctx)
+		doubt.Reset(doubtAfter)
+	})
+	g, err := q.gate.Granter.Grant(ctx, t)
+	doubt.Stop()
+	if err != nil {
+		return nil, err
+	}
+	return &place{q: q, ticket: t, grant: g, up: &wire.Upstream{Id: g.GetUpstream(), Address: g.GetAddress()}}, nil
+}
+
+// choose takes the upstream that looks best from here.
+func (q *request) choose(ctx context.Context, slots int64) (*place, error) {
+	if ctx.Err() != nil {
+		return nil, context.Cause(ctx)
+	}
+	g, now := q.gate, time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if wait, ok := g.allowed(now, q); !ok {
+		return nil, refuse.New(refuse.AccountLimit, "", wait)
+	}
+	c := peers.Choice{Centre: g.Centre, Avoid: q.avoid, Silent: q.view.Silent}
+	if slots > 0 {
+		c.Most = max(int(aloneShare*float64(slots)/float64(max(q.view.Entries, 1))), 1)
+	}
+	u := g.peers.Pick(now, q.view.Upstreams[q.pool], c)
+	if u == nil {
+		code := refuse.NoUpstream
+		if slots > 0 {
+			code = refuse.Overloaded
+		}
+		return nil, refuse.New(code, "no upstream with room is known here", aloneRetry)
+	}
+	g.peers.Begin(now, u.GetId())
+	return &place{q: q, up: u}, nil
+}
+
+// allowed counts a request that no scheduler sees against its account. While
+// there is a scheduler it is reported there, and only there is a limit on it;
+// without one each entry keeps to its share. The lock is held.
+func (g *Gate) allowed(now time.Time, q *request) (time.Duration, bool) {
+	if q.sends > 0 || q.account == "" {
+		return 0, true
+	}
+	if q.view.Owner != nil {
+		if g.usage == nil {
+			g.usage = map[string]int64{}
+		}
+		g.usage[q.account] += q.units()
+		g.ownOf = nil
+		return 0, true
+	}
+	if g.ownOf != q.view.Index {
+		g.own = allow.Allow{}
+		g.own.Set(now, q.view.Index.Config().Accounts, 1/float64(max(q.view.Entries, 1)))
+		g.ownOf = q.view.Index
+	}
+	return g.own.Take(now, q.account, q.units())
+}
+
+// done gives the place back with what the run was like.
+func (p *place) done(res result) {
+	g := p.q.gate
+	if res.end == other {
+		g.News.Replaced(p.up.GetId())
+	}
+	if p.grant == nil {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		switch res.end {
+		case busy, other, left:
+			g.peers.Drop(p.up.GetId())
+		case whole, failed:
+			g.peers.End(time.Now(), p.up.GetId(), res.total, true, res.end == whole)
+		case unsent, broken:
+			g.peers.End(time.Now(), p.up.GetId(), res.total, false, false)
+		}
+		return
+	}
+	t := p.ticket
+	g.Granter.Release(&wire.Release{
+		Ticket: t.GetId(), Entry: t.GetEntry(), Incarnation: t.GetIncarnation(), Pool: t.GetPool(), Upstream: p.up.GetId(),
+		Slot: p.grant.GetSlot(), Owner: p.grant.GetOwner(), Account: t.GetAccount(), Dispatched: res.end != unsent && res.end != other,
+		Failed: res.end == failed || res.end == broken || res.end == unsent || res.end == other, Busy: res.end == busy,
+		FirstTokenUs: res.first.Microseconds(), TotalUs: res.total.Microseconds(), Pieces: res.events,
+	})
+}
+
+// first counts a request's first send, and learns how long callers of its
+// route wait at most.
+func (g *Gate) first(q *request) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.longest == nil {
+		g.longest, g.budgets = map[string]time.Duration{}, map[string]*budget.Budget{}
+	}
+	g.longest[q.route.Name] = max(g.longest[q.route.Name], q.meta.Deadline)
+	b := g.budgets[q.pool]
+	if b == nil {
+		b = &budget.Budget{Ratio: budgetPart * g.Ratio}
+		g.budgets[q.pool] = b
+	}
+	b.Burst = max(budgetPart*g.Slack/float64(max(q.view.Entries, 1)), leastBurst)
+	b.Add()
+}
+
+// spend reports whether a request may be sent to a second upstream of a pool.
+func (g *Gate) spend(pool string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	b := g.budgets[pool]
+	return b != nil && b.Take()
+}
+
+// before is how long ago the caller first tried, as far as it can be told: an
+// attempt after a refusal comes with less time than a first one.
+func (g *Gate) before(q *request) time.Duration {
+	if q.meta.Deadline <= 0 {
+		return 0
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return max(g.longest[q.route.Name]-q.meta.Deadline, 0)
+}
+
+// Usage takes what was served without asking a scheduler since the last call.
+func (g *Gate) Usage() *wire.Usage {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(g.usage) == 0 {
+		return nil
+	}
+	u := &wire.Usage{Incarnation: g.Incarnation}
+	for a, n := range g.usage {
+		u.Accounts = append(u.Accounts, &wire.AccountUsage{Account: a, Units: n})
+	}
+	g.usage = nil
+	return u
+}
--- /dev/null
+++ b/io/gate/request.go
@@ -0,0 +1,270 @@
+package gate
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"azurelane/core/acct"
+	"azurelane/core/meta"
+	"azurelane/core/refuse"
+	"azurelane/core/route"
+	"azurelane/core/wire"
+	"azurelane/io/watch"
+)
+
+type (
+	// request is one attempt of a caller.
+	request struct {
+		gate    *Gate
+		w       http.ResponseWriter
+		r       *http.Request
+		start   time.Time
+		view    *watch.View
+		route   *route.Route
+		pool    string
+		account string
+		limits  acct.Account
+		meta    meta.Meta
+		body    []byte
+
+		avoid  []string // Upstreams that failed it.
+		sends  int
+		ran    int    // Upstreams that may have run it.
+		begun  bool   // The answer's header has left.
+		last   string // Last event that has left.
+		events int64
+	}
+
+	// result is how one send ended.
+	result struct {
+		end    ending
+		status int
+		keep   *kept // An upstream's failure to pass on if no other send does better.
+		first  time.Duration
+		total  time.Duration
+		events int64
+		err    error
+	}
+
+	ending int
+)
+
+// How a send can end.
+const (
+	whole  ending = iota // The caller has the whole answer.
+	unsent               // No byte has left.
+	busy                 // The upstream did not run it.
+	other                // Another upstream has the address; nothing ran.
+	failed               // The upstream ran it and answered with a failure.
+	broken               // It may have run, and there is no whole answer.
+	left                 // The caller went away.
+)
+
+var (
+	errDeadline = errors.New("gate: the time is over")
+	errQuiet    = errors.New("gate: upstream silent")
+)
+
+const (
+	// maxSends bounds the sends of one request, those that reached nobody among
+	// them.
+	maxSends = 6
+	// answerMargin is how long before the caller's deadline it gets its final
+	// answer: the way to it takes some milliseconds.
+	answerMargin = 15 * time.Millisecond
+	// leastTime is the time below which a send is no use.
+	leastTime = 5 * time.Millisecond
+)
+
+// serve sends the request until one send ends it.
+func (q *request) serve() {
+	ctx, cancel := context.WithTimeoutCause(q.r.Context(), q.limit(), errDeadline)
+	defer cancel()
+	q.gate.first(q)
+	for {
+		p, err := q.place(ctx)
+		if err != nil {
+			q.unplaced(ctx, err)
+			return
+		}
+		res := q.send(ctx, p)
+		p.done(res)
+		if !q.again(ctx, p, res) {
+			q.end(ctx, res)
+			return
+		}
+	}
+}
+
+// limit is the time until the final answer.
+func (q *request) limit() time.Duration {
+	d := q.route.Timeout
+	if q.meta.Deadline > 0 && q.meta.Deadline < d {
+		d = q.meta.Deadline
+	}
+	return max(d-answerMargin, leastTime)
+}
+
+// left is the time until the final answer.
+func (q *request) left() time.Duration { return q.limit() - time.Since(q.start) }
+
+// again reports whether the request may be sent once more after a send that
+// ended so.
+func (q *request) again(ctx context.Context, p *place, res result) bool {
+	switch res.end {
+	case whole, left:
+		return false
+	case failed, broken:
+		q.ran++
+		if !q.route.Repeatable() || q.ran >= q.route.Most() {
+			return false
+		}
+	case unsent, busy, other:
+	}
+	q.avoid = append(q.avoid, p.up.GetId())
+	q.sends++
+	if q.sends >= maxSends || ctx.Err() != nil || q.left() < leastTime {
+		return false
+	}
+	if res.end == unsent {
+		return true // It is no second arrival anywhere.
+	}
+	return q.gate.spend(q.pool)
+}
+
+// unplaced answers a request for which there is no place.
+func (q *request) unplaced(ctx context.Context, err error) {
+	var no *refuse.Error
+	switch {
+	case q.r.Context().Err() != nil:
+		q.abort("caller left", err)
+	case q.begun:
+		q.abort("no upstream to go on at", err)
+	case q.ran > 0:
+		q.refuse(refuse.New(refuse.UpstreamLost, "no upstream for another send", 0))
+	case errors.As(err, &no):
+		q.refuse(no)
+	case context.Cause(ctx) == errDeadline: //nolint:errorlint // The cause itself.
+		q.refuse(refuse.New(refuse.Deadline, "", notReadyRetry))
+	default:
+		q.refuse(refuse.New(refuse.NoUpstream, err.Error(), notReadyRetry))
+	}
+}
+
+// end gives the final answer after the last send.
+func (q *request) end(ctx context.Context, res result) {
+	switch {
+	case res.end == whole:
+		q.served(res)
+	case res.end == left, q.r.Context().Err() != nil:
+		q.abort("caller left", res.err)
+	case q.begun:
+		q.abort("stream broken", res.err)
+	case res.keep != nil:
+		q.gate.Stats.Count("answers-failed", 1)
+		q.note("Upstream's failure passed on.", res)
+		res.keep.write(q.w)
+	case q.ran > 0 && context.Cause(ctx) == errDeadline: //nolint:errorlint // The cause itself.
+		q.refuse(refuse.New(refuse.DeadlinePassed, "", 0))
+	case q.ran > 0:
+		q.refuse(refuse.New(refuse.UpstreamLost, errText(res.err), 0))
+	default:
+		q.refuse(refuse.New(refuse.Unreachable, errText(res.err), notReadyRetry))
+	}
+}
+
+// refuse gives an answer of this system's own.
+func (q *request) refuse(e *refuse.Error) {
+	q.gate.Stats.Count("refused-"+e.Code, 1)
+	q.gate.Log.Info("Request refused.", "request", q.meta.ID, "code", e.Code, "why", e.Text, "status", e.Status(),
+		"retry-after", e.RetryAfter.String(), "route", q.name(), "account", q.account, "pool", q.pool,
+		"version", q.view.Version, "sends", q.sends, "ran", q.ran, "took", time.Since(q.start).String())
+	if e.RetryAfter > 0 {
+		q.gate.Dialect.Refuse(q.w.Header(), e.RetryAfter)
+	}
+	http.Error(q.w, "azurelane: "+e.Error(), e.Status())
+}
+
+// abort ends the answer so that the caller sees that it is not whole.
+func (q *request) abort(why string, err error) {
+	q.gate.Stats.Count("aborted", 1)
+	q.gate.Log.Info("Request ends without a whole answer.", "request", q.meta.ID, "why", why, "err", errText(err),
+		"route", q.name(), "account", q.account, "pool", q.pool, "sends", q.sends, "ran", q.ran,
+		"events", q.events, "took", time.Since(q.start).String())
+	panic(http.ErrAbortHandler)
+}
+
+// served counts a whole answer.
+func (q *request) served(res result) {
+	q.gate.Stats.Count("answers-whole", 1)
+	q.gate.Stats.Time("first-"+q.name(), res.first)
+	q.gate.Stats.Time("total-"+q.name(), time.Since(q.start))
+	q.gate.Log.V(1).Info("Answer whole.", "request", q.meta.ID, "route", q.name(), "sends", q.sends,
+		"first", res.first.String(), "took", time.Since(q.start).String())
+}
+
+func (q *request) note(what string, res result) {
+	q.gate.Log.Info(what, "request", q.meta.ID, "route", q.name(), "account", q.account, "pool", q.pool,
+		"status", res.status, "err", errText(res.err), "sends", q.sends, "ran", q.ran, "took", time.Since(q.start).String())
+}
+
+func (q *request) name() string {
+	if q.route == nil {
+		return ""
+	}
+	return q.route.Name
+}
+
+// ticket describes the request to the scheduler.
+func (q *request) ticket() *wire.Ticket {
+	prio := q.route.Priority
+	if q.limits.Priority != nil {
+		prio = *q.limits.Priority
+	}
+	t := &wire.Ticket{
+		Id: q.gate.last.Add(1), Entry: q.gate.Node, Incarnation: q.gate.Incarnation, Account: q.account, Pool: q.pool,
+		Model: "", DeadlineUs: q.left().Microseconds(), PromptTokens: q.meta.Prompt, AnswerTokens: q.meta.Tokens(),
+		PrefixHash: q.meta.Session, Repeatable: q.route.Repeatable(), Avoid: q.avoid, Route: q.route.Name,
+		Priority: int32(min(prio, 100)), Returned: q.sends > 0, //nolint:gosec // Bounded.
+	}
+	if q.sends == 0 {
+		t.Units = q.units()
+	}
+	if q.route.Objective > 0 && !q.begun {
+		t.ObjectiveUs = (q.route.Objective - q.gate.before(q) - time.Since(q.start)).Microseconds()
+	}
+	return t
+}
+
+// units is what the request counts against its account's rate.
+func (q *request) units() int64 { return q.limits.Units(q.meta.Prompt + q.meta.Answer) }
+
+func errText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+func asError[T error](err error, target *T) bool { return errors.As(err, target) }
+
+// readAll reads a body whose length is known, or -1.
+func readAll(r io.Reader, size int64) ([]byte, error) {
+	if size == 0 {
+		return nil, nil
+	}
+	var buf bytes.Buffer
+	if size > 0 {
+		buf.Grow(int(size) + bytes.MinRead)
+	}
+	if _, err := buf.ReadFrom(r); err != nil {
+		return nil, fmt.Errorf("gate: read: %w", err)
+	}
+	return buf.Bytes(), nil
+}
--- /dev/null
+++ b/io/gated/gated.go
@@ -0,0 +1,195 @@
+// Package gated is the process of an entry for routes.
+package gated
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"runtime/debug"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/google/uuid"
+	"github.com/thejerf/suture/v4"
+
+	"azurelane/core/conf"
+	"azurelane/core/wire"
+	"azurelane/io/admin"
+	"azurelane/io/client"
+	"azurelane/io/gate"
+	"azurelane/io/grant"
+	"azurelane/io/httpd"
+	"azurelane/io/local"
+	"azurelane/io/mesh"
+	"azurelane/io/stats"
+	"azurelane/io/watch"
+)
+
+const (
+	// memoryPart is the part of the allowed memory at which the collector works
+	// harder; the rest is for stacks and what the kernel holds for the process.
+	memoryPart = 0.7
+	// lingerFor is how long a stopping entry still takes new connections: the
+	// balancer asks each second and takes it out after two refusals.
+	lingerFor = 2500 * time.Millisecond
+	// stopMargin is how long before the drain limit the process has ended.
+	stopMargin = 600 * time.Millisecond
+	farewell   = time.Second
+	usageEvery = 250 * time.Millisecond // Between two reports of what was served without asking.
+	idleConns  = 4 * time.Second        // How long an unused connection to an upstream is kept.
+)
+
+// Gated is one such process. Open makes it.
+type Gated struct {
+	set    *local.Local
+	log    logr.Logger
+	gate   *gate.Gate
+	watch  *watch.Watch
+	grant  *grant.Grant
+	mesh   *mesh.Mesh
+	client *client.Client
+	sup    *suture.Supervisor
+	front  *httpd.Httpd
+}
+
+// Open binds the entry's addresses. The gate comes with its dialect set.
+func Open(set *local.Local, g *gate.Gate, echo string, parse func(doc []byte) (*conf.Config, error), log logr.Logger) (*Gated, error) {
+	if set.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryPart * float64(set.MemoryMB<<20)))
+	}
+	incarnation := uuid.NewString()[:8]
+	e := &Gated{set: set, log: log.WithName("gate"), gate: g, client: &client.Client{Echo: echo, Idle: idleConns}}
+	lns, err := listen(set.Peers.String(), set.Callers, set.Ready)
+	if err != nil {
+		return nil, err
+	}
+	metrics := stats.New()
+	metrics.Runtime()
+	e.mesh = &mesh.Mesh{Listen: lns[0], Self: set.Peers, Handle: nothing, Log: log.WithName("mesh")}
+	e.watch = &watch.Watch{
+		Node: set.Node, Incarnation: incarnation, Centre: set.Centre, Self: set.Peers, Seeds: e.seeds, Mesh: e.mesh,
+		Parse: parse, Log: log.WithName("watch"),
+	}
+	e.grant = &grant.Grant{
+		Self: set.Node, Incarnation: incarnation, Local: none{}, Members: e.watch, Mesh: e.mesh, Log: log.WithName("grant"),
+	}
+	e.watch.Changed = e.grant.Changed
+	g.Node, g.Incarnation, g.Centre = set.Node, incarnation, set.Centre
+	g.News, g.Granter, g.Sender, g.Stats, g.Log = e.watch, e.grant, e.client, metrics, e.log
+	g.Ratio, g.Slack = set.RetryRatio, set.RetrySlack
+	e.front = &httpd.Httpd{Listen: lns[1], Handler: g, Drain: set.DrainLimit - lingerFor - farewell - stopMargin, Farewell: farewell}
+	ops := &admin.Admin{Stats: metrics, Ready: g.Ready}
+	e.sup = suture.New("gate", suture.Spec{EventHook: func(ev suture.Event) { e.log.Info("Part stopped.", "event", ev.String()) }})
+	for _, s := range []suture.Service{e.mesh, e.watch, e.grant, &httpd.Httpd{Listen: lns[2], Handler: ops.Handler()}} {
+		e.sup.Add(s)
+	}
+	if set.Metrics != "" {
+		ln, err := net.Listen("tcp", set.Metrics)
+		if err != nil {
+			return nil, fmt.Errorf("gated: listen: %w", err)
+		}
+		e.sup.Add(&httpd.Httpd{Listen: ln, Handler: ops.Handler()})
+	}
+	return e, nil
+}
+
+func listen(addrs ...string) ([]net.Listener, error) {
+	var lns []net.Listener
+	for _, a := range addrs {
+		ln, err := net.Listen("tcp", a)
+		if err != nil {
+			for _, l := range lns {
+				_ = l.Close()
+			}
+			return nil, fmt.Errorf("gated: listen: %w", err)
+		}
+		lns = append(lns, ln)
+	}
+	return lns, nil
+}
+
+// seeds reads the settings anew: the file may change without a signal.
+func (e *Gated) seeds() []netip.AddrPort {
+	now, err := e.set.Reread()
+	if err != nil {
+		e.log.Info("Settings not read again; the former seeds stay.", "err", err.Error())
+	}
+	return now.SeedPeers()
+}
+
+// Serve runs until ctx ends. The entry then says that it is not ready, still
+// serves until the balancer has seen it, and ends when no request is left.
+func (e *Gated) Serve(ctx context.Context) error {
+	parts, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	done := e.sup.ServeBackground(parts)
+	go e.report(parts)
+	fctx, fstop := context.WithCancel(parts)
+	defer fstop()
+	served := make(chan error, 1)
+	go func() { served <- e.front.Serve(fctx) }()
+	e.log.Info("Entry serves.", "node", e.set.Node, "callers", e.set.Callers)
+	select {
+	case <-ctx.Done():
+	case err := <-served:
+		return fmt.Errorf("gated: %w", err)
+	case err := <-done:
+		return fmt.Errorf("gated: %w", err)
+	}
+	e.log.Info("Entry drains.")
+	e.gate.Drain()
+	time.Sleep(lingerFor)
+	fstop()
+	<-served //nolint:errcheck // It ended because it was told to.
+	cancel()
+	<-done //nolint:errcheck // The parts ended because they were told to.
+	e.client.Close()
+	e.log.Info("Entry stopped.")
+	return nil
+}
+
+// report tells the scheduler what accounts used without asking it.
+func (e *Gated) report(ctx context.Context) {
+	tick := time.NewTicker(usageEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		owner := e.watch.Owner("")
+		if owner == nil {
+			continue
+		}
+		u := e.gate.Usage()
+		to, err := netip.ParseAddrPort(owner.GetAddress())
+		if u == nil || err != nil {
+			continue
+		}
+		sctx, cancel := context.WithTimeout(ctx, usageEvery)
+		if err := e.mesh.Send(sctx, to, &wire.Frame{Body: &wire.Frame_Usage{Usage: u}}); err != nil {
+			e.log.V(1).Info("Usage not reported.", "err", err.Error())
+		}
+		cancel()
+	}
+}
+
+// none is the granting part's own scheduler: an entry for routes has none.
+type none struct{}
+
+// Submit is never called: no owner is this process.
+func (none) Submit(context.Context, *wire.Ticket) (*wire.Decision, error) {
+	return nil, grant.ErrNoOwner
+}
+
+// Release is never called.
+func (none) Release(*wire.Release) {}
+
+// Hold is never called.
+func (none) Hold(*wire.Held) {}
+
+func nothing(context.Context, *wire.Frame) (*wire.Frame, error) {
+	return nil, &wire.Fault{Code: "unsupported", Text: "an entry for routes answers nothing"}
+}
--- a/io/grant/grant.go
+++ b/io/grant/grant.go
@@ -38,6 +38,10 @@
 
 var errMoved = errors.New("grant: the pool has moved")
 
+// ErrNoOwner is returned at once while no owner of the pool is known, where
+// Members may return none. The caller then places the request by itself.
+var ErrNoOwner = errors.New("grant: no owner is known")
+
 type (
 	// Grant asks the owner of a pool, in this process or another. Its exported
 	// fields are set before use.
@@ -76,7 +80,7 @@
 	}
 
 	members interface {
-		Owner(pool string) *wire.Member
+		Owner(pool string) *wire.Member // Nil while none is known.
 		Alive() []*wire.Member
 	}
 
@@ -109,6 +113,9 @@
 			return nil, refuse.New(refuse.Deadline, "no scheduler answered in time", time.Second)
 		}
 		d, err := g.ask(ctx, now, broken)
+		if errors.Is(err, ErrNoOwner) {
+			return nil, err
+		}
 		if err == nil && d.GetRefusal().GetCode() == withdrawn {
 			err = errMoved // Of a former send: the pool has come back to that owner since.
 		}
@@ -134,6 +141,10 @@
 		Model: t.GetModel(), Tier: t.GetTier(), DeadlineUs: t.GetDeadlineUs(), PromptTokens: t.GetPromptTokens(),
 		AnswerTokens: t.GetAnswerTokens(), PrefixHash: t.GetPrefixHash(), Repeatable: t.GetRepeatable(),
 		WaitedUs: t.GetWaitedUs() + passed.Microseconds(), Avoid: t.GetAvoid(), Abroad: t.GetAbroad(), Traceparent: t.GetTraceparent(),
+		Route: t.GetRoute(), ObjectiveUs: t.GetObjectiveUs(), Priority: t.GetPriority(), Returned: t.GetReturned(), Units: t.GetUnits(),
+	}
+	if t.GetObjectiveUs() != 0 {
+		c.ObjectiveUs -= passed.Microseconds()
 	}
 	if t.GetDeadlineUs() == 0 {
 		return c
@@ -150,12 +161,15 @@
 // no longer exists, so its grant can't be used.
 func (g *Grant) ask(ctx context.Context, t *wire.Ticket, broken map[string]int) (*wire.Decision, error) {
 	m := g.Members.Owner(t.GetPool())
+	if m == nil {
+		return nil, ErrNoOwner
+	}
 	cctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	w := &wait{t.GetPool(), m.GetIncarnation(), cancel}
 	g.enter(w)
 	defer g.leave(w)
-	if now := g.Members.Owner(t.GetPool()); now.GetIncarnation() != m.GetIncarnation() {
+	if now := g.Members.Owner(t.GetPool()); now == nil || now.GetIncarnation() != m.GetIncarnation() {
 		return nil, errMoved
 	}
 	if m.GetNode() == g.Self {
@@ -233,6 +247,9 @@
 	g.held.Drop(time.Now(), r.GetPool(), r.GetTicket())
 	g.mu.Unlock()
 	m := g.Members.Owner(r.GetPool())
+	if m == nil {
+		return // The next owner gets the list of what is still held.
+	}
 	if m.GetNode() == g.Self {
 		g.Local.Release(r)
 		return
--- a/io/grant/held.go
+++ b/io/grant/held.go
@@ -67,6 +67,9 @@
 	g.told = map[string]string{}
 	for _, p := range g.held.Pools(now) {
 		m := g.Members.Owner(p)
+		if m == nil {
+			continue
+		}
 		l := lists[m.GetIncarnation()]
 		if l == nil {
 			l = &list{owner: m}
--- /dev/null
+++ b/io/hub/beats.go
@@ -0,0 +1,170 @@
+package hub
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"azurelane/core/roster"
+	"azurelane/core/wire"
+)
+
+type (
+	// beats is what a leader has heard of upstreams since it leads. The zero
+	// value is ready.
+	beats struct {
+		mu    sync.Mutex
+		ups   map[string]*beat
+		quiet []string // Upstreams not heard lately, sorted.
+		lease time.Duration
+	}
+
+	beat struct {
+		*wire.Upstream
+		seq    uint64
+		at     time.Time
+		served time.Time
+		calls  uint64 // Announcements to the scheduler, which wants them to grow.
+	}
+)
+
+// Report takes an upstream's announcement, at whichever replica it arrives. It
+// returns once a quorum has written down what it tells, if that is new.
+func (h *Hub) Report(ctx context.Context, r *wire.Report) error {
+	_, err := h.Leader.Ask(ctx, func() *wire.Frame { return &wire.Frame{Body: &wire.Frame_Report{Report: r}} })
+	if err != nil {
+		return fmt.Errorf("hub: report: %w", err)
+	}
+	return nil
+}
+
+// report takes an announcement on the leader. One that was overtaken by a later
+// one of the same upstream changes nothing.
+func (h *Hub) report(ctx context.Context, rep *wire.Report) error {
+	r := h.lead()
+	if r == nil {
+		return h.moved()
+	}
+	u := rep.GetUpstream()
+	known := h.Replica.Upstream(u.GetId())
+	if rep.GetFarewell() {
+		if known == nil || known.GetState() == wire.Upstream_STATE_GONE {
+			return nil
+		}
+		u = proto.CloneOf(known)
+		u.State = wire.Upstream_STATE_GONE
+	} else if !r.beats.newer(time.Now(), u, rep.GetSeq(), known) {
+		return nil
+	}
+	if !roster.Same(known, u) && known.GetState() <= u.GetState() {
+		cmd := &wire.Command{Kind: &wire.Command_Enroll{Enroll: &wire.Enroll{Upstream: u}}}
+		if _, err := h.Replica.Propose(ctx, cmd); err != nil {
+			return err
+		}
+		known = h.Replica.Upstream(u.GetId())
+		h.Log.Info("Upstream changed.", "upstream", u.GetId(), "pool", u.GetPool(), "address", u.GetAddress(),
+			"data-centre", u.GetDataCentre(), "state", u.GetState().String(), "sequence", rep.GetSeq())
+	}
+	if known != nil {
+		h.announce(r, known, leaseBeats)
+	}
+	return nil
+}
+
+// announce hands an upstream to the scheduler, with a lease of some beats.
+func (h *Hub) announce(r *reign, u *wire.Upstream, beats int) {
+	lease := time.Duration(beats)*h.Beat + h.Beat/2
+	if a := r.beats.announce(u, lease); a != nil {
+		r.sched.Announce(a)
+	}
+}
+
+func (b *beats) of(u *wire.Upstream) *beat {
+	if b.ups == nil {
+		b.ups = map[string]*beat{}
+	}
+	e := b.ups[u.GetId()]
+	if e == nil {
+		e = &beat{}
+		b.ups[u.GetId()] = e
+	}
+	return e
+}
+
+// newer notes a beat and reports whether it is the latest of its upstream.
+func (b *beats) newer(now time.Time, u *wire.Upstream, seq uint64, known *wire.Upstream) bool {
+	if known.GetState() == wire.Upstream_STATE_GONE {
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e := b.of(u)
+	if seq <= e.seq && e.seq > 0 {
+		return false
+	}
+	e.seq, e.at = seq, now
+	return true
+}
+
+func (b *beats) announce(u *wire.Upstream, lease time.Duration) *wire.Announce {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e := b.of(u)
+	e.Upstream = u
+	if e.at.IsZero() {
+		e.at = time.Now()
+	}
+	b.lease = lease
+	return e.tell(lease)
+}
+
+func (e *beat) tell(lease time.Duration) *wire.Announce {
+	e.calls++
+	return &wire.Announce{
+		Upstream: e.GetId(), Address: e.GetAddress(), Pools: []string{e.GetPool()}, MaxRunning: e.GetSlots(),
+		Leaving: e.GetState() != wire.Upstream_STATE_SERVING, LeaseUs: lease.Microseconds(), Seq: e.calls, CanResume: true,
+	}
+}
+
+// served notes that an upstream answered. It returns a new lease for one whose
+// announcements stay away: servers may be cut off from control and still serve.
+func (b *beats) served(now time.Time, id string) *wire.Announce {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e := b.ups[id]
+	if e == nil || e.Upstream == nil {
+		return nil
+	}
+	e.served = now
+	if now.Sub(e.at) < b.lease/2 {
+		return nil
+	}
+	return e.tell(b.lease / 2)
+}
+
+// silent lists the upstreams that were neither heard nor seen to serve for a
+// lease, and forgets those that are gone.
+func (b *beats) silent(now time.Time, limit time.Duration) []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var list []string
+	for id, e := range b.ups {
+		if e.GetState() == wire.Upstream_STATE_GONE && now.Sub(e.at) > goneKeep {
+			delete(b.ups, id)
+			continue
+		}
+		if now.Sub(e.at) > limit && now.Sub(e.served) > limit && e.GetState() != wire.Upstream_STATE_GONE {
+			list = append(list, id)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+// goneKeep is how long the sequence of an upstream that is gone is remembered;
+// its late announcements come some seconds late.
+const goneKeep = time.Minute
--- /dev/null
+++ b/io/hub/hub.go
@@ -0,0 +1,278 @@
+// Package hub is what a control replica does for entries and upstreams beside
+// the replicated log: it tells entries what has changed, takes announcements,
+// and, on the leader, schedules the pools.
+package hub
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"azurelane/core/allow"
+	"azurelane/core/conf"
+	"azurelane/core/raft"
+	"azurelane/core/wire"
+	"azurelane/io/sched"
+	"azurelane/io/stats"
+)
+
+// ErrUnsure is returned when this process can't tell what is in force.
+var ErrUnsure = errors.New("hub: no quorum answers")
+
+// Fault codes of a hub.
+const (
+	unready = "unready" // The group is not complete yet.
+)
+
+type (
+	// Hub is the service. Its exported fields are set before Serve is called.
+	Hub struct {
+		Replica replica
+		Leader  proposer
+		Parse   func(doc []byte) (*conf.Config, error) // Reads a published document.
+		Voters  int                                    // A publication is taken only from so many voters on.
+		Beat    time.Duration                          // Between two announcements of an upstream.
+		Stats   *stats.Stats
+		Log     logr.Logger
+
+		mu       sync.Mutex
+		reign    *reign // Nil where this replica doesn't lead.
+		watchers watchers
+		pack     pack
+	}
+
+	// reign is what a leader has from its election to its end.
+	reign struct {
+		id    string
+		sched *sched.Sched
+		beats beats
+
+		mu    sync.Mutex
+		allow allow.Allow
+		cfg   *conf.Config
+	}
+
+	replica interface {
+		Leads() bool
+		Leader() string
+		Changed() <-chan struct{}
+		Publication() (uint64, []byte)
+		Upstream(id string) *wire.Upstream
+		Roster(since uint64) (list []*wire.Upstream, whole bool, revision uint64)
+		Group() (name string, all []*wire.Replica, peers []raft.Heard)
+		Propose(ctx context.Context, c *wire.Command) (*wire.Result, error)
+		Handle(ctx context.Context, f *wire.Frame) (*wire.Frame, error)
+	}
+
+	// proposer reaches the leader wherever it is.
+	proposer interface {
+		Propose(ctx context.Context, c *wire.Command) (*wire.Result, error)
+		Ask(ctx context.Context, build func() *wire.Frame) (*wire.Frame, error)
+	}
+)
+
+const (
+	sweepEvery = 200 * time.Millisecond // Looks at upstreams and entries.
+	// leaseBeats is how many announcements in a row an upstream may miss. One is
+	// lost now and then, and they come seconds late behind a bad link.
+	leaseBeats = 3
+	// freshLease is the lease that a new leader gives every upstream of the
+	// roster until it hears from it, in announcements.
+	freshLease = 3
+)
+
+// Serve follows the leadership of the replica until ctx ends.
+func (h *Hub) Serve(ctx context.Context) error {
+	tick := time.NewTicker(sweepEvery)
+	defer tick.Stop()
+	var version uint64
+	end := func() {}
+	defer func() { end() }()
+	for {
+		changed := h.Replica.Changed()
+		leads := h.Replica.Leads()
+		r := h.lead()
+		switch {
+		case leads && r == nil:
+			version = 0
+			rctx, cancel := context.WithCancel(ctx)
+			end = cancel
+			r = h.begin(rctx)
+		case !leads && r != nil:
+			h.Log.Info("Leadership lost.", "scheduler", r.id)
+			h.set(nil)
+			end()
+			r = nil
+		}
+		if r != nil {
+			version = h.install(r, version)
+			h.sweep(r)
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		case <-tick.C:
+		}
+	}
+}
+
+func (h *Hub) lead() *reign {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.reign
+}
+
+func (h *Hub) set(r *reign) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.reign = r
+}
+
+// begin starts to schedule. Entries bring the slots that they hold when they
+// hear of the new scheduler.
+func (h *Hub) begin(ctx context.Context) *reign {
+	r := &reign{id: uuid.NewString()[:8]}
+	r.sched = &sched.Sched{Incarnation: r.id, Log: h.Log.WithName("sched")}
+	go func() { _ = r.sched.Serve(ctx) }()
+	h.Log.Info("Leadership gained.", "scheduler", r.id)
+	h.set(r)
+	return r
+}
+
+// install puts the newest publication in force at the scheduler.
+func (h *Hub) install(r *reign, have uint64) uint64 {
+	v, doc := h.Replica.Publication()
+	if v == have {
+		return have
+	}
+	cfg, err := h.Parse(doc)
+	if err != nil {
+		h.Log.Error(err, "Published document not put in force.", "version", v)
+		return v
+	}
+	r.mu.Lock()
+	r.cfg = cfg
+	r.allow.Set(time.Now(), cfg.Accounts, 1)
+	r.mu.Unlock()
+	r.sched.Install(cfg)
+	if have == 0 {
+		list, _, _ := h.Replica.Roster(0)
+		for _, u := range list {
+			h.announce(r, u, freshLease)
+		}
+	}
+	h.Log.Info("Configuration in force.", "version", v)
+	return v
+}
+
+// Handle answers one frame of a peer.
+func (h *Hub) Handle(ctx context.Context, f *wire.Frame) (*wire.Frame, error) {
+	switch b := f.GetBody().(type) {
+	case *wire.Frame_Ticket:
+		r := h.lead()
+		if r == nil {
+			return nil, h.moved()
+		}
+		return &wire.Frame{Body: &wire.Frame_Decision{Decision: r.submit(ctx, b.Ticket)}}, nil
+	case *wire.Frame_Release:
+		if r := h.lead(); r != nil {
+			r.release(b.Release)
+		}
+	case *wire.Frame_Withdraw:
+		if r := h.lead(); r != nil {
+			r.sched.Withdraw(b.Withdraw)
+		}
+	case *wire.Frame_Held:
+		if r := h.lead(); r != nil {
+			r.sched.Hold(b.Held)
+		}
+	case *wire.Frame_Usage:
+		if r := h.lead(); r != nil {
+			r.used(b.Usage)
+		}
+	case *wire.Frame_Watch:
+		n, err := h.watch(ctx, b.Watch)
+		if err != nil {
+			return nil, err
+		}
+		return &wire.Frame{Body: &wire.Frame_News{News: n}}, nil
+	case *wire.Frame_Report:
+		return nil, h.report(ctx, b.Report)
+	case *wire.Frame_ConfigQuery:
+		if b.ConfigQuery.GetVersion() > 0 { // It asks only whether this process lives.
+			return &wire.Frame{Body: &wire.Frame_BeatReply{BeatReply: &wire.BeatReply{}}}, nil
+		}
+		return h.newest(ctx)
+	case *wire.Frame_Command:
+		if b.Command.GetPublish() != nil {
+			if err := h.complete(); err != nil {
+				return nil, err
+			}
+		}
+		return h.Replica.Handle(ctx, f)
+	default:
+		return h.Replica.Handle(ctx, f)
+	}
+	return nil, nil //nolint:nilnil // An empty reply is an acknowledgement.
+}
+
+func (h *Hub) moved() *wire.Fault {
+	return &wire.Fault{Code: wire.CodeMoved, Text: "this replica doesn't lead", Leader: h.Replica.Leader()}
+}
+
+// complete reports an error while the group has too few voters to outlive the
+// losses that it has to: what it acknowledged then could be gone after them.
+func (h *Hub) complete() error {
+	if !h.Replica.Leads() {
+		return nil // The replica names the leader.
+	}
+	_, all, _ := h.Replica.Group()
+	n := 0
+	for _, r := range all {
+		if r.GetVoter() {
+			n++
+		}
+	}
+	if n < h.Voters {
+		return &wire.Fault{Code: unready, Text: fmt.Sprintf("hub: %d of %d voters", n, h.Voters)}
+	}
+	return nil
+}
+
+// newest reads the publication on the leader. The barrier shows that a quorum
+// still follows it: a clock that stood still while this VM slept can't tell.
+func (h *Hub) newest(ctx context.Context) (*wire.Frame, error) {
+	if _, err := h.Replica.Propose(ctx, &wire.Command{Kind: &wire.Command_Barrier{Barrier: &wire.Barrier{}}}); err != nil {
+		return nil, err
+	}
+	v, doc := h.Replica.Publication()
+	return &wire.Frame{Body: &wire.Frame_BeatReply{BeatReply: &wire.BeatReply{Version: v, Document: doc}}}, nil
+}
+
+// Publish puts a document in force if its version is the highest. It returns
+// once that is on the disks of a quorum.
+func (h *Hub) Publish(ctx context.Context, version uint64, doc []byte) error {
+	cmd := &wire.Command{Kind: &wire.Command_Publish{Publish: &wire.Publish{Version: version, Document: doc}}}
+	if _, err := h.Leader.Propose(ctx, cmd); err != nil {
+		return fmt.Errorf("hub: publish: %w", err)
+	}
+	return nil
+}
+
+// Newest returns the document in force and its version; no version below one
+// that was acknowledged before the call.
+func (h *Hub) Newest(ctx context.Context) (uint64, []byte, error) {
+	f, err := h.Leader.Ask(ctx, func() *wire.Frame {
+		return &wire.Frame{Body: &wire.Frame_ConfigQuery{ConfigQuery: &wire.ConfigQuery{}}}
+	})
+	if err != nil {
+		return 0, nil, fmt.Errorf("%w: %w", ErrUnsure, err)
+	}
+	return f.GetBeatReply().GetVersion(), f.GetBeatReply().GetDocument(), nil
+}
--- /dev/null
+++ b/io/hub/watch.go
@@ -0,0 +1,188 @@
+package hub
+
+import (
+	"bytes"
+	"compress/flate"
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"azurelane/core/wire"
+)
+
+const (
+	// gather is how long news waits for more of its kind, so that a storm of
+	// changes does not send each entry every one of them.
+	gather = 15 * time.Millisecond
+	// entryGone is how long an entry is silent before its slots are freed. An
+	// entry that watches asks again at least every wait of its own.
+	entryGone = 6 * time.Second
+	// countFor is how long an entry that fell silent still counts as one that
+	// shares the limits of all: it may go on behind a cut.
+	countFor = 30 * time.Second
+)
+
+type (
+	// watchers are the entries that ask for news. The zero value is ready.
+	watchers struct {
+		mu     sync.Mutex
+		byNode map[string]*watcher
+	}
+
+	watcher struct {
+		incarnation string
+		seen        time.Time
+		forgotten   bool
+	}
+
+	// pack keeps the newest document in the form in which it is sent.
+	pack struct {
+		mu      sync.Mutex
+		version uint64
+		data    []byte
+	}
+)
+
+// watch answers when there is something that the asker doesn't know.
+func (h *Hub) watch(ctx context.Context, w *wire.Watch) (*wire.News, error) {
+	end := time.NewTimer(time.Duration(w.GetWaitUs()) * time.Microsecond)
+	defer end.Stop()
+	for {
+		changed := h.Replica.Changed()
+		r := h.lead()
+		if r == nil {
+			return nil, h.moved()
+		}
+		if old := h.watchers.note(w, time.Now()); old != "" {
+			r.sched.Forget(old)
+		}
+		n, fresh, err := h.news(r, w)
+		if err != nil || fresh {
+			return n, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-end.C:
+			return n, nil
+		case <-changed:
+		}
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-time.After(gather):
+		}
+	}
+}
+
+// news is what there is to tell, and whether any of it is new.
+func (h *Hub) news(r *reign, w *wire.Watch) (*wire.News, bool, error) {
+	n := &wire.News{Leader: r.id, Entries: h.watchers.count(time.Now())}
+	_, all, _ := h.Replica.Group()
+	for _, p := range all {
+		n.Replicas = append(n.Replicas, p.GetAddress())
+	}
+	r.beats.mu.Lock()
+	n.Silent = r.beats.quiet
+	r.beats.mu.Unlock()
+	var doc []byte
+	n.Version, doc = h.Replica.Publication()
+	if n.GetVersion() > w.GetVersion() {
+		data, err := h.pack.compress(n.GetVersion(), doc)
+		if err != nil {
+			return nil, false, err
+		}
+		n.Document = data
+	}
+	n.Roster, n.Whole, n.Revision = h.Replica.Roster(w.GetRevision())
+	fresh := n.GetDocument() != nil || n.GetRevision() != w.GetRevision() || w.GetLeader() != r.id
+	return n, fresh, nil
+}
+
+// sweep looks at what has gone silent.
+func (h *Hub) sweep(r *reign) {
+	now := time.Now()
+	quiet := r.beats.silent(now, leaseBeats*h.Beat+h.Beat/2)
+	r.beats.mu.Lock()
+	changed := !slices.Equal(quiet, r.beats.quiet)
+	r.beats.quiet = quiet
+	r.beats.mu.Unlock()
+	if changed {
+		h.Log.Info("Silent upstreams changed.", "upstreams", quiet)
+	}
+	for _, inc := range h.watchers.lost(now) {
+		h.Log.Info("Entry lost.", "incarnation", inc)
+		r.sched.Forget(inc)
+	}
+}
+
+// note marks an entry as alive. It returns its former incarnation when the entry
+// has restarted: what that one held is free.
+func (s *watchers) note(w *wire.Watch, now time.Time) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.byNode == nil {
+		s.byNode = map[string]*watcher{}
+	}
+	e := s.byNode[w.GetNode()]
+	old := ""
+	if e != nil && e.incarnation != w.GetIncarnation() {
+		old = e.incarnation
+	}
+	s.byNode[w.GetNode()] = &watcher{incarnation: w.GetIncarnation(), seen: now}
+	return old
+}
+
+// count is the number of entries that share the limits of all.
+func (s *watchers) count(now time.Time) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := int64(0)
+	for node, e := range s.byNode {
+		if now.Sub(e.seen) > countFor {
+			delete(s.byNode, node)
+			continue
+		}
+		n++
+	}
+	return n
+}
+
+// lost lists the incarnations that have just been silent for too long.
+func (s *watchers) lost(now time.Time) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []string
+	for _, e := range s.byNode {
+		if !e.forgotten && now.Sub(e.seen) > entryGone {
+			e.forgotten = true
+			list = append(list, e.incarnation)
+		}
+	}
+	return list
+}
+
+// compress makes a document small once for all entries: with hundreds of routes
+// it is some hundred KB, and crosses to dozens of entries.
+func (p *pack) compress(version uint64, doc []byte) ([]byte, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.version == version {
+		return p.data, nil
+	}
+	var buf bytes.Buffer
+	w, err := flate.NewWriter(&buf, flate.BestSpeed)
+	if err == nil {
+		_, err = w.Write(doc)
+	}
+	if err == nil {
+		err = w.Close()
+	}
+	if err != nil {
+		return nil, fmt.Errorf("hub: compress document: %w", err)
+	}
+	p.version, p.data = version, buf.Bytes()
+	return p.data, nil
+}
--- /dev/null
+++ b/io/local/local.go
@@ -0,0 +1,136 @@
+// Package local reads the settings of a process of a deployment that forms
+// itself: an entry for routes, or a control replica that repairs its group.
+package local
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"azurelane/core/codec"
+	"azurelane/core/keys"
+)
+
+// ErrInvalid marks settings that parse but can't be used.
+var ErrInvalid = errors.New("local: invalid settings")
+
+// Local holds where a process stands. The meanings of the keys stand in Keys.
+type Local struct {
+	Node        string           `json:"node"`
+	Centre      string           `json:"data-centre"`
+	Centres     []string         `json:"data-centres"`
+	Callers     string           `json:"callers,omitzero"` // Addresses may be empty: the role decides what is listened on.
+	Ready       string           `json:"ready,omitzero"`
+	Calls       string           `json:"calls,omitzero"`
+	Peers       netip.AddrPort   `json:"peers"`
+	Metrics     string           `json:"metrics,omitzero"`
+	Seeds       []netip.AddrPort `json:"seeds"`
+	DataFolder  string           `json:"data-folder,omitzero"`
+	Bootstrap   bool             `json:"bootstrap,omitzero"`
+	Losses      int              `json:"losses,omitzero"`
+	CatchUp     time.Duration    `json:"catch-up,omitzero"`
+	Announce    time.Duration    `json:"announce-every,omitzero"`
+	DrainLimit  time.Duration    `json:"drain-limit,omitzero"`
+	RetryRatio  float64          `json:"retry-ratio,omitzero"`
+	RetrySlack  float64          `json:"retry-slack,omitzero"`
+	MemoryMB    int64            `json:"memory-mb,omitzero"`
+	LogLevel    int              `json:"log-level,omitzero"`
+	settingFile string
+}
+
+// Defaults for what is left out.
+const (
+	DefaultCatchUp    = 4 * time.Second
+	DefaultAnnounce   = 1200 * time.Millisecond
+	DefaultDrainLimit = 8 * time.Second
+)
+
+const (
+	addrWant  = "an address IP:PORT"
+	limitWant = "a number of 0 or more"
+)
+
+// Keys lists the settings for operators.
+func Keys() []keys.Key {
+	return []keys.Key{
+		{Path: "/node", Want: "a name", Text: "Name of this process in logs and to its peers."},
+		{Path: "/data-centre", Want: "a name", Text: "Where it runs."},
+		{Path: "/data-centres", Want: "names", Text: "All data centres of the deployment."},
+		{Path: "/callers", Want: addrWant, Text: "Where an entry takes requests."},
+		{Path: "/ready", Want: addrWant, Text: "Where an entry answers whether callers should be sent to it."},
+		{Path: "/calls", Want: addrWant, Text: "Where control takes calls of upstreams and operators."},
+		{Path: "/peers", Want: addrWant, Text: "For links between processes; the port is the same on all VMs."},
+		{Path: "/metrics", Want: addrWant, Text: "Where metrics and health are served; none when empty."},
+		{Path: "/seeds", Want: "addresses IP:PORT", Text: "Some control replicas; their ports are not used. Read again whenever the file changes."},
+		{Path: "/data-folder", Want: "a folder", Text: "Of a control replica."},
+		{Path: "/bootstrap", Want: "true or false", Default: "false", Text: "The deployment starts for the first time: the seeds found the group."},
+		{Path: "/losses", Want: limitWant, Default: "0", Text: "Control replicas that may be lost with their disks at once; twice as many and one vote."},
+		{Path: "/catch-up", Want: "a span", Default: DefaultCatchUp.String(), Text: "Within it a lost replica is replaced by a live one."},
+		{Path: "/announce-every", Want: "a span", Default: DefaultAnnounce.String(), Text: "Between two announcements of an upstream."},
+		{Path: "/drain-limit", Want: "a span", Default: DefaultDrainLimit.String(), Text: "After SIGTERM the process ends within it."},
+		{Path: "/retry-ratio", Want: limitWant, Default: "0", Text: "Part of a pool's requests that may be sent to a second upstream, over all entries."},
+		{Path: "/retry-slack", Want: limitWant, Default: "0", Text: "Second sends beyond that, over all entries."},
+		{Path: "/memory-mb", Want: limitWant, Default: "0", Text: "The process is to stay well below it; 0 for no limit."},
+		{Path: "/log-level", Want: limitWant, Default: "0", Text: "1 adds a line for each whole answer."},
+	}
+}
+
+// Load reads a settings file. Errors name the file and the key.
+func Load(path string) (*Local, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("local: read: %w", err)
+	}
+	n := Local{CatchUp: DefaultCatchUp, Announce: DefaultAnnounce, DrainLimit: DefaultDrainLimit, settingFile: path}
+	if err := codec.Read(data, &n); err != nil {
+		if text, ok := keys.Explain(Keys(), err); ok {
+			return nil, fmt.Errorf("%w: %s: %s", ErrInvalid, path, text)
+		}
+		return nil, fmt.Errorf("local: %s: %w", path, err)
+	}
+	return &n, n.check()
+}
+
+func (n *Local) check() error {
+	switch {
+	case n.Node == "":
+		return fmt.Errorf("%w: %s: /node: expected a name", ErrInvalid, n.settingFile)
+	case n.Losses < 0 || n.RetryRatio < 0 || n.RetrySlack < 0 || n.MemoryMB < 0:
+		return fmt.Errorf("%w: %s: expected limits of 0 or more", ErrInvalid, n.settingFile)
+	case n.CatchUp <= 0 || n.Announce <= 0 || n.DrainLimit <= 0:
+		return fmt.Errorf("%w: %s: expected spans over 0", ErrInvalid, n.settingFile)
+	}
+	return nil
+}
+
+// SeedPeers returns the peer addresses of the seeds.
+func (n *Local) SeedPeers() []netip.AddrPort {
+	var list []netip.AddrPort
+	for _, s := range n.Seeds {
+		list = append(list, netip.AddrPortFrom(s.Addr(), n.Peers.Port()))
+	}
+	return list
+}
+
+// Reread returns the settings as the file has them now, or the former ones with
+// the error when it can't be read.
+func (n *Local) Reread() (*Local, error) {
+	now, err := Load(n.settingFile)
+	if err != nil {
+		return n, err
+	}
+	return now, nil
+}
+
+// Founds reports whether this process is a seed.
+func (n *Local) Founds() bool {
+	for _, s := range n.SeedPeers() {
+		if s == n.Peers {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/io/watch/watch.go
@@ -0,0 +1,351 @@
+// Package watch keeps an entry informed: which control replica leads, which
+// configuration is in force and which upstreams there are.
+package watch
+
+import (
+	"bytes"
+	"compress/flate"
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+
+	"azurelane/core/conf"
+	"azurelane/core/index"
+	"azurelane/core/wire"
+)
+
+const (
+	// waitFor is how long the leader may hold an answer back. It asks the entry
+	// to show that it lives, and the leader that it still leads.
+	waitFor = 2 * time.Second
+	// askLimit is over waitFor by what a slow VM needs.
+	askLimit  = waitFor + 800*time.Millisecond
+	pause     = 60 * time.Millisecond // Between two replicas asked in vain.
+	findLimit = 400 * time.Millisecond
+	// probeLimit is how long the leader may take to answer a question that
+	// needs no work, before entries place requests by themselves.
+	probeLimit = 350 * time.Millisecond
+	probeEvery = 200 * time.Millisecond // Between two such questions.
+	// maxDocument bounds a document, so that a damaged one can't fill the memory.
+	maxDocument = 64 << 20
+)
+
+type (
+	// Watch is the service of one entry. Its exported fields are set before
+	// Serve is called.
+	Watch struct {
+		Node        string
+		Incarnation string
+		Centre      string
+		Self        netip.AddrPort
+		Seeds       func() []netip.AddrPort // Peer addresses of some control replicas, read anew each time.
+		Mesh        caller
+		Parse       func(doc []byte) (*conf.Config, error)
+		Changed     func() // Called when the scheduler changed; may be nil.
+		Log         logr.Logger
+
+		now      atomic.Pointer[View]
+		mu       sync.Mutex // Of what follows.
+		replicas []netip.AddrPort
+		next     int
+		stop     context.CancelFunc // Ends the question that is under way.
+		probed   time.Time
+		gone     map[string]struct{} // Upstreams that this entry found replaced.
+	}
+
+	// View is what an entry knows. It is never changed, only replaced.
+	View struct {
+		Version   uint64
+		Index     *index.Index // Nil before the first configuration.
+		Since     time.Time    // When the configuration came into force here.
+		Revision  uint64
+		Upstreams map[string][]*wire.Upstream // Serving ones, by pool.
+		Silent    map[string]bool             // Upstreams that control doesn't hear.
+		Entries   int                         // That share the limits of all.
+		Owner     *wire.Member                // The scheduler of all pools, nil for none.
+		Heard     time.Time                   // When the owner last answered.
+
+		roster map[string]*wire.Upstream
+	}
+
+	caller interface {
+		Call(ctx context.Context, to netip.AddrPort, f *wire.Frame) (*wire.Frame, error)
+	}
+)
+
+// View returns what is known now, never nil.
+func (w *Watch) View() *View {
+	if v := w.now.Load(); v != nil {
+		return v
+	}
+	return &View{}
+}
+
+// Owner returns the scheduler of a pool, nil while none is known.
+func (w *Watch) Owner(string) *wire.Member { return w.View().Owner }
+
+// Alive lists no members: entries pass nothing on for each other.
+func (w *Watch) Alive() []*wire.Member { return nil }
+
+// Serve follows the leader until ctx ends.
+func (w *Watch) Serve(ctx context.Context) error {
+	to := netip.AddrPort{}
+	for ctx.Err() == nil {
+		if !to.IsValid() {
+			to = w.find(ctx)
+		}
+		if !to.IsValid() {
+			w.lose("no control replica leads")
+			select {
+			case <-ctx.Done():
+			case <-time.After(pause):
+			}
+			continue
+		}
+		if err := w.ask(ctx, to); err != nil {
+			if ctx.Err() != nil {
+				break
+			}
+			w.lose(err.Error())
+			to = hinted(err)
+		}
+	}
+	return ctx.Err()
+}
+
+// hinted is the leader that a replica named instead of itself.
+func hinted(err error) netip.AddrPort {
+	var f *wire.Fault
+	if !errors.As(err, &f) {
+		return netip.AddrPort{}
+	}
+	a, perr := netip.ParseAddrPort(f.GetLeader())
+	if perr != nil {
+		return netip.AddrPort{}
+	}
+	return a
+}
+
+// find asks the next replica who leads.
+func (w *Watch) find(ctx context.Context) netip.AddrPort {
+	w.mu.Lock()
+	list := slices.Clone(w.replicas)
+	w.mu.Unlock()
+	for _, s := range w.Seeds() {
+		if !slices.Contains(list, s) {
+			list = append(list, s)
+		}
+	}
+	if len(list) == 0 {
+		return netip.AddrPort{}
+	}
+	w.next++
+	ctx, cancel := context.WithTimeout(ctx, findLimit)
+	defer cancel()
+	f, err := w.Mesh.Call(ctx, list[w.next%len(list)], &wire.Frame{Body: &wire.Frame_StatusQuery{StatusQuery: &wire.StatusQuery{}}})
+	if err != nil {
+		w.Log.V(1).Info("Control replica not reached.", "address", list[w.next%len(list)].String(), "err", err.Error())
+		return netip.AddrPort{}
+	}
+	w.learn(f.GetStatus().GetReplicas())
+	a, err := netip.ParseAddrPort(f.GetStatus().GetLeader())
+	if err != nil {
+		return netip.AddrPort{}
+	}
+	return a
+}
+
+func (w *Watch) learn(list []*wire.Replica) {
+	var addrs []string
+	for _, r := range list {
+		addrs = append(addrs, r.GetAddress())
+	}
+	w.learnAddrs(addrs)
+}
+
+func (w *Watch) learnAddrs(list []string) {
+	var all []netip.AddrPort
+	for _, s := range list {
+		if a, err := netip.ParseAddrPort(s); err == nil {
+			all = append(all, a)
+		}
+	}
+	if len(all) == 0 {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.replicas = all
+}
+
+// ask waits for news of the leader and takes them.
+func (w *Watch) ask(ctx context.Context, to netip.AddrPort) error {
+	v := w.View()
+	ctx, cancel := context.WithTimeout(ctx, askLimit)
+	defer cancel()
+	w.mu.Lock()
+	w.stop = cancel
+	w.mu.Unlock()
+	f, err := w.Mesh.Call(ctx, to, &wire.Frame{Body: &wire.Frame_Watch{Watch: &wire.Watch{
+		Node: w.Node, Incarnation: w.Incarnation, DataCentre: w.Centre, Address: w.Self.String(),
+		Version: v.Version, Revision: v.Revision, WaitUs: waitFor.Microseconds(), Leader: v.Owner.GetIncarnation(),
+	}}})
+	if err != nil {
+		return fmt.Errorf("watch: ask %s: %w", to, err)
+	}
+	return w.take(to, f.GetNews())
+}
+
+// take puts news in force. An older configuration never replaces a newer one,
+// whoever sends it.
+func (w *Watch) take(from netip.AddrPort, n *wire.News) error {
+	w.learnAddrs(n.GetReplicas())
+	w.mu.Lock()
+	old := w.View()
+	v := *old
+	v.Entries, v.Heard = int(n.GetEntries()), time.Now()
+	v.Silent = make(map[string]bool, len(n.GetSilent()))
+	for _, id := range n.GetSilent() {
+		v.Silent[id] = true
+	}
+	var err error
+	if len(n.GetDocument()) > 0 && n.GetVersion() > v.Version {
+		err = w.install(&v, n)
+	}
+	if n.GetRevision() != old.Revision || n.GetWhole() {
+		v.apply(n, w.gone)
+	}
+	fresh := v.Owner.GetIncarnation() != n.GetLeader()
+	if fresh {
+		v.Owner = &wire.Member{Node: "control " + from.String(), Incarnation: n.GetLeader(), Address: from.String()}
+		w.Log.Info("Scheduler found.", "address", from.String(), "incarnation", n.GetLeader())
+	}
+	w.now.Store(&v)
+	w.mu.Unlock()
+	if fresh && w.Changed != nil {
+		w.Changed()
+	}
+	return err
+}
+
+func (w *Watch) install(v *View, n *wire.News) error {
+	doc, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(n.GetDocument())), maxDocument))
+	if err != nil {
+		return fmt.Errorf("watch: document %d: %w", n.GetVersion(), err)
+	}
+	cfg, err := w.Parse(doc)
+	if err != nil {
+		return fmt.Errorf("watch: document %d: %w", n.GetVersion(), err)
+	}
+	v.Version, v.Index, v.Since = n.GetVersion(), index.New(cfg), time.Now()
+	w.Log.Info("Configuration in force.", "version", v.Version, "routes", len(cfg.Routes))
+	return nil
+}
+
+// apply takes the changes of the roster.
+func (v *View) apply(n *wire.News, gone map[string]struct{}) {
+	if n.GetWhole() || v.roster == nil {
+		v.roster = map[string]*wire.Upstream{}
+	} else {
+		v.roster = maps.Clone(v.roster)
+	}
+	for _, u := range n.GetRoster() {
+		if u.GetState() == wire.Upstream_STATE_GONE {
+			delete(v.roster, u.GetId())
+			continue
+		}
+		v.roster[u.GetId()] = u
+	}
+	v.Revision = n.GetRevision()
+	v.sort(gone)
+}
+
+func (v *View) sort(gone map[string]struct{}) {
+	v.Upstreams = map[string][]*wire.Upstream{}
+	for id, u := range v.roster {
+		if _, ok := gone[id]; !ok && u.GetState() == wire.Upstream_STATE_SERVING {
+			v.Upstreams[u.GetPool()] = append(v.Upstreams[u.GetPool()], u)
+		}
+	}
+	for _, list := range v.Upstreams {
+		slices.SortFunc(list, func(a, b *wire.Upstream) int { return bytes.Compare([]byte(a.GetId()), []byte(b.GetId())) })
+	}
+}
+
+// Serving reports whether an upstream may be given new work.
+func (v *View) Serving(id string) bool {
+	u := v.roster[id]
+	return u != nil && u.GetState() == wire.Upstream_STATE_SERVING
+}
+
+// Replaced takes an upstream out whose address answers as another one.
+func (w *Watch) Replaced(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.gone == nil {
+		w.gone = map[string]struct{}{}
+	}
+	w.gone[id] = struct{}{}
+	v := *w.View()
+	v.sort(w.gone)
+	w.now.Store(&v)
+}
+
+// lose notes that there is no scheduler now.
+func (w *Watch) lose(why string) {
+	w.mu.Lock()
+	v := *w.View()
+	had := v.Owner != nil
+	v.Owner = nil
+	if had {
+		w.Log.Info("Scheduler lost: this entry places requests by itself.", "incarnation", w.View().Owner.GetIncarnation(), "why", why)
+		w.now.Store(&v)
+	}
+	w.mu.Unlock()
+	if had && w.Changed != nil {
+		w.Changed()
+	}
+}
+
+// Doubt is called when the scheduler has not answered for a while. It asks
+// whether it lives, and takes it for lost when it doesn't say so: tickets would
+// wait there for as long as the link takes to be given up, seconds, while their
+// objectives are some hundred milliseconds.
+func (w *Watch) Doubt(ctx context.Context) {
+	w.mu.Lock()
+	m := w.View().Owner
+	if m == nil || time.Since(w.probed) < probeEvery {
+		w.mu.Unlock()
+		return
+	}
+	w.probed = time.Now()
+	w.mu.Unlock()
+	to, err := netip.ParseAddrPort(m.GetAddress())
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeLimit)
+	defer cancel()
+	if _, err = w.Mesh.Call(ctx, to, &wire.Frame{Body: &wire.Frame_ConfigQuery{ConfigQuery: &wire.ConfigQuery{Version: probeVersion}}}); err == nil {
+		return
+	}
+	if v := w.View(); v.Owner == m {
+		w.lose("it does not answer: " + err.Error())
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.stop() // Another may lead by now.
+	}
+}
+
+// probeVersion asks for a configuration newer than any, so that the answer is
+// empty.
+const probeVersion = ^uint64(0)
