Accounts with any units left pass; what came back waits a third of its time

Cause: an entry alone gave large requests no units for as long as its share of the rate is below their size (429 within quota on the grown site); requests that were refused came back within 0.3 s into the same overload and were refused again, which was the largest price (0.04 to 0.05).

--- a/core/allow/allow.go
+++ b/core/allow/allow.go
@@ -24,6 +24,9 @@
 	}
 )
 
+// leastLeft is the part of a burst that a refused account is told to wait for.
+const leastLeft = 0.05
+
 // longestWait bounds the time that a refused account is told to wait.
 const longestWait = 5 * time.Second
 
@@ -52,20 +55,21 @@
 	}
 }
 
-// Take uses units of an account. Where they are not left it uses none and says
-// when they will be.
+// Take uses units of an account that has any left, even if they are fewer: were
+// a request to wait for all of its units, an account whose share is small would
+// never get its large ones through. An account with none left uses none and is
+// told when it has some.
 func (a *Allow) Take(now time.Time, account string, units int64) (time.Duration, bool) {
 	b := a.buckets[account]
 	if b == nil {
 		return 0, true
 	}
 	b.fill(now)
-	want := min(float64(units), b.burst) // A request over the whole burst passes when the bucket is full.
-	if b.left >= want {
+	if b.left > 0 {
 		b.left -= float64(units)
 		return 0, true
 	}
-	wait := time.Duration((want - b.left) / b.rate * float64(time.Second))
+	wait := time.Duration((leastLeft*b.burst - b.left) / b.rate * float64(time.Second))
 	return min(wait, longestWait), false
 }
 
--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -35,7 +35,7 @@
 	forgetAfter = time.Minute
 	runGrace    = 10 * time.Second
 	// shortestRetry and longestRetry bound what a refused caller is told to wait.
-	shortestRetry = 300 * time.Millisecond
+	shortestRetry = 1200 * time.Millisecond
 	longestRetry  = 3 * time.Second
 )
 
@@ -213,7 +213,10 @@
 	p := b.pace(u)
 	first := p.expect(now, u, i.GetPromptTokens())
 	worth := i.worth
-	if i.late(now, first) {
+	switch {
+	case i.returned:
+		worth *= lateCredit + returnCredit
+	case i.late(now, first):
 		worth *= lateCredit
 	}
 	run := p.base() + time.Duration(i.GetPromptTokens())*p.perPrompt() + time.Duration(i.GetAnswerTokens())*p.perToken()
--- a/core/batch/item.go
+++ b/core/batch/item.go
@@ -19,7 +19,10 @@
 	answerWeight = 10
 	// lateWait is the part of its time, one in so many, that a request waits
 	// which comes too late to be on time.
-	lateWait = 4
+	lateWait = 3
+	// returnCredit is what an answer to a request that came back is worth beside
+	// its late credit: a second refusal costs the users three tenths of it.
+	returnCredit = 0.3
 	// fixedWorth is the part of a request's worth that does not depend on its
 	// size, as the users count it.
 	fixedWorth = 0.3
@@ -29,11 +32,12 @@
 	// item is a waiting ticket.
 	item struct {
 		*wire.Ticket
-		arrived time.Time
-		onTime  time.Time // The first piece is late after it; zero for never.
-		end     time.Time // Nothing is of use after it.
-		giveUp  time.Time // It is refused when it still waits then.
-		worth   float64
+		arrived  time.Time
+		onTime   time.Time // The first piece is late after it; zero for never.
+		end      time.Time // Nothing is of use after it.
+		giveUp   time.Time // It is refused when it still waits then.
+		worth    float64
+		returned bool // It came back after a refusal or a run that broke off.
 	}
 
 	// kind is what was learnt of one route's requests.
@@ -68,8 +72,9 @@
 		i.giveUp = i.onTime.Add(-firstToken)
 	default:
 		// It came late, after a refusal or a run that broke off. Whatever it
-		// still earns is worth some of its time, but not most of it: a refusal
+		// still earns is worth some of its time, but not all of it: a refusal
 		// after a long wait leaves the caller no time for anything else.
+		i.returned = true
 		i.giveUp = now.Add(i.end.Sub(now) / lateWait)
 	}
 	k.seen(size(t))
