--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -34,8 +34,16 @@
 	startGrace  = 1500 * time.Millisecond // How long a fresh owner waits for upstreams before it refuses.
 	forgetAfter = time.Minute
 	runGrace    = 10 * time.Second
+	// runPart and stopPart are the parts of a run's time, and of the time for
+	// which its prompt stops the others at the engine, that count in placing it:
+	// an engine that is twice as fast ends both in half of the time.
+	runPart  = 4
+	stopPart = 8
+	lateCost = time.Hour     // Of a late first piece.
+	misfit   = 2 * time.Hour // Of a run that would be cut off at its end.
+	passMost = 8             // Tickets that are passed over for one that fits.
 	// shortestRetry and longestRetry bound what a refused caller is told to wait.
-	shortestRetry = 1200 * time.Millisecond
+	shortestRetry = 2200 * time.Millisecond
 	longestRetry  = 3 * time.Second
 )
 
@@ -191,7 +199,9 @@
 	return out
 }
 
-// next picks the ticket and the upstream for it.
+// next picks the ticket and the upstream for it. A ticket whose run would be cut
+// off at its end wherever there is room lets the next ones pass: a long run on a
+// slow engine takes a place for seconds and earns nothing.
 func (b *Batch) next(now time.Time, open []*upstr.Upstream) (int, *upstr.Upstream) {
 	var quick *upstr.Upstream
 	for _, u := range open {
@@ -199,55 +209,94 @@
 			quick = u
 		}
 	}
+	first, passed := -1, map[int]bool{}
+	for range passMost {
+		n := b.best(now, quick, passed)
+		if n < 0 {
+			break
+		}
+		u, fits := b.place(now, b.waiting[n], open)
+		if u != nil && fits {
+			return n, u
+		}
+		passed[n] = true
+		if first < 0 && u != nil {
+			first = n
+		}
+	}
+	if first < 0 {
+		return -1, nil
+	}
+	u, _ := b.place(now, b.waiting[first], open)
+	return first, u
+}
+
+// best is the waiting ticket of the highest score, but for those passed over.
+func (b *Batch) best(now time.Time, quick *upstr.Upstream, passed map[int]bool) int {
 	best, score := -1, 0.0
 	for n, i := range b.waiting {
+		if passed[n] {
+			continue
+		}
 		if s := b.score(now, i, quick); best < 0 || s > score {
 			best, score = n, s
 		}
 	}
-	return best, b.place(now, b.waiting[best], open)
+	return best
 }
 
-// score is what a ticket earns a second of the place that it takes.
+// score is what a ticket earns a second of the place that it takes, by whether
+// it is in time. Half of it is that of a usual request of its kind: small
+// requests earn more for their time, and by their own worth alone the large ones
+// would be the first to be refused whenever there is too much to do.
 func (b *Batch) score(now time.Time, i *item, u *upstr.Upstream) float64 {
 	p := b.pace(u)
-	first := p.expect(now, u, i.GetPromptTokens())
 	worth := i.worth
 	switch {
 	case i.returned:
 		worth *= lateCredit + returnCredit
-	case i.late(now, first):
+	case i.late(now, p.expect(now, u, i.GetPromptTokens())):
 		worth *= lateCredit
 	}
-	run := p.base() + time.Duration(i.GetPromptTokens())*p.perPrompt() + time.Duration(i.GetAnswerTokens())*p.perToken()
-	return worth / run.Seconds()
+	usual := p.place(int64(i.kind.prompt), int64(i.kind.answer))
+	own := p.place(i.GetPromptTokens(), i.GetAnswerTokens())
+	part := fixedWorth + (1-fixedWorth)*size(i.Ticket)/i.kind.size
+	return worth * (1/usual.Seconds() + part/own.Seconds())
 }
 
-// place picks the upstream: the one where the run ends first among those where
-// its first piece is in time, else where that comes first.
-func (b *Batch) place(now time.Time, i *item, open []*upstr.Upstream) *upstr.Upstream {
+// place picks the upstream where the run costs least: the time to its first
+// piece and of its run, and the time for which its prompt stops the others there.
+// It reports whether the run is likely to end in time.
+func (b *Batch) place(now time.Time, i *item, open []*upstr.Upstream) (*upstr.Upstream, bool) {
 	var best *upstr.Upstream
 	var least time.Duration
 	for _, u := range open {
 		if slices.Contains(i.GetAvoid(), u.GetUpstream()) || !b.fits(u, i.GetPromptTokens()+i.GetAnswerTokens()) {
 			continue
 		}
-		p := b.pace(u)
-		cost := p.expect(now, u, i.GetPromptTokens())
-		run := time.Duration(i.GetAnswerTokens()) * p.perToken()
-		if now.Add(cost + run).After(i.end) {
-			cost += 2 * time.Hour // It would be cut off at its end, and all of the run be lost.
-		}
-		if i.late(now, cost) {
-			cost += time.Hour
-		}
-		cost += run / 4
-		cost += time.Duration((1 - p.whole) * float64(time.Second))
-		if best == nil || cost < least {
-			best, least = u, cost
+		if c := b.cost(now, i, u); best == nil || c < least {
+			best, least = u, c
 		}
 	}
-	return best
+	return best, least < misfit
+}
+
+// cost is what a run costs at an upstream, in time, with a penalty of its own
+// magnitude for each thing that would go wrong.
+func (b *Batch) cost(now time.Time, i *item, u *upstr.Upstream) time.Duration {
+	p := b.pace(u)
+	first := p.expect(now, u, i.GetPromptTokens())
+	run := p.runs(i.GetAnswerTokens())
+	cost := first + run/runPart
+	cost += p.read(i.GetPromptTokens()) * time.Duration(u.Running) / stopPart
+	cost += time.Duration((1 - p.whole) * float64(time.Second))
+	if i.late(now, first) {
+		cost += lateCost
+	}
+	if now.Add(first + run*3/2).After(i.end) { // Answers are often half as long again as was estimated.
+		cost += misfit
+	}
+	return cost
 }
 
 // expire refuses tickets that are late already while others could still be in
--- a/core/batch/item.go
+++ b/core/batch/item.go
@@ -17,15 +17,15 @@
 	// answerWeight is the size of an answer token in prompt tokens, as the users
 	// count the worth of a generation.
 	answerWeight = 10
+	// fixedWorth is the part of a request's worth that does not depend on its
+	// size, as the users count it.
+	fixedWorth = 0.3
 	// lateWait is the part of its time, one in so many, that a request waits
 	// which comes too late to be on time.
-	lateWait = 3
+	lateWait = 6
 	// returnCredit is what an answer to a request that came back is worth beside
 	// its late credit: a second refusal costs the users three tenths of it.
 	returnCredit = 0.3
-	// fixedWorth is the part of a request's worth that does not depend on its
-	// size, as the users count it.
-	fixedWorth = 0.3
 )
 
 type (
@@ -36,23 +36,28 @@
 		onTime   time.Time // The first piece is late after it; zero for never.
 		end      time.Time // Nothing is of use after it.
 		giveUp   time.Time // It is refused when it still waits then.
-		worth    float64
-		returned bool // It came back after a refusal or a run that broke off.
+		kind     *kind
+		worth    float64 // Of a usual request of its kind.
+		returned bool    // It came back after a refusal or a run that broke off.
 	}
 
 	// kind is what was learnt of one route's requests.
 	kind struct {
-		size float64 // Mean.
+		size   float64 // Mean.
+		prompt float64 // Mean tokens.
+		answer float64 // Mean tokens.
 	}
 )
 
-func (k *kind) seen(size float64) {
+func (k *kind) seen(t *wire.Ticket) {
 	const rate = 0.05
 	if k.size == 0 {
-		k.size = size
+		k.size, k.prompt, k.answer = size(t), float64(t.GetPromptTokens()), float64(t.GetAnswerTokens())
 		return
 	}
-	k.size += rate * (size - k.size)
+	k.size += rate * (size(t) - k.size)
+	k.prompt += rate * (float64(t.GetPromptTokens()) - k.prompt)
+	k.answer += rate * (float64(t.GetAnswerTokens()) - k.answer)
 }
 
 func size(t *wire.Ticket) float64 {
@@ -77,8 +82,9 @@
 		i.returned = true
 		i.giveUp = now.Add(i.end.Sub(now) / lateWait)
 	}
-	k.seen(size(t))
-	i.worth = math.Pow(priorityFactor, -float64(t.GetPriority())) * (fixedWorth*k.size + (1-fixedWorth)*size(t))
+	k.seen(t)
+	i.kind = k
+	i.worth = math.Pow(priorityFactor, -float64(t.GetPriority())) * k.size
 	return i
 }
 
--- a/core/batch/pace.go
+++ b/core/batch/pace.go
@@ -16,10 +16,13 @@
 	// promptRatio is the time of one prompt token in times of one answer token:
 	// engines read some 300 prompt tokens in the time of one step.
 	promptRatio = 1.0 / 300
-	learnRate   = 0.15            // Weight of one run in what is learnt.
-	firstOut    = time.Second     // How long an upstream is left out after a failure.
-	mostOut     = 8 * time.Second // The same after many failures in a row.
-	failsAllow  = 2               // Failures in a row that leave no upstream out when it answered, if badly.
+	// promptSquare is the prompt at which the part of its time that grows with
+	// its square, attention, is as large as the part that grows with its length.
+	promptSquare = 36000
+	learnRate    = 0.15            // Weight of one run in what is learnt.
+	firstOut     = time.Second     // How long an upstream is left out after a failure.
+	mostOut      = 8 * time.Second // The same after many failures in a row.
+	failsAllow   = 2               // Failures in a row that leave no upstream out when it answered, if badly.
 )
 
 // pace is what was learnt of one upstream.
@@ -44,6 +47,19 @@
 	return time.Duration(float64(p.perToken()) * promptRatio)
 }
 
+// read is the time that the engine takes to read a prompt.
+func (p *pace) read(prompt int64) time.Duration {
+	return time.Duration(prompt) * p.perPrompt()
+}
+
+// runs is the time from the first piece of an answer to its end.
+func (p *pace) runs(answer int64) time.Duration { return time.Duration(answer) * p.perToken() }
+
+// place is the time for which a run takes a place.
+func (p *pace) place(prompt, answer int64) time.Duration {
+	return p.base() + p.read(prompt) + p.runs(answer)
+}
+
 func (p *pace) base() time.Duration {
 	if p.first == 0 {
 		return firstToken
@@ -53,7 +69,7 @@
 
 // expect is the time from now to the first piece of a prompt.
 func (p *pace) expect(now time.Time, u *upstr.Upstream, prompt int64) time.Duration {
-	d := p.base() + time.Duration(prompt)*p.perPrompt()
+	d := p.base() + p.read(prompt)
 	if p.free.After(now) {
 		d += p.free.Sub(now)
 	}
@@ -74,7 +90,7 @@
 	if p.free.Before(now) {
 		p.free = now
 	}
-	p.free = p.free.Add(time.Duration(prompt) * p.perPrompt())
+	p.free = p.free.Add(p.read(prompt))
 }
 
 // ran learns from a run that ended well.
@@ -89,7 +105,7 @@
 	if n := (r.GetPieces() - 1) * event; n > 0 {
 		p.token = blend(p.token, (total-first)/time.Duration(n))
 	}
-	if own := first - time.Duration(prompt)*p.perPrompt(); own > 0 {
+	if own := first - p.read(prompt); own > 0 {
 		p.first = blend(p.first, own)
 	}
 }
--- a/io/gate/place.go
+++ b/io/gate/place.go
@@ -142,6 +142,7 @@
 		Slot: p.grant.GetSlot(), Owner: p.grant.GetOwner(), Account: t.GetAccount(), Dispatched: res.end != unsent && res.end != other,
 		Failed: res.end == failed || res.end == broken || res.end == unsent || res.end == other, Busy: res.end == busy,
 		FirstTokenUs: res.first.Microseconds(), TotalUs: res.total.Microseconds(), Pieces: res.events,
+		GapUs: res.gap.Microseconds(),
 	})
 }
 
--- a/io/gate/request.go
+++ b/io/gate/request.go
@@ -39,14 +39,18 @@
 		begun  bool   // The answer's header has left.
 		last   string // Last event that has left.
 		events int64
+		began  time.Duration // From the arrival to the first event.
+		gap    time.Duration // Longest pause between two events, over all sends.
+		left   time.Time     // When the last event left.
 	}
 
 	// result is how one send ended.
 	result struct {
 		end    ending
 		status int
-		keep   *kept // An upstream's failure to pass on if no other send does better.
-		first  time.Duration
+		keep   *kept         // An upstream's failure to pass on if no other send does better.
+		first  time.Duration // From the send to the first event, or to the whole answer.
+		gap    time.Duration // Longest pause between two events.
 		total  time.Duration
 		events int64
 		err    error
@@ -111,8 +115,8 @@
 	return max(d-answerMargin, leastTime)
 }
 
-// left is the time until the final answer.
-func (q *request) left() time.Duration { return q.limit() - time.Since(q.start) }
+// remains is the time until the final answer.
+func (q *request) remains() time.Duration { return q.limit() - time.Since(q.start) }
 
 // again reports whether the request may be sent once more after a send that
 // ended so.
@@ -129,7 +133,7 @@
 	}
 	q.avoid = append(q.avoid, p.up.GetId())
 	q.sends++
-	if q.sends >= maxSends || ctx.Err() != nil || q.left() < leastTime {
+	if q.sends >= maxSends || ctx.Err() != nil || q.remains() < leastTime {
 		return false
 	}
 	if res.end == unsent {
@@ -200,13 +204,27 @@
 	panic(http.ErrAbortHandler)
 }
 
-// served counts a whole answer.
+// served counts a whole answer. A late one gets a line with what made it late:
+// the wait for a place, the upstream's first event, or a pause between two.
 func (q *request) served(res result) {
+	took := time.Since(q.start)
+	first := took
+	if q.begun {
+		first = q.began
+	}
 	q.gate.Stats.Count("answers-whole", 1)
-	q.gate.Stats.Time("first-"+q.name(), res.first)
-	q.gate.Stats.Time("total-"+q.name(), time.Since(q.start))
-	q.gate.Log.V(1).Info("Answer whole.", "request", q.meta.ID, "route", q.name(), "sends", q.sends,
-		"first", res.first.String(), "took", time.Since(q.start).String())
+	q.gate.Stats.Time("first-"+q.name(), first)
+	q.gate.Stats.Time("total-"+q.name(), took)
+	lateFirst := q.route.Objective > 0 && first > q.route.Objective
+	lateGap := q.route.Gap > 0 && q.gap > q.route.Gap
+	log := q.gate.Log.V(1)
+	if lateFirst || lateGap {
+		q.gate.Stats.Count("answers-late", 1)
+		log = q.gate.Log
+	}
+	log.Info("Answer whole.", "request", q.meta.ID, "route", q.name(), "sends", q.sends, "late-first", lateFirst,
+		"late-gap", lateGap, "first", first.String(), "upstream-first", res.first.String(), "gap", q.gap.String(),
+		"took", took.String(), "prompt", q.meta.Prompt, "answer", q.meta.Answer, "expect", q.meta.Expect, "events", q.events)
 }
 
 func (q *request) note(what string, res result) {
@@ -229,7 +247,7 @@
 	}
 	t := &wire.Ticket{
 		Id: q.gate.last.Add(1), Entry: q.gate.Node, Incarnation: q.gate.Incarnation, Account: q.account, Pool: q.pool,
-		Model: "", DeadlineUs: q.left().Microseconds(), PromptTokens: q.meta.Prompt, AnswerTokens: q.meta.Tokens(),
+		Model: "", DeadlineUs: q.remains().Microseconds(), PromptTokens: q.meta.Prompt, AnswerTokens: q.meta.Tokens(),
 		PrefixHash: q.meta.Session, Repeatable: q.route.Repeatable(), Avoid: q.avoid, Route: q.route.Name,
 		Priority: int32(min(prio, 100)), Returned: q.sends > 0, //nolint:gosec // Bounded.
 	}
--- a/io/gate/send.go
+++ b/io/gate/send.go
@@ -90,7 +90,7 @@
 // patience is how long an upstream may be silent before the request goes on
 // elsewhere. One that may not be repeated waits to its end.
 func (q *request) patience() time.Duration {
-	left := q.left()
+	left := q.remains()
 	if !q.route.Repeatable() || q.ran+1 >= q.route.Most() {
 		return left
 	}
@@ -134,7 +134,7 @@
 	if q.last != "" {
 		last = q.last
 	}
-	q.gate.Dialect.Stamp(h, meta.Hop{Instance: p.up.GetId(), Account: q.account, Left: q.left(), LastEvent: last})
+	q.gate.Dialect.Stamp(h, meta.Hop{Instance: p.up.GetId(), Account: q.account, Left: q.remains(), LastEvent: last})
 	if _, ok := h["User-Agent"]; !ok {
 		h.Set("User-Agent", "") // Else net/http names itself as the caller's program.
 	}
--- a/io/gate/stream.go
+++ b/io/gate/stream.go
@@ -18,7 +18,8 @@
 	resp  *http.Response
 	quiet *time.Timer // Ends the send when the upstream is silent.
 	start time.Time
-	buf   []byte // The beginning of an event that has not come whole.
+	last  time.Time // When events of this send last left.
+	buf   []byte    // The beginning of an event that has not come whole.
 }
 
 const (
@@ -69,7 +70,7 @@
 	if !s.route.Repeatable() || s.ran+1 >= s.route.Most() {
 		return // It runs to its end: the timer was set to that.
 	}
-	s.quiet.Reset(min(max(gapTry*s.route.Gap, leastWait), s.left()))
+	s.quiet.Reset(min(max(gapTry*s.route.Gap, leastWait), s.remains()))
 }
 
 // forward passes on the whole events that have come.
@@ -87,9 +88,7 @@
 	if end == 0 {
 		return nil
 	}
-	if res.first == 0 {
-		res.first = time.Since(s.start)
-	}
+	s.time(res)
 	s.begin()
 	if _, err := s.w.Write(s.buf[:end]); err != nil {
 		return fmt.Errorf("gate: write: %w", err)
@@ -101,6 +100,22 @@
 	return nil
 }
 
+// time notes when events leave.
+func (s *stream) time(res *result) {
+	now := time.Now()
+	if res.first == 0 {
+		res.first = now.Sub(s.start)
+	} else {
+		res.gap = max(res.gap, now.Sub(s.last))
+	}
+	if !s.begun {
+		s.began = now.Sub(s.request.start)
+	} else if !s.left.IsZero() {
+		s.gap = max(s.gap, now.Sub(s.left))
+	}
+	s.last, s.left = now, now
+}
+
 // begin writes the header of the answer, once: that of the first upstream
 // stays when another one goes on.
 func (s *stream) begin() {
@@ -117,7 +132,7 @@
 	s.events++
 	for line := range bytes.Lines(event) {
 		if id, ok := bytes.CutPrefix(line, idField); ok {
-			s.last = string(bytes.TrimSpace(id))
+			s.request.last = string(bytes.TrimSpace(id))
 		}
 	}
 }
