--- /dev/null
+++ b/io/watch/watch_test.go
@@ -0,0 +1,158 @@
+package watch
+
+import (
+	"bytes"
+	"compress/flate"
+	"context"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+	"github.com/shoenig/test/must"
+
+	"azurelane/core/conf"
+	"azurelane/core/wire"
+)
+
+var addr = netip.MustParseAddrPort("10.0.0.1:7000")
+
+// control answers an entry as told.
+type control struct {
+	mu    sync.Mutex
+	news  func(w *wire.Watch) (*wire.News, error)
+	dead  bool // It answers nothing.
+	asked int
+}
+
+func (c *control) Call(ctx context.Context, _ netip.AddrPort, f *wire.Frame) (*wire.Frame, error) {
+	c.mu.Lock()
+	dead, news := c.dead, c.news
+	c.asked++
+	c.mu.Unlock()
+	if dead {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	switch b := f.GetBody().(type) {
+	case *wire.Frame_StatusQuery:
+		return &wire.Frame{Body: &wire.Frame_Status{Status: &wire.Status{Leader: addr.String()}}}, nil
+	case *wire.Frame_Watch:
+		n, err := news(b.Watch)
+		return &wire.Frame{Body: &wire.Frame_News{News: n}}, err
+	}
+	return &wire.Frame{Body: &wire.Frame_BeatReply{BeatReply: &wire.BeatReply{}}}, nil
+}
+
+func pack(t *testing.T, doc string) []byte {
+	t.Helper()
+	var buf bytes.Buffer
+	w, err := flate.NewWriter(&buf, flate.BestSpeed)
+	must.NoError(t, err)
+	_, err = w.Write([]byte(doc))
+	must.NoError(t, err)
+	must.NoError(t, w.Close())
+	return buf.Bytes()
+}
+
+func newWatch(c *control) *Watch {
+	return &Watch{
+		Node: "e", Incarnation: "i", Seeds: func() []netip.AddrPort { return []netip.AddrPort{addr} }, Mesh: c, Log: logr.Discard(),
+		Parse: func(doc []byte) (*conf.Config, error) {
+			if string(doc) == "bad" {
+				return nil, errors.New("bad")
+			}
+			return &conf.Config{}, nil
+		},
+	}
+}
+
+// News come late and out of order, from a leader and from one that was. What is
+// in force never goes back, and what can't be read changes nothing.
+func TestNothingGoesBack(t *testing.T) {
+	w := newWatch(&control{})
+	for _, tc := range []struct {
+		version uint64
+		doc     string
+		want    uint64
+	}{{3, "three", 3}, {2, "two", 3}, {5, "bad", 3}, {4, "four", 4}, {4, "other", 4}} {
+		err := w.take(addr, &wire.News{Version: tc.version, Document: pack(t, tc.doc), Leader: "l"})
+		must.Eq(t, tc.doc == "bad", err != nil)
+		must.Eq(t, tc.want, w.View().Version)
+		must.NotNil(t, w.View().Index)
+	}
+}
+
+func TestRoster(t *testing.T) {
+	const serving, leaving, gone = wire.Upstream_STATE_SERVING, wire.Upstream_STATE_LEAVING, wire.Upstream_STATE_GONE
+	w := newWatch(&control{})
+	for _, tc := range []struct {
+		name  string
+		news  *wire.News
+		want  []string
+		extra func()
+	}{
+		{name: "all", news: &wire.News{Whole: true, Revision: 2, Roster: []*wire.Upstream{{Id: "a", Pool: "p"}, {Id: "b", Pool: "p"}}}, want: []string{"a", "b"}},
+		{name: "one leaves", news: &wire.News{Revision: 3, Roster: []*wire.Upstream{{Id: "a", Pool: "p", State: leaving}}}, want: []string{"b"}},
+		{name: "one more", news: &wire.News{Revision: 4, Roster: []*wire.Upstream{{Id: "c", Pool: "p", State: serving}}}, want: []string{"b", "c"}},
+		{name: "one gone", news: &wire.News{Revision: 5, Roster: []*wire.Upstream{{Id: "b", Pool: "p", State: gone}}}, want: []string{"c"}},
+		{name: "one replaced at its address", news: &wire.News{Revision: 6, Roster: []*wire.Upstream{{Id: "d", Pool: "p"}}}, want: []string{"d"}, extra: func() { w.Replaced("c") }},
+		{name: "all anew", news: &wire.News{Whole: true, Revision: 7, Roster: []*wire.Upstream{{Id: "c", Pool: "p"}, {Id: "e", Pool: "p"}}}, want: []string{"e"}},
+	} {
+		must.NoError(t, w.take(addr, tc.news))
+		if tc.extra != nil {
+			tc.extra()
+		}
+		var ids []string
+		for _, u := range w.View().Upstreams["p"] {
+			ids = append(ids, u.GetId())
+		}
+		must.Eq(t, tc.want, ids, must.Sprint(tc.name))
+	}
+}
+
+// The scheduler freezes. A ticket that waits there makes the entry ask whether
+// it lives; half a second later the entry places requests by itself, and when
+// the scheduler answers again, or another does, it is used again.
+func TestFrozenScheduler(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &control{news: func(*wire.Watch) (*wire.News, error) {
+			time.Sleep(time.Second)
+			return &wire.News{Leader: "l"}, nil
+		}}
+		w := newWatch(c)
+		changes := 0
+		w.Changed = func() { changes++ }
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- w.Serve(ctx) }()
+		time.Sleep(1500 * time.Millisecond)
+		must.Eq(t, "l", w.Owner("p").GetIncarnation())
+		w.Doubt(ctx)
+		must.NotNil(t, w.Owner("p"), must.Sprint("it answers"))
+		c.mu.Lock()
+		c.dead = true
+		c.mu.Unlock()
+		time.Sleep(probeEvery)
+		w.Doubt(ctx)
+		must.Nil(t, w.Owner("p"))
+		c.mu.Lock()
+		c.dead = false
+		c.mu.Unlock()
+		time.Sleep(3 * time.Second)
+		must.NotNil(t, w.Owner("p"))
+		must.Eq(t, 3, changes)
+		cancel()
+		<-done
+	})
+}
+
+// A replica that doesn't lead names another, and that one is asked next.
+func TestSentOnToTheLeader(t *testing.T) {
+	must.Eq(t, addr, hinted(errors.WithStack(&wire.Fault{Code: wire.CodeMoved, Leader: addr.String()})))
+	must.False(t, hinted(&wire.Fault{}).IsValid())
+	must.False(t, hinted(errors.New("link: down")).IsValid())
+}
