--- a/cmd/azurelane/hub.go
+++ b/cmd/azurelane/hub.go
@@ -36,7 +36,9 @@
 	if err != nil {
 		return err
 	}
-	log, err := logs.New(os.Stdout, "json", set.LogLevel)
+	out := logs.Queue(os.Stdout)
+	defer func() { _ = out.Close() }()
+	log, err := logs.New(out, "json", set.LogLevel)
 	if err != nil {
 		return err
 	}
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -1,7 +1,7 @@
 package roster
 
 import (
-	"fmt"
+	"strconv"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -73,7 +73,7 @@
 func TestForgottenEndsMakeTheListWhole(t *testing.T) {
 	var r Roster
 	for i := range keepGone + 2 {
-		id := fmt.Sprint(i)
+		id := strconv.Itoa(i)
 		r.Enroll(up(id, wire.Upstream_STATE_SERVING))
 		r.Enroll(up(id, wire.Upstream_STATE_GONE))
 	}
@@ -85,5 +85,5 @@
 	must.Eq(t, r.Revision(), again.Revision())
 	_, whole = again.Since(1)
 	must.True(t, whole)
-	must.False(t, again.Enroll(up(fmt.Sprint(keepGone+1), wire.Upstream_STATE_SERVING)))
+	must.False(t, again.Enroll(up(strconv.Itoa(keepGone+1), wire.Upstream_STATE_SERVING)))
 }
--- a/io/admin/admin.go
+++ b/io/admin/admin.go
@@ -23,6 +23,7 @@
 func (a *Admin) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", a.Stats)
+	mux.HandleFunc("GET /metrics/text", a.Stats.Text)
 	mux.HandleFunc("GET /ready", a.ready)
 	mux.Handle("GET /v1/info", a.guard(a.info))
 	mux.Handle("POST /v1/drain", a.guard(a.drain))
--- a/io/ctrl/news.go
+++ b/io/ctrl/news.go
@@ -87,3 +87,9 @@
 	v := c.view.Load()
 	return v.GetGroup(), v.GetReplicas(), v.peers
 }
+
+// Term is the term of the log when the replica last looked.
+func (c *Ctrl) Term() uint64 { return c.view.Load().GetTerm() }
+
+// Applied is the index of the newest log entry that is applied here.
+func (c *Ctrl) Applied() uint64 { return c.view.Load().GetCommit() }
--- a/io/gated/gated.go
+++ b/io/gated/gated.go
@@ -77,6 +77,14 @@
 	e.watch.Changed = e.grant.Changed
 	g.Node, g.Incarnation, g.Centre = set.Node, incarnation, set.Centre
 	g.News, g.Granter, g.Sender, g.Stats, g.Log = e.watch, e.grant, e.client, metrics, e.log
+	metrics.Pull("configuration-version", func() int64 { return int64(e.watch.View().Version) }) //nolint:gosec // Versions are small.
+	metrics.Pull("configuration-age-ms", func() int64 { return time.Since(e.watch.View().Heard).Milliseconds() })
+	metrics.Pull("scheduler-known", func() int64 {
+		if e.watch.Owner("") != nil {
+			return 1
+		}
+		return 0
+	})
 	g.Ratio, g.Slack = set.RetryRatio, set.RetrySlack
 	e.front = &httpd.Httpd{Listen: lns[1], Handler: g, Drain: set.DrainLimit - lingerFor - farewell - stopMargin, Farewell: farewell}
 	ops := &admin.Admin{Stats: metrics, Ready: g.Ready}
--- a/io/grant/grant.go
+++ b/io/grant/grant.go
@@ -142,6 +142,7 @@
 		AnswerTokens: t.GetAnswerTokens(), PrefixHash: t.GetPrefixHash(), Repeatable: t.GetRepeatable(),
 		WaitedUs: t.GetWaitedUs() + passed.Microseconds(), Avoid: t.GetAvoid(), Abroad: t.GetAbroad(), Traceparent: t.GetTraceparent(),
 		Route: t.GetRoute(), ObjectiveUs: t.GetObjectiveUs(), Priority: t.GetPriority(), Returned: t.GetReturned(), Units: t.GetUnits(),
+		Request: t.GetRequest(),
 	}
 	if t.GetObjectiveUs() != 0 {
 		c.ObjectiveUs -= passed.Microseconds()
--- a/io/hub/hub.go
+++ b/io/hub/hub.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"sync"
 	"time"
 
@@ -48,17 +49,6 @@
 		pack     pack
 	}
 
-	// reign is what a leader has from its election to its end.
-	reign struct {
-		id    string
-		sched *sched.Sched
-		beats beats
-
-		mu    sync.Mutex
-		allow allow.Allow
-		cfg   *conf.Config
-	}
-
 	replica interface {
 		Leads() bool
 		Leader() string
@@ -127,6 +117,36 @@
 	}
 }
 
+// Gauges sets up the figures that are read when the metrics are.
+func (h *Hub) Gauges() {
+	h.Stats.Pull("tickets-waiting", func() int64 {
+		if r := h.lead(); r != nil {
+			return int64(r.sched.Waiting())
+		}
+		return 0
+	})
+	h.Stats.Pull("leads", func() int64 {
+		if h.lead() != nil {
+			return 1
+		}
+		return 0
+	})
+	h.Stats.Pull("configuration-version", func() int64 {
+		v, _ := h.Replica.Publication()
+		return int64(min(v, math.MaxInt64)) //nolint:gosec // Bounded.
+	})
+	h.Stats.Pull("entries", func() int64 { return h.watchers.count(time.Now()) })
+	h.Stats.Pull("upstreams-silent", func() int64 {
+		r := h.lead()
+		if r == nil {
+			return 0
+		}
+		r.beats.mu.Lock()
+		defer r.beats.mu.Unlock()
+		return int64(len(r.beats.quiet))
+	})
+}
+
 func (h *Hub) lead() *reign {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -142,7 +162,7 @@
 // begin starts to schedule. Entries bring the slots that they hold when they
 // hear of the new scheduler.
 func (h *Hub) begin(ctx context.Context) *reign {
-	r := &reign{id: uuid.NewString()[:8], allow: allow.Allow{Over: allowPart * h.Over, Slack: allowPart * h.Slack}}
+	r := &reign{id: uuid.NewString()[:8], stats: h.Stats, log: h.Log, allow: allow.Allow{Over: allowPart * h.Over, Slack: allowPart * h.Slack}}
 	r.sched = &sched.Sched{Incarnation: r.id, Log: h.Log.WithName("sched")}
 	go func() { _ = r.sched.Serve(ctx) }()
 	h.Log.Info("Leadership gained.", "scheduler", r.id)
@@ -162,7 +182,7 @@
 		return v
 	}
 	r.mu.Lock()
-	r.cfg = cfg
+	r.cfg, r.version = cfg, v
 	r.allow.Set(time.Now(), cfg.Accounts, 1)
 	r.mu.Unlock()
 	r.sched.Install(cfg)
--- a/io/hub/reign.go
+++ b/io/hub/reign.go
@@ -2,29 +2,69 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
+	"github.com/go-logr/logr"
+
+	"azurelane/core/allow"
+	"azurelane/core/conf"
 	"azurelane/core/refuse"
 	"azurelane/core/wire"
+	"azurelane/io/sched"
+	"azurelane/io/stats"
 )
 
+// reign is what a leader has from its election to its end.
+type reign struct {
+	id    string
+	sched *sched.Sched
+	beats beats
+	stats *stats.Stats
+	log   logr.Logger
+
+	mu      sync.Mutex
+	allow   allow.Allow
+	cfg     *conf.Config
+	version uint64
+}
+
 // submit charges the ticket to its account and waits for the decision.
 func (r *reign) submit(ctx context.Context, t *wire.Ticket) *wire.Decision {
+	start := time.Now()
 	r.mu.Lock()
-	wait, ok := r.allow.Take(time.Now(), t.GetAccount(), t.GetUnits())
+	wait, ok := r.allow.Take(start, t.GetAccount(), t.GetUnits())
+	version := r.version
 	r.mu.Unlock()
-	if !ok {
-		return refuse.Ticket(t, refuse.AccountLimit, wait)
+	var d *wire.Decision
+	if ok {
+		d = r.sched.Submit(ctx, t)
+	} else {
+		d = refuse.Ticket(t, refuse.AccountLimit, wait)
+	}
+	no := d.GetRefusal()
+	if no == nil {
+		r.stats.Count("tickets-granted", 1)
+		r.stats.Time("ticket-wait", time.Since(start))
+		r.log.V(1).Info("Ticket granted.", "request", t.GetRequest(), "entry", t.GetEntry(), "upstream", d.GetGrant().GetUpstream(),
+			"waited", time.Since(start).String())
+		return d
 	}
-	d := r.sched.Submit(ctx, t)
-	if d.GetRefusal() != nil {
+	if ok {
 		r.mu.Lock()
 		r.allow.Charge(time.Now(), t.GetAccount(), -t.GetUnits())
 		r.mu.Unlock()
 	}
+	r.stats.Count("tickets-refused-"+no.GetCode(), 1)
+	r.log.Info("Ticket refused.", "request", t.GetRequest(), "entry", t.GetEntry(), "pool", t.GetPool(), "route", t.GetRoute(),
+		"account", t.GetAccount(), "units", t.GetUnits(), "code", no.GetCode(), "retry-after", micros(no.GetRetryAfterUs()).String(),
+		"waited", time.Since(start).String(), "objective-left", micros(t.GetObjectiveUs()).String(),
+		"returned", t.GetReturned(), "waiting", r.sched.Waiting(), "version", version, "scheduler", r.id)
 	return d
 }
 
+func micros(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
+
 // release gives a slot back. An upstream that served is alive, even if its
 // announcements get lost.
 func (r *reign) release(rel *wire.Release) {
--- a/io/hubd/hubd.go
+++ b/io/hubd/hubd.go
@@ -90,6 +90,9 @@
 		Replica: d.ctrl, Leader: toLeader, Parse: parse, Voters: group.Voters(), Beat: set.Announce, Over: set.Overage,
 		Slack: set.QuotaSlack, Stats: metrics, Log: d.log,
 	}
+	h.Gauges()
+	metrics.Pull("log-term", func() int64 { return int64(d.ctrl.Term()) })       //nolint:gosec // Terms are few.
+	metrics.Pull("log-applied", func() int64 { return int64(d.ctrl.Applied()) }) //nolint:gosec // So are entries.
 	m.Handle = h.Handle
 	d.ctrl.Sender = m
 	ops := &admin.Admin{Stats: metrics, Ready: d.ctrl.Ready}
--- a/io/stats/stats.go
+++ b/io/stats/stats.go
@@ -2,10 +2,14 @@
 package stats
 
 import (
+	"fmt"
+	"io"
 	"math"
 	"net/http"
 	"runtime"
 	rtm "runtime/metrics"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -82,6 +86,39 @@
 	}
 }
 
+// Text writes all metrics as lines of a name and a number, which the usual
+// scrapers read. Histograms are in seconds.
+func (s *Stats) Text(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	if s.off() {
+		return
+	}
+	var lines []string
+	s.reg.Each(func(name string, m any) {
+		name = "azurelane_" + strings.NewReplacer("-", "_", ".", "_").Replace(name)
+		switch m := m.(type) {
+		case metrics.Counter:
+			lines = append(lines, fmt.Sprintf("%s_total %d\n", name, m.Count()))
+		case metrics.Gauge:
+			lines = append(lines, fmt.Sprintf("%s %d\n", name, m.Value()))
+		case metrics.Histogram:
+			h := m.Snapshot()
+			for _, q := range quantiles {
+				lines = append(lines, fmt.Sprintf("%s_seconds{quantile=\"%g\"} %g\n", name, q, h.Percentile(q)/microseconds))
+			}
+			lines = append(lines, fmt.Sprintf("%s_seconds_count %d\n", name, h.Count()))
+		}
+	})
+	slices.Sort(lines)
+	for _, l := range lines {
+		_, _ = io.WriteString(w, l)
+	}
+}
+
+var quantiles = []float64{0.5, 0.9, 0.99}
+
+const microseconds = 1e6 // In a second.
+
 // ServeHTTP writes all metrics as JSON.
 func (s *Stats) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
