azurelane explain: from a request's id to its cause; refusals name their request

Cause: a test that makes ten failures on purpose found that refusals before the route was known (404, 401, 400, not ready) had no request id in their line, and that a request whose upstreams were all tried was said to have met none. Change: the id is read first; each ending has a name; explain reads the logs of all processes and tells the request's way, what each process went by, and the cause.

--- a/cmd/azurelane/main.go
+++ b/cmd/azurelane/main.go
@@ -44,6 +44,7 @@
 	Hub     hubCmd     `cmd:"" help:"Run a control replica of a deployment that forms itself."`
 	Dev     devCmd     `cmd:"" help:"Run a whole small system in this process."`
 	Standin standinCmd `cmd:"" help:"Run a stand-in engine or service."`
+	Explain explainCmd `cmd:"" help:"Tell from logs what became of a request."`
 	Load    loadCmd    `cmd:"" help:"Send open-loop load and report what came back."`
 	Check   checkCmd   `cmd:"" help:"Check settings and configuration offline."`
 	Apply   applyCmd   `cmd:"" help:"Put a changed configuration in force."`
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -132,6 +132,8 @@
 
 // open finds out what the request is about and reads its body.
 func (q *request) open() *refuse.Error {
+	m, unread := q.gate.Dialect.Read(q.r.Header)
+	q.meta = m // Even of a header that can't be read whole: its id names the request in logs.
 	if q.view.Index == nil {
 		return refuse.New(refuse.NotReady, "no configuration yet", notReadyRetry)
 	}
@@ -142,11 +144,9 @@
 	if err := q.identify(); err != nil {
 		return err
 	}
-	m, err := q.gate.Dialect.Read(q.r.Header)
-	if err != nil {
-		return refuse.New(refuse.BadRequest, err.Error(), 0)
+	if unread != nil {
+		return refuse.New(refuse.BadRequest, unread.Error(), 0)
 	}
-	q.meta = m
 	if q.gate.stopping(q.start, q.limit()) {
 		return refuse.New(refuse.ShuttingDown, "", stopRetry)
 	}
--- a/io/gate/request.go
+++ b/io/gate/request.go
@@ -70,6 +70,11 @@
 	left                 // The caller went away.
 )
 
+// String names an ending in logs.
+func (e ending) String() string {
+	return [...]string{"whole", "unsent", "busy", "other-upstream", "failed", "broken", "caller-left"}[e]
+}
+
 var (
 	errDeadline = errors.New("gate: the time is over")
 	errQuiet    = errors.New("gate: upstream silent")
@@ -152,6 +157,8 @@
 		q.abort("no upstream to go on at", err)
 	case q.ran > 0:
 		q.refuse(refuse.New(refuse.UpstreamLost, "no upstream for another send", 0))
+	case errors.As(err, &no) && no.Code == refuse.NoUpstream && q.sends > 0:
+		q.refuse(refuse.New(refuse.Unreachable, "each upstream was tried", no.RetryAfter))
 	case errors.As(err, &no):
 		q.refuse(no)
 	case context.Cause(ctx) == errDeadline: //nolint:errorlint // The cause itself.
