--- a/io/setup/setup_test.go
+++ b/io/setup/setup_test.go
@@ -88,11 +88,11 @@
 	}
 }
 
-var update = flag.Bool("update", false, "write the reference of keys into docs/OPERATING.md")
+var update = flag.Bool("update", false, "write the reference of keys into docs/OPERATIONS.md")
 
 // The reference that operators read lists exactly the keys that are read.
 func TestReference(t *testing.T) {
-	const page = "../../docs/OPERATING.md"
+	const page = "../../docs/OPERATIONS.md"
 	data, err := os.ReadFile(page)
 	must.NoError(t, err)
 	text := string(data)
--- a/io/stats/stats_test.go
+++ b/io/stats/stats_test.go
@@ -53,10 +53,10 @@
 	must.Eq(t, "{}\n", w.Body.String())
 }
 
-var update = flag.Bool("update", false, "write the reference of metrics into docs/OPERATING.md")
+var update = flag.Bool("update", false, "write the reference of metrics into docs/OPERATIONS.md")
 
 func TestReference(t *testing.T) {
-	const page, begin, end = "../../docs/OPERATING.md", "<!-- metrics -->\n", "<!-- end of metrics -->"
+	const page, begin, end = "../../docs/OPERATIONS.md", "<!-- metrics -->\n", "<!-- end of metrics -->"
 	data, err := os.ReadFile(page)
 	must.NoError(t, err)
 	head, rest, ok := strings.Cut(string(data), begin)
