--- a/cmd/azurelane/gate.go
+++ b/cmd/azurelane/gate.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"os"
 
 	"azurelane/io/gate"
 	"azurelane/io/gated"
-	"azurelane/io/local"
-	"azurelane/io/logs"
 	"azurelane/platform"
 )
 
@@ -29,18 +26,12 @@
 
 // Run serves until a signal.
 func (c *gateCmd) Run(ctx context.Context) error {
-	set, err := local.Load(c.Settings)
+	s, err := openLocal(c.Settings)
 	if err != nil {
 		return err
 	}
-	out := logs.Queue(os.Stdout)
-	defer func() { _ = out.Close() }()
-	log, err := logs.New(out, "json", set.LogLevel)
-	if err != nil {
-		return err
-	}
-	defer reloads(log)()
-	e, err := gated.Open(set, &gate.Gate{Dialect: platform.Header{}}, platform.EchoHeader, platform.Parse, log)
+	defer s.end()
+	e, err := gated.Open(s.Local, &gate.Gate{Dialect: platform.Header{}}, platform.EchoHeader, platform.Parse, s.log)
 	if err != nil {
 		return err
 	}
--- a/cmd/azurelane/hub.go
+++ b/cmd/azurelane/hub.go
@@ -3,16 +3,9 @@
 import (
 	"context"
 	"net/http"
-	"os"
-	"os/signal"
-	"syscall"
-
-	"github.com/go-logr/logr"
 
 	"azurelane/io/hub"
 	"azurelane/io/hubd"
-	"azurelane/io/local"
-	"azurelane/io/logs"
 	"azurelane/platform"
 )
 
@@ -32,39 +25,17 @@
 
 // Run serves until a signal.
 func (c *hubCmd) Run(ctx context.Context) error {
-	set, err := local.Load(c.Settings)
-	if err != nil {
-		return err
-	}
-	out := logs.Queue(os.Stdout)
-	defer func() { _ = out.Close() }()
-	log, err := logs.New(out, "json", set.LogLevel)
+	s, err := openLocal(c.Settings)
 	if err != nil {
 		return err
 	}
-	defer reloads(log)()
+	defer s.end()
 	calls := func(h *hub.Hub) http.Handler {
-		return (&platform.Calls{Control: h, Log: log.WithName("calls")}).Handler()
+		return (&platform.Calls{Control: h, Log: s.log.WithName("calls")}).Handler()
 	}
-	d, err := hubd.Open(set, calls, platform.Parse, log)
+	d, err := hubd.Open(s.Local, calls, platform.Parse, s.log)
 	if err != nil {
 		return err
 	}
 	return d.Serve(ctx)
 }
-
-// reloads takes SIGHUP, which would end the process otherwise, and returns a
-// function that stops it. Settings that may change are read when they are used.
-func reloads(log logr.Logger) func() {
-	ch := make(chan os.Signal, 1)
-	signal.Notify(ch, syscall.SIGHUP)
-	go func() {
-		for range ch {
-			log.Info("Reload: settings are read again when they are next needed.")
-		}
-	}()
-	return func() {
-		signal.Stop(ch)
-		close(ch)
-	}
-}
--- a/core/keys/keys.go
+++ b/core/keys/keys.go
@@ -81,6 +81,20 @@
 	return b.String()
 }
 
+// Embed puts a table into a page, between the lines that begin and end the mark,
+// and returns the page and what stood there before.
+func Embed(page, mark, table string) (updated, before string, err error) {
+	begin, end := "<!-- "+mark+" -->\n", "<!-- end of "+mark+" -->"
+	head, rest, ok := strings.Cut(page, begin)
+	if ok {
+		before, rest, ok = strings.Cut(rest, end)
+	}
+	if !ok {
+		return "", "", fmt.Errorf("keys: no mark %q", mark)
+	}
+	return head + begin + table + end + rest, before, nil
+}
+
 // Paths lists the keys that a document read into a value of type t can have,
 // in the order of its fields.
 func Paths(t reflect.Type) []string { return paths(t, "") }
--- a/io/local/local_test.go
+++ b/io/local/local_test.go
@@ -64,7 +64,7 @@
 
 // The reference that operators read lists exactly the keys that are read.
 func TestReference(t *testing.T) {
-	const page, begin, end = "../../docs/OPERATIONS.md", "<!-- local -->\n", "<!-- end of local -->"
+	const page = "../../docs/OPERATIONS.md"
 	var paths []string
 	for _, k := range Keys() {
 		paths = append(paths, k.Path)
@@ -72,13 +72,11 @@
 	must.SliceContainsAll(t, paths, keys.Paths(reflect.TypeFor[Local]()))
 	data, err := os.ReadFile(page)
 	must.NoError(t, err)
-	head, rest, ok := strings.Cut(string(data), begin)
-	must.True(t, ok)
-	table, tail, ok := strings.Cut(rest, end)
-	must.True(t, ok)
+	text, before, err := keys.Embed(string(data), "local", keys.Table(Keys()))
+	must.NoError(t, err)
 	if *update {
-		must.NoError(t, os.WriteFile(page, []byte(head+begin+keys.Table(Keys())+end+tail), 0o600))
+		must.NoError(t, os.WriteFile(page, []byte(text), 0o600))
 		return
 	}
-	must.Eq(t, keys.Table(Keys()), table)
+	must.Eq(t, keys.Table(Keys()), before)
 }
--- a/io/setup/setup_test.go
+++ b/io/setup/setup_test.go
@@ -109,16 +109,13 @@
 			paths = append(paths, k.Path)
 		}
 		must.SliceContainsAll(t, paths, keys.Paths(ref.of))
-		begin, end := "<!-- "+ref.mark+" -->\n", "<!-- end of "+ref.mark+" -->"
-		head, rest, ok := strings.Cut(text, begin)
-		must.True(t, ok, must.Sprintf("no mark %q in %s", begin, page))
-		table, tail, ok := strings.Cut(rest, end)
-		must.True(t, ok, must.Sprintf("no mark %q in %s", end, page))
+		updated, before, err := keys.Embed(text, ref.mark, keys.Table(ref.list))
+		must.NoError(t, err)
 		if *update {
-			text = head + begin + keys.Table(ref.list) + end + tail
+			text = updated
 			continue
 		}
-		must.Eq(t, keys.Table(ref.list), table)
+		must.Eq(t, keys.Table(ref.list), before)
 	}
 	if *update {
 		must.NoError(t, os.WriteFile(page, []byte(text), 0o600))
--- a/io/stats/stats_test.go
+++ b/io/stats/stats_test.go
@@ -6,11 +6,12 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
-	"strings"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"azurelane/core/keys"
 )
 
 func TestServe(t *testing.T) {
@@ -56,18 +57,16 @@
 var update = flag.Bool("update", false, "write the reference of metrics into docs/OPERATIONS.md")
 
 func TestReference(t *testing.T) {
-	const page, begin, end = "../../docs/OPERATIONS.md", "<!-- metrics -->\n", "<!-- end of metrics -->"
+	const page = "../../docs/OPERATIONS.md"
 	data, err := os.ReadFile(page)
 	must.NoError(t, err)
-	head, rest, ok := strings.Cut(string(data), begin)
-	must.True(t, ok)
-	table, tail, ok := strings.Cut(rest, end)
-	must.True(t, ok)
+	text, before, err := keys.Embed(string(data), "metrics", Table())
+	must.NoError(t, err)
 	if *update {
-		must.NoError(t, os.WriteFile(page, []byte(head+begin+Table()+end+tail), 0o600))
+		must.NoError(t, os.WriteFile(page, []byte(text), 0o600))
 		return
 	}
-	must.Eq(t, Table(), table)
+	must.Eq(t, Table(), before)
 }
 
 func BenchmarkCount(b *testing.B) {
