Late runs wait for a better engine; entries alone fill engines that say they have room

Cause: in overload the one engine with room took whatever was worth most, also long prompts that begin late there; an entry behind a cut used a sixth of the places it could reach.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -199,9 +199,10 @@
 	return out
 }
 
-// next picks the ticket and the upstream for it. A ticket whose run would be cut
-// off at its end wherever there is room lets the next ones pass: a long run on a
-// slow engine takes a place for seconds and earns nothing.
+// next picks the ticket and the upstream for it. A ticket that would be late, or
+// whose run would be cut off at its end, wherever there is room lets the next ones
+// pass: another engine will have room within milliseconds, and a long run on a
+// slow one takes a place for seconds and earns nothing.
 func (b *Batch) next(now time.Time, open []*upstr.Upstream) (int, *upstr.Upstream) {
 	var quick *upstr.Upstream
 	for _, u := range open {
@@ -209,26 +210,23 @@
 			quick = u
 		}
 	}
-	first, passed := -1, map[int]bool{}
+	rest, at, least := -1, (*upstr.Upstream)(nil), time.Duration(0) // What goes wrong least, if nothing fits.
+	passed := map[int]bool{}
 	for range passMost {
 		n := b.best(now, quick, passed)
 		if n < 0 {
 			break
 		}
-		u, fits := b.place(now, b.waiting[n], open)
-		if u != nil && fits {
+		u, cost := b.place(now, b.waiting[n], open)
+		if u != nil && cost < lateCost {
 			return n, u
 		}
 		passed[n] = true
-		if first < 0 && u != nil {
-			first = n
+		if u != nil && (rest < 0 || cost.Truncate(lateCost) < least) {
+			rest, at, least = n, u, cost.Truncate(lateCost)
 		}
 	}
-	if first < 0 {
-		return -1, nil
-	}
-	u, _ := b.place(now, b.waiting[first], open)
-	return first, u
+	return rest, at
 }
 
 // best is the waiting ticket of the highest score, but for those passed over.
@@ -266,8 +264,8 @@
 
 // place picks the upstream where the run costs least: the time to its first
 // piece and of its run, and the time for which its prompt stops the others there.
-// It reports whether the run is likely to end in time.
-func (b *Batch) place(now time.Time, i *item, open []*upstr.Upstream) (*upstr.Upstream, bool) {
+// That is lateCost and more where it would begin or end too late.
+func (b *Batch) place(now time.Time, i *item, open []*upstr.Upstream) (*upstr.Upstream, time.Duration) {
 	var best *upstr.Upstream
 	var least time.Duration
 	for _, u := range open {
@@ -278,7 +276,7 @@
 			best, least = u, c
 		}
 	}
-	return best, least < misfit
+	return best, least
 }
 
 // cost is what a run costs at an upstream, in time, with a penalty of its own
@@ -290,7 +288,7 @@
 	cost := first + run/runPart
 	cost += p.read(i.GetPromptTokens()) * time.Duration(u.Running) / stopPart
 	cost += time.Duration((1 - p.whole) * float64(time.Second))
-	if i.late(now, first) {
+	if i.late(now, first) && !i.late(now, firstToken) { // Where it could be in time elsewhere.
 		cost += lateCost
 	}
 	if now.Add(first + run*3/2).After(i.end) { // Answers are often half as long again as was estimated.
--- a/core/peers/peers.go
+++ b/core/peers/peers.go
@@ -22,6 +22,13 @@
 		out     time.Time     // Left out until then.
 		served  time.Time     // Last whole answer.
 		used    time.Time
+		load    Load
+		loadAt  time.Time
+	}
+
+	// Load is what an upstream says of itself.
+	Load struct {
+		Running, Waiting, Slots int
 	}
 
 	// Choice says what is wanted of an upstream.
@@ -44,10 +51,14 @@
 	mostOut     = 8 * time.Second
 	// trust is how long an answer shows that an upstream serves which control
 	// does not hear.
-	trust    = 2 * time.Second
-	forget   = time.Minute
-	sweepAt  = 1024 // Upstreams that are remembered before old ones are forgotten.
-	lastWays = time.Hour
+	trust = 2 * time.Second
+	// freshLoad is how long what an upstream says of its load counts, and
+	// spareSlots the places that are left to others then.
+	freshLoad  = 300 * time.Millisecond
+	spareSlots = 1
+	forget     = time.Minute
+	sweepAt    = 1024 // Upstreams that are remembered before old ones are forgotten.
+	lastWays   = time.Hour
 )
 
 func (p *Peers) of(id string) *peer {
@@ -69,7 +80,7 @@
 	var least time.Duration
 	for _, u := range list {
 		e := p.of(u.GetId())
-		if contains(c.Avoid, u.GetId()) || (c.Most > 0 && e.running >= c.Most) {
+		if contains(c.Avoid, u.GetId()) || (c.Most > 0 && e.running >= c.Most && !e.room(now)) {
 			continue
 		}
 		cost := e.cost(u.GetSlots())
@@ -86,6 +97,20 @@
 	return best
 }
 
+// Told notes what an upstream says of its load.
+func (p *Peers) Told(now time.Time, id string, l Load) {
+	e := p.of(id)
+	e.load, e.loadAt = l, now
+}
+
+// room reports whether the upstream has just said that places are free. Behind
+// a cut few entries share an upstream, and each would leave most of it unused by
+// its share alone; one more for each answer that says so fills it and stops by
+// itself.
+func (e *peer) room(now time.Time) bool {
+	return now.Sub(e.loadAt) < freshLoad && e.load.Waiting == 0 && e.load.Running+spareSlots < e.load.Slots
+}
+
 func (e *peer) cost(slots int64) time.Duration {
 	l := e.latency
 	if l == 0 {
@@ -99,6 +124,7 @@
 func (p *Peers) Begin(now time.Time, id string) {
 	e := p.of(id)
 	e.running++
+	e.load.Running++
 	e.used = now
 	if len(p.seen) > sweepAt {
 		p.sweep(now)
--- a/core/peers/peers_test.go
+++ b/core/peers/peers_test.go
@@ -42,6 +42,16 @@
 			}
 		}, Choice{}, "far"},
 		{"none with room", func(p *Peers) { p.Begin(start, "near"); p.Begin(start, "far") }, Choice{Most: 1}, ""},
+		{"beyond its share where it says that there is room", func(p *Peers) {
+			p.Begin(start, "near")
+			p.Begin(start, "far")
+			p.Told(start, "far", Load{Running: 1, Slots: 4})
+		}, Choice{Most: 1}, "far"},
+		{"not where it says that some wait", func(p *Peers) {
+			p.Begin(start, "near")
+			p.Begin(start, "far")
+			p.Told(start, "far", Load{Running: 1, Waiting: 1, Slots: 4})
+		}, Choice{Most: 1}, ""},
 		{"a bad one before none", func(p *Peers) { p.End(start, "near", 0, false, false) }, Choice{Avoid: []string{"far"}}, "near"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -83,6 +83,8 @@
 		NotRun(r *http.Response) bool
 		// Other reports whether another upstream than the one meant has answered.
 		Other(r *http.Response) bool
+		// Load returns what an upstream says of its load, if it does.
+		Load(r *http.Response) (peers.Load, bool)
 		// Genuine reports whether an answer shows that an upstream made it.
 		Genuine(r *http.Response) bool
 		// Refuse adds to the header of a refusal when the caller may come back.
--- a/io/gate/gate_test.go
+++ b/io/gate/gate_test.go
@@ -22,6 +22,7 @@
 	"azurelane/core/conf"
 	"azurelane/core/index"
 	"azurelane/core/meta"
+	"azurelane/core/peers"
 	"azurelane/core/pool"
 	"azurelane/core/refuse"
 	"azurelane/core/route"
@@ -65,8 +66,11 @@
 	h.Set("X-Left", hop.Left.String())
 }
 
-func (plain) NotRun(r *http.Response) bool  { return r.Header.Get("X-Not-Run") != "" }
-func (plain) Other(r *http.Response) bool   { return r.StatusCode == http.StatusMisdirectedRequest }
+func (plain) NotRun(r *http.Response) bool { return r.Header.Get("X-Not-Run") != "" }
+func (plain) Other(r *http.Response) bool  { return r.StatusCode == http.StatusMisdirectedRequest }
+func (plain) Load(*http.Response) (peers.Load, bool) {
+	return peers.Load{}, false
+}
 func (plain) Genuine(r *http.Response) bool { return r.Header.Get(markHeader) != "" }
 func (plain) Refuse(h http.Header, after time.Duration) {
 	h.Set("Retry-After", after.String())
--- a/io/gate/place.go
+++ b/io/gate/place.go
@@ -117,6 +117,13 @@
 	return g.own.Take(now, q.account, q.units())
 }
 
+// told notes what an upstream says of its load.
+func (g *Gate) told(id string, l peers.Load) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.peers.Told(time.Now(), id, l)
+}
+
 // done gives the place back with what the run was like.
 func (p *place) done(res result) {
 	g := p.q.gate
--- a/io/gate/send.go
+++ b/io/gate/send.go
@@ -71,6 +71,9 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	res.status = resp.StatusCode
+	if l, ok := q.gate.Dialect.Load(resp); ok {
+		q.gate.told(p.up.GetId(), l)
+	}
 	switch {
 	case q.gate.Dialect.Other(resp):
 		res.end = other
