--- a/core/allow/allow.go
+++ b/core/allow/allow.go
@@ -33,8 +33,8 @@
 // FreshPart is the part of a burst that is left to an account of which nothing
 // is known yet. A counter that takes over from another does not know what was
 // used there: with a whole burst an account that was at its limit would get
-// twice of it, and with nothing all others would be refused for a second.
-const FreshPart = 0.3
+// twice of it, and with nothing all others would be refused for a moment.
+const FreshPart = 0.1
 
 // Set puts the rates of the accounts in force, each times share. What accounts
 // have used stays counted, so that a change gives nobody a second burst.
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -44,13 +44,14 @@
 		draining atomic.Pointer[Stop]
 		last     atomic.Uint64 // Ticket number.
 
-		mu      sync.Mutex // Of what follows.
-		peers   peers.Peers
-		budgets map[string]*budget.Budget // By pool.
-		usage   map[string]int64          // Units by account, not reported yet.
-		own     allow.Allow               // Used while no scheduler answers.
-		ownOf   *index.Index              // What own was made from.
-		longest map[string]time.Duration  // Longest deadline seen, by route.
+		mu       sync.Mutex // Of what follows.
+		peers    peers.Peers
+		budgets  map[string]*budget.Budget // By pool.
+		usage    map[string]int64          // Units by account, not reported yet.
+		own      allow.Allow               // This entry's share of the rates.
+		ownOf    *index.Index              // What own was made from,
+		ownShare float64                   // and for which share.
+		longest  map[string]time.Duration  // Longest deadline seen, by route.
 	}
 
 	// news is what the entry knows of the deployment.
--- a/io/gate/gate_test.go
+++ b/io/gate/gate_test.go
@@ -578,3 +578,21 @@
 	must.Eq(t, 200, s.Usage().GetAccounts()[0].GetUnits())
 	must.Nil(t, s.Usage())
 }
+
+// An account uses up its rate while a scheduler answers. The scheduler is lost:
+// each entry would give the account a burst of its own, and together they would
+// pass its rate by far.
+func TestNoBurstWhenTheSchedulerIsLost(t *testing.T) {
+	u := newUpstream(t, text("ok"))
+	s := newSite(t, u)
+	cfg := *s.view.Index.Config()
+	a := cfg.Accounts["radio"]
+	a.Rate, a.Burst = 200, 10000
+	cfg.Accounts = map[string]acct.Account{"radio": a}
+	s.view.Index, s.view.Owner = index.New(&cfg), &wire.Member{Incarnation: "owner"}
+	for range 60 {
+		must.Eq(t, http.StatusOK, s.ask("POST", "/once/x").status)
+	}
+	s.view.Owner = nil
+	must.Eq(t, http.StatusTooManyRequests, s.ask("POST", "/once/x").status)
+}
--- a/io/gate/place.go
+++ b/io/gate/place.go
@@ -6,7 +6,6 @@
 
 	"github.com/pkg/errors"
 
-	"azurelane/core/allow"
 	"azurelane/core/budget"
 	"azurelane/core/peers"
 	"azurelane/core/refuse"
@@ -64,6 +63,9 @@
 	if err != nil {
 		return nil, err
 	}
+	q.gate.mu.Lock()
+	q.gate.allowed(time.Now(), q, true)
+	q.gate.mu.Unlock()
 	return &place{q: q, ticket: t, grant: g, up: &wire.Upstream{Id: g.GetUpstream(), Address: g.GetAddress()}}, nil
 }
 
@@ -75,7 +77,7 @@
 	g, now := q.gate, time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if wait, ok := g.allowed(now, q); !ok {
+	if wait, ok := g.allowed(now, q, false); !ok {
 		return nil, refuse.New(refuse.AccountLimit, "", wait)
 	}
 	c := peers.Choice{Centre: g.Centre, Avoid: q.avoid, Silent: q.view.Silent}
@@ -94,27 +96,30 @@
 	return &place{q: q, up: u}, nil
 }
 
-// allowed counts a request that no scheduler sees against its account. While
-// there is a scheduler it is reported there, and only there is a limit on it;
-// without one each entry keeps to its share. The lock is held.
-func (g *Gate) allowed(now time.Time, q *request) (time.Duration, bool) {
+// allowed counts a request against its account. While there is a scheduler that
+// one decides; what it does not see is reported to it. Without one each entry
+// keeps to its share. The share is charged all the time: an account that is at
+// its limit when the scheduler is lost must not get a burst from every entry.
+// The lock is held.
+func (g *Gate) allowed(now time.Time, q *request, seen bool) (time.Duration, bool) {
 	if q.sends > 0 || q.account == "" {
 		return 0, true
 	}
-	if q.view.Owner != nil {
+	if share := 1 / float64(max(q.view.Entries, 1)); g.ownOf != q.view.Index || g.ownShare != share {
+		g.own.Set(now, q.view.Index.Config().Accounts, share)
+		g.ownOf, g.ownShare = q.view.Index, share
+	}
+	if q.view.Owner == nil {
+		return g.own.Take(now, q.account, q.units())
+	}
+	g.own.Charge(now, q.account, q.units())
+	if !seen {
 		if g.usage == nil {
 			g.usage = map[string]int64{}
 		}
 		g.usage[q.account] += q.units()
-		g.ownOf = nil
-		return 0, true
-	}
-	if g.ownOf != q.view.Index {
-		g.own = allow.Allow{}
-		g.own.Set(now, q.view.Index.Config().Accounts, 1/float64(max(q.view.Entries, 1)))
-		g.ownOf = q.view.Index
 	}
-	return g.own.Take(now, q.account, q.units())
+	return 0, true
 }
 
 // told notes what an upstream says of its load.
