A stopping server accepts nothing new before it shuts down, and answers what it has accepted

Cause: TestDrainUnderLoad saw an end of file, now and then (1 of 6, and once in the whole check). From Shutdown on net/http reads a request and closes its connection without an answer (server.go, conn.serve after readRequest); callers who connect in the moment between the last look and Shutdown meet that. Change: close the listener, answer, then shut down.

--- a/io/gated/gated.go
+++ b/io/gated/gated.go
@@ -35,7 +35,7 @@
 	lingerFor = 2500 * time.Millisecond
 	// stopMargin is how long before the drain limit the process has ended.
 	stopMargin = 600 * time.Millisecond
-	farewell   = time.Second
+	farewell   = 700 * time.Millisecond // For kept connections, before and after nothing new is accepted.
 	usageEvery = 250 * time.Millisecond // Between two reports of what was served without asking.
 	idleConns  = 4 * time.Second        // How long an unused connection to an upstream is kept.
 )
@@ -86,7 +86,7 @@
 		return 0
 	})
 	g.Ratio, g.Slack = set.RetryRatio, set.RetrySlack
-	e.front = &httpd.Httpd{Listen: lns[1], Handler: g, Drain: set.DrainLimit - lingerFor - farewell - stopMargin, Farewell: farewell}
+	e.front = &httpd.Httpd{Listen: lns[1], Handler: g, Drain: set.DrainLimit - lingerFor - 2*farewell - stopMargin, Farewell: farewell}
 	ops := &admin.Admin{Stats: metrics, Ready: g.Ready}
 	e.sup = suture.New("gate", suture.Spec{EventHook: func(ev suture.Event) { e.log.Info("Part stopped.", "event", ev.String()) }})
 	for _, s := range []suture.Service{e.mesh, e.watch, e.grant, &httpd.Httpd{Listen: lns[2], Handler: ops.Handler()}} {
--- a/io/httpd/httpd.go
+++ b/io/httpd/httpd.go
@@ -27,7 +27,7 @@
 	Handler http.Handler
 	Drain   time.Duration // Longest wait for requests in flight when it stops; zero takes 5 s.
 	// Farewell is how long the handler still answers after ctx has ended, as
-	// long as connections are open. A kept-alive connection that is closed in
+	// long as connections are open, and once more after nothing new is accepted. A kept-alive connection that is closed in
 	// the moment in which its client sends the next request looks to the client
 	// like an answer that was cut off. A handler that refuses with "Connection:
 	// close" in this time leaves no connection on which that could happen.
@@ -51,19 +51,21 @@
 	case <-ctx.Done():
 	}
 	h.farewell()
+	// From Shutdown on net/http reads a request that is on its way and closes the
+	// connection without an answer. So nothing new is accepted first, and what was
+	// accepted is answered; a client would see an end of file else, and could not
+	// tell whether its request ran.
+	_ = h.Listen.Close()
+	err := <-done
+	h.farewell()
 	sctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), cmp.Or(h.Drain, stopTime))
 	defer cancel()
 	if err := srv.Shutdown(sctx); err != nil {
 		_ = srv.Close()
 	}
-	if err := <-done; !errors.Is(err, http.ErrServerClosed) {
+	if !errors.Is(err, net.ErrClosed) {
 		return fmt.Errorf("httpd: serve: %w", err)
 	}
-	// A connection that was accepted in the moment in which the server stopped
-	// is not waited for by Shutdown. Were the process to end now, its client
-	// would see an end of file in place of an answer. The accept loop has ended,
-	// so no more of them can come.
-	h.farewell()
 	return ctx.Err()
 }
 
--- a/io/httpd/httpd_test.go
+++ b/io/httpd/httpd_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/shoenig/test/must"
 
 	"azurelane/io/httpd"
@@ -53,3 +57,46 @@
 	must.Eq(t, http.StatusServiceUnavailable, code)
 	must.ErrorIs(t, <-done, context.Canceled)
 }
+
+// Callers open a connection for each request while the server stops. Each gets
+// an answer or no connection; an end of file in place of an answer would leave
+// it in doubt whether the request ran.
+func TestNewConnectionsWhileItStops(t *testing.T) {
+	for range 40 {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		must.NoError(t, err)
+		ctx, cancel := context.WithCancel(t.Context())
+		h := &httpd.Httpd{Listen: ln, Farewell: 50 * time.Millisecond, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Connection", "close")
+		})}
+		done := make(chan error, 1)
+		go func() { done <- h.Serve(ctx) }()
+		var wg sync.WaitGroup
+		var cut atomic.Int64
+		stop := make(chan struct{})
+		for range 6 {
+			wg.Go(func() {
+				client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+				for {
+					select {
+					case <-stop:
+						return
+					default:
+					}
+					resp, err := client.Post("http://"+ln.Addr().String(), "text/plain", strings.NewReader("x"))
+					if err == nil {
+						_ = resp.Body.Close()
+					} else if errors.Is(err, io.EOF) {
+						cut.Add(1)
+					}
+				}
+			})
+		}
+		time.Sleep(5 * time.Millisecond)
+		cancel()
+		must.ErrorIs(t, <-done, context.Canceled)
+		close(stop)
+		wg.Wait()
+		must.Eq(t, 0, cut.Load())
+	}
+}
