--- a/io/gate/gate_test.go
+++ b/io/gate/gate_test.go
@@ -19,6 +19,7 @@
 	"github.com/shoenig/test/must"
 
 	"azurelane/core/acct"
+	"azurelane/core/allow"
 	"azurelane/core/conf"
 	"azurelane/core/index"
 	"azurelane/core/meta"
@@ -607,3 +608,26 @@
 	s.view.Owner = nil
 	must.Eq(t, http.StatusTooManyRequests, s.ask("POST", "/once/x").status)
 }
+
+// A cut leaves two of six entries alone for three seconds, and an account asks
+// for all that it may have on both sides. What the two let pass, beside a whole
+// burst and the whole rate on the other side, stays within what the account may
+// pass in eight seconds.
+func TestCutEntriesKeepTheRate(t *testing.T) {
+	const rate, entries, cut, span = 1000.0, 6, 2, 3 * time.Second
+	passed := 0.0
+	for range cut {
+		var own allow.Allow
+		now := time.Unix(1000, 0)
+		own.Set(now, map[string]acct.Account{"radio": {Rate: rate, Burst: rate}}, aloneRate/entries)
+		own.Charge(now, "radio", -int64(rate)) // Full: the account asked for little before.
+		for end := now.Add(span); now.Before(end); now = now.Add(time.Millisecond) {
+			if _, ok := own.Take(now, "radio", 1); ok {
+				passed++
+			}
+		}
+	}
+	const over, scheduler = 1.1, 0.25 // Allowed beyond the rate, and the part of that which the scheduler uses.
+	other := (8*rate + rate) * (1 + (over-1)*scheduler)
+	must.LessEq(t, (8*rate+rate)*over, other+passed)
+}
--- a/io/gate/place.go
+++ b/io/gate/place.go
@@ -20,6 +20,11 @@
 	// aloneShare is by how much the entries may together give an engine more
 	// than its batch while each of them places requests by itself.
 	aloneShare = 1.5
+	// aloneRate is the part of its share of a rate that an entry uses alone. Behind
+	// a cut the scheduler goes on with whole rates on the other side until it has
+	// missed the entries; an account that asks for all it may have on both sides
+	// would pass its rate by a tenth within seconds.
+	aloneRate = 0.5
 	// budgetPart is the part of the deployment's bound on second sends that
 	// entries use, so that uneven shares stay within it.
 	budgetPart = 0.7
@@ -105,7 +110,7 @@
 	if q.sends > 0 || q.account == "" {
 		return 0, true
 	}
-	if share := 1 / float64(max(q.view.Entries, 1)); g.ownOf != q.view.Index || g.ownShare != share {
+	if share := aloneRate / float64(max(q.view.Entries, 1)); g.ownOf != q.view.Index || g.ownShare != share {
 		g.own.Set(now, q.view.Index.Config().Accounts, share)
 		g.ownOf, g.ownShare = q.view.Index, share
 	}
--- a/io/hub/hub.go
+++ b/io/hub/hub.go
@@ -71,7 +71,7 @@
 const (
 	// allowPart is the part of what may pass beyond a rate that the scheduler
 	// lets pass; the rest is for entries that go on alone behind a cut.
-	allowPart  = 0.4
+	allowPart  = 0.25
 	sweepEvery = 200 * time.Millisecond // Looks at upstreams and entries.
 	// leaseBeats is how many announcements in a row an upstream may miss. One is
 	// lost now and then, and they come seconds late behind a bad link.
