--- a/io/httpd/httpd_test.go
+++ b/io/httpd/httpd_test.go
@@ -66,7 +66,7 @@
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		must.NoError(t, err)
 		ctx, cancel := context.WithCancel(t.Context())
-		h := &httpd.Httpd{Listen: ln, Farewell: 50 * time.Millisecond, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		h := &httpd.Httpd{Listen: ln, Farewell: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set("Connection", "close")
 		})}
 		done := make(chan error, 1)
