Entries ask a named leader briefly while they have no scheduler

Ruled out: the election (0.44 s); the hub's answer (milliseconds). Change: the first question to a leader has 500 ms, doubling up to the limit of before. Test: TestFrozenSchedulerStillNamed failed before. Ends without a whole answer are logged with what was foreseen of them.

--- a/io/gate/request.go
+++ b/io/gate/request.go
@@ -213,7 +213,8 @@
 	q.gate.Stats.Count("aborted", 1)
 	q.gate.Log.Info("Request ends without a whole answer.", "request", q.meta.ID, "why", why, "err", errText(err),
 		"route", q.name(), "account", q.account, "pool", q.pool, "sends", q.sends, "ran", q.ran,
-		"events", q.events, "took", time.Since(q.start).String())
+		"prompt", q.meta.Prompt, "answer", q.meta.Answer, "expect", q.meta.Expect, "events", q.events,
+		"took", time.Since(q.start).String())
 	panic(http.ErrAbortHandler)
 }
 
--- a/io/watch/watch.go
+++ b/io/watch/watch.go
@@ -27,7 +27,13 @@
 	// to show that it lives, and the leader that it still leads.
 	waitFor = 2 * time.Second
 	// askLimit is over waitFor by what a slow VM needs.
-	askLimit  = waitFor + 800*time.Millisecond
+	askLimit = waitFor + 800*time.Millisecond
+	// firstLimit is how long a leader may take for its first answer, which it
+	// does not hold back. While a leader that froze is being replaced, the other
+	// replicas still name it, and entries would be without a scheduler for as long
+	// as they wait for it: 3 s with askLimit. The limit doubles with each answer
+	// that stays away, so that a slow link is no obstacle for good.
+	firstLimit = 500 * time.Millisecond
 	pause     = 60 * time.Millisecond // Between two replicas asked in vain.
 	findLimit = 400 * time.Millisecond
 	// probeLimit is how long the leader may take to answer a question that
@@ -82,7 +88,7 @@
 
 // Serve follows the leader until ctx ends.
 func (w *Watch) Serve(ctx context.Context) error {
-	to := netip.AddrPort{}
+	to, limit := netip.AddrPort{}, firstLimit
 	for ctx.Err() == nil {
 		if !to.IsValid() {
 			to = w.find(ctx)
@@ -95,13 +101,23 @@
 			}
 			continue
 		}
-		if err := w.ask(ctx, to); err != nil {
-			if ctx.Err() != nil {
-				break
-			}
-			w.lose(err.Error())
-			to = hinted(err)
+		if w.View().Owner != nil {
+			limit = askLimit
+		}
+		err := w.ask(ctx, to, limit)
+		switch {
+		case err == nil:
+			limit = firstLimit
+			continue
+		case ctx.Err() != nil:
+			return ctx.Err()
+		case w.View().Owner == nil:
+			limit = min(2*limit, askLimit)
+		default:
+			limit = firstLimit
 		}
+		w.lose(err.Error())
+		to = hinted(err)
 	}
 	return ctx.Err()
 }
@@ -172,9 +188,9 @@
 }
 
 // ask waits for news of the leader and takes them.
-func (w *Watch) ask(ctx context.Context, to netip.AddrPort) error {
+func (w *Watch) ask(ctx context.Context, to netip.AddrPort, limit time.Duration) error {
 	v := w.View()
-	ctx, cancel := context.WithTimeout(ctx, askLimit)
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	w.mu.Lock()
 	w.stop = cancel
--- a/io/watch/watch_test.go
+++ b/io/watch/watch_test.go
@@ -24,16 +24,18 @@
 type control struct {
 	mu    sync.Mutex
 	news  func(w *wire.Watch) (*wire.News, error)
-	dead  bool // It answers nothing.
+	dead  bool          // It answers nothing.
+	named bool          // Another replica answers who leads, also while it is dead.
+	slow  time.Duration // How late news come.
 	asked int
 }
 
 func (c *control) Call(ctx context.Context, _ netip.AddrPort, f *wire.Frame) (*wire.Frame, error) {
 	c.mu.Lock()
-	dead, news := c.dead, c.news
+	dead, news, slow := c.dead, c.news, c.slow
 	c.asked++
 	c.mu.Unlock()
-	if dead {
+	if dead && (!c.named || f.GetStatusQuery() == nil) {
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
@@ -41,6 +43,11 @@
 	case *wire.Frame_StatusQuery:
 		return &wire.Frame{Body: &wire.Frame_Status{Status: &wire.Status{Leader: addr.String()}}}, nil
 	case *wire.Frame_Watch:
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-time.After(slow):
+		}
 		n, err := news(b.Watch)
 		return &wire.Frame{Body: &wire.Frame_News{News: n}}, err
 	}
@@ -156,3 +163,50 @@
 	must.False(t, hinted(&wire.Fault{}).IsValid())
 	must.False(t, hinted(errors.New("link: down")).IsValid())
 }
+
+// held answers as a leader does: at once to an entry that does not know it, and
+// else later.
+func held(w *wire.Watch) (*wire.News, error) {
+	if w.GetLeader() == "l" {
+		time.Sleep(waitFor)
+	}
+	return &wire.News{Leader: "l"}, nil
+}
+
+// The scheduler freezes, and for a moment the other replicas still name it as
+// their leader. The entry asks it in vain and must not wait for its answer as it
+// waits for news: the next leader is there half a second later, and until it is
+// found callers are served from this entry's small share of places and rates.
+func TestFrozenSchedulerStillNamed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &control{news: held, dead: true, named: true}
+		w := newWatch(c)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- w.Serve(ctx) }()
+		time.Sleep(500 * time.Millisecond)
+		must.Nil(t, w.Owner("p"))
+		c.mu.Lock()
+		c.dead = false
+		c.mu.Unlock()
+		time.Sleep(500 * time.Millisecond)
+		must.NotNil(t, w.Owner("p"))
+		cancel()
+		<-done
+	})
+}
+
+// News that take long to come, over a slow link, get through in the end.
+func TestSlowFirstNews(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &control{news: held, slow: 1500 * time.Millisecond}
+		w := newWatch(c)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- w.Serve(ctx) }()
+		time.Sleep(5 * time.Second)
+		must.NotNil(t, w.Owner("p"))
+		cancel()
+		<-done
+	})
+}
