A stream whose time is over is logged so; tests of the entry in files by subject

Ruled out: ordering the timers; the cause is now told by the time that is left. Change: request.silence; an error that names its cause is not wrapped again.

--- a/io/gate/send.go
+++ b/io/gate/send.go
@@ -59,7 +59,7 @@
 				"ending", res.end.String(), "status", res.status, "err", errText(res.err), "events", res.events, "took", res.total.String())
 		}
 	}()
-	quiet := time.AfterFunc(q.patience(), func() { cancel(errQuiet) })
+	quiet := time.AfterFunc(q.patience(), func() { cancel(q.silence(ctx)) })
 	defer quiet.Stop()
 	resp, sent, err := q.gate.Sender.Send(ctx, q.outgoing(ctx, p))
 	if err != nil {
@@ -103,6 +103,15 @@
 	return min(left, max(time.Duration(tryPart*float64(left)), leastTry))
 }
 
+// silence is why a send ends whose upstream has said nothing for as long as it
+// may: for many that is until the request's time is over.
+func (q *request) silence(ctx context.Context) error {
+	if q.over(ctx) {
+		return errDeadline
+	}
+	return errQuiet
+}
+
 // pass reads an answer whole before any of it leaves, so that a broken one can
 // be asked for again.
 func (q *request) pass(ctx context.Context, resp *http.Response, start time.Time, res *result) {
@@ -152,7 +161,7 @@
 
 // cause names why the context ended, where that is why a send failed.
 func cause(ctx context.Context, err error) error {
-	if c := context.Cause(ctx); c != nil {
+	if c := context.Cause(ctx); c != nil && !errors.Is(err, c) {
 		return fmt.Errorf("%w: %w", c, err)
 	}
 	return err
--- /dev/null
+++ b/io/gate/site_test.go
@@ -0,0 +1,296 @@
+package gate
+
+import (
+	"bufio"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/shoenig/test/must"
+
+	"azurelane/core/acct"
+	"azurelane/core/conf"
+	"azurelane/core/index"
+	"azurelane/core/meta"
+	"azurelane/core/peers"
+	"azurelane/core/pool"
+	"azurelane/core/route"
+	"azurelane/core/wire"
+	"azurelane/io/client"
+	"azurelane/io/watch"
+)
+
+const (
+	idHeader   = "X-Id"
+	markHeader = "X-Mark"
+	key        = "secret"
+)
+
+// plain is a dialect of the tests' own.
+type plain struct{}
+
+func (plain) Read(h http.Header) (meta.Meta, error) {
+	m := meta.Meta{ID: h.Get(idHeader), Prompt: 100, Answer: 100}
+	if v := h.Get("X-Wait"); v != "" {
+		d, err := time.ParseDuration(v)
+		if err != nil {
+			return m, fmt.Errorf("plain: %w", err)
+		}
+		m.Deadline = d
+	}
+	return m, nil
+}
+
+func (plain) Forward(h http.Header) http.Header {
+	out := h.Clone()
+	out.Del("Authorization")
+	out.Del("Content-Length")
+	return out
+}
+
+func (plain) Stamp(h http.Header, hop meta.Hop) {
+	h.Set("X-Instance", hop.Instance)
+	h.Set("X-Account", hop.Account)
+	h.Set("X-Last", hop.LastEvent)
+	h.Set("X-Left", hop.Left.String())
+}
+
+func (plain) NotRun(r *http.Response) bool { return r.Header.Get("X-Not-Run") != "" }
+
+func (plain) Other(r *http.Response) bool { return r.StatusCode == http.StatusMisdirectedRequest }
+
+func (plain) Load(*http.Response) (peers.Load, bool) {
+	return peers.Load{}, false
+}
+
+func (plain) Genuine(r *http.Response) bool { return r.Header.Get(markHeader) != "" }
+
+func (plain) Refuse(h http.Header, after time.Duration) {
+	h.Set("Retry-After", after.String())
+}
+
+// site is a gate over some upstreams.
+type site struct {
+	*Gate
+	t        *testing.T
+	mu       sync.Mutex
+	view     watch.View
+	granter  granter
+	replaced []string
+	srv      *httptest.Server
+}
+
+func (s *site) View() *watch.View {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v := s.view
+	return &v
+}
+
+func (s *site) Doubt(context.Context) {}
+
+func (s *site) Replaced(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.replaced = append(s.replaced, id)
+}
+
+// upstream answers the n-th request that it gets, from 0, as script says; it
+// gets the raw connection, so that it can break rules.
+type upstream struct {
+	net.Listener
+	mu   sync.Mutex
+	seen []*http.Request
+	body []string
+	gone chan struct{} // Closed when a caller's connection ended under a request.
+	once sync.Once
+}
+
+func (u *upstream) count() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return len(u.seen)
+}
+
+func newUpstream(t *testing.T, script func(n int, r *http.Request, w io.Writer) (keep bool)) *upstream {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	u := &upstream{Listener: ln, gone: make(chan struct{})}
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go u.serve(c, script)
+		}
+	}()
+	return u
+}
+
+func (u *upstream) serve(c net.Conn, script func(n int, r *http.Request, w io.Writer) bool) {
+	defer func() { _ = c.Close() }()
+	for br := bufio.NewReader(c); ; {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		body, _ := io.ReadAll(r.Body)
+		u.mu.Lock()
+		n := len(u.seen)
+		u.seen, u.body = append(u.seen, r), append(u.body, string(body))
+		u.mu.Unlock()
+		if !script(n, r, c) {
+			if _, err := br.ReadByte(); err != nil {
+				u.once.Do(func() { close(u.gone) })
+			}
+			return
+		}
+	}
+}
+
+// head is the header of a genuine answer to r.
+func head(r *http.Request, status int, more string) string {
+	return fmt.Sprintf("HTTP/1.1 %d X\r\n%s: %s\r\n%s: m\r\n%s", status, idHeader, r.Header.Get(idHeader), markHeader, more)
+}
+
+func text(body string) func(int, *http.Request, io.Writer) bool {
+	return answer(http.StatusOK, body, "")
+}
+
+func answer(status int, body, more string) func(int, *http.Request, io.Writer) bool {
+	return func(_ int, r *http.Request, w io.Writer) bool {
+		_, _ = io.WriteString(w, head(r, status, more)+fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body))
+		return true
+	}
+}
+
+// events writes some events in chunks; whole ends the stream.
+func events(r *http.Request, w io.Writer, from, to int, whole bool) {
+	_, _ = io.WriteString(w, head(r, http.StatusOK, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"))
+	for i := from; i <= to; i++ {
+		chunk(w, fmt.Sprintf("id: %d\ndata: %d\n\n", i, i))
+	}
+	if whole {
+		_, _ = io.WriteString(w, "0\r\n\r\n")
+	}
+}
+
+func closeConn(w io.Writer) {
+	if c, ok := w.(net.Conn); ok {
+		_ = c.Close()
+	}
+}
+
+func chunk(w io.Writer, s string) { _, _ = fmt.Fprintf(w, "%x\r\n%s\r\n", len(s), s) }
+
+func streamTo(to int) string {
+	var b strings.Builder
+	for i := 1; i <= to; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: %d\n\n", i, i)
+	}
+	return b.String()
+}
+
+func newSite(t *testing.T, ups ...*upstream) *site {
+	t.Helper()
+	sum := sha256.Sum256([]byte(key))
+	cfg := &conf.Config{
+		Accounts: map[string]acct.Account{"radio": {KeySHA256: hex.EncodeToString(sum[:])}},
+		Pools:    map[string]pool.Pool{"p": {ByRoute: true}},
+	}
+	for _, r := range []route.Route{
+		{Name: "once", Prefix: "/once/"},
+		{Name: "again", Prefix: "/again/", Idempotent: true, Upstreams: 2},
+		{Name: "stream", Prefix: "/stream/", Stream: true, Upstreams: 1},
+		{Name: "resume", Prefix: "/resume/", Stream: true, Resumable: true, Upstreams: 3},
+		{Name: "public", Prefix: "/public/", Public: true},
+	} {
+		r.Host, r.Split, r.Timeout, r.Objective = "h", []route.Share{{Pool: "p", Weight: 1}}, 2*time.Second, 100*time.Millisecond
+		cfg.Routes = append(cfg.Routes, r)
+	}
+	s := &site{t: t}
+	s.view = watch.View{Version: 1, Index: index.New(cfg), Entries: 1, Upstreams: map[string][]*wire.Upstream{}}
+	for i, u := range ups {
+		s.view.Upstreams["p"] = append(s.view.Upstreams["p"], &wire.Upstream{
+			Id: fmt.Sprintf("up-%d", i), Address: u.Addr().String(), Slots: int64(1), DataCentre: fmt.Sprintf("z%d", min(i, 1)),
+		})
+	}
+	s.Gate = &Gate{
+		Node: "e", Incarnation: "i", Centre: "z0", News: s, Granter: s, Sender: &client.Client{Echo: idHeader}, Dialect: plain{},
+		Ratio: 1, Slack: 100, Log: logr.Discard(),
+	}
+	s.srv = httptest.NewServer(s.Gate)
+	t.Cleanup(s.srv.Close)
+	return s
+}
+
+func (s *site) Grant(ctx context.Context, t *wire.Ticket) (*wire.Grant, error) {
+	return s.granter.Grant(ctx, t)
+}
+
+func (s *site) Release(r *wire.Release) { s.granter.Release(r) }
+
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error // Of reading the body.
+}
+
+func (s *site) ask(method, path string, header ...string) reply {
+	s.t.Helper()
+	r, err := http.NewRequestWithContext(s.t.Context(), method, s.srv.URL+path, strings.NewReader("text"))
+	must.NoError(s.t, err)
+	r.Host = "h"
+	r.Header.Set("Authorization", "Bearer "+key)
+	r.Header.Set(idHeader, "1")
+	for i := 0; i < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	return reply{resp.StatusCode, resp.Header, string(data), err}
+}
+
+// granterFunc is a scheduler that answers as told.
+type granterFunc struct {
+	mu       sync.Mutex
+	grant    func(t *wire.Ticket) (*wire.Grant, error)
+	released []*wire.Release
+}
+
+func (g *granterFunc) Grant(_ context.Context, t *wire.Ticket) (*wire.Grant, error) {
+	return g.grant(t)
+}
+
+func (g *granterFunc) Release(r *wire.Release) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.released = append(g.released, r)
+}
+
+func (s *site) scheduled(grant func(t *wire.Ticket) (*wire.Grant, error)) *granterFunc {
+	cfg := *s.view.Index.Config()
+	cfg.Pools = map[string]pool.Pool{"p": {ByRoute: true, Slots: 4}}
+	s.view.Index, s.view.Owner = index.New(&cfg), &wire.Member{Incarnation: "owner"}
+	g := &granterFunc{grant: grant}
+	s.granter = g
+	return g
+}
