--- a/io/gated/gated.go
+++ b/io/gated/gated.go
@@ -60,7 +60,7 @@
 	}
 	incarnation := uuid.NewString()[:8]
 	e := &Gated{set: set, log: log.WithName("gate"), gate: g, client: &client.Client{Echo: echo, Idle: idleConns}}
-	lns, err := listen(set.Peers.String(), set.Callers, set.Ready)
+	lns, err := listen(set.ListenPeers().String(), set.Callers, set.Ready)
 	if err != nil {
 		return nil, err
 	}
--- a/io/hubd/hubd.go
+++ b/io/hubd/hubd.go
@@ -56,7 +56,7 @@
 		debug.SetMemoryLimit(int64(memoryPart * float64(set.MemoryMB<<20)))
 	}
 	d := &Hubd{set: set, log: log.WithName("hub")}
-	peers, err := net.Listen("tcp", set.Peers.String())
+	peers, err := net.Listen("tcp", set.ListenPeers().String())
 	if err != nil {
 		return nil, fmt.Errorf("hubd: listen: %w", err)
 	}
--- a/io/local/local.go
+++ b/io/local/local.go
@@ -26,6 +26,7 @@
 	Ready       string           `json:"ready,omitzero"`
 	Calls       string           `json:"calls,omitzero"`
 	Peers       netip.AddrPort   `json:"peers"`
+	PeersListen netip.AddrPort   `json:"peers-listen,omitzero"`
 	Metrics     string           `json:"metrics,omitzero"`
 	Seeds       []netip.AddrPort `json:"seeds"`
 	DataFolder  string           `json:"data-folder,omitzero"`
@@ -65,6 +66,7 @@
 		{Path: "/ready", Want: addrWant, Text: "Where an entry answers whether callers should be sent to it."},
 		{Path: "/calls", Want: addrWant, Text: "Where control takes calls of upstreams and operators."},
 		{Path: "/peers", Want: addrWant, Text: "For links between processes; the port is the same on all VMs."},
+		{Path: "/peers-listen", Want: addrWant, Default: "that of /peers", Text: "Where such links are taken, if a forwarder stands at the address of /peers."},
 		{Path: "/metrics", Want: addrWant, Text: "Where metrics and health are served; none when empty."},
 		{Path: "/seeds", Want: "addresses IP:PORT", Text: "Some control replicas; their ports are not used. Read again whenever the file changes."},
 		{Path: "/data-folder", Want: "a folder", Text: "Of a control replica."},
@@ -110,6 +112,14 @@
 	return nil
 }
 
+// ListenPeers is where links of other processes are taken.
+func (n *Local) ListenPeers() netip.AddrPort {
+	if n.PeersListen.IsValid() {
+		return n.PeersListen
+	}
+	return n.Peers
+}
+
 // SeedPeers returns the peer addresses of the seeds.
 func (n *Local) SeedPeers() []netip.AddrPort {
 	var list []netip.AddrPort
--- a/io/watch/watch.go
+++ b/io/watch/watch.go
@@ -34,8 +34,8 @@
 	// as they wait for it: 3 s with askLimit. The limit doubles with each answer
 	// that stays away, so that a slow link is no obstacle for good.
 	firstLimit = 500 * time.Millisecond
-	pause     = 60 * time.Millisecond // Between two replicas asked in vain.
-	findLimit = 400 * time.Millisecond
+	pause      = 60 * time.Millisecond // Between two replicas asked in vain.
+	findLimit  = 400 * time.Millisecond
 	// probeLimit is how long the leader may take to answer a question that
 	// needs no work, before entries place requests by themselves.
 	probeLimit = 350 * time.Millisecond
