--- a/core/batch/pace.go
+++ b/core/batch/pace.go
@@ -16,13 +16,10 @@
 	// promptRatio is the time of one prompt token in times of one answer token:
 	// engines read some 300 prompt tokens in the time of one step.
 	promptRatio = 1.0 / 300
-	// promptSquare is the prompt at which the part of its time that grows with
-	// its square, attention, is as large as the part that grows with its length.
-	promptSquare = 36000
-	learnRate    = 0.15            // Weight of one run in what is learnt.
-	firstOut     = time.Second     // How long an upstream is left out after a failure.
-	mostOut      = 8 * time.Second // The same after many failures in a row.
-	failsAllow   = 2               // Failures in a row that leave no upstream out when it answered, if badly.
+	learnRate   = 0.15            // Weight of one run in what is learnt.
+	firstOut    = time.Second     // How long an upstream is left out after a failure.
+	mostOut     = 8 * time.Second // The same after many failures in a row.
+	failsAllow  = 2               // Failures in a row that leave no upstream out when it answered, if badly.
 )
 
 // pace is what was learnt of one upstream.
