Only answers that stay away lengthen an entry's wait for a leader

Cause, found when reading the change again: replicas that say at once that they do not lead doubled the limit too, so that after a few of them a frozen leader was waited for as long as before. Ruled out: a pause between them (the test's hang of the same loop was its own stand-in's). Change: only a deadline that passes counts. Test: TestOthersAreNotLate.

--- a/io/watch/watch.go
+++ b/io/watch/watch.go
@@ -33,9 +33,10 @@
 	// replicas still name it, and entries would be without a scheduler for as long
 	// as they wait for it: 3 s with askLimit. The limit doubles with each answer
 	// that stays away, so that a slow link is no obstacle for good.
-	firstLimit = 500 * time.Millisecond
-	pause      = 60 * time.Millisecond // Between two replicas asked in vain.
-	findLimit  = 400 * time.Millisecond
+	firstLimit  = 500 * time.Millisecond
+	mostDoubled = 3                     // Times; it is over askLimit then.
+	pause       = 60 * time.Millisecond // Between two replicas asked in vain.
+	findLimit   = 400 * time.Millisecond
 	// probeLimit is how long the leader may take to answer a question that
 	// needs no work, before entries place requests by themselves.
 	probeLimit = 350 * time.Millisecond
@@ -88,7 +89,7 @@
 
 // Serve follows the leader until ctx ends.
 func (w *Watch) Serve(ctx context.Context) error {
-	to, limit := netip.AddrPort{}, firstLimit
+	to, late := netip.AddrPort{}, 0
 	for ctx.Err() == nil {
 		if !to.IsValid() {
 			to = w.find(ctx)
@@ -101,20 +102,15 @@
 			}
 			continue
 		}
-		if w.View().Owner != nil {
-			limit = askLimit
-		}
-		err := w.ask(ctx, to, limit)
+		err := w.ask(ctx, to, w.limit(late))
 		switch {
 		case err == nil:
-			limit = firstLimit
+			late = 0
 			continue
 		case ctx.Err() != nil:
 			return ctx.Err()
-		case w.View().Owner == nil:
-			limit = min(2*limit, askLimit)
-		default:
-			limit = firstLimit
+		case w.View().Owner == nil && errors.Is(err, context.DeadlineExceeded):
+			late++
 		}
 		w.lose(err.Error())
 		to = hinted(err)
@@ -122,6 +118,14 @@
 	return ctx.Err()
 }
 
+// limit is how long an answer may take after so many late ones in a row.
+func (w *Watch) limit(late int) time.Duration {
+	if w.View().Owner != nil {
+		return askLimit
+	}
+	return min(firstLimit<<min(late, mostDoubled), askLimit)
+}
+
 // hinted is the leader that a replica named instead of itself.
 func hinted(err error) netip.AddrPort {
 	var f *wire.Fault
--- a/io/watch/watch_test.go
+++ b/io/watch/watch_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -210,3 +211,34 @@
 		<-done
 	})
 }
+
+// Replicas that do not lead say so at once. That makes no answer late: the next
+// one that stays away is given up as soon as the first.
+func TestOthersAreNotLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var leads atomic.Bool
+		c := &control{slow: 20 * time.Millisecond, named: true, news: func(w *wire.Watch) (*wire.News, error) {
+			if !leads.Load() {
+				return nil, errors.New("another leads")
+			}
+			return held(w)
+		}}
+		w := newWatch(c)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- w.Serve(ctx) }()
+		time.Sleep(time.Second)
+		c.mu.Lock()
+		c.dead = true
+		c.mu.Unlock()
+		time.Sleep(300 * time.Millisecond)
+		c.mu.Lock()
+		c.dead = false
+		c.mu.Unlock()
+		leads.Store(true)
+		time.Sleep(firstLimit)
+		must.NotNil(t, w.Owner("p"))
+		cancel()
+		<-done
+	})
+}
