The tests of a followed leader run it by one function

Cause: three tests of io/watch started and stopped the service with the same lines. Ruled out: changing what they check; their assertions stand as they were. Change: follow. Conclusion: less to read.

--- a/io/watch/watch_test.go
+++ b/io/watch/watch_test.go
@@ -165,6 +165,18 @@
 	must.False(t, hinted(errors.New("link: down")).IsValid())
 }
 
+// follow runs the watch until the test ends.
+func follow(t *testing.T, w *Watch) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- w.Serve(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+}
+
 // held answers as a leader does: at once to an entry that does not know it, and
 // else later.
 func held(w *wire.Watch) (*wire.News, error) {
@@ -182,9 +194,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := &control{news: held, dead: true, named: true}
 		w := newWatch(c)
-		ctx, cancel := context.WithCancel(t.Context())
-		done := make(chan error, 1)
-		go func() { done <- w.Serve(ctx) }()
+		follow(t, w)
 		time.Sleep(500 * time.Millisecond)
 		must.Nil(t, w.Owner("p"))
 		c.mu.Lock()
@@ -192,8 +202,6 @@
 		c.mu.Unlock()
 		time.Sleep(500 * time.Millisecond)
 		must.NotNil(t, w.Owner("p"))
-		cancel()
-		<-done
 	})
 }
 
@@ -202,13 +210,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := &control{news: held, slow: 1500 * time.Millisecond}
 		w := newWatch(c)
-		ctx, cancel := context.WithCancel(t.Context())
-		done := make(chan error, 1)
-		go func() { done <- w.Serve(ctx) }()
+		follow(t, w)
 		time.Sleep(5 * time.Second)
 		must.NotNil(t, w.Owner("p"))
-		cancel()
-		<-done
 	})
 }
 
@@ -224,9 +228,7 @@
 			return held(w)
 		}}
 		w := newWatch(c)
-		ctx, cancel := context.WithCancel(t.Context())
-		done := make(chan error, 1)
-		go func() { done <- w.Serve(ctx) }()
+		follow(t, w)
 		time.Sleep(time.Second)
 		c.mu.Lock()
 		c.dead = true
@@ -238,7 +240,5 @@
 		leads.Store(true)
 		time.Sleep(firstLimit)
 		must.NotNil(t, w.Owner("p"))
-		cancel()
-		<-done
 	})
 }
