--- a/core/batch/batch_test.go
+++ b/core/batch/batch_test.go
@@ -177,7 +177,6 @@
 	must.True(t, used)
 }
 
-// A leaving engine gets nothing new from the moment in which it says so.
 // A session comes back within seconds. The engine that ran it has kept its
 // prompt, so its next request runs there while another engine is as free, and
 // what the engine has to read is nothing: the next one is not taken for late.
@@ -205,6 +204,7 @@
 	}
 }
 
+// A leaving engine gets nothing new from the moment in which it says so.
 func TestLeavingEngineGetsNothing(t *testing.T) {
 	e := newEngines(4, "a", "b")
 	e.announce("a", 4, true)
