One leader after a cold start; each change of role says why

Found by a new log line: each change of a replica's role names the term, the message's sender, the silence before it and the longest pause of its own loop. Ruled out: disks and links, which answered throughout. Change: who has voted neither asks nor answers cold questions for a quarter of the election timeout, and of two rounds at once the lower identity goes on.

--- a/core/raft/cold.go
+++ b/core/raft/cold.go
@@ -18,6 +18,14 @@
 // on reaches a replica which has started anew long before that.
 const coldQuorumAfter = 2
 
+// coldVoteHold is the part of the election timeout, one in so many, for which a
+// replica that has voted, for another or itself, neither asks nor answers cold
+// questions. Who got the votes needs two ways and two syncs until it leads and is
+// heard. Without the wait a second replica whose round came in between stood for
+// election as well: the leader that callers had just found stepped down for its newer
+// term, and as it got no quorum itself, they had no scheduler for another 0.6 s.
+const coldVoteHold = 4
+
 // cold is what a replica knows that has heard no leader since its start.
 //
 // When all replicas stop at once, by a loss of power or a kill, each of them
@@ -41,6 +49,8 @@
 	on      bool              // No leader was heard since the start.
 	process uint64            // Drawn at the start.
 	askAt   time.Time         // Of the next round.
+	open    bool              // Answers of the last round count.
+	votedAt time.Time         // When it last voted.
 	answers map[string]uint64 // Processes that have just started, by replica.
 }
 
@@ -56,14 +66,16 @@
 func (c *cold) later(r *Raft) {
 	c.askAt = r.now.Add(coldEvery + time.Duration(r.Rand.Int64N(int64(coldEvery))))
 	c.answers = map[string]uint64{}
+	c.open = false
 }
 
 // askCold begins a round of questions when it is time.
 func (r *Raft) askCold() {
-	if !r.cold.on || r.now.Before(r.cold.askAt) || !r.voter(r.ID) {
+	if !r.cold.on || r.now.Before(r.cold.askAt) || !r.voter(r.ID) || r.coldHeld() {
 		return
 	}
 	r.cold.later(r)
+	r.cold.open = true
 	for _, id := range r.possible() {
 		r.send(&wire.Raft{
 			To: id, Term: r.term + 1, Kind: wire.Raft_KIND_VOTE, PreVote: true, Cold: true,
@@ -89,7 +101,7 @@
 // coldAsked answers a cold question.
 func (r *Raft) coldAsked(m *wire.Raft) {
 	reply := &wire.Raft{To: m.GetFrom(), Kind: wire.Raft_KIND_VOTE_REPLY, PreVote: true, Cold: true, Group: m.GetGroup()}
-	if r.cold.on && m.GetTerm() > r.term && r.upToDate(m) {
+	if r.cold.on && m.GetTerm() > r.term && r.upToDate(m) && !r.coldHeld() && r.coldYields(m.GetFrom()) {
 		reply.Granted, reply.Term, reply.Process = true, m.GetTerm(), r.cold.process
 	}
 	r.send(reply)
@@ -97,12 +109,12 @@
 
 // coldGot counts an answer, and stands for election once all have answered.
 func (r *Raft) coldGot(m *wire.Raft) {
-	if !r.cold.on || m.GetTerm() != r.term+1 {
+	if !r.cold.on || !r.cold.open || m.GetTerm() != r.term+1 {
 		return
 	}
 	r.cold.answers[m.GetFrom()] = m.GetProcess()
 	if r.cold.enough(r) {
-		r.campaign(candidate, false)
+		r.campaign(candidate, false, "the others have just started, too", m)
 	}
 }
 
@@ -129,3 +141,22 @@
 func (r *Raft) coldVote(m *wire.Raft) bool {
 	return m.GetCold() && r.cold.on && m.GetProcess() == r.cold.process
 }
+
+// coldYields reports whether this replica leaves it to the one that asks to stand
+// for election. Of two that ask in the same moment the one with the lower identity
+// goes on: with both, the votes would be split.
+func (r *Raft) coldYields(to string) bool {
+	if !r.cold.open {
+		return true
+	}
+	if r.ID < to {
+		return false
+	}
+	r.cold.later(r)
+	return true
+}
+
+// coldHeld reports whether the replica that has this one's vote may be about to lead.
+func (r *Raft) coldHeld() bool {
+	return !r.cold.votedAt.IsZero() && r.now.Sub(r.cold.votedAt) < r.election()/coldVoteHold
+}
--- a/core/raft/cold_test.go
+++ b/core/raft/cold_test.go
@@ -184,3 +184,27 @@
 	})
 	must.Positive(t, cold)
 }
+
+// Five replicas lose power, and two of them their disks. The other three start
+// again and ask each other in rounds of their own. One that has just voted for
+// another must not stand for election as well: the leader that callers have found a
+// moment ago would step down, and nobody would lead for another election timeout.
+func TestOneLeaderAfterAColdStart(t *testing.T) {
+	for seed := range uint64(100) {
+		s := newSim(seed, 5)
+		s.leaseless = true
+		s.restart(s.names...)
+		s.run(5 * time.Second)
+		must.True(t, s.commit(s.leader(), "first"))
+		s.nodes["r3"].down, s.nodes["r4"].down = true, true
+		s.delay = 2 * simStep
+		s.restart("r0", "r1", "r2")
+		from := s.t
+		for s.leader() == nil {
+			s.step()
+		}
+		l := s.leader()
+		must.LessEq(t, Election, s.t-from, must.Sprint("seed ", seed))
+		s.stays(t, l, func() { s.run(2 * Election) })
+	}
+}
--- a/core/raft/elect.go
+++ b/core/raft/elect.go
@@ -24,16 +24,17 @@
 // campaign asks for votes. A pre-candidate asks whether it would win and leaves
 // its term alone: a replica behind a long silent cut otherwise raises its term
 // at each timeout and deposes a working leader when it comes back.
-func (r *Raft) campaign(as role, transfer bool) {
+func (r *Raft) campaign(as role, transfer bool, why string, from *wire.Raft) {
 	r.resetTimer()
 	if !r.voter(r.ID) {
 		return
 	}
-	r.role, r.leader = as, ""
+	r.shift(as, why, from)
+	r.leader = ""
 	r.votes = map[string]bool{r.ID: true}
 	term := r.term + 1
 	if as == candidate {
-		r.term, r.vote = term, r.ID
+		r.term, r.vote, r.cold.votedAt = term, r.ID, r.now
 		r.record(r.hard())
 	}
 	if r.won() {
@@ -62,7 +63,7 @@
 		return false
 	}
 	if r.role == preCandidate {
-		r.campaign(candidate, false)
+		r.campaign(candidate, false, "a quorum would vote for it", nil)
 		return true
 	}
 	r.takeOver()
@@ -70,7 +71,8 @@
 }
 
 func (r *Raft) takeOver() {
-	r.role, r.leader = leader, r.ID
+	r.shift(leader, "a quorum voted for it", nil)
+	r.leader = r.ID
 	r.cold = cold{}
 	r.since, r.beatAt = r.now, r.now.Add(r.election()/(Election/Heartbeat))
 	r.transfer, r.sent = "", false
@@ -105,6 +107,7 @@
 		r.vote = m.GetFrom()
 		r.record(r.hard())
 		r.resetTimer()
+		r.cold.votedAt = r.now
 		reply.Granted = true
 	}
 	r.send(reply)
@@ -155,14 +158,15 @@
 	}
 	r.term, r.vote = m.GetTerm(), ""
 	r.record(r.hard())
-	r.stepDown()
+	r.stepDown("another replica has a newer term", m)
 }
 
-func (r *Raft) stepDown() {
+func (r *Raft) stepDown(why string, from *wire.Raft) {
 	if r.role == leader {
 		r.resetTimer()
 	}
-	r.role, r.leader, r.peers, r.transfer = follower, "", nil, ""
+	r.shift(follower, why, from)
+	r.leader, r.peers, r.transfer = "", nil, ""
 }
 
 // follow takes the sender of an append as the leader of its term.
@@ -172,7 +176,8 @@
 		r.out.Err = fmt.Errorf("%w: two leaders in term %d", ErrDiverged, r.term)
 	}
 	if r.role != follower {
-		r.role, r.peers = follower, nil
+		r.shift(follower, "another replica leads", m)
+		r.peers = nil
 	}
 	r.leader, r.heard, r.cold = m.GetFrom(), r.now, cold{}
 	r.resetTimer()
--- a/core/raft/guard_test.go
+++ b/core/raft/guard_test.go
@@ -211,7 +211,7 @@
 }
 
 func (n *node) campaignNow() Effects {
-	n.campaign(preCandidate, false)
+	n.campaign(preCandidate, false, "test", nil)
 	return n.flush()
 }
 
--- a/core/raft/lead.go
+++ b/core/raft/lead.go
@@ -93,11 +93,11 @@
 	// never be committed, while its callers wait and learn of no other leader.
 	// It steps down once a whole election timeout has passed without a quorum.
 	if r.now.Sub(r.since) >= r.election() && r.now.Sub(r.quorumRound()) >= r.election() {
-		r.stepDown()
+		r.stepDown("no quorum answers", nil)
 		return
 	}
 	if r.transfer != "" && !r.now.Before(r.leaveAt) {
-		r.stepDown()
+		r.stepDown("nobody took over in time", nil)
 		return
 	}
 	if !r.now.Before(r.beatAt) {
--- a/core/raft/member.go
+++ b/core/raft/member.go
@@ -152,7 +152,7 @@
 func (r *Raft) leaveIfRemoved() {
 	if !r.voter(r.ID) && r.confs[len(r.confs)-1].index <= r.commit {
 		r.spread(true) // Tell the others that it is committed.
-		r.stepDown()
+		r.stepDown("it was removed from the group", nil)
 	}
 }
 
--- a/core/raft/raft.go
+++ b/core/raft/raft.go
@@ -86,6 +86,7 @@
 		sent     bool                 // Leader only: told the next one to start, so the lease is given up.
 		leaveAt  time.Time            // Leader only: when a transfer is given up.
 		cold     cold
+		pauses   pauses
 
 		out Effects
 	}
@@ -96,7 +97,8 @@
 		Records   []*wire.Record // To append and sync; part of Tail when Install is set.
 		Messages  []*wire.Raft   // To send; losing some is harmless.
 		Committed []*wire.LogEntry
-		Err       error // The replica must stop at once and do nothing else.
+		Shifts    []Shift // Changes of role, for the log alone.
+		Err       error   // The replica must stop at once and do nothing else.
 	}
 )
 
@@ -155,7 +157,7 @@
 	case r.role == leader:
 		r.lead()
 	case !r.now.Before(r.electAt):
-		r.campaign(preCandidate, false)
+		r.campaign(preCandidate, false, "no leader was heard", nil)
 	default:
 		r.askCold()
 	}
@@ -183,7 +185,7 @@
 		r.appendGot(m)
 	case wire.Raft_KIND_TIMEOUT_NOW:
 		if m.GetTerm() == r.term && r.role == follower {
-			r.campaign(candidate, true)
+			r.campaign(candidate, true, "the leader hands over", m)
 		}
 	}
 	return r.flush()
@@ -327,6 +329,7 @@
 		now = r.now.Add(1)
 	}
 	r.now = now
+	r.pauses.note(now, max(gap, 0), r.election())
 	if gap > r.election()/4 || gap < 0 {
 		// The process was frozen or its clock jumped. A follower can't tell how
 		// much of its promise to the leader really passed, so it starts anew;
--- a/io/ctrl/apply.go
+++ b/io/ctrl/apply.go
@@ -167,3 +167,12 @@
 	}
 	return &wire.Fault{Code: leader.Refused, Text: err.Error()}
 }
+
+// noteShifts logs changes of this replica's role. There are some a second at most,
+// from the timers of elections.
+func (c *Ctrl) noteShifts(list []raft.Shift) {
+	for _, s := range list {
+		c.Log.Info("Role changed.", "role", s.Role, "why", s.Why, "term", s.Term, "from", c.addressOf(s.From),
+			"silence", s.Silence.String(), "longest-pause", s.Late.String())
+	}
+}
--- a/io/ctrl/batch.go
+++ b/io/ctrl/batch.go
@@ -40,6 +40,7 @@
 	b.eff.Records = append(b.eff.Records, e.Records...)
 	b.eff.Messages = append(b.eff.Messages, e.Messages...)
 	b.eff.Committed = append(b.eff.Committed, e.Committed...)
+	b.ctrl.noteShifts(e.Shifts)
 	if b.eff.Err == nil {
 		b.eff.Err = e.Err
 	}
--- a/io/ctrl/ctrl_test.go
+++ b/io/ctrl/ctrl_test.go
@@ -120,6 +120,9 @@
 // the loop that changes it: read beside the loop, the name could be torn.
 func TestFollowerNamesTheLeader(t *testing.T) {
 	group(t, 3, func(t *testing.T, n *network, l *replica) {
+		for n.other(l).Leader() == "" {
+			time.Sleep(tickEvery) // The quorum that elected the leader was the third replica.
+		}
 		for range 50 {
 			_, err := n.other(l).holder(context.Background(), &wire.ClaimQuery{Account: "a", Key: "k"})
 			var fault *wire.Fault
