--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -5,7 +5,6 @@
 package batch
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -52,8 +51,12 @@
 	table   table.Table
 	slots   slots.Slots
 	waiting []*item
+	items   map[ticketKey]*item // Those that wait.
 	kinds   map[string]*kind
-	paces   map[string]*pace
+	engines map[string]*engine // By name.
+	all     []*engine          // In the order of the table.
+	open    []offer            // Of the decision that is being made.
+	mean    pace               // A pace between the slowest and the fastest engine.
 	started time.Time
 	swept   time.Time
 	urgent  urgent
@@ -61,11 +64,18 @@
 	ideal   ideal
 }
 
+// ticketKey names a ticket.
+type ticketKey struct {
+	incarnation string
+	id          uint64
+}
+
 // Configure installs the pool's limits.
 func (b *Batch) Configure(now time.Time, name string, cfg *conf.Config) []*wire.Decision {
 	b.name, b.pool = name, cfg.Pools[name].WithDefaults()
 	if b.started.IsZero() {
-		b.started, b.kinds, b.paces = now, map[string]*kind{}, map[string]*pace{}
+		b.started, b.kinds, b.engines, b.items = now, map[string]*kind{}, map[string]*engine{}, map[ticketKey]*item{}
+		b.learnMean()
 	}
 	return nil
 }
@@ -74,7 +84,7 @@
 func (b *Batch) Announce(now time.Time, a *wire.Announce) []*wire.Decision {
 	if u := b.table.Named(a.GetUpstream()); u.GetIncarnation() != "" && u.GetIncarnation() != a.GetIncarnation() {
 		b.slots.Vacate(now, u) // What the former process ran ended with it.
-		delete(b.paces, a.GetUpstream())
+		b.engine(u).pace = b.unknown()
 	}
 	b.table.Put(now, a)
 	return b.assign(now)
@@ -90,9 +100,10 @@
 		b.kinds[t.GetRoute()] = k
 	}
 	b.urgent.seen(now, t.GetPriority())
-	i := newItem(now, t, k, b.usual())
+	i := newItem(now.Sub(b.started), t, k, &b.mean)
 	b.waiting = append(b.waiting, i)
-	if open, beyond := b.open(now); len(open) == 0 || (beyond && !b.urgent.has(i)) {
+	b.items[ticketKey{t.GetIncarnation(), t.GetId()}] = i
+	if beyond := b.look(now); len(b.open) == 0 || (beyond && !b.urgent.has(i)) {
 		return nil // Nothing was possible before, and this one changes nothing.
 	}
 	return b.assign(now)
@@ -104,7 +115,7 @@
 	if s == nil {
 		return nil
 	}
-	p := b.pace(s.Up)
+	p := b.engine(s.Up).pace
 	switch {
 	case r.GetBusy():
 		p.given(now, b.pool.Slots*int64(b.shape.usual())) // Its own queue is full: others use it, too.
@@ -137,7 +148,7 @@
 // Forget drops a dead entry's tickets and slots.
 func (b *Batch) Forget(now time.Time, incarnation string) []*wire.Decision {
 	b.slots.Forget(incarnation)
-	b.waiting = slices.DeleteFunc(b.waiting, func(i *item) bool { return i.GetIncarnation() == incarnation })
+	b.drop(func(i *item) bool { return i.GetIncarnation() == incarnation })
 	return b.assign(now)
 }
 
@@ -147,76 +158,27 @@
 		b.swept = now
 		b.table.Expire(now, forgetAfter)
 		b.forget()
+		b.learnMean()
 		b.slots.Sweep(now, b.pool.MaxRun+runGrace, func(*slot.Slot) {})
 	}
 	return append(b.assign(now), b.expire(now)...)
 }
 
 func (b *Batch) remove(incarnation string, ticket uint64) {
-	b.waiting = slices.DeleteFunc(b.waiting, func(i *item) bool {
-		return i.GetIncarnation() == incarnation && i.GetId() == ticket
-	})
-}
-
-func (b *Batch) pace(u *upstr.Upstream) *pace {
-	p := b.paces[u.GetUpstream()]
-	if p == nil {
-		p = &pace{whole: 1, shape: &b.shape}
-		b.paces[u.GetUpstream()] = p
-	}
-	return p
-}
-
-// usual is a pace between the slowest and the fastest upstream, for what has to
-// be compared before an upstream is chosen.
-func (b *Batch) usual() *pace {
-	sum, n := time.Duration(0), time.Duration(0)
-	for _, p := range b.paces {
-		sum += p.perToken()
-		n++
-	}
-	if n == 0 {
-		return &pace{}
-	}
-	return &pace{token: sum / n, shape: &b.shape}
-}
-
-// forget drops what was learnt of upstreams that are no longer known: each
-// incarnation has a name of its own.
-func (b *Batch) forget() {
-	if len(b.paces) <= 2*len(b.table.All()) {
-		return
+	if i := b.items[ticketKey{incarnation, ticket}]; i != nil {
+		b.drop(func(other *item) bool { return other == i })
 	}
-	known := make(map[string]bool, len(b.table.All()))
-	for _, u := range b.table.All() {
-		known[u.GetUpstream()] = true
-	}
-	maps.DeleteFunc(b.paces, func(id string, _ *pace) bool { return !known[id] })
 }
 
-// live reports whether an upstream is to be used at all.
-func (b *Batch) live(now time.Time, u *upstr.Upstream) bool {
-	if !u.Live(now) {
-		return false
-	}
-	return !now.Before(b.pace(u).out)
-}
-
-// open lists the upstreams with room, and reports whether that is only beyond
-// their batches.
-func (b *Batch) open(now time.Time) (list []*upstr.Upstream, beyond bool) {
-	b.ideal, beyond = ideal{}, true
-	for _, u := range b.table.All() {
-		if !b.live(now, u) {
-			continue
-		}
-		b.ideal.add(b.pace(u))
-		if u.Running < u.Limit()+extraPlaces && b.fits(u, 0) {
-			list = append(list, u)
-			beyond = beyond && u.Running >= u.Limit()
+// drop takes the tickets for which gone says so out of the queue.
+func (b *Batch) drop(gone func(*item) bool) {
+	b.waiting = slices.DeleteFunc(b.waiting, func(i *item) bool {
+		if !gone(i) {
+			return false
 		}
-	}
-	return list, beyond
+		delete(b.items, ticketKey{i.GetIncarnation(), i.GetId()})
+		return true
+	})
 }
 
 func (b *Batch) fits(u *upstr.Upstream, tokens int64) bool {
@@ -227,22 +189,23 @@
 func (b *Batch) assign(now time.Time) []*wire.Decision {
 	var out []*wire.Decision
 	for len(b.waiting) > 0 {
-		open, beyond := b.open(now)
-		if len(open) == 0 || (beyond && !b.urgent.waits(b.waiting)) {
+		beyond := b.look(now)
+		if len(b.open) == 0 || (beyond && !b.urgent.waits(b.waiting)) {
 			return out
 		}
-		n, u := b.next(now, open, beyond)
-		if u == nil {
+		n, e := b.next(now.Sub(b.started), beyond)
+		if e == nil {
 			return out
 		}
 		i := b.waiting[n]
 		i.kind.ended(i.band, true)
 		b.waiting = slices.Delete(b.waiting, n, n+1)
-		s := &slot.Slot{Up: u, Ticket: i.Ticket, Kept: kept(u, i)}
-		s.Wait = b.pace(u).wait(now)
-		b.pace(u).given(now, i.GetPromptTokens()-s.Kept)
+		delete(b.items, ticketKey{i.GetIncarnation(), i.GetId()})
+		s := &slot.Slot{Up: e.Upstream, Ticket: i.Ticket, Kept: kept(e.Upstream, i)}
+		s.Wait = e.pace.wait(now)
+		e.pace.given(now, i.GetPromptTokens()-s.Kept)
 		for _, p := range i.GetParts() {
-			u.Cache.Sent(now, p.GetHash())
+			e.Cache.Sent(now, p.GetHash())
 		}
 		out = append(out, b.slots.Grant(now, s, b.pool.GrantTTL))
 	}
@@ -253,8 +216,9 @@
 // time, and those whose end has come.
 func (b *Batch) expire(now time.Time) []*wire.Decision {
 	var out []*wire.Decision
-	b.waiting = slices.DeleteFunc(b.waiting, func(i *item) bool {
-		if now.Before(i.giveUp) {
+	at := now.Sub(b.started)
+	b.drop(func(i *item) bool {
+		if at < i.giveUp {
 			return false
 		}
 		i.kind.ended(i.band, false)
--- a/core/batch/item.go
+++ b/core/batch/item.go
@@ -26,16 +26,18 @@
 	// returnCredit is what an answer to a request that came back is worth beside
 	// its late credit: a second refusal costs the users three tenths of it.
 	returnCredit = 0.3
+	never        = time.Duration(math.MaxInt64) // Later than any moment.
 )
 
 type (
 	// item is a waiting ticket.
 	item struct {
 		*wire.Ticket
-		arrived time.Time
-		onTime  time.Time // The first piece is late after it; zero for never.
-		end     time.Time // Nothing is of use after it.
-		giveUp  time.Time // It is refused when it still waits then.
+		// Moments are spans since the policy's start: each decision compares those of
+		// all that wait.
+		onTime time.Duration // The first piece is late after it.
+		end    time.Duration // Nothing is of use after it.
+		giveUp time.Duration // It is refused when it still waits then.
 		// earns is what it earns a second of the place that it takes, in time. Half
 		// of it is that of a usual request of its kind: small requests earn more for
 		// their time, and by their own worth alone the large ones would be the first
@@ -53,23 +55,23 @@
 	return float64(t.GetPromptTokens() + answerWeight*t.GetAnswerTokens())
 }
 
-func newItem(now time.Time, t *wire.Ticket, k *kind, p *pace) *item {
-	i := &item{Ticket: t, arrived: now, priority: t.GetPriority(), prompt: t.GetPromptTokens()}
+func newItem(now time.Duration, t *wire.Ticket, k *kind, p *pace) *item {
+	i := &item{Ticket: t, priority: t.GetPriority(), prompt: t.GetPromptTokens(), onTime: never}
 	if t.GetObjectiveUs() != 0 {
-		i.onTime = now.Add(time.Duration(t.GetObjectiveUs()) * time.Microsecond)
+		i.onTime = now + time.Duration(t.GetObjectiveUs())*time.Microsecond
 	}
-	i.end = now.Add(time.Duration(t.GetDeadlineUs()) * time.Microsecond)
-	i.giveUp = i.end.Add(-firstToken)
-	switch left := i.onTime.Sub(now); {
-	case i.onTime.IsZero():
+	i.end = now + time.Duration(t.GetDeadlineUs())*time.Microsecond
+	i.giveUp = i.end - firstToken
+	switch left := i.onTime - now; {
+	case i.onTime == never:
 	case left > firstToken:
-		i.giveUp = i.onTime.Add(-firstToken)
+		i.giveUp = i.onTime - firstToken
 	default:
 		// It came late, after a refusal or a run that broke off. Whatever it
 		// still earns is worth some of its time, but not all of it: a refusal
 		// after a long wait leaves the caller no time for anything else.
 		i.returned = true
-		i.giveUp = now.Add(i.end.Sub(now) / lateWait)
+		i.giveUp = now + (i.end-now)/lateWait
 	}
 	i.kind, i.band = k, k.seen(t)
 	worth := math.Pow(priorityFactor, -float64(t.GetPriority())) * k.size
@@ -81,18 +83,13 @@
 }
 
 // score is what it earns when its first piece comes at a time.
-func (i *item) score(first time.Time) float64 {
+func (i *item) score(first time.Duration) float64 {
 	earns := i.earns * i.kind.boosts[i.band]
 	switch {
 	case i.returned:
 		return earns * (lateCredit + returnCredit)
-	case !i.onTime.IsZero() && first.After(i.onTime):
+	case first > i.onTime:
 		return earns * lateCredit
 	}
 	return earns
 }
-
-// late reports whether the first piece would come too late after d.
-func (i *item) late(now time.Time, d time.Duration) bool {
-	return !i.onTime.IsZero() && now.Add(d).After(i.onTime)
-}
--- a/core/batch/place.go
+++ b/core/batch/place.go
@@ -31,24 +31,18 @@
 // whose run would be cut off at its end, wherever there is room lets the next ones
 // pass: another engine will have room within milliseconds, and a long run on a
 // slow one takes a place for seconds and earns nothing.
-func (b *Batch) next(now time.Time, open []*upstr.Upstream, beyond bool) (int, *upstr.Upstream) {
-	var quick *upstr.Upstream
-	for _, u := range open {
-		if quick == nil || b.pace(u).expect(now, u, 0) < b.pace(quick).expect(now, quick, 0) {
-			quick = u
+func (b *Batch) next(now time.Duration, beyond bool) (int, *engine) {
+	rest, at, least := -1, (*engine)(nil), time.Duration(0) // What goes wrong least, if nothing fits.
+	for _, n := range b.first(now, beyond) {
+		o, cost := b.place(now, b.waiting[n])
+		if o != nil && cost < lateCost {
+			return n, o.engine
 		}
-	}
-	rest, at, least := -1, (*upstr.Upstream)(nil), time.Duration(0) // What goes wrong least, if nothing fits.
-	for _, n := range b.first(now, quick, beyond) {
-		u, cost := b.place(now, b.waiting[n], open)
-		if u != nil && cost < lateCost {
-			return n, u
-		}
-		if u == nil || (cost >= misfit && u.Running >= u.Limit()) {
+		if o == nil || (cost >= misfit && o.beyond) {
 			continue // It would hold the next place there for nothing.
 		}
 		if rest < 0 || cost.Truncate(lateCost) < least {
-			rest, at, least = n, u, cost.Truncate(lateCost)
+			rest, at, least = n, o.engine, cost.Truncate(lateCost)
 		}
 	}
 	return rest, at
@@ -57,9 +51,13 @@
 // first lists the waiting tickets of the highest scores, best first; only the most
 // urgent ones where there is room beyond batches alone. One pass finds them all: in
 // a burst thousands wait, and each of a thousand grants a second looks at every one.
-func (b *Batch) first(now time.Time, quick *upstr.Upstream, beyond bool) []int {
-	p := b.pace(quick)
-	first, each := p.expect(now, quick, 0), p.perPrompt()
+func (b *Batch) first(now time.Duration, beyond bool) []int {
+	quick := &b.open[0]
+	for n := range b.open {
+		if b.open[n].first < quick.first {
+			quick = &b.open[n]
+		}
+	}
 	var top [passMost]int
 	var scores [passMost]float64
 	count := 0
@@ -67,7 +65,7 @@
 		if beyond && !b.urgent.has(i) {
 			continue
 		}
-		s := i.score(now.Add(first + time.Duration(i.prompt)*each))
+		s := i.score(now + quick.first + time.Duration(i.prompt)*quick.perPrompt)
 		if count == passMost && s <= scores[count-1] {
 			continue
 		}
@@ -82,21 +80,27 @@
 	return top[:count]
 }
 
-// place picks the upstream where the run costs least: the time to its first
-// piece, and a part of that of its run.
-// That is lateCost and more where it would begin or end too late.
-func (b *Batch) place(now time.Time, i *item, open []*upstr.Upstream) (*upstr.Upstream, time.Duration) {
-	var best *upstr.Upstream
+// place picks the engine where the run costs least: the time to its first piece,
+// and a part of that of its run. That is lateCost and more where it would begin or
+// end too late.
+func (b *Batch) place(now time.Duration, i *item) (*offer, time.Duration) {
+	var best *offer
 	var least time.Duration
-	for _, u := range open {
-		if u.Running >= u.Limit() && !b.urgent.has(i) {
+	urgent := b.urgent.has(i)
+	tokens := i.GetPromptTokens() + i.GetAnswerTokens()
+	for n := range b.open {
+		o := &b.open[n]
+		if o.beyond && !urgent {
 			continue
 		}
-		if slices.Contains(i.GetAvoid(), u.GetUpstream()) || !b.fits(u, i.GetPromptTokens()+i.GetAnswerTokens()) {
+		if len(i.GetAvoid()) > 0 && slices.Contains(i.GetAvoid(), o.GetUpstream()) {
 			continue
 		}
-		if c := b.cost(now, i, u); best == nil || c < least {
-			best, least = u, c
+		if !b.fits(o.Upstream, tokens) {
+			continue
+		}
+		if c := b.cost(now, i, o); best == nil || c < least {
+			best, least = o, c
 		}
 	}
 	return best, least
@@ -117,17 +121,19 @@
 
 // cost is what a run costs at an upstream, in time, with a penalty of its own
 // magnitude for each thing that would go wrong.
-func (b *Batch) cost(now time.Time, i *item, u *upstr.Upstream) time.Duration {
-	p := b.pace(u)
-	unread := i.GetPromptTokens() - kept(u, i)
-	first := p.expect(now, u, unread)
-	run := p.runs(i.GetAnswerTokens())
-	cost := first + run/runPart + readTimes*p.read(unread)
-	cost += time.Duration((1 - p.whole) * float64(time.Second))
-	if i.late(now, first) && !i.late(now, b.ideal.soonest(unread)) { // It could be in time elsewhere.
+func (b *Batch) cost(now time.Duration, i *item, o *offer) time.Duration {
+	unread := i.prompt
+	if len(i.GetParts()) > 0 {
+		unread -= kept(o.Upstream, i)
+	}
+	read := time.Duration(unread) * o.perPrompt
+	first := o.first + read
+	run := time.Duration(i.GetAnswerTokens()) * o.perToken
+	cost := first + run/runPart + readTimes*read + o.failing
+	if now+first > i.onTime && now+b.ideal.soonest(unread) <= i.onTime { // It could be in time elsewhere.
 		cost += lateCost
 	}
-	if now.Add(first + run*3/2).After(i.end) { // Answers are often half as long again as was estimated.
+	if now+first+run*3/2 > i.end { // Answers are often half as long again as was estimated.
 		cost += misfit
 	}
 	return cost
