Tickets wait at the scheduler without a goroutine each

Each ticket held a goroutine; refused together, more are woken than a run queue of the runtime takes, and the rest, with whatever comes from the network or the disk, gets one turn in 61. Heartbeats and their answers were among it. Change: a link asks for an answer that comes later, and the scheduler calls back with it; decisions are handed out after the policy's lock is given back. Lines of refused tickets have a bound of their own, asked before their values are made: they were the largest cost of a refusal and pushed out all other lines.

--- a/io/hub/hub.go
+++ b/io/hub/hub.go
@@ -18,6 +18,7 @@
 	"azurelane/core/conf"
 	"azurelane/core/raft"
 	"azurelane/core/wire"
+	"azurelane/io/logs"
 	"azurelane/io/sched"
 	"azurelane/io/stats"
 )
@@ -42,6 +43,7 @@
 		Slack   float64                                // Units beyond that.
 		Stats   *stats.Stats
 		Log     logr.Logger
+		Lines   logs.Budget // For the lines of refused tickets.
 
 		mu       sync.Mutex
 		reign    *reign // Nil where this replica doesn't lead.
@@ -162,7 +164,7 @@
 // begin starts to schedule. Entries bring the slots that they hold when they
 // hear of the new scheduler.
 func (h *Hub) begin(ctx context.Context) *reign {
-	r := &reign{id: uuid.NewString()[:8], stats: h.Stats, log: h.Log, allow: allow.Allow{Over: allowPart * h.Over, Slack: allowPart * h.Slack}}
+	r := &reign{id: uuid.NewString()[:8], stats: h.Stats, log: h.Log, lines: &h.Lines, allow: allow.Allow{Over: allowPart * h.Over, Slack: allowPart * h.Slack}}
 	r.sched = &sched.Sched{Incarnation: r.id, Log: h.Log.WithName("sched")}
 	go func() { _ = r.sched.Serve(ctx) }()
 	h.Log.Info("Leadership gained.", "scheduler", r.id)
@@ -193,15 +195,32 @@
 	return v
 }
 
+// Later takes tickets, which wait for their decision without a goroutine each.
+func (h *Hub) Later(ctx context.Context, f *wire.Frame, reply func(*wire.Frame)) bool {
+	t := f.GetTicket()
+	if t == nil {
+		return false
+	}
+	r := h.lead()
+	if r == nil {
+		reply(&wire.Frame{Body: &wire.Frame_Fault{Fault: h.moved()}})
+		return true
+	}
+	r.submit(ctx, t, func(d *wire.Decision) { reply(&wire.Frame{Body: &wire.Frame_Decision{Decision: d}}) })
+	return true
+}
+
 // Handle answers one frame of a peer.
 func (h *Hub) Handle(ctx context.Context, f *wire.Frame) (*wire.Frame, error) {
 	switch b := f.GetBody().(type) {
 	case *wire.Frame_Ticket:
-		r := h.lead()
-		if r == nil {
-			return nil, h.moved()
+		answer := make(chan *wire.Frame, 1)
+		h.Later(ctx, f, func(r *wire.Frame) { answer <- r })
+		r := <-answer
+		if fault := r.GetFault(); fault != nil {
+			return nil, fault
 		}
-		return &wire.Frame{Body: &wire.Frame_Decision{Decision: r.submit(ctx, b.Ticket)}}, nil
+		return r, nil
 	case *wire.Frame_Release:
 		if r := h.lead(); r != nil {
 			r.release(b.Release)
--- a/io/hub/hub_test.go
+++ b/io/hub/hub_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"runtime"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -181,6 +183,31 @@
 	})
 }
 
+// A burst comes for which there is no room: two thousand tickets wait, each call of
+// an entry's link, and none is in time. All are refused in the same moments; the
+// leader holds no goroutine for any of them meanwhile, so that its heartbeats need
+// not wait for thousands of calls that have just been woken.
+func TestBurstHoldsNoGoroutines(t *testing.T) {
+	const burst = 2000
+	run(t, func(t *testing.T, h *Hub, _ *fakeReplica) {
+		before := runtime.NumGoroutine()
+		var refused atomic.Int64
+		for id := range uint64(burst) {
+			must.True(t, h.Later(t.Context(), &wire.Frame{Body: &wire.Frame_Ticket{Ticket: &wire.Ticket{
+				Id: id, Incarnation: "i", Pool: "engines", Account: "b", Route: "r", PromptTokens: 10, AnswerTokens: 10,
+				DeadlineUs: time.Second.Microseconds(), ObjectiveUs: (300 * time.Millisecond).Microseconds(),
+			}}}, func(f *wire.Frame) {
+				if f.GetDecision().GetRefusal() != nil {
+					refused.Add(1)
+				}
+			}))
+		}
+		must.LessEq(t, before+10, runtime.NumGoroutine())
+		time.Sleep(time.Second)
+		must.Eq(t, burst, refused.Load())
+	})
+}
+
 // No quorum answers. A server that leaves must not be told that it is in force:
 // the next leader would not know of it, and send requests until it exits.
 func TestNothingIsAnsweredWithoutAQuorum(t *testing.T) {
--- a/io/hub/reign.go
+++ b/io/hub/reign.go
@@ -11,6 +11,7 @@
 	"azurelane/core/allow"
 	"azurelane/core/refuse"
 	"azurelane/core/wire"
+	"azurelane/io/logs"
 	"azurelane/io/sched"
 	"azurelane/io/stats"
 )
@@ -22,6 +23,7 @@
 	beats beats
 	stats *stats.Stats
 	log   logr.Logger
+	lines *logs.Budget // Of refused tickets.
 
 	mu      sync.Mutex
 	allow   allow.Allow
@@ -56,8 +58,8 @@
 	r.sched.Forget(incarnation)
 }
 
-// submit charges the ticket to its account and waits for the decision.
-func (r *reign) submit(ctx context.Context, t *wire.Ticket) *wire.Decision {
+// submit charges the ticket to its account and calls done with the decision.
+func (r *reign) submit(ctx context.Context, t *wire.Ticket, done func(*wire.Decision)) {
 	start := time.Now()
 	r.mu.Lock()
 	wait, ok := r.allow.Take(start, t.GetAccount(), t.GetUnits())
@@ -66,32 +68,51 @@
 	}
 	version := r.version
 	r.mu.Unlock()
-	var d *wire.Decision
-	if ok {
-		d = r.sched.Submit(ctx, t)
-	} else {
-		d = refuse.Ticket(t, refuse.AccountLimit, wait)
-	}
-	no := d.GetRefusal()
-	if no == nil {
-		r.stats.Count("tickets-granted", 1)
-		r.stats.Time("ticket-wait", time.Since(start))
-		r.log.V(1).Info("Ticket granted.", "request", t.GetRequest(), "entry", t.GetEntry(), "upstream", d.GetGrant().GetUpstream(),
-			"waited", time.Since(start).String())
-		return d
+	if !ok {
+		d := refuse.Ticket(t, refuse.AccountLimit, wait)
+		r.refused(t, d.GetRefusal(), start, version)
+		done(d)
+		return
 	}
-	if ok {
-		r.mu.Lock()
-		r.allow.Charge(time.Now(), t.GetAccount(), -t.GetUnits())
-		r.rates.add(time.Now(), t.GetIncarnation(), t.GetAccount(), -t.GetUnits())
-		r.mu.Unlock()
+	r.sched.Queue(ctx, t, func(d *wire.Decision) {
+		if no := d.GetRefusal(); no != nil {
+			r.refund(t)
+			r.refused(t, no, start, version)
+		} else {
+			r.granted(t, d.GetGrant(), start)
+		}
+		done(d)
+	})
+}
+
+func (r *reign) granted(t *wire.Ticket, g *wire.Grant, start time.Time) {
+	waited := time.Since(start)
+	r.stats.Count("tickets-granted", 1)
+	r.stats.Time("ticket-wait", waited)
+	if log := r.log.V(1); log.Enabled() {
+		log.Info("Ticket granted.", "request", t.GetRequest(), "entry", t.GetEntry(), "upstream", g.GetUpstream(), "waited", waited.String())
 	}
+}
+
+// refund gives back what a refused ticket was charged.
+func (r *reign) refund(t *wire.Ticket) {
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.allow.Charge(now, t.GetAccount(), -t.GetUnits())
+	r.rates.add(now, t.GetIncarnation(), t.GetAccount(), -t.GetUnits())
+}
+
+func (r *reign) refused(t *wire.Ticket, no *wire.Refusal, start time.Time, version uint64) {
 	r.stats.Count("tickets-refused-"+no.GetCode(), 1)
+	leftOut, ok := r.lines.Take(start)
+	if !ok {
+		return
+	}
 	r.log.Info("Ticket refused.", "request", t.GetRequest(), "entry", t.GetEntry(), "pool", t.GetPool(), "route", t.GetRoute(),
 		"account", t.GetAccount(), "units", t.GetUnits(), "code", no.GetCode(), "retry-after", micros(no.GetRetryAfterUs()).String(),
 		"waited", time.Since(start).String(), "objective-left", micros(t.GetObjectiveUs()).String(),
-		"returned", t.GetReturned(), "waiting", r.sched.Waiting(), "version", version, "scheduler", r.id)
-	return d
+		"returned", t.GetReturned(), "waiting", r.sched.Waiting(), "version", version, "scheduler", r.id, "lines-left-out", leftOut)
 }
 
 func micros(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
--- a/io/hubd/hubd.go
+++ b/io/hubd/hubd.go
@@ -24,6 +24,7 @@
 	"azurelane/io/hub"
 	"azurelane/io/leader"
 	"azurelane/io/local"
+	"azurelane/io/logs"
 	"azurelane/io/mesh"
 	"azurelane/io/stats"
 )
@@ -39,6 +40,10 @@
 	// requests by themselves.
 	election = 400 * time.Millisecond
 	forget   = time.Minute // After which a silent learner leaves the group.
+	// refusalLines is how many lines a second refused tickets get. A line costs some
+	// 20 us, ten times what it takes to refuse a ticket, so that this is at most
+	// 1 % of a core in a burst; entries have a line for each refusal.
+	refusalLines = 400
 )
 
 // Hubd is one such process. Open makes it.
@@ -88,12 +93,12 @@
 	}
 	h := &hub.Hub{
 		Replica: d.ctrl, Leader: toLeader, Parse: parse, Voters: group.Voters(), Beat: set.Announce, Over: set.Overage,
-		Slack: set.QuotaSlack, Stats: metrics, Log: d.log,
+		Slack: set.QuotaSlack, Stats: metrics, Log: d.log, Lines: logs.Budget{Most: refusalLines},
 	}
 	h.Gauges()
 	metrics.Pull("log-term", func() int64 { return int64(d.ctrl.Term()) })       //nolint:gosec // Terms are few.
 	metrics.Pull("log-applied", func() int64 { return int64(d.ctrl.Applied()) }) //nolint:gosec // So are entries.
-	m.Handle = h.Handle
+	m.Handle, m.Later = h.Handle, h.Later
 	d.ctrl.Sender = m
 	ops := &admin.Admin{Stats: metrics, Ready: d.ctrl.Ready}
 	d.sup = suture.New("hub", suture.Spec{EventHook: func(ev suture.Event) { d.log.Info("Part stopped.", "event", ev.String()) }})
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -44,11 +44,23 @@
 	bufSize    = 32 << 10
 )
 
+type (
+	// handler handles a frame that a peer sent on its own: calls in a goroutine
+	// each, one-way frames one after the other, in order but for bulk frames.
+	handler = func(context.Context, *wire.Frame) (*wire.Frame, error)
+
+	// taker is asked first for each call. It reports whether it takes it, and calls
+	// reply with the answer then, from any goroutine. It must not wait, as the peer's
+	// next frames wait for it.
+	taker = func(ctx context.Context, f *wire.Frame, reply func(*wire.Frame)) bool
+)
+
 // Link is one open connection. It is made by Dial or Accept.
 type Link struct {
 	sess   *yamux.Session
 	stream net.Conn
-	handle func(context.Context, *wire.Frame) (*wire.Frame, error)
+	handle handler
+	later  taker // Nil for none.
 	ctx    context.Context
 	cancel context.CancelFunc
 	done   chan struct{}
@@ -66,11 +78,10 @@
 	serving atomic.Int64 // Calls of the peer being answered.
 }
 
-// Dial connects to a peer. Frames that the peer sends on its own go to handle:
-// calls in a goroutine each, one-way frames one after the other, in order but
-// for bulk frames. With cfg the link is encrypted and both ends have shown their
-// certificates.
-func Dial(ctx context.Context, addr netip.AddrPort, cfg *tls.Config, handle func(context.Context, *wire.Frame) (*wire.Frame, error)) (*Link, error) {
+// Dial connects to a peer. Frames that the peer sends on its own go to handle,
+// calls that need no goroutine to later, if it isn't nil.
+// With cfg the link is encrypted and both ends have shown their certificates.
+func Dial(ctx context.Context, addr netip.AddrPort, cfg *tls.Config, handle handler, later taker) (*Link, error) {
 	conn, err := connect(ctx, addr, cfg)
 	if err != nil {
 		return nil, fmt.Errorf("link: dial: %w", err)
@@ -85,7 +96,7 @@
 		_ = sess.Close()
 		return nil, fmt.Errorf("link: open stream: %w", err)
 	}
-	return start(sess, stream, handle), nil
+	return start(sess, stream, handle, later), nil
 }
 
 func connect(ctx context.Context, addr netip.AddrPort, cfg *tls.Config) (net.Conn, error) {
@@ -107,7 +118,7 @@
 }
 
 // Accept serves a connection that a peer dialled.
-func Accept(conn net.Conn, handle func(context.Context, *wire.Frame) (*wire.Frame, error)) (*Link, error) {
+func Accept(conn net.Conn, handle handler, later taker) (*Link, error) {
 	sess, err := yamux.Server(conn, config())
 	if err != nil {
 		_ = conn.Close()
@@ -120,7 +131,7 @@
 		_ = sess.Close()
 		return nil, fmt.Errorf("link: accept stream: %w", err)
 	}
-	return start(sess, stream, handle), nil
+	return start(sess, stream, handle, later), nil
 }
 
 func config() *yamux.Config {
@@ -131,9 +142,9 @@
 	return cfg
 }
 
-func start(sess *yamux.Session, stream net.Conn, handle func(context.Context, *wire.Frame) (*wire.Frame, error)) *Link {
+func start(sess *yamux.Session, stream net.Conn, handle handler, later taker) *Link {
 	l := &Link{
-		sess: sess, stream: stream, handle: handle, done: make(chan struct{}), calls: map[uint64]chan *wire.Frame{},
+		sess: sess, stream: stream, handle: handle, later: later, done: make(chan struct{}), calls: map[uint64]chan *wire.Frame{},
 		out: make(chan []byte, queueLen), oneWay: make(chan *wire.Frame, queueLen), bulk: make(chan struct{}, bulkAtOnce),
 	}
 	l.ctx, l.cancel = context.WithCancel(context.Background())
--- a/io/link/link_test.go
+++ b/io/link/link_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 	"net/netip"
+	"runtime"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -31,7 +33,7 @@
 // serve accepts links until the test ends and returns where.
 func serve(t testing.TB, handle func(context.Context, *wire.Frame) (*wire.Frame, error)) netip.AddrPort {
 	return listen(t, func(conn net.Conn) {
-		l, err := Accept(conn, handle)
+		l, err := Accept(conn, handle, nil)
 		if err == nil {
 			t.Cleanup(func() { _ = l.Close(); l.Wait() })
 		}
@@ -89,7 +91,7 @@
 }
 
 func dial(t testing.TB, to netip.AddrPort, handle func(context.Context, *wire.Frame) (*wire.Frame, error)) *Link {
-	l, err := Dial(t.Context(), to, nil, handle)
+	l, err := Dial(t.Context(), to, nil, handle, nil)
 	must.NoError(t, err)
 	t.Cleanup(func() { _ = l.Close(); l.Wait() })
 	return l
@@ -178,7 +180,7 @@
 				done <- err
 			}
 			return ack(ctx, f)
-		})
+		}, nil)
 		must.NoError(t, err)
 		l = a
 		close(ready)
@@ -230,3 +232,50 @@
 	_, _, dead = p.look(at(29500*time.Millisecond), true)
 	must.True(t, dead)
 }
+
+// A peer has thousands of calls in wait here, as a scheduler has in a burst. None
+// holds a goroutine: when all are answered at once, so many would be woken that
+// heartbeats of this process came a second late. Each gets its own answer.
+func TestCallsWithoutGoroutines(t *testing.T) {
+	const calls = 500
+	var mu sync.Mutex
+	waiting := map[*wire.Frame]func(*wire.Frame){}
+	later := func(_ context.Context, f *wire.Frame, reply func(*wire.Frame)) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		waiting[f] = reply
+		return true
+	}
+	to := listen(t, func(conn net.Conn) {
+		l, err := Accept(conn, ack, later)
+		must.NoError(t, err)
+		t.Cleanup(func() { _ = l.Close(); l.Wait() })
+	})
+	l := dial(t, to, ack)
+	answers := make(chan uint64, calls)
+	var all sync.WaitGroup
+	for n := range uint64(calls) {
+		all.Go(func() {
+			r, err := l.Call(t.Context(), query(n))
+			must.NoError(t, err)
+			must.Eq(t, n, r.GetConfigQuery().GetVersion())
+			answers <- n
+		})
+	}
+	count := func() int {
+		mu.Lock()
+		defer mu.Unlock()
+		return len(waiting)
+	}
+	for count() < calls {
+		runtime.Gosched()
+	}
+	must.Less(t, 3*calls/2, runtime.NumGoroutine(), must.Sprint("one a caller, none a call that waits here"))
+	mu.Lock()
+	for f, reply := range waiting {
+		reply(f)
+	}
+	mu.Unlock()
+	all.Wait()
+	must.Eq(t, calls, len(answers))
+}
--- a/io/link/read.go
+++ b/io/link/read.go
@@ -74,7 +74,9 @@
 	case f.GetId() != 0:
 		l.pulse.busy(time.Now())
 		l.serving.Add(1)
-		go l.answer(f)
+		if l.later == nil || !l.later(l.ctx, f, func(r *wire.Frame) { l.reply(f.GetId(), r) }) {
+			go l.answer(f)
+		}
 	default:
 		if f.GetProbe() == nil {
 			l.pulse.busy(time.Now())
@@ -115,3 +117,19 @@
 	}
 	_ = l.put(l.ctx, &wire.Frame{Id: f.GetId(), Reply: true, Body: r.GetBody()})
 }
+
+// reply sends the answer of a call that has no goroutine. Only where the queue of
+// the link fills up, one is begun that waits for room in it.
+func (l *Link) reply(id uint64, r *wire.Frame) {
+	f := &wire.Frame{Id: id, Reply: true, Body: r.GetBody()}
+	if len(l.out) < cap(l.out)/2 {
+		l.sent(f)
+		return
+	}
+	go l.sent(f)
+}
+
+func (l *Link) sent(f *wire.Frame) {
+	defer l.serving.Add(-1)
+	_ = l.put(l.ctx, f)
+}
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -43,7 +43,8 @@
 	Listen net.Listener
 	Self   netip.AddrPort // Calls to it stay in the process.
 	Handle func(ctx context.Context, f *wire.Frame) (*wire.Frame, error)
-	TLS    *tls.Config // For both directions; nil for plain TCP. Listen must already ask for certificates.
+	Later  func(ctx context.Context, f *wire.Frame, reply func(*wire.Frame)) bool // Takes calls that need no goroutine; nil for none.
+	TLS    *tls.Config                                                            // For both directions; nil for plain TCP. Listen must already ask for certificates.
 	Log    logr.Logger
 
 	mu     sync.Mutex
@@ -118,7 +119,7 @@
 		_ = conn.Close()
 		return
 	}
-	l, err := link.Accept(conn, m.Handle)
+	l, err := link.Accept(conn, m.Handle, m.Later)
 	m.mu.Lock()
 	delete(m.conns, conn)
 	if err == nil && m.closed {
--- a/io/mesh/peer.go
+++ b/io/mesh/peer.go
@@ -68,7 +68,7 @@
 }
 
 func (m *Mesh) dial(ctx context.Context, addr netip.AddrPort, p *peer) {
-	l, err := link.Dial(ctx, addr, m.TLS, m.Handle)
+	l, err := link.Dial(ctx, addr, m.TLS, m.Handle, m.Later)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	p.stop()
--- a/io/sched/sched.go
+++ b/io/sched/sched.go
@@ -63,10 +63,16 @@
 		owner   string // Incarnation that grants carry.
 		name    string // Of the policy.
 		policy  kernel.Scheduler
-		waiting map[waitKey]chan *wire.Decision
+		waiting map[waitKey]*call
 		gone    map[waitKey]time.Time // Withdrawn of late.
 	}
 
+	// call waits for the decision on a ticket.
+	call struct {
+		done func(*wire.Decision)
+		stop func() bool // Ends the watch over the caller's context.
+	}
+
 	waitKey struct {
 		incarnation string
 		ticket      uint64
@@ -93,7 +99,7 @@
 			r.refuseAll()
 			r = &runner{
 				owner: s.Incarnation, name: policy, policy: sch,
-				waiting: map[waitKey]chan *wire.Decision{}, gone: map[waitKey]time.Time{},
+				waiting: map[waitKey]*call{}, gone: map[waitKey]time.Time{},
 			}
 			s.pools[name] = r
 		}
@@ -108,82 +114,96 @@
 }
 
 // Submit waits for the decision on a ticket. When ctx ends first, the ticket
-// is withdrawn. A ticket sent again, because the link broke before the decision
-// arrived, takes the place of its former call; that one's end then withdraws
-// nothing.
+// is withdrawn.
 func (s *Sched) Submit(ctx context.Context, t *wire.Ticket) *wire.Decision {
+	ch := make(chan *wire.Decision, 1)
+	s.Queue(ctx, t, func(d *wire.Decision) { ch <- d })
+	return <-ch
+}
+
+// Queue takes a ticket and calls done once with the decision, from whichever
+// goroutine makes it; done must not wait. A goroutine for each ticket that waits
+// would be woken for its decision: when a burst is refused, thousands are at once,
+// and all else that the process has to do, its heartbeats among it, comes after
+// them.
+//
+// When ctx ends first, the ticket is withdrawn. A ticket sent again, because the
+// link broke before the decision arrived, takes the place of its former call; that
+// one's end then withdraws nothing.
+func (s *Sched) Queue(ctx context.Context, t *wire.Ticket, done func(*wire.Decision)) {
 	r := s.pool(t.GetPool())
 	if r == nil {
-		return refuse.Ticket(t, refuse.NoUpstream, retryAfter)
+		done(refuse.Ticket(t, refuse.NoUpstream, retryAfter))
+		return
 	}
 	_, span := tracer.Start(trace.With(ctx, t.GetTraceparent()), "decision")
-	defer span.End()
 	k := waitKey{t.GetIncarnation(), t.GetId()}
-	ch := make(chan *wire.Decision, 1)
-	if !r.enter(k, ch) {
-		return refuse.Ticket(t, withdrawn, retryAfter)
+	c := &call{done: func(d *wire.Decision) {
+		span.End()
+		done(d)
+	}}
+	if !r.enter(ctx, k, c, t) {
+		c.done(refuse.Ticket(t, withdrawn, retryAfter))
+		return
 	}
-	r.do(func(now time.Time) []*wire.Decision { return r.policy.Submit(now, t) })
-	if len(ch) == 0 && s.idle.CompareAndSwap(true, false) {
+	r.do(func(now time.Time) []*wire.Decision {
+		if r.waiting[k] != c {
+			return nil // Its caller has gone already: a place would be granted to nobody.
+		}
+		return r.policy.Submit(now, t)
+	})
+	if r.waits(k, c) && s.idle.CompareAndSwap(true, false) {
 		select {
 		case s.waker() <- struct{}{}:
 		default: // A signal is on its way already.
 		}
 	}
-	select {
-	case d := <-ch:
-		return d
-	case <-ctx.Done():
-	}
-	r.do(func(now time.Time) []*wire.Decision { return r.abandon(now, k, ch, t) })
-	return refuse.Ticket(t, withdrawn, retryAfter)
 }
 
 // enter notes a call that waits. It reports false for a ticket whose
 // withdrawal has overtaken it.
-func (r *runner) enter(k waitKey, ch chan *wire.Decision) bool {
+func (r *runner) enter(ctx context.Context, k waitKey, c *call, t *wire.Ticket) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if _, gone := r.gone[k]; gone {
 		return false
 	}
 	r.end(k, withdrawn)
-	r.waiting[k] = ch
+	r.waiting[k] = c
+	c.stop = context.AfterFunc(ctx, func() { r.abandon(k, c, t) })
 	return true
 }
 
-// end lets a call return whose ticket needs no decision any more. Its caller
-// may have gone, but without this its goroutine would wait as long as the link
-// lives. It reports whether there was one.
+func (r *runner) waits(k waitKey, c *call) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.waiting[k] == c
+}
+
+// end answers a call whose ticket needs no decision any more. Its caller may
+// have gone, but without this the call would be kept as long as the link lives. It
+// reports whether there was one.
 func (r *runner) end(k waitKey, code string) bool {
-	ch, ok := r.waiting[k]
+	c, ok := r.waiting[k]
 	if ok {
 		delete(r.waiting, k)
-		ch <- refuse.Ticket(&wire.Ticket{Id: k.ticket, Incarnation: k.incarnation}, code, retryAfter)
+		c.stop()
+		go c.done(refuse.Ticket(&wire.Ticket{Id: k.ticket, Incarnation: k.incarnation}, code, retryAfter))
 	}
 	return ok
 }
 
-// abandon gives up the ticket of a call whose context has ended, unless a
-// later call has taken the ticket over. A grant that came in the same moment is
-// released by its number, so that no other slot can be meant.
-func (r *runner) abandon(now time.Time, k waitKey, ch chan *wire.Decision, t *wire.Ticket) []*wire.Decision {
-	if r.waiting[k] == ch {
-		delete(r.waiting, k)
+// abandon gives up the ticket of a call whose context has ended, unless it is
+// decided or a later call has taken the ticket over.
+func (r *runner) abandon(k waitKey, c *call, t *wire.Ticket) {
+	r.do(func(now time.Time) []*wire.Decision {
+		if r.waiting[k] != c {
+			return nil
+		}
+		r.end(k, withdrawn)
 		r.policy.Withdraw(now, &wire.Withdraw{Ticket: t.GetId(), Entry: t.GetEntry(), Incarnation: t.GetIncarnation(), Pool: t.GetPool()})
 		return r.policy.Tick(now)
-	}
-	select {
-	case d := <-ch:
-		if g := d.GetGrant(); g != nil {
-			return r.policy.Release(now, &wire.Release{
-				Ticket: t.GetId(), Entry: t.GetEntry(), Incarnation: t.GetIncarnation(), Pool: t.GetPool(),
-				Upstream: g.GetUpstream(), Slot: g.GetSlot(), Account: t.GetAccount(),
-			})
-		}
-	default:
-	}
-	return nil
+	})
 }
 
 // Withdraw drops a ticket. If it was granted in the same moment, the slot is
@@ -307,18 +327,24 @@
 }
 
 // do runs one step of the policy and hands its decisions to the calls that
-// wait for them.
+// wait for them, after the step: others need not wait for what they do with them.
 func (r *runner) do(step func(time.Time) []*wire.Decision) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, d := range step(time.Now()) {
+	list := step(time.Now())
+	calls := make([]*call, len(list))
+	for n, d := range list {
 		if g := d.GetGrant(); g != nil {
 			g.Owner = r.owner
 		}
 		k := waitKey{d.GetIncarnation(), d.GetTicket()}
-		if ch, ok := r.waiting[k]; ok {
-			delete(r.waiting, k)
-			ch <- d
+		calls[n] = r.waiting[k]
+		delete(r.waiting, k)
+	}
+	r.mu.Unlock()
+	for n, c := range calls {
+		if c != nil {
+			c.stop()
+			c.done(list[n])
 		}
 	}
 }
