A data centre that is cut off has a scheduler of its own

Entries noticed it after 1.0 s, then each by itself dialled upstreams on the other side, half a second each and two in each data centre before it was doubted, and refused accounts for the share of a single entry, smaller than one large request among 195. On the other side the leader went on granting engines behind the cut until their leases ended 4 s later. Change: a replica knows that it is cut off when it hears no leader and reaches no quorum for 0.3 s, and schedules its own data centre within the parts of rates that the leader leaves to entries that it has missed. Entries follow it if nobody elsewhere answers, and a leader as soon as one does. The leader doubts a data centre after 0.25 s without an answer of its replicas or the end of a run there, grants one request there each 0.4 s to try it, tells entries, and leaves them their parts of the rates from then on, so that these are 0.95 of what they used and no longer 0.75. A new leader begins with what is left of accounts' bursts by what entries saw used, and not with a tenth: after a stop of everything most callers were refused for rates they were far below. A second send is no longer refused for its account's rate. Ruled out: claims and configuration. Such a scheduler places requests only; it answers no read and writes nothing down.

--- a/core/allow/allow.go
+++ b/core/allow/allow.go
@@ -12,6 +12,9 @@
 	Allow struct {
 		Over  float64 // Part of rates and bursts that is allowed beyond them.
 		Slack float64 // Units that every burst is larger by.
+		// Idle says that accounts are taken to have used nothing before, but for what
+		// Used tells; otherwise they have FreshPart of a burst.
+		Idle bool
 
 		buckets map[string]*bucket
 	}
@@ -38,6 +41,34 @@
 // twice of it, and with nothing all others would be refused for a moment.
 const FreshPart = 0.1
 
+// Parts of rates for schedulers and entries that know of nobody else, behind a cut
+// or without a scheduler. The scheduler on the other side leaves them these.
+const (
+	// EqualPart is the part of an equal share that may pass. The other side goes on
+	// with whole rates until it has missed who is cut off; an account that asks for
+	// all it may have on both sides would pass its rate by a tenth within seconds.
+	EqualPart = 0.5
+	// UsedPart is the part of what an account used there of late that may pass, if
+	// that is more. Behind a cut few entries serve all callers of a data centre: by
+	// equal shares, half of what they refused there was refused for the rate of an
+	// account that was far below its own.
+	UsedPart = 0.95
+	// SlackPart is the part of the slack of rates that all of them together may use;
+	// a quarter is the scheduler's, and a quarter is left for what both sides let pass
+	// before they know of a cut.
+	SlackPart = 0.5
+)
+
+// Alone is the part of a rate that may pass at one that knows of nobody else: share
+// is its equal share, used the units a second that the account used there of late.
+func Alone(share, used, rate float64) float64 {
+	equal := EqualPart * share
+	if rate <= 0 {
+		return equal
+	}
+	return max(equal, min(UsedPart*used/rate, UsedPart))
+}
+
 // Set puts the rates of the accounts in force, each times share. What accounts
 // have used stays counted, so that a change gives nobody a second burst.
 func (a *Allow) Set(now time.Time, accounts map[string]acct.Account, share float64) {
@@ -56,6 +87,9 @@
 		part, whole := share(name), c.Burst*(1+a.Over)+a.Slack
 		b := &bucket{rate: c.Rate * (1 + a.Over) * part, burst: whole * part, whole: whole, at: now}
 		b.left = b.burst * FreshPart
+		if a.Idle {
+			b.left = b.burst
+		}
 		b.fresh = b.burst*FreshPart + a.Slack*part*(1-FreshPart)
 		if was := old[name]; was != nil {
 			was.fill(now)
@@ -74,6 +108,18 @@
 	}
 }
 
+// Used tells that an account used so many units a second before the counting began,
+// beyond what was told already. Who used its whole rate has FreshPart of a burst left.
+func (a *Allow) Used(now time.Time, account string, rate float64) {
+	b := a.buckets[account]
+	if b == nil {
+		return
+	}
+	b.fill(now)
+	least := min(b.left, b.burst*FreshPart)
+	b.left = max(b.left-b.burst*rate/b.rate, least)
+}
+
 // Take uses units of an account that has any left, even if they are fewer: were
 // a request to wait for all of its units, an account whose share is small would
 // never get its large ones through. An account with none left uses none and is
--- a/core/allow/allow_test.go
+++ b/core/allow/allow_test.go
@@ -54,6 +54,38 @@
 	must.Greater(t, time.Second, wait)
 }
 
+// A counter begins after a stop of everything, or takes over from another while
+// callers go on at some part of their rate. What is left for them follows what those
+// tell that have seen them; one at its limit gets no second burst.
+func TestLeftByWhatWasUsed(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		used  []float64 // Of a rate of 100, as several tell it.
+		least int
+		most  int
+	}{
+		{"nothing was used", nil, 100, 110},
+		{"half of the rate", []float64{20, 30}, 50, 60},
+		{"all of it", []float64{60, 40}, FreshPart * 100, FreshPart*100 + 10},
+		{"more than that", []float64{90, 90}, FreshPart * 100, FreshPart*100 + 10},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			a := Allow{Idle: true}
+			a.Set(start, accounts(100, 100), 1)
+			for _, u := range tc.used {
+				a.Used(start, "a", u)
+			}
+			units := 0
+			for ok := true; ok; {
+				if _, ok = a.Take(start, "a", 10); ok {
+					units += 10
+				}
+			}
+			must.Between(t, tc.least, units, tc.most)
+		})
+	}
+}
+
 // Another scheduler takes over from one whose counts are lost. An account at its
 // limit must not get a whole burst again.
 func TestTakeoverGivesNoSecondBurst(t *testing.T) {
--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -35,7 +35,10 @@
 	startGrace  = 1500 * time.Millisecond // How long a fresh owner waits for upstreams before it refuses.
 	forgetAfter = time.Minute
 	sweepEvery  = 200 * time.Millisecond // Looks at all places and upstreams.
-	runGrace    = 10 * time.Second
+	// tryEvery is the time between two grants to engines that seem cut off: enough to
+	// see soon that they are back, and each of them may wait for nothing.
+	tryEvery = 400 * time.Millisecond
+	runGrace = 10 * time.Second
 	// shortestRetry and longestRetry bound what a refused caller is told to wait.
 	// Those who come back sooner meet the same overload and are refused again: the
 	// mean worth of six heavy and trouble days was 0.602 with 0.6 s and 0.610 with
@@ -59,6 +62,7 @@
 	mean    pace               // A pace between the slowest and the fastest engine.
 	started time.Time
 	swept   time.Time
+	tried   time.Time // Last grant to an engine that seems cut off.
 	urgent  urgent
 	shape   shape
 	ideal   ideal
@@ -203,6 +207,9 @@
 		delete(b.items, ticketKey{i.GetIncarnation(), i.GetId()})
 		s := &slot.Slot{Up: e.Upstream, Ticket: i.Ticket, Kept: kept(e.Upstream, i)}
 		s.Wait = e.pace.wait(now)
+		if e.GetUnreached() {
+			b.tried = now
+		}
 		e.pace.given(now, i.GetPromptTokens()-s.Kept)
 		for _, p := range i.GetParts() {
 			e.Cache.Sent(now, p.GetHash())
--- a/core/batch/batch_test.go
+++ b/core/batch/batch_test.go
@@ -294,3 +294,24 @@
 		})
 	}
 }
+
+// A data centre seems cut off, and its engines have most of the free places. Requests
+// sent there would wait for nothing, so one at a time tries it, and the others take
+// the places that are left or wait for one.
+func TestFewTryWhatSeemsCutOff(t *testing.T) {
+	e := newEngines(4, "near", "far-1", "far-2")
+	for _, n := range []string{"far-1", "far-2"} {
+		e.next++
+		e.Announce(e.now, &wire.Announce{
+			Upstream: n, Address: n + ":80", Pools: []string{"engines"}, MaxRunning: 4, LeaseUs: time.Hour.Microseconds(), Seq: e.next, Unreached: true,
+		})
+	}
+	at := map[string]int{}
+	for _, d := range e.fill(12) {
+		at[d.GetGrant().GetUpstream()[:3]]++
+	}
+	must.Eq(t, 4+extraPlaces, at["nea"])
+	must.Eq(t, 1, at["far"])
+	e.now = e.now.Add(tryEvery)
+	must.Len(t, 1, granted(t, e.fill(1)))
+}
--- a/core/batch/engine.go
+++ b/core/batch/engine.go
@@ -88,7 +88,7 @@
 	b.open, b.ideal, beyond = b.open[:0], ideal{}, true
 	for _, e := range b.known() {
 		p := e.pace
-		if !e.Live(now) || now.Before(p.out) {
+		if !e.Live(now) || now.Before(p.out) || (e.GetUnreached() && now.Sub(b.tried) < tryEvery) {
 			continue
 		}
 		b.ideal.add(p)
--- a/core/peers/centre.go
+++ b/core/peers/centre.go
@@ -34,14 +34,7 @@
 // Missed notes that an upstream could not be connected to, or was silent until
 // the request was given up: it, or the way there, is gone.
 func (p *Peers) Missed(now time.Time, u *wire.Upstream) {
-	if p.centres == nil {
-		p.centres = map[string]*centre{}
-	}
-	c := p.centres[u.GetDataCentre()]
-	if c == nil {
-		c = &centre{missed: map[string]struct{}{}}
-		p.centres[u.GetDataCentre()] = c
-	}
+	c := p.centre(u.GetDataCentre())
 	c.missed[u.GetId()] = struct{}{}
 	c.at = now
 }
@@ -50,14 +43,32 @@
 	return c != nil && len(c.missed) >= doubtAt && now.Sub(c.at) < doubtFor
 }
 
-// open reports whether a request may be sent to the data centre.
-func (c *centre) open(now time.Time) bool {
-	return !c.doubted(now) || now.Sub(c.trial) >= tryEvery
+func (p *Peers) centre(name string) *centre {
+	c := p.centres[name]
+	if c == nil {
+		if p.centres == nil {
+			p.centres = map[string]*centre{}
+		}
+		c = &centre{missed: map[string]struct{}{}}
+		p.centres[name] = c
+	}
+	return c
+}
+
+// doubted reports whether a data centre seems cut off: by what this entry has seen
+// itself, or by what it was told.
+func (p *Peers) doubted(now time.Time, name string, c *Choice) bool {
+	return name != c.Centre && (c.Isolated || c.Unreached[name] || p.centres[name].doubted(now))
+}
+
+// mayTry reports whether a request may be sent to a data centre.
+func (p *Peers) mayTry(now time.Time, name string, c *Choice) bool {
+	return !p.doubted(now, name, c) || p.centres[name] == nil || now.Sub(p.centres[name].trial) >= tryEvery
 }
 
-// tried notes a request that is sent to the data centre.
-func (c *centre) tried(now time.Time) {
-	if c.doubted(now) {
-		c.trial = now
+// tried notes a request that is sent to a data centre.
+func (p *Peers) tried(now time.Time, name string, c *Choice) {
+	if p.doubted(now, name, c) {
+		p.centre(name).trial = now
 	}
 }
--- a/core/peers/centre_test.go
+++ b/core/peers/centre_test.go
@@ -50,3 +50,34 @@
 	}
 	must.NotNil(t, p.Pick(start, list[:1], Choice{Centre: "z1"}))
 }
+
+// The entry is told that a data centre, or all but its own, seems cut off. It sends
+// nothing there but a request now and then that tries it, also where it has seen
+// nothing amiss itself: each would wait half a second for a connection in vain.
+func TestToldOfACut(t *testing.T) {
+	far := []*wire.Upstream{{Id: "a", DataCentre: "z2"}, {Id: "b", DataCentre: "z2"}}
+	for _, tc := range []struct {
+		name   string
+		choice Choice
+		list   []*wire.Upstream
+		want   int // Of 100 requests.
+	}{
+		{"a data centre", Choice{Centre: "z1", Unreached: map[string]bool{"z2": true}}, far, 1},
+		{"another one", Choice{Centre: "z1", Unreached: map[string]bool{"z3": true}}, far, 100},
+		{"all others", Choice{Centre: "z1", Isolated: true}, far, 1},
+		{"all others, and it has its own", Choice{Centre: "z1", Isolated: true}, list, 100},
+		{"its own is never meant", Choice{Centre: "z2", Unreached: map[string]bool{"z2": true}, Isolated: true}, far, 100},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			var p Peers
+			got := 0
+			for range 100 {
+				if p.Pick(start, tc.list, tc.choice) != nil {
+					got++
+				}
+			}
+			must.Eq(t, tc.want, got)
+			must.NotNil(t, p.Pick(start.Add(tryEvery), tc.list, tc.choice))
+		})
+	}
+}
--- a/core/peers/peers.go
+++ b/core/peers/peers.go
@@ -40,7 +40,11 @@
 		Centre string // Data centre of this entry, which is never doubted.
 		Avoid  []string
 		Silent map[string]bool // Upstreams that control does not hear.
-		Most   int             // Requests of this entry that may run on one; 0 for any.
+		// Unreached are data centres that seem cut off, and Isolated says that this
+		// entry's own does, so that all others are.
+		Unreached map[string]bool
+		Isolated  bool
+		Most      int // Requests of this entry that may run on one; 0 for any.
 	}
 )
 
@@ -105,7 +109,7 @@
 		}
 	}
 	if best != nil {
-		p.centres[best.GetDataCentre()].tried(now)
+		p.tried(now, best.GetDataCentre(), &c)
 	}
 	return best
 }
@@ -113,7 +117,7 @@
 // allows reports whether a request may go to an upstream at all.
 func (p *Peers) allows(now time.Time, u *wire.Upstream, e *peer, c Choice) bool {
 	switch {
-	case u.GetDataCentre() != c.Centre && !p.centres[u.GetDataCentre()].open(now), contains(c.Avoid, u.GetId()):
+	case !p.mayTry(now, u.GetDataCentre(), &c), contains(c.Avoid, u.GetId()):
 		return false
 	case c.Most > 0:
 		return !e.full(now) && (e.running < c.Most || e.room(now))
--- a/core/raft/raft.go
+++ b/core/raft/raft.go
@@ -87,6 +87,7 @@
 		leaveAt  time.Time            // Leader only: when a transfer is given up.
 		cold     cold
 		pauses   pauses
+		reach    reach
 
 		out Effects
 	}
@@ -160,6 +161,7 @@
 		r.campaign(preCandidate, false, "no leader was heard", nil)
 	default:
 		r.askCold()
+		r.askReach()
 	}
 	return r.flush()
 }
@@ -172,6 +174,7 @@
 	if m.GetTo() != r.ID || (r.group != "" && m.GetGroup() != r.group) {
 		return r.flush()
 	}
+	r.reach.note(r.now, m.GetFrom())
 	switch m.GetKind() {
 	case wire.Raft_KIND_VOTE:
 		r.voteAsked(m)
--- a/core/usage/usage.go
+++ b/core/usage/usage.go
@@ -54,6 +54,15 @@
 	return c.units / (span.Seconds() * seen)
 }
 
+// Rates lists the units a second of all accounts that were used of late.
+func (u *Usage) Rates(now time.Time) map[string]float64 {
+	rates := make(map[string]float64, len(u.counts))
+	for name := range u.counts {
+		rates[name] = u.Rate(now, name)
+	}
+	return rates
+}
+
 func (c *count) fade(now time.Time) {
 	if d := now.Sub(c.at); d > 0 {
 		c.units *= math.Exp(-d.Seconds() / span.Seconds())
--- a/io/ctrl/news.go
+++ b/io/ctrl/news.go
@@ -74,6 +74,10 @@
 // Leads reports whether this replica led when it last looked.
 func (c *Ctrl) Leads() bool { return c.view.Load().leads }
 
+// CutOff reports whether this replica heard no leader and reached no quorum when it
+// last looked.
+func (c *Ctrl) CutOff() bool { return c.view.Load().GetCutOff() }
+
 // Leader returns the peer address of the leader that this replica follows,
 // empty for none.
 func (c *Ctrl) Leader() string { return c.view.Load().GetLeader() }
--- a/io/ctrl/view.go
+++ b/io/ctrl/view.go
@@ -49,8 +49,11 @@
 	v.Version, v.Change, v.Document = c.state.Version(), c.state.Change(), c.state.Document()
 	v.Claims, v.Group, v.Bootstrap = uint64(c.state.Claims()), c.raft.Group(), c.Bootstrap //nolint:gosec // Not negative.
 	v.Replicas, v.peers = c.raft.Replicas(), c.raft.Peers(now)
-	v.leads = c.raft.Leads()
-	if was := c.view.Load(); was != nil && was.leads != v.leads {
+	v.leads, v.CutOff = c.raft.Leads(), c.raft.CutOff(now)
+	if v.GetCutOff() {
+		v.Leader = "" // The one that it followed is on the other side.
+	}
+	if was := c.view.Load(); was != nil && (was.leads != v.leads || was.GetCutOff() != v.GetCutOff()) {
 		defer c.news.tell()
 	}
 	for _, r := range v.GetReplicas() {
@@ -75,7 +78,7 @@
 		Replica: v.GetReplica(), Address: v.GetAddress(), Identity: v.GetIdentity(), DataCentre: v.GetDataCentre(), Leader: v.GetLeader(), Term: v.GetTerm(),
 		Commit: v.GetCommit(), Version: v.GetVersion(), Change: v.GetChange(), Document: v.GetDocument(), Claims: v.GetClaims(),
 		Group: v.GetGroup(), Bootstrap: v.GetBootstrap(), Voters: v.GetVoters(), Learners: v.GetLearners(),
-		Replicas: v.GetReplicas(), Stale: v.stale(now), Nodes: c.beats.list(now),
+		Replicas: v.GetReplicas(), Stale: v.stale(now), CutOff: v.GetCutOff(), Nodes: c.beats.list(now),
 	}
 }
 
--- a/io/gate/alone.go
+++ b/io/gate/alone.go
@@ -7,6 +7,7 @@
 	"azurelane/core/allow"
 	"azurelane/core/index"
 	"azurelane/core/usage"
+	"azurelane/core/wire"
 )
 
 // alone is what an entry knows of client accounts' rates for the time without a
@@ -21,22 +22,6 @@
 }
 
 const (
-	// aloneRate is the part of its share of a rate that an entry uses alone. Behind
-	// a cut the scheduler goes on with whole rates on the other side until it has
-	// missed the entries; an account that asks for all it may have on both sides
-	// would pass its rate by a tenth within seconds.
-	aloneRate = 0.5
-	// aloneUsed is the part of what an account used here of late that the entry
-	// lets pass alone, if that is more than an equal share. Behind a cut few
-	// entries serve all callers of a data centre: by equal shares, half of what
-	// they refused there was refused for the rate of an account that was far below
-	// its own. The scheduler takes the same part off the account's rate once it
-	// has missed the entries.
-	aloneUsed = 0.75
-	// aloneSlack is the part of the slack of rates that entries alone may use
-	// together; a quarter is the scheduler's, and a quarter is left for what both
-	// let pass before they know of a cut.
-	aloneSlack = 0.5
 	// freshEvery is the least time between two fresh parts. Windows of rates are
 	// shorter.
 	freshEvery = 10 * time.Second
@@ -52,7 +37,7 @@
 		return 0, true
 	}
 	a := &g.alone
-	a.own.Slack = aloneSlack * g.QuotaSlack
+	a.own.Slack = allow.SlackPart * g.QuotaSlack
 	a.share(now, q)
 	if a.on {
 		wait, ok := a.own.Take(now, q.account, q.units())
@@ -96,9 +81,21 @@
 
 // part is the share of an account's rate that this entry may use.
 func (a *alone) part(now time.Time, name string, c acct.Account) float64 {
-	equal := aloneRate / float64(a.entries)
-	if !a.on || c.Rate <= 0 {
-		return equal
+	share := 1 / float64(a.entries)
+	if !a.on {
+		return allow.EqualPart * share
 	}
-	return max(equal, min(aloneUsed*a.used.Rate(now, name)/c.Rate, aloneUsed))
+	return allow.Alone(share, a.used.Rate(now, name), c.Rate)
+}
+
+// Rates is what accounts used here of late, in units a second, for a scheduler that
+// knows nothing of them yet.
+func (g *Gate) Rates() []*wire.AccountUsage {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var list []*wire.AccountUsage
+	for name, units := range g.alone.used.Rates(time.Now()) {
+		list = append(list, &wire.AccountUsage{Account: name, Units: int64(units)})
+	}
+	return list
 }
--- a/io/gate/place.go
+++ b/io/gate/place.go
@@ -17,7 +17,7 @@
 const (
 	// doubtAfter is how long a ticket waits before the scheduler is asked whether
 	// it lives. Most tickets are decided within milliseconds.
-	doubtAfter = 200 * time.Millisecond
+	doubtAfter = 100 * time.Millisecond
 	// aloneShare is by how much the entries may together give an engine more
 	// than its batch while each of them places requests by itself.
 	aloneShare = 1.5
@@ -28,6 +28,11 @@
 	aloneWait     = 500 * time.Millisecond
 	aloneWaitPart = 2
 	aloneLook     = 15 * time.Millisecond // Between two looks.
+	// schedulerWait is how long a request waits for another scheduler before this
+	// entry places it by itself, at an upstream of which it knows little. One of this
+	// data centre is found within that time where the rest is cut off, and so are most
+	// new leaders.
+	schedulerWait = 150 * time.Millisecond
 	// budgetPart is the part of the deployment's bound on second sends that
 	// entries use, so that uneven shares stay within it.
 	budgetPart = 0.7
@@ -48,6 +53,7 @@
 // finds no room waits a moment.
 func (q *request) place(ctx context.Context) (*place, error) {
 	var until time.Time
+	held := false
 	for {
 		q.view = q.gate.News.View()
 		pool := q.view.Index.Pool(q.pool)
@@ -58,6 +64,12 @@
 			}
 			q.view = q.gate.News.View()
 		}
+		if pool.Slots > 0 && !held {
+			held = true
+			if q.awaitScheduler(ctx) {
+				continue
+			}
+		}
 		p, err := q.choose(ctx, pool.Slots)
 		if err == nil || pool.Slots == 0 {
 			return p, err
@@ -71,6 +83,17 @@
 	}
 }
 
+// awaitScheduler waits a moment for a scheduler and reports whether there is one.
+func (q *request) awaitScheduler(ctx context.Context) bool {
+	until := time.Now().Add(min(schedulerWait, q.patient()))
+	for q.gate.News.View().Owner == nil {
+		if !q.lookAgain(ctx, until) {
+			return false
+		}
+	}
+	return true
+}
+
 // patient is how long the request waits for a scheduler or for room.
 func (q *request) patient() time.Duration {
 	return min(aloneWait, (q.route.Objective-q.before-time.Since(q.start))/aloneWaitPart)
@@ -119,7 +142,7 @@
 	g, now := q.gate, time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	c := peers.Choice{Self: g.Node, Centre: g.Centre, Avoid: q.avoid, Silent: q.view.Silent}
+	c := peers.Choice{Self: g.Node, Centre: g.Centre, Avoid: q.avoid, Silent: q.view.Silent, Unreached: q.view.Unreached, Isolated: q.view.Isolated}
 	if slots > 0 {
 		c.Most = max(int(aloneShare*float64(slots)/float64(max(q.view.Entries, 1))), 1)
 	}
@@ -161,7 +184,7 @@
 	g.Granter.Release(&wire.Release{
 		Ticket: t.GetId(), Entry: t.GetEntry(), Incarnation: t.GetIncarnation(), Pool: t.GetPool(), Upstream: p.up.GetId(),
 		Slot: p.grant.GetSlot(), Owner: p.grant.GetOwner(), Account: t.GetAccount(), Dispatched: res.end != unsent && res.end != other,
-		Failed: res.end == failed || res.end == broken || res.end == unsent || res.end == other, Busy: res.end == busy,
+		Whole: res.end == whole, Failed: res.end == failed || res.end == broken || res.end == unsent || res.end == other, Busy: res.end == busy,
 		FirstTokenUs: res.first.Microseconds(), TotalUs: res.total.Microseconds(), Pieces: res.events,
 		GapUs: res.gap.Microseconds(),
 	})
--- a/io/gated/gated.go
+++ b/io/gated/gated.go
@@ -74,7 +74,7 @@
 	e.grant = &grant.Grant{
 		Self: set.Node, Incarnation: incarnation, Local: none{}, Members: e.watch, Mesh: e.mesh, Log: log.WithName("grant"),
 	}
-	e.watch.Changed = e.grant.Changed
+	e.watch.Changed, e.watch.Rates = e.grant.Changed, g.Rates
 	g.Node, g.Incarnation, g.Centre = set.Node, incarnation, set.Centre
 	g.News, g.Granter, g.Sender, g.Stats, g.Log = e.watch, e.grant, e.client, metrics, e.log
 	metrics.Pull("configuration-version", func() int64 { return int64(e.watch.View().Version) }) //nolint:gosec // Versions are small.
--- a/io/hub/beats.go
+++ b/io/hub/beats.go
@@ -31,12 +31,16 @@
 		at     time.Time
 		served time.Time
 		calls  uint64 // Announcements to the scheduler, which wants them to grow.
+		lost   bool   // Its data centre seems cut off.
 	}
 )
 
 // Report takes an upstream's announcement, at whichever replica it arrives. It
 // returns once a quorum has written down what it tells, if that is new.
 func (h *Hub) Report(ctx context.Context, r *wire.Report) error {
+	if s := h.scheduler(); s != nil && s.scope == centre && h.reportCutOff(s, r) {
+		return nil
+	}
 	_, err := h.Leader.Ask(ctx, func() *wire.Frame { return &wire.Frame{Body: &wire.Frame_Report{Report: r}} })
 	if err != nil {
 		return fmt.Errorf("hub: report: %w", err)
@@ -82,6 +86,30 @@
 	return nil
 }
 
+// reportCutOff takes an announcement at a scheduler of one data centre, and reports
+// whether it tells nothing that has to be written down: without a quorum nothing can
+// be. An upstream that leaves gets no more work all the same.
+func (h *Hub) reportCutOff(s *reign, rep *wire.Report) bool {
+	u := rep.GetUpstream()
+	known := h.Replica.Upstream(u.GetId())
+	if known == nil || known.GetDataCentre() != h.Centre || roster.Stale(known, u) || rep.GetFarewell() {
+		return false
+	}
+	if !s.beats.newer(time.Now(), u, rep.GetSeq(), known) {
+		return false
+	}
+	if roster.Same(known, u) && !roster.Reborn(known, u) {
+		h.announce(s, known, leaseBeats)
+		return true
+	}
+	if u.GetState() != wire.Upstream_STATE_SERVING {
+		gone := proto.CloneOf(known)
+		gone.State = u.GetState()
+		h.announce(s, gone, leaseBeats)
+	}
+	return false
+}
+
 // announce hands an upstream to the scheduler, with a lease of some beats.
 func (h *Hub) announce(r *reign, u *wire.Upstream, beats int) {
 	lease := time.Duration(beats)*h.Beat + h.Beat/2
@@ -137,24 +165,47 @@
 	return &wire.Announce{
 		Upstream: e.GetId(), Address: e.GetAddress(), Pools: []string{e.GetPool()}, MaxRunning: e.GetSlots(),
 		Leaving: e.GetState() != wire.Upstream_STATE_SERVING, LeaseUs: lease.Microseconds(), Seq: e.calls, CanResume: true,
-		Incarnation: strconv.FormatInt(e.GetBorn(), 10),
+		Unreached: e.lost, Incarnation: strconv.FormatInt(e.GetBorn(), 10),
 	}
 }
 
-// served notes that an upstream answered. It returns a new lease for one whose
-// announcements stay away: servers may be cut off from control and still serve.
-func (b *beats) served(now time.Time, id string) *wire.Announce {
+// served notes that an upstream answered and returns its data centre. It returns a
+// new lease for one whose announcements stay away: servers may be cut off from
+// control and still serve.
+func (b *beats) served(now time.Time, id string) (string, *wire.Announce) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	e := b.ups[id]
 	if e == nil || e.Upstream == nil {
-		return nil
+		return "", nil
 	}
 	e.served = now
 	if now.Sub(e.at) < b.lease/2 {
-		return nil
+		return e.GetDataCentre(), nil
+	}
+	return e.GetDataCentre(), e.tell(b.lease / 2)
+}
+
+// lose takes the list of data centres that seem cut off and returns what the
+// scheduler has to be told, with the rest of each lease.
+func (b *beats) lose(now time.Time, centres []string) []*wire.Announce {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var list []*wire.Announce
+	for _, e := range b.ups {
+		if e.Upstream == nil {
+			continue
+		}
+		lost, last := slices.Contains(centres, e.GetDataCentre()), e.at
+		if e.served.After(last) {
+			last = e.served
+		}
+		if left := b.lease - now.Sub(last); lost != e.lost && left > 0 {
+			e.lost = lost
+			list = append(list, e.tell(left))
+		}
 	}
-	return e.tell(b.lease / 2)
+	return list
 }
 
 // silent lists the upstreams that were neither heard nor seen to serve for a
--- a/io/hub/hub.go
+++ b/io/hub/hub.go
@@ -36,6 +36,7 @@
 	Hub struct {
 		Replica replica
 		Leader  proposer
+		Centre  string                                 // Data centre of this replica.
 		Parse   func(doc []byte) (*conf.Config, error) // Reads a published document.
 		Voters  int                                    // A publication is taken only from so many voters on.
 		Beat    time.Duration                          // Between two announcements of an upstream.
@@ -53,6 +54,7 @@
 
 	replica interface {
 		Leads() bool
+		CutOff() bool // It follows no leader and reaches no quorum.
 		Leader() string
 		Changed() <-chan struct{}
 		Publication() (uint64, []byte)
@@ -85,36 +87,41 @@
 
 // Serve follows the leadership of the replica until ctx ends.
 func (h *Hub) Serve(ctx context.Context) error {
-	tick := time.NewTicker(sweepEvery)
+	tick, look := time.NewTicker(sweepEvery), time.NewTicker(reachEvery)
 	defer tick.Stop()
+	defer look.Stop()
 	var version uint64
 	end := func() {}
 	defer func() { end() }()
 	for {
 		changed := h.Replica.Changed()
-		leads := h.Replica.Leads()
-		r := h.lead()
-		switch {
-		case leads && r == nil:
-			version = 0
-			rctx, cancel := context.WithCancel(ctx)
-			end = cancel
-			r = h.begin(rctx)
-		case !leads && r != nil:
-			h.Log.Info("Leadership lost.", "scheduler", r.id)
+		want, r := h.scope(), h.scheduler()
+		if r != nil && r.scope != want {
+			h.Log.Info(r.scope.ends(), "scheduler", r.id)
 			h.set(nil)
 			end()
 			r = nil
 		}
+		if r == nil && want != nowhere {
+			rctx, cancel := context.WithCancel(ctx)
+			end = cancel
+			r = h.begin(rctx, want)
+			version = h.install(r, 0)
+			h.set(r) // What entries tell of accounts' use counts once the rates are known.
+		}
 		if r != nil {
 			version = h.install(r, version)
-			h.sweep(r)
+			h.lookAround(r)
 		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-changed:
+		case <-look.C:
 		case <-tick.C:
+			if r != nil {
+				h.sweep(r)
+			}
 		}
 	}
 }
@@ -122,7 +129,7 @@
 // Gauges sets up the figures that are read when the metrics are.
 func (h *Hub) Gauges() {
 	h.Stats.Pull("tickets-waiting", func() int64 {
-		if r := h.lead(); r != nil {
+		if r := h.scheduler(); r != nil {
 			return int64(r.sched.Waiting())
 		}
 		return 0
@@ -133,13 +140,19 @@
 		}
 		return 0
 	})
+	h.Stats.Pull("schedules-cut-off", func() int64 {
+		if r := h.scheduler(); r != nil && r.scope == centre {
+			return 1
+		}
+		return 0
+	})
 	h.Stats.Pull("configuration-version", func() int64 {
 		v, _ := h.Replica.Publication()
 		return int64(min(v, math.MaxInt64)) //nolint:gosec // Bounded.
 	})
 	h.Stats.Pull("entries", func() int64 { return h.watchers.count(time.Now()) })
 	h.Stats.Pull("upstreams-silent", func() int64 {
-		r := h.lead()
+		r := h.scheduler()
 		if r == nil {
 			return 0
 		}
@@ -149,12 +162,21 @@
 	})
 }
 
-func (h *Hub) lead() *reign {
+// scheduler is what this replica schedules by, nil where it does not.
+func (h *Hub) scheduler() *reign {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.reign
 }
 
+// lead is the scheduler of the leader, nil elsewhere.
+func (h *Hub) lead() *reign {
+	if r := h.scheduler(); r != nil && r.scope == deployment {
+		return r
+	}
+	return nil
+}
+
 func (h *Hub) set(r *reign) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -163,12 +185,15 @@
 
 // begin starts to schedule. Entries bring the slots that they hold when they
 // hear of the new scheduler.
-func (h *Hub) begin(ctx context.Context) *reign {
-	r := &reign{id: uuid.NewString()[:8], stats: h.Stats, log: h.Log, lines: &h.Lines, allow: allow.Allow{Over: allowPart * h.Over, Slack: allowPart * h.Slack}}
+func (h *Hub) begin(ctx context.Context, s scope) *reign {
+	r := &reign{id: uuid.NewString()[:8], scope: s, stats: h.Stats, log: h.Log, lines: &h.Lines}
+	r.allow = allow.Allow{Over: allowPart * h.Over, Slack: allowPart * h.Slack, Idle: true}
+	if s == centre {
+		r.allow.Slack, r.allow.Idle = allow.SlackPart*h.Slack, false
+	}
 	r.sched = &sched.Sched{Incarnation: r.id, Log: h.Log.WithName("sched")}
 	go func() { _ = r.sched.Serve(ctx) }()
-	h.Log.Info("Leadership gained.", "scheduler", r.id)
-	h.set(r)
+	h.Log.Info(s.begins(), "scheduler", r.id)
 	return r
 }
 
@@ -188,20 +213,27 @@
 	if have == 0 {
 		list, _, _ := h.Replica.Roster(0)
 		for _, u := range list {
-			h.announce(r, u, freshLease)
+			if r.scope == deployment || u.GetDataCentre() == h.Centre {
+				h.announce(r, u, freshLease)
+			}
 		}
 	}
 	h.Log.Info("Configuration in force.", "version", v)
 	return v
 }
 
-// Later takes tickets, which wait for their decision without a goroutine each.
+// Later takes tickets, which wait for their decision without a goroutine each, and
+// questions whether this process lives.
 func (h *Hub) Later(ctx context.Context, f *wire.Frame, reply func(*wire.Frame)) bool {
+	if f.GetConfigQuery().GetVersion() > 0 {
+		reply(&wire.Frame{Body: &wire.Frame_BeatReply{BeatReply: &wire.BeatReply{}}})
+		return true
+	}
 	t := f.GetTicket()
 	if t == nil {
 		return false
 	}
-	r := h.lead()
+	r := h.scheduler()
 	if r == nil {
 		reply(&wire.Frame{Body: &wire.Frame_Fault{Fault: h.moved()}})
 		return true
@@ -222,19 +254,19 @@
 		}
 		return r, nil
 	case *wire.Frame_Release:
-		if r := h.lead(); r != nil {
+		if r := h.scheduler(); r != nil {
 			r.release(b.Release)
 		}
 	case *wire.Frame_Withdraw:
-		if r := h.lead(); r != nil {
+		if r := h.scheduler(); r != nil {
 			r.sched.Withdraw(b.Withdraw)
 		}
 	case *wire.Frame_Held:
-		if r := h.lead(); r != nil {
+		if r := h.scheduler(); r != nil {
 			r.sched.Hold(b.Held)
 		}
 	case *wire.Frame_Usage:
-		if r := h.lead(); r != nil {
+		if r := h.scheduler(); r != nil {
 			r.used(b.Usage)
 		}
 	case *wire.Frame_Watch:
--- a/io/hub/rates.go
+++ b/io/hub/rates.go
@@ -4,7 +4,9 @@
 	"time"
 
 	"azurelane/core/acct"
+	"azurelane/core/allow"
 	"azurelane/core/usage"
+	"azurelane/core/wire"
 )
 
 const (
@@ -12,9 +14,6 @@
 	// its part of the accounts' rates. An entry that follows asks again within
 	// two seconds.
 	absentAfter = 2800 * time.Millisecond
-	// absentPart is the part of what an account used at an entry of late that is
-	// left to it. The entry lets the same part pass while it goes on alone.
-	absentPart = 0.75
 	// leastPart is what the scheduler keeps of a rate in any case.
 	leastPart = 0.2
 )
@@ -26,6 +25,7 @@
 type rates struct {
 	accounts map[string]acct.Account
 	used     map[string]*usage.Usage       // By entry incarnation.
+	told     map[string]map[string]float64 // Units a second before they came here, by entry incarnation and account.
 	absent   map[string]map[string]float64 // Units a second by entry incarnation and account.
 }
 
@@ -64,16 +64,46 @@
 }
 
 // forget drops what an entry used that is gone.
-func (r *rates) forget(incarnation string) { delete(r.used, incarnation) }
+func (r *rates) forget(incarnation string) {
+	delete(r.used, incarnation)
+	delete(r.told, incarnation)
+}
 
-// part is the part of an account's rate that is the scheduler's own.
-func (r *rates) part(name string) float64 {
-	sum, rate := 0.0, r.accounts[name].Rate
-	for _, used := range r.absent {
-		sum += used[name]
+// tell takes what accounts used at an entry before it came here, and reports whether
+// that is new.
+func (r *rates) tell(incarnation string, list []*wire.AccountUsage) bool {
+	if r.told[incarnation] != nil || len(list) == 0 {
+		return false
+	}
+	if r.told == nil {
+		r.told = map[string]map[string]float64{}
 	}
+	r.told[incarnation] = make(map[string]float64, len(list))
+	for _, a := range list {
+		r.told[incarnation][a.GetAccount()] = float64(a.GetUnits())
+	}
+	return true
+}
+
+// part is the part of an account's rate that is the leader's own.
+func (r *rates) part(name string) float64 {
+	sum, rate := sum(r.absent, name), r.accounts[name].Rate
 	if sum == 0 || rate <= 0 {
 		return 1
 	}
-	return max(1-absentPart*sum/rate, leastPart)
+	return max(1-allow.UsedPart*sum/rate, leastPart)
+}
+
+// alone is the part of an account's rate that is left to a scheduler of one data
+// centre, which has a share of all entries.
+func (r *rates) alone(name string, share float64) float64 {
+	return allow.Alone(share, sum(r.told, name), r.accounts[name].Rate)
+}
+
+func sum(rates map[string]map[string]float64, account string) float64 {
+	n := 0.0
+	for _, by := range rates {
+		n += by[account]
+	}
+	return n
 }
--- a/io/hub/reign.go
+++ b/io/hub/reign.go
@@ -16,11 +16,14 @@
 	"azurelane/io/stats"
 )
 
-// reign is what a leader has from its election to its end.
+// reign is what a replica has from the moment in which it begins to schedule to
+// the end of that.
 type reign struct {
 	id    string
+	scope scope
 	sched *sched.Sched
 	beats beats
+	reach reach
 	stats *stats.Stats
 	log   logr.Logger
 	lines *logs.Budget // Of refused tickets.
@@ -29,6 +32,9 @@
 	allow   allow.Allow
 	rates   rates
 	version uint64
+	// Of a scheduler of one data centre: how many entries there are here, and in all
+	// as they knew before.
+	here, all int64
 }
 
 // install puts the accounts' rates in force.
@@ -36,7 +42,53 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.version, r.rates.accounts = version, accounts
-	r.allow.SetEach(time.Now(), accounts, r.rates.part)
+	r.share(time.Now())
+}
+
+// share sets the parts of the accounts' rates that may pass here. The lock is held.
+func (r *reign) share(now time.Time) {
+	part := r.rates.part
+	if r.scope == centre {
+		share := float64(r.here) / float64(max(r.all, r.here, 1))
+		part = func(account string) float64 { return r.rates.alone(account, share) }
+	}
+	r.allow.SetEach(now, r.rates.accounts, part)
+}
+
+// join takes what an entry knows that has just come to this scheduler.
+func (r *reign) join(w *wire.Watch, here int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	told := r.rates.tell(w.GetIncarnation(), w.GetRates())
+	now := time.Now()
+	if r.scope == deployment {
+		// After a stop of everything nobody has used anything for a while. With a part
+		// of a burst for each account, as after another leader that may have let all of
+		// it pass, most callers who came back in that moment were refused for a rate
+		// that they were far below.
+		for _, a := range w.GetRates() {
+			if told {
+				r.allow.Used(now, a.GetAccount(), float64(a.GetUnits()))
+			}
+		}
+		return
+	}
+	if !told && r.here == here {
+		return
+	}
+	r.here, r.all = here, max(r.all, w.GetEntries())
+	r.share(now)
+	for account := range r.rates.accounts {
+		r.allow.Fresh(now, account) // Its part was smaller before, and so was what is left of it.
+	}
+}
+
+// entries is how many entries share the limits of all: also those that a scheduler
+// of one data centre doesn't hear.
+func (r *reign) entries(here int64) int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return max(here, r.all)
 }
 
 // miss leaves silent entries their parts of the rates.
@@ -46,7 +98,7 @@
 	if !r.rates.miss(now, silent) {
 		return
 	}
-	r.allow.SetEach(now, r.rates.accounts, r.rates.part)
+	r.share(now)
 	r.log.Info("Entries that keep their parts of the rates changed.", "incarnations", silent)
 }
 
@@ -62,7 +114,10 @@
 func (r *reign) submit(ctx context.Context, t *wire.Ticket, done func(*wire.Decision)) {
 	start := time.Now()
 	r.mu.Lock()
-	wait, ok := r.allow.Take(start, t.GetAccount(), t.GetUnits())
+	wait, ok := time.Duration(0), true
+	if t.GetUnits() > 0 { // A second send of a request counts nothing, and needs nothing left.
+		wait, ok = r.allow.Take(start, t.GetAccount(), t.GetUnits())
+	}
 	if ok {
 		r.rates.add(start, t.GetIncarnation(), t.GetAccount(), t.GetUnits())
 	}
@@ -120,10 +175,15 @@
 // release gives a slot back. An upstream that served is alive, even if its
 // announcements get lost.
 func (r *reign) release(rel *wire.Release) {
-	if rel.GetDispatched() && !rel.GetFailed() {
-		if a := r.beats.served(time.Now(), rel.GetUpstream()); a != nil {
+	if rel.GetWhole() {
+		now := time.Now()
+		dc, a := r.beats.served(now, rel.GetUpstream())
+		if a != nil {
 			r.sched.Announce(a)
 		}
+		if dc != "" {
+			r.reach.ended(now, dc)
+		}
 	}
 	r.sched.Release(rel)
 }
--- a/io/hub/watch.go
+++ b/io/hub/watch.go
@@ -33,6 +33,7 @@
 
 	watcher struct {
 		incarnation string
+		dataCentre  string
 		seen        time.Time
 		forgotten   bool
 	}
@@ -49,17 +50,19 @@
 func (h *Hub) watch(ctx context.Context, w *wire.Watch) (*wire.News, error) {
 	end := time.NewTimer(time.Duration(w.GetWaitUs()) * time.Microsecond)
 	defer end.Stop()
-	for {
+	for stirred := false; ; stirred = true {
 		changed := h.Replica.Changed()
-		r := h.lead()
-		if r == nil {
+		r := h.scheduler()
+		if r == nil || !h.serves(r, w) {
 			return nil, h.moved()
 		}
 		if old := h.watchers.note(w, time.Now()); old != "" {
 			r.forget(old)
 		}
+		r.join(w, h.watchers.count(time.Now()))
+		lost := r.reach.changed()
 		n, fresh, err := h.news(r, w)
-		if err != nil || fresh {
+		if err != nil || fresh || stirred {
 			return n, err
 		}
 		select {
@@ -68,6 +71,7 @@
 		case <-end.C:
 			return n, nil
 		case <-changed:
+		case <-lost:
 		}
 		select {
 		case <-ctx.Done():
@@ -79,7 +83,7 @@
 
 // news is what there is to tell, and whether any of it is new.
 func (h *Hub) news(r *reign, w *wire.Watch) (*wire.News, bool, error) {
-	n := &wire.News{Leader: r.id, Entries: h.watchers.count(time.Now())}
+	n := &wire.News{Leader: r.id, Entries: r.entries(h.watchers.count(time.Now()))}
 	_, all, _ := h.Replica.Group()
 	for _, p := range all {
 		n.Replicas = append(n.Replicas, p.GetAddress())
@@ -87,6 +91,7 @@
 	r.beats.mu.Lock()
 	n.Silent = r.beats.quiet
 	r.beats.mu.Unlock()
+	n.Unreached = r.reach.list()
 	var doc []byte
 	n.Version, doc = h.Replica.Publication()
 	if n.GetVersion() > w.GetVersion() {
@@ -101,6 +106,25 @@
 	return n, fresh, nil
 }
 
+// lookAround looks whether data centres are reached. While one is not, its upstreams
+// get no more than a request now and then that tries them.
+func (h *Hub) lookAround(r *reign) {
+	if r.scope != deployment {
+		return
+	}
+	now := time.Now()
+	_, _, peers := h.Replica.Group()
+	if !r.reach.look(now, peers) {
+		return
+	}
+	list := r.reach.list()
+	h.Log.Info("Data centres that seem cut off changed.", "data-centres", list)
+	for _, a := range r.beats.lose(now, list) {
+		r.sched.Announce(a)
+	}
+	r.miss(now, h.watchers.silent(now, list))
+}
+
 // sweep looks at what has gone silent.
 func (h *Hub) sweep(r *reign) {
 	now := time.Now()
@@ -112,7 +136,7 @@
 	if changed {
 		h.Log.Info("Silent upstreams changed.", "upstreams", quiet)
 	}
-	r.miss(now, h.watchers.silent(now))
+	r.miss(now, h.watchers.silent(now, r.reach.list()))
 	for _, inc := range h.watchers.lost(now) {
 		h.Log.Info("Entry lost.", "incarnation", inc)
 		r.sched.Forget(inc)
@@ -132,7 +156,7 @@
 	if e != nil && e.incarnation != w.GetIncarnation() {
 		old = e.incarnation
 	}
-	s.byNode[w.GetNode()] = &watcher{incarnation: w.GetIncarnation(), seen: now}
+	s.byNode[w.GetNode()] = &watcher{incarnation: w.GetIncarnation(), dataCentre: w.GetDataCentre(), seen: now}
 	return old
 }
 
@@ -151,14 +175,15 @@
 	return n
 }
 
-// silent lists the incarnations that were not heard for a while and may go on
-// behind a cut.
-func (s *watchers) silent(now time.Time) []string {
+// silent lists the incarnations that were not heard for a while, or whose data centre
+// seems cut off, and may go on behind a cut.
+func (s *watchers) silent(now time.Time, lost []string) []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var list []string
 	for _, e := range s.byNode {
-		if d := now.Sub(e.seen); d > absentAfter && d <= countFor {
+		d := now.Sub(e.seen)
+		if d <= countFor && (d > absentAfter || slices.Contains(lost, e.dataCentre)) {
 			list = append(list, e.incarnation)
 		}
 	}
--- a/io/hubd/hubd.go
+++ b/io/hubd/hubd.go
@@ -92,7 +92,7 @@
 		Losses: set.Losses, Centres: len(set.Centres), Away: time.Duration(awayPart * float64(set.CatchUp)), Forget: forget,
 	}
 	h := &hub.Hub{
-		Replica: d.ctrl, Leader: toLeader, Parse: parse, Voters: group.Voters(), Beat: set.Announce, Over: set.Overage,
+		Replica: d.ctrl, Leader: toLeader, Centre: set.Centre, Parse: parse, Voters: group.Voters(), Beat: set.Announce, Over: set.Overage,
 		Slack: set.QuotaSlack, Stats: metrics, Log: d.log, Lines: logs.Budget{Most: refusalLines},
 	}
 	h.Gauges()
--- a/io/watch/view.go
+++ b/io/watch/view.go
@@ -18,6 +18,8 @@
 	Revision  uint64
 	Upstreams map[string][]*wire.Upstream // Serving ones, by pool.
 	Silent    map[string]bool             // Upstreams that control doesn't hear.
+	Unreached map[string]bool             // Data centres that seem cut off.
+	Isolated  bool                        // This entry's own data centre does.
 	Entries   int                         // That share the limits of all.
 	Owner     *wire.Member                // The scheduler of all pools, nil for none.
 	Heard     time.Time                   // When the owner last answered.
