A scheduler that falls silent is doubted by its own answers' times

Tickets doubted after 0.1 s, and then the answer to a question that takes 3 ms was awaited for 0.25 s. Change: entries measure these answers, one with each look for news, and wait four times the longest of the last eight, 60 ms at least and 0.25 s at most. A ticket is doubted after 60 ms. Test: TestPatienceWithAScheduler.

--- a/io/gate/place.go
+++ b/io/gate/place.go
@@ -17,7 +17,7 @@
 const (
 	// doubtAfter is how long a ticket waits before the scheduler is asked whether
 	// it lives. Most tickets are decided within milliseconds.
-	doubtAfter = 100 * time.Millisecond
+	doubtAfter = 60 * time.Millisecond
 	// aloneShare is by how much the entries may together give an engine more
 	// than its batch while each of them places requests by itself.
 	aloneShare = 1.5
--- a/io/watch/watch.go
+++ b/io/watch/watch.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -34,9 +35,17 @@
 	// that stays away, so that a slow link is no obstacle for good.
 	firstLimit  = 500 * time.Millisecond
 	mostDoubled = 3 // Times; it is over askLimit then.
-	// probeLimit is how long the leader may take to answer a question that
-	// needs no work, before entries place requests by themselves.
+	// probeLimit is how long the leader may take to answer a question that needs no
+	// work, before entries place requests by themselves, while nothing is known of how
+	// long it usually takes.
 	probeLimit = 250 * time.Millisecond
+	// leastProbe is the least of that limit: a pause of the collector or of the machine
+	// is no reason to leave a scheduler. probeTimes is the limit in times of the longest
+	// answer of late. Most answers take a few milliseconds, while objectives are some
+	// hundred: with 250 ms for all, what waited at a leader that froze was late before
+	// anyone knew.
+	leastProbe = 60 * time.Millisecond
+	probeTimes = 4
 	probeEvery = 200 * time.Millisecond // Between two such questions.
 	noneWait   = 60 * time.Millisecond  // Before the replicas are asked again who leads.
 	// maxDocument bounds a document, so that a damaged one can't fill the memory.
@@ -66,7 +75,9 @@
 		next     int
 		stop     context.CancelFunc // Ends the question that is under way.
 		probed   time.Time
-		gone     map[string]struct{} // Upstreams that this entry found replaced.
+		answers  [keepAnswers]time.Duration // Of the last questions whether it lives.
+		answered int                        // How many were answered.
+		gone     map[string]struct{}        // Upstreams that this entry found replaced.
 	}
 
 	caller interface {
@@ -97,6 +108,8 @@
 // Serve follows the leader until ctx ends.
 func (w *Watch) Serve(ctx context.Context) error {
 	to, late := found{}, 0
+	var measures sync.WaitGroup
+	defer measures.Wait()
 	for ctx.Err() == nil {
 		if !to.addr.IsValid() {
 			to = w.find(ctx)
@@ -113,6 +126,7 @@
 		switch {
 		case err == nil:
 			late = 0
+			measures.Go(func() { w.measure(ctx, to) })
 			if to.local {
 				to = w.beyond(ctx, to)
 			}
@@ -128,6 +142,13 @@
 	return ctx.Err()
 }
 
+// measure learns how long the scheduler takes to answer while all is well.
+func (w *Watch) measure(ctx context.Context, to found) {
+	if err := w.probe(ctx, to.addr); err != nil {
+		w.Log.V(1).Info("Scheduler not measured.", "err", err.Error())
+	}
+}
+
 // beyond looks for a leader while a scheduler of this data centre alone is followed.
 func (w *Watch) beyond(ctx context.Context, local found) found {
 	f := w.find(ctx)
@@ -275,9 +296,7 @@
 	if err != nil {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeLimit)
-	defer cancel()
-	if _, err = w.Mesh.Call(ctx, to, &wire.Frame{Body: &wire.Frame_ConfigQuery{ConfigQuery: &wire.ConfigQuery{Version: probeVersion}}}); err == nil {
+	if err = w.probe(context.WithoutCancel(ctx), to); err == nil {
 		return
 	}
 	if v := w.View(); v.Owner == m {
@@ -288,6 +307,34 @@
 	}
 }
 
+// probe asks the scheduler whether it lives and notes how long the answer took.
+func (w *Watch) probe(ctx context.Context, to netip.AddrPort) error {
+	start := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, w.patience())
+	defer cancel()
+	if _, err := w.Mesh.Call(ctx, to, &wire.Frame{Body: &wire.Frame_ConfigQuery{ConfigQuery: &wire.ConfigQuery{Version: probeVersion}}}); err != nil {
+		return fmt.Errorf("watch: probe: %w", err)
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.answers[w.answered%keepAnswers] = time.Since(start)
+	w.answered++
+	return nil
+}
+
+// patience is how long the answer to a probe may take.
+func (w *Watch) patience() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.answered < keepAnswers {
+		return probeLimit
+	}
+	return min(max(probeTimes*slices.Max(w.answers[:]), leastProbe), probeLimit)
+}
+
+// keepAnswers is how many answers to probes are remembered.
+const keepAnswers = 8
+
 // probeVersion asks for a configuration newer than any, so that the answer is
 // empty.
 const probeVersion = ^uint64(0)
--- a/io/watch/watch_test.go
+++ b/io/watch/watch_test.go
@@ -23,17 +23,18 @@
 
 // control answers an entry as told.
 type control struct {
-	mu    sync.Mutex
-	news  func(w *wire.Watch) (*wire.News, error)
-	dead  bool          // It answers nothing.
-	named bool          // Another replica answers who leads, also while it is dead.
-	slow  time.Duration // How late news come.
-	asked int
+	mu     sync.Mutex
+	news   func(w *wire.Watch) (*wire.News, error)
+	dead   bool          // It answers nothing.
+	named  bool          // Another replica answers who leads, also while it is dead.
+	slow   time.Duration // How late news come.
+	probed time.Duration // How late it says that it lives.
+	asked  int
 }
 
 func (c *control) Call(ctx context.Context, _ netip.AddrPort, f *wire.Frame) (*wire.Frame, error) {
 	c.mu.Lock()
-	dead, news, slow := c.dead, c.news, c.slow
+	dead, news, slow, probed := c.dead, c.news, c.slow, c.probed
 	c.asked++
 	c.mu.Unlock()
 	if dead && (!c.named || f.GetStatusQuery() == nil) {
@@ -52,6 +53,11 @@
 		n, err := news(b.Watch)
 		return &wire.Frame{Body: &wire.Frame_News{News: n}}, err
 	}
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-time.After(probed):
+	}
 	return &wire.Frame{Body: &wire.Frame_BeatReply{BeatReply: &wire.BeatReply{}}}, nil
 }
 
@@ -345,3 +351,33 @@
 		})
 	}
 }
+
+// The scheduler has answered within milliseconds for a while, and freezes. The entry
+// places requests by itself before a wait of a quarter of a second would have made
+// them late. One that took long all the time is given that long.
+func TestPatienceWithAScheduler(t *testing.T) {
+	for _, tc := range []struct {
+		name        string
+		slow, limit time.Duration
+	}{
+		{"quick", 2 * time.Millisecond, leastProbe},
+		{"slow", 40 * time.Millisecond, 160 * time.Millisecond},
+		{"too slow", 100 * time.Millisecond, probeLimit},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := &control{news: held, probed: tc.slow}
+				w := newWatch(c)
+				follow(t, w)
+				time.Sleep(2 * keepAnswers * waitFor)
+				c.mu.Lock()
+				c.dead = true
+				c.mu.Unlock()
+				start := time.Now()
+				w.Doubt(t.Context())
+				must.Eq(t, tc.limit, time.Since(start))
+				must.Nil(t, w.Owner("p"))
+			})
+		})
+	}
+}
