Long prompts wait for engines that are quick enough for them

Ruled out: quick engines that stand idle. All places are taken nearly always; the one that becomes free goes to whoever is first. Change: reading is learnt with the square of the length, over 5 s and not over the last 50 runs of all engines, by which it moved by half from second to second. For the first third of its time a request lets others pass where reading its prompt would hold up what runs there for longer than callers accept; what of the reading falls between two events is learnt from the longest pauses. Tickets tell the pause that their route allows.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -59,6 +59,7 @@
 	engines map[string]*engine // By name.
 	all     []*engine          // In the order of the table.
 	open    []offer            // Of the decision that is being made.
+	gap     time.Duration      // Longest pause between two events that is on time for all; zero for any.
 	mean    pace               // A pace between the slowest and the fastest engine.
 	started time.Time
 	swept   time.Time
@@ -126,7 +127,7 @@
 	case r.GetFailed():
 		p.failed(now, r.GetFirstTokenUs() > 0, s.Up.GetSeq())
 	case r.GetDispatched():
-		p.ran(r, s.Ticket.GetPromptTokens()-s.Kept, max(b.pool.EventTokens, 1), s.Wait)
+		p.ran(now, r, s.Ticket.GetPromptTokens()-s.Kept, max(b.pool.EventTokens, 1), s.Wait)
 	}
 	return b.assign(now)
 }
@@ -163,6 +164,7 @@
 		b.table.Expire(now, forgetAfter)
 		b.forget()
 		b.learnMean()
+		b.learnGap()
 		b.slots.Sweep(now, b.pool.MaxRun+runGrace, func(*slot.Slot) {})
 	}
 	return append(b.assign(now), b.expire(now)...)
--- a/core/batch/batch_test.go
+++ b/core/batch/batch_test.go
@@ -315,3 +315,65 @@
 	e.now = e.now.Add(tryEvery)
 	must.Len(t, 1, granted(t, e.fill(1)))
 }
+
+// learn shows the policy how long engines take: tokens of an answer each that long,
+// and prompts by their length and its square.
+func (e *engines) learn(speeds map[string]time.Duration, square float64) {
+	for n := range 120 {
+		k := e.ticket("usual", 0, 500+int64(n%12)*2500, 90)
+		k.ObjectiveUs, k.DeadlineUs, k.GapUs = time.Hour.Microseconds(), (2 * time.Hour).Microseconds(), (300 * time.Millisecond).Microseconds()
+		for _, d := range e.Submit(e.now, k) {
+			each := speeds[d.GetGrant().GetUpstream()]
+			x := float64(k.GetPromptTokens()) / perKilo
+			first := 20*each + time.Duration((3*x+square*x*x)*float64(each))
+			e.now = e.now.Add(first + 90*each)
+			e.end(d, first, first+90*each, 11)
+		}
+		e.Tick(e.now)
+	}
+}
+
+// Reading a prompt takes longer than in proportion to its length. One of forty
+// thousand tokens is in time on a quick engine alone; by the times of short ones it
+// would seem to be so on each. The next free place is at a slow engine: it goes to a
+// short prompt behind, and the long one waits for the quick engine.
+func TestLongPromptWaitsForAQuickEngine(t *testing.T) {
+	e := newEngines(1, "quick", "slow")
+	e.learn(map[string]time.Duration{"quick": time.Millisecond, "slow": 2500 * time.Microsecond}, 0.1)
+	running := map[string]*wire.Decision{}
+	for len(running) < 2 {
+		for _, d := range e.fill(1) {
+			running[d.GetGrant().GetUpstream()] = d
+		}
+	}
+	e.urgent.priority = -1 // No place beyond the batches.
+	long, short := e.ticket("usual", 0, 40000, 90), e.ticket("usual", 0, 500, 90)
+	long.ObjectiveUs = (500 * time.Millisecond).Microseconds()
+	e.Submit(e.now, long)
+	e.Submit(e.now, short)
+	must.Eq(t, []uint64{short.GetId()}, granted(t, e.end(running["slow"], 60*time.Millisecond, 300*time.Millisecond, 11)))
+	must.Eq(t, []uint64{long.GetId()}, granted(t, e.end(running["quick"], 60*time.Millisecond, 300*time.Millisecond, 11)))
+}
+
+// Five answers stream from a slow engine. Reading a prompt of twelve thousand tokens
+// there would hold all of them up for longer than their callers accept between two
+// events, though the prompt itself has time enough. It waits for a quick engine while
+// others have use for the place.
+func TestLongPromptStallsNobody(t *testing.T) {
+	e := newEngines(6, "quick", "slow")
+	e.learn(map[string]time.Duration{"quick": time.Millisecond, "slow": 8 * time.Millisecond}, 0)
+	e.urgent.priority = -1
+	at := map[string][]*wire.Decision{}
+	for len(at["quick"]) < 6 || len(at["slow"]) < 6 {
+		for _, d := range e.fill(1) {
+			at[d.GetGrant().GetUpstream()] = append(at[d.GetGrant().GetUpstream()], d)
+		}
+	}
+	e.now = e.now.Add(time.Second) // What they brought has been read.
+	long, short := e.ticket("usual", 0, 12000, 90), e.ticket("usual", 0, 200, 90)
+	long.ObjectiveUs = time.Second.Microseconds()
+	e.Submit(e.now, long)
+	e.Submit(e.now, short)
+	must.Eq(t, []uint64{short.GetId()}, granted(t, e.end(at["slow"][0], 60*time.Millisecond, 700*time.Millisecond, 11)))
+	must.Eq(t, []uint64{long.GetId()}, granted(t, e.end(at["quick"][0], 60*time.Millisecond, 300*time.Millisecond, 11)))
+}
--- a/core/batch/engine.go
+++ b/core/batch/engine.go
@@ -19,11 +19,11 @@
 	// not depend on the ticket is worked out once.
 	offer struct {
 		*engine
-		beyond    bool          // All places of its batch are taken.
-		first     time.Duration // Until the first piece of an empty prompt.
-		perPrompt time.Duration
-		perToken  time.Duration
-		failing   time.Duration // What its failures of late count for.
+		beyond   bool          // All places of its batch are taken.
+		first    time.Duration // Until the first piece of an empty prompt.
+		unread   time.Duration // Until all prompts given to it will have been read.
+		perToken time.Duration
+		failing  time.Duration // What its failures of late count for.
 	}
 )
 
@@ -82,6 +82,16 @@
 	}
 }
 
+// learnGap notes the shortest pause that the kinds of requests of late allow.
+func (b *Batch) learnGap() {
+	b.gap = 0
+	for _, k := range b.kinds {
+		if k.gap > 0 && (b.gap == 0 || k.gap < b.gap) {
+			b.gap = k.gap
+		}
+	}
+}
+
 // look lists the engines with room, and reports whether that is only beyond
 // their batches.
 func (b *Batch) look(now time.Time) (beyond bool) {
@@ -95,7 +105,8 @@
 		if e.Running >= e.Limit()+extraPlaces || !b.fits(e.Upstream, 0) {
 			continue
 		}
-		o := offer{engine: e, beyond: e.Running >= e.Limit(), first: p.expect(now, e.Upstream, 0), perPrompt: p.perPrompt(), perToken: p.perToken()}
+		o := offer{engine: e, beyond: e.Running >= e.Limit(), first: p.expect(now, e.Upstream, 0), perToken: p.perToken()}
+		o.unread = p.wait(now)
 		o.failing = time.Duration((1 - p.whole) * float64(time.Second))
 		b.open = append(b.open, o)
 		beyond = beyond && o.beyond
--- a/core/batch/ideal.go
+++ b/core/batch/ideal.go
@@ -9,18 +9,19 @@
 // wait can help it. Six days with trouble can't show what that is worth: 0.624 with
 // this and 0.630 without, with a standard error of 0.022.
 type ideal struct {
-	base, perPrompt time.Duration
+	base, perToken time.Duration
 }
 
 func (i *ideal) add(p *pace) {
-	if i.perPrompt == 0 {
-		i.base, i.perPrompt = p.base(), p.perPrompt()
+	if i.perToken == 0 {
+		i.base, i.perToken = p.base(), p.perToken()
 		return
 	}
-	i.base, i.perPrompt = min(i.base, p.base()), min(i.perPrompt, p.perPrompt())
+	i.base, i.perToken = min(i.base, p.base()), min(i.perToken, p.perToken())
 }
 
-// soonest is the time to the first piece of a prompt.
-func (i *ideal) soonest(prompt int64) time.Duration {
-	return i.base + time.Duration(prompt)*i.perPrompt
+// soonest is the time to the first piece of a prompt that takes so many times as
+// long to read as an answer token to make.
+func (i *ideal) soonest(reads float64) time.Duration {
+	return i.base + time.Duration(reads*float64(i.perToken))
 }
--- a/core/batch/item.go
+++ b/core/batch/item.go
@@ -26,7 +26,11 @@
 	// returnCredit is what an answer to a request that came back is worth beside
 	// its late credit: a second refusal costs the users three tenths of it.
 	returnCredit = 0.3
-	never        = time.Duration(math.MaxInt64) // Later than any moment.
+	// sparePart is the part of its time, one in so many, for which a request leaves
+	// places to others where it would make their answers pause. After that its own
+	// caller's wait counts more.
+	sparePart = 3
+	never     = time.Duration(math.MaxInt64) // Later than any moment.
 )
 
 type (
@@ -36,6 +40,7 @@
 		// Moments are spans since the policy's start: each decision compares those of
 		// all that wait.
 		onTime time.Duration // The first piece is late after it.
+		spare  time.Duration // Until then it can wait for a better place than the next one.
 		end    time.Duration // Nothing is of use after it.
 		giveUp time.Duration // It is refused when it still waits then.
 		// earns is what it earns a second of the place that it takes, in time. Half
@@ -45,6 +50,7 @@
 		earns    float64
 		priority int32
 		prompt   int64
+		reads    float64 // Time of reading the prompt, in times of an answer token.
 		kind     *kind
 		band     band
 		returned bool // It came back after a refusal or a run that broke off.
@@ -56,7 +62,7 @@
 }
 
 func newItem(now time.Duration, t *wire.Ticket, k *kind, p *pace) *item {
-	i := &item{Ticket: t, priority: t.GetPriority(), prompt: t.GetPromptTokens(), onTime: never}
+	i := &item{Ticket: t, priority: t.GetPriority(), prompt: t.GetPromptTokens(), reads: p.shape.reads(t.GetPromptTokens()), onTime: never}
 	if t.GetObjectiveUs() != 0 {
 		i.onTime = now + time.Duration(t.GetObjectiveUs())*time.Microsecond
 	}
@@ -66,6 +72,7 @@
 	case i.onTime == never:
 	case left > firstToken:
 		i.giveUp = i.onTime - firstToken
+		i.spare = now + left/sparePart
 	default:
 		// It came late, after a refusal or a run that broke off. Whatever it
 		// still earns is worth some of its time, but not all of it: a refusal
--- a/core/batch/kind.go
+++ b/core/batch/kind.go
@@ -1,12 +1,17 @@
 package batch
 
-import "azurelane/core/wire"
+import (
+	"time"
+
+	"azurelane/core/wire"
+)
 
 // kind is what was learnt of one route's requests.
 type kind struct {
-	size   float64 // Mean.
-	prompt float64 // Mean tokens.
-	answer float64 // Mean tokens.
+	size   float64       // Mean.
+	prompt float64       // Mean tokens.
+	answer float64       // Mean tokens.
+	gap    time.Duration // Longest pause between two events that is on time; zero for any.
 
 	sizes  [keepSizes]float64
 	n      int            // Sizes seen, of which the last are kept.
@@ -47,6 +52,9 @@
 // seen learns from a new request and tells its band.
 func (k *kind) seen(t *wire.Ticket) band {
 	s := size(t)
+	if t.GetGapUs() > 0 {
+		k.gap = time.Duration(t.GetGapUs()) * time.Microsecond
+	}
 	k.sizes[k.n%keepSizes] = s
 	k.n++
 	if k.n == 1 {
--- a/core/batch/pace.go
+++ b/core/batch/pace.go
@@ -38,13 +38,9 @@
 	return p.token
 }
 
-func (p *pace) perPrompt() time.Duration {
-	return time.Duration(float64(p.perToken()) * p.shape.ratio())
-}
-
 // read is the time that the engine takes to read a prompt.
 func (p *pace) read(prompt int64) time.Duration {
-	return time.Duration(prompt) * p.perPrompt()
+	return time.Duration(float64(p.perToken()) * p.shape.reads(prompt))
 }
 
 // runs is the time from the first piece of an answer to its end.
@@ -88,7 +84,7 @@
 }
 
 // ran learns from a run that ended well.
-func (p *pace) ran(r *wire.Release, prompt, event int64, wait time.Duration) {
+func (p *pace) ran(now time.Time, r *wire.Release, prompt, event int64, wait time.Duration) {
 	p.fails, p.out = 0, time.Time{}
 	p.whole += learnRate * (1 - p.whole)
 	first := time.Duration(r.GetFirstTokenUs()) * time.Microsecond
@@ -100,7 +96,10 @@
 		p.token = blend(p.token, (total-first)/time.Duration(n))
 	}
 	if p.shape != nil && p.token > 0 && first > wait {
-		p.shape.ran(prompt, r.GetPieces()*event, float64(first-wait)/float64(p.token))
+		p.shape.ran(now, prompt, r.GetPieces()*event, float64(first-wait)/float64(p.token))
+	}
+	if p.shape != nil && p.token > 0 && r.GetPieces() > 1 && r.GetGapUs() > 0 {
+		p.shape.paused(float64(r.GetGapUs()) * float64(time.Microsecond) / float64(time.Duration(event)*p.token))
 	}
 	// Before the shape is known, the rest would hold a part of the reading: an
 	// upstream would seem slow to begin, get nothing more and never be known better.
--- a/core/batch/place.go
+++ b/core/batch/place.go
@@ -17,32 +17,34 @@
 	// most of their prompts had 14.6 million tokens read again and a worth of 0.649
 	// without it, 11.1 million and 0.673 with it; days without sessions are as before.
 	readTimes = 3
-	// lateCost and misfit are the costs of a late first piece and of a run that
-	// would be cut off at its end: more than any time, and apart from each other.
-	lateCost = time.Hour
-	misfit   = 2 * time.Hour
+	// stallCost, lateCost and misfit are the costs of a pause in the answers of others
+	// that is too long, of a late first piece, and of a run that would be cut off at its
+	// end: more than any time, and apart from each other.
+	stallCost = time.Hour / 2
+	lateCost  = time.Hour
+	misfit    = 2 * time.Hour
 	// passMost bounds the tickets that are passed over for one that fits. Three
 	// times as many earn the same: 0.627 of worth against 0.630 over twelve heavy
 	// and trouble days.
 	passMost = 8
 )
 
-// next picks the ticket and the upstream for it. A ticket that would be late, or
-// whose run would be cut off at its end, wherever there is room lets the next ones
+// next picks the ticket and the upstream for it. A ticket that would be late, make
+// others late, or be cut off at its end, wherever there is room lets the next ones
 // pass: another engine will have room within milliseconds, and a long run on a
 // slow one takes a place for seconds and earns nothing.
 func (b *Batch) next(now time.Duration, beyond bool) (int, *engine) {
 	rest, at, least := -1, (*engine)(nil), time.Duration(0) // What goes wrong least, if nothing fits.
 	for _, n := range b.first(now, beyond) {
 		o, cost := b.place(now, b.waiting[n])
-		if o != nil && cost < lateCost {
+		if o != nil && cost < stallCost {
 			return n, o.engine
 		}
 		if o == nil || (cost >= misfit && o.beyond) {
 			continue // It would hold the next place there for nothing.
 		}
-		if rest < 0 || cost.Truncate(lateCost) < least {
-			rest, at, least = n, o.engine, cost.Truncate(lateCost)
+		if rest < 0 || cost.Truncate(stallCost) < least {
+			rest, at, least = n, o.engine, cost.Truncate(stallCost)
 		}
 	}
 	return rest, at
@@ -65,7 +67,7 @@
 		if beyond && !b.urgent.has(i) {
 			continue
 		}
-		s := i.score(now + quick.first + time.Duration(i.prompt)*quick.perPrompt)
+		s := i.score(now + quick.first + time.Duration(i.reads*float64(quick.perToken)))
 		if count == passMost && s <= scores[count-1] {
 			continue
 		}
@@ -80,6 +82,24 @@
 	return top[:count]
 }
 
+// stalls reports whether reading a prompt, with what is still to be read there, makes
+// the next events of others that run at the engine late. It reads prompts in turns
+// with the steps of what runs, which nearly stands still meanwhile: on a slow engine a
+// long prompt made five others late, on a quick one none. How much of the reading
+// falls between two events depends on the turns, and is learnt from the longest pauses
+// seen.
+func (b *Batch) stalls(unread, read, perToken time.Duration) bool {
+	if b.gap == 0 {
+		return false
+	}
+	event := time.Duration(max(b.pool.EventTokens, 1)) * perToken
+	pause := unread + read + event
+	if worst := time.Duration(b.shape.worst * float64(event)); worst > 0 {
+		pause = min(pause, worst)
+	}
+	return pause > b.gap
+}
+
 // place picks the engine where the run costs least: the time to its first piece,
 // and a part of that of its run. That is lateCost and more where it would begin or
 // end too late.
@@ -122,17 +142,20 @@
 // cost is what a run costs at an upstream, in time, with a penalty of its own
 // magnitude for each thing that would go wrong.
 func (b *Batch) cost(now time.Duration, i *item, o *offer) time.Duration {
-	unread := i.prompt
-	if len(i.GetParts()) > 0 {
-		unread -= kept(o.Upstream, i)
+	reads := i.reads
+	if n := kept(o.Upstream, i); n > 0 {
+		reads = b.shape.reads(i.prompt - n)
 	}
-	read := time.Duration(unread) * o.perPrompt
+	read := time.Duration(reads * float64(o.perToken))
 	first := o.first + read
 	run := time.Duration(i.GetAnswerTokens()) * o.perToken
 	cost := first + run/runPart + readTimes*read + o.failing
-	if now+first > i.onTime && now+b.ideal.soonest(unread) <= i.onTime { // It could be in time elsewhere.
+	if now+first > i.onTime && now+b.ideal.soonest(reads) <= i.onTime { // It could be in time elsewhere.
 		cost += lateCost
 	}
+	if now < i.spare && o.Running > 0 && b.stalls(o.unread, read, o.perToken) && !b.stalls(0, time.Duration(reads*float64(b.ideal.perToken)), b.ideal.perToken) {
+		cost += stallCost
+	}
 	if now+first+run*3/2 > i.end { // Answers are often half as long again as was estimated.
 		cost += misfit
 	}
--- a/core/batch/shape.go
+++ b/core/batch/shape.go
@@ -1,6 +1,11 @@
 package batch
 
-import "azurelane/core/slope"
+import (
+	"math"
+	"time"
+
+	"azurelane/core/bend"
+)
 
 const (
 	// promptRatio is the time of one prompt token in times of one answer token
@@ -16,38 +21,71 @@
 	leastRuns = 16
 	runRate   = 0.02  // Weight of one run in the mean of runs.
 	perKilo   = 1000. // Prompts are fitted in thousands of tokens.
+	// shapeSpan is the time over which runs count, and leastKeep what they keep in any
+	// case when the next one comes: some forty count at least. Runs of many engines
+	// scatter by what else ran there; by fifty of them the time of a long prompt was
+	// told differently by half from second to second.
+	shapeSpan = 5 * time.Second
+	leastKeep = 0.975
+	// worstPart is the part of runs whose longest pause is shorter than the worst pause
+	// that is reckoned with, and worstRate how fast that follows.
+	worstPart = 0.98
+	worstRate = 0.05
 )
 
 // shape is what all upstreams of a pool have in common, whatever their speeds: how
 // long reading a prompt takes against making an answer, and how long answers are.
 // The zero value knows nothing.
 type shape struct {
-	reading slope.Slope // Times of an answer token until the first piece, by thousands of prompt tokens.
+	reading bend.Bend // Times of an answer token until the first piece, by thousands of prompt tokens.
+	at      time.Time // Of the last run.
 	runs    int
 	run     float64 // Mean answer tokens.
-	read    float64 // Of a prompt token, in times of an answer token.
+	// Of a prompt, in times of an answer token: each thousand tokens, and their number
+	// squared, as each token is compared with all before it.
+	linear, square float64
+	// worst is the longest pause between two events of a run while prompts are read
+	// beside it, in times of an event, which few runs exceed.
+	worst float64
 }
 
 // ran learns from a run: tokens is its answer, and read the time to its first
 // piece without what it waited for, in times of an answer token.
-func (s *shape) ran(prompt, tokens int64, read float64) {
+func (s *shape) ran(now time.Time, prompt, tokens int64, read float64) {
 	if s.runs == 0 {
 		s.run = usualRun
 	}
 	s.runs++
 	s.run += runRate * (float64(tokens) - s.run)
-	s.reading.Add(float64(prompt)/perKilo, read)
-	s.read = max((s.reading.At(1)-s.reading.At(0))/perKilo, leastRatio)
+	keep := max(math.Exp(-now.Sub(s.at).Seconds()/shapeSpan.Seconds()), leastKeep)
+	s.at = now
+	s.reading.Add(keep, float64(prompt)/perKilo, read)
+	s.linear, s.square = s.reading.Rise()
+	s.linear = max(s.linear, leastRatio*perKilo)
 }
 
 func (s *shape) known() bool { return s != nil && s.runs >= leastRuns }
 
-// ratio is the time of one prompt token in times of one answer token.
-func (s *shape) ratio() float64 {
+// paused learns from the longest pause between two events of a run, in times of an
+// event.
+func (s *shape) paused(pause float64) {
+	switch {
+	case s.worst == 0:
+		s.worst = pause
+	case pause > s.worst:
+		s.worst *= 1 + worstRate*worstPart
+	default:
+		s.worst *= 1 - worstRate*(1-worstPart)
+	}
+}
+
+// reads is the time of reading a prompt, in times of an answer token.
+func (s *shape) reads(prompt int64) float64 {
+	n := float64(prompt) / perKilo
 	if !s.known() {
-		return promptRatio
+		return promptRatio * perKilo * n
 	}
-	return s.read
+	return s.linear*n + s.square*n*n
 }
 
 // usual is the answer tokens of a usual run.
--- a/core/batch/shape_test.go
+++ b/core/batch/shape_test.go
@@ -68,7 +68,7 @@
 	var s shape
 	must.Eq(t, usualRun, s.usual())
 	for range 200 {
-		s.ran(100, 3000, 10)
+		s.ran(time.Unix(1000, 0), 100, 3000, 10)
 	}
 	must.Between(t, 2700, s.usual(), 3000)
 }
--- a/io/gate/request.go
+++ b/io/gate/request.go
@@ -278,6 +278,7 @@
 	if q.sends == 0 {
 		t.Units = q.units()
 	}
+	t.GapUs = q.route.Gap.Microseconds()
 	if q.route.Objective > 0 && !q.begun {
 		t.ObjectiveUs = (q.route.Objective - q.before - time.Since(q.start)).Microseconds()
 	}
