Routes' ranks order the requests of an account that has one of its own

Cause: accounts of the deployments have ranks, and a ticket told the account's in place of the route's. For nearly all requests the policy saw one rank, so that by what they earn for their time short classifications went before urgent briefings, and these before advisories. Change: tickets tell both; each level of either counts the same. The place beyond a batch is for the most urgent routes, as before where accounts have no rank. And a kind that gets places in time less often than a less urgent one counts more by the square of that difference, at most four times, looked at each 0.2 s. Tests: TestRoutesRankWithinAccounts, TestTicketTellsBothRanks, TestUrgentKindIsServedNoLess (0.53 and 1.00 of two kinds before, now 0.67 and 0.74).

--- a/core/acct/acct.go
+++ b/core/acct/acct.go
@@ -12,7 +12,7 @@
 	MaxBodies      int64    `json:"max-bodies,omitzero"`        // Bytes of all its bodies at one entry; 0 takes the default.
 	Tiers          []string `json:"tiers,omitempty"`            // Tiers it may use; empty for all.
 	MoreKeys       []string `json:"more-keys-sha256,omitempty"` // Hashes of further keys. With this list, empty or not, key-sha256 may be left out.
-	Priority       *int     `json:"priority,omitempty"`         // Goes before the priority of a route; nil for none.
+	Priority       *int     `json:"priority,omitempty"`         // Adds to those of routes, which order the account's own requests; nil for none.
 	Rate           float64  `json:"rate,omitzero"`              // Units a second over all entries; 0 for any.
 	Burst          float64  `json:"burst,omitzero"`             // Units that may come at once.
 	PlainUnits     int64    `json:"plain-units,omitzero"`       // Units of a request that names no tokens; 0 counts as 1.
--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -161,6 +161,7 @@
 func (b *Batch) Tick(now time.Time) []*wire.Decision {
 	if now.Sub(b.swept) >= sweepEvery {
 		b.swept = now
+		order(b.kinds, now.Sub(b.started))
 		b.table.Expire(now, forgetAfter)
 		b.forget()
 		b.learnMean()
@@ -204,7 +205,7 @@
 			return out
 		}
 		i := b.waiting[n]
-		i.kind.ended(i.band, true)
+		i.kind.ended(i.band, true, !i.returned && now.Sub(b.started)+e.pace.expect(now, e.Upstream, i.prompt) <= i.onTime)
 		b.waiting = slices.Delete(b.waiting, n, n+1)
 		delete(b.items, ticketKey{i.GetIncarnation(), i.GetId()})
 		s := &slot.Slot{Up: e.Upstream, Ticket: i.Ticket, Kept: kept(e.Upstream, i)}
@@ -230,7 +231,7 @@
 		if at < i.giveUp {
 			return false
 		}
-		i.kind.ended(i.band, false)
+		i.kind.ended(i.band, false, false)
 		out = append(out, refuse.Ticket(i.Ticket, refuse.Overloaded, b.retry(i)))
 		return true
 	})
--- a/core/batch/batch_test.go
+++ b/core/batch/batch_test.go
@@ -377,3 +377,22 @@
 	must.Eq(t, []uint64{short.GetId()}, granted(t, e.end(at["slow"][0], 60*time.Millisecond, 700*time.Millisecond, 11)))
 	must.Eq(t, []uint64{long.GetId()}, granted(t, e.end(at["quick"][0], 60*time.Millisecond, 300*time.Millisecond, 11)))
 }
+
+// All accounts have the same rank of their own. Among their requests the route's rank
+// still tells which are urgent: with the account's alone a short classification, which
+// earns more for the time of its place, went before every urgent briefing.
+func TestRoutesRankWithinAccounts(t *testing.T) {
+	e := newEngines(8, "a")
+	first := e.fill(8 + extraPlaces)
+	short, brief := e.ticket("short", 2, 1800, 20), e.ticket("brief", 0, 2000, 100)
+	ahead := e.ticket("short", 2, 1800, 20) // Of an account that goes before the others.
+	short.AccountPriority, brief.AccountPriority = 3, 3
+	for _, w := range []*wire.Ticket{short, brief, ahead} {
+		must.SliceEmpty(t, e.Submit(e.now, w))
+	}
+	e.urgent.priority = -1 // No place beyond the batch.
+	must.SliceEmpty(t, e.end(first[8], 60*time.Millisecond, 300*time.Millisecond, 11))
+	for n, want := range []uint64{ahead.GetId(), brief.GetId(), short.GetId()} {
+		must.Eq(t, []uint64{want}, granted(t, e.end(first[n], 60*time.Millisecond, 300*time.Millisecond, 11)))
+	}
+}
--- a/core/batch/item.go
+++ b/core/batch/item.go
@@ -81,7 +81,8 @@
 		i.giveUp = now + (i.end-now)/lateWait
 	}
 	i.kind, i.band = k, k.seen(t)
-	worth := math.Pow(priorityFactor, -float64(t.GetPriority())) * k.size
+	k.seenAt = now
+	worth := math.Pow(priorityFactor, -float64(t.GetPriority()+t.GetAccountPriority())) * k.size
 	usual := p.place(int64(k.prompt), int64(k.answer))
 	own := p.place(t.GetPromptTokens(), t.GetAnswerTokens())
 	part := fixedWorth + (1-fixedWorth)*size(t)/k.size
@@ -91,7 +92,7 @@
 
 // score is what it earns when its first piece comes at a time.
 func (i *item) score(first time.Duration) float64 {
-	earns := i.earns * i.kind.boosts[i.band]
+	earns := i.earns * i.kind.boosts[i.band] * i.kind.urgency
 	switch {
 	case i.returned:
 		return earns * (lateCredit + returnCredit)
--- a/core/batch/kind.go
+++ b/core/batch/kind.go
@@ -14,10 +14,17 @@
 	gap    time.Duration // Longest pause between two events that is on time; zero for any.
 
 	sizes  [keepSizes]float64
-	n      int            // Sizes seen, of which the last are kept.
-	shares [bands]served  // By size.
-	boosts [bands]float64 // How much more each band counts.
-	all    served
+	n      int           // Sizes seen, of which the last are kept.
+	seenAt time.Duration // Of the last request, since the policy's start.
+	// priority is the mean rank, as accounts may have ranks of their own; timely is the
+	// part of requests that got a place in time, and urgency how much more the kind
+	// counts than its rank says; see order.
+	priority float64
+	timely   served
+	urgency  float64
+	shares   [bands]served  // By size.
+	boosts   [bands]float64 // How much more each band counts.
+	all      served
 }
 
 // band is a part of a kind's requests by size: the largest tenth, the fifth below
@@ -36,6 +43,10 @@
 	largeFrom   = 0.7 // Rank among the sizes kept at which the band begins.
 	largestFrom = 0.9
 	kindRate    = 0.05 // Weight of one request in the means.
+	// lessUrgent is by how much the mean ranks of two kinds must differ for one to be
+	// the less urgent, and kindFor how long a kind that is no longer asked for counts.
+	lessUrgent = 0.5
+	kindFor    = 2 * time.Second
 	// mostBoost bounds how much more a band counts that got less than its kind.
 	mostBoost = 4
 )
@@ -44,7 +55,21 @@
 // that all did.
 type served struct{ lost float64 }
 
-func (s *served) note(lost float64) { s.lost += servedRate * (lost - s.lost) }
+func (s *served) note(lost bool) {
+	if lost {
+		s.lost += servedRate * (1 - s.lost)
+		return
+	}
+	s.lost -= servedRate * s.lost
+}
+
+// behind is how much more counts what got less than other: by the square of how much
+// less, so that a small difference changes little.
+func (s *served) behind(other *served) float64 {
+	const least = 0.05
+	f := (1 - other.lost + least) / (1 - s.lost + least)
+	return min(max(f*f, 1), mostBoost)
+}
 
 // servedRate is the weight of one request in the part that got a place.
 const servedRate = 0.04
@@ -59,9 +84,11 @@
 	k.n++
 	if k.n == 1 {
 		k.weigh()
+		k.urgency, k.priority = 1, float64(t.GetPriority())
 		k.size, k.prompt, k.answer = s, float64(t.GetPromptTokens()), float64(t.GetAnswerTokens())
 		return rest
 	}
+	k.priority += kindRate * (float64(t.GetPriority()) - k.priority)
 	k.size += kindRate * (s - k.size)
 	k.prompt += kindRate * (float64(t.GetPromptTokens()) - k.prompt)
 	k.answer += kindRate * (float64(t.GetAnswerTokens()) - k.answer)
@@ -85,14 +112,11 @@
 	return rest
 }
 
-// ended notes whether a request got a place.
-func (k *kind) ended(b band, placed bool) {
-	lost := 1.0
-	if placed {
-		lost = 0
-	}
-	k.all.note(lost)
-	k.shares[b].note(lost)
+// ended notes whether a request got a place, and whether it got it in time.
+func (k *kind) ended(b band, placed, timely bool) {
+	k.all.note(!placed)
+	k.shares[b].note(!placed)
+	k.timely.note(!timely)
 	k.weigh()
 }
 
@@ -109,8 +133,21 @@
 // place, so that in a long shortage they alone would go without: 0.07 of them got
 // a place with four places for twice the work, now 0.35. Small ones pay for it, as
 // a large one takes the places of many: 0.88 of all got one, now 0.41.
-func (k *kind) boost(b band) float64 {
-	const least = 0.05
-	f := (1 - k.all.lost + least) / (1 - k.shares[b].lost + least)
-	return min(max(f*f, 1), mostBoost)
+func (k *kind) boost(b band) float64 { return k.shares[b].behind(&k.all) }
+
+// order sets how much more each kind counts than its rank says, so that none is served
+// less often than a less urgent one. By what a request earns for its time alone the
+// urgent kind with long answers loses to a less urgent one with short answers whenever
+// there is too much to do: 0.53 of its requests got a place in time where all of the
+// others did, and now 0.67 and 0.74.
+func order(kinds map[string]*kind, now time.Duration) {
+	for _, k := range kinds {
+		k.urgency = 1
+		for _, other := range kinds {
+			if other.priority-k.priority < lessUrgent || now-other.seenAt > kindFor {
+				continue
+			}
+			k.urgency = max(k.urgency, k.timely.behind(&other.timely))
+		}
+	}
 }
--- a/core/batch/kind_test.go
+++ b/core/batch/kind_test.go
@@ -9,57 +9,104 @@
 	"azurelane/core/wire"
 )
 
-// Twice as much is asked for as four places can do, for two minutes. Large answers
-// earn less for the time that they take a place, so the small ones of the same kind
-// would go first whenever a place is free, and callers with large requests would be
-// the only ones who are refused.
-func TestLargeOnesKeepTheirShare(t *testing.T) {
-	const small, large, each = 60, 1200, 3 * time.Millisecond
+// load is one kind of requests in a replay.
+type load struct {
+	route    string
+	priority int32
+	prompt   int64
+	every    time.Duration
+	answer   func(n int) int64
+}
+
+// shares replays loads on four places for two minutes and returns the part of each
+// load's requests that got a place in time, by route and answer.
+func shares(loads ...load) map[string]map[int64]float64 {
+	const each, step = 3 * time.Millisecond, 10 * time.Millisecond
 	type run struct {
 		*wire.Decision
 		ends time.Time
 	}
 	e := newEngines(4, "a")
-	answers := map[uint64]int64{}
 	var running []run
-	asked, placed := map[int64]float64{}, map[int64]float64{} // By answer.
+	tickets := map[uint64]*wire.Ticket{}
+	asked, placed := map[string]map[int64]float64{}, map[string]map[int64]float64{}
 	take := func(list []*wire.Decision) {
 		for _, d := range list {
-			if d.GetGrant() != nil {
-				running = append(running, run{d, e.now.Add(time.Duration(answers[d.GetTicket()]) * each)})
-				placed[answers[d.GetTicket()]]++
+			if t := tickets[d.GetTicket()]; d.GetGrant() != nil {
+				running = append(running, run{d, e.now.Add(time.Duration(t.GetAnswerTokens()) * each)})
+				placed[t.GetRoute()][t.GetAnswerTokens()]++
 			}
 		}
 	}
-	for i := range 3000 {
-		e.now = e.now.Add(40 * time.Millisecond)
-		answer := int64(small)
-		if i%10 == 0 {
-			answer = large
+	for at := time.Duration(0); at < 2*time.Minute; at += step {
+		e.now = e.now.Add(step)
+		for _, l := range loads {
+			if at%l.every != 0 {
+				continue
+			}
+			if asked[l.route] == nil {
+				asked[l.route], placed[l.route] = map[int64]float64{}, map[int64]float64{}
+			}
+			k := e.ticket(l.route, l.priority, l.prompt, l.answer(int(at/l.every)))
+			k.ObjectiveUs, k.DeadlineUs = (2 * time.Second).Microseconds(), (30 * time.Second).Microseconds()
+			tickets[k.GetId()] = k
+			asked[l.route][k.GetAnswerTokens()]++
+			take(e.Submit(e.now, k))
 		}
-		k := e.ticket("usual", 1, 200, answer)
-		k.ObjectiveUs, k.DeadlineUs = (2 * time.Second).Microseconds(), (30 * time.Second).Microseconds()
-		answers[k.GetId()] = answer
-		asked[answer]++
-		take(e.Submit(e.now, k))
 		take(e.Tick(e.now))
-		var on []run
-		for _, r := range running {
+		done := running
+		running = nil
+		for _, r := range done {
 			if e.now.Before(r.ends) {
-				on = append(on, r)
+				running = append(running, r)
 			}
 		}
-		done := running
-		running = on
 		for _, r := range done {
 			if !e.now.Before(r.ends) {
-				n := answers[r.GetTicket()]
+				n := tickets[r.GetTicket()].GetAnswerTokens()
 				take(e.end(r.Decision, 60*time.Millisecond, 60*time.Millisecond+time.Duration(n)*each, n/9+1))
 			}
 		}
 	}
-	all := (placed[small] + placed[large]) / (asked[small] + asked[large])
-	t.Logf("placed %.2f of all, %.2f of the large", all, placed[large]/asked[large])
+	for route, by := range placed {
+		for answer := range by {
+			by[answer] /= asked[route][answer]
+		}
+	}
+	return placed
+}
+
+// Twice as much is asked for as four places can do, for two minutes. Large answers
+// earn less for the time that they take a place, so the small ones of the same kind
+// would go first whenever a place is free, and callers with large requests would be
+// the only ones who are refused.
+func TestLargeOnesKeepTheirShare(t *testing.T) {
+	const small, large = 60, 1200
+	got := shares(load{"usual", 1, 200, 40 * time.Millisecond, func(n int) int64 {
+		if n%10 == 0 {
+			return large
+		}
+		return small
+	}})["usual"]
+	all := 0.9*got[small] + 0.1*got[large]
+	t.Logf("placed %.2f of all, %.2f of the large", all, got[large])
 	must.Less(t, 0.9, all, must.Sprint("there must be a shortage"))
-	must.Greater(t, all/2, placed[large]/asked[large])
+	must.Greater(t, all/2, got[large])
+}
+
+// Twice as much is asked for as four places can do, by two kinds of requests. The more
+// urgent one has long answers, so that by what it earns for the time of a place it
+// loses to the other. Its callers are served no less often all the same, and those of
+// the other get the rest.
+func TestUrgentKindIsServedNoLess(t *testing.T) {
+	got := shares(
+		load{"rare", 0, 600, 10 * time.Second, func(int) int64 { return 60 }}, // It alone may wait at the engine itself.
+		load{"urgent", 1, 600, 240 * time.Millisecond, func(int) int64 { return 300 }},
+		load{"other", 2, 1800, 30 * time.Millisecond, func(int) int64 { return 20 }},
+	)
+	urgent, other := got["urgent"][300], got["other"][20]
+	t.Logf("placed %.2f of the urgent, %.2f of the others", urgent, other)
+	must.Less(t, 0.9, urgent, must.Sprint("there must be a shortage"))
+	must.Greater(t, other-0.1, urgent)
+	must.Greater(t, 0.1, other)
 }
--- a/core/conf/keys.go
+++ b/core/conf/keys.go
@@ -28,7 +28,7 @@
 		{Path: "/client-accounts/*/max-bodies", Want: limitWant, Default: strconv.Itoa(acct.DefaultMaxBodies), Text: "Bytes of all its open bodies at one entry."},
 		{Path: "/client-accounts/*/tiers", Want: "names of tiers", Text: "Tiers that it may use; all when left out."},
 		{Path: "/client-accounts/*/more-keys-sha256", Want: "a list of 64 hex digits each", Text: "Hashes of further keys. With this list `key-sha256` may be left out."},
-		{Path: "/client-accounts/*/priority", Want: "a number", Text: "Goes before the priority of routes; 0 is the most urgent."},
+		{Path: "/client-accounts/*/priority", Want: "a number", Text: "Against other accounts; 0 is the most urgent. Each level counts as much as one of a route, and the routes' levels order the account's own requests."},
 		{Path: "/client-accounts/*/rate", Want: limitWant, Default: "0", Text: "Units a second over all entries, on routes; 0 for any."},
 		{Path: "/client-accounts/*/burst", Want: limitWant, Default: "0", Text: "Units that may come at once."},
 		{Path: "/client-accounts/*/plain-units", Want: limitWant, Default: "1", Text: "Units of a request that names no tokens."},
--- a/core/held/held.go
+++ b/core/held/held.go
@@ -41,7 +41,7 @@
 		Ticket: &wire.Ticket{
 			Id: t.GetId(), Incarnation: t.GetIncarnation(), Account: t.GetAccount(), Pool: t.GetPool(), Model: t.GetModel(),
 			Tier: t.GetTier(), PromptTokens: t.GetPromptTokens(), AnswerTokens: t.GetAnswerTokens(), PrefixHash: t.GetPrefixHash(),
-			Route: t.GetRoute(), Priority: t.GetPriority(),
+			Route: t.GetRoute(), Priority: t.GetPriority(), AccountPriority: t.GetAccountPriority(),
 		},
 		Grant: &wire.Grant{Slot: g.GetSlot(), Owner: g.GetOwner(), Upstream: g.GetUpstream()},
 	}, now}
--- a/io/gate/place_test.go
+++ b/io/gate/place_test.go
@@ -12,6 +12,7 @@
 	"azurelane/core/allow"
 	"azurelane/core/index"
 	"azurelane/core/refuse"
+	"azurelane/core/route"
 	"azurelane/core/wire"
 )
 
@@ -131,3 +132,22 @@
 	other := (8*rate + rate) * (1 + (over-1)*scheduler)
 	must.LessEq(t, (8*rate+rate)*over, other+passed)
 }
+
+// A route has a rank and its caller's account another one. The scheduler is told both:
+// with one in place of the other it could not tell the urgent requests of an account
+// from the rest.
+func TestTicketTellsBothRanks(t *testing.T) {
+	two := 2
+	for _, tc := range []struct {
+		name    string
+		account *int
+		want    int32
+	}{{"both", &two, 2}, {"the route alone", nil, 0}} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := &Gate{}
+			q := &request{gate: g, route: &route.Route{Priority: 1, Timeout: time.Second}, limits: acct.Account{Priority: tc.account}, start: time.Now()}
+			must.Eq(t, 1, q.ticket().GetPriority())
+			must.Eq(t, tc.want, q.ticket().GetAccountPriority())
+		})
+	}
+}
--- a/io/gate/request.go
+++ b/io/gate/request.go
@@ -262,15 +262,15 @@
 
 // ticket describes the request to the scheduler.
 func (q *request) ticket() *wire.Ticket {
-	prio := q.route.Priority
+	account := 0
 	if q.limits.Priority != nil {
-		prio = *q.limits.Priority
+		account = *q.limits.Priority
 	}
 	t := &wire.Ticket{
 		Id: q.gate.last.Add(1), Entry: q.gate.Node, Incarnation: q.gate.Incarnation, Account: q.account, Pool: q.pool,
 		Model: "", DeadlineUs: q.remains().Microseconds(), PromptTokens: q.meta.Prompt, AnswerTokens: q.meta.Tokens(),
 		Repeatable: q.route.Repeatable(), Avoid: q.avoid, Route: q.route.Name,
-		Priority: int32(min(prio, 100)), Returned: q.sends > 0, Request: q.meta.ID, //nolint:gosec // Bounded.
+		Priority: rank(q.route.Priority), AccountPriority: rank(account), Returned: q.sends > 0, Request: q.meta.ID,
 	}
 	for _, p := range q.meta.Parts {
 		t.Parts = append(t.Parts, &wire.PromptPart{Hash: p.Hash, Tokens: p.Tokens})
@@ -285,6 +285,12 @@
 	return t
 }
 
+// rank is a priority as tickets tell it.
+func rank(priority int) int32 {
+	const last = 100
+	return int32(min(max(priority, 0), last)) //nolint:gosec // Bounded.
+}
+
 // units is what the request counts against its account's rate.
 func (q *request) units() int64 { return q.limits.Units(q.meta.Prompt + q.meta.Answer) }
 
