A control replica with a full disk goes on and promises nothing

Change: a write that finds no room is cut off the log again, which stays in use; a failed sync still ends it. A replica holds back what it could not write and every message that counts on it, its votes and the entries that it says it has; all else goes out at once, before the write. A leader counts itself for an entry only once it is on its own disk, so that with a full disk it commits by the others'. A follower says how far its disk goes, stays a member, and catches up with room. With all disks full nothing is acknowledged and the leader leads on. Ruled out: handing the leadership over. With all disks full nobody could take it.

--- a/cmd/azurelane/hub.go
+++ b/cmd/azurelane/hub.go
@@ -13,8 +13,8 @@
 group at the first start, other replicas join it, and lost ones are replaced,
 all without an operator. The leader schedules the pools of model engines.
 
-It needs a data folder. After a failed write or sync of its disk it ends at once
-with code 1. SIGTERM hands leadership over, then the process ends.`
+It needs a data folder. On a full disk it goes on and keeps nothing new until there
+is room; after any other failed write or sync it ends at once with code 1. SIGTERM hands leadership over, then the process ends.`
 
 type hubCmd struct {
 	Settings string `arg:"" type:"existingfile" help:"Settings of this process, in JSON."`
--- a/core/raft/follow.go
+++ b/core/raft/follow.go
@@ -22,6 +22,11 @@
 		r.send(reply)
 		return
 	}
+	if r.stalled && end > r.synced {
+		reply.Hint = r.synced
+		r.send(reply)
+		return
+	}
 	for prev < r.log.base && len(ents) > 0 {
 		prev, ents = prev+1, ents[1:]
 	}
@@ -97,8 +102,11 @@
 	case ok && t == snap.GetTerm():
 		// The entries after it may be acknowledged already, so they stay.
 		r.commit = snap.GetIndex()
+	case r.stalled:
+		reply.Granted = false
 	default:
 		r.log.reset(snap)
+		r.synced = min(r.synced, snap.GetIndex()-1)
 		r.commit, r.applied = snap.GetIndex(), snap.GetIndex()
 		r.confs = []conf{{snap.GetIndex(), snap.GetReplicas()}}
 		r.out.Install = snap
--- a/core/raft/lead.go
+++ b/core/raft/lead.go
@@ -246,7 +246,7 @@
 	if r.role != leader {
 		return
 	}
-	n := atQuorum(r, r.log.last(), func(p *progress) uint64 { return p.match }, cmp.Compare)
+	n := atQuorum(r, min(r.synced, r.log.last()), func(p *progress) uint64 { return p.match }, cmp.Compare)
 	if t, ok := r.log.term(n); !ok || t != r.term || n <= r.commit {
 		return
 	}
--- a/core/raft/member.go
+++ b/core/raft/member.go
@@ -120,6 +120,7 @@
 // they brought.
 func (r *Raft) cut(i uint64) {
 	r.log.cut(i)
+	r.synced = min(r.synced, i-1)
 	for len(r.confs) > 1 && r.confs[len(r.confs)-1].index >= i {
 		r.confs = r.confs[:len(r.confs)-1]
 	}
--- a/core/raft/raft.go
+++ b/core/raft/raft.go
@@ -2,8 +2,8 @@
 // leader and agrees on one sequence of entries.
 //
 // It reads no clock, socket or file. Each call takes the time and returns
-// Effects, which the caller carries out in order: records are synced before
-// messages go out and before entries are applied.
+// Effects, which the caller carries out in order. What a replica promises counts on
+// its records being synced, and only that waits for them: see Synced.
 package raft
 
 import (
@@ -70,6 +70,8 @@
 		confs   []conf // Memberships by the index that brought them, oldest first.
 		commit  uint64
 		applied uint64 // Last entry given out in Effects.
+		synced  uint64 // Last entry that is on this replica's disk.
+		stalled bool   // The disk takes nothing.
 		told    uint64 // Highest commit index that a leader named.
 
 		now     time.Time
@@ -97,6 +99,7 @@
 		Install   *wire.Snapshot // Replaces the state machine, and on disk, with Tail, the whole log.
 		Records   []*wire.Record // To append and sync; part of Tail when Install is set.
 		Messages  []*wire.Raft   // To send; losing some is harmless.
+		Promises  []*wire.Raft   // To send once all records so far are synced.
 		Committed []*wire.LogEntry
 		Shifts    []Shift // Changes of role, for the log alone.
 		Err       error   // The replica must stop at once and do nothing else.
@@ -121,6 +124,7 @@
 	for _, rec := range recs {
 		r.load(rec)
 	}
+	r.synced = r.log.last()
 	r.resetTimer()
 	if r.alone() {
 		r.electAt = now // No other replica could object.
@@ -357,5 +361,37 @@
 	if m.GetTerm() == 0 {
 		m.Term = r.term
 	}
+	if promises(m) {
+		r.out.Promises = append(r.out.Promises, m)
+		return
+	}
 	r.out.Messages = append(r.out.Messages, m)
 }
+
+// promises reports whether a message counts on what is on this replica's disk: its
+// vote, for another or itself, or entries that it holds.
+func promises(m *wire.Raft) bool {
+	switch m.GetKind() {
+	case wire.Raft_KIND_VOTE:
+		return !m.GetPreVote()
+	case wire.Raft_KIND_VOTE_REPLY:
+		return m.GetGranted() && !m.GetPreVote()
+	case wire.Raft_KIND_APPEND_REPLY, wire.Raft_KIND_SNAPSHOT_REPLY:
+		return m.GetGranted()
+	}
+	return false
+}
+
+// Synced says that all records given out so far are on disk. A leader counts itself
+// for an entry only then, so that it may send the entry on before: with a slow or full
+// disk of its own it commits by the disks of the others.
+func (r *Raft) Synced(now time.Time) Effects {
+	r.advance(now)
+	r.synced, r.stalled = r.log.last(), false
+	r.tryCommit()
+	return r.flush()
+}
+
+// Stall says that the disk takes nothing for now. A follower then takes no entries that
+// it can't keep, and says so, so that the leader still hears it.
+func (r *Raft) Stall() { r.stalled = true }
--- a/io/ctrl/apply.go
+++ b/io/ctrl/apply.go
@@ -10,6 +10,7 @@
 	"azurelane/core/raft"
 	"azurelane/core/state"
 	"azurelane/core/wire"
+	"azurelane/io/disk"
 	"azurelane/io/leader"
 )
 
@@ -127,8 +128,16 @@
 	if !c.raft.Compact(s.snap) {
 		return nil // The leader sent a newer one.
 	}
+	if err := s.put(c.raft.Tail()...); errors.Is(err, disk.ErrFull) {
+		c.Log.Error(err, "Log not compacted.")
+		c.retry = time.Now().Add(compactRetry)
+		return nil
+	} else if err != nil {
+		return err
+	}
 	c.snapped, c.snapSize = s.snap.GetIndex(), int64(len(s.snap.GetData()))
-	return s.put(c.raft.Tail()...)
+	c.unkept.records, c.unkept.replaced = nil, true
+	return nil
 }
 
 // install replaces log and state by a leader's snapshot.
@@ -138,9 +147,7 @@
 		<-c.saving
 		c.saving = nil
 	}
-	if err := c.store.Compact(snap, c.raft.Tail()...); err != nil {
-		return err
-	}
+	c.unkept.install, c.unkept.records = snap, nil // It has all that they held.
 	c.Log.Info("Snapshot installed.", "index", snap.GetIndex())
 	return c.load(snap)
 }
--- a/io/ctrl/batch.go
+++ b/io/ctrl/batch.go
@@ -39,6 +39,7 @@
 func (b *batch) add(e raft.Effects) {
 	b.eff.Records = append(b.eff.Records, e.Records...)
 	b.eff.Messages = append(b.eff.Messages, e.Messages...)
+	b.eff.Promises = append(b.eff.Promises, e.Promises...)
 	b.eff.Committed = append(b.eff.Committed, e.Committed...)
 	b.ctrl.noteShifts(e.Shifts)
 	if b.eff.Err == nil {
@@ -107,7 +108,7 @@
 
 // full reports whether the log is due to be replaced by a snapshot.
 func (c *Ctrl) full() bool {
-	if time.Now().Before(c.retry) {
+	if time.Now().Before(c.retry) || c.unkept.install != nil {
 		return false
 	}
 	if c.applied >= c.snapped+uint64(max(CompactAfter, c.state.Claims())) { //nolint:gosec // Not negative.
@@ -152,28 +153,34 @@
 	}
 }
 
-// perform carries the effects out: first the sync, then the messages that
-// count on it, then the entries and their answers.
+// perform carries the effects out: what counts on this replica's disk goes out once
+// its records are synced, all else at once.
 func (b *batch) perform(ctx context.Context) error {
-	e, c := b.eff, b.ctrl
-	b.eff = raft.Effects{}
-	if e.Err != nil {
-		return e.Err
-	}
-	if len(e.Records) > 0 {
-		if err := c.store.Append(e.Records...); err != nil {
-			return err
+	c := b.ctrl
+	for {
+		e := b.eff
+		b.eff = raft.Effects{}
+		if e.Err != nil {
+			return e.Err
 		}
-	}
-	for _, m := range e.Messages {
-		c.peers.send(ctx, c, m)
-	}
-	for _, entry := range e.Committed {
-		if err := c.apply(entry); err != nil {
+		for _, m := range e.Messages {
+			c.peers.send(ctx, c, m)
+		}
+		c.unkept.add(e)
+		for _, entry := range e.Committed {
+			if err := c.apply(entry); err != nil {
+				return err
+			}
+		}
+		synced, err := c.keep(ctx)
+		if err != nil || !synced {
 			return err
 		}
+		b.add(c.raft.Synced(time.Now()))
+		if len(b.eff.Committed) == 0 && len(b.eff.Messages) == 0 && len(b.eff.Records) == 0 {
+			return nil
+		}
 	}
-	return nil
 }
 
 func (b *batch) expire() {
--- a/io/ctrl/ctrl.go
+++ b/io/ctrl/ctrl.go
@@ -66,6 +66,7 @@
 		snapSize int64      // Bytes of the newest snapshot's data.
 		saving   chan saved // Brings the snapshot that is being written; nil for none.
 		applied  uint64
+		unkept   unkept
 		waiting  map[uint64]*proposal // By log index.
 		clock    clock
 		expire   time.Time // When expired claims are next looked for.
--- a/io/ctrl/fake_test.go
+++ b/io/ctrl/fake_test.go
@@ -15,6 +15,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"azurelane/core/wire"
+	"azurelane/io/disk"
 )
 
 type (
@@ -51,6 +52,7 @@
 		syncs  int
 		fail   error
 		noRoom bool // For a snapshot beside the log.
+		full   bool // For anything.
 	}
 )
 
@@ -240,6 +242,9 @@
 	if s.fail != nil {
 		return s.fail
 	}
+	if s.full {
+		return disk.ErrFull
+	}
 	s.syncs++
 	s.recs = append(s.recs, recs...)
 	return nil
@@ -251,6 +256,9 @@
 	if s.fail != nil {
 		return s.fail
 	}
+	if s.full {
+		return disk.ErrFull
+	}
 	s.syncs++
 	s.snap, s.recs = snap, recs
 	return nil
--- a/io/ctrl/found.go
+++ b/io/ctrl/found.go
@@ -12,6 +12,7 @@
 
 	"azurelane/core/raft"
 	"azurelane/core/wire"
+	"azurelane/io/disk"
 )
 
 const (
@@ -96,7 +97,10 @@
 		return raft.Effects{Err: fmt.Errorf("ctrl: marshal image: %w", err)}
 	}
 	snap := raft.Found(uuid.NewString(), list, data)
-	if err := c.store.Compact(snap); err != nil {
+	if err := c.store.Compact(snap); errors.Is(err, disk.ErrFull) {
+		c.Log.Error(err, "No group founded yet.")
+		return raft.Effects{}
+	} else if err != nil {
 		return raft.Effects{Err: err}
 	}
 	if err := c.load(snap); err != nil {
--- a/io/ctrl/full_test.go
+++ b/io/ctrl/full_test.go
@@ -34,6 +34,78 @@
 	})
 }
 
+// fill makes the disks of replicas full, or gives them room.
+func fill(yes bool, list ...*replica) {
+	for _, r := range list {
+		r.store.mu.Lock()
+		r.store.full = yes
+		r.store.mu.Unlock()
+	}
+}
+
+// The disk of the leader is full. Operators' commands are acknowledged by the disks of
+// the others, and no process ends. When it then loses power with what it could not
+// write, nothing that was acknowledged is gone.
+func TestFullDiskOfTheLeader(t *testing.T) {
+	group(t, 3, func(t *testing.T, n *network, l *replica) {
+		fill(true, l)
+		for i := range 20 {
+			must.Eq(t, state.OK, command(t, l, claim(strconv.Itoa(i), time.Hour)).GetCode())
+		}
+		time.Sleep(5 * time.Second)
+		must.True(t, l.Leads())
+		fill(false, l)
+		l.restart()
+		command(t, n.leader(nil), claim("last", time.Hour))
+		time.Sleep(time.Second)
+		n.claims(21)
+	})
+}
+
+// All disks are full. A command is not acknowledged, but the leader goes on: entries
+// place their requests by it. Once there is room, the command that waited comes
+// through, and each replica has it.
+func TestAllDisksFull(t *testing.T) {
+	group(t, 3, func(t *testing.T, n *network, l *replica) {
+		all := []*replica{n.at(n.addrs[0]), n.at(n.addrs[1]), n.at(n.addrs[2])}
+		fill(true, all...)
+		done := make(chan error, 1)
+		go func() {
+			_, err := l.Propose(t.Context(), claim("waits", time.Hour))
+			done <- err
+		}()
+		time.Sleep(10 * time.Second)
+		must.Eq(t, 0, len(done))
+		must.True(t, l.Leads())
+		fill(false, all...)
+		must.NoError(t, <-done)
+		time.Sleep(time.Second)
+		n.claims(1)
+	})
+}
+
+// A replica is cut off while hundreds of commands are taken, and comes back with a full
+// disk, so that it can't keep the snapshot that it needs. It neither ends nor counts
+// for what is acknowledged, and catches up once there is room.
+func TestFullDiskWhileCatchingUp(t *testing.T) {
+	group(t, 3, func(t *testing.T, n *network, l *replica) {
+		lag := n.other(l)
+		n.isolate(lag.Address, true)
+		for i := range CompactAfter + 600 {
+			command(t, l, claim(strconv.Itoa(i), time.Hour))
+		}
+		fill(true, lag)
+		n.isolate(lag.Address, false)
+		time.Sleep(10 * time.Second)
+		must.Eq(t, 0, len(lag.ended))
+		fill(false, lag)
+		time.Sleep(40 * time.Second)
+		command(t, n.leader(nil), claim("last", time.Hour))
+		time.Sleep(time.Second)
+		n.claims(CompactAfter + 601)
+	})
+}
+
 // The document of the highest version is in force, whatever the order in which
 // documents arrive, and is read back as it was sent: after an older one, a
 // second one of the same version, and a restart of all replicas.
