Sizes are served evenly by the places that are owed to them

How much more it counted followed the part of its own last requests that got one, and of the largest few come; it had learnt little when the shortage was over. A third of them were passed over at each engine, as half as much again as their estimate would have gone beyond their deadline. Change: each band of sizes is owed the places that it would have had as often as its kind, less those it got, and counts once more for each; those owed places take the chance that their estimate holds.

--- a/core/batch/kind.go
+++ b/core/batch/kind.go
@@ -22,7 +22,7 @@
 	priority float64
 	timely   served
 	urgency  float64
-	shares   [bands]served  // By size.
+	owed     [bands]float64 // Places that a band would have had as often as its kind, less those it had.
 	boosts   [bands]float64 // How much more each band counts.
 	all      served
 }
@@ -47,8 +47,13 @@
 	// the less urgent, and kindFor how long a kind that is no longer asked for counts.
 	lessUrgent = 0.5
 	kindFor    = 2 * time.Second
-	// mostBoost bounds how much more a band counts that got less than its kind.
+	// mostBoost bounds how much more counts what got less than its like, and mostOwed
+	// the places that are owed to a band of sizes: more than that is not made up for.
 	mostBoost = 4
+	mostOwed  = mostBoost - 1
+	// owedKeep is what stays of what is owed when a request of the kind ends: a shortage
+	// of a hundred requests ago is forgotten.
+	owedKeep = 0.99
 )
 
 // served is the part of requests that got a place, smoothed. The zero value says
@@ -115,8 +120,14 @@
 // ended notes whether a request got a place, and whether it got it in time.
 func (k *kind) ended(b band, placed, timely bool) {
 	k.all.note(!placed)
-	k.shares[b].note(!placed)
 	k.timely.note(!timely)
+	k.owed[b] += 1 - k.all.lost
+	if placed {
+		k.owed[b]--
+	}
+	for b := range k.owed {
+		k.owed[b] = min(max(k.owed[b]*owedKeep, -mostOwed), mostOwed)
+	}
 	k.weigh()
 }
 
@@ -128,12 +139,14 @@
 	}
 }
 
-// boost is how much more a request counts whose band of sizes got places less
-// often than its kind. Large requests earn less for the time that they take a
-// place, so that in a long shortage they alone would go without: 0.07 of them got
-// a place with four places for twice the work, now 0.35. Small ones pay for it, as
-// a large one takes the places of many: 0.88 of all got one, now 0.41.
-func (k *kind) boost(b band) float64 { return k.shares[b].behind(&k.all) }
+// boost is how much more a request counts whose band of sizes got places less often
+// than its kind. Large requests earn less for the time that they take a place, so that
+// in a long shortage they alone would go without: 0.07 of them got a place with four
+// places for twice the work, now 0.38. Small ones pay for it, as a large one takes the
+// places of many: 0.88 of all got one, now 0.40. What is owed to a band shows after one
+// or two refusals; by the part of its last requests that got a place, large ones, of
+// which few come, were owed places for as long as most shortages last.
+func (k *kind) boost(b band) float64 { return 1 + max(k.owed[b], 0) }
 
 // order sets how much more each kind counts than its rank says, so that none is served
 // less often than a less urgent one. By what a request earns for its time alone the
--- a/core/batch/place.go
+++ b/core/batch/place.go
@@ -156,7 +156,9 @@
 	if now < i.spare && o.Running > 0 && b.stalls(o.unread, read, o.perToken) && !b.stalls(0, time.Duration(reads*float64(b.ideal.perToken)), b.ideal.perToken) {
 		cost += stallCost
 	}
-	if now+first+run*3/2 > i.end { // Answers are often half as long again as was estimated.
+	// Answers are often half as long again as was estimated. Requests of a size that is
+	// owed places take the chance that this one is not.
+	if spare := time.Duration(float64(run) / (2 * i.kind.boosts[i.band])); now+first+run+spare > i.end {
 		cost += misfit
 	}
 	return cost
