Who can end in time is looked for first, and who gets no place is told soon

Of the eight tickets that are looked at for a place all could be such that they would be cut off at the engine with room; one of them then got it for seconds, though others behind could have ended there. Change: the eight are taken from those that can end in time at the fastest engine with room, if there are any. A run that breaks off leaves its place owed to its size. Ruled out: giving large requests still more weight; what is owed to them is near its bound then, and they lead the line of their kind.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -67,6 +67,7 @@
 	urgent  urgent
 	shape   shape
 	ideal   ideal
+	shed    shed
 }
 
 // ticketKey names a ticket.
@@ -120,6 +121,9 @@
 	if s == nil {
 		return nil
 	}
+	if k := b.kinds[s.Ticket.GetRoute()]; k != nil && r.GetDispatched() && !r.GetBusy() && !r.GetWhole() {
+		k.broke(s.Ticket)
+	}
 	p := b.engine(s.Up).pace
 	switch {
 	case r.GetBusy():
@@ -217,16 +221,20 @@
 		for _, p := range i.GetParts() {
 			e.Cache.Sent(now, p.GetHash())
 		}
+		b.shed.granted(now.Sub(b.started))
 		out = append(out, b.slots.Grant(now, s, b.pool.GrantTTL))
 	}
 	return out
 }
 
 // expire refuses tickets that are late already while others could still be in
-// time, and those whose end has come.
+// time, those that no place will reach before, and those whose end has come.
 func (b *Batch) expire(now time.Time) []*wire.Decision {
 	var out []*wire.Decision
 	at := now.Sub(b.started)
+	if b.shed.due(at) {
+		b.shed.hopeless(at, b.waiting, shedLeast*b.capacity())
+	}
 	b.drop(func(i *item) bool {
 		if at < i.giveUp {
 			return false
--- a/core/batch/batch_test.go
+++ b/core/batch/batch_test.go
@@ -58,7 +58,7 @@
 func (e *engines) end(d *wire.Decision, first, total time.Duration, pieces int64) []*wire.Decision {
 	return e.Release(e.now, &wire.Release{
 		Ticket: d.GetTicket(), Incarnation: "i", Pool: "engines", Upstream: d.GetGrant().GetUpstream(), Slot: d.GetGrant().GetSlot(),
-		Dispatched: true, FirstTokenUs: first.Microseconds(), TotalUs: total.Microseconds(), Pieces: pieces,
+		Dispatched: true, Whole: true, FirstTokenUs: first.Microseconds(), TotalUs: total.Microseconds(), Pieces: pieces,
 	})
 }
 
@@ -396,3 +396,23 @@
 		must.Eq(t, []uint64{want}, granted(t, e.end(first[n], 60*time.Millisecond, 300*time.Millisecond, 11)))
 	}
 }
+
+// More long answers wait than the policy looks at for one place, and all of them would
+// be cut off at their end by the engine that has room. One that can end in time there
+// stands behind them: it gets the place, which for the others would be wasted for
+// seconds and bring nothing.
+func TestRunsThatCanEndComeFirst(t *testing.T) {
+	e := newEngines(1, "a")
+	e.learn(map[string]time.Duration{"a": 10 * time.Millisecond}, 0)
+	running := e.fill(1 + extraPlaces)
+	for range 2 * passMost {
+		long := e.ticket("long", 0, 500, 2000)
+		long.ObjectiveUs = (2 * time.Second).Microseconds()
+		must.SliceEmpty(t, e.Submit(e.now, long))
+	}
+	short := e.ticket("short", 2, 500, 50)
+	short.ObjectiveUs = (2 * time.Second).Microseconds()
+	must.SliceEmpty(t, e.Submit(e.now, short))
+	e.end(running[0], 60*time.Millisecond, time.Second, 11)
+	must.Eq(t, []uint64{short.GetId()}, granted(t, e.end(running[len(running)-1], 60*time.Millisecond, time.Second, 11)))
+}
--- a/core/batch/kind.go
+++ b/core/batch/kind.go
@@ -131,6 +131,14 @@
 	k.weigh()
 }
 
+// broke notes that a run did not come to its end: a place that brings no answer is owed
+// still. Long runs are broken off most, by their deadline or with their engine.
+func (k *kind) broke(t *wire.Ticket) {
+	b := k.band(size(t))
+	k.owed[b] = min(k.owed[b]+1, mostOwed)
+	k.weigh()
+}
+
 // weigh sets how much more each band counts. Every grant looks at all that wait,
 // so that is not worked out there.
 func (k *kind) weigh() {
--- a/core/batch/place.go
+++ b/core/batch/place.go
@@ -23,6 +23,8 @@
 	stallCost = time.Hour / 2
 	lateCost  = time.Hour
 	misfit    = 2 * time.Hour
+	// longerPart is the part by which answers are often longer than estimated.
+	longerPart = 0.5
 	// passMost bounds the tickets that are passed over for one that fits. Three
 	// times as many earn the same: 0.627 of worth against 0.630 over twelve heavy
 	// and trouble days.
@@ -51,35 +53,64 @@
 }
 
 // first lists the waiting tickets of the highest scores, best first; only the most
-// urgent ones where there is room beyond batches alone. One pass finds them all: in
+// urgent ones where there is room beyond batches alone, and only ones that can end in
+// time at some engine with room, as long as there are any. One pass finds them all: in
 // a burst thousands wait, and each of a thousand grants a second looks at every one.
 func (b *Batch) first(now time.Duration, beyond bool) []int {
-	quick := &b.open[0]
+	quick, fast := &b.open[0], &b.open[0]
 	for n := range b.open {
 		if b.open[n].first < quick.first {
 			quick = &b.open[n]
 		}
+		if b.open[n].perToken < fast.perToken {
+			fast = &b.open[n]
+		}
 	}
-	var top [passMost]int
-	var scores [passMost]float64
-	count := 0
+	var fit, unfit top
 	for n, i := range b.waiting {
 		if beyond && !b.urgent.has(i) {
 			continue
 		}
 		s := i.score(now + quick.first + time.Duration(i.reads*float64(quick.perToken)))
-		if count == passMost && s <= scores[count-1] {
+		if i.misfits(now, fast, i.reads) {
+			unfit.add(n, s)
 			continue
 		}
-		at := min(count, passMost-1)
-		for at > 0 && s > scores[at-1] {
-			top[at], scores[at] = top[at-1], scores[at-1]
-			at--
-		}
-		top[at], scores[at] = n, s
-		count = min(count+1, passMost)
+		fit.add(n, s)
+	}
+	if fit.count == 0 {
+		return slices.Clone(unfit.at[:unfit.count])
 	}
-	return top[:count]
+	return slices.Clone(fit.at[:fit.count])
+}
+
+// top keeps the places in the queue of the highest scores, best first.
+type top struct {
+	at     [passMost]int
+	scores [passMost]float64
+	count  int
+}
+
+func (t *top) add(n int, score float64) {
+	if t.count == passMost && score <= t.scores[t.count-1] {
+		return
+	}
+	at := min(t.count, passMost-1)
+	for at > 0 && score > t.scores[at-1] {
+		t.at[at], t.scores[at] = t.at[at-1], t.scores[at-1]
+		at--
+	}
+	t.at[at], t.scores[at] = n, score
+	t.count = min(t.count+1, passMost)
+}
+
+// misfits reports whether a run would be cut off at its end. Answers are often half as
+// long again as was estimated; requests of a size that is owed places take the chance
+// that this one is not.
+func (i *item) misfits(now time.Duration, o *offer, reads float64) bool {
+	run := float64(i.GetAnswerTokens()) * float64(o.perToken)
+	run *= 1 + longerPart/i.kind.boosts[i.band]
+	return now+o.first+time.Duration(reads*float64(o.perToken)+run) > i.end
 }
 
 // stalls reports whether reading a prompt, with what is still to be read there, makes
@@ -156,9 +187,7 @@
 	if now < i.spare && o.Running > 0 && b.stalls(o.unread, read, o.perToken) && !b.stalls(0, time.Duration(reads*float64(b.ideal.perToken)), b.ideal.perToken) {
 		cost += stallCost
 	}
-	// Answers are often half as long again as was estimated. Requests of a size that is
-	// owed places take the chance that this one is not.
-	if spare := time.Duration(float64(run) / (2 * i.kind.boosts[i.band])); now+first+run+spare > i.end {
+	if i.misfits(now, o, reads) {
 		cost += misfit
 	}
 	return cost
