--- a/core/batch/kind.go
+++ b/core/batch/kind.go
@@ -43,10 +43,6 @@
 	largeFrom   = 0.7 // Rank among the sizes kept at which the band begins.
 	largestFrom = 0.9
 	kindRate    = 0.05 // Weight of one request in the means.
-	// lessUrgent is by how much the mean ranks of two kinds must differ for one to be
-	// the less urgent, and kindFor how long a kind that is no longer asked for counts.
-	lessUrgent = 0.5
-	kindFor    = 2 * time.Second
 	// mostBoost bounds how much more counts what got less than its like, and mostOwed
 	// the places that are owed to a band of sizes: more than that is not made up for.
 	mostBoost = 4
@@ -56,29 +52,6 @@
 	owedKeep = 0.99
 )
 
-// served is the part of requests that got a place, smoothed. The zero value says
-// that all did.
-type served struct{ lost float64 }
-
-func (s *served) note(lost bool) {
-	if lost {
-		s.lost += servedRate * (1 - s.lost)
-		return
-	}
-	s.lost -= servedRate * s.lost
-}
-
-// behind is how much more counts what got less than other: by the square of how much
-// less, so that a small difference changes little.
-func (s *served) behind(other *served) float64 {
-	const least = 0.05
-	f := (1 - other.lost + least) / (1 - s.lost + least)
-	return min(max(f*f, 1), mostBoost)
-}
-
-// servedRate is the weight of one request in the part that got a place.
-const servedRate = 0.04
-
 // seen learns from a new request and tells its band.
 func (k *kind) seen(t *wire.Ticket) band {
 	s := size(t)
@@ -155,20 +128,3 @@
 // or two refusals; by the part of its last requests that got a place, large ones, of
 // which few come, were owed places for as long as most shortages last.
 func (k *kind) boost(b band) float64 { return 1 + max(k.owed[b], 0) }
-
-// order sets how much more each kind counts than its rank says, so that none is served
-// less often than a less urgent one. By what a request earns for its time alone the
-// urgent kind with long answers loses to a less urgent one with short answers whenever
-// there is too much to do: 0.53 of its requests got a place in time where all of the
-// others did, and now 0.67 and 0.74.
-func order(kinds map[string]*kind, now time.Duration) {
-	for _, k := range kinds {
-		k.urgency = 1
-		for _, other := range kinds {
-			if other.priority-k.priority < lessUrgent || now-other.seenAt > kindFor {
-				continue
-			}
-			k.urgency = max(k.urgency, k.timely.behind(&other.timely))
-		}
-	}
-}
