--- a/core/batch/kind_test.go
+++ b/core/batch/kind_test.go
@@ -22,18 +22,14 @@
 // load's requests that got a place in time, by route and answer.
 func shares(loads ...load) map[string]map[int64]float64 {
 	const each, step = 3 * time.Millisecond, 10 * time.Millisecond
-	type run struct {
-		*wire.Decision
-		ends time.Time
-	}
 	e := newEngines(4, "a")
-	var running []run
+	var on runs
 	tickets := map[uint64]*wire.Ticket{}
 	asked, placed := map[string]map[int64]float64{}, map[string]map[int64]float64{}
 	take := func(list []*wire.Decision) {
 		for _, d := range list {
 			if t := tickets[d.GetTicket()]; d.GetGrant() != nil {
-				running = append(running, run{d, e.now.Add(time.Duration(t.GetAnswerTokens()) * each)})
+				on = append(on, run{d, e.now.Add(time.Duration(t.GetAnswerTokens()) * each)})
 				placed[t.GetRoute()][t.GetAnswerTokens()]++
 			}
 		}
@@ -54,18 +50,9 @@
 			take(e.Submit(e.now, k))
 		}
 		take(e.Tick(e.now))
-		done := running
-		running = nil
-		for _, r := range done {
-			if e.now.Before(r.ends) {
-				running = append(running, r)
-			}
-		}
-		for _, r := range done {
-			if !e.now.Before(r.ends) {
-				n := tickets[r.GetTicket()].GetAnswerTokens()
-				take(e.end(r.Decision, 60*time.Millisecond, 60*time.Millisecond+time.Duration(n)*each, n/9+1))
-			}
+		for _, r := range on.ended(e.now) {
+			n := tickets[r.GetTicket()].GetAnswerTokens()
+			take(e.end(r.Decision, 60*time.Millisecond, 60*time.Millisecond+time.Duration(n)*each, n/9+1))
 		}
 	}
 	for route, by := range placed {
--- a/core/batch/shed_test.go
+++ b/core/batch/shed_test.go
@@ -15,20 +15,16 @@
 // it is over, so that they lose no time. All places stay taken meanwhile: nobody is
 // sent away whom one of them would have reached.
 func TestHopelessAreToldSoon(t *testing.T) {
-	const run, step, limit = 300 * time.Millisecond, 5 * time.Millisecond, 400 * time.Millisecond
+	const length, step, limit = 300 * time.Millisecond, 5 * time.Millisecond, 400 * time.Millisecond
 	e := newEngines(8, "a")
-	type running struct {
-		*wire.Decision
-		ends time.Time
-	}
-	var on []running
+	var on runs
 	came := map[uint64]time.Time{}
 	var told []time.Duration
 	busy, looks := 0, 0
 	take := func(list []*wire.Decision) {
 		for _, d := range list {
 			if d.GetGrant() != nil {
-				on = append(on, running{d, e.now.Add(run)})
+				on = append(on, run{d, e.now.Add(length)})
 				continue
 			}
 			told = append(told, e.now.Sub(came[d.GetTicket()]))
@@ -47,17 +43,8 @@
 			take(e.Submit(e.now, k))
 		}
 		take(e.Tick(e.now))
-		done := on
-		on = nil
-		for _, r := range done {
-			if e.now.Before(r.ends) {
-				on = append(on, r)
-			}
-		}
-		for _, r := range done {
-			if !e.now.Before(r.ends) {
-				take(e.end(r.Decision, 60*time.Millisecond, run, 11))
-			}
+		for _, r := range on.ended(e.now) {
+			take(e.end(r.Decision, 60*time.Millisecond, length, 11))
 		}
 		if at >= 3*time.Second && at < 5*time.Second {
 			busy, looks = busy+len(on), looks+1
--- a/core/raft/cold.go
+++ b/core/raft/cold.go
@@ -144,7 +144,7 @@
 
 // coldYields reports whether this replica leaves it to the one that asks to stand
 // for election. Of two that ask in the same moment the one with the lower identity
-// goes on: with both, the votes would be split.
+// goes on, and the other ends its own round: with both, the votes would be split.
 func (r *Raft) coldYields(to string) bool {
 	if !r.cold.open {
 		return true
