An entry that followed a leader does not stay with it behind a cut of control

Cause: a leader that loses its way to the other replicas, while entries keep theirs, schedules its own data centre at once. Entries there that had followed it took it for the leader still: they asked nobody else, and heard of no configuration accepted since. Change: an entry tells with each question whether it reaches no replica elsewhere, and a scheduler of a data centre is for those alone; others are sent to look for a leader. Ruled out: the time of 0.3 s after which entries look beyond a cut; it holds for entries that know of the cut, and these did not. Tests: TestFollowersOfALeaderLookForTheNext, failed before; the tests of a scheduler behind a cut ask as entries there do.

--- a/io/hub/scope.go
+++ b/io/hub/scope.go
@@ -45,7 +45,10 @@
 	return "Leadership lost."
 }
 
-// serves reports whether a scheduler is there for an entry.
+// serves reports whether a scheduler is there for an entry. One of a data centre is for
+// entries that reach no replica elsewhere: when only the way between replicas is cut,
+// entries that stayed with a former leader would hear of no configuration accepted
+// since, and serve callers by routes and keys that are no longer in force.
 func (h *Hub) serves(r *reign, w *wire.Watch) bool {
-	return r.scope == deployment || w.GetDataCentre() == h.Centre
+	return r.scope == deployment || (w.GetAlone() && w.GetDataCentre() == h.Centre)
 }
--- a/io/hub/scope_test.go
+++ b/io/hub/scope_test.go
@@ -38,7 +38,7 @@
 	run(t, func(t *testing.T, h *Hub, f *fakeReplica) {
 		h.Centre = "z1"
 		cutOff(t, h, f)
-		n, err := ask(h, &wire.Watch{Node: "e", Incarnation: "i", DataCentre: "z1", Entries: 40, Rates: used})
+		n, err := ask(h, &wire.Watch{Node: "e", Incarnation: "i", DataCentre: "z1", Entries: 40, Rates: used, Alone: true})
 		must.NoError(t, err)
 		must.Eq(t, 40, n.GetEntries(), must.Sprint("limits are shared with those behind the cut, too"))
 		_, err = ask(h, &wire.Watch{Node: "o", Incarnation: "o", DataCentre: "z2"})
@@ -53,7 +53,22 @@
 		f.tell()
 		f.mu.Unlock()
 		synctest.Wait()
-		_, err = ask(h, &wire.Watch{Node: "e", Incarnation: "i", DataCentre: "z1"})
+		_, err = ask(h, &wire.Watch{Node: "e", Incarnation: "i", DataCentre: "z1", Alone: true})
+		must.Error(t, err)
+	})
+}
+
+// The leader loses its way to the other replicas, and its entries keep theirs. It
+// schedules for entries that reach nobody else; one that has followed it so far is
+// sent to look for the next leader. Following on it would hear of no configuration
+// that is accepted elsewhere, for as long as the cut lasts.
+func TestFollowersOfALeaderLookForTheNext(t *testing.T) {
+	run(t, func(t *testing.T, h *Hub, f *fakeReplica) {
+		h.Centre = "z1"
+		n, err := ask(h, &wire.Watch{Node: "e", Incarnation: "i", DataCentre: "z1"})
+		must.NoError(t, err)
+		cutOff(t, h, f)
+		_, err = ask(h, &wire.Watch{Node: "e", Incarnation: "i", DataCentre: "z1", Leader: n.GetLeader()})
 		must.Error(t, err)
 	})
 }
@@ -65,7 +80,7 @@
 	run(t, func(t *testing.T, h *Hub, f *fakeReplica) {
 		h.Centre = "z1"
 		cutOff(t, h, f)
-		_, err := ask(h, &wire.Watch{Node: "e", Incarnation: "i", DataCentre: "z1", Rates: used})
+		_, err := ask(h, &wire.Watch{Node: "e", Incarnation: "i", DataCentre: "z1", Rates: used, Alone: true})
 		must.NoError(t, err)
 		for seq := range uint64(10) {
 			must.NoError(t, h.Report(t.Context(), says("near", 2+seq, wire.Upstream_STATE_SERVING)))
@@ -88,7 +103,7 @@
 		cutOff(t, h, f)
 		for _, e := range []string{"e1", "e2"} {
 			_, err := ask(h, &wire.Watch{
-				Node: e, Incarnation: e, DataCentre: "z1", Entries: 10, Rates: used,
+				Node: e, Incarnation: e, DataCentre: "z1", Entries: 10, Rates: used, Alone: true,
 			})
 			must.NoError(t, err)
 		}
--- a/io/watch/watch.go
+++ b/io/watch/watch.go
@@ -165,7 +165,7 @@
 	f, err := w.Mesh.Call(ctx, to.addr, &wire.Frame{Body: &wire.Frame_Watch{Watch: &wire.Watch{
 		Node: w.Node, Incarnation: w.Incarnation, DataCentre: w.Centre, Address: w.Self.String(),
 		Version: v.Version, Revision: v.Revision, WaitUs: wait.Microseconds(), Leader: v.Owner.GetIncarnation(),
-		Rates: rates, Entries: int64(v.Entries),
+		Rates: rates, Entries: int64(v.Entries), Alone: to.local,
 	}}})
 	if err != nil {
 		return fmt.Errorf("watch: ask %s: %w", to.addr, err)
--- a/io/watch/watch_test.go
+++ b/io/watch/watch_test.go
@@ -302,6 +302,9 @@
 		id := "leader"
 		if to == r.here {
 			id = "local"
+			if !f.GetWatch().GetAlone() {
+				return nil, errors.New("this replica doesn't lead")
+			}
 		}
 		if f.GetWatch().GetLeader() == id {
 			time.Sleep(time.Duration(f.GetWatch().GetWaitUs()) * time.Microsecond)
