A replica that comes back with an empty disk gets its vote back at once

Cause: a learner that had not answered yet counted as silent since the leader's election. Came it from the address of a voter that was heard a moment ago, it was taken for the one that was replaced, removed within 20 ms, and joined again each 0.4 s. A second disk lost meanwhile took the quorum for good. Change: a learner is silent since it was added. Ruled out: the second wipe as too early. A vote is to be replaced within the catch-up time, and the first replica was back 2.1 s before it.

--- a/core/raft/lead.go
+++ b/core/raft/lead.go
@@ -35,6 +35,7 @@
 	pending  uint64 // Index of the snapshot that is under way; zero for none.
 	snapAt   time.Time
 	snapWait time.Duration // How long its way may take.
+	added    time.Time     // When it was first fed.
 	heard    time.Time
 	round    time.Time // When the newest round that it answered was sent.
 }
--- a/core/raft/member.go
+++ b/core/raft/member.go
@@ -140,7 +140,7 @@
 func (r *Raft) syncPeers() {
 	for _, p := range r.Replicas() {
 		if p.GetId() != r.ID && r.peers[p.GetId()] == nil {
-			r.peers[p.GetId()] = &progress{next: r.log.last() + 1, probing: true}
+			r.peers[p.GetId()] = &progress{next: r.log.last() + 1, probing: true, added: r.now}
 		}
 	}
 	for id := range r.peers {
--- a/core/raft/raft.go
+++ b/core/raft/raft.go
@@ -285,8 +285,8 @@
 	for _, p := range r.Replicas() {
 		if pr := r.peers[p.GetId()]; pr != nil {
 			since := pr.heard
-			if since.Before(r.since) {
-				since = r.since // A fresh leader has had no time to hear it.
+			if since.Before(pr.added) {
+				since = pr.added // It has had no time to answer yet.
 			}
 			list = append(list, Heard{Replica: p, Silence: r.now.Sub(since), Current: pr.match >= r.commit})
 		}
--- a/core/raft/raft_test.go
+++ b/core/raft/raft_test.go
@@ -176,3 +176,23 @@
 	must.True(t, s.propose(s.leader(), "z"))
 	must.Eq(t, "", s.problems())
 }
+
+// A replica comes back with an empty disk, and joins from its old address as a learner
+// seconds after the leader's election. Until its first answer it is silent since it
+// was added and no longer: taken for silent since the election, while the identity
+// that it had was heard a moment ago, it would be removed as the one that was
+// replaced, over and over, and the group would stay a voter short.
+func TestNewLearnerIsNotSilentForLong(t *testing.T) {
+	s := newSim(2, 3)
+	s.run(4 * time.Second)
+	l := s.leader()
+	s.add("new")
+	must.NoError(t, s.change(l, "new", wire.Membership_ROLE_LEARNER))
+	for _, p := range l.Peers(l.clock(s)) {
+		if p.GetId() == "new" {
+			must.Less(t, 100*time.Millisecond, p.Silence)
+			return
+		}
+	}
+	t.Fatal("the learner is not there")
+}
