--- a/core/allow/allow.go
+++ b/core/allow/allow.go
@@ -24,6 +24,7 @@
 		burst float64
 		whole float64 // The burst of all shares together.
 		fresh float64 // What it has where its use is not known.
+		given float64 // What of that it was given.
 		left  float64 // May be below zero: some units are charged after they were used.
 		at    time.Time
 	}
@@ -53,6 +54,11 @@
 	// equal shares, half of what they refused there was refused for the rate of an
 	// account that was far below its own.
 	UsedPart = 0.95
+	// LeftPart is what the scheduler on the other side leaves them, in times of what was
+	// used there. It is more than they take by as much as both sides let pass in the
+	// moments before they know of each other, and costs those accounts alone that ask for
+	// their whole rate on the scheduler's side.
+	LeftPart = 1.1
 	// SlackPart is the part of the slack of rates that all of them together may use;
 	// a quarter is the scheduler's, and a quarter is left for what both sides let pass
 	// before they know of a cut.
@@ -93,7 +99,7 @@
 		b.fresh = b.burst*FreshPart + a.Slack*part*(1-FreshPart)
 		if was := old[name]; was != nil {
 			was.fill(now)
-			b.left = min(b.burst, was.left+max(whole-was.whole, 0)*part)
+			b.left, b.given = min(b.burst, was.left+max(whole-was.whole, 0)*part), was.given
 		}
 		a.buckets[name] = b
 	}
@@ -108,6 +114,20 @@
 	}
 }
 
+// Grown gives an account what a part of its rate that has grown since has more of than
+// it had, of what one has of which nothing is known. Each bit is given once, however
+// often the part changes.
+func (a *Allow) Grown(now time.Time, account string) {
+	b := a.buckets[account]
+	if b == nil {
+		return
+	}
+	b.fill(now)
+	if more := b.fresh - b.given; more > 0 {
+		b.left, b.given = min(b.left+more, b.burst), b.fresh
+	}
+}
+
 // Used tells that an account used so many units a second before the counting began,
 // beyond what was told already. Who used its whole rate has FreshPart of a burst left.
 func (a *Allow) Used(now time.Time, account string, rate float64) {
--- a/core/allow/allow_test.go
+++ b/core/allow/allow_test.go
@@ -113,3 +113,24 @@
 	_, ok = a.Take(start.Add(time.Second), "a", 1)
 	must.True(t, ok)
 }
+
+// Entries come one after the other to a scheduler of their data centre, and with each
+// the part of the rate grows. An account that takes all it gets meanwhile has been
+// given what the whole part has at its start, and not as much again with each of them.
+func TestGrownPartsAreGivenOnce(t *testing.T) {
+	var a Allow
+	now, part, taken := time.Unix(1000, 0), 0.0, int64(0)
+	accounts := map[string]acct.Account{"a": {Rate: 1, Burst: 10000}}
+	for range 40 {
+		part += 0.01
+		a.SetEach(now, accounts, func(string) float64 { return part })
+		a.Grown(now, "a")
+		for {
+			if _, ok := a.Take(now, "a", 1); !ok {
+				break
+			}
+			taken++
+		}
+	}
+	must.Between(t, 350, taken, 450)
+}
--- a/io/hub/hub.go
+++ b/io/hub/hub.go
@@ -186,7 +186,7 @@
 // begin starts to schedule. Entries bring the slots that they hold when they
 // hear of the new scheduler.
 func (h *Hub) begin(ctx context.Context, s scope) *reign {
-	r := &reign{id: uuid.NewString()[:8], scope: s, stats: h.Stats, log: h.Log, lines: &h.Lines}
+	r := &reign{id: uuid.NewString()[:8], begun: time.Now(), scope: s, stats: h.Stats, log: h.Log, lines: &h.Lines}
 	r.allow = allow.Allow{Over: allowPart * h.Over, Slack: allowPart * h.Slack, Idle: true}
 	if s == centre {
 		r.allow.Slack, r.allow.Idle = allow.SlackPart*h.Slack, false
--- a/io/hub/rates.go
+++ b/io/hub/rates.go
@@ -14,6 +14,10 @@
 	// its part of the accounts' rates. An entry that follows asks again within
 	// two seconds.
 	absentAfter = 2800 * time.Millisecond
+	// comeWithin is how long entries of the leader before may take to come to a new one,
+	// before it leaves those that stay away their parts of the rates: most come within
+	// half of that.
+	comeWithin = 300 * time.Millisecond
 	// leastPart is what the scheduler keeps of a rate in any case.
 	leastPart = 0.2
 )
@@ -27,6 +31,8 @@
 	used     map[string]*usage.Usage       // By entry incarnation.
 	told     map[string]map[string]float64 // Units a second before they came here, by entry incarnation and account.
 	absent   map[string]map[string]float64 // Units a second by entry incarnation and account.
+	// unseen is how many entries there are, for each that came here, that never did.
+	unseen float64
 }
 
 // add notes what an account used at an entry.
@@ -85,13 +91,20 @@
 	return true
 }
 
+// guess is what an account used before, by what the entries that came have told: those
+// that did not come yet are taken to be like them, of so many in all.
+func (r *rates) guess(all int64, account string) float64 {
+	return sum(r.told, account) * max(float64(all)/float64(max(len(r.told), 1)), 1)
+}
+
 // part is the part of an account's rate that is the leader's own.
 func (r *rates) part(name string) float64 {
-	sum, rate := sum(r.absent, name), r.accounts[name].Rate
+	// Those that this leader never heard are taken to use what the others do.
+	sum, rate := sum(r.absent, name)+r.unseen*sum(r.told, name), r.accounts[name].Rate
 	if sum == 0 || rate <= 0 {
 		return 1
 	}
-	return max(1-allow.UsedPart*sum/rate, leastPart)
+	return max(1-allow.LeftPart*sum/rate, leastPart)
 }
 
 // alone is the part of an account's rate that is left to a scheduler of one data
--- a/io/hub/reign.go
+++ b/io/hub/reign.go
@@ -32,8 +32,9 @@
 	allow   allow.Allow
 	rates   rates
 	version uint64
-	// Of a scheduler of one data centre: how many entries there are here, and in all
-	// as they knew before.
+	begun   time.Time
+	// How many entries there are in all, as they knew before, and, for a scheduler of one
+	// data centre, here.
 	here, all int64
 }
 
@@ -59,16 +60,22 @@
 func (r *reign) join(w *wire.Watch, here int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.all = max(r.all, w.GetEntries())
+	now, before := time.Now(), map[string]float64{}
+	for _, a := range w.GetRates() {
+		before[a.GetAccount()] = r.rates.guess(r.all, a.GetAccount())
+	}
 	told := r.rates.tell(w.GetIncarnation(), w.GetRates())
-	now := time.Now()
 	if r.scope == deployment {
 		// After a stop of everything nobody has used anything for a while. With a part
 		// of a burst for each account, as after another leader that may have let all of
 		// it pass, most callers who came back in that moment were refused for a rate
-		// that they were far below.
-		for _, a := range w.GetRates() {
-			if told {
-				r.allow.Used(now, a.GetAccount(), float64(a.GetUnits()))
+		// that they were far below. But the first entries that come stand for all: until
+		// the last one has told what it saw used, an account that asks for several times
+		// its rate would get the whole of a burst again.
+		for account, units := range before {
+			if more := r.rates.guess(r.all, account) - units; more > 0 {
+				r.allow.Used(now, account, more)
 			}
 		}
 		return
@@ -76,10 +83,10 @@
 	if !told && r.here == here {
 		return
 	}
-	r.here, r.all = here, max(r.all, w.GetEntries())
+	r.here = here
 	r.share(now)
 	for account := range r.rates.accounts {
-		r.allow.Fresh(now, account) // Its part was smaller before, and so was what is left of it.
+		r.allow.Grown(now, account) // Its part was smaller before, and so was what is left of it.
 	}
 }
 
@@ -88,6 +95,9 @@
 func (r *reign) entries(here int64) int64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.scope == deployment {
+		return here
+	}
 	return max(here, r.all)
 }
 
@@ -102,6 +112,24 @@
 	r.log.Info("Entries that keep their parts of the rates changed.", "incarnations", silent)
 }
 
+// await leaves their parts of the rates to entries that followed the leader before and
+// have not come to this one: they may go on behind a cut, where it was. Here is how many
+// have come.
+func (r *reign) await(now time.Time, here int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	unseen := 0.0
+	if age := now.Sub(r.begun); r.scope == deployment && age > comeWithin && age <= countFor && here > 0 {
+		unseen = float64(max(r.all-here, 0)) / float64(here)
+	}
+	if unseen == r.rates.unseen {
+		return
+	}
+	r.rates.unseen = unseen
+	r.share(now)
+	r.log.Info("Entries that never came changed.", "here", here, "in-all", r.all)
+}
+
 // forget drops what an entry held and used that is gone.
 func (r *reign) forget(incarnation string) {
 	r.mu.Lock()
--- a/io/hub/watch.go
+++ b/io/hub/watch.go
@@ -137,6 +137,7 @@
 		h.Log.Info("Silent upstreams changed.", "upstreams", quiet)
 	}
 	r.miss(now, h.watchers.silent(now, r.reach.list()))
+	r.await(now, h.watchers.count(now))
 	for _, inc := range h.watchers.lost(now) {
 		h.Log.Info("Entry lost.", "incarnation", inc)
 		r.sched.Forget(inc)
