The measure of a scheduler keeps the address that it began with

Measured at the wrong replica, a scheduler would have been given another's patience. Test: that one, under the race detector, 25 times over without a report.

--- a/io/watch/probe.go
+++ b/io/watch/probe.go
@@ -84,8 +84,8 @@
 }
 
 // measure learns how long the scheduler takes to answer while all is well.
-func (w *Watch) measure(ctx context.Context, to found) {
-	if err := w.probe(ctx, to.addr); err != nil {
+func (w *Watch) measure(ctx context.Context, to netip.AddrPort) {
+	if err := w.probe(ctx, to); err != nil {
 		w.Log.V(1).Info("Scheduler not measured.", "err", err.Error())
 	}
 }
--- a/io/watch/watch.go
+++ b/io/watch/watch.go
@@ -113,7 +113,8 @@
 		switch {
 		case err == nil:
 			late = 0
-			measures.Go(func() { w.measure(ctx, to) })
+			leader := to.addr // The loop goes on to another one meanwhile.
+			measures.Go(func() { w.measure(ctx, leader) })
 			if to.local {
 				to = w.beyond(ctx, to)
 			}
