One place for what stood twice: signs of life, answers of a link, what entries told

Cause: read once more as a whole, the change answered tickets and signs of life in two places of the hub and ended the serving of a call in two of a link; a new leader summed what all entries had told for each account of each one that comes, twice, in the moment in which hundreds come; each decision copied the list that it goes through; and the bounds of spans and counts stood in the package that only translates. Change: one place each; a running total; no copy; the bounds are core/meta's. Ruled out: working out what a band of sizes counts where it is asked.

--- a/core/batch/place.go
+++ b/core/batch/place.go
@@ -36,7 +36,8 @@
 // slow one takes a place for seconds and earns nothing.
 func (b *Batch) next(now time.Duration, beyond bool) (int, *engine) {
 	rest, at, least := -1, (*engine)(nil), time.Duration(0) // What goes wrong least, if nothing fits.
-	for _, n := range b.first(now, beyond) {
+	first := b.first(now, beyond)
+	for _, n := range first.at[:first.count] {
 		o, cost := b.place(now, b.waiting[n])
 		if o != nil && cost < stallCost {
 			return n, o.engine
@@ -51,11 +52,11 @@
 	return rest, at
 }
 
-// first lists the waiting tickets of the highest scores, best first; only the most
+// first picks the waiting tickets of the highest scores, best first; only the most
 // urgent ones where there is room beyond batches alone, and only ones that can end in
 // time at some engine with room, as long as there are any. One pass finds them all: in
 // a burst thousands wait, and each of a thousand grants a second looks at every one.
-func (b *Batch) first(now time.Duration, beyond bool) []int {
+func (b *Batch) first(now time.Duration, beyond bool) top {
 	quick, fast := &b.open[0], &b.open[0]
 	for n := range b.open {
 		if b.open[n].first < quick.first {
@@ -78,9 +79,9 @@
 		fit.add(n, s)
 	}
 	if fit.count == 0 {
-		return slices.Clone(unfit.at[:unfit.count])
+		return unfit
 	}
-	return slices.Clone(fit.at[:fit.count])
+	return fit
 }
 
 // top keeps the places in the queue of the highest scores, best first.
--- a/core/meta/meta.go
+++ b/core/meta/meta.go
@@ -3,6 +3,13 @@
 
 import "time"
 
+// Longest is the longest span that is taken from outside, and MostTokens the most
+// tokens: no request needs more, and sums of a few stay within what can be counted.
+const (
+	Longest    = 365 * 24 * time.Hour
+	MostTokens = 1 << 40
+)
+
 // Meta is what the header of a request says, whatever its names there.
 type Meta struct {
 	ID        string        // Of this attempt of the caller; empty when it names none.
--- a/io/hub/hub.go
+++ b/io/hub/hub.go
@@ -244,15 +244,15 @@
 
 // Handle answers one frame of a peer.
 func (h *Hub) Handle(ctx context.Context, f *wire.Frame) (*wire.Frame, error) {
-	switch b := f.GetBody().(type) {
-	case *wire.Frame_Ticket:
-		answer := make(chan *wire.Frame, 1)
-		h.Later(ctx, f, func(r *wire.Frame) { answer <- r })
+	answer := make(chan *wire.Frame, 1)
+	if h.Later(ctx, f, func(r *wire.Frame) { answer <- r }) {
 		r := <-answer
 		if fault := r.GetFault(); fault != nil {
 			return nil, fault
 		}
 		return r, nil
+	}
+	switch b := f.GetBody().(type) {
 	case *wire.Frame_Release:
 		if r := h.scheduler(); r != nil {
 			r.release(b.Release)
@@ -278,9 +278,6 @@
 	case *wire.Frame_Report:
 		return nil, h.report(ctx, b.Report)
 	case *wire.Frame_ConfigQuery:
-		if b.ConfigQuery.GetVersion() > 0 { // It asks only whether this process lives.
-			return &wire.Frame{Body: &wire.Frame_BeatReply{BeatReply: &wire.BeatReply{}}}, nil
-		}
 		return h.newest(ctx)
 	case *wire.Frame_Command:
 		if b.Command.GetPublish() != nil {
--- a/io/hub/rates.go
+++ b/io/hub/rates.go
@@ -30,6 +30,7 @@
 	accounts map[string]acct.Account
 	used     map[string]*usage.Usage       // By entry incarnation.
 	told     map[string]map[string]float64 // Units a second before they came here, by entry incarnation and account.
+	toldAll  map[string]float64            // The same of all entries together: hundreds come in a moment.
 	absent   map[string]map[string]float64 // Units a second by entry incarnation and account.
 	// unseen is how many entries there are, for each that came here, that never did.
 	unseen float64
@@ -72,6 +73,9 @@
 // forget drops what an entry used that is gone.
 func (r *rates) forget(incarnation string) {
 	delete(r.used, incarnation)
+	for account, units := range r.told[incarnation] {
+		r.toldAll[account] -= units
+	}
 	delete(r.told, incarnation)
 }
 
@@ -82,11 +86,12 @@
 		return false
 	}
 	if r.told == nil {
-		r.told = map[string]map[string]float64{}
+		r.told, r.toldAll = map[string]map[string]float64{}, map[string]float64{}
 	}
 	r.told[incarnation] = make(map[string]float64, len(list))
 	for _, a := range list {
-		r.told[incarnation][a.GetAccount()] = float64(a.GetUnits())
+		r.told[incarnation][a.GetAccount()] += float64(a.GetUnits())
+		r.toldAll[a.GetAccount()] += float64(a.GetUnits())
 	}
 	return true
 }
@@ -94,28 +99,29 @@
 // guess is what an account used before, by what the entries that came have told: those
 // that did not come yet are taken to be like them, of so many in all.
 func (r *rates) guess(all int64, account string) float64 {
-	return sum(r.told, account) * max(float64(all)/float64(max(len(r.told), 1)), 1)
+	return r.toldAll[account] * max(float64(all)/float64(max(len(r.told), 1)), 1)
 }
 
 // part is the part of an account's rate that is the leader's own.
 func (r *rates) part(name string) float64 {
 	// Those that this leader never heard are taken to use what the others do.
-	sum, rate := sum(r.absent, name)+r.unseen*sum(r.told, name), r.accounts[name].Rate
-	if sum == 0 || rate <= 0 {
+	used, rate := r.usedAbsent(name)+r.unseen*r.toldAll[name], r.accounts[name].Rate
+	if used == 0 || rate <= 0 {
 		return 1
 	}
-	return max(1-allow.LeftPart*sum/rate, leastPart)
+	return max(1-allow.LeftPart*used/rate, leastPart)
 }
 
 // alone is the part of an account's rate that is left to a scheduler of one data
 // centre, which has a share of all entries.
 func (r *rates) alone(name string, share float64) float64 {
-	return allow.Alone(share, sum(r.told, name), r.accounts[name].Rate)
+	return allow.Alone(share, r.toldAll[name], r.accounts[name].Rate)
 }
 
-func sum(rates map[string]map[string]float64, account string) float64 {
+// usedAbsent is what an account used at entries that have fallen silent.
+func (r *rates) usedAbsent(account string) float64 {
 	n := 0.0
-	for _, by := range rates {
+	for _, by := range r.absent {
 		n += by[account]
 	}
 	return n
--- a/io/link/read.go
+++ b/io/link/read.go
@@ -103,7 +103,6 @@
 }
 
 func (l *Link) answer(f *wire.Frame) {
-	defer l.serving.Add(-1)
 	r, err := l.handle(l.ctx, f)
 	if err != nil {
 		var fault *wire.Fault
@@ -115,7 +114,7 @@
 	if r == nil {
 		r = &wire.Frame{Body: &wire.Frame_Ack{Ack: &wire.Ack{}}}
 	}
-	_ = l.put(l.ctx, &wire.Frame{Id: f.GetId(), Reply: true, Body: r.GetBody()})
+	l.sent(&wire.Frame{Id: f.GetId(), Reply: true, Body: r.GetBody()})
 }
 
 // reply sends the answer of a call that has no goroutine. Only where the queue of
@@ -129,7 +128,9 @@
 	go l.sent(f)
 }
 
+// sent ends the serving of a call with its answer. An answer that can't be put has
+// lost its link, and with it who asked.
 func (l *Link) sent(f *wire.Frame) {
-	defer l.serving.Add(-1)
 	_ = l.put(l.ctx, f)
+	l.serving.Add(-1)
 }
