What a scheduler believes of upstreams' speeds has a line, and refusals tell their lengths

Cause: a request whose answer no upstream could end in time lets others go first. The log told neither the length of a refused request nor the speeds it was judged by, so that a wrong belief looked like a shortage. Logic of scheduling is as it was.

--- a/core/batch/engine.go
+++ b/core/batch/engine.go
@@ -36,6 +36,16 @@
 	return e
 }
 
+// Speeds returns the time of one answer token that is reckoned with, by upstream.
+func (b *Batch) Speeds() map[string]time.Duration {
+	list := b.table.All()
+	speeds := make(map[string]time.Duration, len(list))
+	for _, u := range list {
+		speeds[u.GetUpstream()] = b.engine(u).pace.perToken()
+	}
+	return speeds
+}
+
 // unknown is the pace of an engine of which nothing is known yet.
 func (b *Batch) unknown() *pace { return &pace{whole: 1, shape: &b.shape} }
 
--- a/core/kernel/kernel.go
+++ b/core/kernel/kernel.go
@@ -39,6 +39,13 @@
 	Tick(now time.Time) []*wire.Decision
 }
 
+// Learner is a Scheduler that learns how fast upstreams are.
+type Learner interface {
+	// Speeds returns the time that each upstream is believed to take for one token of
+	// an answer, by the upstream's name.
+	Speeds() map[string]time.Duration
+}
+
 // policy is one registered policy.
 type policy struct {
 	build func() Scheduler
--- a/io/hub/reign.go
+++ b/io/hub/reign.go
@@ -27,6 +27,7 @@
 	stats *stats.Stats
 	log   logr.Logger
 	lines *logs.Budget // Of refused tickets.
+	spoke time.Time    // When speeds were last told; the sweep's own.
 
 	mu      sync.Mutex
 	allow   allow.Allow
@@ -193,6 +194,7 @@
 		return
 	}
 	r.log.Info("Ticket refused.", "request", t.GetRequest(), "entry", t.GetEntry(), "pool", t.GetPool(), "route", t.GetRoute(),
+		"prompt", t.GetPromptTokens(), "answer", t.GetAnswerTokens(), "deadline-left", micros(t.GetDeadlineUs()).String(),
 		"account", t.GetAccount(), "units", t.GetUnits(), "code", no.GetCode(), "retry-after", micros(no.GetRetryAfterUs()).String(),
 		"waited", time.Since(start).String(), "objective-left", micros(t.GetObjectiveUs()).String(),
 		"returned", t.GetReturned(), "waiting", r.sched.Waiting(), "version", version, "scheduler", r.id, "lines-left-out", leftOut)
--- a/io/hub/watch.go
+++ b/io/hub/watch.go
@@ -138,6 +138,7 @@
 	}
 	r.miss(now, h.watchers.silent(now, r.reach.list()))
 	r.await(now, h.watchers.count(now))
+	r.tellSpeeds(now)
 	for _, inc := range h.watchers.lost(now) {
 		h.Log.Info("Entry lost.", "incarnation", inc)
 		r.sched.Forget(inc)
--- a/io/sched/sched.go
+++ b/io/sched/sched.go
@@ -309,6 +309,24 @@
 	return s.pools[name]
 }
 
+// Speeds is what the policies that learn believe of their upstreams, by pool: the time
+// that each takes for one token of an answer.
+func (s *Sched) Speeds() map[string]map[string]time.Duration {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	all := map[string]map[string]time.Duration{}
+	for name, r := range s.pools {
+		l, ok := r.policy.(kernel.Learner)
+		if !ok {
+			continue
+		}
+		r.mu.Lock()
+		all[name] = l.Speeds()
+		r.mu.Unlock()
+	}
+	return all
+}
+
 // Waiting is the number of tickets that wait for a decision.
 func (s *Sched) Waiting() int {
 	n := 0
--- /dev/null
+++ b/io/sched/speeds_test.go
@@ -0,0 +1,39 @@
+package sched
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	_ "azurelane/core/batch" // Registers the policy that learns.
+	"azurelane/core/conf"
+	_ "azurelane/core/late" // Registers one that tells nothing.
+	"azurelane/core/pool"
+	"azurelane/core/wire"
+)
+
+// An operator asks why long requests are refused: the speeds by which they are placed
+// are told for each upstream of a pool that learns them, and for no other pool.
+func TestSpeedsAreTold(t *testing.T) {
+	s := &Sched{Incarnation: "own"}
+	s.Install(&conf.Config{Pools: map[string]pool.Pool{
+		"engines": {Scheduler: "batch", Slots: 4, EventTokens: 1},
+		"plain":   {Scheduler: "late"},
+	}})
+	for _, name := range []string{"a", "b"} {
+		s.Announce(&wire.Announce{Upstream: name, Pools: []string{"engines", "plain"}, MaxRunning: 4, LeaseUs: time.Hour.Microseconds(), Seq: 1})
+	}
+	before := s.Speeds()
+	must.MapLen(t, 1, before)
+	must.MapLen(t, 2, before["engines"])
+
+	d := s.Submit(t.Context(), &wire.Ticket{Id: 1, Incarnation: "i", Pool: "engines", Route: "r", PromptTokens: 100, AnswerTokens: 100, DeadlineUs: time.Minute.Microseconds()})
+	must.NotNil(t, d.GetGrant())
+	up := d.GetGrant().GetUpstream()
+	s.Release(&wire.Release{
+		Ticket: 1, Incarnation: "i", Pool: "engines", Upstream: up, Slot: d.GetGrant().GetSlot(), Owner: "own",
+		Dispatched: true, Whole: true, FirstTokenUs: time.Second.Microseconds(), TotalUs: (3 * time.Second).Microseconds(), Pieces: 101,
+	})
+	must.Greater(t, before["engines"][up], s.Speeds()["engines"][up])
+}
--- a/io/story/story.go
+++ b/io/story/story.go
@@ -55,6 +55,7 @@
 	"Scheduler lost":             "scheduler",
 	"Leadership gained.":         "leadership",
 	"Leadership lost.":           "leadership",
+	"Speeds of upstreams.":       "speeds",
 	"Silent upstreams changed.":  "silent upstreams",
 	"Entry drains.":              "draining",
 	"Group changes.":             "group",
