What is owed to a size is kept for as long as its next chance takes

Cause: what is owed to the largest tenth lost a tenth between two of them, about as much as each refusal added: the debt stood still at half of what it takes. Change: owedKeep from 0.99 to 0.998, a memory of some five hundred requests in place of a hundred.

--- a/core/batch/kind.go
+++ b/core/batch/kind.go
@@ -48,9 +48,12 @@
 	// the places that are owed to a band of sizes: more than that is not made up for.
 	mostBoost = 4
 	mostOwed  = mostBoost - 1
-	// owedKeep is what stays of what is owed when a request of the kind ends: a shortage
-	// of a hundred requests ago is forgotten.
-	owedKeep = 0.99
+	// owedKeep is what stays of what is owed when a request of the kind ends: it is
+	// forgotten after some five hundred. The largest tenth waits for a place that few
+	// engines can give, and what was forgotten meanwhile was never made up for: with a
+	// fifth of that memory the longest answers were served 0.67 times as often as all,
+	// in place of 0.75 (mean of eight replays of a shortage).
+	owedKeep = 0.998
 )
 
 // seen learns from a new request and tells its band.
