A stream lets go of whoever reads it before its session ends

When a session ends, it closes a channel at which each reader waits, then waits for the reader of its connection, and ends its streams after that. In between a stream's reader is woken each time that it waits and finds its stream still open: a loop without a pause. With one processor it keeps the connection's reader from its turn, until the runtime takes the processor away after 10 ms, and for ever where time does not go on. Class: a wait for a condition that stays true until someone else runs. Ruled out: loops of retries, redials, beats and timers of our own; each waits at least TickEvery, lookEvery, gather or a redial's pause, and none was in the stack. Change: io/link streams: deadlines of all streams are in the past before a session ends, by Close or by an error of its connection; Done is closed before the session's end.

--- a/io/link/link.go
+++ b/io/link/link.go
@@ -59,6 +59,7 @@
 type Link struct {
 	sess   *yamux.Session
 	stream net.Conn
+	open   *streams
 	handle handler
 	later  taker // Nil for none.
 	ctx    context.Context
@@ -86,7 +87,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("link: dial: %w", err)
 	}
-	sess, err := yamux.Client(conn, config())
+	open := &streams{}
+	sess, err := yamux.Client(&guarded{conn, open}, config())
 	if err != nil {
 		_ = conn.Close()
 		return nil, fmt.Errorf("link: open session: %w", err)
@@ -96,7 +98,7 @@
 		_ = sess.Close()
 		return nil, fmt.Errorf("link: open stream: %w", err)
 	}
-	return start(sess, stream, handle, later), nil
+	return start(sess, stream, open, handle, later), nil
 }
 
 func connect(ctx context.Context, addr netip.AddrPort, cfg *tls.Config) (net.Conn, error) {
@@ -119,7 +121,8 @@
 
 // Accept serves a connection that a peer dialled.
 func Accept(conn net.Conn, handle handler, later taker) (*Link, error) {
-	sess, err := yamux.Server(conn, config())
+	open := &streams{}
+	sess, err := yamux.Server(&guarded{conn, open}, config())
 	if err != nil {
 		_ = conn.Close()
 		return nil, fmt.Errorf("link: open session: %w", err)
@@ -131,7 +134,7 @@
 		_ = sess.Close()
 		return nil, fmt.Errorf("link: accept stream: %w", err)
 	}
-	return start(sess, stream, handle, later), nil
+	return start(sess, stream, open, handle, later), nil
 }
 
 func config() *yamux.Config {
@@ -142,9 +145,10 @@
 	return cfg
 }
 
-func start(sess *yamux.Session, stream net.Conn, handle handler, later taker) *Link {
+func start(sess *yamux.Session, stream net.Conn, open *streams, handle handler, later taker) *Link {
+	open.add(stream)
 	l := &Link{
-		sess: sess, stream: stream, handle: handle, later: later, done: make(chan struct{}), calls: map[uint64]chan *wire.Frame{},
+		sess: sess, stream: stream, open: open, handle: handle, later: later, done: make(chan struct{}), calls: map[uint64]chan *wire.Frame{},
 		out: make(chan []byte, queueLen), oneWay: make(chan *wire.Frame, queueLen), bulk: make(chan struct{}, bulkAtOnce),
 	}
 	l.ctx, l.cancel = context.WithCancel(context.Background())
@@ -197,6 +201,7 @@
 // Close ends the link. Calls that wait return ErrDown.
 func (l *Link) Close() error {
 	l.cancel()
+	l.open.end()
 	if err := l.sess.Close(); err != nil {
 		return fmt.Errorf("link: close: %w", err)
 	}
@@ -240,11 +245,13 @@
 		return fmt.Errorf("%w: open stream: %w", ErrDown, err)
 	}
 	defer func() { _ = s.Close() }()
+	defer l.open.drop(s)
 	end := time.Now().Add(bulkLimit)
 	if d, ok := ctx.Deadline(); ok && d.Before(end) {
 		end = d
 	}
-	_ = s.SetWriteDeadline(end)
+	l.open.add(s)
+	l.open.until(s.SetWriteDeadline, end)
 	stop := context.AfterFunc(ctx, func() { _ = s.SetWriteDeadline(time.Unix(1, 0)) })
 	defer stop()
 	if _, err := s.Write(data); err != nil {
@@ -265,7 +272,7 @@
 	for {
 		select {
 		case data := <-l.out:
-			_ = l.stream.SetWriteDeadline(time.Now().Add(SilenceLimit))
+			l.open.until(l.stream.SetWriteDeadline, time.Now().Add(SilenceLimit))
 			_, err := w.Write(data)
 			if err == nil && len(l.out) == 0 {
 				err = w.Flush()
--- a/io/link/read.go
+++ b/io/link/read.go
@@ -13,8 +13,10 @@
 
 // read takes the frames of the common stream until the link ends.
 func (l *Link) read() {
-	defer close(l.done)
-	defer func() { _ = l.Close() }()
+	defer func() {
+		close(l.done) // Callers need not wait for the session to end.
+		_ = l.Close()
+	}()
 	r := bufio.NewReaderSize(l.stream, bufSize)
 	for {
 		f, err := readFrame(r)
@@ -49,7 +51,9 @@
 	case <-l.ctx.Done():
 		return
 	}
-	_ = s.SetReadDeadline(time.Now().Add(bulkLimit))
+	l.open.add(s)
+	l.open.until(s.SetReadDeadline, time.Now().Add(bulkLimit))
+	defer l.open.drop(s)
 	f, err := readFrame(bufio.NewReaderSize(s, bufSize))
 	if err != nil {
 		return
