--- a/io/link/close_test.go
+++ b/io/link/close_test.go
@@ -68,7 +68,7 @@
 			conn, err := ln.Accept()
 			must.NoError(t, err)
 			h := &held{Conn: conn, let: make(chan struct{})}
-			l, err := Accept(h, func(context.Context, *wire.Frame) (*wire.Frame, error) { return nil, nil }, nil)
+			l, err := Accept(h, ack, nil)
 			must.NoError(t, err)
 			peer := <-dialled
 			must.NotNil(t, peer)
