--- a/core/batch/replay_test.go
+++ b/core/batch/replay_test.go
@@ -20,8 +20,8 @@
 )
 
 type (
-	// sort is one kind of requests in a replay, all streams.
-	sort struct {
+	// traffic is one kind of requests in a replay, all streams.
+	traffic struct {
 		route               string
 		priority            int32
 		rate                float64 // Requests a second outside of bursts.
@@ -33,7 +33,7 @@
 
 	// request is one caller's, with its return after a refusal.
 	request struct {
-		sort
+		traffic
 		came             time.Time
 		promptTokens     int64
 		tokens, estimate int64
@@ -150,9 +150,9 @@
 	r.take(r.Release(r.now, rel))
 }
 
-// play sends requests of some sorts, in bursts of so many times as much as usual for a
+// play sends requests of some kinds, in bursts of so many times as much as usual for a
 // third of the time, and returns all that were asked.
-func (r *replay) play(burst float64, sorts ...sort) []*request {
+func (r *replay) play(burst float64, kinds ...traffic) []*request {
 	const period = 15 * time.Second
 	for at := time.Duration(0); at < replayFor; at += replayStep {
 		r.now = r.now.Add(replayStep)
@@ -160,7 +160,7 @@
 		if at%period < period/3 {
 			load = burst
 		}
-		for _, s := range sorts {
+		for _, s := range kinds {
 			for due := s.rate * load * replayStep.Seconds(); due > r.rnd.Float64(); due-- {
 				r.ask(s)
 			}
@@ -170,9 +170,9 @@
 	return r.asked
 }
 
-// ask sends a new request of a sort.
-func (r *replay) ask(s sort) {
-	q := &request{sort: s, came: r.now, promptTokens: r.lognormal(s.prompt, 0.5), tokens: min(r.lognormal(s.answer, s.spread), s.most)}
+// ask sends a new request of a kind.
+func (r *replay) ask(s traffic) {
+	q := &request{traffic: s, came: r.now, promptTokens: r.lognormal(s.prompt, 0.5), tokens: min(r.lognormal(s.answer, s.spread), s.most)}
 	q.estimate = r.lognormal(float64(q.tokens), 0.5)
 	r.asked = append(r.asked, q)
 	r.submit(q)
@@ -212,8 +212,8 @@
 }
 
 // More is asked for than engines of unlike speeds can do, with bursts. Of the least urgent
-// sort, some answers are a hundred times as long as others. Callers with the longest
-// tenth are served at least half as often as all of that sort, by few engines as by many:
+// kind, some answers are a hundred times as long as others. Callers with the longest
+// tenth are served at least half as often as all of that kind, by few engines as by many:
 // a caller who needs much is not refused for it. The most urgent are served more often
 // than the others.
 func TestLongestAnswersInAShortage(t *testing.T) {
@@ -234,9 +234,9 @@
 				r := newReplay(seed, 6, slices.Repeat(speeds, tc.times)...)
 				n := tc.load * float64(tc.times)
 				list := r.play(2,
-					sort{"urgent", 0, 15 * n, 4000, 40, 0.7, 500, time.Second, 6 * time.Second},
-					sort{"usual", 1, 18 * n, 1800, 20, 0.7, 225, 1500 * ms, 4 * time.Second},
-					sort{"long", 2, 14 * n, 600, 125, 1.1, 2760, 2 * time.Second, 15 * time.Second},
+					traffic{"urgent", 0, 15 * n, 4000, 40, 0.7, 500, time.Second, 6 * time.Second},
+					traffic{"usual", 1, 18 * n, 1800, 20, 0.7, 225, 1500 * ms, 4 * time.Second},
+					traffic{"long", 2, 14 * n, 600, 125, 1.1, 2760, 2 * time.Second, 15 * time.Second},
 				)
 				sum += fairToLongest(t, list)
 			}
@@ -246,7 +246,7 @@
 }
 
 // fairToLongest checks the shares of a replay, and returns how often the longest tenth of
-// the long sort was served against all of it.
+// the long kind was served against all of it.
 func fairToLongest(t *testing.T, list []*request) float64 {
 	t.Helper()
 	by := map[string][]*request{}
@@ -256,7 +256,7 @@
 	long := by["long"]
 	slices.SortFunc(long, func(a, b *request) int { return int(a.tokens - b.tokens) })
 	all, largest := partServed(long), partServed(long[len(long)*9/10:])
-	t.Logf("served %.2f of the urgent, %.2f of the usual, %.2f of the long sort, %.2f of its longest tenth",
+	t.Logf("served %.2f of the urgent, %.2f of the usual, %.2f of the long kind, %.2f of its longest tenth",
 		partServed(by["urgent"]), partServed(by["usual"]), all, largest)
 	must.Less(t, 0.9, all, must.Sprint("there must be a shortage"))
 	must.Greater(t, partServed(by["usual"])-0.05, partServed(by["urgent"]))
