A server that stops answers what is connected to it

What callers saw: in the moment in which a process stops, connection resets, now and then an end of file, in place of an answer. They can't tell whether their request ran.

Cause: the kernel connects callers by itself and resets those that wait to be accepted when the listener is closed. The server closed it at once, whatever waited in it. Servers without Farewell also went on to Shutdown at once, from which net/http reads a request that is on its way and drops it.

The end of file is the same fault: the writing half of the client takes the reset, and the reading half then sees an end of file.

Change: io/listen accepts all that waits and stops listening in two system calls that follow each other; what it accepted is answered. All answers of a server that stops ask for the connection to be closed, and servers without Farewell answer for up to 1 s what is connected.

What is left are connections that the kernel makes between the two calls.

New tests: TestWaitingConnectionsAreAnswered failed before with "connection reset by peer", TestRequestOnItsWayIsAnswered with "unexpected EOF"; TestBrokenRequestsHaveNotRun passed before too.

--- a/io/certs/certs.go
+++ b/io/certs/certs.go
@@ -11,6 +11,8 @@
 	"sync"
 
 	"github.com/pkg/errors"
+
+	"azurelane/io/listen"
 )
 
 // ErrNoAuthority is returned when the file of the authority holds no certificate.
@@ -88,14 +90,26 @@
 	return cfg
 }
 
-// Wrap puts TLS around what a listener accepts, or nothing where cfg is nil.
+// Wrap makes a listener one that can be drained, and puts TLS around what it accepts
+// where cfg is not nil.
 func Wrap(ln net.Listener, cfg *tls.Config) net.Listener {
+	l := &listen.Listen{Listener: ln}
 	if cfg == nil {
-		return ln
+		return l
 	}
-	return tls.NewListener(ln, cfg)
+	return &secure{Listener: tls.NewListener(l, cfg), inner: l}
 }
 
+// secure is a TLS listener that can be drained.
+type secure struct {
+	net.Listener
+
+	inner *listen.Listen
+}
+
+// Drain drains the listener below TLS.
+func (s *secure) Drain() error { return s.inner.Drain() }
+
 // pair is a certificate with its key, read anew when the file has changed.
 type pair struct {
 	Certs
--- a/io/httpd/httpd.go
+++ b/io/httpd/httpd.go
@@ -11,53 +11,72 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"azurelane/io/listen"
 )
 
 const (
-	headerTime   = 10 * time.Second // A client's time to send its header.
-	idleTime     = 2 * time.Minute  // Of a kept-alive connection between requests.
-	maxHeader    = 32 << 10
-	stopTime     = 5 * time.Second // For requests in flight, where Drain is not set.
-	farewellStep = 10 * time.Millisecond
+	headerTime = 10 * time.Second // A client's time to send its header.
+	idleTime   = 2 * time.Minute  // Of a kept-alive connection between requests.
+	maxHeader  = 32 << 10
+	stopTime   = 5 * time.Second // For requests in flight, where Drain is not set.
+	lastTime   = time.Second     // For the last requests of open connections, where Farewell is not set.
+	drainStep  = 10 * time.Millisecond
 )
 
-// Httpd is one HTTP server. Its fields are set before Serve is called.
-type Httpd struct {
-	Listen  net.Listener
-	Handler http.Handler
-	Drain   time.Duration // Longest wait for requests in flight when it stops; zero takes 5 s.
-	// Farewell is how long the handler still answers after ctx has ended, as
-	// long as connections are open, and once more after nothing new is accepted. A kept-alive connection that is closed in
-	// the moment in which its client sends the next request looks to the client
-	// like an answer that was cut off. A handler that refuses with "Connection:
-	// close" in this time leaves no connection on which that could happen.
-	Farewell time.Duration
+type (
+	// Httpd is one HTTP server. Its fields are set before Serve is called.
+	Httpd struct {
+		Listen  net.Listener
+		Handler http.Handler
+		Drain   time.Duration // Longest wait for requests in flight when it stops; zero takes 5 s.
+		// Farewell is how long requests are still answered after ctx has ended, as long
+		// as connections are open, and once more after nothing new is accepted. Answers
+		// ask clients to close their connections then. One that is closed just when its
+		// client sends the next request looks to the client like an answer that was cut
+		// off. Zero takes nothing before, and 1 s after nothing new is accepted.
+		Farewell time.Duration
 
-	open atomic.Int64
-}
+		open     atomic.Int64
+		stopping atomic.Bool
+	}
+
+	// drainer is a listener that hands over what clients have connected before it closes.
+	drainer interface {
+		net.Listener
+		Drain() error
+	}
+)
 
 // Serve answers requests until ctx ends, then closes the listener and waits for
 // those in flight, streams of many minutes among them, for as long as Drain.
 func (h *Httpd) Serve(ctx context.Context) error {
+	h.stopping.Store(false)
 	srv := &http.Server{
-		Handler: h.Handler, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHeader,
+		Handler: http.HandlerFunc(h.answer), ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHeader,
 		ConnState: h.count,
 	}
+	ln, ok := h.Listen.(drainer)
+	if !ok {
+		ln = &listen.Listen{Listener: h.Listen}
+	}
 	done := make(chan error, 1)
-	go func() { done <- srv.Serve(h.Listen) }()
+	go func() { done <- srv.Serve(ln) }()
 	select {
 	case err := <-done:
 		return fmt.Errorf("httpd: serve: %w", err)
 	case <-ctx.Done():
 	}
-	h.farewell()
+	h.stopping.Store(true)
+	h.drain(h.Farewell)
 	// From Shutdown on net/http reads a request that is on its way and closes the
 	// connection without an answer. So nothing new is accepted first, and what was
-	// accepted is answered; a client would see an end of file else, and could not
-	// tell whether its request ran.
-	_ = h.Listen.Close()
+	// accepted is answered.
+	if err := ln.Drain(); err != nil {
+		_ = ln.Close()
+	}
 	err := <-done
-	h.farewell()
+	h.drain(cmp.Or(h.Farewell, lastTime))
 	sctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), cmp.Or(h.Drain, stopTime))
 	defer cancel()
 	if err := srv.Shutdown(sctx); err != nil {
@@ -69,10 +88,18 @@
 	return ctx.Err()
 }
 
-// farewell waits until all connections are closed or its time is over.
-func (h *Httpd) farewell() {
-	end := time.After(h.Farewell)
-	tick := time.NewTicker(farewellStep)
+// answer serves one request.
+func (h *Httpd) answer(w http.ResponseWriter, r *http.Request) {
+	if h.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	h.Handler.ServeHTTP(w, r)
+}
+
+// drain waits until all connections are closed, for as long as limit.
+func (h *Httpd) drain(limit time.Duration) {
+	end := time.After(limit)
+	tick := time.NewTicker(drainStep)
 	defer tick.Stop()
 	for h.open.Load() > 0 {
 		select {
--- a/io/httpd/httpd_test.go
+++ b/io/httpd/httpd_test.go
@@ -1,13 +1,16 @@
 package httpd_test
 
 import (
+	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -100,3 +103,160 @@
 		must.Eq(t, 0, cut.Load())
 	}
 }
+
+// stalled is a listener that accepts nothing before it is told to end.
+type stalled struct {
+	*net.TCPListener
+
+	once sync.Once
+	ends chan struct{}
+}
+
+func (s *stalled) Accept() (net.Conn, error) {
+	<-s.ends
+	return s.TCPListener.Accept()
+}
+
+func (s *stalled) SetDeadline(at time.Time) error {
+	defer s.once.Do(func() { close(s.ends) })
+	return s.TCPListener.SetDeadline(at)
+}
+
+func (s *stalled) Close() error {
+	defer s.once.Do(func() { close(s.ends) })
+	return s.TCPListener.Close()
+}
+
+// Guards against resets of callers that are connected and not accepted yet when the
+// server stops.
+func TestWaitingConnectionsAreAnswered(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		farewell time.Duration
+	}{
+		{"without farewell", 0},
+		{"with farewell", time.Second},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			must.NoError(t, err)
+			s := &stalled{TCPListener: ln.(*net.TCPListener), ends: make(chan struct{})}
+			ctx, cancel := context.WithCancel(t.Context())
+			h := &httpd.Httpd{Listen: s, Farewell: tc.farewell, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
+			done := make(chan error, 1)
+			go func() { done <- h.Serve(ctx) }()
+			conns := make([]net.Conn, 30)
+			for i := range conns {
+				conns[i], err = net.Dial("tcp", ln.Addr().String())
+				must.NoError(t, err)
+				_, err = conns[i].Write([]byte("GET / HTTP/1.1\r\nHost: a\r\n\r\n"))
+				must.NoError(t, err)
+			}
+			cancel()
+			for i, c := range conns {
+				mustAnswer(t, c, i)
+			}
+			must.ErrorIs(t, <-done, context.Canceled)
+		})
+	}
+}
+
+// Guards against a request that is read and dropped because the server stops meanwhile.
+func TestRequestOnItsWayIsAnswered(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	h := &httpd.Httpd{Listen: ln, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
+	done := make(chan error, 1)
+	go func() { done <- h.Serve(ctx) }()
+	c, err := net.Dial("tcp", ln.Addr().String())
+	must.NoError(t, err)
+	_, err = c.Write([]byte("GET / HTTP/1.1\r\nHost: a\r\n"))
+	must.NoError(t, err)
+	cancel()
+	for err == nil { // Until the server accepts nothing new.
+		var probe net.Conn
+		if probe, err = net.Dial("tcp", ln.Addr().String()); err == nil {
+			_ = probe.Close()
+		}
+	}
+	_, err = c.Write([]byte("\r\n"))
+	must.NoError(t, err)
+	mustAnswer(t, c, 0)
+	must.ErrorIs(t, <-done, context.Canceled)
+}
+
+// mustAnswer reads an answer that closes its connection.
+func mustAnswer(t *testing.T, c net.Conn, i int) {
+	t.Helper()
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	must.NoError(t, err, must.Sprint(i))
+	must.Eq(t, http.StatusOK, resp.StatusCode)
+	must.True(t, resp.Close)
+	must.NoError(t, resp.Body.Close())
+	must.NoError(t, c.Close())
+}
+
+// Guards against a stop that hides a run: callers whose connections break don't know
+// whether to send their requests again, so that none of these may have run.
+func TestBrokenRequestsHaveNotRun(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		kept bool // Callers keep their connections.
+	}{
+		{"new connections", false},
+		{"kept connections", true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			for range 20 {
+				ln, err := net.Listen("tcp", "127.0.0.1:0")
+				must.NoError(t, err)
+				ctx, cancel := context.WithCancel(t.Context())
+				var ran sync.Map
+				h := &httpd.Httpd{Listen: ln, Farewell: time.Second, Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+					ran.Store(r.URL.Path, true)
+				})}
+				done := make(chan error, 1)
+				go func() { done <- h.Serve(ctx) }()
+				var callers sync.WaitGroup
+				var hidden atomic.Int64
+				for n := range 6 {
+					callers.Go(func() {
+						tr := &http.Transport{DisableKeepAlives: !tc.kept}
+						defer tr.CloseIdleConnections()
+						broken := untilRefused(&http.Client{Transport: tr}, fmt.Sprintf("http://%s/%d-", ln.Addr(), n))
+						for _, path := range broken {
+							if _, ok := ran.Load(path); ok {
+								hidden.Add(1)
+							}
+						}
+					})
+				}
+				time.Sleep(5 * time.Millisecond)
+				cancel()
+				must.ErrorIs(t, <-done, context.Canceled)
+				callers.Wait()
+				must.Eq(t, 0, hidden.Load())
+			}
+		})
+	}
+}
+
+// untilRefused sends requests until a connection is refused, and returns the paths of
+// those that got no answer before.
+func untilRefused(c *http.Client, prefix string) []string {
+	var broken []string
+	for i := 0; ; i++ {
+		to := fmt.Sprintf("%s%d", prefix, i)
+		resp, err := c.Post(to, "text/plain", strings.NewReader("x"))
+		switch {
+		case err == nil:
+			_, _ = io.Copy(io.Discard, resp.Body)
+			_ = resp.Body.Close()
+		case errors.Is(err, syscall.ECONNREFUSED):
+			return broken
+		default:
+			broken = append(broken, to[strings.LastIndex(to, "/"):])
+		}
+	}
+}
--- /dev/null
+++ b/io/listen/listen.go
@@ -0,0 +1,99 @@
+// Package listen closes listeners without breaking the connections that wait in them.
+package listen
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
+)
+
+type (
+	// Listen is a listener that can be drained. Its Listener is set before use. One
+	// goroutine at a time may call Accept.
+	//
+	// The kernel connects clients by itself, and resets those that wait to be accepted
+	// when the listener is closed. By then they have often written a request, and a
+	// reset doesn't tell them whether it ran.
+	Listen struct {
+		net.Listener
+
+		draining atomic.Bool
+		swept    bool
+		rest     []net.Conn // Accepted by the sweep, not handed over yet.
+	}
+
+	// socket is what a TCP listener has beside net.Listener.
+	socket interface {
+		syscall.Conn
+		SetDeadline(t time.Time) error
+	}
+)
+
+// Drain makes Accept return the connections that wait, and then net.ErrClosed with the
+// listener closed. A client that connects between the last look and the closing, which
+// follow each other as two system calls, is still reset; its request was never read.
+func (l *Listen) Drain() error {
+	s, ok := l.Listener.(socket)
+	if !ok {
+		return l.Close()
+	}
+	l.draining.Store(true)
+	if err := s.SetDeadline(time.Unix(1, 0)); err != nil { // Ends the Accept that waits.
+		return fmt.Errorf("listen: drain: %w", err)
+	}
+	return nil
+}
+
+// Accept returns the next connection.
+func (l *Listen) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err == nil || !l.draining.Load() {
+		return conn, err
+	}
+	if !errors.Is(err, os.ErrDeadlineExceeded) && !l.swept {
+		return nil, fmt.Errorf("listen: accept: %w", err)
+	}
+	if !l.swept {
+		l.sweep()
+	}
+	if len(l.rest) == 0 {
+		return nil, fmt.Errorf("listen: drained: %w", net.ErrClosed)
+	}
+	conn, l.rest = l.rest[0], l.rest[1:]
+	return conn, nil
+}
+
+// sweep accepts all that waits, and closes the listener.
+func (l *Listen) sweep() {
+	l.swept = true
+	defer func() { _ = l.Close() }()
+	raw, err := l.Listener.(socket).SyscallConn()
+	if err != nil {
+		return
+	}
+	var fds []int
+	_ = raw.Control(func(fd uintptr) {
+		for {
+			n, _, err := unix.Accept4(int(fd), unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+			if err != nil {
+				break
+			}
+			fds = append(fds, n)
+		}
+		// Close would do this later, once the runtime has no more use for the socket.
+		_ = unix.Shutdown(int(fd), unix.SHUT_RDWR)
+	})
+	for _, fd := range fds {
+		f := os.NewFile(uintptr(fd), "accepted")
+		if conn, err := net.FileConn(f); err == nil {
+			l.rest = append(l.rest, conn)
+		}
+		_ = f.Close()
+	}
+}
