--- a/io/gated/gated.go
+++ b/io/gated/gated.go
@@ -36,8 +36,11 @@
 	// stopMargin is how long before the drain limit the process has ended.
 	stopMargin = 600 * time.Millisecond
 	farewell   = 700 * time.Millisecond // For kept connections, before and after nothing new is accepted.
-	usageEvery = 250 * time.Millisecond // Between two reports of what was served without asking.
-	idleConns  = 4 * time.Second        // How long an unused connection to an upstream is kept.
+	// opsFarewell is the same for the operators' ports, which stop last: the process has
+	// to end within the drain limit.
+	opsFarewell = 100 * time.Millisecond
+	usageEvery  = 250 * time.Millisecond // Between two reports of what was served without asking.
+	idleConns   = 4 * time.Second        // How long an unused connection to an upstream is kept.
 )
 
 // Gated is one such process. Open makes it.
@@ -89,7 +92,7 @@
 	e.front = &httpd.Httpd{Listen: lns[1], Handler: g, Drain: set.DrainLimit - lingerFor - 2*farewell - stopMargin, Farewell: farewell}
 	ops := &admin.Admin{Stats: metrics, Ready: g.Ready}
 	e.sup = suture.New("gate", suture.Spec{EventHook: func(ev suture.Event) { e.log.Info("Part stopped.", "event", ev.String()) }})
-	for _, s := range []suture.Service{e.mesh, e.watch, e.grant, &httpd.Httpd{Listen: lns[2], Handler: ops.Handler()}} {
+	for _, s := range []suture.Service{e.mesh, e.watch, e.grant, &httpd.Httpd{Listen: lns[2], Handler: ops.Handler(), Farewell: opsFarewell}} {
 		e.sup.Add(s)
 	}
 	if set.Metrics != "" {
@@ -97,7 +100,7 @@
 		if err != nil {
 			return nil, fmt.Errorf("gated: listen: %w", err)
 		}
-		e.sup.Add(&httpd.Httpd{Listen: ln, Handler: ops.Handler()})
+		e.sup.Add(&httpd.Httpd{Listen: ln, Handler: ops.Handler(), Farewell: opsFarewell})
 	}
 	return e, nil
 }
--- a/io/hubd/hubd.go
+++ b/io/hubd/hubd.go
@@ -39,7 +39,8 @@
 	// replicas are milliseconds apart, and while none leads, entries place
 	// requests by themselves.
 	election = 400 * time.Millisecond
-	forget   = time.Minute // After which a silent learner leaves the group.
+	farewell = 200 * time.Millisecond // For calls, before and after nothing new is accepted.
+	forget   = time.Minute            // After which a silent learner leaves the group.
 	// refusalLines is how many lines a second refused tickets get. A line costs some
 	// 20 us, ten times what it takes to refuse a ticket, so that this is at most
 	// 1 % of a core in a burst; entries have a line for each refusal.
@@ -52,6 +53,9 @@
 	log  logr.Logger
 	ctrl *ctrl.Ctrl
 	sup  *suture.Supervisor
+	// front takes the calls of upstreams and operators. It stops before the parts that
+	// it needs to answer them.
+	front *httpd.Httpd
 }
 
 // Open reads the data folder and binds the addresses. Calls makes the handler
@@ -102,8 +106,9 @@
 	d.ctrl.Sender = m
 	ops := &admin.Admin{Stats: metrics, Ready: d.ctrl.Ready}
 	d.sup = suture.New("hub", suture.Spec{EventHook: func(ev suture.Event) { d.log.Info("Part stopped.", "event", ev.String()) }})
+	d.front = &httpd.Httpd{Listen: front, Handler: calls(h), Farewell: farewell}
 	for _, s := range []suture.Service{
-		m, d.ctrl, h, &httpd.Httpd{Listen: front, Handler: calls(h)},
+		m, d.ctrl, h,
 		&form.Form{Form: group, Self: set.Peers, Centre: set.Centre, Replica: d.ctrl, Leader: toLeader, Log: d.log.WithName("form")},
 	} {
 		d.sup.Add(s)
@@ -136,7 +141,13 @@
 	defer cancel()
 	d.log.Info("Control serves.", "node", d.set.Node, "peers", d.set.Peers.String())
 	done := d.sup.ServeBackground(parts)
+	fctx, fstop := context.WithCancel(parts)
+	defer fstop()
+	served := make(chan error, 1)
+	go func() { served <- d.front.Serve(fctx) }()
 	select {
+	case err := <-served:
+		return fmt.Errorf("hubd: %w: %w", suture.ErrTerminateSupervisorTree, err)
 	case err := <-done:
 		if !errors.Is(err, suture.ErrTerminateSupervisorTree) {
 			err = fmt.Errorf("%w: %w", suture.ErrTerminateSupervisorTree, err)
@@ -147,6 +158,8 @@
 	lctx, lcancel := context.WithTimeout(parts, leaveLimit)
 	defer lcancel()
 	d.ctrl.Leave(lctx)
+	fstop()
+	<-served //nolint:errcheck // It ended because it was told to.
 	cancel()
 	<-done //nolint:errcheck // The parts ended because they were told to.
 	d.log.Info("Control stopped.")
