A scheduler that ends answers the tickets that wait there

Cause: when leadership ends, the scheduler's loop ends and nothing decides on what waits. Withdrawals of the entries are read by the hub, which has no scheduler to hand them to.

Change: at its end a scheduler answers what waits as withdrawn, and whatever comes later. Entries take that for a pool that has moved, and ask its owner of then.

Evidence: TestEndAnswersWhatWaits failed before with "no answer".

--- a/io/sched/sched.go
+++ b/io/sched/sched.go
@@ -33,7 +33,8 @@
 )
 
 const (
-	// withdrawn is the code of a call whose caller has gone; nobody reads it.
+	// withdrawn is the code of a call whose caller has gone, or which nobody here
+	// decides on any more: an entry that reads it asks the pool's owner of then.
 	withdrawn  = "withdrawn"
 	retryAfter = time.Second
 	// goneKeep is how long a withdrawal is remembered for a ticket that it has
@@ -56,6 +57,7 @@
 
 		mu    sync.RWMutex
 		pools map[string]*runner
+		ended bool
 	}
 
 	runner struct {
@@ -65,6 +67,7 @@
 		policy  kernel.Scheduler
 		waiting map[waitKey]*call
 		gone    map[waitKey]time.Time // Withdrawn of late.
+		closed  bool
 	}
 
 	// call waits for the decision on a ticket.
@@ -84,6 +87,9 @@
 func (s *Sched) Install(cfg *conf.Config) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.ended {
+		return
+	}
 	if s.pools == nil {
 		s.pools = map[string]*runner{}
 	}
@@ -131,7 +137,11 @@
 // link broke before the decision arrived, takes the place of its former call; that
 // one's end then withdraws nothing.
 func (s *Sched) Queue(ctx context.Context, t *wire.Ticket, done func(*wire.Decision)) {
-	r := s.pool(t.GetPool())
+	r, ended := s.runner(t.GetPool())
+	if ended {
+		done(refuse.Ticket(t, withdrawn, retryAfter))
+		return
+	}
 	if r == nil {
 		done(refuse.Ticket(t, refuse.NoUpstream, retryAfter))
 		return
@@ -160,12 +170,12 @@
 	}
 }
 
-// enter notes a call that waits. It reports false for a ticket whose
-// withdrawal has overtaken it.
+// enter notes a call that waits. It reports false for a ticket whose withdrawal has
+// overtaken it, or which comes after the end.
 func (r *runner) enter(ctx context.Context, k waitKey, c *call, t *wire.Ticket) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if _, gone := r.gone[k]; gone {
+	if _, gone := r.gone[k]; gone || r.closed {
 		return false
 	}
 	r.end(k, withdrawn)
@@ -266,8 +276,11 @@
 	}
 }
 
-// Serve ticks the policies until ctx ends.
+// Serve ticks the policies until ctx ends. Tickets that wait then are answered, and so
+// are those that come later: nobody decides on them any more, and their entries would
+// hear nothing for as long as their links live.
 func (s *Sched) Serve(ctx context.Context) error {
+	defer s.end()
 	tick := time.NewTimer(TickEvery)
 	defer tick.Stop()
 	for {
@@ -304,9 +317,26 @@
 }
 
 func (s *Sched) pool(name string) *runner {
+	r, _ := s.runner(name)
+	return r
+}
+
+// runner returns what schedules a pool, and whether this scheduler has ended.
+func (s *Sched) runner(name string) (*runner, bool) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	return s.pools[name]
+	return s.pools[name], s.ended
+}
+
+// end answers what waits.
+func (s *Sched) end() {
+	s.mu.Lock()
+	pools := s.pools
+	s.pools, s.ended = nil, true
+	s.mu.Unlock()
+	for _, r := range pools {
+		r.close()
+	}
 }
 
 // Speeds is what the policies that learn believe of their upstreams, by pool: the time
@@ -377,3 +407,16 @@
 		r.end(k, refuse.NotFound)
 	}
 }
+
+// close answers what waits, one after the other, as a goroutine each would keep all else
+// from running.
+func (r *runner) close() {
+	r.mu.Lock()
+	calls := r.waiting
+	r.waiting, r.closed = map[waitKey]*call{}, true
+	r.mu.Unlock()
+	for k, c := range calls {
+		c.stop()
+		c.done(refuse.Ticket(&wire.Ticket{Id: k.ticket, Incarnation: k.incarnation}, withdrawn, retryAfter))
+	}
+}
--- a/io/sched/sched_test.go
+++ b/io/sched/sched_test.go
@@ -160,3 +160,28 @@
 		must.ErrorIs(t, <-done, context.Canceled)
 	})
 }
+
+// Guards against tickets that stay with a scheduler that has ended: their entries hear
+// nothing of them until their links end.
+func TestEndAnswersWhatWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSched()
+		ctx, end := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- s.Serve(ctx) }()
+		must.NotNil(t, s.Submit(t.Context(), ticket(1)).GetGrant())
+		waits := submit(t.Context(), s, 2)
+		end()
+		synctest.Wait()
+		select {
+		case d := <-waits:
+			must.Eq(t, "withdrawn", d.GetRefusal().GetCode())
+			must.Eq(t, 2, d.GetTicket())
+		default:
+			t.Fatal("no answer")
+		}
+		must.ErrorIs(t, <-ended, context.Canceled)
+		must.Eq(t, "withdrawn", s.Submit(t.Context(), ticket(3)).GetRefusal().GetCode())
+		must.Zero(t, s.Waiting())
+	})
+}
