A scheduler behind a cut counts the entries of its own data centre

Cause: a leader that is cut off goes on as the scheduler of its data centre, with an equal share of each rate for the entries it has.

Ruled out: requests that pass twice (177 ids were sent a second time, which counts once), entries that go alone for the 0.7 s of the takeover (they pass more than the rate, but as before the cut began).

TestRatesWhileAFormerLeaderIsCutOff failed before: 506 units a second of at most 64.

--- a/io/hub/scope_test.go
+++ b/io/hub/scope_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
 
+	"azurelane/core/allow"
 	"azurelane/core/raft"
 	"azurelane/core/wire"
 )
@@ -107,20 +109,47 @@
 			})
 			must.NoError(t, err)
 		}
-		units := 0.0
-		const span = 8 * time.Second
-		for end := time.Now().Add(span); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-			r := h.scheduler()
-			r.mu.Lock()
-			if _, ok := r.allow.Take(time.Now(), "a", 10); ok {
-				units += 10
-			}
-			r.mu.Unlock()
+		must.Between(t, 450, passesHere(h), 550)
+	})
+}
+
+// Guards against a former leader that takes the entries of all data centres for those
+// behind the cut with it: an account gets half of its rate there, beside what the next
+// leader lets pass.
+func TestRatesWhileAFormerLeaderIsCutOff(t *testing.T) {
+	run(t, func(t *testing.T, h *Hub, f *fakeReplica) {
+		h.Centre = "z1"
+		for i := range 10 {
+			e := fmt.Sprint("e", i)
+			_, err := ask(h, &wire.Watch{Node: e, Incarnation: e, DataCentre: fmt.Sprint("z", i+1)})
+			must.NoError(t, err)
 		}
-		must.Between(t, 450, units/span.Seconds(), 550)
+		cutOff(t, h, f)
+		_, err := ask(h, &wire.Watch{Node: "e0", Incarnation: "e0", DataCentre: "z1", Entries: 10, Alone: true})
+		must.NoError(t, err)
+		const equal, request = 1000 / 10 * allow.EqualPart, 10
+		must.Between(t, equal, passesHere(h), equal+(allow.FreshPart*1000+request)/passesSpan.Seconds())
 	})
 }
 
+// passesSpan is a window of rates.
+const passesSpan = 8 * time.Second
+
+// passesHere is what an account that asks for more than its rate gets from the scheduler
+// here, in units a second.
+func passesHere(h *Hub) float64 {
+	units := 0.0
+	for end := time.Now().Add(passesSpan); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		r := h.scheduler()
+		r.mu.Lock()
+		if _, ok := r.allow.Take(time.Now(), "a", 10); ok {
+			units += 10
+		}
+		r.mu.Unlock()
+	}
+	return units / passesSpan.Seconds()
+}
+
 // A data centre falls silent: no replica there answers, and nothing that was sent
 // there ends. A replica alone that has ended is no sign of that, as upstreams beside
 // it go on ending runs, nor are upstreams that have nothing to do.
--- a/io/hub/watch.go
+++ b/io/hub/watch.go
@@ -59,7 +59,7 @@
 		if old := h.watchers.note(w, time.Now()); old != "" {
 			r.forget(old)
 		}
-		r.join(w, h.watchers.count(time.Now()))
+		r.join(w, h.here(r))
 		lost := r.reach.changed()
 		n, fresh, err := h.news(r, w)
 		if err != nil || fresh || stirred {
@@ -81,9 +81,18 @@
 	}
 }
 
+// here is how many entries a scheduler may serve. One of a data centre may have led
+// before, and has heard those of all others then.
+func (h *Hub) here(r *reign) int64 {
+	if r.scope == centre {
+		return h.watchers.countIn(time.Now(), h.Centre)
+	}
+	return h.watchers.count(time.Now())
+}
+
 // news is what there is to tell, and whether any of it is new.
 func (h *Hub) news(r *reign, w *wire.Watch) (*wire.News, bool, error) {
-	n := &wire.News{Leader: r.id, Entries: r.entries(h.watchers.count(time.Now()))}
+	n := &wire.News{Leader: r.id, Entries: r.entries(h.here(r))}
 	_, all, _ := h.Replica.Group()
 	for _, p := range all {
 		n.Replicas = append(n.Replicas, p.GetAddress())
@@ -177,6 +186,19 @@
 	return n
 }
 
+// countIn is the number of those in one data centre.
+func (s *watchers) countIn(now time.Time, dataCentre string) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := int64(0)
+	for _, e := range s.byNode {
+		if e.dataCentre == dataCentre && now.Sub(e.seen) <= countFor {
+			n++
+		}
+	}
+	return n
+}
+
 // silent lists the incarnations that were not heard for a while, or whose data centre
 // seems cut off, and may go on behind a cut.
 func (s *watchers) silent(now time.Time, lost []string) []string {
