A test that even load keeps its line

What was seen: BenchmarkAssign did not end with default times.

Cause: until the policy believed engines ever busier under even load, until it granted nothing for a run that had ended; the line then grew with each round.

The benchmark stays as it is.

--- a/core/batch/batch_test.go
+++ b/core/batch/batch_test.go
@@ -268,6 +268,25 @@
 	must.Len(t, extraPlaces, e.fill(3))
 }
 
+// Guards against a policy that believes, a little more with each run, that engines are
+// busy, until it places nothing and the line grows: each run that ends makes room for one.
+func TestEvenLoadKeepsItsLine(t *testing.T) {
+	const waiting, rounds = 30, 20000
+	var names []string
+	for i := range 90 {
+		names = append(names, fmt.Sprint("e", i))
+	}
+	e := newEngines(6, names...)
+	running := e.fill(90*(6+extraPlaces) + waiting)
+	for i := range rounds {
+		out := e.end(running[i%len(running)], 60*time.Millisecond, 300*time.Millisecond, 11)
+		must.Len(t, 1, out, must.Sprint(i))
+		running[i%len(running)] = out[0]
+		must.SliceEmpty(t, e.fill(1), must.Sprint(i))
+		must.Len(t, waiting, e.waiting, must.Sprint(i))
+	}
+}
+
 // BenchmarkAssign is one grant and one release with many tickets waiting for 90
 // engines, about the load of a burst on the larger deployments. Purpose: well
 // below the 0.4 ms that half of a core has for each of a thousand a second. With 30,
