A process that stops leaves no call of its peers in doubt

What peers saw: calls on a link to a process that stops ended with "link: down", answered or not, and connections that waited were reset. Commands are sent again by their id, and tickets are placed anew, so that callers only waited longer.

Cause: the listener for links was closed like that of HTTP, and links were closed while calls on them were being answered.

Change: the listener is drained; calls that come then are refused as moved, for 50 ms, and those made before get up to 200 ms for their answers. Both servers and links use listen.Of.

Evidence: TestStopLeavesNoCallInDoubt failed before in both rows with "link: down".

--- a/io/certs/certs.go
+++ b/io/certs/certs.go
@@ -93,7 +93,7 @@
 // Wrap makes a listener one that can be drained, and puts TLS around what it accepts
 // where cfg is not nil.
 func Wrap(ln net.Listener, cfg *tls.Config) net.Listener {
-	l := &listen.Listen{Listener: ln}
+	l := listen.Of(ln)
 	if cfg == nil {
 		return l
 	}
@@ -104,7 +104,7 @@
 type secure struct {
 	net.Listener
 
-	inner *listen.Listen
+	inner listen.Listen
 }
 
 // Drain drains the listener below TLS.
--- a/io/httpd/httpd.go
+++ b/io/httpd/httpd.go
@@ -24,29 +24,21 @@
 	drainStep  = 10 * time.Millisecond
 )
 
-type (
-	// Httpd is one HTTP server. Its fields are set before Serve is called.
-	Httpd struct {
-		Listen  net.Listener
-		Handler http.Handler
-		Drain   time.Duration // Longest wait for requests in flight when it stops; zero takes 5 s.
-		// Farewell is how long requests are still answered after ctx has ended, as long
-		// as connections are open, and once more after nothing new is accepted. Answers
-		// ask clients to close their connections then. One that is closed just when its
-		// client sends the next request looks to the client like an answer that was cut
-		// off. Zero takes nothing before, and 1 s after nothing new is accepted.
-		Farewell time.Duration
+// Httpd is one HTTP server. Its fields are set before Serve is called.
+type Httpd struct {
+	Listen  net.Listener
+	Handler http.Handler
+	Drain   time.Duration // Longest wait for requests in flight when it stops; zero takes 5 s.
+	// Farewell is how long requests are still answered after ctx has ended, as long
+	// as connections are open, and once more after nothing new is accepted. Answers
+	// ask clients to close their connections then. One that is closed just when its
+	// client sends the next request looks to the client like an answer that was cut
+	// off. Zero takes nothing before, and 1 s after nothing new is accepted.
+	Farewell time.Duration
 
-		open     atomic.Int64
-		stopping atomic.Bool
-	}
-
-	// drainer is a listener that hands over what clients have connected before it closes.
-	drainer interface {
-		net.Listener
-		Drain() error
-	}
-)
+	open     atomic.Int64
+	stopping atomic.Bool
+}
 
 // Serve answers requests until ctx ends, then closes the listener and waits for
 // those in flight, streams of many minutes among them, for as long as Drain.
@@ -56,10 +48,7 @@
 		Handler: http.HandlerFunc(h.answer), ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHeader,
 		ConnState: h.count,
 	}
-	ln, ok := h.Listen.(drainer)
-	if !ok {
-		ln = &listen.Listen{Listener: h.Listen}
-	}
+	ln := listen.Of(h.Listen)
 	done := make(chan error, 1)
 	go func() { done <- srv.Serve(ln) }()
 	select {
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -76,7 +76,9 @@
 	calls map[uint64]chan *wire.Frame
 	last  uint64
 
-	serving atomic.Int64 // Calls of the peer being answered.
+	serving  atomic.Int64 // Calls of the peer being answered.
+	unsent   atomic.Int64 // Small frames that are not written yet.
+	refusing atomic.Bool  // Calls of the peer.
 }
 
 // Dial connects to a peer. Frames that the peer sends on its own go to handle,
@@ -208,6 +210,13 @@
 	return nil
 }
 
+// Refuse answers the calls that the peer makes from now on with a fault that says that
+// they were not taken. A call that is lost with its link leaves the peer in doubt.
+func (l *Link) Refuse() { l.refusing.Store(true) }
+
+// Idle reports whether all calls of the peer are answered.
+func (l *Link) Idle() bool { return l.serving.Load() == 0 && l.unsent.Load() == 0 }
+
 // Wait returns when the link has ended and its goroutines too, but for handlers
 // of calls, whose context has ended.
 func (l *Link) Wait() { l.wg.Wait() }
@@ -228,12 +237,15 @@
 	if buf.Len() >= BulkSize {
 		return l.putBulk(ctx, buf.Bytes())
 	}
+	l.unsent.Add(1)
 	select {
 	case l.out <- buf.Bytes():
 		return nil
 	case <-l.ctx.Done():
+		l.unsent.Add(-1)
 		return ErrDown
 	case <-ctx.Done():
+		l.unsent.Add(-1)
 		return fmt.Errorf("link: send: %w", ctx.Err())
 	}
 }
@@ -269,13 +281,17 @@
 func (l *Link) write() {
 	defer func() { _ = l.Close() }()
 	w := bufio.NewWriterSize(l.stream, bufSize)
+	written := int64(0)
 	for {
 		select {
 		case data := <-l.out:
 			l.open.until(l.stream.SetWriteDeadline, time.Now().Add(SilenceLimit))
 			_, err := w.Write(data)
+			written++
 			if err == nil && len(l.out) == 0 {
 				err = w.Flush()
+				l.unsent.Add(-written)
+				written = 0
 			}
 			if err != nil {
 				return
--- a/io/listen/listen.go
+++ b/io/listen/listen.go
@@ -14,13 +14,24 @@
 )
 
 type (
-	// Listen is a listener that can be drained. Its Listener is set before use. One
-	// goroutine at a time may call Accept.
+	// Listen is a listener that can be drained.
 	//
 	// The kernel connects clients by itself, and resets those that wait to be accepted
 	// when the listener is closed. By then they have often written a request, and a
 	// reset doesn't tell them whether it ran.
-	Listen struct {
+	Listen interface {
+		net.Listener
+
+		// Drain makes Accept return the connections that wait, and then net.ErrClosed
+		// with the listener closed. A client that connects between the last look and the
+		// closing, which follow each other as two system calls, is still reset; its
+		// request was never read.
+		Drain() error
+	}
+
+	// queue is a TCP listener that can be drained. One goroutine at a time may call its
+	// Accept.
+	queue struct {
 		net.Listener
 
 		draining atomic.Bool
@@ -35,23 +46,30 @@
 	}
 )
 
-// Drain makes Accept return the connections that wait, and then net.ErrClosed with the
-// listener closed. A client that connects between the last look and the closing, which
-// follow each other as two system calls, is still reset; its request was never read.
-func (l *Listen) Drain() error {
+// Of returns ln itself where it can be drained, or else a listener around it that can
+// be, if ln listens on TCP.
+func Of(ln net.Listener) Listen {
+	if l, ok := ln.(Listen); ok {
+		return l
+	}
+	return &queue{Listener: ln}
+}
+
+// Drain ends the Accept that waits, and has the next ones return what is connected.
+func (l *queue) Drain() error {
 	s, ok := l.Listener.(socket)
 	if !ok {
 		return l.Close()
 	}
 	l.draining.Store(true)
-	if err := s.SetDeadline(time.Unix(1, 0)); err != nil { // Ends the Accept that waits.
+	if err := s.SetDeadline(time.Unix(1, 0)); err != nil {
 		return fmt.Errorf("listen: drain: %w", err)
 	}
 	return nil
 }
 
 // Accept returns the next connection.
-func (l *Listen) Accept() (net.Conn, error) {
+func (l *queue) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
 	if err == nil || !l.draining.Load() {
 		return conn, err
@@ -70,7 +88,7 @@
 }
 
 // sweep accepts all that waits, and closes the listener.
-func (l *Listen) sweep() {
+func (l *queue) sweep() {
 	l.swept = true
 	defer func() { _ = l.Close() }()
 	raw, err := l.Listener.(socket).SyscallConn()
--- a/io/listen/listen_test.go
+++ b/io/listen/listen_test.go
@@ -28,7 +28,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			inner, err := net.Listen("tcp", tc.addr)
 			must.NoError(t, err)
-			ln := &listen.Listen{Listener: inner}
+			ln := listen.Of(inner)
 			ended := make(chan error, 1)
 			if tc.before {
 				go func() {
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -15,6 +15,7 @@
 
 	"azurelane/core/wire"
 	"azurelane/io/link"
+	"azurelane/io/listen"
 )
 
 const (
@@ -26,6 +27,11 @@
 	// reach; ten refused dials a second cost a process nothing.
 	mostBackoff = 100 * time.Millisecond
 	acceptPause = 50 * time.Millisecond
+	// settleLeast is how long calls are still read and refused by a mesh that stops, and
+	// settleMost how long those that were made before may take to be answered.
+	settleLeast = 50 * time.Millisecond
+	settleMost  = 200 * time.Millisecond
+	settleStep  = 5 * time.Millisecond
 )
 
 var (
@@ -49,39 +55,89 @@
 
 	mu     sync.Mutex
 	closed bool
+	stops  bool
 	peers  map[netip.AddrPort]*peer
 	in     map[*link.Link]struct{}
 	conns  map[net.Conn]struct{} // Accepted, no link yet.
 	wg     sync.WaitGroup
 }
 
-// Serve accepts peers until ctx ends, then closes every link.
+// Serve accepts peers until ctx ends. Calls that peers make then are refused, those that
+// they made before are answered, and every link is closed.
 func (m *Mesh) Serve(ctx context.Context) error {
 	m.mu.Lock()
-	m.closed = false
+	m.closed, m.stops = false, false
 	m.mu.Unlock()
-	stop := context.AfterFunc(ctx, func() { _ = m.Listen.Close() })
+	ln := listen.Of(m.Listen)
+	stop := context.AfterFunc(ctx, func() {
+		m.refuse()
+		if err := ln.Drain(); err != nil {
+			_ = ln.Close()
+		}
+	})
 	defer stop()
 	defer m.Close()
 	for {
-		conn, err := m.Listen.Accept()
-		if ctx.Err() != nil {
+		conn, err := ln.Accept()
+		switch {
+		case err == nil:
+			m.wg.Go(func() { m.accept(conn) })
+		case ctx.Err() != nil:
+			m.settle()
 			return ctx.Err()
-		}
-		if errors.Is(err, net.ErrClosed) {
+		case errors.Is(err, net.ErrClosed):
 			return fmt.Errorf("mesh: accept: %w", err)
-		}
-		if err != nil {
+		default:
 			// Mostly a lack of file descriptors, which passes. Ending here would
 			// close the links that work.
 			m.Log.Info("Peer not accepted.", "err", err.Error())
 			time.Sleep(acceptPause)
-			continue
 		}
-		m.wg.Go(func() { m.accept(conn) })
 	}
 }
 
+// refuse has all links refuse calls.
+func (m *Mesh) refuse() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.stops = true
+	for l := range m.in {
+		l.Refuse()
+	}
+	for _, p := range m.peers {
+		if p.alive() {
+			p.link.Refuse()
+		}
+	}
+}
+
+// settle waits until calls are answered.
+func (m *Mesh) settle() {
+	start := time.Now()
+	for passed := time.Duration(0); passed < settleMost; passed = time.Since(start) {
+		if passed >= settleLeast && m.idle() {
+			return
+		}
+		time.Sleep(settleStep)
+	}
+}
+
+func (m *Mesh) idle() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for l := range m.in {
+		if !l.Idle() {
+			return false
+		}
+	}
+	for _, p := range m.peers {
+		if p.alive() && !p.link.Idle() {
+			return false
+		}
+	}
+	return true
+}
+
 // Call sends a frame to a peer and waits for its reply.
 func (m *Mesh) Call(ctx context.Context, to netip.AddrPort, f *wire.Frame) (*wire.Frame, error) {
 	if to == m.Self {
@@ -128,6 +184,9 @@
 	if err == nil {
 		m.in[l] = struct{}{}
 	}
+	if err == nil && m.stops {
+		l.Refuse()
+	}
 	m.mu.Unlock()
 	if err != nil {
 		m.Log.V(1).Info("Peer not accepted.", "peer", conn.RemoteAddr().String(), "err", err.Error())
--- a/io/mesh/mesh_test.go
+++ b/io/mesh/mesh_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/shoenig/test/must"
 	"go.uber.org/goleak"
 
@@ -102,3 +103,82 @@
 	_, err = a.Call(t.Context(), b.Self, frame())
 	must.ErrorIs(t, err, ErrClosed)
 }
+
+// stalled is a listener that accepts nothing before it is told to end.
+type stalled struct {
+	*net.TCPListener
+
+	once sync.Once
+	ends chan struct{}
+}
+
+func (s *stalled) Accept() (net.Conn, error) {
+	<-s.ends
+	return s.TCPListener.Accept()
+}
+
+func (s *stalled) SetDeadline(at time.Time) error {
+	defer s.once.Do(func() { close(s.ends) })
+	return s.TCPListener.SetDeadline(at)
+}
+
+func (s *stalled) Close() error {
+	defer s.once.Do(func() { close(s.ends) })
+	return s.TCPListener.Close()
+}
+
+// Guards against peers that are left in doubt by a process that stops: a call is answered,
+// or refused without having been taken.
+func TestStopLeavesNoCallInDoubt(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		waits bool // The peer is connected and not accepted when the process stops.
+		code  string
+	}{
+		{"a call that is being answered", false, ""},
+		{"a call on a connection that waits", true, wire.CodeMoved},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			inner, err := net.Listen("tcp", "127.0.0.1:0")
+			must.NoError(t, err)
+			ln := inner
+			if tc.waits {
+				ln = &stalled{TCPListener: inner.(*net.TCPListener), ends: make(chan struct{})}
+			}
+			ctx, cancel := context.WithCancel(context.Background())
+			taken := make(chan struct{})
+			m := &Mesh{Listen: ln, Self: netip.MustParseAddrPort(inner.Addr().String()), Handle: func(ctx context.Context, f *wire.Frame) (*wire.Frame, error) {
+				close(taken)
+				time.Sleep(20 * time.Millisecond)
+				return ack(ctx, f)
+			}}
+			done := make(chan error, 1)
+			go func() { done <- m.Serve(ctx) }()
+			peer := serve(t)
+			called := make(chan error, 1)
+			go func() {
+				_, err := peer.Call(t.Context(), m.Self, frame())
+				called <- err
+			}()
+			if tc.waits {
+				for linked := false; !linked; time.Sleep(time.Millisecond) {
+					peer.mu.Lock()
+					linked = peer.peers[m.Self] != nil && peer.peers[m.Self].link != nil
+					peer.mu.Unlock()
+				}
+			} else {
+				<-taken
+			}
+			cancel()
+			err = <-called
+			must.ErrorIs(t, <-done, context.Canceled)
+			if tc.code == "" {
+				must.NoError(t, err)
+				return
+			}
+			var fault *wire.Fault
+			must.True(t, errors.As(err, &fault), must.Sprint(err))
+			must.Eq(t, tc.code, fault.GetCode())
+		})
+	}
+}
--- a/io/mesh/peer.go
+++ b/io/mesh/peer.go
@@ -81,6 +81,9 @@
 		return
 	}
 	p.link, p.fails, p.until = l, 0, time.Time{}
+	if m.stops {
+		l.Refuse()
+	}
 	if m.closed {
 		_ = l.Close()
 	}
