Size classes have deficits and weights, the usual terms

What waits in core/batch was told in words of its own: what is owed to a band, and its boost. No behaviour changes; tests are unchanged but for these names.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -214,7 +214,7 @@
 			return out
 		}
 		i := b.waiting[n]
-		i.kind.ended(now.Sub(b.started), i.band, true, !i.returned && now.Sub(b.started)+e.pace.expect(now, e.Upstream, i.prompt) <= i.onTime)
+		i.kind.ended(now.Sub(b.started), i.class, true, !i.returned && now.Sub(b.started)+e.pace.expect(now, e.Upstream, i.prompt) <= i.onTime)
 		b.waiting = slices.Delete(b.waiting, n, n+1)
 		delete(b.items, ticketKey{i.GetIncarnation(), i.GetId()})
 		s := &slot.Slot{Up: e.Upstream, Ticket: i.Ticket, Kept: kept(e.Upstream, i)}
@@ -244,7 +244,7 @@
 		if at < i.giveUp {
 			return false
 		}
-		i.kind.ended(at, i.band, false, false)
+		i.kind.ended(at, i.class, false, false)
 		out = append(out, refuse.Ticket(i.Ticket, refuse.Overloaded, b.retry(i)))
 		return true
 	})
--- a/core/batch/item.go
+++ b/core/batch/item.go
@@ -55,7 +55,7 @@
 		answer   int64   // Tokens to reckon with, by its caller's estimate.
 		reads    float64 // Time of reading the prompt, in times of an answer token.
 		kind     *kind
-		band     band
+		class    sizeClass
 		returned bool // It came back after a refusal or a run that broke off.
 	}
 )
@@ -83,7 +83,7 @@
 		i.returned = true
 		i.giveUp = now + (i.end-now)/lateWait
 	}
-	i.kind, i.band = k, k.seen(t)
+	i.kind, i.class = k, k.seen(t)
 	k.seenAt = now
 	k.rate.add(now)
 	worth := math.Pow(priorityFactor, -float64(t.GetPriority()+t.GetAccountPriority())) * k.size
@@ -96,7 +96,7 @@
 
 // score is what it earns when its first piece comes at a time.
 func (i *item) score(first time.Duration) float64 {
-	earns := i.earns * i.kind.boosts[i.band] * i.kind.urgency
+	earns := i.earns * i.kind.weights[i.class] * i.kind.urgency
 	switch {
 	case i.returned:
 		return earns * (lateCredit + returnCredit)
--- a/core/batch/kind.go
+++ b/core/batch/kind.go
@@ -23,48 +23,44 @@
 	priority float64
 	timely   served
 	urgency  float64
-	rate     rate           // Of its requests.
-	endedAt  time.Duration  // When the last one ended, since the policy's start.
-	owed     [bands]float64 // Places that a band would have had as often as its kind, less those it had.
-	boosts   [bands]float64 // How much more each band counts.
+	rate     rate                 // Of its requests.
+	endedAt  time.Duration        // When the last one ended, since the policy's start.
+	deficits [sizeClasses]float64 // Places that a size class would have had as often as its kind, less those it had.
+	weights  [sizeClasses]float64 // Of each size class against the others.
 	all      served
 	length   length
 }
 
-// band is a part of a kind's requests by size: the largest tenth, the fifth below
+// sizeClass is a part of a kind's requests by size: the largest tenth, the fifth below
 // it, and the rest.
-type band int
+type sizeClass int
 
 const (
-	rest band = iota
+	rest sizeClass = iota
 	large
 	largest
-	bands
+	sizeClasses
 )
 
 const (
 	keepSizes   = 64
-	largeFrom   = 0.7 // Rank among the sizes kept at which the band begins.
+	largeFrom   = 0.7 // Rank among the sizes kept at which the class begins.
 	largestFrom = 0.9
 	kindRate    = 0.05 // Weight of one request in the means.
-	// mostBoost bounds how much more counts what got less than its like, and mostOwed
-	// the units that are owed to a band of sizes: more than that is not made up for.
-	mostBoost = 4
-	mostOwed  = mostBoost - 1
-	// owedSpan is how long what is owed is remembered. A long answer waits for a place
-	// that few engines can give, and what was forgotten meanwhile was never made up for:
-	// with a fifth of that memory the longest were served 0.67 times as often as all, in
-	// place of 0.75 (mean of eight replays of a shortage).
-	owedSpan = 40 * time.Second
-	// unitSpan is the time whose requests of a band are owed as one unit of its boost.
-	// Counted in single places, the bound of what is owed stood for two seconds of large
-	// requests where nine engines serve, and for a tenth of one where a hundred do: runs
-	// that broke after ten seconds were never made up for there.
+	// maxWeight bounds the weight of a size class, and maxDeficit what is made up for, in
+	// units.
+	maxWeight  = 4
+	maxDeficit = maxWeight - 1
+	// deficitSpan is the time constant with which deficits decay. Few engines can take a
+	// long answer, so that it is served long after its class fell behind.
+	deficitSpan = 40 * time.Second
+	// unitSpan is the time whose requests of a class make one unit of its deficit, so that
+	// the bound holds for as long on a large deployment as on a small one.
 	unitSpan = 800 * time.Millisecond
 )
 
-// seen learns from a new request and tells its band.
-func (k *kind) seen(t *wire.Ticket) band {
+// seen learns from a new request and returns its size class.
+func (k *kind) seen(t *wire.Ticket) sizeClass {
 	s := size(t)
 	if t.GetGapUs() > 0 {
 		k.gap = time.Duration(t.GetGapUs()) * time.Microsecond
@@ -81,11 +77,11 @@
 	k.size += kindRate * (s - k.size)
 	k.prompt += kindRate * (float64(t.GetPromptTokens()) - k.prompt)
 	k.answer += kindRate * (float64(t.GetAnswerTokens()) - k.answer)
-	return k.band(s)
+	return k.class(s)
 }
 
-// band is that of a size among those kept.
-func (k *kind) band(s float64) band {
+// class is the size class of a size among those kept.
+func (k *kind) class(s float64) sizeClass {
 	below, kept := 0, min(k.n, keepSizes)
 	for _, other := range k.sizes[:kept] {
 		if other < s {
@@ -102,49 +98,45 @@
 }
 
 // ended notes whether a request got a place, and whether it got it in time.
-func (k *kind) ended(now time.Duration, b band, placed, timely bool) {
+func (k *kind) ended(now time.Duration, c sizeClass, placed, timely bool) {
 	k.all.note(!placed)
 	k.timely.note(!timely)
-	k.owed[b] += 1 - k.all.lost
+	k.deficits[c] += 1 - k.all.lost
 	if placed {
-		k.owed[b]--
+		k.deficits[c]--
 	}
-	keep := math.Exp(-(now - k.endedAt).Seconds() / owedSpan.Seconds())
+	keep := math.Exp(-(now - k.endedAt).Seconds() / deficitSpan.Seconds())
 	k.endedAt = now
-	for b := range k.owed {
-		most := mostOwed * k.unit(band(b))
-		k.owed[b] = min(max(k.owed[b]*keep, -most), most)
+	for c := range k.deficits {
+		most := maxDeficit * k.unit(sizeClass(c))
+		k.deficits[c] = min(max(k.deficits[c]*keep, -most), most)
 	}
 	k.weigh()
 }
 
-// broke notes that a run did not come to its end: a place that brings no answer is owed
-// still. Long runs are broken off most, by their deadline or with their engine.
+// broke notes that a run did not come to its end: a place that brings no answer adds to
+// the deficit again. Long runs are broken off most, by their deadline or with their engine.
 func (k *kind) broke(t *wire.Ticket) {
-	b := k.band(size(t))
-	k.owed[b] = min(k.owed[b]+1, mostOwed*k.unit(b))
+	c := k.class(size(t))
+	k.deficits[c] = min(k.deficits[c]+1, maxDeficit*k.unit(c))
 	k.weigh()
 }
 
-// weigh sets how much more each band counts. Every grant looks at all that wait,
-// so that is not worked out there.
+// weigh sets the weights. Every grant looks at all that wait, so that they are not worked
+// out there.
 func (k *kind) weigh() {
-	for b := range k.boosts {
-		k.boosts[b] = k.boost(band(b))
+	for c := range k.weights {
+		k.weights[c] = k.weight(sizeClass(c))
 	}
 }
 
-// boost is how much more a request counts whose band of sizes got places less often
-// than its kind. Large requests earn less for the time that they take a place, so that
-// in a long shortage they alone would go without: 0.07 of them got a place with four
-// places for twice the work, now 0.38. Small ones pay for it, as a large one takes the
-// places of many: 0.88 of all got one, now 0.40. What is owed to a band shows after one
-// or two refusals; by the part of its last requests that got a place, large ones, of
-// which few come, were owed places for as long as most shortages last.
-func (k *kind) boost(b band) float64 { return 1 + max(k.owed[b], 0)/k.unit(b) }
+// weight is how much more a request counts whose size class got places less often than
+// its kind. Large requests earn less for the time that they take a place; in a long
+// shortage they alone would go without.
+func (k *kind) weight(c sizeClass) float64 { return 1 + max(k.deficits[c], 0)/k.unit(c) }
 
-// unit is how many places are owed to a band for each time that it counts once more.
-func (k *kind) unit(b band) float64 {
-	part := [bands]float64{rest: largeFrom, large: largestFrom - largeFrom, largest: 1 - largestFrom}[b]
+// unit is the deficit of a class, in places, that raises its weight by one.
+func (k *kind) unit(c sizeClass) float64 {
+	part := [sizeClasses]float64{rest: largeFrom, large: largestFrom - largeFrom, largest: 1 - largestFrom}[c]
 	return max(part*k.rate.perSecond()*unitSpan.Seconds(), 1)
 }
--- a/core/batch/kind_test.go
+++ b/core/batch/kind_test.go
@@ -125,16 +125,14 @@
 	must.Greater(t, 0.1, other)
 }
 
-// Where a hundred engines serve, dozens of long runs are on at a time, and those that are
-// cut off at their deadline are so some ten seconds after they had their places. All of
-// these places are owed still: with a bound of three, as for a few engines, one in ten of
-// them was made up for, and the longest answers went without.
-func TestBrokenRunsAreOwedByLoad(t *testing.T) {
+// Guards against a bound in places, which makes up for one in ten of the long runs that
+// break where a hundred engines serve.
+func TestDeficitIsBoundedByLoad(t *testing.T) {
 	for _, tc := range []struct {
 		name   string
 		every  time.Duration // Between two requests.
 		broken int
-		owed   float64
+		want   float64
 	}{
 		{"few engines", 100 * time.Millisecond, 2, 2},
 		{"many engines", 4 * time.Millisecond, 40, 40},
@@ -145,11 +143,11 @@
 			e.Submit(e.now, e.ticket("usual", 1, 200, int64(50+n%100)))
 		}
 		k := e.kinds["usual"]
-		k.owed = [bands]float64{}
+		k.deficits = [sizeClasses]float64{}
 		for range tc.broken {
 			k.broke(e.ticket("usual", 1, 200, 150))
 		}
-		must.InDelta(t, tc.owed, k.owed[largest], 0.01, must.Sprint(tc.name))
-		must.LessEq(t, mostBoost, k.boosts[largest], must.Sprint(tc.name))
+		must.InDelta(t, tc.want, k.deficits[largest], 0.01, must.Sprint(tc.name))
+		must.LessEq(t, maxWeight, k.weights[largest], must.Sprint(tc.name))
 	}
 }
--- a/core/batch/order.go
+++ b/core/batch/order.go
@@ -28,14 +28,13 @@
 func (s *served) behind(other *served) float64 {
 	const least = 0.05
 	f := (1 - other.lost + least) / (1 - s.lost + least)
-	return min(max(f*f, 1), mostBoost)
+	return min(max(f*f, 1), maxWeight)
 }
 
 // order sets how much more each kind counts than its rank says, so that none is served
 // less often than a less urgent one. By what a request earns for its time alone the
 // urgent kind with long answers loses to a less urgent one with short answers whenever
-// there is too much to do: 0.53 of its requests got a place in time where all of the
-// others did, and now 0.67 and 0.74.
+// there is too much to do.
 func order(kinds map[string]*kind, now time.Duration) {
 	for _, k := range kinds {
 		k.urgency = 1
--- a/core/batch/place.go
+++ b/core/batch/place.go
@@ -105,11 +105,11 @@
 }
 
 // misfits reports whether a run would be cut off at its end. Answers are often half as
-// long again as was estimated; requests of a size that is owed places take the chance
+// long again as was estimated; requests of a size class with a deficit take the chance
 // that this one is not.
 func (i *item) misfits(now time.Duration, o *offer, reads float64) bool {
 	run := float64(i.answer) * float64(o.perToken)
-	run *= 1 + longerPart/i.kind.boosts[i.band]
+	run *= 1 + longerPart/i.kind.weights[i.class]
 	return now+o.first+time.Duration(reads*float64(o.perToken)+run) > i.end
 }
 
