--- a/io/certs/certs_test.go
+++ b/io/certs/certs_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"azurelane/io/listen"
 	"azurelane/io/mint"
 )
 
@@ -141,3 +142,44 @@
 	must.NoError(t, err)
 	must.Nil(t, cfg)
 }
+
+// Guards against resets at encrypted ports: a listener that is drained hands over what
+// waits with TLS around it, too.
+func TestWrappedListenerDrains(t *testing.T) {
+	dir := t.TempDir()
+	server, client := config(t, issue(t, dir, "entry-1", "127.0.0.1")), config(t, issue(t, dir, "entry-2", "127.0.0.1"))
+	for _, tc := range []struct {
+		name           string
+		server, client *tls.Config
+	}{
+		{"plain", nil, nil},
+		{"TLS", server, client},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			inner, err := net.Listen("tcp", "127.0.0.1:0")
+			must.NoError(t, err)
+			ln := listen.Of(Wrap(inner, tc.server))
+			c, err := net.Dial("tcp", inner.Addr().String())
+			must.NoError(t, err)
+			if tc.client != nil {
+				cfg := tc.client.Clone()
+				cfg.ServerName = "127.0.0.1"
+				c = tls.Client(c, cfg)
+			}
+			must.NoError(t, ln.Drain())
+			accepted, err := ln.Accept()
+			must.NoError(t, err)
+			wrote := make(chan error, 1)
+			go func() {
+				_, err := c.Write([]byte("x"))
+				wrote <- err
+			}()
+			n, err := accepted.Read(make([]byte, 1))
+			must.NoError(t, err)
+			must.Eq(t, 1, n)
+			must.NoError(t, <-wrote)
+			_, err = ln.Accept()
+			must.ErrorIs(t, err, net.ErrClosed)
+		})
+	}
+}
