--- a/io/httpd/httpd_test.go
+++ b/io/httpd/httpd_test.go
@@ -18,6 +18,7 @@
 	"github.com/shoenig/test/must"
 
 	"azurelane/io/httpd"
+	"azurelane/io/stall"
 )
 
 // A caller keeps its connection, and sends its next request just when the
@@ -104,29 +105,6 @@
 	}
 }
 
-// stalled is a listener that accepts nothing before it is told to end.
-type stalled struct {
-	*net.TCPListener
-
-	once sync.Once
-	ends chan struct{}
-}
-
-func (s *stalled) Accept() (net.Conn, error) {
-	<-s.ends
-	return s.TCPListener.Accept()
-}
-
-func (s *stalled) SetDeadline(at time.Time) error {
-	defer s.once.Do(func() { close(s.ends) })
-	return s.TCPListener.SetDeadline(at)
-}
-
-func (s *stalled) Close() error {
-	defer s.once.Do(func() { close(s.ends) })
-	return s.TCPListener.Close()
-}
-
 // Guards against resets of callers that are connected and not accepted yet when the
 // server stops.
 func TestWaitingConnectionsAreAnswered(t *testing.T) {
@@ -140,7 +118,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			ln, err := net.Listen("tcp", "127.0.0.1:0")
 			must.NoError(t, err)
-			s := &stalled{TCPListener: ln.(*net.TCPListener), ends: make(chan struct{})}
+			s := &stall.Stall{TCPListener: ln.(*net.TCPListener)}
 			ctx, cancel := context.WithCancel(t.Context())
 			h := &httpd.Httpd{Listen: s, Farewell: tc.farewell, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
 			done := make(chan error, 1)
--- a/io/mesh/mesh_test.go
+++ b/io/mesh/mesh_test.go
@@ -13,6 +13,7 @@
 	"go.uber.org/goleak"
 
 	"azurelane/core/wire"
+	"azurelane/io/stall"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -104,29 +105,6 @@
 	must.ErrorIs(t, err, ErrClosed)
 }
 
-// stalled is a listener that accepts nothing before it is told to end.
-type stalled struct {
-	*net.TCPListener
-
-	once sync.Once
-	ends chan struct{}
-}
-
-func (s *stalled) Accept() (net.Conn, error) {
-	<-s.ends
-	return s.TCPListener.Accept()
-}
-
-func (s *stalled) SetDeadline(at time.Time) error {
-	defer s.once.Do(func() { close(s.ends) })
-	return s.TCPListener.SetDeadline(at)
-}
-
-func (s *stalled) Close() error {
-	defer s.once.Do(func() { close(s.ends) })
-	return s.TCPListener.Close()
-}
-
 // Guards against peers that are left in doubt by a process that stops: a call is answered,
 // or refused without having been taken.
 func TestStopLeavesNoCallInDoubt(t *testing.T) {
@@ -143,7 +121,7 @@
 			must.NoError(t, err)
 			ln := inner
 			if tc.waits {
-				ln = &stalled{TCPListener: inner.(*net.TCPListener), ends: make(chan struct{})}
+				ln = &stall.Stall{TCPListener: inner.(*net.TCPListener)}
 			}
 			ctx, cancel := context.WithCancel(context.Background())
 			taken := make(chan struct{})
