--- a/core/batch/backlog.go
+++ b/core/batch/backlog.go
@@ -30,10 +30,8 @@
 }
 
 // begun notes when the first piece of an answer came: that prompt and all that were
-// given before it had been read by then. Without this, reading that was believed to take
-// a little too long was added up for as long as work came, and nothing ever took it back:
-// engines at which a prompt was read in 0.1 s seemed to have several seconds to read
-// before it, and which of them was the soonest was lost in that.
+// given before it had been read by then. Without it, errors of what is believed to be
+// unread add up for as long as work comes.
 func (l *backlog) begun(given, first time.Time) {
 	if len(l.unread) == 0 || given.Before(l.unread[0].given) {
 		return // A later one has told more.
--- a/core/raft/cold.go
+++ b/core/raft/cold.go
@@ -21,9 +21,9 @@
 // coldVoteHold is the part of the election timeout, one in so many, for which a
 // replica that has voted, for another or itself, neither asks nor answers cold
 // questions. Who got the votes needs two ways and two syncs until it leads and is
-// heard. Without the wait a second replica whose round came in between stood for
-// election as well: the leader that callers had just found stepped down for its newer
-// term, and as it got no quorum itself, they had no scheduler for another 0.6 s.
+// heard. Without the wait a second replica whose round comes in between stands for
+// election as well: the new leader steps down for its newer term, and as that replica
+// gets no quorum itself, nobody leads for another election.
 const coldVoteHold = 4
 
 // cold is what a replica knows that has heard no leader since its start.
--- a/io/redial/redial.go
+++ b/io/redial/redial.go
@@ -16,7 +16,7 @@
 // Redial is a dialer. A packet that opens a connection is lost on a bad link, and
 // while the peer has no power. The kernel sends it again after a second, and then
 // after two more, so that a peer which has just come back stays out of reach for
-// as long: entries found the scheduler 0.25 to 0.45 s after it was elected.
+// as long.
 // Another attempt each 200 ms reaches it within that time. The zero value is
 // ready.
 type Redial struct {
