A scheduler tells which part of each rate it lets pass

`Parts of rates changed.` now tells the parts below 1, at most once a second, with the entries that they were worked out for.

--- a/io/hub/rates_test.go
+++ b/io/hub/rates_test.go
@@ -4,8 +4,10 @@
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr/funcr"
 	"github.com/shoenig/test/must"
 
+	"azurelane/core/acct"
 	"azurelane/core/wire"
 )
 
@@ -99,3 +101,35 @@
 	_, err := ask(h, &wire.Watch{Node: name, Incarnation: name})
 	must.NoError(t, err)
 }
+
+// Guards against two schedulers whose parts of a rate can't be told from their logs, and
+// against a line for each entry that comes.
+func TestPartsOfRatesAreTold(t *testing.T) {
+	var lines []string
+	r := &reign{scope: centre, log: funcr.New(func(_, args string) { lines = append(lines, args) }, funcr.Options{})}
+	r.install(1, map[string]acct.Account{"a": {Rate: 1000, Burst: 1000}})
+	now := time.Unix(1000, 0)
+	for _, tc := range []struct {
+		after time.Duration
+		entry string
+		want  string
+	}{
+		{0, "e1", `"parts"={"a"=0.24} "entries-here"=1 "entries"=10`},
+		{0, "e2", ""},
+		{partsEvery, "", `"parts"={"a"=0.48} "entries-here"=2 "entries"=10`},
+		{partsEvery, "", ""},
+	} {
+		now = now.Add(tc.after)
+		if tc.entry != "" {
+			r.join(&wire.Watch{Incarnation: tc.entry, Entries: 10, Rates: used}, r.here+1)
+		}
+		lines = nil
+		r.tellParts(now)
+		if tc.want == "" {
+			must.SliceEmpty(t, lines)
+			continue
+		}
+		must.Len(t, 1, lines)
+		must.StrContains(t, lines[0], tc.want)
+	}
+}
--- a/io/hub/reign.go
+++ b/io/hub/reign.go
@@ -37,6 +37,8 @@
 	// How many entries there are in all, as they knew before, and, for a scheduler of one
 	// data centre, here.
 	here, all int64
+	toldParts map[string]float64 // Parts of rates as they were told last, by account.
+	toldAt    time.Time
 }
 
 // install puts the accounts' rates in force.
@@ -49,12 +51,15 @@
 
 // share sets the parts of the accounts' rates that may pass here. The lock is held.
 func (r *reign) share(now time.Time) {
-	part := r.rates.part
+	r.allow.SetEach(now, r.rates.accounts, r.part)
+}
+
+// part is the part of an account's rate that may pass here. The lock is held.
+func (r *reign) part(account string) float64 {
 	if r.scope == centre {
-		share := float64(r.here) / float64(max(r.all, r.here, 1))
-		part = func(account string) float64 { return r.rates.alone(account, share) }
+		return r.rates.alone(account, float64(r.here)/float64(max(r.all, r.here, 1)))
 	}
-	r.allow.SetEach(now, r.rates.accounts, part)
+	return r.rates.part(account)
 }
 
 // join takes what an entry knows that has just come to this scheduler.
--- a/io/hub/watch.go
+++ b/io/hub/watch.go
@@ -148,6 +148,7 @@
 	r.miss(now, h.watchers.silent(now, r.reach.list()))
 	r.await(now, h.watchers.count(now))
 	r.tellSpeeds(now)
+	r.tellParts(now)
 	for _, inc := range h.watchers.lost(now) {
 		h.Log.Info("Entry lost.", "incarnation", inc)
 		r.sched.Forget(inc)
--- a/io/story/story.go
+++ b/io/story/story.go
@@ -57,6 +57,7 @@
 	"Leadership lost.":           "leadership",
 	"Speeds of upstreams.":       "speeds",
 	"Silent upstreams changed.":  "silent upstreams",
+	"Parts of rates changed.":    "parts of rates",
 	"Entry drains.":              "draining",
 	"Group changes.":             "group",
 	"Log not compacted.":         "disk",
