--- a/cmd/azurelane/dev.go
+++ b/cmd/azurelane/dev.go
@@ -14,14 +14,14 @@
 	"github.com/thejerf/suture/v4"
 
 	"azurelane/core/state"
-	"azurelane/io/engine"
 	"azurelane/io/entry"
 	"azurelane/io/hello"
 	"azurelane/io/httpd"
 	"azurelane/io/logs"
 	"azurelane/io/quorum"
+	"azurelane/io/rig/engine"
+	"azurelane/io/rig/stand"
 	"azurelane/io/setup"
-	"azurelane/io/stand"
 )
 
 const usageDev = `Run a whole small system in this process, on loopback: one control replica
--- a/cmd/azurelane/load.go
+++ b/cmd/azurelane/load.go
@@ -6,10 +6,10 @@
 	"os"
 	"time"
 
-	"azurelane/io/demand"
-	"azurelane/io/load"
-	"azurelane/io/score"
-	"azurelane/io/trial"
+	"azurelane/io/rig/demand"
+	"azurelane/io/rig/load"
+	"azurelane/io/rig/score"
+	"azurelane/io/rig/trial"
 )
 
 const (
--- a/cmd/azurelane/standin.go
+++ b/cmd/azurelane/standin.go
@@ -11,13 +11,13 @@
 	"github.com/google/uuid"
 
 	"azurelane/core/pool"
-	"azurelane/io/engine"
 	"azurelane/io/hello"
 	"azurelane/io/httpd"
 	"azurelane/io/logs"
 	"azurelane/io/orderd"
 	"azurelane/io/resume"
-	"azurelane/io/stand"
+	"azurelane/io/rig/engine"
+	"azurelane/io/rig/stand"
 )
 
 const usageStandin = `Run a stand-in for a model engine or a plain service. It announces itself to
--- a/io/front/fake_test.go
+++ b/io/front/fake_test.go
@@ -31,10 +31,10 @@
 	"azurelane/core/state"
 	"azurelane/core/wire"
 	"azurelane/io/client"
-	"azurelane/io/engine"
-	"azurelane/io/fault"
 	"azurelane/io/front"
-	"azurelane/io/stand"
+	"azurelane/io/rig/engine"
+	"azurelane/io/rig/fault"
+	"azurelane/io/rig/stand"
 	"azurelane/io/stats"
 )
 
--- a/io/front/fault_test.go
+++ b/io/front/fault_test.go
@@ -9,8 +9,8 @@
 
 	"azurelane/core/pool"
 	"azurelane/core/refuse"
-	"azurelane/io/fault"
 	"azurelane/io/resume"
+	"azurelane/io/rig/fault"
 )
 
 // The upstream runs the request and then answers wrongly. The caller gets a
--- a/io/front/kill_test.go
+++ b/io/front/kill_test.go
@@ -13,8 +13,8 @@
 
 	"azurelane/core/refuse"
 	"azurelane/core/wire"
-	"azurelane/io/fault"
 	"azurelane/io/front"
+	"azurelane/io/rig/fault"
 )
 
 // mortal stands between an entry and the rest of the world. At one step of a
--- a/io/httpd/httpd_test.go
+++ b/io/httpd/httpd_test.go
@@ -18,7 +18,7 @@
 	"github.com/shoenig/test/must"
 
 	"azurelane/io/httpd"
-	"azurelane/io/stall"
+	"azurelane/io/rig/stall"
 )
 
 // A caller keeps its connection, and sends its next request just when the
--- a/io/mesh/mesh_test.go
+++ b/io/mesh/mesh_test.go
@@ -13,7 +13,7 @@
 	"go.uber.org/goleak"
 
 	"azurelane/core/wire"
-	"azurelane/io/stall"
+	"azurelane/io/rig/stall"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- a/io/bench/bench.go
+++ b/io/rig/bench/bench.go
@@ -20,12 +20,12 @@
 	"github.com/pkg/errors"
 	"github.com/thejerf/suture/v4"
 
-	"azurelane/io/demand"
 	"azurelane/io/entry"
 	"azurelane/io/hello"
 	"azurelane/io/quorum"
+	"azurelane/io/rig/demand"
+	"azurelane/io/rig/stand"
 	"azurelane/io/setup"
-	"azurelane/io/stand"
 )
 
 // Bench is one running system. Open makes it.
--- a/io/bench/config.go
+++ b/io/rig/bench/config.go
@@ -14,9 +14,9 @@
 	"azurelane/core/state"
 	"azurelane/core/tier"
 	"azurelane/core/wire"
-	"azurelane/io/demand"
 	"azurelane/io/leader"
 	"azurelane/io/mesh"
+	"azurelane/io/rig/demand"
 )
 
 const maxWaiting = 150 // Of one account, so that overload meets the limit.
--- a/io/bench/engine.go
+++ b/io/rig/bench/engine.go
@@ -8,11 +8,11 @@
 
 	"github.com/go-logr/logr"
 
-	"azurelane/io/demand"
-	"azurelane/io/engine"
 	"azurelane/io/hello"
 	"azurelane/io/httpd"
-	"azurelane/io/stand"
+	"azurelane/io/rig/demand"
+	"azurelane/io/rig/engine"
+	"azurelane/io/rig/stand"
 )
 
 const (
--- a/io/demand/demand_test.go
+++ b/io/rig/demand/demand_test.go
@@ -7,10 +7,10 @@
 	"github.com/shoenig/test/must"
 
 	"azurelane/io/call"
-	"azurelane/io/demand"
+	"azurelane/io/rig/demand"
 )
 
-const files = "../../examples/load/"
+const files = "../../../examples/load/"
 
 // The example workloads draw the same plan for the same seed, at the rate
 // asked for, with sizes a hundredfold apart, and one account alone sends more.
--- a/io/engine/engine.go
+++ b/io/rig/engine/engine.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"azurelane/io/tally"
+	"azurelane/io/rig/tally"
 )
 
 // Engine is one stand-in. Its exported fields are set before use.
--- a/io/engine/engine_test.go
+++ b/io/rig/engine/engine_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"azurelane/io/engine"
+	"azurelane/io/rig/engine"
 )
 
 // Prompts of one engine are worked off one after the other, a cached prefix at
--- a/io/score/score.go
+++ b/io/rig/score/score.go
@@ -5,9 +5,9 @@
 	"slices"
 	"time"
 
-	"azurelane/io/record"
 	"azurelane/io/result"
-	"azurelane/io/tally"
+	"azurelane/io/rig/record"
+	"azurelane/io/rig/tally"
 )
 
 // Levels is the number of tiers told apart.
--- a/io/score/score_test.go
+++ b/io/rig/score/score_test.go
@@ -7,10 +7,10 @@
 	"github.com/shoenig/test/must"
 
 	"azurelane/io/call"
-	"azurelane/io/record"
 	"azurelane/io/result"
-	"azurelane/io/score"
-	"azurelane/io/tally"
+	"azurelane/io/rig/record"
+	"azurelane/io/rig/score"
+	"azurelane/io/rig/tally"
 )
 
 var start = time.Unix(1000, 0)
--- a/io/stand/stand.go
+++ b/io/rig/stand/stand.go
@@ -16,8 +16,8 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-json-experiment/json"
 
-	"azurelane/io/engine"
-	"azurelane/io/record"
+	"azurelane/io/rig/engine"
+	"azurelane/io/rig/record"
 )
 
 const (
--- a/io/trial/scene.go
+++ b/io/rig/trial/scene.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"azurelane/io/bench"
+	"azurelane/io/rig/bench"
 )
 
 // scene is one scenario: what is asked, as a factor on the engines' capacity,
--- a/io/trial/table.go
+++ b/io/rig/trial/table.go
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"azurelane/io/score"
+	"azurelane/io/rig/score"
 )
 
 const head = `| policy | urgent % | normal % | bulk % | first token urgent | first token normal | wasted prefill % | busy % | others % | shed | late | lost | refused after, half and p95 |
--- a/io/trial/trial.go
+++ b/io/rig/trial/trial.go
@@ -12,14 +12,14 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
-	"azurelane/io/bench"
 	"azurelane/io/call"
-	"azurelane/io/demand"
-	"azurelane/io/load"
-	"azurelane/io/record"
 	"azurelane/io/result"
-	"azurelane/io/score"
-	"azurelane/io/tally"
+	"azurelane/io/rig/bench"
+	"azurelane/io/rig/demand"
+	"azurelane/io/rig/load"
+	"azurelane/io/rig/record"
+	"azurelane/io/rig/score"
+	"azurelane/io/rig/tally"
 )
 
 // ErrUnknown marks a scenario that does not exist.
