--- a/io/httpd/httpd_test.go
+++ b/io/httpd/httpd_test.go
@@ -196,13 +196,14 @@
 				})}
 				done := make(chan error, 1)
 				go func() { done <- h.Serve(ctx) }()
+				ended := make(chan struct{})
 				var callers sync.WaitGroup
 				var hidden atomic.Int64
 				for n := range 6 {
 					callers.Go(func() {
 						tr := &http.Transport{DisableKeepAlives: !tc.kept}
 						defer tr.CloseIdleConnections()
-						broken := untilRefused(&http.Client{Transport: tr}, fmt.Sprintf("http://%s/%d-", ln.Addr(), n))
+						broken := untilRefused(&http.Client{Transport: tr}, fmt.Sprintf("http://%s/%d-", ln.Addr(), n), ended)
 						for _, path := range broken {
 							if _, ok := ran.Load(path); ok {
 								hidden.Add(1)
@@ -213,6 +214,7 @@
 				time.Sleep(5 * time.Millisecond)
 				cancel()
 				must.ErrorIs(t, <-done, context.Canceled)
+				close(ended)
 				callers.Wait()
 				must.Eq(t, 0, hidden.Load())
 			}
@@ -220,11 +222,16 @@
 	}
 }
 
-// untilRefused sends requests until a connection is refused, and returns the paths of
-// those that got no answer before.
-func untilRefused(c *http.Client, prefix string) []string {
+// untilRefused sends requests until a connection is refused, or the server has ended, and
+// returns the paths of those that got no answer before.
+func untilRefused(c *http.Client, prefix string, ended <-chan struct{}) []string {
 	var broken []string
 	for i := 0; ; i++ {
+		select {
+		case <-ended:
+			return broken
+		default:
+		}
 		to := fmt.Sprintf("%s%d", prefix, i)
 		resp, err := c.Post(to, "text/plain", strings.NewReader("x"))
 		switch {
