Lines of ended sends name the request by its content

Logs name attempts only, so they can't tell a request that comes again from engines that end by themselves. A digest of client account, host, path with query and body now stands in the line of each send that did not end well.

--- a/io/gate/request.go
+++ b/io/gate/request.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"azurelane/core/acct"
+	"azurelane/core/digest"
 	"azurelane/core/meta"
 	"azurelane/core/refuse"
 	"azurelane/core/route"
@@ -43,6 +44,7 @@
 		began  time.Duration // From the arrival to the first event.
 		gap    time.Duration // Longest pause between two events, over all sends.
 		left   time.Time     // When the last event left.
+		hash   *digest.Digest
 	}
 
 	// result is how one send ended.
@@ -291,6 +293,15 @@
 	return int32(min(max(priority, 0), last)) //nolint:gosec // Bounded.
 }
 
+// digest identifies the request's content.
+func (q *request) digest() digest.Digest {
+	if q.hash == nil {
+		d := digest.Of(q.account, q.r.Host, q.r.RequestURI, q.body)
+		q.hash = &d
+	}
+	return *q.hash
+}
+
 // units is what the request counts against its account's rate.
 func (q *request) units() int64 { return q.limits.Units(q.meta.Prompt + q.meta.Answer) }
 
--- a/io/gate/send.go
+++ b/io/gate/send.go
@@ -56,7 +56,7 @@
 		}
 		if res.end != whole {
 			q.gate.Log.Info("Send ended.", "request", q.meta.ID, "upstream", p.up.GetId(), "address", p.up.GetAddress(),
-				"ending", res.end.String(), "status", res.status, "err", errText(res.err), "events", res.events, "took", res.total.String())
+				"digest", q.digest().String(), "ending", res.end.String(), "status", res.status, "err", errText(res.err), "events", res.events, "took", res.total.String())
 		}
 	}()
 	quiet := time.AfterFunc(q.patience(), func() { cancel(q.silence(ctx)) })
