A request that crashes upstreams is no longer sent

Cause: every safeguard of a send went by the attempt's id or by the upstream. A request that its caller sends again is a new attempt, the scheduler leaves out the engine that failed, and so the next copy goes to a sound one. No process knew the request by its content, and no two entries told each other.

Evidence: in the collected logs all that runs at an engine breaks off within 2 ms, at 2 to 7 entries, 33 times; each attempt is sent once, so second sends are not it.

Change: an entry whose send breaks off looks whether the upstream's process is gone and reports the request's digest with the incarnation. The scheduler joins these sets; at three incarnations the request is banned at all entries, by their long poll, and refused with a code of its own, 503 and no Retry-After. Entries tell a new scheduler all that they know. A whole answer since the first crash clears a request, one before takes six crashes to ban, and a banned one is tried twice, so that what was there by chance is served again. `azurelane bans` lists and lifts.

--- a/cmd/azurelane/main.go
+++ b/cmd/azurelane/main.go
@@ -49,6 +49,7 @@
 	Check   checkCmd   `cmd:"" help:"Check settings and configuration offline."`
 	Apply   applyCmd   `cmd:"" help:"Put a changed configuration in force."`
 	Status  statusCmd  `cmd:"" help:"Show what is in force where."`
+	Bans    bansCmd    `cmd:"" help:"Show requests that crash upstreams, or send them again."`
 	Order   orderCmd   `cmd:"" help:"Order an upstream to load a model or adapter, or to change role."`
 	Replica replicaCmd `cmd:"" help:"Change which control replicas form the group."`
 	Drain   drainCmd   `cmd:"" help:"Take an entry out of service."`
--- a/core/refuse/refuse.go
+++ b/core/refuse/refuse.go
@@ -16,24 +16,25 @@
 
 // Codes of refusals that mean that nothing ran.
 const (
-	BadRequest   = "bad-request"      // The request can't be read.
-	BadKey       = "unauthorized"     // No client account has that key.
-	Forbidden    = "tier-forbidden"   // The account may not use that tier.
-	NotFound     = "not-found"        // No pool serves that model, service or path.
-	BodyLate     = "body-late"        // The body did not come in time.
-	TooLarge     = "body-too-large"   // The body is over the account's limit.
-	HeaderLarge  = "header-too-large" // The header is over the limit of routes.
-	AccountLimit = "account-limit"    // The account has too much open already.
-	Overloaded   = "overloaded"       // The pool is full.
-	Deadline     = "deadline"         // It can't be done before the deadline.
-	NoUpstream   = "no-upstream"      // No upstream of the pool is live.
-	NoControl    = "no-control"       // No quorum to claim the key; nothing ran.
-	NotReady     = "not-ready"        // The entry has no configuration yet.
-	ShuttingDown = "shutting-down"    // The entry is stopping.
-	KeyMismatch  = "key-mismatch"     // The key was used with another request.
-	Unreachable  = "unreachable"      // No upstream could be connected to.
-	CallerGone   = "caller-gone"      // Every caller went away before it was sent.
-	Internal     = "internal"         // A fault of azurelane.
+	BadRequest   = "bad-request"       // The request can't be read.
+	BadKey       = "unauthorized"      // No client account has that key.
+	Forbidden    = "tier-forbidden"    // The account may not use that tier.
+	NotFound     = "not-found"         // No pool serves that model, service or path.
+	BodyLate     = "body-late"         // The body did not come in time.
+	TooLarge     = "body-too-large"    // The body is over the account's limit.
+	HeaderLarge  = "header-too-large"  // The header is over the limit of routes.
+	AccountLimit = "account-limit"     // The account has too much open already.
+	Overloaded   = "overloaded"        // The pool is full.
+	Deadline     = "deadline"          // It can't be done before the deadline.
+	NoUpstream   = "no-upstream"       // No upstream of the pool is live.
+	NoControl    = "no-control"        // No quorum to claim the key; nothing ran.
+	NotReady     = "not-ready"         // The entry has no configuration yet.
+	ShuttingDown = "shutting-down"     // The entry is stopping.
+	KeyMismatch  = "key-mismatch"      // The key was used with another request.
+	Unreachable  = "unreachable"       // No upstream could be connected to.
+	Crashes      = "crashes-upstreams" // Upstreams crashed under this request before.
+	CallerGone   = "caller-gone"       // Every caller went away before it was sent.
+	Internal     = "internal"          // A fault of azurelane.
 )
 
 // Codes of final answers to a request that ran or may have run.
@@ -73,6 +74,7 @@
 	HeaderLarge:  {status: http.StatusRequestHeaderFieldsTooLarge},
 	AccountLimit: {status: http.StatusTooManyRequests, again: true},
 	KeyMismatch:  {status: http.StatusUnprocessableEntity},
+	Crashes:      {status: http.StatusServiceUnavailable},
 	Internal:     {status: http.StatusInternalServerError, again: true},
 
 	UpstreamLost:   {status: http.StatusBadGateway, ran: true},
--- a/io/client/client.go
+++ b/io/client/client.go
@@ -9,9 +9,11 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/netip"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -130,6 +132,18 @@
 	return c.transport.Load()
 }
 
+// Closed reports whether no process listens at an address: the VM there says so. No
+// sign of it within ctx is none of that.
+func (c *Client) Closed(ctx context.Context, addr netip.AddrPort) bool {
+	d := net.Dialer{Timeout: dialLimit}
+	nc, err := d.DialContext(ctx, "tcp", addr.String())
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = nc.Close()
+	return false
+}
+
 // Close closes idle connections.
 func (c *Client) Close() {
 	if t := c.transport.Load(); t != nil {
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -34,6 +34,8 @@
 		News        news
 		Granter     granter
 		Sender      sender
+		Prober      prober
+		Trier       trier
 		Dialect     dialect
 		Ratio       float64 // Part of the requests that may be sent a second time.
 		Slack       float64 // Second sends beyond that, over all entries.
@@ -44,6 +46,7 @@
 		draining atomic.Pointer[Stop]
 		early    atomic.Int64  // Requests that wait for the first configuration.
 		last     atomic.Uint64 // Ticket number.
+		suspects suspects
 
 		mu      sync.Mutex // Of what follows.
 		peers   peers.Peers
--- a/io/gate/place.go
+++ b/io/gate/place.go
@@ -183,7 +183,7 @@
 	t := p.ticket
 	g.Granter.Release(&wire.Release{
 		Ticket: t.GetId(), Entry: t.GetEntry(), Incarnation: t.GetIncarnation(), Pool: t.GetPool(), Upstream: p.up.GetId(),
-		Slot: p.grant.GetSlot(), Owner: p.grant.GetOwner(), Account: t.GetAccount(), Dispatched: res.end != unsent && res.end != other,
+		Slot: p.grant.GetSlot(), Owner: p.grant.GetOwner(), Account: t.GetAccount(), Dispatched: res.end != unsent && res.end != other && res.end != unused,
 		Whole: res.end == whole, Failed: res.end == failed || res.end == broken || res.end == unsent || res.end == other, Busy: res.end == busy,
 		FirstTokenUs: res.first.Microseconds(), TotalUs: res.total.Microseconds(), Pieces: res.events,
 		GapUs: res.gap.Microseconds(),
@@ -207,7 +207,7 @@
 		return
 	}
 	switch res.end {
-	case busy, other, left:
+	case busy, other, left, unused:
 		g.peers.Drop(p.up.GetId())
 	case whole, failed:
 		g.peers.End(now, p.up.GetId(), res.total, true, res.end == whole)
--- a/io/gate/request.go
+++ b/io/gate/request.go
@@ -45,6 +45,7 @@
 		gap    time.Duration // Longest pause between two events, over all sends.
 		left   time.Time     // When the last event left.
 		hash   *digest.Digest
+		trying bool // It is banned, and may be sent once.
 	}
 
 	// result is how one send ended.
@@ -77,11 +78,12 @@
 	failed               // The upstream ran it and answered with a failure.
 	broken               // It may have run, and there is no whole answer.
 	left                 // The caller went away.
+	unused               // It was not sent after all.
 )
 
 // String names an ending in logs.
 func (e ending) String() string {
-	return [...]string{"whole", "unsent", "busy", "other-upstream", "failed", "broken", "caller-left"}[e]
+	return [...]string{"whole", "unsent", "busy", "other-upstream", "failed", "broken", "caller-left", "unused"}[e]
 }
 
 var (
@@ -106,13 +108,14 @@
 	defer cancel()
 	q.gate.first(q)
 	for {
-		p, err := q.place(ctx)
+		p, err := q.placed(ctx)
 		if err != nil {
 			q.unplaced(ctx, err)
 			return
 		}
 		res := q.send(ctx, p)
 		p.done(res)
+		q.suspect(p, res)
 		if !q.again(ctx, p, res) {
 			q.end(ctx, res)
 			return
@@ -120,6 +123,24 @@
 	}
 }
 
+// placed finds an upstream for a request that is not banned, also not since it began to
+// wait.
+func (q *request) placed(ctx context.Context) (*place, error) {
+	q.trying = false
+	if no := q.refusedAs(ctx); no != nil {
+		return nil, no
+	}
+	p, err := q.place(ctx)
+	if err != nil || q.trying {
+		return p, err
+	}
+	if no := q.refusedAs(ctx); no != nil {
+		p.done(result{end: unused})
+		return nil, no
+	}
+	return p, nil
+}
+
 // limit is the time until the final answer.
 func (q *request) limit() time.Duration {
 	d := q.route.Timeout
@@ -149,7 +170,7 @@
 		if !q.route.Repeatable() || q.ran >= q.route.Most() {
 			return false
 		}
-	case unsent, busy, other:
+	case unsent, busy, other, unused:
 	}
 	q.avoid = append(q.avoid, p.up.GetId())
 	q.sends++
@@ -235,6 +256,7 @@
 	if q.begun {
 		first = q.began
 	}
+	q.gate.suspects.answered(time.Now(), q.digest())
 	q.gate.Stats.Count("answers-whole", 1)
 	q.gate.Stats.Time("first-"+q.name(), first)
 	q.gate.Stats.Time("total-"+q.name(), took)
--- a/io/gate/site_test.go
+++ b/io/gate/site_test.go
@@ -233,7 +233,7 @@
 		})
 	}
 	s.Gate = &Gate{
-		Node: "e", Incarnation: "i", Centre: "z0", News: s, Granter: s, Sender: &client.Client{Echo: idHeader}, Dialect: plain{},
+		Node: "e", Incarnation: "i", Centre: "z0", News: s, Granter: s, Sender: &client.Client{Echo: idHeader}, Prober: &client.Client{}, Dialect: plain{},
 		Ratio: 1, Slack: 100, Log: logr.Discard(),
 	}
 	s.srv = httptest.NewServer(s.Gate)
--- a/io/gated/gated.go
+++ b/io/gated/gated.go
@@ -14,6 +14,7 @@
 	"github.com/thejerf/suture/v4"
 
 	"azurelane/core/conf"
+	"azurelane/core/digest"
 	"azurelane/core/wire"
 	"azurelane/io/admin"
 	"azurelane/io/client"
@@ -40,7 +41,9 @@
 	// to end within the drain limit.
 	opsFarewell = 100 * time.Millisecond
 	usageEvery  = 250 * time.Millisecond // Between two reports of what was served without asking.
-	idleConns   = 4 * time.Second        // How long an unused connection to an upstream is kept.
+	// tellLimit is how long a scheduler may take to answer what needs no decision.
+	tellLimit = time.Second
+	idleConns = 4 * time.Second // How long an unused connection to an upstream is kept.
 )
 
 // Gated is one such process. Open makes it.
@@ -78,8 +81,9 @@
 		Self: set.Node, Incarnation: incarnation, Local: none{}, Members: e.watch, Mesh: e.mesh, Log: log.WithName("grant"),
 	}
 	e.watch.Changed, e.watch.Rates = e.grant.Changed, g.Rates
+	e.watch.Crashes, e.watch.Banned = g.Crashes, g.Banned
 	g.Node, g.Incarnation, g.Centre = set.Node, incarnation, set.Centre
-	g.News, g.Granter, g.Sender, g.Stats, g.Log = e.watch, e.grant, e.client, metrics, e.log
+	g.News, g.Granter, g.Sender, g.Prober, g.Trier, g.Stats, g.Log = e.watch, e.grant, e.client, e.client, e, metrics, e.log
 	metrics.Pull("configuration-version", func() int64 { return int64(e.watch.View().Version) }) //nolint:gosec // Versions are small.
 	metrics.Pull("configuration-age-ms", func() int64 { return time.Since(e.watch.View().Heard).Milliseconds() })
 	metrics.Pull("scheduler-known", func() int64 {
@@ -136,6 +140,7 @@
 	defer cancel()
 	done := e.sup.ServeBackground(parts)
 	go e.report(parts)
+	go e.reportCrashes(parts)
 	fctx, fstop := context.WithCancel(parts)
 	defer fstop()
 	served := make(chan error, 1)
@@ -188,6 +193,48 @@
 	}
 }
 
+// reportCrashes tells the scheduler of requests that crash upstreams as soon as that is
+// seen. One that is new hears all that this entry knows before it gets any ticket.
+func (e *Gated) reportCrashes(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-e.gate.Suspected():
+		}
+		c := e.gate.Suspects()
+		err := e.tell(ctx, e.watch.Owner(""), &wire.Frame{Body: &wire.Frame_Crashes{Crashes: c}})
+		if err == nil {
+			continue
+		}
+		e.log.Info("Crashes not reported.", "err", err.Error())
+		e.gate.Unreported(c)
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(usageEvery):
+		}
+	}
+}
+
+// Try asks the scheduler for leave to send a banned request once.
+func (e *Gated) Try(ctx context.Context, d digest.Digest) error {
+	return e.tell(ctx, e.watch.Owner(""), &wire.Frame{Body: &wire.Frame_Try{Try: &wire.Try{Digest: d[:]}}})
+}
+
+func (e *Gated) tell(ctx context.Context, owner *wire.Member, f *wire.Frame) error {
+	to, err := netip.ParseAddrPort(owner.GetAddress())
+	if err != nil {
+		return fmt.Errorf("gated: no scheduler: %w", err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, tellLimit)
+	defer cancel()
+	if _, err := e.mesh.Call(ctx, to, f); err != nil {
+		return fmt.Errorf("gated: tell the scheduler: %w", err)
+	}
+	return nil
+}
+
 // none is the granting part's own scheduler: an entry for routes has none.
 type none struct{}
 
--- a/io/hub/hub.go
+++ b/io/hub/hub.go
@@ -29,6 +29,7 @@
 // Fault codes of a hub.
 const (
 	unready = "unready" // The group is not complete yet.
+	banned  = "banned"  // A request may not be tried now.
 )
 
 type (
@@ -150,6 +151,12 @@
 		v, _ := h.Replica.Publication()
 		return int64(min(v, math.MaxInt64)) //nolint:gosec // Bounded.
 	})
+	h.Stats.Pull("requests-banned", func() int64 {
+		if r := h.scheduler(); r != nil {
+			return int64(len(r.bans.list().GetBanned()))
+		}
+		return 0
+	})
 	h.Stats.Pull("entries", func() int64 { return h.watchers.count(time.Now()) })
 	h.Stats.Pull("upstreams-silent", func() int64 {
 		r := h.scheduler()
@@ -269,6 +276,8 @@
 		if r := h.scheduler(); r != nil {
 			r.used(b.Usage)
 		}
+	case *wire.Frame_Crashes, *wire.Frame_Try, *wire.Frame_BanQuery:
+		return h.handleBans(f)
 	case *wire.Frame_Watch:
 		n, err := h.watch(ctx, b.Watch)
 		if err != nil {
--- a/io/hub/reign.go
+++ b/io/hub/reign.go
@@ -24,6 +24,7 @@
 	sched *sched.Sched
 	beats beats
 	reach reach
+	bans  bans
 	stats *stats.Stats
 	log   logr.Logger
 	lines *logs.Budget // Of refused tickets.
--- a/io/hub/watch.go
+++ b/io/hub/watch.go
@@ -60,7 +60,8 @@
 			r.forget(old)
 		}
 		r.join(w, h.here(r))
-		lost := r.reach.changed()
+		r.bans.take(h.Log, w.GetCrashes())
+		lost, banned := r.reach.changed(), r.bans.changed()
 		n, fresh, err := h.news(r, w)
 		if err != nil || fresh || stirred {
 			return n, err
@@ -72,6 +73,7 @@
 			return n, nil
 		case <-changed:
 		case <-lost:
+		case <-banned:
 		}
 		select {
 		case <-ctx.Done():
@@ -101,6 +103,11 @@
 	n.Silent = r.beats.quiet
 	r.beats.mu.Unlock()
 	n.Unreached = r.reach.list()
+	known := w.GetBans()
+	if w.GetLeader() != r.id {
+		known = 0 // Revisions count at each scheduler anew.
+	}
+	n.Bans = r.bans.since(known)
 	var doc []byte
 	n.Version, doc = h.Replica.Publication()
 	if n.GetVersion() > w.GetVersion() {
@@ -111,7 +118,7 @@
 		n.Document = data
 	}
 	n.Roster, n.Whole, n.Revision = h.Replica.Roster(w.GetRevision())
-	fresh := n.GetDocument() != nil || n.GetRevision() != w.GetRevision() || w.GetLeader() != r.id
+	fresh := n.GetDocument() != nil || n.GetBans() != nil || n.GetRevision() != w.GetRevision() || w.GetLeader() != r.id
 	return n, fresh, nil
 }
 
--- a/io/story/story.go
+++ b/io/story/story.go
@@ -66,18 +66,19 @@
 
 // causes say in words what the code of a refusal means.
 var causes = map[string]string{
-	"overloaded":      "no upstream could have begun in time: all places were taken",
-	"account-limit":   "its client account was over its rate",
-	"no-upstream":     "no upstream was known that could take it",
-	"deadline":        "its time was over before it had a place",
-	"deadline-passed": "its time was over while an upstream ran it",
-	"not-ready":       "the entry had no configuration yet",
-	"shutting-down":   "the entry was stopping and could not have ended it in time",
-	"unauthorized":    "no client account has its key",
-	"not-found":       "no route fits its host and path",
-	"upstream-lost":   "an upstream that may have run it broke off",
-	"unreachable":     "none of the upstreams that were tried could be reached or took it",
-	"bad-request":     "it could not be read",
+	"overloaded":        "no upstream could have begun in time: all places were taken",
+	"account-limit":     "its client account was over its rate",
+	"no-upstream":       "no upstream was known that could take it",
+	"deadline":          "its time was over before it had a place",
+	"deadline-passed":   "its time was over while an upstream ran it",
+	"not-ready":         "the entry had no configuration yet",
+	"shutting-down":     "the entry was stopping and could not have ended it in time",
+	"unauthorized":      "no client account has its key",
+	"not-found":         "no route fits its host and path",
+	"upstream-lost":     "an upstream that may have run it broke off",
+	"crashes-upstreams": "several upstreams crashed under former copies of it",
+	"unreachable":       "none of the upstreams that were tried could be reached or took it",
+	"bad-request":       "it could not be read",
 }
 
 // Read takes the log of one process. Lines that are no JSON, such as those of a
--- a/io/watch/view.go
+++ b/io/watch/view.go
@@ -25,6 +25,7 @@
 	Heard     time.Time                   // When the owner last answered.
 
 	roster map[string]*wire.Upstream
+	bans   uint64 // Revision of the bans that the owner has told.
 }
 
 // Upstream returns an upstream by its id, nil for one that is not known.
--- a/io/watch/watch.go
+++ b/io/watch/watch.go
@@ -52,7 +52,11 @@
 		Parse       func(doc []byte) (*conf.Config, error)
 		Changed     func()                      // Called when the scheduler changed; may be nil.
 		Rates       func() []*wire.AccountUsage // What accounts used here of late, for a new scheduler; may be nil.
-		Log         logr.Logger
+		Crashes     func() *wire.Crashes        // What this entry knows of requests that crash upstreams, likewise.
+		// Banned is called with each new list of bans, and whether it is the first of its
+		// scheduler; may be nil.
+		Banned func(list *wire.Bans, other bool)
+		Log    logr.Logger
 
 		now      atomic.Pointer[View]
 		once     sync.Once     // Makes first.
@@ -158,6 +162,10 @@
 	if v.Owner == nil && w.Rates != nil {
 		rates = w.Rates()
 	}
+	var crashes *wire.Crashes
+	if v.Owner == nil && w.Crashes != nil {
+		crashes = w.Crashes()
+	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	w.mu.Lock()
@@ -166,7 +174,7 @@
 	f, err := w.Mesh.Call(ctx, to.addr, &wire.Frame{Body: &wire.Frame_Watch{Watch: &wire.Watch{
 		Node: w.Node, Incarnation: w.Incarnation, DataCentre: w.Centre, Address: w.Self.String(),
 		Version: v.Version, Revision: v.Revision, WaitUs: wait.Microseconds(), Leader: v.Owner.GetIncarnation(),
-		Rates: rates, Entries: int64(v.Entries), Alone: to.local,
+		Rates: rates, Entries: int64(v.Entries), Alone: to.local, Crashes: crashes, Bans: v.bans,
 	}}})
 	if err != nil {
 		return fmt.Errorf("watch: ask %s: %w", to.addr, err)
@@ -197,6 +205,12 @@
 		}()
 	}
 	fresh := v.Owner.GetIncarnation() != n.GetLeader()
+	if b := n.GetBans(); b != nil {
+		v.bans = b.GetRevision()
+		if w.Banned != nil {
+			w.Banned(b, fresh)
+		}
+	}
 	if fresh {
 		v.Owner = &wire.Member{Node: "control " + from.addr.String(), Incarnation: n.GetLeader(), Address: from.addr.String()}
 		w.Log.Info("Scheduler found.", "address", from.addr.String(), "incarnation", n.GetLeader(), "this-data-centre-alone", from.local)
