--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -47,6 +47,7 @@
 		early    atomic.Int64  // Requests that wait for the first configuration.
 		last     atomic.Uint64 // Ticket number.
 		suspects suspects
+		limits   limits
 
 		mu      sync.Mutex // Of what follows.
 		peers   peers.Peers
@@ -89,6 +90,8 @@
 		Other(r *http.Response) bool
 		// Load returns what an upstream says of its load, if it does.
 		Load(r *http.Response) (peers.Load, bool)
+		// Limit returns the requests a second that an upstream takes from all, if it says.
+		Limit(r *http.Response) (float64, bool)
 		// Genuine reports whether an answer shows that an upstream made it.
 		Genuine(r *http.Response) bool
 		// Refuse adds to the header of a refusal when the caller may come back.
--- a/io/gate/site_test.go
+++ b/io/gate/site_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -73,6 +74,11 @@
 	return peers.Load{}, false
 }
 
+func (plain) Limit(r *http.Response) (float64, bool) {
+	rate, err := strconv.ParseFloat(r.Header.Get("X-Limit"), 64)
+	return rate, err == nil
+}
+
 func (plain) Genuine(r *http.Response) bool { return r.Header.Get(markHeader) != "" }
 
 func (plain) Refuse(h http.Header, after time.Duration) {
