Upstreams get no more than the limit that they name

Cause: nothing read the header. The scheduler holds an engine to what runs there at once, and one that answers quickly has free places all the time. Entries that choose by themselves go by load and time alone.

Evidence: the collected logs show 8 to 32 requests a second at the engine before and after it named its limit, all answered whole, and no line about it.

Change: entries report what answers name at once, from a stream's head, an error or a refusal. The scheduler keeps the limit of each incarnation, by the order in which requests were sent, so that late answers change nothing, and ends it by an answer without one to a request that was sent after it was last heard. What can't go there goes elsewhere, and the pool's capacity is told as that much less. Entries get shares for what they place by themselves, a few of them with as much each as soon makes a whole request. They bring all that they know to a scheduler that is new. A quarter of a request a second goes to each in any case, as only an answer tells that a limit has ended.

--- a/core/batch/engine.go
+++ b/core/batch/engine.go
@@ -108,7 +108,7 @@
 	b.open, b.ideal, beyond = b.open[:0], ideal{}, true
 	for _, e := range b.known() {
 		p := e.pace
-		if !e.Live(now) || now.Before(p.out) || (e.GetUnreached() && now.Sub(b.tried) < tryEvery) {
+		if !e.Live(now) || now.Before(p.out) || (e.GetUnreached() && now.Sub(b.tried) < tryEvery) || !e.Meter.Room(now) {
 			continue
 		}
 		b.ideal.add(p)
--- a/core/batch/shed.go
+++ b/core/batch/shed.go
@@ -77,12 +77,8 @@
 }
 
 // capacity is how many requests a second all places could begin, by the usual runs of
-// what waits.
+// what waits and the limits that engines name.
 func (b *Batch) capacity() float64 {
-	places := 0
-	for _, e := range b.known() {
-		places += e.Limit()
-	}
 	var sum time.Duration
 	for _, i := range b.waiting {
 		sum += b.mean.place(i.prompt, i.answer)
@@ -90,5 +86,14 @@
 	if sum == 0 {
 		return 0
 	}
-	return float64(places) * float64(len(b.waiting)) / sum.Seconds()
+	run := sum.Seconds() / float64(len(b.waiting))
+	all := 0.0
+	for _, e := range b.known() {
+		rate := float64(e.Limit()) / run
+		if limit, ok := e.Meter.Rate(); ok {
+			rate = min(rate, limit)
+		}
+		all += rate
+	}
+	return all
 }
--- /dev/null
+++ b/core/meter/meter.go
@@ -0,0 +1,69 @@
+// Package meter holds the requests to one upstream to the rate that it names.
+package meter
+
+import "time"
+
+const (
+	// burstTime is the time whose requests may come at once after a pause.
+	burstTime = 500 * time.Millisecond
+	// leastRate is the least that is sent, in requests a second: an upstream tells in
+	// answers alone that its limit has ended.
+	leastRate = 0.25
+)
+
+// Meter is a token bucket. The zero value lets everything pass. One that gets a limit
+// begins without tokens: it does not know what was sent a moment before.
+type Meter struct {
+	on    bool
+	rate  float64 // Requests a second.
+	burst float64
+	left  float64
+	at    time.Time
+}
+
+// Limit holds the requests to a share of a rate, in requests a second, from now on. With
+// a share of zero nothing passes.
+func (m *Meter) Limit(now time.Time, rate, share float64) {
+	m.fill(now)
+	m.on, m.rate = true, max(rate, leastRate)*share
+	m.burst = 1 + m.rate*burstTime.Seconds()
+	m.left = min(m.left, m.burst)
+}
+
+// End lets everything pass again.
+func (m *Meter) End() { *m = Meter{} }
+
+// Rate is the limit, in requests a second; ok is false where there is none.
+func (m *Meter) Rate() (rate float64, ok bool) { return m.rate, m.on }
+
+// Room reports whether one more request may be sent now.
+func (m *Meter) Room(now time.Time) bool {
+	m.fill(now)
+	return !m.on || (m.left >= 1 && m.rate > 0)
+}
+
+// Wait is the time until one more request may be sent, an hour where none may.
+func (m *Meter) Wait(now time.Time) time.Duration {
+	switch {
+	case m.Room(now):
+		return 0
+	case m.rate <= 0:
+		return time.Hour
+	}
+	return time.Duration((1 - m.left) / m.rate * float64(time.Second))
+}
+
+// Take counts a request, also one that is sent without room.
+func (m *Meter) Take(now time.Time) {
+	m.fill(now)
+	if m.on {
+		m.left--
+	}
+}
+
+func (m *Meter) fill(now time.Time) {
+	if m.on && now.After(m.at) {
+		m.left = min(m.left+m.rate*now.Sub(m.at).Seconds(), m.burst)
+	}
+	m.at = now
+}
--- /dev/null
+++ b/core/meter/meter_test.go
@@ -0,0 +1,69 @@
+package meter
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+var start = time.Unix(1000, 0)
+
+// Guards against more requests in some four seconds than one and a half times the limit
+// and five, and against an upstream that gets much less than it takes.
+func TestWithinTheLimit(t *testing.T) {
+	const step, span = time.Millisecond, 4 * time.Second
+	for _, rate := range []float64{0, 0.1, 1, 1.3, 8.9, 100} {
+		for _, idle := range []time.Duration{0, time.Minute} {
+			var m Meter
+			m.Limit(start, rate, 1)
+			var sent []time.Time
+			for now := start.Add(idle); now.Before(start.Add(idle + 20*time.Second)); now = now.Add(step) {
+				if m.Room(now) {
+					m.Take(now)
+					sent = append(sent, now)
+				}
+			}
+			name := fmt.Sprint(rate, idle)
+			for i, at := range sent {
+				n := 0
+				for _, later := range sent[i:] {
+					if later.Sub(at) < span {
+						n++
+					}
+				}
+				must.LessEq(t, 1.5*rate*span.Seconds()+5, float64(n), must.Sprint(name))
+			}
+			must.GreaterEq(t, int(max(rate, leastRate)*20)-1, len(sent), must.Sprint(name))
+		}
+	}
+}
+
+// Guards against limits that give tokens with each change, and against one that stays.
+func TestLimitChanges(t *testing.T) {
+	var m Meter
+	must.True(t, m.Room(start))
+	n := 0
+	for i := range 4000 {
+		now := start.Add(time.Duration(i) * time.Millisecond)
+		m.Limit(now, 2+float64(i%2), 1)
+		if m.Room(now) {
+			m.Take(now)
+			n++
+		}
+	}
+	must.Between(t, 8, n, 13)
+	now := start.Add(4 * time.Second)
+	for m.Room(now) {
+		m.Take(now)
+	}
+	must.Positive(t, m.Wait(now))
+	must.True(t, m.Room(now.Add(m.Wait(now)+time.Millisecond)))
+	m.Limit(now, 8, 0)
+	must.False(t, m.Room(now.Add(time.Minute)))
+	must.Eq(t, time.Hour, m.Wait(now.Add(time.Minute)))
+	m.End()
+	must.True(t, m.Room(start))
+	must.Eq(t, 0, m.Wait(start))
+}
--- a/core/peers/peers.go
+++ b/core/peers/peers.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"azurelane/core/meter"
 	"azurelane/core/wire"
 )
 
@@ -27,6 +28,7 @@
 		used    time.Time
 		load    Load
 		loadAt  time.Time
+		meter   meter.Meter // Of the limit that it names.
 	}
 
 	// Load is what an upstream says of itself.
@@ -117,7 +119,7 @@
 // allows reports whether a request may go to an upstream at all.
 func (p *Peers) allows(now time.Time, u *wire.Upstream, e *peer, c Choice) bool {
 	switch {
-	case !p.mayTry(now, u.GetDataCentre(), &c), contains(c.Avoid, u.GetId()):
+	case !p.mayTry(now, u.GetDataCentre(), &c), contains(c.Avoid, u.GetId()), !e.meter.Room(now):
 		return false
 	case c.Most > 0:
 		return !e.full(now) && (e.running < c.Most || e.room(now))
@@ -161,9 +163,36 @@
 	return time.Duration(float64(l) * load * (1 + errorFactor*e.errors))
 }
 
+// Limit holds this entry to a share of the requests a second that an upstream takes.
+func (p *Peers) Limit(now time.Time, id string, rate, share float64) {
+	e := p.of(id)
+	e.meter.Limit(now, rate, share)
+	e.used = now
+}
+
+// Unlimit ends the limit of an upstream.
+func (p *Peers) Unlimit(id string) {
+	if e := p.seen[id]; e != nil {
+		e.meter.End()
+	}
+}
+
+// Wait is the time until the limit of some upstream lets a request pass; zero where none
+// holds one back.
+func (p *Peers) Wait(now time.Time, list []*wire.Upstream) time.Duration {
+	least := time.Duration(0)
+	for _, u := range list {
+		if w := p.of(u.GetId()).meter.Wait(now); w > 0 && (least == 0 || w < least) {
+			least = w
+		}
+	}
+	return least
+}
+
 // Begin notes that a request is sent.
 func (p *Peers) Begin(now time.Time, id string) {
 	e := p.of(id)
+	e.meter.Take(now)
 	e.running++
 	e.load.Running++
 	e.used = now
@@ -202,7 +231,7 @@
 
 func (p *Peers) sweep(now time.Time) {
 	for id, e := range p.seen {
-		if e.running == 0 && now.Sub(e.used) > forget {
+		if _, limited := e.meter.Rate(); !limited && e.running == 0 && now.Sub(e.used) > forget {
 			delete(p.seen, id)
 		}
 	}
--- a/core/slots/slots.go
+++ b/core/slots/slots.go
@@ -41,6 +41,7 @@
 func (s *Slots) Grant(now time.Time, g *slot.Slot, ttl time.Duration) *wire.Decision {
 	s.last++
 	g.Number, g.Since, g.Owner = s.last, now, ""
+	g.Up.Meter.Take(now)
 	s.put(g)
 	t := g.Ticket
 	return &wire.Decision{
--- a/core/upstr/upstr.go
+++ b/core/upstr/upstr.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"azurelane/core/limit"
+	"azurelane/core/meter"
 	"azurelane/core/prefix"
 	"azurelane/core/wire"
 )
@@ -26,6 +27,7 @@
 	Learnt limit.Limit   // From its own runs.
 	Cache  prefix.Prefix // What it has probably cached.
 	hash   uint64
+	Meter  meter.Meter // Of the limit that it names.
 }
 
 // DefaultMaxRunning bounds an upstream that does not say how much it runs at once.
@@ -42,6 +44,12 @@
 func (u *Upstream) Heard(now time.Time, a *wire.Announce) {
 	if u.GetIncarnation() != "" && u.GetIncarnation() != a.GetIncarnation() {
 		u.Learnt.Return()
+		u.Meter.End()
+	}
+	if l := a.GetLimit(); l != nil {
+		u.Meter.Limit(now, l.GetPerSecond(), 1)
+	} else {
+		u.Meter.End()
 	}
 	u.Announce = a
 	u.Expires = now.Add(time.Duration(a.GetLeaseUs()) * time.Microsecond)
@@ -61,7 +69,7 @@
 
 // Room reports whether it may be granted one more request now.
 func (u *Upstream) Room(now time.Time) bool {
-	return u.Running < u.Most(now) && u.Live(now)
+	return u.Running < u.Most(now) && u.Live(now) && u.Meter.Room(now)
 }
 
 // Limit is the number of requests that the upstream says it runs at once.
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -48,6 +48,7 @@
 		last     atomic.Uint64 // Ticket number.
 		suspects suspects
 		limits   limits
+		reports  reports
 
 		mu      sync.Mutex // Of what follows.
 		peers   peers.Peers
--- /dev/null
+++ b/io/gate/limits_test.go
@@ -0,0 +1,64 @@
+package gate
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"azurelane/core/wire"
+)
+
+// Guards against an entry that alone sends more than its share of a limit, that never
+// reports one, and that keeps one which the upstream no longer names.
+func TestLimitAlone(t *testing.T) {
+	limited, free := newUpstream(t, answer(http.StatusOK, "ok", "X-Limit: 2\r\n")), newUpstream(t, text("ok"))
+	s := newSite(t, limited, free)
+	must.Eq(t, http.StatusOK, s.ask("POST", "/once/x").status)
+	must.Eq(t, 1, limited.count())
+	reports := s.NewLimits()
+	must.Len(t, 1, reports)
+	must.Eq(t, 2, reports[0].GetPerSecond())
+	for range 20 {
+		must.Eq(t, http.StatusOK, s.ask("POST", "/once/x").status)
+	}
+	must.LessEq(t, 3, limited.count())
+	must.Len(t, 1, s.Limits())
+
+	s.Limited([]*wire.Limit{{Upstream: "up-0", PerSecond: 2, Share: 0}})
+	before := limited.count()
+	time.Sleep(600 * time.Millisecond)
+	must.Eq(t, http.StatusOK, s.ask("POST", "/once/x").status)
+	must.Eq(t, before, limited.count())
+	time.Sleep(ownFor)
+	s.Limited(nil)
+	must.SliceEmpty(t, s.Limits())
+}
+
+// Guards against a limit that is forgotten because an answer from before it comes late,
+// and against one that stays.
+func TestLimitEndsByLaterRequestsOnly(t *testing.T) {
+	s := newSite(t, newUpstream(t, text("ok")))
+	answered := func(sent time.Time, rate string) {
+		r := &http.Response{StatusCode: http.StatusOK, Header: http.Header{}}
+		r.Header.Set(markHeader, "m")
+		if rate != "" {
+			r.Header.Set("X-Limit", rate)
+		}
+		s.limited("up-0", sent, r)
+	}
+	start := time.Now()
+	answered(start, "1.5")
+	answered(start.Add(-time.Second), "")
+	answered(start.Add(-time.Second), "9")
+	must.Len(t, 1, s.Limits())
+	must.Eq(t, 1.5, s.Limits()[0].GetPerSecond())
+	s.limited("up-0", time.Now(), &http.Response{StatusCode: http.StatusMisdirectedRequest, Header: http.Header{}})
+	must.Len(t, 1, s.Limits())
+	time.Sleep(reportAgain)
+	answered(time.Now(), "")
+	must.SliceEmpty(t, s.Limits())
+	reports := s.NewLimits()
+	must.True(t, reports[len(reports)-1].GetEnded())
+}
--- a/io/gate/place.go
+++ b/io/gate/place.go
@@ -37,8 +37,9 @@
 	// entries use, so that uneven shares stay within it.
 	budgetPart = 0.7
 	// leastBurst is what an entry may always send again at once.
-	leastBurst = 2
-	aloneRetry = 700 * time.Millisecond // What callers are told while entries place requests by themselves.
+	leastBurst   = 2
+	longestRetry = 4 * time.Second        // What callers are told at most.
+	aloneRetry   = 700 * time.Millisecond // What callers are told while entries place requests by themselves.
 )
 
 // place is leave to send a request to one upstream.
@@ -152,7 +153,11 @@
 		if slots > 0 {
 			code = refuse.Overloaded
 		}
-		return nil, refuse.New(code, "no upstream with room is known here", aloneRetry)
+		after := aloneRetry
+		if wait := g.peers.Wait(now, q.view.Upstreams[q.pool]); wait > after {
+			code, after = refuse.Overloaded, min(wait, longestRetry)
+		}
+		return nil, refuse.New(code, "no upstream with room is known here", after)
 	}
 	// Only what finds room counts against its account: a request that looks again
 	// and again would use up the account's rate by itself.
--- a/io/gate/request.go
+++ b/io/gate/request.go
@@ -256,7 +256,7 @@
 	if q.begun {
 		first = q.began
 	}
-	q.gate.suspects.answered(time.Now(), q.digest())
+	q.gate.answered(time.Now(), q.digest())
 	q.gate.Stats.Count("answers-whole", 1)
 	q.gate.Stats.Time("first-"+q.name(), first)
 	q.gate.Stats.Time("total-"+q.name(), took)
--- a/io/gate/send.go
+++ b/io/gate/send.go
@@ -74,7 +74,7 @@
 	if l, ok := q.gate.Dialect.Load(resp); ok {
 		q.gate.told(p.up.GetId(), l)
 	}
-	q.gate.limited(p.up.GetId(), resp)
+	q.gate.limited(p.up.GetId(), start, resp)
 	switch {
 	case q.gate.Dialect.Other(resp):
 		res.end = other
--- a/io/gate/suspects.go
+++ b/io/gate/suspects.go
@@ -25,8 +25,6 @@
 		watched map[digest.Digest]time.Time // By the scheduler; a whole answer since then clears it.
 		whole   recent.Recent
 		unsent  wire.Crashes // Not reported yet.
-		wake    chan struct{}
-		once    sync.Once // Makes wake.
 	}
 
 	// ban is a request that is not sent any more.
@@ -72,6 +70,7 @@
 		g.Log.Info("Upstream crashed under a request.", "request", id, "digest", d.String(), "upstream", up, "address", addr.String())
 		g.Stats.Count("crashes-seen", 1)
 		g.suspects.crash(time.Now(), d, up)
+		g.reports.notify()
 	}
 	if !q.route.Repeatable() {
 		go look() // Its caller need not wait for what concerns the next copy alone.
@@ -124,17 +123,18 @@
 	answered := s.whole.Has(d)
 	s.seen.Crash(now, d, upstream, answered)
 	s.unsent.Crashes = append(s.unsent.Crashes, &wire.Crash{Digest: d[:], Upstream: upstream, Answered: answered})
-	s.notify()
 }
 
 // answered notes a whole answer. What an upstream has run to its end does not crash
 // each one that runs it.
-func (s *suspects) answered(now time.Time, d digest.Digest) {
+func (g *Gate) answered(now time.Time, d digest.Digest) {
+	s := &g.suspects
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.whole.Add(now, d)
 	if _, ok := s.watched[d]; ok || s.seen.Knows(d) {
 		s.clear(d)
+		g.reports.notify()
 	}
 }
 
@@ -143,7 +143,6 @@
 	s.seen.Clear(d)
 	delete(s.watched, d) // One report is enough.
 	s.unsent.Cleared = append(s.unsent.Cleared, d[:])
-	s.notify()
 }
 
 // Banned takes the scheduler's list. What it no longer lists was lifted, unless the
@@ -183,6 +182,7 @@
 	for d, since := range s.watched {
 		if s.whole.Since(since, d) {
 			s.clear(d)
+			g.reports.notify()
 		}
 	}
 }
@@ -200,9 +200,6 @@
 	return c
 }
 
-// Suspected signals that there is something to take by Suspects.
-func (g *Gate) Suspected() <-chan struct{} { return g.suspects.waker() }
-
 // Suspects takes what is to be reported.
 func (g *Gate) Suspects() *wire.Crashes {
 	s := &g.suspects
@@ -220,17 +217,5 @@
 	defer s.mu.Unlock()
 	s.unsent.Crashes = append(s.unsent.Crashes, c.GetCrashes()...)
 	s.unsent.Cleared = append(s.unsent.Cleared, c.GetCleared()...)
-	s.notify()
-}
-
-func (s *suspects) waker() chan struct{} {
-	s.once.Do(func() { s.wake = make(chan struct{}, 1) })
-	return s.wake
-}
-
-func (s *suspects) notify() {
-	select {
-	case s.waker() <- struct{}{}:
-	default: // A signal is on its way already.
-	}
+	g.reports.notify()
 }
--- a/io/gated/gated.go
+++ b/io/gated/gated.go
@@ -82,6 +82,7 @@
 	}
 	e.watch.Changed, e.watch.Rates = e.grant.Changed, g.Rates
 	e.watch.Crashes, e.watch.Banned = g.Crashes, g.Banned
+	e.watch.Limits, e.watch.Limited = g.Limits, g.Limited
 	g.Node, g.Incarnation, g.Centre = set.Node, incarnation, set.Centre
 	g.News, g.Granter, g.Sender, g.Prober, g.Trier, g.Stats, g.Log = e.watch, e.grant, e.client, e.client, e, metrics, e.log
 	metrics.Pull("configuration-version", func() int64 { return int64(e.watch.View().Version) }) //nolint:gosec // Versions are small.
@@ -140,7 +141,7 @@
 	defer cancel()
 	done := e.sup.ServeBackground(parts)
 	go e.report(parts)
-	go e.reportCrashes(parts)
+	go e.reportSeen(parts)
 	fctx, fstop := context.WithCancel(parts)
 	defer fstop()
 	served := make(chan error, 1)
@@ -193,21 +194,22 @@
 	}
 }
 
-// reportCrashes tells the scheduler of requests that crash upstreams as soon as that is
-// seen. One that is new hears all that this entry knows before it gets any ticket.
-func (e *Gated) reportCrashes(ctx context.Context) {
+// reportSeen tells the scheduler what answers have shown of upstreams and requests, as soon
+// as they do. One that is new hears all that this entry knows before it gets any ticket.
+func (e *Gated) reportSeen(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-e.gate.Suspected():
+		case <-e.gate.Reports():
+		}
+		if l := e.gate.NewLimits(); len(l) > 0 {
+			e.tellSeen(ctx, &wire.Frame{Body: &wire.Frame_Limits{Limits: &wire.Limits{Limits: l}}})
 		}
 		c := e.gate.Suspects()
-		err := e.tell(ctx, e.watch.Owner(""), &wire.Frame{Body: &wire.Frame_Crashes{Crashes: c}})
-		if err == nil {
+		if len(c.GetCrashes())+len(c.GetCleared()) == 0 || e.tellSeen(ctx, &wire.Frame{Body: &wire.Frame_Crashes{Crashes: c}}) {
 			continue
 		}
-		e.log.Info("Crashes not reported.", "err", err.Error())
 		e.gate.Unreported(c)
 		select {
 		case <-ctx.Done():
@@ -217,6 +219,16 @@
 	}
 }
 
+// tellSeen reports whether the scheduler has taken a report. A limit that got lost is
+// named in the next answer.
+func (e *Gated) tellSeen(ctx context.Context, f *wire.Frame) bool {
+	if err := e.tell(ctx, e.watch.Owner(""), f); err != nil {
+		e.log.Info("Report not taken.", "err", err.Error())
+		return false
+	}
+	return true
+}
+
 // Try asks the scheduler for leave to send a banned request once.
 func (e *Gated) Try(ctx context.Context, d digest.Digest) error {
 	return e.tell(ctx, e.watch.Owner(""), &wire.Frame{Body: &wire.Frame_Try{Try: &wire.Try{Digest: d[:]}}})
--- a/io/hub/beats.go
+++ b/io/hub/beats.go
@@ -32,6 +32,7 @@
 		served time.Time
 		calls  uint64 // Announcements to the scheduler, which wants them to grow.
 		lost   bool   // Its data centre seems cut off.
+		limit  *wire.Limit
 	}
 )
 
@@ -61,6 +62,9 @@
 		return nil
 	}
 	reborn := roster.Reborn(known, u)
+	if reborn {
+		r.limits.drop(u.GetId())
+	}
 	if rep.GetFarewell() {
 		if known == nil || (known.GetState() == wire.Upstream_STATE_GONE && !reborn) {
 			return nil
@@ -113,7 +117,7 @@
 // announce hands an upstream to the scheduler, with a lease of some beats.
 func (h *Hub) announce(r *reign, u *wire.Upstream, beats int) {
 	lease := time.Duration(beats)*h.Beat + h.Beat/2
-	if a := r.beats.announce(u, lease); a != nil {
+	if a := r.beats.announce(u, r.limited(u.GetId()), lease); a != nil {
 		r.sched.Announce(a)
 	}
 }
@@ -148,11 +152,11 @@
 	return true
 }
 
-func (b *beats) announce(u *wire.Upstream, lease time.Duration) *wire.Announce {
+func (b *beats) announce(u *wire.Upstream, l *wire.Limit, lease time.Duration) *wire.Announce {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	e := b.of(u)
-	e.Upstream = u
+	e.Upstream, e.limit = u, l
 	if e.at.IsZero() {
 		e.at = time.Now()
 	}
@@ -165,10 +169,32 @@
 	return &wire.Announce{
 		Upstream: e.GetId(), Address: e.GetAddress(), Pools: []string{e.GetPool()}, MaxRunning: e.GetSlots(),
 		Leaving: e.GetState() != wire.Upstream_STATE_SERVING, LeaseUs: lease.Microseconds(), Seq: e.calls, CanResume: true,
-		Unreached: e.lost, Incarnation: strconv.FormatInt(e.GetBorn(), 10),
+		Unreached: e.lost, Incarnation: strconv.FormatInt(e.GetBorn(), 10), Limit: e.limit,
 	}
 }
 
+// limit sets the limit of an upstream and returns what the scheduler has to be told, with
+// the rest of the lease; nil where it does not know the upstream.
+func (b *beats) limit(now time.Time, id string, l *wire.Limit) *wire.Announce {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e := b.ups[id]
+	if e == nil || e.Upstream == nil {
+		return nil
+	}
+	e.limit = l
+	return e.tell(b.left(now, e))
+}
+
+// left is the rest of an upstream's lease. The lock is held.
+func (b *beats) left(now time.Time, e *beat) time.Duration {
+	last := e.at
+	if e.served.After(last) {
+		last = e.served
+	}
+	return b.lease - now.Sub(last)
+}
+
 // served notes that an upstream answered and returns its data centre. It returns a
 // new lease for one whose announcements stay away: servers may be cut off from
 // control and still serve.
@@ -196,11 +222,8 @@
 		if e.Upstream == nil {
 			continue
 		}
-		lost, last := slices.Contains(centres, e.GetDataCentre()), e.at
-		if e.served.After(last) {
-			last = e.served
-		}
-		if left := b.lease - now.Sub(last); lost != e.lost && left > 0 {
+		lost := slices.Contains(centres, e.GetDataCentre())
+		if left := b.left(now, e); lost != e.lost && left > 0 {
 			e.lost = lost
 			list = append(list, e.tell(left))
 		}
--- a/io/hub/hub.go
+++ b/io/hub/hub.go
@@ -276,6 +276,8 @@
 		if r := h.scheduler(); r != nil {
 			r.used(b.Usage)
 		}
+	case *wire.Frame_Limits:
+		return nil, h.handleLimits(b.Limits)
 	case *wire.Frame_Crashes, *wire.Frame_Try, *wire.Frame_BanQuery:
 		return h.handleBans(f)
 	case *wire.Frame_Watch:
--- /dev/null
+++ b/io/hub/limits_test.go
@@ -0,0 +1,82 @@
+package hub
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"azurelane/core/wire"
+)
+
+// Guards against a limit that is lost or taken back by answers that come late, and
+// against one that stays when it is no longer named.
+func TestLateAnswersChangeNoLimit(t *testing.T) {
+	const sec = time.Second
+	start := time.Unix(1000, 0)
+	named := func(rate float64, age time.Duration) *wire.Limit {
+		return &wire.Limit{Upstream: "a", PerSecond: rate, AgeUs: age.Microseconds()}
+	}
+	ended := func(age time.Duration) *wire.Limit {
+		return &wire.Limit{Upstream: "a", Ended: true, AgeUs: age.Microseconds()}
+	}
+	for _, tc := range []struct {
+		name  string
+		comes []*wire.Limit // A second between two.
+		want  float64       // Below zero for none.
+	}{
+		{"none named", []*wire.Limit{ended(0)}, -1},
+		{"named", []*wire.Limit{named(2, 0)}, 2},
+		{"changed", []*wire.Limit{named(2, 0), named(3, sec/2)}, 3},
+		{"changed by an older answer", []*wire.Limit{named(2, 0), named(3, 2*sec)}, 2},
+		{"ended by an older answer", []*wire.Limit{named(2, 0), ended(2 * sec)}, 2},
+		{"ended by an answer that was under way", []*wire.Limit{named(2, sec/2), ended(1100 * time.Millisecond)}, 2},
+		{"ended", []*wire.Limit{named(2, 0), ended(sec / 2)}, -1},
+		{"named again", []*wire.Limit{named(2, 0), ended(sec / 2), named(1, 0)}, 1},
+	} {
+		var l limits
+		for i, r := range tc.comes {
+			l.take(start.Add(time.Duration(i)*sec), []*wire.Limit{r})
+		}
+		rate, ok := l.rate("a")
+		must.Eq(t, tc.want >= 0, ok, must.Sprint(tc.name))
+		if ok {
+			must.Eq(t, tc.want, rate, must.Sprint(tc.name))
+		}
+	}
+}
+
+// Guards against entries that use more than a limit together, or by so small parts that
+// each saves up a request and all are sent at once.
+func TestSharesOfALimit(t *testing.T) {
+	for _, n := range []int{1, 3, 200} {
+		for _, rate := range []float64{0, 1.3, 9, 1000} {
+			var entries []string
+			for i := range n {
+				entries = append(entries, fmt.Sprint("entry-", i))
+			}
+			sum, parts := 0.0, 0
+			for _, e := range entries {
+				if s := share("up", rate, e, entries); s > 0 {
+					sum += s
+					parts++
+				}
+			}
+			must.Between(t, 0.999, sum, 1.001, must.Sprint(n, rate))
+			must.LessEq(t, rate+1, float64(parts), must.Sprint(n, rate))
+		}
+	}
+}
+
+// Guards against a limit that outlives the process that named it.
+func TestLimitsOfUpstreamsThatAreGone(t *testing.T) {
+	var l limits
+	now := time.Unix(1000, 0)
+	l.take(now, []*wire.Limit{{Upstream: "a", PerSecond: 1}, {Upstream: "b", PerSecond: 1}, {Upstream: "c", PerSecond: 1}})
+	l.keep(func(id string) bool { return id != "a" })
+	l.drop("b")
+	list := l.list(now, "e", []string{"e"})
+	must.Len(t, 1, list)
+	must.Eq(t, "c", list[0].GetUpstream())
+}
--- a/io/hub/reign.go
+++ b/io/hub/reign.go
@@ -19,16 +19,17 @@
 // reign is what a replica has from the moment in which it begins to schedule to
 // the end of that.
 type reign struct {
-	id    string
-	scope scope
-	sched *sched.Sched
-	beats beats
-	reach reach
-	bans  bans
-	stats *stats.Stats
-	log   logr.Logger
-	lines *logs.Budget // Of refused tickets.
-	spoke time.Time    // When speeds were last told; the sweep's own.
+	id     string
+	scope  scope
+	sched  *sched.Sched
+	beats  beats
+	reach  reach
+	bans   bans
+	limits limits
+	stats  *stats.Stats
+	log    logr.Logger
+	lines  *logs.Budget // Of refused tickets.
+	spoke  time.Time    // When speeds were last told; the sweep's own.
 
 	mu      sync.Mutex
 	allow   allow.Allow
--- a/io/hub/scope.go
+++ b/io/hub/scope.go
@@ -52,3 +52,11 @@
 func (h *Hub) serves(r *reign, w *wire.Watch) bool {
 	return r.scope == deployment || (w.GetAlone() && w.GetDataCentre() == h.Centre)
 }
+
+// dataCentre is the one for which a scheduler works, empty for all.
+func (r *reign) dataCentre(own string) string {
+	if r.scope == centre {
+		return own
+	}
+	return ""
+}
--- a/io/hub/watch.go
+++ b/io/hub/watch.go
@@ -61,7 +61,8 @@
 		}
 		r.join(w, h.here(r))
 		r.bans.take(h.Log, w.GetCrashes())
-		lost, banned := r.reach.changed(), r.bans.changed()
+		h.limit(r, w.GetLimits())
+		lost, banned, limited := r.reach.changed(), r.bans.changed(), r.limits.changed()
 		n, fresh, err := h.news(r, w)
 		if err != nil || fresh || stirred {
 			return n, err
@@ -74,6 +75,7 @@
 		case <-changed:
 		case <-lost:
 		case <-banned:
+		case <-limited:
 		}
 		select {
 		case <-ctx.Done():
@@ -108,6 +110,7 @@
 		known = 0 // Revisions count at each scheduler anew.
 	}
 	n.Bans = r.bans.since(known)
+	n.Limits = r.limits.list(time.Now(), w.GetNode(), h.watchers.nodes(r.dataCentre(h.Centre)))
 	var doc []byte
 	n.Version, doc = h.Replica.Publication()
 	if n.GetVersion() > w.GetVersion() {
@@ -156,6 +159,10 @@
 	r.await(now, h.watchers.count(now))
 	r.tellSpeeds(now)
 	r.tellParts(now)
+	r.limits.keep(func(id string) bool {
+		u := h.Replica.Upstream(id)
+		return u != nil && u.GetState() != wire.Upstream_STATE_GONE
+	})
 	for _, inc := range h.watchers.lost(now) {
 		h.Log.Info("Entry lost.", "incarnation", inc)
 		r.sched.Forget(inc)
@@ -194,6 +201,19 @@
 	return n
 }
 
+// nodes lists the entries that share the limits of all, of one data centre if it is named.
+func (s *watchers) nodes(dataCentre string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []string
+	for node, e := range s.byNode {
+		if dataCentre == "" || e.dataCentre == dataCentre {
+			list = append(list, node)
+		}
+	}
+	return list
+}
+
 // countIn is the number of those in one data centre.
 func (s *watchers) countIn(now time.Time, dataCentre string) int64 {
 	s.mu.Lock()
--- a/io/watch/watch.go
+++ b/io/watch/watch.go
@@ -56,7 +56,11 @@
 		// Banned is called with each new list of bans, and whether it is the first of its
 		// scheduler; may be nil.
 		Banned func(list *wire.Bans, other bool)
-		Log    logr.Logger
+		// Limits is what this entry knows of upstreams' limits, for a new scheduler, and
+		// Limited is called with all that are in force; both may be nil.
+		Limits  func() []*wire.Limit
+		Limited func(list []*wire.Limit)
+		Log     logr.Logger
 
 		now      atomic.Pointer[View]
 		once     sync.Once     // Makes first.
@@ -166,6 +170,10 @@
 	if v.Owner == nil && w.Crashes != nil {
 		crashes = w.Crashes()
 	}
+	var limits []*wire.Limit
+	if v.Owner == nil && w.Limits != nil {
+		limits = w.Limits()
+	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	w.mu.Lock()
@@ -174,7 +182,7 @@
 	f, err := w.Mesh.Call(ctx, to.addr, &wire.Frame{Body: &wire.Frame_Watch{Watch: &wire.Watch{
 		Node: w.Node, Incarnation: w.Incarnation, DataCentre: w.Centre, Address: w.Self.String(),
 		Version: v.Version, Revision: v.Revision, WaitUs: wait.Microseconds(), Leader: v.Owner.GetIncarnation(),
-		Rates: rates, Entries: int64(v.Entries), Alone: to.local, Crashes: crashes, Bans: v.bans,
+		Rates: rates, Entries: int64(v.Entries), Alone: to.local, Crashes: crashes, Bans: v.bans, Limits: limits,
 	}}})
 	if err != nil {
 		return fmt.Errorf("watch: ask %s: %w", to.addr, err)
@@ -211,6 +219,9 @@
 			w.Banned(b, fresh)
 		}
 	}
+	if w.Limited != nil {
+		w.Limited(n.GetLimits())
+	}
 	if fresh {
 		v.Owner = &wire.Member{Node: "control " + from.addr.String(), Incarnation: n.GetLeader(), Address: from.addr.String()}
 		w.Log.Info("Scheduler found.", "address", from.addr.String(), "incarnation", n.GetLeader(), "this-data-centre-alone", from.local)
