Calls on a link that ends don't wait for its reader

What callers saw: a call on a link that was closed, or whose write failed, may return late on a busy VM.

Cause: the link's end was reported by the reader of its stream. The session holds the stream's lock while it reads a frame's body from the connection, and the reader needs it even to see its deadline. A link that ends between header and body is reported as ended only when the connection's reader is back.

In all 14 dumps the stream's reader waits for the lock that the session holds in readData.

Change: closing a link reports its end. The test stays as it was. As it now passes whether or not the stream's reader has let go, a second test looks at that reader itself: it ends links between frames and inside one, by closing and by a failed write, without chance. Its two rows inside a frame failed before.

--- a/io/link/close_test.go
+++ b/io/link/close_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/yamux"
 	"github.com/pkg/errors"
 	"github.com/shoenig/test/must"
 
@@ -85,3 +86,109 @@
 		})
 	}
 }
+
+// watched is a stream that tells when whoever reads it has let go.
+type watched struct {
+	net.Conn
+	gone chan struct{}
+}
+
+func (w *watched) Read(p []byte) (int, error) {
+	n, err := w.Conn.Read(p)
+	if err != nil {
+		close(w.gone)
+	}
+	return n, err //nolint:wrapcheck // The stream's own.
+}
+
+// part is a connection that gives as many bytes as it is told to, and nothing more until
+// it may come back with an error.
+type part struct {
+	net.Conn
+	more chan int
+	left int
+	let  chan struct{}
+	fail atomic.Bool
+}
+
+func (c *part) Write(p []byte) (int, error) {
+	if c.fail.Load() {
+		return 0, errors.New("no way out")
+	}
+	return c.Conn.Write(p) //nolint:wrapcheck // The connection's own.
+}
+
+func (c *part) Read(p []byte) (int, error) {
+	if c.left == 0 {
+		select {
+		case c.left = <-c.more:
+		case <-c.let:
+			return 0, net.ErrClosed
+		}
+	}
+	n, err := c.Conn.Read(p[:min(len(p), c.left)])
+	c.left -= n
+	return n, err //nolint:wrapcheck // The connection's own.
+}
+
+// Guards against a reader that is woken again and again, and against callers that wait,
+// when a link ends between two frames or in the middle of one.
+func TestEndOfALinkBetweenFramesAndInside(t *testing.T) {
+	const header = 12 // Bytes of a session's frame before its body.
+	for _, tc := range []struct {
+		name  string
+		more  int  // Bytes that come after the stream was opened.
+		fails bool // The link ends by a write that fails.
+		free  bool // Whether the session lets go of the stream's reader.
+	}{
+		{"between frames", 0, false, true},
+		{"between frames, by a write", 0, true, true},
+		{"inside a frame", header, false, false},
+		{"inside a frame, by a write", header, true, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			here, there := net.Pipe()
+			defer func() { _ = there.Close() }()
+			go func() {
+				sess, err := yamux.Client(there, config())
+				if err != nil {
+					return
+				}
+				if s, err := sess.Open(); err == nil {
+					_, _ = s.Write([]byte("0123456789"))
+				}
+			}()
+			c := &part{Conn: here, more: make(chan int, 1), left: header, let: make(chan struct{})}
+			open := &streams{}
+			sess, err := yamux.Server(&guarded{c, open}, config())
+			must.NoError(t, err)
+			stream, err := sess.Accept()
+			must.NoError(t, err)
+			w := &watched{Conn: stream, gone: make(chan struct{})}
+			l := start(sess, w, open, ack, nil)
+			if tc.more > 0 {
+				c.more <- tc.more
+			}
+			time.Sleep(50 * time.Millisecond) // The reader of the connection gets to its end.
+			if tc.fails {
+				c.fail.Store(true)
+				must.NoError(t, l.Send(context.Background(), &wire.Frame{Body: &wire.Frame_Ack{Ack: &wire.Ack{}}}))
+			} else {
+				go func() { _ = l.Close() }()
+			}
+			waits := []<-chan struct{}{l.Done()}
+			if tc.free {
+				waits = append(waits, w.gone)
+			}
+			for _, ch := range waits {
+				select {
+				case <-ch:
+				case <-time.After(2 * time.Second):
+					t.Error("someone waits for the connection's reader")
+				}
+			}
+			close(c.let)
+			l.Wait()
+		})
+	}
+}
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -65,6 +65,7 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	done   chan struct{}
+	end    sync.Once // Closes done.
 	wg     sync.WaitGroup
 
 	out    chan []byte      // Small frames to write.
@@ -204,6 +205,9 @@
 func (l *Link) Close() error {
 	l.cancel()
 	l.open.end()
+	// Callers must not wait for the link's reader. While the session reads a frame from
+	// the connection it holds the lock of the frame's stream, and so whoever reads there.
+	l.end.Do(func() { close(l.done) })
 	if err := l.sess.Close(); err != nil {
 		return fmt.Errorf("link: close: %w", err)
 	}
--- a/io/link/read.go
+++ b/io/link/read.go
@@ -13,10 +13,7 @@
 
 // read takes the frames of the common stream until the link ends.
 func (l *Link) read() {
-	defer func() {
-		close(l.done) // Callers need not wait for the session to end.
-		_ = l.Close()
-	}()
+	defer func() { _ = l.Close() }()
 	r := bufio.NewReaderSize(l.stream, bufSize)
 	for {
 		f, err := readFrame(r)
