Crashes of one upstream that comes back under its id count each

What callers saw: nothing yet; found by reading. A request that crashes the one upstream of a pool again and again would never be banned where upstreams keep their ids. Cause: crashes were counted by the id, which outlives a process there. Change: the time of the process's start belongs to its name.

--- a/io/gate/suspects.go
+++ b/io/gate/suspects.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"strconv"
 	"sync"
 	"time"
 
@@ -59,7 +60,7 @@
 	if err != nil {
 		return // What was sent to went by another form of address.
 	}
-	g, d, id, up := q.gate, q.digest(), q.meta.ID, p.up.GetId()
+	g, d, id, up := q.gate, q.digest(), q.meta.ID, q.incarnation(p)
 	ctx := context.WithoutCancel(q.r.Context())
 	look := func() {
 		ctx, cancel := context.WithTimeout(ctx, probeLimit)
@@ -79,6 +80,15 @@
 	look()
 }
 
+// incarnation names the process of an upstream, which may come back under the same id.
+func (q *request) incarnation(p *place) string {
+	id := p.up.GetId()
+	if born := max(p.up.GetBorn(), q.view.Upstream(id).GetBorn()); born > 0 {
+		return id + "@" + strconv.FormatInt(born, 10)
+	}
+	return id
+}
+
 // refusedAs returns the refusal of a request that is banned, nil for all others.
 func (q *request) refusedAs(ctx context.Context) *refuse.Error {
 	d := q.digest()
--- a/io/gate/suspects_test.go
+++ b/io/gate/suspects_test.go
@@ -67,6 +67,25 @@
 	}
 }
 
+// Guards against a request that crashes one upstream again and again which comes back
+// under its id.
+func TestCrashesOfOneUpstreamThatComesBack(t *testing.T) {
+	s := newSite(t)
+	sent := 0
+	for n := range 5 {
+		u := breaking(t, true)
+		s.mu.Lock()
+		s.view.Upstreams["p"] = []*wire.Upstream{{Id: "up", Address: u.Addr().String(), Slots: 1, Born: int64(n + 1)}}
+		s.mu.Unlock()
+		s.ask("POST", "/once/bad")
+		for end := time.Now().Add(time.Second); n < 3 && s.crashed() <= n && time.Now().Before(end); {
+			time.Sleep(time.Millisecond)
+		}
+		sent += u.count()
+	}
+	must.Eq(t, 3, sent)
+}
+
 // crashed is the number of crashes that were noted.
 func (s *site) crashed() int {
 	s.suspects.mu.Lock()
