The own interface does not send requests that crash upstreams either

An account whose runs break off is confined to one upstream, which its request goes on to crash each time that it is back. No part knew the request by its content.

Change: tickets carry the digest of the request, and a release says whether the upstream's process is gone. The owner of the pool counts the incarnations that crashed, for every policy, and refuses the request after three, but for the two tries. Another owner counts anew.

Not played on processes.

--- a/io/client/client.go
+++ b/io/client/client.go
@@ -24,6 +24,9 @@
 	idleLimit   = 30 * time.Second
 	idlePerHost = 256
 	headerLimit = 64 << 10 // Bytes of an answer's header.
+	// closedLimit is how long to wait for a sign whether a process has ended. Its VM
+	// refuses connections at once.
+	closedLimit = 150 * time.Millisecond
 )
 
 // Header carries the request's id. An upstream that can repeats it in its answer.
@@ -132,10 +135,9 @@
 	return c.transport.Load()
 }
 
-// Closed reports whether no process listens at an address: the VM there says so. No
-// sign of it within ctx is none of that.
+// Closed reports whether no process listens at an address, by the word of the VM there.
 func (c *Client) Closed(ctx context.Context, addr netip.AddrPort) bool {
-	d := net.Dialer{Timeout: dialLimit}
+	d := net.Dialer{Timeout: closedLimit}
 	nc, err := d.DialContext(ctx, "tcp", addr.String())
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -68,6 +68,7 @@
 
 	sender interface {
 		Send(ctx context.Context, r *http.Request) (*http.Response, bool, error)
+		Closed(ctx context.Context, addr netip.AddrPort) bool
 	}
 
 	peers interface {
--- a/io/front/kill_test.go
+++ b/io/front/kill_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/netip"
 	"regexp"
 	"sync"
 	"testing"
@@ -96,6 +97,10 @@
 	return resp, sent, err
 }
 
+func (m *mortal) Closed(ctx context.Context, addr netip.AddrPort) bool {
+	return m.client.Closed(ctx, addr)
+}
+
 // An entry is killed at each step of a keyed request's life. Its caller sees a
 // broken connection and sends again, to another entry and to the new process
 // in the old one's place. Until the claim was made, the second submission runs.
--- a/io/front/request.go
+++ b/io/front/request.go
@@ -18,6 +18,7 @@
 
 	"azurelane/core/acct"
 	"azurelane/core/conf"
+	"azurelane/core/digest"
 	"azurelane/core/index"
 	"azurelane/core/life"
 	"azurelane/core/refuse"
@@ -149,6 +150,8 @@
 func (q *request) place(ctx, runCtx context.Context, to taker) error {
 	q.ticket.Id, q.ticket.Entry, q.ticket.Incarnation = q.id, q.front.Node, q.front.Incarnation
 	q.ticket.Account = q.account
+	content := digest.Of(q.account, q.r.Method, q.r.URL.RequestURI(), q.body)
+	q.ticket.Digest = content[:]
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	for n := range maxPlaces {
@@ -234,7 +237,7 @@
 	rel := &wire.Release{
 		Ticket: q.id, Entry: q.front.Node, Incarnation: q.front.Incarnation, Pool: q.ticket.GetPool(),
 		Upstream: g.GetUpstream(), Slot: g.GetSlot(), Owner: g.GetOwner(), Account: q.account,
-		PromptTokens: q.ticket.GetPromptTokens(),
+		PromptTokens: q.ticket.GetPromptTokens(), Digest: q.ticket.GetDigest(),
 	}
 	defer func() { q.front.Granter.Release(rel) }()
 	if time.Now().After(expires) {
--- a/io/front/send.go
+++ b/io/front/send.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -73,7 +74,7 @@
 	if err == nil {
 		return done, nil
 	}
-	return done, q.lost(ctx, rel, err)
+	return done, q.lost(ctx, g, rel, err)
 }
 
 // send does one round trip on a connection that drop ends. A stream's head has
@@ -204,7 +205,7 @@
 }
 
 // lost is the end of a request that was sent and has no whole answer.
-func (q *request) lost(ctx context.Context, rel *wire.Release, err error) error {
+func (q *request) lost(ctx context.Context, g *wire.Grant, rel *wire.Release, err error) error {
 	q.front.Log.V(1).Info("No whole answer.", "request", q.name(), "upstream", rel.GetUpstream(), "err", err.Error())
 	q.front.Stats.Count("wasted-prefill-tokens", q.ticket.GetPromptTokens())
 	cause := context.Cause(ctx)
@@ -226,5 +227,8 @@
 		rel.Failed = false
 		return refuse.New(refuse.CallerLeft, "", 0)
 	}
+	if addr, perr := netip.ParseAddrPort(g.GetAddress()); perr == nil {
+		rel.Crashed = q.front.Sender.Closed(ctx, addr)
+	}
 	return refuse.New(refuse.UpstreamLost, "the upstream broke off", 0)
 }
--- a/io/gate/suspects.go
+++ b/io/gate/suspects.go
@@ -45,10 +45,6 @@
 	}
 )
 
-// probeLimit is how long the entry waits for a sign whether an upstream has crashed. A
-// VM whose process has ended resets connections at once.
-const probeLimit = 150 * time.Millisecond
-
 // suspect notes a request whose run broke off because its upstream crashed. A cut link,
 // a broken answer or a reset connection look alike at first, but the upstream still
 // takes connections then, or nothing comes back from it at all.
@@ -63,8 +59,6 @@
 	g, d, id, up := q.gate, q.digest(), q.meta.ID, q.incarnation(p)
 	ctx := context.WithoutCancel(q.r.Context())
 	look := func() {
-		ctx, cancel := context.WithTimeout(ctx, probeLimit)
-		defer cancel()
 		if !g.Prober.Closed(ctx, addr) {
 			return
 		}
--- a/io/sched/sched.go
+++ b/io/sched/sched.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"encoding/hex"
 	"maps"
 	"slices"
 	"sync"
@@ -54,6 +55,7 @@
 		idle atomic.Bool // No ticket waited at the last tick.
 		wake chan struct{}
 		once sync.Once
+		bans bans
 
 		mu    sync.RWMutex
 		pools map[string]*runner
@@ -137,6 +139,10 @@
 // link broke before the decision arrived, takes the place of its former call; that
 // one's end then withdraws nothing.
 func (s *Sched) Queue(ctx context.Context, t *wire.Ticket, done func(*wire.Decision)) {
+	if s.bans.refuses(time.Now(), t) {
+		done(refuse.Ticket(t, refuse.Crashes, 0))
+		return
+	}
 	r, ended := s.runner(t.GetPool())
 	if ended {
 		done(refuse.Ticket(t, withdrawn, retryAfter))
@@ -238,6 +244,9 @@
 	if rel.GetOwner() == s.Incarnation {
 		rel.Owner = "" // The policy's own slots carry no owner.
 	}
+	if s.bans.ended(time.Now(), rel) {
+		s.Log.Info("Request banned: it crashes upstreams.", "digest", hex.EncodeToString(rel.GetDigest()), "account", rel.GetAccount())
+	}
 	if r := s.pool(rel.GetPool()); r != nil {
 		r.do(func(now time.Time) []*wire.Decision { return r.policy.Release(now, rel) })
 	}
@@ -245,6 +254,7 @@
 
 // Announce hands an upstream's lease to the pools that it names.
 func (s *Sched) Announce(a *wire.Announce) {
+	s.bans.runs(a)
 	for _, name := range a.GetPools() {
 		if r := s.pool(name); r != nil {
 			r.do(func(now time.Time) []*wire.Decision { return r.policy.Announce(now, a) })
