An entry's own ban ends when its scheduler lists it no longer

What callers saw: nothing yet; found by reading. A request that an entry banned while it had no scheduler stays refused there for good if the scheduler banned and lifted it between two lists. Cause: only what a list had named before was forgotten when the next one lacked it. The test failed before, the request was refused after the second list.

--- a/io/gate/suspects.go
+++ b/io/gate/suspects.go
@@ -155,7 +155,7 @@
 	now, s := time.Now(), &g.suspects
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	was, watched := s.banned, s.watched
+	watched := s.watched
 	s.banned, s.watched = map[digest.Digest]ban{}, map[digest.Digest]time.Time{}
 	for _, b := range list.GetBanned() {
 		d, ok := digest.From(b.GetDigest())
@@ -173,20 +173,29 @@
 			s.watched[d] = now.Add(-time.Duration(w.GetAgeUs()) * time.Microsecond)
 		}
 	}
-	for d := range was {
-		if _, ok := s.banned[d]; !other && !ok {
-			s.seen.Clear(d)
+	if !other {
+		s.lift(now, watched)
+	}
+	for d, since := range s.watched {
+		if s.whole.Since(since, d) {
+			s.clear(d)
+			g.reports.notify()
 		}
 	}
+}
+
+// lift forgets the crashes of requests that the scheduler watched, and of those that this
+// entry has banned by itself, where the list of now has them no longer. The lock is held.
+func (s *suspects) lift(now time.Time, watched map[digest.Digest]time.Time) {
 	for d := range watched {
-		if _, ok := s.watched[d]; !other && !ok {
+		if _, ok := s.watched[d]; !ok {
 			s.seen.Clear(d)
 		}
 	}
-	for d, since := range s.watched {
-		if s.whole.Since(since, d) {
-			s.clear(d)
-			g.reports.notify()
+	for _, b := range s.seen.Bans(now).GetBanned() {
+		d, _ := digest.From(b.GetDigest())
+		if _, ok := s.banned[d]; !ok {
+			s.seen.Clear(d)
 		}
 	}
 }
--- a/io/gate/suspects_test.go
+++ b/io/gate/suspects_test.go
@@ -127,6 +127,21 @@
 	must.Eq(t, http.StatusOK, s.ask("POST", "/once/x").status)
 }
 
+// Guards against an entry that goes on to refuse what it has banned by itself, when the
+// ban was lifted before it was heard of here.
+func TestOwnBanIsLifted(t *testing.T) {
+	s := newSite(t, newUpstream(t, text("ok")))
+	d := digest.Of("radio", "h", "/once/x", []byte("text"))
+	for _, up := range []string{"a", "b", "c"} {
+		s.suspects.crash(time.Now(), d, up)
+	}
+	must.Eq(t, http.StatusServiceUnavailable, s.ask("POST", "/once/x").status)
+	s.Banned(&wire.Bans{Revision: 1}, true)
+	must.Eq(t, http.StatusServiceUnavailable, s.ask("POST", "/once/x").status)
+	s.Banned(&wire.Bans{Revision: 2}, false)
+	must.Eq(t, http.StatusOK, s.ask("POST", "/once/x").status)
+}
+
 // Guards against a popular request that is banned though it was answered between the
 // crashes, by another entry than those that saw them.
 func TestAnsweredSinceTheFirstCrash(t *testing.T) {
