A popular request is not banned for crashes that another one explains

What callers saw: in one of three runs of the process test an innocent request was refused 204 times for 3 s. Four requests that crash servers had crashed a whole pool within two seconds, and it was on each server.

Cause: it needed six crashes instead of three to be banned, and nobody was left to answer it in between. A number can't tell it from the guilty one.

Change: of a request that was answered before, a crash counts after half a second, when all entries have reported who else was there, and only if none was there that never was answered and was at another crash too. An entry bans by what it saw itself only while it has no scheduler, which alone knows the rest. A banned request is tried once and not twice: when processes that know of the first try are lost, all tries together stay within three.

Test: core/poison TestAnsweredBefore; the process test after it, under the race detector, two at a time: four of four runs pass, none refused.

--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -17,14 +17,16 @@
 	// there again, and seldom without a whole answer in between.
 	banAt   = 3
 	watchAt = 2
-	// banAnswered is banAt for a request that was answered whole before.
-	banAnswered = 6
+	// settled is for how long reports of a crash come in. Only then is it known who else
+	// was on the upstream.
+	settled = 500 * time.Millisecond
+	// mostCrashes bounds the crashes that are remembered of one request.
+	mostCrashes = 16
 	// mostTries is how often a banned request may be sent to see whether it is innocent,
-	// after firstTry and then after nextTry. What was banned by mistake is served again
-	// soon; what was not crashes so many upstreams more and no others.
-	mostTries = 2
-	firstTry  = 3 * time.Second
-	nextTry   = 30 * time.Second
+	// once tryAfter has passed. What was banned by mistake is served again soon; what was
+	// not crashes so many upstreams more and no others.
+	mostTries = 1
+	tryAfter  = 3 * time.Second
 	// mostSuspects bounds the requests that are remembered.
 	mostSuspects = 4096
 )
@@ -38,13 +40,18 @@
 	}
 
 	suspect struct {
-		upstreams []string // Incarnations that crashed under it.
-		answered  bool     // An upstream ran it well before.
-		first     time.Time
-		last      time.Time
-		banned    bool
-		tries     int
-		next      time.Time // When it may be tried.
+		crashes  []crash
+		answered bool // An upstream ran it well before.
+		first    time.Time
+		last     time.Time
+		banned   bool
+		tries    int
+		next     time.Time // When it may be tried.
+	}
+
+	crash struct {
+		upstream string // Incarnation.
+		at       time.Time
 	}
 )
 
@@ -54,26 +61,54 @@
 func (p *Poison) Crash(now time.Time, d digest.Digest, upstream string, answered bool) bool {
 	s := p.of(now, d)
 	s.answered = s.answered || answered
-	if slices.Contains(s.upstreams, upstream) || len(s.upstreams) >= banAnswered {
+	if s.on(upstream) || (!s.answered && len(s.crashes) >= banAt) {
 		return false
 	}
-	s.upstreams = append(s.upstreams, upstream)
+	if len(s.crashes) >= mostCrashes {
+		s.crashes = slices.Delete(s.crashes, 0, 1)
+	}
+	s.crashes = append(s.crashes, crash{upstream, now})
 	s.last = now
-	if len(s.upstreams) >= watchAt {
+	if len(s.crashes) >= watchAt {
 		p.revision++
 	}
-	limit := banAt
-	if s.answered {
-		limit = banAnswered
-	}
-	if len(s.upstreams) < limit || s.banned {
+	if s.banned || p.counted(now, s) < banAt {
 		return false
 	}
 	s.ban(now)
 	return true
 }
 
-func (s *suspect) ban(now time.Time) { s.banned, s.next = true, now.Add(firstTry) }
+// counted is the number of crashes that count against a request. One that upstreams ran
+// well before may be popular, and on each upstream when a whole pool crashes: those count
+// that no request explains which never ran well and was there at several crashes.
+func (p *Poison) counted(now time.Time, s *suspect) int {
+	if !s.answered {
+		return len(s.crashes)
+	}
+	n := 0
+	for _, c := range s.crashes {
+		if now.Sub(c.at) >= settled && !p.explained(c.upstream) {
+			n++
+		}
+	}
+	return n
+}
+
+func (p *Poison) explained(upstream string) bool {
+	for _, s := range p.suspects {
+		if !s.answered && len(s.crashes) >= watchAt && s.on(upstream) {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *suspect) on(upstream string) bool {
+	return slices.ContainsFunc(s.crashes, func(c crash) bool { return c.upstream == upstream })
+}
+
+func (s *suspect) ban(now time.Time) { s.banned, s.next = true, now.Add(tryAfter) }
 
 // Ban notes that a request is banned elsewhere, and how often it was tried since.
 func (p *Poison) Ban(now time.Time, d digest.Digest, tries int) {
@@ -95,7 +130,6 @@
 		return false
 	}
 	s.tries++
-	s.next = now.Add(nextTry)
 	p.revision++
 	return true
 }
@@ -148,8 +182,8 @@
 		if s.banned {
 			list.Banned = append(list.Banned, s.wire(now, d))
 		}
-		for _, u := range s.upstreams {
-			list.Crashes = append(list.Crashes, &wire.Crash{Digest: d[:], Upstream: u, Answered: s.answered})
+		for _, c := range s.crashes {
+			list.Crashes = append(list.Crashes, &wire.Crash{Digest: d[:], Upstream: c.upstream, Answered: s.answered})
 		}
 	}
 	return list
@@ -187,7 +221,7 @@
 	return banned, lifted
 }
 
-func (s *suspect) watched() bool { return s.banned || len(s.upstreams) >= watchAt }
+func (s *suspect) watched() bool { return s.banned || len(s.crashes) >= watchAt }
 
 func (p *Poison) of(now time.Time, d digest.Digest) *suspect {
 	if p.suspects == nil {
@@ -224,7 +258,7 @@
 
 func (s *suspect) rank() int {
 	if s.banned {
-		return banAnswered + 1
+		return mostCrashes + 1
 	}
-	return len(s.upstreams)
+	return len(s.crashes)
 }
--- a/core/poison/poison_test.go
+++ b/core/poison/poison_test.go
@@ -120,23 +120,33 @@
 		p.Crash(start, d, u, false)
 	}
 	must.False(t, p.Try(start, d))
-	now := start.Add(firstTry)
+	now := start.Add(tryAfter)
 	must.True(t, p.Try(now, d))
 	must.False(t, p.Try(now, d))
 	var other Poison // It takes over.
 	other.Take(now, p.Crashes(now))
-	now = now.Add(nextTry)
-	must.True(t, other.Try(now, d))
 	must.Eq(t, -1, other.Bans(now).GetBanned()[0].GetNextUs())
 	must.False(t, other.Try(now.Add(time.Hour), d))
 }
 
-// Guards against a popular request that is banned when a whole pool crashes: it was
-// answered a moment before, and nobody is left to answer it in between.
+// Guards against a popular request that is banned when another one crashes a whole pool,
+// and against one that crashes upstreams though it was answered before.
 func TestAnsweredBefore(t *testing.T) {
-	var p Poison
-	for n, u := range []string{"a", "b", "c", "d", "e", "f"} {
-		must.Eq(t, n == banAnswered-1, p.Crash(start, nth(1), u, n == 1), must.Sprint(u))
+	for _, tc := range []struct {
+		name   string
+		other  bool // Another request is there at each crash.
+		banned bool
+	}{{"another is there", true, false}, {"none is", false, true}} {
+		var p Poison
+		for n := range 6 {
+			now, up := start.Add(time.Duration(n)*time.Second), string(rune('a'+n))
+			p.Crash(now, nth(1), up, n == 1)
+			if tc.other {
+				p.Crash(now, nth(2+n/3), up, false)
+			}
+			p.Crash(now, nth(10+n), up, false) // Others are there by chance, once each.
+		}
+		must.Eq(t, tc.banned, p.Banned(nth(1)), must.Sprint(tc.name))
+		must.Eq(t, tc.other, p.Banned(nth(2)), must.Sprint(tc.name))
 	}
-	must.True(t, p.Banned(nth(1)))
 }
--- a/io/gate/suspects.go
+++ b/io/gate/suspects.go
@@ -86,7 +86,7 @@
 // refusedAs returns the refusal of a request that is banned, nil for all others.
 func (q *request) refusedAs(ctx context.Context) *refuse.Error {
 	d := q.digest()
-	if !q.gate.suspects.has(d) {
+	if !q.gate.suspects.has(d, q.gate.News.View().Owner == nil) {
 		return nil
 	}
 	if q.gate.suspects.due(time.Now(), d) {
@@ -100,11 +100,13 @@
 	return refuse.New(refuse.Crashes, "upstreams crashed under it before; its digest is "+q.digest().String(), 0)
 }
 
-func (s *suspects) has(d digest.Digest) bool {
+// has reports whether a request is banned. What this entry saw by itself decides only
+// while it is alone: the scheduler knows who else was at the upstreams that crashed.
+func (s *suspects) has(d digest.Digest, alone bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	_, ok := s.banned[d]
-	return ok || s.seen.Banned(d)
+	return ok || (alone && s.seen.Banned(d))
 }
 
 // due reports whether the scheduler is to be asked to let a banned request be tried. It
--- a/io/sched/bans.go
+++ b/io/sched/bans.go
@@ -47,8 +47,8 @@
 	return false
 }
 
-// refuses reports whether a request must not be sent. Now and then one that is banned may
-// be, to see whether it is innocent.
+// refuses reports whether a request must not be sent. One that is banned may be once, to
+// see whether it is innocent.
 func (b *bans) refuses(now time.Time, t *wire.Ticket) bool {
 	d, ok := digest.From(t.GetDigest())
 	if !ok {
