--- a/io/hub/bans.go
+++ b/io/hub/bans.go
@@ -16,7 +16,7 @@
 type bans struct {
 	mu     sync.Mutex
 	poison poison.Poison
-	change chan struct{}
+	change signal
 }
 
 // take adds what an entry knows.
@@ -63,9 +63,8 @@
 
 // notify wakes the entries that wait for news if the list has changed. The lock is held.
 func (b *bans) notify(before uint64) {
-	if b.poison.Revision() != before && b.change != nil {
-		close(b.change)
-		b.change = nil
+	if b.poison.Revision() != before {
+		b.change.raise()
 	}
 }
 
@@ -90,10 +89,7 @@
 func (b *bans) changed() <-chan struct{} {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.change == nil {
-		b.change = make(chan struct{})
-	}
-	return b.change
+	return b.change.wait()
 }
 
 // handleBans answers a frame about requests that crash upstreams.
--- a/io/hub/limits.go
+++ b/io/hub/limits.go
@@ -18,7 +18,7 @@
 	limits struct {
 		mu     sync.Mutex
 		byUp   map[string]limited
-		change chan struct{}
+		change signal
 	}
 
 	limited struct {
@@ -60,7 +60,7 @@
 		changed = append(changed, r.GetUpstream())
 	}
 	if len(changed) > 0 {
-		l.wake()
+		l.change.raise()
 	}
 	return changed
 }
@@ -79,22 +79,11 @@
 	delete(l.byUp, upstream)
 }
 
-// wake tells the entries that wait for news. The lock is held.
-func (l *limits) wake() {
-	if l.change != nil {
-		close(l.change)
-		l.change = nil
-	}
-}
-
 // changed is closed when the limits next change.
 func (l *limits) changed() <-chan struct{} {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.change == nil {
-		l.change = make(chan struct{})
-	}
-	return l.change
+	return l.change.wait()
 }
 
 // rate is the limit of an upstream; ok is false where it has none.
@@ -105,10 +94,14 @@
 	return e.rate, ok
 }
 
-// list is what an entry is told, with its own shares.
-func (l *limits) list(now time.Time, node string, entries []string) []*wire.Limit {
+// list is what an entry is told, with its own shares among all entries.
+func (l *limits) list(now time.Time, node string, all func() []string) []*wire.Limit {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if len(l.byUp) == 0 {
+		return nil
+	}
+	entries := all()
 	list := make([]*wire.Limit, 0, len(l.byUp))
 	for _, id := range slices.Sorted(maps.Keys(l.byUp)) {
 		e := l.byUp[id]
--- a/io/hub/limits_test.go
+++ b/io/hub/limits_test.go
@@ -76,7 +76,7 @@
 	l.take(now, []*wire.Limit{{Upstream: "a", PerSecond: 1}, {Upstream: "b", PerSecond: 1}, {Upstream: "c", PerSecond: 1}})
 	l.keep(func(id string) bool { return id != "a" })
 	l.drop("b")
-	list := l.list(now, "e", []string{"e"})
+	list := l.list(now, "e", func() []string { return []string{"e"} })
 	must.Len(t, 1, list)
 	must.Eq(t, "c", list[0].GetUpstream())
 }
--- a/io/hub/reach.go
+++ b/io/hub/reach.go
@@ -26,7 +26,7 @@
 	served map[string]time.Time // Last run that ended well, by data centre.
 	lost   map[string]time.Time // Data centres that seem cut off, since when.
 	heard  map[string]time.Time // When a replica there was last heard.
-	change chan struct{}
+	change signal
 }
 
 // ended notes that an upstream of a data centre has ended a run.
@@ -67,9 +67,8 @@
 			changed = true
 		}
 	}
-	if changed && r.change != nil {
-		close(r.change)
-		r.change = nil
+	if changed {
+		r.change.raise()
 	}
 	return changed
 }
@@ -85,8 +84,5 @@
 func (r *reach) changed() <-chan struct{} {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.change == nil {
-		r.change = make(chan struct{})
-	}
-	return r.change
+	return r.change.wait()
 }
--- a/io/hub/watch.go
+++ b/io/hub/watch.go
@@ -110,7 +110,7 @@
 		known = 0 // Revisions count at each scheduler anew.
 	}
 	n.Bans = r.bans.since(known)
-	n.Limits = r.limits.list(time.Now(), w.GetNode(), h.watchers.nodes(r.dataCentre(h.Centre)))
+	n.Limits = r.limits.list(time.Now(), w.GetNode(), func() []string { return h.watchers.nodes(r.dataCentre(h.Centre)) })
 	var doc []byte
 	n.Version, doc = h.Replica.Publication()
 	if n.GetVersion() > w.GetVersion() {
