An entry keeps its share of a limit when the limit changes

What callers saw: nothing yet; found by reading. When an upstream named another limit, each entry that heard it took an equal share, also those to which the scheduler had given none. With hundreds of entries alone each would send one request at once. Change: the share stays as it was told. The test failed before: an entry without a share sent a request.

--- a/io/gate/limits.go
+++ b/io/gate/limits.go
@@ -20,6 +20,7 @@
 
 	limited struct {
 		rate     float64   // Requests a second.
+		share    float64   // Part of it that this entry may use by itself.
 		sent     time.Time // When the request was sent whose answer named it.
 		heard    time.Time // When an answer here named it last; zero for none.
 		reported time.Time
@@ -51,7 +52,7 @@
 		return
 	}
 	if k == nil {
-		k = &limited{}
+		k = &limited{share: 1 / float64(max(g.News.View().Entries, 1))} // Until the scheduler tells it.
 		if l.known == nil {
 			l.known = map[string]*limited{}
 		}
@@ -65,7 +66,7 @@
 	k.rate, k.sent = rate, sent
 	if changed {
 		g.Log.Info("Upstream limits its requests.", "upstream", upstream, "per-second", rate)
-		g.limitPeer(now, upstream, rate, 1/float64(max(g.News.View().Entries, 1)))
+		g.limitPeer(now, upstream, k)
 	}
 	if told, ok := l.told[upstream]; (!ok || told != rate) && (changed || now.Sub(k.reported) > reportAgain) {
 		k.reported = now
@@ -101,10 +102,10 @@
 	g.Log.Info("Upstream no longer limits its requests.", "upstream", upstream)
 }
 
-func (g *Gate) limitPeer(now time.Time, upstream string, rate, share float64) {
+func (g *Gate) limitPeer(now time.Time, upstream string, k *limited) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.peers.Limit(now, upstream, rate, share)
+	g.peers.Limit(now, upstream, k.rate, k.share)
 }
 
 // Limited takes the scheduler's list, with this entry's shares.
@@ -127,7 +128,8 @@
 		if !k.sent.After(sent) {
 			k.rate, k.sent = t.GetPerSecond(), sent
 		}
-		g.limitPeer(now, id, k.rate, t.GetShare())
+		k.share = t.GetShare()
+		g.limitPeer(now, id, k)
 	}
 	for id, k := range l.known {
 		if _, ok := l.told[id]; !ok && now.Sub(k.heard) > ownFor {
--- a/io/gate/limits_test.go
+++ b/io/gate/limits_test.go
@@ -36,29 +36,43 @@
 	must.SliceEmpty(t, s.Limits())
 }
 
+// Guards against all of hundreds of entries that each take a share when an upstream names
+// another limit, though the scheduler has given it to a few.
+func TestShareStaysWhenALimitChanges(t *testing.T) {
+	s := newSite(t, newUpstream(t, text("ok")), newUpstream(t, text("ok")))
+	s.Limited([]*wire.Limit{{Upstream: "up-0", PerSecond: 2, Share: 0}})
+	s.named(time.Now(), "3")
+	time.Sleep(time.Second)
+	must.Eq(t, http.StatusOK, s.ask("POST", "/once/x").status)
+	u := s.view.Upstreams["p"]
+	must.Positive(t, s.peers.Wait(time.Now(), u[:1]))
+}
+
 // Guards against a limit that is forgotten because an answer from before it comes late,
 // and against one that stays.
 func TestLimitEndsByLaterRequestsOnly(t *testing.T) {
 	s := newSite(t, newUpstream(t, text("ok")))
-	answered := func(sent time.Time, rate string) {
-		r := &http.Response{StatusCode: http.StatusOK, Header: http.Header{}}
-		r.Header.Set(markHeader, "m")
-		if rate != "" {
-			r.Header.Set("X-Limit", rate)
-		}
-		s.limited("up-0", sent, r)
-	}
 	start := time.Now()
-	answered(start, "1.5")
-	answered(start.Add(-time.Second), "")
-	answered(start.Add(-time.Second), "9")
+	s.named(start, "1.5")
+	s.named(start.Add(-time.Second), "")
+	s.named(start.Add(-time.Second), "9")
 	must.Len(t, 1, s.Limits())
 	must.Eq(t, 1.5, s.Limits()[0].GetPerSecond())
 	s.limited("up-0", time.Now(), &http.Response{StatusCode: http.StatusMisdirectedRequest, Header: http.Header{}})
 	must.Len(t, 1, s.Limits())
 	time.Sleep(reportAgain)
-	answered(time.Now(), "")
+	s.named(time.Now(), "")
 	must.SliceEmpty(t, s.Limits())
 	reports := s.NewLimits()
 	must.True(t, reports[len(reports)-1].GetEnded())
 }
+
+// named is an answer of an upstream that names a limit; empty for none.
+func (s *site) named(sent time.Time, rate string) {
+	r := &http.Response{StatusCode: http.StatusOK, Header: http.Header{}}
+	r.Header.Set(markHeader, "m")
+	if rate != "" {
+		r.Header.Set("X-Limit", rate)
+	}
+	s.limited("up-0", sent, r)
+}
