A limit that changes with each answer does not wake all entries

What callers saw: nothing yet; found by reading. Each new value woke every entry that waits for news; with 195 of them and eight answers a second the leader would answer some 1,500 questions a second for one upstream in need. Change: only a limit that is new or has ended wakes them. The test failed before.

--- a/io/hub/limits.go
+++ b/io/hub/limits.go
@@ -37,6 +37,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var changed []string
+	listed := len(l.byUp)
+	named := false
 	for _, r := range list {
 		sent := now.Add(-time.Duration(r.GetAgeUs()) * time.Microsecond)
 		was, had := l.byUp[r.GetUpstream()]
@@ -56,10 +58,13 @@
 			if had && was.rate == r.GetPerSecond() {
 				continue
 			}
+			named = named || !had
 		}
 		changed = append(changed, r.GetUpstream())
 	}
-	if len(changed) > 0 {
+	// A rate that changes with each answer must not wake all entries each time. They
+	// hear it with their next question; the scheduler's own grants keep to it at once.
+	if named || len(l.byUp) != listed {
 		l.change.raise()
 	}
 	return changed
@@ -79,7 +84,7 @@
 	delete(l.byUp, upstream)
 }
 
-// changed is closed when the limits next change.
+// changed is closed when an upstream next names a limit or no longer does.
 func (l *limits) changed() <-chan struct{} {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/io/hub/limits_test.go
+++ b/io/hub/limits_test.go
@@ -80,3 +80,29 @@
 	must.Len(t, 1, list)
 	must.Eq(t, "c", list[0].GetUpstream())
 }
+
+// Guards against a limit that changes with each answer and wakes all entries each time.
+func TestChangedRateWakesNobody(t *testing.T) {
+	var l limits
+	now := time.Unix(1000, 0)
+	for _, tc := range []struct {
+		name  string
+		limit *wire.Limit
+		wakes bool
+	}{
+		{"named", &wire.Limit{Upstream: "a", PerSecond: 1}, true},
+		{"changed", &wire.Limit{Upstream: "a", PerSecond: 2}, false},
+		{"another", &wire.Limit{Upstream: "b", PerSecond: 2}, true},
+		{"ended", &wire.Limit{Upstream: "a", Ended: true}, true},
+	} {
+		now = now.Add(time.Second)
+		ch := l.changed()
+		must.Len(t, 1, l.take(now, []*wire.Limit{tc.limit}))
+		select {
+		case <-ch:
+			must.True(t, tc.wakes, must.Sprint(tc.name))
+		default:
+			must.False(t, tc.wakes, must.Sprint(tc.name))
+		}
+	}
+}
