A limit is taken from the upstream that names it alone

What callers saw: nothing yet; found by reading. After an upstream has ended, another one at its address answers 421; a limit in that answer was kept for the former one. The test failed before.

--- a/io/gate/limits.go
+++ b/io/gate/limits.go
@@ -40,7 +40,7 @@
 // limit.
 func (g *Gate) limited(upstream string, sent time.Time, resp *http.Response) {
 	rate, named := g.Dialect.Limit(resp)
-	if !named && (g.Dialect.Other(resp) || !g.Dialect.Genuine(resp)) {
+	if g.Dialect.Other(resp) || (!named && !g.Dialect.Genuine(resp)) {
 		return // It does not speak for the upstream.
 	}
 	now, l := time.Now(), &g.limits
--- a/io/gate/limits_test.go
+++ b/io/gate/limits_test.go
@@ -58,8 +58,11 @@
 	s.named(start.Add(-time.Second), "9")
 	must.Len(t, 1, s.Limits())
 	must.Eq(t, 1.5, s.Limits()[0].GetPerSecond())
-	s.limited("up-0", time.Now(), &http.Response{StatusCode: http.StatusMisdirectedRequest, Header: http.Header{}})
-	must.Len(t, 1, s.Limits())
+	for _, h := range []http.Header{{}, {"X-Limit": {"7"}}} { // Another upstream at the same address.
+		s.limited("up-0", time.Now(), &http.Response{StatusCode: http.StatusMisdirectedRequest, Header: h})
+		must.Len(t, 1, s.Limits())
+		must.Eq(t, 1.5, s.Limits()[0].GetPerSecond())
+	}
 	time.Sleep(reportAgain)
 	s.named(time.Now(), "")
 	must.SliceEmpty(t, s.Limits())
