--- a/io/grant/grant_test.go
+++ b/io/grant/grant_test.go
@@ -298,6 +298,8 @@
 func sample(t *testing.T, f protoreflect.FieldDescriptor) protoreflect.Value {
 	t.Helper()
 	switch f.Kind() { //nolint:exhaustive // What tickets have; others fail.
+	case protoreflect.BytesKind:
+		return protoreflect.ValueOfBytes([]byte("x"))
 	case protoreflect.StringKind:
 		return protoreflect.ValueOfString("x")
 	case protoreflect.BoolKind:
