A mesh that stops refuses calls on links that it accepts then

A caller's ticket could be taken by a process whose scheduler has already ended.

Cause: a link reads from its first moment, and the mesh told it to refuse only after link.Accept had returned. A call that was already written went to the handler in between. Ruled out: a lost answer or a closed link, which would have given an error.

Change: one flag of the mesh, looked at by the function that links ask before they hand a call on. It is set before the listener drains, so whatever is accepted after it is refused. Link.Refuse and both loops that called it are gone.

The test is unchanged.

--- a/io/link/link.go
+++ b/io/link/link.go
@@ -77,9 +77,8 @@
 	calls map[uint64]chan *wire.Frame
 	last  uint64
 
-	serving  atomic.Int64 // Calls of the peer being answered.
-	unsent   atomic.Int64 // Small frames that are not written yet.
-	refusing atomic.Bool  // Calls of the peer.
+	serving atomic.Int64 // Calls of the peer being answered.
+	unsent  atomic.Int64 // Small frames that are not written yet.
 }
 
 // Dial connects to a peer. Frames that the peer sends on its own go to handle,
@@ -214,10 +213,6 @@
 	return nil
 }
 
-// Refuse answers the calls that the peer makes from now on with a fault that says that
-// they were not taken. A call that is lost with its link leaves the peer in doubt.
-func (l *Link) Refuse() { l.refusing.Store(true) }
-
 // Idle reports whether all calls of the peer are answered.
 func (l *Link) Idle() bool { return l.serving.Load() == 0 && l.unsent.Load() == 0 }
 
--- a/io/link/read.go
+++ b/io/link/read.go
@@ -75,10 +75,6 @@
 	case f.GetId() != 0:
 		l.pulse.busy(time.Now())
 		l.serving.Add(1)
-		if l.refusing.Load() {
-			l.reply(f.GetId(), &wire.Frame{Body: &wire.Frame_Fault{Fault: &wire.Fault{Code: wire.CodeMoved, Text: "link: this process stops"}}})
-			return
-		}
 		if l.later == nil || !l.later(l.ctx, f, func(r *wire.Frame) { l.reply(f.GetId(), r) }) {
 			go l.answer(f)
 		}
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -53,9 +54,10 @@
 	TLS    *tls.Config                                                            // For both directions; nil for plain TCP. Listen must already ask for certificates.
 	Log    logr.Logger
 
+	stops atomic.Bool // Calls of peers are refused.
+
 	mu     sync.Mutex
 	closed bool
-	stops  bool
 	peers  map[netip.AddrPort]*peer
 	in     map[*link.Link]struct{}
 	conns  map[net.Conn]struct{} // Accepted, no link yet.
@@ -65,12 +67,13 @@
 // Serve accepts peers until ctx ends. Calls that peers make then are refused, those that
 // they made before are answered, and every link is closed.
 func (m *Mesh) Serve(ctx context.Context) error {
+	m.stops.Store(false)
 	m.mu.Lock()
-	m.closed, m.stops = false, false
+	m.closed = false
 	m.mu.Unlock()
 	ln := listen.Of(m.Listen)
 	stop := context.AfterFunc(ctx, func() {
-		m.refuse()
+		m.stops.Store(true)
 		if err := ln.Drain(); err != nil {
 			_ = ln.Close()
 		}
@@ -97,19 +100,14 @@
 	}
 }
 
-// refuse has all links refuse calls.
-func (m *Mesh) refuse() {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.stops = true
-	for l := range m.in {
-		l.Refuse()
-	}
-	for _, p := range m.peers {
-		if p.alive() {
-			p.link.Refuse()
-		}
+// take refuses calls once the mesh stops: one that is lost with its link leaves the peer
+// in doubt whether it was taken. Links ask it before they hand a call on.
+func (m *Mesh) take(ctx context.Context, f *wire.Frame, reply func(*wire.Frame)) bool {
+	if m.stops.Load() {
+		reply(&wire.Frame{Body: &wire.Frame_Fault{Fault: &wire.Fault{Code: wire.CodeMoved, Text: "mesh: this process stops"}}})
+		return true
 	}
+	return m.Later != nil && m.Later(ctx, f, reply)
 }
 
 // settle waits until calls are answered.
@@ -179,7 +177,7 @@
 		_ = conn.Close()
 		return
 	}
-	l, err := link.Accept(conn, m.Handle, m.Later)
+	l, err := link.Accept(conn, m.Handle, m.take)
 	m.mu.Lock()
 	delete(m.conns, conn)
 	if err == nil && m.closed {
@@ -188,9 +186,6 @@
 	if err == nil {
 		m.in[l] = struct{}{}
 	}
-	if err == nil && m.stops {
-		l.Refuse()
-	}
 	m.mu.Unlock()
 	if err != nil {
 		m.Log.V(1).Info("Peer not accepted.", "peer", conn.RemoteAddr().String(), "err", err.Error())
--- a/io/mesh/peer.go
+++ b/io/mesh/peer.go
@@ -68,7 +68,7 @@
 }
 
 func (m *Mesh) dial(ctx context.Context, addr netip.AddrPort, p *peer) {
-	l, err := link.Dial(ctx, addr, m.TLS, m.Handle, m.Later)
+	l, err := link.Dial(ctx, addr, m.TLS, m.Handle, m.take)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	p.stop()
@@ -81,9 +81,6 @@
 		return
 	}
 	p.link, p.fails, p.until = l, 0, time.Time{}
-	if m.stops {
-		l.Refuse()
-	}
 	if m.closed {
 		_ = l.Close()
 	}
