Tests that need ports in a row get them in a row

Cause: dev listens on the ports after its first, and the test took ten free addresses one by one for it. Tests that run beside it draw from the same counter, so the ten were not in a row, and another test listened on one in between. Ruled out: an outgoing connection on that port, as the ports lie below the kernel's range for those.

Change: freePorts takes the whole range from the counter at once, and goes on where one of it is taken. Nothing of the product changes.

--- /dev/null
+++ b/cmd/azurelane/ports_test.go
@@ -0,0 +1,44 @@
+package main
+
+import (
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// Guards against processes of two tests on one port: a process that takes the ports after
+// its first gets them all, also beside tests that ask for ports at the same time and beside
+// a port that is taken.
+func TestFreePortsFollowEachOther(t *testing.T) {
+	t.Parallel()
+	const (
+		askers = 50
+		each   = 10
+	)
+	next := freeAddr(t)
+	ln, err := net.Listen("tcp", netip.AddrPortFrom(next.Addr(), next.Port()+each/2).String())
+	if err == nil { // Else somebody else has it.
+		t.Cleanup(func() { must.NoError(t, ln.Close()) })
+	}
+	lists := make([][]netip.AddrPort, 2*askers)
+	var wg sync.WaitGroup
+	for i := range lists {
+		n := uint16(each)
+		if i%2 == 1 {
+			n = 1
+		}
+		wg.Go(func() { lists[i] = freePorts(t, n) })
+	}
+	wg.Wait()
+	given := map[netip.AddrPort]bool{}
+	for _, list := range lists {
+		for i, a := range list {
+			must.Eq(t, list[0].Port()+uint16(i), a.Port())
+			must.MapNotContainsKey(t, given, a)
+			given[a] = true
+		}
+	}
+}
--- a/cmd/azurelane/process_test.go
+++ b/cmd/azurelane/process_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -69,18 +70,7 @@
 
 func freeAddr(t testing.TB) netip.AddrPort {
 	t.Helper()
-	lastPort.CompareAndSwap(0, uint32(os.Getpid()*97%portSpan)+1)
-	for range portSpan {
-		port := firstPort + lastPort.Add(1)%portSpan
-		ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
-		if err != nil {
-			continue
-		}
-		must.NoError(t, ln.Close())
-		return netip.MustParseAddrPort(ln.Addr().String())
-	}
-	t.Fatal("no free port")
-	return netip.AddrPort{}
+	return freePorts(t, 1)[0]
 }
 
 func freeAddrs(t testing.TB, n int) []netip.AddrPort {
@@ -92,6 +82,36 @@
 	return list
 }
 
+// freePorts returns addresses whose ports follow each other. Tests that ask at the same
+// time get other ones.
+func freePorts(t testing.TB, n uint16) []netip.AddrPort {
+	t.Helper()
+	lastPort.CompareAndSwap(0, uint32(os.Getpid()*97%portSpan)+1)
+	for range portSpan {
+		last := lastPort.Add(uint32(n)) % portSpan
+		if last+1 < uint32(n) {
+			continue // The range goes round its end.
+		}
+		list := make([]netip.AddrPort, n)
+		for i := range list {
+			list[i] = netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(firstPort+last+1)-n+uint16(i)) //nolint:gosec // A port.
+		}
+		if !slices.ContainsFunc(list, isTaken) {
+			return list
+		}
+	}
+	t.Fatal("no free ports")
+	return nil
+}
+
+func isTaken(a netip.AddrPort) bool {
+	ln, err := net.Listen("tcp", a.String())
+	if err != nil {
+		return true
+	}
+	return ln.Close() != nil
+}
+
 // newCluster starts control and entries, in data centre "dev", and puts the
 // example configuration in force.
 func newCluster(t *testing.T, entries int) *cluster {
--- a/cmd/azurelane/stop_test.go
+++ b/cmd/azurelane/stop_test.go
@@ -26,7 +26,7 @@
 	control := &setup.Setup{Node: "control-9", DataCentre: "dev", Peers: freeAddr(t), Operator: freeAddr(t), DataFolder: filepath.Join(c.dir, "control-9")}
 	control.Control = []netip.AddrPort{control.Peers}
 	replica := newProc(t, c.dir, control.Node, "control", c.settings(control), "--bootstrap")
-	ports := freeAddrs(t, devStandins+4) // The next ones after the first, too.
+	ports := freePorts(t, devStandins+4)
 	dev := newProc(t, c.dir, "dev", "dev", "--data-folder", filepath.Join(c.dir, "dev"), "--port", strconv.Itoa(int(ports[0].Port())))
 	for _, a := range []netip.AddrPort{control.Operator, netip.AddrPortFrom(ports[0].Addr(), ports[0].Port()+devOperator)} {
 		c.until("ready", func() bool { return status(t, "http://"+a.String()+"/ready") == http.StatusOK })
