A slow disk holds up neither heartbeats nor answers of a control replica

Cause: a replica wrote in the goroutine that handles messages. While a sync ran, a leader sent no heartbeats and lost its leadership after one election timeout; a follower answered nothing, seemed dead, and could be replaced, which left two replicas of three.

Change: a write runs beside the loop, one at a time. What comes meanwhile waits for the next one, as it did for room on a full disk, and so do the messages that count on it. Raft is told what a write holds (Writes) and counts no more than that when it ends (Synced); entries that another leader replaced meanwhile don't count. After a quarter of an election timeout a follower refuses entries, by which its leader hears it.

TestFailedSyncStopsTheReplica asked that a caller gets no answer when the leader's disk fails. That held because the leader stood still; the disks of the two others stand for the answer that can come now. The test has three cases in its place: no answer where the others got nothing, an answer where they have it, and in all of them the claim is the caller's afterwards and nobody else's.

The simulation has slow disks among its faults, and a run where all are slow and replicas crash during writes; promises that are sent before the write ends fail it.

--- a/core/raft/guard_test.go
+++ b/core/raft/guard_test.go
@@ -1,6 +1,7 @@
 package raft
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -229,6 +230,7 @@
 	a.term, a.vote, a.role = 4, a.id, candidate
 	a.takeOver()
 	a.flush()
+	a.Writes()
 	a.Synced(a.clock(s))
 	for _, tt := range []struct{ held, commit uint64 }{{2, 1}, {3, 3}} {
 		for _, id := range []string{"r1", "r2"} {
@@ -431,3 +433,42 @@
 		must.Greater(t, was, s.acked)
 	})
 }
+
+// The disk of the leader takes seconds for a sync. Changes are acknowledged meanwhile, by
+// the disks of the two others, and the leader stays.
+func TestLeaderWithASlowDisk(t *testing.T) {
+	s, l := elected(24, 3)
+	s.stays(t, l, func() {
+		l.slow = 10 * time.Second
+		for range 20 {
+			was := l.index
+			must.True(t, s.commit(l, "on the others"))
+			must.Eq(t, was+1, l.index)
+		}
+		must.NotNil(t, l.job)
+	})
+	must.Eq(t, "", s.problems())
+}
+
+// Guards against counting what a slow disk has not kept: entries that another leader
+// replaced during the write are not on it, though as many are.
+func TestReplacedDuringAWrite(t *testing.T) {
+	r := &Raft{ID: "a", Rand: rand.New(rand.NewPCG(1, 2))}
+	now := time.Unix(1000, 0)
+	list := []*wire.Replica{{Id: "a", Voter: true}, {Id: "b", Voter: true}, {Id: "c", Voter: true}}
+	r.Start(now, Found("g", list, nil), nil)
+	appended := func(from string, term uint64) {
+		r.Step(now, &wire.Raft{
+			From: from, To: "a", Group: "g", Term: term, Kind: wire.Raft_KIND_APPEND, LastIndex: 1, LastTerm: 1,
+			Entries: []*wire.LogEntry{{Index: 2, Term: term}},
+		})
+	}
+	appended("b", 2)
+	r.Writes()
+	appended("c", 3)
+	r.Synced(now)
+	must.Eq(t, 1, r.synced)
+	r.Writes()
+	r.Synced(now)
+	must.Eq(t, 2, r.synced)
+}
--- a/core/raft/raft.go
+++ b/core/raft/raft.go
@@ -71,6 +71,7 @@
 		commit  uint64
 		applied uint64 // Last entry given out in Effects.
 		synced  uint64 // Last entry that is on this replica's disk.
+		writes  mark   // Last entry of what is being written.
 		stalled bool   // The disk takes nothing.
 		told    uint64 // Highest commit index that a leader named.
 
@@ -94,12 +95,15 @@
 		out Effects
 	}
 
+	// mark is the place of an entry. Logs that agree in it agree in all before it.
+	mark struct{ index, term uint64 }
+
 	// Effects is what the caller must do after a call, in the order of the fields.
 	Effects struct {
 		Install   *wire.Snapshot // Replaces the state machine, and on disk, with Tail, the whole log.
 		Records   []*wire.Record // To append and sync; part of Tail when Install is set.
 		Messages  []*wire.Raft   // To send; losing some is harmless.
-		Promises  []*wire.Raft   // To send once all records so far are synced.
+		Promises  []*wire.Raft   // To send once all records so far are synced; see Writes.
 		Committed []*wire.LogEntry
 		Shifts    []Shift // Changes of role, for the log alone.
 		Err       error   // The replica must stop at once and do nothing else.
@@ -383,16 +387,24 @@
 	return false
 }
 
-// Synced says that all records given out so far are on disk. A leader counts itself
+// Writes says that the caller begins to write all records given out so far. One write
+// is under way at a time; the replica goes on meanwhile.
+func (r *Raft) Writes() { r.writes = mark{r.log.last(), r.log.lastTerm()} }
+
+// Synced says that what the last Writes spoke of is on disk. A leader counts itself
 // for an entry only then, so that it may send the entry on before: with a slow or full
 // disk of its own it commits by the disks of the others.
 func (r *Raft) Synced(now time.Time) Effects {
 	r.advance(now)
-	r.synced, r.stalled = r.log.last(), false
+	r.stalled = false
+	// Entries may have been replaced by another leader's during the write.
+	if t, ok := r.log.term(r.writes.index); ok && t == r.writes.term {
+		r.synced = max(r.synced, r.writes.index)
+	}
 	r.tryCommit()
 	return r.flush()
 }
 
-// Stall says that the disk takes nothing for now. A follower then takes no entries that
+// Stall says that the disk takes nothing for now, or not soon. A follower then takes no entries that
 // it can't keep, and says so, so that the leader still hears it.
 func (r *Raft) Stall() { r.stalled = true }
--- a/core/raft/raft_test.go
+++ b/core/raft/raft_test.go
@@ -16,7 +16,7 @@
 func (s *sim) fault() {
 	n := s.nodes[s.names[s.rnd.IntN(len(s.names))]]
 	o := s.names[s.rnd.IntN(len(s.names))]
-	switch s.rnd.IntN(10) {
+	switch s.rnd.IntN(11) {
 	case 0:
 		s.isolate(n.id)
 	case 1:
@@ -41,6 +41,8 @@
 		}
 	case 9:
 		n.full = !n.full
+	case 10:
+		n.slow = time.Duration(s.rnd.Int64N(int64(3 * time.Second)))
 	}
 }
 
@@ -64,7 +66,7 @@
 }
 
 // Replicas propose while messages are lost, doubled, reordered and delayed,
-// links are cut one way and both, processes freeze, crash before and after
+// links are cut one way and both, disks are full or slow, processes freeze, crash before and after
 // syncs and restart, clocks run unevenly and jump, and members change. A term
 // has one leader, who has all that is committed; all apply the same sequence;
 // reads under a lease are fresh; and after it all the group works again.
@@ -103,13 +105,43 @@
 	t.Logf("%d terms, %d reads under a lease", terms, reads)
 }
 
+// Guards against promises that are given before the disk has kept what they are about:
+// all disks are slow, and replicas crash during their writes.
+func TestLogHoldsOnSlowDisks(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSim(rapid.Uint64().Draw(t, "seed"), 3)
+		for _, id := range s.names {
+			s.nodes[id].slow = 800 * time.Millisecond
+		}
+		for i := range 2500 {
+			s.step()
+			switch n := s.nodes[s.names[s.rnd.IntN(len(s.names))]]; {
+			case s.rnd.IntN(40) > 0:
+			case n.down:
+				s.start(n)
+			default:
+				n.down = true
+			}
+			if l := s.leader(); l != nil && s.rnd.IntN(4) == 0 {
+				s.propose(l, strconv.Itoa(i))
+			}
+		}
+		if len(s.broken) == 0 {
+			s.heal()
+		}
+		if len(s.broken) > 0 {
+			t.Fatal(s.problems())
+		}
+	})
+}
+
 // heal ends all faults and holds that a new entry reaches every member.
 func (s *sim) heal() {
 	s.join()
 	s.loss, s.dup, s.delay = 0, 0, simStep
 	for _, id := range s.names {
 		n := s.nodes[id]
-		n.frozen, n.crash, n.full = 0, 0, false
+		n.frozen, n.crash, n.full, n.slow = 0, 0, false, 0
 		if n.down {
 			s.start(n)
 		}
--- a/core/raft/sim_test.go
+++ b/core/raft/sim_test.go
@@ -53,10 +53,11 @@
 		id     string
 		snap   *wire.Snapshot // Disk, as synced.
 		recs   []*wire.Record
-		crash  int            // Point of the next effects at which it crashes; 0 for none.
-		full   bool           // The disk takes nothing.
-		unkept []*wire.Record // Waits for room on the disk,
-		held   []*wire.Raft   // and these wait for it.
+		crash  int           // Point of the next effects at which it crashes; 0 for none.
+		full   bool          // The disk takes nothing.
+		slow   time.Duration // Longest time that a write takes; zero for none.
+		unkept write         // Waits for the disk.
+		job    *write        // Under way on a slow disk.
 		down   bool
 		frozen time.Duration // Until this true time.
 		rate   float64
@@ -65,6 +66,14 @@
 		sum    uint64 // Of what was applied.
 	}
 
+	// write is what is put on disk together, and the messages that wait for it.
+	write struct {
+		snap *wire.Snapshot // Replaces all before it.
+		recs []*wire.Record
+		held []*wire.Raft
+		end  time.Duration // When it is done, in true time.
+	}
+
 	flight struct {
 		at time.Duration
 		m  *wire.Raft
@@ -100,7 +109,10 @@
 }
 
 func (s *sim) start(n *node) {
-	n.down, n.crash, n.unkept, n.held = false, 0, nil, nil
+	if n.job != nil && n.job.snap == nil && len(n.job.recs) > 0 { // A part of it was written.
+		n.recs = append(n.recs, n.job.recs[:s.rnd.IntN(len(n.job.recs))]...)
+	}
+	n.down, n.crash, n.unkept, n.job = false, 0, write{}, nil
 	n.Raft = &Raft{ID: n.id, Rand: rand.New(rand.NewPCG(s.rnd.Uint64(), 2)), Leaseless: s.leaseless}
 	n.Start(n.clock(s), n.snap, n.recs)
 	n.install(n.snap)
@@ -130,7 +142,7 @@
 		return
 	}
 	if n.crash == 1 && len(e.Records) > 0 { // Before the sync: a part was written.
-		if e.Install == nil && !n.full {
+		if e.Install == nil && !n.full && n.job == nil {
 			n.recs = append(n.recs, e.Records[:s.rnd.IntN(len(e.Records))]...)
 		}
 		n.down = true
@@ -139,33 +151,61 @@
 	for _, m := range e.Messages {
 		s.post(m)
 	}
+	w := &n.unkept
 	if e.Install != nil {
-		n.snap, n.recs, n.unkept = e.Install, n.Tail(), nil
+		w.snap, w.recs = e.Install, nil
 		n.install(e.Install)
 	} else {
-		n.unkept = append(n.unkept, e.Records...)
+		w.recs = append(w.recs, e.Records...)
 	}
-	n.held = append(n.held, e.Promises...)
+	w.held = append(w.held, e.Promises...)
 	for _, c := range e.Committed {
 		s.apply(n, c)
 	}
-	if n.full && len(n.unkept) > 0 {
+	if n.job != nil {
+		return
+	}
+	if n.full && w.waits() {
 		n.Stall()
 		return
 	}
-	n.recs, n.unkept = append(n.recs, n.unkept...), nil
-	if n.crash == 2 && len(e.Records) > 0 { // After the sync.
+	s.write(n)
+}
+
+// write begins to put on disk what waits, and ends at once on a disk that is not slow.
+func (s *sim) write(n *node) {
+	w := n.unkept
+	n.unkept, n.job = write{}, &w
+	if w.snap != nil {
+		w.recs = n.Tail()
+	}
+	n.Writes()
+	if n.slow > 0 && len(w.recs) > 0 {
+		w.end = s.t + time.Duration(s.rnd.Int64N(int64(n.slow)))
+		return
+	}
+	s.wrote(n)
+}
+
+// wrote ends a write.
+func (s *sim) wrote(n *node) {
+	w := n.job
+	n.job = nil
+	if w.snap != nil {
+		n.snap, n.recs = w.snap, nil
+	}
+	n.recs = append(n.recs, w.recs...)
+	if n.crash == 2 && len(w.recs) > 0 { // After the sync.
 		n.down = true
 		return
 	}
-	for _, m := range n.held {
+	for _, m := range w.held {
 		s.post(m)
 	}
-	n.held = nil
-	if after := n.Synced(n.clock(s)); len(after.Committed) > 0 || len(after.Messages) > 0 {
+	if after := n.Synced(n.clock(s)); len(after.Committed) > 0 || len(after.Messages) > 0 || n.unkept.waits() {
 		s.perform(n, after)
 	}
-	if n.index >= n.snap.GetIndex()+40 {
+	if n.job == nil && !n.unkept.waits() && n.index >= n.snap.GetIndex()+40 {
 		n.snap = n.Snapshot()
 		n.snap.Data = binary.LittleEndian.AppendUint64(nil, n.sum)
 		n.Compact(n.snap)
@@ -176,6 +216,8 @@
 	}
 }
 
+func (w *write) waits() bool { return w.snap != nil || len(w.recs) > 0 }
+
 func (s *sim) apply(n *node, e *wire.LogEntry) {
 	if e.GetIndex() != n.index+1 {
 		s.fail("%s applies %d after %d", n.id, e.GetIndex(), n.index)
@@ -242,6 +284,9 @@
 		}
 	}
 	for _, id := range s.names {
+		if n := s.nodes[id]; n.runs(s) {
+			s.disk(n)
+		}
 		if n := s.nodes[id]; n.runs(s) {
 			s.perform(n, n.Tick(n.clock(s)))
 			s.read(n)
@@ -249,6 +294,17 @@
 	}
 }
 
+// disk ends a write whose time has come. One that takes long is told to the replica.
+func (s *sim) disk(n *node) {
+	switch {
+	case n.job == nil:
+	case n.job.end <= s.t:
+		s.wrote(n)
+	case n.job.end > s.t+Heartbeat:
+		n.Stall()
+	}
+}
+
 func (s *sim) run(d time.Duration) {
 	for end := s.t + d; s.t < end; {
 		s.step()
--- a/io/ctrl/apply.go
+++ b/io/ctrl/apply.go
@@ -10,7 +10,6 @@
 	"azurelane/core/raft"
 	"azurelane/core/state"
 	"azurelane/core/wire"
-	"azurelane/io/disk"
 	"azurelane/io/leader"
 )
 
@@ -28,9 +27,10 @@
 
 // saved is a snapshot on disk, beside the log until put is called.
 type saved struct {
-	snap *wire.Snapshot
-	put  func(recs ...*wire.Record) error
-	err  error
+	snap    *wire.Snapshot
+	put     func(recs ...*wire.Record) error
+	err     error
+	records []*wire.Record // The tail has them; they wait if there is no room for it.
 }
 
 var errStopped = &wire.Fault{Code: stopped, Text: "the replica stops"}
@@ -115,38 +115,33 @@
 	}()
 }
 
-// saved puts a written snapshot in place of the log.
-func (c *Ctrl) saved(s saved) error {
+// ready brings a written snapshot, once no other write is under way.
+func (c *Ctrl) ready() <-chan saved {
+	if c.unkept.write != nil {
+		return nil
+	}
+	return c.saving
+}
+
+// saved begins to put a written snapshot in place of the log.
+func (c *Ctrl) saved(s saved) {
 	if s.err != nil {
 		// The log itself is as it was. A replica that ended here would end again
 		// after each restart for as long as the disk is full, and the group would
 		// lack it, though what it holds is whole.
 		c.Log.Error(s.err, "Log not compacted.")
 		c.retry = time.Now().Add(compactRetry)
-		return nil
-	}
-	if !c.raft.Compact(s.snap) {
-		return nil // The leader sent a newer one.
+		return
 	}
-	if err := s.put(c.raft.Tail()...); errors.Is(err, disk.ErrFull) {
-		c.Log.Error(err, "Log not compacted.")
-		c.retry = time.Now().Add(compactRetry)
-		return nil
-	} else if err != nil {
-		return err
+	if c.unkept.install != nil || !c.raft.Compact(s.snap) {
+		return // The leader sent a newer one.
 	}
-	c.snapped, c.snapSize = s.snap.GetIndex(), int64(len(s.snap.GetData()))
-	c.unkept.records, c.unkept.replaced = nil, true
-	return nil
+	s.records = c.unkept.records
+	c.begin(&write{saved: &s, records: c.raft.Tail()})
 }
 
 // install replaces log and state by a leader's snapshot.
 func (c *Ctrl) install(snap *wire.Snapshot) error {
-	if c.saving != nil {
-		// Both would write the same file; the leader's is the newer one.
-		<-c.saving
-		c.saving = nil
-	}
 	c.unkept.install, c.unkept.records = snap, nil // It has all that they held.
 	c.Log.Info("Snapshot installed.", "index", snap.GetIndex())
 	return c.load(snap)
--- a/io/ctrl/batch.go
+++ b/io/ctrl/batch.go
@@ -99,7 +99,7 @@
 			p.done <- answer{err: c.notLeader()}
 		}
 	}
-	if c.saving == nil && c.full() {
+	if c.saving == nil && !c.unkept.write.replaces() && c.full() {
 		c.compact()
 	}
 	c.publish(time.Now())
@@ -114,7 +114,7 @@
 	if c.applied >= c.snapped+uint64(max(CompactAfter, c.state.Claims())) { //nolint:gosec // Not negative.
 		return true
 	}
-	return c.store.Size() > max(CompactSize, 2*c.snapSize) && c.applied > c.snapped
+	return c.size > max(CompactSize, 2*c.snapSize) && c.applied > c.snapped
 }
 
 func (b *batch) propose() {
@@ -156,31 +156,22 @@
 // perform carries the effects out: what counts on this replica's disk goes out once
 // its records are synced, all else at once.
 func (b *batch) perform(ctx context.Context) error {
-	c := b.ctrl
-	for {
-		e := b.eff
-		b.eff = raft.Effects{}
-		if e.Err != nil {
-			return e.Err
-		}
-		for _, m := range e.Messages {
-			c.peers.send(ctx, c, m)
-		}
-		c.unkept.add(e)
-		for _, entry := range e.Committed {
-			if err := c.apply(entry); err != nil {
-				return err
-			}
-		}
-		synced, err := c.keep(ctx)
-		if err != nil || !synced {
+	c, e := b.ctrl, b.eff
+	b.eff = raft.Effects{}
+	if e.Err != nil {
+		return e.Err
+	}
+	for _, m := range e.Messages {
+		c.peers.send(ctx, c, m)
+	}
+	c.unkept.add(e)
+	for _, entry := range e.Committed {
+		if err := c.apply(entry); err != nil {
 			return err
 		}
-		b.add(c.raft.Synced(time.Now()))
-		if len(b.eff.Committed) == 0 && len(b.eff.Messages) == 0 && len(b.eff.Records) == 0 {
-			return nil
-		}
 	}
+	c.keep(ctx)
+	return nil
 }
 
 func (b *batch) expire() {
--- a/io/ctrl/ctrl.go
+++ b/io/ctrl/ctrl.go
@@ -64,6 +64,7 @@
 		snapped  uint64     // Index of the newest snapshot.
 		retry    time.Time  // No compaction before, after one failed.
 		snapSize int64      // Bytes of the newest snapshot's data.
+		size     int64      // Bytes of the log after the last write.
 		saving   chan saved // Brings the snapshot that is being written; nil for none.
 		applied  uint64
 		unkept   unkept
@@ -112,7 +113,7 @@
 }
 
 func (c *Ctrl) open(s store, id string, snap *wire.Snapshot, recs []*wire.Record) error {
-	c.store, c.id = s, id
+	c.store, c.id, c.size = s, id, s.Size()
 	c.in = make(chan *wire.Raft, queueMax)
 	c.props = make(chan *proposal, queueMax)
 	c.calls = make(chan func(time.Time) raft.Effects)
@@ -161,6 +162,11 @@
 	if c.saving != nil {
 		<-c.saving // It writes into the data folder.
 	}
+	if w := c.unkept.write; w != nil {
+		if werr := <-w.done; err == nil && werr != nil {
+			c.Log.Error(werr, "Last write failed.")
+		}
+	}
 	if cerr := c.store.Close(); err == nil {
 		err = cerr
 	}
@@ -199,10 +205,15 @@
 			b.props = append(b.props, p)
 		case f := <-c.calls:
 			b.add(f(time.Now()))
-		case s := <-c.saving:
+		case s := <-c.ready():
 			c.saving = nil
-			b.err = c.saved(s)
+			c.saved(s)
+		case err := <-c.unkept.written():
+			var e raft.Effects
+			e, b.err = c.kept(ctx, err)
+			b.add(e)
 		case <-tick.C:
+			c.lookAtDisk(time.Now())
 			b.add(c.raft.Tick(time.Now()))
 			b.expire()
 		}
--- a/io/ctrl/ctrl_test.go
+++ b/io/ctrl/ctrl_test.go
@@ -45,19 +45,47 @@
 	})
 }
 
-// The disk of the leader fails in the middle of a claim. The caller gets no
-// answer from it; the replica stops for good and its supervisor must not start
-// it again; the others go on, and the claim sent again is the caller's.
+// The disk of the leader fails in the middle of a claim. Its caller gets no answer, or
+// one that the disks of the others stand for; the replica stops for good and its
+// supervisor must not start it again; the others go on, and the claim sent again is the
+// caller's and nobody else's.
 func TestFailedSyncStopsTheReplica(t *testing.T) {
-	group(t, 3, func(t *testing.T, n *network, l *replica) {
-		l.store.mu.Lock()
-		l.store.fail = errors.New("input/output error")
-		l.store.mu.Unlock()
-		_, err := l.Propose(context.Background(), claim("k", 0))
-		must.Error(t, err)
-		must.ErrorIs(t, <-l.ended, suture.ErrTerminateSupervisorTree)
-		must.Eq(t, state.OK, command(t, n.client(), claim("k", 0)).GetCode())
-	})
+	for _, tc := range []struct {
+		name   string
+		alone  bool          // The others get nothing of the claim.
+		before time.Duration // Until the sync fails.
+	}{
+		{"before the others can answer", true, 0},
+		{"at once", false, 0},
+		{"after the others have answered", false, 200 * time.Millisecond},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			group(t, 3, func(t *testing.T, n *network, l *replica) {
+				n.isolate(l.Address, tc.alone)
+				slow(tc.before, l)
+				l.store.mu.Lock()
+				l.store.fail = errors.New("input/output error")
+				l.store.mu.Unlock()
+				r, err := l.Propose(context.Background(), claim("k", time.Hour))
+				if tc.alone {
+					must.Error(t, err)
+				}
+				if tc.before > 0 {
+					must.NoError(t, err)
+					must.Eq(t, state.OK, r.GetCode())
+				}
+				must.ErrorIs(t, <-l.ended, suture.ErrTerminateSupervisorTree)
+				n.isolate(l.Address, false)
+				if err != nil {
+					must.Eq(t, state.OK, command(t, n.client(), claim("k", time.Hour)).GetCode())
+				}
+				other := claim("k", time.Hour)
+				other.GetClaim().Holder, other.GetClaim().Request = "f", 2
+				must.NotEq(t, state.OK, command(t, n.client(), other).GetCode())
+				must.Eq(t, state.OK, command(t, n.client(), claim("k", time.Hour)).GetCode())
+			})
+		})
+	}
 }
 
 // A replica's disk is replaced while its start command still says --bootstrap.
--- a/io/ctrl/fake_test.go
+++ b/io/ctrl/fake_test.go
@@ -51,8 +51,10 @@
 		recs   []*wire.Record
 		syncs  int
 		fail   error
-		noRoom bool // For a snapshot beside the log.
-		full   bool // For anything.
+		noRoom bool          // For a snapshot beside the log.
+		full   bool          // For anything.
+		noPut  bool          // For the records behind a snapshot.
+		slow   time.Duration // For each sync.
 	}
 )
 
@@ -237,6 +239,7 @@
 }
 
 func (s *memStore) Append(recs ...*wire.Record) error {
+	s.sync()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.fail != nil {
@@ -251,6 +254,7 @@
 }
 
 func (s *memStore) Compact(snap *wire.Snapshot, recs ...*wire.Record) error {
+	s.sync()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.fail != nil {
@@ -264,13 +268,28 @@
 	return nil
 }
 
+func (s *memStore) sync() {
+	s.mu.Lock()
+	d := s.slow
+	s.mu.Unlock()
+	time.Sleep(d)
+}
+
 func (s *memStore) Prepare(snap *wire.Snapshot) (func(recs ...*wire.Record) error, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.noRoom {
 		return nil, errors.New("no space left on device")
 	}
-	return func(recs ...*wire.Record) error { return s.Compact(snap, recs...) }, nil
+	return func(recs ...*wire.Record) error {
+		s.mu.Lock()
+		no := s.noPut
+		s.mu.Unlock()
+		if no {
+			return disk.ErrFull
+		}
+		return s.Compact(snap, recs...)
+	}, nil
 }
 
 // snapped is the index of the snapshot on disk.
--- a/io/ctrl/full_test.go
+++ b/io/ctrl/full_test.go
@@ -34,6 +34,34 @@
 	})
 }
 
+// Guards against replicas that take nothing any more once the records behind a snapshot
+// found no room, though the log has them all.
+func TestFullDiskWhileReplacingTheLog(t *testing.T) {
+	group(t, 3, func(t *testing.T, n *network, l *replica) {
+		room := func(no bool) {
+			for _, a := range n.addrs {
+				s := n.at(a).store
+				s.mu.Lock()
+				s.noPut = no
+				s.mu.Unlock()
+			}
+		}
+		room(true)
+		for i := range CompactAfter + 10 {
+			command(t, l, claim(strconv.Itoa(i), time.Hour))
+		}
+		time.Sleep(compactRetry)
+		must.Eq(t, 1, l.store.snapped())
+		n.claims(CompactAfter + 10)
+		room(false)
+		time.Sleep(2 * compactRetry)
+		command(t, l, claim("last", time.Hour))
+		time.Sleep(time.Second)
+		must.Greater(t, CompactAfter, l.store.snapped())
+		n.claims(CompactAfter + 11)
+	})
+}
+
 // fill makes the disks of replicas full, or gives them room.
 func fill(yes bool, list ...*replica) {
 	for _, r := range list {
