A quota or a limit on file sizes ends no control replica

Only a full disk (ENOSPC) counted as a lack of room. A replica that reached its user's quota (EDQUOT) or the largest file that it may write (EFBIG) ended, and ended again after each start.

Evidence: TestFullDiskLeavesTheLogWhole with these two errors failed in all 160 cases.

Change: all three are a lack of room. What was written is cut back, and the replica waits for room as on a full disk.

--- a/io/disk/disk.go
+++ b/io/disk/disk.go
@@ -188,7 +188,7 @@
 // tells nothing of what is on the disk, whatever its reason.
 func (l *Log) write(data []byte) error {
 	if _, err := l.f.Write(data); err != nil {
-		if !errors.Is(err, syscall.ENOSPC) {
+		if !isFull(err) {
 			return l.stop(err)
 		}
 		if terr := l.f.Truncate(l.size); terr != nil {
@@ -248,7 +248,7 @@
 	if err != nil {
 		return err
 	}
-	if err = writeSynced(f, data); errors.Is(err, syscall.ENOSPC) {
+	if err = writeSynced(f, data); isFull(err) {
 		return fmt.Errorf("disk: write snapshot: %w", l.discard(f, err))
 	}
 	if err == nil {
@@ -288,12 +288,18 @@
 
 // noRoom marks an error as ErrFull that a full disk gave.
 func noRoom(err error) error {
-	if errors.Is(err, syscall.ENOSPC) {
+	if isFull(err) {
 		return fmt.Errorf("%w: %w", ErrFull, err)
 	}
 	return err
 }
 
+// isFull reports whether a write failed for want of room: on the disk, in a quota, or up
+// to the most that a file of this process may hold.
+func isFull(err error) bool {
+	return errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT) || errors.Is(err, syscall.EFBIG)
+}
+
 // Size is the bytes of the log file.
 func (l *Log) Size() int64 { return l.size }
 
--- a/io/disk/disk_test.go
+++ b/io/disk/disk_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"syscall"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -207,8 +208,8 @@
 	}
 }
 
-// The disk is full, in an append or in a compaction, in its first or last part. The
-// write is not acknowledged and leaves nothing behind; the log is used again once there
+// There is no room, on the disk, in a quota or up to the most that a file may hold, in an
+// append or in a compaction, in its first or last part. The write is not acknowledged and leaves nothing behind; the log is used again once there
 // is room. After a crash, then or before, it holds what was acknowledged and no more.
 func TestFullDiskLeavesTheLogWhole(t *testing.T) {
 	for _, tt := range []struct {
@@ -222,20 +223,22 @@
 		{"tail of a snapshot", 700, func(l *Log) error { return l.Compact(&wire.Snapshot{Data: make([]byte, 500)}, entry(8, 500)) }},
 	} {
 		for seed := range uint64(20) {
-			t.Run(fmt.Sprint(tt.name, " ", seed), func(t *testing.T) {
-				d := newFake(seed)
-				l, _ := opened(t, d)
-				must.NoError(t, l.Append(entry(7, 5)))
-				d.limit = tt.limit
-				must.ErrorIs(t, tt.run(l), ErrFull)
-				_, recs := opened(t, d.crash())
-				must.Len(t, 1, recs)
-				d.limit = 0
-				must.NoError(t, l.Append(entry(8, 5)))
-				_, recs = opened(t, d.crash())
-				must.Len(t, 2, recs)
-				must.Eq(t, 8, recs[1].GetEntry().GetIndex())
-			})
+			for _, full := range []error{syscall.ENOSPC, syscall.EDQUOT, syscall.EFBIG} {
+				t.Run(fmt.Sprint(tt.name, " ", full, " ", seed), func(t *testing.T) {
+					d := newFake(seed)
+					l, _ := opened(t, d)
+					must.NoError(t, l.Append(entry(7, 5)))
+					d.limit, d.full = tt.limit, full
+					must.ErrorIs(t, tt.run(l), ErrFull)
+					_, recs := opened(t, d.crash())
+					must.Len(t, 1, recs)
+					d.limit = 0
+					must.NoError(t, l.Append(entry(8, 5)))
+					_, recs = opened(t, d.crash())
+					must.Len(t, 2, recs)
+					must.Eq(t, 8, recs[1].GetEntry().GetIndex())
+				})
+			}
 		}
 	}
 }
--- a/io/disk/fake_test.go
+++ b/io/disk/fake_test.go
@@ -3,7 +3,6 @@
 import (
 	"math/rand/v2"
 	"os"
-	"syscall"
 
 	"github.com/pkg/errors"
 )
@@ -17,11 +16,12 @@
 		rnd    *rand.Rand
 		now    map[string]*inode
 		synced map[string]*inode
-		ops    int  // Calls that write, so far.
-		dieAt  int  // The call at which the machine dies; zero for none.
-		dead   bool // Every call fails from then on.
-		limit  int  // Bytes that fit the disk; zero for no limit.
-		badFS  bool // Every fsync fails.
+		ops    int   // Calls that write, so far.
+		dieAt  int   // The call at which the machine dies; zero for none.
+		dead   bool  // Every call fails from then on.
+		full   error // Of a write over the limit.
+		limit  int   // Bytes that fit the disk; zero for no limit.
+		badFS  bool  // Every fsync fails.
 	}
 
 	inode struct{ data, synced []byte }
@@ -127,7 +127,7 @@
 	if f.dir.limit > 0 && len(f.data)+len(p) > f.dir.limit {
 		n := max(f.dir.limit-len(f.data), 0)
 		f.data = append(f.data, p[:n]...)
-		return n, syscall.ENOSPC
+		return n, f.dir.full
 	}
 	f.data = append(f.data, p...)
 	return len(p), nil
