--- a/io/ctrl/apply.go
+++ b/io/ctrl/apply.go
@@ -133,9 +133,10 @@
 		c.retry = time.Now().Add(compactRetry)
 		return
 	}
-	if c.unkept.install != nil || !c.raft.Compact(s.snap) {
+	if c.unkept.install != nil || s.snap.GetIndex() <= c.snapped {
 		return // The leader sent a newer one.
 	}
+	c.raft.Compact(s.snap) // It has this one already where its tail found no room before.
 	s.records = c.unkept.records
 	c.begin(&write{saved: &s, records: c.raft.Tail()})
 }
