A change of the roster costs control what has changed, not all upstreams

Cause, of a part of it: each change wakes every entry's question, and for each answer the whole list of upstreams was walked and sorted.

Change: the roster keeps its upstreams in the order of their changes, so that an answer begins where its asker left off. What was replaced is dropped once it is more than what is left. TestEachChangeIsToldOnce guards the order and completeness over restarts; it passes on the former code, too, but for the size of that list.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -17,9 +17,10 @@
 // Roster holds upstreams by id. The zero value is empty and ready.
 type Roster struct {
 	ups      map[string]*wire.Upstream
-	gone     []string // Oldest first.
-	revision uint64   // Counts changes.
-	dropped  uint64   // Revision of the newest upstream that was dropped from gone.
+	order    []*wire.Upstream // By revision, with some that were replaced or dropped since.
+	gone     []string         // Oldest first.
+	revision uint64           // Counts changes.
+	dropped  uint64           // Revision of the newest upstream that was dropped from gone.
 }
 
 // Enroll takes what is known of an upstream and reports whether that is new.
@@ -47,13 +48,20 @@
 		DataCentre: cmp.Or(u.GetDataCentre(), old.GetDataCentre()), Slots: cmp.Or(u.GetSlots(), old.GetSlots()),
 		State: u.GetState(), Revision: r.revision, Born: cmp.Or(u.GetBorn(), old.GetBorn()),
 	}
+	r.order = append(r.order, r.ups[u.GetId()])
 	if u.GetState() == wire.Upstream_STATE_GONE {
 		r.gone = append(r.gone, u.GetId())
 		r.forget()
 	}
+	if len(r.order) > 2*len(r.ups)+keepGone {
+		r.order = slices.DeleteFunc(r.order, r.replaced)
+	}
 	return true
 }
 
+// replaced reports whether something newer is known of an upstream, or nothing any more.
+func (r *Roster) replaced(u *wire.Upstream) bool { return r.ups[u.GetId()] != u }
+
 // Reborn reports whether a, heard of an upstream that is known as b, comes from a
 // later incarnation. The starts decide, as each incarnation tells its own; the
 // order in which announcements arrive, and their numbers, which begin anew, say
@@ -88,30 +96,32 @@
 // because the roster no longer knows all that has ended since.
 func (r *Roster) Since(revision uint64) (list []*wire.Upstream, whole bool) {
 	whole = revision == 0 || revision < r.dropped || revision > r.revision
-	for _, u := range r.ups {
-		if (whole && u.GetState() != wire.Upstream_STATE_GONE) || (!whole && u.GetRevision() > revision) {
-			list = append(list, u)
+	from := 0
+	if !whole {
+		from, _ = slices.BinarySearchFunc(r.order, revision+1, func(u *wire.Upstream, rev uint64) int {
+			return cmp.Compare(u.GetRevision(), rev)
+		})
+	}
+	for _, u := range r.order[from:] {
+		if r.replaced(u) || (whole && u.GetState() == wire.Upstream_STATE_GONE) {
+			continue
 		}
+		list = append(list, u)
 	}
-	slices.SortFunc(list, func(a, b *wire.Upstream) int { return cmp.Compare(a.GetRevision(), b.GetRevision()) })
 	return list, whole
 }
 
 // Save lists all that Load needs.
 func (r *Roster) Save() []*wire.Upstream {
-	list := make([]*wire.Upstream, 0, len(r.ups))
-	for _, u := range r.ups {
-		list = append(list, u)
-	}
-	slices.SortFunc(list, func(a, b *wire.Upstream) int { return cmp.Compare(a.GetRevision(), b.GetRevision()) })
-	return list
+	return slices.DeleteFunc(slices.Clone(r.order), r.replaced)
 }
 
 // Load replaces the roster by a saved one. Revisions are numbers of the log, so
 // they go on from the highest one.
 func (r *Roster) Load(list []*wire.Upstream) {
-	*r = Roster{ups: make(map[string]*wire.Upstream, len(list))}
-	for _, u := range list {
+	*r = Roster{ups: make(map[string]*wire.Upstream, len(list)), order: slices.Clone(list)}
+	slices.SortFunc(r.order, func(a, b *wire.Upstream) int { return cmp.Compare(a.GetRevision(), b.GetRevision()) })
+	for _, u := range r.order {
 		r.ups[u.GetId()] = u
 		r.revision = max(r.revision, u.GetRevision())
 		if u.GetState() == wire.Upstream_STATE_GONE {
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -139,3 +139,35 @@
 	must.True(t, whole)
 	must.False(t, again.Enroll(up(strconv.Itoa(keepGone+1), wire.Upstream_STATE_SERVING)))
 }
+
+// Guards against changes that are told twice, in another order or not at all, however
+// often upstreams changed before, and over a restart.
+func TestEachChangeIsToldOnce(t *testing.T) {
+	var r Roster
+	last := map[string]uint64{}
+	for i := range 5000 {
+		id := strconv.Itoa(i * 7919 % 40)
+		r.Enroll(&wire.Upstream{Id: id, Address: "10.0.0.1:80", Pool: "engines", Slots: int64(i + 1)})
+		last[id] = r.Revision()
+		if i%500 == 0 {
+			list := r.Save()
+			r = Roster{}
+			r.Load(list)
+		}
+		since := r.Revision() - min(r.Revision(), uint64(i%90)) //nolint:gosec // Not negative.
+		list, whole := r.Since(since)
+		must.Eq(t, since == 0, whole)
+		want := 0
+		for _, rev := range last {
+			if rev > since {
+				want++
+			}
+		}
+		must.Len(t, want, list)
+		for n, u := range list {
+			must.Eq(t, last[u.GetId()], u.GetRevision())
+			must.True(t, n == 0 || list[n-1].GetRevision() < u.GetRevision())
+		}
+	}
+	must.Less(t, 3*40+keepGone, len(r.order))
+}
