One ending for tests of a harmed disk; a result that nobody reads

Seen: reading the change once more.

Change: Compact returns nothing. network.outlives is the ending of all three tests; the one of a full disk waits ten seconds for the leader to be lost where it waited five, and the one of a compaction ten more. end takes the incarnation of its decision, which is the same in all other tests.

Result: behaviour is as it was. core/batch, core/raft and io/ctrl pass, the tests of disks three times under the race detector.

--- a/core/batch/batch_test.go
+++ b/core/batch/batch_test.go
@@ -57,7 +57,7 @@
 // end releases a granted run and returns what is decided then.
 func (e *engines) end(d *wire.Decision, first, total time.Duration, pieces int64) []*wire.Decision {
 	return e.Release(e.now, &wire.Release{
-		Ticket: d.GetTicket(), Incarnation: "i", Pool: "engines", Upstream: d.GetGrant().GetUpstream(), Slot: d.GetGrant().GetSlot(),
+		Ticket: d.GetTicket(), Incarnation: d.GetIncarnation(), Pool: "engines", Upstream: d.GetGrant().GetUpstream(), Slot: d.GetGrant().GetSlot(),
 		Dispatched: true, Whole: true, FirstTokenUs: first.Microseconds(), TotalUs: total.Microseconds(), Pieces: pieces,
 	})
 }
@@ -184,7 +184,7 @@
 	d := e.fill(1)[0]
 	bad := d.GetGrant().GetUpstream()
 	e.Release(e.now, &wire.Release{
-		Ticket: d.GetTicket(), Incarnation: "i", Pool: "engines", Upstream: bad, Slot: d.GetGrant().GetSlot(), Dispatched: true, Failed: true,
+		Ticket: d.GetTicket(), Incarnation: d.GetIncarnation(), Pool: "engines", Upstream: bad, Slot: d.GetGrant().GetSlot(), Dispatched: true, Failed: true,
 	})
 	for _, d := range e.fill(4) {
 		must.NotEq(t, bad, d.GetGrant().GetUpstream())
@@ -350,10 +350,7 @@
 					e.now = e.now.Add(time.Second / ends)
 					d := running[0]
 					running = running[1:]
-					note(e.Release(e.now, &wire.Release{
-						Ticket: d.GetTicket(), Incarnation: d.GetIncarnation(), Pool: "engines", Upstream: d.GetGrant().GetUpstream(), Slot: d.GetGrant().GetSlot(),
-						Dispatched: true, Whole: true, FirstTokenUs: 60_000, TotalUs: 500_000, Pieces: 11,
-					}))
+					note(e.end(d, 60*time.Millisecond, 500*time.Millisecond, 11))
 					for range tc.rate / ends {
 						k := e.ticket("usual", int32((i+n)%3), 100+int64(n%7)*100, 100) //nolint:gosec // Below three.
 						k.Incarnation = fmt.Sprint("i", e.next%entries)
--- a/core/raft/raft.go
+++ b/core/raft/raft.go
@@ -228,11 +228,11 @@
 }
 
 // Compact makes a snapshot the newest one and drops what it covers. The disk
-// must then hold it and Tail in place of the log. It returns false for one that
-// is older than what a leader has sent meanwhile.
-func (r *Raft) Compact(snap *wire.Snapshot) bool {
+// must then hold it and Tail in place of the log. One that is older than what a
+// leader has sent meanwhile changes nothing.
+func (r *Raft) Compact(snap *wire.Snapshot) {
 	if snap.GetIndex() <= r.log.snap.GetIndex() {
-		return false
+		return
 	}
 	r.log.snap = snap
 	if snap.GetIndex() > KeepEntries {
@@ -241,7 +241,6 @@
 	for len(r.confs) > 1 && r.confs[1].index <= snap.GetIndex() {
 		r.confs = r.confs[1:]
 	}
-	return true
 }
 
 // Tail returns the records that follow the newest snapshot on disk.
--- a/io/ctrl/full_test.go
+++ b/io/ctrl/full_test.go
@@ -80,16 +80,23 @@
 		for i := range 20 {
 			must.Eq(t, state.OK, command(t, l, claim(strconv.Itoa(i), time.Hour)).GetCode())
 		}
-		time.Sleep(5 * time.Second)
-		must.True(t, l.Leads())
-		fill(false, l)
-		l.restart()
-		command(t, n.leader(nil), claim("last", time.Hour))
-		time.Sleep(time.Second)
-		n.claims(21)
+		n.outlives(t, l, func() { fill(false, l) }, 21)
 	})
 }
 
+// outlives holds that a leader stays while its disk is harmed, and that all replicas have
+// that many claims, with one more, after it lost power with what it could not write.
+func (n *network) outlives(t *testing.T, l *replica, heal func(), claims uint64) {
+	t.Helper()
+	time.Sleep(10 * time.Second)
+	must.True(t, l.Leads())
+	heal()
+	l.restart()
+	command(t, n.leader(nil), claim("last", time.Hour))
+	time.Sleep(time.Second)
+	n.claims(claims)
+}
+
 // All disks are full. A command is not acknowledged, but the leader goes on: entries
 // place their requests by it. Once there is room, the command that waited comes
 // through, and each replica has it.
--- a/io/ctrl/slow_test.go
+++ b/io/ctrl/slow_test.go
@@ -27,13 +27,7 @@
 			must.Eq(t, state.OK, command(t, l, claim(strconv.Itoa(i), time.Hour)).GetCode())
 		}
 		must.Less(t, time.Second, time.Since(start))
-		time.Sleep(10 * time.Second)
-		must.True(t, l.Leads())
-		slow(0, l)
-		l.restart()
-		command(t, n.leader(nil), claim("last", time.Hour))
-		time.Sleep(time.Second)
-		n.claims(21)
+		n.outlives(t, l, func() { slow(0, l) }, 21)
 	})
 }
 
@@ -63,12 +57,7 @@
 			must.Eq(t, state.OK, command(t, l, claim(strconv.Itoa(i), time.Hour)).GetCode())
 		}
 		time.Sleep(time.Minute)
-		must.True(t, l.Leads())
 		must.Greater(t, CompactAfter, l.store.snapped())
-		slow(0, l)
-		l.restart()
-		command(t, n.leader(nil), claim("last", time.Hour))
-		time.Sleep(time.Second)
-		n.claims(2*CompactAfter + 1)
+		n.outlives(t, l, func() { slow(0, l) }, 2*CompactAfter+1)
 	})
 }
