Upstreams that an entry has not seen yet are expected to be like the fastest

What callers saw: nothing wrong by itself. The limit of that server had ended seven seconds before, and the two others whose limits ended three seconds earlier had all the work of seven entries.

Cause: an entry expects 20 ms of an upstream that has not answered it yet. The others answered in 6 ms, and with up to two requests of an entry on each of them they still seemed faster. So an upstream that is new, or was held back by a limit while entries started, gets nothing as long as the others are quick and each entry has little to send.

Change: what was not seen is expected to be like the fastest of the pool, and 20 ms at most.

--- a/core/peers/peers.go
+++ b/core/peers/peers.go
@@ -51,8 +51,9 @@
 )
 
 const (
-	learnRate    = 0.1
-	firstLatency = 20 * time.Millisecond // Where nothing was seen yet.
+	learnRate = 0.1
+	// firstLatency is the most that an upstream is expected to take which was not seen yet.
+	firstLatency = 20 * time.Millisecond
 	// abroadCost is what an upstream of another data centre must be better by:
 	// the way there and back, and the price of the bytes between them.
 	abroadCost  = 4 * time.Millisecond
@@ -90,12 +91,13 @@
 	var best *wire.Upstream
 	var least time.Duration
 	var nearest uint64
+	unseen := p.unseen(list)
 	for _, u := range list {
 		e := p.of(u.GetId())
 		if !p.allows(now, u, e, c) {
 			continue
 		}
-		cost := e.cost(u.GetSlots())
+		cost := e.cost(u.GetSlots(), unseen)
 		if u.GetDataCentre() != c.Centre {
 			cost += abroadCost
 		}
@@ -116,6 +118,18 @@
 	return best
 }
 
+// unseen is the latency expected of upstreams that have not answered here yet: that of the
+// fastest of their like. With a worse one they would get nothing while that one has room.
+func (p *Peers) unseen(list []*wire.Upstream) time.Duration {
+	least := firstLatency
+	for _, u := range list {
+		if l := p.of(u.GetId()).latency; l > 0 {
+			least = min(least, l)
+		}
+	}
+	return least
+}
+
 // allows reports whether a request may go to an upstream at all.
 func (p *Peers) allows(now time.Time, u *wire.Upstream, e *peer, c Choice) bool {
 	switch {
@@ -154,10 +168,10 @@
 	return now.Sub(e.loadAt) < freshLoad && e.load.Slots > 0 && e.load.Running >= e.load.Slots
 }
 
-func (e *peer) cost(slots int64) time.Duration {
+func (e *peer) cost(slots int64, unseen time.Duration) time.Duration {
 	l := e.latency
 	if l == 0 {
-		l = firstLatency
+		l = unseen
 	}
 	load := 1 + float64(e.running)/float64(max(slots, 1))*2
 	return time.Duration(float64(l) * load * (1 + errorFactor*e.errors))
--- /dev/null
+++ b/core/peers/share_test.go
@@ -0,0 +1,86 @@
+package peers
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"azurelane/core/wire"
+)
+
+const (
+	quick = 6 * time.Millisecond
+	slow  = 6 * quick
+)
+
+// site is the upstreams of one pool and how they answer.
+type site struct {
+	list    []*wire.Upstream
+	latency map[string]time.Duration
+	failing map[string]bool
+}
+
+func newSite(ids ...string) *site {
+	s := &site{latency: map[string]time.Duration{}, failing: map[string]bool{}}
+	for _, id := range ids {
+		s.add(id)
+	}
+	return s
+}
+
+func (s *site) add(id string) {
+	s.list = append(s.list, &wire.Upstream{Id: id, DataCentre: "z1", Slots: 4})
+	s.latency[id] = quick
+}
+
+// entry sends requests, two at a time as long as the upstreams answer alike.
+type entry struct {
+	Peers
+	self string
+	now  time.Time
+}
+
+func entries(n int) []*entry {
+	list := make([]*entry, n)
+	for i := range list {
+		list[i] = &entry{self: fmt.Sprint("entry-", i), now: start}
+	}
+	return list
+}
+
+// serve sends so many requests, each as another one is halfway, and counts them by upstream.
+func (e *entry) serve(s *site, requests int) map[string]int {
+	got := map[string]int{}
+	var last string
+	for range requests {
+		e.now = e.now.Add(quick)
+		id := e.Pick(e.now, s.list, Choice{Self: e.self, Centre: "z1"}).GetId()
+		e.Begin(e.now, id)
+		got[id]++
+		if last != "" {
+			e.End(e.now, last, s.latency[last], true, !s.failing[last])
+		}
+		last = id
+	}
+	e.End(e.now, last, s.latency[last], true, !s.failing[last])
+	return got
+}
+
+// Guards against upstreams that start, or whose limit ends, and get nothing while others
+// are busy: an entry that has not seen one assumed that it is slow.
+func TestUnseenUpstreamGetsWork(t *testing.T) {
+	s := newSite("a", "b")
+	all, newcomer := 0, 0
+	list := entries(20)
+	for _, e := range list {
+		e.serve(s, 100)
+	}
+	s.add("c")
+	for _, e := range list {
+		got := e.serve(s, 100)
+		all, newcomer = all+100, newcomer+got["c"]
+	}
+	must.GreaterEq(t, all/len(s.list)/2, newcomer, must.Sprint("half of an even share"))
+}
