An entry without a share of a limit saves up no request

What an upstream saw: in the moment in which an entry gets a share of its limit, a request that the entry had saved up before it lost an earlier share, on top of what the entries that had it meanwhile sent.

Cause: a meter with a share of zero kept what was left in its bucket.

Evidence: entries that log their buckets (a scratch copy of TestServersThatNameALimit) show one request left at a share of zero, for seconds, and the share coming back.

Change: without a share the bucket holds nothing.

TestNothingIsSavedWithoutAShare failed before.

--- a/core/meter/meter.go
+++ b/core/meter/meter.go
@@ -22,11 +22,13 @@
 }
 
 // Limit holds the requests to a share of a rate, in requests a second, from now on. With
-// a share of zero nothing passes.
+// a share of zero nothing passes and nothing is saved up.
 func (m *Meter) Limit(now time.Time, rate, share float64) {
 	m.fill(now)
-	m.on, m.rate = true, max(rate, leastRate)*share
-	m.burst = 1 + m.rate*burstTime.Seconds()
+	m.on, m.rate, m.burst = true, max(rate, leastRate)*share, 0
+	if m.rate > 0 {
+		m.burst = 1 + m.rate*burstTime.Seconds()
+	}
 	m.left = min(m.left, m.burst)
 }
 
--- a/core/meter/meter_test.go
+++ b/core/meter/meter_test.go
@@ -67,3 +67,15 @@
 	must.True(t, m.Room(start))
 	must.Eq(t, 0, m.Wait(start))
 }
+
+// Guards against a request that is saved up while another entry has the share, and sent
+// on top of what that one sent.
+func TestNothingIsSavedWithoutAShare(t *testing.T) {
+	var m Meter
+	m.Limit(start, 1, 1)
+	now := start.Add(time.Minute)
+	must.True(t, m.Room(now))
+	m.Limit(now, 1, 0)
+	m.Limit(now, 1, 1)
+	must.False(t, m.Room(now))
+}
