A new scheduler leaves limits and counts as they were until it knows the entries

What an upstream saw: after each change of the scheduler up to three times the requests that it had named as its limit, for two seconds. One that named 3 a second got 25 to 29 in four seconds; 23 are allowed.

Cause: a new scheduler divided each limit among the entries that had come to it so far. The first was told that all of it was its own, the second half, the third a third, and each kept that until its next question, two seconds later, beside those who still had their former shares. In the same way entries were told that there are one, two or three of them; by that count they divide accounts' rates and second sends while no scheduler answers.

Ruled out: too large a burst of the buckets. With the right shares at most 4.5 times the limit and as many requests as there are shares pass in four seconds.

Change: shares follow from the set of entries alone, so a new scheduler tells entries to keep theirs until as many have come as they knew of, for 30 s at most, as it does with accounts' rates. Until then it also tells them the former number. One of a data centre that is cut off does not wait for the entries elsewhere: its upstreams would get nothing.

TestNewSchedulerLeavesShares, TestSharesOfEntriesThatNeverCome and TestShareStaysWhileEntriesCome failed before.

--- a/io/gate/limits.go
+++ b/io/gate/limits.go
@@ -128,7 +128,9 @@
 		if !k.sent.After(sent) {
 			k.rate, k.sent = t.GetPerSecond(), sent
 		}
-		k.share = t.GetShare()
+		if !t.GetKeepShare() {
+			k.share = t.GetShare()
+		}
 		g.limitPeer(now, id, k)
 	}
 	for id, k := range l.known {
--- a/io/gate/limits_test.go
+++ b/io/gate/limits_test.go
@@ -49,6 +49,17 @@
 	must.Positive(t, s.peers.Wait(time.Now(), u[:1]))
 }
 
+// Guards against an entry that gives up its share, or takes another one, for a scheduler that
+// does not know all entries yet.
+func TestShareStaysWhileEntriesCome(t *testing.T) {
+	s := newSite(t, newUpstream(t, text("ok")))
+	for _, share := range []float64{0.25, 0} {
+		s.Limited([]*wire.Limit{{Upstream: "up-0", PerSecond: 2, Share: share}})
+		s.Limited([]*wire.Limit{{Upstream: "up-0", PerSecond: 2, Share: 1, KeepShare: true}})
+		must.Eq(t, share, s.limits.known["up-0"].share)
+	}
+}
+
 // Guards against a limit that is forgotten because an answer from before it comes late,
 // and against one that stays.
 func TestLimitEndsByLaterRequestsOnly(t *testing.T) {
--- a/io/hub/limits.go
+++ b/io/hub/limits.go
@@ -99,19 +99,20 @@
 	return e.rate, ok
 }
 
-// list is what an entry is told, with its own shares among all entries.
-func (l *limits) list(now time.Time, node string, all func() []string) []*wire.Limit {
+// list is what an entry is told, with its own shares among the entries. Unless these are
+// all, it keeps the shares that it has.
+func (l *limits) list(now time.Time, node string, known func() (entries []string, all bool)) []*wire.Limit {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if len(l.byUp) == 0 {
 		return nil
 	}
-	entries := all()
+	entries, all := known()
 	list := make([]*wire.Limit, 0, len(l.byUp))
 	for _, id := range slices.Sorted(maps.Keys(l.byUp)) {
 		e := l.byUp[id]
 		list = append(list, &wire.Limit{
-			Upstream: id, PerSecond: e.rate, AgeUs: now.Sub(e.sent).Microseconds(), Share: share(id, e.rate, node, entries),
+			Upstream: id, PerSecond: e.rate, AgeUs: now.Sub(e.sent).Microseconds(), Share: share(id, e.rate, node, entries), KeepShare: !all,
 		})
 	}
 	return list
--- a/io/hub/limits_test.go
+++ b/io/hub/limits_test.go
@@ -76,7 +76,7 @@
 	l.take(now, []*wire.Limit{{Upstream: "a", PerSecond: 1}, {Upstream: "b", PerSecond: 1}, {Upstream: "c", PerSecond: 1}})
 	l.keep(func(id string) bool { return id != "a" })
 	l.drop("b")
-	list := l.list(now, "e", func() []string { return []string{"e"} })
+	list := l.list(now, "e", func() ([]string, bool) { return []string{"e"}, true })
 	must.Len(t, 1, list)
 	must.Eq(t, "c", list[0].GetUpstream())
 }
@@ -106,3 +106,69 @@
 		}
 	}
 }
+
+// Guards against a new scheduler that divides a limit among the few entries that have come
+// to it, so that together they send several times as much, and that tells each of them
+// that it is one of those few.
+func TestNewSchedulerLeavesShares(t *testing.T) {
+	const n, rate = 7, 3
+	run(t, func(t *testing.T, h *Hub, _ *fakeReplica) {
+		must.NoError(t, h.Report(t.Context(), says("up", 1, wire.Upstream_STATE_SERVING)))
+		var entries []string
+		for i := range n {
+			entries = append(entries, fmt.Sprint("entry-", i))
+		}
+		shares := map[string]float64{}
+		for _, e := range entries {
+			shares[e] = share("up", rate, e, entries)
+		}
+		limit := []*wire.Limit{{Upstream: "up", PerSecond: rate}}
+		for _, e := range entries {
+			news, err := ask(h, &wire.Watch{Node: e, Incarnation: e, Entries: n, Limits: limit})
+			must.NoError(t, err)
+			must.Eq(t, n, news.GetEntries())
+			must.Len(t, 1, news.GetLimits())
+			if l := news.GetLimits()[0]; !l.GetKeepShare() {
+				shares[e] = l.GetShare()
+			}
+			sum := 0.0
+			for _, s := range shares {
+				sum += s
+			}
+			must.Between(t, 0.999, sum, 1.001, must.Sprint(e))
+		}
+	})
+}
+
+// Guards against shares that stay for good when an entry of the scheduler before never comes.
+func TestSharesOfEntriesThatNeverCome(t *testing.T) {
+	run(t, func(t *testing.T, h *Hub, _ *fakeReplica) {
+		must.NoError(t, h.Report(t.Context(), says("up", 1, wire.Upstream_STATE_SERVING)))
+		w := &wire.Watch{Node: "e", Incarnation: "i", Entries: 2, Limits: []*wire.Limit{{Upstream: "up", PerSecond: 1}}}
+		news, err := ask(h, w)
+		must.NoError(t, err)
+		must.True(t, news.GetLimits()[0].GetKeepShare())
+		time.Sleep(countFor)
+		news, err = ask(h, w)
+		must.NoError(t, err)
+		must.False(t, news.GetLimits()[0].GetKeepShare())
+		must.Eq(t, 1, news.GetLimits()[0].GetShare())
+	})
+}
+
+// Guards against upstreams behind a cut that get nothing, and whose limit does not end,
+// because the entries with a share are on the other side.
+func TestSharesBehindACut(t *testing.T) {
+	run(t, func(t *testing.T, h *Hub, f *fakeReplica) {
+		h.Centre = "z1"
+		cutOff(t, h, f)
+		w := &wire.Watch{
+			Node: "e", Incarnation: "i", DataCentre: "z1", Entries: 40, Alone: true, Limits: []*wire.Limit{{Upstream: "near", PerSecond: 1}},
+		}
+		news, err := ask(h, w)
+		must.NoError(t, err)
+		must.Len(t, 1, news.GetLimits())
+		must.False(t, news.GetLimits()[0].GetKeepShare())
+		must.Eq(t, 1, news.GetLimits()[0].GetShare())
+	})
+}
--- a/io/hub/reign.go
+++ b/io/hub/reign.go
@@ -99,11 +99,11 @@
 }
 
 // entries is how many entries share the limits of all: also those that a scheduler
-// of one data centre doesn't hear.
+// of one data centre doesn't hear, and those that have not come to a new one yet.
 func (r *reign) entries(here int64) int64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.scope == deployment {
+	if r.scope == deployment && time.Since(r.begun) > countFor {
 		return here
 	}
 	return max(here, r.all)
--- a/io/hub/watch.go
+++ b/io/hub/watch.go
@@ -110,7 +110,7 @@
 		known = 0 // Revisions count at each scheduler anew.
 	}
 	n.Bans = r.bans.since(known)
-	n.Limits = r.limits.list(time.Now(), w.GetNode(), func() []string { return h.watchers.nodes(r.dataCentre(h.Centre)) })
+	n.Limits = r.limits.list(time.Now(), w.GetNode(), func() ([]string, bool) { return h.sharers(r) })
 	var doc []byte
 	n.Version, doc = h.Replica.Publication()
 	if n.GetVersion() > w.GetVersion() {
@@ -125,6 +125,15 @@
 	return n, fresh, nil
 }
 
+// sharers are the entries that share the limits of upstreams, and whether all are known. A
+// scheduler of a data centre that is cut off does not wait for those elsewhere: else its
+// upstreams would get nothing where none of its entries has a share.
+func (h *Hub) sharers(r *reign) (nodes []string, all bool) {
+	nodes = h.watchers.nodes(r.dataCentre(h.Centre))
+	here := int64(len(nodes))
+	return nodes, r.scope == centre || here >= r.entries(here)
+}
+
 // lookAround looks whether data centres are reached. While one is not, its upstreams
 // get no more than a request now and then that tries them.
 func (h *Hub) lookAround(r *reign) {
