Entries are told limits as they are at the end of the wait

What an upstream saw: for up to two seconds requests by a limit that it no longer named, from an entry that had heard the new one itself.

Cause: a scheduler makes its answer when an entry asks and holds it back for up to two seconds. A rate that changes meanwhile wakes nobody, on purpose. The entry dates a limit by the time at which the answer comes, so that an old one seemed newer than what it had heard from the upstream itself.

Change: what there is to tell is looked up when the wait is over.

TestNewsAreNotAsOldAsTheWait failed before: 3 a second and an age of zero in place of 1 and a second.

--- a/io/hub/limits_test.go
+++ b/io/hub/limits_test.go
@@ -172,3 +172,22 @@
 		must.Eq(t, 1, news.GetLimits()[0].GetShare())
 	})
 }
+
+// Guards against an entry that takes a former limit for a new one: it dates what it is told
+// by the moment at which it comes.
+func TestNewsAreNotAsOldAsTheWait(t *testing.T) {
+	run(t, func(t *testing.T, h *Hub, _ *fakeReplica) {
+		must.NoError(t, h.Report(t.Context(), says("up", 1, wire.Upstream_STATE_SERVING)))
+		w := &wire.Watch{Node: "e", Incarnation: "i", Limits: []*wire.Limit{{Upstream: "up", PerSecond: 3}}}
+		news, err := ask(h, w)
+		must.NoError(t, err)
+		time.AfterFunc(time.Second, func() { h.limit(h.lead(), []*wire.Limit{{Upstream: "up", PerSecond: 1}}) })
+		news, err = ask(h, &wire.Watch{
+			Node: "e", Incarnation: "i", Leader: news.GetLeader(), Version: news.GetVersion(), Revision: news.GetRevision(),
+			WaitUs: (2 * time.Second).Microseconds(),
+		})
+		must.NoError(t, err)
+		must.Eq(t, 1, news.GetLimits()[0].GetPerSecond())
+		must.Eq(t, time.Second.Microseconds(), news.GetLimits()[0].GetAgeUs())
+	})
+}
--- a/io/hub/watch.go
+++ b/io/hub/watch.go
@@ -71,7 +71,8 @@
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		case <-end.C:
-			return n, nil
+			n, _, err = h.news(r, w) // What was found when it asked is as old as the wait.
+			return n, err
 		case <-changed:
 		case <-lost:
 		case <-banned:
