What an entry saw of an upstream fades while others get the requests

What callers saw: after a plain service's upstream was slow or failed for a while, its entries sent it nothing any more, so that the others carried its part.

Cause: what an entry expects of an upstream changes by that one's answers alone. Whoever looks worse than the others gets no request, so no answer, and looks worse until the others are as bad.

Change: with each request that goes elsewhere, what was seen counts less, by half after 32, and is replaced by what the fastest of the pool does. The next answer then counts as much more. It goes by requests, not by time: an entry with one request a second would otherwise forget all between two of them and send most to upstreams that stay slow.

TestRecoveredUpstreamGetsWork: 0 of 10,000 requests before, for a slow one and for a failing one, where an even share is 3,333; at least half of that now. The other side, TestSlowUpstreamGetsLittle, holds before and after: one that stays six times slower gets at most one request in fifty.

--- a/core/peers/peers.go
+++ b/core/peers/peers.go
@@ -3,6 +3,7 @@
 package peers
 
 import (
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -22,6 +23,7 @@
 		running int
 		latency time.Duration // Of answers, smoothed.
 		errors  float64       // Part of the answers that were failures, smoothed.
+		passed  int           // Requests that went elsewhere since its last answer.
 		fails   int           // In a row, without an answer.
 		out     time.Time     // Left out until then.
 		served  time.Time     // Last whole answer.
@@ -52,6 +54,10 @@
 
 const (
 	learnRate = 0.1
+	// fadeAfter is the number of requests that go elsewhere after which what was seen of an
+	// upstream counts half. Counted in requests, so that entries with few of them do not
+	// spend most on upstreams that stay slow.
+	fadeAfter = 32
 	// firstLatency is the most that an upstream is expected to take which was not seen yet.
 	firstLatency = 20 * time.Millisecond
 	// abroadCost is what an upstream of another data centre must be better by:
@@ -91,13 +97,14 @@
 	var best *wire.Upstream
 	var least time.Duration
 	var nearest uint64
-	unseen := p.unseen(list)
+	fastest := p.fastest(list)
 	for _, u := range list {
 		e := p.of(u.GetId())
 		if !p.allows(now, u, e, c) {
 			continue
 		}
-		cost := e.cost(u.GetSlots(), unseen)
+		e.passed++
+		cost := e.cost(u.GetSlots(), fastest)
 		if u.GetDataCentre() != c.Centre {
 			cost += abroadCost
 		}
@@ -118,13 +125,13 @@
 	return best
 }
 
-// unseen is the latency expected of upstreams that have not answered here yet: that of the
-// fastest of their like. With a worse one they would get nothing while that one has room.
-func (p *Peers) unseen(list []*wire.Upstream) time.Duration {
-	least := firstLatency
+// fastest is the least that a request is expected to take at an idle upstream by its answers,
+// or zero where none has answered.
+func (p *Peers) fastest(list []*wire.Upstream) time.Duration {
+	var least time.Duration
 	for _, u := range list {
-		if l := p.of(u.GetId()).latency; l > 0 {
-			least = min(least, l)
+		if l := p.of(u.GetId()).seen(); l > 0 && (least == 0 || l < least) {
+			least = l
 		}
 	}
 	return least
@@ -168,15 +175,29 @@
 	return now.Sub(e.loadAt) < freshLoad && e.load.Slots > 0 && e.load.Running >= e.load.Slots
 }
 
-func (e *peer) cost(slots int64, unseen time.Duration) time.Duration {
-	l := e.latency
-	if l == 0 {
-		l = unseen
+// cost is how long a request is expected to take. An upstream that was not seen is expected
+// to be like the fastest, and what was seen fades towards that: an upstream gets nothing
+// while others seem better, and only its answers could tell that it is well again.
+func (e *peer) cost(slots int64, fastest time.Duration) time.Duration {
+	l := fastest + time.Duration(e.weight()*float64(e.seen()-fastest))
+	switch {
+	case fastest == 0:
+		l = firstLatency
+	case e.latency == 0:
+		l = min(fastest, firstLatency)
 	}
 	load := 1 + float64(e.running)/float64(max(slots, 1))*2
-	return time.Duration(float64(l) * load * (1 + errorFactor*e.errors))
+	return time.Duration(float64(l) * load)
 }
 
+// seen is how long a request is expected to take at an idle upstream by its answers.
+func (e *peer) seen() time.Duration {
+	return time.Duration(float64(e.latency) * (1 + errorFactor*e.errors))
+}
+
+// weight is how much of what was seen counts, at most 1.
+func (e *peer) weight() float64 { return math.Exp2(-float64(e.passed) / fadeAfter) }
+
 // Limit holds this entry to a share of the requests a second that an upstream takes.
 func (p *Peers) Limit(now time.Time, id string, rate, share float64) {
 	e := p.of(id)
@@ -230,11 +251,14 @@
 	if good {
 		bad, e.served = 0, now
 	}
-	e.errors += learnRate * (bad - e.errors)
+	// What has faded gives way to what is seen now.
+	rate := 1 - (1-learnRate)*e.weight()
+	e.passed = 0
+	e.errors += rate * (bad - e.errors)
 	if e.latency == 0 {
 		e.latency = took
 	}
-	e.latency += time.Duration(learnRate * float64(took-e.latency))
+	e.latency += time.Duration(rate * float64(took-e.latency))
 }
 
 // Drop notes that a request was not run after all, and tells nothing.
--- a/core/peers/share_test.go
+++ b/core/peers/share_test.go
@@ -84,3 +84,48 @@
 	}
 	must.GreaterEq(t, all/len(s.list)/2, newcomer, must.Sprint("half of an even share"))
 }
+
+// Guards against upstreams that were slow or failed for a while and get nothing any more:
+// only their own answers could tell that they are well again.
+func TestRecoveredUpstreamGetsWork(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		harm func(s *site, id string, yes bool)
+	}{
+		{"slow", func(s *site, id string, yes bool) {
+			s.latency[id] = quick
+			if yes {
+				s.latency[id] = slow
+			}
+		}},
+		{"failing", func(s *site, id string, yes bool) { s.failing[id] = yes }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := newSite("a", "b", "c")
+			all, back := 0, 0
+			for _, e := range entries(20) {
+				e.serve(s, 100)
+				tc.harm(s, "a", true)
+				e.serve(s, 100)
+				tc.harm(s, "a", false)
+				e.serve(s, 500)
+				got := e.serve(s, 500)
+				all, back = all+500, back+got["a"]
+			}
+			must.GreaterEq(t, all/len(s.list)/2, back, must.Sprint("half of an even share"))
+		})
+	}
+}
+
+// Guards against requests that are late for trying again and again whether a slow
+// upstream is still slow.
+func TestSlowUpstreamGetsLittle(t *testing.T) {
+	s := newSite("a", "b", "c")
+	s.latency["a"] = slow
+	all, late := 0, 0
+	for _, e := range entries(20) {
+		got := e.serve(s, 1000)
+		all, late = all+1000, late+got["a"]
+	}
+	must.LessEq(t, all/50, late, must.Sprint("one in fifty"))
+}
