A keyed request whose run ends at its deadline hears how it ended

What callers saw: a request with a key whose deadline passed while it waited was sometimes answered "still-running", "unknown" though it had not run and never would, so that its caller could not do the work by other means. One whose whole answer came in that moment would have ended the handler with a panic.

Cause: the caller's wait and the run end at the same deadline, by two timers. If the run was first to end, Leave told the caller's side that there is no end to wait for, by the same word as for a run that goes on.

Change: Leave tells that the run has ended, and the caller gets that end, what is left of its answer included.

--- a/io/flight/flight.go
+++ b/io/flight/flight.go
@@ -48,13 +48,16 @@
 }
 
 // Leave takes a follower away. When it was the last, a run that has not been
-// sent is cancelled, and so is one that need not run on; it then returns true,
-// and the run's end follows at once.
+// sent is cancelled, and so is one that need not run on. It returns true when the
+// run has ended or its end follows at once.
 func (f *Flight) Leave(cause error) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.followers--
-	if f.followers > 0 || f.answer.Ended() || (f.phase == sent && f.RunOn) {
+	if f.answer.Ended() {
+		return true
+	}
+	if f.followers > 0 || (f.phase == sent && f.RunOn) {
 		return false
 	}
 	if f.phase == waiting {
--- a/io/flight/flight_test.go
+++ b/io/flight/flight_test.go
@@ -94,6 +94,15 @@
 	}
 }
 
+// Guards against a run that has ended and is taken for one that goes on.
+func TestLeaveAfterTheEnd(t *testing.T) {
+	f, ctx := newFlight()
+	must.True(t, f.Join())
+	f.End("whole", nil)
+	must.True(t, f.Leave(errLeft))
+	must.NoError(t, ctx.Err())
+}
+
 func TestAnswerIsBounded(t *testing.T) {
 	f, _ := newFlight()
 	f.Limit = 3
--- a/io/front/share.go
+++ b/io/front/share.go
@@ -86,25 +86,17 @@
 	for {
 		a, err := run.Next(ctx, seen)
 		if err != nil {
-			q.part(ctx, run)
+			q.part(ctx, run, seen)
 			return
 		}
-		if q.reply.head == nil && a.Status != 0 && a.Refusal == nil {
-			err = q.reply.Head(&answer.Answer{Status: a.Status, Header: a.Header, Streamed: a.Streamed})
-		}
-		if err == nil && len(a.Body) > 0 && q.reply.head != nil {
-			seen += len(a.Body)
-			_, err = q.reply.Write(a.Body)
-		}
-		if err == nil {
-			err = q.reply.Flush()
-		}
-		if a.Ended() {
+		err = q.pass(a)
+		seen += len(a.Body)
+		switch {
+		case a.Ended():
 			run.Leave(nil)
 			q.reply.end(a.Outcome, a.Refusal)
 			return
-		}
-		if err != nil {
+		case err != nil:
 			run.Leave(errCaller)
 			q.reply.end(life.Unknown.Outcome(), refuse.New(refuse.CallerLeft, "", 0))
 			return
@@ -112,22 +104,54 @@
 	}
 }
 
-// part ends a caller's wait before the run's end: its deadline has passed, or
-// it went away. The run goes on for its other followers, or by the pool's
-// setting; then the outcome is not known yet.
-func (q *request) part(ctx context.Context, run *flight.Flight) {
-	cause := context.Cause(ctx)
-	if run.Leave(cause) {
-		wait, cancel := context.WithTimeout(context.WithoutCancel(ctx), partLimit)
-		defer cancel()
-		if a, err := run.Wait(wait); err == nil {
-			q.reply.end(a.Outcome, a.Refusal)
-			return
+// pass gives the caller what has come of a run's answer.
+func (q *request) pass(a answer.Answer) error {
+	if q.reply.head == nil && a.Status != 0 && a.Refusal == nil {
+		if err := q.reply.Head(&answer.Answer{Status: a.Status, Header: a.Header, Streamed: a.Streamed}); err != nil {
+			return err
+		}
+	}
+	if len(a.Body) > 0 && q.reply.head != nil {
+		if _, err := q.reply.Write(a.Body); err != nil {
+			return err
 		}
 	}
+	return q.reply.Flush()
+}
+
+// part ends a caller's wait before the run's end, after so many bytes of its answer: its
+// deadline has passed, or it went away. The run goes on for its other followers, or by the
+// pool's setting; then the outcome is not known yet.
+func (q *request) part(ctx context.Context, run *flight.Flight, seen int) {
+	cause := context.Cause(ctx)
+	if run.Leave(cause) && q.finish(ctx, run, seen) {
+		return
+	}
 	if !errors.Is(cause, errDeadline) {
 		q.reply.end(life.Unknown.Outcome(), refuse.New(refuse.CallerLeft, "", 0))
 		return
 	}
 	q.reply.end(life.Unknown.Outcome(), refuse.New(refuse.StillRunning, "send again with the same key to join its run", 0))
 }
+
+// finish passes on the rest of a run that has ended or is about to, and reports whether its
+// end came.
+func (q *request) finish(ctx context.Context, run *flight.Flight, seen int) bool {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), partLimit)
+	defer cancel()
+	for {
+		a, err := run.Next(ctx, seen)
+		if err != nil {
+			return false
+		}
+		err = q.pass(a)
+		seen += len(a.Body)
+		if a.Ended() {
+			q.reply.end(a.Outcome, a.Refusal)
+			return true
+		}
+		if err != nil {
+			return false
+		}
+	}
+}
