Open connections are drained, and upstreams deregister

What readers met: `Farewell` for two things, the time for which a server that stops still answers open connections, and the last call of an upstream. Neither is a term of the field.

Change: the field of httpd.Httpd is DrainOpen, with the constants that set it; the report of an upstream that ends is Deregister, under the same number on the wire. The tests' assertions are unchanged.

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -37,9 +37,9 @@
 	"azurelane/io/stats"
 )
 
-// farewell is how long callers that kept their connections are still answered,
+// drainOpen is how long callers that kept their connections are still answered,
 // with refusals, after the last request has ended.
-const farewell = time.Second
+const drainOpen = time.Second
 
 // Entry is one entry process. Open makes it.
 type Entry struct {
@@ -119,7 +119,7 @@
 	e.sup = suture.New("entry", suture.Spec{EventHook: func(ev suture.Event) { e.log.Info("Part stopped.", "event", ev.String()) }})
 	for _, s := range []suture.Service{
 		e.mesh, e.sched, e.member, e.owner, e.grant, e.follow,
-		&httpd.Httpd{Listen: callers, Handler: e.front, Drain: set.DrainLimit, Farewell: farewell},
+		&httpd.Httpd{Listen: callers, Handler: e.front, Drain: set.DrainLimit, DrainOpen: drainOpen},
 		&httpd.Httpd{Listen: upstreams, Handler: &lease.Lease{Config: e.follow.Config, Take: e.notice.Forward}},
 		&httpd.Httpd{Listen: certs.Wrap(operator, certs.Operators(links)), Handler: ops.Handler()},
 	} {
--- a/io/gated/gated.go
+++ b/io/gated/gated.go
@@ -36,11 +36,11 @@
 	lingerFor = 2500 * time.Millisecond
 	// stopMargin is how long before the drain limit the process has ended.
 	stopMargin = 600 * time.Millisecond
-	farewell   = 700 * time.Millisecond // For kept connections, before and after nothing new is accepted.
-	// opsFarewell is the same for the operators' ports, which stop last: the process has
+	drainOpen  = 700 * time.Millisecond // For kept connections, before and after nothing new is accepted.
+	// opsDrainOpen is the same for the operators' ports, which stop last: the process has
 	// to end within the drain limit.
-	opsFarewell = 100 * time.Millisecond
-	usageEvery  = 250 * time.Millisecond // Between two reports of what was served without asking.
+	opsDrainOpen = 100 * time.Millisecond
+	usageEvery   = 250 * time.Millisecond // Between two reports of what was served without asking.
 	// tellLimit is how long a scheduler may take to answer what needs no decision.
 	tellLimit = time.Second
 	idleConns = 4 * time.Second // How long an unused connection to an upstream is kept.
@@ -94,10 +94,10 @@
 		return 0
 	})
 	g.Ratio, g.Slack, g.QuotaSlack = set.RetryRatio, set.RetrySlack, set.QuotaSlack
-	e.front = &httpd.Httpd{Listen: lns[1], Handler: g, Drain: set.DrainLimit - lingerFor - 2*farewell - stopMargin, Farewell: farewell}
+	e.front = &httpd.Httpd{Listen: lns[1], Handler: g, Drain: set.DrainLimit - lingerFor - 2*drainOpen - stopMargin, DrainOpen: drainOpen}
 	ops := &admin.Admin{Stats: metrics, Ready: g.Ready}
 	e.sup = suture.New("gate", suture.Spec{EventHook: func(ev suture.Event) { e.log.Info("Part stopped.", "event", ev.String()) }})
-	for _, s := range []suture.Service{e.mesh, e.watch, e.grant, &httpd.Httpd{Listen: lns[2], Handler: ops.Handler(), Farewell: opsFarewell}} {
+	for _, s := range []suture.Service{e.mesh, e.watch, e.grant, &httpd.Httpd{Listen: lns[2], Handler: ops.Handler(), DrainOpen: opsDrainOpen}} {
 		e.sup.Add(s)
 	}
 	if set.Metrics != "" {
@@ -105,7 +105,7 @@
 		if err != nil {
 			return nil, fmt.Errorf("gated: listen: %w", err)
 		}
-		e.sup.Add(&httpd.Httpd{Listen: ln, Handler: ops.Handler(), Farewell: opsFarewell})
+		e.sup.Add(&httpd.Httpd{Listen: ln, Handler: ops.Handler(), DrainOpen: opsDrainOpen})
 	}
 	return e, nil
 }
--- a/io/httpd/httpd.go
+++ b/io/httpd/httpd.go
@@ -20,7 +20,7 @@
 	idleTime   = 2 * time.Minute  // Of a kept-alive connection between requests.
 	maxHeader  = 32 << 10
 	stopTime   = 5 * time.Second // For requests in flight, where Drain is not set.
-	lastTime   = time.Second     // For the last requests of open connections, where Farewell is not set.
+	lastTime   = time.Second     // For the last requests of open connections, where DrainOpen is not set.
 	drainStep  = 10 * time.Millisecond
 )
 
@@ -29,12 +29,12 @@
 	Listen  net.Listener
 	Handler http.Handler
 	Drain   time.Duration // Longest wait for requests in flight when it stops; zero takes 5 s.
-	// Farewell is how long requests are still answered after ctx has ended, as long
+	// DrainOpen is how long requests are still answered after ctx has ended, as long
 	// as connections are open, and once more after nothing new is accepted. Answers
 	// ask clients to close their connections then. One that is closed just when its
 	// client sends the next request looks to the client like an answer that was cut
 	// off. Zero takes nothing before, and 1 s after nothing new is accepted.
-	Farewell time.Duration
+	DrainOpen time.Duration
 
 	open     atomic.Int64
 	stopping atomic.Bool
@@ -57,7 +57,7 @@
 	case <-ctx.Done():
 	}
 	h.stopping.Store(true)
-	h.drain(h.Farewell)
+	h.drain(h.DrainOpen)
 	// From Shutdown on net/http reads a request that is on its way and closes the
 	// connection without an answer. So nothing new is accepted first, and what was
 	// accepted is answered.
@@ -65,7 +65,7 @@
 		_ = ln.Close()
 	}
 	err := <-done
-	h.drain(cmp.Or(h.Farewell, lastTime))
+	h.drain(cmp.Or(h.DrainOpen, lastTime))
 	sctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), cmp.Or(h.Drain, stopTime))
 	defer cancel()
 	if err := srv.Shutdown(sctx); err != nil {
--- a/io/httpd/httpd_test.go
+++ b/io/httpd/httpd_test.go
@@ -37,7 +37,7 @@
 		}
 	})
 	done := make(chan error, 1)
-	s := &httpd.Httpd{Listen: ln, Handler: handler, Farewell: time.Minute}
+	s := &httpd.Httpd{Listen: ln, Handler: handler, DrainOpen: time.Minute}
 	go func() { done <- s.Serve(ctx) }()
 
 	tr := &http.Transport{}
@@ -70,7 +70,7 @@
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		must.NoError(t, err)
 		ctx, cancel := context.WithCancel(t.Context())
-		h := &httpd.Httpd{Listen: ln, Farewell: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		h := &httpd.Httpd{Listen: ln, DrainOpen: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set("Connection", "close")
 		})}
 		done := make(chan error, 1)
@@ -109,18 +109,18 @@
 // server stops.
 func TestWaitingConnectionsAreAnswered(t *testing.T) {
 	for _, tc := range []struct {
-		name     string
-		farewell time.Duration
+		name      string
+		drainOpen time.Duration
 	}{
-		{"without farewell", 0},
-		{"with farewell", time.Second},
+		{"without a drain of open connections", 0},
+		{"with a drain of open connections", time.Second},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			ln, err := net.Listen("tcp", "127.0.0.1:0")
 			must.NoError(t, err)
 			s := &stall.Stall{TCPListener: ln.(*net.TCPListener)}
 			ctx, cancel := context.WithCancel(t.Context())
-			h := &httpd.Httpd{Listen: s, Farewell: tc.farewell, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
+			h := &httpd.Httpd{Listen: s, DrainOpen: tc.drainOpen, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
 			done := make(chan error, 1)
 			go func() { done <- h.Serve(ctx) }()
 			conns := make([]net.Conn, 30)
@@ -191,7 +191,7 @@
 				must.NoError(t, err)
 				ctx, cancel := context.WithCancel(t.Context())
 				var ran sync.Map
-				h := &httpd.Httpd{Listen: ln, Farewell: time.Second, Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+				h := &httpd.Httpd{Listen: ln, DrainOpen: time.Second, Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 					ran.Store(r.URL.Path, true)
 				})}
 				done := make(chan error, 1)
--- a/io/hub/beats.go
+++ b/io/hub/beats.go
@@ -65,7 +65,7 @@
 	if reborn {
 		r.limits.drop(u.GetId())
 	}
-	if rep.GetFarewell() {
+	if rep.GetDeregister() {
 		if known == nil || (known.GetState() == wire.Upstream_STATE_GONE && !reborn) {
 			return nil
 		}
@@ -96,7 +96,7 @@
 func (h *Hub) reportCutOff(s *reign, rep *wire.Report) bool {
 	u := rep.GetUpstream()
 	known := h.Replica.Upstream(u.GetId())
-	if known == nil || known.GetDataCentre() != h.Centre || roster.Stale(known, u) || rep.GetFarewell() {
+	if known == nil || known.GetDataCentre() != h.Centre || roster.Stale(known, u) || rep.GetDeregister() {
 		return false
 	}
 	if !s.beats.newer(time.Now(), u, rep.GetSeq(), known) {
--- a/io/hub/hub_test.go
+++ b/io/hub/hub_test.go
@@ -232,7 +232,7 @@
 		f.stuck = true
 		f.mu.Unlock()
 		must.Error(t, h.Report(t.Context(), says("s", 2, wire.Upstream_STATE_LEAVING)))
-		must.Error(t, h.Report(t.Context(), &wire.Report{Upstream: &wire.Upstream{Id: "s"}, Farewell: true}))
+		must.Error(t, h.Report(t.Context(), &wire.Report{Upstream: &wire.Upstream{Id: "s"}, Deregister: true}))
 		must.Error(t, h.Publish(t.Context(), 2, []byte("two")))
 		_, _, err := h.Newest(t.Context())
 		must.ErrorIs(t, err, ErrUnsure)
@@ -367,11 +367,11 @@
 			must.NotNil(t, submit(h, id+11, 1).GetGrant(), must.Sprint("the places of the former process are free"))
 		}
 		must.NoError(t, h.Report(t.Context(), of(1000, 71, wire.Upstream_STATE_LEAVING)))
-		must.NoError(t, h.Report(t.Context(), &wire.Report{Farewell: true, Upstream: &wire.Upstream{Id: "s", Born: 1000}}))
+		must.NoError(t, h.Report(t.Context(), &wire.Report{Deregister: true, Upstream: &wire.Upstream{Id: "s", Born: 1000}}))
 		must.Eq(t, wire.Upstream_STATE_SERVING, h.Replica.Upstream("s").GetState())
 		must.NoError(t, h.Report(t.Context(), of(2000, 2, wire.Upstream_STATE_LEAVING)))
 		must.Eq(t, wire.Upstream_STATE_LEAVING, h.Replica.Upstream("s").GetState())
-		must.NoError(t, h.Report(t.Context(), &wire.Report{Farewell: true, Upstream: &wire.Upstream{Id: "s"}}))
+		must.NoError(t, h.Report(t.Context(), &wire.Report{Deregister: true, Upstream: &wire.Upstream{Id: "s"}}))
 		must.NoError(t, h.Report(t.Context(), of(3000, 1, wire.Upstream_STATE_SERVING)))
 		must.NotNil(t, submit(h, 21, 1).GetGrant(), must.Sprint("back after its end"))
 	})
--- a/io/hubd/hubd.go
+++ b/io/hubd/hubd.go
@@ -38,9 +38,9 @@
 	// election is shorter than where an operator puts the group together: its
 	// replicas are milliseconds apart, and while none leads, entries place
 	// requests by themselves.
-	election = 400 * time.Millisecond
-	farewell = 200 * time.Millisecond // For calls, before and after nothing new is accepted.
-	forget   = time.Minute            // After which a silent learner leaves the group.
+	election  = 400 * time.Millisecond
+	drainOpen = 200 * time.Millisecond // For calls, before and after nothing new is accepted.
+	forget    = time.Minute            // After which a silent learner leaves the group.
 	// refusalLines is how many lines a second refused tickets get. A line costs some
 	// 20 us, ten times what it takes to refuse a ticket, so that this is at most
 	// 1 % of a core in a burst; entries have a line for each refusal.
@@ -106,7 +106,7 @@
 	d.ctrl.Sender = m
 	ops := &admin.Admin{Stats: metrics, Ready: d.ctrl.Ready}
 	d.sup = suture.New("hub", suture.Spec{EventHook: func(ev suture.Event) { d.log.Info("Part stopped.", "event", ev.String()) }})
-	d.front = &httpd.Httpd{Listen: front, Handler: calls(h), Farewell: farewell}
+	d.front = &httpd.Httpd{Listen: front, Handler: calls(h), DrainOpen: drainOpen}
 	for _, s := range []suture.Service{
 		m, d.ctrl, h,
 		&form.Form{Form: group, Self: set.Peers, Centre: set.Centre, Replica: d.ctrl, Leader: toLeader, Log: d.log.WithName("form")},
