Bans of requests that crash upstreams outlive a stop of all processes

What callers saw: when all processes of the system ended at the same moment and came back, a request that had been banned was sent again and crashed three more upstreams and one by its try, each with the requests of others on it. Its sends after the third crash came to six, where three are allowed.

Cause: bans lived in the memory of entries and of the scheduler, which bring them to each other; after a stop of everything nobody knew them.

Ruled out: keeping them at entries, which have no disk.

Change: the leader writes bans, their tries and their lifts into the replicated log, a few bytes for something rare, and loads them when it begins to schedule. It tries again while no quorum answers, and writes each ban at most once for each number of tries.

Crashes that led to no ban yet are still in memory alone.

--- a/core/state/image.go
+++ b/core/state/image.go
@@ -15,6 +15,7 @@
 func (s *State) Image() *wire.Image {
 	img := &wire.Image{Version: s.version, Change: s.change, Document: s.document, ClockUs: s.clock, Orders: s.orders.Save()}
 	img.Published, img.Publication, img.Roster = s.published, s.publication, s.roster.Save()
+	img.Bans = s.bans.list
 	for _, c := range s.claims {
 		img.Claims = append(img.Claims, c)
 	}
@@ -49,6 +50,7 @@
 		version: img.GetVersion(), change: img.GetChange(), document: img.GetDocument(),
 		claims: map[claimKey]*wire.ClaimState{}, results: map[string]*wire.Result{},
 		clock: img.GetClockUs(), published: img.GetPublished(), publication: img.GetPublication(),
+		bans: bans{list: img.GetBans(), revision: s.bans.revision + 1},
 	}
 	s.roster.Load(img.GetRoster())
 	for _, c := range img.GetClaims() {
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -61,6 +61,7 @@
 		published   uint64 // Version of the publication.
 		publication []byte
 		roster      roster.Roster
+		bans        bans
 	}
 
 	claimKey struct{ account, key string }
@@ -87,6 +88,8 @@
 	case *wire.Command_Enroll:
 		s.roster.Enroll(k.Enroll.GetUpstream())
 		return &wire.Result{Code: OK}
+	case *wire.Command_RecordBans:
+		return s.bans.record(k.RecordBans)
 	case *wire.Command_Barrier:
 		return &wire.Result{Code: OK}
 	}
--- a/io/ctrl/news.go
+++ b/io/ctrl/news.go
@@ -21,7 +21,7 @@
 	n.mu.Lock()
 	r := s.Apply(cmd)
 	n.mu.Unlock()
-	if cmd.GetPublish() != nil || cmd.GetEnroll() != nil {
+	if cmd.GetPublish() != nil || cmd.GetEnroll() != nil || cmd.GetRecordBans() != nil {
 		n.tell()
 	}
 	return r
@@ -36,7 +36,7 @@
 	}
 }
 
-// Changed returns a channel that closes when the publication, the roster or
+// Changed returns a channel that closes when the publication, the roster, the bans or
 // the leadership of this replica next changes. It is taken before they are read.
 func (c *Ctrl) Changed() <-chan struct{} {
 	c.news.notify.Lock()
@@ -71,6 +71,13 @@
 	return list, whole, c.state.Roster().Revision()
 }
 
+// Bans lists the recorded bans of requests, and a number that changes with them.
+func (c *Ctrl) Bans() (list []*wire.Ban, revision uint64) {
+	c.news.mu.RLock()
+	defer c.news.mu.RUnlock()
+	return c.state.Bans()
+}
+
 // Leads reports whether this replica led when it last looked.
 func (c *Ctrl) Leads() bool { return c.view.Load().leads }
 
--- a/io/hub/bans.go
+++ b/io/hub/bans.go
@@ -1,6 +1,7 @@
 package hub
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -12,13 +13,20 @@
 )
 
 // bans is what a scheduler knows of requests that crash upstreams. Entries bring what
-// they know to a scheduler that is new, so that it needs no disk. The zero value is ready.
+// they know to a scheduler that is new, crashes that led to no ban among it; bans are
+// recorded as well, as all processes may end at once. The zero value is ready.
 type bans struct {
-	mu     sync.Mutex
-	poison poison.Poison
-	change signal
+	mu       sync.Mutex
+	poison   poison.Poison
+	change   signal
+	lifted   map[digest.Digest]bool // Not recorded yet.
+	recorded map[digest.Digest]int  // Tries, as this scheduler has recorded them.
+	loaded   uint64                 // Revision of the recorded bans that are known here.
 }
 
+// recordAgain is the pause after bans that could not be recorded.
+const recordAgain = 500 * time.Millisecond
+
 // take adds what an entry knows.
 func (b *bans) take(log logr.Logger, c *wire.Crashes) {
 	b.mu.Lock()
@@ -29,6 +37,7 @@
 		log.Info("Request banned: it crashes upstreams.", "digest", d.String())
 	}
 	for _, d := range lifted {
+		b.unlist(d)
 		log.Info("Ban lifted: an upstream ran the request.", "digest", d.String())
 	}
 	b.notify(before)
@@ -41,12 +50,115 @@
 	before := b.poison.Revision()
 	for _, raw := range list {
 		if d, ok := digest.From(raw); ok && b.poison.Clear(d) {
+			b.unlist(d)
 			log.Info("Ban lifted by an operator.", "digest", d.String())
 		}
 	}
 	b.notify(before)
 }
 
+// unlist notes that a ban is to leave the record. The lock is held.
+func (b *bans) unlist(d digest.Digest) {
+	if b.lifted == nil {
+		b.lifted = map[digest.Digest]bool{}
+	}
+	b.lifted[d] = true
+	delete(b.recorded, d)
+}
+
+// load takes the recorded bans, but for those that were lifted here since.
+func (b *bans) load(list []*wire.Ban, revision uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.loaded == revision {
+		return
+	}
+	b.loaded = revision
+	before, now := b.poison.Revision(), time.Now()
+	for _, r := range list {
+		if d, ok := digest.From(r.GetDigest()); ok && !b.lifted[d] {
+			b.poison.Ban(now, d, int(r.GetTries()))
+		}
+	}
+	b.notify(before)
+}
+
+// unrecorded is what the record lacks, nil for nothing. Each ban is recorded once by one
+// scheduler, and once more when it was tried, so that a full record comes to rest.
+func (b *bans) unrecorded(list []*wire.Ban) *wire.RecordBans {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	known := map[digest.Digest]int{}
+	for _, r := range list {
+		if d, ok := digest.From(r.GetDigest()); ok {
+			known[d] = int(r.GetTries())
+		}
+	}
+	c := &wire.RecordBans{}
+	for _, n := range b.poison.Bans(time.Now()).GetBanned() {
+		d, _ := digest.From(n.GetDigest())
+		tries, ok := known[d]
+		if done, mine := b.recorded[d]; mine {
+			tries, ok = max(tries, done), true
+		}
+		if !ok || tries < int(n.GetTries()) {
+			c.Banned = append(c.Banned, n)
+		}
+	}
+	for d := range b.lifted {
+		if _, ok := known[d]; ok && !b.poison.Banned(d) {
+			c.Lifted = append(c.Lifted, d[:])
+		}
+	}
+	if len(c.GetBanned())+len(c.GetLifted()) == 0 {
+		return nil
+	}
+	return c
+}
+
+// record notes what has been recorded.
+func (b *bans) record(c *wire.RecordBans) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.recorded == nil {
+		b.recorded = map[digest.Digest]int{}
+	}
+	for _, n := range c.GetBanned() {
+		d, _ := digest.From(n.GetDigest())
+		b.recorded[d] = int(n.GetTries())
+		delete(b.lifted, d)
+	}
+	for _, raw := range c.GetLifted() {
+		d, _ := digest.From(raw)
+		delete(b.lifted, d)
+	}
+}
+
+// recordBans has the log keep bans until ctx ends. Without it all of them are forgotten
+// when all processes end at once, and each request crashes as many upstreams again.
+func (h *Hub) recordBans(ctx context.Context, r *reign) {
+	for {
+		changed := r.bans.changed()
+		var later <-chan time.Time
+		list, _ := h.Replica.Bans()
+		if c := r.bans.unrecorded(list); c != nil {
+			_, err := h.Replica.Propose(ctx, &wire.Command{Kind: &wire.Command_RecordBans{RecordBans: c}})
+			if err == nil {
+				r.bans.record(c)
+				continue
+			}
+			h.Log.Info("Bans not recorded.", "banned", len(c.GetBanned()), "lifted", len(c.GetLifted()), "err", err.Error())
+			later = time.After(recordAgain)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		case <-later:
+		}
+	}
+}
+
 // try reports whether a banned request may be sent once.
 func (b *bans) try(log logr.Logger, raw []byte) bool {
 	b.mu.Lock()
--- a/io/hub/hub.go
+++ b/io/hub/hub.go
@@ -61,6 +61,7 @@
 		Publication() (uint64, []byte)
 		Upstream(id string) *wire.Upstream
 		Roster(since uint64) (list []*wire.Upstream, whole bool, revision uint64)
+		Bans() (list []*wire.Ban, revision uint64)
 		Group() (name string, all []*wire.Replica, peers []raft.Heard)
 		Propose(ctx context.Context, c *wire.Command) (*wire.Result, error)
 		Handle(ctx context.Context, f *wire.Frame) (*wire.Frame, error)
@@ -108,10 +109,12 @@
 			end = cancel
 			r = h.begin(rctx, want)
 			version = h.install(r, 0)
+			r.bans.load(h.Replica.Bans())
 			h.set(r) // What entries tell of accounts' use counts once the rates are known.
 		}
 		if r != nil {
 			version = h.install(r, version)
+			r.bans.load(h.Replica.Bans())
 			h.lookAround(r)
 		}
 		select {
@@ -200,6 +203,9 @@
 	}
 	r.sched = &sched.Sched{Incarnation: r.id, Log: h.Log.WithName("sched")}
 	go func() { _ = r.sched.Serve(ctx) }()
+	if s == deployment {
+		go h.recordBans(ctx, r)
+	}
 	h.Log.Info(s.begins(), "scheduler", r.id)
 	return r
 }
--- a/io/hub/hub_test.go
+++ b/io/hub/hub_test.go
@@ -90,6 +90,12 @@
 	return list, whole, f.state.Roster().Revision()
 }
 
+func (f *fakeReplica) Bans() ([]*wire.Ban, uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state.Bans()
+}
+
 func (f *fakeReplica) Group() (string, []*wire.Replica, []raft.Heard) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
