A connection counts at a mesh from the moment it is accepted

What a peer saw: a call on a link that it had just made to a process that stops could be lost with the link, so that it did not know whether the call was taken. Suspected by reading before, not seen.

Cause: a connection was noted by the goroutine that serves it. Until that ran, a mesh that stops took itself for idle and closed it.

Change: it is noted where it is accepted.

TestAcceptedConnectionsCountAtOnce failed before in each run; it looks when the next connection is asked for.

--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -84,6 +84,10 @@
 		conn, err := ln.Accept()
 		switch {
 		case err == nil:
+			if !m.hold(conn) { // Here, so that a mesh that stops waits for it from now on.
+				_ = conn.Close()
+				continue
+			}
 			m.wg.Go(func() { m.accept(conn) })
 		case ctx.Err() != nil:
 			_ = ln.Close()
@@ -173,10 +177,6 @@
 }
 
 func (m *Mesh) accept(conn net.Conn) {
-	if !m.hold(conn) {
-		_ = conn.Close()
-		return
-	}
 	l, err := link.Accept(conn, m.Handle, m.take)
 	m.mu.Lock()
 	delete(m.conns, conn)
