A ban that was lifted is not brought back by its own record

What an operator would have seen: a ban that he lifted in the moment in which it was being recorded, or just after another change of the record, is in force again.

Cause: the note of a lift was dropped when a ban that was under way had been recorded, and again when the lift had been; a list read before that was then taken for newer.

Change: the note stays until upstreams crash under the request again. What was lifted while it was being recorded does not count as recorded.

TestLiftedBansStayLifted failed before.

--- a/io/hub/bans.go
+++ b/io/hub/bans.go
@@ -19,7 +19,7 @@
 	mu       sync.Mutex
 	poison   poison.Poison
 	change   signal
-	lifted   map[digest.Digest]bool // Not recorded yet.
+	lifted   map[digest.Digest]bool // The record may still have them.
 	recorded map[digest.Digest]int  // Tries, as this scheduler has recorded them.
 	loaded   uint64                 // Revision of the recorded bans that are known here.
 }
@@ -34,6 +34,7 @@
 	before := b.poison.Revision()
 	banned, lifted := b.poison.Take(time.Now(), c)
 	for _, d := range banned {
+		delete(b.lifted, d)
 		log.Info("Request banned: it crashes upstreams.", "digest", d.String())
 	}
 	for _, d := range lifted {
@@ -116,7 +117,7 @@
 	return c
 }
 
-// record notes what has been recorded.
+// record notes bans that have been recorded.
 func (b *bans) record(c *wire.RecordBans) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -124,13 +125,9 @@
 		b.recorded = map[digest.Digest]int{}
 	}
 	for _, n := range c.GetBanned() {
-		d, _ := digest.From(n.GetDigest())
-		b.recorded[d] = int(n.GetTries())
-		delete(b.lifted, d)
-	}
-	for _, raw := range c.GetLifted() {
-		d, _ := digest.From(raw)
-		delete(b.lifted, d)
+		if d, _ := digest.From(n.GetDigest()); b.poison.Banned(d) { // Else it was lifted meanwhile.
+			b.recorded[d] = int(n.GetTries())
+		}
 	}
 }
 
--- a/io/hub/bans_test.go
+++ b/io/hub/bans_test.go
@@ -5,6 +5,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/shoenig/test/must"
 
 	"azurelane/core/digest"
@@ -62,3 +63,35 @@
 		must.Eq(t, 0, banned())
 	})
 }
+
+// Guards against a lift that is undone: it comes while the ban is being recorded, or the
+// record is read before the lift is in it.
+func TestLiftedBansStayLifted(t *testing.T) {
+	d := digest.Of("a", "POST", "/x", nil)
+	crashes := func(ups ...string) *wire.Crashes {
+		c := &wire.Crashes{}
+		for _, up := range ups {
+			c.Crashes = append(c.Crashes, &wire.Crash{Digest: d[:], Upstream: up})
+		}
+		return c
+	}
+	recorded := []*wire.Ban{{Digest: d[:]}}
+	var b bans
+	b.take(logr.Discard(), crashes("u", "v", "w"))
+	c := b.unrecorded(nil)
+	must.Len(t, 1, c.GetBanned())
+	b.lift(logr.Discard(), [][]byte{d[:]})
+	b.record(c)
+	b.load(recorded, 1)
+	must.SliceEmpty(t, b.list().GetBanned())
+	c = b.unrecorded(recorded)
+	must.Len(t, 1, c.GetLifted())
+	b.record(c)
+	b.load(recorded, 2)
+	must.SliceEmpty(t, b.list().GetBanned())
+	must.Nil(t, b.unrecorded(nil))
+
+	b.take(logr.Discard(), crashes("x", "y", "z"))
+	must.Len(t, 1, b.unrecorded(nil).GetBanned(), must.Sprint("it crashes upstreams after all"))
+	must.SliceEmpty(t, b.unrecorded(recorded).GetLifted())
+}
