The types of a test of peers say what they hold

What readers met: a type called site that is a list of upstreams.

Change: names and two comments, in a test. No assertion is touched.

Result: the package's tests pass.

--- a/core/peers/share_test.go
+++ b/core/peers/share_test.go
@@ -15,27 +15,27 @@
 	slow  = 6 * quick
 )
 
-// site is the upstreams of one pool and how they answer.
-type site struct {
+// upstreams are those of one pool and how they answer.
+type upstreams struct {
 	list    []*wire.Upstream
 	latency map[string]time.Duration
 	failing map[string]bool
 }
 
-func newSite(ids ...string) *site {
-	s := &site{latency: map[string]time.Duration{}, failing: map[string]bool{}}
+func newUpstreams(ids ...string) *upstreams {
+	s := &upstreams{latency: map[string]time.Duration{}, failing: map[string]bool{}}
 	for _, id := range ids {
 		s.add(id)
 	}
 	return s
 }
 
-func (s *site) add(id string) {
+func (s *upstreams) add(id string) {
 	s.list = append(s.list, &wire.Upstream{Id: id, DataCentre: "z1", Slots: 4})
 	s.latency[id] = quick
 }
 
-// entry sends requests, two at a time as long as the upstreams answer alike.
+// entry sends requests, two at a time.
 type entry struct {
 	Peers
 	self string
@@ -51,7 +51,7 @@
 }
 
 // serve sends so many requests, each as another one is halfway, and counts them by upstream.
-func (e *entry) serve(s *site, requests int) map[string]int {
+func (e *entry) serve(s *upstreams, requests int) map[string]int {
 	got := map[string]int{}
 	var last string
 	for range requests {
@@ -71,7 +71,7 @@
 // Guards against upstreams that start, or whose limit ends, and get nothing while others
 // are busy: an entry that has not seen one assumed that it is slow.
 func TestUnseenUpstreamGetsWork(t *testing.T) {
-	s := newSite("a", "b")
+	s := newUpstreams("a", "b")
 	all, newcomer := 0, 0
 	list := entries(20)
 	for _, e := range list {
@@ -90,18 +90,18 @@
 func TestRecoveredUpstreamGetsWork(t *testing.T) {
 	for _, tc := range []struct {
 		name string
-		harm func(s *site, id string, yes bool)
+		harm func(s *upstreams, id string, yes bool)
 	}{
-		{"slow", func(s *site, id string, yes bool) {
+		{"slow", func(s *upstreams, id string, yes bool) {
 			s.latency[id] = quick
 			if yes {
 				s.latency[id] = slow
 			}
 		}},
-		{"failing", func(s *site, id string, yes bool) { s.failing[id] = yes }},
+		{"failing", func(s *upstreams, id string, yes bool) { s.failing[id] = yes }},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			s := newSite("a", "b", "c")
+			s := newUpstreams("a", "b", "c")
 			all, back := 0, 0
 			for _, e := range entries(20) {
 				e.serve(s, 100)
@@ -120,7 +120,7 @@
 // Guards against requests that are late for trying again and again whether a slow
 // upstream is still slow.
 func TestSlowUpstreamGetsLittle(t *testing.T) {
-	s := newSite("a", "b", "c")
+	s := newUpstreams("a", "b", "c")
 	s.latency["a"] = slow
 	all, late := 0, 0
 	for _, e := range entries(20) {
