Replicated record of rollouts

Cause: POST /rollouts/start was answered 404, the version in a heartbeat was not read, and nothing in the log could hold an order. Change: core/deploy holds the newest rollout and the version of each pool: start, advance, and the version of the first upstream of a pool. An order that is sent again is answered like the first, another one while a rollout is in progress is a conflict, malformed ones are refused and store nothing; phases never go back, also over an image. Roster entries carry versions. Messages of entries and schedulers about rollouts come with it.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -47,6 +47,7 @@
 		Id: u.GetId(), Address: cmp.Or(u.GetAddress(), old.GetAddress()), Pool: cmp.Or(u.GetPool(), old.GetPool()),
 		DataCentre: cmp.Or(u.GetDataCentre(), old.GetDataCentre()), Slots: cmp.Or(u.GetSlots(), old.GetSlots()),
 		State: u.GetState(), Revision: r.revision, Born: cmp.Or(u.GetBorn(), old.GetBorn()),
+		Version: cmp.Or(u.GetVersion(), old.GetVersion()),
 	}
 	r.byRevision = append(r.byRevision, r.upstreams[u.GetId()])
 	if u.GetState() == wire.Upstream_STATE_GONE {
@@ -75,11 +76,12 @@
 	return heard.GetBorn() != 0 && heard.GetBorn() < known.GetBorn()
 }
 
-// Unchanged reports whether heard has the same state as known and no new address, pool or number of
-// slots. Empty fields of heard count as unchanged.
+// Unchanged reports whether heard has the same state as known and no new address, pool, number of
+// slots or version. Empty fields of heard count as unchanged.
 func Unchanged(known, heard *wire.Upstream) bool {
 	return known != nil && known.GetState() == heard.GetState() && (heard.GetAddress() == "" || known.GetAddress() == heard.GetAddress()) &&
-		(heard.GetPool() == "" || known.GetPool() == heard.GetPool()) && (heard.GetSlots() == 0 || known.GetSlots() == heard.GetSlots())
+		(heard.GetPool() == "" || known.GetPool() == heard.GetPool()) && (heard.GetSlots() == 0 || known.GetSlots() == heard.GetSlots()) &&
+		(heard.GetVersion() == "" || known.GetVersion() == heard.GetVersion())
 }
 
 // dropOldestGone deletes the oldest tombstones in excess of maxGone.
--- a/core/state/image.go
+++ b/core/state/image.go
@@ -16,6 +16,7 @@
 	img := &wire.Image{Version: s.configVersion, Change: s.changeID, Document: s.configDocument, ClockUs: s.clockUs, Orders: s.orders.Save()}
 	img.Published, img.Publication, img.Roster = s.publicationVersion, s.publication, s.roster.Save()
 	img.Bans = s.bans.list
+	img.Rollouts, img.PoolVersions = s.deploy.Rollouts(), s.deploy.Versions()
 	for _, c := range s.claims {
 		img.Claims = append(img.Claims, c)
 	}
@@ -48,6 +49,7 @@
 	if err := proto.Unmarshal(data, &img); err != nil {
 		return fmt.Errorf("state: load: %w", err)
 	}
+	deployed := s.deploy
 	*s = State{
 		configVersion: img.GetVersion(), changeID: img.GetChange(), configDocument: img.GetDocument(),
 		claims: map[claimKey]*wire.ClaimState{}, changeResults: map[string]*wire.Result{},
@@ -55,6 +57,8 @@
 		bans: bans{list: img.GetBans(), revision: s.bans.revision + 1},
 	}
 	s.roster.Load(img.GetRoster())
+	s.deploy = deployed // Its revision goes on.
+	s.deploy.Load(img.GetRollouts(), img.GetPoolVersions())
 	for _, c := range img.GetClaims() {
 		k := claimKey{c.GetAccount(), c.GetKey()}
 		s.claims[k] = c
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -1,6 +1,6 @@
 // Package state implements the replicated state machine of the control group. It holds the
-// configuration, the claims on idempotency keys, the orders to upstreams, the upstream roster
-// and the bans.
+// configuration, the claims on idempotency keys, the orders to upstreams, the upstream roster,
+// the bans and the rollouts.
 package state
 
 import (
@@ -10,6 +10,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"azurelane/core/deploy"
 	"azurelane/core/permit"
 	"azurelane/core/roster"
 	"azurelane/core/sites"
@@ -63,6 +64,7 @@
 		publication        []byte
 		roster             roster.Roster
 		bans               bans
+		deploy             deploy.Deploy
 	}
 
 	claimKey struct{ account, key string }
@@ -70,7 +72,7 @@
 
 // Apply executes one command and returns its result.
 func (s *State) Apply(c *wire.Command) *wire.Result {
-	s.clockUs = max(s.clockUs, c.GetClaim().GetNowUs(), c.GetFinish().GetNowUs(), c.GetExpire().GetNowUs(), c.GetOrderStart().GetNowUs())
+	s.clockUs = max(s.clockUs, c.GetClaim().GetNowUs(), c.GetFinish().GetNowUs(), c.GetExpire().GetNowUs(), c.GetOrderStart().GetNowUs(), c.GetStartRollout().GetNowUs())
 	switch k := c.GetKind().(type) {
 	case *wire.Command_Claim:
 		return s.claim(k.Claim)
@@ -88,9 +90,14 @@
 		return s.publish(k.Publish)
 	case *wire.Command_Enroll:
 		s.roster.Enroll(k.Enroll.GetUpstream())
+		s.deploy.Observe(k.Enroll.GetUpstream().GetPool(), k.Enroll.GetUpstream().GetVersion())
 		return &wire.Result{Code: OK}
 	case *wire.Command_RecordBans:
 		return s.bans.record(k.RecordBans)
+	case *wire.Command_StartRollout:
+		return s.deploy.Start(k.StartRollout)
+	case *wire.Command_AdvanceRollout:
+		return s.deploy.Advance(k.AdvanceRollout)
 	case *wire.Command_Barrier:
 		return &wire.Result{Code: OK}
 	}
@@ -145,6 +152,9 @@
 // Roster returns the list of upstreams. The caller must not modify it.
 func (s *State) Roster() *roster.Roster { return &s.roster }
 
+// Deploy returns the rollouts and the versions of pools. The caller must not modify it.
+func (s *State) Deploy() *deploy.Deploy { return &s.deploy }
+
 // publish stores the document if its version is the highest so far. The result has the highest
 // version, so the sender of an older document learns that it was superseded.
 func (s *State) publish(p *wire.Publish) *wire.Result {
--- a/io/ctrl/apply.go
+++ b/io/ctrl/apply.go
@@ -68,6 +68,8 @@
 		k.Expire.NowUs = us
 	case *wire.Command_OrderStart:
 		k.OrderStart.NowUs = us
+	case *wire.Command_StartRollout:
+		k.StartRollout.NowUs = us
 	}
 }
 
--- a/io/ctrl/news.go
+++ b/io/ctrl/news.go
@@ -21,7 +21,8 @@
 	n.mu.Lock()
 	r := s.Apply(cmd)
 	n.mu.Unlock()
-	if cmd.GetPublish() != nil || cmd.GetEnroll() != nil || cmd.GetRecordBans() != nil {
+	switch cmd.GetKind().(type) {
+	case *wire.Command_Publish, *wire.Command_Enroll, *wire.Command_RecordBans, *wire.Command_StartRollout, *wire.Command_AdvanceRollout:
 		n.tell()
 	}
 	return r
@@ -36,8 +37,8 @@
 	}
 }
 
-// Changed returns a channel that closes when the publication, the roster, the bans or
-// the leadership of this replica next changes. It is taken before they are read.
+// Changed returns a channel that closes when the publication, the roster, the bans, the
+// rollouts or the leadership of this replica next changes. It is taken before they are read.
 func (c *Ctrl) Changed() <-chan struct{} {
 	c.news.notify.Lock()
 	defer c.news.notify.Unlock()
@@ -78,6 +79,15 @@
 	return c.state.Bans()
 }
 
+// Rollouts lists the newest rollout of each pool, the version of each pool, and a number that
+// changes with them.
+func (c *Ctrl) Rollouts() (list []*wire.Rollout, versions []*wire.PoolVersion, revision uint64) {
+	c.news.mu.RLock()
+	defer c.news.mu.RUnlock()
+	d := c.state.Deploy()
+	return d.Rollouts(), d.Versions(), d.Revision()
+}
+
 // Leads reports whether this replica led when it last looked.
 func (c *Ctrl) Leads() bool { return c.view.Load().leads }
 
