Schedulers and entries keep versions apart

Cause: a server of a bad version beside the old ones got its full share of the requests at once. Change: the leader decides on rollouts each 50 ms and names a version in each ticket; the policy batch grants it on engines of that version only, and waiting tickets change their version with the split. Entries choose among plain upstreams by the split, report counts each 100 ms while a rollout runs (less often with more than 100 entries) and get the split with the answer; without word from the scheduler for a quarter of rollback-within they keep to the base version. With hold-versions, upstreams of a version that no rollout names get nothing; without it that holds from a pool's first rollout on. Elapsed time is measured by each replica from when it learned of the order, so a takeover neither starts anew nor ends early; an uninformed leader sends nothing to the new version until nine in ten entries have reported.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -82,6 +82,7 @@
 	topPriority  topPriority
 	costs        costModel
 	bestCase     bestCase
+	versionCases []versionCase // Of the decision in progress.
 	shed         shedder
 }
 
@@ -178,6 +179,15 @@
 	b.slots.Reconcile(now, h.GetIncarnation(), list, h.GetTickets(), b.table.GetOrAdd)
 }
 
+// SetVersions assigns the version that may run each waiting ticket, and grants the tickets that now
+// fit.
+func (b *Batch) SetVersions(now time.Time, version func(*wire.Ticket) string) []*wire.Decision {
+	for _, i := range b.waiting {
+		i.Version = version(i.Ticket)
+	}
+	return b.assign(now)
+}
+
 // Forget drops the tickets and slots of a dead entry, identified by its incarnation.
 func (b *Batch) Forget(now time.Time, incarnation string) []*wire.Decision {
 	b.slots.FreeEntry(incarnation)
--- a/core/batch/bestcase.go
+++ b/core/batch/bestcase.go
@@ -10,6 +10,37 @@
 	overhead, perToken time.Duration
 }
 
+// versionCase is the bestCase of the upstreams of one version.
+type versionCase struct {
+	version string
+	hasRoom bool // One of them is offered.
+	bestCase
+}
+
+// versionCase returns the best case of a version, which it adds if it is new.
+func (b *Batch) versionCase(version string) *versionCase {
+	for n := range b.versionCases {
+		if b.versionCases[n].version == version {
+			return &b.versionCases[n]
+		}
+	}
+	b.versionCases = append(b.versionCases, versionCase{version: version})
+	return &b.versionCases[len(b.versionCases)-1]
+}
+
+// bestCaseFor returns the best case of the upstreams that may run a ticket.
+func (b *Batch) bestCaseFor(i *item) *bestCase {
+	if i.GetVersion() == "" {
+		return &b.bestCase
+	}
+	return &b.versionCase(i.GetVersion()).bestCase
+}
+
+// hasRoom reports whether an engine is offered that may run the ticket.
+func (b *Batch) hasRoom(i *item) bool {
+	return i.GetVersion() == "" || b.versionCase(i.GetVersion()).hasRoom
+}
+
 func (c *bestCase) add(s *engineStats) {
 	if c.perToken == 0 {
 		c.overhead, c.perToken = s.overhead(), s.perToken()
--- a/core/batch/engine.go
+++ b/core/batch/engine.go
@@ -105,13 +105,15 @@
 // listOffers lists the engines with room and reports whether all of them have it only beyond
 // their batches. That is also true if no engine has room.
 func (b *Batch) listOffers(now time.Time) (batchesFull bool) {
-	b.offers, b.bestCase, batchesFull = b.offers[:0], bestCase{}, true
+	b.offers, b.bestCase, b.versionCases, batchesFull = b.offers[:0], bestCase{}, b.versionCases[:0], true
 	for _, e := range b.knownEngines() {
 		stats := e.stats
 		if !e.Live(now) || now.Before(stats.excludedUntil) || (e.GetUnreached() && now.Sub(b.probedAt) < probeInterval) || !e.Meter.CanSend(now) {
 			continue
 		}
 		b.bestCase.add(stats)
+		v := b.versionCase(e.GetVersion())
+		v.add(stats)
 		if e.Running >= e.AnnouncedLimit()+engineQueueLimit || !b.fitsCache(e.Upstream, 0) {
 			continue
 		}
@@ -119,6 +121,7 @@
 		o.prefillWait = stats.wait(now)
 		o.failurePenalty = time.Duration((1 - stats.successShare) * float64(time.Second))
 		b.offers = append(b.offers, o)
+		v.hasRoom = true
 		batchesFull = batchesFull && o.batchFull
 	}
 	return batchesFull
--- a/core/batch/pick.go
+++ b/core/batch/pick.go
@@ -69,7 +69,7 @@
 	}
 	var fit, unfit topItems
 	for n, i := range b.waiting {
-		if batchesFull && !b.topPriority.includes(i) {
+		if (batchesFull && !b.topPriority.includes(i)) || !b.hasRoom(i) {
 			continue
 		}
 		s := i.score(now + soonest.baseFirstToken + time.Duration(i.prefillSteps*float64(soonest.perToken)))
@@ -143,6 +143,9 @@
 		if o.batchFull && !urgent {
 			continue
 		}
+		if i.GetVersion() != "" && i.GetVersion() != o.GetVersion() {
+			continue
+		}
 		if len(i.GetAvoid()) > 0 && slices.Contains(i.GetAvoid(), o.GetUpstream()) {
 			continue
 		}
@@ -179,11 +182,12 @@
 	prefill := time.Duration(prefillSteps * float64(o.perToken))
 	timeToFirst := o.baseFirstToken + prefill
 	decode := time.Duration(i.answer) * o.perToken
+	best := b.bestCaseFor(i)
 	cost := timeToFirst + decode/decodeDivisor + prefillWeight*prefill + o.failurePenalty
-	if now+timeToFirst > i.objective && now+b.bestCase.timeToFirstToken(prefillSteps) <= i.objective { // Another engine could be in time.
+	if now+timeToFirst > i.objective && now+best.timeToFirstToken(prefillSteps) <= i.objective { // Another engine could be in time.
 		cost += lateCost
 	}
-	if now < i.yieldUntil && o.Running > 0 && b.stallsOthers(o.prefillWait, prefill, o.perToken) && !b.stallsOthers(0, time.Duration(prefillSteps*float64(b.bestCase.perToken)), b.bestCase.perToken) {
+	if now < i.yieldUntil && o.Running > 0 && b.stallsOthers(o.prefillWait, prefill, o.perToken) && !b.stallsOthers(0, time.Duration(prefillSteps*float64(best.perToken)), best.perToken) {
 		cost += stallCost
 	}
 	if i.overruns(now, o, prefillSteps) {
--- a/core/kernel/kernel.go
+++ b/core/kernel/kernel.go
@@ -44,6 +44,13 @@
 	Speeds() map[string]time.Duration
 }
 
+// Versioner is a Scheduler that grants a ticket which names a version only on upstreams of that
+// version.
+type Versioner interface {
+	// SetVersions assigns the version of each waiting ticket anew.
+	SetVersions(now time.Time, version func(*wire.Ticket) string) []*wire.Decision
+}
+
 type policy struct {
 	newScheduler func() Scheduler
 	perEntry     bool
--- a/core/peers/peers.go
+++ b/core/peers/peers.go
@@ -49,6 +49,9 @@
 		Unreached map[string]bool
 		Isolated  bool
 		Most      int // Requests of this entry that may run on one; 0 for any.
+		// Version is the version of upstreams that may run the request; empty for any. An upstream
+		// that names no version counts as being of it.
+		Version string
 	}
 )
 
@@ -99,6 +102,9 @@
 	var nearest uint64
 	fastest := p.fastest(list)
 	for _, u := range list {
+		if c.Version != "" && u.GetVersion() != "" && u.GetVersion() != c.Version {
+			continue
+		}
 		e := p.of(u.GetId())
 		if !p.allows(now, u, e, c) {
 			continue
--- a/core/slots/slots.go
+++ b/core/slots/slots.go
@@ -50,7 +50,7 @@
 		Ticket: t.GetId(), Entry: t.GetEntry(), Incarnation: t.GetIncarnation(),
 		Kind: &wire.Decision_Grant{Grant: &wire.Grant{
 			Slot: g.Number, Upstream: g.Upstream.GetUpstream(), Address: g.Upstream.GetAddress(), ExpiresUs: ttl.Microseconds(),
-			CanResume: g.Upstream.GetCanResume(),
+			CanResume: g.Upstream.GetCanResume(), Version: g.Upstream.GetVersion(),
 		}},
 	}
 }
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -43,8 +43,11 @@
 		RetryRatio  float64 // Retries allowed, as a fraction of requests.
 		RetrySlack  float64 // Retries allowed beyond RetryRatio in each pool, over all entries.
 		QuotaSlack  float64 // Units that the whole deployment may add to each account's burst.
-		Stats       *stats.Stats
-		Log         logr.Logger
+		// SplitValid is how long this entry sends requests to the target version of a rollout
+		// without word from the scheduler.
+		SplitValid time.Duration
+		Stats      *stats.Stats
+		Log        logr.Logger
 
 		draining         atomic.Pointer[DrainSchedule]
 		waitingForConfig atomic.Int64  // Requests that wait for the first configuration.
@@ -52,6 +55,7 @@
 		suspects         suspects
 		rateLimits       rateLimits
 		reportSignal     reportSignal
+		versions         versions
 
 		mu              sync.Mutex // Guards the fields below.
 		peers           peers.Peers
--- a/io/gate/place.go
+++ b/io/gate/place.go
@@ -135,7 +135,7 @@
 	q.gate.mu.Lock()
 	q.gate.chargeAccount(time.Now(), q, true)
 	q.gate.mu.Unlock()
-	return &placement{request: q, ticket: t, grant: g, upstream: &wire.Upstream{Id: g.GetUpstream(), Address: g.GetAddress()}}, nil
+	return &placement{request: q, ticket: t, grant: g, upstream: &wire.Upstream{Id: g.GetUpstream(), Address: g.GetAddress(), Version: g.GetVersion()}}, nil
 }
 
 // placeLocally picks the best upstream by this entry's own observations.
@@ -150,7 +150,13 @@
 	if slots > 0 {
 		c.Most = max(int(localOvercommit*float64(slots)/float64(max(q.view.Entries, 1))), 1)
 	}
+	var base string
+	c.Version, base = g.versions.choose(now, q, g.SplitValid)
 	u := g.peers.Pick(now, q.view.Upstreams[q.pool], c)
+	if u == nil && c.Version != base {
+		c.Version = base // The target version has no upstream with room.
+		u = g.peers.Pick(now, q.view.Upstreams[q.pool], c)
+	}
 	if u == nil {
 		code := refuse.NoUpstream
 		if slots > 0 {
--- a/io/gate/request.go
+++ b/io/gate/request.go
@@ -15,6 +15,7 @@
 	"azurelane/core/meta"
 	"azurelane/core/refuse"
 	"azurelane/core/route"
+	"azurelane/core/tally"
 	"azurelane/core/wire"
 	"azurelane/io/watch"
 )
@@ -45,7 +46,8 @@
 		gap             time.Duration // Longest pause between two events, over all sends.
 		lastEventAt     time.Time     // When the last event was written.
 		cachedDigest    *digest.Digest
-		banTrial        bool // The request is banned and may be sent once as a trial.
+		tallied         *tally.Send // The send in progress; nil if its version does not matter.
+		banTrial        bool        // The request is banned and may be sent once as a trial.
 	}
 
 	// result describes how one send ended.
@@ -112,7 +114,9 @@
 			q.failPlacement(ctx, err)
 			return
 		}
+		q.tallied = q.gate.versions.begin(q, p.upstream.GetVersion())
 		res := q.send(ctx, p)
+		q.gate.versions.end(q.tallied, res)
 		p.release(res)
 		q.checkCrash(p, res)
 		if !q.prepareRetry(ctx, p, res) {
--- a/io/gate/stream.go
+++ b/io/gate/stream.go
@@ -105,6 +105,7 @@
 	now := time.Now()
 	if res.firstAfter == 0 {
 		res.firstAfter = now.Sub(s.sentAt)
+		s.gate.versions.started(s.tallied, res.firstAfter)
 	} else {
 		res.gap = max(res.gap, now.Sub(s.lastWriteAt))
 	}
--- a/io/gated/gated.go
+++ b/io/gated/gated.go
@@ -50,6 +50,13 @@
 	// trial.
 	schedulerTimeout    = time.Second
 	upstreamIdleTimeout = 4 * time.Second // How long an idle connection to an upstream is kept.
+	// splitValidDivisor divides the time within which a bad version must get no more requests. It
+	// leaves most of that time to the scheduler, which first has to notice.
+	splitValidDivisor = 4
+	// Evidence about the versions of a rollout is reported at minEvidenceInterval, and less often
+	// where there are many entries, so that the scheduler gets at most a thousand reports a second.
+	minEvidenceInterval      = 100 * time.Millisecond
+	evidenceIntervalPerEntry = time.Millisecond
 )
 
 // Gated is the process of one entry. Open creates it.
@@ -89,7 +96,7 @@
 	}
 	e.watch.OnSchedulerChange, e.watch.Usage = e.grant.OwnersChanged, g.UsageRates
 	e.watch.Crashes, e.watch.OnBans = g.KnownCrashes, g.SetBans
-	e.watch.Limits, e.watch.OnLimits = g.KnownLimits, g.SetLimits
+	e.watch.Limits, e.watch.OnLimits, e.watch.OnSplits = g.KnownLimits, g.SetLimits, g.SetSplits
 	g.Node, g.Incarnation, g.DataCentre = settings.Node, incarnation, settings.Centre
 	g.Cluster, g.Granter, g.Sender, g.Prober, g.Trier, g.Stats, g.Log = e.watch, e.grant, e.client, e.client, e, metrics, e.log
 	metrics.Pull("configuration-version", func() int64 { return int64(e.watch.View().Version) }) //nolint:gosec // Versions are small.
@@ -101,6 +108,7 @@
 		return 0
 	})
 	g.RetryRatio, g.RetrySlack, g.QuotaSlack = settings.RetryRatio, settings.RetrySlack, settings.QuotaSlack
+	g.SplitValid = settings.RollbackWithin / splitValidDivisor
 	e.callers = &httpd.Httpd{Listen: lns[1], Handler: g, Drain: settings.DrainLimit - drainLinger - 2*keepAliveDrain - stopMargin, DrainOpen: keepAliveDrain}
 	ops := &admin.Admin{Stats: metrics, Ready: g.Ready}
 	e.supervisor = suture.New("gate", suture.Spec{EventHook: func(ev suture.Event) { e.log.Info("Supervisor event.", "event", ev.String()) }})
@@ -150,6 +158,7 @@
 	done := e.supervisor.ServeBackground(servicesCtx)
 	go e.reportUsage(servicesCtx)
 	go e.reportObservations(servicesCtx)
+	go e.reportEvidence(servicesCtx)
 	callersCtx, stopCallers := context.WithCancel(servicesCtx)
 	defer stopCallers()
 	served := make(chan error, 1)
@@ -229,6 +238,29 @@
 	}
 }
 
+// reportEvidence reports what this entry sees of the versions of a rollout while one runs. The
+// scheduler answers with the splits in force.
+func (e *Gated) reportEvidence(ctx context.Context) {
+	for {
+		interval := max(minEvidenceInterval, time.Duration(e.watch.View().Entries)*evidenceIntervalPerEntry)
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(interval):
+		}
+		ev, owner := e.gate.Evidence(), e.watch.Owner("")
+		if ev == nil || owner == nil {
+			continue
+		}
+		reply, err := e.askScheduler(ctx, owner, &wire.Frame{Body: &wire.Frame_Evidence{Evidence: ev}})
+		if err != nil {
+			e.log.Info("Evidence of a rollout not accepted by the scheduler.", "err", err.Error())
+			continue
+		}
+		e.gate.SetSplits(reply.GetRollouts())
+	}
+}
+
 // sendReport sends a report to the scheduler and returns whether the scheduler accepted it. A lost
 // report of a rate limit needs no retry: the next response announces the limit again.
 func (e *Gated) sendReport(ctx context.Context, f *wire.Frame) bool {
@@ -245,16 +277,22 @@
 }
 
 func (e *Gated) callScheduler(ctx context.Context, owner *wire.Member, f *wire.Frame) error {
+	_, err := e.askScheduler(ctx, owner, f)
+	return err
+}
+
+func (e *Gated) askScheduler(ctx context.Context, owner *wire.Member, f *wire.Frame) (*wire.Frame, error) {
 	to, err := netip.ParseAddrPort(owner.GetAddress())
 	if err != nil {
-		return fmt.Errorf("gated: no scheduler known: %w", err)
+		return nil, fmt.Errorf("gated: no scheduler known: %w", err)
 	}
 	ctx, cancel := context.WithTimeout(ctx, schedulerTimeout)
 	defer cancel()
-	if _, err := e.mesh.Call(ctx, to, f); err != nil {
-		return fmt.Errorf("gated: call the scheduler: %w", err)
+	reply, err := e.mesh.Call(ctx, to, f)
+	if err != nil {
+		return nil, fmt.Errorf("gated: call the scheduler: %w", err)
 	}
-	return nil
+	return reply, nil
 }
 
 // noLocalScheduler takes the place of a scheduler in the same process, which an entry of this kind
--- a/io/hub/hub.go
+++ b/io/hub/hub.go
@@ -47,8 +47,12 @@
 		Stats            *stats.Stats
 		Log              logr.Logger
 		RefusalLog       logs.Budget // Limits the log lines of refused tickets.
+		RolloutShare     float64     // Share of a pool's requests that a bad version may get during a rollout.
+		RolloutSlack     float64     // Requests that it may get beyond that.
+		HoldVersions     bool        // Upstreams of other versions get no requests without a rollout.
 
 		mu         sync.Mutex
+		clock      rolloutClock
 		current    *scheduler // Nil while this replica does not schedule.
 		watchers   watchers
 		compressed compressedDocument
@@ -63,6 +67,7 @@
 		Upstream(id string) *wire.Upstream
 		Roster(since uint64) (list []*wire.Upstream, whole bool, revision uint64)
 		Bans() (list []*wire.Ban, revision uint64)
+		Rollouts() (list []*wire.Rollout, versions []*wire.PoolVersion, revision uint64)
 		Group() (name string, all []*wire.Replica, peers []raft.PeerStatus)
 		Propose(ctx context.Context, c *wire.Command) (*wire.Result, error)
 		Handle(ctx context.Context, f *wire.Frame) (*wire.Frame, error)
@@ -101,6 +106,7 @@
 	defer func() { stop() }()
 	for {
 		changed := h.Replica.Changed()
+		h.observeRollouts()
 		want, s := h.wantedScope(), h.scheduler()
 		if s != nil && s.scope != want {
 			h.Log.Info(s.scope.stopMessage(), "scheduler", s.id)
@@ -114,6 +120,7 @@
 			s = h.startScheduler(schedulerCtx, want)
 			version = h.installConfig(s, 0)
 			s.bans.load(h.Replica.Bans())
+			h.updateRollouts(s)
 			// Published only now, because usage reported by entries counts only once the rates
 			// are installed.
 			h.setScheduler(s)
@@ -121,13 +128,19 @@
 		if s != nil {
 			version = h.installConfig(s, version)
 			s.bans.load(h.Replica.Bans())
+			h.updateRollouts(s)
 			h.checkReachability(s)
 		}
+		var rolloutTimer <-chan time.Time
+		if s != nil && s.rollouts.busy() {
+			rolloutTimer = time.After(rolloutInterval)
+		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-changed:
 		case <-reachTick.C:
+		case <-rolloutTimer:
 		case <-sweepTick.C:
 			if s != nil {
 				h.sweep(s)
@@ -232,6 +245,7 @@
 	s.installAccounts(v, cfg.Accounts)
 	s.sched.Install(cfg)
 	if installed == 0 {
+		h.updateRollouts(s) // Before upstreams of other versions are announced.
 		list, _, _ := h.Replica.Roster(0)
 		for _, u := range list {
 			if s.scope == scopeDeployment || u.GetDataCentre() == h.DataCentre {
@@ -305,19 +319,29 @@
 		return nil, h.handleReport(ctx, b.Report)
 	case *wire.Frame_ConfigQuery:
 		return h.readPublication(ctx)
+	case *wire.Frame_Evidence, *wire.Frame_RolloutQuery:
+		return h.handleRollouts(ctx, f)
 	case *wire.Frame_Command:
-		if b.Command.GetPublish() != nil {
-			if err := h.checkVoters(); err != nil {
-				return nil, err
-			}
-		}
-		return h.Replica.Handle(ctx, f)
+		return h.handleCommand(ctx, f, b.Command)
 	default:
 		return h.Replica.Handle(ctx, f)
 	}
 	return nil, nil //nolint:nilnil // An empty reply is an acknowledgement.
 }
 
+// handleCommand puts a command of an operator or of another replica into the log.
+func (h *Hub) handleCommand(ctx context.Context, f *wire.Frame, c *wire.Command) (*wire.Frame, error) {
+	if c.GetPublish() != nil || c.GetStartRollout() != nil {
+		if err := h.checkVoters(); err != nil {
+			return nil, err
+		}
+	}
+	if start := c.GetStartRollout(); start != nil && h.Replica.Leads() {
+		return h.startRollout(ctx, start)
+	}
+	return h.Replica.Handle(ctx, f)
+}
+
 // notLeaderFault returns the fault that tells a peer the leader's address, if this replica knows
 // it.
 func (h *Hub) notLeaderFault() *wire.Fault {
--- a/io/hub/hub_test.go
+++ b/io/hub/hub_test.go
@@ -97,6 +97,13 @@
 	return f.state.Bans()
 }
 
+func (f *fakeReplica) Rollouts() ([]*wire.Rollout, []*wire.PoolVersion, uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	d := f.state.Deploy()
+	return d.Rollouts(), d.Versions(), d.Revision()
+}
+
 func (f *fakeReplica) Group() (string, []*wire.Replica, []raft.PeerStatus) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/io/hub/scheduler.go
+++ b/io/hub/scheduler.go
@@ -25,6 +25,7 @@
 	reachability   reachability
 	bans           bans
 	limits         limits
+	rollouts       rollouts
 	stats          *stats.Stats
 	log            logr.Logger
 	refusalLog     *logs.Budget // Limits the log lines of refused tickets.
@@ -150,6 +151,7 @@
 	s.rates.forget(incarnation)
 	s.mu.Unlock()
 	s.sched.Forget(incarnation)
+	s.rollouts.forget(incarnation)
 }
 
 // submit charges a ticket to its account and calls done with the decision.
@@ -172,6 +174,7 @@
 		done(d)
 		return
 	}
+	t.Version = s.rollouts.version(t)
 	s.sched.SubmitAsync(ctx, t, func(d *wire.Decision) {
 		if refusal := d.GetRefusal(); refusal != nil {
 			s.refund(t)
--- a/io/hub/upstreams.go
+++ b/io/hub/upstreams.go
@@ -35,6 +35,7 @@
 		announceSeq uint64    // Sequence number of the last announcement to sched.Sched; it must grow.
 		unreached   bool      // Its data centre seems cut off.
 		limit       *wire.Limit
+		standing    standing
 	}
 )
 
@@ -83,8 +84,10 @@
 			return err
 		}
 		known = h.Replica.Upstream(u.GetId())
+		h.refreshRollouts(s)
 		h.Log.Info("Upstream changed.", "upstream", u.GetId(), "pool", u.GetPool(), "address", u.GetAddress(),
-			"data-centre", u.GetDataCentre(), "state", u.GetState().String(), "sequence", rep.GetSeq(), "born", u.GetBorn())
+			"data-centre", u.GetDataCentre(), "state", u.GetState().String(), "sequence", rep.GetSeq(), "born", u.GetBorn(),
+			"version", u.GetVersion(), "held", s.rollouts.standing(u).held)
 	}
 	if known != nil {
 		h.announce(s, known, leaseIntervals)
@@ -121,7 +124,7 @@
 // and half an interval more.
 func (h *Hub) announce(s *scheduler, u *wire.Upstream, intervals int) {
 	lease := time.Duration(intervals)*h.AnnounceInterval + h.AnnounceInterval/2
-	if a := s.upstreams.announce(u, s.limitFor(u.GetId()), lease); a != nil {
+	if a := s.upstreams.announce(u, s.limitFor(u.GetId()), lease, s.rollouts.standing(u)); a != nil {
 		s.sched.Announce(a)
 	}
 }
@@ -158,11 +161,11 @@
 }
 
 // announce records the roster entry of an upstream and returns the announcement for sched.Sched.
-func (t *upstreamTable) announce(u *wire.Upstream, l *wire.Limit, lease time.Duration) *wire.Announce {
+func (t *upstreamTable) announce(u *wire.Upstream, l *wire.Limit, lease time.Duration, v standing) *wire.Announce {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	st := t.getOrCreate(u)
-	st.Upstream, st.limit = u, l
+	st.Upstream, st.limit, st.standing = u, l, v
 	if st.reportedAt.IsZero() {
 		st.reportedAt = time.Now()
 	}
@@ -175,7 +178,7 @@
 	st.announceSeq++
 	return &wire.Announce{
 		Upstream: st.GetId(), Address: st.GetAddress(), Pools: []string{st.GetPool()}, MaxRunning: st.GetSlots(),
-		Leaving: st.GetState() != wire.Upstream_STATE_SERVING, LeaseUs: lease.Microseconds(), Seq: st.announceSeq, CanResume: true,
+		Leaving: st.GetState() != wire.Upstream_STATE_SERVING || st.standing.held, Version: st.standing.version, LeaseUs: lease.Microseconds(), Seq: st.announceSeq, CanResume: true,
 		Unreached: st.unreached, Incarnation: strconv.FormatInt(st.GetBorn(), 10), Limit: st.limit,
 	}
 }
@@ -238,6 +241,37 @@
 	return list
 }
 
+// setStandings takes what a change of the rollouts means for each upstream. It returns an
+// announcement, with the rest of the lease, for each upstream whose standing has changed.
+func (t *upstreamTable) setStandings(now time.Time, of func(*wire.Upstream) standing) []*wire.Announce {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []*wire.Announce
+	for _, st := range t.byID {
+		if st.Upstream == nil {
+			continue
+		}
+		if v := of(st.Upstream); v != st.standing {
+			st.standing = v
+			list = append(list, st.announcement(t.remainingLease(now, st)))
+		}
+	}
+	return list
+}
+
+// slotsByVersion sums the slots of a pool's upstreams that serve and are heard, by version.
+func (t *upstreamTable) slotsByVersion(pool string) map[string]int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	slots := map[string]int64{}
+	for id, st := range t.byID {
+		if st.GetPool() == pool && st.GetState() == wire.Upstream_STATE_SERVING && !slices.Contains(t.silent, id) {
+			slots[st.standing.version] += st.GetSlots()
+		}
+	}
+	return slots
+}
+
 // findSilent lists the upstreams that have neither sent a report nor completed a request within
 // timeout. It drops upstreams that have been gone for goneRetention.
 func (t *upstreamTable) findSilent(now time.Time, timeout time.Duration) []string {
--- a/io/hub/watch.go
+++ b/io/hub/watch.go
@@ -64,7 +64,7 @@
 		s.registerEntry(w, h.entriesHere(s))
 		s.bans.merge(h.Log, w.GetCrashes())
 		h.applyLimits(s, w.GetLimits())
-		reachChanged, bansChanged, limitsChanged := s.reachability.changed(), s.bans.changed(), s.limits.changed()
+		reachChanged, bansChanged, limitsChanged, splitsChanged := s.reachability.changed(), s.bans.changed(), s.limits.changed(), s.rollouts.changed()
 		n, fresh, err := h.news(s, w)
 		if err != nil || fresh || woken {
 			return n, err
@@ -79,6 +79,7 @@
 		case <-reachChanged:
 		case <-bansChanged:
 		case <-limitsChanged:
+		case <-splitsChanged:
 		}
 		select {
 		case <-ctx.Done():
@@ -125,7 +126,9 @@
 		n.Document = data
 	}
 	n.Roster, n.Whole, n.Revision = h.Replica.Roster(w.GetRevision())
-	fresh := n.GetDocument() != nil || n.GetBans() != nil || n.GetRevision() != w.GetRevision() || w.GetLeader() != s.id
+	h.refreshRollouts(s) // After the roster was read.
+	n.Rollouts = s.rollouts.inForce(s.id)
+	fresh := n.GetDocument() != nil || n.GetBans() != nil || n.GetRollouts().GetPhaseRevision() != w.GetSplits() || n.GetRevision() != w.GetRevision() || w.GetLeader() != s.id
 	return n, fresh, nil
 }
 
@@ -180,6 +183,7 @@
 	for _, inc := range h.watchers.expire(now) {
 		h.Log.Info("Entry timed out; its slots are freed.", "incarnation", inc)
 		s.sched.Forget(inc)
+		s.rollouts.forget(inc)
 	}
 }
 
--- a/io/local/local.go
+++ b/io/local/local.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -39,9 +40,14 @@
 	RetrySlack  float64          `json:"retry-slack,omitzero"`
 	Overage     float64          `json:"quota-overage,omitzero"`
 	QuotaSlack  float64          `json:"quota-slack,omitzero"`
-	MemoryMB    int64            `json:"memory-mb,omitzero"`
-	LogLevel    int              `json:"log-level,omitzero"`
-	settingFile string
+	// RolloutShare and RolloutSlack bound the requests that a bad version gets in a rollout.
+	RolloutShare   float64       `json:"rollout-share,omitzero"`
+	RolloutSlack   float64       `json:"rollout-slack,omitzero"`
+	RollbackWithin time.Duration `json:"rollback-within,omitzero"`
+	HoldVersions   bool          `json:"hold-versions,omitzero"`
+	MemoryMB       int64         `json:"memory-mb,omitzero"`
+	LogLevel       int           `json:"log-level,omitzero"`
+	settingFile    string
 }
 
 // Defaults for what is left out.
@@ -49,6 +55,10 @@
 	DefaultCatchUp    = 4 * time.Second
 	DefaultAnnounce   = 1200 * time.Millisecond
 	DefaultDrainLimit = 8 * time.Second
+
+	DefaultRolloutShare   = 0.1
+	DefaultRolloutSlack   = 50 // Requests.
+	DefaultRollbackWithin = 5 * time.Second
 )
 
 const (
@@ -79,6 +89,10 @@
 		{Path: "/retry-slack", Want: limitWant, Default: "0", Text: "Second sends beyond that, over all entries."},
 		{Path: "/quota-overage", Want: limitWant, Default: "0", Text: "Part of an account's rate and burst that may pass beyond them, over all entries."},
 		{Path: "/quota-slack", Want: limitWant, Default: "0", Text: "Units of an account that may pass beyond that within its window."},
+		{Path: "/rollout-share", Want: limitWant, Default: fmt.Sprint(DefaultRolloutShare), Text: "Part of a pool's requests that a bad version may get during a rollout, over all entries."},
+		{Path: "/rollout-slack", Want: limitWant, Default: strconv.Itoa(DefaultRolloutSlack), Text: "Requests that it may get beyond that."},
+		{Path: "/rollback-within", Want: "a span", Default: DefaultRollbackWithin.String(), Text: "Within it a version that has shown to be bad gets no more requests."},
+		{Path: "/hold-versions", Want: "true or false", Default: "false", Text: "Upstreams of another version than their pool's get no requests unless a rollout brings it. Without it that holds from a pool's first rollout on."},
 		{Path: "/memory-mb", Want: limitWant, Default: "0", Text: "The process is to stay well below it; 0 for no limit."},
 		{Path: "/log-level", Want: limitWant, Default: "0", Text: "1 adds a line for each whole answer."},
 	}
@@ -90,7 +104,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("local: read: %w", err)
 	}
-	n := Local{CatchUp: DefaultCatchUp, Announce: DefaultAnnounce, DrainLimit: DefaultDrainLimit, settingFile: path}
+	n := Local{
+		CatchUp: DefaultCatchUp, Announce: DefaultAnnounce, DrainLimit: DefaultDrainLimit, settingFile: path,
+		RolloutShare: DefaultRolloutShare, RolloutSlack: DefaultRolloutSlack, RollbackWithin: DefaultRollbackWithin,
+	}
 	if err := codec.Read(data, &n); err != nil {
 		if text, ok := keys.Explain(Keys(), err); ok {
 			return nil, fmt.Errorf("%w: %s: %s", ErrInvalid, path, text)
@@ -104,9 +121,9 @@
 	switch {
 	case n.Node == "":
 		return fmt.Errorf("%w: %s: /node: expected a name", ErrInvalid, n.settingFile)
-	case n.Losses < 0 || n.RetryRatio < 0 || n.RetrySlack < 0 || n.Overage < 0 || n.QuotaSlack < 0 || n.MemoryMB < 0:
+	case n.Losses < 0 || n.RetryRatio < 0 || n.RetrySlack < 0 || n.Overage < 0 || n.QuotaSlack < 0 || n.RolloutShare < 0 || n.RolloutSlack < 0 || n.MemoryMB < 0:
 		return fmt.Errorf("%w: %s: expected limits of 0 or more", ErrInvalid, n.settingFile)
-	case n.CatchUp <= 0 || n.Announce <= 0 || n.DrainLimit <= 0:
+	case n.CatchUp <= 0 || n.Announce <= 0 || n.DrainLimit <= 0 || n.RollbackWithin <= 0:
 		return fmt.Errorf("%w: %s: expected spans over 0", ErrInvalid, n.settingFile)
 	}
 	return nil
--- a/io/sched/sched.go
+++ b/io/sched/sched.go
@@ -282,6 +282,19 @@
 	}
 }
 
+// SetVersions assigns anew which version of the upstreams may run each waiting ticket of a pool.
+func (s *Sched) SetVersions(pool string, version func(*wire.Ticket) string) {
+	r := s.pool(pool)
+	if r == nil {
+		return
+	}
+	v, ok := r.policy.(kernel.Versioner)
+	if !ok {
+		return // The policy does not tell versions apart.
+	}
+	r.do(func(now time.Time) []*wire.Decision { return v.SetVersions(now, version) })
+}
+
 // Forget frees the slots of a dead entry and drops its waiting tickets.
 func (s *Sched) Forget(incarnation string) {
 	for _, r := range s.runners() {
--- a/io/watch/view.go
+++ b/io/watch/view.go
@@ -24,8 +24,9 @@
 	Owner       *wire.Member                // The scheduler of all pools; nil if none is known.
 	LastHeard   time.Time                   // When the scheduler last answered a poll.
 
-	roster       map[string]*wire.Upstream // By upstream ID.
-	bansRevision uint64                    // Revision of the bans received from the scheduler.
+	roster         map[string]*wire.Upstream // By upstream ID.
+	bansRevision   uint64                    // Revision of the bans received from the scheduler.
+	splitsRevision uint64                    // Phase revision of the splits received from the scheduler.
 }
 
 // Upstream returns the upstream with the given ID, or nil if it is unknown.
--- a/io/watch/watch.go
+++ b/io/watch/watch.go
@@ -64,6 +64,8 @@
 		// scheduler. OnLimits is called with all limits in force. Both may be nil.
 		Limits   func() []*wire.Limit
 		OnLimits func(list []*wire.Limit)
+		// OnSplits is called with all splits of pools between versions. It may be nil.
+		OnSplits func(list *wire.Rollouts)
 		Log      logr.Logger
 
 		view           atomic.Pointer[View]
@@ -188,7 +190,7 @@
 	f, err := w.Mesh.Call(ctx, to.addr, &wire.Frame{Body: &wire.Frame_Watch{Watch: &wire.Watch{
 		Node: w.Node, Incarnation: w.Incarnation, DataCentre: w.DataCentre, Address: w.PeerAddress.String(),
 		Version: v.Version, Revision: v.Revision, WaitUs: wait.Microseconds(), Leader: v.Owner.GetIncarnation(),
-		Rates: usage, Entries: int64(v.Entries), Alone: to.local, Crashes: crashes, Bans: v.bansRevision, Limits: limits,
+		Rates: usage, Entries: int64(v.Entries), Alone: to.local, Crashes: crashes, Bans: v.bansRevision, Limits: limits, Splits: v.splitsRevision,
 	}}})
 	if err != nil {
 		return fmt.Errorf("watch: poll %s: %w", to.addr, err)
@@ -228,6 +230,10 @@
 	if w.OnLimits != nil {
 		w.OnLimits(n.GetLimits())
 	}
+	v.splitsRevision = n.GetRollouts().GetPhaseRevision()
+	if w.OnSplits != nil {
+		w.OnSplits(n.GetRollouts())
+	}
 	if newScheduler {
 		v.Owner = &wire.Member{Node: "control " + from.addr.String(), Incarnation: n.GetLeader(), Address: from.addr.String()}
 		w.Log.Info("Scheduler found.", "address", from.addr.String(), "incarnation", n.GetLeader(), "this-data-centre-alone", from.local)
