--- a/cmd/azurelane/main.go
+++ b/cmd/azurelane/main.go
@@ -51,6 +51,7 @@
 	Status  statusCmd  `cmd:"" help:"Show what is in force where."`
 	Bans    bansCmd    `cmd:"" help:"Show requests that crash upstreams, or send them again."`
 	Order   orderCmd   `cmd:"" help:"Order an upstream to load a model or adapter, or to change role."`
+	Rollout rolloutCmd `cmd:"" help:"Move a pool to upstreams of another version."`
 	Replica replicaCmd `cmd:"" help:"Change which control replicas form the group."`
 	Drain   drainCmd   `cmd:"" help:"Take an entry out of service."`
 	Certs   certsCmd   `cmd:"" help:"Issue a certificate for a process or an operator."`
--- a/core/tally/tally.go
+++ b/core/tally/tally.go
@@ -38,6 +38,7 @@
 
 	pool struct {
 		split   *wire.Split
+		since   time.Time // When the entry learned of the split's rollout.
 		running map[*Send]struct{}
 		routes  map[key]*counts
 		slow    map[string]time.Duration // By route.
@@ -56,9 +57,12 @@
 
 // SetSplits takes the splits in force. The counts of a pool start anew with each rollout, and are
 // dropped when none runs.
-func (t *Tally) SetSplits(splits []*wire.Split) {
+func (t *Tally) SetSplits(now time.Time, splits []*wire.Split) {
 	for _, s := range splits {
 		p := t.pool(s.GetPool())
+		if p.split.GetNumber() != s.GetNumber() {
+			p.since = now
+		}
 		if !s.GetReporting() || p.split.GetNumber() != s.GetNumber() {
 			p.routes = nil
 		}
@@ -150,7 +154,7 @@
 		if !p.split.GetReporting() {
 			continue
 		}
-		ev := &wire.RolloutEvidence{Pool: name, Number: p.split.GetNumber()}
+		ev := &wire.RolloutEvidence{Pool: name, Number: p.split.GetNumber(), AgeUs: now.Sub(p.since).Microseconds()}
 		for s := range p.running {
 			if s.version != p.split.GetTo() {
 				ev.BaseRunning++
--- a/core/tally/tally_test.go
+++ b/core/tally/tally_test.go
@@ -20,7 +20,7 @@
 func TestCounts(t *testing.T) {
 	var tally Tally
 	now := time.Unix(1000, 0)
-	tally.SetSplits(split(1, true))
+	tally.SetSplits(now, split(1, true))
 	for _, test := range []struct {
 		version string
 		result  Result
@@ -47,7 +47,7 @@
 func TestWaitingRequestsCountAsSlow(t *testing.T) {
 	var tally Tally
 	now := time.Unix(1000, 0)
-	tally.SetSplits(split(1, true))
+	tally.SetSplits(now, split(1, true))
 	s := tally.Begin(now, "p", "r", "v2", 100)
 	must.SliceEmpty(t, tally.Evidence(now.Add(40 * time.Millisecond))[0].GetRoutes()[0].GetTimes())
 	late := tally.Evidence(now.Add(80 * time.Millisecond))[0].GetRoutes()[0]
@@ -64,7 +64,7 @@
 	var tally Tally
 	now := time.Unix(1000, 0)
 	s := tally.Begin(now, "p", "r", "v1", 100)
-	tally.SetSplits(split(1, true))
+	tally.SetSplits(now, split(1, true))
 	must.Eq(t, 1, tally.Evidence(now)[0].GetBaseRunning())
 	tally.End(s, Result{Counts: true, Failed: true})
 	ev := tally.Evidence(now)[0]
@@ -72,15 +72,26 @@
 	must.SliceEmpty(t, ev.GetRoutes(), must.Sprint("it says nothing about this rollout"))
 }
 
+// A stop of all control replicas must not lengthen a rollout: entries know for how long it has run.
+func TestAge(t *testing.T) {
+	var tally Tally
+	now := time.Unix(1000, 0)
+	tally.SetSplits(now, split(1, true))
+	tally.SetSplits(now.Add(time.Second), split(1, true))
+	must.Eq(t, (3 * time.Second).Microseconds(), tally.Evidence(now.Add(3 * time.Second))[0].GetAgeUs())
+	tally.SetSplits(now.Add(4*time.Second), split(2, true))
+	must.Eq(t, time.Second.Microseconds(), tally.Evidence(now.Add(5 * time.Second))[0].GetAgeUs())
+}
+
 // Counts of one rollout must not count for the next.
 func TestEachRolloutCountsAnew(t *testing.T) {
 	var tally Tally
 	now := time.Unix(1000, 0)
-	tally.SetSplits(split(1, true))
+	tally.SetSplits(now, split(1, true))
 	s := tally.Begin(now, "p", "r", "v2", 100)
-	tally.SetSplits(split(1, false))
+	tally.SetSplits(now, split(1, false))
 	must.SliceEmpty(t, tally.Evidence(now))
-	tally.SetSplits(split(2, true))
+	tally.SetSplits(now, split(2, true))
 	tally.End(s, Result{Counts: true, Failed: true})
 	must.SliceEmpty(t, tally.Evidence(now)[0].GetRoutes())
 }
--- a/io/gate/send.go
+++ b/io/gate/send.go
@@ -57,7 +57,7 @@
 			res.outcome = outcomeCallerLeft
 		}
 		if res.outcome != outcomeComplete {
-			q.gate.Log.Info("Send ended.", "request", q.meta.ID, "upstream", p.upstream.GetId(), "address", p.upstream.GetAddress(),
+			q.gate.Log.Info("Send ended.", "request", q.meta.ID, "upstream", p.upstream.GetId(), "address", p.upstream.GetAddress(), "version", p.upstream.GetVersion(),
 				"digest", q.digest().String(), "ending", res.outcome.String(), "status", res.status, "err", errText(res.err), "events", res.events, "took", res.total.String())
 		}
 	}()
--- a/io/gate/versions.go
+++ b/io/gate/versions.go
@@ -34,11 +34,15 @@
 	}
 	v.scheduler, v.revision = list.GetScheduler(), list.GetRevision()
 	v.updated = time.Now()
+	before := v.splits
 	v.splits = make(map[string]*wire.Split, len(list.GetSplits()))
 	for _, s := range list.GetSplits() {
+		if old := before[s.GetPool()]; old.GetBase() != s.GetBase() || old.GetTo() != s.GetTo() {
+			g.Log.Info("Versions in use changed.", "pool", s.GetPool(), "base", s.GetBase(), "to", s.GetTo(), "rollout", s.GetNumber())
+		}
 		v.splits[s.GetPool()] = s
 	}
-	v.tally.SetSplits(list.GetSplits())
+	v.tally.SetSplits(v.updated, list.GetSplits())
 }
 
 // Evidence returns the counts of this entry for the scheduler, or nil while no rollout runs.
@@ -55,7 +59,7 @@
 // choose returns the version of upstreams for a request that this entry places itself, and the
 // pool's base version. Both are empty where the pool keeps no versions apart. An entry that has not
 // heard from the scheduler for longer than valid sends nothing to the target version, which may
-// have turned out to be bad.
+// have turned out to be bad. Neither does a request that is sent again.
 func (v *versions) choose(now time.Time, q *request, valid time.Duration) (version, base string) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -63,7 +67,7 @@
 	if s == nil {
 		return "", ""
 	}
-	if now.Sub(v.updated) > valid {
+	if q.sends > 0 || now.Sub(v.updated) > valid {
 		return s.GetBase(), s.GetBase()
 	}
 	return canary.Version(s, q.routeName(), q.meta.ID), s.GetBase()
--- a/io/hub/rollouts.go
+++ b/io/hub/rollouts.go
@@ -44,10 +44,10 @@
 		held    bool   // It gets no requests, because of its version.
 	}
 
-	// rolloutClock measures how much of a rollout's length has passed, by the steady clock of this
-	// replica. Each replica measures from when it learned of the rollout's last command, so a new
-	// leader goes on where the rollout stands. Time in which no replica ran is not counted. The zero
-	// value is ready.
+	// rolloutClock measures how much of a rollout's length has passed, by steady clocks: those of
+	// this replica and of the entries, each from when it learned of the rollout. The longest of
+	// these times is never too long, so a new leader goes on where the rollout stands and does not
+	// end it early. The time of day, which may be stepped, does not count. The zero value is ready.
 	rolloutClock struct {
 		mu    sync.Mutex
 		since map[string]observed // By pool.
@@ -87,6 +87,15 @@
 	}
 }
 
+// learn takes for how long an entry has known of a rollout.
+func (c *rolloutClock) learn(now time.Time, r *wire.Rollout, age time.Duration) {
+	if age > c.elapsed(now, r) {
+		ahead := proto.CloneOf(r)
+		ahead.ElapsedUs = age.Microseconds()
+		c.observe(now, []*wire.Rollout{ahead})
+	}
+}
+
 // elapsed returns the time since the order of a rollout.
 func (c *rolloutClock) elapsed(now time.Time, r *wire.Rollout) time.Duration {
 	c.mu.Lock()
@@ -254,13 +263,17 @@
 	t.advancing = false
 }
 
-// version returns the version of upstreams that may run a ticket; empty for any.
+// version returns the version of upstreams that may run a ticket; empty for any. A request that is
+// sent again, possibly because the target version failed it, goes to the base version.
 func (r *rollouts) version(t *wire.Ticket) string {
 	r.mu.Lock()
 	s := r.splits[t.GetPool()]
 	r.mu.Unlock()
-	if s == nil {
+	switch {
+	case s == nil:
 		return ""
+	case t.GetReturned():
+		return s.GetBase()
 	}
 	return canary.Version(s, t.GetRoute(), t.GetRequest())
 }
@@ -339,6 +352,7 @@
 	for _, e := range ev.GetRollouts() {
 		if t := s.rollouts.trials[e.GetPool()]; t != nil && t.GetNumber() == e.GetNumber() {
 			t.judge.Record(ev.GetIncarnation(), e)
+			h.clock.learn(time.Now(), t.Rollout, micros(e.GetAgeUs()))
 		}
 	}
 	s.rollouts.mu.Unlock()
--- a/io/hub/rollouts_test.go
+++ b/io/hub/rollouts_test.go
@@ -213,6 +213,10 @@
 	ahead := &wire.Rollout{Pool: "p", Number: 1, ElapsedUs: (9 * time.Second).Microseconds()}
 	c.observe(at.Add(4*time.Second), []*wire.Rollout{ahead})
 	must.Eq(t, 10*time.Second, c.elapsed(at.Add(5*time.Second), ahead), must.Sprint("recorded by a leader that measured more"))
+	c.learn(at.Add(5*time.Second), ahead, 11*time.Second)
+	must.Eq(t, 12*time.Second, c.elapsed(at.Add(6*time.Second), ahead), must.Sprint("an entry has known of it for longer"))
+	c.learn(at.Add(6*time.Second), ahead, time.Second)
+	must.Eq(t, 12*time.Second, c.elapsed(at.Add(6*time.Second), ahead), must.Sprint("an entry that has just started"))
 	next := &wire.Rollout{Pool: "p", Number: 2}
 	c.observe(at.Add(6*time.Second), []*wire.Rollout{next})
 	must.Eq(t, time.Second, c.elapsed(at.Add(7*time.Second), next))
--- a/io/quorum/quorum.go
+++ b/io/quorum/quorum.go
@@ -12,10 +12,12 @@
 	"github.com/pkg/errors"
 	"github.com/thejerf/suture/v4"
 
+	"azurelane/core/wire"
 	"azurelane/io/admin"
 	"azurelane/io/certs"
 	"azurelane/io/ctrl"
 	"azurelane/io/httpd"
+	"azurelane/io/leader"
 	"azurelane/io/mesh"
 	"azurelane/io/setup"
 	"azurelane/io/stats"
@@ -56,7 +58,7 @@
 		_ = ops.Close()
 		return nil, fmt.Errorf("quorum: %w", err)
 	}
-	m := &mesh.Mesh{Listen: certs.Wrap(peers, links), TLS: links, Self: set.Peers, Handle: c.Handle, Log: log.WithName("mesh")}
+	m := &mesh.Mesh{Listen: certs.Wrap(peers, links), TLS: links, Self: set.Peers, Handle: withoutRollouts(c.Handle), Log: log.WithName("mesh")}
 	c.Sender = m
 	q := &Quorum{set: set, log: log.WithName("control"), ctrl: c}
 	metrics := stats.New()
@@ -94,3 +96,13 @@
 	q.log.Info("Control stopped.")
 	return nil
 }
+
+// withoutRollouts refuses orders of rollouts: only a hub carries them out.
+func withoutRollouts(next func(context.Context, *wire.Frame) (*wire.Frame, error)) func(context.Context, *wire.Frame) (*wire.Frame, error) {
+	return func(ctx context.Context, f *wire.Frame) (*wire.Frame, error) {
+		if f.GetCommand().GetStartRollout() != nil || f.GetRolloutQuery() != nil {
+			return nil, &wire.Fault{Code: leader.Refused, Text: "rollouts need a deployment of gates and hubs"}
+		}
+		return next(ctx, f)
+	}
+}
--- a/io/story/story.go
+++ b/io/story/story.go
@@ -62,6 +62,9 @@
 	"Group changes.":             "group",
 	"Log not compacted.":         "disk",
 	"Replica joins as a learner": "group",
+	"Rollout in progress.":       "rollout",
+	"Rollout advances.":          "rollout",
+	"Versions in use changed.":   "versions",
 }
 
 // causes say in words what the code of a refusal means.
