--- a/core/peers/peers.go
+++ b/core/peers/peers.go
@@ -1,5 +1,5 @@
-// Package peers chooses among upstreams by what one entry has seen of them
-// itself: for plain services, and for all while no scheduler answers.
+// Package peers chooses among upstreams by the observations of a single entry. Entries use it for
+// plain services, and for all pools while no scheduler answers.
 package peers
 
 import (
@@ -13,42 +13,42 @@
 )
 
 type (
-	// Peers holds what was seen of upstreams. The zero value is ready.
+	// Peers holds an entry's observations of upstreams. The zero value is ready.
 	Peers struct {
-		seen    map[string]*peer
-		centres map[string]*centre
+		stats       map[string]*upstreamStats
+		dataCentres map[string]*dataCentre
 	}
 
-	peer struct {
-		running int
-		latency time.Duration // Of answers, smoothed.
-		errors  float64       // Part of the answers that were failures, smoothed.
-		passed  int           // Requests that went elsewhere since its last answer.
-		fails   int           // In a row, without an answer.
-		out     time.Time     // Left out until then.
-		served  time.Time     // Last whole answer.
-		used    time.Time
-		load    Load
-		loadAt  time.Time
-		meter   meter.Meter // Of the limit that it names.
+	upstreamStats struct {
+		running             int
+		latency             time.Duration // Of responses, smoothed.
+		failureRate         float64       // Share of the responses that were failures, smoothed.
+		skipped             int           // Requests sent to other upstreams since its last response.
+		consecutiveFailures int           // Sends without a response.
+		excludedUntil       time.Time     // Used only if there is no other until then.
+		lastComplete        time.Time     // When it last sent a complete response.
+		lastUsed            time.Time
+		load                Load
+		loadReportedAt      time.Time
+		meter               meter.Meter // Enforces the request rate that it announced.
 	}
 
-	// Load is what an upstream says of itself.
+	// Load is the load that an upstream reports in its responses, in requests.
 	Load struct {
 		Running, Waiting, Slots int
 	}
 
-	// Choice says what is wanted of an upstream.
+	// Choice holds the conditions for the choice of an upstream.
 	Choice struct {
-		Self   string // Name of this entry.
-		Centre string // Data centre of this entry, which is never doubted.
-		Avoid  []string
-		Silent map[string]bool // Upstreams that control does not hear.
-		// Unreached are data centres that seem cut off, and Isolated says that this
-		// entry's own does, so that all others are.
-		Unreached map[string]bool
-		Isolated  bool
-		Most      int // Requests of this entry that may run on one; 0 for any.
+		Self       string // Name of this entry.
+		DataCentre string // Data centre of this entry; it never counts as cut off.
+		Avoid      []string
+		Silent     map[string]bool // Upstreams that control has not heard from lately.
+		// Unreached holds the data centres that control takes for cut off. Isolated means that
+		// the entry's own data centre is cut off from all others.
+		Unreached  map[string]bool
+		Isolated   bool
+		MaxRunning int // Most requests of this entry that may run on one upstream; 0 for no limit.
 		// Version is the version of upstreams that may run the request; empty for any. An upstream
 		// that names no version counts as being of it.
 		Version string
@@ -56,46 +56,46 @@
 )
 
 const (
-	learnRate = 0.1
-	// fadeAfter is the number of requests that go elsewhere after which what was seen of an
-	// upstream counts half. Counted in requests, so that entries with few of them do not
-	// spend most on upstreams that stay slow.
-	fadeAfter = 32
-	// firstLatency is the most that an upstream is expected to take which was not seen yet.
-	firstLatency = 20 * time.Millisecond
-	// abroadCost is what an upstream of another data centre must be better by:
-	// the way there and back, and the price of the bytes between them.
-	abroadCost  = 4 * time.Millisecond
-	errorFactor = 6 // An upstream that fails always seems so many times slower, and once more.
-	firstOut    = 500 * time.Millisecond
-	mostOut     = 8 * time.Second
-	// trust is how long an answer shows that an upstream serves which control
-	// does not hear.
-	trust = 2 * time.Second
-	// freshLoad is how long what an upstream says of its load counts, and
-	// spareSlots the places that are left to others then.
-	freshLoad  = 300 * time.Millisecond
-	spareSlots = 1
-	forget     = time.Minute
-	sweepAt    = 1024 // Upstreams that are remembered before old ones are forgotten.
-	lastWays   = time.Hour
+	learningRate = 0.1
+	// halfLifeRequests is the number of requests sent elsewhere after which an observation of an
+	// upstream has half its weight. It counts requests, not time, so that an entry with few
+	// requests does not spend most of them on upstreams that stay slow.
+	halfLifeRequests = 32
+	// unknownLatency is the longest latency that is expected of an upstream without observations.
+	unknownLatency = 20 * time.Millisecond
+	// remoteCost is added to the cost of upstreams in other data centres, for the round trip and
+	// for the price of the traffic.
+	remoteCost     = 4 * time.Millisecond
+	failurePenalty = 6 // Multiples of its latency that are added for an upstream that always fails.
+	minExclusion   = 500 * time.Millisecond
+	maxExclusion   = 8 * time.Second
+	// servedTrust is how long a complete response outweighs that control does not hear from an
+	// upstream.
+	servedTrust = 2 * time.Second
+	// loadFreshness is how long a reported load is used. reservedSlots are the reported free slots
+	// that are left to other entries.
+	loadFreshness  = 300 * time.Millisecond
+	reservedSlots  = 1
+	forgetAfter    = time.Minute
+	sweepThreshold = 1024      // Number of upstreams above which unused ones are dropped.
+	lastResortCost = time.Hour // Of an upstream that is used only if there is no other.
 )
 
-func (p *Peers) of(id string) *peer {
-	if p.seen == nil {
-		p.seen = map[string]*peer{}
+func (p *Peers) getOrCreate(id string) *upstreamStats {
+	if p.stats == nil {
+		p.stats = map[string]*upstreamStats{}
 	}
-	e := p.seen[id]
+	e := p.stats[id]
 	if e == nil {
-		e = &peer{}
-		p.seen[id] = e
+		e = &upstreamStats{}
+		p.stats[id] = e
 	}
 	return e
 }
 
-// Pick returns the upstream where a request is expected to end first, or nil.
-// Upstreams that fail or are silent are taken only when there is no other, and
-// those of a data centre that seems cut off not even then, but for a trial.
+// Pick returns the upstream where a request is expected to complete first, or nil. Upstreams that
+// fail or are silent are used only if there is no other. Upstreams of a data centre that seems cut
+// off get only an occasional trial request.
 func (p *Peers) Pick(now time.Time, list []*wire.Upstream, c Choice) *wire.Upstream {
 	var best *wire.Upstream
 	var least time.Duration
@@ -105,17 +105,17 @@
 		if c.Version != "" && u.GetVersion() != "" && u.GetVersion() != c.Version {
 			continue
 		}
-		e := p.of(u.GetId())
+		e := p.getOrCreate(u.GetId())
 		if !p.allows(now, u, e, c) {
 			continue
 		}
-		e.passed++
+		e.skipped++
 		cost := e.cost(u.GetSlots(), fastest)
-		if u.GetDataCentre() != c.Centre {
-			cost += abroadCost
+		if u.GetDataCentre() != c.DataCentre {
+			cost += remoteCost
 		}
-		if now.Before(e.out) || (c.Silent[u.GetId()] && now.Sub(e.served) > trust) {
-			cost += lastWays
+		if now.Before(e.excludedUntil) || (c.Silent[u.GetId()] && now.Sub(e.lastComplete) > servedTrust) {
+			cost += lastResortCost
 		}
 		if best != nil && cost > least {
 			continue
@@ -126,157 +126,160 @@
 		}
 	}
 	if best != nil {
-		p.tried(now, best.GetDataCentre(), &c)
+		p.recordTrial(now, best.GetDataCentre(), &c)
 	}
 	return best
 }
 
-// fastest is the least that a request is expected to take at an idle upstream by its answers,
-// or zero where none has answered.
+// fastest returns the lowest expected latency among the upstreams that have responded, or zero if
+// none has.
 func (p *Peers) fastest(list []*wire.Upstream) time.Duration {
 	var least time.Duration
 	for _, u := range list {
-		if l := p.of(u.GetId()).seen(); l > 0 && (least == 0 || l < least) {
+		if l := p.getOrCreate(u.GetId()).expectedLatency(); l > 0 && (least == 0 || l < least) {
 			least = l
 		}
 	}
 	return least
 }
 
-// allows reports whether a request may go to an upstream at all.
-func (p *Peers) allows(now time.Time, u *wire.Upstream, e *peer, c Choice) bool {
+// allows reports whether a request may be sent to an upstream at all.
+func (p *Peers) allows(now time.Time, u *wire.Upstream, e *upstreamStats, c Choice) bool {
 	switch {
-	case !p.mayTry(now, u.GetDataCentre(), &c), contains(c.Avoid, u.GetId()), !e.meter.CanSend(now):
+	case !p.allowsDataCentre(now, u.GetDataCentre(), &c), contains(c.Avoid, u.GetId()), !e.meter.CanSend(now):
 		return false
-	case c.Most > 0:
-		return !e.full(now) && (e.running < c.Most || e.room(now))
+	case c.MaxRunning > 0:
+		return !e.isFull(now) && (e.running < c.MaxRunning || e.hasRoom(now))
 	}
 	return true
 }
 
-// distance orders upstreams that seem alike, for each entry in another way. When a
-// scheduler is lost no entry has seen any engine itself: in one order for all, the
-// next request of each of 81 entries went to the same engine of four places.
+// distance orders upstreams of equal cost, differently for each entry. After the loss of a
+// scheduler, no entry has observations of any engine. With the same order everywhere, the next
+// request of each of 81 entries went to the same engine with four slots.
 func (c *Choice) distance(u *wire.Upstream) uint64 {
 	return xxhash.Sum64String(c.Self + u.GetId())
 }
 
-// Told notes what an upstream says of its load.
-func (p *Peers) Told(now time.Time, id string, l Load) {
-	e := p.of(id)
-	e.load, e.loadAt = l, now
+// RecordLoad records the load that an upstream reports.
+func (p *Peers) RecordLoad(now time.Time, id string, l Load) {
+	e := p.getOrCreate(id)
+	e.load, e.loadReportedAt = l, now
 }
 
-// room reports whether the upstream has just said that places are free. Behind
-// a cut few entries share an upstream, and each would leave most of it unused by
-// its share alone; one more for each answer that says so fills it and stops by
-// itself.
-func (e *peer) room(now time.Time) bool {
-	return now.Sub(e.loadAt) < freshLoad && e.load.Waiting == 0 && e.load.Running+spareSlots < e.load.Slots
+// hasRoom reports whether the upstream has just reported free slots. While the network is
+// partitioned, few entries share an upstream, and their equal shares would leave most of it unused.
+// One additional request for each report that shows free slots fills the upstream without
+// overloading it.
+func (e *upstreamStats) hasRoom(now time.Time) bool {
+	return now.Sub(e.loadReportedAt) < loadFreshness && e.load.Waiting == 0 && e.load.Running+reservedSlots < e.load.Slots
 }
 
-// full reports whether the upstream has just said that none of its places is
-// free: others place requests there, too.
-func (e *peer) full(now time.Time) bool {
-	return now.Sub(e.loadAt) < freshLoad && e.load.Slots > 0 && e.load.Running >= e.load.Slots
+// isFull reports whether the upstream has just reported that no slot is free. Other entries use its
+// slots as well.
+func (e *upstreamStats) isFull(now time.Time) bool {
+	return now.Sub(e.loadReportedAt) < loadFreshness && e.load.Slots > 0 && e.load.Running >= e.load.Slots
 }
 
-// cost is how long a request is expected to take. An upstream that was not seen is expected
-// to be like the fastest, and what was seen fades towards that: an upstream gets nothing
-// while others seem better, and only its answers could tell that it is well again.
-func (e *peer) cost(slots int64, fastest time.Duration) time.Duration {
-	l := fastest + time.Duration(e.weight()*float64(e.seen()-fastest))
+// cost returns the expected latency of a request, which grows with the running requests. An
+// upstream without observations is expected to be like the fastest, and observations fade towards
+// that: an upstream that seems slow gets no requests, so only their responses could show that it
+// has recovered.
+func (e *upstreamStats) cost(slots int64, fastest time.Duration) time.Duration {
+	l := fastest + time.Duration(e.weight()*float64(e.expectedLatency()-fastest))
 	switch {
 	case fastest == 0:
-		l = firstLatency
+		l = unknownLatency
 	case e.latency == 0:
-		l = min(fastest, firstLatency)
+		l = min(fastest, unknownLatency)
 	}
 	load := 1 + float64(e.running)/float64(max(slots, 1))*2
 	return time.Duration(float64(l) * load)
 }
 
-// seen is how long a request is expected to take at an idle upstream by its answers.
-func (e *peer) seen() time.Duration {
-	return time.Duration(float64(e.latency) * (1 + errorFactor*e.errors))
+// expectedLatency returns the latency of an idle upstream by its responses, with a penalty for
+// failures.
+func (e *upstreamStats) expectedLatency() time.Duration {
+	return time.Duration(float64(e.latency) * (1 + failurePenalty*e.failureRate))
 }
 
-// weight is how much of what was seen counts, at most 1.
-func (e *peer) weight() float64 { return math.Exp2(-float64(e.passed) / fadeAfter) }
+// weight returns the weight of the observations, at most 1.
+func (e *upstreamStats) weight() float64 { return math.Exp2(-float64(e.skipped) / halfLifeRequests) }
 
-// Limit holds this entry to a share of the requests a second that an upstream takes.
+// Limit limits this entry to a share of the requests per second that an upstream accepts.
 func (p *Peers) Limit(now time.Time, id string, rate, share float64) {
-	e := p.of(id)
+	e := p.getOrCreate(id)
 	e.meter.SetLimit(now, rate, share)
-	e.used = now
+	e.lastUsed = now
 }
 
-// Unlimit ends the limit of an upstream.
+// Unlimit removes the limit of an upstream.
 func (p *Peers) Unlimit(id string) {
-	if e := p.seen[id]; e != nil {
+	if e := p.stats[id]; e != nil {
 		e.meter.Unlimit()
 	}
 }
 
-// Wait is the time until the limit of some upstream lets a request pass; zero where none
-// holds one back.
+// Wait returns the shortest time until the rate limit of an upstream allows a request, or zero if no
+// rate limit delays one.
 func (p *Peers) Wait(now time.Time, list []*wire.Upstream) time.Duration {
 	least := time.Duration(0)
 	for _, u := range list {
-		if w := p.of(u.GetId()).meter.Wait(now); w > 0 && (least == 0 || w < least) {
+		if w := p.getOrCreate(u.GetId()).meter.Wait(now); w > 0 && (least == 0 || w < least) {
 			least = w
 		}
 	}
 	return least
 }
 
-// Begin notes that a request is sent.
+// Begin records that a request is sent.
 func (p *Peers) Begin(now time.Time, id string) {
-	e := p.of(id)
+	e := p.getOrCreate(id)
 	e.meter.Take(now)
 	e.running++
 	e.load.Running++
-	e.used = now
-	if len(p.seen) > sweepAt {
+	e.lastUsed = now
+	if len(p.stats) > sweepThreshold {
 		p.sweep(now)
 	}
 }
 
-// End notes how a request ended: answered says that an answer came, good that
-// it was no failure.
+// End records the end of a request: whether the upstream responded, and whether the response was a
+// success.
 func (p *Peers) End(now time.Time, id string, took time.Duration, answered, good bool) {
-	e := p.of(id)
+	e := p.getOrCreate(id)
 	e.running = max(e.running-1, 0)
 	if !answered {
-		e.fails++
-		e.out = now.Add(min(firstOut<<min(e.fails-1, 5), mostOut))
+		e.consecutiveFailures++
+		e.excludedUntil = now.Add(min(minExclusion<<min(e.consecutiveFailures-1, 5), maxExclusion))
 		return
 	}
-	e.fails, e.out = 0, time.Time{}
+	e.consecutiveFailures, e.excludedUntil = 0, time.Time{}
 	bad := 1.0
 	if good {
-		bad, e.served = 0, now
+		bad, e.lastComplete = 0, now
 	}
-	// What has faded gives way to what is seen now.
-	rate := 1 - (1-learnRate)*e.weight()
-	e.passed = 0
-	e.errors += rate * (bad - e.errors)
+	// Observations that have faded are replaced faster.
+	rate := 1 - (1-learningRate)*e.weight()
+	e.skipped = 0
+	e.failureRate += rate * (bad - e.failureRate)
 	if e.latency == 0 {
 		e.latency = took
 	}
 	e.latency += time.Duration(rate * float64(took-e.latency))
 }
 
-// Drop notes that a request was not run after all, and tells nothing.
+// Drop records the end of a request that says nothing about the upstream, such as one that did not
+// run.
 func (p *Peers) Drop(id string) {
-	e := p.of(id)
+	e := p.getOrCreate(id)
 	e.running = max(e.running-1, 0)
 }
 
 func (p *Peers) sweep(now time.Time) {
-	for id, e := range p.seen {
-		if _, limited := e.meter.Rate(); !limited && e.running == 0 && now.Sub(e.used) > forget {
-			delete(p.seen, id)
+	for id, e := range p.stats {
+		if _, limited := e.meter.Rate(); !limited && e.running == 0 && now.Sub(e.lastUsed) > forgetAfter {
+			delete(p.stats, id)
 		}
 	}
 }
--- a/core/peers/peers_test.go
+++ b/core/peers/peers_test.go
@@ -42,44 +42,44 @@
 				p.End(start, "far", 10*time.Millisecond, true, true)
 			}
 		}, Choice{}, "far"},
-		{"none with room", func(p *Peers) { p.Begin(start, "near"); p.Begin(start, "far") }, Choice{Most: 1}, ""},
+		{"none with room", func(p *Peers) { p.Begin(start, "near"); p.Begin(start, "far") }, Choice{MaxRunning: 1}, ""},
 		{"beyond its share where it says that there is room", func(p *Peers) {
 			p.Begin(start, "near")
 			p.Begin(start, "far")
-			p.Told(start, "far", Load{Running: 1, Slots: 4})
-		}, Choice{Most: 1}, "far"},
+			p.RecordLoad(start, "far", Load{Running: 1, Slots: 4})
+		}, Choice{MaxRunning: 1}, "far"},
 		{"not where it says that some wait", func(p *Peers) {
 			p.Begin(start, "near")
 			p.Begin(start, "far")
-			p.Told(start, "far", Load{Running: 1, Waiting: 1, Slots: 4})
-		}, Choice{Most: 1}, ""},
+			p.RecordLoad(start, "far", Load{Running: 1, Waiting: 1, Slots: 4})
+		}, Choice{MaxRunning: 1}, ""},
 		{"not where it says that all places are taken", func(p *Peers) {
-			p.Told(start, "near", Load{Running: 4, Slots: 4})
-		}, Choice{Most: 2}, "far"},
+			p.RecordLoad(start, "near", Load{Running: 4, Slots: 4})
+		}, Choice{MaxRunning: 2}, "far"},
 		{"a bad one before none", func(p *Peers) { p.End(start, "near", 0, false, false) }, Choice{Avoid: []string{"far"}}, "near"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			var p Peers
 			tc.before(&p)
-			tc.choice.Centre = "z1"
+			tc.choice.DataCentre = "z1"
 			must.Eq(t, tc.want, p.Pick(start.Add(time.Millisecond), list, tc.choice).GetId())
 		})
 	}
 }
 
-// An upstream that broke off is tried again after a while, later each time.
+// An upstream that sent no response is tried again after a time that grows with each failure.
 func TestBackAfterFailures(t *testing.T) {
 	var p Peers
 	p.End(start, "near", 0, false, false)
-	must.Eq(t, "near", p.Pick(start.Add(firstOut), list, Choice{Centre: "z1"}).GetId())
+	must.Eq(t, "near", p.Pick(start.Add(minExclusion), list, Choice{DataCentre: "z1"}).GetId())
 	p.End(start, "near", 0, false, false)
-	must.Eq(t, "far", p.Pick(start.Add(firstOut), list, Choice{Centre: "z1"}).GetId())
+	must.Eq(t, "far", p.Pick(start.Add(minExclusion), list, Choice{DataCentre: "z1"}).GetId())
 	p.End(start, "near", time.Millisecond, true, true)
-	must.Eq(t, "near", p.Pick(start, list, Choice{Centre: "z1"}).GetId())
+	must.Eq(t, "near", p.Pick(start, list, Choice{DataCentre: "z1"}).GetId())
 }
 
-// A scheduler is lost, and 80 entries place one request each among 20 engines of
-// which none has seen anything. No engine gets much more than its part.
+// Guards against entries that all choose the same engine after the loss of a scheduler, when none
+// has observations of any engine.
 func TestEntriesSpread(t *testing.T) {
 	var engines []*wire.Upstream
 	for i := range 20 {
@@ -88,7 +88,7 @@
 	got := map[string]int{}
 	for i := range 80 {
 		var p Peers
-		got[p.Pick(start, engines, Choice{Self: fmt.Sprint("entry-", i), Centre: "z1"}).GetId()]++
+		got[p.Pick(start, engines, Choice{Self: fmt.Sprint("entry-", i), DataCentre: "z1"}).GetId()]++
 	}
 	for id, n := range got {
 		must.LessEq(t, 10, n, must.Sprint(id))
--- a/core/peers/share_test.go
+++ b/core/peers/share_test.go
@@ -15,7 +15,7 @@
 	slow  = 6 * quick
 )
 
-// upstreams are those of one pool and how they answer.
+// upstreams are the upstreams of one pool and how they respond.
 type upstreams struct {
 	list    []*wire.Upstream
 	latency map[string]time.Duration
@@ -50,13 +50,13 @@
 	return list
 }
 
-// serve sends so many requests, each as another one is halfway, and counts them by upstream.
+// serve sends requests, two of which always overlap, and counts them by upstream.
 func (e *entry) serve(s *upstreams, requests int) map[string]int {
 	got := map[string]int{}
 	var last string
 	for range requests {
 		e.now = e.now.Add(quick)
-		id := e.Pick(e.now, s.list, Choice{Self: e.self, Centre: "z1"}).GetId()
+		id := e.Pick(e.now, s.list, Choice{Self: e.self, DataCentre: "z1"}).GetId()
 		e.Begin(e.now, id)
 		got[id]++
 		if last != "" {
@@ -68,8 +68,8 @@
 	return got
 }
 
-// Guards against upstreams that start, or whose limit ends, and get nothing while others
-// are busy: an entry that has not seen one assumed that it is slow.
+// Guards against upstreams that get no requests after they start or after their limit ends, because
+// entries without observations expect them to be slow.
 func TestUnseenUpstreamGetsWork(t *testing.T) {
 	s := newUpstreams("a", "b")
 	all, newcomer := 0, 0
@@ -85,8 +85,8 @@
 	must.GreaterEq(t, all/len(s.list)/2, newcomer, must.Sprint("half of an even share"))
 }
 
-// Guards against upstreams that were slow or failed for a while and get nothing any more:
-// only their own answers could tell that they are well again.
+// Guards against upstreams that were slow or failed for a while and get no requests any more,
+// although only their responses could show that they have recovered.
 func TestRecoveredUpstreamGetsWork(t *testing.T) {
 	for _, tc := range []struct {
 		name string
@@ -117,8 +117,8 @@
 	}
 }
 
-// Guards against requests that are late for trying again and again whether a slow
-// upstream is still slow.
+// Guards against requests that are late because entries check too often whether a slow upstream is
+// still slow.
 func TestSlowUpstreamGetsLittle(t *testing.T) {
 	s := newUpstreams("a", "b", "c")
 	s.latency["a"] = slow
--- a/io/gate/place.go
+++ b/io/gate/place.go
@@ -146,9 +146,9 @@
 	g, now := q.gate, time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	c := peers.Choice{Self: g.Node, Centre: g.DataCentre, Avoid: q.avoid, Silent: q.view.Silent, Unreached: q.view.Unreached, Isolated: q.view.Isolated}
+	c := peers.Choice{Self: g.Node, DataCentre: g.DataCentre, Avoid: q.avoid, Silent: q.view.Silent, Unreached: q.view.Unreached, Isolated: q.view.Isolated}
 	if slots > 0 {
-		c.Most = max(int(localOvercommit*float64(slots)/float64(max(q.view.Entries, 1))), 1)
+		c.MaxRunning = max(int(localOvercommit*float64(slots)/float64(max(q.view.Entries, 1))), 1)
 	}
 	var base string
 	c.Version, base = g.versions.choose(now, q, g.SplitValid)
@@ -181,7 +181,7 @@
 func (g *Gate) recordLoad(id string, l peers.Load) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.peers.Told(time.Now(), id, l)
+	g.peers.RecordLoad(time.Now(), id, l)
 }
 
 // release records the result of the send and returns the slot to the scheduler, if one granted it.
@@ -213,9 +213,9 @@
 	switch u := p.request.view.Upstream(p.upstream.GetId()); {
 	case u == nil: // It has left the deployment since.
 	case res.status != 0:
-		g.peers.Reached(u)
+		g.peers.RecordReached(u)
 	case res.unresponsive():
-		g.peers.Missed(now, u)
+		g.peers.RecordUnreachable(now, u)
 	}
 	if p.grant != nil {
 		return
