--- a/core/permit/permit.go
+++ b/core/permit/permit.go
@@ -8,6 +8,8 @@
 	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"azurelane/core/wire"
 )
 
@@ -64,7 +66,10 @@
 		return &wire.Result{Code: Gone}
 	}
 	if st.GetOutcome() == "" {
+		// An image that is being encoded may still refer to the old message.
+		st = proto.CloneOf(st)
 		st.Outcome = e.GetOutcome()
+		o.latest[e.GetUpstream()] = st
 	}
 	return &wire.Result{Code: OK, Version: st.GetFence(), Outcome: st.GetOutcome()}
 }
--- a/core/state/state_test.go
+++ b/core/state/state_test.go
@@ -216,12 +216,18 @@
 	s := stateWithClaims(3)
 	s.Apply(claim("e", 1))
 	s.Apply(change("c", 0, testDocument))
+	order := &wire.Command{Id: "o", Kind: &wire.Command_OrderStart{OrderStart: &wire.OrderStart{Upstream: "u", LimitUs: 1}}}
+	must.Eq(t, OK, s.Apply(order).GetCode())
+	rollout := &wire.Command{Kind: &wire.Command_StartRollout{StartRollout: &wire.StartRollout{Pool: "p", To: "v2", LengthUs: 1}}}
+	must.Eq(t, OK, s.Apply(rollout).GetCode())
 	img := s.Image()
 	before, err := EncodeImage(proto.CloneOf(img))
 	must.NoError(t, err)
 	s.Apply(finish("e", 1, "whole", 5))
 	s.Apply(change("d", 1, testDocument))
 	s.Apply(expire(1 << 50))
+	s.Apply(&wire.Command{Kind: &wire.Command_OrderEnd{OrderEnd: &wire.OrderEnd{Upstream: "u", Fence: 1, Outcome: "done"}}})
+	s.Apply(&wire.Command{Kind: &wire.Command_AdvanceRollout{AdvanceRollout: &wire.AdvanceRollout{Pool: "p", Number: 1, Phase: wire.Rollout_PHASE_SHIFT}}})
 	after, err := EncodeImage(img)
 	must.NoError(t, err)
 	must.True(t, bytes.Equal(before, after))
