Longest answers, stated lengths and HEAD

Change: the limit counts from one byte more; at most 1 MiB is allocated ahead; HEAD passes the stated length on. Result: three tests that fail before the change.

--- a/io/gate/gate_test.go
+++ b/io/gate/gate_test.go
@@ -245,3 +245,38 @@
 		})
 	}
 }
+
+// Guards against an answer that is ready and is not delivered because it is as long as the limit
+// allows, and against one byte more.
+func TestLongestBufferedAnswer(t *testing.T) {
+	for _, test := range []struct {
+		length, status int
+	}{{maxBufferedAnswer, http.StatusOK}, {maxBufferedAnswer + 1, http.StatusBadGateway}} {
+		body := strings.Repeat("x", test.length)
+		r := newTestGate(t, newUpstream(t, respondText(body))).do("POST", "/once/x")
+		must.Eq(t, test.status, r.status)
+		must.Eq(t, test.status == http.StatusOK, r.body == body)
+	}
+}
+
+// Guards against an upstream that ends the process, or the request, by stating a length that no
+// memory holds.
+func TestStatedLengthIsNotAllocated(t *testing.T) {
+	u := newUpstream(t, func(_ int, r *http.Request, w io.Writer) bool {
+		_, _ = io.WriteString(w, responseHead(r, http.StatusOK, "Content-Length: 9000000000000000000\r\n\r\nshort"))
+		closeConn(w)
+		return false
+	})
+	must.Eq(t, http.StatusBadGateway, newTestGate(t, u).do("POST", "/once/x").status)
+}
+
+// The answer to a HEAD request states the length that the upstream states, although no body comes.
+func TestHeadKeepsItsLength(t *testing.T) {
+	u := newUpstream(t, func(_ int, r *http.Request, w io.Writer) bool {
+		_, _ = io.WriteString(w, responseHead(r, http.StatusOK, "Content-Length: 800\r\n\r\n"))
+		return true
+	})
+	r := newTestGate(t, u).do("HEAD", "/again/x")
+	must.Eq(t, http.StatusOK, r.status)
+	must.Eq(t, "800", r.header.Get("Content-Length"))
+}
--- a/io/gate/request.go
+++ b/io/gate/request.go
@@ -340,6 +340,10 @@
 
 func asError[T error](err error, target *T) bool { return errors.As(err, target) }
 
+// maxPreallocation is the largest buffer, in bytes, that is allocated before any of a body has
+// arrived. The announced length of a body may be wrong.
+const maxPreallocation = 1 << 20
+
 // readAll reads a body of size bytes, or of unknown length if size is -1.
 func readAll(r io.Reader, size int64) ([]byte, error) {
 	if size == 0 {
@@ -347,7 +351,7 @@
 	}
 	var buf bytes.Buffer
 	if size > 0 {
-		buf.Grow(int(size) + bytes.MinRead)
+		buf.Grow(int(min(size, maxPreallocation)) + bytes.MinRead)
 	}
 	if _, err := buf.ReadFrom(r); err != nil {
 		return nil, fmt.Errorf("gate: read: %w", err)
--- a/io/gate/send.go
+++ b/io/gate/send.go
@@ -36,12 +36,20 @@
 	status int
 	header http.Header
 	body   []byte
+	head   bool  // It answers a HEAD request.
+	length int64 // Length of the body that the upstream states; -1 if it states none.
 }
 
 func (k *bufferedResponse) write(w http.ResponseWriter) {
 	h := w.Header()
 	copyEndToEndHeaders(h, k.header)
-	h.Set("Content-Length", strconv.Itoa(len(k.body)))
+	length := int64(len(k.body))
+	if k.head {
+		length = k.length // The body stays at the upstream.
+	}
+	if length >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(length, 10))
+	}
 	w.WriteHeader(k.status)
 	_, _ = w.Write(k.body)
 }
@@ -119,8 +127,8 @@
 // relayBuffered reads a response completely before it passes any of it on, so that the request can
 // be retried if the response breaks off.
 func (q *request) relayBuffered(ctx context.Context, resp *http.Response, start time.Time, res *result) {
-	body, err := readAll(io.LimitReader(resp.Body, maxBufferedAnswer), resp.ContentLength)
-	if err == nil && len(body) == maxBufferedAnswer {
+	body, err := readAll(io.LimitReader(resp.Body, maxBufferedAnswer+1), resp.ContentLength)
+	if err == nil && len(body) > maxBufferedAnswer {
 		err = errors.New("gate: answer too large")
 	}
 	if err != nil {
@@ -128,7 +136,7 @@
 		return
 	}
 	res.firstAfter = time.Since(start)
-	k := &bufferedResponse{status: resp.StatusCode, header: resp.Header, body: body}
+	k := &bufferedResponse{status: resp.StatusCode, header: resp.Header, body: body, head: q.r.Method == http.MethodHead, length: resp.ContentLength}
 	if resp.StatusCode >= http.StatusInternalServerError {
 		res.outcome, res.failure = outcomeFailed, k
 		return
