Routes without an objective wait for a scheduler

Change: half of the time left there, at most half a second as elsewhere. Result: TestPlacementWait fails on its first row before the change.

--- a/io/gate/place.go
+++ b/io/gate/place.go
@@ -99,6 +99,9 @@
 
 // placementWait returns how long the request may wait for a scheduler or for capacity.
 func (q *request) placementWait() time.Duration {
+	if q.route.Objective <= 0 {
+		return min(maxLocalWait, q.remaining()/localWaitDivisor)
+	}
 	return min(maxLocalWait, (q.route.Objective-q.sinceFirstTry-time.Since(q.start))/localWaitDivisor)
 }
 
--- a/io/gate/place_test.go
+++ b/io/gate/place_test.go
@@ -152,3 +152,22 @@
 		})
 	}
 }
+
+// Guards against requests that are refused as soon as a scheduler is lost, because their route has
+// no objective to derive a wait from.
+func TestPlacementWait(t *testing.T) {
+	for _, test := range []struct {
+		name      string
+		objective time.Duration
+		want      time.Duration // At most; at least half of it.
+	}{
+		{"no objective", 0, maxLocalWait},
+		{"half of the objective", 100 * time.Millisecond, 50 * time.Millisecond},
+		{"long objective", time.Minute, maxLocalWait},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			q := &request{start: time.Now(), route: &route.Route{Objective: test.objective, Timeout: 5 * time.Second}}
+			must.Between(t, test.want/2, q.placementWait(), test.want)
+		})
+	}
+}
