No send without time for a run

Cause: a request whose grant came in its last milliseconds was sent all the same, and ran in vain or was cut; its caller was told that it may have run. Only second sends looked at the time left, and 5 ms of it were enough. Change: with less than a tenth of the objective left (5 ms at least) nothing is sent: the slot goes back, and the caller is told that the request has not run. Second sends keep to the same time. Result: TestNoSendWithoutTimeForARun fails before the change.

--- a/io/gate/place_test.go
+++ b/io/gate/place_test.go
@@ -171,3 +171,23 @@
 		})
 	}
 }
+
+// Guards against a request that is sent only to have been sent: its grant comes when too little time
+// is left for a run. It has not run, so the caller is told so, and the slot is free again.
+func TestNoSendWithoutTimeForARun(t *testing.T) {
+	u := newUpstream(t, respondText("ok"))
+	s := newTestGate(t, u)
+	for n := range s.view.Index.Config().Routes {
+		s.view.Index.Config().Routes[n].Objective = time.Second
+	}
+	g := s.withScheduler(func(*wire.Ticket) (*wire.Grant, error) {
+		time.Sleep(150 * time.Millisecond)
+		return &wire.Grant{Slot: 1, Owner: "owner", Upstream: "up-0", Address: u.Addr().String()}, nil
+	})
+	r := s.do("POST", "/once/x", "X-Wait", "200ms")
+	must.Eq(t, http.StatusServiceUnavailable, r.status)
+	must.Eq(t, 0, u.count())
+	must.Len(t, 1, g.released)
+	must.False(t, g.released[0].GetDispatched())
+	must.Eq(t, http.StatusOK, s.do("POST", "/once/x", "X-Wait", "2s").status)
+}
--- a/io/gate/request.go
+++ b/io/gate/request.go
@@ -99,8 +99,10 @@
 	// answerMargin is how long before the caller's deadline the final response is due: it takes
 	// some milliseconds to reach the caller.
 	answerMargin = 15 * time.Millisecond
-	// minSendTime is the remaining time below which a send is pointless.
-	minSendTime = 5 * time.Millisecond
+	// minSendTime is the remaining time below which a send is pointless, and so is less than
+	// 1/minSendDivisor of the objective: an upstream would run the request in vain.
+	minSendTime    = 5 * time.Millisecond
+	minSendDivisor = 10
 )
 
 // serve sends the request until one send yields the final response.
@@ -114,6 +116,11 @@
 			q.failPlacement(ctx, err)
 			return
 		}
+		if q.tooLateToSend() {
+			p.release(result{outcome: outcomeUnused})
+			q.failPlacement(ctx, refuse.New(refuse.Deadline, "too little time is left for a run", defaultRetryAfter))
+			return
+		}
 		q.tallied = q.gate.versions.begin(q, p.upstream.GetVersion())
 		res := q.send(ctx, p)
 		q.gate.versions.end(q.tallied, res)
@@ -156,6 +163,11 @@
 // remaining returns the time left until the final response is due.
 func (q *request) remaining() time.Duration { return q.timeLimit() - time.Since(q.start) }
 
+// tooLateToSend reports whether an upstream could hardly complete the request in the time left.
+func (q *request) tooLateToSend() bool {
+	return q.remaining() < max(minSendTime, q.route.Objective/minSendDivisor)
+}
+
 // expired reports whether the request's time is over. It also checks the clock, because the timer
 // for a silent upstream may fire at the same moment as the deadline and end the send first.
 func (q *request) expired(ctx context.Context) bool {
@@ -177,7 +189,7 @@
 	}
 	q.avoid = append(q.avoid, p.upstream.GetId())
 	q.sends++
-	if q.sends >= maxSends || ctx.Err() != nil || q.remaining() < minSendTime {
+	if q.sends >= maxSends || ctx.Err() != nil || q.tooLateToSend() {
 		return false
 	}
 	if res.outcome == outcomeNotSent {
