Rollouts of pools without versions, and entries that missed a completion

Cause: a pool whose upstreams name no version had the empty one as its base, which stands for any: the new version would have got its full share. An entry that was cut off while a rollout completed kept to the base version, whose upstreams had stopped, and refused its callers. Change: such a pool's version is "unversioned"; a request that reached no upstream of the base version is sent to the target version.

--- a/core/deploy/deploy.go
+++ b/core/deploy/deploy.go
@@ -20,6 +20,9 @@
 	Gone     = "gone"     // The rollout is not the pool's newest one, or has reached a later phase.
 )
 
+// Unversioned is the version of a pool none of whose upstreams names one.
+const Unversioned = "unversioned"
+
 // resendWindow is how long after its start an order counts as sent again, rather than as a new
 // order, although its rollout has ended. It exceeds the time for which operators resend an order
 // that was not acknowledged.
@@ -74,6 +77,8 @@
 	base := d.versions[s.GetPool()]
 	if old == nil && s.GetBase() != "" {
 		base = s.GetBase()
+	}
+	if base = cmp.Or(base, Unversioned); base != d.versions[s.GetPool()] {
 		d.setVersion(s.GetPool(), base)
 	}
 	d.number++
--- a/core/deploy/deploy_test.go
+++ b/core/deploy/deploy_test.go
@@ -120,3 +120,12 @@
 	must.Eq(t, OK, advance(&d, n, wire.Rollout_PHASE_SHIFT))
 	must.Eq(t, wire.Rollout_PHASE_CANARY, before.GetPhase())
 }
+
+// Guards against a base version without a name, which would stand for any version: the target
+// version would get its full share at once.
+func TestUnversionedPool(t *testing.T) {
+	var d Deploy
+	must.Eq(t, OK, d.Start(order("v2", second)).GetCode())
+	must.Eq(t, Unversioned, d.Rollouts()[0].GetBase())
+	must.Eq(t, Unversioned, d.Versions()[0].GetVersion())
+}
--- a/io/gate/place.go
+++ b/io/gate/place.go
@@ -153,12 +153,11 @@
 	if slots > 0 {
 		c.MaxRunning = max(int(localOvercommit*float64(slots)/float64(max(q.view.Entries, 1))), 1)
 	}
-	var base string
-	c.Version, base = g.versions.choose(now, q, g.SplitValid)
-	u := g.peers.Pick(now, q.view.Upstreams[q.pool], c)
-	if u == nil && c.Version != base {
-		c.Version = base // The target version has no upstream with room.
-		u = g.peers.Pick(now, q.view.Upstreams[q.pool], c)
+	var u *wire.Upstream
+	for _, c.Version = range g.versions.choose(now, q, g.SplitValid) {
+		if u = g.peers.Pick(now, q.view.Upstreams[q.pool], c); u != nil {
+			break
+		}
 	}
 	if u == nil {
 		code := refuse.NoUpstream
--- a/io/gate/versions.go
+++ b/io/gate/versions.go
@@ -56,21 +56,24 @@
 	return &wire.Evidence{Node: g.Node, Incarnation: g.Incarnation, Rollouts: list}
 }
 
-// choose returns the version of upstreams for a request that this entry places itself, and the
-// pool's base version. Both are empty where the pool keeps no versions apart. An entry that has not
-// heard from the scheduler for longer than valid sends nothing to the target version, which may
-// have turned out to be bad. Neither does a request that is sent again.
-func (v *versions) choose(now time.Time, q *request, valid time.Duration) (version, base string) {
+// choose returns the versions of upstreams for a request that this entry places itself, in the order
+// in which they are tried; an empty one stands for any. An entry that has not heard from the
+// scheduler for longer than valid prefers the base version, as the target version may have turned
+// out to be bad, and so does a request that is sent again. If it can reach no upstream of the base
+// version, the rollout has probably completed while this entry was cut off.
+func (v *versions) choose(now time.Time, q *request, valid time.Duration) []string {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	s := v.splits[q.pool]
-	if s == nil {
-		return "", ""
-	}
-	if q.sends > 0 || now.Sub(v.updated) > valid {
-		return s.GetBase(), s.GetBase()
+	switch {
+	case s == nil:
+		return []string{""}
+	case q.sends == 0 && s.GetTo() != "" && now.Sub(v.updated) <= valid && canary.Version(s, q.routeName(), q.meta.ID) == s.GetTo():
+		return []string{s.GetTo(), s.GetBase()}
+	case q.sends > 0 && s.GetTo() != "":
+		return []string{s.GetBase(), s.GetTo()}
 	}
-	return canary.Version(s, q.routeName(), q.meta.ID), s.GetBase()
+	return []string{s.GetBase()}
 }
 
 // begin counts a send. It returns nil where the pool keeps no versions apart.
--- a/io/gate/versions_test.go
+++ b/io/gate/versions_test.go
@@ -63,6 +63,17 @@
 	must.Eq(t, 1, base.count())
 }
 
+// Guards against callers of an entry that was cut off while a rollout completed: the upstreams of
+// the base version have stopped.
+func TestTargetVersionStandsIn(t *testing.T) {
+	base, target := newUpstream(t, respondText("ok")), newUpstream(t, respondText("ok"))
+	s := newVersionGate(t, base, target, 0)
+	s.SplitValid = time.Nanosecond
+	_ = base.Close()
+	must.Eq(t, http.StatusOK, s.do("POST", "/once/x").status)
+	must.Eq(t, 1, target.count())
+}
+
 // A request that the target version fails is sent again to the base version, and the failure
 // counts against the target version.
 func TestSecondSendGoesToTheBaseVersion(t *testing.T) {
