--- a/core/owner/owner.go
+++ b/core/owner/owner.go
@@ -1,16 +1,16 @@
-// Package owner picks the member that schedules a pool.
+// Package owner determines which member owns a pool, that is, schedules its requests.
 package owner
 
 import "github.com/cespare/xxhash/v2"
 
-// Pick returns the member with the highest rendezvous weight for a pool, or
-// the empty string when there is none. Every entry that sees the same members
-// picks the same one, and the loss of a member moves only its own pools.
+// Pick returns the member with the highest rendezvous weight for a pool, or an empty string if there
+// are no members. Entries with the same list of members pick the same owner, and the loss of a
+// member moves only the pools that it owned.
 func Pick(pool string, members []string) string {
 	var best string
 	var top uint64
 	for _, m := range members {
-		w := weight(pool, m)
+		w := rendezvousWeight(pool, m)
 		if best == "" || w > top || (w == top && m < best) {
 			best, top = m, w
 		}
@@ -18,7 +18,7 @@
 	return best
 }
 
-func weight(pool, member string) uint64 {
+func rendezvousWeight(pool, member string) uint64 {
 	var d xxhash.Digest
 	d.Reset()
 	_, _ = d.WriteString(pool)
--- a/core/refuse/refuse.go
+++ b/core/refuse/refuse.go
@@ -1,4 +1,4 @@
-// Package refuse holds the final answers that azurelane gives by itself.
+// Package refuse defines the error responses that azurelane sends itself.
 package refuse
 
 import (
@@ -6,15 +6,15 @@
 	"time"
 )
 
-// Error is a final answer to a request that has no upstream's answer. The code
-// is stable; callers may switch on it.
+// Error is the final response to a request for which there is no response of an upstream. The code
+// is stable, so callers may rely on it.
 type Error struct {
 	Code       string        // See docs/API.md.
-	Text       string        // For people.
-	RetryAfter time.Duration // When to come back; zero when sending again is no use.
+	Text       string        // For people to read.
+	RetryAfter time.Duration // When the caller may retry; zero if a retry is of no use.
 }
 
-// Codes of refusals that mean that nothing ran.
+// Codes of requests that did not run.
 const (
 	BadRequest   = "bad-request"       // The request can't be read.
 	BadKey       = "unauthorized"      // No client account has that key.
@@ -37,7 +37,7 @@
 	Internal     = "internal"          // A fault of azurelane.
 )
 
-// Codes of final answers to a request that ran or may have run.
+// Codes of requests that ran or may have run.
 const (
 	UpstreamLost   = "upstream-lost"      // The upstream broke off.
 	UpstreamMute   = "upstream-silent"    // The upstream went silent.
@@ -52,55 +52,54 @@
 	Earlier        = "earlier-submission" // This one ran nowhere; an earlier one with its key may have.
 )
 
-// DefaultRetry is the Retry-After of refusals whose cause names no time of its
-// own.
+// DefaultRetry is the Retry-After of a refusal for which no other time is known.
 const DefaultRetry = time.Second
 
 type rule struct {
 	status int
-	again  bool // Sending again may help.
-	ran    bool // It may have run.
+	retryable  bool // A retry may succeed.
+	mayHaveRun    bool // The request may have run.
 }
 
-// rules has a line for each code that differs from all others, schedulers' own
-// included: those come with status 503, never ran and may be sent again.
+// rules holds the codes that differ from the default. All other codes, including those of scheduling
+// policies, have status 503, have not run and may be retried.
 var rules = map[string]rule{
 	BadRequest:   {status: http.StatusBadRequest},
 	BadKey:       {status: http.StatusUnauthorized},
 	Forbidden:    {status: http.StatusForbidden},
 	NotFound:     {status: http.StatusNotFound},
-	BodyLate:     {status: http.StatusRequestTimeout, again: true},
+	BodyLate:     {status: http.StatusRequestTimeout, retryable: true},
 	TooLarge:     {status: http.StatusRequestEntityTooLarge},
 	HeaderLarge:  {status: http.StatusRequestHeaderFieldsTooLarge},
-	AccountLimit: {status: http.StatusTooManyRequests, again: true},
+	AccountLimit: {status: http.StatusTooManyRequests, retryable: true},
 	KeyMismatch:  {status: http.StatusUnprocessableEntity},
 	Crashes:      {status: http.StatusServiceUnavailable},
-	Internal:     {status: http.StatusInternalServerError, again: true},
+	Internal:     {status: http.StatusInternalServerError, retryable: true},
 
-	UpstreamLost:   {status: http.StatusBadGateway, ran: true},
-	UpstreamMute:   {status: http.StatusGatewayTimeout, ran: true},
-	RunLimit:       {status: http.StatusGatewayTimeout, ran: true},
-	DeadlinePassed: {status: http.StatusGatewayTimeout, ran: true},
-	StillRunning:   {status: http.StatusGatewayTimeout, again: true, ran: true},
-	HolderLost:     {status: http.StatusBadGateway, ran: true},
-	AnswerForeign:  {status: http.StatusBadGateway, ran: true},
-	AnswerLarge:    {status: http.StatusBadGateway, ran: true},
-	AnswerGone:     {status: http.StatusGone, ran: true},
-	CallerLeft:     {status: http.StatusBadGateway, ran: true},
-	Earlier:        {status: http.StatusServiceUnavailable, again: true, ran: true},
+	UpstreamLost:   {status: http.StatusBadGateway, mayHaveRun: true},
+	UpstreamMute:   {status: http.StatusGatewayTimeout, mayHaveRun: true},
+	RunLimit:       {status: http.StatusGatewayTimeout, mayHaveRun: true},
+	DeadlinePassed: {status: http.StatusGatewayTimeout, mayHaveRun: true},
+	StillRunning:   {status: http.StatusGatewayTimeout, retryable: true, mayHaveRun: true},
+	HolderLost:     {status: http.StatusBadGateway, mayHaveRun: true},
+	AnswerForeign:  {status: http.StatusBadGateway, mayHaveRun: true},
+	AnswerLarge:    {status: http.StatusBadGateway, mayHaveRun: true},
+	AnswerGone:     {status: http.StatusGone, mayHaveRun: true},
+	CallerLeft:     {status: http.StatusBadGateway, mayHaveRun: true},
+	Earlier:        {status: http.StatusServiceUnavailable, retryable: true, mayHaveRun: true},
 }
 
 func ruleOf(code string) rule {
 	if r, ok := rules[code]; ok {
 		return r
 	}
-	return rule{status: http.StatusServiceUnavailable, again: true}
+	return rule{status: http.StatusServiceUnavailable, retryable: true}
 }
 
-// New returns a refusal. A code that may be sent again gets DefaultRetry when
-// no time is named; the others get none.
+// New returns an error response. If a retry may succeed and retryAfter is zero, it gets DefaultRetry;
+// if no retry can succeed, it gets no retry time.
 func New(code, text string, retryAfter time.Duration) *Error {
-	switch again := ruleOf(code).again; {
+	switch again := ruleOf(code).retryable; {
 	case !again:
 		retryAfter = 0
 	case retryAfter <= 0:
@@ -109,7 +108,7 @@
 	return &Error{Code: code, Text: text, RetryAfter: retryAfter}
 }
 
-// Error begins with the code.
+// Error returns the code, followed by the text.
 func (e *Error) Error() string {
 	if e.Text == "" {
 		return e.Code
@@ -117,9 +116,9 @@
 	return e.Code + ": " + e.Text
 }
 
-// Status is the HTTP status of the refusal.
+// Status returns the HTTP status.
 func (e *Error) Status() int { return ruleOf(e.Code).status }
 
-// MayHaveRun reports whether the request may have run: only then is the
-// outcome unknown instead of not-run.
-func (e *Error) MayHaveRun() bool { return ruleOf(e.Code).ran }
+// MayHaveRun reports whether the request may have run. Its outcome is then unknown instead of
+// not-run.
+func (e *Error) MayHaveRun() bool { return ruleOf(e.Code).mayHaveRun }
--- a/core/refuse/refuse_test.go
+++ b/core/refuse/refuse_test.go
@@ -9,9 +9,8 @@
 	"azurelane/core/refuse"
 )
 
-// A caller that is refused for now must learn when to come back, or it asks
-// again at once and makes the overload worse. One that would be refused
-// again must not be told to come back.
+// Guards against refusals without a retry time, whose callers retry at once and add to the overload,
+// and against a retry time where every retry would be refused.
 func TestRetryAfter(t *testing.T) {
 	for _, tc := range []struct {
 		code   string
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -1,4 +1,4 @@
-// Package route finds the route of a request by its host and path.
+// Package route matches requests to routes by host and path prefix.
 package route
 
 import (
@@ -11,39 +11,38 @@
 )
 
 type (
-	// Route says which pool serves the requests under one host and path prefix,
-	// and what callers may expect of it.
+	// Route is the configuration for the requests of one host and path prefix.
 	Route struct {
 		Name       string        `json:"name"`
 		Host       string        `json:"host"`                // Without a port.
 		Prefix     string        `json:"prefix"`              // Begins and ends with a slash.
-		Split      []Share       `json:"split"`               // Pools, by weight.
-		Stream     bool          `json:"stream,omitzero"`     // Answers are server-sent events with increasing ids.
-		Idempotent bool          `json:"idempotent,omitzero"` // May run more than once.
-		Resumable  bool          `json:"resumable,omitzero"`  // A stream may go on at another upstream.
-		Public     bool          `json:"public,omitzero"`     // Needs no key.
-		Upstreams  int           `json:"upstreams,omitzero"`  // Most upstreams that may run one request; 0 counts as 1.
-		Timeout    time.Duration `json:"timeout"`             // Longest time until the final answer.
-		Objective  time.Duration `json:"objective,omitzero"`  // Until the answer, of a stream its first event, is late; 0 for never.
-		Gap        time.Duration `json:"gap,omitzero"`        // Longest pause between two events that is on time; 0 for any.
+		Split      []Share       `json:"split"`               // Pools that serve the requests, by weight.
+		Stream     bool          `json:"stream,omitzero"`     // Responses are server-sent events with increasing IDs.
+		Idempotent bool          `json:"idempotent,omitzero"` // A request may run more than once.
+		Resumable  bool          `json:"resumable,omitzero"`  // A broken stream may be resumed at another upstream.
+		Public     bool          `json:"public,omitzero"`     // Requests need no API key.
+		Upstreams  int           `json:"upstreams,omitzero"`  // Most upstreams that may run one request; 0 for 1.
+		Timeout    time.Duration `json:"timeout"`             // Longest time until the final response.
+		Objective  time.Duration `json:"objective,omitzero"`  // Time after which a response, or the first event of a stream, is late; 0 for never.
+		Gap        time.Duration `json:"gap,omitzero"`        // Time between two events after which a stream is late; 0 for never.
 		Priority   int           `json:"priority,omitzero"`   // 0 is the most urgent.
 	}
 
-	// Share is the part of a route's requests that go to a pool.
+	// Share is the weight of one pool in a route's split.
 	Share struct {
 		Pool   string `json:"pool"`
 		Weight int    `json:"weight"`
 	}
 )
 
-// Repeatable reports whether a request may be sent again although an upstream
-// may have run it: it is idempotent, or a stream that goes on where it broke.
+// Repeatable reports whether a request may be sent again after an upstream may have run it: if it is
+// idempotent, or a stream that can be resumed.
 func (r *Route) Repeatable() bool { return r.Idempotent || (r.Stream && r.Resumable) }
 
-// Most is the number of upstreams that may run one request.
-func (r *Route) Most() int { return max(r.Upstreams, 1) }
+// MaxUpstreams returns how many upstreams may run one request.
+func (r *Route) MaxUpstreams() int { return max(r.Upstreams, 1) }
 
-// Pool draws a pool by the weights, empty when they add up to nothing.
+// Pool returns a random pool of the split, by weight, or an empty string if all weights are zero.
 func (r *Route) Pool() string {
 	total := 0
 	for _, s := range r.Split {
@@ -61,12 +60,12 @@
 	return ""
 }
 
-// Table finds routes. It is made once for each configuration.
+// Table is a lookup table of the routes of one configuration.
 type Table struct {
 	hosts map[string][]*Route // Longest prefix first.
 }
 
-// NewTable builds the table of some routes.
+// NewTable returns a table of the given routes.
 func NewTable(routes []Route) *Table {
 	t := &Table{hosts: map[string][]*Route{}}
 	for i := range routes {
@@ -79,8 +78,8 @@
 	return t
 }
 
-// Match returns the route with the longest prefix that begins the path, or nil.
-// The host may carry a port.
+// Match returns the route of the host whose prefix is the longest that matches the path, or nil. The
+// host may include a port.
 func (t *Table) Match(host, path string) *Route {
 	if h, _, err := net.SplitHostPort(host); err == nil {
 		host = h
--- a/io/gate/request.go
+++ b/io/gate/request.go
@@ -182,7 +182,7 @@
 		return false
 	case outcomeFailed, outcomeInterrupted:
 		q.runs++
-		if !q.route.Repeatable() || q.runs >= q.route.Most() {
+		if !q.route.Repeatable() || q.runs >= q.route.MaxUpstreams() {
 			return false
 		}
 	case outcomeNotSent, outcomeNotRun, outcomeMisdirected, outcomeUnused:
--- a/io/gate/send.go
+++ b/io/gate/send.go
@@ -105,7 +105,7 @@
 // one. A request that may not run again waits until its time is over.
 func (q *request) silenceLimit() time.Duration {
 	left := q.remaining()
-	if !q.route.Repeatable() || q.runs+1 >= q.route.Most() {
+	if !q.route.Repeatable() || q.runs+1 >= q.route.MaxUpstreams() {
 		return left
 	}
 	if q.route.Stream {
--- a/io/gate/stream.go
+++ b/io/gate/stream.go
@@ -67,7 +67,7 @@
 
 // resetSilenceTimer restarts the time for which the upstream may be silent.
 func (s *stream) resetSilenceTimer() {
-	if !s.route.Repeatable() || s.runs+1 >= s.route.Most() {
+	if !s.route.Repeatable() || s.runs+1 >= s.route.MaxUpstreams() {
 		return // No other upstream may run the request: the timer ends when its time is over.
 	}
 	s.silenceTimer.Reset(min(max(eventGapFactor*s.route.Gap, minEventWait), s.remaining()))
