--- a/core/refuse/refuse.go
+++ b/core/refuse/refuse.go
@@ -56,9 +56,9 @@
 const DefaultRetry = time.Second
 
 type rule struct {
-	status int
+	status     int
 	retryable  bool // A retry may succeed.
-	mayHaveRun    bool // The request may have run.
+	mayHaveRun bool // The request may have run.
 }
 
 // rules holds the codes that differ from the default. All other codes, including those of scheduling
