Decisions of batch cost no more where all engines are of one version

Change: the policy notes whether its engines have one version; only while they differ, during a rollout, are best times and room kept by version. Tickets and engines carry their version beside what decisions read anyway.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -82,8 +82,12 @@
 	topPriority  topPriority
 	costs        costModel
 	bestCase     bestCase
-	versionCases []versionCase // Of the decision in progress.
-	shed         shedder
+	// Engines are of onlyVersion unless mixedVersions is set, which is so during a rollout. The
+	// version cases are those of the decision in progress.
+	onlyVersion   string
+	mixedVersions bool
+	versionCases  []versionCase
+	shed          shedder
 }
 
 // ticketKey identifies a ticket: its ID is unique within the incarnation of its entry.
@@ -109,6 +113,9 @@
 		b.engine(u).stats = b.newEngineStats()
 	}
 	b.table.Update(now, a)
+	if a.GetVersion() != b.onlyVersion {
+		b.updateVersions()
+	}
 	return b.assign(now)
 }
 
@@ -183,7 +190,7 @@
 // fit.
 func (b *Batch) SetVersions(now time.Time, version func(*wire.Ticket) string) []*wire.Decision {
 	for _, i := range b.waiting {
-		i.Version = version(i.Ticket)
+		i.version = version(i.Ticket)
 	}
 	return b.assign(now)
 }
@@ -203,6 +210,7 @@
 		updateBoosts(b.routes, now.Sub(b.started))
 		b.table.Expire(now, forgetAfter)
 		b.dropStaleEngines()
+		b.updateVersions()
 		b.updateMeanEngine()
 		b.updateGapLimit()
 		b.slots.Sweep(now, b.pool.MaxRun+runGrace, func(*slot.Slot) {})
--- a/core/batch/bestcase.go
+++ b/core/batch/bestcase.go
@@ -28,25 +28,49 @@
 	return &b.versionCases[len(b.versionCases)-1]
 }
 
+// updateVersions finds out which versions the engines have.
+func (b *Batch) updateVersions() {
+	b.onlyVersion, b.mixedVersions = "", false
+	for n, u := range b.table.All() {
+		if n == 0 {
+			b.onlyVersion = u.Version
+		}
+		b.mixedVersions = b.mixedVersions || u.Version != b.onlyVersion
+	}
+}
+
 // bestCaseFor returns the best case of the upstreams that may run a ticket.
 func (b *Batch) bestCaseFor(i *item) *bestCase {
-	if i.GetVersion() == "" {
+	if i.version == "" || !b.mixedVersions {
 		return &b.bestCase
 	}
-	return &b.versionCase(i.GetVersion()).bestCase
+	return &b.versionCase(i.version).bestCase
 }
 
 // hasRoom reports whether an engine is offered that may run the ticket.
 func (b *Batch) hasRoom(i *item) bool {
-	return i.GetVersion() == "" || b.versionCase(i.GetVersion()).hasRoom
+	if i.version == "" || !b.mixedVersions {
+		return i.version == "" || i.version == b.onlyVersion
+	}
+	for n := range b.versionCases {
+		if v := &b.versionCases[n]; v.version == i.version {
+			return v.hasRoom
+		}
+	}
+	return false
 }
 
 func (c *bestCase) add(s *engineStats) {
+	c.merge(&bestCase{s.overhead(), s.perToken()})
+}
+
+// merge adds the best times of other upstreams.
+func (c *bestCase) merge(other *bestCase) {
 	if c.perToken == 0 {
-		c.overhead, c.perToken = s.overhead(), s.perToken()
+		*c = *other
 		return
 	}
-	c.overhead, c.perToken = min(c.overhead, s.overhead()), min(c.perToken, s.perToken())
+	c.overhead, c.perToken = min(c.overhead, other.overhead), min(c.perToken, other.perToken)
 }
 
 // timeToFirstToken returns the time to the first token of a prompt whose prefill takes the given
--- a/core/batch/engine.go
+++ b/core/batch/engine.go
@@ -111,9 +111,11 @@
 		if !e.Live(now) || now.Before(stats.excludedUntil) || (e.GetUnreached() && now.Sub(b.probedAt) < probeInterval) || !e.Meter.CanSend(now) {
 			continue
 		}
-		b.bestCase.add(stats)
-		v := b.versionCase(e.GetVersion())
-		v.add(stats)
+		best := &b.bestCase
+		if b.mixedVersions {
+			best = &b.versionCase(e.Version).bestCase
+		}
+		best.add(stats)
 		if e.Running >= e.AnnouncedLimit()+engineQueueLimit || !b.fitsCache(e.Upstream, 0) {
 			continue
 		}
@@ -121,8 +123,13 @@
 		o.prefillWait = stats.wait(now)
 		o.failurePenalty = time.Duration((1 - stats.successShare) * float64(time.Second))
 		b.offers = append(b.offers, o)
-		v.hasRoom = true
+		if b.mixedVersions {
+			b.versionCase(e.Version).hasRoom = true
+		}
 		batchesFull = batchesFull && o.batchFull
 	}
+	for n := range b.versionCases {
+		b.bestCase.merge(&b.versionCases[n].bestCase)
+	}
 	return batchesFull
 }
--- a/core/batch/item.go
+++ b/core/batch/item.go
@@ -49,7 +49,8 @@
 		// of their own; by it alone, large requests would be the first to be refused under
 		// overload.
 		valueRate    float64
-		priority     int32 // Rank of the route; a smaller number is more urgent.
+		priority     int32  // Rank of the route; a smaller number is more urgent.
+		version      string // Version of the engines that may run it; empty for any.
 		prompt       int64
 		answer       int64   // Expected tokens, corrected from the caller's estimate.
 		prefillSteps float64 // Prefill time in decode steps.
@@ -64,7 +65,7 @@
 }
 
 func newItem(now time.Duration, t *wire.Ticket, route *routeStats, mean *engineStats) *item {
-	i := &item{Ticket: t, priority: t.GetPriority(), prompt: t.GetPromptTokens(), answer: route.answers.expected(t.GetAnswerTokens()), prefillSteps: mean.costs.prefillSteps(t.GetPromptTokens()), objective: never}
+	i := &item{Ticket: t, priority: t.GetPriority(), version: t.GetVersion(), prompt: t.GetPromptTokens(), answer: route.answers.expected(t.GetAnswerTokens()), prefillSteps: mean.costs.prefillSteps(t.GetPromptTokens()), objective: never}
 	if t.GetObjectiveUs() != 0 {
 		i.objective = now + time.Duration(t.GetObjectiveUs())*time.Microsecond
 	}
--- a/core/batch/pick.go
+++ b/core/batch/pick.go
@@ -143,7 +143,7 @@
 		if o.batchFull && !urgent {
 			continue
 		}
-		if i.GetVersion() != "" && i.GetVersion() != o.GetVersion() {
+		if i.version != "" && i.version != o.Version {
 			continue
 		}
 		if len(i.GetAvoid()) > 0 && slices.Contains(i.GetAvoid(), o.GetUpstream()) {
--- a/core/upstr/upstr.go
+++ b/core/upstr/upstr.go
@@ -28,6 +28,7 @@
 	Cache          prefix.Prefix // Prompt prefixes that it has probably cached.
 	idHash         uint64        // Hash of its name.
 	Meter          meter.Meter   // Enforces the request rate that it announced.
+	Version        string        // As announced.
 }
 
 // DefaultMaxRunning is the limit on concurrent requests of an upstream that announces none.
@@ -53,7 +54,7 @@
 	}
 	u.Announce = a
 	u.LeaseEnd = now.Add(time.Duration(a.GetLeaseUs()) * time.Microsecond)
-	u.leaving = a.GetLeaving()
+	u.leaving, u.Version = a.GetLeaving(), a.GetVersion()
 	u.announcedLimit = DefaultMaxRunning
 	if n := a.GetMaxRunning(); n > 0 {
 		u.announcedLimit = int(n)
