--- a/core/canary/canary.go
+++ b/core/canary/canary.go
@@ -55,6 +55,9 @@
 	// maxShare bounds the share in the canary phase, so that pools with few requests do not spend
 	// all of the slack at once.
 	maxShare = 0.3
+	// provenShare bounds the share once the evidence speaks for the version. It is enough to notice
+	// that the version turns bad, and saves exposure for the full shift.
+	provenShare = 0.02
 	// maxRouteShare is the same for one route. Routes with few requests get a larger share, because
 	// a version may be bad on one route only.
 	maxRouteShare = 0.5
@@ -372,6 +375,9 @@
 	}
 	perInterval := max(c.rate*planInterval.Seconds(), 1)
 	base := min(more/perInterval+plannedShare*c.Limits.Share, maxShare)
+	if c.proven(acceptLimit) {
+		base = min(base, provenShare)
+	}
 	if s.BaseCapacity > 0 {
 		base = min(base, float64(s.TargetCapacity)/float64(s.BaseCapacity))
 	}
