Rate of a pool after a takeover of its rollout

Cause: a new leader gets the requests since the order in each entry's first report, and took them for the requests of its first second: for two seconds it planned with a rate some ten times too high, and so with more exposure than the bound allows. Change: first reports don't count for the rate.

--- a/core/canary/canary.go
+++ b/core/canary/canary.go
@@ -55,12 +55,12 @@
 	// maxShare bounds the share in the canary phase, so that pools with few requests do not spend
 	// all of the slack at once.
 	maxShare = 0.3
+	// maxRouteShare bounds the share of one route. Routes with few requests get a larger share than
+	// others, because a version may be bad on one route only.
+	maxRouteShare = 0.5
 	// provenShare bounds the share once the evidence speaks for the version. It is enough to notice
 	// that the version turns bad, and saves exposure for the full shift.
 	provenShare = 0.02
-	// maxRouteShare is the same for one route. Routes with few requests get a larger share, because
-	// a version may be bad on one route only.
-	maxRouteShare = 0.5
 	// futureFraction is the part of the present request rate that is counted on for the rest of the
 	// rollout.
 	futureFraction = 0.8
@@ -113,7 +113,8 @@
 	allTimes     test     // Slow answers of all routes, each against its own base.
 	total        int64    // Requests sent to either version.
 	spent        int64    // Requests sent to the target version.
-	rate         float64
+	backlog      int64    // Requests in the first reports of entries, which may cover any time.
+	rate         float64  // Requests per second; zero while unknown.
 	ratedAt      time.Duration
 	ratedTotal   int64
 	startedAt    time.Duration // Elapsed time at the first decision.
@@ -154,6 +155,9 @@
 				continue
 			}
 			k := routeKey{r.GetRoute(), target}
+			if e.reports == 1 {
+				c.backlog += r.GetSent()
+			}
 			c.add(k, e.routes[k], r)
 			e.routes[k] = r
 		}
@@ -211,7 +215,7 @@
 
 func (c *Canary) decide(s Situation) Step {
 	if !c.started {
-		c.started, c.startedAt, c.ratedAt, c.ratedTotal = true, s.Elapsed, s.Elapsed, c.total
+		c.started, c.startedAt, c.ratedAt, c.ratedTotal = true, s.Elapsed, s.Elapsed, c.total-c.backlog
 	}
 	c.updateRate(s.Elapsed)
 	if cause := c.badCause(); cause != "" {
@@ -330,15 +334,17 @@
 	}
 }
 
-// updateRate estimates the requests per second of the pool.
+// updateRate estimates the requests per second of the pool. The first report of each entry does not
+// count: after a takeover it holds all requests since the order.
 func (c *Canary) updateRate(elapsed time.Duration) {
 	const first, window = 200 * time.Millisecond, time.Second
+	total := c.total - c.backlog
 	switch d := elapsed - c.ratedAt; {
 	case d >= window:
-		c.rate = float64(c.total-c.ratedTotal) / d.Seconds()
-		c.ratedAt, c.ratedTotal = elapsed, c.total
+		c.rate = float64(total-c.ratedTotal) / d.Seconds()
+		c.ratedAt, c.ratedTotal = elapsed, total
 	case d >= first && c.ratedTotal == 0:
-		c.rate = float64(c.total) / d.Seconds()
+		c.rate = float64(total) / d.Seconds()
 	}
 }
 
--- a/core/canary/canary_test.go
+++ b/core/canary/canary_test.go
@@ -34,6 +34,20 @@
 	must.Eq(t, wire.Rollout_PHASE_CANARY, c.Decide(situation(4*time.Second)).Phase)
 }
 
+// Guards against a takeover that overestimates the requests to come, and so what a version may get:
+// an entry's first report holds all requests since the order.
+func TestRateAfterTakeover(t *testing.T) {
+	c := Canary{Limits: Limits{Share: 0.1, Slack: 50, Length: 10 * time.Second}}
+	must.Eq(t, wire.Rollout_PHASE_CANARY, c.Decide(situation(4*time.Second)).Phase)
+	for n := range int64(30) {
+		c.Record("e", evidence(4000+40*n, 200, 20*time.Millisecond))
+		at := 4*time.Second + time.Duration(n)*100*time.Millisecond
+		c.Decide(situation(at))
+		left := (10*time.Second - at).Seconds()
+		must.LessEq(t, 50+0.1*(float64(4200+40*n)+400*left)+1, c.allowed(at))
+	}
+}
+
 // Guards against a takeover that sends requests to a version which entries know to be bad.
 func TestNothingIsSentBeforeEntriesReport(t *testing.T) {
 	c := Canary{Limits: Limits{Share: 0.1, Slack: 50, Length: 10 * time.Second}}
