A slow log delays no verdict on a version

Cause: while a command about a rollout was on its way to the log, nothing was decided. With a leader whose disk hangs, such a command, of which there is one each second, takes up to a second: a bad version kept its share, or all requests, for that long. Change: decisions are made and in force all the while; only the next command waits. Result: TestSlowLogDelaysNoVerdict fails before the change.

--- a/io/hub/hub_test.go
+++ b/io/hub/hub_test.go
@@ -29,6 +29,8 @@
 	state    state.State
 	leads    bool
 	noQuorum bool // Proposals fail.
+	stalled  bool // Proposals about rollouts hang until their callers give up.
+	stalling bool // One of them hangs now.
 	cutOff   bool
 	voters   int
 	changed  chan struct{}
@@ -120,9 +122,29 @@
 	f.voters = n
 }
 
-func (f *fakeReplica) Propose(_ context.Context, c *wire.Command) (*wire.Result, error) {
+func (f *fakeReplica) setStalled(yes bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.stalled = yes
+}
+
+func (f *fakeReplica) isStalling() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.stalling
+}
+
+func (f *fakeReplica) Propose(ctx context.Context, c *wire.Command) (*wire.Result, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.stalled && c.GetAdvanceRollout() != nil {
+		f.stalling = true
+		f.mu.Unlock()
+		<-ctx.Done()
+		f.mu.Lock()
+		f.stalling = false
+		return nil, ctx.Err()
+	}
 	if f.noQuorum || !f.leads {
 		return nil, errors.New("no quorum")
 	}
--- a/io/hub/rollouts.go
+++ b/io/hub/rollouts.go
@@ -215,18 +215,16 @@
 	}
 	t.Rollout = r
 	elapsed := h.clock.elapsed(now, r)
-	if !t.advancing {
-		slots := s.upstreams.slotsByVersion(r.GetPool())
-		t.step = t.judge.Decide(canary.Situation{
-			Phase: r.GetPhase(), Elapsed: elapsed, Entries: int(h.entriesHere(s)),
-			BaseCapacity: slots[r.GetBase()], TargetCapacity: slots[r.GetTo()],
+	slots := s.upstreams.slotsByVersion(r.GetPool())
+	t.step = t.judge.Decide(canary.Situation{
+		Phase: r.GetPhase(), Elapsed: elapsed, Entries: int(h.entriesHere(s)),
+		BaseCapacity: slots[r.GetBase()], TargetCapacity: slots[r.GetTo()],
+	})
+	if !t.advancing && (t.step.Phase != r.GetPhase() || now.Sub(t.recorded) >= elapsedRecordInterval) {
+		t.advancing, t.recorded = true, now
+		go h.advanceRollout(s, t, &wire.AdvanceRollout{
+			Pool: r.GetPool(), Number: r.GetNumber(), Phase: t.step.Phase, ElapsedUs: elapsed.Microseconds(), Cause: t.step.Cause,
 		})
-		if t.step.Phase != r.GetPhase() || now.Sub(t.recorded) >= elapsedRecordInterval {
-			t.advancing, t.recorded = true, now
-			go h.advanceRollout(s, t, &wire.AdvanceRollout{
-				Pool: r.GetPool(), Number: r.GetNumber(), Phase: t.step.Phase, ElapsedUs: elapsed.Microseconds(), Cause: t.step.Cause,
-			})
-		}
 	}
 	return t.split()
 }
--- a/io/hub/rollouts_test.go
+++ b/io/hub/rollouts_test.go
@@ -158,6 +158,36 @@
 	})
 }
 
+// Guards against a bad version that gets requests for as long as the log takes no command: a disk
+// that hangs delays each record of a rollout by a second.
+func TestSlowLogDelaysNoVerdict(t *testing.T) {
+	runHub(t, func(t *testing.T, h *Hub, f *fakeReplica) {
+		h.HoldVersions, h.RolloutShare, h.RolloutSlack = true, 0.1, 50
+		must.NoError(t, h.Report(t.Context(), versionReport("old", "v1", 1)))
+		must.NoError(t, order(h, "v2"))
+		must.NoError(t, h.Report(t.Context(), versionReport("new", "v2", 1)))
+		e := newReportingEntry(h, 1)
+		for range 19 {
+			e.report(t, 100, 0)
+			time.Sleep(100 * time.Millisecond)
+		}
+		f.setStalled(true)
+		for !f.isStalling() { // Until a record of the elapsed time is on its way.
+			e.report(t, 10, 0)
+			time.Sleep(10 * time.Millisecond)
+		}
+		e.report(t, 1000, 1000)
+		e.report(t, 10, 0)
+		time.Sleep(3 * rolloutInterval)
+		s := e.report(t, 10, 0)
+		must.Zero(t, s.GetShare())
+		must.SliceEmpty(t, s.GetShares())
+		f.setStalled(false)
+		time.Sleep(3 * time.Second)
+		must.Eq(t, wire.Rollout_PHASE_ROLLED_BACK, phase(t, h))
+	})
+}
+
 // A good version gets all requests at the end, and the rollout completes before its deadline, also
 // if another replica takes over in the middle. It never ends early because of that.
 func TestGoodVersionCompletes(t *testing.T) {
