Orders of rollouts at a new leader

Cause: a leader that has not applied all of its predecessor's log yet could refuse an order for a pool that an acknowledged configuration has: a 404, which ends the operator's call at the third attempt. Found by reading. Change: before such a refusal the leader waits for a barrier and looks again. Result: TestOrders, the hub's tests; the moment itself has no test that fails without it.

--- a/io/hub/rollouts.go
+++ b/io/hub/rollouts.go
@@ -357,18 +357,35 @@
 	return &wire.Frame{Body: &wire.Frame_Rollouts{Rollouts: s.rollouts.inForce(s.id)}}, nil
 }
 
+// hasPool reports whether the published configuration has a pool, or there is none yet.
+func (h *Hub) hasPool(name string) (bool, error) {
+	v, doc := h.Replica.Publication()
+	if v == 0 {
+		return true, nil
+	}
+	cfg, err := h.Parse(doc)
+	if err != nil {
+		return false, fmt.Errorf("hub: configuration %d: %w", v, err)
+	}
+	_, ok := cfg.Pools[name]
+	return ok, nil
+}
+
 // startRollout records an order on the leader.
 func (h *Hub) startRollout(ctx context.Context, start *wire.StartRollout) (*wire.Frame, error) {
-	v, doc := h.Replica.Publication()
-	if v > 0 {
-		cfg, err := h.Parse(doc)
-		if err != nil {
-			return nil, fmt.Errorf("hub: configuration %d: %w", v, err)
-		}
-		if _, ok := cfg.Pools[start.GetPool()]; !ok {
-			return resultFrame(&wire.Result{Code: RolloutUnknown, Text: "no pool is named " + start.GetPool()})
+	ok, err := h.hasPool(start.GetPool())
+	if err == nil && !ok {
+		// A new leader may not have applied all that its predecessor acknowledged.
+		if _, err = h.Replica.Propose(ctx, &wire.Command{Kind: &wire.Command_Barrier{Barrier: &wire.Barrier{}}}); err == nil {
+			ok, err = h.hasPool(start.GetPool())
 		}
 	}
+	if err != nil {
+		return nil, err
+	}
+	if !ok {
+		return resultFrame(&wire.Result{Code: RolloutUnknown, Text: "no pool is named " + start.GetPool()})
+	}
 	start = proto.CloneOf(start)
 	start.Base = h.majorityVersion(start.GetPool(), start.GetTo())
 	res, err := h.Replica.Propose(ctx, &wire.Command{Kind: &wire.Command_StartRollout{StartRollout: start}})
