--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -84,6 +84,7 @@
 	bestCase     bestCase
 	// Engines are of onlyVersion unless mixedVersions is set, which is so during a rollout. The
 	// version cases are those of the decision in progress.
+	versionCounts map[string]int // Number of engines by version.
 	onlyVersion   string
 	mixedVersions bool
 	versionCases  []versionCase
@@ -112,9 +113,11 @@
 		b.slots.FreeUpstream(now, u) // The runs of the previous process ended with it.
 		b.engine(u).stats = b.newEngineStats()
 	}
+	u := b.table.GetOrAdd(a.GetUpstream())
+	before := u.Version
 	b.table.Update(now, a)
-	if a.GetVersion() != b.onlyVersion {
-		b.updateVersions()
+	if u.Version != before || b.versionCounts == nil {
+		b.countVersion(before, u.Version)
 	}
 	return b.assign(now)
 }
@@ -210,7 +213,7 @@
 		updateBoosts(b.routes, now.Sub(b.started))
 		b.table.Expire(now, forgetAfter)
 		b.dropStaleEngines()
-		b.updateVersions()
+		b.recountVersions()
 		b.updateMeanEngine()
 		b.updateGapLimit()
 		b.slots.Sweep(now, b.pool.MaxRun+runGrace, func(*slot.Slot) {})
--- a/core/batch/bestcase.go
+++ b/core/batch/bestcase.go
@@ -28,14 +28,33 @@
 	return &b.versionCases[len(b.versionCases)-1]
 }
 
-// updateVersions finds out which versions the engines have.
-func (b *Batch) updateVersions() {
-	b.onlyVersion, b.mixedVersions = "", false
-	for n, u := range b.table.All() {
-		if n == 0 {
-			b.onlyVersion = u.Version
-		}
-		b.mixedVersions = b.mixedVersions || u.Version != b.onlyVersion
+// countVersion records that an engine has changed its version. It does not look at the others: a
+// new scheduler gets thousands of announcements at once.
+func (b *Batch) countVersion(before, now string) {
+	if b.versionCounts == nil {
+		b.recountVersions()
+		return
+	}
+	if b.versionCounts[before]--; b.versionCounts[before] <= 0 {
+		delete(b.versionCounts, before)
+	}
+	b.versionCounts[now]++
+	b.setVersions()
+}
+
+// recountVersions counts the versions of all engines, some of which may have been dropped.
+func (b *Batch) recountVersions() {
+	b.versionCounts = map[string]int{}
+	for _, u := range b.table.All() {
+		b.versionCounts[u.Version]++
+	}
+	b.setVersions()
+}
+
+func (b *Batch) setVersions() {
+	b.onlyVersion, b.mixedVersions = "", len(b.versionCounts) > 1
+	for v := range b.versionCounts {
+		b.onlyVersion = v
 	}
 }
 
--- a/core/batch/version_test.go
+++ b/core/batch/version_test.go
@@ -53,3 +53,25 @@
 		must.Eq(t, "old", d.GetGrant().GetUpstream())
 	}
 }
+
+// Versions are kept apart only while engines differ in them, however they come and go.
+func TestMixedVersions(t *testing.T) {
+	e := newHarness(1)
+	mixed := func() bool {
+		e.now = e.now.Add(sweepInterval)
+		e.Tick(e.now)
+		return e.mixedVersions
+	}
+	e.announceVersion("a", "v1", 1)
+	e.announceVersion("b", "v1", 1)
+	must.False(t, e.mixedVersions)
+	must.Eq(t, "v1", e.onlyVersion)
+	e.announceVersion("c", "v2", 1)
+	must.True(t, e.mixedVersions)
+	must.True(t, mixed())
+	e.announceVersion("a", "v2", 1)
+	e.announceVersion("b", "v2", 1)
+	must.False(t, e.mixedVersions)
+	must.Eq(t, "v2", e.onlyVersion)
+	must.False(t, mixed())
+}
