Liveness checks of a scheduler end with the request

A check that was under way when the decision came also set the timer again, and went on for good. Change: timer and end are guarded by a mutex.

--- a/io/gate/place.go
+++ b/io/gate/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -122,16 +123,36 @@
 	}
 }
 
+// checkLiveness checks whether the scheduler is alive each time that livenessCheckAfter has passed,
+// until the returned function is called.
+func (q *request) checkLiveness(ctx context.Context) (stop func()) {
+	var mu sync.Mutex // Guards timer, whose function may run before it is assigned, and stopped.
+	var timer *time.Timer
+	stopped := false
+	mu.Lock()
+	defer mu.Unlock()
+	timer = time.AfterFunc(livenessCheckAfter, func() {
+		q.gate.Cluster.Doubt(ctx)
+		mu.Lock()
+		defer mu.Unlock()
+		if !stopped {
+			timer.Reset(livenessCheckAfter)
+		}
+	})
+	return func() {
+		mu.Lock()
+		defer mu.Unlock()
+		stopped = true
+		timer.Stop()
+	}
+}
+
 // requestGrant asks the scheduler for a slot.
 func (q *request) requestGrant(ctx context.Context) (*placement, error) {
 	t := q.ticket()
-	var livenessCheck *time.Timer
-	livenessCheck = time.AfterFunc(livenessCheckAfter, func() {
-		q.gate.Cluster.Doubt(ctx)
-		livenessCheck.Reset(livenessCheckAfter)
-	})
+	stop := q.checkLiveness(ctx)
 	g, err := q.gate.Granter.Grant(ctx, t)
-	livenessCheck.Stop()
+	stop()
 	if err != nil {
 		return nil, err
 	}
