Decisions of batch compare a sample of the engines with room

Cause: each decision looked at every engine of the pool, twice for a submitted ticket, and the number of decisions grows with the pool too. Adding an upstream to the table sorted all of it.

Change: the engines that have room are kept in an index by version, data centre and hash (core/subset). A decision compares 96 of them, in the order of the ticket's entry: its data centre first, then around the ring from its own hash, so that an entry finds the same engines, and its connections to them, again. While no ticket fits, it compares eight times as many, up to all that have a free slot. The best case of a pool with more engines than the sample is computed each 200 ms. Tickets and announcements name their data centre. Pools of up to 96 engines are compared whole, as before.

TestDecisionsDoNotGrowWithThePool fails on the code before.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -73,17 +73,18 @@
 	routes       map[string]*routeStats
 	engines      map[string]*engine // By upstream name.
 	engineList   []*engine          // In table order.
-	offers       []offer            // Engines with room, for the decision in progress.
-	gapLimit     time.Duration      // Shortest of the routes' gapLimits; zero for no limit.
-	meanEngine   engineStats        // Stands for any engine while none is chosen.
+	room         roomIndex
+	slotCount    int64         // Sum of the announced limits, as of the last sweep.
+	offers       []offer       // Engines with room, for the decision in progress.
+	gapLimit     time.Duration // Shortest of the routes' gapLimits; zero for no limit.
+	meanEngine   engineStats   // Stands for any engine while none is chosen.
 	started      time.Time
 	sweptAt      time.Time
 	probedAt     time.Time // Last grant to an engine that seems cut off.
 	topPriority  topPriority
 	costs        costModel
 	bestCase     bestCase
-	// Engines are of onlyVersion unless mixedVersions is set, which is so during a rollout. The
-	// version cases are those of the decision in progress.
+	// Engines are of onlyVersion unless mixedVersions is set, which is so during a rollout.
 	versionCounts map[string]int // Number of engines by version.
 	onlyVersion   string
 	mixedVersions bool
@@ -102,6 +103,7 @@
 	b.name, b.pool = name, cfg.Pools[name].WithDefaults()
 	if b.started.IsZero() {
 		b.started, b.routes, b.engines, b.waitingByKey = now, map[string]*routeStats{}, map[string]*engine{}, map[ticketKey]*item{}
+		b.slots.Changed = func(u *upstr.Upstream) { b.updateRoom(b.engine(u)) }
 		b.updateMeanEngine()
 	}
 	return nil
@@ -119,6 +121,7 @@
 	if u.Version != before || b.versionCounts == nil {
 		b.countVersion(before, u.Version)
 	}
+	b.updateRoom(b.engine(u))
 	return b.assign(now)
 }
 
@@ -136,7 +139,7 @@
 	i := newItem(now.Sub(b.started), t, route, &b.meanEngine)
 	b.waiting = append(b.waiting, i)
 	b.waitingByKey[ticketKey{t.GetIncarnation(), t.GetId()}] = i
-	if batchesFull := b.listOffers(now); len(b.offers) == 0 || (batchesFull && !b.topPriority.includes(i)) {
+	if !b.room.has(batchRoom) && !(b.topPriority.includes(i) && b.room.has(queueRoom)) {
 		return nil // No ticket could be granted before, and this one does not change that.
 	}
 	return b.assign(now)
@@ -211,9 +214,13 @@
 	if now.Sub(b.sweptAt) >= sweepInterval {
 		b.sweptAt = now
 		updateBoosts(b.routes, now.Sub(b.started))
+		b.dropExpiredRoom(now)
+		b.room.dropEmpty()
 		b.table.Expire(now, forgetAfter)
 		b.dropStaleEngines()
 		b.recountVersions()
+		b.countSlots()
+		b.updateBestCases(now)
 		b.updateMeanEngine()
 		b.updateGapLimit()
 		b.slots.Sweep(now, b.pool.MaxRun+runGrace, func(*slot.Slot) {})
@@ -246,11 +253,7 @@
 func (b *Batch) assign(now time.Time) []*wire.Decision {
 	var out []*wire.Decision
 	for len(b.waiting) > 0 {
-		batchesFull := b.listOffers(now)
-		if len(b.offers) == 0 || (batchesFull && !b.topPriority.includesAny(b.waiting)) {
-			return out
-		}
-		n, e := b.pick(now.Sub(b.started), batchesFull)
+		n, e := b.choose(now)
 		if e == nil {
 			return out
 		}
@@ -297,17 +300,13 @@
 // off the waiting tickets of at least the same value. The time is spread by ticket ID, so that
 // callers that were refused together do not return together.
 func (b *Batch) retryAfter(i *item) time.Duration {
-	slotCount := int64(0)
-	for _, u := range b.table.All() {
-		slotCount += int64(u.AnnouncedLimit())
-	}
 	var work time.Duration
 	for _, w := range b.waiting {
 		if w.valueRate >= i.valueRate {
 			work += time.Duration(w.answer) * defaultTokenTime
 		}
 	}
-	after := min(max(work/time.Duration(max(slotCount, 1)), minRetryAfter), maxRetryAfter)
+	after := min(max(work/time.Duration(max(b.slotCount, 1)), minRetryAfter), maxRetryAfter)
 	const parts = 16
 	return after + after/2*time.Duration(i.GetId()%parts)/parts
 }
--- a/core/batch/engine.go
+++ b/core/batch/engine.go
@@ -12,6 +12,7 @@
 	engine struct {
 		*upstr.Upstream
 		stats *engineStats
+		room  roomKey // Where the index of room has it.
 	}
 
 	// offer is an engine with room, as seen by the decision in progress. A decision compares the
@@ -30,7 +31,7 @@
 func (b *Batch) engine(u *upstr.Upstream) *engine {
 	e := b.engines[u.GetUpstream()]
 	if e == nil || e.Upstream != u {
-		e = &engine{u, b.newEngineStats()}
+		e = &engine{Upstream: u, stats: b.newEngineStats()}
 		b.engines[u.GetUpstream()] = e
 	}
 	return e
@@ -102,34 +103,10 @@
 	}
 }
 
-// listOffers lists the engines with room and reports whether all of them have it only beyond
-// their batches. That is also true if no engine has room.
-func (b *Batch) listOffers(now time.Time) (batchesFull bool) {
-	b.offers, b.bestCase, b.versionCases, batchesFull = b.offers[:0], bestCase{}, b.versionCases[:0], true
-	for _, e := range b.knownEngines() {
-		stats := e.stats
-		if !e.Live(now) || now.Before(stats.excludedUntil) || (e.GetUnreached() && now.Sub(b.probedAt) < probeInterval) || !e.Meter.CanSend(now) {
-			continue
-		}
-		best := &b.bestCase
-		if b.mixedVersions {
-			best = &b.versionCase(e.Version).bestCase
-		}
-		best.add(stats)
-		if e.Running >= e.AnnouncedLimit()+engineQueueLimit || !b.fitsCache(e.Upstream, 0) {
-			continue
-		}
-		o := offer{engine: e, batchFull: e.Running >= e.AnnouncedLimit(), baseFirstToken: stats.timeToFirstToken(now, e.Upstream, 0), perToken: stats.perToken()}
-		o.prefillWait = stats.wait(now)
-		o.failurePenalty = time.Duration((1 - stats.successShare) * float64(time.Second))
-		b.offers = append(b.offers, o)
-		if b.mixedVersions {
-			b.versionCase(e.Version).hasRoom = true
-		}
-		batchesFull = batchesFull && o.batchFull
-	}
-	for n := range b.versionCases {
-		b.bestCase.merge(&b.versionCases[n].bestCase)
+// countSlots updates slotCount.
+func (b *Batch) countSlots() {
+	b.slotCount = 0
+	for _, u := range b.table.All() {
+		b.slotCount += int64(u.AnnouncedLimit())
 	}
-	return batchesFull
 }
--- a/core/batch/pick.go
+++ b/core/batch/pick.go
@@ -30,18 +30,32 @@
 	maxCandidates = 8
 )
 
-// pick returns the ticket to grant next, as an index of waiting, and the engine for it. A ticket
-// that would be late, make others late or be cut off at its deadline on every engine with room is
-// passed over: another engine will have room within milliseconds, whereas a long run on a slow
-// engine occupies a slot for seconds and yields nothing. If no ticket fits, pick returns the one
-// that does the least harm.
-func (b *Batch) pick(now time.Duration, batchesFull bool) (int, *engine) {
+// choose returns the ticket to grant next, as an index of waiting, and the engine for it; no engine
+// if no ticket can be granted now. It compares more engines while no ticket fits.
+func (b *Batch) choose(now time.Time) (int, *engine) {
+	for limit := sampleSize; ; limit *= sampleGrowth {
+		batchesFull, more := b.listOffers(now, b.waiting[len(b.waiting)-1], limit)
+		if len(b.offers) == 0 || (batchesFull && !b.topPriority.includesAny(b.waiting)) {
+			return 0, nil
+		}
+		if n, e, fits := b.pick(now.Sub(b.started), batchesFull); fits || !more {
+			return n, e
+		}
+	}
+}
+
+// pick returns the ticket to grant next, as an index of waiting, and the engine for it, out of the
+// offers. A ticket that would be late, make others late or be cut off at its deadline on every
+// engine with room is passed over: another engine will have room within milliseconds, whereas a
+// long run on a slow engine occupies a slot for seconds and yields nothing. If no ticket fits, pick
+// returns the one that does the least harm.
+func (b *Batch) pick(now time.Duration, batchesFull bool) (n int, e *engine, fits bool) {
 	fallback, fallbackEngine, leastHarm := -1, (*engine)(nil), time.Duration(0) // The least harmful choice if no ticket fits.
 	top := b.candidates(now, batchesFull)
 	for _, n := range top.index[:top.count] {
 		o, cost := b.bestOffer(now, b.waiting[n])
 		if o != nil && cost < stallCost {
-			return n, o.engine
+			return n, o.engine, true
 		}
 		if o == nil || (cost >= overrunCost && o.batchFull) {
 			continue // No engine can take it, or it would queue at a full one and then be cut off at its deadline.
@@ -50,7 +64,7 @@
 			fallback, fallbackEngine, leastHarm = n, o.engine, cost.Truncate(stallCost)
 		}
 	}
-	return fallback, fallbackEngine
+	return fallback, fallbackEngine, false
 }
 
 // candidates returns the waiting tickets with the highest scores, best first. It considers only
--- a/core/leases/table.go
+++ b/core/leases/table.go
@@ -38,8 +38,8 @@
 	}
 	u := upstr.New(name)
 	t.byName[name] = u
-	t.sorted = append(t.sorted, u)
-	slices.SortFunc(t.sorted, func(a, b *upstr.Upstream) int { return cmp.Compare(a.GetUpstream(), b.GetUpstream()) })
+	n, _ := slices.BinarySearchFunc(t.sorted, name, func(u *upstr.Upstream, name string) int { return cmp.Compare(u.GetUpstream(), name) })
+	t.sorted = slices.Insert(t.sorted, n, u)
 	return u
 }
 
--- a/core/slots/slots.go
+++ b/core/slots/slots.go
@@ -14,6 +14,8 @@
 	// Slots holds the grants of one pool that have not been released, at most one per ticket, and
 	// updates the load counters of their upstreams. The zero value is empty and ready to use.
 	Slots struct {
+		Changed func(*upstr.Upstream) // Called after the number of running requests of an upstream has changed; may be nil.
+
 		lastNumber uint64                           // Number of the latest slot granted here.
 		held       map[string]map[uint64]*slot.Slot // By entry incarnation and ticket.
 		accounts   map[string]int                   // Number of held slots by client account.
@@ -107,6 +109,13 @@
 	if v.Long {
 		v.Upstream.LongRunning++
 	}
+	s.notify(v.Upstream)
+}
+
+func (s *Slots) notify(u *upstr.Upstream) {
+	if s.Changed != nil {
+		s.Changed(u)
+	}
 }
 
 func (s *Slots) remove(v *slot.Slot) {
@@ -126,6 +135,7 @@
 	if v.Long {
 		v.Upstream.LongRunning--
 	}
+	s.notify(v.Upstream)
 }
 
 // Free releases the slot that r names. It returns nil if that slot was released before. A late
--- a/core/upstr/upstr.go
+++ b/core/upstr/upstr.go
@@ -62,6 +62,9 @@
 	u.Cache.Told(now, a.GetCachedPrefixes())
 }
 
+// Hash returns the hash of the upstream's name.
+func (u *Upstream) Hash() uint64 { return u.idHash }
+
 // Live reports whether the upstream may be granted new work: its lease has not ended and it is not
 // leaving.
 func (u *Upstream) Live(now time.Time) bool {
--- a/io/gate/request.go
+++ b/io/gate/request.go
@@ -307,7 +307,7 @@
 		account = *q.accountConfig.Priority
 	}
 	t := &wire.Ticket{
-		Id: q.gate.lastTicket.Add(1), Entry: q.gate.Node, Incarnation: q.gate.Incarnation, Account: q.account, Pool: q.pool,
+		Id: q.gate.lastTicket.Add(1), Entry: q.gate.Node, Incarnation: q.gate.Incarnation, Account: q.account, Pool: q.pool, DataCentre: q.gate.DataCentre,
 		Model: "", DeadlineUs: q.remaining().Microseconds(), PromptTokens: q.meta.Prompt, AnswerTokens: q.meta.Tokens(),
 		Repeatable: q.route.Repeatable(), Avoid: q.avoid, Route: q.route.Name,
 		Priority: wirePriority(q.route.Priority), AccountPriority: wirePriority(account), Returned: q.sends > 0, Request: q.meta.ID,
--- a/io/hub/upstreams.go
+++ b/io/hub/upstreams.go
@@ -177,7 +177,7 @@
 func (st *upstreamState) announcement(lease time.Duration) *wire.Announce {
 	st.announceSeq++
 	return &wire.Announce{
-		Upstream: st.GetId(), Address: st.GetAddress(), Pools: []string{st.GetPool()}, MaxRunning: st.GetSlots(),
+		Upstream: st.GetId(), Address: st.GetAddress(), DataCentre: st.GetDataCentre(), Pools: []string{st.GetPool()}, MaxRunning: st.GetSlots(),
 		Leaving: st.GetState() != wire.Upstream_STATE_SERVING || st.standing.held, Version: st.standing.version, LeaseUs: lease.Microseconds(), Seq: st.announceSeq, CanResume: true,
 		Unreached: st.unreached, Incarnation: strconv.FormatInt(st.GetBorn(), 10), Limit: st.limit,
 	}
