Polls of entries wake for what entries need at once

Cause: each change of the roster woke the poll of each entry, each 15 ms again: 190 upstreams a second that start, before 985 entries, are tens of thousands of answers a second for one leader. Each poll counted all entries three times.

Change: a poll is answered early for a configuration, or a change of an upstream of a pool whose requests entries place themselves. Other changes of the roster wait for its end, 2 s at most: only the scheduler places requests there. Answers are spread over 0.5 ms for each entry, a second at most. Entries are counted as they come and go.

Ways: fewer wakes for all changes (a longer batch delay) would delay what plain services need and still answer each entry for each engine.

--- /dev/null
+++ b/io/hub/feed.go
@@ -0,0 +1,91 @@
+package hub
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"azurelane/core/conf"
+	"azurelane/core/wire"
+)
+
+const (
+	// newsBatchDelay is how long news waits for further changes, so that a burst of changes does
+	// not send every entry a separate answer for each.
+	newsBatchDelay = 15 * time.Millisecond
+	// newsSpread is the time, for each entry that polls, over which the answers to all polls are
+	// spread. Answers to a thousand entries at once would hold up tickets for a tenth of a second.
+	newsSpread = 500 * time.Microsecond
+	// maxNewsSpread bounds the delay of a change at the last entry.
+	maxNewsSpread = time.Second
+)
+
+// feed wakes the polls of entries when the replicated state has news that entries need at once: a
+// configuration, or an upstream of a pool whose requests entries place themselves. News of other
+// upstreams waits for the end of a poll, because only the scheduler places requests there, and it
+// knows at once. Without that distinction the answers to polls would grow as the entries times the
+// changes of all upstreams. The zero value is ready.
+type feed struct {
+	mu        sync.Mutex
+	scheduled map[string]bool // Pools whose requests the scheduler places.
+	version   uint64          // Of the configuration last looked at.
+	revision  uint64          // Of the roster last looked at.
+	change    signal
+}
+
+// setPools takes the pools of a configuration.
+func (f *feed) setPools(cfg *conf.Config) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.scheduled = make(map[string]bool, len(cfg.Pools))
+	for name, p := range cfg.Pools {
+		f.scheduled[name] = p.Slots > 0
+	}
+}
+
+// update looks at what has changed in the replicated state since the last call.
+func (f *feed) update(r replica) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	version, _ := r.Publication()
+	list, whole, revision := r.Roster(f.revision)
+	if version != f.version || (revision != f.revision && f.urgentLocked(list, whole)) {
+		f.change.broadcast()
+	}
+	f.version, f.revision = version, revision
+}
+
+// urgent reports whether entries need to know of changes in the roster at once. A whole roster goes
+// to entries that have none.
+func (f *feed) urgent(list []*wire.Upstream, whole bool) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.urgentLocked(list, whole)
+}
+
+// urgentLocked is urgent with f.mu held.
+func (f *feed) urgentLocked(list []*wire.Upstream, whole bool) bool {
+	return whole || slices.ContainsFunc(list, func(u *wire.Upstream) bool { return !f.scheduled[u.GetPool()] })
+}
+
+// wake wakes all polls.
+func (f *feed) wake() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.change.broadcast()
+}
+
+// changed returns a channel that is closed when there is urgent news next.
+func (f *feed) changed() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.change.wait()
+}
+
+// newsDelay returns how long news waits for one of the given number of entries.
+func newsDelay(node string, entries int64) time.Duration {
+	spread := min(time.Duration(entries)*newsSpread, maxNewsSpread)
+	return newsBatchDelay + time.Duration(xxhash.Sum64String(node)%uint64(max(spread, 1))) //nolint:gosec // Below a second.
+}
--- /dev/null
+++ b/io/hub/feed_test.go
@@ -0,0 +1,66 @@
+package hub
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"azurelane/core/wire"
+)
+
+// Guards against answers to polls that grow as the entries times the changes of all upstreams: the
+// leader of a deployment of a thousand entries answered tens of thousands of polls a second while
+// upstreams started.
+func TestScheduledUpstreamsWakeNoPolls(t *testing.T) {
+	for _, tc := range []struct {
+		name, pool string
+		wakes      bool
+	}{
+		{"the scheduler places their requests", "engines", false},
+		{"entries place their requests", "plain", true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			runHub(t, func(t *testing.T, h *Hub, _ *fakeReplica) {
+				const wait, changes = 2 * time.Second, 100
+				n, err := askNews(h, &wire.Watch{Node: "e", Incarnation: "i"})
+				must.NoError(t, err)
+				go func() {
+					for i := range changes {
+						r := newReport(fmt.Sprint("s", i), 1, wire.Upstream_STATE_SERVING)
+						r.Upstream.Pool = tc.pool
+						must.NoError(t, h.Report(t.Context(), r))
+						time.Sleep(wait / changes)
+					}
+				}()
+				start, answers := time.Now(), 0
+				for time.Since(start) < wait {
+					n, err = askNews(h, &wire.Watch{
+						Node: "e", Incarnation: "i", Version: 1, Leader: n.GetLeader(), Revision: n.GetRevision(), WaitUs: wait.Microseconds(),
+					})
+					must.NoError(t, err)
+					answers++
+				}
+				must.Eq(t, changes, n.GetRevision(), must.Sprint("the answer at the end of the poll has all changes"))
+				must.Eq(t, tc.wakes, answers > 2, must.Sprint(answers))
+			})
+		})
+	}
+}
+
+// Guards against a thousand answers at the same moment, which hold up all tickets, and against news
+// that takes long in a large deployment.
+func TestNewsIsSpreadOverEntries(t *testing.T) {
+	const entries, step = 2000, 50 * time.Millisecond
+	count := map[time.Duration]int{}
+	for i := range entries {
+		d := newsDelay(fmt.Sprint("entry-", i), entries)
+		must.Less(t, newsBatchDelay+maxNewsSpread, d)
+		count[d/step]++
+	}
+	for at, n := range count {
+		must.Less(t, entries/5, n, must.Sprint(at*step))
+	}
+	must.Less(t, 2*newsBatchDelay, newsDelay("entry", 10))
+}
--- a/io/hub/hub.go
+++ b/io/hub/hub.go
@@ -55,6 +55,7 @@
 		clock      rolloutClock
 		current    *scheduler // Nil while this replica does not schedule.
 		watchers   watchers
+		feed       feed
 		compressed compressedDocument
 	}
 
@@ -130,6 +131,7 @@
 			s.bans.load(h.Replica.Bans())
 			h.updateRollouts(s)
 			h.checkReachability(s)
+			h.feed.update(h.Replica)
 		}
 		var rolloutTimer <-chan time.Time
 		if s != nil && s.rollouts.busy() {
@@ -179,7 +181,7 @@
 		}
 		return 0
 	})
-	h.Stats.Pull("entries", func() int64 { return h.watchers.count(time.Now()) })
+	h.Stats.Pull("entries", func() int64 { return h.watchers.count() })
 	h.Stats.Pull("upstreams-silent", func() int64 {
 		s := h.scheduler()
 		if s == nil {
@@ -208,13 +210,15 @@
 
 func (h *Hub) setScheduler(s *scheduler) {
 	h.mu.Lock()
-	defer h.mu.Unlock()
 	h.current = s
+	h.mu.Unlock()
+	h.feed.wake()
 }
 
 // startScheduler starts a scheduler for the given scope. Entries report the slots that they hold
 // when they learn of the new scheduler.
 func (h *Hub) startScheduler(ctx context.Context, sc scope) *scheduler {
+	h.watchers.forget(time.Now())
 	s := &scheduler{id: uuid.NewString()[:8], startedAt: time.Now(), scope: sc, stats: h.Stats, log: h.Log, refusalLog: &h.RefusalLog}
 	s.allow = allow.Limiter{Overage: schedulerOverageShare * h.Overage, Slack: schedulerOverageShare * h.QuotaSlack, StartFull: true}
 	if sc == scopeDataCentre {
@@ -243,6 +247,7 @@
 		return v
 	}
 	s.installAccounts(v, cfg.Accounts)
+	h.feed.setPools(cfg)
 	s.sched.Install(cfg)
 	if installed == 0 {
 		h.updateRollouts(s) // Before upstreams of other versions are announced.
--- a/io/hub/watch.go
+++ b/io/hub/watch.go
@@ -13,9 +13,6 @@
 )
 
 const (
-	// newsBatchDelay is how long news waits for further changes, so that a burst of changes does
-	// not send every entry a separate answer for each.
-	newsBatchDelay = 15 * time.Millisecond
 	// entryTimeout is the silence after which an entry's slots are freed. A live entry polls
 	// again when the wait of its poll ends, which takes at most 2 s.
 	entryTimeout = 6 * time.Second
@@ -27,8 +24,9 @@
 type (
 	// watchers tracks the entries that poll for news. The zero value is ready.
 	watchers struct {
-		mu     sync.Mutex
-		byNode map[string]*watcher
+		mu           sync.Mutex
+		byNode       map[string]*watcher
+		byDataCentre map[string]int64 // Number of entries.
 	}
 
 	// watcher is one polling entry.
@@ -53,7 +51,7 @@
 	end := time.NewTimer(time.Duration(w.GetWaitUs()) * time.Microsecond)
 	defer end.Stop()
 	for woken := false; ; woken = true {
-		changed := h.Replica.Changed()
+		changed := h.feed.changed()
 		s := h.scheduler()
 		if s == nil || !h.serves(s, w) {
 			return nil, h.notLeaderFault()
@@ -69,6 +67,7 @@
 		if err != nil || fresh || woken {
 			return n, err
 		}
+		delay := newsBatchDelay
 		select {
 		case <-ctx.Done():
 			return nil, ctx.Err()
@@ -76,6 +75,9 @@
 			n, _, err = h.news(s, w) // Read again, because the news from before the wait is outdated.
 			return n, err
 		case <-changed:
+			if h.scheduler() == s {
+				delay = newsDelay(w.GetNode(), h.entriesHere(s))
+			}
 		case <-reachChanged:
 		case <-bansChanged:
 		case <-limitsChanged:
@@ -84,7 +86,7 @@
 		select {
 		case <-ctx.Done():
 			return nil, ctx.Err()
-		case <-time.After(newsBatchDelay):
+		case <-time.After(delay):
 		}
 	}
 }
@@ -94,12 +96,13 @@
 // elsewhere too.
 func (h *Hub) entriesHere(s *scheduler) int64 {
 	if s.scope == scopeDataCentre {
-		return h.watchers.countIn(time.Now(), h.DataCentre)
+		return h.watchers.countIn(h.DataCentre)
 	}
-	return h.watchers.count(time.Now())
+	return h.watchers.count()
 }
 
-// news returns the current state for an entry, and whether any of it is new to the entry.
+// news returns the current state for an entry, and whether any of it is news that the entry needs at
+// once.
 func (h *Hub) news(s *scheduler, w *wire.Watch) (*wire.News, bool, error) {
 	n := &wire.News{Leader: s.id, Entries: s.entryCount(h.entriesHere(s))}
 	_, all, _ := h.Replica.Group()
@@ -128,7 +131,7 @@
 	n.Roster, n.Whole, n.Revision = h.Replica.Roster(w.GetRevision())
 	h.refreshRollouts(s) // After the roster was read.
 	n.Rollouts = s.rollouts.inForce(s.id)
-	fresh := n.GetDocument() != nil || n.GetBans() != nil || n.GetRollouts().GetPhaseRevision() != w.GetSplits() || n.GetRevision() != w.GetRevision() || w.GetLeader() != s.id
+	fresh := n.GetDocument() != nil || n.GetBans() != nil || n.GetRollouts().GetPhaseRevision() != w.GetSplits() || (n.GetRevision() != w.GetRevision() && h.feed.urgent(n.GetRoster(), n.GetWhole())) || w.GetLeader() != s.id
 	return n, fresh, nil
 }
 
@@ -173,7 +176,8 @@
 		h.Log.Info("Silent upstreams changed.", "upstreams", silent)
 	}
 	s.setSilentEntries(now, h.watchers.silent(now, s.reachability.list()))
-	s.reserveForUnseen(now, h.watchers.count(now))
+	h.watchers.forget(now)
+	s.reserveForUnseen(now, h.watchers.count())
 	s.logSpeeds(now)
 	s.logRateShares(now)
 	s.limits.retain(func(id string) bool {
@@ -193,31 +197,39 @@
 	ws.mu.Lock()
 	defer ws.mu.Unlock()
 	if ws.byNode == nil {
-		ws.byNode = map[string]*watcher{}
+		ws.byNode, ws.byDataCentre = map[string]*watcher{}, map[string]int64{}
 	}
 	e := ws.byNode[w.GetNode()]
 	old := ""
 	if e != nil && e.incarnation != w.GetIncarnation() {
 		old = e.incarnation
 	}
+	if e != nil {
+		ws.byDataCentre[e.dataCentre]--
+	}
+	ws.byDataCentre[w.GetDataCentre()]++
 	ws.byNode[w.GetNode()] = &watcher{incarnation: w.GetIncarnation(), dataCentre: w.GetDataCentre(), lastSeen: now}
 	return old
 }
 
-// count returns how many entries share the limits. It drops entries that were silent for longer
-// than silentEntryRetention.
-func (ws *watchers) count(now time.Time) int64 {
+// forget drops entries that were silent for longer than silentEntryRetention.
+func (ws *watchers) forget(now time.Time) {
 	ws.mu.Lock()
 	defer ws.mu.Unlock()
-	n := int64(0)
 	for node, e := range ws.byNode {
 		if now.Sub(e.lastSeen) > silentEntryRetention {
 			delete(ws.byNode, node)
-			continue
+			ws.byDataCentre[e.dataCentre]--
 		}
-		n++
 	}
-	return n
+}
+
+// count returns how many entries share the limits. Each poll asks for it, so it doesn't look at
+// the entries one by one.
+func (ws *watchers) count() int64 {
+	ws.mu.Lock()
+	defer ws.mu.Unlock()
+	return int64(len(ws.byNode))
 }
 
 // nodes lists the entries that share the limits, in one data centre or, if dataCentre is empty,
@@ -235,16 +247,10 @@
 }
 
 // countIn returns how many entries of one data centre share the limits.
-func (ws *watchers) countIn(now time.Time, dataCentre string) int64 {
+func (ws *watchers) countIn(dataCentre string) int64 {
 	ws.mu.Lock()
 	defer ws.mu.Unlock()
-	n := int64(0)
-	for _, e := range ws.byNode {
-		if e.dataCentre == dataCentre && now.Sub(e.lastSeen) <= silentEntryRetention {
-			n++
-		}
-	}
-	return n
+	return ws.byDataCentre[dataCentre]
 }
 
 // silent lists the incarnations that may be cut off and still serve: they were silent for
