A status that promises no run is not passed on after one

Cause: 408, 429 and 503 tell callers that a request has not run and never will. An upstream that gives one of them without the mark that it did not run may have run the request. For a request that may run only once, the caller sent it again.

Ruled out: other paths that write these statuses (refusals before a send, sends of which no byte left, drain, no configuration, limits of bodies) write them only where nothing was sent.

--- a/io/gate/request.go
+++ b/io/gate/request.go
@@ -91,6 +91,8 @@
 var (
 	errDeadline = errors.New("gate: the time is over")
 	errSilent   = errors.New("gate: upstream silent")
+	// errRanAnyway marks a response whose status would promise the caller that nothing ran.
+	errRanAnyway = errors.New("gate: upstream may have run the request and answered")
 )
 
 const (
--- a/io/gate/send.go
+++ b/io/gate/send.go
@@ -136,6 +136,10 @@
 		return
 	}
 	res.firstAfter = time.Since(start)
+	if !q.route.Repeatable() && promisesNoRun(resp.StatusCode) {
+		res.outcome, res.err = outcomeFailed, fmt.Errorf("%w: %d", errRanAnyway, resp.StatusCode)
+		return
+	}
 	k := &bufferedResponse{status: resp.StatusCode, header: resp.Header, body: body, head: q.r.Method == http.MethodHead, length: resp.ContentLength}
 	if resp.StatusCode >= http.StatusInternalServerError {
 		res.outcome, res.failure = outcomeFailed, k
@@ -145,6 +149,17 @@
 	res.outcome = outcomeComplete
 }
 
+// promisesNoRun reports whether callers take a status as the promise that their request has not run
+// and never will. An upstream gives such a status also after a run; only its mark on the response
+// tells the two apart, and callers don't know the mark.
+func promisesNoRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // upstreamRequest builds the request for an upstream. Its path stays byte for byte as the caller
 // sent it.
 func (q *request) upstreamRequest(ctx context.Context, p *placement) *http.Request {
