A slow caller does not make its upstream seem silent

Cause: the time in which a caller reads counted as silence of its upstream. A stream that may move was cut off, counted as a failure of the upstream and sent to another one.

Change: the silence timer stands still while events are written to the caller.

Result: TestSlowCallerKeepsItsUpstream fails on the code before: the caller's stream breaks off.

--- a/io/gate/stream.go
+++ b/io/gate/stream.go
@@ -65,10 +65,22 @@
 	}
 }
 
+// mayMove reports whether another upstream may go on with the request. Otherwise the silence timer
+// ends when the request's time is over.
+func (s *stream) mayMove() bool { return s.route.Repeatable() && s.runs+1 < s.route.MaxUpstreams() }
+
+// pauseSilenceTimer stops the silence timer while the caller reads. An upstream is not silent if its
+// events wait for the caller.
+func (s *stream) pauseSilenceTimer() {
+	if s.mayMove() {
+		s.silenceTimer.Stop()
+	}
+}
+
 // resetSilenceTimer restarts the time for which the upstream may be silent.
 func (s *stream) resetSilenceTimer() {
-	if !s.route.Repeatable() || s.runs+1 >= s.route.MaxUpstreams() {
-		return // No other upstream may run the request: the timer ends when its time is over.
+	if !s.mayMove() {
+		return
 	}
 	s.silenceTimer.Reset(min(max(eventGapFactor*s.route.Gap, minEventWait), s.remaining()))
 }
@@ -89,6 +101,8 @@
 		return nil
 	}
 	s.recordTiming(res)
+	s.pauseSilenceTimer()
+	defer s.resetSilenceTimer()
 	s.writeHeader()
 	if _, err := s.w.Write(s.buf[:end]); err != nil {
 		return fmt.Errorf("gate: write: %w", err)
--- a/io/gate/stream_test.go
+++ b/io/gate/stream_test.go
@@ -1,11 +1,13 @@
 package gate
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/go-logr/logr/funcr"
 	"github.com/shoenig/test/must"
@@ -47,6 +49,35 @@
 	must.Eq(t, 0, second.count())
 }
 
+// Guards against a caller that reads slowly and makes its upstream seem silent: the stream would be
+// sent to a second upstream, and the first one would count as failed.
+func TestSlowCallerKeepsItsUpstream(t *testing.T) {
+	const events, size = 64, 512 << 10
+	first := newUpstream(t, func(_ int, r *http.Request, w io.Writer) bool {
+		writeEvents(r, w, 1, 1, false)
+		for i := 2; i <= events; i++ {
+			writeChunk(w, fmt.Sprintf("id: %d\ndata: %s\n\n", i, strings.Repeat("x", size)))
+		}
+		_, _ = io.WriteString(w, "0\r\n\r\n")
+		return true
+	})
+	second := newUpstream(t, respondText("no"))
+	s := newTestGate(t, first, second)
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, s.srv.URL+"/resume/x", strings.NewReader("text"))
+	must.NoError(t, err)
+	r.Host = "h"
+	r.Header.Set("Authorization", "Bearer "+key)
+	r.Header.Set(idHeader, "1")
+	resp, err := http.DefaultClient.Do(r)
+	must.NoError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	time.Sleep(minEventWait + 300*time.Millisecond)
+	n, err := io.Copy(io.Discard, resp.Body)
+	must.NoError(t, err)
+	must.Greater(t, int64(events-1)*size, n)
+	must.Eq(t, 0, second.count())
+}
+
 // Guards against a log line that blames a silent upstream when the request's time is over. The wait
 // for the next event and the request's time end at the same moment.
 func TestStreamDeadlineCause(t *testing.T) {
