--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -268,7 +268,7 @@
 		}
 		e.stats.addPrompt(now, i.GetPromptTokens()-s.CachedTokens)
 		for _, p := range i.GetParts() {
-			e.Cache.Sent(now, p.GetHash())
+			e.Cache.RecordSent(now, p.GetHash())
 		}
 		b.shed.addGrant(now.Sub(b.started))
 		out = append(out, b.slots.Grant(now, s, b.pool.GrantTTL))
--- a/core/digest/digest.go
+++ b/core/digest/digest.go
@@ -8,22 +8,22 @@
 	"fmt"
 )
 
-// size is the length of a digest in bytes. A caller can't find another request with
-// the same digest, which matters only within its own account.
+// size is the length of a digest in bytes. Finding two requests with the same digest takes 2^64
+// attempts, and would affect only the account that sends them.
 const size = 16
 
-// Digest is the same for all copies of a request, whatever their ids, and differs
-// between any two client accounts. It holds nothing of the body.
+// Digest is equal for all copies of a request, whatever their IDs, and differs between client
+// accounts. It does not reveal the body.
 type Digest [size]byte
 
-// Of returns the digest of a request: its client account, which may be empty, its host,
-// its path with the query, and its body.
+// Of returns the digest of a request. The account may be empty; the target is the path with the
+// query.
 func Of(account, host, target string, body []byte) Digest {
 	h := sha256.New()
 	for _, s := range []string{account, host, target} {
 		var n [8]byte
 		binary.BigEndian.PutUint64(n[:], uint64(len(s)))
-		_, _ = h.Write(n[:]) // A hash takes all that is written.
+		_, _ = h.Write(n[:]) // A hash never returns an error.
 		_, _ = h.Write([]byte(s))
 	}
 	_, _ = h.Write(body)
@@ -32,7 +32,7 @@
 	return d
 }
 
-// Parse reads what String or Bytes wrote.
+// Parse parses a digest in hexadecimal, as String returns it.
 func Parse(text string) (Digest, error) {
 	raw, err := hex.DecodeString(text)
 	if err != nil {
@@ -45,7 +45,7 @@
 	return d, nil
 }
 
-// From makes a digest of its bytes; ok is false for a wrong number of them.
+// From converts bytes to a digest. It returns false if their number is wrong.
 func From(raw []byte) (d Digest, ok bool) {
 	if len(raw) != size {
 		return d, false
@@ -53,5 +53,5 @@
 	return Digest(raw), true
 }
 
-// String is the digest in hexadecimal.
+// String returns the digest in hexadecimal.
 func (d Digest) String() string { return hex.EncodeToString(d[:]) }
--- a/core/index/index.go
+++ b/core/index/index.go
@@ -1,5 +1,4 @@
-// Package index finds client accounts, models and services of a configuration
-// in constant time.
+// Package index looks up client accounts, models, services, pools and routes of a configuration.
 package index
 
 import (
@@ -12,7 +11,7 @@
 )
 
 type (
-	// Index is made once for each configuration that comes into force.
+	// Index is immutable. One is built for each configuration that comes into force.
 	Index struct {
 		cfg      *conf.Config
 		accounts map[Digest]account
@@ -31,8 +30,8 @@
 	Digest [32]byte
 )
 
-// New builds the index of a configuration. Accounts whose hash can't be read
-// are left out; the configuration's check refuses them.
+// New builds the index of a configuration. It leaves out key hashes that can't be parsed, which
+// conf.Config.Check rejects.
 func New(cfg *conf.Config) *Index {
 	x := &Index{
 		cfg: cfg, accounts: make(map[Digest]account, len(cfg.Accounts)),
@@ -58,29 +57,29 @@
 	return x
 }
 
-// Config is the configuration that the index was made from.
+// Config returns the configuration of the index. The caller must not modify it.
 func (x *Index) Config() *conf.Config { return x.cfg }
 
-// Account returns the name and the limits of the account with that key.
+// Account returns the name and the configuration of the account that holds the key with this hash.
 func (x *Index) Account(sum Digest) (string, acct.Account, bool) {
 	a, ok := x.accounts[sum]
 	return a.name, a.Account, ok
 }
 
-// Model returns the pool that serves a model.
+// Model returns the name of the pool that serves a model.
 func (x *Index) Model(name string) (string, bool) {
 	p, ok := x.models[name]
 	return p, ok
 }
 
-// Service returns the pool behind /svc/NAME/.
+// Service returns the name of the pool that serves requests to /svc/NAME/.
 func (x *Index) Service(name string) (string, bool) {
 	p, ok := x.services[name]
 	return p, ok
 }
 
-// Route returns the route of a request, or nil.
+// Route returns the route of a request, or nil if none matches.
 func (x *Index) Route(host, path string) *route.Route { return x.routes.Match(host, path) }
 
-// Pool returns a pool with every limit set.
+// Pool returns the configuration of a pool with the defaults filled in.
 func (x *Index) Pool(name string) pool.Pool { return x.pools[name] }
--- a/core/meta/meta.go
+++ b/core/meta/meta.go
@@ -1,34 +1,34 @@
-// Package meta describes a request of a route as its caller's header tells it.
+// Package meta holds the metadata of a request, as parsed from its header.
 package meta
 
 import "time"
 
-// Longest is the longest span that is taken from outside, and MostTokens the most
-// tokens: no request needs more, and sums of a few stay within what can be counted.
+// MaxDuration is the longest duration, and MaxTokens the largest number of tokens, that is accepted from
+// a caller. Sums of several of them do not overflow.
 const (
-	Longest    = 365 * 24 * time.Hour
-	MostTokens = 1 << 40
+	MaxDuration = 365 * 24 * time.Hour
+	MaxTokens   = 1 << 40
 )
 
-// Meta is what the header of a request says, whatever its names there.
+// Meta is the metadata of a request, whatever its headers are called on the wire.
 type Meta struct {
-	ID        string        // Of this attempt of the caller; empty when it names none.
-	Deadline  time.Duration // How long the caller waits; zero for no limit.
+	ID        string        // Of this attempt of the caller; empty if it states none.
+	Deadline  time.Duration // Time for which the caller waits; zero for no limit.
 	Prompt    int64         // Tokens of the prompt; zero for a plain request.
-	Answer    int64         // Most tokens of the answer.
-	Expect    int64         // The caller's estimate of the answer's tokens; zero for none.
+	Answer    int64         // Upper bound of the answer's tokens.
+	Expect    int64         // Caller's estimate of the answer's tokens; zero for none.
 	Model     string
-	Parts     []Part // Of the prompt, in order; empty where the caller does not tell them.
-	LastEvent string // The caller has the stream up to this event; empty for a new one.
+	Parts     []Part // Of the prompt, in order; empty if the caller states none.
+	LastEvent string // ID of the last event that the caller has received; empty for a new stream.
 }
 
 // Part is a part of a prompt that other requests may share.
 type Part struct {
-	Hash   uint64 // Of it and all parts before it.
+	Hash   uint64 // Of this part and all parts before it.
 	Tokens int64
 }
 
-// Tokens is the size of the answer to reckon with.
+// Tokens returns the expected number of tokens of the answer.
 func (m *Meta) Tokens() int64 {
 	if m.Expect > 0 && (m.Answer == 0 || m.Expect < m.Answer) {
 		return m.Expect
@@ -36,10 +36,10 @@
 	return m.Answer
 }
 
-// Hop is what one upstream is told about a request.
+// Hop holds the headers that are specific to one upstream.
 type Hop struct {
-	Instance  string // Id of the upstream that is meant; any other one refuses.
-	Account   string // Client account; empty on a public route.
-	Left      time.Duration
-	LastEvent string // The stream goes on after this event; empty for a whole one.
+	Instance  string        // ID of the addressed upstream; any other rejects the request.
+	Account   string        // Name of the client account; empty on a public route.
+	Left      time.Duration // Time until the caller's deadline.
+	LastEvent string        // ID of the event after which the stream resumes; empty for the whole stream.
 }
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -99,9 +99,9 @@
 	s := pick(p, start, ups, i)
 	must.Eq(t, "up-1", s.Upstream.GetUpstream())
 	must.True(t, s.PrefixCached)
-	b.Cache.Wrong(5)
+	b.Cache.Forget(5)
 	must.False(t, pick(p, start, ups, i).PrefixCached)
-	b.Cache.Sent(start, 5)
+	b.Cache.RecordSent(start, 5)
 	announce(b) // A cache event without prefix 5.
 	s = pick(p, start, ups, i)
 	must.Eq(t, "up-1", s.Upstream.GetUpstream())
--- a/core/prefix/prefix.go
+++ b/core/prefix/prefix.go
@@ -6,50 +6,50 @@
 	"time"
 )
 
-// Prefix holds the prefixes of one upstream. Cache events come late and with
-// gaps: a prefix sent there a moment ago may be missing in them, and one that
-// they name may be gone. The zero value is empty and ready.
+// Prefix holds the prefixes of one upstream. Announcements of cached prefixes arrive late and with
+// gaps: one may lack a prefix that was sent to the upstream a moment ago, or list one that has been
+// evicted. The zero value is empty and ready to use.
 type Prefix struct {
-	told map[uint64]struct{}  // By the last announcement.
-	sent map[uint64]time.Time // Dispatched there, for as long as no event can tell.
+	announced map[uint64]struct{}  // Listed in the last announcement.
+	sent      map[uint64]time.Time // When a request with the prefix was granted there.
 }
 
 const (
-	sentKeep = 10 * time.Second // Longer than events are late.
-	sentMost = 1024
+	sentRetention = 10 * time.Second // Longer than the delay of announcements.
+	maxSent       = 1024
 )
 
-// Told replaces what the upstream announced.
-func (p *Prefix) Told(now time.Time, list []uint64) {
-	p.told = make(map[uint64]struct{}, len(list))
+// SetAnnounced replaces the announced prefixes, and drops prefixes that were sent more than sentRetention ago.
+func (p *Prefix) SetAnnounced(now time.Time, list []uint64) {
+	p.announced = make(map[uint64]struct{}, len(list))
 	for _, h := range list {
-		p.told[h] = struct{}{}
+		p.announced[h] = struct{}{}
 	}
-	maps.DeleteFunc(p.sent, func(_ uint64, at time.Time) bool { return now.Sub(at) > sentKeep })
+	maps.DeleteFunc(p.sent, func(_ uint64, at time.Time) bool { return now.Sub(at) > sentRetention })
 }
 
-// Sent notes that a request with the prefix was granted there.
-func (p *Prefix) Sent(now time.Time, h uint64) {
+// RecordSent records that a request with the prefix was granted on the upstream.
+func (p *Prefix) RecordSent(now time.Time, h uint64) {
 	if p.sent == nil {
 		p.sent = map[uint64]time.Time{}
 	}
-	if _, known := p.sent[h]; known || len(p.sent) < sentMost {
+	if _, known := p.sent[h]; known || len(p.sent) < maxSent {
 		p.sent[h] = now
 	}
 }
 
-// Has reports whether the prefix is believed to be cached.
+// Has reports whether the upstream has probably cached the prefix.
 func (p *Prefix) Has(h uint64) bool {
-	if _, ok := p.told[h]; ok {
+	if _, ok := p.announced[h]; ok {
 		return true
 	}
 	_, ok := p.sent[h]
 	return ok
 }
 
-// Wrong drops a belief that a run has shown to be wrong, so that it costs one
-// prefill and not one for each request until the next event.
-func (p *Prefix) Wrong(h uint64) {
-	delete(p.told, h)
+// Forget removes a prefix that a run has shown not to be cached. Otherwise each request until the next
+// announcement would be sent here for it and prefilled in full.
+func (p *Prefix) Forget(h uint64) {
+	delete(p.announced, h)
 	delete(p.sent, h)
 }
--- a/core/pull/learn.go
+++ b/core/pull/learn.go
@@ -60,7 +60,7 @@
 	p.abuse.RecordSuccess(t.GetAccount())
 	first, total := micros(r.GetFirstTokenUs()), micros(r.GetTotalUs())
 	if s.PrefixCached && p.cacheMissed(s, prompt, first) {
-		u.Cache.Wrong(t.GetPrefixHash())
+		u.Cache.Forget(t.GetPrefixHash())
 		s.PrefixCached = false
 	}
 	u.Observed.RecordSuccess(now, prompt, answer, s.PrefixCached, first, total, u.Running+1, u.AnnouncedLimit())
--- a/core/pull/pull.go
+++ b/core/pull/pull.go
@@ -229,7 +229,7 @@
 		return nil, full
 	}
 	if h := i.GetPrefixHash(); h != 0 {
-		s.Upstream.Cache.Sent(now, h)
+		s.Upstream.Cache.RecordSent(now, h)
 	}
 	p.throughput.granted += i.Work
 	d := p.slots.Grant(now, s, p.pool.GrantTTL)
--- a/core/recent/recent.go
+++ b/core/recent/recent.go
@@ -1,4 +1,4 @@
-// Package recent remembers which requests were answered whole lately.
+// Package recent remembers which requests were recently answered completely.
 package recent
 
 import (
@@ -7,31 +7,32 @@
 	"azurelane/core/digest"
 )
 
-// most bounds the answers that are remembered.
-const most = 1024
+// maxAnswers is the number of requests that are remembered.
+const maxAnswers = 1024
 
-// Recent holds the latest answers. The zero value is empty and ready.
+// Recent holds the times of the latest complete answers, by request. The zero value is empty and
+// ready to use.
 type Recent struct {
 	at   map[digest.Digest]time.Time
-	ring [most]digest.Digest
+	ring [maxAnswers]digest.Digest
 	next int
 }
 
-// Add notes a whole answer.
+// Add records a complete answer to a request.
 func (r *Recent) Add(now time.Time, d digest.Digest) {
 	if r.at == nil {
-		r.at = make(map[digest.Digest]time.Time, most)
+		r.at = make(map[digest.Digest]time.Time, maxAnswers)
 	}
 	if _, ok := r.at[d]; !ok {
 		delete(r.at, r.ring[r.next])
 		r.ring[r.next] = d
-		r.next = (r.next + 1) % most
+		r.next = (r.next + 1) % maxAnswers
 	}
 	r.at[d] = now
 }
 
-// Has reports whether any answer to the request is remembered.
-func (r *Recent) Has(d digest.Digest) bool { return !r.at[d].IsZero() }
+// Answered reports whether an answer to the request is remembered.
+func (r *Recent) Answered(d digest.Digest) bool { return !r.at[d].IsZero() }
 
-// Since reports whether the request was answered whole after a moment.
-func (r *Recent) Since(moment time.Time, d digest.Digest) bool { return r.at[d].After(moment) }
+// AnsweredAfter reports whether the request was answered completely after the given time.
+func (r *Recent) AnsweredAfter(moment time.Time, d digest.Digest) bool { return r.at[d].After(moment) }
--- a/core/upstr/upstr.go
+++ b/core/upstr/upstr.go
@@ -59,7 +59,7 @@
 	if n := a.GetMaxRunning(); n > 0 {
 		u.announcedLimit = int(n)
 	}
-	u.Cache.Told(now, a.GetCachedPrefixes())
+	u.Cache.SetAnnounced(now, a.GetCachedPrefixes())
 }
 
 // Hash returns the hash of the upstream's name.
--- a/io/gate/suspects.go
+++ b/io/gate/suspects.go
@@ -133,7 +133,7 @@
 func (s *suspects) recordCrash(now time.Time, d digest.Digest, upstream string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	answered := s.answered.Has(d)
+	answered := s.answered.Answered(d)
 	s.crashes.Crash(now, d, upstream, answered)
 	s.unreported.Crashes = append(s.unreported.Crashes, &wire.Crash{Digest: d[:], Upstream: upstream, Answered: answered})
 }
@@ -187,7 +187,7 @@
 		s.liftBans(now, watched)
 	}
 	for d, since := range s.watched {
-		if s.answered.Since(since, d) {
+		if s.answered.AnsweredAfter(since, d) {
 			s.clearSuspect(d)
 			g.reportSignal.notify()
 		}
