--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -1,4 +1,4 @@
-// Package poison finds requests that crash the upstreams that run them.
+// Package poison detects requests that crash the upstreams that run them, and bans them.
 package poison
 
 import (
@@ -11,108 +11,109 @@
 )
 
 const (
-	// banAt is the number of upstreams that must have crashed under a request before it
-	// is banned, and watchAt that before it is watched for a whole answer. All that runs
-	// at an upstream is suspect when it crashes; what was there by chance is seldom
-	// there again, and seldom without a whole answer in between.
-	banAt   = 3
-	watchAt = 2
-	// settled is for how long reports of a crash come in. Only then is it known who else
-	// was on the upstream.
-	settled = 500 * time.Millisecond
-	// mostCrashes bounds the crashes that are remembered of one request.
-	mostCrashes = 16
-	// mostTries is how often a banned request may be sent to see whether it is innocent,
-	// once tryAfter has passed. What was banned by mistake is served again soon; what was
-	// not crashes so many upstreams more and no others.
-	mostTries = 1
-	tryAfter  = 3 * time.Second
-	// mostSuspects bounds the requests that are remembered.
-	mostSuspects = 4096
+	// banThreshold is the number of upstreams that must crash while they run a request before it is
+	// banned, and watchThreshold the number before entries report complete answers to it. When an
+	// upstream crashes, all requests that it runs are suspects. A request that ran there by chance
+	// is unlikely to be there at further crashes without a complete answer in between.
+	banThreshold   = 3
+	watchThreshold = 2
+	// reportDelay is the time after a crash within which the entries report it. Only after that are
+	// all requests known that ran on the upstream.
+	reportDelay = 500 * time.Millisecond
+	// maxCrashes is the number of crashes that are kept for one request.
+	maxCrashes = 16
+	// maxTries is the number of trials of a banned request, the first of them trialDelay after the
+	// ban. A request that was banned by mistake is soon served again. Any other crashes at most
+	// maxTries more upstreams.
+	maxTries   = 1
+	trialDelay = 3 * time.Second
+	// maxSuspects is the number of requests for which crashes are kept.
+	maxSuspects = 4096
 )
 
 type (
-	// Poison counts crashes by request. Crashes form sets, so that it does not matter in
-	// which order, how often and from whom they become known. The zero value is ready.
+	// Poison counts crashes by request. Crashes are sets, so the result does not depend on the
+	// order, the number or the sender of the reports. The zero value is ready to use.
 	Poison struct {
 		suspects map[digest.Digest]*suspect
 		revision uint64
 	}
 
 	suspect struct {
-		crashes  []crash
-		answered bool // An upstream ran it well before.
-		first    time.Time
-		last     time.Time
-		banned   bool
-		tries    int
-		next     time.Time // When it may be tried.
+		crashes   []crash
+		answered  bool // An upstream has answered it completely before.
+		first     time.Time
+		last      time.Time
+		banned    bool
+		tries     int
+		nextTrial time.Time // Earliest time of the next trial.
 	}
 
 	crash struct {
-		upstream string // Incarnation.
+		upstream string // Its incarnation.
 		at       time.Time
 	}
 )
 
-// Crash notes that an incarnation of an upstream crashed while it ran a request, and
-// whether that request was answered whole before. It reports whether the request is
-// banned from now on.
-func (p *Poison) Crash(now time.Time, d digest.Digest, upstream string, answered bool) bool {
-	s := p.of(now, d)
+// RecordCrash records that an incarnation of an upstream crashed while it ran a request, and whether
+// the request has been answered completely before. It reports whether this bans the request.
+func (p *Poison) RecordCrash(now time.Time, d digest.Digest, upstream string, answered bool) bool {
+	s := p.getOrCreate(now, d)
 	s.answered = s.answered || answered
-	if s.on(upstream) || (!s.answered && len(s.crashes) >= banAt) {
+	if s.crashed(upstream) || (!s.answered && len(s.crashes) >= banThreshold) {
 		return false
 	}
-	if len(s.crashes) >= mostCrashes {
+	if len(s.crashes) >= maxCrashes {
 		s.crashes = slices.Delete(s.crashes, 0, 1)
 	}
 	s.crashes = append(s.crashes, crash{upstream, now})
 	s.last = now
-	if len(s.crashes) >= watchAt {
+	if len(s.crashes) >= watchThreshold {
 		p.revision++
 	}
-	if s.banned || p.counted(now, s) < banAt {
+	if s.banned || p.countCrashes(now, s) < banThreshold {
 		return false
 	}
 	s.ban(now)
 	return true
 }
 
-// counted is the number of crashes that count against a request. One that upstreams ran
-// well before may be popular, and on each upstream when a whole pool crashes: those count
-// that no request explains which never ran well and was there at several crashes.
-func (p *Poison) counted(now time.Time, s *suspect) int {
+// countCrashes returns the number of crashes that count against a request. A request that has been
+// answered before may simply be frequent, and so run on every upstream when a whole pool crashes.
+// For such a request, crashes don't count that are explained by another suspect: one that has never
+// been answered and was present at several crashes.
+func (p *Poison) countCrashes(now time.Time, s *suspect) int {
 	if !s.answered {
 		return len(s.crashes)
 	}
 	n := 0
 	for _, c := range s.crashes {
-		if now.Sub(c.at) >= settled && !p.explained(c.upstream) {
+		if now.Sub(c.at) >= reportDelay && !p.explained(c.upstream) {
 			n++
 		}
 	}
 	return n
 }
 
+// explained reports whether a suspect that has never been answered accounts for a crash.
 func (p *Poison) explained(upstream string) bool {
 	for _, s := range p.suspects {
-		if !s.answered && len(s.crashes) >= watchAt && s.on(upstream) {
+		if !s.answered && len(s.crashes) >= watchThreshold && s.crashed(upstream) {
 			return true
 		}
 	}
 	return false
 }
 
-func (s *suspect) on(upstream string) bool {
+func (s *suspect) crashed(upstream string) bool {
 	return slices.ContainsFunc(s.crashes, func(c crash) bool { return c.upstream == upstream })
 }
 
-func (s *suspect) ban(now time.Time) { s.banned, s.next = true, now.Add(tryAfter) }
+func (s *suspect) ban(now time.Time) { s.banned, s.nextTrial = true, now.Add(trialDelay) }
 
-// Ban notes that a request is banned elsewhere, and how often it was tried since.
-func (p *Poison) Ban(now time.Time, d digest.Digest, tries int) {
-	s := p.of(now, d)
+// RecordBan records that another process has banned a request, and the number of trials since.
+func (p *Poison) RecordBan(now time.Time, d digest.Digest, tries int) {
+	s := p.getOrCreate(now, d)
 	if s.banned && s.tries >= tries {
 		return
 	}
@@ -123,10 +124,10 @@
 	p.revision++
 }
 
-// Try reports whether a banned request may be sent once.
+// Try reports whether a banned request may be sent as a trial now, and counts the trial.
 func (p *Poison) Try(now time.Time, d digest.Digest) bool {
 	s := p.suspects[d]
-	if s == nil || !s.banned || s.tries >= mostTries || now.Before(s.next) {
+	if s == nil || !s.banned || s.tries >= maxTries || now.Before(s.nextTrial) {
 		return false
 	}
 	s.tries++
@@ -134,7 +135,7 @@
 	return true
 }
 
-// Clear forgets the crashes of a request, and reports whether it was banned.
+// Clear removes the crashes of a request and reports whether it was banned.
 func (p *Poison) Clear(d digest.Digest) bool {
 	s := p.suspects[d]
 	if s == nil {
@@ -147,16 +148,16 @@
 	return s.banned
 }
 
-// Knows reports whether any crash of a request is known.
+// Knows reports whether a crash of the request is recorded.
 func (p *Poison) Knows(d digest.Digest) bool { return p.suspects[d] != nil }
 
-// Banned reports whether a request must not be sent any more.
+// Banned reports whether a request is banned.
 func (p *Poison) Banned(d digest.Digest) bool {
 	s := p.suspects[d]
 	return s != nil && s.banned
 }
 
-// Revision changes with each change of Bans.
+// Revision returns a number that grows with each change of Bans.
 func (p *Poison) Revision() uint64 { return p.revision }
 
 // Bans lists the requests that are banned or watched.
@@ -175,7 +176,7 @@
 	return list
 }
 
-// Crashes lists all that is known, for another Poison to Take.
+// Crashes returns all recorded crashes and bans, for Merge.
 func (p *Poison) Crashes(now time.Time) *wire.Crashes {
 	list := &wire.Crashes{}
 	for d, s := range p.suspects {
@@ -190,27 +191,27 @@
 }
 
 func (s *suspect) wire(now time.Time, d digest.Digest) *wire.Ban {
-	b := &wire.Ban{Digest: d[:], Tries: int32(s.tries), NextUs: never} //nolint:gosec // Below mostTries.
-	if s.tries < mostTries {
-		b.NextUs = max(s.next.Sub(now), 0).Microseconds()
+	b := &wire.Ban{Digest: d[:], Tries: int32(s.tries), NextUs: noTrial} //nolint:gosec // Below mostTries.
+	if s.tries < maxTries {
+		b.NextUs = max(s.nextTrial.Sub(now), 0).Microseconds()
 	}
 	return b
 }
 
-// never is the time to the next try of what is not tried any more.
-const never = -1
+// noTrial stands for the time until the next trial if there will be none.
+const noTrial = -1
 
-// Take adds what another one knows, and returns the requests that are banned or lifted
-// because of it.
-func (p *Poison) Take(now time.Time, c *wire.Crashes) (banned, lifted []digest.Digest) {
+// Merge adds the crashes and bans of another process. It returns the requests that are banned because
+// of them, and those whose bans are lifted.
+func (p *Poison) Merge(now time.Time, c *wire.Crashes) (banned, lifted []digest.Digest) {
 	for _, crash := range c.GetCrashes() {
-		if d, ok := digest.From(crash.GetDigest()); ok && p.Crash(now, d, crash.GetUpstream(), crash.GetAnswered()) {
+		if d, ok := digest.From(crash.GetDigest()); ok && p.RecordCrash(now, d, crash.GetUpstream(), crash.GetAnswered()) {
 			banned = append(banned, d)
 		}
 	}
 	for _, b := range c.GetBanned() {
 		if d, ok := digest.From(b.GetDigest()); ok {
-			p.Ban(now, d, int(b.GetTries()))
+			p.RecordBan(now, d, int(b.GetTries()))
 		}
 	}
 	for _, raw := range c.GetCleared() {
@@ -221,9 +222,9 @@
 	return banned, lifted
 }
 
-func (s *suspect) watched() bool { return s.banned || len(s.crashes) >= watchAt }
+func (s *suspect) watched() bool { return s.banned || len(s.crashes) >= watchThreshold }
 
-func (p *Poison) of(now time.Time, d digest.Digest) *suspect {
+func (p *Poison) getOrCreate(now time.Time, d digest.Digest) *suspect {
 	if p.suspects == nil {
 		p.suspects = map[digest.Digest]*suspect{}
 	}
@@ -236,10 +237,10 @@
 	return s
 }
 
-// evict makes room for one more. Those with the fewest crashes go first, and of these
-// the ones whose last crash is longest ago: bans stay as long as anything else is there.
+// evict drops one request if maxSuspects are kept: the one with the fewest crashes, and among those
+// the one whose last crash is the oldest. Banned requests are dropped last.
 func (p *Poison) evict() {
-	if len(p.suspects) < mostSuspects {
+	if len(p.suspects) < maxSuspects {
 		return
 	}
 	var least digest.Digest
@@ -258,7 +259,7 @@
 
 func (s *suspect) rank() int {
 	if s.banned {
-		return mostCrashes + 1
+		return maxCrashes + 1
 	}
 	return len(s.crashes)
 }
--- a/core/poison/poison_test.go
+++ b/core/poison/poison_test.go
@@ -36,7 +36,7 @@
 		var p Poison
 		bans := 0
 		for _, u := range tc.crashes {
-			if p.Crash(start, nth(1), u, false) {
+			if p.RecordCrash(start, nth(1), u, false) {
 				bans++
 			}
 		}
@@ -55,19 +55,19 @@
 	for n := range 20 {
 		var p Poison
 		for u := range 1 + n%4 {
-			p.Crash(start, nth(n), string(rune('a'+u)), n%5 == 0)
+			p.RecordCrash(start, nth(n), string(rune('a'+u)), n%5 == 0)
 			all = append(all, p.Crashes(start))
 		}
 	}
 	var one Poison
 	for _, c := range all {
-		one.Take(start, c)
+		one.Merge(start, c)
 	}
 	for range 20 {
 		rnd.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
 		var other Poison
 		for _, c := range append(all, all[:5]...) {
-			other.Take(start, c)
+			other.Merge(start, c)
 		}
 		must.Eq(t, one.Bans(start).GetBanned(), other.Bans(start).GetBanned())
 	}
@@ -78,18 +78,18 @@
 func TestClearedByAWholeAnswer(t *testing.T) {
 	var p Poison
 	d := nth(1)
-	p.Crash(start, d, "a", false)
-	p.Crash(start, d, "b", false)
+	p.RecordCrash(start, d, "a", false)
+	p.RecordCrash(start, d, "b", false)
 	before := p.Revision()
-	banned, lifted := p.Take(start, &wire.Crashes{Cleared: [][]byte{d[:]}})
+	banned, lifted := p.Merge(start, &wire.Crashes{Cleared: [][]byte{d[:]}})
 	must.SliceEmpty(t, banned)
 	must.SliceEmpty(t, lifted)
 	must.NotEq(t, before, p.Revision())
-	must.False(t, p.Crash(start, d, "c", false))
+	must.False(t, p.RecordCrash(start, d, "c", false))
 	must.False(t, p.Banned(d))
 
-	p.Ban(start, d, 0)
-	_, lifted = p.Take(start, &wire.Crashes{Cleared: [][]byte{d[:]}})
+	p.RecordBan(start, d, 0)
+	_, lifted = p.Merge(start, &wire.Crashes{Cleared: [][]byte{d[:]}})
 	must.Eq(t, []digest.Digest{d}, lifted)
 	must.False(t, p.Banned(d))
 }
@@ -99,15 +99,15 @@
 func TestBounded(t *testing.T) {
 	var p Poison
 	for _, u := range []string{"a", "b", "c"} {
-		p.Crash(start, nth(0), u, false)
+		p.RecordCrash(start, nth(0), u, false)
 	}
-	for n := range 2 * mostSuspects {
-		p.Crash(start.Add(time.Duration(n)*time.Second), nth(n+1), "a", false)
+	for n := range 2 * maxSuspects {
+		p.RecordCrash(start.Add(time.Duration(n)*time.Second), nth(n+1), "a", false)
 	}
-	must.Eq(t, mostSuspects, len(p.suspects))
+	must.Eq(t, maxSuspects, len(p.suspects))
 	must.True(t, p.Banned(nth(0)))
 	must.MapNotContainsKey(t, p.suspects, nth(1))
-	must.MapContainsKey(t, p.suspects, nth(2*mostSuspects))
+	must.MapContainsKey(t, p.suspects, nth(2*maxSuspects))
 }
 
 // Guards against a request that is refused for good because it happened to be on several
@@ -117,14 +117,14 @@
 	d := nth(1)
 	must.False(t, p.Try(start, d))
 	for _, u := range []string{"a", "b", "c"} {
-		p.Crash(start, d, u, false)
+		p.RecordCrash(start, d, u, false)
 	}
 	must.False(t, p.Try(start, d))
-	now := start.Add(tryAfter)
+	now := start.Add(trialDelay)
 	must.True(t, p.Try(now, d))
 	must.False(t, p.Try(now, d))
 	var other Poison // It takes over.
-	other.Take(now, p.Crashes(now))
+	other.Merge(now, p.Crashes(now))
 	must.Eq(t, -1, other.Bans(now).GetBanned()[0].GetNextUs())
 	must.False(t, other.Try(now.Add(time.Hour), d))
 }
@@ -140,11 +140,11 @@
 		var p Poison
 		for n := range 6 {
 			now, up := start.Add(time.Duration(n)*time.Second), string(rune('a'+n))
-			p.Crash(now, nth(1), up, n == 1)
+			p.RecordCrash(now, nth(1), up, n == 1)
 			if tc.other {
-				p.Crash(now, nth(2+n/3), up, false)
+				p.RecordCrash(now, nth(2+n/3), up, false)
 			}
-			p.Crash(now, nth(10+n), up, false) // Others are there by chance, once each.
+			p.RecordCrash(now, nth(10+n), up, false) // Others are there by chance, once each.
 		}
 		must.Eq(t, tc.banned, p.Banned(nth(1)), must.Sprint(tc.name))
 		must.Eq(t, tc.other, p.Banned(nth(2)), must.Sprint(tc.name))
--- a/io/gate/suspects.go
+++ b/io/gate/suspects.go
@@ -134,7 +134,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	answered := s.answered.Answered(d)
-	s.crashes.Crash(now, d, upstream, answered)
+	s.crashes.RecordCrash(now, d, upstream, answered)
 	s.unreported.Crashes = append(s.unreported.Crashes, &wire.Crash{Digest: d[:], Upstream: upstream, Answered: answered})
 }
 
--- a/io/hub/bans.go
+++ b/io/hub/bans.go
@@ -33,7 +33,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	before := b.poison.Revision()
-	banned, lifted := b.poison.Take(time.Now(), c)
+	banned, lifted := b.poison.Merge(time.Now(), c)
 	for _, d := range banned {
 		delete(b.lifted, d)
 		log.Info("Request banned: it crashes upstreams.", "digest", d.String())
@@ -79,7 +79,7 @@
 	before, now := b.poison.Revision(), time.Now()
 	for _, r := range list {
 		if d, ok := digest.From(r.GetDigest()); ok && !b.lifted[d] {
-			b.poison.Ban(now, d, int(r.GetTries()))
+			b.poison.RecordBan(now, d, int(r.GetTries()))
 		}
 	}
 	b.notify(before)
--- a/io/sched/bans.go
+++ b/io/sched/bans.go
@@ -43,7 +43,7 @@
 	defer b.mu.Unlock()
 	switch {
 	case r.GetCrashed():
-		return b.poison.Crash(now, d, r.GetUpstream()+"@"+b.incarnations[r.GetUpstream()], false)
+		return b.poison.RecordCrash(now, d, r.GetUpstream()+"@"+b.incarnations[r.GetUpstream()], false)
 	case !r.GetFailed():
 		b.poison.Clear(d)
 	}
