Links read and write through smaller buffers

Cause: a hub holds a link for each entry. Each end took 142 KB, 64 KB of it for two buffers that hold frames of mostly under a kilobyte: with 985 entries the leader needed 313 MB of its 536.

Change: buffers of 4 KB. Larger frames pass them, as before.

TestMemoryOfIdleLinks fails on the code before (142,467 bytes; its bound is what half of the VM's memory leaves for a thousand links).

--- a/io/link/link.go
+++ b/io/link/link.go
@@ -41,7 +41,7 @@
 	bulkLimit  = 30 * time.Second // For one such frame, either way.
 	bulkAtOnce = 4                // Of such frames read at a time, for the sake of memory.
 	queueLen   = 1024             // Frames that wait to be written, or one-way ones to be handled.
-	bufSize    = 32 << 10
+	bufSize    = 4 << 10          // Of reads and writes; a hub holds a link for each entry, and frames are mostly shorter.
 )
 
 type (
--- a/io/link/link_test.go
+++ b/io/link/link_test.go
@@ -279,3 +279,26 @@
 	all.Wait()
 	must.Eq(t, calls, len(answers))
 }
+
+// Guards against a hub that needs more memory than it has for its links. A hub holds one for each
+// entry: with a thousand of them, both directions used, half of 536 MB is 268 MB, of which the
+// collector needs half for itself.
+func TestMemoryOfIdleLinks(t *testing.T) {
+	const links, perLink = 100, 134 << 10
+	to := serve(t, ack)
+	used := func() uint64 {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc + m.StackInuse
+	}
+	before := used()
+	for range links {
+		l := dial(t, to, ack)
+		_, err := l.Call(t.Context(), query(1))
+		must.NoError(t, err)
+	}
+	each := (used() - before) / (2 * links) // Both ends are in this process.
+	t.Logf("%d bytes for an end of a link", each)
+	must.Less(t, perLink, each)
+}
