A caller that takes nothing no longer holds a request

Cause: a write to a caller had no deadline. For one behind a cut the answer, the body and the upstream's connection stayed until the kernel gave up on the connection, many minutes later.

Change: each 16 KB of a response have 30 s. A caller who only reads slowly gets all of it. A whole answer that can't be written counts as its caller's leaving.

Result: TestCallerThatTakesNothing: without the limit two of its cases do not end within 5 s; with it they end, and the slow reader gets its 15 MB.

--- /dev/null
+++ b/io/gate/caller.go
@@ -0,0 +1,36 @@
+package gate
+
+import (
+	"cmp"
+	"fmt"
+	"net/http"
+	"time"
+)
+
+const (
+	// callerTimeout is how long a caller may take to read callerChunk bytes. A caller behind a cut
+	// reads nothing, and what is held for it would stay in memory until the kernel gives up.
+	callerTimeout = 30 * time.Second
+	callerChunk   = 16 << 10
+)
+
+// write writes a part of the response to the caller.
+func (q *request) write(data []byte) error {
+	w := http.NewResponseController(q.w)
+	for len(data) > 0 {
+		n := min(len(data), callerChunk)
+		// Not every ResponseWriter has deadlines; those of a server do.
+		_ = w.SetWriteDeadline(time.Now().Add(cmp.Or(q.gate.CallerTimeout, callerTimeout)))
+		if _, err := q.w.Write(data[:n]); err != nil {
+			return fmt.Errorf("gate: write: %w", err)
+		}
+		data = data[n:]
+	}
+	return nil
+}
+
+// endWrites removes the deadline of the last write, which would hold for the next request of the
+// connection.
+func (q *request) endWrites() {
+	_ = http.NewResponseController(q.w).SetWriteDeadline(time.Time{})
+}
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -46,8 +46,10 @@
 		// SplitValid is how long this entry sends requests to the target version of a rollout
 		// without word from the scheduler.
 		SplitValid time.Duration
-		Stats      *stats.Stats
-		Log        logr.Logger
+		// CallerTimeout is how long a caller may take to read 16 KB; zero for 30 s.
+		CallerTimeout time.Duration
+		Stats         *stats.Stats
+		Log           logr.Logger
 
 		draining         atomic.Pointer[DrainSchedule]
 		waitingForConfig atomic.Int64  // Requests that wait for the first configuration.
@@ -149,6 +151,7 @@
 // ServeHTTP serves one request.
 func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	q := &request{gate: g, w: w, r: r, start: time.Now(), view: g.Cluster.View()}
+	defer q.endWrites()
 	if g.draining.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
--- a/io/gate/request.go
+++ b/io/gate/request.go
@@ -233,7 +233,9 @@
 	case res.failure != nil:
 		q.gate.Stats.Count("answers-failed", 1)
 		q.logResult("Upstream's failure passed on.", res)
-		res.failure.write(q.w)
+		if err := res.failure.write(q); err != nil {
+			q.abort("caller left", err)
+		}
 	case q.runs > 0 && q.expired(ctx):
 		q.refuse(refuse.New(refuse.DeadlinePassed, "", 0))
 	case q.runs > 0:
--- a/io/gate/send.go
+++ b/io/gate/send.go
@@ -40,8 +40,8 @@
 	length int64 // Length of the body that the upstream states; -1 if it states none.
 }
 
-func (k *bufferedResponse) write(w http.ResponseWriter) {
-	h := w.Header()
+func (k *bufferedResponse) write(q *request) error {
+	h := q.w.Header()
 	copyEndToEndHeaders(h, k.header)
 	length := int64(len(k.body))
 	if k.head {
@@ -50,8 +50,8 @@
 	if length >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
-	w.WriteHeader(k.status)
-	_, _ = w.Write(k.body)
+	q.w.WriteHeader(k.status)
+	return q.write(k.body)
 }
 
 // send sends the request to one upstream and passes its response on.
@@ -145,8 +145,10 @@
 		res.outcome, res.failure = outcomeFailed, k
 		return
 	}
-	k.write(q.w)
 	res.outcome = outcomeComplete
+	if err := k.write(q); err != nil {
+		res.outcome, res.err = outcomeCallerLeft, err
+	}
 }
 
 // promisesNoRun reports whether callers take a status as the promise that their request has not run
--- a/io/gate/stream.go
+++ b/io/gate/stream.go
@@ -104,8 +104,8 @@
 	s.pauseSilenceTimer()
 	defer s.resetSilenceTimer()
 	s.writeHeader()
-	if _, err := s.w.Write(s.buf[:end]); err != nil {
-		return fmt.Errorf("gate: write: %w", err)
+	if err := s.write(s.buf[:end]); err != nil {
+		return err
 	}
 	s.buf = append(s.buf[:0], s.buf[end:]...)
 	if err := http.NewResponseController(s.w).Flush(); err != nil {
--- a/io/gate/stream_test.go
+++ b/io/gate/stream_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -138,3 +140,59 @@
 		must.Eq(t, tc.want, eventLen([]byte(tc.in)), must.Sprintf("%q", tc.in))
 	}
 }
+
+// Guards against memory and upstreams that are held for callers who take nothing any more, such as
+// those behind a cut, and against a limit that ends the answer of one who only reads slowly.
+func TestCallerThatTakesNothing(t *testing.T) {
+	const size, chunks = 1 << 20, 64
+	for _, tc := range []struct {
+		name  string
+		path  string
+		reads bool
+	}{
+		{"stream", "/stream/x", false},
+		{"whole answer", "/once/x", false},
+		{"slow reader", "/once/x", true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			body := strings.Repeat("x", size)
+			u := newUpstream(t, func(_ int, r *http.Request, w io.Writer) bool {
+				if tc.path == "/once/x" {
+					return respondText(strings.Repeat(body, 15))(0, r, w)
+				}
+				writeEvents(r, w, 1, 1, false)
+				for i := 2; i <= chunks; i++ {
+					writeChunk(w, fmt.Sprintf("id: %d\ndata: %s\n\n", i, body[:size/2]))
+				}
+				return true
+			})
+			s := newTestGate(t, u)
+			s.CallerTimeout = 300 * time.Millisecond
+			done := make(chan struct{})
+			front := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				defer close(done)
+				s.ServeHTTP(w, r)
+			}))
+			t.Cleanup(front.Close)
+			c, err := net.Dial("tcp", front.Listener.Addr().String())
+			must.NoError(t, err)
+			t.Cleanup(func() { _ = c.Close() })
+			_, err = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\n%s: 1\r\nContent-Length: 4\r\n\r\ntext", tc.path, key, idHeader)
+			must.NoError(t, err)
+			if tc.reads {
+				buf, total := make([]byte, 256<<10), 0
+				for total < 15*size {
+					n, err := c.Read(buf)
+					must.NoError(t, err)
+					total += n
+					time.Sleep(20 * time.Millisecond)
+				}
+			}
+			select {
+			case <-done:
+			case <-time.After(5 * time.Second):
+				t.Fatal("the request does not end")
+			}
+		})
+	}
+}
