Replicas that have just started don't take themselves for cut off

Cause: a replica reports that it is cut off 0.3 s after it last heard a leader.

Change: a replica that has not heard a leader since its start has three election timeouts first.

Result: TestStartIsNotReportedAsCutOff fails on the code before (all five replicas); one that is cut off from its start on still reports it, 1.2 s after its start.

--- a/core/raft/contact.go
+++ b/core/raft/contact.go
@@ -16,6 +16,10 @@
 	probeIntervalDivisor = 8
 	cutOffDivisor        = 4
 	cutOffMultiplier     = 3
+	// startGraceTimeouts is the number of election timeouts after its start within which a replica
+	// that has not heard a leader does not report that it is cut off. After a stop of everything
+	// the links of many replicas take longer to stand than a partition takes to be detected.
+	startGraceTimeouts = 3
 )
 
 // contacts records when each replica was last heard. The zero value is empty and ready for use.
@@ -51,12 +55,15 @@
 // CutOff reports whether this replica follows no leader and reaches no quorum, so that no
 // leader can be elected on its side of a network partition. It is detected within three
 // quarters of the election timeout after a partition, and ends once the replica hears a leader
-// or enough voters.
+// or enough voters. A replica that has just started has startGraceTimeouts to hear them first.
 func (r *Raft) CutOff(now time.Time) bool {
 	r.advanceClock(now)
 	if r.group == "" || r.role == leader || r.now.Sub(r.lastLeaderContact) < cutOffMultiplier*r.electionTimeout()/cutOffDivisor {
 		return false
 	}
+	if !r.lastLeaderContact.After(r.startedAt) && r.now.Sub(r.startedAt) < startGraceTimeouts*r.electionTimeout() {
+		return false
+	}
 	n := 0
 	if r.isVoter(r.ID) {
 		n = 1
--- a/core/raft/contact_test.go
+++ b/core/raft/contact_test.go
@@ -72,6 +72,33 @@
 	}
 }
 
+// All replicas start at once, and their links stand only after some time, as after a stop of a large
+// deployment. Guards against replicas that take themselves for cut off meanwhile: they would put the
+// configuration of their last snapshot in force. One that is cut off from its start on must still
+// report it.
+func TestStartIsNotReportedAsCutOff(t *testing.T) {
+	for seed := range uint64(10) {
+		s, _ := newElectedSim(seed, 5)
+		s.restartNodes(s.ids...)
+		for _, id := range s.ids {
+			s.isolate(id)
+		}
+		for range int(2 * DefaultElectionTimeout / simStep) {
+			s.step()
+			must.SliceEmpty(t, s.cutOffNodes(), must.Sprint("seed ", seed))
+		}
+		s.unblockAll()
+		s.run(3 * DefaultElectionTimeout)
+		must.NotNil(t, s.leader())
+		id := s.others(s.leader().id)[0]
+		s.restartNodes(id)
+		s.isolate(id)
+		s.run((startGraceTimeouts + 1) * DefaultElectionTimeout)
+		must.Eq(t, []string{id}, s.cutOffNodes())
+		must.Eq(t, "", s.problems())
+	}
+}
+
 // Probes must not change the state of their receivers: a replica that hears nobody for a
 // minute, but whose probes arrive, must not depose the leader.
 func TestProbesDoNotDeposeLeader(t *testing.T) {
