A search for the scheduler asks few replicas

Cause: while no replica leads, each entry asked all replicas, one each 20 ms, in the same order.

Change: a search asks eight replicas at most, beginning at a place of the entry's own and going on in the next search, up to half of them of its data centre. Groups of up to eight are asked as before.

Result: TestSearchAsksFewReplicas (25 replicas were asked in each search before, the first of the list by all entries first).

--- a/io/watch/find.go
+++ b/io/watch/find.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"azurelane/core/wire"
@@ -20,6 +21,10 @@
 	// localPollWait is the wait of a long poll at a scheduler that serves only this data centre.
 	// After each poll the entry checks whether it reaches a leader elsewhere again.
 	localPollWait = 300 * time.Millisecond
+	// maxQueries is the number of replicas that one search asks. After a stop of everything all
+	// entries search at once. If each of them asked all replicas, the links of a thousand entries to
+	// each of them would hold up the election that they wait for.
+	maxQueries = 8
 )
 
 // target is the replica whose scheduler the entry follows. Its address is invalid if there is
@@ -111,17 +116,34 @@
 	return t
 }
 
-// replicasToQuery returns the replicas that control has listed, and then the remaining seeds.
+// replicasToQuery returns the replicas that control has listed, and then the remaining seeds, but
+// maxQueries at most: other ones in each search and for each entry, up to half of them of this data
+// centre, as one of those may schedule if it is cut off.
 func (w *Watcher) replicasToQuery() []netip.AddrPort {
 	w.mu.Lock()
-	list := slices.Clone(w.replicas)
+	list, localReplicas := slices.Clone(w.replicas), w.localReplicas
 	w.mu.Unlock()
 	for _, s := range w.Seeds() {
 		if !slices.Contains(list, s) {
 			list = append(list, s)
 		}
 	}
-	return list
+	if len(list) <= maxQueries {
+		return list
+	}
+	w.searches++
+	start := (xxhash.Sum64String(w.Node) + w.searches*maxQueries/2) % uint64(len(list))
+	list = slices.Concat(list[start:], list[:start])
+	var local, other []netip.AddrPort
+	for _, addr := range list {
+		if localReplicas[addr] {
+			local = append(local, addr)
+		} else {
+			other = append(other, addr)
+		}
+	}
+	local = local[:min(len(local), maxQueries/2)]
+	return slices.Concat(local, other[:min(len(other), maxQueries-len(local))])
 }
 
 // queryLeader asks one replica for the leader.
@@ -146,10 +168,19 @@
 // learnReplicas replaces the known replicas by the given ones.
 func (w *Watcher) learnReplicas(list []*wire.Replica) {
 	var addrs []string
+	local := map[netip.AddrPort]bool{}
 	for _, r := range list {
 		addrs = append(addrs, r.GetAddress())
+		if a, err := netip.ParseAddrPort(r.GetAddress()); err == nil && r.GetDataCentre() == w.DataCentre {
+			local[a] = true
+		}
 	}
 	w.learnAddrs(addrs)
+	if len(local) > 0 {
+		w.mu.Lock()
+		w.localReplicas = local
+		w.mu.Unlock()
+	}
 }
 
 // learnAddrs replaces the known replicas by the addresses that parse, unless none does.
--- a/io/watch/watch.go
+++ b/io/watch/watch.go
@@ -73,7 +73,9 @@
 		configured     chan struct{} // Closed once a configuration is in force.
 		mu             sync.Mutex    // Guards the fields below and updates of view.
 		replicas       []netip.AddrPort
+		localReplicas  map[netip.AddrPort]bool // Replicas of this data centre, as far as known.
 		nextReplica    int
+		searches       uint64
 		cancelPoll     context.CancelFunc // Cancels the current poll.
 		lastProbe      time.Time
 		probeTimes     [probeHistory]time.Duration // Round-trip times of the last probes, a ring buffer.
--- a/io/watch/watch_test.go
+++ b/io/watch/watch_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"compress/flate"
 	"context"
+	"fmt"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -292,6 +293,64 @@
 	})
 }
 
+// electingReplicas is a large group of replicas that has no leader.
+type electingReplicas struct {
+	list  []*wire.Replica
+	mu    sync.Mutex
+	asked map[string]int
+}
+
+func (r *electingReplicas) Call(_ context.Context, to netip.AddrPort, _ *wire.Frame) (*wire.Frame, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.asked[to.String()]++
+	return &wire.Frame{Body: &wire.Frame_Status{Status: &wire.Status{Replicas: r.list, DataCentre: "elsewhere"}}}, nil
+}
+
+// Guards against entries that all ask all replicas while there is no leader: after a stop of a large
+// deployment their links held up the election. Each search must ask few, replicas of the entry's data
+// centre among them, several searches all, and different entries different ones.
+func TestSearchAsksFewReplicas(t *testing.T) {
+	const replicas, dataCentres, entries = 25, 5, 100
+	synctest.Test(t, func(t *testing.T) {
+		group := &electingReplicas{asked: map[string]int{}}
+		var seeds []netip.AddrPort
+		for i := range replicas {
+			a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 7000)
+			seeds = append(seeds, a)
+			group.list = append(group.list, &wire.Replica{Address: a.String(), DataCentre: fmt.Sprint("dc-", i%dataCentres)})
+		}
+		first := map[string]int{}
+		for e := range entries {
+			w := newWatcher(nil)
+			w.Node, w.DataCentre, w.Mesh, w.Seeds = fmt.Sprint("entry-", e), "dc-3", group, func() []netip.AddrPort { return seeds[:3] }
+			w.findScheduler(t.Context()) // Learns the others.
+			all := map[string]bool{}
+			for search := range 10 {
+				clear(group.asked)
+				must.False(t, w.findScheduler(t.Context()).addr.IsValid())
+				must.LessEq(t, maxQueries, len(group.asked))
+				local := 0
+				for a := range group.asked {
+					all[a] = true
+					if search == 0 {
+						first[a]++
+					}
+					if w.localReplicas[netip.MustParseAddrPort(a)] {
+						local++
+					}
+				}
+				must.Eq(t, maxQueries/2, local)
+			}
+			must.MapLen(t, replicas, all)
+		}
+		for a, n := range first {
+			must.Less(t, entries*9/10, n, must.Sprint(a))
+		}
+		must.MapLen(t, replicas, first)
+	})
+}
+
 // silentReplica is a fakeControl that never answers at silentAddr.
 type silentReplica struct {
 	*fakeControl
