--- a/io/hubd/hubd.go
+++ b/io/hubd/hubd.go
@@ -33,10 +33,7 @@
 	// memoryLimitShare is the fraction of the allowed memory at which the garbage collector
 	// starts to work harder, as in gated.
 	memoryLimitShare = 0.7
-	// gcPercent is how much the heap may grow between two collections, in percent. A hub's heap is
-	// largest when all entries start at once, and then grows with the entries.
-	gcPercent    = 50
-	leaveTimeout = 3 * time.Second // For handing over leadership when the process stops.
+	leaveTimeout     = 3 * time.Second // For handing over leadership when the process stops.
 	// voterAwayShare is the fraction of the catch-up time after which a silent voter is
 	// replaced. The catch-up time is a setting: a lost replica must be replaced by a live one
 	// within it. The rest of it is left for the membership change itself.
@@ -67,7 +64,6 @@
 // Open reads the data folder and binds the addresses. The function calls returns the handler for
 // the calls of upstreams and operators, and parse parses published documents.
 func Open(settings *local.Local, calls func(*hub.Hub) http.Handler, parse func(doc []byte) (*conf.Config, error), log logr.Logger) (*Hubd, error) {
-	debug.SetGCPercent(gcPercent)
 	if settings.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitShare * float64(settings.MemoryMB<<20)))
 	}
