Entries that have just started get the whole roster later

Change: an entry without a configuration gets it with the upstreams of pools whose requests it places, and can serve then. It polls for the engines, which it needs only without a scheduler, and gets them at a time of its own within a second.

--- a/io/hub/feed.go
+++ b/io/hub/feed.go
@@ -70,6 +70,13 @@
 	return whole || slices.ContainsFunc(list, func(u *wire.Upstream) bool { return !f.scheduled[u.GetPool()] })
 }
 
+// unscheduled returns the upstreams of pools whose requests entries place.
+func (f *feed) unscheduled(list []*wire.Upstream) []*wire.Upstream {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(list), func(u *wire.Upstream) bool { return f.scheduled[u.GetPool()] })
+}
+
 // wake wakes all polls.
 func (f *feed) wake() {
 	f.mu.Lock()
@@ -84,6 +91,11 @@
 	return f.change.wait()
 }
 
+// rosterDelay returns how long the whole roster waits for an entry.
+func rosterDelay(node string) time.Duration {
+	return time.Duration(xxhash.Sum64String(node) % uint64(maxNewsSpread)) //nolint:gosec // Below a second.
+}
+
 // newsDelay returns how long news waits for one of the given number of entries.
 func newsDelay(node string, entries int64) time.Duration {
 	spread := min(time.Duration(entries)*newsSpread, maxNewsSpread)
--- a/io/hub/limits_test.go
+++ b/io/hub/limits_test.go
@@ -184,6 +184,8 @@
 		w := &wire.Watch{Node: "e", Incarnation: "i", Limits: []*wire.Limit{{Upstream: "up", PerSecond: 3}}}
 		news, err := askNews(h, w)
 		must.NoError(t, err)
+		news, err = askNews(h, &wire.Watch{Node: "e", Incarnation: "i", Leader: news.GetLeader(), Version: news.GetVersion()}) // The roster.
+		must.NoError(t, err)
 		time.AfterFunc(time.Second, func() { h.applyLimits(h.leaderScheduler(), []*wire.Limit{{Upstream: "up", PerSecond: 1}}) })
 		news, err = askNews(h, &wire.Watch{
 			Node: "e", Incarnation: "i", Leader: news.GetLeader(), Version: news.GetVersion(), Revision: news.GetRevision(),
--- a/io/hub/watch.go
+++ b/io/hub/watch.go
@@ -40,6 +40,17 @@
 func (h *Hub) handleWatch(ctx context.Context, w *wire.Watch) (*wire.News, error) {
 	end := time.NewTimer(time.Duration(w.GetWaitUs()) * time.Microsecond)
 	defer end.Stop()
+	if _, _, revision := h.Replica.Roster(w.GetRevision()); w.GetRevision() == 0 && revision > 0 && w.GetVersion() > 0 && w.GetLeader() != "" {
+		// The entry has the configuration and not the whole roster. After a stop of everything all
+		// entries ask for it at once, and the answers would hold up the leader's heartbeats.
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-end.C:
+			end.Reset(0)
+		case <-time.After(rosterDelay(w.GetNode())):
+		}
+	}
 	for woken := false; ; woken = true {
 		changed := h.feed.changed()
 		s := h.scheduler()
@@ -119,7 +130,13 @@
 		n.Document = data
 	}
 	n.Roster, n.Whole, n.Revision = h.Replica.Roster(w.GetRevision())
-	if n.GetWhole() && n.GetRevision() > 0 {
+	switch {
+	case !n.GetWhole() || n.GetRevision() == 0:
+	case n.GetDocument() != nil:
+		// The entry has just started. It serves as soon as it has the configuration and the
+		// upstreams of pools whose requests it places, and polls for the rest; see handleWatch.
+		n.Roster, n.Revision = h.feed.unscheduled(n.GetRoster()), 0
+	default:
 		if err := h.packed.addRoster(h.Replica, n); err != nil {
 			return nil, false, err
 		}
