--- a/core/batch/room.go
+++ b/core/batch/room.go
@@ -13,7 +13,7 @@
 const (
 	// sampleSize is the number of engines with room that a decision compares first. The cost of a
 	// decision would otherwise grow with the pool, and the number of decisions grows with it too.
-	// Among this many engines of three speeds some of the fastest have room, unless few of all have.
+	// Among this many engines of unlike speeds some of the fastest nearly always have room.
 	sampleSize = 96
 	// sampleGrowth is the factor by which the sample grows while no engine in it suits a ticket.
 	sampleGrowth = 8
