--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -139,7 +139,7 @@
 	i := newItem(now.Sub(b.started), t, route, &b.meanEngine)
 	b.waiting = append(b.waiting, i)
 	b.waitingByKey[ticketKey{t.GetIncarnation(), t.GetId()}] = i
-	if !b.room.has(batchRoom) && !(b.topPriority.includes(i) && b.room.has(queueRoom)) {
+	if !b.room.has(batchRoom) && (!b.topPriority.includes(i) || !b.room.has(queueRoom)) {
 		return nil // No ticket could be granted before, and this one does not change that.
 	}
 	return b.assign(now)
--- a/core/batch/room_test.go
+++ b/core/batch/room_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"testing"
 	"time"
 
@@ -37,7 +38,7 @@
 // spent its processor time on looking at all of them for each request.
 func TestDecisionsDoNotGrowWithThePool(t *testing.T) {
 	for _, n := range []int{1000, 4000} {
-		t.Run(fmt.Sprint(n), func(t *testing.T) {
+		t.Run(strconv.Itoa(n), func(t *testing.T) {
 			e := newLargeHarness(n, 2)
 			for i := range n {
 				must.Len(t, 1, e.submitFrom(fmt.Sprint("entry-", i%97), fmt.Sprint("dc-", i%roomDataCentres)))
--- a/io/hub/hub.go
+++ b/io/hub/hub.go
@@ -321,10 +321,8 @@
 			return nil, err
 		}
 		return &wire.Frame{Body: &wire.Frame_News{News: n}}, nil
-	case *wire.Frame_Report:
-		return nil, h.handleReport(ctx, b.Report)
-	case *wire.Frame_Reports:
-		return h.handleReports(ctx, b.Reports)
+	case *wire.Frame_Report, *wire.Frame_Reports:
+		return h.handleReportFrame(ctx, f)
 	case *wire.Frame_ConfigQuery:
 		return h.readPublication(ctx)
 	case *wire.Frame_Evidence, *wire.Frame_RolloutQuery:
--- a/io/hub/reports.go
+++ b/io/hub/reports.go
@@ -96,6 +96,14 @@
 	}
 }
 
+// handleReportFrame handles a report, or several that another replica has collected, on the leader.
+func (h *Hub) handleReportFrame(ctx context.Context, f *wire.Frame) (*wire.Frame, error) {
+	if r := f.GetReports(); r != nil {
+		return h.handleReports(ctx, r)
+	}
+	return nil, h.handleReport(ctx, f.GetReport())
+}
+
 // handleReports handles the reports that another replica has collected, on the leader. It takes
 // those of upstreams that it knows as the reports say.
 func (h *Hub) handleReports(ctx context.Context, r *wire.Reports) (*wire.Frame, error) {
