The test of a slow caller has time for its transfer

Change: the route has a minute in this test. What it checks, the silence limit of a second and the whole answer from the first upstream alone, is as before.

--- a/io/gate/stream_test.go
+++ b/io/gate/stream_test.go
@@ -65,6 +65,7 @@
 	})
 	second := newUpstream(t, respondText("no"))
 	s := newTestGate(t, first, second)
+	s.view.Index.Route("h", "/resume/x").Timeout = time.Minute // The transfer takes seconds under the race detector.
 	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, s.srv.URL+"/resume/x", strings.NewReader("text"))
 	must.NoError(t, err)
 	r.Host = "h"
