The test of port ranges keeps to a range of its own

TestFreePortsFollowEachOther, which runs beside it, listened on a port five above one that it had been given, without asking for it; another test could be given that port in the meantime and start a process on it.

Change: ranges of ports are a type; the test takes its ports from a range that no other test uses, and there listens on a port as before.

--- a/cmd/azurelane/ports_test.go
+++ b/cmd/azurelane/ports_test.go
@@ -18,7 +18,9 @@
 		askers = 50
 		each   = 10
 	)
-	next := freeAddr(t)
+	// A range of its own: the port taken below may be any test's.
+	ports := portRange{first: 30000, span: 2000}
+	next := ports.take(t, 1)[0]
 	ln, err := net.Listen("tcp", netip.AddrPortFrom(next.Addr(), next.Port()+each/2).String())
 	if err == nil { // Else somebody else has it.
 		t.Cleanup(func() { must.NoError(t, ln.Close()) })
@@ -30,7 +32,7 @@
 		if i%2 == 1 {
 			n = 1
 		}
-		wg.Go(func() { lists[i] = freePorts(t, n) })
+		wg.Go(func() { lists[i] = ports.take(t, n) })
 	}
 	wg.Wait()
 	given := map[netip.AddrPort]bool{}
--- a/cmd/azurelane/process_test.go
+++ b/cmd/azurelane/process_test.go
@@ -58,15 +58,16 @@
 	return newProc(c.t, c.dir, fmt.Sprintf("%s-%d", args[0], time.Now().UnixNano()), args...).cmd
 }
 
-// lastPort is the port that freeAddr gave out last. Ports below the range that
-// the kernel takes for outgoing connections are used: one of that range may be
+// portRange gives out ports, each once a round. Ranges don't overlap, and lie
+// below that of the kernel for outgoing connections: a port of that one may be
 // taken by any connection before the process that was meant to listen on it.
-var lastPort atomic.Uint32
+type portRange struct {
+	first, span uint16
+	last        atomic.Uint32
+}
 
-const (
-	firstPort = 10000
-	portSpan  = 20000
-)
+// testPorts are the ports of the processes that tests start.
+var testPorts = portRange{first: 10000, span: 20000}
 
 func freeAddr(t testing.TB) netip.AddrPort {
 	t.Helper()
@@ -86,15 +87,21 @@
 // time get other ones.
 func freePorts(t testing.TB, n uint16) []netip.AddrPort {
 	t.Helper()
-	lastPort.CompareAndSwap(0, uint32(os.Getpid()*97%portSpan)+1)
-	for range portSpan {
-		last := lastPort.Add(uint32(n)) % portSpan
+	return testPorts.take(t, n)
+}
+
+func (p *portRange) take(t testing.TB, n uint16) []netip.AddrPort {
+	t.Helper()
+	span := uint32(p.span)
+	p.last.CompareAndSwap(0, uint32(os.Getpid())*97%span+1) //nolint:gosec // Any value will do.
+	for range p.span {
+		last := p.last.Add(uint32(n)) % span
 		if last+1 < uint32(n) {
-			continue // The range goes round its end.
+			continue // The ports go round the end of the range.
 		}
 		list := make([]netip.AddrPort, n)
 		for i := range list {
-			list[i] = netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(firstPort+last+1)-n+uint16(i)) //nolint:gosec // A port.
+			list[i] = netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), p.first+uint16(last+1)-n+uint16(i)) //nolint:gosec // A port.
 		}
 		if !slices.ContainsFunc(list, isTaken) {
 			return list
