Followers answer heartbeats without waiting for their disks

Cause: a follower's reply to a heartbeat was sent once the write under way and all records behind it were synced. Only after a quarter of the election timeout does a replica call its disk slow and answer at once. With writes just below that, replies came up to half of the timeout late; the leader's lease, which counts from the sending of an answered round, ended although all replicas ran.

Change: a heartbeat without entries, whose position is not on disk yet, is answered at once with the newest position that is. Entries are still confirmed by the replies to the appends that carry them, after the sync. The simulation reports a slow disk as io/ctrl does, after a quarter of the timeout, and not by foreseeing how long the write will take.

Whether it keeps the leader after a stop of everything in the fleet is measured apart.

--- a/core/raft/follower.go
+++ b/core/raft/follower.go
@@ -41,6 +41,13 @@
 	}
 	r.commitIndex = max(r.commitIndex, min(m.GetCommit(), end))
 	reply.Granted, reply.LastIndex = true, end
+	if len(ents) == 0 && end > r.syncedIndex {
+		// What is on disk is confirmed at once, and the rest by the replies to the entries. A
+		// reply that waited for the disk would make this replica seem out of reach.
+		reply.LastIndex = r.syncedIndex
+		r.sendBeforeSync(reply)
+		return
+	}
 	r.send(reply)
 }
 
--- a/core/raft/raft.go
+++ b/core/raft/raft.go
@@ -369,6 +369,18 @@
 func (r *Raft) record(rec *wire.Record) { r.out.Records = append(r.out.Records, rec) }
 
 func (r *Raft) send(m *wire.Raft) {
+	if needsSync(m) {
+		r.out.MessagesAfterSync = append(r.out.MessagesAfterSync, r.addressed(m))
+		return
+	}
+	r.sendBeforeSync(m)
+}
+
+// sendBeforeSync sends a message that relies on no record that is not on disk yet.
+func (r *Raft) sendBeforeSync(m *wire.Raft) { r.out.Messages = append(r.out.Messages, r.addressed(m)) }
+
+// addressed sets the sender of a message, and its group and term where they are not set.
+func (r *Raft) addressed(m *wire.Raft) *wire.Raft {
 	m.From = r.ID
 	if m.GetGroup() == "" {
 		m.Group = r.group
@@ -376,11 +388,7 @@
 	if m.GetTerm() == 0 {
 		m.Term = r.term
 	}
-	if needsSync(m) {
-		r.out.MessagesAfterSync = append(r.out.MessagesAfterSync, m)
-		return
-	}
-	r.out.Messages = append(r.out.Messages, m)
+	return m
 }
 
 // needsSync reports whether a message relies on records on this replica's disk: its vote, for
--- a/core/raft/sim_test.go
+++ b/core/raft/sim_test.go
@@ -55,6 +55,7 @@
 		diskRecords    []*wire.Record // On disk, after the snapshot.
 		crashPoint     int            // Crash 1: before the next sync of records, 2: after it; 0: none.
 		diskFull       bool           // The disk accepts no writes.
+		minWriteTime   time.Duration  // Lower bound of the duration of a write.
 		maxWriteTime   time.Duration  // Upper bound of the duration of a write; zero for none.
 		pendingWrite   write          // Waits for the disk.
 		activeWrite    *write         // Under way.
@@ -69,10 +70,11 @@
 	// write is a group of records that go to disk together, and the messages that wait for
 	// them.
 	write struct {
-		snapshot *wire.Snapshot // Replaces all earlier records.
-		records  []*wire.Record
-		messages []*wire.Raft
-		doneAt   time.Duration // True time at which the write is done.
+		snapshot  *wire.Snapshot // Replaces all earlier records.
+		records   []*wire.Record
+		messages  []*wire.Raft
+		startedAt time.Duration // True time.
+		doneAt    time.Duration
 	}
 
 	delivery struct {
@@ -178,12 +180,13 @@
 func (s *sim) startWrite(n *node) {
 	w := n.pendingWrite
 	n.pendingWrite, n.activeWrite = write{}, &w
+	w.startedAt = s.elapsed
 	if w.snapshot != nil {
 		w.records = n.LogRecords()
 	}
 	n.WriteStarted()
 	if n.maxWriteTime > 0 && len(w.records) > 0 {
-		w.doneAt = s.elapsed + time.Duration(s.rnd.Int64N(int64(n.maxWriteTime)))
+		w.doneAt = s.elapsed + n.minWriteTime + time.Duration(s.rnd.Int64N(int64(n.maxWriteTime-n.minWriteTime)))
 		return
 	}
 	s.finishWrite(n)
@@ -302,7 +305,7 @@
 	case n.activeWrite == nil:
 	case n.activeWrite.doneAt <= s.elapsed:
 		s.finishWrite(n)
-	case n.activeWrite.doneAt > s.elapsed+DefaultHeartbeatInterval:
+	case s.elapsed-n.activeWrite.startedAt >= DefaultElectionTimeout/4: // As io/ctrl does.
 		n.DiskStalled()
 	}
 }
