--- a/io/link/bench_test.go
+++ b/io/link/bench_test.go
@@ -18,9 +18,8 @@
 	b.ReportMetric(float64(took[len(took)*99/100].Microseconds()), "p99-us")
 }
 
-// BenchmarkSmallBesideBulk is a small call alone, while 8 MB frames go the same
-// way on streams of their own, and while as many bytes go on the common stream
-// in frames that are just small enough for it.
+// BenchmarkSmallBesideBulk measures a small call alone, beside 8 MB frames on streams of their
+// own, and beside the same traffic in frames that are just small enough for the common stream.
 func BenchmarkSmallBesideBulk(b *testing.B) {
 	for _, size := range []int{0, 8 << 20, BulkSize - 64} {
 		b.Run(fmt.Sprintf("beside=%d", size), func(b *testing.B) {
@@ -54,7 +53,7 @@
 	}
 }
 
-// BenchmarkCall is the latency of a call on one link and how many it carries.
+// BenchmarkCall measures the latency and the rate of calls on one link.
 func BenchmarkCall(b *testing.B) {
 	for _, p := range []int{1, 2, 5, 20} {
 		b.Run(fmt.Sprintf("callers=%d", p*runtime.GOMAXPROCS(0)), func(b *testing.B) {
--- a/io/link/close_test.go
+++ b/io/link/close_test.go
@@ -15,11 +15,11 @@
 	"azurelane/core/wire"
 )
 
-// held is a connection whose reader comes back late after its end, as on a VM that is
-// busy, and whose writes can fail.
+// held is a connection whose reads return late after its end, as on a busy VM, and whose writes
+// can fail.
 type held struct {
 	net.Conn
-	let  chan struct{} // Closed when the reader may come back.
+	let  chan struct{} // Closed to let failed reads return.
 	fail atomic.Bool
 }
 
@@ -38,11 +38,10 @@
 	return h.Conn.Write(p) //nolint:wrapcheck // The connection's own.
 }
 
-// Callers of a process find it without processor time for as long as one of its links
-// takes to end. The session says that it is over first, and ends its streams only when
-// the reader of the connection has come back; until then whoever reads a stream is woken
-// at once, each time that it waits. On a VM with one processor the reader then does not
-// get its turn. The link's own reader is gone before that.
+// Guards against a busy loop while a link closes. The session reports its end first, and ends its
+// streams only when the reader of the connection has returned; until then each read of a stream
+// returns at once, and on a VM with one processor the reader of the connection does not run. The
+// link's own reader must have ended before.
 func TestNobodyReadsAStreamOfALinkThatEnds(t *testing.T) {
 	for _, tc := range []struct {
 		name string
@@ -87,7 +86,7 @@
 	}
 }
 
-// watched is a stream that tells when whoever reads it has let go.
+// watched is a stream that reports when its read has returned an error.
 type watched struct {
 	net.Conn
 	gone chan struct{}
@@ -101,8 +100,8 @@
 	return n, err //nolint:wrapcheck // The stream's own.
 }
 
-// part is a connection that gives as many bytes as it is told to, and nothing more until
-// it may come back with an error.
+// part is a connection that returns the given number of bytes, and then blocks until it may
+// return an error.
 type part struct {
 	net.Conn
 	more chan int
@@ -131,15 +130,15 @@
 	return n, err //nolint:wrapcheck // The connection's own.
 }
 
-// Guards against a reader that is woken again and again, and against callers that wait,
-// when a link ends between two frames or in the middle of one.
+// Guards against a busy loop in the reader, and against callers that hang, when a link is closed
+// between two frames or within one.
 func TestEndOfALinkBetweenFramesAndInside(t *testing.T) {
 	const header = 12 // Bytes of a session's frame before its body.
 	for _, tc := range []struct {
 		name  string
-		more  int  // Bytes that come after the stream was opened.
-		fails bool // The link ends by a write that fails.
-		free  bool // Whether the session lets go of the stream's reader.
+		more  int  // Bytes that arrive after the stream was opened.
+		fails bool // The link is closed by a failed write.
+		free  bool // Whether the session ends the stream's read.
 	}{
 		{"between frames", 0, false, true},
 		{"between frames, by a write", 0, true, true},
@@ -160,7 +159,7 @@
 			}()
 			c := &part{Conn: here, more: make(chan int, 1), left: header, let: make(chan struct{})}
 			open := &streams{}
-			sess, err := yamux.Server(&guarded{c, open}, config())
+			sess, err := yamux.Server(&expiringConn{c, open}, config())
 			must.NoError(t, err)
 			stream, err := sess.Accept()
 			must.NoError(t, err)
@@ -169,7 +168,7 @@
 			if tc.more > 0 {
 				c.more <- tc.more
 			}
-			time.Sleep(50 * time.Millisecond) // The reader of the connection gets to its end.
+			time.Sleep(50 * time.Millisecond) // The reader of the connection blocks at the end of the data.
 			if tc.fails {
 				c.fail.Store(true)
 				must.NoError(t, l.Send(context.Background(), &wire.Frame{Body: &wire.Frame_Ack{Ack: &wire.Ack{}}}))
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -23,74 +23,72 @@
 	"azurelane/io/redial"
 )
 
-// ErrDown is returned for calls on a link that has ended. The peer may or may
-// not have seen the frame; nothing is sent again by the link.
+// ErrDown is returned for calls on a closed link. The peer may have received the frame; the
+// link never sends it again.
 var ErrDown = errors.New("link: down")
 
-// ErrTooLarge is returned for a frame over MaxFrame, which was not sent.
+// ErrTooLarge is returned for a frame larger than MaxFrame, which is not sent.
 var ErrTooLarge = errors.New("link: frame too large")
 
 const (
-	// MaxFrame bounds the bytes of one frame.
+	// MaxFrame is the maximum size of a frame in bytes.
 	MaxFrame = 64 << 20
-	// BulkSize is from where on a frame gets a stream of its own. On the common
-	// stream a snapshot of tens of MB would stand before every small frame, the
-	// heartbeat included, and the peer would take the link for dead.
+	// BulkSize is the size in bytes from which a frame gets a stream of its own. On the common
+	// stream a snapshot of tens of MB would block all small frames, heartbeats included, until
+	// the peer closes the link.
 	BulkSize = 32 << 10
 
-	bulkLimit  = 30 * time.Second // For one such frame, either way.
-	bulkAtOnce = 4                // Of such frames read at a time, for the sake of memory.
-	queueLen   = 1024             // Frames that wait to be written, or one-way ones to be handled.
-	bufSize    = 4 << 10          // Of reads and writes; a hub holds a link for each entry, and frames are mostly shorter.
+	bulkTimeout  = 30 * time.Second // For sending or receiving a bulk frame.
+	maxBulkReads = 4                // Bulk frames received concurrently; bounds memory.
+	queueLen     = 1024             // Frames to write, and one-way frames to handle.
+	bufSize      = 4 << 10          // Bytes. A hub holds a link for each entry, and most frames are shorter.
 )
 
 type (
-	// handler handles a frame that a peer sent on its own: calls in a goroutine
-	// each, one-way frames one after the other, in order but for bulk frames.
+	// handler handles a frame that is not a reply: calls in a goroutine each, one-way frames
+	// sequentially and in order, except bulk frames.
 	handler = func(context.Context, *wire.Frame) (*wire.Frame, error)
 
-	// taker is asked first for each call. It reports whether it takes it, and calls
-	// reply with the answer then, from any goroutine. It must not wait, as the peer's
-	// next frames wait for it.
-	taker = func(ctx context.Context, f *wire.Frame, reply func(*wire.Frame)) bool
+	// callHandler is offered each call first. It reports whether it accepts the call, and then calls
+	// reply once, from any goroutine. It must not block, as the peer's next frames wait for it.
+	callHandler = func(ctx context.Context, f *wire.Frame, reply func(*wire.Frame)) bool
 )
 
-// Link is one open connection. It is made by Dial or Accept.
+// Link is an open connection, made by Dial or Accept.
 type Link struct {
-	sess   *yamux.Session
-	stream net.Conn
-	open   *streams
-	handle handler
-	later  taker // Nil for none.
-	ctx    context.Context
-	cancel context.CancelFunc
-	done   chan struct{}
-	end    sync.Once // Closes done.
-	wg     sync.WaitGroup
+	sess       *yamux.Session
+	stream     net.Conn
+	open       *streams
+	handle     handler
+	handleCall callHandler // Nil for none.
+	ctx        context.Context
+	cancel     context.CancelFunc
+	done       chan struct{}
+	end        sync.Once // Closes done.
+	wg         sync.WaitGroup
 
 	out    chan []byte      // Small frames to write.
-	oneWay chan *wire.Frame // Read, in order.
-	bulk   chan struct{}    // Bounds the bulk frames being read.
-	pulse  pulse
+	oneWay chan *wire.Frame // One-way frames to handle.
+	bulk   chan struct{}    // Semaphore for receiving bulk frames.
+	pulse  heartbeat
 
 	mu    sync.Mutex
 	calls map[uint64]chan *wire.Frame
 	last  uint64
 
-	serving atomic.Int64 // Calls of the peer being answered.
-	unsent  atomic.Int64 // Small frames that are not written yet.
+	serving atomic.Int64 // Pending calls of the peer.
+	unsent  atomic.Int64 // Small frames not written yet.
 }
 
-// Dial connects to a peer. Frames that the peer sends on its own go to handle,
-// calls that need no goroutine to later, if it isn't nil.
-// With cfg the link is encrypted and both ends have shown their certificates.
-func Dial(ctx context.Context, addr netip.AddrPort, cfg *tls.Config, handle handler, later taker) (*Link, error) {
+// Dial connects to a peer. Frames of the peer that are not replies go to handle; calls are
+// offered to later first, unless it is nil. With cfg the link uses mutual TLS.
+func Dial(ctx context.Context, addr netip.AddrPort, cfg *tls.Config, handle handler, later callHandler) (*Link, error) {
 	conn, err := connect(ctx, addr, cfg)
 	if err != nil {
 		return nil, fmt.Errorf("link: dial: %w", err)
 	}
 	open := &streams{}
-	sess, err := yamux.Client(&guarded{conn, open}, config())
+	sess, err := yamux.Client(&expiringConn{conn, open}, config())
 	if err != nil {
 		_ = conn.Close()
 		return nil, fmt.Errorf("link: open session: %w", err)
@@ -121,10 +119,10 @@
 	return secure, nil
 }
 
-// Accept serves a connection that a peer dialled.
-func Accept(conn net.Conn, handle handler, later taker) (*Link, error) {
+// Accept serves a connection that a peer opened.
+func Accept(conn net.Conn, handle handler, later callHandler) (*Link, error) {
 	open := &streams{}
-	sess, err := yamux.Server(&guarded{conn, open}, config())
+	sess, err := yamux.Server(&expiringConn{conn, open}, config())
 	if err != nil {
 		_ = conn.Close()
 		return nil, fmt.Errorf("link: open session: %w", err)
@@ -141,28 +139,28 @@
 
 func config() *yamux.Config {
 	cfg := yamux.DefaultConfig()
-	cfg.EnableKeepAlive = false // The link's own heartbeat also shows that the process behind it runs.
+	cfg.EnableKeepAlive = false // The link's own heartbeat also shows that the peer's process runs.
 	cfg.ConnectionWriteTimeout = SilenceLimit
 	cfg.LogOutput = io.Discard
 	return cfg
 }
 
-func start(sess *yamux.Session, stream net.Conn, open *streams, handle handler, later taker) *Link {
-	open.add(stream)
+func start(sess *yamux.Session, stream net.Conn, open *streams, handle handler, later callHandler) *Link {
+	open.register(stream)
 	l := &Link{
-		sess: sess, stream: stream, open: open, handle: handle, later: later, done: make(chan struct{}), calls: map[uint64]chan *wire.Frame{},
-		out: make(chan []byte, queueLen), oneWay: make(chan *wire.Frame, queueLen), bulk: make(chan struct{}, bulkAtOnce),
+		sess: sess, stream: stream, open: open, handle: handle, handleCall: later, done: make(chan struct{}), calls: map[uint64]chan *wire.Frame{},
+		out: make(chan []byte, queueLen), oneWay: make(chan *wire.Frame, queueLen), bulk: make(chan struct{}, maxBulkReads),
 	}
 	l.ctx, l.cancel = context.WithCancel(context.Background())
 	l.pulse.start(time.Now())
-	for _, part := range []func(){l.read, l.write, l.work, l.accept, l.beat} {
+	for _, part := range []func(){l.read, l.write, l.handleOneWay, l.accept, l.beat} {
 		l.wg.Go(part)
 	}
 	return l
 }
 
-// Call sends a frame and waits for the reply. A fault of the peer comes back
-// as *wire.Fault, a lost link as ErrDown.
+// Call sends a frame and waits for the reply. It returns a *wire.Fault of the peer as an error,
+// and ErrDown if the link is closed.
 func (l *Link) Call(ctx context.Context, f *wire.Frame) (*wire.Frame, error) {
 	ch := make(chan *wire.Frame, 1)
 	l.mu.Lock()
@@ -175,7 +173,7 @@
 		delete(l.calls, id)
 		l.mu.Unlock()
 	}()
-	if err := l.put(ctx, &wire.Frame{Id: id, Body: f.GetBody()}); err != nil {
+	if err := l.enqueue(ctx, &wire.Frame{Id: id, Body: f.GetBody()}); err != nil {
 		return nil, err
 	}
 	select {
@@ -191,21 +189,20 @@
 	}
 }
 
-// Send sends a one-way frame. It returns once the frame is queued, so nil says
-// nothing about its arrival.
+// Send queues a one-way frame. A nil error does not mean that the frame arrives.
 func (l *Link) Send(ctx context.Context, f *wire.Frame) error {
-	return l.put(ctx, &wire.Frame{Body: f.GetBody()})
+	return l.enqueue(ctx, &wire.Frame{Body: f.GetBody()})
 }
 
-// Done is closed when the link has ended.
+// Done returns a channel that is closed when the link is closed.
 func (l *Link) Done() <-chan struct{} { return l.done }
 
-// Close ends the link. Calls that wait return ErrDown.
+// Close closes the link. Pending calls return ErrDown.
 func (l *Link) Close() error {
 	l.cancel()
-	l.open.end()
-	// Callers must not wait for the link's reader. While the session reads a frame from
-	// the connection it holds the lock of the frame's stream, and so whoever reads there.
+	l.open.expireAll()
+	// Callers must not wait for the link's reader: while the session reads a frame from the
+	// connection, it holds the lock of the frame's stream and blocks reads of that stream.
 	l.end.Do(func() { close(l.done) })
 	if err := l.sess.Close(); err != nil {
 		return fmt.Errorf("link: close: %w", err)
@@ -213,16 +210,16 @@
 	return nil
 }
 
-// Idle reports whether all calls of the peer are answered.
+// Idle reports whether no call of the peer is pending and all small frames are written.
 func (l *Link) Idle() bool { return l.serving.Load() == 0 && l.unsent.Load() == 0 }
 
-// Wait returns when the link has ended and its goroutines too, but for handlers
-// of calls, whose context has ended.
+// Wait waits until the link is closed and its goroutines have ended, except handlers of calls,
+// whose context is cancelled.
 func (l *Link) Wait() { l.wg.Wait() }
 
-// put queues a frame for the writer. The writer alone touches the stream, so a
-// peer that reads slowly can't hold a caller past its own deadline.
-func (l *Link) put(ctx context.Context, f *wire.Frame) error {
+// enqueue queues a frame for the writer. Only the writer uses the stream, so a peer that reads
+// slowly can't block a caller beyond its deadline.
+func (l *Link) enqueue(ctx context.Context, f *wire.Frame) error {
 	var buf bytes.Buffer
 	if _, err := protodelim.MarshalTo(&buf, f); err != nil {
 		return fmt.Errorf("link: marshal: %w", err)
@@ -231,10 +228,10 @@
 		return fmt.Errorf("%w: %d bytes", ErrTooLarge, buf.Len())
 	}
 	if f.GetPing() == nil && f.GetProbe() == nil {
-		l.pulse.busy(time.Now())
+		l.pulse.recordUse(time.Now())
 	}
 	if buf.Len() >= BulkSize {
-		return l.putBulk(ctx, buf.Bytes())
+		return l.writeBulk(ctx, buf.Bytes())
 	}
 	l.unsent.Add(1)
 	select {
@@ -249,20 +246,20 @@
 	}
 }
 
-// putBulk writes a large frame on a stream of its own.
-func (l *Link) putBulk(ctx context.Context, data []byte) error {
+// writeBulk writes a bulk frame to a stream of its own.
+func (l *Link) writeBulk(ctx context.Context, data []byte) error {
 	s, err := l.sess.OpenStream()
 	if err != nil {
 		return fmt.Errorf("%w: open stream: %w", ErrDown, err)
 	}
 	defer func() { _ = s.Close() }()
-	defer l.open.drop(s)
-	end := time.Now().Add(bulkLimit)
+	defer l.open.remove(s)
+	end := time.Now().Add(bulkTimeout)
 	if d, ok := ctx.Deadline(); ok && d.Before(end) {
 		end = d
 	}
-	l.open.add(s)
-	l.open.until(s.SetWriteDeadline, end)
+	l.open.register(s)
+	l.open.setDeadline(s.SetWriteDeadline, end)
 	stop := context.AfterFunc(ctx, func() { _ = s.SetWriteDeadline(time.Unix(1, 0)) })
 	defer stop()
 	if _, err := s.Write(data); err != nil {
@@ -274,9 +271,8 @@
 	return nil
 }
 
-// write empties the queue. Frames that wait together go out together. A peer
-// that takes nothing for SilenceLimit ends the link, else its window stays full
-// and every later frame waits behind the one that doesn't move.
+// write writes queued frames, several at a time if they are queued together. It closes the
+// link if the peer accepts no data for SilenceLimit, since all later frames would wait too.
 func (l *Link) write() {
 	defer func() { _ = l.Close() }()
 	w := bufio.NewWriterSize(l.stream, bufSize)
@@ -284,7 +280,7 @@
 	for {
 		select {
 		case data := <-l.out:
-			l.open.until(l.stream.SetWriteDeadline, time.Now().Add(SilenceLimit))
+			l.open.setDeadline(l.stream.SetWriteDeadline, time.Now().Add(SilenceLimit))
 			_, err := w.Write(data)
 			written++
 			if err == nil && len(l.out) == 0 {
--- a/io/link/link_test.go
+++ b/io/link/link_test.go
@@ -19,7 +19,7 @@
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-// limit ends a test that hangs; nothing is asserted about times.
+// limit is the time after which a test has hung.
 const limit = 20 * time.Second
 
 func query(n uint64) *wire.Frame {
@@ -30,7 +30,7 @@
 	return &wire.Frame{Body: &wire.Frame_Ack{Ack: &wire.Ack{}}}, nil
 }
 
-// serve accepts links until the test ends and returns where.
+// serve accepts links until the test ends and returns its address.
 func serve(t testing.TB, handle func(context.Context, *wire.Frame) (*wire.Frame, error)) netip.AddrPort {
 	return listen(t, func(conn net.Conn) {
 		l, err := Accept(conn, handle, nil)
@@ -58,8 +58,8 @@
 	return netip.MustParseAddrPort(ln.Addr().String())
 }
 
-// hole forwards TCP and, when told, goes on reading but passes nothing on: what
-// a middlebox does that has lost track of a connection.
+// hole forwards TCP and can drop all data in a direction, as a middlebox does that has lost the
+// state of a connection.
 type hole struct{ there, back atomic.Bool }
 
 func (h *hole) before(t testing.TB, to netip.AddrPort) netip.AddrPort {
@@ -97,10 +97,9 @@
 	return l
 }
 
-// A call is under way when something between the two ends loses the
-// connection, in one direction or both; TCP notices nothing. The caller gets
-// ErrDown within the limit instead of nothing for ever, the frame reached the
-// peer once at most, and a new connection works at once.
+// Guards against calls that never return after a middlebox has dropped the connection in one
+// direction or both, which TCP does not report. The call must return ErrDown within the limit,
+// the frame must have reached the peer at most once, and a new connection must work.
 func TestBlackHole(t *testing.T) {
 	for _, tc := range []struct {
 		name        string
@@ -137,9 +136,9 @@
 	}
 }
 
-// The peer's process is frozen: its kernel still takes connections and bytes.
-// A call ends with ErrDown; senders that fill every buffer are held no longer
-// than their own context allows, and the link ends.
+// Guards against calls and senders that hang while the peer's process is suspended and its kernel
+// still accepts connections and data. A call must return ErrDown, senders that have filled all
+// buffers must return when their context ends, and the link must close.
 func TestFrozenPeer(t *testing.T) {
 	t.Parallel()
 	to := listen(t, func(conn net.Conn) {
@@ -166,8 +165,8 @@
 	must.ErrorIs(t, err, ErrDown)
 }
 
-// A handler of one-way frames calls the peer that sent them. When handlers ran
-// in the read loop, the reply was never read and both ends stood still.
+// Guards against a deadlock when a handler of one-way frames calls the peer that sent them. If
+// handlers ran in the read loop, the reply would never be read.
 func TestHandlerMayCallBack(t *testing.T) {
 	t.Parallel()
 	var l *Link
@@ -213,29 +212,29 @@
 	must.NoError(t, err)
 }
 
-// An idle link beats slowly, and must not be judged by the fast beat's limit in
-// the moment in which it wakes.
+// Guards against closing an idle link, whose heartbeats are rare, at the moment it is used again,
+// when the short limit for silence begins to apply.
 func TestPulse(t *testing.T) {
-	var p pulse
+	var p heartbeat
 	now := time.Unix(1000, 0)
 	p.start(now)
 	at := func(d time.Duration) time.Time { return now.Add(d) }
 	for d := PingEvery; d <= 25*time.Second; d += PingEvery {
-		_, _, dead := p.look(at(d), false)
+		_, _, dead := p.next(at(d), false)
 		must.False(t, dead, must.Sprint(d))
 	}
-	_, awake, dead := p.look(at(26*time.Second), true)
+	_, awake, dead := p.next(at(26*time.Second), true)
 	must.True(t, awake)
 	must.False(t, dead)
-	_, _, dead = p.look(at(29*time.Second), true)
+	_, _, dead = p.next(at(29*time.Second), true)
 	must.False(t, dead)
-	_, _, dead = p.look(at(29500*time.Millisecond), true)
+	_, _, dead = p.next(at(29500*time.Millisecond), true)
 	must.True(t, dead)
 }
 
-// A peer has thousands of calls in wait here, as a scheduler has in a burst. None
-// holds a goroutine: when all are answered at once, so many would be woken that
-// heartbeats of this process came a second late. Each gets its own answer.
+// Guards against a goroutine for each pending call of a peer. A scheduler has thousands of pending
+// calls in a burst; when all were answered at once, so many goroutines woke that heartbeats of the
+// process were a second late. Each call must get its own reply.
 func TestCallsWithoutGoroutines(t *testing.T) {
 	const calls = 500
 	var mu sync.Mutex
@@ -280,9 +279,9 @@
 	must.Eq(t, calls, len(answers))
 }
 
-// Guards against a hub that needs more memory than it has for its links. A hub holds one for each
-// entry: with a thousand of them, both directions used, half of 536 MB is 268 MB, of which the
-// collector needs half for itself.
+// Guards against links that use more memory than a hub has. A hub holds a link for each entry; a
+// thousand links must fit in half of 268 MB, half of a VM with 536 MB, because the collector may
+// need as much again.
 func TestMemoryOfIdleLinks(t *testing.T) {
 	const links, perLink = 100, 134 << 10
 	to := serve(t, ack)
--- a/io/link/read.go
+++ b/io/link/read.go
@@ -11,7 +11,7 @@
 	"azurelane/core/wire"
 )
 
-// read takes the frames of the common stream until the link ends.
+// read receives the frames of the common stream until the link is closed.
 func (l *Link) read() {
 	defer func() { _ = l.Close() }()
 	r := bufio.NewReaderSize(l.stream, bufSize)
@@ -20,7 +20,7 @@
 		if err != nil {
 			return
 		}
-		l.take(f)
+		l.dispatch(f)
 	}
 }
 
@@ -29,7 +29,7 @@
 	return f, protodelim.UnmarshalOptions{MaxSize: MaxFrame}.UnmarshalFrom(r, f)
 }
 
-// accept takes the streams of bulk frames.
+// accept accepts the streams of bulk frames.
 func (l *Link) accept() {
 	for {
 		s, err := l.sess.Accept()
@@ -48,20 +48,20 @@
 	case <-l.ctx.Done():
 		return
 	}
-	l.open.add(s)
-	l.open.until(s.SetReadDeadline, time.Now().Add(bulkLimit))
-	defer l.open.drop(s)
+	l.open.register(s)
+	l.open.setDeadline(s.SetReadDeadline, time.Now().Add(bulkTimeout))
+	defer l.open.remove(s)
 	f, err := readFrame(bufio.NewReaderSize(s, bufSize))
 	if err != nil {
 		return
 	}
-	l.take(f)
+	l.dispatch(f)
 }
 
-// take hands a frame on and never waits: were it to wait for a handler, a
-// handler that calls the same peer would wait for a reply that no one reads.
-func (l *Link) take(f *wire.Frame) {
-	l.pulse.heard(time.Now(), f.GetPing())
+// dispatch dispatches a frame without blocking. If it blocked on a handler, a handler that calls
+// the same peer would wait for a reply that nothing reads.
+func (l *Link) dispatch(f *wire.Frame) {
+	l.pulse.recordReceived(time.Now(), f.GetPing())
 	switch {
 	case f.GetPing() != nil:
 	case f.GetReply():
@@ -73,26 +73,26 @@
 			ch <- f
 		}
 	case f.GetId() != 0:
-		l.pulse.busy(time.Now())
+		l.pulse.recordUse(time.Now())
 		l.serving.Add(1)
-		if l.later == nil || !l.later(l.ctx, f, func(r *wire.Frame) { l.reply(f.GetId(), r) }) {
+		if l.handleCall == nil || !l.handleCall(l.ctx, f, func(r *wire.Frame) { l.reply(f.GetId(), r) }) {
 			go l.answer(f)
 		}
 	default:
 		if f.GetProbe() == nil {
-			l.pulse.busy(time.Now())
+			l.pulse.recordUse(time.Now())
 		}
 		select {
 		case l.oneWay <- f:
 		default:
-			// The frame is lost. Whoever sends one-way frames bears their loss
-			// on a broken link anyway.
+			// The queue is full and the frame is dropped. Senders of one-way frames tolerate
+			// loss, as on a broken link.
 		}
 	}
 }
 
-// work handles the one-way frames, in order.
-func (l *Link) work() {
+// handleOneWay handles one-way frames in order.
+func (l *Link) handleOneWay() {
 	for {
 		select {
 		case f := <-l.oneWay:
@@ -115,23 +115,23 @@
 	if r == nil {
 		r = &wire.Frame{Body: &wire.Frame_Ack{Ack: &wire.Ack{}}}
 	}
-	l.sent(&wire.Frame{Id: f.GetId(), Reply: true, Body: r.GetBody()})
+	l.finishCall(&wire.Frame{Id: f.GetId(), Reply: true, Body: r.GetBody()})
 }
 
-// reply sends the answer of a call that has no goroutine. Only where the queue of
-// the link fills up, one is begun that waits for room in it.
+// reply sends the reply to a call that has no goroutine. It starts one to wait for room in the
+// queue only if the queue is half full.
 func (l *Link) reply(id uint64, r *wire.Frame) {
 	f := &wire.Frame{Id: id, Reply: true, Body: r.GetBody()}
 	if len(l.out) < cap(l.out)/2 {
-		l.sent(f)
+		l.finishCall(f)
 		return
 	}
-	go l.sent(f)
+	go l.finishCall(f)
 }
 
-// sent ends the serving of a call with its answer. An answer that can't be put has
-// lost its link, and with it who asked.
-func (l *Link) sent(f *wire.Frame) {
-	_ = l.put(l.ctx, f)
+// finishCall completes a call of the peer with its reply. If the reply can't be queued, the link is
+// closed and the caller gets an error there.
+func (l *Link) finishCall(f *wire.Frame) {
+	_ = l.enqueue(l.ctx, f)
 	l.serving.Add(-1)
 }
--- a/io/link/streams.go
+++ b/io/link/streams.go
@@ -7,34 +7,33 @@
 )
 
 type (
-	// streams are the open streams of a session. The zero value is ready.
+	// streams holds the open streams of a session. The zero value is ready for use.
 	//
-	// A session that ends says so at once, and ends its streams only when the reader of
-	// its connection has come back. Meanwhile whoever waits at a stream is woken again
-	// and again without a pause: one such reader took a whole processor, and on a VM
-	// with a single one it kept that other reader from its turn for 10 ms or for good.
-	// With its deadline passed a stream lets go of whoever waits there, so that is set
-	// before the session ends, whichever way it does.
+	// A session reports its end at once, but ends its streams only when the reader of its
+	// connection returns. Until then a goroutine that reads a stream is woken in a busy loop.
+	// Such a loop used a whole processor, and on a VM with a single one it kept the reader of
+	// the connection from running for 10 ms or for good. A passed deadline ends all reads and
+	// writes of a stream, so deadlines are set before the session ends for any reason.
 	streams struct {
-		mu   sync.Mutex
-		open map[net.Conn]struct{}
-		over bool
+		mu      sync.Mutex
+		open    map[net.Conn]struct{}
+		expired bool
 	}
 
-	// guarded is a connection that ends the streams above it before the session sees a
-	// failure.
-	guarded struct {
+	// expiringConn is a connection that expires the session's streams before the session sees an
+	// error.
+	expiringConn struct {
 		net.Conn
 
 		streams *streams
 	}
 )
 
-// add notes a stream that was opened.
-func (s *streams) add(c net.Conn) {
+// register registers an open stream.
+func (s *streams) register(c net.Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.over {
+	if s.expired {
 		expire(c)
 		return
 	}
@@ -44,48 +43,48 @@
 	s.open[c] = struct{}{}
 }
 
-// until sets one of a stream's deadlines, unless the end has come.
-func (s *streams) until(set func(time.Time) error, end time.Time) {
+// setDeadline sets a deadline of a stream, unless all streams have expired.
+func (s *streams) setDeadline(set func(time.Time) error, end time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.over {
+	if s.expired {
 		return
 	}
-	_ = set(end) // A stream takes any.
+	_ = set(end) // A stream accepts any deadline.
 }
 
-// drop forgets a stream that was closed.
-func (s *streams) drop(c net.Conn) {
+// remove removes a closed stream.
+func (s *streams) remove(c net.Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.open, c)
 }
 
-// end makes everyone let go of all streams, and of those to come.
-func (s *streams) end() {
+// expireAll expires all streams, and those that are added later.
+func (s *streams) expireAll() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.over = true
+	s.expired = true
 	for c := range s.open {
 		expire(c)
 	}
 }
 
-// expire ends what waits at a stream. What has arrived can still be read.
+// expire ends pending reads and writes of a stream. Data that has arrived can still be read.
 func expire(c net.Conn) { _ = c.SetDeadline(time.Unix(1, 0)) }
 
-func (g *guarded) Read(p []byte) (int, error) {
+func (g *expiringConn) Read(p []byte) (int, error) {
 	n, err := g.Conn.Read(p)
 	if err != nil {
-		g.streams.end()
+		g.streams.expireAll()
 	}
-	return n, err //nolint:wrapcheck // The session tells errors of its connection apart.
+	return n, err //nolint:wrapcheck // The session distinguishes errors of its connection.
 }
 
-func (g *guarded) Write(p []byte) (int, error) {
+func (g *expiringConn) Write(p []byte) (int, error) {
 	n, err := g.Conn.Write(p)
 	if err != nil {
-		g.streams.end()
+		g.streams.expireAll()
 	}
 	return n, err //nolint:wrapcheck // As above.
 }
