--- a/io/ctrl/apply.go
+++ b/io/ctrl/apply.go
@@ -15,30 +15,29 @@
 
 const (
 	compactRetry = 2 * time.Second  // After a snapshot could not be written.
-	expireEvery  = time.Second      // Between two looks for expired claims.
-	clockEvery   = 10 * time.Minute // The log's clock is at most so far behind after a change of leader.
+	expireEvery  = time.Second      // Interval between checks for expired claims.
+	clockEvery   = 10 * time.Minute // Maximum lag of the log's clock after a change of leader.
 )
 
 // Fault codes of a replica.
 const (
-	busy    = "busy" // Too much waits to be committed, or a membership change is under way.
+	busy    = "busy" // Too many uncommitted entries, or a membership change is in progress.
 	stopped = "stopped"
 )
 
-// saved is a snapshot on disk, beside the log until put is called.
+// saved is a snapshot on disk. It replaces the log when put is called.
 type saved struct {
 	snap    *wire.Snapshot
 	put     func(recs ...*wire.Record) error
 	err     error
-	records []*wire.Record // The tail has them; they wait if there is no room for it.
+	records []*wire.Record // Unwritten records, which the new log contains; restored if the disk is full.
 }
 
 var errStopped = &wire.Fault{Code: stopped, Text: "the replica stops"}
 
-// clock is the log's own time, in microseconds: it goes on from the highest
-// stamp in the state, by the monotonic clock of the leader. Wall clocks differ
-// and jump, and a claim dropped early lets a request run twice; this clock can
-// only lag, and a claim is then kept longer.
+// clock is the log's time in microseconds. It continues from the newest timestamp in the state by
+// the leader's monotonic clock. Wall clocks differ and jump, and a claim that expires early would
+// let a request run twice. This clock can only lag, so that claims expire late.
 type clock struct {
 	base int64
 	at   time.Time
@@ -48,11 +47,11 @@
 	if us := k.base + now.Sub(k.at).Microseconds(); !k.at.IsZero() && us >= s.ClockUs() {
 		return us
 	}
-	k.base, k.at = max(s.ClockUs(), 1), now // Zero would be no time at all.
+	k.base, k.at = max(s.ClockUs(), 1), now // Zero means that no time is set.
 	return k.base
 }
 
-// stamp sets the leader's clock in the commands that need the time.
+// stamp sets the time in commands that need it, at the leader.
 func (c *Ctrl) stamp(cmd *wire.Command, now time.Time) {
 	if !c.raft.IsLeader() {
 		c.clock = clock{}
@@ -80,7 +79,7 @@
 		if err := proto.Unmarshal(e.GetCommand(), &cmd); err != nil {
 			return fmt.Errorf("ctrl: entry %d: %w", e.GetIndex(), err)
 		}
-		r = c.news.apply(&c.state, &cmd)
+		r = c.observer.apply(&c.state, &cmd)
 	}
 	if m := e.GetMembership(); m != nil {
 		c.Log.Info("Membership changed.", "replica", m.GetReplica(), "address", m.GetAddress(), "role", m.GetRole().String())
@@ -92,7 +91,7 @@
 	}
 	delete(c.waiting, e.GetIndex())
 	if p.term != e.GetTerm() {
-		// Another leader's entry took the place: this command was not applied here.
+		// An entry of another leader has this index, so the command was not applied here.
 		p.done <- answer{err: c.notLeader()}
 		return nil
 	}
@@ -101,9 +100,9 @@
 	return nil
 }
 
-// compact starts to write a snapshot. It is encoded and synced beside the loop:
-// at hundreds of thousands of claims that takes longer than followers wait for
-// a heartbeat, and each compaction would cost the leader its place.
+// compact starts to write a snapshot. It is encoded and synced outside the loop: with hundreds of
+// thousands of claims that takes longer than the election timeout, and a leader that sends no
+// heartbeats meanwhile would be replaced at each compaction.
 func (c *Ctrl) compact() {
 	snap, img, ch := c.raft.Snapshot(), c.state.Image(), make(chan saved, 1)
 	c.saving = ch
@@ -117,35 +116,35 @@
 	}()
 }
 
-// ready brings a written snapshot, once no other write is under way.
+// ready returns the channel of the snapshot being written, and nil while another write is in
+// progress.
 func (c *Ctrl) ready() <-chan saved {
-	if c.unkept.write != nil {
+	if c.unsynced.write != nil {
 		return nil
 	}
 	return c.saving
 }
 
-// saved begins to put a written snapshot in place of the log.
+// saved starts to replace the log with a written snapshot.
 func (c *Ctrl) saved(s saved) {
 	if s.err != nil {
-		// The log itself is as it was. A replica that ended here would end again
-		// after each restart for as long as the disk is full, and the group would
-		// lack it, though what it holds is whole.
+		// The log is unchanged and complete. A replica that stopped here would stop again after
+		// each restart while the disk is full, and the group would lack a replica.
 		c.Log.Error(s.err, "Log not compacted.")
 		c.retry = time.Now().Add(compactRetry)
 		return
 	}
-	if c.unkept.install != nil || s.snap.GetIndex() <= c.snapped {
-		return // The leader sent a newer one.
+	if c.unsynced.install != nil || s.snap.GetIndex() <= c.snapped {
+		return // The leader has sent a newer snapshot.
 	}
-	c.raft.Compact(s.snap) // It has this one already where its tail found no room before.
-	s.records = c.unkept.records
-	c.begin(&write{saved: &s, records: c.raft.LogRecords()})
+	c.raft.Compact(s.snap) // No effect if an earlier try failed on a full disk.
+	s.records = c.unsynced.records
+	c.beginWrite(&write{saved: &s, records: c.raft.LogRecords()})
 }
 
-// install replaces log and state by a leader's snapshot.
+// install replaces log and state with a snapshot of the leader.
 func (c *Ctrl) install(snap *wire.Snapshot) error {
-	c.unkept.install, c.unkept.records = snap, nil // It has all that they held.
+	c.unsynced.install, c.unsynced.records = snap, nil // The snapshot contains the records.
 	c.Log.Info("Snapshot installed.", "index", snap.GetIndex())
 	return c.load(snap)
 }
@@ -173,9 +172,8 @@
 	return &wire.Fault{Code: leader.Refused, Text: err.Error()}
 }
 
-// noteShifts logs changes of this replica's role. There are some a second at most,
-// from the timers of elections.
-func (c *Ctrl) noteShifts(list []raft.RoleChange) {
+// logRoleChanges logs changes of this replica's role. Election timers limit them to a few a second.
+func (c *Ctrl) logRoleChanges(list []raft.RoleChange) {
 	for _, s := range list {
 		c.Log.Info("Role changed.", "role", s.Role, "why", s.Reason, "term", s.Term, "from", c.addressOf(s.From),
 			"silence", s.Silence.String(), "longest-pause", s.LongestPause.String())
--- a/io/ctrl/batch.go
+++ b/io/ctrl/batch.go
@@ -12,8 +12,7 @@
 )
 
 type (
-	// batch gathers the effects of several messages and proposals, so that one
-	// sync serves them all.
+	// batch collects the effects of several messages and proposals for a single sync.
 	batch struct {
 		ctrl  *Ctrl
 		eff   raft.Effects
@@ -22,12 +21,12 @@
 		err   error
 	}
 
-	// proposal is a command that waits for its result.
+	// proposal is a command with a pending result.
 	proposal struct {
 		cmd    *wire.Command
 		member *wire.Membership // Instead of cmd.
 		term   uint64
-		done   chan answer // Takes one answer without a reader.
+		done   chan answer // Has room for the answer.
 	}
 
 	answer struct {
@@ -41,14 +40,13 @@
 	b.eff.Messages = append(b.eff.Messages, e.Messages...)
 	b.eff.MessagesAfterSync = append(b.eff.MessagesAfterSync, e.MessagesAfterSync...)
 	b.eff.Committed = append(b.eff.Committed, e.Committed...)
-	b.ctrl.noteShifts(e.RoleChanges)
+	b.ctrl.logRoleChanges(e.RoleChanges)
 	if b.eff.Err == nil {
 		b.eff.Err = e.Err
 	}
 }
 
-// step takes a message. A snapshot replaces the state, so what came before it
-// is carried out first.
+// step handles a message. A snapshot replaces the state, so earlier effects are performed first.
 func (b *batch) step(m *wire.Raft) {
 	c := b.ctrl
 	b.n++
@@ -58,16 +56,16 @@
 			return
 		}
 	}
-	c.peers.note(m)
+	c.peers.learn(m)
 	e := c.raft.Step(time.Now(), m)
 	if e.InstallSnapshot != nil {
 		b.err = c.install(e.InstallSnapshot)
-		e.Records = nil // They are part of what install wrote.
+		e.Records = nil // Part of the installed snapshot.
 	}
 	b.add(e)
 }
 
-// drain takes what else is there already.
+// drain handles the messages and proposals that are queued already.
 func (b *batch) drain() {
 	for b.n+len(b.props) < batchMax && b.err == nil {
 		select {
@@ -81,7 +79,7 @@
 	}
 }
 
-// finish proposes what was gathered and carries all of it out.
+// finish proposes the collected commands and performs all effects.
 func (b *batch) finish(ctx context.Context) error {
 	if b.err != nil {
 		return b.err
@@ -92,23 +90,22 @@
 	}
 	c := b.ctrl
 	if !c.raft.IsLeader() {
-		// Whether these are applied is the next leader's matter. Their senders
-		// ask it with the same ids.
+		// The next leader may still commit these. Their senders ask it with the same IDs.
 		for i, p := range c.waiting {
 			delete(c.waiting, i)
 			p.done <- answer{err: c.notLeader()}
 		}
 	}
-	if c.saving == nil && !c.unkept.write.replaces() && c.full() {
+	if c.saving == nil && !c.unsynced.write.replaces() && c.full() {
 		c.compact()
 	}
 	c.publish(time.Now())
 	return nil
 }
 
-// full reports whether the log is due to be replaced by a snapshot.
+// full reports whether a snapshot is due to replace the log.
 func (c *Ctrl) full() bool {
-	if time.Now().Before(c.retry) || c.unkept.install != nil {
+	if time.Now().Before(c.retry) || c.unsynced.install != nil {
 		return false
 	}
 	if c.applied >= c.snapped+uint64(max(CompactAfter, c.state.ClaimCount())) { //nolint:gosec // Not negative.
@@ -153,8 +150,8 @@
 	}
 }
 
-// perform carries the effects out: what counts on this replica's disk goes out once
-// its records are synced, all else at once.
+// perform performs the effects. Messages that rely on records of this replica are sent once the
+// records are synced, all others at once.
 func (b *batch) perform(ctx context.Context) error {
 	c, e := b.ctrl, b.eff
 	b.eff = raft.Effects{}
@@ -164,13 +161,13 @@
 	for _, m := range e.Messages {
 		c.peers.send(ctx, c, m)
 	}
-	c.unkept.add(e)
+	c.unsynced.add(e)
 	for _, entry := range e.Committed {
 		if err := c.apply(entry); err != nil {
 			return err
 		}
 	}
-	c.keep(ctx)
+	c.startWrite(ctx)
 	return nil
 }
 
--- a/io/ctrl/bench_test.go
+++ b/io/ctrl/bench_test.go
@@ -21,7 +21,7 @@
 	"azurelane/io/mesh"
 )
 
-// cpu is the processor time of this process so far.
+// cpu returns the processor time used by this process.
 func cpu() time.Duration {
 	var u syscall.Rusage
 	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
@@ -35,8 +35,7 @@
 	return m.HeapAlloc
 }
 
-// BenchmarkBeats lets entries beat over real links, both ends in this process.
-// One operation is one beat of every entry.
+// BenchmarkBeats measures one beat of every entry over real links, with both ends in this process.
 func BenchmarkBeats(b *testing.B) {
 	for _, n := range []int{103, 205, 410, 820} {
 		b.Run(fmt.Sprintf("entries-%d", n), func(b *testing.B) {
@@ -101,15 +100,15 @@
 	must.NoError(b, err)
 }
 
-// order is a claim of an ordinary size.
+// order returns a claim of usual size.
 func order(i int) *wire.Command {
 	return &wire.Command{Kind: &wire.Command_Claim{Claim: &wire.Claim{
 		Account: "account-17", Key: fmt.Sprintf("order-%010d", i), Holder: "0123abcd", Address: "10.0.0.1:7000", BodyHash: 1 << 62,
 	}}}
 }
 
-// BenchmarkClaims commits claims on real disks, with callers that each wait for
-// an answer before the next claim. Replicas talk in memory.
+// BenchmarkClaims measures claims on real disks, from callers that each wait for the result before
+// the next claim. Replicas are connected in memory.
 func BenchmarkClaims(b *testing.B) {
 	for _, replicas := range []int{1, 3} {
 		for _, callers := range []int{1, 8, 64, 256} {
@@ -137,7 +136,7 @@
 	}
 }
 
-// diskGroup starts replicas over disks and returns the leader with its log.
+// diskGroup starts replicas on real disks and returns the leader and its log.
 func diskGroup(b *testing.B, replicas int) (*replica, *disk.Log) {
 	n := &network{nodes: map[netip.AddrPort]*replica{}, cut: map[[2]netip.AddrPort]bool{}}
 	for i := range replicas {
@@ -164,8 +163,8 @@
 	}
 }
 
-// BenchmarkCompact replaces the log by a snapshot of many claims on a real
-// disk. The loop does nothing else during loop-us.
+// BenchmarkCompact measures replacing the log with a snapshot of many claims on a real disk. The
+// loop is blocked for loop-us.
 func BenchmarkCompact(b *testing.B) {
 	for _, n := range []int{10000, 50000, 100000, 400000} {
 		b.Run(fmt.Sprintf("claims-%d", n), func(b *testing.B) {
--- a/io/ctrl/ctrl.go
+++ b/io/ctrl/ctrl.go
@@ -1,5 +1,5 @@
-// Package ctrl is a control replica: it runs the replicated log over a disk,
-// applies what is committed and answers the entries' beats.
+// Package ctrl implements a control replica. It runs the replicated log on a disk, applies
+// committed entries and replies to the beats of entries, the processes that serve callers.
 package ctrl
 
 import (
@@ -22,37 +22,35 @@
 )
 
 const (
-	// CompactAfter is the number of log entries after which a snapshot replaces
-	// them, so that a restart reads few more than that. With more claims than
-	// that, it is their number: each entry then pays for about one claim of a
-	// snapshot, however many there are.
+	// CompactAfter is the minimum number of log entries that a snapshot replaces. It bounds the
+	// entries read at a restart. With more claims than that, it is the number of claims, so that
+	// the cost of snapshots per entry does not grow with the claims.
 	CompactAfter = 1000
-	// CompactSize is the bytes of the log file beyond which it is compacted, too.
-	// Documents of hundreds of routes would else fill a disk of 128 MB within a
-	// thousand changes; this leaves room for sixteen logs.
+	// CompactSize is the size of the log file in bytes from which it is compacted as well.
+	// Otherwise documents of hundreds of routes would fill a disk of 128 MB within a thousand
+	// changes, sixteen times this size.
 	CompactSize = 8 << 20
-	// StaleAfter is how long a replica may hear no leader before it tells the
-	// entries to ask another.
+	// StaleAfter is the time without a leader after which a replica tells entries to ask another.
 	StaleAfter = 3 * time.Second
 
 	tickEvery = 20 * time.Millisecond
-	batchMax  = 256 // Messages and proposals taken between two syncs.
+	batchMax  = 256 // Maximum number of messages and proposals for one sync.
 	queueMax  = 1024
 
-	leaveLimit = 2 * time.Second // For the next leader to take over.
+	leaveTimeout = 2 * time.Second // Maximum wait for the next leader.
 )
 
 type (
-	// Ctrl is one control replica. Its exported fields are set before Open is
-	// called, and Sender before Serve.
+	// Ctrl is a control replica. Its exported fields are set before Open is called, and Sender
+	// before Serve.
 	Ctrl struct {
 		Name      string // Node name.
 		Address   netip.AddrPort
-		Control   []netip.AddrPort // Peer addresses of all replicas, or of those that found the group.
-		Centre    string           // Data centre, where the group forms itself.
+		Control   []netip.AddrPort // Peer addresses of all replicas, or of the founders of the group.
+		Centre    string           // Data centre, in groups that form by themselves.
 		Bootstrap bool             // Found a group if all other replicas are empty too.
-		After     uint64           // With Bootstrap: the configuration version to go on from.
-		Election  time.Duration    // Silence before another leads, the same at all replicas; zero for raft.DefaultElectionTimeout.
+		After     uint64           // With Bootstrap: the last configuration version of an earlier group.
+		Election  time.Duration    // Election timeout, the same at all replicas; zero for raft.DefaultElectionTimeout.
 		Leaseless bool             // All reads go through the log, at all replicas of the group.
 		Sender    sender
 		Log       logr.Logger
@@ -62,28 +60,28 @@
 		raft     *raft.Raft
 		state    state.State
 		snapped  uint64     // Index of the newest snapshot.
-		retry    time.Time  // No compaction before, after one failed.
-		snapSize int64      // Bytes of the newest snapshot's data.
-		size     int64      // Bytes of the log after the last write.
-		saving   chan saved // Brings the snapshot that is being written; nil for none.
+		retry    time.Time  // Earliest time of the next compaction, after one failed.
+		snapSize int64      // Size of the newest snapshot's data in bytes.
+		size     int64      // Size of the log in bytes after the last write.
+		saving   chan saved // Receives the snapshot being written; nil for none.
 		applied  uint64
-		unkept   unkept
+		unsynced unsynced
 		waiting  map[uint64]*proposal // By log index.
 		clock    clock
-		expire   time.Time // When expired claims are next looked for.
+		expire   time.Time // Time of the next check for expired claims.
 
-		in    chan *wire.Raft
-		props chan *proposal
-		calls chan func(now time.Time) raft.Effects
-		leave chan struct{}
-		left  time.Time // When it was told to leave.
-		once  sync.Once
-		done  chan struct{}
+		in               chan *wire.Raft
+		props            chan *proposal
+		calls            chan func(now time.Time) raft.Effects
+		leave            chan struct{}
+		leaveRequestedAt time.Time // Time of the call of Leave.
+		once             sync.Once
+		done             chan struct{}
 
-		news  news
-		view  atomic.Pointer[view]
-		beats beats
-		peers peers
+		observer observer
+		view     atomic.Pointer[view]
+		beats    beats
+		peers    peers
 	}
 
 	// sender is the mesh.
@@ -102,8 +100,8 @@
 	}
 )
 
-// Open reads the data folder and brings the state up to its snapshot. What
-// follows in the log is applied once a leader says that it is committed.
+// Open reads the data folder and loads the state from its snapshot. Later entries of the log are
+// applied once a leader reports them as committed.
 func (c *Ctrl) Open(dir string) error {
 	l, snap, recs, err := disk.Open(dir)
 	if err != nil {
@@ -138,31 +136,30 @@
 	if snap == nil {
 		return nil
 	}
-	c.news.mu.Lock()
-	defer c.news.mu.Unlock()
+	c.observer.mu.Lock()
+	defer c.observer.mu.Unlock()
 	if err := c.state.Load(snap.GetData()); err != nil {
 		return fmt.Errorf("ctrl: %w", err)
 	}
 	c.applied, c.snapped = snap.GetIndex(), snap.GetIndex()
-	c.news.tell()
+	c.observer.broadcast()
 	return nil
 }
 
-// Serve runs the replica until ctx ends or Leave was called. Any failure of the
-// disk ends the process: what reached it is unknown then, and a replica that
-// went on could acknowledge what it does not hold.
+// Serve runs the replica until ctx ends or Leave is called. A disk error ends the process: it is
+// unknown what was written, and the replica could acknowledge entries that it does not hold.
 func (c *Ctrl) Serve(ctx context.Context) error {
 	defer close(c.done)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	if c.Bootstrap && c.raft.Group() == "" {
-		go c.found(ctx)
+		go c.foundGroup(ctx)
 	}
 	err := c.loop(ctx)
 	if c.saving != nil {
-		<-c.saving // It writes into the data folder.
+		<-c.saving // It still writes to the data folder.
 	}
-	if w := c.unkept.write; w != nil {
+	if w := c.unsynced.write; w != nil {
 		if werr := <-w.done; err == nil && werr != nil {
 			c.Log.Error(werr, "Last write failed.")
 		}
@@ -177,8 +174,7 @@
 	return suture.ErrDoNotRestart
 }
 
-// Leave hands leadership over, if this replica has it, and waits until Serve
-// has ended.
+// Leave transfers leadership, if this replica leads, and waits until Serve has returned.
 func (c *Ctrl) Leave(ctx context.Context) {
 	c.once.Do(func() { close(c.leave) })
 	select {
@@ -197,7 +193,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-leave:
-			leave, leaving, c.left = nil, true, time.Now()
+			leave, leaving, c.leaveRequestedAt = nil, true, time.Now()
 			b.add(c.raft.TransferLeadership(time.Now()))
 		case m := <-c.in:
 			b.step(m)
@@ -208,12 +204,12 @@
 		case s := <-c.ready():
 			c.saving = nil
 			c.saved(s)
-		case err := <-c.unkept.written():
+		case err := <-c.unsynced.writeDone():
 			var e raft.Effects
-			e, b.err = c.kept(ctx, err)
+			e, b.err = c.finishWrite(ctx, err)
 			b.add(e)
 		case <-tick.C:
-			c.lookAtDisk(time.Now())
+			c.checkDisk(time.Now())
 			b.add(c.raft.Tick(time.Now()))
 			b.expire()
 		}
@@ -221,18 +217,17 @@
 		if err := b.finish(ctx); err != nil {
 			return err
 		}
-		if leaving && c.mayGo() {
+		if leaving && c.mayStop() {
 			return nil
 		}
 	}
 }
 
-// mayGo reports whether a replica that leaves is no longer needed: another
-// leads, for whose election its own vote may have been the last one missing,
-// or none takes over.
-func (c *Ctrl) mayGo() bool {
+// mayStop reports whether a leaving replica may stop: another replica leads, in whose election its
+// vote may have been needed, or none took over within leaveTimeout.
+func (c *Ctrl) mayStop() bool {
 	switch {
-	case time.Since(c.left) > leaveLimit:
+	case time.Since(c.leaveRequestedAt) > leaveTimeout:
 		return true
 	case c.raft.IsLeader():
 		return !c.raft.Transferring()
@@ -240,7 +235,7 @@
 	return c.raft.Leader() != "" || c.raft.Group() == ""
 }
 
-// do runs f in the loop.
+// do runs f in the loop and waits for it.
 func (c *Ctrl) do(ctx context.Context, f func(now time.Time) raft.Effects) error {
 	ran := make(chan struct{})
 	select {
--- a/io/ctrl/ctrl_test.go
+++ b/io/ctrl/ctrl_test.go
@@ -24,9 +24,9 @@
 	return &leader.Leader{Replicas: n.addrs, Caller: &caller{net: n}}
 }
 
-// An operator's change is accepted, but the leader dies before its answer
-// comes. The operator sends the same change to the next leader, then once more
-// after all replicas restarted, and gets the same answer each time.
+// Guards against a change that is made twice or lost when the leader crashes before it replies. The
+// operator sends it again to the next leader, and after a restart of all replicas, and must get
+// the same result each time.
 func TestChangeSentAgainAfterTheLeaderDied(t *testing.T) {
 	group(t, 3, func(t *testing.T, n *network, l *replica) {
 		must.Eq(t, state.OK, command(t, l, change("c1", 0)).GetCode())
@@ -45,15 +45,14 @@
 	})
 }
 
-// The disk of the leader fails in the middle of a claim. Its caller gets no answer, or
-// one that the disks of the others stand for; the replica stops for good and its
-// supervisor must not start it again; the others go on, and the claim sent again is the
-// caller's and nobody else's.
+// Guards against acknowledging a claim that a failed disk has lost. The leader's disk fails during a
+// claim: the caller gets no result, or one that the other replicas have stored. The replica stops
+// and is not restarted, the others continue, and the caller gets the claim when it asks again.
 func TestFailedSyncStopsTheReplica(t *testing.T) {
 	for _, tc := range []struct {
 		name   string
-		alone  bool          // The others get nothing of the claim.
-		before time.Duration // Until the sync fails.
+		alone  bool          // The other replicas do not receive the claim.
+		before time.Duration // Time until the sync fails.
 	}{
 		{"before the others can answer", true, 0},
 		{"at once", false, 0},
@@ -88,10 +87,9 @@
 	}
 }
 
-// A replica's disk is replaced while its start command still says --bootstrap.
-// Had it founded a new group, entries would find an empty configuration and
-// free claims there. It founds none, neither while the others are away nor when
-// one of them answers; an operator adds it, and it catches up and votes.
+// Guards against a second group when a replica with a replaced disk starts with --bootstrap. Entries
+// would get an empty configuration and free claims from it. It must found no group while the others
+// are down, nor when one of them replies. An operator adds it, and it catches up and votes.
 func TestEmptyDiskFoundsNoSecondGroup(t *testing.T) {
 	group(t, 3, func(t *testing.T, n *network, l *replica) {
 		command(t, l, change("c1", 0))
@@ -119,9 +117,9 @@
 	})
 }
 
-// An entry beats at a replica that is cut off: within seconds it is told to ask
-// another. While the replica is away the version rises; when it is back, or
-// restarted, it never hands out the version from before.
+// Guards against a replica that serves an old configuration after a network partition. While it is
+// cut off it must tell entries within seconds to ask another replica. The version rises meanwhile,
+// and the replica must not return the old one when it is back or restarted.
 func TestLaggingReplicaBringsNothingBack(t *testing.T) {
 	group(t, 3, func(t *testing.T, n *network, l *replica) {
 		command(t, l, change("c1", 0))
@@ -144,12 +142,11 @@
 	})
 }
 
-// A follower is asked who holds a key, again and again. It names its leader, from
-// the loop that changes it: read beside the loop, the name could be torn.
+// Guards against a data race on the leader's name when a follower is asked who holds a key.
 func TestFollowerNamesTheLeader(t *testing.T) {
 	group(t, 3, func(t *testing.T, n *network, l *replica) {
 		for n.other(l).Leader() == "" {
-			time.Sleep(tickEvery) // The quorum that elected the leader was the third replica.
+			time.Sleep(tickEvery) // The leader was elected with the third replica's vote.
 		}
 		for range 50 {
 			_, err := n.other(l).holder(context.Background(), &wire.ClaimQuery{Account: "a", Key: "k"})
@@ -161,9 +158,9 @@
 	})
 }
 
-// Without leases a leader can't know by itself that it still leads. A replica that
-// was replaced behind a cut asks who belongs to the group: the leader looks in the
-// log before it answers, a follower names it, and one that is cut off says nothing.
+// Guards against a former leader that answers queries after it was replaced during a network
+// partition. Without leases it can't know by itself whether it leads. The leader must confirm
+// through the log, a follower must name the leader, and a replica that is cut off must not reply.
 func TestFreshStatusWithoutLeases(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n := newNetworkOf(t, 3, true)
@@ -171,7 +168,7 @@
 		s, err := l.status(t.Context(), true)
 		must.NoError(t, err)
 		must.Len(t, 3, s.GetReplicas())
-		time.Sleep(time.Second) // The followers may not have heard the new leader yet.
+		time.Sleep(time.Second) // Followers may not have heard the new leader yet.
 		_, err = n.other(l).status(t.Context(), true)
 		var fault *wire.Fault
 		must.True(t, errors.As(err, &fault))
@@ -184,8 +181,8 @@
 	})
 }
 
-// Hundreds of claims come at once. They share few syncs, and each of them is
-// answered.
+// Guards against a sync for each claim, and against lost results, when hundreds of claims arrive at
+// once.
 func TestGroupCommit(t *testing.T) {
 	group(t, 1, func(t *testing.T, _ *network, l *replica) {
 		before := l.store.syncs
@@ -200,8 +197,8 @@
 	})
 }
 
-// A leader is told to stop. It hands over first: the next leader answers long
-// before an election timeout would have shown that the old one is gone.
+// Guards against waiting for an election timeout when a leader is stopped: it must transfer
+// leadership first.
 func TestLeaveHandsOver(t *testing.T) {
 	group(t, 3, func(t *testing.T, n *network, l *replica) {
 		at := time.Now()
@@ -211,9 +208,9 @@
 	})
 }
 
-// Claims end by the log's own clock, which only a leader moves. A leader dies,
-// then all replicas are down for an hour, so no caller could ask again: the
-// claim is still there, is kept for the rest of its time, and then dropped.
+// Guards against claims that expire while no replica runs, so that no caller could ask again. Claims
+// expire by the log's clock, which only a leader advances. After a crash of the leader and an hour
+// without any replica the claim must remain for the rest of its time, and then expire.
 func TestClaimsEndByTheLogsClock(t *testing.T) {
 	group(t, 3, func(t *testing.T, n *network, l *replica) {
 		command(t, n.client(), claim("k", 2*time.Minute))
@@ -238,10 +235,9 @@
 	})
 }
 
-// A replica is cut off while thousands of claims are made and finished, and the
-// others compact their logs more than once meanwhile. Back again it gets a
-// snapshot and what follows it. Then all restart from their disks. Nothing is
-// lost or doubled on the way.
+// Guards against claims lost or doubled by snapshots. A replica is cut off during thousands of claims
+// and several compactions, then receives a snapshot and later entries. Then all replicas restart
+// from their disks.
 func TestSnapshotsWhileCommandsGoOn(t *testing.T) {
 	group(t, 3, func(t *testing.T, n *network, l *replica) {
 		lag := n.other(l)
@@ -271,9 +267,9 @@
 	})
 }
 
-// A replica lags by half a second only, which it can't tell: it heard the leader a
-// moment ago. An entry that had the newest version restarts with nothing and
-// asks it first. It must be sent on, or its site would go back to the old one.
+// Guards against a restarted entry that goes back to an older configuration. The replica that it asks
+// first lags behind by half a second, which the replica can't know, as it heard the leader a moment
+// ago. It must refer the entry to another replica.
 func TestFirstBeatIsForTheLeader(t *testing.T) {
 	group(t, 3, func(t *testing.T, n *network, l *replica) {
 		command(t, l, change("c1", 0))
@@ -281,8 +277,8 @@
 		lag := n.other(l)
 		n.isolate(lag.Address, true)
 		command(t, l, change("c2", 1))
-		// Shorter than the least election timeout, which counts from the last
-		// heartbeat: a replica that campaigns follows no leader and can tell.
+		// Less than the election timeout from the last heartbeat, as a replica that campaigns
+		// knows that it follows no leader.
 		time.Sleep(raft.DefaultElectionTimeout / 2)
 		beat := func(r *replica, version uint64) *wire.BeatReply {
 			f, err := r.Handle(context.Background(), &wire.Frame{Body: &wire.Frame_Beat{Beat: &wire.Beat{Node: "entry-1", Version: version}}})
--- a/io/ctrl/fake_test.go
+++ b/io/ctrl/fake_test.go
@@ -19,7 +19,7 @@
 )
 
 type (
-	// network connects replicas in memory. Links can be cut one way.
+	// network connects replicas in memory. Links can be cut in one direction.
 	network struct {
 		leaseless bool
 		t         *testing.T
@@ -37,13 +37,13 @@
 		ended  chan error
 	}
 
-	// caller is the network as one process sees it.
+	// caller is a process's access to the network.
 	caller struct {
 		net  *network
 		from netip.AddrPort
 	}
 
-	// memStore keeps what was appended; a restart finds it again.
+	// memStore is a disk in memory that outlives a restart.
 	memStore struct {
 		mu     sync.Mutex
 		id     string
@@ -51,10 +51,10 @@
 		recs   []*wire.Record
 		syncs  int
 		fail   error
-		noRoom bool          // For a snapshot beside the log.
-		full   bool          // For anything.
-		noPut  bool          // For the records behind a snapshot.
-		slow   time.Duration // For each sync.
+		noRoom bool          // No space for a snapshot beside the log.
+		full   bool          // No space at all.
+		noPut  bool          // No space for the records after a snapshot.
+		slow   time.Duration // Duration of each sync.
 	}
 )
 
@@ -70,7 +70,7 @@
 	return &wire.Command{Id: id, Kind: &wire.Command_Change{Change: &wire.Change{Base: base, Document: []byte(doc)}}}
 }
 
-// command proposes and returns the result, which must come.
+// command proposes a command and returns its result. Errors fail the test.
 func command(t *testing.T, to interface {
 	Propose(ctx context.Context, c *wire.Command) (*wire.Result, error)
 }, c *wire.Command,
@@ -85,7 +85,7 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(1000+i))
 }
 
-// group runs a test in a bubble of its own time, with a group that has a leader.
+// group runs a test with fake time and a group that has a leader.
 func group(t *testing.T, size int, test func(t *testing.T, n *network, l *replica)) {
 	synctest.Test(t, func(t *testing.T) {
 		n := newNetwork(t, size)
@@ -127,7 +127,7 @@
 	go func() { r.ended <- r.Serve(ctx) }()
 }
 
-// stop ends a replica without a word, as a kill would.
+// stop ends a replica without notice, like a kill.
 func (r *replica) stop() {
 	r.net.mu.Lock()
 	delete(r.net.nodes, r.Address)
@@ -136,7 +136,7 @@
 	<-r.done
 }
 
-// restart kills a replica, if it runs, and starts it with its disk.
+// restart kills a replica, if it runs, and starts it on the same disk.
 func (r *replica) restart() *replica {
 	if r.net.at(r.Address) == r {
 		r.stop()
@@ -144,7 +144,7 @@
 	return r.net.start(r.place(), r.store, false)
 }
 
-// place is a replica's number in the network.
+// place returns a replica's index in the network.
 func (r *replica) place() int { return int(r.Address.Port() - 1000) }
 
 func (n *network) stopAll() {
@@ -169,12 +169,12 @@
 	}
 }
 
-// other returns a replica besides this one.
+// other returns another replica.
 func (n *network) other(than *replica) *replica {
 	return n.at(n.addrs[(than.place()+1)%len(n.addrs)])
 }
 
-// claims checks how many claims each replica has.
+// claims checks the number of claims at each replica.
 func (n *network) claims(want uint64) {
 	n.t.Helper()
 	for _, a := range n.addrs {
@@ -182,7 +182,7 @@
 	}
 }
 
-// leader waits until a replica other than not leads and answers for sure.
+// leader waits until a replica other than not leads and replies.
 func (n *network) leader(not *replica) *replica {
 	n.t.Helper()
 	for range 3000 {
@@ -292,14 +292,14 @@
 	}, nil
 }
 
-// snapped is the index of the snapshot on disk.
+// snapped returns the index of the snapshot on disk.
 func (s *memStore) snapped() uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.snap.GetIndex()
 }
 
-// Size is of no matter: the tests compact by the number of entries.
+// Size returns zero, as the tests compact by the number of entries.
 func (*memStore) Size() int64 { return 0 }
 
 func (*memStore) Close() error { return nil }
--- a/io/ctrl/found.go
+++ b/io/ctrl/found.go
@@ -16,52 +16,51 @@
 )
 
 const (
-	askEvery = 500 * time.Millisecond
-	askLimit = time.Second
+	foundRetry   = 500 * time.Millisecond
+	queryTimeout = time.Second
 )
 
-// errExists is why a replica that was told to found a group does not.
+// errExists is returned when another replica belongs to a group already.
 var errExists = errors.New("ctrl: a group exists already")
 
-// found starts a new group once every other replica of the settings has
-// answered that it is empty too.
+// foundGroup starts a new group once all other replicas of the settings have replied that they are
+// empty too.
 //
-// A replica whose disk was replaced looks like one that starts for the first
-// time. If it founded a group by itself, entries would find an empty
-// configuration and free claims there, and run requests twice. The others know
-// of the old group, so one that answers is enough to prevent it, and while one
-// is silent nothing is founded. Should two replicas be told to found at once,
-// the lower address does; and as a replica belongs to one group for good, two
-// groups of the same replicas could never both have a quorum.
-func (c *Ctrl) found(ctx context.Context) {
+// A replica whose disk was replaced can't be distinguished from one that starts for the first time.
+// If it founded a group by itself, entries would get an empty configuration and free claims from
+// it, and run requests twice. The other replicas know the old group: a single reply prevents the
+// new one, and nothing is founded while a reply is missing. If two replicas are told to found a
+// group at the same time, the one with the lower address does. A replica never changes its group,
+// so two groups of the same replicas can't both have a quorum.
+func (c *Ctrl) foundGroup(ctx context.Context) {
 	for ctx.Err() == nil {
-		list, err := c.askOthers(ctx)
+		list, err := c.queryOthers(ctx)
 		if errors.Is(err, errExists) {
-			c.Log.Info("No group founded: one exists. An operator must add this replica.", "identity", c.id)
+			c.Log.Info("Group not founded: another one exists. An operator must add this replica to it.", "identity", c.id)
 			return
 		}
 		if err == nil {
-			if err := c.do(ctx, func(now time.Time) raft.Effects { return c.founded(now, list) }); err == nil {
+			if err := c.do(ctx, func(now time.Time) raft.Effects { return c.createGroup(now, list) }); err == nil {
 				return
 			}
 		}
-		c.Log.V(1).Info("Waits to found a group.", "err", fmt.Sprint(err))
+		c.Log.V(1).Info("Waiting to found a group.", "err", fmt.Sprint(err))
 		select {
 		case <-ctx.Done():
 		case <-c.done:
 			return
-		case <-time.After(askEvery):
+		case <-time.After(foundRetry):
 		}
 	}
 }
 
-func (c *Ctrl) askOthers(ctx context.Context) ([]*wire.Replica, error) {
+func (c *Ctrl) queryOthers(ctx context.Context) ([]*wire.Replica, error) {
 	list := []*wire.Replica{{Id: c.id, Address: c.Address.String(), Voter: true, DataCentre: c.Centre}}
 	for _, to := range c.Control {
 		if to == c.Address {
 			continue
 		}
-		s, err := c.ask(ctx, to)
+		s, err := c.queryStatus(ctx, to)
 		if err != nil {
 			return nil, err
 		}
@@ -76,8 +75,8 @@
 	return list, nil
 }
 
-func (c *Ctrl) ask(ctx context.Context, to netip.AddrPort) (*wire.Status, error) {
-	ctx, cancel := context.WithTimeout(ctx, askLimit)
+func (c *Ctrl) queryStatus(ctx context.Context, to netip.AddrPort) (*wire.Status, error) {
+	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
 	f, err := c.Sender.Call(ctx, to, &wire.Frame{Body: &wire.Frame_StatusQuery{StatusQuery: &wire.StatusQuery{}}})
 	if err != nil {
@@ -86,9 +85,9 @@
 	return f.GetStatus(), nil
 }
 
-// founded makes the group's first snapshot, with all replicas as voters. The
-// others get it like any replica that lags.
-func (c *Ctrl) founded(now time.Time, list []*wire.Replica) raft.Effects {
+// createGroup creates the group's first snapshot, with all replicas as voters. The other replicas
+// receive it like any replica that lags behind.
+func (c *Ctrl) createGroup(now time.Time, list []*wire.Replica) raft.Effects {
 	if c.raft.Group() != "" {
 		return raft.Effects{}
 	}
@@ -98,7 +97,7 @@
 	}
 	snap := raft.BootstrapSnapshot(uuid.NewString(), list, data)
 	if err := c.store.Compact(snap); errors.Is(err, disk.ErrFull) {
-		c.Log.Error(err, "No group founded yet.")
+		c.Log.Error(err, "Group not founded yet.")
 		return raft.Effects{}
 	} else if err != nil {
 		return raft.Effects{Err: err}
--- a/io/ctrl/full_test.go
+++ b/io/ctrl/full_test.go
@@ -11,9 +11,9 @@
 	"azurelane/core/wire"
 )
 
-// The disk of the leader has no room for a snapshot beside the log. The log is
-// whole, so operators and callers notice nothing: the replica goes on, and
-// compacts once there is room.
+// Guards against a leader that stops because its disk has no space for a snapshot beside the log. The
+// log is complete, so the replica must continue without effect on operators and callers, and compact
+// once there is space.
 func TestFullDiskWhileCompacting(t *testing.T) {
 	group(t, 3, func(t *testing.T, _ *network, l *replica) {
 		room := func(no bool) {
@@ -34,8 +34,8 @@
 	})
 }
 
-// Guards against replicas that take nothing any more once the records behind a snapshot
-// found no room, though the log has them all.
+// Guards against replicas that accept nothing after the records behind a snapshot could not be
+// written, although the log has them all.
 func TestFullDiskWhileReplacingTheLog(t *testing.T) {
 	group(t, 3, func(t *testing.T, n *network, l *replica) {
 		room := func(no bool) {
@@ -62,7 +62,7 @@
 	})
 }
 
-// fill makes the disks of replicas full, or gives them room.
+// fill sets whether the disks of replicas are full.
 func fill(yes bool, list ...*replica) {
 	for _, r := range list {
 		r.store.mu.Lock()
@@ -71,9 +71,9 @@
 	}
 }
 
-// The disk of the leader is full. Operators' commands are acknowledged by the disks of
-// the others, and no process ends. When it then loses power with what it could not
-// write, nothing that was acknowledged is gone.
+// Guards against acknowledged commands lost with a leader whose disk is full. Commands must be
+// acknowledged once the other replicas have stored them, no process may stop, and nothing
+// acknowledged may be lost when the leader then crashes with its unwritten records.
 func TestFullDiskOfTheLeader(t *testing.T) {
 	group(t, 3, func(t *testing.T, n *network, l *replica) {
 		fill(true, l)
@@ -84,8 +84,8 @@
 	})
 }
 
-// outlives holds that a leader stays while its disk is harmed, and that all replicas have
-// that many claims, with one more, after it lost power with what it could not write.
+// outlives checks that the leader keeps its leadership despite its disk, and that all replicas have
+// the given number of claims, one new one included, after it crashed with its unwritten records.
 func (n *network) outlives(t *testing.T, l *replica, heal func(), claims uint64) {
 	t.Helper()
 	time.Sleep(10 * time.Second)
@@ -97,9 +97,9 @@
 	n.claims(claims)
 }
 
-// All disks are full. A command is not acknowledged, but the leader goes on: entries
-// place their requests by it. Once there is room, the command that waited comes
-// through, and each replica has it.
+// Guards against a leader that stops when all disks are full, because entries need it to schedule
+// requests. A command must not be acknowledged until there is space, and must then reach all
+// replicas.
 func TestAllDisksFull(t *testing.T) {
 	group(t, 3, func(t *testing.T, n *network, l *replica) {
 		all := []*replica{n.at(n.addrs[0]), n.at(n.addrs[1]), n.at(n.addrs[2])}
@@ -119,9 +119,9 @@
 	})
 }
 
-// A replica is cut off while hundreds of commands are taken, and comes back with a full
-// disk, so that it can't keep the snapshot that it needs. It neither ends nor counts
-// for what is acknowledged, and catches up once there is room.
+// Guards against a replica that stops, or acknowledges entries that it lacks, when it returns from a
+// network partition with a full disk and can't store the snapshot that it needs. It must catch up
+// once there is space.
 func TestFullDiskWhileCatchingUp(t *testing.T) {
 	group(t, 3, func(t *testing.T, n *network, l *replica) {
 		lag := n.other(l)
@@ -141,9 +141,8 @@
 	})
 }
 
-// The document of the highest version is in force, whatever the order in which
-// documents arrive, and is read back as it was sent: after an older one, a
-// second one of the same version, and a restart of all replicas.
+// Guards against an older document in force: the document with the highest version must be read back
+// unchanged after an older one, another one of the same version, and a restart of all replicas.
 func TestHighestPublicationWins(t *testing.T) {
 	group(t, 3, func(t *testing.T, n *network, l *replica) {
 		for _, p := range []struct {
--- a/io/ctrl/handle.go
+++ b/io/ctrl/handle.go
@@ -13,13 +13,13 @@
 	"azurelane/io/leader"
 )
 
-// Handle answers one frame of a peer.
+// Handle handles a frame of a peer and returns the reply.
 func (c *Ctrl) Handle(ctx context.Context, f *wire.Frame) (*wire.Frame, error) {
 	switch b := f.GetBody().(type) {
 	case *wire.Frame_Raft:
 		select {
 		case c.in <- b.Raft:
-		default: // Full: the log bears the loss, and the link must not block.
+		default: // The queue is full. The log tolerates the loss, and the link must not block.
 		}
 		return nil, nil //nolint:nilnil // One-way.
 	case *wire.Frame_Command:
@@ -27,10 +27,9 @@
 	case *wire.Frame_Beat:
 		fresh := b.Beat.GetVersion() > 0 || c.leased(ctx, c.publish) == nil
 		r := c.beat(b.Beat)
-		// An entry that has nothing in force may have had the newest version
-		// before its restart. Any replica but a leader under its lease can lack
-		// that, if only for a moment, and the entry's site would go back. Every
-		// other replica says that it may be behind, and the entry asks on.
+		// An entry without a configuration may have had the newest version before its restart.
+		// Only a leader with a lease surely has that version. Any other replica could return the
+		// entry to an older one, so it reports that it may be stale, and the entry asks another.
 		r.Stale = r.GetStale() || !fresh
 		return &wire.Frame{Body: &wire.Frame_BeatReply{BeatReply: r}}, nil
 	case *wire.Frame_ConfigQuery:
@@ -47,12 +46,12 @@
 	return nil, &wire.Fault{Code: "unsupported", Text: fmt.Sprintf("ctrl: %T", f.GetBody())}
 }
 
-// Propose puts a command into the log and returns the state machine's result
-// once it is applied here. After an error the command may still be applied:
-// only the same command may be sent again.
+// Propose appends a command to the log and returns the state machine's result once the command is
+// applied here. After an error the command may still be applied, so only the same command may be
+// sent again.
 func (c *Ctrl) Propose(ctx context.Context, cmd *wire.Command) (*wire.Result, error) {
-	// A caller that gave up may send the same message again while the first copy
-	// still waits here, so each proposal has its own.
+	// The sender may send the same message again while the first one is still queued, so each
+	// proposal gets a copy.
 	cmd = proto.CloneOf(cmd)
 	state.Validate(cmd)
 	p := &proposal{cmd: cmd, member: cmd.GetMembership(), done: make(chan answer, 1)}
@@ -76,9 +75,8 @@
 	}
 }
 
-// leased runs f in the loop of a leader under its lease. Anywhere else it returns
-// a fault that names the leader; the loop makes it, because only there the
-// membership stands still.
+// leased runs f in the loop if this replica leads with a valid lease. Otherwise it returns a fault
+// that names the leader, made in the loop because the membership does not change there meanwhile.
 func (c *Ctrl) leased(ctx context.Context, f func(now time.Time)) error {
 	var fault error
 	err := c.do(ctx, func(now time.Time) raft.Effects {
@@ -95,17 +93,16 @@
 	return fault
 }
 
-// holder reads who holds a key. Only a leader under its lease answers: another
-// replica could miss a claim and call a key free that has run.
+// holder returns the holder of a key. Only a leader with a valid lease replies: another replica
+// may lack a claim, and report a key as free whose request has run.
 func (c *Ctrl) holder(ctx context.Context, q *wire.ClaimQuery) (*wire.Result, error) {
 	var r *wire.Result
 	err := c.leased(ctx, func(time.Time) { r = c.state.ClaimHolder(q.GetAccount(), q.GetKey()) })
 	return r, err
 }
 
-// status is this replica's view. A fresh one comes from a leader under its
-// lease alone, or without leases through the log, so it shows all that was
-// acknowledged before it was asked for.
+// status returns this replica's view. A fresh view requires a leader with a valid lease, or without
+// leases a command through the log, so that it includes everything acknowledged before the call.
 func (c *Ctrl) status(ctx context.Context, fresh bool) (*wire.Status, error) {
 	if fresh && c.Leaseless {
 		if _, err := c.Propose(ctx, &wire.Command{Kind: &wire.Command_Barrier{Barrier: &wire.Barrier{}}}); err != nil {
--- a/io/ctrl/history_test.go
+++ b/io/ctrl/history_test.go
@@ -20,7 +20,7 @@
 
 type (
 	regIn struct {
-		id   string // Empty for a read.
+		id   string // Empty for reads.
 		base uint64
 	}
 	regOut struct {
@@ -35,7 +35,7 @@
 	}
 )
 
-// register is the configuration as one caller after the other would see it.
+// register is the sequential model of the configuration.
 var register = (&porcupine.NondeterministicModel{
 	Init: func() []any { return []any{regState{}} },
 	Step: func(s, in, out any) []any {
@@ -60,10 +60,8 @@
 	Equal: func(a, b any) bool { return a == b },
 }).ToModel()
 
-// Operators change the configuration from the version that they read, all at
-// once, and read it, while leaders are killed, cut off and restarted. Every
-// answer must fit one order of all changes and reads: no change is lost, two
-// never win the same number, and no read goes back.
+// Checks that changes and reads of the configuration are linearizable while leaders are killed, cut
+// off and restarted: no change is lost, no two get the same version, and no read is stale.
 func TestHistoryIsLinearizable(t *testing.T) {
 	for seed := range uint64(5) {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
@@ -125,8 +123,7 @@
 	must.Eq(t, porcupine.Ok, porcupine.CheckOperationsTimeout(register, ops, time.Minute))
 }
 
-// ask changes or reads once. A read that no leader answers is tried again: it
-// changes nothing.
+// ask sends one change or read. Reads are retried until a leader replies, as they change nothing.
 func ask(cl *leader.Leader, in regIn) regOut {
 	if in.id != "" {
 		r, err := cl.Propose(context.Background(), change(in.id, in.base))
--- a/io/ctrl/peers.go
+++ b/io/ctrl/peers.go
@@ -10,22 +10,21 @@
 )
 
 const (
-	sendQueue = 256
-	sendLimit = 2 * time.Second
+	sendQueue   = 256
+	sendTimeout = 2 * time.Second
 )
 
-// peers sends messages to the other replicas, each by a goroutine of its own,
-// so that a peer that can't be reached holds up no other. The zero value is
-// ready.
+// peers sends messages to the other replicas, with a goroutine for each, so that an unreachable
+// peer does not delay the others. The zero value is ready for use.
 type peers struct {
 	mu      sync.Mutex
 	queues  map[string]chan *wire.Raft // By address.
 	learned map[string]string          // Addresses of senders, by identity.
 }
 
-// note remembers where a message came from: a replica with an empty disk knows
-// no membership yet and must answer all the same.
-func (p *peers) note(m *wire.Raft) {
+// learn records the sender's address, because a replica with an empty disk must reply before it
+// knows the membership.
+func (p *peers) learn(m *wire.Raft) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.learned == nil {
@@ -53,15 +52,15 @@
 		}
 		q = make(chan *wire.Raft, sendQueue)
 		p.queues[addr] = q
-		go c.feed(ctx, to, q)
+		go c.sendQueued(ctx, to, q)
 	}
 	select {
 	case q <- m:
-	default: // The peer takes nothing: the log sends again later.
+	default: // The queue is full; the log sends the message again later.
 	}
 }
 
-func (c *Ctrl) feed(ctx context.Context, to netip.AddrPort, q chan *wire.Raft) {
+func (c *Ctrl) sendQueued(ctx context.Context, to netip.AddrPort, q chan *wire.Raft) {
 	for {
 		select {
 		case <-ctx.Done():
@@ -69,7 +68,7 @@
 		case <-c.done:
 			return
 		case m := <-q:
-			sctx, cancel := context.WithTimeout(ctx, sendLimit)
+			sctx, cancel := context.WithTimeout(ctx, sendTimeout)
 			if err := c.Sender.Send(sctx, to, &wire.Frame{Body: &wire.Frame_Raft{Raft: m}}); err != nil {
 				c.Log.V(1).Info("Message not sent.", "to", to.String(), "err", err.Error())
 			}
--- a/io/ctrl/slow_test.go
+++ b/io/ctrl/slow_test.go
@@ -10,15 +10,15 @@
 	"azurelane/core/state"
 )
 
-// slow sets how long syncs of a replica's disk take.
+// slow sets the duration of syncs of a replica's disk.
 func slow(d time.Duration, r *replica) {
 	r.store.mu.Lock()
 	defer r.store.mu.Unlock()
 	r.store.slow = d
 }
 
-// Guards against a leader that is silent while its disk syncs: it would lose its
-// leadership, and callers and operators their scheduler, with each write.
+// Guards against a leader that sends nothing while its disk syncs: it would lose its leadership, and
+// callers and operators their scheduler, at each write.
 func TestSlowDiskOfTheLeader(t *testing.T) {
 	group(t, 3, func(t *testing.T, n *network, l *replica) {
 		slow(5*time.Second, l)
@@ -31,8 +31,8 @@
 	})
 }
 
-// Guards against a follower that seems dead while its disk syncs: without the third
-// replica its leader would step down, though a quorum runs.
+// Guards against a follower that does not reply while its disk syncs: with the third replica down,
+// its leader would step down although a quorum runs.
 func TestSlowDiskOfAFollower(t *testing.T) {
 	group(t, 3, func(t *testing.T, n *network, l *replica) {
 		n.other(n.other(l)).stop()
@@ -49,7 +49,7 @@
 	})
 }
 
-// Guards against a snapshot that holds up the leader while it replaces the log.
+// Guards against a leader that is blocked while a snapshot replaces the log.
 func TestSlowDiskWhileCompacting(t *testing.T) {
 	group(t, 3, func(t *testing.T, n *network, l *replica) {
 		slow(5*time.Second, l)
--- a/io/ctrl/view.go
+++ b/io/ctrl/view.go
@@ -9,40 +9,40 @@
 )
 
 const (
-	forgetAfter = time.Hour   // A silent entry is listed for so long.
-	leftAfter   = time.Minute // One that said it was draining.
+	listedFor         = time.Hour   // Age of its last beat from which an entry is no longer listed.
+	drainingListedFor = time.Minute // The same for a draining entry.
 )
 
 type (
-	// view is what the loop last published: beats and status are answered from
-	// it, also while the loop waits for the disk.
+	// view is a copy of the replica's status that the loop publishes. Beats and status queries
+	// are answered from it without waiting for the loop.
 	view struct {
 		wire.Status // Without nodes.
 		at          time.Time
-		silence     time.Duration // For how long no leader was heard, at that time.
-		heard       bool          // A leader was ever heard.
+		silence     time.Duration // Time since the last message of a leader, as of then.
+		heard       bool          // Whether a leader was heard, and this replica has caught up.
 		leads       bool
-		peers       []raft.PeerStatus // Of a leader.
+		peers       []raft.PeerStatus // Only at a leader.
 	}
 
-	// beats holds the last beat of each entry. The zero value is ready.
+	// beats holds the last beat of each entry. The zero value is ready for use.
 	beats struct {
 		mu    sync.Mutex
-		nodes map[string]heard
+		nodes map[string]lastBeat
 	}
 
-	heard struct {
+	lastBeat struct {
 		*wire.Beat
-		at   time.Time
-		told time.Time // When it was last told of entries of other data centres.
+		at                  time.Time
+		remoteEntriesSentAt time.Time // Last reply with entries of other data centres.
 	}
 )
 
 func (c *Ctrl) publish(now time.Time) {
 	v := &view{at: now}
 	v.silence, v.heard = c.raft.Silence(now)
-	// A replica back from a cut hears the leader before it has caught up. Its
-	// old document must not be taken for the newest by an entry that starts.
+	// After a network partition a replica hears the leader before it has caught up. An entry that
+	// starts must not take its old document for the newest.
 	v.heard = v.heard && !c.raft.BehindLeader()
 	v.Replica, v.Address, v.Identity, v.DataCentre = c.Name, c.Address.String(), c.id, c.Centre
 	v.Leader, v.Term, v.Commit = c.addressOf(c.raft.Leader()), c.raft.Term(), c.applied
@@ -51,10 +51,10 @@
 	v.Replicas, v.peers = c.raft.Replicas(), c.raft.Peers(now)
 	v.leads, v.CutOff = c.raft.IsLeader(), c.raft.CutOff(now)
 	if v.GetCutOff() {
-		v.Leader = "" // The one that it followed is on the other side.
+		v.Leader = "" // The leader that it followed is out of reach.
 	}
 	if was := c.view.Load(); was != nil && (was.leads != v.leads || was.GetCutOff() != v.GetCutOff()) {
-		defer c.news.tell()
+		defer c.observer.broadcast()
 	}
 	for _, r := range v.GetReplicas() {
 		if r.GetVoter() {
@@ -66,8 +66,8 @@
 	c.view.Store(v)
 }
 
-// stale reports whether the replica may be behind: it heard no leader lately,
-// or its loop hangs.
+// stale reports whether the replica may be behind: it has not heard a leader recently, or its loop
+// hangs.
 func (v *view) stale(now time.Time) bool {
 	return !v.heard || v.silence+now.Sub(v.at) > StaleAfter
 }
@@ -82,20 +82,20 @@
 	}
 }
 
-// Ready reports whether the replica hears a leader.
+// Ready reports whether the replica has heard a leader recently.
 func (c *Ctrl) Ready() bool { return !c.view.Load().stale(time.Now()) }
 
-// beat notes what an entry has in force and brings it the newer document.
+// beat records an entry's beat and returns a newer document, if there is one.
 func (c *Ctrl) beat(b *wire.Beat) *wire.BeatReply {
 	now := time.Now()
-	c.beats.note(b, now)
+	c.beats.record(b, now)
 	r := c.reply(b.GetVersion())
-	r.Neighbours = c.beats.abroad(b, now)
+	r.Neighbours = c.beats.remoteEntriesFor(b, now)
 	return r
 }
 
-// reply carries a document only if it is newer than the entry's: a replica that
-// lags or has just restarted never brings an old one back.
+// reply returns the document only if it is newer than the entry's, so that a replica that lags
+// behind never returns an entry to an older one.
 func (c *Ctrl) reply(than uint64) *wire.BeatReply {
 	v := c.view.Load()
 	r := &wire.BeatReply{Version: v.GetVersion(), Stale: v.stale(time.Now()), Leader: v.GetLeader()}
@@ -105,13 +105,13 @@
 	return r
 }
 
-func (b *beats) note(beat *wire.Beat, now time.Time) {
+func (b *beats) record(beat *wire.Beat, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.nodes == nil {
-		b.nodes = map[string]heard{}
+		b.nodes = map[string]lastBeat{}
 	}
-	b.nodes[beat.GetNode()] = heard{beat, now, b.nodes[beat.GetNode()].told}
+	b.nodes[beat.GetNode()] = lastBeat{beat, now, b.nodes[beat.GetNode()].remoteEntriesSentAt}
 }
 
 func (b *beats) list(now time.Time) []*wire.NodeStatus {
@@ -120,7 +120,7 @@
 	var all []*wire.NodeStatus
 	for name, h := range b.nodes {
 		age := now.Sub(h.at)
-		if age > forgetAfter || (h.GetDraining() && age > leftAfter) {
+		if age > listedFor || (h.GetDraining() && age > drainingListedFor) {
 			delete(b.nodes, name)
 			continue
 		}
