The leader does not list the roster for each entry that starts

For each entry that starts it listed all 2,999 upstreams four times, with a look-up for each: twice to learn the revision, once for the upstreams that entries place themselves, once for the packed roster. 985 entries times 2,999 upstreams times four is 12 million look-ups, 1.16 s of a processor; a hub has 0.8.

Change: RosterRevision is read by itself; the upstreams of pools whose requests entries place are kept by changes; the packed roster lists upstreams only when it is packed anew.

Measured: upstreams listed for 50 entries that start, with 100 and 400 upstreams: 20,000 and 80,002 before, at most 300 and 1,200 after (TestStartingEntriesDoNotListTheRoster).

--- a/io/ctrl/observer.go
+++ b/io/ctrl/observer.go
@@ -70,6 +70,13 @@
 	return list, whole, c.state.Roster().Revision()
 }
 
+// RosterRevision returns the newest revision of the roster, zero for an empty one.
+func (c *Ctrl) RosterRevision() uint64 {
+	c.observer.mu.RLock()
+	defer c.observer.mu.RUnlock()
+	return c.state.Roster().Revision()
+}
+
 // Bans returns the recorded bans of requests, and a revision that changes with them.
 func (c *Ctrl) Bans() (list []*wire.Ban, revision uint64) {
 	c.observer.mu.RLock()
--- a/io/hub/feed.go
+++ b/io/hub/feed.go
@@ -1,6 +1,8 @@
 package hub
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -33,12 +35,16 @@
 	version   uint64          // Of the configuration last looked at.
 	revision  uint64          // Of the roster last looked at.
 	change    signal
+
+	unscheduled         map[string]*wire.Upstream // Upstreams of pools whose requests entries place.
+	unscheduledRevision uint64                    // Of the roster in unscheduled; zero to list it again.
 }
 
 // setPools takes the pools of a configuration.
 func (f *feed) setPools(cfg *conf.Config) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.unscheduledRevision = 0
 	f.scheduled = make(map[string]bool, len(cfg.Pools))
 	for name, p := range cfg.Pools {
 		f.scheduled[name] = p.Slots > 0
@@ -70,11 +76,23 @@
 	return whole || slices.ContainsFunc(list, func(u *wire.Upstream) bool { return !f.scheduled[u.GetPool()] })
 }
 
-// unscheduled returns the upstreams of pools whose requests entries place.
-func (f *feed) unscheduled(list []*wire.Upstream) []*wire.Upstream {
+// listUnscheduled returns the upstreams of pools whose requests entries place, by ID.
+func (f *feed) listUnscheduled(r replica) []*wire.Upstream {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return slices.DeleteFunc(slices.Clone(list), func(u *wire.Upstream) bool { return f.scheduled[u.GetPool()] })
+	list, whole, revision := r.Roster(f.unscheduledRevision)
+	if whole {
+		f.unscheduled = map[string]*wire.Upstream{}
+	}
+	for _, u := range list {
+		if f.scheduled[u.GetPool()] || u.GetState() == wire.Upstream_STATE_GONE {
+			delete(f.unscheduled, u.GetId())
+			continue
+		}
+		f.unscheduled[u.GetId()] = u
+	}
+	f.unscheduledRevision = revision
+	return slices.SortedFunc(maps.Values(f.unscheduled), func(a, b *wire.Upstream) int { return cmp.Compare(a.GetId(), b.GetId()) })
 }
 
 // wake wakes all polls.
--- a/io/hub/fleet_test.go
+++ b/io/hub/fleet_test.go
@@ -80,6 +80,14 @@
 	f.news[entry] = n
 }
 
+// start answers the two polls with which an entry that has just started gets everything.
+func (f *fleet) start(entry int) {
+	w := &wire.Watch{Node: fmt.Sprint("e-", entry), Incarnation: "i", DataCentre: f.dataCentre(entry), Entries: int64(f.entries)}
+	n, _ := f.handleWatch(context.Background(), w)
+	w.Version, w.Leader = n.GetVersion(), n.GetLeader()
+	f.news[entry], _ = f.handleWatch(context.Background(), w)
+}
+
 func (f *fleet) grant(entry int) *wire.Decision {
 	f.ticket++
 	var d *wire.Decision
@@ -107,8 +115,8 @@
 }
 
 // BenchmarkLeader measures a second of a leader's load by the number of entries, with three
-// upstreams, a third of an account and 1.1 streams a second for each. Target: linear in the
-// entries, and under half of a core for a thousand.
+// upstreams, a third of an account and 1.1 streams a second for each, and a start of all entries
+// at once. Target: linear in the entries, and under half of a core for a thousand.
 func BenchmarkLeader(b *testing.B) {
 	for _, entries := range []int{99, 301, 985, 1970} {
 		f := newFleet(b, entries)
@@ -125,6 +133,11 @@
 					f.poll(e)
 				}
 			}},
+			{"starts", func() {
+				for e := range entries {
+					f.start(e)
+				}
+			}},
 			{"streams", func() {
 				for i := range entries * 11 / 10 {
 					f.run(i % entries)
--- a/io/hub/hub.go
+++ b/io/hub/hub.go
@@ -68,6 +68,7 @@
 		Publication() (uint64, []byte)
 		Upstream(id string) *wire.Upstream
 		Roster(since uint64) (list []*wire.Upstream, whole bool, revision uint64)
+		RosterRevision() uint64
 		Bans() (list []*wire.Ban, revision uint64)
 		Rollouts() (list []*wire.Rollout, versions []*wire.PoolVersion, revision uint64)
 		Group() (name string, all []*wire.Replica, peers []raft.PeerStatus)
--- a/io/hub/hub_test.go
+++ b/io/hub/hub_test.go
@@ -33,6 +33,7 @@
 	stalling bool // One of them hangs now.
 	cutOff   bool
 	voters   int
+	listed   int // Upstreams returned by Roster.
 	changed  chan struct{}
 }
 
@@ -97,10 +98,17 @@
 	return f.state.Roster().Find(id)
 }
 
+func (f *fakeReplica) RosterRevision() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state.Roster().Revision()
+}
+
 func (f *fakeReplica) Roster(since uint64) ([]*wire.Upstream, bool, uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	list, whole := f.state.Roster().Since(since)
+	f.listed += len(list)
 	return list, whole, f.state.Roster().Revision()
 }
 
--- a/io/hub/packed.go
+++ b/io/hub/packed.go
@@ -45,10 +45,11 @@
 	return data, nil
 }
 
-// addRoster replaces the whole roster in n by a compressed one and the changes since then.
+// addRoster adds the whole roster to n, as a compressed one and the changes since then.
 func (p *packed) addRoster(r replica, n *wire.News) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	n.Whole = true
 	if p.revision > 0 {
 		changes, whole, revision := r.Roster(p.revision)
 		if !whole && len(changes) <= max(maxRosterChanges, p.size/rosterChangeShare) {
@@ -56,7 +57,8 @@
 			return nil
 		}
 	}
-	doc, err := proto.Marshal(&wire.News{Roster: n.GetRoster()})
+	list, _, revision := r.Roster(0)
+	doc, err := proto.Marshal(&wire.News{Roster: list})
 	if err != nil {
 		return fmt.Errorf("hub: encode roster: %w", err)
 	}
@@ -64,8 +66,8 @@
 	if err != nil {
 		return fmt.Errorf("hub: compress roster: %w", err)
 	}
-	p.revision, p.size, p.roster = n.GetRevision(), len(n.GetRoster()), data
-	n.Base, n.Roster = data, nil
+	p.revision, p.size, p.roster = revision, len(list), data
+	n.Base, n.Roster, n.Revision = data, nil, revision
 	return nil
 }
 
--- a/io/hub/packed_test.go
+++ b/io/hub/packed_test.go
@@ -5,6 +5,7 @@
 	"compress/flate"
 	"fmt"
 	"io"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -106,3 +107,62 @@
 		}
 	})
 }
+
+// Guards against a leader that lists all upstreams for each entry that starts. After a stop of
+// everything the work of a thousand entries times three thousand upstreams kept it from its
+// heartbeats for more than a second.
+func TestStartingEntriesDoNotListTheRoster(t *testing.T) {
+	const entries = 50
+	for _, upstreams := range []int{100, 400} {
+		t.Run(strconv.Itoa(upstreams), func(t *testing.T) {
+			runHub(t, func(t *testing.T, h *Hub, f *fakeReplica) {
+				for i := range upstreams {
+					must.NoError(t, h.Report(t.Context(), newReport(fmt.Sprint("s", i), 1, wire.Upstream_STATE_SERVING)))
+				}
+				f.mu.Lock()
+				before := f.listed
+				f.mu.Unlock()
+				for e := range entries {
+					w := &wire.Watch{Node: fmt.Sprint("e", e), Incarnation: fmt.Sprint("i", e), WaitUs: (2 * time.Second).Microseconds()}
+					n, err := askNews(h, w)
+					must.NoError(t, err)
+					w.Version, w.Leader, w.Revision = n.GetVersion(), n.GetLeader(), n.GetRevision()
+					n, err = askNews(h, w)
+					must.NoError(t, err)
+					must.MapLen(t, upstreams, rosterOf(t, n))
+				}
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				must.LessEq(t, 3*upstreams, f.listed-before) // Once for waking polls and for each kind of answer.
+			})
+		})
+	}
+}
+
+// Guards against entries that start without an upstream of their own pools, or with one that is
+// gone, because the list is kept by changes.
+func TestStartingEntriesGetCurrentUnscheduledUpstreams(t *testing.T) {
+	runHub(t, func(t *testing.T, h *Hub, _ *fakeReplica) {
+		report := func(id string, incarnation uint64, s wire.Upstream_State) {
+			r := newReport(id, incarnation, s)
+			r.Upstream.Pool = "plain"
+			must.NoError(t, h.Report(t.Context(), r))
+		}
+		must.NoError(t, h.Report(t.Context(), newReport("engine", 1, wire.Upstream_STATE_SERVING)))
+		report("a", 1, wire.Upstream_STATE_SERVING)
+		for i, tc := range []struct {
+			change func()
+			want   map[string]wire.Upstream_State
+		}{
+			{func() {}, map[string]wire.Upstream_State{"a": wire.Upstream_STATE_SERVING}},
+			{func() { report("b", 1, wire.Upstream_STATE_SERVING) }, map[string]wire.Upstream_State{"a": wire.Upstream_STATE_SERVING, "b": wire.Upstream_STATE_SERVING}},
+			{func() { report("a", 2, wire.Upstream_STATE_LEAVING) }, map[string]wire.Upstream_State{"a": wire.Upstream_STATE_LEAVING, "b": wire.Upstream_STATE_SERVING}},
+			{func() { report("a", 3, wire.Upstream_STATE_GONE) }, map[string]wire.Upstream_State{"b": wire.Upstream_STATE_SERVING}},
+		} {
+			tc.change()
+			n, err := askNews(h, &wire.Watch{Node: fmt.Sprint("e", i), Incarnation: fmt.Sprint("i", i)})
+			must.NoError(t, err)
+			must.Eq(t, tc.want, rosterOf(t, n))
+		}
+	})
+}
--- a/io/hub/watch.go
+++ b/io/hub/watch.go
@@ -40,7 +40,7 @@
 func (h *Hub) handleWatch(ctx context.Context, w *wire.Watch) (*wire.News, error) {
 	end := time.NewTimer(time.Duration(w.GetWaitUs()) * time.Microsecond)
 	defer end.Stop()
-	if _, _, revision := h.Replica.Roster(w.GetRevision()); w.GetRevision() == 0 && revision > 0 && w.GetVersion() > 0 && w.GetLeader() != "" {
+	if w.GetRevision() == 0 && w.GetVersion() > 0 && w.GetLeader() != "" && h.Replica.RosterRevision() > 0 {
 		// The entry has the configuration and not the whole roster. After a stop of everything all
 		// entries ask for it at once, and the answers would hold up the leader's heartbeats.
 		select {
@@ -129,17 +129,8 @@
 		}
 		n.Document = data
 	}
-	n.Roster, n.Whole, n.Revision = h.Replica.Roster(w.GetRevision())
-	switch {
-	case !n.GetWhole() || n.GetRevision() == 0:
-	case n.GetDocument() != nil:
-		// The entry has just started. It serves as soon as it has the configuration and the
-		// upstreams of pools whose requests it places, and polls for the rest; see handleWatch.
-		n.Roster, n.Revision = h.feed.unscheduled(n.GetRoster()), 0
-	default:
-		if err := h.packed.addRoster(h.Replica, n); err != nil {
-			return nil, false, err
-		}
+	if err := h.addRoster(w, n); err != nil {
+		return nil, false, err
 	}
 	h.refreshRollouts(s) // After the roster was read.
 	n.Rollouts = s.rollouts.inForce(s.id)
@@ -147,6 +138,27 @@
 	return n, fresh, nil
 }
 
+// addRoster adds what the entry lacks of the roster. An entry that has nothing of it must not make
+// this replica list all upstreams: after a stop of everything all entries ask at once.
+func (h *Hub) addRoster(w *wire.Watch, n *wire.News) error {
+	switch {
+	case w.GetRevision() > 0:
+		n.Roster, n.Whole, n.Revision = h.Replica.Roster(w.GetRevision())
+		if !n.GetWhole() {
+			return nil
+		}
+	case h.Replica.RosterRevision() == 0:
+		n.Whole = true
+		return nil
+	case n.GetDocument() != nil:
+		// The entry has just started. It serves as soon as it has the configuration and the
+		// upstreams of pools whose requests it places, and polls for the rest; see handleWatch.
+		n.Roster, n.Whole = h.feed.listUnscheduled(h.Replica), true
+		return nil
+	}
+	return h.packed.addRoster(h.Replica, n)
+}
+
 // limitSharers returns the entries that share the limits of upstreams, and whether all of them
 // are known. A scheduler of a data centre that is cut off does not wait for entries elsewhere:
 // otherwise its upstreams would get no requests when none of its entries holds a share.
