A leader schedules once it has applied what earlier leaders committed

Cause: a leader scheduled, and gave entries its configuration, from the moment of its election. An entry that starts has nothing and takes what it gets first, so that an accepted configuration could go back.

Change: raft says when a leader has committed an entry of its own term; only then does the hub schedule. Polls that arrive before wait at the leader, because an entry that is sent away asks who leads and is back at once.

The tests of core/raft, io/ctrl and io/hub pass.

--- a/core/raft/leader.go
+++ b/core/raft/leader.go
@@ -44,10 +44,7 @@
 // here.
 func (r *Raft) HasLease(now time.Time) bool {
 	r.advanceClock(now)
-	if r.role != leader || r.timeoutNowSent || r.Leaseless {
-		return false
-	}
-	if t, _ := r.log.term(r.commitIndex); t != r.term {
+	if !r.Established() || r.timeoutNowSent || r.Leaseless {
 		return false
 	}
 	return r.now.Sub(r.quorumRound()) < r.leaseDuration()
--- a/core/raft/raft.go
+++ b/core/raft/raft.go
@@ -275,6 +275,13 @@
 // IsLeader reports whether this replica is the leader, as far as it knows.
 func (r *Raft) IsLeader() bool { return r.role == leader }
 
+// Established reports whether this replica leads and has committed an entry of its own term, so
+// that it knows of every entry committed before.
+func (r *Raft) Established() bool {
+	t, _ := r.log.term(r.commitIndex)
+	return r.role == leader && t == r.term
+}
+
 // Leader is the identity of the leader, empty if none is known.
 func (r *Raft) Leader() string { return r.leaderID }
 
--- a/io/ctrl/observer.go
+++ b/io/ctrl/observer.go
@@ -96,6 +96,10 @@
 // Leads reports whether this replica led at the last update of its view.
 func (c *Ctrl) Leads() bool { return c.view.Load().leads }
 
+// Established reports whether this replica led at the last update of its view and had applied all
+// entries that were committed before its election.
+func (c *Ctrl) Established() bool { return c.view.Load().established }
+
 // CutOff reports whether this replica heard no leader and reached no quorum at the last update of
 // its view.
 func (c *Ctrl) CutOff() bool { return c.view.Load().GetCutOff() }
--- a/io/ctrl/view.go
+++ b/io/ctrl/view.go
@@ -22,6 +22,7 @@
 		silence     time.Duration // Time since the last message of a leader, as of then.
 		heard       bool          // Whether a leader was heard, and this replica has caught up.
 		leads       bool
+		established bool
 		peers       []raft.PeerStatus // Only at a leader.
 	}
 
@@ -49,11 +50,11 @@
 	v.Version, v.Change, v.Document = c.state.Version(), c.state.ChangeID(), c.state.Document()
 	v.Claims, v.Group, v.Bootstrap = uint64(c.state.ClaimCount()), c.raft.Group(), c.Bootstrap //nolint:gosec // Not negative.
 	v.Replicas, v.peers = c.raft.Replicas(), c.raft.Peers(now)
-	v.leads, v.CutOff = c.raft.IsLeader(), c.raft.CutOff(now)
+	v.leads, v.established, v.CutOff = c.raft.IsLeader(), c.raft.Established(), c.raft.CutOff(now)
 	if v.GetCutOff() {
 		v.Leader = "" // The leader that it followed is out of reach.
 	}
-	if was := c.view.Load(); was != nil && (was.leads != v.leads || was.GetCutOff() != v.GetCutOff()) {
+	if was := c.view.Load(); was != nil && (was.leads != v.leads || was.established != v.established || was.GetCutOff() != v.GetCutOff()) {
 		defer c.observer.broadcast()
 	}
 	for _, r := range v.GetReplicas() {
--- a/io/hub/hub_test.go
+++ b/io/hub/hub_test.go
@@ -28,6 +28,7 @@
 	mu       sync.Mutex
 	state    state.State
 	leads    bool
+	behind   bool // It leads without having applied what was committed before.
 	noQuorum bool // Proposals fail.
 	stalled  bool // Proposals about rollouts hang until their callers give up.
 	stalling bool // One of them hangs now.
@@ -43,6 +44,12 @@
 	return f.leads
 }
 
+func (f *fakeReplica) Established() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.leads && !f.behind
+}
+
 func (f *fakeReplica) CutOff() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/io/hub/scope.go
+++ b/io/hub/scope.go
@@ -26,7 +26,12 @@
 // wantedScope returns the scope that this replica should schedule for now.
 func (h *Hub) wantedScope() scope {
 	if h.Replica.Leads() {
-		return scopeDeployment
+		// Until it is established, this replica may lack the newest configuration. An entry that
+		// has just started would put an older one in force than the deployment had.
+		if h.Replica.Established() {
+			return scopeDeployment
+		}
+		return scopeNone
 	}
 	if v, _ := h.Replica.Publication(); v > 0 && h.Replica.CutOff() {
 		return scopeDataCentre
--- a/io/hub/scope_test.go
+++ b/io/hub/scope_test.go
@@ -185,3 +185,41 @@
 		})
 	}
 }
+
+// Guards against a new leader that hands out an older configuration than the deployment had, because
+// it schedules before it has applied what was committed, and against entries that ask it again and
+// again in the meantime.
+func TestLeaderSchedulesOnceEstablished(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		end  func(f *fakeReplica) // How the state of the new leader ends.
+		want uint64               // Version that the entry gets; zero for none.
+	}{
+		{"it has applied everything", func(f *fakeReplica) { f.behind = false }, 2},
+		{"it loses its leadership", func(f *fakeReplica) { f.leads = false }, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			const wait = 300 * time.Millisecond
+			runHub(t, func(t *testing.T, h *Hub, f *fakeReplica) {
+				f.setLeads(false)
+				synctest.Wait()
+				f.mu.Lock()
+				f.behind = true
+				f.mu.Unlock()
+				f.setLeads(true)
+				start := time.Now()
+				time.AfterFunc(wait, func() {
+					f.mu.Lock()
+					defer f.mu.Unlock()
+					f.state.Apply(&wire.Command{Kind: &wire.Command_Publish{Publish: &wire.Publish{Version: 2, Document: []byte("two")}}})
+					tc.end(f)
+					f.notifyLocked()
+				})
+				n, err := askNews(h, &wire.Watch{Node: "e", Incarnation: "i", WaitUs: (2 * time.Second).Microseconds()})
+				must.Between(t, wait, time.Since(start), wait+leadershipCheckInterval)
+				must.Eq(t, tc.want > 0, err == nil)
+				must.Eq(t, tc.want, n.GetVersion())
+			})
+		})
+	}
+}
--- a/io/hub/watch.go
+++ b/io/hub/watch.go
@@ -16,6 +16,9 @@
 	// silentEntryRetention is how long a silent entry still counts among the entries that share
 	// the limits: it may be cut off and still serve.
 	silentEntryRetention = 30 * time.Second
+	// leadershipCheckInterval is how often a poll at a leader that does not schedule yet checks
+	// whether it still leads.
+	leadershipCheckInterval = 50 * time.Millisecond
 )
 
 type (
@@ -40,22 +43,14 @@
 func (h *Hub) handleWatch(ctx context.Context, w *wire.Watch) (*wire.News, error) {
 	end := time.NewTimer(time.Duration(w.GetWaitUs()) * time.Microsecond)
 	defer end.Stop()
-	if w.GetRevision() == 0 && w.GetVersion() > 0 && w.GetLeader() != "" && h.Replica.RosterRevision() > 0 {
-		// The entry has the configuration and not the whole roster. After a stop of everything all
-		// entries ask for it at once, and the answers would hold up the leader's heartbeats.
-		select {
-		case <-ctx.Done():
-			return nil, ctx.Err()
-		case <-end.C:
-			end.Reset(0)
-		case <-time.After(rosterDelay(w.GetNode())):
-		}
+	if err := h.delayRoster(ctx, w, end); err != nil {
+		return nil, err
 	}
 	for woken := false; ; woken = true {
 		changed := h.feed.changed()
-		s := h.scheduler()
-		if s == nil || !h.serves(s, w) {
-			return nil, h.notLeaderFault()
+		s, err := h.awaitScheduler(ctx, w, end)
+		if err != nil {
+			return nil, err
 		}
 		if old := h.watchers.markAlive(w, time.Now()); old != "" {
 			s.forgetEntry(old)
@@ -92,6 +87,45 @@
 	}
 }
 
+// delayRoster waits if the entry has the configuration and not the whole roster. After a stop of
+// everything all entries ask for it at once, and the answers would hold up the leader's heartbeats.
+func (h *Hub) delayRoster(ctx context.Context, w *wire.Watch, end *time.Timer) error {
+	if w.GetRevision() > 0 || w.GetVersion() == 0 || w.GetLeader() == "" || h.Replica.RosterRevision() == 0 {
+		return nil
+	}
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-end.C:
+		end.Reset(0)
+	case <-time.After(rosterDelay(w.GetNode())):
+	}
+	return nil
+}
+
+// awaitScheduler returns the scheduler for an entry. At a leader that does not schedule yet it waits
+// for one: an entry that was sent away would ask who leads, and be back at once.
+func (h *Hub) awaitScheduler(ctx context.Context, w *wire.Watch, end *time.Timer) (*scheduler, error) {
+	for {
+		changed := h.feed.changed()
+		s := h.scheduler()
+		switch {
+		case s != nil && h.serves(s, w):
+			return s, nil
+		case s != nil || !h.Replica.Leads():
+			return nil, h.notLeaderFault()
+		}
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-end.C:
+			return nil, h.notLeaderFault()
+		case <-changed:
+		case <-time.After(leadershipCheckInterval):
+		}
+	}
+}
+
 // entriesHere returns how many entries a scheduler may serve. A scheduler of one data centre
 // counts only the entries there: if this replica led before the cut, it has heard entries
 // elsewhere too.
