--- a/io/leader/leader.go
+++ b/io/leader/leader.go
@@ -13,32 +13,32 @@
 	"azurelane/core/wire"
 )
 
-// ErrNone is returned when no control replica gave an answer in time. A
-// command may or may not have been applied: only the same id may be sent again.
+// ErrNone is returned when no control replica replied in time. A command may have been applied, so
+// only one with the same ID may be sent again.
 var ErrNone = errors.New("leader: no control replica answered")
 
 // Fault codes of control replicas.
 const (
-	NotLeader = "not-leader" // Another replica is to be asked.
-	Refused   = "refused"    // Final: the leader will never do it.
+	NotLeader = "not-leader" // Ask another replica.
+	Refused   = "refused"    // Final; a retry fails too.
 )
 
 const (
-	tryLimit  = 2 * time.Second       // One replica's time to answer.
-	tryPause  = 50 * time.Millisecond // Between two rounds over all replicas.
-	callLimit = 5 * time.Second       // All of it, where the caller sets no earlier end.
+	attemptTimeout = 2 * time.Second       // Timeout of one attempt.
+	roundPause     = 50 * time.Millisecond // Pause after all replicas were tried.
+	callTimeout    = 5 * time.Second       // Timeout of all attempts, unless the caller's is shorter.
 )
 
 type (
-	// Leader remembers which replica answered last and asks it first. Its
-	// exported fields are set before use.
+	// Leader is a client of the leader. It asks the replica that replied last first. Its exported
+	// fields are set before use.
 	Leader struct {
 		Replicas []netip.AddrPort
 		Caller   caller
 
-		mu    sync.Mutex
-		last  int
-		named netip.AddrPort // By a replica, as the leader; invalid for none.
+		mu          sync.Mutex
+		last        int
+		namedLeader netip.AddrPort // The leader that a replica has named; invalid for none.
 	}
 
 	caller interface {
@@ -46,9 +46,8 @@
 	}
 )
 
-// Propose hands a command to the leader and returns its result. Commands are
-// idempotent by their id or by the claim they name, so a lost answer is asked
-// for again at the next replica.
+// Propose sends a command to the leader and returns its result. Commands are idempotent by their ID
+// or by their claim, so the command is sent to the next replica if a reply is lost.
 func (l *Leader) Propose(ctx context.Context, c *wire.Command) (*wire.Result, error) {
 	r, err := l.Ask(ctx, func() *wire.Frame { return &wire.Frame{Body: &wire.Frame_Command{Command: c}} })
 	if err != nil {
@@ -57,15 +56,15 @@
 	return r.GetResult(), nil
 }
 
-// Ask sends the frame that build makes to one replica after the other until
-// one answers without a fault.
+// Ask sends the frame returned by build to one replica after another until one replies without a
+// fault.
 func (l *Leader) Ask(ctx context.Context, build func() *wire.Frame) (*wire.Frame, error) {
-	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	last := ErrNone
 	for {
 		for range l.Replicas {
-			r, err := l.try(ctx, build())
+			r, err := l.attempt(ctx, build())
 			if err == nil {
 				return r, nil
 			}
@@ -81,43 +80,43 @@
 		select {
 		case <-ctx.Done():
 			return nil, fmt.Errorf("%w: %w", ErrNone, last)
-		case <-time.After(tryPause):
+		case <-time.After(roundPause):
 		}
 	}
 }
 
-func (l *Leader) try(ctx context.Context, f *wire.Frame) (*wire.Frame, error) {
+func (l *Leader) attempt(ctx context.Context, f *wire.Frame) (*wire.Frame, error) {
 	l.mu.Lock()
-	to := l.named
+	to := l.namedLeader
 	if !to.IsValid() {
 		to = l.Replicas[l.last]
 	}
 	l.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, tryLimit)
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
 	r, err := l.Caller.Call(ctx, to, f)
 	if err != nil {
-		l.move(to, err)
+		l.selectNext(to, err)
 		return nil, err
 	}
 	return r, nil
 }
 
-// move turns to the leader that the fault names, which need not be one of the
-// replicas that this process was told of, or else to the next replica.
-func (l *Leader) move(from netip.AddrPort, err error) {
+// selectNext selects the replica for the next attempt: the leader that the fault names, which may be
+// missing in Replicas, or else the next replica.
+func (l *Leader) selectNext(from netip.AddrPort, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if from != l.named && (l.named.IsValid() || from != l.Replicas[l.last]) {
-		return // Another call moved on already.
+	if from != l.namedLeader && (l.namedLeader.IsValid() || from != l.Replicas[l.last]) {
+		return // Another call has moved on already.
 	}
 	var fault *wire.Fault
 	if errors.As(err, &fault) {
 		if a, perr := netip.ParseAddrPort(fault.GetLeader()); perr == nil && a != from {
-			l.named = a
+			l.namedLeader = a
 			return
 		}
 	}
-	l.named = netip.AddrPort{}
+	l.namedLeader = netip.AddrPort{}
 	l.last = (l.last + 1) % len(l.Replicas)
 }
--- a/io/leader/leader_test.go
+++ b/io/leader/leader_test.go
@@ -16,8 +16,7 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), i)
 }
 
-// group is control replicas by address: the leader that each names, its own
-// address when it leads, and nothing when it is silent.
+// group holds the leader that each control replica names, by address. Missing replicas don't reply.
 type group map[netip.AddrPort]netip.AddrPort
 
 func (g group) Call(ctx context.Context, to netip.AddrPort, f *wire.Frame) (*wire.Frame, error) {
@@ -34,8 +33,8 @@
 	}
 }
 
-// Each row is what a caller finds: it is told of replicas 1 and 2, and must
-// reach the leader within its five seconds, or learn that there is none.
+// Guards against a client that does not find the leader, or does not report within five seconds that
+// there is none. It knows replicas 1 and 2.
 func TestFindsTheLeader(t *testing.T) {
 	none := netip.AddrPort{}
 	for _, tt := range []struct {
@@ -48,9 +47,9 @@
 		{"first leads", group{addr(1): addr(1), addr(2): addr(1)}, "", "127.0.0.1:1", 0},
 		{"named by the first", group{addr(1): addr(2), addr(2): addr(2)}, "", "127.0.0.1:2", 0},
 		{"named, but not among those it was told of", group{addr(1): addr(3), addr(2): none, addr(3): addr(3)}, "", "127.0.0.1:3", 0},
-		{"first is silent", group{addr(2): addr(2)}, "", "127.0.0.1:2", tryLimit},
-		{"named one is silent", group{addr(1): addr(9), addr(2): addr(2)}, "", "127.0.0.1:2", tryLimit + tryPause},
-		{"no leader", group{addr(1): none, addr(2): none}, "", "", callLimit},
+		{"first is silent", group{addr(2): addr(2)}, "", "127.0.0.1:2", attemptTimeout},
+		{"named one is silent", group{addr(1): addr(9), addr(2): addr(2)}, "", "127.0.0.1:2", attemptTimeout + roundPause},
+		{"no leader", group{addr(1): none, addr(2): none}, "", "", callTimeout},
 		{"final refusal", group{addr(1): addr(2), addr(2): addr(2)}, "unsafe", "", 0},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
