--- a/io/redial/redial.go
+++ b/io/redial/redial.go
@@ -1,4 +1,4 @@
-// Package redial connects over TCP and does not rely on the kernel's patience.
+// Package redial connects over TCP without waiting for the kernel's retransmissions.
 package redial
 
 import (
@@ -8,19 +8,17 @@
 	"time"
 )
 
-// Every is the default time after which an attempt that is not answered gets
-// another one beside it. It is over the way there and back between data centres
-// of one region; between regions it costs a connection that is closed at once.
+// Every is the default interval at which further attempts start while none has completed. It exceeds
+// the round trip between data centres of one region. Between regions it costs one connection that is
+// closed at once.
 const Every = 200 * time.Millisecond
 
-// Redial is a dialer. A packet that opens a connection is lost on a bad link, and
-// while the peer has no power. The kernel sends it again after a second, and then
-// after two more, so that a peer which has just come back stays out of reach for
-// as long.
-// Another attempt each 200 ms reaches it within that time. The zero value is
-// ready.
+// Redial is a dialer that starts further attempts at intervals. If the first packet of a connection is
+// lost, on a bad link or because the peer is down, the kernel retransmits it after one second and then
+// after two more, and a peer that has just restarted is unreachable for as long. The zero value is
+// ready for use.
 type Redial struct {
-	Every time.Duration // Zero for the default.
+	Every time.Duration // Interval between attempts; zero for the default.
 
 	dial func(ctx context.Context, network, address string) (net.Conn, error) // For tests; nil for TCP.
 }
@@ -30,8 +28,8 @@
 	err  error
 }
 
-// DialContext connects to the address. The first attempt that ends decides: a
-// refusal means that the machine is there and the program is not.
+// DialContext connects to the address. It returns the result of the first attempt that completes,
+// because a refused connection means that the machine runs and the process does not.
 func (r *Redial) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -43,7 +41,7 @@
 	defer again.Stop()
 	ended := make(chan attempt)
 	for {
-		go r.try(ctx, network, address, ended)
+		go r.attempt(ctx, network, address, ended)
 		select {
 		case a := <-ended:
 			if a.err != nil {
@@ -57,8 +55,8 @@
 	}
 }
 
-// try makes one attempt. A connection that nobody waits for is closed.
-func (r *Redial) try(ctx context.Context, network, address string, ended chan<- attempt) {
+// attempt makes one attempt. It closes the connection if DialContext has returned.
+func (r *Redial) attempt(ctx context.Context, network, address string, ended chan<- attempt) {
 	dial := r.dial
 	if dial == nil {
 		dial = new(net.Dialer).DialContext
--- a/io/redial/redial_test.go
+++ b/io/redial/redial_test.go
@@ -14,13 +14,13 @@
 
 var errRefused = errors.New("refused")
 
-// network is a peer that has no power until a time, and is there from then on. An
-// attempt begun before gets its next packet through a second after its first.
+// network is a peer that is down until a given time. An attempt that started before sends its next
+// packet a second after its first.
 type network struct {
 	from, up time.Time
 	refuses  bool
 
-	mu       sync.Mutex // Of what follows.
+	mu       sync.Mutex // Guards the fields below.
 	attempts int
 	open     int
 }
@@ -59,13 +59,12 @@
 	return conn{n: n}, nil
 }
 
-// A peer gets its power back while an attempt is under way. The kernel would try
-// again a second after its first packet; callers wait no longer than the time
-// between two attempts, and one connection is left.
+// Guards against waiting for the kernel's retransmission after a second when a peer restarts during
+// an attempt. Callers must wait for one interval at most, and one connection must be left.
 func TestPeerComesBack(t *testing.T) {
 	for _, tc := range []struct {
 		name     string
-		after    time.Duration // That the peer comes back.
+		after    time.Duration // Time until the peer is up.
 		limit    time.Duration
 		refuses  bool
 		want     time.Duration
