--- a/io/mesh/accept_test.go
+++ b/io/mesh/accept_test.go
@@ -9,8 +9,8 @@
 	"github.com/shoenig/test/must"
 )
 
-// once is a listener with one connection. It looks whether the mesh counts it as soon as
-// the next one is asked for.
+// once is a listener with one connection. At the next Accept it checks whether the mesh counts that
+// connection.
 type once struct {
 	conn    net.Conn
 	ended   chan struct{}
@@ -40,8 +40,8 @@
 
 func (o *once) Addr() net.Addr { return &net.TCPAddr{} }
 
-// Guards against a mesh that stops and takes itself for idle while a connection that it has
-// just accepted is not counted yet: its peer's call would be lost with it.
+// Guards against a stopping mesh that counts as idle before it has registered a connection that was
+// just accepted: the call of its peer would be lost.
 func TestAcceptedConnectionsCountAtOnce(t *testing.T) {
 	for range 5 {
 		here, there := net.Pipe()
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -1,4 +1,4 @@
-// Package mesh keeps the links of one process to its peers.
+// Package mesh manages the links of a process to its peers.
 package mesh
 
 import (
@@ -20,60 +20,60 @@
 )
 
 const (
-	// DialLimit bounds one attempt to connect to a peer.
+	// DialLimit is the timeout of one attempt to connect to a peer.
 	DialLimit = 2 * time.Second
 
 	firstBackoff = 25 * time.Millisecond
-	// mostBackoff is also how long a peer that has just come back can stay out of
-	// reach; ten refused dials a second cost a process nothing.
-	mostBackoff = 100 * time.Millisecond
+	// maxBackoff also bounds how long a peer that has just restarted is not reached. Ten refused
+	// connections a second cost nothing.
+	maxBackoff  = 100 * time.Millisecond
 	acceptPause = 50 * time.Millisecond
-	// settleLeast is how long calls are still read and refused by a mesh that stops, and
-	// settleMost how long those that were made before may take to be answered.
-	settleLeast = 50 * time.Millisecond
-	settleMost  = 200 * time.Millisecond
-	settleStep  = 5 * time.Millisecond
+	// minSettleTime is the time for which a stopping mesh still reads and refuses calls, and
+	// maxSettleTime the time that earlier calls may take to complete.
+	minSettleTime  = 50 * time.Millisecond
+	maxSettleTime  = 200 * time.Millisecond
+	settleInterval = 5 * time.Millisecond
 )
 
 var (
-	// ErrBackoff is returned without a new attempt shortly after one failed, so
-	// that a dead peer costs few dials however many callers want it. Nothing was
-	// sent, and the error of that attempt is wrapped beside it.
+	// ErrBackoff is returned without an attempt to connect if one has just failed, so that the
+	// attempts at a dead peer do not grow with the callers. Nothing was sent. The error of the
+	// failed attempt is wrapped as well.
 	ErrBackoff = errors.New("mesh: peer could not be reached a moment ago")
 	// ErrClosed is returned after Close.
 	ErrClosed = errors.New("mesh: closed")
 )
 
-// Mesh dials peers when they are first needed and serves those who dial this
-// process. Its exported fields are set before Serve is called.
+// Mesh connects to peers on demand and accepts connections of peers. Its exported fields are set
+// before Serve is called.
 type Mesh struct {
 	Listen net.Listener
-	Self   netip.AddrPort // Calls to it stay in the process.
+	Self   netip.AddrPort // Own address; calls to it stay in the process.
 	Handle func(ctx context.Context, f *wire.Frame) (*wire.Frame, error)
-	Later  func(ctx context.Context, f *wire.Frame, reply func(*wire.Frame)) bool // Takes calls that need no goroutine; nil for none.
-	TLS    *tls.Config                                                            // For both directions; nil for plain TCP. Listen must already ask for certificates.
+	Later  func(ctx context.Context, f *wire.Frame, reply func(*wire.Frame)) bool // Handles calls that need no goroutine; see package link. May be nil.
+	TLS    *tls.Config                                                            // For both directions; nil for plain TCP. Listen must request certificates.
 	Log    logr.Logger
 
-	stops atomic.Bool // Calls of peers are refused.
+	stopping atomic.Bool // The mesh stops, and refuses calls of peers.
 
-	mu     sync.Mutex
-	closed bool
-	peers  map[netip.AddrPort]*peer
-	in     map[*link.Link]struct{}
-	conns  map[net.Conn]struct{} // Accepted, no link yet.
-	wg     sync.WaitGroup
+	mu       sync.Mutex
+	closed   bool
+	peers    map[netip.AddrPort]*peer
+	accepted map[*link.Link]struct{}
+	conns    map[net.Conn]struct{} // Accepted connections without a link yet.
+	wg       sync.WaitGroup
 }
 
-// Serve accepts peers until ctx ends. Calls that peers make then are refused, those that
-// they made before are answered, and every link is closed.
+// Serve accepts connections of peers until ctx ends. Then it refuses further calls, waits for the
+// replies to earlier ones and closes all links.
 func (m *Mesh) Serve(ctx context.Context) error {
-	m.stops.Store(false)
+	m.stopping.Store(false)
 	m.mu.Lock()
 	m.closed = false
 	m.mu.Unlock()
 	ln := listen.Of(m.Listen)
 	stop := context.AfterFunc(ctx, func() {
-		m.stops.Store(true)
+		m.stopping.Store(true)
 		if err := ln.Drain(); err != nil {
 			_ = ln.Close()
 		}
@@ -84,7 +84,7 @@
 		conn, err := ln.Accept()
 		switch {
 		case err == nil:
-			if !m.hold(conn) { // Here, so that a mesh that stops waits for it from now on.
+			if !m.hold(conn) { // Before the goroutine starts, so that a stopping mesh waits for it.
 				_ = conn.Close()
 				continue
 			}
@@ -96,32 +96,31 @@
 		case errors.Is(err, net.ErrClosed):
 			return fmt.Errorf("mesh: accept: %w", err)
 		default:
-			// Mostly a lack of file descriptors, which passes. Ending here would
-			// close the links that work.
+			// Usually a temporary lack of file descriptors. Returning would close all links.
 			m.Log.Info("Peer not accepted.", "err", err.Error())
 			time.Sleep(acceptPause)
 		}
 	}
 }
 
-// take refuses calls once the mesh stops: one that is lost with its link leaves the peer
-// in doubt whether it was taken. Links ask it before they hand a call on.
-func (m *Mesh) take(ctx context.Context, f *wire.Frame, reply func(*wire.Frame)) bool {
-	if m.stops.Load() {
+// handleOrRefuse refuses calls of a stopping mesh, and offers the others to Later. A call that is lost with its link
+// would leave the peer in doubt whether it was handled.
+func (m *Mesh) handleOrRefuse(ctx context.Context, f *wire.Frame, reply func(*wire.Frame)) bool {
+	if m.stopping.Load() {
 		reply(&wire.Frame{Body: &wire.Frame_Fault{Fault: &wire.Fault{Code: wire.CodeMoved, Text: "mesh: this process stops"}}})
 		return true
 	}
 	return m.Later != nil && m.Later(ctx, f, reply)
 }
 
-// settle waits until calls are answered.
+// settle waits until no call is pending.
 func (m *Mesh) settle() {
 	start := time.Now()
-	for passed := time.Duration(0); passed < settleMost; passed = time.Since(start) {
-		if passed >= settleLeast && m.idle() {
+	for passed := time.Duration(0); passed < maxSettleTime; passed = time.Since(start) {
+		if passed >= minSettleTime && m.idle() {
 			return
 		}
-		time.Sleep(settleStep)
+		time.Sleep(settleInterval)
 	}
 }
 
@@ -129,9 +128,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if len(m.conns) > 0 {
-		return false // Links answer before they are listed.
+		return false // A link handles calls before it is listed.
 	}
-	for l := range m.in {
+	for l := range m.accepted {
 		if !l.Idle() {
 			return false
 		}
@@ -149,7 +148,7 @@
 	if to == m.Self {
 		return m.Handle(ctx, f)
 	}
-	l, err := m.to(ctx, to)
+	l, err := m.linkTo(ctx, to)
 	if err != nil {
 		return nil, err
 	}
@@ -166,7 +165,7 @@
 		_, err := m.Handle(ctx, f)
 		return err
 	}
-	l, err := m.to(ctx, to)
+	l, err := m.linkTo(ctx, to)
 	if err != nil {
 		return err
 	}
@@ -177,14 +176,14 @@
 }
 
 func (m *Mesh) accept(conn net.Conn) {
-	l, err := link.Accept(conn, m.Handle, m.take)
+	l, err := link.Accept(conn, m.Handle, m.handleOrRefuse)
 	m.mu.Lock()
 	delete(m.conns, conn)
 	if err == nil && m.closed {
 		_ = l.Close()
 	}
 	if err == nil {
-		m.in[l] = struct{}{}
+		m.accepted[l] = struct{}{}
 	}
 	m.mu.Unlock()
 	if err != nil {
@@ -193,28 +192,28 @@
 	}
 	l.Wait()
 	m.mu.Lock()
-	delete(m.in, l)
+	delete(m.accepted, l)
 	m.mu.Unlock()
 }
 
 func (m *Mesh) hold(conn net.Conn) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.in == nil {
-		m.in, m.conns = map[*link.Link]struct{}{}, map[net.Conn]struct{}{}
+	if m.accepted == nil {
+		m.accepted, m.conns = map[*link.Link]struct{}{}, map[net.Conn]struct{}{}
 	}
 	m.conns[conn] = struct{}{}
 	return !m.closed
 }
 
-// Close ends every link and waits for what runs on them.
+// Close closes all links and waits for their goroutines.
 func (m *Mesh) Close() {
 	m.mu.Lock()
 	m.closed = true
 	for c := range m.conns {
 		_ = c.Close()
 	}
-	for l := range m.in {
+	for l := range m.accepted {
 		_ = l.Close()
 	}
 	for _, p := range m.peers {
--- a/io/mesh/mesh_test.go
+++ b/io/mesh/mesh_test.go
@@ -38,8 +38,8 @@
 	return m
 }
 
-// A peer is dead and a thousand requests want it within a moment. They share
-// the dials, and all but the first get their error without one.
+// Guards against an attempt to connect for each of a thousand requests to a dead peer. They must share
+// attempts, and all but the first must get an error without one.
 func TestNoDialStorm(t *testing.T) {
 	m := serve(t)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -56,14 +56,14 @@
 	wg.Wait()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	must.Between(t, 1, m.peers[dead].fails, 20)
+	must.Between(t, 1, m.peers[dead].failures, 20)
 }
 
-// A dial to a peer is under way and does not end, as in a handshake with one
-// that says nothing. A caller with a short deadline is not held by it.
+// Guards against callers that wait beyond their deadline for an attempt that does not complete, as in
+// a handshake with a silent peer.
 func TestCallerNotHeldByDial(t *testing.T) {
 	m := serve(t)
-	to := netip.MustParseAddrPort("127.0.0.1:9") // Never dialled: a dial seems to be under way.
+	to := netip.MustParseAddrPort("127.0.0.1:9") // Never dialled; an attempt seems to be in progress.
 	m.mu.Lock()
 	m.peers = map[netip.AddrPort]*peer{to: {dialing: make(chan struct{}), stop: func() {}}}
 	m.mu.Unlock()
@@ -73,14 +73,14 @@
 	must.ErrorIs(t, err, context.DeadlineExceeded)
 }
 
-// A peer is restarted: its links break, and the next call dials anew.
+// Guards against calls that fail for good after a peer has restarted: the next call must connect again.
 func TestDialsAnew(t *testing.T) {
 	a, b := serve(t), serve(t)
 	_, err := a.Call(t.Context(), b.Self, frame())
 	must.NoError(t, err)
-	for closed := false; !closed; { // A link answers before it is listed.
+	for closed := false; !closed; { // A link handles calls before it is listed.
 		b.mu.Lock()
-		for l := range b.in {
+		for l := range b.accepted {
 			_ = l.Close()
 			closed = true
 		}
@@ -94,8 +94,8 @@
 	must.NoError(t, err)
 }
 
-// A mesh that was closed leaves no goroutine, also with peers that are half
-// connected, and dials no more. goleak looks at the end of all tests.
+// Guards against goroutines left by a closed mesh, also with half-open connections, and against new
+// connections from it. goleak checks after all tests.
 func TestCloseLeavesNothing(t *testing.T) {
 	a, b := serve(t), serve(t)
 	_, err := a.Call(t.Context(), b.Self, frame())
@@ -108,12 +108,12 @@
 	must.ErrorIs(t, err, ErrClosed)
 }
 
-// Guards against peers that are left in doubt by a process that stops: a call is answered,
-// or refused without having been taken.
+// Guards against calls whose fate is unknown after a process stops: a call must be handled and get a
+// reply, or be refused without being handled.
 func TestStopLeavesNoCallInDoubt(t *testing.T) {
 	for _, tc := range []struct {
 		name  string
-		waits bool // The peer is connected and not accepted when the process stops.
+		waits bool // The peer's connection is not accepted yet when the process stops.
 		code  string
 	}{
 		{"a call that is being answered", false, ""},
--- a/io/mesh/peer.go
+++ b/io/mesh/peer.go
@@ -9,21 +9,21 @@
 	"azurelane/io/link"
 )
 
-// peer is what is known of one address. The mesh's lock guards it.
+// peer is the state of the connection to one address. The mesh's mutex guards it.
 type peer struct {
-	link    *link.Link
-	dialing chan struct{} // Closed when the dial under way has ended; nil without one.
-	stop    context.CancelFunc
-	err     error // Of the last dial.
-	fails   int
-	until   time.Time // No dial before.
+	link         *link.Link
+	dialing      chan struct{} // Closed when the attempt in progress completes; nil for none.
+	stop         context.CancelFunc
+	err          error // Error of the last attempt.
+	failures     int
+	backoffUntil time.Time // End of the backoff.
 }
 
-// to returns the link to a peer. Callers share one dial, and each waits for it
-// no longer than its own context allows.
-func (m *Mesh) to(ctx context.Context, addr netip.AddrPort) (*link.Link, error) {
+// linkTo returns the link to a peer, and connects first if needed. Callers share an attempt, and each
+// waits for it until its own context ends.
+func (m *Mesh) linkTo(ctx context.Context, addr netip.AddrPort) (*link.Link, error) {
 	for {
-		l, wait, err := m.have(addr)
+		l, wait, err := m.openOrDial(addr)
 		if l != nil || err != nil {
 			return l, err
 		}
@@ -35,9 +35,9 @@
 	}
 }
 
-// have returns the live link, or a channel that closes when the dial has
-// ended, or the error of a dial that failed a moment ago.
-func (m *Mesh) have(addr netip.AddrPort) (*link.Link, <-chan struct{}, error) {
+// openOrDial returns the open link, or else a channel that is closed when the attempt in progress
+// completes, or else the error of an attempt that has just failed.
+func (m *Mesh) openOrDial(addr netip.AddrPort) (*link.Link, <-chan struct{}, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.closed {
@@ -57,7 +57,7 @@
 	if p.dialing != nil {
 		return nil, p.dialing, nil
 	}
-	if time.Now().Before(p.until) {
+	if time.Now().Before(p.backoffUntil) {
 		return nil, nil, fmt.Errorf("%w: %s: %w", ErrBackoff, addr, p.err)
 	}
 	p.dialing = make(chan struct{})
@@ -68,7 +68,7 @@
 }
 
 func (m *Mesh) dial(ctx context.Context, addr netip.AddrPort, p *peer) {
-	l, err := link.Dial(ctx, addr, m.TLS, m.Handle, m.take)
+	l, err := link.Dial(ctx, addr, m.TLS, m.Handle, m.handleOrRefuse)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	p.stop()
@@ -76,11 +76,11 @@
 	p.dialing = nil
 	if err != nil {
 		p.err = err
-		p.until = time.Now().Add(min(firstBackoff<<min(p.fails, 10), mostBackoff))
-		p.fails++
+		p.backoffUntil = time.Now().Add(min(firstBackoff<<min(p.failures, 10), maxBackoff))
+		p.failures++
 		return
 	}
-	p.link, p.fails, p.until = l, 0, time.Time{}
+	p.link, p.failures, p.backoffUntil = l, 0, time.Time{}
 	if m.closed {
 		_ = l.Close()
 	}
