--- a/cmd/azurelane/operator.go
+++ b/cmd/azurelane/operator.go
@@ -100,7 +100,7 @@
 	return r, nil
 }
 
-// upstream asks the entries that control hears of for a live upstream.
+// upstream returns a live upstream, as reported by an entry that control lists.
 func (o *operator) upstream(ctx context.Context, name string) (*wire.Announce, error) {
 	asked := map[netip.AddrPort]bool{}
 	for _, h := range o.statusAll(ctx) {
--- a/core/peers/datacentre.go
+++ b/core/peers/datacentre.go
@@ -11,7 +11,7 @@
 	// before it counts as cut off. A single one may have crashed.
 	cutOffThreshold = 2
 	// trialInterval is the time between two trial requests to a data centre that seems cut off. Each
-	// of them may wait for a connection in vain.
+	// of them may wait for a connection until it times out.
 	trialInterval = 400 * time.Millisecond
 	// cutOffRetention is how long a data centre counts as cut off after the last request that did
 	// not reach it.
--- a/core/peers/peers.go
+++ b/core/peers/peers.go
@@ -143,7 +143,7 @@
 	return least
 }
 
-// allows reports whether a request may be sent to an upstream at all.
+// allows reports whether a request may be sent to an upstream.
 func (p *Peers) allows(now time.Time, u *wire.Upstream, e *upstreamStats, c Choice) bool {
 	switch {
 	case !p.allowsDataCentre(now, u.GetDataCentre(), &c), contains(c.Avoid, u.GetId()), !e.meter.CanSend(now):
--- a/io/form/form.go
+++ b/io/form/form.go
@@ -1,5 +1,5 @@
-// Package form keeps a control group whole without an operator: replicas that
-// belong to no group join one, and the leader promotes and removes them.
+// Package form maintains the membership of a control group without an operator: replicas without a
+// group join one, and the leader promotes and removes replicas.
 package form
 
 import (
@@ -16,14 +16,14 @@
 )
 
 const (
-	lookEvery   = 100 * time.Millisecond // Between two looks at the group.
-	joinEvery   = 300 * time.Millisecond // Between two tries to join.
-	changeLimit = time.Second            // For one membership change.
-	listedEvery = time.Second            // Between two looks whether this replica is still in its group.
+	checkInterval       = 100 * time.Millisecond // Interval between checks of the group.
+	joinInterval        = 300 * time.Millisecond // Interval between attempts to join.
+	changeTimeout       = time.Second            // Timeout of a membership change.
+	listedCheckInterval = time.Second            // Interval between checks whether the group lists this replica.
 )
 
 type (
-	// Form is the service of one control replica. Its fields are set before use.
+	// Form maintains the membership of one control replica. Its fields are set before use.
 	Form struct {
 		repair.Policy
 		Self    netip.AddrPort
@@ -32,28 +32,28 @@
 		Leader  proposer
 		Log     logr.Logger
 
-		joined time.Time // Last try to join.
-		listed time.Time // Last look whether the leader lists this replica.
+		lastJoin        time.Time // Last attempt to join.
+		lastListedCheck time.Time // Last check whether the leader lists this replica.
 	}
 
 	replica interface {
 		Identity() string
 		Leads() bool
-		Ready() bool // It hears a leader.
+		Ready() bool // Whether it has heard a leader recently.
 		Group() (name string, all []*wire.Replica, peers []raft.PeerStatus)
 		Propose(ctx context.Context, c *wire.Command) (*wire.Result, error)
 	}
 
-	// proposer reaches the leader wherever it is.
+	// proposer is a client of the leader.
 	proposer interface {
 		Propose(ctx context.Context, c *wire.Command) (*wire.Result, error)
 		Ask(ctx context.Context, build func() *wire.Frame) (*wire.Frame, error)
 	}
 )
 
-// Serve looks after the group until ctx ends.
+// Serve maintains the membership until ctx ends.
 func (f *Form) Serve(ctx context.Context) error {
-	tick := time.NewTicker(lookEvery)
+	tick := time.NewTicker(checkInterval)
 	defer tick.Stop()
 	for {
 		select {
@@ -61,14 +61,14 @@
 			return ctx.Err()
 		case <-tick.C:
 		}
-		if err := f.look(ctx); err != nil {
+		if err := f.check(ctx); err != nil {
 			f.Log.V(1).Info("Group not changed.", "err", err.Error())
 		}
 	}
 }
 
-func (f *Form) look(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, changeLimit)
+func (f *Form) check(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
 	defer cancel()
 	name, all, peers := f.Replica.Group()
 	if f.Replica.Leads() {
@@ -77,10 +77,10 @@
 	if name == "" || !f.lists(all) {
 		return f.join(ctx)
 	}
-	return f.stillListed(ctx)
+	return f.checkListed(ctx)
 }
 
-// repair proposes the next change of the group that this replica leads.
+// repair proposes the next membership change of the group that this replica leads.
 func (f *Form) repair(ctx context.Context, all []*wire.Replica, peers []raft.PeerStatus) error {
 	var self *wire.Replica
 	for _, r := range all {
@@ -103,10 +103,10 @@
 }
 
 func (f *Form) join(ctx context.Context) error {
-	if time.Since(f.joined) < joinEvery {
+	if time.Since(f.lastJoin) < joinInterval {
 		return nil
 	}
-	f.joined = time.Now()
+	f.lastJoin = time.Now()
 	m := &wire.Membership{
 		Replica: f.Replica.Identity(), Address: f.Self.String(), DataCentre: f.Centre, Role: wire.Membership_ROLE_LEARNER,
 	}
@@ -117,14 +117,14 @@
 	return nil
 }
 
-// stillListed asks the leader whether this replica is in its group. One that
-// was away and replaced never hears of its removal, as nobody sends to it any
-// more; it would wait for ever, and the group would lack a learner.
-func (f *Form) stillListed(ctx context.Context) error {
-	if f.Replica.Ready() || time.Since(f.listed) < listedEvery {
+// checkListed asks the leader whether this replica is still in the group, and joins again if not. A
+// replica that was removed while it was down receives no messages, so it would never learn of its
+// removal, and the group would lack a replica.
+func (f *Form) checkListed(ctx context.Context) error {
+	if f.Replica.Ready() || time.Since(f.lastListedCheck) < listedCheckInterval {
 		return nil
 	}
-	f.listed = time.Now()
+	f.lastListedCheck = time.Now()
 	r, err := f.Leader.Ask(ctx, func() *wire.Frame {
 		return &wire.Frame{Body: &wire.Frame_StatusQuery{StatusQuery: &wire.StatusQuery{Fresh: true}}}
 	})
--- a/io/form/form_test.go
+++ b/io/form/form_test.go
@@ -16,14 +16,14 @@
 	"azurelane/core/wire"
 )
 
-// fakeGroup is a replica, and the leader that it reaches.
+// fakeGroup is a replica and its client of the leader.
 type fakeGroup struct {
 	name     string
 	leads    bool
 	ready    bool
 	all      []*wire.Replica
 	peers    []raft.PeerStatus
-	listed   []*wire.Replica // By the leader.
+	listed   []*wire.Replica // Replicas that the leader lists.
 	proposed []*wire.Membership
 	asked    int
 	err      error
@@ -47,9 +47,8 @@
 	return &wire.Frame{Body: &wire.Frame_Status{Status: &wire.Status{Replicas: f.listed}}}, f.err
 }
 
-// A replica finds itself in no group, or in one that has gone on without it.
-// Without a word from it nobody would feed it, and the group would lack it for
-// good; one that is in its group asks for nothing.
+// Guards against a replica that never joins because it has no group or was removed from it while it was
+// down. A replica that its group lists must not ask to join.
 func TestJoins(t *testing.T) {
 	me, other := &wire.Replica{Id: "me"}, &wire.Replica{Id: "other"}
 	for _, tc := range []struct {
@@ -82,8 +81,7 @@
 	}
 }
 
-// The leader makes one change after the other; one that is refused is tried
-// again with the next look.
+// Guards against a membership change that is not tried again after it was refused.
 func TestRepairs(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := &fakeGroup{
