Collected reports of upstreams end with their replica

Cause: a replica waited out the 0.2 s for which it collects reports also when it stopped; the wait was tied to no run group.

Change: the hub's end ends the wait, and each report is then passed on alone.

--- a/io/hub/hub.go
+++ b/io/hub/hub.go
@@ -105,6 +105,7 @@
 	sweepTick, reachTick := time.NewTicker(sweepInterval), time.NewTicker(reachCheckInterval)
 	defer sweepTick.Stop()
 	defer reachTick.Stop()
+	h.reports.stopAt(ctx.Done())
 	var version uint64
 	stop := func() {}
 	defer func() { stop() }()
--- a/io/hub/reports.go
+++ b/io/hub/reports.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"azurelane/core/roster"
 	"azurelane/core/wire"
 )
@@ -17,6 +19,8 @@
 	reportBatchTimeout = 600 * time.Millisecond // For the leader's reply.
 )
 
+var errStopped = errors.New("hub: the replica stops")
+
 type (
 	// reports collects the reports of upstreams that change nothing, so that the leader gets a few
 	// messages a second from each replica instead of one from each upstream. The zero value is
@@ -24,6 +28,7 @@
 	reports struct {
 		mu      sync.Mutex
 		pending *reportBatch
+		stopped <-chan struct{} // Closed once the hub stops; nil before it serves.
 	}
 
 	reportBatch struct {
@@ -46,6 +51,26 @@
 	return r.pending, first
 }
 
+// stopAt makes batches fail once the channel is closed.
+func (r *reports) stopAt(stopped <-chan struct{}) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stopped = stopped
+}
+
+// wait waits until a batch is due and reports whether the hub still runs.
+func (r *reports) wait() bool {
+	r.mu.Lock()
+	stopped := r.stopped
+	r.mu.Unlock()
+	select {
+	case <-stopped:
+		return false
+	case <-time.After(reportBatchDelay):
+		return true
+	}
+}
+
 // take ends the batch that collects reports.
 func (r *reports) take() *reportBatch {
 	r.mu.Lock()
@@ -77,9 +102,13 @@
 
 // sendReports sends the batch to the leader after reportBatchDelay.
 func (h *Hub) sendReports() {
-	time.Sleep(reportBatchDelay)
+	due := h.reports.wait()
 	b := h.reports.take()
 	defer close(b.done)
+	if !due {
+		b.err = errStopped
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), reportBatchTimeout)
 	defer cancel()
 	f, err := h.LeaderClient.Ask(ctx, func() *wire.Frame {
--- a/io/hub/reports_test.go
+++ b/io/hub/reports_test.go
@@ -103,3 +103,18 @@
 		})
 	})
 }
+
+// Guards against reports that are lost, or wait for their batch, when the replica that collects them
+// stops: each is passed on alone, at once.
+func TestCollectedReportsOutliveTheReplica(t *testing.T) {
+	withFollower(t, 1, func(t *testing.T, _, follower *Hub, frames *atomic.Int64) {
+		const stop = reportBatchDelay / 4
+		stopped := make(chan struct{})
+		follower.reports.stopAt(stopped)
+		time.AfterFunc(stop, func() { close(stopped) })
+		start := time.Now()
+		must.NoError(t, follower.Report(t.Context(), newReport("s0", 2, wire.Upstream_STATE_SERVING)))
+		must.Eq(t, stop, time.Since(start))
+		must.Eq(t, 1, frames.Load())
+	})
+}
