Frames replace heartbeats of a link

Cause: a link on which a call waits or that was used lately sends a heartbeat each half second, also when it has just sent something else. Each entry has a poll pending at the leader, so the leader sent and received 1,970 heartbeats a second with 985 entries, beside some 4,300 other frames (both by arithmetic). In the seconds after a stop of everything it is short of processor.

Change: no heartbeat within half a second of another frame. The peer counts any frame as a sign of life already, and is awake itself while it serves a call or was sent something. At most a second passes without a frame, a third of the limit after which a link is closed.

Result: TestFramesReplaceHeartbeats, on the decision alone; the tests of io/link, io/mesh, io/watch and io/hub pass under the race detector.

--- a/io/link/heartbeat.go
+++ b/io/link/heartbeat.go
@@ -34,10 +34,17 @@
 	peerAwakeAt  time.Time // Last heartbeat by which the peer was awake.
 	awakeSince   time.Time // Start of the frequent heartbeats; zero while the link is idle.
 	lastSent     time.Time // Last heartbeat sent.
+	lastFrame    time.Time // Last other frame sent.
 }
 
 func (p *heartbeat) start(now time.Time) { p.lastReceived, p.lastUsed, p.lastSent = now, now, now }
 
+func (p *heartbeat) recordSent(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lastFrame = now
+}
+
 func (p *heartbeat) recordUse(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -72,7 +79,9 @@
 	} else {
 		p.awakeSince = time.Time{}
 	}
-	beat = now.Sub(p.lastSent) >= every-PingEvery/2
+	// Other frames show as well that this process runs. A hub has a link to each entry, and on most
+	// of them a frame is sent each half second.
+	beat = now.Sub(p.lastSent) >= every-PingEvery/2 && now.Sub(p.lastFrame) >= PingEvery
 	if beat {
 		p.lastSent = now
 	}
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -227,8 +227,11 @@
 	if buf.Len() > MaxFrame {
 		return fmt.Errorf("%w: %d bytes", ErrTooLarge, buf.Len())
 	}
-	if f.GetPing() == nil && f.GetProbe() == nil {
-		l.pulse.recordUse(time.Now())
+	if f.GetPing() == nil {
+		l.pulse.recordSent(time.Now())
+		if f.GetProbe() == nil {
+			l.pulse.recordUse(time.Now())
+		}
 	}
 	if buf.Len() >= BulkSize {
 		return l.writeBulk(ctx, buf.Bytes())
--- a/io/link/link_test.go
+++ b/io/link/link_test.go
@@ -232,6 +232,34 @@
 	must.True(t, dead)
 }
 
+// Guards against heartbeats on links that carry other frames anyway: a leader with a thousand entries
+// sent and received two thousand a second. When the frames stop, a heartbeat must follow within two
+// intervals.
+func TestFramesReplaceHeartbeats(t *testing.T) {
+	const interval = 400 * time.Millisecond
+	var p heartbeat
+	now := time.Unix(1000, 0)
+	p.start(now)
+	lastFrame, lastTick := now, now
+	for ; now.Before(time.Unix(1010, 0)); now = now.Add(time.Millisecond) {
+		if now.Sub(lastFrame) >= interval {
+			p.recordSent(now)
+			lastFrame = now
+		}
+		if now.Sub(lastTick) >= PingEvery {
+			lastTick = now
+			beat, awake, _ := p.next(now, true)
+			must.True(t, awake)
+			must.False(t, beat, must.Sprint(now))
+		}
+	}
+	for beat := false; !beat; {
+		lastTick = lastTick.Add(PingEvery)
+		beat, _, _ = p.next(lastTick, true)
+		must.LessEq(t, 2*PingEvery, lastTick.Sub(lastFrame))
+	}
+}
+
 // Guards against a goroutine for each pending call of a peer. A scheduler has thousands of pending
 // calls in a burst; when all were answered at once, so many goroutines woke that heartbeats of the
 // process were a second late. Each call must get its own reply.
