--- a/io/disk/disk.go
+++ b/io/disk/disk.go
@@ -1,7 +1,7 @@
-// Package disk is the write-ahead log of a control replica: one file in one
-// data folder, which starts with the replica's identity and newest snapshot.
+// Package disk implements the write-ahead log of a control replica: a file in a data folder that
+// begins with the replica's identity and newest snapshot.
 //
-// docs/design/log.md says what damage is told from a torn write, and how.
+// docs/design/log.md explains how damage is distinguished from a torn write.
 package disk
 
 import (
@@ -17,43 +17,43 @@
 )
 
 var (
-	// ErrDamaged is returned when the log holds bytes that no torn write leaves.
-	// Going on would lose acknowledged commands, so the operator must decide.
+	// ErrDamaged is returned when the log contains bytes that no torn write leaves. Continuing
+	// would lose acknowledged commands, so the operator must decide.
 	ErrDamaged = errors.New("disk: log damaged")
-	// ErrStopped is returned after a failed write or sync. What reached the disk
-	// is then unknown, and a second fsync may report success for pages that were
-	// dropped, so the log takes nothing more until it is opened anew.
+	// ErrStopped is returned after a failed write or sync. It is then unknown what was written, and
+	// a second fsync may report success for pages that were dropped, so the log must be opened
+	// again before it is used.
 	ErrStopped = errors.New("disk: log stopped after a failed write")
-	// ErrFull is returned when there was no room for a write. The log is as it was and
-	// may be used again: what was written of it is cut off.
+	// ErrFull is returned when there is no space for a write. The partial write is truncated, so
+	// the log is unchanged and can be used again.
 	ErrFull = errors.New("disk: no room")
-	// ErrInUse is returned when another process has the folder open.
+	// ErrInUse is returned when another process uses the folder.
 	ErrInUse = errors.New("disk: data folder in use")
 )
 
 const (
 	logName  = "log"
-	newName  = "log.new" // A replacement that is not in place yet.
+	newName  = "log.new" // A replacement that is not in force yet.
 	lockName = "lock"
 )
 
 type (
-	// Log is an open write-ahead log. It is used by one goroutine at a time.
+	// Log is an open write-ahead log. It is not safe for concurrent use.
 	Log struct {
-		Identity string // Drawn when the data folder was made.
+		Identity string // Random; drawn when the data folder was created.
 
 		dir     folder
 		f       file
-		seq     uint32 // Of the last frame.
+		seq     uint32 // Number of the last frame.
 		size    int64
 		stopped bool
 	}
 
-	// folder and file are what the log needs of a file system. Names are plain;
-	// what was written, renamed or removed lasts only once it is synced.
+	// folder and file are the operations of a file system that the log uses. Names have no path.
+	// Writes, renames and removals are durable only after a sync.
 	folder interface {
 		read(name string) ([]byte, error)
-		open(name string, fresh bool) (file, error) // To append to.
+		open(name string, fresh bool) (file, error) // For appending.
 		rename(from, to string) error
 		remove(name string) error
 		sync() error
@@ -68,9 +68,8 @@
 	}
 )
 
-// Open reads the folder, which is made when it is missing. It returns the
-// newest snapshot, or nil, and the records that follow it. A torn frame at the
-// end was never acknowledged and is cut off.
+// Open reads the folder, and creates it if it is missing. It returns the newest snapshot, or nil, and
+// the records after it. A torn frame at the end was never acknowledged and is truncated.
 func Open(dir string) (*Log, *wire.Snapshot, []*wire.Record, error) {
 	d, err := openFolder(dir)
 	if err != nil {
@@ -86,15 +85,15 @@
 
 func open(d folder) (*Log, *wire.Snapshot, []*wire.Record, error) {
 	l := &Log{dir: d}
-	// A crash during a replacement leaves its unfinished file behind. It was
-	// never in force; left alone such files would fill the disk.
+	// A crash during a replacement leaves an unfinished file, which was never in force. Such files
+	// would fill the disk if they were kept.
 	if err := d.remove(newName); err != nil && !errors.Is(err, os.ErrNotExist) {
 		return nil, nil, nil, fmt.Errorf("disk: remove: %w", err)
 	}
 	data, err := d.read(logName)
 	if errors.Is(err, os.ErrNotExist) {
-		// The file is put in place whole, with its identity, so a missing one
-		// means that this folder is new or that its disk was replaced.
+		// The file is renamed into place with its identity, so if it is missing, the folder is new
+		// or the disk was replaced.
 		l.Identity = uuid.NewString()
 		if err := l.Compact(nil); err != nil {
 			return nil, nil, nil, err
@@ -140,16 +139,15 @@
 	return snap, recs, l.reopen(int(l.size) < len(data))
 }
 
-// reopen opens the log to append to it, and cuts off a torn end.
+// reopen opens the log for appending and truncates a torn frame at its end.
 func (l *Log) reopen(torn bool) error {
 	f, err := l.dir.open(logName, false)
 	if err != nil {
 		return fmt.Errorf("disk: open log: %w", err)
 	}
 	l.f = f
-	// What stands in the file was read from memory perhaps, not from the disk:
-	// a process killed between write and fsync leaves it so. The sync makes it
-	// last before anyone is told of it.
+	// The content may have been read from the page cache and not from the disk, if a process was
+	// killed between a write and its fsync. The sync makes it durable before it is used.
 	if torn {
 		err = f.Truncate(l.size)
 	}
@@ -183,9 +181,9 @@
 	return nil
 }
 
-// write appends one frame. When there is no room for it, what reached the file is cut
-// off, so that a later frame stands right behind the last whole one. A sync that fails
-// tells nothing of what is on the disk, whatever its reason.
+// write appends one frame. If there is no space for it, the partial frame is truncated, so that the
+// next frame follows the last complete one. After a failed sync the content of the disk is unknown,
+// whatever the error.
 func (l *Log) write(data []byte) error {
 	if _, err := l.f.Write(data); err != nil {
 		if !isFull(err) {
@@ -202,7 +200,7 @@
 	return nil
 }
 
-// Compact replaces the log by a snapshot and the records that follow it.
+// Compact replaces the log with a snapshot and the records after it.
 func (l *Log) Compact(snap *wire.Snapshot, recs ...*wire.Record) error {
 	put, err := l.Prepare(snap)
 	if errors.Is(err, ErrFull) {
@@ -214,10 +212,9 @@
 	return put(recs...)
 }
 
-// Prepare writes a snapshot into a file beside the log, which may be appended
-// to meanwhile by another goroutine. One snapshot is prepared at a time. The
-// result puts the file in place of the log, with the records that follow it; it
-// is called by the goroutine that appends, or not at all.
+// Prepare writes a snapshot to a file beside the log, while another goroutine may append to the log.
+// One snapshot may be prepared at a time. The returned function replaces the log with the file and the
+// records after the snapshot. It may be called by the goroutine that appends, once.
 func (l *Log) Prepare(snap *wire.Snapshot) (func(recs ...*wire.Record) error, error) {
 	first := []*wire.Record{{Kind: &wire.Record_Head{Head: &wire.Head{Identity: l.Identity}}}}
 	if snap != nil {
@@ -237,8 +234,8 @@
 	return func(recs ...*wire.Record) error { return l.put(f, int64(len(data)), recs) }, nil
 }
 
-// put makes a prepared file the log, at once: after a crash there is the old
-// one or the new one, never a part or a mixture.
+// put atomically replaces the log with a prepared file: after a crash there is either the old log or
+// the new one.
 func (l *Log) put(f file, size int64, recs []*wire.Record) error {
 	if l.stopped {
 		_ = f.Close()
@@ -276,8 +273,8 @@
 	return err
 }
 
-// discard drops a file that could not be written and is not in force. What was written
-// would take the last room on a full disk, which the log itself may still need.
+// discard removes a file that could not be written and is not in force. On a full disk the log may need
+// its space.
 func (l *Log) discard(f file, err error) error {
 	_ = f.Close()
 	if rerr := l.dir.remove(newName); rerr != nil {
@@ -286,7 +283,7 @@
 	return noRoom(err)
 }
 
-// noRoom marks an error as ErrFull that a full disk gave.
+// noRoom wraps an error as ErrFull if the disk is full.
 func noRoom(err error) error {
 	if isFull(err) {
 		return fmt.Errorf("%w: %w", ErrFull, err)
@@ -294,13 +291,13 @@
 	return err
 }
 
-// isFull reports whether a write failed for want of room: on the disk, in a quota, or up
-// to the most that a file of this process may hold.
+// isFull reports whether a write failed for lack of space: on the disk, in a quota, or within the
+// maximum file size of the process.
 func isFull(err error) bool {
 	return errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT) || errors.Is(err, syscall.EFBIG)
 }
 
-// Size is the bytes of the log file.
+// Size returns the size of the log file in bytes.
 func (l *Log) Size() int64 { return l.size }
 
 func (l *Log) stop(err error) error {
@@ -308,7 +305,7 @@
 	return fmt.Errorf("%w: %w", ErrStopped, err)
 }
 
-// Close closes the log and lets another process open the folder.
+// Close closes the log and unlocks the folder.
 func (l *Log) Close() error {
 	err := l.f.Close()
 	if cerr := l.dir.close(); err == nil {
--- a/io/disk/disk_test.go
+++ b/io/disk/disk_test.go
@@ -27,8 +27,7 @@
 	return &wire.Record{Kind: &wire.Record_Entry{Entry: &wire.LogEntry{Index: i, Term: 1, Command: bytes.Repeat([]byte{byte(i%250 + 1)}, size)}}}
 }
 
-// filled returns a folder with n frames of one record each, and the bytes of
-// the log after each frame.
+// filled returns a folder with n frames of one record each, and the log's size after each frame.
 func filled(t *testing.T, n int) (*fakeDir, []int) {
 	t.Helper()
 	d := newFake(1)
@@ -54,9 +53,8 @@
 	return d
 }
 
-// A machine loses power while a frame is written, and any number of its bytes
-// is in the file. The replica starts, holds every frame before it, and takes
-// new ones.
+// Guards against a replica that does not start, or loses earlier frames, after a power loss during a
+// write, with any number of the frame's bytes in the file.
 func TestTornTailIsCutOffAtEveryByte(t *testing.T) {
 	d, ends := filled(t, 20)
 	data := d.now[logName].data
@@ -76,10 +74,8 @@
 	}
 }
 
-// One bit of the log flips, anywhere: in a header, a payload, the padding, in
-// the first frame or in the last acknowledged one. The replica refuses to
-// start; it must neither serve the changed bytes nor take them for a torn tail
-// and drop what it acknowledged.
+// Guards against serving changed data, or dropping acknowledged frames as torn, after one bit of the log
+// has flipped: in any header, payload or padding. The replica must refuse to start.
 func TestFlippedBitIsFoundAtEveryByte(t *testing.T) {
 	d, _ := filled(t, 20)
 	data := d.now[logName].data
@@ -91,8 +87,8 @@
 	}
 }
 
-// A sector in the middle of the log reads as zeros, so the disk lost it after
-// it was synced: a later frame is there. That is damage and no torn write.
+// Guards against taking a lost sector in the middle of the log for a torn write. A later frame shows that
+// it was synced.
 func TestLostSectorInTheMiddleIsDamage(t *testing.T) {
 	d, ends := filled(t, 20)
 	data := d.now[logName].data
@@ -104,8 +100,8 @@
 	}
 }
 
-// The payload of the last frame holds many zeros of its own. A flipped bit in
-// it must not pass for unwritten sectors.
+// Guards against taking a flipped bit for unwritten sectors if the last frame's payload contains many
+// zeros.
 func TestZerosOfThePayloadAreNoHole(t *testing.T) {
 	d, ends := filled(t, 1)
 	l, _ := opened(t, d)
@@ -117,10 +113,9 @@
 	must.ErrorIs(t, err, ErrDamaged)
 }
 
-// A replica appends and compacts, and the machine dies at any call that
-// writes, syncs or renames; of what was not synced any sectors are kept. After
-// the restart all that was acknowledged is there, in order, and of the last
-// write all or nothing.
+// Guards against lost, reordered or partial writes after a crash at any call that writes, syncs or
+// renames, with any part of the unsynced sectors on disk. After the restart all acknowledged writes must
+// be there in order, and the last one completely or not at all.
 func TestCrashAtEverySyncPoint(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		seed := rapid.Uint64().Draw(t, "seed")
@@ -150,8 +145,8 @@
 	})
 }
 
-// script runs a fixed sequence of writes until the machine dies. It returns
-// what was acknowledged, and what stands in the log if the last write is there.
+// script runs a fixed sequence of writes until the machine crashes. It returns the acknowledged content,
+// and the content if the last write was completed.
 func script(d *fakeDir, seed uint64) (acked, maybe string) {
 	l, snap, recs, err := open(d)
 	if err != nil {
@@ -182,9 +177,8 @@
 	return fmt.Sprintf("snapshot %d of %d bytes, %d records %x", snap.GetIndex(), len(snap.GetData()), len(recs), b)
 }
 
-// An fsync fails, in an append or in a compaction. The write is not acknowledged, and
-// nothing is afterwards: a second fsync could report success for pages that the first
-// one dropped.
+// Guards against acknowledging writes after a failed fsync, in an append or in a compaction: a second
+// fsync may report success for pages that the first one dropped.
 func TestFailedSyncStopsTheLog(t *testing.T) {
 	for _, tt := range []struct {
 		name string
@@ -208,9 +202,10 @@
 	}
 }
 
-// There is no room, on the disk, in a quota or up to the most that a file may hold, in an
-// append or in a compaction, in its first or last part. The write is not acknowledged and leaves nothing behind; the log is used again once there
-// is room. After a crash, then or before, it holds what was acknowledged and no more.
+// Guards against partial writes after there was no space: on the disk, in a quota or within the maximum
+// file size, in an append or in a compaction, at its beginning or end. The write must not be
+// acknowledged, the log must be usable once there is space, and after a crash it must hold exactly the
+// acknowledged writes.
 func TestFullDiskLeavesTheLogWhole(t *testing.T) {
 	for _, tt := range []struct {
 		name  string
@@ -243,8 +238,8 @@
 	}
 }
 
-// A real folder keeps its identity over restarts, has one user at a time, and
-// holds no file but the log and its lock after many compactions.
+// Checks that a real folder keeps its identity after restarts, can be opened once at a time, and holds
+// only the log and its lock after many compactions.
 func TestFolder(t *testing.T) {
 	dir := filepath.Join(t.TempDir(), "data")
 	l, _, _, err := Open(dir)
--- a/io/disk/fake_test.go
+++ b/io/disk/fake_test.go
@@ -10,17 +10,16 @@
 var errCrash = errors.New("crashed")
 
 type (
-	// fakeDir is a folder in memory that loses what was not synced when it
-	// crashes, as a file system may.
+	// fakeDir is a folder in memory that may lose unsynced data in a crash.
 	fakeDir struct {
 		rnd    *rand.Rand
 		now    map[string]*inode
 		synced map[string]*inode
-		ops    int   // Calls that write, so far.
-		dieAt  int   // The call at which the machine dies; zero for none.
-		dead   bool  // Every call fails from then on.
-		full   error // Of a write over the limit.
-		limit  int   // Bytes that fit the disk; zero for no limit.
+		ops    int   // Number of calls that write.
+		dieAt  int   // Number of the call at which the machine crashes; zero for none.
+		dead   bool  // The machine has crashed, and each call fails.
+		full   error // Error of a write beyond the limit.
+		limit  int   // Capacity of the disk in bytes; zero for no limit.
 		badFS  bool  // Every fsync fails.
 	}
 
@@ -36,7 +35,7 @@
 	return &fakeDir{rnd: rand.New(rand.NewPCG(seed, 1)), now: map[string]*inode{}, synced: map[string]*inode{}}
 }
 
-// op counts a call and reports whether the machine dies in it.
+// op counts a call and reports whether the machine crashes in it.
 func (d *fakeDir) op() bool {
 	d.ops++
 	if d.ops == d.dieAt {
@@ -45,8 +44,7 @@
 	return d.dead
 }
 
-// crash returns the folder as a restarted machine finds it: of what was not
-// synced some sectors and renames are there and some are not.
+// crash returns the folder after a crash, with a random part of the unsynced sectors and renames.
 func (d *fakeDir) crash() *fakeDir {
 	after := newFake(d.rnd.Uint64())
 	src := d.synced
--- a/io/disk/folder.go
+++ b/io/disk/folder.go
@@ -15,8 +15,8 @@
 	lock *os.File
 }
 
-// openFolder makes the folder when it is missing and locks it. Two processes
-// on one log would write over each other and vote twice.
+// openFolder creates the folder if it is missing and locks it. Two processes with one log would overwrite
+// each other's entries and vote twice.
 func openFolder(path string) (folder, error) {
 	if err := os.MkdirAll(path, 0o700); err != nil {
 		return nil, fmt.Errorf("disk: make folder: %w", err)
--- a/io/disk/frame.go
+++ b/io/disk/frame.go
@@ -12,16 +12,15 @@
 	"azurelane/core/wire"
 )
 
-// A frame is what one write put into the log: a header of four numbers, each
-// 4 bytes little endian (payload length and flag, frame number, CRC-32C of
-// payload and padding, CRC-32C of the former three), the payload, and padding
-// of 1 to 16 marks up to a multiple of 16. So a header never crosses a sector,
-// and the last bytes of a frame are never zero.
+// A frame holds the data of one write: a header of four 32-bit little-endian numbers (payload length and
+// flag, frame number, CRC-32C of payload and padding, CRC-32C of the other three), the payload, and
+// padding of 1 to 16 marker bytes up to a multiple of 16. A header therefore never crosses a sector, and
+// the last bytes of a frame are never zero.
 const (
 	headSize = 16
-	sector   = 512 // Bytes that a disk writes whole or not at all.
+	sector   = 512 // Bytes that a disk writes atomically.
 	padMark  = 0xA5
-	zeroFlag = 1 << 31 // The payload itself holds as many zero bytes as a sector.
+	zeroFlag = 1 << 31 // The payload contains at least as many zero bytes as a sector.
 	maxFrame = 1 << 30
 )
 
@@ -29,7 +28,7 @@
 	castagnoli = crc32.MakeTable(crc32.Castagnoli)
 	zeros      = make([]byte, sector)
 
-	// errTorn marks a frame at the end whose write was cut short by a crash.
+	// errTorn is returned for a frame at the end whose write was interrupted by a crash.
 	errTorn = errors.New("frame cut short")
 )
 
@@ -53,14 +52,12 @@
 	return append(head, body...), nil
 }
 
-// next returns the payload of the frame at off and the bytes it takes. The
-// error is errTorn when the frame is the end of the log and its write was cut
-// short; any other error is damage.
+// next returns the payload and the size of the frame at off. The error is errTorn if the frame is the last
+// one and its write was interrupted; any other error is damage.
 //
-// A write cut short leaves the file too short for the frame, or leaves whole
-// sectors unwritten, which read as zero. Everything else, a single flipped bit
-// in the last acknowledged frame too, is damage: dropping it as torn would
-// silently take back what this replica has acknowledged.
+// An interrupted write leaves the file too short for the frame, or leaves complete sectors unwritten, which
+// read as zero. Everything else is damage, also a single flipped bit in the last acknowledged frame:
+// dropping that as torn would lose data that this replica has acknowledged.
 func next(data []byte, off int, seq uint32) ([]byte, int, error) {
 	rest := data[off:]
 	if len(rest) < headSize {
@@ -76,7 +73,7 @@
 	case got != seq:
 		return nil, 0, fmt.Errorf("frame %d where %d belongs", got, seq)
 	case length > len(rest)-headSize:
-		return nil, 0, errTorn // No later frame can be in so few bytes.
+		return nil, 0, errTorn // No later frame fits in so few bytes.
 	}
 	size := headSize + length + headSize - length%headSize
 	if size > len(rest) {
@@ -91,16 +88,16 @@
 	return nil, 0, errors.New("checksum differs")
 }
 
-// header reads the numbers of a frame and whether their checksum fits.
+// header reads the header of a frame and reports whether its checksum is correct.
 func header(b []byte) (length int, flagged bool, seq uint32, ok bool) {
 	n := binary.LittleEndian.Uint32(b)
 	ok = crc32.Checksum(b[:12], castagnoli) == binary.LittleEndian.Uint32(b[12:])
 	return int(n &^ zeroFlag), n&zeroFlag != 0, binary.LittleEndian.Uint32(b[4:]), ok
 }
 
-// holed reports whether a sector's part of the bytes from lo to hi was never
-// written. A written part is never all zero: the first holds a header, the
-// last a mark, and payloads with as many zeros as a sector are flagged.
+// holed reports whether a sector's part of the bytes from lo to hi was never written. A written part is
+// never all zero: the first contains a header, the last a marker, and payloads with as many zeros as a
+// sector are flagged.
 func holed(data []byte, lo, hi int) bool {
 	for lo < hi {
 		end := min(hi, (lo/sector+1)*sector)
@@ -112,8 +109,8 @@
 	return false
 }
 
-// unwritten tells a frame that was never wholly written from one that was lost
-// later: a frame after it is only written once this one was synced.
+// unwritten distinguishes a frame that was never completely written from one that was lost later: a frame
+// after it is written only once this one is synced.
 func unwritten(rest []byte, seq uint32) error {
 	for i := headSize; i+headSize <= len(rest); i += headSize {
 		if _, _, got, ok := header(rest[i:]); ok && got > seq {
