--- a/io/flight/flight.go
+++ b/io/flight/flight.go
@@ -1,4 +1,4 @@
-// Package flight is one run of a request that several callers may wait for.
+// Package flight shares one run of a request among several callers.
 package flight
 
 import (
@@ -11,32 +11,31 @@
 )
 
 type (
-	// Flight collects the answer of one run and gives it to all who follow it.
-	// Its exported fields are set before use; Cancel must not be nil.
+	// Flight collects the answer of one run and passes it to all followers. Its exported fields
+	// are set before use; Cancel must not be nil.
 	Flight struct {
-		Digest [32]byte                // Of the request, to tell another one with the same key.
-		Limit  int64                   // Bytes of its answer.
-		RunOn  bool                    // Run to the end when all followers have left.
+		Digest [32]byte                // Of the request; distinguishes requests with the same key.
+		Limit  int64                   // Maximum size of the answer in bytes.
+		RunOn  bool                    // Complete the run after all followers have left.
 		Cancel context.CancelCauseFunc // Ends the run.
 
 		mu        sync.Mutex
 		phase     phase
 		followers int
 		answer    answer.Answer
-		changed   chan struct{} // Closed at each change; nil when no one waits.
+		changed   chan struct{} // Closed at the next change; nil while nothing waits.
 	}
 
 	phase int
 )
 
 const (
-	waiting   phase = iota // Nothing has left for an upstream.
-	sent                   // Something may have left.
-	abandoned              // Every follower left before anything did; it never will.
+	waiting   phase = iota // Nothing was sent to an upstream.
+	sent                   // Something may have been sent.
+	abandoned              // All followers left before, so nothing will be sent.
 )
 
-// Join adds a follower. It returns false when the run was abandoned, which ends
-// shortly as not run.
+// Join adds a follower. It returns false if the run was abandoned, which ends soon as not run.
 func (f *Flight) Join() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -47,9 +46,8 @@
 	return true
 }
 
-// Leave takes a follower away. When it was the last, a run that has not been
-// sent is cancelled, and so is one that need not run on. It returns true when the
-// run has ended or its end follows at once.
+// Leave removes a follower. After the last one it cancels the run, unless something may have been sent
+// and RunOn is set. It returns true if the run has ended or is cancelled.
 func (f *Flight) Leave(cause error) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -67,8 +65,8 @@
 	return true
 }
 
-// Sending marks that bytes may leave from now on. It returns false when the run
-// was abandoned: its callers have been told that nothing ran, or will be.
+// Sending records that something may be sent from now on. It returns false if the run was abandoned: its
+// callers are told that nothing ran.
 func (f *Flight) Sending() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -79,14 +77,14 @@
 	return true
 }
 
-// Unsent takes Sending back when it is proved that no byte left.
+// Unsent reverts Sending if it is certain that nothing was sent.
 func (f *Flight) Unsent() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.phase = waiting
 }
 
-// Head takes the head of the upstream's answer.
+// Head sets the head of the answer.
 func (f *Flight) Head(a *answer.Answer) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -95,7 +93,7 @@
 	return nil
 }
 
-// Write takes the next bytes of the answer.
+// Write appends to the body of the answer.
 func (f *Flight) Write(p []byte) (int, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -107,10 +105,10 @@
 	return len(p), nil
 }
 
-// Flush has nothing to do: followers see each write at once.
+// Flush does nothing, as followers see each write at once.
 func (f *Flight) Flush() error { return nil }
 
-// End closes the run. The refusal is nil for a whole answer.
+// End ends the run. The refusal is nil for a complete answer.
 func (f *Flight) End(outcome string, refusal *refuse.Error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -118,15 +116,14 @@
 	f.wake()
 }
 
-// Next waits until there is more to pass on than the head and seen bytes of
-// the body: the next part of a stream, or the run's end. The answer that it
-// returns holds the rest of the body from seen on.
+// Next waits until there is more than the head and seen bytes of the body: the next part of a stream, or
+// the end of the run. The returned answer contains the body from seen on.
 func (f *Flight) Next(ctx context.Context, seen int) (answer.Answer, error) {
 	for {
 		f.mu.Lock()
 		if f.answer.Ended() || (f.answer.Streamed && len(f.answer.Body) > seen) {
 			a := f.answer
-			// The body only grows, so the part that is there may be read without the lock.
+			// The body only grows, so the existing part can be read without the lock.
 			a.Body = a.Body[seen:len(a.Body):len(a.Body)]
 			f.mu.Unlock()
 			return a, nil
@@ -144,7 +141,7 @@
 	}
 }
 
-// Wait waits for the run's end and returns the whole answer.
+// Wait waits for the end of the run and returns the complete answer.
 func (f *Flight) Wait(ctx context.Context) (answer.Answer, error) {
 	for {
 		f.mu.Lock()
--- a/io/flight/flight_test.go
+++ b/io/flight/flight_test.go
@@ -21,8 +21,8 @@
 	return &flight.Flight{Cancel: cancel}, ctx
 }
 
-// Every follower gets all bytes in order, whether it came before the first, in
-// the middle or after the end.
+// Guards against followers that miss or reorder bytes, whether they join before the first byte, in between
+// or after the end.
 func TestFollowersGetAll(t *testing.T) {
 	f, _ := newFlight()
 	must.NoError(t, f.Head(&answer.Answer{Status: 200, Streamed: true}))
@@ -50,9 +50,8 @@
 	must.Eq(t, "abc", string(a.Body))
 }
 
-// The last caller leaves while the request waits, and is told that nothing ran.
-// In the same moment the grant comes: the run must not be sent any more, and a
-// new submission must not join it.
+// Guards against a run that is sent although its last caller has left and was told that nothing ran, because
+// the grant arrives at the same moment. A new submission must not join that run either.
 func TestAbandonedIsNeverSent(t *testing.T) {
 	f, ctx := newFlight()
 	must.True(t, f.Join())
@@ -94,7 +93,7 @@
 	}
 }
 
-// Guards against a run that has ended and is taken for one that goes on.
+// Guards against a run that has ended and counts as running.
 func TestLeaveAfterTheEnd(t *testing.T) {
 	f, ctx := newFlight()
 	must.True(t, f.Join())
