--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -1,6 +1,5 @@
-// Package entry is the process that holds the callers' connections: callers'
-// and upstreams' HTTP, the schedulers of the pools that it owns, and a follower
-// of the configuration.
+// Package entry implements the process that serves callers: HTTP for callers and upstreams, the schedulers
+// of the pools that it owns, and a follower of the configuration.
 package entry
 
 import (
@@ -37,11 +36,11 @@
 	"azurelane/io/stats"
 )
 
-// drainOpen is how long callers that kept their connections are still answered,
-// with refusals, after the last request has ended.
+// drainOpen is how long requests on open connections are still refused with a response after the last
+// request has ended.
 const drainOpen = time.Second
 
-// Entry is one entry process. Open makes it.
+// Entry is an entry process, made by Open.
 type Entry struct {
 	set    *setup.Setup
 	log    logr.Logger
@@ -58,7 +57,7 @@
 	client *client.Client
 	sup    *suture.Supervisor
 	drain  context.CancelFunc
-	asked  context.Context // Ends when an operator asks to drain.
+	asked  context.Context // Ends when an operator asks for a drain.
 }
 
 // Open binds the entry's addresses.
@@ -127,10 +126,9 @@
 	}
 }
 
-// Serve runs until ctx ends or an operator drains the entry. It then says that
-// it is not ready, hands its pools to the other members, still serves for the
-// linger, takes no new work, waits for the requests in flight, says that it is
-// gone and stops all parts together.
+// Serve runs until ctx ends or an operator drains the entry. Then it reports that it is not ready, hands its
+// pools to other members, serves for DrainLinger, rejects new requests, waits for the requests in flight,
+// leaves the membership and stops all parts.
 func (e *Entry) Serve(ctx context.Context) error {
 	parts, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
@@ -148,21 +146,21 @@
 	e.drain()
 	e.front.Drain()
 	e.member.Drain(dctx)
-	select { // A balancer that has not looked yet still sends callers here.
+	select { // A load balancer may not have checked the readiness yet.
 	case <-time.After(*e.set.DrainLinger):
 	case <-dctx.Done():
 	}
 	e.front.Stop(dctx)
 	e.member.Leave(parts)
 	cancel()
-	<-done //nolint:errcheck // The parts ended because they were told to.
+	<-done //nolint:errcheck // The parts were cancelled.
 	e.client.Close()
 	e.log.Info("Entry stopped.")
 	return nil
 }
 
-// Owner returns the member that schedules a pool; for a policy that runs at
-// every entry it is this entry.
+// Owner returns the member that schedules a pool, which is this entry if the pool's policy runs at each
+// entry.
 func (e *Entry) Owner(pool string) *wire.Member {
 	if e.local(pool) {
 		return e.member.Self
@@ -182,7 +180,7 @@
 	}
 }
 
-// neighbours lists the other live entries of the data centre.
+// neighbours returns the other live entries of the data centre.
 func (e *Entry) neighbours() []netip.AddrPort {
 	var list []netip.AddrPort
 	for _, m := range e.member.Alive() {
--- a/io/entry/gauges.go
+++ b/io/entry/gauges.go
@@ -1,6 +1,6 @@
 package entry
 
-// gauges sets up what operators watch of this entry.
+// gauges registers the gauges of this entry.
 func (e *Entry) gauges() {
 	e.stats.Runtime()
 	e.stats.Pull("tickets-waiting", func() int64 { return int64(e.sched.Waiting()) })
@@ -9,7 +9,7 @@
 	e.stats.Pull("config-version", func() int64 { return int64(e.follow.Version()) }) //nolint:gosec // Counts changes.
 }
 
-// owned counts the pools that this entry schedules now.
+// owned returns the number of pools that this entry schedules.
 func (e *Entry) owned() int64 {
 	cfg := e.follow.Config()
 	if cfg == nil {
--- a/io/entry/handle.go
+++ b/io/entry/handle.go
@@ -11,31 +11,31 @@
 	"azurelane/io/sched"
 )
 
-// passLimit bounds the wait for new owners to hear of upstreams. Tickets go to
-// them after it, whether they have heard or not.
+// passLimit is the timeout for telling new owners of upstreams. Tickets are sent to them afterwards in any
+// case.
 const passLimit = 300 * time.Millisecond
 
-// desk is what the granting part of this process asks of its own schedulers.
+// desk gives the grant client access to the schedulers of this process.
 type desk struct {
 	*owner.Owner
 	*sched.Sched
 }
 
-// Submit goes by way of the owner, as the tickets of others do.
+// Submit submits through the owner, like tickets of other entries.
 func (d desk) Submit(ctx context.Context, t *wire.Ticket) (*wire.Decision, error) {
 	return d.Owner.Submit(ctx, t)
 }
 
-// Forget goes by way of the owner.
+// Forget forgets an incarnation at the owner.
 func (d desk) Forget(incarnation string) { d.Owner.Forget(incarnation) }
 
-// Alive lists the live members of the data centre.
+// Alive returns the live members of the data centre.
 func (e *Entry) Alive() []*wire.Member { return e.member.Alive() }
 
 // mine reports whether this entry schedules a pool.
 func (e *Entry) mine(pool string) bool { return e.local(pool) || e.member.Mine(pool) }
 
-// owners lists the members that want to hear of a pool's upstreams.
+// owners returns the members that need announcements of a pool's upstreams.
 func (e *Entry) owners(pool string) []*wire.Member {
 	if e.local(pool) {
 		return e.member.Alive()
@@ -43,9 +43,9 @@
 	return []*wire.Member{e.member.Owner(pool)}
 }
 
-// changed is called when a pool may have another owner. The new owner gets the
-// announcements and the held slots before the waiting tickets, in this order, so
-// that it neither refuses for want of upstreams nor grants what is taken.
+// changed is called when a pool may have another owner. The new owner gets the announcements and the held
+// slots first and then the waiting tickets, so that it neither refuses tickets for lack of upstreams nor
+// grants slots that are held.
 func (e *Entry) changed() {
 	e.owner.OwnershipChanged()
 	ctx, cancel := context.WithTimeout(context.Background(), passLimit)
@@ -91,8 +91,8 @@
 	return nil, nil //nolint:nilnil // An empty reply is an acknowledgement.
 }
 
-// accept takes what another entry heard from an upstream. A member that owns
-// none of its pools keeps the news, in case it is about to, and says so.
+// accept records an announcement that another entry has received. A member that owns none of the upstream's
+// pools records it as well, as it may be about to own one, and returns a fault.
 func (e *Entry) accept(a *wire.Announce) error {
 	e.notice.Accept(a)
 	for _, p := range a.GetPools() {
@@ -101,13 +101,13 @@
 		}
 	}
 	if a.GetLeaving() {
-		return nil // Told to all, owner or not.
+		return nil // Sent to all members.
 	}
 	return &wire.Fault{Code: wire.CodeMoved, Text: "none of the upstream's pools is here"}
 }
 
-// farEntries lists the entries of other data centres that a pool's tickets may
-// go to when it has no upstream here.
+// farEntries returns the entries of other data centres to which a pool's tickets may go if it has no upstream
+// here.
 func (e *Entry) farEntries(pool string) []netip.AddrPort {
 	cfg := e.follow.Config()
 	if cfg == nil || e.local(pool) {
@@ -116,9 +116,8 @@
 	return e.abroad.Entries(cfg.Pools[pool].Abroad)
 }
 
-// relay passes a frame on for a member that can't reach the receiver, or for an
-// entry of another data centre that doesn't know the owner here. A relay is not
-// relayed again, so a frame can't go round.
+// relay forwards a frame for a member that can't reach the receiver, or for an entry of another data centre
+// that does not know the owner here. A relayed frame is not relayed again, so there are no loops.
 func (e *Entry) relay(ctx context.Context, r *wire.Relay) (*wire.Frame, error) {
 	inner := r.GetFrame()
 	to, err := netip.ParseAddrPort(r.GetTo())
@@ -134,8 +133,8 @@
 	}
 	reply, err := e.mesh.Call(ctx, to, inner)
 	if err != nil && ctx.Err() != nil {
-		// The link to the asker has ended. The owner sees only the link to this
-		// entry, which is well: without a word it would grant a slot to no one.
+		// The link to the sender is closed. The owner does not notice, as its link to this entry is open,
+		// and would grant a slot that nobody uses.
 		wctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
 		defer cancel()
 		_ = e.mesh.Send(wctx, to, &wire.Frame{Body: &wire.Frame_Withdraw{Withdraw: &wire.Withdraw{
