--- a/core/life/life.go
+++ b/core/life/life.go
@@ -1,4 +1,4 @@
-// Package life is the life cycle of one request at its entry.
+// Package life defines the life cycle of a request at its entry.
 package life
 
 import (
@@ -8,29 +8,28 @@
 	"github.com/pkg/errors"
 )
 
-// State is a step of a request's life. The zero value is Waiting.
+// State is the state of a request. The zero value is Waiting.
 type State int
 
 // The states. Answered, Failed, Refused and Unknown are final.
 const (
-	Waiting    State = iota // Queued; nothing has run anywhere.
+	Waiting    State = iota // Queued; nothing has run.
 	Claimed                 // Its key is reserved; nothing has run yet.
-	Sending                 // Bytes may be leaving for an upstream.
-	Dispatched              // Bytes have left.
-	Answered                // The caller has the whole answer.
-	Failed                  // It ran and the upstream said no.
+	Sending                 // Bytes may have been sent to an upstream.
+	Dispatched              // Bytes have been sent.
+	Answered                // The caller has the complete answer.
+	Failed                  // It ran and the upstream reported a failure.
 	Refused                 // It did not run and never will.
-	Unknown                 // It may have run; no one can say.
+	Unknown                 // It may have run.
 )
 
-// ErrStep marks a step that the life cycle does not allow.
+// ErrStep is returned for a transition that the life cycle does not allow.
 var ErrStep = errors.New("life: step not allowed")
 
-// next lists the allowed steps. No row leads from Dispatched back to a state
-// that can send: a request whose bytes may have left is never placed again, so
-// it can't run twice however the answer was lost. Sending goes back only when
-// the sender proves that no byte left. A claim is kept while its request is
-// placed again, so Claimed has no way back to Waiting.
+// next lists the allowed transitions. None leads from Dispatched back to a state that can send: a request
+// whose bytes have been sent is never placed again, so it can't run twice, however the answer was lost.
+// Sending goes back only if it is certain that no byte was sent. A claim is kept while its request is placed
+// again, so Claimed does not go back to Waiting.
 var next = [...][]State{
 	Waiting:    {Claimed, Sending, Refused, Unknown, Answered, Failed},
 	Claimed:    {Sending, Refused},
@@ -42,9 +41,8 @@
 	Answered:   {},
 }
 
-// To moves to the next state or returns ErrStep. Waiting goes straight to
-// Answered, Failed or Unknown only for a second submission, which takes the
-// result of the run that it joined.
+// To changes the state or returns ErrStep. Waiting changes to Answered, Failed or Unknown directly only for a
+// second submission, which gets the result of the run that it joined.
 func (s *State) To(to State) error {
 	if !slices.Contains(next[*s], to) {
 		return fmt.Errorf("%w: from %s to %s", ErrStep, *s, to)
@@ -53,14 +51,13 @@
 	return nil
 }
 
-// Final reports whether no further step exists.
+// Final reports whether there is no further transition.
 func (s State) Final() bool { return len(next[s]) == 0 }
 
 // MayHaveRun reports whether the request may have reached an upstream.
 func (s State) MayHaveRun() bool { return s != Waiting && s != Claimed && s != Refused }
 
-// Outcome is the value of the azurelane-outcome header for a final state. A
-// state that is not final counts as unknown.
+// Outcome returns the value of the azurelane-outcome header for a final state. Other states count as unknown.
 func (s State) Outcome() string {
 	switch s {
 	case Answered:
@@ -74,7 +71,7 @@
 	}
 }
 
-// String names the state.
+// String returns the name of the state.
 func (s State) String() string {
 	names := [...]string{"waiting", "claimed", "sending", "dispatched", "answered", "failed", "refused", "unknown"}
 	if s < 0 || int(s) >= len(names) {
--- a/core/life/life_test.go
+++ b/core/life/life_test.go
@@ -10,9 +10,8 @@
 
 var all = []life.State{life.Waiting, life.Claimed, life.Sending, life.Dispatched, life.Answered, life.Failed, life.Refused, life.Unknown}
 
-// An upstream breaks off after bytes were sent. If any path led from
-// Dispatched back to a state that can be dispatched, the request could run a
-// second time, so every path from it is walked.
+// Guards against a request that runs twice after its upstream has broken off: no path may lead from Dispatched
+// back to a state that can send. All paths are walked.
 func TestDispatchedNeverRunsAgain(t *testing.T) {
 	seen := map[life.State]bool{}
 	var walk func(life.State)
@@ -50,9 +49,9 @@
 	}
 }
 
-// Whatever ends as not-run is told to the caller as safe to send again. So no
-// path to Refused may come from a state in which bytes may have left, except
-// back over a state in which it is proved that none did.
+// Guards against telling a caller that its request can be sent again although it may have run: no path to
+// Refused may come from a state in which bytes may have been sent, except through a state in which it is
+// certain that none were.
 func TestRefusedOnlyBeforeSending(t *testing.T) {
 	for _, from := range all {
 		s := from
