--- a/core/sites/sites.go
+++ b/core/sites/sites.go
@@ -1,4 +1,4 @@
-// Package sites merges one base document with the overlay of each site.
+// Package sites merges a base document with the overlays of sites.
 package sites
 
 import (
@@ -15,22 +15,21 @@
 	"azurelane/core/kernel"
 )
 
-// MaxBytes bounds a document. Every entry fetches each version, all within
-// about a second.
+// MaxBytes is the maximum size of a document in bytes. All entries fetch each version within about a second.
 const MaxBytes = 1 << 20
 
-// ErrTooLong marks a document over MaxBytes.
+// ErrTooLong is returned for a document larger than MaxBytes.
 var ErrTooLong = errors.New("sites: document too long")
 
-// Set is the whole configuration: one base and one overlay a site. An overlay
-// is a JSON merge patch (RFC 7386) on the base.
+// Set is a complete configuration: a base document and an overlay for each site, a JSON merge patch (RFC 7386)
+// of the base.
 type Set struct {
 	Base     jsontext.Value            `json:"base"`
 	Overlays map[string]jsontext.Value `json:"overlays"`
 }
 
-// Parse reads a set and checks every site's merged result, so that a change
-// that would break one site is refused for all.
+// Parse parses a set and checks the merged document of each site, so that a change that is invalid for one site
+// is refused.
 func Parse(doc []byte) (*Set, error) {
 	if len(doc) > MaxBytes {
 		return nil, fmt.Errorf("%w: %d bytes: expected %d at most", ErrTooLong, len(doc), MaxBytes)
@@ -47,9 +46,9 @@
 	return &s, nil
 }
 
-// Served reports a pool whose policy this program does not have, at any site.
-// It is asked before a change is accepted, and not when one is read: an entry of
-// an older program still serves its other pools.
+// Served returns an error if a pool of any site has a policy that this program does not implement. It is called
+// before a change is accepted and not when one is read, because an entry with an older program still serves
+// other pools.
 func (s *Set) Served() error {
 	for _, site := range s.all() {
 		cfg, err := s.For(site)
@@ -63,14 +62,13 @@
 	return nil
 }
 
-// Sites lists the sites that have an overlay, sorted.
+// Sites returns the sites with an overlay, sorted.
 func (s *Set) Sites() []string { return slices.Sorted(maps.Keys(s.Overlays)) }
 
-// all is every site with an overlay, after the empty name for those without.
+// all returns the sites with an overlay, after the empty name for all others.
 func (s *Set) all() []string { return append([]string{""}, s.Sites()...) }
 
-// For returns what is in force at a site. A site without an overlay, and the
-// empty name, get the base.
+// For returns the configuration of a site, which is the base for the empty name and sites without an overlay.
 func (s *Set) For(site string) (*conf.Config, error) {
 	doc := []byte(s.Base)
 	if over, ok := s.Overlays[site]; ok {
@@ -87,7 +85,7 @@
 	return cfg, nil
 }
 
-// Bytes writes the set as one document.
+// Bytes encodes the set as one document.
 func (s *Set) Bytes() ([]byte, error) {
 	doc, err := codec.Write(s)
 	if err != nil {
--- a/core/sites/sites_test.go
+++ b/core/sites/sites_test.go
@@ -6,11 +6,11 @@
 	"github.com/shoenig/test/must"
 
 	"azurelane/core/conf"
-	_ "azurelane/core/robin" // The one policy that this test knows.
+	_ "azurelane/core/robin" // Registers the only policy in this test.
 )
 
-// An operator misspells a policy for one site. If the change were accepted, the
-// entries of that site could not run the pool and no one would hear of it.
+// Guards against accepting a misspelled policy of one site: its entries could not run the pool, and nothing
+// would report it.
 func TestServed(t *testing.T) {
 	for _, tc := range []struct {
 		name, overlay string
