--- a/io/result/result.go
+++ b/io/result/result.go
@@ -1,4 +1,4 @@
-// Package result describes how one request of a load ended, as its caller saw it.
+// Package result describes the result of a request of a load test, as seen by its caller.
 package result
 
 import (
@@ -7,17 +7,17 @@
 	"azurelane/io/call"
 )
 
-// Result is one ended request. Times count from its planned arrival, so that
-// a slow sender can't hide any waiting.
+// Result is the result of one request. Times count from its planned arrival, so that delays of the sender are
+// included.
 type Result struct {
 	call.Call
-	Request string        // Id that the entry gave it.
-	Sent    time.Time     // When it left.
-	First   time.Duration // To the first byte of the answer's body.
-	Total   time.Duration // To its end.
-	Outcome string        // whole, not-run, unknown, failed, broken; none without any answer.
-	Code    string        // Of a refusal.
+	Request string        // ID assigned by the entry.
+	Sent    time.Time     // Time of sending.
+	First   time.Duration // Time to the first byte of the body.
+	Total   time.Duration // Time to the end of the body.
+	Outcome string        // whole, not-run, unknown, failed, broken; none without an answer.
+	Code    string        // Code of a refusal.
 }
 
-// Good reports whether the caller got its whole answer in time.
+// Good reports whether the caller got the complete answer in time.
 func (r *Result) Good() bool { return r.Outcome == "whole" && r.Total <= r.Deadline }
