--- a/io/call/call.go
+++ b/io/call/call.go
@@ -1,15 +1,15 @@
-// Package call describes one planned request of a load.
+// Package call describes a planned request of a load test.
 package call
 
 import "time"
 
-// Call is one request with its arrival time, fixed before the run.
+// Call is a request with an arrival time that is set before the run.
 type Call struct {
-	At       time.Duration // From the start of the run.
+	At       time.Duration // Time since the start of the run.
 	Account  string
 	Kind     string
 	Tier     string
-	Level    int   // Of the tier: 0 is the most urgent.
+	Level    int   // Level of the tier; 0 is the most urgent.
 	Prompt   int64 // Tokens.
 	Answer   int64 // Tokens.
 	Prefix   uint64
