--- a/io/listen/listen.go
+++ b/io/listen/listen.go
@@ -1,4 +1,4 @@
-// Package listen closes listeners without breaking the connections that wait in them.
+// Package listen closes listeners without resetting pending connections.
 package listen
 
 import (
@@ -16,38 +16,35 @@
 type (
 	// Listen is a listener that can be drained.
 	//
-	// The kernel connects clients by itself, and resets those that wait to be accepted
-	// when the listener is closed. By then they have often written a request, and a
-	// reset doesn't tell them whether it ran.
+	// The kernel completes connections by itself, and resets those that are not accepted yet when
+	// the listener is closed. Their clients have often sent a request by then, and can't know
+	// whether it ran.
 	Listen interface {
 		net.Listener
 
-		// Drain makes Accept return the connections that wait, and then net.ErrClosed
-		// with the listener closed. A client that connects between the last look and the
-		// closing, which follow each other as two system calls, is still reset; its
-		// request was never read.
+		// Drain closes the listener and makes Accept return the pending connections and then
+		// net.ErrClosed. A client that connects between the last accept and the close, two
+		// consecutive system calls, is still reset; its request was not read.
 		Drain() error
 	}
 
-	// queue is a TCP listener that can be drained. One goroutine at a time may call its
-	// Accept.
+	// queue is a TCP listener that can be drained. Accept is not safe for concurrent use.
 	queue struct {
 		net.Listener
 
 		draining atomic.Bool
 		swept    bool
-		rest     []net.Conn // Accepted by the sweep, not handed over yet.
+		rest     []net.Conn // Accepted by sweep and not returned yet.
 	}
 
-	// socket is what a TCP listener has beside net.Listener.
+	// socket is the part of a TCP listener that net.Listener lacks.
 	socket interface {
 		syscall.Conn
 		SetDeadline(t time.Time) error
 	}
 )
 
-// Of returns ln itself where it can be drained, or else a listener around it that can
-// be, if ln listens on TCP.
+// Of returns ln if it can be drained, or else a listener that wraps it. Only TCP listeners can be drained.
 func Of(ln net.Listener) Listen {
 	if l, ok := ln.(Listen); ok {
 		return l
@@ -55,7 +52,7 @@
 	return &queue{Listener: ln}
 }
 
-// Drain ends the Accept that waits, and has the next ones return what is connected.
+// Drain interrupts Accept, which then returns the pending connections.
 func (l *queue) Drain() error {
 	s, ok := l.Listener.(socket)
 	if !ok {
@@ -88,7 +85,7 @@
 	return conn, nil
 }
 
-// sweep accepts all that waits, and closes the listener.
+// sweep accepts all pending connections and closes the listener.
 func (l *queue) sweep() {
 	l.swept = true
 	defer func() { _ = l.Close() }()
@@ -97,7 +94,7 @@
 		return
 	}
 	var fds []int
-	// Both calls on the descriptor itself, as the runtime has other work in between.
+	// Both system calls use the descriptor directly, because the runtime's calls take longer.
 	_ = raw.Control(func(fd uintptr) {
 		for {
 			n, _, err := unix.Accept(int(fd))
--- a/io/listen/listen_test.go
+++ b/io/listen/listen_test.go
@@ -10,14 +10,14 @@
 	"azurelane/io/listen"
 )
 
-// Guards against resets of connections that the kernel has made and nobody has
-// accepted when a listener is closed.
+// Guards against resets of connections that the kernel has completed and the process has not accepted when a
+// listener is closed.
 func TestDrainAcceptsWhatWaits(t *testing.T) {
 	for _, tc := range []struct {
 		name   string
 		addr   string
 		waits  int
-		before bool // Accept waits when the drain begins.
+		before bool // Accept is blocked when the drain begins.
 	}{
 		{"none", "127.0.0.1:0", 0, false},
 		{"none, Accept waits", "127.0.0.1:0", 0, true},
