--- a/io/quorum/gauges.go
+++ b/io/quorum/gauges.go
@@ -7,7 +7,7 @@
 	"azurelane/io/stats"
 )
 
-// gauges sets up what operators watch of this replica.
+// gauges registers the gauges of this replica.
 func (q *Quorum) gauges(s *stats.Stats) {
 	s.Runtime()
 	for name, read := range map[string]func(*wire.Status) uint64{
@@ -29,7 +29,7 @@
 	return 0
 }
 
-// status is this replica's own view, empty when it has none.
+// status returns this replica's view, or an empty status.
 func (q *Quorum) status() *wire.Status {
 	r, err := q.ctrl.Handle(context.Background(), &wire.Frame{Body: &wire.Frame_StatusQuery{StatusQuery: &wire.StatusQuery{}}})
 	if err != nil {
--- a/io/quorum/quorum.go
+++ b/io/quorum/quorum.go
@@ -1,5 +1,4 @@
-// Package quorum is the control process: one replica, its links and its
-// operators' server.
+// Package quorum implements the control process: a replica, its links and the server for operators.
 package quorum
 
 import (
@@ -23,10 +22,10 @@
 	"azurelane/io/stats"
 )
 
-// leaveLimit bounds the wait for the next leader when the process stops.
+// leaveLimit is the maximum wait for the next leader when the process stops.
 const leaveLimit = 5 * time.Second
 
-// Quorum is one control process. Open makes it.
+// Quorum is a control process, made by Open.
 type Quorum struct {
 	set  *setup.Setup
 	log  logr.Logger
@@ -73,8 +72,8 @@
 	return q, nil
 }
 
-// Serve runs until ctx ends; a leader then hands over first. When the replica
-// fails, all parts end and the process with them: nothing restarts it in place.
+// Serve runs until ctx ends; a leader then transfers leadership first. If the replica fails, all parts and the
+// process end, as the replica must not be restarted within the process.
 func (q *Quorum) Serve(ctx context.Context) error {
 	parts, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
@@ -97,7 +96,7 @@
 	return nil
 }
 
-// withoutRollouts refuses orders of rollouts: only a hub carries them out.
+// withoutRollouts refuses commands of rollouts, which only a hub carries out.
 func withoutRollouts(next func(context.Context, *wire.Frame) (*wire.Frame, error)) func(context.Context, *wire.Frame) (*wire.Frame, error) {
 	return func(ctx context.Context, f *wire.Frame) (*wire.Frame, error) {
 		if f.GetCommand().GetStartRollout() != nil || f.GetRolloutQuery() != nil {
