--- a/io/lease/lease.go
+++ b/io/lease/lease.go
@@ -1,4 +1,4 @@
-// Package lease takes the announcements of upstreams over HTTP.
+// Package lease receives announcements of upstreams over HTTP.
 package lease
 
 import (
@@ -17,7 +17,7 @@
 	"azurelane/core/wire"
 )
 
-// Path is where upstreams announce themselves, at any entry.
+// Path is the path for announcements, at any entry.
 const Path = "/v1/announce"
 
 const (
@@ -27,7 +27,7 @@
 )
 
 type (
-	// Lease is the HTTP handler. Its exported fields are set before use.
+	// Lease is the HTTP handler for announcements. Its exported fields are set before use.
 	Lease struct {
 		Config func() *conf.Config // Nil before the first configuration.
 		Take   func(ctx context.Context, a *wire.Announce) error
@@ -54,7 +54,7 @@
 	}
 )
 
-// ServeHTTP takes one announcement.
+// ServeHTTP handles an announcement.
 func (l *Lease) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.Method != http.MethodPost {
 		http.Error(w, "lease: expected POST", http.StatusMethodNotAllowed)
@@ -86,10 +86,9 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
-// allowed reports whether the sender may announce an upstream for the pools.
-// Without the key of each one, anyone who reaches this port could have callers'
-// requests, with all that stands in them, sent to a server of its own. For a pool
-// without a key the least is asked: that it announces the address it speaks from.
+// allowed checks whether the sender may announce an upstream for the pools, and returns the status and the error
+// otherwise. Without the key of each pool, any client of this port could have callers' requests sent to its own
+// server. For a pool without a key the announced address must be the sender's.
 func (a *announcement) allowed(cfg *conf.Config, r *http.Request) (int, error) {
 	key, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 	sum := sha256.Sum256([]byte(key))
--- a/io/lease/lease_test.go
+++ b/io/lease/lease_test.go
@@ -21,9 +21,8 @@
 	return hex.EncodeToString(sum[:])
 }
 
-// A program that is no upstream reaches the port and names itself as one. Were
-// it taken in, callers' prompts would go to it. It has no key, or that of
-// another pool, or points at a third server from a pool that asks for no key.
+// Guards against callers' requests that are sent to a stranger which announces itself as an upstream: without
+// a key, with that of another pool, or with the address of a third server for a pool without a key.
 func TestWhoMayJoin(t *testing.T) {
 	cfg := &conf.Config{Pools: map[string]pool.Pool{
 		"alerts": {AnnounceKey: digest("right")}, "quotes": {AnnounceKey: digest("other")}, "open": {},
