--- a/io/pipe/pipe.go
+++ b/io/pipe/pipe.go
@@ -1,4 +1,4 @@
-// Package pipe passes an upstream's answer on and checks that it is whole.
+// Package pipe forwards an upstream's answer and checks that it is complete.
 package pipe
 
 import (
@@ -15,45 +15,43 @@
 // Errors of Copy and ReadAll.
 var (
 	ErrCut    = errors.New("pipe: answer ended without its end mark")
-	ErrCaller = errors.New("pipe: caller gone")      // The answer was not taken.
-	ErrLarge  = errors.New("pipe: answer too large") // It is over its limit.
+	ErrCaller = errors.New("pipe: caller gone")      // The caller did not accept the answer.
+	ErrLarge  = errors.New("pipe: answer too large") // The answer exceeds its limit.
 	ErrSilent = errors.New("pipe: upstream silent")
 )
 
-// endMark closes a stream of server-sent events in OpenAI's published form. It
-// counts only on a line of its own: text that a model writes may hold the same
-// bytes, and a stream cut right behind them would pass for whole. Inside an
-// event line breaks are escaped, so no text can begin a line.
+// endMark ends a stream of server-sent events in OpenAI's published format. It counts only on a line of its own:
+// text of a model may contain the same bytes, and a stream that is cut after them would count as complete.
+// Line breaks within an event are escaped, so text never begins a line.
 var endMark = []byte("\ndata: [DONE]")
 
 const bufSize = 16 << 10
 
 var bufs = sync.Pool{New: func() any { return new([bufSize]byte) }}
 
-// Pipe copies one answer. The exported fields are set before use.
+// Pipe copies one answer. Its exported fields are set before use.
 type Pipe struct {
 	W       io.Writer
 	Flush   func() error  // Called after each write; nil for none.
-	Stream  bool          // Server-sent events: expect the end mark.
-	Silence time.Duration // Longest wait for one read.
-	Silent  func()        // Called when a read took longer; it must make the read return.
+	Stream  bool          // The answer is a stream of server-sent events with an end mark.
+	Silence time.Duration // Timeout of a read.
+	Silent  func()        // Called after the timeout; it must make the read return.
 
-	First  time.Time // When the first byte came; zero before.
-	Bytes  int64     // Passed on by Copy.
+	First  time.Time // Time of the first byte; zero before.
+	Bytes  int64     // Bytes written by Copy.
 	silent atomic.Bool
 	tail   []byte
 	quiet  *time.Timer
 }
 
-// Copy passes body on until its end, each read at once. An error of the
-// upstream's side and a missing end mark come back as errors, the caller's side
-// as ErrCaller. It may be called again with the rest of the same answer.
+// Copy forwards body until its end, after each read. It returns errors of the upstream's side, also for a missing
+// end mark, and ErrCaller for errors of the caller's side. It may be called again with the rest of the answer.
 func (p *Pipe) Copy(body io.Reader) error {
 	defer p.stop()
 	buf := bufs.Get().(*[bufSize]byte) //nolint:forcetypeassert // Only such are put there.
 	defer bufs.Put(buf)
 	if p.Bytes == 0 {
-		p.tail = append(p.tail[:0], '\n') // The first line begins a line, too.
+		p.tail = append(p.tail[:0], '\n') // The answer starts at the beginning of a line.
 	}
 	for {
 		n, err := p.read(body, buf[:])
@@ -73,7 +71,7 @@
 	}
 }
 
-// failed is the error of a read, which names the silence that ended it.
+// failed returns the error of a read, which says whether its timeout ended it.
 func (p *Pipe) failed(err error) error {
 	if p.silent.Load() {
 		err = fmt.Errorf("%w: %w", ErrSilent, err)
@@ -81,8 +79,8 @@
 	return fmt.Errorf("pipe: read: %w", err)
 }
 
-// ReadAll reads a whole answer of at most limit bytes. A size of zero or more
-// is what the upstream said it would be.
+// ReadAll reads a complete answer of at most limit bytes. A size of zero or more is the size stated by the
+// upstream.
 func (p *Pipe) ReadAll(body io.Reader, size, limit int64) ([]byte, error) {
 	defer p.stop()
 	if size > limit {
@@ -107,9 +105,8 @@
 	}
 }
 
-// read waits at most Silence for the next bytes. The clock stands while a
-// write waits for the caller, so that a slow caller doesn't pass for a silent
-// upstream.
+// read waits at most Silence for the next bytes. Time in which a write waits for the caller does not count, so
+// that a slow caller does not make the upstream count as silent.
 func (p *Pipe) read(body io.Reader, buf []byte) (int, error) {
 	if p.Silence > 0 {
 		if p.quiet == nil {
@@ -149,7 +146,7 @@
 	if !p.Stream {
 		return
 	}
-	// The end mark may come in two reads, so the last bytes of the former are kept.
+	// The end mark may arrive in two reads, so the last bytes of the previous one are kept.
 	const keep = 64
 	if len(data) > keep {
 		data = data[len(data)-keep:]
--- a/io/pipe/pipe_test.go
+++ b/io/pipe/pipe_test.go
@@ -14,10 +14,9 @@
 	"azurelane/io/pipe"
 )
 
-// A stream ends, as far as TCP can tell, in good order. It is whole only when
-// its end mark stands on a line of its own. The fourth case is a model that
-// wrote the mark as text and was cut right behind it: taken for whole, the
-// caller would act on half an answer.
+// Guards against taking a partial stream for complete if the connection closes without an error. A stream is
+// complete only with its end mark on a line of its own. In the fourth case a model has written the mark as text
+// and the stream was cut after it.
 func TestCopyKnowsWhole(t *testing.T) {
 	for _, tc := range []struct {
 		name string
@@ -41,8 +40,7 @@
 	}
 }
 
-// An upstream's answer must not fill the entry's memory, whether it says its
-// size or not.
+// Guards against an answer that fills the entry's memory, with and without a stated size.
 func TestReadAllBounds(t *testing.T) {
 	for _, tc := range []struct {
 		n, size, limit int64
@@ -71,9 +69,8 @@
 	return len(p), nil
 }
 
-// The caller takes ten minutes for each part, the upstream has long sent all.
-// The upstream is not silent; counted so, its work would be thrown away. Then
-// the upstream sends one part and no more: found after the limit.
+// Guards against a slow caller that makes its upstream count as silent, so that the answer is lost. The caller
+// takes ten minutes for each part. An upstream that sends one part and no more must still be detected.
 func TestSilence(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := pipe.Pipe{W: slowWriter{10 * time.Minute}, Silence: time.Second, Silent: func() { t.Error("taken for silent") }}
