--- a/core/sizing/sizing_test.go
+++ b/core/sizing/sizing_test.go
@@ -25,6 +25,7 @@
 	}{
 		{"scale-1 of the fleet", fleet, 1165, 209.7, 0.2094, 453 * time.Millisecond},
 		{"scale-2 of the fleet", fleet, 1207, 202.2, 0.2538, 424 * time.Millisecond},
+		{"quiet-1 of the fleet", fleet, 1149, 206.3, 0.2891, 457 * time.Millisecond},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			f := tc.fleet
