--- a/io/resume/resume.go
+++ b/io/resume/resume.go
@@ -1,6 +1,5 @@
-// Package resume lets a stand-in continue a stream whose connection broke. It
-// is the engine's own feature: the run goes on in the engine, so continuing its
-// stream is no second run.
+// Package resume lets a stand-in continue a stream after its connection broke. The run continues in the engine,
+// so resuming the stream is not a second run.
 package resume
 
 import (
@@ -17,21 +16,21 @@
 )
 
 const (
-	// Header of a request without a body asks for the rest of the stream of the
-	// request id that it repeats, from that byte on. The answer repeats it.
+	// Header is a header of a request without a body, which asks for the rest of the stream of the
+	// same request ID from a byte on. The answer repeats the header.
 	Header = "Azurelane-Resume-From"
 
 	requestHeader = "Azurelane-Request"
 )
 
 type (
-	// Resume wraps a stand-in's handler. Its exported fields are set before use.
+	// Resume wraps the handler of a stand-in. Its exported fields are set before use.
 	Resume struct {
 		http.Handler
-		Grace time.Duration // A run without a reader goes on for so long.
+		Grace time.Duration // Time for which a run continues without a reader.
 
 		mu   sync.Mutex
-		runs map[string]*run // By request id.
+		runs map[string]*run // By request ID.
 	}
 
 	run struct {
@@ -48,16 +47,16 @@
 	}
 )
 
-// Header is the header of the answer.
+// Header returns the header of the answer.
 func (w *writer) Header() http.Header { return w.header }
 
-// WriteHeader begins the answer.
+// WriteHeader starts the answer.
 func (w *writer) WriteHeader(status int) {
 	w.begun = true
 	_ = w.Head(&answer.Answer{Status: status, Header: w.header.Clone(), Streamed: true})
 }
 
-// Write takes a part of the answer.
+// Write appends to the answer.
 func (w *writer) Write(p []byte) (int, error) {
 	if !w.begun {
 		w.WriteHeader(http.StatusOK)
@@ -65,10 +64,10 @@
 	return w.run.Write(p) //nolint:wrapcheck // A plain writer.
 }
 
-// Flush has nothing to do.
+// Flush does nothing.
 func (w *writer) Flush() {}
 
-// ServeHTTP runs a request, or continues one.
+// ServeHTTP runs a request, or resumes its stream.
 func (s *Resume) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id, from := r.Header.Get(requestHeader), 0
 	if id == "" {
@@ -96,7 +95,7 @@
 	follow(w, r, t, from)
 }
 
-// begin starts a run that goes on when its connection breaks.
+// begin starts a run that continues if its connection breaks.
 func (s *Resume) begin(id string, r *http.Request, body []byte) *run {
 	ctx, cancel := context.WithCancel(context.WithoutCancel(r.Context()))
 	t := &run{readers: 1, cancel: cancel}
@@ -130,7 +129,7 @@
 	return t
 }
 
-// leave ends a run that has no reader for the time of Grace.
+// leave ends a run that has had no reader for Grace.
 func (s *Resume) leave(id string, t *run) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -178,7 +177,7 @@
 		w.Header()[name] = values
 	}
 	if seen > 0 {
-		w.Header().Del("Content-Length") // That of the whole.
+		w.Header().Del("Content-Length") // It is the length of the complete answer.
 	}
 	w.WriteHeader(max(a.Status, http.StatusOK))
 }
