--- a/io/hello/hello.go
+++ b/io/hello/hello.go
@@ -16,18 +16,18 @@
 )
 
 const (
-	// Every is the interval between two announcements; a lease outlives two lost ones.
+	// Every is the interval between announcements. A lease does not end if two of them are lost.
 	Every = time.Second
-	// DefaultLinger is longer than a grant of a pool may be used by default.
+	// DefaultLinger exceeds the default time for which a grant can be used.
 	DefaultLinger = 1500 * time.Millisecond
-	// tryLimit is one entry's time to answer. Two that don't still leave time
-	// for a third within the lease.
+	// tryLimit is the timeout of one entry. Two entries that do not reply leave time for a third one
+	// within the lease.
 	tryLimit = 900 * time.Millisecond
 )
 
 type (
-	// Hello announces one upstream until its context ends, and then that it is
-	// leaving. Its exported fields are set before use.
+	// Hello announces an upstream until its context ends, and then that it leaves. Its exported fields
+	// are set before use.
 	Hello struct {
 		Upstream    string
 		Address     netip.AddrPort
@@ -38,10 +38,10 @@
 		MaxTokens   int
 		Hardware    string
 		CanResume   bool
-		ChecksFence bool // It refuses an order with an old number.
+		ChecksFence bool // It refuses requests with an outdated fencing number.
 		Entries     []netip.AddrPort
-		Key         string                                        // Bearer key of its pools; empty for pools without one.
-		Linger      time.Duration                                 // From "leaving" to the return of Serve; zero takes the default.
+		Key         string                                        // Bearer key of its pools; empty for pools without a key.
+		Linger      time.Duration                                 // Time between "leaving" and the return of Serve; zero for the default.
 		Load        func() (running, queued int, cached []uint64) // Nil for none.
 		Log         logr.Logger
 
@@ -69,9 +69,8 @@
 	}
 )
 
-// Serve announces until ctx ends. It then says that the upstream leaves, again
-// and again until the linger is over, and returns: grants given before are used
-// by then, so the server may be shut down without cutting one off.
+// Serve announces the upstream until ctx ends. Then it announces repeatedly that the upstream leaves, and returns
+// after Linger: earlier grants have been used by then, so the server can be shut down.
 func (h *Hello) Serve(ctx context.Context) error {
 	h.repeat(ctx, false)
 	lctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), cmp.Or(h.Linger, DefaultLinger))
@@ -95,7 +94,7 @@
 	}
 }
 
-// Announce tells one entry, and the next one when that fails.
+// Announce sends an announcement to one entry, or to the next one if that fails.
 func (h *Hello) Announce(ctx context.Context, leaving bool) error {
 	h.seq++
 	a := announcement{
--- a/io/hello/hello_test.go
+++ b/io/hello/hello_test.go
@@ -15,7 +15,7 @@
 	"azurelane/core/codec"
 )
 
-// entry notes what an upstream announced to it.
+// entry records the announcements of an upstream.
 type entry struct {
 	*httptest.Server
 	mu    sync.Mutex
@@ -23,14 +23,14 @@
 	key   string
 	first chan struct{}
 	once  sync.Once
-	deaf  bool // It takes a request and never answers, as a frozen process does.
+	deaf  bool // It accepts requests and never replies, like a suspended process.
 }
 
 func newEntry(t *testing.T, deaf bool) *entry {
 	e := &entry{first: make(chan struct{}), deaf: deaf}
 	e.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if e.deaf {
-			_, _ = io.Copy(io.Discard, r.Body) // Only then does the server notice that its caller has gone.
+			_, _ = io.Copy(io.Discard, r.Body) // The server notices only then that its client has left.
 			<-r.Context().Done()
 			return
 		}
@@ -48,9 +48,9 @@
 
 func (e *entry) addr() netip.AddrPort { return netip.MustParseAddrPort(e.Listener.Addr().String()) }
 
-// One entry is dead and the next is frozen. The third hears of the upstream in
-// the same announcement, within its lease of 3 s. When the upstream is told to
-// stop, it says so before Serve returns, and with a higher number than all before.
+// Guards against a lease that ends because one entry is down and the next one is suspended: the third must get the
+// same announcement within the lease of 3 s. An upstream that stops must announce so before Serve returns, with
+// a higher number than before.
 func TestNextEntryAndLeaving(t *testing.T) {
 	dead := newEntry(t, false)
 	dead.Close()
