--- a/io/certs/certs.go
+++ b/io/certs/certs.go
@@ -1,5 +1,4 @@
-// Package certs makes TLS settings from certificate files, for links between
-// azurelane processes and for operators.
+// Package certs creates TLS configurations from certificate files, for links between processes and for operators.
 package certs
 
 import (
@@ -15,28 +14,26 @@
 	"azurelane/io/listen"
 )
 
-// ErrNoAuthority is returned when the file of the authority holds no certificate.
+// ErrNoAuthority is returned if the file of the authority contains no certificate.
 var ErrNoAuthority = errors.New("certs: no certificate of an authority")
 
-// Certs names the files of one process. The zero value means no TLS.
+// Certs holds the file names of a process. The zero value means no TLS.
 type Certs struct {
 	Cert string `json:"cert,omitzero"` // PEM: certificate, with its chain.
 	Key  string `json:"key,omitzero"`  // PEM: private key.
 	CA   string `json:"ca,omitzero"`   // PEM: authorities that sign the deployment's certificates.
 }
 
-// On reports whether TLS is wanted.
+// On reports whether TLS is configured.
 func (c Certs) On() bool { return c != Certs{} }
 
-// Whole reports whether all files are named, or none.
+// Whole reports whether either all file names are set or none.
 func (c Certs) Whole() bool { return !c.On() || c.Cert != "" && c.Key != "" && c.CA != "" }
 
-// Config returns the settings for both ends of a link, or nil without TLS. Both
-// ends must show a certificate that the authority signed; the accepting end's
-// certificate must also name the IP address that was dialled.
+// Config returns the configuration for both ends of a link, or nil without TLS. Both ends must present a
+// certificate signed by the authority, and that of the accepting end must contain the dialled IP address.
 //
-// A renewed certificate is used from the next handshake on. A new authority
-// needs a restart.
+// A renewed certificate is used from the next handshake on. A new authority requires a restart.
 func (c Certs) Config() (*tls.Config, error) {
 	if !c.On() {
 		return nil, nil //nolint:nilnil // No TLS is a setting, not an error.
@@ -56,8 +53,7 @@
 	}, nil
 }
 
-// Trust returns the settings of a client that knows the authority and shows no
-// certificate of its own.
+// Trust returns the configuration of a client that trusts the authority and presents no certificate.
 func Trust(ca string) (*tls.Config, error) {
 	pool, err := authority(ca)
 	if err != nil {
@@ -78,9 +74,8 @@
 	return pool, nil
 }
 
-// Operators returns the settings for the operators' port, or nil without TLS:
-// it is encrypted too, but health checks need no certificate. What is for
-// operators alone is guarded behind it.
+// Operators returns the configuration of the operators' port, or nil without TLS. Clients need no certificate there,
+// because of health checks; the handlers for operators authorize requests themselves.
 func Operators(links *tls.Config) *tls.Config {
 	if links == nil {
 		return nil
@@ -90,8 +85,7 @@
 	return cfg
 }
 
-// Wrap makes a listener one that can be drained, and puts TLS around what it accepts
-// where cfg is not nil.
+// Wrap returns a listener that can be drained, with TLS unless cfg is nil.
 func Wrap(ln net.Listener, cfg *tls.Config) net.Listener {
 	l := listen.Of(ln)
 	if cfg == nil {
@@ -110,18 +104,17 @@
 // Drain drains the listener below TLS.
 func (s *secure) Drain() error { return s.inner.Drain() }
 
-// pair is a certificate with its key, read anew when the file has changed.
+// pair is a certificate with its key, read again after the file has changed.
 type pair struct {
 	Certs
 
 	mu   sync.Mutex
-	read os.FileInfo // Of the certificate's file when it was read.
+	read os.FileInfo // Of the certificate's file as read.
 	cert *tls.Certificate
 }
 
-// get returns the certificate. When a renewed one can't be read, the former one
-// stays in use: its files may just be halfway replaced, and refusing every
-// handshake meanwhile would cut the process off.
+// get returns the certificate. If a renewed one can't be read, the previous one is kept: its files may be in the
+// middle of a replacement, and refusing all handshakes would cut the process off.
 func (p *pair) get() (*tls.Certificate, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -142,9 +135,9 @@
 	return nil, fmt.Errorf("certs: %w", err)
 }
 
-// same reports whether a file has not been replaced or written. Times of files are as
-// coarse as some milliseconds: by them alone a certificate that was made right after the
-// former one and renamed to its place stayed unused until the next renewal.
+// same reports whether a file has neither been replaced nor written. File times have a resolution of
+// milliseconds: by the time alone, a certificate that was created right after the previous one and renamed into
+// its place was not used until the next renewal.
 func same(a, b os.FileInfo) bool {
 	return os.SameFile(a, b) && a.Size() == b.Size() && a.ModTime().Equal(b.ModTime())
 }
--- a/io/certs/certs_test.go
+++ b/io/certs/certs_test.go
@@ -15,7 +15,7 @@
 	"azurelane/io/mint"
 )
 
-// issue makes a certificate in a folder and returns its files.
+// issue creates a certificate in a folder and returns its files.
 func issue(t *testing.T, dir, name, addr string) Certs {
 	t.Helper()
 	must.NoError(t, mint.Mint{Folder: dir}.Issue(name, []netip.Addr{netip.MustParseAddr(addr)}, time.Hour))
@@ -29,8 +29,8 @@
 	return cfg
 }
 
-// handshake connects over loopback and returns what each end says. A client
-// learns of a refusal of its certificate only when it reads.
+// handshake connects over loopback and returns the error of each end. A client learns that its certificate was
+// rejected only when it reads.
 func handshake(t *testing.T, server, client *tls.Config) (string, error, error) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -61,9 +61,8 @@
 	return name, <-served, err
 }
 
-// Someone who can reach the port of a process, but has no certificate of the
-// deployment, must get nothing. The same goes for a process that is reached at
-// an address which its certificate does not name.
+// Guards against connections without a certificate of the deployment, and to a process at an address that its
+// certificate does not contain.
 func TestHandshake(t *testing.T) {
 	dir, other := t.TempDir(), t.TempDir()
 	server := config(t, issue(t, dir, "entry-1", "127.0.0.1"))
@@ -96,8 +95,8 @@
 	}
 }
 
-// A certificate is renewed while the process runs. New handshakes show the new
-// one; while the files are halfway replaced, the former one stays in use.
+// Guards against a renewed certificate that is not used, and against failing handshakes while its files are being
+// replaced.
 func TestRenewed(t *testing.T) {
 	dir := t.TempDir()
 	server := config(t, issue(t, dir, "entry-1", "127.0.0.1"))
@@ -143,8 +142,7 @@
 	must.Nil(t, cfg)
 }
 
-// Guards against resets at encrypted ports: a listener that is drained hands over what
-// waits with TLS around it, too.
+// Guards against resets at ports with TLS: a drained listener must return pending connections with TLS.
 func TestWrappedListenerDrains(t *testing.T) {
 	dir := t.TempDir()
 	server, client := config(t, issue(t, dir, "entry-1", "127.0.0.1")), config(t, issue(t, dir, "entry-2", "127.0.0.1"))
