--- a/io/logs/budget.go
+++ b/io/logs/budget.go
@@ -5,12 +5,11 @@
 	"time"
 )
 
-// Budget bounds the lines of one kind, such as those of single requests. Whoever
-// asks it before a line's values are made spares their cost, and a burst of such
-// lines leaves the bound of the whole output to those that an operator needs most.
-// The zero value takes every line.
+// Budget limits the log lines of one kind, such as those of single requests, so that a burst of them does not
+// exhaust the limit of all output. It is asked before the values of a line are computed, which saves their cost.
+// The zero value has no limit.
 type Budget struct {
-	Most int // Lines a second; zero for any number.
+	Most int // Lines per second; zero for no limit.
 
 	mu      sync.Mutex
 	second  int64
@@ -18,8 +17,7 @@
 	leftOut int
 }
 
-// Take reports whether the second has room for one more line, and how many were
-// left out since the last one that had room.
+// Take reports whether another line may be logged in this second, and how many were dropped since the last one.
 func (b *Budget) Take(now time.Time) (leftOut int, ok bool) {
 	if b.Most == 0 {
 		return 0, true
--- a/io/logs/budget_test.go
+++ b/io/logs/budget_test.go
@@ -7,8 +7,8 @@
 	"github.com/shoenig/test/must"
 )
 
-// Ten refusals come in a second that has room for four lines. The first four are
-// logged, and the next second's first line says how many are missing.
+// Guards against a burst of lines beyond the limit, and against dropped lines that are not reported: of ten lines in
+// a second four are logged, and the first line of the next second says how many are missing.
 func TestBudget(t *testing.T) {
 	b := Budget{Most: 4}
 	now := time.Unix(1000, 0)
--- a/io/logs/logs.go
+++ b/io/logs/logs.go
@@ -1,4 +1,4 @@
-// Package logs makes the program's logger: logr over log/slog.
+// Package logs creates the program's logger: logr on log/slog.
 package logs
 
 import (
@@ -10,9 +10,8 @@
 	"github.com/go-logr/logr"
 )
 
-// New returns a logger that writes to w in the given format, "text" or "json".
-// Level 0 shows what operators need, 1 adds detail. A part of the program
-// takes its own logger by WithName; the name stands in front of each message.
+// New returns a logger that writes to w in the given format, "text" or "json". Level 0 is for operators, 1 adds
+// details. Packages use loggers with WithName; the name precedes each message.
 func New(w io.Writer, format string, level int) (logr.Logger, error) {
 	opts := &slog.HandlerOptions{Level: slog.Level(-level), ReplaceAttr: detail}
 	switch format {
@@ -24,8 +23,7 @@
 	return logr.Logger{}, fmt.Errorf("logs: format %q: expected text or json", format)
 }
 
-// detail names logr's levels of detail as slog names its own: level 1 would
-// otherwise read "DEBUG+3".
+// detail returns names for logr's levels, of which level 1 would otherwise be "DEBUG+3".
 func detail(_ []string, a slog.Attr) slog.Attr {
 	if l, ok := a.Value.Any().(slog.Level); ok && a.Key == slog.LevelKey && l < slog.LevelInfo {
 		a.Value = slog.StringValue(slog.LevelDebug.String())
@@ -33,8 +31,7 @@
 	return a
 }
 
-// prefixer puts the name of the part, which logr adds to each record, in front
-// of the message.
+// prefixer moves the logger's name, which logr adds to each record, in front of the message.
 type prefixer struct{ slog.Handler }
 
 // Handle writes the record with its prefix.
@@ -51,12 +48,12 @@
 	return p.Handler.Handle(ctx, out)
 }
 
-// WithAttrs keeps the prefixer around the handler.
+// WithAttrs returns a prefixer of the handler with the attributes.
 func (p prefixer) WithAttrs(attrs []slog.Attr) slog.Handler {
 	return prefixer{p.Handler.WithAttrs(attrs)}
 }
 
-// WithGroup keeps the prefixer around the handler.
+// WithGroup returns a prefixer of the handler with the group.
 func (p prefixer) WithGroup(name string) slog.Handler {
 	return prefixer{p.Handler.WithGroup(name)}
 }
--- a/io/logs/queue.go
+++ b/io/logs/queue.go
@@ -9,15 +9,15 @@
 )
 
 const (
-	// queueLines is how many lines may wait to be written. Without a queue a
-	// reader of the output that stands still would stop every request.
+	// queueLines is the maximum number of lines that wait to be written. Without a queue, a blocked
+	// reader of the output would block all requests.
 	queueLines = 4096
-	// mostLines bounds the lines of one second. A line costs some 20 us with all
-	// that is around it, so this is at most a twentieth of a core.
+	// mostLines is the maximum number of lines per second. A line costs some 20 us in all, so this is at
+	// most a twentieth of a core.
 	mostLines = 2000
 )
 
-// queue writes lines in the background and drops what is too much, counted.
+// queue writes lines in the background, and drops and counts those beyond its limits.
 type queue struct {
 	w       io.Writer
 	lines   chan []byte
@@ -26,20 +26,19 @@
 	once    sync.Once
 
 	mu     sync.Mutex
-	second int64 // Of the lines counted.
+	second int64 // Second of the counted lines.
 	count  int
 }
 
-// Queue returns a writer of whole lines that never blocks. Close writes what
-// still waits; at the end of a second in which lines were dropped, a line says
-// how many.
+// Queue returns a writer of complete lines that never blocks. After a second in which lines were dropped, a line
+// says how many. Close writes the lines that wait.
 func Queue(w io.Writer) io.WriteCloser {
 	q := &queue{w: w, lines: make(chan []byte, queueLines), done: make(chan struct{})}
 	go q.run()
 	return q
 }
 
-// Write takes one line.
+// Write queues one line.
 func (q *queue) Write(line []byte) (int, error) {
 	if !q.may(time.Now().Unix()) {
 		q.dropped.Add(1)
@@ -53,7 +52,7 @@
 	return len(line), nil
 }
 
-// may reports whether the second has room for one more line.
+// may reports whether another line may be written in this second.
 func (q *queue) may(second int64) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -89,7 +88,7 @@
 	}
 }
 
-// Close writes what waits. Nothing may be written after it.
+// Close writes the lines that wait. Write must not be called afterwards.
 func (q *queue) Close() error {
 	q.once.Do(func() { close(q.lines) })
 	<-q.done
--- a/io/logs/queue_test.go
+++ b/io/logs/queue_test.go
@@ -9,7 +9,7 @@
 	"github.com/shoenig/test/must"
 )
 
-// stuck is an output whose reader stands still until it is let go.
+// stuck is an output whose reader is blocked until it is released.
 type stuck struct {
 	free chan struct{}
 	mu   sync.Mutex
@@ -23,8 +23,8 @@
 	return s.buf.Write(p)
 }
 
-// The reader of the output stands still while more is logged than is kept.
-// Requests must go on; afterwards a line says how much is missing.
+// Guards against requests that block because the reader of the output is blocked. Afterwards a line must say how many
+// lines were dropped.
 func TestStuckOutputStopsNobody(t *testing.T) {
 	out := &stuck{free: make(chan struct{})}
 	q := Queue(out)
