--- a/io/local/local.go
+++ b/io/local/local.go
@@ -1,5 +1,5 @@
-// Package local reads the settings of a process of a deployment that forms
-// itself: an entry for routes, or a control replica that repairs its group.
+// Package local reads the settings of a process in a deployment that forms by itself: an entry for routes, or a
+// control replica that maintains its group.
 package local
 
 import (
@@ -15,15 +15,15 @@
 	"azurelane/core/keys"
 )
 
-// ErrInvalid marks settings that parse but can't be used.
+// ErrInvalid is returned for settings that can be parsed but not used.
 var ErrInvalid = errors.New("local: invalid settings")
 
-// Local holds where a process stands. The meanings of the keys stand in Keys.
+// Local holds the settings of a process. Keys describes them.
 type Local struct {
 	Node        string           `json:"node"`
 	Centre      string           `json:"data-centre"`
 	Centres     []string         `json:"data-centres"`
-	Callers     string           `json:"callers,omitzero"` // Addresses may be empty: the role decides what is listened on.
+	Callers     string           `json:"callers,omitzero"` // Addresses may be empty, depending on the role.
 	Ready       string           `json:"ready,omitzero"`
 	Calls       string           `json:"calls,omitzero"`
 	Peers       netip.AddrPort   `json:"peers"`
@@ -40,7 +40,7 @@
 	RetrySlack  float64          `json:"retry-slack,omitzero"`
 	Overage     float64          `json:"quota-overage,omitzero"`
 	QuotaSlack  float64          `json:"quota-slack,omitzero"`
-	// RolloutShare and RolloutSlack bound the requests that a bad version gets in a rollout.
+	// RolloutShare and RolloutSlack limit the requests that a bad version gets in a rollout.
 	RolloutShare   float64       `json:"rollout-share,omitzero"`
 	RolloutSlack   float64       `json:"rollout-slack,omitzero"`
 	RollbackWithin time.Duration `json:"rollback-within,omitzero"`
@@ -50,7 +50,7 @@
 	settingFile    string
 }
 
-// Defaults for what is left out.
+// Defaults of missing settings.
 const (
 	DefaultCatchUp    = 4 * time.Second
 	DefaultAnnounce   = 1200 * time.Millisecond
@@ -66,7 +66,7 @@
 	limitWant = "a number of 0 or more"
 )
 
-// Keys lists the settings for operators.
+// Keys returns the settings for operators.
 func Keys() []keys.Key {
 	return []keys.Key{
 		{Path: "/node", Want: "a name", Text: "Name of this process in logs and to its peers."},
@@ -129,7 +129,7 @@
 	return nil
 }
 
-// ListenPeers is where links of other processes are taken.
+// ListenPeers returns the address at which links of other processes are accepted.
 func (n *Local) ListenPeers() netip.AddrPort {
 	if n.PeersListen.IsValid() {
 		return n.PeersListen
@@ -146,8 +146,7 @@
 	return list
 }
 
-// Reread returns the settings as the file has them now, or the former ones with
-// the error when it can't be read.
+// Reread returns the current settings of the file, or the previous ones and an error if it can't be read.
 func (n *Local) Reread() (*Local, error) {
 	now, err := Load(n.settingFile)
 	if err != nil {
--- a/io/local/local_test.go
+++ b/io/local/local_test.go
@@ -45,8 +45,8 @@
 	}
 }
 
-// The file changes without a signal: seeds are those of now. While it can't be
-// read, the former ones stay.
+// Guards against outdated seeds after the file has changed without a signal, and against losing them while it can't be
+// read.
 func TestReread(t *testing.T) {
 	path := write(t, good)
 	n, err := Load(path)
@@ -62,7 +62,7 @@
 	must.Eq(t, 8*time.Second, now.DrainLimit)
 }
 
-// The reference that operators read lists exactly the keys that are read.
+// Checks that the reference for operators lists exactly the keys that are read.
 func TestReference(t *testing.T) {
 	const page = "../../docs/OPERATIONS.md"
 	var paths []string
