--- a/cmd/azurelane/main.go
+++ b/cmd/azurelane/main.go
@@ -72,9 +72,8 @@
 		parser.Errorf("%s", err)
 		return exitUsage
 	}
-	// net/http writes the first bytes of an answer that nobody asked for to the
-	// standard logger. They belong to some client account and to no log; the
-	// parts that speak HTTP log what matters by themselves.
+	// net/http writes the first bytes of an unsolicited response to the standard logger. They are
+	// data of a client account and must not be logged.
 	log.SetOutput(io.Discard)
 	ctx, stop := signals()
 	defer stop()
--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -48,8 +48,8 @@
 	forgetAfter   = time.Minute            // From the end of an upstream's lease.
 	sweepInterval = 200 * time.Millisecond // Interval between checks of all slots and upstreams.
 	// probeInterval is the time between two grants to engines that seem cut off. It is short
-	// enough to notice soon that the engines are back, and long enough that few requests wait
-	// there in vain.
+	// enough to notice soon that the engines are back, and long enough that few requests
+	// time out there.
 	probeInterval = 400 * time.Millisecond
 	// runGrace is the time beyond the pool's longest run after which a slot is freed even if no
 	// release has arrived.
--- a/core/peers/datacentre.go
+++ b/core/peers/datacentre.go
@@ -19,7 +19,7 @@
 )
 
 // dataCentre holds the observations of the network path to one data centre. While the path is cut,
-// each upstream there looks healthy until a request has waited for it in vain. With half a second
+// each upstream there looks healthy until a request to it has timed out. With half a second
 // per connection attempt and several upstreams to try, requests are late that an upstream on this
 // side could have served at once.
 type dataCentre struct {
--- a/core/raft/leader.go
+++ b/core/raft/leader.go
@@ -18,7 +18,7 @@
 
 const (
 	// snapshotRetry is the time after which a snapshot is sent again to a replica that sends no
-	// reply at all.
+	// reply.
 	snapshotRetry = 30 * DefaultElectionTimeout
 	// minSnapshotRate is the lowest expected transfer rate of a snapshot, in bytes per second.
 	minSnapshotRate = 4 << 20
--- a/io/client/client.go
+++ b/io/client/client.go
@@ -135,7 +135,7 @@
 	return c.transport.Load()
 }
 
-// Closed reports whether no process listens at an address, by the word of the VM there.
+// Closed reports whether no process listens at an address, which a refused connection shows.
 func (c *Client) Closed(ctx context.Context, addr netip.AddrPort) bool {
 	d := net.Dialer{Timeout: closedLimit}
 	nc, err := d.DialContext(ctx, "tcp", addr.String())
--- a/io/entry/handle.go
+++ b/io/entry/handle.go
@@ -134,7 +134,7 @@
 	reply, err := e.mesh.Call(ctx, to, inner)
 	if err != nil && ctx.Err() != nil {
 		// The link to the sender is closed. The owner does not notice, as its link to this entry is open,
-		// and would grant a slot that nobody uses.
+		// and would grant a slot that stays unused.
 		wctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
 		defer cancel()
 		_ = e.mesh.Send(wctx, to, &wire.Frame{Body: &wire.Frame_Withdraw{Withdraw: &wire.Withdraw{
--- a/io/gate/request.go
+++ b/io/gate/request.go
@@ -102,7 +102,7 @@
 	// some milliseconds to reach the caller.
 	answerMargin = 15 * time.Millisecond
 	// minSendTime is the remaining time below which a send is pointless, and so is less than
-	// 1/minSendDivisor of the objective: an upstream would run the request in vain.
+	// 1/minSendDivisor of the objective: an upstream could not complete the request in time.
 	minSendTime    = 5 * time.Millisecond
 	minSendDivisor = 10
 )
