Units of accounts at their rates, by who admitted them, in the logs

Six ways in which that could happen were written down; neither logs nor metrics told them apart: nothing said whether the scheduler, an entry without a scheduler or an entry that places plain requests had admitted the units, or how many came back.

Change: core/ledger sums units by account and kind; the scheduler logs admitted, returned, refused and reported units with the balance once a second for accounts that were refused, entries log granted, placed, standalone and repeated units.

--- a/core/allow/allow.go
+++ b/core/allow/allow.go
@@ -161,6 +161,16 @@
 	return min(wait, maxRetryAfter), false
 }
 
+// Balance returns the units that an account may still use at once; negative if it has used more.
+func (a *Limiter) Balance(now time.Time, account string) float64 {
+	b := a.buckets[account]
+	if b == nil {
+		return 0
+	}
+	b.refill(now)
+	return b.tokens
+}
+
 // Charge counts units that were used already. Negative units are given back.
 func (a *Limiter) Charge(now time.Time, account string, units int64) {
 	b := a.buckets[account]
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -19,6 +19,7 @@
 	"github.com/go-logr/logr"
 
 	"azurelane/core/budget"
+	"azurelane/core/ledger"
 	"azurelane/core/meta"
 	"azurelane/core/peers"
 	"azurelane/core/refuse"
@@ -64,6 +65,8 @@
 		budgets         map[string]*budget.Budget // By pool.
 		unreportedUsage map[string]int64          // Units by account that have not been reported yet.
 		localQuota      localQuota
+		ledger          ledger.Ledger // Units of sent and refused requests since the last log line.
+		ledgerLoggedAt  time.Time
 		retryAges       map[string]*reqage.Estimator // By route; estimate how long ago callers first tried.
 	}
 
--- a/io/gate/request.go
+++ b/io/gate/request.go
@@ -123,6 +123,7 @@
 			q.failPlacement(ctx, refuse.New(refuse.Deadline, "too little time is left for a run", defaultRetryAfter))
 			return
 		}
+		q.gate.recordSentUnits(q, p)
 		q.tallied = q.gate.versions.begin(q, p.upstream.GetVersion())
 		res := q.send(ctx, p)
 		q.gate.versions.end(q.tallied, res)
@@ -248,6 +249,7 @@
 // refuse responds with an error of azurelane itself.
 func (q *request) refuse(e *refuse.Error) {
 	q.gate.Stats.Count("refused-"+e.Code, 1)
+	q.gate.recordRefusedUnits(q, e)
 	q.gate.Log.Info("Request refused.", "request", q.meta.ID, "code", e.Code, "why", e.Text, "status", e.Status(),
 		"retry-after", e.RetryAfter.String(), "route", q.routeName(), "account", q.account, "pool", q.pool,
 		"version", q.view.Version, "sends", q.sends, "ran", q.runs, "took", time.Since(q.start).String())
--- a/io/gated/gated.go
+++ b/io/gated/gated.go
@@ -195,6 +195,7 @@
 			return
 		case <-tick.C:
 		}
+		e.gate.LogAccountUsage(time.Now())
 		owner := e.watch.Owner("")
 		if owner == nil {
 			continue
--- a/io/hub/scheduler.go
+++ b/io/hub/scheduler.go
@@ -9,6 +9,7 @@
 
 	"azurelane/core/acct"
 	"azurelane/core/allow"
+	"azurelane/core/ledger"
 	"azurelane/core/refuse"
 	"azurelane/core/wire"
 	"azurelane/io/logs"
@@ -42,6 +43,8 @@
 	entriesHere, entriesTotal int64
 	loggedShares              map[string]float64 // Shares of rates as last logged, by account.
 	sharesLoggedAt            time.Time
+	ledger                    ledger.Ledger // Units since the last log line.
+	ledgerLoggedAt            time.Time
 }
 
 // installAccounts puts the accounts' rates in force.
@@ -165,6 +168,9 @@
 	}
 	if ok {
 		s.rates.add(start, t.GetIncarnation(), t.GetAccount(), t.GetUnits())
+		s.ledger.Add(t.GetAccount(), unitsAdmitted, t.GetUnits())
+	} else {
+		s.ledger.Add(t.GetAccount(), unitsRefused, t.GetUnits())
 	}
 	version := s.version
 	s.mu.Unlock()
@@ -203,6 +209,7 @@
 	defer s.mu.Unlock()
 	s.allow.Charge(now, t.GetAccount(), -t.GetUnits())
 	s.rates.add(now, t.GetIncarnation(), t.GetAccount(), -t.GetUnits())
+	s.ledger.Add(t.GetAccount(), unitsReturned, t.GetUnits())
 }
 
 // recordRefusal counts a refused ticket, and logs it if refusalLog has room.
@@ -244,5 +251,6 @@
 	for _, a := range u.GetAccounts() {
 		s.allow.Charge(time.Now(), a.GetAccount(), a.GetUnits())
 		s.rates.add(time.Now(), u.GetIncarnation(), a.GetAccount(), a.GetUnits())
+		s.ledger.Add(a.GetAccount(), unitsReported, a.GetUnits())
 	}
 }
--- a/io/hub/watch.go
+++ b/io/hub/watch.go
@@ -238,6 +238,7 @@
 	s.reserveForUnseen(now, h.watchers.count())
 	s.logSpeeds(now)
 	s.logRateShares(now)
+	s.logAccountUsage(now)
 	s.limits.retain(func(id string) bool {
 		u := h.Replica.Upstream(id)
 		return u != nil && u.GetState() != wire.Upstream_STATE_GONE
