Units of refused requests come back at the time of their charge

Cause: a ticket is charged when it is submitted and its units are given back when it is refused. The bucket refills meanwhile, so that it held the refill and the units that came back: up to one burst more in a window.

Change: a bucket remembers its last 10 s in steps of 250 ms. A returned charge is taken out of the step in which it was made, and the balance is computed again from there, so that it is what it would have been without the charge.

An account that is refused nothing is charged as before.

--- a/core/allow/allow.go
+++ b/core/allow/allow.go
@@ -19,16 +19,6 @@
 
 		buckets map[string]*bucket
 	}
-
-	bucket struct {
-		rate       float64 // Units per second.
-		burst      float64 // Maximum tokens: this share of fullBurst.
-		fullBurst  float64 // Burst of all shares together.
-		initial    float64 // Tokens of an account whose usage is unknown.
-		toppedUp   float64 // Part of initial that TopUpGrowth has added already.
-		tokens     float64 // May be negative: some units are charged after they were used.
-		refilledAt time.Time
-	}
 )
 
 // retryFill is the fraction of the burst that must be available again when a refused account is
@@ -94,16 +84,21 @@
 			continue
 		}
 		fraction, fullBurst := share(name), c.Burst*(1+a.Overage)+a.Slack
-		b := &bucket{rate: c.Rate * (1 + a.Overage) * fraction, burst: fullBurst * fraction, fullBurst: fullBurst, refilledAt: now}
-		b.tokens = b.burst * InitialFraction
-		if a.StartFull {
-			b.tokens = b.burst
-		}
-		b.initial = b.burst*InitialFraction + a.Slack*fraction*(1-InitialFraction)
-		if previous := old[name]; previous != nil {
-			previous.refill(now)
-			b.tokens, b.toppedUp = min(b.burst, previous.tokens+max(fullBurst-previous.fullBurst, 0)*fraction), previous.toppedUp
+		rate, burst := c.Rate*(1+a.Overage)*fraction, fullBurst*fraction
+		b := old[name]
+		switch {
+		case b != nil:
+			more := max(fullBurst-b.fullBurst, 0) * fraction
+			b.setLimits(now, rate, burst, fullBurst)
+			b.setBalance(b.balance() + more)
+		case a.StartFull:
+			b = newBucket(now, rate, burst, fullBurst)
+			b.setBalance(burst)
+		default:
+			b = newBucket(now, rate, burst, fullBurst)
+			b.setBalance(burst * InitialFraction)
 		}
+		b.initial = burst*InitialFraction + a.Slack*fraction*(1-InitialFraction)
 		a.buckets[name] = b
 	}
 }
@@ -113,7 +108,7 @@
 func (a *Limiter) TopUp(now time.Time, account string) {
 	if b := a.buckets[account]; b != nil {
 		b.refill(now)
-		b.tokens = max(b.tokens, b.initial)
+		b.setBalance(max(b.balance(), b.initial))
 	}
 }
 
@@ -126,7 +121,8 @@
 	}
 	b.refill(now)
 	if more := b.initial - b.toppedUp; more > 0 {
-		b.tokens, b.toppedUp = min(b.tokens+more, b.burst), b.initial
+		b.toppedUp = b.initial
+		b.setBalance(b.balance() + more)
 	}
 }
 
@@ -139,8 +135,8 @@
 		return
 	}
 	b.refill(now)
-	floor := min(b.tokens, b.burst*InitialFraction)
-	b.tokens = max(b.tokens-b.burst*rate/b.rate, floor)
+	balance := b.balance()
+	b.setBalance(max(balance-b.burst*rate/b.rate, min(balance, b.burst*InitialFraction)))
 }
 
 // Take charges units to an account that has any tokens, even if they are fewer than units. If a
@@ -153,11 +149,12 @@
 		return 0, true
 	}
 	b.refill(now)
-	if b.tokens > 0 {
-		b.tokens -= float64(units)
+	balance := b.balance()
+	if balance > 0 {
+		b.charge(now, float64(units))
 		return 0, true
 	}
-	wait := time.Duration((retryFill*b.burst - b.tokens) / b.rate * float64(time.Second))
+	wait := time.Duration((retryFill*b.burst - balance) / b.rate * float64(time.Second))
 	return min(wait, maxRetryAfter), false
 }
 
@@ -168,7 +165,7 @@
 		return 0
 	}
 	b.refill(now)
-	return b.tokens
+	return b.balance()
 }
 
 // Charge counts units that were used already. Negative units are given back.
@@ -178,12 +175,16 @@
 		return
 	}
 	b.refill(now)
-	b.tokens = max(min(b.tokens-float64(units), b.burst), -b.burst)
+	b.setBalance(max(b.balance()-float64(units), -b.burst))
 }
 
-func (b *bucket) refill(now time.Time) {
-	if d := now.Sub(b.refilledAt); d > 0 {
-		b.tokens = min(b.tokens+b.rate*d.Seconds(), b.burst)
+// Return gives back units that were charged at a time and not used. The balance becomes what it would
+// have been without the charge.
+func (a *Limiter) Return(now, chargedAt time.Time, account string, units int64) {
+	b := a.buckets[account]
+	if b == nil {
+		return
 	}
-	b.refilledAt = now
+	b.refill(now)
+	b.charge(chargedAt, -float64(units))
 }
--- /dev/null
+++ b/core/allow/bucket.go
@@ -0,0 +1,119 @@
+package allow
+
+import "time"
+
+const (
+	// Step is the resolution at which a bucket remembers when units were charged.
+	Step = 250 * time.Millisecond
+	// stepCount is the number of steps that a bucket remembers. They cover a request that waits for
+	// its refusal and a report that arrives late.
+	stepCount = 40
+)
+
+type (
+	// bucket is a token bucket that remembers its recent steps. Units that turn out later to have
+	// been used, or not to have been used, are corrected in the step in which they were charged, and
+	// the balance becomes what it would have been with the right charge. A correction of the balance
+	// alone would be wrong: a bucket that has refilled since would hold the units of the refill and
+	// those that come back.
+	bucket struct {
+		rate      float64 // Units per second.
+		burst     float64 // Maximum balance: this share of fullBurst.
+		fullBurst float64 // Burst of all shares together.
+		initial   float64 // Balance of an account whose usage is unknown.
+		toppedUp  float64 // Part of initial that TopUpGrowth has added already.
+
+		startedAt  time.Time // Start of step zero.
+		refilledAt time.Time
+		head       int64           // Number of the current step.
+		base       float64         // Balance before the oldest step.
+		before     float64         // Balance before the current step.
+		steps      [stepCount]step // Ring, by the step's number.
+	}
+
+	step struct {
+		refill float64
+		burst  float64
+		used   float64 // May be negative where a balance was raised.
+	}
+)
+
+// newBucket returns a bucket without a balance.
+func newBucket(now time.Time, rate, burst, fullBurst float64) *bucket {
+	b := &bucket{rate: rate, burst: burst, fullBurst: fullBurst}
+	b.restart(now, 0)
+	return b
+}
+
+// restart forgets all steps and begins one with a balance.
+func (b *bucket) restart(now time.Time, balance float64) {
+	for i := range b.steps {
+		b.steps[i] = step{burst: b.burst}
+	}
+	b.base, b.before, b.head, b.refilledAt = balance, balance, stepCount-1, now
+	b.startedAt = now.Add(-(stepCount - 1) * Step)
+}
+
+// after returns the balance after a step that begins with a balance.
+func (s *step) after(balance float64) float64 {
+	return min(min(balance+s.refill, s.burst)-s.used, s.burst)
+}
+
+func (b *bucket) current() *step { return &b.steps[b.head%stepCount] }
+
+// balance returns the units that may be used at once. It is negative if more were used.
+func (b *bucket) balance() float64 { return b.current().after(b.before) }
+
+// setBalance sets the balance, at most to the burst.
+func (b *bucket) setBalance(to float64) {
+	s := b.current()
+	s.used = min(b.before+s.refill, s.burst) - min(to, s.burst)
+}
+
+// setLimits changes the limits and keeps the balance, as far as the burst allows.
+func (b *bucket) setLimits(now time.Time, rate, burst, fullBurst float64) {
+	b.refill(now)
+	balance := b.balance()
+	b.rate, b.burst, b.fullBurst = rate, burst, fullBurst
+	b.current().burst = burst
+	b.setBalance(balance)
+}
+
+// refill adds the units that have become available since the last call.
+func (b *bucket) refill(now time.Time) {
+	if idle := now.Sub(b.refilledAt); idle > stepCount*Step {
+		b.restart(now, min(b.balance()+b.rate*idle.Seconds(), b.burst))
+		return
+	}
+	for b.refilledAt.Before(now) {
+		end := b.startedAt.Add(time.Duration(b.head+1) * Step)
+		to := end
+		if now.Before(end) {
+			to = now
+		}
+		b.current().refill += b.rate * to.Sub(b.refilledAt).Seconds()
+		b.refilledAt = to
+		b.setBalance(b.balance()) // What exceeds the burst is lost, also if the balance was raised before.
+		if to.Equal(end) {
+			b.before = b.balance()
+			b.head++
+			oldest := b.current()
+			b.base = oldest.after(b.base)
+			*oldest = step{burst: b.burst}
+		}
+	}
+}
+
+// charge counts units as used at a time. What lies before the oldest step counts there.
+func (b *bucket) charge(at time.Time, units float64) {
+	first := b.head - stepCount + 1
+	n := min(max(int64(at.Sub(b.startedAt)/Step), first), b.head)
+	b.steps[n%stepCount].used += units
+	if n == b.head {
+		return
+	}
+	b.before = b.base
+	for n = first; n < b.head; n++ {
+		b.before = b.steps[n%stepCount].after(b.before)
+	}
+}
--- a/core/allow/window_test.go
+++ b/core/allow/window_test.go
@@ -89,7 +89,7 @@
 					return false
 				}
 				if w.refused {
-					a.Charge(now, "a", -w.units)
+					a.Return(now, w.at, "a", w.units)
 				} else {
 					list = append(list, w.admission)
 				}
--- a/io/hub/scheduler.go
+++ b/io/hub/scheduler.go
@@ -183,7 +183,7 @@
 	t.Version = s.rollouts.version(t)
 	s.sched.SubmitAsync(ctx, t, func(d *wire.Decision) {
 		if refusal := d.GetRefusal(); refusal != nil {
-			s.refund(t)
+			s.refund(t, start)
 			s.recordRefusal(t, refusal, start, version)
 		} else {
 			s.recordGrant(t, d.GetGrant(), start)
@@ -202,12 +202,12 @@
 	}
 }
 
-// refund returns the units that a refused ticket was charged.
-func (s *scheduler) refund(t *wire.Ticket) {
+// refund returns the units that a refused ticket was charged when it was submitted.
+func (s *scheduler) refund(t *wire.Ticket, submittedAt time.Time) {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.allow.Charge(now, t.GetAccount(), -t.GetUnits())
+	s.allow.Return(now, submittedAt, t.GetAccount(), t.GetUnits())
 	s.rates.add(now, t.GetIncarnation(), t.GetAccount(), -t.GetUnits())
 	s.ledger.Add(t.GetAccount(), unitsReturned, t.GetUnits())
 }
