A limit that goes up and down adds no tokens

Cause: each raise of a burst added the difference to the balance, and each lowering took only what was above the lower burst. An account that had used everything got the difference again with each change: 5,600 units for 910 with a change every 50 ms.

Change: a raise adds only what exceeds the highest burst of the last 10 s, which the bucket remembers in its steps. So an account gets a difference once in a window.

A raise to a burst that was not in force lately adds the difference as before.

--- a/core/allow/allow.go
+++ b/core/allow/allow.go
@@ -88,9 +88,7 @@
 		b := old[name]
 		switch {
 		case b != nil:
-			more := max(fullBurst-b.fullBurst, 0) * fraction
 			b.setLimits(now, rate, burst, fullBurst)
-			b.setBalance(b.balance() + more)
 		case a.StartFull:
 			b = newBucket(now, rate, burst, fullBurst)
 			b.setBalance(burst)
--- a/core/allow/bucket.go
+++ b/core/allow/bucket.go
@@ -32,9 +32,10 @@
 	}
 
 	step struct {
-		refill float64
-		burst  float64
-		used   float64 // May be negative where a balance was raised.
+		refill    float64
+		burst     float64
+		fullBurst float64
+		used      float64 // May be negative where a balance was raised.
 	}
 )
 
@@ -48,7 +49,7 @@
 // restart forgets all steps and begins one with a balance.
 func (b *bucket) restart(now time.Time, balance float64) {
 	for i := range b.steps {
-		b.steps[i] = step{burst: b.burst}
+		b.steps[i] = step{burst: b.burst, fullBurst: b.fullBurst}
 	}
 	b.base, b.before, b.head, b.refilledAt = balance, balance, stepCount-1, now
 	b.startedAt = now.Add(-(stepCount - 1) * Step)
@@ -70,12 +71,22 @@
 	s.used = min(b.before+s.refill, s.burst) - min(to, s.burst)
 }
 
-// setLimits changes the limits and keeps the balance, as far as the burst allows.
+// setLimits changes the limits and keeps the balance, as far as the burst allows. A full burst that is
+// higher than any that is remembered adds the difference, in proportion to the share. One that is only
+// higher than the last adds nothing: the account has had the difference before, and a limit that goes
+// up and down would add it again and again.
 func (b *bucket) setLimits(now time.Time, rate, burst, fullBurst float64) {
 	b.refill(now)
-	balance := b.balance()
+	balance, highest := b.balance(), b.fullBurst
+	for i := range b.steps {
+		highest = max(highest, b.steps[i].fullBurst)
+	}
+	if more := fullBurst - highest; more > 0 {
+		balance += more * burst / fullBurst
+	}
 	b.rate, b.burst, b.fullBurst = rate, burst, fullBurst
-	b.current().burst = burst
+	s := b.current()
+	s.burst, s.fullBurst = burst, max(s.fullBurst, fullBurst)
 	b.setBalance(balance)
 }
 
@@ -99,7 +110,7 @@
 			b.head++
 			oldest := b.current()
 			b.base = oldest.after(b.base)
-			*oldest = step{burst: b.burst}
+			*oldest = step{burst: b.burst, fullBurst: b.fullBurst}
 		}
 	}
 }
