Usage without a scheduler is reported, and charged when it happened

Cause: what an entry admits without a scheduler was never reported, so that the scheduler admitted the whole rate beside it unless the entry was silent for 2.8 s. What entries reported of plain requests was one frame without an acknowledgement, was dropped by a replica that had stopped scheduling, and came as one lump: cut at a burst of debt, and charged to accounts below their rate whose refill had been cut before.

Change: entries report all that no scheduler saw, with its age (core/aged); a report is acknowledged or sent again, also at the end of a drain; the scheduler charges it in the steps in which it was used, less what it had reserved for the entry then. What an entry used before the scheduler counted it stays covered as before.

TestQuotaShareWithoutScheduler expected that usage without a scheduler is not reported; it now expects all of it, to the unit.

--- a/core/allow/allow.go
+++ b/core/allow/allow.go
@@ -176,6 +176,18 @@
 	b.setBalance(max(b.balance()-float64(units), -b.burst))
 }
 
+// ChargeAt counts units that were used at a time in the past, of which the limiter learns only now. The
+// balance becomes what it would be if they had been charged then, so that an account that stayed below
+// its rate has nothing to pay.
+func (a *Limiter) ChargeAt(now, usedAt time.Time, account string, units int64) {
+	b := a.buckets[account]
+	if b == nil {
+		return
+	}
+	b.refill(now)
+	b.charge(usedAt, float64(units))
+}
+
 // Return gives back units that were charged at a time and not used. The balance becomes what it would
 // have been without the charge.
 func (a *Limiter) Return(now, chargedAt time.Time, account string, units int64) {
--- a/core/allow/bucket.go
+++ b/core/allow/bucket.go
@@ -8,6 +8,8 @@
 	// stepCount is the number of steps that a bucket remembers. They cover a request that waits for
 	// its refusal and a report that arrives late.
 	stepCount = 40
+	// Memory is how long a bucket remembers when units were charged.
+	Memory = stepCount * Step
 )
 
 type (
@@ -92,7 +94,7 @@
 
 // refill adds the units that have become available since the last call.
 func (b *bucket) refill(now time.Time) {
-	if idle := now.Sub(b.refilledAt); idle > stepCount*Step {
+	if idle := now.Sub(b.refilledAt); idle > Memory {
 		b.restart(now, min(b.balance()+b.rate*idle.Seconds(), b.burst))
 		return
 	}
--- a/core/allow/window_test.go
+++ b/core/allow/window_test.go
@@ -13,7 +13,7 @@
 const (
 	window      = 8 * time.Second
 	requestSize = 10 // Units.
-	reportStep  = 250 * time.Millisecond
+	reportStep  = Step
 )
 
 // admission is a request that was admitted and not returned.
@@ -133,7 +133,7 @@
 				now := start.Add(time.Duration(i) * step)
 				if now.Sub(start) == away {
 					for at := start; at.Before(now); at = at.Add(reportStep) {
-						a.Charge(now, "a", int64(tc.other*reportStep.Seconds()))
+						a.ChargeAt(now, at, "a", int64(tc.other*reportStep.Seconds()))
 					}
 				}
 				if float64(i)*step.Seconds()*tc.own < ownUnits {
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -18,6 +18,7 @@
 
 	"github.com/go-logr/logr"
 
+	"azurelane/core/aged"
 	"azurelane/core/budget"
 	"azurelane/core/ledger"
 	"azurelane/core/meta"
@@ -63,7 +64,7 @@
 		mu              sync.Mutex // Guards the fields below.
 		peers           peers.Peers
 		budgets         map[string]*budget.Budget // By pool.
-		unreportedUsage map[string]int64          // Units by account that have not been reported yet.
+		unreportedUsage map[string]*aged.Aged     // Units by account that no scheduler has seen.
 		localQuota      localQuota
 		ledger          ledger.Ledger // Units of sent and refused requests since the last log line.
 		ledgerLoggedAt  time.Time
--- a/io/gate/place.go
+++ b/io/gate/place.go
@@ -283,19 +283,3 @@
 	b := g.budgets[pool]
 	return b != nil && b.TakeRetry()
 }
-
-// TakeUsage returns the usage since the last call that no scheduler has seen, or nil if there was
-// none.
-func (g *Gate) TakeUsage() *wire.Usage {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if len(g.unreportedUsage) == 0 {
-		return nil
-	}
-	u := &wire.Usage{Incarnation: g.Incarnation}
-	for a, n := range g.unreportedUsage {
-		u.Accounts = append(u.Accounts, &wire.AccountUsage{Account: a, Units: n})
-	}
-	g.unreportedUsage = nil
-	return u
-}
--- a/io/gate/place_test.go
+++ b/io/gate/place_test.go
@@ -88,8 +88,8 @@
 	must.Between(t, 1, u.count(), 8)
 	s.view.Owner = &wire.Member{Incarnation: "owner"}
 	must.Eq(t, http.StatusOK, s.do("POST", "/once/x").status)
-	must.Eq(t, 200, s.TakeUsage().GetAccounts()[0].GetUnits())
-	must.Nil(t, s.TakeUsage())
+	must.Eq(t, 200*int64(u.count()), reportedUnits(t, s.Gate), must.Sprint("those sent without a scheduler, too"))
+	must.Eq(t, 0, reportedUnits(t, s.Gate))
 }
 
 // Guards against a burst from every entry when the scheduler is lost. The account has used up its
--- a/io/gate/quota.go
+++ b/io/gate/quota.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"azurelane/core/acct"
+	"azurelane/core/aged"
 	"azurelane/core/allow"
 	"azurelane/core/index"
 	"azurelane/core/usage"
@@ -29,8 +30,8 @@
 )
 
 // chargeAccount charges a request to its account. It reports whether the request may proceed and,
-// if not, when to retry. While a scheduler is known, the scheduler decides, and requests that it
-// has not seen are reported to it later. Without a scheduler each entry enforces its own share. The
+// if not, when to retry. While a scheduler is known, the scheduler decides. Without a scheduler each
+// entry enforces its own share. Requests that no scheduler has seen are reported to the next one. The
 // local bucket is charged in both cases: otherwise an account at its limit would get a burst from
 // every entry when the scheduler is lost. g.mu must be held.
 func (g *Gate) chargeAccount(now time.Time, q *request, seenByScheduler bool) (time.Duration, bool) {
@@ -44,20 +45,62 @@
 		wait, ok := a.buckets.Take(now, q.account, q.units())
 		if ok {
 			a.used.Add(now, q.account, q.units())
+			g.addUnreported(now, q)
 		}
 		return wait, ok
 	}
 	a.buckets.Charge(now, q.account, q.units())
 	a.used.Add(now, q.account, q.units())
 	if !seenByScheduler {
-		if g.unreportedUsage == nil {
-			g.unreportedUsage = map[string]int64{}
-		}
-		g.unreportedUsage[q.account] += q.units()
+		g.addUnreported(now, q)
 	}
 	return 0, true
 }
 
+// addUnreported adds the units of a request to the next report. g.mu must be held.
+func (g *Gate) addUnreported(now time.Time, q *request) {
+	if g.unreportedUsage == nil {
+		g.unreportedUsage = map[string]*aged.Aged{}
+	}
+	if g.unreportedUsage[q.account] == nil {
+		g.unreportedUsage[q.account] = &aged.Aged{}
+	}
+	g.unreportedUsage[q.account].Add(now, q.units())
+}
+
+// ReportUsage passes the usage that no scheduler has seen to report, with the times of the usage. If
+// report returns an error, the usage is reported again with the next call.
+func (g *Gate) ReportUsage(report func(*wire.Usage) error) error {
+	now := time.Now()
+	g.mu.Lock()
+	taken := g.unreportedUsage
+	g.unreportedUsage = nil
+	g.mu.Unlock()
+	u := &wire.Usage{Incarnation: g.Incarnation}
+	for account, units := range taken {
+		if total := units.Total(now); total > 0 {
+			u.Accounts = append(u.Accounts, &wire.AccountUsage{Account: account, Units: total, ByAge: units.ByAge(now)})
+		}
+	}
+	if len(u.GetAccounts()) == 0 {
+		return nil
+	}
+	err := report(u)
+	if err == nil {
+		return nil
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for account, units := range g.unreportedUsage {
+		if old := taken[account]; old != nil {
+			units.Merge(old)
+		}
+		taken[account] = units
+	}
+	g.unreportedUsage = taken
+	return err
+}
+
 // updateShares recomputes the shares if the configuration, the number of entries or the presence of
 // a scheduler has changed. If the scheduler was just lost, it also tops up accounts that are below
 // their rate, at most once per topUpInterval.
--- a/io/gate/quota_test.go
+++ b/io/gate/quota_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/shoenig/test/must"
 
 	"azurelane/core/acct"
@@ -122,3 +123,34 @@
 	s.mu.Unlock()
 	must.Eq(t, http.StatusOK, s.do("POST", "/once/x").status)
 }
+
+// reportedUnits returns the units of the next report.
+func reportedUnits(t *testing.T, g *Gate) int64 {
+	t.Helper()
+	units := int64(0)
+	must.NoError(t, g.ReportUsage(func(u *wire.Usage) error {
+		for _, a := range u.GetAccounts() {
+			units += a.GetUnits()
+		}
+		return nil
+	}))
+	return units
+}
+
+// Guards against usage that is forgotten because the scheduler did not take the report.
+func TestFailedReportIsRepeated(t *testing.T) {
+	s := newTestGate(t, newUpstream(t, respondText("ok")))
+	cfg := *s.view.Index.Config()
+	a := cfg.Accounts["radio"]
+	a.Rate, a.Burst = 20000, 20000
+	cfg.Accounts = map[string]acct.Account{"radio": a}
+	s.view.Index, s.view.Owner = index.New(&cfg), &wire.Member{Incarnation: "owner"}
+	must.Eq(t, http.StatusOK, s.do("POST", "/once/x").status)
+	lost := errors.New("lost")
+	must.ErrorIs(t, s.Gate.ReportUsage(func(*wire.Usage) error {
+		must.Eq(t, http.StatusOK, s.do("POST", "/once/x").status)
+		return lost
+	}), lost)
+	must.Eq(t, 400, reportedUnits(t, s.Gate))
+	must.Eq(t, 0, reportedUnits(t, s.Gate))
+}
--- a/io/gated/gated.go
+++ b/io/gated/gated.go
@@ -177,6 +177,7 @@
 	time.Sleep(drainLinger)
 	stopCallers()
 	<-served //nolint:errcheck // The server was stopped above.
+	e.reportUsageOnce(servicesCtx)
 	cancel()
 	<-done //nolint:errcheck // The services were stopped above.
 	e.client.Close()
@@ -196,20 +197,22 @@
 		case <-tick.C:
 		}
 		e.gate.LogAccountUsage(time.Now())
-		owner := e.watch.Owner("")
-		if owner == nil {
-			continue
-		}
-		u := e.gate.TakeUsage()
-		to, err := netip.ParseAddrPort(owner.GetAddress())
-		if u == nil || err != nil {
-			continue
-		}
-		sctx, cancel := context.WithTimeout(ctx, reportInterval)
-		if err := e.mesh.Send(sctx, to, &wire.Frame{Body: &wire.Frame_Usage{Usage: u}}); err != nil {
-			e.log.V(1).Info("Account usage not reported to the scheduler.", "err", err.Error())
-		}
-		cancel()
+		e.reportUsageOnce(ctx)
+	}
+}
+
+// reportUsageOnce sends one usage report. Usage that the scheduler does not acknowledge stays for the
+// next report.
+func (e *Gated) reportUsageOnce(ctx context.Context) {
+	owner := e.watch.Owner("")
+	if owner == nil {
+		return
+	}
+	err := e.gate.ReportUsage(func(u *wire.Usage) error {
+		return e.callScheduler(ctx, owner, &wire.Frame{Body: &wire.Frame_Usage{Usage: u}})
+	})
+	if err != nil {
+		e.log.Info("Account usage not reported to the scheduler; it is reported again.", "err", err.Error())
 	}
 }
 
--- a/io/hub/hub.go
+++ b/io/hub/hub.go
@@ -311,9 +311,7 @@
 			s.sched.Hold(b.Held)
 		}
 	case *wire.Frame_Usage:
-		if s := h.scheduler(); s != nil {
-			s.chargeUsage(b.Usage)
-		}
+		return h.handleUsage(b.Usage)
 	case *wire.Frame_Limits:
 		return nil, h.handleLimits(b.Limits)
 	case *wire.Frame_Crashes, *wire.Frame_Try, *wire.Frame_BanQuery:
@@ -338,6 +336,17 @@
 	return nil, nil //nolint:nilnil // An empty reply is an acknowledgement.
 }
 
+// handleUsage charges usage that an entry reports. A replica that does not schedule refuses it, so that
+// the entry reports it to the next scheduler.
+func (h *Hub) handleUsage(u *wire.Usage) (*wire.Frame, error) {
+	s := h.scheduler()
+	if s == nil {
+		return nil, h.notLeaderFault()
+	}
+	s.chargeUsage(u)
+	return nil, nil //nolint:nilnil // An empty reply is an acknowledgement.
+}
+
 // handleCommand puts a command of an operator or of another replica into the log.
 func (h *Hub) handleCommand(ctx context.Context, f *wire.Frame, c *wire.Command) (*wire.Frame, error) {
 	if c.GetPublish() != nil || c.GetStartRollout() != nil {
--- a/io/hub/rates.go
+++ b/io/hub/rates.go
@@ -37,10 +37,20 @@
 	// silentRates holds the units per second that accounts used at silent entries, by entry
 	// incarnation and account.
 	silentRates map[string]map[string]float64
+	// reservations holds the latest time for which the rates of an entry were reserved, by
+	// incarnation.
+	reservations map[string]reservation
+	countedFrom  map[string]time.Time // From when on reported usage is charged, by entry incarnation.
 	// unseenRatio is the number of entries that never polled this scheduler, per entry that did.
 	unseenRatio float64
 }
 
+// reservation is the time in which a silent entry's rates were reserved.
+type reservation struct {
+	from, until time.Time // until is zero while they are reserved.
+	rates       map[string]float64
+}
+
 // add records units that an account used at an entry.
 func (r *rates) add(now time.Time, incarnation, account string, units int64) {
 	if account == "" {
@@ -66,18 +76,43 @@
 			continue
 		}
 		changed, r.silentRates[inc] = true, map[string]float64{}
+		if r.reservations == nil {
+			r.reservations = map[string]reservation{}
+		}
+		r.reservations[inc] = reservation{from: now, rates: r.silentRates[inc]}
 		for name := range r.accounts {
 			if u := r.usage[inc]; u != nil {
 				r.silentRates[inc][name] = u.Rate(now.Add(-entrySilentAfter), name)
 			}
 		}
 	}
+	for inc, v := range r.reservations {
+		switch {
+		case r.silentRates[inc] != nil:
+		case v.until.IsZero():
+			v.until = now
+			r.reservations[inc] = v
+		case now.Sub(v.until) > allow.Memory:
+			delete(r.reservations, inc)
+		}
+	}
 	return changed || len(old) != len(r.silentRates)
 }
 
+// reservedUnits returns how many units of an account were reserved for an entry in the step that ends
+// at a time.
+func (r *rates) reservedUnits(incarnation, account string, at time.Time) int64 {
+	v, ok := r.reservations[incarnation]
+	if !ok || at.Before(v.from) || (!v.until.IsZero() && at.After(v.until.Add(allow.Step))) {
+		return 0
+	}
+	return int64(allow.ReserveFactor * v.rates[account] * allow.Step.Seconds())
+}
+
 // forget drops the usage of an entry that is gone.
 func (r *rates) forget(incarnation string) {
 	delete(r.usage, incarnation)
+	delete(r.countedFrom, incarnation)
 	for account, units := range r.priorRates[incarnation] {
 		r.priorTotals[account] -= units
 	}
--- a/io/hub/rates_test.go
+++ b/io/hub/rates_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-logr/logr/funcr"
 	"github.com/shoenig/test/must"
 
 	"azurelane/core/acct"
+	"azurelane/core/allow"
 	"azurelane/core/wire"
 )
 
@@ -134,3 +136,62 @@
 		must.StrContains(t, lines[0], tc.want)
 	}
 }
+
+// Guards against an account that gets more than its rate because entries admit its requests while they
+// have lost the scheduler, and against one below its rate that pays twice: for rates that were reserved
+// for a silent entry, and for the usage that the entry reports when it is back.
+func TestUsageWithoutSchedulerIsCharged(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		away  time.Duration
+		used  int64 // Units per step of allow.Step that the entry uses, also while it is away.
+		least float64
+		most  float64 // Units that the account may use at once when the entry is back.
+	}{
+		{"short, more than the rate", time.Second, 500, -500, 0},
+		{"short, below the rate", time.Second, 100, 900, 1100},
+		{"long, with its rates reserved", 6 * time.Second, 100, 600, 1100},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			runHub(t, func(t *testing.T, h *Hub, _ *fakeReplica) {
+				s := h.leaderScheduler()
+				use := func(byAge []int64) {
+					total := int64(0)
+					for _, n := range byAge {
+						total += n
+					}
+					_, err := h.Handle(t.Context(), &wire.Frame{Body: &wire.Frame_Usage{Usage: &wire.Usage{
+						Incarnation: "far", Accounts: []*wire.AccountUsage{{Account: "a", Units: total, ByAge: byAge}},
+					}}})
+					must.NoError(t, err)
+				}
+				for range 40 {
+					pollAs(t, h, "far")
+					use([]int64{min(tc.used, 250)})
+					time.Sleep(allow.Step)
+				}
+				var byAge []int64
+				for range tc.away / allow.Step {
+					time.Sleep(allow.Step)
+					byAge = append(byAge, tc.used)
+				}
+				pollAs(t, h, "far")
+				time.Sleep(sweepInterval)
+				use(byAge)
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				must.Between(t, tc.least, s.allow.Balance(time.Now(), "a"), tc.most)
+			})
+		})
+	}
+}
+
+// Guards against reports that a replica acknowledges and forgets because it does not schedule.
+func TestUsageNeedsAScheduler(t *testing.T) {
+	runHub(t, func(t *testing.T, h *Hub, f *fakeReplica) {
+		f.setLeads(false)
+		synctest.Wait()
+		_, err := h.Handle(t.Context(), &wire.Frame{Body: &wire.Frame_Usage{Usage: &wire.Usage{Incarnation: "far"}}})
+		must.Error(t, err)
+	})
+}
--- a/io/hub/scheduler.go
+++ b/io/hub/scheduler.go
@@ -81,6 +81,7 @@
 	for _, a := range w.GetRates() {
 		estimates[a.GetAccount()] = s.rates.estimatePrior(s.entriesTotal, a.GetAccount())
 	}
+	s.countUsageFrom(now, w.GetIncarnation())
 	isNew := s.rates.addPrior(w.GetIncarnation(), w.GetRates())
 	if s.scope == scopeDeployment {
 		// The accounts of a new leader start with a full burst, because after a restart of the
@@ -107,6 +108,23 @@
 	}
 }
 
+// countUsageFrom notes, at the first poll of an entry, from when on its reported usage is charged. The
+// rates of entries that have never polled are either reserved by their number, or belong to another
+// scheduler's shares. s.mu must be held.
+func (s *scheduler) countUsageFrom(now time.Time, incarnation string) {
+	if _, ok := s.rates.countedFrom[incarnation]; ok {
+		return
+	}
+	from := s.startedAt
+	if s.scope == scopeDataCentre || s.rates.unseenRatio > 0 {
+		from = now
+	}
+	if s.rates.countedFrom == nil {
+		s.rates.countedFrom = map[string]time.Time{}
+	}
+	s.rates.countedFrom[incarnation] = from
+}
+
 // entryCount returns how many entries share the limits, of which entriesHere poll this scheduler.
 // The count includes entries that a scheduler of one data centre does not hear, and entries that
 // have not polled a new leader yet.
@@ -244,13 +262,28 @@
 	s.sched.Release(rel)
 }
 
-// chargeUsage charges accounts for requests that an entry served without tickets.
+// chargeUsage charges accounts for requests that an entry served without tickets, at the times at
+// which it served them. What the entry served before this scheduler counts it, or while the scheduler
+// reserved rates for it, is covered already.
 func (s *scheduler) chargeUsage(u *wire.Usage) {
+	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, a := range u.GetAccounts() {
-		s.allow.Charge(time.Now(), a.GetAccount(), a.GetUnits())
-		s.rates.add(time.Now(), u.GetIncarnation(), a.GetAccount(), a.GetUnits())
+		byAge := a.GetByAge()
+		if len(byAge) == 0 {
+			byAge = []int64{a.GetUnits()}
+		}
+		for age, units := range byAge {
+			at := now.Add(-time.Duration(age) * allow.Step)
+			if at.Before(s.rates.countedFrom[u.GetIncarnation()]) {
+				break
+			}
+			if net := units - s.rates.reservedUnits(u.GetIncarnation(), a.GetAccount(), at); net > 0 {
+				s.allow.ChargeAt(now, at, a.GetAccount(), net)
+			}
+		}
+		s.rates.add(now, u.GetIncarnation(), a.GetAccount(), a.GetUnits())
 		s.ledger.Add(a.GetAccount(), unitsReported, a.GetUnits())
 	}
 }
