--- a/io/hub/rates_test.go
+++ b/io/hub/rates_test.go
@@ -146,11 +146,11 @@
 		away  time.Duration
 		used  int64 // Units per step of allow.Step that the entry uses, also while it is away.
 		least float64
-		most  float64 // Units that the account may use at once when the entry is back.
+		most  float64 // Units that the account may use at once, a second after the entry is back.
 	}{
-		{"short, more than the rate", time.Second, 500, -500, 0},
+		{"short, more than the rate", 2 * time.Second, 750, -2500, -1000},
 		{"short, below the rate", time.Second, 100, 900, 1100},
-		{"long, with its rates reserved", 6 * time.Second, 100, 600, 1100},
+		{"long, with its rates reserved", 6 * time.Second, 200, 900, 1100},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			runHub(t, func(t *testing.T, h *Hub, _ *fakeReplica) {
@@ -178,6 +178,7 @@
 				pollAs(t, h, "far")
 				time.Sleep(sweepInterval)
 				use(byAge)
+				time.Sleep(time.Second) // A share that was reserved grows back at the rate.
 				s.mu.Lock()
 				defer s.mu.Unlock()
 				must.Between(t, tc.least, s.allow.Balance(time.Now(), "a"), tc.most)
