Plain requests are held to their account's rate

Cause: an entry places plain requests itself, and while it knows a scheduler it only reported them afterwards. The report lowers what engines may get, but nothing ever refused a plain request: an account that asks for plain requests alone had no limit.

Change: between two reports an entry places what a quarter of the slack allows, shared by all entries, or one request. Beyond that it has the scheduler charge the request first, and the scheduler refuses it once the account is a quarter of the slack below zero. Tickets need a balance above zero, so plain requests, with their short objectives, still go first. A scheduler that does not answer within 50 ms delays no more than that: the request is placed and reported.

--- a/core/allow/allow.go
+++ b/core/allow/allow.go
@@ -142,12 +142,17 @@
 // large requests. An account without tokens is charged nothing, and Take returns how long it should
 // wait before the next try.
 func (a *Limiter) Take(now time.Time, account string, units int64) (time.Duration, bool) {
+	return a.TakeWithDebt(now, account, units, 0)
+}
+
+// TakeWithDebt is Take for an account that may have used up to debt units more than it has.
+func (a *Limiter) TakeWithDebt(now time.Time, account string, units int64, debt float64) (time.Duration, bool) {
 	b := a.buckets[account]
 	if b == nil {
 		return 0, true
 	}
 	b.refill(now)
-	balance := b.balance()
+	balance := b.balance() + debt
 	if balance > 0 {
 		b.charge(now, float64(units))
 		return 0, true
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -41,6 +41,7 @@
 		Sender      sender
 		Prober      prober
 		Trier       trier
+		Charger     charger
 		Dialect     dialect
 		RetryRatio  float64 // Retries allowed, as a fraction of requests.
 		RetrySlack  float64 // Retries allowed beyond RetryRatio in each pool, over all entries.
@@ -84,6 +85,12 @@
 		Release(r *wire.Release)
 	}
 
+	// charger asks the scheduler to charge usage before it happens. The error is a *refuse.Error if
+	// an account's rate does not allow it.
+	charger interface {
+		Charge(ctx context.Context, u *wire.Usage) error
+	}
+
 	// sender performs one round trip. The bool reports whether any byte may have been sent; see
 	// client.Client.
 	sender interface {
--- a/io/gate/harness_test.go
+++ b/io/gate/harness_test.go
@@ -26,6 +26,7 @@
 	"azurelane/core/meta"
 	"azurelane/core/peers"
 	"azurelane/core/pool"
+	"azurelane/core/refuse"
 	"azurelane/core/route"
 	"azurelane/core/wire"
 	"azurelane/io/client"
@@ -95,6 +96,9 @@
 	granter  granter
 	replaced []string
 
+	refuseCharge bool
+	chargedUnits int64
+
 	configured chan struct{}
 	srv        *httptest.Server
 }
@@ -108,6 +112,19 @@
 
 func (s *testGate) Configured() <-chan struct{} { return s.configured }
 
+// Charge counts the usage that the scheduler is asked for, and allows it unless refuseCharge is set.
+func (s *testGate) Charge(_ context.Context, u *wire.Usage) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.refuseCharge {
+		return refuse.New(refuse.AccountLimit, "", time.Second)
+	}
+	for _, a := range u.GetAccounts() {
+		s.chargedUnits += a.GetUnits()
+	}
+	return nil
+}
+
 func (s *testGate) Doubt(context.Context) {}
 
 func (s *testGate) Replaced(id string) {
@@ -248,7 +265,8 @@
 		})
 	}
 	s.Gate = &Gate{
-		Node: "e", Incarnation: "i", DataCentre: "z0", Cluster: s, Granter: s, Sender: &client.Client{Echo: idHeader}, Prober: &client.Client{}, Dialect: testDialect{},
+		Charger: s,
+		Node:    "e", Incarnation: "i", DataCentre: "z0", Cluster: s, Granter: s, Sender: &client.Client{Echo: idHeader}, Prober: &client.Client{}, Dialect: testDialect{},
 		RetryRatio: 1, RetrySlack: 100, Log: logr.Discard(),
 	}
 	s.srv = httptest.NewServer(s.Gate)
--- a/io/gate/place.go
+++ b/io/gate/place.go
@@ -74,7 +74,7 @@
 				continue
 			}
 		}
-		p, err := q.placeLocally(ctx, pool.Slots)
+		p, err := q.chargeAndPlace(ctx, pool.Slots)
 		if err == nil || pool.Slots == 0 {
 			return p, err
 		}
@@ -162,6 +162,14 @@
 	return &placement{request: q, ticket: t, grant: g, upstream: &wire.Upstream{Id: g.GetUpstream(), Address: g.GetAddress(), Version: g.GetVersion()}}, nil
 }
 
+// chargeAndPlace charges the request, where the scheduler has to be asked, and picks an upstream.
+func (q *request) chargeAndPlace(ctx context.Context, slots int64) (*placement, error) {
+	if err := q.chargePlain(ctx, slots); err != nil {
+		return nil, err
+	}
+	return q.placeLocally(ctx, slots)
+}
+
 // placeLocally picks the best upstream by this entry's own observations.
 func (q *request) placeLocally(ctx context.Context, slots int64) (*placement, error) {
 	if ctx.Err() != nil {
@@ -193,7 +201,7 @@
 	}
 	// Charge the account only once an upstream was found: otherwise a request that polls repeatedly
 	// would use up the account's rate by itself.
-	if wait, ok := g.chargeAccount(now, q, false); !ok {
+	if wait, ok := g.chargeAccount(now, q, q.charged); !ok {
 		return nil, refuse.New(refuse.AccountLimit, "", wait)
 	}
 	g.peers.Begin(now, u.GetId())
--- a/io/gate/quota.go
+++ b/io/gate/quota.go
@@ -1,12 +1,16 @@
 package gate
 
 import (
+	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"azurelane/core/acct"
 	"azurelane/core/aged"
 	"azurelane/core/allow"
 	"azurelane/core/index"
+	"azurelane/core/refuse"
 	"azurelane/core/usage"
 	"azurelane/core/wire"
 )
@@ -27,8 +31,49 @@
 	// tests measure rates (rateWindow in package hub), so that such a window contains at most one
 	// top-up.
 	topUpInterval = 10 * time.Second
+	// unreportedFraction is the fraction of the slack of rates that all entries together may use
+	// between two reports.
+	unreportedFraction = 0.25
+	// chargeTimeout is how long the scheduler may take to charge a plain request. It is a part of the
+	// usual objectives of such requests.
+	chargeTimeout = 50 * time.Millisecond
 )
 
+// chargePlain has the scheduler charge a request that this entry places itself, if the account has
+// used much here since the last report. Reports alone can't hold an account to its rate, since they
+// come after the requests. It returns a refusal if the account's rate does not allow the request.
+func (q *request) chargePlain(ctx context.Context, slots int64) error {
+	g := q.gate
+	if slots > 0 || q.sends > 0 || q.charged || q.account == "" || q.accountConfig.Rate <= 0 || q.view.Owner == nil || !g.usedMuch(time.Now(), q) {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, chargeTimeout)
+	defer cancel()
+	err := g.Charger.Charge(ctx, &wire.Usage{Incarnation: g.Incarnation, Ask: true, Accounts: []*wire.AccountUsage{{Account: q.account, Units: q.units()}}})
+	var refusal *refuse.Error
+	switch {
+	case err == nil:
+		q.charged = true
+	case errors.As(err, &refusal):
+		return refusal
+	default:
+		g.Log.V(1).Info("Plain request not charged by the scheduler; it is reported later.", "account", q.account, "err", err.Error())
+	}
+	return nil
+}
+
+// usedMuch reports whether a request would exceed the units of its account that may be unreported here.
+// The first request after a report never does.
+func (g *Gate) usedMuch(now time.Time, q *request) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	unreported := g.unreportedUsage[q.account]
+	if unreported == nil {
+		return false
+	}
+	return float64(unreported.Total(now)+q.units()) > unreportedFraction*g.QuotaSlack/float64(max(q.view.Entries, 1))
+}
+
 // chargeAccount charges a request to its account. It reports whether the request may proceed and,
 // if not, when to retry. While a scheduler is known, the scheduler decides. Without a scheduler each
 // entry enforces its own share. Requests that no scheduler has seen are reported to the next one. The
--- a/io/gate/quota_test.go
+++ b/io/gate/quota_test.go
@@ -154,3 +154,29 @@
 	must.Eq(t, 400, reportedUnits(t, s.Gate))
 	must.Eq(t, 0, reportedUnits(t, s.Gate))
 }
+
+// Guards against plain requests that no rate holds back. An entry places them itself and only reported
+// them, so that an account that asks for nothing else had no limit. What is placed between two reports
+// without asking is bounded, and an account with little use is never delayed by a question.
+func TestPlainRequestsAskTheScheduler(t *testing.T) {
+	u := newUpstream(t, respondText("ok"))
+	s := newTestGate(t, u)
+	s.QuotaSlack = 4 * 5 * 200 // A quarter of it is five requests of 200 units.
+	cfg := *s.view.Index.Config()
+	a := cfg.Accounts["radio"]
+	a.Rate, a.Burst = 20000, 20000
+	cfg.Accounts = map[string]acct.Account{"radio": a}
+	s.view.Index, s.view.Owner, s.view.Entries = index.New(&cfg), &wire.Member{Incarnation: "owner"}, 1
+	s.refuseCharge = true
+	for range 5 {
+		must.Eq(t, http.StatusOK, s.do("POST", "/once/x").status)
+	}
+	must.Eq(t, http.StatusTooManyRequests, s.do("POST", "/once/x").status)
+	must.Eq(t, 1000, reportedUnits(t, s.Gate))
+	s.refuseCharge = false
+	for range 7 {
+		must.Eq(t, http.StatusOK, s.do("POST", "/once/x").status)
+	}
+	must.Eq(t, 400, s.chargedUnits)
+	must.Eq(t, 1000, reportedUnits(t, s.Gate), must.Sprint("what was charged is not reported again"))
+}
--- a/io/gate/request.go
+++ b/io/gate/request.go
@@ -38,6 +38,7 @@
 
 		avoid           []string // Upstreams that already failed the request.
 		sends           int
+		charged         bool   // The scheduler has charged it, although this entry places it.
 		runs            int    // Sends that an upstream may have run.
 		headerSent      bool   // The header of the response has been written.
 		lastEventID     string // ID of the last event written to the caller.
--- a/io/gated/gated.go
+++ b/io/gated/gated.go
@@ -16,6 +16,7 @@
 
 	"azurelane/core/conf"
 	"azurelane/core/digest"
+	"azurelane/core/refuse"
 	"azurelane/core/wire"
 	"azurelane/io/admin"
 	"azurelane/io/client"
@@ -98,7 +99,7 @@
 	e.watch.Crashes, e.watch.OnBans = g.KnownCrashes, g.SetBans
 	e.watch.Limits, e.watch.OnLimits, e.watch.OnSplits = g.KnownLimits, g.SetLimits, g.SetSplits
 	g.Node, g.Incarnation, g.DataCentre = settings.Node, incarnation, settings.Centre
-	g.Cluster, g.Granter, g.Sender, g.Prober, g.Trier, g.Stats, g.Log = e.watch, e.grant, e.client, e.client, e, metrics, e.log
+	g.Cluster, g.Granter, g.Sender, g.Prober, g.Trier, g.Charger, g.Stats, g.Log = e.watch, e.grant, e.client, e.client, e, e, metrics, e.log
 	metrics.Pull("configuration-version", func() int64 { return int64(e.watch.View().Version) }) //nolint:gosec // Versions are small.
 	metrics.Pull("configuration-age-ms", func() int64 { return time.Since(e.watch.View().LastHeard).Milliseconds() })
 	metrics.Pull("scheduler-known", func() int64 {
@@ -280,6 +281,18 @@
 	return e.callScheduler(ctx, e.watch.Owner(""), &wire.Frame{Body: &wire.Frame_Try{Try: &wire.Try{Digest: d[:]}}})
 }
 
+// Charge asks the scheduler to charge usage before it happens.
+func (e *Gated) Charge(ctx context.Context, u *wire.Usage) error {
+	reply, err := e.askScheduler(ctx, e.watch.Owner(""), &wire.Frame{Body: &wire.Frame_Usage{Usage: u}})
+	if err != nil {
+		return err
+	}
+	if r := reply.GetDecision().GetRefusal(); r != nil {
+		return refuse.New(r.GetCode(), "", time.Duration(r.GetRetryAfterUs())*time.Microsecond)
+	}
+	return nil
+}
+
 func (e *Gated) callScheduler(ctx context.Context, owner *wire.Member, f *wire.Frame) error {
 	_, err := e.askScheduler(ctx, owner, f)
 	return err
--- a/io/hub/hub.go
+++ b/io/hub/hub.go
@@ -90,7 +90,11 @@
 	// scheduler uses. The rest is left for entries that place requests by themselves while they
 	// are cut off.
 	schedulerOverageShare = 0.25
-	sweepInterval         = 200 * time.Millisecond // Between two checks for silent upstreams and entries.
+	// plainDebtFraction is the fraction of QuotaSlack by which requests that entries place themselves
+	// may exceed an account's balance. They have a short objective, and tickets, which need a balance
+	// above zero, give way to them.
+	plainDebtFraction = 0.25
+	sweepInterval     = 200 * time.Millisecond // Between two checks for silent upstreams and entries.
 	// leaseIntervals is how many reports in a row an upstream may miss before its lease ends.
 	// Single reports get lost, and over a bad link they arrive seconds late.
 	leaseIntervals = 3
@@ -225,7 +229,9 @@
 	h.watchers.forget(time.Now())
 	s := &scheduler{id: uuid.NewString()[:8], startedAt: time.Now(), scope: sc, stats: h.Stats, log: h.Log, refusalLog: &h.RefusalLog}
 	s.allow = allow.Limiter{Overage: schedulerOverageShare * h.Overage, Slack: schedulerOverageShare * h.QuotaSlack, StartFull: true}
+	s.plainDebt = plainDebtFraction * h.QuotaSlack
 	if sc == scopeDataCentre {
+		s.plainDebt = 0
 		s.allow.Slack, s.allow.StartFull = allow.SlackFraction*h.QuotaSlack, false
 	}
 	s.sched = &sched.Sched{Incarnation: s.id, Log: h.Log.WithName("sched")}
@@ -343,6 +349,9 @@
 	if s == nil {
 		return nil, h.notLeaderFault()
 	}
+	if u.GetAsk() {
+		return &wire.Frame{Body: &wire.Frame_Decision{Decision: s.admitUsage(u)}}, nil
+	}
 	s.chargeUsage(u)
 	return nil, nil //nolint:nilnil // An empty reply is an acknowledgement.
 }
--- a/io/hub/scheduler.go
+++ b/io/hub/scheduler.go
@@ -35,6 +35,7 @@
 	mu        sync.Mutex
 	allow     allow.Limiter
 	rates     rates
+	plainDebt float64 // Units that requests without tickets may exceed a balance by.
 	version   uint64
 	startedAt time.Time
 	// entriesHere is the number of entries in this data centre, for a scheduler of one data
@@ -108,6 +109,25 @@
 	}
 }
 
+// admitUsage charges an account for a request that an entry is about to place itself, if the account's
+// rate allows it.
+func (s *scheduler) admitUsage(u *wire.Usage) *wire.Decision {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, a := range u.GetAccounts() {
+		wait, ok := s.allow.TakeWithDebt(now, a.GetAccount(), a.GetUnits(), s.plainDebt)
+		if !ok {
+			s.ledger.Add(a.GetAccount(), unitsRefused, a.GetUnits())
+			s.stats.Count("plain-requests-refused", 1)
+			return refuse.Ticket(&wire.Ticket{Incarnation: u.GetIncarnation()}, refuse.AccountLimit, wait)
+		}
+		s.rates.add(now, u.GetIncarnation(), a.GetAccount(), a.GetUnits())
+		s.ledger.Add(a.GetAccount(), unitsReported, a.GetUnits())
+	}
+	return &wire.Decision{}
+}
+
 // countUsageFrom notes, at the first poll of an entry, from when on its reported usage is charged. The
 // rates of entries that have never polled are either reserved by their number, or belong to another
 // scheduler's shares. s.mu must be held.
