A new scheduler counts what entries admitted before it

Cause: a new scheduler starts its accounts with a full burst less a decaying mean of what entries used, which lags behind an account that has just begun to ask for more. What an entry had admitted before it started again was known to nobody. A replica that lost the leadership and won it again got no report at all, because its entries had not lost it.

Change: entries report their recent units by age and for how long they have been running; the new scheduler charges them in the steps in which they were used, scaled for entries that have not reported or were not running in a step, and corrects the scale with each report. Entries report to any scheduler that has not had their report. The mean stays for entries that report no ages.

--- a/core/allow/allow.go
+++ b/core/allow/allow.go
@@ -90,8 +90,7 @@
 		case b != nil:
 			b.setLimits(now, rate, burst, fullBurst)
 		case a.StartFull:
-			b = newBucket(now, rate, burst, fullBurst)
-			b.setBalance(burst)
+			b = newFullBucket(now, rate, burst, fullBurst)
 		default:
 			b = newBucket(now, rate, burst, fullBurst)
 			b.setBalance(burst * InitialFraction)
@@ -137,6 +136,17 @@
 	b.setBalance(max(balance-b.burst*rate/b.rate, min(balance, b.burst*InitialFraction)))
 }
 
+// ChargePast charges an account for its usage in the steps before a time at which this limiter began to
+// count. The units are listed by step, latest first, and replace those of an earlier call.
+func (a *Limiter) ChargePast(now, before time.Time, account string, units []float64) {
+	b := a.buckets[account]
+	if b == nil {
+		return
+	}
+	b.refill(now)
+	b.chargePast(before, units)
+}
+
 // Take charges units to an account that has any tokens, even if they are fewer than units. If a
 // request had to wait for all of its units, an account with a small share could never send its
 // large requests. An account without tokens is charged nothing, and Take returns how long it should
--- a/core/allow/bucket.go
+++ b/core/allow/bucket.go
@@ -31,6 +31,7 @@
 		base       float64         // Balance before the oldest step.
 		before     float64         // Balance before the current step.
 		steps      [stepCount]step // Ring, by the step's number.
+		past       []float64       // Charged by chargePast.
 	}
 
 	step struct {
@@ -48,6 +49,16 @@
 	return b
 }
 
+// newFullBucket returns a bucket that has not been used for as long as it remembers.
+func newFullBucket(now time.Time, rate, burst, fullBurst float64) *bucket {
+	b := newBucket(now, rate, burst, fullBurst)
+	b.base, b.before = burst, burst
+	for n := range b.head {
+		b.steps[n].refill = rate * Step.Seconds()
+	}
+	return b
+}
+
 // restart forgets all steps and begins one with a balance.
 func (b *bucket) restart(now time.Time, balance float64) {
 	for i := range b.steps {
@@ -122,11 +133,32 @@
 	first := b.head - stepCount + 1
 	n := min(max(int64(at.Sub(b.startedAt)/Step), first), b.head)
 	b.steps[n%stepCount].used += units
-	if n == b.head {
-		return
+	if n < b.head {
+		b.recompute()
+	}
+}
+
+// chargePast replaces the units that were charged for the steps before a time, latest first.
+func (b *bucket) chargePast(before time.Time, units []float64) {
+	last := int64(before.Sub(b.startedAt)/Step) - 1
+	for i, u := range units {
+		n := last - int64(i)
+		if n <= b.head-stepCount {
+			break
+		}
+		if len(b.past) == i {
+			b.past = append(b.past, 0)
+		}
+		b.steps[n%stepCount].used += u - b.past[i]
+		b.past[i] = u
 	}
+	b.recompute()
+}
+
+// recompute computes the balance before the current step anew.
+func (b *bucket) recompute() {
 	b.before = b.base
-	for n = first; n < b.head; n++ {
+	for n := b.head - stepCount + 1; n < b.head; n++ {
 		b.before = b.steps[n%stepCount].after(b.before)
 	}
 }
--- a/io/gate/quota.go
+++ b/io/gate/quota.go
@@ -20,6 +20,7 @@
 type localQuota struct {
 	buckets    allow.Limiter // Hold this entry's share of each rate.
 	used       usage.Usage   // Recent usage at this entry.
+	recent     map[string]*aged.Aged // The same usage by age.
 	index      *index.Index  // Configuration that the shares were computed from.
 	entries    int           // Number of entries that the shares were computed for.
 	standalone bool          // No scheduler was known at the last update.
@@ -89,19 +90,31 @@
 	if a.standalone {
 		wait, ok := a.buckets.Take(now, q.account, q.units())
 		if ok {
-			a.used.Add(now, q.account, q.units())
+			a.record(now, q)
 			g.addUnreported(now, q)
 		}
 		return wait, ok
 	}
 	a.buckets.Charge(now, q.account, q.units())
-	a.used.Add(now, q.account, q.units())
+	a.record(now, q)
 	if !seenByScheduler {
 		g.addUnreported(now, q)
 	}
 	return 0, true
 }
 
+// record records the units of a request as used at this entry.
+func (a *localQuota) record(now time.Time, q *request) {
+	a.used.Add(now, q.account, q.units())
+	if a.recent == nil {
+		a.recent = map[string]*aged.Aged{}
+	}
+	if a.recent[q.account] == nil {
+		a.recent[q.account] = &aged.Aged{}
+	}
+	a.recent[q.account].Add(now, q.units())
+}
+
 // addUnreported adds the units of a request to the next report. g.mu must be held.
 func (g *Gate) addUnreported(now time.Time, q *request) {
 	if g.unreportedUsage == nil {
@@ -179,14 +192,15 @@
 	return allow.StandaloneShare(share, a.used.Rate(now, name), c.Rate)
 }
 
-// UsageRates returns the recent usage of accounts at this entry, in units per second, for a
-// scheduler that has no record of it yet.
+// UsageRates returns the recent usage of accounts at this entry, in units per second and by age, for
+// a scheduler that has no record of it yet.
 func (g *Gate) UsageRates() []*wire.AccountUsage {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var list []*wire.AccountUsage
-	for name, units := range g.localQuota.used.Rates(time.Now()) {
-		list = append(list, &wire.AccountUsage{Account: name, Units: int64(units)})
+	now := time.Now()
+	for name, units := range g.localQuota.used.Rates(now) {
+		list = append(list, &wire.AccountUsage{Account: name, Units: int64(units), ByAge: g.localQuota.recent[name].ByAge(now)})
 	}
 	return list
 }
--- a/io/hub/hub_test.go
+++ b/io/hub/hub_test.go
@@ -199,6 +199,12 @@
 
 // runHub starts the hub of a leader with a published configuration, in a synctest bubble.
 func runHub(t *testing.T, test func(t *testing.T, h *Hub, f *fakeReplica)) {
+	t.Helper()
+	runHubWith(t, func(*Hub) {}, test)
+}
+
+// runHubWith is runHub with a hub that was prepared before it starts.
+func runHubWith(t *testing.T, prepare func(*Hub), test func(t *testing.T, h *Hub, f *fakeReplica)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		f := &fakeReplica{leads: true, voters: 3}
@@ -209,6 +215,7 @@
 			}, nil
 		}}
 		h.LeaderClient = directLeader{h}
+		prepare(h)
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan error, 1)
 		go func() { done <- h.Serve(ctx) }()
--- a/io/hub/rates.go
+++ b/io/hub/rates.go
@@ -34,6 +34,12 @@
 	// priorTotals holds the sums of priorRates by account. They are maintained because hundreds
 	// of entries may poll at once.
 	priorTotals map[string]float64
+	// past holds the units that accounts used, at the entries that have reported, before this
+	// scheduler began to count, by account and step, latest first.
+	past map[string][]float64
+	// covered holds how many of these entries were running in each of the steps.
+	covered  []int64
+	reported map[string]bool // Entries of which past holds the usage, by incarnation.
 	// silentRates holds the units per second that accounts used at silent entries, by entry
 	// incarnation and account.
 	silentRates map[string]map[string]float64
@@ -143,6 +149,50 @@
 	return r.priorTotals[account] * max(float64(entriesTotal)/float64(max(len(r.priorRates), 1)), 1)
 }
 
+// addPast adds the units that an entry used before the scheduler began to count, which it did at start.
+// It reports whether they are new.
+func (r *rates) addPast(now, start time.Time, w *wire.Watch) bool {
+	if w.GetUpUs() == 0 || r.reported[w.GetIncarnation()] || now.Sub(start) > allow.Memory {
+		return false
+	}
+	if r.past == nil {
+		r.past, r.covered, r.reported = map[string][]float64{}, make([]int64, allow.Memory/allow.Step), map[string]bool{}
+	}
+	r.reported[w.GetIncarnation()] = true
+	since := now.Add(-time.Duration(w.GetUpUs()) * time.Microsecond)
+	for n := range r.covered {
+		if !since.After(start.Add(-time.Duration(n+1) * allow.Step)) {
+			r.covered[n]++
+		}
+	}
+	for _, a := range w.GetRates() {
+		for age, units := range a.GetByAge() {
+			// Of a step that reaches into the time that is counted, the scheduler has charged nothing.
+			before := start.Sub(now.Add(-time.Duration(age) * allow.Step))
+			if before < 0 {
+				continue
+			}
+			n := int(before / allow.Step)
+			for len(r.past[a.GetAccount()]) <= n {
+				r.past[a.GetAccount()] = append(r.past[a.GetAccount()], 0)
+			}
+			r.past[a.GetAccount()][n] += float64(units)
+		}
+	}
+	return true
+}
+
+// estimatePast estimates what an account used before the scheduler began to count at all entries.
+// Entries that have not reported, or were not running yet, are assumed to match the average of the
+// others: what an entry admitted before it started again is known to nobody else.
+func (r *rates) estimatePast(entriesTotal int64, account string) []float64 {
+	list := make([]float64, min(len(r.past[account]), len(r.covered)))
+	for n := range list {
+		list[n] = r.past[account][n] * max(float64(entriesTotal)/float64(max(r.covered[n], 1)), 1)
+	}
+	return list
+}
+
 // leaderShare returns the share of an account's rate that the leader admits itself.
 func (r *rates) leaderShare(name string) float64 {
 	// Entries that never polled this leader are assumed to admit as much as the others.
--- a/io/hub/scheduler.go
+++ b/io/hub/scheduler.go
@@ -78,24 +78,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.entriesTotal = max(s.entriesTotal, w.GetEntries())
-	now, estimates := time.Now(), map[string]float64{}
-	for _, a := range w.GetRates() {
-		estimates[a.GetAccount()] = s.rates.estimatePrior(s.entriesTotal, a.GetAccount())
-	}
+	now := time.Now()
 	s.countUsageFrom(now, w.GetIncarnation())
+	estimates := s.estimatePriors(w.GetRates())
 	isNew := s.rates.addPrior(w.GetIncarnation(), w.GetRates())
 	if s.scope == scopeDeployment {
-		// The accounts of a new leader start with a full burst, because after a restart of the
-		// whole deployment no account has been used for a while. If they started with a fraction
-		// of a burst, most callers who return after such a restart would be refused although they
-		// are far below their rate. A former leader may have admitted a full burst just before,
-		// so the prior usage that entries report is deducted. Entries that have not reported yet
-		// are assumed to match the average of the others: otherwise, until the last one has
-		// reported, an account that asks for several times its rate would get a full burst again.
-		for account, units := range estimates {
-			if more := s.rates.estimatePrior(s.entriesTotal, account) - units; more > 0 {
-				s.allow.ChargePrior(now, account, more)
-			}
+		if s.rates.addPast(now, s.startedAt, w) || isNew {
+			s.chargePast(now, estimates)
 		}
 		return
 	}
@@ -128,6 +117,35 @@
 	return &wire.Decision{}
 }
 
+// chargePast charges the accounts for what entries admitted before this scheduler began to count. The
+// accounts of a new leader start with a full burst, because after a restart of the whole deployment no
+// account has been used for a while. A former leader may have admitted a full burst just before. Entries
+// that have not reported yet are assumed to match the average of the others: otherwise, until the last
+// one has reported, an account that asks for several times its rate would get a full burst again. s.mu
+// must be held.
+func (s *scheduler) chargePast(now time.Time, estimates map[string]float64) {
+	for account := range s.rates.past {
+		s.allow.ChargePast(now, s.startedAt, account, s.rates.estimatePast(s.entriesTotal, account))
+	}
+	for account, rate := range estimates {
+		if more := s.rates.estimatePrior(s.entriesTotal, account) - rate; more > 0 {
+			s.allow.ChargePrior(now, account, more)
+		}
+	}
+}
+
+// estimatePriors estimates the rates, before an entry's report, of the accounts for which the entry
+// reports no units by age.
+func (s *scheduler) estimatePriors(list []*wire.AccountUsage) map[string]float64 {
+	estimates := map[string]float64{}
+	for _, a := range list {
+		if len(a.GetByAge()) == 0 {
+			estimates[a.GetAccount()] = s.rates.estimatePrior(s.entriesTotal, a.GetAccount())
+		}
+	}
+	return estimates
+}
+
 // countUsageFrom notes, at the first poll of an entry, from when on its reported usage is charged. The
 // rates of entries that have never polled are either reserved by their number, or belong to another
 // scheduler's shares. s.mu must be held.
--- a/io/watch/watch.go
+++ b/io/watch/watch.go
@@ -68,6 +68,8 @@
 		OnSplits func(list *wire.Rollouts)
 		Log      logr.Logger
 
+		startedAt      time.Time // When Serve was called.
+		reportedTo     string    // Scheduler that received the last report of usage, by its incarnation.
 		view           atomic.Pointer[View]
 		configuredOnce sync.Once     // Creates configured.
 		configured     chan struct{} // Closed once a configuration is in force.
@@ -110,6 +112,7 @@
 
 // Serve finds the scheduler and polls it until ctx ends.
 func (w *Watcher) Serve(ctx context.Context) error {
+	w.startedAt = time.Now()
 	to, late := target{}, 0
 	var probes sync.WaitGroup
 	defer probes.Wait()
@@ -173,8 +176,11 @@
 		wait = localPollWait
 	}
 	var usage []*wire.AccountUsage
-	if v.Owner == nil && w.Usage != nil {
-		usage = w.Usage()
+	up := time.Duration(0)
+	// A replica that loses the leadership and wins it again schedules anew, without the entry having
+	// lost it.
+	if w.Usage != nil && (v.Owner == nil || v.Owner.GetIncarnation() != w.reportedTo) {
+		usage, up = w.Usage(), time.Since(w.startedAt)
 	}
 	var crashes *wire.Crashes
 	if v.Owner == nil && w.Crashes != nil {
@@ -192,11 +198,14 @@
 	f, err := w.Mesh.Call(ctx, to.addr, &wire.Frame{Body: &wire.Frame_Watch{Watch: &wire.Watch{
 		Node: w.Node, Incarnation: w.Incarnation, DataCentre: w.DataCentre, Address: w.PeerAddress.String(),
 		Version: v.Version, Revision: v.Revision, WaitUs: wait.Microseconds(), Leader: v.Owner.GetIncarnation(),
-		Rates: usage, Entries: int64(v.Entries), Alone: to.local, Crashes: crashes, Bans: v.bansRevision, Limits: limits, Splits: v.splitsRevision,
+		Rates: usage, Entries: int64(v.Entries), Alone: to.local, Crashes: crashes, Bans: v.bansRevision, Limits: limits, Splits: v.splitsRevision, UpUs: up.Microseconds(),
 	}}})
 	if err != nil {
 		return fmt.Errorf("watch: poll %s: %w", to.addr, err)
 	}
+	if up > 0 {
+		w.reportedTo = f.GetNews().GetLeader()
+	}
 	return w.applyNews(to, f.GetNews())
 }
 
