Entries that lose the scheduler admit less for accounts at their rates

Cause: an entry that loses the scheduler admits 0.95 of what an account used there, and tops the account up. For an account that the scheduler refuses for its rate the others use the rest at once, so that all of it is beyond the rate until the scheduler notices, after 2.8 s, that it does not hear the entry.

Change: for 3 s, two fifths of the share of accounts that the scheduler had refused within 2 s before, and no top-up. Accounts below their rates keep their share; no account is refused more while a scheduler is known.

--- a/io/gate/place.go
+++ b/io/gate/place.go
@@ -154,6 +154,7 @@
 	g, err := q.gate.Granter.Grant(ctx, t)
 	stop()
 	if err != nil {
+		q.gate.recordLimited(q, err)
 		return nil, err
 	}
 	q.gate.mu.Lock()
--- a/io/gate/quota.go
+++ b/io/gate/quota.go
@@ -18,13 +18,16 @@
 // localQuota enforces the rates of client accounts while no scheduler is known. Each entry then
 // allows a share of every rate. The zero value is ready to use.
 type localQuota struct {
-	buckets    allow.Limiter // Hold this entry's share of each rate.
-	used       usage.Usage   // Recent usage at this entry.
+	buckets    allow.Limiter         // Hold this entry's share of each rate.
+	used       usage.Usage           // Recent usage at this entry.
 	recent     map[string]*aged.Aged // The same usage by age.
-	index      *index.Index  // Configuration that the shares were computed from.
-	entries    int           // Number of entries that the shares were computed for.
-	standalone bool          // No scheduler was known at the last update.
-	toppedUpAt time.Time     // Last top-up of accounts after the loss of a scheduler.
+	index      *index.Index          // Configuration that the shares were computed from.
+	entries    int                   // Number of entries that the shares were computed for.
+	standalone bool                  // No scheduler was known at the last update.
+	toppedUpAt time.Time             // Last top-up of accounts after the loss of a scheduler.
+	lostAt     time.Time             // When the last scheduler was lost.
+	restricted bool                  // Accounts at their rates have a restricted share.
+	limitedAt  map[string]time.Time  // When the scheduler last refused an account for its rate.
 }
 
 const (
@@ -32,6 +35,13 @@
 	// tests measure rates (rateWindow in package hub), so that such a window contains at most one
 	// top-up.
 	topUpInterval = 10 * time.Second
+	// An account that the scheduler has refused for its rate within limitedMemory uses its whole rate
+	// at the other entries. Until the scheduler has noticed that it does not hear this entry, which
+	// takes noticeTime, whatever this entry admits for the account is beyond the rate, and only
+	// limitedFraction of its share may pass.
+	limitedFraction = 0.4
+	limitedMemory   = 2 * time.Second
+	noticeTime      = 3 * time.Second
 	// unreportedFraction is the fraction of the slack of rates that all entries together may use
 	// between two reports.
 	unreportedFraction = 0.25
@@ -56,6 +66,7 @@
 	case err == nil:
 		q.charged = true
 	case errors.As(err, &refusal):
+		g.recordLimited(q, err)
 		return refusal
 	default:
 		g.Log.V(1).Info("Plain request not charged by the scheduler; it is reported later.", "account", q.account, "err", err.Error())
@@ -164,11 +175,15 @@
 // their rate, at most once per topUpInterval.
 func (a *localQuota) updateShares(now time.Time, q *request) {
 	entries, standalone := max(q.view.Entries, 1), q.view.Owner == nil
-	if a.index == q.view.Index && a.entries == entries && a.standalone == standalone {
+	lost := standalone && !a.standalone
+	if lost {
+		a.lostAt = now
+	}
+	restricted := standalone && now.Sub(a.lostAt) < noticeTime
+	if a.index == q.view.Index && a.entries == entries && a.standalone == standalone && a.restricted == restricted {
 		return
 	}
-	lost := standalone && !a.standalone
-	a.index, a.entries, a.standalone = q.view.Index, entries, standalone
+	a.index, a.entries, a.standalone, a.restricted = q.view.Index, entries, standalone, restricted
 	accounts := a.index.Config().Accounts
 	a.buckets.SetShares(now, accounts, func(name string) float64 { return a.shareOf(now, name, accounts[name]) })
 	if !lost || now.Sub(a.toppedUpAt) < topUpInterval {
@@ -177,7 +192,7 @@
 	a.toppedUpAt = now
 	for name, c := range accounts {
 		// An account whose usage at this entry alone reaches its whole rate has had its share.
-		if a.used.Rate(now, name) < c.Rate {
+		if a.used.Rate(now, name) < c.Rate && !a.wasLimited(name) {
 			a.buckets.TopUp(now, name)
 		}
 	}
@@ -189,7 +204,31 @@
 	if !a.standalone {
 		return allow.EqualShareFraction * share
 	}
-	return allow.StandaloneShare(share, a.used.Rate(now, name), c.Rate)
+	s := allow.StandaloneShare(share, a.used.Rate(now, name), c.Rate)
+	if a.restricted && a.wasLimited(name) {
+		return limitedFraction * s
+	}
+	return s
+}
+
+// wasLimited reports whether the scheduler had just refused an account for its rate when it was lost.
+func (a *localQuota) wasLimited(account string) bool {
+	at, ok := a.limitedAt[account]
+	return ok && a.lostAt.Sub(at) < limitedMemory
+}
+
+// recordLimited records that the scheduler has refused the request if it did so for the account's rate.
+func (g *Gate) recordLimited(q *request, err error) {
+	var refusal *refuse.Error
+	if !errors.As(err, &refusal) || refusal.Code != refuse.AccountLimit {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.localQuota.limitedAt == nil {
+		g.localQuota.limitedAt = map[string]time.Time{}
+	}
+	g.localQuota.limitedAt[q.account] = time.Now()
 }
 
 // UsageRates returns the recent usage of accounts at this entry, in units per second and by age, for
