--- a/io/client/client.go
+++ b/io/client/client.go
@@ -41,6 +41,8 @@
 	// empty for Header.
 	Echo string
 	Idle time.Duration // How long an unused connection is kept; zero for 30 s.
+	// Source is the address that connections come from; invalid for the system's choice.
+	Source netip.Addr
 
 	transport atomic.Pointer[http.Transport]
 	echoes    sync.Map // Hosts whose last answer repeated the request's id.
@@ -118,6 +120,9 @@
 		return t
 	}
 	d := net.Dialer{Timeout: dialLimit}
+	if c.Source.IsValid() {
+		d.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(c.Source, 0))
+	}
 	t := &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			nc, err := d.DialContext(ctx, network, addr)
--- a/io/gated/gated.go
+++ b/io/gated/gated.go
@@ -80,7 +80,7 @@
 		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(settings.MemoryMB<<20)))
 	}
 	incarnation := uuid.NewString()[:8]
-	e := &Gated{settings: settings, log: log.WithName("gate"), gate: g, client: &client.Client{Echo: echoHeader, Idle: upstreamIdleTimeout}}
+	e := &Gated{settings: settings, log: log.WithName("gate"), gate: g, client: &client.Client{Echo: echoHeader, Idle: upstreamIdleTimeout, Source: settings.Source}}
 	lns, err := listen(settings.ListenPeers().String(), settings.Callers, settings.Ready)
 	if err != nil {
 		return nil, err
