Entries without a path pass connections through others

Cause: an entry put each failure on the upstream that it had tried, up to six of them for one request, and had no other way to any. The scheduler took the failed grants as the upstreams' fault, so that the other entries suffered, too. With connections refused, the check for crashes took reset runs for crashed upstreams.

Change: core/path judges the path by new connections: three hosts that fail in a row without an answer in between. An entry that has lost it closes its idle connections and opens new ones through another entry (io/tunnel), which connects to the upstream itself and moves bytes: one hop, ends and resets kept apart, so that nothing cut short looks complete, and the end of a caller ends the run. Accounts, bans, limits, budgets, versions and the mark of the upstream stay with the entry that has the request. The scheduler names four entries with a path, those of the data centre first, and none that has lost its own. Releases of such an entry blame no upstream; crashes are checked from the other entry. Without any path an entry refuses at once, to come back in 0.1 s, when others are reached. While it is lost the path is tried every 0.3 s; found again, it gets an eighth of new connections, doubled every 0.25 s.

--- a/io/client/client.go
+++ b/io/client/client.go
@@ -41,8 +41,8 @@
 	// empty for Header.
 	Echo string
 	Idle time.Duration // How long an unused connection is kept; zero for 30 s.
-	// Source is the address that connections come from; invalid for the system's choice.
-	Source netip.Addr
+	// Dial opens connections; nil for direct ones.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 
 	transport atomic.Pointer[http.Transport]
 	echoes    sync.Map // Hosts whose last answer repeated the request's id.
@@ -119,13 +119,13 @@
 	if t := c.transport.Load(); t != nil {
 		return t
 	}
-	d := net.Dialer{Timeout: dialLimit}
-	if c.Source.IsValid() {
-		d.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(c.Source, 0))
+	dial := c.Dial
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: dialLimit}).DialContext
 	}
 	t := &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			nc, err := d.DialContext(ctx, network, addr)
+			nc, err := dial(ctx, network, addr)
 			if err != nil {
 				return nil, fmt.Errorf("client: dial: %w", err)
 			}
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -42,6 +42,7 @@
 		Prober      prober
 		Trier       trier
 		Charger     charger
+		Path        upstreamPath
 		Dialect     dialect
 		RetryRatio  float64 // Retries allowed, as a fraction of requests.
 		RetrySlack  float64 // Retries allowed beyond RetryRatio in each pool, over all entries.
@@ -91,6 +92,14 @@
 		Charge(ctx context.Context, u *wire.Usage) error
 	}
 
+	// upstreamPath is this entry's view of its own path to upstreams.
+	upstreamPath interface {
+		// Suspect reports whether recent failures may be the path's and not the upstreams'.
+		Suspect() bool
+		// Blocked reports whether no upstream is reached, also not through other entries.
+		Blocked() bool
+	}
+
 	// sender performs one round trip. The bool reports whether any byte may have been sent; see
 	// client.Client.
 	sender interface {
@@ -138,6 +147,9 @@
 	// drainRetryAfter is the Retry-After of a draining entry. It is short because other entries
 	// still serve.
 	drainRetryAfter = 50 * time.Millisecond
+	// noPathRetryAfter is the Retry-After of an entry that reaches no upstream. Callers reach other
+	// entries then.
+	noPathRetryAfter = 100 * time.Millisecond
 )
 
 // DrainSchedule says how a draining entry treats requests.
@@ -217,6 +229,9 @@
 	if q.gate.drainCutsOff(q.start, q.timeLimit()) {
 		return refuse.New(refuse.ShuttingDown, "", drainRetryAfter)
 	}
+	if q.gate.Path.Blocked() {
+		return refuse.New(refuse.Unreachable, "this entry reaches no upstream", noPathRetryAfter)
+	}
 	q.pool = q.route.Pool()
 	return q.readBody()
 }
--- a/io/gate/harness_test.go
+++ b/io/gate/harness_test.go
@@ -98,6 +98,7 @@
 
 	refuseCharge bool
 	chargedUnits int64
+	noPath       bool
 
 	configured chan struct{}
 	srv        *httptest.Server
@@ -125,6 +126,16 @@
 	return nil
 }
 
+// Suspect reports whether noPath is set.
+func (s *testGate) Suspect() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.noPath
+}
+
+// Blocked reports whether noPath is set.
+func (s *testGate) Blocked() bool { return s.Suspect() }
+
 func (s *testGate) Doubt(context.Context) {}
 
 func (s *testGate) Replaced(id string) {
@@ -265,8 +276,8 @@
 		})
 	}
 	s.Gate = &Gate{
-		Charger: s,
-		Node:    "e", Incarnation: "i", DataCentre: "z0", Cluster: s, Granter: s, Sender: &client.Client{Echo: idHeader}, Prober: &client.Client{}, Dialect: testDialect{},
+		Charger: s, Path: s,
+		Node: "e", Incarnation: "i", DataCentre: "z0", Cluster: s, Granter: s, Sender: &client.Client{Echo: idHeader}, Prober: &client.Client{}, Dialect: testDialect{},
 		RetryRatio: 1, RetrySlack: 100, Log: logr.Discard(),
 	}
 	s.srv = httptest.NewServer(s.Gate)
--- a/io/gate/place.go
+++ b/io/gate/place.go
@@ -227,10 +227,12 @@
 		return
 	}
 	t := p.ticket
+	// While this entry may have no path, a send without an answer says nothing about the upstream.
+	blameless := res.status == 0 && (res.outcome == outcomeNotSent || res.outcome == outcomeInterrupted) && g.Path.Suspect()
 	g.Granter.Release(&wire.Release{
 		Ticket: t.GetId(), Entry: t.GetEntry(), Incarnation: t.GetIncarnation(), Pool: t.GetPool(), Upstream: p.upstream.GetId(),
-		Slot: p.grant.GetSlot(), Owner: p.grant.GetOwner(), Account: t.GetAccount(), Dispatched: res.outcome != outcomeNotSent && res.outcome != outcomeMisdirected && res.outcome != outcomeUnused,
-		Whole: res.outcome == outcomeComplete, Failed: res.outcome == outcomeFailed || res.outcome == outcomeInterrupted || res.outcome == outcomeNotSent || res.outcome == outcomeMisdirected, Busy: res.outcome == outcomeNotRun,
+		Slot: p.grant.GetSlot(), Owner: p.grant.GetOwner(), Account: t.GetAccount(), Dispatched: !blameless && res.outcome != outcomeNotSent && res.outcome != outcomeMisdirected && res.outcome != outcomeUnused,
+		Whole: res.outcome == outcomeComplete, Failed: !blameless && (res.outcome == outcomeFailed || res.outcome == outcomeInterrupted || res.outcome == outcomeNotSent || res.outcome == outcomeMisdirected), Busy: res.outcome == outcomeNotRun,
 		FirstTokenUs: res.firstAfter.Microseconds(), TotalUs: res.total.Microseconds(), Pieces: res.events,
 		GapUs: res.gap.Microseconds(),
 	})
--- a/io/gate/place_test.go
+++ b/io/gate/place_test.go
@@ -191,3 +191,25 @@
 	must.False(t, g.released[0].GetDispatched())
 	must.Eq(t, http.StatusOK, s.do("POST", "/once/x", "X-Wait", "2s").status)
 }
+
+// Guards against upstreams that the scheduler blames, and excludes for all entries, because one entry
+// has lost its path; and against an entry without any path that keeps its callers.
+func TestLostPathBlamesNoUpstream(t *testing.T) {
+	s := newTestGate(t)
+	g := s.withScheduler(func(*wire.Ticket) (*wire.Grant, error) {
+		return &wire.Grant{Slot: 1, Owner: "owner", Upstream: "up-0", Address: "127.0.0.1:1"}, nil
+	})
+	s.do("POST", "/once/x")
+	must.True(t, g.released[0].GetFailed())
+	q := &request{gate: s.Gate, view: s.View(), route: &route.Route{}}
+	s.noPath = true
+	before := len(g.released)
+	(&placement{request: q, ticket: &wire.Ticket{}, grant: &wire.Grant{}, upstream: &wire.Upstream{Id: "up-0"}}).release(result{outcome: outcomeNotSent})
+	must.Len(t, before+1, g.released)
+	must.False(t, g.released[before].GetFailed())
+	must.False(t, g.released[before].GetDispatched())
+	r := s.do("POST", "/once/x")
+	must.Eq(t, http.StatusServiceUnavailable, r.status)
+	must.Eq(t, noPathRetryAfter.String(), r.header.Get("Retry-After"))
+	must.Len(t, before+1, g.released)
+}
--- a/io/gated/gated.go
+++ b/io/gated/gated.go
@@ -20,12 +20,14 @@
 	"azurelane/core/wire"
 	"azurelane/io/admin"
 	"azurelane/io/client"
+	"azurelane/io/dialer"
 	"azurelane/io/gate"
 	"azurelane/io/grant"
 	"azurelane/io/httpd"
 	"azurelane/io/local"
 	"azurelane/io/mesh"
 	"azurelane/io/stats"
+	"azurelane/io/tunnel"
 	"azurelane/io/watch"
 )
 
@@ -58,6 +60,10 @@
 	// where there are many entries, so that the scheduler gets at most a thousand reports a second.
 	minEvidenceInterval      = 100 * time.Millisecond
 	evidenceIntervalPerEntry = time.Millisecond
+	pathInterval             = time.Second // Between two questions for entries with a path.
+	// maxTunnels is the number of connections that an entry passes on for others at once. Each takes
+	// some tens of kilobytes.
+	maxTunnels = 256
 )
 
 // Gated is the process of one entry. Open creates it.
@@ -69,6 +75,7 @@
 	grant      *grant.Client
 	mesh       *mesh.Mesh
 	client     *client.Client
+	dialer     *dialer.Dialer
 	supervisor *suture.Supervisor
 	callers    *httpd.Httpd
 }
@@ -80,7 +87,9 @@
 		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(settings.MemoryMB<<20)))
 	}
 	incarnation := uuid.NewString()[:8]
-	e := &Gated{settings: settings, log: log.WithName("gate"), gate: g, client: &client.Client{Echo: echoHeader, Idle: upstreamIdleTimeout, Source: settings.Source}}
+	e := &Gated{settings: settings, log: log.WithName("gate"), gate: g, client: &client.Client{Echo: echoHeader, Idle: upstreamIdleTimeout}}
+	e.dialer = &dialer.Dialer{Source: settings.Source, OnLost: e.client.Close, Log: e.log.WithName("dialer")}
+	e.client.Dial = e.dialer.DialContext
 	lns, err := listen(settings.ListenPeers().String(), settings.Callers, settings.Ready)
 	if err != nil {
 		return nil, err
@@ -99,7 +108,7 @@
 	e.watch.Crashes, e.watch.OnBans = g.KnownCrashes, g.SetBans
 	e.watch.Limits, e.watch.OnLimits, e.watch.OnSplits = g.KnownLimits, g.SetLimits, g.SetSplits
 	g.Node, g.Incarnation, g.DataCentre = settings.Node, incarnation, settings.Centre
-	g.Cluster, g.Granter, g.Sender, g.Prober, g.Trier, g.Charger, g.Stats, g.Log = e.watch, e.grant, e.client, e.client, e, e, metrics, e.log
+	g.Cluster, g.Granter, g.Sender, g.Prober, g.Path, g.Trier, g.Charger, g.Stats, g.Log = e.watch, e.grant, e.client, e.dialer, e.dialer, e, e, metrics, e.log
 	metrics.Pull("configuration-version", func() int64 { return int64(e.watch.View().Version) }) //nolint:gosec // Versions are small.
 	metrics.Pull("configuration-age-ms", func() int64 { return time.Since(e.watch.View().LastHeard).Milliseconds() })
 	metrics.Pull("scheduler-known", func() int64 {
@@ -116,6 +125,9 @@
 	for _, s := range []suture.Service{e.mesh, e.watch, e.grant, &httpd.Httpd{Listen: lns[2], Handler: ops.Handler(), DrainOpen: adminKeepAliveDrain}} {
 		e.supervisor.Add(s)
 	}
+	if err := e.openTunnel(metrics); err != nil {
+		return nil, err
+	}
 	if settings.Metrics != "" {
 		ln, err := net.Listen("tcp", settings.Metrics)
 		if err != nil {
@@ -126,6 +138,22 @@
 	return e, nil
 }
 
+// openTunnel offers to pass connections of other entries on, if the settings say where.
+func (e *Gated) openTunnel(metrics *stats.Stats) error {
+	if !e.settings.Tunnel.IsValid() {
+		return nil
+	}
+	ln, err := net.Listen("tcp", e.settings.Tunnel.String())
+	if err != nil {
+		return fmt.Errorf("gated: listen: %w", err)
+	}
+	t := &tunnel.Tunnel{Listen: ln, Known: e.knowsUpstream, Source: e.settings.Source, Limit: maxTunnels, Log: e.log.WithName("tunnel")}
+	metrics.Pull("tunnels", t.Open)
+	e.watch.Tunnel = e.settings.Tunnel
+	e.supervisor.Add(t)
+	return nil
+}
+
 func listen(addrs ...string) ([]net.Listener, error) {
 	var lns []net.Listener
 	for _, a := range addrs {
@@ -160,6 +188,7 @@
 	go e.reportUsage(servicesCtx)
 	go e.reportObservations(servicesCtx)
 	go e.reportEvidence(servicesCtx)
+	go e.followPath(servicesCtx)
 	callersCtx, stopCallers := context.WithCancel(servicesCtx)
 	defer stopCallers()
 	served := make(chan error, 1)
@@ -243,6 +272,45 @@
 	}
 }
 
+// followPath asks the scheduler for entries that have a path to upstreams while this one may have lost
+// its own. The scheduler tells no other entry to come here meanwhile.
+func (e *Gated) followPath(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-e.dialer.Alarm():
+		}
+		for e.dialer.Suspect() && ctx.Err() == nil {
+			e.askForPaths(ctx)
+			select {
+			case <-ctx.Done():
+			case <-time.After(pathInterval):
+			}
+		}
+	}
+}
+
+func (e *Gated) askForPaths(ctx context.Context) {
+	reply, err := e.askScheduler(ctx, e.watch.Owner(""), &wire.Frame{Body: &wire.Frame_PathQuery{PathQuery: &wire.PathQuery{
+		Node: e.settings.Node, DataCentre: e.settings.Centre,
+	}}})
+	if err != nil {
+		e.log.Info("Scheduler named no entries with a path to upstreams; the last ones stay.", "err", err.Error())
+		return
+	}
+	var list []netip.AddrPort
+	for _, text := range reply.GetPaths().GetAddresses() {
+		if addr, err := netip.ParseAddrPort(text); err == nil {
+			list = append(list, addr)
+		}
+	}
+	e.dialer.SetEntries(list)
+}
+
+// knowsUpstream reports whether an upstream has an address.
+func (e *Gated) knowsUpstream(addr string) bool { return e.watch.View().HasAddress(addr) }
+
 // reportEvidence reports what this entry sees of the versions of a rollout while one runs. The
 // scheduler answers with the splits in force.
 func (e *Gated) reportEvidence(ctx context.Context) {
--- a/io/hub/hub.go
+++ b/io/hub/hub.go
@@ -320,6 +320,8 @@
 		return h.handleUsage(b.Usage)
 	case *wire.Frame_Limits:
 		return nil, h.handleLimits(b.Limits)
+	case *wire.Frame_PathQuery:
+		return h.handlePathQuery(b.PathQuery)
 	case *wire.Frame_Crashes, *wire.Frame_Try, *wire.Frame_BanQuery:
 		return h.handleBans(f)
 	case *wire.Frame_Watch:
--- a/io/hub/quota_test.go
+++ b/io/hub/quota_test.go
@@ -243,7 +243,7 @@
 	s.starts++
 	e := &simEntry{sim: s, name: fmt.Sprint("e", n), startedAt: time.Now()}
 	e.gate = &gate.Gate{
-		Node: e.name, Incarnation: fmt.Sprint(e.name, "-", s.starts), DataCentre: "z1", Cluster: e, Granter: e, Sender: e, Charger: e, Dialect: simDialect{},
+		Node: e.name, Incarnation: fmt.Sprint(e.name, "-", s.starts), DataCentre: "z1", Cluster: e, Granter: e, Sender: e, Charger: e, Path: e, Dialect: simDialect{},
 		RetryRatio: 0.2, RetrySlack: 50, QuotaSlack: simSlack, Log: logr.Discard(),
 	}
 	if old := s.entries[n]; old != nil {
@@ -355,6 +355,10 @@
 
 func (e *simEntry) Configured() <-chan struct{} { return make(chan struct{}) }
 
+func (e *simEntry) Suspect() bool { return false }
+
+func (e *simEntry) Blocked() bool { return false }
+
 func (e *simEntry) Doubt(context.Context) {}
 
 func (e *simEntry) Replaced(string) {}
--- a/io/hub/watch.go
+++ b/io/hub/watch.go
@@ -34,7 +34,9 @@
 		incarnation string
 		dataCentre  string
 		lastSeen    time.Time
-		expired     bool // Its slots were freed.
+		tunnel      string    // Where it passes connections of other entries on; empty if it does not.
+		noPathUntil time.Time // It reaches no upstream, as far as known.
+		expired     bool      // Its slots were freed.
 	}
 )
 
@@ -267,7 +269,11 @@
 		ws.byDataCentre[e.dataCentre]--
 	}
 	ws.byDataCentre[w.GetDataCentre()]++
-	ws.byNode[w.GetNode()] = &watcher{incarnation: w.GetIncarnation(), dataCentre: w.GetDataCentre(), lastSeen: now}
+	next := &watcher{incarnation: w.GetIncarnation(), dataCentre: w.GetDataCentre(), lastSeen: now, tunnel: w.GetTunnel()}
+	if e != nil {
+		next.noPathUntil = e.noPathUntil
+	}
+	ws.byNode[w.GetNode()] = next
 	return old
 }
 
--- a/io/local/local.go
+++ b/io/local/local.go
@@ -29,6 +29,7 @@
 	Peers       netip.AddrPort   `json:"peers"`
 	PeersListen netip.AddrPort   `json:"peers-listen,omitzero"`
 	Metrics     string           `json:"metrics,omitzero"`
+	Tunnel      netip.AddrPort   `json:"tunnel,omitzero"`
 	Source      netip.Addr       `json:"upstream-source,omitzero"`
 	Seeds       []netip.AddrPort `json:"seeds"`
 	DataFolder  string           `json:"data-folder,omitzero"`
@@ -79,6 +80,7 @@
 		{Path: "/peers", Want: addrWant, Text: "For links between processes; the port is the same on all VMs."},
 		{Path: "/peers-listen", Want: addrWant, Default: "that of /peers", Text: "Where such links are taken, if a forwarder stands at the address of /peers."},
 		{Path: "/metrics", Want: addrWant, Text: "Where metrics and health are served; none when empty."},
+		{Path: "/tunnel", Want: addrWant, Text: "Where an entry passes connections to upstreams on for entries that reach none; none when empty."},
 		{Path: "/upstream-source", Want: "an address IP", Default: "the system's choice", Text: "Of a VM with several addresses, the one that connections to upstreams come from."},
 		{Path: "/seeds", Want: "addresses IP:PORT", Text: "Some control replicas; their ports are not used. Read again whenever the file changes."},
 		{Path: "/data-folder", Want: "a folder", Text: "Of a control replica."},
--- a/io/watch/view.go
+++ b/io/watch/view.go
@@ -35,6 +35,16 @@
 // Upstream returns the upstream with the given ID, or nil if it is unknown.
 func (v *View) Upstream(id string) *wire.Upstream { return v.roster[id] }
 
+// HasAddress reports whether an upstream has an address.
+func (v *View) HasAddress(addr string) bool {
+	for _, u := range v.roster {
+		if u.GetAddress() == addr {
+			return true
+		}
+	}
+	return false
+}
+
 // applyRoster updates the roster with its changes in n, or replaces it if n holds all of it. An
 // upstream that has restarted since Replaced was called for it is removed from replaced. If n can't
 // be read, the roster stays as it is, and the next poll asks for all of it again.
--- a/io/watch/watch.go
+++ b/io/watch/watch.go
@@ -48,6 +48,7 @@
 		Incarnation string
 		DataCentre  string
 		PeerAddress netip.AddrPort
+		Tunnel      netip.AddrPort          // Where this entry passes connections of others on; invalid if it does not.
 		Seeds       func() []netip.AddrPort // Peer addresses of some control replicas.
 		Mesh        caller
 		Parse       func(doc []byte) (*conf.Config, error) // Parses a published document.
@@ -190,6 +191,10 @@
 	if v.Owner == nil && w.Limits != nil {
 		limits = w.Limits()
 	}
+	tunnel := ""
+	if w.Tunnel.IsValid() {
+		tunnel = w.Tunnel.String()
+	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	w.mu.Lock()
@@ -198,7 +203,7 @@
 	f, err := w.Mesh.Call(ctx, to.addr, &wire.Frame{Body: &wire.Frame_Watch{Watch: &wire.Watch{
 		Node: w.Node, Incarnation: w.Incarnation, DataCentre: w.DataCentre, Address: w.PeerAddress.String(),
 		Version: v.Version, Revision: v.Revision, WaitUs: wait.Microseconds(), Leader: v.Owner.GetIncarnation(),
-		Rates: usage, Entries: int64(v.Entries), Alone: to.local, Crashes: crashes, Bans: v.bansRevision, Limits: limits, Splits: v.splitsRevision, UpUs: up.Microseconds(),
+		Rates: usage, Entries: int64(v.Entries), Alone: to.local, Crashes: crashes, Bans: v.bansRevision, Limits: limits, Splits: v.splitsRevision, UpUs: up.Microseconds(), Tunnel: tunnel,
 	}}})
 	if err != nil {
 		return fmt.Errorf("watch: poll %s: %w", to.addr, err)
