An entry that has just started hears of plain upstreams at once

Cause: an entry that has the configuration and not the whole roster waits up to a second for it, so that a thousand entries that start together don't ask the leader at once. Changes of the upstreams that the entry places requests at itself waited with it.

Change: while it waits, such a change is answered with those upstreams alone, at the pace of other news; the time of the whole roster stays. What was sent is remembered for each entry, so that nothing is sent twice.

--- a/io/hub/feed.go
+++ b/io/hub/feed.go
@@ -38,6 +38,7 @@
 
 	unscheduled         map[string]*wire.Upstream // Upstreams of pools whose requests entries place.
 	unscheduledRevision uint64                    // Of the roster in unscheduled; zero to list it again.
+	unscheduledChanges  uint64                    // Changes of unscheduled so far.
 }
 
 // setPools takes the pools of a configuration.
@@ -76,8 +77,9 @@
 	return whole || slices.ContainsFunc(list, func(u *wire.Upstream) bool { return !f.scheduled[u.GetPool()] })
 }
 
-// listUnscheduled returns the upstreams of pools whose requests entries place, by ID.
-func (f *feed) listUnscheduled(r replica) []*wire.Upstream {
+// listUnscheduled returns the upstreams of pools whose requests entries place, by ID, and the number of
+// changes of them so far.
+func (f *feed) listUnscheduled(r replica) ([]*wire.Upstream, uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	list, whole, revision := r.Roster(f.unscheduledRevision)
@@ -85,14 +87,19 @@
 		f.unscheduled = map[string]*wire.Upstream{}
 	}
 	for _, u := range list {
-		if f.scheduled[u.GetPool()] || u.GetState() == wire.Upstream_STATE_GONE {
+		if f.scheduled[u.GetPool()] {
+			delete(f.unscheduled, u.GetId())
+			continue
+		}
+		f.unscheduledChanges++
+		if u.GetState() == wire.Upstream_STATE_GONE {
 			delete(f.unscheduled, u.GetId())
 			continue
 		}
 		f.unscheduled[u.GetId()] = u
 	}
 	f.unscheduledRevision = revision
-	return slices.SortedFunc(maps.Values(f.unscheduled), func(a, b *wire.Upstream) int { return cmp.Compare(a.GetId(), b.GetId()) })
+	return slices.SortedFunc(maps.Values(f.unscheduled), func(a, b *wire.Upstream) int { return cmp.Compare(a.GetId(), b.GetId()) }), f.unscheduledChanges
 }
 
 // wake wakes all polls.
--- a/io/hub/feed_test.go
+++ b/io/hub/feed_test.go
@@ -64,3 +64,28 @@
 	}
 	must.Less(t, 2*newsBatchDelay, newsDelay("entry", 10))
 }
+
+// Guards against an entry that hears of plain upstreams up to a second late because it has just started:
+// it places requests there itself, and finds no second upstream for one that failed. The delay of whole
+// rosters is for deployments of many entries.
+func TestNewEntryHearsOfPlainUpstreams(t *testing.T) {
+	for i := range 8 {
+		runHub(t, func(t *testing.T, h *Hub, _ *fakeReplica) {
+			must.NoError(t, h.Report(t.Context(), newReport("engine", 1, wire.Upstream_STATE_SERVING)))
+			w := &wire.Watch{Node: fmt.Sprint("e-", i), Incarnation: "i"}
+			n, err := askNews(h, w)
+			must.NoError(t, err)
+			w.Version, w.Leader, w.WaitUs = n.GetVersion(), n.GetLeader(), (2 * time.Second).Microseconds()
+			r := newReport("app", 1, wire.Upstream_STATE_SERVING)
+			r.Upstream.Pool = "plain"
+			must.NoError(t, h.Report(t.Context(), r))
+			start := time.Now()
+			for known := false; !known; w.Revision = n.GetRevision() {
+				n, err = askNews(h, w)
+				must.NoError(t, err)
+				_, known = rosterOf(t, n)["app"]
+			}
+			must.Less(t, 100*time.Millisecond, time.Since(start))
+		})
+	}
+}
--- a/io/hub/watch.go
+++ b/io/hub/watch.go
@@ -36,7 +36,11 @@
 		lastSeen    time.Time
 		tunnel      string    // Where it passes connections of other entries on; empty if it does not.
 		noPathUntil time.Time // It reaches no upstream, as far as known.
-		expired     bool      // Its slots were freed.
+		rosterDue   time.Time // When it gets the whole roster; zero until it has asked.
+		// plainChanges is the number of changes, so far, of the upstreams whose requests entries place,
+		// as of the last news that listed them.
+		plainChanges uint64
+		expired      bool // Its slots were freed.
 	}
 )
 
@@ -45,8 +49,8 @@
 func (h *Hub) handleWatch(ctx context.Context, w *wire.Watch) (*wire.News, error) {
 	end := time.NewTimer(time.Duration(w.GetWaitUs()) * time.Microsecond)
 	defer end.Stop()
-	if err := h.delayRoster(ctx, w, end); err != nil {
-		return nil, err
+	if changed, err := h.delayRoster(ctx, w, end); err != nil || changed {
+		return h.plainNews(ctx, w, end, err)
 	}
 	for woken := false; ; woken = true {
 		changed := h.feed.changed()
@@ -90,19 +94,60 @@
 }
 
 // delayRoster waits if the entry has the configuration and not the whole roster. After a stop of
-// everything all entries ask for it at once, and the answers would hold up the leader's heartbeats.
-func (h *Hub) delayRoster(ctx context.Context, w *wire.Watch, end *time.Timer) error {
+// everything all entries ask for it at once, and the answers would hold up the leader's heartbeats. It
+// reports whether upstreams have changed meanwhile that the entry needs to know of at once.
+func (h *Hub) delayRoster(ctx context.Context, w *wire.Watch, end *time.Timer) (plain bool, err error) {
 	if w.GetRevision() > 0 || w.GetVersion() == 0 || w.GetLeader() == "" || h.Replica.RosterRevision() == 0 {
-		return nil
+		return false, nil
+	}
+	due := h.watchers.rosterDue(w, time.Now())
+	for {
+		woken := h.feed.changed()
+		if _, changes := h.feed.listUnscheduled(h.Replica); h.watchers.plainChanged(w, changes) {
+			return true, nil
+		}
+		select {
+		case <-ctx.Done():
+			return false, ctx.Err()
+		case <-end.C:
+			end.Reset(0)
+			return false, nil
+		case <-time.After(time.Until(due)):
+			return false, nil
+		case <-woken:
+		}
+		select {
+		case <-ctx.Done():
+			return false, ctx.Err()
+		case <-time.After(newsDelay(w.GetNode(), h.watchers.count())):
+		}
+	}
+}
+
+// plainNews returns the news for an entry that still waits for the whole roster: of upstreams, those
+// whose requests it places itself.
+func (h *Hub) plainNews(ctx context.Context, w *wire.Watch, end *time.Timer, err error) (*wire.News, error) {
+	if err != nil {
+		return nil, err
 	}
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-end.C:
-		end.Reset(0)
-	case <-time.After(rosterDelay(w.GetNode())):
+	s, err := h.awaitScheduler(ctx, w, end)
+	if err != nil {
+		return nil, err
 	}
-	return nil
+	n, _, err := h.news(s, w)
+	if err != nil {
+		return nil, err
+	}
+	h.addPlain(w, n)
+	n.Base, n.Revision = nil, 0
+	return n, nil
+}
+
+// addPlain sets the roster to the upstreams whose requests entries place.
+func (h *Hub) addPlain(w *wire.Watch, n *wire.News) {
+	list, changes := h.feed.listUnscheduled(h.Replica)
+	n.Roster, n.Whole = list, true
+	h.watchers.setPlainChanges(w, changes)
 }
 
 // awaitScheduler returns the scheduler for an entry. At a leader that does not schedule yet it waits
@@ -189,7 +234,7 @@
 	case n.GetDocument() != nil:
 		// The entry has just started. It serves as soon as it has the configuration and the
 		// upstreams of pools whose requests it places, and polls for the rest; see handleWatch.
-		n.Roster, n.Whole = h.feed.listUnscheduled(h.Replica), true
+		h.addPlain(w, n)
 		return nil
 	}
 	return h.packed.addRoster(h.Replica, n)
@@ -273,10 +318,44 @@
 	if e != nil {
 		next.noPathUntil = e.noPathUntil
 	}
+	if e != nil && old == "" {
+		next.rosterDue, next.plainChanges = e.rosterDue, e.plainChanges
+	}
 	ws.byNode[w.GetNode()] = next
 	return old
 }
 
+// rosterDue returns when an entry that has just started gets the whole roster.
+func (ws *watchers) rosterDue(w *wire.Watch, now time.Time) time.Time {
+	ws.mu.Lock()
+	defer ws.mu.Unlock()
+	e := ws.byNode[w.GetNode()]
+	if e == nil {
+		return now.Add(rosterDelay(w.GetNode()))
+	}
+	if e.rosterDue.IsZero() {
+		e.rosterDue = now.Add(rosterDelay(w.GetNode()))
+	}
+	return e.rosterDue
+}
+
+// plainChanged reports whether the upstreams whose requests entries place have changed since an entry's
+// last news listed them.
+func (ws *watchers) plainChanged(w *wire.Watch, changes uint64) bool {
+	ws.mu.Lock()
+	defer ws.mu.Unlock()
+	e := ws.byNode[w.GetNode()]
+	return e != nil && e.incarnation == w.GetIncarnation() && e.plainChanges != changes
+}
+
+func (ws *watchers) setPlainChanges(w *wire.Watch, changes uint64) {
+	ws.mu.Lock()
+	defer ws.mu.Unlock()
+	if e := ws.byNode[w.GetNode()]; e != nil {
+		e.plainChanges = changes
+	}
+}
+
 // forget drops entries that were silent for longer than silentEntryRetention.
 func (ws *watchers) forget(now time.Time) {
 	ws.mu.Lock()
