Connections that hang show a lost path

The path was judged by new connections alone, so that an entry with few requests and many idle connections would notice late.

Change: if nothing has come from any upstream for 0.3 s after a request was sent, the next request probes its upstream with a connection, at most one in 0.3 s. Upstreams that answer cause no probe.

Result: TestHangingConnectionsShowALostPath fails without it (the path is never lost) and passes.

--- a/io/dialer/dialer.go
+++ b/io/dialer/dialer.go
@@ -26,6 +26,9 @@
 	// closedTimeout is how long to wait for a sign whether a process has ended. Its VM refuses
 	// connections at once.
 	closedTimeout = 150 * time.Millisecond
+	// quietLimit is how long nothing may come from any upstream after a request was sent. Requests on
+	// open connections would otherwise hide for long that the path is lost.
+	quietLimit = 300 * time.Millisecond
 	// probeListen is how long a probe's connection must stay open.
 	probeListen = 100 * time.Millisecond
 	// entryRetry is how long an entry that could not pass a connection on is left alone.
@@ -50,6 +53,8 @@
 	changed chan struct{} // Closed when the path is lost.
 	entries []netip.AddrPort
 	next    int
+	askedAt time.Time                    // When the first request was sent since bytes last came from an upstream; zero if none was.
+	triedAt time.Time                    // Last probe for quietLimit.
 	failed  map[netip.AddrPort]time.Time // Entries that could not pass a connection on.
 }
 
@@ -223,6 +228,39 @@
 	d.recordSuccess()
 }
 
+// recordSent records that a request was sent on a direct connection, and probes the path if upstreams
+// have been quiet for too long.
+func (d *Dialer) recordSent(addr string) {
+	now := time.Now()
+	d.mu.Lock()
+	if d.askedAt.IsZero() {
+		d.askedAt = now
+	}
+	quiet := !d.path.Lost() && now.Sub(d.askedAt) > quietLimit && now.Sub(d.triedAt) > quietLimit
+	if quiet {
+		d.triedAt = now
+	}
+	d.mu.Unlock()
+	if !quiet {
+		return
+	}
+	go func() {
+		c, err := tunnel.Direct(context.Background(), slowDial, d.Source, addr)
+		if err != nil {
+			d.recordFailure(addr)
+			return
+		}
+		_ = c.Close()
+	}()
+}
+
+// recordHeard records that bytes came on a direct connection.
+func (d *Dialer) recordHeard() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.askedAt = time.Time{}
+}
+
 func isTimeout(err error) bool {
 	var t net.Error
 	return errors.As(err, &t) && t.Timeout()
@@ -284,6 +322,9 @@
 // Read reads from the connection.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.dialer.recordHeard()
+	}
 	if c.judged {
 		return n, err //nolint:wrapcheck // Callers compare the errors of connections.
 	}
@@ -296,3 +337,9 @@
 	}
 	return n, err //nolint:wrapcheck // Callers compare the errors of connections.
 }
+
+// Write writes to the connection.
+func (c *conn) Write(p []byte) (int, error) {
+	c.dialer.recordSent(c.addr)
+	return c.Conn.Write(p) //nolint:wrapcheck // Callers compare the errors of connections.
+}
--- a/io/dialer/dialer_test.go
+++ b/io/dialer/dialer_test.go
@@ -144,3 +144,37 @@
 		}
 	}
 }
+
+// Guards against a lost path that stays unnoticed because requests go out on connections that were open
+// before and hang now, and against probes while upstreams answer.
+func TestHangingConnectionsShowALostPath(t *testing.T) {
+	for _, answers := range []bool{false, true} {
+		t.Run(fmt.Sprint("upstreams answer ", answers), func(t *testing.T) {
+			d := &Dialer{Source: absent, Log: logr.Discard()}
+			var conns []*conn
+			for _, addr := range echoes(t, 4) {
+				c, err := net.Dial("tcp", addr)
+				must.NoError(t, err)
+				defer func() { _ = c.Close() }()
+				conns = append(conns, &conn{Conn: c, dialer: d, addr: addr})
+			}
+			for round := range 6 {
+				for _, c := range conns {
+					_, err := io.WriteString(c, "question")
+					must.NoError(t, err)
+					if answers {
+						_, err = io.ReadFull(c, make([]byte, len("question")))
+						must.NoError(t, err)
+					}
+					time.Sleep(quietLimit / 3)
+				}
+				must.True(t, round < 5)
+				if d.Lost() || (answers && round == 3) {
+					break
+				}
+			}
+			must.Eq(t, !answers, d.Lost())
+			must.Eq(t, !answers, d.Suspect())
+		})
+	}
+}
