A plain request that was not sent costs its account nothing

Change: the entry keeps such a charge, up to what it may use between two reports, for the account's next plain request.

Result: TestUnsentPlainRequestCostsNothing fails without it (1,000 units more charged by five requests) and passes.

--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -67,6 +67,7 @@
 		peers           peers.Peers
 		budgets         map[string]*budget.Budget // By pool.
 		unreportedUsage map[string]*aged.Aged     // Units by account that no scheduler has seen.
+		prepaid         map[string]int64          // Units by account that the scheduler has charged and that were not used.
 		localQuota      localQuota
 		ledger          ledger.Ledger // Units of sent and refused requests since the last log line.
 		ledgerLoggedAt  time.Time
--- a/io/gate/place.go
+++ b/io/gate/place.go
@@ -168,7 +168,11 @@
 	if err := q.chargePlain(ctx, slots); err != nil {
 		return nil, err
 	}
-	return q.placeLocally(ctx, slots)
+	p, err := q.placeLocally(ctx, slots)
+	if err != nil && q.charged {
+		q.gate.keepPrepaid(q)
+	}
+	return p, err
 }
 
 // placeLocally picks the best upstream by this entry's own observations.
--- a/io/gate/quota.go
+++ b/io/gate/quota.go
@@ -58,6 +58,10 @@
 	if slots > 0 || q.sends > 0 || q.charged || q.account == "" || q.accountConfig.Rate <= 0 || q.view.Owner == nil || !g.usedMuch(time.Now(), q) {
 		return nil
 	}
+	if g.takePrepaid(q) {
+		q.charged = true
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(ctx, chargeTimeout)
 	defer cancel()
 	err := g.Charger.Charge(ctx, &wire.Usage{Incarnation: g.Incarnation, Ask: true, Accounts: []*wire.AccountUsage{{Account: q.account, Units: q.units()}}})
@@ -83,7 +87,34 @@
 	if unreported == nil {
 		return false
 	}
-	return float64(unreported.Total(now)+q.units()) > unreportedFraction*g.QuotaSlack/float64(max(q.view.Entries, 1))
+	return float64(unreported.Total(now)+q.units()) > g.unreportedLimit(q)
+}
+
+// unreportedLimit returns how many units of an account this entry may use between two reports.
+func (g *Gate) unreportedLimit(q *request) float64 {
+	return unreportedFraction * g.QuotaSlack / float64(max(q.view.Entries, 1))
+}
+
+// keepPrepaid keeps the charge of a request that was not sent for the account's next one.
+func (g *Gate) keepPrepaid(q *request) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.prepaid == nil {
+		g.prepaid = map[string]int64{}
+	}
+	q.charged = false
+	g.prepaid[q.account] = min(g.prepaid[q.account]+q.units(), max(int64(g.unreportedLimit(q)), q.units()))
+}
+
+// takePrepaid pays for a request with the charges of earlier ones that were not sent.
+func (g *Gate) takePrepaid(q *request) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.prepaid[q.account] < q.units() {
+		return false
+	}
+	g.prepaid[q.account] -= q.units()
+	return true
 }
 
 // chargeAccount charges a request to its account. It reports whether the request may proceed and,
--- a/io/gate/quota_test.go
+++ b/io/gate/quota_test.go
@@ -180,3 +180,28 @@
 	must.Eq(t, 400, s.chargedUnits)
 	must.Eq(t, 1000, reportedUnits(t, s.Gate), must.Sprint("what was charged is not reported again"))
 }
+
+// Guards against an account that pays for plain requests that were never sent because no upstream was
+// there. Its next request uses what the scheduler has charged.
+func TestUnsentPlainRequestCostsNothing(t *testing.T) {
+	u := newUpstream(t, respondText("ok"))
+	s := newTestGate(t, u)
+	cfg := *s.view.Index.Config()
+	a := cfg.Accounts["radio"]
+	a.Rate, a.Burst = 20000, 20000
+	cfg.Accounts = map[string]acct.Account{"radio": a}
+	s.view.Index, s.view.Owner, s.view.Entries = index.New(&cfg), &wire.Member{Incarnation: "owner"}, 1
+	must.Eq(t, http.StatusOK, s.do("POST", "/once/x").status) // Unreported, so that the next ones ask.
+	upstreams := s.view.Upstreams
+	s.mu.Lock()
+	s.view.Upstreams = nil
+	s.mu.Unlock()
+	for range 5 {
+		must.Eq(t, http.StatusServiceUnavailable, s.do("POST", "/once/x").status)
+	}
+	s.mu.Lock()
+	s.view.Upstreams = upstreams
+	s.mu.Unlock()
+	must.Eq(t, http.StatusOK, s.do("POST", "/once/x").status)
+	must.Eq(t, 200, s.chargedUnits)
+}
