--- a/core/path/path.go
+++ b/core/path/path.go
@@ -1,7 +1,10 @@
 // Package path judges whether a process still reaches any upstream, by the connections that it opens.
 package path
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 const (
 	// lossHosts is the number of hosts that must fail in a row, without a success in between, before
@@ -35,11 +38,7 @@
 		p.failed = map[string]time.Time{}
 	}
 	p.failed[host] = now
-	for h, at := range p.failed {
-		if now.Sub(at) > failureRetention {
-			delete(p.failed, h)
-		}
-	}
+	p.forget(now)
 	if p.lost || len(p.failed) < lossHosts {
 		return false
 	}
@@ -62,7 +61,15 @@
 func (p *Path) Lost() bool { return p.lost }
 
 // Suspect reports whether recent failures may be the path's and not the hosts'.
-func (p *Path) Suspect() bool { return p.lost || len(p.failed) >= suspectHosts }
+func (p *Path) Suspect(now time.Time) bool {
+	p.forget(now)
+	return p.lost || len(p.failed) >= suspectHosts
+}
+
+// forget drops failures that no longer count.
+func (p *Path) forget(now time.Time) {
+	maps.DeleteFunc(p.failed, func(_ string, at time.Time) bool { return now.Sub(at) > failureRetention })
+}
 
 // Direct reports whether the next connection should be opened directly.
 func (p *Path) Direct(now time.Time) bool {
--- a/core/path/path_test.go
+++ b/core/path/path_test.go
@@ -37,7 +37,8 @@
 				now = now.Add(tc.every)
 			}
 			must.Eq(t, tc.lost, p.Lost())
-			must.Eq(t, tc.suspect, p.Suspect())
+			must.Eq(t, tc.suspect, p.Suspect(now))
+			must.Eq(t, tc.lost, p.Suspect(now.Add(failureRetention+time.Second)), must.Sprint("old failures no longer count"))
 		})
 	}
 }
--- a/io/dialer/dialer.go
+++ b/io/dialer/dialer.go
@@ -53,9 +53,11 @@
 	changed chan struct{} // Closed when the path is lost.
 	entries []netip.AddrPort
 	next    int
-	askedAt time.Time                    // When the first request was sent since bytes last came from an upstream; zero if none was.
-	triedAt time.Time                    // Last probe for quietLimit.
-	failed  map[netip.AddrPort]time.Time // Entries that could not pass a connection on.
+	// lastAddr is the upstream of the last connection.
+	lastAddr string
+	askedAt  time.Time                    // When the first request was sent since bytes last came from an upstream; zero if none was.
+	triedAt  time.Time                    // Last probe for quietLimit.
+	failed   map[netip.AddrPort]time.Time // Entries that could not pass a connection on.
 }
 
 // Alarm returns a channel that gets a value when a connection has failed.
@@ -68,7 +70,7 @@
 func (d *Dialer) Suspect() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.path.Suspect()
+	return d.path.Suspect(time.Now())
 }
 
 // Lost reports whether this entry reaches no upstream by itself.
@@ -94,15 +96,16 @@
 
 // DialContext opens a connection to an upstream.
 func (d *Dialer) DialContext(ctx context.Context, network, addr string) (net.Conn, error) {
-	now := time.Now()
 	d.mu.Lock()
-	direct, probe := d.path.Direct(now), d.path.ProbeDue(now)
+	d.lastAddr = addr
+	direct := d.path.Direct(time.Now())
 	d.mu.Unlock()
-	if probe {
-		go d.probe(addr)
-	}
+	d.Probe()
 	if !direct {
-		return d.dialThrough(ctx, addr)
+		// While the path is being taken up again, a connection may also be direct.
+		if c, err := d.dialThrough(ctx, addr); err == nil || d.Lost() {
+			return c, err
+		}
 	}
 	c, err := d.dialDirect(ctx, network, addr)
 	if err == nil || ctx.Err() != nil || !d.Suspect() {
@@ -114,6 +117,17 @@
 	return nil, err
 }
 
+// Probe tries a lost path again, if it is time. Connections that are kept open through other entries
+// need no new ones, so it must be called from time to time while Suspect is true.
+func (d *Dialer) Probe() {
+	d.mu.Lock()
+	addr, due := d.lastAddr, d.path.ProbeDue(time.Now())
+	d.mu.Unlock()
+	if due && addr != "" {
+		go d.probe(addr)
+	}
+}
+
 // Closed reports whether no process listens at an upstream's address. While this entry may have no path
 // itself, it asks another one.
 func (d *Dialer) Closed(ctx context.Context, addr netip.AddrPort) bool {
--- a/io/dialer/dialer_test.go
+++ b/io/dialer/dialer_test.go
@@ -137,11 +137,16 @@
 	}
 	must.True(t, d.Lost())
 	addr := echoes(t, 1)[0]
+	_, err := d.DialContext(t.Context(), "tcp", addr)
+	must.ErrorIs(t, err, ErrNoPath)
 	for end := time.Now().Add(5 * time.Second); d.Lost(); time.Sleep(10 * time.Millisecond) {
 		must.True(t, time.Now().Before(end))
-		if c, err := d.DialContext(t.Context(), "tcp", addr); err == nil {
-			_ = c.Close()
-		}
+		d.Probe()
+	}
+	for i := range 10 {
+		c, err := d.DialContext(t.Context(), "tcp", addr)
+		must.NoError(t, err, must.Sprint("no other entry is known; connection ", i))
+		must.NoError(t, c.Close())
 	}
 }
 
--- a/io/gated/gated.go
+++ b/io/gated/gated.go
@@ -283,6 +283,7 @@
 		}
 		for e.dialer.Suspect() && ctx.Err() == nil {
 			e.askForPaths(ctx)
+			e.dialer.Probe()
 			select {
 			case <-ctx.Done():
 			case <-time.After(pathInterval):
