Logs and metrics of streams that go on

The record of ORDER could not tell a stream that moves within one answer from one that its caller takes up: sends that end well are not logged, and no line names Resumes or the version that went on. Gates now log both with the version, and count streams-moved, streams-mixed and streams-resumed. No decision changes.

--- a/core/meta/meta.go
+++ b/core/meta/meta.go
@@ -20,6 +20,7 @@
 	Model     string
 	Parts     []Part // Of the prompt, in order; empty if the caller states none.
 	LastEvent string // ID of the last event that the caller has received; empty for a new stream.
+	Resumes   string // ID of the caller's attempt that brought the stream's first event; empty if it states none.
 }
 
 // Part is a part of a prompt that other requests may share.
--- a/io/gate/request.go
+++ b/io/gate/request.go
@@ -42,13 +42,15 @@
 		runs            int    // Sends that an upstream may have run.
 		headerSent      bool   // The header of the response has been written.
 		lastEventID     string // ID of the last event written to the caller.
+		version         string // Of the upstream that sent the last event.
 		events          int64
 		firstEventAfter time.Duration // From the arrival of the request until its first event was written.
 		gap             time.Duration // Longest pause between two events, over all sends.
 		lastEventAt     time.Time     // When the last event was written.
 		cachedDigest    *digest.Digest
-		tallied         *tally.Send // The send in progress; nil if its version does not matter.
-		banTrial        bool        // The request is banned and may be sent once as a trial.
+		tallied         *tally.Send    // The send in progress; nil if its version does not matter.
+		sentTo          *wire.Upstream // Upstream of the last send.
+		banTrial        bool           // The request is banned and may be sent once as a trial.
 	}
 
 	// result describes how one send ended.
@@ -126,6 +128,7 @@
 		}
 		q.gate.recordSentUnits(q, p)
 		q.tallied = q.gate.versions.begin(q, p.upstream.GetVersion())
+		q.sentTo = p.upstream
 		res := q.send(ctx, p)
 		q.gate.versions.end(q.tallied, res)
 		p.release(res)
@@ -265,7 +268,7 @@
 	q.gate.Stats.Count("aborted", 1)
 	q.gate.Log.Info("Request ends without a whole answer.", "request", q.meta.ID, "why", why, "err", errText(err),
 		"route", q.routeName(), "account", q.account, "pool", q.pool, "sends", q.sends, "ran", q.runs,
-		"prompt", q.meta.Prompt, "answer", q.meta.Answer, "expect", q.meta.Expect, "events", q.events,
+		"prompt", q.meta.Prompt, "answer", q.meta.Answer, "expect", q.meta.Expect, "events", q.events, "version", q.version,
 		"took", time.Since(q.start).String())
 	panic(http.ErrAbortHandler)
 }
--- a/io/gate/stream.go
+++ b/io/gate/stream.go
@@ -119,6 +119,7 @@
 	now := time.Now()
 	if res.firstAfter == 0 {
 		res.firstAfter = now.Sub(s.sentAt)
+		s.recordOrigin()
 		s.gate.versions.started(s.tallied, res.firstAfter)
 	} else {
 		res.gap = max(res.gap, now.Sub(s.lastWriteAt))
@@ -131,6 +132,24 @@
 	s.lastWriteAt, s.lastEventAt = now, now
 }
 
+// recordOrigin logs and counts a stream that goes on: one that the caller takes up, or one that moves
+// to another upstream within an answer.
+func (s *stream) recordOrigin() {
+	to := s.sentTo
+	switch {
+	case s.headerSent && s.version != to.GetVersion():
+		s.gate.Stats.Count("streams-mixed", 1)
+		fallthrough
+	case s.headerSent:
+		s.gate.Stats.Count("streams-moved", 1)
+		s.gate.Log.Info("Stream goes on at another upstream.", "request", s.meta.ID, "from-version", s.version, "upstream", to.GetId(), "version", to.GetVersion(), "events", s.events)
+	case s.meta.LastEvent != "":
+		s.gate.Stats.Count("streams-resumed", 1)
+		s.gate.Log.Info("Stream resumed.", "request", s.meta.ID, "resumes", s.meta.Resumes, "last-event", s.meta.LastEvent, "upstream", to.GetId(), "version", to.GetVersion())
+	}
+	s.request.version = to.GetVersion()
+}
+
 // writeHeader writes the header of the response once. If another upstream resumes the stream, the
 // header of the first one stays.
 func (s *stream) writeHeader() {
