Streams go on only at the version that began them

Cause: nothing on the way of a stream holds its version. Within an answer a gate sends a broken stream to whichever upstream it is granted; over a caller's attempts no process remembers where an attempt began, and Resumes was not read.

The version is fixed by the first event that goes out. The scheduler records it with each grant, before anything is sent, so that it costs the first event no message; a later grant of the same attempt replaces it. Gates remember the streams that they began, tell them to each new scheduler, and report at once those that they place themselves. A ticket of a stream that goes on is bound to its version: the gate says which, or the scheduler looks it up, waiting 60 ms (500 ms after a takeover) for reports. Where nobody knows, the stream is refused (unknown-stream, not-run), unless the pool has had one version for as long as a stream can last, by the roster and its tombstones; a gate without a scheduler trusts its own roster for 3 s. A request that a scheduler has granted stays at that version once another scheduler, or the gate itself, places it. Where no upstream of the version is left, the caller is told at once (version-gone), and an answer in progress is broken off. Streams that go on may queue at full engines and are not valued as late while there are engines that can't run them. A split route gives a stream that is taken up the pool that began it.

Memory: 65,536 streams at a scheduler, 16,384 at a gate, each until its caller's deadline; unknown ones store nothing, and 512 wait at most.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -136,10 +136,13 @@
 		b.routes[t.GetRoute()] = route
 	}
 	b.topPriority.observe(now, t.GetPriority())
-	i := newItem(now.Sub(b.started), t, route, &b.meanEngine)
+	if t.GetBound() && !b.hasVersion(now, t.GetVersion()) {
+		return []*wire.Decision{refuse.Ticket(t, refuse.VersionGone, 0)}
+	}
+	i := newItem(now.Sub(b.started), t, route, &b.meanEngine, t.GetBound() && t.GetGoesOn() && b.mixedVersions)
 	b.waiting = append(b.waiting, i)
 	b.waitingByKey[ticketKey{t.GetIncarnation(), t.GetId()}] = i
-	if !b.room.has(batchRoom) && (!b.topPriority.includes(i) || !b.room.has(queueRoom)) {
+	if !b.room.has(batchRoom) && (!b.mayQueue(i) || !b.room.has(queueRoom)) {
 		return nil // No ticket could be granted before, and this one does not change that.
 	}
 	return b.assign(now)
@@ -276,7 +279,8 @@
 	return out
 }
 
-// refuseExpired refuses the tickets whose refuseAt has come: those that are too late while others
+// refuseExpired refuses the tickets that are bound to a version of which no engine is left, and those
+// whose refuseAt has come: those that are too late while others
 // could still be in time, those that no slot will reach in time, and those at the end of their
 // deadline.
 func (b *Batch) refuseExpired(now time.Time) []*wire.Decision {
@@ -285,7 +289,12 @@
 	if b.shed.due(at) {
 		b.shed.markUnreachable(at, b.waiting, minGrantShare*b.capacity())
 	}
+	gone := b.goneVersions(now)
 	b.removeIf(func(i *item) bool {
+		if i.bound && gone[i.version] {
+			out = append(out, refuse.Ticket(i.Ticket, refuse.VersionGone, 0))
+			return true
+		}
 		if at < i.refuseAt {
 			return false
 		}
--- a/core/batch/item.go
+++ b/core/batch/item.go
@@ -25,6 +25,9 @@
 	// A request that arrives too late for its objective waits for at most 1/retryWaitDivisor of
 	// the time to its deadline.
 	retryWaitDivisor = 6
+	// A stream that goes on waits for at most 1/goOnWaitDivisor of the time to its deadline. Engines
+	// of other versions can't run it, and its caller would lose the events that it has.
+	goOnWaitDivisor = 2
 	// retryValue is added to lateValue for a request that arrives too late for its objective. Its
 	// caller was told to retry, and does not retry after a second refusal.
 	retryValue = 0.3
@@ -50,7 +53,9 @@
 		// overload.
 		valueRate    float64
 		priority     int32  // Rank of the route; a smaller number is more urgent.
-		version      string // Version of the engines that may run it; empty for any.
+		version      string // Version of the engines that may run it; empty for any, unless bound is set.
+		bound        bool   // Only engines of version may run it, also if they name none.
+		goesOn       bool   // A stream that goes on, while there are engines of other versions that can't run it.
 		prompt       int64
 		answer       int64   // Expected tokens, corrected from the caller's estimate.
 		prefillSteps float64 // Prefill time in decode steps.
@@ -64,14 +69,16 @@
 	return float64(t.GetPromptTokens() + answerTokenWeight*t.GetAnswerTokens())
 }
 
-func newItem(now time.Duration, t *wire.Ticket, route *routeStats, mean *engineStats) *item {
-	i := &item{Ticket: t, priority: t.GetPriority(), version: t.GetVersion(), prompt: t.GetPromptTokens(), answer: route.answers.expected(t.GetAnswerTokens()), prefillSteps: mean.costs.prefillSteps(t.GetPromptTokens()), objective: never}
+func newItem(now time.Duration, t *wire.Ticket, route *routeStats, mean *engineStats, goesOn bool) *item {
+	i := &item{Ticket: t, priority: t.GetPriority(), version: t.GetVersion(), bound: t.GetBound(), goesOn: goesOn, prompt: t.GetPromptTokens(), answer: route.answers.expected(t.GetAnswerTokens()), prefillSteps: mean.costs.prefillSteps(t.GetPromptTokens()), objective: never}
 	if t.GetObjectiveUs() != 0 {
 		i.objective = now + time.Duration(t.GetObjectiveUs())*time.Microsecond
 	}
 	i.deadline = now + time.Duration(t.GetDeadlineUs())*time.Microsecond
 	i.refuseAt = i.deadline - defaultFirstToken
 	switch left := i.objective - now; {
+	case goesOn:
+		i.refuseAt = now + (i.deadline-now)/goOnWaitDivisor
 	case i.objective == never:
 	case left > defaultFirstToken:
 		i.refuseAt = i.objective - defaultFirstToken
@@ -98,6 +105,8 @@
 func (i *item) score(firstTokenAt time.Duration) float64 {
 	rate := i.valueRate * i.routeStats.weights[i.class] * i.routeStats.boost
 	switch {
+	case i.goesOn:
+		return rate
 	case i.arrivedLate:
 		return rate * (lateValue + retryValue)
 	case firstTokenAt > i.objective:
@@ -105,3 +114,9 @@
 	}
 	return rate
 }
+
+// anyVersion reports whether engines of all versions may run the ticket.
+func (i *item) anyVersion() bool { return i.version == "" && !i.bound }
+
+// accepts reports whether engines of a version may run the ticket.
+func (i *item) accepts(version string) bool { return i.anyVersion() || i.version == version }
--- a/core/batch/pick.go
+++ b/core/batch/pick.go
@@ -35,7 +35,7 @@
 func (b *Batch) choose(now time.Time) (int, *engine) {
 	for limit := sampleSize; ; limit *= sampleGrowth {
 		batchesFull, more := b.listOffers(now, b.waiting[len(b.waiting)-1], limit)
-		if len(b.offers) == 0 || (batchesFull && !b.topPriority.includesAny(b.waiting)) {
+		if len(b.offers) == 0 || (batchesFull && !slices.ContainsFunc(b.waiting, b.mayQueue)) {
 			return 0, nil
 		}
 		if n, e, fits := b.pick(now.Sub(b.started), batchesFull); fits || !more {
@@ -83,7 +83,7 @@
 	}
 	var fit, unfit topItems
 	for n, i := range b.waiting {
-		if (batchesFull && !b.topPriority.includes(i)) || !b.hasRoom(i) {
+		if (batchesFull && !b.mayQueue(i)) || !b.hasRoom(i) {
 			continue
 		}
 		s := i.score(now + soonest.baseFirstToken + time.Duration(i.prefillSteps*float64(soonest.perToken)))
@@ -99,6 +99,10 @@
 	return fit
 }
 
+// mayQueue reports whether a ticket may be granted a place in the queue of an engine whose batch is
+// full: one of the top priority, or a stream that goes on, which few engines may be able to run.
+func (b *Batch) mayQueue(i *item) bool { return i.goesOn || b.topPriority.includes(i) }
+
 // topItems holds the indices in waiting of the highest scores, best first.
 type topItems struct {
 	index  [maxCandidates]int
@@ -150,14 +154,14 @@
 func (b *Batch) bestOffer(now time.Duration, i *item) (*offer, time.Duration) {
 	var best *offer
 	var least time.Duration
-	urgent := b.topPriority.includes(i)
+	urgent := b.mayQueue(i)
 	tokens := i.GetPromptTokens() + i.GetAnswerTokens()
 	for n := range b.offers {
 		o := &b.offers[n]
 		if o.batchFull && !urgent {
 			continue
 		}
-		if i.version != "" && i.version != o.Version {
+		if !i.accepts(o.Version) {
 			continue
 		}
 		if len(i.GetAvoid()) > 0 && slices.Contains(i.GetAvoid(), o.GetUpstream()) {
--- a/core/batch/toppriority.go
+++ b/core/batch/toppriority.go
@@ -1,9 +1,6 @@
 package batch
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // topPriorityTTL is how long a priority stays the top priority without a new request.
 const topPriorityTTL = 30 * time.Second
@@ -20,9 +17,6 @@
 // includes reports whether a ticket is at least as urgent as the top priority.
 func (p *topPriority) includes(i *item) bool { return i.priority <= p.priority }
 
-// includesAny reports whether any ticket of the list is at least as urgent as the top priority.
-func (p *topPriority) includesAny(list []*item) bool { return slices.ContainsFunc(list, p.includes) }
-
 func (p *topPriority) observe(now time.Time, priority int32) {
 	if priority <= p.priority || now.Sub(p.seenAt) > topPriorityTTL {
 		p.priority, p.seenAt = priority, now
--- a/core/canary/version.go
+++ b/core/canary/version.go
@@ -13,12 +13,7 @@
 	if s.GetTo() == "" {
 		return s.GetBase()
 	}
-	share := s.GetShare()
-	for _, r := range s.GetShares() {
-		if r.GetRoute() == route {
-			share = r.GetShare()
-		}
-	}
+	share := Share(s, route)
 	const drawBits = 53 // Of the hash, as many as a float64 holds exactly.
 	draw := float64(xxhash.Sum64String(request)>>(64-drawBits)) / (1 << drawBits)
 	if draw < share {
@@ -26,3 +21,14 @@
 	}
 	return s.GetBase()
 }
+
+// Share returns the part of a route's requests that goes to the target version of a split.
+func Share(s *wire.Split, route string) float64 {
+	share := s.GetShare()
+	for _, r := range s.GetShares() {
+		if r.GetRoute() == route {
+			share = r.GetShare()
+		}
+	}
+	return share
+}
--- a/core/peers/peers.go
+++ b/core/peers/peers.go
@@ -52,6 +52,9 @@
 		// Version is the version of upstreams that may run the request; empty for any. An upstream
 		// that names no version counts as being of it.
 		Version string
+		// Bound means that only upstreams which name Version may run the request, or only those
+		// which name none if Version is empty.
+		Bound bool
 	}
 )
 
@@ -102,7 +105,7 @@
 	var nearest uint64
 	fastest := p.fastest(list)
 	for _, u := range list {
-		if c.Version != "" && u.GetVersion() != "" && u.GetVersion() != c.Version {
+		if !c.accepts(u.GetVersion()) {
 			continue
 		}
 		e := p.getOrCreate(u.GetId())
@@ -154,6 +157,11 @@
 	return true
 }
 
+// accepts reports whether upstreams of a version may run the request.
+func (c *Choice) accepts(version string) bool {
+	return version == c.Version || (!c.Bound && (c.Version == "" || version == ""))
+}
+
 // distance orders upstreams of equal cost, differently for each entry. After the loss of a
 // scheduler, no entry has observations of any engine. With the same order everywhere, the next
 // request of each of 81 entries went to the same engine with four slots.
--- a/core/refuse/refuse.go
+++ b/core/refuse/refuse.go
@@ -16,25 +16,27 @@
 
 // Codes of requests that did not run.
 const (
-	BadRequest   = "bad-request"       // The request can't be read.
-	BadKey       = "unauthorized"      // No client account has that key.
-	Forbidden    = "tier-forbidden"    // The account may not use that tier.
-	NotFound     = "not-found"         // No pool serves that model, service or path.
-	BodyLate     = "body-late"         // The body did not come in time.
-	TooLarge     = "body-too-large"    // The body is over the account's limit.
-	HeaderLarge  = "header-too-large"  // The header is over the limit of routes.
-	AccountLimit = "account-limit"     // The account has too much open already.
-	Overloaded   = "overloaded"        // The pool is full.
-	Deadline     = "deadline"          // It can't be done before the deadline.
-	NoUpstream   = "no-upstream"       // No upstream of the pool is live.
-	NoControl    = "no-control"        // No quorum to claim the key; nothing ran.
-	NotReady     = "not-ready"         // The entry has no configuration yet.
-	ShuttingDown = "shutting-down"     // The entry is stopping.
-	KeyMismatch  = "key-mismatch"      // The key was used with another request.
-	Unreachable  = "unreachable"       // No upstream could be connected to.
-	Crashes      = "crashes-upstreams" // Upstreams crashed under this request before.
-	CallerGone   = "caller-gone"       // Every caller went away before it was sent.
-	Internal     = "internal"          // A fault of azurelane.
+	BadRequest    = "bad-request"       // The request can't be read.
+	BadKey        = "unauthorized"      // No client account has that key.
+	Forbidden     = "tier-forbidden"    // The account may not use that tier.
+	NotFound      = "not-found"         // No pool serves that model, service or path.
+	BodyLate      = "body-late"         // The body did not come in time.
+	TooLarge      = "body-too-large"    // The body is over the account's limit.
+	HeaderLarge   = "header-too-large"  // The header is over the limit of routes.
+	AccountLimit  = "account-limit"     // The account has too much open already.
+	Overloaded    = "overloaded"        // The pool is full.
+	Deadline      = "deadline"          // It can't be done before the deadline.
+	NoUpstream    = "no-upstream"       // No upstream of the pool is live.
+	NoControl     = "no-control"        // No quorum to claim the key; nothing ran.
+	NotReady      = "not-ready"         // The entry has no configuration yet.
+	ShuttingDown  = "shutting-down"     // The entry is stopping.
+	KeyMismatch   = "key-mismatch"      // The key was used with another request.
+	Unreachable   = "unreachable"       // No upstream could be connected to.
+	Crashes       = "crashes-upstreams" // Upstreams crashed under this request before.
+	UnknownStream = "unknown-stream"    // It is not known at which version of the upstreams the stream began.
+	VersionGone   = "version-gone"      // No upstream of the stream's version is left.
+	CallerGone    = "caller-gone"       // Every caller went away before it was sent.
+	Internal      = "internal"          // A fault of azurelane.
 )
 
 // Codes of requests that ran or may have run.
@@ -64,17 +66,19 @@
 // rules holds the codes that differ from the default. All other codes, including those of scheduling
 // policies, have status 503, have not run and may be retried.
 var rules = map[string]rule{
-	BadRequest:   {status: http.StatusBadRequest},
-	BadKey:       {status: http.StatusUnauthorized},
-	Forbidden:    {status: http.StatusForbidden},
-	NotFound:     {status: http.StatusNotFound},
-	BodyLate:     {status: http.StatusRequestTimeout, retryable: true},
-	TooLarge:     {status: http.StatusRequestEntityTooLarge},
-	HeaderLarge:  {status: http.StatusRequestHeaderFieldsTooLarge},
-	AccountLimit: {status: http.StatusTooManyRequests, retryable: true},
-	KeyMismatch:  {status: http.StatusUnprocessableEntity},
-	Crashes:      {status: http.StatusServiceUnavailable},
-	Internal:     {status: http.StatusInternalServerError, retryable: true},
+	BadRequest:    {status: http.StatusBadRequest},
+	BadKey:        {status: http.StatusUnauthorized},
+	Forbidden:     {status: http.StatusForbidden},
+	NotFound:      {status: http.StatusNotFound},
+	BodyLate:      {status: http.StatusRequestTimeout, retryable: true},
+	TooLarge:      {status: http.StatusRequestEntityTooLarge},
+	HeaderLarge:   {status: http.StatusRequestHeaderFieldsTooLarge},
+	AccountLimit:  {status: http.StatusTooManyRequests, retryable: true},
+	KeyMismatch:   {status: http.StatusUnprocessableEntity},
+	Crashes:       {status: http.StatusServiceUnavailable},
+	UnknownStream: {status: http.StatusServiceUnavailable},
+	VersionGone:   {status: http.StatusServiceUnavailable},
+	Internal:      {status: http.StatusInternalServerError, retryable: true},
 
 	UpstreamLost:   {status: http.StatusBadGateway, mayHaveRun: true},
 	UpstreamMute:   {status: http.StatusGatewayTimeout, mayHaveRun: true},
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -8,6 +8,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 type (
@@ -42,8 +44,9 @@
 // MaxUpstreams returns how many upstreams may run one request.
 func (r *Route) MaxUpstreams() int { return max(r.Upstreams, 1) }
 
-// Pool returns a random pool of the split, by weight, or an empty string if all weights are zero.
-func (r *Route) Pool() string {
+// Pool returns the pool of a request, or an empty string if all weights are zero. Requests are spread
+// over the split by weight, and those with the same key get the same pool while the split stays.
+func (r *Route) Pool(key string) string {
 	total := 0
 	for _, s := range r.Split {
 		total += s.Weight
@@ -52,6 +55,9 @@
 		return ""
 	}
 	n := rand.IntN(total) //nolint:gosec // Splits load, no secret.
+	if key != "" {
+		n = int(xxhash.Sum64String(key) % uint64(total)) //nolint:gosec // Below total.
+	}
 	for _, s := range r.Split {
 		if n -= s.Weight; n < 0 {
 			return s.Pool
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -34,11 +35,24 @@
 	r := Route{Split: []Share{{"a", 90}, {"b", 10}, {"none", 0}}}
 	n := map[string]int{}
 	for range 10000 {
-		n[r.Pool()]++
+		n[r.Pool("")]++
+	}
+	must.Between(t, 8800, n["a"], 9200)
+	must.Eq(t, 10000, n["a"]+n["b"])
+	must.Eq(t, "", (&Route{}).Pool(""))
+}
+
+// Guards against a stream that is taken up in another pool than the one that began it.
+func TestSplitByKey(t *testing.T) {
+	r := Route{Split: []Share{{"a", 90}, {"b", 10}, {"none", 0}}}
+	n := map[string]int{}
+	for i := range 10000 {
+		key := fmt.Sprintf("%016x", i)
+		n[r.Pool(key)]++
+		must.Eq(t, r.Pool(key), r.Pool(key))
 	}
 	must.Between(t, 8800, n["a"], 9200)
 	must.Eq(t, 10000, n["a"]+n["b"])
-	must.Eq(t, "", (&Route{}).Pool())
 }
 
 func TestRepeatable(t *testing.T) {
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -20,6 +20,7 @@
 
 	"azurelane/core/aged"
 	"azurelane/core/budget"
+	"azurelane/core/digest"
 	"azurelane/core/ledger"
 	"azurelane/core/meta"
 	"azurelane/core/peers"
@@ -42,6 +43,7 @@
 		Prober      prober
 		Trier       trier
 		Charger     charger
+		Origins     originFinder
 		Path        upstreamPath
 		Dialect     dialect
 		RetryRatio  float64 // Retries allowed, as a fraction of requests.
@@ -62,6 +64,7 @@
 		rateLimits       rateLimits
 		reportSignal     reportSignal
 		versions         versions
+		origins          origins
 
 		mu              sync.Mutex // Guards the fields below.
 		peers           peers.Peers
@@ -80,6 +83,7 @@
 		Configured() <-chan struct{}
 		Doubt(ctx context.Context)
 		Replaced(id string)
+		OnlyVersion(pool string, within time.Duration) (version string, ok bool)
 	}
 
 	granter interface {
@@ -93,6 +97,12 @@
 		Charge(ctx context.Context, u *wire.Usage) error
 	}
 
+	// originFinder asks the scheduler at which version a stream began. The bool reports whether the
+	// scheduler knows it.
+	originFinder interface {
+		FindOrigin(ctx context.Context, pool string, stream digest.Digest, maxAge time.Duration) (version string, known bool, err error)
+	}
+
 	// upstreamPath is this entry's view of its own path to upstreams.
 	upstreamPath interface {
 		// Suspect reports whether recent failures may be the path's and not the upstreams'.
@@ -233,7 +243,8 @@
 	if q.gate.Path.Blocked() {
 		return refuse.New(refuse.Unreachable, "this entry reaches no upstream", noPathRetryAfter)
 	}
-	q.pool = q.route.Pool()
+	q.pool = q.route.Pool(q.streamAttempt())
+	q.initOrigin()
 	return q.readBody()
 }
 
--- a/io/gate/harness_test.go
+++ b/io/gate/harness_test.go
@@ -138,6 +138,9 @@
 
 func (s *testGate) Doubt(context.Context) {}
 
+// OnlyVersion knows of no pool that it has had one version only.
+func (s *testGate) OnlyVersion(string, time.Duration) (string, bool) { return "", false }
+
 func (s *testGate) Replaced(id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/io/gate/place.go
+++ b/io/gate/place.go
@@ -28,8 +28,11 @@
 	// no scheduler answers. A request waits for at most 1/localWaitDivisor of the time left until
 	// its objective. A new scheduler is usually known within half a second. Without the wait, all
 	// requests that were waiting at a lost scheduler would be refused at the same instant.
-	maxLocalWait      = 500 * time.Millisecond
-	localWaitDivisor  = 2
+	maxLocalWait     = 500 * time.Millisecond
+	localWaitDivisor = 2
+	// maxOriginWait is the same for a stream that goes on. Its caller would otherwise lose the events
+	// that it has, and most new schedulers know within this time at which version the stream began.
+	maxOriginWait     = time.Second
 	localPollInterval = 15 * time.Millisecond // Between two checks for a scheduler or for capacity.
 	// schedulerWait is how long a request waits for another scheduler before this entry places the
 	// request itself, with little knowledge of the upstreams. A data centre that is cut off from
@@ -75,7 +78,7 @@
 			}
 		}
 		p, err := q.chargeAndPlace(ctx, pool.Slots)
-		if err == nil || pool.Slots == 0 {
+		if err == nil || pool.Slots == 0 || isVersionGone(err) {
 			return p, err
 		}
 		if until.IsZero() {
@@ -100,6 +103,9 @@
 
 // placementWait returns how long the request may wait for a scheduler or for capacity.
 func (q *request) placementWait() time.Duration {
+	if q.origin.goesOn {
+		return min(maxOriginWait, q.remaining()/localWaitDivisor)
+	}
 	if q.route.Objective <= 0 {
 		return min(maxLocalWait, q.remaining()/localWaitDivisor)
 	}
@@ -150,6 +156,7 @@
 // requestGrant asks the scheduler for a slot.
 func (q *request) requestGrant(ctx context.Context) (*placement, error) {
 	t := q.ticket()
+	q.origin.describe(t, q.view.Owner.GetIncarnation())
 	stop := q.checkLiveness(ctx)
 	g, err := q.gate.Granter.Grant(ctx, t)
 	stop()
@@ -160,11 +167,15 @@
 	q.gate.mu.Lock()
 	q.gate.chargeAccount(time.Now(), q, true)
 	q.gate.mu.Unlock()
+	q.origin.granted(g)
 	return &placement{request: q, ticket: t, grant: g, upstream: &wire.Upstream{Id: g.GetUpstream(), Address: g.GetAddress(), Version: g.GetVersion()}}, nil
 }
 
 // chargeAndPlace charges the request, where the scheduler has to be asked, and picks an upstream.
 func (q *request) chargeAndPlace(ctx context.Context, slots int64) (*placement, error) {
+	if err := q.findOrigin(ctx); err != nil {
+		return nil, err
+	}
 	if err := q.chargePlain(ctx, slots); err != nil {
 		return nil, err
 	}
@@ -188,11 +199,15 @@
 		c.MaxRunning = max(int(localOvercommit*float64(slots)/float64(max(q.view.Entries, 1))), 1)
 	}
 	var u *wire.Upstream
+	c.Bound = q.origin.bound
 	for _, c.Version = range g.versions.choose(now, q, g.SplitValid) {
 		if u = g.peers.Pick(now, q.view.Upstreams[q.pool], c); u != nil {
 			break
 		}
 	}
+	if u == nil && q.versionGone() {
+		return nil, refuse.New(refuse.VersionGone, "no upstream of the stream's version is left", 0)
+	}
 	if u == nil {
 		code := refuse.NoUpstream
 		if slots > 0 {
--- a/io/gate/request.go
+++ b/io/gate/request.go
@@ -43,14 +43,15 @@
 		headerSent      bool   // The header of the response has been written.
 		lastEventID     string // ID of the last event written to the caller.
 		version         string // Of the upstream that sent the last event.
+		origin          streamOrigin
 		events          int64
 		firstEventAfter time.Duration // From the arrival of the request until its first event was written.
 		gap             time.Duration // Longest pause between two events, over all sends.
 		lastEventAt     time.Time     // When the last event was written.
 		cachedDigest    *digest.Digest
-		tallied         *tally.Send    // The send in progress; nil if its version does not matter.
-		sentTo          *wire.Upstream // Upstream of the last send.
-		banTrial        bool           // The request is banned and may be sent once as a trial.
+		tallied         *tally.Send // The send in progress; nil if its version does not matter.
+		sentBy          *placement  // Of the last send.
+		banTrial        bool        // The request is banned and may be sent once as a trial.
 	}
 
 	// result describes how one send ended.
@@ -128,7 +129,7 @@
 		}
 		q.gate.recordSentUnits(q, p)
 		q.tallied = q.gate.versions.begin(q, p.upstream.GetVersion())
-		q.sentTo = p.upstream
+		q.sentBy = p
 		res := q.send(ctx, p)
 		q.gate.versions.end(q.tallied, res)
 		p.release(res)
--- a/io/gate/stream.go
+++ b/io/gate/stream.go
@@ -135,7 +135,7 @@
 // recordOrigin logs and counts a stream that goes on: one that the caller takes up, or one that moves
 // to another upstream within an answer.
 func (s *stream) recordOrigin() {
-	to := s.sentTo
+	to := s.sentBy.upstream
 	switch {
 	case s.headerSent && s.version != to.GetVersion():
 		s.gate.Stats.Count("streams-mixed", 1)
@@ -148,6 +148,7 @@
 		s.gate.Log.Info("Stream resumed.", "request", s.meta.ID, "resumes", s.meta.Resumes, "last-event", s.meta.LastEvent, "upstream", to.GetId(), "version", to.GetVersion())
 	}
 	s.request.version = to.GetVersion()
+	s.gate.recordOrigin(time.Now(), s.request, s.sentBy)
 }
 
 // writeHeader writes the header of the response once. If another upstream resumes the stream, the
--- a/io/gate/versions.go
+++ b/io/gate/versions.go
@@ -66,6 +66,8 @@
 	defer v.mu.Unlock()
 	s := v.splits[q.pool]
 	switch {
+	case q.origin.bound:
+		return v.chooseBound(now, q, valid)
 	case s == nil:
 		return []string{""}
 	case q.sends == 0 && s.GetTo() != "" && now.Sub(v.updated) <= valid && canary.Version(s, q.routeName(), q.meta.ID) == s.GetTo():
@@ -76,6 +78,19 @@
 	return []string{s.GetBase()}
 }
 
+// chooseBound returns the version at which a request's stream began, or nothing if the rollouts leave
+// no upstream of that version to it. v.mu must be held.
+func (v *versions) chooseBound(now time.Time, q *request, valid time.Duration) []string {
+	s, began := v.splits[q.pool], q.origin.began
+	switch {
+	case s == nil, began == s.GetBase(), began == "":
+		return []string{began}
+	case began == s.GetTo() && now.Sub(v.updated) <= valid && canary.Share(s, q.routeName()) > 0:
+		return []string{began}
+	}
+	return nil
+}
+
 // begin counts a send. It returns nil where the pool keeps no versions apart.
 func (v *versions) begin(q *request, version string) *tally.Send {
 	v.mu.Lock()
--- a/io/gated/gated.go
+++ b/io/gated/gated.go
@@ -105,10 +105,11 @@
 		Self: settings.Node, Incarnation: incarnation, Local: noLocalScheduler{}, Members: e.watch, Mesh: e.mesh, Log: log.WithName("grant"),
 	}
 	e.watch.OnSchedulerChange, e.watch.Usage = e.grant.OwnersChanged, g.UsageRates
+	e.watch.Origins = g.KnownOrigins
 	e.watch.Crashes, e.watch.OnBans = g.KnownCrashes, g.SetBans
 	e.watch.Limits, e.watch.OnLimits, e.watch.OnSplits = g.KnownLimits, g.SetLimits, g.SetSplits
 	g.Node, g.Incarnation, g.DataCentre = settings.Node, incarnation, settings.Centre
-	g.Cluster, g.Granter, g.Sender, g.Prober, g.Path, g.Trier, g.Charger, g.Stats, g.Log = e.watch, e.grant, e.client, e.dialer, e.dialer, e, e, metrics, e.log
+	g.Cluster, g.Granter, g.Sender, g.Prober, g.Path, g.Trier, g.Charger, g.Origins, g.Stats, g.Log = e.watch, e.grant, e.client, e.dialer, e.dialer, e, e, e, metrics, e.log
 	metrics.Pull("configuration-version", func() int64 { return int64(e.watch.View().Version) }) //nolint:gosec // Versions are small.
 	metrics.Pull("configuration-age-ms", func() int64 { return time.Since(e.watch.View().LastHeard).Milliseconds() })
 	metrics.Pull("scheduler-known", func() int64 {
@@ -256,14 +257,22 @@
 			return
 		case <-e.gate.ReportsPending():
 		}
+		o := e.gate.TakeOriginReports()
+		again := len(o) > 0 && !e.sendReport(ctx, &wire.Frame{Body: &wire.Frame_Origins{Origins: &wire.Origins{Origins: o}}})
+		if again {
+			e.gate.RequeueOriginReports(o)
+		}
 		if l := e.gate.TakeLimitReports(); len(l) > 0 {
 			e.sendReport(ctx, &wire.Frame{Body: &wire.Frame_Limits{Limits: &wire.Limits{Limits: l}}})
 		}
 		c := e.gate.TakeCrashReports()
-		if len(c.GetCrashes())+len(c.GetCleared()) == 0 || e.sendReport(ctx, &wire.Frame{Body: &wire.Frame_Crashes{Crashes: c}}) {
+		if len(c.GetCrashes())+len(c.GetCleared()) > 0 && !e.sendReport(ctx, &wire.Frame{Body: &wire.Frame_Crashes{Crashes: c}}) {
+			again = true
+			e.gate.RequeueCrashReports(c)
+		}
+		if !again {
 			continue
 		}
-		e.gate.RequeueCrashReports(c)
 		select {
 		case <-ctx.Done():
 			return
@@ -362,6 +371,21 @@
 	return nil
 }
 
+// FindOrigin asks the scheduler at which version a stream began, and whether it knows it.
+func (e *Gated) FindOrigin(ctx context.Context, pool string, stream digest.Digest, maxAge time.Duration) (version string, known bool, err error) {
+	reply, err := e.askScheduler(ctx, e.watch.Owner(""), &wire.Frame{Body: &wire.Frame_OriginQuery{OriginQuery: &wire.OriginQuery{
+		Pool: pool, Stream: stream[:], MaxAgeUs: maxAge.Microseconds(),
+	}}})
+	if err != nil {
+		return "", false, err
+	}
+	list := reply.GetOrigins().GetOrigins()
+	if len(list) == 0 {
+		return "", false, nil
+	}
+	return list[0].GetVersion(), true, nil
+}
+
 func (e *Gated) callScheduler(ctx context.Context, owner *wire.Member, f *wire.Frame) error {
 	_, err := e.askScheduler(ctx, owner, f)
 	return err
--- a/io/hub/hub.go
+++ b/io/hub/hub.go
@@ -189,6 +189,12 @@
 		}
 		return 0
 	})
+	h.Stats.Pull("streams-known", func() int64 {
+		if s := h.scheduler(); s != nil {
+			return int64(s.origins.streams.Len())
+		}
+		return 0
+	})
 	h.Stats.Pull("entries", func() int64 { return h.watchers.count() })
 	h.Stats.Pull("upstreams-silent", func() int64 {
 		s := h.scheduler()
@@ -263,6 +269,7 @@
 		h.updateRollouts(s) // Before upstreams of other versions are announced.
 		list, _, _ := h.Replica.Roster(0)
 		for _, u := range list {
+			s.origins.observe(time.Now(), u)
 			if s.scope == scopeDeployment || u.GetDataCentre() == h.DataCentre {
 				h.announce(s, u, takeoverLeaseIntervals)
 			}
@@ -304,17 +311,9 @@
 		return r, nil
 	}
 	switch b := f.GetBody().(type) {
-	case *wire.Frame_Release:
-		if s := h.scheduler(); s != nil {
-			s.release(b.Release)
-		}
-	case *wire.Frame_Withdraw:
-		if s := h.scheduler(); s != nil {
-			s.sched.Withdraw(b.Withdraw)
-		}
-	case *wire.Frame_Held:
+	case *wire.Frame_Release, *wire.Frame_Withdraw, *wire.Frame_Held:
 		if s := h.scheduler(); s != nil {
-			s.sched.Hold(b.Held)
+			s.handleSlots(f)
 		}
 	case *wire.Frame_Usage:
 		return h.handleUsage(b.Usage)
@@ -334,6 +333,8 @@
 		return h.handleReportFrame(ctx, f)
 	case *wire.Frame_ConfigQuery:
 		return h.readPublication(ctx)
+	case *wire.Frame_Origins, *wire.Frame_OriginQuery:
+		return h.handleOrigins(ctx, f)
 	case *wire.Frame_Evidence, *wire.Frame_RolloutQuery:
 		return h.handleRollouts(ctx, f)
 	case *wire.Frame_Command:
--- /dev/null
+++ b/io/hub/origins.go
@@ -0,0 +1,162 @@
+package hub
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"azurelane/core/census"
+	"azurelane/core/digest"
+	"azurelane/core/origin"
+	"azurelane/core/refuse"
+	"azurelane/core/wire"
+)
+
+const (
+	// originWait is how long a stream may stay unknown before it is refused: an entry reports the
+	// streams that it places itself just after their first event.
+	originWait = 60 * time.Millisecond
+	// takeoverOriginWait is the same during originTakeover, while entries still report to a new
+	// scheduler what they know.
+	takeoverOriginWait = 500 * time.Millisecond
+	originTakeover     = 2 * time.Second
+	originPollInterval = 10 * time.Millisecond
+	// maxOriginWaiters is how many unknown streams wait at once. The others are refused at once.
+	maxOriginWaiters = 512
+)
+
+// origins holds the versions at which streams began, as far as a scheduler knows: from its own
+// grants, and from the reports of entries. The zero value is ready.
+type origins struct {
+	streams origin.Origin
+
+	mu      sync.Mutex
+	census  census.Census
+	waiters int
+}
+
+// observe records the version of an upstream.
+func (o *origins) observe(now time.Time, u *wire.Upstream) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.census.Add(now, u.GetId(), u.GetPool(), u.GetVersion())
+	if u.GetState() == wire.Upstream_STATE_GONE {
+		o.census.Remove(now, u.GetId())
+	}
+}
+
+// only returns the version of a pool's upstreams, if they have had one version only for the given
+// time.
+func (o *origins) only(now time.Time, pool string, within time.Duration) (string, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.census.Only(now, pool, within)
+}
+
+// startWait reports whether one more stream may wait until it is known.
+func (o *origins) startWait() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.waiters >= maxOriginWaiters {
+		return false
+	}
+	o.waiters++
+	return true
+}
+
+func (o *origins) endWait() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.waiters--
+}
+
+// findOrigin calls found with the version at which a stream began, and whether it is known. If the
+// stream is unknown, findOrigin waits for reports of it for a while.
+func (s *scheduler) findOrigin(ctx context.Context, pool string, name []byte, maxAge time.Duration, found func(version string, known bool)) {
+	stream, ok := digest.From(name)
+	now := time.Now()
+	if version, known := s.origins.streams.Version(now, stream); ok && known {
+		found(version, true)
+		return
+	}
+	// A scheduler that is cut off does not know which versions have come elsewhere.
+	if s.scope == scopeDeployment {
+		if version, single := s.origins.only(now, pool, maxAge); single {
+			found(version, true)
+			return
+		}
+	}
+	if !ok || !s.origins.startWait() {
+		found("", false)
+		return
+	}
+	wait := originWait
+	if now.Sub(s.startedAt) < originTakeover {
+		wait = takeoverOriginWait
+	}
+	s.awaitOrigin(ctx, stream, now.Add(wait), found)
+}
+
+// awaitOrigin looks for a stream again and again until it is known or the given time has come.
+func (s *scheduler) awaitOrigin(ctx context.Context, stream digest.Digest, until time.Time, found func(version string, known bool)) {
+	time.AfterFunc(originPollInterval, func() {
+		now := time.Now()
+		version, known := s.origins.streams.Version(now, stream)
+		if !known && now.Before(until) && ctx.Err() == nil {
+			s.awaitOrigin(ctx, stream, until, found)
+			return
+		}
+		s.origins.endWait()
+		found(version, known)
+	})
+}
+
+// submitResumed submits the ticket of a stream of which the caller holds events, once it is known at
+// which version the stream began.
+func (s *scheduler) submitResumed(ctx context.Context, t *wire.Ticket, done func(*wire.Decision)) {
+	start := time.Now()
+	s.findOrigin(ctx, t.GetPool(), t.GetStream(), micros(t.GetMaxAgeUs()), func(version string, known bool) {
+		if !known {
+			s.refuseStream(t, refuse.UnknownStream, start, done)
+			return
+		}
+		t.Bound, t.Began = true, version
+		s.schedule(ctx, t, done)
+	})
+}
+
+// refuseStream refuses a ticket whose stream can't go on.
+func (s *scheduler) refuseStream(t *wire.Ticket, code string, start time.Time, done func(*wire.Decision)) {
+	d := refuse.Ticket(t, code, 0)
+	s.recordRefusal(t, d.GetRefusal(), start, 0)
+	done(d)
+}
+
+// recordOrigin records at which version a granted stream begins. If the upstream fails before it has
+// sent an event, the next grant replaces the version.
+func (s *scheduler) recordOrigin(now time.Time, t *wire.Ticket, version string) {
+	if stream, ok := digest.From(t.GetStream()); ok {
+		s.origins.streams.Record(now, stream, version, micros(t.GetKeepUs()))
+	}
+}
+
+// handleOrigins answers a frame about the versions at which streams began.
+func (h *Hub) handleOrigins(ctx context.Context, f *wire.Frame) (*wire.Frame, error) {
+	s := h.scheduler()
+	if s == nil {
+		return nil, h.notLeaderFault()
+	}
+	if o := f.GetOrigins(); o != nil {
+		s.origins.streams.Merge(time.Now(), o.GetOrigins())
+		return nil, nil //nolint:nilnil // An empty reply is an acknowledgement.
+	}
+	query, answer := f.GetOriginQuery(), make(chan *wire.Origins, 1)
+	s.findOrigin(ctx, query.GetPool(), query.GetStream(), micros(query.GetMaxAgeUs()), func(version string, known bool) {
+		o := &wire.Origins{}
+		if known {
+			o.Origins = append(o.Origins, &wire.Origin{Stream: query.GetStream(), Version: version})
+		}
+		answer <- o
+	})
+	return &wire.Frame{Body: &wire.Frame_Origins{Origins: <-answer}}, nil
+}
--- a/io/hub/rollouts.go
+++ b/io/hub/rollouts.go
@@ -268,6 +268,8 @@
 	s := r.splits[t.GetPool()]
 	r.mu.Unlock()
 	switch {
+	case t.GetBound():
+		return t.GetBegan()
 	case s == nil:
 		return ""
 	case t.GetReturned():
@@ -276,6 +278,26 @@
 	return canary.Version(s, t.GetRoute(), t.GetRequest())
 }
 
+// bind binds a ticket to the version at which its stream began. It returns false if the rollouts
+// leave no upstream of that version to it: neither a version that was rolled back nor one that has
+// not been proved yet gets requests, also those that go on there.
+func (r *rollouts) bind(t *wire.Ticket, version string) bool {
+	r.mu.Lock()
+	s := r.splits[t.GetPool()]
+	r.mu.Unlock()
+	if s != nil && version == "" {
+		version = s.GetBase() // An upstream that names no version counts as being of the base version.
+	}
+	t.Bound, t.Began = true, version
+	switch {
+	case s == nil, version == s.GetBase():
+		return true
+	case version == s.GetTo():
+		return canary.Share(s, t.GetRoute()) > 0
+	}
+	return false
+}
+
 // standing returns what the rollouts mean for an upstream.
 func (r *rollouts) standing(u *wire.Upstream) standing {
 	r.mu.Lock()
@@ -290,7 +312,7 @@
 	s := splits[u.GetPool()]
 	switch v := u.GetVersion(); {
 	case s == nil:
-		return standing{}
+		return standing{version: v}
 	case v == "":
 		return standing{version: s.GetBase()}
 	default:
--- a/io/hub/scheduler.go
+++ b/io/hub/scheduler.go
@@ -27,6 +27,7 @@
 	bans           bans
 	limits         limits
 	rollouts       rollouts
+	origins        origins
 	stats          *stats.Stats
 	log            logr.Logger
 	refusalLog     *logs.Budget // Limits the log lines of refused tickets.
@@ -213,9 +214,22 @@
 	s.rollouts.forget(incarnation)
 }
 
-// submit charges a ticket to its account and calls done with the decision.
+// submit schedules a ticket and calls done with the decision.
 func (s *scheduler) submit(ctx context.Context, t *wire.Ticket, done func(*wire.Decision)) {
+	if t.GetGoesOn() && !t.GetBound() {
+		s.submitResumed(ctx, t, done)
+		return
+	}
+	s.schedule(ctx, t, done)
+}
+
+// schedule charges a ticket to its account and passes it to the policy of its pool.
+func (s *scheduler) schedule(ctx context.Context, t *wire.Ticket, done func(*wire.Decision)) {
 	start := time.Now()
+	if t.GetBound() && !s.rollouts.bind(t, t.GetBegan()) {
+		s.refuseStream(t, refuse.VersionGone, start, done)
+		return
+	}
 	s.mu.Lock()
 	wait, ok := time.Duration(0), true
 	// A second send of a request costs no units and needs none to be left.
@@ -251,6 +265,7 @@
 // recordGrant counts and logs a granted ticket.
 func (s *scheduler) recordGrant(t *wire.Ticket, g *wire.Grant, start time.Time) {
 	waited := time.Since(start)
+	s.recordOrigin(time.Now(), t, g.GetVersion())
 	s.stats.Count("tickets-granted", 1)
 	s.stats.Time("ticket-wait", waited)
 	if log := s.log.V(1); log.Enabled() {
@@ -279,7 +294,19 @@
 		"prompt", t.GetPromptTokens(), "answer", t.GetAnswerTokens(), "deadline-left", micros(t.GetDeadlineUs()).String(),
 		"account", t.GetAccount(), "units", t.GetUnits(), "code", refusal.GetCode(), "retry-after", micros(refusal.GetRetryAfterUs()).String(),
 		"waited", time.Since(start).String(), "objective-left", micros(t.GetObjectiveUs()).String(),
-		"returned", t.GetReturned(), "waiting", s.sched.Waiting(), "version", version, "scheduler", s.id, "lines-left-out", leftOut)
+		"returned", t.GetReturned(), "goes-on", t.GetGoesOn(), "began", t.GetBegan(), "waiting", s.sched.Waiting(), "version", version, "scheduler", s.id, "lines-left-out", leftOut)
+}
+
+// handleSlots takes what an entry says of its slots and waiting tickets.
+func (s *scheduler) handleSlots(f *wire.Frame) {
+	switch b := f.GetBody().(type) {
+	case *wire.Frame_Release:
+		s.release(b.Release)
+	case *wire.Frame_Withdraw:
+		s.sched.Withdraw(b.Withdraw)
+	case *wire.Frame_Held:
+		s.sched.Hold(b.Held)
+	}
 }
 
 func micros(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
--- a/io/hub/watch.go
+++ b/io/hub/watch.go
@@ -62,6 +62,7 @@
 			s.forgetEntry(old)
 		}
 		s.registerEntry(w, h.entriesHere(s))
+		s.origins.streams.Merge(time.Now(), w.GetOrigins())
 		s.bans.merge(h.Log, w.GetCrashes())
 		h.applyLimits(s, w.GetLimits())
 		reachChanged, bansChanged, limitsChanged, splitsChanged := s.reachability.changed(), s.bans.changed(), s.limits.changed(), s.rollouts.changed()
--- a/io/watch/watch.go
+++ b/io/watch/watch.go
@@ -16,6 +16,7 @@
 	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
 
+	"azurelane/core/census"
 	"azurelane/core/conf"
 	"azurelane/core/index"
 	"azurelane/core/wire"
@@ -58,6 +59,8 @@
 		// and the upstream crashes that it has seen. Both may be nil.
 		Usage   func() []*wire.AccountUsage
 		Crashes func() *wire.Crashes
+		// Origins returns the streams that this entry began, sent to a new scheduler. It may be nil.
+		Origins func() []*wire.Origin
 		// OnBans is called with each new list of bans, and with first set if it is the first list
 		// from its scheduler. It may be nil.
 		OnBans func(list *wire.Bans, first bool)
@@ -83,6 +86,8 @@
 		lastProbe      time.Time
 		probeTimes     [probeHistory]time.Duration // Round-trip times of the last probes, a ring buffer.
 		probeCount     int                         // Number of probes answered so far.
+		census         census.Census               // Of the upstreams in the roster.
+		rosterSince    time.Time                   // When this entry first had the whole roster.
 		replaced       map[string]struct{}         // Upstreams reported to Replaced.
 	}
 
@@ -177,11 +182,15 @@
 		wait = localPollWait
 	}
 	var usage []*wire.AccountUsage
+	var origins []*wire.Origin
 	up := time.Duration(0)
 	// A replica that loses the leadership and wins it again schedules anew, without the entry having
 	// lost it.
 	if w.Usage != nil && (v.Owner == nil || v.Owner.GetIncarnation() != w.reportedTo) {
 		usage, up = w.Usage(), time.Since(w.startedAt)
+		if w.Origins != nil {
+			origins = w.Origins()
+		}
 	}
 	var crashes *wire.Crashes
 	if v.Owner == nil && w.Crashes != nil {
@@ -203,7 +212,7 @@
 	f, err := w.Mesh.Call(ctx, to.addr, &wire.Frame{Body: &wire.Frame_Watch{Watch: &wire.Watch{
 		Node: w.Node, Incarnation: w.Incarnation, DataCentre: w.DataCentre, Address: w.PeerAddress.String(),
 		Version: v.Version, Revision: v.Revision, WaitUs: wait.Microseconds(), Leader: v.Owner.GetIncarnation(),
-		Rates: usage, Entries: int64(v.Entries), Alone: to.local, Crashes: crashes, Bans: v.bansRevision, Limits: limits, Splits: v.splitsRevision, UpUs: up.Microseconds(), Tunnel: tunnel,
+		Rates: usage, Entries: int64(v.Entries), Alone: to.local, Crashes: crashes, Bans: v.bansRevision, Limits: limits, Splits: v.splitsRevision, UpUs: up.Microseconds(), Tunnel: tunnel, Origins: origins,
 	}}})
 	if err != nil {
 		return fmt.Errorf("watch: poll %s: %w", to.addr, err)
@@ -231,6 +240,7 @@
 		if rosterErr := v.applyRoster(n, w.replaced); rosterErr != nil {
 			err = rosterErr
 		}
+		w.countVersions(v.LastHeard, &v)
 	}
 	if old.Index == nil && v.Index != nil {
 		defer func() {
