A stream's version is recorded where it is certain

A scheduler recorded the version with its grant, the answer got lost in a cut, and the entry began the stream at another version while the scheduler went on to answer for the first.

In a pool of several versions the scheduler now records nothing with a grant; the entry reports the stream after its first event (no message before that, one a batch, and none in pools of one version). Where the pool has one version the record stays with the grant. Gates without a scheduler also wait for one, for up to a second, before they refuse a stream of a plain pool.

--- a/io/gate/harness_test.go
+++ b/io/gate/harness_test.go
@@ -22,6 +22,7 @@
 
 	"azurelane/core/acct"
 	"azurelane/core/conf"
+	"azurelane/core/digest"
 	"azurelane/core/index"
 	"azurelane/core/meta"
 	"azurelane/core/peers"
@@ -37,13 +38,14 @@
 	idHeader      = "X-Id"
 	genuineHeader = "X-Mark"
 	key           = "secret"
+	otherKey      = "other secret" // Of another client account.
 )
 
 // testDialect is the dialect of these tests.
 type testDialect struct{}
 
 func (testDialect) Read(h http.Header) (meta.Meta, error) {
-	m := meta.Meta{ID: h.Get(idHeader), Prompt: 100, Answer: 100}
+	m := meta.Meta{ID: h.Get(idHeader), Prompt: 100, Answer: 100, LastEvent: h.Get("X-Last-Event"), Resumes: h.Get("X-Resumes")}
 	if v := h.Get("X-Wait"); v != "" {
 		d, err := time.ParseDuration(v)
 		if err != nil {
@@ -100,6 +102,9 @@
 	chargedUnits int64
 	noPath       bool
 
+	singleVersion  string // Of the pool, as far as this entry is sure; empty if it is not.
+	schedulerKnows string // Version at which each stream began, as the scheduler says; empty for unknown.
+
 	configured chan struct{}
 	srv        *httptest.Server
 }
@@ -138,8 +143,15 @@
 
 func (s *testGate) Doubt(context.Context) {}
 
-// OnlyVersion knows of no pool that it has had one version only.
-func (s *testGate) OnlyVersion(string, time.Duration) (string, bool) { return "", false }
+// OnlyVersion returns singleVersion if it is set.
+func (s *testGate) OnlyVersion(string, time.Duration) (string, bool) {
+	return s.singleVersion, s.singleVersion != ""
+}
+
+// FindOrigin returns schedulerKnows if it is set.
+func (s *testGate) FindOrigin(context.Context, string, digest.Digest, time.Duration) (version string, known bool, err error) {
+	return s.schedulerKnows, s.schedulerKnows != "", nil
+}
 
 func (s *testGate) Replaced(id string) {
 	s.mu.Lock()
@@ -256,9 +268,9 @@
 
 func newTestGate(t *testing.T, ups ...*upstream) *testGate {
 	t.Helper()
-	sum := sha256.Sum256([]byte(key))
+	sum, otherSum := sha256.Sum256([]byte(key)), sha256.Sum256([]byte(otherKey))
 	cfg := &conf.Config{
-		Accounts: map[string]acct.Account{"radio": {KeySHA256: hex.EncodeToString(sum[:])}},
+		Accounts: map[string]acct.Account{"radio": {KeySHA256: hex.EncodeToString(sum[:])}, "other": {KeySHA256: hex.EncodeToString(otherSum[:])}},
 		Pools:    map[string]pool.Pool{"p": {ByRoute: true}},
 	}
 	for _, r := range []route.Route{
@@ -279,7 +291,7 @@
 		})
 	}
 	s.Gate = &Gate{
-		Charger: s, Path: s,
+		Charger: s, Path: s, Origins: s,
 		Node: "e", Incarnation: "i", DataCentre: "z0", Cluster: s, Granter: s, Sender: &client.Client{Echo: idHeader}, Prober: &client.Client{}, Dialect: testDialect{},
 		RetryRatio: 1, RetrySlack: 100, Log: logr.Discard(),
 	}
--- a/io/gate/origins.go
+++ b/io/gate/origins.go
@@ -30,7 +30,7 @@
 		streams origin.Origin
 
 		mu         sync.Mutex
-		unreported []*wire.Origin // Streams that the scheduler can't know.
+		unreported []*wire.Origin // Streams that the scheduler does not know.
 	}
 
 	// streamOrigin says which version of upstreams may run a request. Once a caller holds events of a
@@ -43,8 +43,8 @@
 		goesOn  bool          // The caller holds events of the stream.
 		bound   bool          // Only upstreams of version began may run the request.
 		began   string
-		grantor string // Incarnation of the scheduler that last granted the request.
-		version string // Version that was granted.
+		grantor string // Incarnation of the scheduler that recorded the last grant; empty if none did.
+		version string // Version that was recorded.
 	}
 )
 
@@ -94,12 +94,14 @@
 
 // granted notes the version of a grant.
 func (o *streamOrigin) granted(g *wire.Grant) {
-	if o.maxAge == 0 {
-		return
-	}
-	o.grantor, o.version = g.GetOwner(), g.GetVersion()
-	if o.goesOn {
+	switch {
+	case o.maxAge == 0: // The request is no stream.
+	case o.goesOn:
 		o.bound, o.began = true, g.GetVersion()
+	case g.GetReport():
+		o.grantor, o.version = "", ""
+	default:
+		o.grantor, o.version = g.GetOwner(), g.GetVersion()
 	}
 }
 
@@ -144,9 +146,16 @@
 	return true
 }
 
-func isVersionGone(err error) bool {
+// mayLearnOrigin reports whether a scheduler that is found soon may know the stream that err refuses.
+func (q *request) mayLearnOrigin(err error) bool {
+	return q.origin.named && q.view.Owner == nil && hasCode(err, refuse.UnknownStream)
+}
+
+func isVersionGone(err error) bool { return hasCode(err, refuse.VersionGone) }
+
+func hasCode(err error, code string) bool {
 	var refusal *refuse.Error
-	return asError(err, &refusal) && refusal.Code == refuse.VersionGone
+	return asError(err, &refusal) && refusal.Code == code
 }
 
 // recordOrigin records the version of a stream that has just sent its first event by a placement.
@@ -158,7 +167,7 @@
 	}
 	g.origins.streams.Limit = maxOrigins
 	g.origins.streams.Record(now, o.stream, o.began, o.keep)
-	if p.grant != nil {
+	if p.grant != nil && !p.grant.GetReport() {
 		return // The scheduler recorded it with the grant.
 	}
 	g.queueOrigins([]*wire.Origin{{Stream: o.stream[:], Version: o.began, KeepUs: o.keep.Microseconds()}})
--- a/io/gate/place.go
+++ b/io/gate/place.go
@@ -78,7 +78,7 @@
 			}
 		}
 		p, err := q.chargeAndPlace(ctx, pool.Slots)
-		if err == nil || pool.Slots == 0 || isVersionGone(err) {
+		if err == nil || !q.mayPlaceLater(err, pool.Slots) {
 			return p, err
 		}
 		if until.IsZero() {
@@ -90,6 +90,11 @@
 	}
 }
 
+// mayPlaceLater reports whether a request that this entry could not place itself may be placed soon.
+func (q *request) mayPlaceLater(err error, slots int64) bool {
+	return !isVersionGone(err) && (slots > 0 || q.mayLearnOrigin(err))
+}
+
 // awaitScheduler waits up to schedulerWait for a scheduler and reports whether one is known.
 func (q *request) awaitScheduler(ctx context.Context) bool {
 	until := time.Now().Add(min(schedulerWait, q.placementWait()))
--- a/io/hub/origins.go
+++ b/io/hub/origins.go
@@ -132,12 +132,20 @@
 	done(d)
 }
 
-// recordOrigin records at which version a granted stream begins. If the upstream fails before it has
-// sent an event, the next grant replaces the version.
-func (s *scheduler) recordOrigin(now time.Time, t *wire.Ticket, version string) {
-	if stream, ok := digest.From(t.GetStream()); ok {
-		s.origins.streams.Record(now, stream, version, micros(t.GetKeepUs()))
+// recordOrigin records at which version a granted stream begins, if that is certain. In a pool of
+// several versions it is not: the answer may get lost, and the entry begin the stream at another
+// version. The entry then reports the stream after its first event.
+func (s *scheduler) recordOrigin(now time.Time, t *wire.Ticket, g *wire.Grant) {
+	stream, ok := digest.From(t.GetStream())
+	if !ok {
+		return
+	}
+	if _, single := s.origins.only(now, t.GetPool(), originTakeover); single || t.GetGoesOn() {
+		s.origins.streams.Record(now, stream, g.GetVersion(), micros(t.GetKeepUs()))
+		return
 	}
+	s.origins.streams.Forget(stream)
+	g.Report = true
 }
 
 // handleOrigins answers a frame about the versions at which streams began.
