Brittle upstreams are kept from refusing too many requests

Callers saw pools whose upstreams fall over one after the other: 6 to 25 falls in 9 s in TestBrittleServers where 2 are allowed, and 1 to 23 of 100 requests served where nine of ten fit.

Cause: Server-Brittle was not read. The scheduler and the entries take the places that an upstream announces for its room, send on after refusals, and give an upstream that is back all its places at once.

Gates report what answers tell, as with limits. All requests of a brittle pool take tickets, so that one scheduler counts for all entries. core/admit keeps the requests that may still be refused, and the refusals of the last second, below the number together; a refusal halves what is taken for room, one more is tried later; an upstream that is new in a brittle pool begins with one request.

Ruled out: shares of the number for entries. With one or two refusals a second and seven entries most entries would have none.

Open: entries without a scheduler, two schedulers at a cut, a scheduler that takes over (docs/PROOFS.md).

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -165,6 +165,7 @@
 		stats.prefillDone(s.GrantedAt, now.Add(-time.Duration(r.GetTotalUs()-r.GetFirstTokenUs())*time.Microsecond))
 	}
 	switch {
+	case r.GetBusy() && s.Upstream.Admit.Limited(): // Admit has noted it.
 	case r.GetBusy():
 		// The engine's queue is full of requests that this scheduler did not send. They are
 		// recorded as a prompt with as many tokens as all slots' usual answers, so that the
--- a/core/pull/pull.go
+++ b/core/pull/pull.go
@@ -49,6 +49,7 @@
 	fastest        *upstr.Upstream   // Fastest upstream for a typical request at the last sweep.
 	available      []*upstr.Upstream // All upstreams with room, and possibly some without.
 	availableStale bool              // Upstreams that are not in available may have room.
+	brittle        bool              // Some upstream has room again after a time, without a release.
 }
 
 const (
@@ -104,6 +105,7 @@
 	p.noteOwnerCall(now)
 	p.table.Update(now, a)
 	p.availableStale = true
+	p.brittle = slices.ContainsFunc(p.table.All(), func(u *upstr.Upstream) bool { return u.Admit.Limited() })
 	return p.assign(now)
 }
 
@@ -211,7 +213,7 @@
 // own upstream, so that the frequent grants that follow releases don't scan all upstreams.
 func (p *Policy) refreshAvailable(now time.Time) {
 	all := p.available
-	if p.availableStale {
+	if p.availableStale || p.brittle {
 		all, p.availableStale = p.table.All(), false
 	}
 	p.available = place.Available(now, all, p.available)
--- a/core/slots/slots.go
+++ b/core/slots/slots.go
@@ -46,6 +46,7 @@
 	s.lastNumber++
 	g.Number, g.GrantedAt, g.Owner = s.lastNumber, now, ""
 	g.Upstream.Meter.Take(now)
+	g.Upstream.Admit.Sent(now, g.Number)
 	s.add(g)
 	t := g.Ticket
 	return &wire.Decision{
@@ -145,7 +146,13 @@
 	if v == nil || v.Owner != r.GetOwner() || v.Number != r.GetSlot() {
 		return nil
 	}
-	return s.release(now, v)
+	s.release(now, v)
+	if r.GetBusy() {
+		v.Upstream.Admit.Refused(now, v.Number, v.Upstream.Running)
+	} else {
+		v.Upstream.Admit.Accepted(v.Number)
+	}
+	return v
 }
 
 // Cancel releases the slot of a ticket that the entry will not dispatch with that slot, or returns
--- a/core/upstr/upstr.go
+++ b/core/upstr/upstr.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"azurelane/core/admit"
 	"azurelane/core/limit"
 	"azurelane/core/meter"
 	"azurelane/core/prefix"
@@ -28,6 +29,7 @@
 	Cache          prefix.Prefix // Prompt prefixes that it has probably cached.
 	idHash         uint64        // Hash of its name.
 	Meter          meter.Meter   // Enforces the request rate that it announced.
+	Admit          admit.Admit   // Keeps it from refusing more requests than it bears.
 	Version        string        // As announced.
 }
 
@@ -52,6 +54,7 @@
 	} else {
 		u.Meter.Unlimit()
 	}
+	u.Admit.SetLimit(now, int(a.GetBrittle()), a.GetFresh())
 	u.Announce = a
 	u.LeaseEnd = now.Add(time.Duration(a.GetLeaseUs()) * time.Microsecond)
 	u.leaving, u.Version = a.GetLeaving(), a.GetVersion()
@@ -73,7 +76,12 @@
 
 // HasRoom reports whether the upstream may be granted one more request now.
 func (u *Upstream) HasRoom(now time.Time) bool {
-	return u.Running < u.EffectiveLimit(now) && u.Live(now) && u.Meter.CanSend(now)
+	return u.Running < u.EffectiveLimit(now) && u.Live(now) && u.CanSend(now)
+}
+
+// CanSend reports whether the rate of its requests, and of its refusals, allows one more request now.
+func (u *Upstream) CanSend(now time.Time) bool {
+	return u.Meter.CanSend(now) && u.Admit.CanSend(now, u.Running)
 }
 
 // AnnouncedLimit returns the number of requests that the upstream says it runs at once, or
--- /dev/null
+++ b/io/gate/brittle.go
@@ -0,0 +1,96 @@
+package gate
+
+import (
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"azurelane/core/wire"
+)
+
+// brittle holds how many requests upstreams may refuse in a second, as their responses tell. The zero
+// value is ready.
+type brittle struct {
+	mu         sync.Mutex
+	byUpstream map[string]brittleUpstream
+	pools      []string // With brittle upstreams, as the scheduler says.
+	unreported []*wire.Brittle
+}
+
+type brittleUpstream struct {
+	most int64     // Zero for any number.
+	sent time.Time // Send time of the request whose response told it.
+}
+
+// recordBrittle records what a response tells of its upstream's brittleness. Sent is the time at which
+// the request was sent.
+func (g *Gate) recordBrittle(pool, upstream string, sent time.Time, resp *http.Response) {
+	most, told := g.Dialect.Brittle(resp)
+	if g.Dialect.Other(resp) || (!told && !g.Dialect.Genuine(resp)) {
+		return // The response may not come from this upstream.
+	}
+	b := &g.brittle
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	old, known := b.byUpstream[upstream]
+	if !told && !known && !slices.Contains(b.pools, pool) {
+		return
+	}
+	if old.sent.After(sent) || (known && old.most == most) {
+		return
+	}
+	if b.byUpstream == nil {
+		b.byUpstream = map[string]brittleUpstream{}
+	}
+	b.byUpstream[upstream] = brittleUpstream{most, sent}
+	b.unreported = append(b.unreported, &wire.Brittle{Upstream: upstream, Most: most, AgeUs: time.Since(sent).Microseconds()})
+	g.Log.Info("Upstream told how many requests it may refuse in a second.", "upstream", upstream, "most", most, "brittle", told)
+	g.reportSignal.notify()
+}
+
+// SetBrittle takes the pools with brittle upstreams, and forgets upstreams that this entry no longer
+// knows.
+func (g *Gate) SetBrittle(pools []string) {
+	b, view := &g.brittle, g.Cluster.View()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.pools = pools
+	for id := range b.byUpstream {
+		if view.Upstream(id) == nil {
+			delete(b.byUpstream, id)
+		}
+	}
+}
+
+// scheduled reports whether requests of a pool take tickets: those of model engines, and those of
+// brittle upstreams, for which the scheduler counts what they have to refuse.
+func (g *Gate) scheduled(pool string, slots int64) bool {
+	if slots > 0 {
+		return true
+	}
+	g.brittle.mu.Lock()
+	defer g.brittle.mu.Unlock()
+	return slices.Contains(g.brittle.pools, pool)
+}
+
+// KnownBrittle returns all that this entry knows of brittle upstreams, for a new scheduler.
+func (g *Gate) KnownBrittle() []*wire.Brittle {
+	b := &g.brittle
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var list []*wire.Brittle
+	for id, u := range b.byUpstream {
+		list = append(list, &wire.Brittle{Upstream: id, Most: u.most, AgeUs: time.Since(u.sent).Microseconds()})
+	}
+	return list
+}
+
+// TakeBrittleReports returns the queued reports and clears the queue.
+func (g *Gate) TakeBrittleReports() []*wire.Brittle {
+	g.brittle.mu.Lock()
+	defer g.brittle.mu.Unlock()
+	list := g.brittle.unreported
+	g.brittle.unreported = nil
+	return list
+}
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -65,6 +65,7 @@
 		reportSignal     reportSignal
 		versions         versions
 		origins          origins
+		brittle          brittle
 
 		mu              sync.Mutex // Guards the fields below.
 		peers           peers.Peers
@@ -135,6 +136,8 @@
 		// Limit returns the requests per second that an upstream accepts from all clients together,
 		// if the response states a limit.
 		Limit(r *http.Response) (float64, bool)
+		// Brittle returns how many requests an upstream may refuse in a second, if its response tells.
+		Brittle(r *http.Response) (int64, bool)
 		// Genuine reports whether a response proves that an upstream created it.
 		Genuine(r *http.Response) bool
 		// Refuse sets, in the header of a refusal, the time after which the caller may retry.
--- a/io/gate/harness_test.go
+++ b/io/gate/harness_test.go
@@ -83,6 +83,11 @@
 	return rate, err == nil
 }
 
+func (testDialect) Brittle(r *http.Response) (int64, bool) {
+	n, err := strconv.ParseInt(r.Header.Get("X-Brittle"), 10, 64)
+	return n, err == nil
+}
+
 func (testDialect) Genuine(r *http.Response) bool { return r.Header.Get(genuineHeader) != "" }
 
 func (testDialect) Refuse(h http.Header, after time.Duration) {
--- a/io/gate/place.go
+++ b/io/gate/place.go
@@ -64,14 +64,15 @@
 	for {
 		q.view = q.gate.Cluster.View()
 		pool := q.view.Index.Pool(q.pool)
-		if pool.Slots > 0 && q.view.Owner != nil {
+		scheduled := q.gate.scheduled(q.pool, pool.Slots)
+		if scheduled && q.view.Owner != nil {
 			p, err := q.requestGrant(ctx)
 			if !errors.Is(err, grant.ErrNoOwner) {
 				return p, err
 			}
 			q.view = q.gate.Cluster.View()
 		}
-		if pool.Slots > 0 && !waited {
+		if scheduled && !waited {
 			waited = true
 			if q.awaitScheduler(ctx) {
 				continue
--- a/io/gate/send.go
+++ b/io/gate/send.go
@@ -85,6 +85,7 @@
 		q.gate.recordLoad(p.upstream.GetId(), l)
 	}
 	q.gate.recordLimit(p.upstream.GetId(), start, resp)
+	q.gate.recordBrittle(q.pool, p.upstream.GetId(), start, resp)
 	switch {
 	case q.gate.Dialect.Other(resp):
 		res.outcome = outcomeMisdirected
--- a/io/gated/gated.go
+++ b/io/gated/gated.go
@@ -106,6 +106,7 @@
 	}
 	e.watch.OnSchedulerChange, e.watch.Usage = e.grant.OwnersChanged, g.UsageRates
 	e.watch.Origins = g.KnownOrigins
+	e.watch.Brittle, e.watch.OnBrittle = g.KnownBrittle, g.SetBrittle
 	e.watch.Crashes, e.watch.OnBans = g.KnownCrashes, g.SetBans
 	e.watch.Limits, e.watch.OnLimits, e.watch.OnSplits = g.KnownLimits, g.SetLimits, g.SetSplits
 	g.Node, g.Incarnation, g.DataCentre = settings.Node, incarnation, settings.Centre
@@ -262,8 +263,8 @@
 		if again {
 			e.gate.RequeueOriginReports(o)
 		}
-		if l := e.gate.TakeLimitReports(); len(l) > 0 {
-			e.sendReport(ctx, &wire.Frame{Body: &wire.Frame_Limits{Limits: &wire.Limits{Limits: l}}})
+		if l, b := e.gate.TakeLimitReports(), e.gate.TakeBrittleReports(); len(l)+len(b) > 0 {
+			e.sendReport(ctx, &wire.Frame{Body: &wire.Frame_Limits{Limits: &wire.Limits{Limits: l, Brittle: b}}})
 		}
 		c := e.gate.TakeCrashReports()
 		if len(c.GetCrashes())+len(c.GetCleared()) > 0 && !e.sendReport(ctx, &wire.Frame{Body: &wire.Frame_Crashes{Crashes: c}}) {
--- a/io/hub/limits.go
+++ b/io/hub/limits.go
@@ -147,6 +147,7 @@
 		return h.notLeaderFault()
 	}
 	h.applyLimits(s, l.GetLimits())
+	h.applyBrittle(s, l.GetBrittle())
 	return nil
 }
 
@@ -156,7 +157,7 @@
 		rate, ok := s.limits.rate(id)
 		h.Log.Info("Rate limit of an upstream changed.", "upstream", id, "limited", ok, "per-second", rate)
 		if a := s.upstreams.setLimit(time.Now(), id, s.limitFor(id)); a != nil {
-			s.sched.Announce(a)
+			s.announce(a)
 		}
 	}
 }
--- a/io/hub/quota_test.go
+++ b/io/hub/quota_test.go
@@ -432,6 +432,8 @@
 
 func (simDialect) Limit(*http.Response) (float64, bool) { return 0, false }
 
+func (simDialect) Brittle(*http.Response) (int64, bool) { return 0, false }
+
 func (simDialect) Genuine(*http.Response) bool { return true }
 
 func (simDialect) Refuse(http.Header, time.Duration) {}
--- a/io/hub/rollouts.go
+++ b/io/hub/rollouts.go
@@ -160,7 +160,7 @@
 	}
 	if phase {
 		for _, a := range s.upstreams.setStandings(now, func(u *wire.Upstream) standing { return standingIn(splits, u) }) {
-			s.sched.Announce(a)
+			s.announce(a)
 		}
 	}
 	for pool := range splits {
--- a/io/hub/scheduler.go
+++ b/io/hub/scheduler.go
@@ -28,6 +28,7 @@
 	limits         limits
 	rollouts       rollouts
 	origins        origins
+	brittle        brittle
 	stats          *stats.Stats
 	log            logr.Logger
 	refusalLog     *logs.Budget // Limits the log lines of refused tickets.
@@ -318,7 +319,7 @@
 		now := time.Now()
 		dc, a := s.upstreams.markServed(now, rel.GetUpstream())
 		if a != nil {
-			s.sched.Announce(a)
+			s.announce(a)
 		}
 		if dc != "" {
 			s.reachability.markServed(now, dc)
--- a/io/hub/upstreams.go
+++ b/io/hub/upstreams.go
@@ -129,7 +129,7 @@
 	s.origins.observe(time.Now(), u)
 	lease := time.Duration(intervals)*h.AnnounceInterval + h.AnnounceInterval/2
 	if a := s.upstreams.announce(u, s.limitFor(u.GetId()), lease, s.rollouts.standing(u)); a != nil {
-		s.sched.Announce(a)
+		s.announce(a)
 	}
 }
 
@@ -298,3 +298,38 @@
 // goneRetention is how long the sequence number of an upstream that is gone is kept. The last
 // reports of such an upstream may arrive some seconds late and must not count as new.
 const goneRetention = time.Minute
+
+// announceIf returns an announcement, with the rest of the lease, for each upstream that is selected.
+func (t *upstreamTable) announceIf(now time.Time, selected func(*wire.Upstream) bool) []*wire.Announce {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []*wire.Announce
+	for _, st := range t.byID {
+		if st.Upstream == nil || !selected(st.Upstream) {
+			continue
+		}
+		if left := t.remainingLease(now, st); left > 0 {
+			list = append(list, st.announcement(left))
+		}
+	}
+	return list
+}
+
+// poolOf returns the pool of an upstream, or an empty string if it is unknown.
+func (t *upstreamTable) poolOf(id string) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	st := t.byID[id]
+	if st == nil {
+		return ""
+	}
+	return st.GetPool()
+}
+
+// heardSince reports whether an upstream has sent a report or completed a request since a time.
+func (t *upstreamTable) heardSince(id string, at time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	st := t.byID[id]
+	return st != nil && (st.reportedAt.After(at) || st.servedAt.After(at))
+}
--- a/io/hub/watch.go
+++ b/io/hub/watch.go
@@ -65,7 +65,8 @@
 		s.origins.streams.Merge(time.Now(), w.GetOrigins())
 		s.bans.merge(h.Log, w.GetCrashes())
 		h.applyLimits(s, w.GetLimits())
-		reachChanged, bansChanged, limitsChanged, splitsChanged := s.reachability.changed(), s.bans.changed(), s.limits.changed(), s.rollouts.changed()
+		h.applyBrittle(s, w.GetBrittle())
+		reachChanged, bansChanged, limitsChanged, splitsChanged, brittleChanged := s.reachability.changed(), s.bans.changed(), s.limits.changed(), s.rollouts.changed(), s.brittle.changed()
 		n, fresh, err := h.news(s, w)
 		if err != nil || fresh || woken {
 			return n, err
@@ -85,6 +86,7 @@
 		case <-bansChanged:
 		case <-limitsChanged:
 		case <-splitsChanged:
+		case <-brittleChanged:
 		}
 		select {
 		case <-ctx.Done():
@@ -201,6 +203,7 @@
 		known = 0 // Revisions of another scheduler can't be compared.
 	}
 	n.Bans = s.bans.since(known)
+	n.Brittle = s.brittle.pools()
 	n.Limits = s.limits.listFor(time.Now(), w.GetNode(), func() ([]string, bool) { return h.limitSharers(s) })
 	var doc []byte
 	n.Version, doc = h.Replica.Publication()
@@ -264,7 +267,7 @@
 	list := s.reachability.list()
 	h.Log.Info("Unreachable data centres changed.", "data-centres", list)
 	for _, a := range s.upstreams.setUnreached(now, list) {
-		s.sched.Announce(a)
+		s.announce(a)
 	}
 	s.setSilentEntries(now, h.watchers.silent(now, list))
 }
@@ -287,10 +290,12 @@
 	s.logSpeeds(now)
 	s.logRateShares(now)
 	s.logAccountUsage(now)
-	s.limits.retain(func(id string) bool {
+	known := func(id string) bool {
 		u := h.Replica.Upstream(id)
 		return u != nil && u.GetState() != wire.Upstream_STATE_GONE
-	})
+	}
+	s.limits.retain(known)
+	h.announceBrittle(s, nil, s.brittle.retain(func(id string) bool { return known(id) && s.upstreams.heardSince(id, now.Add(-brittleRetention)) }))
 	for _, inc := range h.watchers.expire(now) {
 		h.Log.Info("Entry timed out; its slots are freed.", "incarnation", inc)
 		s.sched.Forget(inc)
--- a/io/watch/watch.go
+++ b/io/watch/watch.go
@@ -68,6 +68,10 @@
 		// scheduler. OnLimits is called with all limits in force. Both may be nil.
 		Limits   func() []*wire.Limit
 		OnLimits func(list []*wire.Limit)
+		// Brittle returns the brittle upstreams that this entry knows, sent to a new scheduler. OnBrittle
+		// is called with all pools that have some. Both may be nil.
+		Brittle   func() []*wire.Brittle
+		OnBrittle func(pools []string)
 		// OnSplits is called with all splits of pools between versions. It may be nil.
 		OnSplits func(list *wire.Rollouts)
 		Log      logr.Logger
@@ -200,6 +204,10 @@
 	if v.Owner == nil && w.Limits != nil {
 		limits = w.Limits()
 	}
+	var brittle []*wire.Brittle
+	if v.Owner == nil && w.Brittle != nil {
+		brittle = w.Brittle()
+	}
 	tunnel := ""
 	if w.Tunnel.IsValid() {
 		tunnel = w.Tunnel.String()
@@ -212,7 +220,7 @@
 	f, err := w.Mesh.Call(ctx, to.addr, &wire.Frame{Body: &wire.Frame_Watch{Watch: &wire.Watch{
 		Node: w.Node, Incarnation: w.Incarnation, DataCentre: w.DataCentre, Address: w.PeerAddress.String(),
 		Version: v.Version, Revision: v.Revision, WaitUs: wait.Microseconds(), Leader: v.Owner.GetIncarnation(),
-		Rates: usage, Entries: int64(v.Entries), Alone: to.local, Crashes: crashes, Bans: v.bansRevision, Limits: limits, Splits: v.splitsRevision, UpUs: up.Microseconds(), Tunnel: tunnel, Origins: origins,
+		Rates: usage, Entries: int64(v.Entries), Alone: to.local, Crashes: crashes, Bans: v.bansRevision, Limits: limits, Splits: v.splitsRevision, UpUs: up.Microseconds(), Tunnel: tunnel, Origins: origins, Brittle: brittle,
 	}}})
 	if err != nil {
 		return fmt.Errorf("watch: poll %s: %w", to.addr, err)
@@ -258,6 +266,9 @@
 	if w.OnLimits != nil {
 		w.OnLimits(n.GetLimits())
 	}
+	if w.OnBrittle != nil {
+		w.OnBrittle(n.GetBrittle())
+	}
 	v.splitsRevision = n.GetRollouts().GetPhaseRevision()
 	if w.OnSplits != nil {
 		w.OnSplits(n.GetRollouts())
