Streams go on at the last engines of their version while these drain

Cause: an upstream that leaves gets nothing any more, whatever it is.

For 0.6 of the new setting upstream-drain after its leaving was acknowledged, an engine gets streams that go on and that no other engine of their version is left for. New streams never begin there. Where it is not known for how long it leaves (after a takeover) it gets nothing.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -136,12 +136,12 @@
 		b.routes[t.GetRoute()] = route
 	}
 	b.topPriority.observe(now, t.GetPriority())
-	if t.GetBound() && !b.hasVersion(now, t.GetVersion()) {
-		return []*wire.Decision{refuse.Ticket(t, refuse.VersionGone, 0)}
-	}
 	i := newItem(now.Sub(b.started), t, route, &b.meanEngine, t.GetBound() && t.GetGoesOn() && b.mixedVersions)
 	b.waiting = append(b.waiting, i)
 	b.waitingByKey[ticketKey{t.GetIncarnation(), t.GetId()}] = i
+	if i.bound && !b.hasVersion(now, i.version) {
+		return b.assignDraining(now)
+	}
 	if !b.room.has(batchRoom) && (!b.mayQueue(i) || !b.room.has(queueRoom)) {
 		return nil // No ticket could be granted before, and this one does not change that.
 	}
@@ -229,7 +229,7 @@
 		b.updateGapLimit()
 		b.slots.Sweep(now, b.pool.MaxRun+runGrace, func(*slot.Slot) {})
 	}
-	return append(b.assign(now), b.refuseExpired(now)...)
+	return slices.Concat(b.assignDraining(now), b.assign(now), b.refuseExpired(now))
 }
 
 func (b *Batch) remove(incarnation string, ticket uint64) {
@@ -261,27 +261,44 @@
 		if e == nil {
 			return out
 		}
-		i := b.waiting[n]
-		i.routeStats.addOutcome(now.Sub(b.started), i.class, true, !i.arrivedLate && now.Sub(b.started)+e.stats.timeToFirstToken(now, e.Upstream, i.prompt) <= i.objective)
-		b.waiting = slices.Delete(b.waiting, n, n+1)
-		delete(b.waitingByKey, ticketKey{i.GetIncarnation(), i.GetId()})
-		s := &slot.Slot{Upstream: e.Upstream, Ticket: i.Ticket, CachedTokens: cachedTokens(e.Upstream, i)}
-		s.ExpectedWait = e.stats.wait(now)
-		if e.GetUnreached() {
-			b.probedAt = now
-		}
-		e.stats.addPrompt(now, i.GetPromptTokens()-s.CachedTokens)
-		for _, p := range i.GetParts() {
-			e.Cache.RecordSent(now, p.GetHash())
-		}
-		b.shed.addGrant(now.Sub(b.started))
-		out = append(out, b.slots.Grant(now, s, b.pool.GrantTTL))
+		out = append(out, b.grant(now, n, e))
 	}
 	return out
 }
 
-// refuseExpired refuses the tickets that are bound to a version of which no engine is left, and those
-// whose refuseAt has come: those that are too late while others
+// grant grants a slot on an engine to a waiting ticket, by its index of waiting.
+func (b *Batch) grant(now time.Time, n int, e *engine) *wire.Decision {
+	i := b.waiting[n]
+	i.routeStats.addOutcome(now.Sub(b.started), i.class, true, !i.arrivedLate && now.Sub(b.started)+e.stats.timeToFirstToken(now, e.Upstream, i.prompt) <= i.objective)
+	b.dropWaiting(n)
+	s := &slot.Slot{Upstream: e.Upstream, Ticket: i.Ticket, CachedTokens: cachedTokens(e.Upstream, i)}
+	s.ExpectedWait = e.stats.wait(now)
+	if e.GetUnreached() {
+		b.probedAt = now
+	}
+	e.stats.addPrompt(now, i.GetPromptTokens()-s.CachedTokens)
+	for _, p := range i.GetParts() {
+		e.Cache.RecordSent(now, p.GetHash())
+	}
+	b.shed.addGrant(now.Sub(b.started))
+	return b.slots.Grant(now, s, b.pool.GrantTTL)
+}
+
+// refuseGone refuses a waiting ticket, by its index of waiting, because no engine of its version is left.
+func (b *Batch) refuseGone(n int) *wire.Decision {
+	t := b.waiting[n].Ticket
+	b.dropWaiting(n)
+	return refuse.Ticket(t, refuse.VersionGone, 0)
+}
+
+// dropWaiting drops a ticket from the queue, by its index of waiting.
+func (b *Batch) dropWaiting(n int) {
+	i := b.waiting[n]
+	b.waiting = slices.Delete(b.waiting, n, n+1)
+	delete(b.waitingByKey, ticketKey{i.GetIncarnation(), i.GetId()})
+}
+
+// refuseExpired refuses the tickets whose refuseAt has come: those that are too late while others
 // could still be in time, those that no slot will reach in time, and those at the end of their
 // deadline.
 func (b *Batch) refuseExpired(now time.Time) []*wire.Decision {
@@ -290,12 +307,7 @@
 	if b.shed.due(at) {
 		b.shed.markUnreachable(at, b.waiting, minGrantShare*b.capacity())
 	}
-	gone := b.goneVersions(now)
 	b.removeIf(func(i *item) bool {
-		if i.bound && gone[i.version] {
-			out = append(out, refuse.Ticket(i.Ticket, refuse.VersionGone, 0))
-			return true
-		}
 		if at < i.refuseAt {
 			return false
 		}
--- a/core/batch/bestcase.go
+++ b/core/batch/bestcase.go
@@ -1,11 +1,6 @@
 package batch
 
-import (
-	"slices"
-	"time"
-
-	"azurelane/core/upstr"
-)
+import "time"
 
 // bestCase holds the best times that any upstream could reach if it were idle. It distinguishes a
 // request that is late for lack of a slot from one that would be late anyway, such as one whose
@@ -102,25 +97,3 @@
 func (c *bestCase) timeToFirstToken(prefillSteps float64) time.Duration {
 	return c.overhead + time.Duration(prefillSteps*float64(c.perToken))
 }
-
-// hasVersion reports whether an engine of a version is left: one with a lease that is not leaving.
-func (b *Batch) hasVersion(now time.Time, version string) bool {
-	return slices.ContainsFunc(b.table.All(), func(u *upstr.Upstream) bool { return u.Version == version && u.Live(now) })
-}
-
-// goneVersions returns the versions to which waiting tickets are bound and of which no engine is left.
-func (b *Batch) goneVersions(now time.Time) map[string]bool {
-	var gone map[string]bool
-	for _, i := range b.waiting {
-		if !i.bound {
-			continue
-		}
-		if gone == nil {
-			gone = map[string]bool{}
-		}
-		if _, known := gone[i.version]; !known {
-			gone[i.version] = !b.hasVersion(now, i.version)
-		}
-	}
-	return gone
-}
--- a/core/upstr/upstr.go
+++ b/core/upstr/upstr.go
@@ -21,6 +21,7 @@
 	Running        int       // Slots granted and not yet released.
 	announcedLimit int       // Limit on concurrent requests, as announced; see AnnouncedLimit.
 	leaving        bool      // As announced.
+	drainsUntil    time.Time // While it leaves, streams that go on may be granted until then.
 	LeaseEnd       time.Time // Renewed by each announcement.
 	*wire.Announce
 	LongRunning    int           // Running slots of long requests.
@@ -58,6 +59,7 @@
 	u.Announce = a
 	u.LeaseEnd = now.Add(time.Duration(a.GetLeaseUs()) * time.Microsecond)
 	u.leaving, u.Version = a.GetLeaving(), a.GetVersion()
+	u.drainsUntil = now.Add(time.Duration(a.GetDrainsUs()) * time.Microsecond)
 	u.announcedLimit = DefaultMaxRunning
 	if n := a.GetMaxRunning(); n > 0 {
 		u.announcedLimit = int(n)
@@ -74,6 +76,11 @@
 	return !u.leaving && now.Before(u.LeaseEnd)
 }
 
+// Draining reports whether the upstream is leaving and may still be granted streams that go on there.
+func (u *Upstream) Draining(now time.Time) bool {
+	return u.leaving && now.Before(u.drainsUntil) && now.Before(u.LeaseEnd)
+}
+
 // HasRoom reports whether the upstream may be granted one more request now.
 func (u *Upstream) HasRoom(now time.Time) bool {
 	return u.Running < u.EffectiveLimit(now) && u.Live(now) && u.CanSend(now)
--- a/io/hub/hub.go
+++ b/io/hub/hub.go
@@ -46,10 +46,11 @@
 		QuotaSlack       float64                                // Units added to every burst, on top of Overage.
 		Stats            *stats.Stats
 		Log              logr.Logger
-		RefusalLog       logs.Budget // Limits the log lines of refused tickets.
-		RolloutShare     float64     // Share of a pool's requests that a bad version may get during a rollout.
-		RolloutSlack     float64     // Requests that it may get beyond that.
-		HoldVersions     bool        // Upstreams of other versions get no requests without a rollout.
+		RefusalLog       logs.Budget   // Limits the log lines of refused tickets.
+		RolloutShare     float64       // Share of a pool's requests that a bad version may get during a rollout.
+		RolloutSlack     float64       // Requests that it may get beyond that.
+		UpstreamDrain    time.Duration // How long an upstream serves on after its leaving was acknowledged.
+		HoldVersions     bool          // Upstreams of other versions get no requests without a rollout.
 
 		mu       sync.Mutex
 		clock    rolloutClock
--- a/io/hub/upstreams.go
+++ b/io/hub/upstreams.go
@@ -34,6 +34,7 @@
 		servedAt    time.Time // When it last completed a request.
 		announceSeq uint64    // Sequence number of the last announcement to sched.Sched; it must grow.
 		unreached   bool      // Its data centre seems cut off.
+		drainsUntil time.Time // While it leaves: until then streams may go on there. Zero if it is not known for how long it leaves.
 		limit       *wire.Limit
 		standing    standing
 	}
@@ -128,11 +129,15 @@
 func (h *Hub) announce(s *scheduler, u *wire.Upstream, intervals int) {
 	s.origins.observe(time.Now(), u)
 	lease := time.Duration(intervals)*h.AnnounceInterval + h.AnnounceInterval/2
-	if a := s.upstreams.announce(u, s.limitFor(u.GetId()), lease, s.rollouts.standing(u)); a != nil {
+	if a := s.upstreams.announce(u, s.limitFor(u.GetId()), lease, s.rollouts.standing(u), time.Duration(drainShare*float64(h.UpstreamDrain))); a != nil {
 		s.announce(a)
 	}
 }
 
+// drainShare is the part of an upstream's drain in which streams may go on there. The rest is for the
+// way of its requests, and for their runs.
+const drainShare = 0.6
+
 // getOrCreate returns the state of an upstream. t.mu must be held.
 func (t *upstreamTable) getOrCreate(u *wire.Upstream) *upstreamState {
 	if t.byID == nil {
@@ -165,10 +170,13 @@
 }
 
 // announce records the roster entry of an upstream and returns the announcement for sched.Sched.
-func (t *upstreamTable) announce(u *wire.Upstream, l *wire.Limit, lease time.Duration, v standing) *wire.Announce {
+func (t *upstreamTable) announce(u *wire.Upstream, l *wire.Limit, lease time.Duration, v standing, drain time.Duration) *wire.Announce {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	st := t.getOrCreate(u)
+	if st.Upstream != nil && st.GetState() == wire.Upstream_STATE_SERVING && u.GetState() == wire.Upstream_STATE_LEAVING {
+		st.drainsUntil = time.Now().Add(drain)
+	}
 	st.Upstream, st.limit, st.standing = u, l, v
 	if st.reportedAt.IsZero() {
 		st.reportedAt = time.Now()
@@ -183,8 +191,16 @@
 	return &wire.Announce{
 		Upstream: st.GetId(), Address: st.GetAddress(), DataCentre: st.GetDataCentre(), Pools: []string{st.GetPool()}, MaxRunning: st.GetSlots(),
 		Leaving: st.GetState() != wire.Upstream_STATE_SERVING || st.standing.held, Version: st.standing.version, LeaseUs: lease.Microseconds(), Seq: st.announceSeq, CanResume: true,
-		Unreached: st.unreached, Incarnation: strconv.FormatInt(st.GetBorn(), 10), Limit: st.limit,
+		Unreached: st.unreached, Incarnation: strconv.FormatInt(st.GetBorn(), 10), Limit: st.limit, DrainsUs: st.drainLeft().Microseconds(),
+	}
+}
+
+// drainLeft returns how long streams may still go on at an upstream that leaves.
+func (st *upstreamState) drainLeft() time.Duration {
+	if st.GetState() != wire.Upstream_STATE_LEAVING || st.standing.held {
+		return 0
 	}
+	return max(time.Until(st.drainsUntil), 0)
 }
 
 // setLimit sets the rate limit of an upstream and returns the announcement for sched.Sched, with
--- a/io/hubd/hubd.go
+++ b/io/hubd/hubd.go
@@ -102,7 +102,7 @@
 	h := &hub.Hub{
 		Replica: d.ctrl, LeaderClient: toLeader, DataCentre: settings.Centre, Parse: parse, Voters: group.TargetVoters(),
 		AnnounceInterval: settings.Announce, Overage: settings.Overage, QuotaSlack: settings.QuotaSlack, Stats: metrics, Log: d.log, RefusalLog: logs.Budget{Most: maxRefusalLogLines},
-		RolloutShare: settings.RolloutShare, RolloutSlack: settings.RolloutSlack, HoldVersions: settings.HoldVersions,
+		RolloutShare: settings.RolloutShare, RolloutSlack: settings.RolloutSlack, HoldVersions: settings.HoldVersions, UpstreamDrain: settings.UpstreamDrain,
 	}
 	h.RegisterGauges()
 	metrics.Pull("log-term", func() int64 { return int64(d.ctrl.Term()) })       //nolint:gosec // Far below the limit.
--- a/io/local/local.go
+++ b/io/local/local.go
@@ -47,11 +47,15 @@
 	RolloutSlack   float64       `json:"rollout-slack,omitzero"`
 	RollbackWithin time.Duration `json:"rollback-within,omitzero"`
 	HoldVersions   bool          `json:"hold-versions,omitzero"`
+	UpstreamDrain  time.Duration `json:"upstream-drain,omitzero"`
 	MemoryMB       int64         `json:"memory-mb,omitzero"`
 	LogLevel       int           `json:"log-level,omitzero"`
 	settingFile    string
 }
 
+// wantSpan is what settings of time take.
+const wantSpan = "a span"
+
 // Defaults of missing settings.
 const (
 	DefaultCatchUp    = 4 * time.Second
@@ -86,17 +90,18 @@
 		{Path: "/data-folder", Want: "a folder", Text: "Of a control replica."},
 		{Path: "/bootstrap", Want: "true or false", Default: "false", Text: "The deployment starts for the first time: the seeds found the group."},
 		{Path: "/losses", Want: limitWant, Default: "0", Text: "Control replicas that may be lost with their disks at once; twice as many and one vote."},
-		{Path: "/catch-up", Want: "a span", Default: DefaultCatchUp.String(), Text: "Within it a lost replica is replaced by a live one."},
-		{Path: "/announce-every", Want: "a span", Default: DefaultAnnounce.String(), Text: "Between two announcements of an upstream."},
-		{Path: "/drain-limit", Want: "a span", Default: DefaultDrainLimit.String(), Text: "After SIGTERM the process ends within it."},
+		{Path: "/catch-up", Want: wantSpan, Default: DefaultCatchUp.String(), Text: "Within it a lost replica is replaced by a live one."},
+		{Path: "/announce-every", Want: wantSpan, Default: DefaultAnnounce.String(), Text: "Between two announcements of an upstream."},
+		{Path: "/drain-limit", Want: wantSpan, Default: DefaultDrainLimit.String(), Text: "After SIGTERM the process ends within it."},
 		{Path: "/retry-ratio", Want: limitWant, Default: "0", Text: "Part of a pool's requests that may be sent to a second upstream, over all entries."},
 		{Path: "/retry-slack", Want: limitWant, Default: "0", Text: "Second sends beyond that, over all entries."},
 		{Path: "/quota-overage", Want: limitWant, Default: "0", Text: "Part of an account's rate and burst that may pass beyond them, over all entries."},
 		{Path: "/quota-slack", Want: limitWant, Default: "0", Text: "Units of an account that may pass beyond that within its window."},
 		{Path: "/rollout-share", Want: limitWant, Default: fmt.Sprint(DefaultRolloutShare), Text: "Part of a pool's requests that a bad version may get during a rollout, over all entries."},
 		{Path: "/rollout-slack", Want: limitWant, Default: strconv.Itoa(DefaultRolloutSlack), Text: "Requests that it may get beyond that."},
-		{Path: "/rollback-within", Want: "a span", Default: DefaultRollbackWithin.String(), Text: "Within it a version that has shown to be bad gets no more requests."},
+		{Path: "/rollback-within", Want: wantSpan, Default: DefaultRollbackWithin.String(), Text: "Within it a version that has shown to be bad gets no more requests."},
 		{Path: "/hold-versions", Want: "true or false", Default: "false", Text: "Upstreams of another version than their pool's get no requests unless a rollout brings it. Without it that holds from a pool's first rollout on."},
+		{Path: "/upstream-drain", Want: wantSpan, Default: "0s", Text: "How long an upstream serves on after its leaving was acknowledged. Meanwhile it gets streams that no other upstream of its version is left to go on with."},
 		{Path: "/memory-mb", Want: limitWant, Default: "0", Text: "The process is to stay well below it; 0 for no limit."},
 		{Path: "/log-level", Want: limitWant, Default: "0", Text: "1 adds a line for each whole answer."},
 	}
