Streams are recorded by their first event alone

Causes: an entry without a scheduler trusted its roster for 3 s that the pool has one version; a scheduler recorded the version of a stream with its grant while the pool had one, the answer got lost, and the entry began the stream at a version that came meanwhile.

An entry no longer goes by its own roster for streams that others began: it asks the scheduler, or refuses. Schedulers record nothing with grants of new streams. They name the pools of several versions to entries, at once when a pool gets another version; entries then report all streams that they know, and from then on each after its first event. Pools of one version send no message.

Weighed: to give a new version no streams until all entries know of it. That would have kept the trust, and let upstreams of the new version idle for up to 3 s whenever an entry is cut off at that moment.

--- a/core/origin/origin.go
+++ b/core/origin/origin.go
@@ -60,13 +60,6 @@
 	o.trim(now)
 }
 
-// Forget forgets a stream.
-func (o *Origin) Forget(stream digest.Digest) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	delete(o.byStream, stream)
-}
-
 // trim forgets streams whose time is over, as far as they were recorded first, and the first ones
 // above the limit.
 func (o *Origin) trim(now time.Time) {
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -84,7 +84,6 @@
 		Configured() <-chan struct{}
 		Doubt(ctx context.Context)
 		Replaced(id string)
-		OnlyVersion(pool string, within time.Duration) (version string, ok bool)
 	}
 
 	granter interface {
--- a/io/gate/origins.go
+++ b/io/gate/origins.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,7 +16,7 @@
 	// maxOrigins is the number of streams whose versions an entry remembers, and
 	// maxUnreportedOrigins how many of those wait to be reported at once.
 	maxOrigins           = 1 << 14
-	maxUnreportedOrigins = 1 << 12
+	maxUnreportedOrigins = 1 << 14
 	// A stream may be taken up until its caller's deadline, but no longer than for takeUpFactor times
 	// the timeout of its route, or for minTakeUp if that is more.
 	takeUpFactor = 4
@@ -30,21 +31,20 @@
 		streams origin.Origin
 
 		mu         sync.Mutex
+		mixed      []string       // Pools of several versions, as the scheduler says.
 		unreported []*wire.Origin // Streams that the scheduler does not know.
 	}
 
 	// streamOrigin says which version of upstreams may run a request. Once a caller holds events of a
 	// stream, only the version that sent them may go on.
 	streamOrigin struct {
-		stream  digest.Digest // Names the stream.
-		named   bool          // Whether the caller said which stream it is.
-		maxAge  time.Duration // How long ago the stream may have begun; zero if the request is no stream.
-		keep    time.Duration // How long the stream may be taken up from now on.
-		goesOn  bool          // The caller holds events of the stream.
-		bound   bool          // Only upstreams of version began may run the request.
-		began   string
-		grantor string // Incarnation of the scheduler that recorded the last grant; empty if none did.
-		version string // Version that was recorded.
+		stream digest.Digest // Names the stream.
+		named  bool          // Whether the caller said which stream it is.
+		maxAge time.Duration // How long ago the stream may have begun; zero if the request is no stream.
+		keep   time.Duration // How long the stream may be taken up from now on.
+		goesOn bool          // The caller holds events of the stream.
+		bound  bool          // Only upstreams of version began may run the request.
+		began  string
 	}
 )
 
@@ -80,48 +80,30 @@
 }
 
 // describe adds to a ticket what the scheduler has to know of the stream.
-func (o *streamOrigin) describe(t *wire.Ticket, scheduler string) {
+func (o *streamOrigin) describe(t *wire.Ticket) {
 	if o.named {
 		t.Stream, t.KeepUs = o.stream[:], o.keep.Microseconds()
 	}
 	t.MaxAgeUs = o.maxAge.Microseconds()
 	t.GoesOn, t.Bound, t.Began = o.goesOn, o.bound, o.began
-	if !o.bound && o.grantor != "" && o.grantor != scheduler {
-		// The former scheduler may answer an entry that asks for this stream.
-		t.Bound, t.Began = true, o.version
-	}
 }
 
 // granted notes the version of a grant.
 func (o *streamOrigin) granted(g *wire.Grant) {
-	switch {
-	case o.maxAge == 0: // The request is no stream.
-	case o.goesOn:
+	if o.goesOn {
 		o.bound, o.began = true, g.GetVersion()
-	case g.GetReport():
-		o.grantor, o.version = "", ""
-	default:
-		o.grantor, o.version = g.GetOwner(), g.GetVersion()
 	}
 }
 
 // findOrigin finds out which version may run a request that this entry places itself.
 func (q *request) findOrigin(ctx context.Context) error {
 	o := &q.origin
-	switch {
-	case o.bound:
-		return nil
-	case o.grantor != "":
-		// A scheduler may answer an entry that asks for this stream.
-		o.bound, o.began = true, o.version
-		return nil
-	case !o.goesOn:
+	if o.bound || !o.goesOn {
 		return nil
 	}
-	if o.began, o.bound = q.gate.Cluster.OnlyVersion(q.pool, o.maxAge); o.bound {
-		return nil
-	}
-	if o.named && q.view.Owner != nil {
+	// This entry does not go by its own roster: while it has lost touch, streams may begin elsewhere at
+	// a version that it has not heard of.
+	if q.view.Owner != nil {
 		version, known, err := q.gate.Origins.FindOrigin(ctx, q.pool, o.stream, o.maxAge)
 		if err != nil {
 			q.gate.Log.Info("Scheduler not asked for the version of a stream.", "request", q.meta.ID, "err", err.Error())
@@ -148,7 +130,7 @@
 
 // mayLearnOrigin reports whether a scheduler that is found soon may know the stream that err refuses.
 func (q *request) mayLearnOrigin(err error) bool {
-	return q.origin.named && q.view.Owner == nil && hasCode(err, refuse.UnknownStream)
+	return q.view.Owner == nil && hasCode(err, refuse.UnknownStream)
 }
 
 func isVersionGone(err error) bool { return hasCode(err, refuse.VersionGone) }
@@ -167,12 +149,30 @@
 	}
 	g.origins.streams.Limit = maxOrigins
 	g.origins.streams.Record(now, o.stream, o.began, o.keep)
-	if p.grant != nil && !p.grant.GetReport() {
-		return // The scheduler recorded it with the grant.
+	if p.grant != nil && !p.grant.GetReport() && !g.isMixed(q.pool) {
+		return // The scheduler asks for it once the pool has another version.
 	}
 	g.queueOrigins([]*wire.Origin{{Stream: o.stream[:], Version: o.began, KeepUs: o.keep.Microseconds()}})
 }
 
+// isMixed reports whether a pool has several versions, as far as this entry knows.
+func (g *Gate) isMixed(pool string) bool {
+	g.origins.mu.Lock()
+	defer g.origins.mu.Unlock()
+	return slices.Contains(g.origins.mixed, pool)
+}
+
+// SetMixed takes the pools of several versions. When there are new ones, all streams are reported.
+func (g *Gate) SetMixed(pools []string) {
+	g.origins.mu.Lock()
+	isNew := slices.ContainsFunc(pools, func(p string) bool { return !slices.Contains(g.origins.mixed, p) })
+	g.origins.mixed = pools
+	g.origins.mu.Unlock()
+	if isNew {
+		g.queueOrigins(g.KnownOrigins())
+	}
+}
+
 // KnownOrigins returns the versions of all streams that this entry remembers, for a new scheduler.
 func (g *Gate) KnownOrigins() []*wire.Origin { return g.origins.streams.List(time.Now()) }
 
--- a/io/gate/place.go
+++ b/io/gate/place.go
@@ -162,7 +162,7 @@
 // requestGrant asks the scheduler for a slot.
 func (q *request) requestGrant(ctx context.Context) (*placement, error) {
 	t := q.ticket()
-	q.origin.describe(t, q.view.Owner.GetIncarnation())
+	q.origin.describe(t)
 	stop := q.checkLiveness(ctx)
 	g, err := q.gate.Granter.Grant(ctx, t)
 	stop()
--- a/io/gated/gated.go
+++ b/io/gated/gated.go
@@ -105,7 +105,7 @@
 		Self: settings.Node, Incarnation: incarnation, Local: noLocalScheduler{}, Members: e.watch, Mesh: e.mesh, Log: log.WithName("grant"),
 	}
 	e.watch.OnSchedulerChange, e.watch.Usage = e.grant.OwnersChanged, g.UsageRates
-	e.watch.Origins = g.KnownOrigins
+	e.watch.Origins, e.watch.OnMixed = g.KnownOrigins, g.SetMixed
 	e.watch.Brittle, e.watch.OnBrittle = g.KnownBrittle, g.SetBrittle
 	e.watch.Crashes, e.watch.OnBans = g.KnownCrashes, g.SetBans
 	e.watch.Limits, e.watch.OnLimits, e.watch.OnSplits = g.KnownLimits, g.SetLimits, g.SetSplits
--- a/io/hub/origins.go
+++ b/io/hub/origins.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,17 +22,22 @@
 	takeoverOriginWait = 500 * time.Millisecond
 	originTakeover     = 2 * time.Second
 	originPollInterval = 10 * time.Millisecond
+	// minMaxAge is the least time for which a pool counts as mixed after it has one version again.
+	minMaxAge = time.Minute
 	// maxOriginWaiters is how many unknown streams wait at once. The others are refused at once.
 	maxOriginWaiters = 512
 )
 
-// origins holds the versions at which streams began, as far as a scheduler knows: from its own
-// grants, and from the reports of entries. The zero value is ready.
+// origins holds the versions at which streams began, as far as entries have told a scheduler. While a
+// pool has one version only, they tell nothing. The zero value is ready.
 type origins struct {
 	streams origin.Origin
 
 	mu      sync.Mutex
 	census  census.Census
+	maxAge  time.Duration // Longest time for which a stream may be taken up, as far as known.
+	mixed   []string      // Pools that have had several versions within maxAge, sorted.
+	change  signal        // Of mixed.
 	waiters int
 }
 
@@ -43,6 +49,46 @@
 	if u.GetState() == wire.Upstream_STATE_GONE {
 		o.census.Remove(now, u.GetId())
 	}
+	o.update(now, u.GetPool())
+}
+
+// update updates whether a pool is mixed. o.mu must be held.
+func (o *origins) update(now time.Time, pool string) {
+	_, single := o.census.Only(now, pool, max(o.maxAge, minMaxAge))
+	n, known := slices.BinarySearch(o.mixed, pool)
+	if single != known {
+		return
+	}
+	// Lists that were returned before stay as they are.
+	if single {
+		o.mixed = slices.Concat(o.mixed[:n], o.mixed[n+1:])
+	} else {
+		o.mixed = slices.Concat(o.mixed[:n], []string{pool}, o.mixed[n:])
+	}
+	o.change.broadcast()
+}
+
+// sweep updates which pools are still mixed.
+func (o *origins) sweep(now time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, pool := range o.mixed {
+		o.update(now, pool)
+	}
+}
+
+// mixedPools returns the pools whose streams entries report.
+func (o *origins) mixedPools() []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.mixed
+}
+
+// changed returns a channel that closes when the mixed pools next change.
+func (o *origins) changed() <-chan struct{} {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.change.wait()
 }
 
 // only returns the version of a pool's upstreams, if they have had one version only for the given
@@ -50,6 +96,7 @@
 func (o *origins) only(now time.Time, pool string, within time.Duration) (string, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.maxAge = max(o.maxAge, within)
 	return o.census.Only(now, pool, within)
 }
 
@@ -132,20 +179,18 @@
 	done(d)
 }
 
-// recordOrigin records at which version a granted stream begins, if that is certain. In a pool of
-// several versions it is not: the answer may get lost, and the entry begin the stream at another
-// version. The entry then reports the stream after its first event.
-func (s *scheduler) recordOrigin(now time.Time, t *wire.Ticket, g *wire.Grant) {
+// recordGrant keeps a stream that goes on from being forgotten, and tells the entry whether to report a
+// new one. The version of a new stream is not certain before its first event: the answer with the grant
+// may get lost, and the entry begin the stream at another version.
+func (o *origins) recordGrant(now time.Time, t *wire.Ticket, g *wire.Grant) {
 	stream, ok := digest.From(t.GetStream())
-	if !ok {
-		return
-	}
-	if _, single := s.origins.only(now, t.GetPool(), originTakeover); single || t.GetGoesOn() {
-		s.origins.streams.Record(now, stream, g.GetVersion(), micros(t.GetKeepUs()))
-		return
+	switch {
+	case !ok:
+	case t.GetGoesOn():
+		o.streams.Record(now, stream, g.GetVersion(), micros(t.GetKeepUs()))
+	default:
+		_, g.Report = slices.BinarySearch(o.mixedPools(), t.GetPool())
 	}
-	s.origins.streams.Forget(stream)
-	g.Report = true
 }
 
 // handleOrigins answers a frame about the versions at which streams began.
--- a/io/hub/scheduler.go
+++ b/io/hub/scheduler.go
@@ -266,7 +266,7 @@
 // recordGrant counts and logs a granted ticket.
 func (s *scheduler) recordGrant(t *wire.Ticket, g *wire.Grant, start time.Time) {
 	waited := time.Since(start)
-	s.recordOrigin(time.Now(), t, g)
+	s.origins.recordGrant(time.Now(), t, g)
 	s.stats.Count("tickets-granted", 1)
 	s.stats.Time("ticket-wait", waited)
 	if log := s.log.V(1); log.Enabled() {
--- a/io/hub/watch.go
+++ b/io/hub/watch.go
@@ -66,7 +66,7 @@
 		s.bans.merge(h.Log, w.GetCrashes())
 		h.applyLimits(s, w.GetLimits())
 		h.applyBrittle(s, w.GetBrittle())
-		reachChanged, bansChanged, limitsChanged, splitsChanged, brittleChanged := s.reachability.changed(), s.bans.changed(), s.limits.changed(), s.rollouts.changed(), s.brittle.changed()
+		reachChanged, bansChanged, limitsChanged, splitsChanged, brittleChanged, mixedChanged := s.reachability.changed(), s.bans.changed(), s.limits.changed(), s.rollouts.changed(), s.brittle.changed(), s.origins.changed()
 		n, fresh, err := h.news(s, w)
 		if err != nil || fresh || woken {
 			return n, err
@@ -87,6 +87,7 @@
 		case <-limitsChanged:
 		case <-splitsChanged:
 		case <-brittleChanged:
+		case <-mixedChanged:
 		}
 		select {
 		case <-ctx.Done():
@@ -203,7 +204,7 @@
 		known = 0 // Revisions of another scheduler can't be compared.
 	}
 	n.Bans = s.bans.since(known)
-	n.Brittle = s.brittle.pools()
+	n.Brittle, n.Mixed = s.brittle.pools(), s.origins.mixedPools()
 	n.Limits = s.limits.listFor(time.Now(), w.GetNode(), func() ([]string, bool) { return h.limitSharers(s) })
 	var doc []byte
 	n.Version, doc = h.Replica.Publication()
@@ -295,6 +296,7 @@
 		return u != nil && u.GetState() != wire.Upstream_STATE_GONE
 	}
 	s.limits.retain(known)
+	s.origins.sweep(now)
 	h.announceBrittle(s, nil, s.brittle.retain(func(id string) bool { return known(id) && s.upstreams.heardSince(id, now.Add(-brittleRetention)) }))
 	for _, inc := range h.watchers.expire(now) {
 		h.Log.Info("Entry timed out; its slots are freed.", "incarnation", inc)
--- a/io/watch/watch.go
+++ b/io/watch/watch.go
@@ -16,7 +16,6 @@
 	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
 
-	"azurelane/core/census"
 	"azurelane/core/conf"
 	"azurelane/core/index"
 	"azurelane/core/wire"
@@ -61,6 +60,8 @@
 		Crashes func() *wire.Crashes
 		// Origins returns the streams that this entry began, sent to a new scheduler. It may be nil.
 		Origins func() []*wire.Origin
+		// OnMixed is called with the pools whose streams this entry reports. It may be nil.
+		OnMixed func(pools []string)
 		// OnBans is called with each new list of bans, and with first set if it is the first list
 		// from its scheduler. It may be nil.
 		OnBans func(list *wire.Bans, first bool)
@@ -90,8 +91,6 @@
 		lastProbe      time.Time
 		probeTimes     [probeHistory]time.Duration // Round-trip times of the last probes, a ring buffer.
 		probeCount     int                         // Number of probes answered so far.
-		census         census.Census               // Of the upstreams in the roster.
-		rosterSince    time.Time                   // When this entry first had the whole roster.
 		replaced       map[string]struct{}         // Upstreams reported to Replaced.
 	}
 
@@ -248,7 +247,6 @@
 		if rosterErr := v.applyRoster(n, w.replaced); rosterErr != nil {
 			err = rosterErr
 		}
-		w.countVersions(v.LastHeard, &v)
 	}
 	if old.Index == nil && v.Index != nil {
 		defer func() {
@@ -269,6 +267,9 @@
 	if w.OnBrittle != nil {
 		w.OnBrittle(n.GetBrittle())
 	}
+	if w.OnMixed != nil {
+		w.OnMixed(n.GetMixed())
+	}
 	v.splitsRevision = n.GetRollouts().GetPhaseRevision()
 	if w.OnSplits != nil {
 		w.OnSplits(n.GetRollouts())
