Bounded memory of streams is set in one place

The race detector would have found two writers of the limit of an entry's streams; entries now keep the default of 65,536, as schedulers do.

--- a/io/gate/origins.go
+++ b/io/gate/origins.go
@@ -13,9 +13,7 @@
 )
 
 const (
-	// maxOrigins is the number of streams whose versions an entry remembers, and
-	// maxUnreportedOrigins how many of those wait to be reported at once.
-	maxOrigins           = 1 << 14
+	// maxUnreportedOrigins is the number of streams that wait to be reported at once.
 	maxUnreportedOrigins = 1 << 14
 	// A stream may be taken up until its caller's deadline, but no longer than for takeUpFactor times
 	// the timeout of its route, or for minTakeUp if that is more.
@@ -147,7 +145,6 @@
 	if !o.named {
 		return
 	}
-	g.origins.streams.Limit = maxOrigins
 	g.origins.streams.Record(now, o.stream, o.began, o.keep)
 	if p.grant != nil && !p.grant.GetReport() && !g.isMixed(q.pool) {
 		return // The scheduler asks for it once the pool has another version.
--- a/io/gated/gated.go
+++ b/io/gated/gated.go
@@ -372,11 +372,14 @@
 	return nil
 }
 
-// FindOrigin asks the scheduler at which version a stream began, and whether it knows it.
+// FindOrigin asks the scheduler at which version a stream began, and whether it knows it. A stream that
+// the caller does not name is the zero value.
 func (e *Gated) FindOrigin(ctx context.Context, pool string, stream digest.Digest, maxAge time.Duration) (version string, known bool, err error) {
-	reply, err := e.askScheduler(ctx, e.watch.Owner(""), &wire.Frame{Body: &wire.Frame_OriginQuery{OriginQuery: &wire.OriginQuery{
-		Pool: pool, Stream: stream[:], MaxAgeUs: maxAge.Microseconds(),
-	}}})
+	q := &wire.OriginQuery{Pool: pool, MaxAgeUs: maxAge.Microseconds()}
+	if stream != (digest.Digest{}) {
+		q.Stream = stream[:]
+	}
+	reply, err := e.askScheduler(ctx, e.watch.Owner(""), &wire.Frame{Body: &wire.Frame_OriginQuery{OriginQuery: q}})
 	if err != nil {
 		return "", false, err
 	}
