--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -26,7 +26,7 @@
 		most     int         // Refusals allowed in a second; 0 for any number.
 		room     int         // Requests that the upstream has room for at once; 0 if it has refused none.
 		refused  bool        // Room was learned from a refusal.
-		probes   bool        // Room is one more than the upstream had for long.
+		probes   bool        // Room is one more than was known to be there.
 		raisedAt time.Time   // When room last changed.
 		open     []send      // Requests that may still be refused, in the order in which they were sent.
 		refusals []time.Time // Of the last window.
