Crashes of upstreams are logged with the parts of prompts

Lines of crashes named the request's digest only, so a part that many requests share could not be told from requests that crash by themselves or from ends without a cause. They now name the account, the shared parts of the prompt, the events that the caller had and how long the send took.

--- a/core/meta/meta.go
+++ b/core/meta/meta.go
@@ -19,12 +19,15 @@
 	Expect    int64         // Caller's estimate of the answer's tokens; zero for none.
 	Model     string
 	Parts     []Part // Of the prompt, in order; empty if the caller states none.
+	// PartsCut is set if the caller's list of parts could not be read to its end.
+	PartsCut  bool
 	LastEvent string // ID of the last event that the caller has received; empty for a new stream.
 	Resumes   string // ID of the caller's attempt that brought the stream's first event; empty if it states none.
 }
 
 // Part is a part of a prompt that other requests may share.
 type Part struct {
+	Name   string // As the caller gave it, whatever parts come before it.
 	Hash   uint64 // Of this part and all parts before it.
 	Tokens int64
 }
@@ -37,6 +40,20 @@
 	return m.Answer
 }
 
+// SharedParts returns the names of the parts that other requests may share: all but the last, which
+// belongs to the request or its session.
+func (m *Meta) SharedParts() []string {
+	shared := m.Parts
+	if !m.PartsCut && len(shared) > 0 {
+		shared = shared[:len(shared)-1]
+	}
+	names := make([]string, 0, len(shared))
+	for _, p := range shared {
+		names = append(names, p.Name)
+	}
+	return names
+}
+
 // Hop holds the headers that are specific to one upstream.
 type Hop struct {
 	Instance  string        // ID of the addressed upstream; any other rejects the request.
--- a/io/gate/suspects.go
+++ b/io/gate/suspects.go
@@ -59,13 +59,14 @@
 	if err != nil {
 		return // Only an IP address and port can be probed.
 	}
-	g, d, id, up := q.gate, q.digest(), q.meta.ID, q.upstreamIncarnation(p)
+	g, d, id, up, parts := q.gate, q.digest(), q.meta.ID, q.upstreamIncarnation(p), q.meta.SharedParts()
 	ctx := context.WithoutCancel(q.r.Context())
 	checkAddress := func() {
 		if !g.Prober.Closed(ctx, addr) {
 			return
 		}
-		g.Log.Info("Upstream crashed while it ran a request.", "request", id, "digest", d.String(), "upstream", up, "address", addr.String())
+		g.Log.Info("Upstream crashed while it ran a request.", "request", id, "digest", d.String(), "upstream", up, "address", addr.String(),
+			"account", q.account, "parts", parts, "events", res.events, "took", res.total.String())
 		g.Stats.Count("crashes-seen", 1)
 		g.suspects.recordCrash(time.Now(), d, up)
 		g.reportSignal.notify()
