A lost path is logged with the hosts that failed

The line named neither the hosts that failed nor how, so that refused connections of ended processes could not be told from a cut. It names both now.

--- a/core/path/path.go
+++ b/core/path/path.go
@@ -60,6 +60,16 @@
 // Lost reports whether the path is lost.
 func (p *Path) Lost() bool { return p.lost }
 
+// Failed lists the hosts whose failures count, with the time since.
+func (p *Path) Failed(now time.Time) map[string]time.Duration {
+	p.forget(now)
+	list := map[string]time.Duration{}
+	for host, at := range p.failed {
+		list[host] = now.Sub(at)
+	}
+	return list
+}
+
 // Suspect reports whether recent failures may be the path's and not the hosts'.
 func (p *Path) Suspect(now time.Time) bool {
 	p.forget(now)
--- a/io/dialer/dialer.go
+++ b/io/dialer/dialer.go
@@ -39,6 +39,9 @@
 // knows does. Nothing was sent.
 var ErrNoPath = errors.New("dialer: no path to any upstream")
 
+// errSlow is recorded for an attempt that takes longer than slowDial.
+var errSlow = errors.New("dialer: no answer in time")
+
 // Dialer opens connections to upstreams. Its exported fields are set before use.
 type Dialer struct {
 	Source netip.Addr // Of connections to upstreams; invalid for the system's choice.
@@ -174,11 +177,11 @@
 				return &conn{Conn: r.c, dialer: d, addr: addr}, nil
 			}
 			if ctx.Err() == nil {
-				d.recordFailure(addr)
+				d.recordFailure(addr, r.err)
 			}
 			return nil, fmt.Errorf("dialer: %w", r.err)
 		case <-slow.C:
-			d.recordFailure(addr)
+			d.recordFailure(addr, errSlow)
 		case <-lost:
 			return nil, fmt.Errorf("%w: lost during the attempt", ErrNoPath)
 		case <-ctx.Done():
@@ -261,7 +264,7 @@
 	go func() {
 		c, err := tunnel.Direct(context.Background(), slowDial, d.Source, addr)
 		if err != nil {
-			d.recordFailure(addr)
+			d.recordFailure(addr, err)
 			return
 		}
 		_ = c.Close()
@@ -289,14 +292,14 @@
 	return d.changed
 }
 
-func (d *Dialer) recordFailure(addr string) {
+func (d *Dialer) recordFailure(addr string, cause error) {
 	d.mu.Lock()
 	lost := d.path.RecordFailure(time.Now(), addr)
 	if lost && d.changed != nil {
 		close(d.changed)
 		d.changed = nil
 	}
-	entries := len(d.entries)
+	entries, failed := len(d.entries), d.path.Failed(time.Now())
 	d.mu.Unlock()
 	d.Alarm()
 	select {
@@ -306,7 +309,7 @@
 	if !lost {
 		return
 	}
-	d.Log.Info("No upstream is reached from here; connections go through other entries.", "known", entries)
+	d.Log.Info("No upstream is reached from here; connections go through other entries.", "known", entries, "failed", failed, "last", cause.Error())
 	if d.OnLost != nil {
 		d.OnLost()
 	}
@@ -347,7 +350,7 @@
 	case n > 0:
 		c.dialer.recordSuccess()
 	case err != nil && !errors.Is(err, net.ErrClosed) && !isTimeout(err):
-		c.dialer.recordFailure(c.addr)
+		c.dialer.recordFailure(c.addr, err)
 	}
 	return n, err //nolint:wrapcheck // Callers compare the errors of connections.
 }
--- a/io/dialer/dialer_test.go
+++ b/io/dialer/dialer_test.go
@@ -133,7 +133,7 @@
 func TestPathIsFoundAgain(t *testing.T) {
 	d := &Dialer{Log: logr.Discard()}
 	for _, host := range []string{"a", "b", "c"} {
-		d.recordFailure(host)
+		d.recordFailure(host, syscall.ECONNREFUSED)
 	}
 	must.True(t, d.Lost())
 	addr := echoes(t, 1)[0]
