Crashes of upstreams are not taken for a lost path

Three refused connections counted as a lost path, every entry that asked for another one counted as one without a path, so that none was named, and the lost path was probed only at the upstream that was tried last; the logs of the failing tests show each of the three.

Releases excuse an upstream only if the path is at fault.

Entries that doubt their path are now named only if there is no other.

--- a/core/meta/meta.go
+++ b/core/meta/meta.go
@@ -12,13 +12,13 @@
 
 // Meta is the metadata of a request, whatever its headers are called on the wire.
 type Meta struct {
-	ID        string        // Of this attempt of the caller; empty if it states none.
-	Deadline  time.Duration // Time for which the caller waits; zero for no limit.
-	Prompt    int64         // Tokens of the prompt; zero for a plain request.
-	Answer    int64         // Upper bound of the answer's tokens.
-	Expect    int64         // Caller's estimate of the answer's tokens; zero for none.
-	Model     string
-	Parts     []Part // Of the prompt, in order; empty if the caller states none.
+	ID       string        // Of this attempt of the caller; empty if it states none.
+	Deadline time.Duration // Time for which the caller waits; zero for no limit.
+	Prompt   int64         // Tokens of the prompt; zero for a plain request.
+	Answer   int64         // Upper bound of the answer's tokens.
+	Expect   int64         // Caller's estimate of the answer's tokens; zero for none.
+	Model    string
+	Parts    []Part // Of the prompt, in order; empty if the caller states none.
 	// PartsCut is set if the caller's list of parts could not be read to its end.
 	PartsCut  bool
 	LastEvent string // ID of the last event that the caller has received; empty for a new stream.
--- a/io/dialer/dialer.go
+++ b/io/dialer/dialer.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"maps"
 	"net"
 	"net/netip"
 	"sync"
@@ -29,8 +31,13 @@
 	// quietLimit is how long nothing may come from any upstream after a request was sent. Requests on
 	// open connections would otherwise hide for long that the path is lost.
 	quietLimit = 300 * time.Millisecond
-	// probeListen is how long a probe's connection must stay open.
+	// probeListen is how long a connection that tests a path must stay open.
 	probeListen = 100 * time.Millisecond
+	// compareInterval is the time between two questions to another entry about the same upstream.
+	compareInterval = 300 * time.Millisecond
+	// While the path is lost, up to probeCount upstreams are tried at a time, of the latest maxTargets.
+	probeCount = 8
+	maxTargets = 128
 	// entryRetry is how long an entry that could not pass a connection on is left alone.
 	entryRetry = time.Second
 )
@@ -51,13 +58,13 @@
 	once  sync.Once
 	alarm chan struct{}
 
-	mu      sync.Mutex
-	path    path.Path
-	changed chan struct{} // Closed when the path is lost.
-	entries []netip.AddrPort
-	next    int
-	// lastAddr is the upstream of the last connection.
-	lastAddr string
+	mu       sync.Mutex
+	path     path.Path
+	changed  chan struct{} // Closed when the path is lost.
+	entries  []netip.AddrPort
+	next     int
+	targets  map[string]struct{}          // Upstreams that were connected to, for probes.
+	compared map[string]time.Time         // When another entry was last asked about an upstream.
 	askedAt  time.Time                    // When the first request was sent since bytes last came from an upstream; zero if none was.
 	triedAt  time.Time                    // Last probe for quietLimit.
 	failed   map[netip.AddrPort]time.Time // Entries that could not pass a connection on.
@@ -76,6 +83,13 @@
 	return d.path.Suspect(time.Now())
 }
 
+// Excuses reports whether a failure at an upstream is the path's fault as far as known.
+func (d *Dialer) Excuses(addr string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.path.Excuses(time.Now(), addr)
+}
+
 // Lost reports whether this entry reaches no upstream by itself.
 func (d *Dialer) Lost() bool {
 	d.mu.Lock()
@@ -87,7 +101,21 @@
 func (d *Dialer) Blocked() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.path.Lost() && len(d.entries) == 0
+	return len(d.entries) == 0 && d.path.CutOff(time.Now())
+}
+
+// cutOff reports whether direct connections are of no use.
+func (d *Dialer) cutOff() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.path.CutOff(time.Now())
+}
+
+// reliable reports whether a connection that fails here shows the state of its upstream.
+func (d *Dialer) reliable() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.path.Reliable(time.Now())
 }
 
 // SetEntries sets the entries that may pass connections on, in order of preference.
@@ -100,13 +128,13 @@
 // DialContext opens a connection to an upstream.
 func (d *Dialer) DialContext(ctx context.Context, network, addr string) (net.Conn, error) {
 	d.mu.Lock()
-	d.lastAddr = addr
+	d.addTarget(addr)
 	direct := d.path.Direct(time.Now())
 	d.mu.Unlock()
 	d.Probe()
 	if !direct {
 		// While the path is being taken up again, a connection may also be direct.
-		if c, err := d.dialThrough(ctx, addr); err == nil || d.Lost() {
+		if c, err := d.dialThrough(ctx, addr); err == nil || d.cutOff() {
 			return c, err
 		}
 	}
@@ -114,19 +142,46 @@
 	if err == nil || ctx.Err() != nil || !d.Suspect() {
 		return c, err
 	}
-	if through, terr := d.dialThrough(ctx, addr); terr == nil {
+	through, terr := d.dialThrough(ctx, addr)
+	d.recordElsewhere(addr, terr, err)
+	if terr == nil {
 		return through, nil
 	}
 	return nil, err
 }
 
+// addTarget remembers an upstream for probes. d.mu must be held.
+func (d *Dialer) addTarget(addr string) {
+	if _, ok := d.targets[addr]; ok {
+		return
+	}
+	if d.targets == nil {
+		d.targets = map[string]struct{}{}
+	}
+	for old := range d.targets {
+		if len(d.targets) < maxTargets {
+			break
+		}
+		delete(d.targets, old)
+	}
+	d.targets[addr] = struct{}{}
+}
+
 // Probe tries a lost path again, if it is time. Connections that are kept open through other entries
 // need no new ones, so it must be called from time to time while Suspect is true.
 func (d *Dialer) Probe() {
 	d.mu.Lock()
-	addr, due := d.lastAddr, d.path.ProbeDue(time.Now())
+	var list []string
+	if d.path.ProbeDue(time.Now()) {
+		for addr := range d.targets { // In random order.
+			list = append(list, addr)
+			if len(list) == probeCount {
+				break
+			}
+		}
+	}
 	d.mu.Unlock()
-	if due && addr != "" {
+	for _, addr := range list {
 		go d.probe(addr)
 	}
 }
@@ -134,18 +189,37 @@
 // Closed reports whether no process listens at an upstream's address. While this entry may have no path
 // itself, it asks another one.
 func (d *Dialer) Closed(ctx context.Context, addr netip.AddrPort) bool {
-	if !d.Suspect() {
+	refused := false
+	if !d.Lost() {
 		c, err := tunnel.Direct(ctx, closedTimeout, d.Source, addr.String())
 		if err == nil {
 			_ = c.Close()
+			return false
+		}
+		refused = errors.Is(err, syscall.ECONNREFUSED)
+		if !d.Suspect() {
+			return refused
 		}
-		return errors.Is(err, syscall.ECONNREFUSED)
 	}
 	c, err := d.dialThrough(ctx, addr.String())
 	if err == nil {
 		_ = c.Close()
+		return false
 	}
-	return errors.Is(err, tunnel.ErrRefused)
+	return errors.Is(err, tunnel.ErrRefused) || (refused && d.reliable())
+}
+
+// Serve connects to an upstream for another entry, and reports with an error whether the failure shows
+// the state of the upstream.
+func (d *Dialer) Serve(ctx context.Context, addr string) (c net.Conn, reliable bool, err error) {
+	c, err = tunnel.Direct(ctx, tunnel.DialTimeout, d.Source, addr)
+	if err == nil || ctx.Err() != nil {
+		return c, false, err
+	}
+	// Read before the failure is recorded: the other entry asks because it failed there.
+	reliable = d.reliable()
+	d.recordFailure(addr, err)
+	return nil, reliable, err
 }
 
 // dialDirect connects directly. It gives up as soon as the path is lost.
@@ -182,6 +256,7 @@
 			return nil, fmt.Errorf("dialer: %w", r.err)
 		case <-slow.C:
 			d.recordFailure(addr, errSlow)
+			d.compare(errSlow)
 		case <-lost:
 			return nil, fmt.Errorf("%w: lost during the attempt", ErrNoPath)
 		case <-ctx.Done():
@@ -192,15 +267,24 @@
 
 // dialThrough connects through one of the other entries.
 func (d *Dialer) dialThrough(ctx context.Context, addr string) (net.Conn, error) {
+	var down error // An entry that has a path did not reach the upstream.
 	err := ErrNoPath
+	start := time.Now()
 	for _, entry := range d.candidates() {
+		if time.Since(start) > slowDial {
+			break // The caller waits.
+		}
 		c, derr := tunnel.Dial(ctx, entry, addr)
 		if derr == nil {
 			return c, nil
 		}
+		if upstreamDown(derr) {
+			down = fmt.Errorf("%w: %s: %w", ErrNoPath, entry, derr)
+			continue // That entry may have lost its path at this moment.
+		}
 		err = fmt.Errorf("%w: %s: %w", ErrNoPath, entry, derr)
-		if errors.Is(derr, tunnel.ErrUnreached) || errors.Is(derr, tunnel.ErrRefused) || errors.Is(derr, tunnel.ErrUnknown) {
-			break // The upstream's fault: another entry would not reach it either.
+		if errors.Is(derr, tunnel.ErrUnsure) || errors.Is(derr, tunnel.ErrUnknown) {
+			continue // It may carry connections to other upstreams.
 		}
 		d.mu.Lock()
 		if d.failed == nil {
@@ -209,9 +293,17 @@
 		d.failed[entry] = time.Now()
 		d.mu.Unlock()
 	}
+	if down != nil {
+		return nil, down
+	}
 	return nil, err
 }
 
+// upstreamDown reports whether another entry's attempt shows that the upstream is down.
+func upstreamDown(err error) bool {
+	return errors.Is(err, tunnel.ErrRefused) || errors.Is(err, tunnel.ErrUnreached)
+}
+
 // candidates returns the entries to ask, another one first each time.
 func (d *Dialer) candidates() []netip.AddrPort {
 	d.mu.Lock()
@@ -234,15 +326,20 @@
 		return
 	}
 	defer func() { _ = c.Close() }()
-	// What cuts the path may accept connections and reset them.
+	if staysOpen(c) {
+		d.recordSuccess()
+	}
+}
+
+// staysOpen reports whether a connection is still open after a moment. What cuts a path, or stands before
+// an upstream that has ended, may accept connections and reset them.
+func staysOpen(c net.Conn) bool {
 	if err := c.SetReadDeadline(time.Now().Add(probeListen)); err != nil {
-		return
+		return false
 	}
 	var b [1]byte
-	if _, err := c.Read(b[:]); err != nil && !isTimeout(err) {
-		return
-	}
-	d.recordSuccess()
+	_, err := c.Read(b[:])
+	return err == nil || isTimeout(err)
 }
 
 // recordSent records that a request was sent on a direct connection, and probes the path if upstreams
@@ -265,6 +362,7 @@
 		c, err := tunnel.Direct(context.Background(), slowDial, d.Source, addr)
 		if err != nil {
 			d.recordFailure(addr, err)
+			d.compare(err)
 			return
 		}
 		_ = c.Close()
@@ -276,6 +374,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.askedAt = time.Time{}
+	d.path.RecordHeard(time.Now())
 }
 
 func isTimeout(err error) bool {
@@ -292,23 +391,84 @@
 	return d.changed
 }
 
+// recordFailure records a connection that failed or ended without an answer.
 func (d *Dialer) recordFailure(addr string, cause error) {
 	d.mu.Lock()
-	lost := d.path.RecordFailure(time.Now(), addr)
-	if lost && d.changed != nil {
-		close(d.changed)
-		d.changed = nil
-	}
-	entries, failed := len(d.entries), d.path.Failed(time.Now())
+	d.path.RecordFailure(time.Now(), addr, refuses(cause))
 	d.mu.Unlock()
 	d.Alarm()
 	select {
 	case d.alarm <- struct{}{}:
 	default: // A signal is pending already.
 	}
-	if !lost {
-		return
+}
+
+// refuses reports whether an error is the answer of a host, or of what stands before it.
+func refuses(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, io.EOF)
+}
+
+// compare asks other entries whether they reach the upstreams that fail here.
+func (d *Dialer) compare(cause error) {
+	now := time.Now()
+	d.mu.Lock()
+	var list []string
+	if d.path.Suspect(now) && !d.path.Lost() {
+		maps.DeleteFunc(d.compared, func(_ string, at time.Time) bool { return now.Sub(at) > compareInterval })
+		for addr := range d.path.Failed(now) {
+			if _, ok := d.compared[addr]; !ok {
+				list = append(list, addr)
+			}
+		}
+	}
+	for _, addr := range list {
+		if d.compared == nil {
+			d.compared = map[string]time.Time{}
+		}
+		d.compared[addr] = now
+	}
+	d.mu.Unlock()
+	for _, addr := range list {
+		go func() {
+			c, err := d.dialThrough(context.Background(), addr)
+			if err == nil {
+				if !staysOpen(c) { // The other entry may have lost its path, too.
+					err = tunnel.ErrUnsure
+				}
+				_ = c.Close()
+			}
+			d.recordElsewhere(addr, err, cause)
+		}()
+	}
+}
+
+// recordElsewhere records how another entry's attempt to connect to an upstream ended. The cause is why
+// it was asked.
+func (d *Dialer) recordElsewhere(addr string, err, cause error) {
+	verdict := path.Unknown
+	switch {
+	case err == nil:
+		verdict = path.Reached
+	case upstreamDown(err):
+		verdict = path.Down
+	}
+	d.mu.Lock()
+	lost := d.path.RecordElsewhere(time.Now(), addr, verdict)
+	d.mu.Unlock()
+	if lost {
+		d.announceLoss(cause)
 	}
+}
+
+// announceLoss ends attempts that are under way and logs that the path is lost.
+func (d *Dialer) announceLoss(cause error) {
+	d.mu.Lock()
+	if d.changed != nil {
+		close(d.changed)
+		d.changed = nil
+	}
+	entries, failed := len(d.entries), d.path.Failed(time.Now())
+	d.mu.Unlock()
 	d.Log.Info("No upstream is reached from here; connections go through other entries.", "known", entries, "failed", failed, "last", cause.Error())
 	if d.OnLost != nil {
 		d.OnLost()
@@ -351,6 +511,7 @@
 		c.dialer.recordSuccess()
 	case err != nil && !errors.Is(err, net.ErrClosed) && !isTimeout(err):
 		c.dialer.recordFailure(c.addr, err)
+		c.dialer.compare(err)
 	}
 	return n, err //nolint:wrapcheck // Callers compare the errors of connections.
 }
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -105,8 +105,8 @@
 
 	// upstreamPath is this entry's view of its own path to upstreams.
 	upstreamPath interface {
-		// Suspect reports whether recent failures may be the path's and not the upstreams'.
-		Suspect() bool
+		// Excuses reports whether a failure at an upstream's address is the path's fault as far as known.
+		Excuses(addr string) bool
 		// Blocked reports whether no upstream is reached, also not through other entries.
 		Blocked() bool
 	}
--- a/io/gate/place.go
+++ b/io/gate/place.go
@@ -252,8 +252,8 @@
 		return
 	}
 	t := p.ticket
-	// While this entry may have no path, a send without an answer says nothing about the upstream.
-	blameless := res.status == 0 && (res.outcome == outcomeNotSent || res.outcome == outcomeInterrupted) && g.Path.Suspect()
+	// While this entry has no path, a send without an answer says nothing about the upstream.
+	blameless := res.status == 0 && (res.outcome == outcomeNotSent || res.outcome == outcomeInterrupted) && g.Path.Excuses(p.upstream.GetAddress())
 	g.Granter.Release(&wire.Release{
 		Ticket: t.GetId(), Entry: t.GetEntry(), Incarnation: t.GetIncarnation(), Pool: t.GetPool(), Upstream: p.upstream.GetId(),
 		Slot: p.grant.GetSlot(), Owner: p.grant.GetOwner(), Account: t.GetAccount(), Dispatched: !blameless && res.outcome != outcomeNotSent && res.outcome != outcomeMisdirected && res.outcome != outcomeUnused,
--- a/io/gated/gated.go
+++ b/io/gated/gated.go
@@ -60,7 +60,8 @@
 	// where there are many entries, so that the scheduler gets at most a thousand reports a second.
 	minEvidenceInterval      = 100 * time.Millisecond
 	evidenceIntervalPerEntry = time.Millisecond
-	pathInterval             = time.Second // Between two questions for entries with a path.
+	pathInterval             = 500 * time.Millisecond // Between two questions for entries with a path.
+	probeCheck               = 100 * time.Millisecond // Between two checks whether a lost path should be probed.
 	// maxTunnels is the number of connections that an entry passes on for others at once. Each takes
 	// some tens of kilobytes.
 	maxTunnels = 256
@@ -149,7 +150,7 @@
 	if err != nil {
 		return fmt.Errorf("gated: listen: %w", err)
 	}
-	t := &tunnel.Tunnel{Listen: ln, Known: e.knowsUpstream, Source: e.settings.Source, Limit: maxTunnels, Log: e.log.WithName("tunnel")}
+	t := &tunnel.Tunnel{Listen: ln, Known: e.knowsUpstream, Path: e.dialer, Limit: maxTunnels, Log: e.log.WithName("tunnel")}
 	metrics.Pull("tunnels", t.Open)
 	e.watch.Tunnel = e.settings.Tunnel
 	e.supervisor.Add(t)
@@ -291,12 +292,16 @@
 			return
 		case <-e.dialer.Alarm():
 		}
+		var askedAt time.Time
 		for e.dialer.Suspect() && ctx.Err() == nil {
-			e.askForPaths(ctx)
+			if time.Since(askedAt) >= pathInterval {
+				askedAt = time.Now()
+				e.askForPaths(ctx)
+			}
 			e.dialer.Probe()
 			select {
 			case <-ctx.Done():
-			case <-time.After(pathInterval):
+			case <-time.After(probeCheck):
 			}
 		}
 	}
@@ -304,7 +309,7 @@
 
 func (e *Gated) askForPaths(ctx context.Context) {
 	reply, err := e.askScheduler(ctx, e.watch.Owner(""), &wire.Frame{Body: &wire.Frame_PathQuery{PathQuery: &wire.PathQuery{
-		Node: e.settings.Node, DataCentre: e.settings.Centre,
+		Node: e.settings.Node, DataCentre: e.settings.Centre, Doubt: !e.dialer.Lost(),
 	}}})
 	if err != nil {
 		e.log.Info("Scheduler named no entries with a path to upstreams; the last ones stay.", "err", err.Error())
--- a/io/hub/paths.go
+++ b/io/hub/paths.go
@@ -18,7 +18,7 @@
 	pathCount = 4
 )
 
-// handlePathQuery answers an entry that reaches no upstream.
+// handlePathQuery answers an entry that may reach no upstream.
 func (h *Hub) handlePathQuery(q *wire.PathQuery) (*wire.Frame, error) {
 	if h.scheduler() == nil {
 		return nil, h.notLeaderFault()
@@ -26,16 +26,21 @@
 	return &wire.Frame{Body: &wire.Frame_Paths{Paths: &wire.Paths{Addresses: h.watchers.paths(time.Now(), q)}}}, nil
 }
 
-// paths notes that an entry has no path, and returns the tunnels of entries that have one, those of its
-// data centre first. Each entry gets others of them, so that none carries the connections of all.
+// paths notes that an entry has no path, or may have none, and returns the tunnels of entries that have
+// one, those of its data centre first. Entries that may have none are named only if there are no others.
+// Each entry gets others of them, so that none carries the connections of all.
 func (ws *watchers) paths(now time.Time, q *wire.PathQuery) []string {
 	ws.mu.Lock()
 	defer ws.mu.Unlock()
 	if e := ws.byNode[q.GetNode()]; e != nil {
-		e.noPathUntil = now.Add(noPathRetention)
+		e.pathDoubtUntil = now.Add(noPathRetention)
+		if !q.GetDoubt() {
+			e.noPathUntil = e.pathDoubtUntil
+		}
 	}
 	type candidate struct {
 		tunnel string
+		doubt  bool
 		far    bool
 		weight uint64
 	}
@@ -44,17 +49,28 @@
 		if node == q.GetNode() || e.tunnel == "" || now.Before(e.noPathUntil) || now.Sub(e.lastSeen) > entrySilentAfter {
 			continue
 		}
-		list = append(list, candidate{e.tunnel, e.dataCentre != q.GetDataCentre(), xxhash.Sum64String(q.GetNode() + "\x00" + node)})
+		list = append(list, candidate{e.tunnel, now.Before(e.pathDoubtUntil), e.dataCentre != q.GetDataCentre(), xxhash.Sum64String(q.GetNode() + "\x00" + node)})
 	}
 	slices.SortFunc(list, func(a, b candidate) int {
-		if a.far != b.far {
-			return map[bool]int{true: 1, false: -1}[a.far]
-		}
-		return cmp.Compare(a.weight, b.weight)
+		return cmp.Or(compareBools(a.doubt, b.doubt), compareBools(a.far, b.far), cmp.Compare(a.weight, b.weight))
 	})
 	var tunnels []string
 	for _, c := range list[:min(len(list), pathCount)] {
+		if c.doubt && !list[0].doubt {
+			break
+		}
 		tunnels = append(tunnels, c.tunnel)
 	}
 	return tunnels
 }
+
+// compareBools orders false before true.
+func compareBools(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	}
+	return -1
+}
--- a/io/hub/paths_test.go
+++ b/io/hub/paths_test.go
@@ -51,3 +51,27 @@
 		must.True(t, slices.Contains(list, "10.0.0.3:1") || slices.Contains(list, "10.0.0.5:1"), must.Sprint("they have their paths again"))
 	})
 }
+
+// Guards against entries that are left without any other entry because all doubt their paths while
+// upstreams crash, and against a way through one that doubts its own.
+func TestDoubtfulPaths(t *testing.T) {
+	runHub(t, func(t *testing.T, h *Hub, _ *fakeReplica) {
+		for n := range 3 {
+			node := fmt.Sprint("e", n)
+			_, err := askNews(h, &wire.Watch{Node: node, Incarnation: node, Tunnel: fmt.Sprintf("10.0.0.%d:1", n)})
+			must.NoError(t, err)
+		}
+		ask := func(n int, doubt bool) []string {
+			f, err := h.Handle(t.Context(), &wire.Frame{Body: &wire.Frame_PathQuery{PathQuery: &wire.PathQuery{Node: fmt.Sprint("e", n), Doubt: doubt}}})
+			must.NoError(t, err)
+			slices.Sort(f.GetPaths().GetAddresses())
+			return f.GetPaths().GetAddresses()
+		}
+		must.Eq(t, []string{"10.0.0.1:1", "10.0.0.2:1"}, ask(0, true))
+		must.Eq(t, []string{"10.0.0.2:1"}, ask(1, true))
+		must.Eq(t, []string{"10.0.0.0:1", "10.0.0.1:1"}, ask(2, true), must.Sprint("all doubt"))
+		must.Eq(t, []string{"10.0.0.1:1", "10.0.0.2:1"}, ask(0, false))
+		must.Eq(t, []string{"10.0.0.2:1"}, ask(1, false))
+		must.SliceEmpty(t, ask(2, false), must.Sprint("no entry has a path"))
+	})
+}
--- a/io/hub/watch.go
+++ b/io/hub/watch.go
@@ -36,7 +36,9 @@
 		lastSeen    time.Time
 		tunnel      string    // Where it passes connections of other entries on; empty if it does not.
 		noPathUntil time.Time // It reaches no upstream, as far as known.
-		rosterDue   time.Time // When it gets the whole roster; zero until it has asked.
+		// pathDoubtUntil is when it no longer counts as one that may reach no upstream.
+		pathDoubtUntil time.Time
+		rosterDue      time.Time // When it gets the whole roster; zero until it has asked.
 		// plainChanges is the number of changes, so far, of the upstreams whose requests entries place,
 		// as of the last news that listed them.
 		plainChanges uint64
@@ -324,7 +326,7 @@
 	ws.byDataCentre[w.GetDataCentre()]++
 	next := &watcher{incarnation: w.GetIncarnation(), dataCentre: w.GetDataCentre(), lastSeen: now, tunnel: w.GetTunnel()}
 	if e != nil {
-		next.noPathUntil = e.noPathUntil
+		next.noPathUntil, next.pathDoubtUntil = e.noPathUntil, e.pathDoubtUntil
 	}
 	if e != nil && old == "" {
 		next.rosterDue, next.plainChanges = e.rosterDue, e.plainChanges
--- a/io/tunnel/tunnel.go
+++ b/io/tunnel/tunnel.go
@@ -22,10 +22,12 @@
 	"github.com/pkg/errors"
 )
 
+// DialTimeout is how long the connection to the upstream may take to open.
+const DialTimeout = 300 * time.Millisecond
+
 const (
-	dialTimeout = 300 * time.Millisecond // To the upstream.
 	// replyTimeout is how long the other entry may take to connect to the upstream.
-	replyTimeout = dialTimeout + 200*time.Millisecond
+	replyTimeout = DialTimeout + 200*time.Millisecond
 	headTimeout  = time.Second
 	frameLimit   = 8 << 10 // Bytes of data in one frame.
 	headerSize   = 2       // Bytes.
@@ -39,6 +41,7 @@
 	replyRefused
 	replyBusy
 	replyUnknown
+	replyUnsure
 )
 
 var (
@@ -50,13 +53,15 @@
 	ErrBusy = errors.New("tunnel: the entry has no room for another connection")
 	// ErrUnknown is returned if the other entry does not know the upstream.
 	ErrUnknown = errors.New("tunnel: the upstream is not known there")
+	// ErrUnsure is returned if the other entry did not reach the upstream, perhaps by its own fault.
+	ErrUnsure = errors.New("tunnel: the upstream was not reached from an entry that may have no path")
 )
 
 // Tunnel accepts connections of other entries. Its exported fields are set before Serve is called.
 type Tunnel struct {
 	Listen net.Listener
 	Known  func(upstream string) bool // Reports whether there is an upstream at an address.
-	Source netip.Addr                 // Of connections to upstreams; invalid for the system's choice.
+	Path   connector                  // Connects to upstreams.
 	Limit  int64                      // Connections that are passed on at once.
 	Log    logr.Logger
 
@@ -64,6 +69,12 @@
 	wg   sync.WaitGroup
 }
 
+// connector opens this entry's own connections to upstreams.
+type connector interface {
+	// Serve connects to an upstream. If it fails, reliable tells that this is the upstream's fault.
+	Serve(ctx context.Context, upstream string) (c net.Conn, reliable bool, err error)
+}
+
 // Open returns the number of connections that are passed on.
 func (t *Tunnel) Open() int64 { return t.open.Load() }
 
@@ -103,10 +114,13 @@
 		_, _ = in.Write([]byte{replyUnknown})
 		return
 	}
-	out, err := Direct(ctx, dialTimeout, t.Source, upstream)
+	out, reliable, err := t.Path.Serve(ctx, upstream)
 	if err != nil {
 		reply := replyUnreached
-		if errors.Is(err, syscall.ECONNREFUSED) {
+		switch {
+		case !reliable:
+			reply = replyUnsure
+		case errors.Is(err, syscall.ECONNREFUSED):
 			reply = replyRefused
 		}
 		_, _ = in.Write([]byte{reply})
@@ -202,6 +216,8 @@
 		return ErrBusy
 	case replyUnknown:
 		return ErrUnknown
+	case replyUnsure:
+		return ErrUnsure
 	default:
 		return ErrUnreached
 	}
