A part of prompts that crashes upstreams is banned

At each of the 15 ends that the logs cover there was one request of one account whose answer had no event yet, which rules out ends without a cause.

core/blame finds the part. A crash tells the parts of the requests that ran there without an answer; an answer to a request that was sent after a crash clears its parts of it. A part is banned after three crashes one after the other, to different requests, unless another part was at all of them; parts that always came along must be there too. Entries report crashes and answers on the exchange that they have for bans, the scheduler decides, the log keeps it, and entries without a scheduler decide by what they saw. Waiting requests are refused as soon as their part is banned; trials are 3 s and a minute after it.

--- a/cmd/azurelane/bans.go
+++ b/cmd/azurelane/bans.go
@@ -6,19 +6,23 @@
 	"io"
 	"net/netip"
 	"os"
+	"strings"
 	"text/tabwriter"
 
 	"azurelane/core/digest"
 	"azurelane/core/wire"
 )
 
-const usageBans = `Show the requests that are not sent to upstreams any more because several crashed
-under them, by the digest that stands in refusals and logs, and how often each was
-tried since. Lifted ones are sent again; they are banned anew if they crash more.`
+const usageBans = `Show the requests, and the parts of prompts, that are not sent to upstreams any more
+because several crashed under them, by the digest that stands in refusals and logs, and
+how often each was tried since. For a part the list shows its account, its name and the
+upstreams that crashed, and how many other parts a request must hold to be refused: those
+that always came along with it. Lifted ones are sent again; they are banned anew if they
+crash more.`
 
 type bansCmd struct {
 	Control  []netip.AddrPort `required:"" help:"Peer addresses of the control replicas."`
-	Lift     []string         `help:"Digests of requests to send again."`
+	Lift     []string         `help:"Digests of requests or parts to send again."`
 	tlsFlags `embed:""`
 }
 
@@ -51,10 +55,16 @@
 
 func printBans(w io.Writer, b *wire.Bans) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(t, "digest\ttries")
+	_, _ = fmt.Fprintln(t, "digest\ttries\taccount\tpart\twith\tupstreams")
 	for _, ban := range b.GetBanned() {
 		d, _ := digest.From(ban.GetDigest())
-		_, _ = fmt.Fprintf(t, "%s\t%d\n", d, ban.GetTries())
+		p := ban.GetPart()
+		if p == nil {
+			_, _ = fmt.Fprintf(t, "%s\t%d\t\t\t\t\n", d, ban.GetTries())
+			continue
+		}
+		// Accounts and names are the callers' text.
+		_, _ = fmt.Fprintf(t, "%s\t%d\t%q\t%q\t%d\t%s\n", d, ban.GetTries(), p.GetAccount(), p.GetName(), len(p.GetWith()), strings.Join(p.GetUpstreams(), ","))
 	}
 	if err := t.Flush(); err != nil {
 		return fmt.Errorf("bans: print: %w", err)
--- a/core/digest/digest.go
+++ b/core/digest/digest.go
@@ -2,6 +2,7 @@
 package digest
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
@@ -53,5 +54,8 @@
 	return Digest(raw), true
 }
 
+// Compare orders digests by their bytes.
+func (d Digest) Compare(other Digest) int { return bytes.Compare(d[:], other[:]) }
+
 // String returns the digest in hexadecimal.
 func (d Digest) String() string { return hex.EncodeToString(d[:]) }
--- a/core/state/bans.go
+++ b/core/state/bans.go
@@ -25,7 +25,7 @@
 		if _, ok := digest.From(n.GetDigest()); !ok {
 			return &wire.Result{Code: Invalid, Text: "state: no digest"}
 		}
-		add := &wire.Ban{Digest: n.GetDigest(), Tries: n.GetTries()}
+		add := &wire.Ban{Digest: n.GetDigest(), Tries: n.GetTries(), Part: n.GetPart()}
 		if i := findBan(list, n.GetDigest()); i >= 0 {
 			add.Tries = max(add.GetTries(), list[i].GetTries())
 			list[i] = add
--- a/io/gate/harness_test.go
+++ b/io/gate/harness_test.go
@@ -46,6 +46,11 @@
 
 func (testDialect) Read(h http.Header) (meta.Meta, error) {
 	m := meta.Meta{ID: h.Get(idHeader), Prompt: 100, Answer: 100, LastEvent: h.Get("X-Last-Event"), Resumes: h.Get("X-Resumes")}
+	if v := h.Get("X-Parts"); v != "" {
+		for name := range strings.SplitSeq(v, ",") {
+			m.Parts = append(m.Parts, meta.Part{Name: name})
+		}
+	}
 	if v := h.Get("X-Wait"); v != "" {
 		d, err := time.ParseDuration(v)
 		if err != nil {
--- a/io/gate/request.go
+++ b/io/gate/request.go
@@ -49,9 +49,10 @@
 		gap             time.Duration // Longest pause between two events, over all sends.
 		lastEventAt     time.Time     // When the last event was written.
 		cachedDigest    *digest.Digest
-		tallied         *tally.Send // The send in progress; nil if its version does not matter.
-		sentBy          *placement  // Of the last send.
-		banTrial        bool        // The request is banned and may be sent once as a trial.
+		cachedKeys      []digest.Digest // Of the parts of the prompt; nil until they are needed.
+		tallied         *tally.Send     // The send in progress; nil if its version does not matter.
+		sentBy          *placement      // Of the last send.
+		banTrial        bool            // The request is banned and may be sent once as a trial.
 	}
 
 	// result describes how one send ended.
@@ -148,15 +149,17 @@
 	if refusal := q.banRefusal(ctx); refusal != nil {
 		return nil, refusal
 	}
-	p, err := q.place(ctx)
-	if err != nil || q.banTrial {
+	p, err := q.placeWhileAllowed(ctx)
+	if q.banTrial || (err != nil && !errors.Is(err, errPartBanned)) {
 		return p, err
 	}
 	if refusal := q.banRefusal(ctx); refusal != nil {
-		p.release(result{outcome: outcomeUnused})
+		if p != nil {
+			p.release(result{outcome: outcomeUnused})
+		}
 		return nil, refusal
 	}
-	return p, nil
+	return p, err
 }
 
 // timeLimit returns the time from the request's arrival until its final response is due.
@@ -283,7 +286,9 @@
 	if q.headerSent {
 		first = q.firstEventAfter
 	}
-	q.gate.markAnswered(time.Now(), q.digest())
+	now := time.Now()
+	q.gate.markAnswered(now, q.digest())
+	q.markBegun(now.Add(-res.total))
 	q.gate.Stats.Count("answers-whole", 1)
 	q.gate.Stats.Time("first-"+q.routeName(), first)
 	q.gate.Stats.Time("total-"+q.routeName(), took)
--- a/io/gate/stream.go
+++ b/io/gate/stream.go
@@ -87,7 +87,7 @@
 
 // writeEvents passes the complete events in the buffer on to the caller.
 func (s *stream) writeEvents(res *result) error {
-	end := 0
+	end, before := 0, res.events
 	for {
 		n := eventLen(s.buf[end:])
 		if n == 0 {
@@ -100,6 +100,9 @@
 	if end == 0 {
 		return nil
 	}
+	if before < begunEvents && res.events >= begunEvents {
+		s.markBegun(s.sentAt)
+	}
 	s.recordTiming(res)
 	s.pauseSilenceTimer()
 	defer s.resetSilenceTimer()
--- a/io/gate/suspects.go
+++ b/io/gate/suspects.go
@@ -17,21 +17,24 @@
 )
 
 type (
-	// suspects tracks requests that may crash upstreams. The scheduler merges the reports of all
-	// entries. The zero value is ready to use.
+	// suspects tracks requests, and parts of prompts, that may crash upstreams. The scheduler merges
+	// the reports of all entries. The zero value is ready to use.
 	suspects struct {
 		mu      sync.Mutex
 		crashes poison.Poison         // Crashes that this entry observed.
 		banned  map[digest.Digest]ban // Banned by the scheduler.
 		// watched holds the requests that the scheduler suspects, with the time of their first
 		// crash. A complete response after that time clears a request.
-		watched    map[digest.Digest]time.Time
-		answered   recent.Recent
-		unreported wire.Crashes // Not reported yet.
+		watched  map[digest.Digest]time.Time
+		answered recent.Recent
+		queue    crashReports // Not reported yet.
+		taken    crashReports // The latest report that is on its way.
+		parts    suspectParts
 	}
 
-	// ban is a request that may not be sent any more.
+	// ban is a request, or a part of prompts, that may not be sent any more.
 	ban struct {
+		part      bool // It is a part of prompts.
 		trials    int
 		nextTrial time.Time // When the scheduler may be asked to allow a trial; zero for never.
 	}
@@ -59,16 +62,16 @@
 	if err != nil {
 		return // Only an IP address and port can be probed.
 	}
-	g, d, id, up, parts := q.gate, q.digest(), q.meta.ID, q.upstreamIncarnation(p), q.meta.SharedParts()
+	g, d, id, up, at := q.gate, q.digest(), q.meta.ID, q.upstreamIncarnation(p), time.Now()
 	ctx := context.WithoutCancel(q.r.Context())
 	checkAddress := func() {
 		if !g.Prober.Closed(ctx, addr) {
 			return
 		}
 		g.Log.Info("Upstream crashed while it ran a request.", "request", id, "digest", d.String(), "upstream", up, "address", addr.String(),
-			"account", q.account, "parts", parts, "events", res.events, "took", res.total.String())
+			"account", q.account, "parts", q.meta.SharedParts(), "events", res.events, "took", res.total.String())
 		g.Stats.Count("crashes-seen", 1)
-		g.suspects.recordCrash(time.Now(), d, up)
+		g.suspects.recordCrash(at, q.crash(d, up, res))
 		g.reportSignal.notify()
 	}
 	if !q.route.Repeatable() {
@@ -92,9 +95,14 @@
 // banRefusal returns the refusal of a banned request, or nil if the request may be sent. If the
 // scheduler allows a trial, a banned request may be sent too.
 func (q *request) banRefusal(ctx context.Context) *refuse.Error {
-	d := q.digest()
-	if !q.gate.suspects.isBanned(d, q.gate.Cluster.View().Owner == nil) {
-		return nil
+	standalone := q.gate.Cluster.View().Owner == nil
+	d, what := q.digest(), "it before"
+	if !q.gate.suspects.isBanned(d, standalone) {
+		n, banned := q.bannedPart(standalone)
+		if !banned {
+			return nil
+		}
+		d, what = n.key, "part "+n.name+" of its prompt"
 	}
 	if q.gate.suspects.claimTrial(time.Now(), d) {
 		err := q.gate.Trier.Try(ctx, d)
@@ -104,7 +112,7 @@
 		}
 		q.gate.Log.V(1).Info("Trial of a banned request not allowed.", "digest", d.String(), "err", err.Error())
 	}
-	return refuse.New(refuse.Crashes, "upstreams crashed under it before; its digest is "+q.digest().String(), 0)
+	return refuse.New(refuse.Crashes, "upstreams crashed under "+what+"; the digest is "+d.String(), 0)
 }
 
 // isBanned reports whether a request is banned. The crashes that this entry itself observed decide
@@ -113,8 +121,8 @@
 func (s *suspects) isBanned(d digest.Digest, standalone bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	_, ok := s.banned[d]
-	return ok || (standalone && s.crashes.Banned(d))
+	b, ok := s.banned[d]
+	return (ok && !b.part) || (standalone && s.crashes.Banned(d))
 }
 
 // claimTrial reports whether the scheduler should be asked now to allow a trial of a banned
@@ -131,12 +139,15 @@
 	return true
 }
 
-func (s *suspects) recordCrash(now time.Time, d digest.Digest, upstream string) {
+// recordCrash records the crash of an upstream under a request, at a time that may be a moment ago.
+func (s *suspects) recordCrash(at time.Time, c *wire.Crash) {
+	d, _ := digest.From(c.GetDigest())
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	answered := s.answered.Answered(d)
-	s.crashes.RecordCrash(now, d, upstream, answered)
-	s.unreported.Crashes = append(s.unreported.Crashes, &wire.Crash{Digest: d[:], Upstream: upstream, Answered: answered})
+	c.Answered = s.answered.Answered(d)
+	s.crashes.RecordCrash(at, d, c.GetUpstream(), c.GetAnswered())
+	s.parts.recordCrash(at, c)
+	s.queue.crashes = append(s.queue.crashes, seenCrash{c, at})
 }
 
 // markAnswered records a complete response. A request that an upstream has run to completion does
@@ -156,7 +167,7 @@
 func (s *suspects) clearSuspect(d digest.Digest) {
 	s.crashes.Clear(d)
 	delete(s.watched, d) // One report is enough.
-	s.unreported.Cleared = append(s.unreported.Cleared, d[:])
+	s.queue.cleared = append(s.queue.cleared, d[:])
 }
 
 // SetBans applies the scheduler's list of bans. A request that is no longer listed has been
@@ -166,6 +177,7 @@
 	now, s := time.Now(), &g.suspects
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	defer s.parts.set(now, list, newScheduler)
 	watched := s.watched
 	s.banned, s.watched = map[digest.Digest]ban{}, map[digest.Digest]time.Time{}
 	for _, b := range list.GetBanned() {
@@ -173,7 +185,7 @@
 		if !ok {
 			continue
 		}
-		newBan := ban{trials: int(b.GetTries())}
+		newBan := ban{part: b.GetPart() != nil, trials: int(b.GetTries())}
 		if b.GetNextUs() >= 0 {
 			newBan.nextTrial = now.Add(time.Duration(b.GetNextUs()) * time.Microsecond)
 		}
@@ -214,14 +226,17 @@
 // KnownCrashes returns all crashes and bans that this entry knows, for a scheduler that it has not
 // reported to before.
 func (g *Gate) KnownCrashes() *wire.Crashes {
-	s := &g.suspects
+	s, now := &g.suspects, time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c := s.crashes.Crashes(time.Now())
-	s.unreported.Crashes = nil
+	c := s.crashes.Crashes(now)
+	s.queue.crashes = nil
 	for d, b := range s.banned {
-		c.Banned = append(c.Banned, &wire.Ban{Digest: d[:], Tries: int32(b.trials)}) //nolint:gosec // A few.
+		if !b.part {
+			c.Banned = append(c.Banned, &wire.Ban{Digest: d[:], Tries: int32(b.trials)}) //nolint:gosec // A few.
+		}
 	}
+	s.parts.addKnown(now, c)
 	return c
 }
 
@@ -230,17 +245,16 @@
 	s := &g.suspects
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c := &wire.Crashes{Crashes: s.unreported.GetCrashes(), Cleared: s.unreported.GetCleared()}
-	s.unreported.Crashes, s.unreported.Cleared = nil, nil
-	return c
+	s.taken, s.queue = s.queue, crashReports{}
+	return s.taken.wire(time.Now())
 }
 
-// RequeueCrashReports puts reports back that could not be delivered.
-func (g *Gate) RequeueCrashReports(c *wire.Crashes) {
+// RequeueCrashReports puts the reports back that TakeCrashReports returned last. They could not be
+// delivered.
+func (g *Gate) RequeueCrashReports() {
 	s := &g.suspects
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.unreported.Crashes = append(s.unreported.Crashes, c.GetCrashes()...)
-	s.unreported.Cleared = append(s.unreported.Cleared, c.GetCleared()...)
+	s.queue.add(s.taken)
 	g.reportSignal.notify()
 }
--- a/io/gate/suspects_test.go
+++ b/io/gate/suspects_test.go
@@ -90,7 +90,7 @@
 func (s *testGate) crashCount() int {
 	s.suspects.mu.Lock()
 	defer s.suspects.mu.Unlock()
-	return len(s.suspects.unreported.GetCrashes())
+	return len(s.suspects.queue.crashes)
 }
 
 // trialsLeft is a trier that allows this many trials.
@@ -133,7 +133,7 @@
 	s := newTestGate(t, newUpstream(t, respondText("ok")))
 	d := digest.Of("radio", "h", "/once/x", []byte("text"))
 	for _, up := range []string{"a", "b", "c"} {
-		s.suspects.recordCrash(time.Now(), d, up)
+		s.suspects.recordCrash(time.Now(), &wire.Crash{Digest: d[:], Upstream: up})
 	}
 	must.Eq(t, http.StatusServiceUnavailable, s.do("POST", "/once/x").status)
 	s.SetBans(&wire.Bans{Revision: 1}, true)
--- a/io/gated/gated.go
+++ b/io/gated/gated.go
@@ -268,9 +268,9 @@
 			e.sendReport(ctx, &wire.Frame{Body: &wire.Frame_Limits{Limits: &wire.Limits{Limits: l, Brittle: b}}})
 		}
 		c := e.gate.TakeCrashReports()
-		if len(c.GetCrashes())+len(c.GetCleared()) > 0 && !e.sendReport(ctx, &wire.Frame{Body: &wire.Frame_Crashes{Crashes: c}}) {
+		if len(c.GetCrashes())+len(c.GetCleared())+len(c.GetAnswered()) > 0 && !e.sendReport(ctx, &wire.Frame{Body: &wire.Frame_Crashes{Crashes: c}}) {
 			again = true
-			e.gate.RequeueCrashReports(c)
+			e.gate.RequeueCrashReports()
 		}
 		if !again {
 			continue
--- a/io/hub/bans.go
+++ b/io/hub/bans.go
@@ -2,27 +2,36 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
 
+	"azurelane/core/blame"
 	"azurelane/core/digest"
 	"azurelane/core/poison"
 	"azurelane/core/wire"
 )
 
-// bans holds the crash reports and bans of requests that crash upstreams. Entries report all
+// bans holds the crash reports and bans of requests, and of parts of prompts, that crash upstreams. Entries report all
 // crashes and bans that they know to a new scheduler, including crashes that led to no ban. Bans
 // are also recorded in the replicated log, because all processes may stop at once. The zero value
 // is ready.
 type bans struct {
 	mu             sync.Mutex
 	poison         poison.Poison
+	blame          blame.Blame // Of parts of prompts.
 	change         signal
-	lifted         map[digest.Digest]bool // Lifted here; the log may still list them.
-	recorded       map[digest.Digest]int  // Number of trials, as this scheduler last recorded it.
-	loadedRevision uint64                 // Revision of the recorded bans that were loaded last.
+	lifted         map[digest.Digest]bool        // Lifted here; the log may still list them.
+	recorded       map[digest.Digest]recordedBan // As this scheduler last recorded them.
+	loadedRevision uint64                        // Revision of the recorded bans that were loaded last.
+}
+
+// recordedBan is what changes of a ban.
+type recordedBan struct {
+	tries int
+	with  int // Number of parts that a request must hold to be banned.
 }
 
 // recordRetryDelay is the pause before another attempt to record bans.
@@ -30,10 +39,14 @@
 
 // merge adds the crashes, bans and cleared requests that an entry reports.
 func (b *bans) merge(log logr.Logger, c *wire.Crashes) {
+	if len(c.GetCrashes())+len(c.GetBanned())+len(c.GetCleared())+len(c.GetAnswered()) == 0 {
+		return
+	}
+	now := time.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	before := b.poison.Revision()
-	banned, lifted := b.poison.Merge(time.Now(), c)
+	before := b.revision()
+	banned, lifted := b.poison.Merge(now, requestsOnly(c))
 	for _, d := range banned {
 		delete(b.lifted, d)
 		log.Info("Request banned: it crashes upstreams.", "digest", d.String())
@@ -42,16 +55,76 @@
 		b.markLifted(d)
 		log.Info("Ban lifted: an upstream completed the request.", "digest", d.String())
 	}
+	for _, key := range b.blame.Merge(now, c) {
+		b.markLifted(key)
+		log.Info("Ban lifted: an upstream answered a request with the part.", "digest", key.String())
+	}
+	b.evaluate(log)
+	if len(c.GetCrashes()) > 0 {
+		time.AfterFunc(blame.SettleTime, func() {
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			before := b.revision()
+			b.evaluate(log)
+			b.notify(before)
+		})
+	}
 	b.notify(before)
 }
 
-// lift removes the bans of the requests with the given digests.
+// evaluate bans the parts of prompts that are known to be bad. b.mu must be held.
+func (b *bans) evaluate(log logr.Logger) {
+	now := time.Now()
+	banned := b.blame.Evaluate(now)
+	if len(banned) == 0 {
+		return
+	}
+	list, _ := b.blame.Bans(now)
+	for _, n := range list {
+		key, _ := digest.From(n.GetDigest())
+		if !slices.Contains(banned, key) {
+			continue
+		}
+		delete(b.lifted, key)
+		log.Info("Part of prompts banned: it crashes upstreams.", "digest", key.String(), "account", n.GetPart().GetAccount(),
+			"part", n.GetPart().GetName(), "with", len(n.GetPart().GetWith()), "upstreams", n.GetPart().GetUpstreams())
+	}
+}
+
+// requestsOnly returns reports without the bans of parts of prompts.
+func requestsOnly(c *wire.Crashes) *wire.Crashes {
+	only := &wire.Crashes{Crashes: c.GetCrashes(), Cleared: c.GetCleared()}
+	for _, n := range c.GetBanned() {
+		if n.GetPart() == nil {
+			only.Banned = append(only.Banned, n)
+		}
+	}
+	return only
+}
+
+// revision grows with each change of the list. b.mu must be held.
+func (b *bans) revision() uint64 { return b.poison.Revision() + b.blame.Revision() }
+
+// isBanned reports whether a request or a part of prompts is banned. b.mu must be held.
+func (b *bans) isBanned(d digest.Digest) bool { return b.poison.Banned(d) || b.blame.Banned(d) }
+
+// all lists the bans, and what entries watch. b.mu must be held.
+func (b *bans) all() *wire.Bans {
+	now := time.Now()
+	list := b.poison.Bans(now)
+	banned, watched := b.blame.Bans(now)
+	list.Revision, list.Banned, list.WatchedParts = b.revision(), append(list.GetBanned(), banned...), watched
+	return list
+}
+
+// lift removes the bans of the requests and parts with the given digests.
 func (b *bans) lift(log logr.Logger, list [][]byte) {
+	now := time.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	before := b.poison.Revision()
+	before := b.revision()
 	for _, raw := range list {
-		if d, ok := digest.From(raw); ok && b.poison.Clear(d) {
+		if d, ok := digest.From(raw); ok && (b.poison.Clear(d) || b.blame.Lift(now, d)) {
 			b.markLifted(d)
 			log.Info("Ban lifted by an operator.", "digest", d.String())
 		}
@@ -76,9 +149,14 @@
 		return
 	}
 	b.loadedRevision = revision
-	before, now := b.poison.Revision(), time.Now()
+	before, now := b.revision(), time.Now()
 	for _, r := range list {
-		if d, ok := digest.From(r.GetDigest()); ok && !b.lifted[d] {
+		d, ok := digest.From(r.GetDigest())
+		switch {
+		case !ok || b.lifted[d]:
+		case r.GetPart() != nil:
+			b.blame.RecordBan(now, r)
+		default:
 			b.poison.RecordBan(now, d, int(r.GetTries()))
 		}
 	}
@@ -91,25 +169,25 @@
 func (b *bans) unrecorded(list []*wire.Ban) *wire.RecordBans {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	known := map[digest.Digest]int{}
+	known := map[digest.Digest]recordedBan{}
 	for _, r := range list {
 		if d, ok := digest.From(r.GetDigest()); ok {
-			known[d] = int(r.GetTries())
+			known[d] = recordOf(r)
 		}
 	}
 	c := &wire.RecordBans{}
-	for _, n := range b.poison.Bans(time.Now()).GetBanned() {
+	for _, n := range b.all().GetBanned() {
 		d, _ := digest.From(n.GetDigest())
-		tries, ok := known[d]
-		if recordedTries, ours := b.recorded[d]; ours {
-			tries, ok = max(tries, recordedTries), true
+		old, ok := known[d]
+		if ours, recorded := b.recorded[d]; recorded {
+			old, ok = recordedBan{max(old.tries, ours.tries), ours.with}, true
 		}
-		if !ok || tries < int(n.GetTries()) {
+		if now := recordOf(n); !ok || old.tries < now.tries || old.with != now.with {
 			c.Banned = append(c.Banned, n)
 		}
 	}
 	for d := range b.lifted {
-		if _, ok := known[d]; ok && !b.poison.Banned(d) {
+		if _, ok := known[d]; ok && !b.isBanned(d) {
 			c.Lifted = append(c.Lifted, d[:])
 		}
 	}
@@ -119,16 +197,20 @@
 	return c
 }
 
+func recordOf(n *wire.Ban) recordedBan {
+	return recordedBan{int(n.GetTries()), len(n.GetPart().GetWith())}
+}
+
 // markRecorded notes that bans have been recorded.
 func (b *bans) markRecorded(c *wire.RecordBans) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.recorded == nil {
-		b.recorded = map[digest.Digest]int{}
+		b.recorded = map[digest.Digest]recordedBan{}
 	}
 	for _, n := range c.GetBanned() {
-		if d, _ := digest.From(n.GetDigest()); b.poison.Banned(d) { // Otherwise it was lifted in the meantime.
-			b.recorded[d] = int(n.GetTries())
+		if d, _ := digest.From(n.GetDigest()); b.isBanned(d) { // Otherwise it was lifted in the meantime.
+			b.recorded[d] = recordOf(n)
 		}
 	}
 }
@@ -163,12 +245,12 @@
 func (b *bans) try(log logr.Logger, raw []byte) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	before := b.poison.Revision()
+	before, now := b.revision(), time.Now()
 	d, ok := digest.From(raw)
-	if !ok || !b.poison.Try(time.Now(), d) {
+	if !ok || (!b.poison.Try(now, d) && !b.blame.Try(now, d)) {
 		return false
 	}
-	log.Info("Banned request may be sent once.", "digest", d.String())
+	log.Info("Banned request, or one with a banned part, may be sent once.", "digest", d.String())
 	b.notify(before)
 	return true
 }
@@ -176,7 +258,7 @@
 // notify wakes the entries that wait for news if the list's revision differs from the earlier
 // revision before. b.mu must be held.
 func (b *bans) notify(before uint64) {
-	if b.poison.Revision() != before {
+	if b.revision() != before {
 		b.change.broadcast()
 	}
 }
@@ -185,17 +267,29 @@
 func (b *bans) since(revision uint64) *wire.Bans {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.poison.Revision() == revision {
+	if b.revision() == revision {
 		return nil
 	}
-	return b.poison.Bans(time.Now())
+	return b.all()
 }
 
 // list returns the whole list.
 func (b *bans) list() *wire.Bans {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.poison.Bans(time.Now())
+	return b.all()
+}
+
+// count returns the number of banned requests and of banned parts of prompts.
+func (b *bans) count() (requests, parts int64) {
+	for _, n := range b.list().GetBanned() {
+		if n.GetPart() != nil {
+			parts++
+		} else {
+			requests++
+		}
+	}
+	return requests, parts
 }
 
 // changed returns a channel that is closed when the list next changes.
--- a/io/hub/bans_test.go
+++ b/io/hub/bans_test.go
@@ -8,6 +8,7 @@
 	"github.com/go-logr/logr"
 	"github.com/shoenig/test/must"
 
+	"azurelane/core/blame"
 	"azurelane/core/digest"
 	"azurelane/core/wire"
 )
@@ -95,3 +96,100 @@
 	must.Len(t, 1, b.unrecorded(nil).GetBanned(), must.Sprint("the request crashed upstreams again after the lift"))
 	must.SliceEmpty(t, b.unrecorded(recorded).GetLifted())
 }
+
+// partCrashes are the crashes of three upstreams, one after the other, under requests with a part.
+func partCrashes(part string) *wire.Crashes {
+	key := blame.Key("a", part)
+	c := &wire.Crashes{}
+	for i, up := range []string{"u", "v", "w"} {
+		d := digest.Of("a", "POST", "/x", []byte{byte(i)})
+		c.Crashes = append(c.Crashes, &wire.Crash{
+			Digest: d[:], Upstream: up, Account: "a", Parts: []*wire.CrashPart{{Key: key[:], Name: part}},
+			AgeUs: (time.Duration(3-i) * time.Second).Microseconds(), RunUs: (100 * time.Millisecond).Microseconds(),
+		})
+	}
+	return c
+}
+
+// Guards against a banned part that is sent again, or tried once more, after a new scheduler or a stop of
+// all entries, and against one that an operator can't lift.
+func TestBannedPartsAreRecorded(t *testing.T) {
+	key := blame.Key("a", "bad")
+	runHub(t, func(t *testing.T, h *Hub, f *fakeReplica) {
+		bans := func() []*wire.Ban {
+			n, err := askNews(h, &wire.Watch{Node: "new", Incarnation: "new"})
+			must.NoError(t, err)
+			return n.GetBans().GetBanned()
+		}
+		changeLeader := func() {
+			synctest.Wait()
+			f.setLeads(false)
+			synctest.Wait()
+			f.setLeads(true)
+			synctest.Wait()
+		}
+		_, err := h.Handle(t.Context(), &wire.Frame{Body: &wire.Frame_Crashes{Crashes: partCrashes("bad")}})
+		must.NoError(t, err)
+		time.Sleep(time.Second)
+		list := bans()
+		must.Len(t, 1, list)
+		must.Eq(t, key[:], list[0].GetDigest())
+		must.Eq(t, "bad", list[0].GetPart().GetName())
+		must.Eq(t, "a", list[0].GetPart().GetAccount())
+		must.Eq(t, []string{"u", "v", "w"}, list[0].GetPart().GetUpstreams())
+		time.Sleep(5 * time.Second)
+		try := func() error {
+			_, err := h.Handle(t.Context(), &wire.Frame{Body: &wire.Frame_Try{Try: &wire.Try{Digest: key[:]}}})
+			return err //nolint:wrapcheck // Compared by the test.
+		}
+		must.NoError(t, try())
+		time.Sleep(time.Second)
+		changeLeader()
+		must.Len(t, 1, bans())
+		time.Sleep(5 * time.Second)
+		must.Error(t, try(), must.Sprint("the first trial was used under the former scheduler"))
+		time.Sleep(time.Minute)
+		must.NoError(t, try())
+		time.Sleep(time.Hour)
+		must.Error(t, try())
+
+		_, err = h.Handle(t.Context(), &wire.Frame{Body: &wire.Frame_BanQuery{BanQuery: &wire.BanQuery{Lift: [][]byte{key[:]}}}})
+		must.NoError(t, err)
+		must.SliceEmpty(t, bans())
+		changeLeader()
+		must.SliceEmpty(t, bans())
+	})
+}
+
+// Guards against a ban of parts that outlives the answer to a trial, and against one in the log that still
+// names parts which were answered since.
+func TestAnswerLiftsBannedPart(t *testing.T) {
+	key := blame.Key("a", "bad")
+	runHub(t, func(t *testing.T, h *Hub, f *fakeReplica) {
+		report := func(c *wire.Crashes) {
+			_, err := h.Handle(t.Context(), &wire.Frame{Body: &wire.Frame_Crashes{Crashes: c}})
+			must.NoError(t, err)
+			time.Sleep(time.Second)
+			synctest.Wait()
+		}
+		crashes := partCrashes("bad")
+		along := blame.Key("a", "along")
+		for _, c := range crashes.GetCrashes() {
+			c.Parts = append(c.Parts, &wire.CrashPart{Key: along[:], Name: "along"})
+		}
+		report(crashes)
+		recorded, _ := f.Bans()
+		must.Len(t, 1, recorded)
+		must.Len(t, 1, recorded[0].GetPart().GetWith())
+		for _, k := range []digest.Digest{along, key} {
+			report(&wire.Crashes{Answered: []*wire.AnsweredPart{{Key: k[:]}}})
+			recorded, _ = f.Bans()
+			if k == along {
+				must.Len(t, 1, recorded)
+				must.Eq(t, key[:], recorded[0].GetDigest())
+				must.SliceEmpty(t, recorded[0].GetPart().GetWith())
+			}
+		}
+		must.SliceEmpty(t, recorded)
+	})
+}
--- a/io/hub/hub.go
+++ b/io/hub/hub.go
@@ -186,7 +186,15 @@
 	})
 	h.Stats.Pull("requests-banned", func() int64 {
 		if s := h.scheduler(); s != nil {
-			return int64(len(s.bans.list().GetBanned()))
+			requests, _ := s.bans.count()
+			return requests
+		}
+		return 0
+	})
+	h.Stats.Pull("parts-banned", func() int64 {
+		if s := h.scheduler(); s != nil {
+			_, parts := s.bans.count()
+			return parts
 		}
 		return 0
 	})
