Requests to upstreams that name a limit take tickets

Each entry held a fixed share of the limit; the shares of the others were unused.

Such pools now are among those whose requests take tickets, as those of brittle upstreams are, so the scheduler's one bucket of the limit serves requests wherever they come, and nothing has to be given back. Shares count without a scheduler only.

--- a/io/gate/brittle.go
+++ b/io/gate/brittle.go
@@ -14,7 +14,7 @@
 type brittle struct {
 	mu         sync.Mutex
 	byUpstream map[string]brittleUpstream
-	pools      []string // With brittle upstreams, as the scheduler says.
+	ticketed   []string // Pools whose requests take tickets, as the scheduler says.
 	unreported []*wire.Brittle
 }
 
@@ -34,7 +34,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	old, known := b.byUpstream[upstream]
-	if !told && !known && !slices.Contains(b.pools, pool) {
+	if !told && !known && !slices.Contains(b.ticketed, pool) {
 		return
 	}
 	if old.sent.After(sent) || (known && old.most == most) {
@@ -49,13 +49,13 @@
 	g.reportSignal.notify()
 }
 
-// SetBrittle takes the pools with brittle upstreams, and forgets upstreams that this entry no longer
-// knows.
-func (g *Gate) SetBrittle(pools []string) {
+// SetTicketed takes the pools whose requests take tickets although this entry could place them, and
+// forgets brittle upstreams that this entry no longer knows.
+func (g *Gate) SetTicketed(pools []string) {
 	b, view := &g.brittle, g.Cluster.View()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.pools = pools
+	b.ticketed = pools
 	for id := range b.byUpstream {
 		if view.Upstream(id) == nil {
 			delete(b.byUpstream, id)
@@ -63,15 +63,16 @@
 	}
 }
 
-// scheduled reports whether requests of a pool take tickets: those of model engines, and those of
-// brittle upstreams, for which the scheduler counts what they have to refuse.
+// scheduled reports whether requests of a pool take tickets: those of model engines, those of brittle
+// upstreams, for which the scheduler counts what they have to refuse, and those of upstreams that name a
+// limit, which then serves the requests wherever they come.
 func (g *Gate) scheduled(pool string, slots int64) bool {
 	if slots > 0 {
 		return true
 	}
 	g.brittle.mu.Lock()
 	defer g.brittle.mu.Unlock()
-	return slices.Contains(g.brittle.pools, pool)
+	return slices.Contains(g.brittle.ticketed, pool)
 }
 
 // KnownBrittle returns all that this entry knows of brittle upstreams, for a new scheduler.
--- a/io/gated/gated.go
+++ b/io/gated/gated.go
@@ -107,7 +107,7 @@
 	}
 	e.watch.OnSchedulerChange, e.watch.Usage = e.grant.OwnersChanged, g.UsageRates
 	e.watch.Origins, e.watch.OnMixed = g.KnownOrigins, g.SetMixed
-	e.watch.Brittle, e.watch.OnBrittle = g.KnownBrittle, g.SetBrittle
+	e.watch.Brittle, e.watch.OnTicketed = g.KnownBrittle, g.SetTicketed
 	e.watch.Crashes, e.watch.OnBans = g.KnownCrashes, g.SetBans
 	e.watch.Limits, e.watch.OnLimits, e.watch.OnSplits = g.KnownLimits, g.SetLimits, g.SetSplits
 	g.Node, g.Incarnation, g.DataCentre = settings.Node, incarnation, settings.Centre
--- a/io/hub/limits.go
+++ b/io/hub/limits.go
@@ -101,6 +101,13 @@
 	return limit.rate, ok
 }
 
+// upstreams lists the upstreams with limits.
+func (l *limits) upstreams() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Collect(maps.Keys(l.byUpstream))
+}
+
 // listFor returns the limits for an entry, with the shares of that entry. The function known
 // returns the entries that share the limits, and whether these are all entries. If they are not
 // all, the entry is told to keep its present shares.
@@ -121,6 +128,20 @@
 	return list
 }
 
+// ticketedPools returns the pools whose requests take tickets although entries could place them: those
+// with brittle upstreams, and those with upstreams that accept a limited rate. With fixed shares of a
+// limit, an entry at which most callers arrive would refuse requests while the shares of others are unused.
+func (s *scheduler) ticketedPools() []string {
+	pools := s.brittle.pools()
+	for _, id := range s.limits.upstreams() {
+		if pool := s.upstreams.poolOf(id); pool != "" {
+			pools = append(pools, pool)
+		}
+	}
+	slices.Sort(pools)
+	return slices.Compact(pools)
+}
+
 // limitShare returns the fraction of an upstream's limit that an entry may use while it places
 // requests by itself. The number of entries with a share is limited so that each of them can soon
 // send a whole request: if hundreds of entries had a tiny share, each would save up for one
--- a/io/hub/watch.go
+++ b/io/hub/watch.go
@@ -206,7 +206,7 @@
 		known = 0 // Revisions of another scheduler can't be compared.
 	}
 	n.Bans = s.bans.since(known)
-	n.Brittle, n.Mixed = s.brittle.pools(), s.origins.mixedPools()
+	n.Ticketed, n.Mixed = s.ticketedPools(), s.origins.mixedPools()
 	n.Limits = s.limits.listFor(time.Now(), w.GetNode(), func() ([]string, bool) { return h.limitSharers(s) })
 	var doc []byte
 	n.Version, doc = h.Replica.Publication()
--- a/io/watch/watch.go
+++ b/io/watch/watch.go
@@ -69,10 +69,11 @@
 		// scheduler. OnLimits is called with all limits in force. Both may be nil.
 		Limits   func() []*wire.Limit
 		OnLimits func(list []*wire.Limit)
-		// Brittle returns the brittle upstreams that this entry knows, sent to a new scheduler. OnBrittle
-		// is called with all pools that have some. Both may be nil.
+		// Brittle returns the brittle upstreams that this entry knows, sent to a new scheduler. OnTicketed
+		// is called with the pools whose requests take tickets although entries could place them. Both
+		// may be nil.
 		Brittle   func() []*wire.Brittle
-		OnBrittle func(pools []string)
+		OnTicketed func(pools []string)
 		// OnSplits is called with all splits of pools between versions. It may be nil.
 		OnSplits func(list *wire.Rollouts)
 		Log      logr.Logger
@@ -264,8 +265,8 @@
 	if w.OnLimits != nil {
 		w.OnLimits(n.GetLimits())
 	}
-	if w.OnBrittle != nil {
-		w.OnBrittle(n.GetBrittle())
+	if w.OnTicketed != nil {
+		w.OnTicketed(n.GetTicketed())
 	}
 	if w.OnMixed != nil {
 		w.OnMixed(n.GetMixed())
