Answers that end with their connection: tests

With the check of a partial event taken out, the cases that end inside an event fail. The former TestUnframedStream is its case 'stream'.

--- a/io/gate/stream_test.go
+++ b/io/gate/stream_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -115,16 +116,82 @@
 	}
 }
 
-// A stream without a length ends when its connection closes. It is complete.
-func TestUnframedStream(t *testing.T) {
-	u := newUpstream(t, func(_ int, r *http.Request, w io.Writer) bool {
-		_, _ = io.WriteString(w, responseHead(r, http.StatusOK, "Content-Type: text/event-stream\r\n\r\n")+eventsUpTo(3))
-		closeConn(w)
-		return false
-	})
-	r := newTestGate(t, u).do("POST", "/stream/x")
-	must.NoError(t, r.err)
-	must.Eq(t, eventsUpTo(3), r.body)
+// Guards against answers without a length or chunks that are cut short and look complete, that are taken
+// for broken off although they came whole, and against another request on their connection.
+func TestAnswerEndsWithItsConnection(t *testing.T) {
+	const whole = "the whole answer"
+	for _, tc := range []struct {
+		name   string
+		path   string
+		answer string // Sent by the first upstream after the header.
+		status string // Status line; empty for HTTP/1.1.
+		reset  bool   // The connection is reset at the end.
+		want   string
+		broken bool // The caller sees that the answer is incomplete, or gets an error instead.
+		moves  bool // A second upstream goes on.
+	}{
+		{name: "plain", path: "/once/x", answer: whole, want: whole},
+		{name: "plain, HTTP/1.0", path: "/once/x", answer: whole, status: "HTTP/1.0 200 OK", want: whole},
+		{name: "plain, empty", path: "/once/x"},
+		{name: "plain, reset", path: "/once/x", answer: whole, reset: true, broken: true},
+		{name: "plain, reset, may run twice", path: "/again/x", answer: whole, reset: true, want: whole + " of the second", moves: true},
+		{name: "stream", path: "/stream/x", answer: eventsUpTo(3), want: eventsUpTo(3)},
+		{name: "stream, HTTP/1.0", path: "/stream/x", answer: eventsUpTo(3), status: "HTTP/1.0 200 OK", want: eventsUpTo(3)},
+		{name: "stream without events", path: "/stream/x"},
+		{name: "stream ends inside an event", path: "/stream/x", answer: eventsUpTo(2) + "id: 3\ndata: 3\n", want: eventsUpTo(2), broken: true},
+		{name: "stream ends inside its first event", path: "/stream/x", answer: "id: 1\nda", broken: true},
+		{name: "stream, reset after an event", path: "/stream/x", answer: eventsUpTo(2), reset: true, want: eventsUpTo(2), broken: true},
+		{name: "resumable, ends inside an event", path: "/resume/x", answer: eventsUpTo(2) + "id: 3\ndata", want: eventsUpTo(5), moves: true},
+		{name: "resumable, reset after an event", path: "/resume/x", answer: eventsUpTo(2), reset: true, want: eventsUpTo(5), moves: true},
+		{name: "resumable, ends after an event", path: "/resume/x", answer: eventsUpTo(2), want: eventsUpTo(2)},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			first := newUpstream(t, func(_ int, r *http.Request, w io.Writer) bool {
+				head := responseHead(r, http.StatusOK, "")
+				if strings.HasPrefix(r.URL.Path, "/stream/") || strings.HasPrefix(r.URL.Path, "/resume/") {
+					head += "Content-Type: text/event-stream\r\n"
+				}
+				if tc.status != "" {
+					_, after, _ := strings.Cut(head, "\r\n")
+					head = tc.status + "\r\n" + after
+				}
+				_, _ = io.WriteString(w, head+"\r\n"+tc.answer)
+				if c, ok := w.(*net.TCPConn); ok && tc.reset {
+					time.Sleep(50 * time.Millisecond) // Else the reset may overtake the answer.
+					_ = c.SetLinger(0)
+				}
+				closeConn(w)
+				return false
+			})
+			ups := []*upstream{first}
+			if tc.moves {
+				ups = append(ups, newUpstream(t, func(n int, r *http.Request, w io.Writer) bool {
+					if strings.HasPrefix(r.URL.Path, "/resume/") {
+						from, _ := strconv.Atoi(r.Header.Get("X-Last"))
+						writeEvents(r, w, from+1, 5, true)
+						return true
+					}
+					return respondText(whole+" of the second")(n, r, w)
+				}))
+			}
+			s := newTestGate(t, ups...)
+			r := s.do("POST", tc.path)
+			for range 2 { // The first one to choose may be the second upstream.
+				if first.count() > 0 {
+					break
+				}
+				r = s.do("POST", tc.path)
+			}
+			must.Eq(t, 1, first.count())
+			if tc.broken && r.status != http.StatusOK {
+				must.Eq(t, http.StatusBadGateway, r.status)
+				return
+			}
+			must.Eq(t, tc.broken, r.err != nil)
+			must.Eq(t, http.StatusOK, r.status)
+			must.Eq(t, tc.want, r.body)
+		})
+	}
 }
 
 func TestEventLen(t *testing.T) {
--- a/io/watch/watch.go
+++ b/io/watch/watch.go
@@ -72,7 +72,7 @@
 		// Brittle returns the brittle upstreams that this entry knows, sent to a new scheduler. OnTicketed
 		// is called with the pools whose requests take tickets although entries could place them. Both
 		// may be nil.
-		Brittle   func() []*wire.Brittle
+		Brittle    func() []*wire.Brittle
 		OnTicketed func(pools []string)
 		// OnSplits is called with all splits of pools between versions. It may be nil.
 		OnSplits func(list *wire.Rollouts)
