Reports of crashes under any part reach the scheduler, and old ones cost nothing

Found by reading the change again. A part's name that is no valid text made the report of its crash impossible to send, so entries would have tried it for ever and no crash behind it counted (TestPartNamesAreText fails without the change: 'string field contains invalid UTF-8'). Crashes whose parts were all answered were kept, and requests checked, for ten minutes; they go after ten seconds, and answers are kept as long as crashes, since both may be reported again to a new scheduler. A ban that another process knows to be narrower is narrowed. In large deployments news of bans spreads over the entries, as news of the roster does, and entries that doubt their paths ask less and less often.

--- a/core/blame/blame.go
+++ b/core/blame/blame.go
@@ -29,12 +29,12 @@
 	noiseWindow    = 10 * time.Second
 	// SettleTime is how long after a crash the entries have reported all requests that ran there.
 	SettleTime = 200 * time.Millisecond
-	// reportRetention is how long a crash counts, and clearedRetention how long an answer does, which
-	// outlives late reports of crashes before it.
-	reportRetention  = 10 * time.Minute
-	clearedRetention = 5 * time.Second
-	maxReports       = 512
-	maxBans          = 256
+	// reportRetention is how long a crash counts. An answer does as long, as crashes before it may be
+	// reported late, or again to a new scheduler.
+	reportRetention = 10 * time.Minute
+	maxReports      = 512
+	maxCleared      = 512
+	maxBans         = 256
 	// maxUpstreams is the number of upstreams that are named with a ban.
 	maxUpstreams = 8
 )
@@ -114,7 +114,7 @@
 			lifted = append(lifted, key)
 		}
 	}
-	b.refresh(now)
+	b.Refresh(now)
 	return lifted
 }
 
@@ -122,7 +122,7 @@
 // crash, or has no parts, changes nothing.
 func (b *Blame) Record(now time.Time, c *wire.Crash) {
 	b.add(now, c)
-	b.refresh(now)
+	b.Refresh(now)
 }
 
 func (b *Blame) add(now time.Time, c *wire.Crash) {
@@ -169,7 +169,7 @@
 // Lift removes the ban of a part and what is known against it.
 func (b *Blame) Lift(now time.Time, key digest.Digest) bool {
 	lifted := b.Clear(key, now)
-	b.refresh(now)
+	b.Refresh(now)
 	return lifted
 }
 
@@ -194,7 +194,7 @@
 		b.addBan(key, &ban{account: s.account, name: s.name, with: with, upstreams: s.upstreams(), since: s.last(), nextTrial: now.Add(trialDelays[0])})
 		banned = append(banned, key)
 	}
-	b.refresh(now)
+	b.Refresh(now)
 	return banned
 }
 
@@ -257,21 +257,28 @@
 			old.tries, old.nextTrial = tries, now.Add(trialDelay(tries))
 			b.revision++
 		}
+		b.narrow(old, digests(n.GetPart().GetWith()))
 		return
 	}
 	add := &ban{
 		account: n.GetPart().GetAccount(), name: n.GetPart().GetName(), upstreams: n.GetPart().GetUpstreams(),
 		since: now.Add(-micros(n.GetPart().GetAgeUs())), tries: tries, nextTrial: now.Add(trialDelay(tries)),
+		with: digests(n.GetPart().GetWith()),
 	}
-	if !add.since.After(b.cleared[key]) {
-		return
+	if add.since.After(b.cleared[key]) {
+		b.addBan(key, add)
 	}
-	for _, raw := range n.GetPart().GetWith() {
+}
+
+// digests converts a list of digests, without those that are malformed.
+func digests(list [][]byte) []digest.Digest {
+	var all []digest.Digest
+	for _, raw := range list {
 		if d, ok := digest.From(raw); ok {
-			add.with = append(add.with, d)
+			all = append(all, d)
 		}
 	}
-	b.addBan(key, add)
+	return all
 }
 
 func trialDelay(tries int) time.Duration { return trialDelays[min(tries, len(trialDelays)-1)] }
@@ -379,8 +386,8 @@
 	return c
 }
 
-// refresh updates the parts to watch.
-func (b *Blame) refresh(now time.Time) {
+// Refresh drops what no longer counts, and updates the parts to watch.
+func (b *Blame) Refresh(now time.Time) {
 	b.forget(now)
 	watched := map[digest.Digest]time.Time{}
 	for key, s := range b.suspects() {
@@ -397,13 +404,20 @@
 	b.watched = watched
 }
 
-// forget drops what no longer counts.
+// forget drops what no longer counts. A report whose parts were all answered since only shows how often
+// upstreams crash.
 func (b *Blame) forget(now time.Time) {
-	b.reports = slices.DeleteFunc(b.reports, func(r report) bool { return now.Sub(r.at) > reportRetention })
-	maps.DeleteFunc(b.cleared, func(key digest.Digest, sent time.Time) bool {
-		_, known := b.Knows(key)
-		return !known && now.Sub(sent) > clearedRetention
+	b.reports = slices.DeleteFunc(b.reports, func(r report) bool {
+		age := now.Sub(r.at)
+		return age > reportRetention || (age > noiseWindow && !slices.ContainsFunc(r.parts, func(p part) bool { return r.at.After(b.cleared[p.key]) }))
 	})
+	maps.DeleteFunc(b.cleared, func(_ digest.Digest, sent time.Time) bool { return now.Sub(sent) > reportRetention })
+	for len(b.cleared) > maxCleared {
+		oldest := slices.MinFunc(slices.Collect(maps.Keys(b.cleared)), func(x, y digest.Digest) int {
+			return b.cleared[x].Compare(b.cleared[y])
+		})
+		delete(b.cleared, oldest)
+	}
 }
 
 // suspects returns what the reports say of each part that was not answered since.
--- a/core/blame/blame_test.go
+++ b/core/blame/blame_test.go
@@ -244,7 +244,7 @@
 	for i := range 2 * maxReports {
 		b.add(at(4), crash(1000+i, strconv.Itoa(1000+i), fmt.Sprint("part-", i)))
 	}
-	b.refresh(at(4))
+	b.Refresh(at(4))
 	must.Eq(t, maxReports, len(b.reports))
 	must.True(t, b.Banned(key("bad")))
 	b.Record(at(4), &wire.Crash{Digest: []byte("short"), Parts: []*wire.CrashPart{{Key: []byte("short")}}})
@@ -260,6 +260,28 @@
 	must.SliceEmpty(t, b.reports)
 }
 
+// Guards against entries that go on to check each request after the parts of all crashes were answered.
+func TestForgets(t *testing.T) {
+	var b Blame
+	b.Record(at(0), crash(1, "up", "a", "b"))
+	b.Clear(key("a"), at(1))
+	b.Refresh(at(20))
+	must.True(t, b.Watching())
+	b.Clear(key("b"), at(1))
+	b.Refresh(at(5))
+	must.True(t, b.Watching(), must.Sprint("it shows that upstreams crash"))
+	b.Refresh(at(20))
+	must.False(t, b.Watching())
+	for i := range 2 * maxCleared {
+		b.Clear(key(strconv.Itoa(i)), at(20+float64(i)/1000))
+	}
+	b.Refresh(at(30))
+	must.Eq(t, maxCleared, len(b.cleared))
+	must.MapContainsKey(t, b.cleared, key(strconv.Itoa(2*maxCleared-1)))
+	b.Refresh(at(30).Add(reportRetention))
+	must.MapEmpty(t, b.cleared)
+}
+
 // Guards against entries that are told of no change.
 func TestRevision(t *testing.T) {
 	var b Blame
--- a/io/gate/parts.go
+++ b/io/gate/parts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -21,6 +22,8 @@
 	// length of a name, in bytes, up to which it is reported.
 	maxSuspectParts = 128
 	maxPartName     = 64
+	// partsRefresh is the time between two looks for crashes that no longer count.
+	partsRefresh = 10 * time.Second
 )
 
 // errPartBanned ends the wait of a request with a part that is banned meanwhile.
@@ -34,6 +37,8 @@
 		watched map[digest.Digest]time.Time
 		active  atomic.Bool                          // Anything is known of any part. Read without the lock.
 		waiting map[*request]context.CancelCauseFunc // Requests with parts that wait for an upstream.
+
+		refreshedAt time.Time
 	}
 
 	// partBan is a banned part as it is told to callers.
@@ -64,7 +69,8 @@
 	}
 	keys := q.partKeys()
 	for i, name := range q.meta.SharedParts()[:len(keys)] {
-		c.Parts = append(c.Parts, &wire.CrashPart{Key: keys[i][:], Name: name[:min(len(name), maxPartName)]})
+		// A header may hold any bytes, and a report with invalid text would not be delivered.
+		c.Parts = append(c.Parts, &wire.CrashPart{Key: keys[i][:], Name: strings.ToValidUTF8(name[:min(len(name), maxPartName)], "?")})
 	}
 	return c
 }
@@ -96,6 +102,11 @@
 }
 
 func (p *suspectParts) refuses(now time.Time, keys []digest.Digest, standalone bool) (n partBan, banned bool) {
+	if now.Sub(p.refreshedAt) > partsRefresh {
+		p.refreshedAt = now
+		p.own.Refresh(now)
+		p.update()
+	}
 	if key, ok := p.banned.Refuses(keys); ok {
 		return partBan{key, p.banned.Name(key)}, true
 	}
--- a/io/gate/parts_test.go
+++ b/io/gate/parts_test.go
@@ -10,8 +10,10 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+	"google.golang.org/protobuf/proto"
 
 	"azurelane/core/blame"
+	"azurelane/core/digest"
 	"azurelane/core/meta"
 	"azurelane/core/wire"
 )
@@ -205,3 +207,17 @@
 		q.markBegun(time.Time{})
 	}
 }
+
+// Guards against a report that can't be delivered because a caller's part is no valid text.
+func TestPartNamesAreText(t *testing.T) {
+	q := &request{gate: &Gate{}, account: "radio"}
+	for _, name := range []string{"ab\xff\xfe", strings.Repeat("ü", maxPartName), "own"} {
+		q.meta.Parts = append(q.meta.Parts, meta.Part{Name: name})
+	}
+	c := q.crash(digest.Digest{}, "up", result{})
+	must.Len(t, 2, c.GetParts())
+	_, err := proto.Marshal(c)
+	must.NoError(t, err)
+	must.Eq(t, "ab?", c.GetParts()[0].GetName())
+	must.NotEq(t, c.GetParts()[0].GetKey(), c.GetParts()[1].GetKey())
+}
--- a/io/gated/gated.go
+++ b/io/gated/gated.go
@@ -60,8 +60,11 @@
 	// where there are many entries, so that the scheduler gets at most a thousand reports a second.
 	minEvidenceInterval      = 100 * time.Millisecond
 	evidenceIntervalPerEntry = time.Millisecond
-	pathInterval             = 500 * time.Millisecond // Between two questions for entries with a path.
-	probeCheck               = 100 * time.Millisecond // Between two checks whether a lost path should be probed.
+	// Between two questions for entries with a path: at least, then after the first one, and at most.
+	minPathInterval = 100 * time.Millisecond
+	pathInterval    = 500 * time.Millisecond
+	maxPathInterval = time.Second
+	probeCheck      = 100 * time.Millisecond // Between two checks whether a lost path should be probed.
 	// maxTunnels is the number of connections that an entry passes on for others at once. Each takes
 	// some tens of kilobytes.
 	maxTunnels = 256
@@ -286,16 +289,17 @@
 // followPath asks the scheduler for entries that have a path to upstreams while this one may have lost
 // its own. The scheduler tells no other entry to come here meanwhile.
 func (e *Gated) followPath(ctx context.Context) {
+	var askedAt time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-e.dialer.Alarm():
 		}
-		var askedAt time.Time
+		interval := minPathInterval
 		for e.dialer.Suspect() && ctx.Err() == nil {
-			if time.Since(askedAt) >= pathInterval {
-				askedAt = time.Now()
+			if time.Since(askedAt) >= interval {
+				askedAt, interval = time.Now(), min(max(pathInterval, 2*interval), maxPathInterval)
 				e.askForPaths(ctx)
 			}
 			e.dialer.Probe()
--- a/io/hub/bans.go
+++ b/io/hub/bans.go
@@ -91,6 +91,15 @@
 	}
 }
 
+// expire drops crashes that no longer count.
+func (b *bans) expire(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	before := b.revision()
+	b.blame.Refresh(now)
+	b.notify(before)
+}
+
 // requestsOnly returns reports without the bans of parts of prompts.
 func requestsOnly(c *wire.Crashes) *wire.Crashes {
 	only := &wire.Crashes{Crashes: c.GetCrashes(), Cleared: c.GetCleared()}
--- a/io/hub/watch.go
+++ b/io/hub/watch.go
@@ -86,6 +86,7 @@
 			}
 		case <-reachChanged:
 		case <-bansChanged:
+			delay = newsDelay(w.GetNode(), h.entriesHere(s))
 		case <-limitsChanged:
 		case <-splitsChanged:
 		case <-brittleChanged:
@@ -299,6 +300,7 @@
 	}
 	s.limits.retain(known)
 	s.origins.sweep(now)
+	s.bans.expire(now)
 	h.announceBrittle(s, nil, s.brittle.retain(func(id string) bool { return known(id) && s.upstreams.heardSince(id, now.Add(-brittleRetention)) }))
 	for _, inc := range h.watchers.expire(now) {
 		h.Log.Info("Entry timed out; its slots are freed.", "incarnation", inc)
