Plain requests are not refused after an answer in two pieces

Requests to ticketed plain pools were refused now and then with 'deadline' and a Retry-After of a minute, although nothing waited: 8, 4, 3 and 18 of some 270 in single runs of TestConnectionsAtOneEntry; the last one failed it. The scheduler's lines show refusals within 30 us of the ticket, some 200 ms long each time. In that case the fit now gives the mean.

--- a/core/pull/pull_test.go
+++ b/core/pull/pull_test.go
@@ -158,3 +158,26 @@
 		must.Eq(t, map[uint64]string{2 + id: "no-upstream"}, refusals(p.Submit(now, normal(2+id))))
 	}
 }
+
+// Guards against requests without tokens that are refused for the deadline, with a minute to wait, after
+// one of them was answered in two pieces.
+func TestAnswerInTwoPieces(t *testing.T) {
+	p := newPolicy(nil, 4)
+	plain := func(id uint64) *wire.Ticket {
+		t := urgent(id, 3*time.Second)
+		t.PromptTokens, t.AnswerTokens = 0, 0
+		return t
+	}
+	for id, first := range []int64{8_000, 2_000, 8_000} { // Microseconds until the first piece.
+		now := start.Add(time.Duration(id) * time.Second)
+		d := p.Submit(now, plain(uint64(id)+1)) //nolint:gosec // Not negative.
+		must.MapEmpty(t, refusals(d))
+		must.Len(t, 1, d)
+		r := release(d[0])
+		r.Whole, r.FirstTokenUs, r.TotalUs = true, first, 8_000
+		p.Release(now.Add(8*time.Millisecond), r)
+		if id == 0 {
+			p.Tick(now.Add(500 * time.Millisecond)) // The speed is known from now on.
+		}
+	}
+}
--- a/core/slope/slope.go
+++ b/core/slope/slope.go
@@ -42,7 +42,7 @@
 // goes through the origin.
 func (f *Fit) line() (slope, offset float64) {
 	det := f.n*f.xx - f.x*f.x
-	if det < minVarianceShare*f.n*f.xx {
+	if det <= minVarianceShare*f.n*f.xx {
 		if f.x == 0 {
 			return 0, f.y / f.n
 		}
