--- a/io/dialer/dialer_test.go
+++ b/io/dialer/dialer_test.go
@@ -184,3 +184,33 @@
 		})
 	}
 }
+
+// BenchmarkConnection measures a connection to an upstream that answers: opened, one question, one answer.
+func BenchmarkConnection(b *testing.B) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(b, err)
+	defer func() { _ = ln.Close() }()
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				_, _ = io.Copy(c, c)
+				_ = c.Close()
+			}()
+		}
+	}()
+	d := &Dialer{Log: logr.Discard()}
+	buf := make([]byte, len("question"))
+	for b.Loop() {
+		c, err := d.DialContext(b.Context(), "tcp", ln.Addr().String())
+		must.NoError(b, err)
+		_, err = io.WriteString(c, "question")
+		must.NoError(b, err)
+		_, err = io.ReadFull(c, buf)
+		must.NoError(b, err)
+		must.NoError(b, c.Close())
+	}
+}
