Answers to suspected parts are reported and evaluated less often

After each crash every entry reported each answer to a popular part as it came, and the leader evaluated all reports at each. An entry now reports a part at most every 0.1 s, and the leader evaluates what has come every 0.05 s.

--- a/core/blame/blame.go
+++ b/core/blame/blame.go
@@ -100,7 +100,7 @@
 func Key(account, name string) digest.Digest { return digest.Of(account, "", "", []byte(name)) }
 
 // Merge adds what another process reports, and returns the parts whose bans are lifted by it. Evaluate
-// applies the crashes.
+// applies the rest.
 func (b *Blame) Merge(now time.Time, c *wire.Crashes) (lifted []digest.Digest) {
 	for _, crash := range c.GetCrashes() {
 		b.add(now, crash)
@@ -114,7 +114,6 @@
 			lifted = append(lifted, key)
 		}
 	}
-	b.Refresh(now)
 	return lifted
 }
 
--- a/io/gate/parts.go
+++ b/io/gate/parts.go
@@ -22,6 +22,9 @@
 	// length of a name, in bytes, up to which it is reported.
 	maxSuspectParts = 128
 	maxPartName     = 64
+	// answerInterval is the time between two reports that the same part was answered. Popular parts are
+	// in most requests.
+	answerInterval = 100 * time.Millisecond
 	// partsRefresh is the time between two looks for crashes that no longer count.
 	partsRefresh = 10 * time.Second
 )
@@ -39,6 +42,7 @@
 		waiting map[*request]context.CancelCauseFunc // Requests with parts that wait for an upstream.
 
 		refreshedAt time.Time
+		reportedAt  map[digest.Digest]time.Time // When an answer to a watched part was last reported.
 	}
 
 	// partBan is a banned part as it is told to callers.
@@ -134,6 +138,7 @@
 	if !s.parts.active.Load() {
 		return
 	}
+	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, key := range q.partKeys() {
@@ -141,9 +146,13 @@
 		if !watched {
 			first, watched = s.parts.own.Knows(key)
 		}
-		if !watched || !sent.After(first) {
+		if !watched || !sent.After(first) || now.Sub(s.parts.reportedAt[key]) < answerInterval {
 			continue
 		}
+		if s.parts.reportedAt == nil {
+			s.parts.reportedAt = map[digest.Digest]time.Time{}
+		}
+		s.parts.reportedAt[key] = now
 		s.parts.own.Clear(key, sent)
 		s.queue.clearPart(key, sent)
 		q.gate.reportSignal.notify()
@@ -178,6 +187,10 @@
 			}
 		}
 	}
+	maps.DeleteFunc(p.reportedAt, func(key digest.Digest, _ time.Time) bool {
+		_, ok := p.watched[key]
+		return !ok
+	})
 	p.update()
 	for q, cancel := range p.waiting {
 		if _, banned := p.banned.Refuses(q.partKeys()); banned {
--- a/io/hub/bans.go
+++ b/io/hub/bans.go
@@ -25,6 +25,7 @@
 	change         signal
 	lifted         map[digest.Digest]bool        // Lifted here; the log may still list them.
 	recorded       map[digest.Digest]recordedBan // As this scheduler last recorded them.
+	evaluationDue  bool                          // An evaluation of the reports is coming.
 	loadedRevision uint64                        // Revision of the recorded bans that were loaded last.
 }
 
@@ -34,6 +35,9 @@
 	with  int // Number of parts that a request must hold to be banned.
 }
 
+// evaluateDelay is the time for which reports are collected before they are evaluated.
+const evaluateDelay = 50 * time.Millisecond
+
 // recordRetryDelay is the pause before another attempt to record bans.
 const recordRetryDelay = 500 * time.Millisecond
 
@@ -59,19 +63,34 @@
 		b.markLifted(key)
 		log.Info("Ban lifted: an upstream answered a request with the part.", "digest", key.String())
 	}
-	b.evaluate(log)
+	b.evaluateAfter(log, evaluateDelay)
 	if len(c.GetCrashes()) > 0 {
 		time.AfterFunc(blame.SettleTime, func() {
 			b.mu.Lock()
 			defer b.mu.Unlock()
-			before := b.revision()
-			b.evaluate(log)
-			b.notify(before)
+			b.evaluateAfter(log, evaluateDelay)
 		})
 	}
 	b.notify(before)
 }
 
+// evaluateAfter evaluates all reports that come until then at once: after a crash each entry reports the
+// answers to the same popular parts. b.mu must be held.
+func (b *bans) evaluateAfter(log logr.Logger, delay time.Duration) {
+	if b.evaluationDue {
+		return
+	}
+	b.evaluationDue = true
+	time.AfterFunc(delay, func() {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.evaluationDue = false
+		before := b.revision()
+		b.evaluate(log)
+		b.notify(before)
+	})
+}
+
 // evaluate bans the parts of prompts that are known to be bad. b.mu must be held.
 func (b *bans) evaluate(log logr.Logger) {
 	now := time.Now()
