--- a/io/dialer/dialer.go
+++ b/io/dialer/dialer.go
@@ -97,7 +97,8 @@
 	return d.path.Lost()
 }
 
-// Blocked reports whether this entry reaches no upstream at all.
+// Blocked reports whether requests should be refused at once: the path is lost, no other entry is known,
+// and nothing has come from any upstream lately.
 func (d *Dialer) Blocked() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/io/hub/rates.go
+++ b/io/hub/rates.go
@@ -184,7 +184,7 @@
 
 // estimatePast estimates what an account used before the scheduler began to count at all entries.
 // Entries that have not reported, or were not running yet, are assumed to match the average of the
-// others: what an entry admitted before it started again is known to nobody else.
+// others: no other process knows what an entry admitted before it restarted.
 func (r *rates) estimatePast(entriesTotal int64, account string) []float64 {
 	list := make([]float64, min(len(r.past[account]), len(r.covered)))
 	for n := range list {
