A doubled answer no longer meets the next request of its connection

Callers whose request followed one that an upstream had answered twice could get answer-foreign and an unknown outcome, although the second copy had come with the first.

Cause: net/http offers a connection for reuse before its reader looks whether bytes are left after the answer. A request that takes the connection in between is matched with those bytes. A fast machine hides it; beside load it is common.

Change: the connection knows whether the transport's reader has asked for more bytes, which it does only with an empty buffer, or has closed the connection. A request on a kept connection waits for either before it is written. A copy that comes later is still found by its id; nothing can exclude that one.

--- a/io/client/client.go
+++ b/io/client/client.go
@@ -57,9 +57,13 @@
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			reused = info.Reused
-			if got, _ = info.Conn.(*conn); got != nil {
-				got.begin()
+			if got, _ = info.Conn.(*conn); got == nil {
+				return
 			}
+			if reused {
+				got.drained(ctx)
+			}
+			got.begin()
 		},
 	})
 	r = once(r.WithContext(ctx))
--- a/io/client/client_test.go
+++ b/io/client/client_test.go
@@ -201,3 +201,32 @@
 	must.ErrorIs(t, err, context.Canceled)
 	must.False(t, sent)
 }
+
+// Guards against a second copy of an answer, sent with the first, that meets the next request of its
+// connection.
+func TestAnswerSentTwice(t *testing.T) {
+	const callers, rounds = 16, 400
+	u := serve(t, func(_ int64, r *http.Request) string {
+		one := echo(r, "answer")
+		if r.Method == http.MethodPut {
+			return one + one
+		}
+		return one
+	})
+	_, _, err := u.ask(http.MethodPost, "first", "")
+	must.NoError(t, err)
+	var wg sync.WaitGroup
+	var failed atomic.Int64
+	for c := range callers {
+		wg.Go(func() {
+			for i := range rounds {
+				method := []string{http.MethodPost, http.MethodPut}[i%2]
+				if _, sent, err := u.ask(method, fmt.Sprint(c, "-", i), "text"); err != nil && sent {
+					failed.Add(1)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	must.Eq(t, 0, failed.Load(), must.Sprint("requests that ran and got no answer of their own"))
+}
--- a/io/client/conn.go
+++ b/io/client/conn.go
@@ -1,6 +1,7 @@
 package client
 
 import (
+	"context"
 	"net"
 	"sync"
 
@@ -9,12 +10,29 @@
 
 var errSealed = errors.New("client: connection given up before its request was written")
 
-// conn knows whether any byte of the present request was written to it.
+// conn knows whether any byte of the present request was written to it, and whether the transport
+// has found nothing after the last answer.
 type conn struct {
 	net.Conn
-	mu     sync.Mutex
-	wrote  bool
-	sealed bool
+	mu      sync.Mutex
+	wrote   bool
+	sealed  bool
+	reading bool
+	closed  bool
+	changed chan struct{} // Closed when the transport reads or closes; nil while nobody waits.
+}
+
+// Read notes that the transport has used all that was read before.
+func (c *conn) Read(p []byte) (int, error) {
+	c.mu.Lock()
+	c.reading = true
+	c.notify()
+	c.mu.Unlock()
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = false
+	return n, err //nolint:wrapcheck // The transport expects the plain error.
 }
 
 // Write notes the write before it begins.
@@ -29,6 +47,46 @@
 	return c.Conn.Write(p) //nolint:wrapcheck // The transport expects the plain error.
 }
 
+// Close notes that the connection serves no other request.
+func (c *conn) Close() error {
+	c.mu.Lock()
+	c.closed = true
+	c.notify()
+	c.mu.Unlock()
+	return c.Conn.Close() //nolint:wrapcheck // The transport expects the plain error.
+}
+
+// notify requires mu.
+func (c *conn) notify() {
+	if c.changed != nil {
+		close(c.changed)
+		c.changed = nil
+	}
+}
+
+// drained waits until the transport has used all bytes that it read with the last answer, or has
+// closed the connection since some were left. net/http offers a connection for reuse before it looks,
+// and takes what is left for the answer to the next request.
+func (c *conn) drained(ctx context.Context) {
+	for {
+		c.mu.Lock()
+		if c.reading || c.closed {
+			c.mu.Unlock()
+			return
+		}
+		if c.changed == nil {
+			c.changed = make(chan struct{})
+		}
+		changed := c.changed
+		c.mu.Unlock()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // begin starts the next request's count.
 func (c *conn) begin() {
 	c.mu.Lock()
--- a/io/client/conn_test.go
+++ b/io/client/conn_test.go
@@ -1,8 +1,11 @@
 package client
 
 import (
+	"context"
 	"net"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/shoenig/test/must"
 )
@@ -26,3 +29,37 @@
 	must.NoError(t, err)
 	must.False(t, c.seal())
 }
+
+// Guards against a request that takes bytes left over from the answer before it for its own answer:
+// the transport offers a connection for reuse before it looks for such bytes.
+func TestConnectionWithBytesLeftIsNotReused(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		end  func(c *conn) // What the transport's reader does after an answer.
+	}{
+		{"nothing left", func(c *conn) { _, _ = c.Read(make([]byte, 1)) }},
+		{"bytes left", func(c *conn) { _ = c.Close() }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				a, b := net.Pipe()
+				defer func() { _ = a.Close(); _ = b.Close() }()
+				c := &conn{Conn: a}
+				start := time.Now()
+				go func() {
+					time.Sleep(time.Second) // The reader is still at work.
+					tc.end(c)
+				}()
+				c.drained(t.Context())
+				must.Eq(t, time.Second, time.Since(start))
+
+				c = &conn{Conn: a}
+				ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+				defer cancel()
+				start = time.Now()
+				c.drained(ctx)
+				must.Eq(t, 2*time.Second, time.Since(start), must.Sprint("the request gives up"))
+			})
+		})
+	}
+}
