A simulation of stalls shows why good versions are rolled back as slow

Evidence: the simulation of rollouts gets a further trouble, stalls: about once a second nothing runs for 50 to 200 ms, and three entries report one after the other.

--- a/core/canary/sim_test.go
+++ b/core/canary/sim_test.go
@@ -44,8 +44,8 @@
 		spread  float64 // Standard deviation of the logarithm.
 	}
 
-	// sim is one simulated rollout. Entries report every 100 ms, and decisions reach them after
-	// 50 ms more.
+	// sim is one simulated rollout. Entries report every 100 ms, one after the other, and decisions
+	// reach them after 50 ms more.
 	sim struct {
 		scenario
 		rnd       *rand.Rand
@@ -54,9 +54,9 @@
 		phase     wire.Rollout_Phase
 		step      Step
 		inForce   Step // As entries know it.
-		counts    map[routeKey]*wire.RouteEvidence
+		entries   []simEntry
+		stalls    []stall
 		ending    [][]answer // Answers by the tick at which they end.
-		running   int64      // At the base version.
 		onsetAt   time.Duration
 		bad       int // Bad answers that callers have got.
 		fiftieth  time.Duration
@@ -66,7 +66,17 @@
 		shareSeen float64
 	}
 
+	// simEntry is what one entry has seen.
+	simEntry struct {
+		counts  map[routeKey]*wire.RouteEvidence
+		running int64 // At the base version.
+	}
+
+	// stall is a time in which nothing runs.
+	stall struct{ from, to time.Duration }
+
 	answer struct {
+		entry       *simEntry
 		key         routeKey
 		waiting     bool    // It counts as slow before it has come.
 		timed       bool    // It has counted as slow.
@@ -89,20 +99,21 @@
 
 var (
 	onsets   = []string{"at once", "late", "under load", "one route"}
-	troubles = []string{"none", "grey servers", "slow servers", "burst"}
+	troubles = []string{"none", "grey servers", "slow servers", "burst", "stalls"}
 )
 
 func (s *sim) run() verdict {
 	ticks := int(s.length/simTick) + 1
 	s.ending = make([][]answer, ticks+int(20*time.Second/simTick))
-	s.counts = map[routeKey]*wire.RouteEvidence{}
 	s.fiftieth = -1
 	for n := range ticks {
 		now := time.Duration(n) * simTick
 		s.arrive(n, now)
 		s.end(n, now)
-		if n%2 == 1 {
-			s.report()
+		for e := range s.entries {
+			if (n+e)%2 == 1 {
+				s.report(e)
+			}
 		}
 		if n%2 == 1 {
 			s.inForce = s.step
@@ -119,7 +130,7 @@
 }
 
 func (s *sim) decide(now time.Duration) {
-	s.step = s.canary.Decide(Situation{Phase: s.phase, Elapsed: now, Entries: 1, BaseCapacity: int64(s.servers), TargetCapacity: int64(s.servers)})
+	s.step = s.canary.Decide(Situation{Phase: s.phase, Elapsed: now, Entries: len(s.entries), BaseCapacity: int64(s.servers), TargetCapacity: int64(s.servers)})
 	s.phase = s.step.Phase
 	if s.phase == wire.Rollout_PHASE_COMPLETED {
 		s.step.Share = 1
@@ -145,14 +156,18 @@
 
 func (s *sim) send(n int, now time.Duration, r simRoute, target bool) {
 	k := routeKey{r.name, target}
-	c := s.counts[k]
+	e := &s.entries[0]
+	if len(s.entries) > 1 {
+		e = &s.entries[s.rnd.IntN(len(s.entries))]
+	}
+	c := e.counts[k]
 	if c == nil {
 		c = &wire.RouteEvidence{Route: r.name, Target: target, Times: []*wire.TimeCounts{{Counts: make([]int64, Buckets)}}}
-		s.counts[k] = c
+		e.counts[k] = c
 	}
 	c.Sent++
 	s.total++
-	a := answer{key: k, took: r.median * math.Exp(r.spread*s.rnd.NormFloat64()), failed: s.rnd.Float64() < r.failing}
+	a := answer{entry: e, key: k, took: r.median * math.Exp(r.spread*s.rnd.NormFloat64()), failed: s.rnd.Float64() < r.failing}
 	// One server in ten, and at least one, is in trouble, of either version.
 	troubled := s.rnd.IntN(s.servers) < max(s.servers/10, 1)
 	switch {
@@ -174,17 +189,29 @@
 			}
 		}
 	} else {
-		s.running++
+		e.running++
 	}
+	a.took = s.delayed(now, a.took)
 	if slow := s.inForce.Slow[r.name].Seconds(); slow > 0 && a.took > slow+simTick.Seconds() {
 		at := min(n+1+int(slow/simTick.Seconds()), len(s.ending)-1)
-		s.ending[at] = append(s.ending[at], answer{key: k, took: slow, waiting: true})
+		s.ending[at] = append(s.ending[at], answer{entry: e, key: k, took: slow, waiting: true})
 		a.timed = true
 	}
 	at := min(n+1+int(a.took/simTick.Seconds()), len(s.ending)-1)
 	s.ending[at] = append(s.ending[at], a)
 }
 
+// delayed returns how long an answer takes that would end in a stall.
+func (s *sim) delayed(now time.Duration, took float64) float64 {
+	end := now + time.Duration(took*float64(time.Second))
+	for _, st := range s.stalls {
+		if end >= st.from && end < st.to {
+			return (st.to - now).Seconds()
+		}
+	}
+	return took
+}
+
 func (s *sim) inTrouble(now time.Duration) bool {
 	return now > s.length/4 && now < s.length/4+s.length/2
 }
@@ -208,18 +235,18 @@
 func (s *sim) end(n int, now time.Duration) {
 	for _, a := range s.ending[n] {
 		if a.waiting {
-			s.counts[a.key].Times[0].Counts[Bucket(time.Duration(a.took*float64(time.Second)))+1]++
+			a.entry.counts[a.key].Times[0].Counts[Bucket(time.Duration(a.took*float64(time.Second)))+1]++
 			continue
 		}
 		if !a.key.target {
-			s.running--
+			a.entry.running--
 		}
 		if a.bad {
 			if s.bad++; s.bad == 50 {
 				s.fiftieth = now
 			}
 		}
-		c := s.counts[a.key]
+		c := a.entry.counts[a.key]
 		c.Ended++
 		if a.failed {
 			c.Failed++
@@ -231,9 +258,10 @@
 	}
 }
 
-func (s *sim) report() {
-	ev := &wire.RolloutEvidence{BaseRunning: s.running}
-	for _, c := range s.counts {
+func (s *sim) report(entry int) {
+	e := &s.entries[entry]
+	ev := &wire.RolloutEvidence{BaseRunning: e.running}
+	for _, c := range e.counts {
 		times := make([]int64, len(c.GetTimes()[0].GetCounts()))
 		copy(times, c.GetTimes()[0].GetCounts())
 		ev.Routes = append(ev.Routes, &wire.RouteEvidence{
@@ -241,7 +269,7 @@
 			Times: []*wire.TimeCounts{{Counts: times}},
 		})
 	}
-	s.canary.Record("entry", ev)
+	s.canary.Record(fmt.Sprint("entry-", entry), ev)
 }
 
 func (s *sim) pickRoute() simRoute {
@@ -265,14 +293,36 @@
 func newSim(sc scenario, seed uint64) *sim {
 	s := &sim{scenario: sc, rnd: rand.New(rand.NewPCG(seed, 40))}
 	s.canary.Limits = Limits{Share: 0.1, Slack: 50, Length: sc.length}
+	s.entries = make([]simEntry, 1)
+	if sc.trouble == "stalls" {
+		s.entries = make([]simEntry, 3)
+	}
+	for e := range s.entries {
+		s.entries[e].counts = map[routeKey]*wire.RouteEvidence{}
+	}
 	s.onsetAt = time.Duration((0.1 + 0.5*s.rnd.Float64()) * float64(sc.length))
 	s.routes = []simRoute{{"push", 0.8, 0.004, 0.018, 0.5}, {"sms", 0.2, 0.14, 0.018, 0.5}}
+	if sc.trouble == "stalls" {
+		s.stalls = stalls(s.rnd, sc.length)
+	}
 	if sc.servers > 3 {
 		s.routes = []simRoute{{"brief", 0.15, 0.002, 0.15, 0.6}, {"advisory", 0.4, 0.002, 0.08, 0.6}, {"tag", 0.45, 0.002, 0.1, 0.6}}
 	}
 	return s
 }
 
+// stalls draws times in which the VM of all processes stands still, about one a second.
+func stalls(rnd *rand.Rand, length time.Duration) []stall {
+	var list []stall
+	for at := time.Duration(0); at < length; {
+		at += time.Duration(rnd.ExpFloat64() * float64(time.Second))
+		span := 50*time.Millisecond + time.Duration(rnd.Int64N(int64(150*time.Millisecond)))
+		list = append(list, stall{at, at + span})
+		at += span
+	}
+	return list
+}
+
 // tally sums the results of one scenario up.
 type tally struct {
 	scenario
