Processes of tests no longer end when the shell of the test does

Cause: the test's processes were in its process group. When a shell that started the test in the background ends, the group is orphaned, and the kernel sends SIGHUP and SIGCONT to a group of which a process is stopped at that moment. The entry ended without a log line. Load had no part in it.

Change: each process has a group of its own, and ends with the test by its parent-death signal.

--- a/cmd/azurelane/proc_test.go
+++ b/cmd/azurelane/proc_test.go
@@ -59,6 +59,8 @@
 	p.cmd = exec.Command(exe, p.args...)
 	p.cmd.Env = append(os.Environ(), selfEnv+"=1")
 	p.cmd.Stderr = p.log
+	// In the test's own group, a stopped process gets SIGHUP when the shell that started the test ends.
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
 	return p.cmd.Start()
 }
 
