A request that waits when its part is banned may still be the trial

A request that waited for an upstream when a ban of one of its parts became known was refused as no-upstream, although the scheduler had just allowed it as a trial. The trial was counted and never sent.

Cause: the ban ends the wait. The request then asks whether it is refused, and with a trial allowed, or the ban lifted meanwhile, it went on to fail with the error of the wait that had ended. Found by reading.

Change: such a request is placed again. If the ban was lifted, it is checked again as at first.

--- a/io/gate/parts_test.go
+++ b/io/gate/parts_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -131,10 +132,50 @@
 	must.Less(t, time.Second, time.Since(start))
 }
 
-// waitingGranter grants nothing until the request gives up.
-type waitingGranter struct{ waiting chan struct{} }
+// Guards against a trial that is counted and not sent, because its request was waiting when the ban
+// became known.
+func TestWaitEndsWithTrial(t *testing.T) {
+	u := newUpstream(t, func(_ int, r *http.Request, w io.Writer) bool {
+		writeEvents(r, w, 1, 3, true)
+		return true
+	})
+	for _, tc := range []struct {
+		name   string
+		trials trialsLeft
+		status int
+	}{{"allowed", 1, http.StatusOK}, {"not allowed", 0, http.StatusServiceUnavailable}} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := newTestGate(t, u)
+			waiting := make(chan struct{}, 1)
+			s.granter = &waitingGranter{waiting: waiting, next: s.withScheduler(func(*wire.Ticket) (*wire.Grant, error) {
+				return &wire.Grant{Slot: 1, Owner: "owner", Upstream: "up-0", Address: u.Addr().String()}, nil
+			})}
+			s.Trier = &tc.trials
+			list := partBanOf("bad")
+			s.SetBans(&wire.Bans{Revision: 1, WatchedParts: list.GetWatchedParts()}, true)
+			done := make(chan reply, 1)
+			go func() { done <- s.do("POST", "/stream/x", "X-Parts", "bad,own") }()
+			<-waiting
+			list.Banned[0].NextUs = 0
+			s.SetBans(list, false)
+			must.Eq(t, tc.status, (<-done).status)
+		})
+	}
+}
 
-func (g *waitingGranter) Grant(ctx context.Context, _ *wire.Ticket) (*wire.Grant, error) {
+// waitingGranter lets its first ticket wait until the request gives up, and passes the others on.
+type waitingGranter struct {
+	waiting chan struct{}
+	once    sync.Once
+	next    granter // Nil if each ticket waits.
+}
+
+func (g *waitingGranter) Grant(ctx context.Context, t *wire.Ticket) (*wire.Grant, error) {
+	first := g.next == nil
+	g.once.Do(func() { first = true })
+	if !first {
+		return g.next.Grant(ctx, t)
+	}
 	g.waiting <- struct{}{}
 	<-ctx.Done()
 	return nil, fmt.Errorf("waitingGranter: %w", ctx.Err())
--- a/io/gate/request.go
+++ b/io/gate/request.go
@@ -159,7 +159,13 @@
 		}
 		return nil, refusal
 	}
-	return p, err
+	if err == nil {
+		return p, nil
+	}
+	if q.banTrial {
+		return q.place(ctx)
+	}
+	return q.placeUnlessBanned(ctx) // The ban was lifted meanwhile.
 }
 
 // timeLimit returns the time from the request's arrival until its final response is due.
