A request on a connection that was closed before counts as not sent

A caller could be told that its request may have run although nothing of it had left: it had got a kept connection that the entry itself had just closed. Such a request is placed again now.

Cause: the connection noted a write before it tried it, also once it was closed.

TestClosedConnWritesNothing fails before.

Change: a write after the close fails without a note.

--- a/io/client/conn.go
+++ b/io/client/conn.go
@@ -38,9 +38,13 @@
 // Write notes the write before it begins.
 func (c *conn) Write(p []byte) (int, error) {
 	c.mu.Lock()
-	if c.sealed {
+	switch {
+	case c.sealed:
 		c.mu.Unlock()
 		return 0, errSealed
+	case c.closed:
+		c.mu.Unlock()
+		return 0, net.ErrClosed
 	}
 	c.wrote = true
 	c.mu.Unlock()
--- a/io/client/conn_test.go
+++ b/io/client/conn_test.go
@@ -30,6 +30,18 @@
 	must.False(t, c.seal())
 }
 
+// Guards against a request that counts as sent although its connection had been closed before.
+func TestClosedConnWritesNothing(t *testing.T) {
+	a, b := net.Pipe()
+	defer func() { _ = b.Close() }()
+	c := &conn{Conn: a}
+	c.begin()
+	must.NoError(t, c.Close())
+	_, err := c.Write([]byte("x"))
+	must.ErrorIs(t, err, net.ErrClosed)
+	must.True(t, c.seal())
+}
+
 // Guards against a request that takes bytes left over from the answer before it for its own answer:
 // the transport offers a connection for reuse before it looks for such bytes.
 func TestConnectionWithBytesLeftIsNotReused(t *testing.T) {
