--- a/io/client/conn.go
+++ b/io/client/conn.go
@@ -19,10 +19,10 @@
 	sealed  bool
 	reading bool
 	closed  bool
-	changed chan struct{} // Closed when the transport reads or closes; nil while nobody waits.
+	changed chan struct{} // Closed when reading or closed is set; nil without a waiter.
 }
 
-// Read notes that the transport has used all that was read before.
+// Read records that the transport has consumed its buffer.
 func (c *conn) Read(p []byte) (int, error) {
 	c.mu.Lock()
 	c.reading = true
@@ -35,7 +35,7 @@
 	return n, err //nolint:wrapcheck // The transport expects the plain error.
 }
 
-// Write notes the write before it begins.
+// Write records that bytes of the request may leave, before any does.
 func (c *conn) Write(p []byte) (int, error) {
 	c.mu.Lock()
 	switch {
@@ -51,7 +51,7 @@
 	return c.Conn.Write(p) //nolint:wrapcheck // The transport expects the plain error.
 }
 
-// Close notes that the connection serves no other request.
+// Close records that the connection can carry no other request.
 func (c *conn) Close() error {
 	c.mu.Lock()
 	c.closed = true
@@ -60,7 +60,7 @@
 	return c.Conn.Close() //nolint:wrapcheck // The transport expects the plain error.
 }
 
-// notify requires mu.
+// notify wakes the requests that wait for a change. c.mu must be held.
 func (c *conn) notify() {
 	if c.changed != nil {
 		close(c.changed)
