Logs tell why and how a request ends without an answer

Cause: the line named neither the configurations at its arrival and its end nor how long its upstream had been silent, so the hypotheses of silent upstreams could not be told apart. Change: both are in the line, with the time left, and each reason has a counter.

--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -226,6 +226,7 @@
 	if q.view.Index == nil {
 		return refuse.New(refuse.NotReady, "no configuration yet", defaultRetryAfter)
 	}
+	q.arrivalVersion = q.view.Version
 	if maxHeaderBytes := q.view.Index.Config().Limits.HeaderBytes; maxHeaderBytes > 0 && headerSize(q.r) > maxHeaderBytes {
 		return refuse.New(refuse.HeaderLarge, "", 0)
 	}
--- a/io/gate/request.go
+++ b/io/gate/request.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -48,6 +49,8 @@
 		firstEventAfter time.Duration // From the arrival of the request until its first event was written.
 		gap             time.Duration // Longest pause between two events, over all sends.
 		lastEventAt     time.Time     // When the last event was written.
+		heardAt         time.Time     // When anything last came from an upstream.
+		arrivalVersion  uint64        // Of the configuration when the request arrived.
 		cachedDigest    *digest.Digest
 		cachedKeys      []digest.Digest // Of the parts of the prompt; nil until they are needed.
 		tallied         *tally.Send     // The send in progress; nil if its version does not matter.
@@ -220,9 +223,9 @@
 	var refusal *refuse.Error
 	switch {
 	case q.r.Context().Err() != nil:
-		q.abort("caller left", err)
+		q.abort(callerLeft, err)
 	case q.headerSent:
-		q.abort("no upstream left to resume the stream", err)
+		q.abort(noUpstreamToResume, err)
 	case q.runs > 0:
 		q.refuse(refuse.New(refuse.UpstreamLost, "no upstream for another send", 0))
 	case errors.As(err, &refusal) && refusal.Code == refuse.NoUpstream && q.sends > 0:
@@ -242,14 +245,14 @@
 	case res.outcome == outcomeComplete:
 		q.recordCompletion(res)
 	case res.outcome == outcomeCallerLeft, q.r.Context().Err() != nil:
-		q.abort("caller left", res.err)
+		q.abort(callerLeft, res.err)
 	case q.headerSent:
-		q.abort("stream broken", res.err)
+		q.abort(streamBroken, res.err)
 	case res.failure != nil:
 		q.gate.Stats.Count("answers-failed", 1)
 		q.logResult("Upstream's failure passed on.", res)
 		if err := res.failure.write(q); err != nil {
-			q.abort("caller left", err)
+			q.abort(callerLeft, err)
 		}
 	case q.runs > 0 && q.expired(ctx):
 		q.refuse(refuse.New(refuse.DeadlinePassed, "", 0))
@@ -273,10 +276,33 @@
 	http.Error(q.w, "azurelane: "+e.Error(), e.Status())
 }
 
+// silentFor returns for how long nothing has come from the request's upstream; zero if nothing ever has.
+func (q *request) silentFor() time.Duration {
+	if q.heardAt.IsZero() {
+		return 0
+	}
+	return time.Since(q.heardAt)
+}
+
+// abortReason says why a request ends without an answer or a refusal. It is also a part of a counter's name.
+type abortReason string
+
+// Reasons of aborts.
+const (
+	callerLeft         abortReason = "caller-left"
+	noUpstreamToResume abortReason = "no-upstream-to-resume"
+	streamBroken       abortReason = "stream-broken"
+)
+
+// text returns the reason in logs.
+func (r abortReason) text() string { return strings.ReplaceAll(string(r), "-", " ") }
+
 // abort breaks off the response, so that the caller sees that it is incomplete.
-func (q *request) abort(why string, err error) {
+func (q *request) abort(reason abortReason, err error) {
 	q.gate.Stats.Count("aborted", 1)
-	q.gate.Log.Info("Request ends without a whole answer.", "request", q.meta.ID, "why", why, "err", errText(err),
+	q.gate.Stats.Count("aborted-"+string(reason), 1)
+	q.gate.Log.Info("Request ends without a whole answer.", "request", q.meta.ID, "why", reason.text(), "err", errText(err),
+		"silent-for", q.silentFor().String(), "left", q.remaining().String(), "configuration-at-arrival", q.arrivalVersion, "configuration", q.view.Version,
 		"route", q.routeName(), "account", q.account, "pool", q.pool, "sends", q.sends, "ran", q.runs,
 		"prompt", q.meta.Prompt, "answer", q.meta.Answer, "expect", q.meta.Expect, "events", q.events, "version", q.version,
 		"took", time.Since(q.start).String())
--- a/io/gate/send.go
+++ b/io/gate/send.go
@@ -81,6 +81,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	res.status = resp.StatusCode
+	q.heardAt = time.Now()
 	if l, ok := q.gate.Dialect.Load(resp); ok {
 		q.gate.recordLoad(p.upstream.GetId(), l)
 	}
--- a/io/gate/stream.go
+++ b/io/gate/stream.go
@@ -40,6 +40,7 @@
 	for {
 		n, err := s.resp.Body.Read(rd)
 		if n > 0 {
+			s.heardAt = time.Now()
 			s.resetSilenceTimer()
 			s.buf = append(s.buf, rd[:n]...)
 			if werr := s.writeEvents(res); werr != nil {
