A silent upstream keeps its request until another one has begun to answer

Callers of resumable streams were cut, and callers of plain requests that may repeat got upstream-lost, about a second after their upstream fell silent, although it went on within two seconds and their time was far from over.

Cause: silence was taken for an end. The entry closed the connection to the silent upstream first and looked for another one then, so that whatever kept it from going on there (no upstream, no room, no retry left, a refusal, another failure) ended the request, with an abort where the caller held events. The class: what works is given up for what may come.

Change: a hedge. Silence starts the search for another upstream, beside the send. The first one to send anything answers: if the silent one does, the search ends, and if the other one does, the silent one loses its connection. A placement, a retry or a send that fails leaves the request where it was.

--- a/io/gate/harness_test.go
+++ b/io/gate/harness_test.go
@@ -102,7 +102,7 @@
 // testGate is a Gate in front of test upstreams.
 type testGate struct {
 	*Gate
-	t        *testing.T
+	t        testing.TB
 	mu       sync.Mutex
 	view     watch.View
 	granter  granter
@@ -187,7 +187,7 @@
 	return slices.ContainsFunc(u.requests, func(r *http.Request) bool { return r.Header.Get(idHeader) == id })
 }
 
-func newUpstream(t *testing.T, script func(n int, r *http.Request, w io.Writer) (keep bool)) *upstream {
+func newUpstream(t testing.TB, script func(n int, r *http.Request, w io.Writer) (keep bool)) *upstream {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
@@ -270,7 +270,7 @@
 	return b.String()
 }
 
-func newTestGate(t *testing.T, ups ...*upstream) *testGate {
+func newTestGate(t testing.TB, ups ...*upstream) *testGate {
 	t.Helper()
 	sum, otherSum := sha256.Sum256([]byte(key)), sha256.Sum256([]byte(otherKey))
 	cfg := &conf.Config{
--- a/io/gate/place.go
+++ b/io/gate/place.go
@@ -280,7 +280,7 @@
 		return
 	}
 	switch res.outcome {
-	case outcomeNotRun, outcomeMisdirected, outcomeCallerLeft, outcomeUnused:
+	case outcomeNotRun, outcomeMisdirected, outcomeCallerLeft, outcomeUnused, outcomeDropped:
 		g.peers.Drop(p.upstream.GetId())
 	case outcomeComplete, outcomeFailed:
 		g.peers.End(now, p.upstream.GetId(), res.total, true, res.outcome == outcomeComplete)
--- a/io/gate/request.go
+++ b/io/gate/request.go
@@ -68,6 +68,7 @@
 		total      time.Duration
 		events     int64
 		err        error
+		next       *flight // Takes the place of the send; nil if there is none.
 	}
 
 	outcome int
@@ -89,11 +90,12 @@
 	outcomeInterrupted                // The request may have run, and there is no complete response.
 	outcomeCallerLeft                 // The caller went away.
 	outcomeUnused                     // The request was not sent after all.
+	outcomeDropped                    // The request has gone on at another upstream.
 )
 
 // String returns the name of the outcome in logs.
 func (e outcome) String() string {
-	return [...]string{"whole", "unsent", "busy", "other-upstream", "failed", "broken", "caller-left", "unused"}[e]
+	return [...]string{"whole", "unsent", "busy", "other-upstream", "failed", "broken", "caller-left", "unused", "dropped"}[e]
 }
 
 var (
@@ -120,31 +122,45 @@
 	ctx, cancel := context.WithTimeoutCause(q.r.Context(), q.timeLimit(), errDeadline)
 	defer cancel()
 	q.gate.countFirstSend(q)
+	var f *flight // The next send.
 	for {
-		p, err := q.placeUnlessBanned(ctx)
-		if err != nil {
-			q.failPlacement(ctx, err)
-			return
-		}
-		if q.tooLateToSend() {
-			p.release(result{outcome: outcomeUnused})
-			q.failPlacement(ctx, refuse.New(refuse.Deadline, "too little time is left for a run", defaultRetryAfter))
-			return
+		if f == nil {
+			p, err := q.placeUnlessBanned(ctx)
+			if err != nil {
+				q.failPlacement(ctx, err)
+				return
+			}
+			if q.tooLateToSend() {
+				p.release(result{outcome: outcomeUnused})
+				q.failPlacement(ctx, refuse.New(refuse.Deadline, "too little time is left for a run", defaultRetryAfter))
+				return
+			}
+			f = q.newFlight(ctx, p)
 		}
-		q.gate.recordSentUnits(q, p)
-		q.tallied = q.gate.versions.begin(q, p.upstream.GetVersion())
-		q.sentBy = p
-		res := q.send(ctx, p)
-		q.gate.versions.end(q.tallied, res)
-		p.release(res)
-		q.checkCrash(p, res)
-		if !q.prepareRetry(ctx, p, res) {
+		q.tallied, q.sentBy = f.tallied, f.placement
+		res := q.send(ctx, f)
+		q.endSend(f, res)
+		if !q.prepareRetry(ctx, f.placement, res) {
+			if res.next != nil {
+				res.next.drop()
+			}
 			q.finish(ctx, res)
 			return
 		}
+		f = res.next
+		if f != nil {
+			q.view, q.origin, q.charged = f.request.view, f.request.origin, f.request.charged
+		}
 	}
 }
 
+// endSend records the result of a send.
+func (q *request) endSend(f *flight, res result) {
+	q.gate.versions.end(f.tallied, res)
+	f.placement.release(res)
+	q.checkCrash(f.placement, res)
+}
+
 // placeUnlessBanned finds an upstream for a request that is not banned. It checks for a ban again
 // after the wait for the upstream.
 func (q *request) placeUnlessBanned(ctx context.Context) (*placement, error) {
@@ -194,30 +210,40 @@
 	return errors.Is(context.Cause(ctx), errDeadline) || q.remaining() < minSendTime
 }
 
-// prepareRetry records a send that has ended and reports whether the request may be sent again. The
-// retry counts against the budget unless the ended send sent nothing.
+// prepareRetry records a send that has ended and reports whether the request may be sent again, or was
+// sent again already. The retry counts against the budget unless the ended send sent nothing.
 func (q *request) prepareRetry(ctx context.Context, p *placement, res result) bool {
-	switch res.outcome {
-	case outcomeComplete, outcomeCallerLeft:
+	if res.outcome == outcomeComplete || res.outcome == outcomeCallerLeft {
 		return false
-	case outcomeFailed, outcomeInterrupted:
-		q.runs++
-		if !q.route.Repeatable() || q.runs >= q.route.MaxUpstreams() {
-			return false
-		}
-	case outcomeNotSent, outcomeNotRun, outcomeMisdirected, outcomeUnused:
 	}
-	q.avoid = append(q.avoid, p.upstream.GetId())
-	q.sends++
-	if q.sends >= maxSends || ctx.Err() != nil || q.tooLateToSend() {
+	ran := res.outcome == outcomeFailed || res.outcome == outcomeInterrupted
+	q.countSend(p, ran)
+	switch {
+	case res.next != nil:
+		return true
+	case ran && (!q.route.Repeatable() || q.runs >= q.route.MaxUpstreams()),
+		q.sends >= maxSends, ctx.Err() != nil, q.tooLateToSend():
 		return false
-	}
-	if res.outcome == outcomeNotSent {
+	case res.outcome == outcomeNotSent:
 		return true // No upstream received the request, so a retry adds no load.
 	}
 	return q.gate.takeRetry(q.pool)
 }
 
+// countSend counts a send that has ended, and whether the upstream may have run the request.
+func (q *request) countSend(p *placement, ran bool) {
+	q.avoid = append(q.avoid, p.upstream.GetId())
+	q.sends++
+	if ran {
+		q.runs++
+	}
+}
+
+// mayMove reports whether another upstream may go on with the request while one may be running it.
+func (q *request) mayMove() bool {
+	return q.route.Repeatable() && q.runs+1 < q.route.MaxUpstreams() && q.sends+1 < maxSends
+}
+
 // failPlacement ends a request for which no upstream was found.
 func (q *request) failPlacement(ctx context.Context, err error) {
 	var refusal *refuse.Error
--- a/io/gate/send.go
+++ b/io/gate/send.go
@@ -54,39 +54,61 @@
 	return q.write(k.body)
 }
 
-// send sends the request to one upstream and passes its response on.
-func (q *request) send(ctx context.Context, p *placement) (res result) {
-	start := time.Now()
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
+// send sends the request to one upstream, unless it was sent before, and passes the response on.
+func (q *request) send(ctx context.Context, f *flight) (res result) {
+	defer f.cancel(nil)
+	h := q.newHedge(ctx, f)
 	defer func() {
-		res.total = time.Since(start)
+		res.next = h.stop(res.outcome == outcomeComplete)
+		res.total = time.Since(f.sentAt)
 		if res.outcome != outcomeComplete && q.r.Context().Err() != nil {
 			res.outcome = outcomeCallerLeft
 		}
 		if res.outcome != outcomeComplete {
-			q.gate.Log.Info("Send ended.", "request", q.meta.ID, "upstream", p.upstream.GetId(), "address", p.upstream.GetAddress(), "version", p.upstream.GetVersion(),
+			u := f.placement.upstream
+			q.gate.Log.Info("Send ended.", "request", q.meta.ID, "upstream", u.GetId(), "address", u.GetAddress(), "version", u.GetVersion(),
 				"digest", q.digest().String(), "ending", res.outcome.String(), "status", res.status, "err", errText(res.err), "events", res.events, "took", res.total.String())
 		}
 	}()
-	silenceTimer := time.AfterFunc(q.silenceLimit(), func() { cancel(q.silenceCause(ctx)) })
-	defer silenceTimer.Stop()
-	resp, sent, err := q.gate.Sender.Send(ctx, q.upstreamRequest(ctx, p))
-	if err != nil {
-		res.outcome, res.err = outcomeInterrupted, withCause(ctx, err)
-		if !sent {
+	f = f.roundTrip()
+	if f.err == nil && !h.heard() {
+		_ = f.resp.Body.Close()
+		f.sent, f.err = true, errSilent
+	}
+	res = q.inspect(f)
+	if f.err != nil {
+		return res
+	}
+	defer func() { _ = f.resp.Body.Close() }()
+	q.heardAt = time.Now()
+	switch {
+	case res.outcome != outcomeComplete:
+	case q.route.Stream && f.resp.StatusCode == http.StatusOK:
+		s := &stream{request: q, resp: f.resp, hedge: h, sentAt: f.sentAt}
+		s.relay(f.ctx, &res)
+	default:
+		q.relayBuffered(f, h, &res)
+	}
+	return res
+}
+
+// inspect records what a response tells of its upstream. The outcome of its result is that of a complete
+// response if the response may be passed on.
+func (q *request) inspect(f *flight) (res result) {
+	if f.err != nil {
+		res.outcome, res.err = outcomeInterrupted, withCause(f.ctx, f.err)
+		if !f.sent {
 			res.outcome = outcomeNotSent
 		}
 		return res
 	}
-	defer func() { _ = resp.Body.Close() }()
+	id, resp := f.placement.upstream.GetId(), f.resp
 	res.status = resp.StatusCode
-	q.heardAt = time.Now()
 	if l, ok := q.gate.Dialect.Load(resp); ok {
-		q.gate.recordLoad(p.upstream.GetId(), l)
+		q.gate.recordLoad(id, l)
 	}
-	q.gate.recordLimit(p.upstream.GetId(), start, resp)
-	q.gate.recordBrittle(q.pool, p.upstream.GetId(), start, resp)
+	q.gate.recordLimit(id, f.sentAt, resp)
+	q.gate.recordBrittle(q.pool, id, f.sentAt, resp)
 	switch {
 	case q.gate.Dialect.Other(resp):
 		res.outcome = outcomeMisdirected
@@ -94,50 +116,35 @@
 		res.outcome = outcomeNotRun
 	case resp.StatusCode < http.StatusMultipleChoices && !q.gate.Dialect.Genuine(resp):
 		res.outcome, res.err = outcomeInterrupted, errors.New("gate: answer without its upstream's mark")
-	case q.route.Stream && resp.StatusCode == http.StatusOK:
-		s := &stream{request: q, resp: resp, silenceTimer: silenceTimer, sentAt: start}
-		s.relay(ctx, &res)
-	default:
-		q.relayBuffered(ctx, resp, start, &res)
 	}
 	return res
 }
 
-// silenceLimit returns how long an upstream may be silent before the request is sent to another
-// one. A request that may not run again waits until its time is over.
+// silenceLimit returns how long an upstream may be silent before another one is sought.
 func (q *request) silenceLimit() time.Duration {
-	left := q.remaining()
-	if !q.route.Repeatable() || q.runs+1 >= q.route.MaxUpstreams() {
-		return left
-	}
 	if q.route.Stream {
-		return min(left, max(firstEventFactor*q.route.Objective, minEventWait))
+		return max(firstEventFactor*q.route.Objective, minEventWait)
 	}
-	return min(left, max(time.Duration(attemptFraction*float64(left)), minAttemptTime))
-}
-
-// silenceCause returns the error that ends a send whose upstream was silent for too long:
-// errDeadline if the request's time is over, and errSilent otherwise. Both can be the cause,
-// because silenceLimit lets a request that may not run again wait until its time is over.
-func (q *request) silenceCause(ctx context.Context) error {
-	if q.expired(ctx) {
-		return errDeadline
-	}
-	return errSilent
+	return max(time.Duration(attemptFraction*float64(q.remaining())), minAttemptTime)
 }
 
 // relayBuffered reads a response completely before it passes any of it on, so that the request can
 // be retried if the response breaks off.
-func (q *request) relayBuffered(ctx context.Context, resp *http.Response, start time.Time, res *result) {
+func (q *request) relayBuffered(f *flight, h *hedge, res *result) {
+	resp := f.resp
+	h.listen(0)
 	body, err := readAll(io.LimitReader(resp.Body, maxBufferedAnswer+1), resp.ContentLength)
-	if err == nil && len(body) > maxBufferedAnswer {
+	switch {
+	case err == nil && !h.heard():
+		err = errSilent
+	case err == nil && len(body) > maxBufferedAnswer:
 		err = errors.New("gate: answer too large")
 	}
 	if err != nil {
-		res.outcome, res.err = outcomeInterrupted, withCause(ctx, err)
+		res.outcome, res.err = outcomeInterrupted, withCause(f.ctx, err)
 		return
 	}
-	res.firstAfter = time.Since(start)
+	res.firstAfter = time.Since(f.sentAt)
 	if !q.route.Repeatable() && promisesNoRun(resp.StatusCode) {
 		res.outcome, res.err = outcomeFailed, fmt.Errorf("%w: %d", errRanAnyway, resp.StatusCode)
 		return
--- a/io/gate/stream.go
+++ b/io/gate/stream.go
@@ -15,11 +15,11 @@
 // can resume the stream at an event boundary.
 type stream struct {
 	*request
-	resp         *http.Response
-	silenceTimer *time.Timer // Ends the send when the upstream is silent for too long.
-	sentAt       time.Time
-	lastWriteAt  time.Time // When events of this send were last written to the caller.
-	buf          []byte    // Start of an event that has not arrived completely.
+	resp        *http.Response
+	hedge       *hedge
+	sentAt      time.Time
+	lastWriteAt time.Time // When events of this send were last written to the caller.
+	buf         []byte    // Start of an event that has not arrived completely.
 }
 
 const (
@@ -37,11 +37,17 @@
 
 func (s *stream) relay(ctx context.Context, res *result) {
 	rd := make([]byte, readSize)
+	limit := time.Duration(0) // The wait for the first event goes on.
 	for {
+		s.hedge.listen(limit)
 		n, err := s.resp.Body.Read(rd)
+		if (n > 0 || errors.Is(err, io.EOF)) && !s.hedge.heard() {
+			res.outcome, res.err = outcomeInterrupted, errSilent
+			return
+		}
 		if n > 0 {
 			s.heardAt = time.Now()
-			s.resetSilenceTimer()
+			limit = max(eventGapFactor*s.route.Gap, minEventWait)
 			s.buf = append(s.buf, rd[:n]...)
 			if werr := s.writeEvents(res); werr != nil {
 				res.outcome, res.err = outcomeCallerLeft, werr
@@ -66,26 +72,6 @@
 	}
 }
 
-// mayMove reports whether another upstream may go on with the request. Otherwise the silence timer
-// ends when the request's time is over.
-func (s *stream) mayMove() bool { return s.route.Repeatable() && s.runs+1 < s.route.MaxUpstreams() }
-
-// pauseSilenceTimer stops the silence timer while the caller reads. An upstream is not silent if its
-// events wait for the caller.
-func (s *stream) pauseSilenceTimer() {
-	if s.mayMove() {
-		s.silenceTimer.Stop()
-	}
-}
-
-// resetSilenceTimer restarts the time for which the upstream may be silent.
-func (s *stream) resetSilenceTimer() {
-	if !s.mayMove() {
-		return
-	}
-	s.silenceTimer.Reset(min(max(eventGapFactor*s.route.Gap, minEventWait), s.remaining()))
-}
-
 // writeEvents passes the complete events in the buffer on to the caller.
 func (s *stream) writeEvents(res *result) error {
 	end, before := 0, res.events
@@ -105,8 +91,6 @@
 		s.markBegun(s.sentAt)
 	}
 	s.recordTiming(res)
-	s.pauseSilenceTimer()
-	defer s.resetSilenceTimer()
 	s.writeHeader()
 	if err := s.write(s.buf[:end]); err != nil {
 		return err
