--- /dev/null
+++ b/io/gate/eligibility_test.go
@@ -0,0 +1,36 @@
+package gate
+
+import (
+	"io"
+	"net/http"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"azurelane/core/digest"
+	"azurelane/core/wire"
+)
+
+// Guards against a request that stays banned because the one trial that the scheduler allowed met an
+// upstream which did not run it.
+func TestTrialCountsOnlyIfItRan(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		first func(n int, r *http.Request, w io.Writer) bool
+	}{
+		{"runs at once", respondText("ok")},
+		{"busy", respond(http.StatusServiceUnavailable, "", "X-Not-Run: 1\r\n")},
+		{"replaced", respond(http.StatusMisdirectedRequest, "", "")},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			first, second := newUpstream(t, tc.first), newUpstream(t, respondText("ok"))
+			s := newTestGate(t, first, second)
+			one := trialsLeft(1)
+			s.Trier = &one
+			d := digest.Of("radio", "h", "/again/x", []byte("text"))
+			s.SetBans(&wire.Bans{Revision: 1, Banned: []*wire.Ban{{Digest: d[:]}}, Watched: []*wire.Watched{{Digest: d[:]}}}, true)
+			must.Eq(t, http.StatusOK, s.do("POST", "/again/x").status)
+			must.Eq(t, 1, first.count())
+		})
+	}
+}
