--- a/io/gate/eligibility_test.go
+++ b/io/gate/eligibility_test.go
@@ -34,3 +34,20 @@
 		})
 	}
 }
+
+// Guards against an upstream that an entry never uses again, because the answer to a request for its
+// former process arrives after its restart at another address is known.
+func TestReplacedAtItsFormerAddress(t *testing.T) {
+	var s *testGate
+	next := newUpstream(t, respondText("ok"))
+	former := newUpstream(t, func(n int, r *http.Request, w io.Writer) bool {
+		s.mu.Lock()
+		s.view.Upstreams = map[string][]*wire.Upstream{"p": {{Id: "up-0", Address: next.Addr().String(), Slots: 1, DataCentre: "z0", Born: 2}}}
+		s.mu.Unlock()
+		return respond(http.StatusMisdirectedRequest, "", "")(n, r, w)
+	})
+	s = newTestGate(t, former)
+	s.do("POST", "/once/x")
+	must.Eq(t, 1, former.count())
+	must.SliceEmpty(t, s.replaced)
+}
