An answer in HTTP/1.0 that is cut short no longer looks complete

Callers that speak HTTP/1.0 took a stream that was broken off for a whole one.

Cause: without chunks and length the end of the connection is the end of the answer, and an abort closed it as a complete answer does. Evidence: TestTruncationIsVisibleInHTTP10 failed (the body ended without an error). Change: an aborted answer in HTTP/1.0 resets its connection.

--- a/io/gate/caller.go
+++ b/io/gate/caller.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"net"
 	"net/http"
 	"time"
 )
@@ -34,3 +35,17 @@
 func (q *request) endWrites() {
 	_ = http.NewResponseController(q.w).SetWriteDeadline(time.Time{})
 }
+
+// resetCaller resets the caller's connection. In HTTP/1.0 the end of the connection is the end of a
+// response without a length, so only a reset shows that the response is incomplete.
+func (q *request) resetCaller() {
+	c, _, err := http.NewResponseController(q.w).Hijack()
+	if err != nil {
+		q.gate.Log.Info("Connection of a caller not reset.", "request", q.meta.ID, "err", err.Error())
+		return
+	}
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0) // Fails only on a closed connection.
+	}
+	_ = c.Close()
+}
--- a/io/gate/request.go
+++ b/io/gate/request.go
@@ -332,6 +332,9 @@
 		"route", q.routeName(), "account", q.account, "pool", q.pool, "sends", q.sends, "ran", q.runs,
 		"prompt", q.meta.Prompt, "answer", q.meta.Answer, "expect", q.meta.Expect, "events", q.events, "version", q.version,
 		"took", time.Since(q.start).String())
+	if !q.r.ProtoAtLeast(1, 1) {
+		q.resetCaller()
+	}
 	panic(http.ErrAbortHandler)
 }
 
--- a/io/gate/stream_test.go
+++ b/io/gate/stream_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -52,6 +53,26 @@
 	must.Eq(t, 0, second.count())
 }
 
+// Guards against an answer in HTTP/1.0 that is cut short and looks complete: its end is that of the
+// connection.
+func TestTruncationIsVisibleInHTTP10(t *testing.T) {
+	up := newUpstream(t, func(_ int, r *http.Request, w io.Writer) bool {
+		writeEvents(r, w, 1, 3, false)
+		time.Sleep(50 * time.Millisecond) // The caller has the events.
+		closeConn(w)
+		return false
+	})
+	s := newTestGate(t, up)
+	c, err := net.Dial("tcp", s.srv.Listener.Addr().String())
+	must.NoError(t, err)
+	defer func() { _ = c.Close() }()
+	_, err = fmt.Fprintf(c, "POST /stream/x HTTP/1.0\r\nHost: h\r\nAuthorization: Bearer %s\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", key, idHeader)
+	must.NoError(t, err)
+	data, err := io.ReadAll(c)
+	must.StrContains(t, string(data), eventsUpTo(3))
+	must.ErrorIs(t, err, syscall.ECONNRESET)
+}
+
 // Guards against a caller that reads slowly and makes its upstream seem silent: the stream would be
 // sent to a second upstream, and the first one would count as failed.
 func TestSlowCallerKeepsItsUpstream(t *testing.T) {
