A stream goes on with events only

Callers of resumable streams could get another answer inside their stream, which then ended as complete: events 1 to 3, the text of an error 404, and a clean end.

Cause: when an upstream broke off, the response of the next one was judged as if it were the first; any status below 500 was passed on, although the caller already had the header and events. Evidence: TestStreamGoesOnWithEventsOnly, three of three statuses fail on the code before. Found in a review of the hedge; older than it. Change: once the header is out, any response but a stream is a failed send. Result: three of three pass.

--- a/io/gate/hedge.go
+++ b/io/gate/hedge.go
@@ -128,6 +128,7 @@
 func (f *flight) accepted() bool {
 	d := f.request.gate.Dialect
 	return f.err == nil && !d.Other(f.resp) && !d.NotRun(f.resp) && f.resp.StatusCode < http.StatusInternalServerError &&
+		(!f.request.headerSent || f.resp.StatusCode == http.StatusOK) &&
 		(f.resp.StatusCode >= http.StatusMultipleChoices || d.Genuine(f.resp))
 }
 
--- a/io/gate/request.go
+++ b/io/gate/request.go
@@ -101,6 +101,7 @@
 var (
 	errDeadline = errors.New("gate: the time is over")
 	errSilent   = errors.New("gate: upstream silent")
+	errNoStream = errors.New("gate: no stream in the response to a stream that goes on")
 	// errRanAnyway marks a response whose status would promise the caller that nothing ran.
 	errRanAnyway = errors.New("gate: upstream may have run the request and answered")
 )
--- a/io/gate/send.go
+++ b/io/gate/send.go
@@ -116,6 +116,8 @@
 		res.outcome = outcomeNotRun
 	case resp.StatusCode < http.StatusMultipleChoices && !q.gate.Dialect.Genuine(resp):
 		res.outcome, res.err = outcomeInterrupted, errors.New("gate: answer without its upstream's mark")
+	case q.headerSent && resp.StatusCode != http.StatusOK:
+		res.outcome, res.err = outcomeFailed, fmt.Errorf("%w: %d", errNoStream, resp.StatusCode)
 	}
 	return res
 }
--- a/io/gate/stream_test.go
+++ b/io/gate/stream_test.go
@@ -38,6 +38,24 @@
 	must.Eq(t, "3", second.requests[0].Header.Get("X-Last"))
 }
 
+// Guards against another answer inside a stream, which then ends as complete: the upstream that is to go on
+// with the stream answers with an error.
+func TestStreamGoesOnWithEventsOnly(t *testing.T) {
+	first := newUpstream(t, func(_ int, r *http.Request, w io.Writer) bool {
+		writeEvents(r, w, 1, 3, false)
+		closeConn(w)
+		return false
+	})
+	for _, status := range []int{http.StatusNotFound, http.StatusFound, http.StatusNoContent} {
+		t.Run(strconv.Itoa(status), func(t *testing.T) {
+			other := newUpstream(t, respond(status, "", ""))
+			r := newTestGate(t, first, other).do("POST", "/resume/x")
+			must.Error(t, r.err)
+			must.Eq(t, eventsUpTo(3), r.body)
+		})
+	}
+}
+
 // A stream that cannot resume elsewhere breaks off. The caller must notice: the body ends without
 // the closing chunk, and no second upstream receives the request.
 func TestStreamTruncationIsVisible(t *testing.T) {
