A hedge is decided by whole events and answers, and gives up neither upstream for good

Callers could lose requests by the hedge itself: whatever the silent upstream sent (503 not run, 421, an error, half an event) ended the send to the other one, though that would have answered; an upstream that had lost could not go on later, which used up the only move of routes with two attempts; and after 300 ms, or at a mere header, a stream left its upstream for one that then failed. A plain body that came steadily counted as silent. After a stall of the entry its timers fired before it had read what had come. A sound upstream was blamed when the caller left at that moment.

Cause: anything that arrived was taken for an answer, and one list served both for upstreams that had failed and for those that had only lost. All are of one class, what works is given up for what may come, and of one piece of code, so they are one commit.

Evidence: found in a review.

Change: whole events and whole plain answers decide; a late timer lets the reader go first; the overlap of streams is counted from the moment the second upstream has the request, and ends against the one that sent nothing; core/tried decides who may get a request next, and lets it return to an upstream that was only silent.

--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -27,13 +27,18 @@
 	b.spent = max(b.spent-ratio, 0)
 }
 
-// TakeRetry reports whether one more attempt may be made. If so, it takes a token.
-func (b *Budget) TakeRetry() bool {
+// HasRetry reports whether one more attempt may be made.
+func (b *Budget) HasRetry() bool {
 	burst := b.Burst
 	if burst == 0 {
 		burst = DefaultBurst
 	}
-	if b.spent+1 > burst {
+	return b.spent+1 <= burst
+}
+
+// TakeRetry reports whether one more attempt may be made. If so, it takes a token.
+func (b *Budget) TakeRetry() bool {
+	if !b.HasRetry() {
 		return false
 	}
 	b.spent++
--- /dev/null
+++ b/core/tried/tried.go
@@ -0,0 +1,84 @@
+// Package tried keeps track of the upstreams that a request was sent to, and decides which may get it next.
+package tried
+
+import "slices"
+
+// Tried holds the upstreams that one request was sent to. The zero value has none.
+type Tried struct {
+	sends  int
+	failed []string // They may not get it again.
+	silent []string // Given up while silent. They may get it again if there is no other.
+	ran    []string // They may have run it.
+	back   bool     // Silent upstreams may get it again.
+}
+
+// Fail records a send that failed, and whether the upstream may have run the request.
+func (t *Tried) Fail(id string, ran bool) {
+	t.sends++
+	t.failed = append(t.failed, id)
+	if ran {
+		t.addRun(id)
+	}
+}
+
+// GiveUp records a send to an upstream that was silent and may still go on.
+func (t *Tried) GiveUp(id string) {
+	t.sends++
+	t.silent = append(t.silent, id)
+	t.addRun(id)
+}
+
+// Drop records a send that was not needed any more. The upstream may get the request again.
+func (t *Tried) Drop(id string) {
+	t.sends++
+	t.addRun(id)
+}
+
+func (t *Tried) addRun(id string) {
+	if !slices.Contains(t.ran, id) {
+		t.ran = append(t.ran, id)
+	}
+}
+
+// Sends returns the number of sends.
+func (t *Tried) Sends() int { return t.sends }
+
+// Ran returns the number of upstreams that may have run the request.
+func (t *Tried) Ran() int { return len(t.ran) }
+
+// MayRun reports whether an upstream may run the request if at most that many may.
+func (t *Tried) MayRun(most int) bool {
+	return len(t.ran) < most || slices.ContainsFunc(t.ran, func(id string) bool { return !slices.Contains(t.failed, id) })
+}
+
+// Beside returns a copy for a send to another upstream than one that may be running the request.
+func (t *Tried) Beside(id string) Tried {
+	c := Tried{sends: t.sends, failed: slices.Clone(t.failed), silent: slices.Clone(t.silent), ran: slices.Clone(t.ran)}
+	c.Fail(id, true)
+	return c
+}
+
+// GoBack lets silent upstreams get the request again, and reports whether that is new.
+func (t *Tried) GoBack() bool {
+	isNew := len(t.silent) > 0 && !t.back
+	t.back = true
+	return isNew
+}
+
+// Excludes returns those of all upstreams that may not get the request, if at most that many may run it,
+// and upstreams that failed it even if they are not among these.
+func (t *Tried) Excludes(most int, all []string) []string {
+	list := slices.Clone(t.failed)
+	if !t.back {
+		list = append(list, t.silent...)
+	}
+	if len(t.ran) < most {
+		return list
+	}
+	for _, id := range all {
+		if !slices.Contains(t.ran, id) {
+			list = append(list, id)
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/io/gate/flight.go
@@ -0,0 +1,142 @@
+package gate
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"azurelane/core/tally"
+)
+
+// flight is one send of a request.
+type flight struct {
+	placement *placement
+	request   *request // That was placed.
+	tallied   *tally.Send
+	sentAt    time.Time
+	ctx       context.Context //nolint:containedctx // Of the send.
+	cancel    context.CancelCauseFunc
+	done      chan struct{} // Closed once the fields below are set; nil if the request is yet to be sent.
+	resp      *http.Response
+	sent      bool // A byte may have been sent.
+	err       error
+}
+
+// newFlight prepares a send.
+func (q *request) newFlight(ctx context.Context, p *placement) *flight {
+	f := &flight{placement: p, request: q, sentAt: time.Now()}
+	f.ctx, f.cancel = context.WithCancelCause(ctx)
+	q.gate.recordSentUnits(q, p)
+	f.tallied = q.gate.versions.begin(q, p.upstream.GetVersion())
+	return f
+}
+
+// roundTrip sends the request, or waits for the answer if it was sent before. It returns the send with its
+// response.
+func (f *flight) roundTrip() *flight {
+	if f.done == nil {
+		f.dispatch()
+		return f
+	}
+	<-f.done
+	c := *f // The goroutine that has sent it may still read it.
+	return &c
+}
+
+// dispatch sends the request and waits for the header of the response.
+func (f *flight) dispatch() {
+	f.resp, f.sent, f.err = f.request.gate.Sender.Send(f.ctx, f.request.upstreamRequest(f.ctx, f.placement)) //nolint:bodyclose // By send, race or drop.
+}
+
+// accepted reports whether the response shows that the upstream answers the request.
+func (f *flight) accepted() bool {
+	if f.err != nil {
+		return false
+	}
+	d, status := f.request.gate.Dialect, f.resp.StatusCode
+	switch {
+	case d.Other(f.resp), d.NotRun(f.resp), status >= http.StatusInternalServerError, f.request.headerSent && status != http.StatusOK:
+		return false
+	}
+	return status >= http.StatusMultipleChoices || d.Genuine(f.resp)
+}
+
+// awaitAnswer waits for the first event of a stream, and for the whole of any other response.
+func (f *flight) awaitAnswer() {
+	var data []byte
+	var err error
+	if f.request.route.Stream && f.resp.StatusCode == http.StatusOK {
+		data, err = readEvent(f.resp.Body)
+	} else {
+		data, err = readAnswer(f.resp.Body, f.resp.ContentLength)
+	}
+	if err != nil {
+		_ = f.resp.Body.Close()
+		f.resp, f.sent, f.err = nil, true, err
+		return
+	}
+	f.resp.Body = &readAhead{io.MultiReader(bytes.NewReader(data), f.resp.Body), f.resp.Body}
+}
+
+// readAhead is a body of which a part was read before.
+type readAhead struct {
+	io.Reader
+	io.Closer
+}
+
+// readEvent reads until one event is complete, or to the end of a stream without events.
+func readEvent(r io.Reader) ([]byte, error) {
+	var data []byte
+	for buf := make([]byte, readSize); eventLen(data) == 0; {
+		n, err := r.Read(buf)
+		data = append(data, buf[:n]...)
+		switch {
+		case eventLen(data) > 0:
+		case errors.Is(err, io.EOF) && len(data) > 0:
+			return nil, errPartial
+		case errors.Is(err, io.EOF):
+			return nil, nil
+		case err != nil:
+			return nil, fmt.Errorf("gate: read: %w", err)
+		case len(data) > maxEvent:
+			return nil, errOversize
+		}
+	}
+	return data, nil
+}
+
+// outcome returns how a send ended that the upstream has not answered.
+func (f *flight) outcome() outcome {
+	d := f.request.gate.Dialect
+	switch {
+	case f.err != nil && !f.sent:
+		return outcomeNotSent
+	case f.err != nil:
+		return outcomeInterrupted
+	case d.Other(f.resp):
+		return outcomeMisdirected
+	case d.NotRun(f.resp):
+		return outcomeNotRun
+	}
+	return outcomeFailed
+}
+
+// drop ends a send whose response is not wanted any more.
+func (f *flight) drop() {
+	f.cancel(nil)
+	<-f.done
+	if f.err == nil {
+		_ = f.resp.Body.Close()
+	}
+	res := result{outcome: outcomeDropped, total: time.Since(f.sentAt)}
+	if f.err != nil && !f.sent {
+		res.outcome = outcomeUnused
+	}
+	f.request.gate.versions.end(f.tallied, res)
+	f.placement.release(res)
+}
--- a/io/gate/hedge.go
+++ b/io/gate/hedge.go
@@ -2,23 +2,25 @@
 
 import (
 	"context"
-	"net/http"
-	"slices"
+	"io"
+	"net/http/httptrace"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
-
-	"azurelane/core/tally"
 )
 
 const (
-	// maxOverlap is how long a stream may be at two upstreams at once. Each may be running it, and the
-	// second is kept in doubt: the first one has been silent for longer.
+	// maxOverlap is how long a stream may be at two upstreams at once, from the moment at which the second
+	// has it: both may be running it. The one that has been silent for longer is given up then.
 	maxOverlap = 300 * time.Millisecond
 	// hedgeRetry is how long after another upstream took a request without running it the next one is
 	// sought.
 	hedgeRetry = 50 * time.Millisecond
+	// A timer that is later than maxLateness shows that the process has stood still. What arrived meanwhile
+	// is read within settleTime.
+	maxLateness = 10 * time.Millisecond
+	settleTime  = 20 * time.Millisecond
 )
 
 var (
@@ -39,6 +41,7 @@
 		timer   *time.Timer
 		limit   time.Duration // How long the upstream may be silent.
 		due     time.Time     // When it counts as silent.
+		settled bool          // What arrived before a late timer was read.
 		busy    bool          // The upstream is not being waited for.
 		stopped bool
 		search  *search
@@ -48,94 +51,16 @@
 	// search is the search for another upstream, and the send to it.
 	search struct {
 		request *request // Copy of the request.
+		begun   time.Time
 		cancel  context.CancelFunc
 		flight  *flight // Nil until the request is sent.
 	}
-
-	// flight is a send of a request.
-	flight struct {
-		placement *placement
-		request   *request // That was placed.
-		tallied   *tally.Send
-		sentAt    time.Time
-		ctx       context.Context //nolint:containedctx // Of the send.
-		cancel    context.CancelCauseFunc
-		done      chan struct{} // Closed once the fields below are set; nil if the request is yet to be sent.
-		resp      *http.Response
-		sent      bool // A byte may have been sent.
-		err       error
-	}
 )
 
-// newFlight prepares a send.
-func (q *request) newFlight(ctx context.Context, p *placement) *flight {
-	f := &flight{placement: p, request: q, sentAt: time.Now()}
-	f.ctx, f.cancel = context.WithCancelCause(ctx)
-	q.gate.recordSentUnits(q, p)
-	f.tallied = q.gate.versions.begin(q, p.upstream.GetVersion())
-	return f
-}
-
-// roundTrip sends the request, or waits for the response if it was sent before. It returns the send with
-// its response.
-func (f *flight) roundTrip() *flight {
-	if f.done == nil {
-		f.dispatch()
-		return f
-	}
-	<-f.done
-	c := *f // The goroutine that has sent it may still read it.
-	return &c
-}
-
-// dispatch sends the request and waits for the header of the response.
-func (f *flight) dispatch() {
-	f.resp, f.sent, f.err = f.request.gate.Sender.Send(f.ctx, f.request.upstreamRequest(f.ctx, f.placement)) //nolint:bodyclose // By send, race or drop.
-}
-
-// drop ends a send whose response is not wanted any more.
-func (f *flight) drop() {
-	f.cancel(nil)
-	<-f.done
-	if f.err == nil {
-		_ = f.resp.Body.Close()
-	}
-	res := result{outcome: outcomeDropped, total: time.Since(f.sentAt)}
-	if f.err != nil && !f.sent {
-		res.outcome = outcomeUnused
-	}
-	f.request.gate.versions.end(f.tallied, res)
-	f.placement.release(res)
-}
-
-// outcome returns how a send ended that the upstream has not answered.
-func (f *flight) outcome() outcome {
-	d := f.request.gate.Dialect
-	switch {
-	case f.err != nil && !f.sent:
-		return outcomeNotSent
-	case f.err != nil:
-		return outcomeInterrupted
-	case d.Other(f.resp):
-		return outcomeMisdirected
-	case d.NotRun(f.resp):
-		return outcomeNotRun
-	}
-	return outcomeFailed
-}
-
-// accepted reports whether the response shows that the upstream answers the request.
-func (f *flight) accepted() bool {
-	d := f.request.gate.Dialect
-	return f.err == nil && !d.Other(f.resp) && !d.NotRun(f.resp) && f.resp.StatusCode < http.StatusInternalServerError &&
-		(!f.request.headerSent || f.resp.StatusCode == http.StatusOK) &&
-		(f.resp.StatusCode >= http.StatusMultipleChoices || d.Genuine(f.resp))
-}
-
 // newHedge starts to wait for the upstream of a send. It returns nil if no other upstream may run the
-// request.
+// request beside it.
 func (q *request) newHedge(ctx context.Context, f *flight) *hedge {
-	if !q.mayMove() {
+	if !q.mayMove(f.placement) {
 		return nil
 	}
 	h := &hedge{ctx: ctx, flight: f, request: q, limit: q.silenceLimit()}
@@ -146,9 +71,36 @@
 	return h
 }
 
-// heard records that the upstream has sent something, and reports false if another upstream has taken
-// its place. Until listen is called, the upstream does not count as silent.
-func (h *hedge) heard() bool {
+// mayMove reports whether another upstream may run the request while one may be running it. A trial of a
+// banned request is a single send.
+func (q *request) mayMove(p *placement) bool {
+	beside := q.tried.Beside(p.upstream.GetId())
+	return q.route.Repeatable() && !q.banTrial && beside.Sends() < maxSends && beside.MayRun(q.route.MaxUpstreams())
+}
+
+// touch records that the upstream has sent something that may be a part of an answer.
+func (h *hedge) touch(q *request) {
+	if h == nil {
+		q.heardAt = time.Now()
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	q.heardAt = time.Now()
+	h.wait(h.limit)
+}
+
+// wait has the upstream count as silent after limit. h.mu must be held.
+func (h *hedge) wait(limit time.Duration) {
+	h.due, h.settled = time.Now().Add(limit), false
+	if h.search == nil && !h.busy && !h.stopped {
+		h.timer.Reset(limit)
+	}
+}
+
+// claim records that the upstream answers, and reports false if another one has taken its place. Until
+// listen is called, the upstream does not count as silent.
+func (h *hedge) claim() bool {
 	if h == nil {
 		return true
 	}
@@ -163,18 +115,15 @@
 	return true
 }
 
-// listen starts to wait for the upstream again, for as long as limit; zero for the time that was left.
+// listen starts to wait for the upstream again, for as long as limit.
 func (h *hedge) listen(limit time.Duration) {
 	if h == nil {
 		return
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if limit > 0 {
-		h.limit, h.due = limit, time.Now().Add(limit)
-	}
-	h.busy = false
-	h.timer.Reset(time.Until(h.due))
+	h.limit, h.busy = limit, false
+	h.wait(limit)
 }
 
 // stop ends the wait. If the send has brought no final response, it returns the send that takes its
@@ -187,16 +136,20 @@
 	defer h.mu.Unlock()
 	h.stopped = true
 	h.timer.Stop()
-	if s := h.search; s != nil && s.flight != nil && !final {
-		h.won, h.search = s.flight, nil
-		h.request.gate.Stats.Count("hedges-won", 1)
+	if s := h.search; s != nil && s.flight != nil && !final && h.ctx.Err() == nil {
+		h.win(s)
 	}
 	h.dropSearch()
 	return h.won
 }
 
-// dropSearch ends the search for another upstream. h.mu must be held, and the request must not be in use
-// elsewhere.
+// win has the other upstream take the place of the silent one. h.mu must be held.
+func (h *hedge) win(s *search) {
+	h.won, h.search = s.flight, nil
+	h.request.gate.Stats.Count("hedges-won", 1)
+}
+
+// dropSearch ends the search for another upstream. h.mu must be held.
 func (h *hedge) dropSearch() {
 	s := h.search
 	if s == nil {
@@ -206,21 +159,16 @@
 	s.cancel()
 	if s.flight != nil {
 		h.request.gate.Stats.Count("hedges-lost", 1)
-		h.request.countSend(s.flight.placement, true)
+		h.request.tried.Drop(s.flight.placement.upstream.GetId())
 	}
 }
 
 // onSilence looks for another upstream.
 func (h *hedge) onSilence() {
-	h.mu.Lock()
-	if h.stopped || h.busy || h.search != nil || h.won != nil || !h.request.mayMove() || time.Now().Before(h.due) {
-		h.mu.Unlock()
+	ctx, s := h.begin()
+	if s == nil {
 		return
 	}
-	ctx, cancel := context.WithCancel(h.ctx)
-	s := &search{request: h.request.copyWithout(h.flight.placement), cancel: cancel}
-	h.search = s
-	h.mu.Unlock()
 	p, err := s.request.placeUnlessBanned(ctx)
 	if err == nil {
 		if err = h.launch(ctx, s, p); err == nil {
@@ -234,12 +182,28 @@
 	}
 }
 
-// copyWithout returns a copy of the request for another upstream than that of a placement.
-func (q *request) copyWithout(p *placement) *request {
-	c := *q
-	c.avoid = append(slices.Clone(q.avoid), p.upstream.GetId())
-	c.sends, c.runs = q.sends+1, q.runs+1
-	return &c
+// begin begins a search, or returns nil if there is none to begin.
+func (h *hedge) begin() (context.Context, *search) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	late := time.Since(h.due)
+	if h.stopped || h.busy || h.search != nil || h.won != nil || late < 0 || !h.request.mayMove(h.flight.placement) {
+		return nil, nil
+	}
+	if late > maxLateness && !h.settled {
+		h.settled = true
+		h.timer.Reset(settleTime)
+		return nil, nil
+	}
+	if !h.request.gate.hasRetry(h.request.pool) {
+		h.wait(h.limit)
+		return nil, nil
+	}
+	ctx, cancel := context.WithCancel(h.ctx)
+	c := *h.request
+	c.tried = h.request.tried.Beside(h.flight.placement.upstream.GetId())
+	h.search = &search{request: &c, begun: time.Now(), cancel: cancel}
+	return ctx, h.search
 }
 
 // launch prepares the send to another upstream, unless the search has ended.
@@ -264,10 +228,14 @@
 func (h *hedge) race(s *search) {
 	f := s.flight
 	if s.request.route.Stream {
-		overlap := time.AfterFunc(maxOverlap, func() { h.replace(s) })
-		defer overlap.Stop()
+		f.ctx = httptrace.WithClientTrace(f.ctx, &httptrace.ClientTrace{
+			WroteRequest: func(httptrace.WroteRequestInfo) { h.limitOverlap(s) },
+		})
 	}
 	f.dispatch()
+	if f.accepted() {
+		f.awaitAnswer()
+	}
 	close(f.done)
 	if f.accepted() {
 		h.replace(s)
@@ -288,15 +256,40 @@
 	h.logKept(f.placement.upstream.GetId(), res.err)
 }
 
-// replace has the other upstream take the place of the silent one.
+// limitOverlap gives one of the two upstreams up unless one answers in time: the silent one, or the other
+// one if that has sent something meanwhile.
+func (h *hedge) limitOverlap(s *search) {
+	end := time.Now().Add(maxOverlap)
+	time.AfterFunc(maxOverlap, func() {
+		if time.Since(end) > maxLateness {
+			time.Sleep(settleTime)
+		}
+		if !h.dropIfHeard(s) {
+			h.replace(s)
+		}
+	})
+}
+
+// dropIfHeard ends a search since which the upstream has sent something.
+func (h *hedge) dropIfHeard(s *search) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.search != s || !h.request.heardAt.After(s.begun) {
+		return false
+	}
+	h.dropSearch()
+	h.wait(h.limit)
+	return true
+}
+
+// replace gives the silent upstream up for the other one.
 func (h *hedge) replace(s *search) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.stopped || h.search != s {
+	if h.stopped || h.busy || h.search != s {
 		return
 	}
-	h.won, h.search = s.flight, nil
-	h.request.gate.Stats.Count("hedges-won", 1)
+	h.win(s)
 	h.flight.cancel(errSilent)
 }
 
@@ -307,34 +300,51 @@
 	return h.won == f
 }
 
-// endSearch ends a search that has brought no response, and waits for the upstream again. It reports false
-// if the search had ended before.
+// endSearch ends a search that has brought no answer, and waits for the upstream again. It reports false
+// if the search or the request had ended before.
 func (h *hedge) endSearch(s *search, e outcome) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.search != s {
 		return false
 	}
+	if h.ctx.Err() != nil {
+		h.dropSearch()
+		return false
+	}
 	h.search = nil
 	s.cancel()
 	limit := h.limit
 	if s.flight != nil {
-		h.request.countSend(s.flight.placement, e == outcomeFailed || e == outcomeInterrupted)
-		if e == outcomeNotSent || e == outcomeNotRun || e == outcomeMisdirected {
+		ran := e == outcomeFailed || e == outcomeInterrupted
+		h.request.tried.Fail(s.flight.placement.upstream.GetId(), ran)
+		if !ran {
 			limit = hedgeRetry
 		}
 	}
-	h.due = time.Now().Add(limit)
-	h.timer.Reset(limit)
+	h.wait(limit)
 	return true
 }
 
 // logKept logs that the request stays at its silent upstream.
 func (h *hedge) logKept(other string, err error) {
-	if errors.Is(err, context.Canceled) {
-		return // The upstream has gone on, or the request has ended.
-	}
 	q := h.flight.request
 	q.gate.Log.Info("Silent upstream kept: no other one answers.", "request", q.meta.ID, "upstream", h.flight.placement.upstream.GetId(),
 		"other", other, "err", errText(err), "configuration-at-arrival", q.arrivalVersion, "configuration", q.gate.Cluster.View().Version)
 }
+
+// heardReader tells a hedge of what is read.
+type heardReader struct {
+	io.Reader
+	hedge   *hedge
+	request *request
+}
+
+// Read reads from the upstream.
+func (r *heardReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if n > 0 {
+		r.hedge.touch(r.request)
+	}
+	return n, err //nolint:wrapcheck // Readers compare io.EOF.
+}
--- a/io/gate/ledger.go
+++ b/io/gate/ledger.go
@@ -26,7 +26,7 @@
 func (g *Gate) recordSentUnits(q *request, p *placement) {
 	kind := unitsPlaced
 	switch {
-	case q.sends > 0:
+	case q.tried.Sends() > 0:
 		kind = unitsRepeated
 	case p.grant != nil:
 		kind = unitsGranted
--- a/io/gate/place.go
+++ b/io/gate/place.go
@@ -200,7 +200,7 @@
 	g, now := q.gate, time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	c := peers.Choice{Self: g.Node, DataCentre: g.DataCentre, Avoid: q.avoid, Silent: q.view.Silent, Unreached: q.view.Unreached, Isolated: q.view.Isolated}
+	c := peers.Choice{Self: g.Node, DataCentre: g.DataCentre, Avoid: q.excluded(), Silent: q.view.Silent, Unreached: q.view.Unreached, Isolated: q.view.Isolated}
 	if slots > 0 {
 		c.MaxRunning = max(int(localOvercommit*float64(slots)/float64(max(q.view.Entries, 1))), 1)
 	}
@@ -319,3 +319,11 @@
 	b := g.budgets[pool]
 	return b != nil && b.TakeRetry()
 }
+
+// hasRetry reports whether a pool's budget allows a retry.
+func (g *Gate) hasRetry(pool string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	b := g.budgets[pool]
+	return b != nil && b.HasRetry()
+}
--- a/io/gate/request.go
+++ b/io/gate/request.go
@@ -17,6 +17,7 @@
 	"azurelane/core/refuse"
 	"azurelane/core/route"
 	"azurelane/core/tally"
+	"azurelane/core/tried"
 	"azurelane/core/wire"
 	"azurelane/io/watch"
 )
@@ -37,13 +38,11 @@
 		body          []byte
 		sinceFirstTry time.Duration // Estimated time from the caller's first attempt to this request.
 
-		avoid           []string // Upstreams that already failed the request.
-		sends           int
-		charged         bool   // The scheduler has charged it, although this entry places it.
-		runs            int    // Sends that an upstream may have run.
-		headerSent      bool   // The header of the response has been written.
-		lastEventID     string // ID of the last event written to the caller.
-		version         string // Of the upstream that sent the last event.
+		tried           tried.Tried // Upstreams that it was sent to.
+		charged         bool        // The scheduler has charged it, although this entry places it.
+		headerSent      bool        // The header of the response has been written.
+		lastEventID     string      // ID of the last event written to the caller.
+		version         string      // Of the upstream that sent the last event.
 		origin          streamOrigin
 		events          int64
 		firstEventAfter time.Duration // From the arrival of the request until its first event was written.
@@ -127,6 +126,9 @@
 	for {
 		if f == nil {
 			p, err := q.placeUnlessBanned(ctx)
+			if err != nil && ctx.Err() == nil && q.tried.GoBack() {
+				p, err = q.placeUnlessBanned(ctx)
+			}
 			if err != nil {
 				q.failPlacement(ctx, err)
 				return
@@ -218,12 +220,16 @@
 		return false
 	}
 	ran := res.outcome == outcomeFailed || res.outcome == outcomeInterrupted
-	q.countSend(p, ran)
+	if id := p.upstream.GetId(); errors.Is(res.err, errSilent) {
+		q.tried.GiveUp(id)
+	} else {
+		q.tried.Fail(id, ran)
+	}
 	switch {
 	case res.next != nil:
 		return true
-	case ran && (!q.route.Repeatable() || q.runs >= q.route.MaxUpstreams()),
-		q.sends >= maxSends, ctx.Err() != nil, q.tooLateToSend():
+	case ran && (!q.route.Repeatable() || !q.tried.MayRun(q.route.MaxUpstreams())),
+		q.tried.Sends() >= maxSends, ctx.Err() != nil, q.tooLateToSend():
 		return false
 	case res.outcome == outcomeNotSent:
 		return true // No upstream received the request, so a retry adds no load.
@@ -231,18 +237,16 @@
 	return q.gate.takeRetry(q.pool)
 }
 
-// countSend counts a send that has ended, and whether the upstream may have run the request.
-func (q *request) countSend(p *placement, ran bool) {
-	q.avoid = append(q.avoid, p.upstream.GetId())
-	q.sends++
-	if ran {
-		q.runs++
+// excluded returns the upstreams that may not get the request.
+func (q *request) excluded() []string {
+	most := q.route.MaxUpstreams()
+	var all []string
+	if q.tried.Ran() >= most {
+		for _, u := range q.view.Upstreams[q.pool] {
+			all = append(all, u.GetId())
+		}
 	}
-}
-
-// mayMove reports whether another upstream may go on with the request while one may be running it.
-func (q *request) mayMove() bool {
-	return q.route.Repeatable() && q.runs+1 < q.route.MaxUpstreams() && q.sends+1 < maxSends
+	return q.tried.Excludes(most, all)
 }
 
 // failPlacement ends a request for which no upstream was found.
@@ -253,9 +257,9 @@
 		q.abort(callerLeft, err)
 	case q.headerSent:
 		q.abort(noUpstreamToResume, err)
-	case q.runs > 0:
+	case q.tried.Ran() > 0:
 		q.refuse(refuse.New(refuse.UpstreamLost, "no upstream for another send", 0))
-	case errors.As(err, &refusal) && refusal.Code == refuse.NoUpstream && q.sends > 0:
+	case errors.As(err, &refusal) && refusal.Code == refuse.NoUpstream && q.tried.Sends() > 0:
 		q.refuse(refuse.New(refuse.Unreachable, "each upstream was tried", refusal.RetryAfter))
 	case errors.As(err, &refusal):
 		q.refuse(refusal)
@@ -281,9 +285,9 @@
 		if err := res.failure.write(q); err != nil {
 			q.abort(callerLeft, err)
 		}
-	case q.runs > 0 && q.expired(ctx):
+	case q.tried.Ran() > 0 && q.expired(ctx):
 		q.refuse(refuse.New(refuse.DeadlinePassed, "", 0))
-	case q.runs > 0:
+	case q.tried.Ran() > 0:
 		q.refuse(refuse.New(refuse.UpstreamLost, errText(res.err), 0))
 	default:
 		q.refuse(refuse.New(refuse.Unreachable, errText(res.err), defaultRetryAfter))
@@ -296,7 +300,7 @@
 	q.gate.recordRefusedUnits(q, e)
 	q.gate.Log.Info("Request refused.", "request", q.meta.ID, "code", e.Code, "why", e.Text, "status", e.Status(),
 		"retry-after", e.RetryAfter.String(), "route", q.routeName(), "account", q.account, "pool", q.pool,
-		"version", q.view.Version, "sends", q.sends, "ran", q.runs, "took", time.Since(q.start).String())
+		"version", q.view.Version, "sends", q.tried.Sends(), "ran", q.tried.Ran(), "took", time.Since(q.start).String())
 	if e.RetryAfter > 0 {
 		q.gate.Dialect.Refuse(q.w.Header(), e.RetryAfter)
 	}
@@ -330,7 +334,7 @@
 	q.gate.Stats.Count("aborted-"+string(reason), 1)
 	q.gate.Log.Info("Request ends without a whole answer.", "request", q.meta.ID, "why", reason.text(), "err", errText(err),
 		"silent-for", q.silentFor().String(), "left", q.remaining().String(), "configuration-at-arrival", q.arrivalVersion, "configuration", q.view.Version,
-		"route", q.routeName(), "account", q.account, "pool", q.pool, "sends", q.sends, "ran", q.runs,
+		"route", q.routeName(), "account", q.account, "pool", q.pool, "sends", q.tried.Sends(), "ran", q.tried.Ran(),
 		"prompt", q.meta.Prompt, "answer", q.meta.Answer, "expect", q.meta.Expect, "events", q.events, "version", q.version,
 		"took", time.Since(q.start).String())
 	if !q.r.ProtoAtLeast(1, 1) {
@@ -361,14 +365,14 @@
 		q.gate.Stats.Count("answers-late", 1)
 		log = q.gate.Log
 	}
-	log.Info("Response complete.", "request", q.meta.ID, "route", q.routeName(), "sends", q.sends, "late-first", lateFirst,
+	log.Info("Response complete.", "request", q.meta.ID, "route", q.routeName(), "sends", q.tried.Sends(), "late-first", lateFirst,
 		"late-gap", lateGap, "first", first.String(), "upstream-first", res.firstAfter.String(), "gap", q.gap.String(),
 		"took", took.String(), "prompt", q.meta.Prompt, "answer", q.meta.Answer, "expect", q.meta.Expect, "events", q.events)
 }
 
 func (q *request) logResult(msg string, res result) {
 	q.gate.Log.Info(msg, "request", q.meta.ID, "route", q.routeName(), "account", q.account, "pool", q.pool,
-		"status", res.status, "err", errText(res.err), "sends", q.sends, "ran", q.runs, "took", time.Since(q.start).String())
+		"status", res.status, "err", errText(res.err), "sends", q.tried.Sends(), "ran", q.tried.Ran(), "took", time.Since(q.start).String())
 }
 
 func (q *request) routeName() string {
@@ -387,13 +391,13 @@
 	t := &wire.Ticket{
 		Id: q.gate.lastTicket.Add(1), Entry: q.gate.Node, Incarnation: q.gate.Incarnation, Account: q.account, Pool: q.pool, DataCentre: q.gate.DataCentre,
 		Model: "", DeadlineUs: q.remaining().Microseconds(), PromptTokens: q.meta.Prompt, AnswerTokens: q.meta.Tokens(),
-		Repeatable: q.route.Repeatable(), Avoid: q.avoid, Route: q.route.Name,
-		Priority: wirePriority(q.route.Priority), AccountPriority: wirePriority(account), Returned: q.sends > 0, Request: q.meta.ID,
+		Repeatable: q.route.Repeatable(), Avoid: q.excluded(), Route: q.route.Name,
+		Priority: wirePriority(q.route.Priority), AccountPriority: wirePriority(account), Returned: q.tried.Sends() > 0, Request: q.meta.ID,
 	}
 	for _, p := range q.meta.Parts {
 		t.Parts = append(t.Parts, &wire.PromptPart{Hash: p.Hash, Tokens: p.Tokens})
 	}
-	if q.sends == 0 {
+	if q.tried.Sends() == 0 {
 		t.Units = q.units()
 	}
 	t.GapUs = q.route.Gap.Microseconds()
--- a/io/gate/send.go
+++ b/io/gate/send.go
@@ -71,16 +71,12 @@
 		}
 	}()
 	f = f.roundTrip()
-	if f.err == nil && !h.heard() {
-		_ = f.resp.Body.Close()
-		f.sent, f.err = true, errSilent
-	}
 	res = q.inspect(f)
 	if f.err != nil {
 		return res
 	}
 	defer func() { _ = f.resp.Body.Close() }()
-	q.heardAt = time.Now()
+	h.touch(q)
 	switch {
 	case res.outcome != outcomeComplete:
 	case q.route.Stream && f.resp.StatusCode == http.StatusOK:
@@ -134,13 +130,9 @@
 // be retried if the response breaks off.
 func (q *request) relayBuffered(f *flight, h *hedge, res *result) {
 	resp := f.resp
-	h.listen(0)
-	body, err := readAll(io.LimitReader(resp.Body, maxBufferedAnswer+1), resp.ContentLength)
-	switch {
-	case err == nil && !h.heard():
+	body, err := readAnswer(&heardReader{resp.Body, h, q}, resp.ContentLength)
+	if err == nil && resp.StatusCode < http.StatusInternalServerError && !h.claim() {
 		err = errSilent
-	case err == nil && len(body) > maxBufferedAnswer:
-		err = errors.New("gate: answer too large")
 	}
 	if err != nil {
 		res.outcome, res.err = outcomeInterrupted, withCause(f.ctx, err)
@@ -162,6 +154,15 @@
 	}
 }
 
+// readAnswer reads a response completely.
+func readAnswer(r io.Reader, length int64) ([]byte, error) {
+	body, err := readAll(io.LimitReader(r, maxBufferedAnswer+1), length)
+	if err == nil && len(body) > maxBufferedAnswer {
+		err = errors.New("gate: answer too large")
+	}
+	return body, err
+}
+
 // promisesNoRun reports whether callers take a status as the promise that their request has not run
 // and never will. An upstream gives such a status also after a run; only its mark on the response
 // tells the two apart, and callers don't know the mark.
--- a/io/gate/stream.go
+++ b/io/gate/stream.go
@@ -37,20 +37,16 @@
 
 func (s *stream) relay(ctx context.Context, res *result) {
 	rd := make([]byte, readSize)
-	limit := time.Duration(0) // The wait for the first event goes on.
 	for {
-		s.hedge.listen(limit)
 		n, err := s.resp.Body.Read(rd)
-		if (n > 0 || errors.Is(err, io.EOF)) && !s.hedge.heard() {
-			res.outcome, res.err = outcomeInterrupted, errSilent
-			return
-		}
 		if n > 0 {
-			s.heardAt = time.Now()
-			limit = max(eventGapFactor*s.route.Gap, minEventWait)
+			s.hedge.touch(s.request)
 			s.buf = append(s.buf, rd[:n]...)
 			if werr := s.writeEvents(res); werr != nil {
 				res.outcome, res.err = outcomeCallerLeft, werr
+				if errors.Is(werr, errSilent) {
+					res.outcome = outcomeInterrupted
+				}
 				return
 			}
 		}
@@ -58,6 +54,9 @@
 		case errors.Is(err, io.EOF) && len(s.buf) > 0:
 			res.outcome, res.err = outcomeInterrupted, errPartial
 			return
+		case errors.Is(err, io.EOF) && !s.hedge.claim():
+			res.outcome, res.err = outcomeInterrupted, errSilent
+			return
 		case errors.Is(err, io.EOF):
 			s.writeHeader() // A stream without events is complete too.
 			res.outcome = outcomeComplete
@@ -74,19 +73,20 @@
 
 // writeEvents passes the complete events in the buffer on to the caller.
 func (s *stream) writeEvents(res *result) error {
+	n := eventLen(s.buf)
+	if n == 0 {
+		return nil
+	}
+	if !s.hedge.claim() {
+		return errSilent
+	}
+	defer func() { s.hedge.listen(max(eventGapFactor*s.route.Gap, minEventWait)) }()
 	end, before := 0, res.events
-	for {
-		n := eventLen(s.buf[end:])
-		if n == 0 {
-			break
-		}
+	for ; n > 0; n = eventLen(s.buf[end:]) {
 		s.recordEvent(s.buf[end : end+n])
 		res.events++
 		end += n
 	}
-	if end == 0 {
-		return nil
-	}
 	if before < begunEvents && res.events >= begunEvents {
 		s.markBegun(s.sentAt)
 	}
--- a/io/gate/versions.go
+++ b/io/gate/versions.go
@@ -70,9 +70,9 @@
 		return v.chooseBound(now, q, valid)
 	case s == nil:
 		return []string{""}
-	case q.sends == 0 && s.GetTo() != "" && now.Sub(v.updated) <= valid && canary.Version(s, q.routeName(), q.meta.ID) == s.GetTo():
+	case q.tried.Sends() == 0 && s.GetTo() != "" && now.Sub(v.updated) <= valid && canary.Version(s, q.routeName(), q.meta.ID) == s.GetTo():
 		return []string{s.GetTo(), s.GetBase()}
-	case q.sends > 0 && s.GetTo() != "":
+	case q.tried.Sends() > 0 && s.GetTo() != "":
 		return []string{s.GetBase(), s.GetTo()}
 	}
 	return []string{s.GetBase()}
