A request behind a stream on its connection is answered during a stop

A caller that had sent its next request behind a running stream lost it: the entry got SIGTERM, ended the stream and closed the connection without an answer (LOST).

Cause: the header of the stream was out before the stop, so it did not ask the caller to close; the server closes connections between two requests once it shuts down. Evidence: TestPipelinedRequestOutlivesStop, found in a review, failed: unexpected EOF for a request sent whole a second before. Change: the server shuts down once no request has run for 200 ms, within the same limit.

--- a/io/httpd/httpd.go
+++ b/io/httpd/httpd.go
@@ -22,6 +22,9 @@
 	stopTime   = 5 * time.Second // For requests in flight, where Drain is not set.
 	lastTime   = time.Second     // For the last requests of open connections, where DrainOpen is not set.
 	drainStep  = 10 * time.Millisecond
+	// settleTime is how long no request may run before connections are closed. A request that waits behind
+	// an answer on its connection is begun within it.
+	settleTime = 200 * time.Millisecond
 )
 
 // Httpd is one HTTP server. Its fields are set before Serve is called.
@@ -36,7 +39,8 @@
 	// off. Zero takes nothing before, and 1 s after nothing new is accepted.
 	DrainOpen time.Duration
 
-	open     atomic.Int64
+	open     atomic.Int64 // Connections.
+	running  atomic.Int64 // Requests.
 	stopping atomic.Bool
 }
 
@@ -68,6 +72,7 @@
 	h.drain(cmp.Or(h.DrainOpen, lastTime))
 	sctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), cmp.Or(h.Drain, stopTime))
 	defer cancel()
+	h.settle(sctx)
 	if err := srv.Shutdown(sctx); err != nil {
 		_ = srv.Close()
 	}
@@ -82,6 +87,8 @@
 	if h.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	h.running.Add(1)
+	defer h.running.Add(-1)
 	h.Handler.ServeHTTP(w, r)
 }
 
@@ -99,6 +106,23 @@
 	}
 }
 
+// settle waits until no request has run for settleTime, or until ctx ends. An answer that began before the
+// stop does not ask its client to close the connection, which may have sent the next request already.
+func (h *Httpd) settle(ctx context.Context) {
+	tick := time.NewTicker(drainStep)
+	defer tick.Stop()
+	for quiet := time.Now(); h.open.Load() > 0 && time.Since(quiet) < settleTime; {
+		if h.running.Load() > 0 {
+			quiet = time.Now()
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
 func (h *Httpd) count(_ net.Conn, s http.ConnState) {
 	switch s {
 	case http.StateNew:
