Checks of crashes say how they ended while an entry doubts its path

The logs of an escaped ban named neither the crashes that were not counted nor why: lines of single requests are left out of them, and a check that was not sure logged nothing. A check for which another entry was asked now logs what this entry and the other one saw, how long nothing came from any upstream, and the failures that count; a path that is lost logs for each failed upstream how it failed and whether that counts against the path.

--- a/core/path/path.go
+++ b/core/path/path.go
@@ -129,16 +129,30 @@
 	return p.lost || (p.failed[host].against && len(p.failed) >= suspectHosts)
 }
 
-// Failed lists the hosts whose failures count, with the time since.
-func (p *Path) Failed(now time.Time) map[string]time.Duration {
+// Failed describes the failures that count, by host.
+func (p *Path) Failed(now time.Time) map[string]string {
 	p.forget(now)
-	list := map[string]time.Duration{}
+	list := map[string]string{}
 	for host, f := range p.failed {
-		list[host] = now.Sub(f.at)
+		list[host] = f.describe(now)
 	}
 	return list
 }
 
+func (f failure) describe(now time.Time) string {
+	kind, counts := "silent", "not compared, or unknown elsewhere"
+	if f.refused {
+		kind = "refused"
+	}
+	if f.against {
+		counts = "against the path"
+	}
+	return kind + " " + now.Sub(f.at).Round(time.Millisecond).String() + " ago, " + counts
+}
+
+// Quiet returns how long ago bytes last came from a host.
+func (p *Path) Quiet(now time.Time) time.Duration { return now.Sub(p.heardAt) }
+
 // Suspect reports whether recent failures may be the path's and not the hosts'.
 func (p *Path) Suspect(now time.Time) bool {
 	p.forget(now)
--- a/io/dialer/dialer.go
+++ b/io/dialer/dialer.go
@@ -207,7 +207,19 @@
 		_ = c.Close()
 		return false
 	}
-	return errors.Is(err, tunnel.ErrRefused) || (refused && d.reliable())
+	closed := errors.Is(err, tunnel.ErrRefused) || (refused && d.reliable())
+	d.logCheck(addr, closed, refused, err)
+	return closed
+}
+
+// logCheck logs how a check ended for which another entry was asked.
+func (d *Dialer) logCheck(addr netip.AddrPort, closed, refused bool, elsewhere error) {
+	now := time.Now()
+	d.mu.Lock()
+	entries, failed, lost, quiet := len(d.entries), d.path.Failed(now), d.path.Lost(), d.path.Quiet(now)
+	d.mu.Unlock()
+	d.Log.Info("Upstream checked while this entry may have no path.", "address", addr.String(), "closed", closed, "refused", refused,
+		"elsewhere", elsewhere.Error(), "known", entries, "lost", lost, "quiet", quiet.String(), "failed", failed)
 }
 
 // Serve connects to an upstream for another entry, and reports with an error whether the failure shows
