Upstreams that are back are no sign of a lost path

An entry compares the upstreams that failed here with what other entries reach. One that had crashed and came back before the question was reached there, counted against the path, and three of them made it a lost one, with the path intact. Seven times entries took their path for lost in failed plays of TestBanOutlivesAStopOfEverything, each after a connection that ended or was reset; the one for which the log names each failure shows three refused upstreams that were reached through the other entry. Where requests succeed meanwhile, that clears it; where only requests that crash upstreams come, nothing does.

An upstream that another entry reaches is now tried from here once more. If it answers, the path is intact.

--- a/io/dialer/dialer.go
+++ b/io/dialer/dialer.go
@@ -183,7 +183,7 @@
 	}
 	d.mu.Unlock()
 	for _, addr := range list {
-		go d.probe(addr)
+		go d.probe(addr, dialTimeout)
 	}
 }
 
@@ -332,16 +332,18 @@
 	return list
 }
 
-// probe tries the lost path with one connection to an upstream.
-func (d *Dialer) probe(addr string) {
-	c, err := tunnel.Direct(context.Background(), dialTimeout, d.Source, addr)
+// probe connects directly to an upstream, and reports whether that succeeds and shows an intact path.
+func (d *Dialer) probe(addr string, timeout time.Duration) bool {
+	c, err := tunnel.Direct(context.Background(), timeout, d.Source, addr)
 	if err != nil {
-		return
+		return false
 	}
 	defer func() { _ = c.Close() }()
-	if staysOpen(c) {
-		d.recordSuccess()
+	if !staysOpen(c) {
+		return false
 	}
+	d.recordSuccess()
+	return true
 }
 
 // staysOpen reports whether a connection is still open after a moment. What cuts a path, or stands before
@@ -442,17 +444,24 @@
 	}
 	d.mu.Unlock()
 	for _, addr := range list {
-		go func() {
-			c, err := d.dialThrough(context.Background(), addr)
-			if err == nil {
-				if !staysOpen(c) { // The other entry may have lost its path, too.
-					err = tunnel.ErrUnsure
-				}
-				_ = c.Close()
-			}
-			d.recordElsewhere(addr, err, cause)
-		}()
+		go d.compareHost(addr, cause)
+	}
+}
+
+// compareHost asks other entries whether they reach an upstream that failed here. It may be back since,
+// which says nothing about the path.
+func (d *Dialer) compareHost(addr string, cause error) {
+	c, err := d.dialThrough(context.Background(), addr)
+	if err == nil {
+		if !staysOpen(c) { // The other entry may have lost its path, too.
+			err = tunnel.ErrUnsure
+		}
+		_ = c.Close()
+	}
+	if err == nil && d.probe(addr, slowDial) {
+		return
 	}
+	d.recordElsewhere(addr, err, cause)
 }
 
 // recordElsewhere records how another entry's attempt to connect to an upstream ended. The cause is why
