A crash is sure where any other upstream accepts a connection

After two crashes within 2 s an entry doubts its path. A refused connection then counted only if bytes had come from any upstream within 300 ms, here or at another entry. Where only such requests come, none do, and no later crash counts either: each keeps the doubt up.

An entry in doubt now tries up to 16 other upstreams, of the roster and of those that it has connected to, once for all checks that wait. If a connection opens and stays open, the path is intact; if the upstream then still refuses, its process has ended. A partitioned entry reaches none, and counts nothing, as before.

--- a/io/dialer/crash_test.go
+++ b/io/dialer/crash_test.go
@@ -116,6 +116,23 @@
 	}
 }
 
+// Guards against crashes that are not counted at an entry that has connected to none of the upstreams that
+// are up, and against crashes that a partitioned entry counts.
+func TestCrashesAtAnEntryThatKnowsFew(t *testing.T) {
+	for _, up := range []int{0, 1} {
+		t.Run(fmt.Sprint(up, " up"), func(t *testing.T) {
+			var known []string
+			for range up {
+				known = append(known, newBrittle(t, "127.0.0.1:0").addr)
+			}
+			d := &Dialer{Log: logr.Discard(), Sample: func(int) []string { return known }}
+			for i := range 4 {
+				must.Eq(t, up > 0 || i == 0, crash(t, d, newBrittle(t, "127.0.0.1:0").addr), must.Sprint("crash ", i))
+			}
+		})
+	}
+}
+
 // Guards against a path that counts as lost because upstreams that crashed are back by the time other
 // entries are asked.
 func TestUpstreamsAreBackBeforeOthersAreAsked(t *testing.T) {
--- a/io/dialer/dialer.go
+++ b/io/dialer/dialer.go
@@ -38,6 +38,8 @@
 	// While the path is lost, up to probeCount upstreams are tried at a time, of the latest maxTargets.
 	probeCount = 8
 	maxTargets = 128
+	// checkCount is the number of upstreams that are tried before a refused connection counts as a crash.
+	checkCount = 16
 	// entryRetry is how long an entry that could not pass a connection on is left alone.
 	entryRetry = time.Second
 )
@@ -51,8 +53,9 @@
 
 // Dialer opens connections to upstreams. Its exported fields are set before use.
 type Dialer struct {
-	Source netip.Addr // Of connections to upstreams; invalid for the system's choice.
-	OnLost func()     // Called when the path is lost or found again. May be nil.
+	Source netip.Addr           // Of connections to upstreams; invalid for the system's choice.
+	OnLost func()               // Called when the path is lost or found again. May be nil.
+	Sample func(n int) []string // Returns up to n upstreams. May be nil.
 	Log    logr.Logger
 
 	once  sync.Once
@@ -68,6 +71,7 @@
 	askedAt  time.Time                    // When the first request was sent since bytes last came from an upstream; zero if none was.
 	triedAt  time.Time                    // Last probe for quietLimit.
 	failed   map[netip.AddrPort]time.Time // Entries that could not pass a connection on.
+	trying   chan struct{}                // Closed when the attempt to reach any upstream that is under way ends; nil for none.
 }
 
 // Alarm returns a channel that gets a value when a connection has failed.
@@ -188,17 +192,11 @@
 }
 
 // Closed reports whether no process listens at an upstream's address. While this entry may have no path
-// itself, it asks another one.
+// itself, it asks another one. If that one may have none either, it tries other upstreams.
 func (d *Dialer) Closed(ctx context.Context, addr netip.AddrPort) bool {
-	refused := false
+	var connected, refused bool
 	if !d.Lost() {
-		c, err := tunnel.Direct(ctx, closedTimeout, d.Source, addr.String())
-		if err == nil {
-			_ = c.Close()
-			return false
-		}
-		refused = errors.Is(err, syscall.ECONNREFUSED)
-		if !d.Suspect() {
+		if connected, refused = d.check(ctx, addr); connected || !d.Suspect() {
 			return refused
 		}
 	}
@@ -207,11 +205,89 @@
 		_ = c.Close()
 		return false
 	}
-	closed := errors.Is(err, tunnel.ErrRefused) || (refused && d.reliable())
+	closed := errors.Is(err, tunnel.ErrRefused)
+	if !closed && refused {
+		closed = d.reliable() || (d.reachesAny(ctx, addr) && d.stillRefuses(ctx, addr))
+	}
 	d.logCheck(addr, closed, refused, err)
 	return closed
 }
 
+// check connects directly to an upstream, and reports whether that succeeds or is refused.
+func (d *Dialer) check(ctx context.Context, addr netip.AddrPort) (connected, refused bool) {
+	c, err := tunnel.Direct(ctx, closedTimeout, d.Source, addr.String())
+	if err != nil {
+		return false, errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = c.Close()
+	return true, false
+}
+
+func (d *Dialer) stillRefuses(ctx context.Context, addr netip.AddrPort) bool {
+	_, refused := d.check(ctx, addr)
+	return refused
+}
+
+// reachesAny reports whether an upstream other than the one at an address is reached. Checks that run at
+// the same time share one attempt.
+func (d *Dialer) reachesAny(ctx context.Context, addr netip.AddrPort) bool {
+	var sample []string
+	if d.Sample != nil {
+		sample = d.Sample(checkCount)
+	}
+	d.mu.Lock()
+	for _, a := range sample {
+		d.addTarget(a)
+	}
+	done := d.trying
+	if done == nil {
+		done = make(chan struct{})
+		d.trying = done
+		go d.tryOthers(d.others(addr.String()), done)
+	}
+	d.mu.Unlock()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+	return d.reliable()
+}
+
+// others returns up to checkCount upstreams other than the one at an address, those that did not fail
+// first. d.mu must be held.
+func (d *Dialer) others(addr string) []string {
+	var list, failed []string
+	known := d.path.Failed(time.Now())
+	for a := range d.targets { // In random order.
+		switch _, ok := known[a]; {
+		case a == addr:
+		case ok:
+			failed = append(failed, a)
+		default:
+			list = append(list, a)
+		}
+	}
+	list = append(list, failed...)
+	return list[:min(len(list), checkCount)]
+}
+
+// tryOthers connects to upstreams until one is reached, and then closes done.
+func (d *Dialer) tryOthers(list []string, done chan struct{}) {
+	reached := make(chan bool, len(list))
+	for _, addr := range list {
+		go func() { reached <- d.probe(addr, closedTimeout) }()
+	}
+	for range list {
+		if <-reached {
+			break
+		}
+	}
+	d.mu.Lock()
+	d.trying = nil
+	d.mu.Unlock()
+	close(done)
+}
+
 // logCheck logs how a check ended for which another entry was asked.
 func (d *Dialer) logCheck(addr netip.AddrPort, closed, refused bool, elsewhere error) {
 	now := time.Now()
--- a/io/gated/gated.go
+++ b/io/gated/gated.go
@@ -92,7 +92,7 @@
 	}
 	incarnation := uuid.NewString()[:8]
 	e := &Gated{settings: settings, log: log.WithName("gate"), gate: g, client: &client.Client{Echo: echoHeader, Idle: upstreamIdleTimeout}}
-	e.dialer = &dialer.Dialer{Source: settings.Source, OnLost: e.client.Close, Log: e.log.WithName("dialer")}
+	e.dialer = &dialer.Dialer{Source: settings.Source, OnLost: e.client.Close, Sample: e.sampleUpstreams, Log: e.log.WithName("dialer")}
 	e.client.Dial = e.dialer.DialContext
 	lns, err := listen(settings.ListenPeers().String(), settings.Callers, settings.Ready)
 	if err != nil {
@@ -331,6 +331,9 @@
 // knowsUpstream reports whether an upstream has an address.
 func (e *Gated) knowsUpstream(addr string) bool { return e.watch.View().HasAddress(addr) }
 
+// sampleUpstreams returns the addresses of some upstreams.
+func (e *Gated) sampleUpstreams(n int) []string { return e.watch.View().Sample(n) }
+
 // reportEvidence reports what this entry sees of the versions of a rollout while one runs. The
 // scheduler answers with the splits in force.
 func (e *Gated) reportEvidence(ctx context.Context) {
--- a/io/watch/view.go
+++ b/io/watch/view.go
@@ -45,6 +45,20 @@
 	return false
 }
 
+// Sample returns the addresses of up to n upstreams that serve and were heard lately, in random order.
+func (v *View) Sample(n int) []string {
+	var list []string
+	for id, u := range v.roster {
+		if len(list) == n {
+			break
+		}
+		if u.GetState() == wire.Upstream_STATE_SERVING && !v.Silent[id] {
+			list = append(list, u.GetAddress())
+		}
+	}
+	return list
+}
+
 // applyRoster updates the roster with its changes in n, or replaces it if n holds all of it. An
 // upstream that has restarted since Replaced was called for it is removed from replaced. If n can't
 // be read, the roster stays as it is, and the next poll asks for all of it again.
