A crash that an entry can't be sure of counts once the upstream is replaced

The entry now reports such a crash as unsure, and counts it nowhere itself. It counts as soon as the upstream's process is known to have ended: the upstream starts again, or another one takes its address, while it had not said that it leaves. A partition replaces no upstream. A whole answer to the request, an operator's lift and the end of the time drop it. A new scheduler gets the unsure crashes with the others.

The prober of io/gate's tests says now that it is sure; tests of io/dialer ask for closed and sure where they asked for closed.

--- a/io/dialer/crash_test.go
+++ b/io/dialer/crash_test.go
@@ -79,7 +79,7 @@
 		_, err = io.WriteString(c, "x")
 		must.NoError(t, err)
 		_, err = io.ReadAll(c)
-		must.True(t, err == nil || refuses(err), must.Sprint(err))
+		must.True(t, err == nil || isAnswer(err), must.Sprint(err))
 		must.NoError(t, c.Close())
 	}
 	return isClosed(t, d, addr)
@@ -87,7 +87,8 @@
 
 func isClosed(t *testing.T, d *Dialer, addr string) bool {
 	t.Helper()
-	return d.Closed(t.Context(), netip.MustParseAddrPort(addr))
+	closed, sure := d.Closed(t.Context(), netip.MustParseAddrPort(addr))
+	return closed && sure
 }
 
 // Guards against crashes that are not counted where nothing but the request that crashes upstreams is
--- a/io/dialer/dialer.go
+++ b/io/dialer/dialer.go
@@ -191,26 +191,30 @@
 	}
 }
 
-// Closed reports whether no process listens at an upstream's address. While this entry may have no path
-// itself, it asks another one. If that one may have none either, it tries other upstreams.
-func (d *Dialer) Closed(ctx context.Context, addr netip.AddrPort) bool {
+// Closed reports whether connections to an upstream's address are refused, and whether that is sure to mean
+// that no process listens there. While this entry may have no path itself, it asks another one. If that one
+// may have none either, it tries other upstreams.
+func (d *Dialer) Closed(ctx context.Context, addr netip.AddrPort) (closed, sure bool) {
 	var connected, refused bool
-	if !d.Lost() {
+	lost := d.Lost()
+	if !lost {
 		if connected, refused = d.check(ctx, addr); connected || !d.Suspect() {
-			return refused
+			return refused, true
 		}
 	}
 	c, err := d.dialThrough(ctx, addr.String())
-	if err == nil {
+	switch {
+	case err == nil:
 		_ = c.Close()
-		return false
-	}
-	closed := errors.Is(err, tunnel.ErrRefused)
-	if !closed && refused {
-		closed = d.reliable() || (d.reachesAny(ctx, addr) && d.stillRefuses(ctx, addr))
+		return false, true
+	case errors.Is(err, tunnel.ErrRefused):
+		closed, sure = true, true
+	default:
+		closed = refused || (lost && d.refuses(ctx, addr))
+		sure = closed && (d.reliable() || (d.reachesAny(ctx, addr) && d.refuses(ctx, addr)))
 	}
-	d.logCheck(addr, closed, refused, err)
-	return closed
+	d.logCheck(addr, closed, sure, err)
+	return closed, sure
 }
 
 // check connects directly to an upstream, and reports whether that succeeds or is refused.
@@ -223,7 +227,7 @@
 	return true, false
 }
 
-func (d *Dialer) stillRefuses(ctx context.Context, addr netip.AddrPort) bool {
+func (d *Dialer) refuses(ctx context.Context, addr netip.AddrPort) bool {
 	_, refused := d.check(ctx, addr)
 	return refused
 }
@@ -289,12 +293,12 @@
 }
 
 // logCheck logs how a check ended for which another entry was asked.
-func (d *Dialer) logCheck(addr netip.AddrPort, closed, refused bool, elsewhere error) {
+func (d *Dialer) logCheck(addr netip.AddrPort, closed, sure bool, elsewhere error) {
 	now := time.Now()
 	d.mu.Lock()
 	entries, failed, lost, quiet := len(d.entries), d.path.Failed(now), d.path.Lost(), d.path.Quiet(now)
 	d.mu.Unlock()
-	d.Log.Info("Upstream checked while this entry may have no path.", "address", addr.String(), "closed", closed, "refused", refused,
+	d.Log.Info("Upstream checked while this entry may have no path.", "address", addr.String(), "closed", closed, "sure", sure,
 		"elsewhere", elsewhere.Error(), "known", entries, "lost", lost, "quiet", quiet.String(), "failed", failed)
 }
 
@@ -485,7 +489,7 @@
 // recordFailure records a connection that failed or ended without an answer.
 func (d *Dialer) recordFailure(addr string, cause error) {
 	d.mu.Lock()
-	d.path.RecordFailure(time.Now(), addr, refuses(cause))
+	d.path.RecordFailure(time.Now(), addr, isAnswer(cause))
 	d.mu.Unlock()
 	d.Alarm()
 	select {
@@ -494,8 +498,8 @@
 	}
 }
 
-// refuses reports whether an error is the answer of a host, or of what stands before it.
-func refuses(err error) bool {
+// isAnswer reports whether an error is the answer of a host, or of what stands before it.
+func isAnswer(err error) bool {
 	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, io.EOF)
 }
 
--- a/io/dialer/dialer_test.go
+++ b/io/dialer/dialer_test.go
@@ -116,7 +116,7 @@
 		must.ErrorIs(t, err, syscall.ECONNREFUSED)
 	}
 	must.False(t, d.Suspect())
-	must.True(t, d.Closed(t.Context(), netip.MustParseAddrPort(down)))
+	must.True(t, isClosed(t, d, down))
 
 	up := echoes(t, 3)
 	d = &Dialer{Source: absent, Log: logr.Discard()}
@@ -125,8 +125,8 @@
 		_, _ = d.DialContext(t.Context(), "tcp", addr)
 	}
 	must.True(t, d.Suspect())
-	must.True(t, d.Closed(t.Context(), netip.MustParseAddrPort(down)))
-	must.False(t, d.Closed(t.Context(), netip.MustParseAddrPort(up[0])))
+	must.True(t, isClosed(t, d, down))
+	must.False(t, isClosed(t, d, up[0]))
 }
 
 // Guards against a path that counts as lost for ever.
--- a/io/gate/harness_test.go
+++ b/io/gate/harness_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"slices"
 	"strconv"
 	"strings"
@@ -152,6 +153,16 @@
 
 func (s *testGate) Doubt(context.Context) {}
 
+// testProber is sure of what it sees unless it has no path.
+type testProber struct {
+	client.Client
+	noPath bool
+}
+
+func (p *testProber) Closed(ctx context.Context, addr netip.AddrPort) (closed, sure bool) {
+	return p.Client.Closed(ctx, addr), !p.noPath
+}
+
 // FindOrigin returns schedulerKnows if it is set.
 func (s *testGate) FindOrigin(context.Context, string, digest.Digest, time.Duration) (version string, known bool, err error) {
 	return s.schedulerKnows, s.schedulerKnows != "", nil
@@ -296,7 +307,7 @@
 	}
 	s.Gate = &Gate{
 		Charger: s, Path: s, Origins: s,
-		Node: "e", Incarnation: "i", DataCentre: "z0", Cluster: s, Granter: s, Sender: &client.Client{Echo: idHeader}, Prober: &client.Client{}, Dialect: testDialect{},
+		Node: "e", Incarnation: "i", DataCentre: "z0", Cluster: s, Granter: s, Sender: &client.Client{Echo: idHeader}, Prober: &testProber{}, Dialect: testDialect{},
 		RetryRatio: 1, RetrySlack: 100, Log: logr.Discard(),
 	}
 	s.srv = httptest.NewServer(s.Gate)
--- a/io/gate/suspects.go
+++ b/io/gate/suspects.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"azurelane/core/digest"
+	"azurelane/core/doubt"
 	"azurelane/core/poison"
 	"azurelane/core/recent"
 	"azurelane/core/refuse"
@@ -29,6 +30,7 @@
 		answered recent.Recent
 		queue    crashReports // Not reported yet.
 		taken    crashReports // The latest report that is on its way.
+		unsure   doubt.Doubt  // Crashes that the scheduler has to confirm.
 		parts    suspectParts
 	}
 
@@ -44,9 +46,10 @@
 		Try(ctx context.Context, d digest.Digest) error
 	}
 
-	// prober checks whether any process listens at an address.
+	// prober checks whether any process listens at an address. It is not sure while this entry may have no
+	// path to upstreams.
 	prober interface {
-		Closed(ctx context.Context, addr netip.AddrPort) bool
+		Closed(ctx context.Context, addr netip.AddrPort) (closed, sure bool)
 	}
 )
 
@@ -65,13 +68,20 @@
 	g, d, id, up, at := q.gate, q.digest(), q.meta.ID, q.upstreamIncarnation(p), time.Now()
 	ctx := context.WithoutCancel(q.r.Context())
 	checkAddress := func() {
-		if !g.Prober.Closed(ctx, addr) {
+		closed, sure := g.Prober.Closed(ctx, addr)
+		if !closed {
 			return
 		}
 		g.Log.Info("Upstream crashed while it ran a request.", "request", id, "digest", d.String(), "upstream", up, "address", addr.String(),
-			"account", q.account, "parts", q.meta.SharedParts(), "events", res.events, "took", res.total.String())
-		g.Stats.Count("crashes-seen", 1)
-		g.suspects.recordCrash(at, q.crash(d, up, res))
+			"account", q.account, "parts", q.meta.SharedParts(), "events", res.events, "took", res.total.String(), "sure", sure)
+		c := q.crash(d, up, res)
+		if sure {
+			g.Stats.Count("crashes-seen", 1)
+			g.suspects.recordCrash(at, c)
+		} else {
+			c.Unsure, c.Id, c.Born = true, p.upstream.GetId(), q.born(p)
+			g.suspects.recordUnsure(at, c)
+		}
 		g.reportSignal.notify()
 	}
 	if !q.route.Repeatable() {
@@ -86,12 +96,17 @@
 // the same ID as before.
 func (q *request) upstreamIncarnation(p *placement) string {
 	id := p.upstream.GetId()
-	if born := max(p.upstream.GetBorn(), q.view.Upstream(id).GetBorn()); born > 0 {
+	if born := q.born(p); born > 0 {
 		return id + "@" + strconv.FormatInt(born, 10)
 	}
 	return id
 }
 
+// born returns when the process of an upstream started, zero if that is unknown.
+func (q *request) born(p *placement) int64 {
+	return max(p.upstream.GetBorn(), q.view.Upstream(p.upstream.GetId()).GetBorn())
+}
+
 // banRefusal returns the refusal of a banned request, or nil if the request may be sent. If the
 // scheduler allows a trial, a banned request may be sent too.
 func (q *request) banRefusal(ctx context.Context) *refuse.Error {
@@ -150,6 +165,17 @@
 	s.queue.crashes = append(s.queue.crashes, seenCrash{c, at})
 }
 
+// recordUnsure reports a crash that the scheduler counts only once another process has taken the upstream's
+// place.
+func (s *suspects) recordUnsure(at time.Time, c *wire.Crash) {
+	d, _ := digest.From(c.GetDigest())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c.Answered = s.answered.Answered(d)
+	s.unsure.Add(time.Now(), at, c)
+	s.queue.crashes = append(s.queue.crashes, seenCrash{c, at})
+}
+
 // markAnswered records a complete response. A request that an upstream has run to completion does
 // not crash every upstream, so it is cleared.
 func (g *Gate) markAnswered(now time.Time, d digest.Digest) {
@@ -157,7 +183,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.answered.Add(now, d)
-	if _, ok := s.watched[d]; ok || s.crashes.Knows(d) {
+	if _, ok := s.watched[d]; ok || s.crashes.Knows(d) || s.unsure.Knows(now, d) {
 		s.clearSuspect(d)
 		g.reportSignal.notify()
 	}
@@ -166,6 +192,7 @@
 // clearSuspect clears a request of suspicion and queues a report of that. s.mu must be held.
 func (s *suspects) clearSuspect(d digest.Digest) {
 	s.crashes.Clear(d)
+	s.unsure.Clear(d)
 	delete(s.watched, d) // One report is enough.
 	s.queue.cleared = append(s.queue.cleared, d[:])
 }
@@ -230,6 +257,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c := s.crashes.Crashes(now)
+	c.Crashes = append(c.Crashes, s.unsure.Crashes(now)...)
 	s.queue.crashes = nil
 	for d, b := range s.banned {
 		if !b.part {
--- a/io/gate/suspects_test.go
+++ b/io/gate/suspects_test.go
@@ -156,3 +156,24 @@
 		must.Eq(t, tc.cleared, len(s.TakeCrashReports().GetCleared()))
 	}
 }
+
+// Guards against an entry without a path that bans requests by itself, and against crashes that it does not
+// report to the scheduler, which can tell: to the one it knows, and to a new one.
+func TestUnsureCrashIsReported(t *testing.T) {
+	s := newTestGate(t, breakingUpstream(t, true))
+	s.Prober = &testProber{noPath: true}
+	s.do("POST", "/once/bad")
+	for end := time.Now().Add(time.Second); s.crashCount() == 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	for _, list := range [][]*wire.Crash{s.TakeCrashReports().GetCrashes(), s.KnownCrashes().GetCrashes()} {
+		must.Len(t, 1, list)
+		must.True(t, list[0].GetUnsure())
+		must.Eq(t, "up-0", list[0].GetId())
+	}
+	d, _ := digest.From(s.KnownCrashes().GetCrashes()[0].GetDigest())
+	must.False(t, s.suspects.crashes.Knows(d))
+	s.markAnswered(time.Now(), d)
+	must.SliceEmpty(t, s.KnownCrashes().GetCrashes())
+	must.Eq(t, [][]byte{d[:]}, s.TakeCrashReports().GetCleared())
+}
--- a/io/hub/bans.go
+++ b/io/hub/bans.go
@@ -10,6 +10,7 @@
 
 	"azurelane/core/blame"
 	"azurelane/core/digest"
+	"azurelane/core/doubt"
 	"azurelane/core/poison"
 	"azurelane/core/wire"
 )
@@ -21,6 +22,7 @@
 type bans struct {
 	mu             sync.Mutex
 	poison         poison.Poison
+	doubt          doubt.Doubt // Crashes that are not sure.
 	blame          blame.Blame // Of parts of prompts.
 	change         signal
 	lifted         map[digest.Digest]bool        // Lifted here; the log may still list them.
@@ -49,6 +51,7 @@
 	now := time.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	c = b.withoutUnsure(now, c)
 	before := b.revision()
 	banned, lifted := b.poison.Merge(now, requestsOnly(c))
 	for _, d := range banned {
@@ -74,6 +77,37 @@
 	b.notify(before)
 }
 
+// withoutUnsure keeps the crashes that are not sure, and returns the reports without them. b.mu must be held.
+func (b *bans) withoutUnsure(now time.Time, c *wire.Crashes) *wire.Crashes {
+	sure := &wire.Crashes{Banned: c.GetBanned(), Cleared: c.GetCleared(), Answered: c.GetAnswered()}
+	for _, crash := range c.GetCrashes() {
+		if crash.GetUnsure() {
+			b.doubt.Add(now, now.Add(-micros(crash.GetAgeUs())), crash)
+			continue
+		}
+		sure.Crashes = append(sure.Crashes, crash)
+	}
+	for _, raw := range c.GetCleared() {
+		if d, ok := digest.From(raw); ok {
+			b.doubt.Clear(d)
+		}
+	}
+	return sure
+}
+
+// settle counts the crashes that were not sure and are by now, as another process has taken the upstream's
+// place.
+func (b *bans) settle(log logr.Logger, replaced func(id string, born int64) bool) {
+	b.mu.Lock()
+	list := b.doubt.Settle(time.Now(), replaced)
+	b.mu.Unlock()
+	for _, c := range list {
+		d, _ := digest.From(c.GetDigest())
+		log.Info("Crash confirmed: the upstream was replaced.", "digest", d.String(), "upstream", c.GetUpstream(), "ago", micros(c.GetAgeUs()).String())
+	}
+	b.merge(log, &wire.Crashes{Crashes: list})
+}
+
 // evaluateAfter evaluates all reports that come until then at once: after a crash each entry reports the
 // answers to the same popular parts. b.mu must be held.
 func (b *bans) evaluateAfter(log logr.Logger, delay time.Duration) {
@@ -152,7 +186,12 @@
 	defer b.mu.Unlock()
 	before := b.revision()
 	for _, raw := range list {
-		if d, ok := digest.From(raw); ok && (b.poison.Clear(d) || b.blame.Lift(now, d)) {
+		d, ok := digest.From(raw)
+		if !ok {
+			continue
+		}
+		b.doubt.Clear(d)
+		if b.poison.Clear(d) || b.blame.Lift(now, d) {
 			b.markLifted(d)
 			log.Info("Ban lifted by an operator.", "digest", d.String())
 		}
@@ -327,6 +366,12 @@
 	return b.change.wait()
 }
 
+// mergeCrashes adds what an entry reports.
+func (h *Hub) mergeCrashes(s *scheduler, c *wire.Crashes) {
+	s.bans.merge(h.Log, c)
+	s.bans.settle(h.Log, s.upstreams.replaced)
+}
+
 // handleBans answers a frame about requests that crash upstreams.
 //
 // While the network is partitioned, schedulers on both sides don't know each other's trials. So
@@ -337,7 +382,7 @@
 		if s == nil {
 			return nil, h.notLeaderFault()
 		}
-		s.bans.merge(h.Log, c)
+		h.mergeCrashes(s, c)
 		return nil, nil //nolint:nilnil // An empty reply is an acknowledgement.
 	}
 	s := h.leaderScheduler()
--- a/io/hub/bans_test.go
+++ b/io/hub/bans_test.go
@@ -193,3 +193,61 @@
 		must.SliceEmpty(t, recorded)
 	})
 }
+
+// Guards against crashes that are never counted because the entries that saw them may have no path, and
+// against a ban for a partition: such a crash counts once another process has the upstream's place, and the
+// upstream had not said that it leaves.
+func TestUnsureCrashes(t *testing.T) {
+	seq := uint64(0)
+	report := func(h *Hub, id string, born int64, address string, state wire.Upstream_State) {
+		seq++
+		r := newReport(id, seq, state)
+		r.Upstream.Address, r.Upstream.Born = address, born
+		must.NoError(t, h.handleReport(t.Context(), r))
+	}
+	const serving, leaving = wire.Upstream_STATE_SERVING, wire.Upstream_STATE_LEAVING
+	replace := func(h *Hub, id string) { report(h, id+"-next", 1, id, serving) }
+	for _, tc := range []struct {
+		name          string
+		before, after func(h *Hub, id string) // The report of the crash.
+		wait          time.Duration           // Until after.
+		banned        int
+	}{
+		{"nothing more is known", nil, nil, 0, 0},
+		{"another upstream takes its address", nil, replace, 2 * time.Second, 1},
+		{"another upstream had taken its address", replace, nil, 0, 1},
+		{"it starts again", nil, func(h *Hub, id string) { report(h, id, 2, id, serving) }, 2 * time.Second, 1},
+		{"it goes on", nil, func(h *Hub, id string) { report(h, id, 1, id, serving) }, 2 * time.Second, 0},
+		{"another upstream starts elsewhere", nil, func(h *Hub, id string) { report(h, id+"-next", 1, "elsewhere", serving) }, 2 * time.Second, 0},
+		{"it leaves first", func(h *Hub, id string) { report(h, id, 1, id, leaving) }, replace, 2 * time.Second, 0},
+		{"it is replaced much later", nil, replace, 20 * time.Second, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			runHub(t, func(t *testing.T, h *Hub, _ *fakeReplica) {
+				d := digest.Of("a", "POST", "/x", nil)
+				ids := []string{"u", "v", "w"}
+				for _, id := range ids {
+					report(h, id, 1, id, serving)
+				}
+				each := func(f func(h *Hub, id string)) {
+					for _, id := range ids {
+						if f != nil {
+							f(h, id)
+						}
+					}
+				}
+				each(tc.before)
+				each(func(h *Hub, id string) {
+					_, err := h.Handle(t.Context(), &wire.Frame{Body: &wire.Frame_Crashes{Crashes: &wire.Crashes{Crashes: []*wire.Crash{
+						{Digest: d[:], Upstream: id + "@1", Unsure: true, Id: id, Born: 1},
+					}}}})
+					must.NoError(t, err)
+				})
+				time.Sleep(tc.wait)
+				each(tc.after)
+				time.Sleep(2 * evaluateDelay)
+				must.Len(t, tc.banned, h.scheduler().bans.list().GetBanned())
+			})
+		})
+	}
+}
--- a/io/hub/upstreams.go
+++ b/io/hub/upstreams.go
@@ -96,6 +96,7 @@
 	if known != nil {
 		h.announce(s, known, leaseIntervals)
 	}
+	s.bans.settle(h.Log, s.upstreams.replaced)
 	return nil
 }
 
@@ -292,6 +293,28 @@
 	return slots
 }
 
+// replaced reports whether another process has taken the place of an incarnation that had not said that it
+// leaves: it has started again, or another upstream has its address.
+func (t *upstreamTable) replaced(id string, born int64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	st := t.byID[id]
+	switch {
+	case st == nil || st.Upstream == nil:
+		return false
+	case born > 0 && st.GetBorn() > born:
+		return true
+	case st.GetState() != wire.Upstream_STATE_SERVING:
+		return false
+	}
+	for _, other := range t.byID {
+		if other.Upstream != nil && other.GetAddress() == st.GetAddress() && other.GetRevision() > st.GetRevision() {
+			return true
+		}
+	}
+	return false
+}
+
 // findSilent lists the upstreams that have neither sent a report nor completed a request within
 // timeout. It drops upstreams that have been gone for goneRetention.
 func (t *upstreamTable) findSilent(now time.Time, timeout time.Duration) []string {
--- a/io/hub/watch.go
+++ b/io/hub/watch.go
@@ -65,7 +65,7 @@
 		}
 		s.registerEntry(w, h.entriesHere(s))
 		s.origins.streams.Merge(time.Now(), w.GetOrigins())
-		s.bans.merge(h.Log, w.GetCrashes())
+		h.mergeCrashes(s, w.GetCrashes())
 		h.applyLimits(s, w.GetLimits())
 		h.applyBrittle(s, w.GetBrittle())
 		reachChanged, bansChanged, limitsChanged, splitsChanged, brittleChanged, mixedChanged := s.reachability.changed(), s.bans.changed(), s.limits.changed(), s.rollouts.changed(), s.brittle.changed(), s.origins.changed()
