A test of limits waits until polls have heard of the upstream

The hub tells polls of a new upstream a moment after it is reported. If the second poll came in between, it was answered with the upstreams that entries place requests at, and without the whole roster, as intended; the third one then had the roster as news and did not wait.

--- a/io/hub/limits_test.go
+++ b/io/hub/limits_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
@@ -181,6 +182,7 @@
 func TestLimitAgeIsCurrentAfterLongPoll(t *testing.T) {
 	runHub(t, func(t *testing.T, h *Hub, _ *fakeReplica) {
 		must.NoError(t, h.Report(t.Context(), newReport("up", 1, wire.Upstream_STATE_SERVING)))
+		synctest.Wait() // Polls have heard of the upstream, so that the second one gets the whole roster.
 		w := &wire.Watch{Node: "e", Incarnation: "i", Limits: []*wire.Limit{{Upstream: "up", PerSecond: 3}}}
 		news, err := askNews(h, w)
 		must.NoError(t, err)
