A limit that has ended may come back: known to be red

Found while TestServersThatNameALimit was looked into, and not shown to be its cause. An upstream that names no limit any more may get far fewer requests than it would take, for up to some seconds. An entry that had no scheduler for a while tells the limits that it knows; the hub had forgotten that one of them has ended since, and takes it up again. It lasts until an answer to a later request names none, which for a limit of 0 takes until the next attempt.

--- a/io/hub/limits_test.go
+++ b/io/hub/limits_test.go
@@ -48,6 +48,36 @@
 	}
 }
 
+// Guards against a limit that has ended and comes back, because an entry that had no scheduler for a while
+// tells the limits that it knew.
+func TestEndedLimitStaysEnded(t *testing.T) {
+	const sec = time.Second
+	for _, tc := range []struct {
+		name  string
+		age   time.Duration // Of the answer that named the limit, one second after the limit ended.
+		again bool
+	}{
+		{"from before the end", 3 * sec, false},
+		{"from just before the end", 1600 * time.Millisecond, false},
+		{"from after the end", sec / 2, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			var l limits
+			now := time.Unix(1000, 0)
+			l.merge(now, []*wire.Limit{{Upstream: "a", PerSecond: 2, AgeUs: sec.Microseconds()}})
+			must.Len(t, 1, l.merge(now.Add(sec), []*wire.Limit{{Upstream: "a", Ended: true, AgeUs: (sec / 2).Microseconds()}}))
+			now = now.Add(2 * sec)
+			l.merge(now, []*wire.Limit{{Upstream: "a", PerSecond: 2, AgeUs: tc.age.Microseconds()}})
+			_, ok := l.rate("a")
+			must.Eq(t, tc.again, ok)
+			l.drop("a")
+			l.merge(now, []*wire.Limit{{Upstream: "a", PerSecond: 2, AgeUs: (5 * sec).Microseconds()}})
+			_, ok = l.rate("a")
+			must.True(t, ok, must.Sprint("another incarnation"))
+		})
+	}
+}
+
 // Guards against entries that together exceed a limit, and against shares so small that all
 // entries save up for one request and send it at once.
 func TestLimitShares(t *testing.T) {
