A limit that has ended is not taken up again by an older answer

The hub forgot that a limit had ended, and took it up again when an entry told it by an answer to an earlier request: one that had no scheduler for a while, or whose report came late. It now keeps the send time of the request whose answer ended the limit, until the upstream is gone or starts again, and ignores older ones.

--- a/io/hub/limits.go
+++ b/io/hub/limits.go
@@ -18,6 +18,7 @@
 	limits struct {
 		mu         sync.Mutex
 		byUpstream map[string]upstreamLimit
+		ended      map[string]time.Time // Send time of the latest request whose response ended the upstream's limit.
 		change     signal
 	}
 
@@ -49,7 +50,8 @@
 				continue
 			}
 			delete(l.byUpstream, r.GetUpstream())
-		case known && sent.Before(prev.sent):
+			l.markEnded(r.GetUpstream(), sent)
+		case (known && sent.Before(prev.sent)) || sent.Before(l.ended[r.GetUpstream()]):
 			continue
 		default:
 			if l.byUpstream == nil {
@@ -71,11 +73,20 @@
 	return changed
 }
 
+// markEnded records that a limit has ended. l.mu must be held.
+func (l *limits) markEnded(upstream string, sent time.Time) {
+	if l.ended == nil {
+		l.ended = map[string]time.Time{}
+	}
+	l.ended[upstream] = sent
+}
+
 // retain drops the limits of upstreams for which known returns false.
 func (l *limits) retain(known func(upstream string) bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	maps.DeleteFunc(l.byUpstream, func(id string, _ upstreamLimit) bool { return !known(id) })
+	maps.DeleteFunc(l.ended, func(id string, _ time.Time) bool { return !known(id) })
 }
 
 // drop removes the limit of an upstream that has restarted.
@@ -83,6 +94,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.byUpstream, upstream)
+	delete(l.ended, upstream)
 }
 
 // changed returns a channel that is closed when an upstream without a limit next announces one,
