--- a/io/dialer/dialer.go
+++ b/io/dialer/dialer.go
@@ -25,9 +25,6 @@
 	// slowDial is how long a connection may take to open before the path counts as failed for it.
 	// Upstreams are some milliseconds away; the attempt goes on.
 	slowDial = 150 * time.Millisecond
-	// closedTimeout is how long to wait for a sign whether a process has ended. Its VM refuses
-	// connections at once.
-	closedTimeout = 150 * time.Millisecond
 	// quietLimit is how long nothing may come from any upstream after a request was sent. Requests on
 	// open connections would otherwise hide for long that the path is lost.
 	quietLimit = 300 * time.Millisecond
@@ -51,8 +48,9 @@
 
 // Dialer opens connections to upstreams. Its exported fields are set before use.
 type Dialer struct {
-	Source netip.Addr // Of connections to upstreams; invalid for the system's choice.
-	OnLost func()     // Called when the path is lost or found again. May be nil.
+	Source netip.Addr           // Of connections to upstreams; invalid for the system's choice.
+	OnLost func()               // Called when the path is lost or found again. May be nil.
+	Sample func(n int) []string // Returns up to n upstreams. May be nil.
 	Log    logr.Logger
 
 	once  sync.Once
@@ -68,6 +66,7 @@
 	askedAt  time.Time                    // When the first request was sent since bytes last came from an upstream; zero if none was.
 	triedAt  time.Time                    // Last probe for quietLimit.
 	failed   map[netip.AddrPort]time.Time // Entries that could not pass a connection on.
+	trying   chan struct{}                // Closed when the attempt to reach any upstream that is under way ends; nil for none.
 }
 
 // Alarm returns a channel that gets a value when a connection has failed.
@@ -183,33 +182,10 @@
 	}
 	d.mu.Unlock()
 	for _, addr := range list {
-		go d.probe(addr)
+		go d.probe(addr, dialTimeout)
 	}
 }
 
-// Closed reports whether no process listens at an upstream's address. While this entry may have no path
-// itself, it asks another one.
-func (d *Dialer) Closed(ctx context.Context, addr netip.AddrPort) bool {
-	refused := false
-	if !d.Lost() {
-		c, err := tunnel.Direct(ctx, closedTimeout, d.Source, addr.String())
-		if err == nil {
-			_ = c.Close()
-			return false
-		}
-		refused = errors.Is(err, syscall.ECONNREFUSED)
-		if !d.Suspect() {
-			return refused
-		}
-	}
-	c, err := d.dialThrough(ctx, addr.String())
-	if err == nil {
-		_ = c.Close()
-		return false
-	}
-	return errors.Is(err, tunnel.ErrRefused) || (refused && d.reliable())
-}
-
 // Serve connects to an upstream for another entry, and reports with an error whether the failure shows
 // the state of the upstream.
 func (d *Dialer) Serve(ctx context.Context, addr string) (c net.Conn, reliable bool, err error) {
@@ -320,16 +296,18 @@
 	return list
 }
 
-// probe tries the lost path with one connection to an upstream.
-func (d *Dialer) probe(addr string) {
-	c, err := tunnel.Direct(context.Background(), dialTimeout, d.Source, addr)
+// probe connects directly to an upstream, and reports whether that succeeds and shows an intact path.
+func (d *Dialer) probe(addr string, timeout time.Duration) bool {
+	c, err := tunnel.Direct(context.Background(), timeout, d.Source, addr)
 	if err != nil {
-		return
+		return false
 	}
 	defer func() { _ = c.Close() }()
-	if staysOpen(c) {
-		d.recordSuccess()
+	if !staysOpen(c) {
+		return false
 	}
+	d.recordSuccess()
+	return true
 }
 
 // staysOpen reports whether a connection is still open after a moment. What cuts a path, or stands before
@@ -395,7 +373,7 @@
 // recordFailure records a connection that failed or ended without an answer.
 func (d *Dialer) recordFailure(addr string, cause error) {
 	d.mu.Lock()
-	d.path.RecordFailure(time.Now(), addr, refuses(cause))
+	d.path.RecordFailure(time.Now(), addr, isAnswer(cause))
 	d.mu.Unlock()
 	d.Alarm()
 	select {
@@ -404,8 +382,8 @@
 	}
 }
 
-// refuses reports whether an error is the answer of a host, or of what stands before it.
-func refuses(err error) bool {
+// isAnswer reports whether an error is the answer of a host, or of what stands before it.
+func isAnswer(err error) bool {
 	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, io.EOF)
 }
 
@@ -430,17 +408,24 @@
 	}
 	d.mu.Unlock()
 	for _, addr := range list {
-		go func() {
-			c, err := d.dialThrough(context.Background(), addr)
-			if err == nil {
-				if !staysOpen(c) { // The other entry may have lost its path, too.
-					err = tunnel.ErrUnsure
-				}
-				_ = c.Close()
-			}
-			d.recordElsewhere(addr, err, cause)
-		}()
+		go d.compareHost(addr, cause)
+	}
+}
+
+// compareHost asks other entries whether they reach an upstream that failed here. It may be back since,
+// which says nothing about the path.
+func (d *Dialer) compareHost(addr string, cause error) {
+	c, err := d.dialThrough(context.Background(), addr)
+	if err == nil {
+		if !staysOpen(c) { // The other entry may have lost its path, too.
+			err = tunnel.ErrUnsure
+		}
+		_ = c.Close()
+	}
+	if err == nil && d.probe(addr, slowDial) {
+		return
 	}
+	d.recordElsewhere(addr, err, cause)
 }
 
 // recordElsewhere records how another entry's attempt to connect to an upstream ended. The cause is why
