Upstreams are no longer marked as cut off after their leases ran out

After a cut of a data centre that outlasted the leases, all its engines of a pool got one request each 0.4 s, until the list of unreached data centres changed again or another leader came.

Cause: upstreamTable.setUnreached skipped upstreams without a lease, for which there is nothing to announce, and left their marks as they were. The next report announced the old mark.

Change: the mark follows the list in any case; only the announcement needs a lease.

--- a/io/hub/upstreams.go
+++ b/io/hub/upstreams.go
@@ -243,7 +243,8 @@
 }
 
 // setUnreached takes the data centres that seem cut off. It returns an announcement, with the
-// rest of the lease, for each upstream whose reachability has changed.
+// rest of the lease, for each upstream whose reachability has changed. One without a lease is
+// announced with its next report.
 func (t *upstreamTable) setUnreached(now time.Time, dataCentres []string) []*wire.Announce {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -253,8 +254,11 @@
 			continue
 		}
 		unreached := slices.Contains(dataCentres, st.GetDataCentre())
-		if left := t.remainingLease(now, st); unreached != st.unreached && left > 0 {
-			st.unreached = unreached
+		if unreached == st.unreached {
+			continue
+		}
+		st.unreached = unreached
+		if left := t.remainingLease(now, st); left > 0 {
 			list = append(list, st.announcement(left))
 		}
 	}
