Requests of plain pools with tickets keep to versions and reached data centres

As soon as an upstream of a plain pool named a limit or was brittle, callers of the pool got events of two versions in one answer, a version that was held back or found to be bad got an even share, and a data centre that was cut off got its full share of requests, each until its connection timed out.

Cause: the policy core/pull read neither the version of a ticket, nor that a stream is bound to one, nor the mark of unreached data centres; core/batch has had rules of its own for each.

Change: core/elig decides for both policies on leases, leaving, unreached data centres (one grant each 0.4 s) and rates; upstr.Upstream.Eligible takes the version. In core/pull tickets queue by version, so that those of one version do not keep others waiting, and change it with the rollout. Bound tickets of which no upstream is left are refused as version-gone, as in core/batch; others wait for their version.

The tests of core/place and core/batch name the moved constant and parameter, unchanged else.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"azurelane/core/conf"
+	"azurelane/core/elig"
 	"azurelane/core/kernel"
 	"azurelane/core/leases"
 	"azurelane/core/pool"
@@ -47,10 +48,6 @@
 	startGrace    = 1500 * time.Millisecond
 	forgetAfter   = time.Minute            // From the end of an upstream's lease.
 	sweepInterval = 200 * time.Millisecond // Interval between checks of all slots and upstreams.
-	// probeInterval is the time between two grants to engines that seem cut off. It is short
-	// enough to notice soon that the engines are back, and long enough that few requests
-	// time out there.
-	probeInterval = 400 * time.Millisecond
 	// runGrace is the time beyond the pool's longest run after which a slot is freed even if no
 	// release has arrived.
 	runGrace = 10 * time.Second
@@ -80,7 +77,7 @@
 	meanEngine   engineStats   // Stands for any engine while none is chosen.
 	started      time.Time
 	sweptAt      time.Time
-	probedAt     time.Time // Last grant to an engine that seems cut off.
+	elig         elig.Elig
 	topPriority  topPriority
 	costs        costModel
 	bestCase     bestCase
@@ -273,9 +270,7 @@
 	b.dropWaiting(n)
 	s := &slot.Slot{Upstream: e.Upstream, Ticket: i.Ticket, CachedTokens: cachedTokens(e.Upstream, i)}
 	s.ExpectedWait = e.stats.wait(now)
-	if e.GetUnreached() {
-		b.probedAt = now
-	}
+	b.elig.Granted(now, e.Upstream)
 	e.stats.addPrompt(now, i.GetPromptTokens()-s.CachedTokens)
 	for _, p := range i.GetParts() {
 		e.Cache.RecordSent(now, p.GetHash())
--- a/core/batch/batch_test.go
+++ b/core/batch/batch_test.go
@@ -8,6 +8,7 @@
 	"github.com/shoenig/test/must"
 
 	"azurelane/core/conf"
+	"azurelane/core/elig"
 	"azurelane/core/pool"
 	"azurelane/core/refuse"
 	"azurelane/core/wire"
@@ -386,7 +387,7 @@
 	}
 	must.Eq(t, 4+engineQueueLimit, at["nea"])
 	must.Eq(t, 1, at["far"])
-	e.now = e.now.Add(probeInterval)
+	e.now = e.now.Add(elig.ProbeInterval)
 	must.Len(t, 1, grantedIDs(t, e.fill(1)))
 }
 
--- a/core/batch/room.go
+++ b/core/batch/room.go
@@ -152,7 +152,7 @@
 
 // usable reports whether an engine may be sent requests now, apart from its room.
 func (b *Batch) usable(now time.Time, e *engine) bool {
-	return e.Live(now) && !now.Before(e.stats.excludedUntil) && (!e.GetUnreached() || now.Sub(b.probedAt) >= probeInterval) && e.CanSend(now)
+	return !now.Before(e.stats.excludedUntil) && b.elig.Allows(now, e.Upstream)
 }
 
 // updateBestCases computes the best cases over all engines that may be sent requests now, whether
--- a/core/direct/direct.go
+++ b/core/direct/direct.go
@@ -45,7 +45,7 @@
 	b.slots.Cancel(now, t.GetIncarnation(), t.GetId())
 	var live []*upstr.Upstream
 	for _, u := range b.table.All() {
-		if u.Live(now) && u.Meter.CanSend(now) && u.Eligible(t) {
+		if u.Live(now) && u.Meter.CanSend(now) && u.Eligible(t, t.GetVersion()) {
 			live = append(live, u)
 		}
 	}
--- a/core/item/item.go
+++ b/core/item/item.go
@@ -15,6 +15,7 @@
 	Long           bool      // Long compared with the usual request of the pool.
 	Deadline       time.Time // Zero for none.
 	LatestDispatch time.Time // Latest dispatch that can still meet the deadline; zero for any time.
+	RunsAt         string    // Version of the upstreams that may run it; see upstr.Upstream.HasVersion.
 }
 
 // Level returns the ticket's tier. Tiers out of range count as the lowest.
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"azurelane/core/elig"
 	"azurelane/core/item"
 	"azurelane/core/slot"
 	"azurelane/core/upstr"
@@ -45,12 +46,12 @@
 	fullBatchCost = 0.5
 )
 
-// Available returns the upstreams in all that have room for one more request. It reuses the
-// memory of into.
-func Available(now time.Time, all, into []*upstr.Upstream) []*upstr.Upstream {
+// Available returns the upstreams in all that have room for one more request and that e allows. It
+// reuses the memory of into.
+func Available(now time.Time, e *elig.Elig, all, into []*upstr.Upstream) []*upstr.Upstream {
 	into = into[:0]
 	for _, u := range all {
-		if u.HasRoom(now) {
+		if u.HasRoom(now) && e.Allows(now, u) {
 			into = append(into, u)
 		}
 	}
@@ -58,8 +59,8 @@
 }
 
 // Pick returns the slot to grant for the item on the best of the available upstreams. It
-// returns nil and full if none of them has room for an item of the same model and length,
-// and nil without full if only this item can't be placed. With expectShort, long work
+// returns nil and full if none of them has room for an item of the same model, version and
+// length, and nil without full if only this item can't be placed. With expectShort, long work
 // leaves slots free for short work. If only is not empty, it names the one upstream that is
 // allowed.
 func (p Picker) Pick(now time.Time, available []*upstr.Upstream, i *item.Item, expectShort bool, only string) (s *slot.Slot, full bool) {
@@ -153,11 +154,11 @@
 		fillRatio(now, preferred.up) <= maxHomeFill*meanFill+1/float64(max(preferred.up.EffectiveLimit(now), 1))
 }
 
-// hasRoom reports whether an available upstream has room for an item of this model and
+// hasRoom reports whether an available upstream has room for an item of this model, version and
 // length. If short work is expected, long work leaves some slots of each upstream free:
 // with all slots taken by long requests, an urgent one would wait until one of them ends.
 func hasRoom(now time.Time, u *upstr.Upstream, i *item.Item, expectShort bool) bool {
-	if !u.HasModel(i.GetModel()) {
+	if !u.HasModel(i.GetModel()) || !u.HasVersion(i.Ticket, i.RunsAt) {
 		return false
 	}
 	if limit := u.EffectiveLimit(now); i.Long && i.Level() > 0 && expectShort && limit > 1 {
@@ -168,7 +169,7 @@
 
 // mayRun reports whether the upstream may run this particular item.
 func (p Picker) mayRun(u *upstr.Upstream, i *item.Item, only string) bool {
-	if (only != "" && u.GetUpstream() != only) || !u.Eligible(i.Ticket) {
+	if (only != "" && u.GetUpstream() != only) || !u.Eligible(i.Ticket, i.RunsAt) {
 		return false
 	}
 	if n := u.GetMaxTokens(); n > 0 && u.Running > 0 && u.ReservedTokens+i.GetPromptTokens()+i.GetAnswerTokens() > n {
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -10,6 +10,7 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
+	"azurelane/core/elig"
 	"azurelane/core/item"
 	"azurelane/core/place"
 	"azurelane/core/slot"
@@ -131,7 +132,7 @@
 			u.LongRunning = rapid.IntRange(0, u.Running).Draw(t, "longs")
 			announce(u, rapid.SliceOfN(rapid.Uint64Range(1, 3), 0, 3).Draw(t, "cached")...)
 		}
-		available := place.Available(start, ups, nil)
+		available := place.Available(start, &elig.Elig{}, ups, nil)
 		ok := func(u *upstr.Upstream) bool {
 			avoided := len(i.GetAvoid()) > 0 && u.GetUpstream() == "up-0"
 			reserved := i.Long && short && u.LongRunning >= 3
--- a/core/pull/admit.go
+++ b/core/pull/admit.go
@@ -19,7 +19,7 @@
 // newItem returns the queue item of a ticket, with its estimated work, length class and
 // deadline.
 func (p *Policy) newItem(now time.Time, t *wire.Ticket) *item.Item {
-	i := &item.Item{Ticket: t, Work: limit.Cost(t.GetPromptTokens(), t.GetAnswerTokens()), Long: p.workload.observe(now, t)}
+	i := &item.Item{Ticket: t, RunsAt: t.GetVersion(), Work: limit.Cost(t.GetPromptTokens(), t.GetAnswerTokens()), Long: p.workload.observe(now, t)}
 	if t.GetDeadlineUs() > 0 {
 		i.Deadline = now.Add(micros(t.GetDeadlineUs()))
 		i.LatestDispatch = i.Deadline.Add(-p.minRunTime(now, i))
@@ -32,14 +32,14 @@
 // unknown. The upstream that is fastest for a typical request is tried first: if it meets
 // the deadline, its run time is returned and the others are not examined.
 func (p *Policy) minRunTime(now time.Time, i *item.Item) time.Duration {
-	if u := p.fastest; u != nil && u.Live(now) && u.Eligible(i.Ticket) {
+	if u := p.fastest; u != nil && u.Live(now) && u.Eligible(i.Ticket, i.RunsAt) {
 		if e := p.picker.SafeRunTime(u, i.Ticket); !now.Add(e).After(i.Deadline) {
 			return e
 		}
 	}
 	best := time.Duration(-1)
 	for _, u := range p.table.All() {
-		if !u.Live(now) || !u.Eligible(i.Ticket) {
+		if !u.Live(now) || !u.Eligible(i.Ticket, i.RunsAt) {
 			continue
 		}
 		if e := p.picker.SafeRunTime(u, i.Ticket); best < 0 || e < best {
@@ -99,7 +99,20 @@
 	return time.Duration(min(s, maxRetry.Seconds()*10) * float64(time.Second))
 }
 
-// hasUpstream reports whether a live upstream may run the ticket.
+// hasUpstream reports whether a live upstream may run the ticket, now or once its version is assigned
+// anew. The version of a bound ticket stays.
 func (p *Policy) hasUpstream(now time.Time, t *wire.Ticket) bool {
-	return slices.ContainsFunc(p.table.All(), func(u *upstr.Upstream) bool { return u.Live(now) && u.Eligible(t) })
+	version := ""
+	if t.GetBound() {
+		version = t.GetVersion()
+	}
+	return slices.ContainsFunc(p.table.All(), func(u *upstr.Upstream) bool { return u.Live(now) && u.Eligible(t, version) })
+}
+
+// refuseUnservedTicket refuses a ticket that no live upstream may run.
+func (p *Policy) refuseUnservedTicket(now time.Time, t *wire.Ticket) *wire.Decision {
+	if t.GetBound() && !slices.ContainsFunc(p.table.All(), func(u *upstr.Upstream) bool { return u.Live(now) && u.HasVersion(t, t.GetVersion()) }) {
+		return refuse.Ticket(t, refuse.VersionGone, 0)
+	}
+	return refuse.Ticket(t, refuse.NoUpstream, startGrace)
 }
--- a/core/pull/pull.go
+++ b/core/pull/pull.go
@@ -9,6 +9,7 @@
 
 	"azurelane/core/abuse"
 	"azurelane/core/conf"
+	"azurelane/core/elig"
 	"azurelane/core/item"
 	"azurelane/core/kernel"
 	"azurelane/core/leases"
@@ -34,6 +35,7 @@
 	table      leases.Table
 	slots      slots.Slots
 	queue      queue.Queue
+	elig       elig.Elig
 	picker     place.Picker
 	abuse      abuse.Detector
 	workload   workload
@@ -49,7 +51,7 @@
 	fastest        *upstr.Upstream   // Fastest upstream for a typical request at the last sweep.
 	available      []*upstr.Upstream // All upstreams with room, and possibly some without.
 	availableStale bool              // Upstreams that are not in available may have room.
-	brittle        bool              // Some upstream has room again after a time, without a release.
+	timed          bool              // Some upstream is available again after a time, without a release.
 }
 
 const (
@@ -105,7 +107,7 @@
 	p.noteOwnerCall(now)
 	p.table.Update(now, a)
 	p.availableStale = true
-	p.brittle = slices.ContainsFunc(p.table.All(), func(u *upstr.Upstream) bool { return u.Admit.Limited() })
+	p.timed = slices.ContainsFunc(p.table.All(), func(u *upstr.Upstream) bool { return u.Admit.Limited() || u.GetUnreached() })
 	return p.assign(now)
 }
 
@@ -118,7 +120,7 @@
 	p.queue.Remove(t.GetIncarnation(), t.GetId())
 	p.cancel(now, t.GetIncarnation(), t.GetId())
 	if !p.hasUpstream(now, t) && now.Sub(p.ownerSince) >= startGrace {
-		return []*wire.Decision{refuse.Ticket(t, refuse.NoUpstream, startGrace)}
+		return []*wire.Decision{p.refuseUnservedTicket(now, t)}
 	}
 	i := p.newItem(now, t)
 	if code, after := p.checkDeadline(now, i); code != "" {
@@ -166,6 +168,16 @@
 	p.availableStale = true
 }
 
+// SetVersions assigns the version that may run each waiting ticket, and grants the tickets that now
+// fit.
+func (p *Policy) SetVersions(now time.Time, version func(*wire.Ticket) string) []*wire.Decision {
+	for _, i := range p.queue.RemoveFunc(func(i *item.Item) bool { return version(i.Ticket) != i.RunsAt }) {
+		i.RunsAt = version(i.Ticket)
+		p.queue.Push(i)
+	}
+	return p.assign(now)
+}
+
 // Forget removes a dead entry's tickets and frees its slots.
 func (p *Policy) Forget(now time.Time, incarnation string) []*wire.Decision {
 	p.slots.FreeEntry(incarnation)
@@ -209,18 +221,19 @@
 	return out
 }
 
-// refreshAvailable reduces available to the upstreams with room. A release adds only its
-// own upstream, so that the frequent grants that follow releases don't scan all upstreams.
+// refreshAvailable reduces available to the upstreams with room that may be granted a request. A
+// release adds only its own upstream, so that the frequent grants that follow releases don't scan
+// all upstreams.
 func (p *Policy) refreshAvailable(now time.Time) {
 	all := p.available
-	if p.availableStale || p.brittle {
+	if p.availableStale || p.timed {
 		all, p.availableStale = p.table.All(), false
 	}
-	p.available = place.Available(now, all, p.available)
+	p.available = place.Available(now, &p.elig, all, p.available)
 }
 
 // grant places one ticket. If it can't, it returns nil and reports whether every ticket of
-// the same model and length would fail as well.
+// the same model, version and length would fail as well.
 func (p *Policy) grant(now time.Time, i *item.Item) (*wire.Decision, bool) {
 	only, confined := p.abuse.Confined(now, i.GetAccount())
 	if confined && p.slots.AccountLen(i.GetAccount()) > 0 {
@@ -235,7 +248,11 @@
 	}
 	p.throughput.granted += i.Work
 	d := p.slots.Grant(now, s, p.pool.GrantTTL)
-	if !s.Upstream.HasRoom(now) {
+	p.elig.Granted(now, s.Upstream)
+	switch {
+	case s.Upstream.GetUnreached():
+		p.available = place.Available(now, &p.elig, p.available, p.available)
+	case !s.Upstream.HasRoom(now) || !p.elig.Allows(now, s.Upstream):
 		p.available = slices.DeleteFunc(p.available, func(u *upstr.Upstream) bool { return u == s.Upstream })
 	}
 	return d, false
--- a/core/pull/sweep.go
+++ b/core/pull/sweep.go
@@ -65,7 +65,7 @@
 func (p *Policy) refuseUnserved(now time.Time) []*wire.Decision {
 	var out []*wire.Decision
 	for _, i := range p.queue.RemoveFunc(func(i *item.Item) bool { return !p.hasUpstream(now, i.Ticket) }) {
-		out = append(out, refuse.Ticket(i.Ticket, refuse.NoUpstream, startGrace))
+		out = append(out, p.refuseUnservedTicket(now, i.Ticket))
 	}
 	return out
 }
--- a/core/queue/next.go
+++ b/core/queue/next.go
@@ -13,8 +13,8 @@
 const offerDepth = 8
 
 // Next offers waiting tickets to try, in scheduling order, until one is placed; that one is
-// removed and returned. try returns full if no ticket of the same model and length can be
-// placed; these are not offered again in this round. Next returns nil if nothing more can
+// removed and returned. try returns full if no ticket of the same model, version and length can
+// be placed; these are not offered again in this round. Next returns nil if nothing more can
 // be placed.
 func (q *Queue) Next(try func(*item.Item) (placed, full bool)) *item.Item {
 	for {
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -72,8 +72,10 @@
 	}
 
 	classKey struct {
-		model string
-		long  bool // Long and not urgent.
+		model   string
+		version string
+		bound   bool
+		long    bool // Long and not urgent.
 	}
 
 	node struct {
@@ -161,7 +163,7 @@
 func (q *Queue) accountConfig(name string) acct.Account { return q.Accounts[name].WithDefaults() }
 
 func (q *Queue) class(i *item.Item) *class {
-	k := classKey{i.GetModel(), i.Long && i.Level() > 0}
+	k := classKey{i.GetModel(), i.RunsAt, i.GetBound(), i.Long && i.Level() > 0}
 	c := q.classes[k]
 	if c == nil {
 		c = &class{classKey: k}
--- a/core/upstr/upstr.go
+++ b/core/upstr/upstr.go
@@ -81,10 +81,8 @@
 	return u.leaving && now.Before(u.drainsUntil) && now.Before(u.LeaseEnd)
 }
 
-// HasRoom reports whether the upstream may be granted one more request now.
-func (u *Upstream) HasRoom(now time.Time) bool {
-	return u.Running < u.EffectiveLimit(now) && u.Live(now) && u.CanSend(now)
-}
+// HasRoom reports whether the upstream has room for one more request.
+func (u *Upstream) HasRoom(now time.Time) bool { return u.Running < u.EffectiveLimit(now) }
 
 // CanSend reports whether the rate of its requests, and of its refusals, allows one more request now.
 func (u *Upstream) CanSend(now time.Time) bool {
@@ -107,10 +105,16 @@
 	return model == "" || len(u.GetModels()) == 0 || slices.Contains(u.GetModels(), model)
 }
 
-// Eligible reports whether the upstream serves the ticket's model and is not on the ticket's list
-// of upstreams to avoid, which the request has failed to reach before.
-func (u *Upstream) Eligible(t *wire.Ticket) bool {
-	return u.HasModel(t.GetModel()) && !slices.Contains(t.GetAvoid(), u.GetUpstream())
+// Eligible reports whether the upstream is of the version that may run the ticket, serves its model
+// and is not on its list of upstreams to avoid, which the request has failed to reach before.
+func (u *Upstream) Eligible(t *wire.Ticket, version string) bool {
+	return u.HasVersion(t, version) && u.HasModel(t.GetModel()) && !slices.Contains(t.GetAvoid(), u.GetUpstream())
+}
+
+// HasVersion reports whether the upstream is of the version that may run the ticket. An empty version
+// stands for any, unless the ticket is bound to upstreams that name none.
+func (u *Upstream) HasVersion(t *wire.Ticket, version string) bool {
+	return u.Version == version || (version == "" && !t.GetBound())
 }
 
 // RendezvousWeight returns the weight of the upstream in rendezvous hashing of a prefix. The
