Quick failures no longer make an upstream look fast to entries

Where entries place requests themselves, an upstream that answers each request with an error at once got most of them: 58 % of a pool of three with errors twenty times as quick as successes, over 80 % if it never answered anything else.

Cause: Peers.End learned the latency of failures like that of successes. The penalty, up to seven times that latency, is less than what a quick error saves. An upstream that had only failed had its own latency as the measure of the penalty.

Change: the latency is that of successes, and of failures that take longer. An upstream that has only failed is expected to take as long as the fastest, with the penalty.

--- a/core/peers/eligibility_test.go
+++ b/core/peers/eligibility_test.go
@@ -29,3 +29,30 @@
 		})
 	}
 }
+
+// Guards against a new upstream that gets most requests because it answers each of them with an error at
+// once, before any success has shown how long one takes.
+func TestQuickFailuresOfANewUpstreamDrawNoRequests(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		success time.Duration // Time that a success takes at the others.
+	}{{"quick", quick}, {"slow", 100 * quick}} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := newUpstreams("a", "b")
+			s.latency["a"], s.latency["b"] = tc.success, tc.success
+			all, failed := 0, 0
+			list := entries(20)
+			for _, e := range list {
+				e.serve(s, 100)
+			}
+			s.add("c")
+			s.latency["c"], s.failing["c"] = quick/20, true
+			for _, e := range list {
+				e.serve(s, 1000)
+				got := e.serve(s, 1000)
+				all, failed = all+1000, failed+got["c"]
+			}
+			must.LessEq(t, all/50, failed, must.Sprint("one in fifty"))
+		})
+	}
+}
--- a/core/peers/peers.go
+++ b/core/peers/peers.go
@@ -21,7 +21,7 @@
 
 	upstreamStats struct {
 		running             int
-		latency             time.Duration // Of responses, smoothed.
+		latency             time.Duration // Of successes, and of failures that took longer; smoothed.
 		failureRate         float64       // Share of the responses that were failures, smoothed.
 		skipped             int           // Requests sent to other upstreams since its last response.
 		consecutiveFailures int           // Sends without a response.
@@ -194,12 +194,15 @@
 // that: an upstream that seems slow gets no requests, so only their responses could show that it
 // has recovered.
 func (e *upstreamStats) cost(slots int64, fastest time.Duration) time.Duration {
+	if fastest == 0 {
+		fastest = unknownLatency
+	}
 	l := fastest + time.Duration(e.weight()*float64(e.expectedLatency()-fastest))
 	switch {
-	case fastest == 0:
-		l = unknownLatency
-	case e.latency == 0:
+	case e.latency == 0 && e.failureRate == 0:
 		l = min(fastest, unknownLatency)
+	case e.latency == 0: // It has failed only, which does not show how long a success takes.
+		l = fastest + time.Duration(e.weight()*float64(e.penalize(fastest)-fastest))
 	}
 	load := 1 + float64(e.running)/float64(max(slots, 1))*2
 	return time.Duration(float64(l) * load)
@@ -207,8 +210,11 @@
 
 // expectedLatency returns the latency of an idle upstream by its responses, with a penalty for
 // failures.
-func (e *upstreamStats) expectedLatency() time.Duration {
-	return time.Duration(float64(e.latency) * (1 + failurePenalty*e.failureRate))
+func (e *upstreamStats) expectedLatency() time.Duration { return e.penalize(e.latency) }
+
+// penalize adds the penalty for failures to a latency.
+func (e *upstreamStats) penalize(latency time.Duration) time.Duration {
+	return time.Duration(float64(latency) * (1 + failurePenalty*e.failureRate))
 }
 
 // weight returns the weight of the observations, at most 1.
@@ -271,10 +277,12 @@
 	rate := 1 - (1-learningRate)*e.weight()
 	e.skipped = 0
 	e.failureRate += rate * (bad - e.failureRate)
-	if e.latency == 0 {
+	switch {
+	case good && e.latency == 0:
 		e.latency = took
+	case good || (e.latency > 0 && took > e.latency): // A quick failure does not make it fast.
+		e.latency += time.Duration(rate * float64(took-e.latency))
 	}
-	e.latency += time.Duration(rate * float64(took-e.latency))
 }
 
 // Drop records the end of a request that says nothing about the upstream, such as one that did not
