Runs that a full upstream refused are not learned from

In plain pools whose requests take tickets, an upstream that was full and refused requests at once seemed the fastest and got most of the next ones.

Cause: Policy.learn did not read Release.Busy and took the refusal for a success, with the time of the refusal as that of a run. The account was charged for the run.

Change: a busy run is charged back and changes nothing else; Admit counts it as before.

--- a/core/pull/learn.go
+++ b/core/pull/learn.go
@@ -43,6 +43,9 @@
 			u.Observed.RecordFailure(now, "")
 		}
 		return
+	case r.GetBusy(): // Nothing ran there, so its time says nothing.
+		p.queue.AdjustCharge(t.GetAccount(), -s.Work)
+		return
 	case r.GetFailed():
 		p.recordFailure(now, s, r)
 		return
--- a/core/pull/scheduling_test.go
+++ b/core/pull/scheduling_test.go
@@ -132,6 +132,35 @@
 	must.Between(t, 3, bad, 4)
 }
 
+// Guards against a full upstream that seems the fastest, because it refuses requests at once, and gets
+// most of them.
+func TestFullUpstreamIsNotFast(t *testing.T) {
+	p := newPolicy(nil, 4, 4)
+	now := start
+	runs := map[string]int{}
+	for id := uint64(0); runs["up-0"] < 20 || runs["up-1"] < 20; id += 2 { // One at each.
+		for _, d := range append(p.Submit(now, normal(id+1)), p.Submit(now, normal(id+2))...) {
+			runs[d.GetGrant().GetUpstream()]++
+			p.Release(now.Add(100*ms), release(d))
+		}
+		now = now.Add(100 * ms)
+	}
+	for id := range uint64(50) {
+		for _, d := range p.Submit(now, normal(1000+id)) {
+			r := release(d)
+			r.Busy, r.FirstTokenUs, r.TotalUs = true, 0, 200
+			p.Release(now, r)
+		}
+	}
+	got := map[string]int{}
+	for id := range uint64(4) {
+		for _, d := range p.Submit(now, normal(2000+id)) {
+			got[d.GetGrant().GetUpstream()]++
+		}
+	}
+	must.Eq(t, map[string]int{"up-0": 2, "up-1": 2}, got)
+}
+
 // Upstream 0 freezes: it keeps its connections open and goes on announcing itself, and no
 // run there fails before its caller's deadline of two seconds. It may keep the runs that it
 // has, but in the next 20 seconds it gets no more than a few trial runs.
