A trial of a banned request goes on until an upstream may have run it

A banned request that the scheduler allowed one trial was refused if the upstream of the trial was busy or replaced, although nothing had run. Without another trial it stayed banned.

Cause: each send asked for permission anew, and the entry asks the scheduler once.

Change: the permission holds while the request has no further run. A send beside one that may be running it counts that run and asks anew. A trial that finds no upstream is still used up, as the scheduler counts it when it allows it.

--- a/io/gate/request.go
+++ b/io/gate/request.go
@@ -54,7 +54,8 @@
 		cachedKeys      []digest.Digest // Of the parts of the prompt; nil until they are needed.
 		tallied         *tally.Send     // The send in progress; nil if its version does not matter.
 		sentBy          *placement      // Of the last send.
-		banTrial        bool            // The request is banned and may be sent once as a trial.
+		banTrial        bool            // The request is banned and may run once as a trial.
+		trialRuns       int             // Runs before the trial.
 	}
 
 	// result describes how one send ended.
@@ -167,6 +168,9 @@
 // placeUnlessBanned finds an upstream for a request that is not banned. It checks for a ban again
 // after the wait for the upstream.
 func (q *request) placeUnlessBanned(ctx context.Context) (*placement, error) {
+	if q.banTrial && q.runs == q.trialRuns {
+		return q.place(ctx) // No upstream has run the trial so far.
+	}
 	q.banTrial = false
 	if refusal := q.banRefusal(ctx); refusal != nil {
 		return nil, refusal
