A new scheduler in the replica of the former is told all that entries know

A replica that lost the leadership and won it again before its entries noticed never learned of limits, brittle upstreams and crashes from them: brittle upstreams refused any number of requests, and a request could crash more upstreams than allowed.

Cause: entries sent these with a poll only while they knew no scheduler; usage and streams also where the scheduler had changed.

Change: one condition and one place for all five.

Evidence: io/watch TestNewSchedulerOfTheSameReplicaIsTold, limits, brittle and crashes failed, all five cases pass 5 of 5 under -race.

--- a/io/watch/watch.go
+++ b/io/watch/watch.go
@@ -79,7 +79,7 @@
 		Log      logr.Logger
 
 		startedAt      time.Time // When Serve was called.
-		reportedTo     string    // Scheduler that received the last report of usage, by its incarnation.
+		reportedTo     string    // Scheduler that was told what this entry knows, by its incarnation.
 		view           atomic.Pointer[View]
 		configuredOnce sync.Once     // Creates configured.
 		configured     chan struct{} // Closed once a configuration is in force.
@@ -185,29 +185,6 @@
 	if to.local {
 		wait = localPollWait
 	}
-	var usage []*wire.AccountUsage
-	var origins []*wire.Origin
-	up := time.Duration(0)
-	// A replica that loses the leadership and wins it again schedules anew, without the entry having
-	// lost it.
-	if w.Usage != nil && (v.Owner == nil || v.Owner.GetIncarnation() != w.reportedTo) {
-		usage, up = w.Usage(), time.Since(w.startedAt)
-		if w.Origins != nil {
-			origins = w.Origins()
-		}
-	}
-	var crashes *wire.Crashes
-	if v.Owner == nil && w.Crashes != nil {
-		crashes = w.Crashes()
-	}
-	var limits []*wire.Limit
-	if v.Owner == nil && w.Limits != nil {
-		limits = w.Limits()
-	}
-	var brittle []*wire.Brittle
-	if v.Owner == nil && w.Brittle != nil {
-		brittle = w.Brittle()
-	}
 	tunnel := ""
 	if w.Tunnel.IsValid() {
 		tunnel = w.Tunnel.String()
@@ -217,20 +194,46 @@
 	w.mu.Lock()
 	w.cancelPoll = cancel
 	w.mu.Unlock()
-	f, err := w.Mesh.Call(ctx, to.addr, &wire.Frame{Body: &wire.Frame_Watch{Watch: &wire.Watch{
+	poll := &wire.Watch{
 		Node: w.Node, Incarnation: w.Incarnation, DataCentre: w.DataCentre, Address: w.PeerAddress.String(),
 		Version: v.Version, Revision: v.Revision, WaitUs: wait.Microseconds(), Leader: v.Owner.GetIncarnation(),
-		Rates: usage, Entries: int64(v.Entries), Alone: to.local, Crashes: crashes, Bans: v.bansRevision, Limits: limits, Splits: v.splitsRevision, UpUs: up.Microseconds(), Tunnel: tunnel, Origins: origins, Brittle: brittle,
-	}}})
+		Entries: int64(v.Entries), Alone: to.local, Bans: v.bansRevision, Splits: v.splitsRevision, Tunnel: tunnel,
+	}
+	// A replica that loses the leadership and wins it again schedules anew, without the entry having
+	// lost it.
+	report := v.Owner == nil || v.Owner.GetIncarnation() != w.reportedTo
+	if report {
+		w.addReports(poll)
+	}
+	f, err := w.Mesh.Call(ctx, to.addr, &wire.Frame{Body: &wire.Frame_Watch{Watch: poll}})
 	if err != nil {
 		return fmt.Errorf("watch: poll %s: %w", to.addr, err)
 	}
-	if up > 0 {
+	if report {
 		w.reportedTo = f.GetNews().GetLeader()
 	}
 	return w.applyNews(to, f.GetNews())
 }
 
+// addReports adds all that this entry knows and a new scheduler does not.
+func (w *Watcher) addReports(poll *wire.Watch) {
+	if w.Usage != nil {
+		poll.Rates, poll.UpUs = w.Usage(), time.Since(w.startedAt).Microseconds()
+	}
+	if w.Origins != nil {
+		poll.Origins = w.Origins()
+	}
+	if w.Crashes != nil {
+		poll.Crashes = w.Crashes()
+	}
+	if w.Limits != nil {
+		poll.Limits = w.Limits()
+	}
+	if w.Brittle != nil {
+		poll.Brittle = w.Brittle()
+	}
+}
+
 // applyNews updates the view with news from a scheduler. An older configuration never replaces a
 // newer one, whichever replica sends it.
 func (w *Watcher) applyNews(from target, n *wire.News) error {
