Reports of brittle upstreams are repeated until they are delivered

A scheduler that did not get the one report of a brittle upstream did not count its refusals until another scheduler came.

Cause: entries report a change once, and dropped the report if the call failed.

Change: reports are queued by upstream and described when they are taken, so that a repeated one tells what is known then, with its age. Limits need no queue: later responses report them again.

--- a/io/gate/brittle.go
+++ b/io/gate/brittle.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"maps"
 	"net/http"
 	"slices"
 	"sync"
@@ -15,7 +16,7 @@
 	mu         sync.Mutex
 	byUpstream map[string]brittleUpstream
 	ticketed   []string // Pools whose requests take tickets, as the scheduler says.
-	unreported []*wire.Brittle
+	unreported []string // Upstreams of which the scheduler has not been told yet.
 }
 
 type brittleUpstream struct {
@@ -44,7 +45,7 @@
 		b.byUpstream = map[string]brittleUpstream{}
 	}
 	b.byUpstream[upstream] = brittleUpstream{most, sent}
-	b.unreported = append(b.unreported, &wire.Brittle{Upstream: upstream, Most: most, AgeUs: time.Since(sent).Microseconds()})
+	b.unreported = append(b.unreported, upstream)
 	g.Log.Info("Upstream told how many requests it may refuse in a second.", "upstream", upstream, "most", most, "brittle", told)
 	g.reportSignal.notify()
 }
@@ -80,18 +81,38 @@
 	b := &g.brittle
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var list []*wire.Brittle
-	for id, u := range b.byUpstream {
-		list = append(list, &wire.Brittle{Upstream: id, Most: u.most, AgeUs: time.Since(u.sent).Microseconds()})
-	}
-	return list
+	return b.describe(slices.Collect(maps.Keys(b.byUpstream)))
 }
 
 // TakeBrittleReports returns the queued reports and clears the queue.
 func (g *Gate) TakeBrittleReports() []*wire.Brittle {
-	g.brittle.mu.Lock()
-	defer g.brittle.mu.Unlock()
-	list := g.brittle.unreported
-	g.brittle.unreported = nil
+	b := &g.brittle
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	list := b.describe(b.unreported)
+	b.unreported = nil
+	return list
+}
+
+// RequeueBrittleReports queues reports again that could not be delivered.
+func (g *Gate) RequeueBrittleReports(list []*wire.Brittle) {
+	b := &g.brittle
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, r := range list {
+		b.unreported = append(b.unreported, r.GetUpstream())
+	}
+	g.reportSignal.notify()
+}
+
+// describe returns what is known of upstreams. b.mu must be held.
+func (b *brittle) describe(upstreams []string) []*wire.Brittle {
+	slices.Sort(upstreams)
+	var list []*wire.Brittle
+	for _, id := range slices.Compact(upstreams) {
+		if u, known := b.byUpstream[id]; known {
+			list = append(list, &wire.Brittle{Upstream: id, Most: u.most, AgeUs: time.Since(u.sent).Microseconds()})
+		}
+	}
 	return list
 }
--- a/io/gate/brittle_test.go
+++ b/io/gate/brittle_test.go
@@ -42,6 +42,28 @@
 	must.Eq(t, []int64{0}, reports())
 }
 
+// Guards against a brittle upstream that the scheduler never hears of, because the one report of it could
+// not be delivered; and against a repeated report of what is no longer so.
+func TestLostBrittleReport(t *testing.T) {
+	most := "3"
+	u := newUpstream(t, func(n int, r *http.Request, w io.Writer) bool {
+		return respond(http.StatusOK, "ok", "X-Brittle: "+most+"\r\n")(n, r, w)
+	})
+	s := newTestGate(t, u)
+	s.do("POST", "/once/x")
+	lost := s.TakeBrittleReports()
+	must.Len(t, 1, lost)
+	must.SliceEmpty(t, s.TakeBrittleReports())
+	s.RequeueBrittleReports(lost)
+	must.Len(t, 1, s.TakeBrittleReports())
+	most = "5"
+	s.do("POST", "/once/x")
+	s.RequeueBrittleReports(lost)
+	got := s.TakeBrittleReports()
+	must.Len(t, 1, got)
+	must.Eq(t, 5, got[0].GetMost())
+}
+
 // Guards against requests of a brittle pool that entries place without the scheduler, which alone knows
 // all that its upstreams refuse.
 func TestBrittlePoolsTakeTickets(t *testing.T) {
--- a/io/gated/gated.go
+++ b/io/gated/gated.go
@@ -267,8 +267,10 @@
 		if again {
 			e.gate.RequeueOriginReports(o)
 		}
-		if l, b := e.gate.TakeLimitReports(), e.gate.TakeBrittleReports(); len(l)+len(b) > 0 {
-			e.sendReport(ctx, &wire.Frame{Body: &wire.Frame_Limits{Limits: &wire.Limits{Limits: l, Brittle: b}}})
+		l, b := e.gate.TakeLimitReports(), e.gate.TakeBrittleReports()
+		if len(l)+len(b) > 0 && !e.sendReport(ctx, &wire.Frame{Body: &wire.Frame_Limits{Limits: &wire.Limits{Limits: l, Brittle: b}}}) && len(b) > 0 {
+			again = true
+			e.gate.RequeueBrittleReports(b) // Limits are reported again with later responses.
 		}
 		c := e.gate.TakeCrashReports()
 		if len(c.GetCrashes())+len(c.GetCleared())+len(c.GetAnswered()) > 0 && !e.sendReport(ctx, &wire.Frame{Body: &wire.Frame_Crashes{Crashes: c}}) {
