An engine that has failed gets no streams while it drains

Streams whose version is left only at engines that drain were each sent to one that had crashed first: it runs the fewest requests.

Cause: Batch.drainingEngine asked neither for the exclusion after failures nor whether the data centre is reached.

Change: it asks for both, as all other grants; a stream waits if no such engine is left for a while.

Evidence: core/batch TestFailedEngineGetsNoStreamsWhileItDrains failed, passes 5 of 5 under -race.

--- a/core/batch/bound.go
+++ b/core/batch/bound.go
@@ -21,7 +21,7 @@
 			continue
 		}
 		draining = true
-		if !e.CanSend(now) || e.Running >= e.AnnouncedLimit()+engineQueueLimit || slices.Contains(i.GetAvoid(), e.GetUpstream()) {
+		if now.Before(e.stats.excludedUntil) || !b.elig.AllowsStream(now, e.Upstream) || e.Running >= e.AnnouncedLimit()+engineQueueLimit || slices.Contains(i.GetAvoid(), e.GetUpstream()) {
 			continue
 		}
 		if best == nil || e.Running < best.Running {
