A late 421 no longer removes an upstream that has restarted elsewhere

An upstream that had restarted at another address, or at the same one, got nothing from an entry that heard of the restart before the answer to a request for its former process: 421, as another upstream answered there.

Cause: the entry kept the ID of the upstream that a 421 means, and not its process.

Change: it keeps address and start as of the send too, and leaves an upstream out only while the roster names the same address and no later start.

--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -83,7 +83,7 @@
 		View() *watch.View
 		Configured() <-chan struct{}
 		Doubt(ctx context.Context)
-		Replaced(id string)
+		Replaced(former *wire.Upstream)
 	}
 
 	granter interface {
--- a/io/gate/harness_test.go
+++ b/io/gate/harness_test.go
@@ -157,10 +157,15 @@
 	return s.schedulerKnows, s.schedulerKnows != "", nil
 }
 
-func (s *testGate) Replaced(id string) {
+// Replaced records an upstream unless it has another address by now.
+func (s *testGate) Replaced(former *wire.Upstream) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.replaced = append(s.replaced, id)
+	for _, u := range s.view.Upstreams["p"] {
+		if u.GetId() == former.GetId() && u.GetAddress() == former.GetAddress() {
+			s.replaced = append(s.replaced, former.GetId())
+		}
+	}
 }
 
 // upstream responds to each request by a script. The script gets the request's number, from 0, and
--- a/io/gate/place.go
+++ b/io/gate/place.go
@@ -245,7 +245,7 @@
 func (p *placement) release(res result) {
 	g := p.request.gate
 	if res.outcome == outcomeMisdirected {
-		g.Cluster.Replaced(p.upstream.GetId())
+		g.Cluster.Replaced(&wire.Upstream{Id: p.upstream.GetId(), Address: p.upstream.GetAddress(), Born: p.request.born(p)})
 	}
 	g.recordOutcome(p, res)
 	if p.grant == nil {
--- a/io/gate/suspects.go
+++ b/io/gate/suspects.go
@@ -86,12 +86,17 @@
 // the same ID as before.
 func (q *request) upstreamIncarnation(p *placement) string {
 	id := p.upstream.GetId()
-	if born := max(p.upstream.GetBorn(), q.view.Upstream(id).GetBorn()); born > 0 {
+	if born := q.born(p); born > 0 {
 		return id + "@" + strconv.FormatInt(born, 10)
 	}
 	return id
 }
 
+// born returns when the process of an upstream started, zero if that is unknown.
+func (q *request) born(p *placement) int64 {
+	return max(p.upstream.GetBorn(), q.view.Upstream(p.upstream.GetId()).GetBorn())
+}
+
 // banRefusal returns the refusal of a banned request, or nil if the request may be sent. If the
 // scheduler allows a trial, a banned request may be sent too.
 func (q *request) banRefusal(ctx context.Context) *refuse.Error {
--- a/io/hub/quota_test.go
+++ b/io/hub/quota_test.go
@@ -361,7 +361,7 @@
 
 func (e *simEntry) Doubt(context.Context) {}
 
-func (e *simEntry) Replaced(string) {}
+func (e *simEntry) Replaced(*wire.Upstream) {}
 
 func (e *simEntry) Grant(ctx context.Context, t *wire.Ticket) (*wire.Grant, error) {
 	f, err := e.call(ctx, &wire.Frame{Body: &wire.Frame_Ticket{Ticket: t}})
--- a/io/watch/eligibility_test.go
+++ b/io/watch/eligibility_test.go
@@ -43,3 +43,32 @@
 		})
 	}
 }
+
+// Guards against a restarted upstream that an entry never uses, because the answer that its former
+// process was replaced arrives after the roster shows the restart; and against one that an entry goes on
+// to use although another upstream answers at its address.
+func TestLateReplacement(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		former *wire.Upstream
+		stays  bool
+	}{
+		{"same process", &wire.Upstream{Id: "a", Address: "10.0.0.1:80", Born: 2}, false},
+		{"restarted elsewhere", &wire.Upstream{Id: "a", Address: "10.0.0.2:80", Born: 1}, true},
+		{"restarted at the same address", &wire.Upstream{Id: "a", Address: "10.0.0.1:80", Born: 1}, true},
+		{"at another address, process not known yet", &wire.Upstream{Id: "a", Address: "10.0.0.2:80", Born: 2}, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			w := newWatcher(&fakeControl{})
+			roster := []*wire.Upstream{{Id: "a", Pool: "p", Address: "10.0.0.1:80", Born: 2}}
+			must.NoError(t, w.applyNews(target{addr: addr}, &wire.News{Whole: true, Revision: 2, Roster: roster}))
+			w.Replaced(tc.former)
+			must.Eq(t, tc.stays, len(w.View().Upstreams["p"]) == 1)
+			must.NoError(t, w.applyNews(target{addr: addr}, &wire.News{Revision: 3, Roster: []*wire.Upstream{{Id: "b", Pool: "q"}}}))
+			must.Eq(t, tc.stays, len(w.View().Upstreams["p"]) == 1)
+			restarted := []*wire.Upstream{{Id: "a", Pool: "p", Address: "10.0.0.1:80", Born: 3}}
+			must.NoError(t, w.applyNews(target{addr: addr}, &wire.News{Revision: 4, Roster: restarted}))
+			must.Len(t, 1, w.View().Upstreams["p"])
+		})
+	}
+}
--- a/io/watch/view.go
+++ b/io/watch/view.go
@@ -48,7 +48,7 @@
 // applyRoster updates the roster with its changes in n, or replaces it if n holds all of it. An
 // upstream that has restarted since Replaced was called for it is removed from replaced. If n can't
 // be read, the roster stays as it is, and the next poll asks for all of it again.
-func (v *View) applyRoster(n *wire.News, replaced map[string]struct{}) error {
+func (v *View) applyRoster(n *wire.News, replaced map[string]*wire.Upstream) error {
 	var base wire.News
 	if len(n.GetBase()) > 0 {
 		data, err := decompress(n.GetBase())
@@ -79,11 +79,14 @@
 	return nil
 }
 
-// rebuildUpstreams computes Upstreams from the roster. It leaves out the upstreams in replaced.
-func (v *View) rebuildUpstreams(replaced map[string]struct{}) {
+// rebuildUpstreams computes Upstreams from the roster. It leaves out the upstreams in replaced, if they
+// are still the same processes at the same addresses.
+func (v *View) rebuildUpstreams(replaced map[string]*wire.Upstream) {
 	v.Upstreams = map[string][]*wire.Upstream{}
 	for id, u := range v.roster {
-		if _, ok := replaced[id]; !ok && u.GetState() == wire.Upstream_STATE_SERVING {
+		former := replaced[id]
+		isFormer := former != nil && u.GetAddress() == former.GetAddress() && u.GetBorn() <= former.GetBorn()
+		if !isFormer && u.GetState() == wire.Upstream_STATE_SERVING {
 			v.Upstreams[u.GetPool()] = append(v.Upstreams[u.GetPool()], u)
 		}
 	}
--- a/io/watch/watch.go
+++ b/io/watch/watch.go
@@ -92,7 +92,7 @@
 		lastProbe      time.Time
 		probeTimes     [probeHistory]time.Duration // Round-trip times of the last probes, a ring buffer.
 		probeCount     int                         // Number of probes answered so far.
-		replaced       map[string]struct{}         // Upstreams reported to Replaced.
+		replaced       map[string]*wire.Upstream   // Upstreams reported to Replaced, by ID.
 	}
 
 	caller interface {
@@ -322,14 +322,14 @@
 }
 
 // Replaced removes an upstream from the view, because another upstream answers at its address. It
-// is added again when the roster shows that it has restarted.
-func (w *Watcher) Replaced(id string) {
+// stays, or is added again, if the roster shows that it has restarted or has another address.
+func (w *Watcher) Replaced(former *wire.Upstream) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.replaced == nil {
-		w.replaced = map[string]struct{}{}
+		w.replaced = map[string]*wire.Upstream{}
 	}
-	w.replaced[id] = struct{}{}
+	w.replaced[former.GetId()] = former
 	v := *w.View()
 	v.rebuildUpstreams(w.replaced)
 	w.view.Store(&v)
--- a/io/watch/watch_test.go
+++ b/io/watch/watch_test.go
@@ -137,7 +137,7 @@
 		{name: "one leaves", news: &wire.News{Revision: 3, Roster: []*wire.Upstream{{Id: "a", Pool: "p", State: leaving}}}, want: []string{"b"}},
 		{name: "one more", news: &wire.News{Revision: 4, Roster: []*wire.Upstream{{Id: "c", Pool: "p", State: serving}}}, want: []string{"b", "c"}},
 		{name: "one gone", news: &wire.News{Revision: 5, Roster: []*wire.Upstream{{Id: "b", Pool: "p", State: gone}}}, want: []string{"c"}},
-		{name: "one replaced at its address", news: &wire.News{Revision: 6, Roster: []*wire.Upstream{{Id: "d", Pool: "p"}}}, want: []string{"d"}, extra: func() { w.Replaced("c") }},
+		{name: "one replaced at its address", news: &wire.News{Revision: 6, Roster: []*wire.Upstream{{Id: "d", Pool: "p"}}}, want: []string{"d"}, extra: func() { w.Replaced(&wire.Upstream{Id: "c"}) }},
 		{name: "all anew", news: &wire.News{Whole: true, Revision: 7, Roster: []*wire.Upstream{{Id: "c", Pool: "p"}, {Id: "e", Pool: "p"}}}, want: []string{"e"}},
 	} {
 		must.NoError(t, w.applyNews(target{addr: addr}, tc.news))
