--- a/io/gate/request.go
+++ b/io/gate/request.go
@@ -168,7 +168,7 @@
 // placeUnlessBanned finds an upstream for a request that is not banned. It checks for a ban again
 // after the wait for the upstream.
 func (q *request) placeUnlessBanned(ctx context.Context) (*placement, error) {
-	if q.banTrial && q.runs == q.trialRuns {
+	if q.banTrial && q.tried.Ran() == q.trialRuns {
 		return q.place(ctx) // No upstream has run the trial so far.
 	}
 	q.banTrial = false
