--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -66,6 +66,7 @@
 		versions         versions
 		origins          origins
 		brittle          brittle
+		rests            rests
 
 		mu              sync.Mutex // Guards the fields below.
 		peers           peers.Peers
@@ -137,6 +138,9 @@
 		Limit(r *http.Response) (float64, bool)
 		// Brittle returns how many requests an upstream may refuse in a second, if its response tells.
 		Brittle(r *http.Response) (int64, bool)
+		// Rest returns for how long an upstream that refuses a request wants no others, if its
+		// response tells; zero otherwise.
+		Rest(r *http.Response) time.Duration
 		// Genuine reports whether a response proves that an upstream created it.
 		Genuine(r *http.Response) bool
 		// Refuse sets, in the header of a refusal, the time after which the caller may retry.
--- a/io/gate/harness_test.go
+++ b/io/gate/harness_test.go
@@ -93,6 +93,11 @@
 	return n, err == nil
 }
 
+func (testDialect) Rest(r *http.Response) time.Duration {
+	d, _ := time.ParseDuration(r.Header.Get("X-Rest"))
+	return d
+}
+
 func (testDialect) Genuine(r *http.Response) bool { return r.Header.Get(genuineHeader) != "" }
 
 func (testDialect) Refuse(h http.Header, after time.Duration) {
--- a/io/gated/gated.go
+++ b/io/gated/gated.go
@@ -117,6 +117,7 @@
 	g.Cluster, g.Granter, g.Sender, g.Prober, g.Path, g.Trier, g.Charger, g.Origins, g.Stats, g.Log = e.watch, e.grant, e.client, e.dialer, e.dialer, e, e, e, metrics, e.log
 	metrics.Pull("configuration-version", func() int64 { return int64(e.watch.View().Version) }) //nolint:gosec // Versions are small.
 	metrics.Pull("configuration-age-ms", func() int64 { return time.Since(e.watch.View().LastHeard).Milliseconds() })
+	metrics.Pull("upstreams-resting", g.Resting)
 	metrics.Pull("scheduler-known", func() int64 {
 		if e.watch.Owner("") != nil {
 			return 1
--- a/io/hub/quota_test.go
+++ b/io/hub/quota_test.go
@@ -432,6 +432,8 @@
 
 func (simDialect) Brittle(*http.Response) (int64, bool) { return 0, false }
 
+func (simDialect) Rest(*http.Response) time.Duration { return 0 }
+
 func (simDialect) Genuine(*http.Response) bool { return true }
 
 func (simDialect) Refuse(http.Header, time.Duration) {}
