--- a/core/refuse/refuse.go
+++ b/core/refuse/refuse.go
@@ -33,6 +33,7 @@
 	KeyMismatch   = "key-mismatch"      // The key was used with another request.
 	Unreachable   = "unreachable"       // No upstream could be connected to.
 	Crashes       = "crashes-upstreams" // Upstreams crashed under this request before.
+	Resting       = "upstreams-resting" // All upstreams of the pool have asked to be sent nothing for a while.
 	UnknownStream = "unknown-stream"    // It is not known at which version of the upstreams the stream began.
 	VersionGone   = "version-gone"      // No upstream of the stream's version is left.
 	CallerGone    = "caller-gone"       // Every caller went away before it was sent.
--- a/core/rest/rest.go
+++ b/core/rest/rest.go
@@ -1,45 +1,111 @@
-// Package rest records which upstreams have asked a sender to send them nothing for a while.
+// Package rest tells when a sender may send to upstreams that have asked it for rest: for a while they
+// want no request at all from this sender.
 package rest
 
-import "time"
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 const (
 	// maxRest bounds a rest, so that a mistaken one ends.
 	maxRest = time.Hour
-	// forgetAfter is how long a rest is kept after its end.
+	// A sender adds up to 1/spreadDivisor to a rest, and at most maxSpread. An upstream that has asked
+	// all senders at once would otherwise hear from all of them at once.
+	spreadDivisor = 8
+	maxSpread     = 500 * time.Millisecond
+	// After a rest, one request may be unanswered at first, and one more for each that the upstream
+	// has taken, up to fullWindow. A request counts as taken if it was not refused within takeTime:
+	// refusals come at once, and answers may take long.
+	fullWindow = 8
+	takeTime   = 150 * time.Millisecond
+	// forgetAfter is how long a rest is remembered.
 	forgetAfter = time.Minute
 )
 
-// Rests holds the rests that upstreams have asked for. The zero value is empty and ready to use.
+// Rests holds the rests that upstreams have asked a sender for. The zero value is empty and
+// ready to use.
 type Rests struct {
+	Self       string // Name of the sender.
 	byUpstream map[string]*upstream
 }
 
 type upstream struct {
-	pool  string
-	born  int64     // Start of its process; 0 if unknown.
-	until time.Time // End of the rest.
+	pool       string
+	born       int64       // Start of its process; 0 if unknown.
+	until      time.Time   // End of its rest.
+	window     int         // Most requests that may be unanswered.
+	unanswered []time.Time // When they were sent.
 }
 
 // Ask records that an upstream, of a process that started at born, asks for rest. It reports whether
 // the upstream was not resting before. A rest is never shortened.
 func (r *Rests) Ask(now time.Time, pool, id string, born int64, d time.Duration) bool {
-	r.sweep(now)
-	u := r.find(id, born)
-	if u == nil {
-		u = &upstream{pool: pool, born: born}
-		if r.byUpstream == nil {
-			r.byUpstream = map[string]*upstream{}
-		}
-		r.byUpstream[id] = u
-	}
+	u := r.getOrCreate(now, pool, id, born)
 	begins := !now.Before(u.until)
-	if end := now.Add(min(d, maxRest)); end.After(u.until) {
+	d = min(d, maxRest)
+	if end := now.Add(d + r.spread(id, d)); end.After(u.until) {
 		u.until = end
 	}
+	u.window, u.unanswered = 1, nil
 	return begins
 }
 
+// Accept records that an upstream has taken a request.
+func (r *Rests) Accept(id string, sent time.Time) {
+	u := r.byUpstream[id]
+	if u == nil {
+		return
+	}
+	if sent.Before(u.until) {
+		return
+	}
+	u.window++
+	if len(u.unanswered) > 0 {
+		u.unanswered = u.unanswered[1:]
+	}
+	if u.window >= fullWindow {
+		delete(r.byUpstream, id)
+	}
+}
+
+// Wait returns the time until an upstream may be sent a request, or zero if it may be now.
+func (r *Rests) Wait(now time.Time, id string, born int64) time.Duration {
+	u := r.find(id, born)
+	if u == nil {
+		return 0
+	}
+	return u.wait(now)
+}
+
+// Take reports whether an upstream may be sent a request now, and counts it as sent if so.
+func (r *Rests) Take(now time.Time, id string, born int64) bool {
+	u := r.find(id, born)
+	if u == nil {
+		return true
+	}
+	if u.wait(now) > 0 {
+		return false
+	}
+	if u.window < fullWindow {
+		u.unanswered = append(u.unanswered, now)
+	}
+	return true
+}
+
+// Avoid lists the upstreams of a pool that may not be sent a request now. Born returns when an
+// upstream's process started.
+func (r *Rests) Avoid(now time.Time, pool string, born func(id string) int64) []string {
+	var list []string
+	for id, u := range r.byUpstream {
+		if u.pool == pool && !u.replaced(born(id)) && u.wait(now) > 0 {
+			list = append(list, id)
+		}
+	}
+	return list
+}
+
 // Count returns the number of upstreams that rest.
 func (r *Rests) Count(now time.Time) int64 {
 	n := int64(0)
@@ -51,16 +117,56 @@
 	return n
 }
 
-// find returns what is known of an upstream, or nil. A process that started later than the one that
-// asked is not bound by it.
+// Empty reports whether nothing is known of any upstream.
+func (r *Rests) Empty() bool { return len(r.byUpstream) == 0 }
+
+// wait returns the time until the upstream may be sent a request.
+func (u *upstream) wait(now time.Time) time.Duration {
+	if now.Before(u.until) {
+		return u.until.Sub(now)
+	}
+	taken := 0
+	for taken < len(u.unanswered) && now.Sub(u.unanswered[taken]) >= takeTime {
+		taken++
+	}
+	u.unanswered = u.unanswered[taken:]
+	u.window += taken
+	if u.window >= fullWindow || len(u.unanswered) < u.window {
+		return 0
+	}
+	return u.unanswered[0].Add(takeTime).Sub(now)
+}
+
+// replaced reports whether an upstream whose process started at born is not the one that asked.
+func (u *upstream) replaced(born int64) bool { return u.born > 0 && born > u.born }
+
 func (r *Rests) find(id string, born int64) *upstream {
 	u := r.byUpstream[id]
-	if u == nil || (u.born > 0 && born > u.born) {
+	if u == nil || u.replaced(born) {
 		return nil
 	}
 	return u
 }
 
+func (r *Rests) getOrCreate(now time.Time, pool, id string, born int64) *upstream {
+	r.sweep(now)
+	u := r.find(id, born)
+	if u == nil {
+		u = &upstream{pool: pool, born: born, window: fullWindow}
+		if r.byUpstream == nil {
+			r.byUpstream = map[string]*upstream{}
+		}
+		r.byUpstream[id] = u
+	}
+	return u
+}
+
+// spread returns what this sender adds to a rest.
+func (r *Rests) spread(id string, d time.Duration) time.Duration {
+	const parts = 64
+	return min(d/spreadDivisor, maxSpread) * time.Duration(xxhash.Sum64String(r.Self+"/"+id)%parts) / parts
+}
+
 func (r *Rests) sweep(now time.Time) {
 	for id, u := range r.byUpstream {
 		if now.Sub(u.until) > forgetAfter {
--- a/io/gate/place.go
+++ b/io/gate/place.go
@@ -56,9 +56,9 @@
 	grant    *wire.Grant // Nil if this entry chose the upstream itself.
 }
 
-// place finds an upstream for the request. While no scheduler answers, a request that finds no
+// placeOnce finds an upstream for the request. While no scheduler answers, a request that finds no
 // capacity polls for it until placementWait has passed.
-func (q *request) place(ctx context.Context) (*placement, error) {
+func (q *request) placeOnce(ctx context.Context) (*placement, error) {
 	var until time.Time
 	waited := false
 	for {
@@ -200,7 +200,7 @@
 	g, now := q.gate, time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	c := peers.Choice{Self: g.Node, DataCentre: g.DataCentre, Avoid: q.avoid, Silent: q.view.Silent, Unreached: q.view.Unreached, Isolated: q.view.Isolated}
+	c := peers.Choice{Self: g.Node, DataCentre: g.DataCentre, Avoid: q.unavailable(), Silent: q.view.Silent, Unreached: q.view.Unreached, Isolated: q.view.Isolated}
 	if slots > 0 {
 		c.MaxRunning = max(int(localOvercommit*float64(slots)/float64(max(q.view.Entries, 1))), 1)
 	}
--- a/io/gate/quota.go
+++ b/io/gate/quota.go
@@ -55,7 +55,7 @@
 // come after the requests. It returns a refusal if the account's rate does not allow the request.
 func (q *request) chargePlain(ctx context.Context, slots int64) error {
 	g := q.gate
-	if slots > 0 || q.sends > 0 || q.charged || q.account == "" || q.accountConfig.Rate <= 0 || q.view.Owner == nil || !g.usedMuch(time.Now(), q) {
+	if slots > 0 || q.sends > 0 || q.paid || q.charged || q.account == "" || q.accountConfig.Rate <= 0 || q.view.Owner == nil || !g.usedMuch(time.Now(), q) {
 		return nil
 	}
 	if g.takePrepaid(q) {
@@ -123,7 +123,7 @@
 // local bucket is charged in both cases: otherwise an account at its limit would get a burst from
 // every entry when the scheduler is lost. g.mu must be held.
 func (g *Gate) chargeAccount(now time.Time, q *request, seenByScheduler bool) (time.Duration, bool) {
-	if q.sends > 0 || q.account == "" {
+	if q.sends > 0 || q.paid || q.account == "" {
 		return 0, true
 	}
 	a := &g.localQuota
--- a/io/gate/request.go
+++ b/io/gate/request.go
@@ -39,6 +39,7 @@
 		avoid           []string // Upstreams that already failed the request.
 		sends           int
 		charged         bool   // The scheduler has charged it, although this entry places it.
+		paid            bool   // Its account has been charged, although it was not sent.
 		runs            int    // Sends that an upstream may have run.
 		headerSent      bool   // The header of the response has been written.
 		lastEventID     string // ID of the last event written to the caller.
@@ -331,13 +332,13 @@
 	t := &wire.Ticket{
 		Id: q.gate.lastTicket.Add(1), Entry: q.gate.Node, Incarnation: q.gate.Incarnation, Account: q.account, Pool: q.pool, DataCentre: q.gate.DataCentre,
 		Model: "", DeadlineUs: q.remaining().Microseconds(), PromptTokens: q.meta.Prompt, AnswerTokens: q.meta.Tokens(),
-		Repeatable: q.route.Repeatable(), Avoid: q.avoid, Route: q.route.Name,
+		Repeatable: q.route.Repeatable(), Avoid: q.unavailable(), Route: q.route.Name,
 		Priority: wirePriority(q.route.Priority), AccountPriority: wirePriority(account), Returned: q.sends > 0, Request: q.meta.ID,
 	}
 	for _, p := range q.meta.Parts {
 		t.Parts = append(t.Parts, &wire.PromptPart{Hash: p.Hash, Tokens: p.Tokens})
 	}
-	if q.sends == 0 {
+	if q.sends == 0 && !q.paid {
 		t.Units = q.units()
 	}
 	t.GapUs = q.route.Gap.Microseconds()
--- a/io/gate/send.go
+++ b/io/gate/send.go
@@ -86,7 +86,7 @@
 	}
 	q.gate.recordLimit(p.upstream.GetId(), start, resp)
 	q.gate.recordBrittle(q.pool, p.upstream.GetId(), start, resp)
-	q.gate.recordRest(p, resp)
+	q.gate.recordRest(p, start, resp)
 	switch {
 	case q.gate.Dialect.Other(resp):
 		res.outcome = outcomeMisdirected
