--- a/core/rest/rest.go
+++ b/core/rest/rest.go
@@ -1,5 +1,5 @@
-// Package rest tells when a sender may send to upstreams that have asked it for rest: for a while they
-// want no request at all from this sender.
+// Package rest tells when a sender may send to upstreams that have refused its requests. An upstream
+// may ask for rest: for a while it wants no request at all from this sender.
 package rest
 
 import (
@@ -20,11 +20,16 @@
 	// refusals come at once, and answers may take long.
 	fullWindow = 8
 	takeTime   = 150 * time.Millisecond
-	// forgetAfter is how long a rest is remembered.
+	// An upstream that refuses without a time is offered to one request each takeTime until it takes
+	// one, and from its second refusal in a row on to none at first: for minBackoff, then for twice as
+	// long each time, up to maxBackoff.
+	minBackoff = 200 * time.Millisecond
+	maxBackoff = 1600 * time.Millisecond
+	// forgetAfter is how long a rest or a refusal is remembered.
 	forgetAfter = time.Minute
 )
 
-// Rests holds the rests that upstreams have asked a sender for. The zero value is empty and
+// Rests holds what a sender knows of upstreams that refuse its requests. The zero value is empty and
 // ready to use.
 type Rests struct {
 	Self       string // Name of the sender.
@@ -37,6 +42,10 @@
 	until      time.Time   // End of its rest.
 	window     int         // Most requests that may be unanswered.
 	unanswered []time.Time // When they were sent.
+	refusals   int         // In a row, without a time.
+	refused    time.Time   // Send time of the last request that was refused so.
+	backoff    time.Time   // Until then it is used only if there is no other.
+	offered    time.Time   // When it was last offered to a request after a refusal.
 }
 
 // Ask records that an upstream, of a process that started at born, asks for rest. It reports whether
@@ -52,15 +61,33 @@
 	return begins
 }
 
+// Refuse records that an upstream has refused a request without a time. Refusals of requests that were
+// on their way together count once.
+func (r *Rests) Refuse(now time.Time, pool, id string, born int64, sent time.Time) {
+	u := r.getOrCreate(now, pool, id, born)
+	if u.window < fullWindow {
+		u.until, u.window, u.unanswered = now.Add(takeTime), 1, nil
+	}
+	if sent.Before(u.backoff) {
+		return
+	}
+	u.refusals++
+	u.refused, u.backoff = sent, now
+	if u.refusals > 1 {
+		u.backoff = now.Add(min(minBackoff<<min(u.refusals-2, 10), maxBackoff))
+	}
+}
+
 // Accept records that an upstream has taken a request.
 func (r *Rests) Accept(id string, sent time.Time) {
 	u := r.byUpstream[id]
 	if u == nil {
 		return
 	}
-	if sent.Before(u.until) {
+	if !sent.After(u.refused) || sent.Before(u.until) {
 		return
 	}
+	u.refusals = 0
 	u.window++
 	if len(u.unanswered) > 0 {
 		u.unanswered = u.unanswered[1:]
@@ -94,16 +121,22 @@
 	return true
 }
 
-// Avoid lists the upstreams of a pool that may not be sent a request now. Born returns when an
-// upstream's process started.
-func (r *Rests) Avoid(now time.Time, pool string, born func(id string) int64) []string {
-	var list []string
+// Avoid lists the upstreams of a pool that may not be sent a request now, and those that should get
+// one only if there is no other. Born returns when an upstream's process started.
+func (r *Rests) Avoid(now time.Time, pool string, born func(id string) int64) (never, rather []string) {
 	for id, u := range r.byUpstream {
-		if u.pool == pool && !u.replaced(born(id)) && u.wait(now) > 0 {
-			list = append(list, id)
+		switch {
+		case u.pool != pool || u.replaced(born(id)):
+		case u.wait(now) > 0:
+			never = append(never, id)
+		case u.refusals == 0:
+		case now.Before(u.backoff) || now.Sub(u.offered) < takeTime:
+			rather = append(rather, id)
+		default:
+			u.offered = now
 		}
 	}
-	return list
+	return never, rather
 }
 
 // Count returns the number of upstreams that rest.
@@ -137,7 +170,7 @@
 	return u.unanswered[0].Add(takeTime).Sub(now)
 }
 
-// replaced reports whether an upstream whose process started at born is not the one that asked.
+// replaced reports whether an upstream whose process started at born is not the one that refused.
 func (u *upstream) replaced(born int64) bool { return u.born > 0 && born > u.born }
 
 func (r *Rests) find(id string, born int64) *upstream {
@@ -169,7 +202,7 @@
 
 func (r *Rests) sweep(now time.Time) {
 	for id, u := range r.byUpstream {
-		if now.Sub(u.until) > forgetAfter {
+		if now.Sub(u.until) > forgetAfter && now.Sub(u.backoff) > forgetAfter {
 			delete(r.byUpstream, id)
 		}
 	}
--- a/core/rest/rest_test.go
+++ b/core/rest/rest_test.go
@@ -59,10 +59,12 @@
 	for _, test := range []struct {
 		name   string
 		answer time.Duration // Until a request is answered; zero for never.
-		taken  []int         // Requests in each 100 ms after the end; unbounded for some.
+		refuse bool
+		taken  []int // Requests in each 100 ms after the end; unbounded for some.
 	}{
-		{"quick", 10 * ms, []int{unbounded, 100}},
-		{"slow", 0, []int{1, 2, 0, 4, unbounded, 100}},
+		{"quick", 10 * ms, false, []int{unbounded, 100}},
+		{"slow", 0, false, []int{1, 2, 0, 4, unbounded, 100}},
+		{"refuses without a time", 10 * ms, true, []int{1, 1, 0, 1, 1, 0}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			r := rest.Rests{}
@@ -73,7 +75,11 @@
 				got := 0
 				for range 100 {
 					for len(sent) > 0 && test.answer > 0 && now.Sub(sent[0]) >= test.answer {
-						r.Accept("a", sent[0])
+						if test.refuse {
+							r.Refuse(now, "p", "a", 0, sent[0])
+						} else {
+							r.Accept("a", sent[0])
+						}
 						sent = sent[1:]
 					}
 					if r.Take(now, "a", 0) {
@@ -108,21 +114,50 @@
 			r := rest.Rests{}
 			r.Ask(start, "p", "a", test.asked, time.Second)
 			must.Eq(t, !test.rests, r.Take(start, "a", test.born))
-			never := r.Avoid(start, "p", func(string) int64 { return test.born })
+			never, _ := r.Avoid(start, "p", func(string) int64 { return test.born })
 			must.Eq(t, test.rests, slices.Contains(never, "a"))
-			never = r.Avoid(start, "other", noBirth)
+			never, _ = r.Avoid(start, "other", noBirth)
 			must.SliceEmpty(t, never)
 		})
 	}
 }
 
-// Guards against a table that grows with all upstreams that ever asked for rest.
-func TestRestsAreForgotten(t *testing.T) {
+// Guards against an upstream that refuses at once, looks empty and draws all work, and against one that
+// takes requests again and gets none.
+func TestRefusalsWithoutATime(t *testing.T) {
+	r := rest.Rests{}
+	now, refused, longest := start, 0, time.Duration(0)
+	last := now
+	for now.Before(start.Add(5 * time.Second)) {
+		_, rather := r.Avoid(now, "p", noBirth)
+		if !slices.Contains(rather, "a") {
+			must.True(t, r.Take(now, "a", 0)) // It is used if there is no other.
+			r.Refuse(now.Add(ms), "p", "a", 0, now)
+			r.Refuse(now.Add(ms), "p", "a", 0, now) // One that was on its way at the same time.
+			refused++
+			longest, last = max(longest, now.Sub(last)), now
+		}
+		now = now.Add(ms)
+	}
+	must.Between(t, 5, refused, 10)
+	must.LessEq(t, 2*time.Second, longest)
+
+	r.Accept("a", start) // Of a request that was sent before the last refusal.
+	_, rather := r.Avoid(last.Add(2*ms), "p", noBirth)
+	must.Eq(t, []string{"a"}, rather)
+	r.Accept("a", now)
+	must.True(t, r.Empty())
+}
+
+// Guards against a table that grows with all upstreams that ever refused.
+func TestRefusalsAreForgotten(t *testing.T) {
 	r := rest.Rests{}
 	r.Ask(start, "p", "a", 0, time.Second)
+	r.Refuse(start, "p", "b", 0, start)
 	r.Ask(start.Add(2*time.Minute), "p", "c", 0, time.Second)
-	never := r.Avoid(start.Add(2*time.Minute), "p", noBirth)
+	never, rather := r.Avoid(start.Add(2*time.Minute), "p", noBirth)
 	must.Eq(t, []string{"c"}, never)
+	must.SliceEmpty(t, rather)
 	must.Eq(t, 1, r.Count(start.Add(2*time.Minute)))
 }
 
--- a/io/gate/harness_test.go
+++ b/io/gate/harness_test.go
@@ -94,6 +94,9 @@
 }
 
 func (testDialect) Rest(r *http.Response) time.Duration {
+	if r.StatusCode != http.StatusServiceUnavailable {
+		return 0
+	}
 	d, _ := time.ParseDuration(r.Header.Get("X-Rest"))
 	return d
 }
@@ -107,7 +110,7 @@
 // testGate is a Gate in front of test upstreams.
 type testGate struct {
 	*Gate
-	t        *testing.T
+	t        testing.TB
 	mu       sync.Mutex
 	view     watch.View
 	granter  granter
@@ -275,7 +278,7 @@
 	return b.String()
 }
 
-func newTestGate(t *testing.T, ups ...*upstream) *testGate {
+func newTestGate(t testing.TB, ups ...*upstream) *testGate {
 	t.Helper()
 	sum, otherSum := sha256.Sum256([]byte(key)), sha256.Sum256([]byte(otherKey))
 	cfg := &conf.Config{
--- a/io/gate/rest.go
+++ b/io/gate/rest.go
@@ -12,8 +12,8 @@
 	"azurelane/core/rest"
 )
 
-// rests holds which upstreams have asked this entry for rest. Others don't tell it: an
-// upstream asks each entry by itself. The zero value is ready to use.
+// rests holds which upstreams have asked this entry for rest, or refuse its requests. Others don't
+// tell it: an upstream asks each entry by itself. The zero value is ready to use.
 type rests struct {
 	active atomic.Bool // Something is known.
 	mu     sync.Mutex
@@ -27,8 +27,11 @@
 		return
 	}
 	q, id, now := p.request, p.upstream.GetId(), time.Now()
-	d := g.Dialect.Rest(resp)
-	if d <= 0 && !g.rests.active.Load() {
+	d, notRun := g.Dialect.Rest(resp), g.Dialect.NotRun(resp)
+	if d <= 0 && notRun && g.isBrittle(id) {
+		return // The scheduler counts the refusals of brittle upstreams, at all entries.
+	}
+	if d <= 0 && !notRun && !g.rests.active.Load() {
 		return
 	}
 	k := &g.rests
@@ -38,6 +41,8 @@
 	case d > 0:
 		k.known.Self = g.Node
 		begins = k.known.Ask(now, q.pool, id, q.born(id), d)
+	case notRun:
+		k.known.Refuse(now, q.pool, id, q.born(id), sent)
 	case resp.StatusCode != http.StatusServiceUnavailable:
 		k.known.Accept(id, sent)
 	}
@@ -125,20 +130,38 @@
 }
 
 // unavailable lists the upstreams that the request is not to be sent to: those that have failed it,
-// and those that rest.
+// those that rest, and, if there are others, those that keep refusing requests.
 func (q *request) unavailable() []string {
 	k := &q.gate.rests
 	if !k.active.Load() {
 		return q.avoid
 	}
 	k.mu.Lock()
-	defer k.mu.Unlock()
-	return append(k.known.Avoid(time.Now(), q.pool, q.born), q.avoid...)
+	never, rather := k.known.Avoid(time.Now(), q.pool, q.born)
+	k.mu.Unlock()
+	if len(never)+len(rather) == 0 {
+		return q.avoid
+	}
+	list := append(never, q.avoid...)
+	all := append(rather, list...)
+	for _, u := range q.view.Upstreams[q.pool] {
+		if !slices.Contains(all, u.GetId()) {
+			return all
+		}
+	}
+	return list
 }
 
 // born returns when the process of an upstream started, in Unix milliseconds, or 0 if that is unknown.
 func (q *request) born(id string) int64 { return q.view.Upstream(id).GetBorn() }
 
+// isBrittle reports whether an upstream has told how many requests it may refuse in a second.
+func (g *Gate) isBrittle(id string) bool {
+	g.brittle.mu.Lock()
+	defer g.brittle.mu.Unlock()
+	return g.brittle.byUpstream[id].most > 0
+}
+
 // Resting returns the number of upstreams that have asked this entry for rest.
 func (g *Gate) Resting() int64 {
 	g.rests.mu.Lock()
--- a/io/gate/rest_test.go
+++ b/io/gate/rest_test.go
@@ -1,12 +1,16 @@
 package gate
 
 import (
+	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -128,3 +132,69 @@
 	must.False(t, g.released[2].GetDispatched())
 	must.False(t, g.released[2].GetFailed())
 }
+
+// Guards against an upstream that refuses requests at once and draws all of them, and against callers who
+// are refused although it takes requests again.
+func TestUpstreamThatKeepsRefusing(t *testing.T) {
+	refuses := respond(http.StatusServiceUnavailable, "", "X-Not-Run: 1\r\n")
+	for _, test := range []struct {
+		name string
+		ups  int
+		most int // Requests that the first upstream gets.
+	}{
+		{"another has room", 2, 15},
+		{"there is no other", 1, 100},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			var well atomic.Bool
+			first := newUpstream(t, func(n int, r *http.Request, w io.Writer) bool {
+				if well.Load() {
+					return respondText("ok")(n, r, w)
+				}
+				return refuses(n, r, w)
+			})
+			ups := []*upstream{first, newUpstream(t, respondText("ok"))}[:test.ups]
+			s := newTestGate(t, ups...)
+			for range 100 {
+				must.Eq(t, test.ups > 1, s.do("POST", "/once/x").status == http.StatusOK)
+			}
+			must.Between(t, 1, first.count(), test.most)
+			well.Store(true)
+			refused := first.count()
+			for end := time.Now().Add(3 * time.Second); first.count() < refused+10; {
+				must.True(t, time.Now().Before(end), must.Sprint("gets requests again"))
+				must.Eq(t, http.StatusOK, s.do("POST", "/once/x").status)
+			}
+		})
+	}
+}
+
+// BenchmarkRequest serves a request where no upstream has ever refused one.
+func BenchmarkRequest(b *testing.B) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(b, err)
+	defer func() { _ = ln.Close() }()
+	s := newTestGate(b, &upstream{Listener: ln}, &upstream{Listener: ln})
+	s.Sender = answeringSender{}
+	r := httptest.NewRequestWithContext(b.Context(), http.MethodGet, "http://h/once/x", http.NoBody)
+	r.Header.Set("Authorization", "Bearer "+key)
+	b.ReportAllocs()
+	for b.Loop() {
+		w := httptest.NewRecorder()
+		s.ServeHTTP(w, r)
+		if w.Code != http.StatusOK {
+			b.Fatal(w.Code)
+		}
+	}
+}
+
+// answeringSender answers each request.
+type answeringSender struct{}
+
+// Send returns a complete response.
+func (answeringSender) Send(_ context.Context, r *http.Request) (*http.Response, bool, error) {
+	return &http.Response{
+		StatusCode: http.StatusOK, Header: http.Header{genuineHeader: {"m"}}, Body: io.NopCloser(strings.NewReader("ok")), ContentLength: 2, Request: r,
+	}, true, nil
+}
