--- a/io/gate/rest.go
+++ b/io/gate/rest.go
@@ -40,9 +40,9 @@
 	switch {
 	case d > 0:
 		k.known.Self = g.Node
-		begins = k.known.Ask(now, q.pool, id, q.born(id), d)
+		begins = k.known.Ask(now, q.pool, id, g.born(id), d)
 	case notRun:
-		k.known.Refuse(now, q.pool, id, q.born(id), sent)
+		k.known.Refuse(now, q.pool, id, g.born(id), sent)
 	case resp.StatusCode != http.StatusServiceUnavailable:
 		k.known.Accept(id, sent)
 	}
@@ -82,7 +82,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	id := p.upstream.GetId()
-	return k.known.Take(time.Now(), id, q.born(id))
+	return k.known.Take(time.Now(), id, q.gate.born(id))
 }
 
 // awaitRest waits while all upstreams rest, if one of them may be sent to before placementWait has
@@ -110,11 +110,10 @@
 	if !k.active.Load() {
 		return 0
 	}
-	q.view = q.gate.Cluster.View()
 	now, least := time.Now(), time.Duration(0)
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	for _, u := range q.view.Upstreams[q.pool] {
+	for _, u := range q.gate.Cluster.View().Upstreams[q.pool] {
 		if slices.Contains(q.avoid, u.GetId()) || (q.origin.bound && u.GetVersion() != q.origin.began) {
 			continue
 		}
@@ -137,14 +136,14 @@
 		return q.avoid
 	}
 	k.mu.Lock()
-	never, rather := k.known.Avoid(time.Now(), q.pool, q.born)
+	never, rather := k.known.Avoid(time.Now(), q.pool, q.gate.born)
 	k.mu.Unlock()
 	if len(never)+len(rather) == 0 {
 		return q.avoid
 	}
 	list := append(never, q.avoid...)
 	all := append(rather, list...)
-	for _, u := range q.view.Upstreams[q.pool] {
+	for _, u := range q.gate.Cluster.View().Upstreams[q.pool] {
 		if !slices.Contains(all, u.GetId()) {
 			return all
 		}
@@ -153,7 +152,7 @@
 }
 
 // born returns when the process of an upstream started, in Unix milliseconds, or 0 if that is unknown.
-func (q *request) born(id string) int64 { return q.view.Upstream(id).GetBorn() }
+func (g *Gate) born(id string) int64 { return g.Cluster.View().Upstream(id).GetBorn() }
 
 // isBrittle reports whether an upstream has told how many requests it may refuse in a second.
 func (g *Gate) isBrittle(id string) bool {
