--- a/io/gate/bench_test.go
+++ b/io/gate/bench_test.go
@@ -8,9 +8,9 @@
 	"github.com/shoenig/test/must"
 )
 
-// BenchmarkRequest measures a request through an entry: a stream of 32 events that may go on elsewhere, and
+// BenchmarkRepeatable measures a request through an entry: a stream of 32 events that may go on elsewhere, and
 // a plain request that may repeat.
-func BenchmarkRequest(b *testing.B) {
+func BenchmarkRepeatable(b *testing.B) {
 	const events = 32
 	for _, route := range []string{"resume", "again"} {
 		b.Run(route, func(b *testing.B) {
--- a/io/gate/send.go
+++ b/io/gate/send.go
@@ -105,6 +105,7 @@
 	}
 	q.gate.recordLimit(id, f.sentAt, resp)
 	q.gate.recordBrittle(q.pool, id, f.sentAt, resp)
+	q.gate.recordRest(f.placement, f.sentAt, resp)
 	switch {
 	case q.gate.Dialect.Other(resp):
 		res.outcome = outcomeMisdirected
