Entries send nothing more to upstreams that say in their answers that they leave

Callers of an upstream that says Server-Leaving: 1 in all its answers still reached it long after, and lost their requests when it ended.

Cause: nothing read the header. Only control's roster said who leaves, and it goes by heartbeats, which may say ready until the end.

An entry now keeps, by id and start time, which upstreams have told it so, and goes by that whatever the roster and the scheduler say: they are in the Avoid list of tickets, are not chosen where the entry places requests itself, and are looked up again directly before each send. A grant that was made before is given back unused and the request placed again; it is charged once, and six attempts are the limit as for any request.

Any answer counts: whole, events, refusal, failure, broken. One with status 421 comes from another server and does not. Only the value 1 counts. The header concerns one hop: callers don't see it, and what they send of it is dropped.

--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -52,6 +52,8 @@
 		// SplitValid is how long this entry sends requests to the target version of a rollout
 		// without word from the scheduler.
 		SplitValid time.Duration
+		// UpstreamDrain is how long an upstream that leaves serves on.
+		UpstreamDrain time.Duration
 		// CallerTimeout is how long a caller may take to read 16 KB; zero for 30 s.
 		CallerTimeout time.Duration
 		Stats         *stats.Stats
@@ -66,6 +68,7 @@
 		versions         versions
 		origins          origins
 		brittle          brittle
+		leaving          leaving
 
 		mu              sync.Mutex // Guards the fields below.
 		peers           peers.Peers
@@ -137,6 +140,10 @@
 		Limit(r *http.Response) (float64, bool)
 		// Brittle returns how many requests an upstream may refuse in a second, if its response tells.
 		Brittle(r *http.Response) (int64, bool)
+		// Leaving reports whether a response says that its upstream leaves.
+		Leaving(r *http.Response) bool
+		// Return removes from the header of a response what callers must not see.
+		Return(h http.Header)
 		// Genuine reports whether a response proves that an upstream created it.
 		Genuine(r *http.Response) bool
 		// Refuse sets, in the header of a refusal, the time after which the caller may retry.
--- a/io/gate/harness_test.go
+++ b/io/gate/harness_test.go
@@ -93,6 +93,10 @@
 	return n, err == nil
 }
 
+func (testDialect) Leaving(r *http.Response) bool { return r.Header.Get("X-Leaving") == "1" }
+
+func (testDialect) Return(h http.Header) { h.Del("X-Leaving") }
+
 func (testDialect) Genuine(r *http.Response) bool { return r.Header.Get(genuineHeader) != "" }
 
 func (testDialect) Refuse(h http.Header, after time.Duration) {
@@ -102,7 +106,7 @@
 // testGate is a Gate in front of test upstreams.
 type testGate struct {
 	*Gate
-	t        *testing.T
+	t        testing.TB
 	mu       sync.Mutex
 	view     watch.View
 	granter  granter
@@ -270,7 +274,7 @@
 	return b.String()
 }
 
-func newTestGate(t *testing.T, ups ...*upstream) *testGate {
+func newTestGate(t testing.TB, ups ...*upstream) *testGate {
 	t.Helper()
 	sum, otherSum := sha256.Sum256([]byte(key)), sha256.Sum256([]byte(otherKey))
 	cfg := &conf.Config{
--- a/io/gate/origins.go
+++ b/io/gate/origins.go
@@ -119,7 +119,7 @@
 		return false
 	}
 	for _, u := range q.view.Upstreams[q.pool] {
-		if u.GetVersion() == q.origin.began {
+		if u.GetVersion() == q.origin.began && !q.leaves(u) {
 			return false
 		}
 	}
--- a/io/gate/place.go
+++ b/io/gate/place.go
@@ -200,15 +200,18 @@
 	g, now := q.gate, time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	c := peers.Choice{Self: g.Node, DataCentre: g.DataCentre, Avoid: q.avoid, Silent: q.view.Silent, Unreached: q.view.Unreached, Isolated: q.view.Isolated}
+	c := peers.Choice{Self: g.Node, DataCentre: g.DataCentre, Silent: q.view.Silent, Unreached: q.view.Unreached, Isolated: q.view.Isolated}
 	if slots > 0 {
 		c.MaxRunning = max(int(localOvercommit*float64(slots)/float64(max(q.view.Entries, 1))), 1)
 	}
 	var u *wire.Upstream
 	c.Bound = q.origin.bound
-	for _, c.Version = range g.versions.choose(now, q, g.SplitValid) {
-		if u = g.peers.Pick(now, q.view.Upstreams[q.pool], c); u != nil {
-			break
+	versions := g.versions.choose(now, q, g.SplitValid)
+	for _, c.Avoid = range q.avoidedInTurn() {
+		for _, c.Version = range versions {
+			if u == nil {
+				u = g.peers.Pick(now, q.view.Upstreams[q.pool], c)
+			}
 		}
 	}
 	if u == nil && q.versionGone() {
--- a/io/gate/request.go
+++ b/io/gate/request.go
@@ -209,7 +209,7 @@
 	if q.sends >= maxSends || ctx.Err() != nil || q.tooLateToSend() {
 		return false
 	}
-	if res.outcome == outcomeNotSent {
+	if res.outcome == outcomeNotSent || res.outcome == outcomeUnused {
 		return true // No upstream received the request, so a retry adds no load.
 	}
 	return q.gate.takeRetry(q.pool)
@@ -331,7 +331,7 @@
 	t := &wire.Ticket{
 		Id: q.gate.lastTicket.Add(1), Entry: q.gate.Node, Incarnation: q.gate.Incarnation, Account: q.account, Pool: q.pool, DataCentre: q.gate.DataCentre,
 		Model: "", DeadlineUs: q.remaining().Microseconds(), PromptTokens: q.meta.Prompt, AnswerTokens: q.meta.Tokens(),
-		Repeatable: q.route.Repeatable(), Avoid: q.avoid, Route: q.route.Name,
+		Repeatable: q.route.Repeatable(), Avoid: q.avoided(), Route: q.route.Name,
 		Priority: wirePriority(q.route.Priority), AccountPriority: wirePriority(account), Returned: q.sends > 0, Request: q.meta.ID,
 	}
 	for _, p := range q.meta.Parts {
--- a/io/gate/send.go
+++ b/io/gate/send.go
@@ -57,6 +57,9 @@
 // send sends the request to one upstream and passes its response on.
 func (q *request) send(ctx context.Context, p *placement) (res result) {
 	start := time.Now()
+	if q.leaves(p.upstream) {
+		return result{outcome: outcomeUnused, err: errLeaves}
+	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	defer func() {
@@ -86,6 +89,7 @@
 	}
 	q.gate.recordLimit(p.upstream.GetId(), start, resp)
 	q.gate.recordBrittle(q.pool, p.upstream.GetId(), start, resp)
+	q.recordLeaving(p, resp)
 	switch {
 	case q.gate.Dialect.Other(resp):
 		res.outcome = outcomeMisdirected
--- a/io/hub/quota_test.go
+++ b/io/hub/quota_test.go
@@ -432,6 +432,10 @@
 
 func (simDialect) Brittle(*http.Response) (int64, bool) { return 0, false }
 
+func (simDialect) Leaving(*http.Response) bool { return false }
+
+func (simDialect) Return(http.Header) {}
+
 func (simDialect) Genuine(*http.Response) bool { return true }
 
 func (simDialect) Refuse(http.Header, time.Duration) {}
