Schedulers learn from entries which upstreams leave

An upstream that says in its answers that it leaves was avoided only by entries that had heard it, each of which had to send it a request first. Heartbeats that say ready kept it in the roster, for the scheduler and for the other entries.

Entries now report it in the frame of limits, until a scheduler has taken it, and bring all that they know to each new scheduler. The scheduler announces such an upstream to its policies as leaving at once, also while no quorum answers, and records it in the roster as soon as it can, so that all entries and later schedulers learn of it. Leaving is final for the incarnation: a later heartbeat that says ready changes nothing. An entry that passes connections on for others opens none to an address whose upstreams have all told it that they leave.

Unit tests in io/hub.

--- a/io/gated/gated.go
+++ b/io/gated/gated.go
@@ -110,7 +110,7 @@
 	}
 	e.watch.OnSchedulerChange, e.watch.Usage = e.grant.OwnersChanged, g.UsageRates
 	e.watch.Origins, e.watch.OnMixed = g.KnownOrigins, g.SetMixed
-	e.watch.Brittle, e.watch.OnTicketed = g.KnownBrittle, g.SetTicketed
+	e.watch.Brittle, e.watch.OnTicketed, e.watch.Leaving = g.KnownBrittle, g.SetTicketed, g.KnownLeaving
 	e.watch.Crashes, e.watch.OnBans = g.KnownCrashes, g.SetBans
 	e.watch.Limits, e.watch.OnLimits, e.watch.OnSplits = g.KnownLimits, g.SetLimits, g.SetSplits
 	g.Node, g.Incarnation, g.DataCentre = settings.Node, incarnation, settings.Centre
@@ -124,7 +124,7 @@
 		return 0
 	})
 	g.RetryRatio, g.RetrySlack, g.QuotaSlack = settings.RetryRatio, settings.RetrySlack, settings.QuotaSlack
-	g.SplitValid = settings.RollbackWithin / splitValidDivisor
+	g.SplitValid, g.UpstreamDrain = settings.RollbackWithin/splitValidDivisor, settings.UpstreamDrain
 	e.callers = &httpd.Httpd{Listen: lns[1], Handler: g, Drain: settings.DrainLimit - drainLinger - 2*keepAliveDrain - stopMargin, DrainOpen: keepAliveDrain}
 	ops := &admin.Admin{Stats: metrics, Ready: g.Ready}
 	e.supervisor = suture.New("gate", suture.Spec{EventHook: func(ev suture.Event) { e.log.Info("Supervisor event.", "event", ev.String()) }})
@@ -267,8 +267,10 @@
 		if again {
 			e.gate.RequeueOriginReports(o)
 		}
-		if l, b := e.gate.TakeLimitReports(), e.gate.TakeBrittleReports(); len(l)+len(b) > 0 {
-			e.sendReport(ctx, &wire.Frame{Body: &wire.Frame_Limits{Limits: &wire.Limits{Limits: l, Brittle: b}}})
+		l, b, d := e.gate.TakeLimitReports(), e.gate.TakeBrittleReports(), e.gate.TakeLeavingReports()
+		if len(l)+len(b)+len(d) > 0 && !e.sendReport(ctx, &wire.Frame{Body: &wire.Frame_Limits{Limits: &wire.Limits{Limits: l, Brittle: b, Leaving: d}}}) && len(d) > 0 {
+			again = true
+			e.gate.RequeueLeavingReports(d)
 		}
 		c := e.gate.TakeCrashReports()
 		if len(c.GetCrashes())+len(c.GetCleared())+len(c.GetAnswered()) > 0 && !e.sendReport(ctx, &wire.Frame{Body: &wire.Frame_Crashes{Crashes: c}}) {
@@ -328,8 +330,8 @@
 	e.dialer.SetEntries(list)
 }
 
-// knowsUpstream reports whether an upstream has an address.
-func (e *Gated) knowsUpstream(addr string) bool { return e.watch.View().HasAddress(addr) }
+// knowsUpstream reports whether an address is that of an upstream which does not leave.
+func (e *Gated) knowsUpstream(addr string) bool { return !e.gate.AllLeave(e.watch.View().At(addr)) }
 
 // reportEvidence reports what this entry sees of the versions of a rollout while one runs. The
 // scheduler answers with the splits in force.
--- a/io/hub/hub.go
+++ b/io/hub/hub.go
@@ -253,6 +253,7 @@
 	go func() { _ = s.sched.Serve(ctx) }()
 	if sc == scopeDeployment {
 		go h.recordBans(ctx, s)
+		go h.recordLeaving(ctx, s)
 	}
 	h.Log.Info(sc.startMessage(), "scheduler", s.id)
 	return s
--- a/io/hub/limits.go
+++ b/io/hub/limits.go
@@ -169,6 +169,7 @@
 	}
 	h.applyLimits(s, l.GetLimits())
 	h.applyBrittle(s, l.GetBrittle())
+	h.applyLeaving(s, l.GetLeaving())
 	return nil
 }
 
--- a/io/hub/scheduler.go
+++ b/io/hub/scheduler.go
@@ -29,6 +29,7 @@
 	rollouts       rollouts
 	origins        origins
 	brittle        brittle
+	leaving        leaving
 	stats          *stats.Stats
 	log            logr.Logger
 	refusalLog     *logs.Budget // Limits the log lines of refused tickets.
--- a/io/hub/upstreams.go
+++ b/io/hub/upstreams.go
@@ -127,6 +127,7 @@
 // announce announces an upstream to sched.Sched. The lease is the given number of report intervals
 // and half an interval more.
 func (h *Hub) announce(s *scheduler, u *wire.Upstream, intervals int) {
+	u = s.leaving.apply(u)
 	s.origins.observe(time.Now(), u)
 	lease := time.Duration(intervals)*h.AnnounceInterval + h.AnnounceInterval/2
 	if a := s.upstreams.announce(u, s.limitFor(u.GetId()), lease, s.rollouts.standing(u), time.Duration(drainShare*float64(h.UpstreamDrain))); a != nil {
--- a/io/hub/watch.go
+++ b/io/hub/watch.go
@@ -68,6 +68,7 @@
 		s.bans.merge(h.Log, w.GetCrashes())
 		h.applyLimits(s, w.GetLimits())
 		h.applyBrittle(s, w.GetBrittle())
+		h.applyLeaving(s, w.GetLeaving())
 		reachChanged, bansChanged, limitsChanged, splitsChanged, brittleChanged, mixedChanged := s.reachability.changed(), s.bans.changed(), s.limits.changed(), s.rollouts.changed(), s.brittle.changed(), s.origins.changed()
 		n, fresh, err := h.news(s, w)
 		if err != nil || fresh || woken {
@@ -299,6 +300,7 @@
 		return u != nil && u.GetState() != wire.Upstream_STATE_GONE
 	}
 	s.limits.retain(known)
+	s.leaving.forget(now, known)
 	s.origins.sweep(now)
 	s.bans.expire(now)
 	h.announceBrittle(s, nil, s.brittle.retain(func(id string) bool { return known(id) && s.upstreams.heardSince(id, now.Add(-brittleRetention)) }))
--- a/io/watch/view.go
+++ b/io/watch/view.go
@@ -35,14 +35,15 @@
 // Upstream returns the upstream with the given ID, or nil if it is unknown.
 func (v *View) Upstream(id string) *wire.Upstream { return v.roster[id] }
 
-// HasAddress reports whether an upstream has an address.
-func (v *View) HasAddress(addr string) bool {
+// At returns the upstreams at an address.
+func (v *View) At(addr string) []*wire.Upstream {
+	var list []*wire.Upstream
 	for _, u := range v.roster {
 		if u.GetAddress() == addr {
-			return true
+			list = append(list, u)
 		}
 	}
-	return false
+	return list
 }
 
 // applyRoster updates the roster with its changes in n, or replaces it if n holds all of it. An
--- a/io/watch/watch.go
+++ b/io/watch/watch.go
@@ -74,6 +74,9 @@
 		// may be nil.
 		Brittle    func() []*wire.Brittle
 		OnTicketed func(pools []string)
+		// Leaving returns the upstreams that have said to this entry that they leave, sent to a new
+		// scheduler. It may be nil.
+		Leaving func() []*wire.Leaving
 		// OnSplits is called with all splits of pools between versions. It may be nil.
 		OnSplits func(list *wire.Rollouts)
 		Log      logr.Logger
@@ -187,6 +190,7 @@
 	}
 	var usage []*wire.AccountUsage
 	var origins []*wire.Origin
+	var leaving []*wire.Leaving
 	up := time.Duration(0)
 	// A replica that loses the leadership and wins it again schedules anew, without the entry having
 	// lost it.
@@ -195,6 +199,9 @@
 		if w.Origins != nil {
 			origins = w.Origins()
 		}
+		if w.Leaving != nil {
+			leaving = w.Leaving()
+		}
 	}
 	var crashes *wire.Crashes
 	if v.Owner == nil && w.Crashes != nil {
@@ -220,7 +227,7 @@
 	f, err := w.Mesh.Call(ctx, to.addr, &wire.Frame{Body: &wire.Frame_Watch{Watch: &wire.Watch{
 		Node: w.Node, Incarnation: w.Incarnation, DataCentre: w.DataCentre, Address: w.PeerAddress.String(),
 		Version: v.Version, Revision: v.Revision, WaitUs: wait.Microseconds(), Leader: v.Owner.GetIncarnation(),
-		Rates: usage, Entries: int64(v.Entries), Alone: to.local, Crashes: crashes, Bans: v.bansRevision, Limits: limits, Splits: v.splitsRevision, UpUs: up.Microseconds(), Tunnel: tunnel, Origins: origins, Brittle: brittle,
+		Rates: usage, Entries: int64(v.Entries), Alone: to.local, Crashes: crashes, Bans: v.bansRevision, Limits: limits, Splits: v.splitsRevision, UpUs: up.Microseconds(), Tunnel: tunnel, Origins: origins, Brittle: brittle, Leaving: leaving,
 	}}})
 	if err != nil {
 		return fmt.Errorf("watch: poll %s: %w", to.addr, err)
