New engines get work while the others have room

An engine that takes the place of one that has left, or is added, got no request for as long as the others had free slots: in 4 s none, where a plain pool's new upstreams got 148. When the others fill up or fail, callers then meet it cold.

Cause: until an engine has run something, the batch policy expects 60 ms until its first token and 2.5 ms a token of it. Where the others are known to be faster, it looks like the slowest one, is never chosen, and so never learned. Plain pools expect a new upstream to be like the fastest.

An engine that has run nothing now counts as a little faster than the fastest engine of the pool that has, and at most as slow as before. Where engines are slower than those defaults nothing changes.

TestNewEngineGetsWork (core/batch): of three cases, the one with fast engines failed before.

--- a/core/batch/batch_test.go
+++ b/core/batch/batch_test.go
@@ -487,3 +487,36 @@
 	must.SliceEmpty(t, e.Submit(e.now, short))
 	must.Eq(t, []uint64{short.GetId()}, grantedIDs(t, e.release(running[0], 60*time.Millisecond, time.Second, 11)))
 }
+
+// Guards against a new engine that gets nothing for as long as the others have room, because it counts as
+// slower than them until it has run something.
+func TestNewEngineGetsWork(t *testing.T) {
+	for _, tc := range []struct {
+		name         string
+		first, total time.Duration // Of the runs at the others.
+	}{
+		{"fast ones", 5 * time.Millisecond, 40 * time.Millisecond},
+		{"usual ones", 70 * time.Millisecond, 300 * time.Millisecond},
+		{"slow ones", 200 * time.Millisecond, 2 * time.Second},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			e := newHarness(4, "a", "b", "c")
+			runs := func(n int) map[string]int {
+				byEngine := map[string]int{}
+				for range n {
+					list := e.Submit(e.now, e.ticket("usual", 1, 100, 72))
+					must.Len(t, 1, list)
+					byEngine[list[0].GetGrant().GetUpstream()]++
+					e.now = e.now.Add(tc.total)
+					e.release(list[0], tc.first, tc.total, 8)
+					e.now = e.now.Add(sweepInterval)
+					e.Tick(e.now)
+				}
+				return byEngine
+			}
+			runs(60)
+			e.announce("new", 4, false)
+			must.Positive(t, runs(5)["new"])
+		})
+	}
+}
--- a/core/batch/costmodel.go
+++ b/core/batch/costmodel.go
@@ -52,6 +52,21 @@
 	// events of a run. Gaps are long while the engine prefills other prompts. The unit is the
 	// decode time of one event.
 	longGapEvents float64
+	fastest       bestCase // Of the engines that have run something.
+}
+
+// newEngineShare is the share of the fastest engine's times that is expected of an engine that has run
+// nothing. It is below 1, so that a new engine is tried also while the others have room.
+const newEngineShare = 0.9
+
+// expect returns the times that are expected of an engine before they are learned.
+func (m *costModel) expect() bestCase {
+	c := bestCase{defaultFirstToken, defaultTokenTime}
+	if m == nil || m.fastest.perToken == 0 {
+		return c
+	}
+	share := func(d time.Duration) time.Duration { return time.Duration(newEngineShare * float64(d)) }
+	return bestCase{min(c.overhead, share(m.fastest.overhead)), min(c.perToken, share(m.fastest.perToken))}
 }
 
 // addRun learns from a run: tokens is the length of its answer, and steps the time to its first
--- a/core/batch/engine.go
+++ b/core/batch/engine.go
@@ -80,13 +80,18 @@
 }
 
 // updateMeanEngine sets meanEngine to the mean token time of all engines. It serves comparisons
-// that are made before an engine is chosen.
+// that are made before an engine is chosen. It also finds the fastest times, for engines that are new.
 func (b *Batch) updateMeanEngine() {
 	sum, n := time.Duration(0), time.Duration(0)
+	fastest := bestCase{}
 	for _, e := range b.engines {
+		if e.stats.tokenTime > 0 && e.stats.learnedOverhead > 0 {
+			fastest.add(e.stats)
+		}
 		sum += e.stats.perToken()
 		n++
 	}
+	b.costs.fastest = fastest
 	b.meanEngine = engineStats{costs: &b.costs}
 	if n > 0 {
 		b.meanEngine.tokenTime = sum / n
