--- a/io/gate/flight.go
+++ b/io/gate/flight.go
@@ -131,6 +131,7 @@
 	f.cancel(nil)
 	<-f.done
 	if f.err == nil {
+		f.request.inspect(f)
 		_ = f.resp.Body.Close()
 	}
 	res := result{outcome: outcomeDropped, total: time.Since(f.sentAt)}
--- a/io/gate/harness_test.go
+++ b/io/gate/harness_test.go
@@ -101,6 +101,9 @@
 	d, _ := time.ParseDuration(r.Header.Get("X-Rest"))
 	return d
 }
+func (testDialect) Leaving(r *http.Response) bool { return r.Header.Get("X-Leaving") == "1" }
+
+func (testDialect) Return(h http.Header) { h.Del("X-Leaving") }
 
 func (testDialect) Genuine(r *http.Response) bool { return r.Header.Get(genuineHeader) != "" }
 
--- a/io/gate/hedge.go
+++ b/io/gate/hedge.go
@@ -215,6 +215,8 @@
 		return context.Canceled
 	case s.request.tooLateToSend():
 		return errTooLate
+	case s.request.leaves(p.upstream):
+		return errLeaves
 	case !s.request.gate.takeRetry(s.request.pool):
 		return errNoRetryLeft
 	}
--- a/io/gate/send.go
+++ b/io/gate/send.go
@@ -57,6 +57,9 @@
 // send sends the request to one upstream, unless it was sent before, and passes the response on.
 func (q *request) send(ctx context.Context, f *flight) (res result) {
 	defer f.cancel(nil)
+	if f.done == nil && q.leaves(f.placement.upstream) {
+		return result{outcome: outcomeUnused, err: errLeaves}
+	}
 	h := q.newHedge(ctx, f)
 	defer func() {
 		res.next = h.stop(res.outcome == outcomeComplete)
@@ -106,6 +109,7 @@
 	q.gate.recordLimit(id, f.sentAt, resp)
 	q.gate.recordBrittle(q.pool, id, f.sentAt, resp)
 	q.gate.recordRest(f.placement, f.sentAt, resp)
+	q.recordLeaving(f.placement, resp)
 	switch {
 	case q.gate.Dialect.Other(resp):
 		res.outcome = outcomeMisdirected
--- a/io/gated/gated.go
+++ b/io/gated/gated.go
@@ -110,7 +110,7 @@
 	}
 	e.watch.OnSchedulerChange, e.watch.Usage = e.grant.OwnersChanged, g.UsageRates
 	e.watch.Origins, e.watch.OnMixed = g.KnownOrigins, g.SetMixed
-	e.watch.Brittle, e.watch.OnTicketed = g.KnownBrittle, g.SetTicketed
+	e.watch.Brittle, e.watch.OnTicketed, e.watch.Leaving = g.KnownBrittle, g.SetTicketed, g.KnownLeaving
 	e.watch.Crashes, e.watch.OnBans = g.KnownCrashes, g.SetBans
 	e.watch.Limits, e.watch.OnLimits, e.watch.OnSplits = g.KnownLimits, g.SetLimits, g.SetSplits
 	g.Node, g.Incarnation, g.DataCentre = settings.Node, incarnation, settings.Centre
@@ -125,7 +125,7 @@
 		return 0
 	})
 	g.RetryRatio, g.RetrySlack, g.QuotaSlack = settings.RetryRatio, settings.RetrySlack, settings.QuotaSlack
-	g.SplitValid = settings.RollbackWithin / splitValidDivisor
+	g.SplitValid, g.UpstreamDrain = settings.RollbackWithin/splitValidDivisor, settings.UpstreamDrain
 	e.callers = &httpd.Httpd{Listen: lns[1], Handler: g, Drain: settings.DrainLimit - drainLinger - 2*keepAliveDrain - stopMargin, DrainOpen: keepAliveDrain}
 	ops := &admin.Admin{Stats: metrics, Ready: g.Ready}
 	e.supervisor = suture.New("gate", suture.Spec{EventHook: func(ev suture.Event) { e.log.Info("Supervisor event.", "event", ev.String()) }})
@@ -268,10 +268,11 @@
 		if again {
 			e.gate.RequeueOriginReports(o)
 		}
-		l, b := e.gate.TakeLimitReports(), e.gate.TakeBrittleReports()
-		if len(l)+len(b) > 0 && !e.sendReport(ctx, &wire.Frame{Body: &wire.Frame_Limits{Limits: &wire.Limits{Limits: l, Brittle: b}}}) && len(b) > 0 {
-			again = true
-			e.gate.RequeueBrittleReports(b) // Limits are reported again with later responses.
+		l, b, d := e.gate.TakeLimitReports(), e.gate.TakeBrittleReports(), e.gate.TakeLeavingReports()
+		if len(l)+len(b)+len(d) > 0 && !e.sendReport(ctx, &wire.Frame{Body: &wire.Frame_Limits{Limits: &wire.Limits{Limits: l, Brittle: b, Leaving: d}}}) && len(b)+len(d) > 0 {
+			again = true // Limits are reported again with later responses.
+			e.gate.RequeueBrittleReports(b)
+			e.gate.RequeueLeavingReports(d)
 		}
 		c := e.gate.TakeCrashReports()
 		if len(c.GetCrashes())+len(c.GetCleared())+len(c.GetAnswered()) > 0 && !e.sendReport(ctx, &wire.Frame{Body: &wire.Frame_Crashes{Crashes: c}}) {
@@ -331,8 +332,8 @@
 	e.dialer.SetEntries(list)
 }
 
-// knowsUpstream reports whether an upstream has an address.
-func (e *Gated) knowsUpstream(addr string) bool { return e.watch.View().HasAddress(addr) }
+// knowsUpstream reports whether an address is that of an upstream which does not leave.
+func (e *Gated) knowsUpstream(addr string) bool { return !e.gate.AllLeave(e.watch.View().At(addr)) }
 
 // sampleUpstreams returns the addresses of some upstreams.
 func (e *Gated) sampleUpstreams(n int) []string { return e.watch.View().Sample(n) }
--- a/io/hub/limits.go
+++ b/io/hub/limits.go
@@ -181,6 +181,7 @@
 	}
 	h.applyLimits(s, l.GetLimits())
 	h.applyBrittle(s, l.GetBrittle())
+	h.applyLeaving(s, l.GetLeaving())
 	return nil
 }
 
--- a/io/watch/watch.go
+++ b/io/watch/watch.go
@@ -74,6 +74,9 @@
 		// may be nil.
 		Brittle    func() []*wire.Brittle
 		OnTicketed func(pools []string)
+		// Leaving returns the upstreams that have said to this entry that they leave, sent to a new
+		// scheduler. It may be nil.
+		Leaving func() []*wire.Leaving
 		// OnSplits is called with all splits of pools between versions. It may be nil.
 		OnSplits func(list *wire.Rollouts)
 		Log      logr.Logger
@@ -232,6 +235,9 @@
 	if w.Brittle != nil {
 		poll.Brittle = w.Brittle()
 	}
+	if w.Leaving != nil {
+		poll.Leaving = w.Leaving()
+	}
 }
 
 // applyNews updates the view with news from a scheduler. An older configuration never replaces a
