--- a/io/gate/hedge.go
+++ b/io/gate/hedge.go
@@ -238,14 +238,15 @@
 	if f.accepted() {
 		f.awaitAnswer()
 	}
-	close(f.done)
-	if f.accepted() {
+	accepted, end := f.accepted(), f.outcome()
+	close(f.done) // From here on the request may go on with it, and change the response's header.
+	if accepted {
 		h.replace(s)
 	}
 	if h.owns(f) {
 		return // The request goes on with it.
 	}
-	if !h.endSearch(s, f.outcome()) {
+	if !h.endSearch(s, end) {
 		f.drop()
 		return
 	}
@@ -253,7 +254,7 @@
 	if f.err == nil {
 		_ = f.resp.Body.Close()
 	}
-	res.outcome, res.total = f.outcome(), time.Since(f.sentAt)
+	res.outcome, res.total = end, time.Since(f.sentAt)
 	s.request.endSend(f, res)
 	h.logKept(f.placement.upstream.GetId(), res.err)
 }
