A trial of a banned request ends with a run at any upstream

A banned request could run at two upstreams under the permission for one trial, if the first of them had been given up as silent before: the two may both crash.

Cause: the permission held while the number of upstreams that may have run the request stayed the same, and one that runs it a second time does not change that number.

Change: the end of a send that may have run ends the trial.

--- a/io/gate/request.go
+++ b/io/gate/request.go
@@ -56,7 +56,6 @@
 		tallied         *tally.Send     // The send in progress; nil if its version does not matter.
 		sentBy          *placement      // Of the last send.
 		banTrial        bool            // The request is banned and may run once as a trial.
-		trialRuns       int             // Runs before the trial.
 	}
 
 	// result describes how one send ended.
@@ -169,10 +168,9 @@
 // placeUnlessBanned finds an upstream for a request that is not banned. It checks for a ban again
 // after the wait for the upstream.
 func (q *request) placeUnlessBanned(ctx context.Context) (*placement, error) {
-	if q.banTrial && q.tried.Ran() == q.trialRuns {
+	if q.banTrial {
 		return q.place(ctx) // No upstream has run the trial so far.
 	}
-	q.banTrial = false
 	if refusal := q.banRefusal(ctx); refusal != nil {
 		return nil, refusal
 	}
@@ -225,6 +223,7 @@
 		return false
 	}
 	ran := res.outcome == outcomeFailed || res.outcome == outcomeInterrupted
+	q.banTrial = q.banTrial && !ran
 	if id := p.upstream.GetId(); errors.Is(res.err, errSilent) {
 		q.tried.GiveUp(id)
 	} else {
--- a/io/gate/suspects.go
+++ b/io/gate/suspects.go
@@ -122,7 +122,7 @@
 	if q.gate.suspects.claimTrial(time.Now(), d) {
 		err := q.gate.Trier.Try(ctx, d)
 		if err == nil {
-			q.banTrial, q.trialRuns = true, q.tried.Ran()
+			q.banTrial = true
 			return nil
 		}
 		q.gate.Log.V(1).Info("Trial of a banned request not allowed.", "digest", d.String(), "err", err.Error())
