A plain upstream that was slow once gets no tickets any more: known to be red

Cause: core/pull places by the learned run time, which only runs of the same upstream change. One whose time was longer when it last ran gets requests only where the others are full, so that nothing shows that it has recovered. core/peers lets observations fade for this.

Not changed here: the estimates of a policy that other pools use too.

--- a/core/pull/scheduling_test.go
+++ b/core/pull/scheduling_test.go
@@ -161,6 +161,40 @@
 	must.Eq(t, map[string]int{"up-0": 2, "up-1": 2}, got)
 }
 
+// Guards against an upstream that was slow for a while and gets no requests any more, although only its
+// runs could show that it has recovered.
+func TestSlowUpstreamGetsWorkAgain(t *testing.T) {
+	p := newPolicy(nil, 64, 64, 64)
+	now, id := start, uint64(0)
+	serve := func(rounds int, took time.Duration) (first, all int) {
+		for range rounds {
+			var ds []*wire.Decision
+			for range 3 { // At once.
+				id++
+				ds = append(ds, p.Submit(now, normal(id))...)
+			}
+			for _, d := range ds {
+				r := release(d)
+				r.FirstTokenUs, r.TotalUs = 5_000, 5_000
+				if r.GetUpstream() == "up-0" {
+					r.FirstTokenUs, r.TotalUs = took.Microseconds(), took.Microseconds()
+					first++
+				}
+				all++
+				p.Release(now.Add(5*ms), r)
+			}
+			now = now.Add(6 * ms)
+			p.Tick(now)
+		}
+		return first, all
+	}
+	serve(100, 5*ms)
+	serve(100, 15*ms)
+	serve(3000, 5*ms)
+	got, all := serve(3000, 5*ms)
+	must.GreaterEq(t, all/3/2, got, must.Sprint("half of an even share"))
+}
+
 // Upstream 0 freezes: it keeps its connections open and goes on announcing itself, and no
 // run there fails before its caller's deadline of two seconds. It may keep the runs that it
 // has, but in the next 20 seconds it gets no more than a few trial runs.
