Whether another upstream may run a request is decided without a copy

Cause: each request that may repeat copied what it knows of upstreams at its first send, only to learn whether there may be a second one. Change: the answer is computed in place; TestMayRunBeside holds it to that of the copy. Silent upstreams count as allowed again only where there are any.

--- a/core/tried/tried.go
+++ b/core/tried/tried.go
@@ -51,6 +51,16 @@
 	return len(t.ran) < most || slices.ContainsFunc(t.ran, func(id string) bool { return !slices.Contains(t.failed, id) })
 }
 
+// MayRunBeside reports whether another upstream may run the request, if at most that many may, while one may
+// be running it.
+func (t *Tried) MayRunBeside(id string, most int) bool {
+	n := len(t.ran)
+	if !slices.Contains(t.ran, id) {
+		n++
+	}
+	return n < most || slices.ContainsFunc(t.ran, func(other string) bool { return other != id && !slices.Contains(t.failed, other) })
+}
+
 // Beside returns a copy for a send to another upstream than one that may be running the request.
 func (t *Tried) Beside(id string) Tried {
 	c := Tried{sends: t.sends, failed: slices.Clone(t.failed), silent: slices.Clone(t.silent), ran: slices.Clone(t.ran)}
@@ -58,11 +68,14 @@
 	return c
 }
 
-// GoBack lets silent upstreams get the request again, and reports whether that is new.
+// GoBack lets silent upstreams get the request again, and reports whether there are any that could not
+// before.
 func (t *Tried) GoBack() bool {
-	isNew := len(t.silent) > 0 && !t.back
+	if t.back || len(t.silent) == 0 {
+		return false
+	}
 	t.back = true
-	return isNew
+	return true
 }
 
 // Excludes returns those of all upstreams that may not get the request, if at most that many may run it,
--- a/core/tried/tried_test.go
+++ b/core/tried/tried_test.go
@@ -48,3 +48,27 @@
 		})
 	}
 }
+
+// Guards against a second send beside one that may be running the request which the copy for it does not allow.
+func TestMayRunBeside(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		record func(*Tried)
+	}{
+		{"nothing", func(*Tried) {}},
+		{"another was not needed", func(t *Tried) { t.Drop("b") }},
+		{"another has failed", func(t *Tried) { t.Fail("b", true) }},
+		{"another is silent", func(t *Tried) { t.GiveUp("b") }},
+		{"it was not needed", func(t *Tried) { t.Drop("a") }},
+		{"it and another were not needed", func(t *Tried) { t.Drop("a"); t.Drop("b") }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			for most := 1; most <= 3; most++ {
+				var tr Tried
+				tc.record(&tr)
+				c := tr.Beside("a")
+				must.Eq(t, c.MayRun(most), tr.MayRunBeside("a", most), must.Sprint(most))
+			}
+		})
+	}
+}
