A stream goes back to its silent upstream at once where no other one is left

Callers of streams whose upstream had been silent, and whose second one then failed, waited at the scheduler until their time was over: the ticket excluded both.

Cause: upstreams that were only silent were allowed again after a refusal, and a scheduler does not refuse a ticket while it waits for an upstream. Evidence: TestRequestGoesBackToSilentUpstream, two cases; on the code before the first one does not end within its time. Change: silent upstreams are excluded only while there is another one. Result: both pass, and the hedge's other tests, with the race detector.

--- a/core/tried/tried.go
+++ b/core/tried/tried.go
@@ -79,19 +79,20 @@
 }
 
 // Excludes returns those of all upstreams that may not get the request, if at most that many may run it,
-// and upstreams that failed it even if they are not among these.
+// and upstreams that failed it even if they are not among these. Silent ones are excluded only while there is
+// another one: a request that waited for none would wait until its time is over.
 func (t *Tried) Excludes(most int, all []string) []string {
-	list := slices.Clone(t.failed)
-	if !t.back {
-		list = append(list, t.silent...)
-	}
-	if len(t.ran) < most {
-		return list
-	}
+	list, others := slices.Clone(t.failed), false
 	for _, id := range all {
-		if !slices.Contains(t.ran, id) {
+		switch {
+		case len(t.ran) >= most && !slices.Contains(t.ran, id):
 			list = append(list, id)
+		case !slices.Contains(t.failed, id) && !slices.Contains(t.silent, id):
+			others = true
 		}
 	}
+	if others && !t.back {
+		list = append(list, t.silent...)
+	}
 	return list
 }
--- a/io/gate/hedge_test.go
+++ b/io/gate/hedge_test.go
@@ -260,6 +260,38 @@
 	}
 }
 
+// Guards against a stream that waits at the scheduler until its time is over, for an upstream that is not the
+// one which was only silent, after the other one has failed.
+func TestRequestGoesBackToSilentUpstream(t *testing.T) {
+	t.Parallel()
+	for _, attempts := range []int{2, 3} {
+		t.Run(strconv.Itoa(attempts), func(t *testing.T) {
+			t.Parallel()
+			first := newUpstream(t, pausedStream(1600*time.Millisecond))
+			other := newUpstream(t, func(n int, r *http.Request, w io.Writer) bool {
+				time.Sleep(350 * time.Millisecond)
+				return respond(http.StatusInternalServerError, "", "")(n, r, w)
+			})
+			s := newTestGate(t, first, other)
+			s.withAttempts("resume", attempts)
+			list, n := s.view.Upstreams["p"], uint64(0)
+			s.withScheduler(func(k *wire.Ticket) (*wire.Grant, error) {
+				n++
+				for _, u := range list {
+					if !slices.Contains(k.GetAvoid(), u.GetId()) {
+						return &wire.Grant{Slot: n, Owner: "owner", Upstream: u.GetId(), Address: u.GetAddress()}, nil
+					}
+				}
+				<-t.Context().Done() // It waits for another upstream.
+				return nil, context.Canceled
+			})
+			r := s.do("POST", "/resume/x")
+			must.NoError(t, r.err)
+			must.Eq(t, eventsUpTo(6), r.body)
+		})
+	}
+}
+
 // Guards against blame of an upstream whose send ended since the caller had left.
 func TestLostHedgeIsNotBlamed(t *testing.T) {
 	t.Parallel()
--- a/io/gate/request.go
+++ b/io/gate/request.go
@@ -243,14 +243,14 @@
 
 // excluded returns the upstreams that may not get the request.
 func (q *request) excluded() []string {
-	most := q.route.MaxUpstreams()
+	if q.tried.Sends() == 0 {
+		return nil
+	}
 	var all []string
-	if q.tried.Ran() >= most {
-		for _, u := range q.view.Upstreams[q.pool] {
-			all = append(all, u.GetId())
-		}
+	for _, u := range q.view.Upstreams[q.pool] {
+		all = append(all, u.GetId())
 	}
-	return q.tried.Excludes(most, all)
+	return q.tried.Excludes(q.route.MaxUpstreams(), all)
 }
 
 // failPlacement ends a request for which no upstream was found.
