A scheduler is told that an upstream leaves although the roster already says so

TestLeavingSaidInResponses: a grant after an entry had reported that the upstream leaves. Cause: the goroutine that records the leaving in the roster starts as soon as the report is known. If it ran first, the roster entry was no longer SERVING, and applyLeaving took it for one of which the scheduler knew. Found by reading; the new test forces this order and fails without the change. Beside it: announce looked up whether the upstream leaves before it took the lock under which announcements are numbered, so that a report in between could announce it as serving with a later number. The look-up moves under the lock.

--- a/io/hub/leaving.go
+++ b/io/hub/leaving.go
@@ -88,7 +88,8 @@
 		u := h.Replica.Upstream(r.GetUpstream())
 		h.Log.Info("Upstream has said in a response that it leaves.", "upstream", r.GetUpstream(), "born", r.GetBorn(), "entry", r.GetEntry(),
 			"age", micros(r.GetAgeUs()).String(), "pool", u.GetPool(), "state", u.GetState().String())
-		if u != nil && s.leaving.apply(u) != u {
+		// The roster may say so already: recordLeaving runs as soon as the report is known.
+		if u != nil && s.leaving.apply(u).GetState() == wire.Upstream_STATE_LEAVING {
 			h.announce(s, u, leaseIntervals)
 		}
 	}
--- a/io/hub/leaving_test.go
+++ b/io/hub/leaving_test.go
@@ -96,3 +96,31 @@
 		}
 	})
 }
+
+// Guards against a scheduler that is not told that an upstream leaves because the roster says so already: the
+// goroutine that records it may run first.
+func TestLeavingRecordedBeforeItIsAnnounced(t *testing.T) {
+	runHub(t, func(t *testing.T, h *Hub, f *fakeReplica) {
+		must.NoError(t, h.Report(t.Context(), newReport("s", 1, wire.Upstream_STATE_SERVING)))
+		must.NotNil(t, submit(h, 1, 1).GetGrant())
+		_, err := f.Propose(t.Context(), &wire.Command{Kind: &wire.Command_Enroll{Enroll: &wire.Enroll{Upstream: leaver(f.Upstream("s"))}}})
+		must.NoError(t, err)
+		h.applyLeaving(h.scheduler(), []*wire.Leaving{{Upstream: "s"}})
+		must.Nil(t, submit(h, 2, 1).GetGrant())
+	})
+}
+
+// Guards against a report that is handled while its upstream says in a response that it leaves, and that
+// announces the upstream as serving afterwards: whether it leaves is looked up in the same critical section
+// in which the announcement is numbered.
+func TestLeavingIsLookedUpWithTheAnnouncement(t *testing.T) {
+	var table upstreamTable
+	lookedUp := false
+	table.announce(newReport("s", 1, wire.Upstream_STATE_SERVING).GetUpstream(), func(u *wire.Upstream) *wire.Upstream {
+		lookedUp = true
+		must.False(t, table.mu.TryLock())
+		return leaver(u)
+	}, nil, time.Second, standing{}, 0)
+	must.True(t, lookedUp)
+	must.Eq(t, wire.Upstream_STATE_LEAVING, table.byID["s"].GetState())
+}
--- a/io/hub/upstreams.go
+++ b/io/hub/upstreams.go
@@ -128,10 +128,9 @@
 // announce announces an upstream to sched.Sched. The lease is the given number of report intervals
 // and half an interval more.
 func (h *Hub) announce(s *scheduler, u *wire.Upstream, intervals int) {
-	u = s.leaving.apply(u)
-	s.origins.observe(time.Now(), u)
+	s.origins.observe(time.Now(), s.leaving.apply(u))
 	lease := time.Duration(intervals)*h.AnnounceInterval + h.AnnounceInterval/2
-	if a := s.upstreams.announce(u, s.limitFor(u.GetId()), lease, s.rollouts.standing(u), time.Duration(drainShare*float64(h.UpstreamDrain))); a != nil {
+	if a := s.upstreams.announce(u, s.leaving.apply, s.limitFor(u.GetId()), lease, s.rollouts.standing(u), time.Duration(drainShare*float64(h.UpstreamDrain))); a != nil {
 		s.announce(a)
 	}
 }
@@ -171,10 +170,13 @@
 	return true
 }
 
-// announce records the roster entry of an upstream and returns the announcement for sched.Sched.
-func (t *upstreamTable) announce(u *wire.Upstream, l *wire.Limit, lease time.Duration, v standing, drain time.Duration) *wire.Announce {
+// announce records the roster entry of an upstream, as changed by apply, and returns the announcement for
+// sched.Sched. It calls apply under t.mu: an entry that was read before its upstream said that it leaves
+// must not be announced with a later sequence number than the leaving.
+func (t *upstreamTable) announce(u *wire.Upstream, apply func(*wire.Upstream) *wire.Upstream, l *wire.Limit, lease time.Duration, v standing, drain time.Duration) *wire.Announce {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	u = apply(u)
 	st := t.getOrCreate(u)
 	if st.Upstream != nil && st.GetState() == wire.Upstream_STATE_SERVING && u.GetState() == wire.Upstream_STATE_LEAVING {
 		st.drainsUntil = time.Now().Add(drain)
