--- a/core/conf/keys.go
+++ b/core/conf/keys.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 
 	"azurelane/core/acct"
@@ -21,6 +22,11 @@
 // Keys lists every key of a site's merged configuration, for the operators'
 // reference.
 func Keys() []keys.Key {
+	return slices.Concat(accountKeys(), poolKeys(), routeKeys(), limitKeys())
+}
+
+// accountKeys lists the keys of client accounts and tiers.
+func accountKeys() []keys.Key {
 	return []keys.Key{
 		{Path: "/client-accounts/*/key-sha256", Want: hashWant, Text: "Hex SHA-256 of the account's bearer key."},
 		{Path: "/client-accounts/*/weight", Want: limitWant, Default: "1", Text: "Share of work units against other accounts."},
@@ -38,6 +44,12 @@
 		{Path: "/tiers/*/level", Want: "0, 1 or 2", Default: "0", Text: "0 urgent, 1 normal, 2 bulk."},
 		{Path: "/tiers/*/deadline", Want: spanWant, Text: "For requests that name none."},
 		{Path: "/tiers/*/share", Want: "a number from 0 to 1", Default: "0", Text: "Least part of the work units that it gets while it waits."},
+	}
+}
+
+// poolKeys lists the keys of pools.
+func poolKeys() []keys.Key {
+	return []keys.Key{
 		{Path: "/pools/*/models", Want: "names, each in one pool only", Text: "Models that the pool serves. A pool has either models or a service."},
 		{Path: "/pools/*/service", Want: "a name of its own", Text: "Name under `/svc/`."},
 		{Path: "/pools/*/scheduler", Want: "a registered policy", Default: pool.DefaultScheduler, Text: "Scheduling policy."},
@@ -59,6 +71,12 @@
 		{Path: "/pools/*/late-service", Want: boolWant, Default: "by defer-from", Text: "Whether requests that can't be in time any more wait for room that others leave, as long as they can end before their deadlines."},
 		{Path: "/pools/*/fair-shares", Want: boolWant, Default: "by defer-from", Text: "Whether client accounts get shares of a full pool by their weights."},
 		{Path: "/pools/*/timed-returns", Want: boolWant, Default: "by defer-from", Text: "Whether refused callers are told to return when there is room."},
+	}
+}
+
+// routeKeys lists the keys of routes.
+func routeKeys() []keys.Key {
+	return []keys.Key{
 		{Path: "/routes/*/name", Want: "a name", Text: "Name of the route in logs and metrics."},
 		{Path: "/routes/*/host", Want: "a host name", Text: "Host of the requests, without a port."},
 		{Path: "/routes/*/prefix", Want: "a path that begins and ends with a slash", Text: "The longest prefix that begins the path wins."},
@@ -74,6 +92,12 @@
 		{Path: "/routes/*/gap", Want: spanWant, Default: "0s", Text: "Longest pause between two events that is on time."},
 		{Path: "/routes/*/priority", Want: "a number", Default: "0", Text: "0 is the most urgent."},
 		{Path: "/routes/*/late-worth", Want: "a number from 0 to 1", Default: fmt.Sprint(route.DefaultLateWorth), Text: "Share of its worth that an answer keeps for its caller when it is late; with 0 none is served late."},
+	}
+}
+
+// limitKeys lists the keys of callers' limits and kept answers.
+func limitKeys() []keys.Key {
+	return []keys.Key{
 		{Path: "/limits/header-bytes", Want: limitWant, Default: "32768", Text: "Bytes of a request's header, on routes."},
 		{Path: "/limits/body-bytes", Want: limitWant, Default: "4194304", Text: "Bytes of a request's body, on routes."},
 		{Path: "/limits/header-time", Want: spanWant, Default: "10s", Text: "For a request's header to come, on routes. Entries hold to the default whatever this says."},
