Late service: what can't be in time any more waits for room that others leave

In pools with the switch, a request that misses its objective is deferred where it can still end before its deadline, and before its caller leaves for want of a first event. Deferred requests get slots after all others, those with the earliest latest start first. Those for which the forecast has no room are refused at once; what requests in time take is counted by their grants, since many that arrive in a peak are refused and come back. A request that could be in time at another engine waits for it: two tickets of each route are looked at for a slot, so that none waits behind others that wait for an engine without long prompts. Long prompts avoid engines with runs that are close to their deadlines. Routes are kept even by what gets a slot at all, not by what gets one in time.

--- a/core/ahead/ahead.go
+++ b/core/ahead/ahead.go
@@ -22,14 +22,18 @@
 	meanTime = 20 * time.Second
 	// memory is the time constant with which what was learnt of deviations fades: some waves and bursts.
 	memory = 60 * time.Second
-	// minHistory is how long a deviation must have been followed, in multiples of the horizon, before its
-	// end is expected. Until then the current rate is expected to last.
-	minHistory = 2
-	// usableShare is the share of the capacity that deferred work can use. Runs end at uneven times, and
-	// some engines with room suit no ticket that waits.
-	usableShare = 0.9
+	// priorSquare is the weight of the shares in expectedLeft, as a sum of squared deviations relative to the
+	// square of the mean rate. A few seconds of a wave outweigh it.
+	priorSquare = 2
+	// usableShare is the share of the capacity that deferred work can use. Some engines with room suit no
+	// ticket that waits.
+	usableShare = 0.95
 )
 
+// expectedLeft is the share of a deviation that is left on average over each horizon until it is learnt:
+// bursts last for some seconds.
+var expectedLeft = [...]float64{0.9, 0.8, 0.6, 0.35}
+
 // horizons are the times ahead for which deviations are followed, in samples, ascending.
 var horizons = [...]int{10, 20, 40, 80}
 
@@ -56,12 +60,13 @@
 // followed is what was left of deviations over one horizon: a regression through zero.
 type followed struct{ product, square float64 }
 
-// left returns the share of a deviation that is left on average.
-func (l *followed) left() float64 {
-	if l.square == 0 {
-		return 1
+// left returns the share of a deviation that is left on average. The prior is the share that is expected
+// without any deviation seen, and weight its weight.
+func (l *followed) left(prior, weight float64) float64 {
+	if l.square+weight == 0 {
+		return prior
 	}
-	return l.product / l.square
+	return (l.product + prior*weight) / (l.square + weight)
 }
 
 // decayed is a mean that fades with time and is not biased by its start.
@@ -79,7 +84,7 @@
 	return d.sum / d.weight
 }
 
-// Arrive records work that has arrived.
+// Arrive records work that has arrived and will be done before deferred work.
 func (f *Forecast) Arrive(now, work time.Duration) {
 	if !f.begun {
 		f.begun, f.sampledAt = true, now
@@ -88,8 +93,8 @@
 	f.arrived += work
 }
 
-// Set takes the work that the pool can do per second, in seconds, and the work that is committed already:
-// the rest of what runs and what waits ahead of deferred work.
+// Set takes the work that the pool can do per second, in seconds, and the work that waits
+// ahead of deferred work.
 func (f *Forecast) Set(now time.Duration, capacity float64, committed time.Duration) {
 	f.sample(now)
 	f.capacity, f.committed = capacity, committed
@@ -114,7 +119,7 @@
 func (f *Forecast) follow() {
 	keep := math.Exp(-step.Seconds() / memory.Seconds())
 	for n, ahead := range horizons {
-		if f.samples < minHistory*ahead {
+		if f.samples < ahead {
 			continue
 		}
 		then := (f.samples - ahead) % kept
@@ -130,9 +135,10 @@
 // bring within a time.
 func (f *Forecast) excess(ahead float64) float64 {
 	before, work := 0.0, 0.0
+	weight := priorSquare * f.mean.value() * f.mean.value()
 	for n, steps := range horizons {
 		horizon := float64(steps) * step.Seconds()
-		within := f.followed[n].left() * horizon
+		within := f.followed[n].left(expectedLeft[n], weight) * horizon
 		if ahead <= horizon {
 			return work + (within-work)*(ahead-before)/(horizon-before)
 		}
--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -88,6 +88,7 @@
 	versionCases  []versionCase
 	shed          shedder
 	holdUps       holdUps
+	late          lateService
 }
 
 // ticketKey identifies a ticket: its ID is unique within the incarnation of its entry.
@@ -104,6 +105,8 @@
 		b.slots.Changed = func(u *upstr.Upstream) { b.updateRoom(b.engine(u)) }
 		b.updateMeanEngine()
 	}
+	on, _, _ := b.pool.Overload()
+	b.late.configure(on, cfg)
 	return nil
 }
 
@@ -135,6 +138,8 @@
 	}
 	b.topPriority.observe(now, t.GetPriority())
 	i := newItem(now.Sub(b.started), t, route, &b.meanEngine, b.holdUps.of(t.GetEntry()), t.GetBound() && t.GetGoesOn() && b.mixedVersions)
+	i.lateWorth = b.late.worthOf(t.GetRoute())
+	b.late.admit(now.Sub(b.started), i, &b.meanEngine)
 	b.waiting = append(b.waiting, i)
 	b.waitingByKey[ticketKey{t.GetIncarnation(), t.GetId()}] = i
 	if i.bound && !b.hasVersion(now, i.version) {
@@ -160,6 +165,9 @@
 	}
 	stats := b.engine(s.Upstream).stats
 	heldUp := b.recordHoldUp(now, s, r)
+	if route := b.routes[s.Ticket.GetRoute()]; b.late.on && route != nil && r.GetDispatched() && !r.GetBusy() {
+		b.late.addRun(now.Sub(b.started), b.meanEngine.slotTime(s.Ticket.GetPromptTokens(), route.answers.expected(s.Ticket.GetAnswerTokens())), micros(r.GetTotalUs()))
+	}
 	switch first, rest := micros(r.GetFirstTokenUs()), micros(r.GetTotalUs()-r.GetFirstTokenUs()); {
 	case first <= 0:
 	case heldUp:
@@ -235,7 +243,7 @@
 func (b *Batch) Tick(now time.Time) []*wire.Decision {
 	if now.Sub(b.sweptAt) >= sweepInterval {
 		b.sweptAt = now
-		updateBoosts(b.routes, now.Sub(b.started))
+		updateBoosts(b.routes, now.Sub(b.started), b.late.on)
 		b.dropExpiredRoom(now)
 		b.room.dropEmpty()
 		b.table.Expire(now, forgetAfter)
@@ -292,12 +300,14 @@
 	b.dropWaiting(n)
 	s := &slot.Slot{Upstream: e.Upstream, Ticket: i.Ticket, CachedTokens: cachedTokens(e.Upstream, i)}
 	s.ExpectedWait = e.stats.wait(now)
+	s.Long = b.late.on && i.isTight(now.Sub(b.started), e.stats.timeToFirstToken(now, e.Upstream, i.prompt), e.stats.decodeTime(i.answer))
 	b.elig.Granted(now, e.Upstream)
 	e.stats.addPrompt(now, i.GetPromptTokens()-s.CachedTokens)
 	for _, p := range i.GetParts() {
 		e.Cache.RecordSent(now, p.GetHash())
 	}
 	b.shed.addGrant(now.Sub(b.started))
+	b.late.addGrant(now.Sub(b.started), i)
 	return b.slots.Grant(now, s, b.pool.GrantTTL)
 }
 
@@ -322,7 +332,12 @@
 	var out []*wire.Decision
 	at := now.Sub(b.started)
 	if b.shed.due(at) {
-		b.shed.markUnreachable(at, b.waiting, minGrantShare*b.capacity())
+		if b.shed.grantRate > 0 {
+			b.shed.markUnreachable(at, b.waiting, minGrantShare*b.capacity())
+		}
+		if b.late.on {
+			b.planLate(at)
+		}
 	}
 	b.removeIf(func(i *item) bool {
 		if at < i.refuseAt {
--- a/core/batch/boost.go
+++ b/core/batch/boost.go
@@ -35,13 +35,18 @@
 // updateBoosts sets the boosts so that no route is served less often than a less urgent one. By
 // value per second of slot time alone, an urgent route with long answers would lose to a less
 // urgent route with short answers under overload.
-func updateBoosts(routes map[string]*routeStats, now time.Duration) {
+// In a pool that serves late requests, those that get a slot late are served, too.
+func updateBoosts(routes map[string]*routeStats, now time.Duration, lateService bool) {
 	for _, r := range routes {
 		r.boost = 1
 		for _, other := range routes {
 			if other.meanPriority-r.meanPriority < minPriorityGap || now-other.lastRequest > routeIdleLimit {
 				continue
 			}
+			if lateService {
+				r.boost = max(r.boost, r.unplaced.boostOver(&other.unplaced))
+				continue
+			}
 			r.boost = max(r.boost, r.late.boostOver(&other.late))
 		}
 	}
--- a/core/batch/item.go
+++ b/core/batch/item.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"azurelane/core/route"
 	"azurelane/core/wire"
 )
 
@@ -13,9 +14,9 @@
 	// goes before a usual run, and low enough that bulk work proceeds where it takes little time.
 	priorityFactor = 2.6
 	// lateValue is the share of an answer's value that remains for its caller if the answer is
-	// late. It is below one third, so that a request that will be late takes no slot from one
-	// that can still be in time. Requests that arrived late count more; see retryValue.
-	lateValue = 0.29
+	// late, in pools that do not serve late requests by the worth that their routes name. Requests
+	// that arrived late count more; see retryValue.
+	lateValue = route.DefaultLateWorth
 	// answerTokenWeight is the size of an answer token in prompt tokens. Engines take longer for
 	// an answer token by about this factor, and callers pay for both in this proportion.
 	answerTokenWeight = 10
@@ -62,6 +63,15 @@
 		routeStats   *routeStats
 		class        sizeClass
 		arrivedLate  bool // Its objective had nearly passed on arrival, after a refusal or a run that broke off.
+
+		// The fields below belong to lateService.
+		lateWorth   float64       // Share of its value that remains if the answer is late.
+		work        time.Duration // Slot time on a usual engine.
+		deferrable  bool          // It may be served late.
+		deferAt     time.Duration // From then on it can't be in time any more.
+		deferred    bool          // It gets slots after tickets that can still be in time.
+		unreachable bool          // No slot is expected to reach it while it can be in time.
+		planned     bool          // Room was expected for it before.
 	}
 )
 
@@ -69,8 +79,8 @@
 	return float64(t.GetPromptTokens() + answerTokenWeight*t.GetAnswerTokens())
 }
 
-func newItem(now time.Duration, t *wire.Ticket, route *routeStats, mean *engineStats, heldUp time.Duration, goesOn bool) *item {
-	i := &item{Ticket: t, priority: t.GetPriority(), version: t.GetVersion(), bound: t.GetBound(), goesOn: goesOn, prompt: t.GetPromptTokens(), answer: route.answers.expected(t.GetAnswerTokens()), prefillSteps: mean.costs.prefillSteps(t.GetPromptTokens()), objective: never}
+func newItem(now time.Duration, t *wire.Ticket, stats *routeStats, mean *engineStats, heldUp time.Duration, goesOn bool) *item {
+	i := &item{Ticket: t, priority: t.GetPriority(), version: t.GetVersion(), bound: t.GetBound(), goesOn: goesOn, prompt: t.GetPromptTokens(), answer: stats.answers.expected(t.GetAnswerTokens()), prefillSteps: mean.costs.prefillSteps(t.GetPromptTokens()), objective: never}
 	if t.GetObjectiveUs() != 0 {
 		i.objective = now + time.Duration(t.GetObjectiveUs())*time.Microsecond
 	}
@@ -90,13 +100,13 @@
 		i.arrivedLate = true
 		i.refuseAt = now + (i.deadline-now)/retryWaitDivisor
 	}
-	i.routeStats, i.class = route, route.addRequest(t)
-	route.lastRequest = now
-	route.arrivals.add(now)
-	value := math.Pow(priorityFactor, -float64(t.GetPriority()+t.GetAccountPriority())) * route.meanSize
-	usualTime := mean.slotTime(int64(route.meanPrompt), int64(route.meanAnswer)) + heldUp
+	i.routeStats, i.class = stats, stats.addRequest(t)
+	stats.lastRequest = now
+	stats.arrivals.add(now)
+	value := math.Pow(priorityFactor, -float64(t.GetPriority()+t.GetAccountPriority())) * stats.meanSize
+	usualTime := mean.slotTime(int64(stats.meanPrompt), int64(stats.meanAnswer)) + heldUp
 	ownTime := mean.slotTime(i.prompt, i.answer) + heldUp
-	relativeValue := fixedValue + (1-fixedValue)*ticketSize(t)/route.meanSize
+	relativeValue := fixedValue + (1-fixedValue)*ticketSize(t)/stats.meanSize
 	i.valueRate = value * (1/usualTime.Seconds() + relativeValue/ownTime.Seconds())
 	return i
 }
--- a/core/batch/pick.go
+++ b/core/batch/pick.go
@@ -50,6 +50,9 @@
 // long run on a slow engine occupies a slot for seconds and yields nothing. If no ticket fits, pick
 // returns the one that does the least harm.
 func (b *Batch) pick(now time.Duration, batchesFull bool) (n int, e *engine, fits bool) {
+	if b.late.on {
+		return b.pickWithLate(now, batchesFull)
+	}
 	fallback, fallbackEngine, leastHarm := -1, (*engine)(nil), time.Duration(0) // The least harmful choice if no ticket fits.
 	top := b.candidates(now, batchesFull)
 	for _, n := range top.index[:top.count] {
@@ -72,15 +75,7 @@
 // can end in time on some engine with room, if there are any. One pass finds them all: in a burst
 // thousands of tickets wait, and each of a thousand grants per second scans all of them.
 func (b *Batch) candidates(now time.Duration, batchesFull bool) topItems {
-	soonest, fastest := &b.offers[0], &b.offers[0]
-	for n := range b.offers {
-		if b.offers[n].baseFirstToken < soonest.baseFirstToken {
-			soonest = &b.offers[n]
-		}
-		if b.offers[n].perToken < fastest.perToken {
-			fastest = &b.offers[n]
-		}
-	}
+	soonest, fastest := b.soonestAndFastest()
 	var fit, unfit topItems
 	for n, i := range b.waiting {
 		if (batchesFull && !b.mayQueue(i)) || !b.hasRoom(i) || b.leavesSlots(i) {
@@ -99,6 +94,21 @@
 	return fit
 }
 
+// soonestAndFastest returns the offers with the shortest time to a first token and with the shortest time per
+// token.
+func (b *Batch) soonestAndFastest() (soonest, fastest *offer) {
+	soonest, fastest = &b.offers[0], &b.offers[0]
+	for n := range b.offers {
+		if b.offers[n].baseFirstToken < soonest.baseFirstToken {
+			soonest = &b.offers[n]
+		}
+		if b.offers[n].perToken < fastest.perToken {
+			fastest = &b.offers[n]
+		}
+	}
+	return soonest, fastest
+}
+
 // mayQueue reports whether a ticket may be granted a place in the queue of an engine whose batch is
 // full: one of the top priority, or a stream that goes on, which few engines may be able to run.
 func (b *Batch) mayQueue(i *item) bool { return i.goesOn || b.topPriority.includes(i) }
@@ -110,17 +120,20 @@
 	count  int
 }
 
-func (t *topItems) add(n int, score float64) {
-	if t.count == maxCandidates && score <= t.scores[t.count-1] {
+func (t *topItems) add(n int, score float64) { t.addWithin(n, score, maxCandidates) }
+
+// addWithin is add for the best limit items, at most maxCandidates.
+func (t *topItems) addWithin(n int, score float64, limit int) {
+	if t.count == limit && score <= t.scores[t.count-1] {
 		return
 	}
-	at := min(t.count, maxCandidates-1)
+	at := min(t.count, limit-1)
 	for at > 0 && score > t.scores[at-1] {
 		t.index[at], t.scores[at] = t.index[at-1], t.scores[at-1]
 		at--
 	}
 	t.index[at], t.scores[at] = n, score
-	t.count = min(t.count+1, maxCandidates)
+	t.count = min(t.count+1, limit)
 }
 
 // overruns reports whether a run would be cut off at its deadline. Answers are often half as long
@@ -202,6 +215,9 @@
 	decode := time.Duration(i.answer) * o.perToken
 	best := b.bestCaseFor(i)
 	cost := timeToFirst + decode/decodeDivisor + prefillWeight*prefill + o.failurePenalty
+	if b.late.on {
+		cost += b.tightCost(now, i, o, prefill, decode)
+	}
 	if now+timeToFirst > i.objective && now+best.timeToFirstToken(prefillSteps) <= i.objective { // Another engine could be in time.
 		cost += lateCost
 	}
--- a/core/batch/routestats.go
+++ b/core/batch/routestats.go
@@ -29,6 +29,7 @@
 	weights      [sizeClasses]float64 // Factor of each size class in the score.
 	unplaced     missShare            // Requests that got no slot.
 	answers      lengthEstimator
+	best         topItems // Scratch space of a decision.
 }
 
 // sizeClass divides the requests of a route by size: the largest tenth, the fifth below it, and
--- a/core/batch/shed.go
+++ b/core/batch/shed.go
@@ -56,7 +56,7 @@
 		return false
 	}
 	s.searchedAt = now
-	return s.grantRate > 0
+	return true
 }
 
 // markUnreachable marks for refusal the tickets that have more tickets ahead of them, in the
@@ -68,8 +68,15 @@
 	slices.SortFunc(s.sorted, func(a, b *item) int { return cmp.Compare(b.score(now), a.score(now)) })
 	ahead := 0.0
 	for _, i := range s.sorted {
-		if ahead/rate > shedMargin*(i.refuseAt-now).Seconds() {
-			i.refuseAt = now
+		if i.deferred {
+			continue // It gets slots that the others leave.
+		}
+		unreachable := ahead/rate > shedMargin*(i.waitsUntil()-now).Seconds()
+		i.unreachable = unreachable && i.deferrable
+		if unreachable {
+			if !i.deferrable {
+				i.refuseAt = now
+			}
 			continue
 		}
 		ahead++
--- /dev/null
+++ b/core/batch/turn.go
@@ -0,0 +1,78 @@
+package batch
+
+import (
+	"slices"
+	"time"
+)
+
+// turns are the waiting tickets that are considered for the next slot, as indices of waiting, best first.
+type turns struct {
+	timely []int // Those that may still be in time.
+	late   topItems
+}
+
+// routeTurns is the number of tickets of each route that are considered for a slot beside the best of all.
+// The best may all wait for an engine without long prompts, and other routes must not wait behind them.
+const routeTurns = 2
+
+// takeTurns finds the tickets to consider for the engines with room.
+func (b *Batch) takeTurns(now time.Duration, batchesFull bool) *turns {
+	soonest, fastest := b.soonestAndFastest()
+	for _, r := range b.routes {
+		r.best = topItems{}
+	}
+	t, all := &b.late.turns, topItems{}
+	t.timely, t.late = t.timely[:0], topItems{}
+	for n, i := range b.waiting {
+		if (batchesFull && (i.deferred || !b.mayQueue(i))) || !b.hasRoom(i) || b.leavesSlots(i) {
+			continue
+		}
+		if i.deferrable && i.overruns(now, fastest, i.prefillSteps) {
+			continue
+		}
+		if i.deferred {
+			t.late.add(n, -i.refuseAt.Seconds())
+			continue
+		}
+		s := i.score(now + soonest.baseFirstToken + time.Duration(i.prefillSteps*float64(soonest.perToken)))
+		all.add(n, s)
+		i.routeStats.best.addWithin(n, s, routeTurns)
+	}
+	t.timely = append(t.timely, all.index[:all.count]...)
+	for _, r := range b.routes {
+		for _, n := range r.best.index[:r.best.count] {
+			if !slices.Contains(t.timely, n) {
+				t.timely = append(t.timely, n)
+			}
+		}
+	}
+	return t
+}
+
+// pickWithLate is pick for a pool that serves late requests. A ticket that could be in time on another engine
+// waits for it, as long as it can: slots that it leaves go to tickets that suit them, or to deferred ones.
+func (b *Batch) pickWithLate(now time.Duration, batchesFull bool) (n int, e *engine, fits bool) {
+	t := b.takeTurns(now, batchesFull)
+	for _, n := range t.timely {
+		if o, cost := b.bestOffer(now, b.waiting[n]); o != nil && cost < stallCost {
+			return n, o.engine, true
+		}
+	}
+	for _, n := range t.late.index[:t.late.count] {
+		i := b.waiting[n]
+		o, cost := b.bestOffer(now, i)
+		if o != nil && (cost < stallCost || (cost < lateCost && i.refuseAt-now < lastChance)) {
+			return n, o.engine, true
+		}
+	}
+	for _, n := range t.timely {
+		i := b.waiting[n]
+		if i.deferrable {
+			continue
+		}
+		if o, cost := b.bestOffer(now, i); o != nil && (cost < overrunCost || !o.batchFull) {
+			return n, o.engine, false
+		}
+	}
+	return 0, nil, false
+}
--- a/core/conf/check.go
+++ b/core/conf/check.go
@@ -62,7 +62,7 @@
 		if r.Timeout <= 0 {
 			return invalid(at+"/timeout", "a span over 0")
 		}
-		if r.Objective < 0 || r.Gap < 0 || r.Upstreams < 0 {
+		if r.Objective < 0 || r.Gap < 0 || r.Upstreams < 0 || r.Patience < 0 {
 			return invalid(at, "limits of 0 or more")
 		}
 		if w := r.Late(); w < 0 || w > 1 {
--- a/core/conf/keys.go
+++ b/core/conf/keys.go
@@ -91,6 +91,7 @@
 		{Path: "/routes/*/objective", Want: spanWant, Default: "0s", Text: "Until an answer, of a stream its first event, is late."},
 		{Path: "/routes/*/gap", Want: spanWant, Default: "0s", Text: "Longest pause between two events that is on time."},
 		{Path: "/routes/*/priority", Want: "a number", Default: "0", Text: "0 is the most urgent."},
+		{Path: "/routes/*/patience", Want: spanWant, Default: "0s", Text: "Time without a byte of an answer after which callers leave; 0 if they wait for the timeout."},
 		{Path: "/routes/*/late-worth", Want: "a number from 0 to 1", Default: fmt.Sprint(route.DefaultLateWorth), Text: "Share of its worth that an answer keeps for its caller when it is late; with 0 none is served late."},
 	}
 }
--- a/core/kernel/kernel.go
+++ b/core/kernel/kernel.go
@@ -50,6 +50,16 @@
 	SlotsByEntry() map[string]int
 }
 
+// Deferrer is a Scheduler that serves requests late in slots that requests in time leave.
+type Deferrer interface {
+	// LateCounts returns how many tickets were deferred so far, how many of them were granted a slot, and
+	// how many tickets were refused because no room was expected for them before their deadlines.
+	LateCounts() (deferred, granted, refused int64)
+	// LateOutlook returns the slots that the pool is worth by its throughput, the slot time that is committed
+	// to other tickets, and the slot time that is expected to be free within the next seconds.
+	LateOutlook(now time.Time, within time.Duration) (capacity float64, committed, free time.Duration)
+}
+
 // Versioner is a Scheduler that grants a ticket which names a version only on upstreams of that
 // version.
 type Versioner interface {
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -28,6 +28,7 @@
 		Objective  time.Duration `json:"objective,omitzero"`   // Time after which a response, or the first event of a stream, is late; 0 for never.
 		Gap        time.Duration `json:"gap,omitzero"`         // Time between two events after which a stream is late; 0 for never.
 		Priority   int           `json:"priority,omitzero"`    // 0 is the most urgent.
+		Patience   time.Duration `json:"patience,omitzero"`    // Time without a byte of a response after which callers leave; 0 if they wait for the timeout.
 		LateWorth  *float64      `json:"late-worth,omitempty"` // Share of its worth that a late response keeps for its caller; nil for DefaultLateWorth.
 	}
 
@@ -38,9 +39,9 @@
 	}
 )
 
-// DefaultLateWorth is the share of its worth that a late response keeps. It is below one half: callers
-// prefer one response in time to two late ones.
-const DefaultLateWorth = 0.3
+// DefaultLateWorth is the share of its worth that a late response keeps. It is below one third, so that a
+// request that will be late takes no slot from one that can still be in time.
+const DefaultLateWorth = 0.29
 
 // Late returns the share of its worth that a late response keeps.
 func (r *Route) Late() float64 {
--- a/io/hub/speeds.go
+++ b/io/hub/speeds.go
@@ -9,7 +9,7 @@
 // speedsLogInterval is the time between two log lines of the estimated speeds of upstreams.
 // Requests that run for seconds are placed by these estimates, so an estimate that stays wrong
 // shows in several lines.
-const speedsLogInterval = 5 * time.Second
+const speedsLogInterval = 1 * time.Second
 
 // logSpeeds logs the estimated speeds of upstreams, in microseconds per token of an answer. A
 // request is refused despite free slots if by these estimates no upstream could complete it in
@@ -20,6 +20,7 @@
 	}
 	s.speedsLoggedAt = now
 	s.logSlots()
+	s.logLate()
 	speeds := s.sched.TokenTimes()
 	for _, pool := range slices.Sorted(maps.Keys(speeds)) {
 		if len(speeds[pool]) == 0 {
@@ -51,3 +52,17 @@
 		}
 	}
 }
+
+// lateOutlook is the time ahead for which the room of a pool is logged.
+const lateOutlook = 5 * time.Second
+
+// logLate logs for each pool that serves late requests what became of them. Callers who complain of refusals
+// while slots are free show here as a forecast of room that is too low.
+func (s *scheduler) logLate() {
+	late := s.sched.Late(lateOutlook)
+	for _, pool := range slices.Sorted(maps.Keys(late)) {
+		l := late[pool]
+		s.log.Info("Late service.", "pool", pool, "deferred", l.Deferred, "granted", l.Granted, "refused", l.Refused,
+			"capacity", l.Capacity, "committed", l.Committed.String(), "free", l.Free.String(), "scheduler", s.id)
+	}
+}
--- a/io/sched/sched.go
+++ b/io/sched/sched.go
@@ -401,6 +401,35 @@
 	return all
 }
 
+// Late tells how a pool's policy serves late requests.
+type Late struct {
+	Deferred, Granted, Refused int64 // So far; see kernel.Deferrer.
+	Capacity                   float64
+	Committed, Free            time.Duration
+}
+
+// Late returns, for each pool whose policy has deferred tickets, what became of them, and the slot time that it
+// expects to be free within a time from now.
+func (s *Sched) Late(within time.Duration) map[string]Late {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	all := map[string]Late{}
+	for name, r := range s.pools {
+		p, ok := r.policy.(kernel.Deferrer)
+		if !ok {
+			continue
+		}
+		r.mu.Lock()
+		var l Late
+		if l.Deferred, l.Granted, l.Refused = p.LateCounts(); l.Deferred+l.Refused > 0 {
+			l.Capacity, l.Committed, l.Free = p.LateOutlook(time.Now(), within)
+			all[name] = l
+		}
+		r.mu.Unlock()
+	}
+	return all
+}
+
 // Waiting returns the number of tickets that wait for a decision.
 func (s *Sched) Waiting() int {
 	n := 0
