Pools with timed returns tell refused callers when there will be room

The switch timed-returns had no effect. A refused ticket now gets its Retry-After from retry.Book; with the switch off it stays as it was. Callers that have returned are not booked, as they do not return again; tickets that come late from another scheduler are. The test type retry has the name of the new package and is renamed.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -18,6 +18,7 @@
 	"slices"
 	"time"
 
+	"azurelane/core/ahead"
 	"azurelane/core/conf"
 	"azurelane/core/elig"
 	"azurelane/core/kernel"
@@ -88,6 +89,8 @@
 	versionCases  []versionCase
 	shed          shedder
 	holdUps       holdUps
+	forecast      ahead.Forecast
+	returns       returns
 }
 
 // ticketKey identifies a ticket: its ID is unique within the incarnation of its entry.
@@ -135,6 +138,7 @@
 	}
 	b.topPriority.observe(now, t.GetPriority())
 	i := newItem(now.Sub(b.started), t, route, &b.meanEngine, b.holdUps.of(t.GetEntry()), t.GetBound() && t.GetGoesOn() && b.mixedVersions)
+	b.forecast.Arrive(now.Sub(b.started), b.slotTime(i))
 	b.waiting = append(b.waiting, i)
 	b.waitingByKey[ticketKey{t.GetIncarnation(), t.GetId()}] = i
 	if i.bound && !b.hasVersion(now, i.version) {
@@ -246,6 +250,7 @@
 		b.updateBestCases(now)
 		b.updateMeanEngine()
 		b.updateGapLimit()
+		b.feedForecast(now)
 		b.slots.Sweep(now, b.pool.MaxRun+runGrace, func(*slot.Slot) {})
 	}
 	return slices.Concat(b.assignDraining(now), b.assign(now), b.refuseExpired(now))
@@ -333,7 +338,7 @@
 			out = append(out, refuse.Ticket(i.Ticket, refuse.EntrySlow, otherEntryAfter))
 			return true
 		}
-		out = append(out, refuse.Ticket(i.Ticket, refuse.Overloaded, b.retryAfter(i)))
+		out = append(out, refuse.Ticket(i.Ticket, refuse.Overloaded, b.returnAfter(at, i)))
 		return true
 	})
 	return out
--- a/core/batch/replay_test.go
+++ b/core/batch/replay_test.go
@@ -49,11 +49,11 @@
 		prefillUntil map[string]time.Time     // Time at which an engine will have prefilled all its prompts.
 		requests     []*request
 		pending      map[uint64]*request
-		retries      []retry
+		retries      []retryAt
 		active       []replayRun
 	}
 
-	retry struct {
+	retryAt struct {
 		*request
 		at time.Time
 	}
@@ -100,7 +100,7 @@
 		if refusal := d.GetRefusal(); refusal != nil {
 			if at := r.now.Add(time.Duration(refusal.GetRetryAfterUs()) * time.Microsecond); !q.retried && at.Before(q.arrived.Add(q.deadline)) {
 				q.retried = true
-				r.retries = append(r.retries, retry{q, at})
+				r.retries = append(r.retries, retryAt{q, at})
 			}
 			continue
 		}
