--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -88,7 +88,9 @@
 	versionCases  []versionCase
 	shed          shedder
 	holdUps       holdUps
+	outlook       outlook
 	late          lateService
+	returns       returns
 }
 
 // ticketKey identifies a ticket: its ID is unique within the incarnation of its entry.
@@ -105,8 +107,9 @@
 		b.slots.Changed = func(u *upstr.Upstream) { b.updateRoom(b.engine(u)) }
 		b.updateMeanEngine()
 	}
-	on, _, _ := b.pool.Overload()
-	b.late.configure(on, cfg)
+	late, _, timed := b.pool.Overload()
+	b.outlook.on = late || timed
+	b.late.configure(late, cfg)
 	return nil
 }
 
@@ -138,6 +141,7 @@
 	}
 	b.topPriority.observe(now, t.GetPriority())
 	i := newItem(now.Sub(b.started), t, route, &b.meanEngine, b.holdUps.of(t.GetEntry()), t.GetBound() && t.GetGoesOn() && b.mixedVersions)
+	i.work = b.slotTime(i)
 	i.lateWorth = b.late.worthOf(t.GetRoute())
 	b.late.admit(now.Sub(b.started), i, &b.meanEngine)
 	b.waiting = append(b.waiting, i)
@@ -165,8 +169,8 @@
 	}
 	stats := b.engine(s.Upstream).stats
 	heldUp := b.recordHoldUp(now, s, r)
-	if route := b.routes[s.Ticket.GetRoute()]; b.late.on && route != nil && r.GetDispatched() && !r.GetBusy() {
-		b.late.addRun(now.Sub(b.started), b.meanEngine.slotTime(s.Ticket.GetPromptTokens(), route.answers.expected(s.Ticket.GetAnswerTokens())), micros(r.GetTotalUs()))
+	if route := b.routes[s.Ticket.GetRoute()]; b.outlook.on && route != nil && r.GetDispatched() && !r.GetBusy() {
+		b.outlook.addRun(now.Sub(b.started), b.meanEngine.slotTime(s.Ticket.GetPromptTokens(), route.answers.expected(s.Ticket.GetAnswerTokens())), micros(r.GetTotalUs()))
 	}
 	switch first, rest := micros(r.GetFirstTokenUs()), micros(r.GetTotalUs()-r.GetFirstTokenUs()); {
 	case first <= 0:
@@ -307,7 +311,10 @@
 		e.Cache.RecordSent(now, p.GetHash())
 	}
 	b.shed.addGrant(now.Sub(b.started))
-	b.late.addGrant(now.Sub(b.started), i)
+	b.outlook.addGrant(now.Sub(b.started), i)
+	if i.deferred {
+		b.late.counts.granted++
+	}
 	return b.slots.Grant(now, s, b.pool.GrantTTL)
 }
 
@@ -348,7 +355,7 @@
 			out = append(out, refuse.Ticket(i.Ticket, refuse.EntrySlow, otherEntryAfter))
 			return true
 		}
-		out = append(out, refuse.Ticket(i.Ticket, refuse.Overloaded, b.retryAfter(i)))
+		out = append(out, refuse.Ticket(i.Ticket, refuse.Overloaded, b.returnAfter(at, i)))
 		return true
 	})
 	return out
--- a/io/hub/speeds.go
+++ b/io/hub/speeds.go
@@ -9,7 +9,7 @@
 // speedsLogInterval is the time between two log lines of the estimated speeds of upstreams.
 // Requests that run for seconds are placed by these estimates, so an estimate that stays wrong
 // shows in several lines.
-const speedsLogInterval = 1 * time.Second
+const speedsLogInterval = 5 * time.Second
 
 // logSpeeds logs the estimated speeds of upstreams, in microseconds per token of an answer. A
 // request is refused despite free slots if by these estimates no upstream could complete it in
