Record of cordons in the replicated log

Operators can't take a suspected engine out of service: the roster follows what upstreams announce. core/cordon keeps, by upstream id, who ordered a cordon, why, when, and when it expires by the log's clock. OrderCordon and LiftCordon go through the log, so the check that a pool keeps an upstream holds for two operators at once. Results are stored by the command's id: an order that is sent again is acknowledged again and never takes effect twice. While a cordon is stored the log's clock advances each 5 s, so that a change of leader delays an expiry by that at most.

--- a/core/state/image.go
+++ b/core/state/image.go
@@ -17,6 +17,7 @@
 	img.Published, img.Publication, img.Roster = s.publicationVersion, s.publication, s.roster.Save()
 	img.Bans = s.bans.list
 	img.Rollouts, img.PoolVersions = s.deploy.Rollouts(), s.deploy.Versions()
+	img.Cordons, img.CordonRevision = s.cordons.List(), s.cordons.Revision()
 	for _, c := range s.claims {
 		img.Claims = append(img.Claims, c)
 	}
@@ -59,6 +60,7 @@
 	s.roster.Load(img.GetRoster())
 	s.deploy = deployed // Its revision goes on.
 	s.deploy.Load(img.GetRollouts(), img.GetPoolVersions())
+	s.cordons.Load(img.GetCordons(), img.GetCordonRevision())
 	for _, c := range img.GetClaims() {
 		k := claimKey{c.GetAccount(), c.GetKey()}
 		s.claims[k] = c
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -1,6 +1,6 @@
 // Package state implements the replicated state machine of the control group. It holds the
 // configuration, the claims on idempotency keys, the orders to upstreams, the upstream roster,
-// the bans and the rollouts.
+// the bans, the rollouts and the cordons.
 package state
 
 import (
@@ -10,6 +10,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"azurelane/core/cordon"
 	"azurelane/core/deploy"
 	"azurelane/core/permit"
 	"azurelane/core/roster"
@@ -42,8 +43,8 @@
 // most 128 MB.
 const MaxClaims = 400000
 
-// MaxChangeResults is the number of changes whose results are stored, so that a change that is
-// sent again gets its original result.
+// MaxChangeResults is the number of changes and cordon orders whose results are stored, so that one
+// that is sent again gets its original result.
 const MaxChangeResults = 4096
 
 type (
@@ -65,6 +66,7 @@
 		roster             roster.Roster
 		bans               bans
 		deploy             deploy.Deploy
+		cordons            cordon.Cordon
 	}
 
 	claimKey struct{ account, key string }
@@ -72,7 +74,7 @@
 
 // Apply executes one command and returns its result.
 func (s *State) Apply(c *wire.Command) *wire.Result {
-	s.clockUs = max(s.clockUs, c.GetClaim().GetNowUs(), c.GetFinish().GetNowUs(), c.GetExpire().GetNowUs(), c.GetOrderStart().GetNowUs(), c.GetStartRollout().GetNowUs())
+	s.clockUs = max(s.clockUs, c.GetClaim().GetNowUs(), c.GetFinish().GetNowUs(), c.GetExpire().GetNowUs(), c.GetOrderStart().GetNowUs(), c.GetStartRollout().GetNowUs(), c.GetOrderCordon().GetNowUs())
 	switch k := c.GetKind().(type) {
 	case *wire.Command_Claim:
 		return s.claim(k.Claim)
@@ -98,6 +100,10 @@
 		return s.deploy.Start(k.StartRollout)
 	case *wire.Command_AdvanceRollout:
 		return s.deploy.Advance(k.AdvanceRollout)
+	case *wire.Command_OrderCordon:
+		return s.applyCordon(c.GetId(), func() *wire.Result { return s.cordons.Order(c.GetId(), k.OrderCordon, &s.roster) })
+	case *wire.Command_LiftCordon:
+		return s.applyCordon(c.GetId(), func() *wire.Result { return s.cordons.Lift(k.LiftCordon, &s.roster) })
 	case *wire.Command_Barrier:
 		return &wire.Result{Code: OK}
 	}
@@ -152,6 +158,9 @@
 // Roster returns the list of upstreams. The caller must not modify it.
 func (s *State) Roster() *roster.Roster { return &s.roster }
 
+// Cordons returns the cordons of upstreams. The caller must not modify them.
+func (s *State) Cordons() *cordon.Cordon { return &s.cordons }
+
 // Deploy returns the rollouts and the versions of pools. The caller must not modify it.
 func (s *State) Deploy() *deploy.Deploy { return &s.deploy }
 
@@ -262,8 +271,9 @@
 	return &wire.Result{Code: OK}
 }
 
-// expire deletes the claims whose expiry time has passed.
+// expire deletes the claims and the cordons whose expiry time has passed.
 func (s *State) expire() *wire.Result {
+	s.cordons.Expire(s.clockUs)
 	for s.HasExpiredClaims(s.clockUs) {
 		k := heap.Pop(&s.expiries).(expiry).key
 		if c := s.claims[k]; c.GetExpiresUs() > 0 && c.GetExpiresUs() <= s.clockUs {
@@ -277,10 +287,26 @@
 // operators who start from the same version, only one succeeds. A change that is sent again gets
 // its original result.
 func (s *State) applyChange(id string, c *wire.Change) *wire.Result {
+	return s.applyOnce(id, func() *wire.Result { return s.decideChange(id, c) })
+}
+
+// applyCordon executes a command about a cordon once. Without an ID, the command could not be told from
+// one that is sent again.
+func (s *State) applyCordon(id string, apply func() *wire.Result) *wire.Result {
+	if id == "" {
+		return &wire.Result{Code: Invalid, Text: "the command has no ID"}
+	}
+	return s.applyOnce(id, apply)
+}
+
+// applyOnce executes a command of an operator, or returns its result if a command with the same ID was
+// executed before. Results of refused commands are stored, too: a delayed duplicate must not take effect
+// after its sender was told that it was refused.
+func (s *State) applyOnce(id string, apply func() *wire.Result) *wire.Result {
 	if r, ok := s.changeResults[id]; ok {
 		return proto.CloneOf(r)
 	}
-	r := s.decideChange(id, c)
+	r := apply()
 	if s.changeResults == nil {
 		s.changeResults = map[string]*wire.Result{}
 	}
--- a/io/ctrl/apply.go
+++ b/io/ctrl/apply.go
@@ -17,6 +17,9 @@
 	compactRetry = 2 * time.Second  // After a snapshot could not be written.
 	expireEvery  = time.Second      // Interval between checks for expired claims.
 	clockEvery   = 10 * time.Minute // Maximum lag of the log's clock after a change of leader.
+	// cordonClockEvery replaces clockEvery while a cordon is stored. With each change of leader, the
+	// expiry of a cordon is late by up to this time.
+	cordonClockEvery = 5 * time.Second
 )
 
 // Fault codes of a replica.
@@ -69,6 +72,8 @@
 		k.OrderStart.NowUs = us
 	case *wire.Command_StartRollout:
 		k.StartRollout.NowUs = us
+	case *wire.Command_OrderCordon:
+		k.OrderCordon.NowUs = us
 	}
 }
 
--- a/io/ctrl/batch.go
+++ b/io/ctrl/batch.go
@@ -177,7 +177,12 @@
 		return
 	}
 	c.expire = now.Add(expireEvery)
-	if us := c.clock.read(&c.state, now); c.state.HasExpiredClaims(us) || us-c.state.ClockUs() > clockEvery.Microseconds() {
+	maxLag := clockEvery
+	if c.state.Cordons().Len() > 0 {
+		maxLag = cordonClockEvery
+	}
+	us := c.clock.read(&c.state, now)
+	if c.state.HasExpiredClaims(us) || c.state.Cordons().HasExpired(us) || us-c.state.ClockUs() > maxLag.Microseconds() {
 		b.props = append(b.props, &proposal{
 			cmd: &wire.Command{Kind: &wire.Command_Expire{Expire: &wire.Expire{}}}, done: make(chan answer, 1),
 		})
--- a/io/ctrl/observer.go
+++ b/io/ctrl/observer.go
@@ -19,11 +19,17 @@
 // apply applies a command. Concurrent reads wait for it.
 func (n *observer) apply(s *state.State, cmd *wire.Command) *wire.Result {
 	n.mu.Lock()
+	revision := s.Cordons().Revision()
 	r := s.Apply(cmd)
+	cordonsChanged := s.Cordons().Revision() != revision
 	n.mu.Unlock()
 	switch cmd.GetKind().(type) {
 	case *wire.Command_Publish, *wire.Command_Enroll, *wire.Command_RecordBans, *wire.Command_StartRollout, *wire.Command_AdvanceRollout:
 		n.broadcast()
+	default:
+		if cordonsChanged {
+			n.broadcast()
+		}
 	}
 	return r
 }
@@ -38,7 +44,7 @@
 }
 
 // Changed returns a channel that is closed at the next change of the publication, the roster, the
-// bans, the rollouts or this replica's leadership. Call it before reading them.
+// bans, the rollouts, the cordons or this replica's leadership. Call it before reading them.
 func (c *Ctrl) Changed() <-chan struct{} {
 	c.observer.notify.Lock()
 	defer c.observer.notify.Unlock()
@@ -93,6 +99,14 @@
 	return d.Rollouts(), d.Versions(), d.Revision()
 }
 
+// Cordons returns the cordons of upstreams, a revision that changes with them, and the newest leader's
+// time in the log, in microseconds.
+func (c *Ctrl) Cordons() (list []*wire.Cordon, revision uint64, clockUs int64) {
+	c.observer.mu.RLock()
+	defer c.observer.mu.RUnlock()
+	return c.state.Cordons().List(), c.state.Cordons().Revision(), c.state.ClockUs()
+}
+
 // Leads reports whether this replica led at the last update of its view.
 func (c *Ctrl) Leads() bool { return c.view.Load().leads }
 
