Schedulers and entries respect cordons

A cordon of the log has to keep requests from its upstream on every path. The scheduler announces a cordoned upstream to its policy as one that takes nothing new, before the order is acknowledged; its runs keep their slots. Entries get the cordons with their news, with the time left instead of a time of day, and leave the upstreams out where they place requests by themselves. Each replica and entry measures the expiry by its steady clock, so it ends at entries without a scheduler, too. A replica of a data centre that is cut off takes the list that its entries report where it is newer; a leader's list always counts. Orders are refused while the other upstreams of the pool are silent, held or out of reach, as the leader sees it.

--- a/io/hub/hub.go
+++ b/io/hub/hub.go
@@ -59,6 +59,7 @@
 		feed     feed
 		reports  reports
 		packed   packed
+		cordons  cordons
 	}
 
 	replica interface {
@@ -73,6 +74,7 @@
 		RosterRevision() uint64
 		Bans() (list []*wire.Ban, revision uint64)
 		Rollouts() (list []*wire.Rollout, versions []*wire.PoolVersion, revision uint64)
+		Cordons() (list []*wire.Cordon, revision uint64, clockUs int64)
 		Group() (name string, all []*wire.Replica, peers []raft.PeerStatus)
 		Propose(ctx context.Context, c *wire.Command) (*wire.Result, error)
 		Handle(ctx context.Context, f *wire.Frame) (*wire.Frame, error)
@@ -116,7 +118,7 @@
 	defer func() { stop() }()
 	for {
 		changed := h.Replica.Changed()
-		h.observeRollouts()
+		h.observeLog()
 		want, s := h.wantedScope(), h.scheduler()
 		if s != nil && s.scope != want {
 			h.Log.Info(s.scope.stopMessage(), "scheduler", s.id)
@@ -205,6 +207,7 @@
 		return 0
 	})
 	h.Stats.Pull("entries", func() int64 { return h.watchers.count() })
+	h.Stats.Pull("upstreams-cordoned", func() int64 { return int64(len(h.cordons.inForce(time.Now()))) })
 	h.Stats.Pull("upstreams-silent", func() int64 {
 		s := h.scheduler()
 		if s == nil {
@@ -255,6 +258,7 @@
 		go h.recordBans(ctx, s)
 		go h.recordLeaving(ctx, s)
 	}
+	h.updateCordons(s) // Before upstreams are announced.
 	h.Log.Info(sc.startMessage(), "scheduler", s.id)
 	return s
 }
@@ -347,6 +351,8 @@
 		return h.handleOrigins(ctx, f)
 	case *wire.Frame_Evidence, *wire.Frame_RolloutQuery:
 		return h.handleRollouts(ctx, f)
+	case *wire.Frame_UpstreamsQuery:
+		return h.readUpstreams(ctx, b.UpstreamsQuery)
 	case *wire.Frame_Command:
 		return h.handleCommand(ctx, f, b.Command)
 	default:
@@ -371,7 +377,8 @@
 
 // handleCommand puts a command of an operator or of another replica into the log.
 func (h *Hub) handleCommand(ctx context.Context, f *wire.Frame, c *wire.Command) (*wire.Frame, error) {
-	if c.GetPublish() != nil || c.GetStartRollout() != nil {
+	isCordon := c.GetOrderCordon() != nil || c.GetLiftCordon() != nil
+	if c.GetPublish() != nil || c.GetStartRollout() != nil || isCordon {
 		if err := h.checkVoters(); err != nil {
 			return nil, err
 		}
@@ -379,6 +386,9 @@
 	if start := c.GetStartRollout(); start != nil && h.Replica.Leads() {
 		return h.startRollout(ctx, start)
 	}
+	if isCordon && h.Replica.Leads() {
+		return h.handleCordon(ctx, c)
+	}
 	return h.Replica.Handle(ctx, f)
 }
 
--- a/io/hub/hub_test.go
+++ b/io/hub/hub_test.go
@@ -125,6 +125,12 @@
 	return f.state.Bans()
 }
 
+func (f *fakeReplica) Cordons() ([]*wire.Cordon, uint64, int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state.Cordons().List(), f.state.Cordons().Revision(), f.state.ClockUs()
+}
+
 func (f *fakeReplica) Rollouts() ([]*wire.Rollout, []*wire.PoolVersion, uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -175,6 +181,9 @@
 		return nil, errors.New("no quorum")
 	}
 	defer f.notifyLocked()
+	if o := c.GetOrderCordon(); o != nil {
+		o.NowUs = time.Now().UnixMicro() // As the leader's log does.
+	}
 	return f.state.Apply(c), nil
 }
 
--- a/io/hub/rollouts.go
+++ b/io/hub/rollouts.go
@@ -107,8 +107,9 @@
 	return max(micros(o.rollout.GetElapsedUs())+now.Sub(o.at), micros(r.GetElapsedUs()))
 }
 
-// observeRollouts keeps the clock of rollouts up to date, on any replica.
-func (h *Hub) observeRollouts() {
+// observeLog keeps the clock of rollouts and the cordons up to date, on any replica.
+func (h *Hub) observeLog() {
+	h.updateCordons(h.scheduler())
 	list, _, _ := h.Replica.Rollouts()
 	if len(list) > 0 {
 		h.clock.observe(time.Now(), list)
--- a/io/hub/upstreams.go
+++ b/io/hub/upstreams.go
@@ -23,6 +23,8 @@
 		byID   map[string]*upstreamState
 		silent []string      // Upstreams without a recent sign of life, sorted; see findSilent.
 		lease  time.Duration // Lease that the last announcement gave.
+		// cordoned has the upstreams that get no new requests by an operator's order, whether known here or not.
+		cordoned map[string]bool
 	}
 
 	// upstreamState is the state of one upstream.
@@ -37,6 +39,7 @@
 		drainsUntil time.Time // While it leaves: until then streams may go on there. Zero if it is not known for how long it leaves.
 		limit       *wire.Limit
 		standing    standing
+		cordoned    bool
 	}
 )
 
@@ -146,7 +149,7 @@
 	}
 	st := t.byID[u.GetId()]
 	if st == nil {
-		st = &upstreamState{}
+		st = &upstreamState{cordoned: t.cordoned[u.GetId()]}
 		t.byID[u.GetId()] = st
 	}
 	return st
@@ -194,14 +197,14 @@
 	st.announceSeq++
 	return &wire.Announce{
 		Upstream: st.GetId(), Address: st.GetAddress(), DataCentre: st.GetDataCentre(), Pools: []string{st.GetPool()}, MaxRunning: st.GetSlots(),
-		Leaving: st.GetState() != wire.Upstream_STATE_SERVING || st.standing.held, Version: st.standing.version, LeaseUs: lease.Microseconds(), Seq: st.announceSeq, CanResume: true,
+		Leaving: st.GetState() != wire.Upstream_STATE_SERVING || st.standing.held || st.cordoned, Version: st.standing.version, LeaseUs: lease.Microseconds(), Seq: st.announceSeq, CanResume: true,
 		Unreached: st.unreached, Incarnation: strconv.FormatInt(st.GetBorn(), 10), Limit: st.limit, DrainsUs: st.drainLeft().Microseconds(),
 	}
 }
 
 // drainLeft returns how long streams may still go on at an upstream that leaves.
 func (st *upstreamState) drainLeft() time.Duration {
-	if st.GetState() != wire.Upstream_STATE_LEAVING || st.standing.held {
+	if st.GetState() != wire.Upstream_STATE_LEAVING || st.standing.held || st.cordoned {
 		return 0
 	}
 	return max(time.Until(st.drainsUntil), 0)
@@ -287,13 +290,13 @@
 	return list
 }
 
-// slotsByVersion sums the slots of a pool's upstreams that serve and are heard, by version.
+// slotsByVersion sums the slots of a pool's upstreams that serve, are heard and have no cordon, by version.
 func (t *upstreamTable) slotsByVersion(pool string) map[string]int64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	slots := map[string]int64{}
 	for id, st := range t.byID {
-		if st.GetPool() == pool && st.GetState() == wire.Upstream_STATE_SERVING && !slices.Contains(t.silent, id) {
+		if st.GetPool() == pool && st.GetState() == wire.Upstream_STATE_SERVING && !st.cordoned && !slices.Contains(t.silent, id) {
 			slots[st.standing.version] += st.GetSlots()
 		}
 	}
--- a/io/hub/watch.go
+++ b/io/hub/watch.go
@@ -69,6 +69,8 @@
 		h.applyLimits(s, w.GetLimits())
 		h.applyBrittle(s, w.GetBrittle())
 		h.applyLeaving(s, w.GetLeaving())
+		h.mergeCordons(s, w.GetCordons())
+		cordonsChanged := h.cordons.changed()
 		reachChanged, bansChanged, limitsChanged, splitsChanged, brittleChanged, mixedChanged := s.reachability.changed(), s.bans.changed(), s.limits.changed(), s.rollouts.changed(), s.brittle.changed(), s.origins.changed()
 		n, fresh, err := h.news(s, w)
 		if err != nil || fresh || woken {
@@ -92,6 +94,8 @@
 		case <-splitsChanged:
 		case <-brittleChanged:
 		case <-mixedChanged:
+		case <-cordonsChanged:
+			delay = newsDelay(w.GetNode(), h.entriesHere(s))
 		}
 		select {
 		case <-ctx.Done():
@@ -208,6 +212,7 @@
 		known = 0 // Revisions of another scheduler can't be compared.
 	}
 	n.Bans = s.bans.since(known)
+	n.Cordons = h.cordons.since(time.Now(), w.GetCordonRevision(), w.GetLeader() != s.id)
 	n.Ticketed, n.Mixed = s.ticketedPools(), s.origins.mixedPools()
 	n.Limits = s.limits.listFor(time.Now(), w.GetNode(), func() ([]string, bool) { return h.limitSharers(s) })
 	var doc []byte
@@ -224,7 +229,7 @@
 	}
 	h.refreshRollouts(s) // After the roster was read.
 	n.Rollouts = s.rollouts.inForce(s.id)
-	fresh := n.GetDocument() != nil || n.GetBans() != nil || n.GetRollouts().GetPhaseRevision() != w.GetSplits() || (n.GetRevision() != w.GetRevision() && h.feed.urgent(n.GetRoster(), n.GetWhole())) || w.GetLeader() != s.id
+	fresh := n.GetDocument() != nil || n.GetBans() != nil || n.GetCordons() != nil || n.GetRollouts().GetPhaseRevision() != w.GetSplits() || (n.GetRevision() != w.GetRevision() && h.feed.urgent(n.GetRoster(), n.GetWhole())) || w.GetLeader() != s.id
 	return n, fresh, nil
 }
 
--- a/io/watch/view.go
+++ b/io/watch/view.go
@@ -19,7 +19,7 @@
 	Index       *index.Index                // Routes of the configuration; nil before the first one.
 	InstalledAt time.Time                   // When this entry installed the configuration.
 	Revision    uint64                      // Revision of the roster.
-	Upstreams   map[string][]*wire.Upstream // Serving upstreams by pool, sorted by ID.
+	Upstreams   map[string][]*wire.Upstream // Serving upstreams without a cordon by pool, sorted by ID.
 	Silent      map[string]bool             // Upstreams that control has not heard from lately.
 	Unreached   map[string]bool             // Data centres that control takes for cut off.
 	Isolated    bool                        // Whether this entry's own data centre is cut off.
@@ -30,6 +30,7 @@
 	roster         map[string]*wire.Upstream // By upstream ID.
 	bansRevision   uint64                    // Revision of the bans received from the scheduler.
 	splitsRevision uint64                    // Phase revision of the splits received from the scheduler.
+	cordons        cordons
 }
 
 // Upstream returns the upstream with the given ID, or nil if it is unknown.
@@ -94,14 +95,15 @@
 	return nil
 }
 
-// rebuildUpstreams computes Upstreams from the roster. It leaves out the upstreams in replaced, if they
-// are still the same processes at the same addresses.
+// rebuildUpstreams computes Upstreams from the roster. It leaves out the upstreams that have a cordon, and
+// those in replaced, if they are still the same processes at the same addresses.
 func (v *View) rebuildUpstreams(replaced map[string]*wire.Upstream) {
+	now := time.Now()
 	v.Upstreams = map[string][]*wire.Upstream{}
 	for id, u := range v.roster {
 		former := replaced[id]
 		isFormer := former != nil && u.GetAddress() == former.GetAddress() && u.GetBorn() <= former.GetBorn()
-		if !isFormer && u.GetState() == wire.Upstream_STATE_SERVING {
+		if !isFormer && u.GetState() == wire.Upstream_STATE_SERVING && !v.cordons.inForce(now, id) {
 			v.Upstreams[u.GetPool()] = append(v.Upstreams[u.GetPool()], u)
 		}
 	}
--- a/io/watch/watch.go
+++ b/io/watch/watch.go
@@ -1,5 +1,5 @@
 // Package watch keeps an entry up to date with control. By long polls at the leading control
-// replica it receives the configuration, the roster of upstreams, bans and limits.
+// replica it receives the configuration, the roster of upstreams, cordons, bans and limits.
 package watch
 
 import (
@@ -96,6 +96,7 @@
 		probeTimes     [probeHistory]time.Duration // Round-trip times of the last probes, a ring buffer.
 		probeCount     int                         // Number of probes answered so far.
 		replaced       map[string]*wire.Upstream   // Upstreams reported to Replaced, by ID.
+		expiry         *time.Timer                 // For the next cordon that expires; nil for none.
 	}
 
 	caller interface {
@@ -129,6 +130,7 @@
 	to, late := target{}, 0
 	var probes sync.WaitGroup
 	defer probes.Wait()
+	defer w.stopExpiry()
 	for ctx.Err() == nil {
 		if !to.addr.IsValid() {
 			to = w.findScheduler(ctx)
@@ -201,6 +203,7 @@
 		Node: w.Node, Incarnation: w.Incarnation, DataCentre: w.DataCentre, Address: w.PeerAddress.String(),
 		Version: v.Version, Revision: v.Revision, WaitUs: wait.Microseconds(), Leader: v.Owner.GetIncarnation(),
 		Entries: int64(v.Entries), Alone: to.local, Bans: v.bansRevision, Splits: v.splitsRevision, Tunnel: tunnel,
+		CordonRevision: v.cordons.revision,
 	}
 	// A replica that loses the leadership and wins it again schedules anew, without the entry having
 	// lost it.
@@ -238,6 +241,9 @@
 	if w.Leaving != nil {
 		poll.Leaving = w.Leaving()
 	}
+	if v := w.View(); v.cordons.revision > 0 {
+		poll.Cordons = v.cordons.report(time.Now())
+	}
 }
 
 // applyNews updates the view with news from a scheduler. An older configuration never replaces a
@@ -258,6 +264,7 @@
 			err = rosterErr
 		}
 	}
+	w.applyCordons(&v, from, n.GetCordons())
 	if old.Index == nil && v.Index != nil {
 		defer func() {
 			w.Configured()
