--- a/cmd/azurelane/main.go
+++ b/cmd/azurelane/main.go
@@ -38,24 +38,25 @@
 
 // cli lists the commands; each has its file.
 type cli struct {
-	Entry   entryCmd   `cmd:"" help:"Serve callers and schedule pools."`
-	Control controlCmd `cmd:"" help:"Run one replica of the durable state."`
-	Gate    gateCmd    `cmd:"" help:"Serve callers of routes, in a deployment that forms itself."`
-	Hub     hubCmd     `cmd:"" help:"Run a control replica of a deployment that forms itself."`
-	Dev     devCmd     `cmd:"" help:"Run a whole small system in this process."`
-	Standin standinCmd `cmd:"" help:"Run a stand-in engine or service."`
-	Explain explainCmd `cmd:"" help:"Tell from logs what became of a request."`
-	Load    loadCmd    `cmd:"" help:"Send open-loop load and report what came back."`
-	Check   checkCmd   `cmd:"" help:"Check settings and configuration offline."`
-	Apply   applyCmd   `cmd:"" help:"Put a changed configuration in force."`
-	Status  statusCmd  `cmd:"" help:"Show what is in force where."`
-	Bans    bansCmd    `cmd:"" help:"Show requests that crash upstreams, or send them again."`
-	Order   orderCmd   `cmd:"" help:"Order an upstream to load a model or adapter, or to change role."`
-	Rollout rolloutCmd `cmd:"" help:"Move a pool to upstreams of another version."`
-	Replica replicaCmd `cmd:"" help:"Change which control replicas form the group."`
-	Drain   drainCmd   `cmd:"" help:"Take an entry out of service."`
-	Certs   certsCmd   `cmd:"" help:"Issue a certificate for a process or an operator."`
-	Version versionCmd `cmd:"" help:"Print the version."`
+	Entry    entryCmd    `cmd:"" help:"Serve callers and schedule pools."`
+	Control  controlCmd  `cmd:"" help:"Run one replica of the durable state."`
+	Gate     gateCmd     `cmd:"" help:"Serve callers of routes, in a deployment that forms itself."`
+	Hub      hubCmd      `cmd:"" help:"Run a control replica of a deployment that forms itself."`
+	Dev      devCmd      `cmd:"" help:"Run a whole small system in this process."`
+	Standin  standinCmd  `cmd:"" help:"Run a stand-in engine or service."`
+	Explain  explainCmd  `cmd:"" help:"Tell from logs what became of a request."`
+	Load     loadCmd     `cmd:"" help:"Send open-loop load and report what came back."`
+	Check    checkCmd    `cmd:"" help:"Check settings and configuration offline."`
+	Apply    applyCmd    `cmd:"" help:"Put a changed configuration in force."`
+	Status   statusCmd   `cmd:"" help:"Show what is in force where."`
+	Bans     bansCmd     `cmd:"" help:"Show requests that crash upstreams, or send them again."`
+	Upstream upstreamCmd `cmd:"" help:"Take an upstream out of service, give it back, or list upstreams."`
+	Order    orderCmd    `cmd:"" help:"Order an upstream to load a model or adapter, or to change role."`
+	Rollout  rolloutCmd  `cmd:"" help:"Move a pool to upstreams of another version."`
+	Replica  replicaCmd  `cmd:"" help:"Change which control replicas form the group."`
+	Drain    drainCmd    `cmd:"" help:"Take an entry out of service."`
+	Certs    certsCmd    `cmd:"" help:"Issue a certificate for a process or an operator."`
+	Version  versionCmd  `cmd:"" help:"Print the version."`
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
