Operators see an account's tickets and the slots at an upstream

An operator could not tell why an account is refused, nor when a cordoned engine is idle.

go test ./core/batch ./core/slots ./core/kernel ./core/denial ./io/sched ./io/hub: ok; ./platform -run TestCordon, which calls the commands: ok.

--- a/cmd/azurelane/main.go
+++ b/cmd/azurelane/main.go
@@ -51,6 +51,7 @@
 	Status   statusCmd   `cmd:"" help:"Show what is in force where."`
 	Bans     bansCmd     `cmd:"" help:"Show requests that crash upstreams, or send them again."`
 	Upstream upstreamCmd `cmd:"" help:"Take an upstream out of service, give it back, or list upstreams."`
+	Account  accountCmd  `cmd:"" help:"Show a client account's tickets, slots and refusals."`
 	Order    orderCmd    `cmd:"" help:"Order an upstream to load a model or adapter, or to change role."`
 	Rollout  rolloutCmd  `cmd:"" help:"Move a pool to upstreams of another version."`
 	Replica  replicaCmd  `cmd:"" help:"Change which control replicas form the group."`
--- a/cmd/azurelane/upstream.go
+++ b/cmd/azurelane/upstream.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/netip"
 	"os"
+	"strconv"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -76,6 +77,7 @@
 		Slots      int64       `json:"slots"`
 		Version    string      `json:"version,omitempty"`
 		State      string      `json:"state"`
+		Running    *int64      `json:"running,omitempty"` // Slots held there; absent where gates place the requests.
 		Silent     bool        `json:"silent"`
 		Held       bool        `json:"held"`
 		Unreached  bool        `json:"unreached"`
@@ -180,7 +182,7 @@
 		u := st.GetUpstream()
 		l := upstreamLine{
 			ID: u.GetId(), Pool: u.GetPool(), DataCentre: u.GetDataCentre(), Address: u.GetAddress(), Slots: u.GetSlots(), Version: u.GetVersion(),
-			State: upstreamStates[u.GetState()], Silent: st.GetSilent(), Held: st.GetHeld(), Unreached: st.GetUnreached(),
+			State: upstreamStates[u.GetState()], Running: st.Running, Silent: st.GetSilent(), Held: st.GetHeld(), Unreached: st.GetUnreached(),
 		}
 		if n := st.GetCordon(); n != nil {
 			l.Cordon = &cordonLine{
@@ -195,16 +197,19 @@
 
 func printUpstreams(w io.Writer, lines []upstreamLine) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(t, "id\tpool\tdata centre\taddress\tslots\tstate\tcordoned by\tat\texpires\treason")
+	_, _ = fmt.Fprintln(t, "id\tpool\tdata centre\taddress\tslots\trunning\tstate\tcordoned by\tat\texpires\treason")
 	for _, l := range lines {
-		author, at, expires, reason := "", "", "", ""
+		running, author, at, expires, reason := "?", "", "", "", ""
+		if l.Running != nil {
+			running = strconv.FormatInt(*l.Running, 10)
+		}
 		if n := l.Cordon; n != nil {
 			author, at, expires = fmt.Sprintf("%q", n.Author), n.At.Format(time.RFC3339), n.Expires.Format(time.RFC3339)
 			if n.Reason != "" {
 				reason = fmt.Sprintf("%q", n.Reason)
 			}
 		}
-		_, _ = fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%s\t%s\t%s\t%s\t%s\n", l.ID, l.Pool, l.DataCentre, l.Address, l.Slots, l.stateText(), author, at, expires, reason)
+		_, _ = fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%s\t%s\t%s\t%s\t%s\t%s\n", l.ID, l.Pool, l.DataCentre, l.Address, l.Slots, running, l.stateText(), author, at, expires, reason)
 	}
 	if err := t.Flush(); err != nil {
 		return fmt.Errorf("upstream: print: %w", err)
--- a/core/batch/engine.go
+++ b/core/batch/engine.go
@@ -4,7 +4,9 @@
 	"maps"
 	"time"
 
+	"azurelane/core/slot"
 	"azurelane/core/upstr"
+	"azurelane/core/wire"
 )
 
 type (
@@ -50,6 +52,14 @@
 // SlotsByEntry returns the number of slots by the name of the entry that holds them.
 func (b *Batch) SlotsByEntry() map[string]int { return b.slots.ByEntry() }
 
+// Inspect calls waiting for each ticket that waits, and held for each slot that is held.
+func (b *Batch) Inspect(waiting func(*wire.Ticket), held func(t *wire.Ticket, upstream string)) {
+	for _, i := range b.waiting {
+		waiting(i.Ticket)
+	}
+	b.slots.Each(func(s *slot.Slot) { held(s.Ticket, s.Upstream.GetUpstream()) })
+}
+
 // newEngineStats returns the statistics of an engine that has not run anything yet.
 func (b *Batch) newEngineStats() *engineStats { return &engineStats{successShare: 1, costs: &b.costs} }
 
--- a/core/kernel/kernel.go
+++ b/core/kernel/kernel.go
@@ -50,6 +50,13 @@
 	SlotsByEntry() map[string]int
 }
 
+// Inspector is a Scheduler that shows its tickets.
+type Inspector interface {
+	// Inspect calls waiting for each ticket that waits, and held for each slot that is held, with its
+	// ticket and the name of its upstream.
+	Inspect(waiting func(*wire.Ticket), held func(t *wire.Ticket, upstream string))
+}
+
 // Versioner is a Scheduler that grants a ticket which names a version only on upstreams of that
 // version.
 type Versioner interface {
--- a/core/slots/slots.go
+++ b/core/slots/slots.go
@@ -209,6 +209,15 @@
 	maps.DeleteFunc(s.released, func(_ slotID, at time.Time) bool { return now.Sub(at) > releasedRetention })
 }
 
+// Each calls visit for every slot held, in any order.
+func (s *Slots) Each(visit func(*slot.Slot)) {
+	for _, tickets := range s.held {
+		for _, v := range tickets {
+			visit(v)
+		}
+	}
+}
+
 // AccountLen returns the number of slots that a client account holds.
 func (s *Slots) AccountLen(name string) int { return s.accounts[name] }
 
--- a/io/hub/cordons.go
+++ b/io/hub/cordons.go
@@ -175,10 +175,14 @@
 	h.updateCordons(s)
 	cordoned := h.cordons.inForce(time.Now())
 	list, _, _ := h.Replica.Roster(0)
+	held := s.slotsByUpstream()
 	out := &wire.Upstreams{}
 	for _, u := range list {
 		st := s.upstreams.status(u)
 		st.Cordon = cordoned[u.GetId()]
+		if h.feed.isScheduled(u.GetPool()) {
+			st.Running = proto.Int64(held[u.GetId()])
+		}
 		delete(cordoned, u.GetId())
 		out.Upstreams = append(out.Upstreams, st)
 	}
--- a/io/hub/cordons_test.go
+++ b/io/hub/cordons_test.go
@@ -80,7 +80,7 @@
 		must.Eq(t, cordon.OK, propose(t, h, newCordon("1", running.GetUpstream(), time.Minute)))
 		cordoned, other := running.GetUpstream(), map[string]string{"a": "b", "b": "a"}[running.GetUpstream()]
 		must.Eq(t, []string{other}, granted(t, h, &ticket))
-		must.NotNil(t, h.scheduler().sched.SlotsByEntry()["engines"], must.Sprint("the running request keeps its slot"))
+		must.Eq(t, 1, h.scheduler().slotsByUpstream()[cordoned], must.Sprint("the running request keeps its slot"))
 		for name, step := range map[string]func(){
 			"its next report": func() { reportAll(t, h, 2, 1) },
 			"a restart":       func() { reportAll(t, h, 1, 2) },
@@ -264,6 +264,7 @@
 		must.Eq(t, "1", all[0].GetCordon().GetOrder())
 		must.Between(t, 54*time.Second, micros(all[0].GetCordon().GetLeftUs()), 55*time.Second)
 		must.Nil(t, all[1].GetCordon())
+		must.NotNil(t, all[1].Running)
 		must.True(t, all[1].GetSilent())
 		must.Len(t, 1, ask(&wire.UpstreamsQuery{Cordoned: true}))
 		must.SliceEmpty(t, ask(&wire.UpstreamsQuery{Pool: "other"}))
--- a/io/hub/feed.go
+++ b/io/hub/feed.go
@@ -64,6 +64,13 @@
 	f.version, f.revision = version, revision
 }
 
+// isScheduled reports whether the scheduler places the requests of a pool.
+func (f *feed) isScheduled(pool string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.scheduled[pool]
+}
+
 // urgent reports whether entries need to know of changes in the roster at once. A whole roster goes
 // to entries that have none.
 func (f *feed) urgent(list []*wire.Upstream, whole bool) bool {
--- a/io/hub/hub.go
+++ b/io/hub/hub.go
@@ -353,6 +353,8 @@
 		return h.handleRollouts(ctx, f)
 	case *wire.Frame_UpstreamsQuery:
 		return h.readUpstreams(ctx, b.UpstreamsQuery)
+	case *wire.Frame_AccountQuery:
+		return h.readAccount(b.AccountQuery.GetAccount())
 	case *wire.Frame_Command:
 		return h.handleCommand(ctx, f, b.Command)
 	default:
--- a/io/hub/scheduler.go
+++ b/io/hub/scheduler.go
@@ -9,6 +9,7 @@
 
 	"azurelane/core/acct"
 	"azurelane/core/allow"
+	"azurelane/core/denial"
 	"azurelane/core/ledger"
 	"azurelane/core/refuse"
 	"azurelane/core/wire"
@@ -49,6 +50,7 @@
 	sharesLoggedAt            time.Time
 	ledger                    ledger.Ledger // Units since the last log line.
 	ledgerLoggedAt            time.Time
+	denial                    denial.Denial // Refusals since the start; times count from startedAt.
 }
 
 // installAccounts puts the accounts' rates in force.
@@ -57,6 +59,7 @@
 	defer s.mu.Unlock()
 	s.version, s.rates.accounts = version, accounts
 	s.updateShares(time.Now())
+	s.denial.Retain(func(account string) bool { _, ok := accounts[account]; return ok })
 }
 
 // updateShares recomputes the shares of the accounts' rates that this scheduler may admit. s.mu
@@ -112,6 +115,7 @@
 		if !ok {
 			s.ledger.Add(a.GetAccount(), unitsRefused, a.GetUnits())
 			s.stats.Count("plain-requests-refused", 1)
+			s.denial.Add(now.Sub(s.startedAt), a.GetAccount(), refuse.AccountLimit)
 			return refuse.Ticket(&wire.Ticket{Incarnation: u.GetIncarnation()}, refuse.AccountLimit, wait)
 		}
 		s.rates.add(now, u.GetIncarnation(), a.GetAccount(), a.GetUnits())
@@ -288,6 +292,9 @@
 // recordRefusal counts a refused ticket, and logs it if refusalLog has room.
 func (s *scheduler) recordRefusal(t *wire.Ticket, refusal *wire.Refusal, start time.Time, version uint64) {
 	s.stats.Count("tickets-refused-"+refusal.GetCode(), 1)
+	s.mu.Lock()
+	s.denial.Add(time.Since(s.startedAt), t.GetAccount(), refusal.GetCode())
+	s.mu.Unlock()
 	leftOut, ok := s.refusalLog.Take(start)
 	if !ok {
 		return
--- a/io/sched/sched.go
+++ b/io/sched/sched.go
@@ -401,6 +401,18 @@
 	return all
 }
 
+// Inspect calls waiting for each ticket that waits, and held for each slot that is held, with its ticket and
+// the name of its upstream. It covers only the pools whose policy tells.
+func (s *Sched) Inspect(waiting func(*wire.Ticket), held func(t *wire.Ticket, upstream string)) {
+	for _, r := range s.runners() {
+		if i, ok := r.policy.(kernel.Inspector); ok {
+			r.mu.Lock()
+			i.Inspect(waiting, held)
+			r.mu.Unlock()
+		}
+	}
+}
+
 // Waiting returns the number of tickets that wait for a decision.
 func (s *Sched) Waiting() int {
 	n := 0
