Late service: answers that are often longer than expected, and runs that no engine can end

A run that is expected to be cut off anywhere goes to the fastest engines only, where it may still end.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -304,7 +304,6 @@
 	b.dropWaiting(n)
 	s := &slot.Slot{Upstream: e.Upstream, Ticket: i.Ticket, CachedTokens: cachedTokens(e.Upstream, i)}
 	s.ExpectedWait = e.stats.wait(now)
-	s.Long = b.late.on && i.isTight(now.Sub(b.started), e.stats.timeToFirstToken(now, e.Upstream, i.prompt), e.stats.decodeTime(i.answer))
 	b.elig.Granted(now, e.Upstream)
 	e.stats.addPrompt(now, i.GetPromptTokens()-s.CachedTokens)
 	for _, p := range i.GetParts() {
--- a/core/batch/item.go
+++ b/core/batch/item.go
@@ -59,6 +59,7 @@
 		goesOn       bool   // A stream that goes on, while there are engines of other versions that can't run it.
 		prompt       int64
 		answer       int64   // Expected tokens, corrected from the caller's estimate.
+		slack        float64 // Share by which answers are often longer than expected.
 		prefillSteps float64 // Prefill time in decode steps.
 		routeStats   *routeStats
 		class        sizeClass
@@ -80,7 +81,7 @@
 }
 
 func newItem(now time.Duration, t *wire.Ticket, stats *routeStats, mean *engineStats, heldUp time.Duration, goesOn bool) *item {
-	i := &item{Ticket: t, priority: t.GetPriority(), version: t.GetVersion(), bound: t.GetBound(), goesOn: goesOn, prompt: t.GetPromptTokens(), answer: stats.answers.expected(t.GetAnswerTokens()), prefillSteps: mean.costs.prefillSteps(t.GetPromptTokens()), objective: never}
+	i := &item{Ticket: t, priority: t.GetPriority(), version: t.GetVersion(), bound: t.GetBound(), goesOn: goesOn, prompt: t.GetPromptTokens(), answer: stats.answers.expected(t.GetAnswerTokens()), prefillSteps: mean.costs.prefillSteps(t.GetPromptTokens()), objective: never, slack: answerSlack}
 	if t.GetObjectiveUs() != 0 {
 		i.objective = now + time.Duration(t.GetObjectiveUs())*time.Microsecond
 	}
--- a/core/batch/late.go
+++ b/core/batch/late.go
@@ -59,6 +59,7 @@
 	if !l.on {
 		return
 	}
+	i.slack = i.routeStats.answers.slack()
 	beforeDeadline := i.deadline - mean.slotTime(i.prompt, i.answer+int64(answerSlack*float64(i.answer)))
 	latest := beforeDeadline
 	if p := l.patience[i.GetRoute()]; p > 0 {
--- a/core/batch/pick.go
+++ b/core/batch/pick.go
@@ -141,7 +141,7 @@
 // size classes with a deficit, which accept the risk in order to get slots.
 func (i *item) overruns(now time.Duration, o *offer, prefillSteps float64) bool {
 	run := float64(i.answer) * float64(o.perToken)
-	run *= 1 + answerSlack/i.routeStats.weights[i.class]
+	run *= 1 + i.slack/i.routeStats.weights[i.class]
 	return now+o.baseFirstToken+time.Duration(prefillSteps*float64(o.perToken)+run) > i.deadline
 }
 
@@ -215,9 +215,6 @@
 	decode := time.Duration(i.answer) * o.perToken
 	best := b.bestCaseFor(i)
 	cost := timeToFirst + decode/decodeDivisor + prefillWeight*prefill + o.failurePenalty
-	if b.late.on {
-		cost += b.tightCost(now, i, o, prefill, decode)
-	}
 	if now+timeToFirst > i.objective && now+best.timeToFirstToken(prefillSteps) <= i.objective { // Another engine could be in time.
 		cost += lateCost
 	}
@@ -226,6 +223,9 @@
 	}
 	if i.overruns(now, o, prefillSteps) {
 		cost += overrunCost
+		if b.late.on {
+			cost += decode // The fastest engine, where it overruns by the least.
+		}
 	}
 	return cost
 }
--- a/core/batch/turn.go
+++ b/core/batch/turn.go
@@ -15,6 +15,11 @@
 // The best may all wait for an engine without long prompts, and other routes must not wait behind them.
 const routeTurns = 2
 
+// longestSpeed is the most that an engine may take for a token, in multiples of the fastest one, to get a run that
+// is expected to be cut off at its deadline on any engine. Such expectations are often too long, and the run
+// may end in time on the fastest engines only.
+const longestSpeed = 1.5
+
 // takeTurns finds the tickets to consider for the engines with room.
 func (b *Batch) takeTurns(now time.Duration, batchesFull bool) *turns {
 	soonest, fastest := b.soonestAndFastest()
@@ -70,9 +75,11 @@
 		if i.deferrable {
 			continue
 		}
-		if o, cost := b.bestOffer(now, i); o != nil && (cost < overrunCost || !o.batchFull) {
-			return n, o.engine, false
+		o, cost := b.bestOffer(now, i)
+		if o == nil || (cost >= overrunCost && (o.batchFull || float64(o.perToken) > longestSpeed*float64(b.bestCaseFor(i).perToken))) {
+			continue
 		}
+		return n, o.engine, false
 	}
 	return 0, nil, false
 }
