Accounts beyond their share of a full pool go last

Cause: the policy batch orders tickets by value alone.

Change: with fair-shares, tickets of accounts beyond their share go after all others, are refused first with the code over-share, and get no place in the queue of an engine whose batch is full. Within an account, the more urgent ticket that an engine with room can run before its deadline takes the turn. Without the switch a ticket has no part and every decision is as before.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -87,6 +87,7 @@
 	mixedVersions bool
 	versionCases  []versionCase
 	shed          shedder
+	shares        shares
 	holdUps       holdUps
 }
 
@@ -104,6 +105,7 @@
 		b.slots.Changed = func(u *upstr.Upstream) { b.updateRoom(b.engine(u)) }
 		b.updateMeanEngine()
 	}
+	b.configureShares(cfg)
 	return nil
 }
 
@@ -135,6 +137,7 @@
 	}
 	b.topPriority.observe(now, t.GetPriority())
 	i := newItem(now.Sub(b.started), t, route, &b.meanEngine, b.holdUps.of(t.GetEntry()), t.GetBound() && t.GetGoesOn() && b.mixedVersions)
+	i.part = b.partOf(t.GetAccount(), i.priority)
 	b.waiting = append(b.waiting, i)
 	b.waitingByKey[ticketKey{t.GetIncarnation(), t.GetId()}] = i
 	if i.bound && !b.hasVersion(now, i.version) {
@@ -152,6 +155,7 @@
 	if s == nil {
 		return nil
 	}
+	b.updateHeld(s.Ticket.GetAccount())
 	if route := b.routes[s.Ticket.GetRoute()]; route != nil && r.GetDispatched() && !r.GetBusy() {
 		route.answers.addAnswer(s.Ticket.GetAnswerTokens(), r.GetPieces()*max(b.pool.EventTokens, 1), r.GetWhole())
 		if !r.GetWhole() {
@@ -248,6 +252,7 @@
 		b.updateGapLimit()
 		b.slots.Sweep(now, b.pool.MaxRun+runGrace, func(*slot.Slot) {})
 	}
+	b.updateShares(now.Sub(b.started))
 	return slices.Concat(b.assignDraining(now), b.assign(now), b.refuseExpired(now))
 }
 
@@ -298,7 +303,9 @@
 		e.Cache.RecordSent(now, p.GetHash())
 	}
 	b.shed.addGrant(now.Sub(b.started))
-	return b.slots.Grant(now, s, b.pool.GrantTTL)
+	d := b.slots.Grant(now, s, b.pool.GrantTTL)
+	b.updateHeld(i.GetAccount())
+	return d
 }
 
 // refuseGone refuses a waiting ticket, by its index of waiting, because no engine of its version is left.
@@ -333,7 +340,7 @@
 			out = append(out, refuse.Ticket(i.Ticket, refuse.EntrySlow, otherEntryAfter))
 			return true
 		}
-		out = append(out, refuse.Ticket(i.Ticket, refuse.Overloaded, b.retryAfter(i)))
+		out = append(out, refuse.Ticket(i.Ticket, i.refusalCode(), b.retryAfter(i)))
 		return true
 	})
 	return out
--- a/core/batch/item.go
+++ b/core/batch/item.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"azurelane/core/part"
 	"azurelane/core/wire"
 )
 
@@ -61,7 +62,8 @@
 		prefillSteps float64 // Prefill time in decode steps.
 		routeStats   *routeStats
 		class        sizeClass
-		arrivedLate  bool // Its objective had nearly passed on arrival, after a refusal or a run that broke off.
+		part         *part.Part // Of its client account; nil while shares are off.
+		arrivedLate  bool       // Its objective had nearly passed on arrival, after a refusal or a run that broke off.
 	}
 )
 
@@ -103,7 +105,7 @@
 
 // score returns the value rate of the ticket if its first token comes at firstTokenAt.
 func (i *item) score(firstTokenAt time.Duration) float64 {
-	rate := i.valueRate * i.routeStats.weights[i.class] * i.routeStats.boost
+	rate := i.valueRate * i.routeStats.weights[i.class] * i.routeStats.boost * i.shareFactor()
 	switch {
 	case i.goesOn:
 		return rate
--- a/core/batch/pick.go
+++ b/core/batch/pick.go
@@ -53,6 +53,7 @@
 	fallback, fallbackEngine, leastHarm := -1, (*engine)(nil), time.Duration(0) // The least harmful choice if no ticket fits.
 	top := b.candidates(now, batchesFull)
 	for _, n := range top.index[:top.count] {
+		n = b.moreUrgent(now, n, batchesFull)
 		o, cost := b.bestOffer(now, b.waiting[n])
 		if o != nil && cost < stallCost {
 			return n, o.engine, true
@@ -60,7 +61,7 @@
 		if o == nil || (cost >= overrunCost && o.batchFull) {
 			continue // No engine can take it, or it would queue at a full one and then be cut off at its deadline.
 		}
-		if fallback < 0 || cost.Truncate(stallCost) < leastHarm {
+		if fallback < 0 || (cost.Truncate(stallCost) < leastHarm && !b.yieldsTo(n, fallback, leastHarm)) {
 			fallback, fallbackEngine, leastHarm = n, o.engine, cost.Truncate(stallCost)
 		}
 	}
@@ -100,8 +101,10 @@
 }
 
 // mayQueue reports whether a ticket may be granted a place in the queue of an engine whose batch is
-// full: one of the top priority, or a stream that goes on, which few engines may be able to run.
-func (b *Batch) mayQueue(i *item) bool { return i.goesOn || b.topPriority.includes(i) }
+// full: one of the top priority within its account's share, or a stream that goes on, which few engines may be able to run.
+func (b *Batch) mayQueue(i *item) bool {
+	return i.goesOn || (b.topPriority.includes(i) && !i.beyondShare())
+}
 
 // topItems holds the indices in waiting of the highest scores, best first.
 type topItems struct {
--- a/core/batch/replay_test.go
+++ b/core/batch/replay_test.go
@@ -34,6 +34,7 @@
 	// request is a request of one caller, with its retry after a refusal.
 	request struct {
 		traffic
+		account          string
 		arrived          time.Time
 		promptTokens     int64
 		tokens, estimate int64
@@ -86,6 +87,7 @@
 
 func (r *replay) submit(q *request) {
 	k := r.ticket(q.route, q.priority, q.promptTokens, min(q.estimate, q.maxAnswer))
+	k.Account = q.account
 	k.ObjectiveUs = (q.objective - r.now.Sub(q.arrived)).Microseconds()
 	k.DeadlineUs = (q.deadline - r.now.Sub(q.arrived)).Microseconds()
 	r.pending[k.GetId()] = q
@@ -171,8 +173,10 @@
 }
 
 // arrive sends a new request.
-func (r *replay) arrive(s traffic) {
-	q := &request{traffic: s, arrived: r.now, promptTokens: r.lognormal(s.prompt, 0.5), tokens: min(r.lognormal(s.answer, s.spread), s.maxAnswer)}
+func (r *replay) arrive(s traffic) { r.arriveFrom("", s) }
+
+func (r *replay) arriveFrom(account string, s traffic) {
+	q := &request{traffic: s, account: account, arrived: r.now, promptTokens: r.lognormal(s.prompt, 0.5), tokens: min(r.lognormal(s.answer, s.spread), s.maxAnswer)}
 	q.estimate = r.lognormal(float64(q.tokens), 0.5)
 	r.requests = append(r.requests, q)
 	r.submit(q)
--- a/core/batch/shed.go
+++ b/core/batch/shed.go
@@ -66,6 +66,7 @@
 	rate := max(s.grantRate, minRate)
 	s.sorted = append(s.sorted[:0], waiting...)
 	slices.SortFunc(s.sorted, func(a, b *item) int { return cmp.Compare(b.score(now), a.score(now)) })
+	orderByUrgency(s.sorted)
 	ahead := 0.0
 	for _, i := range s.sorted {
 		if ahead/rate > shedMargin*(i.refuseAt-now).Seconds() {
--- a/core/refuse/refuse.go
+++ b/core/refuse/refuse.go
@@ -25,6 +25,7 @@
 	HeaderLarge   = "header-too-large"  // The header is over the limit of routes.
 	AccountLimit  = "account-limit"     // The account has too much open already.
 	Overloaded    = "overloaded"        // The pool is full.
+	OverShare     = "over-share"        // The pool is full, and the account uses more than its share.
 	EntrySlow     = "entry-slow"        // The entry holds slots for so long that others go first.
 	Deadline      = "deadline"          // It can't be done before the deadline.
 	NoUpstream    = "no-upstream"       // No upstream of the pool is live.
--- a/core/slots/slots.go
+++ b/core/slots/slots.go
@@ -3,6 +3,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"azurelane/core/slot"
@@ -212,6 +213,9 @@
 // AccountLen returns the number of slots that a client account holds.
 func (s *Slots) AccountLen(name string) int { return s.accounts[name] }
 
+// Accounts returns the client accounts that hold slots.
+func (s *Slots) Accounts() []string { return slices.Collect(maps.Keys(s.accounts)) }
+
 // ByEntry returns the number of slots by the name of the entry that holds them.
 func (s *Slots) ByEntry() map[string]int {
 	counts := make(map[string]int, len(s.held))
