Operators see each account's share and why it was refused

Cause: an operator could not tell an account refused for its own flood from one refused because the pool was too small.

Change: the hub logs "Shares of accounts." for each pool with fair-shares each 5 s: weight, share, held and used slots, waiting slot time, and refusals within and beyond the share.

--- a/core/kernel/kernel.go
+++ b/core/kernel/kernel.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"azurelane/core/conf"
+	"azurelane/core/part"
 	"azurelane/core/wire"
 )
 
@@ -50,6 +51,12 @@
 	SlotsByEntry() map[string]int
 }
 
+// Sharer is a Scheduler that tells what client accounts get.
+type Sharer interface {
+	// Shares returns what each client account gets, by name; nil while accounts have no shares.
+	Shares() map[string]part.Part
+}
+
 // Versioner is a Scheduler that grants a ticket which names a version only on upstreams of that
 // version.
 type Versioner interface {
--- a/io/hub/speeds.go
+++ b/io/hub/speeds.go
@@ -20,6 +20,7 @@
 	}
 	s.speedsLoggedAt = now
 	s.logSlots()
+	s.logAccountShares()
 	speeds := s.sched.TokenTimes()
 	for _, pool := range slices.Sorted(maps.Keys(speeds)) {
 		if len(speeds[pool]) == 0 {
--- a/io/sched/sched.go
+++ b/io/sched/sched.go
@@ -17,6 +17,7 @@
 
 	"azurelane/core/conf"
 	"azurelane/core/kernel"
+	"azurelane/core/part"
 	"azurelane/core/refuse"
 	"azurelane/core/wire"
 	"azurelane/io/trace"
@@ -401,6 +402,26 @@
 	return all
 }
 
+// Shares returns what each client account gets, by pool and account. It covers only the pools whose policy
+// gives accounts shares.
+func (s *Sched) Shares() map[string]map[string]part.Part {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	all := map[string]map[string]part.Part{}
+	for name, r := range s.pools {
+		p, ok := r.policy.(kernel.Sharer)
+		if !ok {
+			continue
+		}
+		r.mu.Lock()
+		if parts := p.Shares(); parts != nil {
+			all[name] = parts
+		}
+		r.mu.Unlock()
+	}
+	return all
+}
+
 // Waiting returns the number of tickets that wait for a decision.
 func (s *Sched) Waiting() int {
 	n := 0
--- a/io/story/story.go
+++ b/io/story/story.go
@@ -70,6 +70,7 @@
 // causes say in words what the code of a refusal means.
 var causes = map[string]string{
 	"overloaded":        "no upstream could have begun in time: all places were taken",
+	"over-share":        "no upstream could have begun in time, and its client account used more than its share of the pool",
 	"account-limit":     "its client account was over its rate",
 	"no-upstream":       "no upstream was known that could take it",
 	"deadline":          "its time was over before it had a place",
