--- a/core/batch/shares_test.go
+++ b/core/batch/shares_test.go
@@ -207,6 +207,26 @@
 	all := e.Shares()
 	must.Eq(t, 1, all["surge-0"].RefusedBeyond)
 	must.Eq(t, 1, all["small-0"].RefusedWithin)
+	e.Forget(e.now, "i")
+	e.now = e.now.Add(sharesInterval)
+	e.Tick(e.now)
+	must.Eq(t, 0, e.Shares()["surge-0"].Held, must.Sprint("slots of a dead entry"))
+}
+
+// Guards against tickets that wait while the switch changes and have a part of the wrong kind.
+func TestSharesSwitchedWhileTicketsWait(t *testing.T) {
+	e := newHarness(1, "a")
+	e.fill(4)
+	for _, way := range []string{"none", "use", "none", "rates"} {
+		e.setShares(way)
+		for _, i := range e.waiting {
+			must.Eq(t, way != "none", i.part != nil, must.Sprint(way))
+		}
+		e.now = e.now.Add(sharesInterval)
+		e.Tick(e.now)
+		must.Eq(t, way != "none", e.Shares() != nil, must.Sprint(way))
+	}
+	must.SliceNotEmpty(t, e.waiting)
 }
 
 // BenchmarkShares measures one grant, a release and a submission with 90 engines, 16 accounts and three
