Shares of a new scheduler count held slots from the start

Cause: the use of an account was a mean over 2 s that began at zero. While a new scheduler learnt which slots are held, the slots in use seemed few, and all accounts that held any were beyond their shares.

Change: the time constant of the use grows from 10 ms to 2 s. The bound of TestCalmAccountsKeepTheirRoom is 0.05 instead of 0.06.

Result: TestHeldSlotsCountAtOnce.

--- a/core/batch/shares_test.go
+++ b/core/batch/shares_test.go
@@ -127,8 +127,8 @@
 	}{
 		{"none", 1, 1, 0.25},
 		{"weight 1", 1, 0.2, 0.15},
-		{"rates", 0.06, 0.06, 0},
-		{"use", 0.06, 0.06, 0},
+		{"rates", 0.05, 0.05, 0},
+		{"use", 0.05, 0.05, 0},
 	} {
 		flooded := served(tc.way, surgeFactor)
 		must.Between(t, tc.least-0.02, calm["large"]-flooded["large"], tc.large, must.Sprint(tc.way))
--- a/core/share/share.go
+++ b/core/share/share.go
@@ -17,13 +17,15 @@
 )
 
 const (
-	// lately is the time constant of the use that counts against a share. It is about one long run, so that
-	// an account with less than a slot is not beyond its share for longer than it held one.
+	// lately is the time constant of the use by which demand is estimated, about one long run.
 	lately = 2 * time.Second
+	// minUseTime is that time constant at the start. A new scheduler learns within moments which slots are held.
+	// Their use would otherwise seem far lower for some seconds, and all accounts beyond their shares of it.
+	minUseTime = 10 * time.Millisecond
 	// maxCredit is the time of its share that an account can save up, and creditSpent the time in which it may
 	// spend it. Without credit, an account whose demand varies around its usual one would be beyond its share
 	// in every second moment. In a replay with three accounts at six times their usual load, other accounts
-	// lost three times as much with 4 s of credit as with 1 s, and as much with 0.5 s as with 1 s.
+	// lost four times as much with 4 s of credit as with 1 s, and as much with 0.5 s as with 1 s.
 	maxCredit   = time.Second
 	creditSpent = 2 * time.Second
 	// usualTime is the time constant of the usual use. It is longer than the waves of demand, which must not
@@ -49,6 +51,7 @@
 	list      []named            // The accounts in the order in which they were added, so that sums do not vary.
 	weights   map[string]float64 // Configured, by account; nil if nothing tells how accounts compare.
 	updated   bool
+	begun     time.Duration // Time of the first update.
 	updatedAt time.Duration
 	level     float64 // Slots per weight at which a share ends, or ended when tickets last waited.
 	full      bool    // Tickets wait.
@@ -115,17 +118,18 @@
 // Update ends an interval, in which the accounts held the slots that SetHeld told, and computes the shares.
 // The field Waiting of each account must be up to date.
 func (l *Ledger) Update(now time.Duration) {
-	span := now - l.updatedAt
 	if !l.updated {
-		span = 0
+		l.updated, l.begun, l.updatedAt = true, now, now
 	}
-	l.updated, l.updatedAt = true, now
-	total, waiting, held := 0.0, 0.0, 0.0
+	span := now - l.updatedAt
+	l.updatedAt = now
+	useTime := min(lately, max(now-l.begun, minUseTime))
+	waiting, held, used := 0.0, 0.0, 0.0
 	for _, p := range l.list {
-		p.Used = approach(p.Used, float64(p.Held), span, lately)
-		total += p.Used
+		p.Used = approach(p.Used, float64(p.Held), span, useTime)
 		held += float64(p.Held)
 		waiting += p.Waiting
+		used += p.Used
 	}
 	if waiting < fullFrom.Seconds()*held {
 		for _, p := range l.list {
@@ -133,7 +137,7 @@
 		}
 	}
 	l.updateWeights()
-	if level := l.fill(total); waiting > 0 && !math.IsInf(level, 1) {
+	if level := l.fill(used); waiting > 0 && !math.IsInf(level, 1) {
 		l.level, l.full = level, true
 	} else {
 		l.full = false
--- a/core/share/share_test.go
+++ b/core/share/share_test.go
@@ -62,6 +62,21 @@
 	}
 }
 
+// Guards against a new scheduler that takes all accounts for beyond their shares until it has seen them for
+// some seconds.
+func TestHeldSlotsCountAtOnce(t *testing.T) {
+	var l Ledger
+	l.Update(0)
+	a, b := l.Account("a"), l.Account("b")
+	a.Waiting, b.Waiting = 100, 100
+	l.SetHeld(a, 90)
+	l.SetHeld(b, 10)
+	l.Update(50 * time.Millisecond)
+	must.Between(t, 25, a.Share, 50)
+	must.True(t, a.Beyond)
+	must.False(t, b.Beyond)
+}
+
 // Guards against an account that gains weight by its own flood: what it uses while the pool is full is not
 // usual. Before, b used a fifth of what a did.
 func TestFloodIsNotUsual(t *testing.T) {
