--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -87,6 +87,7 @@
 	mixedVersions bool
 	versionCases  []versionCase
 	shed          shedder
+	shares        shares
 	holdUps       holdUps
 	outlook       outlook
 	late          lateService
@@ -110,6 +111,7 @@
 	late, _, timed := b.pool.Overload()
 	b.outlook.on = late || timed
 	b.late.configure(late, cfg)
+	b.configureShares(cfg)
 	return nil
 }
 
@@ -144,6 +146,7 @@
 	i.work = b.slotTime(i)
 	i.lateWorth = b.late.worthOf(t.GetRoute())
 	b.late.admit(now.Sub(b.started), i, &b.meanEngine)
+	i.part = b.partOf(t.GetAccount(), i.priority)
 	b.waiting = append(b.waiting, i)
 	b.waitingByKey[ticketKey{t.GetIncarnation(), t.GetId()}] = i
 	if i.bound && !b.hasVersion(now, i.version) {
@@ -161,6 +164,7 @@
 	if s == nil {
 		return nil
 	}
+	b.updateHeld(s.Ticket.GetAccount())
 	if route := b.routes[s.Ticket.GetRoute()]; route != nil && r.GetDispatched() && !r.GetBusy() {
 		route.answers.addAnswer(s.Ticket.GetAnswerTokens(), r.GetPieces()*max(b.pool.EventTokens, 1), r.GetWhole())
 		if !r.GetWhole() {
@@ -260,6 +264,7 @@
 		b.updateGapLimit()
 		b.slots.Sweep(now, b.pool.MaxRun+runGrace, func(*slot.Slot) {})
 	}
+	b.updateShares(now.Sub(b.started))
 	return slices.Concat(b.assignDraining(now), b.assign(now), b.refuseExpired(now))
 }
 
@@ -314,7 +319,9 @@
 	if i.deferred {
 		b.late.counts.granted++
 	}
-	return b.slots.Grant(now, s, b.pool.GrantTTL)
+	d := b.slots.Grant(now, s, b.pool.GrantTTL)
+	b.updateHeld(i.GetAccount())
+	return d
 }
 
 // refuseGone refuses a waiting ticket, by its index of waiting, because no engine of its version is left.
@@ -354,7 +361,7 @@
 			out = append(out, refuse.Ticket(i.Ticket, refuse.EntrySlow, otherEntryAfter))
 			return true
 		}
-		out = append(out, refuse.Ticket(i.Ticket, refuse.Overloaded, b.returnAfter(at, i)))
+		out = append(out, refuse.Ticket(i.Ticket, i.refusalCode(), b.returnAfter(at, i)))
 		return true
 	})
 	return out
--- a/core/batch/turn.go
+++ b/core/batch/turn.go
@@ -59,9 +59,16 @@
 func (b *Batch) pickWithLate(now time.Duration, batchesFull bool) (n int, e *engine, fits bool) {
 	t := b.takeTurns(now, batchesFull)
 	for _, n := range t.timely {
-		if o, cost := b.bestOffer(now, b.waiting[n]); o != nil && cost < stallCost {
-			return n, o.engine, true
+		o, cost := b.bestOffer(now, b.waiting[n])
+		if o == nil || cost >= stallCost {
+			continue
+		}
+		if m := b.moreUrgent(now, n, batchesFull); m != n {
+			if urgent, cost := b.bestOffer(now, b.waiting[m]); urgent != nil && cost < stallCost {
+				return m, urgent.engine, true
+			}
 		}
+		return n, o.engine, true
 	}
 	for _, n := range t.late.index[:t.late.count] {
 		i := b.waiting[n]
--- a/io/hub/speeds.go
+++ b/io/hub/speeds.go
@@ -21,6 +21,7 @@
 	s.speedsLoggedAt = now
 	s.logSlots()
 	s.logLate()
+	s.logAccountShares()
 	speeds := s.sched.TokenTimes()
 	for _, pool := range slices.Sorted(maps.Keys(speeds)) {
 		if len(speeds[pool]) == 0 {
