Decisions of a move of one run between engines

Streams on an engine that leaves are cut off if they last longer than its drain. The package decides for one run when to move it, and what follows from each answer, lost answer or dead engine. The run is stopped before another engine gets it, so a lost answer leads back to the source, to today's resumption, or to a stream that stays, never to two engines. Without trouble all runs move.

--- /dev/null
+++ b/core/migr/sim_test.go
@@ -0,0 +1,382 @@
+package migr
+
+import (
+	"container/heap"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+var simSeeds = flag.Int("migr.seeds", 300, "moves simulated for each kind of trouble")
+
+const (
+	simEvents  = 120
+	simStep    = 40 * time.Millisecond
+	simKeep    = 3 * time.Second        // How long a copy is kept that nobody uses.
+	simNotice  = 100 * time.Millisecond // Until an engine notices that its stream is not read.
+	simOverlap = 400 * time.Millisecond // Required; see docs/OVERLOAD.md.
+	simPause   = 2 * time.Second        // Required.
+)
+
+type (
+	// simEngine is an engine with one run at most.
+	simEngine struct {
+		dead, busy bool
+		run        *simRun
+		copyUntil  time.Duration // When the copy that it holds ends; zero for none.
+		copied     bool          // The copy has the whole run.
+		kept       bool          // The run has stopped here, and its memory is kept.
+	}
+
+	// simRun is the work of an engine for one stream.
+	simRun struct {
+		made    int
+		next    time.Duration // When what the run sends now arrives at the earliest.
+		stopped bool
+	}
+
+	// sim is one move between two engines, of a stream that an entry reads.
+	sim struct {
+		t        *testing.T
+		r        *rand.Rand
+		trouble  string
+		now      time.Duration
+		queue    simQueue
+		m        Migr
+		from, to simEngine
+		reading  *simRun // Whose stream the entry reads.
+		got      int     // Events that the caller has.
+		gotAt    time.Duration
+		pause    time.Duration
+		slots    int           // That the entry holds at the destination.
+		mine     bool          // One of them is for the last try.
+		began    time.Duration // When the destination began.
+		ended    bool
+		calls    int  // Number of the last call or continuation; an answer to another one is late.
+		open     bool // An answer to it is awaited.
+		due      bool // It is to be sent.
+	}
+
+	simItem struct {
+		at time.Duration
+		do func()
+	}
+
+	simQueue []simItem
+)
+
+func (q simQueue) Len() int           { return len(q) }
+func (q simQueue) Less(i, j int) bool { return q[i].at < q[j].at }
+func (q simQueue) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
+
+// Push implements heap.Interface.
+func (q *simQueue) Push(x any) { *q = append(*q, x.(simItem)) }
+
+// Pop implements heap.Interface.
+func (q *simQueue) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return last
+}
+
+func (s *sim) after(d time.Duration, do func()) { heap.Push(&s.queue, simItem{s.now + d, do}) }
+
+// message delivers something over a link with troubles.
+func (s *sim) message(do func()) {
+	d := time.Duration(1+s.r.IntN(15)) * time.Millisecond
+	if s.trouble == "lossy" || s.trouble == "all" {
+		switch p := s.r.Float64(); {
+		case p < 0.15:
+			return
+		case p < 0.3:
+			d += time.Duration(s.r.IntN(1500)) * time.Millisecond
+		}
+	}
+	s.after(d, do)
+}
+
+// work makes the next event of a run.
+func (s *sim) work(e *simEngine, run *simRun) {
+	s.after(simStep, func() {
+		if e.dead || run.stopped {
+			return
+		}
+		if s.reading != run && s.now-max(s.gotAt, run.next) > simNotice {
+			run.stopped = true // Its stream is closed.
+			return
+		}
+		if e == &s.from && s.began > 0 {
+			must.LessEq(s.t, s.began+simOverlap, s.now, must.Sprint("both work"))
+		}
+		run.made++
+		n := run.made
+		s.stream(run, func() {
+			if s.reading == run {
+				must.Eq(s.t, s.got+1, n, must.Sprint("events in order"))
+				s.got, s.pause, s.gotAt = n, max(s.pause, s.now-s.gotAt), s.now
+			}
+		})
+		if n == simEvents {
+			run.stopped = true
+			if e.run == run {
+				e.run = nil
+			}
+			s.stream(run, func() { s.closed(run, true) })
+			return
+		}
+		s.work(e, run)
+	})
+}
+
+// stream delivers in order.
+func (s *sim) stream(run *simRun, do func()) {
+	run.next = max(run.next, s.now+time.Duration(1+s.r.IntN(15))*time.Millisecond)
+	s.after(run.next-s.now, do)
+}
+
+func (s *sim) closed(run *simRun, whole bool) {
+	if s.reading == run {
+		s.reading = nil
+		s.step(Event{Kind: Closed, OK: whole})
+		if s.m.stage == over && whole {
+			must.Eq(s.t, simEvents, s.got, must.Sprint("complete"))
+		}
+	}
+}
+
+// call has the source copy its run. It answers through the links.
+func (s *sim) call(last bool, limit time.Duration) {
+	answer := s.await(Answered, limit)
+	s.message(func() {
+		e := &s.from
+		switch {
+		case e.dead:
+			return
+		case e.run == nil:
+			answer(Gone, "")
+			return
+		case e.busy:
+			answer(Busy, "")
+			return
+		}
+		e.busy = true
+		run := e.run
+		if last && !run.stopped {
+			run.stopped, e.kept = true, true
+			s.stream(run, func() { s.closed(run, false) })
+		}
+		s.after(time.Duration(10+s.r.IntN(400))*time.Millisecond, func() {
+			e.busy = false
+			if e.dead || e.run == nil {
+				return
+			}
+			if s.to.dead || (s.trouble != "none" && s.r.Float64() < 0.1) {
+				handle := ""
+				if last {
+					handle = "h"
+				}
+				answer(Refused, handle)
+				return
+			}
+			must.Positive(s.t, s.slots, must.Sprint("the scheduler knows of the copy"))
+			s.hold(last)
+			answer(Done, "h")
+		})
+	})
+}
+
+// hold has the destination hold the copy for simKeep.
+func (s *sim) hold(whole bool) {
+	until := s.now + simKeep
+	s.to.copyUntil, s.to.copied = until, whole
+	s.after(simKeep, func() {
+		if s.to.copyUntil == until {
+			s.to.copyUntil = 0
+		}
+	})
+}
+
+// await expects one answer within a limit.
+func (s *sim) await(kind Kind, limit time.Duration) func(Status, string) {
+	s.calls++
+	n := s.calls
+	s.open = true
+	take := func(st Status, handle string) {
+		if s.calls == n && s.open {
+			s.open = false
+			s.step(Event{Kind: kind, Status: st, Handle: handle})
+		}
+	}
+	s.after(limit, func() { take(Lost, "") })
+	return func(st Status, handle string) { s.message(func() { take(st, handle) }) }
+}
+
+// send continues the run at an engine.
+func (s *sim) send(e *simEngine) {
+	answer := s.await(Sent, s.m.SendTime(s.now))
+	n, last := s.calls, s.got
+	s.message(func() {
+		admits := (e == &s.to && e.copyUntil > 0 && e.copied) || (e == &s.from && e.kept && !e.busy)
+		switch {
+		case e.dead:
+			return
+		case !admits || (s.trouble != "none" && s.r.Float64() < 0.1):
+			answer(Refused, "")
+			return
+		}
+		run := &simRun{made: last, next: s.now}
+		if e == &s.to {
+			e.copyUntil = 0
+			s.began = s.now
+		}
+		e.kept, e.run = false, run
+		s.message(func() { // Events come after the header.
+			s.stream(run, func() {
+				if s.calls == n && s.open {
+					s.reading, s.open = run, false
+					s.step(Event{Kind: Sent})
+				}
+			})
+			s.work(e, run)
+		})
+	})
+}
+
+// free frees the copy, and gives the slot back once no copy can be held.
+func (s *sim) free(ends Ends) {
+	if !s.mine {
+		return
+	}
+	s.mine = false
+	freed := !s.m.Doubtful()
+	if ends != FreeNone && s.m.Handle() != "" {
+		reached := false
+		s.message(func() {
+			if !s.to.dead {
+				s.to.copyUntil, reached = 0, true
+			}
+			if ends == FreeBoth {
+				s.from.kept = false
+			}
+		})
+		s.after(100*time.Millisecond, func() {
+			if freed && reached {
+				s.slots--
+				return
+			}
+			s.after(2*simKeep, func() { s.slots-- })
+		})
+		return
+	}
+	if freed {
+		s.slots--
+		return
+	}
+	s.after(2*simKeep, func() { s.slots-- })
+}
+
+// step reports what happened to the machine and does what it says.
+func (s *sim) step(e Event) {
+	e.Run = Run{Leaves: s.now > 200*time.Millisecond, Left: 800 * time.Millisecond, Expected: time.Duration(simEvents-s.got) * simStep, Events: int64(s.got)}
+	a := s.m.Step(s.now, e)
+	if a.Do == Wait {
+		return
+	}
+	s.due = true
+	s.after(a.After, func() { s.due = false; s.do(a.Do) })
+}
+
+func (s *sim) do(d Do) {
+	if s.m.Over() && (d == Copy || d == Stop) {
+		d = Drop
+	}
+	switch d {
+	case Ask:
+		s.after(10*time.Millisecond, func() {
+			s.slots, s.mine = s.slots+1, true
+			s.step(Event{Kind: Granted, OK: true})
+		})
+	case Copy:
+		s.call(false, time.Second)
+	case Stop:
+		s.call(true, s.m.StopTime(s.now))
+	case Drop:
+		s.free(s.m.Frees())
+	case Cut:
+		s.closed(s.reading, false)
+	case Move:
+		s.send(&s.to)
+	case Return:
+		s.send(&s.from)
+	case End, Break, Moved:
+		s.ended = true
+		if s.m.Outcome() != OutcomeMoved && !s.open && !s.due {
+			s.free(s.m.Frees())
+		}
+	case Wait:
+	}
+}
+
+// kill ends an engine. Its stream breaks.
+func (s *sim) kill(e *simEngine) {
+	run := e.run
+	e.dead, e.run, e.copyUntil, e.kept = true, nil, 0, false
+	if run != nil {
+		s.stream(run, func() { s.closed(run, false) })
+	}
+}
+
+func runSim(t *testing.T, seed uint64, trouble string) *sim {
+	s := &sim{t: t, r: rand.New(rand.NewPCG(seed, 1)), trouble: trouble}
+	run := &simRun{}
+	s.from.run, s.reading = run, run
+	s.work(&s.from, run)
+	for at := time.Duration(0); at < 20*time.Second; at += 20 * time.Millisecond {
+		s.after(at, func() { s.step(Event{Kind: Tick}) })
+	}
+	for i, e := range []*simEngine{&s.from, &s.to} {
+		if trouble == []string{"source dies", "destination dies"}[i] || (trouble == "all" && seed%3 == uint64(i)) {
+			s.after(200*time.Millisecond+time.Duration(s.r.IntN(1500))*time.Millisecond, func() { s.kill(e) })
+		}
+	}
+	for len(s.queue) > 0 {
+		i := heap.Pop(&s.queue).(simItem)
+		s.now = i.at
+		i.do()
+		if s.to.copyUntil > 0 {
+			must.Positive(t, s.slots, must.Sprint("the scheduler knows of the copy"))
+		}
+	}
+	return s
+}
+
+// Guards against events that are missing or come twice, two engines that work on one run, copies and slots
+// that stay held, long pauses, and a run that does not end, whatever is lost, late or dead.
+func TestMoves(t *testing.T) {
+	for _, tc := range []struct {
+		trouble string
+		moved   float64 // Least share of moves.
+	}{{"none", 1}, {"lossy", 0.25}, {"source dies", 0.3}, {"destination dies", 0.3}, {"all", 0.1}} {
+		t.Run(tc.trouble, func(t *testing.T) {
+			outcomes := map[string]int{}
+			for seed := range *simSeeds {
+				s := runSim(t, uint64(seed), tc.trouble)
+				at := must.Sprint(fmt.Sprint("seed ", seed, " outcome ", s.m.Outcome()))
+				must.True(t, s.ended, at)
+				must.Eq(t, 0, s.to.copyUntil, at)
+				if o := s.m.Outcome(); o != OutcomeMoved {
+					must.Eq(t, 0, s.slots, at)
+				}
+				must.Less(t, simPause, s.pause, at)
+				outcomes[s.m.Outcome()]++
+			}
+			t.Log(tc.trouble, outcomes)
+			must.GreaterEq(t, tc.moved*float64(*simSeeds), float64(outcomes[OutcomeMoved]))
+		})
+	}
+}
