Switch migrate of a pool, and what it needs to know of its engines

Streams move only where a pool's configuration asks for it and says that its engines offer moves and for how long they keep a copy. A switch without that time, or for plain servers, is refused and the error names the key.

--- a/core/conf/check.go
+++ b/core/conf/check.go
@@ -43,6 +43,11 @@
 	if err := c.checkPools(); err != nil {
 		return err
 	}
+	for name, p := range c.Pools {
+		if err := checkMoves("/pools/"+name, p); err != nil {
+			return err
+		}
+	}
 	return c.checkRoutes()
 }
 
@@ -169,6 +174,18 @@
 	return nil
 }
 
+// checkMoves checks what moves of streams need. Without the time of handles it is not known how long the slot
+// of a lost copy stays taken.
+func checkMoves(at string, p pool.Pool) error {
+	if p.HandleTime < 0 || (p.HandleTime == 0 && p.Migrate && p.Moves) {
+		return invalid(at+"/handle-time", "a span over 0 where streams move")
+	}
+	if p.Migrate && p.Slots <= 0 {
+		return invalid(at+"/migrate", "false, as the pool has no model engines")
+	}
+	return nil
+}
+
 func checkPool(at string, p pool.Pool) error {
 	if p.AnnounceKey != "" && !isHash(p.AnnounceKey) {
 		return invalid(at+"/announce-key-sha256", hashWant)
