--- a/core/migr/migr.go
+++ b/core/migr/migr.go
@@ -70,17 +70,18 @@
 	Granted              // OK says whether the scheduler granted a slot.
 	Answered             // Status, Handle answer the last call.
 	Closed               // The stream from the source has ended; OK if with its end.
-	Sent                 // Status answers the last continuation: Done, Refused or Lost.
+	Sent                 // Status answers the last continuation: Done, Refused, Lost or Unreached.
 	Left                 // The caller is gone, or another engine has the run.
 )
 
 // Statuses of calls and continuations.
 const (
-	Done    Status = iota
-	Gone           // The engine has no such run.
-	Busy           // Another call for the run is in progress.
-	Refused        // No room or no destination; of a continuation: nothing ran.
-	Lost           // No answer. The call may have had its effect.
+	Done      Status = iota
+	Gone             // The engine has no such run.
+	Busy             // Another call for the run is in progress.
+	Refused          // No room or no destination; of a continuation: nothing ran.
+	Lost             // No answer. The call may have had its effect.
+	Unreached        // Nothing was sent.
 )
 
 // Ends at which a copy is freed.
@@ -177,6 +178,9 @@
 	over
 )
 
+// ForReader reports whether it is for the reader of the stream, which has ended.
+func (d Do) ForReader() bool { return d >= Move }
+
 // Step takes what happened and returns what to do.
 func (m *Migr) Step(now time.Duration, e Event) Action {
 	if e.Kind == Answered && e.Handle != "" {
@@ -280,7 +284,7 @@
 		return m.drop(now, OutcomeGone)
 	case e.Status == Refused:
 		return m.drop(now, OutcomeNoRoom)
-	case e.Status == Busy && now-m.began < busyLimit:
+	case (e.Status == Busy || e.Status == Unreached) && now-m.began < busyLimit:
 		m.called = now + callAgain
 		return Action{Do: Copy, After: callAgain}
 	case m.copies < maxCopies:
@@ -313,7 +317,7 @@
 	case e.Status == Done, e.Status == Refused && e.Handle != "":
 		m.stopped, m.refused, m.cutAt = true, e.Status == Refused, now+settle
 		return m.goOn(now)
-	case e.Status == Gone, e.Status == Refused:
+	case e.Status == Gone, e.Status == Refused, e.Status == Unreached && m.closed: // An engine that has ended.
 		return m.unanswered(now)
 	case now-m.stopAt+callAgain < stopLimit:
 		m.called = now + callAgain
@@ -383,7 +387,7 @@
 		return m.finish(Moved, OutcomeMoved, FreeNone)
 	case e.Status == Done:
 		return m.finish(Moved, OutcomeReturned, FreeDestination)
-	case e.Status == Refused && m.stage == moving:
+	case (e.Status == Refused || e.Status == Unreached) && m.stage == moving:
 		return m.giveBack(now)
 	case e.Status == Refused && !m.stopped && m.returns < maxReturns:
 		m.returns++
--- a/core/migr/sim_test.go
+++ b/core/migr/sim_test.go
@@ -155,6 +155,9 @@
 	s.message(func() {
 		e := &s.from
 		switch {
+		case e.dead && s.r.IntN(2) == 0:
+			answer(Unreached, "")
+			return
 		case e.dead:
 			return
 		case e.run == nil:
@@ -223,6 +226,9 @@
 	s.message(func() {
 		admits := (e == &s.to && e.copyUntil > 0 && e.copied) || (e == &s.from && e.kept && !e.busy)
 		switch {
+		case e.dead && s.r.IntN(2) == 0:
+			answer(Unreached, "")
+			return
 		case e.dead:
 			return
 		case !admits || (s.trouble != "none" && s.r.Float64() < 0.1):
