Streams move off engines that leave

A stream that lasts longer than the drain of its engine was cut off, and on routes that let one upstream run a request its caller got nothing more. The entry now has such a run copied to an engine where the scheduler grants a slot, stops it, and continues it there from its last event; if that fails, at the source. The slot of a copy is a ticket like that of any send, and is given back once the copy is freed or used; after a lost call it counts as taken for twice the time that engines keep copies. While a run may be stopped, no other upstream is sought for it.

--- a/cmd/azurelane/gate.go
+++ b/cmd/azurelane/gate.go
@@ -31,7 +31,7 @@
 		return err
 	}
 	defer s.end()
-	e, err := gated.Open(s.Local, &gate.Gate{Dialect: platform.Header{}}, platform.EchoHeader, platform.Parse, s.log)
+	e, err := gated.Open(s.Local, &gate.Gate{Dialect: platform.Header{}, Moves: platform.Moves{}}, platform.EchoHeader, platform.Parse, s.log)
 	if err != nil {
 		return err
 	}
--- a/io/gate/flight.go
+++ b/io/gate/flight.go
@@ -20,6 +20,7 @@
 	sentAt    time.Time
 	ctx       context.Context //nolint:containedctx // Of the send.
 	cancel    context.CancelCauseFunc
+	continues *continuation // Nil unless the upstream continues a run.
 	done      chan struct{} // Closed once the fields below are set; nil if the request is yet to be sent.
 	resp      *http.Response
 	sent      bool // A byte may have been sent.
@@ -49,7 +50,11 @@
 
 // dispatch sends the request and waits for the header of the response.
 func (f *flight) dispatch() {
-	f.resp, f.sent, f.err = f.request.gate.Sender.Send(f.ctx, f.request.upstreamRequest(f.ctx, f.placement)) //nolint:bodyclose // By send, race or drop.
+	r := f.request.upstreamRequest(f.ctx, f.placement)
+	if c := f.continues; c != nil {
+		f.request.gate.Moves.Continue(r.Header, c.source, c.handle)
+	}
+	f.resp, f.sent, f.err = f.request.gate.Sender.Send(f.ctx, r) //nolint:bodyclose // By send, race or drop.
 }
 
 // accepted reports whether the response shows that the upstream answers the request.
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -47,9 +47,11 @@
 		Origins     originFinder
 		Path        upstreamPath
 		Dialect     dialect
-		RetryRatio  float64 // Retries allowed, as a fraction of requests.
-		RetrySlack  float64 // Retries allowed beyond RetryRatio in each pool, over all entries.
-		QuotaSlack  float64 // Units that the whole deployment may add to each account's burst.
+		Moves       moveDialect // Nil if streams do not move off upstreams that leave.
+		Calls       sender      // Of the calls of moves.
+		RetryRatio  float64     // Retries allowed, as a fraction of requests.
+		RetrySlack  float64     // Retries allowed beyond RetryRatio in each pool, over all entries.
+		QuotaSlack  float64     // Units that the whole deployment may add to each account's burst.
 		// SplitValid is how long this entry sends requests to the target version of a rollout
 		// without word from the scheduler.
 		SplitValid time.Duration
@@ -73,6 +75,7 @@
 		brittle          brittle
 		rests            rests
 		leaving          leaving
+		departures       departures
 
 		mu              sync.Mutex // Guards the fields below.
 		peers           peers.Peers
--- a/io/gate/hedge.go
+++ b/io/gate/hedge.go
@@ -43,6 +43,7 @@
 		due     time.Time     // When it counts as silent.
 		settled bool          // What arrived before a late timer was read.
 		busy    bool          // The upstream is not being waited for.
+		paused  bool          // Nor is it while its run may be stopped.
 		stopped bool
 		search  *search
 		won     *flight // Takes the place of the send.
@@ -92,7 +93,7 @@
 // wait has the upstream count as silent after limit. h.mu must be held.
 func (h *hedge) wait(limit time.Duration) {
 	h.due, h.settled = time.Now().Add(limit), false
-	if h.search == nil && !h.busy && !h.stopped {
+	if h.search == nil && !h.busy && !h.paused && !h.stopped {
 		h.timer.Reset(limit)
 	}
 }
@@ -125,6 +126,34 @@
 	h.wait(limit)
 }
 
+// pause has no other upstream sought until resume is called, and reports false if one has taken the upstream's
+// place.
+func (h *hedge) pause() bool {
+	if h == nil {
+		return true
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.won != nil {
+		return false
+	}
+	h.paused = true
+	h.timer.Stop()
+	h.dropSearch()
+	return true
+}
+
+// resume starts to wait for the upstream again.
+func (h *hedge) resume() {
+	if h == nil {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.paused = false
+	h.wait(h.limit)
+}
+
 // stop ends the wait. If the send has brought no final response, it returns the send that takes its
 // place, or nil if there is none.
 func (h *hedge) stop(final bool) *flight {
@@ -186,7 +215,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	late := time.Since(h.due)
-	if h.stopped || h.busy || h.search != nil || h.won != nil || late < 0 || !h.request.mayMove(h.flight.placement) {
+	if h.stopped || h.busy || h.paused || h.search != nil || h.won != nil || late < 0 || !h.request.mayMove(h.flight.placement) {
 		return nil, nil
 	}
 	if late > maxLateness && !h.settled {
--- a/io/gate/place.go
+++ b/io/gate/place.go
@@ -54,6 +54,8 @@
 	upstream *wire.Upstream
 	ticket   *wire.Ticket
 	grant    *wire.Grant // Nil if this entry chose the upstream itself.
+	// takenAt is since when the slot is taken for a run that continues at the upstream; zero for other runs.
+	takenAt time.Time
 }
 
 // placeOnce finds an upstream for the request. While no scheduler answers, a request that finds no
@@ -257,6 +259,11 @@
 	t := p.ticket
 	// While this entry has no path, a send without an answer says nothing about the upstream.
 	blameless := res.status == 0 && (res.outcome == outcomeNotSent || res.outcome == outcomeInterrupted) && g.Path.Excuses(p.upstream.GetAddress())
+	if !p.takenAt.IsZero() {
+		// The first event came without a prefill, and the events are a part of the answer. The scheduler would
+		// learn wrong speeds and lengths from them.
+		res.firstAfter, res.events, res.total = 0, 0, time.Since(p.takenAt)
+	}
 	g.Granter.Release(&wire.Release{
 		Ticket: t.GetId(), Entry: t.GetEntry(), Incarnation: t.GetIncarnation(), Pool: t.GetPool(), Upstream: p.upstream.GetId(),
 		Slot: p.grant.GetSlot(), Owner: p.grant.GetOwner(), Account: t.GetAccount(), Dispatched: !blameless && res.outcome != outcomeNotSent && res.outcome != outcomeMisdirected && res.outcome != outcomeUnused,
@@ -283,7 +290,7 @@
 		return
 	}
 	switch res.outcome {
-	case outcomeNotRun, outcomeMisdirected, outcomeCallerLeft, outcomeUnused, outcomeDropped:
+	case outcomeNotRun, outcomeMisdirected, outcomeCallerLeft, outcomeUnused, outcomeDropped, outcomeMoved:
 		g.peers.Drop(p.upstream.GetId())
 	case outcomeComplete, outcomeFailed:
 		g.peers.End(now, p.upstream.GetId(), res.total, true, res.outcome == outcomeComplete)
--- a/io/gate/request.go
+++ b/io/gate/request.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"strings"
 	"time"
@@ -57,6 +58,8 @@
 		cachedKeys      []digest.Digest // Of the parts of the prompt; nil until they are needed.
 		tallied         *tally.Send     // The send in progress; nil if its version does not matter.
 		sentBy          *placement      // Of the last send.
+		moves           int             // How often its run was stopped to be continued elsewhere.
+		moving          bool            // It is a copy that asks for a slot for a run that another upstream began.
 		banTrial        bool            // The request is banned and may run once as a trial.
 	}
 
@@ -71,6 +74,7 @@
 		events     int64
 		err        error
 		next       *flight // Takes the place of the send; nil if there is none.
+		kept       bool    // The next send has the slot.
 	}
 
 	outcome int
@@ -93,11 +97,12 @@
 	outcomeCallerLeft                 // The caller went away.
 	outcomeUnused                     // The request was not sent after all.
 	outcomeDropped                    // The request has gone on at another upstream.
+	outcomeMoved                      // The run was stopped and continued.
 )
 
 // String returns the name of the outcome in logs.
 func (e outcome) String() string {
-	return [...]string{"whole", "unsent", "busy", "other-upstream", "failed", "broken", "caller-left", "unused", "dropped"}[e]
+	return [...]string{"whole", "unsent", "busy", "other-upstream", "failed", "broken", "caller-left", "unused", "dropped", "moved"}[e]
 }
 
 var (
@@ -174,7 +179,9 @@
 		q.failures = append(q.failures, res.failure.body)
 	}
 	q.gate.versions.end(f.tallied, res)
-	f.placement.release(res)
+	if !res.kept {
+		f.placement.release(res)
+	}
 	q.checkCrash(f.placement, res)
 }
 
@@ -235,6 +242,10 @@
 	if res.outcome == outcomeComplete || res.outcome == outcomeCallerLeft {
 		return false
 	}
+	if res.outcome == outcomeMoved {
+		q.recordMove(p, res)
+		return true
+	}
 	ran := res.outcome == outcomeFailed || res.outcome == outcomeInterrupted
 	q.banTrial = q.banTrial && !ran
 	if id := p.upstream.GetId(); errors.Is(res.err, errSilent) {
@@ -264,7 +275,11 @@
 	for _, u := range q.view.Upstreams[q.pool] {
 		all = append(all, u.GetId())
 	}
-	return q.tried.Excludes(q.route.MaxUpstreams(), all)
+	most := q.route.MaxUpstreams()
+	if q.moving {
+		most = math.MaxInt // It is the same run at another upstream.
+	}
+	return q.tried.Excludes(most, all)
 }
 
 // failPlacement ends a request for which no upstream was found.
--- a/io/gate/send.go
+++ b/io/gate/send.go
@@ -60,9 +60,12 @@
 	if f.done == nil && q.leaves(f.placement.upstream) {
 		return result{outcome: outcomeUnused, err: errLeaves}
 	}
+	v := q.newMover(ctx, f)
 	h := q.newHedge(ctx, f)
 	defer func() {
-		res.next = h.stop(res.outcome == outcomeComplete)
+		if next := h.stop(res.outcome == outcomeComplete); res.next == nil {
+			res.next = next
+		}
 		res.total = time.Since(f.sentAt)
 		if res.outcome != outcomeComplete && q.r.Context().Err() != nil {
 			res.outcome = outcomeCallerLeft
@@ -83,7 +86,7 @@
 	switch {
 	case res.outcome != outcomeComplete:
 	case q.route.Stream && f.resp.StatusCode == http.StatusOK:
-		s := &stream{request: q, resp: f.resp, hedge: h, sentAt: f.sentAt}
+		s := &stream{request: q, resp: f.resp, hedge: h, mover: v, sentAt: f.sentAt}
 		s.relay(f.ctx, &res)
 	default:
 		q.relayBuffered(f, h, &res)
--- a/io/gate/stream.go
+++ b/io/gate/stream.go
@@ -17,6 +17,7 @@
 	*request
 	resp        *http.Response
 	hedge       *hedge
+	mover       *mover
 	sentAt      time.Time
 	lastWriteAt time.Time // When events of this send were last written to the caller.
 	buf         []byte    // Start of an event that has not arrived completely.
@@ -35,7 +36,14 @@
 	errOversize = errors.New("gate: event too large")
 )
 
+// relay passes the stream on to its end, or until its run has moved to another upstream.
 func (s *stream) relay(ctx context.Context, res *result) {
+	s.mover.start(s.hedge)
+	s.read(ctx, res)
+	s.mover.finish(res)
+}
+
+func (s *stream) read(ctx context.Context, res *result) {
 	rd := make([]byte, readSize)
 	for {
 		n, err := s.resp.Body.Read(rd)
@@ -91,6 +99,7 @@
 		s.markBegun(s.sentAt)
 	}
 	s.recordTiming(res)
+	s.mover.note(res.events)
 	s.writeHeader()
 	if err := s.write(s.buf[:end]); err != nil {
 		return err
--- a/io/gated/gated.go
+++ b/io/gated/gated.go
@@ -103,6 +103,7 @@
 	e := &Gated{settings: settings, log: log.WithName("gate"), gate: g, client: &client.Client{Echo: echoHeader, Idle: upstreamIdleTimeout}}
 	e.dialer = &dialer.Dialer{Source: settings.Source, OnLost: e.client.Close, Sample: e.sampleUpstreams, Log: e.log.WithName("dialer")}
 	e.client.Dial = e.dialer.DialContext
+	g.Calls = &client.Client{Dial: e.dialer.DialContext} // Apart from requests, as answers to calls carry no request's ID.
 	lns, err := listen(settings.ListenPeers().String(), settings.Callers, settings.Ready)
 	if err != nil {
 		return nil, err
