Entries hear at once that an engine leaves if its streams move

News of engines waited for the end of an entry's poll, up to 2 s, as only the scheduler places requests there. A stream that has to move has no more than the drain.

--- a/io/hub/feed.go
+++ b/io/hub/feed.go
@@ -25,13 +25,15 @@
 )
 
 // feed wakes the polls of entries when the replicated state has news that entries need at once: a
-// configuration, or an upstream of a pool whose requests entries place themselves. News of other
+// configuration, an upstream of a pool whose requests entries place themselves, or one that leaves a
+// pool whose streams entries move off upstreams that leave. News of other
 // upstreams waits for the end of a poll, because only the scheduler places requests there, and it
 // knows at once. Without that distinction the answers to polls would grow as the entries times the
 // changes of all upstreams. The zero value is ready.
 type feed struct {
 	mu        sync.Mutex
 	scheduled map[string]bool // Pools whose requests the scheduler places.
+	moving    map[string]bool // Pools whose streams move off upstreams that leave.
 	version   uint64          // Of the configuration last looked at.
 	revision  uint64          // Of the roster last looked at.
 	change    signal
@@ -47,8 +49,9 @@
 	defer f.mu.Unlock()
 	f.unscheduledRevision = 0
 	f.scheduled = make(map[string]bool, len(cfg.Pools))
+	f.moving = map[string]bool{}
 	for name, p := range cfg.Pools {
-		f.scheduled[name] = p.Slots > 0
+		f.scheduled[name], f.moving[name] = p.Slots > 0, p.Moving()
 	}
 }
 
@@ -74,7 +77,9 @@
 
 // urgentLocked is urgent with f.mu held.
 func (f *feed) urgentLocked(list []*wire.Upstream, whole bool) bool {
-	return whole || slices.ContainsFunc(list, func(u *wire.Upstream) bool { return !f.scheduled[u.GetPool()] })
+	return whole || slices.ContainsFunc(list, func(u *wire.Upstream) bool {
+		return !f.scheduled[u.GetPool()] || (f.moving[u.GetPool()] && u.GetState() == wire.Upstream_STATE_LEAVING)
+	})
 }
 
 // listUnscheduled returns the upstreams of pools whose requests entries place, by ID, and the number of
--- a/io/hub/feed_test.go
+++ b/io/hub/feed_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/shoenig/test/must"
 
+	"azurelane/core/conf"
+	"azurelane/core/pool"
 	"azurelane/core/wire"
 )
 
@@ -89,3 +91,26 @@
 		})
 	}
 }
+
+// Guards against streams that are cut off because their entry hears too late that their upstream leaves, and
+// against polls that end for news that only the scheduler needs.
+func TestUrgentNews(t *testing.T) {
+	f := feed{}
+	f.setPools(&conf.Config{Pools: map[string]pool.Pool{
+		"plain": {}, "engines": {Slots: 4}, "moving": {Slots: 4, Moves: true, Migrate: true, HandleTime: 1}, "silent": {Slots: 4, Migrate: true, HandleTime: 1},
+	}})
+	const leaving = wire.Upstream_STATE_LEAVING
+	for _, tc := range []struct {
+		pool   string
+		state  wire.Upstream_State
+		urgent bool
+	}{
+		{"plain", wire.Upstream_STATE_SERVING, true},
+		{"engines", leaving, false},
+		{"silent", leaving, false},
+		{"moving", leaving, true},
+		{"moving", wire.Upstream_STATE_SERVING, false},
+	} {
+		must.Eq(t, tc.urgent, f.urgent([]*wire.Upstream{{Pool: tc.pool, State: tc.state}}, false), must.Sprint(tc.pool, " ", tc.state))
+	}
+}
