--- a/io/stats/names.go
+++ b/io/stats/names.go
@@ -27,6 +27,8 @@
 	{"answers-in-memory-bytes", gauge, gate, "Answers that were read and not passed on yet. They may take an eighth of `memory-mb`."},
 	{"answers-passed-on-early", counter, gate, "Answers that were passed on before they were complete, as there was no room for the rest."},
 	{"processor-delay-us", gauge, gate, "How long work waits for a processor, on average, in microseconds; measured while the entry seems late, else zero."},
+	{"moves-by-*", counter, gate, "Moves of streams off upstreams that leave, by what says so: roster, response."},
+	{"moves-*", counter, gate, "Moves by outcome: moved, returned (stopped, and continued where it was), broken (stopped, and continued nowhere), ended (before the stop), no-slot, no-room, gone, call-lost, not-stopped. `moves-unfreed` are copies that could not be freed; their slots count as taken for twice `handle-time`."},
 	{"refused-*", counter, entry, "Refusals by code; docs/API.md lists the codes."},
 	{"wasted-prefill-tokens", counter, entry, "Prompt tokens, as estimated, of requests that were sent and have no whole answer."},
 	{"shed-for-urgent", counter, entry, "Waiting requests refused because more urgent work of their account needed the place."},
