Simulation of moves: broken links, late events, engines that admit any copy

Events of a stopped run were never late, so a move that does not wait for them passed. A link that breaks while the source works on was missing.

--- a/core/migr/sim_test.go
+++ b/core/migr/sim_test.go
@@ -28,7 +28,6 @@
 		dead, busy bool
 		run        *simRun
 		copyUntil  time.Duration // When the copy that it holds ends; zero for none.
-		copied     bool          // The copy has the whole run.
 		kept       bool          // The run has stopped here, and its memory is kept.
 	}
 
@@ -118,7 +117,7 @@
 		s.stream(run, func() {
 			if s.reading == run {
 				must.Eq(s.t, s.got+1, n, must.Sprint("events in order"))
-				s.got, s.pause, s.gotAt = n, max(s.pause, s.now-s.gotAt), s.now
+				s.got, s.pause, s.gotAt = n, max(s.pause, s.now-max(s.gotAt, s.m.stopAt)), s.now
 			}
 		})
 		if n == simEvents {
@@ -135,12 +134,16 @@
 
 // stream delivers in order.
 func (s *sim) stream(run *simRun, do func()) {
-	run.next = max(run.next, s.now+time.Duration(1+s.r.IntN(15))*time.Millisecond)
+	d := time.Duration(1+s.r.IntN(15)) * time.Millisecond
+	if s.trouble != "none" && s.r.Float64() < 0.02 {
+		d += time.Duration(s.r.IntN(500)) * time.Millisecond
+	}
+	run.next = max(run.next+1, s.now+d) // The queue does not keep the order of equal times.
 	s.after(run.next-s.now, do)
 }
 
 func (s *sim) closed(run *simRun, whole bool) {
-	if s.reading == run {
+	if s.reading == run && run != nil {
 		s.reading = nil
 		s.step(Event{Kind: Closed, OK: whole})
 		if s.m.stage == over && whole {
@@ -187,16 +190,16 @@
 				return
 			}
 			must.Positive(s.t, s.slots, must.Sprint("the scheduler knows of the copy"))
-			s.hold(last)
+			s.hold()
 			answer(Done, "h")
 		})
 	})
 }
 
 // hold has the destination hold the copy for simKeep.
-func (s *sim) hold(whole bool) {
+func (s *sim) hold() {
 	until := s.now + simKeep
-	s.to.copyUntil, s.to.copied = until, whole
+	s.to.copyUntil = until
 	s.after(simKeep, func() {
 		if s.to.copyUntil == until {
 			s.to.copyUntil = 0
@@ -224,7 +227,7 @@
 	answer := s.await(Sent, s.m.SendTime(s.now))
 	n, last := s.calls, s.got
 	s.message(func() {
-		admits := (e == &s.to && e.copyUntil > 0 && e.copied) || (e == &s.from && e.kept && !e.busy)
+		admits := (e == &s.to && e.copyUntil > 0) || (e == &s.from && e.kept && !e.busy)
 		switch {
 		case e.dead && s.r.IntN(2) == 0:
 			answer(Unreached, "")
@@ -350,6 +353,9 @@
 			s.after(200*time.Millisecond+time.Duration(s.r.IntN(1500))*time.Millisecond, func() { s.kill(e) })
 		}
 	}
+	if trouble == "link breaks" {
+		s.after(200*time.Millisecond+time.Duration(s.r.IntN(800))*time.Millisecond, func() { s.closed(s.reading, false) })
+	}
 	for len(s.queue) > 0 {
 		i := heap.Pop(&s.queue).(simItem)
 		s.now = i.at
@@ -367,7 +373,7 @@
 	for _, tc := range []struct {
 		trouble string
 		moved   float64 // Least share of moves.
-	}{{"none", 1}, {"lossy", 0.25}, {"source dies", 0.3}, {"destination dies", 0.3}, {"all", 0.1}} {
+	}{{"none", 1}, {"lossy", 0.25}, {"source dies", 0.3}, {"destination dies", 0.3}, {"link breaks", 0.3}, {"all", 0.1}} {
 		t.Run(tc.trouble, func(t *testing.T) {
 			outcomes := map[string]int{}
 			for seed := range *simSeeds {
