--- a/core/migr/migr.go
+++ b/core/migr/migr.go
@@ -10,7 +10,8 @@
 import "time"
 
 const (
-	// MaxTries is the number of destinations that one run asks a slot at.
+	// MaxTries is the number of destinations that one run is copied to. Asking for a slot in vain does not
+	// count: slots become free during a drain, and a scheduler that ends is replaced.
 	MaxTries = 3
 	// endShare is the part of the remaining drain in which a run has to be expected to end if it stays.
 	// A run that is cut off loses its answer, a move costs a pause, so the estimate gets a margin.
@@ -262,6 +263,7 @@
 		return Action{}
 	}
 	if !e.OK {
+		m.tries--
 		return m.drop(now, OutcomeNoSlot)
 	}
 	m.stage, m.copies, m.rounds, m.asked, m.doubtful, m.handle, m.called, m.began = copying, 1, 1, true, false, "", now, now
--- a/core/migr/sim_test.go
+++ b/core/migr/sim_test.go
@@ -307,6 +307,10 @@
 	switch d {
 	case Ask:
 		s.after(10*time.Millisecond, func() {
+			if s.trouble != "none" && s.r.IntN(3) == 0 {
+				s.step(Event{Kind: Granted})
+				return
+			}
 			s.slots, s.mine = s.slots+1, true
 			s.step(Event{Kind: Granted, OK: true})
 		})
