Tests of moves whose scheduler ends, and of headers without moves

go test -race -count 3 ./io/gate -run 'TestMoves|TestNoMoves|TestCallerLeaves' passes. Where nothing moves, requests to engines have the same headers with and without the part that moves.

--- a/io/gate/move_test.go
+++ b/io/gate/move_test.go
@@ -71,6 +71,7 @@
 		engines []*moveEngine
 		calls   int
 		freed   int
+		header  http.Header          // Of the last request for a stream.
 		begun   map[string]time.Time // When an engine began to work, by ID.
 		worked  map[string]time.Time // When it last did.
 	}
@@ -184,6 +185,7 @@
 
 func (e *moveEngine) serveStream(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set(idHeader, r.Header.Get(idHeader))
+	e.fleet.header = r.Header.Clone()
 	from, _ := strconv.Atoi(r.Header.Get("X-Last"))
 	if r.Header.Get("X-Continue") != "" {
 		if e.has(handleGone) || (e.copied == 0 && !e.kept) {
@@ -348,6 +350,36 @@
 	}
 }
 
+// Guards against moves whose slot no scheduler has granted, and against a move that is given up because the
+// scheduler ends after the grant.
+func TestMovesWhenTheSchedulerEnds(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		grants int // After which it ends.
+		calls  int
+	}{{"before it is asked", 1, 0}, {"once it has granted the slot", 2, 2}} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			m := newMoveGate(t, movingPool, nil, nil)
+			grant := m.sched.grant
+			m.sched.grant = func(ticket *wire.Ticket) (*wire.Grant, error) {
+				g, err := grant(ticket)
+				m.mu.Lock()
+				defer m.mu.Unlock()
+				if g.GetSlot() == uint64(tc.grants) {
+					m.view.Owner = nil
+				}
+				return g, err
+			}
+			go m.leave()
+			must.Eq(t, eventsUpTo(moveEvents), m.do("POST", "/stream/x").body)
+			m.check(t)
+			must.Eq(t, tc.calls, m.fleet.calls)
+			must.Eq(t, tc.grants, m.granted)
+		})
+	}
+}
+
 // Guards against calls to engines that do not offer moves, or that nobody asked for, and against moves of runs
 // that end in time.
 func TestNoMoves(t *testing.T) {
@@ -364,11 +396,19 @@
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
 			m := newMoveGate(t, tc.pool, nil, nil)
-			m.UpstreamDrain = tc.drain
+			m.UpstreamDrain, m.Moves = tc.drain, nil
+			for range 2 { // The first request to an upstream asks it to close the connection.
+				must.Eq(t, eventsUpTo(moveEvents), m.do("POST", "/stream/x").body)
+			}
+			without := m.fleet.header
+			m.Moves = testMoves{}
 			go m.leave()
 			must.Eq(t, eventsUpTo(moveEvents), m.do("POST", "/stream/x").body)
 			must.Eq(t, 0, m.fleet.calls)
-			must.Eq(t, 1, m.granted)
+			must.Eq(t, 3, m.granted)
+			without.Del("X-Left") // The time left.
+			m.fleet.header.Del("X-Left")
+			must.Eq(t, without, m.fleet.header)
 		})
 	}
 }
