Tickets of plain servers with late-service go by priority and objective

Pools of plain servers whose late-service is on use wait.List for the order and depth.Depth for the number at a server. Their tickets have the usual tier. With the switch off nothing changes.

--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -61,5 +61,12 @@
 	return on(p.LateService), on(p.FairShares), on(p.TimedReturn)
 }
 
+// DefersPlain reports whether the requests of the pool, which is one of plain servers, take tickets so that they
+// wait for a place in one order.
+func (p Pool) DefersPlain() bool {
+	late, _, _ := p.Overload()
+	return late && p.Slots == 0 && p.WithDefaults().Scheduler == DefaultScheduler
+}
+
 // RunsOn reports whether a request with an idempotency key completes after its callers have left.
 func (p Pool) RunsOn() bool { return p.RunOn == nil || *p.RunOn }
--- a/core/pull/admit.go
+++ b/core/pull/admit.go
@@ -114,5 +114,9 @@
 	if t.GetBound() && !slices.ContainsFunc(p.table.All(), func(u *upstr.Upstream) bool { return u.Live(now) && u.HasVersion(t, t.GetVersion()) }) {
 		return refuse.Ticket(t, refuse.VersionGone, 0)
 	}
-	return refuse.Ticket(t, refuse.NoUpstream, startGrace)
+	after := startGrace
+	if p.plain != nil {
+		after = p.plain.list.ReturnAfter(now, &item.Item{Ticket: t})
+	}
+	return refuse.Ticket(t, refuse.NoUpstream, after)
 }
--- a/core/pull/learn.go
+++ b/core/pull/learn.go
@@ -31,6 +31,7 @@
 	if s == nil {
 		return nil
 	}
+	p.learnPlain(now, s, r)
 	p.learn(now, s, r)
 	if !slices.Contains(p.available, s.Upstream) {
 		p.available = append(p.available, s.Upstream)
--- a/core/pull/pull.go
+++ b/core/pull/pull.go
@@ -52,6 +52,7 @@
 	available      []*upstr.Upstream // All upstreams with room, and possibly some without.
 	availableStale bool              // Upstreams that are not in available may have room.
 	timed          bool              // Some upstream is available again after a time, without a release.
+	plain          *plain            // Order of the tickets of a pool that defers plain requests; nil for any other.
 }
 
 const (
@@ -89,6 +90,7 @@
 			p.queue.Shares[t.Wire()] = t.Share
 		}
 	}
+	p.setPlain(now, p.pool.DefersPlain())
 	return append(p.sweep(now), p.assign(now)...)
 }
 
@@ -117,11 +119,14 @@
 // one that was granted before would never be dispatched.
 func (p *Policy) Submit(now time.Time, t *wire.Ticket) []*wire.Decision {
 	p.noteOwnerCall(now)
-	p.queue.Remove(t.GetIncarnation(), t.GetId())
+	p.drop(t.GetIncarnation(), t.GetId())
 	p.cancel(now, t.GetIncarnation(), t.GetId())
 	if !p.hasUpstream(now, t) && now.Sub(p.ownerSince) >= startGrace {
 		return []*wire.Decision{p.refuseUnservedTicket(now, t)}
 	}
+	if p.plain != nil {
+		return p.submitPlain(now, t)
+	}
 	i := p.newItem(now, t)
 	if code, after := p.checkDeadline(now, i); code != "" {
 		return []*wire.Decision{refuse.Ticket(t, code, after)}
@@ -141,7 +146,7 @@
 // Withdraw removes a waiting ticket, or frees its slot if it was granted at the same
 // moment: the entry that withdraws has given up and won't dispatch.
 func (p *Policy) Withdraw(now time.Time, w *wire.Withdraw) {
-	p.queue.Remove(w.GetIncarnation(), w.GetTicket())
+	p.drop(w.GetIncarnation(), w.GetTicket())
 	p.cancel(now, w.GetIncarnation(), w.GetTicket())
 }
 
@@ -175,6 +180,9 @@
 		i.RunsAt = version(i.Ticket)
 		p.queue.Push(i)
 	}
+	if p.plain != nil {
+		p.plain.list.SetVersions(version)
+	}
 	return p.assign(now)
 }
 
@@ -182,7 +190,7 @@
 func (p *Policy) Forget(now time.Time, incarnation string) []*wire.Decision {
 	p.slots.FreeEntry(incarnation)
 	p.availableStale = true
-	p.queue.RemoveFunc(func(i *item.Item) bool { return i.GetIncarnation() == incarnation })
+	p.removeFunc(func(i *item.Item) bool { return i.GetIncarnation() == incarnation })
 	return p.assign(now)
 }
 
@@ -195,20 +203,20 @@
 	if now.Sub(p.lastSweep) >= sweepInterval {
 		out = append(out, p.sweep(now)...)
 	}
-	return append(out, p.assign(now)...)
+	return append(append(out, p.assign(now)...), p.reviewPlain(now)...)
 }
 
 // assign grants free slots to waiting tickets in the order of the queue.
 func (p *Policy) assign(now time.Time) []*wire.Decision {
-	if p.queue.Len() == 0 {
+	if p.waiting() == 0 {
 		return nil
 	}
 	var out []*wire.Decision
-	p.queue.StartRound()
+	p.startRound(now)
 	p.refreshAvailable(now)
 	for len(p.available) > 0 {
 		var granted *wire.Decision
-		p.queue.Next(func(i *item.Item) (bool, bool) {
+		p.next(now, func(i *item.Item) (bool, bool) {
 			var full bool
 			granted, full = p.grant(now, i)
 			return granted != nil, full
@@ -247,6 +255,9 @@
 		s.Upstream.Cache.RecordSent(now, h)
 	}
 	p.throughput.granted += i.Work
+	if p.plain != nil && s.Upstream.Running >= s.Upstream.EffectiveLimit(now) {
+		s.ExpectedWait = s.ExpectedRun / time.Duration(max(s.Upstream.EffectiveLimit(now), 1))
+	}
 	d := p.slots.Grant(now, s, p.pool.GrantTTL)
 	p.elig.Granted(now, s.Upstream)
 	switch {
--- a/core/pull/sweep.go
+++ b/core/pull/sweep.go
@@ -56,6 +56,7 @@
 			p.fastest, quickest = u, e
 		}
 	}
+	p.updatePlain(now)
 	p.rate = p.throughput.capacity(p.rate)
 	p.queue.Burst = p.rate * burstTime.Seconds()
 }
@@ -64,7 +65,7 @@
 // letting them wait until their deadline.
 func (p *Policy) refuseUnserved(now time.Time) []*wire.Decision {
 	var out []*wire.Decision
-	for _, i := range p.queue.RemoveFunc(func(i *item.Item) bool { return !p.hasUpstream(now, i.Ticket) }) {
+	for _, i := range p.removeFunc(func(i *item.Item) bool { return !p.hasUpstream(now, i.Ticket) }) {
 		out = append(out, p.refuseUnservedTicket(now, i.Ticket))
 	}
 	return out
--- a/core/upstr/upstr.go
+++ b/core/upstr/upstr.go
@@ -33,6 +33,7 @@
 	Admit          admit.Admit   // Keeps it from refusing more requests than it bears.
 	Version        string        // As announced.
 	PassedOver     int           // Requests that it could have run and that others got since its last one.
+	Extra          int           // Requests that it may be given beyond EffectiveLimit; fewer if negative.
 }
 
 // DefaultMaxRunning is the limit on concurrent requests of an upstream that announces none.
@@ -82,8 +83,14 @@
 	return u.leaving && now.Before(u.drainsUntil) && now.Before(u.LeaseEnd)
 }
 
-// HasRoom reports whether the upstream has room for one more request.
-func (u *Upstream) HasRoom(now time.Time) bool { return u.Running < u.EffectiveLimit(now) }
+// HasRoom reports whether the upstream has room for one more request. While it recovers, it gets nothing extra.
+func (u *Upstream) HasRoom(now time.Time) bool {
+	limit := u.EffectiveLimit(now)
+	if !u.Observed.OnTrial() {
+		limit += u.Extra
+	}
+	return u.Running < limit
+}
 
 // CanSend reports whether the rate of its requests, and of its refusals, allows one more request now.
 func (u *Upstream) CanSend(now time.Time) bool {
