Requests of plain servers with late-service take tickets

A scheduler lists pools of plain servers with late-service among those whose requests take tickets, and names them in a list of their own, so that entries place their requests at once while no scheduler answers, as without the switch.

--- a/io/gate/brittle.go
+++ b/io/gate/brittle.go
@@ -16,6 +16,7 @@
 	mu         sync.Mutex
 	byUpstream map[string]brittleUpstream
 	ticketed   []string // Pools whose requests take tickets, as the scheduler says.
+	deferring  []string // Of ticketed: pools whose requests are placed at once while no scheduler answers.
 	unreported []string // Upstreams of which the scheduler has not been told yet.
 }
 
@@ -50,13 +51,14 @@
 	g.reportSignal.notify()
 }
 
-// SetTicketed takes the pools whose requests take tickets although this entry could place them, and
-// forgets brittle upstreams that this entry no longer knows.
-func (g *Gate) SetTicketed(pools []string) {
+// SetTicketed takes the pools whose requests take tickets although this entry could place them, and those of
+// them whose requests it places at once while no scheduler answers. It forgets brittle upstreams that this
+// entry no longer knows.
+func (g *Gate) SetTicketed(pools, deferring []string) {
 	b, view := &g.brittle, g.Cluster.View()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.ticketed = pools
+	b.ticketed, b.deferring = pools, deferring
 	for id := range b.byUpstream {
 		if view.Upstream(id) == nil {
 			delete(b.byUpstream, id)
@@ -66,7 +68,8 @@
 
 // scheduled reports whether requests of a pool take tickets: those of model engines, those of brittle
 // upstreams, for which the scheduler counts what they have to refuse, and those of upstreams that name a
-// limit, which then serves the requests wherever they come.
+// limit, which then serves the requests wherever they come. So do those of plain upstreams that wait in one
+// order.
 func (g *Gate) scheduled(pool string, slots int64) bool {
 	if slots > 0 {
 		return true
@@ -76,6 +79,13 @@
 	return slices.Contains(g.brittle.ticketed, pool)
 }
 
+// defers reports whether requests of a pool take tickets only to wait in one order.
+func (g *Gate) defers(pool string) bool {
+	g.brittle.mu.Lock()
+	defer g.brittle.mu.Unlock()
+	return slices.Contains(g.brittle.deferring, pool)
+}
+
 // KnownBrittle returns all that this entry knows of brittle upstreams, for a new scheduler.
 func (g *Gate) KnownBrittle() []*wire.Brittle {
 	b := &g.brittle
--- a/io/gate/brittle_test.go
+++ b/io/gate/brittle_test.go
@@ -81,7 +81,7 @@
 		pools []string
 		want  int
 	}{{nil, 0}, {[]string{"q"}, 0}, {[]string{"p"}, 1}, {nil, 1}} {
-		s.SetTicketed(test.pools)
+		s.SetTicketed(test.pools, nil)
 		must.Eq(t, http.StatusOK, s.do("POST", "/once/x").status)
 		must.Eq(t, test.want, tickets)
 	}
--- a/io/gate/place.go
+++ b/io/gate/place.go
@@ -60,7 +60,7 @@
 // capacity polls for it until placementWait has passed.
 func (q *request) placeOnce(ctx context.Context) (*placement, error) {
 	var until time.Time
-	waited := false
+	waited, hadScheduler := false, false
 	for {
 		q.view = q.gate.Cluster.View()
 		pool := q.view.Index.Pool(q.pool)
@@ -70,11 +70,11 @@
 			if !errors.Is(err, grant.ErrNoOwner) {
 				return p, err
 			}
-			q.view = q.gate.Cluster.View()
+			q.view, hadScheduler = q.gate.Cluster.View(), true
 		}
 		if scheduled && !waited {
 			waited = true
-			if q.awaitScheduler(ctx) {
+			if q.awaitScheduler(ctx, q.schedulerWait(hadScheduler)) {
 				continue
 			}
 		}
@@ -96,9 +96,26 @@
 	return !isVersionGone(err) && (slots > 0 || q.mayLearnOrigin(err))
 }
 
-// awaitScheduler waits up to schedulerWait for a scheduler and reports whether one is known.
-func (q *request) awaitScheduler(ctx context.Context) bool {
-	until := time.Now().Add(min(schedulerWait, q.placementWait()))
+// schedulerWait returns how long the request waits for another scheduler before this entry places it. One of a
+// pool that defers plain requests does not wait, unless its ticket waited at a scheduler that has ended. If it
+// was deferred there, it waits for a part of its time: hundreds of such requests would otherwise be sent at
+// once, and servers would refuse most of them.
+func (q *request) schedulerWait(hadScheduler bool) time.Duration {
+	wait := min(schedulerWait, q.placementWait())
+	switch {
+	case !q.gate.defers(q.pool):
+		return wait
+	case !hadScheduler:
+		return 0
+	case q.route.Objective > 0 && q.sinceFirstTry+time.Since(q.start) >= q.route.Objective:
+		return q.remaining() / localWaitDivisor
+	}
+	return wait
+}
+
+// awaitScheduler waits for a scheduler and reports whether one is known.
+func (q *request) awaitScheduler(ctx context.Context, wait time.Duration) bool {
+	until := time.Now().Add(wait)
 	for q.gate.Cluster.View().Owner == nil {
 		if !q.pollWait(ctx, until) {
 			return false
--- a/io/hub/limits.go
+++ b/io/hub/limits.go
@@ -141,17 +141,24 @@
 }
 
 // ticketedPools returns the pools whose requests take tickets although entries could place them: those
-// with brittle upstreams, and those with upstreams that accept a limited rate. With fixed shares of a
-// limit, an entry at which most callers arrive would refuse requests while the shares of others are unused.
-func (s *scheduler) ticketedPools() []string {
-	pools := s.brittle.pools()
+// with brittle upstreams, those with upstreams that accept a limited rate, and those that defer plain requests.
+// With fixed shares of a limit, an entry at which most callers arrive would refuse requests while the shares of
+// others are unused. It also returns the pools that are among them only because they defer plain requests.
+func (s *scheduler) ticketedPools() (pools, deferring []string) {
+	pools = s.brittle.pools()
 	for _, id := range s.limits.upstreams() {
 		if pool := s.upstreams.poolOf(id); pool != "" {
 			pools = append(pools, pool)
 		}
 	}
+	for _, pool := range s.deferringPools() {
+		if !slices.Contains(pools, pool) {
+			deferring = append(deferring, pool)
+		}
+	}
+	pools = append(pools, deferring...)
 	slices.Sort(pools)
-	return slices.Compact(pools)
+	return slices.Compact(pools), deferring
 }
 
 // limitShare returns the fraction of an upstream's limit that an entry may use while it places
--- a/io/hub/limits_test.go
+++ b/io/hub/limits_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/shoenig/test/must"
 
+	"azurelane/core/conf"
+	"azurelane/core/pool"
 	"azurelane/core/wire"
 )
 
@@ -228,3 +230,35 @@
 		must.Eq(t, time.Second.Microseconds(), news.GetLimits()[0].GetAgeUs())
 	})
 }
+
+// Guards against plain pools with late-service whose requests take no tickets, against others whose requests do,
+// and against requests of brittle upstreams that entries place at once while a scheduler is looked for.
+func TestDeferringPoolsTakeTickets(t *testing.T) {
+	on, off := true, false
+	for _, tc := range []struct {
+		name                string
+		pool                pool.Pool
+		brittle             bool
+		ticketed, deferring []string
+	}{
+		{"no switch", pool.Pool{}, false, nil, nil},
+		{"off", pool.Pool{LateService: &off}, false, nil, nil},
+		{"on", pool.Pool{LateService: &on}, false, []string{"p"}, []string{"p"}},
+		{"on, and brittle", pool.Pool{LateService: &on}, true, []string{"p"}, nil},
+		{"off, and brittle", pool.Pool{}, true, []string{"p"}, nil},
+		{"another switch", pool.Pool{FairShares: &on, TimedReturn: &on}, false, nil, nil},
+		{"engines", pool.Pool{LateService: &on, Slots: 4}, false, nil, nil},
+		{"another policy", pool.Pool{LateService: &on, Scheduler: "batch"}, false, nil, nil},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := &scheduler{}
+			if tc.brittle {
+				s.brittle.merge(time.Unix(1000, 0), []*wire.Brittle{{Upstream: "a", Most: 3}}, func(string) string { return "p" })
+			}
+			s.setDeferring(&conf.Config{Pools: map[string]pool.Pool{"p": tc.pool}})
+			ticketed, deferring := s.ticketedPools()
+			must.Eq(t, tc.ticketed, ticketed)
+			must.Eq(t, tc.deferring, deferring)
+		})
+	}
+}
--- a/io/hub/scheduler.go
+++ b/io/hub/scheduler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -9,6 +10,7 @@
 
 	"azurelane/core/acct"
 	"azurelane/core/allow"
+	"azurelane/core/conf"
 	"azurelane/core/ledger"
 	"azurelane/core/refuse"
 	"azurelane/core/wire"
@@ -40,6 +42,7 @@
 	rates     rates
 	plainDebt float64 // Units that requests without tickets may exceed a balance by.
 	version   uint64
+	deferring []string // Pools that defer plain requests, sorted.
 	startedAt time.Time
 	// entriesHere is the number of entries in this data centre, for a scheduler of one data
 	// centre. entriesTotal is the number of all entries, which entries know from the former
@@ -59,6 +62,27 @@
 	s.updateShares(time.Now())
 }
 
+// setDeferring takes the pools that defer plain requests from a configuration.
+func (s *scheduler) setDeferring(cfg *conf.Config) {
+	var pools []string
+	for name, p := range cfg.Pools {
+		if p.DefersPlain() {
+			pools = append(pools, name)
+		}
+	}
+	slices.Sort(pools)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deferring = pools
+}
+
+// deferringPools returns the pools that defer plain requests.
+func (s *scheduler) deferringPools() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.deferring
+}
+
 // updateShares recomputes the shares of the accounts' rates that this scheduler may admit. s.mu
 // must be held.
 func (s *scheduler) updateShares(now time.Time) {
--- a/io/hub/watch.go
+++ b/io/hub/watch.go
@@ -208,7 +208,8 @@
 		known = 0 // Revisions of another scheduler can't be compared.
 	}
 	n.Bans = s.bans.since(known)
-	n.Ticketed, n.Mixed = s.ticketedPools(), s.origins.mixedPools()
+	n.Ticketed, n.Deferring = s.ticketedPools()
+	n.Mixed = s.origins.mixedPools()
 	n.Limits = s.limits.listFor(time.Now(), w.GetNode(), func() ([]string, bool) { return h.limitSharers(s) })
 	var doc []byte
 	n.Version, doc = h.Replica.Publication()
--- a/io/watch/watch.go
+++ b/io/watch/watch.go
@@ -70,10 +70,11 @@
 		Limits   func() []*wire.Limit
 		OnLimits func(list []*wire.Limit)
 		// Brittle returns the brittle upstreams that this entry knows, sent to a new scheduler. OnTicketed
-		// is called with the pools whose requests take tickets although entries could place them. Both
-		// may be nil.
+		// is called with the pools whose requests take tickets although entries could place them, and
+		// those of them whose requests this entry places at once while no scheduler answers. Both may be
+		// nil.
 		Brittle    func() []*wire.Brittle
-		OnTicketed func(pools []string)
+		OnTicketed func(pools, deferring []string)
 		// Leaving returns the upstreams that have said to this entry that they leave, sent to a new
 		// scheduler. It may be nil.
 		Leaving func() []*wire.Leaving
@@ -275,7 +276,7 @@
 		w.OnLimits(n.GetLimits())
 	}
 	if w.OnTicketed != nil {
-		w.OnTicketed(n.GetTicketed())
+		w.OnTicketed(n.GetTicketed(), n.GetDeferring())
 	}
 	if w.OnMixed != nil {
 		w.OnMixed(n.GetMixed())
