A plain server that refuses everything gets nothing for a while

A server that refuses a request while it holds no other seems free again at once, and got the next ticket: it would draw most of them. It gets nothing for 50 ms, doubled up to 2 s until a run completes; at most 11 refusals in 10 s (TestServerThatRefusesAll). go test ./core/depth ./core/pull passes.

--- a/core/depth/depth.go
+++ b/core/depth/depth.go
@@ -24,6 +24,11 @@
 	// given one more than it had room for at its last refusal. A server with fewer places than it announces
 	// refuses one request in that many, far fewer than may be sent again.
 	raiseRuns = 8
+	// minPause and maxPause bound the time for which a server gets nothing that has refused a request while it
+	// held no other. The time doubles until a run completes. A server that refuses all at once always has room,
+	// and would otherwise get nearly every request.
+	minPause = 50 * time.Millisecond
+	maxPause = 2 * time.Second
 )
 
 // Depth is what is known of one server. The zero value knows nothing: the server is given what it announces,
@@ -37,6 +42,9 @@
 	done     int     // Completed runs.
 	room     int     // Requests that it had room for at its last refusals; zero without any.
 	accepted int     // Completed runs since room has changed.
+
+	pause       time.Duration // Last one, since which no run has completed.
+	pausedUntil time.Time
 }
 
 // Done records a completed run: for how long its slot was held, how long its answer took from the send, how long
@@ -45,6 +53,7 @@
 func (d *Depth) Done(held, took, first time.Duration, free bool) {
 	d.done++
 	d.accepted++
+	d.pause = 0
 	mean(&d.held, held)
 	span := held
 	if first > 0 {
@@ -71,12 +80,21 @@
 }
 
 // Refused records that the server refused a request while it held the given number of others, as far as the
-// scheduler knows.
-func (d *Depth) Refused(held int) { d.room, d.accepted = max(held, 1), 0 }
+// scheduler knows. One that held none gets nothing for a while.
+func (d *Depth) Refused(now time.Time, held int) {
+	d.room, d.accepted = max(held, 1), 0
+	if held == 0 {
+		d.pause = min(max(2*d.pause, minPause), maxPause)
+		d.pausedUntil = now.Add(d.pause)
+	}
+}
 
 // Most returns how many requests the server may hold at once. Places is the number that it announces, zero if
 // it announces none, and then at most otherwise.
-func (d *Depth) Most(places, otherwise int) int {
+func (d *Depth) Most(now time.Time, places, otherwise int) int {
+	if now.Before(d.pausedUntil) {
+		return 0
+	}
 	most := places
 	if places <= 0 {
 		most = min(1+d.done, otherwise)
--- a/core/depth/depth_test.go
+++ b/core/depth/depth_test.go
@@ -7,6 +7,8 @@
 	"github.com/shoenig/test/must"
 )
 
+var start = time.Unix(1000, 0)
+
 // Guards against places that stand empty while messages are under way, and against a queue at the server in which
 // requests can't go first: it holds what comes in that time, and no more.
 func TestQueueFillsTheWay(t *testing.T) {
@@ -25,11 +27,11 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			var d Depth
-			must.Eq(t, tc.places, d.Most(tc.places, 8), must.Sprint("nothing is known"))
+			must.Eq(t, tc.places, d.Most(start, tc.places, 8), must.Sprint("nothing is known"))
 			for range 100 {
 				d.Done(run+4*tc.hop, run+2*tc.hop, 0, true)
 			}
-			must.Eq(t, tc.want, d.Most(tc.places, 8))
+			must.Eq(t, tc.want, d.Most(start, tc.places, 8))
 		})
 	}
 }
@@ -38,10 +40,10 @@
 func TestUnknownServer(t *testing.T) {
 	var d Depth
 	for want := 1; want <= 8; want++ {
-		must.Eq(t, want, d.Most(0, 8))
+		must.Eq(t, want, d.Most(start, 0, 8))
 		d.Done(60*time.Millisecond, 60*time.Millisecond, 0, true)
 	}
-	must.Eq(t, 8, d.Most(0, 8))
+	must.Eq(t, 8, d.Most(start, 0, 8))
 }
 
 // Guards against a server with fewer places than it announces that refuses requests again and again, and against
@@ -52,15 +54,31 @@
 	for _, places := range []int{4, 1, announced} {
 		refused := 0
 		for range runs {
-			if d.Most(announced, 8) > places {
-				d.Refused(places)
+			if d.Most(start, announced, 8) > places {
+				d.Refused(start, places)
 				refused++
 			}
 			d.Done(60*time.Millisecond, 60*time.Millisecond, 0, true)
 		}
 		must.LessEq(t, runs/raiseRuns/places+announced, refused)
 	}
-	must.Eq(t, announced, d.Most(announced, 8))
+	must.Eq(t, announced, d.Most(start, announced, 8))
+}
+
+// Guards against a server that refuses everything at once, and so seems to be free, and gets most requests.
+func TestServerThatRefusesAll(t *testing.T) {
+	var d Depth
+	refused := 0
+	for now := time.Duration(0); now < 10*time.Second; now += time.Millisecond {
+		if d.Most(start.Add(now), 6, 8) > 0 {
+			d.Refused(start.Add(now), 0)
+			refused++
+		}
+	}
+	must.LessEq(t, 11, refused)
+	d.Done(60*time.Millisecond, 60*time.Millisecond, 0, true)
+	d.Refused(start.Add(time.Minute), 0)
+	must.Positive(t, d.Most(start.Add(time.Minute+minPause), 6, 8))
 }
 
 // Guards against a rate of a busy server that is too high, because requests wait in its queue, or too low, and
--- a/core/pull/plain.go
+++ b/core/pull/plain.go
@@ -69,7 +69,7 @@
 }
 
 // startRound starts a round of grants.
-func (p *Policy) startRound() {
+func (p *Policy) startRound(now time.Time) {
 	if p.plain == nil {
 		p.queue.StartRound()
 		return
@@ -77,7 +77,7 @@
 	p.plain.list.StartRound()
 	for _, u := range p.table.All() {
 		before := u.Extra
-		u.Extra = p.most(u) - u.AnnouncedLimit()
+		u.Extra = p.most(now, u) - u.AnnouncedLimit()
 		p.availableStale = p.availableStale || u.Extra > before
 	}
 }
@@ -102,8 +102,8 @@
 }
 
 // most returns how many requests an upstream may hold at once.
-func (p *Policy) most(u *upstr.Upstream) int {
-	return p.plain.depth(u).Most(int(u.GetMaxRunning()), upstr.DefaultMaxRunning)
+func (p *Policy) most(now time.Time, u *upstr.Upstream) int {
+	return p.plain.depth(u).Most(now, int(u.GetMaxRunning()), upstr.DefaultMaxRunning)
 }
 
 // submitPlain queues a plain request, grants it a place, or refuses it. The tier of its ticket is set to the
@@ -158,7 +158,7 @@
 	d := p.plain.depth(s.Upstream)
 	switch {
 	case r.GetBusy():
-		d.Refused(s.Upstream.Running)
+		d.Refused(now, s.Upstream.Running)
 	case !r.GetFailed() && s.Owner == "":
 		d.Done(now.Sub(s.GrantedAt), micros(r.GetTotalUs()), micros(r.GetFirstTokenUs()), s.ExpectedWait == 0)
 	}
@@ -171,7 +171,7 @@
 	}
 	rate, span, known, serving := 0.0, 0.0, 0, 0
 	for _, u := range p.table.All() {
-		if !u.Live(now) || u.Observed.OnTrial() {
+		if !u.Live(now) || u.Observed.OnTrial() || p.most(now, u) == 0 {
 			continue
 		}
 		serving++
--- a/core/pull/pull.go
+++ b/core/pull/pull.go
@@ -212,7 +212,7 @@
 		return nil
 	}
 	var out []*wire.Decision
-	p.startRound()
+	p.startRound(now)
 	p.refreshAvailable(now)
 	for len(p.available) > 0 {
 		var granted *wire.Decision
