In pools that serve late requests an urgent ticket that waits for a better engine leaves the slot to others

The rule that a more urgent ticket of the same account takes each turn gave slots to long prompts on engines where they stall other answers, and none to the account's short work. What is refused first still goes by urgency within an account.

--- a/core/batch/turn.go
+++ b/core/batch/turn.go
@@ -63,11 +63,6 @@
 		if o == nil || cost >= stallCost {
 			continue
 		}
-		if m := b.moreUrgent(now, n, batchesFull); m != n {
-			if urgent, cost := b.bestOffer(now, b.waiting[m]); urgent != nil && cost < stallCost {
-				return m, urgent.engine, true
-			}
-		}
 		return n, o.engine, true
 	}
 	for _, n := range t.late.index[:t.late.count] {
