--- a/core/batch/replay_test.go
+++ b/core/batch/replay_test.go
@@ -39,6 +39,7 @@
 		promptTokens     int64
 		tokens, estimate int64
 		retried, served  bool
+		timely           bool // The first token came within the objective.
 	}
 
 	// replay runs requests on engines of different speeds. An engine prefills one prompt after
@@ -137,7 +138,7 @@
 
 func (r *replay) end(one replayRun) {
 	q := one.request
-	q.served = !one.cut
+	q.served, q.timely = !one.cut, one.first.Sub(q.arrived) <= q.objective
 	tokens := q.tokens
 	if one.cut {
 		tokens = int64(max(float64(one.ends.Sub(one.first))/float64(r.speeds[one.GetGrant().GetUpstream()]), 0))
--- a/core/batch/turn.go
+++ b/core/batch/turn.go
@@ -44,13 +44,15 @@
 		i.routeStats.best.addWithin(n, s, routeTurns)
 	}
 	t.timely = append(t.timely, all.index[:all.count]...)
+	best := len(t.timely)
 	for _, r := range b.routes {
 		for _, n := range r.best.index[:r.best.count] {
-			if !slices.Contains(t.timely, n) {
+			if !slices.Contains(t.timely[:best], n) {
 				t.timely = append(t.timely, n)
 			}
 		}
 	}
+	slices.Sort(t.timely[best:]) // The order of a map must not decide.
 	return t
 }
 
@@ -59,11 +61,9 @@
 func (b *Batch) pickWithLate(now time.Duration, batchesFull bool) (n int, e *engine, fits bool) {
 	t := b.takeTurns(now, batchesFull)
 	for _, n := range t.timely {
-		o, cost := b.bestOffer(now, b.waiting[n])
-		if o == nil || cost >= stallCost {
-			continue
+		if o, cost := b.bestOffer(now, b.waiting[n]); o != nil && cost < stallCost {
+			return n, o.engine, true
 		}
-		return n, o.engine, true
 	}
 	for _, n := range t.late.index[:t.late.count] {
 		i := b.waiting[n]
