--- a/core/conf/overload.go
+++ b/core/conf/overload.go
@@ -1,7 +1,6 @@
 package conf
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -9,9 +8,9 @@
 )
 
 // SetOverload decides for the pools whose configuration does not say so whether they serve late requests,
-// share room fairly and time the returns of refused callers. They do if their most urgent route leaves at
-// least from between its objective and its timeout: an overload lasts for seconds, and a request that has
-// less time than that can't wait for its end. If from is 0, they do not.
+// share room fairly and time the returns of refused callers. They do if one of their most urgent routes leaves
+// at least from between its objective and its timeout: an overload lasts for seconds, and a request that has
+// less time than that can't wait for its end. In pools with streams only those count. If from is 0, they do not.
 func (c *Config) SetOverload(from time.Duration) {
 	for name, p := range c.Pools {
 		on := from > 0 && c.slack(name) >= from
@@ -24,25 +23,32 @@
 	}
 }
 
-// slack returns the time between the objective and the timeout of the most urgent route to a pool, the
-// least if there are several; zero without such a route or objective.
+// slack returns the longest time between the objective and the timeout of the most urgent routes to a pool; zero
+// if there is no such route or objective. A route that is added for little use must not change it.
 func (c *Config) slack(pool string) time.Duration {
-	var routes []route.Route
-	for _, r := range c.Routes {
-		if slices.ContainsFunc(r.Split, func(s route.Share) bool { return s.Pool == pool && s.Weight > 0 }) {
-			routes = append(routes, r)
+	var most *route.Route
+	for n := range c.Routes {
+		r := &c.Routes[n]
+		if r.Objective == 0 || !slices.ContainsFunc(r.Split, func(s route.Share) bool { return s.Pool == pool && s.Weight > 0 }) {
+			continue
+		}
+		if most == nil || before(r, most) {
+			most = r
 		}
 	}
-	if len(routes) == 0 {
+	if most == nil {
 		return 0
 	}
-	left := func(r route.Route) time.Duration {
-		if r.Objective == 0 {
-			return 0
-		}
-		return r.Timeout - r.Objective
+	return most.Timeout - most.Objective
+}
+
+// before reports whether a route decides on its pool's slack before another one.
+func before(a, b *route.Route) bool {
+	if a.Stream != b.Stream {
+		return a.Stream
+	}
+	if a.Priority != b.Priority {
+		return a.Priority < b.Priority
 	}
-	return left(slices.MinFunc(routes, func(a, b route.Route) int {
-		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(left(a), left(b)))
-	}))
+	return a.Timeout-a.Objective > b.Timeout-b.Objective
 }
