--- a/core/conf/overload.go
+++ b/core/conf/overload.go
@@ -8,12 +8,12 @@
 )
 
 // SetOverload decides for the pools whose configuration does not say so whether they serve late requests,
-// share room fairly and time the returns of refused callers. They do if one of their most urgent routes leaves
-// at least from between its objective and its timeout: an overload lasts for seconds, and a request that has
-// less time than that can't wait for its end. In pools with streams only those count. If from is 0, they do not.
+// share room fairly and time the returns of refused callers. They do if at least half of their routes, in pools
+// with streams of the streaming ones, leave at least from between objective and timeout: an overload lasts for
+// seconds, and a request that has less time than that can't wait for its end. If from is 0, they do not.
 func (c *Config) SetOverload(from time.Duration) {
 	for name, p := range c.Pools {
-		on := from > 0 && c.slack(name) >= from
+		on := from > 0 && c.waits(name, from)
 		for _, key := range []**bool{&p.LateService, &p.FairShares, &p.TimedReturn} {
 			if *key == nil {
 				*key = &on
@@ -23,32 +23,23 @@
 	}
 }
 
-// slack returns the longest time between the objective and the timeout of the most urgent routes to a pool; zero
-// if there is no such route or objective. A route that is added for little use must not change it.
-func (c *Config) slack(pool string) time.Duration {
-	var most *route.Route
-	for n := range c.Routes {
-		r := &c.Routes[n]
-		if r.Objective == 0 || !slices.ContainsFunc(r.Split, func(s route.Share) bool { return s.Pool == pool && s.Weight > 0 }) {
+// waits reports whether at least half of the routes to a pool leave a time between objective and timeout. A single
+// route that is added, or whose timeout changes, must not decide.
+func (c *Config) waits(pool string, from time.Duration) bool {
+	routes := slices.DeleteFunc(slices.Clone(c.Routes), func(r route.Route) bool {
+		return !slices.ContainsFunc(r.Split, func(s route.Share) bool { return s.Pool == pool && s.Weight > 0 })
+	})
+	streams := slices.ContainsFunc(routes, func(r route.Route) bool { return r.Stream })
+	all, waiting := 0, 0
+	for n := range routes {
+		r := &routes[n]
+		if streams && !r.Stream {
 			continue
 		}
-		if most == nil || before(r, most) {
-			most = r
+		all++
+		if r.Objective > 0 && r.Timeout-r.Objective >= from {
+			waiting++
 		}
 	}
-	if most == nil {
-		return 0
-	}
-	return most.Timeout - most.Objective
-}
-
-// before reports whether a route decides on its pool's slack before another one.
-func before(a, b *route.Route) bool {
-	if a.Stream != b.Stream {
-		return a.Stream
-	}
-	if a.Priority != b.Priority {
-		return a.Priority < b.Priority
-	}
-	return a.Timeout-a.Objective > b.Timeout-b.Objective
+	return all > 0 && 2*waiting >= all
 }
