Late service: a request does not wait beyond a third of its objective for an engine where it stalls nothing

A request in time takes the slot that stalls others where nothing else suits it, as without late service.

--- a/core/batch/late.go
+++ b/core/batch/late.go
@@ -77,8 +77,6 @@
 		return
 	}
 	i.deferrable, i.deferAt, i.refuseAt = true, i.refuseAt, latest
-	// Until then the request waits for an engine where it stalls no other answer.
-	i.yieldUntil = max(i.yieldUntil, i.deferAt-mean.prefillTime(i.prompt))
 	// A slot given now saves only what the answer would lose by being late, as far as its caller, who may
 	// return, can outlast a shortage.
 	outlasts := min((beforeDeadline-i.deferAt).Seconds()/shortage.Seconds(), 1)
--- a/core/batch/turn.go
+++ b/core/batch/turn.go
@@ -74,10 +74,10 @@
 	}
 	for _, n := range t.timely {
 		i := b.waiting[n]
-		if i.deferrable {
+		o, cost := b.bestOffer(now, i)
+		if o != nil && i.deferrable && cost >= lateCost {
 			continue
 		}
-		o, cost := b.bestOffer(now, i)
 		if o == nil || (cost >= overrunCost && (o.batchFull || float64(o.perToken) > longestSpeed*float64(b.bestCaseFor(i).perToken))) {
 			continue
 		}
