Requests with long answers do not wait while slots are free

Requests that by the estimate no engine can end before their deadlines were passed over until their callers had nearly left, also while all slots were free. Estimates are often too long. They get what is left on the fastest engines, at once.

--- a/core/batch/late_test.go
+++ b/core/batch/late_test.go
@@ -145,3 +145,12 @@
 	list := e.Tick(e.now)
 	must.SliceContainsFunc(t, list, k.GetId(), func(d *wire.Decision, id uint64) bool { return d.GetTicket() == id && d.GetRefusal() != nil })
 }
+
+// Guards against requests with long answers that wait while all slots are free: by the estimate no engine can end
+// them before their deadlines, but estimates are often too long.
+func TestLongAnswerWithFreeSlots(t *testing.T) {
+	e := newHarness(4, "a")
+	e.configureLate(true)
+	k := e.ticket("long", 0, 100, 90000)
+	must.Eq(t, []uint64{k.GetId()}, grantedIDs(t, e.Submit(e.now, k)))
+}
--- a/core/batch/turn.go
+++ b/core/batch/turn.go
@@ -9,6 +9,7 @@
 type turns struct {
 	timely []int // Those that may still be in time.
 	late   topItems
+	long   topItems // Those that are expected to be cut off at their deadlines on any engine with room.
 }
 
 // routeTurns is the number of tickets of each route that are considered for a slot beside the best of all.
@@ -27,19 +28,20 @@
 		r.best = topItems{}
 	}
 	t, all := &b.late.turns, topItems{}
-	t.timely, t.late = t.timely[:0], topItems{}
+	t.timely, t.late, t.long = t.timely[:0], topItems{}, topItems{}
 	for n, i := range b.waiting {
 		if (batchesFull && (i.deferred || !b.mayQueue(i))) || !b.hasRoom(i) || b.leavesSlots(i) {
 			continue
 		}
-		if i.deferrable && i.overruns(now, fastest, i.prefillSteps) {
+		s := i.score(now + soonest.baseFirstToken + time.Duration(i.prefillSteps*float64(soonest.perToken)))
+		if i.overruns(now, fastest, i.prefillSteps) {
+			t.long.add(n, s)
 			continue
 		}
 		if i.deferred {
 			t.late.add(n, -i.refuseAt.Seconds())
 			continue
 		}
-		s := i.score(now + soonest.baseFirstToken + time.Duration(i.prefillSteps*float64(soonest.perToken)))
 		all.add(n, s)
 		i.routeStats.best.addWithin(n, s, routeTurns)
 	}
@@ -73,15 +75,17 @@
 		}
 	}
 	for _, n := range t.timely {
-		i := b.waiting[n]
-		o, cost := b.bestOffer(now, i)
-		if o != nil && i.deferrable && cost >= lateCost {
-			continue
+		o, cost := b.bestOffer(now, b.waiting[n])
+		if o != nil && (cost < lateCost || (!b.waiting[n].deferrable && cost < overrunCost)) {
+			return n, o.engine, false
 		}
-		if o == nil || (cost >= overrunCost && (o.batchFull || float64(o.perToken) > longestSpeed*float64(b.bestCaseFor(i).perToken))) {
-			continue
+	}
+	// Expectations are often too long: what waits for a shorter one only comes later to its caller.
+	for _, n := range t.long.index[:t.long.count] {
+		i := b.waiting[n]
+		if o, _ := b.bestOffer(now, i); o != nil && !o.batchFull && float64(o.perToken) <= longestSpeed*float64(b.bestCaseFor(i).perToken) {
+			return n, o.engine, false
 		}
-		return n, o.engine, false
 	}
 	return 0, nil, false
 }
