--- a/core/batch/late.go
+++ b/core/batch/late.go
@@ -92,8 +92,8 @@
 }
 
 // planLate defers the tickets that can't be in time any more and refuses those for which no room is expected
-// before their latest starts. Those marked unreachable are still to be deferred, but no slot will reach them
-// before.
+// before their latest starts. It plans unreachable tickets with them: no slot is expected to reach these
+// while they can be in time.
 func (b *Batch) planLate(now time.Duration) {
 	l := &b.late
 	l.plan.Reset()
--- a/core/batch/shares.go
+++ b/core/batch/shares.go
@@ -61,8 +61,8 @@
 	}
 }
 
-// updateShares recomputes the shares from the slots that are held, whoever granted them, and from the
-// waiting tickets.
+// updateShares recomputes the shares from the waiting tickets and from all slots that are held, including
+// those that a former scheduler granted.
 func (b *Batch) updateShares(now time.Duration) {
 	l := b.shares.ledger
 	if l == nil || now-b.shares.updatedAt < sharesInterval {
--- a/core/migr/migr.go
+++ b/core/migr/migr.go
@@ -10,8 +10,8 @@
 import "time"
 
 const (
-	// MaxTries is the number of destinations that one run is copied to. Asking for a slot in vain does not
-	// count: slots become free during a drain, and a scheduler that ends is replaced.
+	// MaxTries is the number of destinations that one run is copied to. A request for a slot that is refused
+	// does not count, because slots become free during a drain.
 	MaxTries = 3
 	// endShare is the part of the remaining drain in which a run has to be expected to end if it stays.
 	// A run that is cut off loses its answer, a move costs a pause, so the estimate gets a margin.
--- a/core/pull/plain.go
+++ b/core/pull/plain.go
@@ -183,7 +183,7 @@
 		}
 	}
 	if known > 0 {
-		// A server of unknown speed counts as an average one: a new scheduler hears of one after the other.
+		// A server of unknown speed counts as an average one, because a new scheduler learns the speeds one by one.
 		p.plain.list.Set(rate/float64(known)*float64(serving), seconds(span/rate))
 	}
 	p.dropDepths()
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -18,8 +18,8 @@
 	steps = 300
 	// honoured is the divisor of the time left that gives the longest Retry-After that callers honour.
 	honoured = 3
-	// transit is the time in which a refusal reaches its caller. A caller that gets a Retry-After just above a
-	// third of what it has left then does not return at all.
+	// transit is an upper bound of the time that a refusal takes to its caller. Without it, a Retry-After could
+	// exceed a third of the time that is left on arrival, and the caller would not return.
 	transit = 100 * time.Millisecond
 	// backlogShare is the work that is expected before the first room, as a multiple of the work that waits.
 	// First attempts go before callers that return. In a replay of waves with bursts, 94 % of the callers with
