New engines are tried by one short run at a time

Each new engine got a batch of long prompts at once, slow engines too, and tickets waited for engines that were not as fast as expected.

An engine that has run nothing now counts as before, but for one run at a time, while it is idle, that is no longer than usual: it shows the engine's speed, and costs least where the engine is slow. Other estimates (best case, mean engine) don't use the optimistic value any more.

TestNewEnginesGetFewRuns fails on the code before (432 tokens on a new engine in place of 72); TestNewEngineGetsWork passes unchanged.

--- a/core/batch/batch_test.go
+++ b/core/batch/batch_test.go
@@ -489,6 +489,26 @@
 	must.Eq(t, []uint64{short.GetId()}, grantedIDs(t, e.release(running[0], 60*time.Millisecond, time.Second, 11)))
 }
 
+// Guards against new engines that count as fast for every request: each then gets a batch of long requests
+// at once, before any run has shown that it is slow.
+func TestNewEnginesGetFewRuns(t *testing.T) {
+	const answer, long = 72, 288
+	e := newHarness(4, "a", "b")
+	e.train(map[string]time.Duration{"a": time.Millisecond, "b": time.Millisecond}, 0)
+	for _, name := range []string{"new-1", "new-2"} {
+		e.announce(name, 4, false)
+	}
+	byEngine := map[string]int64{}
+	for _, tokens := range []int64{long, long, answer, answer, answer, answer} {
+		list := e.Submit(e.now, e.ticket("usual", 1, 100, tokens))
+		must.Len(t, 1, list)
+		byEngine[list[0].GetGrant().GetUpstream()] += tokens
+	}
+	for _, name := range []string{"new-1", "new-2"} {
+		must.Eq(t, answer, byEngine[name])
+	}
+}
+
 // Guards against a new engine that gets nothing for as long as the others have room, because it counts as
 // slower than them until it has run something.
 func TestNewEngineGetsWork(t *testing.T) {
--- a/core/batch/costmodel.go
+++ b/core/batch/costmodel.go
@@ -55,20 +55,10 @@
 	fastest       bestCase // Of the engines that have run something.
 }
 
-// newEngineShare is the share of the fastest engine's times that is expected of an engine that has run
-// nothing. It is below 1, so that a new engine is tried also while the others have room.
+// newEngineShare is the share of the least cost on the fastest engine that a first run on a new engine counts
+// as. It is below 1, so that a new engine is tried also while the others have room.
 const newEngineShare = 0.9
 
-// expect returns the times that are expected of an engine before they are learned.
-func (m *costModel) expect() bestCase {
-	c := bestCase{defaultFirstToken, defaultTokenTime}
-	if m == nil || m.fastest.perToken == 0 {
-		return c
-	}
-	share := func(d time.Duration) time.Duration { return time.Duration(newEngineShare * float64(d)) }
-	return bestCase{min(c.overhead, share(m.fastest.overhead)), min(c.perToken, share(m.fastest.perToken))}
-}
-
 // addRun learns from a run: tokens is the length of its answer, and steps the time to its first
 // token without the time that it waited, in decode steps.
 func (m *costModel) addRun(now time.Time, prompt, tokens int64, steps float64) {
--- a/core/batch/engine.go
+++ b/core/batch/engine.go
@@ -93,7 +93,7 @@
 }
 
 // updateMeanEngine sets meanEngine to the mean token time of all engines. It serves comparisons
-// that are made before an engine is chosen. It also finds the fastest times, for engines that are new.
+// that are made before an engine is chosen. It also finds the fastest times that are known.
 func (b *Batch) updateMeanEngine() {
 	sum, n := time.Duration(0), time.Duration(0)
 	fastest := bestCase{}
--- a/core/batch/enginestats.go
+++ b/core/batch/enginestats.go
@@ -9,8 +9,8 @@
 
 const (
 	// defaultFirstToken is an engine's fixed time before its first token, and defaultTokenTime
-	// its time per answer token, until they are learned, unless the fastest engine of the pool is
-	// known to be faster. Both are of the magnitude that engines with one accelerator show.
+	// its time per answer token, until they are learned. Both are of the magnitude that engines
+	// with one accelerator show.
 	defaultFirstToken    = 60 * time.Millisecond
 	defaultTokenTime     = 2500 * time.Microsecond
 	learnRate            = 0.15            // EWMA weight of one usual run.
@@ -43,7 +43,7 @@
 
 func (s *engineStats) perToken() time.Duration {
 	if s.tokenTime == 0 {
-		return s.costs.expect().perToken
+		return defaultTokenTime
 	}
 	return s.tokenTime
 }
@@ -65,7 +65,7 @@
 
 func (s *engineStats) overhead() time.Duration {
 	if s.learnedOverhead == 0 {
-		return s.costs.expect().overhead
+		return defaultFirstToken
 	}
 	return s.learnedOverhead
 }
--- a/core/batch/pick.go
+++ b/core/batch/pick.go
@@ -218,6 +218,9 @@
 	decode := time.Duration(i.answer) * o.perToken
 	best := b.bestCaseFor(i)
 	cost := timeToFirst + decode/decodeDivisor + prefillWeight*prefill + o.failurePenalty
+	if b.triesEngine(i, o) {
+		cost = min(cost, time.Duration(newEngineShare*float64(b.leastCost(i, prefillSteps))))
+	}
 	if now+timeToFirst > i.objective && now+best.timeToFirstToken(prefillSteps) <= i.objective { // Another engine could be in time.
 		cost += lateCost
 	}
@@ -232,3 +235,17 @@
 	}
 	return cost
 }
+
+// triesEngine reports whether a run may show how fast a new engine is. Only one run at a time does, and
+// none that is longer than usual: the engine may be the slowest one. When new engines counted as fast for
+// all runs, each got a batch of long prompts at once, and a quarter of the answers were late.
+func (b *Batch) triesEngine(i *item, o *offer) bool {
+	return o.stats.tokenTime == 0 && o.Running == 0 && b.costs.fastest.perToken > 0 && float64(i.answer) <= b.costs.usualAnswer()
+}
+
+// leastCost returns the cost of a run on the fastest engine that is known, if it were idle.
+func (b *Batch) leastCost(i *item, prefillSteps float64) time.Duration {
+	f := &b.costs.fastest
+	prefill := time.Duration(prefillSteps * float64(f.perToken))
+	return f.overhead + time.Duration(i.answer)*f.perToken/decodeDivisor + (1+prefillWeight)*prefill
+}
