Commands of operators name the control replicas in one place

They embed controlFlags now, which has both and opens the connection. No flag changes; go vet, the linter and the help of rollout and upstream show the same flags.

--- a/cmd/azurelane/account.go
+++ b/cmd/azurelane/account.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net/netip"
 	"os"
 	"text/tabwriter"
 	"time"
@@ -24,10 +23,9 @@
 	}
 
 	accountShowCmd struct {
-		Name     string           `arg:"" help:"Name of the account."`
-		JSON     bool             `name:"json" help:"Print JSON."`
-		Control  []netip.AddrPort `required:"" help:"Peer addresses of the control replicas."`
-		tlsFlags `embed:""`
+		Name         string `arg:"" help:"Name of the account."`
+		JSON         bool   `name:"json" help:"Print JSON."`
+		controlFlags `embed:""`
 	}
 
 	// accountStatus is the JSON output of show.
@@ -50,7 +48,7 @@
 
 // Run prints the tables.
 func (c *accountShowCmd) Run(ctx context.Context) error {
-	op, err := newOperator(c.Control, c.tlsFlags)
+	op, err := c.operator()
 	if err != nil {
 		return fmt.Errorf("account: %w", err)
 	}
--- a/cmd/azurelane/apply.go
+++ b/cmd/azurelane/apply.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net/netip"
 	"time"
 
 	"github.com/google/uuid"
@@ -26,15 +25,14 @@
 const pollEvery = 200 * time.Millisecond
 
 type applyCmd struct {
-	File     string           `arg:"" type:"existingfile" help:"The whole set: base and overlays, in JSON."`
-	Control  []netip.AddrPort `required:"" help:"Peer addresses of the control replicas."`
-	Base     *uint64          `required:"" xor:"base" help:"Version that the change was made from; 0 for the first."`
-	Latest   bool             `required:"" xor:"base" help:"Replace the version of now, whatever it holds."`
-	Change   string           `help:"Id of the change; a new one when left out."`
-	Author   string           `help:"Who made it."`
-	Wait     bool             `help:"Wait until it is in force everywhere."`
-	Limit    time.Duration    `default:"8s" help:"With --wait: how long."`
-	tlsFlags `embed:""`
+	File         string `arg:"" type:"existingfile" help:"The whole set: base and overlays, in JSON."`
+	controlFlags `embed:""`
+	Base         *uint64       `required:"" xor:"base" help:"Version that the change was made from; 0 for the first."`
+	Latest       bool          `required:"" xor:"base" help:"Replace the version of now, whatever it holds."`
+	Change       string        `help:"Id of the change; a new one when left out."`
+	Author       string        `help:"Who made it."`
+	Wait         bool          `help:"Wait until it is in force everywhere."`
+	Limit        time.Duration `default:"8s" help:"With --wait: how long."`
 }
 
 // Help is the command's manual.
@@ -49,7 +47,7 @@
 	if c.Change == "" {
 		c.Change = uuid.NewString()
 	}
-	op, err := newOperator(c.Control, c.tlsFlags)
+	op, err := c.operator()
 	if err != nil {
 		return fmt.Errorf("apply: %w", err)
 	}
--- a/cmd/azurelane/bans.go
+++ b/cmd/azurelane/bans.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net/netip"
 	"os"
 	"strings"
 	"text/tabwriter"
@@ -21,9 +20,8 @@
 crash more.`
 
 type bansCmd struct {
-	Control  []netip.AddrPort `required:"" help:"Peer addresses of the control replicas."`
-	Lift     []string         `help:"Digests of requests or parts to send again."`
-	tlsFlags `embed:""`
+	controlFlags `embed:""`
+	Lift         []string `help:"Digests of requests or parts to send again."`
 }
 
 // Help is the command's manual.
@@ -39,7 +37,7 @@
 		}
 		lift = append(lift, d[:])
 	}
-	op, err := newOperator(c.Control, c.tlsFlags)
+	op, err := c.operator()
 	if err != nil {
 		return fmt.Errorf("bans: %w", err)
 	}
--- a/cmd/azurelane/operator.go
+++ b/cmd/azurelane/operator.go
@@ -31,6 +31,14 @@
 	}
 )
 
+// controlFlags names the control replicas that an operator's command calls.
+type controlFlags struct {
+	Control  []netip.AddrPort `required:"" help:"Peer addresses of the control replicas."`
+	tlsFlags `embed:""`
+}
+
+func (f controlFlags) operator() (*operator, error) { return newOperator(f.Control, f.tlsFlags) }
+
 func newOperator(replicas []netip.AddrPort, files tlsFlags) (*operator, error) {
 	if len(replicas) == 0 {
 		return nil, fmt.Errorf("no control replicas named")
--- a/cmd/azurelane/order.go
+++ b/cmd/azurelane/order.go
@@ -21,15 +21,14 @@
 When the answer is lost, send the same order again with its --id.`
 
 type orderCmd struct {
-	Kind        string           `arg:"" enum:"load-model,load-adapter,set-role" help:"load-model, load-adapter or set-role."`
-	Target      string           `arg:"" help:"Model, adapter or role."`
-	Upstream    string           `required:"" help:"Name of the upstream."`
-	Control     []netip.AddrPort `required:"" help:"Peer addresses of the control replicas."`
-	Version     string           `help:"Version of the model or adapter."`
-	ID          string           `help:"Id of the order; a new one when left out."`
-	Limit       time.Duration    `default:"10m" help:"Longest time that the order can take."`
-	WeightLimit int              `default:"2" help:"Orders that may read from the weight store at once."`
-	tlsFlags    `embed:""`
+	Kind         string `arg:"" enum:"load-model,load-adapter,set-role" help:"load-model, load-adapter or set-role."`
+	Target       string `arg:"" help:"Model, adapter or role."`
+	Upstream     string `required:"" help:"Name of the upstream."`
+	controlFlags `embed:""`
+	Version      string        `help:"Version of the model or adapter."`
+	ID           string        `help:"Id of the order; a new one when left out."`
+	Limit        time.Duration `default:"10m" help:"Longest time that the order can take."`
+	WeightLimit  int           `default:"2" help:"Orders that may read from the weight store at once."`
 }
 
 // Help is the command's manual.
@@ -37,7 +36,7 @@
 
 // Run sends the order and waits for its end.
 func (c *orderCmd) Run(ctx context.Context) error {
-	op, err := newOperator(c.Control, c.tlsFlags)
+	op, err := c.operator()
 	if err != nil {
 		return fmt.Errorf("order: %w", err)
 	}
--- a/cmd/azurelane/replica.go
+++ b/cmd/azurelane/replica.go
@@ -31,16 +31,14 @@
 	}
 
 	replicaAddCmd struct {
-		Address  netip.AddrPort   `arg:"" help:"Peer address of the new replica."`
-		Control  []netip.AddrPort `required:"" help:"Peer addresses of the control replicas."`
-		Replace  string           `help:"Identity of the replica whose place it takes."`
-		tlsFlags `embed:""`
+		Address      netip.AddrPort `arg:"" help:"Peer address of the new replica."`
+		controlFlags `embed:""`
+		Replace      string `help:"Identity of the replica whose place it takes."`
 	}
 
 	replicaRemoveCmd struct {
-		Identity string           `arg:"" help:"Identity of the replica; status lists them."`
-		Control  []netip.AddrPort `required:"" help:"Peer addresses of the control replicas."`
-		tlsFlags `embed:""`
+		Identity     string `arg:"" help:"Identity of the replica; status lists them."`
+		controlFlags `embed:""`
 	}
 )
 
@@ -49,7 +47,7 @@
 
 // Run adds the replica and waits until it votes.
 func (c *replicaAddCmd) Run(ctx context.Context) error {
-	op, err := newOperator(c.Control, c.tlsFlags)
+	op, err := c.operator()
 	if err != nil {
 		return fmt.Errorf("replica: %w", err)
 	}
@@ -93,7 +91,7 @@
 
 // Run removes the replica.
 func (c *replicaRemoveCmd) Run(ctx context.Context) error {
-	op, err := newOperator(c.Control, c.tlsFlags)
+	op, err := c.operator()
 	if err != nil {
 		return fmt.Errorf("replica: %w", err)
 	}
--- a/cmd/azurelane/rollout.go
+++ b/cmd/azurelane/rollout.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net/netip"
 	"os"
 	"text/tabwriter"
 	"time"
@@ -28,23 +27,20 @@
 	}
 
 	rolloutStartCmd struct {
-		Pool     string           `arg:"" help:"Name of the pool."`
-		To       string           `required:"" help:"Version that its upstreams announce."`
-		Within   time.Duration    `required:"" help:"Time until the deadline, as in 30s."`
-		Control  []netip.AddrPort `required:"" help:"Peer addresses of the control replicas."`
-		tlsFlags `embed:""`
+		Pool         string        `arg:"" help:"Name of the pool."`
+		To           string        `required:"" help:"Version that its upstreams announce."`
+		Within       time.Duration `required:"" help:"Time until the deadline, as in 30s."`
+		controlFlags `embed:""`
 	}
 
 	rolloutStatusCmd struct {
-		Pool     string           `arg:"" optional:"" help:"Name of the pool; all when left out."`
-		Control  []netip.AddrPort `required:"" help:"Peer addresses of the control replicas."`
-		tlsFlags `embed:""`
+		Pool         string `arg:"" optional:"" help:"Name of the pool; all when left out."`
+		controlFlags `embed:""`
 	}
 
 	rolloutAbortCmd struct {
-		Pool     string           `arg:"" help:"Name of the pool."`
-		Control  []netip.AddrPort `required:"" help:"Peer addresses of the control replicas."`
-		tlsFlags `embed:""`
+		Pool         string `arg:"" help:"Name of the pool."`
+		controlFlags `embed:""`
 	}
 )
 
@@ -53,7 +49,7 @@
 
 // Run orders the rollout and returns once it is stored.
 func (c *rolloutStartCmd) Run(ctx context.Context) error {
-	op, err := newOperator(c.Control, c.tlsFlags)
+	op, err := c.operator()
 	if err != nil {
 		return fmt.Errorf("rollout: %w", err)
 	}
@@ -73,7 +69,7 @@
 
 // Run prints the rollouts as a quorum knows them.
 func (c *rolloutStatusCmd) Run(ctx context.Context) error {
-	op, err := newOperator(c.Control, c.tlsFlags)
+	op, err := c.operator()
 	if err != nil {
 		return fmt.Errorf("rollout: %w", err)
 	}
@@ -87,7 +83,7 @@
 
 // Run records that the rollout is rolled back.
 func (c *rolloutAbortCmd) Run(ctx context.Context) error {
-	op, err := newOperator(c.Control, c.tlsFlags)
+	op, err := c.operator()
 	if err != nil {
 		return fmt.Errorf("rollout: %w", err)
 	}
--- a/cmd/azurelane/status.go
+++ b/cmd/azurelane/status.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net/netip"
 	"os"
 	"strings"
 	"text/tabwriter"
@@ -19,8 +18,7 @@
 unknown. Exit code 1 when no replica hears a leader.`
 
 type statusCmd struct {
-	Control  []netip.AddrPort `required:"" help:"Peer addresses of the control replicas."`
-	tlsFlags `embed:""`
+	controlFlags `embed:""`
 }
 
 // Help is the command's manual.
@@ -28,7 +26,7 @@
 
 // Run prints the tables.
 func (c *statusCmd) Run(ctx context.Context) error {
-	op, err := newOperator(c.Control, c.tlsFlags)
+	op, err := c.operator()
 	if err != nil {
 		return fmt.Errorf("status: %w", err)
 	}
--- a/cmd/azurelane/upstream.go
+++ b/cmd/azurelane/upstream.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net/netip"
 	"os"
 	"strconv"
 	"strings"
@@ -32,31 +31,28 @@
 	}
 
 	cordonCmd struct {
-		ID       string           `arg:"" name:"id" help:"Id of the upstream."`
-		Author   string           `required:"" help:"Who orders it."`
-		For      time.Duration    `required:"" xor:"expiry" help:"Time until it expires, as in 2h; a week at most."`
-		Until    time.Time        `required:"" xor:"expiry" help:"When it expires, as in 2006-01-02T15:04:05Z."`
-		Reason   string           `help:"Why, for others who look at the list."`
-		Force    bool             `help:"Also if the pool is left without an upstream."`
-		JSON     bool             `name:"json" help:"Print JSON."`
-		Control  []netip.AddrPort `required:"" help:"Peer addresses of the control replicas."`
-		tlsFlags `embed:""`
+		ID           string        `arg:"" name:"id" help:"Id of the upstream."`
+		Author       string        `required:"" help:"Who orders it."`
+		For          time.Duration `required:"" xor:"expiry" help:"Time until it expires, as in 2h; a week at most."`
+		Until        time.Time     `required:"" xor:"expiry" help:"When it expires, as in 2006-01-02T15:04:05Z."`
+		Reason       string        `help:"Why, for others who look at the list."`
+		Force        bool          `help:"Also if the pool is left without an upstream."`
+		JSON         bool          `name:"json" help:"Print JSON."`
+		controlFlags `embed:""`
 	}
 
 	uncordonCmd struct {
-		ID       string           `arg:"" name:"id" help:"Id of the upstream."`
-		Author   string           `required:"" help:"Who orders it."`
-		JSON     bool             `name:"json" help:"Print JSON."`
-		Control  []netip.AddrPort `required:"" help:"Peer addresses of the control replicas."`
-		tlsFlags `embed:""`
+		ID           string `arg:"" name:"id" help:"Id of the upstream."`
+		Author       string `required:"" help:"Who orders it."`
+		JSON         bool   `name:"json" help:"Print JSON."`
+		controlFlags `embed:""`
 	}
 
 	upstreamListCmd struct {
-		Pool     string           `help:"Only those of this pool."`
-		Cordoned bool             `help:"Only those with a cordon."`
-		JSON     bool             `name:"json" help:"Print JSON."`
-		Control  []netip.AddrPort `required:"" help:"Peer addresses of the control replicas."`
-		tlsFlags `embed:""`
+		Pool         string `help:"Only those of this pool."`
+		Cordoned     bool   `help:"Only those with a cordon."`
+		JSON         bool   `name:"json" help:"Print JSON."`
+		controlFlags `embed:""`
 	}
 
 	// cordonResult is the JSON output of cordon and uncordon.
@@ -108,7 +104,7 @@
 	cmd := &wire.Command{Id: uuid.NewString(), Kind: &wire.Command_OrderCordon{OrderCordon: &wire.OrderCordon{
 		Upstream: c.ID, Author: c.Author, Reason: c.Reason, LengthUs: length.Microseconds(), Force: c.Force,
 	}}}
-	note, err := orderCordon(ctx, c.Control, c.tlsFlags, cmd)
+	note, err := orderCordon(ctx, c.controlFlags, cmd)
 	if err != nil {
 		return fmt.Errorf("upstream: cordon %s: %w", c.ID, err)
 	}
@@ -126,7 +122,7 @@
 // Run lifts the cordon and returns once that is stored.
 func (c *uncordonCmd) Run(ctx context.Context) error {
 	cmd := &wire.Command{Id: uuid.NewString(), Kind: &wire.Command_LiftCordon{LiftCordon: &wire.LiftCordon{Upstream: c.ID, Author: c.Author}}}
-	if _, err := orderCordon(ctx, c.Control, c.tlsFlags, cmd); err != nil {
+	if _, err := orderCordon(ctx, c.controlFlags, cmd); err != nil {
 		return fmt.Errorf("upstream: uncordon %s: %w", c.ID, err)
 	}
 	if c.JSON {
@@ -137,8 +133,8 @@
 }
 
 // orderCordon sends a command about a cordon to the leader and returns the text of its result.
-func orderCordon(ctx context.Context, control []netip.AddrPort, files tlsFlags, cmd *wire.Command) (string, error) {
-	op, err := newOperator(control, files)
+func orderCordon(ctx context.Context, control controlFlags, cmd *wire.Command) (string, error) {
+	op, err := control.operator()
 	if err != nil {
 		return "", err
 	}
@@ -158,7 +154,7 @@
 
 // Run prints the upstreams as a quorum knows them.
 func (c *upstreamListCmd) Run(ctx context.Context) error {
-	op, err := newOperator(c.Control, c.tlsFlags)
+	op, err := c.operator()
 	if err != nil {
 		return fmt.Errorf("upstream: list: %w", err)
 	}
