A configuration that refuses a waiting ticket no longer blocks the scheduler

Sched.Install delivered the decisions of the policies while it held the lock of the pools. The leader's callback of a refused ticket logs how many tickets wait, which takes the same lock for reading. So a configuration that came while a refusal was due blocked the leader for good: it still acknowledged configurations, but put none in force, decided on no ticket and answered no poll. Install now delivers decisions after it has released the lock.

--- a/io/sched/sched.go
+++ b/io/sched/sched.go
@@ -82,6 +82,12 @@
 		stop func() bool // Stops the callback for the end of the caller's context.
 	}
 
+	// delivery is a decision and the call that waits for it.
+	delivery struct {
+		call     *call
+		decision *wire.Decision
+	}
+
 	// ticketKey identifies a ticket across all entries.
 	ticketKey struct {
 		incarnation string
@@ -92,11 +98,17 @@
 // Install applies a configuration. The waiting tickets of a pool that was removed, or whose policy
 // has changed, are refused.
 func (s *Sched) Install(cfg *conf.Config) {
+	deliver(s.install(cfg))
+}
+
+// install applies a configuration and returns the decisions that it causes.
+func (s *Sched) install(cfg *conf.Config) []delivery {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.stopped {
-		return
+		return nil
 	}
+	var decided []delivery
 	if s.pools == nil {
 		s.pools = map[string]*runner{}
 	}
@@ -116,7 +128,7 @@
 			}
 			s.pools[name] = r
 		}
-		r.do(func(now time.Time) []*wire.Decision { return r.policy.Configure(now, name, cfg) })
+		decided = append(decided, r.decide(func(now time.Time) []*wire.Decision { return r.policy.Configure(now, name, cfg) })...)
 	}
 	for name, r := range s.pools {
 		if _, ok := cfg.Pools[name]; !ok {
@@ -124,6 +136,7 @@
 			delete(s.pools, name)
 		}
 	}
+	return decided
 }
 
 // Submit waits for the decision on a ticket. If ctx ends first, the ticket is withdrawn.
@@ -134,9 +147,9 @@
 }
 
 // SubmitAsync submits a ticket and calls done exactly once with the decision. It may call done from
-// any goroutine; done must not block. The callback avoids a goroutine per waiting ticket: when a
-// burst of tickets is refused, thousands of goroutines would become runnable at once and delay all
-// other work of the process, including its heartbeats.
+// any goroutine; done must not block, but may call methods of Sched. The callback avoids a goroutine
+// per waiting ticket: when a burst of tickets is refused, thousands of goroutines would become
+// runnable at once and delay all other work of the process, including its heartbeats.
 //
 // If ctx ends first, the ticket is withdrawn. A ticket that is sent again, because the link broke
 // before the decision arrived, replaces its earlier call. The end of the earlier call's context
@@ -480,26 +493,35 @@
 	return slices.AppendSeq(make([]*runner, 0, len(s.pools)), maps.Values(s.pools))
 }
 
-// do runs one step of the policy and delivers its decisions to the waiting calls. It delivers them
-// after it has released the lock, so that the callbacks don't delay other steps.
-func (r *runner) do(step func(time.Time) []*wire.Decision) {
+// do runs one step of the policy and delivers its decisions to the waiting calls. The caller must hold
+// no lock.
+func (r *runner) do(step func(time.Time) []*wire.Decision) { deliver(r.decide(step)) }
+
+// decide runs one step of the policy and returns its decisions for the waiting calls.
+func (r *runner) decide(step func(time.Time) []*wire.Decision) []delivery {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	list := step(time.Now())
-	calls := make([]*call, len(list))
-	for n, d := range list {
+	decided := make([]delivery, 0, len(list))
+	for _, d := range list {
 		if g := d.GetGrant(); g != nil {
 			g.Owner = r.owner
 		}
 		k := ticketKey{d.GetIncarnation(), d.GetTicket()}
-		calls[n] = r.waiting[k]
+		if c := r.waiting[k]; c != nil {
+			decided = append(decided, delivery{c, d})
+		}
 		delete(r.waiting, k)
 	}
-	r.mu.Unlock()
-	for n, c := range calls {
-		if c != nil {
-			c.stop()
-			c.done(list[n])
-		}
+	return decided
+}
+
+// deliver ends waiting calls with their decisions. The caller must hold no lock: the callbacks would
+// delay other steps, and one that calls a method of Sched would wait for itself.
+func deliver(decided []delivery) {
+	for _, d := range decided {
+		d.call.stop()
+		d.call.done(d.decision)
 	}
 }
 
