Pool key rebalance, off by default

Cause: moves off slow engines (docs/OVERLOAD.md part 9) need a switch of their own. Change: the key exists in both configuration formats and in the reference; the check refuses it without migrate, and with a policy other than batch, since only that one chooses destinations. Nothing reads it yet.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -31,7 +31,7 @@
 )
 
 // Name is the policy's name in the configuration.
-const Name = "batch"
+const Name = pool.BatchScheduler
 
 func init() { kernel.Register(Name, false, func() kernel.Scheduler { return &Batch{} }) }
 
--- a/core/conf/check.go
+++ b/core/conf/check.go
@@ -183,6 +183,12 @@
 	if p.Migrate && p.Slots <= 0 {
 		return invalid(at+"/migrate", "false, as the pool has no model engines")
 	}
+	if p.Rebalance && !p.Migrate {
+		return invalid(at+"/rebalance", "false, as streams of the pool do not move without migrate")
+	}
+	if p.Rebalance && p.Scheduler != pool.BatchScheduler {
+		return invalid(at+"/rebalance", "false, unless scheduler is "+pool.BatchScheduler)
+	}
 	return nil
 }
 
--- a/core/conf/check_test.go
+++ b/core/conf/check_test.go
@@ -24,6 +24,8 @@
 		{"level out of range", `"level":1`, `"level":3`, "/tiers/t/level: expected 0, 1 or 2"},
 		{"tier unknown", `"key-sha256"`, `"tiers":["x"],"key-sha256"`, "/client-accounts/a/tiers: expected names of tiers, not x"},
 		{"moves of plain servers", `"models":["m"]`, `"models":["m"],"migrate":true`, "/pools/p/migrate: expected false"},
+		{"moves off slow engines without migrate", `"models":["m"]`, `"models":["m"],"slots":1,"scheduler":"batch","rebalance":true`, "/pools/p/rebalance: expected false, as streams of the pool do not move"},
+		{"moves off slow engines by another policy", `"models":["m"]`, `"models":["m"],"slots":1,"migrate":true,"rebalance":true`, "/pools/p/rebalance: expected false, unless scheduler is batch"},
 		{"moves without the time of handles", `"models":["m"]`, `"models":["m"],"slots":1,"moves":true,"migrate":true`, "/pools/p/handle-time: expected a span over 0"},
 		{"time of handles below 0 on routes", `"models":["m"]`, `"by-route":true,"handle-time":"-1s"`, "/pools/p/handle-time: expected a span over 0"},
 		{"neither models nor service", `"models":["m"]`, ``, "/pools/p: expected either models or a service"},
--- a/core/conf/keys.go
+++ b/core/conf/keys.go
@@ -69,6 +69,7 @@
 		{Path: "/pools/*/event-tokens", Want: limitWant, Default: "1", Text: "Tokens in one event of a stream."},
 		{Path: "/pools/*/connections", Want: limitWant, Default: "0", Text: "Connections that one upstream takes from all entries; 0 for any."},
 		{Path: "/pools/*/migrate", Want: boolWant, Default: off, Text: "Whether streams move off engines that leave, where `moves` says that the engines offer it."},
+		{Path: "/pools/*/rebalance", Want: boolWant, Default: off, Text: "Whether streams move off engines on which they would end after their deadlines or pause for too long. Needs `migrate` and the policy `batch`."},
 		{Path: "/pools/*/moves", Want: boolWant, Default: off, Text: "Whether the engines offer moves of runs; without it they get no such calls."},
 		{Path: "/pools/*/handle-time", Want: spanWant, Default: "0s", Text: "How long an engine keeps the copy of a run that is not used. It must be over 0 where streams move."},
 		{Path: "/pools/*/late-service", Want: boolWant, Default: "by defer-from", Text: "Whether requests that can't be in time any more wait for room that others leave, as long as they can end before their deadlines."},
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -30,6 +30,7 @@
 	FairShares  *bool         `json:"fair-shares,omitempty"`        // Whether client accounts get fair shares of a full pool; nil for the site's setting.
 	TimedReturn *bool         `json:"timed-returns,omitempty"`      // Whether refused callers are told to return when there is room; nil for the site's setting.
 	Migrate     bool          `json:"migrate,omitzero"`             // Whether streams move off engines that leave.
+	Rebalance   bool          `json:"rebalance,omitzero"`           // Whether streams move off engines that are too slow for them; needs Migrate.
 	Moves       bool          `json:"moves,omitzero"`               // Whether the engines offer moves.
 	HandleTime  time.Duration `json:"handle-time,omitzero"`         // How long an engine keeps a copy of a run that is not used.
 	RunOn       *bool         `json:"run-on,omitempty"`             // Whether a request with an idempotency key completes after its callers have left; nil for true.
@@ -38,6 +39,7 @@
 // Defaults of fields that are zero.
 const (
 	DefaultScheduler  = "late"
+	BatchScheduler    = "batch" // For model engines that batch continuously.
 	DefaultPreset     = "goodput"
 	DefaultMaxWaiting = 10000
 	DefaultMaxRun     = 30 * time.Minute
@@ -68,6 +70,12 @@
 // no calls.
 func (p Pool) Moving() bool { return p.Migrate && p.Moves && p.HandleTime > 0 }
 
+// Rebalancing reports whether streams move off engines of the pool that are too slow for them. The policy for
+// engines that batch chooses their destinations.
+func (p Pool) Rebalancing() bool {
+	return p.Rebalance && p.Moving() && p.Scheduler == BatchScheduler
+}
+
 // DefersPlain reports whether the requests of the pool, which is one of plain servers, take tickets so that they
 // wait for a place in one order.
 func (p Pool) DefersPlain() bool {
