The policy batch grants slots for moves off slow engines

Cause: the scheduler knows the engines' speeds and who waits, so it chooses where a run goes that its engine is too slow for. Change: a ticket with Move is decided at once and never waits. Other tickets are decided as before.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -136,6 +136,9 @@
 func (b *Batch) Submit(now time.Time, t *wire.Ticket) []*wire.Decision {
 	b.remove(t.GetIncarnation(), t.GetId())
 	b.slots.Cancel(now, t.GetIncarnation(), t.GetId())
+	if t.GetMove() != nil {
+		return []*wire.Decision{b.decideMove(now, t)}
+	}
 	route := b.routes[t.GetRoute()]
 	if route == nil {
 		route = &routeStats{}
--- a/core/slots/slots.go
+++ b/core/slots/slots.go
@@ -219,6 +219,9 @@
 	}
 }
 
+// Of returns the slot that a ticket of an incarnation holds, or nil if it holds none.
+func (s *Slots) Of(incarnation string, ticket uint64) *slot.Slot { return s.held[incarnation][ticket] }
+
 // AccountLen returns the number of slots that a client account holds.
 func (s *Slots) AccountLen(name string) int { return s.accounts[name] }
 
