A run moves off an engine that is too slow for it, unless it recovers before the stop

Cause: core/migr began moves for engines that leave alone. Change: a run also asks for a slot while its engine is too slow for it, every 0.5 s, and a try ends with the outcome recovered if the engine is fast again when the copy is made. Moves off engines that leave are decided as before.

--- a/core/migr/migr.go
+++ b/core/migr/migr.go
@@ -1,4 +1,4 @@
-// Package migr decides how one run moves from an engine that leaves to another one. It does no input or
+// Package migr decides how one run moves from an engine that leaves, or that is too slow for it, to another one. It does no input or
 // output: its user reports what happened and carries out what Step returns.
 //
 // A move copies the run's memory while the run continues, stops the run with a last copy, and continues it
@@ -22,6 +22,9 @@
 	minEvents = 2
 	// tryAgain is the time between two tries, in which engines end runs and slots become free.
 	tryAgain = 200 * time.Millisecond
+	// slowAgain is the same for a run whose engine serves on. It is not at its end, and in a full pool many
+	// such runs ask.
+	slowAgain = 500 * time.Millisecond
 	// callAgain is the time after which a call is repeated whose answer was lost or that met another one.
 	callAgain = 40 * time.Millisecond
 	// maxCopies is how often one copy is asked for if answers are lost.
@@ -69,7 +72,7 @@
 const (
 	Tick     Kind = iota // Time has passed. Run says how the run stands.
 	Granted              // OK says whether the scheduler granted a slot.
-	Answered             // Status, Handle answer the last call.
+	Answered             // Status, Handle answer the last call. Run says how the run stands.
 	Closed               // The stream from the source has ended; OK if with its end.
 	Sent                 // Status answers the last continuation: Done, Refused, Lost or Unreached.
 	Left                 // The caller is gone, or another engine has the run.
@@ -104,6 +107,7 @@
 	OutcomeGone     = "gone"        // The engine does not know the run.
 	OutcomeLost     = "call-lost"   // No answer to a copy.
 	OutcomeStayed   = "not-stopped" // No answer to the stop, and the run goes on.
+	OutcomeFaster   = "recovered"   // The engine was fast enough again before the stop.
 )
 
 type (
@@ -122,6 +126,7 @@
 		Left     time.Duration // Of the engine's drain.
 		Expected time.Duration // Until the run ends; at most until its caller's deadline.
 		Events   int64         // That the caller has.
+		Slow     bool          // The engine is too slow for the run, and another one is not, as far as known.
 	}
 
 	// Event is something that happened. Its fields are described at the kinds.
@@ -147,6 +152,7 @@
 		copies   int // Calls of the current round.
 		returns  int
 		rounds   int
+		slow     bool          // The try is for a slow engine that serves on.
 		tryAt    time.Duration // From which time the next try may begin.
 		called   time.Duration // When the last call was due.
 		stopAt   time.Duration // When the stop was first due.
@@ -247,17 +253,20 @@
 }
 
 func (m *Migr) watch(now time.Duration, e Event) Action {
-	r := e.Run
-	if e.Kind != Tick || !r.Leaves || m.tries >= MaxTries || now < m.tryAt || r.Events < minEvents || r.Left < minLeft {
+	if e.Kind != Tick || m.tries >= MaxTries || now < m.tryAt || e.Run.Events < minEvents || !e.Run.hasToMove() {
 		return Action{}
 	}
-	if float64(r.Expected) <= endShare*float64(r.Left) {
-		return Action{}
-	}
-	m.stage, m.tries, m.outcome = asking, m.tries+1, OutcomeNone
+	m.stage, m.tries, m.outcome, m.slow = asking, m.tries+1, OutcomeNone, !e.Run.Leaves
 	return Action{Do: Ask}
 }
 
+func (r *Run) hasToMove() bool {
+	if !r.Leaves {
+		return r.Slow
+	}
+	return r.Left >= minLeft && float64(r.Expected) > endShare*float64(r.Left)
+}
+
 func (m *Migr) ask(now time.Duration, e Event) Action {
 	if e.Kind != Granted {
 		return Action{}
@@ -275,6 +284,8 @@
 		return Action{}
 	}
 	switch {
+	case e.Status == Done && m.slow && !e.Run.Slow && !e.Run.Leaves:
+		return m.drop(now, OutcomeFaster)
 	case e.Status == Done && m.handle != "" && now-m.called > slowCopy && m.rounds < maxRounds:
 		m.rounds, m.copies, m.called = m.rounds+1, 1, now
 		return Action{Do: Copy}
@@ -299,6 +310,9 @@
 // drop ends a try. The run stays where it is.
 func (m *Migr) drop(now time.Duration, outcome string) Action {
 	m.stage, m.outcome, m.tryAt = watching, outcome, now+tryAgain
+	if m.slow {
+		m.tryAt = now + slowAgain
+	}
 	m.free = FreeNone
 	if m.asked {
 		m.free = FreeBoth
