Entries move streams off engines that are too slow for them

Cause: in pools with rebalance an entry has to see that a stream would miss its deadline or its longest pause, and to ask for a better engine. Change: the mover of a stream follows its pace, asks the scheduler with how far the stream is, and moves as off an engine that leaves; a grant that names no expected end, by a scheduler of an earlier version, is given back. Copies and pauses teach the time of a move. Log lines and counters of moves tell the reason, leaves or slow. With rebalance off tickets, calls and headers are as before.

--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -22,6 +22,7 @@
 	"azurelane/core/budget"
 	"azurelane/core/buffer"
 	"azurelane/core/digest"
+	"azurelane/core/haul"
 	"azurelane/core/ledger"
 	"azurelane/core/meta"
 	"azurelane/core/peers"
@@ -86,6 +87,7 @@
 		ledger          ledger.Ledger // Units of sent and refused requests since the last log line.
 		ledgerLoggedAt  time.Time
 		retryAges       map[string]*reqage.Estimator // By route; estimate how long ago callers first tried.
+		hauls           map[string]*haul.Haul        // By pool; estimate how long moves take.
 	}
 
 	// clusterState is this entry's view of the deployment; see watch.Watcher.
--- a/io/gate/move.go
+++ b/io/gate/move.go
@@ -12,7 +12,9 @@
 	"github.com/pkg/errors"
 
 	"azurelane/core/depart"
+	"azurelane/core/haul"
 	"azurelane/core/migr"
+	"azurelane/core/rebal"
 	"azurelane/core/wire"
 )
 
@@ -38,8 +40,10 @@
 
 // Reasons of moves, in log lines and counters.
 const (
+	bySlow     = "slow"     // It serves, and is too slow for the run.
 	byRoster   = "roster"   // The roster says that the engine leaves.
 	byResponse = "response" // A response says so.
+	leaves     = "leaves"   // Either of them, in the counters of outcomes.
 )
 
 var (
@@ -75,7 +79,8 @@
 		handle string
 	}
 
-	// mover moves the run of one send off its upstream if that leaves. A nil mover does nothing.
+	// mover moves the run of one send off its upstream if that leaves, or is too slow for it. A nil mover does
+	// nothing.
 	mover struct {
 		ctx     context.Context //nolint:containedctx // Of the request, for the calls.
 		live    *request        // The request itself; the stream's reader may change it.
@@ -89,6 +94,7 @@
 		firstAt atomic.Int64 // When the first came, in nanoseconds since begun.
 		verdict chan migr.Action
 		ended   chan struct{} // Closed when the send has ended.
+		rebal   *rebal.Rebal  // Nil if the run does not move off slow upstreams. Used by follow alone.
 
 		mu      sync.Mutex // Guards the fields below.
 		machine migr.Migr
@@ -101,6 +107,9 @@
 	heldCopy struct {
 		placement *placement
 		at        netip.AddrPort
+		ends      time.Time // When the run is expected to end there; zero if the upstream that it has leaves.
+		stoppedAt time.Time // When the run was asked to stop.
+		made      bool      // The first copy has been made.
 	}
 )
 
@@ -124,6 +133,7 @@
 	c.origin.goesOn, c.origin.bound, c.origin.began = true, true, f.placement.upstream.GetVersion()
 	return &mover{
 		ctx: ctx, live: q, request: &c, flight: f, source: source, keep: pool.HandleTime, begun: time.Now(), verdict: make(chan migr.Action, 1), ended: make(chan struct{}),
+		rebal: q.newRebal(),
 	}
 }
 
@@ -190,7 +200,7 @@
 // step reports an event and returns what to do.
 func (v *mover) step(e migr.Event) migr.Action {
 	var reason string
-	if e.Kind == migr.Tick {
+	if e.Kind == migr.Tick || (e.Kind == migr.Answered && v.rebal != nil) {
 		e.Run, reason = v.run()
 	}
 	v.mu.Lock()
@@ -213,13 +223,16 @@
 	return v.machine.Over()
 }
 
-// run returns how the run stands, and what says that its upstream leaves.
+// run returns how the run stands, and what says that it has to move.
 func (v *mover) run() (migr.Run, string) {
 	q, now := v.request, time.Now()
 	r := migr.Run{Events: v.events.Load()}
 	since, reason := q.gate.leavesSince(now, v.flight.placement.upstream)
 	if reason == "" {
-		return r, ""
+		if r.Slow = v.isSlow(now, r.Events); r.Slow {
+			reason = bySlow
+		}
+		return r, reason
 	}
 	r.Leaves, r.Left, r.Expected = true, q.gate.UpstreamDrain-now.Sub(since), q.remaining()
 	if r.Events > 1 {
@@ -231,7 +244,7 @@
 
 // eventsLeft returns how many events are expected after those of a send.
 func (q *request) eventsLeft(events int64) int64 {
-	per, events := max(q.view.Index.Pool(q.pool).EventTokens, 1), q.events+events
+	per, events := q.eventTokens(), q.events+events
 	for _, tokens := range []int64{q.meta.Tokens(), q.meta.Answer} {
 		if n := (tokens+per-1)/per - events; n > 0 {
 			return n
@@ -269,11 +282,15 @@
 	return since, byRoster
 }
 
-// ask asks the scheduler for a slot at another upstream, for as long as the drain lasts.
+// ask asks the scheduler for a slot at another upstream. One that leaves is left for as long as its drain lasts.
 func (v *mover) ask() migr.Event {
 	q, c := v.request, *v.request
 	r, _ := v.run()
-	ctx, cancel := context.WithTimeout(v.ctx, r.Left)
+	asked, limit := time.Now(), r.Left
+	if v.why() == bySlow {
+		c.asks, limit = v.wireMove(), slowAskTime
+	}
+	ctx, cancel := context.WithTimeout(v.ctx, limit)
 	defer cancel()
 	go func() {
 		select {
@@ -293,17 +310,30 @@
 	}
 	at, err := netip.ParseAddrPort(p.upstream.GetAddress())
 	_, reason := q.gate.leavesSince(time.Now(), p.upstream)
-	if err != nil || at == v.source || reason != "" || !q.takeSend(p) {
+	ends := time.Duration(p.grant.GetEndUs()) * time.Microsecond
+	chosen := c.asks == nil || ends > 0 // Schedulers of earlier versions choose any upstream.
+	if err != nil || at == v.source || reason != "" || !chosen || !q.takeSend(p) {
 		p.release(result{outcome: outcomeUnused})
 		return migr.Event{Kind: migr.Granted}
 	}
 	p.takenAt = time.Now()
+	held := &heldCopy{placement: p, at: at}
+	if c.asks != nil {
+		held.ends = asked.Add(ends)
+	}
 	v.mu.Lock()
-	v.copy = &heldCopy{placement: p, at: at}
+	v.copy = held
 	v.mu.Unlock()
 	return migr.Event{Kind: migr.Granted, OK: true}
 }
 
+// why returns the reason of the try in progress.
+func (v *mover) why() string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.reason
+}
+
 // call has the source copy the run. While the run may be stopped, no other upstream is sought for it.
 func (v *mover) call(last bool) migr.Event {
 	q, limit := v.request, copyTime
@@ -316,6 +346,9 @@
 			return migr.Event{Kind: migr.Left} // Another upstream has taken its place.
 		}
 		v.held = true
+		if v.copy.stoppedAt.IsZero() {
+			v.copy.stoppedAt = time.Now()
+		}
 	}
 	v.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(v.ctx), limit)
@@ -326,6 +359,7 @@
 		q.gate.Log.Info("Call for a copy not made.", "request", q.meta.ID, "err", err.Error())
 		return e
 	}
+	sentAt := time.Now()
 	resp, sent, err := q.gate.Calls.Send(ctx, r)
 	if err != nil {
 		if !sent {
@@ -338,6 +372,9 @@
 	resp.Body = readCloser{io.LimitReader(resp.Body, maxMoveAnswer), resp.Body}
 	var made int64
 	e.Status, e.Handle, made = q.gate.Moves.Copied(resp)
+	if !last && e.Status == migr.Done {
+		v.learnCopy(time.Since(sentAt))
+	}
 	q.gate.Log.V(1).Info("Answer to a call for a copy.", "request", q.meta.ID, "last", last, "status", resp.StatusCode, "made", made)
 	return e
 }
@@ -387,7 +424,7 @@
 func (v *mover) goOn(do migr.Do, res *result) migr.Event {
 	q := v.live
 	v.mu.Lock()
-	p, handle, limit := v.copy.placement, v.machine.Handle(), v.machine.SendTime(time.Since(v.begun))
+	p, handle, limit, stoppedAt := v.copy.placement, v.machine.Handle(), v.machine.SendTime(time.Since(v.begun)), v.copy.stoppedAt
 	v.mu.Unlock()
 	if do == migr.Return {
 		p = v.flight.placement
@@ -408,6 +445,9 @@
 	close(f.done)
 	if f.accepted() && inTime {
 		res.outcome, res.err, res.next, res.kept = outcomeMoved, nil, f, do == migr.Return
+		if !res.kept {
+			q.gate.learnMove(q.pool, func(h *haul.Haul) { h.AddPause(time.Since(stoppedAt)) })
+		}
 		return migr.Event{Kind: migr.Sent}
 	}
 	e := migr.Event{Kind: migr.Sent, Status: migr.Lost}
@@ -453,8 +493,16 @@
 	if c != nil {
 		to = c.placement.upstream.GetId()
 	}
+	cause, log := leaves, q.gate.Log
+	if reason == bySlow {
+		cause = bySlow
+		if outcome == migr.OutcomeNoSlot {
+			log = log.V(1) // In a full pool many runs ask again and again.
+		}
+	}
 	q.gate.Stats.Count("moves-"+outcome, 1)
-	q.gate.Log.Info("Move ended.", "request", q.meta.ID, "why", reason, "ending", outcome, "upstream", v.flight.placement.upstream.GetId(),
+	q.gate.Stats.Count("moves-"+cause+"-"+outcome, 1)
+	log.Info("Move ended.", "request", q.meta.ID, "reason", cause, "why", reason, "ending", outcome, "upstream", v.flight.placement.upstream.GetId(),
 		"to", to, "events", v.events.Load(), "unfreed", doubtful, "took", time.Since(v.begun).String())
 	if c != nil && outcome != migr.OutcomeMoved {
 		go v.free(c, ends, handle, doubtful)
--- a/io/gate/move_test.go
+++ b/io/gate/move_test.go
@@ -31,6 +31,10 @@
 	moveDrain  = 500 * time.Millisecond
 	moveKeep   = 300 * time.Millisecond // How long engines keep copies.
 	moveCopies = 60 * time.Millisecond  // How long a copy takes.
+	// An engine that is slow takes slowStep for an event, and in slowDeadline a run does not end at that pace.
+	slowStep     = 60 * time.Millisecond
+	slowEvents   = 40 // After which a slow engine is fast again, so that runs that stay are whole.
+	slowDeadline = 5 * time.Second
 )
 
 // testMoves is the dialect of moves of these tests.
@@ -91,6 +95,7 @@
 		copied int       // Events of the copy that it holds; 0 for none.
 		until  time.Time // When that is dropped.
 		stops  int
+		slow   int // Events that it makes slowly.
 	}
 )
 
@@ -200,9 +205,16 @@
 	e.stop, e.made, e.fleet.begun[e.id] = stop, from, time.Now()
 	defer func() { e.made = 0 }()
 	for n := from + 1; n <= moveEvents; n++ {
+		step := moveStep
+		switch {
+		case n <= e.slow:
+			step = slowStep
+		case e.slow > 0:
+			step = moveStep / 5 // A run that stays ends well before the limit of a call.
+		}
 		e.fleet.mu.Unlock()
 		select {
-		case <-time.After(moveStep):
+		case <-time.After(step):
 		case <-stop:
 		case <-r.Context().Done():
 		}
@@ -238,6 +250,7 @@
 	fleet   *moveFleet
 	sched   *fakeScheduler
 	granted int
+	moves   []*wire.Move // That tickets have asked for.
 }
 
 func newMoveGate(t *testing.T, p pool.Pool, faults ...[]string) *moveGate {
@@ -253,7 +266,12 @@
 				m.sched.mu.Lock()
 				defer m.sched.mu.Unlock()
 				m.granted++
-				return &wire.Grant{Slot: uint64(m.granted), Owner: "owner", Upstream: u.GetId(), Address: u.GetAddress()}, nil
+				g := &wire.Grant{Slot: uint64(m.granted), Owner: "owner", Upstream: u.GetId(), Address: u.GetAddress()}
+				if v := ticket.GetMove(); v != nil {
+					m.moves = append(m.moves, v)
+					g.EndUs = v.GetCostUs() + v.GetTokens()*moveStep.Microseconds()
+				}
+				return g, nil
 			}
 		}
 		return nil, refuse.New(refuse.NoUpstream, "", time.Second)
@@ -270,6 +288,25 @@
 	return m
 }
 
+// slow has the first engine be too slow for a while.
+func (m *moveGate) slow(events int, deadline time.Duration) {
+	m.fleet.engines[0].slow = events
+	cfg := *m.view.Index.Config()
+	for i := range cfg.Routes {
+		cfg.Routes[i].Timeout = deadline
+	}
+	m.view.Index = index.New(&cfg)
+}
+
+// start has the first upstream be slow or leave.
+func (m *moveGate) start(slow bool) {
+	if slow {
+		m.slow(slowEvents, slowDeadline)
+		return
+	}
+	go m.leave()
+}
+
 // leave has the first upstream leave once its run has begun.
 func (m *moveGate) leave() {
 	time.Sleep(100 * time.Millisecond)
@@ -301,9 +338,13 @@
 	}
 }
 
-var movingPool = pool.Pool{Migrate: true, Moves: true, HandleTime: moveKeep}
+var (
+	movingPool = pool.Pool{Migrate: true, Moves: true, HandleTime: moveKeep}
+	// rebalancingPool also moves streams off slow engines.
+	rebalancingPool = pool.Pool{Migrate: true, Moves: true, HandleTime: moveKeep, Rebalance: true, Scheduler: pool.BatchScheduler}
+)
 
-// Guards against streams that break because their upstream leaves, events that are missing or come twice, two
+// Guards against streams that break because their upstream leaves, or because a move off a slow one fails, events that are missing or come twice, two
 // engines that work on one run, and slots or copies that stay held, by what goes wrong at the engines.
 func TestMoves(t *testing.T) {
 	for _, tc := range []struct {
@@ -326,11 +367,16 @@
 		{"handle gone", [][]string{{handleGone}, {handleGone}}, "moves_broken", false, true, false},
 		{"copy too slow", [][]string{{hangsCopying}, nil}, "moves_ended", true, true, true},
 	} {
-		for _, route := range []string{"/stream/x", "/resume/x"} {
-			t.Run(tc.name+route, func(t *testing.T) {
+		for n, route := range []string{"/stream/x", "/resume/x", "/stream/x", "/resume/x"} {
+			slow := n >= 2
+			t.Run(fmt.Sprint(tc.name, route, " slow ", slow), func(t *testing.T) {
 				t.Parallel()
-				m := newMoveGate(t, movingPool, tc.engines...)
-				go m.leave()
+				p, by := movingPool, byResponse
+				if slow {
+					p, by = rebalancingPool, bySlow
+				}
+				m := newMoveGate(t, p, tc.engines...)
+				m.start(slow)
 				r := m.do("POST", route)
 				if whole := tc.whole || (tc.resumes && route == "/resume/x"); whole {
 					must.NoError(t, r.err)
@@ -341,7 +387,8 @@
 				}
 				m.check(t)
 				must.StrContains(t, m.metrics(), "azurelane_"+tc.counter+"_total")
-				must.StrContains(t, m.metrics(), "azurelane_moves_by_response_total")
+				must.StrContains(t, m.metrics(), "azurelane_moves_by_"+by+"_total")
+				must.Eq(t, slow, strings.Contains(m.metrics(), "azurelane_"+strings.Replace(tc.counter, "moves_", "moves_slow_", 1)+"_total"))
 				if tc.whole {
 					must.Eq(t, tc.atSource, m.fleet.begun["up-1"].IsZero())
 				}
@@ -355,12 +402,18 @@
 func TestMovesWhenTheSchedulerEnds(t *testing.T) {
 	for _, tc := range []struct {
 		name   string
+		slow   bool
 		grants int // After which it ends.
 		calls  int
-	}{{"before it is asked", 1, 0}, {"once it has granted the slot", 2, 2}} {
+	}{
+		{"before it is asked", false, 1, 0},
+		{"once it has granted the slot", false, 2, 2},
+		{"before it is asked for a slow engine", true, 1, 0},
+		{"once it has granted the slot for a slow engine", true, 2, 2},
+	} {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
-			m := newMoveGate(t, movingPool, nil, nil)
+			m := newMoveGate(t, rebalancingPool, nil, nil)
 			grant := m.sched.grant
 			m.sched.grant = func(ticket *wire.Ticket) (*wire.Grant, error) {
 				g, err := grant(ticket)
@@ -371,7 +424,7 @@
 				}
 				return g, err
 			}
-			go m.leave()
+			m.start(tc.slow)
 			must.Eq(t, eventsUpTo(moveEvents), m.do("POST", "/stream/x").body)
 			m.check(t)
 			must.Eq(t, tc.calls, m.fleet.calls)
@@ -387,11 +440,14 @@
 		name  string
 		pool  pool.Pool
 		drain time.Duration
+		slow  bool
 	}{
-		{"switched off", pool.Pool{Moves: true, HandleTime: moveKeep}, moveDrain},
-		{"not offered", pool.Pool{Migrate: true, HandleTime: moveKeep}, moveDrain},
-		{"ends in time", movingPool, time.Minute},
-		{"no drain known", movingPool, 0},
+		{"switched off", pool.Pool{Moves: true, HandleTime: moveKeep}, moveDrain, false},
+		{"not offered", pool.Pool{Migrate: true, HandleTime: moveKeep}, moveDrain, false},
+		{"ends in time", rebalancingPool, time.Minute, false},
+		{"no drain known", movingPool, 0, false},
+		{"slow, and rebalance off", movingPool, time.Minute, true},
+		{"slow, and no batch policy", pool.Pool{Migrate: true, Moves: true, HandleTime: moveKeep, Rebalance: true}, time.Minute, true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
@@ -402,7 +458,7 @@
 			}
 			without := m.fleet.header
 			m.Moves = testMoves{}
-			go m.leave()
+			m.start(tc.slow)
 			must.Eq(t, eventsUpTo(moveEvents), m.do("POST", "/stream/x").body)
 			must.Eq(t, 0, m.fleet.calls)
 			must.Eq(t, 3, m.granted)
@@ -413,6 +469,59 @@
 	}
 }
 
+// Guards against streams that stay at an engine that becomes slow after they have moved there, that move more than
+// twice, and against tickets that tell the scheduler too little to choose an engine.
+func TestSlowAgainAfterMove(t *testing.T) {
+	const always = moveEvents
+	for _, tc := range []struct {
+		name    string
+		engines []int // Events that each makes slowly.
+		moves   int
+		ends    string // The engine at which the stream does.
+	}{
+		{"one destination slow", []int{always, always, 0}, 2, "up-2"},
+		{"recovers after the move", []int{always, 55, 0}, 1, "up-1"},
+		{"all slow", []int{always, always, always, always}, 2, "up-2"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			m := newMoveGate(t, rebalancingPool, make([][]string, len(tc.engines))...)
+			m.slow(always, 5500*time.Millisecond)
+			for n, events := range tc.engines {
+				m.fleet.engines[n].slow = events
+			}
+			r := m.do("POST", "/stream/x")
+			m.check(t)
+			must.Eq(t, tc.ends == "up-2" && tc.engines[2] == always, r.err != nil)
+			must.Len(t, tc.moves, m.moves)
+			must.Eq(t, "up-0", m.moves[0].GetFrom())
+			must.Between(t, 50, m.moves[0].GetTokens(), moveEvents)
+			must.Greater(t, 3_000_000, m.moves[0].GetEndUs())
+			must.Between(t, 100_000, m.moves[0].GetCostUs(), 200_000)
+			m.fleet.mu.Lock()
+			defer m.fleet.mu.Unlock()
+			must.MapLen(t, tc.moves+1, m.fleet.begun)
+			must.MapContainsKey(t, m.fleet.begun, tc.ends)
+		})
+	}
+}
+
+// Guards against moves off slow engines to whichever engine a scheduler of an earlier version names, which does not
+// know what the ticket asks for.
+func TestSlowAtEarlierScheduler(t *testing.T) {
+	m := newMoveGate(t, rebalancingPool, nil, nil)
+	m.start(true)
+	grant := m.sched.grant
+	m.sched.grant = func(ticket *wire.Ticket) (*wire.Grant, error) {
+		ticket.Move = nil
+		return grant(ticket)
+	}
+	must.Eq(t, eventsUpTo(moveEvents), m.do("POST", "/stream/x").body)
+	m.check(t)
+	must.Eq(t, 0, m.fleet.calls)
+	must.Greater(t, 1, m.granted)
+}
+
 // Guards against a copy and a slot that stay held after a caller that left in mid-copy.
 func TestCallerLeavesDuringMove(t *testing.T) {
 	m := newMoveGate(t, movingPool, nil, nil)
--- a/io/gate/request.go
+++ b/io/gate/request.go
@@ -60,6 +60,7 @@
 		sentBy          *placement      // Of the last send.
 		moves           int             // How often its run was stopped to be continued elsewhere.
 		moving          bool            // It is a copy that asks for a slot for a run that another upstream began.
+		asks            *wire.Move      // What the copy tells the scheduler of a run whose upstream is too slow; nil otherwise.
 		banTrial        bool            // The request is banned and may run once as a trial.
 	}
 
@@ -425,7 +426,7 @@
 		Id: q.gate.lastTicket.Add(1), Entry: q.gate.Node, Incarnation: q.gate.Incarnation, Account: q.account, Pool: q.pool, DataCentre: q.gate.DataCentre,
 		Model: "", DeadlineUs: q.remaining().Microseconds(), PromptTokens: q.meta.Prompt, AnswerTokens: q.meta.Tokens(),
 		Repeatable: q.route.Repeatable(), Avoid: q.avoided(), Route: q.route.Name,
-		Priority: wirePriority(q.route.Priority), AccountPriority: wirePriority(account), Returned: q.tried.Sends() > 0, Request: q.meta.ID,
+		Priority: wirePriority(q.route.Priority), AccountPriority: wirePriority(account), Returned: q.tried.Sends() > 0, Request: q.meta.ID, Move: q.asks,
 	}
 	for _, p := range q.meta.Parts {
 		t.Parts = append(t.Parts, &wire.PromptPart{Hash: p.Hash, Tokens: p.Tokens})
