Refused slots for moves do not count as refusals of an account

Cause: a stream that finds no better engine stays where it is and its caller is refused nothing, but the ticket counted among the refusals that operators see for its account.

--- a/io/hub/accounts_test.go
+++ b/io/hub/accounts_test.go
@@ -12,7 +12,7 @@
 )
 
 // Guards against an operator who is told of another account's tickets, slots or refusals, or of refusals that are
-// long past, and who can't see why an account is refused.
+// long past or that left a run where it was, and who can't see why an account is refused.
 func TestAccountStatus(t *testing.T) {
 	runHub(t, func(t *testing.T, h *Hub, f *fakeReplica) {
 		ask := func(name string) *wire.AccountStatus {
@@ -34,6 +34,11 @@
 				ObjectiveUs: time.Minute.Microseconds(), PromptTokens: 10, AnswerTokens: 10,
 			}}}, func(*wire.Frame) {})
 		}
+		moved, err := h.Handle(t.Context(), &wire.Frame{Body: &wire.Frame_Ticket{Ticket: &wire.Ticket{
+			Id: 30, Incarnation: "i", Pool: "engines", Account: "a", DeadlineUs: time.Minute.Microseconds(), Move: &wire.Move{From: "s", Ticket: 1},
+		}}})
+		must.NoError(t, err)
+		must.Eq(t, refuse.Overloaded, moved.GetDecision().GetRefusal().GetCode())
 		st := ask("a")
 		must.True(t, st.GetKnown())
 		must.Len(t, 1, st.GetPools())
@@ -46,6 +51,7 @@
 		}
 		must.MapLen(t, 2, refusals)
 		must.Eq(t, 1, refusals[refuse.AccountLimit])
+		must.Eq(t, 1, refusals[refuse.Overloaded], must.Sprint("of a ticket that is no move"))
 		must.Less(t, denial.Window, micros(st.GetWindowUs()))
 		must.False(t, ask("other").GetKnown())
 		must.Eq(t, 1, ask("other").GetPools()[0].GetWaiting())
--- a/io/hub/scheduler.go
+++ b/io/hub/scheduler.go
@@ -282,7 +282,9 @@
 	}
 	t.Version = s.rollouts.version(t)
 	s.sched.SubmitAsync(ctx, t, func(d *wire.Decision) {
-		if refusal := d.GetRefusal(); refusal != nil {
+		if refusal := d.GetRefusal(); refusal != nil && t.GetMove() != nil {
+			s.stats.Count("move-slots-refused", 1) // The run stays where it is; its account is refused nothing.
+		} else if refusal != nil {
 			s.refund(t, start)
 			s.recordRefusal(t, refusal, start, version)
 		} else {
