A run that moves off a slow engine counts once at the scheduler

Cause: the release at the engine that a run has left looked like that of a run that broke off, which gives its size class more slots, and the forecast of room counted the work of the run at both engines. Change: a run that holds a slot by a move is not broken off, and the slot that it moved to adds time and no work. Without moves nothing changes.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -170,14 +170,18 @@
 	b.updateHeld(s.Ticket.GetAccount())
 	if route := b.routes[s.Ticket.GetRoute()]; route != nil && r.GetDispatched() && !r.GetBusy() {
 		route.answers.addAnswer(s.Ticket.GetAnswerTokens(), r.GetPieces()*max(b.pool.EventTokens, 1), r.GetWhole())
-		if !r.GetWhole() {
+		if !r.GetWhole() && !b.hasMoved(s) {
 			route.addBrokenRun(s.Ticket)
 		}
 	}
 	stats := b.engine(s.Upstream).stats
 	heldUp := b.recordHoldUp(now, s, r)
 	if route := b.routes[s.Ticket.GetRoute()]; b.outlook.on && route != nil && r.GetDispatched() && !r.GetBusy() {
-		b.outlook.addRun(now.Sub(b.started), b.meanEngine.slotTime(s.Ticket.GetPromptTokens(), route.answers.expected(s.Ticket.GetAnswerTokens())), micros(r.GetTotalUs()))
+		expected := b.meanEngine.slotTime(s.Ticket.GetPromptTokens(), route.answers.expected(s.Ticket.GetAnswerTokens()))
+		if s.Ticket.GetMove() != nil {
+			expected = 0 // All of its work was counted where it began.
+		}
+		b.outlook.addRun(now.Sub(b.started), expected, micros(r.GetTotalUs()))
 	}
 	switch first, rest := micros(r.GetFirstTokenUs()), micros(r.GetTotalUs()-r.GetFirstTokenUs()); {
 	case first <= 0:
--- a/core/batch/moves.go
+++ b/core/batch/moves.go
@@ -87,6 +87,15 @@
 	})
 }
 
+// hasMoved reports whether a run that no longer holds a slot goes on at another engine that is better for it.
+func (b *Batch) hasMoved(s *slot.Slot) (moved bool) {
+	b.slots.Each(func(other *slot.Slot) {
+		m := other.Ticket.GetMove()
+		moved = moved || (m != nil && m.GetTicket() == s.Ticket.GetId() && other.Ticket.GetIncarnation() == s.Ticket.GetIncarnation())
+	})
+	return moved
+}
+
 // movesInProgress returns the engines that a run leaves, and those that one moves to. A move is in progress while
 // its entry holds the slots at both. Entries report slots to a new scheduler, so it knows the moves as well.
 func (b *Batch) movesInProgress() (sources, destinations map[string]bool) {
--- a/core/batch/moves_test.go
+++ b/core/batch/moves_test.go
@@ -232,11 +232,55 @@
 	}
 }
 
+// Engines of the harness of moves.
+const source, other, better = "a", "b", "c"
+
+func newMoveHarness() *harness {
+	e := newHarness(4, source, other, better)
+	on := true
+	p := pool.Pool{Slots: 4, EventTokens: 9, CacheTokens: 100000, Scheduler: Name, Migrate: true, Moves: true, HandleTime: time.Second, Rebalance: true, TimedReturn: &on}
+	e.Configure(e.now, "engines", &conf.Config{Pools: map[string]pool.Pool{"engines": p}})
+	for id, d := range map[string]time.Duration{source: 50 * time.Millisecond, other: 50 * time.Millisecond, better: 10 * time.Millisecond} {
+		e.engines[id].stats.tokenTime = d
+	}
+	return e
+}
+
+// Guards against runs that move and count as broken off, by which other runs of their size would get more slots,
+// and that count as work once for each engine, by which the pool would seem faster than it is.
+func TestMovedRunCountsOnce(t *testing.T) {
+	for _, moves := range []bool{false, true} {
+		e := newMoveHarness()
+		k := e.ticket("long", 0, 1000, 400)
+		k.Avoid = []string{other, better}
+		first := e.Submit(e.now, k)[0]
+		expected := e.meanEngine.slotTime(1000, 400).Seconds()
+		m := e.ticket("long", 0, 1000, 400)
+		m.Move = &wire.Move{From: source, Ticket: k.GetId(), Tokens: 270, EndUs: 13_500_000, CostUs: 100_000}
+		var second *wire.Decision
+		if moves {
+			second = e.Submit(e.now, m)[0]
+		}
+		end := func(d *wire.Decision, total time.Duration) {
+			e.Release(e.now, &wire.Release{Ticket: d.GetTicket(), Incarnation: "i", Pool: "engines", Upstream: d.GetGrant().GetUpstream(), Slot: d.GetGrant().GetSlot(), Dispatched: true, TotalUs: total.Microseconds()})
+		}
+		end(first, 4*time.Second)
+		deficit := 0.0
+		for _, d := range e.routes["long"].deficits {
+			deficit += d
+		}
+		must.Eq(t, moves, deficit == 0)
+		if moves {
+			end(second, 2*time.Second)
+			must.Eq(t, expected/6, e.outlook.expected/e.outlook.held)
+		}
+	}
+}
+
 // Guards against slots for moves that a waiting ticket wants, that gain nothing, at engines of which nothing is
 // known, that are the source or the destination of another move, or that nobody asked for, and against a new
 // scheduler that does not know of the moves in progress.
 func TestGrantsOfMoves(t *testing.T) {
-	const source, other, better = "a", "b", "c"
 	for _, tc := range []struct {
 		name   string
 		change func(e *harness, k *wire.Ticket)
@@ -258,12 +302,7 @@
 		{"another run has left the source", func(e *harness, _ *wire.Ticket) { e.move(source, other, false) }, true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			e := newHarness(4, source, other, better)
-			p := pool.Pool{Slots: 4, EventTokens: 9, CacheTokens: 100000, Scheduler: Name, Migrate: true, Moves: true, HandleTime: time.Second, Rebalance: true}
-			e.Configure(e.now, "engines", &conf.Config{Pools: map[string]pool.Pool{"engines": p}})
-			for id, d := range map[string]time.Duration{source: 50 * time.Millisecond, other: 50 * time.Millisecond, better: 10 * time.Millisecond} {
-				e.engines[id].stats.tokenTime = d
-			}
+			e := newMoveHarness()
 			k := e.ticket("long", 0, 1000, 400)
 			k.ObjectiveUs = 0
 			k.Move = &wire.Move{From: source, Ticket: 1, Tokens: 270, EndUs: 13_500_000, CostUs: 100_000}
--- a/core/batch/outlook.go
+++ b/core/batch/outlook.go
@@ -33,7 +33,7 @@
 
 // addRun learns from a run how fast the pool works compared with the estimates.
 func (o *outlook) addRun(now, expected, held time.Duration) {
-	if expected <= 0 || held <= 0 {
+	if expected < 0 || held <= 0 {
 		return
 	}
 	keep := math.Exp(-(now - o.runAt).Seconds() / throughputTime.Seconds())
