--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -31,7 +31,7 @@
 )
 
 // Name is the policy's name in the configuration.
-const Name = "batch"
+const Name = pool.BatchScheduler
 
 func init() { kernel.Register(Name, false, func() kernel.Scheduler { return &Batch{} }) }
 
@@ -136,6 +136,9 @@
 func (b *Batch) Submit(now time.Time, t *wire.Ticket) []*wire.Decision {
 	b.remove(t.GetIncarnation(), t.GetId())
 	b.slots.Cancel(now, t.GetIncarnation(), t.GetId())
+	if t.GetMove() != nil {
+		return []*wire.Decision{b.decideMove(now, t)}
+	}
 	route := b.routes[t.GetRoute()]
 	if route == nil {
 		route = &routeStats{}
@@ -167,14 +170,18 @@
 	b.updateHeld(s.Ticket.GetAccount())
 	if route := b.routes[s.Ticket.GetRoute()]; route != nil && r.GetDispatched() && !r.GetBusy() {
 		route.answers.addAnswer(s.Ticket.GetAnswerTokens(), r.GetPieces()*max(b.pool.EventTokens, 1), r.GetWhole())
-		if !r.GetWhole() {
+		if !r.GetWhole() && !b.hasMoved(s) {
 			route.addBrokenRun(s.Ticket)
 		}
 	}
 	stats := b.engine(s.Upstream).stats
 	heldUp := b.recordHoldUp(now, s, r)
 	if route := b.routes[s.Ticket.GetRoute()]; b.outlook.on && route != nil && r.GetDispatched() && !r.GetBusy() {
-		b.outlook.addRun(now.Sub(b.started), b.meanEngine.slotTime(s.Ticket.GetPromptTokens(), route.answers.expected(s.Ticket.GetAnswerTokens())), micros(r.GetTotalUs()))
+		expected := b.meanEngine.slotTime(s.Ticket.GetPromptTokens(), route.answers.expected(s.Ticket.GetAnswerTokens()))
+		if s.Ticket.GetMove() != nil {
+			expected = 0 // All of its work was counted where it began.
+		}
+		b.outlook.addRun(now.Sub(b.started), expected, micros(r.GetTotalUs()))
 	}
 	switch first, rest := micros(r.GetFirstTokenUs()), micros(r.GetTotalUs()-r.GetFirstTokenUs()); {
 	case first <= 0:
