Deferred requests get slots only while none waits that can be in time

In a peak, requests that can be in time wait for an engine that is fast enough, and deferred ones took the slots of the slow engines meanwhile.

Deferred requests now wait while any ticket waits that can be in time.

--- a/core/batch/late_test.go
+++ b/core/batch/late_test.go
@@ -111,6 +111,29 @@
 	must.Between(t, 10*time.Millisecond, refused, 2400*time.Millisecond)
 }
 
+// Guards against deferred requests that take the slots of slow engines while a request waits that only a faster one
+// can serve in time: the next requests in time find no slot, and slower batches.
+func TestDeferredRequestsLeaveSlots(t *testing.T) {
+	e := newHarness(1, "quick", "slow")
+	e.configureLate(true)
+	e.train(map[string]time.Duration{"quick": time.Millisecond, "slow": 2500 * time.Microsecond}, 0.1)
+	running := map[string]*wire.Decision{}
+	for len(running) < 2 {
+		for _, d := range e.fill(1) {
+			running[d.GetGrant().GetUpstream()] = d
+		}
+	}
+	e.topPriority.priority = -1 // No requests beyond the batches.
+	timely, late := e.ticket("long", 0, 40000, 90), e.ticket("short", 2, 500, 90)
+	timely.ObjectiveUs, timely.DeadlineUs = (500 * time.Millisecond).Microseconds(), time.Minute.Microseconds()
+	e.Submit(e.now, late)
+	e.now = e.now.Add(400 * time.Millisecond) // The objective of late is 300 ms.
+	must.SliceEmpty(t, e.Tick(e.now))
+	must.SliceEmpty(t, e.Submit(e.now, timely))
+	must.SliceEmpty(t, e.release(running["slow"], 20*time.Millisecond, 260*time.Millisecond, 11))
+	must.Eq(t, []uint64{timely.GetId(), late.GetId()}, grantedIDs(t, e.release(running["quick"], 20*time.Millisecond, 110*time.Millisecond, 11)))
+}
+
 // Guards against deferred requests that are lost with their scheduler: the entry sends them to the next one, with
 // the time that is left, and they get a slot there. Those of an entry that dies take none.
 func TestDeferredRequestsAtTheNextScheduler(t *testing.T) {
--- a/core/batch/turn.go
+++ b/core/batch/turn.go
@@ -59,7 +59,8 @@
 }
 
 // pickWithLate is pick for a pool that serves late requests. A ticket that could be in time on another engine
-// waits for it, as long as it can: slots that it leaves go to tickets that suit them, or to deferred ones.
+// waits for it, as long as it can: slots that it leaves go to tickets that suit them. Deferred tickets get slots
+// while none waits that can be in time.
 func (b *Batch) pickWithLate(now time.Duration, batchesFull bool) (n int, e *engine, fits bool) {
 	t := b.takeTurns(now, batchesFull)
 	for _, n := range t.timely {
@@ -67,6 +68,9 @@
 			return n, o.engine, true
 		}
 	}
+	if len(t.timely) > 0 {
+		t.late.count = 0 // A run more on an engine slows those in time that come next.
+	}
 	for _, n := range t.late.index[:t.late.count] {
 		i := b.waiting[n]
 		o, cost := b.bestOffer(now, i)
