Digests of requests take the body in pieces

The digest of a request took its body as one slice. A body that is read in pieces, so that a long one is not copied while it grows, had to be joined for it first. digest.Of now takes any number of pieces; a body in one piece has the digest that it had before. go test -race ./core/digest passes.

--- a/core/digest/digest.go
+++ b/core/digest/digest.go
@@ -18,8 +18,8 @@
 type Digest [size]byte
 
 // Of returns the digest of a request. The account may be empty; the target is the path with the
-// query.
-func Of(account, host, target string, body []byte) Digest {
+// query. The body may come in pieces.
+func Of(account, host, target string, body ...[]byte) Digest {
 	h := sha256.New()
 	for _, s := range []string{account, host, target} {
 		var n [8]byte
@@ -27,7 +27,9 @@
 		_, _ = h.Write(n[:]) // A hash never returns an error.
 		_, _ = h.Write([]byte(s))
 	}
-	_, _ = h.Write(body)
+	for _, piece := range body {
+		_, _ = h.Write(piece)
+	}
 	var d Digest
 	copy(d[:], h.Sum(nil))
 	return d
