One bound for the memory of request bodies and answers at a gate

Bodies of requests were bounded one by one only, so callers with large bodies, or ones that send slowly, could take any amount of a gate's memory. A caller that stopped in the middle of its body held its memory for as long as its connection.

core/buffer now has two kinds, bodies and answers, of which each may take three quarters of the limit, so that neither keeps the other from going on. The limit is a sixth of memory-mb; answers keep the eighth that they had. Memory is counted when it is allocated, no longer as data comes. A body that does not fit waits for a quarter of its objective, 250 ms at most, and is refused with 503 no-memory. A body belongs to its request, to searches for another upstream and to sends that are not written yet; the last one gives the memory back, for most requests before the answer goes to the caller. A body that does not come within its request's time ends with 408 body-late. New metrics bodies-in-memory-bytes and refused-no-memory.

TestEndlessAnswers is now TestEndless: the same checks, for both kinds, against the kind's share in place of the whole limit, as answers may no longer take all of it.

Measured: go test -race ./io/gate passes on a free machine.

--- a/core/refuse/refuse.go
+++ b/core/refuse/refuse.go
@@ -28,6 +28,7 @@
 	OverShare     = "over-share"        // The pool is full, and the account uses more than its share.
 	EntrySlow     = "entry-slow"        // The entry holds slots for so long that others go first.
 	Deadline      = "deadline"          // It can't be done before the deadline.
+	NoMemory      = "no-memory"         // The entry has no memory for the body.
 	NoUpstream    = "no-upstream"       // No upstream of the pool is live.
 	NoControl     = "no-control"        // No quorum to claim the key; nothing ran.
 	NotReady      = "not-ready"         // The entry has no configuration yet.
--- a/io/gate/answer.go
+++ b/io/gate/answer.go
@@ -1,8 +1,6 @@
 package gate
 
 import (
-	"bytes"
-	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -13,84 +11,9 @@
 	"azurelane/core/buffer"
 )
 
-var (
-	errNoRoom      = errors.New("gate: no room for the rest of the answer")
-	errAnswerLarge = errors.New("gate: answer too large")
-)
-
-const (
-	// Pieces of an answer begin with minPiece, in bytes, and double up to maxPiece. An answer of a stated
-	// length up to maxPreallocation is a single piece.
-	minPiece = 4 << 10
-	maxPiece = 256 << 10
-)
-
-// answer is the part of a response that is in memory. Its pieces never move, so that a long answer takes no
-// more memory than its size.
-type answer struct {
-	buffer *buffer.Buffer
-	size   int64
-	taken  int64 // From the buffer.
-	pieces [][]byte
-}
-
-// read reads a response completely. It returns errNoRoom, and keeps what has come, if the buffer of all answers
-// has no room for more.
-func (a *answer) read(r io.Reader, length int64) error {
-	if length == 0 {
-		return nil
-	}
-	next := minPiece
-	if length > 0 && length <= maxPreallocation {
-		next = int(length) + 1 // The end may come with a read after the last byte.
-	}
-	for {
-		piece := make([]byte, next)
-		n, err := a.fill(piece, r)
-		a.pieces = append(a.pieces, piece[:n])
-		next = min(2*next, maxPiece)
-		switch {
-		case errors.Is(err, io.EOF):
-			return nil
-		case err != nil:
-			return fmt.Errorf("gate: read: %w", err)
-		}
-	}
-}
-
-// fill reads until a piece is full, and returns how much has come.
-func (a *answer) fill(piece []byte, r io.Reader) (n int, err error) {
-	for n < len(piece) && err == nil {
-		var more int
-		more, err = r.Read(piece[n:])
-		n += more
-		room := a.buffer.Grow(a.size, int64(more))
-		if room {
-			a.taken += int64(more)
-		}
-		switch a.size += int64(more); {
-		case a.size > maxBufferedAnswer:
-			err = errAnswerLarge
-		case err == nil && !room:
-			err = errNoRoom
-		}
-	}
-	return n, err
-}
-
-// reader returns what has come.
-func (a *answer) reader() io.Reader {
-	all := make([]io.Reader, len(a.pieces))
-	for n, p := range a.pieces {
-		all[n] = bytes.NewReader(p)
-	}
-	return io.MultiReader(all...)
-}
-
-// free gives the memory of the answer back.
-func (a *answer) free() {
-	a.buffer.Free(a.taken)
-	a.taken, a.pieces = 0, nil
+// newAnswer returns an answer of which nothing has come.
+func (g *Gate) newAnswer() *held {
+	return &held{buffer: &g.Memory, kind: buffer.Answers, limit: maxBufferedAnswer}
 }
 
 // writeAll writes an answer to the caller.
@@ -116,9 +39,10 @@
 }
 
 // passOn passes on what has come of an answer, and then the rest as it comes.
-func (q *request) passOn(f *flight, a *answer, rest io.Reader, res *result) {
+func (q *request) passOn(f *flight, a *held, rest io.Reader, res *result) {
 	res.firstAfter, q.firstEventAfter = time.Since(f.sentAt), time.Since(q.start)
 	q.headerSent, q.passedOn = true, true
+	q.releaseBody()
 	q.gate.Stats.Count("answers-passed-on-early", 1)
 	copyEndToEndHeaders(q.w.Header(), f.resp.Header)
 	if f.resp.ContentLength >= 0 {
--- a/io/gate/endless_test.go
+++ b/io/gate/endless_test.go
@@ -13,11 +13,13 @@
 
 	"github.com/go-logr/logr/funcr"
 	"github.com/shoenig/test/must"
+
+	"azurelane/core/buffer"
 )
 
 const (
 	endlessCallers = 16
-	endlessMemory  = 16 << 20 // Bytes of all answers that are in memory.
+	endlessMemory  = 16 << 20 // Bytes of all bodies and answers that are in memory.
 )
 
 // endless are bytes without end: what begins them, and what is repeated until the connection ends.
@@ -135,7 +137,7 @@
 	t.Helper()
 	var open, answered atomic.Int64
 	s := newTestGate(t, k.upstream(t, fast, &open))
-	s.Answers.Limit = endlessMemory
+	s.Memory.Limit = endlessMemory
 	logged := s.logged()
 	route := "/once/x"
 	if k.stream {
@@ -161,7 +163,7 @@
 	wg.Wait()
 	must.Less(t, 6*endlessMemory, stop(), must.Sprint("bytes of heap"))
 	must.Less(t, endlessCallers*4096, logged.Load(), must.Sprint("bytes of log"))
-	must.Eq(t, 0, s.Answers.Used())
+	must.Eq(t, 0, s.Memory.Used(buffer.Answers))
 	if k.whole { // The others were sent on a connection of which the bytes came later.
 		must.GreaterEq(t, endlessCallers/2, answered.Load())
 	}
@@ -191,7 +193,7 @@
 				})
 			}
 			s := newTestGate(t, k.upstream(t, true, &open), good)
-			s.Answers.Limit = endlessMemory
+			s.Memory.Limit = endlessMemory
 			stop := watchHeap()
 			served := 0
 			var mu sync.Mutex
@@ -266,7 +268,7 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			s := newTestGate(t, newUpstream(t, tc.script), newUpstream(t, tc.script))
-			s.Answers.Limit = 1 << 20
+			s.Memory.Limit = 1 << 20
 			var wg sync.WaitGroup
 			for range 4 {
 				wg.Go(func() {
@@ -277,7 +279,7 @@
 				})
 			}
 			wg.Wait()
-			must.Eq(t, 0, s.Answers.Used())
+			must.Eq(t, 0, s.Memory.Used(buffer.Answers))
 		})
 	}
 }
--- a/io/gate/flight.go
+++ b/io/gate/flight.go
@@ -31,6 +31,7 @@
 func (q *request) newFlight(ctx context.Context, p *placement) *flight {
 	f := &flight{placement: p, request: q, sentAt: time.Now()}
 	f.ctx, f.cancel = context.WithCancelCause(ctx)
+	f.ctx = q.body.useWhileSent(f.ctx)
 	q.gate.recordSentUnits(q, p)
 	f.tallied = q.gate.versions.begin(q, p.upstream.GetVersion())
 	return f
@@ -72,7 +73,7 @@
 
 // awaitAnswer waits for the first event of a stream, and for the whole of any other response.
 func (f *flight) awaitAnswer() {
-	a := &answer{buffer: &f.request.gate.Answers}
+	a := f.request.gate.newAnswer()
 	var err error
 	if f.request.route.Stream && f.resp.StatusCode == http.StatusOK {
 		var event []byte
@@ -95,7 +96,7 @@
 	io.Reader
 	io.Closer
 
-	answer *answer
+	answer *held
 }
 
 // Close ends the body and gives its memory back.
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -59,14 +59,15 @@
 		UpstreamDrain time.Duration
 		// CallerTimeout is how long a caller may take to read 16 KB; zero for 30 s.
 		CallerTimeout time.Duration
-		// Answers bounds the memory of answers that are read before they are passed on.
-		Answers buffer.Buffer
-		Stats   *stats.Stats
-		Log     logr.Logger
+		// Memory bounds the memory of requests' bodies and of answers that are read before they are passed on.
+		Memory buffer.Buffer
+		Stats  *stats.Stats
+		Log    logr.Logger
 
 		draining         atomic.Pointer[DrainSchedule]
 		waitingForConfig atomic.Int64  // Requests that wait for the first configuration.
 		lastTicket       atomic.Uint64 // ID of the last ticket.
+		memoryLoggedAt   atomic.Int64  // In nanoseconds since 1970.
 		suspects         suspects
 		rateLimits       rateLimits
 		reportSignal     reportSignal
@@ -162,7 +163,6 @@
 )
 
 const (
-	defaultBodyLimit = 4 << 20 // Bytes; applies if the configuration sets no limit.
 	// defaultRetryAfter is the Retry-After of a refusal whose reason is that no configuration is
 	// known, that no upstream can be reached or that the deadline passed before the request ran.
 	defaultRetryAfter = 500 * time.Millisecond
@@ -205,6 +205,7 @@
 func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	q := &request{gate: g, w: w, r: r, start: time.Now(), view: g.Cluster.View()}
 	defer q.endWrites()
+	defer q.dropBody()
 	if g.draining.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
@@ -295,23 +296,3 @@
 	}
 	return nil
 }
-
-func (q *request) readBody() *refuse.Error {
-	limit := q.view.Index.Config().Limits.BodyBytes
-	if limit <= 0 {
-		limit = defaultBodyLimit
-	}
-	if q.r.ContentLength > limit {
-		return refuse.New(refuse.TooLarge, "", 0)
-	}
-	data, err := readAll(http.MaxBytesReader(q.w, q.r.Body, limit), q.r.ContentLength)
-	var large *http.MaxBytesError
-	switch {
-	case err == nil:
-		q.body = data
-		return nil
-	case asError(err, &large):
-		return refuse.New(refuse.TooLarge, "", 0)
-	}
-	return refuse.New(refuse.BadRequest, "the body did not come whole", 0)
-}
--- a/io/gate/hedge.go
+++ b/io/gate/hedge.go
@@ -197,6 +197,7 @@
 	if s == nil {
 		return
 	}
+	defer s.request.body.release()
 	p, err := s.request.placeUnlessBanned(ctx)
 	if err == nil {
 		if err = h.launch(ctx, s, p); err == nil {
@@ -229,6 +230,7 @@
 	}
 	ctx, cancel := context.WithCancel(h.ctx)
 	c := *h.request
+	c.body.use()
 	c.tried = h.request.tried.Beside(h.flight.placement.upstream.GetId())
 	h.search = &search{request: &c, begun: time.Now(), cancel: cancel}
 	return ctx, h.search
--- a/io/gate/request.go
+++ b/io/gate/request.go
@@ -1,10 +1,7 @@
 package gate
 
 import (
-	"bytes"
 	"context"
-	"fmt"
-	"io"
 	"math"
 	"net/http"
 	"strings"
@@ -36,7 +33,7 @@
 		account       string
 		accountConfig acct.Account
 		meta          meta.Meta
-		body          []byte
+		body          *body         // Nil if it is empty, or no longer needed.
 		sinceFirstTry time.Duration // Estimated time from the caller's first attempt to this request.
 
 		tried           tried.Tried // Upstreams that it was sent to.
@@ -44,7 +41,7 @@
 		paid            bool        // Its account has been charged, although it was not sent.
 		headerSent      bool        // The header of the response has been written.
 		passedOn        bool        // So has a part of an answer that is no stream.
-		failures        []*answer   // Upstreams' error responses that are in memory.
+		failures        []*held     // Upstreams' error responses that are in memory.
 		lastEventID     string      // ID of the last event written to the caller.
 		version         string      // Of the upstream that sent the last event.
 		origin          streamOrigin
@@ -156,6 +153,7 @@
 			if res.next != nil {
 				res.next.drop()
 			}
+			q.releaseBody()
 			q.finish(ctx, res)
 			return
 		}
@@ -449,7 +447,7 @@
 // digest identifies the request by its content.
 func (q *request) digest() digest.Digest {
 	if q.cachedDigest == nil {
-		d := digest.Of(q.account, q.r.Host, q.r.RequestURI, q.body)
+		d := digest.Of(q.account, q.r.Host, q.r.RequestURI, q.body.parts()...)
 		q.cachedDigest = &d
 	}
 	return *q.cachedDigest
@@ -466,22 +464,3 @@
 }
 
 func asError[T error](err error, target *T) bool { return errors.As(err, target) }
-
-// maxPreallocation is the largest buffer, in bytes, that is allocated before any of a body has
-// arrived. The announced length of a body may be wrong.
-const maxPreallocation = 1 << 20
-
-// readAll reads a body of size bytes, or of unknown length if size is -1.
-func readAll(r io.Reader, size int64) ([]byte, error) {
-	if size == 0 {
-		return nil, nil
-	}
-	var buf bytes.Buffer
-	if size > 0 {
-		buf.Grow(int(min(size, maxPreallocation)) + bytes.MinRead)
-	}
-	if _, err := buf.ReadFrom(r); err != nil {
-		return nil, fmt.Errorf("gate: read: %w", err)
-	}
-	return buf.Bytes(), nil
-}
--- a/io/gate/send.go
+++ b/io/gate/send.go
@@ -1,7 +1,6 @@
 package gate
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -35,7 +34,7 @@
 type bufferedResponse struct {
 	status int
 	header http.Header
-	body   *answer
+	body   *held
 	head   bool  // It answers a HEAD request.
 	length int64 // Length of the body that the upstream states; -1 if it states none.
 }
@@ -86,7 +85,7 @@
 	switch {
 	case res.outcome != outcomeComplete:
 	case q.route.Stream && f.resp.StatusCode == http.StatusOK:
-		s := &stream{request: q, resp: f.resp, hedge: h, mover: v, sentAt: f.sentAt}
+		s := &stream{request: q, resp: f.resp, hedge: h, mover: v, last: q.sendsNoMore(f, h, v), sentAt: f.sentAt}
 		s.relay(f.ctx, &res)
 	default:
 		q.relayBuffered(f, h, &res)
@@ -139,7 +138,7 @@
 func (q *request) relayBuffered(f *flight, h *hedge, res *result) {
 	resp := f.resp
 	from := &heardReader{resp.Body, h, q}
-	a := &answer{buffer: &q.gate.Answers}
+	a := q.gate.newAnswer()
 	defer func() {
 		if res.failure == nil {
 			a.free()
@@ -168,6 +167,7 @@
 		return
 	}
 	res.outcome = outcomeComplete
+	q.releaseBody()
 	if err := k.write(q); err != nil {
 		res.outcome, res.err = outcomeCallerLeft, err
 	}
@@ -204,8 +204,8 @@
 	out := &http.Request{
 		Method: q.r.Method, URL: &u, Host: q.r.Host, Header: h, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
-	if len(q.body) > 0 {
-		out.Body, out.ContentLength = io.NopCloser(bytes.NewReader(q.body)), int64(len(q.body))
+	if q.body != nil && q.body.size > 0 {
+		out.Body, out.ContentLength = io.NopCloser(q.body.reader()), q.body.size
 	}
 	return out.WithContext(ctx)
 }
--- a/io/gate/stream.go
+++ b/io/gate/stream.go
@@ -18,6 +18,7 @@
 	resp        *http.Response
 	hedge       *hedge
 	mover       *mover
+	last        bool // The request is not sent again.
 	sentAt      time.Time
 	lastWriteAt time.Time // When events of this send were last written to the caller.
 	buf         []byte    // Start of an event that has not arrived completely.
@@ -100,6 +101,9 @@
 	}
 	s.recordTiming(res)
 	s.mover.note(res.events)
+	if s.last {
+		s.releaseBody()
+	}
 	s.writeHeader()
 	if err := s.write(s.buf[:end]); err != nil {
 		return err
--- a/io/gated/gated.go
+++ b/io/gated/gated.go
@@ -15,6 +15,7 @@
 	"github.com/google/uuid"
 	"github.com/thejerf/suture/v4"
 
+	"azurelane/core/buffer"
 	"azurelane/core/conf"
 	"azurelane/core/digest"
 	"azurelane/core/intake"
@@ -41,8 +42,9 @@
 	// the garbage collector works harder. The rest is for stacks and for memory that the kernel
 	// holds for the process.
 	memoryLimitFraction = 0.7
-	// answersDivisor divides the allowed memory into that of answers which are read before they are passed on.
-	answersDivisor = 8
+	// bufferDivisor divides the allowed memory into that of requests' bodies and of answers which are read before
+	// they are passed on. Each of the two may take three quarters of it, which is an eighth of the allowed memory.
+	bufferDivisor = 6
 	// drainLinger is how long a draining entry still accepts new connections. The load balancer
 	// probes every second and removes an entry after two failed probes.
 	drainLinger = 2500 * time.Millisecond
@@ -126,7 +128,7 @@
 	g.Node, g.Incarnation, g.DataCentre = settings.Node, incarnation, settings.Centre
 	g.Cluster, g.Granter, g.Sender, g.Prober, g.Path, g.Trier, g.Charger, g.Origins, g.Stats, g.Log = e.watch, e.grant, e.client, e.dialer, e.dialer, e, e, e, metrics, e.log
 	e.pullMetrics(metrics)
-	g.Answers.Limit = settings.MemoryMB << 20 / answersDivisor
+	g.Memory.Limit = settings.MemoryMB << 20 / bufferDivisor
 	g.RetryRatio, g.RetrySlack, g.QuotaSlack = settings.RetryRatio, settings.RetrySlack, settings.QuotaSlack
 	g.SplitValid, g.UpstreamDrain = settings.RollbackWithin/splitValidDivisor, settings.UpstreamDrain
 	e.callers = &httpd.Httpd{Listen: e.takeIn(lns[1], metrics), Handler: g, Drain: settings.DrainLimit - drainLinger - 2*keepAliveDrain - stopMargin, DrainOpen: keepAliveDrain}
@@ -153,7 +155,8 @@
 	metrics.Pull("configuration-version", func() int64 { return int64(e.watch.View().Version) }) //nolint:gosec // Versions are small.
 	metrics.Pull("configuration-age-ms", func() int64 { return time.Since(e.watch.View().LastHeard).Milliseconds() })
 	metrics.Pull("upstreams-resting", e.gate.Resting)
-	metrics.Pull("answers-in-memory-bytes", e.gate.Answers.Used)
+	metrics.Pull("answers-in-memory-bytes", func() int64 { return e.gate.Memory.Used(buffer.Answers) })
+	metrics.Pull("bodies-in-memory-bytes", func() int64 { return e.gate.Memory.Used(buffer.Bodies) })
 	metrics.Pull("processor-delay-us", func() int64 { return e.delay.Mean().Microseconds() })
 	metrics.Pull("scheduler-known", func() int64 {
 		if e.watch.Owner("") != nil {
--- a/io/stats/names.go
+++ b/io/stats/names.go
@@ -25,6 +25,8 @@
 	{"outcome-*", counter, entry, "Requests by outcome: whole, not-run, unknown, failed."},
 	{"connections-turned-away", counter, gate, "New connections that were closed before a byte was read, as the entry's processor was overloaded."},
 	{"answers-in-memory-bytes", gauge, gate, "Answers that were read and not passed on yet. They may take an eighth of `memory-mb`."},
+	{"bodies-in-memory-bytes", gauge, gate, "Bodies of requests that may be sent again, or are still read or sent. They may take an eighth of `memory-mb`, and a sixth together with answers."},
+	{"refused-no-memory", counter, gate, "Requests refused because the entry had no memory for their bodies."},
 	{"answers-passed-on-early", counter, gate, "Answers that were passed on before they were complete, as there was no room for the rest."},
 	{"processor-delay-us", gauge, gate, "How long work waits for a processor, on average, in microseconds; measured while the entry seems late, else zero."},
 	{"moves-by-*", counter, gate, "Tries to move a stream off an upstream that leaves, by what says so: roster, response."},
