Failures of the base version: recent ones count only if they exceed the known share

Cause: the base version's share was the higher of two estimates, each with 0.6 of its standard error added.

Change: the share of the last 0.4 s counts only where it exceeds the known one by two standard deviations, as it does in an outage of both versions.

--- a/core/canary/evidence.go
+++ b/core/canary/evidence.go
@@ -38,14 +38,17 @@
 	maxBad        = 0.98 // that of a bad version.
 	// The answers of the base version within about memoryTime count, and at least minMemory and at
 	// most maxMemory of them; older ones fade. The share of failed or slow answers in the last
-	// recentTime, but at least minRecent answers, counts instead if it is higher, so that a burst
-	// or an outage that affects both versions is no evidence against either.
+	// recentTime, but at least minRecent answers, counts instead if it is higher (failures: beyond
+	// chance), so that a burst or an outage that affects both versions is no evidence against either.
 	memoryTime   = 3 * time.Second
 	minMemory    = 200
 	maxMemory    = 3000
 	recentTime   = 400 * time.Millisecond
 	minRecent    = 60
 	priorAnswers = 5
+	// burstDeviations is by how many standard deviations the recent failures must exceed the known
+	// share to count instead of it.
+	burstDeviations = 2
 	caution      = 0.6 // Standard errors added to the base version's share.
 	// minBaseAnswers is the number of answers of the base version below which nothing is compared.
 	minBaseAnswers = 20
@@ -157,9 +160,19 @@
 // of its answers, for routes with few requests.
 func (f *failures) base(all *failures) float64 {
 	prior := (all.known.hits + 0.5) / (all.known.n + 1)
-	known := upperShare(f.known.hits+prior*priorAnswers, f.known.n+priorAnswers)
-	recent := upperShare(f.recent.hits+prior*priorAnswers, f.recent.n+priorAnswers)
-	return max(known, recent, minFailures)
+	known := fading{f.known.hits + prior*priorAnswers, f.known.n + priorAnswers}
+	recent := fading{f.recent.hits + prior*priorAnswers, f.recent.n + priorAnswers}
+	return max(baseShare(known, recent), minFailures)
+}
+
+// baseShare estimates a share of the base version. The recent answers count instead of all known ones
+// only if their share is higher beyond chance: the higher of two shares is too high on average.
+func baseShare(known, recent fading) float64 {
+	share := upperShare(known.hits, known.n)
+	if recent.hits > recent.n*share+burstDeviations*math.Sqrt(recent.n*share*(1-share)) {
+		return max(share, upperShare(recent.hits, recent.n))
+	}
+	return share
 }
 
 // upperShare estimates a share from hits among n answers, and adds a part of its standard error, so that a
