Failures of all routes together: the same step on each route

Cause: a bad version's failures were expected to exceed those of the former one by half a standard deviation of an answer, 17 in 100 on a route of which 14 in 100 fail by itself. If 19 in 100 fail there, these answers spoke for the version and lowered the sum over all routes.

Change: the sum over all routes expects 4 in 100 more on each route; the tests of single routes keep the larger step.

--- a/core/canary/canary.go
+++ b/core/canary/canary.go
@@ -190,6 +190,7 @@
 	}
 	base := rt.failures.base(&c.baseFailures)
 	rt.failures.add(ended, failed, base, failureStep)
+	c.all.pooled = true
 	c.all.add(ended, failed, base, failureStep)
 	for _, s := range rt.times.compare(newCounts(before, r)) {
 		rt.times.add(s.answers, s.slow, s.base, slowStep)
--- a/core/canary/evidence.go
+++ b/core/canary/evidence.go
@@ -28,7 +28,8 @@
 	// failureStep and slowStep are by how much the share of failed and of slow answers of a bad
 	// version exceeds that of the base version. Where the base version's own share is large, the
 	// difference is deviationStep standard deviations of one answer, because a smaller one can't be
-	// told from chance within a rollout.
+	// told from chance within a rollout. The sum of failures over all routes keeps to failureStep:
+	// with a larger one, answers of a route that fails often by itself speak for a bad version.
 	failureStep   = 0.04
 	slowStep      = 0.15
 	deviationStep = 0.5
@@ -71,6 +72,7 @@
 	test struct {
 		score         float64 // Log-likelihood ratio of bad against good.
 		lowest        float64 // Least score so far.
+		pooled        bool    // It sums routes up, and takes the same step for all of them.
 		shifted       bool    // The target version gets all requests.
 		answers, hits int64   // Of the target version.
 		lastBase      float64 // Share of the base version at the last update.
@@ -115,7 +117,10 @@
 		return
 	}
 	base = min(base, maxBase)
-	bad := min(base+max(step, deviationStep*math.Sqrt(base*(1-base))), maxBad)
+	if !t.pooled {
+		step = max(step, deviationStep*math.Sqrt(base*(1-base)))
+	}
+	bad := min(base+step, maxBad)
 	t.score += float64(hits)*math.Log(bad/base) + float64(n-hits)*math.Log((1-bad)/(1-base))
 	least := floor
 	if t.shifted {
