More requests for a version while evidence against it is not enough for a rollback

Cause: a chance run of slow answers or failures raises a route's score above the limit for a shift. The canary phase has spent its plan by then (80 requests of 530 with 90 servers, 400 a second, 12 s), so no answers come that could lower or raise the score, and the rollout is rolled back at the deadline for lack of evidence.

--- a/core/canary/canary.go
+++ b/core/canary/canary.go
@@ -376,6 +376,9 @@
 	planned := plannedShare*c.Limits.Share*float64(c.total) + plannedSlack*c.Limits.Slack
 	rest := c.allowed(s.Elapsed) - c.shiftExposure()
 	planned = min(planned, max(rest-reactionSamples, min(rest, minCanary)))
+	if c.suspected() { // Without more answers, a score that chance has raised stays until the deadline.
+		planned = min(planned+reactionSamples, rest)
+	}
 	more := planned - float64(c.spent)
 	if more <= 0 {
 		return 0, nil
@@ -399,6 +402,17 @@
 	return base, shares
 }
 
+// suspected reports whether the evidence of a route speaks against the target version, but not enough
+// for a rollback.
+func (c *Canary) suspected() bool {
+	for _, r := range c.routes {
+		if r.failures.score >= suspicionLimit || r.times.score >= suspicionLimit {
+			return true
+		}
+	}
+	return false
+}
+
 // badCause says why the target version counts as bad; it is empty if it does not.
 func (c *Canary) badCause() string {
 	for _, name := range slices.Sorted(maps.Keys(c.routes)) {
@@ -432,12 +446,7 @@
 // plausible reports whether no evidence speaks against the target version, and there is some. That
 // is enough near the deadline, for routes with few requests.
 func (c *Canary) plausible() bool {
-	for _, r := range c.routes {
-		if r.failures.score >= suspicionLimit || r.times.score >= suspicionLimit {
-			return false
-		}
-	}
-	return c.all.answers >= minAnswers && c.all.score < suspicionLimit && c.allTimes.score < suspicionLimit
+	return !c.suspected() && c.all.answers >= minAnswers && c.all.score < suspicionLimit && c.allTimes.score < suspicionLimit
 }
 
 func (c *Canary) restartTests() {
