Constants of the canary's evidence: aligned as the formatter wants them

Cause: burstDeviations was added to a block of constants without aligning the line after it, and the linter reports it. Change: one line's spaces, no code changes. Measured: golangci-lint on core/canary gives 0 issues, 1 before.

--- a/core/canary/evidence.go
+++ b/core/canary/evidence.go
@@ -50,7 +50,7 @@
 	// burstDeviations is by how many standard deviations the recent failures must exceed the known
 	// share to count instead of it.
 	burstDeviations = 2
-	caution      = 0.6 // Standard errors added to the base version's share.
+	caution         = 0.6 // Standard errors added to the base version's share.
 	// minBaseAnswers is the number of answers of the base version below which nothing is compared.
 	minBaseAnswers = 20
 	// slowQuantile is the quantile of the base version's times above which an answer may be slow,
