--- a/core/canary/evidence.go
+++ b/core/canary/evidence.go
@@ -28,7 +28,8 @@
 	// failureStep and slowStep are by how much the share of failed and of slow answers of a bad
 	// version exceeds that of the base version. Where the base version's own share is large, the
 	// difference is deviationStep standard deviations of one answer, because a smaller one can't be
-	// told from chance within a rollout.
+	// told from chance within a rollout. The sum of failures over all routes keeps to failureStep:
+	// with a larger one, answers of a route that fails often by itself speak for a bad version.
 	failureStep   = 0.04
 	slowStep      = 0.15
 	deviationStep = 0.5
@@ -38,15 +39,18 @@
 	maxBad        = 0.98 // that of a bad version.
 	// The answers of the base version within about memoryTime count, and at least minMemory and at
 	// most maxMemory of them; older ones fade. The share of failed or slow answers in the last
-	// recentTime, but at least minRecent answers, counts instead if it is higher, so that a burst
-	// or an outage that affects both versions is no evidence against either.
+	// recentTime, but at least minRecent answers, counts instead if it is higher (failures: beyond
+	// chance), so that a burst or an outage that affects both versions is no evidence against either.
 	memoryTime   = 3 * time.Second
 	minMemory    = 200
 	maxMemory    = 3000
 	recentTime   = 400 * time.Millisecond
 	minRecent    = 60
 	priorAnswers = 5
-	caution      = 0.6 // Standard errors added to the base version's share.
+	// burstDeviations is by how many standard deviations the recent failures must exceed the known
+	// share to count instead of it.
+	burstDeviations = 2
+	caution         = 0.6 // Standard errors added to the base version's share.
 	// minBaseAnswers is the number of answers of the base version below which nothing is compared.
 	minBaseAnswers = 20
 	// slowQuantile is the quantile of the base version's times above which an answer may be slow,
@@ -68,6 +72,7 @@
 	test struct {
 		score         float64 // Log-likelihood ratio of bad against good.
 		lowest        float64 // Least score so far.
+		pooled        bool    // It sums routes up, and takes the same step for all of them.
 		shifted       bool    // The target version gets all requests.
 		answers, hits int64   // Of the target version.
 		lastBase      float64 // Share of the base version at the last update.
@@ -112,7 +117,10 @@
 		return
 	}
 	base = min(base, maxBase)
-	bad := min(base+max(step, deviationStep*math.Sqrt(base*(1-base))), maxBad)
+	if !t.pooled {
+		step = max(step, deviationStep*math.Sqrt(base*(1-base)))
+	}
+	bad := min(base+step, maxBad)
 	t.score += float64(hits)*math.Log(bad/base) + float64(n-hits)*math.Log((1-bad)/(1-base))
 	least := floor
 	if t.shifted {
@@ -157,9 +165,19 @@
 // of its answers, for routes with few requests.
 func (f *failures) base(all *failures) float64 {
 	prior := (all.known.hits + 0.5) / (all.known.n + 1)
-	known := upperShare(f.known.hits+prior*priorAnswers, f.known.n+priorAnswers)
-	recent := upperShare(f.recent.hits+prior*priorAnswers, f.recent.n+priorAnswers)
-	return max(known, recent, minFailures)
+	known := fading{f.known.hits + prior*priorAnswers, f.known.n + priorAnswers}
+	recent := fading{f.recent.hits + prior*priorAnswers, f.recent.n + priorAnswers}
+	return max(baseShare(known, recent), minFailures)
+}
+
+// baseShare estimates a share of the base version. The recent answers count instead of all known ones
+// only if their share is higher beyond chance: the higher of two shares is too high on average.
+func baseShare(known, recent fading) float64 {
+	share := upperShare(known.hits, known.n)
+	if recent.hits > recent.n*share+burstDeviations*math.Sqrt(recent.n*share*(1-share)) {
+		return max(share, upperShare(recent.hits, recent.n))
+	}
+	return share
 }
 
 // upperShare estimates a share from hits among n answers, and adds a part of its standard error, so that a
