Deferred tickets are left out where the turns are taken

The turns now leave them out in the first place; the same tickets are granted, and the tests of late service pass unchanged.

--- a/core/batch/turn.go
+++ b/core/batch/turn.go
@@ -47,6 +47,9 @@
 	}
 	t.timely = append(t.timely, all.index[:all.count]...)
 	best := len(t.timely)
+	if best > 0 {
+		t.late = topItems{} // A run more on an engine slows those in time that come next.
+	}
 	for _, r := range b.routes {
 		for _, n := range r.best.index[:r.best.count] {
 			if !slices.Contains(t.timely[:best], n) {
@@ -68,9 +71,6 @@
 			return n, o.engine, true
 		}
 	}
-	if len(t.timely) > 0 {
-		t.late.count = 0 // A run more on an engine slows those in time that come next.
-	}
 	for _, n := range t.late.index[:t.late.count] {
 		i := b.waiting[n]
 		o, cost := b.bestOffer(now, i)
