Forecasts of an engine's rate that take one division

A placement asks for hundreds of expected times, thousands while many tickets wait. The former way took four divisions and an exponential function for each. Now the forecast is kept for 10 ms and each time takes one division.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -22,6 +22,7 @@
 	"azurelane/core/elig"
 	"azurelane/core/kernel"
 	"azurelane/core/leases"
+	"azurelane/core/pace"
 	"azurelane/core/pool"
 	"azurelane/core/refuse"
 	"azurelane/core/slot"
@@ -80,6 +81,7 @@
 	elig         elig.Elig
 	topPriority  topPriority
 	costs        costModel
+	pace         pace.Pace
 	bestCase     bestCase
 	// Engines are of onlyVersion unless mixedVersions is set, which is so during a rollout.
 	versionCounts map[string]int // Number of engines by version.
@@ -111,6 +113,7 @@
 	late, _, timed := b.pool.Overload()
 	b.outlook.on = late || timed
 	b.late.configure(late, cfg)
+	b.configurePace()
 	b.configureShares(cfg)
 	return nil
 }
@@ -120,6 +123,7 @@
 	if u := b.table.GetOrAdd(a.GetUpstream()); u.GetIncarnation() != "" && u.GetIncarnation() != a.GetIncarnation() {
 		b.slots.FreeUpstream(now, u) // The runs of the previous process ended with it.
 		b.engine(u).stats = b.newEngineStats()
+		b.pace.Forget(u.GetUpstream())
 	}
 	u := b.table.GetOrAdd(a.GetUpstream())
 	before := u.Version
--- a/core/batch/engine.go
+++ b/core/batch/engine.go
@@ -4,6 +4,7 @@
 	"maps"
 	"time"
 
+	"azurelane/core/pace"
 	"azurelane/core/slot"
 	"azurelane/core/upstr"
 	"azurelane/core/wire"
@@ -25,7 +26,10 @@
 		batchFull      bool          // All slots of its batch are taken.
 		baseFirstToken time.Duration // Time to the first token of an empty prompt.
 		prefillWait    time.Duration // Time until all prompts sent to it are prefilled.
-		perToken       time.Duration
+		workBefore     time.Duration // Usual time of what it then does before the prefill.
+		forecast       pace.Forecast // Of how long its work takes then.
+		perToken       time.Duration // Usual.
+		tokenNow       time.Duration // Mean time per token of a usual answer that begins now.
 		failurePenalty time.Duration // Cost of its recent failures.
 	}
 )
@@ -90,6 +94,7 @@
 		known[u.GetUpstream()] = true
 	}
 	maps.DeleteFunc(b.engines, func(id string, _ *engine) bool { return !known[id] })
+	b.pace.Retain(func(id string) bool { return known[id] })
 }
 
 // updateMeanEngine sets meanEngine to the mean token time of all engines. It serves comparisons
@@ -101,7 +106,7 @@
 		if e.stats.tokenTime > 0 && e.stats.learnedOverhead > 0 {
 			fastest.add(e.stats)
 		}
-		sum += e.stats.perToken()
+		sum += time.Duration(float64(e.stats.perToken()) * e.stats.pace.Mean())
 		n++
 	}
 	b.costs.fastest = fastest
--- a/core/batch/enginestats.go
+++ b/core/batch/enginestats.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"azurelane/core/pace"
 	"azurelane/core/upstr"
 	"azurelane/core/wire"
 )
@@ -27,6 +28,7 @@
 type engineStats struct {
 	backlog
 
+	pace      *pace.Engine  // How long its work currently takes; nil while that is not known. All times below are the usual ones.
 	costs     *costModel    // Of its pool; nil if there is none.
 	tokenTime time.Duration // Per answer token; zero before the first run.
 	// tokenSum counts the answer tokens of recent runs, and decodeSum the time from their first
@@ -72,7 +74,13 @@
 
 // timeToFirstToken returns the time from now to the first token for a prompt.
 func (s *engineStats) timeToFirstToken(now time.Time, u *upstr.Upstream, prompt int64) time.Duration {
-	d := s.wait(now) + s.overhead() + s.prefillTime(prompt)
+	wait := s.wait(now)
+	return wait + s.pace.Forecast(now.Add(wait)).Takes(s.workBefore(u)+s.prefillTime(prompt))
+}
+
+// workBefore returns the usual time of what an engine does for a request before it prefills the prompt.
+func (s *engineStats) workBefore(u *upstr.Upstream) time.Duration {
+	d := s.overhead()
 	if over := u.Running - u.AnnouncedLimit(); over >= 0 {
 		// The request waits in the engine's queue for a free slot. The slots of a batch become
 		// free evenly, about one in each average run time divided by the batch size.
@@ -82,7 +90,9 @@
 }
 
 // addPrompt records a prompt that was granted.
-func (s *engineStats) addPrompt(now time.Time, prompt int64) { s.add(now, s.prefillTime(prompt)) }
+func (s *engineStats) addPrompt(now time.Time, prompt int64) {
+	s.add(now, s.pace.Forecast(now.Add(s.wait(now))).Takes(s.prefillTime(prompt)))
+}
 
 // addSuccess records that a run ended well.
 func (s *engineStats) addSuccess() {
@@ -98,6 +108,9 @@
 	if first <= 0 || total < first {
 		return
 	}
+	if s.pace != nil {
+		first, total, wait = s.usualTimes(now, first, total, wait)
+	}
 	if n := (r.GetPieces() - 1) * eventTokens; n > 0 {
 		s.addDecode(float64(n), total-first)
 	}
@@ -116,6 +129,14 @@
 	}
 }
 
+// usualTimes returns how long the parts of a run that ended at now would have taken in usual times. A moment in
+// which an engine is slow is thus not learned as its speed.
+func (s *engineStats) usualTimes(now time.Time, first, total, wait time.Duration) (usualFirst, usualTotal, usualWait time.Duration) {
+	start := now.Add(-total)
+	usualFirst = s.pace.Usual(start, start.Add(first))
+	return usualFirst, s.pace.Usual(start, now), time.Duration(float64(wait) * float64(usualFirst) / float64(first))
+}
+
 // addDecode updates the time per token from the tokens of a run and the time that they took. The
 // estimate is the sum of the times divided by the sum of the tokens, so that a run counts in
 // proportion to its length. One pause for the prefill of another prompt makes an answer of three
--- a/core/batch/pick.go
+++ b/core/batch/pick.go
@@ -82,7 +82,7 @@
 		if (batchesFull && !b.mayQueue(i)) || !b.hasRoom(i) || b.leavesSlots(i) {
 			continue
 		}
-		s := i.score(now + soonest.baseFirstToken + time.Duration(i.prefillSteps*float64(soonest.perToken)))
+		s := i.score(now + soonest.takes(time.Duration(i.prefillSteps*float64(soonest.perToken))))
 		if i.overruns(now, fastest, i.prefillSteps) {
 			unfit.add(n, s)
 			continue
@@ -103,7 +103,7 @@
 		if b.offers[n].baseFirstToken < soonest.baseFirstToken {
 			soonest = &b.offers[n]
 		}
-		if b.offers[n].perToken < fastest.perToken {
+		if b.offers[n].tokenNow < fastest.tokenNow {
 			fastest = &b.offers[n]
 		}
 	}
@@ -145,7 +145,7 @@
 func (i *item) overruns(now time.Duration, o *offer, prefillSteps float64) bool {
 	run := float64(i.answer) * float64(o.perToken)
 	run *= 1 + i.slack/i.routeStats.weights[i.class]
-	return now+o.baseFirstToken+time.Duration(prefillSteps*float64(o.perToken)+run) > i.deadline
+	return now+o.takes(time.Duration(prefillSteps*float64(o.perToken)+run)) > i.deadline
 }
 
 // stallsOthers reports whether the prefill of a prompt, together with the prefill backlog of the
@@ -214,8 +214,9 @@
 		prefillSteps = b.costs.prefillSteps(i.prompt - n)
 	}
 	prefill := time.Duration(prefillSteps * float64(o.perToken))
-	timeToFirst := o.baseFirstToken + prefill
-	decode := time.Duration(i.answer) * o.perToken
+	timeToFirst := o.takes(prefill)
+	decode := o.takes(prefill+time.Duration(i.answer)*o.perToken) - timeToFirst
+	prefill = timeToFirst - o.baseFirstToken
 	best := b.bestCaseFor(i)
 	cost := timeToFirst + decode/decodeDivisor + prefillWeight*prefill + o.failurePenalty
 	if now+timeToFirst > i.objective && now+best.timeToFirstToken(prefillSteps) <= i.objective { // Another engine could be in time.
--- a/core/batch/replay_test.go
+++ b/core/batch/replay_test.go
@@ -53,6 +53,7 @@
 		pending      map[uint64]*request
 		retries      []retryAt
 		active       []replayRun
+		noise        *noise // Nil if engines have none.
 	}
 
 	retryAt struct {
@@ -125,10 +126,10 @@
 		start = free
 	}
 	prefill := time.Duration(float64(q.promptTokens) / promptPerStep * float64(r.speeds[up]))
-	r.prefillUntil[up] = start.Add(prefill)
-	first := start.Add(prefill + base)
+	r.prefillUntil[up] = r.noise.end(up, start, prefill)
+	first := r.noise.end(up, start, prefill+base)
 	stall := time.Duration(r.rnd.ExpFloat64() * float64(200*time.Millisecond))
-	ends := first.Add(stall + time.Duration(float64(q.tokens)*slowdown*float64(r.speeds[up])))
+	ends := r.noise.end(up, first, stall+time.Duration(float64(q.tokens)*slowdown*float64(r.speeds[up])))
 	run := replayRun{request: q, Decision: d, first: first, ends: ends, started: r.now}
 	if last := q.arrived.Add(q.deadline); ends.After(last) {
 		run.ends, run.cut = last, true
--- a/core/batch/room.go
+++ b/core/batch/room.go
@@ -138,10 +138,12 @@
 		return
 	}
 	stats := e.stats
-	b.offers = append(b.offers, offer{
-		engine: e, batchFull: e.room.kind == queueRoom, baseFirstToken: stats.timeToFirstToken(now, e.Upstream, 0), perToken: stats.perToken(),
+	o := offer{
+		engine: e, batchFull: e.room.kind == queueRoom, workBefore: stats.workBefore(e.Upstream), perToken: stats.perToken(),
 		prefillWait: stats.wait(now), failurePenalty: time.Duration((1 - stats.successShare) * float64(time.Second)),
-	})
+	}
+	o.setPace(now, b.costs.usualAnswer())
+	b.offers = append(b.offers, o)
 	b.bestCase.add(stats)
 	if b.mixedVersions {
 		v := b.versionCase(e.Version)
--- a/core/batch/turn.go
+++ b/core/batch/turn.go
@@ -33,7 +33,7 @@
 		if (batchesFull && (i.deferred || !b.mayQueue(i))) || !b.hasRoom(i) || b.leavesSlots(i) {
 			continue
 		}
-		s := i.score(now + soonest.baseFirstToken + time.Duration(i.prefillSteps*float64(soonest.perToken)))
+		s := i.score(now + soonest.takes(time.Duration(i.prefillSteps*float64(soonest.perToken))))
 		if i.overruns(now, fastest, i.prefillSteps) {
 			t.long.add(n, s)
 			continue
--- a/core/pace/engine.go
+++ b/core/pace/engine.go
@@ -15,6 +15,8 @@
 	// maxPoints is the number of changes of the figure that are kept, for the runs that span them: those of
 	// about 20 s.
 	maxPoints = 64
+	// forecastAge is how long a forecast is used again, a small part of the time for which figures stay.
+	forecastAge = 10 * time.Millisecond
 )
 
 type (
@@ -24,6 +26,10 @@
 		points []point // Oldest first.
 		mean   float64 // Rate.
 		weight float64 // Seconds that count in the mean.
+
+		average    float64  // 1/mean.
+		forecast   Forecast // The last one, until the next figure.
+		forecastAt time.Time
 	}
 
 	// point is a figure as it was stated.
@@ -35,9 +41,9 @@
 
 	// Forecast is what is expected of an engine from some time on. The zero value expects the usual times.
 	Forecast struct {
-		mean      float64 // Rate; 0 if no figure is known.
-		deviation float64 // Of the rate from the mean, at the start.
-		tau       float64 // Time constant in nanoseconds.
+		average float64 // Time for a unit of usual time on average; 0 if no figure is known.
+		extra   float64 // Nanoseconds that long work takes beyond the average time, as it begins now.
+		decay   float64 // 1/nanoseconds of usual time; how fast the rate at the start loses its effect.
 	}
 )
 
@@ -45,6 +51,7 @@
 
 func (e *Engine) observe(at time.Time, rate float64) {
 	if len(e.points) == 0 {
+		e.mean, e.weight, e.average = 1, priorTime.Seconds(), 1
 		e.points = append(e.points, point{at: at, rate: rate})
 		return
 	}
@@ -80,6 +87,7 @@
 	e.weight = min(e.weight+gap.Seconds(), meanTime.Seconds())
 	share := min(gap.Seconds()/e.weight, 1)
 	e.mean += share * (done.Seconds()/gap.Seconds() - e.mean)
+	e.average, e.forecast = 1/e.mean, Forecast{}
 }
 
 // Mean returns how many times as long as usual work takes on average; 1 if no figure is known.
@@ -87,7 +95,7 @@
 	if e == nil {
 		return 1
 	}
-	return 1 / e.mean
+	return e.average
 }
 
 // Forecast returns what is expected from a time on, which is not before the newest figure.
@@ -95,8 +103,13 @@
 	if e == nil {
 		return Forecast{}
 	}
+	if since := from.Sub(e.forecastAt); since >= 0 && since < forecastAge && e.forecast.Known() {
+		return e.forecast
+	}
 	last, tau := e.last(), e.pace.timeConstant()
-	return Forecast{e.mean, (last.rate - e.mean) * left(from.Sub(last.at), tau), float64(tau)}
+	deviation := (last.rate - e.mean) * left(from.Sub(last.at), tau)
+	e.forecast, e.forecastAt = Forecast{e.average, -deviation * float64(tau) * e.average, 1 / ((e.mean + deviation) * float64(tau))}, from
+	return e.forecast
 }
 
 // Usual returns how long work would have taken at the usual rate that took from one time to another.
@@ -125,29 +138,18 @@
 }
 
 // Known reports whether a figure is known.
-func (f Forecast) Known() bool { return f.mean > 0 }
-
-// After returns the forecast from a time later.
-func (f Forecast) After(d time.Duration) Forecast {
-	if d > 0 && f.deviation != 0 {
-		f.deviation *= math.Exp(-float64(d) / f.tau)
-	}
-	return f
-}
+func (f *Forecast) Known() bool { return f.average > 0 }
 
 // Takes returns the expected time of work that begins at the start of the forecast and usually takes a time.
-func (f Forecast) Takes(work time.Duration) time.Duration {
-	if f.mean == 0 || work <= 0 {
+//
+// The rate begins at that of the newest figure and decays to the mean. Short work takes its usual time divided by
+// the first rate, long work its average time and a constant. The formula in between is within a few percent of
+// the solution of the integral and takes one division: a placement asks for thousands.
+func (f *Forecast) Takes(work time.Duration) time.Duration {
+	if f.average == 0 || work <= 0 {
 		return work
 	}
-	w := float64(work)
-	takes := w / f.rateOver(w/f.mean)
-	return time.Duration(w / f.rateOver(takes)) // The mean rate depends on the time. Two steps leave a few percent.
-}
-
-// rateOver returns the mean rate over a time in nanoseconds. The share of the deviation is within 0.02 of
-// (1-exp(-x))/x, at a tenth of its cost: a placement asks for hundreds.
-func (f Forecast) rateOver(d float64) float64 {
-	x := d / f.tau
-	return f.mean + f.deviation*(1+x/6)/(1+x*(2./3+x/6))
+	x := float64(work) * f.decay
+	x += x * x / 2
+	return time.Duration(float64(work)*f.average + f.extra*x/(1+x))
 }
--- a/core/pace/pace.go
+++ b/core/pace/pace.go
@@ -7,6 +7,7 @@
 package pace
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -35,6 +36,7 @@
 	// the squared first ones, of the products, and of the times between, weighted by the squares. How much of a
 	// deviation is left after the usual time between two figures gives the time constant.
 	squares, products, gaps float64
+	constant                time.Duration // Learned; zero until then.
 }
 
 // Observe records the figure that an engine stated at a time, and returns the engine's record. It ignores a
@@ -45,7 +47,7 @@
 		return e
 	}
 	if e == nil {
-		e = &Engine{pace: p, mean: 1, weight: priorTime.Seconds()}
+		e = &Engine{pace: p}
 		if p.engines == nil {
 			p.engines = map[string]*Engine{}
 		}
@@ -92,21 +94,21 @@
 	p.squares = p.squares*keep + square
 	p.products = p.products*keep + first*second
 	p.gaps = p.gaps*keep + square*gap.Seconds()
-}
-
-// timeConstant returns the time constant with which a figure decays. Times between figures vary as those of arrivals
-// do. What is left of a deviation after such a time is then 1/(1+gap/tau) on average.
-func (p *Pace) timeConstant() time.Duration {
-	if p.squares < minSpread {
-		return defaultTimeConstant
+	switch {
+	case p.squares < minSpread:
+	case p.products >= p.squares:
+		p.constant = maxTimeConstant
+	default:
+		// Times between figures vary as those of arrivals do. What is left of a deviation after such a time is then
+		// 1/(1+gap/constant) on average.
+		s := p.gaps / p.squares * p.products / (p.squares - p.products)
+		p.constant = min(max(time.Duration(s*float64(time.Second)), minTimeConstant), maxTimeConstant)
 	}
-	if p.products >= p.squares {
-		return maxTimeConstant
-	}
-	s := p.gaps / p.squares * p.products / (p.squares - p.products)
-	return min(max(time.Duration(s*float64(time.Second)), minTimeConstant), maxTimeConstant)
 }
 
+// timeConstant returns the time constant with which a figure decays.
+func (p *Pace) timeConstant() time.Duration { return cmp.Or(p.constant, defaultTimeConstant) }
+
 // left returns the share of a deviation that is left after a time.
 func left(after, tau time.Duration) float64 {
 	return math.Exp(-max(after, 0).Seconds() / tau.Seconds())
--- a/core/pace/pace_test.go
+++ b/core/pace/pace_test.go
@@ -46,6 +46,11 @@
 	return at - begun
 }
 
+func takes(e *Engine, at, work time.Duration) time.Duration {
+	f := e.Forecast(start.Add(at))
+	return f.Takes(work)
+}
+
 // Guards against estimates of work that miss by the noise of an engine although it states how slow it is: figures
 // come every 150 ms on average and 50 ms late.
 func TestTakes(t *testing.T) {
@@ -65,8 +70,8 @@
 		for i, work := range works {
 			took := n.takes(at, work).Seconds()
 			without[i] += math.Abs(work.Seconds()*e.Mean()-took) / took
-			with[i] += math.Abs(e.Forecast(start.Add(at)).Takes(work).Seconds()-took) / took
-			known[i] += math.Abs(now.Forecast(start.Add(at)).Takes(work).Seconds()-took) / took
+			with[i] += math.Abs(takes(e, at, work).Seconds()-took) / took
+			known[i] += math.Abs(takes(now, at, work).Seconds()-took) / took
 		}
 	}
 	for i, work := range works {
@@ -152,8 +157,8 @@
 		p.Observe(start.Add(time.Duration(at)*100*ms), "a", 100)
 	}
 	e := p.Observe(start.Add(time.Minute), "a", 250)
-	must.Greater(t, 180*ms, e.Forecast(start.Add(time.Minute)).Takes(100*ms))
-	must.Less(t, 105*ms, e.Forecast(start.Add(time.Minute+5*time.Second)).Takes(100*ms))
+	must.Greater(t, 180*ms, takes(e, time.Minute, 100*ms))
+	must.Less(t, 105*ms, takes(e, time.Minute+5*time.Second, 100*ms))
 	must.Between(t, 950*ms, e.Usual(start.Add(70*time.Second), start.Add(71*time.Second)), time.Second)
 }
 
@@ -161,7 +166,7 @@
 // engines that are gone.
 func TestNothingKnown(t *testing.T) {
 	var e *Engine
-	must.Eq(t, 100*ms, e.Forecast(start).After(time.Second).Takes(100*ms))
+	must.Eq(t, 100*ms, takes(e, 0, 100*ms))
 	must.Eq(t, time.Second, e.Usual(start, start.Add(time.Second)))
 	must.Eq(t, 1, e.Mean())
 
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -29,6 +29,7 @@
 	LateService *bool         `json:"late-service,omitempty"`       // Whether requests that can't be in time wait for room that others leave; nil for the site's setting.
 	FairShares  *bool         `json:"fair-shares,omitempty"`        // Whether client accounts get fair shares of a full pool; nil for the site's setting.
 	TimedReturn *bool         `json:"timed-returns,omitempty"`      // Whether refused callers are told to return when there is room; nil for the site's setting.
+	LiveSpeed   *bool         `json:"live-speed,omitempty"`         // Whether engines' statements of how long work currently takes count; nil for the site's setting.
 	Migrate     bool          `json:"migrate,omitzero"`             // Whether streams move off engines that leave.
 	Moves       bool          `json:"moves,omitzero"`               // Whether the engines offer moves.
 	HandleTime  time.Duration `json:"handle-time,omitzero"`         // How long an engine keeps a copy of a run that is not used.
@@ -64,6 +65,9 @@
 	return on(p.LateService), on(p.FairShares), on(p.TimedReturn)
 }
 
+// LiveSpeeds reports whether the scheduler uses what engines state of how long work currently takes there.
+func (p Pool) LiveSpeeds() bool { return p.LiveSpeed != nil && *p.LiveSpeed }
+
 // Moving reports whether streams move off engines of the pool that leave. Engines that do not offer moves get
 // no calls.
 func (p Pool) Moving() bool { return p.Migrate && p.Moves && p.HandleTime > 0 }
