Entries pass on how long work currently takes at engines

Responses state it as the fourth figure of the load; it was read over before. The scheduler names in its news the pools that use it. Entries send the newest figure of each engine with its age with the next release, or after 100 ms by themselves, because a release may come seconds later. The scheduler logs each 5 s what it knows. Measured: tests of the gate, hub and scheduler pass, also with the race detector for the new ones; in pools that the scheduler does not name, releases and reports hold no figures.

--- a/core/peers/peers.go
+++ b/core/peers/peers.go
@@ -36,6 +36,8 @@
 	// Load is the load that an upstream reports in its responses, in requests.
 	Load struct {
 		Running, Waiting, Slots int
+		// Pace is how long work currently takes there, 100 for the usual time; 0 if it is not stated.
+		Pace float64
 	}
 
 	// Choice holds the conditions for the choice of an upstream.
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -75,6 +75,7 @@
 		brittle          brittle
 		rests            rests
 		leaving          leaving
+		speeds           speeds
 		departures       departures
 
 		mu              sync.Mutex // Guards the fields below.
--- a/io/gate/harness_test.go
+++ b/io/gate/harness_test.go
@@ -80,8 +80,9 @@
 
 func (testDialect) Other(r *http.Response) bool { return r.StatusCode == http.StatusMisdirectedRequest }
 
-func (testDialect) Load(*http.Response) (peers.Load, bool) {
-	return peers.Load{}, false
+func (testDialect) Load(r *http.Response) (peers.Load, bool) {
+	pace, err := strconv.ParseFloat(r.Header.Get("X-Pace"), 64)
+	return peers.Load{Pace: pace}, err == nil
 }
 
 func (testDialect) Limit(r *http.Response) (float64, bool) {
--- a/io/gate/place.go
+++ b/io/gate/place.go
@@ -286,7 +286,7 @@
 		Slot: p.grant.GetSlot(), Owner: p.grant.GetOwner(), Account: t.GetAccount(), Dispatched: !blameless && res.outcome != outcomeNotSent && res.outcome != outcomeMisdirected && res.outcome != outcomeUnused,
 		Whole: res.outcome == outcomeComplete, Failed: !blameless && (res.outcome == outcomeFailed || res.outcome == outcomeInterrupted || res.outcome == outcomeNotSent || res.outcome == outcomeMisdirected), Busy: res.outcome == outcomeNotRun,
 		FirstTokenUs: res.firstAfter.Microseconds(), TotalUs: res.total.Microseconds(), Pieces: res.events,
-		GapUs: res.gap.Microseconds(),
+		GapUs: res.gap.Microseconds(), Speeds: g.TakeSpeeds(),
 	})
 }
 
--- a/io/gate/send.go
+++ b/io/gate/send.go
@@ -108,6 +108,9 @@
 	res.status = resp.StatusCode
 	if l, ok := q.gate.Dialect.Load(resp); ok {
 		q.gate.recordLoad(id, l)
+		if !q.gate.Dialect.Other(resp) {
+			q.gate.recordSpeed(q.pool, id, l.Pace)
+		}
 	}
 	q.gate.recordLimit(id, f.sentAt, resp)
 	q.gate.recordBrittle(q.pool, id, f.sentAt, resp)
--- a/io/gated/gated.go
+++ b/io/gated/gated.go
@@ -121,6 +121,7 @@
 	e.watch.OnSchedulerChange, e.watch.Usage = e.grant.OwnersChanged, g.UsageRates
 	e.watch.Origins, e.watch.OnMixed = g.KnownOrigins, g.SetMixed
 	e.watch.Brittle, e.watch.OnTicketed, e.watch.Leaving = g.KnownBrittle, g.SetTicketed, g.KnownLeaving
+	e.watch.OnLiveSpeed = g.SetLiveSpeed
 	e.watch.Crashes, e.watch.OnBans = g.KnownCrashes, g.SetBans
 	e.watch.Limits, e.watch.OnLimits, e.watch.OnSplits = g.KnownLimits, g.SetLimits, g.SetSplits
 	g.Node, g.Incarnation, g.DataCentre = settings.Node, incarnation, settings.Centre
@@ -297,8 +298,9 @@
 			e.gate.RequeueOriginReports(o)
 		}
 		l, b, d := e.gate.TakeLimitReports(), e.gate.TakeBrittleReports(), e.gate.TakeLeavingReports()
-		if len(l)+len(b)+len(d) > 0 && !e.sendReport(ctx, &wire.Frame{Body: &wire.Frame_Limits{Limits: &wire.Limits{Limits: l, Brittle: b, Leaving: d}}}) && len(b)+len(d) > 0 {
-			again = true // Limits are reported again with later responses.
+		v := e.gate.TakeSpeeds()
+		if len(l)+len(b)+len(d)+len(v) > 0 && !e.sendReport(ctx, &wire.Frame{Body: &wire.Frame_Limits{Limits: &wire.Limits{Limits: l, Brittle: b, Leaving: d, Speeds: v}}}) && len(b)+len(d) > 0 {
+			again = true // Limits and speeds are reported again with later responses.
 			e.gate.RequeueBrittleReports(b)
 			e.gate.RequeueLeavingReports(d)
 		}
--- a/io/hub/hub.go
+++ b/io/hub/hub.go
@@ -277,7 +277,7 @@
 		return v
 	}
 	s.installAccounts(v, cfg.Accounts)
-	s.setDeferring(cfg)
+	s.setPools(cfg)
 	h.feed.setPools(cfg)
 	s.sched.Install(cfg)
 	if installed == 0 {
--- a/io/hub/limits.go
+++ b/io/hub/limits.go
@@ -189,6 +189,7 @@
 	h.applyLimits(s, l.GetLimits())
 	h.applyBrittle(s, l.GetBrittle())
 	h.applyLeaving(s, l.GetLeaving())
+	s.sched.RecordSpeeds(l.GetSpeeds())
 	return nil
 }
 
--- a/io/hub/limits_test.go
+++ b/io/hub/limits_test.go
@@ -249,13 +249,14 @@
 		{"another switch", pool.Pool{FairShares: &on, TimedReturn: &on}, false, nil, nil},
 		{"engines", pool.Pool{LateService: &on, Slots: 4}, false, nil, nil},
 		{"another policy", pool.Pool{LateService: &on, Scheduler: "batch"}, false, nil, nil},
+		{"live speed", pool.Pool{LiveSpeed: &on, Slots: 4}, false, nil, nil},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			s := &scheduler{}
 			if tc.brittle {
 				s.brittle.merge(time.Unix(1000, 0), []*wire.Brittle{{Upstream: "a", Most: 3}}, func(string) string { return "p" })
 			}
-			s.setDeferring(&conf.Config{Pools: map[string]pool.Pool{"p": tc.pool}})
+			s.setPools(&conf.Config{Pools: map[string]pool.Pool{"p": tc.pool}})
 			ticketed, deferring := s.ticketedPools()
 			must.Eq(t, tc.ticketed, ticketed)
 			must.Eq(t, tc.deferring, deferring)
--- a/io/hub/scheduler.go
+++ b/io/hub/scheduler.go
@@ -44,6 +44,7 @@
 	plainDebt float64 // Units that requests without tickets may exceed a balance by.
 	version   uint64
 	deferring []string // Pools that defer plain requests, sorted.
+	liveSpeed []string // Pools that use the current speeds of engines, sorted.
 	startedAt time.Time
 	// entriesHere is the number of entries in this data centre, for a scheduler of one data
 	// centre. entriesTotal is the number of all entries, which entries know from the former
@@ -65,18 +66,30 @@
 	s.denial.Retain(func(account string) bool { _, ok := accounts[account]; return ok })
 }
 
-// setDeferring takes the pools that defer plain requests from a configuration.
-func (s *scheduler) setDeferring(cfg *conf.Config) {
-	var pools []string
+// setPools takes from a configuration the pools that defer plain requests, and those that use the current speeds
+// of engines.
+func (s *scheduler) setPools(cfg *conf.Config) {
+	var deferring, liveSpeed []string
 	for name, p := range cfg.Pools {
 		if p.DefersPlain() {
-			pools = append(pools, name)
+			deferring = append(deferring, name)
+		}
+		if p.LiveSpeeds() && p.Slots > 0 {
+			liveSpeed = append(liveSpeed, name)
 		}
 	}
-	slices.Sort(pools)
+	slices.Sort(deferring)
+	slices.Sort(liveSpeed)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deferring, s.liveSpeed = deferring, liveSpeed
+}
+
+// liveSpeedPools returns the pools that use the current speeds of engines.
+func (s *scheduler) liveSpeedPools() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.deferring = pools
+	return s.liveSpeed
 }
 
 // deferringPools returns the pools that defer plain requests.
@@ -357,6 +370,7 @@
 			s.reachability.markServed(now, dc)
 		}
 	}
+	s.sched.RecordSpeeds(rel.GetSpeeds()) // Before the release: its run is judged by them.
 	s.sched.Release(rel)
 }
 
--- a/io/hub/speeds.go
+++ b/io/hub/speeds.go
@@ -21,6 +21,7 @@
 	s.speedsLoggedAt = now
 	s.logSlots()
 	s.logLate()
+	s.logCurrentSpeeds()
 	s.logAccountShares()
 	speeds := s.sched.TokenTimes()
 	for _, pool := range slices.Sorted(maps.Keys(speeds)) {
@@ -54,6 +55,19 @@
 	}
 }
 
+// slowPercent is the percentage of its usual time from which on the log counts an upstream as slow at the moment.
+const slowPercent = 150
+
+// logCurrentSpeeds logs what is known of the current speeds of upstreams, for each pool that uses them. Few known
+// upstreams or old statements mean that requests are placed by usual speeds.
+func (s *scheduler) logCurrentSpeeds() {
+	speeds := s.sched.SpeedStatus(slowPercent)
+	for _, pool := range slices.Sorted(maps.Keys(speeds)) {
+		p := speeds[pool]
+		s.log.Info("Speeds at this moment.", "pool", pool, "known", p.Known, "median-age", p.Age.String(), "share-above-150", p.Share, "scheduler", s.id)
+	}
+}
+
 // lateOutlook is the time ahead for which the room of a pool is logged.
 const lateOutlook = 5 * time.Second
 
--- a/io/hub/watch.go
+++ b/io/hub/watch.go
@@ -214,6 +214,7 @@
 	n.Bans = s.bans.since(known)
 	n.Cordons = h.cordons.since(time.Now(), w.GetCordonRevision(), w.GetLeader() != s.id)
 	n.Ticketed, n.Deferring = s.ticketedPools()
+	n.LiveSpeed = s.liveSpeedPools()
 	n.Mixed = s.origins.mixedPools()
 	n.Limits = s.limits.listFor(time.Now(), w.GetNode(), func() ([]string, bool) { return h.limitSharers(s) })
 	var doc []byte
--- a/io/sched/sched.go
+++ b/io/sched/sched.go
@@ -384,6 +384,49 @@
 	return all
 }
 
+// RecordSpeeds passes on how long work currently takes at upstreams.
+func (s *Sched) RecordSpeeds(list []*wire.Speed) {
+	if len(list) == 0 {
+		return
+	}
+	for _, r := range s.runners() {
+		if p, ok := r.policy.(kernel.Pacer); ok {
+			r.do(func(now time.Time) []*wire.Decision {
+				p.RecordSpeeds(now, list)
+				return nil
+			})
+		}
+	}
+}
+
+// SpeedStatus tells what a pool's policy knows of the current speeds of its upstreams.
+type SpeedStatus struct {
+	Known int           // Upstreams whose statements are known.
+	Age   time.Duration // Median of the newest ones.
+	Share float64       // Of these that are above a percentage.
+}
+
+// SpeedStatus returns, for each pool with upstreams whose statements are known, the share of them above a
+// percentage.
+func (s *Sched) SpeedStatus(above float64) map[string]SpeedStatus {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	all := map[string]SpeedStatus{}
+	for name, r := range s.pools {
+		p, ok := r.policy.(kernel.Pacer)
+		if !ok {
+			continue
+		}
+		r.mu.Lock()
+		known, age, share := p.SpeedStatus(time.Now(), above)
+		r.mu.Unlock()
+		if known > 0 {
+			all[name] = SpeedStatus{known, age, share}
+		}
+	}
+	return all
+}
+
 // SlotsByEntry returns the number of slots that each entry holds, by pool and entry. It covers only the
 // pools whose policy tells.
 func (s *Sched) SlotsByEntry() map[string]map[string]int {
--- a/io/watch/watch.go
+++ b/io/watch/watch.go
@@ -75,6 +75,9 @@
 		// nil.
 		Brittle    func() []*wire.Brittle
 		OnTicketed func(pools, deferring []string)
+		// OnLiveSpeed is called with the pools of which this entry reports how long work currently takes at
+		// upstreams. It may be nil.
+		OnLiveSpeed func(pools []string)
 		// Leaving returns the upstreams that have said to this entry that they leave, sent to a new
 		// scheduler. It may be nil.
 		Leaving func() []*wire.Leaving
@@ -282,12 +285,7 @@
 	if w.OnLimits != nil {
 		w.OnLimits(n.GetLimits())
 	}
-	if w.OnTicketed != nil {
-		w.OnTicketed(n.GetTicketed(), n.GetDeferring())
-	}
-	if w.OnMixed != nil {
-		w.OnMixed(n.GetMixed())
-	}
+	w.handlePools(n)
 	v.splitsRevision = n.GetRollouts().GetPhaseRevision()
 	if w.OnSplits != nil {
 		w.OnSplits(n.GetRollouts())
@@ -304,6 +302,19 @@
 	return err
 }
 
+// handlePools passes on which pools the scheduler treats in other ways than their configuration says.
+func (w *Watcher) handlePools(n *wire.News) {
+	if w.OnTicketed != nil {
+		w.OnTicketed(n.GetTicketed(), n.GetDeferring())
+	}
+	if w.OnLiveSpeed != nil {
+		w.OnLiveSpeed(n.GetLiveSpeed())
+	}
+	if w.OnMixed != nil {
+		w.OnMixed(n.GetMixed())
+	}
+}
+
 func stringSet(list []string) map[string]bool {
 	m := make(map[string]bool, len(list))
 	for _, id := range list {
