--- a/io/grant/grant_test.go
+++ b/io/grant/grant_test.go
@@ -282,6 +282,8 @@
 			fields.Mutable(f).List().Append(fields.NewField(f).List().NewElement())
 		case f.IsList():
 			fields.Mutable(f).List().Append(protoreflect.ValueOfString("x"))
+		case f.Kind() == protoreflect.MessageKind:
+			fields.Set(f, fields.NewField(f))
 		default:
 			fields.Set(f, nonZeroValue(t, f))
 		}
