--- a/core/buffer/buffer.go
+++ b/core/buffer/buffer.go
@@ -26,7 +26,7 @@
 	// the size that is still free for its kind. So a single endless answer takes half of what answers may have,
 	// and many of them leave as much free as each of them has.
 	//
-	// The zero value bounds answers to 256 MB, and bodies not at all.
+	// The zero value bounds answers to 256 MB and leaves bodies unbounded.
 	Buffer struct {
 		Limit int64 // Bytes of both kinds together; set before use.
 
