--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -322,3 +322,52 @@
 	fmt.Println("held")
 	os.Exit(0)
 }
+
+// Memory returns the resident memory of the process in MB, and zero if it does not run.
+func (p *Process) Memory() int {
+	p.mu.Lock()
+	pid := p.cmd.Process.Pid
+	p.mu.Unlock()
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
+	if err != nil {
+		return 0
+	}
+	var size, resident int
+	if _, err := fmt.Sscan(string(data), &size, &resident); err != nil {
+		return 0
+	}
+	return resident * os.Getpagesize() >> 20
+}
+
+// DiskMB returns the size of the process's data folder in MB.
+func (p *Process) DiskMB() int64 {
+	var n int64
+	files, _ := filepath.Glob(filepath.Join(p.fleet.dir, p.Name, "*"))
+	for _, name := range files {
+		if st, err := os.Stat(name); err == nil {
+			n += st.Size()
+		}
+	}
+	return n >> 20
+}
+
+// SetRestart has the next starts of the process be no first starts.
+func (p *Process) SetRestart() { p.write(false) }
+
+// Reads reads the configuration back, at one control process after the other, until it is as new as a version.
+func (f *Fleet) Reads(version int, within time.Duration) bool {
+	for end, i := time.Now().Add(within), 0; time.Now().Before(end); i++ {
+		h := f.Hubs[i%len(f.Hubs)]
+		status, data := Call("GET", fmt.Sprintf("http://%s:%d/config/get", h.IP, ControlPort), nil, 2*time.Second)
+		var doc struct {
+			Version int `json:"version"`
+		}
+		err := json.Unmarshal(data, &doc)
+		f.Rec.Add("configuration read at %s: %d, version %d", h.Name, status, doc.Version)
+		if status == 200 && err == nil && doc.Version >= version {
+			return true
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return false
+}
