--- a/review/cmd/manychanges/main.go
+++ b/review/cmd/manychanges/main.go
@@ -14,9 +14,11 @@
 
 const (
 	memoryMB     = 280 // Of a core machine.
-	routes       = 1400
-	pause        = 300 * time.Millisecond // Between two changes.
-	changeFor    = 101 * time.Second
+	routes       = 1680
+	pause        = 60 * time.Millisecond // Between two changes.
+	storm        = 25                    // Changes in a row.
+	rest         = time.Second           // After these.
+	changeFor    = 75 * time.Second
 	restartDelay = 500 * time.Millisecond
 	readFor      = 10 * time.Second // At the end; the pages say contact_ms, 3 s, at least.
 )
@@ -66,7 +68,9 @@
 		if !rig.Trouble() && version > 5 {
 			continue
 		}
-		version += 3
+		if version += 3; version%(3*storm) < 3 {
+			time.Sleep(rest)
+		}
 		list[0].(map[string]any)["timeout_ms"] = 8000 + version
 		if f.Put(rig.Config(version, nil, list...), 4*time.Second) == http.StatusOK {
 			acked = version
