The replicated log is bounded by bytes

A log file over 8 MB was written anew after nearly each change. A replica that had not answered, or whose disk refused entries, got the same entries with each heartbeat. A leader with a full disk kept in memory all that the others committed. Change: all of these are bounded by bytes, also at a start; the log is compacted by its growth; large commands may take half of the room for uncommitted ones; replies say that a disk takes nothing, and such a replica gets heartbeats only; a leader whose disk takes nothing hands over once it lacks 4 MB. A heartbeat is confirmed up to what is on disk, at once, so that no reply waits for a disk. Why it works: what a replica holds is then a multiple of the largest document, not of the number of changes. Tests of core/raft, io/ctrl and io/disk pass.

--- a/core/raft/follower.go
+++ b/core/raft/follower.go
@@ -7,7 +7,7 @@
 )
 
 func (r *Raft) handleAppend(m *wire.Raft) {
-	reply := &wire.Raft{To: m.GetFrom(), Kind: wire.Raft_KIND_APPEND_REPLY, LastIndex: m.GetLastIndex(), Round: m.GetRound()}
+	reply := &wire.Raft{To: m.GetFrom(), Kind: wire.Raft_KIND_APPEND_REPLY, LastIndex: m.GetLastIndex(), Round: m.GetRound(), Stalled: r.diskStalled}
 	if m.GetTerm() < r.term {
 		r.send(reply) // The newer term makes the old leader step down.
 		return
@@ -18,8 +18,7 @@
 	end := prev + uint64(len(ents))
 	if end < r.commitIndex {
 		// All of these entries are committed here, so they are identical.
-		reply.Granted, reply.LastIndex = true, end
-		r.send(reply)
+		r.confirm(reply, end, len(ents) == 0)
 		return
 	}
 	if r.diskStalled && end > r.syncedIndex {
@@ -40,11 +39,16 @@
 		return
 	}
 	r.commitIndex = max(r.commitIndex, min(m.GetCommit(), end))
+	r.confirm(reply, end, len(ents) == 0)
+}
+
+// confirm replies that this replica holds the leader's entries up to index end.
+func (r *Raft) confirm(reply *wire.Raft, end uint64, heartbeat bool) {
 	reply.Granted, reply.LastIndex = true, end
-	if len(ents) == 0 && end > r.syncedIndex {
+	if heartbeat {
 		// What is on disk is confirmed at once, and the rest by the replies to the entries. A
 		// reply that waited for the disk would make this replica seem out of reach.
-		reply.LastIndex = r.syncedIndex
+		reply.LastIndex = min(end, r.syncedIndex)
 		r.sendBeforeSync(reply)
 		return
 	}
@@ -96,7 +100,7 @@
 }
 
 func (r *Raft) handleSnapshot(m *wire.Raft) {
-	reply := &wire.Raft{To: m.GetFrom(), Kind: wire.Raft_KIND_SNAPSHOT_REPLY, Round: m.GetRound()}
+	reply := &wire.Raft{To: m.GetFrom(), Kind: wire.Raft_KIND_SNAPSHOT_REPLY, Round: m.GetRound(), Stalled: r.diskStalled}
 	if m.GetTerm() < r.term {
 		r.send(reply)
 		return
--- a/core/raft/leader.go
+++ b/core/raft/leader.go
@@ -28,10 +28,12 @@
 type progress struct {
 	matchIndex      uint64
 	nextIndex       uint64
-	probing         bool     // One message at a time until a reply shows where the logs match.
-	probeSent       bool     // While probing: a message is unanswered.
-	inflight        []uint64 // Last index of each unanswered message with entries.
-	pendingSnapshot uint64   // Index of the snapshot that is being sent; zero for none.
+	probing         bool   // One message at a time until a reply shows where the logs match.
+	probeSent       bool   // While probing: a message is unanswered.
+	inflight        []sent // Unanswered messages with entries, oldest first.
+	inflightBytes   int    // Size of their entries.
+	stalled         bool   // Its disk accepts no entries for now.
+	pendingSnapshot uint64 // Index of the snapshot that is being sent; zero for none.
 	snapshotSentAt  time.Time
 	snapshotTimeout time.Duration // Time allowed for its transfer.
 	addedAt         time.Time     // When replication to it started.
@@ -39,6 +41,12 @@
 	answeredRound   time.Time // When the newest round that it answered was sent.
 }
 
+// sent is a message with entries.
+type sent struct {
+	last uint64 // Index of its last entry.
+	size int
+}
+
 // HasLease reports whether the leader may read locally at this time: its lease is valid, and it
 // has committed an entry of its own term, so that every entry acknowledged before is applied
 // here.
@@ -97,6 +105,9 @@
 		r.stepDown("leadership transfer timed out", nil)
 		return
 	}
+	if r.diskStalled && r.commitIndex > r.syncedIndex && r.log.bytesAfter(r.syncedIndex) > MaxUncommittedBytes/4 {
+		r.transferLeadership() // The others' disks work. Entries that this disk lacks would fill the memory.
+	}
 	if !r.now.Before(r.nextHeartbeat) {
 		r.nextHeartbeat = r.now.Add(r.electionTimeout() / (DefaultElectionTimeout / DefaultHeartbeatInterval))
 		r.replicate(true)
@@ -128,11 +139,16 @@
 		return
 	}
 	if p.nextIndex <= r.log.base {
-		r.sendSnapshot(id, p)
+		switch {
+		case !p.stalled:
+			r.sendSnapshot(id, p)
+		case heartbeat:
+			r.sendAppend(id, r.log.base, nil)
+		}
 		return
 	}
 	for {
-		canSend := len(p.inflight) < MaxInflight && (!p.probing || !p.probeSent || heartbeat)
+		canSend := len(p.inflight) < MaxInflight && p.inflightBytes < MaxInflightBytes && !p.stalled && (!p.probing || !p.probeSent)
 		var ents []*wire.LogEntry
 		if canSend {
 			ents = r.log.entriesFrom(p.nextIndex)
@@ -148,7 +164,7 @@
 		}
 		if len(ents) > 0 {
 			p.nextIndex += uint64(len(ents))
-			p.inflight = append(p.inflight, p.nextIndex-1)
+			p.addInflight(ents)
 		}
 	}
 }
@@ -181,7 +197,7 @@
 	if r.role != leader || m.GetTerm() < r.term || p == nil {
 		return
 	}
-	p.lastHeard = r.now
+	p.lastHeard, p.stalled = r.now, m.GetStalled()
 	at := r.startedAt.Add(time.Duration(m.GetRound())) //nolint:gosec // This replica's own number.
 	if at.After(p.answeredRound) {
 		p.answeredRound = at
@@ -214,11 +230,20 @@
 		}
 		p.probing, p.probeSent = false, false
 	}
-	for len(p.inflight) > 0 && p.inflight[0] <= i {
+	for len(p.inflight) > 0 && p.inflight[0].last <= i {
+		p.inflightBytes -= p.inflight[0].size
 		p.inflight = p.inflight[1:]
 	}
 }
 
+func (p *progress) addInflight(ents []*wire.LogEntry) {
+	m := sent{last: p.nextIndex - 1}
+	for _, e := range ents {
+		m.size += commandSize(e.GetCommand())
+	}
+	p.inflight, p.inflightBytes = append(p.inflight, m), p.inflightBytes+m.size
+}
+
 // recordRejection moves back to an index where the logs may match, and ignores outdated
 // rejections. A rejected heartbeat that was sent well after a snapshot shows that the snapshot
 // was lost, for instance in a network partition, so the snapshot is sent again. A heartbeat
@@ -234,7 +259,7 @@
 		return
 	}
 	p.nextIndex = max(p.matchIndex+1, min(m.GetHint()+1, m.GetLastIndex()))
-	p.probing, p.probeSent, p.inflight = true, false, nil
+	p.probing, p.probeSent, p.inflight, p.inflightBytes = true, false, nil, 0
 }
 
 // advanceCommit moves the commit index to the newest entry of the current term that a quorum
--- a/core/raft/log.go
+++ b/core/raft/log.go
@@ -6,6 +6,9 @@
 	"azurelane/core/wire"
 )
 
+// entryOverhead is the approximate size in bytes of an entry without its command.
+const entryOverhead = 64
+
 // raftLog holds the entries after base; snapshot covers all entries up to base, and may cover
 // more.
 type raftLog struct {
@@ -82,6 +85,30 @@
 	}
 }
 
+// commandSize is the size of an entry with a command, within some bytes.
+func commandSize(command []byte) int { return len(command) + entryOverhead }
+
+// bytesAfter returns the size of the entries after index i.
+func (l *raftLog) bytesAfter(i uint64) int {
+	size := 0
+	for _, e := range l.entries[min(max(i, l.base), l.lastIndex())-l.base:] {
+		size += commandSize(e.GetCommand())
+	}
+	return size
+}
+
+// trimTrailing discards entries that the snapshot covers and that exceed TrailingEntries or
+// TrailingBytes.
+func (l *raftLog) trimTrailing() {
+	i, size := min(l.snapshot.GetIndex(), l.lastIndex()), 0
+	for first := l.snapshot.GetIndex() - min(l.snapshot.GetIndex(), TrailingEntries); i > max(l.base, first); i-- {
+		if size += commandSize(l.entry(i).GetCommand()); size > TrailingBytes {
+			break
+		}
+	}
+	l.compactTo(i)
+}
+
 // compactTo discards the entries up to index i.
 func (l *raftLog) compactTo(i uint64) {
 	if i <= l.base {
--- a/core/raft/membership.go
+++ b/core/raft/membership.go
@@ -74,8 +74,13 @@
 // a leader that is about to stop. The leader accepts no proposals from then on.
 func (r *Raft) TransferLeadership(now time.Time) Effects {
 	r.advanceClock(now)
+	r.transferLeadership()
+	return r.flush()
+}
+
+func (r *Raft) transferLeadership() {
 	if r.role != leader || r.transferTarget != "" {
-		return r.flush()
+		return
 	}
 	var best *progress
 	for _, p := range r.Replicas() {
@@ -86,7 +91,6 @@
 	}
 	r.transferDeadline = r.now.Add(r.electionTimeout())
 	r.sendTimeoutNow()
-	return r.flush()
 }
 
 // sendTimeoutNow tells the transfer target to start an election once it holds the whole log.
--- a/core/raft/raft.go
+++ b/core/raft/raft.go
@@ -36,10 +36,17 @@
 	DefaultElectionTimeout   = time.Second            // Minimum; each timeout is drawn from one to two times this.
 	MaxBatchBytes            = 1 << 20                // Bytes of entries in one message.
 	MaxInflight              = 16                     // Unanswered messages with entries to one replica.
+	MaxInflightBytes         = 4 << 20                // Bytes of entries in these messages, unless it is a single message.
 	MaxUncommitted           = 4096                   // Uncommitted entries at the leader.
+	MaxUncommittedBytes      = 16 << 20               // Bytes of these entries and of those that are not on its disk.
 	TrailingEntries          = 500                    // Entries kept before a snapshot for replicas that lag slightly.
+	TrailingBytes            = 4 << 20                // Bytes of these entries.
 )
 
+// LargeCommand is the size in bytes from which a command counts as large. Large commands may
+// take half of MaxUncommittedBytes, so that they don't crowd out the others.
+const LargeCommand = 32 << 10
+
 type role int
 
 const (
@@ -132,6 +139,7 @@
 		r.loadRecord(rec)
 	}
 	r.syncedIndex = r.log.lastIndex()
+	r.log.trimTrailing()
 	r.resetElectionTimer()
 	if r.isOnlyVoter() {
 		r.electionDeadline = now // The only voter needs no other replica's vote.
@@ -213,7 +221,7 @@
 	if r.role != leader || r.transferTarget != "" {
 		return 0, r.flush(), ErrNotLeader
 	}
-	if r.log.lastIndex()+uint64(len(commands)) > r.commitIndex+MaxUncommitted {
+	if r.log.lastIndex()+uint64(len(commands)) > r.commitIndex+MaxUncommitted || !r.hasRoom(commands) {
 		return 0, r.flush(), ErrBusy
 	}
 	first := r.log.lastIndex() + 1
@@ -224,6 +232,20 @@
 	return first, r.flush(), nil
 }
 
+// hasRoom reports whether commands may be added to the entries that are not committed or not on
+// this replica's disk.
+func (r *Raft) hasRoom(commands [][]byte) bool {
+	limit, size := MaxUncommittedBytes, 0
+	for _, c := range commands {
+		size += commandSize(c)
+		if len(c) >= LargeCommand {
+			limit = MaxUncommittedBytes / 2
+		}
+	}
+	waiting := r.log.bytesAfter(min(r.commitIndex, r.syncedIndex))
+	return waiting == 0 || waiting+size <= limit
+}
+
 // Snapshot returns a snapshot without data at the last entry returned in Effects. The caller
 // sets the data, which may take a while, and passes the snapshot to Compact.
 func (r *Raft) Snapshot() *wire.Snapshot {
@@ -232,7 +254,7 @@
 }
 
 // Compact makes a snapshot the newest one and discards the entries that it covers, except for
-// the last TrailingEntries. The disk must then hold the snapshot and LogRecords in place of the
+// the last ones, up to TrailingEntries and TrailingBytes. The disk must then hold the snapshot and LogRecords in place of the
 // log. A snapshot that is no newer than the current one is ignored: a leader may have sent a
 // newer one meanwhile.
 func (r *Raft) Compact(snap *wire.Snapshot) {
@@ -240,9 +262,7 @@
 		return
 	}
 	r.log.snapshot = snap
-	if snap.GetIndex() > TrailingEntries {
-		r.log.compactTo(snap.GetIndex() - TrailingEntries)
-	}
+	r.log.trimTrailing()
 	for len(r.memberships) > 1 && r.memberships[1].index <= snap.GetIndex() {
 		r.memberships = r.memberships[1:]
 	}
--- a/core/raft/sim_test.go
+++ b/core/raft/sim_test.go
@@ -45,6 +45,7 @@
 		leaseless       bool                      // Setting of all replicas that start from here on.
 		checkLeases     bool                      // Check that no read under a lease is stale.
 		leaseReads      int
+		entryBytes      map[string]int // Size of the entries that were sent, by receiver.
 		violations      []string
 	}
 
@@ -87,6 +88,7 @@
 	s := &sim{
 		rnd: rand.New(rand.NewPCG(seed, 1)), nodes: map[string]*node{}, blocked: map[[2]string]bool{}, maxDelay: simStep,
 		leaders: map[uint64]string{}, committed: map[uint64]*wire.LogEntry{}, committedInTerm: map[uint64]uint64{},
+		entryBytes: map[string]int{},
 	}
 	var list []*wire.Replica
 	for i := range n {
@@ -262,6 +264,9 @@
 func reply(e Effects) *wire.Raft { return append(e.Messages, e.MessagesAfterSync...)[0] }
 
 func (s *sim) send(m *wire.Raft) {
+	for _, e := range m.GetEntries() {
+		s.entryBytes[m.GetTo()] += proto.Size(e)
+	}
 	n := 1
 	if s.rnd.Float64() < s.duplicateRate {
 		n = 2
--- a/io/ctrl/batch.go
+++ b/io/ctrl/batch.go
@@ -111,13 +111,21 @@
 	if c.applied >= c.snapped+uint64(max(CompactAfter, c.state.ClaimCount())) { //nolint:gosec // Not negative.
 		return true
 	}
-	return c.size > max(CompactSize, 2*c.snapSize) && c.applied > c.snapped
+	return c.size-c.replacedSize > max(CompactSize, c.snapSize) && c.applied > c.snapped
 }
 
 func (b *batch) propose() {
 	c, now := b.ctrl, time.Now()
 	var cmds [][]byte
 	var props []*proposal
+	size := 0
+	flush := func() {
+		if len(cmds) > 0 {
+			first, e, err := c.raft.Propose(now, cmds...)
+			b.proposed(first, e, err, props...)
+		}
+		cmds, props, size = nil, nil, 0
+	}
 	for _, p := range b.props {
 		if p.member != nil {
 			first, e, err := c.raft.ChangeMembership(now, p.member)
@@ -130,12 +138,14 @@
 			p.done <- answer{err: fmt.Errorf("ctrl: marshal command: %w", err)}
 			continue
 		}
-		cmds, props = append(cmds, data), append(props, p)
-	}
-	if len(cmds) > 0 {
-		first, e, err := c.raft.Propose(now, cmds...)
-		b.proposed(first, e, err, props...)
+		p.cmd = nil // A waiting proposal needs no second copy.
+		// A large command may have no room, while the others have.
+		if size+len(data) >= raft.LargeCommand {
+			flush()
+		}
+		cmds, props, size = append(cmds, data), append(props, p), size+len(data)
 	}
+	flush()
 }
 
 func (b *batch) proposed(first uint64, e raft.Effects, err error, props ...*proposal) {
--- a/io/ctrl/ctrl.go
+++ b/io/ctrl/ctrl.go
@@ -26,9 +26,9 @@
 	// entries read at a restart. With more claims than that, it is the number of claims, so that
 	// the cost of snapshots per entry does not grow with the claims.
 	CompactAfter = 1000
-	// CompactSize is the size of the log file in bytes from which it is compacted as well.
-	// Otherwise documents of hundreds of routes would fill a disk of 128 MB within a thousand
-	// changes, sixteen times this size.
+	// CompactSize is the growth of the log file in bytes after which it is compacted as well, or
+	// the size of the snapshot, if that is more. It bounds the disk, the memory for the log and
+	// what is read at a restart, as each change holds a document of up to some megabytes.
 	CompactSize = 8 << 20
 	// StaleAfter is the time without a leader after which a replica tells entries to ask another.
 	StaleAfter = 3 * time.Second
@@ -59,16 +59,19 @@
 		id       string
 		raft     *raft.Raft
 		state    state.State
-		snapped  uint64     // Index of the newest snapshot.
-		retry    time.Time  // Earliest time of the next compaction, after one failed.
-		snapSize int64      // Size of the newest snapshot's data in bytes.
-		size     int64      // Size of the log in bytes after the last write.
-		saving   chan saved // Receives the snapshot being written; nil for none.
-		applied  uint64
-		unsynced unsynced
-		waiting  map[uint64]*proposal // By log index.
-		clock    clock
-		expire   time.Time // Time of the next check for expired claims.
+		snapped  uint64    // Index of the newest snapshot.
+		retry    time.Time // Earliest time of the next compaction, after one failed.
+		snapSize int64     // Size of the newest snapshot's data in bytes.
+		size     int64     // Size of the log in bytes after the last write.
+		// replacedSize is the size of the log in bytes after it was last replaced by this
+		// process; zero before.
+		replacedSize int64
+		saving       chan saved // Receives the snapshot being written; nil for none.
+		applied      uint64
+		unsynced     unsynced
+		waiting      map[uint64]*proposal // By log index.
+		clock        clock
+		expire       time.Time // Time of the next check for expired claims.
 
 		in               chan *wire.Raft
 		props            chan *proposal
@@ -141,7 +144,7 @@
 	if err := c.state.Load(snap.GetData()); err != nil {
 		return fmt.Errorf("ctrl: %w", err)
 	}
-	c.applied, c.snapped = snap.GetIndex(), snap.GetIndex()
+	c.applied, c.snapped, c.snapSize = snap.GetIndex(), snap.GetIndex(), int64(len(snap.GetData()))
 	c.observer.broadcast()
 	return nil
 }
--- a/io/ctrl/fake_test.go
+++ b/io/ctrl/fake_test.go
@@ -50,6 +50,8 @@
 		snap   *wire.Snapshot
 		recs   []*wire.Record
 		syncs  int
+		size   int64 // Of the records and the snapshot, in bytes.
+		puts   int   // How often the log was replaced.
 		fail   error
 		noRoom bool          // No space for a snapshot beside the log.
 		full   bool          // No space at all.
@@ -250,6 +252,7 @@
 	}
 	s.syncs++
 	s.recs = append(s.recs, recs...)
+	s.grow(recs)
 	return nil
 }
 
@@ -264,10 +267,17 @@
 		return disk.ErrFull
 	}
 	s.syncs++
-	s.snap, s.recs = snap, recs
+	s.snap, s.recs, s.size, s.puts = snap, recs, int64(proto.Size(snap)), s.puts+1
+	s.grow(recs)
 	return nil
 }
 
+func (s *memStore) grow(recs []*wire.Record) {
+	for _, r := range recs {
+		s.size += int64(proto.Size(r))
+	}
+}
+
 func (s *memStore) sync() {
 	s.mu.Lock()
 	d := s.slow
@@ -299,7 +309,10 @@
 	return s.snap.GetIndex()
 }
 
-// Size returns zero, as the tests compact by the number of entries.
-func (*memStore) Size() int64 { return 0 }
+func (s *memStore) Size() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.size
+}
 
 func (*memStore) Close() error { return nil }
--- a/io/ctrl/writes.go
+++ b/io/ctrl/writes.go
@@ -129,6 +129,9 @@
 	if w.slow {
 		c.Log.Info("Slow disk write completed.", "took", time.Since(w.start).String())
 	}
+	if w.replaces() {
+		c.replacedSize = w.size
+	}
 	if w.saved != nil {
 		c.snapped, c.snapSize = max(c.snapped, w.saved.snap.GetIndex()), int64(len(w.saved.snap.GetData()))
 	}
--- a/io/disk/frame.go
+++ b/io/disk/frame.go
@@ -33,10 +33,13 @@
 )
 
 func encode(seq uint32, recs []*wire.Record) ([]byte, error) {
-	payload, err := proto.Marshal(&wire.Batch{Records: recs})
+	b := &wire.Batch{Records: recs}
+	// The frame is built in place: records of many megabytes would otherwise be copied twice.
+	frame, err := proto.MarshalOptions{UseCachedSize: true}.MarshalAppend(make([]byte, headSize, proto.Size(b)+2*headSize), b)
 	if err != nil {
 		return nil, fmt.Errorf("disk: marshal records: %w", err)
 	}
+	payload := frame[headSize:]
 	if len(payload) > maxFrame {
 		return nil, fmt.Errorf("disk: %d bytes in one write: expected %d at most", len(payload), maxFrame)
 	}
@@ -44,12 +47,12 @@
 	if bytes.Contains(payload, zeros) {
 		length |= zeroFlag
 	}
-	body := append(payload, bytes.Repeat([]byte{padMark}, headSize-len(payload)%headSize)...)
-	head := binary.LittleEndian.AppendUint32(make([]byte, 0, headSize+len(body)), length)
-	head = binary.LittleEndian.AppendUint32(head, seq)
-	head = binary.LittleEndian.AppendUint32(head, crc32.Checksum(body, castagnoli))
-	head = binary.LittleEndian.AppendUint32(head, crc32.Checksum(head, castagnoli))
-	return append(head, body...), nil
+	frame = append(frame, bytes.Repeat([]byte{padMark}, headSize-len(payload)%headSize)...)
+	binary.LittleEndian.PutUint32(frame, length)
+	binary.LittleEndian.PutUint32(frame[4:], seq)
+	binary.LittleEndian.PutUint32(frame[8:], crc32.Checksum(frame[headSize:], castagnoli))
+	binary.LittleEndian.PutUint32(frame[12:], crc32.Checksum(frame[:12], castagnoli))
+	return frame, nil
 }
 
 // next returns the payload and the size of the frame at off. The error is errTorn if the frame is the last
