A stop refuses what waits, and answers before it closes connections

Cause: a draining entry asked only on arrival whether a request may outlast it. What waited already, for a slot or for its body, waited to the end, where the server closed all connections without ending the requests. Change: from the time on at which new requests are refused, those that wait and may outlast the entry are refused as well, with a time to come back. Contexts of requests end 150 ms before their server closes connections, at all servers. Related paths: the own interface's entries, calls at control replicas, connections that an entry passes on for others. Why it works: what has not run ends in a refusal while its connection is open, and nothing is sent for it after that.

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -40,6 +40,9 @@
 // request has ended.
 const drainOpen = time.Second
 
+// endTime is how long requests that still run at the drain limit are waited for.
+const endTime = time.Second
+
 // Entry is an entry process, made by Open.
 type Entry struct {
 	set    *setup.Setup
@@ -118,7 +121,7 @@
 	e.sup = suture.New("entry", suture.Spec{EventHook: func(ev suture.Event) { e.log.Info("Part stopped.", "event", ev.String()) }})
 	for _, s := range []suture.Service{
 		e.mesh, e.sched, e.member, e.owner, e.grant, e.follow,
-		&httpd.Httpd{Listen: callers, Handler: e.front, Drain: set.DrainLimit, DrainOpen: drainOpen},
+		&httpd.Httpd{Listen: callers, Handler: e.front, Drain: endTime, DrainOpen: drainOpen},
 		&httpd.Httpd{Listen: upstreams, Handler: &lease.Lease{Config: e.follow.Config, Take: e.notice.Forward}},
 		&httpd.Httpd{Listen: certs.Wrap(operator, certs.Operators(links)), Handler: ops.Handler()},
 	} {
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -52,6 +52,7 @@
 
 		mu      sync.Mutex
 		open    quota.Quota
+		ended   bool                               // Requests that wait for a slot are refused.
 		waiting map[uint64]context.CancelCauseFunc // By request id.
 		budget  budget.Budget                      // Of second placements.
 	}
@@ -93,6 +94,9 @@
 	defaultTakeTime = 30 * time.Second
 )
 
+// refuseTime is how long a stop waits for the refusals of requests that wait for a slot.
+const refuseTime = 200 * time.Millisecond
+
 // Request and response headers.
 const (
 	HeaderKey        = "Idempotency-Key"
@@ -108,7 +112,8 @@
 func (f *Front) Drain() { f.draining.Store(true) }
 
 // Stop refuses new requests and waits until those in flight have their answer
-// or ctx ends.
+// or ctx ends. Then it refuses those that still wait for a slot: they have not
+// run, and their callers could not know that if the process just ended.
 func (f *Front) Stop(ctx context.Context) {
 	f.mu.Lock()
 	f.stopping.Store(true)
@@ -120,8 +125,24 @@
 	}()
 	select {
 	case <-done:
+		return
 	case <-ctx.Done():
 	}
+	f.refuseWaiting()
+	select {
+	case <-done:
+	case <-time.After(refuseTime):
+	}
+}
+
+func (f *Front) refuseWaiting() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.ended = true
+	for id, cancel := range f.waiting {
+		cancel(errStopping)
+		delete(f.waiting, id)
+	}
 }
 
 // enter counts a request in, unless the entry is stopping. Both happen under
--- a/io/front/refuse_test.go
+++ b/io/front/refuse_test.go
@@ -353,3 +353,30 @@
 	}
 	s.free()
 }
+
+// Guards against requests that a stop cuts while they wait for a slot: with and
+// without a key they get a refusal at the end.
+func TestStopRefusesWaiting(t *testing.T) {
+	for _, key := range []string{"", "k"} {
+		t.Run("key "+key, func(t *testing.T) {
+			s := newSite(t, 1)
+			waits := make(chan struct{})
+			s.granter.before = func(ctx context.Context, _ *wire.Ticket) error {
+				close(waits)
+				<-ctx.Done()
+				return ctx.Err()
+			}
+			got := make(chan reply, 1)
+			go func() { got <- s.entries[0].ask(ask{key: key}) }()
+			<-waits
+			ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+			defer cancel()
+			start := time.Now()
+			s.entries[0].Stop(ctx)
+			must.Less(t, time.Second, time.Since(start))
+			r := <-got
+			r.refused(t, refuse.ShuttingDown, "not-run", "1")
+			must.SliceEmpty(t, s.engine.Journal())
+		})
+	}
+}
--- a/io/front/request.go
+++ b/io/front/request.go
@@ -227,6 +227,8 @@
 		return refuse.New(refuse.Deadline, "no slot before the deadline", time.Second)
 	case errors.Is(cause, errShed):
 		return refuse.New(refuse.AccountLimit, "its place went to more urgent work of the account", time.Second)
+	case errors.Is(cause, errStopping):
+		return errStopping
 	}
 	return refuse.New(refuse.CallerGone, "", 0)
 }
--- a/io/front/usage.go
+++ b/io/front/usage.go
@@ -49,6 +49,9 @@
 	if f.waiting == nil {
 		f.waiting = map[uint64]context.CancelCauseFunc{}
 	}
+	if f.ended {
+		cancel(errStopping)
+	}
 	f.waiting[q.id] = cancel
 	f.open.MarkWaiting(q.account, q.id)
 }
--- a/io/gate/body.go
+++ b/io/gate/body.go
@@ -88,11 +88,14 @@
 	w := http.NewResponseController(q.w)
 	// Not every ResponseWriter has deadlines; those of a server do.
 	_ = w.SetReadDeadline(q.start.Add(q.timeLimit()))
+	stop := q.onDrain(func() { _ = w.SetReadDeadline(time.Now()) })
+	defer stop()
 	b := &body{held: held{buffer: &q.gate.Memory, kind: buffer.Bodies}, wait: q.bodyWait()}
 	b.await = func(size, by int64) bool { return q.awaitMemory(b, size, by) }
 	q.body = b.use()
 	err := b.read(http.MaxBytesReader(q.w, q.r.Body, limit), length)
 	if err == nil {
+		stop()
 		_ = w.SetReadDeadline(time.Time{})
 		return nil
 	}
@@ -104,6 +107,8 @@
 		return refuse.New(refuse.NoMemory, "", defaultRetryAfter)
 	case asError(err, &large):
 		return refuse.New(refuse.TooLarge, "", 0)
+	case errors.Is(err, os.ErrDeadlineExceeded) && q.drainCutsOff():
+		return errDraining
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return refuse.New(refuse.BodyLate, "", 0)
 	}
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -65,7 +65,7 @@
 		Stats  *stats.Stats
 		Log    logr.Logger
 
-		draining         atomic.Pointer[DrainSchedule]
+		drain            drain
 		waitingForConfig atomic.Int64  // Requests that wait for the first configuration.
 		lastTicket       atomic.Uint64 // ID of the last ticket.
 		memoryLoggedAt   atomic.Int64  // In nanoseconds since 1970.
@@ -177,39 +177,20 @@
 	// longer than this wait.
 	configWait       = 600 * time.Millisecond
 	maxConfigWaiters = 500
-	// drainRetryAfter is the Retry-After of a draining entry. It is short because other entries
-	// still serve.
-	drainRetryAfter = 50 * time.Millisecond
 	// noPathRetryAfter is the Retry-After of an entry that reaches no upstream. Callers reach other
 	// entries then.
 	noPathRetryAfter = 100 * time.Millisecond
 )
 
-// DrainSchedule says how a draining entry treats requests.
-type DrainSchedule struct {
-	RefuseFrom time.Time // From this time on, requests that may run past Deadline are refused.
-	Deadline   time.Time // Requests that still run at this time are cut off.
-}
-
-// Drain starts draining. From now on each response asks the caller to close its connection.
-func (g *Gate) Drain(s DrainSchedule) { g.draining.Store(&s) }
-
 // Ready reports whether callers should be sent to this entry.
-func (g *Gate) Ready() bool { return g.draining.Load() == nil && g.Cluster.View().Index != nil }
-
-// drainCutsOff reports whether a draining entry must refuse a request that may take as long as
-// maxDuration, because the request would be cut off while it runs.
-func (g *Gate) drainCutsOff(now time.Time, maxDuration time.Duration) bool {
-	s := g.draining.Load()
-	return s != nil && now.After(s.RefuseFrom) && now.Add(maxDuration).After(s.Deadline)
-}
+func (g *Gate) Ready() bool { return !g.drain.begun() && g.Cluster.View().Index != nil }
 
 // ServeHTTP serves one request.
 func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	q := &request{gate: g, w: w, r: r, start: time.Now(), view: g.Cluster.View()}
 	defer q.endWrites()
 	defer q.dropBody()
-	if g.draining.Load() != nil {
+	if g.drain.begun() {
 		w.Header().Set("Connection", "close")
 	}
 	if q.view.Index == nil {
@@ -261,8 +242,8 @@
 	if headerErr != nil {
 		return refuse.New(refuse.BadRequest, headerErr.Error(), 0)
 	}
-	if q.gate.drainCutsOff(q.start, q.timeLimit()) {
-		return refuse.New(refuse.ShuttingDown, "", drainRetryAfter)
+	if q.drainCutsOff() {
+		return errDraining
 	}
 	if q.gate.Path.Blocked() {
 		return refuse.New(refuse.Unreachable, "this entry reaches no upstream", noPathRetryAfter)
--- a/io/gate/request.go
+++ b/io/gate/request.go
@@ -17,6 +17,7 @@
 	"azurelane/core/tally"
 	"azurelane/core/tried"
 	"azurelane/core/wire"
+	"azurelane/io/httpd"
 	"azurelane/io/watch"
 )
 
@@ -132,10 +133,7 @@
 	var f *flight // The next send.
 	for {
 		if f == nil {
-			p, err := q.placeUnlessBanned(ctx)
-			if err != nil && ctx.Err() == nil && q.tried.GoBack() {
-				p, err = q.placeUnlessBanned(ctx)
-			}
+			p, err := q.findUpstream(ctx)
 			if err != nil {
 				q.failPlacement(ctx, err)
 				return
@@ -165,6 +163,31 @@
 	}
 }
 
+// findUpstream finds an upstream for the next send. Upstreams that were given up for their silence are a
+// last resort.
+func (q *request) findUpstream(ctx context.Context) (*placement, error) {
+	ctx, cancel := q.whilePlaced(ctx)
+	defer cancel()
+	p, err := q.placeUnlessBanned(ctx)
+	if err != nil && ctx.Err() == nil && q.tried.GoBack() {
+		p, err = q.placeUnlessBanned(ctx)
+	}
+	if err != nil && errors.Is(context.Cause(ctx), errDraining) {
+		return nil, errDraining
+	}
+	return p, err
+}
+
+// callerGone reports whether the caller has left. The request's context ends as well when the server stops.
+func (q *request) callerGone() bool {
+	return q.r.Context().Err() != nil && !q.serverStops()
+}
+
+// serverStops reports whether the request has to end because the server stops.
+func (q *request) serverStops() bool {
+	return errors.Is(context.Cause(q.r.Context()), httpd.ErrStopping)
+}
+
 // freeFailures gives back the memory of upstreams' error responses.
 func (q *request) freeFailures() {
 	for _, a := range q.failures {
@@ -285,12 +308,14 @@
 func (q *request) failPlacement(ctx context.Context, err error) {
 	var refusal *refuse.Error
 	switch {
-	case q.r.Context().Err() != nil:
+	case q.callerGone():
 		q.abort(callerLeft, err)
 	case q.headerSent:
 		q.abort(noUpstreamToResume, err)
 	case q.tried.Ran() > 0:
 		q.refuse(refuse.New(refuse.UpstreamLost, "no upstream for another send", 0))
+	case q.serverStops():
+		q.refuse(errDraining)
 	case errors.As(err, &refusal) && refusal.Code == refuse.NoUpstream && q.tried.Sends() > 0:
 		q.refuse(refuse.New(refuse.Unreachable, "each upstream was tried", refusal.RetryAfter))
 	case errors.As(err, &refusal):
@@ -307,7 +332,7 @@
 	switch {
 	case res.outcome == outcomeComplete:
 		q.recordCompletion(res)
-	case res.outcome == outcomeCallerLeft, q.r.Context().Err() != nil:
+	case res.outcome == outcomeCallerLeft, q.callerGone():
 		q.abort(callerLeft, res.err)
 	case q.headerSent:
 		q.abort(streamBroken, res.err)
@@ -321,6 +346,8 @@
 		q.refuse(refuse.New(refuse.DeadlinePassed, "", 0))
 	case q.tried.Ran() > 0:
 		q.refuse(refuse.New(refuse.UpstreamLost, errText(res.err), 0))
+	case q.serverStops():
+		q.refuse(errDraining)
 	default:
 		q.refuse(refuse.New(refuse.Unreachable, errText(res.err), defaultRetryAfter))
 	}
--- a/io/gate/send.go
+++ b/io/gate/send.go
@@ -66,7 +66,7 @@
 			res.next = next
 		}
 		res.total = time.Since(f.sentAt)
-		if res.outcome != outcomeComplete && q.r.Context().Err() != nil {
+		if res.outcome != outcomeComplete && q.callerGone() {
 			res.outcome = outcomeCallerLeft
 		}
 		if res.outcome != outcomeComplete {
--- a/io/gated/gated.go
+++ b/io/gated/gated.go
@@ -49,7 +49,7 @@
 	// probes every second and removes an entry after two failed probes.
 	drainLinger = 2500 * time.Millisecond
 	// stopMargin is the time at the end of the drain limit that is left for stopping the process.
-	// Requests that still run when it begins are cut off.
+	// Requests that still run are ended httpd.EndTime before it begins.
 	stopMargin = 600 * time.Millisecond
 	// keepAliveDrain is how long requests on open keep-alive connections are served, before and
 	// again after the listener closes.
@@ -89,6 +89,7 @@
 	mesh       *mesh.Mesh
 	client     *client.Client
 	dialer     *dialer.Dialer
+	tunnel     *tunnel.Tunnel // Nil if the settings name no address for it.
 	supervisor *suture.Supervisor
 	callers    *httpd.Httpd
 	delay      delay.Delay
@@ -185,10 +186,10 @@
 	if err != nil {
 		return fmt.Errorf("gated: listen: %w", err)
 	}
-	t := &tunnel.Tunnel{Listen: ln, Known: e.knowsUpstream, Path: e.dialer, Limit: maxTunnels, Log: e.log.WithName("tunnel")}
-	metrics.Pull("tunnels", t.Open)
+	e.tunnel = &tunnel.Tunnel{Listen: ln, Known: e.knowsUpstream, Path: e.dialer, Limit: maxTunnels, Log: e.log.WithName("tunnel")}
+	metrics.Pull("tunnels", e.tunnel.Open)
 	e.watch.Tunnel = e.settings.Tunnel
-	e.supervisor.Add(t)
+	e.supervisor.Add(e.tunnel)
 	return nil
 }
 
@@ -242,10 +243,19 @@
 	}
 	e.log.Info("Entry drains.")
 	now := time.Now()
-	e.gate.Drain(gate.DrainSchedule{RefuseFrom: now.Add(drainLinger), Deadline: now.Add(e.settings.DrainLimit - stopMargin)})
+	end := now.Add(e.settings.DrainLimit - stopMargin)
+	e.gate.Drain(gate.DrainSchedule{RefuseFrom: now.Add(drainLinger), Deadline: end.Add(-httpd.EndTime)})
+	if e.tunnel != nil {
+		e.tunnel.Drain()
+	}
 	time.Sleep(drainLinger)
 	stopCallers()
 	<-served //nolint:errcheck // The server was stopped above.
+	if e.tunnel != nil {
+		endCtx, endCancel := context.WithDeadline(servicesCtx, end)
+		e.tunnel.AwaitIdle(endCtx)
+		endCancel()
+	}
 	e.reportUsageOnce(servicesCtx)
 	cancel()
 	<-done //nolint:errcheck // The services were stopped above.
--- a/io/httpd/httpd.go
+++ b/io/httpd/httpd.go
@@ -21,12 +21,18 @@
 	maxHeader  = 32 << 10
 	stopTime   = 5 * time.Second // For requests in flight, where Drain is not set.
 	lastTime   = time.Second     // For the last requests of open connections, where DrainOpen is not set.
-	drainStep  = 10 * time.Millisecond
+	// EndTime is the last part of the wait for requests in flight. Their contexts end when it begins, so that
+	// those which have not run are refused, and answered, before their connections are closed.
+	EndTime   = 150 * time.Millisecond
+	drainStep = 10 * time.Millisecond
 	// settleTime is how long no request may run before connections are closed. A request that waits behind
 	// an answer on its connection is begun within it.
 	settleTime = 200 * time.Millisecond
 )
 
+// ErrStopping is the cause with which the contexts of requests end that are in flight when their server has to stop.
+var ErrStopping = errors.New("httpd: server stops")
+
 // Httpd is one HTTP server. Its fields are set before Serve is called.
 type Httpd struct {
 	Listen  net.Listener
@@ -48,8 +54,11 @@
 // those in flight, streams of many minutes among them, for as long as Drain.
 func (h *Httpd) Serve(ctx context.Context) error {
 	h.stopping.Store(false)
+	base, end := context.WithCancelCause(context.WithoutCancel(ctx))
+	defer end(nil)
 	srv := &http.Server{
-		Handler: http.HandlerFunc(h.answer), ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHeader,
+		BaseContext: func(net.Listener) context.Context { return base },
+		Handler:     http.HandlerFunc(h.answer), ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHeader,
 		ConnState: h.count,
 	}
 	ln := listen.Of(h.Listen)
@@ -70,10 +79,12 @@
 	}
 	err := <-done
 	h.drain(cmp.Or(h.DrainOpen, lastTime))
-	sctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), cmp.Or(h.Drain, stopTime))
+	sctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), cmp.Or(h.Drain, stopTime)-EndTime)
 	defer cancel()
 	h.settle(sctx)
 	if err := srv.Shutdown(sctx); err != nil {
+		end(ErrStopping)
+		h.drain(EndTime)
 		_ = srv.Close()
 	}
 	if !errors.Is(err, net.ErrClosed) {
--- a/io/httpd/httpd_test.go
+++ b/io/httpd/httpd_test.go
@@ -245,3 +245,37 @@
 		}
 	}
 }
+
+// Guards against requests that a server cuts at the end of its stop: their contexts must end in time
+// for an answer.
+func TestRequestsAreAnsweredBeforeTheEnd(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	running := make(chan struct{})
+	h := &httpd.Httpd{Listen: ln, Drain: 400 * time.Millisecond, DrainOpen: 10 * time.Millisecond, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		close(running)
+		<-r.Context().Done()
+		if errors.Is(context.Cause(r.Context()), httpd.ErrStopping) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- h.Serve(ctx) }()
+	answer := make(chan int, 1)
+	go func() {
+		resp, err := http.Get("http://" + ln.Addr().String())
+		if err != nil {
+			answer <- 0
+			return
+		}
+		_ = resp.Body.Close()
+		answer <- resp.StatusCode
+	}()
+	<-running
+	start := time.Now()
+	cancel()
+	must.Eq(t, http.StatusServiceUnavailable, <-answer)
+	<-done
+	must.Less(t, time.Second, time.Since(start))
+}
--- a/io/hubd/hubd.go
+++ b/io/hubd/hubd.go
@@ -43,6 +43,7 @@
 	// place requests by themselves while there is no leader.
 	electionTimeout    = 400 * time.Millisecond
 	drainOpenTime      = 200 * time.Millisecond // For open connections, before and after the listener closes.
+	stopMargin         = 600 * time.Millisecond // For stopping the process once the last call is answered.
 	learnerForgetAfter = time.Minute            // Silence after which a learner is removed from the group.
 	// maxRefusalLogLines is how many lines per second are logged for refused tickets. A line
 	// costs some 20 us, ten times as much as refusing a ticket, so that this is at most 1 % of a
@@ -118,7 +119,7 @@
 	d.ctrl.Sender = m
 	ops := &admin.Admin{Stats: metrics, Ready: d.ctrl.Ready}
 	d.sup = suture.New("hub", suture.Spec{EventHook: func(ev suture.Event) { d.log.Info("Supervisor event.", "event", ev.String()) }})
-	d.front = &httpd.Httpd{Listen: front, Handler: calls(h), DrainOpen: drainOpenTime}
+	d.front = &httpd.Httpd{Listen: front, Handler: calls(h), Drain: callDrain(settings.DrainLimit), DrainOpen: drainOpenTime}
 	for _, s := range []suture.Service{
 		m, d.ctrl, h,
 		&form.Form{Policy: group, Self: settings.Peers, Centre: settings.Centre, Replica: d.ctrl, Leader: toLeader, Log: d.log.WithName("form")},
@@ -135,6 +136,15 @@
 	}
 }
 
+// callDrain returns how long calls may be answered after leadership was handed over, so that all of them are
+// answered within the drain limit. Zero is the server's default.
+func callDrain(limit time.Duration) time.Duration {
+	if limit <= 0 {
+		return 0
+	}
+	return max(limit-leaveTimeout-2*drainOpenTime-stopMargin, 2*httpd.EndTime)
+}
+
 // replicas returns the replicas to ask for the leader, this one first.
 func (d *Hubd) replicas() []netip.AddrPort {
 	list := []netip.AddrPort{d.settings.Peers}
--- a/io/tunnel/tunnel.go
+++ b/io/tunnel/tunnel.go
@@ -29,6 +29,7 @@
 	// replyTimeout is how long the other entry may take to connect to the upstream.
 	replyTimeout = DialTimeout + 200*time.Millisecond
 	headTimeout  = time.Second
+	idleCheck    = 20 * time.Millisecond
 	frameLimit   = 8 << 10 // Bytes of data in one frame.
 	headerSize   = 2       // Bytes.
 	maxAddress   = 64      // Bytes.
@@ -65,8 +66,9 @@
 	Limit  int64                      // Connections that are passed on at once.
 	Log    logr.Logger
 
-	open atomic.Int64
-	wg   sync.WaitGroup
+	open     atomic.Int64
+	draining atomic.Bool
+	wg       sync.WaitGroup
 }
 
 // connector opens this entry's own connections to upstreams.
@@ -78,6 +80,22 @@
 // Open returns the number of connections that are passed on.
 func (t *Tunnel) Open() int64 { return t.open.Load() }
 
+// Drain makes other entries look for another way. Connections that are open stay.
+func (t *Tunnel) Drain() { t.draining.Store(true) }
+
+// AwaitIdle waits until no connection is passed on, or until ctx ends.
+func (t *Tunnel) AwaitIdle(ctx context.Context) {
+	tick := time.NewTicker(idleCheck)
+	defer tick.Stop()
+	for t.open.Load() > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
 // Serve accepts connections until ctx ends, and then closes all of them.
 func (t *Tunnel) Serve(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { _ = t.Listen.Close() })
@@ -101,7 +119,7 @@
 	stopIn := context.AfterFunc(ctx, func() { abort(in) })
 	defer stopIn()
 	defer t.open.Add(-1)
-	if t.open.Add(1) > t.Limit {
+	if t.open.Add(1) > t.Limit || t.draining.Load() {
 		_, _ = in.Write([]byte{replyBusy})
 		return
 	}
--- a/io/tunnel/tunnel_test.go
+++ b/io/tunnel/tunnel_test.go
@@ -138,3 +138,33 @@
 	_, err = Dial(t.Context(), entry, "127.0.0.1:1")
 	must.ErrorIs(t, err, ErrRefused)
 }
+
+// Guards against an entry that stops and cuts the requests of others that it passes on: it must take
+// no more of them, and leave those that run their time.
+func TestDrainLetsRequestsEnd(t *testing.T) {
+	answer := make(chan struct{})
+	tun, entry, upstream, stop := newTunnel(t, 2, func(c *net.TCPConn) {
+		_, _ = bufio.NewReader(c).ReadString('\n')
+		<-answer
+		_, _ = io.WriteString(c, "answer")
+		_ = c.Close()
+	})
+	c, err := Dial(t.Context(), entry, upstream)
+	must.NoError(t, err)
+	defer func() { _ = c.Close() }()
+	_, err = io.WriteString(c, "question\n")
+	must.NoError(t, err)
+	tun.Drain()
+	_, err = Dial(t.Context(), entry, upstream)
+	must.ErrorIs(t, err, ErrBusy)
+	short, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	tun.AwaitIdle(short)
+	must.Error(t, short.Err())
+	time.AfterFunc(50*time.Millisecond, func() { close(answer) })
+	tun.AwaitIdle(t.Context())
+	stop()
+	got, err := io.ReadAll(c)
+	must.NoError(t, err)
+	must.Eq(t, "answer", string(got))
+}
