Routes match however their host and prefix are written

Cause: Match lowers the host of a request, NewTable kept that of the configuration. The check for two routes of one place compared the same unlowered text. Evidence: TestMatchAnyWayOfWriting and the new case of TestRoutes failed before. Change: both sides are brought into one way of writing, by one function. Found on related paths and mended with it: prefixes with escaped characters, paths with an escaped slash, hosts with a port or a last dot, the scheme of a key's header. Why it works: what the check accepts is compared by the same function that requests are matched by.

--- a/core/conf/check.go
+++ b/core/conf/check.go
@@ -59,7 +59,8 @@
 		if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
 			return invalid(at+"/prefix", "a path that begins and ends with a slash")
 		}
-		p := place{r.Host, r.Prefix}
+		var p place
+		p.host, p.prefix = r.Place()
 		if other, ok := places[p]; ok {
 			return invalid(at+"/prefix", "a host and prefix of its own, not those of "+other)
 		}
--- a/core/conf/route_test.go
+++ b/core/conf/route_test.go
@@ -17,6 +17,8 @@
 		{"weight below 0", `{"name":"r","host":"h","prefix":"/x/","split":[{"pool":"p","weight":-1},{"pool":"p","weight":2}],"timeout":"1s"}`, "/routes/0/split"},
 		{"same place", `{"name":"r","host":"h","prefix":"/x/","split":[{"pool":"p","weight":1}],"timeout":"1s"},
 			{"name":"s","host":"h","prefix":"/x/","split":[{"pool":"p","weight":1}],"timeout":"1s"}`, "/routes/1/prefix"},
+		{"same place, written otherwise", `{"name":"r","host":"h.example","prefix":"/x/","split":[{"pool":"p","weight":1}],"timeout":"1s"},
+			{"name":"s","host":"H.Example.","prefix":"/%78/","split":[{"pool":"p","weight":1}],"timeout":"1s"}`, "/routes/1/prefix"},
 	} {
 		_, err := Parse([]byte(head + tc.routes + `]}`))
 		if tc.want == "" {
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -3,6 +3,7 @@
 
 import (
 	"cmp"
+	"encoding/hex"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -16,7 +17,7 @@
 	// Route is the configuration for the requests of one host and path prefix.
 	Route struct {
 		Name       string        `json:"name"`
-		Host       string        `json:"host"`                 // Without a port.
+		Host       string        `json:"host"`                 // With a port, only requests that name it match.
 		Prefix     string        `json:"prefix"`               // Begins and ends with a slash.
 		Split      []Share       `json:"split"`                // Pools that serve the requests, by weight.
 		Stream     bool          `json:"stream,omitzero"`      // Responses are server-sent events with increasing IDs.
@@ -80,33 +81,93 @@
 	return ""
 }
 
-// Table is a lookup table of the routes of one configuration.
-type Table struct {
-	hosts map[string][]*Route // Longest prefix first.
+// Place returns the host and the prefix in one way of writing for all that mean the same.
+func (r *Route) Place() (host, prefix string) { return cleanHost(r.Host), cleanPath(r.Prefix) }
+
+// cleanHost returns a host in lower case and without the dot that may end a full domain name.
+func cleanHost(host string) string {
+	host = strings.ToLower(host)
+	if name, port, err := net.SplitHostPort(host); err == nil {
+		return net.JoinHostPort(strings.TrimSuffix(name, "."), port)
+	}
+	return strings.TrimSuffix(host, ".")
 }
 
+// cleanPath decodes the escaped characters of a path, except for slashes: an escaped one is a part of a
+// segment and separates none.
+func cleanPath(path string) string {
+	before, rest, found := strings.Cut(path, "%")
+	if !found {
+		return path
+	}
+	var b strings.Builder
+	for b.WriteString(before); found; {
+		var c []byte
+		if len(rest) >= 2 {
+			c, _ = hex.DecodeString(rest[:2])
+		}
+		switch {
+		case len(c) == 0:
+			b.WriteByte('%')
+		case c[0] == '/' || c[0] == '%':
+			b.WriteString("%" + strings.ToUpper(rest[:2]))
+			rest = rest[2:]
+		default:
+			b.WriteByte(c[0])
+			rest = rest[2:]
+		}
+		before, rest, found = strings.Cut(rest, "%")
+		b.WriteString(before)
+	}
+	return b.String()
+}
+
+type (
+	// Table is a lookup table of the routes of one configuration.
+	Table struct {
+		hosts map[string][]target // Longest prefix first.
+	}
+
+	target struct {
+		prefix string
+		route  *Route
+	}
+)
+
 // NewTable returns a table of the given routes.
 func NewTable(routes []Route) *Table {
-	t := &Table{hosts: map[string][]*Route{}}
+	t := &Table{hosts: map[string][]target{}}
 	for i := range routes {
-		r := &routes[i]
-		t.hosts[r.Host] = append(t.hosts[r.Host], r)
+		host, prefix := routes[i].Place()
+		t.hosts[host] = append(t.hosts[host], target{prefix, &routes[i]})
 	}
 	for _, list := range t.hosts {
-		slices.SortFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+		slices.SortFunc(list, func(a, b target) int { return cmp.Compare(len(b.prefix), len(a.prefix)) })
 	}
 	return t
 }
 
 // Match returns the route of the host whose prefix is the longest that matches the path, or nil. The
-// host may include a port.
+// host may include a port. The path is escaped, as in the request.
 func (t *Table) Match(host, path string) *Route {
-	if h, _, err := net.SplitHostPort(host); err == nil {
-		host = h
+	host, path = cleanHost(host), cleanPath(path)
+	if r := match(t.hosts[host], path); r != nil {
+		return r
 	}
-	for _, r := range t.hosts[strings.ToLower(host)] {
-		if strings.HasPrefix(path, r.Prefix) {
-			return r
+	name, _, err := net.SplitHostPort(host)
+	if err != nil {
+		return nil
+	}
+	if strings.Contains(name, ":") {
+		name = "[" + name + "]" // An IPv6 address, which has brackets without a port as well.
+	}
+	return match(t.hosts[name], path)
+}
+
+func match(list []target, path string) *Route {
+	for _, t := range list {
+		if strings.HasPrefix(path, t.prefix) {
+			return t.route
 		}
 	}
 	return nil
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -31,6 +31,51 @@
 	}
 }
 
+// Guards against routes that are acknowledged and never in force, because the configuration writes the
+// host or the path otherwise than requests do, and against requests that take another route because their
+// path has an escaped slash.
+func TestMatchAnyWayOfWriting(t *testing.T) {
+	table := NewTable([]Route{
+		{Name: "capitals", Host: "Lohu930.Example", Prefix: "/x/"},
+		{Name: "dot", Host: "dot.example.", Prefix: "/"},
+		{Name: "port", Host: "Port.example:81", Prefix: "/"},
+		{Name: "any port", Host: "port.example", Prefix: "/"},
+		{Name: "address", Host: "[::1]", Prefix: "/"},
+		{Name: "escaped", Host: "p.example", Prefix: "/a%20b/%E4/"},
+		{Name: "short", Host: "p.example", Prefix: "/a/"},
+		{Name: "long", Host: "p.example", Prefix: "/a/b/"},
+		{Name: "slash", Host: "p.example", Prefix: "/a/%2f/"},
+		{Name: "percent", Host: "p.example", Prefix: "/%25/"},
+	})
+	for _, tt := range []struct{ host, path, want string }{
+		{"lohu930.example", "/x/", "capitals"},
+		{"Lohu930.Example:8080", "/x/1", "capitals"},
+		{"LOHU930.EXAMPLE.", "/X/", ""},
+		{"dot.example", "/", "dot"},
+		{"dot.example.:80", "/", "dot"},
+		{"port.example:81", "/", "port"},
+		{"port.example:82", "/", "any port"},
+		{"port.example", "/", "any port"},
+		{"[::1]", "/", "address"},
+		{"[::1]:80", "/", "address"},
+		{"p.example", "/a%20b/%e4/1", "escaped"},
+		{"p.example", "/%61%20b/%E4/1", "escaped"},
+		{"p.example", "/%61/b/c", "long"},
+		{"p.example", "/a/b%2Fc", "short"},
+		{"p.example", "/a%2Fb/c", ""},
+		{"p.example", "/a/%2F/c", "slash"},
+		{"p.example", "/%25/c", "percent"},
+		{"p.example", "/%/c", ""},
+		{"p.example", "/a/%zz%2", "short"},
+	} {
+		got := ""
+		if r := table.Match(tt.host, tt.path); r != nil {
+			got = r.Name
+		}
+		must.Eq(t, tt.want, got, must.Sprint(tt))
+	}
+}
+
 func TestSplit(t *testing.T) {
 	r := Route{Split: []Share{{"a", 90}, {"b", 10}, {"none", 0}}}
 	n := map[string]int{}
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -232,7 +232,7 @@
 	if maxHeaderBytes := q.view.Index.Config().Limits.HeaderBytes; maxHeaderBytes > 0 && headerSize(q.r) > maxHeaderBytes {
 		return refuse.New(refuse.HeaderLarge, "", 0)
 	}
-	q.route = q.view.Index.Route(q.r.Host, q.r.URL.Path)
+	q.route = q.view.Index.Route(q.r.Host, q.r.URL.EscapedPath())
 	if q.route == nil {
 		return refuse.New(refuse.NotFound, "no route for that host and path", 0)
 	}
@@ -270,8 +270,8 @@
 	if q.route.Public || len(q.view.Index.Config().Accounts) == 0 {
 		return nil
 	}
-	key, ok := strings.CutPrefix(q.r.Header.Get("Authorization"), "Bearer ")
-	if !ok {
+	scheme, key, ok := strings.Cut(q.r.Header.Get("Authorization"), " ")
+	if !ok || !strings.EqualFold(scheme, "Bearer") {
 		return refuse.New(refuse.BadKey, "no key", 0)
 	}
 	q.account, q.accountConfig, ok = q.view.Index.Account(sha256.Sum256([]byte(key)))
