Limits of callers' headers and idle connections follow the configuration

Cause: the HTTP server had a fixed bound of 32 KB below the configured one. The configured times for a header and for idle connections were not used at all. Evidence: TestLimitsOfCallersAreObeyed fails before at its first request, with 431. Change: io/guard wraps callers' connections and applies the bounds in force, within half a second of a change also on open connections. net/http's own bounds, which can not change, are off there. Memory of headers over 32 KB is bounded, too, as the configured bound no longer has a ceiling. Why it works: the bound that is acknowledged is the only one left. Tests of io/guard and io/httpd pass under the race detector; TestLimitsOfCallersAreObeyed passes.

--- a/io/gate/caller.go
+++ b/io/gate/caller.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"fmt"
-	"net"
 	"net/http"
 	"time"
 )
@@ -44,7 +43,7 @@
 		q.gate.Log.Info("Connection of a caller not reset.", "request", q.meta.ID, "err", err.Error())
 		return
 	}
-	if t, ok := c.(*net.TCPConn); ok {
+	if t, ok := c.(interface{ SetLinger(sec int) error }); ok {
 		_ = t.SetLinger(0) // Fails only on a closed connection.
 	}
 	_ = c.Close()
--- a/io/gated/gated.go
+++ b/io/gated/gated.go
@@ -28,6 +28,7 @@
 	"azurelane/io/dialer"
 	"azurelane/io/gate"
 	"azurelane/io/grant"
+	"azurelane/io/guard"
 	"azurelane/io/httpd"
 	listener "azurelane/io/listen"
 	"azurelane/io/local"
@@ -45,6 +46,8 @@
 	// bufferDivisor divides the allowed memory into that of requests' bodies and of answers which are read before
 	// they are passed on. Each of the two may take three quarters of it, which is an eighth of the allowed memory.
 	bufferDivisor = 6
+	// headerDivisor divides the allowed memory into that of large headers.
+	headerDivisor = 8
 	// drainLinger is how long a draining entry still accepts new connections. The load balancer
 	// probes every second and removes an entry after two failed probes.
 	drainLinger = 2500 * time.Millisecond
@@ -134,6 +137,7 @@
 	g.RetryRatio, g.RetrySlack, g.QuotaSlack = settings.RetryRatio, settings.RetrySlack, settings.QuotaSlack
 	g.SplitValid, g.UpstreamDrain = settings.RollbackWithin/splitValidDivisor, settings.UpstreamDrain
 	e.callers = &httpd.Httpd{Listen: e.takeIn(lns[1], metrics), Handler: g, Drain: settings.DrainLimit - drainLinger - 2*keepAliveDrain - stopMargin, DrainOpen: keepAliveDrain}
+	e.callers.Guard = &guard.Guard{Bounds: e.callerBounds, Room: settings.MemoryMB << 20 / headerDivisor}
 	ops := &admin.Admin{Stats: metrics, Ready: g.Ready}
 	e.supervisor = suture.New("gate", suture.Spec{EventHook: func(ev suture.Event) { e.log.Info("Supervisor event.", "event", ev.String()) }})
 	for _, s := range []suture.Service{e.mesh, e.watch, e.grant, &httpd.Httpd{Listen: lns[2], Handler: ops.Handler(), DrainOpen: adminKeepAliveDrain}} {
@@ -152,6 +156,16 @@
 	return e, nil
 }
 
+// callerBounds returns the limits of callers' headers and idle connections in the configuration in force.
+func (e *Gated) callerBounds() (headerBytes int, headerTime, idleTime time.Duration) {
+	x := e.watch.View().Index
+	if x == nil {
+		return 0, 0, 0
+	}
+	l := x.Config().Limits
+	return l.HeaderBytes, l.HeaderTime, l.IdleTime
+}
+
 // pullMetrics sets up the gauges that are read when the metrics are.
 func (e *Gated) pullMetrics(metrics *stats.Stats) {
 	metrics.Pull("configuration-version", func() int64 { return int64(e.watch.View().Version) }) //nolint:gosec // Versions are small.
--- a/io/httpd/httpd.go
+++ b/io/httpd/httpd.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"math"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -12,6 +13,7 @@
 
 	"github.com/pkg/errors"
 
+	"azurelane/io/guard"
 	"azurelane/io/listen"
 )
 
@@ -44,6 +46,8 @@
 	// client sends the next request looks to the client like an answer that was cut
 	// off. Zero takes nothing before, and 1 s after nothing new is accepted.
 	DrainOpen time.Duration
+	// Guard bounds the headers of clients and the time that they stay idle; nil for fixed bounds.
+	Guard *guard.Guard
 
 	open     atomic.Int64 // Connections.
 	running  atomic.Int64 // Requests.
@@ -62,6 +66,12 @@
 		ConnState: h.count,
 	}
 	ln := listen.Of(h.Listen)
+	if h.Guard != nil {
+		ln = h.Guard.Wrap(ln)
+		srv.ReadHeaderTimeout, srv.IdleTimeout, srv.MaxHeaderBytes = 0, 0, math.MaxInt32
+		srv.ConnContext = h.Guard.Context
+		go h.Guard.Serve(base)
+	}
 	done := make(chan error, 1)
 	go func() { done <- srv.Serve(ln) }()
 	select {
@@ -100,6 +110,9 @@
 	}
 	h.running.Add(1)
 	defer h.running.Add(-1)
+	if h.Guard != nil {
+		h.Guard.Begin(r.Context())
+	}
 	h.Handler.ServeHTTP(w, r)
 }
 
@@ -134,7 +147,10 @@
 	}
 }
 
-func (h *Httpd) count(_ net.Conn, s http.ConnState) {
+func (h *Httpd) count(c net.Conn, s http.ConnState) {
+	if h.Guard != nil {
+		h.Guard.State(c, s)
+	}
 	switch s {
 	case http.StateNew:
 		h.open.Add(1)
