--- a/core/conf/keys.go
+++ b/core/conf/keys.go
@@ -83,7 +83,7 @@
 func routeKeys() []keys.Key {
 	return []keys.Key{
 		{Path: "/routes/*/name", Want: "a name", Text: "Name of the route in logs and metrics."},
-		{Path: "/routes/*/host", Want: "a host name", Text: "Host of the requests, without a port."},
+		{Path: "/routes/*/host", Want: "a host name", Text: "Host of the requests, in any letters. With a port, only requests that name it match."},
 		{Path: "/routes/*/prefix", Want: "a path that begins and ends with a slash", Text: "The longest prefix that begins the path wins."},
 		{Path: "/routes/*/split/*/pool", Want: "a name of a pool", Text: "Pool that gets a part of the route's requests."},
 		{Path: "/routes/*/split/*/weight", Want: limitWant, Text: "Its part against the others."},
@@ -106,8 +106,8 @@
 	return []keys.Key{
 		{Path: "/limits/header-bytes", Want: limitWant, Default: "32768", Text: "Bytes of a request's header, on routes."},
 		{Path: "/limits/body-bytes", Want: limitWant, Default: "4194304", Text: "Bytes of a request's body, on routes."},
-		{Path: "/limits/header-time", Want: spanWant, Default: "10s", Text: "For a request's header to come, on routes. Entries hold to the default whatever this says."},
-		{Path: "/limits/idle-time", Want: spanWant, Default: "2m0s", Text: "Of a kept-alive connection between requests, on routes. Entries hold to the default whatever this says."},
+		{Path: "/limits/header-time", Want: spanWant, Default: "10s", Text: "For a request's header to come, on routes."},
+		{Path: "/limits/idle-time", Want: spanWant, Default: "2m0s", Text: "Of a kept-alive connection between requests, on routes."},
 		{Path: "/claim-keep", Want: spanWant, Default: DefaultClaimKeep.String(), Text: "How long a finished key is remembered."},
 		{Path: "/answer-keep", Want: spanWant, Default: DefaultAnswerKeep.String(), Text: "How long a keyed request's answer is kept for a second submission."},
 		{Path: "/answer-bytes", Want: limitWant, Default: strconv.Itoa(DefaultAnswerBytes), Text: "Bytes of all answers kept at one entry."},
