Versions of upstreams that have left are part of the replicated state

Cause: a stream that no process knows goes on only if its pool has had one version for long enough. A new scheduler took that from the upstreams of the roster that have not gone, so the version of those that had just gone was unknown to it. While one has left of late, the log's clock is kept within 5 s. Why it works: whoever leads knows every version that streams in flight can have, and refuses those that nobody knows. The clock only lags, so none is forgotten early.

--- a/core/census/census.go
+++ b/core/census/census.go
@@ -2,12 +2,19 @@
 package census
 
 import (
+	"cmp"
 	"maps"
+	"slices"
 	"time"
 )
 
-// formerRetention is how long a version is remembered after its last upstream has left.
-const formerRetention = 24 * time.Hour
+const (
+	// formerRetention is how long a version is remembered after its last upstream has left.
+	formerRetention = 24 * time.Hour
+	// formerLimit is the number of versions of a pool that are remembered after their upstreams have
+	// left. Beyond it the one that left first is forgotten; the others still tell that there were several.
+	formerLimit = 32
+)
 
 type (
 	// Census knows the upstreams of a deployment by their versions. The zero value is empty and ready
@@ -30,7 +37,7 @@
 
 // Add records that an upstream is there.
 func (c *Census) Add(now time.Time, id, poolName, version string) {
-	u := upstream{poolName, version}
+	u := upstream{pool: poolName, version: version}
 	old, ok := c.upstreams[id]
 	if ok && old == u {
 		return
@@ -39,16 +46,25 @@
 		c.Remove(now, id)
 	}
 	if c.upstreams == nil {
-		c.upstreams, c.pools = map[string]upstream{}, map[string]*pool{}
+		c.upstreams = map[string]upstream{}
 	}
 	c.upstreams[id] = u
-	p := c.pools[poolName]
+	p := c.pool(poolName)
+	p.present[version]++
+	delete(p.former, version)
+}
+
+// pool returns the versions of a pool.
+func (c *Census) pool(name string) *pool {
+	if c.pools == nil {
+		c.pools = map[string]*pool{}
+	}
+	p := c.pools[name]
 	if p == nil {
 		p = &pool{present: map[string]int{}, former: map[string]time.Time{}}
-		c.pools[poolName] = p
+		c.pools[name] = p
 	}
-	p.present[version]++
-	delete(p.former, version)
+	return p
 }
 
 // Remove records that an upstream has left.
@@ -61,8 +77,34 @@
 	p := c.pools[u.pool]
 	if p.present[u.version]--; p.present[u.version] == 0 {
 		delete(p.present, u.version)
-		maps.DeleteFunc(p.former, func(_ string, left time.Time) bool { return now.Sub(left) > formerRetention })
-		p.former[u.version] = now
+		p.leave(now, u.version, now)
+	}
+}
+
+// AddFormer records that the last upstream of a version left at some time, unless one is there.
+func (c *Census) AddFormer(now time.Time, poolName, version string, left time.Time) {
+	if p := c.pool(poolName); p.present[version] == 0 && left.After(p.former[version]) {
+		p.leave(now, version, left)
+	}
+}
+
+func (p *pool) leave(now time.Time, version string, left time.Time) {
+	p.former[version] = left
+	maps.DeleteFunc(p.former, func(_ string, left time.Time) bool { return now.Sub(left) > formerRetention })
+	for len(p.former) > formerLimit {
+		delete(p.former, slices.MinFunc(slices.Collect(maps.Keys(p.former)), func(a, b string) int {
+			return cmp.Or(p.former[a].Compare(p.former[b]), cmp.Compare(a, b))
+		}))
+	}
+}
+
+// Former calls f with each version whose upstreams have left, in order of pools and versions.
+func (c *Census) Former(f func(poolName, version string, left time.Time)) {
+	for _, name := range slices.Sorted(maps.Keys(c.pools)) {
+		former := c.pools[name].former
+		for _, version := range slices.Sorted(maps.Keys(former)) {
+			f(name, version, former[version])
+		}
 	}
 }
 
--- a/core/census/census_test.go
+++ b/core/census/census_test.go
@@ -1,6 +1,7 @@
 package census
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -56,3 +57,36 @@
 		})
 	}
 }
+
+// Guards against versions that are forgotten over a restart, or taken for present ones.
+func TestFormer(t *testing.T) {
+	start := time.Unix(100000, 0)
+	at := func(s int) time.Time { return start.Add(time.Duration(s) * time.Second) }
+	var c Census
+	c.Add(at(0), "a", "p", "v2")
+	c.AddFormer(at(20), "p", "v1", at(12))
+	c.AddFormer(at(20), "p", "v1", at(5)) // An earlier time changes nothing.
+	c.AddFormer(at(20), "p", "v2", at(12))
+	c.AddFormer(at(20), "q", "v1", at(3))
+	var list []string
+	c.Former(func(pool, version string, left time.Time) { list = append(list, fmt.Sprint(pool, version, left.Sub(start))) })
+	must.Eq(t, []string{"pv112s", "qv13s"}, list)
+	_, ok := c.Only(at(20), "p", 10*time.Second)
+	must.False(t, ok)
+	version, ok := c.Only(at(30), "p", 10*time.Second)
+	must.True(t, ok)
+	must.Eq(t, "v2", version)
+
+	for i := range 3 * formerLimit {
+		c.AddFormer(at(30+i), "p", fmt.Sprint("w", i), at(30+i))
+	}
+	n, newest := 0, time.Time{}
+	c.Former(func(pool, _ string, left time.Time) {
+		if pool == "p" {
+			n++
+			newest = left
+		}
+	})
+	must.Eq(t, formerLimit, n)
+	must.Eq(t, at(30+3*formerLimit-1), newest)
+}
--- a/core/state/image.go
+++ b/core/state/image.go
@@ -18,6 +18,7 @@
 	img.Bans = s.bans.list
 	img.Rollouts, img.PoolVersions = s.deploy.Rollouts(), s.deploy.Versions()
 	img.Cordons, img.CordonRevision = s.cordons.List(), s.cordons.Revision()
+	img.FormerVersions = s.FormerVersions()
 	for _, c := range s.claims {
 		img.Claims = append(img.Claims, c)
 	}
@@ -61,6 +62,7 @@
 	s.deploy = deployed // Its revision goes on.
 	s.deploy.Load(img.GetRollouts(), img.GetPoolVersions())
 	s.cordons.Load(img.GetCordons(), img.GetCordonRevision())
+	s.loadVersions(img.GetFormerVersions())
 	for _, c := range img.GetClaims() {
 		k := claimKey{c.GetAccount(), c.GetKey()}
 		s.claims[k] = c
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -10,6 +10,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"azurelane/core/census"
 	"azurelane/core/cordon"
 	"azurelane/core/deploy"
 	"azurelane/core/permit"
@@ -67,6 +68,7 @@
 		bans               bans
 		deploy             deploy.Deploy
 		cordons            cordon.Cordon
+		versions           census.Census // Of upstreams, with times of the leader's clock.
 	}
 
 	claimKey struct{ account, key string }
@@ -74,7 +76,7 @@
 
 // Apply executes one command and returns its result.
 func (s *State) Apply(c *wire.Command) *wire.Result {
-	s.clockUs = max(s.clockUs, c.GetClaim().GetNowUs(), c.GetFinish().GetNowUs(), c.GetExpire().GetNowUs(), c.GetOrderStart().GetNowUs(), c.GetStartRollout().GetNowUs(), c.GetOrderCordon().GetNowUs())
+	s.clockUs = max(s.clockUs, c.GetClaim().GetNowUs(), c.GetFinish().GetNowUs(), c.GetExpire().GetNowUs(), c.GetOrderStart().GetNowUs(), c.GetStartRollout().GetNowUs(), c.GetOrderCordon().GetNowUs(), c.GetEnroll().GetNowUs())
 	switch k := c.GetKind().(type) {
 	case *wire.Command_Claim:
 		return s.claim(k.Claim)
@@ -91,7 +93,9 @@
 	case *wire.Command_Publish:
 		return s.publish(k.Publish)
 	case *wire.Command_Enroll:
-		s.roster.Enroll(k.Enroll.GetUpstream())
+		if s.roster.Enroll(k.Enroll.GetUpstream()) {
+			s.observeVersion(k.Enroll.GetUpstream().GetId())
+		}
 		s.deploy.Observe(k.Enroll.GetUpstream().GetPool(), k.Enroll.GetUpstream().GetVersion())
 		return &wire.Result{Code: OK}
 	case *wire.Command_RecordBans:
--- a/core/state/state_test.go
+++ b/core/state/state_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"github.com/shoenig/test/must"
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
@@ -232,3 +233,42 @@
 	must.NoError(t, err)
 	must.True(t, bytes.Equal(before, after))
 }
+
+var sameProto = cmp.Comparer(func(a, b *wire.FormerVersion) bool { return proto.Equal(a, b) })
+
+// Guards against a replica that forgets, with its process, which versions of upstreams have left: a stream
+// that began there would go on at another version. An image of an earlier program does not say when.
+func TestFormerVersionsOutliveRestarts(t *testing.T) {
+	enroll := func(id, version string, st wire.Upstream_State, us int64) *wire.Command {
+		return &wire.Command{Kind: &wire.Command_Enroll{Enroll: &wire.Enroll{NowUs: us, Upstream: &wire.Upstream{Id: id, Pool: "p", Version: version, State: st}}}}
+	}
+	var s State
+	for _, c := range []*wire.Command{
+		enroll("a", "v1", wire.Upstream_STATE_SERVING, 10), enroll("b", "v2", wire.Upstream_STATE_SERVING, 20), enroll("a", "", wire.Upstream_STATE_GONE, 30),
+		enroll("c", "v3", wire.Upstream_STATE_SERVING, 40),
+	} {
+		must.Eq(t, OK, s.Apply(c).GetCode())
+	}
+	want := []*wire.FormerVersion{{Pool: "p", Version: "v1", LeftUs: 30}}
+	must.Eq(t, want, s.FormerVersions(), must.Cmp(sameProto))
+	img := s.Image()
+	for _, tt := range []struct {
+		name   string
+		former []*wire.FormerVersion
+		left   int64
+	}{
+		{"as saved", img.GetFormerVersions(), 30},
+		{"of an earlier program", nil, 40},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			img.FormerVersions = tt.former
+			data, err := EncodeImage(img)
+			must.NoError(t, err)
+			var next State
+			must.NoError(t, next.Load(data))
+			must.Eq(t, []*wire.FormerVersion{{Pool: "p", Version: "v1", LeftUs: tt.left}}, next.FormerVersions(), must.Cmp(sameProto))
+			must.Eq(t, OK, next.Apply(enroll("c", "", wire.Upstream_STATE_GONE, 50)).GetCode())
+			must.Len(t, 2, next.FormerVersions())
+		})
+	}
+}
--- a/io/ctrl/apply.go
+++ b/io/ctrl/apply.go
@@ -17,10 +17,12 @@
 	compactRetry = 2 * time.Second  // After a snapshot could not be written.
 	expireEvery  = time.Second      // Interval between checks for expired claims.
 	clockEvery   = 10 * time.Minute // Maximum lag of the log's clock after a change of leader.
-	// cordonClockEvery replaces clockEvery while a cordon is stored. With each change of leader, the
-	// expiry of a cordon in the log is late by up to this time and expireEvery, and by the time without a
-	// leader.
-	cordonClockEvery = 5 * time.Second
+	// fineClockEvery replaces clockEvery while a cordon is stored, and until formerClockFor after the last
+	// upstream of a version has left. With each change of leader, the expiry of a cordon in the log is late
+	// by up to this time and expireEvery, and by the time without a leader, and a version seems to have left
+	// later by as much.
+	fineClockEvery = 5 * time.Second
+	formerClockFor = 2 * time.Minute
 )
 
 // Fault codes of a replica.
@@ -75,6 +77,8 @@
 		k.StartRollout.NowUs = us
 	case *wire.Command_OrderCordon:
 		k.OrderCordon.NowUs = us
+	case *wire.Command_Enroll:
+		k.Enroll.NowUs = us
 	}
 }
 
--- a/io/ctrl/batch.go
+++ b/io/ctrl/batch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -188,10 +189,12 @@
 	}
 	c.expire = now.Add(expireEvery)
 	maxLag := clockEvery
-	if c.state.Cordons().Len() > 0 {
-		maxLag = cordonClockEvery
-	}
 	us := c.clock.read(&c.state, now)
+	if c.state.Cordons().Len() > 0 || slices.ContainsFunc(c.state.FormerVersions(), func(f *wire.FormerVersion) bool {
+		return us-f.GetLeftUs() < formerClockFor.Microseconds()
+	}) {
+		maxLag = fineClockEvery
+	}
 	if c.state.HasExpiredClaims(us) || c.state.Cordons().HasExpired(us) || us-c.state.ClockUs() > maxLag.Microseconds() {
 		b.props = append(b.props, &proposal{
 			cmd: &wire.Command{Kind: &wire.Command_Expire{Expire: &wire.Expire{}}}, done: make(chan answer, 1),
--- a/io/ctrl/observer.go
+++ b/io/ctrl/observer.go
@@ -83,6 +83,14 @@
 	return c.state.Roster().Revision()
 }
 
+// FormerVersions returns the versions of upstreams that have left, and the newest leader's time in the
+// log, in microseconds.
+func (c *Ctrl) FormerVersions() (list []*wire.FormerVersion, clockUs int64) {
+	c.observer.mu.RLock()
+	defer c.observer.mu.RUnlock()
+	return c.state.FormerVersions(), c.state.ClockUs()
+}
+
 // Bans returns the recorded bans of requests, and a revision that changes with them.
 func (c *Ctrl) Bans() (list []*wire.Ban, revision uint64) {
 	c.observer.mu.RLock()
--- a/io/hub/hub.go
+++ b/io/hub/hub.go
@@ -72,6 +72,9 @@
 		Upstream(id string) *wire.Upstream
 		Roster(since uint64) (list []*wire.Upstream, whole bool, revision uint64)
 		RosterRevision() uint64
+		// FormerVersions returns the versions of upstreams that have left, and the leader's time in the
+		// log. The time may lag, so a version has been gone for at least as long as it says.
+		FormerVersions() (list []*wire.FormerVersion, clockUs int64)
 		Bans() (list []*wire.Ban, revision uint64)
 		Rollouts() (list []*wire.Rollout, versions []*wire.PoolVersion, revision uint64)
 		Cordons() (list []*wire.Cordon, revision uint64, clockUs int64)
@@ -282,6 +285,7 @@
 	s.sched.Install(cfg)
 	if installed == 0 {
 		h.updateRollouts(s) // Before upstreams of other versions are announced.
+		s.origins.restore(time.Now(), h.Replica)
 		list, _, _ := h.Replica.Roster(0)
 		for _, u := range list {
 			s.origins.observe(time.Now(), u)
--- a/io/hub/hub_test.go
+++ b/io/hub/hub_test.go
@@ -119,6 +119,12 @@
 	return list, whole, f.state.Roster().Revision()
 }
 
+func (f *fakeReplica) FormerVersions() ([]*wire.FormerVersion, int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state.FormerVersions(), f.state.ClockUs()
+}
+
 func (f *fakeReplica) Bans() ([]*wire.Ban, uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -181,8 +187,11 @@
 		return nil, errors.New("no quorum")
 	}
 	defer f.notifyLocked()
-	if o := c.GetOrderCordon(); o != nil {
-		o.NowUs = time.Now().UnixMicro() // As the leader's log does.
+	switch k := c.GetKind().(type) { // As the leader's log does.
+	case *wire.Command_OrderCordon:
+		k.OrderCordon.NowUs = time.Now().UnixMicro()
+	case *wire.Command_Enroll:
+		k.Enroll.NowUs = time.Now().UnixMicro()
 	}
 	return f.state.Apply(c), nil
 }
--- a/io/hub/origins.go
+++ b/io/hub/origins.go
@@ -52,6 +52,17 @@
 	o.update(now, u.GetPool())
 }
 
+// restore takes over what earlier schedulers knew of versions whose upstreams have left. Streams of theirs may
+// still be taken up.
+func (o *origins) restore(now time.Time, r replica) {
+	list, clockUs := r.FormerVersions()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, f := range list {
+		o.census.AddFormer(now, f.GetPool(), f.GetVersion(), now.Add(-micros(max(clockUs-f.GetLeftUs(), 0))))
+	}
+}
+
 // update updates whether a pool is mixed. o.mu must be held.
 func (o *origins) update(now time.Time, pool string) {
 	_, single := o.census.Only(now, pool, max(o.maxAge, minMaxAge))
