--- a/core/census/census_test.go
+++ b/core/census/census_test.go
@@ -69,7 +69,9 @@
 	c.AddFormer(at(20), "p", "v2", at(12))
 	c.AddFormer(at(20), "q", "v1", at(3))
 	var list []string
-	c.Former(func(pool, version string, left time.Time) { list = append(list, fmt.Sprint(pool, version, left.Sub(start))) })
+	c.Former(func(pool, version string, left time.Time) {
+		list = append(list, fmt.Sprint(pool, version, left.Sub(start)))
+	})
 	must.Eq(t, []string{"pv112s", "qv13s"}, list)
 	_, ok := c.Only(at(20), "p", 10*time.Second)
 	must.False(t, ok)
--- a/io/gated/gated.go
+++ b/io/gated/gated.go
@@ -136,8 +136,10 @@
 	g.Memory.Limit = settings.MemoryMB << 20 / bufferDivisor
 	g.RetryRatio, g.RetrySlack, g.QuotaSlack = settings.RetryRatio, settings.RetrySlack, settings.QuotaSlack
 	g.SplitValid, g.UpstreamDrain = settings.RollbackWithin/splitValidDivisor, settings.UpstreamDrain
-	e.callers = &httpd.Httpd{Listen: e.takeIn(lns[1], metrics), Handler: g, Drain: settings.DrainLimit - drainLinger - 2*keepAliveDrain - stopMargin, DrainOpen: keepAliveDrain}
-	e.callers.Guard = &guard.Guard{Bounds: e.callerBounds, Room: settings.MemoryMB << 20 / headerDivisor}
+	e.callers = &httpd.Httpd{
+		Listen: e.takeIn(lns[1], metrics), Handler: g, Drain: settings.DrainLimit - drainLinger - 2*keepAliveDrain - stopMargin, DrainOpen: keepAliveDrain,
+		Guard: &guard.Guard{Bounds: e.callerBounds, Room: settings.MemoryMB << 20 / headerDivisor},
+	}
 	ops := &admin.Admin{Stats: metrics, Ready: g.Ready}
 	e.supervisor = suture.New("gate", suture.Spec{EventHook: func(ev suture.Event) { e.log.Info("Supervisor event.", "event", ev.String()) }})
 	for _, s := range []suture.Service{e.mesh, e.watch, e.grant, &httpd.Httpd{Listen: lns[2], Handler: ops.Handler(), DrainOpen: adminKeepAliveDrain}} {
--- a/io/guard/conn.go
+++ b/io/guard/conn.go
@@ -54,7 +54,7 @@
 func (c *conn) Read(p []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(p)
-		switch timeout := (net.Error)(nil); {
+		switch timeout := net.Error(nil); {
 		case n > 0:
 			if status := c.count(n); status != 0 {
 				return 0, c.refuse(status)
--- a/io/guard/guard_test.go
+++ b/io/guard/guard_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -140,7 +141,7 @@
 			status, body := kept.answer()
 			must.Eq(t, tt.status, status)
 			if status == http.StatusOK {
-				must.Eq(t, fmt.Sprint(tt.size), body)
+				must.Eq(t, strconv.Itoa(tt.size), body)
 			}
 		})
 	}
