--- a/io/gated/gated.go
+++ b/io/gated/gated.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/netip"
 	"runtime/debug"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -138,7 +139,10 @@
 	g.SplitValid, g.UpstreamDrain = settings.RollbackWithin/splitValidDivisor, settings.UpstreamDrain
 	e.callers = &httpd.Httpd{
 		Listen: e.takeIn(lns[1], metrics), Handler: g, Drain: settings.DrainLimit - drainLinger - 2*keepAliveDrain - stopMargin, DrainOpen: keepAliveDrain,
-		Guard: &guard.Guard{Bounds: e.callerBounds, Room: settings.MemoryMB << 20 / headerDivisor},
+		Guard: &guard.Guard{
+			Bounds: e.callerBounds, Room: settings.MemoryMB << 20 / headerDivisor,
+			Refused: func(status int) { metrics.Count("headers-refused-"+strconv.Itoa(status), 1) },
+		},
 	}
 	ops := &admin.Admin{Stats: metrics, Ready: g.Ready}
 	e.supervisor = suture.New("gate", suture.Spec{EventHook: func(ev suture.Event) { e.log.Info("Supervisor event.", "event", ev.String()) }})
--- a/io/guard/conn.go
+++ b/io/guard/conn.go
@@ -26,6 +26,9 @@
 	// connection with unread bytes resets it, and the client would not see the refusal.
 	lingerTime  = 500 * time.Millisecond
 	lingerBytes = 1 << 20
+	// graceTime is how long a read is tried once more after its deadline. A process that was suspended finds
+	// deadlines passed although the bytes have come in time.
+	graceTime = 10 * time.Millisecond
 )
 
 var errRefused = errors.New("guard: header refused")
@@ -52,7 +55,7 @@
 
 // Read counts the bytes of a header, and refuses one that is too large.
 func (c *conn) Read(p []byte) (int, error) {
-	for {
+	for last := false; ; {
 		n, err := c.Conn.Read(p)
 		switch timeout := net.Error(nil); {
 		case n > 0:
@@ -61,6 +64,8 @@
 			}
 			return n, err //nolint:wrapcheck // Of the connection itself.
 		case errors.As(err, &timeout) && timeout.Timeout() && c.extended():
+		case timeout != nil && timeout.Timeout() && !last && c.grace():
+			last = true
 		default:
 			return n, err //nolint:wrapcheck // Of the connection itself.
 		}
@@ -93,6 +98,9 @@
 
 // refuse answers a request whose header is not read to its end.
 func (c *conn) refuse(status int) error {
+	if c.guard.Refused != nil {
+		c.guard.Refused(status)
+	}
 	retry := ""
 	if status == http.StatusServiceUnavailable {
 		retry = "Retry-After: 1\r\n"
@@ -177,6 +185,17 @@
 	return c.setDeadline() == nil && (c.inForce.IsZero() || c.inForce.After(time.Now()))
 }
 
+// grace moves the deadline on a little, unless the server has set it.
+func (c *conn) grace() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.asked.IsZero() && !c.asked.After(time.Now()) {
+		return false
+	}
+	c.inForce = time.Now().Add(graceTime)
+	return c.Conn.SetReadDeadline(c.inForce) == nil
+}
+
 // SetReadDeadline sets the server's own deadline. The earlier one of both is in force.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
--- a/io/guard/guard.go
+++ b/io/guard/guard.go
@@ -34,6 +34,8 @@
 		// Room is how many bytes headers may take together beyond DefaultHeaderBytes each. Zero is no
 		// bound.
 		Room int64
+		// Refused is called with the status of each refusal; nil for nothing.
+		Refused func(status int)
 
 		used atomic.Int64 // Of Room.
 
--- a/io/stats/names.go
+++ b/io/stats/names.go
@@ -23,6 +23,7 @@
 	{"queue-time-us", histogram, entry, "Microseconds that a ticket waited for its decision."},
 	{"claim-time-us", histogram, entry, "Microseconds that the claim of a key took."},
 	{"outcome-*", counter, entry, "Requests by outcome: whole, not-run, unknown, failed."},
+	{"headers-refused-STATUS", counter, gate, "Requests refused before their header was read to its end: 431 over `/limits/header-bytes`, 503 without memory for headers over 32 KB."},
 	{"connections-turned-away", counter, gate, "New connections that were closed before a byte was read, as the entry's processor was overloaded."},
 	{"answers-in-memory-bytes", gauge, gate, "Answers that were read and not passed on yet. They may take an eighth of `memory-mb`."},
 	{"bodies-in-memory-bytes", gauge, gate, "Bodies of requests that may be sent again, or are still read or sent. They may take an eighth of `memory-mb`, and a sixth together with answers."},
