An entry that stops reports usage before it waits for others' connections

Cause: read in: connections that an entry passes on for others may stay open until its drain limit, and the last report of accounts' usage came after them, when the process may be killed. Change: the report comes first; the entry's own requests have ended by then.

--- a/io/gated/gated.go
+++ b/io/gated/gated.go
@@ -271,12 +271,12 @@
 	time.Sleep(drainLinger)
 	stopCallers()
 	<-served //nolint:errcheck // The server was stopped above.
+	e.reportUsageOnce(servicesCtx)
 	if e.tunnel != nil {
 		endCtx, endCancel := context.WithDeadline(servicesCtx, end)
 		e.tunnel.AwaitIdle(endCtx)
 		endCancel()
 	}
-	e.reportUsageOnce(servicesCtx)
 	cancel()
 	<-done //nolint:errcheck // The services were stopped above.
 	e.client.Close()
