No upstream is blamed for sends that end with a stopping entry

Seen: read in. Since then a server that stops ends the contexts of its requests, and a send that ended with it counted as broken off by its upstream: the scheduler would leave out sound upstreams at each stop, and crashes and versions would be judged by it. Cause: the end of a request's context meant that its caller had left; the new reason for it fell through to the upstream's failure. Evidence: TestEndOfServerIsAnswered looks at what is released now, and failed before. Change: such a send counts like one whose caller has left; the caller still gets 502. Result: that test, TestDrainRefusesWaitingRequests and TestCallerLeaves pass under the race detector.

--- a/io/gate/drain_test.go
+++ b/io/gate/drain_test.go
@@ -35,7 +35,7 @@
 }
 
 // Guards against callers that get no answer when their entry has to stop: what has not run is refused,
-// and of what may have run nothing is promised.
+// and of what may have run nothing is promised. No upstream may be blamed for it.
 func TestEndOfServerIsAnswered(t *testing.T) {
 	for _, tt := range []struct {
 		name   string
@@ -55,7 +55,8 @@
 			})
 			s := newTestGate(t, u)
 			s.withScheduler(nil)
-			s.granter = &slowScheduler{after: tt.grant, address: u.Addr().String()}
+			g := &slowScheduler{after: tt.grant, address: u.Addr().String()}
+			s.granter = g
 			ln, err := net.Listen("tcp", "127.0.0.1:0")
 			must.NoError(t, err)
 			srv := &httpd.Httpd{Listen: ln, Handler: s.Gate, Drain: 400 * time.Millisecond, DrainOpen: 10 * time.Millisecond}
@@ -69,6 +70,11 @@
 			must.Eq(t, tt.status, got.status)
 			must.StrContains(t, got.body, tt.code)
 			<-done
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			for _, rel := range g.released {
+				must.False(t, rel.GetFailed(), must.Sprint("the upstream is blamed for the stop"))
+			}
 		})
 	}
 }
--- a/io/gate/request.go
+++ b/io/gate/request.go
@@ -332,6 +332,10 @@
 	switch {
 	case res.outcome == outcomeComplete:
 		q.recordCompletion(res)
+	case q.serverStops() && q.headerSent:
+		q.abort(streamBroken, res.err)
+	case q.serverStops() && res.outcome == outcomeCallerLeft:
+		q.refuse(refuse.New(refuse.UpstreamLost, "the entry stops", 0)) // It may have run.
 	case res.outcome == outcomeCallerLeft, q.callerGone():
 		q.abort(callerLeft, res.err)
 	case q.headerSent:
--- a/io/gate/send.go
+++ b/io/gate/send.go
@@ -66,7 +66,8 @@
 			res.next = next
 		}
 		res.total = time.Since(f.sentAt)
-		if res.outcome != outcomeComplete && q.callerGone() {
+		// The upstream is not to blame for a send that ended with its caller or with this server.
+		if res.outcome != outcomeComplete && (q.callerGone() || (q.serverStops() && res.outcome == outcomeInterrupted)) {
 			res.outcome = outcomeCallerLeft
 		}
 		if res.outcome != outcomeComplete {
