Logs and a counter of how responses show where they end

Cause: a response with neither a length nor chunks ends with its connection, and logs could not tell one that was whole from one whose upstream was killed. No counter said how many there are.

Change: framing in the lines of ended sends and complete responses, which name the upstream too; counter responses-ended-by-close.

Result: no change of behaviour; tests of io/gate pass.

--- a/io/gate/request.go
+++ b/io/gate/request.go
@@ -66,6 +66,7 @@
 	result struct {
 		outcome    outcome
 		status     int
+		framing    framing
 		failure    *bufferedResponse // Upstream's error response, passed on if no other send does better.
 		firstAfter time.Duration     // From the send to the first event, or to the complete response.
 		gap        time.Duration     // Longest pause between two events.
@@ -428,7 +429,7 @@
 		q.gate.Stats.Count("answers-late", 1)
 		log = q.gate.Log
 	}
-	log.Info("Response complete.", "request", q.meta.ID, "route", q.routeName(), "sends", q.tried.Sends(), "late-first", lateFirst,
+	log.Info("Response complete.", "request", q.meta.ID, "route", q.routeName(), "upstream", q.sentBy.upstream.GetId(), "framing", res.framing, "sends", q.tried.Sends(), "late-first", lateFirst,
 		"late-gap", lateGap, "first", first.String(), "upstream-first", res.firstAfter.String(), "gap", q.gap.String(),
 		"took", took.String(), "prompt", q.meta.Prompt, "answer", q.meta.Answer, "expect", q.meta.Expect, "events", q.events)
 }
--- a/io/gate/send.go
+++ b/io/gate/send.go
@@ -73,7 +73,7 @@
 		if res.outcome != outcomeComplete {
 			u := f.placement.upstream
 			q.gate.Log.Info("Send ended.", "request", q.meta.ID, "upstream", u.GetId(), "address", u.GetAddress(), "version", u.GetVersion(),
-				"digest", q.digest().String(), "ending", res.outcome.String(), "status", res.status, "err", errText(res.err), "events", res.events, "took", res.total.String())
+				"digest", q.digest().String(), "ending", res.outcome.String(), "status", res.status, "framing", res.framing, "err", errText(res.err), "events", res.events, "took", res.total.String())
 		}
 	}()
 	f = f.roundTrip()
@@ -105,7 +105,10 @@
 		return res
 	}
 	id, resp := f.placement.upstream.GetId(), f.resp
-	res.status = resp.StatusCode
+	res.status, res.framing = resp.StatusCode, framingOf(resp)
+	if res.framing == framedByClose {
+		q.gate.Stats.Count("responses-ended-by-close", 1)
+	}
 	if l, ok := q.gate.Dialect.Load(resp); ok {
 		q.gate.recordLoad(id, l)
 		if !q.gate.Dialect.Other(resp) {
