A response that ends with its connection is whole only if its upstream outlives it

What callers saw: streams and plain answers cut short, framed as whole (ORDER, MIXED), when an upstream that gives neither a length nor chunks was killed.

Cause: the kernel ends the connections of a killed process with a FIN if it has read all that came. The entry took the end of a connection for the end of the answer. The class: the end of a process is taken for the end of its work.

Change: at the end of such a response the entry asks the upstream's health check, naming the instance. A response of that instance shows that it outlived its answer, whatever the status; no response or another instance (a reused port, also after a pause of the entry) shows that it may not have. Where the pool has no health check a connection has to stay open.

--- a/core/conf/keys.go
+++ b/core/conf/keys.go
@@ -67,6 +67,7 @@
 		{Path: "/pools/*/slots", Want: limitWant, Default: "0", Text: "Requests that a model engine runs at once; 0 for a plain service."},
 		{Path: "/pools/*/cache-tokens", Want: limitWant, Default: "0", Text: "Tokens that an engine's cache holds; 0 for unknown."},
 		{Path: "/pools/*/event-tokens", Want: limitWant, Default: "1", Text: "Tokens in one event of a stream."},
+		{Path: "/pools/*/health-path", Want: "a path", Text: "Path of the upstreams' health check, for upstreams whose responses end with their connections; see [ended connections](#ended-connections). Without it a connection is opened instead."},
 		{Path: "/pools/*/connections", Want: limitWant, Default: "0", Text: "Connections that one upstream takes from all entries; 0 for any."},
 		{Path: "/pools/*/migrate", Want: boolWant, Default: off, Text: "Whether streams move off engines that leave, where `moves` says that the engines offer it."},
 		{Path: "/pools/*/rebalance", Want: boolWant, Default: off, Text: "Whether streams move off engines on which they would end after their deadlines or pause for too long. Needs `migrate` and the policy `batch`."},
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -34,6 +34,7 @@
 	Rebalance   bool          `json:"rebalance,omitzero"`           // Whether streams move off engines that are too slow for them; needs Migrate.
 	Moves       bool          `json:"moves,omitzero"`               // Whether the engines offer moves.
 	HandleTime  time.Duration `json:"handle-time,omitzero"`         // How long an engine keeps a copy of a run that is not used.
+	HealthPath  string        `json:"health-path,omitzero"`         // Path of the upstreams' health check; empty for none.
 	RunOn       *bool         `json:"run-on,omitempty"`             // Whether a request with an idempotency key completes after its callers have left; nil for true.
 }
 
--- a/io/dialer/check.go
+++ b/io/dialer/check.go
@@ -45,6 +45,17 @@
 	return closed, sure
 }
 
+// Runs reports whether a process accepts connections at an upstream's address and keeps them open for a moment.
+// The kernel may accept one for a process that is ending, and resets it then.
+func (d *Dialer) Runs(ctx context.Context, addr netip.AddrPort) bool {
+	c, err := d.DialContext(ctx, "tcp", addr.String())
+	if err != nil {
+		return false
+	}
+	defer func() { _ = c.Close() }()
+	return staysOpen(c)
+}
+
 // check connects directly to an upstream, and reports whether that succeeds or is refused.
 func (d *Dialer) check(ctx context.Context, addr netip.AddrPort) (connected, refused bool) {
 	c, err := tunnel.Direct(ctx, closedTimeout, d.Source, addr.String())
--- a/io/gate/flight.go
+++ b/io/gate/flight.go
@@ -56,6 +56,9 @@
 		f.request.gate.Moves.Continue(r.Header, c.source, c.handle)
 	}
 	f.resp, f.sent, f.err = f.request.gate.Sender.Send(f.ctx, r) //nolint:bodyclose // By send, race or drop.
+	if f.err == nil && framingOf(f.resp) == framedByClose {
+		f.resp.Body = &closedBody{ReadCloser: f.resp.Body, flight: f}
+	}
 }
 
 // accepted reports whether the response shows that the upstream answers the request.
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -49,7 +49,7 @@
 		Path        upstreamPath
 		Dialect     dialect
 		Moves       moveDialect // Nil if streams do not move off upstreams that leave.
-		Calls       sender      // Of the calls of moves.
+		Calls       sender      // Of the calls of moves, and of health checks.
 		RetryRatio  float64     // Retries allowed, as a fraction of requests.
 		RetrySlack  float64     // Retries allowed beyond RetryRatio in each pool, over all entries.
 		QuotaSlack  float64     // Units that the whole deployment may add to each account's burst.
@@ -158,6 +158,8 @@
 		Leaving(r *http.Response) bool
 		// Return removes from the header of a response what callers must not see.
 		Return(h http.Header)
+		// Instance returns the ID of the upstream that has responded, if the response tells.
+		Instance(r *http.Response) string
 		// Genuine reports whether a response proves that an upstream created it.
 		Genuine(r *http.Response) bool
 		// Refuse sets, in the header of a refusal, the time after which the caller may retry.
--- a/io/gate/harness_test.go
+++ b/io/gate/harness_test.go
@@ -32,6 +32,7 @@
 	"azurelane/core/route"
 	"azurelane/core/wire"
 	"azurelane/io/client"
+	"azurelane/io/dialer"
 	"azurelane/io/watch"
 )
 
@@ -106,6 +107,8 @@
 
 func (testDialect) Return(h http.Header) { h.Del("X-Leaving") }
 
+func (testDialect) Instance(r *http.Response) string { return r.Header.Get("X-Instance") }
+
 func (testDialect) Genuine(r *http.Response) bool { return r.Header.Get(genuineHeader) != "" }
 
 func (testDialect) Refuse(h http.Header, after time.Duration) {
@@ -175,6 +178,11 @@
 	return p.Client.Closed(ctx, addr), !p.noPath
 }
 
+// Runs reports whether a connection is accepted and stays open.
+func (*testProber) Runs(ctx context.Context, addr netip.AddrPort) bool {
+	return (&dialer.Dialer{}).Runs(ctx, addr)
+}
+
 // FindOrigin returns schedulerKnows if it is set.
 func (s *testGate) FindOrigin(context.Context, string, digest.Digest, time.Duration) (version string, known bool, err error) {
 	return s.schedulerKnows, s.schedulerKnows != "", nil
--- a/io/gate/suspects.go
+++ b/io/gate/suspects.go
@@ -50,6 +50,8 @@
 	// path to upstreams.
 	prober interface {
 		Closed(ctx context.Context, addr netip.AddrPort) (closed, sure bool)
+		// Runs reports whether a process accepts a connection and keeps it open for a moment.
+		Runs(ctx context.Context, addr netip.AddrPort) bool
 	}
 )
 
