The check of an ended connection lasts a second, and states an earlier deadline

What callers saw: whole responses that end with their connections broke visibly, or were sent again, while their upstream was busy or at its limit of connections.

Cause: the check stated its own time limit as its deadline, so a busy upstream, which refuses at that deadline, answered too late; and three tries took 0.1 s in all. A caller that left during the check counted as a doubt.

Change: the check states 0.6 s and is repeated for a second, unless the connection is refused or another instance answers. It ends with the request.

--- a/io/gate/outlive.go
+++ b/io/gate/outlive.go
@@ -7,23 +7,27 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"azurelane/core/meta"
+	"azurelane/core/wire"
 )
 
 const (
 	// outliveTimeout bounds the check whether an upstream has outlived its response.
 	outliveTimeout = time.Second
-	// An upstream at its limit of connections resets new ones, so that a check without an answer is repeated.
-	outliveTries = 3
-	outliveAgain = 50 * time.Millisecond
+	// healthDeadline is the deadline that a health check states. A busy upstream refuses the check then, and that
+	// response has to come within outliveTimeout.
+	healthDeadline = 600 * time.Millisecond
+	// checkAgain is the time between two checks. An upstream at its limit of connections resets new ones.
+	checkAgain = 50 * time.Millisecond
 )
 
-// errCut marks a response that ended with its connection, and whose upstream may have ended before it was whole.
-var errCut = errors.New("gate: connection ended, and the upstream is not known to have outlived it")
+// errDoubted marks a response that ended with its connection, and whose upstream may have ended before it was whole.
+var errDoubted = errors.New("gate: connection ended, and the upstream is not known to have outlived it")
 
 // closedBody is the body of a response that ends with its connection. The kernel ends the connections of a killed
 // process in the same way, so its end counts only once the upstream is known to have outlived it.
@@ -41,7 +45,7 @@
 	}
 	n, err := b.ReadCloser.Read(p)
 	if errors.Is(err, io.EOF) {
-		if err = b.flight.outlived(); err == nil {
+		if err = b.flight.confirmEnd(); err == nil {
 			err = io.EOF
 		}
 		b.end = err
@@ -49,54 +53,69 @@
 	return n, err //nolint:wrapcheck // Readers compare io.EOF.
 }
 
-// outlived returns nil if the upstream of the send still runs.
-func (f *flight) outlived() error {
+// confirmEnd checks that the upstream of the send has outlived its response.
+func (f *flight) confirmEnd() error {
 	ctx, cancel := context.WithTimeout(f.ctx, outliveTimeout)
 	defer cancel()
 	stats := f.request.gate.Stats
-	for n := 0; ; n++ {
-		alive, sure := f.checkUpstream(ctx)
-		switch {
-		case alive:
+	for {
+		runs, gone := f.checkUpstream(ctx)
+		if runs {
 			stats.Count("closes-confirmed", 1)
 			return nil
-		case sure || n+1 == outliveTries || ctx.Err() != nil:
-			stats.Count("closes-doubted", 1)
-			return errCut
 		}
-		time.Sleep(outliveAgain)
+		if !gone {
+			select {
+			case <-ctx.Done():
+			case <-time.After(checkAgain):
+				continue
+			}
+		}
+		if f.ctx.Err() != nil {
+			return fmt.Errorf("gate: check of an ended connection: %w", context.Cause(f.ctx))
+		}
+		stats.Count("closes-doubted", 1)
+		return errDoubted
 	}
 }
 
-// checkUpstream reports whether the upstream of the send still runs, and whether a report that it does not is sure.
-// The health check names the instance, as another one may have its address by now. Any response shows that it runs.
-func (f *flight) checkUpstream(ctx context.Context) (alive, sure bool) {
+// checkUpstream reports whether the upstream of the send runs, and otherwise whether it is gone.
+func (f *flight) checkUpstream(ctx context.Context) (runs, gone bool) {
 	q, u := f.request, f.placement.upstream
-	path := q.view.Index.Pool(q.pool).HealthPath
-	if path == "" || q.gate.Calls == nil {
+	r := q.healthCheck(ctx, u)
+	if r == nil {
 		addr, err := netip.ParseAddrPort(u.GetAddress())
-		return err == nil && q.gate.Prober.Runs(ctx, addr), true
+		if err != nil {
+			return false, true
+		}
+		if q.gate.Prober.Runs(ctx, addr) {
+			return true, false
+		}
+		closed, _ := q.gate.Prober.Closed(ctx, addr)
+		return false, closed
 	}
-	resp, err := q.gate.checkHealth(ctx, u.GetId(), u.GetAddress(), path)
+	resp, _, err := q.gate.Calls.Send(ctx, r)
 	if err != nil {
 		q.gate.Log.V(1).Info("No answer to a health check.", "upstream", u.GetId(), "err", err.Error())
-		return false, false
+		return false, errors.Is(err, syscall.ECONNREFUSED)
 	}
 	_ = resp.Body.Close()
 	id := q.gate.Dialect.Instance(resp)
-	return !q.gate.Dialect.Other(resp) && (id == "" || id == u.GetId()), true
+	runs = !q.gate.Dialect.Other(resp) && (id == "" || id == u.GetId())
+	return runs, !runs
 }
 
-// checkHealth sends a health check that only one instance answers.
-func (g *Gate) checkHealth(ctx context.Context, id, address, path string) (*http.Response, error) {
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/"+strings.TrimPrefix(path, "/"), http.NoBody)
-	if err != nil {
-		return nil, fmt.Errorf("gate: health check: %w", err)
+// healthCheck returns a request that only the instance of an upstream answers otherwise than as misdirected, since
+// another one may have its address by now. It returns nil if the pool has no health check.
+func (q *request) healthCheck(ctx context.Context, u *wire.Upstream) *http.Request {
+	path := q.view.Index.Pool(q.pool).HealthPath
+	if path == "" || q.gate.Calls == nil {
+		return nil
 	}
-	g.Dialect.Stamp(r.Header, meta.Hop{Instance: id, Left: outliveTimeout})
-	resp, _, err := g.Calls.Send(ctx, r)
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+u.GetAddress()+"/"+strings.TrimPrefix(path, "/"), http.NoBody)
 	if err != nil {
-		return nil, fmt.Errorf("gate: health check: %w", err)
+		return nil
 	}
-	return resp, nil
+	q.gate.Dialect.Stamp(r.Header, meta.Hop{Instance: u.GetId(), Left: healthDeadline})
+	return r
 }
