A response of a leaving upstream that is in doubt is no crash

What callers saw: a sound request was refused as one that crashes upstreams, after three upstreams that leave had closed their listeners and finished its whole answers, which end with their connections.

Cause: the check of such an answer is refused, so that it counts as broken off, and a refused connection after a broken answer counts as a crash.

Change: where the upstream leaves, by the roster or by a response, a doubted answer is no sign of a crash.

Such answers still count as broken off.

--- a/io/gate/suspects.go
+++ b/io/gate/suspects.go
@@ -63,6 +63,9 @@
 	if res.outcome != outcomeInterrupted || errors.Is(res.err, errSilent) || errors.Is(res.err, errDeadline) {
 		return
 	}
+	if _, leaving := q.gate.leavesSince(time.Now(), p.upstream); leaving != "" && errors.Is(res.err, errDoubted) {
+		return // It may have closed its listener before its last responses.
+	}
 	addr, err := netip.ParseAddrPort(p.upstream.GetAddress())
 	if err != nil {
 		return // Only an IP address and port can be probed.
