A stream goes on only after an event with an ID, and with a higher one

What callers would see: pieces of a stream twice (ORDER), where it goes on at another upstream.

Cause: a stream went on after the last event that had an ID, also if others without one had been passed on since; and nothing looked at the IDs of the upstream that goes on, which may have begun anew. The class: it is taken for granted that the other side continues where it was asked to.

Change: a stream whose last event with data has no ID does not go on: no second send, no move, a visible break. The first ID of a send that goes on, or of one that the caller takes up, has to be higher than the last one; otherwise the send has failed.

--- a/io/gate/hedge.go
+++ b/io/gate/hedge.go
@@ -75,7 +75,7 @@
 // mayMove reports whether another upstream may run the request while one may be running it. A trial of a
 // banned request is a single send.
 func (q *request) mayMove(p *placement) bool {
-	return q.route.Repeatable() && !q.banTrial && q.tried.Sends()+1 < maxSends && q.tried.MayRunBeside(p.upstream.GetId(), q.route.MaxUpstreams())
+	return q.route.Repeatable() && !q.banTrial && !q.noSeam && q.tried.Sends()+1 < maxSends && q.tried.MayRunBeside(p.upstream.GetId(), q.route.MaxUpstreams())
 }
 
 // touch records that the upstream has sent something that may be a part of an answer.
--- a/io/gate/move.go
+++ b/io/gate/move.go
@@ -151,7 +151,7 @@
 	if v == nil {
 		return
 	}
-	if v.live.lastEventID == "" {
+	if v.live.lastEventID == "" || v.live.noSeam {
 		return // It can't be continued after an event without an ID.
 	}
 	v.firstAt.CompareAndSwap(0, int64(max(time.Since(v.begun), 1)))
--- a/io/gate/request.go
+++ b/io/gate/request.go
@@ -43,7 +43,8 @@
 		headerSent      bool        // The header of the response has been written.
 		passedOn        bool        // So has a part of an answer that is no stream.
 		failures        []*held     // Upstreams' error responses that are in memory.
-		lastEventID     string      // ID of the last event written to the caller.
+		lastEventID     string      // ID of the last event written to the caller that has one.
+		noSeam          bool        // The last event written to the caller has no ID, so nothing can go on after it.
 		version         string      // Of the upstream that sent the last event.
 		origin          streamOrigin
 		events          int64
@@ -279,7 +280,7 @@
 	switch {
 	case res.next != nil:
 		return true
-	case q.passedOn,
+	case q.passedOn, q.noSeam,
 		ran && (!q.route.Repeatable() || !q.tried.MayRun(q.route.MaxUpstreams())),
 		q.tried.Sends() >= maxSends, ctx.Err() != nil, q.tooLateToSend():
 		return false
--- a/io/gate/stream.go
+++ b/io/gate/stream.go
@@ -2,10 +2,12 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -21,6 +23,7 @@
 	last        bool // The request is not sent again.
 	sentAt      time.Time
 	lastWriteAt time.Time // When events of this send were last written to the caller.
+	joined      bool      // An event with an ID has come.
 	buf         []byte    // Start of an event that has not arrived completely.
 }
 
@@ -33,8 +36,10 @@
 	eventEnd    = []byte("\n\n")
 	eventEndCR  = []byte("\r\n\r\n")
 	idField     = []byte("id:")
+	dataField   = []byte("data:")
 	errPartial  = errors.New("gate: stream ended inside an event")
 	errOversize = errors.New("gate: event too large")
+	errSeam     = errors.New("gate: stream does not go on after the last event")
 )
 
 // relay passes the stream on to its end, or until its run has moved to another upstream.
@@ -53,7 +58,7 @@
 			s.buf = append(s.buf, rd[:n]...)
 			if werr := s.writeEvents(res); werr != nil {
 				res.outcome, res.err = outcomeCallerLeft, werr
-				if errors.Is(werr, errSilent) {
+				if errors.Is(werr, errSilent) || errors.Is(werr, errSeam) {
 					res.outcome = outcomeInterrupted
 				}
 				return
@@ -86,6 +91,9 @@
 	if n == 0 {
 		return nil
 	}
+	if !s.goesOn() {
+		return errSeam
+	}
 	if !s.hedge.claim() {
 		return errSilent
 	}
@@ -166,11 +174,43 @@
 // recordEvent counts an event and remembers its ID, after which another upstream can resume.
 func (s *stream) recordEvent(event []byte) {
 	s.events++
+	id, data := eventID(event)
+	if id != "" {
+		s.request.lastEventID = id
+	}
+	if id != "" || data {
+		s.noSeam = id == ""
+	}
+}
+
+// goesOn reports whether the events in the buffer go on after the last one that the caller has from another send or
+// another response: the first ID, if both are numbers, has to be higher.
+func (s *stream) goesOn() bool {
+	for end := 0; !s.joined && s.route.Resumable; {
+		n := eventLen(s.buf[end:])
+		if n == 0 {
+			break
+		}
+		id, _ := eventID(s.buf[end : end+n])
+		s.joined, end = id != "", end+n
+		first, err := strconv.ParseUint(id, 10, 64)
+		last, lastErr := strconv.ParseUint(cmp.Or(s.request.lastEventID, s.meta.LastEvent), 10, 64)
+		if err == nil && lastErr == nil && first <= last {
+			return false
+		}
+	}
+	return true
+}
+
+// eventID returns the ID of an event, and whether it has data. One without is a comment.
+func eventID(event []byte) (id string, data bool) {
 	for line := range bytes.Lines(event) {
-		if id, ok := bytes.CutPrefix(line, idField); ok {
-			s.request.lastEventID = string(bytes.TrimSpace(id))
+		if v, ok := bytes.CutPrefix(line, idField); ok {
+			id = string(bytes.TrimSpace(v))
 		}
+		data = data || bytes.HasPrefix(line, dataField)
 	}
+	return id, data
 }
 
 // eventLen returns the length of the first complete event, or 0 if there is none.
