A stopped run's stream that ends with its connection is not whole

Cause: a stop closes the stream "without its end". Without chunks that looks like the end itself, and as the engine lives, the check whether it has outlived its answer confirms it. The decision about a stop without an answer took any clean end for the run's own, also once it had given up waiting for the answer.

Change: such an end is reported as that of a connection. While a stop is pending, also in doubt, only the answer that the engine has no such run ends the stream, and only within handle-time of the first stop, in which an engine can't have dropped a stopped run. Otherwise the run moves or is given back, and the stream breaks if that is refused. An end in doubt has the engine asked again. Events that came before the time in which a late stop may have its effect no longer count as a sign that it had none; no look was taken at them during a call, so nearly any event counted. The check for another instance runs after the answer, not before it: it costs pause, and shows nothing before. What a move takes is learned from the stop that was answered.

--- /dev/null
+++ b/core/migr/ends_test.go
@@ -0,0 +1,82 @@
+package migr
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// at is an event and what it has to lead to.
+type at struct {
+	after time.Duration // Since the stop was first due.
+	event Event
+	want  Do
+}
+
+const (
+	endsKeep = 5 * time.Second
+	limitDue = stopLimit - callAgain // From which on a stop is not repeated.
+)
+
+var (
+	tick      = Event{Kind: Tick}
+	later     = Event{Kind: Tick, Run: Run{Events: 30}}
+	latest    = Event{Kind: Tick, Run: Run{Events: 31}}
+	whole     = Event{Kind: Closed, OK: true}
+	byClose   = Event{Kind: Closed, OK: true, ByClose: true}
+	cutShort  = Event{Kind: Closed, ByClose: true}
+	gone      = Event{Kind: Answered, Status: Gone}
+	lost      = Event{Kind: Answered, Status: Lost}
+	refused   = Event{Kind: Answered, Status: Refused}
+	unreached = Event{Kind: Answered, Status: Unreached}
+	stopped   = Event{Kind: Answered, Handle: "h"}
+	taken     = Event{Kind: Sent}
+	notTaken  = Event{Kind: Sent, Status: Refused}
+)
+
+// Guards against streams that end as whole although their runs were only stopped, and against ones that break although
+// their runs have ended by themselves.
+func TestEndsWhileAStopIsPending(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		keep  time.Duration
+		steps []at
+	}{
+		{"chunks, no answer", endsKeep, []at{{0, whole, Wait}, {limitDue, lost, End}}},
+		{"chunks, gone", 0, []at{{0, whole, Wait}, {0, gone, End}}},
+		{"chunks, in doubt", endsKeep, []at{{limitDue, lost, Wait}, {time.Second, whole, End}}},
+		{"chunks, broken in doubt", endsKeep, []at{{limitDue, lost, Wait}, {time.Second, Event{Kind: Closed}, Return}}},
+		{"gone", endsKeep, []at{{0, byClose, Wait}, {0, gone, End}}},
+		{"gone before the end", endsKeep, []at{{0, gone, Wait}, {time.Second, byClose, End}}},
+		{"gone, cut short", endsKeep, []at{{0, cutShort, Wait}, {0, gone, Return}}},
+		{"gone after a lost answer", endsKeep, []at{{0, byClose, Wait}, {stopCall, lost, Stop}, {stopCall, gone, End}}},
+		{"gone once the run is not kept", stopCall, []at{{0, byClose, Wait}, {stopCall, gone, Return}, {stopCall, notTaken, Return}, {stopCall, notTaken, Return}, {stopCall, notTaken, Break}}},
+		{"gone, time of runs not known", 0, []at{{0, byClose, Wait}, {0, gone, Return}}},
+		{"stopped", endsKeep, []at{{0, byClose, Wait}, {stopCall, stopped, Move}}},
+		{"no answer, returned", endsKeep, []at{{0, byClose, Wait}, {limitDue, lost, Return}, {limitDue, taken, Moved}}},
+		{"no answer, refused", endsKeep, []at{{0, byClose, Wait}, {limitDue, lost, Return}, {limitDue, notTaken, Return}, {limitDue, notTaken, Return}, {limitDue, notTaken, Break}}},
+		{"no answer in time", endsKeep, []at{{0, byClose, Wait}, {stopLimit, tick, Return}}},
+		{"refused without a handle", endsKeep, []at{{0, byClose, Wait}, {0, refused, Stop}, {callAgain, gone, End}}},
+		{"not reached", endsKeep, []at{{0, byClose, Wait}, {0, unreached, Return}}},
+		{"in doubt, gone", endsKeep, []at{{limitDue, lost, Wait}, {time.Second, byClose, Wait}, {time.Second, tick, Stop}, {time.Second, gone, End}}},
+		{"in doubt, stopped", endsKeep, []at{{limitDue, lost, Wait}, {time.Second, byClose, Wait}, {time.Second, tick, Stop}, {time.Second, stopped, Move}}},
+		{"in doubt, no answer", endsKeep, []at{{limitDue, lost, Wait}, {time.Second, byClose, Wait}, {time.Second, tick, Stop}, {time.Second + limitDue, lost, Return}}},
+		{"in doubt, gone once the run is not kept", endsKeep, []at{{limitDue, lost, Wait}, {endsKeep, byClose, Wait}, {endsKeep, tick, Stop}, {endsKeep, gone, Return}}},
+		{"in doubt, cut short", endsKeep, []at{{limitDue, lost, Wait}, {time.Second, cutShort, Return}}},
+		{"in doubt, goes on", endsKeep, []at{{limitDue, lost, Wait}, {limitDue + lateLimit, later, Drop}, {3 * time.Second, byClose, End}}},
+		{"in doubt, events before a late stop", endsKeep, []at{{limitDue, lost, Wait}, {time.Second, later, Wait}, {limitDue + lateLimit, later, Wait}, {3 * time.Second, byClose, Wait}, {3 * time.Second, tick, Stop}}},
+		{"in doubt, events before a late stop and after it", endsKeep, []at{{limitDue, lost, Wait}, {time.Second, later, Wait}, {limitDue + lateLimit, latest, Drop}}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			m, run := Migr{Keep: tc.keep}, Run{Leaves: true, Left: 3 * time.Second, Expected: time.Minute, Events: 5}
+			const due = time.Minute
+			for _, s := range []at{{event: Event{Run: run}, want: Ask}, {event: Event{Kind: Granted, OK: true}, want: Copy}, {event: stopped, want: Stop}} {
+				must.Eq(t, s.want, m.Step(due, s.event).Do)
+			}
+			for n, s := range tc.steps {
+				must.Eq(t, s.want, m.Step(due+s.after, s.event).Do, must.Sprint("step ", n))
+			}
+		})
+	}
+}
--- a/core/migr/migr.go
+++ b/core/migr/migr.go
@@ -73,7 +73,7 @@
 	Tick     Kind = iota // Time has passed. Run says how the run stands.
 	Granted              // OK says whether the scheduler granted a slot.
 	Answered             // Status, Handle answer the last call. Run says how the run stands.
-	Closed               // The stream from the source has ended; OK if with its end.
+	Closed               // The stream from the source has ended; OK if with its end, ByClose if that is its connection's.
 	Sent                 // Status answers the last continuation: Done, Refused, Lost or Unreached.
 	Left                 // The caller is gone, or another engine has the run.
 )
@@ -131,11 +131,13 @@
 
 	// Event is something that happened. Its fields are described at the kinds.
 	Event struct {
-		Kind   Kind
-		OK     bool
-		Status Status
-		Handle string
-		Run    Run
+		Kind Kind
+		OK   bool
+		// ByClose says that a stream has no end of its own, so that one that is stopped looks as if it were whole.
+		ByClose bool
+		Status  Status
+		Handle  string
+		Run     Run
 	}
 
 	// Action is what to do, and after which time.
@@ -147,6 +149,10 @@
 	// Migr is the state of one run. The zero value is a run that stays where it is. Times passed to it count
 	// from any fixed moment and never decrease.
 	Migr struct {
+		// Keep is how long an engine keeps a run that it has stopped. Later, or at zero, its answer that it has no
+		// such run does not show that the run has ended by itself.
+		Keep time.Duration
+
 		stage    stage
 		tries    int
 		copies   int // Calls of the current round.
@@ -155,7 +161,8 @@
 		slow     bool          // The try is for a slow engine that serves on.
 		tryAt    time.Duration // From which time the next try may begin.
 		called   time.Duration // When the last call was due.
-		stopAt   time.Duration // When the stop was first due.
+		stopAt   time.Duration // When the stop was first due, or the stream ended on whose end the engine is asked again.
+		firstAt  time.Duration // When the stop was first due.
 		cutAt    time.Duration // When the source's stream is cut; zero for never.
 		lateAt   time.Duration // When a stop without an answer can't take effect any more.
 		handle   string
@@ -166,6 +173,8 @@
 		refused  bool          // The last copy did not reach the destination.
 		closed   bool
 		whole    bool
+		byClose  bool
+		gone     bool // The engine has said that the run has ended.
 		events   int64
 		outcome  string
 		free     Ends
@@ -197,7 +206,7 @@
 		m.doubtful = true
 	}
 	if e.Kind == Closed {
-		return m.close(now, e.OK)
+		return m.close(now, e)
 	}
 	if e.Kind == Left && m.stage != over {
 		return m.leave()
@@ -223,6 +232,10 @@
 // Stopping reports whether the run may be stopped. No other engine may be sought for it then.
 func (m *Migr) Stopping() bool { return m.stage >= stopping && m.stage != doubting && m.stage != over }
 
+// Pending reports whether a stop was sent and may still have its effect. The end of a stream without an end of its
+// own shows nothing then.
+func (m *Migr) Pending() bool { return m.stage == stopping || m.stage == doubting }
+
 // Over reports whether the stream has ended here. Calls that are not sent yet are not to be sent.
 func (m *Migr) Over() bool { return m.stage == over }
 
@@ -242,6 +255,9 @@
 // Outcome returns how the last try ended; empty while none has.
 func (m *Migr) Outcome() string { return m.outcome }
 
+// Pause returns how long the stream has paused for the stop.
+func (m *Migr) Pause(now time.Duration) time.Duration { return now - m.stopAt }
+
 // SendTime returns how long a continuation may take that is sent now.
 func (m *Migr) SendTime(now time.Duration) time.Duration {
 	return max(min(sendLimit, m.stopAt+pauseLimit-now), callAgain)
@@ -290,8 +306,8 @@
 		m.rounds, m.copies, m.called = m.rounds+1, 1, now
 		return Action{Do: Copy}
 	case e.Status == Done && m.handle != "":
-		m.stage, m.stopAt, m.called = stopping, now, now
-		return Action{Do: Stop}
+		m.firstAt = now
+		return m.askToStop(now)
 	case e.Status == Gone:
 		m.tries = MaxTries
 		return m.drop(now, OutcomeGone)
@@ -307,6 +323,11 @@
 	return m.drop(now, OutcomeLost)
 }
 
+func (m *Migr) askToStop(now time.Duration) Action {
+	m.stage, m.stopAt, m.called = stopping, now, now
+	return Action{Do: Stop}
+}
+
 // drop ends a try. The run stays where it is.
 func (m *Migr) drop(now time.Duration, outcome string) Action {
 	m.stage, m.outcome, m.tryAt = watching, outcome, now+tryAgain
@@ -333,7 +354,10 @@
 	case e.Status == Done, e.Status == Refused && e.Handle != "":
 		m.stopped, m.refused, m.cutAt = true, e.Status == Refused, now+settle
 		return m.goOn(now)
-	case e.Status == Gone, e.Status == Refused, e.Status == Unreached && m.closed: // An engine that has ended.
+	case e.Status == Gone:
+		m.gone = now-m.firstAt < m.Keep
+		return m.unanswered(now)
+	case e.Status == Refused && !m.unsure(), e.Status == Unreached && m.closed: // An engine that has ended.
 		return m.unanswered(now)
 	case now-m.stopAt+callAgain < stopLimit:
 		m.called = now + callAgain
@@ -368,7 +392,7 @@
 // unanswered handles a stop of which it is not known whether it had an effect.
 func (m *Migr) unanswered(now time.Duration) Action {
 	switch {
-	case m.closed && m.whole:
+	case m.closed && m.whole && !m.unsure():
 		return m.finish(End, OutcomeEnded, FreeBoth)
 	case m.closed:
 		return m.giveBack(now)
@@ -377,6 +401,9 @@
 	return Action{}
 }
 
+// unsure reports whether the stream has ended in a way that a stop, which may have had its effect, ends it too.
+func (m *Migr) unsure() bool { return m.closed && m.whole && m.byClose && !m.gone }
+
 // giveBack continues the run at the source, which refuses it if it has not stopped it.
 func (m *Migr) giveBack(now time.Duration) Action {
 	if now >= m.stopAt+pauseLimit {
@@ -387,7 +414,13 @@
 }
 
 func (m *Migr) doubt(now time.Duration, e Event) Action {
-	if e.Kind == Tick && now >= m.lateAt && e.Run.Events > m.events {
+	switch {
+	case e.Kind != Tick:
+	case m.closed:
+		return m.askToStop(now)
+	case now < m.lateAt:
+		m.events = max(m.events, e.Run.Events)
+	case e.Run.Events > m.events:
 		m.tries = MaxTries
 		return m.drop(now, OutcomeStayed)
 	}
@@ -415,22 +448,24 @@
 }
 
 // close handles the end of the source's stream.
-func (m *Migr) close(now time.Duration, whole bool) Action {
+func (m *Migr) close(now time.Duration, e Event) Action {
 	if m.closed || m.stage == over {
 		return Action{}
 	}
-	m.closed, m.whole = true, whole
+	m.closed, m.whole, m.byClose = true, e.OK, e.ByClose
 	switch {
 	case m.stage == stopping && m.stopped:
 		return m.goOn(now)
 	case m.stage == stopping:
 		return Action{} // The answer tells whether the run has stopped or ended.
-	case m.stage == doubting && !whole:
+	case m.stage == doubting && m.unsure():
+		return Action{} // The engine is asked again.
+	case m.stage == doubting && !m.whole:
 		m.stopAt = now // The run may have been stopped just now.
 		return m.giveBack(now)
 	}
 	a := m.leave()
-	if whole {
+	if m.whole {
 		a.Do = End
 	}
 	return a
--- a/core/migr/sim_test.go
+++ b/core/migr/sim_test.go
@@ -33,6 +33,7 @@
 
 	// simRun is the work of an engine for one stream.
 	simRun struct {
+		at      *simEngine
 		made    int
 		next    time.Duration // When what the run sends now arrives at the earliest.
 		stopped bool
@@ -44,6 +45,7 @@
 		r        *rand.Rand
 		trouble  string
 		slow     bool          // The source is slow for the run; else it leaves.
+		byClose  bool          // Streams end with their connections.
 		faster   time.Duration // When it is not any more; zero for never.
 		now      time.Duration
 		queue    simQueue
@@ -144,11 +146,13 @@
 	s.after(run.next-s.now, do)
 }
 
+// closed ends the stream of a run. That of a dead engine is known to be cut off once no stop is pending.
 func (s *sim) closed(run *simRun, whole bool) {
 	if s.reading == run && run != nil {
 		s.reading = nil
-		s.step(Event{Kind: Closed, OK: whole})
-		if s.m.stage == over && whole {
+		cut := run.at.dead && s.byClose && !s.m.Pending()
+		s.step(Event{Kind: Closed, OK: whole && !cut, ByClose: s.byClose})
+		if s.m.stage == over && whole && !s.byClose {
 			must.Eq(s.t, simEvents, s.got, must.Sprint("complete"))
 		}
 	}
@@ -176,7 +180,12 @@
 		run := e.run
 		if last && !run.stopped {
 			run.stopped, e.kept = true, true
-			s.stream(run, func() { s.closed(run, false) })
+			s.stream(run, func() { s.closed(run, s.byClose) })
+			s.after(simKeep, func() {
+				if e.run == run {
+					e.run, e.kept = nil, false
+				}
+			})
 		}
 		s.after(time.Duration(10+s.r.IntN(400))*time.Millisecond, func() {
 			e.busy = false
@@ -240,7 +249,7 @@
 			answer(Refused, "")
 			return
 		}
-		run := &simRun{made: last, next: s.now}
+		run := &simRun{at: e, made: last, next: s.now}
 		if e == &s.to {
 			e.copyUntil = 0
 			s.began = s.now
@@ -296,7 +305,7 @@
 	needs := s.now > 200*time.Millisecond && (s.faster == 0 || s.now < s.faster)
 	e.Run = Run{Leaves: needs && !s.slow, Slow: needs && s.slow, Left: 800 * time.Millisecond, Expected: time.Duration(simEvents-s.got) * simStep, Events: int64(s.got)}
 	a := s.m.Step(s.now, e)
-	if a.Do == Stop && s.m.stopAt == s.now {
+	if a.Do == Stop && s.m.firstAt == s.now {
 		must.True(s.t, needs, must.Sprint("stopped although the source is fast again"))
 	}
 	if a.Do == Wait {
@@ -334,6 +343,9 @@
 		s.send(&s.from)
 	case End, Break, Moved:
 		s.ended = true
+		if d == End && (!s.byClose || !s.from.dead) {
+			must.Eq(s.t, simEvents, s.got, must.Sprint("complete"))
+		}
 		if s.m.Outcome() != OutcomeMoved && !s.open && !s.due {
 			s.free(s.m.Frees())
 		}
@@ -346,16 +358,17 @@
 	run := e.run
 	e.dead, e.run, e.copyUntil, e.kept = true, nil, 0, false
 	if run != nil {
-		s.stream(run, func() { s.closed(run, false) })
+		s.stream(run, func() { s.closed(run, s.byClose) })
 	}
 }
 
-func runSim(t *testing.T, seed uint64, trouble string, slow bool) *sim {
-	s := &sim{t: t, r: rand.New(rand.NewPCG(seed, 1)), trouble: trouble, slow: slow}
+func runSim(t *testing.T, seed uint64, trouble string, slow, byClose bool) *sim {
+	s := &sim{t: t, r: rand.New(rand.NewPCG(seed, 1)), trouble: trouble, slow: slow, byClose: byClose}
+	s.m.Keep = simKeep
 	if slow && trouble != "none" && seed%4 == 0 {
 		s.faster = 300*time.Millisecond + time.Duration(s.r.IntN(500))*time.Millisecond
 	}
-	run := &simRun{}
+	run := &simRun{at: &s.from}
 	s.from.run, s.reading = run, run
 	s.work(&s.from, run)
 	for at := time.Duration(0); at < 20*time.Second; at += 20 * time.Millisecond {
@@ -388,11 +401,12 @@
 		trouble string
 		moved   float64 // Least share of moves, of the runs whose source does not become fast again.
 	}{{"none", 1}, {"lossy", 0.25}, {"source dies", 0.3}, {"destination dies", 0.3}, {"link breaks", 0.3}, {"all", 0.1}} {
-		for _, slow := range []bool{false, true} {
-			t.Run(fmt.Sprint(tc.trouble, ", slow ", slow), func(t *testing.T) {
+		for n := range 4 {
+			slow, byClose := n%2 == 1, n >= 2
+			t.Run(fmt.Sprint(tc.trouble, ", slow ", slow, ", by close ", byClose), func(t *testing.T) {
 				outcomes, need := map[string]int{}, 0.0
 				for seed := range *simSeeds {
-					s := runSim(t, uint64(seed), tc.trouble, slow)
+					s := runSim(t, uint64(seed), tc.trouble, slow, byClose)
 					at := must.Sprint(fmt.Sprint("seed ", seed, " outcome ", s.m.Outcome()))
 					must.True(t, s.ended, at)
 					must.Eq(t, 0, s.to.copyUntil, at)
@@ -405,7 +419,7 @@
 						need++
 					}
 				}
-				t.Log(tc.trouble, slow, outcomes)
+				t.Log(tc.trouble, slow, byClose, outcomes)
 				must.GreaterEq(t, tc.moved*need, float64(outcomes[OutcomeMoved]))
 				must.Eq(t, slow && tc.trouble != "none", outcomes[OutcomeFaster] > 0)
 			})
--- a/io/gate/flight.go
+++ b/io/gate/flight.go
@@ -23,7 +23,8 @@
 	continues *continuation // Nil unless the upstream continues a run.
 	done      chan struct{} // Closed once the fields below are set; nil if the request is yet to be sent.
 	resp      *http.Response
-	sent      bool // A byte may have been sent.
+	byClose   *closedBody // Body of the response if it ends with its connection; else nil.
+	sent      bool        // A byte may have been sent.
 	err       error
 }
 
@@ -57,7 +58,8 @@
 	}
 	f.resp, f.sent, f.err = f.request.gate.Sender.Send(f.ctx, r) //nolint:bodyclose // By send, race or drop.
 	if f.err == nil && framingOf(f.resp) == framedByClose {
-		f.resp.Body = &closedBody{ReadCloser: f.resp.Body, flight: f}
+		f.byClose = &closedBody{ReadCloser: f.resp.Body, flight: f}
+		f.resp.Body = f.byClose
 	}
 }
 
--- a/io/gate/move.go
+++ b/io/gate/move.go
@@ -94,6 +94,7 @@
 		firstAt atomic.Int64 // When the first came, in nanoseconds since begun.
 		verdict chan migr.Action
 		ended   chan struct{} // Closed when the send has ended.
+		byClose *closedBody   // Of the send, if it ends with its connection.
 		rebal   *rebal.Rebal  // Nil if the run does not move off slow upstreams. Used by follow alone.
 
 		mu      sync.Mutex // Guards the fields below.
@@ -108,7 +109,6 @@
 		placement *placement
 		at        netip.AddrPort
 		ends      time.Time // When the run is expected to end there; zero if the upstream that it has leaves.
-		stoppedAt time.Time // When the run was asked to stop.
 		made      bool      // The first copy has been made.
 	}
 )
@@ -133,7 +133,14 @@
 	c.origin.goesOn, c.origin.bound, c.origin.began = true, true, f.placement.upstream.GetVersion()
 	return &mover{
 		ctx: ctx, live: q, request: &c, flight: f, source: source, keep: pool.HandleTime, begun: time.Now(), verdict: make(chan migr.Action, 1), ended: make(chan struct{}),
-		rebal: q.newRebal(),
+		rebal: q.newRebal(), machine: migr.Migr{Keep: pool.HandleTime},
+	}
+}
+
+// judge has the mover judge the end of a body that ends with its connection; nil for none.
+func (v *mover) judge(b *closedBody) {
+	if v != nil && b != nil {
+		v.byClose, b.mover = b, v
 	}
 }
 
@@ -223,6 +230,16 @@
 	return v.machine.Over()
 }
 
+// stopPending reports whether the run may be stopped by a call that was sent.
+func (v *mover) stopPending() bool {
+	if v == nil {
+		return false
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.machine.Pending()
+}
+
 // run returns how the run stands, and what says that it has to move.
 func (v *mover) run() (migr.Run, string) {
 	q, now := v.request, time.Now()
@@ -346,9 +363,6 @@
 			return migr.Event{Kind: migr.Left} // Another upstream has taken its place.
 		}
 		v.held = true
-		if v.copy.stoppedAt.IsZero() {
-			v.copy.stoppedAt = time.Now()
-		}
 	}
 	v.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(v.ctx), limit)
@@ -390,7 +404,15 @@
 		return
 	}
 	defer close(v.ended)
-	e := migr.Event{Kind: migr.Closed, OK: res.outcome == outcomeComplete}
+	defer func() {
+		if res.outcome != outcomeComplete {
+			return
+		}
+		if err := v.byClose.check(); !errors.Is(err, io.EOF) {
+			res.outcome, res.err = outcomeInterrupted, err
+		}
+	}()
+	e := migr.Event{Kind: migr.Closed, OK: res.outcome == outcomeComplete, ByClose: v.byClose != nil}
 	if res.outcome == outcomeCallerLeft || v.ctx.Err() != nil || errors.Is(res.err, errSilent) {
 		e.Kind = migr.Left
 	}
@@ -424,7 +446,7 @@
 func (v *mover) goOn(do migr.Do, res *result) migr.Event {
 	q := v.live
 	v.mu.Lock()
-	p, handle, limit, stoppedAt := v.copy.placement, v.machine.Handle(), v.machine.SendTime(time.Since(v.begun)), v.copy.stoppedAt
+	p, handle, limit := v.copy.placement, v.machine.Handle(), v.machine.SendTime(time.Since(v.begun))
 	v.mu.Unlock()
 	if do == migr.Return {
 		p = v.flight.placement
@@ -446,7 +468,10 @@
 	if f.accepted() && inTime {
 		res.outcome, res.err, res.next, res.kept = outcomeMoved, nil, f, do == migr.Return
 		if !res.kept {
-			q.gate.learnMove(q.pool, func(h *haul.Haul) { h.AddPause(time.Since(stoppedAt)) })
+			v.mu.Lock()
+			pause := v.machine.Pause(time.Since(v.begun))
+			v.mu.Unlock()
+			q.gate.learnMove(q.pool, func(h *haul.Haul) { h.AddPause(pause) })
 		}
 		return migr.Event{Kind: migr.Sent}
 	}
--- a/io/gate/move_close_test.go
+++ b/io/gate/move_close_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 )
@@ -42,3 +43,39 @@
 		}
 	}
 }
+
+// Guards against streams that break although their runs have ended by themselves, health checks that lengthen a pause,
+// and an engine started anew whose answer, that it has no such run, is taken for the end of the run.
+func TestRunsThatEndWhileAStopIsPending(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		fault string
+		whole bool
+	}{
+		{"ends by itself", "", true},
+		{"another instance", restarts, false},
+	} {
+		for _, slow := range []bool{false, true} {
+			t.Run(fmt.Sprint(tc.name, " slow ", slow), func(t *testing.T) {
+				t.Parallel()
+				p := movingPool
+				if slow {
+					p = rebalancingPool
+				}
+				p.HandleTime = time.Second
+				m := newMoveGate(t, p, []string{stopsLate, endsByClose, tc.fault}, []string{endsByClose})
+				m.checkHealthAt("/health")
+				m.start(slow)
+				r := m.do("POST", "/stream/x")
+				must.Eq(t, tc.whole, r.err == nil)
+				must.Eq(t, eventsUpTo(moveEvents), r.body)
+				m.check(t)
+				m.fleet.mu.Lock()
+				defer m.fleet.mu.Unlock()
+				must.Eq(t, 0, m.fleet.early)
+				must.Eq(t, 1, m.fleet.checks)
+				must.True(t, m.fleet.begun["up-1"].IsZero())
+			})
+		}
+	}
+}
--- a/io/gate/move_test.go
+++ b/io/gate/move_test.go
@@ -67,6 +67,8 @@
 	diesStopped  = "dies-stopped"  // It ends once the run has stopped.
 	hangsCopying = "hangs-copying" // The copy takes longer than the run.
 	endsByClose  = "ends-by-close" // No fault: its streams end with their connections.
+	stopsLate    = "stops-late"    // It looks at stops only once its run has ended.
+	restarts     = "restarts"      // Another instance answers health checks.
 )
 
 type (
@@ -77,6 +79,8 @@
 		calls   int
 		freed   int
 		header  http.Header          // Of the last request for a stream.
+		checks  int                  // Health checks.
+		early   int                  // Of them while a stop was pending.
 		begun   map[string]time.Time // When an engine began to work, by ID.
 		worked  map[string]time.Time // When it last did.
 	}
@@ -97,6 +101,7 @@
 		until  time.Time // When that is dropped.
 		stops  int
 		slow   int // Events that it makes slowly.
+		late   int // Stops that wait for the end of its run.
 	}
 )
 
@@ -127,6 +132,14 @@
 			e.to.copied = 0
 		}
 		e.fleet.freed++
+	case r.URL.Path == "/health":
+		e.fleet.checks++
+		if e.late > 0 {
+			e.fleet.early++
+		}
+		if e.has(restarts) {
+			w.Header().Set("X-Instance", "other")
+		}
 	case r.URL.Path == "/copy":
 		e.fleet.calls++
 		e.serveCopy(w, r)
@@ -137,6 +150,9 @@
 
 func (e *moveEngine) serveCopy(w http.ResponseWriter, r *http.Request) {
 	last := r.FormValue("last") == "true"
+	if last && e.has(stopsLate) {
+		e.awaitEnd()
+	}
 	switch {
 	case e.made == 0 && !e.kept:
 		w.WriteHeader(http.StatusNotFound)
@@ -189,6 +205,20 @@
 	}
 }
 
+// awaitEnd waits for a while beyond the end of its run.
+func (e *moveEngine) awaitEnd() {
+	e.late++
+	for e.made > 0 {
+		e.fleet.mu.Unlock()
+		time.Sleep(moveStep)
+		e.fleet.mu.Lock()
+	}
+	e.fleet.mu.Unlock()
+	time.Sleep(moveCopies)
+	e.fleet.mu.Lock()
+	e.late--
+}
+
 func (e *moveEngine) serveStream(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set(idHeader, r.Header.Get(idHeader))
 	e.fleet.header = r.Header.Clone()
@@ -211,6 +241,8 @@
 	for n := from + 1; n <= moveEvents; n++ {
 		step := moveStep
 		switch {
+		case e.late > 0:
+			step = moveStep / 5 // The run ends before the limit of a call.
 		case n <= e.slow:
 			step = slowStep
 		case e.slow > 0:
--- a/io/gate/outlive.go
+++ b/io/gate/outlive.go
@@ -26,11 +26,13 @@
 var errCut = errors.New("gate: connection ended, and the upstream is not known to have outlived it")
 
 // closedBody is the body of a response that ends with its connection. The kernel ends the connections of a killed
-// process in the same way, so its end counts only once the upstream is known to have outlived it.
+// process in the same way, so its end counts only once the upstream is known to have outlived it. While a stop is
+// pending the mover judges the end first: a check would lengthen the pause, and an upstream outlives a stopped run.
 type closedBody struct {
 	io.ReadCloser
 
 	flight *flight
+	mover  *mover
 	end    error // Result of the check; nil before.
 }
 
@@ -40,15 +42,26 @@
 		return 0, b.end
 	}
 	n, err := b.ReadCloser.Read(p)
-	if errors.Is(err, io.EOF) {
-		if err = b.flight.outlived(); err == nil {
-			err = io.EOF
-		}
-		b.end = err
+	if errors.Is(err, io.EOF) && !b.mover.stopPending() {
+		err = b.check()
 	}
 	return n, err //nolint:wrapcheck // Readers compare io.EOF.
 }
 
+// check checks whether the upstream has outlived its response, and returns io.EOF if so. A nil body needs no check.
+func (b *closedBody) check() error {
+	if b == nil {
+		return io.EOF
+	}
+	if b.end == nil {
+		b.end = io.EOF
+		if err := b.flight.outlived(); err != nil {
+			b.end = err
+		}
+	}
+	return b.end
+}
+
 // outlived returns nil if the upstream of the send still runs.
 func (f *flight) outlived() error {
 	ctx, cancel := context.WithTimeout(f.ctx, outliveTimeout)
--- a/io/gate/send.go
+++ b/io/gate/send.go
@@ -86,6 +86,7 @@
 	switch {
 	case res.outcome != outcomeComplete:
 	case q.route.Stream && f.resp.StatusCode == http.StatusOK:
+		v.judge(f.byClose)
 		s := &stream{request: q, resp: f.resp, hedge: h, mover: v, last: q.sendsNoMore(f, h, v), sentAt: f.sentAt}
 		s.relay(f.ctx, &res)
 	default:
