Test of read deadlines at the end of a body: a drain closes a whole request (red)

An entry that drains sets the read deadline of requests whose bodies have not come whole, and refuses them. If the body ends just before, net/http waits for the end of the connection already, takes the deadline for it, and ends the request's context. The entry then takes its caller for gone: it closes the connection without an answer, where it would refuse.

Ruled out by the first case: the deadline that is set when the body begins. net/http takes it back before it begins to wait for the end of the connection.

--- a/io/gate/body_test.go
+++ b/io/gate/body_test.go
@@ -16,10 +16,12 @@
 	"time"
 
 	"github.com/go-logr/logr/funcr"
+	"github.com/pkg/errors"
 	"github.com/shoenig/test/must"
 
 	"azurelane/core/buffer"
 	"azurelane/core/index"
+	"azurelane/core/refuse"
 	"azurelane/io/httpd"
 	"azurelane/io/stats"
 )
@@ -504,3 +506,49 @@
 	s.awaitBodies(0)
 	must.Eq(t, 0, s.Memory.Used(buffer.Answers))
 }
+
+// heldEnd is a body whose end its reader learns late.
+type heldEnd struct {
+	io.ReadCloser
+
+	hold func()
+}
+
+// Read reads from the body.
+func (b *heldEnd) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		b.hold()
+	}
+	return n, err //nolint:wrapcheck // Readers compare io.EOF.
+}
+
+// Guards against whole requests that are closed without an answer, as if their callers had left, because the deadline
+// for reading the body passes between the body's end and the end of the deadline.
+func TestDeadlineAtTheEndOfABody(t *testing.T) {
+	const late = 150 * time.Millisecond
+	for _, tt := range []struct {
+		name, wait, code string
+		hold             func(s *testGate)
+	}{
+		{"the caller's", "100ms", refuse.Deadline, func(*testGate) { time.Sleep(late) }},
+		{"of a drain", "1s", refuse.ShuttingDown, func(s *testGate) {
+			s.Drain(DrainSchedule{RefuseFrom: time.Now(), Deadline: time.Now().Add(late)})
+			time.Sleep(late / 2)
+		}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			up := newUpstream(t, respondText("ok"))
+			s := newTestGate(t, up)
+			s.srv.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				r.Body = &heldEnd{r.Body, func() { tt.hold(s) }}
+				s.ServeHTTP(w, r)
+			})
+			got := s.do(http.MethodPost, "/once/x", "X-Wait", tt.wait)
+			must.NoError(t, got.err)
+			must.Eq(t, http.StatusServiceUnavailable, got.status)
+			must.StrContains(t, got.body, tt.code)
+			must.Eq(t, 0, up.count())
+		})
+	}
+}
