A whole request at a drain is refused, and not closed

Cause: an entry that drains sets the read deadline of a request whose body has not come whole. If the body ends in that moment, net/http takes the deadline for the end of the caller's connection and ends the request's context; the entry closed the connection without an answer.

Change: a request for which the drain has set the deadline is refused as shutting-down, also if its body has ended.

--- a/io/gate/body.go
+++ b/io/gate/body.go
@@ -89,19 +89,21 @@
 	// Not every ResponseWriter has deadlines; those of a server do.
 	_ = w.SetReadDeadline(q.start.Add(q.timeLimit()))
 	stop := q.onDrain(func() { _ = w.SetReadDeadline(time.Now()) })
-	defer stop()
 	b := &body{held: held{buffer: &q.gate.Memory, kind: buffer.Bodies}, wait: q.bodyWait()}
 	b.await = func(size, by int64) bool { return q.awaitMemory(b, size, by) }
 	q.body = b.use()
 	err := b.read(http.MaxBytesReader(q.w, q.r.Body, limit), length)
-	if err == nil {
-		stop()
+	// Once the body has ended, net/http takes the deadline of a drain for the end of the connection.
+	drained := !stop() && q.drainCutsOff()
+	if err == nil && !drained {
 		_ = w.SetReadDeadline(time.Time{})
 		return nil
 	}
 	q.dropBody()
 	var large *http.MaxBytesError
 	switch {
+	case err == nil:
+		return errDraining
 	case errors.Is(err, errNoRoom):
 		_ = w.SetReadDeadline(time.Now().Add(bodyWait)) // net/http reads on before it sends the refusal.
 		return refuse.New(refuse.NoMemory, "", defaultRetryAfter)
