The own interface: an end mark counts with the blank line after it

What callers got: a stream framed as whole without the line ends of its last event, if its upstream gave neither a length nor chunks and was cut there.

Cause: the pipe looked for the end mark only. Where lengths or chunks end the answer that is enough.

Change: where the connection's end is the only end, the blank line that ends the event has to be there.

--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -27,6 +27,7 @@
 		return fmt.Errorf("%w: %w", pipe.ErrCaller, err)
 	}
 	for n := 0; ; n++ {
+		out.ByClose = !bounded(resp)
 		err := out.Copy(resp.Body)
 		_ = resp.Body.Close()
 		if err == nil {
--- a/io/pipe/pipe.go
+++ b/io/pipe/pipe.go
@@ -25,7 +25,11 @@
 // Line breaks within an event are escaped, so text never begins a line.
 var endMark = []byte("\ndata: [DONE]")
 
-const bufSize = 16 << 10
+const (
+	bufSize = 16 << 10
+	// eventEnds is the number of line ends after an event: that of its last line and a blank line.
+	eventEnds = 2
+)
 
 var bufs = sync.Pool{New: func() any { return new([bufSize]byte) }}
 
@@ -34,6 +38,7 @@
 	W       io.Writer
 	Flush   func() error  // Called after each write; nil for none.
 	Stream  bool          // The answer is a stream of server-sent events with an end mark.
+	ByClose bool          // The answer ends with its connection, so that its last event may be cut.
 	Silence time.Duration // Timeout of a read.
 	Silent  func()        // Called after the timeout; it must make the read return.
 
@@ -158,7 +163,12 @@
 }
 
 func (p *Pipe) end() error {
-	if p.Stream && !bytes.HasSuffix(bytes.TrimRight(p.tail, "\r\n"), endMark) {
+	if !p.Stream {
+		return nil
+	}
+	lines := bytes.TrimRight(p.tail, "\r\n")
+	ends := bytes.Count(p.tail[len(lines):], []byte("\n"))
+	if !bytes.HasSuffix(lines, endMark) || (p.ByClose && ends < eventEnds) {
 		return ErrCut
 	}
 	return nil
--- a/io/pipe/pipe_test.go
+++ b/io/pipe/pipe_test.go
@@ -19,23 +19,30 @@
 // and the stream was cut after it.
 func TestCopyKnowsWhole(t *testing.T) {
 	for _, tc := range []struct {
-		name string
-		body string
-		want error
+		name    string
+		body    string
+		want    error
+		byClose error // The same if the answer ends with its connection.
 	}{
-		{"whole", "data: {\"a\":1}\n\ndata: [DONE]\n\n", nil},
-		{"only the mark", "data: [DONE]\n\n", nil},
-		{"cut", "data: {\"a\":1}\n\n", pipe.ErrCut},
-		{"mark as text", "data: {\"a\":\"data: [DONE]", pipe.ErrCut},
-		{"mark with CRLF", "data: {\"a\":1}\r\n\r\ndata: [DONE]\r\n\r\n", nil},
-		{"empty", "", pipe.ErrCut},
-		{"long line", "data: " + strings.Repeat("x", 40000) + "\n\ndata: [DONE]\n\n", nil},
+		{"whole", "data: {\"a\":1}\n\ndata: [DONE]\n\n", nil, nil},
+		{"only the mark", "data: [DONE]\n\n", nil, nil},
+		{"cut", "data: {\"a\":1}\n\n", pipe.ErrCut, pipe.ErrCut},
+		{"mark as text", "data: {\"a\":\"data: [DONE]", pipe.ErrCut, pipe.ErrCut},
+		{"mark with CRLF", "data: {\"a\":1}\r\n\r\ndata: [DONE]\r\n\r\n", nil, nil},
+		{"empty", "", pipe.ErrCut, pipe.ErrCut},
+		{"long line", "data: " + strings.Repeat("x", 40000) + "\n\ndata: [DONE]\n\n", nil, nil},
+		{"no blank line", "data: {}\n\ndata: [DONE]\n", nil, pipe.ErrCut},
+		{"no line end", "data: {}\n\ndata: [DONE]", nil, pipe.ErrCut},
+		{"half a blank line", "data: {}\r\n\r\ndata: [DONE]\r\n\r", nil, pipe.ErrCut},
+		{"blank lines", "data: {}\n\ndata: [DONE]\n\n\n", nil, nil},
 	} {
-		for _, r := range []io.Reader{strings.NewReader(tc.body), iotest.OneByteReader(strings.NewReader(tc.body))} {
-			var out bytes.Buffer
-			p := pipe.Pipe{W: &out, Stream: true}
-			must.ErrorIs(t, p.Copy(r), tc.want, must.Sprint(tc.name))
-			must.Eq(t, tc.body, out.String(), must.Sprint(tc.name))
+		for byClose, want := range map[bool]error{false: tc.want, true: tc.byClose} {
+			for _, r := range []io.Reader{strings.NewReader(tc.body), iotest.OneByteReader(strings.NewReader(tc.body))} {
+				var out bytes.Buffer
+				p := pipe.Pipe{W: &out, Stream: true, ByClose: byClose}
+				must.ErrorIs(t, p.Copy(r), want, must.Sprint(tc.name, byClose))
+				must.Eq(t, tc.body, out.String(), must.Sprint(tc.name))
+			}
 		}
 	}
 }
