--- a/io/front/cut_test.go
+++ b/io/front/cut_test.go
@@ -154,3 +154,35 @@
 		}
 	}
 }
+
+// Guards against a request that runs with a part of its body, because its caller was killed.
+func TestCutRequests(t *testing.T) {
+	const (
+		begin = "POST " + chatPath + " HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key-one\r\nConnection: close\r\n"
+		body  = `{"model":"m","max_tokens":3,"messages":[{"role":"user","content":"x"}]}   `
+	)
+	for _, tc := range []struct{ name, request string }{
+		{"length", begin + "Content-Length: 74\r\n\r\n" + body},
+		{"chunks", begin + "Transfer-Encoding: chunked\r\n\r\n5\r\n" + body[:5] + "\r\n45\r\n" + body[5:] + "\r\n0\r\nX-End: 1\r\n\r\n"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t, 1)
+			for at := range len(tc.request) + 1 {
+				whole := at == len(tc.request)
+				c, err := net.Dial("tcp", s.entries[0].Listener.Addr().String())
+				must.NoError(t, err)
+				_, err = io.WriteString(c, tc.request[:at])
+				must.NoError(t, err)
+				if !whole { // Else it counts as a caller that leaves.
+					must.NoError(t, c.(*net.TCPConn).CloseWrite())
+				}
+				data, err := io.ReadAll(c)
+				must.NoError(t, err)
+				must.NoError(t, c.Close())
+				must.Eq(t, whole, strings.HasPrefix(string(data), "HTTP/1.1 200 "), must.Sprintf("byte %d: %q", at, data))
+			}
+			must.SliceLen(t, 1, s.engine.Journal())
+		})
+	}
+}
