Test of certificate files that are read while they are written (red)

Cause: the decoder passes over a block that is cut, so that the certificates before it count as all.

Change: TestCutFiles cuts a file of authorities, and a chain, at each byte of its second certificate.

Result: red from the first byte on, for both.

--- a/io/certs/certs_test.go
+++ b/io/certs/certs_test.go
@@ -1,6 +1,7 @@
 package certs
 
 import (
+	"bytes"
 	"crypto/tls"
 	"net"
 	"net/netip"
@@ -142,6 +143,36 @@
 	must.Nil(t, cfg)
 }
 
+// Guards against a file that is read while it is written, and of which a part counts as all: authorities, or a part
+// of a chain, would be missing.
+func TestCutFiles(t *testing.T) {
+	good, other := issue(t, t.TempDir(), "entry-1", "127.0.0.1"), issue(t, t.TempDir(), "entry-2", "127.0.0.1")
+	for _, tc := range []struct {
+		name        string
+		first, next string // Files that are joined.
+		set         func(c *Certs, file string)
+	}{
+		{"authorities", good.CA, other.CA, func(c *Certs, file string) { c.CA = file }},
+		{"chain", good.Cert, good.CA, func(c *Certs, file string) { c.Cert = file }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			first, err := os.ReadFile(tc.first)
+			must.NoError(t, err)
+			next, err := os.ReadFile(tc.next)
+			must.NoError(t, err)
+			c := good
+			file := filepath.Join(t.TempDir(), "file.pem")
+			tc.set(&c, file)
+			whole := len(next) - len("\n") // The last line end adds nothing.
+			for at := 1; at <= whole; at++ {
+				must.NoError(t, os.WriteFile(file, append(bytes.Clone(first), next[:at]...), 0o600))
+				_, err := c.Config()
+				must.Eq(t, at == whole, err == nil, must.Sprintf("byte %d of %d: %v", at, whole, err))
+			}
+		})
+	}
+}
+
 // Guards against resets at ports with TLS: a drained listener must return pending connections with TLS.
 func TestWrappedListenerDrains(t *testing.T) {
 	dir := t.TempDir()
