A file of certificates that ends inside one is not read

What could happen: a process that starts, or sees a renewed certificate, while its file is written takes a part for all: it trusts too few authorities until a restart, or shows a chain without its end until the next handshake.

Cause: the decoder passes over a block that is cut.

Change: a file that ends inside a block is an error; at a renewal the certificate before stays in use, as with a file that can't be read. Where a file ends between two certificates nobody can tell; a rename avoids that.

--- a/io/certs/certs.go
+++ b/io/certs/certs.go
@@ -2,8 +2,10 @@
 package certs
 
 import (
+	"bytes"
 	"crypto/tls"
 	"crypto/x509"
+	"encoding/pem"
 	"fmt"
 	"net"
 	"os"
@@ -14,8 +16,14 @@
 	"azurelane/io/listen"
 )
 
-// ErrNoAuthority is returned if the file of the authority contains no certificate.
-var ErrNoAuthority = errors.New("certs: no certificate of an authority")
+var (
+	// ErrNoAuthority is returned if the file of the authority contains no certificate.
+	ErrNoAuthority = errors.New("certs: no certificate of an authority")
+	// ErrCut is returned if a file ends inside a certificate.
+	ErrCut = errors.New("certs: file ends inside a certificate")
+)
+
+var blockBegin = []byte("-----BEGIN ")
 
 // Certs holds the file names of a process. The zero value means no TLS.
 type Certs struct {
@@ -63,17 +71,48 @@
 }
 
 func authority(file string) (*x509.CertPool, error) {
-	pem, err := os.ReadFile(file)
+	data, err := readBlocks(file)
 	if err != nil {
 		return nil, fmt.Errorf("certs: authority: %w", err)
 	}
 	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(pem) {
+	if !pool.AppendCertsFromPEM(data) {
 		return nil, fmt.Errorf("%w in %s", ErrNoAuthority, file)
 	}
 	return pool, nil
 }
 
+// readBlocks reads a PEM file. It may be in the middle of a replacement, and the readers of blocks pass over one that
+// is cut.
+func readBlocks(file string) ([]byte, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err //nolint:wrapcheck // By the callers.
+	}
+	rest := data
+	for block, next := pem.Decode(rest); block != nil; block, next = pem.Decode(rest) {
+		rest = next
+	}
+	last := rest[bytes.LastIndexByte(rest, '\n')+1:]
+	if bytes.Contains(rest, blockBegin) || len(last) > 0 && bytes.HasPrefix(blockBegin, last) {
+		return nil, fmt.Errorf("%w: %s", ErrCut, file)
+	}
+	return data, nil
+}
+
+// load reads the certificate and its key.
+func (c Certs) load() (tls.Certificate, error) {
+	cert, err := readBlocks(c.Cert)
+	if err != nil {
+		return tls.Certificate{}, err
+	}
+	key, err := os.ReadFile(c.Key)
+	if err != nil {
+		return tls.Certificate{}, err //nolint:wrapcheck // By the caller.
+	}
+	return tls.X509KeyPair(cert, key) //nolint:wrapcheck // By the caller.
+}
+
 // Operators returns the configuration of the operators' port, or nil without TLS. Clients need no certificate there,
 // because of health checks; the handlers for operators authorize requests themselves.
 func Operators(links *tls.Config) *tls.Config {
@@ -124,7 +163,7 @@
 	}
 	if err == nil {
 		var cert tls.Certificate
-		if cert, err = tls.LoadX509KeyPair(p.Cert, p.Key); err == nil {
+		if cert, err = p.load(); err == nil {
 			p.cert, p.read = &cert, info
 			return p.cert, nil
 		}
