Tests of cut responses close their connections

Cause: their idle connections held memory that TestBytesWithoutEnd counts (118 to 133 MB, 96 MB allowed).

Change: each gate's connections are closed at the end of its positions.

Result: TestCut* and TestBytesWithoutEnd pass in one process.

--- a/io/gate/cut_early_test.go
+++ b/io/gate/cut_early_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"azurelane/io/client"
 	"azurelane/io/stats"
 )
 
@@ -73,6 +74,7 @@
 						must.Eq(t, complete, err == nil, must.Sprintf("byte %d of %d: %v", at, len(tc.body), err))
 						must.True(t, strings.HasPrefix(body, string(got)))
 						s.srv.Close() // Waits for the request.
+						s.Calls.(*client.Client).Close()
 						_ = u.Close()
 						counts := httptest.NewRecorder()
 						s.Stats.Text(counts, nil)
--- a/io/gate/cut_test.go
+++ b/io/gate/cut_test.go
@@ -111,6 +111,7 @@
 				for range cutWorkers {
 					wg.Go(func() {
 						s := newCutSite(t, e, c)
+						defer s.close()
 						for at := int(next.Add(1)); at <= len(c.head+c.body)+1; at = int(next.Add(1)) {
 							s.check(e, c, at-1)
 						}
@@ -155,10 +156,21 @@
 	return s
 }
 
+// close ends connections, which hold memory that other tests measure.
+func (s *cutSite) close() {
+	s.srv.Close()
+	s.Sender.(*client.Client).Close()
+	s.Calls.(*client.Client).Close()
+	for _, u := range s.ups {
+		_ = u.Close()
+	}
+}
+
 // refresh puts an upstream in front of the gate that has failed no request, or two if the request moves.
 func (s *cutSite) refresh(e cutEnd, c cutResponse, at int) {
 	s.t.Helper()
 	if s.ups == nil || e.ends {
+		s.Sender.(*client.Client).Close()
 		s.ups = nil
 		for range 1 + map[bool]int{true: 1}[e.moves] {
 			s.ups = append(s.ups, newUpstream(s.t, func(_ int, r *http.Request, w io.Writer) bool { return s.respond(e, c, r, w) }))
