A killed entry resets streams to callers of HTTP/1.0

Cause: such a stream ends with its connection, and the kernel ends the connections of a killed process with a FIN.

Change: from the header of a response without a length on, a caller's connection of HTTP/1.0 is set to be reset when it is closed, by the kernel too; once the whole response is with the kernel, that is taken back.

--- a/io/gate/answer.go
+++ b/io/gate/answer.go
@@ -48,6 +48,7 @@
 	if f.resp.ContentLength >= 0 {
 		q.w.Header().Set("Content-Length", strconv.FormatInt(f.resp.ContentLength, 10))
 	}
+	q.resetAtEnd()
 	q.w.WriteHeader(f.resp.StatusCode)
 	size := a.size
 	if err := q.writeAll(a.pieces); err != nil {
--- a/io/gate/caller.go
+++ b/io/gate/caller.go
@@ -35,6 +35,22 @@
 	_ = http.NewResponseController(q.w).SetWriteDeadline(time.Time{})
 }
 
+// resetAtEnd has the kernel reset the caller's connection if this process ends before the response does. Without it
+// the end looks like that of a response in HTTP/1.0 without a length.
+func (q *request) resetAtEnd() {
+	if q.gate.Linger != nil && !q.r.ProtoAtLeast(1, 1) && q.w.Header().Get("Content-Length") == "" {
+		q.resets = true
+		q.gate.Linger(q.r.Context(), 0)
+	}
+}
+
+// endWell ends what resetAtEnd has begun, once the whole response is with the kernel.
+func (q *request) endWell() {
+	if q.resets && http.NewResponseController(q.w).Flush() == nil {
+		q.gate.Linger(q.r.Context(), -1)
+	}
+}
+
 // resetCaller resets the caller's connection. In HTTP/1.0 the end of the connection is the end of a
 // response without a length, so only a reset shows that the response is incomplete.
 func (q *request) resetCaller() {
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -60,6 +60,8 @@
 		UpstreamDrain time.Duration
 		// CallerTimeout is how long a caller may take to read 16 KB; zero for 30 s.
 		CallerTimeout time.Duration
+		// Linger sets how the connection of a caller ends, as net.TCPConn.SetLinger does; nil for no control of it.
+		Linger func(ctx context.Context, sec int)
 		// Memory bounds the memory of requests' bodies and of answers that are read before they are passed on.
 		Memory buffer.Buffer
 		Stats  *stats.Stats
--- a/io/gate/request.go
+++ b/io/gate/request.go
@@ -41,6 +41,7 @@
 		charged         bool        // The scheduler has charged it, although this entry places it.
 		paid            bool        // Its account has been charged, although it was not sent.
 		headerSent      bool        // The header of the response has been written.
+		resets          bool        // The end of this process resets the caller's connection.
 		passedOn        bool        // So has a part of an answer that is no stream.
 		failures        []*held     // Upstreams' error responses that are in memory.
 		lastEventID     string      // ID of the last event written to the caller.
@@ -332,6 +333,7 @@
 func (q *request) finish(ctx context.Context, res result) {
 	switch {
 	case res.outcome == outcomeComplete:
+		q.endWell()
 		q.recordCompletion(res)
 	case q.serverStops() && q.headerSent:
 		q.abort(streamBroken, res.err)
--- a/io/gate/stream.go
+++ b/io/gate/stream.go
@@ -160,6 +160,7 @@
 	}
 	s.headerSent = true
 	copyEndToEndHeaders(s.w.Header(), s.resp.Header)
+	s.resetAtEnd()
 	s.w.WriteHeader(s.resp.StatusCode)
 }
 
--- a/io/gated/gated.go
+++ b/io/gated/gated.go
@@ -136,7 +136,7 @@
 	e.pullMetrics(metrics)
 	g.Memory.Limit = settings.MemoryMB << 20 / bufferDivisor
 	g.RetryRatio, g.RetrySlack, g.QuotaSlack = settings.RetryRatio, settings.RetrySlack, settings.QuotaSlack
-	g.SplitValid, g.UpstreamDrain = settings.RollbackWithin/splitValidDivisor, settings.UpstreamDrain
+	g.SplitValid, g.UpstreamDrain, g.Linger = settings.RollbackWithin/splitValidDivisor, settings.UpstreamDrain, guard.Linger
 	e.callers = &httpd.Httpd{
 		Listen: e.takeIn(lns[1], metrics), Handler: g, Drain: settings.DrainLimit - drainLinger - 2*keepAliveDrain - stopMargin, DrainOpen: keepAliveDrain,
 		Guard: &guard.Guard{
--- a/io/guard/guard.go
+++ b/io/guard/guard.go
@@ -85,6 +85,13 @@
 	}
 }
 
+// Linger sets how the connection of a request ends, as net.TCPConn.SetLinger does.
+func Linger(ctx context.Context, sec int) {
+	if c, ok := ctx.Value(connKey{}).(*conn); ok {
+		_ = c.SetLinger(sec) // Fails only on a closed connection.
+	}
+}
+
 // State follows the states of connections, for http.Server.ConnState.
 func (*Guard) State(nc net.Conn, s http.ConnState) {
 	if c, ok := nc.(*conn); ok && s == http.StateIdle {
