--- a/io/gate/stream.go
+++ b/io/gate/stream.go
@@ -168,6 +168,7 @@
 	}
 	s.headerSent = true
 	copyEndToEndHeaders(s.w.Header(), s.resp.Header)
+	s.resetAtEnd()
 	s.w.WriteHeader(s.resp.StatusCode)
 }
 
