Dialects of the simulations know instances

Cause: the gate's dialect got the method Instance, and the tests of io/hub have dialects of their own.

Change: theirs name no instance.

--- a/io/hub/quota_test.go
+++ b/io/hub/quota_test.go
@@ -437,6 +437,8 @@
 
 func (simDialect) Return(http.Header) {}
 
+func (simDialect) Instance(*http.Response) string { return "" }
+
 func (simDialect) Genuine(*http.Response) bool { return true }
 
 func (simDialect) Refuse(http.Header, time.Duration) {}
