The end of a run given back while a stop may come late is asked for

What callers would see: a stream without length or chunks that ends as complete with events missing (ORDER), after a run was given back to its source and an earlier stop, whose answer was lost, stops it there.

Cause: a run that is given back was not followed any more, and its stream's end was taken for the run's own.

Change: where such a stream ends with its connection, and a stop without an answer may have its effect, a mover in doubt follows it with the copy and the slot, and the engine is asked at the end. Streams with chunks are unchanged. In the simulation the end of a stream now comes after its header, also if the run was stopped before.

Not run on this commit: the other tests of io/gate, and platform.

--- a/core/migr/ends_test.go
+++ b/core/migr/ends_test.go
@@ -16,6 +16,7 @@
 
 const (
 	endsKeep = 5 * time.Second
+	endsDue  = time.Minute           // When the stop is first due.
 	limitDue = stopLimit - callAgain // From which on a stop is not repeated.
 )
 
@@ -69,14 +70,54 @@
 		{"in doubt, events before a late stop and after it", endsKeep, []at{{limitDue, lost, Wait}, {time.Second, later, Wait}, {limitDue + lateLimit, latest, Drop}}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			m, run := Migr{Keep: tc.keep}, Run{Leaves: true, Left: 3 * time.Second, Expected: time.Minute, Events: 5}
-			const due = time.Minute
-			for _, s := range []at{{event: Event{Run: run}, want: Ask}, {event: Event{Kind: Granted, OK: true}, want: Copy}, {event: stopped, want: Stop}} {
-				must.Eq(t, s.want, m.Step(due, s.event).Do)
-			}
-			for n, s := range tc.steps {
-				must.Eq(t, s.want, m.Step(due+s.after, s.event).Do, must.Sprint("step ", n))
-			}
+			run(t, askedToStop(t, tc.keep), tc.steps)
 		})
 	}
 }
+
+// Guards against a run that goes on at its source, and whose end is taken for its own although a late stop has ended
+// it, and against such a run that keeps its slot although no stop is late.
+func TestHeir(t *testing.T) {
+	lostStop := []at{{0, byClose, Wait}, {limitDue, lost, Return}, {limitDue, taken, Moved}}
+	const back = limitDue
+	for _, tc := range []struct {
+		name  string
+		steps []at
+		asked time.Duration // When the heir is asked for, since the stop was first due.
+		heir  []at          // Its steps; empty for none.
+	}{
+		{"gone", lostStop, back, []at{{time.Second, byClose, Wait}, {time.Second, tick, Stop}, {time.Second, gone, End}}},
+		{"gone once the run is not kept", lostStop, back, []at{{back + endsKeep, byClose, Wait}, {back + endsKeep, tick, Stop}, {back + endsKeep, gone, Return}}},
+		{"stopped", lostStop, back, []at{{time.Second, byClose, Wait}, {time.Second, tick, Stop}, {time.Second, stopped, Move}}},
+		{"goes on", lostStop, back, []at{{2 * time.Second, later, Wait}, {back + lateLimit, latest, Drop}, {4 * time.Second, byClose, End}}},
+		{"caller leaves", lostStop, back, []at{{time.Second, Event{Kind: Left}, Break}}},
+		{"one of two stops lost", []at{{0, byClose, Wait}, {stopCall, lost, Stop}, {stopCall, Event{Kind: Answered, Status: Refused, Handle: "h"}, Return}, {stopCall, taken, Moved}}, stopCall, []at{{time.Second, byClose, Wait}, {time.Second, tick, Stop}}},
+		{"too late for a stop", lostStop, back + lateLimit, nil},
+		{"all stops answered", []at{{0, byClose, Wait}, {0, Event{Kind: Answered, Status: Refused, Handle: "h"}, Return}, {0, taken, Moved}}, 0, nil},
+		{"moved", []at{{0, byClose, Wait}, {stopCall, lost, Stop}, {stopCall, stopped, Move}, {stopCall, taken, Moved}}, stopCall, nil},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			m := askedToStop(t, endsKeep)
+			run(t, m, tc.steps)
+			heir, ok := m.Heir(endsDue + tc.asked)
+			must.Eq(t, len(tc.heir) > 0, ok)
+			run(t, &heir, tc.heir)
+		})
+	}
+}
+
+// askedToStop returns the state of a run that is asked to stop.
+func askedToStop(t *testing.T, keep time.Duration) *Migr {
+	t.Helper()
+	m := &Migr{Keep: keep}
+	leaves := Event{Run: Run{Leaves: true, Left: 3 * time.Second, Expected: time.Minute, Events: 5}}
+	run(t, m, []at{{0, leaves, Ask}, {0, Event{Kind: Granted, OK: true}, Copy}, {0, stopped, Stop}})
+	return m
+}
+
+func run(t *testing.T, m *Migr, steps []at) {
+	t.Helper()
+	for n, s := range steps {
+		must.Eq(t, s.want, m.Step(endsDue+s.after, s.event).Do, must.Sprint("step ", n))
+	}
+}
--- a/core/migr/migr.go
+++ b/core/migr/migr.go
@@ -165,6 +165,7 @@
 		firstAt  time.Duration // When the stop was first due.
 		cutAt    time.Duration // When the source's stream is cut; zero for never.
 		lateAt   time.Duration // When a stop without an answer can't take effect any more.
+		backAt   time.Duration // When the source was last asked to continue.
 		handle   string
 		doubtful bool          // A call of this try has no answer and may still have its effect.
 		began    time.Duration // When the first copy was asked for.
@@ -204,6 +205,9 @@
 	}
 	if e.Kind == Answered && e.Status == Lost {
 		m.doubtful = true
+		if m.stage == stopping {
+			m.lateAt = now + lateLimit
+		}
 	}
 	if e.Kind == Closed {
 		return m.close(now, e)
@@ -236,6 +240,15 @@
 // own shows nothing then.
 func (m *Migr) Pending() bool { return m.stage == stopping || m.stage == doubting }
 
+// Heir returns the state of a stream that goes on at the source although an earlier stop, which has no answer, may
+// still stop it. It reports false if there is no such stop. The copy is the heir's then.
+func (m *Migr) Heir(now time.Duration) (Migr, bool) {
+	if m.stage != over || m.outcome != OutcomeReturned || now >= m.lateAt {
+		return Migr{}, false
+	}
+	return Migr{Keep: m.Keep, stage: doubting, tries: MaxTries, handle: m.handle, asked: true, doubtful: true, firstAt: m.backAt, lateAt: m.lateAt}, true
+}
+
 // Over reports whether the stream has ended here. Calls that are not sent yet are not to be sent.
 func (m *Migr) Over() bool { return m.stage == over }
 
@@ -409,7 +422,7 @@
 	if now >= m.stopAt+pauseLimit {
 		return m.finish(Break, OutcomeBroken, FreeBoth)
 	}
-	m.stage = returning
+	m.stage, m.backAt = returning, now
 	return Action{Do: Return}
 }
 
--- a/core/migr/sim_test.go
+++ b/core/migr/sim_test.go
@@ -37,6 +37,8 @@
 		made    int
 		next    time.Duration // When what the run sends now arrives at the earliest.
 		stopped bool
+		waits   bool   // The header has not come.
+		end     func() // What ends the stream once it has come; nil for nothing.
 	}
 
 	// sim is one move between two engines, of a stream that an entry reads.
@@ -148,11 +150,15 @@
 
 // closed ends the stream of a run. That of a dead engine is known to be cut off once no stop is pending.
 func (s *sim) closed(run *simRun, whole bool) {
+	if run != nil && run.waits {
+		run.end = func() { s.closed(run, whole) }
+		return
+	}
 	if s.reading == run && run != nil {
 		s.reading = nil
 		cut := run.at.dead && s.byClose && !s.m.Pending()
 		s.step(Event{Kind: Closed, OK: whole && !cut, ByClose: s.byClose})
-		if s.m.stage == over && whole && !s.byClose {
+		if s.m.stage == over && whole && !run.at.dead {
 			must.Eq(s.t, simEvents, s.got, must.Sprint("complete"))
 		}
 	}
@@ -249,7 +255,7 @@
 			answer(Refused, "")
 			return
 		}
-		run := &simRun{at: e, made: last, next: s.now}
+		run := &simRun{at: e, made: last, next: s.now, waits: true}
 		if e == &s.to {
 			e.copyUntil = 0
 			s.began = s.now
@@ -258,8 +264,11 @@
 		s.message(func() { // Events come after the header.
 			s.stream(run, func() {
 				if s.calls == n && s.open {
-					s.reading, s.open = run, false
+					s.reading, s.open, run.waits = run, false, false
 					s.step(Event{Kind: Sent})
+					if run.end != nil {
+						s.after(time.Millisecond, run.end)
+					}
 				}
 			})
 			s.work(e, run)
@@ -342,6 +351,10 @@
 	case Return:
 		s.send(&s.from)
 	case End, Break, Moved:
+		if heir, ok := s.m.Heir(s.now); ok && s.byClose {
+			s.m = heir
+			return
+		}
 		s.ended = true
 		if d == End && (!s.byClose || !s.from.dead) {
 			must.Eq(s.t, simEvents, s.got, must.Sprint("complete"))
--- a/io/gate/flight.go
+++ b/io/gate/flight.go
@@ -21,6 +21,7 @@
 	ctx       context.Context //nolint:containedctx // Of the send.
 	cancel    context.CancelCauseFunc
 	continues *continuation // Nil unless the upstream continues a run.
+	mover     *mover        // Of a run that an earlier stop may still stop; else nil.
 	done      chan struct{} // Closed once the fields below are set; nil if the request is yet to be sent.
 	resp      *http.Response
 	byClose   *closedBody // Body of the response if it ends with its connection; else nil.
--- a/io/gate/move.go
+++ b/io/gate/move.go
@@ -100,6 +100,7 @@
 		mu      sync.Mutex // Guards the fields below.
 		machine migr.Migr
 		copy    *heldCopy // Nil while there is none.
+		passed  bool      // The copy is the next mover's.
 		reason  string    // Of the try in progress; empty if there is none.
 		held    bool      // The hedge waits.
 	}
@@ -115,6 +116,9 @@
 
 // newMover returns nil if the run of a send does not move.
 func (q *request) newMover(ctx context.Context, f *flight) *mover {
+	if f.mover != nil {
+		return f.mover
+	}
 	g := q.gate
 	if g.Moves == nil || g.Calls == nil || !q.route.Stream || q.banTrial || q.meta.ID == "" || q.moves >= maxMoves {
 		return nil
@@ -424,7 +428,10 @@
 		case migr.Move, migr.Return:
 			time.Sleep(a.After)
 			a = v.step(v.goOn(a.Do, res))
-		case migr.Moved, migr.End:
+		case migr.Moved:
+			v.passOn(res.next)
+			return
+		case migr.End:
 			return
 		case migr.Break:
 			if res.outcome == outcomeComplete {
@@ -493,6 +500,22 @@
 	return e
 }
 
+// passOn has a mover follow a run that goes on at its source, if a stop without an answer may still stop it and its
+// end would not show that.
+func (v *mover) passOn(f *flight) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	heir, ok := v.machine.Heir(time.Since(v.begun))
+	if !ok || f.byClose == nil {
+		return
+	}
+	v.passed = true
+	f.mover = &mover{
+		ctx: v.ctx, live: v.live, request: v.request, flight: f, source: v.source, keep: v.keep, begun: v.begun, verdict: make(chan migr.Action, 1), ended: make(chan struct{}),
+		machine: heir, copy: v.copy, reason: v.reason,
+	}
+}
+
 // recordMove records that the run of a request goes on with another send. The upstream that it leaves has not
 // run it to an end, so it does not count among those that may run the request.
 func (q *request) recordMove(p *placement, res result) {
@@ -508,7 +531,7 @@
 func (v *mover) drop() {
 	v.mu.Lock()
 	c, reason := v.copy, v.reason
-	outcome, ends, handle, doubtful := v.machine.Outcome(), v.machine.Frees(), v.machine.Handle(), v.machine.Doubtful()
+	outcome, ends, handle, doubtful, passed := v.machine.Outcome(), v.machine.Frees(), v.machine.Handle(), v.machine.Doubtful(), v.passed
 	v.copy, v.reason = nil, ""
 	v.mu.Unlock()
 	if reason == "" {
@@ -529,7 +552,7 @@
 	q.gate.Stats.Count("moves-"+cause+"-"+outcome, 1)
 	log.Info("Move ended.", "request", q.meta.ID, "reason", cause, "why", reason, "ending", outcome, "upstream", v.flight.placement.upstream.GetId(),
 		"to", to, "events", v.events.Load(), "unfreed", doubtful, "took", time.Since(v.begun).String())
-	if c != nil && outcome != migr.OutcomeMoved {
+	if c != nil && outcome != migr.OutcomeMoved && !passed {
 		go v.free(c, ends, handle, doubtful)
 	}
 }
--- a/io/gate/move_test.go
+++ b/io/gate/move_test.go
@@ -69,6 +69,8 @@
 	endsByClose  = "ends-by-close" // No fault: its streams end with their connections.
 	stopsLate    = "stops-late"    // It looks at stops only once its run has ended.
 	restarts     = "restarts"      // Another instance answers health checks.
+	stopsAgain   = "stops-again"   // A stop that comes late stops the continued run.
+	diesLater    = "dies-later"    // It ends in the middle of a continued run.
 )
 
 type (
@@ -100,8 +102,9 @@
 		copied int       // Events of the copy that it holds; 0 for none.
 		until  time.Time // When that is dropped.
 		stops  int
-		slow   int // Events that it makes slowly.
-		late   int // Stops that wait for the end of its run.
+		slow   int  // Events that it makes slowly.
+		late   int  // Stops that wait for the end of its run.
+		again  bool // A stop that came late has stopped its continued run.
 	}
 )
 
@@ -205,6 +208,19 @@
 	}
 }
 
+// harmContinued does what is to happen in the middle of a continued run.
+func (e *moveEngine) harmContinued() {
+	if e.has(diesLater) {
+		e.die()
+	}
+	e.fleet.mu.Lock()
+	defer e.fleet.mu.Unlock()
+	if e.has(stopsAgain) && e.made > 0 && !e.kept && !e.again {
+		e.kept, e.memory, e.again = true, e.made, true
+		close(e.stop)
+	}
+}
+
 // awaitEnd waits for a while beyond the end of its run.
 func (e *moveEngine) awaitEnd() {
 	e.late++
@@ -230,6 +246,7 @@
 			return
 		}
 		e.copied, e.kept = 0, false
+		time.AfterFunc(moveCopies, e.harmContinued)
 	}
 	w.Header().Set(genuineHeader, "m")
 	if e.has(endsByClose) {
