Tests of misdirected responses: each 421 passes for a proof that nothing ran (red)

Cause: the entry takes every 421 for the response of another instance than the one meant. An upstream, or a part of it, may give that status after a run, as it may give 408, 429 and 503; only the mark, or the name of another instance, shows that nothing ran. The table of TestRetryAtSecondUpstream asked for a second send after any 421; that row was wrong. It now names another instance, and three rows tell the cases apart.

--- a/io/gate/gate_test.go
+++ b/io/gate/gate_test.go
@@ -91,7 +91,10 @@
 		second      bool // The second upstream receives the request that may run once.
 	}{
 		{"says that it did not run", respond(http.StatusServiceUnavailable, "", "X-Not-Run: 1\r\n"), 200, 200, true},
-		{"is another one", respond(http.StatusMisdirectedRequest, "", ""), 200, 200, true},
+		{"is another one", respond(http.StatusMisdirectedRequest, "", "X-Instance: other\r\n"), 200, 200, true},
+		{"says that it is not meant and did not run", respond(http.StatusMisdirectedRequest, "", "X-Not-Run: 1\r\n"), 200, 200, true},
+		{"says that it is not meant", respond(http.StatusMisdirectedRequest, "", ""), 502, 200, false},
+		{"is the one meant and says that it is not", respond(http.StatusMisdirectedRequest, "", "X-Instance: up-0\r\n"), 502, 200, false},
 		{"fails", respond(http.StatusInternalServerError, "bad", ""), 500, 200, false},
 		{"may have run it and says that it is overloaded", respond(http.StatusServiceUnavailable, "", ""), 502, 200, false},
 		{"may have run it and says that there are too many", respond(http.StatusTooManyRequests, "", ""), 502, 429, false},
