A 421 shows that nothing ran only with the mark or the name of another instance

Callers saw, in plays of ours, 503 for requests that had run, and requests that may run once that ran at two servers under one id (REFUSED, TWICE). Whether the users' cases are of this cause is suspected: their record names no status.

Change: for a request that may run once, a 421 counts as the response of another instance only if it bears the mark that nothing ran, or names another instance than the one meant. Any other ends it as upstream-lost (502), as the other statuses do. Requests that may run more than once go on as before. Second sends and continued runs ask the same method. Three older tests had stand-ins that answer 421 with neither; they name another instance now.

Ruled out: the continuation of a moved run, where a 503 without the mark counts as not run. The protocol says so of that call.

--- a/io/gate/eligibility_test.go
+++ b/io/gate/eligibility_test.go
@@ -23,7 +23,7 @@
 	}{
 		{"runs at once", respondText("ok")},
 		{"busy", respond(http.StatusServiceUnavailable, "", "X-Not-Run: 1\r\n")},
-		{"replaced", respond(http.StatusMisdirectedRequest, "", "")},
+		{"replaced", respond(http.StatusMisdirectedRequest, "", "X-Instance: other\r\n")},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			first, second := newUpstream(t, tc.first), newUpstream(t, respondText("ok"))
@@ -91,7 +91,7 @@
 		s.mu.Lock()
 		s.view.Upstreams = map[string][]*wire.Upstream{"p": {{Id: "up-0", Address: next.Addr().String(), Slots: 1, DataCentre: "z0", Born: 2}}}
 		s.mu.Unlock()
-		return respond(http.StatusMisdirectedRequest, "", "")(n, r, w)
+		return respond(http.StatusMisdirectedRequest, "", "X-Instance: other\r\n")(n, r, w)
 	})
 	s = newTestGate(t, former)
 	s.do("POST", "/once/x")
--- a/io/gate/flight.go
+++ b/io/gate/flight.go
@@ -71,12 +71,23 @@
 	}
 	d, status := f.request.gate.Dialect, f.resp.StatusCode
 	switch {
-	case d.Other(f.resp), d.NotRun(f.resp), status >= http.StatusInternalServerError, f.request.headerSent && status != http.StatusOK:
+	case f.misdirected(), d.NotRun(f.resp), status >= http.StatusInternalServerError, f.request.headerSent && status != http.StatusOK:
 		return false
 	}
 	return status >= http.StatusMultipleChoices || d.Genuine(f.resp)
 }
 
+// misdirected reports whether another instance than the one meant has responded, so that nothing ran. The status alone
+// does not show it: an upstream may give it after a run. Requests that may run more than once need no proof.
+func (f *flight) misdirected() bool {
+	d := f.request.gate.Dialect
+	if !d.Other(f.resp) {
+		return false
+	}
+	id := d.Instance(f.resp)
+	return f.request.route.Repeatable() || d.NotRun(f.resp) || (id != "" && id != f.placement.upstream.GetId())
+}
+
 // awaitAnswer waits for the first event of a stream, and for the whole of any other response.
 func (f *flight) awaitAnswer() {
 	a := f.request.gate.newAnswer()
@@ -140,7 +151,7 @@
 		return outcomeNotSent
 	case f.err != nil:
 		return outcomeInterrupted
-	case d.Other(f.resp):
+	case f.misdirected():
 		return outcomeMisdirected
 	case d.NotRun(f.resp):
 		return outcomeNotRun
--- a/io/gate/leaving_test.go
+++ b/io/gate/leaving_test.go
@@ -46,7 +46,7 @@
 		{"refusal", "/once/x", respond(http.StatusServiceUnavailable, "", leavingHeader+"X-Not-Run: 1\r\n"), true},
 		{"failure", "/once/x", respond(http.StatusInternalServerError, "", leavingHeader), true},
 		{"broken response", "/once/x", broken, true},
-		{"another upstream", "/once/x", respond(http.StatusMisdirectedRequest, "", leavingHeader), false},
+		{"another upstream", "/once/x", respond(http.StatusMisdirectedRequest, "", leavingHeader+"X-Instance: other\r\n"), false},
 		{"another value", "/once/x", respond(http.StatusOK, "ok", "X-Leaving: 0\r\n"), false},
 		{"nothing", "/once/x", respondText("ok"), false},
 	} {
--- a/io/gate/send.go
+++ b/io/gate/send.go
@@ -120,9 +120,9 @@
 	q.gate.recordRest(f.placement, f.sentAt, resp)
 	q.recordLeaving(f.placement, resp)
 	switch {
-	case q.gate.Dialect.Other(resp):
+	case f.misdirected():
 		res.outcome = outcomeMisdirected
-	case q.gate.Dialect.NotRun(resp):
+	case res.notRun:
 		res.outcome = outcomeNotRun
 	case resp.StatusCode < http.StatusMultipleChoices && !q.gate.Dialect.Genuine(resp):
 		res.outcome, res.err = outcomeInterrupted, errors.New("gate: answer without its upstream's mark")
--- a/io/gate/versions_test.go
+++ b/io/gate/versions_test.go
@@ -87,7 +87,7 @@
 
 // An answer of another upstream that has taken over the address says nothing about the version.
 func TestMisdirectedIsNoEvidence(t *testing.T) {
-	base, target := newUpstream(t, respondText("ok")), newUpstream(t, respond(http.StatusMisdirectedRequest, "", ""))
+	base, target := newUpstream(t, respondText("ok")), newUpstream(t, respond(http.StatusMisdirectedRequest, "", "X-Instance: other\r\n"))
 	s := newVersionGate(t, base, target, 1)
 	must.Eq(t, http.StatusOK, s.do("POST", "/once/x").status)
 	_, ended, _ := s.targetCounts(t)
