A leader names the only version of a pool only once it has shown that it leads

Cause: who asks for the version of a stream that no entry has reported is told the only version that the pool has had, if it had one. A leader that stood still, or is cut off, believes for a while that it leads, and doesn't know a version that joined at the next leader. An entry that was out of step with it still asks it. All other answers of the leader that rest on what it doesn't know of (configuration, rollouts, cordons) wait for a barrier; this one did not.

Without the proof the stream counts as unknown.

Ruled out: an entry alone that stands still or is cut off. It asks the scheduler for streams that it has not begun, and refuses them if it reaches none; a scheduler of a cut-off data centre names no only version.

Result: TestFormerLeaderNamesNoVersion failed before (v1 named without a quorum). TestStreamsKeepTheirVersion and TestStreamsOfAVersionThatLeft pass, io/hub under -race.

--- a/io/hub/origins.go
+++ b/io/hub/origins.go
@@ -137,22 +137,29 @@
 		found(version, true)
 		return
 	}
-	// A scheduler that is cut off does not know which versions have come elsewhere.
-	if s.scope == scopeDeployment {
-		if version, single := s.origins.only(now, pool, maxAge); single {
-			found(version, true)
+	search := func() {
+		if !ok || !s.origins.startWait() {
+			found("", false)
 			return
 		}
+		wait := originWait
+		if now.Sub(s.startedAt) < originTakeover {
+			wait = takeoverOriginWait
+		}
+		s.awaitOrigin(ctx, stream, now.Add(wait), found)
 	}
-	if !ok || !s.origins.startWait() {
-		found("", false)
+	// A scheduler that is cut off does not know which versions have come elsewhere.
+	if _, single := s.origins.only(now, pool, maxAge); s.scope != scopeDeployment || !single {
+		search()
 		return
 	}
-	wait := originWait
-	if now.Sub(s.startedAt) < originTakeover {
-		wait = takeoverOriginWait
-	}
-	s.awaitOrigin(ctx, stream, now.Add(wait), found)
+	s.leadership.confirm(func(leads bool) {
+		if version, single := s.origins.only(time.Now(), pool, maxAge); leads && single {
+			found(version, true)
+			return
+		}
+		search()
+	})
 }
 
 // awaitOrigin looks for a stream again and again until it is known or the given time has come.
--- a/io/hub/scheduler.go
+++ b/io/hub/scheduler.go
@@ -31,6 +31,7 @@
 	limits         limits
 	rollouts       rollouts
 	origins        origins
+	leadership     confirmer
 	brittle        brittle
 	leaving        leaving
 	stats          *stats.Stats
