--- a/io/hub/confirm.go
+++ b/io/hub/confirm.go
@@ -8,7 +8,7 @@
 	"azurelane/core/wire"
 )
 
-// confirmTime is how long the proof of leadership may take.
+// confirmTime is how long one proof of leadership may take.
 const confirmTime = 500 * time.Millisecond
 
 type (
@@ -16,20 +16,20 @@
 	// is cut off, believes for a while that it leads, when others have elected another leader. Who asks during one
 	// proof shares the next one.
 	confirmer struct {
-		ctx     context.Context //nolint:containedctx // Of the scheduler.
-		replica proposes
+		ctx context.Context //nolint:containedctx // Of the scheduler.
+		log committer
 
 		mu      sync.Mutex
 		waiting []func(leads bool)
 		proving bool
 	}
 
-	proposes interface {
+	committer interface {
 		Propose(ctx context.Context, c *wire.Command) (*wire.Result, error)
 	}
 )
 
-// confirm calls done with whether this replica leads.
+// confirm calls done once it is known whether this replica leads, or confirmTime has passed.
 func (c *confirmer) confirm(done func(leads bool)) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -44,7 +44,7 @@
 func (c *confirmer) serve() {
 	for list := c.next(); len(list) > 0; list = c.next() {
 		ctx, cancel := context.WithTimeout(c.ctx, confirmTime)
-		_, err := c.replica.Propose(ctx, &wire.Command{Kind: &wire.Command_Barrier{Barrier: &wire.Barrier{}}})
+		_, err := c.log.Propose(ctx, &wire.Command{Kind: &wire.Command_Barrier{Barrier: &wire.Barrier{}}})
 		cancel()
 		for _, done := range list {
 			done(err == nil)
@@ -52,6 +52,7 @@
 	}
 }
 
+// next returns those who wait for the next proof.
 func (c *confirmer) next() []func(leads bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/io/hub/confirm_test.go
+++ b/io/hub/confirm_test.go
@@ -53,7 +53,7 @@
 func TestProofsAreShared(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := &slowReplica{}
-		c := confirmer{ctx: t.Context(), replica: r}
+		c := confirmer{ctx: t.Context(), log: r}
 		var answered atomic.Int64
 		for range 50 {
 			asked := time.Now()
--- a/io/hub/hub.go
+++ b/io/hub/hub.go
@@ -249,7 +249,7 @@
 func (h *Hub) startScheduler(ctx context.Context, sc scope) *scheduler {
 	h.watchers.forget(time.Now())
 	s := &scheduler{id: uuid.NewString()[:8], startedAt: time.Now(), scope: sc, stats: h.Stats, log: h.Log, refusalLog: &h.RefusalLog}
-	s.leadership.ctx, s.leadership.replica = ctx, h.Replica
+	s.leadership.ctx, s.leadership.log = ctx, h.Replica
 	s.allow = allow.Limiter{Overage: schedulerOverageShare * h.Overage, Slack: schedulerOverageShare * h.QuotaSlack, StartFull: true}
 	s.plainDebt = plainDebtFraction * h.QuotaSlack
 	if sc == scopeDataCentre {
