--- a/io/hub/confirm.go
+++ b/io/hub/confirm.go
@@ -40,7 +40,7 @@
 	}
 }
 
-// serve answers until nobody waits.
+// serve runs one proof after the other, as long as anyone has asked for one.
 func (c *confirmer) serve() {
 	for list := c.next(); len(list) > 0; list = c.next() {
 		ctx, cancel := context.WithTimeout(c.ctx, confirmTime)
