Sends that bring no response say how many of their bytes were written

The error names the bytes that were written of the request itself, on whichever connection, and `sends-*` counts sends by how they ended. What is decided does not change. Tests of io/client and io/gate pass.

--- a/io/client/client.go
+++ b/io/client/client.go
@@ -53,6 +53,7 @@
 // placed again. Redirects are not followed: the caller gets them as they are.
 func (c *Client) Send(ctx context.Context, r *http.Request) (*http.Response, bool, error) {
 	var got *conn
+	var e exchange
 	reused := false
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
@@ -63,7 +64,7 @@
 			if reused {
 				got.drained(ctx)
 			}
-			got.begin()
+			got.begin(&e)
 		},
 	})
 	r = once(r.WithContext(ctx))
@@ -74,7 +75,7 @@
 	}
 	resp, err := c.get().RoundTrip(r)
 	if err != nil {
-		return nil, got != nil && !got.seal(), fmt.Errorf("client: send: %w", err)
+		return nil, got != nil && !got.seal(), fmt.Errorf("client: send, %d bytes written: %w", e.written.Load(), err)
 	}
 	if err := c.own(r, resp, reused); err != nil {
 		_ = resp.Body.Close()
--- a/io/client/conn.go
+++ b/io/client/conn.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 )
@@ -16,17 +17,24 @@
 	errNoAnswer = errors.New("client: what came is no HTTP answer")
 )
 
+// exchange counts what was written of one request. It outlasts the request's use of a connection: the transport may
+// hand the connection to another request before it reports how this one ended.
+type exchange struct {
+	written atomic.Int64 // Bytes, including those that may have been lost on the way.
+}
+
 // conn knows whether any byte of the present request was written to it, and whether the transport
 // has found nothing after the last answer.
 type conn struct {
 	net.Conn
-	mu      sync.Mutex
-	wrote   bool
-	sealed  bool
-	reading bool
-	matched int // Bytes of answerBegin that have come since the present request began.
-	closed  bool
-	changed chan struct{} // Closed when reading or closed is set; nil without a waiter.
+	mu       sync.Mutex
+	exchange *exchange // Of the present request.
+	wrote    bool
+	sealed   bool
+	reading  bool
+	matched  int // Bytes of answerBegin that have come since the present request began.
+	closed   bool
+	changed  chan struct{} // Closed when reading or closed is set; nil without a waiter.
 }
 
 // Read records that the transport has consumed its buffer. It fails at the first byte that can't belong to an
@@ -64,6 +72,9 @@
 		return 0, net.ErrClosed
 	}
 	c.wrote = true
+	if c.exchange != nil {
+		c.exchange.written.Add(int64(len(p)))
+	}
 	c.mu.Unlock()
 	return c.Conn.Write(p) //nolint:wrapcheck // The transport expects the plain error.
 }
@@ -109,10 +120,10 @@
 }
 
 // begin starts the next request's count.
-func (c *conn) begin() {
+func (c *conn) begin(e *exchange) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.wrote, c.matched = false, 0
+	c.exchange, c.wrote, c.matched = e, false, 0
 }
 
 // seal reports whether nothing of the request was written, and makes sure that
--- a/io/client/conn_test.go
+++ b/io/client/conn_test.go
@@ -17,13 +17,13 @@
 	a, b := net.Pipe()
 	defer func() { _ = b.Close() }()
 	c := &conn{Conn: a}
-	c.begin()
+	c.begin(&exchange{})
 	must.True(t, c.seal())
 	_, err := c.Write([]byte("x"))
 	must.ErrorIs(t, err, errSealed)
 
 	c = &conn{Conn: a}
-	c.begin()
+	c.begin(&exchange{})
 	go func() { _, _ = b.Read(make([]byte, 1)) }()
 	_, err = c.Write([]byte("x"))
 	must.NoError(t, err)
@@ -35,7 +35,7 @@
 	a, b := net.Pipe()
 	defer func() { _ = b.Close() }()
 	c := &conn{Conn: a}
-	c.begin()
+	c.begin(&exchange{})
 	must.NoError(t, c.Close())
 	_, err := c.Write([]byte("x"))
 	must.ErrorIs(t, err, net.ErrClosed)
@@ -94,7 +94,7 @@
 			defer func() { _ = a.Close(); _ = b.Close() }()
 			c := &conn{Conn: a}
 			for range 2 { // Also for a second request on the connection.
-				c.begin()
+				c.begin(&exchange{})
 				go func() {
 					for _, p := range tc.pieces {
 						_, _ = b.Write([]byte(p))
--- a/io/gate/request.go
+++ b/io/gate/request.go
@@ -443,8 +443,9 @@
 		"took", took.String(), "prompt", q.meta.Prompt, "answer", q.meta.Answer, "expect", q.meta.Expect, "events", q.events)
 }
 
-// logSend logs a send that brought no complete response.
+// logSend logs and counts a send that brought no complete response.
 func (q *request) logSend(f *flight, res result) {
+	q.gate.Stats.Count("sends-"+res.outcome.String(), 1)
 	u := f.placement.upstream
 	q.gate.Log.Info("Send ended.", "request", q.meta.ID, "upstream", u.GetId(), "address", u.GetAddress(), "version", u.GetVersion(),
 		"digest", q.digest().String(), "ending", res.outcome.String(), "status", res.status, "not-run", res.notRun, "answered-by", res.instance,
