What was written belongs to the request, not to its connection

Callers saw a request that may run once run at two servers under one id, or a 503 for a request that ran.

Cause: net/http gives a connection back before it hands over a response without a body. The next request took it and cleared the connection's record of what was written. If the connection closed in that moment, or the first request's context ended, its send failed and counted as not sent, although its upstream had answered: the entry sent it to the next upstream, or refused it.

Each request now has a record of its own, which its connection fills, and the next request can't reach. A send whose connection went to another request fails as one that may have run: 502, or 504 at the deadline.

--- a/io/client/client.go
+++ b/io/client/client.go
@@ -52,19 +52,16 @@
 // request may have left; when it is false, nothing ran and the request may be
 // placed again. Redirects are not followed: the caller gets them as they are.
 func (c *Client) Send(ctx context.Context, r *http.Request) (*http.Response, bool, error) {
-	var got *conn
 	var e exchange
 	reused := false
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			reused = info.Reused
-			if got, _ = info.Conn.(*conn); got == nil {
-				return
-			}
+			c := info.Conn.(*conn) //nolint:forcetypeassert // Of our own dialer.
 			if reused {
-				got.drained(ctx)
+				c.drained(ctx)
 			}
-			got.begin(&e)
+			c.begin(&e)
 		},
 	})
 	r = once(r.WithContext(ctx))
@@ -75,7 +72,8 @@
 	}
 	resp, err := c.get().RoundTrip(r)
 	if err != nil {
-		return nil, got != nil && !got.seal(), fmt.Errorf("client: send, %d bytes written: %w", e.written.Load(), err)
+		n := e.seal()
+		return nil, n > 0, fmt.Errorf("client: send, %d bytes written: %w", n, err)
 	}
 	if err := c.own(r, resp, reused); err != nil {
 		_ = resp.Body.Close()
--- a/io/client/conn.go
+++ b/io/client/conn.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"sync"
-	"sync/atomic"
 
 	"github.com/pkg/errors"
 )
@@ -12,27 +11,15 @@
 // answerBegin is what each answer begins with, interim ones too.
 const answerBegin = "HTTP/"
 
-var (
-	errSealed   = errors.New("client: connection given up before its request was written")
-	errNoAnswer = errors.New("client: what came is no HTTP answer")
-)
-
-// exchange counts what was written of one request. It outlasts the request's use of a connection: the transport may
-// hand the connection to another request before it reports how this one ended.
-type exchange struct {
-	written atomic.Int64 // Bytes, including those that may have been lost on the way.
-}
+var errNoAnswer = errors.New("client: what came is no HTTP answer")
 
-// conn knows whether any byte of the present request was written to it, and whether the transport
-// has found nothing after the last answer.
+// conn tells the transport's next request what the last one has left, and knows which request it carries.
 type conn struct {
 	net.Conn
 	mu       sync.Mutex
-	exchange *exchange // Of the present request.
-	wrote    bool
-	sealed   bool
-	reading  bool
-	matched  int // Bytes of answerBegin that have come since the present request began.
+	exchange *exchange // The present request; nil before the first.
+	reading  bool      // The transport has found nothing after the last answer.
+	matched  int       // Bytes of answerBegin that have come since the present request began.
 	closed   bool
 	changed  chan struct{} // Closed when reading or closed is set; nil without a waiter.
 }
@@ -60,25 +47,24 @@
 	return n, err //nolint:wrapcheck // The transport expects the plain error.
 }
 
-// Write records that bytes of the request may leave, before any does.
+// Write writes bytes of the present request unless it was given up.
 func (c *conn) Write(p []byte) (int, error) {
-	c.mu.Lock()
-	switch {
-	case c.sealed:
-		c.mu.Unlock()
-		return 0, errSealed
-	case c.closed:
-		c.mu.Unlock()
-		return 0, net.ErrClosed
-	}
-	c.wrote = true
-	if c.exchange != nil {
-		c.exchange.written.Add(int64(len(p)))
+	if err := c.record(len(p)); err != nil {
+		return 0, err
 	}
-	c.mu.Unlock()
 	return c.Conn.Write(p) //nolint:wrapcheck // The transport expects the plain error.
 }
 
+// record has the present request know that bytes of it may leave, before any does.
+func (c *conn) record(n int) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return net.ErrClosed
+	}
+	return c.exchange.record(n)
+}
+
 // Close records that the connection can carry no other request.
 func (c *conn) Close() error {
 	c.mu.Lock()
@@ -119,22 +105,9 @@
 	}
 }
 
-// begin starts the next request's count.
+// begin starts the next request.
 func (c *conn) begin(e *exchange) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.exchange, c.wrote, c.matched = e, false, 0
-}
-
-// seal reports whether nothing of the request was written, and makes sure that
-// it stays so: net/http may give up on a request while its own goroutine is
-// about to write it, and a request placed again in that moment would run twice.
-func (c *conn) seal() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.wrote {
-		return false
-	}
-	c.sealed = true
-	return true
+	c.exchange, c.matched = e, 0
 }
--- a/io/client/conn_test.go
+++ b/io/client/conn_test.go
@@ -16,30 +16,33 @@
 func TestSealedConnWritesNothing(t *testing.T) {
 	a, b := net.Pipe()
 	defer func() { _ = b.Close() }()
-	c := &conn{Conn: a}
-	c.begin(&exchange{})
-	must.True(t, c.seal())
+	c, e := &conn{Conn: a}, &exchange{}
+	c.begin(e)
+	must.Eq(t, 0, e.seal())
 	_, err := c.Write([]byte("x"))
 	must.ErrorIs(t, err, errSealed)
 
-	c = &conn{Conn: a}
-	c.begin(&exchange{})
+	c, e = &conn{Conn: a}, &exchange{}
+	c.begin(e)
 	go func() { _, _ = b.Read(make([]byte, 1)) }()
 	_, err = c.Write([]byte("x"))
 	must.NoError(t, err)
-	must.False(t, c.seal())
+	must.Eq(t, 1, e.seal())
+	go func() { _, _ = b.Read(make([]byte, 1)) }()
+	_, err = c.Write([]byte("y"))
+	must.NoError(t, err) // It may be the rest of the request.
 }
 
 // Guards against a request that counts as sent although its connection had been closed before.
 func TestClosedConnWritesNothing(t *testing.T) {
 	a, b := net.Pipe()
 	defer func() { _ = b.Close() }()
-	c := &conn{Conn: a}
-	c.begin(&exchange{})
+	c, e := &conn{Conn: a}, &exchange{}
+	c.begin(e)
 	must.NoError(t, c.Close())
 	_, err := c.Write([]byte("x"))
 	must.ErrorIs(t, err, net.ErrClosed)
-	must.True(t, c.seal())
+	must.Eq(t, 0, e.seal())
 }
 
 // Guards against a request that takes bytes left over from the answer before it for its own answer:
--- /dev/null
+++ b/io/client/exchange.go
@@ -0,0 +1,37 @@
+package client
+
+import (
+	"sync"
+
+	"github.com/pkg/errors"
+)
+
+var errSealed = errors.New("client: request given up before it was written")
+
+// exchange knows whether any byte of one request was written, on any connection. It belongs to the request: the
+// transport may give the request's connection to another one before it reports how this one ended.
+type exchange struct {
+	mu      sync.Mutex
+	written int64
+	sealed  bool
+}
+
+// record counts bytes that are about to be written. It fails once the request is sealed.
+func (e *exchange) record(n int) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.sealed {
+		return errSealed
+	}
+	e.written += int64(n)
+	return nil
+}
+
+// seal returns how many bytes were written, and makes sure that none is from then on if none was: net/http may give up
+// on a request while its own goroutine is about to write it, and a request placed again in that moment would run twice.
+func (e *exchange) seal() int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.sealed = e.written == 0
+	return e.written
+}
