A request is not sent again over the connection on which it was misdirected

The id of a request names the attempt of its caller, not one send. If a server answers 421 and another server's registration brings the request back to that address, the second send took the kept connection: a second copy of the 421, which faulty servers send late, passed for its response. With the mark that nothing ran the entry would send it to a third server, while the second send runs (TWICE), or refuse it (REFUSED). That was read, not seen with processes.

The connection remembers such ids, and is closed before the request is written to it again. The send counts as not sent, which it is.

TestRejectionPassesForNoOtherSend failed before: the copy came back as the response to a request that the upstream had read again.

--- a/io/client/client.go
+++ b/io/client/client.go
@@ -53,15 +53,20 @@
 // placed again. Redirects are not followed: the caller gets them as they are.
 func (c *Client) Send(ctx context.Context, r *http.Request) (*http.Response, bool, error) {
 	var e exchange
+	var got *conn
 	reused := false
+	id := r.Header.Get(cmp.Or(c.Echo, Header))
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			reused = info.Reused
-			c := info.Conn.(*conn) //nolint:forcetypeassert // Of our own dialer.
+			got = info.Conn.(*conn) //nolint:forcetypeassert // Of our own dialer.
 			if reused {
-				c.drained(ctx)
+				got.drained(ctx)
 			}
-			c.begin(&e)
+			if got.misdirects(id) {
+				_ = got.Close() // Another copy of that response would pass for the one to this send.
+			}
+			got.begin(&e)
 		},
 	})
 	r = once(r.WithContext(ctx))
@@ -75,6 +80,9 @@
 		n := e.seal()
 		return nil, n > 0, fmt.Errorf("client: send, %d bytes written: %w", n, err)
 	}
+	if resp.StatusCode == http.StatusMisdirectedRequest && id != "" {
+		got.misdirect(id)
+	}
 	if err := c.own(r, resp, reused); err != nil {
 		_ = resp.Body.Close()
 		return nil, true, err
--- a/io/client/client_test.go
+++ b/io/client/client_test.go
@@ -178,6 +178,29 @@
 	}
 }
 
+// Guards against a second copy of a rejection that passes for the response to another send of the same request: the
+// server at an address may be replaced, and the request sent there again.
+func TestRejectionPassesForNoOtherSend(t *testing.T) {
+	u := serve(t, func(n int64, r *http.Request) string {
+		rejection := strings.Replace(echo(r, ""), "200 OK", "421 Misdirected Request", 1)
+		switch n {
+		case 2:
+			return rejection
+		case 3:
+			return rejection + echo(r, "ran")
+		}
+		return echo(r, "ran")
+	})
+	for _, id := range []string{"1", "2"} {
+		_, _, err := u.ask(http.MethodPost, id, "x")
+		must.NoError(t, err)
+	}
+	got, sent, err := u.ask(http.MethodPost, "2", "x")
+	must.Error(t, err, must.Sprint(got))
+	must.False(t, sent)
+	must.Eq(t, 2, u.requests.Load())
+}
+
 // Nothing listens, or the caller gives up while connecting: no byte has left,
 // and the request may be placed again.
 func TestNotSent(t *testing.T) {
--- a/io/client/conn.go
+++ b/io/client/conn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 
 	"github.com/pkg/errors"
@@ -11,6 +12,9 @@
 // answerBegin is what each answer begins with, interim ones too.
 const answerBegin = "HTTP/"
 
+// maxRejected is how many rejected requests a connection remembers. A request is not sent again for long.
+const maxRejected = 64
+
 var errNoAnswer = errors.New("client: what came is no HTTP answer")
 
 // conn tells the transport's next request what the last one has left, and knows which request it carries.
@@ -20,6 +24,7 @@
 	exchange *exchange // The present request; nil before the first.
 	reading  bool      // The transport has found nothing after the last answer.
 	matched  int       // Bytes of answerBegin that have come since the present request began.
+	rejected []string  // Ids of requests that were meant for another server.
 	closed   bool
 	changed  chan struct{} // Closed when reading or closed is set; nil without a waiter.
 }
@@ -111,3 +116,20 @@
 	defer c.mu.Unlock()
 	c.exchange, c.matched = e, 0
 }
+
+// misdirect records that the server has rejected a request as meant for another one.
+func (c *conn) misdirect(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.rejected = append(c.rejected, id)
+	if len(c.rejected) > maxRejected {
+		c.rejected = c.rejected[1:]
+	}
+}
+
+// misdirects reports whether the server has rejected a request on this connection.
+func (c *conn) misdirects(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Contains(c.rejected, id)
+}
