--- a/io/client/client.go
+++ b/io/client/client.go
@@ -63,7 +63,7 @@
 			if reused {
 				got.drained(ctx)
 			}
-			if got.misdirects(id) {
+			if got.hasRejected(id) {
 				_ = got.Close() // Another copy of that response would pass for the one to this send.
 			}
 			got.begin(&e)
@@ -81,7 +81,7 @@
 		return nil, n > 0, fmt.Errorf("client: send, %d bytes written: %w", n, err)
 	}
 	if resp.StatusCode == http.StatusMisdirectedRequest && id != "" {
-		got.misdirect(id)
+		got.addRejected(id)
 	}
 	if err := c.own(r, resp, reused); err != nil {
 		_ = resp.Body.Close()
--- a/io/client/conn.go
+++ b/io/client/conn.go
@@ -12,7 +12,7 @@
 // answerBegin is what each answer begins with, interim ones too.
 const answerBegin = "HTTP/"
 
-// maxRejected is how many rejected requests a connection remembers. A request is not sent again for long.
+// maxRejected is how many rejected requests a connection remembers.
 const maxRejected = 64
 
 var errNoAnswer = errors.New("client: what came is no HTTP answer")
@@ -117,8 +117,8 @@
 	c.exchange, c.matched = e, 0
 }
 
-// misdirect records that the server has rejected a request as meant for another one.
-func (c *conn) misdirect(id string) {
+// addRejected records that the server has rejected a request as meant for another one.
+func (c *conn) addRejected(id string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.rejected = append(c.rejected, id)
@@ -127,8 +127,8 @@
 	}
 }
 
-// misdirects reports whether the server has rejected a request on this connection.
-func (c *conn) misdirects(id string) bool {
+// hasRejected reports whether the server has rejected a request on this connection.
+func (c *conn) hasRejected(id string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return slices.Contains(c.rejected, id)
