--- a/io/stats/names.go
+++ b/io/stats/names.go
@@ -34,6 +34,7 @@
 	{"answers-failed", counter, gate, "Requests that got an upstream's complete response with a status of 500 or more."},
 	{"answers-not-run", counter, gate, "Responses among `answers-whole` whose status tells callers that nothing ran: 408, 421 and 429. Only requests that may run more than once get them."},
 	{"aborted", counter, gate, "Requests that ended without a complete response, or whose callers left. `aborted-*` are the same by reason."},
+	{"sends-*", counter, gate, "Sends that brought no complete response, by ending as in the line `Send ended.`, whose `err` says how many bytes of the request were written where no response came. `sends-unsent` with bytes written is a fault."},
 	{"responses-ended-by-close", counter, gate, "Responses of upstreams with neither a length nor chunks, which end with their connections. `framing` in the lines `Send ended.` and `Response complete.` is `close` for them, else `length` or `chunks`."},
 	{"closes-confirmed", counter, gate, "Such responses that count as whole because their upstream has outlived them."},
 	{"closes-doubted", counter, gate, "Such responses that count as broken off because it may not have."},
