TestCutResponses judges each response of a case, not only its last try's

Cause: since a case whose request did not come as planned is sent again, and only its last try was judged. Change: a try that brings a response, or fails although the response was complete, ends the case and is judged.

--- a/io/client/cut_test.go
+++ b/io/client/cut_test.go
@@ -90,11 +90,14 @@
 
 // askAgain asks until the request has come as planned: as the first of its connection, or on a kept one. On a busy
 // machine connections take too long to open, or are not kept. It also returns which request of its connection it was.
-func (k cut) askAgain(c *client.Client, addr, id string, requests *sync.Map) (body string, n any, err error) {
+// What may show a fault is not asked again: a response, or a complete one that failed.
+func (k cut) askAgain(c *client.Client, addr, id string, complete bool, requests *sync.Map) (body string, n any, err error) {
 	for range cutTries {
 		requests.Delete(id)
 		body, err = k.ask(c, addr, id)
-		if n, _ = requests.Load(id); n != nil && k.kept == (n != 1) {
+		n, _ = requests.Load(id)
+		planned := n != nil && k.kept == (n != 1)
+		if planned || err == nil || (n != nil && complete) {
 			break
 		}
 	}
@@ -160,8 +163,8 @@
 					id := strconv.Itoa(10 + worker) // As long as its place in the response.
 					for n := next.Add(1); n <= int64(len(cuts)); n = next.Add(1) {
 						k := cuts[n-1]
-						body, n, err := k.askAgain(c, addr, id, requests)
 						complete := k.at == len(response) || (tc.byClose && !k.reset && k.at >= len(tc.head))
+						body, n, err := k.askAgain(c, addr, id, complete, requests)
 						want := tc.want
 						if tc.byClose {
 							want = response[min(k.at, len(tc.head)):k.at]
