Tests look for free ports without listening on them

The test listens on a port to try it, and a child that is started at that moment holds the listener until it has executed. Change: the port is bound with SO_REUSEADDR and not listened on, which stands in no listener's way.

--- a/cmd/azurelane/ports_test.go
+++ b/cmd/azurelane/ports_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/netip"
+	"os/exec"
 	"sync"
 	"testing"
 
@@ -44,3 +45,29 @@
 		}
 	}
 }
+
+// Guards against a port that a process can't take: a child that is being started holds the listener that tried it.
+func TestPortIsFreeWhileProcessesStart(t *testing.T) {
+	const starters, rounds = 16, 2000
+	ended := make(chan struct{})
+	var wg sync.WaitGroup
+	for range starters {
+		wg.Go(func() {
+			for {
+				select {
+				case <-ended:
+					return
+				default:
+				}
+				_ = exec.Command("true").Run()
+			}
+		})
+	}
+	defer wg.Wait()
+	defer close(ended)
+	for range rounds {
+		ln, err := net.Listen("tcp", freePorts(t, 1)[0].String())
+		must.NoError(t, err)
+		must.NoError(t, ln.Close())
+	}
+}
--- a/cmd/azurelane/process_test.go
+++ b/cmd/azurelane/process_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -20,6 +19,7 @@
 
 	"github.com/shoenig/test/must"
 	"github.com/shoenig/test/wait"
+	"golang.org/x/sys/unix"
 
 	"azurelane/core/codec"
 	"azurelane/io/certs"
@@ -111,12 +111,18 @@
 	return nil
 }
 
+// isTaken reports whether a process listens on a port. It does not listen itself: a child that is being started would
+// hold the listener for a moment.
 func isTaken(a netip.AddrPort) bool {
-	ln, err := net.Listen("tcp", a.String())
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
 	if err != nil {
 		return true
 	}
-	return ln.Close() != nil
+	defer func() { _ = unix.Close(fd) }()
+	if err := unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1); err != nil {
+		return true
+	}
+	return unix.Bind(fd, &unix.SockaddrInet4{Addr: a.Addr().As4(), Port: int(a.Port())}) != nil
 }
 
 // newCluster starts control and entries, in data centre "dev", and puts the
