--- a/io/ctrl/observer.go
+++ b/io/ctrl/observer.go
@@ -118,6 +118,14 @@
 // Leads reports whether this replica led at the last update of its view.
 func (c *Ctrl) Leads() bool { return c.view.Load().leads }
 
+// LeaderTerm returns the term in which this replica led at the last update of its view, zero if it did not lead.
+func (c *Ctrl) LeaderTerm() uint64 {
+	if v := c.view.Load(); v.leads {
+		return v.GetTerm()
+	}
+	return 0
+}
+
 // Established reports whether this replica led at the last update of its view and had applied all
 // entries that were committed before its election.
 func (c *Ctrl) Established() bool { return c.view.Load().established }
--- a/io/hub/hub.go
+++ b/io/hub/hub.go
@@ -64,6 +64,7 @@
 
 	replica interface {
 		Leads() bool
+		LeaderTerm() uint64 // The term in which the replica leads; zero if it does not lead.
 		Established() bool // Whether the replica leads and has applied what earlier leaders committed.
 		CutOff() bool      // Whether the replica follows no leader and reaches no quorum.
 		Leader() string
@@ -250,6 +251,9 @@
 	h.watchers.forget(time.Now())
 	s := &scheduler{id: uuid.NewString()[:8], startedAt: time.Now(), scope: sc, stats: h.Stats, log: h.Log, refusalLog: &h.RefusalLog}
 	s.leadership.ctx, s.leadership.log = ctx, h.Replica
+	if sc == scopeDeployment {
+		s.term = h.Replica.LeaderTerm()
+	}
 	s.allow = allow.Limiter{Overage: schedulerOverageShare * h.Overage, Slack: schedulerOverageShare * h.QuotaSlack, StartFull: true}
 	s.plainDebt = plainDebtFraction * h.QuotaSlack
 	if sc == scopeDataCentre {
@@ -263,7 +267,7 @@
 		go h.recordLeaving(ctx, s)
 	}
 	h.updateCordons(s) // Before upstreams are announced.
-	h.Log.Info(sc.startMessage(), "scheduler", s.id)
+	h.Log.Info(sc.startMessage(), "scheduler", s.id, "term", s.term)
 	return s
 }
 
--- a/io/hub/hub_test.go
+++ b/io/hub/hub_test.go
@@ -44,6 +44,15 @@
 	return f.leads
 }
 
+func (f *fakeReplica) LeaderTerm() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.leads {
+		return 1
+	}
+	return 0
+}
+
 func (f *fakeReplica) Established() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/io/hub/scheduler.go
+++ b/io/hub/scheduler.go
@@ -24,6 +24,7 @@
 type scheduler struct {
 	id             string // Incarnation, by which entries know the scheduler.
 	scope          scope
+	term           uint64 // Of the leader; zero at a scheduler of one data centre.
 	sched          *sched.Sched
 	upstreams      upstreamTable
 	reachability   reachability
--- a/io/hub/upstreams.go
+++ b/io/hub/upstreams.go
@@ -69,6 +69,7 @@
 	u := rep.GetUpstream()
 	known := h.Replica.Upstream(u.GetId())
 	if roster.Stale(known, u) {
+		h.logAcknowledged(s, rep, "of an earlier incarnation")
 		return nil
 	}
 	restarted := roster.Restarted(known, u)
@@ -77,19 +78,23 @@
 	}
 	if rep.GetDeregister() {
 		if known == nil || (known.GetState() == wire.Upstream_STATE_GONE && !restarted) {
+			h.logAcknowledged(s, rep, "not known or gone")
 			return nil
 		}
 		born := max(u.GetBorn(), known.GetBorn())
 		u = proto.CloneOf(known)
 		u.State, u.Born = wire.Upstream_STATE_GONE, born
 	} else if !s.upstreams.recordReport(time.Now(), u, rep.GetSeq(), known) {
+		h.logAcknowledged(s, rep, "not the newest")
 		return nil
 	}
+	why := "stored before"
 	if restarted || (!roster.Unchanged(known, u) && known.GetState() <= u.GetState()) {
 		cmd := &wire.Command{Kind: &wire.Command_Enroll{Enroll: &wire.Enroll{Upstream: u}}}
 		if _, err := h.Replica.Propose(ctx, cmd); err != nil {
 			return err
 		}
+		why = "stored now"
 		known = h.Replica.Upstream(u.GetId())
 		h.refreshRollouts(s)
 		h.Log.Info("Upstream changed.", "upstream", u.GetId(), "pool", u.GetPool(), "address", u.GetAddress(),
@@ -100,9 +105,20 @@
 		h.announce(s, known, leaseIntervals)
 	}
 	s.bans.settle(h.Log, s.upstreams.replaced)
+	h.logAcknowledged(s, rep, why)
 	return nil
 }
 
+// logAcknowledged logs why a report that its upstream leaves is acknowledged. Other reports come too often.
+func (h *Hub) logAcknowledged(s *scheduler, rep *wire.Report, why string) {
+	u := rep.GetUpstream()
+	if u.GetState() == wire.Upstream_STATE_SERVING && !rep.GetDeregister() {
+		return
+	}
+	h.Log.Info("Leaving acknowledged.", "upstream", u.GetId(), "born", u.GetBorn(), "sequence", rep.GetSeq(), "deregister", rep.GetDeregister(),
+		"why", why, "scheduler", s.id, "term", s.term)
+}
+
 // reportCutOff handles an upstream's report at a scheduler that is cut off with its data centre,
 // and returns whether the report can be acknowledged here. A report that changes the roster can't
 // be acknowledged, because the change can't be stored without a quorum. An upstream that leaves
--- a/io/hub/watch.go
+++ b/io/hub/watch.go
@@ -198,7 +198,7 @@
 // news returns the current state for an entry, and whether any of it is news that the entry needs at
 // once.
 func (h *Hub) news(s *scheduler, w *wire.Watch) (*wire.News, bool, error) {
-	n := &wire.News{Leader: s.id, Entries: s.entryCount(h.entriesHere(s))}
+	n := &wire.News{Leader: s.id, Term: s.term, Entries: s.entryCount(h.entriesHere(s))}
 	_, all, _ := h.Replica.Group()
 	for _, p := range all {
 		n.Replicas = append(n.Replicas, p.GetAddress())
--- a/io/watch/view.go
+++ b/io/watch/view.go
@@ -26,6 +26,7 @@
 	Entries     int                         // Number of entries that share the limits.
 	Owner       *wire.Member                // The scheduler of all pools; nil if none is known.
 	LastHeard   time.Time                   // When the scheduler last answered a poll.
+	Term        uint64                      // Highest term of a leader whose news arrived here.
 
 	roster         map[string]*wire.Upstream // By upstream ID.
 	bansRevision   uint64                    // Revision of the bans received from the scheduler.
@@ -36,6 +37,14 @@
 // Upstream returns the upstream with the given ID, or nil if it is unknown.
 func (v *View) Upstream(id string) *wire.Upstream { return v.roster[id] }
 
+// NewsAge returns the time since the scheduler last answered a poll, zero if none ever has.
+func (v *View) NewsAge(now time.Time) time.Duration {
+	if v.LastHeard.IsZero() {
+		return 0
+	}
+	return now.Sub(v.LastHeard)
+}
+
 // At returns the upstreams at an address.
 func (v *View) At(addr string) []*wire.Upstream {
 	var list []*wire.Upstream
--- a/io/watch/watch.go
+++ b/io/watch/watch.go
@@ -257,7 +257,7 @@
 	w.mu.Lock()
 	old := w.View()
 	v := *old
-	v.Entries, v.LastHeard = int(n.GetEntries()), time.Now()
+	v.Entries, v.LastHeard, v.Term = int(n.GetEntries()), time.Now(), max(old.Term, n.GetTerm())
 	v.Silent, v.Unreached, v.Isolated = stringSet(n.GetSilent()), stringSet(n.GetUnreached()), from.local
 	var err error
 	if len(n.GetDocument()) > 0 && n.GetVersion() > v.Version {
@@ -292,7 +292,7 @@
 	}
 	if newScheduler {
 		v.Owner = &wire.Member{Node: "control " + from.addr.String(), Incarnation: n.GetLeader(), Address: from.addr.String()}
-		w.Log.Info("Scheduler found.", "address", from.addr.String(), "incarnation", n.GetLeader(), "this-data-centre-alone", from.local)
+		w.Log.Info("Scheduler found.", "address", from.addr.String(), "incarnation", n.GetLeader(), "this-data-centre-alone", from.local, "term", n.GetTerm())
 	}
 	w.view.Store(&v)
 	w.mu.Unlock()
@@ -334,7 +334,7 @@
 		return fmt.Errorf("watch: document %d: %w", n.GetVersion(), err)
 	}
 	v.Version, v.Index, v.InstalledAt = n.GetVersion(), index.New(cfg), time.Now()
-	w.Log.Info("Configuration in force.", "version", v.Version, "routes", len(cfg.Routes))
+	w.Log.Info("Configuration in force.", "version", v.Version, "routes", len(cfg.Routes), "term", n.GetTerm())
 	return nil
 }
 
