A report of an upstream is acknowledged only if the log holds it

Cause: the leader kept the sequence number of a report before it proposed the change. If the proposal failed or hung, the upstream sent the same report to the next replica, which took it for a late one and acknowledged it. A deregistration of an upstream that the leader did not know was acknowledged likewise, though a heartbeat under way could add the upstream afterwards.

An acknowledgement now follows from the log: what the log lacks is proposed whatever has come before, a later state or incarnation even if its report is late; a late report is acknowledged if a later one is stored, and otherwise refused. Deregistering an unknown upstream stores that it is gone.

TestReportsSentAgainAreStored (six of seven cases), TestReportSentAgainWhileItIsProposed and, with real processes, TestUnstoredReportsOfProcesses failed before and pass now.

--- a/core/state/versions.go
+++ b/core/state/versions.go
@@ -9,6 +9,9 @@
 // observeVersion follows a change of an upstream in the roster.
 func (s *State) observeVersion(id string) {
 	now, u := time.UnixMicro(s.clockUs), s.roster.Find(id)
+	if u.GetPool() == "" {
+		return // It was gone before it was known.
+	}
 	s.versions.Add(now, id, u.GetPool(), u.GetVersion())
 	if u.GetState() == wire.Upstream_STATE_GONE {
 		s.versions.Remove(now, id)
--- a/io/hub/upstreams.go
+++ b/io/hub/upstreams.go
@@ -31,6 +31,7 @@
 	upstreamState struct {
 		*wire.Upstream
 		seq         uint64 // Sequence number of the newest report.
+		storedSeq   uint64 // Highest one of a report whose content the log holds.
 		born        int64  // Start of the process, in Unix milliseconds.
 		reportedAt  time.Time
 		servedAt    time.Time // When it last completed a request.
@@ -59,8 +60,8 @@
 	return nil
 }
 
-// handleReport handles an upstream's report on the leader. It ignores a report that arrives after
-// a later one of the same upstream.
+// handleReport handles an upstream's report on the leader. It returns nil only if the log holds what the report says, or
+// a later state of the upstream.
 func (h *Hub) handleReport(ctx context.Context, rep *wire.Report) error {
 	s := h.leaderScheduler()
 	if s == nil {
@@ -68,40 +69,39 @@
 	}
 	u := rep.GetUpstream()
 	known := h.Replica.Upstream(u.GetId())
-	if roster.Stale(known, u) {
+	restarted := roster.Restarted(known, u)
+	switch {
+	case roster.Stale(known, u):
 		h.logAcknowledged(s, rep, "of an earlier incarnation")
 		return nil
+	case known.GetState() == wire.Upstream_STATE_GONE && !restarted:
+		h.logAcknowledged(s, rep, "gone before")
+		return nil
 	}
-	restarted := roster.Restarted(known, u)
 	if restarted {
 		s.limits.drop(u.GetId())
 	}
+	order := newestReport
 	if rep.GetDeregister() {
-		if known == nil || (known.GetState() == wire.Upstream_STATE_GONE && !restarted) {
-			h.logAcknowledged(s, rep, "not known or gone")
-			return nil
-		}
-		born := max(u.GetBorn(), known.GetBorn())
-		u = proto.CloneOf(known)
-		u.State, u.Born = wire.Upstream_STATE_GONE, born
-	} else if !s.upstreams.recordReport(time.Now(), u, rep.GetSeq(), known) {
-		h.logAcknowledged(s, rep, "not the newest")
-		return nil
+		u = departed(u, known)
+	} else {
+		order = s.upstreams.recordReport(time.Now(), u, rep.GetSeq())
 	}
-	why := "stored before"
-	if restarted || (!roster.Unchanged(known, u) && known.GetState() <= u.GetState()) {
-		cmd := &wire.Command{Kind: &wire.Command_Enroll{Enroll: &wire.Enroll{Upstream: u}}}
-		if _, err := h.Replica.Propose(ctx, cmd); err != nil {
+	why := storedBefore
+	switch {
+	case supersedes(known, u) || (order >= sameReport && !roster.Unchanged(known, u) && known.GetState() <= u.GetState()):
+		if err := h.enroll(ctx, s, rep, u); err != nil {
 			return err
 		}
-		why = "stored now"
+		why = storedNow
 		known = h.Replica.Upstream(u.GetId())
-		h.refreshRollouts(s)
-		h.Log.Info("Upstream changed.", "upstream", u.GetId(), "pool", u.GetPool(), "address", u.GetAddress(),
-			"data-centre", u.GetDataCentre(), "state", u.GetState().String(), "sequence", rep.GetSeq(), "born", u.GetBorn(),
-			"version", u.GetVersion(), "held", s.rollouts.standing(u).held)
+	case order == supersededReport && !roster.Unchanged(known, u) && known.GetState() <= u.GetState():
+		return &wire.Fault{Code: codeUnready, Text: "hub: a later report is not stored yet"}
 	}
-	if known != nil {
+	if !rep.GetDeregister() {
+		s.upstreams.recordStored(u, rep.GetSeq())
+	}
+	if known.GetPool() != "" && (order == newestReport || why == storedNow) {
 		h.announce(s, known, leaseIntervals)
 	}
 	s.bans.settle(h.Log, s.upstreams.replaced)
@@ -109,6 +109,41 @@
 	return nil
 }
 
+// Why a report is acknowledged, in logs.
+const (
+	storedBefore = "stored before"
+	storedNow    = "stored now"
+)
+
+// departed returns the roster entry of an upstream that is gone. The entry of one that is not known keeps late reports of
+// it from adding it.
+func departed(u, known *wire.Upstream) *wire.Upstream {
+	gone := &wire.Upstream{Id: u.GetId()}
+	if known != nil {
+		gone = proto.CloneOf(known)
+	}
+	gone.State, gone.Born = wire.Upstream_STATE_GONE, max(u.GetBorn(), known.GetBorn())
+	return gone
+}
+
+// supersedes reports whether a report says more than the roster whatever other reports came, as an upstream never goes
+// back to an earlier state or incarnation.
+func supersedes(known, u *wire.Upstream) bool {
+	return known == nil || roster.Restarted(known, u) || known.GetState() < u.GetState()
+}
+
+// enroll stores an upstream's report in the roster.
+func (h *Hub) enroll(ctx context.Context, s *scheduler, rep *wire.Report, u *wire.Upstream) error {
+	if _, err := h.Replica.Propose(ctx, &wire.Command{Kind: &wire.Command_Enroll{Enroll: &wire.Enroll{Upstream: u}}}); err != nil {
+		return fmt.Errorf("hub: enroll: %w", err)
+	}
+	h.refreshRollouts(s)
+	h.Log.Info("Upstream changed.", "upstream", u.GetId(), "pool", u.GetPool(), "address", u.GetAddress(),
+		"data-centre", u.GetDataCentre(), "state", u.GetState().String(), "sequence", rep.GetSeq(), "born", u.GetBorn(),
+		"version", u.GetVersion(), "held", s.rollouts.standing(u).held)
+	return nil
+}
+
 // logAcknowledged logs why a report that its upstream leaves is acknowledged. Other reports come too often.
 func (h *Hub) logAcknowledged(s *scheduler, rep *wire.Report, why string) {
 	u := rep.GetUpstream()
@@ -129,7 +164,10 @@
 	if known == nil || known.GetDataCentre() != h.DataCentre || roster.Stale(known, u) || rep.GetDeregister() {
 		return false
 	}
-	if !s.upstreams.recordReport(time.Now(), u, rep.GetSeq(), known) {
+	if known.GetState() == wire.Upstream_STATE_GONE && !roster.Restarted(known, u) {
+		return false
+	}
+	if s.upstreams.recordReport(time.Now(), u, rep.GetSeq()) < sameReport {
 		return false
 	}
 	if roster.Unchanged(known, u) && !roster.Restarted(known, u) {
@@ -171,22 +209,45 @@
 	return st
 }
 
-// recordReport records a report and returns whether it is the newest of its upstream.
-func (t *upstreamTable) recordReport(now time.Time, u *wire.Upstream, seq uint64, known *wire.Upstream) bool {
-	if known.GetState() == wire.Upstream_STATE_GONE && !roster.Restarted(known, u) {
-		return false
-	}
+// reportOrder is how a report compares with others of its upstream that have come before.
+type reportOrder int
+
+const (
+	supersededReport reportOrder = iota // A later one has come and is not stored.
+	lateReport                          // A later one is stored.
+	sameReport                          // It has come before, and none later.
+	newestReport
+)
+
+// recordReport records that a report has come.
+func (t *upstreamTable) recordReport(now time.Time, u *wire.Upstream, seq uint64) reportOrder {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	st := t.getOrCreate(u)
 	if u.GetBorn() > st.born { // A restarted upstream numbers its reports from 1 again.
-		st.seq, st.born = 0, u.GetBorn()
+		st.seq, st.storedSeq, st.born = 0, 0, u.GetBorn()
 	}
-	if seq <= st.seq && st.seq > 0 {
-		return false
+	switch {
+	case u.GetBorn() > 0 && u.GetBorn() < st.born:
+		return supersededReport
+	case seq > st.seq || st.seq == 0:
+		st.seq, st.reportedAt = seq, now
+		return newestReport
+	case seq == st.seq:
+		return sameReport
+	case seq <= st.storedSeq:
+		return lateReport
+	}
+	return supersededReport
+}
+
+// recordStored records that the log holds what a report says.
+func (t *upstreamTable) recordStored(u *wire.Upstream, seq uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if st := t.byID[u.GetId()]; st != nil && u.GetBorn() >= st.born {
+		st.storedSeq = max(st.storedSeq, seq)
 	}
-	st.seq, st.reportedAt = seq, now
-	return true
 }
 
 // announce records the roster entry of an upstream, as changed by apply, and returns the announcement for
