What an entry knows of the roster and of the leader only moves forward

What callers saw: requests sent to upstreams that leave (DRAIN), after news of a replica that is behind: a former leader that stood still, or a scheduler of a data centre alone. Cause: an entry took any roster whose revision differed from its own, and the news of any replica that believed that it led.

A roster is taken only if its revision is higher, and news of a leader only if no later term is known; the entry then looks for the leader of that term. Replicas that are behind that term name neither the leader nor the list of replicas. A replica whose roster is older than the entry's sends none of it, where it sent all of it at once with each poll before.

--- a/io/gate/request.go
+++ b/io/gate/request.go
@@ -373,7 +373,7 @@
 	q.gate.recordRefusedUnits(q, e)
 	q.gate.Log.Info("Request refused.", "request", q.meta.ID, "code", e.Code, "why", e.Text, "status", e.Status(),
 		"retry-after", e.RetryAfter.String(), "route", q.routeName(), "account", q.account, "pool", q.pool,
-		"version", q.view.Version, "news-age", q.view.NewsAge(time.Now()).String(), "news-term", q.view.Term, "sends", q.tried.Sends(), "ran", q.tried.Ran(), "took", time.Since(q.start).String())
+		"version", q.view.Version, "current-for", q.view.CurrentFor(time.Now()).String(), "news-term", q.view.Term, "sends", q.tried.Sends(), "ran", q.tried.Ran(), "took", time.Since(q.start).String())
 	if e.RetryAfter > 0 {
 		q.gate.Dialect.Refuse(q.w.Header(), e.RetryAfter)
 	}
--- a/io/gated/gated.go
+++ b/io/gated/gated.go
@@ -175,7 +175,7 @@
 // pullMetrics sets up the gauges that are read when the metrics are.
 func (e *Gated) pullMetrics(metrics *stats.Stats) {
 	metrics.Pull("configuration-version", func() int64 { return int64(e.watch.View().Version) }) //nolint:gosec // Versions are small.
-	metrics.Pull("configuration-age-ms", func() int64 { return time.Since(e.watch.View().LastHeard).Milliseconds() })
+	metrics.Pull("configuration-age-ms", func() int64 { return time.Since(e.watch.View().CurrentAt).Milliseconds() })
 	metrics.Pull("upstreams-resting", e.gate.Resting)
 	metrics.Pull("answers-in-memory-bytes", func() int64 { return e.gate.Memory.Used(buffer.Answers) })
 	metrics.Pull("bodies-in-memory-bytes", func() int64 { return e.gate.Memory.Used(buffer.Bodies) })
--- a/io/hub/hub.go
+++ b/io/hub/hub.go
@@ -65,8 +65,8 @@
 	replica interface {
 		Leads() bool
 		LeaderTerm() uint64 // The term in which the replica leads; zero if it does not lead.
-		Established() bool // Whether the replica leads and has applied what earlier leaders committed.
-		CutOff() bool      // Whether the replica follows no leader and reaches no quorum.
+		Established() bool  // Whether the replica leads and has applied what earlier leaders committed.
+		CutOff() bool       // Whether the replica follows no leader and reaches no quorum.
 		Leader() string
 		Changed() <-chan struct{}
 		Publication() (uint64, []byte)
--- a/io/hub/watch.go
+++ b/io/hub/watch.go
@@ -239,6 +239,9 @@
 // this replica list all upstreams: after a stop of everything all entries ask at once.
 func (h *Hub) addRoster(w *wire.Watch, n *wire.News) error {
 	switch {
+	case w.GetRevision() > h.Replica.RosterRevision():
+		n.Revision = h.Replica.RosterRevision() // This replica is behind.
+		return nil
 	case w.GetRevision() > 0:
 		n.Roster, n.Whole, n.Revision = h.Replica.Roster(w.GetRevision())
 		if !n.GetWhole() {
--- a/io/watch/find.go
+++ b/io/watch/find.go
@@ -154,9 +154,11 @@
 		return statusReply{}
 	}
 	s := f.GetStatus()
-	w.learnReplicas(s.GetReplicas())
-	if a, err := netip.ParseAddrPort(s.GetLeader()); err == nil {
-		return statusReply{target: target{addr: a}}
+	if s.GetTerm() >= w.View().Term { // Otherwise it is behind and knows neither the replicas nor the leader.
+		w.learnReplicas(s.GetReplicas())
+		if a, err := netip.ParseAddrPort(s.GetLeader()); err == nil {
+			return statusReply{target: target{addr: a}}
+		}
 	}
 	otherDataCentre := s.GetDataCentre() != w.DataCentre
 	if s.GetCutOff() && !otherDataCentre {
@@ -185,16 +187,20 @@
 
 // learnAddrs replaces the known replicas by the addresses that parse, unless none does.
 func (w *Watcher) learnAddrs(list []string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.learnAddrsLocked(list)
+}
+
+// learnAddrsLocked is learnAddrs with w.mu held.
+func (w *Watcher) learnAddrsLocked(list []string) {
 	var all []netip.AddrPort
 	for _, s := range list {
 		if a, err := netip.ParseAddrPort(s); err == nil {
 			all = append(all, a)
 		}
 	}
-	if len(all) == 0 {
-		return
+	if len(all) > 0 {
+		w.replicas = all
 	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.replicas = all
 }
--- a/io/watch/view.go
+++ b/io/watch/view.go
@@ -26,8 +26,10 @@
 	Entries     int                         // Number of entries that share the limits.
 	Owner       *wire.Member                // The scheduler of all pools; nil if none is known.
 	LastHeard   time.Time                   // When the scheduler last answered a poll.
-	Term        uint64                      // Highest term of a leader whose news arrived here.
+	CurrentAt   time.Time                   // When Version and Revision were the newest, as far as a replica has shown.
+	Term        uint64                      // Highest term of a leader that this entry knows of.
 
+	ownerTerm      uint64                    // In which the scheduler's replica leads; zero if it schedules for a data centre alone.
 	roster         map[string]*wire.Upstream // By upstream ID.
 	bansRevision   uint64                    // Revision of the bans received from the scheduler.
 	splitsRevision uint64                    // Phase revision of the splits received from the scheduler.
@@ -45,6 +47,15 @@
 	return now.Sub(v.LastHeard)
 }
 
+// CurrentFor returns the time since a replica last showed that the view has the newest configuration and roster, zero if
+// none ever has.
+func (v *View) CurrentFor(now time.Time) time.Duration {
+	if v.CurrentAt.IsZero() {
+		return 0
+	}
+	return now.Sub(v.CurrentAt)
+}
+
 // At returns the upstreams at an address.
 func (v *View) At(addr string) []*wire.Upstream {
 	var list []*wire.Upstream
--- a/io/watch/watch.go
+++ b/io/watch/watch.go
@@ -1,5 +1,7 @@
 // Package watch keeps an entry up to date with control. By long polls at the leading control
 // replica it receives the configuration, the roster of upstreams, cordons, bans and limits.
+// What an entry knows of the configuration and the roster only moves forward, whichever replica
+// sends it.
 package watch
 
 import (
@@ -40,6 +42,8 @@
 	maxDocumentBytes = 64 << 20
 )
 
+var errFormerLeader = errors.New("watch: news of a former leader")
+
 type (
 	// Watcher follows the scheduler on behalf of one entry. Its exported fields are set before
 	// Serve is called.
@@ -250,31 +254,24 @@
 	}
 }
 
-// applyNews updates the view with news from a scheduler. An older configuration never replaces a
-// newer one, whichever replica sends it.
+// applyNews updates the view with news from a scheduler. News of a leader that another one has followed is refused: it may
+// lack what was acknowledged since.
 func (w *Watcher) applyNews(from target, n *wire.News) error {
-	w.learnAddrs(n.GetReplicas())
 	w.mu.Lock()
 	old := w.View()
-	v := *old
-	v.Entries, v.LastHeard, v.Term = int(n.GetEntries()), time.Now(), max(old.Term, n.GetTerm())
-	v.Silent, v.Unreached, v.Isolated = stringSet(n.GetSilent()), stringSet(n.GetUnreached()), from.local
-	var err error
-	if len(n.GetDocument()) > 0 && n.GetVersion() > v.Version {
-		err = w.installConfig(&v, n)
+	if n.GetTerm() > 0 && n.GetTerm() < old.Term {
+		w.mu.Unlock()
+		return fmt.Errorf("%w: term %d, known is %d", errFormerLeader, n.GetTerm(), old.Term)
 	}
-	if n.GetRevision() != old.Revision || n.GetWhole() {
-		if rosterErr := v.applyRoster(n, w.replaced); rosterErr != nil {
-			err = rosterErr
-		}
+	w.learnAddrsLocked(n.GetReplicas())
+	v := *old
+	v.Entries, v.LastHeard, v.Term, v.ownerTerm = int(n.GetEntries()), time.Now(), max(old.Term, n.GetTerm()), n.GetTerm()
+	if !from.local {
+		v.CurrentAt = v.LastHeard
 	}
+	v.Silent, v.Unreached, v.Isolated = stringSet(n.GetSilent()), stringSet(n.GetUnreached()), from.local
+	err := w.advance(&v, n)
 	w.applyCordons(&v, from, n.GetCordons())
-	if old.Index == nil && v.Index != nil {
-		defer func() {
-			w.Configured()
-			close(w.configured)
-		}()
-	}
 	newScheduler := v.Owner.GetIncarnation() != n.GetLeader()
 	if b := n.GetBans(); b != nil {
 		v.bansRevision = b.GetRevision()
@@ -294,7 +291,7 @@
 		v.Owner = &wire.Member{Node: "control " + from.addr.String(), Incarnation: n.GetLeader(), Address: from.addr.String()}
 		w.Log.Info("Scheduler found.", "address", from.addr.String(), "incarnation", n.GetLeader(), "this-data-centre-alone", from.local, "term", n.GetTerm())
 	}
-	w.view.Store(&v)
+	w.setView(&v)
 	w.mu.Unlock()
 	if newScheduler && w.OnSchedulerChange != nil {
 		w.OnSchedulerChange()
@@ -302,6 +299,31 @@
 	return err
 }
 
+// advance takes the configuration and the roster in n that are newer than those of v. Without a revision of its own, v
+// has at most some of the roster. w.mu must be held.
+func (w *Watcher) advance(v *View, n *wire.News) error {
+	var err error
+	if len(n.GetDocument()) > 0 && n.GetVersion() > v.Version {
+		err = w.installConfig(v, n)
+	}
+	if n.GetRevision() > v.Revision || (v.Revision == 0 && n.GetWhole()) {
+		if rosterErr := v.applyRoster(n, w.replaced); rosterErr != nil {
+			err = rosterErr
+		}
+	}
+	return err
+}
+
+// setView puts a view in force. w.mu must be held.
+func (w *Watcher) setView(v *View) {
+	first := w.View().Index == nil && v.Index != nil
+	w.view.Store(v)
+	if first {
+		w.Configured()
+		close(w.configured)
+	}
+}
+
 // handlePools passes on which pools the scheduler treats in other ways than their configuration says.
 func (w *Watcher) handlePools(n *wire.News) {
 	if w.OnTicketed != nil {
