A second replica passes the configuration and the roster on to each entry

What callers saw: 404 for routes that had been added, and requests at upstreams that leave, from entries that did not get the leader's news (CONFIG, DRAIN). The long poll at the leader was the only source of both: whatever kept an entry from it left the entry behind for as long as that lasted, while it reached other replicas that had everything.

Each entry now holds a second long poll, at another replica that follows the leader. It is answered with a version only, at once when a configuration is newer and after a second otherwise; what the scheduler has not sent a quarter of a second later is asked for there. The relay also names the term: an entry drops a scheduler of a former leader.

--- a/io/ctrl/observer.go
+++ b/io/ctrl/observer.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"azurelane/core/raft"
 	"azurelane/core/state"
@@ -137,6 +138,17 @@
 // Leader returns the peer address of the leader that this replica follows, or "".
 func (c *Ctrl) Leader() string { return c.view.Load().GetLeader() }
 
+// Following returns the term and the peer address of the leader that this replica follows or is, and the time since it
+// heard that leader, or a quorum heard it. The address is "" if there is none, or if this replica has yet to apply
+// what the leader has committed.
+func (c *Ctrl) Following() (term uint64, leader string, silence time.Duration) {
+	v := c.view.Load()
+	if !v.heard || (v.leads && !v.established) {
+		return 0, "", 0
+	}
+	return v.GetTerm(), v.GetLeader(), v.silence + time.Since(v.at)
+}
+
 // Identity returns the ID of this replica's data folder.
 func (c *Ctrl) Identity() string { return c.id }
 
--- a/io/hub/hub.go
+++ b/io/hub/hub.go
@@ -68,6 +68,9 @@
 		Established() bool  // Whether the replica leads and has applied what earlier leaders committed.
 		CutOff() bool       // Whether the replica follows no leader and reaches no quorum.
 		Leader() string
+		// Following returns the term and the address of the leader that this replica follows or is, and the time since it
+		// had word of it. The address is empty if there is none, or the log lacks what that leader has committed.
+		Following() (term uint64, leader string, silence time.Duration)
 		Changed() <-chan struct{}
 		Publication() (uint64, []byte)
 		Upstream(id string) *wire.Upstream
--- a/io/hub/hub_test.go
+++ b/io/hub/hub_test.go
@@ -33,6 +33,7 @@
 	stalled  bool // Proposals about rollouts hang until their callers give up.
 	stalling bool // One of them hangs now.
 	cutOff   bool
+	silence  time.Duration // Of the leader that it follows.
 	voters   int
 	listed   int // Upstreams returned by Roster.
 	changed  chan struct{}
@@ -67,6 +68,15 @@
 
 func (f *fakeReplica) Leader() string { return "10.0.0.9:7000" }
 
+func (f *fakeReplica) Following() (uint64, string, time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.cutOff {
+		return 0, "", 0
+	}
+	return 1, "10.0.0.9:7000", f.silence
+}
+
 func (f *fakeReplica) Changed() <-chan struct{} {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/io/hub/watch.go
+++ b/io/hub/watch.go
@@ -49,6 +49,9 @@
 // handleWatch answers a long poll: as soon as there is news that the entry does not have, or
 // else when its wait ends.
 func (h *Hub) handleWatch(ctx context.Context, w *wire.Watch) (*wire.News, error) {
+	if w.GetRelay() {
+		return h.handleRelay(ctx, w)
+	}
 	end := time.NewTimer(time.Duration(w.GetWaitUs()) * time.Microsecond)
 	defer end.Stop()
 	if changed, err := h.delayRoster(ctx, w, end); err != nil || changed {
@@ -219,12 +222,8 @@
 	n.Limits = s.limits.listFor(time.Now(), w.GetNode(), func() ([]string, bool) { return h.limitSharers(s) })
 	var doc []byte
 	n.Version, doc = h.Replica.Publication()
-	if n.GetVersion() > w.GetVersion() {
-		data, err := h.packed.document(n.GetVersion(), doc)
-		if err != nil {
-			return nil, false, err
-		}
-		n.Document = data
+	if err := h.addDocument(w, n, doc); err != nil {
+		return nil, false, err
 	}
 	if err := h.addRoster(w, n); err != nil {
 		return nil, false, err
--- /dev/null
+++ b/io/watch/relay.go
@@ -0,0 +1,135 @@
+package watch
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"azurelane/core/wire"
+)
+
+const (
+	// relayWait is the wait of a long poll at a relay. It bounds how old the roster gets while no news of the scheduler
+	// arrives; a newer configuration ends the wait at once.
+	relayWait = time.Second
+	// relayTimeout exceeds relayWait by the delay that a slow VM may add.
+	relayTimeout = relayWait + 500*time.Millisecond
+	// relayGrace is how long the scheduler's own news may take after a relay has it.
+	relayGrace      = 250 * time.Millisecond
+	relayRetryDelay = 200 * time.Millisecond // Before another relay is asked.
+)
+
+var errSameReplica = errors.New("watch: the relay leads")
+
+// serveRelay follows the configuration and the roster at a second replica, a relay, until ctx ends. With the scheduler's
+// replica alone, an entry would stay behind for as long as whatever keeps it from there lasts: a link, a poll
+// without an answer or a wrong belief about which replica leads.
+func (w *Watcher) serveRelay(ctx context.Context) {
+	for n := xxhash.Sum64String(w.Node); ctx.Err() == nil; n++ {
+		for to := w.relay(n); to.IsValid(); {
+			if err := w.followRelay(ctx, to); err != nil {
+				w.Log.V(1).Info("Relay not followed.", "address", to.String(), "err", err.Error())
+				break
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(relayRetryDelay):
+		}
+	}
+}
+
+// relay returns the n-th of the known replicas but for the scheduler's, or an invalid address if there is none.
+func (w *Watcher) relay(n uint64) netip.AddrPort {
+	w.mu.Lock()
+	list := slices.Clone(w.replicas)
+	w.mu.Unlock()
+	owner := w.View().Owner.GetAddress()
+	list = slices.DeleteFunc(list, func(a netip.AddrPort) bool { return a.String() == owner })
+	if len(list) == 0 {
+		return netip.AddrPort{}
+	}
+	slices.SortFunc(list, netip.AddrPort.Compare)
+	return list[n%uint64(len(list))]
+}
+
+// followRelay sends one long poll to a relay. If this entry still lacks something when the scheduler's news should have
+// arrived, it asks the relay for it.
+func (w *Watcher) followRelay(ctx context.Context, to netip.AddrPort) error {
+	n, err := w.askRelay(ctx, to, relayWait)
+	if err != nil {
+		return err
+	}
+	if n.GetLeaderAddress() == to.String() && w.View().Owner.GetAddress() == to.String() {
+		return errSameReplica
+	}
+	w.noteLeader(n)
+	if n.GetVersion() > w.View().Version {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(relayGrace):
+		}
+	}
+	if v := w.View(); n.GetVersion() > v.Version || n.GetRevision() > v.Revision {
+		if n, err = w.askRelay(ctx, to, 0); err != nil {
+			return err
+		}
+	}
+	return w.applyRelayed(to, n)
+}
+
+// askRelay polls a relay. Without a wait, the answer has all that this entry lacks.
+func (w *Watcher) askRelay(ctx context.Context, to netip.AddrPort, wait time.Duration) (*wire.News, error) {
+	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+	defer cancel()
+	v := w.View()
+	f, err := w.Mesh.Call(ctx, to, &wire.Frame{Body: &wire.Frame_Watch{Watch: &wire.Watch{
+		Node: w.Node, Incarnation: w.Incarnation, DataCentre: w.DataCentre, Version: v.Version, Revision: v.Revision,
+		WaitUs: wait.Microseconds(), Relay: true,
+	}}})
+	if err != nil {
+		return nil, fmt.Errorf("watch: relay %s: %w", to, err)
+	}
+	return f.GetNews(), nil
+}
+
+// applyRelayed updates the view with what a relay has that is newer.
+func (w *Watcher) applyRelayed(from netip.AddrPort, n *wire.News) error {
+	at := time.Now().Add(-time.Duration(n.GetSilenceUs()) * time.Microsecond)
+	w.learnAddrs(n.GetReplicas())
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	v := *w.View()
+	version, revision := v.Version, v.Revision
+	err := w.advance(&v, n)
+	if v.Version >= n.GetVersion() && v.Revision >= n.GetRevision() && at.After(v.CurrentAt) {
+		v.CurrentAt = at
+	}
+	if v.Version > version || v.Revision > revision {
+		w.Log.Info("Newer state passed on by a replica.", "address", from.String(), "version", v.Version, "revision", v.Revision, "term", n.GetTerm(),
+			"scheduler", v.Owner.GetIncarnation(), "scheduler-silent", v.NewsAge(time.Now()).String())
+	}
+	w.setView(&v)
+	return err
+}
+
+// noteLeader drops a scheduler whose replica no longer leads, as another replica follows a leader of a later term.
+func (w *Watcher) noteLeader(n *wire.News) {
+	w.mu.Lock()
+	v := *w.View()
+	v.Term = max(v.Term, n.GetTerm())
+	w.view.Store(&v)
+	former := v.Owner != nil && v.ownerTerm > 0 && v.ownerTerm < n.GetTerm()
+	cancel := w.cancelPoll
+	w.mu.Unlock()
+	if former {
+		w.dropScheduler("a replica follows a leader of a later term")
+		cancel() // Lets Serve look for that leader at once.
+	}
+}
--- a/io/watch/watch.go
+++ b/io/watch/watch.go
@@ -1,7 +1,7 @@
 // Package watch keeps an entry up to date with control. By long polls at the leading control
-// replica it receives the configuration, the roster of upstreams, cordons, bans and limits.
-// What an entry knows of the configuration and the roster only moves forward, whichever replica
-// sends it.
+// replica it receives the configuration, the roster of upstreams, cordons, bans and limits. A
+// second replica passes on the configuration and the roster. What an entry knows of both only
+// moves forward, whichever replica sends it.
 package watch
 
 import (
@@ -136,8 +136,9 @@
 func (w *Watcher) Serve(ctx context.Context) error {
 	w.startedAt = time.Now()
 	to, late := target{}, 0
-	var probes sync.WaitGroup
+	var probes sync.WaitGroup // And the relay.
 	defer probes.Wait()
+	probes.Go(func() { w.serveRelay(ctx) })
 	defer w.stopExpiry()
 	for ctx.Err() == nil {
 		if !to.addr.IsValid() {
