Lifting a ban is acknowledged once the log lacks the ban

If the leader ended before, the next one put the ban in force again. The removal is now proposed, and the call fails if it can't be stored. TestLiftOfBanIsStored failed before (no error without a quorum) and passes now. Looked at in the same way, and found to follow from the log already: publications, claims, orders to upstreams, cordons, rollouts, membership changes.

--- a/io/hub/bans.go
+++ b/io/hub/bans.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -372,11 +373,23 @@
 	s.bans.settle(h.Log, s.upstreams.replaced)
 }
 
+// liftBans lifts bans, and returns once the log lacks them. A ban that is just being recorded precedes its removal there.
+func (h *Hub) liftBans(ctx context.Context, s *scheduler, list [][]byte) error {
+	if len(list) == 0 {
+		return nil
+	}
+	s.bans.lift(h.Log, list)
+	if _, err := h.Replica.Propose(ctx, &wire.Command{Kind: &wire.Command_RecordBans{RecordBans: &wire.RecordBans{Lifted: list}}}); err != nil {
+		return fmt.Errorf("hub: lift bans: %w", err)
+	}
+	return nil
+}
+
 // handleBans answers a frame about requests that crash upstreams.
 //
 // While the network is partitioned, schedulers on both sides don't know each other's trials. So
 // only the leader allows trials of banned requests.
-func (h *Hub) handleBans(f *wire.Frame) (*wire.Frame, error) {
+func (h *Hub) handleBans(ctx context.Context, f *wire.Frame) (*wire.Frame, error) {
 	if c := f.GetCrashes(); c != nil {
 		s := h.scheduler()
 		if s == nil {
@@ -395,6 +408,8 @@
 		}
 		return nil, nil //nolint:nilnil // As above.
 	}
-	s.bans.lift(h.Log, f.GetBanQuery().GetLift())
+	if err := h.liftBans(ctx, s, f.GetBanQuery().GetLift()); err != nil {
+		return nil, err
+	}
 	return &wire.Frame{Body: &wire.Frame_Bans{Bans: s.bans.list()}}, nil
 }
--- a/io/hub/hub.go
+++ b/io/hub/hub.go
@@ -349,7 +349,7 @@
 	case *wire.Frame_PathQuery:
 		return h.handlePathQuery(b.PathQuery)
 	case *wire.Frame_Crashes, *wire.Frame_Try, *wire.Frame_BanQuery:
-		return h.handleBans(f)
+		return h.handleBans(ctx, f)
 	case *wire.Frame_Watch:
 		n, err := h.handleWatch(ctx, b.Watch)
 		if err != nil {
--- a/io/hub/stored_test.go
+++ b/io/hub/stored_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 
 	"github.com/shoenig/test/must"
 
+	"azurelane/core/digest"
 	"azurelane/core/wire"
 )
 
@@ -96,3 +98,28 @@
 		must.Eq(t, wire.Upstream_STATE_LEAVING, f.Upstream("s").GetState())
 	})
 }
+
+// Guards against a ban that an operator was told is lifted, and that the next leader puts in force again.
+func TestLiftOfBanIsStored(t *testing.T) {
+	d := digest.Of("a", "POST", "/x", nil)
+	crashes := &wire.Crashes{}
+	for _, up := range []string{"u", "v", "w"} {
+		crashes.Crashes = append(crashes.Crashes, &wire.Crash{Digest: d[:], Upstream: up})
+	}
+	runHub(t, func(t *testing.T, h *Hub, f *fakeReplica) {
+		_, err := h.Handle(t.Context(), &wire.Frame{Body: &wire.Frame_Crashes{Crashes: crashes}})
+		must.NoError(t, err)
+		synctest.Wait()
+		lift := &wire.Frame{Body: &wire.Frame_BanQuery{BanQuery: &wire.BanQuery{Lift: [][]byte{d[:]}}}}
+		f.setNoQuorum(true)
+		for range 2 {
+			_, err = h.Handle(t.Context(), lift)
+			must.Error(t, err)
+		}
+		f.setNoQuorum(false)
+		_, err = h.Handle(t.Context(), lift)
+		must.NoError(t, err)
+		list, _ := f.Bans()
+		must.SliceEmpty(t, list)
+	})
+}
