Entries poll two replicas beside the scheduler's, so that no link is idle

Cause: open links may fall silent for good, which counts as a reset of connections at that moment. An entry used its link to the leader alone; a silent one to another replica was noticed only once it was needed, when the leader was lost: 3 to 4 s after that, while configurations were acknowledged within one. A single relay was not enough: it gave a silent link up after 1.5 s, before the link closes, and went to the next one, which was idle as well.

Two relays keep the links to two further replicas in use, and wait until a silent one closes.

--- a/io/watch/relay.go
+++ b/io/watch/relay.go
@@ -5,38 +5,56 @@
 	"fmt"
 	"net/netip"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"azurelane/core/wire"
+	"azurelane/io/link"
 )
 
 const (
+	// relayCount is the number of relays of an entry. Polls keep the links to them in use: an idle link that is silent for
+	// good is noticed only seconds after it is needed, when the leader is lost. With three replicas none is idle.
+	relayCount = 2
 	// relayWait is the wait of a long poll at a relay. It bounds how old the roster gets while no news of the scheduler
 	// arrives; a newer configuration ends the wait at once.
 	relayWait = time.Second
-	// relayTimeout exceeds relayWait by the delay that a slow VM may add.
-	relayTimeout = relayWait + 500*time.Millisecond
-	// relayGrace is how long the scheduler's own news may take after a relay has it.
+	// relayTimeout exceeds the time after which a silent link is closed, which ends the poll sooner. A poll that gave up
+	// before would leave the link idle again, and open.
+	relayTimeout = link.SilenceLimit + 2*link.PingEvery
+	// relayGrace is how long the scheduler's own news may take after a relay has it, and the news of one relay after
+	// another one has it.
 	relayGrace      = 250 * time.Millisecond
 	relayRetryDelay = 200 * time.Millisecond // Before another relay is asked.
 )
 
-var errSameReplica = errors.New("watch: the relay leads")
+var errRelayLeads = errors.New("watch: the relay leads")
 
-// serveRelay follows the configuration and the roster at a second replica, a relay, until ctx ends. With the scheduler's
-// replica alone, an entry would stay behind for as long as whatever keeps it from there lasts: a link, a poll
-// without an answer or a wrong belief about which replica leads.
-func (w *Watcher) serveRelay(ctx context.Context) {
+// serveRelays follows the configuration and the roster at other replicas, relays, until ctx ends. With the scheduler's
+// replica alone, an entry would stay behind for as long as whatever keeps it from there lasts: a link, a poll without
+// an answer or a wrong belief about which replica leads.
+func (w *Watcher) serveRelays(ctx context.Context) {
+	var relays sync.WaitGroup
+	defer relays.Wait()
+	for n := range relayCount {
+		relays.Go(func() { w.serveRelay(ctx, time.Duration(n+1)*relayGrace) })
+	}
+}
+
+// serveRelay follows one relay after the other until ctx ends.
+func (w *Watcher) serveRelay(ctx context.Context, grace time.Duration) {
 	for n := xxhash.Sum64String(w.Node); ctx.Err() == nil; n++ {
-		for to := w.relay(n); to.IsValid(); {
-			if err := w.followRelay(ctx, to); err != nil {
+		to := w.takeRelay(n)
+		for to.IsValid() {
+			if err := w.followRelay(ctx, to, grace); err != nil {
 				w.Log.V(1).Info("Relay not followed.", "address", to.String(), "err", err.Error())
 				break
 			}
 		}
+		w.returnRelay(to)
 		select {
 		case <-ctx.Done():
 		case <-time.After(relayRetryDelay):
@@ -44,36 +62,47 @@
 	}
 }
 
-// relay returns the n-th of the known replicas but for the scheduler's, or an invalid address if there is none.
-func (w *Watcher) relay(n uint64) netip.AddrPort {
+// takeRelay returns the n-th of the replicas that are neither the scheduler's nor in use as relays, or an invalid address
+// if there is none.
+func (w *Watcher) takeRelay(n uint64) netip.AddrPort {
 	w.mu.Lock()
-	list := slices.Clone(w.replicas)
-	w.mu.Unlock()
+	defer w.mu.Unlock()
 	owner := w.View().Owner.GetAddress()
-	list = slices.DeleteFunc(list, func(a netip.AddrPort) bool { return a.String() == owner })
+	list := slices.DeleteFunc(slices.Clone(w.replicas), func(a netip.AddrPort) bool { return a.String() == owner || w.relays[a] })
 	if len(list) == 0 {
 		return netip.AddrPort{}
 	}
 	slices.SortFunc(list, netip.AddrPort.Compare)
-	return list[n%uint64(len(list))]
+	if w.relays == nil {
+		w.relays = map[netip.AddrPort]bool{}
+	}
+	to := list[n%uint64(len(list))]
+	w.relays[to] = true
+	return to
+}
+
+func (w *Watcher) returnRelay(to netip.AddrPort) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.relays, to)
 }
 
 // followRelay sends one long poll to a relay. If this entry still lacks something when the scheduler's news should have
 // arrived, it asks the relay for it.
-func (w *Watcher) followRelay(ctx context.Context, to netip.AddrPort) error {
+func (w *Watcher) followRelay(ctx context.Context, to netip.AddrPort, grace time.Duration) error {
 	n, err := w.askRelay(ctx, to, relayWait)
 	if err != nil {
 		return err
 	}
 	if n.GetLeaderAddress() == to.String() && w.View().Owner.GetAddress() == to.String() {
-		return errSameReplica
+		return errRelayLeads
 	}
 	w.noteLeader(n)
 	if n.GetVersion() > w.View().Version {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-time.After(relayGrace):
+		case <-time.After(grace):
 		}
 	}
 	if v := w.View(); n.GetVersion() > v.Version || n.GetRevision() > v.Revision {
--- a/io/watch/relay_test.go
+++ b/io/watch/relay_test.go
@@ -131,3 +131,22 @@
 		})
 	}
 }
+
+// Guards against relays that are the scheduler's replica or the same one twice, which leaves links to others idle.
+func TestRelaysDiffer(t *testing.T) {
+	third := netip.MustParseAddrPort("10.0.0.3:7000")
+	w := newWatcher(nil)
+	must.False(t, w.takeRelay(0).IsValid())
+	w.learnAddrs([]string{third.String(), leaderAddr.String(), relayAddr.String()})
+	must.NoError(t, w.applyNews(target{addr: leaderAddr}, &wire.News{Leader: "l"}))
+	for n := range uint64(2) {
+		first := w.takeRelay(n)
+		second := w.takeRelay(n)
+		must.True(t, (first == relayAddr && second == third) || (first == third && second == relayAddr))
+		must.False(t, w.takeRelay(n).IsValid())
+		w.returnRelay(first)
+		must.True(t, w.takeRelay(n) == first)
+		w.returnRelay(first)
+		w.returnRelay(second)
+	}
+}
--- a/io/watch/watch.go
+++ b/io/watch/watch.go
@@ -1,7 +1,7 @@
 // Package watch keeps an entry up to date with control. By long polls at the leading control
-// replica it receives the configuration, the roster of upstreams, cordons, bans and limits. A
-// second replica passes on the configuration and the roster. What an entry knows of both only
-// moves forward, whichever replica sends it.
+// replica it receives the configuration, the roster of upstreams, cordons, bans and limits. Two
+// other replicas pass on the configuration and the roster. What an entry knows of both only moves
+// forward, whichever replica sends it.
 package watch
 
 import (
@@ -97,6 +97,7 @@
 		mu             sync.Mutex    // Guards the fields below and updates of view.
 		replicas       []netip.AddrPort
 		localReplicas  map[netip.AddrPort]bool // Replicas of this data centre, as far as known.
+		relays         map[netip.AddrPort]bool // Replicas in use as relays.
 		nextReplica    int
 		searches       uint64
 		cancelPoll     context.CancelFunc // Cancels the current poll.
@@ -136,9 +137,9 @@
 func (w *Watcher) Serve(ctx context.Context) error {
 	w.startedAt = time.Now()
 	to, late := target{}, 0
-	var probes sync.WaitGroup // And the relay.
+	var probes sync.WaitGroup // And the relays.
 	defer probes.Wait()
-	probes.Go(func() { w.serveRelay(ctx) })
+	probes.Go(func() { w.serveRelays(ctx) })
 	defer w.stopExpiry()
 	for ctx.Err() == nil {
 		if !to.addr.IsValid() {
