--- a/io/hub/upstreams.go
+++ b/io/hub/upstreams.go
@@ -87,15 +87,15 @@
 	} else {
 		order = s.upstreams.recordReport(time.Now(), u, rep.GetSeq())
 	}
-	why := storedBefore
+	why, differs := storedBefore, !roster.Unchanged(known, u) && known.GetState() <= u.GetState()
 	switch {
-	case supersedes(known, u) || (order >= sameReport && !roster.Unchanged(known, u) && known.GetState() <= u.GetState()):
+	case supersedes(known, u) || (differs && order >= sameReport):
 		if err := h.enroll(ctx, s, rep, u); err != nil {
 			return err
 		}
 		why = storedNow
 		known = h.Replica.Upstream(u.GetId())
-	case order == supersededReport && !roster.Unchanged(known, u) && known.GetState() <= u.GetState():
+	case differs && order == supersededReport:
 		return &wire.Fault{Code: codeUnready, Text: "hub: a later report is not stored yet"}
 	}
 	if !rep.GetDeregister() {
