An entry that starts takes its first configuration from a scheduler alone

Relays have no bans, cordons or splits: an entry that had just started got its configuration and roster there and served before it knew them. Relays are now asked from the first configuration on.

--- a/io/watch/relay.go
+++ b/io/watch/relay.go
@@ -36,7 +36,14 @@
 // serveRelays follows the configuration and the roster at other replicas, relays, until ctx ends. With the scheduler's
 // replica alone, an entry would stay behind for as long as whatever keeps it from there lasts: a link, a poll without
 // an answer or a wrong belief about which replica leads.
+//
+// An entry gets its first configuration from a scheduler, together with the bans and cordons that relays don't have.
 func (w *Watcher) serveRelays(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-w.Configured():
+	}
 	var relays sync.WaitGroup
 	defer relays.Wait()
 	for n := range relayCount {
--- a/io/watch/relay_test.go
+++ b/io/watch/relay_test.go
@@ -150,3 +150,20 @@
 		w.returnRelay(second)
 	}
 }
+
+// Guards against an entry that starts without its scheduler and serves before it knows which requests are banned and
+// which upstreams have a cordon.
+func TestRelayGivesNoFirstConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := &fakeGroup{t: t, version: 1, revision: 1, term: 1, leads: leaderAddr.String(), cut: true}
+		w := newWatcher(nil)
+		w.Seeds, w.Mesh = func() []netip.AddrPort { return []netip.AddrPort{leaderAddr, relayAddr} }, g
+		w.learnAddrs([]string{leaderAddr.String(), relayAddr.String()})
+		serve(t, w)
+		time.Sleep(10 * time.Second)
+		must.Nil(t, w.View().Index)
+		g.set(func() { g.cut = false })
+		time.Sleep(5 * time.Second)
+		must.NotNil(t, w.View().Index)
+	})
+}
