--- a/io/hub/hub_test.go
+++ b/io/hub/hub_test.go
@@ -25,18 +25,19 @@
 
 // fakeReplica is a replica whose log commits at once, or never.
 type fakeReplica struct {
-	mu       sync.Mutex
-	state    state.State
-	leads    bool
-	behind   bool // It leads without having applied what was committed before.
-	noQuorum bool // Proposals fail.
-	stalled  bool // Proposals about rollouts hang until their callers give up.
-	stalling bool // One of them hangs now.
-	cutOff   bool
-	silence  time.Duration // Of the leader that it follows.
-	voters   int
-	listed   int // Upstreams returned by Roster.
-	changed  chan struct{}
+	mu          sync.Mutex
+	state       state.State
+	leads       bool
+	behind      bool // It leads without having applied what was committed before.
+	noQuorum    bool // Proposals fail.
+	stalled     bool // Proposals about rollouts hang until their callers give up.
+	stalling    bool // One of them hangs now.
+	enrollsHang bool // Proposals about upstreams hang in the same way.
+	cutOff      bool
+	silence     time.Duration // Of the leader that it follows.
+	voters      int
+	listed      int // Upstreams returned by Roster.
+	changed     chan struct{}
 }
 
 func (f *fakeReplica) Leads() bool {
@@ -202,6 +203,12 @@
 		f.stalling = false
 		return nil, ctx.Err()
 	}
+	if f.enrollsHang && c.GetEnroll() != nil {
+		f.mu.Unlock()
+		<-ctx.Done()
+		f.mu.Lock()
+		return nil, ctx.Err()
+	}
 	if f.noQuorum || !f.leads {
 		return nil, errors.New("no quorum")
 	}
--- a/io/hub/stored_test.go
+++ b/io/hub/stored_test.go
@@ -61,20 +61,13 @@
 	}
 }
 
-// hangingReplica is a replica whose proposals hang until their callers give up.
-type hangingReplica struct{ *fakeReplica }
-
-func (hangingReplica) Propose(ctx context.Context, _ *wire.Command) (*wire.Result, error) {
-	<-ctx.Done()
-	return nil, ctx.Err()
-}
-
 // Guards against the acknowledgement of a report whose first proposal is still under way.
 func TestReportSentAgainWhileItIsProposed(t *testing.T) {
 	runHub(t, func(t *testing.T, h *Hub, f *fakeReplica) {
 		must.NoError(t, h.Report(t.Context(), newReport("s", 1, wire.Upstream_STATE_SERVING)))
-		h.Replica = hangingReplica{f}
-		defer func() { h.Replica = f }()
+		f.mu.Lock()
+		f.enrollsHang = true
+		f.mu.Unlock()
 		ctx, cancel := context.WithTimeout(t.Context(), announceInterval)
 		defer cancel()
 		first := make(chan error, 1)
