Review case 9: acknowledged configuration is lost while links lose packets

Cause: a learner replaces a voter that has been silent for 2.4 s, and each new leader counts the silence from its own election. With lost packets leaders change more often than that, so a successor that has had catch_up_s is no voter yet when another hub loses its disk.

Change: a script replaces a hub and takes the disk of another one 4.2 s after the successor's start, with delays like those of 4 in 100 lost packets in each zone, in twelve deployments.

--- a/review/rig2/client.go
+++ b/review/rig2/client.go
@@ -43,6 +43,7 @@
 		body               []byte
 		tokens             string // Prompt and answer; empty for none.
 		deadline           time.Duration
+		extra              string // More header lines.
 	}
 )
 
@@ -93,6 +94,7 @@
 	if q.body != nil {
 		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(q.body))
 	}
+	b.WriteString(q.extra)
 	b.WriteString("\r\n")
 	b.Write(q.body)
 	c.mu.Lock()
--- a/review/rig2/fleet.go
+++ b/review/rig2/fleet.go
@@ -12,6 +12,7 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -32,6 +33,7 @@
 	// fleet is a small deployment on loopback addresses.
 	fleet struct {
 		program string
+		tag     string // Of the deployment, before its machines' names.
 		dir     string
 		net     string // First three parts of the machines' addresses.
 		ports   [6]int // Callers, ready, calls, peers, tunnel, peers behind a forwarder; the same on all machines.
@@ -76,8 +78,17 @@
 	_, _ = io.WriteString(os.Stdout, line)
 }
 
-// newFleet finds ports that are free on all addresses that it may use.
-func newFleet(rec *record, trouble bool) (*fleet, error) {
+// another returns a further deployment that shares nothing with the first one.
+func (f *fleet) another(n int) (*fleet, error) {
+	o, err := newFleet(f.rec, f.trouble, n)
+	if err == nil {
+		o.tag = fmt.Sprintf("%d/", n)
+	}
+	return o, err
+}
+
+// newFleet finds ports that are free on all addresses that the n-th deployment may use.
+func newFleet(rec *record, trouble bool, n int) (*fleet, error) {
 	program := os.Getenv("AZURELANE")
 	if program == "" {
 		program = "target/azurelane"
@@ -89,7 +100,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{program: program, dir: dir, trouble: trouble, rec: rec, net: fmt.Sprintf("127.%d.%d.", 20+os.Getpid()%200, 1+(os.Getpid()/200)%250)}
+	f := &fleet{program: program, dir: dir, trouble: trouble, rec: rec, net: fmt.Sprintf("127.%d.%d.", 20+os.Getpid()%200, 1+((os.Getpid()/200)*16+n)%250)}
 	for i := range f.ports {
 		if f.ports[i], err = freePort(f.net); err != nil {
 			return nil, err
@@ -123,9 +134,9 @@
 
 // machine returns a machine that is not started yet.
 func (f *fleet) machine(role string, n int, zone int) *proc {
-	p := &proc{f: f, role: role, name: fmt.Sprintf("%s-%d", role, n), ip: f.net + strconv.Itoa(n), zone: zoneNames[zone]}
-	p.data = filepath.Join(f.dir, p.name+"-data")
-	p.settings = filepath.Join(f.dir, p.name+".json")
+	p := &proc{f: f, role: role, name: fmt.Sprintf("%s%s-%d", f.tag, role, n), ip: f.net + strconv.Itoa(n), zone: zoneNames[zone]}
+	p.data = filepath.Join(f.dir, fmt.Sprintf("%s-%d-data", role, n))
+	p.settings = filepath.Join(f.dir, fmt.Sprintf("%s-%d.json", role, n))
 	f.mu.Lock()
 	f.procs = append(f.procs, p)
 	f.mu.Unlock()
@@ -166,7 +177,7 @@
 	if err := p.writeSettings(); err != nil {
 		return err
 	}
-	log, err := os.OpenFile(filepath.Join(p.f.dir, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	log, err := os.OpenFile(strings.TrimSuffix(p.settings, ".json")+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
--- a/review/rig2/forward.go
+++ b/review/rig2/forward.go
@@ -3,12 +3,14 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 type (
@@ -18,9 +20,11 @@
 		to    string
 		mu    sync.Mutex
 		conns map[*forwarded]struct{}
+		loss  atomic.Pointer[float64] // Share of the packets that are lost; nil for none.
 	}
 
 	forwarded struct {
+		by      *forwarder
 		in, out net.Conn
 		pid     int // Of the process that has dialled; zero if it is not known.
 		silent  atomic.Bool
@@ -54,7 +58,7 @@
 		_ = in.Close()
 		return
 	}
-	c := &forwarded{in: in, out: out, pid: ownerOf(in)}
+	c := &forwarded{by: p, in: in, out: out, pid: ownerOf(in)}
 	p.mu.Lock()
 	p.conns[c] = struct{}{}
 	p.mu.Unlock()
@@ -79,6 +83,7 @@
 			}
 			continue
 		}
+		c.by.retransmit()
 		if n > 0 {
 			if _, werr := to.Write(buf[:n]); werr != nil {
 				err = werr
@@ -95,6 +100,18 @@
 	}
 }
 
+// retransmit waits as long as a packet is late that is lost: TCP sends it again after 200 ms, and after twice the
+// time whenever it is lost again. What follows it waits for it.
+func (p *forwarder) retransmit() {
+	for wait := 200 * time.Millisecond; ; wait *= 2 {
+		loss := p.loss.Load()
+		if loss == nil || rand.Float64() >= *loss {
+			return
+		}
+		time.Sleep(wait)
+	}
+}
+
 // silence makes the open connections of some processes go silent and returns their number.
 func (p *forwarder) silence(pids map[int]bool) int {
 	p.mu.Lock()
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -30,7 +30,7 @@
 		os.Exit(notRun)
 	}
 	rec := &record{f: out, start: time.Now()}
-	f, err := newFleet(rec, os.Getenv("TROUBLE") != "0")
+	f, err := newFleet(rec, os.Getenv("TROUBLE") != "0", 0)
 	if err != nil {
 		rec.say("not run: %v", err)
 		os.Exit(notRun)
