--- a/review/rig2/lossy.go
+++ b/review/rig2/lossy.go
@@ -12,6 +12,7 @@
 
 const (
 	deployments = 12
+	lossTime    = 5500 * time.Millisecond
 	lossShare   = 0.04 // Of the packets on each zone's links to the others.
 )
 
@@ -84,8 +85,11 @@
 	if f.trouble {
 		lose(lossShare)
 		f.rec.say("%slinks between the zones begin to lose packets", f.tag)
+		time.AfterFunc(lossTime, func() {
+			lose(0)
+			f.rec.say("%sno packets are lost any more", f.tag)
+		})
 	}
-	time.Sleep(time.Second)
 	hubs[0].signal(syscall.SIGKILL)
 	f.rec.say("%s is gone for good", hubs[0].name)
 	time.Sleep(time.Second)
@@ -96,7 +100,6 @@
 	left := []*proc{hubs[1], hubs[2], successor}
 	acker := f.put(document(5, routes()), 5, 6*time.Second, hubs[1], hubs[2])
 	if acker == nil {
-		lose(0)
 		return notRun, errors.New("the change is not acknowledged")
 	}
 	acker.signal(syscall.SIGKILL)
@@ -110,9 +113,7 @@
 	if err := acker.start(); err != nil {
 		return notRun, err
 	}
-	time.Sleep(time.Second)
-	lose(0)
-	f.rec.say("%sno packets are lost any more, and all machines are back", f.tag)
+	f.rec.say("%sall machines are back", f.tag)
 	for end := time.Now().Add(2 * recoverTime); time.Now().Before(end); time.Sleep(500 * time.Millisecond) {
 		for _, h := range left {
 			if f.get(h) >= 5 {
