A reset while a request is written is no end of its answer

Callers saw: a part of an answer as a complete one.

Cause: the kernel reports a reset once, to the first call on the socket. If that is the write of the upload, the read after it returns a plain EOF, and an answer with neither a length nor chunks ends there. net/http closes the connection after a failed write, but its reader may have had the EOF by then. The check whether the upstream has outlived its answer finds a process that runs. A server that closes a connection without having read all of the request is no different: whether its kernel sends a FIN first depends on what has arrived at that moment.

Change: connections to upstreams return EOF only if no write has failed, and wait for one that is under way (io/ends). The end of a connection is that of an answer only once its request was written; the wait for that is a second at most. A server that ends its answer, and reads the rest of the request after it, is still whole.

--- a/io/client/client.go
+++ b/io/client/client.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"azurelane/io/ends"
 )
 
 const (
@@ -68,6 +70,11 @@
 			}
 			got.begin(&e)
 		},
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			if info.Err == nil {
+				got.wrote(&e)
+			}
+		},
 	})
 	r = once(r.WithContext(ctx))
 	// Until an upstream has shown that it repeats ids, each of its connections
@@ -140,7 +147,7 @@
 			if err != nil {
 				return nil, fmt.Errorf("client: dial: %w", err)
 			}
-			return &conn{Conn: nc}, nil
+			return &conn{Conn: &ends.Conn{Conn: nc}}, nil
 		},
 		MaxIdleConnsPerHost: idlePerHost, IdleConnTimeout: cmp.Or(c.Idle, idleLimit), MaxResponseHeaderBytes: headerLimit,
 		DisableCompression: true, WriteBufferSize: 16 << 10, ReadBufferSize: 16 << 10,
--- a/io/client/conn.go
+++ b/io/client/conn.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -15,7 +17,13 @@
 // maxRejected is how many rejected requests a connection remembers.
 const maxRejected = 64
 
-var errNoAnswer = errors.New("client: what came is no HTTP answer")
+// requestTimeout bounds the wait for the rest of a request whose answer has ended with the connection.
+const requestTimeout = time.Second
+
+var (
+	errNoAnswer = errors.New("client: what came is no HTTP answer")
+	errUnread   = errors.New("client: connection ended before its request was written")
+)
 
 // conn tells the transport's next request what the last one has left, and knows which request it carries.
 type conn struct {
@@ -26,17 +34,22 @@
 	matched  int       // Bytes of answerBegin that have come since the present request began.
 	rejected []string  // Ids of requests that were meant for another server.
 	closed   bool
-	changed  chan struct{} // Closed when reading or closed is set; nil without a waiter.
+	changed  chan struct{} // Closed when reading or closed is set, or the request is written; nil without a waiter.
 }
 
 // Read records that the transport has consumed its buffer. It fails at the first byte that can't belong to an
-// answer: the transport would read on for as long as no line ends.
+// answer: the transport would read on for as long as no line ends. The end of the connection is that of an answer
+// only if its request was written: a server that closes a connection of which it has not read all resets it, perhaps
+// after the end was read.
 func (c *conn) Read(p []byte) (int, error) {
 	c.mu.Lock()
 	c.reading = true
 	c.notify()
 	c.mu.Unlock()
 	n, err := c.Conn.Read(p)
+	if errors.Is(err, io.EOF) && !c.awaitRequest() {
+		err = errUnread
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reading = false
@@ -97,10 +110,7 @@
 			c.mu.Unlock()
 			return
 		}
-		if c.changed == nil {
-			c.changed = make(chan struct{})
-		}
-		changed := c.changed
+		changed := c.change()
 		c.mu.Unlock()
 		select {
 		case <-changed:
@@ -110,6 +120,46 @@
 	}
 }
 
+// awaitRequest waits until the request is written whose answer has begun. It reports false if that fails or takes too
+// long.
+func (c *conn) awaitRequest() bool {
+	timer := time.NewTimer(requestTimeout)
+	defer timer.Stop()
+	for {
+		c.mu.Lock()
+		if c.exchange == nil || c.matched < len(answerBegin) || c.exchange.finished() {
+			c.mu.Unlock()
+			return true
+		}
+		changed, closed := c.change(), c.closed
+		c.mu.Unlock()
+		if closed {
+			return false
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return false
+		}
+	}
+}
+
+// change returns the channel of the next change. c.mu must be held.
+func (c *conn) change() <-chan struct{} {
+	if c.changed == nil {
+		c.changed = make(chan struct{})
+	}
+	return c.changed
+}
+
+// wrote records that the present request was written.
+func (c *conn) wrote(e *exchange) {
+	e.finish()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.notify()
+}
+
 // begin starts the next request.
 func (c *conn) begin(e *exchange) {
 	c.mu.Lock()
--- a/io/client/exchange.go
+++ b/io/client/exchange.go
@@ -11,9 +11,10 @@
 // exchange knows whether any byte of one request was written, on any connection. It belongs to the request: the
 // transport may give the request's connection to another one before it reports how this one ended.
 type exchange struct {
-	mu      sync.Mutex
-	written int64
-	sealed  bool
+	mu       sync.Mutex
+	written  int64
+	sealed   bool
+	complete bool // All of the request was written.
 }
 
 // record counts bytes that are about to be written. It fails once the request is sealed.
@@ -35,3 +36,17 @@
 	e.sealed = e.written == 0
 	return e.written
 }
+
+// finish records that all of the request was written.
+func (e *exchange) finish() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.complete = true
+}
+
+// finished reports whether all of the request was written.
+func (e *exchange) finished() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.complete
+}
--- a/io/gate/harness_test.go
+++ b/io/gate/harness_test.go
@@ -357,6 +357,11 @@
 	s.t.Helper()
 	r, err := http.NewRequestWithContext(s.t.Context(), method, s.srv.URL+path, strings.NewReader("text"))
 	must.NoError(s.t, err)
+	return s.send(r, header...)
+}
+
+func (s *testGate) send(r *http.Request, header ...string) reply {
+	s.t.Helper()
 	r.Host = "h"
 	r.Header.Set("Authorization", "Bearer "+key)
 	r.Header.Set(idHeader, "1")
