An answer with a status that none can have counts as none

Callers saw: with a status of 000 to 099, or "+20", a connection that was closed without an answer, on routes that may be sent again too, with a sound upstream idle.

Cause: net/http takes any three characters that are a number for a status, and a 101 for a final answer. The gate and the front hand the status to WriteHeader, which panics below 100.

Change: the client refuses an answer whose status is not in 200 to 599, or whose version is not HTTP/1, before anything is read from it. It may have run, as after any broken answer: a request that may run again is sent to another upstream within its budget, any other ends with 502.

--- a/core/answer/answer.go
+++ b/core/answer/answer.go
@@ -22,6 +22,15 @@
 	Refusal  *refuse.Error // Why there is no whole answer; nil when there is one.
 }
 
+// The range of the statuses of final answers.
+const (
+	minStatus = 200
+	maxStatus = 599
+)
+
+// ValidStatus reports whether an upstream's final answer may have a status.
+func ValidStatus(status int) bool { return status >= minStatus && status <= maxStatus }
+
 // Ended reports whether nothing more will come.
 func (a *Answer) Ended() bool { return a.Outcome != "" }
 
--- a/io/client/client.go
+++ b/io/client/client.go
@@ -18,6 +18,7 @@
 
 	"github.com/pkg/errors"
 
+	"azurelane/core/answer"
 	"azurelane/io/ends"
 )
 
@@ -37,6 +38,9 @@
 // ErrForeign marks an answer that is not, or may not be, this request's own.
 var ErrForeign = errors.New("client: answer of another request")
 
+// errMalformed marks an answer whose head is not well-formed, though net/http takes it.
+var errMalformed = errors.New("client: malformed answer")
+
 // Client dispatches to upstreams. The zero value is ready.
 type Client struct {
 	// Echo is the header that carries a request's id and that upstreams repeat;
@@ -87,6 +91,10 @@
 		n := e.seal()
 		return nil, n > 0, fmt.Errorf("client: send, %d bytes written: %w", n, err)
 	}
+	if err := checkHead(resp); err != nil {
+		_ = resp.Body.Close()
+		return nil, true, err
+	}
 	if resp.StatusCode == http.StatusMisdirectedRequest && id != "" {
 		got.addRejected(id)
 	}
@@ -97,6 +105,18 @@
 	return resp, true, nil
 }
 
+// checkHead checks what net/http does not. It takes any three characters that are a number for a status, and a 101 for
+// a final answer, though no request asks for another protocol.
+func checkHead(resp *http.Response) error {
+	switch {
+	case resp.ProtoMajor != 1:
+		return fmt.Errorf("%w: version %q", errMalformed, resp.Proto)
+	case !answer.ValidStatus(resp.StatusCode):
+		return fmt.Errorf("%w: status %d", errMalformed, resp.StatusCode)
+	}
+	return nil
+}
+
 // own checks that an answer belongs to its request. An upstream that answers
 // twice, or late, leaves bytes on a kept-alive connection that the next request
 // there would take for its answer; the symptom is a caller with another's
--- a/io/client/client_test.go
+++ b/io/client/client_test.go
@@ -13,12 +13,15 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
 	"azurelane/io/client"
 )
 
+const askTimeout = 5 * time.Second
+
 // upstream reads whole requests from plain TCP connections and counts them.
 // Its answer to the n-th request of all comes from script; an empty answer
 // closes the connection.
@@ -73,10 +76,12 @@
 	if body != "" {
 		in = strings.NewReader(body)
 	}
-	r, _ := http.NewRequest(method, "http://"+u.Addr().String()+"/", in)
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	r, _ := http.NewRequestWithContext(ctx, method, "http://"+u.Addr().String()+"/", in)
 	r.Header.Set(client.Header, id)
 	r.Header.Set("Idempotency-Key", id)
-	resp, sent, err := u.client.Send(context.Background(), r)
+	resp, sent, err := u.client.Send(ctx, r)
 	if err != nil {
 		return "", sent, err
 	}
