An answer with a blank in a field name counts as none

Cause: net/http keeps a field whose name holds a blank and does not know it, so that it obeys none of them. The gate and the front pass the head on, and net/http drops the line.

Change: the client refuses an answer with a name that is no token, in its head or its trailers. It may have run, as after any broken answer.

Ruled out: other control bytes, bytes above 7f, no name, no colon, control bytes in values, two lengths and lengths with a sign. net/http refuses them, and the new cases of the tests passed before.

Evidence, failed before: TestMalformedHead of io/client in 5 of the new cases, of io/gate in 12 of 14, of io/front in 3 of 4, and TestMalformedTrailer in 2. All pass after it.

Result: io/client and io/front pass with -race, io/gate's test too.

--- a/io/client/client.go
+++ b/io/client/client.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -17,6 +18,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/net/http/httpguts"
 
 	"azurelane/core/answer"
 	"azurelane/io/ends"
@@ -30,6 +32,7 @@
 	// closedLimit is how long to wait for a sign whether a process has ended. Its VM
 	// refuses connections at once.
 	closedLimit = 150 * time.Millisecond
+	maxQuoted   = 64 // Bytes of a malformed answer in an error.
 )
 
 // Header carries the request's id. An upstream that can repeats it in its answer.
@@ -102,11 +105,15 @@
 		_ = resp.Body.Close()
 		return nil, true, err
 	}
+	if slices.Contains(resp.TransferEncoding, "chunked") {
+		resp.Body = &trailed{resp.Body, resp}
+	}
 	return resp, true, nil
 }
 
-// checkHead checks what net/http does not. It takes any three characters that are a number for a status, and a 101 for
-// a final answer, though no request asks for another protocol.
+// checkHead checks what net/http does not. It takes any three characters that are a number for a status, a 101 for a
+// final answer, though no request asks for another protocol, and a field whose name holds a blank, which it then does
+// not obey.
 func checkHead(resp *http.Response) error {
 	switch {
 	case resp.ProtoMajor != 1:
@@ -114,9 +121,37 @@
 	case !answer.ValidStatus(resp.StatusCode):
 		return fmt.Errorf("%w: status %d", errMalformed, resp.StatusCode)
 	}
+	return checkNames(resp.Header)
+}
+
+// checkNames checks that the names of fields are well-formed.
+func checkNames(h http.Header) error {
+	for name := range h {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return fmt.Errorf("%w: field name %q", errMalformed, name[:min(len(name), maxQuoted)])
+		}
+	}
 	return nil
 }
 
+// trailed is the body of an answer that may have trailers, which come before its end.
+type trailed struct {
+	io.ReadCloser
+
+	resp *http.Response
+}
+
+// Read reads from the body.
+func (t *trailed) Read(p []byte) (int, error) {
+	n, err := t.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		if terr := checkNames(t.resp.Trailer); terr != nil {
+			err = terr
+		}
+	}
+	return n, err //nolint:wrapcheck // Readers compare io.EOF.
+}
+
 // own checks that an answer belongs to its request. An upstream that answers
 // twice, or late, leaves bytes on a kept-alive connection that the next request
 // there would take for its answer; the symptom is a caller with another's
--- a/io/client/malformed_test.go
+++ b/io/client/malformed_test.go
@@ -11,7 +11,10 @@
 // Guards against an answer that is taken although its head is not well-formed: nothing shows what it means, or where
 // its body ends.
 func TestMalformedHead(t *testing.T) {
-	const length = "Content-Length: 4\r\n"
+	const (
+		length = "Content-Length: 4\r\n"
+		ok     = "HTTP/1.1 200 OK"
+	)
 	for _, tc := range []struct {
 		name, status, header string
 		ok                   bool
@@ -34,6 +37,29 @@
 		{name: "status 101", status: "HTTP/1.1 101 X", header: length},
 		{name: "status 101 that names a protocol", status: "HTTP/1.1 101 X", header: "Connection: Upgrade\r\nUpgrade: websocket\r\n"},
 		{name: "another version", status: "HTTP/2.0 200 OK", header: length},
+		{name: "name of all token characters", status: ok, header: "!#$%&'*+-.^_`|~0aZ: 1\r\n" + length, ok: true},
+		{name: "blank before the value", status: ok, header: "X-A: \t 1 \r\n" + length, ok: true},
+		{name: "blank before the colon", status: ok, header: "X-A : 1\r\n" + length},
+		{name: "blank in a name", status: ok, header: "Content-Type x: text/plain\r\n" + length},
+		{name: "blank after chunked coding", status: ok, header: "Transfer-Encoding : chunked\r\n" + length},
+		{name: "blank after a second length", status: ok, header: "Content-Length : 17\r\n" + length},
+		{name: "blank after connection", status: ok, header: "Connection : close\r\n" + length},
+		{name: "tab in a name", status: ok, header: "X\tA: 1\r\n" + length},
+		{name: "tab before the colon", status: ok, header: "X-A\t: 1\r\n" + length},
+		{name: "NUL in a name", status: ok, header: "X\x00A: 1\r\n" + length},
+		{name: "control byte in a name", status: ok, header: "X\x01A: 1\r\n" + length},
+		{name: "DEL in a name", status: ok, header: "X\x7fA: 1\r\n" + length},
+		{name: "separator in a name", status: ok, header: "X(A): 1\r\n" + length},
+		{name: "byte above 7f in a name", status: ok, header: "X\xe4A: 1\r\n" + length},
+		{name: "no name", status: ok, header: ": 1\r\n" + length},
+		{name: "blank for a name", status: ok, header: " : 1\r\n" + length},
+		{name: "no colon", status: ok, header: "X-A\r\n" + length},
+		{name: "NUL in a value", status: ok, header: "X-A: a\x00b\r\n" + length},
+		{name: "control byte in a value", status: ok, header: "X-A: a\x01b\r\n" + length},
+		{name: "two lengths", status: ok, header: "Content-Length: 3\r\n" + length},
+		{name: "negative length", status: ok, header: "Content-Length: -4\r\n"},
+		{name: "length with a sign", status: ok, header: "Content-Length: +4\r\n"},
+		{name: "unknown coding", status: ok, header: "Transfer-Encoding: gzip\r\n" + length},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			u := serve(t, func(_ int64, r *http.Request) string {
@@ -49,3 +75,28 @@
 		})
 	}
 }
+
+// Guards against trailers that are not well-formed after a body that is taken for whole.
+func TestMalformedTrailer(t *testing.T) {
+	for _, tc := range []struct {
+		name, trailer string
+		ok            bool
+	}{
+		{name: "none", ok: true},
+		{name: "well-formed", trailer: "X-A: 1\r\n", ok: true},
+		{name: "blank before the colon", trailer: "X-A : 1\r\n"},
+		{name: "blank in a name", trailer: "X A: 1\r\n"},
+		{name: "control byte in a name", trailer: "X\x01A: 1\r\n"},
+		{name: "no colon", trailer: "X-A\r\n"},
+		{name: "control byte in a value", trailer: "X-A: a\x01b\r\n"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			u := serve(t, func(_ int64, r *http.Request) string {
+				return strings.Replace(echo(r, ""), "Content-Length: 0\r\n", "Transfer-Encoding: chunked\r\n", 1) + "4\r\ntext\r\n0\r\n" + tc.trailer + "\r\n"
+			})
+			got, _, err := u.ask(http.MethodPost, "1", "x")
+			must.Eq(t, tc.ok, err == nil, must.Sprint(got, err))
+			must.Eq(t, "text", got)
+		})
+	}
+}
--- a/io/front/malformed_test.go
+++ b/io/front/malformed_test.go
@@ -22,6 +22,10 @@
 		{"status with a sign", "HTTP/1.1 +20 X\r\n"},
 		{"status 101", "HTTP/1.1 101 X\r\n"},
 		{"status 600", "HTTP/1.1 600 X\r\n"},
+		{"blank after a name", "HTTP/1.1 200 X\r\nX-A : 1\r\n"},
+		{"blank in a name", "HTTP/1.1 200 X\r\nContent-Type x: text/plain\r\n"},
+		{"blank after chunked coding", "HTTP/1.1 200 X\r\nTransfer-Encoding : chunked\r\n"},
+		{"control byte in a name", "HTTP/1.1 200 X\r\nX\x01A: 1\r\n"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
--- a/io/gate/malformed_test.go
+++ b/io/gate/malformed_test.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"cmp"
 	"io"
 	"net/http"
 	"strings"
@@ -14,6 +15,7 @@
 func TestMalformedHead(t *testing.T) {
 	for _, tc := range []struct {
 		name, status, header string
+		rest                 string // After the header; empty for a length and a body.
 	}{
 		{name: "status 000", status: "000 X"},
 		{name: "status 099", status: "099 X"},
@@ -21,6 +23,13 @@
 		{name: "status 101", status: "101 X"},
 		{name: "status 101 that names a protocol", status: "101 X", header: "Connection: Upgrade\r\nUpgrade: websocket\r\n"},
 		{name: "status 600", status: "600 X"},
+		{name: "blank after a name", status: "200 X", header: "X-A : 1\r\n"},
+		{name: "blank in a name", status: "200 X", header: "Content-Type x: text/event-stream\r\n"},
+		{name: "blank after chunked coding", status: "200 X", header: "Transfer-Encoding : chunked\r\n", rest: "\r\n4\r\ntext\r\n0\r\n\r\n"},
+		{name: "blank after chunked coding, cut", status: "200 X", header: "Transfer-Encoding : chunked\r\n", rest: "\r\n4\r\nte"},
+		{name: "blank after a length, cut", status: "200 X", header: "Content-Length : 17\r\n", rest: "\r\nthe who"},
+		{name: "control byte in a name", status: "200 X", header: "X\x01A: 1\r\n"},
+		{name: "blank in the name of a failure", status: "500 X", header: "X-A : 1\r\n"},
 	} {
 		for _, kept := range []bool{false, true} {
 			t.Run(tc.name+map[bool]string{true: ", kept connection"}[kept], func(t *testing.T) {
@@ -31,8 +40,11 @@
 							return respondText("before")(n, r, w)
 						}
 						head := strings.Replace(responseHead(r, http.StatusOK, tc.header), "200 X", tc.status, 1)
-						_, _ = io.WriteString(w, head+"Content-Length: 4\r\n\r\ntext")
-						return true
+						_, _ = io.WriteString(w, head+cmp.Or(tc.rest, "Content-Length: 4\r\n\r\ntext"))
+						if tc.rest != "" {
+							closeConn(w)
+						}
+						return tc.rest == ""
 					})
 					s := newTestGate(t, bad)
 					if kept {
