A refusal does not quote what an upstream sent

Callers saw: the broken line of an upstream's answer, which may hold what belongs to another account, or the addresses of the gate and the upstream, in the text of a 502.

Cause: the gate gave the error of the last send to the caller as the text of the refusal.

Change: the refusal says that no whole answer came, or that no upstream took the request. The error stays in the log, in "Send ended.", and is cut at 512 bytes.

--- a/io/gate/malformed_test.go
+++ b/io/gate/malformed_test.go
@@ -3,10 +3,13 @@
 import (
 	"cmp"
 	"io"
+	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 
+	"github.com/go-logr/logr/funcr"
 	"github.com/shoenig/test/must"
 )
 
@@ -76,3 +79,51 @@
 		}
 	}
 }
+
+// Guards against a refusal that shows a caller what an upstream sent, or where it is, and against log lines as long as
+// what it sent.
+func TestRefusalDoesNotQuoteTheUpstream(t *testing.T) {
+	const secret = "of-another-account"
+	const maxLine = 2 << 10
+	long := strings.Repeat("x", 16<<10)
+	for _, tc := range []struct {
+		name, head string // Of the answer; empty for a reset.
+		want       string // In the log.
+	}{
+		{name: "malformed line", head: "HTTP/1.1 200 X\r\nX\x01" + secret + ": 1\r\n\r\n", want: secret},
+		{name: "long malformed line", head: "HTTP/1.1 200 X\r\nX\x01" + secret + long + ": 1\r\n\r\n", want: secret},
+		{name: "blank in a name", head: "HTTP/1.1 200 X\r\nX " + secret + ": 1\r\n\r\n", want: secret},
+		{name: "malformed status line", head: "HTTP/1.1 " + secret + long + "\r\n\r\n", want: secret},
+		{name: "reset", want: "reset"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			u := newUpstream(t, func(_ int, _ *http.Request, w io.Writer) bool {
+				_, _ = io.WriteString(w, tc.head)
+				if tc.head == "" {
+					_ = w.(*net.TCPConn).SetLinger(0)
+				}
+				closeConn(w)
+				return false
+			})
+			s := newTestGate(t, u)
+			var mu sync.Mutex
+			var lines []string
+			s.Log = funcr.New(func(_, line string) {
+				mu.Lock()
+				defer mu.Unlock()
+				lines = append(lines, line)
+			}, funcr.Options{})
+			r := s.do("POST", "/once/x")
+			must.NoError(t, r.err)
+			must.Eq(t, http.StatusBadGateway, r.status)
+			must.StrNotContains(t, r.body, secret)
+			must.StrNotContains(t, r.body, "127.0.0.1")
+			mu.Lock()
+			defer mu.Unlock()
+			must.StrContains(t, strings.Join(lines, "\n"), tc.want)
+			for _, line := range lines {
+				must.Less(t, maxLine, len(line))
+			}
+		})
+	}
+}
--- a/io/gate/move.go
+++ b/io/gate/move.go
@@ -326,7 +326,7 @@
 	}
 	p, err := c.requestGrant(ctx)
 	if err != nil {
-		q.gate.Log.V(1).Info("No slot for a move.", "request", q.meta.ID, "err", err.Error())
+		q.gate.Log.V(1).Info("No slot for a move.", "request", q.meta.ID, "err", errText(err))
 		return migr.Event{Kind: migr.Granted}
 	}
 	at, err := netip.ParseAddrPort(p.upstream.GetAddress())
@@ -374,7 +374,7 @@
 	e := migr.Event{Kind: migr.Answered, Status: migr.Lost}
 	r, err := q.gate.Moves.Copy(ctx, v.source, to, q.meta.ID, last)
 	if err != nil {
-		q.gate.Log.Info("Call for a copy not made.", "request", q.meta.ID, "err", err.Error())
+		q.gate.Log.Info("Call for a copy not made.", "request", q.meta.ID, "err", errText(err))
 		return e
 	}
 	sentAt := time.Now()
@@ -383,7 +383,7 @@
 		if !sent {
 			e.Status = migr.Unreached
 		}
-		q.gate.Log.V(1).Info("No answer to a call for a copy.", "request", q.meta.ID, "last", last, "err", err.Error())
+		q.gate.Log.V(1).Info("No answer to a call for a copy.", "request", q.meta.ID, "last", last, "err", errText(err))
 		return e
 	}
 	defer func() { _ = resp.Body.Close() }()
--- a/io/gate/outlive.go
+++ b/io/gate/outlive.go
@@ -109,7 +109,7 @@
 	}
 	resp, _, err := q.gate.Calls.Send(ctx, r)
 	if err != nil {
-		q.gate.Log.V(1).Info("No answer to a health check.", "upstream", u.GetId(), "err", err.Error())
+		q.gate.Log.V(1).Info("No answer to a health check.", "upstream", u.GetId(), "err", errText(err))
 		return false, errors.Is(err, syscall.ECONNREFUSED)
 	}
 	_ = resp.Body.Close()
--- a/io/gate/request.go
+++ b/io/gate/request.go
@@ -127,6 +127,7 @@
 	// 1/minSendDivisor of the objective: an upstream could not complete the request in time.
 	minSendTime    = 5 * time.Millisecond
 	minSendDivisor = 10
+	maxErrText     = 512 // Bytes.
 )
 
 // serve sends the request until one send yields the final response.
@@ -359,11 +360,11 @@
 	case q.tried.Ran() > 0 && q.expired(ctx):
 		q.refuse(refuse.New(refuse.DeadlinePassed, "", 0))
 	case q.tried.Ran() > 0:
-		q.refuse(refuse.New(refuse.UpstreamLost, errText(res.err), 0))
+		q.refuse(refuse.New(refuse.UpstreamLost, "no whole answer came", 0)) // The error may quote what came.
 	case q.serverStops():
 		q.refuse(errDraining)
 	default:
-		q.refuse(refuse.New(refuse.Unreachable, errText(res.err), defaultRetryAfter))
+		q.refuse(refuse.New(refuse.Unreachable, "no upstream took the request", defaultRetryAfter))
 	}
 }
 
@@ -507,11 +508,16 @@
 // units returns the units that the request is charged to its account; see the package comment.
 func (q *request) units() int64 { return q.accountConfig.Units(q.meta.Prompt + q.meta.Answer) }
 
+// errText returns the text of an error for the log. It is cut, as the error may quote what an upstream sent.
 func errText(err error) string {
 	if err == nil {
 		return ""
 	}
-	return err.Error()
+	s := err.Error()
+	if len(s) > maxErrText {
+		s = strings.ToValidUTF8(s[:maxErrText], "") + "..."
+	}
+	return s
 }
 
 func asError[T error](err error, target *T) bool { return errors.As(err, target) }
