The own interface makes no 200 of a status that none can have

Cause: a stand-in that continues streams took the larger of an answer's status and 200. An entry took the ended answer of another one as it was.

Change: a run without a status is a 200 only if its handler gave none, as in net/http; a status that is not in 200 to 599 ends without an answer. An ended answer of another entry with such a status is refused as upstream-lost, with the outcome unknown: its run may have ended in any way.

--- a/core/answer/answer.go
+++ b/core/answer/answer.go
@@ -60,7 +60,7 @@
 	return r
 }
 
-// FromWire reads an ended answer.
+// FromWire reads an ended answer. One without a status that a caller can get is none; its run may have ended in any way.
 func FromWire(r *wire.JoinReply) *Answer {
 	a := &Answer{Outcome: r.GetOutcome()}
 	if r.GetCode() != "" {
@@ -72,6 +72,10 @@
 		}
 		return a
 	}
+	if !ValidStatus(int(r.GetStatus())) {
+		a.Outcome, a.Refusal = life.Unknown.Outcome(), refuse.New(refuse.UpstreamLost, "the entry that ran it has no whole answer", 0)
+		return a
+	}
 	a.Status, a.Body, a.Streamed = int(r.GetStatus()), r.GetBody(), r.GetStreamed()
 	a.Header = http.Header{}
 	for _, h := range r.GetHeaders() {
--- a/core/answer/answer_test.go
+++ b/core/answer/answer_test.go
@@ -29,3 +29,22 @@
 		must.StrContains(t, a.Refusal.Text, "text")
 	}
 }
+
+// Guards against an answer of another entry that is taken for whole without a status that a caller can get.
+func TestAnswerWithoutStatusIsNone(t *testing.T) {
+	for _, tc := range []struct {
+		status int32
+		whole  bool
+	}{
+		{200, true}, {404, true}, {599, true}, {0, false}, {-1, false}, {20, false}, {101, false}, {600, false},
+	} {
+		a := answer.FromWire(&wire.JoinReply{Outcome: "whole", Status: tc.status, Body: []byte("text")})
+		must.Eq(t, tc.whole, a.Refusal == nil, must.Sprint(tc.status))
+		if tc.whole {
+			must.Eq(t, int(tc.status), a.Status)
+			continue
+		}
+		must.True(t, a.Refusal.MayHaveRun())
+		must.Eq(t, "unknown", a.Outcome)
+	}
+}
--- a/io/resume/resume.go
+++ b/io/resume/resume.go
@@ -58,10 +58,15 @@
 
 // Write appends to the answer.
 func (w *writer) Write(p []byte) (int, error) {
+	w.begin()
+	return w.run.Write(p) //nolint:wrapcheck // A plain writer.
+}
+
+// begin starts the answer of a handler that gives no status.
+func (w *writer) begin() {
 	if !w.begun {
 		w.WriteHeader(http.StatusOK)
 	}
-	return w.run.Write(p) //nolint:wrapcheck // A plain writer.
 }
 
 // Flush does nothing.
@@ -109,7 +114,9 @@
 	in.Body = io.NopCloser(bytes.NewReader(body))
 	go func() {
 		defer cancel()
-		s.Handler.ServeHTTP(&writer{run: t, header: http.Header{}}, in)
+		w := &writer{run: t, header: http.Header{}}
+		s.Handler.ServeHTTP(w, in)
+		w.begin()
 		outcome := "whole"
 		if ctx.Err() != nil {
 			outcome = "unknown"
@@ -172,12 +179,16 @@
 	}
 }
 
+// head writes the head of an answer. One whose status none can have ends without an answer.
 func head(w http.ResponseWriter, a answer.Answer, seen int) {
+	if !answer.ValidStatus(a.Status) {
+		panic(http.ErrAbortHandler)
+	}
 	for name, values := range a.Header {
 		w.Header()[name] = values
 	}
 	if seen > 0 {
 		w.Header().Del("Content-Length") // It is the length of the complete answer.
 	}
-	w.WriteHeader(max(a.Status, http.StatusOK))
+	w.WriteHeader(a.Status)
 }
