An order is done only by an answer that is well-formed

Cause: the order took any status below 300 for done and any below 500 for refused, from the standard client.

Change: it sends by io/client, which takes an answer only if it is well-formed, and sends at most once. Any other answer leaves the order open in the log until its time is up. The field for another client, which nothing set, is gone.

Evidence, failed before: TestMalformedAnswerKeepsOthersOut in 5 of 9 cases. They pass after it.

Result: io/order and the orders of cmd/azurelane pass with -race.

--- a/io/order/order.go
+++ b/io/order/order.go
@@ -14,6 +14,7 @@
 	"azurelane/core/codec"
 	core "azurelane/core/permit"
 	"azurelane/core/wire"
+	"azurelane/io/client"
 )
 
 var (
@@ -45,7 +46,6 @@
 		WeightLimit int  // Orders that may do so at once.
 		Limit       time.Duration
 		Proposer    proposer
-		Client      *http.Client // Nil for http.DefaultClient.
 	}
 
 	proposer interface {
@@ -106,11 +106,9 @@
 		return "", fmt.Errorf("order: %w", err)
 	}
 	r.Header.Set("Content-Type", "application/json")
-	c := o.Client
-	if c == nil {
-		c = http.DefaultClient
-	}
-	resp, err := c.Do(r)
+	var c client.Client // It takes only an answer that is well-formed.
+	defer c.Close()
+	resp, _, err := c.Send(ctx, r)
 	if err != nil {
 		return "", fmt.Errorf("%w: %w", ErrOpen, err)
 	}
