An announcement is made only by an answer that says so

Cause: any status below 400 was taken.

Change: a status of 200 to 299 acknowledges; after any other the next entry is asked.

Evidence, failed before: TestAnnouncementWithoutAcknowledgement, at its first such status. It passes after it.

Result: io/hello passes with -race.

--- a/io/hello/hello.go
+++ b/io/hello/hello.go
@@ -133,7 +133,7 @@
 		return fmt.Errorf("hello: %w", err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode >= http.StatusBadRequest {
+	if resp.StatusCode < http.StatusOK || resp.StatusCode >= http.StatusMultipleChoices {
 		return fmt.Errorf("hello: entry %s answered %s", to, resp.Status)
 	}
 	return nil
--- a/io/hello/hello_test.go
+++ b/io/hello/hello_test.go
@@ -1,8 +1,10 @@
 package hello
 
 import (
+	"bufio"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -74,3 +76,35 @@
 	must.True(t, last.Leaving)
 	must.Greater(t, live.got[0].Seq, last.Seq)
 }
+
+// Guards against an announcement that counts as made although its answer says nothing of the kind.
+func TestAnnouncementWithoutAcknowledgement(t *testing.T) {
+	for _, tc := range []struct {
+		status string
+		ok     bool
+	}{
+		{"200 X", true}, {"204 X", true}, {"000 X", false}, {"099 X", false}, {"+20 X", false}, {"101 X", false}, {"304 X", false}, {"404 X", false}, {"503 X", false}, {"600 X", false},
+	} {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		must.NoError(t, err)
+		go func() {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			defer func() { _ = c.Close() }()
+			if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+				_, _ = io.Copy(io.Discard, r.Body)
+				_, _ = io.WriteString(c, "HTTP/1.1 "+tc.status+"\r\n\r\n")
+			}
+		}()
+		live := newEntry(t, false)
+		h := &Hello{
+			Upstream: "u", Incarnation: "u1", Pools: []string{"p"}, Address: netip.MustParseAddrPort("127.0.0.1:9"),
+			Entries: []netip.AddrPort{netip.MustParseAddrPort(ln.Addr().String()), live.addr()},
+		}
+		must.NoError(t, h.Announce(t.Context(), false))
+		must.Eq(t, tc.ok, len(live.got) == 0, must.Sprint(tc.status))
+		_ = ln.Close()
+	}
+}
