An answer in HTTP/1.0 with a transfer coding counts as none

Callers would see: the frame of the chunks as the body, as with the blank in a field name, from a server that answers in HTTP/1.0 and in chunks. Found by the look at other ways to such a body.

Cause: net/http deletes the coding from a head in HTTP/1.0 and takes what is encoded for the body.

Change: a connection keeps the head of an answer in HTTP/1.0, and the client refuses one that names a transfer coding, with a length too, as RFC 9112 has it. Nothing is copied of other answers. An answer whose head follows an interim one is not looked at.

Evidence, failed before: TestCodingInHTTP10, and the case of both of TestMalformedHead. They pass after it.

Result: io/client and io/front pass with -race.

--- a/io/client/client.go
+++ b/io/client/client.go
@@ -94,7 +94,11 @@
 		n := e.seal()
 		return nil, n > 0, fmt.Errorf("client: send, %d bytes written: %w", n, err)
 	}
-	if err := checkHead(resp); err != nil {
+	err = checkHead(resp)
+	if err == nil && got.hasOldCoding() {
+		err = fmt.Errorf("%w: transfer coding in %s", errMalformed, resp.Proto)
+	}
+	if err != nil {
 		_ = resp.Body.Close()
 		return nil, true, err
 	}
--- a/io/client/conn.go
+++ b/io/client/conn.go
@@ -32,6 +32,7 @@
 	exchange *exchange // The present request; nil before the first.
 	reading  bool      // The transport has found nothing after the last answer.
 	matched  int       // Bytes of answerBegin that have come since the present request began.
+	old      oldHead   // Of the present answer.
 	rejected []string  // Ids of requests that were meant for another server.
 	closed   bool
 	changed  chan struct{} // Closed when reading or closed is set, or the request is written; nil without a waiter.
@@ -62,6 +63,7 @@
 		}
 		c.matched++
 	}
+	c.old.add(p[:n])
 	return n, err //nolint:wrapcheck // The transport expects the plain error.
 }
 
@@ -164,7 +166,14 @@
 func (c *conn) begin(e *exchange) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.exchange, c.matched = e, 0
+	c.exchange, c.matched, c.old = e, 0, oldHead{}
+}
+
+// hasOldCoding reports whether the present answer names a transfer coding in HTTP/1.0.
+func (c *conn) hasOldCoding() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.old.encoded()
 }
 
 // addRejected records that the server has rejected a request as meant for another one.
--- a/io/client/malformed_test.go
+++ b/io/client/malformed_test.go
@@ -6,6 +6,8 @@
 	"testing"
 
 	"github.com/shoenig/test/must"
+
+	"azurelane/io/client"
 )
 
 // Guards against an answer that is taken although its head is not well-formed: nothing shows what it means, or where
@@ -36,6 +38,8 @@
 		{name: "status of four digits", status: "HTTP/1.1 2000 X", header: length},
 		{name: "status 101", status: "HTTP/1.1 101 X", header: length},
 		{name: "status 101 that names a protocol", status: "HTTP/1.1 101 X", header: "Connection: Upgrade\r\nUpgrade: websocket\r\n"},
+		{name: "coding and a length in HTTP/1.0", status: "HTTP/1.0 200 OK", header: "transfer-encoding: chunked\r\n" + length},
+		{name: "coding named in HTTP/1.0", status: "HTTP/1.0 200 OK", header: "Vary: Transfer-Encoding: chunked\r\n" + length, ok: true},
 		{name: "another version", status: "HTTP/2.0 200 OK", header: length},
 		{name: "name of all token characters", status: ok, header: "!#$%&'*+-.^_`|~0aZ: 1\r\n" + length, ok: true},
 		{name: "blank before the value", status: ok, header: "X-A: \t 1 \r\n" + length, ok: true},
@@ -100,3 +104,21 @@
 		})
 	}
 }
+
+// Guards against the frames of chunks that are taken for a body: net/http does not obey a coding in HTTP/1.0.
+func TestCodingInHTTP10(t *testing.T) {
+	for _, header := range []string{
+		"Transfer-Encoding: chunked\r\n", "transfer-encoding: chunked\r\nX-A: 1\r\n", "X-A: 1\r\nTransfer-Encoding:chunked\r\n", "Transfer-Encoding: identity\r\n",
+	} {
+		response := "HTTP/1.0 200 OK\r\nAzurelane-Request: ID\r\n" + header + "\r\n4\r\ntext\r\n0\r\n\r\n"
+		for _, response := range []string{response, strings.ReplaceAll(response, "\r", "")} {
+			addr, _ := cutServer(t, response)
+			for _, kept := range []bool{false, true} {
+				c := &client.Client{}
+				got, err := cut{at: len(response), kept: kept}.ask(c, addr, "10")
+				must.Error(t, err, must.Sprint(got))
+				c.Close()
+			}
+		}
+	}
+}
