Test: a malformed answer to a health check confirms no end

Change: three cases of TestUpstreamDoesNotOutliveItsAnswer: a status of 000, one of 101, and a blank in a field name.

--- a/io/gate/outlive_test.go
+++ b/io/gate/outlive_test.go
@@ -43,6 +43,9 @@
 		{name: "another instance", path: "/stream/x", answer: eventsUpTo(2), check: "200 X\r\nX-Instance: other", want: eventsUpTo(2), broken: true},
 		{name: "another instance refuses", path: "/once/x", answer: whole, check: "421 X", broken: true},
 		{name: "another instance, resumable", path: "/resume/x", answer: eventsUpTo(2), check: "421 X", want: eventsUpTo(5), moves: true},
+		{name: "health check with status 000", path: "/once/x", answer: whole, check: "000 X", broken: true},
+		{name: "health check with status 101", path: "/stream/x", answer: eventsUpTo(2), check: "101 X", want: eventsUpTo(2), broken: true},
+		{name: "health check with a blank in a name", path: "/once/x", answer: whole, check: "200 X\r\nX-Instance : other", broken: true},
 		{name: "health check, process ends", path: "/stream/x", answer: eventsUpTo(2), check: "200 X", ends: true, want: eventsUpTo(2), broken: true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
