The head of an answer is kept with its request

Cause: net/http may hand a connection to the next request before it returns an answer without a body, and the next request resets what the connection keeps of the head in HTTP/1.0. Seen in a reading of the change, not in a run.

Change: the head is kept by the exchange, as the count of bytes written is.

--- a/io/client/client.go
+++ b/io/client/client.go
@@ -95,7 +95,7 @@
 		return nil, n > 0, fmt.Errorf("client: send, %d bytes written: %w", n, err)
 	}
 	err = checkHead(resp)
-	if err == nil && got.hasOldCoding() {
+	if err == nil && e.hasOldCoding() {
 		err = fmt.Errorf("%w: transfer coding in %s", errMalformed, resp.Proto)
 	}
 	if err != nil {
--- a/io/client/conn.go
+++ b/io/client/conn.go
@@ -21,8 +21,8 @@
 const requestTimeout = time.Second
 
 var (
-	errNoAnswer = errors.New("client: what came is no HTTP answer")
-	errUnread   = errors.New("client: connection ended before its request was written")
+	errNoAnswer  = errors.New("client: what came is no HTTP answer")
+	errUnwritten = errors.New("client: connection ended before its request was written")
 )
 
 // conn tells the transport's next request what the last one has left, and knows which request it carries.
@@ -32,7 +32,6 @@
 	exchange *exchange // The present request; nil before the first.
 	reading  bool      // The transport has found nothing after the last answer.
 	matched  int       // Bytes of answerBegin that have come since the present request began.
-	old      oldHead   // Of the present answer.
 	rejected []string  // Ids of requests that were meant for another server.
 	closed   bool
 	changed  chan struct{} // Closed when reading or closed is set, or the request is written; nil without a waiter.
@@ -49,7 +48,7 @@
 	c.mu.Unlock()
 	n, err := c.Conn.Read(p)
 	if errors.Is(err, io.EOF) && !c.awaitRequest() {
-		err = errUnread
+		err = errUnwritten
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -63,7 +62,9 @@
 		}
 		c.matched++
 	}
-	c.old.add(p[:n])
+	if c.exchange != nil {
+		c.exchange.heard(p[:n])
+	}
 	return n, err //nolint:wrapcheck // The transport expects the plain error.
 }
 
@@ -166,14 +167,7 @@
 func (c *conn) begin(e *exchange) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.exchange, c.matched, c.old = e, 0, oldHead{}
-}
-
-// hasOldCoding reports whether the present answer names a transfer coding in HTTP/1.0.
-func (c *conn) hasOldCoding() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.old.encoded()
+	c.exchange, c.matched = e, 0
 }
 
 // addRejected records that the server has rejected a request as meant for another one.
--- a/io/client/exchange.go
+++ b/io/client/exchange.go
@@ -8,13 +8,14 @@
 
 var errSealed = errors.New("client: request given up before it was written")
 
-// exchange knows whether any byte of one request was written, on any connection. It belongs to the request: the
-// transport may give the request's connection to another one before it reports how this one ended.
+// exchange knows how much of one request was written, on any connection, and how its answer begins. It belongs to the
+// request: the transport may give the request's connection to another one before it reports how this one ended.
 type exchange struct {
 	mu       sync.Mutex
 	written  int64
 	sealed   bool
-	complete bool // All of the request was written.
+	complete bool    // All of the request was written.
+	old      oldHead // Of the answer.
 }
 
 // record counts bytes that are about to be written. It fails once the request is sealed.
@@ -50,3 +51,17 @@
 	defer e.mu.Unlock()
 	return e.complete
 }
+
+// heard records bytes of the answer.
+func (e *exchange) heard(p []byte) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.old.add(p)
+}
+
+// hasOldCoding reports whether the answer names a transfer coding in HTTP/1.0.
+func (e *exchange) hasOldCoding() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.old.encoded()
+}
