Connections to upstreams make a channel only for a read that waits

Cause: each write to an upstream made a channel, for the rare read that meets an end while a write is under way.

Change: the read makes it.

Result: io/ends, io/client, io/tunnel and io/gate's tests of resets and malformed heads pass with -race.

--- a/io/ends/ends.go
+++ b/io/ends/ends.go
@@ -23,7 +23,8 @@
 
 	mu      sync.Mutex
 	failed  bool          // A write has failed.
-	writing chan struct{} // Closed when the write that is under way ends; nil if none is.
+	writing bool          // A write is under way.
+	ended   chan struct{} // Closed when it ends; nil without a waiter.
 }
 
 // Read reads from the connection.
@@ -37,34 +38,46 @@
 
 // Write writes to the connection.
 func (c *Conn) Write(p []byte) (int, error) {
-	done := make(chan struct{})
 	c.mu.Lock()
-	c.writing = done
+	c.writing = true
 	c.mu.Unlock()
 	n, err := c.Conn.Write(p)
 	c.mu.Lock()
-	c.writing, c.failed = nil, c.failed || err != nil
-	c.mu.Unlock()
-	close(done)
+	defer c.mu.Unlock()
+	c.writing, c.failed = false, c.failed || err != nil
+	if c.ended != nil {
+		close(c.ended)
+		c.ended = nil
+	}
 	return n, err //nolint:wrapcheck // Callers compare the errors of connections.
 }
 
 // awaitWrite waits for a write that is under way. It reports whether all writes have succeeded.
 func (c *Conn) awaitWrite() bool {
-	c.mu.Lock()
-	failed, writing := c.failed, c.writing
-	c.mu.Unlock()
-	if writing == nil {
-		return !failed
-	}
-	timer := time.NewTimer(writeTimeout)
-	defer timer.Stop()
-	select {
-	case <-writing:
-	case <-timer.C:
-		return false
+	ended := c.end()
+	if ended != nil {
+		timer := time.NewTimer(writeTimeout)
+		defer timer.Stop()
+		select {
+		case <-ended:
+		case <-timer.C:
+			return false
+		}
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return !c.failed
 }
+
+// end returns a channel that is closed when the write that is under way ends, or nil if none is.
+func (c *Conn) end() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.writing {
+		return nil
+	}
+	if c.ended == nil {
+		c.ended = make(chan struct{})
+	}
+	return c.ended
+}
