Tests of resets and malformed heads leave time on a busy machine

Cause: their requests had the 2 s of the test routes, and one upload of 2 MB had to be written within the second that a connection waits, which a busy machine may miss.

No check changes.

--- a/io/gate/malformed_test.go
+++ b/io/gate/malformed_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/go-logr/logr/funcr"
 	"github.com/shoenig/test/must"
@@ -68,6 +69,7 @@
 						return respondText("whole")(n, r, w)
 					})
 					s = newTestGate(t, bad, sound)
+					s.view.Index.Route("h", path+"x").Timeout = 20 * time.Second // Many run at once.
 					for range 4 {
 						r = s.do("POST", path+"x")
 						must.NoError(t, r.err)
--- a/io/gate/reset_test.go
+++ b/io/gate/reset_test.go
@@ -93,6 +93,7 @@
 			for range sends {
 				s := newTestGate(t, ups...) // It has seen no failure.
 				s.checkHealthAt("/health")
+				s.view.Index.Route("h", tc.path).Timeout = 20 * time.Second // Many run at once.
 				s.Sender = &client.Client{Echo: idHeader, Dial: dialSmall}
 				r := s.upload(tc.path, size)
 				whole := r.err == nil && r.status == http.StatusOK
