The silence of a replica outlives elections

Cause: a learner takes the place of a voter that has been silent for 0.6 of catch_up_s, and each new leader counted that silence from its own election. With lost packets the leader changes every few seconds, so the lost voter kept its vote.

Change: silence belongs to the replica. A leader names the replicas that it does not hear in its messages, and whoever leads next continues from there; a former leader's silence counts from its last message. For an election timeout a new leader counts from its own start, so that a replica which is there has time to reply.

--- a/core/raft/election.go
+++ b/core/raft/election.go
@@ -182,5 +182,6 @@
 		r.peers = nil
 	}
 	r.leaderID, r.lastLeaderContact, r.coldStart = m.GetFrom(), r.now, coldStart{}
+	r.learnAbsences(m)
 	r.resetElectionTimer()
 }
--- a/core/raft/leader.go
+++ b/core/raft/leader.go
@@ -37,6 +37,7 @@
 	snapshotSentAt  time.Time
 	snapshotTimeout time.Duration // Time allowed for its transfer.
 	addedAt         time.Time     // When replication to it started.
+	seenBefore      time.Time     // When it was last in touch before that, as far as known.
 	lastHeard       time.Time
 	answeredRound   time.Time // When the newest round that it answered was sent.
 }
@@ -110,6 +111,7 @@
 	}
 	if !r.now.Before(r.nextHeartbeat) {
 		r.nextHeartbeat = r.now.Add(r.electionTimeout() / (DefaultElectionTimeout / DefaultHeartbeatInterval))
+		r.updateAbsences()
 		r.replicate(true)
 	}
 }
@@ -173,13 +175,14 @@
 	term, _ := r.log.term(prev)
 	r.send(&wire.Raft{
 		To: id, Kind: wire.Raft_KIND_APPEND, LastIndex: prev, LastTerm: term, Entries: ents, Commit: r.commitIndex, Round: r.roundTime(),
+		Absences: r.absences,
 	})
 }
 
 func (r *Raft) sendSnapshot(id string, p *progress) {
 	p.pendingSnapshot, p.snapshotSentAt = r.log.snapshot.GetIndex(), r.now
 	p.snapshotTimeout = r.electionTimeout() + time.Duration(len(r.log.snapshot.GetData()))*time.Second/minSnapshotRate
-	r.send(&wire.Raft{To: id, Kind: wire.Raft_KIND_SNAPSHOT, Snapshot: r.log.snapshot, Round: r.roundTime()})
+	r.send(&wire.Raft{To: id, Kind: wire.Raft_KIND_SNAPSHOT, Snapshot: r.log.snapshot, Round: r.roundTime(), Absences: r.absences})
 }
 
 // roundTime is the time since Start in nanoseconds. Appends and snapshots carry it, and replies
--- a/core/raft/membership.go
+++ b/core/raft/membership.go
@@ -145,7 +145,7 @@
 func (r *Raft) updatePeers() {
 	for _, p := range r.Replicas() {
 		if p.GetId() != r.ID && r.peers[p.GetId()] == nil {
-			r.peers[p.GetId()] = &progress{nextIndex: r.log.lastIndex() + 1, probing: true, addedAt: r.now}
+			r.peers[p.GetId()] = &progress{nextIndex: r.log.lastIndex() + 1, probing: true, addedAt: r.now, seenBefore: r.lastSeen(p.GetId())}
 		}
 	}
 	for id := range r.peers {
--- a/core/raft/raft.go
+++ b/core/raft/raft.go
@@ -100,6 +100,8 @@
 		coldStart        coldStart
 		pauses           pauses
 		contacts         contacts
+		absences         []*wire.Absence // From the newest message of a leader, or at a leader from its last heartbeat.
+		absencesAt       time.Time       // When absences was set; zero if no leader was heard since the start.
 
 		out Effects
 	}
@@ -308,7 +310,7 @@
 // PeerStatus is the leader's view of another replica of the group.
 type PeerStatus struct {
 	*wire.Replica
-	Silence  time.Duration // Since its last reply, or since it was added if that is later.
+	Silence  time.Duration // Since its last reply to any leader, or since it was added if that is later.
 	CaughtUp bool          // It holds all committed entries.
 }
 
@@ -321,11 +323,7 @@
 	var list []PeerStatus
 	for _, p := range r.Replicas() {
 		if pr := r.peers[p.GetId()]; pr != nil {
-			since := pr.lastHeard
-			if since.Before(pr.addedAt) {
-				since = pr.addedAt // A new replica has had no time to reply.
-			}
-			list = append(list, PeerStatus{Replica: p, Silence: r.now.Sub(since), CaughtUp: pr.matchIndex >= r.commitIndex})
+			list = append(list, PeerStatus{Replica: p, Silence: r.silenceOf(pr), CaughtUp: pr.matchIndex >= r.commitIndex})
 		}
 	}
 	return list
