Votes move to newer replicas before the older ones go

No replica could read the acknowledged configuration any more, and no change was acknowledged again. The same followed from two kills at the same moment, or from one removal and one lost disk.

For 2.4 s after each removal the group had a voter fewer, so that the next loss took the quorum, although the successors held everything. A hub that got SIGTERM kept its vote and ended as soon as someone else led.

Change: a learner that has caught up and stayed in touch takes the vote of the oldest voter in its data centre that joined before it. That one stays as a learner, counts as the oldest replica from then on, and takes the vote back when the newer one falls silent; so each replica that joins causes one move at most. A leader that is to yield hands over first. A replica that gets SIGTERM says so in its replies, a learner takes its vote, and it ends once the leader has released it: it has no vote, or the voters in touch are a quorum without it, or 2 s have passed. A silent voter becomes a learner instead of being removed, or a restart would make it the newest replica. A vote goes to a data centre with enough voters if the voter would be gone otherwise, and votes spread again.

Ruled out: more voters alone ({A, B, C, D} without A and B's disk has two of four), a shorter silence (two killed at once), and a handover at SIGTERM alone (kills).

--- a/core/raft/absence.go
+++ b/core/raft/absence.go
@@ -21,6 +21,9 @@
 	return r.now.Sub(since)
 }
 
+// inTouch reports whether a replica has replied to this leader recently.
+func (r *Raft) inTouch(p *progress) bool { return r.now.Sub(p.lastHeard) < r.electionTimeout() }
+
 // lastSeen returns when a replica was last in touch with a leader or sent a message to this
 // replica, as far as this replica knows.
 func (r *Raft) lastSeen(id string) time.Time {
--- a/core/raft/election.go
+++ b/core/raft/election.go
@@ -182,6 +182,7 @@
 		r.peers = nil
 	}
 	r.leaderID, r.lastLeaderContact, r.coldStart = m.GetFrom(), r.now, coldStart{}
+	r.released = m.GetRelease()
 	r.learnAbsences(m)
 	r.resetElectionTimer()
 }
--- a/core/raft/follower.go
+++ b/core/raft/follower.go
@@ -7,7 +7,7 @@
 )
 
 func (r *Raft) handleAppend(m *wire.Raft) {
-	reply := &wire.Raft{To: m.GetFrom(), Kind: wire.Raft_KIND_APPEND_REPLY, LastIndex: m.GetLastIndex(), Round: m.GetRound(), Stalled: r.diskStalled}
+	reply := &wire.Raft{To: m.GetFrom(), Kind: wire.Raft_KIND_APPEND_REPLY, LastIndex: m.GetLastIndex(), Round: m.GetRound(), Stalled: r.diskStalled, Leaving: r.leaving}
 	if m.GetTerm() < r.term {
 		r.send(reply) // The newer term makes the old leader step down.
 		return
@@ -100,7 +100,7 @@
 }
 
 func (r *Raft) handleSnapshot(m *wire.Raft) {
-	reply := &wire.Raft{To: m.GetFrom(), Kind: wire.Raft_KIND_SNAPSHOT_REPLY, Round: m.GetRound(), Stalled: r.diskStalled}
+	reply := &wire.Raft{To: m.GetFrom(), Kind: wire.Raft_KIND_SNAPSHOT_REPLY, Round: m.GetRound(), Stalled: r.diskStalled, Leaving: r.leaving}
 	if m.GetTerm() < r.term {
 		r.send(reply)
 		return
--- a/core/raft/leader.go
+++ b/core/raft/leader.go
@@ -39,6 +39,8 @@
 	addedAt         time.Time     // When replication to it started.
 	seenBefore      time.Time     // When it was last in touch before that, as far as known.
 	lastHeard       time.Time
+	steadySince     time.Time // Start of its replies without a long gap or a stalled disk.
+	leaving         bool      // Its process is about to stop.
 	answeredRound   time.Time // When the newest round that it answered was sent.
 }
 
@@ -175,14 +177,17 @@
 	term, _ := r.log.term(prev)
 	r.send(&wire.Raft{
 		To: id, Kind: wire.Raft_KIND_APPEND, LastIndex: prev, LastTerm: term, Entries: ents, Commit: r.commitIndex, Round: r.roundTime(),
-		Absences: r.absences,
+		Absences: r.absences, Release: r.peers[id].leaving && r.mayRelease(id),
 	})
 }
 
 func (r *Raft) sendSnapshot(id string, p *progress) {
 	p.pendingSnapshot, p.snapshotSentAt = r.log.snapshot.GetIndex(), r.now
 	p.snapshotTimeout = r.electionTimeout() + time.Duration(len(r.log.snapshot.GetData()))*time.Second/minSnapshotRate
-	r.send(&wire.Raft{To: id, Kind: wire.Raft_KIND_SNAPSHOT, Snapshot: r.log.snapshot, Round: r.roundTime(), Absences: r.absences})
+	r.send(&wire.Raft{
+		To: id, Kind: wire.Raft_KIND_SNAPSHOT, Snapshot: r.log.snapshot, Round: r.roundTime(),
+		Absences: r.absences, Release: p.leaving && r.mayRelease(id),
+	})
 }
 
 // roundTime is the time since Start in nanoseconds. Appends and snapshots carry it, and replies
@@ -200,7 +205,10 @@
 	if r.role != leader || m.GetTerm() < r.term || p == nil {
 		return
 	}
-	p.lastHeard, p.stalled = r.now, m.GetStalled()
+	if r.now.Sub(p.lastHeard) >= 2*r.electionTimeout() || m.GetStalled() {
+		p.steadySince = r.now
+	}
+	p.lastHeard, p.stalled, p.leaving = r.now, m.GetStalled(), m.GetLeaving()
 	at := r.startedAt.Add(time.Duration(m.GetRound())) //nolint:gosec // This replica's own number.
 	if at.After(p.answeredRound) {
 		p.answeredRound = at
--- a/core/raft/membership.go
+++ b/core/raft/membership.go
@@ -8,7 +8,8 @@
 	"azurelane/core/wire"
 )
 
-// membership is the list of replicas from one log index on. It takes effect as soon as the
+// membership is the list of replicas from one log index on, in the order in which they joined,
+// oldest first. A demoted replica counts as the oldest. A membership takes effect as soon as the
 // entry is in the log, committed or not.
 type membership struct {
 	index    uint64
@@ -18,8 +19,8 @@
 // Replicas lists the members of the group as this replica knows them.
 func (r *Raft) Replicas() []*wire.Replica { return r.memberships[len(r.memberships)-1].replicas }
 
-// ChangeMembership proposes to add a learner, to make one a voter, to remove a replica or to
-// change its address. Only one change may be under way at a time: the quorums of two
+// ChangeMembership proposes to add a learner, to make one a voter, to demote a voter, to remove a
+// replica or to change its address. Only one change may be under way at a time: the quorums of two
 // memberships that differ by one replica always overlap.
 func (r *Raft) ChangeMembership(now time.Time, m *wire.Membership) (uint64, Effects, error) {
 	r.advanceClock(now)
@@ -43,6 +44,11 @@
 	if t, _ := r.log.term(r.commitIndex); t != r.term || r.memberships[len(r.memberships)-1].index > r.commitIndex {
 		return ErrBusy
 	}
+	return r.checkRole(m)
+}
+
+// checkRole reports whether a replica may get the role of a change.
+func (r *Raft) checkRole(m *wire.Membership) error {
 	if m.GetReplica() == "" {
 		return fmt.Errorf("%w: it names no replica", ErrRefused)
 	}
@@ -59,6 +65,10 @@
 		if old == nil || (!old.GetVoter() && (p == nil || p.matchIndex < r.commitIndex || r.now.Sub(p.lastHeard) >= r.electionTimeout())) {
 			return fmt.Errorf("%w: the replica has not caught up as a learner", ErrRefused)
 		}
+	case wire.Membership_ROLE_DEMOTED:
+		if !old.GetVoter() || m.GetReplica() == r.ID || r.voterCount() == 1 {
+			return fmt.Errorf("%w: the replica is no other voter", ErrRefused)
+		}
 	case wire.Membership_ROLE_NONE:
 		if old == nil {
 			return fmt.Errorf("%w: no such replica", ErrRefused)
@@ -70,8 +80,9 @@
 	return nil
 }
 
-// TransferLeadership hands leadership to the reachable voter with the longest matching log, for
-// a leader that is about to stop. The leader accepts no proposals from then on.
+// TransferLeadership hands leadership to the reachable voter with the longest matching log, and to
+// the newest of several, for a leader that is about to stop or to lose its vote. The leader accepts
+// no proposals from then on.
 func (r *Raft) TransferLeadership(now time.Time) Effects {
 	r.advanceClock(now)
 	r.transferLeadership()
@@ -85,7 +96,7 @@
 	var best *progress
 	for _, p := range r.Replicas() {
 		pr := r.peers[p.GetId()]
-		if p.GetVoter() && pr != nil && r.now.Sub(pr.lastHeard) < r.electionTimeout() && (best == nil || pr.matchIndex > best.matchIndex) {
+		if p.GetVoter() && pr != nil && !pr.leaving && r.inTouch(pr) && (best == nil || pr.matchIndex >= best.matchIndex) {
 			best, r.transferTarget = pr, p.GetId()
 		}
 	}
@@ -112,9 +123,23 @@
 	if m == nil {
 		return
 	}
-	list := slices.DeleteFunc(slices.Clone(r.Replicas()), func(p *wire.Replica) bool { return p.GetId() == m.GetReplica() })
-	if m.GetRole() != wire.Membership_ROLE_NONE {
-		list = append(list, &wire.Replica{
+	list := slices.Clone(r.Replicas())
+	at := slices.IndexFunc(list, func(p *wire.Replica) bool { return p.GetId() == m.GetReplica() })
+	if at >= 0 {
+		list = slices.Delete(list, at, at+1)
+	}
+	switch m.GetRole() {
+	case wire.Membership_ROLE_NONE:
+		at = -1
+	case wire.Membership_ROLE_DEMOTED:
+		at = 0
+	case wire.Membership_ROLE_LEARNER, wire.Membership_ROLE_VOTER:
+		if at < 0 {
+			at = len(list)
+		}
+	}
+	if at >= 0 {
+		list = slices.Insert(list, at, &wire.Replica{
 			Id: m.GetReplica(), Address: m.GetAddress(), Voter: m.GetRole() == wire.Membership_ROLE_VOTER, DataCentre: m.GetDataCentre(),
 		})
 	}
--- a/core/raft/raft.go
+++ b/core/raft/raft.go
@@ -69,6 +69,9 @@
 		// go through the log. When replicas restart together, answers from a quorum are then
 		// enough to elect a leader early.
 		Leaseless bool
+		// HandsOverVotes states that the group repairs itself, so that a learner takes the vote of
+		// a voter that is about to stop.
+		HandsOverVotes bool
 
 		group        string
 		term         uint64
@@ -102,6 +105,8 @@
 		contacts         contacts
 		absences         []*wire.Absence // From the newest message of a leader, or at a leader from its last heartbeat.
 		absencesAt       time.Time       // When absences was set; zero if no leader was heard since the start.
+		leaving          bool            // The process is about to stop.
+		released         bool            // The leader needs this replica no longer.
 
 		out Effects
 	}
@@ -311,19 +316,29 @@
 type PeerStatus struct {
 	*wire.Replica
 	Silence  time.Duration // Since its last reply to any leader, or since it was added if that is later.
+	Steady   time.Duration // For how long it has replied without a long gap or a stalled disk; zero if it does not reply.
 	CaughtUp bool          // It holds all committed entries.
+	Leaving  bool          // Its process is about to stop.
+	Newer    bool          // It joined the group after this leader did.
 }
 
-// Peers returns the status of the other replicas at the leader, and nil at any other replica.
+// Peers returns the status of the other replicas at the leader, oldest first, and nil at any other
+// replica.
 func (r *Raft) Peers(now time.Time) []PeerStatus {
 	r.advanceClock(now)
 	if r.role != leader {
 		return nil
 	}
 	var list []PeerStatus
+	newer := false
 	for _, p := range r.Replicas() {
+		newer = newer || p.GetId() == r.ID
 		if pr := r.peers[p.GetId()]; pr != nil {
-			list = append(list, PeerStatus{Replica: p, Silence: r.silenceOf(pr), CaughtUp: pr.matchIndex >= r.commitIndex})
+			s := PeerStatus{Replica: p, Silence: r.silenceOf(pr), CaughtUp: pr.matchIndex >= r.commitIndex, Leaving: pr.leaving, Newer: newer}
+			if r.inTouch(pr) {
+				s.Steady = r.now.Sub(pr.steadySince)
+			}
+			list = append(list, s)
 		}
 	}
 	return list
--- a/core/repair/repair.go
+++ b/core/repair/repair.go
@@ -1,8 +1,9 @@
-// Package repair decides how a control group restores its set of voters: which learner to promote
-// or which replica to remove next.
+// Package repair decides how a control group restores and moves its votes: which replica to promote,
+// demote or remove next.
 package repair
 
 import (
+	"slices"
 	"time"
 
 	"azurelane/core/raft"
@@ -36,105 +37,258 @@
 	return p.TargetVoters() // Too few data centres to spread the voters.
 }
 
+// settleTime returns how long a learner must have been in touch before it takes the vote of a voter
+// that is in touch as well.
+func (p Policy) settleTime() time.Duration { return p.ReplaceAfter / 4 }
+
 // NextChange returns the membership change that the leader should propose now, or nil if none is
 // needed. Argument self is the leader, and others are the remaining replicas as the leader sees
-// them.
+// them, oldest first. If the change demotes the leader, it must transfer leadership instead, and
+// the next leader demotes it.
+//
+// Besides repairs, the policy moves the vote of a replica to a newer one in its data centre. A
+// replica that is about to be removed gets its successor first, so by the time it goes, with or
+// without notice, it has no vote, and the group can bear the next loss at once. With several older
+// voters in the data centre nothing tells which of them goes, and the oldest yields. A demoted
+// replica counts as the oldest of all, so each replica that joins causes one such move at most, and
+// votes don't swing back and forth.
 func (p Policy) NextChange(self *wire.Replica, others []raft.PeerStatus) *wire.Membership {
-	voters, votersByDataCentre := 1, map[string]int{self.GetDataCentre(): 1}
-	for _, o := range others {
-		if o.GetVoter() {
-			voters++
-			votersByDataCentre[o.GetDataCentre()]++
+	g := newGroup(p, self, others)
+	switch {
+	case g.voters > p.TargetVoters():
+		return g.reduction()
+	default:
+		if l := g.learnerToPromote(); l != nil {
+			return changeOf(l, wire.Membership_ROLE_VOTER)
 		}
 	}
-	if voters > p.TargetVoters() {
-		return removalOf(leastAvailable(others, true))
+	if l := g.longestSilent(learners); l != nil && (l.Silence > p.RemoveLearnerAfter || g.hasSuccessor(l)) {
+		return changeOf(l, wire.Membership_ROLE_NONE)
+	}
+	return nil
+}
+
+func changeOf(r *raft.PeerStatus, role wire.Membership_Role) *wire.Membership {
+	return &wire.Membership{Replica: r.GetId(), Address: r.GetAddress(), DataCentre: r.GetDataCentre(), Role: role}
+}
+
+// group is the state of all replicas at one moment.
+type group struct {
+	Policy
+	leader *raft.PeerStatus
+	all    []*raft.PeerStatus // Oldest first.
+	voters int
+	spread map[string]int // Number of voters by data centre.
+}
+
+func newGroup(p Policy, self *wire.Replica, others []raft.PeerStatus) *group {
+	g := &group{Policy: p, leader: &raft.PeerStatus{Replica: self, CaughtUp: true}, spread: map[string]int{}}
+	for i := range others {
+		g.all = append(g.all, &others[i])
+	}
+	at := slices.IndexFunc(g.all, func(r *raft.PeerStatus) bool { return r.Newer })
+	if at < 0 {
+		at = len(g.all)
 	}
-	if c := p.learnerToPromote(others, votersByDataCentre, voters); c != nil {
-		return &wire.Membership{
-			Replica: c.GetId(), Address: c.GetAddress(), DataCentre: c.GetDataCentre(), Role: wire.Membership_ROLE_VOTER,
+	g.all = slices.Insert(g.all, at, g.leader)
+	for _, r := range g.all {
+		if r.GetVoter() {
+			g.voters++
+			g.spread[r.GetDataCentre()]++
 		}
 	}
-	if w := leastAvailable(others, false); w != nil && (w.Silence > p.RemoveLearnerAfter || hasSuccessor(*w, others)) {
-		return removalOf(w)
+	return g
+}
+
+const (
+	learners = false
+	voters   = true
+)
+
+// reduction returns the change that removes the vote of one of too many voters, or nil if it must
+// wait.
+func (g *group) reduction() *wire.Membership {
+	if r := g.lostDisk(); r != nil {
+		return changeOf(r, wire.Membership_ROLE_NONE)
 	}
-	return nil
+	r := g.silentVoter()
+	if r == nil {
+		r = g.first(func(r *raft.PeerStatus) bool { return r.GetVoter() && r.Leaving })
+	}
+	if r == nil {
+		r = g.yieldingVoter()
+	}
+	if r == nil {
+		return nil
+	}
+	return changeOf(r, wire.Membership_ROLE_DEMOTED)
 }
 
-// learnerToPromote returns a learner to promote, or nil. A learner is promoted if there are too few
-// voters, or to replace a voter that is silent or has lost its disk. In the second case the group
-// has one voter too many until the next change removes the old voter. In this order, each command
-// is always on as many disks as before. The function decrements the count of the old voter's data
-// centre in votersByDataCentre.
-func (p Policy) learnerToPromote(others []raft.PeerStatus, votersByDataCentre map[string]int, voters int) *raft.PeerStatus {
-	var outgoing *raft.PeerStatus
-	if voters >= p.TargetVoters() {
-		outgoing = p.voterToReplace(others)
-		if outgoing == nil {
-			return nil
-		}
-		votersByDataCentre[outgoing.GetDataCentre()]--
+// learnerToPromote returns a learner to promote, or nil: if there are too few voters, or to take
+// the vote of another replica. In the second case the group has one voter too many until the next
+// change. In this order, each command is always on as many disks as before.
+func (g *group) learnerToPromote() *raft.PeerStatus {
+	if g.voters < g.TargetVoters() {
+		return g.first(func(l *raft.PeerStatus) bool {
+			return eligible(l) && g.spread[l.GetDataCentre()] < g.maxVotersPerDataCentre()
+		})
 	}
-	var best *raft.PeerStatus
-	for i, o := range others {
-		if o.GetVoter() || !o.CaughtUp || o.Silence > maxPromotionSilence || votersByDataCentre[o.GetDataCentre()] >= p.maxVotersPerDataCentre() {
-			continue
-		}
-		if best == nil || (outgoing != nil && o.GetAddress() == outgoing.GetAddress()) {
-			best = &others[i]
-		}
+	if r := g.lostDisk(); r != nil {
+		return g.replacement(r)
+	}
+	if r := g.silentVoter(); r != nil {
+		return g.replacement(r)
 	}
-	return best
+	if r := g.first(func(r *raft.PeerStatus) bool { return r.GetVoter() && r.Leaving }); r != nil {
+		return g.replacement(r)
+	}
+	if l := g.first(func(l *raft.PeerStatus) bool {
+		return g.settled(l) && g.spread[l.GetDataCentre()]+1 < g.mostVoters()
+	}); l != nil {
+		return l // Its data centre has too few voters.
+	}
+	return g.last(func(l *raft.PeerStatus) bool { return g.settled(l) && g.olderVoter(l) != nil })
 }
 
-// voterToReplace returns the voter to replace, or nil. A voter whose address is used by a replica
-// with another identity has lost its disk and can't rejoin, so ReplaceAfter does not apply to it.
-func (p Policy) voterToReplace(others []raft.PeerStatus) *raft.PeerStatus {
-	w := leastAvailable(others, true)
-	for i, o := range others {
-		if o.GetVoter() && hasSuccessor(o, others) {
-			return &others[i]
+// replacement returns the learner that takes the vote of a replica that is silent, has lost its
+// disk or leaves, or nil. It is at the same address or else in the same data centre if possible.
+// Until a voter has been silent for ReplaceAfter, its vote goes nowhere else if a replica at its
+// address may take it soon, and not to a superseded learner, which may be about to be removed. A
+// data centre with too many voters is better than a voter that is gone, and one of them yields once
+// another data centre has a learner.
+func (g *group) replacement(r *raft.PeerStatus) *raft.PeerStatus {
+	conditions := []func(*raft.PeerStatus) bool{
+		func(l *raft.PeerStatus) bool { return l.GetAddress() == r.GetAddress() },
+		func(l *raft.PeerStatus) bool { return l.GetDataCentre() == r.GetDataCentre() },
+	}
+	urgent := r.Silence >= g.ReplaceAfter
+	if urgent || !g.hasSuccessor(r) {
+		conditions = append(conditions, func(l *raft.PeerStatus) bool {
+			return !g.superseded(l) && g.spread[l.GetDataCentre()] < g.maxVotersPerDataCentre()
+		}, func(l *raft.PeerStatus) bool { return !g.superseded(l) })
+	}
+	if urgent {
+		conditions = append(conditions, func(l *raft.PeerStatus) bool {
+			return g.spread[l.GetDataCentre()] < g.maxVotersPerDataCentre()
+		}, func(*raft.PeerStatus) bool { return true })
+	}
+	for _, fits := range conditions {
+		if l := g.first(func(l *raft.PeerStatus) bool { return eligible(l) && fits(l) }); l != nil {
+			return l
 		}
 	}
-	if w == nil || w.Silence < p.ReplaceAfter {
+	return nil
+}
+
+// superseded reports whether a newer replica in the data centre of a learner has a vote.
+func (g *group) superseded(l *raft.PeerStatus) bool {
+	return slices.ContainsFunc(g.all[slices.Index(g.all, l):], func(r *raft.PeerStatus) bool {
+		return r.GetVoter() && r.GetDataCentre() == l.GetDataCentre()
+	})
+}
+
+// eligible reports whether a replica is a learner that can take a vote.
+func eligible(l *raft.PeerStatus) bool {
+	return !l.GetVoter() && l.CaughtUp && !l.Leaving && l.Silence <= maxPromotionSilence
+}
+
+// settled reports whether a learner can take the vote of a replica that is in touch.
+func (g *group) settled(l *raft.PeerStatus) bool { return eligible(l) && l.Steady >= g.settleTime() }
+
+// silentVoter returns the voter that has been silent for longest, and for at least ReplaceAfter.
+func (g *group) silentVoter() *raft.PeerStatus {
+	if r := g.longestSilent(voters); r != nil && r.Silence >= g.ReplaceAfter {
+		return r
+	}
+	return nil
+}
+
+// mostVoters returns the number of voters in the data centre that has most of them.
+func (g *group) mostVoters() int {
+	n := 0
+	for _, voters := range g.spread {
+		n = max(n, voters)
+	}
+	return n
+}
+
+// yieldingVoter returns the oldest voter in the data centre that has most voters, or nil. Of several
+// such data centres it is the one with the newest voter. Unless that one is in touch, the older one
+// must keep its vote. If no data centre has two voters, a silent voter may be the one to demote, so
+// nothing is done before silentVoter returns it.
+func (g *group) yieldingVoter() *raft.PeerStatus {
+	newest := g.last(func(r *raft.PeerStatus) bool { return r.GetVoter() && g.spread[r.GetDataCentre()] == g.mostVoters() })
+	if newest.Silence > maxPromotionSilence {
 		return nil
 	}
-	return w
+	if r := g.olderVoter(newest); r != nil {
+		return r
+	}
+	if r := g.longestSilent(voters); r == nil || r.Silence > maxPromotionSilence {
+		return nil
+	}
+	return g.first(func(r *raft.PeerStatus) bool { return r != g.leader && r.GetVoter() })
 }
 
-// hasSuccessor reports whether a replica with another identity has been heard from the address of r
-// more recently than r.
-func hasSuccessor(r raft.PeerStatus, all []raft.PeerStatus) bool {
-	for _, o := range all {
-		if o.GetId() != r.GetId() && o.GetAddress() == r.GetAddress() && o.Silence < r.Silence {
-			return true
+// olderVoter returns the oldest voter in the data centre of a replica that is older than it, or nil.
+func (g *group) olderVoter(than *raft.PeerStatus) *raft.PeerStatus {
+	for _, r := range g.all {
+		if r == than {
+			break
+		}
+		if r.GetVoter() && r.GetDataCentre() == than.GetDataCentre() {
+			return r
 		}
 	}
-	return false
+	return nil
+}
+
+// lostDisk returns a voter with a successor at its address, or nil. It has lost its disk and can't
+// rejoin, so ReplaceAfter does not apply to it.
+func (g *group) lostDisk() *raft.PeerStatus {
+	return g.first(func(r *raft.PeerStatus) bool { return r.GetVoter() && g.hasSuccessor(r) })
+}
+
+// hasSuccessor reports whether a replica with another identity has been heard from the address of r
+// more recently than r.
+func (g *group) hasSuccessor(r *raft.PeerStatus) bool {
+	return r != g.leader && slices.ContainsFunc(g.all, func(o *raft.PeerStatus) bool {
+		return o.GetId() != r.GetId() && o.GetAddress() == r.GetAddress() && o.Silence < r.Silence
+	})
 }
 
-// leastAvailable returns the voter, or the learner if voter is false, with the longest silence, or
+// longestSilent returns the voter or learner, other than the leader, with the longest silence, or
 // nil if there is none. A replica with a successor takes precedence.
-func leastAvailable(others []raft.PeerStatus, voter bool) *raft.PeerStatus {
+func (g *group) longestSilent(voter bool) *raft.PeerStatus {
 	var w *raft.PeerStatus
-	for i, o := range others {
-		if o.GetVoter() != voter {
+	for _, r := range g.all {
+		if r == g.leader || r.GetVoter() != voter {
 			continue
 		}
-		if hasSuccessor(o, others) {
-			return &others[i]
+		if g.hasSuccessor(r) {
+			return r
 		}
-		if w == nil || o.Silence > w.Silence {
-			w = &others[i]
+		if w == nil || r.Silence > w.Silence {
+			w = r
 		}
 	}
 	return w
 }
 
-// removalOf returns the membership change that removes a replica, or nil for nil.
-func removalOf(r *raft.PeerStatus) *wire.Membership {
-	if r == nil {
-		return nil
+// first returns the oldest replica that meets a condition, or nil.
+func (g *group) first(ok func(*raft.PeerStatus) bool) *raft.PeerStatus {
+	if i := slices.IndexFunc(g.all, ok); i >= 0 {
+		return g.all[i]
+	}
+	return nil
+}
+
+// last returns the newest replica that meets a condition, or nil.
+func (g *group) last(ok func(*raft.PeerStatus) bool) *raft.PeerStatus {
+	for _, r := range slices.Backward(g.all) {
+		if ok(r) {
+			return r
+		}
 	}
-	return &wire.Membership{Replica: r.GetId(), Address: r.GetAddress(), Role: wire.Membership_ROLE_NONE}
+	return nil
 }
--- a/io/ctrl/ctrl.go
+++ b/io/ctrl/ctrl.go
@@ -37,7 +37,7 @@
 	batchMax  = 256 // Maximum number of messages and proposals for one sync.
 	queueMax  = 1024
 
-	leaveTimeout = 2 * time.Second // Maximum wait for the next leader.
+	leaveTimeout = 2 * time.Second // Maximum wait for the next leader and its release.
 )
 
 type (
@@ -130,7 +130,7 @@
 func (c *Ctrl) start(now time.Time, snap *wire.Snapshot, recs []*wire.Record) {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(c.id))
-	c.raft = &raft.Raft{ID: c.id, ElectionTimeout: c.Election, Leaseless: c.Leaseless, Rand: rand.New(rand.NewPCG(h.Sum64(), uint64(now.UnixNano())))} //nolint:gosec // It spreads timeouts; no secret.
+	c.raft = &raft.Raft{ID: c.id, ElectionTimeout: c.Election, Leaseless: c.Leaseless, HandsOverVotes: c.Centre != "", Rand: rand.New(rand.NewPCG(h.Sum64(), uint64(now.UnixNano())))} //nolint:gosec // It spreads timeouts; no secret.
 	c.raft.Start(now, snap, recs)
 	c.publish(now)
 }
@@ -177,7 +177,8 @@
 	return suture.ErrDoNotRestart
 }
 
-// Leave transfers leadership, if this replica leads, and waits until Serve has returned.
+// Leave transfers leadership, if this replica leads, waits for the release by the leader, and returns
+// once Serve has returned.
 func (c *Ctrl) Leave(ctx context.Context) {
 	c.once.Do(func() { close(c.leave) })
 	select {
@@ -197,7 +198,7 @@
 			return nil
 		case <-leave:
 			leave, leaving, c.leaveRequestedAt = nil, true, time.Now()
-			b.add(c.raft.TransferLeadership(time.Now()))
+			b.add(c.raft.Leave(time.Now()))
 		case m := <-c.in:
 			b.step(m)
 		case p := <-c.props:
@@ -216,6 +217,9 @@
 			b.add(c.raft.Tick(time.Now()))
 			b.expire()
 		}
+		if leaving && c.raft.IsLeader() && !c.raft.Transferring() {
+			b.add(c.raft.Leave(time.Now()))
+		}
 		b.drain()
 		if err := b.finish(ctx); err != nil {
 			return err
@@ -226,8 +230,8 @@
 	}
 }
 
-// mayStop reports whether a leaving replica may stop: another replica leads, in whose election its
-// vote may have been needed, or none took over within leaveTimeout.
+// mayStop reports whether a leaving replica may stop: the leader has released it, or nothing came of
+// that within leaveTimeout. A leader may stop if no voter is there to take over.
 func (c *Ctrl) mayStop() bool {
 	switch {
 	case time.Since(c.leaveRequestedAt) > leaveTimeout:
@@ -235,7 +239,12 @@
 	case c.raft.IsLeader():
 		return !c.raft.Transferring()
 	}
-	return c.raft.Leader() != "" || c.raft.Group() == ""
+	return c.raft.Released() || c.raft.Group() == ""
+}
+
+// TransferLeadership hands leadership to another replica, if this one leads.
+func (c *Ctrl) TransferLeadership(ctx context.Context) error {
+	return c.do(ctx, func(now time.Time) raft.Effects { return c.raft.TransferLeadership(now) })
 }
 
 // do runs f in the loop and waits for it.
--- a/io/form/form.go
+++ b/io/form/form.go
@@ -20,6 +20,7 @@
 	joinInterval        = 300 * time.Millisecond // Interval between attempts to join.
 	changeTimeout       = time.Second            // Timeout of a membership change.
 	listedCheckInterval = time.Second            // Interval between checks whether the group lists this replica.
+	transferInterval    = 2 * time.Second        // Interval between attempts to transfer leadership.
 )
 
 type (
@@ -34,6 +35,7 @@
 
 		lastJoin        time.Time // Last attempt to join.
 		lastListedCheck time.Time // Last check whether the leader lists this replica.
+		lastTransfer    time.Time // Last attempt to transfer leadership.
 	}
 
 	replica interface {
@@ -42,6 +44,7 @@
 		Ready() bool // Whether it has heard a leader recently.
 		Group() (name string, all []*wire.Replica, peers []raft.PeerStatus)
 		Propose(ctx context.Context, c *wire.Command) (*wire.Result, error)
+		TransferLeadership(ctx context.Context) error
 	}
 
 	// proposer is a client of the leader.
@@ -95,6 +98,9 @@
 	if m == nil {
 		return nil
 	}
+	if m.GetReplica() == self.GetId() {
+		return f.transferLeadership(ctx)
+	}
 	f.Log.Info("Group changes.", "replica", m.GetReplica(), "address", m.GetAddress(), "role", m.GetRole().String())
 	if _, err := f.Replica.Propose(ctx, &wire.Command{Kind: &wire.Command_Membership{Membership: m}}); err != nil {
 		return fmt.Errorf("form: repair: %w", err)
@@ -102,6 +108,19 @@
 	return nil
 }
 
+// transferLeadership hands over to another replica, which then demotes this one.
+func (f *Form) transferLeadership(ctx context.Context) error {
+	if time.Since(f.lastTransfer) < transferInterval {
+		return nil
+	}
+	f.lastTransfer = time.Now()
+	f.Log.Info("Leadership is transferred, since a newer replica takes this one's vote.")
+	if err := f.Replica.TransferLeadership(ctx); err != nil {
+		return fmt.Errorf("form: transfer leadership: %w", err)
+	}
+	return nil
+}
+
 func (f *Form) join(ctx context.Context) error {
 	if time.Since(f.lastJoin) < joinInterval {
 		return nil
--- a/io/form/form_test.go
+++ b/io/form/form_test.go
@@ -26,6 +26,7 @@
 	listed   []*wire.Replica // Replicas that the leader lists.
 	proposed []*wire.Membership
 	asked    int
+	moved    int // Attempts to transfer leadership.
 	err      error
 }
 
@@ -42,6 +43,11 @@
 	return &wire.Result{}, f.err
 }
 
+func (f *fakeGroup) TransferLeadership(context.Context) error {
+	f.moved++
+	return f.err
+}
+
 func (f *fakeGroup) Ask(context.Context, func() *wire.Frame) (*wire.Frame, error) {
 	f.asked++
 	return &wire.Frame{Body: &wire.Frame_Status{Status: &wire.Status{Replicas: f.listed}}}, f.err
@@ -97,3 +103,23 @@
 		must.Eq(t, wire.Membership_ROLE_VOTER, g.proposed[0].GetRole())
 	})
 }
+
+// Guards against a leader that tries to demote itself, or never hands over, when a newer replica takes
+// its vote.
+func TestLeaderHandsOverBeforeItYields(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		me := &wire.Replica{Id: "me", DataCentre: "z1", Voter: true}
+		g := &fakeGroup{name: "g", leads: true, all: []*wire.Replica{me}}
+		for _, id := range []string{"b", "c", "newer"} {
+			r := &wire.Replica{Id: id, DataCentre: map[string]string{"b": "z2", "c": "z3", "newer": "z1"}[id], Voter: true}
+			g.all = append(g.all, r)
+			g.peers = append(g.peers, raft.PeerStatus{Replica: r, Steady: time.Minute, CaughtUp: true, Newer: true})
+		}
+		f := &Form{Policy: repair.Policy{MaxLosses: 1, DataCentres: 3, ReplaceAfter: time.Second, RemoveLearnerAfter: time.Minute}, Replica: g, Leader: g, Log: logr.Discard()}
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		must.ErrorIs(t, f.Serve(ctx), context.DeadlineExceeded)
+		must.SliceEmpty(t, g.proposed)
+		must.Eq(t, 3, g.moved)
+	})
+}
