--- a/core/repair/repair.go
+++ b/core/repair/repair.go
@@ -120,7 +120,10 @@
 	}
 	r := g.silentVoter()
 	if r == nil {
-		r = g.first(func(r *raft.PeerStatus) bool { return r.GetVoter() && r.Leaving })
+		// One that is gone already may be back soon, and the promotion was not for it.
+		r = g.first(func(r *raft.PeerStatus) bool {
+			return r.GetVoter() && r.Leaving && r.Silence <= maxPromotionSilence
+		})
 	}
 	if r == nil {
 		r = g.yieldingVoter()
--- a/core/repair/repair_test.go
+++ b/core/repair/repair_test.go
@@ -125,6 +125,9 @@
 		}, "ROLE_VOTER e"},
 		{"a voter leaves", []raft.PeerStatus{older(newPeer("d", "d", "z2", learner, reachable)), leaving(b), c}, "ROLE_VOTER d"},
 		{"the leaving voter yields", []raft.PeerStatus{older(newPeer("d", "d", "z2", voter, reachable)), leaving(b), c}, "ROLE_DEMOTED b"},
+		{"a voter that restarts keeps its vote", []raft.PeerStatus{
+			leaving(newPeer("b", "b", "z2", voter, away)), c, newPeer("d", "d", "z3", voter, reachable),
+		}, "ROLE_DEMOTED c"},
 		{"a leaving learner takes no vote", []raft.PeerStatus{b, c, leaving(newPeer("d", "d", "z2", learner, reachable))}, ""},
 		{"no vote for a superseded learner elsewhere", []raft.PeerStatus{older(newPeer("d", "d", "z2", learner, reachable)), b, leaving(c)}, ""},
 		{"a superseded learner is better than a voter that is gone", []raft.PeerStatus{
--- a/io/ctrl/ctrl_test.go
+++ b/io/ctrl/ctrl_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"net/netip"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -294,3 +296,36 @@
 		must.NotNil(t, r.GetDocument())
 	})
 }
+
+// Guards against heartbeats that wait for lost packets because they share a connection with the entries.
+func TestMessagesBesideUseOtherConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(t, 3)
+		beside := &laneCounter{caller: caller{n, addr(0)}}
+		for _, a := range n.addrs {
+			must.NoError(t, n.nodes[a].do(t.Context(), func(time.Time) (e raft.Effects) {
+				n.nodes[a].Beside = beside
+				return e
+			}))
+		}
+		n.leader(nil)
+		time.Sleep(time.Second)
+		must.Positive(t, beside.sent.Load())
+		must.Zero(t, beside.others.Load())
+	})
+}
+
+// laneCounter counts the messages for connections beside the first, and all others.
+type laneCounter struct {
+	caller
+	sent, others atomic.Int64
+}
+
+func (l *laneCounter) Send(ctx context.Context, to netip.AddrPort, f *wire.Frame) error {
+	if f.GetRaft().GetLane() == 1 {
+		l.sent.Add(1)
+	} else {
+		l.others.Add(1)
+	}
+	return l.caller.Send(ctx, to, f)
+}
