Simulated newcomers that crash in a loop or have a slow disk

Cause: the drawn faults rarely make a newcomer crash twice, and no check counted the votes that move.

Change: a newcomer that crashes ten times gets a vote once; one with a slow disk gets none until it is sound. A fourth group has more data centres than votes.

--- a/core/repair/play_test.go
+++ b/core/repair/play_test.go
@@ -159,6 +159,7 @@
 		{"three", 1, 3, 3},
 		{"five in five data centres", 2, 5, 5},
 		{"five in three data centres", 2, 3, 6},
+		{"three in five data centres", 1, 5, 5},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
@@ -257,3 +258,44 @@
 	}
 	return best
 }
+
+// promotions returns the number of votes that replicas were given so far.
+func (s *simulation) promotions() int {
+	n := 0
+	for _, e := range s.events {
+		if strings.Contains(e, "ROLE_VOTER") {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against votes that go back and forth with a newcomer that crashes again and again.
+func TestCrashLoopMovesNoVotes(t *testing.T) {
+	const crashes, up, down = 10, 3 * time.Second, 3 * time.Second
+	s := newSimulation(1, 1, 3, 3)
+	before := s.promotions()
+	n := s.add("z0")
+	for range crashes {
+		s.start(n)
+		s.run(up)
+		s.kill(n)
+		s.run(down)
+	}
+	must.Eq(t, before+2, s.promotions(), must.Sprint("the newcomer gets a vote once and gives it back"))
+	must.True(t, s.readable())
+}
+
+// Guards against a vote that moves from a replica with a sound disk to one with a slow one.
+func TestSlowDiskGetsNoVote(t *testing.T) {
+	s := newSimulation(1, 1, 3, 3)
+	before := s.promotions()
+	n := s.add("z0")
+	n.slow = time.Second
+	s.start(n)
+	s.run(4 * simCatchUp)
+	must.Eq(t, before, s.promotions())
+	n.slow = 0
+	s.run(simCatchUp)
+	must.Eq(t, before+1, s.promotions())
+}
