Elections on slow disks wait until the votes are on disk

Cause: a candidate and each voter write the vote before they send it, so an election takes two syncs. From the election timeout on, 400 ms to 800 ms, the next replica stands in a newer term, and what arrives of the last election is void. The patience of lossy links doesn't help: it follows gaps between messages of a leader, and there is none.

Change: from the second election that brings no leader on, candidates and voters wait twice as long, at most four times. The number follows from the terms since the last leader, which all replicas know alike. With a leader it is one again.

--- a/core/raft/election.go
+++ b/core/raft/election.go
@@ -9,8 +9,21 @@
 	"azurelane/core/wire"
 )
 
+// maxElectionDoublings bounds electionBackoff.
+const maxElectionDoublings = 2
+
 func (r *Raft) resetElectionTimer() {
-	r.electionDeadline = r.now.Add(r.patience() + time.Duration(r.Rand.Int64N(int64(r.electionTimeout()))))
+	f := r.electionBackoff()
+	r.electionDeadline = r.now.Add(f*r.patience() + time.Duration(r.Rand.Int64N(int64(f*r.electionTimeout()))))
+}
+
+// electionBackoff is the factor by which a replica waits longer for the result of an election, as
+// candidate or voter. It doubles with each election that brought no leader, from the second one on.
+// A vote is given once it is on disk, so an election takes two syncs. If that is longer than the
+// election timeout, the next election would begin before the votes arrive, again and again.
+func (r *Raft) electionBackoff() time.Duration {
+	failed := max(r.term, r.leaderTerm) - r.leaderTerm
+	return 1 << min(max(failed, 1)-1, maxElectionDoublings)
 }
 
 // heardLeaderRecently reports whether this replica leads or has heard a leader within the
@@ -79,7 +92,7 @@
 
 func (r *Raft) becomeLeader() {
 	r.setRole(leader, "election won", nil)
-	r.leaderID = r.ID
+	r.leaderID, r.leaderTerm = r.ID, r.term
 	r.coldStart = coldStart{}
 	r.leaderSince, r.nextHeartbeat = r.now, r.now.Add(r.electionTimeout()/(DefaultElectionTimeout/DefaultHeartbeatInterval))
 	r.transferTarget, r.timeoutNowSent, r.quorumAge = "", false, 0
@@ -190,7 +203,7 @@
 	if r.leaderID == m.GetFrom() {
 		r.observeGap(r.now.Sub(r.lastLeaderContact))
 	}
-	r.leaderID, r.lastLeaderContact, r.coldStart = m.GetFrom(), r.now, coldStart{}
+	r.leaderID, r.leaderTerm, r.lastLeaderContact, r.coldStart = m.GetFrom(), r.term, r.now, coldStart{}
 	r.released = m.GetRelease()
 	r.learnAbsences(m)
 	r.resetElectionTimer()
--- a/core/raft/raft.go
+++ b/core/raft/raft.go
@@ -78,6 +78,7 @@
 		votedFor     string
 		role         role
 		leaderID     string
+		leaderTerm   uint64 // Newest term in which a leader was heard, or the term at the start.
 		log          raftLog
 		memberships  []membership // Each with the index of the entry that set it, oldest first.
 		commitIndex  uint64
@@ -147,7 +148,7 @@
 	for _, rec := range recs {
 		r.loadRecord(rec)
 	}
-	r.syncedIndex = r.log.lastIndex()
+	r.syncedIndex, r.leaderTerm = r.log.lastIndex(), r.term
 	r.log.trimTrailing()
 	r.resetElectionTimer()
 	if r.isOnlyVoter() {
