A stalled disk keeps no learner from its vote if the voters' disks stall too

Cause: a replica settles once it has replied for 0.6 s without a stall of its disk, so that no vote moves from a sound disk to a slow one. While all disks take over 100 ms for a write, each change makes each learner start again, and with a change each 0.5 s none ever settles.

Change: a stall starts the time again only if the disks of most voters have not stalled lately.

Tests: TestStallsOfDisksAreCompared; two of its four cases failed before ("those of most voters too", "all"). TestSlowDiskGetsNoVote stays as it is and passes.

Result: passes.

--- a/core/raft/leader.go
+++ b/core/raft/leader.go
@@ -22,6 +22,8 @@
 	snapshotRetry = 30 * DefaultElectionTimeout
 	// maxRepeatedBytes is the maximum size of unconfirmed entries that keepAlive repeats.
 	maxRepeatedBytes = 16 << 10
+	// stallWindowTimeouts is the number of election timeouts for which a stall of a disk is recent.
+	stallWindowTimeouts = 10
 	// minSnapshotRate is the lowest expected transfer rate of a snapshot, in bytes per second.
 	minSnapshotRate = 4 << 20
 )
@@ -41,7 +43,8 @@
 	addedAt         time.Time     // When replication to it started.
 	seenBefore      time.Time     // When it was last in touch before that, as far as known.
 	lastHeard       time.Time
-	steadySince     time.Time // Start of its replies without a long gap or a stalled disk.
+	stalledAt       time.Time // When its disk last accepted no entries; zero for never.
+	steadySince     time.Time // Start of its replies without a long gap, or a stall of its disk alone.
 	leaving         bool      // Its process is about to stop.
 	answeredRound   time.Time // When the newest round that it answered was sent.
 }
@@ -242,7 +245,10 @@
 	if r.role != leader || m.GetTerm() < r.term || p == nil {
 		return
 	}
-	if r.now.Sub(p.lastHeard) >= 2*r.electionTimeout() || m.GetStalled() {
+	if m.GetStalled() {
+		p.stalledAt = r.now
+	}
+	if r.now.Sub(p.lastHeard) >= 2*r.electionTimeout() || (m.GetStalled() && !r.disksStall()) {
 		p.steadySince = r.now
 	}
 	p.lastHeard, p.stalled, p.leaving = r.now, m.GetStalled(), m.GetLeaving()
@@ -262,6 +268,13 @@
 	}
 }
 
+// disksStall reports whether the disks of a quorum of voters have stalled recently. A replica whose
+// disk stalls as well is no worse than they are.
+func (r *Raft) disksStall() bool {
+	at := quorumValue(r, r.stalledAt, func(p *progress) time.Time { return p.stalledAt }, time.Time.Compare)
+	return !at.IsZero() && r.now.Sub(at) < stallWindowTimeouts*r.electionTimeout()
+}
+
 // recordMatch records that a replica holds the leader's entries up to index i.
 func (r *Raft) recordMatch(p *progress, i uint64) {
 	if p.pendingSnapshot > 0 && i >= p.pendingSnapshot {
--- a/core/raft/raft.go
+++ b/core/raft/raft.go
@@ -86,6 +86,7 @@
 		syncedIndex  uint64      // Last entry on this replica's disk.
 		writing      logPosition // Last entry of the write under way.
 		diskStalled  bool        // The disk accepts no writes for now.
+		stalledAt    time.Time   // When the disk last accepted no writes; zero for never.
 		leaderCommit uint64      // Highest commit index received from a leader.
 
 		now               time.Time
@@ -319,7 +320,7 @@
 type PeerStatus struct {
 	*wire.Replica
 	Silence  time.Duration // Since its last reply to any leader, or since it was added if that is later.
-	Steady   time.Duration // For how long it has replied without a long gap or a stalled disk; zero if it does not reply.
+	Steady   time.Duration // For how long it has replied without a long gap, or a stall of its disk alone; zero if it does not reply.
 	CaughtUp bool          // It holds all committed entries.
 	Leaving  bool          // Its process is about to stop.
 	Newer    bool          // It joined the group after this leader did.
@@ -471,4 +472,4 @@
 // DiskStalled tells the replica that the disk accepts no writes for now, or that a write takes
 // too long. A follower then rejects entries that it can't store. It still replies, so the
 // leader knows that it is alive.
-func (r *Raft) DiskStalled() { r.diskStalled = true }
+func (r *Raft) DiskStalled() { r.diskStalled, r.stalledAt = true, r.now }
--- a/core/raft/slowdisk_test.go
+++ b/core/raft/slowdisk_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"azurelane/core/wire"
 )
 
 // Guards against a leader that loses its lease, and then its leadership, because the replies to
@@ -34,3 +36,37 @@
 		})
 	}
 }
+
+// Guards against learners that never settle because their disks stall, although those of the voters stall
+// as well, and against ones that settle although only theirs does.
+func TestStallsOfDisksAreCompared(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		slow    int // Number of voters with a slow disk.
+		settles bool
+	}{
+		{"only its own", 0, false},
+		{"one voter's too", 1, false},
+		{"those of most voters too", 2, true},
+		{"all", 3, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s, l := newElectedSim(11, 3)
+			s.addNode("new")
+			s.mustChange(t, l, "new", wire.Membership_ROLE_LEARNER)
+			s.run(time.Second)
+			for _, id := range append(append(s.others(l.id)[:2:2], l.id)[:tt.slow:tt.slow], "new") {
+				s.nodes[id].minWriteTime, s.nodes[id].maxWriteTime = DefaultElectionTimeout/2, DefaultElectionTimeout/2+simStep
+			}
+			for i := range 500 {
+				s.propose(l, strconv.Itoa(i))
+				s.step()
+			}
+			peers := l.Peers(l.clock(s))
+			steady := peers[len(peers)-1].Steady
+			must.Eq(t, "new", peers[len(peers)-1].GetId())
+			must.Eq(t, tt.settles, steady > 2*time.Second, must.Sprint(steady))
+			must.Eq(t, l.id, s.leader().id)
+		})
+	}
+}
