A replica that stops waits for its release as long as the drain limit allows

Cause: a replica that gets SIGTERM waits for the release by the leader, but for 2 s at most, with 6 s of its grace left. Elections and changes of the group that take longer, as on slow disks, leave it without a release: it ended and took the quorum along, while its successor held everything and had no vote. A leader that found nobody to hand over to ended at once, also in the first moment of its term, when it has not heard the voters yet.

Change: the wait lasts for the drain limit, less what calls in flight need. A replica that reaches no quorum still ends after 2 s, since there is nothing to wait for, and one that only lacks a leader waits. A leader stops without a successor only if no other voter stays; it then releases the others first, which waited for 2 s in a stop of everything. `core/raft` decides this (`MayStop`), and `Replica leaves.` says why a replica stopped.

The tests of the release ask MayStop in place of Released, for the same and for the reason, with a time limit that they don't reach. The simulation leaves by the same decision; it had a copy of its own.

TestNewLeaderHandsOverBeforeItStops (a leader without a target, at which the replica stopped), TestAllReplicasLeave, TestReplicaLeavesWithoutLeader.

--- a/core/raft/leave_test.go
+++ b/core/raft/leave_test.go
@@ -35,25 +35,25 @@
 	s, l := newElectedSim(6, 3)
 	leaving, away := s.nodes[s.others(l.id)[0]], s.nodes[s.others(l.id)[1]]
 	for _, n := range s.nodes {
-		n.HandsOverVotes = true
+		n.HandsOverVotes, n.LeaveTimeout = true, time.Minute
 	}
 	away.down = true
 	s.run(2 * time.Second)
 	s.performEffects(leaving, leaving.Leave(leaving.clock(s)))
 	s.run(time.Second)
-	must.False(t, leaving.Released())
+	must.Eq(t, "", leaving.MayStop(leaving.clock(s)))
 	s.startNode(away)
 	s.run(time.Second)
-	must.True(t, leaving.Released())
+	must.Eq(t, "released by the leader", leaving.MayStop(leaving.clock(s)))
 
 	s.addNode("new")
 	s.mustChange(t, l, "new", wire.Membership_ROLE_LEARNER)
 	s.run(time.Second)
-	must.False(t, leaving.Released())
+	must.Eq(t, "", leaving.MayStop(leaving.clock(s)))
 	s.mustChange(t, l, "new", wire.Membership_ROLE_VOTER)
 	s.mustChange(t, l, leaving.id, wire.Membership_ROLE_DEMOTED)
 	s.run(time.Second)
-	must.True(t, leaving.Released())
+	must.Eq(t, "released by the leader", leaving.MayStop(leaving.clock(s)))
 }
 
 // Guards against leadership that goes to a replica which is about to stop as well.
@@ -66,3 +66,66 @@
 	s.run(500 * time.Millisecond)
 	must.Eq(t, stays.id, s.leader().id)
 }
+
+// Guards against a replica that is told to stop while it is being elected, and ends before it has heard
+// the voter to which it can hand over.
+func TestNewLeaderHandsOverBeforeItStops(t *testing.T) {
+	s, l := newElectedSim(8, 3)
+	s.performEffects(l, l.TransferLeadership(l.clock(s)))
+	next := s.nodes[l.transferTarget]
+	for !next.IsLeader() {
+		s.step()
+	}
+	s.performEffects(next, next.Leave(next.clock(s)))
+	must.False(t, next.Transferring())
+	must.Eq(t, "", next.MayStop(next.clock(s)))
+	for next.MayStop(next.clock(s)) == "" {
+		s.step()
+		s.performEffects(next, next.Leave(next.clock(s)))
+	}
+	must.Eq(t, "released by the leader", next.MayStop(next.clock(s)))
+	must.NotEq(t, next.id, s.leader().id)
+}
+
+// Guards against a stop of everything in which each replica waits for another one to stay.
+func TestAllReplicasLeave(t *testing.T) {
+	s, _ := newElectedSim(9, 3)
+	at := s.elapsed
+	for _, n := range s.nodes {
+		n.LeaveTimeout = time.Minute
+	}
+	for left := 0; left < len(s.nodes); s.step() {
+		for _, id := range s.ids {
+			n := s.nodes[id]
+			if n.down {
+				continue
+			}
+			s.performEffects(n, n.Leave(n.clock(s)))
+			if n.MayStop(n.clock(s)) != "" {
+				n.down = true
+				left++
+			}
+		}
+		must.Less(t, 2*leaveCutOffTimeouts*DefaultElectionTimeout, s.elapsed-at)
+	}
+}
+
+// Guards against a replica that stops while the voters only fail to elect a leader, and against one that
+// waits for a quorum which is gone.
+func TestReplicaLeavesWithoutLeader(t *testing.T) {
+	s, l := newElectedSim(10, 3)
+	leaving := s.nodes[s.others(l.id)[0]]
+	leaving.LeaveTimeout = time.Minute
+	for _, n := range s.nodes {
+		n.electionDeadline = n.now.Add(time.Hour)
+	}
+	l.down = true
+	s.performEffects(leaving, leaving.Leave(leaving.clock(s)))
+	s.run(2 * leaveCutOffTimeouts * DefaultElectionTimeout)
+	must.Eq(t, "", leaving.MayStop(leaving.clock(s)))
+	s.nodes[s.others(l.id)[1]].down = true
+	s.run(DefaultElectionTimeout)
+	must.Eq(t, "", leaving.MayStop(leaving.clock(s)))
+	s.run(leaveCutOffTimeouts * DefaultElectionTimeout)
+	must.Eq(t, "no quorum in touch", leaving.MayStop(leaving.clock(s)))
+}
--- a/core/raft/raft.go
+++ b/core/raft/raft.go
@@ -72,6 +72,9 @@
 		// HandsOverVotes states that the group repairs itself, so that a learner takes the vote of
 		// a voter that is about to stop.
 		HandsOverVotes bool
+		// LeaveTimeout is the maximum time between Leave and the end of the process. Zero means
+		// DefaultLeaveTimeout.
+		LeaveTimeout time.Duration
 
 		group        string
 		term         uint64
@@ -109,8 +112,7 @@
 		contacts         contacts
 		absences         []*wire.Absence // From the newest message of a leader, or at a leader from its last heartbeat.
 		absencesAt       time.Time       // When absences was set; zero if no leader was heard since the start.
-		leaving          bool            // The process is about to stop.
-		released         bool            // The leader needs this replica no longer.
+		departure
 
 		out Effects
 	}
--- a/core/repair/sim_test.go
+++ b/core/repair/sim_test.go
@@ -21,7 +21,8 @@
 	simCatchUp     = 4 * time.Second
 	simCheck       = 100 * time.Millisecond // Interval between checks of the group by its leader.
 	simJoin        = 300 * time.Millisecond // Interval between attempts to join.
-	simLeave       = 2 * time.Second        // Maximum wait of a replica that leaves.
+	simGrace       = 8 * time.Second        // Time between a request to stop and a kill.
+	simLeave       = 6 * time.Second        // Maximum wait of a replica that leaves.
 	simRetransmit  = 200 * time.Millisecond // Initial retransmission time-out.
 	simDiskStalled = simElection / 4
 )
@@ -120,7 +121,7 @@
 func (s *simulation) start(n *simNode) {
 	s.note("%s of %s starts", n.id, n.centre)
 	n.up, n.leaveAt, n.startedAt, n.pending, n.active, n.version = true, 0, s.now, simWrite{}, nil, 0
-	n.Raft = &raft.Raft{ID: n.id, ElectionTimeout: simElection, Leaseless: true, HandsOverVotes: true, Rand: rand.New(rand.NewPCG(s.rnd.Uint64(), 1))}
+	n.Raft = &raft.Raft{ID: n.id, ElectionTimeout: simElection, Leaseless: true, HandsOverVotes: true, LeaveTimeout: simLeave, Rand: rand.New(rand.NewPCG(s.rnd.Uint64(), 1))}
 	n.Start(s.clock(), n.snapshot, n.records)
 	n.load(n.snapshot)
 }
@@ -288,7 +289,8 @@
 	if !n.IsLeader() || !n.Transferring() {
 		s.perform(n, n.Leave(s.clock()))
 	}
-	if s.now-n.leaveAt > simLeave || n.Released() || (n.IsLeader() && !n.Transferring()) {
+	if why := n.MayStop(s.clock()); why != "" {
+		s.note("%s leaves: %s", n.id, why)
 		s.kill(n)
 	}
 }
--- a/core/repair/slow_test.go
+++ b/core/repair/slow_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/shoenig/test/must"
 )
 
 // setWriteTime sets how long each write of each replica takes.
@@ -38,3 +40,32 @@
 		}
 	}
 }
+
+// Guards against removals that take the quorum with them (CONFIG) because all disks are slow meanwhile: each
+// successor had its time to catch up, and a change was acknowledged before each removal.
+func TestReplacementsOnSlowDisks(t *testing.T) {
+	const seeds = 20
+	for _, d := range []time.Duration{100, 250, 300, 400, 500, 800} {
+		for seed := range uint64(seeds) {
+			s := newSimulation(seed+1, 1, 3, 3)
+			for _, centre := range []string{"z0", "z1"} {
+				s.start(s.add(centre))
+			}
+			s.setWriteTime(d * time.Millisecond)
+			s.run(2 * simCatchUp)
+			for _, n := range s.nodes[:2] {
+				acked := s.acked
+				must.True(t, s.runUntil(time.Minute, func() bool { return s.acked > acked }), must.Sprintf("writes of %d ms, seed %d", d, seed+1))
+				n.leaveAt = s.now
+				must.True(t, s.runUntil(simGrace, func() bool { return !n.up }))
+				s.run(1500 * time.Millisecond)
+			}
+			acked := s.acked
+			s.setWriteTime(0)
+			s.run(recoverTime)
+			if !s.readable() || s.acked <= acked {
+				t.Errorf("writes of %d ms, seed %d: acknowledged up to %d, not readable\n%s", d, seed+1, acked, s.state())
+			}
+		}
+	}
+}
--- a/io/ctrl/ctrl.go
+++ b/io/ctrl/ctrl.go
@@ -36,8 +36,6 @@
 	tickEvery = 20 * time.Millisecond
 	batchMax  = 256 // Maximum number of messages and proposals for one sync.
 	queueMax  = 1024
-
-	leaveTimeout = 2 * time.Second // Maximum wait for the next leader and its release.
 )
 
 type (
@@ -52,7 +50,10 @@
 		After     uint64           // With Bootstrap: the last configuration version of an earlier group.
 		Election  time.Duration    // Election timeout, the same at all replicas; zero for raft.DefaultElectionTimeout.
 		Leaseless bool             // All reads go through the log, at all replicas of the group.
-		Sender    sender
+		// LeaveTimeout is the maximum time that Leave waits for the next leader and its release;
+		// zero for raft.DefaultLeaveTimeout.
+		LeaveTimeout time.Duration
+		Sender       sender
 		// Beside sends over other connections than Sender, for messages that must not wait behind
 		// lost packets. Nil discards these messages.
 		Beside sender
@@ -76,13 +77,12 @@
 		clock        clock
 		expire       time.Time // Time of the next check for expired claims.
 
-		in               chan *wire.Raft
-		props            chan *proposal
-		calls            chan func(now time.Time) raft.Effects
-		leave            chan struct{}
-		leaveRequestedAt time.Time // Time of the call of Leave.
-		once             sync.Once
-		done             chan struct{}
+		in    chan *wire.Raft
+		props chan *proposal
+		calls chan func(now time.Time) raft.Effects
+		leave chan struct{}
+		once  sync.Once
+		done  chan struct{}
 
 		observer observer
 		view     atomic.Pointer[view]
@@ -133,7 +133,7 @@
 func (c *Ctrl) start(now time.Time, snap *wire.Snapshot, recs []*wire.Record) {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(c.id))
-	c.raft = &raft.Raft{ID: c.id, ElectionTimeout: c.Election, Leaseless: c.Leaseless, HandsOverVotes: c.Centre != "", Rand: rand.New(rand.NewPCG(h.Sum64(), uint64(now.UnixNano())))} //nolint:gosec // It spreads timeouts; no secret.
+	c.raft = &raft.Raft{ID: c.id, ElectionTimeout: c.Election, Leaseless: c.Leaseless, HandsOverVotes: c.Centre != "", LeaveTimeout: c.LeaveTimeout, Rand: rand.New(rand.NewPCG(h.Sum64(), uint64(now.UnixNano())))} //nolint:gosec // It spreads timeouts; no secret.
 	c.raft.Start(now, snap, recs)
 	c.publish(now)
 }
@@ -200,7 +200,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-leave:
-			leave, leaving, c.leaveRequestedAt = nil, true, time.Now()
+			leave, leaving = nil, true
 			b.add(c.raft.Leave(time.Now()))
 		case m := <-c.in:
 			b.step(m)
@@ -227,24 +227,16 @@
 		if err := b.finish(ctx); err != nil {
 			return err
 		}
-		if leaving && c.mayStop() {
+		if !leaving {
+			continue
+		}
+		if why := c.raft.MayStop(time.Now()); why != "" {
+			c.Log.Info("Replica leaves.", "why", why, "term", c.raft.Term())
 			return nil
 		}
 	}
 }
 
-// mayStop reports whether a leaving replica may stop: the leader has released it, or nothing came of
-// that within leaveTimeout. A leader may stop if no voter is there to take over.
-func (c *Ctrl) mayStop() bool {
-	switch {
-	case time.Since(c.leaveRequestedAt) > leaveTimeout:
-		return true
-	case c.raft.IsLeader():
-		return !c.raft.Transferring()
-	}
-	return c.raft.Released() || c.raft.Group() == ""
-}
-
 // TransferLeadership hands leadership to another replica, if this one leads.
 func (c *Ctrl) TransferLeadership(ctx context.Context) error {
 	return c.do(ctx, func(now time.Time) raft.Effects { return c.raft.TransferLeadership(now) })
--- a/io/hubd/hubd.go
+++ b/io/hubd/hubd.go
@@ -33,7 +33,6 @@
 	// memoryLimitShare is the fraction of the allowed memory at which the garbage collector
 	// starts to work harder, as in gated.
 	memoryLimitShare = 0.7
-	leaveTimeout     = 3 * time.Second // For handing over leadership when the process stops.
 	// voterAwayShare is the fraction of the catch-up time after which a silent voter is
 	// replaced. The catch-up time is a setting: a lost replica must be replaced by a live one
 	// within it. The rest of it is left for the membership change itself.
@@ -43,6 +42,7 @@
 	// place requests by themselves while there is no leader.
 	electionTimeout    = 400 * time.Millisecond
 	drainOpenTime      = 200 * time.Millisecond // For open connections, before and after the listener closes.
+	minCallDrain       = 500 * time.Millisecond // For calls in flight once the replica has left its group.
 	stopMargin         = 600 * time.Millisecond // For stopping the process once the last call is answered.
 	learnerForgetAfter = time.Minute            // Silence after which a learner is removed from the group.
 	// maxRefusalLogLines is how many lines per second are logged for refused tickets. A line
@@ -81,7 +81,7 @@
 	}
 	d.ctrl = &ctrl.Ctrl{
 		Name: settings.Node, Address: settings.Peers, Control: settings.SeedPeers(), Centre: settings.Centre,
-		Bootstrap: settings.Bootstrap && settings.Founds(), Election: electionTimeout, Leaseless: true, Log: log.WithName("ctrl"),
+		Bootstrap: settings.Bootstrap && settings.Founds(), Election: electionTimeout, Leaseless: true, LeaveTimeout: leaveTimeout(settings.DrainLimit), Log: log.WithName("ctrl"),
 	}
 	if err := d.ctrl.Open(settings.DataFolder); err != nil {
 		_ = peers.Close()
@@ -121,7 +121,7 @@
 	d.ctrl.Sender, d.ctrl.Beside = m, d.beside
 	ops := &admin.Admin{Stats: metrics, Ready: d.ctrl.Ready}
 	d.sup = suture.New("hub", suture.Spec{EventHook: func(ev suture.Event) { d.log.Info("Supervisor event.", "event", ev.String()) }})
-	d.front = &httpd.Httpd{Listen: front, Handler: calls(h), Drain: callDrain(settings.DrainLimit), DrainOpen: drainOpenTime}
+	d.front = &httpd.Httpd{Listen: front, Handler: calls(h), DrainOpen: drainOpenTime}
 	for _, s := range []suture.Service{
 		m, d.ctrl, h,
 		&form.Form{Policy: group, Self: settings.Peers, Centre: settings.Centre, Replica: d.ctrl, Leader: toLeader, Log: d.log.WithName("form")},
@@ -138,13 +138,15 @@
 	}
 }
 
-// callDrain returns how long calls may be answered after leadership was handed over, so that all of them are
-// answered within the drain limit. Zero is the server's default.
-func callDrain(limit time.Duration) time.Duration {
-	if limit <= 0 {
-		return 0
-	}
-	return max(limit-leaveTimeout-2*drainOpenTime-stopMargin, 2*httpd.EndTime)
+// leaveTimeout returns how long a replica that stops may wait for the next leader and its release.
+func leaveTimeout(limit time.Duration) time.Duration {
+	return max(callDrain(limit)-minCallDrain, limit/4)
+}
+
+// callDrain returns how long calls may be answered if so much of the drain limit is left. Meanwhile calls that
+// need a leader may find one.
+func callDrain(left time.Duration) time.Duration {
+	return max(left-2*drainOpenTime-stopMargin, minCallDrain)
 }
 
 // replicas returns the replicas to ask for the leader, this one first.
@@ -158,8 +160,9 @@
 	return list
 }
 
-// Serve runs until ctx ends. A leader hands over its leadership first. If the replica fails, all
-// services stop, and Serve returns an error that ends the process.
+// Serve runs until ctx ends. Within the drain limit the replica leaves its group, a leader hands over
+// its leadership, and calls are answered. If the replica fails, all services stop, and Serve returns an
+// error that ends the process.
 func (d *Hubd) Serve(ctx context.Context) error {
 	servicesCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
@@ -180,9 +183,11 @@
 		return fmt.Errorf("hubd: %w", err)
 	case <-ctx.Done():
 	}
-	leaveCtx, cancelLeave := context.WithTimeout(servicesCtx, leaveTimeout)
+	stopAt := time.Now().Add(d.settings.DrainLimit)
+	leaveCtx, cancelLeave := context.WithTimeout(servicesCtx, leaveTimeout(d.settings.DrainLimit))
 	defer cancelLeave()
 	d.ctrl.Leave(leaveCtx)
+	d.front.Drain = callDrain(time.Until(stopAt))
 	stopFront()
 	<-frontDone //nolint:errcheck // It was told to end.
 	cancel()
