Replicas that are suspended again and again elect a leader

Cause: after a gap of over a quarter of the election timeout a replica starts its election timer and the time in which it denies votes again. With a gap in each timeout neither ever ends. The time for denied votes has to start again where leases rely on it; replicas of a deployment that forms itself have none.

Change: the gap is taken out of the timers instead. With leases, votes are denied as before.

--- a/core/raft/raft.go
+++ b/core/raft/raft.go
@@ -16,6 +16,10 @@
 	"azurelane/core/wire"
 )
 
+// maxGapDivisor is the fraction of the election timeout above which the time between two calls is a
+// suspension or a jump of the clock.
+const maxGapDivisor = 4
+
 var (
 	// ErrNotLeader is returned for a proposal to a replica that is not the leader or is
 	// transferring leadership.
@@ -398,13 +402,28 @@
 	}
 	r.now = now
 	r.pauses.observe(now, max(gap, 0), r.electionTimeout())
-	if gap > r.electionTimeout()/4 || gap < 0 {
-		// The process was suspended or its clock jumped. A follower can't tell how much of the
-		// time in which it must deny votes has really passed, so that time starts again.
-		// Otherwise a jump would let it vote while the leader still serves local reads. A
-		// leader counts only replies to rounds sent from now on.
-		r.lastLeaderContact, r.leaderSince = now, now
-		r.resetElectionTimer()
+	if gap > r.electionTimeout()/maxGapDivisor || gap < 0 {
+		r.resume(max(gap, 0))
+	}
+}
+
+// resume adjusts the times of a replica whose process was suspended or whose clock jumped. A leader
+// counts only replies to rounds sent from now on. A follower has heard nothing meanwhile, whether or
+// not there was a leader: the gap is no silence of the leader. Were its timers to start again
+// instead, replicas that are suspended again and again would never elect one.
+//
+// With leases, the follower can't tell how much of the time in which it must deny votes has really
+// passed, so that time starts again. Otherwise a jump would let it vote while the leader still
+// serves local reads.
+func (r *Raft) resume(gap time.Duration) {
+	r.leaderSince = r.now
+	r.lastLeaderContact = r.lastLeaderContact.Add(gap)
+	if !r.Leaseless {
+		r.lastLeaderContact = r.now
+	}
+	r.electionDeadline = r.electionDeadline.Add(gap)
+	if soonest := r.now.Add(r.electionTimeout() / maxGapDivisor); r.electionDeadline.Before(soonest) {
+		r.electionDeadline = soonest // Messages of the leader may be waiting.
 	}
 }
 
