Lines at start name the build and the data folder

Change: `azurelane version` and the lines `Control serves.` and `Entry serves.` name the linker's build id, read from the executable's note, beside the revision. Control replicas also name the identity and the term of their data folder, so that one of an earlier run can be told from an empty one.

--- a/cmd/azurelane/version.go
+++ b/cmd/azurelane/version.go
@@ -2,13 +2,16 @@
 
 import (
 	"fmt"
-	"runtime/debug"
+
+	"azurelane/io/build"
 )
 
 // version is the newest heading of CHANGELOG.md.
 const version = "0.1.0"
 
-const usageVersion = `Print the version and the revision it was built from.`
+const usageVersion = `Print the version, the revision it was built from and the linker's build id,
+which differs whenever the code does. Lines that say that a process serves name
+revision and build id too.`
 
 type versionCmd struct{}
 
@@ -17,14 +20,7 @@
 
 // Run prints the version.
 func (versionCmd) Run() error {
-	rev := "unknown"
-	if info, ok := debug.ReadBuildInfo(); ok {
-		for _, s := range info.Settings {
-			if s.Key == "vcs.revision" {
-				rev = s.Value
-			}
-		}
-	}
-	fmt.Printf("azurelane %s, revision %s\n", version, rev)
+	b := build.Read()
+	fmt.Printf("azurelane %s, revision %s, build %s\n", version, b.Revision, b.ID)
 	return nil
 }
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -18,6 +18,7 @@
 	"azurelane/core/kernel"
 	"azurelane/core/wire"
 	"azurelane/io/admin"
+	"azurelane/io/build"
 	"azurelane/io/certs"
 	"azurelane/io/client"
 	"azurelane/io/follow"
@@ -136,7 +137,7 @@
 	parts, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	done := e.sup.ServeBackground(parts)
-	e.log.Info("Entry serves.", "node", e.set.Node, "callers", e.set.Callers.String())
+	build.Read().Log(e.log).Info("Entry serves.", "node", e.set.Node, "callers", e.set.Callers.String())
 	select {
 	case <-ctx.Done():
 	case <-e.asked.Done():
--- a/io/gated/gated.go
+++ b/io/gated/gated.go
@@ -24,6 +24,7 @@
 	"azurelane/core/wire"
 	"azurelane/io/accept"
 	"azurelane/io/admin"
+	"azurelane/io/build"
 	"azurelane/io/client"
 	"azurelane/io/delay"
 	"azurelane/io/dialer"
@@ -253,7 +254,7 @@
 	defer stopCallers()
 	served := make(chan error, 1)
 	go func() { served <- e.callers.Serve(callersCtx) }()
-	e.log.Info("Entry serves.", "node", e.settings.Node, "callers", e.settings.Callers)
+	build.Read().Log(e.log).Info("Entry serves.", "node", e.settings.Node, "callers", e.settings.Callers)
 	select {
 	case <-ctx.Done():
 	case err := <-served:
--- a/io/hubd/hubd.go
+++ b/io/hubd/hubd.go
@@ -18,6 +18,7 @@
 	"azurelane/core/conf"
 	coreform "azurelane/core/repair"
 	"azurelane/io/admin"
+	"azurelane/io/build"
 	"azurelane/io/ctrl"
 	"azurelane/io/form"
 	"azurelane/io/httpd"
@@ -167,7 +168,8 @@
 	servicesCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	defer d.beside.Close()
-	d.log.Info("Control serves.", "node", d.settings.Node, "peers", d.settings.Peers.String())
+	build.Read().Log(d.log).Info("Control serves.", "node", d.settings.Node, "peers", d.settings.Peers.String(),
+		"identity", d.ctrl.Identity(), "term", d.ctrl.Term(), "bootstrap", d.settings.Bootstrap)
 	done := d.sup.ServeBackground(servicesCtx)
 	frontCtx, stopFront := context.WithCancel(servicesCtx)
 	defer stopFront()
--- a/io/quorum/quorum.go
+++ b/io/quorum/quorum.go
@@ -13,6 +13,7 @@
 
 	"azurelane/core/wire"
 	"azurelane/io/admin"
+	"azurelane/io/build"
 	"azurelane/io/certs"
 	"azurelane/io/ctrl"
 	"azurelane/io/httpd"
@@ -77,7 +78,7 @@
 func (q *Quorum) Serve(ctx context.Context) error {
 	parts, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	q.log.Info("Control serves.", "node", q.set.Node, "peers", q.set.Peers.String())
+	build.Read().Log(q.log).Info("Control serves.", "node", q.set.Node, "peers", q.set.Peers.String(), "identity", q.ctrl.Identity(), "term", q.ctrl.Term())
 	done := q.sup.ServeBackground(parts)
 	select {
 	case err := <-done:
