A replica with the data folder of another group says so

What callers saw: nothing yet; looked at as a way in which a real machine differs (a data folder of an earlier run). A replica that starts with the folder of another group ignores all messages of the group of its seeds. It joined as a learner each second all the same, for good, never got a vote, and no line told why.

Change: a replica that hears no leader asks for the group with the list of replicas. The time limit of the call that leaves a group is longer than that of the replica, so that `Replica leaves.` is always written.

Tests: TestJoins, "its data folder is that of another group", failed before.

Result: passes.

--- a/io/form/form.go
+++ b/io/form/form.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
 
 	"azurelane/core/raft"
 	"azurelane/core/repair"
@@ -23,6 +24,9 @@
 	transferInterval    = 2 * time.Second        // Interval between attempts to transfer leadership.
 )
 
+// errOtherGroup is logged by a replica that can't join the group of its seeds.
+var errOtherGroup = errors.New("form: the data folder belongs to another group")
+
 type (
 	// Form maintains the membership of one control replica. Its fields are set before use.
 	Form struct {
@@ -80,7 +84,7 @@
 	if name == "" || !f.lists(all) {
 		return f.join(ctx)
 	}
-	return f.checkListed(ctx)
+	return f.checkListed(ctx, name)
 }
 
 // repair proposes the next membership change of the group that this replica leads.
@@ -138,8 +142,9 @@
 
 // checkListed asks the leader whether this replica is still in the group, and joins again if not. A
 // replica that was removed while it was down receives no messages, so it would never learn of its
-// removal, and the group would lack a replica.
-func (f *Form) checkListed(ctx context.Context) error {
+// removal, and the group would lack a replica. One with the data folder of another group ignores all
+// messages, so it does not join.
+func (f *Form) checkListed(ctx context.Context, name string) error {
 	if f.Replica.Ready() || time.Since(f.lastListedCheck) < listedCheckInterval {
 		return nil
 	}
@@ -150,7 +155,11 @@
 	if err != nil {
 		return fmt.Errorf("form: ask the leader: %w", err)
 	}
-	if f.lists(r.GetStatus().GetReplicas()) {
+	switch s := r.GetStatus(); {
+	case s.GetGroup() != name:
+		f.Log.Error(errOtherGroup, "Group not joined. Start this replica with an empty data folder.", "folder-group", name, "group", s.GetGroup())
+		return nil
+	case f.lists(s.GetReplicas()):
 		return nil
 	}
 	return f.join(ctx)
--- a/io/form/form_test.go
+++ b/io/form/form_test.go
@@ -1,6 +1,7 @@
 package form
 
 import (
+	"cmp"
 	"context"
 	"net/netip"
 	"testing"
@@ -24,6 +25,7 @@
 	all      []*wire.Replica
 	peers    []raft.PeerStatus
 	listed   []*wire.Replica // Replicas that the leader lists.
+	other    string          // Group of the leader; empty for the replica's own.
 	proposed []*wire.Membership
 	asked    int
 	moved    int // Attempts to transfer leadership.
@@ -50,11 +52,12 @@
 
 func (f *fakeGroup) Ask(context.Context, func() *wire.Frame) (*wire.Frame, error) {
 	f.asked++
-	return &wire.Frame{Body: &wire.Frame_Status{Status: &wire.Status{Replicas: f.listed}}}, f.err
+	return &wire.Frame{Body: &wire.Frame_Status{Status: &wire.Status{Group: cmp.Or(f.other, f.name), Replicas: f.listed}}}, f.err
 }
 
 // Guards against a replica that never joins because it has no group or was removed from it while it was
-// down. A replica that its group lists must not ask to join.
+// down. A replica that its group lists must not ask to join, nor one whose data folder is that of another
+// group, which would be a learner that never answers.
 func TestJoins(t *testing.T) {
 	me, other := &wire.Replica{Id: "me"}, &wire.Replica{Id: "other"}
 	for _, tc := range []struct {
@@ -66,6 +69,7 @@
 		{"its log says that it was removed", fakeGroup{name: "g", all: []*wire.Replica{other}}, true},
 		{"the leader says that it was removed", fakeGroup{name: "g", all: []*wire.Replica{me, other}, listed: []*wire.Replica{other}}, true},
 		{"in its group, hears nobody", fakeGroup{name: "g", all: []*wire.Replica{me, other}, listed: []*wire.Replica{me, other}}, false},
+		{"its data folder is that of another group", fakeGroup{name: "g", other: "h", all: []*wire.Replica{me, other}, listed: []*wire.Replica{other}}, false},
 		{"in its group, hears the leader", fakeGroup{name: "g", ready: true, all: []*wire.Replica{me, other}}, false},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/io/hubd/hubd.go
+++ b/io/hubd/hubd.go
@@ -44,6 +44,7 @@
 	electionTimeout    = 400 * time.Millisecond
 	drainOpenTime      = 200 * time.Millisecond // For open connections, before and after the listener closes.
 	minCallDrain       = 500 * time.Millisecond // For calls in flight once the replica has left its group.
+	leaveMargin        = 100 * time.Millisecond // For the replica to end once it may.
 	stopMargin         = 600 * time.Millisecond // For stopping the process once the last call is answered.
 	learnerForgetAfter = time.Minute            // Silence after which a learner is removed from the group.
 	// maxRefusalLogLines is how many lines per second are logged for refused tickets. A line
@@ -141,7 +142,7 @@
 
 // leaveTimeout returns how long a replica that stops may wait for the next leader and its release.
 func leaveTimeout(limit time.Duration) time.Duration {
-	return max(callDrain(limit)-minCallDrain, limit/4)
+	return max(callDrain(limit)-minCallDrain-leaveMargin, limit/4)
 }
 
 // callDrain returns how long calls may be answered if so much of the drain limit is left. Meanwhile calls that
@@ -186,7 +187,7 @@
 	case <-ctx.Done():
 	}
 	stopAt := time.Now().Add(d.settings.DrainLimit)
-	leaveCtx, cancelLeave := context.WithTimeout(servicesCtx, leaveTimeout(d.settings.DrainLimit))
+	leaveCtx, cancelLeave := context.WithTimeout(servicesCtx, leaveTimeout(d.settings.DrainLimit)+leaveMargin)
 	defer cancelLeave()
 	d.ctrl.Leave(leaveCtx)
 	d.front.Drain = callDrain(time.Until(stopAt))
