The test of replicas that leave without a leader keeps elections away

What was wrong: TestReplicaLeavesWithoutLeader was to have voters that elect nobody, but a heartbeat that was on its way started their timers again. They elected the leaving replica, so the test passed for another reason.

Change: messages on their way are dropped before the timers are set, and the test checks that nobody leads. No check is taken out.

Result: core/raft and core/repair pass under -race. Test code only.

--- a/core/raft/leave_test.go
+++ b/core/raft/leave_test.go
@@ -116,12 +116,13 @@
 	s, l := newElectedSim(10, 3)
 	leaving := s.nodes[s.others(l.id)[0]]
 	leaving.LeaveTimeout = time.Minute
+	l.down, s.inFlight = true, nil // A heartbeat on its way would start the timers again.
 	for _, n := range s.nodes {
 		n.electionDeadline = n.now.Add(time.Hour)
 	}
-	l.down = true
 	s.performEffects(leaving, leaving.Leave(leaving.clock(s)))
 	s.run(2 * leaveCutOffTimeouts * DefaultElectionTimeout)
+	must.Nil(t, s.leader())
 	must.Eq(t, "", leaving.MayStop(leaving.clock(s)))
 	s.nodes[s.others(l.id)[1]].down = true
 	s.run(DefaultElectionTimeout)
